--- a/Makefile
+++ b/Makefile
@@ -44,6 +44,7 @@
 	$(MAKE) check-lint
 	$(MAKE) unit
 	$(MAKE) sanitize
+	bench/test-summary.sh
 
 demo: build
 	bench/demo.sh $(BUILD)
