--- /dev/null
+++ b/bench/mesh-lib.sh
@@ -0,0 +1,147 @@
+# Functions that start and stop a small mesh of real processes on loopback.
+# Sourced by the demo and the benches. Every process is ended by its id.
+#
+# Ports of node I: base + 10 * I + {0 calls, 1 announcements, 2 RPC, 3 gossip,
+# 4 admin, 5 upstream}; of control host I: control base + 10 * I + {0 RPC,
+# 1 gossip, 2 admin}.
+
+MESH_BUILD=${MESH_BUILD:-build}
+MESH_DIR=${MESH_DIR:-$(mktemp -d)}
+MESH_NODE_BASE=${MESH_NODE_BASE:-21000}
+MESH_CONTROL_BASE=${MESH_CONTROL_BASE:-20000}
+MESH_PIDS=()
+declare -A MESH_PID_OF
+
+mesh_now_ms() { date +%s%3N; }
+
+mesh_fail() {
+    echo "FAILED: $*" >&2
+    exit 1
+}
+
+# mesh_start NAME COMMAND...: starts a process with its log in the folder.
+mesh_start() {
+    local name=$1
+    shift
+    "$@" >>"$MESH_DIR/$name.out" 2>>"$MESH_DIR/$name.log" &
+    MESH_PID_OF[$name]=$!
+    MESH_PIDS+=($!)
+}
+
+# mesh_signal SIGNAL NAME...: signals processes by the ids they were started
+# with.
+mesh_signal() {
+    local signal=$1 name
+    shift
+    for name in "$@"; do
+        kill "-$signal" "${MESH_PID_OF[$name]}" 2>/dev/null || true
+    done
+}
+
+# mesh_stop_all: ends every process, upstreams and nodes first, and waits.
+mesh_stop_all() {
+    local pid
+    for pid in "${MESH_PIDS[@]}"; do
+        kill -CONT "$pid" 2>/dev/null || true
+        kill -TERM "$pid" 2>/dev/null || true
+    done
+    local deadline=$((SECONDS + 8))
+    for pid in "${MESH_PIDS[@]}"; do
+        while kill -0 "$pid" 2>/dev/null && [ $SECONDS -lt $deadline ]; do
+            sleep 0.05
+        done
+        kill -KILL "$pid" 2>/dev/null || true
+    done
+    wait 2>/dev/null || true
+}
+
+# mesh_control_list: the value of --control for all processes, from the arrays
+# CONTROL_ZONES and CONTROL_REGIONS.
+mesh_control_list() {
+    local i list=
+    for i in "${!CONTROL_ZONES[@]}"; do
+        list+="${list:+,}control-$i/${CONTROL_ZONES[$i]}/${CONTROL_REGIONS[$i]}"
+        list+="/127.0.0.1:$((MESH_CONTROL_BASE + 10 * i))"
+    done
+    echo "$list"
+}
+
+# mesh_start_control I [FLAG...]: starts control host I on its own folder.
+mesh_start_control() {
+    local i=$1 base=$((MESH_CONTROL_BASE + 10 * $1))
+    shift
+    mkdir -p "$MESH_DIR/control-$i/folder" "$MESH_DIR/control-$i/data"
+    mesh_start "control-$i" "$MESH_BUILD/control/baobab-control" \
+        --host "control-$i" --zone "${CONTROL_ZONES[$i]}" \
+        --region "${CONTROL_REGIONS[$i]}" \
+        --folder "$MESH_DIR/control-$i/folder" \
+        --data "$MESH_DIR/control-$i/data" \
+        --control "$(mesh_control_list)" \
+        --rpc "127.0.0.1:$base" --gossip "127.0.0.1:$((base + 1))" \
+        --admin "127.0.0.1:$((base + 2))" --seed "$((100 + i))" "$@"
+}
+
+# mesh_start_node I ZONE REGION [FLAG...]
+mesh_start_node() {
+    local i=$1 zone=$2 region=$3 base=$((MESH_NODE_BASE + 10 * $1))
+    shift 3
+    mesh_start "node-$i" "$MESH_BUILD/node/baobab-node" \
+        --host "node-$i" --zone "$zone" --region "$region" \
+        --control "$(mesh_control_list)" \
+        --listen "127.0.0.1:$base" --local "127.0.0.1:$((base + 1))" \
+        --rpc "127.0.0.1:$((base + 2))" \
+        --gossip "127.0.0.1:$((base + 3))" \
+        --admin "127.0.0.1:$((base + 4))" --seed "$((1000 + i))" "$@"
+}
+
+# mesh_start_upstream I SERVICE [FLAG...]: the stand-in beside node I.
+mesh_start_upstream() {
+    local i=$1 service=$2 base=$((MESH_NODE_BASE + 10 * $1))
+    shift 2
+    mesh_start "upstream-$i" "$MESH_BUILD/upstream/baobab-upstream" \
+        --host "node-$i" --service "$service" \
+        --listen "127.0.0.1:$((base + 5))" \
+        --announce "127.0.0.1:$((base + 1))" "$@"
+}
+
+# mesh_ctl COMMAND...: baobabctl against control host MESH_ADMIN (default 0).
+mesh_ctl() {
+    "$MESH_BUILD/ctl/baobabctl" \
+        --admin "127.0.0.1:$((MESH_CONTROL_BASE + 10 * ${MESH_ADMIN:-0} + 2))" \
+        "$@"
+}
+
+# mesh_put_folder I SOURCE: copies files into the folder of control host I, each
+# by a rename so that no half-written file is ever seen.
+mesh_put_folder() {
+    local target="$MESH_DIR/control-$1/folder" file
+    mkdir -p "$target"
+    for file in "$2"/*; do
+        cp "$file" "$target/.$(basename "$file").tmp"
+        mv "$target/.$(basename "$file").tmp" "$target/$(basename "$file")"
+    done
+}
+
+# mesh_wait_revision REVISION NAME...: waits until each node has logged that
+# the revision, or a later one, is in force. Sets MESH_LAST_MS to the latest
+# time of them. Fails after 20 s.
+mesh_wait_revision() {
+    local revision=$1 name line deadline=$((SECONDS + ${MESH_WAIT_S:-20}))
+    shift
+    MESH_LAST_MS=0
+    for name in "$@"; do
+        while :; do
+            line=$(awk -v want="$revision" '/configuration.in_force/ {
+                for (i = 1; i <= NF; i++)
+                    if ($i == "revision" && $(i + 1) + 0 >= want) {
+                        print $1; exit } }' "$MESH_DIR/$name.log" 2>/dev/null)
+            [ -n "$line" ] && break
+            [ $SECONDS -lt $deadline ] ||
+                mesh_fail "$name does not hold revision $revision"
+            sleep 0.05
+        done
+        line=$(date -d "$line" +%s%3N)
+        [ "$line" -gt "$MESH_LAST_MS" ] && MESH_LAST_MS=$line
+    done
+    return 0
+}
--- /dev/null
+++ b/include/mesh/control_list.h
@@ -0,0 +1,32 @@
+/* The list of control hosts given by the --control setting of every process:
+ * HOST/ZONE/REGION/IP:PORT, separated by commas. */
+#ifndef BB_MESH_CONTROL_LIST_H
+#define BB_MESH_CONTROL_LIST_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "common/address.h"
+#include "common/error.h"
+#include "config/config.h"
+
+enum { BB_CONTROL_HOSTS_MAX = 7 };
+
+struct bb_control_host {
+    char host[BB_NAME_BYTES];
+    char zone[BB_NAME_BYTES];
+    char region[BB_NAME_BYTES];
+    struct bb_address rpc;
+};
+
+struct bb_control_list {
+    struct bb_control_host items[BB_CONTROL_HOSTS_MAX];
+    uint32_t count;
+};
+
+bool bb_control_list_parse(const char *text, struct bb_control_list *list,
+                           struct bb_error *e);
+const struct bb_control_host *
+bb_control_list_find(const struct bb_control_list *list, const char *host);
+
+#endif
