--- a/tests/mesh/test_control_list.c
+++ b/tests/mesh/test_control_list.c
@@ -19,6 +19,11 @@
     CU_ASSERT_PTR_NULL(bb_control_list_find(&list, "c3"));
 }
 
+static const char nine_hosts[] =
+    "a/z/r/1.1.1.1:1,b/z/r/1.1.1.1:1,c/z/r/1.1.1.1:1,d/z/r/1.1.1.1:1,"
+    "e/z/r/1.1.1.1:1,f/z/r/1.1.1.1:1,g/z/r/1.1.1.1:1,h/z/r/1.1.1.1:1,"
+    "i/z/r/1.1.1.1:1";
+
 static void
 test_wrong_lists_are_refused(void)
 {
@@ -31,9 +36,7 @@
         "c0/a/west/127.0.0.1:1,",
         "c0/a/west/127.0.0.1:1,c1/a/west/127.0.0.1:2",
         "c0/a/w/127.0.0.1:1,c0/a/w/127.0.0.1:2,c2/a/w/127.0.0.1:3",
-        "a/z/r/1.1.1.1:1,b/z/r/1.1.1.1:1,c/z/r/1.1.1.1:1,d/z/r/1.1.1.1:1,"
-        "e/z/r/1.1.1.1:1,f/z/r/1.1.1.1:1,g/z/r/1.1.1.1:1,h/z/r/1.1.1.1:1,"
-        "i/z/r/1.1.1.1:1",
+        nine_hosts,
     };
 
     for (size_t i = 0; i < sizeof(texts) / sizeof(texts[0]); i++) {
