Add configuration folders, validation, compilation and bundles

The programs need one path from a folder of files to a checked, compiled configuration, and a form of it that can be stored and sent.

folder reads files with limits and outages; merge keeps the origin of each value; section handlers register as plug-ins; compile reports all faults at once; bundle and delta are XDR bodies in a zstd frame behind a hash.

--- /dev/null
+++ b/config/bundle_codec.h
@@ -0,0 +1,34 @@
+/* Inside the configuration layer: the outer form of encoded bundles and
+ * deltas, which is {magic, size when expanded, hash, zstd frame} in XDR. */
+#ifndef BB_CONFIG_BUNDLE_CODEC_H
+#define BB_CONFIG_BUNDLE_CODEC_H
+
+#include <glib.h>
+#include <rpc/rpc.h>
+
+#include "common/error.h"
+#include "config/folder.h"
+
+enum {
+    BB_MAGIC_BUNDLE = 0x42424231, /* "BBB1" */
+    BB_MAGIC_DELTA = 0x42424431,  /* "BBD1" */
+    /* Every name at its longest, every file's XDR framing, the content and
+     * the fields at the front. */
+    BB_EXPANDED_MAX_BYTES =
+        BB_FOLDER_MAX_BYTES +
+        2 * BB_FOLDER_MAX_FILES * (BB_FILE_NAME_MAX_BYTES + 16) + 1024
+};
+
+void bb_codec_pack(uint32_t magic, const uint8_t *expanded, size_t size_bytes,
+                   uint8_t **packed, size_t *packed_size_bytes);
+uint8_t *bb_codec_unpack(uint32_t magic, const uint8_t *packed,
+                         size_t packed_size_bytes, size_t *size_bytes,
+                         struct bb_error *e);
+bool bb_codec_digest(XDR *x, struct bb_digest *d);
+bool bb_codec_put_name(XDR *x, const char *name);
+bool bb_codec_get_name(XDR *x, char name[BB_FILE_NAME_MAX_BYTES + 1]);
+bool bb_codec_put_file(XDR *x, const struct bb_file *f);
+bool bb_codec_get_file(XDR *x, struct bb_folder_builder *b,
+                       struct bb_error *e);
+
+#endif
--- /dev/null
+++ b/config/compile.c
@@ -0,0 +1,313 @@
+/* Validates the merged sections and compiles them. */
+#include "config/compile.h"
+
+#include <string.h>
+
+#include "common/registry.h"
+#include "merge.h"
+
+struct method_row {
+    const char *name;
+    enum bb_method method;
+};
+
+static const struct method_row methods[] = {
+    {"GET", BB_METHOD_GET},        {"HEAD", BB_METHOD_HEAD},
+    {"POST", BB_METHOD_POST},      {"PUT", BB_METHOD_PUT},
+    {"DELETE", BB_METHOD_DELETE},  {"PATCH", BB_METHOD_PATCH},
+    {"OPTIONS", BB_METHOD_OPTIONS}};
+
+/* Returns the method of a name in upper case, or 0 if there is none. */
+enum bb_method
+bb_method_parse(const char *name)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(methods); i++) {
+        if (strcmp(methods[i].name, name) == 0) {
+            return methods[i].method;
+        }
+    }
+    return (enum bb_method)0;
+}
+
+/* Returns the name of one method. */
+const char *
+bb_method_name(enum bb_method m)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(methods); i++) {
+        if (methods[i].method == m) {
+            return methods[i].name;
+        }
+    }
+    return "unknown";
+}
+
+/* Tells whether a section may have this name: letters, digits, '-', '_', '.'
+ * and ':', so that a host can be named by its IP address. */
+static bool
+name_is_valid(const char *name)
+{
+    size_t length = strlen(name);
+
+    if (length == 0 || length >= BB_NAME_BYTES) {
+        return false;
+    }
+    for (const char *p = name; *p != '\0'; p++) {
+        if (!g_ascii_isalnum(*p) && strchr("-_.:", *p) == NULL) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Lists the kinds of sections for a fault's text. */
+static char *
+kinds_text(void)
+{
+    GString *text = g_string_new(NULL);
+
+    for (const struct bb_plugin *p =
+             bb_registry_first(BB_PLUGIN_CONFIG_SECTION);
+         p != NULL; p = p->next) {
+        g_string_append_printf(text, "%s%s", text->len > 0 ? ", " : "",
+                               p->name);
+    }
+    return g_string_free(text, FALSE);
+}
+
+/* Checks the title of a section; returns its handler or NULL with a fault. */
+static const struct bb_section_operations *
+check_title(struct bb_compilation *c, const struct bb_section *s)
+{
+    const struct bb_section_operations *o = bb_section_operations(s->kind);
+
+    if (o == NULL) {
+        char *kinds = kinds_text();
+
+        bb_section_fault(c, s, NULL, "unknown section; there are: %s", kinds);
+        g_free(kinds);
+        return NULL;
+    }
+    if (!o->has_name) {
+        if (strcmp(s->title, s->kind) != 0) {
+            bb_section_fault(c, s, NULL, "this section has no name");
+            return NULL;
+        }
+        return o;
+    }
+    if (!name_is_valid(s->name)) {
+        bb_section_fault(c, s, NULL,
+                         "needs a name of 1 to %d letters, digits, '-', '_', "
+                         "'.' or ':'",
+                         BB_NAME_BYTES - 1);
+        return NULL;
+    }
+    return o;
+}
+
+/* Reports keys that a section must not have. */
+static void
+check_keys(struct bb_compilation *c, const struct bb_section *s,
+           const struct bb_section_operations *o)
+{
+    for (uint32_t i = 0; i < s->values->len; i++) {
+        const struct bb_value *v = g_ptr_array_index(s->values, i);
+
+        if (bb_section_key(o, v->key) == NULL) {
+            bb_section_fault(c, s, v->key, "unknown key of a %s section",
+                             s->kind);
+        }
+    }
+}
+
+/* Tells whether the title passed its check and the section was added. */
+static bool
+title_is_valid(const struct bb_section *s,
+               const struct bb_section_operations *o)
+{
+    return o->has_name ? s->index != BB_INDEX_NONE
+                       : strcmp(s->title, s->kind) == 0;
+}
+
+/* Adds every section, then reads every section, then checks across them. */
+static void
+run_handlers(struct bb_compilation *c)
+{
+    GPtrArray *sections = c->merged->sections;
+
+    for (uint32_t i = 0; i < sections->len; i++) {
+        struct bb_section *s = g_ptr_array_index(sections, i);
+        const struct bb_section_operations *o = check_title(c, s);
+
+        s->index = BB_INDEX_NONE;
+        if (o != NULL) {
+            check_keys(c, s, o);
+            if (o->add != NULL) {
+                o->add(c, s);
+            }
+        }
+    }
+    for (uint32_t i = 0; i < sections->len; i++) {
+        struct bb_section *s = g_ptr_array_index(sections, i);
+        const struct bb_section_operations *o = bb_section_operations(s->kind);
+
+        if (o != NULL && o->read != NULL && title_is_valid(s, o)) {
+            o->read(c, s);
+        }
+    }
+    for (const struct bb_plugin *p =
+             bb_registry_first(BB_PLUGIN_CONFIG_SECTION);
+         p != NULL; p = p->next) {
+        const struct bb_section_operations *o = p->operations;
+
+        if (o->check != NULL) {
+            o->check(c);
+        }
+    }
+}
+
+/* Moves the collected items into the configuration. */
+static void
+finish(struct bb_compilation *c)
+{
+    struct bb_config *g = c->config;
+
+    g->team_count = (uint16_t)c->teams->len;
+    g->teams = (struct bb_team *)g_array_free(c->teams, FALSE);
+    g->service_count = (uint16_t)c->services->len;
+    g->services = (struct bb_service *)g_array_free(c->services, FALSE);
+    g->route_count = (uint16_t)c->routes->len;
+    g->routes = (struct bb_route *)g_array_free(c->routes, FALSE);
+    g->region_count = (uint16_t)c->regions->len;
+    g->regions = (struct bb_region *)g_array_free(c->regions, FALSE);
+    g->zone_count = (uint16_t)c->zones->len;
+    g->zones = (struct bb_zone *)g_array_free(c->zones, FALSE);
+    g->drain_count = (uint16_t)c->drains->len;
+    g->drains = (struct bb_drain *)g_array_free(c->drains, FALSE);
+}
+
+/* Makes sure that limits have their defaults without a [limits] section. */
+static void
+add_default_sections(struct bb_compilation *c, struct bb_section *limits)
+{
+    if (!g_hash_table_contains(c->merged->by_title, "limits")) {
+        const struct bb_section_operations *o =
+            bb_section_operations("limits");
+
+        limits->title = "limits";
+        limits->kind = "limits";
+        limits->name = "";
+        limits->by_key = g_hash_table_new(g_str_hash, g_str_equal);
+        o->read(c, limits);
+        g_hash_table_destroy(limits->by_key);
+    }
+}
+
+/* Compiles a folder. Adds every fault to faults and returns NULL if there is
+ * one. The caller sets the revision and frees the result with
+ * bb_config_destroy. */
+struct bb_config *
+bb_config_compile(const struct bb_folder *folder, struct bb_faults *faults)
+{
+    struct bb_section limits = {0};
+    uint32_t faults_before = faults->count;
+    struct bb_compilation c = {
+        .config = g_new0(struct bb_config, 1),
+        .merged = bb_merged_create(folder, faults),
+        .faults = faults,
+        .teams = g_array_new(FALSE, TRUE, sizeof(struct bb_team)),
+        .services = g_array_new(FALSE, TRUE, sizeof(struct bb_service)),
+        .routes = g_array_new(FALSE, TRUE, sizeof(struct bb_route)),
+        .regions = g_array_new(FALSE, TRUE, sizeof(struct bb_region)),
+        .zones = g_array_new(FALSE, TRUE, sizeof(struct bb_zone)),
+        .drains = g_array_new(FALSE, TRUE, sizeof(struct bb_drain)),
+    };
+
+    c.config->digest = folder->digest;
+    run_handlers(&c);
+    add_default_sections(&c, &limits);
+    finish(&c);
+    bb_merged_destroy(c.merged);
+    if (faults->count > faults_before) {
+        bb_config_destroy(c.config);
+        c.config = NULL;
+    }
+    return c.config;
+}
+
+/* Frees a compiled configuration; NULL is allowed. */
+void
+bb_config_destroy(struct bb_config *c)
+{
+    if (c == NULL) {
+        return;
+    }
+    for (uint16_t i = 0; i < c->service_count; i++) {
+        g_free(c->services[i].calls);
+    }
+    g_free(c->teams);
+    g_free(c->services);
+    g_free(c->routes);
+    g_free(c->regions);
+    g_free(c->zones);
+    g_free(c->drains);
+    g_free(c);
+}
+
+/* Returns the merged configuration of a folder as text, with the file that
+ * each value comes from. Files that cannot be parsed are left out. The caller
+ * frees it with g_free. */
+char *
+bb_config_merged_text(const struct bb_folder *folder)
+{
+    struct bb_faults faults = {0};
+    struct bb_merged *m = bb_merged_create(folder, &faults);
+    GString *text = g_string_new(NULL);
+
+    for (uint32_t i = 0; i < m->sections->len; i++) {
+        const struct bb_section *s = g_ptr_array_index(m->sections, i);
+
+        g_string_append_printf(text, "%s[%s]\n", i > 0 ? "\n" : "", s->title);
+        if (s->values->len == 0) {
+            g_string_append_printf(text, "# from %s\n", s->file);
+        }
+        for (uint32_t k = 0; k < s->values->len; k++) {
+            const struct bb_value *v = g_ptr_array_index(s->values, k);
+
+            g_string_append_printf(text, "# from %s\n%s=%s\n", v->file, v->key,
+                                   v->raw);
+        }
+    }
+    bb_merged_destroy(m);
+    bb_faults_clear(&faults);
+    return g_string_free(text, FALSE);
+}
+
+/* Tells whether a path lies under a prefix, at the boundary of a component:
+ * /proofs matches /proofs and /proofs/1 but not /proofs2. */
+static bool
+path_has_prefix(const char *path, const char *prefix)
+{
+    size_t length = strlen(prefix);
+
+    if (strncmp(path, prefix, length) != 0) {
+        return false;
+    }
+    return prefix[length - 1] == '/' || path[length] == '\0' ||
+           path[length] == '/' || path[length] == '?';
+}
+
+/* Returns the route of a request, the longest prefix first, or NULL. */
+const struct bb_route *
+bb_config_route(const struct bb_config *c, const char *path,
+                enum bb_method method)
+{
+    for (uint16_t i = 0; i < c->route_count; i++) {
+        const struct bb_route *r = &c->routes[i];
+
+        if ((r->methods & method) != 0 &&
+            path_has_prefix(path, r->path_prefix)) {
+            return r;
+        }
+    }
+    return NULL;
+}
--- /dev/null
+++ b/config/fault.c
@@ -0,0 +1,69 @@
+#include "config/fault.h"
+
+#include <glib.h>
+#include <stdarg.h>
+
+/* Adds one fault; NULL stands for an empty file, section or key. */
+void
+bb_faults_add(struct bb_faults *f, const char *file, const char *section,
+              const char *key, const char *format, ...)
+{
+    struct bb_fault *item;
+    va_list args;
+
+    if (f->count == BB_FAULTS_MAX) {
+        f->omitted++;
+        return;
+    }
+    if (f->items == NULL) {
+        f->items = g_new0(struct bb_fault, BB_FAULTS_MAX);
+    }
+    item = &f->items[f->count++];
+    item->file = g_strdup(file != NULL ? file : "");
+    item->section = g_strdup(section != NULL ? section : "");
+    item->key = g_strdup(key != NULL ? key : "");
+    va_start(args, format);
+    item->reason = g_strdup_vprintf(format, args);
+    va_end(args);
+}
+
+/* Returns the faults as text, one a line: FILE: [SECTION] KEY: REASON. The
+ * caller frees it with g_free. */
+char *
+bb_faults_text(const struct bb_faults *f)
+{
+    GString *text = g_string_new(NULL);
+
+    for (uint32_t i = 0; i < f->count; i++) {
+        const struct bb_fault *item = &f->items[i];
+
+        if (item->file[0] != '\0') {
+            g_string_append_printf(text, "%s: ", item->file);
+        }
+        if (item->section[0] != '\0') {
+            g_string_append_printf(text, "[%s] ", item->section);
+        }
+        if (item->key[0] != '\0') {
+            g_string_append_printf(text, "%s: ", item->key);
+        }
+        g_string_append_printf(text, "%s\n", item->reason);
+    }
+    if (f->omitted > 0) {
+        g_string_append_printf(text, "and %u more faults\n", f->omitted);
+    }
+    return g_string_free(text, FALSE);
+}
+
+/* Frees all faults and makes the list empty. */
+void
+bb_faults_clear(struct bb_faults *f)
+{
+    for (uint32_t i = 0; i < f->count; i++) {
+        g_free(f->items[i].file);
+        g_free(f->items[i].section);
+        g_free(f->items[i].key);
+        g_free(f->items[i].reason);
+    }
+    g_free(f->items);
+    *f = (struct bb_faults){0};
+}
--- /dev/null
+++ b/config/folder_read.c
@@ -0,0 +1,214 @@
+/* Reads a folder from disk and tells a usable source from an outage. */
+#include <dirent.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <glib.h>
+#include <string.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include "config/folder.h"
+#include "merge.h"
+
+/* Reports that the folder cannot be read and returns that outage. */
+static enum bb_outage
+unreadable(struct bb_error *e, const char *name, int error)
+{
+    bb_error_set(e, BB_CONFIG_ERROR_SOURCE, "cannot read %s: %s", name,
+                 g_strerror(error));
+    return BB_OUTAGE_UNREADABLE;
+}
+
+/* Reads up to capacity bytes; returns the count or -1 with errno. */
+static ssize_t
+read_fully(int fd, char *buffer, size_t capacity)
+{
+    size_t length = 0;
+
+    while (length < capacity) {
+        ssize_t n = read(fd, buffer + length, capacity - length);
+
+        if (n < 0 && errno == EINTR) {
+            continue;
+        }
+        if (n < 0) {
+            return -1;
+        }
+        if (n == 0) {
+            break;
+        }
+        length += (size_t)n;
+    }
+    return (ssize_t)length;
+}
+
+/* Checks that a file was not cut or written while it was read. */
+static enum bb_outage
+check_complete(const char *name, const char *data, size_t size,
+               const struct stat *before, const struct stat *after,
+               struct bb_error *e)
+{
+    if (before->st_size != after->st_size ||
+        before->st_mtim.tv_sec != after->st_mtim.tv_sec ||
+        before->st_mtim.tv_nsec != after->st_mtim.tv_nsec) {
+        bb_error_set(e, BB_CONFIG_ERROR_SOURCE,
+                     "file %s is being written at the moment", name);
+        return BB_OUTAGE_HALF_WRITTEN;
+    }
+    if (size == 0 || data[size - 1] != '\n') {
+        bb_error_set(e, BB_CONFIG_ERROR_SOURCE,
+                     "file %s does not end with a newline", name);
+        return BB_OUTAGE_HALF_WRITTEN;
+    }
+    return BB_OUTAGE_NONE;
+}
+
+/* Adds one open file to the builder. The buffer holds one byte more than the
+ * largest file. */
+static enum bb_outage
+read_open_file(int fd, const char *name, char *buffer,
+               struct bb_folder_builder *b, struct bb_error *e)
+{
+    struct stat before;
+    struct stat after;
+    enum bb_outage outage;
+    ssize_t size;
+
+    if (fstat(fd, &before) != 0) {
+        return unreadable(e, name, errno);
+    }
+    if (S_ISDIR(before.st_mode)) {
+        return BB_OUTAGE_NONE;
+    }
+    if (!S_ISREG(before.st_mode)) {
+        bb_error_set(e, BB_CONFIG_ERROR_SOURCE, "%s is not a regular file",
+                     name);
+        return BB_OUTAGE_UNREADABLE;
+    }
+    size = read_fully(fd, buffer, BB_FILE_MAX_BYTES + 1);
+    if (size < 0 || fstat(fd, &after) != 0) {
+        return unreadable(e, name, errno);
+    }
+    /* A refused name or size is reported before an unfinished end, because a
+     * file over the limit is read only in part. */
+    if (!bb_folder_builder_add(b, name, buffer, (size_t)size, e)) {
+        return BB_OUTAGE_UNREADABLE;
+    }
+    outage = check_complete(name, buffer, (size_t)size, &before, &after, e);
+    return outage;
+}
+
+/* Adds one directory entry to the builder. */
+static enum bb_outage
+read_entry(int folder_fd, const char *name, char *buffer,
+           struct bb_folder_builder *b, struct bb_error *e)
+{
+    /* O_NONBLOCK keeps a named pipe from blocking the open. */
+    int fd = openat(folder_fd, name, O_RDONLY | O_CLOEXEC | O_NONBLOCK);
+    enum bb_outage outage;
+
+    if (fd < 0 && errno == ENOENT) {
+        bb_error_set(e, BB_CONFIG_ERROR_SOURCE,
+                     "file %s disappeared while the folder was read", name);
+        return BB_OUTAGE_HALF_WRITTEN;
+    }
+    if (fd < 0) {
+        return unreadable(e, name, errno);
+    }
+    outage = read_open_file(fd, name, buffer, b, e);
+    (void)close(fd);
+    return outage;
+}
+
+/* Adds every entry of an open directory. Stops at the first outage. */
+static enum bb_outage
+read_entries(DIR *directory, struct bb_folder_builder *b, struct bb_error *e)
+{
+    char *buffer = g_malloc(BB_FILE_MAX_BYTES + 1);
+    enum bb_outage outage = BB_OUTAGE_NONE;
+    const struct dirent *entry;
+
+    while (outage == BB_OUTAGE_NONE) {
+        errno = 0;
+        entry = readdir(directory);
+        if (entry == NULL) {
+            if (errno != 0) {
+                outage = unreadable(e, "the folder", errno);
+            }
+            break;
+        }
+        if (!bb_folder_name_is_ignored(entry->d_name)) {
+            outage = read_entry(dirfd(directory), entry->d_name, buffer, b, e);
+        }
+    }
+    g_free(buffer);
+    return outage;
+}
+
+/* Checks what is known only with all files read: that there is one, and that
+ * those listed by `[configuration] files=` are there. */
+static enum bb_outage
+check_folder(const struct bb_folder *f, const char *path, struct bb_error *e)
+{
+    char **names;
+    enum bb_outage outage = BB_OUTAGE_NONE;
+
+    if (f->file_count == 0) {
+        bb_error_set(e, BB_CONFIG_ERROR_SOURCE, "folder %s has no files",
+                     path);
+        return BB_OUTAGE_EMPTY;
+    }
+    names = bb_listed_files(f);
+    for (size_t i = 0; names != NULL && names[i] != NULL; i++) {
+        if (bb_folder_find(f, names[i]) == NULL) {
+            bb_error_set(e, BB_CONFIG_ERROR_SOURCE,
+                         "file %s is listed in [configuration] files= and "
+                         "is not there",
+                         names[i]);
+            outage = BB_OUTAGE_HALF_WRITTEN;
+            break;
+        }
+    }
+    g_strfreev(names);
+    return outage;
+}
+
+/* Reads a folder. Returns BB_OUTAGE_NONE and the folder, or the kind of
+ * outage with a message; the folder is then NULL. Sub-folders, hidden and
+ * temporary files are left out. */
+enum bb_outage
+bb_folder_read(const char *path, struct bb_folder **folder, struct bb_error *e)
+{
+    struct bb_folder_builder *b = NULL;
+    enum bb_outage outage;
+    DIR *directory = opendir(path);
+
+    *folder = NULL;
+    if (directory == NULL && (errno == ENOENT || errno == ENOTDIR)) {
+        bb_error_set(e, BB_CONFIG_ERROR_SOURCE, "folder %s does not exist",
+                     path);
+        return BB_OUTAGE_MISSING;
+    }
+    if (directory == NULL) {
+        return unreadable(e, path, errno);
+    }
+    b = bb_folder_builder_create();
+    outage = read_entries(directory, b, e);
+    if (outage != BB_OUTAGE_NONE) {
+        goto out;
+    }
+    *folder = bb_folder_builder_finish(b, e);
+    if (*folder == NULL) {
+        outage = BB_OUTAGE_UNREADABLE;
+        goto out;
+    }
+    outage = check_folder(*folder, path, e);
+    if (outage != BB_OUTAGE_NONE) {
+        bb_folder_destroy(*folder);
+        *folder = NULL;
+    }
+out:
+    bb_folder_builder_destroy(b);
+    (void)closedir(directory);
+    return outage;
+}
--- /dev/null
+++ b/include/config/compile.h
@@ -0,0 +1,19 @@
+/* From a folder to the compiled configuration, with every fault reported. */
+#ifndef BB_CONFIG_COMPILE_H
+#define BB_CONFIG_COMPILE_H
+
+#include "config/config.h"
+#include "config/fault.h"
+#include "config/folder.h"
+
+struct bb_config *bb_config_compile(const struct bb_folder *folder,
+                                    struct bb_faults *faults);
+void bb_config_destroy(struct bb_config *c);
+char *bb_config_merged_text(const struct bb_folder *folder);
+const struct bb_route *bb_config_route(const struct bb_config *c,
+                                       const char *path,
+                                       enum bb_method method);
+enum bb_method bb_method_parse(const char *name);
+const char *bb_method_name(enum bb_method m);
+
+#endif
--- /dev/null
+++ b/include/config/fault.h
@@ -0,0 +1,32 @@
+/* Faults of a configuration, collected so that an operator sees all of them
+ * at once. */
+#ifndef BB_CONFIG_FAULT_H
+#define BB_CONFIG_FAULT_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/* A bound on memory: a hostile folder can contain a million faults. */
+enum { BB_FAULTS_MAX = 1000 };
+
+struct bb_fault {
+    char *file;    /* empty if the fault has no single file */
+    char *section; /* empty for a fault of a whole file */
+    char *key;     /* empty for a fault of a whole section */
+    char *reason;
+};
+
+/* Zero-initialise before use. */
+struct bb_faults {
+    struct bb_fault *items;
+    uint32_t count;
+    uint32_t omitted; /* faults beyond BB_FAULTS_MAX */
+};
+
+void bb_faults_add(struct bb_faults *f, const char *file, const char *section,
+                   const char *key, const char *format, ...)
+    __attribute__((format(printf, 5, 6)));
+char *bb_faults_text(const struct bb_faults *f);
+void bb_faults_clear(struct bb_faults *f);
+
+#endif
--- /dev/null
+++ b/include/config/folder.h
@@ -0,0 +1,72 @@
+/* The content of a configuration folder: an immutable, sorted set of small
+ * files with their digests. */
+#ifndef BB_CONFIG_FOLDER_H
+#define BB_CONFIG_FOLDER_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "common/digest.h"
+#include "common/error.h"
+
+enum {
+    BB_FOLDER_MAX_FILES = 4096,
+    BB_FOLDER_MAX_BYTES = 4 * 1024 * 1024,
+    BB_FILE_MAX_BYTES = 256 * 1024,
+    BB_FILE_NAME_MAX_BYTES = 255
+};
+
+/* Codes of errors of the configuration layer. */
+enum bb_config_error {
+    BB_CONFIG_ERROR_SOURCE = 1, /* the folder cannot be used */
+    BB_CONFIG_ERROR_LIMIT,      /* more files or bytes than allowed */
+    BB_CONFIG_ERROR_NAME,       /* a file name that is not allowed */
+    BB_CONFIG_ERROR_FORMAT,     /* encoded bytes are damaged */
+    BB_CONFIG_ERROR_BASE,       /* a delta against another base */
+    BB_CONFIG_ERROR_DIGEST      /* content does not match its digest */
+};
+
+/* Why a folder is no usable source at the moment. */
+enum bb_outage {
+    BB_OUTAGE_NONE,
+    BB_OUTAGE_MISSING,
+    BB_OUTAGE_UNREADABLE,
+    BB_OUTAGE_EMPTY,
+    BB_OUTAGE_HALF_WRITTEN
+};
+
+struct bb_file {
+    char *name;
+    char *data; /* followed by a zero byte that is not counted */
+    size_t size_bytes;
+    struct bb_digest digest;
+};
+
+struct bb_folder {
+    struct bb_file *files; /* in the order of names */
+    uint32_t file_count;
+    size_t size_bytes;
+    struct bb_digest digest; /* of all names and contents */
+};
+
+/* Collects files before they become a folder. */
+struct bb_folder_builder;
+
+struct bb_folder_builder *bb_folder_builder_create(void);
+bool bb_folder_builder_add(struct bb_folder_builder *b, const char *name,
+                           const void *data, size_t size_bytes,
+                           struct bb_error *e);
+struct bb_folder *bb_folder_builder_finish(struct bb_folder_builder *b,
+                                           struct bb_error *e);
+void bb_folder_builder_destroy(struct bb_folder_builder *b);
+
+enum bb_outage bb_folder_read(const char *path, struct bb_folder **folder,
+                              struct bb_error *e);
+bool bb_folder_name_is_ignored(const char *name);
+const struct bb_file *bb_folder_find(const struct bb_folder *f,
+                                     const char *name);
+void bb_folder_destroy(struct bb_folder *f);
+const char *bb_outage_name(enum bb_outage o);
+
+#endif
