Add the quorum protocol of the control hosts

Cause: the control hosts need one agreed sequence of revisions without a ready-made consensus library.

--- /dev/null
+++ b/decide/agree_member.c
@@ -0,0 +1,267 @@
+/* Identity of disks: first formation, replacement, and what a quorum is. */
+#include <string.h>
+
+#include "agree_internal.h"
+
+/* Returns the index of the member entry that is not known to be committed, or
+ * 0. A leader appends no second one before the first is committed. */
+uint64_t
+agree_member_pending(const struct bb_agree *a)
+{
+    for (uint64_t i = bb_agree_last_index(a); i > a->d.commit; i--) {
+        const struct bb_agree_entry *e = bb_agree_entry_at(a, i);
+
+        if (e != NULL && e->kind == BB_AGREE_MEMBER) {
+            return i;
+        }
+    }
+    return 0;
+}
+
+/* Fills in the incarnations of the members as of a log index. */
+void
+agree_members(const struct bb_agree *a, uint64_t index,
+              uint64_t members[BB_AGREE_HOSTS_MAX])
+{
+    memcpy(members, a->d.base.members, sizeof(a->d.base.members));
+    for (uint64_t i = a->d.base.index + 1; i <= index; i++) {
+        const struct bb_agree_entry *e = bb_agree_entry_at(a, i);
+
+        if (e != NULL && e->kind == BB_AGREE_MEMBER) {
+            members[e->host] = e->incarnation;
+        }
+    }
+}
+
+/* Tells whether this host's disk is admitted and its storage works. */
+bool
+bb_agree_is_voter(const struct bb_agree *a)
+{
+    uint64_t members[BB_AGREE_HOSTS_MAX];
+
+    if (a->d.formation.id == 0 || a->is_storage_failed) {
+        return false;
+    }
+    agree_members(a, a->d.commit, members);
+    return members[a->self] == a->d.incarnation;
+}
+
+/* Tells whether the slots (a bit each) hold a majority of the members. While
+ * a replacement is pending, a majority is needed both with the old disk and
+ * with the new one: the two majorities alone need not intersect. */
+bool
+agree_quorum(const struct bb_agree *a, uint32_t slots)
+{
+    uint64_t pending = agree_member_pending(a);
+    const struct bb_agree_entry *e = bb_agree_entry_at(a, pending);
+    uint32_t before = 0;
+    uint32_t after = 0;
+
+    for (uint8_t h = 0; h < a->host_count; h++) {
+        bool has = (slots >> h & 1) != 0;
+
+        before += has;
+        if (e != NULL && e->host == h) {
+            has = (slots >> BB_AGREE_JOINER & 1) != 0;
+        }
+        after += has;
+    }
+    return 2 * before > a->host_count && 2 * after > a->host_count;
+}
+
+/* Returns the slot that counts answers of a disk, or BB_AGREE_NO_HOST if the
+ * answers of this disk do not count. */
+uint8_t
+agree_slot_of(const struct bb_agree *a, uint8_t host, uint64_t incarnation)
+{
+    uint64_t members[BB_AGREE_HOSTS_MAX];
+
+    agree_members(a, a->d.commit, members);
+    if (members[host] == incarnation || a->faults.vote_with_empty_disk) {
+        return host;
+    }
+    if (a->joiner == host &&
+        a->progress[BB_AGREE_JOINER].incarnation == incarnation) {
+        return BB_AGREE_JOINER;
+    }
+    return BB_AGREE_NO_HOST;
+}
+
+/* Moves the progress of a joining disk into its host's slot once its member
+ * entry is committed, and tracks the disk of a pending entry. */
+void
+agree_refresh_progress(struct bb_agree *a)
+{
+    uint64_t members[BB_AGREE_HOSTS_MAX];
+    struct bb_agree_progress *joining = &a->progress[BB_AGREE_JOINER];
+    const struct bb_agree_entry *e =
+        bb_agree_entry_at(a, agree_member_pending(a));
+
+    agree_members(a, a->d.commit, members);
+    for (uint8_t h = 0; h < a->host_count; h++) {
+        struct bb_agree_progress *p = &a->progress[h];
+
+        if (p->incarnation == members[h]) {
+            continue;
+        }
+        *p = (struct bb_agree_progress){.incarnation = members[h],
+                                        .next = bb_agree_last_index(a) + 1};
+        if (a->joiner == h && joining->incarnation == members[h]) {
+            *p = *joining;
+            *joining = (struct bb_agree_progress){0};
+            a->joiner = BB_AGREE_NO_HOST;
+        }
+    }
+    if (e != NULL && joining->incarnation != e->incarnation) {
+        *joining = (struct bb_agree_progress){.incarnation = e->incarnation,
+                                              .next = a->d.base.index + 1};
+        a->joiner = e->host;
+    }
+}
+
+/* Accepts a formation, which starts an empty log. */
+static void
+take_formation(struct agree_step *st, const struct bb_agree_formation *f)
+{
+    struct bb_agree_durable *d = &st->a->d;
+
+    d->formation = *f;
+    memcpy(d->base.members, f->members, sizeof(f->members));
+    d->base.in_force.revision = f->first_revision - 1;
+    agree_persist(st, 0);
+    st->out->persist_snapshot = true;
+    agree_reset_election(st);
+}
+
+/* Forms the group if every configured host has answered as empty. Only host 0
+ * does so, hence there are never two formations of the same empty disks. */
+static void
+form_if_all_empty(struct agree_step *st)
+{
+    struct bb_agree *a = st->a;
+    struct bb_agree_formation f = {.id = st->random | 1,
+                                   .first_revision = a->first_revision};
+
+    if (a->self != 0 || a->d.formation.id != 0 ||
+        a->empty_hosts != (1u << a->host_count) - 1) {
+        return;
+    }
+    a->identities[0] = a->d.incarnation;
+    memcpy(f.members, a->identities, sizeof(f.members));
+    take_formation(st, &f);
+}
+
+/* Asks the other hosts who they are, as long as this disk is not admitted. A
+ * formed host that is not admitted asks too, so that a leader admits it. */
+void
+agree_identity_tick(struct agree_step *st)
+{
+    struct bb_agree *a = st->a;
+
+    if (bb_agree_is_voter(a) || st->now_us < a->identity_due_us) {
+        return;
+    }
+    a->identity_due_us = st->now_us + BB_AGREE_IDENTITY_US;
+    a->empty_hosts |= (uint8_t)(1u << a->self);
+    form_if_all_empty(st);
+    for (uint8_t h = 0; h < a->host_count; h++) {
+        if (h != a->self) {
+            agree_send(st, BB_AGREE_IDENTITY, h)->nonce = a->nonce;
+        }
+    }
+}
+
+/* Sends the formation record to a host that it lists. */
+static void
+send_form(struct agree_step *st, uint8_t to)
+{
+    agree_send(st, BB_AGREE_FORM, to)->body.formation = st->a->d.formation;
+}
+
+/* Answers who this host is. An empty disk listed in the formation gets the
+ * record; a leader starts to bring any other unknown disk up to date. */
+void
+agree_on_identity(struct agree_step *st, const struct bb_agree_message *m)
+{
+    struct bb_agree *a = st->a;
+    uint64_t members[BB_AGREE_HOSTS_MAX];
+
+    if (a->write_sequence != a->synced_sequence) {
+        return; /* an identity that is not synced yet is not given out */
+    }
+    agree_send(st, BB_AGREE_IDENTITY_ANSWER, m->from)->nonce = m->nonce;
+    if (a->d.formation.id == 0) {
+        return;
+    }
+    if (m->formation == 0 &&
+        a->d.formation.members[m->from] == m->incarnation) {
+        send_form(st, m->from);
+        return;
+    }
+    agree_members(a, a->d.commit, members);
+    if (a->role != BB_AGREE_LEADER || members[m->from] == m->incarnation ||
+        agree_member_pending(a) != 0 ||
+        a->progress[BB_AGREE_JOINER].incarnation == m->incarnation) {
+        return;
+    }
+    a->joiner = m->from;
+    a->progress[BB_AGREE_JOINER] = (struct bb_agree_progress){
+        .incarnation = m->incarnation, .next = a->d.base.index};
+}
+
+/* Collects the answers of empty hosts; only answers to this process's own
+ * question count, because an older answer may predate a formation. */
+void
+agree_on_identity_answer(struct agree_step *st,
+                         const struct bb_agree_message *m)
+{
+    struct bb_agree *a = st->a;
+
+    if (m->nonce != a->nonce || a->d.formation.id != 0) {
+        return;
+    }
+    if (m->formation != 0) {
+        a->empty_hosts = 0;
+        return;
+    }
+    a->empty_hosts |= (uint8_t)(1u << m->from);
+    a->identities[m->from] = m->incarnation;
+    form_if_all_empty(st);
+}
+
+/* Accepts a formation on an empty disk that it lists. */
+void
+agree_on_form(struct agree_step *st, const struct bb_agree_message *m)
+{
+    const struct bb_agree_formation *f = &m->body.formation;
+    struct bb_agree *a = st->a;
+
+    if (a->d.formation.id != 0 || f->id == 0 || f->first_revision == 0 ||
+        f->members[a->self] != a->d.incarnation) {
+        return;
+    }
+    take_formation(st, f);
+}
+
+/* Appends the member entry of a joining disk that holds the whole log. */
+void
+agree_admit(struct agree_step *st)
+{
+    struct bb_agree *a = st->a;
+    const struct bb_agree_progress *p = &a->progress[BB_AGREE_JOINER];
+    struct bb_agree_entry e = {.term = a->d.term,
+                               .kind = BB_AGREE_MEMBER,
+                               .host = a->joiner,
+                               .incarnation = p->incarnation};
+    uint64_t commit_term = 0;
+
+    (void)agree_term_at(a, a->d.commit, &commit_term);
+    if (a->role != BB_AGREE_LEADER || a->joiner == BB_AGREE_NO_HOST ||
+        p->match < a->d.commit || commit_term != a->d.term ||
+        p->match != bb_agree_last_index(a) || agree_member_pending(a) != 0 ||
+        a->d.log_count == BB_AGREE_LOG_MAX) {
+        return;
+    }
+    agree_append(st, &e);
+    agree_broadcast(st);
+}
--- /dev/null
+++ b/decide/agree_propose.c
@@ -0,0 +1,194 @@
+/* Proposals and confirmed reads at the leader. */
+#include <string.h>
+
+#include "agree_internal.h"
+
+enum {
+    /* Entries kept free for the no-op entries of new leaders. */
+    LOG_RESERVE = BB_AGREE_LOG_MAX / 4
+};
+
+/* Puts out one answer. */
+void
+agree_answer(struct agree_step *st, uint64_t ticket,
+             enum bb_agree_result result, uint64_t revision)
+{
+    struct bb_agree_output *out = st->out;
+
+    if (out->answer_count < BB_AGREE_ANSWERS_MAX) {
+        out->answers[out->answer_count] = (struct bb_agree_answer){
+            .ticket = ticket, .result = result, .revision = revision};
+        out->answer_count++;
+    }
+}
+
+/* Answers once the entry is committed; index 0 is committed already. */
+static void
+answer_when_committed(struct agree_step *st, uint64_t ticket, uint64_t index,
+                      uint64_t revision)
+{
+    struct bb_agree *a = st->a;
+
+    if (index <= a->applied) {
+        agree_answer(st, ticket, BB_AGREE_ACCEPTED, revision);
+        return;
+    }
+    a->waiting[a->waiting_count] =
+        (struct bb_agree_waiting){.ticket = ticket, .index = index};
+    a->waiting_count++;
+}
+
+/* Applies the rules to a new proposal against the last configuration. */
+static enum bb_agree_result
+check(const struct bb_agree *a, const struct bb_agree_proposal *p,
+      const struct bb_agree_config *last)
+{
+    if (p->version != 0 && p->version <= agree_label(a)) {
+        return BB_AGREE_CONFLICT;
+    }
+    if (p->base != last->revision) {
+        return BB_AGREE_STALE_BASE;
+    }
+    if (a->d.log_count + LOG_RESERVE >= BB_AGREE_LOG_MAX) {
+        return BB_AGREE_BUSY;
+    }
+    return BB_AGREE_ACCEPTED;
+}
+
+/* Handles a proposal. A resend, known by (base, digest), and a proposal of
+ * what is last anyway get the answer of the accepted one. */
+void
+agree_on_proposal(struct agree_step *st, const struct bb_agree_proposal *p)
+{
+    struct bb_agree *a = st->a;
+    struct bb_agree_config last =
+        agree_config_before(a, bb_agree_last_index(a));
+    struct bb_agree_entry e = {.term = a->d.term,
+                               .kind = BB_AGREE_CONFIG,
+                               .revision = last.revision + 1,
+                               .base = p->base,
+                               .version = p->version,
+                               .digest = p->digest};
+    enum bb_agree_result result;
+    uint64_t revision = 0;
+    uint64_t index = 0;
+
+    if (a->role != BB_AGREE_LEADER) {
+        agree_answer(st, p->ticket, BB_AGREE_NOT_LEADER, 0);
+        return;
+    }
+    if (a->waiting_count == BB_AGREE_WAITING_MAX) {
+        agree_answer(st, p->ticket, BB_AGREE_BUSY, 0);
+        return;
+    }
+    if (agree_find(a, p->base, &p->digest, &revision, &index) ||
+        (!bb_digest_is_zero(&p->digest) &&
+         bb_digest_equal(&p->digest, &last.digest) &&
+         agree_find(a, last.base, &last.digest, &revision, &index))) {
+        answer_when_committed(st, p->ticket, index, revision);
+        return;
+    }
+    result = check(a, p, &last);
+    if (result != BB_AGREE_ACCEPTED) {
+        agree_answer(st, p->ticket, result, last.revision);
+        return;
+    }
+    agree_append(st, &e);
+    answer_when_committed(st, p->ticket, bb_agree_last_index(a), e.revision);
+    agree_broadcast(st);
+}
+
+/* Starts a read: a heartbeat round that a quorum must answer. */
+void
+agree_on_read(struct agree_step *st, uint64_t ticket)
+{
+    struct bb_agree *a = st->a;
+
+    if (a->role != BB_AGREE_LEADER) {
+        agree_answer(st, ticket, BB_AGREE_NOT_LEADER, 0);
+        return;
+    }
+    if (a->read_count == BB_AGREE_READS_MAX) {
+        agree_answer(st, ticket, BB_AGREE_BUSY, 0);
+        return;
+    }
+    a->round++;
+    a->reads[a->read_count] =
+        (struct bb_agree_read){.ticket = ticket, .round = a->round};
+    a->read_count++;
+    agree_broadcast(st);
+    if (a->host_count == 1) {
+        a->confirmed_round = a->round;
+    }
+}
+
+/* Answers the proposals whose entries are committed and synced here. */
+void
+agree_answer_committed(struct agree_step *st)
+{
+    struct bb_agree *a = st->a;
+    uint8_t kept = 0;
+
+    for (uint8_t i = 0; i < a->waiting_count; i++) {
+        struct bb_agree_waiting w = a->waiting[i];
+        const struct bb_agree_entry *e = bb_agree_entry_at(a, w.index);
+
+        if (w.index > a->applied) {
+            a->waiting[kept] = w;
+            kept++;
+        }
+        else {
+            agree_answer(st, w.ticket, BB_AGREE_ACCEPTED,
+                         e != NULL ? e->revision : 0);
+        }
+    }
+    memset(&a->waiting[kept], 0,
+           (size_t)(a->waiting_count - kept) * sizeof(a->waiting[0]));
+    a->waiting_count = kept;
+}
+
+/* Answers the reads whose round a quorum has answered, once an entry of the
+ * own term is applied: before that the commit index may be too low. */
+void
+agree_answer_reads(struct agree_step *st)
+{
+    struct bb_agree *a = st->a;
+    uint64_t term = 0;
+    uint8_t kept = 0;
+
+    (void)agree_term_at(a, a->applied, &term);
+    for (uint8_t i = 0; i < a->read_count; i++) {
+        struct bb_agree_read r = a->reads[i];
+
+        if (r.round > a->confirmed_round || term != a->d.term) {
+            a->reads[kept] = r;
+            kept++;
+        }
+        else {
+            agree_answer(st, r.ticket, BB_AGREE_CONFIRMED,
+                         bb_agree_in_force(a).revision);
+        }
+    }
+    memset(&a->reads[kept], 0,
+           (size_t)(a->read_count - kept) * sizeof(a->reads[0]));
+    a->read_count = kept;
+}
+
+/* Answers all that waits when the leadership ends: a proposal may still be
+ * accepted by the next leader. */
+void
+agree_drop_waiting(struct agree_step *st)
+{
+    struct bb_agree *a = st->a;
+
+    for (uint8_t i = 0; i < a->waiting_count; i++) {
+        agree_answer(st, a->waiting[i].ticket, BB_AGREE_UNKNOWN, 0);
+    }
+    for (uint8_t i = 0; i < a->read_count; i++) {
+        agree_answer(st, a->reads[i].ticket, BB_AGREE_NOT_LEADER, 0);
+    }
+    memset(a->waiting, 0, sizeof(a->waiting));
+    memset(a->reads, 0, sizeof(a->reads));
+    a->waiting_count = 0;
+    a->read_count = 0;
+}
