Add an explorer of the quorum protocol's interleavings

Cause: orders of loss, crashes and lost disks are too many to list by hand. Change: a breadth-first search over three hosts with hashed states; the network is a set of messages, so that loss, duplication, reordering and partitions are all covered.

--- /dev/null
+++ b/tests/decide/agree_model.c
@@ -0,0 +1,511 @@
+#include "agree_model.h"
+
+#include <glib.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <string.h>
+
+enum { MESSAGES_MAX = 60000, LONG_AFTER_US = 1000000000 };
+
+/* Every message that was ever sent; states refer to them by number. */
+static struct bb_agree_message *messages;
+static uint64_t *message_hashes;
+static uint32_t message_count;
+static GHashTable *message_numbers;
+static struct bb_agree_output output;
+
+/* Returns the number of a message. */
+static uint16_t
+message_number(const struct bb_agree_message *m)
+{
+    uint64_t hash = bb_hash64(m, sizeof(*m), 1);
+    gpointer found;
+
+    if (messages == NULL) {
+        messages = g_new0(struct bb_agree_message, MESSAGES_MAX);
+        message_hashes = g_new0(uint64_t, MESSAGES_MAX);
+        message_numbers = g_hash_table_new(g_int64_hash, g_int64_equal);
+    }
+    found = g_hash_table_lookup(message_numbers, &hash);
+    if (found != NULL) {
+        return (uint16_t)(GPOINTER_TO_UINT(found) - 1);
+    }
+    g_assert(message_count < MESSAGES_MAX);
+    messages[message_count] = *m;
+    message_hashes[message_count] = hash;
+    (void)g_hash_table_insert(message_numbers, &message_hashes[message_count],
+                              GUINT_TO_POINTER(message_count + 1));
+    return (uint16_t)message_count++;
+}
+
+/* Reports the first violation. */
+static void
+violate(struct model_state *s, const char *text)
+{
+    if (s->violation == NULL) {
+        s->violation = text;
+    }
+}
+
+/* Records an accepted revision and checks that it has one content and that a
+ * content is accepted once: operators of the model never reuse one. */
+static void
+check_accepted(struct model_state *s, uint64_t revision, uint8_t content)
+{
+    if (revision >= MODEL_REVISIONS_MAX) {
+        s->is_cut_short = true;
+        return;
+    }
+    if (s->accepted[revision] != 0 && s->accepted[revision] != content) {
+        violate(s, "an accepted revision was lost or changed");
+    }
+    for (uint64_t r = 0; r < revision; r++) {
+        if (s->accepted[r] == content) {
+            violate(s, "an accepted change was reverted");
+        }
+    }
+    s->accepted[revision] = content;
+}
+
+/* Checks what a host applies: never less than its disk applied before. */
+static void
+check_applied(struct model_state *s, uint8_t host)
+{
+    const struct bb_agree *a = &s->hosts[host];
+    const struct bb_agree_entry *e;
+
+    if (output.apply_snapshot && a->d.base.in_force.revision > 0) {
+        check_accepted(s, a->d.base.in_force.revision,
+                       a->d.base.in_force.digest.bytes[0]);
+    }
+    for (uint64_t i = output.apply_first; i <= output.apply_last; i++) {
+        e = bb_agree_entry_at(a, i);
+        if (e != NULL && e->kind == BB_AGREE_CONFIG) {
+            check_accepted(s, e->revision, e->digest.bytes[0]);
+        }
+    }
+    if (bb_agree_in_force(a).revision < s->applied[host]) {
+        violate(s, "an applied revision went back");
+    }
+    s->applied[host] = (uint8_t)bb_agree_in_force(a).revision;
+}
+
+/* Tells whether a log contains a revision with its content. */
+static bool
+contains(const struct bb_agree *a, uint64_t revision, uint8_t content)
+{
+    for (uint64_t i = 0; i < a->d.log_count; i++) {
+        const struct bb_agree_entry *e = &a->d.log[i];
+
+        if (e->kind == BB_AGREE_CONFIG && e->revision == revision) {
+            return e->digest.bytes[0] == content;
+        }
+    }
+    return revision <= a->d.base.in_force.revision;
+}
+
+/* Checks that a term has one leader and that it has all accepted revisions. */
+static void
+check_leader(struct model_state *s, uint8_t host)
+{
+    const struct bb_agree *a = &s->hosts[host];
+
+    if (a->role != BB_AGREE_LEADER) {
+        return;
+    }
+    if (a->d.term >= MODEL_TERMS_MAX) {
+        s->is_cut_short = true;
+        return;
+    }
+    if (s->leaders[a->d.term] == host + 1) {
+        return;
+    }
+    if (s->leaders[a->d.term] != 0) {
+        violate(s, "a term has two leaders");
+    }
+    s->leaders[a->d.term] = host + 1;
+    for (uint64_t r = 1; r < MODEL_REVISIONS_MAX; r++) {
+        if (s->accepted[r] != 0 && !contains(a, r, s->accepted[r])) {
+            violate(s, "a leader lacks an accepted revision");
+        }
+    }
+}
+
+/* Handles an answer to a read (ticket: 256 + the revision accepted before) or
+ * to a proposal (ticket: 16 * host + content). */
+static void
+take_answer(struct model_state *s, const struct bb_agree_answer *r)
+{
+    struct model_folder *f;
+    uint8_t content = r->ticket % 16;
+
+    if (r->ticket >= 256) {
+        if (r->result == BB_AGREE_CONFIRMED && r->revision < r->ticket - 256) {
+            violate(s, "a confirmed read missed an accepted revision");
+        }
+        return;
+    }
+    f = &s->folders[r->ticket / 16];
+    if (r->result == BB_AGREE_ACCEPTED) {
+        check_accepted(s, r->revision, content);
+        f->observed = content;
+        f->base = (uint8_t)r->revision;
+    }
+    if (r->result == BB_AGREE_CONFLICT || r->result == BB_AGREE_STALE_BASE) {
+        f->observed = content; /* refused: waits for the next change */
+    }
+}
+
+/* Adds the messages that were put out to the network. */
+static void
+take_messages(struct model_state *s, uint8_t host)
+{
+    for (uint32_t i = 0; i < output.message_count; i++) {
+        const struct bb_agree_message *m = &output.messages[i];
+        uint16_t n = message_number(m);
+        uint16_t k = 0;
+
+        if (m->kind == BB_AGREE_VOTE_ANSWER && m->is_ok &&
+            !bb_agree_is_voter(&s->hosts[host])) {
+            violate(s, "a disk that is not admitted voted");
+        }
+        while (k < s->network_count && s->network[k] != n) {
+            k++;
+        }
+        if (k < s->network_count) {
+            continue;
+        }
+        if (s->network_count == MODEL_NETWORK_MAX) {
+            s->is_cut_short = true;
+            return;
+        }
+        s->network[s->network_count++] = n;
+        s->network_hash += message_hashes[n];
+    }
+}
+
+/* Removes what does not matter for the future, so that equal states have
+ * equal bytes: times and the absolute values of write numbers. */
+static void
+rehash(struct model_state *s, uint8_t host)
+{
+    struct bb_agree *a = &s->hosts[host];
+    size_t times = offsetof(struct bb_agree, election_due_us);
+
+    memset((char *)a + times, 0, offsetof(struct bb_agree, d) - times);
+    a->write_sequence = a->write_sequence != a->synced_sequence;
+    a->synced_sequence = 0;
+    s->host_hashes[host] =
+        bb_hash64(a, sizeof(*a), host) +
+        3 * bb_hash64(&s->disks[host], sizeof(s->disks[host]), host);
+}
+
+/* Feeds an event and checks the invariants on what comes out. */
+static void
+feed(struct model_state *s, uint8_t host, struct bb_agree_event e)
+{
+    struct bb_agree *a = &s->hosts[host];
+
+    e.random = 1;
+    bb_agree_step(a, &e, &output);
+    take_messages(s, host);
+    check_applied(s, host);
+    check_leader(s, host);
+    for (uint32_t i = 0; i < output.answer_count; i++) {
+        take_answer(s, &output.answers[i]);
+    }
+    rehash(s, host);
+}
+
+/* Restarts a host from a disk. */
+static void
+restart(struct model_state *s, uint8_t host, const struct bb_agree_durable *d)
+{
+    const struct bb_agree_settings settings = {
+        .self = host, .host_count = MODEL_HOSTS, .first_revision = 1};
+    struct bb_agree_faults faults = s->hosts[host].faults;
+    struct bb_agree_durable copy = *d;
+
+    s->disks[host] = copy;
+    bb_agree_restart(&s->hosts[host], &settings, &copy, 0, copy.incarnation);
+    s->hosts[host].faults = faults;
+    if (bb_agree_in_force(&s->hosts[host]).revision < s->applied[host]) {
+        violate(s, "an applied revision went back at a restart");
+    }
+    rehash(s, host);
+}
+
+/* Gives a host a new, empty disk. */
+static void
+lose_disk(struct model_state *s, uint8_t host)
+{
+    struct bb_agree_durable empty;
+
+    memset(&empty, 0, sizeof(empty));
+    s->disk_number++;
+    empty.incarnation = s->disk_number;
+    s->applied[host] = 0;
+    restart(s, host, &empty);
+}
+
+/* Starts three empty hosts. */
+void
+model_start(struct model_state *s)
+{
+    memset(s, 0, sizeof(*s));
+    for (uint8_t h = 0; h < MODEL_HOSTS; h++) {
+        lose_disk(s, h);
+    }
+}
+
+void
+model_set_faults(struct model_state *s, struct bb_agree_faults f)
+{
+    for (uint8_t h = 0; h < MODEL_HOSTS; h++) {
+        s->hosts[h].faults = f;
+        rehash(s, h);
+    }
+}
+
+/* Returns the proposer's decision: only a changed folder is proposed. */
+static bool
+wants_proposal(const struct model_state *s, uint8_t host)
+{
+    const struct model_folder *f = &s->folders[host];
+
+    if (s->budget.proposes_difference) {
+        return f->content != 0 &&
+               f->content !=
+                   bb_agree_in_force(&s->hosts[host]).digest.bytes[0];
+    }
+    return f->content != f->observed;
+}
+
+/* Proposes the folder of a host at a leader. All labels are equal or absent:
+ * hosts 0 and 1 use label 9, host 2 none. */
+static void
+propose(struct model_state *s, uint8_t host, uint8_t leader)
+{
+    const struct model_folder *f = &s->folders[host];
+    uint64_t in_force = bb_agree_in_force(&s->hosts[host]).revision;
+    struct bb_agree_event e = {.kind = BB_AGREE_EVENT_PROPOSAL,
+                               .now_us = LONG_AFTER_US};
+
+    e.with.proposal = (struct bb_agree_proposal){
+        .ticket = 16u * host + f->content,
+        .base = s->budget.proposes_difference ? in_force : f->base,
+        .version = host < 2 && !s->budget.proposes_difference ? 9 : 0,
+        .digest.bytes = {f->content},
+    };
+    feed(s, leader, e);
+}
+
+/* Starts a read at a leader. */
+static void
+read_at(struct model_state *s, uint8_t host)
+{
+    struct bb_agree_event e = {.kind = BB_AGREE_EVENT_READ,
+                               .now_us = LONG_AFTER_US,
+                               .with.ticket = 256};
+
+    for (uint8_t r = 0; r < MODEL_REVISIONS_MAX; r++) {
+        e.with.ticket = s->accepted[r] != 0 ? 256u + r : e.with.ticket;
+    }
+    feed(s, host, e);
+}
+
+/* Carries out one action. */
+void
+model_step(struct model_state *s, struct model_action a)
+{
+    struct bb_agree_event e = {.kind = BB_AGREE_EVENT_TICK,
+                               .now_us = LONG_AFTER_US};
+
+    switch ((enum model_action_kind)a.kind) {
+    case MODEL_DELIVER:
+        e.kind = BB_AGREE_EVENT_MESSAGE;
+        e.with.message = &messages[s->network[a.other]];
+        break;
+    case MODEL_SYNC:
+        s->disks[a.host] = s->hosts[a.host].d;
+        e.kind = BB_AGREE_EVENT_SYNCED;
+        e.with.sync_sequence = s->hosts[a.host].write_sequence;
+        break;
+    case MODEL_TIMEOUT:
+        s->budget.timeouts--;
+        break;
+    case MODEL_HEARTBEAT:
+        s->budget.heartbeats--;
+        e.now_us = BB_AGREE_HEARTBEAT_US;
+        break;
+    case MODEL_IDENTIFY:
+        s->budget.identities--;
+        break;
+    case MODEL_CRASH:
+        s->budget.crashes--;
+        restart(s, a.host, &s->disks[a.host]);
+        return;
+    case MODEL_CRASH_KEPT:
+        s->budget.crashes--;
+        restart(s, a.host, &s->hosts[a.host].d);
+        return;
+    case MODEL_LOSE_DISK:
+        s->budget.lost_disks--;
+        lose_disk(s, a.host);
+        return;
+    case MODEL_EDIT:
+        s->budget.edits--;
+        s->folders[a.host].content = ++s->contents;
+        return;
+    case MODEL_PROPOSE:
+        propose(s, a.host, a.other);
+        return;
+    case MODEL_READ:
+        s->budget.reads--;
+        read_at(s, a.host);
+        return;
+    }
+    feed(s, a.host, e);
+}
+
+/* Lists the actions of one host that are not deliveries. */
+static uint32_t
+host_actions(const struct model_state *s, uint8_t h, struct model_action out[])
+{
+    const struct bb_agree *a = &s->hosts[h];
+    const struct model_budget *b = &s->budget;
+    bool is_leader = a->role == BB_AGREE_LEADER;
+    bool is_writing = a->write_sequence != a->synced_sequence;
+    uint32_t n = 0;
+    const bool allowed[] = {
+        [MODEL_SYNC] = is_writing,
+        [MODEL_TIMEOUT] =
+            b->timeouts > 0 && (is_leader || bb_agree_is_voter(a)),
+        [MODEL_HEARTBEAT] = b->heartbeats > 0 && is_leader,
+        [MODEL_IDENTIFY] = b->identities > 0 && !bb_agree_is_voter(a),
+        [MODEL_CRASH] = b->crashes > 0,
+        [MODEL_CRASH_KEPT] = b->crashes > 0 && is_writing,
+        [MODEL_LOSE_DISK] = b->lost_disks > 0,
+        [MODEL_EDIT] = b->edits > 0,
+        [MODEL_READ] = b->reads > 0 && is_leader,
+    };
+
+    for (uint8_t kind = MODEL_SYNC; kind <= MODEL_READ; kind++) {
+        if (kind != MODEL_PROPOSE && allowed[kind]) {
+            out[n++] = (struct model_action){.kind = kind, .host = h};
+        }
+    }
+    for (uint8_t to = 0; to < MODEL_HOSTS && wants_proposal(s, h); to++) {
+        if (s->hosts[to].role == BB_AGREE_LEADER) {
+            out[n++] = (struct model_action){
+                .kind = MODEL_PROPOSE, .host = h, .other = to};
+        }
+    }
+    return n;
+}
+
+/* Lists the actions that are possible in a state. */
+uint32_t
+model_actions(const struct model_state *s, struct model_action actions[],
+              uint32_t max)
+{
+    uint32_t n = 0;
+
+    g_assert(max >= MODEL_NETWORK_MAX + MODEL_HOSTS * 16);
+    for (uint8_t h = 0; h < MODEL_HOSTS; h++) {
+        n += host_actions(s, h, &actions[n]);
+    }
+    for (uint16_t i = 0; i < s->network_count; i++) {
+        actions[n++] =
+            (struct model_action){.kind = MODEL_DELIVER,
+                                  .host = messages[s->network[i]].to,
+                                  .other = (uint8_t)i};
+    }
+    return n;
+}
+
+/* Returns a hash of everything that determines the future. */
+uint64_t
+model_hash(const struct model_state *s)
+{
+    size_t start = offsetof(struct model_state, budget);
+
+    return bb_hash64((const char *)s + start,
+                     offsetof(struct model_state, is_cut_short) - start,
+                     s->network_hash) +
+           bb_hash64(s->host_hashes, sizeof(s->host_hashes), 7);
+}
+
+/* Syncs and delivers everything once, in order, then empties the network. */
+void
+model_settle(struct model_state *s)
+{
+    uint16_t i = 0;
+    bool is_busy = true;
+
+    while (is_busy) {
+        is_busy = false;
+        for (uint8_t h = 0; h < MODEL_HOSTS; h++) {
+            if (s->hosts[h].write_sequence != s->hosts[h].synced_sequence) {
+                model_step(
+                    s, (struct model_action){.kind = MODEL_SYNC, .host = h});
+                is_busy = true;
+            }
+        }
+        if (i < s->network_count) {
+            model_step(
+                s, (struct model_action){.kind = MODEL_DELIVER,
+                                         .host = messages[s->network[i]].to,
+                                         .other = (uint8_t)i});
+            i++;
+            is_busy = true;
+        }
+    }
+    s->network_count = 0;
+    s->network_hash = 0;
+}
+
+/* Forms the group if needed and makes a host its leader. */
+bool
+model_elect(struct model_state *s, uint8_t host)
+{
+    for (uint8_t round = 0; round < 2; round++) {
+        for (uint8_t h = 0; h < MODEL_HOSTS; h++) {
+            if (s->hosts[h].d.formation.id == 0) {
+                s->budget.identities++;
+                model_step(s, (struct model_action){.kind = MODEL_IDENTIFY,
+                                                    .host = h});
+                model_settle(s);
+            }
+        }
+    }
+    s->budget.timeouts++;
+    model_step(s, (struct model_action){.kind = MODEL_TIMEOUT, .host = host});
+    model_settle(s);
+    return s->hosts[host].role == BB_AGREE_LEADER;
+}
+
+/* Prints an action for a counterexample. */
+void
+model_print(const struct model_state *s, struct model_action a)
+{
+    static const char *const kinds[] = {"deliver",     "sync",      "timeout",
+                                        "heartbeat",   "identify",  "crash",
+                                        "crash, kept", "lose disk", "edit",
+                                        "propose",     "read"};
+    static const char *const names[] = {
+        "identity",    "identity answer", "form",
+        "pre-vote",    "pre-vote answer", "vote",
+        "vote answer", "append",          "append answer",
+        "snapshot"};
+
+    (void)printf("  host %u: %s", a.host, kinds[a.kind]);
+    if (a.kind == MODEL_DELIVER) {
+        const struct bb_agree_message *m = &messages[s->network[a.other]];
+
+        (void)printf(" %s from %u, term %u, index %u, ok %u, %u entries",
+                     names[m->kind], m->from, (unsigned)m->term,
+                     (unsigned)m->index, m->is_ok, m->count);
+    }
+    (void)printf("\n");
+}
