mesh: add the protocol, the endpoint table and its wire form

Cause: nodes and control hosts need one table of members that converges whatever the order in which records arrive.

--- /dev/null
+++ b/include/mesh/wire.h
@@ -0,0 +1,31 @@
+/* Conversion between member records and their XDR form. The XDR structs
+ * point into storage that the caller provides. */
+#ifndef BB_MESH_WIRE_H
+#define BB_MESH_WIRE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+
+#include "mesh.h"
+#include "mesh/member.h"
+#include "mesh/members.h"
+
+enum { BB_WIRE_IP_BYTES = MESH_IP_MAX };
+
+/* Storage of the binary addresses of one encoded record. */
+struct bb_wire_endpoints {
+    char http[BB_WIRE_IP_BYTES];
+    char rpc[BB_WIRE_IP_BYTES];
+    char gossip[BB_WIRE_IP_BYTES];
+};
+
+void bb_wire_from_member(const struct bb_member *r, struct mesh_record *out,
+                         struct bb_wire_endpoints *storage);
+bool bb_wire_to_member(const struct mesh_record *w, struct bb_member *out);
+mesh_name bb_wire_name(const char *text);
+mesh_record *bb_wire_records(const struct bb_member_list *list);
+size_t bb_wire_encode(xdrproc_t codec, void *value, char *out, size_t max);
+bool bb_wire_decode(xdrproc_t codec, void *value, const char *data,
+                    size_t size_bytes);
+
+#endif
--- /dev/null
+++ b/mesh/members_digest.c
@@ -0,0 +1,278 @@
+/* Digests of the endpoint table for anti-entropy, the memory of held
+ * revisions, and the summary of what a zone holds. */
+#include <string.h>
+
+#include "common/digest.h"
+#include "members_internal.h"
+
+enum { SEED_RECORD = 1, SEED_HELD = 2, SEED_ROSTER = 3, SEED_BUCKET = 4 };
+
+/* Hashes a host name and three numbers. */
+static uint64_t
+hash_entry(const char *host, uint64_t a, uint64_t b, uint64_t c, uint64_t seed)
+{
+    const uint64_t numbers[] = {bb_hash64(host, strlen(host), seed), a, b, c};
+
+    return bb_hash64(numbers, sizeof(numbers), seed);
+}
+
+/* Returns the hash of a record's version. A suspicion counts as alive: it is
+ * short-lived and stays in its zone. */
+static uint64_t
+hash_record(const struct bb_member *r)
+{
+    uint64_t state = is_live(r) ? BB_MEMBER_ALIVE : r->state;
+
+    return hash_entry(r->host, r->incarnation, r->sequence, state,
+                      SEED_RECORD);
+}
+
+/* Returns the hash of what a host held. */
+static uint64_t
+hash_held(const struct bb_member *r)
+{
+    return hash_entry(r->host, r->held_revision, 0, 0, SEED_HELD);
+}
+
+/* Returns the bucket of a host, from 0 to BB_MEMBERS_BUCKETS - 1. */
+uint32_t
+bb_members_bucket(const char *host)
+{
+    return (uint32_t)(bb_hash64(host, strlen(host), SEED_BUCKET) %
+                      BB_MEMBERS_BUCKETS);
+}
+
+/* Finds the digest of a zone or adds one; NULL if there are too many. */
+static struct bb_zone_digest *
+find_digest(struct bb_zone_digest *all, size_t *count, size_t max,
+            const char *zone)
+{
+    for (size_t i = 0; i < *count; i++) {
+        if (strcmp(all[i].zone, zone) == 0) {
+            return &all[i];
+        }
+    }
+    if (*count == max) {
+        return NULL;
+    }
+    all[*count] = (struct bb_zone_digest){0};
+    (void)g_strlcpy(all[*count].zone, zone, sizeof(all[*count].zone));
+    return &all[(*count)++];
+}
+
+/* Computes the digests of all zones and returns their number. */
+size_t
+bb_members_digests(struct bb_members *m, struct bb_zone_digest *out,
+                   size_t max)
+{
+    GHashTableIter i;
+    gpointer value;
+    size_t count = 0;
+
+    (void)pthread_mutex_lock(&m->lock);
+    g_hash_table_iter_init(&i, m->entry_by_host);
+    while (g_hash_table_iter_next(&i, NULL, &value)) {
+        const struct entry *entry = value;
+        const struct bb_member *r = &entry->record;
+        struct bb_zone_digest *d = find_digest(out, &count, max, r->zone);
+        uint32_t bucket = bb_members_bucket(r->host);
+
+        if (d != NULL) {
+            d->records ^= hash_record(r);
+            d->held ^= hash_held(r);
+            d->buckets[bucket] ^= hash_record(r);
+            d->held_buckets[bucket] ^= hash_held(r);
+        }
+    }
+    (void)pthread_mutex_unlock(&m->lock);
+    return count;
+}
+
+/* Returns one digest of the records of all zones. */
+uint64_t
+bb_members_table_digest(struct bb_members *m)
+{
+    GHashTableIter i;
+    gpointer value;
+    uint64_t digest = 0;
+
+    (void)pthread_mutex_lock(&m->lock);
+    g_hash_table_iter_init(&i, m->entry_by_host);
+    while (g_hash_table_iter_next(&i, NULL, &value)) {
+        const struct entry *entry = value;
+
+        digest ^= hash_record(&entry->record);
+    }
+    (void)pthread_mutex_unlock(&m->lock);
+    return digest;
+}
+
+/* Returns the digest of the revisions held in a zone. */
+uint64_t
+bb_members_held_digest(struct bb_members *m, const char *zone)
+{
+    GHashTableIter i;
+    gpointer value;
+    uint64_t digest = 0;
+
+    (void)pthread_mutex_lock(&m->lock);
+    g_hash_table_iter_init(&i, m->entry_by_host);
+    while (g_hash_table_iter_next(&i, NULL, &value)) {
+        const struct entry *entry = value;
+
+        if (strcmp(entry->record.zone, zone) == 0) {
+            digest ^= hash_held(&entry->record);
+        }
+    }
+    (void)pthread_mutex_unlock(&m->lock);
+    return digest;
+}
+
+/* Returns the highest revision that a host is known to have held, also after
+ * its entry is removed; is_known tells whether the host was ever seen. */
+uint64_t
+bb_members_held(struct bb_members *m, const char *host, bool *is_known)
+{
+    const struct memory *memory;
+    uint64_t revision = 0;
+
+    (void)pthread_mutex_lock(&m->lock);
+    memory = g_hash_table_lookup(m->memory_by_host, host);
+    if (memory != NULL) {
+        revision = memory->held_revision;
+    }
+    (void)pthread_mutex_unlock(&m->lock);
+    *is_known = memory != NULL;
+    return revision;
+}
+
+/* Raises the remembered revision of a host and that of its entry. */
+void
+bb_members_remember(struct bb_members *m, const char *host, uint64_t revision)
+{
+    struct memory *memory;
+    struct entry *entry;
+
+    (void)pthread_mutex_lock(&m->lock);
+    memory = g_hash_table_lookup(m->memory_by_host, host);
+    if (memory == NULL &&
+        g_hash_table_size(m->memory_by_host) < BB_REMEMBERED_MAX) {
+        memory = g_new0(struct memory, 1);
+        g_hash_table_insert(m->memory_by_host, g_strdup(host), memory);
+    }
+    if (memory != NULL && memory->held_revision < revision) {
+        memory->held_revision = revision;
+    }
+    entry = g_hash_table_lookup(m->entry_by_host, host);
+    if (entry != NULL && entry->record.held_revision < revision) {
+        entry->record.held_revision = revision;
+        entry->version = ++m->version;
+    }
+    (void)pthread_mutex_unlock(&m->lock);
+}
+
+/* Copies what hosts without an entry held, up to max of them. */
+size_t
+bb_members_remembered(struct bb_members *m, struct bb_held *out, size_t max)
+{
+    GHashTableIter i;
+    gpointer key;
+    gpointer value;
+    size_t count = 0;
+
+    (void)pthread_mutex_lock(&m->lock);
+    g_hash_table_iter_init(&i, m->memory_by_host);
+    while (count < max && g_hash_table_iter_next(&i, &key, &value)) {
+        const struct memory *memory = value;
+
+        if (g_hash_table_contains(m->entry_by_host, key)) {
+            continue;
+        }
+        (void)g_strlcpy(out[count].host, key, sizeof(out[count].host));
+        out[count].revision = memory->held_revision;
+        count++;
+    }
+    (void)pthread_mutex_unlock(&m->lock);
+    return count;
+}
+
+/* Adds a record to the floor of its zone. */
+static void
+add_to_floors(struct bb_zone_floor *all, size_t *count, size_t max,
+              const struct bb_member *r)
+{
+    struct bb_zone_floor *f = NULL;
+
+    for (size_t i = 0; i < *count && f == NULL; i++) {
+        f = strcmp(all[i].zone, r->zone) == 0 ? &all[i] : NULL;
+    }
+    if (f == NULL) {
+        if (*count == max) {
+            return;
+        }
+        f = &all[(*count)++];
+        *f = (struct bb_zone_floor){.held_revision = UINT64_MAX};
+        (void)g_strlcpy(f->zone, r->zone, sizeof(f->zone));
+    }
+    f->member_count++;
+    f->roster_digest ^= hash_entry(r->host, r->incarnation, 0, 0, SEED_ROSTER);
+    f->held_revision = MIN(f->held_revision, r->held_revision);
+}
+
+/* Summarises what the live members of each zone of a region hold (of every
+ * region if NULL); returns the number of zones. */
+size_t
+bb_members_floors(struct bb_members *m, const char *region,
+                  struct bb_zone_floor *out, size_t max)
+{
+    GHashTableIter i;
+    gpointer value;
+    size_t count = 0;
+
+    (void)pthread_mutex_lock(&m->lock);
+    g_hash_table_iter_init(&i, m->entry_by_host);
+    while (g_hash_table_iter_next(&i, NULL, &value)) {
+        const struct entry *entry = value;
+        const struct bb_member *r = &entry->record;
+
+        if (is_live(r) && (region == NULL || strcmp(r->region, region) == 0)) {
+            add_to_floors(out, &count, max, r);
+        }
+    }
+    (void)pthread_mutex_unlock(&m->lock);
+    return count;
+}
+
+/* Raises the held revisions of the live members of a zone to the zone's
+ * floor, if this table has exactly the members that the floor was computed
+ * from. Returns the number of entries raised. */
+size_t
+bb_members_apply_floor(struct bb_members *m, const struct bb_zone_floor *f)
+{
+    struct bb_zone_floor own[BB_MEMBERS_ZONES_MAX];
+    size_t zones = bb_members_floors(m, NULL, own, BB_MEMBERS_ZONES_MAX);
+    struct bb_member_list list;
+    size_t raised = 0;
+    bool is_same = false;
+
+    for (size_t i = 0; i < zones; i++) {
+        is_same |= strcmp(own[i].zone, f->zone) == 0 &&
+                   own[i].member_count == f->member_count &&
+                   own[i].roster_digest == f->roster_digest &&
+                   own[i].held_revision < f->held_revision;
+    }
+    if (!is_same) {
+        return 0;
+    }
+    (void)bb_members_select(m, &(struct bb_members_query){.zone = f->zone},
+                            &list);
+    for (size_t i = 0; i < list.count; i++) {
+        if (is_live(&list.items[i]) &&
+            list.items[i].held_revision < f->held_revision) {
+            bb_members_remember(m, list.items[i].host, f->held_revision);
+            raised++;
+        }
+    }
+    bb_member_list_clear(&list);
+    return raised;
+}
--- /dev/null
+++ b/mesh/members_internal.h
@@ -0,0 +1,44 @@
+/* Parts of the endpoint table shared by its source files. */
+#ifndef BB_MESH_MEMBERS_INTERNAL_H
+#define BB_MESH_MEMBERS_INTERNAL_H
+
+#include <glib.h>
+#include <pthread.h>
+
+#include "mesh/members.h"
+
+struct entry {
+    struct bb_member record;
+    enum bb_member_origin origin;
+    uint64_t version;         /* of the last change */
+    uint64_t routing_version; /* of the last change but of held_revision */
+    uint64_t dead_since_us;   /* 0 while alive or suspect */
+    uint32_t sends_left;      /* gossip datagrams still to carry it */
+};
+
+/* What stays of a host after its entry: the held revision, and the newest
+ * (incarnation, sequence) so that a late copy of an old record does not bring
+ * the entry back. */
+struct memory {
+    uint64_t held_revision;
+    uint64_t incarnation;
+    uint64_t sequence;
+    bool is_removed;
+};
+
+struct bb_members {
+    pthread_mutex_t lock;
+    GHashTable *entry_by_host;  /* text -> struct entry */
+    GHashTable *memory_by_host; /* text -> struct memory */
+    uint64_t version;
+    uint64_t routing_version;
+};
+
+/* Tells whether a member takes part: it is not dead and has not left. */
+static inline bool
+is_live(const struct bb_member *r)
+{
+    return r->state == BB_MEMBER_ALIVE || r->state == BB_MEMBER_SUSPECT;
+}
+
+#endif
--- /dev/null
+++ b/mesh/wire.c
@@ -0,0 +1,176 @@
+/* Conversion between member records and their XDR form. */
+#include "mesh/wire.h"
+
+#include <arpa/inet.h>
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum { IPV4_BYTES = 4, IPV6_BYTES = 16, PORT_MAX = 65535 };
+
+/* Encodes an endpoint into the given storage. */
+static mesh_endpoint
+encode_endpoint(const struct bb_address *a, char *storage)
+{
+    mesh_endpoint out = {.ip.ip_val = storage, .port = a->port};
+
+    if (inet_pton(AF_INET, a->ip, storage) == 1) {
+        out.ip.ip_len = IPV4_BYTES;
+    }
+    else if (inet_pton(AF_INET6, a->ip, storage) == 1) {
+        out.ip.ip_len = IPV6_BYTES;
+    }
+    return out;
+}
+
+/* Decodes an endpoint; false if it has no valid form. */
+static bool
+decode_endpoint(const mesh_endpoint *w, struct bb_address *out)
+{
+    int family = w->ip.ip_len == IPV4_BYTES ? AF_INET : AF_INET6;
+
+    *out = (struct bb_address){0};
+    if (w->port > PORT_MAX) {
+        return false;
+    }
+    out->port = (uint16_t)w->port;
+    if (w->ip.ip_len == 0) {
+        return w->port == 0;
+    }
+    if (w->ip.ip_len != IPV4_BYTES && w->ip.ip_len != IPV6_BYTES) {
+        return false;
+    }
+    return inet_ntop(family, w->ip.ip_val, out->ip, sizeof(out->ip)) != NULL;
+}
+
+/* Returns a text as an XDR name. XDR names are not const, but encoding does
+ * not write to them. */
+mesh_name
+bb_wire_name(const char *text)
+{
+    return (mesh_name)text;
+}
+
+/* Fills the XDR form of a record, which points into the record and into the
+ * storage. */
+void
+bb_wire_from_member(const struct bb_member *r, struct mesh_record *out,
+                    struct bb_wire_endpoints *storage)
+{
+    *out = (struct mesh_record){
+        .host = bb_wire_name(r->host),
+        .zone = bb_wire_name(r->zone),
+        .region = bb_wire_name(r->region),
+        .role = r->role,
+        .http = encode_endpoint(&r->http, storage->http),
+        .rpc = encode_endpoint(&r->rpc, storage->rpc),
+        .gossip = encode_endpoint(&r->gossip, storage->gossip),
+        .incarnation = r->incarnation,
+        .sequence = r->sequence,
+        .state = r->state,
+        .held_revision = r->held_revision,
+        .service = bb_wire_name(r->service),
+        .upstream_state = r->upstream_state,
+        .slots = r->slots,
+        .connections = r->connections,
+    };
+}
+
+/* Decodes a record; false if a value is out of its range or a needed name is
+ * empty. */
+bool
+bb_wire_to_member(const struct mesh_record *w, struct bb_member *out)
+{
+    *out = (struct bb_member){0};
+    if (w->role > BB_ROLE_CONTROL || w->state > BB_MEMBER_LEFT ||
+        w->upstream_state > BB_UPSTREAM_LEAVING || w->host[0] == '\0' ||
+        w->zone[0] == '\0' || w->region[0] == '\0') {
+        return false;
+    }
+    if (!decode_endpoint(&w->http, &out->http) ||
+        !decode_endpoint(&w->rpc, &out->rpc) ||
+        !decode_endpoint(&w->gossip, &out->gossip)) {
+        return false;
+    }
+    (void)g_strlcpy(out->host, w->host, sizeof(out->host));
+    (void)g_strlcpy(out->zone, w->zone, sizeof(out->zone));
+    (void)g_strlcpy(out->region, w->region, sizeof(out->region));
+    (void)g_strlcpy(out->service, w->service, sizeof(out->service));
+    out->role = (enum bb_member_role)w->role;
+    out->state = (enum bb_member_state)w->state;
+    out->upstream_state = (enum bb_upstream_state)w->upstream_state;
+    out->incarnation = w->incarnation;
+    out->sequence = w->sequence;
+    out->held_revision = w->held_revision;
+    out->slots = w->slots;
+    out->connections = w->connections;
+    out->is_reachable = true;
+    return true;
+}
+
+/* Copies a binary address to the heap. */
+static void
+own_endpoint(mesh_endpoint *w)
+{
+    char *copy = malloc(w->ip.ip_len + 1U);
+
+    if (copy != NULL) {
+        memcpy(copy, w->ip.ip_val, w->ip.ip_len);
+    }
+    else {
+        w->ip.ip_len = 0;
+    }
+    w->ip.ip_val = copy;
+}
+
+/* Returns a heap array of the XDR form of a list, which xdr_free of the
+ * enclosing message frees. */
+mesh_record *
+bb_wire_records(const struct bb_member_list *list)
+{
+    mesh_record *out = calloc(list->count + 1, sizeof(*out));
+
+    for (size_t i = 0; out != NULL && i < list->count; i++) {
+        struct bb_wire_endpoints storage;
+
+        bb_wire_from_member(&list->items[i], &out[i], &storage);
+        out[i].host = strdup(out[i].host);
+        out[i].zone = strdup(out[i].zone);
+        out[i].region = strdup(out[i].region);
+        out[i].service = strdup(out[i].service);
+        own_endpoint(&out[i].http);
+        own_endpoint(&out[i].rpc);
+        own_endpoint(&out[i].gossip);
+    }
+    return out;
+}
+
+/* Encodes a value and returns its size in bytes, or 0 if it does not fit. */
+size_t
+bb_wire_encode(xdrproc_t codec, void *value, char *out, size_t max)
+{
+    XDR x;
+    size_t size_bytes = 0;
+
+    xdrmem_create(&x, out, (u_int)max, XDR_ENCODE);
+    if (codec(&x, value)) {
+        size_bytes = xdr_getpos(&x);
+    }
+    xdr_destroy(&x);
+    return size_bytes;
+}
+
+/* Decodes a value that must fill the data exactly. The value is zeroed first;
+ * the caller frees it with xdr_free in either case. */
+bool
+bb_wire_decode(xdrproc_t codec, void *value, const char *data,
+               size_t size_bytes)
+{
+    XDR x;
+    bool is_valid;
+
+    xdrmem_create(&x, (char *)data, (u_int)size_bytes, XDR_DECODE);
+    is_valid = codec(&x, value) && xdr_getpos(&x) == size_bytes;
+    xdr_destroy(&x);
+    return is_valid;
+}
--- /dev/null
+++ b/tests/mesh/test_members.c
@@ -0,0 +1,235 @@
+/* The endpoint table: the outcome of merging does not depend on the order,
+ * held revisions never fall, expiry keeps what was held, and digests agree
+ * exactly when the tables do. */
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "common/random.h"
+#include "mesh/members.h"
+#include "mesh/wire.h"
+#include "unit.h"
+
+enum { SEED = 7, RECORDS = 400, HOSTS = 12, RETENTION_US = 1000 };
+
+static struct bb_member
+make_record(uint32_t host, uint64_t incarnation, uint64_t sequence)
+{
+    struct bb_member r = {
+        .http = {.ip = "127.0.0.1", .port = 80},
+        .rpc = {.ip = "::1", .port = 81},
+        .incarnation = incarnation,
+        .sequence = sequence,
+    };
+
+    (void)snprintf(r.host, sizeof(r.host), "host-%u", host);
+    (void)snprintf(r.zone, sizeof(r.zone), "zone-%u", host % 3);
+    (void)snprintf(r.region, sizeof(r.region), "region-%u", host % 3 / 2);
+    return r;
+}
+
+static struct bb_member
+random_record(struct bb_random *random)
+{
+    struct bb_member r =
+        make_record((uint32_t)bb_random_below(random, HOSTS),
+                    bb_random_below(random, 3), bb_random_below(random, 4));
+
+    r.state = (enum bb_member_state)bb_random_below(random, 4);
+    r.slots = (uint32_t)bb_random_below(random, 3);
+    r.held_revision = bb_random_below(random, 50);
+    return r;
+}
+
+static void
+assert_same_tables(struct bb_members *a, struct bb_members *b)
+{
+    const struct bb_members_query all = {0};
+    struct bb_member_list left;
+    struct bb_member_list right;
+
+    (void)bb_members_select(a, &all, &left);
+    (void)bb_members_select(b, &all, &right);
+    CU_ASSERT_EQUAL_FATAL(left.count, right.count);
+    for (size_t i = 0; i < left.count; i++) {
+        CU_ASSERT_EQUAL(bb_member_compare(&left.items[i], &right.items[i]), 0);
+        CU_ASSERT_EQUAL(left.items[i].held_revision,
+                        right.items[i].held_revision);
+    }
+    CU_ASSERT_EQUAL(bb_members_table_digest(a), bb_members_table_digest(b));
+    bb_member_list_clear(&left);
+    bb_member_list_clear(&right);
+}
+
+/* Guards against tables that differ for good after the same records. */
+static void
+test_order_and_repetition_do_not_matter(void)
+{
+    struct bb_random *random = bb_random_create(SEED);
+
+    for (int round = 0; round < 50; round++) {
+        struct bb_members *a = bb_members_create();
+        struct bb_members *b = bb_members_create();
+        struct bb_member records[RECORDS];
+
+        for (int i = 0; i < RECORDS; i++) {
+            records[i] = random_record(random);
+            (void)bb_members_merge(a, &records[i], BB_ORIGIN_ZONE, 1);
+        }
+        for (int i = RECORDS - 1; i > 0; i--) {
+            size_t j = bb_random_below(random, (uint64_t)i + 1);
+            struct bb_member swap = records[i];
+
+            records[i] = records[j];
+            records[j] = swap;
+        }
+        for (int i = 0; i < 2 * RECORDS; i++) {
+            (void)bb_members_merge(b, &records[i % RECORDS], BB_ORIGIN_ZONE,
+                                   1);
+        }
+        assert_same_tables(a, b);
+        for (int i = 0; i < RECORDS; i++) {
+            CU_ASSERT_FALSE(
+                bb_members_merge(a, &records[i], BB_ORIGIN_ZONE, 1));
+        }
+        bb_members_destroy(a);
+        bb_members_destroy(b);
+    }
+    bb_random_destroy(random);
+}
+
+/* Guards against a restarted node serving an older revision because its held
+ * revision went with its record, and against an expired record coming back. */
+static void
+test_held_revision_outlives_the_record(void)
+{
+    struct bb_members *m = bb_members_create();
+    struct bb_member r = make_record(1, 1, 1);
+    struct bb_member restarted = make_record(1, 2, 0);
+    bool is_known = false;
+
+    r.held_revision = 300;
+    (void)bb_members_merge(m, &r, BB_ORIGIN_ZONE, 1);
+    r.state = BB_MEMBER_DEAD;
+    r.held_revision = 0;
+    (void)bb_members_merge(m, &r, BB_ORIGIN_ZONE, 1);
+    CU_ASSERT_EQUAL(bb_members_expire(m, RETENTION_US, RETENTION_US), 0);
+    CU_ASSERT_EQUAL(bb_members_expire(m, RETENTION_US + 1, RETENTION_US), 1);
+    CU_ASSERT_EQUAL(bb_members_held(m, "host-1", &is_known), 300);
+    CU_ASSERT_TRUE(is_known);
+    r.state = BB_MEMBER_ALIVE;
+    CU_ASSERT_FALSE(bb_members_merge(m, &r, BB_ORIGIN_ZONE, 2));
+    CU_ASSERT_TRUE(bb_members_merge(m, &restarted, BB_ORIGIN_ZONE, 2));
+    CU_ASSERT_TRUE_FATAL(bb_members_get(m, "host-1", &r));
+    CU_ASSERT_EQUAL(r.held_revision, 300);
+    (void)bb_members_held(m, "host-2", &is_known);
+    CU_ASSERT_FALSE(is_known);
+    bb_members_destroy(m);
+}
+
+/* Guards against losing the members of a zone because its link is down. */
+static void
+test_unreachable_zone_is_kept(void)
+{
+    struct bb_members *m = bb_members_create();
+    struct bb_member r = make_record(1, 1, 1);
+
+    r.state = BB_MEMBER_DEAD;
+    (void)bb_members_merge(m, &r, BB_ORIGIN_ZONE, 1);
+    bb_members_set_zone_reachable(m, "zone-1", false);
+    CU_ASSERT_EQUAL(bb_members_expire(m, 10 * RETENTION_US, RETENTION_US), 0);
+    CU_ASSERT_TRUE_FATAL(bb_members_get(m, "host-1", &r));
+    CU_ASSERT_FALSE(r.is_reachable);
+    bb_members_set_zone_reachable(m, "zone-1", true);
+    CU_ASSERT_EQUAL(bb_members_expire(m, 10 * RETENTION_US, RETENTION_US), 1);
+    bb_members_destroy(m);
+}
+
+/* Guards against reports that repeat or miss changes, and against a change of
+ * the held revision being sent as a change of routes. */
+static void
+test_changes_since_a_version(void)
+{
+    struct bb_members *m = bb_members_create();
+    struct bb_members_query q = {.only_routing = true};
+    struct bb_member_list list;
+    struct bb_member r = make_record(1, 1, 1);
+
+    (void)bb_members_merge(m, &r, BB_ORIGIN_ZONE, 1);
+    q.since = bb_members_select(m, &q, &list);
+    CU_ASSERT_EQUAL(list.count, 1);
+    bb_member_list_clear(&list);
+    r.held_revision = 5;
+    (void)bb_members_merge(m, &r, BB_ORIGIN_ZONE, 1);
+    (void)bb_members_select(m, &q, &list);
+    CU_ASSERT_EQUAL(list.count, 0);
+    bb_member_list_clear(&list);
+    q.only_routing = false;
+    (void)bb_members_select(m, &q, &list);
+    CU_ASSERT_EQUAL(list.count, 1);
+    bb_member_list_clear(&list);
+    bb_members_destroy(m);
+}
+
+/* Guards against a zone floor raising the held revision of a member that the
+ * sender of the floor did not count. */
+static void
+test_zone_floor_needs_the_same_members(void)
+{
+    struct bb_members *near = bb_members_create();
+    struct bb_members *far = bb_members_create();
+    struct bb_zone_floor floors[4];
+    struct bb_member a = make_record(0, 1, 1);
+    struct bb_member b = make_record(3, 1, 1);
+    bool is_known;
+
+    (void)bb_members_merge(far, &a, BB_ORIGIN_ZONE, 1);
+    (void)bb_members_merge(far, &b, BB_ORIGIN_ZONE, 1);
+    a.held_revision = 9;
+    (void)bb_members_merge(near, &a, BB_ORIGIN_ZONE, 1);
+    CU_ASSERT_EQUAL(bb_members_floors(near, "region-0", floors, 4), 1);
+    CU_ASSERT_EQUAL(bb_members_apply_floor(far, &floors[0]), 0);
+    b.held_revision = 8;
+    (void)bb_members_merge(near, &b, BB_ORIGIN_ZONE, 1);
+    CU_ASSERT_EQUAL(bb_members_floors(near, "region-0", floors, 4), 1);
+    CU_ASSERT_EQUAL(bb_members_apply_floor(far, &floors[0]), 2);
+    CU_ASSERT_EQUAL(bb_members_held(far, "host-0", &is_known), 8);
+    bb_members_destroy(near);
+    bb_members_destroy(far);
+}
+
+/* Guards against records that change on the wire and against values outside
+ * their range being taken in. */
+static void
+test_wire_round_trip_and_refusal(void)
+{
+    struct bb_member r = make_record(5, 77, 1ULL << 40);
+    struct bb_wire_endpoints storage;
+    struct bb_member back;
+    mesh_record wire;
+
+    r.state = BB_MEMBER_SUSPECT;
+    (void)snprintf(r.service, sizeof(r.service), "orders");
+    bb_wire_from_member(&r, &wire, &storage);
+    CU_ASSERT_TRUE(bb_wire_to_member(&wire, &back));
+    CU_ASSERT_EQUAL(bb_member_compare(&r, &back), 0);
+    wire.state = BB_MEMBER_LEFT + 1;
+    CU_ASSERT_FALSE(bb_wire_to_member(&wire, &back));
+    wire.state = BB_MEMBER_ALIVE;
+    wire.rpc.ip.ip_len = 7;
+    CU_ASSERT_FALSE(bb_wire_to_member(&wire, &back));
+}
+
+static const struct bb_unit_test tests[] = {
+    {"order and repetition do not matter",
+     test_order_and_repetition_do_not_matter},
+    {"a held revision outlives the record",
+     test_held_revision_outlives_the_record},
+    {"an unreachable zone is kept", test_unreachable_zone_is_kept},
+    {"changes since a version", test_changes_since_a_version},
+    {"a zone floor needs the same members",
+     test_zone_floor_needs_the_same_members},
+    {"wire round trip and refusal", test_wire_round_trip_and_refusal},
+};
+
+BB_UNIT_MAIN("members", tests)
