decide: add failure detection, relay choice and pull admission

Cause: membership and distribution need decisions that can be tested under a virtual clock.

Change: decide/swim (probe of the successor and of a random peer every 500 ms, three indirect probes, 2 s suspicion, refutation) and decide/relay (rendezvous hashing for relays and control hosts, pull timing with 100 to 400 ms jitter, token bucket with turns for refused callers).

--- /dev/null
+++ b/decide/relay.c
@@ -0,0 +1,231 @@
+/* Rendezvous hashing for relays and control hosts, pull timing, and admission
+ * of pulls. */
+#include "decide/relay.h"
+
+#include <string.h>
+
+#include "common/digest.h"
+
+enum {
+    US_PER_MS = 1000,
+    US_PER_S = 1000000,
+    MS_PER_S = 1000,
+    SEED_NAME = 0x6e616d65,
+    SEED_WEIGHT = 0x72656e64,
+    /* Spreads pulls of a zone whose relay is lost; the upper bound keeps two
+     * attempts within the 2 s allowed for an isolated relay. */
+    JITTER_MIN_MS = 100,
+    JITTER_MAX_MS = 400,
+    RETRY_JITTER_MS = 100,
+    /* Refused callers are never told to wait longer, so that a bound on the
+     * return of all nodes does not depend on how many asked. */
+    RETRY_AFTER_MAX_MS = 2000
+};
+
+/* Returns the id of a host or zone name; never 0. */
+uint64_t
+bb_relay_id(const char *name)
+{
+    uint64_t id = bb_hash64(name, strlen(name), SEED_NAME);
+
+    return id == 0 ? 1 : id;
+}
+
+/* Returns the rendezvous weight of a member for a key. */
+static uint64_t
+weigh(uint64_t id, uint64_t key)
+{
+    const uint64_t pair[] = {id, key};
+
+    return bb_hash64(pair, sizeof(pair), SEED_WEIGHT);
+}
+
+/* Tells whether a member ranks above another for a key. */
+static bool
+ranks_above(uint64_t a, uint64_t b, uint64_t key)
+{
+    uint64_t wa = weigh(a, key);
+    uint64_t wb = weigh(b, key);
+
+    return wa > wb || (wa == wb && a > b);
+}
+
+/* Stores the highest-ranked members for a key, highest first; returns their
+ * number. The order of the ids does not matter. */
+size_t
+bb_relay_rank(const uint64_t *ids, size_t count, uint64_t key, uint64_t *out,
+              size_t max)
+{
+    size_t used = 0;
+
+    for (size_t i = 0; i < count; i++) {
+        size_t at = used;
+
+        while (at > 0 && ranks_above(ids[i], out[at - 1], key)) {
+            at--;
+        }
+        if (at == max) {
+            continue;
+        }
+        used += used < max ? 1 : 0;
+        memmove(out + at + 1, out + at, (used - at - 1) * sizeof(*out));
+        out[at] = ids[i];
+    }
+    return used;
+}
+
+/* Chooses the relays of a zone among its live members. */
+size_t
+bb_relay_choose(const uint64_t *live, size_t count, uint64_t zone,
+                uint64_t relays[BB_RELAYS_PER_ZONE])
+{
+    return bb_relay_rank(live, count, zone, relays, BB_RELAYS_PER_ZONE);
+}
+
+/* Chooses the control host that pushes to the relays of a zone: one of the
+ * zone's region, or of any region if none is live there. 0 if none is live. */
+uint64_t
+bb_relay_control_host(const uint64_t *region_live, size_t region_count,
+                      const uint64_t *all_live, size_t all_count,
+                      uint64_t zone)
+{
+    uint64_t chosen = 0;
+
+    if (region_count > 0) {
+        (void)bb_relay_rank(region_live, region_count, zone, &chosen, 1);
+    }
+    else {
+        (void)bb_relay_rank(all_live, all_count, zone, &chosen, 1);
+    }
+    return chosen;
+}
+
+/* Chooses the relay that pushes to a member, so that each member receives a
+ * change from one relay only. 0 without relays. */
+uint64_t
+bb_relay_for_member(const uint64_t *relays, size_t count, uint64_t member)
+{
+    uint64_t chosen = 0;
+
+    (void)bb_relay_rank(relays, count, member, &chosen, 1);
+    return chosen;
+}
+
+/* Returns a delay with jitter in microseconds. */
+static uint64_t
+jitter_us(uint64_t random_bits)
+{
+    uint64_t range_us = (JITTER_MAX_MS - JITTER_MIN_MS) * US_PER_MS;
+
+    return JITTER_MIN_MS * US_PER_MS + random_bits % range_us;
+}
+
+/* Compares the held revision with the highest known one. When the member
+ * falls behind, the first pull is due after the jitter. */
+void
+bb_puller_update(struct bb_puller *p, uint64_t held, uint64_t known,
+                 bool is_relay, uint64_t now_us, uint64_t random_bits)
+{
+    p->is_relay = is_relay;
+    if (held >= known) {
+        p->is_behind = false;
+        return;
+    }
+    if (!p->is_behind) {
+        p->is_behind = true;
+        p->attempt = 0;
+        p->behind_since_us = now_us;
+        p->due_us = now_us + jitter_us(random_bits);
+    }
+}
+
+/* Tells whether a pull is due now and from which kind of source; if so, the
+ * caller reports its end with bb_puller_finish. Relays go to a control host
+ * first: their zone peers wait for them. */
+bool
+bb_puller_start(struct bb_puller *p, uint64_t now_us,
+                enum bb_pull_source *source)
+{
+    uint32_t first = p->is_relay ? BB_PULL_CONTROL : BB_PULL_PEER;
+
+    if (!p->is_behind || p->is_pulling || now_us < p->due_us) {
+        return false;
+    }
+    *source = (enum bb_pull_source)((first + p->attempt) % BB_PULL_SOURCES);
+    p->is_pulling = true;
+    return true;
+}
+
+/* Ends a pull. The next one, if still needed, uses another kind of source
+ * after the jitter, or the same one after the time that a refusal asks for. */
+void
+bb_puller_finish(struct bb_puller *p, bool is_refused, uint32_t retry_after_ms,
+                 uint64_t now_us, uint64_t random_bits)
+{
+    p->is_pulling = false;
+    if (is_refused) {
+        p->due_us = now_us + (uint64_t)retry_after_ms * US_PER_MS;
+        return;
+    }
+    p->attempt++;
+    p->due_us = now_us + jitter_us(random_bits);
+}
+
+/* Prepares a full bucket. */
+void
+bb_pull_bucket_init(struct bb_pull_bucket *b, uint32_t rate_per_s,
+                    uint32_t burst, uint64_t now_us)
+{
+    *b = (struct bb_pull_bucket){
+        .rate_per_s = rate_per_s,
+        .burst = burst,
+        .tokens_u = (uint64_t)burst * US_PER_S,
+        .refilled_us = now_us,
+        .next_turn_us = now_us,
+    };
+}
+
+/* Adds the tokens of the time since the last refill. */
+static void
+refill(struct bb_pull_bucket *b, uint64_t now_us)
+{
+    uint64_t full_u = (uint64_t)b->burst * US_PER_S;
+    uint64_t elapsed_us = now_us - b->refilled_us;
+
+    if (elapsed_us > US_PER_S * (uint64_t)b->burst) {
+        b->tokens_u = full_u;
+    }
+    else {
+        b->tokens_u += elapsed_us * b->rate_per_s;
+        b->tokens_u = b->tokens_u < full_u ? b->tokens_u : full_u;
+    }
+    b->refilled_us = now_us;
+}
+
+/* Admits a pull, or tells when to ask again. Refused callers are given turns
+ * one after the other at the admitted rate, with jitter, so that they do not
+ * all return at once. */
+bool
+bb_pull_bucket_take(struct bb_pull_bucket *b, uint64_t now_us,
+                    uint64_t random_bits, uint32_t *retry_after_ms)
+{
+    uint64_t wait_ms;
+
+    refill(b, now_us);
+    if (b->tokens_u >= US_PER_S) {
+        b->tokens_u -= US_PER_S;
+        *retry_after_ms = 0;
+        return true;
+    }
+    if (b->next_turn_us < now_us) {
+        b->next_turn_us = now_us;
+    }
+    b->next_turn_us += US_PER_S / b->rate_per_s;
+    wait_ms = (b->next_turn_us - now_us) / US_PER_MS;
+    wait_ms += random_bits % RETRY_JITTER_MS;
+    if (wait_ms > RETRY_AFTER_MAX_MS) {
+        wait_ms = RETRY_AFTER_MAX_MS - random_bits % MS_PER_S;
+    }
+    *retry_after_ms = (uint32_t)wait_ms;
+    return false;
+}
--- /dev/null
+++ b/include/decide/swim.h
@@ -0,0 +1,108 @@
+/* Failure detection inside a zone: probing, indirect probing and suspicion.
+ * A plain struct that can be copied; the caller passes the time and random
+ * bits, carries out the actions, and spreads the records. Peers are known by
+ * a 64-bit id, the hash of the host name.
+ *
+ * In every period a member probes its successor in the order of ids, so that
+ * each peer is probed by someone in every period, and one random peer, or
+ * several while it suspects someone. A probe
+ * pings up to three times and asks others to ping too. A member suspects a
+ * peer when its own probe fails and declares it dead when pings for the whole
+ * suspicion time bring no answer. A suspicion heard from others must first
+ * last for the suspicion time and is then checked in the same way, so no
+ * member declares a peer dead that it has not tried to reach itself. */
+#ifndef BB_DECIDE_SWIM_H
+#define BB_DECIDE_SWIM_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+enum {
+    BB_SWIM_PEERS_MAX = 256,
+    BB_SWIM_PROBES_MAX = 16,
+    BB_SWIM_ACTIONS_MAX = 128
+};
+
+struct bb_swim_settings {
+    uint64_t period_us;
+    uint64_t ping_interval_us; /* between the pings of one probe */
+    uint64_t probe_timeout_us; /* from the first ping to suspicion */
+    uint64_t suspicion_us;
+    uint64_t revive_us; /* between pings to dead peers */
+    uint32_t indirect_count;
+    uint32_t pings_per_probe;
+};
+
+enum bb_swim_state { BB_SWIM_ALIVE, BB_SWIM_SUSPECT, BB_SWIM_DEAD };
+
+struct bb_swim_peer {
+    uint64_t id;
+    uint64_t incarnation;
+    uint64_t sequence;
+    enum bb_swim_state state;
+    bool is_own_suspicion; /* found by an own probe */
+    uint64_t deadline_us;  /* of the suspicion */
+    uint64_t next_ping_us; /* while suspected by an own probe */
+};
+
+struct bb_swim_probe {
+    uint64_t id; /* 0 if unused */
+    uint64_t next_ping_us;
+    uint64_t deadline_us;
+    uint32_t pings_sent;
+};
+
+struct bb_swim {
+    struct bb_swim_settings settings;
+    uint64_t self;
+    struct bb_swim_peer peers[BB_SWIM_PEERS_MAX]; /* sorted by id */
+    uint32_t peer_count;
+    struct bb_swim_probe probes[BB_SWIM_PROBES_MAX];
+    uint64_t next_period_us;
+    uint64_t next_revive_us;
+    uint64_t random; /* state derived from the bits passed in */
+};
+
+enum bb_swim_action_kind {
+    BB_SWIM_PING,         /* ping id */
+    BB_SWIM_PING_REQUEST, /* ask via to ping id */
+    BB_SWIM_MARK_SUSPECT, /* spread that id is suspected */
+    BB_SWIM_MARK_DEAD     /* spread at once that id is dead */
+};
+
+struct bb_swim_action {
+    enum bb_swim_action_kind kind;
+    uint64_t id;
+    uint64_t via;
+};
+
+struct bb_swim_actions {
+    struct bb_swim_action items[BB_SWIM_ACTIONS_MAX];
+    uint32_t count;
+};
+
+struct bb_swim_settings bb_swim_default_settings(void);
+void bb_swim_init(struct bb_swim *s, const struct bb_swim_settings *settings,
+                  uint64_t self, uint64_t now_us, uint64_t random_bits);
+bool bb_swim_set_peer(struct bb_swim *s, uint64_t id, uint64_t incarnation,
+                      uint64_t sequence, enum bb_swim_state state,
+                      uint64_t now_us);
+void bb_swim_remove_peer(struct bb_swim *s, uint64_t id);
+const struct bb_swim_peer *bb_swim_find(const struct bb_swim *s, uint64_t id);
+void bb_swim_heard(struct bb_swim *s, uint64_t id, uint64_t now_us);
+void bb_swim_tick(struct bb_swim *s, uint64_t now_us, uint64_t random_bits,
+                  struct bb_swim_actions *out);
+
+struct bb_swim_refutation {
+    bool is_needed;
+    uint64_t incarnation;
+    uint64_t sequence;
+};
+
+struct bb_swim_refutation bb_swim_refute(uint64_t own_incarnation,
+                                         uint64_t own_sequence,
+                                         uint64_t seen_incarnation,
+                                         uint64_t seen_sequence,
+                                         enum bb_swim_state seen_state);
+
+#endif
