mesh: add gossip over UDP and counters of control traffic

Cause: members of a zone have to find failures and spread records without a control host.

Change: mesh/gossip (core with time and datagrams as parameters, socket with one thread), zone ages that mark a cut-off zone as unreachable, pings to dead members so that a restarted one is found, and counters for each message kind and for bytes to other regions.

--- /dev/null
+++ b/include/mesh/gossip.h
@@ -0,0 +1,72 @@
+/* Gossip inside a zone: datagrams that detect failures and carry changed
+ * records, the highest revision known, and digests of the sender's table.
+ * The core takes the time and datagrams as parameters and sends through a
+ * callback; bb_gossip_socket runs it on a UDP socket with one thread.
+ *
+ * Thread-safe. Lock order: the gossip lock, then the table's lock. The send
+ * callback runs under the gossip lock and must not call back. */
+#ifndef BB_MESH_GOSSIP_H
+#define BB_MESH_GOSSIP_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "common/address.h"
+#include "common/error.h"
+#include "mesh/member.h"
+#include "mesh/members.h"
+
+enum {
+    BB_GOSSIP_DATAGRAM_MAX_BYTES = 1400,
+    BB_GOSSIP_TICK_MS = 25,
+    BB_GOSSIP_UNREACHABLE_MS = 5000 /* silence after which a zone is cut off */
+};
+
+struct bb_gossip;
+
+struct bb_gossip_settings {
+    struct bb_members *members;
+    struct bb_member self;
+    uint64_t seed;
+    void (*send)(void *context, const struct bb_address *to, const void *data,
+                 size_t size_bytes);
+    void *context;
+};
+
+struct bb_gossip *bb_gossip_create(const struct bb_gossip_settings *settings,
+                                   uint64_t now_us);
+void bb_gossip_destroy(struct bb_gossip *g);
+void bb_gossip_tick(struct bb_gossip *g, uint64_t now_us);
+bool bb_gossip_receive(struct bb_gossip *g, const struct bb_address *from,
+                       const void *data, size_t size_bytes, uint64_t now_us);
+
+void bb_gossip_set_self(struct bb_gossip *g, const struct bb_member *record,
+                        uint64_t now_us);
+void bb_gossip_set_held(struct bb_gossip *g, uint64_t revision,
+                        uint64_t now_us);
+void bb_gossip_self(struct bb_gossip *g, struct bb_member *out);
+void bb_gossip_check_self(struct bb_gossip *g, const struct bb_member *seen,
+                          uint64_t now_us);
+void bb_gossip_leave(struct bb_gossip *g, uint64_t now_us);
+void bb_gossip_tell(struct bb_gossip *g, const char *host, uint64_t now_us);
+void bb_gossip_watch_zones(struct bb_gossip *g, bool is_watching);
+
+void bb_gossip_note_revision(struct bb_gossip *g, uint64_t revision);
+uint64_t bb_gossip_highest(struct bb_gossip *g);
+bool bb_gossip_differing_peer(struct bb_gossip *g, uint64_t now_us,
+                              char host[BB_NAME_BYTES]);
+
+struct bb_gossip_socket;
+
+struct bb_gossip_socket *
+bb_gossip_socket_create(const struct bb_address *bind_address,
+                        struct bb_error *e);
+uint16_t bb_gossip_socket_port(const struct bb_gossip_socket *s);
+void bb_gossip_socket_send(void *socket, const struct bb_address *to,
+                           const void *data, size_t size_bytes);
+bool bb_gossip_socket_start(struct bb_gossip_socket *s, struct bb_gossip *g,
+                            struct bb_error *e);
+void bb_gossip_socket_destroy(struct bb_gossip_socket *s);
+
+#endif
--- /dev/null
+++ b/mesh/gossip.c
@@ -0,0 +1,605 @@
+/* The gossip core. */
+#include "mesh/gossip.h"
+
+#include <string.h>
+
+#include "common/clock.h"
+#include "common/counters.h"
+#include "decide/relay.h"
+#include "gossip_internal.h"
+#include "mesh/wire.h"
+#include "traffic.h"
+
+enum {
+    FORWARD_LIFETIME_US = BB_US_PER_S,
+    WATCH_PERIOD_US = BB_US_PER_S,
+    /* Longer than a change needs to spread by gossip, so that only records
+     * that gossip has missed lead to a comparison by RPC. */
+    DIFFER_US = 2 * BB_US_PER_S
+};
+
+BB_COUNTER(invalid_total, "baobab_gossip_invalid_total",
+           "Datagrams that could not be decoded or have no valid sender");
+BB_COUNTER(refutations_total, "baobab_gossip_refutations_total",
+           "Times this process refuted a record about itself");
+BB_COUNTER(suspected_total, "baobab_gossip_suspected_total",
+           "Members that this process began to suspect");
+BB_COUNTER(dead_total, "baobab_gossip_dead_total",
+           "Members that this process declared dead");
+
+/* Returns random bits. */
+static uint64_t
+next_random(struct bb_gossip *g)
+{
+    uint64_t z = g->random += 0x9e3779b97f4a7c15ULL;
+
+    z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9ULL;
+    z = (z ^ (z >> 27)) * 0x94d049bb133111ebULL;
+    return z ^ (z >> 31);
+}
+
+/* Puts the own record into the table. */
+static void
+publish_self(struct bb_gossip *g, uint64_t now_us)
+{
+    (void)bb_members_merge(g->settings.members, &g->self, BB_ORIGIN_ZONE,
+                           now_us);
+}
+
+/* Creates the core with the own record, which enters the table. */
+struct bb_gossip *
+bb_gossip_create(const struct bb_gossip_settings *settings, uint64_t now_us)
+{
+    const struct bb_swim_settings swim = bb_swim_default_settings();
+    struct bb_gossip *g = g_new0(struct bb_gossip, 1);
+
+    (void)pthread_mutex_init(&g->lock, NULL);
+    g->settings = *settings;
+    g->self = settings->self;
+    g->self.is_reachable = true;
+    g->random = settings->seed;
+    g->highest_revision = g->self.held_revision;
+    g->peer_by_id =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+    bb_swim_init(&g->swim, &swim, bb_relay_id(g->self.host), now_us,
+                 next_random(g));
+    publish_self(g, now_us);
+    return g;
+}
+
+/* Frees the core; NULL is allowed. */
+void
+bb_gossip_destroy(struct bb_gossip *g)
+{
+    if (g == NULL) {
+        return;
+    }
+    g_hash_table_destroy(g->peer_by_id);
+    (void)pthread_mutex_destroy(&g->lock);
+    g_free(g);
+}
+
+/* Answers a copy of the own record seen elsewhere, if it is not current. */
+static void
+check_self(struct bb_gossip *g, const struct bb_member *seen, uint64_t now_us)
+{
+    enum bb_swim_state state = seen->state == BB_MEMBER_ALIVE ? BB_SWIM_ALIVE
+                               : seen->state == BB_MEMBER_SUSPECT
+                                   ? BB_SWIM_SUSPECT
+                                   : BB_SWIM_DEAD;
+    struct bb_swim_refutation r =
+        bb_swim_refute(g->self.incarnation, g->self.sequence,
+                       seen->incarnation, seen->sequence, state);
+
+    bb_members_remember(g->settings.members, g->self.host,
+                        seen->held_revision);
+    if (!r.is_needed || g->self.state == BB_MEMBER_LEFT) {
+        return;
+    }
+    bb_counter_add(&refutations_total, 1);
+    g->self.incarnation = r.incarnation;
+    g->self.sequence = r.sequence;
+    publish_self(g, now_us);
+}
+
+/* Merges a record that arrived by gossip. */
+static void
+take_record(struct bb_gossip *g, const struct bb_member *r, uint64_t now_us)
+{
+    enum bb_member_origin origin = strcmp(r->region, g->self.region) == 0
+                                       ? BB_ORIGIN_ZONE
+                                       : BB_ORIGIN_OTHER_REGION;
+
+    if (strcmp(r->host, g->self.host) == 0) {
+        check_self(g, r, now_us);
+        return;
+    }
+    (void)bb_members_merge(g->settings.members, r, origin, now_us);
+}
+
+/* Takes one member of the own zone over from the table. */
+static void
+take_peer(struct bb_gossip *g, const struct bb_member *r, uint64_t now_us)
+{
+    struct bb_member *copy = g_new(struct bb_member, 1);
+    uint64_t id = bb_relay_id(r->host);
+    uint64_t *key = g_new(uint64_t, 1);
+    enum bb_swim_state state = r->state == BB_MEMBER_ALIVE ? BB_SWIM_ALIVE
+                               : r->state == BB_MEMBER_SUSPECT
+                                   ? BB_SWIM_SUSPECT
+                                   : BB_SWIM_DEAD;
+
+    *copy = *r;
+    *key = id;
+    (void)bb_swim_set_peer(&g->swim, id, r->incarnation, r->sequence, state,
+                           now_us);
+    g_hash_table_insert(g->peer_by_id, key, copy);
+}
+
+/* Takes the members of the own zone over from the table. */
+static void
+refresh_peers(struct bb_gossip *g, uint64_t now_us)
+{
+    struct bb_members *m = g->settings.members;
+    struct bb_member_list list;
+    uint64_t version = bb_members_version(m);
+
+    if (version == g->peers_version) {
+        return;
+    }
+    g->peers_version = bb_members_select(
+        m, &(struct bb_members_query){.zone = g->self.zone}, &list);
+    g_hash_table_destroy(g->peer_by_id);
+    g->peer_by_id =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+    for (size_t i = 0; i < list.count; i++) {
+        if (strcmp(list.items[i].host, g->self.host) != 0) {
+            take_peer(g, &list.items[i], now_us);
+        }
+    }
+    bb_member_list_clear(&list);
+    for (uint32_t i = g->swim.peer_count; i > 0; i--) {
+        uint64_t id = g->swim.peers[i - 1].id;
+
+        if (!g_hash_table_contains(g->peer_by_id, &id)) {
+            bb_swim_remove_peer(&g->swim, id);
+        }
+    }
+}
+
+/* Pings a member; a suspected one is told of the suspicion. */
+static void
+ping(struct bb_gossip *g, const struct bb_member *to, uint64_t now_us)
+{
+    const struct gossip_message m = {
+        .kind = MESH_PING,
+        .number = ++g->next_number,
+        .target = to->host,
+        .extra = to->state == BB_MEMBER_ALIVE ? NULL : to,
+    };
+
+    if (to->gossip.port != 0) {
+        gossip_send(g, &to->gossip, to->region, &m, now_us);
+    }
+}
+
+/* Marks a member as suspected or dead in the table. */
+static void
+mark(struct bb_gossip *g, struct bb_member *peer, enum bb_member_state state,
+     uint64_t now_us)
+{
+    peer->state = state;
+    (void)bb_members_merge(g->settings.members, peer, BB_ORIGIN_ZONE, now_us);
+}
+
+/* Tells all live members of the zone about a dead one. */
+static void
+broadcast(struct bb_gossip *g, const struct bb_member *about, uint64_t now_us)
+{
+    GHashTableIter i;
+    gpointer value;
+    const struct gossip_message m = {
+        .kind = MESH_PING,
+        .number = ++g->next_number,
+        .target = "",
+        .extra = about,
+    };
+
+    g_hash_table_iter_init(&i, g->peer_by_id);
+    while (g_hash_table_iter_next(&i, NULL, &value)) {
+        const struct bb_member *to = value;
+
+        if (to != about && to->state <= BB_MEMBER_SUSPECT &&
+            to->gossip.port != 0) {
+            gossip_send(g, &to->gossip, to->region, &m, now_us);
+        }
+    }
+}
+
+/* Carries out one decision of the failure detector. */
+static void
+act(struct bb_gossip *g, const struct bb_swim_action *a, uint64_t now_us)
+{
+    struct bb_member *peer = g_hash_table_lookup(g->peer_by_id, &a->id);
+    const struct bb_member *via;
+    struct gossip_message request = {.kind = MESH_PING_REQ};
+
+    if (peer == NULL) {
+        return;
+    }
+    switch (a->kind) {
+    case BB_SWIM_PING:
+        ping(g, peer, now_us);
+        break;
+    case BB_SWIM_PING_REQUEST:
+        via = g_hash_table_lookup(g->peer_by_id, &a->via);
+        if (via != NULL && via->gossip.port != 0) {
+            request.number = ++g->next_number;
+            request.target = peer->host;
+            gossip_send(g, &via->gossip, via->region, &request, now_us);
+        }
+        break;
+    case BB_SWIM_MARK_SUSPECT:
+        bb_counter_add(&suspected_total, 1);
+        mark(g, peer, BB_MEMBER_SUSPECT, now_us);
+        break;
+    case BB_SWIM_MARK_DEAD:
+        bb_counter_add(&dead_total, 1);
+        mark(g, peer, BB_MEMBER_DEAD, now_us);
+        broadcast(g, peer, now_us);
+        break;
+    }
+}
+
+/* Pings a random live member of each other zone. */
+static void
+watch_zones(struct bb_gossip *g, uint64_t now_us)
+{
+    const struct bb_members_query q = {.except_zone = g->self.zone};
+    const struct gossip_message m = {
+        .kind = MESH_PING,
+        .number = ++g->next_number,
+        .target = "",
+        .is_bare = true,
+    };
+    struct bb_member_list list;
+
+    (void)bb_members_select(g->settings.members, &q, &list);
+    for (size_t i = 0; i < list.count; i++) {
+        (void)gossip_zone(g, list.items[i].zone, now_us);
+    }
+    for (uint32_t z = 0; z < g->zone_count; z++) {
+        const struct bb_member *picked = NULL;
+        uint32_t seen = 0;
+
+        for (size_t i = 0; i < list.count; i++) {
+            const struct bb_member *r = &list.items[i];
+
+            if (strcmp(r->zone, g->zones[z].zone) == 0 &&
+                r->state <= BB_MEMBER_SUSPECT && r->gossip.port != 0 &&
+                next_random(g) % ++seen == 0) {
+                picked = r;
+            }
+        }
+        if (picked != NULL) {
+            gossip_send(g, &picked->gossip, picked->region, &m, now_us);
+        }
+    }
+    bb_member_list_clear(&list);
+}
+
+/* Marks zones as reachable or not by the time since they were heard from. */
+static void
+mark_zones(struct bb_gossip *g, uint64_t now_us)
+{
+    for (uint32_t i = 0; i < g->zone_count; i++) {
+        struct zone_contact *z = &g->zones[i];
+        bool is_reachable = now_us - z->heard_us <
+                            (uint64_t)BB_GOSSIP_UNREACHABLE_MS * BB_US_PER_MS;
+
+        z->is_reachable = is_reachable;
+        bb_members_set_zone_reachable(g->settings.members, z->zone,
+                                      is_reachable);
+    }
+}
+
+/* Advances time: probes, suspicions, and the watch of other zones. Call at
+ * least every BB_GOSSIP_TICK_MS. */
+void
+bb_gossip_tick(struct bb_gossip *g, uint64_t now_us)
+{
+    (void)pthread_mutex_lock(&g->lock);
+    gossip_refresh_digests(g);
+    refresh_peers(g, now_us);
+    bb_swim_tick(&g->swim, now_us, next_random(g), &g->actions);
+    for (uint32_t i = 0; i < g->actions.count; i++) {
+        act(g, &g->actions.items[i], now_us);
+    }
+    if (now_us >= g->next_watch_us) {
+        g->next_watch_us = now_us + WATCH_PERIOD_US;
+        if (g->is_watching_zones) {
+            watch_zones(g, now_us);
+        }
+        mark_zones(g, now_us);
+    }
+    (void)pthread_mutex_unlock(&g->lock);
+}
+
+/* Pings a member on behalf of another. */
+static void
+forward_ping(struct bb_gossip *g, const struct bb_address *from,
+             const mesh_datagram *d, uint64_t now_us)
+{
+    struct bb_member target;
+    struct forward *f = NULL;
+
+    if (!bb_members_get(g->settings.members, d->target, &target)) {
+        return;
+    }
+    for (int i = 0; i < FORWARDS_MAX && f == NULL; i++) {
+        if (g->forwards[i].number == 0 || g->forwards[i].expires_us < now_us) {
+            f = &g->forwards[i];
+        }
+    }
+    if (f == NULL) {
+        return;
+    }
+    ping(g, &target, now_us);
+    *f = (struct forward){
+        .number = g->next_number,
+        .asker_number = d->number,
+        .asker = *from,
+        .expires_us = now_us + FORWARD_LIFETIME_US,
+    };
+    (void)g_strlcpy(f->target, target.host, sizeof(f->target));
+}
+
+/* Passes the answer to a forwarded ping on, with the record it brought. */
+static void
+forward_answer(struct bb_gossip *g, const mesh_datagram *d, uint64_t now_us)
+{
+    struct bb_member target;
+
+    for (int i = 0; i < FORWARDS_MAX; i++) {
+        struct forward *f = &g->forwards[i];
+
+        if (f->number == 0 || f->number != d->number ||
+            strcmp(f->target, d->target) != 0) {
+            continue;
+        }
+        f->number = 0;
+        if (bb_members_get(g->settings.members, f->target, &target)) {
+            const struct gossip_message m = {
+                .kind = MESH_ACK,
+                .number = f->asker_number,
+                .target = f->target,
+                .extra = &target,
+            };
+
+            gossip_send(g, &f->asker, g->self.region, &m, now_us);
+        }
+        return;
+    }
+}
+
+/* Compares the sender's digests with the own ones. */
+static void
+compare_digests(struct bb_gossip *g, const struct bb_member *sender,
+                const mesh_datagram *d, uint64_t now_us)
+{
+    if (strcmp(sender->zone, g->self.zone) != 0) {
+        return;
+    }
+    if (d->table_digest == g->table_digest &&
+        d->held_digest == g->held_digest) {
+        g->differs_since_us = 0;
+        return;
+    }
+    if (g->differs_since_us == 0) {
+        g->differs_since_us = now_us;
+    }
+    (void)g_strlcpy(g->differing_peer, sender->host,
+                    sizeof(g->differing_peer));
+}
+
+/* Acts on a valid datagram. */
+static void
+handle(struct bb_gossip *g, const struct bb_address *from,
+       const struct bb_member *sender, const mesh_datagram *d, uint64_t now_us)
+{
+    const struct gossip_message ack = {
+        .kind = MESH_ACK,
+        .number = d->number,
+        .target = g->self.host,
+        .is_bare = strcmp(sender->zone, g->self.zone) != 0,
+    };
+
+    g->highest_revision = MAX(g->highest_revision, d->highest_revision);
+    gossip_hear_zone(g, sender->zone, now_us, now_us);
+    for (u_int i = 0; i < d->ages.ages_len; i++) {
+        uint64_t age_us = (uint64_t)d->ages.ages_val[i].age_ms * BB_US_PER_MS;
+
+        gossip_hear_zone(g, d->ages.ages_val[i].zone,
+                         age_us < now_us ? now_us - age_us : 0, now_us);
+    }
+    compare_digests(g, sender, d, now_us);
+    switch (d->kind) {
+    case MESH_PING:
+        gossip_send(g, from, sender->region, &ack, now_us);
+        break;
+    case MESH_PING_REQ:
+        forward_ping(g, from, d, now_us);
+        break;
+    case MESH_ACK:
+        refresh_peers(g, now_us);
+        bb_swim_heard(&g->swim, bb_relay_id(sender->host), now_us);
+        bb_swim_heard(&g->swim, bb_relay_id(d->target), now_us);
+        forward_answer(g, d, now_us);
+        break;
+    }
+}
+
+/* Takes in a datagram. Returns false, and counts it, if it is not valid; a
+ * datagram with one bad record is refused as a whole. */
+bool
+bb_gossip_receive(struct bb_gossip *g, const struct bb_address *from,
+                  const void *data, size_t size_bytes, uint64_t now_us)
+{
+    struct bb_member records[MESH_DATAGRAM_RECORDS_MAX];
+    mesh_datagram d = {0};
+    bool is_valid =
+        size_bytes <= BB_GOSSIP_DATAGRAM_MAX_BYTES &&
+        bb_wire_decode((xdrproc_t)xdr_mesh_datagram, &d, data, size_bytes) &&
+        d.records.records_len > 0 && d.kind >= MESH_PING && d.kind <= MESH_ACK;
+
+    for (u_int i = 0; is_valid && i < d.records.records_len; i++) {
+        is_valid = bb_wire_to_member(&d.records.records_val[i], &records[i]);
+    }
+    if (!is_valid) {
+        bb_counter_add(&invalid_total, 1);
+        goto out;
+    }
+    bb_traffic_count((enum bb_traffic_kind)(d.kind - MESH_PING), BB_TRAFFIC_IN,
+                     size_bytes,
+                     strcmp(records[0].region, g->settings.self.region) != 0);
+    (void)pthread_mutex_lock(&g->lock);
+    for (u_int i = 0; i < d.records.records_len; i++) {
+        take_record(g, &records[i], now_us);
+    }
+    gossip_refresh_digests(g);
+    handle(g, from, &records[0], &d, now_us);
+    (void)pthread_mutex_unlock(&g->lock);
+out:
+    xdr_free((xdrproc_t)xdr_mesh_datagram, (char *)&d);
+    return is_valid;
+}
+
+/* Replaces what the own record says. Incarnation, sequence and state stay the
+ * core's own; the sequence rises if anything else has changed. */
+void
+bb_gossip_set_self(struct bb_gossip *g, const struct bb_member *record,
+                   uint64_t now_us)
+{
+    struct bb_member next = *record;
+
+    (void)pthread_mutex_lock(&g->lock);
+    next.incarnation = g->self.incarnation;
+    next.sequence = g->self.sequence;
+    next.state = g->self.state;
+    next.held_revision = MAX(g->self.held_revision, record->held_revision);
+    if (bb_member_compare(&next, &g->self) != 0) {
+        next.sequence++;
+    }
+    g->self = next;
+    publish_self(g, now_us);
+    (void)pthread_mutex_unlock(&g->lock);
+}
+
+/* Raises the own held revision. This needs no new sequence number: a held
+ * revision is merged as a maximum. */
+void
+bb_gossip_set_held(struct bb_gossip *g, uint64_t revision, uint64_t now_us)
+{
+    (void)pthread_mutex_lock(&g->lock);
+    g->self.held_revision = MAX(g->self.held_revision, revision);
+    g->highest_revision = MAX(g->highest_revision, revision);
+    publish_self(g, now_us);
+    (void)pthread_mutex_unlock(&g->lock);
+}
+
+/* Copies the own record. */
+void
+bb_gossip_self(struct bb_gossip *g, struct bb_member *out)
+{
+    (void)pthread_mutex_lock(&g->lock);
+    *out = g->self;
+    (void)pthread_mutex_unlock(&g->lock);
+}
+
+/* Takes in a record about the own host that arrived by RPC. */
+void
+bb_gossip_check_self(struct bb_gossip *g, const struct bb_member *seen,
+                     uint64_t now_us)
+{
+    (void)pthread_mutex_lock(&g->lock);
+    check_self(g, seen, now_us);
+    (void)pthread_mutex_unlock(&g->lock);
+}
+
+/* Tells the zone that this process leaves. */
+void
+bb_gossip_leave(struct bb_gossip *g, uint64_t now_us)
+{
+    (void)pthread_mutex_lock(&g->lock);
+    g->self.state = BB_MEMBER_LEFT;
+    publish_self(g, now_us);
+    refresh_peers(g, now_us);
+    broadcast(g, &g->self, now_us);
+    (void)pthread_mutex_unlock(&g->lock);
+}
+
+/* Pings a member at once, so that it learns of a change of the own record
+ * without waiting for a period. */
+void
+bb_gossip_tell(struct bb_gossip *g, const char *host, uint64_t now_us)
+{
+    struct bb_member to;
+
+    if (!bb_members_get(g->settings.members, host, &to)) {
+        return;
+    }
+    (void)pthread_mutex_lock(&g->lock);
+    gossip_refresh_digests(g);
+    ping(g, &to, now_us);
+    (void)pthread_mutex_unlock(&g->lock);
+}
+
+/* Turns the pings to other zones on or off; only the relays of a zone send
+ * them, so that their number does not depend on the size of the zone. */
+void
+bb_gossip_watch_zones(struct bb_gossip *g, bool is_watching)
+{
+    (void)pthread_mutex_lock(&g->lock);
+    g->is_watching_zones = is_watching;
+    (void)pthread_mutex_unlock(&g->lock);
+}
+
+/* Raises the highest revision known. */
+void
+bb_gossip_note_revision(struct bb_gossip *g, uint64_t revision)
+{
+    (void)pthread_mutex_lock(&g->lock);
+    g->highest_revision = MAX(g->highest_revision, revision);
+    (void)pthread_mutex_unlock(&g->lock);
+}
+
+/* Returns the highest revision known. */
+uint64_t
+bb_gossip_highest(struct bb_gossip *g)
+{
+    uint64_t revision;
+
+    (void)pthread_mutex_lock(&g->lock);
+    revision = g->highest_revision;
+    (void)pthread_mutex_unlock(&g->lock);
+    return revision;
+}
+
+/* Returns a zone peer whose table has differed from the own one for longer
+ * than gossip needs; false if there is none. The time then starts again. */
+bool
+bb_gossip_differing_peer(struct bb_gossip *g, uint64_t now_us,
+                         char host[BB_NAME_BYTES])
+{
+    bool is_found = false;
+
+    (void)pthread_mutex_lock(&g->lock);
+    if (g->differs_since_us != 0 &&
+        now_us - g->differs_since_us >= DIFFER_US) {
+        g->differs_since_us = 0;
+        (void)g_strlcpy(host, g->differing_peer, BB_NAME_BYTES);
+        is_found = true;
+    }
+    (void)pthread_mutex_unlock(&g->lock);
+    return is_found;
+}
--- /dev/null
+++ b/mesh/gossip_codec.c
@@ -0,0 +1,133 @@
+/* Building of gossip datagrams. */
+#include <string.h>
+
+#include "common/clock.h"
+#include "gossip_internal.h"
+#include "mesh/wire.h"
+#include "traffic.h"
+
+enum { PICKED_MAX = 8 };
+
+/* Computes the digests again if the table has changed. */
+void
+gossip_refresh_digests(struct bb_gossip *g)
+{
+    uint64_t version = bb_members_version(g->settings.members);
+
+    if (version == g->digests_version) {
+        return;
+    }
+    g->digests_version = version;
+    g->table_digest = bb_members_table_digest(g->settings.members);
+    g->held_digest = bb_members_held_digest(g->settings.members, g->self.zone);
+}
+
+/* Fills the ages of the other zones; returns their number. */
+static uint32_t
+fill_ages(struct bb_gossip *g, mesh_zone_age *out, uint64_t now_us)
+{
+    for (uint32_t i = 0; i < g->zone_count; i++) {
+        out[i].zone = bb_wire_name(g->zones[i].zone);
+        out[i].age_ms =
+            (u_int)((now_us - g->zones[i].heard_us) / BB_US_PER_MS);
+    }
+    return g->zone_count;
+}
+
+/* Chooses the records of a datagram: the own one, the extra one, then those
+ * that are least spread. Returns their number. */
+static size_t
+choose_records(struct bb_gossip *g, const struct gossip_message *m,
+               struct bb_member *out)
+{
+    size_t count = 0;
+
+    out[count++] = g->self;
+    if (m->extra != NULL && strcmp(m->extra->host, g->self.host) != 0) {
+        out[count++] = *m->extra;
+    }
+    if (!m->is_bare) {
+        count += bb_members_pick_gossip(g->settings.members, g->self.zone,
+                                        g->self.host, out + count, PICKED_MAX);
+    }
+    return count;
+}
+
+/* Sends a datagram with as many records as fit. */
+void
+gossip_send(struct bb_gossip *g, const struct bb_address *to,
+            const char *to_region, const struct gossip_message *m,
+            uint64_t now_us)
+{
+    struct bb_member members[PICKED_MAX + 2];
+    mesh_record records[PICKED_MAX + 2];
+    struct bb_wire_endpoints storage[PICKED_MAX + 2];
+    mesh_zone_age ages[BB_MEMBERS_ZONES_MAX];
+    char data[BB_GOSSIP_DATAGRAM_MAX_BYTES];
+    size_t count = choose_records(g, m, members);
+    size_t size_bytes = 0;
+    mesh_datagram d = {
+        .kind = m->kind,
+        .number = m->number,
+        .target = bb_wire_name(m->target),
+        .highest_revision = g->highest_revision,
+        .table_digest = g->table_digest,
+        .held_digest = g->held_digest,
+        .ages = {.ages_val = ages,
+                 .ages_len = m->is_bare ? 0 : fill_ages(g, ages, now_us)},
+        .records = {.records_val = records},
+    };
+
+    for (size_t i = 0; i < count; i++) {
+        bb_wire_from_member(&members[i], &records[i], &storage[i]);
+    }
+    for (; count > 0 && size_bytes == 0; count--) {
+        d.records.records_len = (u_int)count;
+        size_bytes = bb_wire_encode((xdrproc_t)xdr_mesh_datagram, &d, data,
+                                    sizeof(data));
+    }
+    if (size_bytes == 0) {
+        return;
+    }
+    bb_traffic_count((enum bb_traffic_kind)(m->kind - MESH_PING),
+                     BB_TRAFFIC_OUT, size_bytes,
+                     strcmp(to_region, g->self.region) != 0);
+    g->settings.send(g->settings.context, to, data, size_bytes);
+}
+
+/* Finds the contact of a zone or adds one that counts as heard now; NULL if
+ * there are too many zones. */
+struct zone_contact *
+gossip_zone(struct bb_gossip *g, const char *zone, uint64_t now_us)
+{
+    struct zone_contact *z;
+
+    for (uint32_t i = 0; i < g->zone_count; i++) {
+        if (strcmp(g->zones[i].zone, zone) == 0) {
+            return &g->zones[i];
+        }
+    }
+    if (g->zone_count == BB_MEMBERS_ZONES_MAX) {
+        return NULL;
+    }
+    z = &g->zones[g->zone_count++];
+    *z = (struct zone_contact){.heard_us = now_us, .is_reachable = true};
+    (void)g_strlcpy(z->zone, zone, sizeof(z->zone));
+    return z;
+}
+
+/* Notes that another zone was heard from, here or by a zone peer. */
+void
+gossip_hear_zone(struct bb_gossip *g, const char *zone, uint64_t heard_us,
+                 uint64_t now_us)
+{
+    struct zone_contact *z;
+
+    if (strcmp(zone, g->self.zone) == 0) {
+        return;
+    }
+    z = gossip_zone(g, zone, now_us);
+    if (z != NULL && z->heard_us < heard_us && heard_us <= now_us) {
+        z->heard_us = heard_us;
+    }
+}
--- /dev/null
+++ b/mesh/gossip_socket.c
@@ -0,0 +1,160 @@
+/* Runs the gossip core on a UDP socket with one thread. */
+#include <errno.h>
+#include <glib.h>
+#include <poll.h>
+#include <pthread.h>
+#include <stdatomic.h>
+#include <unistd.h>
+
+#include "common/clock.h"
+#include "mesh/gossip.h"
+
+enum {
+    ERROR_SOCKET = 1,
+    /* Datagrams taken in before the next tick, so that a flood does not stop
+     * the failure detector. */
+    RECEIVE_BATCH = 256
+};
+
+struct bb_gossip_socket {
+    int fd;
+    uint16_t port;
+    struct bb_gossip *core;
+    pthread_t thread;
+    bool is_started;
+    atomic_bool is_stopping;
+};
+
+/* Opens the socket; port 0 takes any free port. NULL with an error if the
+ * address cannot be used. */
+struct bb_gossip_socket *
+bb_gossip_socket_create(const struct bb_address *bind_address,
+                        struct bb_error *e)
+{
+    struct bb_gossip_socket *s = g_new0(struct bb_gossip_socket, 1);
+    struct sockaddr_storage address;
+    struct bb_address bound = {0};
+    socklen_t length = bb_address_sockaddr(bind_address, &address);
+    char text[BB_ADDRESS_TEXT_BYTES];
+
+    s->fd = socket(address.ss_family,
+                   SOCK_DGRAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+    if (s->fd < 0 || bind(s->fd, (struct sockaddr *)&address, length) != 0) {
+        (void)bb_error_set(e, ERROR_SOCKET, "cannot use %s for gossip: %s",
+                           bb_address_text(bind_address, text),
+                           g_strerror(errno));
+        bb_gossip_socket_destroy(s);
+        return NULL;
+    }
+    length = sizeof(address);
+    (void)getsockname(s->fd, (struct sockaddr *)&address, &length);
+    (void)bb_address_from_sockaddr(&address, &bound);
+    s->port = bound.port;
+    return s;
+}
+
+/* Returns the port that the socket is bound to. */
+uint16_t
+bb_gossip_socket_port(const struct bb_gossip_socket *s)
+{
+    return s->port;
+}
+
+/* Sends a datagram; the send callback of the core. A datagram that cannot be
+ * sent counts as lost. */
+void
+bb_gossip_socket_send(void *socket_pointer, const struct bb_address *to,
+                      const void *data, size_t size_bytes)
+{
+    const struct bb_gossip_socket *s = socket_pointer;
+    struct sockaddr_storage address;
+    socklen_t length = bb_address_sockaddr(to, &address);
+
+    (void)sendto(s->fd, data, size_bytes, 0, (struct sockaddr *)&address,
+                 length);
+}
+
+/* Receives one datagram; false if none is waiting. */
+static bool
+receive_one(struct bb_gossip_socket *s)
+{
+    /* One byte more than allowed, so that longer datagrams are seen as such.
+     */
+    char data[BB_GOSSIP_DATAGRAM_MAX_BYTES + 1];
+    struct sockaddr_storage address = {0};
+    struct bb_address from;
+    socklen_t length = sizeof(address);
+    ssize_t size_bytes = recvfrom(s->fd, data, sizeof(data), 0,
+                                  (struct sockaddr *)&address, &length);
+
+    if (size_bytes < 0) {
+        return false;
+    }
+    if (bb_address_from_sockaddr(&address, &from)) {
+        (void)bb_gossip_receive(s->core, &from, data, (size_t)size_bytes,
+                                bb_clock_now_us());
+    }
+    return true;
+}
+
+/* Receives and ticks until told to stop. */
+static void *
+run(void *argument)
+{
+    struct bb_gossip_socket *s = argument;
+    uint64_t next_tick_us = 0;
+
+    while (!atomic_load(&s->is_stopping)) {
+        struct pollfd p = {.fd = s->fd, .events = POLLIN};
+        uint64_t now_us = bb_clock_now_us();
+        int wait_ms = 0;
+
+        if (now_us >= next_tick_us) {
+            next_tick_us = now_us + BB_GOSSIP_TICK_MS * BB_US_PER_MS;
+            bb_gossip_tick(s->core, now_us);
+        }
+        else {
+            wait_ms = (int)((next_tick_us - now_us) / BB_US_PER_MS) + 1;
+        }
+        if (poll(&p, 1, wait_ms) > 0) {
+            for (int i = 0; i < RECEIVE_BATCH && receive_one(s); i++) {
+            }
+        }
+    }
+    return NULL;
+}
+
+/* Starts the thread, which runs the core until the socket is destroyed. */
+bool
+bb_gossip_socket_start(struct bb_gossip_socket *s, struct bb_gossip *g,
+                       struct bb_error *e)
+{
+    int result;
+
+    s->core = g;
+    result = pthread_create(&s->thread, NULL, run, s);
+    if (result != 0) {
+        return bb_error_set(e, ERROR_SOCKET,
+                            "cannot start the gossip thread: %s",
+                            g_strerror(result));
+    }
+    s->is_started = true;
+    return true;
+}
+
+/* Stops the thread and closes the socket; NULL is allowed. */
+void
+bb_gossip_socket_destroy(struct bb_gossip_socket *s)
+{
+    if (s == NULL) {
+        return;
+    }
+    if (s->is_started) {
+        atomic_store(&s->is_stopping, true);
+        (void)pthread_join(s->thread, NULL);
+    }
+    if (s->fd >= 0) {
+        (void)close(s->fd);
+    }
+    g_free(s);
+}
--- /dev/null
+++ b/mesh/traffic.h
@@ -0,0 +1,28 @@
+/* Counts control messages and bytes, those to other regions separately. Bytes
+ * are the encoded size plus an estimate of the headers below. */
+#ifndef BB_MESH_TRAFFIC_H
+#define BB_MESH_TRAFFIC_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+enum bb_traffic_kind {
+    BB_TRAFFIC_PING,
+    BB_TRAFFIC_PING_REQ,
+    BB_TRAFFIC_ACK,
+    BB_TRAFFIC_OFFER,
+    BB_TRAFFIC_FETCH,
+    BB_TRAFFIC_REPORT,
+    BB_TRAFFIC_SYNC,
+    BB_TRAFFIC_JOIN,
+    BB_TRAFFIC_KINDS
+};
+
+enum bb_traffic_direction { BB_TRAFFIC_IN, BB_TRAFFIC_OUT };
+
+void bb_traffic_count(enum bb_traffic_kind kind,
+                      enum bb_traffic_direction direction, size_t size_bytes,
+                      bool is_other_region);
+
+#endif
--- /dev/null
+++ b/tests/mesh/test_gossip.c
@@ -0,0 +1,311 @@
+/* The gossip core on a fake network under a virtual clock: changes spread, a
+ * restarted member is found without a control host, lost datagrams cause no
+ * death, and hostile datagrams change nothing. */
+#include <stdio.h>
+#include <string.h>
+
+#include "common/clock.h"
+#include "common/counters.h"
+#include "common/random.h"
+#include "mesh/gossip.h"
+#include "unit.h"
+
+enum { SEED = 3, CORES_MAX = 24, QUEUE_MAX = 8192, PORT_BASE = 1000 };
+
+struct packet {
+    uint16_t from;
+    uint16_t to;
+    size_t size_bytes;
+    char data[BB_GOSSIP_DATAGRAM_MAX_BYTES];
+};
+
+static struct {
+    struct bb_random *random;
+    struct bb_members *members[CORES_MAX];
+    struct bb_gossip *cores[CORES_MAX];
+    uint32_t count;
+    uint32_t loss_percent;
+    uint32_t cut_from; /* cores from here on reach only each other; 0: none */
+    uint64_t now_us;
+    struct packet queue[QUEUE_MAX];
+    uint32_t queued;
+} net;
+
+static void
+fake_send(void *context, const struct bb_address *to, const void *data,
+          size_t size_bytes)
+{
+    uint16_t from = *(uint16_t *)context;
+    struct packet *p = &net.queue[net.queued];
+
+    CU_ASSERT_FATAL(size_bytes <= BB_GOSSIP_DATAGRAM_MAX_BYTES);
+    if (bb_random_below(net.random, 100) < net.loss_percent ||
+        net.queued == QUEUE_MAX) {
+        return;
+    }
+    net.queued++;
+    p->from = from;
+    p->to = (uint16_t)(to->port - PORT_BASE);
+    p->size_bytes = size_bytes;
+    memcpy(p->data, data, size_bytes);
+}
+
+static struct bb_member
+make_self(uint32_t i, uint64_t incarnation, const char *zone)
+{
+    struct bb_member r = {
+        .gossip = {.ip = "127.0.0.1", .port = (uint16_t)(PORT_BASE + i)},
+        .incarnation = incarnation,
+    };
+
+    (void)snprintf(r.host, sizeof(r.host), "host-%u", i);
+    (void)snprintf(r.zone, sizeof(r.zone), "%s", zone);
+    (void)snprintf(r.region, sizeof(r.region), "region");
+    return r;
+}
+
+static void
+start_core(uint32_t i, uint64_t incarnation, const char *zone)
+{
+    static uint16_t indices[CORES_MAX];
+    const struct bb_gossip_settings settings = {
+        .members = net.members[i] = bb_members_create(),
+        .self = make_self(i, incarnation, zone),
+        .seed = SEED + i,
+        .send = fake_send,
+        .context = &indices[i],
+    };
+
+    indices[i] = (uint16_t)i;
+    net.cores[i] = bb_gossip_create(&settings, net.now_us);
+}
+
+static void
+stop_core(uint32_t i)
+{
+    bb_gossip_destroy(net.cores[i]);
+    bb_members_destroy(net.members[i]);
+    net.cores[i] = NULL;
+    net.members[i] = NULL;
+}
+
+static void
+start_net(uint32_t count, uint32_t loss_percent)
+{
+    memset(&net, 0, sizeof(net));
+    net.random = bb_random_create(SEED);
+    net.count = count;
+    net.loss_percent = loss_percent;
+    net.now_us = BB_US_PER_S;
+    for (uint32_t i = 0; i < count; i++) {
+        const struct bb_member first = make_self(0, 1, "zone");
+
+        start_core(i, 1, "zone");
+        (void)bb_members_merge(net.members[i], &first, BB_ORIGIN_ZONE, 0);
+    }
+}
+
+static void
+stop_net(void)
+{
+    for (uint32_t i = 0; i < net.count; i++) {
+        if (net.cores[i] != NULL) {
+            stop_core(i);
+        }
+    }
+    bb_random_destroy(net.random);
+}
+
+static void
+run_for(uint64_t duration_us)
+{
+    uint64_t end_us = net.now_us + duration_us;
+
+    for (; net.now_us < end_us; net.now_us += 5 * BB_US_PER_MS) {
+        for (uint32_t i = 0; i < net.queued; i++) {
+            struct packet p = net.queue[i];
+            struct bb_address from = {.ip = "127.0.0.1",
+                                      .port = (uint16_t)(PORT_BASE + p.from)};
+
+            if (net.cores[p.to] != NULL &&
+                (p.from >= net.cut_from) == (p.to >= net.cut_from)) {
+                CU_ASSERT_TRUE(bb_gossip_receive(
+                    net.cores[p.to], &from, p.data, p.size_bytes, net.now_us));
+            }
+        }
+        net.queued = 0;
+        for (uint32_t i = 0; i < net.count; i++) {
+            if (net.cores[i] != NULL) {
+                bb_gossip_tick(net.cores[i], net.now_us);
+            }
+        }
+    }
+}
+
+static uint32_t
+count_state(uint32_t at, enum bb_member_state state)
+{
+    struct bb_member_list list;
+    uint32_t count = 0;
+
+    (void)bb_members_select(net.members[at], &(struct bb_members_query){0},
+                            &list);
+    for (size_t i = 0; i < list.count; i++) {
+        count += list.items[i].state == state;
+    }
+    bb_member_list_clear(&list);
+    return count;
+}
+
+/* Guards against members that stay unknown or changes that do not spread. */
+static void
+test_members_and_changes_spread(void)
+{
+    struct bb_member self;
+
+    start_net(CORES_MAX, 0);
+    run_for(10 * BB_US_PER_S);
+    for (uint32_t i = 0; i < CORES_MAX; i++) {
+        CU_ASSERT_EQUAL(count_state(i, BB_MEMBER_ALIVE), CORES_MAX);
+    }
+    bb_gossip_self(net.cores[5], &self);
+    self.upstream_state = BB_UPSTREAM_DRAINING;
+    bb_gossip_set_self(net.cores[5], &self, net.now_us);
+    bb_gossip_set_held(net.cores[5], 42, net.now_us);
+    run_for(2 * BB_US_PER_S);
+    for (uint32_t i = 0; i < CORES_MAX; i++) {
+        CU_ASSERT_TRUE(bb_members_get(net.members[i], "host-5", &self));
+        CU_ASSERT_EQUAL(self.upstream_state, BB_UPSTREAM_DRAINING);
+        CU_ASSERT_EQUAL(self.held_revision, 42);
+        CU_ASSERT_EQUAL(bb_gossip_highest(net.cores[i]), 42);
+    }
+    stop_net();
+}
+
+/* Guards against a member staying dead after its restart where no control
+ * host can tell it of its peers, and against the revision that it held being
+ * forgotten. */
+static void
+test_restarted_member_is_found(void)
+{
+    bool is_known;
+
+    start_net(8, 0);
+    run_for(5 * BB_US_PER_S);
+    bb_gossip_set_held(net.cores[3], 300, net.now_us);
+    run_for(3 * BB_US_PER_S);
+    stop_core(3);
+    run_for(4 * BB_US_PER_S);
+    CU_ASSERT_EQUAL(count_state(0, BB_MEMBER_DEAD), 1);
+    start_core(3, 2, "zone");
+    run_for(4 * BB_US_PER_S);
+    CU_ASSERT_EQUAL(count_state(0, BB_MEMBER_ALIVE), 8);
+    CU_ASSERT_EQUAL(count_state(3, BB_MEMBER_ALIVE), 8);
+    CU_ASSERT_EQUAL(bb_members_held(net.members[0], "host-3", &is_known), 300);
+    CU_ASSERT_EQUAL(bb_members_held(net.members[3], "host-3", &is_known), 300);
+    stop_net();
+}
+
+/* Guards against false deaths of the whole stack with 30% of all datagrams
+ * lost for two minutes. */
+static void
+test_loss_causes_no_death(void)
+{
+    const struct bb_counter *dead =
+        bb_counter_find("baobab_gossip_dead_total", NULL);
+    uint64_t before = bb_counter_get(dead);
+
+    start_net(16, 30);
+    run_for(120ULL * BB_US_PER_S);
+    CU_ASSERT_EQUAL(bb_counter_get(dead), before);
+    for (uint32_t i = 0; i < net.count; i++) {
+        CU_ASSERT_EQUAL(count_state(i, BB_MEMBER_DEAD), 0);
+    }
+    stop_net();
+}
+
+/* Guards against a cut-off zone being taken for dead, and against its marks
+ * staying after the link is back. */
+static void
+test_cut_off_zone_is_unreachable_not_dead(void)
+{
+    struct bb_member r;
+
+    start_net(4, 0);
+    for (uint32_t i = 2; i < 4; i++) {
+        stop_core(i);
+        start_core(i, 2, "other");
+    }
+    for (uint32_t i = 0; i < 4; i++) {
+        for (uint32_t n = 0; n < 4; n++) {
+            r = make_self(n, 2, n < 2 ? "zone" : "other");
+            (void)bb_members_merge(net.members[i], &r, BB_ORIGIN_ZONE, 0);
+        }
+    }
+    bb_gossip_watch_zones(net.cores[0], true);
+    bb_gossip_watch_zones(net.cores[2], true);
+    run_for(4 * BB_US_PER_S);
+    net.cut_from = 2;
+    run_for(8 * BB_US_PER_S);
+    for (uint32_t i = 0; i < 4; i++) {
+        const char *far = i < 2 ? "host-3" : "host-1";
+
+        CU_ASSERT_TRUE_FATAL(bb_members_get(net.members[i], far, &r));
+        CU_ASSERT_FALSE(r.is_reachable);
+        CU_ASSERT_EQUAL(r.state, BB_MEMBER_ALIVE);
+    }
+    net.cut_from = 0;
+    run_for(3 * BB_US_PER_S);
+    CU_ASSERT_TRUE(bb_members_get(net.members[1], "host-3", &r));
+    CU_ASSERT_TRUE(r.is_reachable);
+    stop_net();
+}
+
+/* Guards against hostile datagrams: random bytes, valid datagrams with bytes
+ * changed or cut off, and one that is too long. */
+static void
+test_hostile_datagrams_are_refused(void)
+{
+    const struct bb_counter *invalid =
+        bb_counter_find("baobab_gossip_invalid_total", NULL);
+    struct bb_address from = {.ip = "127.0.0.1", .port = PORT_BASE};
+    char data[BB_GOSSIP_DATAGRAM_MAX_BYTES + 1] = {0};
+    struct packet sample;
+    uint64_t before = bb_counter_get(invalid);
+
+    start_net(2, 0);
+    bb_gossip_tell(net.cores[1], "host-0", net.now_us);
+    CU_ASSERT_FATAL(net.queued > 0);
+    sample = net.queue[0];
+    for (size_t i = 0; i < sample.size_bytes; i++) {
+        CU_ASSERT_FALSE(
+            bb_gossip_receive(net.cores[0], &from, sample.data, i, 1));
+    }
+    CU_ASSERT_FALSE(
+        bb_gossip_receive(net.cores[0], &from, data, sizeof(data), 1));
+    CU_ASSERT_EQUAL(bb_counter_get(invalid) - before, sample.size_bytes + 1);
+    for (int round = 0; round < 20000; round++) {
+        size_t size_bytes = bb_random_below(net.random, sizeof(data));
+
+        memcpy(data, sample.data, sample.size_bytes);
+        for (size_t i = 0; i < (size_t)round % 7; i++) {
+            data[bb_random_below(net.random, sample.size_bytes)] =
+                (char)bb_random_u64(net.random);
+        }
+        (void)bb_gossip_receive(net.cores[0], &from, data,
+                                round % 2 ? sample.size_bytes : size_bytes, 1);
+        net.queued = 0;
+    }
+    stop_net();
+}
+
+static const struct bb_unit_test tests[] = {
+    {"members and changes spread", test_members_and_changes_spread},
+    {"a restarted member is found", test_restarted_member_is_found},
+    {"loss causes no death", test_loss_causes_no_death},
+    {"a cut-off zone is unreachable, not dead",
+     test_cut_off_zone_is_unreachable_not_dead},
+    {"hostile datagrams are refused", test_hostile_datagrams_are_refused},
+};
+
+BB_UNIT_MAIN("gossip", tests)
