Add decision modules for calls

Cause: the data path needs decisions on admission, routing, ejection, retries and at-most-once that can be tested without I/O.

--- /dev/null
+++ b/decide/claim.c
@@ -0,0 +1,282 @@
+#include "decide/claim.h"
+
+#include <string.h>
+
+#include "common/digest.h"
+
+static enum bb_claim_fault fault;
+
+/* Seeds a fault that the explorer must find; for tests only. */
+void
+bb_claim_set_fault(enum bb_claim_fault f)
+{
+    fault = f;
+}
+
+/* Selects the hosts ranked highest for a key by rendezvous hashing. Returns
+ * how many there are, at most three. */
+uint32_t
+bb_claim_set(const struct bb_request_id *key, const uint64_t *hosts,
+             uint32_t host_count, uint64_t set[BB_CLAIM_SET])
+{
+    uint64_t ranks[BB_CLAIM_SET];
+    uint32_t count = 0;
+
+    for (uint32_t i = 0; i < host_count; i++) {
+        uint64_t rank = bb_hash64(key->bytes, sizeof(key->bytes), hosts[i]);
+        uint32_t at = count < BB_CLAIM_SET ? count++ : BB_CLAIM_SET;
+
+        while (at > 0 && (ranks[at - 1] < rank ||
+                          (ranks[at - 1] == rank && set[at - 1] < hosts[i]))) {
+            if (at < BB_CLAIM_SET) {
+                ranks[at] = ranks[at - 1];
+                set[at] = set[at - 1];
+            }
+            at--;
+        }
+        if (at < BB_CLAIM_SET) {
+            ranks[at] = rank;
+            set[at] = hosts[i];
+        }
+    }
+    return count;
+}
+
+/* Tells whether the previous roster may be dropped: all but at most one of
+ * its hosts have adopted the present epoch, so that no quorum of any claim
+ * set is left in the old one, and the retention time has passed since the
+ * last of them did. Time alone is not enough, because two hosts that are cut
+ * off could go on granting in the old epoch. */
+bool
+bb_roster_may_settle(uint32_t previous_hosts, uint32_t adopted_hosts,
+                     uint64_t adopted_us, uint64_t retention_us,
+                     uint64_t now_us)
+{
+    return adopted_hosts + 1 >= previous_hosts &&
+           now_us >= adopted_us + retention_us;
+}
+
+/* Prepares a witness over the caller's memory; entry_count is a power of two.
+ * One that restarted without its claims confirms nothing until the retention
+ * time has passed. */
+void
+bb_witness_init(struct bb_witness *w, uint64_t epoch, uint64_t retention_us,
+                bool is_restart_without_data, struct bb_claim_entry *entries,
+                uint32_t entry_count, uint64_t now_us)
+{
+    *w = (struct bb_witness){.epoch = epoch, .retention_us = retention_us};
+    if (is_restart_without_data &&
+        fault != BB_CLAIM_FAULT_CONFIRMS_AFTER_RESTART) {
+        w->confirms_from_us = now_us + retention_us;
+    }
+    bb_id_table_init(&w->table, entries, sizeof(*entries), entry_count);
+}
+
+/* Adopts a later roster; an earlier one is ignored. */
+void
+bb_witness_set_epoch(struct bb_witness *w, uint64_t epoch)
+{
+    if (epoch > w->epoch) {
+        w->epoch = epoch;
+    }
+}
+
+static bool
+is_same_claim(const struct bb_claim *a, const struct bb_claim *b)
+{
+    return bb_request_id_equal(&a->request, &b->request) &&
+           a->attempt == b->attempt && a->gatekeeper == b->gatekeeper &&
+           a->incarnation == b->incarnation;
+}
+
+/* Tells whether a claim may replace the one that is held: the same request,
+ * moved on after its gatekeeper refused it for good. */
+static bool
+is_next_attempt(const struct bb_claim *held, const struct bb_claim *c)
+{
+    return bb_request_id_equal(&held->request, &c->request) &&
+           c->attempt > held->attempt;
+}
+
+/* Answers a claim of a key. A granted claim is kept for the retention time
+ * after it was last granted. A witness that cannot confirm still tells of a
+ * claim that it holds. */
+struct bb_witness_answer
+bb_witness_claim(struct bb_witness *w, const struct bb_request_id *key,
+                 const struct bb_claim *c, uint64_t epoch, uint64_t now_us)
+{
+    struct bb_witness_answer a = {.epoch = w->epoch};
+    struct bb_claim_entry *e;
+
+    if (epoch != w->epoch) {
+        a.result = BB_WITNESS_OTHER_EPOCH;
+        return a;
+    }
+    e = bb_id_table_find(&w->table, key, now_us);
+    if (e != NULL && !is_same_claim(&e->claim, c) &&
+        !is_next_attempt(&e->claim, c)) {
+        a.result = BB_WITNESS_HELD;
+        a.held = e->claim;
+        return a;
+    }
+    if (now_us < w->confirms_from_us) {
+        a.result = BB_WITNESS_CANNOT_CONFIRM;
+        return a;
+    }
+    if (e == NULL) {
+        e = bb_id_table_insert(&w->table, key, now_us);
+    }
+    if (e == NULL) {
+        a.result = BB_WITNESS_FULL;
+        return a;
+    }
+    e->claim = *c;
+    e->slot.keep_until_us = now_us + w->retention_us;
+    a.result = BB_WITNESS_GRANTED;
+    a.held = *c;
+    return a;
+}
+
+/* Removes one expired claim; false if none was found now. */
+bool
+bb_witness_expire(struct bb_witness *w, uint64_t now_us)
+{
+    void *e = bb_id_table_expired(&w->table, now_us);
+
+    if (e != NULL) {
+        bb_id_table_remove(&w->table, e);
+    }
+    return e != NULL;
+}
+
+/* Adds the witnesses of one roster to the requester's list. */
+static void
+add_witnesses(struct bb_claim_requester *q, const uint64_t *hosts,
+              uint32_t host_count, bool is_previous)
+{
+    uint64_t set[BB_CLAIM_SET];
+    uint32_t count = bb_claim_set(&q->key, hosts, host_count, set);
+
+    for (uint32_t i = 0; i < count; i++) {
+        uint32_t at = 0;
+
+        while (at < q->witness_count && q->witnesses[at] != set[i]) {
+            at++;
+        }
+        if (at == q->witness_count) {
+            q->witnesses[q->witness_count++] = set[i];
+        }
+        if (is_previous) {
+            q->is_previous[at] = true;
+        }
+        else {
+            q->is_current[at] = true;
+        }
+    }
+}
+
+/* Starts a claim of a key for a request at a gatekeeper. The caller asks
+ * every host in witnesses[] and reports each answer. */
+void
+bb_claim_start(struct bb_claim_requester *q, const struct bb_roster *r,
+               const struct bb_request_id *key, const struct bb_claim *wanted)
+{
+    *q = (struct bb_claim_requester){
+        .key = *key, .epoch = r->epoch, .wanted = *wanted};
+    add_witnesses(q, r->hosts, r->host_count, false);
+    if (r->previous_count > 0 && fault != BB_CLAIM_FAULT_NO_JOINT_RULE) {
+        q->is_joint = true;
+        add_witnesses(q, r->previous, r->previous_count, true);
+    }
+}
+
+/* Reports the answer of one witness, or BB_WITNESS_UNREACHABLE. False if the
+ * host is not asked. A later answer of the same witness replaces the first.
+ */
+bool
+bb_claim_answer(struct bb_claim_requester *q, uint64_t witness,
+                const struct bb_witness_answer *a)
+{
+    for (uint32_t i = 0; i < q->witness_count; i++) {
+        if (q->witnesses[i] == witness) {
+            q->answers[i] = *a;
+            q->is_answered[i] = true;
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Counts the witnesses of one claim set that hold a given claim. */
+static uint32_t
+count_holders(const struct bb_claim_requester *q, const bool *in_set,
+              const struct bb_claim *c)
+{
+    uint32_t count = 0;
+
+    for (uint32_t i = 0; i < q->witness_count; i++) {
+        enum bb_witness_result r = q->answers[i].result;
+
+        if (in_set[i] && q->is_answered[i] &&
+            (r == BB_WITNESS_GRANTED || r == BB_WITNESS_HELD) &&
+            is_same_claim(&q->answers[i].held, c)) {
+            count++;
+        }
+    }
+    return count;
+}
+
+/* Tells whether a claim is held by a quorum of each claim set that counts. */
+static bool
+has_quorum(const struct bb_claim_requester *q, const struct bb_claim *c)
+{
+    uint32_t need =
+        fault == BB_CLAIM_FAULT_ONE_GRANT ? 1 : (uint32_t)BB_CLAIM_QUORUM;
+
+    return count_holders(q, q->is_current, c) >= need &&
+           (!q->is_joint || count_holders(q, q->is_previous, c) >= need);
+}
+
+/* Returns why a claim without quorum is refused. */
+static enum bb_reason
+refusal_of(const struct bb_claim_requester *q)
+{
+    for (uint32_t i = 0; i < q->witness_count; i++) {
+        if (q->is_answered[i] &&
+            q->answers[i].result == BB_WITNESS_OTHER_EPOCH) {
+            return BB_REASON_KEY_OWNER_CHANGED;
+        }
+    }
+    return BB_REASON_KEY_OWNER_UNAVAILABLE;
+}
+
+/* Returns what to do next. BB_CLAIM_RUN: the own claim has its quorum.
+ * BB_CLAIM_JOIN: another claim has it and is returned; its request id may be
+ * sent to its gatekeeper, which runs it at most once. BB_CLAIM_REFUSED: all
+ * have answered without a quorum; ran: no. */
+enum bb_claim_step
+bb_claim_step(const struct bb_claim_requester *q, struct bb_claim *held,
+              enum bb_reason *reason)
+{
+    bool is_complete = true;
+
+    *reason = BB_REASON_NONE;
+    for (uint32_t i = 0; i < q->witness_count; i++) {
+        if (!q->is_answered[i]) {
+            is_complete = false;
+        }
+        else if (q->answers[i].result == BB_WITNESS_GRANTED ||
+                 q->answers[i].result == BB_WITNESS_HELD) {
+            if (has_quorum(q, &q->answers[i].held)) {
+                *held = q->answers[i].held;
+                return is_same_claim(held, &q->wanted) ? BB_CLAIM_RUN
+                                                       : BB_CLAIM_JOIN;
+            }
+        }
+    }
+    if (!is_complete) {
+        return BB_CLAIM_ASK;
+    }
+    *reason = refusal_of(q);
+    return BB_CLAIM_REFUSED;
+}
--- /dev/null
+++ b/decide/id_table.c
@@ -0,0 +1,176 @@
+#include "decide/id_table.h"
+
+#include <glib.h>
+#include <string.h>
+
+#include "common/digest.h"
+
+enum {
+    /* Linear probing stays short below this share of used slots. */
+    FILL_NUMERATOR = 3,
+    FILL_DENOMINATOR = 4,
+    SWEEP_SLOTS = 16,
+    SWEEP_ALL_INTERVAL_US = 100000
+};
+
+/* Returns the id of a caller's key: a hash over service and key, so that two
+ * services never share a key. */
+struct bb_request_id
+bb_request_id_of(const char *service, const char *key)
+{
+    struct bb_request_id id;
+    struct bb_digest d;
+    char *text = g_strdup_printf("%s\n%s", service, key);
+
+    d = bb_digest_of(text, strlen(text));
+    memcpy(id.bytes, d.bytes, sizeof(id.bytes));
+    g_free(text);
+    return id;
+}
+
+/* Returns an id of 128 random bits. */
+struct bb_request_id
+bb_request_id_random(uint64_t high_bits, uint64_t low_bits)
+{
+    struct bb_request_id id;
+
+    memcpy(id.bytes, &high_bits, sizeof(high_bits));
+    memcpy(id.bytes + sizeof(high_bits), &low_bits, sizeof(low_bits));
+    return id;
+}
+
+/* Tells whether two ids are the same. */
+bool
+bb_request_id_equal(const struct bb_request_id *a,
+                    const struct bb_request_id *b)
+{
+    return memcmp(a->bytes, b->bytes, sizeof(a->bytes)) == 0;
+}
+
+static struct bb_id_slot *
+slot_at(const struct bb_id_table *t, uint32_t i)
+{
+    return (struct bb_id_slot *)((char *)t->slots + i * t->slot_bytes);
+}
+
+static uint32_t
+home_of(const struct bb_id_table *t, const struct bb_request_id *id)
+{
+    return (uint32_t)bb_hash64(id->bytes, sizeof(id->bytes), 0) &
+           (t->slot_count - 1);
+}
+
+static bool
+is_expired(const struct bb_id_slot *s, uint64_t now_us)
+{
+    return s->keep_until_us != BB_KEEP_FOREVER && now_us >= s->keep_until_us;
+}
+
+/* Prepares a table over zeroed memory for slot_count entries, which must be a
+ * power of two. Three quarters of them are used at most. */
+void
+bb_id_table_init(struct bb_id_table *t, void *slots, size_t slot_bytes,
+                 uint32_t slot_count)
+{
+    *t = (struct bb_id_table){
+        .slots = slots,
+        .slot_bytes = slot_bytes,
+        .slot_count = slot_count,
+        .used_max = (uint32_t)((uint64_t)slot_count * FILL_NUMERATOR /
+                               FILL_DENOMINATOR),
+    };
+    memset(slots, 0, slot_bytes * slot_count);
+}
+
+/* Finds an entry that has not expired, or returns NULL. */
+void *
+bb_id_table_find(const struct bb_id_table *t, const struct bb_request_id *id,
+                 uint64_t now_us)
+{
+    uint32_t i = home_of(t, id);
+
+    while (slot_at(t, i)->is_used) {
+        struct bb_id_slot *s = slot_at(t, i);
+
+        if (bb_request_id_equal(&s->id, id)) {
+            return is_expired(s, now_us) ? NULL : s;
+        }
+        i = (i + 1) & (t->slot_count - 1);
+    }
+    return NULL;
+}
+
+/* Removes an entry and closes the gap in its probe sequence. */
+void
+bb_id_table_remove(struct bb_id_table *t, void *slot)
+{
+    uint32_t mask = t->slot_count - 1;
+    uint32_t gap =
+        (uint32_t)(((char *)slot - (char *)t->slots) / (long)t->slot_bytes);
+    uint32_t i = (gap + 1) & mask;
+
+    while (slot_at(t, i)->is_used) {
+        uint32_t home = home_of(t, &slot_at(t, i)->id);
+
+        if (((i - home) & mask) >= ((i - gap) & mask)) {
+            memcpy(slot_at(t, gap), slot_at(t, i), t->slot_bytes);
+            gap = i;
+        }
+        i = (i + 1) & mask;
+    }
+    memset(slot_at(t, gap), 0, t->slot_bytes);
+    t->used_count--;
+}
+
+/* Returns an expired entry, or NULL if the next few slots hold none. When the
+ * table is full, all slots are searched, at most every 100 ms. The caller
+ * releases what the entry refers to and removes it. */
+void *
+bb_id_table_expired(struct bb_id_table *t, uint64_t now_us)
+{
+    uint32_t steps = SWEEP_SLOTS;
+
+    if (t->used_count >= t->used_max &&
+        now_us >= t->swept_us + SWEEP_ALL_INTERVAL_US) {
+        steps = t->slot_count;
+    }
+    for (uint32_t n = 0; n < steps && n < t->slot_count; n++) {
+        struct bb_id_slot *s = slot_at(t, t->sweep_next);
+
+        if (s->is_used && is_expired(s, now_us)) {
+            return s;
+        }
+        t->sweep_next = (t->sweep_next + 1) & (t->slot_count - 1);
+    }
+    if (steps == t->slot_count) {
+        t->swept_us = now_us;
+    }
+    return NULL;
+}
+
+/* Adds an entry for an id that is not in the table; the caller fills in what
+ * follows the slot. NULL if the table is full: an entry that has not expired
+ * is never displaced. An expired entry of the same id is used again. */
+void *
+bb_id_table_insert(struct bb_id_table *t, const struct bb_request_id *id,
+                   uint64_t now_us)
+{
+    uint32_t i = home_of(t, id);
+    struct bb_id_slot *s = slot_at(t, i);
+
+    (void)now_us;
+    while (s->is_used && !bb_request_id_equal(&s->id, id)) {
+        i = (i + 1) & (t->slot_count - 1);
+        s = slot_at(t, i);
+    }
+    if (!s->is_used && t->used_count >= t->used_max) {
+        return NULL;
+    }
+    if (!s->is_used) {
+        t->used_count++;
+    }
+    memset(s, 0, t->slot_bytes);
+    s->id = *id;
+    s->is_used = true;
+    return s;
+}
--- /dev/null
+++ b/decide/policy_least_wait.c
@@ -0,0 +1,67 @@
+/* Routing policy least_wait: of two candidates drawn by weight, the one with
+ * the lower expected time. */
+#include "common/registry.h"
+#include "decide/route_pick.h"
+
+enum { HALF_BITS = 32 };
+
+/* Draws a position in usable[] in proportion to the candidates' weights. */
+static uint32_t
+draw(const struct bb_candidate *const *candidates, const uint32_t *usable,
+     uint32_t usable_count, uint32_t random_bits)
+{
+    uint64_t sum = 0;
+    uint64_t at;
+
+    for (uint32_t i = 0; i < usable_count; i++) {
+        sum += candidates[usable[i]]->weight_permille;
+    }
+    if (sum == 0) {
+        return random_bits % usable_count;
+    }
+    at = random_bits % sum;
+    for (uint32_t i = 0; i < usable_count; i++) {
+        uint32_t weight = candidates[usable[i]]->weight_permille;
+
+        if (at < weight) {
+            return i;
+        }
+        at -= weight;
+    }
+    return usable_count - 1;
+}
+
+/* Chooses the better of two draws. A candidate that returns from an ejection
+ * is taken when it is drawn: its old latency would keep it out for ever. */
+static uint32_t
+choose(struct bb_route *s, const struct bb_candidate *const *candidates,
+       const uint32_t *usable, uint32_t usable_count,
+       const struct bb_route_request *r, uint64_t random_bits, uint64_t now_us)
+{
+    uint32_t first =
+        draw(candidates, usable, usable_count, (uint32_t)random_bits);
+    uint32_t second = draw(candidates, usable, usable_count,
+                           (uint32_t)(random_bits >> HALF_BITS));
+    const struct bb_candidate *a = candidates[usable[first]];
+    const struct bb_candidate *b;
+
+    (void)s;
+    if (first == second) {
+        second = (second + 1) % usable_count;
+    }
+    b = candidates[usable[second]];
+    if (a->weight_permille < BB_ROUTE_WEIGHT_FULL) {
+        return first;
+    }
+    if (b->weight_permille < BB_ROUTE_WEIGHT_FULL) {
+        return first;
+    }
+    return bb_candidate_cost(b, r->work_class, now_us) <
+                   bb_candidate_cost(a, r->work_class, now_us)
+               ? second
+               : first;
+}
+
+static const struct bb_routing_policy least_wait = {.choose = choose};
+
+BB_PLUGIN(least_wait, BB_PLUGIN_ROUTING_POLICY, "least_wait", &least_wait);
--- /dev/null
+++ b/decide/probe.c
@@ -0,0 +1,139 @@
+#include "decide/probe.h"
+
+static enum bb_probe_fault fault;
+
+/* Seeds a fault that the explorer must find; for tests only. */
+void
+bb_probe_set_fault(enum bb_probe_fault f)
+{
+    fault = f;
+}
+
+/* Starts the watch over a call that has been sent. The check time is how long
+ * a connection may carry no bytes before the gatekeeper is asked. */
+void
+bb_probe_init(struct bb_probe *p, bool is_idempotent, uint64_t check_us,
+              uint64_t deadline_us, uint64_t now_us)
+{
+    *p = (struct bb_probe){
+        .is_idempotent = is_idempotent,
+        .check_us = check_us,
+        .deadline_us = deadline_us,
+        .last_byte_us = now_us,
+        .next_query_us = now_us + check_us,
+    };
+}
+
+/* Ends the watch with a step; the first end stays. */
+static void
+finish(struct bb_probe *p, enum bb_probe_step step, enum bb_reason reason)
+{
+    if (p->final == BB_PROBE_WAIT) {
+        p->final = step;
+        p->reason = reason;
+    }
+}
+
+/* Bytes of the answer arrived on the first connection. */
+void
+bb_probe_bytes(struct bb_probe *p, uint64_t now_us)
+{
+    p->last_byte_us = now_us;
+    p->is_silent = false;
+    if (!p->is_query_out) {
+        p->next_query_us = now_us + p->check_us;
+    }
+}
+
+/* Returns the reason for which the first connection is given up. */
+static enum bb_reason
+cause(const struct bb_probe *p)
+{
+    return p->is_broken ? BB_REASON_CONNECTION_LOST
+                        : BB_REASON_CONNECTION_SILENT;
+}
+
+/* The first connection broke. */
+void
+bb_probe_broken(struct bb_probe *p, uint64_t now_us)
+{
+    p->is_broken = true;
+    if (!p->is_query_out) {
+        p->next_query_us = now_us;
+    }
+    if (p->is_idempotent || fault == BB_PROBE_FAULT_NO_QUERY) {
+        finish(p, BB_PROBE_RETRY, BB_REASON_CONNECTION_LOST);
+    }
+}
+
+/* Reports the answer to a query. */
+void
+bb_probe_answer(struct bb_probe *p, enum bb_query_result result,
+                uint64_t now_us)
+{
+    p->is_query_out = false;
+    p->next_query_us = now_us + p->check_us;
+    switch (result) {
+    case BB_QUERY_NEVER_SEEN:
+    case BB_QUERY_REFUSED:
+        finish(p, BB_PROBE_RETRY, cause(p));
+        break;
+    case BB_QUERY_DONE:
+        finish(p, BB_PROBE_TAKE_ANSWER, BB_REASON_NONE);
+        break;
+    case BB_QUERY_OTHER_INCARNATION:
+        finish(p, BB_PROBE_UNKNOWN, BB_REASON_GATEKEEPER_RESTARTED);
+        break;
+    case BB_QUERY_RUNNING:
+    case BB_QUERY_FULL:
+        break;
+    }
+}
+
+/* The query got no answer; it is sent again after a quarter of the check
+ * time. */
+void
+bb_probe_query_failed(struct bb_probe *p, uint64_t now_us)
+{
+    p->is_query_out = false;
+    p->next_query_us = now_us + p->check_us / 4;
+}
+
+/* Returns what to do at this time. After BB_PROBE_QUERY the result must be
+ * reported. The reason says why the call is retried or unknown. */
+enum bb_probe_step
+bb_probe_step(struct bb_probe *p, uint64_t now_us, enum bb_reason *reason)
+{
+    if (p->final == BB_PROBE_WAIT && now_us >= p->deadline_us) {
+        finish(p, BB_PROBE_UNKNOWN,
+               p->is_broken || p->is_silent ? cause(p)
+                                            : BB_REASON_DEADLINE_RUNNING);
+    }
+    if (p->final == BB_PROBE_WAIT && !p->is_query_out &&
+        now_us >= p->next_query_us) {
+        p->is_silent = true;
+        if (fault == BB_PROBE_FAULT_NO_QUERY) {
+            finish(p, BB_PROBE_RETRY, cause(p));
+        }
+        else {
+            p->is_query_out = true;
+            p->queries++;
+            *reason = BB_REASON_NONE;
+            return BB_PROBE_QUERY;
+        }
+    }
+    *reason = p->reason;
+    return p->final;
+}
+
+/* Returns when bb_probe_step should be called again without an event. */
+uint64_t
+bb_probe_wake_us(const struct bb_probe *p)
+{
+    if (p->final != BB_PROBE_WAIT) {
+        return 0;
+    }
+    return !p->is_query_out && p->next_query_us < p->deadline_us
+               ? p->next_query_us
+               : p->deadline_us;
+}
--- /dev/null
+++ b/decide/retry.c
@@ -0,0 +1,206 @@
+#include "decide/retry.h"
+
+enum {
+    MILLI = 1000,
+    PERCENT = 100,
+    /* Tokens at the start and at most: a short run of refusals is absorbed,
+     * a long one is held to the share. */
+    BUDGET_START_TOKENS = 5,
+    BUDGET_MAX_TOKENS = 50,
+    /* The first repeat goes elsewhere at once; the next waits up to 2 ms. */
+    BACKOFF_BASE_US = 2000,
+    BACKOFF_MAX_US = 250000,
+    BACKOFF_DOUBLINGS_MAX = 7,
+    HEDGE_PERMILLE = 950,
+    HEDGE_FLOOR_US = 2000,
+    HEDGE_OBSERVATIONS_MIN = 20,
+    HEDGE_DEFAULT_US = 50000,
+    /* A nested call gets this much less, so that its answer can still be
+     * passed on. */
+    NESTED_MARGIN_US = 1000,
+    NESTED_MARGIN_SHARE = 20
+};
+
+/* Sets the share of first attempts that may be repeated. */
+void
+bb_retry_budget_configure(struct bb_retry_budget *b, uint32_t percent)
+{
+    b->percent = percent;
+    b->tokens_milli = percent > 0 ? BUDGET_START_TOKENS * MILLI : 0;
+}
+
+/* Notes one first attempt. */
+void
+bb_retry_budget_deposit(struct bb_retry_budget *b)
+{
+    b->tokens_milli += (uint64_t)b->percent * MILLI / PERCENT;
+    if (b->tokens_milli > (uint64_t)BUDGET_MAX_TOKENS * MILLI) {
+        b->tokens_milli = (uint64_t)BUDGET_MAX_TOKENS * MILLI;
+    }
+}
+
+/* Takes one token; false if there is none. */
+bool
+bb_retry_budget_take(struct bb_retry_budget *b)
+{
+    if (b->tokens_milli < MILLI) {
+        return false;
+    }
+    b->tokens_milli -= MILLI;
+    return true;
+}
+
+/* Tells whether another gatekeeper, or the same one later, may give another
+ * answer to a request refused for this reason. */
+bool
+bb_retry_reason_is_transient(enum bb_reason r)
+{
+    switch (r) {
+    case BB_REASON_QUEUE_FULL:
+    case BB_REASON_CANNOT_FINISH:
+    case BB_REASON_SERVICE_LIMIT:
+    case BB_REASON_TEAM_LIMIT:
+    case BB_REASON_CONNECTION_LIMIT:
+    case BB_REASON_WORKER_LIMIT:
+    case BB_REASON_NO_UPSTREAM:
+    case BB_REASON_UPSTREAM_DRAINING:
+    case BB_REASON_UPSTREAM_SHEDDING:
+    case BB_REASON_UPSTREAM_STARTING:
+    case BB_REASON_SHUTTING_DOWN:
+    case BB_REASON_CONNECT_FAILED:
+    case BB_REASON_CONNECTION_LOST:
+    case BB_REASON_CONNECTION_SILENT:
+    case BB_REASON_GATEKEEPER_RESTARTED:
+    case BB_REASON_ALREADY_REFUSED:
+    case BB_REASON_RECORD_FULL:
+    case BB_REASON_KEY_OWNER_CHANGED:
+    case BB_REASON_UPSTREAM_BROKEN:
+        return true;
+    default:
+        return false;
+    }
+}
+
+/* Returns the delay before a repeat: none before the first, then a random one
+ * up to a limit that doubles (full jitter). */
+uint64_t
+bb_retry_backoff_us(uint32_t attempts, uint64_t random_bits)
+{
+    uint32_t doublings = attempts < 2 ? 0 : attempts - 2;
+    uint64_t limit_us;
+
+    if (attempts < 2) {
+        return 0;
+    }
+    if (doublings > BACKOFF_DOUBLINGS_MAX) {
+        doublings = BACKOFF_DOUBLINGS_MAX;
+    }
+    limit_us = (uint64_t)BACKOFF_BASE_US << doublings;
+    if (limit_us > BACKOFF_MAX_US) {
+        limit_us = BACKOFF_MAX_US;
+    }
+    return random_bits % (limit_us + 1);
+}
+
+/* Decides whether a request is tried again. It is safe if the attempt did not
+ * run or the request is idempotent. Takes a token if it is allowed. */
+struct bb_retry_answer
+bb_retry_decide(const struct bb_retry_question *q, struct bb_retry_budget *b)
+{
+    struct bb_retry_answer a = {.reason = q->reason};
+    bool is_safe = q->ran == BB_RAN_NO || q->is_idempotent;
+
+    if (!is_safe || !bb_retry_reason_is_transient(q->reason) ||
+        q->attempts > q->retry_limit) {
+        return a;
+    }
+    a.delay_us = bb_retry_backoff_us(q->attempts, q->random_bits);
+    if (a.delay_us + q->expected_us >= q->remaining_us) {
+        return a;
+    }
+    if (!bb_retry_budget_take(b)) {
+        a.reason = BB_REASON_RETRY_BUDGET;
+        return a;
+    }
+    a.is_allowed = true;
+    return a;
+}
+
+/* Returns after which time without an answer a second attempt is sent: the
+ * configured one, or the observed p95, never below the floor. */
+uint64_t
+bb_hedge_delay_us(const struct bb_hedge_question *q,
+                  const struct bb_estimate *latency)
+{
+    uint64_t us = q->hedge_after_us;
+
+    if (us == 0) {
+        us = latency->total < HEDGE_OBSERVATIONS_MIN
+                 ? HEDGE_DEFAULT_US
+                 : bb_estimate_quantile_us(latency, HEDGE_PERMILLE);
+    }
+    return us < HEDGE_FLOOR_US ? HEDGE_FLOOR_US : us;
+}
+
+/* Decides whether a second attempt is sent now, for idempotent short work
+ * only. Takes a token if it is allowed. */
+bool
+bb_hedge_decide(const struct bb_hedge_question *q,
+                const struct bb_estimate *latency, struct bb_retry_budget *b)
+{
+    if (!q->is_idempotent || q->work_class != BB_ADMISSION_SHORT ||
+        q->hedges >= q->hedge_limit) {
+        return false;
+    }
+    if (q->elapsed_us < bb_hedge_delay_us(q, latency) ||
+        q->remaining_us <= bb_estimate_median_us(latency, 0)) {
+        return false;
+    }
+    return bb_retry_budget_take(b);
+}
+
+/* Returns the depth of a nested call; false if it passes the limit (0: the
+ * default of 16). */
+bool
+bb_depth_next(uint32_t depth, uint32_t limit, uint32_t *next)
+{
+    if (limit == 0 || limit > BB_DEPTH_LIMIT) {
+        limit = BB_DEPTH_LIMIT;
+    }
+    if (depth >= limit) {
+        return false;
+    }
+    *next = depth + 1;
+    return true;
+}
+
+/* Returns the deadline of a call that arrives with a remaining time (0: none
+ * given), held to the route's limit. */
+uint64_t
+bb_deadline_from_remaining(uint64_t remaining_us, uint64_t limit_us,
+                           uint64_t now_us)
+{
+    uint64_t us =
+        remaining_us == 0 || remaining_us > limit_us ? limit_us : remaining_us;
+
+    return us > UINT64_MAX - now_us ? UINT64_MAX : now_us + us;
+}
+
+/* Returns the time left, 0 if it is over. */
+uint64_t
+bb_deadline_remaining_us(uint64_t deadline_us, uint64_t now_us)
+{
+    return deadline_us > now_us ? deadline_us - now_us : 0;
+}
+
+/* Returns the time that a nested call is given: what remains less a twentieth,
+ * at most 1 ms, for passing the answer on. */
+uint64_t
+bb_deadline_nested_us(uint64_t deadline_us, uint64_t now_us)
+{
+    uint64_t left_us = bb_deadline_remaining_us(deadline_us, now_us);
+    uint64_t margin_us = left_us / NESTED_MARGIN_SHARE;
+
+    return left_us -
+           (margin_us > NESTED_MARGIN_US ? NESTED_MARGIN_US : margin_us);
+}
--- /dev/null
+++ b/decide/route_pick.c
@@ -0,0 +1,353 @@
+#include "decide/route_pick.h"
+
+#include <math.h>
+#include <string.h>
+
+enum {
+    PERCENT = 100,
+    US_PER_S = 1000000,
+    /* A report counts half after this time without a newer one. */
+    REPORT_HALF_LIFE_US = 500000,
+    REPORT_HALVINGS_MAX = 20,
+    /* A tier is saturated when every gatekeeper holds this share of its
+     * slots, in percent, running and queued together. */
+    ZONE_LEAVE_PERCENT = 100,
+    ZONE_RETURN_PERCENT = 75,
+    REGION_LEAVE_PERCENT = 200,
+    REGION_RETURN_PERCENT = 120,
+    /* The region must be saturated this long before calls cross the paid
+     * link, so that a burst shorter than that costs no link bytes. */
+    REGION_LEAVE_AFTER_US = 100000,
+    CONNECT_RETRY_US = 200000,
+    CONNECT_RETRY_DOUBLINGS_MAX = 5,
+    LATENCY_DEFAULT_US = 1000
+};
+
+static const double latency_weight_down = 0.1;
+static const double latency_weight_up = 0.3;
+
+/* Sets up a candidate with neutral values. */
+void
+bb_candidate_init(struct bb_candidate *c, uint64_t key, enum bb_tier tier,
+                  uint32_t slots)
+{
+    *c = (struct bb_candidate){.key = key,
+                               .tier = tier,
+                               .slots = slots,
+                               .weight_permille = BB_ROUTE_WEIGHT_FULL};
+}
+
+/* Takes the load that the gatekeeper reported on an answer. */
+void
+bb_candidate_report(struct bb_candidate *c, uint32_t running, uint32_t queued,
+                    uint32_t slots, uint64_t now_us)
+{
+    c->running = running;
+    c->queued = queued;
+    c->slots = slots;
+    c->reported_us = now_us;
+    c->in_flight_at_report = c->in_flight;
+}
+
+/* Counts a call that is sent. */
+void
+bb_candidate_start(struct bb_candidate *c)
+{
+    c->in_flight++;
+}
+
+/* Notes the end of a call. The latency (0: not measured) enters the estimate:
+ * an average of its logarithm that rises faster than it falls. */
+void
+bb_candidate_finish(struct bb_candidate *c, enum bb_admission_class work_class,
+                    uint64_t latency_us, bool is_success)
+{
+    double *mean = &c->log_latency[work_class];
+    double value = latency_us > 0 ? log((double)latency_us) : 0;
+
+    if (c->in_flight > 0) {
+        c->in_flight--;
+    }
+    if (c->in_flight_at_report > c->in_flight) {
+        c->in_flight_at_report = c->in_flight;
+    }
+    if (!is_success || latency_us == 0) {
+        return;
+    }
+    c->connect_failures = 0;
+    if (c->observations[work_class] == 0) {
+        *mean = value;
+    }
+    else {
+        *mean += (value - *mean) *
+                 (value > *mean ? latency_weight_up : latency_weight_down);
+    }
+    if (c->observations[work_class] < UINT32_MAX) {
+        c->observations[work_class]++;
+    }
+}
+
+/* Notes that no connection could be made. The candidate is left out for a
+ * time that doubles with each failure in a row. */
+void
+bb_candidate_connect_failed(struct bb_candidate *c, uint64_t now_us)
+{
+    if (c->in_flight > 0) {
+        c->in_flight--;
+    }
+    if (c->connect_failures < UINT32_MAX) {
+        c->connect_failures++;
+    }
+    c->failed_us = now_us;
+}
+
+/* Tells whether the wait after a failed connection is over. */
+static bool
+is_connectable(const struct bb_candidate *c, uint64_t now_us)
+{
+    uint32_t doublings = c->connect_failures;
+
+    if (doublings == 0) {
+        return true;
+    }
+    doublings = doublings - 1 < CONNECT_RETRY_DOUBLINGS_MAX
+                    ? doublings - 1
+                    : CONNECT_RETRY_DOUBLINGS_MAX;
+    return now_us >= c->failed_us + ((uint64_t)CONNECT_RETRY_US << doublings);
+}
+
+/* Returns how many requests the gatekeeper is believed to hold: its report,
+ * fading with age, and the own calls sent since; at least the own calls. */
+uint32_t
+bb_candidate_occupied(const struct bb_candidate *c, uint64_t now_us)
+{
+    uint64_t age_us = now_us > c->reported_us ? now_us - c->reported_us : 0;
+    uint64_t halvings = age_us / REPORT_HALF_LIFE_US;
+    uint32_t reported = 0;
+    uint32_t since = c->in_flight - c->in_flight_at_report;
+
+    if (c->reported_us > 0 && halvings < REPORT_HALVINGS_MAX) {
+        reported = (c->running + c->queued) >> halvings;
+    }
+    return reported + since > c->in_flight ? reported + since : c->in_flight;
+}
+
+/* Returns the expected time of one more call, in microseconds: the usual
+ * latency times the calls before it for each slot. */
+double
+bb_candidate_cost(const struct bb_candidate *c,
+                  enum bb_admission_class work_class, uint64_t now_us)
+{
+    double latency_us = c->observations[work_class] > 0
+                            ? exp(c->log_latency[work_class])
+                            : LATENCY_DEFAULT_US;
+    double slots = c->slots > 0 ? c->slots : 1;
+    double held = bb_candidate_occupied(c, now_us) + 1.0;
+
+    return latency_us * held / slots;
+}
+
+/* Tells whether a gatekeeper holds at least a share of its slots. */
+static bool
+is_saturated(const struct bb_candidate *c, uint32_t percent, uint64_t now_us)
+{
+    return (uint64_t)bb_candidate_occupied(c, now_us) * PERCENT >=
+           (uint64_t)c->slots * percent;
+}
+
+/* Sets the rate of the byte budget; one second's worth may be saved up. */
+void
+bb_link_budget_configure(struct bb_link_budget *b, uint64_t bytes_per_s,
+                         uint64_t now_us)
+{
+    if (b->updated_us == 0) {
+        b->tokens_bytes = (int64_t)bytes_per_s;
+    }
+    b->bytes_per_s = bytes_per_s;
+    b->updated_us = now_us;
+}
+
+static void
+refill(struct bb_link_budget *b, uint64_t now_us)
+{
+    uint64_t since_us = now_us > b->updated_us ? now_us - b->updated_us : 0;
+    int64_t limit = (int64_t)b->bytes_per_s;
+
+    if (since_us > (uint64_t)US_PER_S * US_PER_S) {
+        since_us = (uint64_t)US_PER_S * US_PER_S;
+    }
+    b->tokens_bytes +=
+        (int64_t)((double)since_us * (double)b->bytes_per_s / US_PER_S);
+    if (b->tokens_bytes > limit) {
+        b->tokens_bytes = limit;
+    }
+    b->updated_us = now_us;
+}
+
+/* Tells whether a call may cross the paid link now. */
+bool
+bb_link_budget_allows(struct bb_link_budget *b, uint64_t now_us)
+{
+    if (b->bytes_per_s == 0) {
+        return false;
+    }
+    refill(b, now_us);
+    return b->tokens_bytes > 0;
+}
+
+/* Charges the bytes that crossed; the budget may go into debt. */
+void
+bb_link_budget_charge(struct bb_link_budget *b, uint64_t size_bytes,
+                      uint64_t now_us)
+{
+    refill(b, now_us);
+    b->tokens_bytes -= (int64_t)size_bytes;
+}
+
+/* Tells whether a key was tried before. */
+static bool
+is_excluded(const struct bb_route_request *r, uint64_t key)
+{
+    for (uint32_t i = 0; i < r->excluded_count && i < BB_ROUTE_EXCLUDED_MAX;
+         i++) {
+        if (r->excluded[i] == key) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Tells whether a candidate can take the call, apart from its tier. */
+static bool
+is_usable(const struct bb_candidate *c, const struct bb_route_request *r,
+          uint64_t now_us)
+{
+    if (c->is_draining || is_excluded(r, c->key) ||
+        !is_connectable(c, now_us) || c->weight_permille == 0) {
+        return false;
+    }
+    return r->may_probe || c->weight_permille == BB_ROUTE_WEIGHT_FULL;
+}
+
+/* Tells whether every gatekeeper of the tiers up to `tier` is saturated or
+ * cannot be used. */
+static bool
+are_all_saturated(const struct bb_candidate *const *candidates, uint32_t count,
+                  const struct bb_route_request *r, enum bb_tier tier,
+                  uint32_t percent, uint64_t now_us)
+{
+    for (uint32_t i = 0; i < count; i++) {
+        const struct bb_candidate *c = candidates[i];
+
+        if (c->tier <= tier && is_usable(c, r, now_us) &&
+            !is_saturated(c, percent, now_us)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Updates which tiers are left, with a lower threshold for the way back. */
+static void
+update_tiers(struct bb_route *s, const struct bb_candidate *const *candidates,
+             uint32_t count, const struct bb_route_request *r, uint64_t now_us)
+{
+    uint32_t zone = s->is_zone_left ? ZONE_RETURN_PERCENT : ZONE_LEAVE_PERCENT;
+    uint32_t region =
+        s->is_region_left ? REGION_RETURN_PERCENT : REGION_LEAVE_PERCENT;
+
+    s->is_zone_left =
+        are_all_saturated(candidates, count, r, BB_TIER_ZONE, zone, now_us);
+    if (!are_all_saturated(candidates, count, r, BB_TIER_REGION, region,
+                           now_us)) {
+        s->is_region_left = false;
+        s->region_saturated_us = 0;
+        return;
+    }
+    if (s->region_saturated_us == 0) {
+        s->region_saturated_us = now_us;
+    }
+    if (now_us >= s->region_saturated_us + REGION_LEAVE_AFTER_US) {
+        s->is_region_left = true;
+    }
+}
+
+/* Collects the usable candidates of the tiers up to one; returns how many. */
+static uint32_t
+collect(const struct bb_candidate *const *candidates, uint32_t count,
+        const struct bb_route_request *r, enum bb_tier tier, uint64_t now_us,
+        uint32_t *usable)
+{
+    uint32_t n = 0;
+
+    for (uint32_t i = 0; i < count && n < BB_ROUTE_CANDIDATES_MAX; i++) {
+        if (candidates[i]->tier <= tier &&
+            is_usable(candidates[i], r, now_us)) {
+            usable[n++] = i;
+        }
+    }
+    return n;
+}
+
+/* Collects every candidate that does not drain, for the case that all others
+ * are ejected, tried before or not connectable: a poor one is better than
+ * none. The paid link stays closed. */
+static uint32_t
+collect_any(const struct bb_candidate *const *candidates, uint32_t count,
+            uint32_t *usable)
+{
+    uint32_t n = 0;
+
+    for (uint32_t i = 0; i < count && n < BB_ROUTE_CANDIDATES_MAX; i++) {
+        if (candidates[i]->tier != BB_TIER_REMOTE &&
+            !candidates[i]->is_draining) {
+            usable[n++] = i;
+        }
+    }
+    return n;
+}
+
+/* Chooses a gatekeeper and charges the link budget if it is in the other
+ * region. The caller then counts the call with bb_candidate_start. At most
+ * 512 candidates are considered. */
+struct bb_route_choice
+bb_route_pick(const struct bb_routing_policy *policy, struct bb_route *s,
+              const struct bb_candidate *const *candidates, uint32_t count,
+              const struct bb_route_request *r, struct bb_link_budget *link,
+              uint64_t random_bits, uint64_t now_us)
+{
+    struct bb_route_choice choice = {.index = -1,
+                                     .reason = BB_REASON_NO_UPSTREAM};
+    uint32_t usable[BB_ROUTE_CANDIDATES_MAX];
+    uint32_t all;
+    uint32_t n;
+    uint32_t at;
+
+    update_tiers(s, candidates, count, r, now_us);
+    n = collect(candidates, count, r,
+                s->is_zone_left ? BB_TIER_REGION : BB_TIER_ZONE, now_us,
+                usable);
+    if (s->is_region_left || n == 0) {
+        all = collect(candidates, count, r, BB_TIER_REMOTE, now_us, usable);
+        if (all > n && !bb_link_budget_allows(link, now_us)) {
+            n = collect(candidates, count, r, BB_TIER_REGION, now_us, usable);
+            choice.reason = BB_REASON_LINK_BUDGET;
+        }
+        else {
+            n = all;
+        }
+    }
+    if (n == 0) {
+        n = collect_any(candidates, count, usable);
+    }
+    if (n == 0) {
+        return choice;
+    }
+    at = policy->choose(s, candidates, usable, n, r, random_bits, now_us);
+    choice.index = (int32_t)usable[at < n ? at : 0];
+    choice.reason = BB_REASON_NONE;
+    if (candidates[choice.index]->tier == BB_TIER_REMOTE) {
+        bb_link_budget_charge(link, r->link_bytes, now_us);
+    }
+    return choice;
+}
--- /dev/null
+++ b/include/decide/route_pick.h
@@ -0,0 +1,103 @@
+/* Choice of a gatekeeper for one call. The caller keeps one struct
+ * bb_candidate for each gatekeeper it knows of a service, one struct bb_route
+ * for the service and one struct bb_link_budget for the node, and serialises
+ * the calls on each. */
+#ifndef BB_DECIDE_ROUTE_PICK_H
+#define BB_DECIDE_ROUTE_PICK_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "decide/admission.h"
+#include "decide/reason.h"
+
+enum {
+    BB_ROUTE_CANDIDATES_MAX = 512,
+    BB_ROUTE_EXCLUDED_MAX = 16,
+    BB_ROUTE_WEIGHT_FULL = 1000
+};
+
+enum bb_tier { BB_TIER_ZONE, BB_TIER_REGION, BB_TIER_REMOTE, BB_TIERS };
+
+struct bb_candidate {
+    uint64_t key; /* identifies the gatekeeper, such as a hash of its host */
+    enum bb_tier tier;
+    bool is_draining;
+    uint32_t weight_permille; /* from bb_outlier_weight; 0: ejected */
+    uint32_t slots;           /* reported or announced */
+    uint32_t running;         /* reported */
+    uint32_t queued;          /* reported */
+    uint64_t reported_us;     /* when the report arrived; 0: never */
+    uint32_t in_flight;       /* own calls without an answer */
+    uint32_t in_flight_at_report;
+    uint32_t connect_failures; /* since the last success */
+    uint64_t failed_us;
+    double log_latency[BB_ADMISSION_CLASSES]; /* natural log of us */
+    uint32_t observations[BB_ADMISSION_CLASSES];
+};
+
+/* Byte budget for calls that cross the paid link: a token bucket that may go
+ * into debt, because the size of an answer is known only afterwards. */
+struct bb_link_budget {
+    uint64_t bytes_per_s; /* 0: no call may cross */
+    int64_t tokens_bytes;
+    uint64_t updated_us;
+};
+
+/* Per-service state of an entry node. */
+struct bb_route {
+    bool is_zone_left;            /* own region is used too */
+    bool is_region_left;          /* the paid link is used too */
+    uint64_t region_saturated_us; /* since when; 0: it is not */
+    uint64_t next_in_turn;        /* of policy round_robin */
+};
+
+struct bb_route_request {
+    enum bb_admission_class work_class;
+    bool may_probe;      /* may go to a gatekeeper that was ejected recently */
+    uint64_t link_bytes; /* expected size of call and answer together */
+    uint64_t excluded[BB_ROUTE_EXCLUDED_MAX]; /* keys tried before */
+    uint32_t excluded_count;
+};
+
+struct bb_route_choice {
+    int32_t index;         /* into the candidates, or -1 */
+    enum bb_reason reason; /* if there is none */
+};
+
+/* A routing policy chooses one of the candidates named by usable[]; at least
+ * one is given. It returns a position in usable[]. */
+struct bb_routing_policy {
+    uint32_t (*choose)(struct bb_route *s,
+                       const struct bb_candidate *const *candidates,
+                       const uint32_t *usable, uint32_t usable_count,
+                       const struct bb_route_request *r, uint64_t random_bits,
+                       uint64_t now_us);
+};
+
+void bb_candidate_init(struct bb_candidate *c, uint64_t key, enum bb_tier tier,
+                       uint32_t slots);
+void bb_candidate_report(struct bb_candidate *c, uint32_t running,
+                         uint32_t queued, uint32_t slots, uint64_t now_us);
+void bb_candidate_start(struct bb_candidate *c);
+void bb_candidate_finish(struct bb_candidate *c,
+                         enum bb_admission_class work_class,
+                         uint64_t latency_us, bool is_success);
+void bb_candidate_connect_failed(struct bb_candidate *c, uint64_t now_us);
+uint32_t bb_candidate_occupied(const struct bb_candidate *c, uint64_t now_us);
+double bb_candidate_cost(const struct bb_candidate *c,
+                         enum bb_admission_class work_class, uint64_t now_us);
+
+void bb_link_budget_configure(struct bb_link_budget *b, uint64_t bytes_per_s,
+                              uint64_t now_us);
+bool bb_link_budget_allows(struct bb_link_budget *b, uint64_t now_us);
+void bb_link_budget_charge(struct bb_link_budget *b, uint64_t size_bytes,
+                           uint64_t now_us);
+
+struct bb_route_choice
+bb_route_pick(const struct bb_routing_policy *policy, struct bb_route *s,
+              const struct bb_candidate *const *candidates, uint32_t count,
+              const struct bb_route_request *r, struct bb_link_budget *link,
+              uint64_t random_bits, uint64_t now_us);
+
+#endif
