--- a/decide/admission.c
+++ b/decide/admission.c
@@ -2,19 +2,14 @@
 
 #include <string.h>
 
+#include "decide/admission_capacity.h"
+
 enum {
     PERCENT = 100,
     US_PER_MS = 1000,
     /* A standing queue longer than this would take more than a second to
      * drain after a burst at 70% load, and serves callers no better. */
     QUEUE_WAIT_MS_DEFAULT = 300,
-    /* A request that runs this many times longer than its class usually does
-     * counts as long; below the floor the difference does no harm. */
-    OVERLONG_FACTOR = 8,
-    OVERLONG_FLOOR_US = 5000,
-    /* Assumed without observations, small so that nothing is refused by
-     * guess. */
-    SERVICE_TIME_DEFAULT_US = 1000,
     SLOW_START_STEPS = 20
 };
 
@@ -24,173 +19,6 @@
     return a < b ? a : b;
 }
 
-/* Returns the most requests that may run at once, without slow start. */
-static uint32_t
-full_slots(const struct bb_admission *a)
-{
-    const struct bb_admission_limits *l = &a->limits;
-    uint32_t slots = min_u32(l->slots, BB_ADMISSION_SLOTS_MAX);
-
-    if (l->connections > 0) {
-        slots = min_u32(slots, l->connections);
-    }
-    if (l->service_limit > 0) {
-        slots = min_u32(slots, l->service_limit);
-    }
-    return slots;
-}
-
-/* Tells whether new work may start at all. */
-static bool
-is_open(const struct bb_admission *a, uint64_t now_us)
-{
-    return a->state == BB_ADMISSION_READY && !a->is_stopping &&
-           now_us >= a->shed_until_us;
-}
-
-/* Returns the slots that slow start allows at a time since it was ready. */
-static uint32_t
-ramped_slots(const struct bb_admission *a, uint32_t slots, uint64_t now_us)
-{
-    uint64_t ramp_us = (uint64_t)a->limits.slow_start_ms * US_PER_MS;
-    uint64_t since_us = now_us > a->ready_us ? now_us - a->ready_us : 0;
-    uint64_t allowed;
-
-    if (since_us >= ramp_us || slots == 0) {
-        return slots;
-    }
-    allowed = slots * since_us / ramp_us;
-    return allowed == 0 ? 1 : (uint32_t)allowed;
-}
-
-/* Returns how many requests may run at this time: the limits, slow start,
- * state and shedding together. */
-uint32_t
-bb_admission_usable_slots(const struct bb_admission *a, uint64_t now_us)
-{
-    return is_open(a, now_us) ? ramped_slots(a, full_slots(a), now_us) : 0;
-}
-
-/* Returns how many of the usable slots long work may hold. At least one, if
- * any, so that long work is never locked out. */
-uint32_t
-bb_admission_long_limit(const struct bb_admission *a, uint64_t now_us)
-{
-    uint64_t slots = bb_admission_usable_slots(a, now_us);
-    uint64_t limit = slots * min_u32(a->limits.long_work_percent, PERCENT);
-
-    limit /= PERCENT;
-    return limit == 0 && slots > 0 ? 1 : (uint32_t)limit;
-}
-
-/* Returns the observed duration from which a short request counts as long. */
-static uint64_t
-overlong_us(const struct bb_admission *a)
-{
-    const struct bb_estimate *e = &a->service_time[BB_ADMISSION_SHORT];
-    uint64_t us = OVERLONG_FACTOR * bb_estimate_median_us(e, 0);
-
-    if (e->total == 0) {
-        return UINT64_MAX;
-    }
-    return us < OVERLONG_FLOOR_US ? OVERLONG_FLOOR_US : us;
-}
-
-/* Counts the running requests that are long by class or by duration. */
-static uint32_t
-count_long(const struct bb_admission *a, uint64_t now_us)
-{
-    uint64_t limit_us = overlong_us(a);
-    uint32_t count = 0;
-
-    for (uint32_t i = 0; i < a->running_count; i++) {
-        const struct bb_admission_running *r = &a->running[i];
-
-        if (r->work_class == BB_ADMISSION_LONG || r->is_overlong ||
-            (now_us > r->start_us && now_us - r->start_us >= limit_us)) {
-            count++;
-        }
-    }
-    return count;
-}
-
-/* Tells whether a team may run one more request. */
-static bool
-team_has_room(const struct bb_admission *a, uint16_t team)
-{
-    if (team >= a->limits.team_count || a->limits.team_limits[team] == 0) {
-        return true;
-    }
-    return a->team_running[team] < a->limits.team_limits[team];
-}
-
-/* The slots at one time, computed once for a scan of the queue. */
-struct capacity {
-    uint32_t usable;
-    uint32_t long_limit;
-    uint32_t long_running;
-};
-
-static struct capacity
-capacity_at(const struct bb_admission *a, uint64_t now_us)
-{
-    return (struct capacity){
-        .usable = bb_admission_usable_slots(a, now_us),
-        .long_limit = bb_admission_long_limit(a, now_us),
-        .long_running = count_long(a, now_us),
-    };
-}
-
-/* Tells whether a slot is free that this request may use. */
-static bool
-may_run(const struct bb_admission *a, const struct capacity *c,
-        const struct bb_admission_request *r)
-{
-    if (a->running_count >= c->usable || !team_has_room(a, r->team)) {
-        return false;
-    }
-    return r->work_class == BB_ADMISSION_SHORT ||
-           c->long_running < c->long_limit;
-}
-
-/* Returns the usual duration of a class, robust to outliers. */
-static uint64_t
-service_us(const struct bb_admission *a, enum bb_admission_class work_class)
-{
-    return bb_estimate_mean_us(&a->service_time[work_class],
-                               SERVICE_TIME_DEFAULT_US);
-}
-
-/* Estimates how long a request waits with `ahead` requests of its class
- * before it in the queue: the time until that many and one more slots have
- * become free. Short work gets the slots that long work does not hold. */
-static uint64_t
-wait_us(const struct bb_admission *a, const struct capacity *c,
-        enum bb_admission_class work_class, uint32_t ahead)
-{
-    uint64_t slots = work_class == BB_ADMISSION_LONG ? c->long_limit
-                     : c->usable > c->long_running
-                         ? c->usable - c->long_running
-                         : 1;
-
-    if (slots == 0) {
-        slots = 1;
-    }
-    return (ahead + 1) * service_us(a, work_class) / slots;
-}
-
-/* Tells whether work that starts after a wait ends by its deadline. */
-static bool
-is_feasible(const struct bb_admission *a, const struct bb_admission_request *r,
-            uint64_t wait, uint64_t now_us)
-{
-    uint64_t need_us = bb_estimate_median_us(&a->service_time[r->work_class],
-                                             SERVICE_TIME_DEFAULT_US);
-
-    return r->deadline_us > now_us &&
-           r->deadline_us - now_us >= wait + need_us;
-}
-
 /* Sets an empty state; nothing is admitted before configure and ready. */
 void
 bb_admission_init(struct bb_admission *a)
@@ -331,7 +159,7 @@
  * is one that cannot. Only the class that needs room is searched, if the
  * class itself is at its limit. */
 static bool
-evict_infeasible(struct bb_admission *a, const struct capacity *c,
+evict_infeasible(struct bb_admission *a, const struct bb_admission_capacity *c,
                  bool only_long, uint64_t now_us)
 {
     uint32_t ahead[BB_ADMISSION_CLASSES] = {0};
@@ -344,7 +172,9 @@
             continue;
         }
         if ((!only_long || k == BB_ADMISSION_LONG) &&
-            !is_feasible(a, &q->request, wait_us(a, c, k, ahead[k]), now_us)) {
+            !bb_admission_is_feasible(
+                a, &q->request,
+                bb_admission_expected_wait_us(a, c, k, ahead[k]), now_us)) {
             q->is_evicted = true;
             a->evicted_count++;
             return true;
@@ -358,9 +188,9 @@
 static enum bb_reason
 full_reason(const struct bb_admission *a, const struct bb_admission_request *r)
 {
-    uint32_t slots = full_slots(a);
+    uint32_t slots = bb_admission_full_slots(a);
 
-    if (!team_has_room(a, r->team)) {
+    if (!bb_admission_team_has_room(a, r->team)) {
         return BB_REASON_TEAM_LIMIT;
     }
     if (a->running_count >= slots && slots < a->limits.slots) {
@@ -388,15 +218,25 @@
     uint64_t limit_ms = a->limits.queue_wait_ms > 0 ? a->limits.queue_wait_ms
                                                     : QUEUE_WAIT_MS_DEFAULT;
     uint64_t limit_us = limit_ms * US_PER_MS;
-    uint64_t two_us = 2 * service_us(a, k);
+    uint64_t two_us = 2 * bb_admission_service_us(a, k);
 
     return two_us > limit_us ? two_us : limit_us;
 }
 
+/* Estimates how long a request would wait in the queue. */
+static uint64_t
+expected_wait_of(const struct bb_admission *a,
+                 const struct bb_admission_capacity *c,
+                 const struct bb_admission_request *r)
+{
+    return bb_admission_expected_wait_us(
+        a, c, r->work_class, count_ahead(a, r->work_class, r->deadline_us));
+}
+
 /* Tells whether the queue has room, evicting a request that cannot make its
  * deadline if that is needed. */
 static bool
-make_room(struct bb_admission *a, const struct capacity *c,
+make_room(struct bb_admission *a, const struct bb_admission_capacity *c,
           const struct bb_admission_request *r, uint64_t now_us)
 {
     uint32_t queued = a->queued_count - a->evicted_count;
@@ -414,34 +254,45 @@
            evict_infeasible(a, c, is_long_full, now_us);
 }
 
-/* Queues a request that may not run now, or refuses it. */
+/* Queues a request that may not run now, or refuses it. A queued request that
+ * cannot make its deadline gives way to one that can. */
 static struct bb_admission_decision
-queue_or_refuse(struct bb_admission *a, const struct capacity *c,
+queue_or_refuse(struct bb_admission *a, const struct bb_admission_capacity *c,
                 const struct bb_admission_request *r, uint64_t now_us)
 {
     struct bb_admission_decision d = {.kind = BB_ADMISSION_REFUSE};
     enum bb_admission_class k = r->work_class;
-    uint64_t wait = wait_us(a, c, k, count_ahead(a, k, r->deadline_us));
+    uint64_t wait = expected_wait_of(a, c, r);
 
-    if (!is_feasible(a, r, wait, now_us)) {
+    if (!bb_admission_is_feasible(a, r, wait, now_us) &&
+        evict_infeasible(a, c, false, now_us)) {
+        wait = expected_wait_of(a, c, r);
+    }
+    if (!bb_admission_is_feasible(a, r, wait, now_us)) {
         d.reason = BB_REASON_CANNOT_FINISH;
+        return d;
     }
-    else if (wait > longest_wait_us(a, k) || !make_room(a, c, r, now_us)) {
-        d.reason = full_reason(a, r);
+    if (wait > longest_wait_us(a, k) &&
+        evict_infeasible(a, c, k == BB_ADMISSION_LONG, now_us)) {
+        wait = expected_wait_of(a, c, r);
     }
-    else {
-        put_queued(a, r);
-        d.kind = BB_ADMISSION_QUEUE;
+    if (wait > longest_wait_us(a, k) || !make_room(a, c, r, now_us)) {
+        d.reason = full_reason(a, r);
+        return d;
     }
+    put_queued(a, r);
+    d.kind = BB_ADMISSION_QUEUE;
     return d;
 }
 
 /* Tells whether some queued request could run now. */
 static bool
-has_runnable(const struct bb_admission *a, const struct capacity *c)
+has_runnable(const struct bb_admission *a,
+             const struct bb_admission_capacity *c)
 {
     for (uint32_t i = 0; i < a->queued_count; i++) {
-        if (!a->queue[i].is_evicted && may_run(a, c, &a->queue[i].request)) {
+        if (!a->queue[i].is_evicted &&
+            bb_admission_may_run(a, c, &a->queue[i].request)) {
             return true;
         }
     }
@@ -457,7 +308,7 @@
                     const struct bb_admission_request *r, uint64_t now_us)
 {
     struct bb_admission_decision d = {.kind = BB_ADMISSION_REFUSE};
-    struct capacity c = capacity_at(a, now_us);
+    struct bb_admission_capacity c = bb_admission_capacity(a, now_us);
 
     d.reason = closed_reason(a, now_us);
     if (d.reason != BB_REASON_NONE) {
@@ -467,7 +318,7 @@
         d.reason = BB_REASON_DEADLINE_BEFORE_RUN;
         return d;
     }
-    if (!may_run(a, &c, r)) {
+    if (!bb_admission_may_run(a, &c, r)) {
         return queue_or_refuse(a, &c, r, now_us);
     }
     /* Queued work goes first, unless the queue has no room to wait in. */
@@ -575,7 +426,8 @@
         return BB_REASON_CANNOT_FINISH;
     }
     if (reason == BB_REASON_UPSTREAM_SHEDDING &&
-        !is_feasible(a, &q->request, a->shed_until_us - now_us, now_us)) {
+        !bb_admission_is_feasible(a, &q->request, a->shed_until_us - now_us,
+                                  now_us)) {
         return reason;
     }
     return BB_REASON_NONE;
@@ -585,7 +437,7 @@
 static void
 mark_overlong(struct bb_admission *a, uint64_t now_us)
 {
-    uint64_t limit_us = overlong_us(a);
+    uint64_t limit_us = bb_admission_overlong_us(a);
 
     for (uint32_t i = 0; i < a->running_count; i++) {
         struct bb_admission_running *r = &a->running[i];
@@ -600,7 +452,7 @@
  * that may use a free slot and can finish in time; if none can, the earliest
  * of all, since the slot would stay idle. Returns queued_count for none. */
 static uint32_t
-find_next(const struct bb_admission *a, const struct capacity *c,
+find_next(const struct bb_admission *a, const struct bb_admission_capacity *c,
           uint64_t now_us)
 {
     uint32_t fallback = a->queued_count;
@@ -608,10 +460,10 @@
     for (uint32_t i = 0; i < a->queued_count; i++) {
         const struct bb_admission_request *r = &a->queue[i].request;
 
-        if (!may_run(a, c, r)) {
+        if (!bb_admission_may_run(a, c, r)) {
             continue;
         }
-        if (is_feasible(a, r, 0, now_us)) {
+        if (bb_admission_is_feasible(a, r, 0, now_us)) {
             return i;
         }
         if (fallback == a->queued_count) {
@@ -621,14 +473,29 @@
     return fallback;
 }
 
-/* Gives the next action for a queued request: refuse one whose time is over
- * or run one that a slot is free for. False if there is none at this time.
- * This is also the tick: call it at bb_admission_wake_us. */
+/* Finds a queued request that could not finish in time even if it started
+ * now. Returns queued_count for none. */
+static uint32_t
+find_hopeless(const struct bb_admission *a, uint64_t now_us)
+{
+    uint32_t i = 0;
+
+    while (i < a->queued_count &&
+           bb_admission_is_feasible(a, &a->queue[i].request, 0, now_us)) {
+        i++;
+    }
+    return i;
+}
+
+/* Gives the next action for a queued request: refuse one whose time is over,
+ * run one that a slot is free for or, when no slot is, refuse one that cannot
+ * finish in time any more. False if there is none at this time. This is also
+ * the tick: call it at bb_admission_wake_us. */
 bool
 bb_admission_next(struct bb_admission *a, uint64_t now_us,
                   struct bb_admission_action *out)
 {
-    struct capacity c;
+    struct bb_admission_capacity c;
     uint32_t at;
 
     mark_overlong(a, now_us);
@@ -640,25 +507,22 @@
             return true;
         }
     }
-    c = capacity_at(a, now_us);
+    c = bb_admission_capacity(a, now_us);
     at = find_next(a, &c, now_us);
-    if (at == a->queued_count) {
-        return false;
+    if (at < a->queued_count) {
+        *out = (struct bb_admission_action){
+            .id = a->queue[at].request.id,
+            .decision = {.kind = BB_ADMISSION_RUN}};
+        put_running(a, &a->queue[at].request, now_us);
+        drop_queued(a, at);
+        return true;
     }
-    /* A feasible request overtakes one that cannot finish any more. */
-    for (uint32_t i = 0; i < at; i++) {
-        const struct bb_admission_request *r = &a->queue[i].request;
-
-        if (may_run(a, &c, r) && !is_feasible(a, r, 0, now_us)) {
-            refuse_queued(a, i, BB_REASON_CANNOT_FINISH, out);
-            return true;
-        }
+    at = find_hopeless(a, now_us);
+    if (at < a->queued_count) {
+        refuse_queued(a, at, BB_REASON_CANNOT_FINISH, out);
+        return true;
     }
-    *out = (struct bb_admission_action){
-        .id = a->queue[at].request.id, .decision = {.kind = BB_ADMISSION_RUN}};
-    put_running(a, &a->queue[at].request, now_us);
-    drop_queued(a, at);
-    return true;
+    return false;
 }
 
 /* Returns when bb_admission_next should be called again without an event:
@@ -688,7 +552,7 @@
 struct bb_admission_load
 bb_admission_load(const struct bb_admission *a, uint64_t now_us)
 {
-    struct capacity c = capacity_at(a, now_us);
+    struct bb_admission_capacity c = bb_admission_capacity(a, now_us);
     struct bb_admission_load l = {
         .running = a->running_count,
         .queued = a->queued_count - a->evicted_count,
@@ -696,8 +560,9 @@
     };
 
     if (l.running >= l.slots) {
-        l.wait_us = wait_us(a, &c, BB_ADMISSION_SHORT,
-                            count_ahead(a, BB_ADMISSION_SHORT, UINT64_MAX));
+        l.wait_us = bb_admission_expected_wait_us(
+            a, &c, BB_ADMISSION_SHORT,
+            count_ahead(a, BB_ADMISSION_SHORT, UINT64_MAX));
     }
     return l;
 }
--- a/decide/record.c
+++ b/decide/record.c
@@ -83,6 +83,21 @@
     return true;
 }
 
+/* Forgets a running request whose end need not be known, because it is
+ * idempotent. False if it is not recorded as running. */
+bool
+bb_record_forget(struct bb_record *r, const struct bb_request_id *id,
+                 uint64_t now_us)
+{
+    struct bb_record_entry *e = bb_id_table_find(&r->table, id, now_us);
+
+    if (e == NULL || e->state != BB_RECORD_RUNNING) {
+        return false;
+    }
+    bb_id_table_remove(&r->table, e);
+    return true;
+}
+
 /* Answers what became of an id that was sent to an incarnation. An id that
  * was never seen is recorded as refused for good first, so the request that
  * may still be on its way will not run. */
--- a/decide/route_pick.c
+++ b/decide/route_pick.c
@@ -95,6 +95,9 @@
     if (c->in_flight > 0) {
         c->in_flight--;
     }
+    if (c->in_flight_at_report > c->in_flight) {
+        c->in_flight_at_report = c->in_flight;
+    }
     if (c->connect_failures < UINT32_MAX) {
         c->connect_failures++;
     }
@@ -217,29 +220,57 @@
     return false;
 }
 
+/* Tells whether a candidate can be reached and accepts work at all. A report
+ * of no slots (starting, shedding, draining) holds until it is old. */
+static bool
+is_alive(const struct bb_candidate *c, const struct bb_route_request *r,
+         uint64_t now_us)
+{
+    bool is_closed = c->slots == 0 && c->reported_us > 0 &&
+                     now_us < c->reported_us + REPORT_HALF_LIFE_US;
+
+    return !c->is_draining && !is_closed && !is_excluded(r, c->key) &&
+           is_connectable(c, now_us);
+}
+
 /* Tells whether a candidate can take the call, apart from its tier. */
 static bool
 is_usable(const struct bb_candidate *c, const struct bb_route_request *r,
           uint64_t now_us)
 {
-    if (c->is_draining || is_excluded(r, c->key) ||
-        !is_connectable(c, now_us) || c->weight_permille == 0) {
-        return false;
+    uint32_t least = r->may_probe ? 0 : BB_ROUTE_WEIGHT_PROBE;
+
+    return is_alive(c, r, now_us) && c->weight_permille > least;
+}
+
+/* Tells whether every usable gatekeeper of the own zone is saturated. */
+static bool
+is_zone_saturated(const struct bb_candidate *const *candidates, uint32_t count,
+                  const struct bb_route_request *r, uint32_t percent,
+                  uint64_t now_us)
+{
+    for (uint32_t i = 0; i < count; i++) {
+        const struct bb_candidate *c = candidates[i];
+
+        if (c->tier == BB_TIER_ZONE && is_usable(c, r, now_us) &&
+            !is_saturated(c, percent, now_us)) {
+            return false;
+        }
     }
-    return r->may_probe || c->weight_permille == BB_ROUTE_WEIGHT_FULL;
+    return true;
 }
 
-/* Tells whether every gatekeeper of the tiers up to `tier` is saturated or
- * cannot be used. */
+/* Tells whether every gatekeeper of the own region is saturated or gone. An
+ * ejected one still counts as able: it is slow, but costs no link bytes. */
 static bool
-are_all_saturated(const struct bb_candidate *const *candidates, uint32_t count,
-                  const struct bb_route_request *r, enum bb_tier tier,
-                  uint32_t percent, uint64_t now_us)
+is_region_saturated(const struct bb_candidate *const *candidates,
+                    uint32_t count, const struct bb_route_request *r,
+                    uint32_t percent, uint64_t now_us)
 {
     for (uint32_t i = 0; i < count; i++) {
         const struct bb_candidate *c = candidates[i];
 
-        if (c->tier <= tier && is_usable(c, r, now_us) &&
+        if (c->tier != BB_TIER_REMOTE && is_alive(c, r, now_us) &&
             !is_saturated(c, percent, now_us)) {
             return false;
         }
@@ -256,10 +287,8 @@
     uint32_t region =
         s->is_region_left ? REGION_RETURN_PERCENT : REGION_LEAVE_PERCENT;
 
-    s->is_zone_left =
-        are_all_saturated(candidates, count, r, BB_TIER_ZONE, zone, now_us);
-    if (!are_all_saturated(candidates, count, r, BB_TIER_REGION, region,
-                           now_us)) {
+    s->is_zone_left = is_zone_saturated(candidates, count, r, zone, now_us);
+    if (!is_region_saturated(candidates, count, r, region, now_us)) {
         s->is_region_left = false;
         s->region_saturated_us = 0;
         return;
@@ -272,44 +301,51 @@
     }
 }
 
-/* Collects the usable candidates of the tiers up to one; returns how many. */
+/* Collects the candidates of the tiers up to one that are usable or, if none
+ * need be, alive at least. Returns how many. */
 static uint32_t
 collect(const struct bb_candidate *const *candidates, uint32_t count,
-        const struct bb_route_request *r, enum bb_tier tier, uint64_t now_us,
-        uint32_t *usable)
+        const struct bb_route_request *r, enum bb_tier tier, bool only_usable,
+        uint64_t now_us, uint32_t *found)
 {
     uint32_t n = 0;
 
     for (uint32_t i = 0; i < count && n < BB_ROUTE_CANDIDATES_MAX; i++) {
-        if (candidates[i]->tier <= tier &&
-            is_usable(candidates[i], r, now_us)) {
-            usable[n++] = i;
+        const struct bb_candidate *c = candidates[i];
+
+        if (c->tier <= tier &&
+            (only_usable ? is_usable(c, r, now_us) : is_alive(c, r, now_us))) {
+            found[n++] = i;
         }
     }
     return n;
 }
 
-/* Collects every candidate that does not drain, for the case that all others
- * are ejected, tried before or not connectable: a poor one is better than
- * none. The paid link stays closed. */
+/* Collects the candidates of the own region: usable ones, or those that are
+ * ejected if there are no others, since a slow one is better than none. */
 static uint32_t
-collect_any(const struct bb_candidate *const *candidates, uint32_t count,
-            uint32_t *usable)
+collect_region(const struct bb_route *s,
+               const struct bb_candidate *const *candidates, uint32_t count,
+               const struct bb_route_request *r, uint64_t now_us,
+               uint32_t *found)
 {
-    uint32_t n = 0;
+    enum bb_tier tier = s->is_zone_left ? BB_TIER_REGION : BB_TIER_ZONE;
+    uint32_t n = collect(candidates, count, r, tier, true, now_us, found);
 
-    for (uint32_t i = 0; i < count && n < BB_ROUTE_CANDIDATES_MAX; i++) {
-        if (candidates[i]->tier != BB_TIER_REMOTE &&
-            !candidates[i]->is_draining) {
-            usable[n++] = i;
-        }
+    if (n == 0) {
+        n = collect(candidates, count, r, BB_TIER_REGION, true, now_us, found);
+    }
+    if (n == 0) {
+        n = collect(candidates, count, r, BB_TIER_REGION, false, now_us,
+                    found);
     }
     return n;
 }
 
 /* Chooses a gatekeeper and charges the link budget if it is in the other
  * region. The caller then counts the call with bb_candidate_start. At most
- * 512 candidates are considered. */
+ * 512 candidates are considered. A call whose own region is gone crosses the
+ * paid link at once, one whose region is saturated only after a while. */
 struct bb_route_choice
 bb_route_pick(const struct bb_routing_policy *policy, struct bb_route *s,
               const struct bb_candidate *const *candidates, uint32_t count,
@@ -318,33 +354,30 @@
 {
     struct bb_route_choice choice = {.index = -1,
                                      .reason = BB_REASON_NO_UPSTREAM};
-    uint32_t usable[BB_ROUTE_CANDIDATES_MAX];
-    uint32_t all;
+    uint32_t found[BB_ROUTE_CANDIDATES_MAX];
     uint32_t n;
     uint32_t at;
 
     update_tiers(s, candidates, count, r, now_us);
-    n = collect(candidates, count, r,
-                s->is_zone_left ? BB_TIER_REGION : BB_TIER_ZONE, now_us,
-                usable);
+    n = collect_region(s, candidates, count, r, now_us, found);
     if (s->is_region_left || n == 0) {
-        all = collect(candidates, count, r, BB_TIER_REMOTE, now_us, usable);
-        if (all > n && !bb_link_budget_allows(link, now_us)) {
-            n = collect(candidates, count, r, BB_TIER_REGION, now_us, usable);
-            choice.reason = BB_REASON_LINK_BUDGET;
-        }
-        else {
+        uint32_t remote[BB_ROUTE_CANDIDATES_MAX];
+        uint32_t all = collect(candidates, count, r, BB_TIER_REMOTE, true,
+                               now_us, remote);
+
+        if (all > n && bb_link_budget_allows(link, now_us)) {
+            memcpy(found, remote, all * sizeof(remote[0]));
             n = all;
         }
-    }
-    if (n == 0) {
-        n = collect_any(candidates, count, usable);
+        else if (all > n) {
+            choice.reason = BB_REASON_LINK_BUDGET;
+        }
     }
     if (n == 0) {
         return choice;
     }
-    at = policy->choose(s, candidates, usable, n, r, random_bits, now_us);
-    choice.index = (int32_t)usable[at < n ? at : 0];
+    at = policy->choose(s, candidates, found, n, r, random_bits, now_us);
+    choice.index = (int32_t)found[at < n ? at : 0];
     choice.reason = BB_REASON_NONE;
     if (candidates[choice.index]->tier == BB_TIER_REMOTE) {
         bb_link_budget_charge(link, r->link_bytes, now_us);
--- a/include/decide/record.h
+++ b/include/decide/record.h
@@ -1,5 +1,7 @@
 /* A gatekeeper's record of request ids, which makes "not run" true and lets a
- * request run at most once. Only non-idempotent requests need it. */
+ * request run at most once. Idempotent requests are recorded too while they
+ * run, so that a query can tell a long run from a lost request; they are
+ * forgotten at their end, and run unrecorded if the table is full. */
 #ifndef BB_DECIDE_RECORD_H
 #define BB_DECIDE_RECORD_H
 
@@ -62,6 +64,8 @@
 bool bb_record_finish(struct bb_record *r, const struct bb_request_id *id,
                       enum bb_record_state state, uint64_t answer,
                       uint64_t now_us);
+bool bb_record_forget(struct bb_record *r, const struct bb_request_id *id,
+                      uint64_t now_us);
 enum bb_query_result bb_record_query(struct bb_record *r,
                                      const struct bb_request_id *id,
                                      uint64_t incarnation, uint64_t *answer,
--- a/include/decide/route_pick.h
+++ b/include/decide/route_pick.h
@@ -14,7 +14,8 @@
 enum {
     BB_ROUTE_CANDIDATES_MAX = 512,
     BB_ROUTE_EXCLUDED_MAX = 16,
-    BB_ROUTE_WEIGHT_FULL = 1000
+    BB_ROUTE_WEIGHT_FULL = 1000,
+    BB_ROUTE_WEIGHT_PROBE = 250 /* at most this: for probes only */
 };
 
 enum bb_tier { BB_TIER_ZONE, BB_TIER_REGION, BB_TIER_REMOTE, BB_TIERS };
