Compare each gatekeeper with its own history when ejecting

Cause: gatekeepers of other zones are slower by their distance, so a common baseline would eject them or hide a slow one near by. Change: a member is slow relative to its own usual latency, raised by the shift of the whole service; calls sent before a stage began do not count in it. Admission's queue moves to admission_queue.c.

--- a/decide/admission.c
+++ b/decide/admission.c
@@ -4,14 +4,7 @@
 
 #include "decide/admission_capacity.h"
 
-enum {
-    PERCENT = 100,
-    US_PER_MS = 1000,
-    /* A standing queue longer than this would take more than a second to
-     * drain after a burst at 70% load, and serves callers no better. */
-    QUEUE_WAIT_MS_DEFAULT = 300,
-    SLOW_START_STEPS = 20
-};
+enum { US_PER_MS = 1000, SLOW_START_STEPS = 20 };
 
 static uint32_t
 min_u32(uint32_t a, uint32_t b)
@@ -108,82 +101,6 @@
     }
 }
 
-/* Inserts a request by deadline; equal ones stay in order of arrival. */
-static void
-put_queued(struct bb_admission *a, const struct bb_admission_request *r)
-{
-    uint32_t at = a->queued_count;
-
-    while (at > 0 && a->queue[at - 1].request.deadline_us > r->deadline_us) {
-        at--;
-    }
-    memmove(&a->queue[at + 1], &a->queue[at],
-            (a->queued_count - at) * sizeof(a->queue[0]));
-    a->queue[at] = (struct bb_admission_queued){.request = *r};
-    a->queued_count++;
-}
-
-/* Takes one request out of the queue. */
-static void
-drop_queued(struct bb_admission *a, uint32_t at)
-{
-    if (a->queue[at].is_evicted) {
-        a->evicted_count--;
-    }
-    a->queued_count--;
-    memmove(&a->queue[at], &a->queue[at + 1],
-            (a->queued_count - at) * sizeof(a->queue[0]));
-}
-
-/* Counts queued requests of a class, those before a deadline only. */
-static uint32_t
-count_ahead(const struct bb_admission *a, enum bb_admission_class work_class,
-            uint64_t deadline_us)
-{
-    uint32_t count = 0;
-
-    for (uint32_t i = 0; i < a->queued_count; i++) {
-        const struct bb_admission_queued *q = &a->queue[i];
-
-        if (q->request.deadline_us > deadline_us) {
-            break;
-        }
-        if (!q->is_evicted && q->request.work_class == work_class) {
-            count++;
-        }
-    }
-    return count;
-}
-
-/* Marks the queued request that is least able to make its deadline, if there
- * is one that cannot. Only the class that needs room is searched, if the
- * class itself is at its limit. */
-static bool
-evict_infeasible(struct bb_admission *a, const struct bb_admission_capacity *c,
-                 bool only_long, uint64_t now_us)
-{
-    uint32_t ahead[BB_ADMISSION_CLASSES] = {0};
-
-    for (uint32_t i = 0; i < a->queued_count; i++) {
-        struct bb_admission_queued *q = &a->queue[i];
-        enum bb_admission_class k = q->request.work_class;
-
-        if (q->is_evicted) {
-            continue;
-        }
-        if ((!only_long || k == BB_ADMISSION_LONG) &&
-            !bb_admission_is_feasible(
-                a, &q->request,
-                bb_admission_expected_wait_us(a, c, k, ahead[k]), now_us)) {
-            q->is_evicted = true;
-            a->evicted_count++;
-            return true;
-        }
-        ahead[k]++;
-    }
-    return false;
-}
-
 /* Returns the reason that tells which limit keeps a request waiting. */
 static enum bb_reason
 full_reason(const struct bb_admission *a, const struct bb_admission_request *r)
@@ -200,60 +117,6 @@
     return BB_REASON_QUEUE_FULL;
 }
 
-/* Returns how many long requests the queue may hold. */
-static uint32_t
-long_queue_limit(const struct bb_admission *a)
-{
-    uint64_t limit = (uint64_t)a->limits.queue_length *
-                     min_u32(a->limits.long_work_percent, PERCENT) / PERCENT;
-
-    return limit == 0 && a->limits.queue_length > 0 ? 1 : (uint32_t)limit;
-}
-
-/* Returns the longest wait for which a class is queued. Long work is allowed
- * two of its own durations, because it would never be queued otherwise. */
-static uint64_t
-longest_wait_us(const struct bb_admission *a, enum bb_admission_class k)
-{
-    uint64_t limit_ms = a->limits.queue_wait_ms > 0 ? a->limits.queue_wait_ms
-                                                    : QUEUE_WAIT_MS_DEFAULT;
-    uint64_t limit_us = limit_ms * US_PER_MS;
-    uint64_t two_us = 2 * bb_admission_service_us(a, k);
-
-    return two_us > limit_us ? two_us : limit_us;
-}
-
-/* Estimates how long a request would wait in the queue. */
-static uint64_t
-expected_wait_of(const struct bb_admission *a,
-                 const struct bb_admission_capacity *c,
-                 const struct bb_admission_request *r)
-{
-    return bb_admission_expected_wait_us(
-        a, c, r->work_class, count_ahead(a, r->work_class, r->deadline_us));
-}
-
-/* Tells whether the queue has room, evicting a request that cannot make its
- * deadline if that is needed. */
-static bool
-make_room(struct bb_admission *a, const struct bb_admission_capacity *c,
-          const struct bb_admission_request *r, uint64_t now_us)
-{
-    uint32_t queued = a->queued_count - a->evicted_count;
-    bool is_long_full =
-        r->work_class == BB_ADMISSION_LONG &&
-        count_ahead(a, BB_ADMISSION_LONG, UINT64_MAX) >= long_queue_limit(a);
-
-    if (a->queued_count >= BB_ADMISSION_QUEUE_MAX) {
-        return false;
-    }
-    if (queued < a->limits.queue_length && !is_long_full) {
-        return true;
-    }
-    return a->limits.queue_length > 0 &&
-           evict_infeasible(a, c, is_long_full, now_us);
-}
-
 /* Queues a request that may not run now, or refuses it. A queued request that
  * cannot make its deadline gives way to one that can. */
 static struct bb_admission_decision
@@ -262,25 +125,26 @@
 {
     struct bb_admission_decision d = {.kind = BB_ADMISSION_REFUSE};
     enum bb_admission_class k = r->work_class;
-    uint64_t wait = expected_wait_of(a, c, r);
+    uint64_t wait = bb_admission_wait_of(a, c, r);
 
     if (!bb_admission_is_feasible(a, r, wait, now_us) &&
-        evict_infeasible(a, c, false, now_us)) {
-        wait = expected_wait_of(a, c, r);
+        bb_admission_evict(a, c, false, now_us)) {
+        wait = bb_admission_wait_of(a, c, r);
     }
     if (!bb_admission_is_feasible(a, r, wait, now_us)) {
         d.reason = BB_REASON_CANNOT_FINISH;
         return d;
     }
-    if (wait > longest_wait_us(a, k) &&
-        evict_infeasible(a, c, k == BB_ADMISSION_LONG, now_us)) {
-        wait = expected_wait_of(a, c, r);
+    if (wait > bb_admission_longest_wait_us(a, k) &&
+        bb_admission_evict(a, c, k == BB_ADMISSION_LONG, now_us)) {
+        wait = bb_admission_wait_of(a, c, r);
     }
-    if (wait > longest_wait_us(a, k) || !make_room(a, c, r, now_us)) {
+    if (wait > bb_admission_longest_wait_us(a, k) ||
+        !bb_admission_make_room(a, c, r, now_us)) {
         d.reason = full_reason(a, r);
         return d;
     }
-    put_queued(a, r);
+    bb_admission_put_queued(a, r);
     d.kind = BB_ADMISSION_QUEUE;
     return d;
 }
@@ -324,7 +188,7 @@
     /* Queued work goes first, unless the queue has no room to wait in. */
     if (has_runnable(a, &c) &&
         a->queued_count - a->evicted_count < a->limits.queue_length) {
-        put_queued(a, r);
+        bb_admission_put_queued(a, r);
         d.kind = BB_ADMISSION_QUEUE;
         return d;
     }
@@ -390,7 +254,7 @@
 {
     for (uint32_t i = 0; i < a->queued_count; i++) {
         if (a->queue[i].request.id == id) {
-            drop_queued(a, i);
+            bb_admission_drop_queued(a, i);
             return true;
         }
     }
@@ -405,7 +269,7 @@
     *out = (struct bb_admission_action){
         .id = a->queue[at].request.id,
         .decision = {.kind = BB_ADMISSION_REFUSE, .reason = reason}};
-    drop_queued(a, at);
+    bb_admission_drop_queued(a, at);
 }
 
 /* Returns the reason for which a queued request must be refused at once, or
@@ -514,7 +378,7 @@
             .id = a->queue[at].request.id,
             .decision = {.kind = BB_ADMISSION_RUN}};
         put_running(a, &a->queue[at].request, now_us);
-        drop_queued(a, at);
+        bb_admission_drop_queued(a, at);
         return true;
     }
     at = find_hopeless(a, now_us);
@@ -562,7 +426,7 @@
     if (l.running >= l.slots) {
         l.wait_us = bb_admission_expected_wait_us(
             a, &c, BB_ADMISSION_SHORT,
-            count_ahead(a, BB_ADMISSION_SHORT, UINT64_MAX));
+            bb_admission_count_ahead(a, BB_ADMISSION_SHORT, UINT64_MAX));
     }
     return l;
 }
--- /dev/null
+++ b/decide/admission_queue.c
@@ -0,0 +1,154 @@
+#include <string.h>
+
+#include "decide/admission_capacity.h"
+
+enum {
+    PERCENT = 100,
+    US_PER_MS = 1000,
+    /* A standing queue longer than this would take more than a second to
+     * drain after a burst at 70% load, and serves callers no better. */
+    QUEUE_WAIT_MS_DEFAULT = 300
+};
+
+static uint32_t
+min_u32(uint32_t a, uint32_t b)
+{
+    return a < b ? a : b;
+}
+
+/* Inserts a request by deadline; equal ones stay in order of arrival. */
+void
+bb_admission_put_queued(struct bb_admission *a,
+                        const struct bb_admission_request *r)
+{
+    uint32_t at = a->queued_count;
+
+    while (at > 0 && a->queue[at - 1].request.deadline_us > r->deadline_us) {
+        at--;
+    }
+    memmove(&a->queue[at + 1], &a->queue[at],
+            (a->queued_count - at) * sizeof(a->queue[0]));
+    a->queue[at] = (struct bb_admission_queued){.request = *r};
+    a->queued_count++;
+}
+
+/* Takes one request out of the queue. */
+void
+bb_admission_drop_queued(struct bb_admission *a, uint32_t at)
+{
+    if (a->queue[at].is_evicted) {
+        a->evicted_count--;
+    }
+    a->queued_count--;
+    memmove(&a->queue[at], &a->queue[at + 1],
+            (a->queued_count - at) * sizeof(a->queue[0]));
+}
+
+/* Counts queued requests of a class, those before a deadline only. */
+uint32_t
+bb_admission_count_ahead(const struct bb_admission *a,
+                         enum bb_admission_class work_class,
+                         uint64_t deadline_us)
+{
+    uint32_t count = 0;
+
+    for (uint32_t i = 0; i < a->queued_count; i++) {
+        const struct bb_admission_queued *q = &a->queue[i];
+
+        if (q->request.deadline_us > deadline_us) {
+            break;
+        }
+        if (!q->is_evicted && q->request.work_class == work_class) {
+            count++;
+        }
+    }
+    return count;
+}
+
+/* Marks the queued request that is least able to make its deadline, if there
+ * is one that cannot. Only the class that needs room is searched, if the
+ * class itself is at its limit. */
+bool
+bb_admission_evict(struct bb_admission *a,
+                   const struct bb_admission_capacity *c, bool only_long,
+                   uint64_t now_us)
+{
+    uint32_t ahead[BB_ADMISSION_CLASSES] = {0};
+
+    for (uint32_t i = 0; i < a->queued_count; i++) {
+        struct bb_admission_queued *q = &a->queue[i];
+        enum bb_admission_class k = q->request.work_class;
+
+        if (q->is_evicted) {
+            continue;
+        }
+        if ((!only_long || k == BB_ADMISSION_LONG) &&
+            !bb_admission_is_feasible(
+                a, &q->request,
+                bb_admission_expected_wait_us(a, c, k, ahead[k]), now_us)) {
+            q->is_evicted = true;
+            a->evicted_count++;
+            return true;
+        }
+        ahead[k]++;
+    }
+    return false;
+}
+
+/* Returns how many long requests the queue may hold. */
+static uint32_t
+long_queue_limit(const struct bb_admission *a)
+{
+    uint64_t limit = (uint64_t)a->limits.queue_length *
+                     min_u32(a->limits.long_work_percent, PERCENT) / PERCENT;
+
+    return limit == 0 && a->limits.queue_length > 0 ? 1 : (uint32_t)limit;
+}
+
+/* Returns the longest wait for which a class is queued. Long work is allowed
+ * two of its own durations, because it would never be queued otherwise. */
+uint64_t
+bb_admission_longest_wait_us(const struct bb_admission *a,
+                             enum bb_admission_class k)
+{
+    uint64_t limit_ms = a->limits.queue_wait_ms > 0 ? a->limits.queue_wait_ms
+                                                    : QUEUE_WAIT_MS_DEFAULT;
+    uint64_t limit_us = limit_ms * US_PER_MS;
+    uint64_t two_us = 2 * bb_admission_service_us(a, k);
+
+    return two_us > limit_us ? two_us : limit_us;
+}
+
+/* Estimates how long a request would wait in the queue. */
+uint64_t
+bb_admission_wait_of(const struct bb_admission *a,
+                     const struct bb_admission_capacity *c,
+                     const struct bb_admission_request *r)
+{
+    return bb_admission_expected_wait_us(
+        a, c, r->work_class,
+        bb_admission_count_ahead(a, r->work_class, r->deadline_us));
+}
+
+/* Tells whether the queue has room, evicting a request that cannot make its
+ * deadline if that is needed. */
+bool
+bb_admission_make_room(struct bb_admission *a,
+                       const struct bb_admission_capacity *c,
+                       const struct bb_admission_request *r, uint64_t now_us)
+{
+    uint32_t queued = a->queued_count - a->evicted_count;
+    bool is_long_full =
+        r->work_class == BB_ADMISSION_LONG &&
+        bb_admission_count_ahead(a, BB_ADMISSION_LONG, UINT64_MAX) >=
+            long_queue_limit(a);
+
+    if (a->queued_count >= BB_ADMISSION_QUEUE_MAX) {
+        return false;
+    }
+    if (queued < a->limits.queue_length && !is_long_full) {
+        return true;
+    }
+    return a->limits.queue_length > 0 &&
+           bb_admission_evict(a, c, is_long_full, now_us);
+}
--- a/decide/outlier.c
+++ b/decide/outlier.c
@@ -6,28 +6,33 @@
 
 enum {
     PERCENT = 100,
+    /* Shares are whole percentages; this one stands for exactly a third. */
+    PERCENT_THIRD = 33,
     WEIGHT_FULL = 1000,
     WEIGHT_PROBING = 250,
     WEIGHT_RETURNING = 500,
-    /* A call is slow from this multiple of what is usual for the service.
-     * Between 1 and the factor of 10 that must be detected. */
+    /* A call is slow from this multiple of what is usual. It lies between 1
+     * and the factor of 10 that must be detected. */
     SLOW_FACTOR = 4,
     /* Differences below this do no harm and come from scheduling. */
     SLOW_FLOOR_US = 3000,
-    SCORE_EJECT = 3,
-    SCORE_MAX = 6,
-    OBSERVATIONS_MIN = 3,
-    MEMBERS_MIN = 2,
+    /* Four slow calls in a row eject. With 5% of calls slow by nature and
+     * not declared as long, four in a row are rarer than one in 100,000. */
+    SCORE_EJECT = 4,
+    SCORE_FAILURE = 2,
+    SCORE_GOOD = 2,
+    OBSERVATIONS_MIN = 4,
     EJECT_BASE_US = 300000,
     EJECT_DOUBLINGS_MAX = 4,
     PROBE_GOOD = 1,
     RETURN_GOOD = 4,
     /* After this time without an ejection the next one is short again. */
     FORGET_AFTER_US = 10000000,
-    BASELINE_INTERVAL_US = 50000
+    COMPARE_INTERVAL_US = 20000
 };
 
-static const double latency_weight = 0.1;
+static const double weight_usual = 0.05;
+static const double weight_recent = 0.3;
 
 /* Sets an empty set that ejects at most the given share of its members. */
 void
@@ -92,52 +97,83 @@
     return (x > y) - (x < y);
 }
 
-/* Computes what is usual for a class: the lower median of the members'
- * averages. 0 until enough members have been observed. */
-static uint64_t
-baseline(const struct bb_outliers *o, enum bb_admission_class k)
+/* Computes by how much the service is slower than usual as a whole: the lower
+ * median over its members, never below 0. A member's own history stands for
+ * its distance, so that members in other zones can be compared. */
+static void
+compare_class(struct bb_outliers *o, int k)
 {
-    double values[BB_OUTLIER_MEMBERS_MAX];
+    double shifts[BB_OUTLIER_MEMBERS_MAX];
+    double highest = 0;
     uint32_t n = 0;
 
     for (uint32_t i = 0; i < o->count; i++) {
-        if (o->members[i].observations[k] >= OBSERVATIONS_MIN) {
-            values[n++] = o->members[i].log_latency[k];
+        const struct bb_outlier_member *m = &o->members[i];
+
+        if (m->observations[k] >= OBSERVATIONS_MIN) {
+            shifts[n++] = m->recent[k] - m->usual[k];
+            highest = m->usual[k] > highest ? m->usual[k] : highest;
         }
     }
-    if (n < MEMBERS_MIN) {
-        return 0;
+    o->shift[k] = 0;
+    o->highest_us[k] = (uint64_t)llround(exp(highest));
+    if (n > 0) {
+        qsort(shifts, n, sizeof(shifts[0]), compare_doubles);
+        o->shift[k] = shifts[(n - 1) / 2] > 0 ? shifts[(n - 1) / 2] : 0;
     }
-    qsort(values, n, sizeof(values[0]), compare_doubles);
-    return (uint64_t)llround(exp(values[(n - 1) / 2]));
 }
 
 static void
-update_baselines(struct bb_outliers *o, uint64_t now_us)
+compare_members(struct bb_outliers *o, uint64_t now_us)
 {
-    if (o->baseline_at_us != 0 &&
-        now_us < o->baseline_at_us + BASELINE_INTERVAL_US) {
+    if (o->compared_us != 0 && now_us < o->compared_us + COMPARE_INTERVAL_US) {
         return;
     }
-    o->baseline_at_us = now_us;
+    o->compared_us = now_us;
     for (int k = 0; k < BB_ADMISSION_CLASSES; k++) {
-        o->baseline_us[k] = baseline(o, (enum bb_admission_class)k);
+        compare_class(o, k);
     }
 }
 
+/* Tells whether a duration is slow for a member: a multiple of its own usual
+ * latency, raised by what the whole service is slower. A member without
+ * history is compared with the slowest of the others. */
 static bool
-is_slow(const struct bb_outliers *o, enum bb_admission_class k, uint64_t us)
+is_slow(const struct bb_outliers *o, const struct bb_outlier_member *m,
+        enum bb_admission_class k, uint64_t us)
+{
+    double usual_us = m->observations[k] >= OBSERVATIONS_MIN
+                          ? exp(m->usual[k] + o->shift[k])
+                          : (double)o->highest_us[k] * exp(o->shift[k]);
+
+    return us >= SLOW_FLOOR_US && usual_us > 1 &&
+           (double)us >= SLOW_FACTOR * usual_us;
+}
+
+/* Returns how many members may be ejected at a time. */
+static uint32_t
+ejected_max(const struct bb_outliers *o)
 {
-    return o->baseline_us[k] > 0 && us >= SLOW_FLOOR_US &&
-           us >= SLOW_FACTOR * o->baseline_us[k];
+    if (o->share_percent == PERCENT_THIRD) {
+        return o->count / 3;
+    }
+    return (uint32_t)((uint64_t)o->count * o->share_percent / PERCENT);
 }
 
-/* Tells whether one more member may be ejected. */
 static bool
 has_room(const struct bb_outliers *o)
 {
-    return (uint64_t)(bb_outliers_ejected(o) + 1) * PERCENT <=
-           (uint64_t)o->count * o->share_percent;
+    return bb_outliers_ejected(o) < ejected_max(o);
+}
+
+static void
+set_stage(struct bb_outlier_member *m, enum bb_outlier_stage stage,
+          uint64_t now_us)
+{
+    m->stage = stage;
+    m->stage_since_us = now_us;
+    m->good = 0;
+    m->score = 0;
 }
 
 /* Ejects a member, longer each time in a row. */
@@ -148,31 +184,45 @@
                              ? m->ejections
                              : (uint32_t)EJECT_DOUBLINGS_MAX;
 
-    m->stage = BB_OUTLIER_EJECTED;
+    set_stage(m, BB_OUTLIER_EJECTED, now_us);
     m->eject_until_us = now_us + ((uint64_t)EJECT_BASE_US << doublings);
     m->ejections++;
-    m->score = 0;
-    m->good = 0;
 }
 
-/* Takes one bad observation. During the return one is enough. */
+/* Ends the ejection of a member whose time is over. */
 static void
-note_bad(struct bb_outliers *o, struct bb_outlier_member *m, uint64_t now_us)
+begin_probing(struct bb_outlier_member *m, uint64_t now_us)
 {
-    if (m->stage == BB_OUTLIER_EJECTED) {
-        return;
-    }
-    if (m->stage == BB_OUTLIER_PROBING) {
-        eject(m, now_us);
-        return;
-    }
-    if (m->score < SCORE_MAX) {
-        m->score++;
+    if (m->stage == BB_OUTLIER_EJECTED && now_us >= m->eject_until_us) {
+        set_stage(m, BB_OUTLIER_PROBING, now_us);
     }
+}
+
+/* Takes one bad observation of a call that was sent in the present stage. A
+ * bad probe ejects again; so does one bad call during the return. */
+static void
+note_bad(struct bb_outliers *o, struct bb_outlier_member *m, uint32_t points,
+         uint64_t now_us)
+{
     m->good = 0;
-    if ((m->score >= SCORE_EJECT || m->stage == BB_OUTLIER_RETURNING) &&
-        has_room(o)) {
+    switch (m->stage) {
+    case BB_OUTLIER_EJECTED:
+        break;
+    case BB_OUTLIER_PROBING:
         eject(m, now_us);
+        break;
+    case BB_OUTLIER_RETURNING:
+        if (has_room(o)) {
+            eject(m, now_us);
+        }
+        break;
+    case BB_OUTLIER_NORMAL:
+        m->score = m->score + points < SCORE_EJECT ? m->score + points
+                                                   : (uint32_t)SCORE_EJECT;
+        if (m->score == SCORE_EJECT && has_room(o)) {
+            eject(m, now_us);
+        }
+        break;
     }
 }
 
@@ -180,26 +230,21 @@
 static void
 note_good(struct bb_outlier_member *m, uint64_t now_us)
 {
-    if (m->score > 0) {
-        m->score--;
-    }
+    m->score = m->score > SCORE_GOOD ? m->score - SCORE_GOOD : 0;
     m->good++;
     switch (m->stage) {
     case BB_OUTLIER_PROBING:
         if (m->good >= PROBE_GOOD) {
-            m->stage = BB_OUTLIER_RETURNING;
-            m->good = 0;
+            set_stage(m, BB_OUTLIER_RETURNING, now_us);
         }
         break;
     case BB_OUTLIER_RETURNING:
         if (m->good >= RETURN_GOOD) {
-            m->stage = BB_OUTLIER_NORMAL;
-            m->normal_since_us = now_us;
+            set_stage(m, BB_OUTLIER_NORMAL, now_us);
         }
         break;
     case BB_OUTLIER_NORMAL:
-        if (m->ejections > 0 &&
-            now_us >= m->normal_since_us + FORGET_AFTER_US) {
+        if (now_us >= m->stage_since_us + FORGET_AFTER_US) {
             m->ejections = 0;
         }
         break;
@@ -208,6 +253,27 @@
     }
 }
 
+/* Adds a latency to the averages. What is usual follows a rise by a limited
+ * step, so that a slow period is not learnt before it is noticed. */
+static void
+learn(struct bb_outlier_member *m, enum bb_admission_class k, uint64_t us)
+{
+    double value = log((double)us);
+    double limit = m->usual[k] + log(SLOW_FACTOR);
+
+    if (m->observations[k] == 0) {
+        m->usual[k] = value;
+        m->recent[k] = value;
+    }
+    m->recent[k] += (value - m->recent[k]) * weight_recent;
+    m->usual[k] +=
+        ((value < limit ? value : limit) - m->usual[k]) *
+        (m->observations[k] < OBSERVATIONS_MIN ? weight_recent : weight_usual);
+    if (m->observations[k] < UINT32_MAX) {
+        m->observations[k]++;
+    }
+}
+
 /* Notes a call that is sent to a member. */
 void
 bb_outlier_start(struct bb_outliers *o, uint64_t key,
@@ -218,6 +284,7 @@
     if (m == NULL) {
         return;
     }
+    begin_probing(m, now_us);
     m->outstanding++;
     for (uint32_t i = 0; i < BB_OUTLIER_OUTSTANDING_MAX; i++) {
         if (m->calls[i].start_us == 0) {
@@ -259,27 +326,28 @@
     struct bb_outlier_member *m = find(o, key);
     uint64_t us = now_us > start_us ? now_us - start_us : 1;
     bool was_counted;
+    bool was_slow;
 
     if (m == NULL) {
         return;
     }
-    update_baselines(o, now_us);
+    compare_members(o, now_us);
     was_counted = take_call(m, start_us);
+    was_slow = is_slow(o, m, work_class, us);
     if (!is_failure) {
-        double value = log((double)us);
-
-        m->log_latency[work_class] =
-            m->observations[work_class] == 0
-                ? value
-                : m->log_latency[work_class] +
-                      (value - m->log_latency[work_class]) * latency_weight;
-        m->observations[work_class]++;
+        learn(m, work_class, us);
     }
-    if (!is_failure && !is_slow(o, work_class, us)) {
-        note_good(m, now_us);
+    if (start_us < m->stage_since_us || was_counted) {
+        return;
     }
-    else if (!was_counted) {
-        note_bad(o, m, now_us);
+    if (is_failure) {
+        note_bad(o, m, SCORE_FAILURE, now_us);
+    }
+    else if (was_slow) {
+        note_bad(o, m, 1, now_us);
+    }
+    else {
+        note_good(m, now_us);
     }
 }
 
@@ -295,30 +363,52 @@
     }
 }
 
-/* Counts outstanding calls that are older than usual, without waiting for
- * their answers, and ends ejections whose time is over. */
+/* Counts the outstanding calls of a member that are older than usual. */
+static void
+check_outstanding(struct bb_outliers *o, struct bb_outlier_member *m,
+                  uint64_t now_us)
+{
+    for (uint32_t j = 0; j < BB_OUTLIER_OUTSTANDING_MAX; j++) {
+        struct bb_outlier_call *c = &m->calls[j];
+
+        if (c->start_us != 0 && !c->is_counted && now_us > c->start_us &&
+            is_slow(o, m, c->work_class, now_us - c->start_us)) {
+            c->is_counted = true;
+            if (c->start_us >= m->stage_since_us) {
+                note_bad(o, m, 1, now_us);
+            }
+        }
+    }
+}
+
+/* Ends ejections whose time is over and counts outstanding calls that are
+ * older than usual, without waiting for their answers. To be called every few
+ * milliseconds while calls are outstanding, or before each pick. */
 void
 bb_outliers_tick(struct bb_outliers *o, uint64_t now_us)
 {
-    update_baselines(o, now_us);
+    compare_members(o, now_us);
     for (uint32_t i = 0; i < o->count; i++) {
         struct bb_outlier_member *m = &o->members[i];
 
-        if (m->stage == BB_OUTLIER_EJECTED && now_us >= m->eject_until_us) {
-            m->stage = BB_OUTLIER_PROBING;
-            m->good = 0;
+        begin_probing(m, now_us);
+        if (m->outstanding > 0) {
+            check_outstanding(o, m, now_us);
         }
-        for (uint32_t j = 0;
-             m->outstanding > 0 && j < BB_OUTLIER_OUTSTANDING_MAX; j++) {
-            struct bb_outlier_call *c = &m->calls[j];
-
-            if (c->start_us != 0 && !c->is_counted && now_us > c->start_us &&
-                is_slow(o, c->work_class, now_us - c->start_us)) {
-                c->is_counted = true;
-                note_bad(o, m, now_us);
-            }
+    }
+}
+
+/* Tells whether a call sent since probing began is outstanding. */
+static bool
+has_probe(const struct bb_outlier_member *m)
+{
+    for (uint32_t j = 0; j < BB_OUTLIER_OUTSTANDING_MAX; j++) {
+        if (m->calls[j].start_us != 0 &&
+            m->calls[j].start_us >= m->stage_since_us) {
+            return true;
         }
     }
+    return false;
 }
 
 /* Returns the weight of a member in permille for struct bb_candidate: 0 while
@@ -336,11 +426,9 @@
         case BB_OUTLIER_NORMAL:
             return WEIGHT_FULL;
         case BB_OUTLIER_EJECTED:
-            return now_us >= m->eject_until_us && m->outstanding == 0
-                       ? WEIGHT_PROBING
-                       : 0;
+            return now_us >= m->eject_until_us ? WEIGHT_PROBING : 0;
         case BB_OUTLIER_PROBING:
-            return m->outstanding == 0 ? WEIGHT_PROBING : 0;
+            return has_probe(m) ? 0 : WEIGHT_PROBING;
         case BB_OUTLIER_RETURNING:
             return WEIGHT_RETURNING;
         }
--- a/include/decide/admission_capacity.h
+++ b/include/decide/admission_capacity.h
@@ -1,5 +1,6 @@
-/* The part of admission that measures: slots usable at a time, expected waits
- * and whether work can finish in time. For admission.c and its tests. */
+/* The parts of admission that measure (slots usable at a time, expected waits,
+ * whether work can finish in time) and that keep the queue. For admission.c
+ * and its tests. */
 #ifndef BB_DECIDE_ADMISSION_CAPACITY_H
 #define BB_DECIDE_ADMISSION_CAPACITY_H
 
@@ -33,4 +34,23 @@
                               const struct bb_admission_request *r,
                               uint64_t wait_us, uint64_t now_us);
 
+void bb_admission_put_queued(struct bb_admission *a,
+                             const struct bb_admission_request *r);
+void bb_admission_drop_queued(struct bb_admission *a, uint32_t at);
+uint32_t bb_admission_count_ahead(const struct bb_admission *a,
+                                  enum bb_admission_class work_class,
+                                  uint64_t deadline_us);
+bool bb_admission_evict(struct bb_admission *a,
+                        const struct bb_admission_capacity *c, bool only_long,
+                        uint64_t now_us);
+uint64_t bb_admission_longest_wait_us(const struct bb_admission *a,
+                                      enum bb_admission_class k);
+uint64_t bb_admission_wait_of(const struct bb_admission *a,
+                              const struct bb_admission_capacity *c,
+                              const struct bb_admission_request *r);
+bool bb_admission_make_room(struct bb_admission *a,
+                            const struct bb_admission_capacity *c,
+                            const struct bb_admission_request *r,
+                            uint64_t now_us);
+
 #endif
--- a/include/decide/outlier.h
+++ b/include/decide/outlier.h
@@ -27,13 +27,14 @@
 struct bb_outlier_member {
     uint64_t key;
     enum bb_outlier_stage stage;
-    uint32_t score;     /* slow or failed calls, less normal ones */
+    uint32_t score;     /* raised by slow and failed calls */
     uint32_t good;      /* normal calls in a row since the stage began */
     uint32_t ejections; /* in a row, for the length of the next one */
     uint32_t outstanding;
+    uint64_t stage_since_us;
     uint64_t eject_until_us;
-    uint64_t normal_since_us;
-    double log_latency[BB_ADMISSION_CLASSES];
+    double usual[BB_ADMISSION_CLASSES];  /* natural log of us, slow average */
+    double recent[BB_ADMISSION_CLASSES]; /* the same, fast average */
     uint32_t observations[BB_ADMISSION_CLASSES];
     struct bb_outlier_call calls[BB_OUTLIER_OUTSTANDING_MAX];
 };
@@ -41,8 +42,11 @@
 struct bb_outliers {
     uint32_t share_percent; /* most members ejected at a time */
     uint32_t count;
-    uint64_t baseline_us[BB_ADMISSION_CLASSES]; /* 0: not known yet */
-    uint64_t baseline_at_us;
+    uint64_t compared_us; /* when shift and highest were computed */
+    /* How much slower than usual the service is as a whole, as a logarithm,
+     * and the highest usual latency of a member in us. */
+    double shift[BB_ADMISSION_CLASSES];
+    uint64_t highest_us[BB_ADMISSION_CLASSES];
     struct bb_outlier_member members[BB_OUTLIER_MEMBERS_MAX];
 };
 
