Let the probe take the record's answer at arrival

Cause: a keyed request may be sent under one id by two entry nodes, so a refusal that is not recorded (full record, other incarnation) must not let one of them move on to another gatekeeper. Change: bb_probe_begin and bb_probe_refused; bb_probe_init learns whether the request is keyed; seeded faults are fields of the states, not globals.

--- a/decide/claim.c
+++ b/decide/claim.c
@@ -4,15 +4,6 @@
 
 #include "common/digest.h"
 
-static enum bb_claim_fault fault;
-
-/* Seeds a fault that the explorer must find; for tests only. */
-void
-bb_claim_set_fault(enum bb_claim_fault f)
-{
-    fault = f;
-}
-
 /* Selects the hosts ranked highest for a key by rendezvous hashing. Returns
  * how many there are, at most three. */
 uint32_t
@@ -65,8 +56,7 @@
                 uint32_t entry_count, uint64_t now_us)
 {
     *w = (struct bb_witness){.epoch = epoch, .retention_us = retention_us};
-    if (is_restart_without_data &&
-        fault != BB_CLAIM_FAULT_CONFIRMS_AFTER_RESTART) {
+    if (is_restart_without_data) {
         w->confirms_from_us = now_us + retention_us;
     }
     bb_id_table_init(&w->table, entries, sizeof(*entries), entry_count);
@@ -119,7 +109,8 @@
         a.held = e->claim;
         return a;
     }
-    if (now_us < w->confirms_from_us) {
+    if (now_us < w->confirms_from_us &&
+        w->fault != BB_CLAIM_FAULT_CONFIRMS_AFTER_RESTART) {
         a.result = BB_WITNESS_CANNOT_CONFIRM;
         return a;
     }
@@ -184,7 +175,7 @@
     *q = (struct bb_claim_requester){
         .key = *key, .epoch = r->epoch, .wanted = *wanted};
     add_witnesses(q, r->hosts, r->host_count, false);
-    if (r->previous_count > 0 && fault != BB_CLAIM_FAULT_NO_JOINT_RULE) {
+    if (r->previous_count > 0) {
         q->is_joint = true;
         add_witnesses(q, r->previous, r->previous_count, true);
     }
@@ -231,10 +222,11 @@
 has_quorum(const struct bb_claim_requester *q, const struct bb_claim *c)
 {
     uint32_t need =
-        fault == BB_CLAIM_FAULT_ONE_GRANT ? 1 : (uint32_t)BB_CLAIM_QUORUM;
+        q->fault == BB_CLAIM_FAULT_ONE_GRANT ? 1 : (uint32_t)BB_CLAIM_QUORUM;
 
     return count_holders(q, q->is_current, c) >= need &&
-           (!q->is_joint || count_holders(q, q->is_previous, c) >= need);
+           (!q->is_joint || q->fault == BB_CLAIM_FAULT_NO_JOINT_RULE ||
+            count_holders(q, q->is_previous, c) >= need);
 }
 
 /* Returns why a claim without quorum is refused. */
--- a/decide/probe.c
+++ b/decide/probe.c
@@ -1,22 +1,16 @@
 #include "decide/probe.h"
 
-static enum bb_probe_fault fault;
-
-/* Seeds a fault that the explorer must find; for tests only. */
+/* Starts the watch over a call that has been sent; is_keyed if its id stands
+ * for a caller's idempotency key, so that others may send it too. The check
+ * time is how long a connection may carry no bytes before the gatekeeper is
+ * asked. */
 void
-bb_probe_set_fault(enum bb_probe_fault f)
-{
-    fault = f;
-}
-
-/* Starts the watch over a call that has been sent. The check time is how long
- * a connection may carry no bytes before the gatekeeper is asked. */
-void
-bb_probe_init(struct bb_probe *p, bool is_idempotent, uint64_t check_us,
-              uint64_t deadline_us, uint64_t now_us)
+bb_probe_init(struct bb_probe *p, bool is_idempotent, bool is_keyed,
+              uint64_t check_us, uint64_t deadline_us, uint64_t now_us)
 {
     *p = (struct bb_probe){
         .is_idempotent = is_idempotent,
+        .is_keyed = is_keyed,
         .check_us = check_us,
         .deadline_us = deadline_us,
         .last_byte_us = now_us,
@@ -61,7 +55,7 @@
     if (!p->is_query_out) {
         p->next_query_us = now_us;
     }
-    if (p->is_idempotent || fault == BB_PROBE_FAULT_NO_QUERY) {
+    if (p->is_idempotent || p->fault == BB_PROBE_FAULT_NO_QUERY) {
         finish(p, BB_PROBE_RETRY, BB_REASON_CONNECTION_LOST);
     }
 }
@@ -82,7 +76,8 @@
         finish(p, BB_PROBE_TAKE_ANSWER, BB_REASON_NONE);
         break;
     case BB_QUERY_OTHER_INCARNATION:
-        finish(p, BB_PROBE_UNKNOWN, BB_REASON_GATEKEEPER_RESTARTED);
+        finish(p, p->is_idempotent ? BB_PROBE_RETRY : BB_PROBE_UNKNOWN,
+               BB_REASON_GATEKEEPER_RESTARTED);
         break;
     case BB_QUERY_RUNNING:
     case BB_QUERY_FULL:
@@ -90,6 +85,48 @@
     }
 }
 
+/* Reports what the gatekeeper's record said when the request arrived, if it
+ * does not run. For a keyed request, whose id another entry node may have sent
+ * too, only a refusal for good allows another gatekeeper: a full record is
+ * asked again, and an earlier incarnation may have run it. */
+void
+bb_probe_begin(struct bb_probe *p, enum bb_begin_result result,
+               uint64_t now_us)
+{
+    switch (result) {
+    case BB_BEGIN_RUN:
+        break;
+    case BB_BEGIN_DUPLICATE_RUNNING:
+        p->next_query_us = now_us + p->check_us;
+        break;
+    case BB_BEGIN_DUPLICATE_DONE:
+        finish(p, BB_PROBE_TAKE_ANSWER, BB_REASON_NONE);
+        break;
+    case BB_BEGIN_REFUSED:
+        finish(p, BB_PROBE_RETRY, BB_REASON_ALREADY_REFUSED);
+        break;
+    case BB_BEGIN_FULL:
+        if (p->is_keyed) {
+            p->next_query_us = now_us;
+        }
+        else {
+            finish(p, BB_PROBE_RETRY, BB_REASON_RECORD_FULL);
+        }
+        break;
+    case BB_BEGIN_OTHER_INCARNATION:
+        finish(p, p->is_keyed ? BB_PROBE_UNKNOWN : BB_PROBE_RETRY,
+               BB_REASON_GATEKEEPER_RESTARTED);
+        break;
+    }
+}
+
+/* The gatekeeper refused the request and recorded that for good. */
+void
+bb_probe_refused(struct bb_probe *p, enum bb_reason reason)
+{
+    finish(p, BB_PROBE_RETRY, reason);
+}
+
 /* The query got no answer; it is sent again after a quarter of the check
  * time. */
 void
@@ -112,7 +149,7 @@
     if (p->final == BB_PROBE_WAIT && !p->is_query_out &&
         now_us >= p->next_query_us) {
         p->is_silent = true;
-        if (fault == BB_PROBE_FAULT_NO_QUERY) {
+        if (p->fault == BB_PROBE_FAULT_NO_QUERY) {
             finish(p, BB_PROBE_RETRY, cause(p));
         }
         else {
--- a/decide/record.c
+++ b/decide/record.c
@@ -1,14 +1,5 @@
 #include "decide/record.h"
 
-static enum bb_record_fault fault;
-
-/* Seeds a fault that the explorer must find; for tests only. */
-void
-bb_record_set_fault(enum bb_record_fault f)
-{
-    fault = f;
-}
-
 /* Prepares an empty record of one incarnation of a gatekeeper over the
  * caller's memory; entry_count is a power of two. */
 void
@@ -26,7 +17,7 @@
 {
     return incarnation != BB_INCARNATION_ANY &&
            incarnation != r->incarnation &&
-           fault != BB_RECORD_FAULT_ANY_INCARNATION;
+           r->fault != BB_RECORD_FAULT_ANY_INCARNATION;
 }
 
 /* Begins a request unless its id was seen before. With an incarnation other
@@ -123,7 +114,7 @@
             return BB_QUERY_REFUSED;
         }
     }
-    if (fault == BB_RECORD_FAULT_FORGETS) {
+    if (r->fault == BB_RECORD_FAULT_FORGETS) {
         return BB_QUERY_NEVER_SEEN;
     }
     e = bb_id_table_insert(&r->table, id, now_us);
--- a/include/decide/claim.h
+++ b/include/decide/claim.h
@@ -44,7 +44,16 @@
     struct bb_claim claim;
 };
 
+/* Seeded faults that the explorer must find; set by tests only. */
+enum bb_claim_fault {
+    BB_CLAIM_FAULT_NONE,
+    BB_CLAIM_FAULT_CONFIRMS_AFTER_RESTART,
+    BB_CLAIM_FAULT_ONE_GRANT,
+    BB_CLAIM_FAULT_NO_JOINT_RULE
+};
+
 struct bb_witness {
+    enum bb_claim_fault fault;
     uint64_t epoch;
     uint64_t retention_us;
     uint64_t confirms_from_us; /* after a restart without a data folder */
@@ -66,21 +75,15 @@
     struct bb_claim held;
 };
 
-enum bb_claim_fault {
-    BB_CLAIM_FAULT_NONE,
-    BB_CLAIM_FAULT_CONFIRMS_AFTER_RESTART,
-    BB_CLAIM_FAULT_ONE_GRANT,
-    BB_CLAIM_FAULT_NO_JOINT_RULE
-};
-
 enum bb_claim_step {
-    BB_CLAIM_ASK,     /* the witnesses that have not answered */
-    BB_CLAIM_RUN,     /* send the request to the claimed gatekeeper */
-    BB_CLAIM_JOIN,    /* send it under the id and to the gatekeeper held */
-    BB_CLAIM_REFUSED, /* ran: no, with a reason */
+    BB_CLAIM_ASK,    /* the witnesses that have not answered */
+    BB_CLAIM_RUN,    /* send the request to the claimed gatekeeper */
+    BB_CLAIM_JOIN,   /* send it under the id and to the gatekeeper held */
+    BB_CLAIM_REFUSED /* ran: no, with a reason */
 };
 
 struct bb_claim_requester {
+    enum bb_claim_fault fault;
     struct bb_request_id key;
     uint64_t epoch;
     struct bb_claim wanted;
@@ -119,7 +122,4 @@
                                  struct bb_claim *held,
                                  enum bb_reason *reason);
 
-/* Seeds a fault that the explorer must find; for tests only. */
-void bb_claim_set_fault(enum bb_claim_fault f);
-
 #endif
--- a/include/decide/probe.h
+++ b/include/decide/probe.h
@@ -20,8 +20,16 @@
     BB_PROBE_UNKNOWN      /* tell the caller that the outcome is unknown */
 };
 
+/* Seeded faults that the explorer must find; set by tests only. */
+enum bb_probe_fault {
+    BB_PROBE_FAULT_NONE,
+    BB_PROBE_FAULT_NO_QUERY /* retries without asking */
+};
+
 struct bb_probe {
+    enum bb_probe_fault fault;
     bool is_idempotent;
+    bool is_keyed;  /* another entry node may send the same id */
     bool is_broken; /* the first connection; its answer cannot come */
     bool is_query_out;
     bool is_silent;
@@ -34,15 +42,13 @@
     enum bb_reason reason;
 };
 
-enum bb_probe_fault {
-    BB_PROBE_FAULT_NONE,
-    BB_PROBE_FAULT_NO_QUERY /* retries without asking */
-};
-
-void bb_probe_init(struct bb_probe *p, bool is_idempotent, uint64_t check_us,
-                   uint64_t deadline_us, uint64_t now_us);
+void bb_probe_init(struct bb_probe *p, bool is_idempotent, bool is_keyed,
+                   uint64_t check_us, uint64_t deadline_us, uint64_t now_us);
 void bb_probe_bytes(struct bb_probe *p, uint64_t now_us);
 void bb_probe_broken(struct bb_probe *p, uint64_t now_us);
+void bb_probe_begin(struct bb_probe *p, enum bb_begin_result result,
+                    uint64_t now_us);
+void bb_probe_refused(struct bb_probe *p, enum bb_reason reason);
 void bb_probe_answer(struct bb_probe *p, enum bb_query_result result,
                      uint64_t now_us);
 void bb_probe_query_failed(struct bb_probe *p, uint64_t now_us);
@@ -50,7 +56,4 @@
                                  enum bb_reason *reason);
 uint64_t bb_probe_wake_us(const struct bb_probe *p);
 
-/* Seeds a fault that the explorer must find; for tests only. */
-void bb_probe_set_fault(enum bb_probe_fault f);
-
 #endif
--- a/include/decide/record.h
+++ b/include/decide/record.h
@@ -24,7 +24,15 @@
     uint64_t answer; /* handle of the stored answer, 0: not kept */
 };
 
+/* Seeded faults that the explorer must find; set by tests only. */
+enum bb_record_fault {
+    BB_RECORD_FAULT_NONE,
+    BB_RECORD_FAULT_FORGETS,        /* a query drops what it recorded */
+    BB_RECORD_FAULT_ANY_INCARNATION /* incarnations are not compared */
+};
+
 struct bb_record {
+    enum bb_record_fault fault;
     uint64_t incarnation;
     uint64_t retention_us;
     struct bb_id_table table;
@@ -48,12 +56,6 @@
     BB_QUERY_FULL /* never seen, but the refusal could not be recorded */
 };
 
-enum bb_record_fault {
-    BB_RECORD_FAULT_NONE,
-    BB_RECORD_FAULT_FORGETS,        /* a query drops what it recorded */
-    BB_RECORD_FAULT_ANY_INCARNATION /* incarnations are not compared */
-};
-
 void bb_record_init(struct bb_record *r, uint64_t incarnation,
                     uint64_t retention_us, struct bb_record_entry *entries,
                     uint32_t entry_count);
@@ -72,7 +74,4 @@
                                      uint64_t now_us);
 bool bb_record_expire(struct bb_record *r, uint64_t now_us, uint64_t *answer);
 
-/* Seeds a fault that the explorer must find; for tests only. */
-void bb_record_set_fault(enum bb_record_fault f);
-
 #endif
