--- /dev/null
+++ b/include/decide/admission_capacity.h
@@ -0,0 +1,56 @@
+/* The parts of admission that measure (slots usable at a time, expected waits,
+ * whether work can finish in time) and that keep the queue. For admission.c
+ * and its tests. */
+#ifndef BB_DECIDE_ADMISSION_CAPACITY_H
+#define BB_DECIDE_ADMISSION_CAPACITY_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "decide/admission.h"
+
+/* The slots at one time, computed once for a scan of the queue. */
+struct bb_admission_capacity {
+    uint32_t usable;
+    uint32_t long_limit;
+    uint32_t long_running;
+};
+
+struct bb_admission_capacity
+bb_admission_capacity(const struct bb_admission *a, uint64_t now_us);
+uint32_t bb_admission_full_slots(const struct bb_admission *a);
+uint64_t bb_admission_overlong_us(const struct bb_admission *a);
+bool bb_admission_team_has_room(const struct bb_admission *a, uint16_t team);
+bool bb_admission_may_run(const struct bb_admission *a,
+                          const struct bb_admission_capacity *c,
+                          const struct bb_admission_request *r);
+uint64_t bb_admission_service_us(const struct bb_admission *a,
+                                 enum bb_admission_class work_class);
+uint64_t bb_admission_expected_wait_us(const struct bb_admission *a,
+                                       const struct bb_admission_capacity *c,
+                                       enum bb_admission_class work_class,
+                                       uint32_t ahead);
+bool bb_admission_is_feasible(const struct bb_admission *a,
+                              const struct bb_admission_request *r,
+                              uint64_t wait_us, uint64_t now_us);
+
+void bb_admission_put_queued(struct bb_admission *a,
+                             const struct bb_admission_request *r);
+void bb_admission_drop_queued(struct bb_admission *a, uint32_t at);
+uint32_t bb_admission_count_ahead(const struct bb_admission *a,
+                                  enum bb_admission_class work_class,
+                                  uint64_t deadline_us);
+bool bb_admission_evict(struct bb_admission *a,
+                        const struct bb_admission_capacity *c, bool only_long,
+                        uint64_t now_us);
+uint64_t bb_admission_longest_wait_us(const struct bb_admission *a,
+                                      enum bb_admission_class k);
+uint64_t bb_admission_wait_of(const struct bb_admission *a,
+                              const struct bb_admission_capacity *c,
+                              const struct bb_admission_request *r);
+bool bb_admission_make_room(struct bb_admission *a,
+                            const struct bb_admission_capacity *c,
+                            const struct bb_admission_request *r,
+                            uint64_t now_us);
+
+#endif
