--- /dev/null
+++ b/config/history.c
@@ -0,0 +1,163 @@
+#include "config/history.h"
+
+#include <glib.h>
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+
+struct bb_history {
+    pthread_mutex_t lock;
+    struct bb_bundle *bundles[BB_HISTORY_REVISIONS]; /* newest last */
+    uint32_t count;
+    /* The last encoding: all members of a zone usually ask for the same. */
+    uint64_t cached_have;
+    struct bb_history_payload cached;
+};
+
+/* Creates an empty history. */
+struct bb_history *
+bb_history_create(void)
+{
+    struct bb_history *h = g_new0(struct bb_history, 1);
+
+    (void)pthread_mutex_init(&h->lock, NULL);
+    return h;
+}
+
+/* Frees a history and its references; NULL is allowed. */
+void
+bb_history_destroy(struct bb_history *h)
+{
+    if (h == NULL) {
+        return;
+    }
+    for (uint32_t i = 0; i < h->count; i++) {
+        bb_bundle_unref(h->bundles[i]);
+    }
+    free(h->cached.bytes);
+    (void)pthread_mutex_destroy(&h->lock);
+    g_free(h);
+}
+
+/* Forgets the cached encoding. */
+static void
+clear_cache(struct bb_history *h)
+{
+    free(h->cached.bytes);
+    h->cached = (struct bb_history_payload){0};
+}
+
+/* Adds a bundle and takes a reference of its own. Returns false and changes
+ * nothing if the revision is not higher than the newest one. */
+bool
+bb_history_add(struct bb_history *h, struct bb_bundle *b)
+{
+    bool is_newer;
+
+    (void)pthread_mutex_lock(&h->lock);
+    is_newer =
+        h->count == 0 || b->revision > h->bundles[h->count - 1]->revision;
+    if (is_newer) {
+        if (h->count == BB_HISTORY_REVISIONS) {
+            bb_bundle_unref(h->bundles[0]);
+            memmove(&h->bundles[0], &h->bundles[1],
+                    (BB_HISTORY_REVISIONS - 1) * sizeof(h->bundles[0]));
+            h->count--;
+        }
+        h->bundles[h->count] = bb_bundle_ref(b);
+        h->count++;
+        clear_cache(h);
+    }
+    (void)pthread_mutex_unlock(&h->lock);
+    return is_newer;
+}
+
+/* Returns a reference to the newest bundle, or NULL. */
+struct bb_bundle *
+bb_history_newest(struct bb_history *h)
+{
+    struct bb_bundle *b = NULL;
+
+    (void)pthread_mutex_lock(&h->lock);
+    if (h->count > 0) {
+        b = bb_bundle_ref(h->bundles[h->count - 1]);
+    }
+    (void)pthread_mutex_unlock(&h->lock);
+    return b;
+}
+
+/* Finds a bundle by revision without taking a reference. */
+static struct bb_bundle *
+find_locked(const struct bb_history *h, uint64_t revision)
+{
+    for (uint32_t i = h->count; i > 0; i--) {
+        if (h->bundles[i - 1]->revision == revision) {
+            return h->bundles[i - 1];
+        }
+    }
+    return NULL;
+}
+
+/* Returns a reference to the bundle of a revision, or NULL if it is not held
+ * any more. */
+struct bb_bundle *
+bb_history_find(struct bb_history *h, uint64_t revision)
+{
+    struct bb_bundle *b;
+
+    (void)pthread_mutex_lock(&h->lock);
+    b = find_locked(h, revision);
+    if (b != NULL) {
+        (void)bb_bundle_ref(b);
+    }
+    (void)pthread_mutex_unlock(&h->lock);
+    return b;
+}
+
+/* Encodes the newest bundle into the cache for a receiver. */
+static void
+fill_cache(struct bb_history *h, uint64_t have_revision)
+{
+    const struct bb_bundle *newest = h->bundles[h->count - 1];
+    const struct bb_bundle *base = find_locked(h, have_revision);
+
+    clear_cache(h);
+    h->cached_have = have_revision;
+    h->cached.revision = newest->revision;
+    h->cached.digest = newest->digest;
+    if (base != NULL) {
+        h->cached.is_delta = true;
+        h->cached.base_revision = base->revision;
+        bb_delta_encode(base, newest, &h->cached.bytes, &h->cached.size_bytes);
+    }
+    else {
+        bb_bundle_encode(newest, &h->cached.bytes, &h->cached.size_bytes);
+    }
+}
+
+/* Encodes the newest revision for a receiver that holds have_revision, 0 for
+ * none: a delta if that revision is still held here, else the whole bundle.
+ * Returns false if there is nothing newer. */
+bool
+bb_history_encode(struct bb_history *h, uint64_t have_revision,
+                  struct bb_history_payload *out)
+{
+    bool is_newer;
+
+    (void)pthread_mutex_lock(&h->lock);
+    is_newer = h->count > 0 &&
+               h->bundles[h->count - 1]->revision > have_revision;
+    if (is_newer) {
+        if (h->cached.bytes == NULL || h->cached_have != have_revision) {
+            fill_cache(h, have_revision);
+        }
+        *out = h->cached;
+        out->bytes = malloc(out->size_bytes);
+        if (out->bytes == NULL) {
+            abort();
+        }
+        memcpy(out->bytes, h->cached.bytes, out->size_bytes);
+    }
+    (void)pthread_mutex_unlock(&h->lock);
+    return is_newer;
+}
--- /dev/null
+++ b/include/common/stop_signal.h
@@ -0,0 +1,8 @@
+/* Waits for a signal that asks the process to end. */
+#ifndef BB_COMMON_STOP_SIGNAL_H
+#define BB_COMMON_STOP_SIGNAL_H
+
+void bb_stop_signal_block(void);
+int bb_stop_signal_wait(void);
+
+#endif
--- /dev/null
+++ b/node/holder.c
@@ -0,0 +1,425 @@
+#include "node/holder.h"
+
+#include <glib.h>
+#include <pthread.h>
+#include <stdlib.h>
+
+#include "common/clock.h"
+#include "common/counters.h"
+#include "common/log.h"
+#include "config/compile.h"
+#include "node/kept_bundle.h"
+
+enum {
+    /* Announcements and restarts come in groups; one table covers a group. */
+    REBUILD_INTERVAL_MS = 10,
+    FLOOR_TIMEOUT_MS = 1000,
+    FLOOR_RETRY_MS = 200
+};
+
+BB_COUNTER(applied_total, "baobab_configuration_applied_total",
+           "Revisions of the configuration applied");
+BB_COUNTER(stale_total, "baobab_configuration_stale_total",
+           "Payloads ignored because a revision at least as new is held");
+BB_COUNTER(invalid_total, "baobab_configuration_invalid_total",
+           "Payloads refused because they are damaged or invalid");
+BB_COUNTER(rebuilt_total, "baobab_table_rebuilt_total",
+           "Routing tables built");
+BB_GAUGE(served_revision, "baobab_configuration_revision",
+         "Revision of the configuration in force");
+BB_GAUGE(route_count, "baobab_table_routes",
+         "Routes in force, each with a usable upstream");
+
+struct bb_holder {
+    char *host;
+    char *zone;
+    char *region;
+    char *data_folder;
+    struct bb_mesh *mesh;
+    struct bb_proxy *proxy;
+    struct bb_history *history;
+    pthread_mutex_t lock;
+    pthread_cond_t changed;
+    bool is_changed;
+    bool is_stopping;
+    bool is_floor_known;
+    uint64_t floor_revision;
+    uint64_t served_revision;
+    bool has_rebuild_thread;
+    bool has_floor_thread;
+    pthread_t rebuild_thread;
+    pthread_t floor_thread;
+    /* Of the rebuild thread alone. */
+    struct bb_config *config;
+};
+
+/* Loads the copy kept on disk. Its revision is the last one this host held,
+ * so the floor is known without asking anyone. */
+static void
+load_kept(struct bb_holder *h)
+{
+    struct bb_error e = {0};
+    struct bb_bundle *b = bb_kept_bundle_load(h->data_folder, &e);
+
+    if (b == NULL) {
+        if (e.code != 0) {
+            bb_log_warning("configuration.copy_unusable", "%s", e.message);
+        }
+        return;
+    }
+    (void)bb_history_add(h->history, b);
+    h->is_floor_known = true;
+    h->floor_revision = b->revision;
+    h->is_changed = true;
+    bb_bundle_unref(b);
+}
+
+/* Creates a holder without a configuration, or with the one kept on disk. */
+struct bb_holder *
+bb_holder_create(const struct bb_holder_settings *s)
+{
+    struct bb_holder *h = g_new0(struct bb_holder, 1);
+
+    h->host = g_strdup(s->host);
+    h->zone = g_strdup(s->zone);
+    h->region = g_strdup(s->region);
+    h->data_folder = g_strdup(s->data_folder);
+    h->history = bb_history_create();
+    (void)pthread_mutex_init(&h->lock, NULL);
+    (void)pthread_cond_init(&h->changed, NULL);
+    if (h->data_folder != NULL) {
+        load_kept(h);
+    }
+    return h;
+}
+
+/* Wakes the rebuild thread. */
+static void
+request_rebuild(struct bb_holder *h)
+{
+    (void)pthread_mutex_lock(&h->lock);
+    h->is_changed = true;
+    (void)pthread_cond_signal(&h->changed);
+    (void)pthread_mutex_unlock(&h->lock);
+}
+
+/* Called by the mesh when records changed that routes depend on. */
+void
+bb_holder_members_changed(void *holder)
+{
+    request_rebuild(holder);
+}
+
+/* Returns a reference to the newest bundle held, or NULL. */
+struct bb_bundle *
+bb_holder_newest(struct bb_holder *h)
+{
+    return bb_history_newest(h->history);
+}
+
+/* Returns the revision that routes are served from, 0 for none. */
+uint64_t
+bb_holder_served_revision(struct bb_holder *h)
+{
+    uint64_t revision;
+
+    (void)pthread_mutex_lock(&h->lock);
+    revision = h->served_revision;
+    (void)pthread_mutex_unlock(&h->lock);
+    return revision;
+}
+
+/* Encodes the newest revision for another member that holds have_revision. */
+bool
+bb_holder_payload(void *holder, uint64_t have_revision,
+                  struct bb_mesh_payload *out)
+{
+    struct bb_holder *h = holder;
+    struct bb_history_payload p;
+
+    if (!bb_history_encode(h->history, have_revision, &p)) {
+        return false;
+    }
+    *out = (struct bb_mesh_payload){
+        .revision = p.revision,
+        .digest = p.digest,
+        .is_delta = p.is_delta,
+        .base_revision = p.base_revision,
+        .data = p.bytes,
+        .size_bytes = p.size_bytes,
+    };
+    return true;
+}
+
+/* Decodes a payload. Sets the result if there is no bundle to apply. */
+static struct bb_bundle *
+decode(struct bb_holder *h, const struct bb_mesh_payload *payload,
+       enum bb_mesh_receive *result)
+{
+    struct bb_error e = {0};
+    struct bb_bundle *base = NULL;
+    struct bb_bundle *b;
+
+    if (payload->is_delta) {
+        base = bb_history_find(h->history, payload->base_revision);
+        if (base == NULL) {
+            *result = BB_MESH_NEED_SNAPSHOT;
+            return NULL;
+        }
+        b = bb_delta_apply(base, payload->data, payload->size_bytes, &e);
+    }
+    else {
+        b = bb_bundle_decode(payload->data, payload->size_bytes, &e);
+    }
+    bb_bundle_unref(base);
+    if (b == NULL) {
+        *result = payload->is_delta ? BB_MESH_NEED_SNAPSHOT : BB_MESH_INVALID;
+        bb_counter_add(&invalid_total, 1);
+    }
+    else if (b->revision != payload->revision ||
+             !bb_digest_equal(&b->digest, &payload->digest)) {
+        *result = BB_MESH_INVALID;
+        bb_counter_add(&invalid_total, 1);
+        bb_bundle_unref(b);
+        b = NULL;
+    }
+    return b;
+}
+
+/* Tells whether a bundle compiles without faults. Control hosts accept no
+ * other, so a fault here means other versions of the programs. */
+static bool
+is_valid(const struct bb_bundle *b)
+{
+    struct bb_faults faults = {0};
+    struct bb_config *c = bb_config_compile(b->folder, &faults);
+    bool ok = c != NULL;
+
+    if (!ok) {
+        bb_log_warning("configuration.refused",
+                       "revision %" G_GUINT64_FORMAT
+                       " does not pass this node's checks",
+                       b->revision);
+        bb_counter_add(&invalid_total, 1);
+    }
+    bb_config_destroy(c);
+    bb_faults_clear(&faults);
+    return ok;
+}
+
+/* Keeps a bundle on disk if there is a data folder. A failure is reported and
+ * the node goes on: the copy only matters after a restart. */
+static void
+keep(const struct bb_holder *h, const struct bb_bundle *b)
+{
+    struct bb_error e = {0};
+
+    if (h->data_folder != NULL &&
+        !bb_kept_bundle_save(h->data_folder, b, &e)) {
+        bb_log_warning("configuration.copy_failed", "%s", e.message);
+    }
+}
+
+/* Applies a payload from the mesh as a whole. A revision below the floor is
+ * taken as a base for deltas but not served. */
+enum bb_mesh_receive
+bb_holder_receive(void *holder, const struct bb_mesh_payload *payload,
+                  uint64_t *held_revision)
+{
+    struct bb_holder *h = holder;
+    enum bb_mesh_receive result = BB_MESH_STALE;
+    struct bb_bundle *newest = bb_history_newest(h->history);
+    struct bb_bundle *b = NULL;
+
+    *held_revision = newest == NULL ? 0 : newest->revision;
+    if (newest != NULL && payload->revision <= newest->revision) {
+        bb_counter_add(&stale_total, 1);
+        goto out;
+    }
+    b = decode(h, payload, &result);
+    if (b == NULL) {
+        goto out;
+    }
+    if (!is_valid(b)) {
+        result = BB_MESH_INVALID;
+        goto out;
+    }
+    keep(h, b);
+    (void)bb_history_add(h->history, b);
+    *held_revision = b->revision;
+    result = BB_MESH_APPLIED;
+    bb_counter_add(&applied_total, 1);
+    request_rebuild(h);
+out:
+    bb_bundle_unref(b);
+    bb_bundle_unref(newest);
+    return result;
+}
+
+/* Records the revision now served and logs a change of it. */
+static void
+note_served(struct bb_holder *h, const struct bb_bundle *b,
+            uint32_t table_routes)
+{
+    char digest[BB_DIGEST_TEXT_BYTES];
+    bool is_new;
+
+    (void)pthread_mutex_lock(&h->lock);
+    is_new = h->served_revision != b->revision;
+    h->served_revision = b->revision;
+    (void)pthread_mutex_unlock(&h->lock);
+    bb_counter_set(&served_revision, b->revision);
+    bb_counter_set(&route_count, table_routes);
+    bb_counter_add(&rebuilt_total, 1);
+    if (is_new) {
+        bb_log_info("configuration.in_force",
+                    "revision %" G_GUINT64_FORMAT " digest %.12s", b->revision,
+                    bb_digest_text(&b->digest, digest));
+    }
+}
+
+/* Builds a table from the newest bundle and the present members and hands it
+ * to the proxy, unless the floor is unknown or not reached yet. */
+static void
+rebuild(struct bb_holder *h)
+{
+    const struct bb_own_place own = {
+        .host = h->host, .zone = h->zone, .region = h->region};
+    struct bb_bundle *b = bb_history_newest(h->history);
+    struct bb_member_list members = {0};
+    struct bb_table *t;
+    bool is_allowed;
+
+    (void)pthread_mutex_lock(&h->lock);
+    is_allowed = b != NULL && h->is_floor_known &&
+                 b->revision >= h->floor_revision;
+    (void)pthread_mutex_unlock(&h->lock);
+    if (!is_allowed) {
+        goto out;
+    }
+    if (h->config == NULL || h->config->revision != b->revision) {
+        struct bb_faults faults = {0};
+        struct bb_config *c = bb_config_compile(b->folder, &faults);
+
+        bb_faults_clear(&faults);
+        if (c == NULL) {
+            goto out;
+        }
+        c->revision = b->revision;
+        bb_config_destroy(h->config);
+        h->config = c;
+    }
+    bb_mesh_members_snapshot(h->mesh, &members);
+    t = bb_table_build(h->config, members.items, members.count, &own);
+    note_served(h, b, t->route_count);
+    bb_proxy_set_table(h->proxy, t);
+    bb_member_list_clear(&members);
+out:
+    bb_bundle_unref(b);
+}
+
+/* Waits for changes and rebuilds the table, until the holder stops. */
+static void *
+run_rebuilds(void *argument)
+{
+    struct bb_holder *h = argument;
+    bool is_stopping = false;
+
+    while (!is_stopping) {
+        (void)pthread_mutex_lock(&h->lock);
+        while (!h->is_changed && !h->is_stopping) {
+            (void)pthread_cond_wait(&h->changed, &h->lock);
+        }
+        h->is_changed = false;
+        is_stopping = h->is_stopping;
+        (void)pthread_mutex_unlock(&h->lock);
+        if (!is_stopping) {
+            rebuild(h);
+            bb_clock_sleep_us((uint64_t)REBUILD_INTERVAL_MS * BB_US_PER_MS);
+        }
+    }
+    return NULL;
+}
+
+/* Tells whether the floor is still wanted. */
+static bool
+is_floor_wanted(struct bb_holder *h)
+{
+    bool is_wanted;
+
+    (void)pthread_mutex_lock(&h->lock);
+    is_wanted = !h->is_stopping && !h->is_floor_known;
+    (void)pthread_mutex_unlock(&h->lock);
+    return is_wanted;
+}
+
+/* Asks the mesh for the floor until someone answers. */
+static void *
+run_floor(void *argument)
+{
+    struct bb_holder *h = argument;
+    uint64_t revision = 0;
+
+    while (is_floor_wanted(h)) {
+        if (!bb_mesh_floor_revision(h->mesh, FLOOR_TIMEOUT_MS, &revision)) {
+            bb_clock_sleep_us((uint64_t)FLOOR_RETRY_MS * BB_US_PER_MS);
+            continue;
+        }
+        (void)pthread_mutex_lock(&h->lock);
+        h->is_floor_known = true;
+        h->floor_revision = revision;
+        (void)pthread_mutex_unlock(&h->lock);
+        bb_log_info("configuration.floor",
+                    "this host held revision %" G_GUINT64_FORMAT
+                    " before; nothing older will be served",
+                    revision);
+        request_rebuild(h);
+    }
+    return NULL;
+}
+
+/* Starts the threads; mesh and proxy must be running. */
+bool
+bb_holder_start(struct bb_holder *h, struct bb_mesh *mesh,
+                struct bb_proxy *proxy, struct bb_error *e)
+{
+    h->mesh = mesh;
+    h->proxy = proxy;
+    h->has_rebuild_thread =
+        pthread_create(&h->rebuild_thread, NULL, run_rebuilds, h) == 0;
+    h->has_floor_thread =
+        pthread_create(&h->floor_thread, NULL, run_floor, h) == 0;
+    if (!h->has_rebuild_thread || !h->has_floor_thread) {
+        return bb_error_set(e, 1, "cannot start threads of the holder");
+    }
+    return true;
+}
+
+/* Stops the threads and frees the holder; NULL is allowed. The mesh must not
+ * call back any more. */
+void
+bb_holder_destroy(struct bb_holder *h)
+{
+    if (h == NULL) {
+        return;
+    }
+    (void)pthread_mutex_lock(&h->lock);
+    h->is_stopping = true;
+    (void)pthread_cond_signal(&h->changed);
+    (void)pthread_mutex_unlock(&h->lock);
+    if (h->has_rebuild_thread) {
+        (void)pthread_join(h->rebuild_thread, NULL);
+    }
+    if (h->has_floor_thread) {
+        (void)pthread_join(h->floor_thread, NULL);
+    }
+    bb_config_destroy(h->config);
+    bb_history_destroy(h->history);
+    (void)pthread_cond_destroy(&h->changed);
+    (void)pthread_mutex_destroy(&h->lock);
+    g_free(h->host);
+    g_free(h->zone);
+    g_free(h->region);
+    g_free(h->data_folder);
+    g_free(h);
+}
--- /dev/null
+++ b/node/main.c
@@ -0,0 +1,189 @@
+/* baobab-node: connects the parts of one node and runs until a signal. */
+#include <stdio.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "common/clock.h"
+#include "common/log.h"
+#include "common/random.h"
+#include "common/stop_signal.h"
+#include "mesh/mesh.h"
+#include "node/holder.h"
+#include "node_settings.h"
+#include "proxy/proxy.h"
+
+struct node {
+    struct bb_node_settings settings;
+    struct bb_rpc_server *rpc_server;
+    struct bb_rpc_pool *rpc_pool;
+    struct bb_holder *holder;
+    struct bb_proxy *proxy;
+    struct bb_mesh *mesh;
+};
+
+/* Puts the state of the own upstream into the own member record. Runs on a
+ * thread of the proxy. */
+static void
+publish_upstream(void *context, const char *service, uint32_t slots,
+                 uint32_t connections, enum bb_upstream_state state)
+{
+    struct node *n = context;
+    struct bb_member self;
+
+    bb_mesh_self(n->mesh, &self);
+    (void)g_strlcpy(self.service, service, sizeof(self.service));
+    self.slots = slots;
+    self.connections = connections;
+    self.upstream_state = state;
+    bb_mesh_update_self(n->mesh, &self);
+    bb_holder_members_changed(n->holder);
+}
+
+/* Creates the mesh member, which callbacks of the proxy need. */
+static bool
+create_mesh(struct node *n, uint64_t incarnation, struct bb_error *e)
+{
+    const struct bb_node_settings *s = &n->settings;
+    struct bb_mesh_settings m = {
+        .self = {.role = BB_ROLE_NODE,
+                 .http = s->listen,
+                 .rpc = s->rpc,
+                 .gossip = s->gossip,
+                 .incarnation = incarnation},
+        .controls = s->controls,
+        .gossip_bind = s->gossip,
+        .seed = s->seed,
+        .callbacks = {.context = n->holder,
+                      .payload = bb_holder_payload,
+                      .receive = bb_holder_receive,
+                      .members_changed = bb_holder_members_changed},
+    };
+    struct bb_bundle *kept = bb_holder_newest(n->holder);
+
+    (void)g_strlcpy(m.self.host, s->host, sizeof(m.self.host));
+    (void)g_strlcpy(m.self.zone, s->zone, sizeof(m.self.zone));
+    (void)g_strlcpy(m.self.region, s->region, sizeof(m.self.region));
+    if (kept != NULL) {
+        m.self.held_revision = kept->revision;
+        bb_bundle_unref(kept);
+    }
+    n->mesh = bb_mesh_create(&m, e);
+    return n->mesh != NULL;
+}
+
+/* Creates the proxy; it starts to answer at once, with refusals until there
+ * is a table. */
+static bool
+create_proxy(struct node *n, uint64_t incarnation, struct bb_error *e)
+{
+    const struct bb_node_settings *s = &n->settings;
+    struct bb_proxy_settings p = {
+        .host = s->host,
+        .zone = s->zone,
+        .region = s->region,
+        .caller_listen = s->listen,
+        .local_listen = s->local,
+        .incarnation = incarnation,
+        .seed = s->seed,
+        .workers = {.base = (uint32_t)s->workers},
+        .rpc = n->rpc_pool,
+        .upstream_changed = publish_upstream,
+        .context = n,
+    };
+
+    n->proxy = bb_proxy_create(&p, e);
+    return n->proxy != NULL;
+}
+
+/* Starts every part, in the order in which they depend on each other. */
+static bool
+start(struct node *n, struct bb_error *e)
+{
+    const struct bb_node_settings *s = &n->settings;
+    const struct bb_holder_settings h = {.host = s->host,
+                                         .zone = s->zone,
+                                         .region = s->region,
+                                         .data_folder = s->data_folder};
+    uint64_t incarnation = bb_clock_wall_us();
+
+    n->rpc_pool = bb_rpc_pool_create();
+    n->rpc_server = bb_rpc_server_create(&s->rpc, e);
+    n->holder = bb_holder_create(&h);
+    return n->rpc_server != NULL && create_mesh(n, incarnation, e) &&
+           create_proxy(n, incarnation, e) &&
+           bb_mesh_register(n->mesh, n->rpc_server, e) &&
+           bb_proxy_register(n->proxy, n->rpc_server, e) &&
+           bb_rpc_server_start(n->rpc_server, e) &&
+           bb_holder_start(n->holder, n->mesh, n->proxy, e) &&
+           bb_mesh_start(n->mesh, e);
+}
+
+/* Tells the other nodes to send nothing more, and waits for the calls in
+ * flight. */
+static void
+drain(struct node *n)
+{
+    struct bb_member self;
+
+    bb_mesh_self(n->mesh, &self);
+    if (self.upstream_state != BB_UPSTREAM_NONE) {
+        self.upstream_state = BB_UPSTREAM_LEAVING;
+        bb_mesh_update_self(n->mesh, &self);
+    }
+    if (!bb_proxy_drain(n->proxy, (uint32_t)n->settings.shutdown_ms)) {
+        bb_log_warning("node.shutdown_timeout",
+                       "%u calls were still in flight",
+                       bb_proxy_in_flight(n->proxy));
+    }
+    bb_mesh_stop(n->mesh, true);
+}
+
+/* Frees what was started, in reverse order. */
+static void
+destroy(struct node *n)
+{
+    bb_proxy_destroy(n->proxy);
+    bb_rpc_server_destroy(n->rpc_server);
+    bb_holder_destroy(n->holder);
+    bb_mesh_destroy(n->mesh);
+    bb_rpc_pool_destroy(n->rpc_pool);
+}
+
+int
+main(int argc, char **argv)
+{
+    struct node n = {0};
+    struct bb_error e = {0};
+    int result = BB_EXIT_INTERNAL;
+
+    switch (bb_node_settings_read(argc, argv, &n.settings, &e)) {
+    case BB_SETTINGS_EXIT:
+        return BB_EXIT_OK;
+    case BB_SETTINGS_INVALID:
+        (void)fprintf(stderr, "baobab-node: %s\n", e.message);
+        return BB_EXIT_USAGE;
+    case BB_SETTINGS_RUN:
+        break;
+    }
+    if (n.settings.seed == 0) {
+        n.settings.seed = bb_random_system_seed();
+    }
+    bb_stop_signal_block();
+    bb_log_start("baobab-node", n.settings.host, n.settings.log_json);
+    if (!start(&n, &e)) {
+        bb_log_warning("node.start_failed", "%s", e.message);
+        goto out;
+    }
+    bb_log_info("node.started", "zone %s, region %s", n.settings.zone,
+                n.settings.region);
+    (void)bb_stop_signal_wait();
+    bb_log_info("node.stopping", "waiting for %u calls in flight",
+                bb_proxy_in_flight(n.proxy));
+    drain(&n);
+    bb_log_info("node.stopped", "no calls in flight");
+    result = BB_EXIT_OK;
+out:
+    destroy(&n);
+    return result;
+}
--- /dev/null
+++ b/node/node_settings.h
@@ -0,0 +1,31 @@
+/* The settings of baobab-node. */
+#ifndef BB_NODE_SETTINGS_H
+#define BB_NODE_SETTINGS_H
+
+#include "common/settings.h"
+#include "mesh/control_list.h"
+
+struct bb_node_settings {
+    const char *host;
+    const char *zone;
+    const char *region;
+    const char *control_text;
+    struct bb_control_list controls;
+    struct bb_address listen;
+    struct bb_address local;
+    struct bb_address rpc;
+    struct bb_address gossip;
+    struct bb_address admin;
+    const char *admin_token; /* NULL: changes of state are refused */
+    const char *data_folder; /* NULL: nothing is kept */
+    uint64_t workers;
+    uint64_t shutdown_ms;
+    uint64_t seed;
+    bool log_json;
+};
+
+enum bb_settings_result bb_node_settings_read(int argc, char **argv,
+                                              struct bb_node_settings *out,
+                                              struct bb_error *e);
+
+#endif
--- /dev/null
+++ b/tests/config/test_history.c
@@ -0,0 +1,123 @@
+/* The history feeds deltas to receivers: a receiver far behind must get the
+ * whole bundle, and an older revision must never replace a newer one. */
+#include <glib.h>
+#include <string.h>
+
+#include "config/history.h"
+#include "unit.h"
+
+enum {
+    REVISIONS = BB_HISTORY_REVISIONS + 36
+};
+
+static struct bb_bundle *
+make_bundle(uint64_t revision)
+{
+    struct bb_folder_builder *builder = bb_folder_builder_create();
+    struct bb_error e = {0};
+    struct bb_folder *folder;
+    char *text =
+        g_strdup_printf("[limits]\nmax-depth=%u\n", (unsigned)revision % 16);
+
+    CU_ASSERT_TRUE_FATAL(bb_folder_builder_add(builder, "00-limits", text,
+                                               strlen(text), &e));
+    CU_ASSERT_TRUE_FATAL(
+        bb_folder_builder_add(builder, "10-same", "[team a]\n", 9, &e));
+    folder = bb_folder_builder_finish(builder, &e);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(folder);
+    g_free(text);
+    return bb_bundle_create(revision, 0, folder);
+}
+
+static struct bb_history *
+make_history(uint64_t revisions)
+{
+    struct bb_history *h = bb_history_create();
+
+    for (uint64_t r = 1; r <= revisions; r++) {
+        struct bb_bundle *b = make_bundle(r);
+
+        CU_ASSERT_TRUE(bb_history_add(h, b));
+        bb_bundle_unref(b);
+    }
+    return h;
+}
+
+static void
+test_older_revision_is_not_added(void)
+{
+    struct bb_history *h = make_history(5);
+    struct bb_bundle *old = make_bundle(4);
+    struct bb_bundle *same = make_bundle(5);
+    struct bb_bundle *newest;
+
+    CU_ASSERT_FALSE(bb_history_add(h, old));
+    CU_ASSERT_FALSE(bb_history_add(h, same));
+    newest = bb_history_newest(h);
+    CU_ASSERT_EQUAL(newest->revision, 5);
+    bb_bundle_unref(newest);
+    bb_bundle_unref(same);
+    bb_bundle_unref(old);
+    bb_history_destroy(h);
+}
+
+/* Encodes for a receiver, applies, and compares with the newest bundle. */
+static void
+check_receiver(struct bb_history *h, uint64_t have, bool expect_delta)
+{
+    struct bb_history_payload p = {0};
+    struct bb_bundle *base = bb_history_find(h, have);
+    struct bb_bundle *newest = bb_history_newest(h);
+    struct bb_bundle *got;
+    struct bb_error e = {0};
+
+    CU_ASSERT_TRUE_FATAL(bb_history_encode(h, have, &p));
+    CU_ASSERT_EQUAL(p.is_delta, expect_delta);
+    got = p.is_delta ? bb_delta_apply(base, p.bytes, p.size_bytes, &e)
+                     : bb_bundle_decode(p.bytes, p.size_bytes, &e);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(got);
+    CU_ASSERT_EQUAL(got->revision, newest->revision);
+    CU_ASSERT_TRUE(bb_digest_equal(&got->digest, &newest->digest));
+    bb_bundle_unref(got);
+    bb_bundle_unref(base);
+    bb_bundle_unref(newest);
+    g_free(p.bytes);
+}
+
+static void
+test_near_receiver_gets_delta_and_far_one_everything(void)
+{
+    struct bb_history *h = make_history(REVISIONS);
+    struct bb_history_payload p = {0};
+
+    check_receiver(h, REVISIONS - 1, true);
+    check_receiver(h, REVISIONS - BB_HISTORY_REVISIONS + 1, true);
+    check_receiver(h, REVISIONS - BB_HISTORY_REVISIONS, false);
+    check_receiver(h, 0, false);
+    CU_ASSERT_FALSE(bb_history_encode(h, REVISIONS, &p));
+    CU_ASSERT_FALSE(bb_history_encode(h, REVISIONS + 7, &p));
+    bb_history_destroy(h);
+}
+
+static void
+test_cached_encoding_follows_a_new_revision(void)
+{
+    struct bb_history *h = make_history(3);
+    struct bb_bundle *b = make_bundle(4);
+
+    check_receiver(h, 2, true);
+    CU_ASSERT_TRUE(bb_history_add(h, b));
+    check_receiver(h, 2, true);
+    bb_bundle_unref(b);
+    bb_history_destroy(h);
+}
+
+static const struct bb_unit_test tests[] = {
+    {"an older revision is not added", test_older_revision_is_not_added},
+    {"a near receiver gets a delta and a far one everything",
+     test_near_receiver_gets_delta_and_far_one_everything},
+    {"the cached encoding follows a new revision",
+     test_cached_encoding_follows_a_new_revision},
+};
+
+BB_UNIT_MAIN("history", tests)
