Add the source watcher of control hosts

A thread scans the folder every 100 ms, by names, sizes and times first, runs the source decision, validates, and calls back with a valid change. The state is synced before a proposal is sent; a damaged state counts as none.

Tests with a real thread: one proposal a change, restart, faults, outages, no proposal while the state cannot be saved, and damaged state at every byte.

--- /dev/null
+++ b/control/source_files.c
@@ -0,0 +1,238 @@
+#include "source_files.h"
+
+#include <dirent.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <glib.h>
+#include <jansson.h>
+#include <string.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include "common/clock.h"
+#include "config/folder.h"
+#include "control/source_watch.h"
+
+enum {
+    /* A file changed this recently can change again within one tick of the
+     * file system's clock and keep its time and size. */
+    RECENT_S = 2,
+    STATE_MAX_BYTES = 64 * 1024
+};
+
+#define STATE_NAME "source.state"
+
+/* Returns a digest as a JSON string. */
+static json_t *
+digest_json(const struct bb_digest *d)
+{
+    char text[BB_DIGEST_TEXT_BYTES];
+
+    return json_string(bb_digest_text(d, text));
+}
+
+/* Reads a digest from a JSON string. */
+static bool
+digest_from_json(const json_t *j, struct bb_digest *d)
+{
+    const char *text = json_string_value(j);
+
+    if (text == NULL || strlen(text) != BB_DIGEST_TEXT_BYTES - 1) {
+        return false;
+    }
+    for (size_t i = 0; i < BB_DIGEST_BYTES; i++) {
+        int high = g_ascii_xdigit_value(text[2 * i]);
+        int low = g_ascii_xdigit_value(text[2 * i + 1]);
+
+        if (high < 0 || low < 0) {
+            return false;
+        }
+        d->bytes[i] = (uint8_t)(high * 16 + low);
+    }
+    return true;
+}
+
+/* Builds the state as JSON; `check` is the digest of all other members. */
+static json_t *
+state_json(const char *folder, const struct bb_source_saved *v)
+{
+    json_t *open = json_array();
+    json_t *j;
+    char *text;
+    struct bb_digest check;
+
+    for (uint32_t i = 0; i < v->open_count; i++) {
+        (void)json_array_append_new(open, digest_json(&v->open[i]));
+    }
+    j = json_pack("{s:s, s:b, s:o, s:I, s:o}", "folder", folder, "has_settled",
+                  v->has_settled, "settled", digest_json(&v->settled),
+                  "base_revision", (json_int_t)v->base_revision, "open", open);
+    if (j == NULL) {
+        return NULL;
+    }
+    text = json_dumps(j, JSON_SORT_KEYS);
+    check = bb_digest_of(text, strlen(text));
+    free(text);
+    (void)json_object_set_new(j, "check", digest_json(&check));
+    return j;
+}
+
+/* Writes a text to a new file and syncs it. */
+static bool
+write_synced(int folder_fd, const char *name, const char *text)
+{
+    size_t length = strlen(text);
+    size_t done = 0;
+    bool ok = true;
+    int fd = openat(folder_fd, name, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC,
+                    0600);
+
+    if (fd < 0) {
+        return false;
+    }
+    while (ok && done < length) {
+        ssize_t n = write(fd, text + done, length - done);
+
+        if (n < 0 && errno != EINTR) {
+            ok = false;
+        }
+        done += n > 0 ? (size_t)n : 0;
+    }
+    ok = ok && fsync(fd) == 0;
+    return close(fd) == 0 && ok;
+}
+
+/* Replaces the saved state: temporary file, fsync, rename, fsync of the
+ * folder. On failure the earlier state stays. */
+bool
+bb_source_state_save(const char *data_folder, const char *folder,
+                     const struct bb_source_saved *saved, struct bb_error *e)
+{
+    json_t *j = state_json(folder, saved);
+    char *text = j != NULL ? json_dumps(j, JSON_INDENT(1)) : NULL;
+    int fd = open(data_folder, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+    bool ok =
+        text != NULL && fd >= 0 && write_synced(fd, STATE_NAME ".tmp", text) &&
+        renameat(fd, STATE_NAME ".tmp", fd, STATE_NAME) == 0 && fsync(fd) == 0;
+
+    if (!ok) {
+        bb_error_set(e, BB_SOURCE_WATCH_ERROR_SAVE,
+                     "cannot save the state of the source in %s: %s",
+                     data_folder, g_strerror(errno));
+    }
+    if (fd >= 0) {
+        (void)close(fd);
+    }
+    free(text);
+    json_decref(j);
+    return ok;
+}
+
+/* Reads the members of a state and compares them with their check. */
+static bool
+parse_state(const json_t *j, struct bb_source_saved *v)
+{
+    const json_t *open = json_object_get(j, "open");
+    const char *folder = json_string_value(json_object_get(j, "folder"));
+    json_t *again;
+    bool ok;
+
+    v->has_settled = json_is_true(json_object_get(j, "has_settled"));
+    v->base_revision =
+        (uint64_t)json_integer_value(json_object_get(j, "base_revision"));
+    v->open_count = (uint32_t)json_array_size(open);
+    if (folder == NULL || v->open_count > BB_SOURCE_OPEN_MAX ||
+        !digest_from_json(json_object_get(j, "settled"), &v->settled)) {
+        return false;
+    }
+    for (uint32_t i = 0; i < v->open_count; i++) {
+        if (!digest_from_json(json_array_get(open, i), &v->open[i])) {
+            return false;
+        }
+    }
+    again = state_json(folder, v);
+    ok = json_equal(again, j);
+    json_decref(again);
+    return ok;
+}
+
+/* Loads the saved state of a folder. Returns false without an error if there
+ * is none or it is of another folder, and false with
+ * BB_SOURCE_WATCH_ERROR_STATE if it is damaged. */
+bool
+bb_source_state_load(const char *data_folder, const char *folder,
+                     struct bb_source_saved *saved, struct bb_error *e)
+{
+    char *path = g_build_filename(data_folder, STATE_NAME, NULL);
+    struct bb_source_saved v = {0};
+    json_error_t error;
+    json_t *j = NULL;
+    struct stat info;
+    bool ok = false;
+
+    if (stat(path, &info) != 0 && errno == ENOENT) {
+        goto out;
+    }
+    if (info.st_size <= STATE_MAX_BYTES) {
+        j = json_load_file(path, JSON_REJECT_DUPLICATES, &error);
+    }
+    if (j == NULL || !parse_state(j, &v)) {
+        bb_error_set(e, BB_SOURCE_WATCH_ERROR_STATE,
+                     "the saved state %s is damaged", path);
+        goto out;
+    }
+    ok = strcmp(json_string_value(json_object_get(j, "folder")), folder) == 0;
+    if (ok) {
+        *saved = v;
+    }
+out:
+    json_decref(j);
+    g_free(path);
+    return ok;
+}
+
+/* Adds one entry's name and status to a signature. */
+static uint64_t
+add_entry(uint64_t sum, const char *name, const struct stat *s)
+{
+    uint64_t fields[] = {
+        (uint64_t)s->st_ino,         (uint64_t)s->st_dev,
+        (uint64_t)s->st_mode,        (uint64_t)s->st_size,
+        (uint64_t)s->st_mtim.tv_sec, (uint64_t)s->st_mtim.tv_nsec,
+        (uint64_t)s->st_ctim.tv_sec, (uint64_t)s->st_ctim.tv_nsec};
+    uint64_t hash = bb_hash64(name, strlen(name), 0);
+
+    /* A sum, because the order of entries in a directory is arbitrary. */
+    return sum + bb_hash64(fields, sizeof(fields), hash);
+}
+
+/* Returns a signature of names, sizes and times of a folder's files, without
+ * reading them. is_recent tells that a file changed so recently that an equal
+ * signature does not prove equal content. */
+uint64_t
+bb_source_signature(const char *folder, bool *is_recent)
+{
+    int64_t now_s = (int64_t)(bb_clock_wall_us() / BB_US_PER_S);
+    DIR *directory = opendir(folder);
+    const struct dirent *entry;
+    uint64_t sum = 1;
+
+    *is_recent = false;
+    if (directory == NULL) {
+        return (uint64_t)errno << 32;
+    }
+    while ((entry = readdir(directory)) != NULL) {
+        struct stat s = {0};
+
+        if (bb_folder_name_is_ignored(entry->d_name)) {
+            continue;
+        }
+        if (fstatat(dirfd(directory), entry->d_name, &s, 0) != 0) {
+            s.st_size = -errno;
+        }
+        sum = add_entry(sum, entry->d_name, &s);
+        *is_recent = *is_recent || s.st_ctim.tv_sec > now_s - RECENT_S;
+    }
+    (void)closedir(directory);
+    return sum;
+}
--- /dev/null
+++ b/control/source_files.h
@@ -0,0 +1,19 @@
+/* Inside the control layer: the files of the source watcher, which are its
+ * saved state and a cheap signature of the watched folder. */
+#ifndef BB_CONTROL_SOURCE_FILES_H
+#define BB_CONTROL_SOURCE_FILES_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "common/error.h"
+#include "decide/source.h"
+
+bool bb_source_state_save(const char *data_folder, const char *folder,
+                          const struct bb_source_saved *saved,
+                          struct bb_error *e);
+bool bb_source_state_load(const char *data_folder, const char *folder,
+                          struct bb_source_saved *saved, struct bb_error *e);
+uint64_t bb_source_signature(const char *folder, bool *is_recent);
+
+#endif
--- /dev/null
+++ b/control/source_watch.c
@@ -0,0 +1,512 @@
+#include "control/source_watch.h"
+
+#include <errno.h>
+#include <glib.h>
+#include <inttypes.h>
+#include <pthread.h>
+
+#include "common/clock.h"
+#include "common/counters.h"
+#include "common/log.h"
+#include "config/compile.h"
+#include "source_files.h"
+
+enum {
+    /* The content is read again after this time even if no time or size
+     * changed, for file systems with unreliable times. */
+    REREAD_US = 5 * BB_US_PER_S,
+    /* An outage shorter than this is an ordinary edit and is not logged. */
+    OUTAGE_LOG_US = BB_US_PER_S
+};
+
+BB_COUNTER(reads, "baobab_source_reads_total",
+           "Times the configuration folder was read");
+BB_COUNTER(proposals, "baobab_source_proposals_total",
+           "Proposals sent for the configuration folder");
+BB_COUNTER(refusals, "baobab_source_refusals_total",
+           "Proposals refused as invalid or conflicting");
+BB_COUNTER(save_failures, "baobab_source_save_failures_total",
+           "Failed attempts to save the state of the source");
+BB_GAUGE(outage_gauge, "baobab_source_outage",
+         "1 while the configuration folder cannot be used");
+
+struct note {
+    uint64_t at_wall_us;
+    char kind[16]; /* "outage", "invalid", or the name of a conflict */
+    char digest[BB_DIGEST_TEXT_BYTES];
+    char *message;
+};
+
+struct bb_source_watch {
+    char *folder;
+    char *data_folder;
+    bb_source_propose propose;
+    void *context;
+
+    /* Used by the thread alone. */
+    struct bb_folder *current;
+    enum bb_outage outage;
+    struct bb_error outage_error;
+    uint64_t signature;
+    uint64_t read_at_us;
+    bool must_save;
+    bool is_outage_logged;
+
+    /* Guarded by the lock. */
+    pthread_mutex_t lock;
+    pthread_cond_t wake;
+    pthread_t thread;
+    bool is_started;
+    bool is_stopping;
+    GQueue events; /* of struct bb_source_event */
+    struct bb_source source;
+    struct note notes[BB_SOURCE_HISTORY_MAX];
+    uint32_t note_count;
+    enum bb_outage shown_outage;
+    char *shown_message;
+};
+
+/* Creates a watcher and loads its state. A damaged state counts as none: then
+ * a differing folder is not proposed, which is safe. */
+struct bb_source_watch *
+bb_source_watch_create(const struct bb_source_watch_options *options)
+{
+    struct bb_source_watch *w = g_new0(struct bb_source_watch, 1);
+    struct bb_source_saved saved = {0};
+    struct bb_error e = {0};
+    pthread_condattr_t attributes;
+    bool has_saved;
+
+    w->folder = g_strdup(options->folder);
+    w->data_folder = g_strdup(options->data_folder);
+    w->propose = options->propose;
+    w->context = options->context;
+    (void)pthread_mutex_init(&w->lock, NULL);
+    (void)pthread_condattr_init(&attributes);
+    (void)pthread_condattr_setclock(&attributes, CLOCK_MONOTONIC);
+    (void)pthread_cond_init(&w->wake, &attributes);
+    (void)pthread_condattr_destroy(&attributes);
+    g_queue_init(&w->events);
+    has_saved = bb_source_state_load(w->data_folder, w->folder, &saved, &e);
+    if (e.code != 0) {
+        bb_log_warning("source-state", "%s; it counts as none", e.message);
+    }
+    bb_source_init(&w->source, has_saved ? &saved : NULL);
+    return w;
+}
+
+/* Records a refusal, an outage or a conflict; the oldest is dropped. The lock
+ * is held. */
+static void
+add_note(struct bb_source_watch *w, const char *kind,
+         const struct bb_digest *digest, const char *message)
+{
+    struct note *n;
+
+    if (w->note_count == BB_SOURCE_HISTORY_MAX) {
+        g_free(w->notes[0].message);
+        for (uint32_t i = 1; i < BB_SOURCE_HISTORY_MAX; i++) {
+            w->notes[i - 1] = w->notes[i];
+        }
+        w->note_count--;
+    }
+    n = &w->notes[w->note_count++];
+    *n = (struct note){.at_wall_us = bb_clock_wall_us(),
+                       .message = g_strdup(message)};
+    (void)g_strlcpy(n->kind, kind, sizeof(n->kind));
+    if (digest != NULL) {
+        (void)bb_digest_text(digest, n->digest);
+    }
+}
+
+/* Saves the state if it changed; a failed save is repeated before the next
+ * proposal. */
+static bool
+save(struct bb_source_watch *w)
+{
+    struct bb_source_saved saved;
+    struct bb_error e = {0};
+
+    if (!w->must_save) {
+        return true;
+    }
+    (void)pthread_mutex_lock(&w->lock);
+    saved = w->source.saved;
+    (void)pthread_mutex_unlock(&w->lock);
+    if (!bb_source_state_save(w->data_folder, w->folder, &saved, &e)) {
+        if (bb_counter_get(&save_failures) == 0) {
+            bb_log_warning("source-save", "%s", e.message);
+        }
+        bb_counter_add(&save_failures, 1);
+        return false;
+    }
+    w->must_save = false;
+    return true;
+}
+
+/* Explains a conflict to operators. */
+static const char *
+conflict_text(enum bb_source_conflict c)
+{
+    switch (c) {
+    case BB_SOURCE_CONFLICT_STALE_BASE:
+        return "the configuration in force was changed elsewhere; bring the "
+               "folder up to date, then repeat the change";
+    case BB_SOURCE_CONFLICT_VERSION:
+        return "this version number, or a higher one, is in force with "
+               "different content; choose a higher one";
+    case BB_SOURCE_CONFLICT_UNKNOWN_BASE:
+        return "the folder differs from the configuration in force, and this "
+               "host has no record of what it was based on; bring it up to "
+               "date first";
+    case BB_SOURCE_CONFLICT_NONE:
+        break;
+    }
+    return "";
+}
+
+/* Records and logs a conflict that began, was repeated by an answer, or was
+ * resolved. The lock is held. */
+static void
+note_conflict(struct bb_source_watch *w, enum bb_source_conflict before,
+              bool is_answered)
+{
+    enum bb_source_conflict now = w->source.conflict;
+
+    if (now == before && !(is_answered && now != BB_SOURCE_CONFLICT_NONE)) {
+        return;
+    }
+    if (now == BB_SOURCE_CONFLICT_NONE) {
+        bb_log_info("source-conflict", "conflict %s is resolved",
+                    bb_source_conflict_name(before));
+        return;
+    }
+    add_note(w, bb_source_conflict_name(now), &w->source.saved.settled,
+             conflict_text(now));
+    bb_log_warning("source-conflict", "conflict %s: %s",
+                   bb_source_conflict_name(now), conflict_text(now));
+}
+
+/* Runs one event through the decision. */
+static struct bb_source_action
+step(struct bb_source_watch *w, struct bb_source_event *e)
+{
+    struct bb_source_action a;
+    enum bb_source_conflict before;
+
+    e->now_us = bb_clock_now_us();
+    (void)pthread_mutex_lock(&w->lock);
+    before = w->source.conflict;
+    a = bb_source_step(&w->source, e);
+    note_conflict(w, before, e->kind == BB_SOURCE_ANSWERED && a.must_save);
+    (void)pthread_mutex_unlock(&w->lock);
+    w->must_save = w->must_save || a.must_save;
+    return a;
+}
+
+/* Refuses the current folder as invalid, with its faults. */
+static void
+refuse(struct bb_source_watch *w, const struct bb_source_action *a,
+       const struct bb_faults *faults)
+{
+    char *text = bb_faults_text(faults);
+    struct bb_source_event e = {
+        .kind = BB_SOURCE_ANSWERED,
+        .as.answered = {.digest = a->digest,
+                        .base_revision = a->base_revision,
+                        .answer = BB_SOURCE_INVALID}};
+
+    (void)pthread_mutex_lock(&w->lock);
+    add_note(w, "invalid", &a->digest, text);
+    (void)pthread_mutex_unlock(&w->lock);
+    bb_counter_add(&refusals, 1);
+    bb_log_warning("source-invalid",
+                   "the folder has faults (%u), the first: "
+                   "%s: [%s] %s: %s",
+                   faults->count, faults->items[0].file,
+                   faults->items[0].section, faults->items[0].key,
+                   faults->items[0].reason);
+    (void)step(w, &e);
+    (void)save(w);
+    g_free(text);
+}
+
+/* Carries out a decision: saves, validates, proposes. */
+static void
+act(struct bb_source_watch *w, const struct bb_source_action *a)
+{
+    struct bb_faults faults = {0};
+    struct bb_config *config;
+
+    if (!save(w) || a->kind != BB_SOURCE_PROPOSE) {
+        return;
+    }
+    config = bb_config_compile(w->current, &faults);
+    if (config == NULL) {
+        refuse(w, a, &faults);
+    }
+    else {
+        bb_counter_add(&proposals, 1);
+        w->propose(w->context, w->current, config->version, a->base_revision);
+    }
+    bb_config_destroy(config);
+    bb_faults_clear(&faults);
+}
+
+/* Reads the folder, unless its signature shows that nothing changed. */
+static void
+read_folder(struct bb_source_watch *w, uint64_t now_us)
+{
+    bool is_recent = false;
+    uint64_t signature = bb_source_signature(w->folder, &is_recent);
+    struct bb_folder *folder = NULL;
+
+    if (w->read_at_us != 0 && signature == w->signature && !is_recent &&
+        now_us - w->read_at_us < REREAD_US) {
+        return;
+    }
+    w->signature = signature;
+    w->read_at_us = now_us;
+    bb_counter_add(&reads, 1);
+    w->outage = bb_folder_read(w->folder, &folder, &w->outage_error);
+    if (w->outage == BB_OUTAGE_NONE) {
+        bb_folder_destroy(w->current);
+        w->current = folder;
+    }
+}
+
+/* Makes an outage visible: status at once, log and history once it has lasted
+ * longer than an edit. */
+static void
+show_outage(struct bb_source_watch *w)
+{
+    const char *message = w->outage != BB_OUTAGE_NONE
+                              ? w->outage_error.message
+                              : "the content changed within 150 ms";
+    uint64_t now_us = bb_clock_now_us();
+    bool is_out;
+    bool is_long;
+
+    (void)pthread_mutex_lock(&w->lock);
+    is_out = w->source.is_out;
+    is_long = is_out && now_us - w->source.out_since_us >= OUTAGE_LOG_US;
+    g_free(w->shown_message);
+    w->shown_message = is_out ? g_strdup(message) : NULL;
+    w->shown_outage = !is_out                       ? BB_OUTAGE_NONE
+                      : w->outage != BB_OUTAGE_NONE ? w->outage
+                                                    : BB_OUTAGE_HALF_WRITTEN;
+    if (is_long && !w->is_outage_logged) {
+        add_note(w, "outage", NULL, message);
+        bb_log_warning("source-outage", "source %s: %s",
+                       bb_outage_name(w->shown_outage), message);
+    }
+    (void)pthread_mutex_unlock(&w->lock);
+    if (!is_out && w->is_outage_logged) {
+        bb_log_info("source-outage", "the source is usable again");
+    }
+    w->is_outage_logged = is_out && (is_long || w->is_outage_logged);
+    bb_counter_set(&outage_gauge, is_out);
+}
+
+/* Scans the folder once and acts on it. */
+static void
+scan(struct bb_source_watch *w)
+{
+    uint64_t now_us = bb_clock_now_us();
+    struct bb_source_event e = {.kind = BB_SOURCE_OBSERVED};
+    struct bb_source_action a;
+
+    read_folder(w, now_us);
+    e.as.observed.is_usable = w->outage == BB_OUTAGE_NONE;
+    if (e.as.observed.is_usable) {
+        e.as.observed.digest = w->current->digest;
+    }
+    a = step(w, &e);
+    show_outage(w);
+    act(w, &a);
+}
+
+/* Takes the next event and returns true, or waits until the time of the next
+ * scan. */
+static bool
+next_event(struct bb_source_watch *w, uint64_t scan_at_us,
+           struct bb_source_event *e, bool *is_stopping)
+{
+    struct timespec until = bb_clock_timespec(scan_at_us);
+    struct bb_source_event *item;
+    int result = 0;
+
+    (void)pthread_mutex_lock(&w->lock);
+    while (!w->is_stopping && g_queue_is_empty(&w->events) &&
+           result != ETIMEDOUT) {
+        result = pthread_cond_timedwait(&w->wake, &w->lock, &until);
+    }
+    item = g_queue_pop_head(&w->events);
+    *is_stopping = w->is_stopping;
+    (void)pthread_mutex_unlock(&w->lock);
+    if (item == NULL) {
+        return false;
+    }
+    *e = *item;
+    g_free(item);
+    return true;
+}
+
+/* Scans and handles events until told to stop. */
+static void *
+run(void *argument)
+{
+    struct bb_source_watch *w = argument;
+    uint64_t scan_at_us = bb_clock_now_us();
+    bool is_stopping = false;
+
+    while (!is_stopping) {
+        struct bb_source_event e;
+
+        if (next_event(w, scan_at_us, &e, &is_stopping)) {
+            struct bb_source_action a = step(w, &e);
+
+            act(w, &a);
+        }
+        if (!is_stopping && bb_clock_now_us() >= scan_at_us) {
+            scan(w);
+            scan_at_us =
+                bb_clock_now_us() + (uint64_t)BB_SOURCE_SCAN_MS * BB_US_PER_MS;
+        }
+    }
+    return NULL;
+}
+
+/* Starts the thread. */
+bool
+bb_source_watch_start(struct bb_source_watch *w, struct bb_error *e)
+{
+    int result = pthread_create(&w->thread, NULL, run, w);
+
+    if (result != 0) {
+        return bb_error_set(e, BB_SOURCE_WATCH_ERROR_THREAD,
+                            "cannot start the thread of the source: %s",
+                            g_strerror(result));
+    }
+    w->is_started = true;
+    return true;
+}
+
+/* Hands an event to the thread. */
+static void
+push(struct bb_source_watch *w, const struct bb_source_event *e)
+{
+    (void)pthread_mutex_lock(&w->lock);
+    g_queue_push_tail(&w->events, g_memdup2(e, sizeof(*e)));
+    (void)pthread_cond_signal(&w->wake);
+    (void)pthread_mutex_unlock(&w->lock);
+}
+
+/* Tells the watcher which configuration is in force; revision 0 means none.
+ * Nothing is proposed before the first call. */
+void
+bb_source_watch_in_force(struct bb_source_watch *w, uint64_t revision,
+                         const struct bb_digest *digest)
+{
+    push(w, &(struct bb_source_event){
+                .kind = BB_SOURCE_IN_FORCE,
+                .as.in_force = {.revision = revision, .digest = *digest}});
+}
+
+/* Gives the outcome of a proposal; revision counts only if accepted. */
+void
+bb_source_watch_answer(struct bb_source_watch *w,
+                       const struct bb_digest *digest, uint64_t base_revision,
+                       enum bb_source_answer answer, uint64_t revision)
+{
+    if (answer != BB_SOURCE_ACCEPTED && answer != BB_SOURCE_UNAVAILABLE) {
+        bb_counter_add(&refusals, 1);
+    }
+    push(w, &(struct bb_source_event){
+                .kind = BB_SOURCE_ANSWERED,
+                .as.answered = {.digest = *digest,
+                                .base_revision = base_revision,
+                                .answer = answer,
+                                .revision = revision}});
+}
+
+/* Returns the recorded refusals, outages and conflicts, oldest first. The lock
+ * is held. */
+static json_t *
+history_json(const struct bb_source_watch *w)
+{
+    json_t *list = json_array();
+
+    for (uint32_t i = 0; i < w->note_count; i++) {
+        const struct note *n = &w->notes[i];
+
+        (void)json_array_append_new(
+            list, json_pack("{s:s, s:I, s:s, s:s}", "kind", n->kind, "at_ms",
+                            (json_int_t)(n->at_wall_us / BB_US_PER_MS),
+                            "digest", n->digest, "message", n->message));
+    }
+    return list;
+}
+
+/* Returns the state of the source as the member "source" of /v1/status; the
+ * caller owns it. */
+json_t *
+bb_source_watch_status(struct bb_source_watch *w)
+{
+    const struct bb_source *s = &w->source;
+    char settled[BB_DIGEST_TEXT_BYTES];
+    uint64_t out_ms;
+    json_t *outage;
+    json_t *j;
+
+    (void)pthread_mutex_lock(&w->lock);
+    if (s->is_out && w->shown_message != NULL) {
+        out_ms = (bb_clock_now_us() - s->out_since_us) / BB_US_PER_MS;
+        outage =
+            json_pack("{s:s, s:I, s:s}", "kind",
+                      bb_outage_name(w->shown_outage), "since_ms",
+                      (json_int_t)(bb_clock_wall_us() / BB_US_PER_MS - out_ms),
+                      "message", w->shown_message);
+    }
+    else {
+        outage = json_null();
+    }
+    j = json_pack(
+        "{s:s, s:o, s:s, s:I, s:b, s:b, s:b, s:s, s:o}", "folder", w->folder,
+        "outage", outage, "digest", bb_digest_text(&s->saved.settled, settled),
+        "base_revision", (json_int_t)s->saved.base_revision, "differs",
+        s->knows_in_force &&
+            !bb_digest_equal(&s->saved.settled, &s->in_force_digest),
+        "waiting", s->is_waiting, "invalid", s->is_invalid, "conflict",
+        bb_source_conflict_name(s->conflict), "history", history_json(w));
+    (void)pthread_mutex_unlock(&w->lock);
+    return j;
+}
+
+/* Stops the thread after its present step and frees the watcher; NULL is
+ * allowed. */
+void
+bb_source_watch_destroy(struct bb_source_watch *w)
+{
+    if (w == NULL) {
+        return;
+    }
+    if (w->is_started) {
+        (void)pthread_mutex_lock(&w->lock);
+        w->is_stopping = true;
+        (void)pthread_cond_signal(&w->wake);
+        (void)pthread_mutex_unlock(&w->lock);
+        (void)pthread_join(w->thread, NULL);
+    }
+    g_queue_clear_full(&w->events, g_free);
+    for (uint32_t i = 0; i < w->note_count; i++) {
+        g_free(w->notes[i].message);
+    }
+    g_free(w->shown_message);
+    bb_folder_destroy(w->current);
+    (void)pthread_cond_destroy(&w->wake);
+    (void)pthread_mutex_destroy(&w->lock);
+    g_free(w->folder);
+    g_free(w->data_folder);
+    g_free(w);
+}
--- /dev/null
+++ b/include/control/source_watch.h
@@ -0,0 +1,56 @@
+/* Watches a configuration folder on a control host and proposes its changes.
+ *
+ * One thread scans the folder, runs decide/source, validates and calls the
+ * propose callback; it holds no lock then, so the callback may call the
+ * functions below. They can be called from any thread. */
+#ifndef BB_CONTROL_SOURCE_WATCH_H
+#define BB_CONTROL_SOURCE_WATCH_H
+
+#include <jansson.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "common/error.h"
+#include "config/folder.h"
+#include "decide/source.h"
+
+enum {
+    BB_SOURCE_SCAN_MS = 100,
+    /* Refusals, outages and conflicts kept for status. */
+    BB_SOURCE_HISTORY_MAX = 16
+};
+
+enum bb_source_watch_error {
+    BB_SOURCE_WATCH_ERROR_SAVE = 1, /* the data folder cannot be written */
+    BB_SOURCE_WATCH_ERROR_STATE,    /* the saved state is damaged */
+    BB_SOURCE_WATCH_ERROR_THREAD
+};
+
+/* Must return at once; the outcome is given to bb_source_watch_answer. The
+ * folder is valid during the call only. */
+typedef void (*bb_source_propose)(void *context,
+                                  const struct bb_folder *folder,
+                                  uint64_t version, uint64_t base_revision);
+
+struct bb_source_watch_options {
+    const char *folder;
+    const char *data_folder;
+    bb_source_propose propose;
+    void *context;
+};
+
+struct bb_source_watch;
+
+struct bb_source_watch *
+bb_source_watch_create(const struct bb_source_watch_options *options);
+bool bb_source_watch_start(struct bb_source_watch *w, struct bb_error *e);
+void bb_source_watch_in_force(struct bb_source_watch *w, uint64_t revision,
+                              const struct bb_digest *digest);
+void bb_source_watch_answer(struct bb_source_watch *w,
+                            const struct bb_digest *digest,
+                            uint64_t base_revision,
+                            enum bb_source_answer answer, uint64_t revision);
+json_t *bb_source_watch_status(struct bb_source_watch *w);
+void bb_source_watch_destroy(struct bb_source_watch *w);
+
+#endif
--- /dev/null
+++ b/tests/control/test_source_watch.c
@@ -0,0 +1,251 @@
+/* The watcher must propose each valid change with its base, keep its state
+ * over a restart, and never propose while it cannot save that state. */
+#include <pthread.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include "../config/fixture.h"
+#include "common/clock.h"
+#include "control/source_watch.h"
+
+/* A header of the control layer's sources. */
+#include "../../control/source_files.h"
+
+enum { WAIT_MS = 5000, POLL_MS = 10, QUIET_MS = 1000 };
+
+/* What the propose callback was last given. */
+static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
+static uint32_t proposal_count;
+static struct bb_digest proposal_digest;
+static uint64_t proposal_base;
+static uint64_t proposal_version;
+
+static char *folder;
+static char *data_folder;
+
+static void
+on_propose(void *context, const struct bb_folder *f, uint64_t version,
+           uint64_t base_revision)
+{
+    (void)context;
+    (void)pthread_mutex_lock(&lock);
+    proposal_count++;
+    proposal_digest = f->digest;
+    proposal_base = base_revision;
+    proposal_version = version;
+    (void)pthread_mutex_unlock(&lock);
+}
+
+static uint32_t
+count_proposals(void)
+{
+    uint32_t count;
+
+    (void)pthread_mutex_lock(&lock);
+    count = proposal_count;
+    (void)pthread_mutex_unlock(&lock);
+    return count;
+}
+
+static bool
+wait_for_proposals(uint32_t count)
+{
+    for (int i = 0; i < WAIT_MS / POLL_MS && count_proposals() < count; i++) {
+        bb_clock_sleep_us((uint64_t)POLL_MS * BB_US_PER_MS);
+    }
+    return count_proposals() == count;
+}
+
+/* Waits until a member of the status has, as text, the given value. */
+static bool
+wait_for_status(struct bb_source_watch *w, const char *member,
+                const char *value)
+{
+    bool is_found = false;
+
+    for (int i = 0; i < WAIT_MS / POLL_MS && !is_found; i++) {
+        json_t *status = bb_source_watch_status(w);
+        char *text = json_dumps(json_object_get(status, member),
+                                JSON_ENCODE_ANY | JSON_COMPACT);
+
+        is_found = text != NULL && strstr(text, value) != NULL;
+        free(text);
+        json_decref(status);
+        bb_clock_sleep_us((uint64_t)POLL_MS * BB_US_PER_MS);
+    }
+    return is_found;
+}
+
+static struct bb_source_watch *
+start(void)
+{
+    struct bb_source_watch_options options = {
+        .folder = folder, .data_folder = data_folder, .propose = on_propose};
+    struct bb_source_watch *w = bb_source_watch_create(&options);
+    struct bb_error e = {0};
+
+    CU_ASSERT_TRUE_FATAL(bb_source_watch_start(w, &e));
+    return w;
+}
+
+static void
+prepare(void)
+{
+    folder = fixture_directory();
+    data_folder = fixture_directory();
+    proposal_count = 0;
+    fixture_write(folder, "10.conf", "[configuration]\nversion=4\n", -1);
+}
+
+static void
+clean(struct bb_source_watch *w)
+{
+    bb_source_watch_destroy(w);
+    fixture_remove(folder);
+    fixture_remove(data_folder);
+}
+
+/* Starts with nothing in force and has the first folder accepted. */
+static struct bb_source_watch *
+start_accepted(void)
+{
+    static const struct bb_digest none;
+    struct bb_source_watch *w = start();
+
+    bb_source_watch_in_force(w, 0, &none);
+    CU_ASSERT_TRUE(wait_for_proposals(1));
+    CU_ASSERT_EQUAL(proposal_base, 0);
+    CU_ASSERT_EQUAL(proposal_version, 4);
+    bb_source_watch_answer(w, &proposal_digest, 0, BB_SOURCE_ACCEPTED, 1);
+    CU_ASSERT_TRUE(wait_for_status(w, "base_revision", "1"));
+    return w;
+}
+
+static void
+test_change_is_proposed_once_and_survives_restart(void)
+{
+    struct bb_source_watch *w;
+    struct bb_digest first;
+
+    prepare();
+    w = start_accepted();
+    first = proposal_digest;
+    fixture_write(folder, "20.conf", "[region r]\n", -1);
+    CU_ASSERT_TRUE(wait_for_proposals(2));
+    CU_ASSERT_EQUAL(proposal_base, 1);
+    bb_source_watch_answer(w, &proposal_digest, 1, BB_SOURCE_STALE_BASE, 0);
+    CU_ASSERT_TRUE(wait_for_status(w, "conflict", "stale-base"));
+    CU_ASSERT_TRUE(wait_for_status(w, "history", "changed elsewhere"));
+    bb_source_watch_destroy(w);
+    w = start();
+    bb_source_watch_in_force(w, 2, &first);
+    CU_ASSERT_TRUE(wait_for_status(w, "differs", "true"));
+    /* Three times the time after which a change is proposed. */
+    bb_clock_sleep_us((uint64_t)QUIET_MS * BB_US_PER_MS);
+    CU_ASSERT_EQUAL(count_proposals(), 2);
+    clean(w);
+}
+
+static void
+test_faults_and_outages_are_shown_and_not_proposed(void)
+{
+    struct bb_source_watch *w;
+
+    prepare();
+    w = start_accepted();
+    fixture_write(folder, "20.conf", "[zone z]\nregion=moon\n", -1);
+    CU_ASSERT_TRUE(wait_for_status(w, "invalid", "true"));
+    CU_ASSERT_TRUE(wait_for_status(w, "history", "moon"));
+    fixture_write(folder, "20.conf", "[zone z]\nregion=mo", -1);
+    CU_ASSERT_TRUE(wait_for_status(w, "outage", "half-written"));
+    CU_ASSERT_TRUE(wait_for_status(w, "history", "newline"));
+    CU_ASSERT_EQUAL(count_proposals(), 1);
+    fixture_write(folder, "20.conf", "[region r]\n", -1);
+    CU_ASSERT_TRUE(wait_for_proposals(2));
+    CU_ASSERT_TRUE(wait_for_status(w, "outage", "null"));
+    clean(w);
+}
+
+static void
+test_nothing_is_proposed_without_a_saved_state(void)
+{
+    struct bb_source_watch *w;
+    char *moved;
+
+    prepare();
+    w = start_accepted();
+    moved = g_strconcat(data_folder, ".moved", NULL);
+    CU_ASSERT_EQUAL(rename(data_folder, moved), 0);
+    fixture_write(folder, "20.conf", "[region r]\n", -1);
+    CU_ASSERT_TRUE(wait_for_status(w, "waiting", "true"));
+    bb_clock_sleep_us((uint64_t)QUIET_MS * BB_US_PER_MS);
+    CU_ASSERT_EQUAL(count_proposals(), 1);
+    CU_ASSERT_EQUAL(rename(moved, data_folder), 0);
+    CU_ASSERT_TRUE(wait_for_proposals(2));
+    g_free(moved);
+    clean(w);
+}
+
+/* Loads bytes as the saved state. They may be refused, or lead to the same
+ * state: white space and letter case may change without effect. */
+static void
+check_damaged_state(const char *text, gsize size,
+                    const struct bb_source_saved *saved)
+{
+    struct bb_source_saved loaded = {0};
+    struct bb_error e = {0};
+
+    fixture_write(data_folder, "source.state", text, (ssize_t)size);
+    if (bb_source_state_load(data_folder, "/f", &loaded, &e)) {
+        CU_ASSERT_EQUAL(loaded.has_settled, saved->has_settled);
+        CU_ASSERT_EQUAL(loaded.base_revision, saved->base_revision);
+        CU_ASSERT_EQUAL(loaded.open_count, saved->open_count);
+        CU_ASSERT_TRUE(bb_digest_equal(&loaded.settled, &saved->settled));
+        CU_ASSERT_TRUE(bb_digest_equal(&loaded.open[0], &saved->open[0]));
+    }
+}
+
+static void
+test_damaged_state_is_never_taken(void)
+{
+    struct bb_source_saved saved = {.has_settled = true,
+                                    .base_revision = 41,
+                                    .settled = bb_digest_of("a", 1),
+                                    .open = {bb_digest_of("b", 1)},
+                                    .open_count = 1};
+    struct bb_source_saved loaded;
+    struct bb_error e = {0};
+    char *path;
+    char *text;
+    gsize size;
+
+    prepare();
+    CU_ASSERT_TRUE(bb_source_state_save(data_folder, "/f", &saved, &e));
+    CU_ASSERT_TRUE(bb_source_state_load(data_folder, "/f", &loaded, &e));
+    CU_ASSERT_EQUAL(loaded.base_revision, 41);
+    CU_ASSERT_FALSE(bb_source_state_load(data_folder, "/g", &loaded, &e));
+    CU_ASSERT_EQUAL(e.code, 0);
+    path = g_build_filename(data_folder, "source.state", NULL);
+    CU_ASSERT_TRUE_FATAL(g_file_get_contents(path, &text, &size, NULL));
+    for (gsize i = 0; i < size; i++) {
+        check_damaged_state(text, i, &saved);
+        text[i] ^= 1;
+        check_damaged_state(text, size, &saved);
+        text[i] ^= 1;
+    }
+    g_free(text);
+    g_free(path);
+    clean(NULL);
+}
+
+static const struct bb_unit_test tests[] = {
+    {"a change is proposed once and survives a restart",
+     test_change_is_proposed_once_and_survives_restart},
+    {"faults and outages are shown and not proposed",
+     test_faults_and_outages_are_shown_and_not_proposed},
+    {"nothing is proposed without a saved state",
+     test_nothing_is_proposed_without_a_saved_state},
+    {"a damaged state is never taken", test_damaged_state_is_never_taken},
+};
+
+BB_UNIT_MAIN("source watch", tests)
