--- a/decide/agree.c
+++ b/decide/agree.c
@@ -153,6 +153,11 @@
         a->progress[a->self].match < bb_agree_last_index(a)) {
         a->progress[a->self].match = bb_agree_last_index(a);
         agree_advance_commit(st);
+        if (a->write_sequence != a->synced_sequence) {
+            /* The new commit index is applied after its own sync; a read
+             * answered before would miss what followers applied by now. */
+            return;
+        }
     }
     if (a->owes_vote == a->self) {
         agree_send_votes(st);
@@ -163,9 +168,7 @@
     if (a->owes_append) {
         agree_answer_append(st);
     }
-    if (a->write_sequence == a->synced_sequence) {
-        agree_apply(st);
-    }
+    agree_apply(st);
     agree_answer_committed(st);
     agree_answer_reads(st);
 }
