--- /dev/null
+++ b/include/proxy/body.h
@@ -0,0 +1,42 @@
+/* A message body on its way between two threads: a bounded ring with one
+ * writer and one reader. Either side can give up; the other side sees it.
+ *
+ * Lock order: the ring's lock is a leaf. */
+#ifndef BB_PROXY_BODY_H
+#define BB_PROXY_BODY_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <sys/types.h>
+
+enum {
+    BB_BODY_CAPACITY_BYTES = 256 * 1024,
+    BB_BODY_BROKEN = -1, /* the writer gave up before the end */
+    BB_BODY_TIMEOUT = -2
+};
+
+enum bb_body_write_result {
+    BB_BODY_WRITTEN,
+    BB_BODY_WRITE_TIMEOUT,
+    BB_BODY_ABANDONED /* the reader gave up */
+};
+
+struct bb_body;
+
+struct bb_body *bb_body_create(void);
+struct bb_body *bb_body_ref(struct bb_body *b);
+void bb_body_unref(struct bb_body *b);
+enum bb_body_write_result bb_body_write(struct bb_body *b, const void *data,
+                                        size_t size_bytes,
+                                        uint32_t timeout_ms);
+void bb_body_finish(struct bb_body *b);
+void bb_body_break(struct bb_body *b);
+void bb_body_abandon(struct bb_body *b);
+ssize_t bb_body_read(struct bb_body *b, void *data, size_t size_bytes,
+                     uint32_t timeout_ms);
+bool bb_body_rewind(struct bb_body *b);
+bool bb_body_is_full(struct bb_body *b);
+bool bb_body_is_complete(struct bb_body *b, size_t *size_bytes);
+
+#endif
--- /dev/null
+++ b/include/proxy/http_client.h
@@ -0,0 +1,76 @@
+/* HTTP/1.1 requests to other nodes and to the upstream: neon sessions pooled
+ * by peer, each one connection with one request at a time, so answers cannot
+ * be swapped. The blocking library runs on a worker; the side that waits for
+ * the answer leaves at its own deadline, after which the worker discards the
+ * late answer and closes the session.
+ *
+ * Lock order: a watch's lock comes before the locks of bodies and workers;
+ * the client's lock is a leaf. */
+#ifndef BB_PROXY_HTTP_CLIENT_H
+#define BB_PROXY_HTTP_CLIENT_H
+
+#include <pthread.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "common/address.h"
+#include "proxy/body.h"
+#include "proxy/headers.h"
+#include "proxy/workers.h"
+
+/* Where the waiting side of one or more attempts sleeps. */
+struct bb_watch;
+
+struct bb_watch *bb_watch_create(void);
+struct bb_watch *bb_watch_ref(struct bb_watch *w);
+void bb_watch_unref(struct bb_watch *w);
+void bb_watch_lock(struct bb_watch *w);
+void bb_watch_unlock(struct bb_watch *w);
+void bb_watch_signal(struct bb_watch *w);
+bool bb_watch_wait(struct bb_watch *w, uint64_t end_us);
+
+enum bb_attempt_state {
+    BB_ATTEMPT_STARTED,
+    BB_ATTEMPT_SENDING, /* the peer takes the body */
+    BB_ATTEMPT_HEAD,    /* the answer's head is there */
+    BB_ATTEMPT_NOT_SENT,
+    BB_ATTEMPT_LOST /* sent, and no answer will come */
+};
+
+struct bb_attempt_request {
+    struct bb_address peer;
+    const char *method;
+    const char *url;
+    const struct bb_headers *headers;
+    struct bb_body *body; /* NULL without one */
+    int64_t length_bytes; /* of the body, or BB_LENGTH_CHUNKED */
+    bool expect_continue; /* let the peer refuse before the body is sent */
+    bool use_new_connection;
+    bool keep_head_only; /* do not wait for the body of a short answer */
+    uint32_t read_timeout_s;
+    uint32_t idle_timeout_ms;
+    uint32_t depth;
+};
+
+/* The watch's lock guards the state; the rest is fixed once the state is
+ * BB_ATTEMPT_HEAD. */
+struct bb_attempt {
+    enum bb_attempt_state state;
+    uint32_t status;
+    struct bb_headers *headers;
+    struct bb_body *answer;
+    int64_t answer_length_bytes; /* BB_LENGTH_CHUNKED if not announced */
+};
+
+struct bb_http_client;
+
+struct bb_http_client *bb_http_client_create(struct bb_workers *workers);
+void bb_http_client_destroy(struct bb_http_client *c);
+void bb_http_client_forget_peer(struct bb_http_client *c,
+                                const struct bb_address *peer);
+struct bb_attempt *bb_attempt_start(struct bb_http_client *c,
+                                    const struct bb_attempt_request *request,
+                                    struct bb_watch *watch, uint64_t end_us);
+void bb_attempt_release(struct bb_attempt *a);
+
+#endif
--- /dev/null
+++ b/include/proxy/table.h
@@ -0,0 +1,72 @@
+/* The routing table of a node: one immutable object built from a revision of
+ * the configuration and the member records. Routes whose service has no
+ * usable upstream are left out. Readers find the table in force under RCU and
+ * hold a reference from the beginning of a request to its end, so that no
+ * read-side section is long. */
+#ifndef BB_PROXY_TABLE_H
+#define BB_PROXY_TABLE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "config/config.h"
+#include "mesh/member.h"
+
+enum bb_nearness { BB_NEAR_ZONE, BB_NEAR_REGION, BB_NEAR_OTHER };
+
+/* A gatekeeper with a usable upstream. */
+struct bb_endpoint {
+    char host[BB_NAME_BYTES];
+    struct bb_address http;
+    struct bb_address rpc;
+    uint64_t incarnation;
+    uint32_t slots;
+    enum bb_nearness nearness;
+    bool is_own;
+};
+
+struct bb_table_service {
+    struct bb_service settings; /* without the list of called services */
+    char team[BB_NAME_BYTES];
+    uint32_t team_max_in_flight;
+    struct bb_endpoint *endpoints;
+    uint32_t endpoint_count;
+};
+
+struct bb_table {
+    uint64_t revision;
+    struct bb_limits limits;
+    struct bb_table_service *services;
+    uint16_t service_count;
+    struct bb_route *routes; /* longest path prefix first */
+    uint16_t route_count;
+    uint32_t longest_timeout_ms;
+};
+
+/* The node that a table is built for. */
+struct bb_own_place {
+    const char *host;
+    const char *zone;
+    const char *region;
+};
+
+struct bb_table *bb_table_build(const struct bb_config *c,
+                                const struct bb_member *members, size_t count,
+                                const struct bb_own_place *own);
+const struct bb_route *bb_table_route(const struct bb_table *t,
+                                      const char *url, uint32_t method);
+const struct bb_table_service *bb_table_service(const struct bb_table *t,
+                                                const char *name);
+const struct bb_endpoint *bb_table_endpoint(const struct bb_table_service *s,
+                                            const char *host);
+void bb_table_unref(struct bb_table *t);
+
+struct bb_table_holder;
+
+struct bb_table_holder *bb_table_holder_create(void);
+void bb_table_holder_set(struct bb_table_holder *h, struct bb_table *t);
+struct bb_table *bb_table_holder_get(struct bb_table_holder *h);
+void bb_table_holder_destroy(struct bb_table_holder *h);
+
+#endif
--- /dev/null
+++ b/include/upstream/server.h
@@ -0,0 +1,46 @@
+/* The HTTP server of the simulated upstream. */
+#ifndef BB_UPSTREAM_SERVER_H
+#define BB_UPSTREAM_SERVER_H
+
+#include <stdatomic.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "common/address.h"
+#include "common/error.h"
+#include "mesh/member.h"
+#include "upstream/behaviour.h"
+#include "upstream/work.h"
+
+/* Fields by which a caller steers and checks a request. */
+#define BB_CALL_ID "X-Call-Id"
+#define BB_CALL_WORK_US "X-Work-Us"
+#define BB_CALL_ANSWER_BYTES "X-Answer-Bytes"
+#define BB_CALL_PATH "X-Call-Path"
+#define BB_CALL_BODY_DIGEST "X-Body-Digest"
+#define BB_CALL_BODY_BYTES "X-Body-Bytes"
+#define BB_CALL_HOST "X-Upstream-Host"
+/* On a 503 it says that the request did not run, and why. */
+#define BB_UPSTREAM_REFUSED "X-Upstream-Refused"
+
+struct bb_upstream {
+    const char *host;
+    const char *service;
+    struct bb_address listen;
+    struct bb_address announce; /* port 0: none */
+    struct bb_address node;     /* for nested calls; port 0: none */
+    uint64_t lifetime_ms;
+    uint64_t idle_timeout_s;
+    struct bb_behaviour behaviour;
+    struct bb_runs *runs;
+    atomic_uint state; /* enum bb_upstream_state */
+};
+
+struct MHD_Daemon *bb_upstream_serve(struct bb_upstream *u,
+                                     struct bb_error *e);
+bool bb_upstream_call_path(const struct bb_upstream *u, const char *paths,
+                           const char *const *fields, size_t field_count,
+                           uint64_t end_us);
+void bb_upstream_announce(struct bb_upstream *u);
+
+#endif
--- /dev/null
+++ b/include/upstream/work.h
@@ -0,0 +1,41 @@
+/* The work of the simulated upstream: slots, running requests that can be
+ * cancelled, and a record of what ran. */
+#ifndef BB_UPSTREAM_WORK_H
+#define BB_UPSTREAM_WORK_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "upstream/behaviour.h"
+
+enum { BB_RUN_ID_BYTES = 160 };
+
+enum bb_run_outcome {
+    BB_RUN_DONE,
+    BB_RUN_CANCELLED,
+    BB_RUN_DEADLINE,
+    BB_RUN_DEADLINE_WAITING, /* did not run */
+    BB_RUN_REFUSED           /* did not run */
+};
+
+struct bb_runs;
+
+/* What a run does after its service time while it holds its slot. */
+struct bb_run_inner {
+    void (*run)(void *context, uint64_t end_us);
+    void *context;
+};
+
+struct bb_runs *bb_runs_create(struct bb_behaviour *behaviour);
+void bb_runs_destroy(struct bb_runs *r);
+enum bb_run_outcome bb_runs_execute(struct bb_runs *r, const char *id,
+                                    uint64_t wanted_us, uint64_t end_us,
+                                    const struct bb_run_inner *inner);
+bool bb_runs_cancel(struct bb_runs *r, const char *id);
+uint32_t bb_runs_in_flight(struct bb_runs *r);
+void bb_runs_load(struct bb_runs *r, uint32_t *busy, uint32_t *waiting);
+void bb_runs_write(struct bb_runs *r, GString *out);
+void bb_runs_forget(struct bb_runs *r);
+
+#endif
--- /dev/null
+++ b/proxy/body.c
@@ -0,0 +1,277 @@
+#include "proxy/body.h"
+
+#include <errno.h>
+#include <glib.h>
+#include <pthread.h>
+#include <stdatomic.h>
+#include <string.h>
+#include <time.h>
+
+#include "common/clock.h"
+
+/* Small bodies must not cost the whole ring, so it starts small and doubles
+ * up to its capacity. */
+enum { FIRST_CAPACITY_BYTES = 4096 };
+
+enum body_end { BODY_OPEN, BODY_WHOLE, BODY_CUT };
+
+struct bb_body {
+    pthread_mutex_t lock;
+    pthread_cond_t changed;
+    atomic_uint references;
+    uint8_t *data;
+    size_t capacity_bytes;
+    uint64_t written_bytes; /* positions count from the start of the body */
+    uint64_t read_bytes;
+    enum body_end end;
+    bool is_abandoned;
+};
+
+/* Creates an empty body with one reference. */
+struct bb_body *
+bb_body_create(void)
+{
+    struct bb_body *b = g_new0(struct bb_body, 1);
+    pthread_condattr_t attributes;
+
+    (void)pthread_mutex_init(&b->lock, NULL);
+    (void)pthread_condattr_init(&attributes);
+    (void)pthread_condattr_setclock(&attributes, CLOCK_MONOTONIC);
+    (void)pthread_cond_init(&b->changed, &attributes);
+    (void)pthread_condattr_destroy(&attributes);
+    atomic_init(&b->references, 1);
+    b->capacity_bytes = FIRST_CAPACITY_BYTES;
+    b->data = g_malloc(b->capacity_bytes);
+    return b;
+}
+
+/* Takes one more reference; NULL is allowed. */
+struct bb_body *
+bb_body_ref(struct bb_body *b)
+{
+    if (b != NULL) {
+        (void)atomic_fetch_add(&b->references, 1);
+    }
+    return b;
+}
+
+/* Gives a reference back; the last one frees the body. NULL is allowed. */
+void
+bb_body_unref(struct bb_body *b)
+{
+    if (b == NULL || atomic_fetch_sub(&b->references, 1) != 1) {
+        return;
+    }
+    (void)pthread_cond_destroy(&b->changed);
+    (void)pthread_mutex_destroy(&b->lock);
+    g_free(b->data);
+    g_free(b);
+}
+
+/* Doubles the ring until it has room or its full capacity. Bytes move only
+ * while none has wrapped, which holds until the full capacity is reached. */
+static void
+grow(struct bb_body *b, size_t wanted_bytes)
+{
+    size_t capacity = b->capacity_bytes;
+
+    while (capacity < BB_BODY_CAPACITY_BYTES &&
+           b->written_bytes + wanted_bytes > capacity) {
+        capacity *= 2;
+    }
+    if (capacity != b->capacity_bytes) {
+        b->data = g_realloc(b->data, capacity);
+        b->capacity_bytes = capacity;
+    }
+}
+
+/* Copies as many bytes into the ring as fit; returns their number. */
+static size_t
+put(struct bb_body *b, const uint8_t *data, size_t size_bytes)
+{
+    size_t room;
+    size_t offset;
+    size_t first;
+
+    grow(b, size_bytes);
+    room = b->capacity_bytes - (size_t)(b->written_bytes - b->read_bytes);
+    size_bytes = MIN(size_bytes, room);
+    offset = (size_t)(b->written_bytes % b->capacity_bytes);
+    first = MIN(size_bytes, b->capacity_bytes - offset);
+    memcpy(b->data + offset, data, first);
+    memcpy(b->data, data + first, size_bytes - first);
+    b->written_bytes += size_bytes;
+    return size_bytes;
+}
+
+/* Waits for a change until the given time; false when it has passed. */
+static bool
+wait_until(struct bb_body *b, uint64_t end_us)
+{
+    struct timespec end = bb_clock_timespec(end_us);
+
+    return pthread_cond_timedwait(&b->changed, &b->lock, &end) != ETIMEDOUT;
+}
+
+/* Appends bytes, waiting while the ring is full. The timeout counts from the
+ * last progress of the reader. */
+enum bb_body_write_result
+bb_body_write(struct bb_body *b, const void *data, size_t size_bytes,
+              uint32_t timeout_ms)
+{
+    const uint8_t *next = data;
+    uint64_t timeout_us = (uint64_t)timeout_ms * BB_US_PER_MS;
+    uint64_t end_us = bb_clock_now_us() + timeout_us;
+    enum bb_body_write_result result = BB_BODY_WRITTEN;
+
+    (void)pthread_mutex_lock(&b->lock);
+    while (size_bytes > 0 && result == BB_BODY_WRITTEN) {
+        size_t count;
+
+        if (b->is_abandoned) {
+            result = BB_BODY_ABANDONED;
+            break;
+        }
+        count = put(b, next, size_bytes);
+        if (count > 0) {
+            next += count;
+            size_bytes -= count;
+            end_us = bb_clock_now_us() + timeout_us;
+            (void)pthread_cond_broadcast(&b->changed);
+        }
+        else if (!wait_until(b, end_us)) {
+            result = BB_BODY_WRITE_TIMEOUT;
+        }
+    }
+    (void)pthread_mutex_unlock(&b->lock);
+    return result;
+}
+
+/* Ends the body unless it has ended before. */
+static void
+end_with(struct bb_body *b, enum body_end end)
+{
+    (void)pthread_mutex_lock(&b->lock);
+    if (b->end == BODY_OPEN) {
+        b->end = end;
+        (void)pthread_cond_broadcast(&b->changed);
+    }
+    (void)pthread_mutex_unlock(&b->lock);
+}
+
+/* Marks the body as complete; the writer calls it after the last byte. */
+void
+bb_body_finish(struct bb_body *b)
+{
+    end_with(b, BODY_WHOLE);
+}
+
+/* Marks the body as cut: the reader learns that bytes are missing. */
+void
+bb_body_break(struct bb_body *b)
+{
+    end_with(b, BODY_CUT);
+}
+
+/* Tells the writer that nobody reads any more. */
+void
+bb_body_abandon(struct bb_body *b)
+{
+    (void)pthread_mutex_lock(&b->lock);
+    b->is_abandoned = true;
+    (void)pthread_cond_broadcast(&b->changed);
+    (void)pthread_mutex_unlock(&b->lock);
+}
+
+/* Copies bytes out of the ring; returns their number. */
+static size_t
+take(struct bb_body *b, uint8_t *data, size_t size_bytes)
+{
+    size_t offset = (size_t)(b->read_bytes % b->capacity_bytes);
+    size_t first;
+
+    size_bytes = MIN(size_bytes, (size_t)(b->written_bytes - b->read_bytes));
+    first = MIN(size_bytes, b->capacity_bytes - offset);
+    memcpy(data, b->data + offset, first);
+    memcpy(data + first, b->data, size_bytes - first);
+    b->read_bytes += size_bytes;
+    return size_bytes;
+}
+
+/* Takes up to size_bytes bytes, waiting for at least one. Returns their
+ * number, 0 at the end of a complete body, BB_BODY_BROKEN after the last byte
+ * of a cut one and BB_BODY_TIMEOUT if the writer is idle for the timeout. */
+ssize_t
+bb_body_read(struct bb_body *b, void *data, size_t size_bytes,
+             uint32_t timeout_ms)
+{
+    uint64_t end_us = bb_clock_now_us() + (uint64_t)timeout_ms * BB_US_PER_MS;
+    ssize_t result = 0;
+
+    (void)pthread_mutex_lock(&b->lock);
+    for (;;) {
+        result = (ssize_t)take(b, data, size_bytes);
+        if (result > 0) {
+            (void)pthread_cond_broadcast(&b->changed);
+            break;
+        }
+        if (b->end != BODY_OPEN) {
+            result = b->end == BODY_WHOLE ? 0 : BB_BODY_BROKEN;
+            break;
+        }
+        if (b->is_abandoned) {
+            result = BB_BODY_BROKEN;
+            break;
+        }
+        if (!wait_until(b, end_us)) {
+            result = BB_BODY_TIMEOUT;
+            break;
+        }
+    }
+    (void)pthread_mutex_unlock(&b->lock);
+    return result;
+}
+
+/* Moves the reader back to the first byte, so that the body can be sent
+ * again. False once bytes may have been overwritten. */
+bool
+bb_body_rewind(struct bb_body *b)
+{
+    bool can_rewind;
+
+    (void)pthread_mutex_lock(&b->lock);
+    can_rewind = b->written_bytes <= BB_BODY_CAPACITY_BYTES;
+    if (can_rewind) {
+        b->read_bytes = 0;
+        b->is_abandoned = false;
+        (void)pthread_cond_broadcast(&b->changed);
+    }
+    (void)pthread_mutex_unlock(&b->lock);
+    return can_rewind;
+}
+
+/* Tells whether the next write would wait for the reader. */
+bool
+bb_body_is_full(struct bb_body *b)
+{
+    bool is_full;
+
+    (void)pthread_mutex_lock(&b->lock);
+    is_full = b->written_bytes - b->read_bytes >= BB_BODY_CAPACITY_BYTES;
+    (void)pthread_mutex_unlock(&b->lock);
+    return is_full;
+}
+
+/* Tells whether the whole body has been written and none of it read, and how
+ * long it is. */
+bool
+bb_body_is_complete(struct bb_body *b, size_t *size_bytes)
+{
+    bool is_complete;
+
+    (void)pthread_mutex_lock(&b->lock);
+    is_complete = b->end == BODY_WHOLE && b->read_bytes == 0;
+    *size_bytes = (size_t)b->written_bytes;
+    (void)pthread_mutex_unlock(&b->lock);
+    return is_complete;
+}
--- /dev/null
+++ b/proxy/headers.c
@@ -0,0 +1,265 @@
+#include "proxy/headers.h"
+
+#include <ctype.h>
+#include <inttypes.h>
+#include <stdarg.h>
+#include <string.h>
+
+/* Fields that concern one connection only (RFC 9110, 7.6.1), and those that
+ * the HTTP libraries write themselves. */
+static const char *const hop_by_hop[] = {
+    "Connection", "Keep-Alive",        "Proxy-Authenticate",
+    "TE",         "Trailer",           "Proxy-Authorization",
+    "Upgrade",    "Transfer-Encoding", "Proxy-Connection",
+    "Expect",     "Content-Length",    "Host",
+};
+
+static const char own_prefix[] = "Baobab-";
+
+/* Frees the texts of one field. */
+static void
+clear_header(void *data)
+{
+    struct bb_header *h = data;
+
+    g_free(h->name);
+    g_free(h->value);
+}
+
+/* Creates an empty list. */
+struct bb_headers *
+bb_headers_create(void)
+{
+    struct bb_headers *h = g_new0(struct bb_headers, 1);
+
+    h->items = g_array_new(FALSE, TRUE, sizeof(struct bb_header));
+    g_array_set_clear_func(h->items, clear_header);
+    return h;
+}
+
+/* Frees the list; NULL is allowed. */
+void
+bb_headers_destroy(struct bb_headers *h)
+{
+    if (h != NULL) {
+        (void)g_array_free(h->items, TRUE);
+        g_free(h);
+    }
+}
+
+/* Appends a field; the texts are copied. */
+void
+bb_headers_add(struct bb_headers *h, const char *name, const char *value)
+{
+    struct bb_header item = {
+        .name = g_strdup(name),
+        .value = g_strdup(value != NULL ? value : ""),
+    };
+
+    h->size_bytes += strlen(item.name) + strlen(item.value);
+    g_array_append_val(h->items, item);
+}
+
+/* Appends a field with a formatted value. */
+void
+bb_headers_addf(struct bb_headers *h, const char *name, const char *format,
+                ...)
+{
+    va_list args;
+    char *value;
+
+    va_start(args, format);
+    value = g_strdup_vprintf(format, args);
+    va_end(args);
+    bb_headers_add(h, name, value);
+    g_free(value);
+}
+
+/* Returns the first value of a field, or NULL. */
+const char *
+bb_headers_get(const struct bb_headers *h, const char *name)
+{
+    for (guint i = 0; i < h->items->len; i++) {
+        const struct bb_header *item =
+            &g_array_index(h->items, struct bb_header, i);
+
+        if (g_ascii_strcasecmp(item->name, name) == 0) {
+            return item->value;
+        }
+    }
+    return NULL;
+}
+
+/* Parses a field of decimal digits only; false if absent or malformed. */
+bool
+bb_headers_get_u64(const struct bb_headers *h, const char *name,
+                   uint64_t *value)
+{
+    const char *text = bb_headers_get(h, name);
+
+    return text != NULL &&
+           g_ascii_string_to_unsigned(text, 10, 0, UINT64_MAX, value, NULL);
+}
+
+/* Tells whether a character may stand in a field name (RFC 9110, 5.6.2). */
+static bool
+is_token_character(char c)
+{
+    return g_ascii_isalnum(c) ||
+           (c != '\0' && strchr("!#$%&'*+-.^_`|~", c) != NULL);
+}
+
+/* Tells whether a text is a token. */
+static bool
+is_token(const char *text)
+{
+    for (const char *c = text; *c != '\0'; c++) {
+        if (!is_token_character(*c)) {
+            return false;
+        }
+    }
+    return text[0] != '\0';
+}
+
+/* Tells whether a value has no control characters except tabs. */
+static bool
+is_field_value(const char *text)
+{
+    for (const char *c = text; *c != '\0'; c++) {
+        if ((unsigned char)*c < ' ' ? *c != '\t' : *c == '\x7f') {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Parses a Content-Length: digits only, no sign, no list. */
+static bool
+parse_length(const char *text, int64_t *length_bytes)
+{
+    uint64_t value;
+
+    if (!g_ascii_string_to_unsigned(text, 10, 0, INT64_MAX, &value, NULL)) {
+        return false;
+    }
+    *length_bytes = (int64_t)value;
+    return true;
+}
+
+/* Reads how the request's body is delimited. Everything that two parsers
+ * could understand differently is a fault: this is what request smuggling
+ * lives on. Chunked is the only transfer coding accepted. */
+struct bb_framing
+bb_headers_framing(const struct bb_headers *h)
+{
+    struct bb_framing f = {.length_bytes = 0};
+    uint32_t lengths = 0;
+    uint32_t codings = 0;
+    uint32_t hosts = 0;
+
+    for (guint i = 0; i < h->items->len && f.fault == NULL; i++) {
+        const struct bb_header *item =
+            &g_array_index(h->items, struct bb_header, i);
+
+        if (!is_token(item->name)) {
+            f.fault = "malformed field name";
+        }
+        else if (!is_field_value(item->value)) {
+            f.fault = "control character in a field";
+        }
+        else if (g_ascii_strcasecmp(item->name, "Content-Length") == 0) {
+            lengths++;
+            f.fault = parse_length(item->value, &f.length_bytes)
+                          ? NULL
+                          : "malformed Content-Length";
+        }
+        else if (g_ascii_strcasecmp(item->name, "Transfer-Encoding") == 0) {
+            codings++;
+            f.fault = g_ascii_strcasecmp(item->value, "chunked") == 0
+                          ? NULL
+                          : "transfer coding is not chunked alone";
+        }
+        else if (g_ascii_strcasecmp(item->name, "Host") == 0) {
+            hosts++;
+        }
+    }
+    if (f.fault == NULL && lengths + codings > 1) {
+        f.fault = "more than one field delimits the body";
+    }
+    if (f.fault == NULL && hosts > 1) {
+        f.fault = "more than one Host field";
+    }
+    if (f.fault == NULL && h->size_bytes > BB_HEADERS_MAX_BYTES) {
+        f.fault = "header too large";
+    }
+    if (codings > 0) {
+        f.length_bytes = BB_LENGTH_CHUNKED;
+    }
+    f.is_bad = f.fault != NULL;
+    return f;
+}
+
+/* Tells whether a request target is an absolute path of printable ASCII
+ * within the size limit. */
+bool
+bb_url_is_valid(const char *url)
+{
+    size_t length = 0;
+
+    for (const char *c = url; *c != '\0'; c++, length++) {
+        if (!g_ascii_isgraph(*c) || *c == '#') {
+            return false;
+        }
+    }
+    return url[0] == '/' && length <= BB_URL_MAX_BYTES;
+}
+
+/* Tells whether a field ends at this hop: the fixed ones and those listed in
+ * Connection. */
+static bool
+is_hop_by_hop(const char *name, char *const *listed)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(hop_by_hop); i++) {
+        if (g_ascii_strcasecmp(name, hop_by_hop[i]) == 0) {
+            return true;
+        }
+    }
+    for (size_t i = 0; listed != NULL && listed[i] != NULL; i++) {
+        if (g_ascii_strcasecmp(name, g_strstrip(listed[i])) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Copies the fields that are meant for the other end. The fields between
+ * nodes are left out; who needs one adds it. */
+void
+bb_headers_copy_end_to_end(const struct bb_headers *from,
+                           struct bb_headers *to)
+{
+    GString *connection = g_string_new(NULL);
+    char **listed;
+
+    for (guint i = 0; i < from->items->len; i++) {
+        const struct bb_header *item =
+            &g_array_index(from->items, struct bb_header, i);
+
+        if (g_ascii_strcasecmp(item->name, "Connection") == 0) {
+            g_string_append_printf(connection, "%s,", item->value);
+        }
+    }
+    listed = g_strsplit(connection->str, ",", -1);
+    for (guint i = 0; i < from->items->len; i++) {
+        const struct bb_header *item =
+            &g_array_index(from->items, struct bb_header, i);
+
+        if (!is_hop_by_hop(item->name, listed) &&
+            g_ascii_strncasecmp(item->name, own_prefix,
+                                sizeof(own_prefix) - 1) != 0) {
+            bb_headers_add(to, item->name, item->value);
+        }
+    }
+    g_strfreev(listed);
+    (void)g_string_free(connection, TRUE);
+}
--- /dev/null
+++ b/proxy/table.c
@@ -0,0 +1,269 @@
+#include "proxy/table.h"
+
+#include <glib.h>
+#include <pthread.h>
+#include <stdatomic.h>
+#include <string.h>
+#include <urcu/urcu-memb.h>
+
+/* The reference count stands before the public part. */
+struct table {
+    atomic_uint references;
+    struct bb_table public;
+};
+
+struct bb_table_holder {
+    _Atomic(struct bb_table *) current;
+    pthread_mutex_t set_lock; /* one replacement at a time */
+};
+
+static pthread_key_t reader_key;
+static pthread_once_t reader_once = PTHREAD_ONCE_INIT;
+
+/* Returns the allocation that a table is part of. */
+static struct table *
+table_of(struct bb_table *t)
+{
+    return (struct table *)((char *)t - offsetof(struct table, public));
+}
+
+/* Tells whether a member may be sent new work for its service. */
+static bool
+is_usable(const struct bb_config *c, const struct bb_member *m)
+{
+    if (m->role != BB_ROLE_NODE || m->state >= BB_MEMBER_DEAD ||
+        !m->is_reachable || m->upstream_state != BB_UPSTREAM_READY) {
+        return false;
+    }
+    for (uint16_t i = 0; i < c->drain_count; i++) {
+        if (strcmp(c->drains[i].host, m->host) == 0) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Describes a member as seen from the own node. */
+static struct bb_endpoint
+make_endpoint(const struct bb_member *m, const struct bb_own_place *own)
+{
+    struct bb_endpoint e = {
+        .http = m->http,
+        .rpc = m->rpc,
+        .incarnation = m->incarnation,
+        .slots = m->slots,
+        .nearness = strcmp(m->region, own->region) != 0 ? BB_NEAR_OTHER
+                    : strcmp(m->zone, own->zone) != 0   ? BB_NEAR_REGION
+                                                        : BB_NEAR_ZONE,
+        .is_own = strcmp(m->host, own->host) == 0,
+    };
+
+    (void)g_strlcpy(e.host, m->host, sizeof(e.host));
+    return e;
+}
+
+/* Fills in one service with its usable endpoints. */
+static void
+build_service(struct bb_table_service *out, const struct bb_config *c,
+              uint16_t index, const struct bb_member *members, size_t count,
+              const struct bb_own_place *own)
+{
+    const struct bb_service *s = &c->services[index];
+
+    out->settings = *s;
+    out->settings.calls = NULL;
+    out->settings.call_count = 0;
+    if (s->team < c->team_count) {
+        (void)g_strlcpy(out->team, c->teams[s->team].name, sizeof(out->team));
+        out->team_max_in_flight = c->teams[s->team].max_in_flight;
+    }
+    out->endpoints = g_new0(struct bb_endpoint, count);
+    for (size_t i = 0; i < count; i++) {
+        if (strcmp(members[i].service, s->name) == 0 &&
+            is_usable(c, &members[i])) {
+            out->endpoints[out->endpoint_count++] =
+                make_endpoint(&members[i], own);
+        }
+    }
+}
+
+/* Builds a table with one reference; the arguments are copied. */
+struct bb_table *
+bb_table_build(const struct bb_config *c, const struct bb_member *members,
+               size_t count, const struct bb_own_place *own)
+{
+    struct table *allocation = g_new0(struct table, 1);
+    struct bb_table *t = &allocation->public;
+
+    atomic_init(&allocation->references, 1);
+    t->revision = c->revision;
+    t->limits = c->limits;
+    t->service_count = c->service_count;
+    t->services = g_new0(struct bb_table_service, c->service_count);
+    for (uint16_t i = 0; i < c->service_count; i++) {
+        build_service(&t->services[i], c, i, members, count, own);
+    }
+    t->routes = g_new0(struct bb_route, c->route_count);
+    for (uint16_t i = 0; i < c->route_count; i++) {
+        const struct bb_route *r = &c->routes[i];
+
+        t->longest_timeout_ms = MAX(t->longest_timeout_ms, r->timeout_ms);
+        if (r->service < t->service_count &&
+            t->services[r->service].endpoint_count > 0) {
+            t->routes[t->route_count++] = *r;
+        }
+    }
+    return t;
+}
+
+/* Tells whether a path lies at or below a prefix; "/a" does not cover
+ * "/ab". */
+static bool
+covers(const char *prefix, const char *url)
+{
+    size_t length = strlen(prefix);
+
+    if (strncmp(prefix, url, length) != 0) {
+        return false;
+    }
+    return (length > 0 && prefix[length - 1] == '/') || url[length] == '\0' ||
+           url[length] == '/' || url[length] == '?';
+}
+
+/* Returns the route with the longest prefix that accepts the method (one bit
+ * of enum bb_method), or NULL. */
+const struct bb_route *
+bb_table_route(const struct bb_table *t, const char *url, uint32_t method)
+{
+    for (uint16_t i = 0; i < t->route_count; i++) {
+        if ((t->routes[i].methods & method) != 0 &&
+            covers(t->routes[i].path_prefix, url)) {
+            return &t->routes[i];
+        }
+    }
+    return NULL;
+}
+
+/* Returns a service by name, or NULL. */
+const struct bb_table_service *
+bb_table_service(const struct bb_table *t, const char *name)
+{
+    for (uint16_t i = 0; i < t->service_count; i++) {
+        if (strcmp(t->services[i].settings.name, name) == 0) {
+            return &t->services[i];
+        }
+    }
+    return NULL;
+}
+
+/* Returns the endpoint of a host, or NULL. */
+const struct bb_endpoint *
+bb_table_endpoint(const struct bb_table_service *s, const char *host)
+{
+    for (uint32_t i = 0; i < s->endpoint_count; i++) {
+        if (strcmp(s->endpoints[i].host, host) == 0) {
+            return &s->endpoints[i];
+        }
+    }
+    return NULL;
+}
+
+/* Gives a reference back; the last one frees the table. NULL is allowed. */
+void
+bb_table_unref(struct bb_table *t)
+{
+    struct table *allocation;
+
+    if (t == NULL) {
+        return;
+    }
+    allocation = table_of(t);
+    if (atomic_fetch_sub(&allocation->references, 1) != 1) {
+        return;
+    }
+    for (uint16_t i = 0; i < t->service_count; i++) {
+        g_free(t->services[i].endpoints);
+    }
+    g_free(t->services);
+    g_free(t->routes);
+    g_free(allocation);
+}
+
+/* Ends a thread's registration as a reader. */
+static void
+unregister_reader(void *data)
+{
+    (void)data;
+    urcu_memb_unregister_thread();
+}
+
+/* Creates the key whose destructor ends registrations. */
+static void
+create_reader_key(void)
+{
+    (void)pthread_key_create(&reader_key, unregister_reader);
+}
+
+/* Registers the calling thread as a reader once; the library that serves HTTP
+ * starts and ends the threads. */
+static void
+register_reader(void)
+{
+    (void)pthread_once(&reader_once, create_reader_key);
+    if (pthread_getspecific(reader_key) == NULL) {
+        urcu_memb_register_thread();
+        (void)pthread_setspecific(reader_key, &reader_once);
+    }
+}
+
+/* Creates a holder without a table. */
+struct bb_table_holder *
+bb_table_holder_create(void)
+{
+    struct bb_table_holder *h = g_new0(struct bb_table_holder, 1);
+
+    (void)pthread_mutex_init(&h->set_lock, NULL);
+    return h;
+}
+
+/* Puts a table in force and takes over the caller's reference. Returns when
+ * no reader can still be taking a reference to the one before. */
+void
+bb_table_holder_set(struct bb_table_holder *h, struct bb_table *t)
+{
+    struct bb_table *old;
+
+    (void)pthread_mutex_lock(&h->set_lock);
+    old = atomic_exchange(&h->current, t);
+    urcu_memb_synchronize_rcu();
+    (void)pthread_mutex_unlock(&h->set_lock);
+    bb_table_unref(old);
+}
+
+/* Returns a new reference to the table in force, or NULL. */
+struct bb_table *
+bb_table_holder_get(struct bb_table_holder *h)
+{
+    struct bb_table *t;
+
+    register_reader();
+    urcu_memb_read_lock();
+    t = atomic_load(&h->current);
+    if (t != NULL) {
+        (void)atomic_fetch_add(&table_of(t)->references, 1);
+    }
+    urcu_memb_read_unlock();
+    return t;
+}
+
+/* Frees the holder; requests may still hold references to its table. */
+void
+bb_table_holder_destroy(struct bb_table_holder *h)
+{
+    if (h == NULL) {
+        return;
+    }
+    bb_table_holder_set(h, NULL);
+    (void)pthread_mutex_destroy(&h->set_lock);
+    g_free(h);
+}
--- /dev/null
+++ b/proxy/watch.c
@@ -0,0 +1,81 @@
+/* A lock and condition variable shared by the waiting side of a request and
+ * the workers of its attempts. */
+#include <errno.h>
+#include <glib.h>
+#include <stdatomic.h>
+
+#include "common/clock.h"
+#include "proxy/http_client.h"
+
+struct bb_watch {
+    pthread_mutex_t lock;
+    pthread_cond_t changed;
+    atomic_uint references;
+};
+
+/* Creates a watch with one reference. */
+struct bb_watch *
+bb_watch_create(void)
+{
+    struct bb_watch *w = g_new0(struct bb_watch, 1);
+    pthread_condattr_t attributes;
+
+    (void)pthread_mutex_init(&w->lock, NULL);
+    (void)pthread_condattr_init(&attributes);
+    (void)pthread_condattr_setclock(&attributes, CLOCK_MONOTONIC);
+    (void)pthread_cond_init(&w->changed, &attributes);
+    (void)pthread_condattr_destroy(&attributes);
+    atomic_init(&w->references, 1);
+    return w;
+}
+
+/* Takes one more reference. */
+struct bb_watch *
+bb_watch_ref(struct bb_watch *w)
+{
+    (void)atomic_fetch_add(&w->references, 1);
+    return w;
+}
+
+/* Gives a reference back; the last one frees the watch. */
+void
+bb_watch_unref(struct bb_watch *w)
+{
+    if (w == NULL || atomic_fetch_sub(&w->references, 1) != 1) {
+        return;
+    }
+    (void)pthread_cond_destroy(&w->changed);
+    (void)pthread_mutex_destroy(&w->lock);
+    g_free(w);
+}
+
+/* Takes the lock that guards the states of the watch's attempts. */
+void
+bb_watch_lock(struct bb_watch *w)
+{
+    (void)pthread_mutex_lock(&w->lock);
+}
+
+/* Gives the lock back. */
+void
+bb_watch_unlock(struct bb_watch *w)
+{
+    (void)pthread_mutex_unlock(&w->lock);
+}
+
+/* Wakes the waiting side. */
+void
+bb_watch_signal(struct bb_watch *w)
+{
+    (void)pthread_cond_broadcast(&w->changed);
+}
+
+/* Waits, with the lock held, for a signal until end_us; false when the time
+ * has passed. */
+bool
+bb_watch_wait(struct bb_watch *w, uint64_t end_us)
+{
+    struct timespec end = bb_clock_timespec(end_us);
+
+    return pthread_cond_timedwait(&w->changed, &w->lock, &end) != ETIMEDOUT;
+}
--- /dev/null
+++ b/proxy/workers.c
@@ -0,0 +1,305 @@
+#include "proxy/workers.h"
+
+#include <errno.h>
+#include <glib.h>
+#include <pthread.h>
+
+#include "common/clock.h"
+#include "common/counters.h"
+#include "common/log.h"
+
+enum { STACK_BYTES = 256 * 1024, IDLE_MAX_S = 30 };
+
+BB_GAUGE(busy_gauge, "baobab_workers_busy", "Workers that run a call");
+BB_GAUGE(detached_gauge, "baobab_workers_detached",
+         "Workers whose caller has gone");
+
+/* A thread without work, waiting for some. */
+struct idle_worker {
+    pthread_cond_t wake;
+    struct bb_work *work;
+    struct idle_worker *next;
+};
+
+struct bb_workers {
+    pthread_mutex_t lock;
+    pthread_cond_t freed;
+    struct bb_workers_limits limits;
+    uint32_t busy[BB_DEPTH_MAX + 1]; /* by depth, without detached ones */
+    uint32_t detached;
+    uint32_t threads;
+    uint32_t waiting;
+    struct idle_worker *idle; /* the last to become idle first: warm caches */
+    bool is_stopping;
+};
+
+/* Initialises a condition variable on the monotonic clock. */
+static void
+init_condition(pthread_cond_t *c)
+{
+    pthread_condattr_t attributes;
+
+    (void)pthread_condattr_init(&attributes);
+    (void)pthread_condattr_setclock(&attributes, CLOCK_MONOTONIC);
+    (void)pthread_cond_init(c, &attributes);
+    (void)pthread_condattr_destroy(&attributes);
+}
+
+/* Creates a pool; threads start when they are needed. */
+struct bb_workers *
+bb_workers_create(const struct bb_workers_limits *limits)
+{
+    struct bb_workers *p = g_new0(struct bb_workers, 1);
+
+    (void)pthread_mutex_init(&p->lock, NULL);
+    init_condition(&p->freed);
+    p->limits = *limits;
+    return p;
+}
+
+/* Tells whether one more call of this depth keeps every limit: adding it
+ * raises the number of calls of depth <= d for each d from its own on. */
+static bool
+has_room(const struct bb_workers *p, uint32_t depth)
+{
+    uint32_t extra = p->detached > p->limits.detached_max
+                         ? p->detached - p->limits.detached_max
+                         : 0;
+    uint32_t sum = extra;
+
+    for (uint32_t d = 0; d <= BB_DEPTH_MAX; d++) {
+        sum += p->busy[d];
+        if (d >= depth && sum >= p->limits.base + p->limits.step * d) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Publishes the pool's numbers; called with the lock held. */
+static void
+update_gauges(const struct bb_workers *p)
+{
+    uint64_t sum = 0;
+
+    for (uint32_t d = 0; d <= BB_DEPTH_MAX; d++) {
+        sum += p->busy[d];
+    }
+    bb_counter_set(&busy_gauge, sum);
+    bb_counter_set(&detached_gauge, p->detached);
+}
+
+/* Takes the finished work out of the counts; called with the lock held. */
+static void
+account_done(struct bb_workers *p, struct bb_work *w)
+{
+    w->is_done = true;
+    if (w->is_detached) {
+        p->detached--;
+    }
+    else {
+        p->busy[w->depth]--;
+    }
+    update_gauges(p);
+    if (p->waiting > 0) {
+        (void)pthread_cond_broadcast(&p->freed);
+    }
+}
+
+/* Takes an idle thread that gave up waiting out of the list. Called with the
+ * lock held. */
+static void
+remove_idle(struct bb_workers *p, const struct idle_worker *self)
+{
+    struct idle_worker **link = &p->idle;
+
+    while (*link != NULL && *link != self) {
+        link = &(*link)->next;
+    }
+    if (*link != NULL) {
+        *link = self->next;
+    }
+}
+
+/* Waits for work; NULL when the thread has been idle for long or the pool
+ * stops. Called with the lock held. */
+static struct bb_work *
+wait_for_work(struct bb_workers *p, struct idle_worker *self)
+{
+    struct timespec end = bb_clock_timespec(
+        bb_clock_now_us() + (uint64_t)IDLE_MAX_S * BB_US_PER_S);
+
+    self->work = NULL;
+    self->next = p->idle;
+    p->idle = self;
+    while (self->work == NULL && !p->is_stopping) {
+        if (pthread_cond_timedwait(&self->wake, &p->lock, &end) == ETIMEDOUT &&
+            self->work == NULL) {
+            break;
+        }
+    }
+    if (self->work == NULL) {
+        remove_idle(p, self);
+    }
+    return self->work;
+}
+
+struct thread_start {
+    struct bb_workers *pool;
+    struct bb_work *work;
+};
+
+/* Runs units of work until there are none for a while. */
+static void *
+run_worker(void *argument)
+{
+    struct thread_start start = *(struct thread_start *)argument;
+    struct bb_workers *p = start.pool;
+    struct bb_work *w = start.work;
+    struct idle_worker self = {0};
+
+    g_free(argument);
+    init_condition(&self.wake);
+    (void)pthread_mutex_lock(&p->lock);
+    while (w != NULL) {
+        void (*run)(void *) = w->run;
+        void *context = w->context;
+
+        (void)pthread_mutex_unlock(&p->lock);
+        run(context);
+        (void)pthread_mutex_lock(&p->lock);
+        w = wait_for_work(p, &self);
+    }
+    p->threads--;
+    (void)pthread_cond_broadcast(&p->freed);
+    (void)pthread_mutex_unlock(&p->lock);
+    (void)pthread_cond_destroy(&self.wake);
+    return NULL;
+}
+
+/* Starts a thread with its first unit of work. Called with the lock held. */
+static bool
+start_thread(struct bb_workers *p, struct bb_work *w)
+{
+    struct thread_start *start = g_new0(struct thread_start, 1);
+    pthread_attr_t attributes;
+    pthread_t thread;
+    int result;
+
+    *start = (struct thread_start){.pool = p, .work = w};
+    (void)pthread_attr_init(&attributes);
+    (void)pthread_attr_setstacksize(&attributes, STACK_BYTES);
+    (void)pthread_attr_setdetachstate(&attributes, PTHREAD_CREATE_DETACHED);
+    result = pthread_create(&thread, &attributes, run_worker, start);
+    (void)pthread_attr_destroy(&attributes);
+    if (result != 0) {
+        g_free(start);
+        return false;
+    }
+    p->threads++;
+    return true;
+}
+
+/* Hands work to a worker, waiting for room until end_us. The work's run
+ * function must call bb_workers_done as its last use of the work. False when
+ * the time has passed, the pool stops or no thread can be started: the work
+ * has not run then. */
+bool
+bb_workers_submit(struct bb_workers *p, struct bb_work *w, uint64_t end_us)
+{
+    struct timespec end = bb_clock_timespec(end_us);
+    bool is_accepted = false;
+
+    w->depth = MIN(w->depth, (uint32_t)BB_DEPTH_MAX);
+    (void)pthread_mutex_lock(&p->lock);
+    while (!p->is_stopping && !has_room(p, w->depth)) {
+        int result;
+
+        p->waiting++;
+        result = pthread_cond_timedwait(&p->freed, &p->lock, &end);
+        p->waiting--;
+        if (result == ETIMEDOUT && !has_room(p, w->depth)) {
+            goto out;
+        }
+    }
+    if (p->is_stopping) {
+        goto out;
+    }
+    if (p->idle != NULL) {
+        struct idle_worker *worker = p->idle;
+
+        p->idle = worker->next;
+        worker->work = w;
+        (void)pthread_cond_signal(&worker->wake);
+    }
+    else if (!start_thread(p, w)) {
+        goto out;
+    }
+    p->busy[w->depth]++;
+    update_gauges(p);
+    is_accepted = true;
+out:
+    (void)pthread_mutex_unlock(&p->lock);
+    return is_accepted;
+}
+
+/* Reports the end of a unit of work, from its run function. */
+void
+bb_workers_done(struct bb_workers *p, struct bb_work *w)
+{
+    (void)pthread_mutex_lock(&p->lock);
+    account_done(p, w);
+    (void)pthread_mutex_unlock(&p->lock);
+}
+
+/* Stops counting a running unit of work, whose result nobody needs, against
+ * the limit of its depth. */
+void
+bb_workers_detach(struct bb_workers *p, struct bb_work *w)
+{
+    (void)pthread_mutex_lock(&p->lock);
+    if (!w->is_done && !w->is_detached) {
+        w->is_detached = true;
+        p->busy[w->depth]--;
+        p->detached++;
+        update_gauges(p);
+        (void)pthread_cond_broadcast(&p->freed);
+    }
+    (void)pthread_mutex_unlock(&p->lock);
+}
+
+/* Stops the pool and waits for its threads up to the timeout. A worker held
+ * by a silent peer beyond it keeps the pool's memory, which is then left to
+ * the end of the process. */
+void
+bb_workers_destroy(struct bb_workers *p, uint32_t timeout_ms)
+{
+    struct timespec end = bb_clock_timespec(
+        bb_clock_now_us() + (uint64_t)timeout_ms * BB_US_PER_MS);
+    uint32_t left;
+
+    if (p == NULL) {
+        return;
+    }
+    (void)pthread_mutex_lock(&p->lock);
+    p->is_stopping = true;
+    for (struct idle_worker *i = p->idle; i != NULL; i = i->next) {
+        (void)pthread_cond_signal(&i->wake);
+    }
+    (void)pthread_cond_broadcast(&p->freed);
+    while (p->threads > 0) {
+        if (pthread_cond_timedwait(&p->freed, &p->lock, &end) == ETIMEDOUT) {
+            break;
+        }
+    }
+    left = p->threads;
+    (void)pthread_mutex_unlock(&p->lock);
+    if (left > 0) {
+        bb_log_warning("workers.left", "%u workers still wait for a peer",
+                       left);
+        return;
+    }
+    (void)pthread_cond_destroy(&p->freed);
+    (void)pthread_mutex_destroy(&p->lock);
+    g_free(p);
+}
--- /dev/null
+++ b/upstream/announce.c
@@ -0,0 +1,117 @@
+/* The upstream's own requests to its node: announcements and nested calls. */
+#include <inttypes.h>
+#include <jansson.h>
+#include <ne_request.h>
+#include <ne_session.h>
+#include <string.h>
+
+#include "common/clock.h"
+#include "common/log.h"
+#include "upstream/server.h"
+
+enum { CONNECT_TIMEOUT_S = 1, READ_TIMEOUT_S = 2, STATUS_CLASS_OK = 2 };
+
+/* Creates a session with a node; literal addresses need no resolver. */
+static ne_session *
+create_session(const struct bb_address *a, int read_timeout_s)
+{
+    bool is_v6 = strchr(a->ip, ':') != NULL;
+    char host[INET6_ADDRSTRLEN + 2];
+    ne_session *s;
+
+    (void)g_snprintf(host, sizeof(host), is_v6 ? "[%s]" : "%s", a->ip);
+    s = ne_session_create("http", host, a->port);
+    ne_set_connect_timeout(s, CONNECT_TIMEOUT_S);
+    ne_set_read_timeout(s, read_timeout_s);
+    ne_set_session_flag(s, NE_SESSFLAG_PERSIST, 0);
+    return s;
+}
+
+/* Returns the word for a state in announcements. */
+static const char *
+state_name(uint32_t state)
+{
+    switch ((enum bb_upstream_state)state) {
+    case BB_UPSTREAM_STARTING:
+        return "starting";
+    case BB_UPSTREAM_READY:
+        return "ready";
+    case BB_UPSTREAM_DRAINING:
+        return "draining";
+    case BB_UPSTREAM_NONE:
+    case BB_UPSTREAM_LEAVING:
+        break;
+    }
+    return "leaving";
+}
+
+/* Announces the upstream's present state to its node once; a change between
+ * success and failure is logged. */
+void
+bb_upstream_announce(struct bb_upstream *u)
+{
+    static bool has_failed;
+    struct bb_behaviour_values v = bb_behaviour_get(&u->behaviour);
+    char text[BB_ADDRESS_TEXT_BYTES];
+    json_t *body = json_pack(
+        "{s:s,s:s,s:I,s:I,s:s,s:I}", "service", u->service, "address",
+        bb_address_text(&u->listen, text), "slots", (json_int_t)v.slots,
+        "connections", (json_int_t)v.connections, "state",
+        state_name(atomic_load(&u->state)), "lifetime_ms",
+        (json_int_t)u->lifetime_ms);
+    char *dump = json_dumps(body, JSON_COMPACT);
+    ne_session *s = create_session(&u->announce, READ_TIMEOUT_S);
+    ne_request *r = ne_request_create(s, "PUT", "/v1/upstream");
+    bool is_ok;
+
+    ne_add_request_header(r, "Content-Type", "application/json");
+    ne_set_request_body_buffer(r, dump, strlen(dump));
+    is_ok = ne_request_dispatch(r) == NE_OK &&
+            ne_get_status(r)->klass == STATUS_CLASS_OK;
+    if (!is_ok && !has_failed) {
+        bb_log_warning("upstream.announce", "node does not answer: %s",
+                       ne_get_error(s));
+    }
+    else if (is_ok && has_failed) {
+        bb_log_info("upstream.announce", "node answers again");
+    }
+    has_failed = !is_ok;
+    ne_request_destroy(r);
+    ne_session_destroy(s);
+    free(dump);
+    json_decref(body);
+}
+
+/* Calls the first path of a list "/a;/b;/c" through the node and passes on
+ * the rest of the list. False unless the answer came whole with status 2xx
+ * before end_us. */
+bool
+bb_upstream_call_path(const struct bb_upstream *u, const char *paths,
+                      const char *const *fields, size_t field_count,
+                      uint64_t end_us)
+{
+    const char *rest = strchr(paths, ';');
+    char *path = rest != NULL ? g_strndup(paths, (gsize)(rest - paths))
+                              : g_strdup(paths);
+    uint64_t now_us = bb_clock_now_us();
+    uint64_t left_ms = end_us > now_us ? (end_us - now_us) / BB_US_PER_MS : 0;
+    ne_session *s = create_session(
+        &u->node, (int)(left_ms * BB_US_PER_MS / BB_US_PER_S) + 1);
+    ne_request *r = ne_request_create(s, "GET", path);
+    bool is_ok;
+
+    for (size_t i = 0; i < field_count; i++) {
+        ne_add_request_header(r, fields[2 * i], fields[2 * i + 1]);
+    }
+    if (rest != NULL && rest[1] != '\0') {
+        ne_add_request_header(r, BB_CALL_PATH, rest + 1);
+    }
+    ne_print_request_header(r, "Baobab-Deadline-Ms", "%" PRIu64, left_ms);
+    is_ok = u->node.port != 0 && left_ms > 0 &&
+            ne_request_dispatch(r) == NE_OK &&
+            ne_get_status(r)->klass == STATUS_CLASS_OK;
+    ne_request_destroy(r);
+    ne_session_destroy(s);
+    g_free(path);
+    return is_ok;
+}
--- /dev/null
+++ b/upstream/main.c
@@ -0,0 +1,198 @@
+/* baobab-upstream: a simulated upstream for tests and the demo. */
+#include <microhttpd.h>
+#include <ne_socket.h>
+#include <signal.h>
+#include <stdio.h>
+
+#include "common/clock.h"
+#include "common/log.h"
+#include "common/settings.h"
+#include "upstream/server.h"
+
+enum { MS_MAX = 3600 * 1000, STATE_CHECK_MS = 20, NUMBER_MAX = 1000000000 };
+
+struct upstream_settings {
+    struct bb_upstream upstream;
+    struct bb_behaviour_values values;
+    bool is_exponential;
+    bool log_json;
+    uint64_t seed;
+    uint64_t drain_ms;
+};
+
+#define NUMBER_ROW(name_, unit_, help_, default_, min_, max_, target_)        \
+    {                                                                         \
+        .name = (name_), .value_name = (unit_), .help = (help_),              \
+        .kind = BB_SETTING_NUMBER, .default_value = (default_),               \
+        .min = (min_), .max = (max_), .to.number = (target_)                  \
+    }
+
+/* Reads the flags and environment variables. */
+static enum bb_settings_result
+read_settings(struct upstream_settings *s, int argc, char **argv,
+              struct bb_error *e)
+{
+    struct bb_upstream *u = &s->upstream;
+    struct bb_behaviour_values *v = &s->values;
+    const struct bb_setting table[] = {
+        {.name = "listen",
+         .value_name = "IP:PORT",
+         .help = "serve here",
+         .kind = BB_SETTING_ADDRESS,
+         .is_required = true,
+         .to.address = &u->listen},
+        {.name = "host",
+         .value_name = "NAME",
+         .help = "name in answers",
+         .kind = BB_SETTING_TEXT,
+         .default_value = "upstream",
+         .to.text = &u->host},
+        {.name = "service",
+         .value_name = "NAME",
+         .help = "service it is of",
+         .kind = BB_SETTING_TEXT,
+         .is_required = true,
+         .to.text = &u->service},
+        {.name = "announce",
+         .value_name = "IP:PORT",
+         .help = "local address of its node; port 0: none",
+         .kind = BB_SETTING_ADDRESS,
+         .default_value = "127.0.0.1:0",
+         .to.address = &u->announce},
+        {.name = "node",
+         .value_name = "IP:PORT",
+         .help = "caller address of its node, for nested calls",
+         .kind = BB_SETTING_ADDRESS,
+         .default_value = "127.0.0.1:0",
+         .to.address = &u->node},
+        {.name = "exponential",
+         .help = "exponential service times",
+         .kind = BB_SETTING_FLAG,
+         .to.flag = &s->is_exponential},
+        {.name = "log-json",
+         .help = "log lines of JSON",
+         .kind = BB_SETTING_FLAG,
+         .to.flag = &s->log_json},
+        {.name = "shedding",
+         .help = "refuse all work",
+         .kind = BB_SETTING_FLAG,
+         .to.flag = &v->is_shedding},
+        NUMBER_ROW("lifetime-ms", "MS", "lifetime of an announcement", "1500",
+                   30, MS_MAX, &u->lifetime_ms),
+        NUMBER_ROW("idle-timeout-s", "S", "close idle connections", "60", 1,
+                   MS_MAX, &u->idle_timeout_s),
+        NUMBER_ROW("slots", "N", "requests that run at once", "6", 1, 100000,
+                   &v->slots),
+        NUMBER_ROW("connections", "N", "connections accepted", "130", 1,
+                   100000, &v->connections),
+        NUMBER_ROW("service-us", "US", "mean service time", "1000", 0,
+                   NUMBER_MAX, &v->service_us),
+        NUMBER_ROW("long-permille", "N", "share of long work", "0", 0, 1000,
+                   &v->long_permille),
+        NUMBER_ROW("long-factor", "N", "long work takes this much longer",
+                   "50", 1, 100000, &v->long_factor),
+        NUMBER_ROW("cold-start-ms", "MS", "slower for this long", "0", 0,
+                   MS_MAX, &v->cold_start_ms),
+        NUMBER_ROW("cold-factor", "N", "how much slower when cold", "4", 1,
+                   1000, &v->cold_factor),
+        NUMBER_ROW("slow-period-ms", "MS", "period of slow spells; 0: none",
+                   "0", 0, MS_MAX, &v->slow_period_ms),
+        NUMBER_ROW("slow-ms", "MS", "duration of a slow spell", "2000", 0,
+                   MS_MAX, &v->slow_ms),
+        NUMBER_ROW("slow-factor", "N", "how much slower in a spell", "10", 1,
+                   1000, &v->slow_factor),
+        NUMBER_ROW("load-lag-ms", "MS", "age of the reported load", "0", 0,
+                   MS_MAX, &v->load_lag_ms),
+        NUMBER_ROW("load-percent", "N", "share of the load that is reported",
+                   "100", 0, 1000, &v->load_percent),
+        NUMBER_ROW("seed", "N", "seed of the random source", "1", 0,
+                   UINT64_MAX, &s->seed),
+        NUMBER_ROW("drain-ms", "MS", "longest wait for running work", "10000",
+                   0, MS_MAX, &s->drain_ms),
+    };
+    enum bb_settings_result result = bb_settings_read(
+        "baobab-upstream", "Simulated upstream for tests and the demo.", table,
+        sizeof(table) / sizeof(table[0]), argc, argv, NULL, NULL, e);
+
+    v->distribution = s->is_exponential ? BB_DISTRIBUTION_EXPONENTIAL
+                                        : BB_DISTRIBUTION_FIXED;
+    return result;
+}
+
+/* Announces the upstream until a signal asks it to stop. */
+static void
+serve_until_signal(struct bb_upstream *u, const sigset_t *signals)
+{
+    struct timespec interval =
+        bb_clock_timespec(u->lifetime_ms * BB_US_PER_MS / 3);
+
+    do {
+        if (u->announce.port != 0) {
+            bb_upstream_announce(u);
+        }
+    } while (sigtimedwait(signals, NULL, &interval) < 0);
+}
+
+/* Takes no new work and waits for what runs, then says goodbye. */
+static void
+drain(struct bb_upstream *u, uint64_t drain_ms)
+{
+    uint64_t end_us = bb_clock_now_us() + drain_ms * BB_US_PER_MS;
+
+    bb_log_info("upstream.drain", "%u requests in flight",
+                bb_runs_in_flight(u->runs));
+    atomic_store(&u->state, BB_UPSTREAM_DRAINING);
+    if (u->announce.port != 0) {
+        bb_upstream_announce(u);
+    }
+    while (bb_runs_in_flight(u->runs) > 0 && bb_clock_now_us() < end_us) {
+        bb_clock_sleep_us((uint64_t)STATE_CHECK_MS * BB_US_PER_MS);
+    }
+    atomic_store(&u->state, BB_UPSTREAM_LEAVING);
+    if (u->announce.port != 0) {
+        bb_upstream_announce(u);
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    struct upstream_settings s = {0};
+    struct bb_upstream *u = &s.upstream;
+    struct bb_error e = {0};
+    struct MHD_Daemon *daemon;
+    char text[BB_ADDRESS_TEXT_BYTES];
+    sigset_t signals;
+
+    switch (read_settings(&s, argc, argv, &e)) {
+    case BB_SETTINGS_EXIT:
+        return BB_EXIT_OK;
+    case BB_SETTINGS_INVALID:
+        (void)fprintf(stderr, "baobab-upstream: %s\n", e.message);
+        return BB_EXIT_USAGE;
+    case BB_SETTINGS_RUN:
+        break;
+    }
+    (void)sigemptyset(&signals);
+    (void)sigaddset(&signals, SIGTERM);
+    (void)sigaddset(&signals, SIGINT);
+    (void)pthread_sigmask(SIG_BLOCK, &signals, NULL);
+    (void)ne_sock_init();
+    bb_log_start("baobab-upstream", u->host, s.log_json);
+    bb_behaviour_init(&u->behaviour, &s.values, s.seed);
+    u->runs = bb_runs_create(&u->behaviour);
+    atomic_store(&u->state, BB_UPSTREAM_READY);
+    daemon = bb_upstream_serve(u, &e);
+    if (daemon == NULL) {
+        (void)fprintf(stderr, "baobab-upstream: %s\n", e.message);
+        return BB_EXIT_INTERNAL;
+    }
+    bb_log_info("upstream.start", "service %s on %s", u->service,
+                bb_address_text(&u->listen, text));
+    serve_until_signal(u, &signals);
+    drain(u, s.drain_ms);
+    MHD_stop_daemon(daemon);
+    bb_runs_destroy(u->runs);
+    bb_behaviour_clear(&u->behaviour);
+    return BB_EXIT_OK;
+}
--- /dev/null
+++ b/upstream/server.c
@@ -0,0 +1,408 @@
+#include "upstream/server.h"
+
+#include <inttypes.h>
+#include <microhttpd.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "common/clock.h"
+#include "common/digest.h"
+#include "upstream/pattern.h"
+
+enum {
+    ADMIN_BODY_MAX_BYTES = 64 * 1024,
+    ANSWER_BLOCK_BYTES = 64 * 1024,
+    POOL_BYTES = 64 * 1024,
+    STACK_BYTES = 256 * 1024,
+    DEFAULT_DEADLINE_US = 60 * BB_US_PER_S,
+    SILENT_US = 30 * BB_US_PER_S,
+    HEX_BYTES = 20
+};
+
+/* One request in progress. */
+struct call {
+    struct bb_upstream *upstream;
+    struct MHD_Connection *connection;
+    XXH64_state_t *hash;
+    uint64_t body_bytes;
+    uint64_t start_us;
+    GString *admin_body; /* NULL for work */
+    bool is_inner_failed;
+};
+
+/* A streamed answer. */
+struct answer {
+    uint64_t seed;
+    uint64_t size_bytes;
+    uint64_t cut_at_bytes; /* 0: not cut */
+};
+
+/* Returns a header of the request, or NULL. */
+static const char *
+field(const struct call *c, const char *name)
+{
+    return MHD_lookup_connection_value(c->connection, MHD_HEADER_KIND, name);
+}
+
+/* Returns a header that is a whole number, or the default. */
+static uint64_t
+number_field(const struct call *c, const char *name, uint64_t otherwise)
+{
+    const char *text = field(c, name);
+    uint64_t value;
+
+    return text != NULL && g_ascii_string_to_unsigned(text, 10, 0, UINT64_MAX,
+                                                      &value, NULL)
+               ? value
+               : otherwise;
+}
+
+/* Queues a complete text as the answer. */
+static enum MHD_Result
+answer_text(struct call *c, unsigned status, const char *type, GString *text,
+            const char *refused)
+{
+    size_t size = text->len;
+    struct MHD_Response *response = MHD_create_response_from_buffer(
+        size, g_string_free(text, FALSE), MHD_RESPMEM_MUST_FREE);
+    enum MHD_Result result;
+
+    (void)MHD_add_response_header(response, "Content-Type", type);
+    if (refused != NULL) {
+        (void)MHD_add_response_header(response, BB_UPSTREAM_REFUSED, refused);
+    }
+    result = MHD_queue_response(c->connection, status, response);
+    MHD_destroy_response(response);
+    return result;
+}
+
+/* Provides a part of a streamed answer. */
+static ssize_t
+read_answer(void *context, uint64_t position, char *out, size_t size)
+{
+    struct answer *a = context;
+    uint64_t left = a->size_bytes - position;
+
+    if (a->cut_at_bytes > 0 && position >= a->cut_at_bytes) {
+        return MHD_CONTENT_READER_END_WITH_ERROR;
+    }
+    if (left == 0) {
+        return MHD_CONTENT_READER_END_OF_STREAM;
+    }
+    size = MIN(size, left);
+    if (a->cut_at_bytes > 0) {
+        size = MIN(size, a->cut_at_bytes - position);
+    }
+    bb_pattern_fill(a->seed, position, (uint8_t *)out, size);
+    return (ssize_t)size;
+}
+
+/* Creates the body of a successful answer: the requested number of bytes, or
+ * a short text. */
+static struct MHD_Response *
+create_answer(struct call *c, const char *id, const char *digest)
+{
+    struct bb_upstream *u = c->upstream;
+    uint64_t size_bytes = number_field(c, BB_CALL_ANSWER_BYTES, 0);
+    struct answer *a;
+    GString *text;
+    size_t length;
+
+    if (size_bytes > 0) {
+        bool is_cut = bb_behaviour_draw(
+            &u->behaviour, bb_behaviour_get(&u->behaviour).truncate_permille);
+
+        a = g_new0(struct answer, 1);
+        *a = (struct answer){
+            .seed = bb_hash64(id, strlen(id), 0),
+            .size_bytes = size_bytes,
+            .cut_at_bytes = is_cut ? MAX(size_bytes / 2, 1) : 0,
+        };
+        return MHD_create_response_from_callback(
+            size_bytes, ANSWER_BLOCK_BYTES, read_answer, a, g_free);
+    }
+    text = g_string_new(NULL);
+    g_string_printf(text,
+                    "{\"id\":\"%s\",\"host\":\"%s\",\"service\":\"%s\","
+                    "\"bytes\":%" PRIu64 ",\"digest\":\"%s\"}\n",
+                    id, u->host, u->service, c->body_bytes, digest);
+    length = text->len;
+    return MHD_create_response_from_buffer(length, g_string_free(text, FALSE),
+                                           MHD_RESPMEM_MUST_FREE);
+}
+
+/* Queues the answer of work that was done: its id and the digest of the body
+ * that it received. */
+static enum MHD_Result
+answer_work(struct call *c, const char *id)
+{
+    char digest[HEX_BYTES];
+    char bytes[HEX_BYTES + 4];
+    struct MHD_Response *response;
+    enum MHD_Result result;
+
+    (void)g_snprintf(digest, sizeof(digest), "%016" PRIx64,
+                     (uint64_t)XXH64_digest(c->hash));
+    (void)g_snprintf(bytes, sizeof(bytes), "%" PRIu64, c->body_bytes);
+    response = create_answer(c, id, digest);
+    (void)MHD_add_response_header(response, BB_CALL_ID, id);
+    (void)MHD_add_response_header(response, BB_CALL_BODY_DIGEST, digest);
+    (void)MHD_add_response_header(response, BB_CALL_BODY_BYTES, bytes);
+    (void)MHD_add_response_header(response, BB_CALL_HOST, c->upstream->host);
+    result = MHD_queue_response(c->connection, MHD_HTTP_OK, response);
+    MHD_destroy_response(response);
+    return result;
+}
+
+/* Makes the nested calls of a request, in its slot. */
+static void
+run_inner(void *context, uint64_t end_us)
+{
+    static const char *const names[] = {BB_CALL_ID, "Baobab-Depth",
+                                        "Baobab-Request-Id", BB_CALL_WORK_US};
+    struct call *c = context;
+    const char *fields[2 * G_N_ELEMENTS(names)];
+    size_t count = 0;
+
+    for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+        const char *value = field(c, names[i]);
+
+        if (value != NULL && strcmp(names[i], "Baobab-Request-Id") != 0) {
+            fields[count++] = names[i];
+            fields[count++] = value;
+        }
+    }
+    c->is_inner_failed = !bb_upstream_call_path(
+        c->upstream, field(c, BB_CALL_PATH), fields, count / 2, end_us);
+}
+
+/* Returns the id under which a request is recorded. */
+static const char *
+run_id(const struct call *c)
+{
+    const char *id = field(c, "Baobab-Request-Id");
+
+    id = id != NULL ? id : field(c, BB_CALL_ID);
+    id = id != NULL ? id : "-";
+    return strlen(id) < BB_RUN_ID_BYTES && strpbrk(id, "\"\\") == NULL ? id
+                                                                       : "-";
+}
+
+/* Runs one request and answers it. */
+static enum MHD_Result
+do_work(struct call *c)
+{
+    struct bb_upstream *u = c->upstream;
+    const char *id = field(c, BB_CALL_ID);
+    uint64_t deadline_ms = number_field(c, "Baobab-Deadline-Ms", 0);
+    uint64_t end_us =
+        c->start_us + (deadline_ms > 0 ? deadline_ms * BB_US_PER_MS
+                                       : (uint64_t)DEFAULT_DEADLINE_US);
+    struct bb_run_inner inner = {.run = run_inner, .context = c};
+    bool is_nested = field(c, BB_CALL_PATH) != NULL;
+    enum bb_run_outcome outcome;
+
+    if (atomic_load(&u->state) >= BB_UPSTREAM_DRAINING) {
+        return answer_text(c, MHD_HTTP_SERVICE_UNAVAILABLE, "text/plain",
+                           g_string_new("draining\n"), "draining");
+    }
+    outcome = bb_runs_execute(u->runs, run_id(c),
+                              number_field(c, BB_CALL_WORK_US, 0), end_us,
+                              is_nested ? &inner : NULL);
+    if (bb_behaviour_draw(&u->behaviour,
+                          bb_behaviour_get(&u->behaviour).silent_permille)) {
+        bb_clock_sleep_us(SILENT_US);
+    }
+    switch (outcome) {
+    case BB_RUN_DONE:
+        break;
+    case BB_RUN_REFUSED:
+        return answer_text(c, MHD_HTTP_SERVICE_UNAVAILABLE, "text/plain",
+                           g_string_new("shedding\n"), "shedding");
+    case BB_RUN_DEADLINE_WAITING:
+        return answer_text(c, MHD_HTTP_SERVICE_UNAVAILABLE, "text/plain",
+                           g_string_new("deadline\n"), "deadline");
+    case BB_RUN_CANCELLED:
+    case BB_RUN_DEADLINE:
+        return answer_text(c, MHD_HTTP_GATEWAY_TIMEOUT, "text/plain",
+                           g_string_new("not finished\n"), NULL);
+    }
+    if (c->is_inner_failed) {
+        return answer_text(c, MHD_HTTP_BAD_GATEWAY, "text/plain",
+                           g_string_new("nested call failed\n"), NULL);
+    }
+    return answer_work(c, id != NULL ? id : "");
+}
+
+/* Answers POST /v1/behaviour. */
+static enum MHD_Result
+change_behaviour(struct call *c)
+{
+    struct bb_error e = {0};
+    json_t *changes =
+        json_loadb(c->admin_body->str, c->admin_body->len, 0, NULL);
+    bool is_applied = bb_behaviour_apply(&c->upstream->behaviour, changes, &e);
+    GString *text = g_string_new(is_applied ? "applied" : e.message);
+
+    json_decref(changes);
+    g_string_append_c(text, '\n');
+    return answer_text(c, is_applied ? MHD_HTTP_OK : MHD_HTTP_BAD_REQUEST,
+                       "text/plain", text, NULL);
+}
+
+/* Answers the requests that are about the upstream itself. */
+static enum MHD_Result
+do_admin(struct call *c, const char *url, const char *method)
+{
+    struct bb_upstream *u = c->upstream;
+    GString *text = g_string_new(NULL);
+    uint32_t busy;
+    uint32_t waiting;
+
+    if (strcmp(url, "/v1/load") == 0) {
+        bb_runs_load(u->runs, &busy, &waiting);
+        g_string_printf(text, "{\"busy\":%u,\"waiting\":%u}\n", busy, waiting);
+    }
+    else if (strcmp(url, "/v1/ran") == 0 && strcmp(method, "DELETE") == 0) {
+        bb_runs_forget(u->runs);
+    }
+    else if (strcmp(url, "/v1/ran") == 0) {
+        bb_runs_write(u->runs, text);
+    }
+    else if (strcmp(url, "/v1/cancel") == 0 && strcmp(method, "POST") == 0) {
+        const char *id = MHD_lookup_connection_value(
+            c->connection, MHD_GET_ARGUMENT_KIND, "id");
+        bool is_found = id != NULL && bb_runs_cancel(u->runs, id);
+
+        g_string_printf(text, "{\"cancelled\":%s}\n",
+                        is_found ? "true" : "false");
+    }
+    else if (strcmp(url, "/v1/behaviour") == 0 &&
+             strcmp(method, "POST") == 0) {
+        (void)g_string_free(text, TRUE);
+        return change_behaviour(c);
+    }
+    else if (strcmp(url, "/v1/behaviour") == 0) {
+        json_t *values = bb_behaviour_json(&u->behaviour);
+        char *dump = json_dumps(values, JSON_COMPACT);
+
+        g_string_printf(text, "%s\n", dump);
+        free(dump);
+        json_decref(values);
+    }
+    else {
+        g_string_assign(text, "no such resource\n");
+        return answer_text(c, MHD_HTTP_NOT_FOUND, "text/plain", text, NULL);
+    }
+    return answer_text(c, MHD_HTTP_OK, "application/json", text, NULL);
+}
+
+/* Creates the state of a request whose head has arrived. */
+static struct call *
+create_call(struct bb_upstream *u, struct MHD_Connection *connection,
+            const char *url)
+{
+    struct call *c = g_new0(struct call, 1);
+
+    c->upstream = u;
+    c->connection = connection;
+    c->start_us = bb_clock_now_us();
+    if (g_str_has_prefix(url, "/v1/")) {
+        c->admin_body = g_string_new(NULL);
+    }
+    else {
+        c->hash = XXH64_createState();
+        (void)XXH64_reset(c->hash, 0);
+    }
+    return c;
+}
+
+/* Handles the head, each part of the body and the end of a request. */
+static enum MHD_Result
+on_request(void *context, struct MHD_Connection *connection, const char *url,
+           const char *method, const char *version, const char *data,
+           size_t *size, void **state)
+{
+    struct call *c = *state;
+
+    (void)version;
+    if (c == NULL) {
+        *state = create_call(context, connection, url);
+        return MHD_YES;
+    }
+    if (*size > 0) {
+        if (c->admin_body == NULL) {
+            (void)XXH64_update(c->hash, data, *size);
+        }
+        else if (c->admin_body->len + *size > ADMIN_BODY_MAX_BYTES) {
+            return MHD_NO;
+        }
+        else {
+            g_string_append_len(c->admin_body, data, (gssize)*size);
+        }
+        c->body_bytes += *size;
+        *size = 0;
+        return MHD_YES;
+    }
+    return c->admin_body != NULL ? do_admin(c, url, method) : do_work(c);
+}
+
+/* Frees the state of a request. */
+static void
+on_completed(void *context, struct MHD_Connection *connection, void **state,
+             enum MHD_RequestTerminationCode code)
+{
+    struct call *c = *state;
+
+    (void)context;
+    (void)connection;
+    (void)code;
+    if (c == NULL) {
+        return;
+    }
+    if (c->admin_body != NULL) {
+        (void)g_string_free(c->admin_body, TRUE);
+    }
+    (void)XXH64_freeState(c->hash);
+    g_free(c);
+    *state = NULL;
+}
+
+/* Starts serving; a listen port of 0 is replaced by the one taken. Returns
+ * NULL if the address cannot be used. */
+struct MHD_Daemon *
+bb_upstream_serve(struct bb_upstream *u, struct bb_error *e)
+{
+    struct sockaddr_storage address;
+    const union MHD_DaemonInfo *info;
+    struct MHD_Daemon *d;
+    unsigned flags = MHD_USE_THREAD_PER_CONNECTION |
+                     MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL |
+                     MHD_USE_ITC;
+
+    (void)bb_address_sockaddr(&u->listen, &address);
+    if (address.ss_family == AF_INET6) {
+        flags |= MHD_USE_IPv6;
+    }
+    d = MHD_start_daemon(
+        flags, u->listen.port, NULL, NULL, on_request, u, MHD_OPTION_SOCK_ADDR,
+        &address, MHD_OPTION_NOTIFY_COMPLETED, on_completed, NULL,
+        MHD_OPTION_CONNECTION_LIMIT,
+        (unsigned)bb_behaviour_get(&u->behaviour).connections,
+        MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)POOL_BYTES,
+        MHD_OPTION_THREAD_STACK_SIZE, (size_t)STACK_BYTES,
+        MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)u->idle_timeout_s,
+        MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
+    if (d == NULL) {
+        char text[BB_ADDRESS_TEXT_BYTES];
+
+        bb_error_set(e, 1, "cannot listen on %s",
+                     bb_address_text(&u->listen, text));
+        return NULL;
+    }
+    info = MHD_get_daemon_info(d, MHD_DAEMON_INFO_BIND_PORT);
+    if (info != NULL && u->listen.port == 0) {
+        u->listen.port = info->port;
+    }
+    return d;
+}
--- /dev/null
+++ b/upstream/work.c
@@ -0,0 +1,278 @@
+#include "upstream/work.h"
+
+#include <errno.h>
+#include <inttypes.h>
+#include <pthread.h>
+
+#include "common/clock.h"
+
+enum {
+    RECORD_MAX = 400000, /* beyond it the oldest half is dropped */
+    LOAD_SAMPLES = 4096
+};
+
+/* A request that waits for a slot or runs; on the stack of its thread. */
+struct run {
+    const char *id;
+    bool is_cancelled;
+};
+
+struct record {
+    char *id;
+    uint64_t start_us;
+    uint64_t end_us;
+    enum bb_run_outcome outcome;
+};
+
+struct load_sample {
+    uint64_t time_us;
+    uint32_t busy;
+    uint32_t waiting;
+};
+
+struct bb_runs {
+    struct bb_behaviour *behaviour;
+    pthread_mutex_t lock;
+    pthread_cond_t changed;
+    GPtrArray *active; /* of struct run */
+    GArray *records;   /* of struct record */
+    uint64_t dropped;
+    uint32_t busy;
+    uint32_t waiting;
+    struct load_sample samples[LOAD_SAMPLES];
+    uint64_t sample_count;
+};
+
+/* Frees the text of one record. */
+static void
+clear_record(void *data)
+{
+    g_free(((struct record *)data)->id);
+}
+
+/* Creates an empty set of runs. */
+struct bb_runs *
+bb_runs_create(struct bb_behaviour *behaviour)
+{
+    struct bb_runs *r = g_new0(struct bb_runs, 1);
+    pthread_condattr_t attributes;
+
+    r->behaviour = behaviour;
+    (void)pthread_mutex_init(&r->lock, NULL);
+    (void)pthread_condattr_init(&attributes);
+    (void)pthread_condattr_setclock(&attributes, CLOCK_MONOTONIC);
+    (void)pthread_cond_init(&r->changed, &attributes);
+    (void)pthread_condattr_destroy(&attributes);
+    r->active = g_ptr_array_new();
+    r->records = g_array_new(FALSE, FALSE, sizeof(struct record));
+    g_array_set_clear_func(r->records, clear_record);
+    return r;
+}
+
+/* Frees the runs; none may be active. */
+void
+bb_runs_destroy(struct bb_runs *r)
+{
+    (void)g_ptr_array_free(r->active, TRUE);
+    (void)g_array_free(r->records, TRUE);
+    (void)pthread_cond_destroy(&r->changed);
+    (void)pthread_mutex_destroy(&r->lock);
+    g_free(r);
+}
+
+/* Keeps the load of this moment for reports that lag. */
+static void
+sample_load(struct bb_runs *r)
+{
+    r->samples[r->sample_count++ % LOAD_SAMPLES] = (struct load_sample){
+        .time_us = bb_clock_now_us(),
+        .busy = r->busy,
+        .waiting = r->waiting,
+    };
+}
+
+/* Appends to the record of what ran. */
+static void
+add_record(struct bb_runs *r, const char *id, uint64_t start_us,
+           enum bb_run_outcome outcome)
+{
+    struct record item = {
+        .id = g_strdup(id),
+        .start_us = start_us,
+        .end_us = bb_clock_now_us(),
+        .outcome = outcome,
+    };
+
+    if (r->records->len >= RECORD_MAX) {
+        (void)g_array_remove_range(r->records, 0, RECORD_MAX / 2);
+        r->dropped += RECORD_MAX / 2;
+    }
+    g_array_append_val(r->records, item);
+}
+
+/* Waits, with the lock held, until the time or a cancellation. */
+static void
+wait_until(struct bb_runs *r, const struct run *run, uint64_t until_us)
+{
+    struct timespec until = bb_clock_timespec(until_us);
+
+    while (!run->is_cancelled && pthread_cond_timedwait(&r->changed, &r->lock,
+                                                        &until) != ETIMEDOUT) {
+    }
+}
+
+/* Waits for a free slot; false when cancelled or past the end. */
+static bool
+take_slot(struct bb_runs *r, const struct run *run, uint64_t end_us)
+{
+    struct timespec end = bb_clock_timespec(end_us);
+    bool has_time = true;
+
+    r->waiting++;
+    sample_load(r);
+    while (has_time && !run->is_cancelled &&
+           r->busy >= bb_behaviour_get(r->behaviour).slots) {
+        has_time =
+            pthread_cond_timedwait(&r->changed, &r->lock, &end) != ETIMEDOUT;
+    }
+    r->waiting--;
+    if (!has_time || run->is_cancelled) {
+        return false;
+    }
+    r->busy++;
+    sample_load(r);
+    return true;
+}
+
+/* Runs one request in a slot: waits for the slot, then for the service time
+ * (wanted_us, or drawn if 0), then for the inner work unless it is NULL. Ends
+ * early at end_us and on cancellation. */
+enum bb_run_outcome
+bb_runs_execute(struct bb_runs *r, const char *id, uint64_t wanted_us,
+                uint64_t end_us, const struct bb_run_inner *inner)
+{
+    struct run run = {.id = id};
+    enum bb_run_outcome outcome = BB_RUN_DEADLINE_WAITING;
+    uint64_t start_us;
+    uint64_t until_us;
+
+    if (bb_behaviour_get(r->behaviour).is_shedding) {
+        return BB_RUN_REFUSED;
+    }
+    (void)pthread_mutex_lock(&r->lock);
+    g_ptr_array_add(r->active, &run);
+    if (!take_slot(r, &run, end_us)) {
+        goto out;
+    }
+    start_us = bb_clock_now_us();
+    until_us =
+        start_us + bb_behaviour_service_us(r->behaviour, start_us, wanted_us);
+    wait_until(r, &run, MIN(until_us, end_us));
+    outcome = run.is_cancelled    ? BB_RUN_CANCELLED
+              : until_us > end_us ? BB_RUN_DEADLINE
+                                  : BB_RUN_DONE;
+    if (outcome == BB_RUN_DONE && inner != NULL) {
+        (void)pthread_mutex_unlock(&r->lock);
+        inner->run(inner->context, end_us);
+        (void)pthread_mutex_lock(&r->lock);
+    }
+    add_record(r, id, start_us, outcome);
+    r->busy--;
+    sample_load(r);
+    (void)pthread_cond_broadcast(&r->changed);
+out:
+    (void)g_ptr_array_remove_fast(r->active, &run);
+    (void)pthread_mutex_unlock(&r->lock);
+    return outcome;
+}
+
+/* Cancels the active request with an id; false if there is none. */
+bool
+bb_runs_cancel(struct bb_runs *r, const char *id)
+{
+    bool is_found = false;
+
+    (void)pthread_mutex_lock(&r->lock);
+    for (guint i = 0; i < r->active->len; i++) {
+        struct run *run = g_ptr_array_index(r->active, i);
+
+        if (g_strcmp0(run->id, id) == 0) {
+            run->is_cancelled = true;
+            is_found = true;
+        }
+    }
+    (void)pthread_cond_broadcast(&r->changed);
+    (void)pthread_mutex_unlock(&r->lock);
+    return is_found;
+}
+
+/* Returns the number of requests that wait or run. */
+uint32_t
+bb_runs_in_flight(struct bb_runs *r)
+{
+    uint32_t count;
+
+    (void)pthread_mutex_lock(&r->lock);
+    count = r->active->len;
+    (void)pthread_mutex_unlock(&r->lock);
+    return count;
+}
+
+/* Returns the load as it is reported: late by the configured lag and scaled
+ * by the configured percentage. */
+void
+bb_runs_load(struct bb_runs *r, uint32_t *busy, uint32_t *waiting)
+{
+    struct bb_behaviour_values v = bb_behaviour_get(r->behaviour);
+    uint64_t lag_us = v.load_lag_ms * BB_US_PER_MS;
+    uint64_t at_us = bb_clock_now_us() - lag_us;
+    struct load_sample s = {0};
+
+    (void)pthread_mutex_lock(&r->lock);
+    for (uint64_t i = 0; i < MIN(r->sample_count, (uint64_t)LOAD_SAMPLES);
+         i++) {
+        s = r->samples[(r->sample_count - 1 - i) % LOAD_SAMPLES];
+        if (s.time_us <= at_us) {
+            break;
+        }
+    }
+    (void)pthread_mutex_unlock(&r->lock);
+    *busy = (uint32_t)(s.busy * v.load_percent / 100);
+    *waiting = (uint32_t)(s.waiting * v.load_percent / 100);
+}
+
+/* Writes the record as JSON Lines: a line of counts, then one per run. Ids
+ * consist of visible ASCII without quotes, which the server checks. */
+void
+bb_runs_write(struct bb_runs *r, GString *out)
+{
+    static const char *const names[] = {"done", "cancelled", "deadline"};
+
+    (void)pthread_mutex_lock(&r->lock);
+    g_string_append_printf(out,
+                           "{\"runs\":%" PRIu64 ",\"dropped\":%" PRIu64
+                           ",\"busy\":%u,\"waiting\":%u}\n",
+                           r->records->len + r->dropped, r->dropped, r->busy,
+                           r->waiting);
+    for (guint i = 0; i < r->records->len; i++) {
+        const struct record *item =
+            &g_array_index(r->records, struct record, i);
+
+        g_string_append_printf(out,
+                               "{\"id\":\"%s\",\"start_us\":%" PRIu64
+                               ",\"end_us\":%" PRIu64 ",\"outcome\":\"%s\"}\n",
+                               item->id, item->start_us, item->end_us,
+                               names[item->outcome]);
+    }
+    (void)pthread_mutex_unlock(&r->lock);
+}
+
+/* Empties the record. */
+void
+bb_runs_forget(struct bb_runs *r)
+{
+    (void)pthread_mutex_lock(&r->lock);
+    (void)g_array_set_size(r->records, 0);
+    r->dropped = 0;
+    (void)pthread_mutex_unlock(&r->lock);
+}
