--- a/include/proxy/body.h
+++ b/include/proxy/body.h
@@ -35,8 +35,8 @@
 void bb_body_abandon(struct bb_body *b);
 ssize_t bb_body_read(struct bb_body *b, void *data, size_t size_bytes,
                      uint32_t timeout_ms);
-bool bb_body_rewind(struct bb_body *b);
-bool bb_body_is_full(struct bb_body *b);
+ssize_t bb_body_read_at(struct bb_body *b, uint64_t position, void *data,
+                        size_t size_bytes);
 bool bb_body_is_complete(struct bb_body *b, size_t *size_bytes);
 
 #endif
--- /dev/null
+++ b/include/proxy/gatekeeper.h
@@ -0,0 +1,132 @@
+/* Admission control of the upstream beside this node: what runs there, what
+ * waits, and the record of non-idempotent requests. It alone knows what its
+ * upstream runs, so its limits are exact.
+ *
+ * Lock order: the gatekeeper's lock comes before those of bodies; a watch's
+ * lock is never taken inside it. */
+#ifndef BB_PROXY_GATEKEEPER_H
+#define BB_PROXY_GATEKEEPER_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "common/address.h"
+#include "decide/admission.h"
+#include "decide/reason.h"
+#include "decide/record.h"
+#include "mesh/member.h"
+#include "proxy/headers.h"
+#include "proxy/table.h"
+
+enum {
+    BB_STORED_ANSWER_MAX_BYTES = 64 * 1024, /* longer ones are not kept */
+    BB_LOAD_TEXT_BYTES = 64
+};
+
+/* The answer of a request that ran, kept for repeats of it. */
+struct bb_stored_answer {
+    gint references;
+    uint32_t status;
+    struct bb_headers *headers;
+    GByteArray *body;
+};
+
+/* What an upstream announces about itself. */
+struct bb_announcement {
+    char service[BB_NAME_BYTES];
+    struct bb_address address;
+    uint32_t slots;
+    uint32_t connections;
+    enum bb_upstream_state state;
+    uint32_t lifetime_ms;
+};
+
+typedef void (*bb_upstream_changed)(void *context, const char *service,
+                                    uint32_t slots, uint32_t connections,
+                                    enum bb_upstream_state state);
+
+struct bb_gatekeeper_settings {
+    uint64_t incarnation;
+    uint32_t record_entries; /* a power of two */
+    uint32_t retention_s;
+    uint64_t stored_max_bytes; /* of all kept answers together */
+    bb_upstream_changed changed;
+    void *changed_context;
+};
+
+struct bb_gate_request {
+    const char *service;
+    struct bb_request_id id;
+    bool is_idempotent;
+    uint64_t incarnation; /* it is meant for; BB_INCARNATION_ANY */
+    enum bb_admission_class work_class;
+    uint64_t deadline_us;
+};
+
+/* A slot of the upstream; given back exactly once. */
+struct bb_ticket {
+    struct bb_gatekeeper *gatekeeper;
+    uint64_t admission_id;
+    struct bb_request_id id;
+    bool is_recorded;
+    uint64_t start_us;
+    struct bb_address upstream;
+};
+
+enum bb_gate_kind {
+    BB_GATE_RUN,    /* ticket is set */
+    BB_GATE_REFUSE, /* reason and ran are set */
+    BB_GATE_STORED  /* stored is set, or NULL if the answer was not kept */
+};
+
+struct bb_gate_result {
+    enum bb_gate_kind kind;
+    enum bb_reason reason;
+    enum bb_ran ran;
+    struct bb_ticket *ticket;
+    struct bb_stored_answer *stored;
+};
+
+/* How the upstream dealt with a request. */
+enum bb_ticket_end {
+    BB_TICKET_ANSWERED,
+    BB_TICKET_NOT_SENT, /* no connection */
+    BB_TICKET_REFUSED,  /* the upstream said that it did not run */
+    BB_TICKET_LOST
+};
+
+struct bb_gatekeeper;
+
+struct bb_gatekeeper *
+bb_gatekeeper_create(const struct bb_gatekeeper_settings *s);
+void bb_gatekeeper_destroy(struct bb_gatekeeper *g);
+void bb_gatekeeper_announce(struct bb_gatekeeper *g,
+                            const struct bb_announcement *a);
+void bb_gatekeeper_configure(struct bb_gatekeeper *g,
+                             const struct bb_table *t);
+void bb_gatekeeper_stop(struct bb_gatekeeper *g);
+void bb_gatekeeper_tick(struct bb_gatekeeper *g);
+struct bb_gate_result bb_gatekeeper_enter(struct bb_gatekeeper *g,
+                                          const struct bb_gate_request *r);
+void bb_gatekeeper_leave(struct bb_ticket *t, enum bb_ticket_end end,
+                         struct bb_stored_answer *answer);
+void bb_gatekeeper_upstream_refused(struct bb_gatekeeper *g,
+                                    enum bb_reason reason);
+enum bb_query_result bb_gatekeeper_query(struct bb_gatekeeper *g,
+                                         const struct bb_request_id *id,
+                                         uint64_t incarnation);
+struct bb_stored_answer *bb_gatekeeper_stored(struct bb_gatekeeper *g,
+                                              const struct bb_request_id *id);
+bool bb_gatekeeper_cancel(struct bb_gatekeeper *g,
+                          const struct bb_request_id *id,
+                          struct bb_address *upstream);
+bool bb_gatekeeper_upstream(struct bb_gatekeeper *g,
+                            struct bb_announcement *a);
+uint32_t bb_gatekeeper_running(struct bb_gatekeeper *g);
+const char *bb_gatekeeper_load(struct bb_gatekeeper *g,
+                               char text[BB_LOAD_TEXT_BYTES]);
+struct bb_stored_answer *bb_stored_answer_create(void);
+void bb_stored_answer_unref(struct bb_stored_answer *a);
+
+#endif
--- a/include/proxy/http_client.h
+++ b/include/proxy/http_client.h
@@ -37,6 +37,16 @@
     BB_ATTEMPT_LOST /* sent, and no answer will come */
 };
 
+struct bb_attempt;
+
+/* Called by the worker exactly once, when the peer is done with the request:
+ * before a short answer or a failure is reported, and after the last byte of
+ * a long answer. The kept answer is NULL if it is too long or not whole; the
+ * callee may take its contents. */
+typedef void (*bb_attempt_finished)(void *context, const struct bb_attempt *a,
+                                    bool is_sent, bool is_whole,
+                                    GByteArray *kept);
+
 struct bb_attempt_request {
     struct bb_address peer;
     const char *method;
@@ -44,9 +54,13 @@
     const struct bb_headers *headers;
     struct bb_body *body; /* NULL without one */
     int64_t length_bytes; /* of the body, or BB_LENGTH_CHUNKED */
+    bool is_replayable;   /* the body is whole in its ring */
     bool expect_continue; /* let the peer refuse before the body is sent */
     bool use_new_connection;
-    bool keep_head_only; /* do not wait for the body of a short answer */
+    bool must_finish;    /* read the answer to its end for the callback */
+    uint32_t keep_bytes; /* longest answer kept for the callback */
+    bb_attempt_finished finished; /* NULL: none */
+    void *finished_context;
     uint32_t read_timeout_s;
     uint32_t idle_timeout_ms;
     uint32_t depth;
@@ -56,6 +70,7 @@
  * BB_ATTEMPT_HEAD. */
 struct bb_attempt {
     enum bb_attempt_state state;
+    bool has_taken_body; /* guarded too: part of a body that streams is gone */
     uint32_t status;
     struct bb_headers *headers;
     struct bb_body *answer;
--- /dev/null
+++ b/include/proxy/internal.h
@@ -0,0 +1,159 @@
+/* Shared by the modules of the proxy: the proxy itself and one exchange, which
+ * is a request from its first byte to the last byte of its answer. */
+#ifndef BB_PROXY_INTERNAL_H
+#define BB_PROXY_INTERNAL_H
+
+#include <microhttpd.h>
+#include <stdatomic.h>
+
+#include "common/random.h"
+#include "decide/probe.h"
+#include "proxy/body.h"
+#include "proxy/gatekeeper.h"
+#include "proxy/headers.h"
+#include "proxy/http_client.h"
+#include "proxy/picker.h"
+#include "proxy/proxy.h"
+#include "proxy/table.h"
+
+enum {
+    BB_ID_TEXT_BYTES = 2 * BB_REQUEST_ID_BYTES + 1,
+    BB_LEGS_MAX = 2, /* an attempt and its hedge */
+    BB_HOST_TEXT_BYTES = 64
+};
+
+#define BB_UPSTREAM_REFUSED_FIELD "X-Upstream-Refused"
+
+struct bb_proxy {
+    struct bb_proxy_settings settings;
+    char host[BB_NAME_BYTES];
+    char zone[BB_NAME_BYTES];
+    char region[BB_NAME_BYTES];
+    struct bb_table_holder *table;
+    struct bb_workers *workers;
+    struct bb_http_client *client;
+    struct bb_gatekeeper *gatekeeper;
+    struct bb_picker *picker;
+    struct bb_random *random;
+    struct MHD_Daemon *caller_daemon;
+    struct MHD_Daemon *local_daemon;
+    struct bb_address caller_address;
+    struct bb_address local_address;
+    pthread_t ticker;
+    bool has_ticker;
+    atomic_bool is_stopping;
+    atomic_bool is_draining;
+    atomic_uint in_flight;
+};
+
+/* One attempt in progress. */
+struct bb_leg {
+    bool is_used;
+    struct bb_attempt *attempt; /* NULL after its connection broke */
+    const struct bb_endpoint *endpoint;
+    uint64_t key;
+    bool is_local;         /* straight to the own upstream */
+    bool is_stored_answer; /* asks for the kept answer only */
+    uint64_t start_us;
+    struct bb_probe probe;
+};
+
+enum bb_outcome_kind {
+    BB_OUTCOME_NONE, /* not decided yet */
+    BB_OUTCOME_ANSWER,
+    BB_OUTCOME_STORED,
+    BB_OUTCOME_REFUSED
+};
+
+struct bb_outcome {
+    enum bb_outcome_kind kind;
+    struct bb_attempt *attempt;
+    struct bb_stored_answer *stored;
+    enum bb_reason reason;
+    enum bb_ran ran;
+};
+
+struct bb_exchange {
+    struct bb_proxy *proxy;
+    struct MHD_Connection *connection; /* NULL until the head is complete */
+    struct bb_table *table;
+    const struct bb_route *route;
+    const struct bb_table_service *service;
+    const char *service_name;
+    struct bb_headers *headers;
+    char *method;
+    char *url;
+    int64_t length_bytes;
+    struct bb_body *body;
+    uint64_t received_bytes;
+    bool is_streaming;  /* sent on while it arrives, so tried only once */
+    bool is_discarding; /* the outcome is known, the rest is read away */
+    bool is_counted;
+    bool is_forwarded;
+    bool is_idempotent;
+    bool wants_stored;
+    struct bb_request_id id;
+    char id_text[BB_ID_TEXT_BYTES];
+    uint64_t incarnation;
+    uint64_t start_us;
+    uint64_t deadline_us;
+    uint32_t depth;
+    enum bb_admission_class work_class;
+    uint32_t idle_timeout_ms;
+    struct bb_watch *watch;
+    struct bb_leg legs[BB_LEGS_MAX];
+    uint32_t attempts;
+    uint32_t hedges;
+    uint64_t excluded[BB_PICK_EXCLUDED_MAX];
+    uint32_t excluded_count;
+    struct bb_outcome outcome;
+};
+
+/* exchange.c */
+struct bb_exchange *bb_exchange_create(struct bb_proxy *p, const char *url);
+void bb_exchange_destroy(struct bb_exchange *x);
+enum MHD_Result bb_exchange_handle(struct bb_exchange *x,
+                                   struct MHD_Connection *connection,
+                                   const char *method, const char *data,
+                                   size_t *size);
+void bb_exchange_refuse(struct bb_exchange *x, enum bb_reason reason,
+                        enum bb_ran ran);
+
+/* request.c: reads the head of a request */
+void bb_request_read(struct bb_exchange *x, const char *method);
+const char *bb_id_text(const struct bb_request_id *id,
+                       char text[BB_ID_TEXT_BYTES]);
+bool bb_id_parse(const char *text, struct bb_request_id *id);
+
+/* entry.c: runs attempts until the outcome is known; with until_sending, only
+ * until the peer takes the body */
+void bb_entry_run(struct bb_exchange *x, bool until_sending);
+void bb_entry_release(struct bb_exchange *x);
+
+/* leg.c: one attempt at the own upstream or at another node */
+struct bb_outcome bb_leg_start_local(struct bb_exchange *x,
+                                     struct bb_leg *leg);
+struct bb_outcome bb_leg_start_peer(struct bb_exchange *x, struct bb_leg *leg);
+enum bb_reason bb_leg_upstream_refusal(const struct bb_attempt *a);
+void bb_leg_cancel(struct bb_exchange *x, const struct bb_leg *leg);
+
+/* rpc.c: QUERY, CANCEL and CLAIM */
+bool bb_rpc_query(struct bb_exchange *x, const struct bb_leg *leg,
+                  enum bb_query_result *result);
+void bb_rpc_cancel(struct bb_proxy *p, const struct bb_address *to,
+                   const struct bb_request_id *id);
+void bb_rpc_forget(const struct bb_proxy *p);
+void bb_cancel_here(struct bb_proxy *p, const struct bb_request_id *id);
+
+/* answer.c */
+enum MHD_Result bb_answer_queue(struct bb_exchange *x);
+
+/* announce.c: PUT /v1/upstream on the local address */
+struct bb_local_request;
+enum MHD_Result bb_local_handle(struct bb_proxy *p,
+                                struct MHD_Connection *connection,
+                                const char *url, const char *method,
+                                const char *data, size_t *size, void **state);
+void bb_local_completed(void **state);
+
+#endif
--- /dev/null
+++ b/include/proxy/proxy.h
@@ -0,0 +1,56 @@
+/* The data path of a node: an HTTP server for callers and other nodes, one
+ * for the own upstream, the gatekeeper of that upstream, and the client side.
+ *
+ * Lock order: every lock of the proxy is a leaf except where a header says
+ * otherwise; the table is read under RCU. */
+#ifndef BB_PROXY_PROXY_H
+#define BB_PROXY_PROXY_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "common/address.h"
+#include "common/error.h"
+#include "decide/claim.h"
+#include "mesh/rpc.h"
+#include "proxy/gatekeeper.h"
+#include "proxy/table.h"
+#include "proxy/workers.h"
+
+enum bb_proxy_error { BB_PROXY_ERROR_LISTEN = 1 };
+
+/* Numbers that are 0 take the default in brackets. */
+struct bb_proxy_settings {
+    const char *host;
+    const char *zone;
+    const char *region;
+    struct bb_address caller_listen; /* port 0: any */
+    struct bb_address local_listen;  /* for the own upstream only */
+    uint64_t incarnation;
+    uint64_t seed;
+    struct bb_workers_limits workers; /* [64, 16 a depth, 64 detached] */
+    struct bb_rpc_pool *rpc;     /* owned by the caller, outlives the proxy */
+    uint32_t connection_limit;   /* [4096] */
+    uint32_t idle_timeout_ms;    /* [10000] slow readers and senders */
+    uint32_t silent_check_ms;    /* [1000] */
+    uint32_t record_entries;     /* [131072], a power of two */
+    uint32_t retention_s;        /* [600] until a configuration says more */
+    bool restarted_without_data; /* this host may have granted claims */
+    bb_upstream_changed upstream_changed;
+    void *context;
+};
+
+struct bb_proxy;
+
+struct bb_proxy *bb_proxy_create(const struct bb_proxy_settings *s,
+                                 struct bb_error *e);
+struct bb_address bb_proxy_caller_address(const struct bb_proxy *p);
+struct bb_address bb_proxy_local_address(const struct bb_proxy *p);
+void bb_proxy_set_table(struct bb_proxy *p, struct bb_table *t);
+bool bb_proxy_register(struct bb_proxy *p, struct bb_rpc_server *server,
+                       struct bb_error *e);
+uint32_t bb_proxy_in_flight(const struct bb_proxy *p);
+bool bb_proxy_drain(struct bb_proxy *p, uint32_t timeout_ms);
+void bb_proxy_destroy(struct bb_proxy *p);
+
+#endif
--- a/include/proxy/workers.h
+++ b/include/proxy/workers.h
@@ -38,6 +38,6 @@
                        uint64_t end_us);
 void bb_workers_done(struct bb_workers *p, struct bb_work *w);
 void bb_workers_detach(struct bb_workers *p, struct bb_work *w);
-void bb_workers_destroy(struct bb_workers *p, uint32_t timeout_ms);
+bool bb_workers_destroy(struct bb_workers *p, uint32_t timeout_ms);
 
 #endif
--- /dev/null
+++ b/proxy/announce.c
@@ -0,0 +1,156 @@
+/* PUT /v1/upstream on the local address: the own upstream announces itself.
+ */
+#include <jansson.h>
+#include <string.h>
+
+#include "common/log.h"
+#include "proxy/internal.h"
+
+enum {
+    BODY_MAX_BYTES = 4096,
+    LIFETIME_MAX_MS = 600 * 1000,
+    NUMBER_MAX = 1000000
+};
+
+/* One request at the local address. */
+struct bb_local_request {
+    GString *body;
+};
+
+static const char *const state_names[] = {
+    [BB_UPSTREAM_STARTING] = "starting",
+    [BB_UPSTREAM_READY] = "ready",
+    [BB_UPSTREAM_DRAINING] = "draining",
+    [BB_UPSTREAM_LEAVING] = "leaving",
+};
+
+/* Reads a state by its name. */
+static bool
+parse_state(const char *name, enum bb_upstream_state *state)
+{
+    for (int i = BB_UPSTREAM_STARTING; i <= BB_UPSTREAM_LEAVING; i++) {
+        if (name != NULL && strcmp(state_names[i], name) == 0) {
+            *state = (enum bb_upstream_state)i;
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Reads a whole number within limits from an object. */
+static bool
+parse_number(const json_t *object, const char *key, json_int_t max,
+             uint32_t *out)
+{
+    const json_t *value = json_object_get(object, key);
+
+    if (!json_is_integer(value) || json_integer_value(value) < 1 ||
+        json_integer_value(value) > max) {
+        return false;
+    }
+    *out = (uint32_t)json_integer_value(value);
+    return true;
+}
+
+/* Reads an announcement; every member is required and checked. */
+static bool
+parse_announcement(const GString *body, struct bb_announcement *a)
+{
+    json_t *object =
+        json_loadb(body->str, body->len, JSON_REJECT_DUPLICATES, NULL);
+    const char *service =
+        json_string_value(json_object_get(object, "service"));
+    const char *address =
+        json_string_value(json_object_get(object, "address"));
+    const char *state = json_string_value(json_object_get(object, "state"));
+    bool is_ok =
+        service != NULL && service[0] != '\0' &&
+        g_strlcpy(a->service, service, sizeof(a->service)) <
+            sizeof(a->service) &&
+        address != NULL && bb_address_parse(address, &a->address) &&
+        parse_state(state, &a->state) &&
+        parse_number(object, "slots", NUMBER_MAX, &a->slots) &&
+        parse_number(object, "connections", NUMBER_MAX, &a->connections) &&
+        parse_number(object, "lifetime_ms", LIFETIME_MAX_MS, &a->lifetime_ms);
+
+    json_decref(object);
+    return is_ok;
+}
+
+/* Answers with a short text. */
+static enum MHD_Result
+answer(struct MHD_Connection *connection, unsigned status, const char *text)
+{
+    struct MHD_Response *r = MHD_create_response_from_buffer(
+        strlen(text), (void *)text, MHD_RESPMEM_MUST_COPY);
+    enum MHD_Result result = MHD_queue_response(connection, status, r);
+
+    MHD_destroy_response(r);
+    return result;
+}
+
+/* Takes an announcement whose body is complete. */
+static enum MHD_Result
+take(struct bb_proxy *p, struct MHD_Connection *connection,
+     const struct bb_local_request *l)
+{
+    struct bb_announcement a = {0};
+    struct bb_table *t;
+
+    if (!parse_announcement(l->body, &a)) {
+        return answer(connection, MHD_HTTP_BAD_REQUEST,
+                      "needs service, address, slots, connections, state and "
+                      "lifetime_ms\n");
+    }
+    bb_gatekeeper_announce(p->gatekeeper, &a);
+    t = bb_table_holder_get(p->table);
+    if (t != NULL) {
+        bb_gatekeeper_configure(p->gatekeeper, t);
+        bb_table_unref(t);
+    }
+    return answer(connection, MHD_HTTP_OK, "noted\n");
+}
+
+/* Handles one step of a request at the local address. */
+enum MHD_Result
+bb_local_handle(struct bb_proxy *p, struct MHD_Connection *connection,
+                const char *url, const char *method, const char *data,
+                size_t *size, void **state)
+{
+    struct bb_local_request *l = *state;
+
+    if (l == NULL) {
+        l = g_new0(struct bb_local_request, 1);
+        l->body = g_string_new(NULL);
+        *state = l;
+        return MHD_YES;
+    }
+    if (*size > 0) {
+        if (l->body->len + *size > BODY_MAX_BYTES) {
+            return MHD_NO;
+        }
+        g_string_append_len(l->body, data, (gssize)*size);
+        *size = 0;
+        return MHD_YES;
+    }
+    if (strcmp(url, "/v1/upstream") != 0) {
+        return answer(connection, MHD_HTTP_NOT_FOUND, "no such resource\n");
+    }
+    if (strcmp(method, "PUT") != 0) {
+        return answer(connection, MHD_HTTP_METHOD_NOT_ALLOWED, "use PUT\n");
+    }
+    return take(p, connection, l);
+}
+
+/* Frees the state of a request at the local address. */
+void
+bb_local_completed(void **state)
+{
+    struct bb_local_request *l = *state;
+
+    if (l != NULL) {
+        (void)g_string_free(l->body, TRUE);
+        g_free(l);
+        *state = NULL;
+    }
+}
--- /dev/null
+++ b/proxy/answer.c
@@ -0,0 +1,191 @@
+/* Answers to callers and to other nodes. A body of unknown or large size is
+ * passed through the ring; if it breaks, the connection is closed without the
+ * final chunk, so that the receiver sees it. */
+#include <inttypes.h>
+#include <string.h>
+
+#include "common/clock.h"
+#include "common/counters.h"
+#include "proxy/internal.h"
+
+enum { BLOCK_BYTES = 64 * 1024, WHOLE_MAX_BYTES = 16 * 1024 };
+
+BB_COUNTER(answers_total, "baobab_answers_total", "Answers passed on");
+BB_COUNTER(broken_total, "baobab_answers_broken_total",
+           "Answers that broke off after their head was sent");
+
+/* A body on its way from the ring to the connection. */
+struct stream {
+    struct bb_body *body;
+    uint32_t idle_timeout_ms;
+};
+
+/* Provides the HTTP library with the next part of an answer. */
+static ssize_t
+read_stream(void *context, uint64_t position, char *out, size_t size)
+{
+    struct stream *s = context;
+    ssize_t count = bb_body_read(s->body, out, size, s->idle_timeout_ms);
+
+    (void)position;
+    if (count > 0) {
+        return count;
+    }
+    if (count == 0) {
+        return MHD_CONTENT_READER_END_OF_STREAM;
+    }
+    bb_counter_add(&broken_total, 1);
+    return MHD_CONTENT_READER_END_WITH_ERROR;
+}
+
+/* Frees a stream; the writer learns that nobody reads any more. */
+static void
+free_stream(void *context)
+{
+    struct stream *s = context;
+
+    bb_body_abandon(s->body);
+    bb_body_unref(s->body);
+    g_free(s);
+}
+
+/* Creates a response whose body is complete and short: header and body leave
+ * in one write. */
+static struct MHD_Response *
+create_whole(struct bb_body *body, size_t size)
+{
+    char *data = g_malloc(size + 1);
+    size_t count = 0;
+
+    while (count < size) {
+        ssize_t n = bb_body_read(body, data + count, size - count, 0);
+
+        if (n <= 0) {
+            break;
+        }
+        count += (size_t)n;
+    }
+    return MHD_create_response_from_buffer_with_free_callback(count, data,
+                                                              g_free);
+}
+
+/* Creates the response for an attempt's answer. */
+static struct MHD_Response *
+create_response(const struct bb_exchange *x, const struct bb_attempt *a)
+{
+    bool is_head = strcmp(x->method, "HEAD") == 0;
+    uint64_t size = a->answer_length_bytes >= 0
+                        ? (uint64_t)a->answer_length_bytes
+                        : MHD_SIZE_UNKNOWN;
+    struct stream *s;
+    size_t whole;
+
+    if (!is_head && bb_body_is_complete(a->answer, &whole) &&
+        whole <= WHOLE_MAX_BYTES) {
+        return create_whole(a->answer, whole);
+    }
+    s = g_new0(struct stream, 1);
+    *s = (struct stream){
+        .body = bb_body_ref(a->answer),
+        .idle_timeout_ms = x->idle_timeout_ms,
+    };
+    return MHD_create_response_from_callback(size, BLOCK_BYTES, read_stream, s,
+                                             free_stream);
+}
+
+/* Adds a list of fields to a response. */
+static void
+add_headers(struct MHD_Response *r, const struct bb_headers *h)
+{
+    for (guint i = 0; i < h->items->len; i++) {
+        const struct bb_header *item =
+            &g_array_index(h->items, struct bb_header, i);
+
+        (void)MHD_add_response_header(r, item->name, item->value);
+    }
+}
+
+/* Adds the fields of the proxy itself. Another node is told the load and the
+ * incarnation, a caller is not. */
+static void
+add_own_headers(const struct bb_exchange *x, struct MHD_Response *r)
+{
+    char text[BB_LOAD_TEXT_BYTES];
+
+    if (x->id_text[0] != '\0') {
+        (void)MHD_add_response_header(r, BB_HEADER_ID, x->id_text);
+    }
+    (void)MHD_add_response_header(r, "Via", "1.1 baobab");
+    if (x->is_forwarded) {
+        (void)MHD_add_response_header(
+            r, BB_HEADER_LOAD, bb_gatekeeper_load(x->proxy->gatekeeper, text));
+        (void)g_snprintf(text, sizeof(text), "%" PRIu64,
+                         x->proxy->settings.incarnation);
+        (void)MHD_add_response_header(r, BB_HEADER_INCARNATION, text);
+    }
+}
+
+/* Creates the response for a refusal, which says why and whether the request
+ * may have run. */
+static struct MHD_Response *
+create_refusal(const struct bb_exchange *x)
+{
+    const char *name = bb_reason_name(x->outcome.reason);
+    bool is_not_run = x->outcome.ran == BB_RAN_NO;
+    char *text = g_strdup_printf("refused: %s, ran: %s\n", name,
+                                 is_not_run ? "no" : "unknown");
+    struct MHD_Response *r =
+        MHD_create_response_from_buffer_with_free_callback(strlen(text), text,
+                                                           g_free);
+
+    bb_reason_count_refusal(x->outcome.reason, x->outcome.ran);
+    (void)MHD_add_response_header(r, "Content-Type", "text/plain");
+    (void)MHD_add_response_header(r, BB_HEADER_REFUSED, name);
+    (void)MHD_add_response_header(r, BB_HEADER_RAN,
+                                  is_not_run ? "no" : "unknown");
+    if (x->outcome.reason == BB_REASON_BAD_REQUEST) {
+        (void)MHD_add_response_header(r, "Connection", "close");
+    }
+    return r;
+}
+
+/* Queues the answer for the outcome of an exchange. */
+enum MHD_Result
+bb_answer_queue(struct bb_exchange *x)
+{
+    struct MHD_Response *r = NULL;
+    struct bb_headers *h = bb_headers_create();
+    unsigned status = 0;
+    enum MHD_Result result;
+
+    switch (x->outcome.kind) {
+    case BB_OUTCOME_ANSWER:
+        status = x->outcome.attempt->status;
+        r = create_response(x, x->outcome.attempt);
+        bb_headers_copy_end_to_end(x->outcome.attempt->headers, h);
+        break;
+    case BB_OUTCOME_STORED:
+        status = x->outcome.stored->status;
+        r = MHD_create_response_from_buffer(x->outcome.stored->body->len,
+                                            x->outcome.stored->body->data,
+                                            MHD_RESPMEM_MUST_COPY);
+        bb_headers_copy_end_to_end(x->outcome.stored->headers, h);
+        break;
+    case BB_OUTCOME_REFUSED:
+    case BB_OUTCOME_NONE:
+        status = bb_reason_http_status(x->outcome.reason);
+        r = create_refusal(x);
+        break;
+    }
+    if (r == NULL) {
+        bb_headers_destroy(h);
+        return MHD_NO;
+    }
+    add_headers(r, h);
+    add_own_headers(x, r);
+    bb_counter_add(&answers_total, 1);
+    result = MHD_queue_response(x->connection, status, r);
+    MHD_destroy_response(r);
+    bb_headers_destroy(h);
+    return result;
+}
--- a/proxy/body.c
+++ b/proxy/body.c
@@ -232,34 +232,25 @@
     return result;
 }
 
-/* Moves the reader back to the first byte, so that the body can be sent
- * again. False once bytes may have been overwritten. */
-bool
-bb_body_rewind(struct bb_body *b)
+/* Copies bytes of a complete body that still is whole in the ring, from a
+ * position on, without taking them: several attempts can send it. Returns
+ * their number, 0 at the end and BB_BODY_BROKEN if the body is not there. */
+ssize_t
+bb_body_read_at(struct bb_body *b, uint64_t position, void *data,
+                size_t size_bytes)
 {
-    bool can_rewind;
+    ssize_t result = BB_BODY_BROKEN;
 
     (void)pthread_mutex_lock(&b->lock);
-    can_rewind = b->written_bytes <= BB_BODY_CAPACITY_BYTES;
-    if (can_rewind) {
-        b->read_bytes = 0;
-        b->is_abandoned = false;
-        (void)pthread_cond_broadcast(&b->changed);
+    if (b->end == BODY_WHOLE && b->read_bytes == 0 &&
+        b->written_bytes <= b->capacity_bytes &&
+        position <= b->written_bytes) {
+        size_bytes = MIN(size_bytes, (size_t)(b->written_bytes - position));
+        memcpy(data, b->data + position, size_bytes);
+        result = (ssize_t)size_bytes;
     }
     (void)pthread_mutex_unlock(&b->lock);
-    return can_rewind;
-}
-
-/* Tells whether the next write would wait for the reader. */
-bool
-bb_body_is_full(struct bb_body *b)
-{
-    bool is_full;
-
-    (void)pthread_mutex_lock(&b->lock);
-    is_full = b->written_bytes - b->read_bytes >= BB_BODY_CAPACITY_BYTES;
-    (void)pthread_mutex_unlock(&b->lock);
-    return is_full;
+    return result;
 }
 
 /* Tells whether the whole body has been written and none of it read, and how
--- /dev/null
+++ b/proxy/entry.c
@@ -0,0 +1,577 @@
+/* The course of a request at its entry: which gatekeeper, repeats, hedges,
+ * silent and broken connections, deadline. At a gatekeeper the same loop runs
+ * with a single attempt at the own upstream. */
+#include <poll.h>
+#include <string.h>
+
+#include "common/clock.h"
+#include "common/counters.h"
+#include "common/digest.h"
+#include "proxy/internal.h"
+
+enum {
+    GONE_CHECK_US = 50 * BB_US_PER_MS, /* for callers that closed */
+    LINK_OVERHEAD_BYTES = 4096         /* fields and a usual answer */
+};
+
+BB_COUNTER(hedges_total, "baobab_hedges_total", "Second attempts sent");
+BB_COUNTER(gone_total, "baobab_callers_gone_total",
+           "Requests whose caller closed the connection");
+
+enum event { EVENT_TIMER, EVENT_SENDING, EVENT_LEG };
+
+/* Sets the outcome to a refusal. */
+static void
+refuse(struct bb_exchange *x, enum bb_reason reason, enum bb_ran ran)
+{
+    x->outcome = (struct bb_outcome){
+        .kind = BB_OUTCOME_REFUSED, .reason = reason, .ran = ran};
+}
+
+/* Returns the number of attempts in progress. */
+static uint32_t
+active_legs(const struct bb_exchange *x)
+{
+    uint32_t count = 0;
+
+    for (int i = 0; i < BB_LEGS_MAX; i++) {
+        count += x->legs[i].is_used;
+    }
+    return count;
+}
+
+/* Ends a leg: reports to the picker and lets go of its attempt, unless the
+ * outcome keeps it. */
+static void
+end_leg(struct bb_exchange *x, struct bb_leg *leg, enum bb_pick_end end)
+{
+    if (!x->is_forwarded) {
+        bb_picker_end(x->proxy->picker, x->service_name, leg->key,
+                      x->work_class, leg->start_us, end, bb_clock_now_us());
+    }
+    if (leg->attempt != x->outcome.attempt) {
+        bb_attempt_release(leg->attempt);
+    }
+    *leg = (struct bb_leg){0};
+}
+
+/* Ends all legs that are still in progress, whose work is not needed. */
+static void
+cancel_legs(struct bb_exchange *x)
+{
+    for (int i = 0; i < BB_LEGS_MAX; i++) {
+        if (x->legs[i].is_used) {
+            bb_leg_cancel(x, &x->legs[i]);
+            end_leg(x, &x->legs[i], BB_PICK_CANCELLED);
+        }
+    }
+}
+
+/* Lets go of everything that an exchange still holds of its attempts. */
+void
+bb_entry_release(struct bb_exchange *x)
+{
+    cancel_legs(x);
+    bb_attempt_release(x->outcome.attempt);
+    bb_stored_answer_unref(x->outcome.stored);
+    x->outcome.attempt = NULL;
+    x->outcome.stored = NULL;
+}
+
+/* Leaves a gatekeeper out of later picks. */
+static void
+exclude(struct bb_exchange *x, uint64_t key)
+{
+    if (x->excluded_count < BB_PICK_EXCLUDED_MAX) {
+        x->excluded[x->excluded_count++] = key;
+    }
+}
+
+/* Chooses a gatekeeper; NULL with a reason if there is none. */
+static const struct bb_endpoint *
+pick(struct bb_exchange *x, struct bb_leg *leg, bool is_hedge,
+     enum bb_reason *reason)
+{
+    const struct bb_table_service *s = x->service;
+    struct bb_pick_target *targets =
+        g_new(struct bb_pick_target, s->endpoint_count);
+    struct bb_pick_question q = {
+        .service = x->service_name,
+        .targets = targets,
+        .work_class = x->work_class,
+        .is_idempotent = x->is_idempotent,
+        .link_bytes = (uint64_t)MAX(x->length_bytes, 0) + LINK_OVERHEAD_BYTES,
+        .excluded_count = x->excluded_count,
+        .random_bits = bb_random_u64(x->proxy->random),
+    };
+    const struct bb_endpoint *chosen = NULL;
+    int32_t index;
+
+    memcpy(q.excluded, x->excluded, sizeof(q.excluded));
+    for (uint32_t i = 0; i < s->endpoint_count; i++) {
+        const struct bb_endpoint *e = &s->endpoints[i];
+        uint64_t key = bb_hash64(e->host, strlen(e->host), 0);
+
+        targets[q.target_count++] = (struct bb_pick_target){
+            .key = key, .nearness = e->nearness, .slots = e->slots};
+        /* A hedge does not wait in the own queue. */
+        if (is_hedge && e->is_own && q.excluded_count < BB_PICK_EXCLUDED_MAX) {
+            q.excluded[q.excluded_count++] = key;
+        }
+    }
+    leg->start_us = bb_clock_now_us();
+    index = bb_picker_pick(x->proxy->picker, &q, leg->start_us, reason);
+    if (index >= 0) {
+        chosen = &s->endpoints[index];
+        leg->key = targets[index].key;
+    }
+    g_free(targets);
+    return chosen;
+}
+
+/* Tells whether part of a body that streams has been taken, so that no other
+ * attempt can send it. */
+static bool
+is_body_gone(const struct bb_exchange *x, const struct bb_leg *leg)
+{
+    bool is_gone;
+
+    if (!x->is_streaming) {
+        return false;
+    }
+    bb_watch_lock(x->watch);
+    is_gone = leg->attempt == NULL || leg->attempt->has_taken_body;
+    bb_watch_unlock(x->watch);
+    return is_gone;
+}
+
+/* Decides what follows a refused or failed attempt: a repeat elsewhere, or
+ * the refusal as the outcome. */
+static void
+after_failure(struct bb_exchange *x, uint64_t key, enum bb_reason reason,
+              enum bb_ran ran, bool has_sent_body)
+{
+    uint64_t now_us = bb_clock_now_us();
+    struct bb_repeat_question q = {
+        .service = x->service_name,
+        .reason = reason,
+        .ran = ran,
+        .is_idempotent = x->is_idempotent,
+        .work_class = x->work_class,
+        .attempts = x->attempts,
+        .remaining_us = x->deadline_us > now_us ? x->deadline_us - now_us : 0,
+        .random_bits = bb_random_u64(x->proxy->random),
+    };
+    enum bb_reason final = reason;
+    uint64_t delay_us = 0;
+
+    if (active_legs(x) > 0) {
+        return;
+    }
+    q.retry_limit = x->is_forwarded ? 0 : x->route->retry_limit;
+    if (x->is_forwarded || has_sent_body ||
+        !bb_picker_may_repeat(x->proxy->picker, &q, &delay_us, &final)) {
+        refuse(x, final, ran);
+        return;
+    }
+    bb_reason_count_retry(reason);
+    exclude(x, key);
+    bb_clock_sleep_us(delay_us);
+}
+
+/* Starts an attempt in a free leg. */
+static void
+start_leg(struct bb_exchange *x, struct bb_leg *leg, bool is_hedge)
+{
+    enum bb_reason reason = BB_REASON_NONE;
+    struct bb_outcome o;
+    uint64_t key;
+
+    *leg = (struct bb_leg){.is_local = x->is_forwarded};
+    if (!x->is_forwarded) {
+        leg->endpoint = pick(x, leg, is_hedge, &reason);
+        if (leg->endpoint == NULL) {
+            if (!is_hedge) {
+                refuse(x, reason, BB_RAN_NO);
+            }
+            return;
+        }
+        leg->is_local = leg->endpoint->is_own;
+    }
+    x->attempts++;
+    leg->is_used = true;
+    o = leg->is_local ? bb_leg_start_local(x, leg) : bb_leg_start_peer(x, leg);
+    switch (o.kind) {
+    case BB_OUTCOME_NONE:
+        bb_probe_init(&leg->probe, x->is_idempotent,
+                      (uint64_t)x->proxy->settings.silent_check_ms *
+                          BB_US_PER_MS,
+                      x->deadline_us, bb_clock_now_us());
+        break;
+    case BB_OUTCOME_REFUSED:
+        key = leg->key;
+        end_leg(x, leg, BB_PICK_REFUSED);
+        after_failure(x, key, o.reason, o.ran, false);
+        break;
+    case BB_OUTCOME_ANSWER:
+    case BB_OUTCOME_STORED:
+        end_leg(x, leg, BB_PICK_CANCELLED);
+        x->outcome = o;
+        break;
+    }
+}
+
+/* Tells whether a second attempt may be made beside the first, and when. */
+static bool
+hedge_time(const struct bb_exchange *x, struct bb_hedge_request *q,
+           uint64_t *at_us)
+{
+    uint64_t now_us = bb_clock_now_us();
+
+    if (x->is_forwarded || !x->is_idempotent || x->body != NULL ||
+        active_legs(x) != 1 || x->hedges >= x->route->hedge_limit ||
+        x->service->endpoint_count < 2) {
+        return false;
+    }
+    *q = (struct bb_hedge_request){
+        .service = x->service_name,
+        .is_idempotent = true,
+        .work_class = x->work_class,
+        .hedges = x->hedges,
+        .hedge_limit = x->route->hedge_limit,
+        .elapsed_us = now_us - x->start_us,
+        .remaining_us = x->deadline_us > now_us ? x->deadline_us - now_us : 0,
+        .hedge_after_us = (uint64_t)x->route->hedge_after_ms * BB_US_PER_MS,
+    };
+    *at_us = x->start_us + bb_picker_hedge_delay_us(x->proxy->picker, q);
+    return true;
+}
+
+/* Sends a second attempt if its time has come and the budget allows it. */
+static void
+try_hedge(struct bb_exchange *x)
+{
+    struct bb_hedge_request q;
+    uint64_t at_us;
+    struct bb_leg *first = NULL;
+    struct bb_leg *second = NULL;
+    uint32_t excluded_count = x->excluded_count;
+
+    if (!hedge_time(x, &q, &at_us) || bb_clock_now_us() < at_us) {
+        return;
+    }
+    x->hedges++; /* also when it is not allowed: asked once */
+    if (!bb_picker_may_hedge(x->proxy->picker, &q)) {
+        return;
+    }
+    for (int i = 0; i < BB_LEGS_MAX; i++) {
+        if (x->legs[i].is_used) {
+            first = &x->legs[i];
+        }
+        else {
+            second = &x->legs[i];
+        }
+    }
+    exclude(x, first->key);
+    start_leg(x, second, true);
+    x->excluded_count = excluded_count;
+    if (second->is_used && second->key == first->key) {
+        end_leg(x, second, BB_PICK_CANCELLED);
+        return;
+    }
+    bb_counter_add(&hedges_total, second->is_used);
+}
+
+/* Returns when the waiting side must look again without a signal. */
+static uint64_t
+wake_time(const struct bb_exchange *x)
+{
+    uint64_t wake_us = MIN(x->deadline_us, bb_clock_now_us() + GONE_CHECK_US);
+    struct bb_hedge_request q;
+    uint64_t hedge_us;
+
+    if (hedge_time(x, &q, &hedge_us)) {
+        wake_us = MIN(wake_us, hedge_us);
+    }
+    for (int i = 0; i < BB_LEGS_MAX; i++) {
+        const struct bb_leg *leg = &x->legs[i];
+
+        if (leg->is_used && !leg->is_local) {
+            wake_us = MIN(wake_us, bb_probe_wake_us(&leg->probe));
+        }
+    }
+    return wake_us;
+}
+
+/* Waits until an attempt has news or it is time to look again. */
+static enum event
+wait_for_event(struct bb_exchange *x, bool until_sending, struct bb_leg **out)
+{
+    enum event event = EVENT_TIMER;
+    uint64_t wake_us = wake_time(x);
+    bool has_time = true;
+
+    bb_watch_lock(x->watch);
+    while (event == EVENT_TIMER) {
+        for (int i = 0; i < BB_LEGS_MAX && event == EVENT_TIMER; i++) {
+            const struct bb_attempt *a = x->legs[i].attempt;
+
+            if (a == NULL || a->state == BB_ATTEMPT_STARTED) {
+                continue;
+            }
+            if (a->state != BB_ATTEMPT_SENDING) {
+                event = EVENT_LEG;
+                *out = &x->legs[i];
+            }
+            else if (until_sending) {
+                event = EVENT_SENDING;
+            }
+        }
+        if (event != EVENT_TIMER || !has_time) {
+            break;
+        }
+        has_time = bb_watch_wait(x->watch, wake_us);
+    }
+    bb_watch_unlock(x->watch);
+    return event;
+}
+
+/* Returns the refusal that an answer carries, if it is one: by the gatekeeper
+ * of another node, or by the own upstream. */
+static bool
+is_refusal(const struct bb_leg *leg, enum bb_reason *reason, enum bb_ran *ran)
+{
+    const struct bb_attempt *a = leg->attempt;
+    const char *text;
+
+    if (leg->is_local) {
+        enum bb_reason r = bb_leg_upstream_refusal(a);
+
+        *reason = r;
+        *ran = BB_RAN_NO;
+        return r != BB_REASON_NONE;
+    }
+    text = bb_headers_get(a->headers, BB_HEADER_REFUSED);
+    if (text == NULL) {
+        return false;
+    }
+    *reason = BB_REASON_UPSTREAM_BROKEN;
+    (void)bb_reason_parse(text, reason);
+    text = bb_headers_get(a->headers, BB_HEADER_RAN);
+    *ran =
+        text != NULL && strcmp(text, "no") == 0 ? BB_RAN_NO : BB_RAN_UNKNOWN;
+    return true;
+}
+
+/* An answer's head has arrived. */
+static void
+on_head(struct bb_exchange *x, struct bb_leg *leg)
+{
+    bool has_sent_body = is_body_gone(x, leg);
+    uint64_t key = leg->key;
+    enum bb_reason reason;
+    enum bb_ran ran;
+
+    if (!leg->is_local) {
+        bb_picker_report(x->proxy->picker, x->service_name, leg->key,
+                         bb_headers_get(leg->attempt->headers, BB_HEADER_LOAD),
+                         bb_clock_now_us());
+    }
+    if (is_refusal(leg, &reason, &ran)) {
+        end_leg(x, leg, BB_PICK_REFUSED);
+        after_failure(x, key, reason, ran, has_sent_body);
+        return;
+    }
+    x->outcome = (struct bb_outcome){.kind = BB_OUTCOME_ANSWER,
+                                     .attempt = leg->attempt};
+    end_leg(x, leg, BB_PICK_ANSWERED);
+    cancel_legs(x);
+}
+
+/* A request was sent and its connection broke. */
+static void
+on_lost(struct bb_exchange *x, struct bb_leg *leg)
+{
+    bool has_sent_body = is_body_gone(x, leg);
+    uint64_t key = leg->key;
+    bool is_local = leg->is_local;
+
+    if (leg->is_stored_answer) {
+        end_leg(x, leg, BB_PICK_FAILED);
+        refuse(x, BB_REASON_CONNECTION_LOST, BB_RAN_UNKNOWN);
+        return;
+    }
+    if (!is_local && !x->is_idempotent) {
+        bb_probe_broken(&leg->probe, bb_clock_now_us());
+        bb_attempt_release(leg->attempt);
+        leg->attempt = NULL;
+        return;
+    }
+    end_leg(x, leg, BB_PICK_FAILED);
+    after_failure(x, key,
+                  is_local ? BB_REASON_UPSTREAM_BROKEN
+                           : BB_REASON_CONNECTION_LOST,
+                  BB_RAN_UNKNOWN, has_sent_body);
+}
+
+/* Deals with an attempt that has news. */
+static void
+on_leg(struct bb_exchange *x, struct bb_leg *leg)
+{
+    uint64_t key = leg->key;
+
+    switch (leg->attempt->state) {
+    case BB_ATTEMPT_HEAD:
+        on_head(x, leg);
+        break;
+    case BB_ATTEMPT_LOST:
+        on_lost(x, leg);
+        break;
+    case BB_ATTEMPT_NOT_SENT:
+        end_leg(x, leg, BB_PICK_NOT_CONNECTED);
+        after_failure(x, key, BB_REASON_CONNECT_FAILED, BB_RAN_NO, false);
+        break;
+    case BB_ATTEMPT_STARTED:
+    case BB_ATTEMPT_SENDING:
+        break;
+    }
+}
+
+/* Fetches the answer that the gatekeeper kept, on a new connection. */
+static void
+take_stored(struct bb_exchange *x, struct bb_leg *leg)
+{
+    struct bb_outcome o;
+
+    bb_attempt_release(leg->attempt);
+    leg->attempt = NULL;
+    leg->is_stored_answer = true;
+    o = bb_leg_start_peer(x, leg);
+    if (o.kind == BB_OUTCOME_REFUSED) {
+        end_leg(x, leg, BB_PICK_FAILED);
+        refuse(x, o.reason, BB_RAN_UNKNOWN);
+    }
+}
+
+/* Watches over an attempt at another node that may have fallen silent. */
+static void
+check_silence(struct bb_exchange *x, struct bb_leg *leg)
+{
+    enum bb_query_result result;
+    enum bb_reason reason;
+    uint64_t key = leg->key;
+    bool has_sent_body = is_body_gone(x, leg);
+
+    switch (bb_probe_step(&leg->probe, bb_clock_now_us(), &reason)) {
+    case BB_PROBE_WAIT:
+        break;
+    case BB_PROBE_QUERY:
+        if (bb_rpc_query(x, leg, &result)) {
+            bb_probe_answer(&leg->probe, result, bb_clock_now_us());
+        }
+        else {
+            bb_probe_query_failed(&leg->probe, bb_clock_now_us());
+        }
+        break;
+    case BB_PROBE_TAKE_ANSWER:
+        if (!leg->is_stored_answer) {
+            take_stored(x, leg);
+        }
+        break;
+    case BB_PROBE_RETRY:
+        bb_http_client_forget_peer(x->proxy->client, &leg->endpoint->http);
+        end_leg(x, leg, BB_PICK_FAILED);
+        after_failure(x, key, reason,
+                      x->is_idempotent ? BB_RAN_UNKNOWN : BB_RAN_NO,
+                      has_sent_body);
+        break;
+    case BB_PROBE_UNKNOWN:
+        end_leg(x, leg, BB_PICK_FAILED);
+        refuse(x, reason, BB_RAN_UNKNOWN);
+        break;
+    }
+}
+
+/* Tells whether the caller has closed its connection. A non-idempotent
+ * request goes on, since its answer may be asked for again. */
+static bool
+is_caller_gone(const struct bb_exchange *x)
+{
+    const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+        x->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    struct pollfd p = {.events = POLLRDHUP};
+
+    if (info == NULL || !x->is_idempotent) {
+        return false;
+    }
+    p.fd = info->connect_fd;
+    return poll(&p, 1, 0) == 1 &&
+           (p.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
+/* Does what is due without news from an attempt. */
+static void
+on_timer(struct bb_exchange *x)
+{
+    if (is_caller_gone(x)) {
+        bb_counter_add(&gone_total, 1);
+        cancel_legs(x);
+        refuse(x, BB_REASON_CANCELLED, BB_RAN_UNKNOWN);
+        return;
+    }
+    try_hedge(x);
+    for (int i = 0; i < BB_LEGS_MAX; i++) {
+        struct bb_leg *leg = &x->legs[i];
+
+        if (x->outcome.kind == BB_OUTCOME_NONE && leg->is_used &&
+            !leg->is_local) {
+            check_silence(x, leg);
+        }
+    }
+}
+
+/* The deadline has passed: the caller gets its answer now, and the workers
+ * are left to themselves. */
+static void
+on_deadline(struct bb_exchange *x)
+{
+    bool was_sent = active_legs(x) > 0;
+
+    cancel_legs(x);
+    refuse(x,
+           was_sent ? BB_REASON_DEADLINE_RUNNING
+                    : BB_REASON_DEADLINE_BEFORE_RUN,
+           was_sent ? BB_RAN_UNKNOWN : BB_RAN_NO);
+}
+
+/* Runs attempts until the outcome is known; with until_sending, also returns
+ * once a peer takes the body. */
+void
+bb_entry_run(struct bb_exchange *x, bool until_sending)
+{
+    struct bb_leg *leg = NULL;
+
+    if (!x->is_forwarded && x->attempts == 0) {
+        bb_picker_first(x->proxy->picker);
+    }
+    while (x->outcome.kind == BB_OUTCOME_NONE) {
+        if (bb_clock_now_us() >= x->deadline_us) {
+            on_deadline(x);
+            break;
+        }
+        if (active_legs(x) == 0) {
+            start_leg(x, &x->legs[0], false);
+            continue;
+        }
+        switch (wait_for_event(x, until_sending, &leg)) {
+        case EVENT_SENDING:
+            return;
+        case EVENT_LEG:
+            on_leg(x, leg);
+            break;
+        case EVENT_TIMER:
+            on_timer(x);
+            break;
+        }
+    }
+}
--- /dev/null
+++ b/proxy/exchange.c
@@ -0,0 +1,176 @@
+/* One proxied request: its head, its body as it arrives, its answer. The HTTP
+ * library calls from the thread of the connection, which may block. */
+#include "common/clock.h"
+#include "proxy/internal.h"
+
+enum {
+    MS_PER_S = 1000,
+    /* A refused body up to this size is read away, so that the refusal is not
+     * lost to a reset of the connection. */
+    DISCARD_MAX_BYTES = 1024 * 1024
+};
+
+/* Creates an exchange for a request target; the head follows. */
+struct bb_exchange *
+bb_exchange_create(struct bb_proxy *p, const char *url)
+{
+    struct bb_exchange *x = g_new0(struct bb_exchange, 1);
+
+    x->proxy = p;
+    x->url = g_strdup(url);
+    x->headers = bb_headers_create();
+    x->watch = bb_watch_create();
+    x->idle_timeout_ms = p->settings.idle_timeout_ms;
+    return x;
+}
+
+/* Ends an exchange, complete or cut off, and frees it. */
+void
+bb_exchange_destroy(struct bb_exchange *x)
+{
+    if (x->body != NULL) {
+        bb_body_break(x->body); /* no effect on a complete one */
+    }
+    bb_entry_release(x);
+    bb_body_unref(x->body);
+    bb_watch_unref(x->watch);
+    bb_headers_destroy(x->headers);
+    bb_table_unref(x->table);
+    if (x->is_counted) {
+        (void)atomic_fetch_sub(&x->proxy->in_flight, 1);
+    }
+    g_free(x->method);
+    g_free(x->url);
+    g_free(x);
+}
+
+/* Sets the outcome to a refusal before any attempt was made. */
+void
+bb_exchange_refuse(struct bb_exchange *x, enum bb_reason reason,
+                   enum bb_ran ran)
+{
+    x->outcome = (struct bb_outcome){
+        .kind = BB_OUTCOME_REFUSED, .reason = reason, .ran = ran};
+}
+
+/* Sets how long the connection may be idle; 0 while its thread is busy with
+ * something else, because the library would count that as idle. */
+static void
+set_idle_timeout(struct bb_exchange *x, bool is_on)
+{
+    unsigned seconds =
+        is_on ? (x->idle_timeout_ms + MS_PER_S - 1) / MS_PER_S : 0;
+
+    (void)MHD_set_connection_option(x->connection,
+                                    MHD_CONNECTION_OPTION_TIMEOUT, seconds);
+}
+
+/* Runs attempts without the connection's idle timeout. */
+static void
+run(struct bb_exchange *x, bool until_sending)
+{
+    set_idle_timeout(x, false);
+    bb_entry_run(x, until_sending);
+    set_idle_timeout(x, true);
+}
+
+/* The outcome is known before the body was read: a short body is read away
+ * first. */
+static enum MHD_Result
+answer_early(struct bb_exchange *x)
+{
+    bool is_malformed = x->outcome.reason == BB_REASON_BAD_REQUEST;
+
+    if (x->length_bytes == 0 || is_malformed ||
+        x->length_bytes > DISCARD_MAX_BYTES) {
+        return bb_answer_queue(x);
+    }
+    x->is_discarding = true;
+    return MHD_YES;
+}
+
+/* The head has arrived. A body that does not fit into the ring is sent on
+ * while it arrives, so its request is admitted now: a refusal then comes
+ * before the sender has sent it. */
+static enum MHD_Result
+begin(struct bb_exchange *x, const char *method)
+{
+    x->start_us = bb_clock_now_us();
+    x->table = bb_table_holder_get(x->proxy->table);
+    (void)atomic_fetch_add(&x->proxy->in_flight, 1);
+    x->is_counted = true;
+    bb_request_read(x, method);
+    if (x->outcome.kind == BB_OUTCOME_NONE && x->length_bytes != 0) {
+        x->body = bb_body_create();
+        x->is_streaming =
+            x->length_bytes < 0 || x->length_bytes > BB_BODY_CAPACITY_BYTES;
+        if (x->is_streaming) {
+            run(x, true);
+        }
+    }
+    return x->outcome.kind != BB_OUTCOME_NONE ? answer_early(x) : MHD_YES;
+}
+
+/* Tells whether the body has become longer than the configuration allows. */
+static bool
+is_too_large(const struct bb_exchange *x)
+{
+    uint64_t max = x->table != NULL ? x->table->limits.max_body_bytes : 0;
+
+    return max > 0 && x->received_bytes > max;
+}
+
+/* Part of the body has arrived. */
+static enum MHD_Result
+take_body(struct bb_exchange *x, const char *data, size_t size)
+{
+    enum bb_body_write_result result;
+
+    x->received_bytes += size;
+    if (x->is_discarding) {
+        return x->received_bytes <= DISCARD_MAX_BYTES ? MHD_YES : MHD_NO;
+    }
+    if (is_too_large(x)) {
+        bb_body_break(x->body);
+        bb_entry_release(x);
+        bb_exchange_refuse(x, BB_REASON_TOO_LARGE, BB_RAN_UNKNOWN);
+        return MHD_NO;
+    }
+    set_idle_timeout(x, false);
+    result = bb_body_write(x->body, data, size, x->idle_timeout_ms);
+    set_idle_timeout(x, true);
+    if (result == BB_BODY_WRITE_TIMEOUT) {
+        bb_body_break(x->body);
+        return MHD_NO;
+    }
+    /* The peer has answered or broken off early; the outcome follows. */
+    x->is_discarding = result == BB_BODY_ABANDONED;
+    if (x->is_discarding) {
+        x->received_bytes = 0;
+    }
+    return MHD_YES;
+}
+
+/* Takes one step of a request: head, part of the body, or end. */
+enum MHD_Result
+bb_exchange_handle(struct bb_exchange *x, struct MHD_Connection *connection,
+                   const char *method, const char *data, size_t *size)
+{
+    if (x->connection == NULL) {
+        x->connection = connection;
+        return begin(x, method);
+    }
+    if (*size > 0) {
+        size_t count = *size;
+
+        *size = 0;
+        return take_body(x, data, count);
+    }
+    if (x->body != NULL) {
+        bb_body_finish(x->body);
+    }
+    if (x->outcome.kind == BB_OUTCOME_NONE) {
+        run(x, false);
+    }
+    return bb_answer_queue(x);
+}
--- /dev/null
+++ b/proxy/gatekeeper.c
@@ -0,0 +1,641 @@
+#include "proxy/gatekeeper.h"
+
+#include <errno.h>
+#include <inttypes.h>
+#include <pthread.h>
+#include <string.h>
+
+#include "common/clock.h"
+#include "common/counters.h"
+#include "common/log.h"
+
+enum {
+    SHED_US = 200 * BB_US_PER_MS, /* pause after the upstream sheds */
+    EXPIRE_PER_REQUEST = 2,
+    DEFAULT_QUEUE_LENGTH = 64,
+    FULL_PERCENT = 100
+};
+
+BB_GAUGE(running_gauge, "baobab_gatekeeper_running",
+         "Requests that the upstream runs");
+BB_COUNTER(admitted_total, "baobab_gatekeeper_admitted_total",
+           "Requests sent to the upstream");
+BB_COUNTER(queued_total, "baobab_gatekeeper_queued_total",
+           "Requests that waited for a slot");
+
+/* A queued request; on the stack of its thread. */
+struct waiter {
+    uint64_t admission_id;
+    struct bb_request_id id;
+    pthread_cond_t decided;
+    bool is_decided;
+    struct bb_admission_decision decision;
+};
+
+struct bb_gatekeeper {
+    pthread_mutex_t lock;
+    pthread_cond_t finished; /* a recorded request ended */
+    struct bb_gatekeeper_settings settings;
+    struct bb_admission admission;
+    struct bb_admission_limits limits;
+    struct bb_record record;
+    struct bb_record_entry *entries;
+    uint64_t stored_bytes;
+    struct bb_announcement upstream;
+    uint64_t expires_us;
+    GPtrArray *waiters; /* of struct waiter */
+    GPtrArray *tickets; /* of struct bb_ticket, all that run */
+    uint64_t next_id;
+};
+
+/* Creates an empty answer with one reference. */
+struct bb_stored_answer *
+bb_stored_answer_create(void)
+{
+    struct bb_stored_answer *a = g_new0(struct bb_stored_answer, 1);
+
+    a->references = 1;
+    a->headers = bb_headers_create();
+    a->body = g_byte_array_new();
+    return a;
+}
+
+/* Gives a reference back; NULL is allowed. */
+void
+bb_stored_answer_unref(struct bb_stored_answer *a)
+{
+    if (a != NULL && g_atomic_int_dec_and_test(&a->references)) {
+        bb_headers_destroy(a->headers);
+        (void)g_byte_array_free(a->body, TRUE);
+        g_free(a);
+    }
+}
+
+/* Creates a gatekeeper without an upstream. */
+struct bb_gatekeeper *
+bb_gatekeeper_create(const struct bb_gatekeeper_settings *s)
+{
+    struct bb_gatekeeper *g = g_new0(struct bb_gatekeeper, 1);
+    pthread_condattr_t attributes;
+
+    (void)pthread_mutex_init(&g->lock, NULL);
+    (void)pthread_condattr_init(&attributes);
+    (void)pthread_condattr_setclock(&attributes, CLOCK_MONOTONIC);
+    (void)pthread_cond_init(&g->finished, &attributes);
+    (void)pthread_condattr_destroy(&attributes);
+    g->settings = *s;
+    g->entries = g_new0(struct bb_record_entry, s->record_entries);
+    bb_record_init(&g->record, s->incarnation,
+                   (uint64_t)s->retention_s * BB_US_PER_S, g->entries,
+                   s->record_entries);
+    bb_admission_init(&g->admission);
+    g->limits = (struct bb_admission_limits){
+        .queue_length = DEFAULT_QUEUE_LENGTH,
+        .long_work_percent = FULL_PERCENT,
+    };
+    g->waiters = g_ptr_array_new();
+    g->tickets = g_ptr_array_new();
+    g->next_id = 1;
+    return g;
+}
+
+/* Frees the gatekeeper; no request may be in it. NULL is allowed. */
+void
+bb_gatekeeper_destroy(struct bb_gatekeeper *g)
+{
+    if (g == NULL) {
+        return;
+    }
+    for (uint32_t i = 0; i < g->settings.record_entries; i++) {
+        bb_stored_answer_unref(
+            (struct bb_stored_answer *)(uintptr_t)g->entries[i].answer);
+    }
+    (void)g_ptr_array_free(g->waiters, TRUE);
+    (void)g_ptr_array_free(g->tickets, TRUE);
+    (void)pthread_cond_destroy(&g->finished);
+    (void)pthread_mutex_destroy(&g->lock);
+    g_free(g->entries);
+    g_free(g);
+}
+
+/* Tells each queued request what admission decided about it. */
+static void
+pump(struct bb_gatekeeper *g)
+{
+    struct bb_admission_action action;
+
+    while (bb_admission_next(&g->admission, bb_clock_now_us(), &action)) {
+        for (guint i = 0; i < g->waiters->len; i++) {
+            struct waiter *w = g_ptr_array_index(g->waiters, i);
+
+            if (w->admission_id == action.id && !w->is_decided) {
+                w->is_decided = true;
+                w->decision = action.decision;
+                (void)pthread_cond_signal(&w->decided);
+                break;
+            }
+        }
+    }
+    bb_counter_set(&running_gauge, g->admission.running_count);
+}
+
+/* Passes limits and state of the upstream to admission. */
+static void
+apply_upstream(struct bb_gatekeeper *g)
+{
+    uint64_t now_us = bb_clock_now_us();
+
+    g->limits.slots = MIN(g->upstream.slots, (uint32_t)BB_ADMISSION_SLOTS_MAX);
+    g->limits.connections = g->upstream.connections;
+    bb_admission_configure(&g->admission, &g->limits, now_us);
+    bb_admission_set_state(&g->admission,
+                           (enum bb_admission_state)g->upstream.state, now_us);
+    pump(g);
+}
+
+/* Reports a change of the upstream to the owner of the node's record. Called
+ * without the lock. */
+static void
+report(struct bb_gatekeeper *g, const struct bb_announcement *a)
+{
+    if (g->settings.changed != NULL) {
+        g->settings.changed(g->settings.changed_context, a->service, a->slots,
+                            a->connections, a->state);
+    }
+}
+
+/* Takes an announcement of the upstream; it holds for its lifetime. */
+void
+bb_gatekeeper_announce(struct bb_gatekeeper *g,
+                       const struct bb_announcement *a)
+{
+    bool is_changed;
+
+    (void)pthread_mutex_lock(&g->lock);
+    is_changed = strcmp(g->upstream.service, a->service) != 0 ||
+                 !bb_address_equal(&g->upstream.address, &a->address) ||
+                 g->upstream.slots != a->slots ||
+                 g->upstream.connections != a->connections ||
+                 g->upstream.state != a->state;
+    g->upstream = *a;
+    g->expires_us =
+        bb_clock_now_us() + (uint64_t)a->lifetime_ms * BB_US_PER_MS;
+    if (is_changed) {
+        apply_upstream(g);
+    }
+    (void)pthread_mutex_unlock(&g->lock);
+    if (is_changed) {
+        bb_log_info("gatekeeper.upstream", "service %s, state %d, %u slots",
+                    a->service, (int)a->state, a->slots);
+        report(g, a);
+    }
+}
+
+/* Marks the upstream as gone after its lifetime and moves the queue on. Call
+ * it at least every 100 ms. */
+void
+bb_gatekeeper_tick(struct bb_gatekeeper *g)
+{
+    struct bb_announcement gone;
+    bool is_expired;
+
+    (void)pthread_mutex_lock(&g->lock);
+    is_expired = g->upstream.state != BB_UPSTREAM_NONE &&
+                 bb_clock_now_us() > g->expires_us;
+    if (is_expired) {
+        g->upstream.state = BB_UPSTREAM_NONE;
+        apply_upstream(g);
+    }
+    pump(g);
+    gone = g->upstream;
+    (void)pthread_mutex_unlock(&g->lock);
+    if (is_expired) {
+        bb_log_warning("gatekeeper.gone", "upstream of %s is silent",
+                       gone.service);
+        report(g, &gone);
+    }
+}
+
+/* Takes the limits of the upstream's service from a table. */
+void
+bb_gatekeeper_configure(struct bb_gatekeeper *g, const struct bb_table *t)
+{
+    const struct bb_table_service *s;
+
+    (void)pthread_mutex_lock(&g->lock);
+    s = bb_table_service(t, g->upstream.service);
+    if (s != NULL) {
+        g->limits.queue_length =
+            MIN(s->settings.queue_length, (uint32_t)BB_ADMISSION_QUEUE_MAX);
+        g->limits.long_work_percent = s->settings.long_work_percent;
+        g->limits.slow_start_ms = s->settings.slow_start_ms;
+        g->limits.service_limit = s->settings.max_in_flight;
+        g->limits.team_count = s->team[0] != '\0' ? 1 : 0;
+        g->limits.team_limits[0] = s->team_max_in_flight;
+        if (s->settings.retention_s > 0) {
+            g->record.retention_us =
+                (uint64_t)s->settings.retention_s * BB_US_PER_S;
+        }
+        apply_upstream(g);
+    }
+    (void)pthread_mutex_unlock(&g->lock);
+}
+
+/* Refuses new work for good; queued work is refused, running work ends. */
+void
+bb_gatekeeper_stop(struct bb_gatekeeper *g)
+{
+    (void)pthread_mutex_lock(&g->lock);
+    bb_admission_stop(&g->admission);
+    pump(g);
+    (void)pthread_mutex_unlock(&g->lock);
+}
+
+/* Waits for the decision about a queued request. Called with the lock held.
+ */
+static struct bb_admission_decision
+wait_in_queue(struct bb_gatekeeper *g, uint64_t admission_id,
+              const struct bb_request_id *id)
+{
+    struct waiter w = {.admission_id = admission_id, .id = *id};
+    pthread_condattr_t attributes;
+
+    (void)pthread_condattr_init(&attributes);
+    (void)pthread_condattr_setclock(&attributes, CLOCK_MONOTONIC);
+    (void)pthread_cond_init(&w.decided, &attributes);
+    (void)pthread_condattr_destroy(&attributes);
+    g_ptr_array_add(g->waiters, &w);
+    bb_counter_add(&queued_total, 1);
+    pump(g);
+    while (!w.is_decided) {
+        uint64_t now_us = bb_clock_now_us();
+        uint64_t wake_us = bb_admission_wake_us(&g->admission, now_us);
+        struct timespec wake =
+            bb_clock_timespec(MIN(wake_us, now_us + BB_US_PER_S));
+
+        if (pthread_cond_timedwait(&w.decided, &g->lock, &wake) == ETIMEDOUT) {
+            pump(g);
+        }
+    }
+    (void)g_ptr_array_remove_fast(g->waiters, &w);
+    (void)pthread_cond_destroy(&w.decided);
+    return w.decision;
+}
+
+/* Frees the answers of expired entries. Called with the lock held. */
+static void
+expire_records(struct bb_gatekeeper *g, uint64_t now_us)
+{
+    uint64_t handle;
+
+    for (int i = 0; i < EXPIRE_PER_REQUEST; i++) {
+        struct bb_stored_answer *a;
+
+        if (!bb_record_expire(&g->record, now_us, &handle)) {
+            return;
+        }
+        a = (struct bb_stored_answer *)(uintptr_t)handle;
+        if (a != NULL) {
+            g->stored_bytes -= a->body->len;
+            bb_stored_answer_unref(a);
+        }
+    }
+}
+
+/* Takes a reference to the answer behind a handle. */
+static struct bb_stored_answer *
+ref_stored(uint64_t handle)
+{
+    struct bb_stored_answer *a = (struct bb_stored_answer *)(uintptr_t)handle;
+
+    if (a != NULL) {
+        g_atomic_int_inc(&a->references);
+    }
+    return a;
+}
+
+/* Waits until a request that already runs here has ended. Called with the
+ * lock held. */
+static struct bb_gate_result
+wait_for_twin(struct bb_gatekeeper *g, const struct bb_gate_request *r)
+{
+    struct bb_gate_result result = {.kind = BB_GATE_REFUSE,
+                                    .reason = BB_REASON_DUPLICATE,
+                                    .ran = BB_RAN_UNKNOWN};
+    struct timespec end = bb_clock_timespec(r->deadline_us);
+    uint64_t handle = 0;
+    enum bb_query_result q;
+
+    do {
+        q = bb_record_query(&g->record, &r->id, BB_INCARNATION_ANY, &handle,
+                            bb_clock_now_us());
+    } while (q == BB_QUERY_RUNNING &&
+             pthread_cond_timedwait(&g->finished, &g->lock, &end) !=
+                 ETIMEDOUT);
+    if (q == BB_QUERY_DONE) {
+        result.kind = BB_GATE_STORED;
+        result.stored = ref_stored(handle);
+    }
+    else if (q == BB_QUERY_REFUSED) {
+        result.reason = BB_REASON_ALREADY_REFUSED;
+        result.ran = BB_RAN_NO;
+    }
+    return result;
+}
+
+/* Records that a non-idempotent request begins. Returns BB_GATE_RUN if it may
+ * go on to admission. Called with the lock held. */
+static struct bb_gate_result
+begin_record(struct bb_gatekeeper *g, const struct bb_gate_request *r)
+{
+    struct bb_gate_result result = {.kind = BB_GATE_REFUSE, .ran = BB_RAN_NO};
+    uint64_t now_us = bb_clock_now_us();
+    uint64_t handle = 0;
+
+    expire_records(g, now_us);
+    switch (
+        bb_record_begin(&g->record, &r->id, r->incarnation, &handle, now_us)) {
+    case BB_BEGIN_RUN:
+        result.kind = BB_GATE_RUN;
+        break;
+    case BB_BEGIN_DUPLICATE_RUNNING:
+    case BB_BEGIN_DUPLICATE_DONE:
+        return wait_for_twin(g, r);
+    case BB_BEGIN_REFUSED:
+        result.reason = BB_REASON_ALREADY_REFUSED;
+        break;
+    case BB_BEGIN_FULL:
+        result.reason = BB_REASON_RECORD_FULL;
+        break;
+    case BB_BEGIN_OTHER_INCARNATION:
+        /* This process did not run it; an earlier one may have. */
+        result.reason = BB_REASON_GATEKEEPER_RESTARTED;
+        result.ran = BB_RAN_UNKNOWN;
+        break;
+    }
+    return result;
+}
+
+/* Creates the ticket of a request that may run now. */
+static struct bb_ticket *
+create_ticket(struct bb_gatekeeper *g, const struct bb_gate_request *r,
+              uint64_t admission_id)
+{
+    struct bb_ticket *t = g_new0(struct bb_ticket, 1);
+
+    *t = (struct bb_ticket){
+        .gatekeeper = g,
+        .admission_id = admission_id,
+        .id = r->id,
+        .is_recorded = !r->is_idempotent,
+        .start_us = bb_clock_now_us(),
+        .upstream = g->upstream.address,
+    };
+    (void)bb_admission_start(&g->admission, admission_id, t->start_us);
+    g_ptr_array_add(g->tickets, t);
+    bb_counter_add(&admitted_total, 1);
+    bb_counter_set(&running_gauge, g->admission.running_count);
+    return t;
+}
+
+/* Asks admission for a slot, waiting in the queue if there is room in it.
+ * Called with the lock held. */
+static struct bb_admission_decision
+admit(struct bb_gatekeeper *g, const struct bb_gate_request *r,
+      uint64_t admission_id)
+{
+    const struct bb_admission_request request = {
+        .id = admission_id,
+        .work_class = r->work_class,
+        .team = g->limits.team_count > 0 ? 0 : BB_ADMISSION_NO_TEAM,
+        .deadline_us = r->deadline_us,
+    };
+    struct bb_admission_decision d =
+        bb_admission_arrive(&g->admission, &request, bb_clock_now_us());
+
+    return d.kind == BB_ADMISSION_QUEUE
+               ? wait_in_queue(g, admission_id, &r->id)
+               : d;
+}
+
+/* Asks for a slot of the upstream, waiting at most until the deadline. */
+struct bb_gate_result
+bb_gatekeeper_enter(struct bb_gatekeeper *g, const struct bb_gate_request *r)
+{
+    struct bb_gate_result result = {.kind = BB_GATE_RUN, .ran = BB_RAN_NO};
+    struct bb_admission_decision d;
+    uint64_t admission_id;
+
+    (void)pthread_mutex_lock(&g->lock);
+    if (strcmp(g->upstream.service, r->service) != 0) {
+        result.kind = BB_GATE_REFUSE;
+        result.reason = BB_REASON_NO_UPSTREAM;
+        goto out;
+    }
+    if (!r->is_idempotent) {
+        result = begin_record(g, r);
+        if (result.kind != BB_GATE_RUN) {
+            goto out;
+        }
+    }
+    admission_id = g->next_id++;
+    d = admit(g, r, admission_id);
+    if (d.kind == BB_ADMISSION_RUN) {
+        result.ticket = create_ticket(g, r, admission_id);
+        goto out;
+    }
+    result.kind = BB_GATE_REFUSE;
+    result.reason = d.reason;
+    if (!r->is_idempotent) {
+        (void)bb_record_finish(&g->record, &r->id, BB_RECORD_REFUSED, 0,
+                               bb_clock_now_us());
+        (void)pthread_cond_broadcast(&g->finished);
+    }
+out:
+    (void)pthread_mutex_unlock(&g->lock);
+    return result;
+}
+
+/* Ends the record of a request. Called with the lock held. */
+static void
+finish_record(struct bb_gatekeeper *g, const struct bb_ticket *t,
+              enum bb_ticket_end end, struct bb_stored_answer *answer)
+{
+    bool has_run = end == BB_TICKET_ANSWERED || end == BB_TICKET_LOST;
+    uint64_t handle = 0;
+
+    if (has_run && answer != NULL &&
+        g->stored_bytes + answer->body->len <= g->settings.stored_max_bytes) {
+        g_atomic_int_inc(&answer->references);
+        handle = (uintptr_t)answer;
+    }
+    if (bb_record_finish(&g->record, &t->id,
+                         has_run ? BB_RECORD_DONE : BB_RECORD_REFUSED, handle,
+                         bb_clock_now_us())) {
+        g->stored_bytes += handle != 0 ? answer->body->len : 0;
+    }
+    else if (handle != 0) {
+        bb_stored_answer_unref(answer);
+    }
+    (void)pthread_cond_broadcast(&g->finished);
+}
+
+/* Gives a slot back and frees the ticket. The answer (NULL if it is not to be
+ * kept) is stored for repeats of a recorded request. */
+void
+bb_gatekeeper_leave(struct bb_ticket *t, enum bb_ticket_end end,
+                    struct bb_stored_answer *answer)
+{
+    struct bb_gatekeeper *g = t->gatekeeper;
+    uint64_t now_us = bb_clock_now_us();
+    struct bb_announcement gone = {0};
+
+    (void)pthread_mutex_lock(&g->lock);
+    (void)bb_admission_finish(&g->admission, t->admission_id,
+                              now_us - t->start_us, end == BB_TICKET_ANSWERED,
+                              now_us);
+    if (t->is_recorded) {
+        finish_record(g, t, end, answer);
+    }
+    (void)g_ptr_array_remove_fast(g->tickets, t);
+    if (end == BB_TICKET_NOT_SENT && g->upstream.state != BB_UPSTREAM_NONE &&
+        bb_address_equal(&g->upstream.address, &t->upstream)) {
+        g->upstream.state = BB_UPSTREAM_NONE;
+        apply_upstream(g);
+        gone = g->upstream;
+    }
+    pump(g);
+    (void)pthread_mutex_unlock(&g->lock);
+    if (gone.service[0] != '\0') {
+        bb_log_warning("gatekeeper.gone", "upstream of %s refuses connections",
+                       gone.service);
+        report(g, &gone);
+    }
+    g_free(t);
+}
+
+/* Obeys a refusal of the upstream at once. */
+void
+bb_gatekeeper_upstream_refused(struct bb_gatekeeper *g, enum bb_reason reason)
+{
+    struct bb_announcement changed = {0};
+
+    (void)pthread_mutex_lock(&g->lock);
+    if (reason == BB_REASON_UPSTREAM_SHEDDING) {
+        bb_admission_shed(&g->admission, SHED_US, bb_clock_now_us());
+    }
+    else if (reason == BB_REASON_UPSTREAM_DRAINING &&
+             g->upstream.state < BB_UPSTREAM_DRAINING) {
+        g->upstream.state = BB_UPSTREAM_DRAINING;
+        apply_upstream(g);
+        changed = g->upstream;
+    }
+    pump(g);
+    (void)pthread_mutex_unlock(&g->lock);
+    if (changed.service[0] != '\0') {
+        report(g, &changed);
+    }
+}
+
+/* Answers what became of a request id; an id never seen is refused for good
+ * from now on. */
+enum bb_query_result
+bb_gatekeeper_query(struct bb_gatekeeper *g, const struct bb_request_id *id,
+                    uint64_t incarnation)
+{
+    enum bb_query_result result;
+    uint64_t handle;
+
+    (void)pthread_mutex_lock(&g->lock);
+    result = bb_record_query(&g->record, id, incarnation, &handle,
+                             bb_clock_now_us());
+    (void)pthread_mutex_unlock(&g->lock);
+    return result;
+}
+
+/* Returns a reference to the kept answer of a finished request, or NULL. */
+struct bb_stored_answer *
+bb_gatekeeper_stored(struct bb_gatekeeper *g, const struct bb_request_id *id)
+{
+    struct bb_stored_answer *a = NULL;
+    uint64_t handle;
+
+    (void)pthread_mutex_lock(&g->lock);
+    if (bb_record_query(&g->record, id, BB_INCARNATION_ANY, &handle,
+                        bb_clock_now_us()) == BB_QUERY_DONE) {
+        a = ref_stored(handle);
+    }
+    (void)pthread_mutex_unlock(&g->lock);
+    return a;
+}
+
+/* Cancels a request: a queued one is refused at once; for a running one the
+ * upstream's address is returned, where it must be cancelled. False if the id
+ * neither waits nor runs. */
+bool
+bb_gatekeeper_cancel(struct bb_gatekeeper *g, const struct bb_request_id *id,
+                     struct bb_address *upstream)
+{
+    bool is_found = false;
+
+    *upstream = (struct bb_address){0};
+    (void)pthread_mutex_lock(&g->lock);
+    for (guint i = 0; i < g->waiters->len && !is_found; i++) {
+        struct waiter *w = g_ptr_array_index(g->waiters, i);
+
+        if (!w->is_decided && bb_request_id_equal(&w->id, id) &&
+            bb_admission_cancel(&g->admission, w->admission_id)) {
+            w->is_decided = true;
+            w->decision = (struct bb_admission_decision){
+                .kind = BB_ADMISSION_REFUSE, .reason = BB_REASON_CANCELLED};
+            (void)pthread_cond_signal(&w->decided);
+            is_found = true;
+        }
+    }
+    for (guint i = 0; i < g->tickets->len && !is_found; i++) {
+        const struct bb_ticket *t = g_ptr_array_index(g->tickets, i);
+
+        if (bb_request_id_equal(&t->id, id)) {
+            *upstream = t->upstream;
+            is_found = true;
+        }
+    }
+    (void)pthread_mutex_unlock(&g->lock);
+    return is_found;
+}
+
+/* Copies the last announcement; false if there is no upstream. */
+bool
+bb_gatekeeper_upstream(struct bb_gatekeeper *g, struct bb_announcement *a)
+{
+    (void)pthread_mutex_lock(&g->lock);
+    *a = g->upstream;
+    (void)pthread_mutex_unlock(&g->lock);
+    return a->state != BB_UPSTREAM_NONE;
+}
+
+/* Returns how many requests the upstream runs. */
+uint32_t
+bb_gatekeeper_running(struct bb_gatekeeper *g)
+{
+    uint32_t count;
+
+    (void)pthread_mutex_lock(&g->lock);
+    count = g->admission.running_count;
+    (void)pthread_mutex_unlock(&g->lock);
+    return count;
+}
+
+/* Writes the load for entry nodes: running, queued and usable slots. */
+const char *
+bb_gatekeeper_load(struct bb_gatekeeper *g, char text[BB_LOAD_TEXT_BYTES])
+{
+    struct bb_admission_load l;
+
+    (void)pthread_mutex_lock(&g->lock);
+    l = bb_admission_load(&g->admission, bb_clock_now_us());
+    (void)pthread_mutex_unlock(&g->lock);
+    (void)g_snprintf(text, BB_LOAD_TEXT_BYTES, "%u %u %u", l.running, l.queued,
+                     l.slots);
+    return text;
+}
--- a/proxy/http_client.c
+++ b/proxy/http_client.c
@@ -55,6 +55,8 @@
     char *method;
     char *url;
     struct bb_headers *request_headers;
+    uint64_t body_position;
+    GByteArray *kept; /* a copy of the answer, while it is short enough */
     atomic_uint references;
     atomic_bool is_released;
 };
@@ -249,6 +251,9 @@
     bb_headers_destroy(a->public.headers);
     bb_headers_destroy(a->request_headers);
     bb_watch_unref(a->watch);
+    if (a->kept != NULL) {
+        (void)g_byte_array_free(a->kept, TRUE);
+    }
     g_free(a->method);
     g_free(a->url);
     g_free(a);
@@ -272,11 +277,25 @@
     ssize_t count;
 
     if (size_bytes == 0) {
+        a->body_position = 0;
+        if (atomic_load(&a->is_released) && !a->request.is_replayable) {
+            return -1;
+        }
+        bb_watch_lock(a->watch);
+        a->public.has_taken_body = true;
+        bb_watch_unlock(a->watch);
         set_state(a, BB_ATTEMPT_SENDING);
         return 0;
     }
-    count = bb_body_read(a->request.body, buffer, size_bytes,
-                         a->request.idle_timeout_ms);
+    if (a->request.is_replayable) {
+        count = bb_body_read_at(a->request.body, a->body_position, buffer,
+                                size_bytes);
+        a->body_position += count > 0 ? (uint64_t)count : 0;
+    }
+    else {
+        count = bb_body_read(a->request.body, buffer, size_bytes,
+                             a->request.idle_timeout_ms);
+    }
     return count >= 0 ? count : -1;
 }
 
@@ -324,22 +343,42 @@
     }
 }
 
+/* Adds to the copy of the answer, or drops it once it is too long. */
+static void
+keep(struct attempt *a, const char *block, size_t size_bytes)
+{
+    if (a->kept == NULL) {
+        return;
+    }
+    if (a->kept->len + size_bytes > a->request.keep_bytes) {
+        (void)g_byte_array_free(a->kept, TRUE);
+        a->kept = NULL;
+        return;
+    }
+    g_byte_array_append(a->kept, (const guint8 *)block, (guint)size_bytes);
+}
+
 /* Moves the answer's body into its ring; true if it came whole. */
 static bool
 read_answer(struct attempt *a, ne_request *request)
 {
     char block[BLOCK_BYTES];
+    bool is_read = true;
 
     for (;;) {
         ssize_t count = ne_read_response_block(request, block, sizeof(block));
 
-        if (count == 0) {
-            return true;
+        if (count <= 0) {
+            return count == 0;
         }
-        if (count < 0 ||
+        keep(a, block, (size_t)count);
+        if (is_read &&
             bb_body_write(a->public.answer, block, (size_t)count,
                           a->request.idle_timeout_ms) != BB_BODY_WRITTEN) {
-            return false;
+            is_read = false;
+            if (!a->request.must_finish) {
+                return false;
+            }
         }
     }
 }
@@ -356,6 +395,16 @@
     }
 }
 
+/* Tells the request's owner that the peer is done with it. */
+static void
+report_finished(struct attempt *a, bool is_sent, bool is_whole)
+{
+    if (a->request.finished != NULL) {
+        a->request.finished(a->request.finished_context, &a->public, is_sent,
+                            is_whole, is_whole ? a->kept : NULL);
+    }
+}
+
 /* Sends the request and reads the answer on one session. Returns whether the
  * session can be used again. */
 static bool
@@ -366,21 +415,23 @@
     bool is_whole = false;
 
     if (ne_begin_request(request) != NE_OK) {
+        report_finished(a, s->is_connected, false);
         set_state(a, s->is_connected ? BB_ATTEMPT_LOST : BB_ATTEMPT_NOT_SENT);
         goto out;
     }
     read_head(a, request);
-    is_short = !a->request.keep_head_only &&
-               (uint64_t)a->public.answer_length_bytes <= SHORT_ANSWER_BYTES;
+    is_short = a->public.answer_length_bytes >= 0 &&
+               a->public.answer_length_bytes <= SHORT_ANSWER_BYTES;
     if (!is_short) {
         set_state(a, BB_ATTEMPT_HEAD);
     }
-    is_whole = read_answer(a, request);
-    if (is_whole && ne_end_request(request) != NE_OK) {
-        is_whole = false;
+    is_whole = read_answer(a, request) && ne_end_request(request) == NE_OK;
+    if (!is_short) {
+        report_finished(a, true, is_whole);
     }
     end_answer(a, is_whole);
     if (is_short) {
+        report_finished(a, true, is_whole);
         set_state(a, is_whole ? BB_ATTEMPT_HEAD : BB_ATTEMPT_LOST);
     }
 out:
@@ -396,18 +447,29 @@
     struct bb_http_client *c = a->client;
     struct session *s = take_session(c, &a->request);
 
+    bool is_reusable = false;
+
     if (s == NULL) {
+        report_finished(a, false, false);
         set_state(a, BB_ATTEMPT_NOT_SENT);
     }
-    else if (exchange(a, s)) {
-        put_session(c, s);
-    }
     else {
-        destroy_session(s);
+        is_reusable = exchange(a, s);
+        if (is_reusable) {
+            put_session(c, s);
+        }
+        else {
+            destroy_session(s);
+        }
     }
-    if (atomic_load(&a->is_released)) {
+    if (!is_reusable && atomic_load(&a->is_released)) {
         bb_counter_add(&discarded_total, 1);
     }
+    /* Nobody takes the rest of the request's body. */
+    if (a->request.body != NULL && a->public.has_taken_body &&
+        !a->request.is_replayable) {
+        bb_body_abandon(a->request.body);
+    }
     bb_workers_done(c->workers, &a->work);
     unref_attempt(a);
 }
@@ -436,6 +498,7 @@
         bb_headers_add(a->request_headers, h->name, h->value);
     }
     a->public.headers = bb_headers_create();
+    a->kept = request->keep_bytes > 0 ? g_byte_array_new() : NULL;
     a->public.answer = bb_body_create();
     atomic_init(&a->references, 2);
     a->work = (struct bb_work){
--- /dev/null
+++ b/proxy/leg.c
@@ -0,0 +1,262 @@
+/* One attempt of an exchange: at the own upstream, in a slot of the
+ * gatekeeper, or at the gatekeeper of another node. */
+#include <inttypes.h>
+#include <string.h>
+
+#include "common/clock.h"
+#include "decide/retry.h"
+#include "proxy/internal.h"
+
+enum {
+    HTTP_UNAVAILABLE = 503,
+    EXTRA_TIMEOUT_S = 2, /* neon's whole seconds end after the own deadline */
+    EXPECT_BYTES = 64 * 1024
+};
+
+static const struct bb_outcome started = {.kind = BB_OUTCOME_NONE};
+
+/* Returns a refusal as an outcome. */
+static struct bb_outcome
+refused(enum bb_reason reason, enum bb_ran ran)
+{
+    return (struct bb_outcome){
+        .kind = BB_OUTCOME_REFUSED, .reason = reason, .ran = ran};
+}
+
+/* Copies the fields for the next hop and adds those between nodes. */
+static struct bb_headers *
+next_headers(const struct bb_exchange *x)
+{
+    struct bb_headers *h = bb_headers_create();
+    uint64_t left_us =
+        bb_deadline_nested_us(x->deadline_us, bb_clock_now_us());
+
+    bb_headers_copy_end_to_end(x->headers, h);
+    bb_headers_add(h, BB_HEADER_ID, x->id_text);
+    bb_headers_addf(h, BB_HEADER_DEADLINE, "%" PRIu64,
+                    MAX(left_us / BB_US_PER_MS, (uint64_t)1));
+    bb_headers_addf(h, BB_HEADER_DEPTH, "%u", x->depth);
+    bb_headers_add(h, "Via", "1.1 baobab");
+    return h;
+}
+
+/* Appends the caller's address to X-Forwarded-For; the entry node does it. */
+static void
+add_forwarded_for(const struct bb_exchange *x, struct bb_headers *h)
+{
+    const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+        x->connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+    struct sockaddr_storage s = {0};
+    struct bb_address a;
+
+    if (info == NULL) {
+        return;
+    }
+    memcpy(&s, info->client_addr,
+           info->client_addr->sa_family == AF_INET6
+               ? sizeof(struct sockaddr_in6)
+               : sizeof(struct sockaddr_in));
+    if (bb_address_from_sockaddr(&s, &a)) {
+        bb_headers_add(h, "X-Forwarded-For", a.ip);
+    }
+}
+
+/* Fills in what both kinds of attempts have in common. */
+static struct bb_attempt_request
+base_request(const struct bb_exchange *x, const struct bb_headers *h)
+{
+    uint64_t now_us = bb_clock_now_us();
+    uint64_t left_us = x->deadline_us > now_us ? x->deadline_us - now_us : 0;
+    uint64_t longest_us =
+        x->table != NULL
+            ? (uint64_t)x->table->longest_timeout_ms * BB_US_PER_MS
+            : 0;
+
+    return (struct bb_attempt_request){
+        .method = x->method,
+        .url = x->url,
+        .headers = h,
+        .body = x->wants_stored ? NULL : x->body,
+        .length_bytes = x->length_bytes,
+        .is_replayable = !x->is_streaming,
+        /* A session keeps its timeout, so it must suit every later call. */
+        .read_timeout_s = (uint32_t)(MAX(left_us, longest_us) / BB_US_PER_S) +
+                          EXTRA_TIMEOUT_S,
+        .idle_timeout_ms = x->idle_timeout_ms,
+        .depth = x->depth,
+    };
+}
+
+/* Returns the reason behind the upstream's own refusal, if it is one. */
+enum bb_reason
+bb_leg_upstream_refusal(const struct bb_attempt *a)
+{
+    const char *text = bb_headers_get(a->headers, BB_UPSTREAM_REFUSED_FIELD);
+
+    if (a->status != HTTP_UNAVAILABLE || text == NULL) {
+        return BB_REASON_NONE;
+    }
+    if (strcmp(text, "draining") == 0) {
+        return BB_REASON_UPSTREAM_DRAINING;
+    }
+    if (strcmp(text, "starting") == 0) {
+        return BB_REASON_UPSTREAM_STARTING;
+    }
+    return strcmp(text, "deadline") == 0 ? BB_REASON_DEADLINE_BEFORE_RUN
+                                         : BB_REASON_UPSTREAM_SHEDDING;
+}
+
+/* Keeps an answer for repeats of a recorded request. */
+static struct bb_stored_answer *
+store(const struct bb_attempt *a, GByteArray *kept)
+{
+    struct bb_stored_answer *s = bb_stored_answer_create();
+
+    s->status = a->status;
+    bb_headers_copy_end_to_end(a->headers, s->headers);
+    g_byte_array_append(s->body, kept->data, kept->len);
+    return s;
+}
+
+/* Gives the slot back when the upstream is done with the request, even if
+ * nobody waits any more. */
+static void
+on_finished(void *context, const struct bb_attempt *a, bool is_sent,
+            bool is_whole, GByteArray *kept)
+{
+    struct bb_ticket *t = context;
+    struct bb_gatekeeper *g = t->gatekeeper;
+    struct bb_stored_answer *answer = NULL;
+    enum bb_ticket_end end = BB_TICKET_LOST;
+    enum bb_reason reason = BB_REASON_NONE;
+
+    if (!is_sent) {
+        end = BB_TICKET_NOT_SENT;
+    }
+    else if (is_whole) {
+        reason = bb_leg_upstream_refusal(a);
+        end =
+            reason != BB_REASON_NONE ? BB_TICKET_REFUSED : BB_TICKET_ANSWERED;
+    }
+    if (end == BB_TICKET_ANSWERED && t->is_recorded && kept != NULL) {
+        answer = store(a, kept);
+    }
+    bb_gatekeeper_leave(t, end, answer);
+    bb_stored_answer_unref(answer);
+    if (end == BB_TICKET_REFUSED) {
+        bb_gatekeeper_upstream_refused(g, reason);
+    }
+}
+
+/* Returns the kept answer, or why there is none. */
+static struct bb_outcome
+from_stored(struct bb_stored_answer *stored)
+{
+    if (stored == NULL) {
+        return refused(BB_REASON_DUPLICATE, BB_RAN_UNKNOWN);
+    }
+    return (struct bb_outcome){.kind = BB_OUTCOME_STORED, .stored = stored};
+}
+
+/* Takes a slot of the own upstream, waiting in the queue if need be, and
+ * sends the request to it. The result is BB_OUTCOME_NONE once it is sent. */
+struct bb_outcome
+bb_leg_start_local(struct bb_exchange *x, struct bb_leg *leg)
+{
+    struct bb_proxy *p = x->proxy;
+    const struct bb_gate_request gate = {
+        .service = x->service_name,
+        .id = x->id,
+        .is_idempotent = x->is_idempotent,
+        .incarnation = x->incarnation,
+        .work_class = x->work_class,
+        .deadline_us = x->deadline_us,
+    };
+    struct bb_attempt_request request;
+    struct bb_gate_result g;
+    struct bb_headers *h;
+
+    if (x->wants_stored) {
+        return from_stored(bb_gatekeeper_stored(p->gatekeeper, &x->id));
+    }
+    g = bb_gatekeeper_enter(p->gatekeeper, &gate);
+    switch (g.kind) {
+    case BB_GATE_RUN:
+        break;
+    case BB_GATE_REFUSE:
+        return refused(g.reason, g.ran);
+    case BB_GATE_STORED:
+        return from_stored(g.stored);
+    }
+    h = next_headers(x);
+    if (!x->is_forwarded) {
+        add_forwarded_for(x, h);
+    }
+    request = base_request(x, h);
+    request.peer = g.ticket->upstream;
+    request.keep_bytes = x->is_idempotent ? 0 : BB_STORED_ANSWER_MAX_BYTES;
+    request.must_finish = !x->is_idempotent;
+    request.finished = on_finished;
+    request.finished_context = g.ticket;
+    leg->start_us = bb_clock_now_us();
+    leg->attempt =
+        bb_attempt_start(p->client, &request, x->watch, x->deadline_us);
+    bb_headers_destroy(h);
+    if (leg->attempt == NULL) {
+        bb_gatekeeper_leave(g.ticket, BB_TICKET_REFUSED, NULL);
+        return refused(BB_REASON_WORKER_LIMIT, BB_RAN_NO);
+    }
+    return started;
+}
+
+/* Sends the request to the gatekeeper of another node. */
+struct bb_outcome
+bb_leg_start_peer(struct bb_exchange *x, struct bb_leg *leg)
+{
+    struct bb_proxy *p = x->proxy;
+    struct bb_headers *h = next_headers(x);
+    struct bb_attempt_request request = base_request(x, h);
+
+    add_forwarded_for(x, h);
+    bb_headers_add(h, BB_HEADER_FORWARDED, x->service_name);
+    bb_headers_add(h, BB_HEADER_CLASS,
+                   x->work_class == BB_ADMISSION_LONG ? "long" : "short");
+    bb_headers_addf(h, BB_HEADER_REVISION, "%" PRIu64, x->table->revision);
+    if (leg->is_stored_answer) {
+        bb_headers_add(h, BB_HEADER_ATTEMPT, "stored");
+        request.body = NULL;
+    }
+    else {
+        bb_headers_addf(h, BB_HEADER_ATTEMPT, "%u", x->attempts);
+    }
+    if (!x->is_idempotent) {
+        bb_headers_addf(h, BB_HEADER_INCARNATION, "%" PRIu64,
+                        leg->endpoint->incarnation);
+    }
+    request.peer = leg->endpoint->http;
+    request.use_new_connection = leg->is_stored_answer;
+    request.expect_continue =
+        x->is_streaming &&
+        (x->length_bytes < 0 || x->length_bytes > EXPECT_BYTES);
+    leg->attempt =
+        bb_attempt_start(p->client, &request, x->watch, x->deadline_us);
+    bb_headers_destroy(h);
+    return leg->attempt != NULL ? started
+                                : refused(BB_REASON_WORKER_LIMIT, BB_RAN_NO);
+}
+
+/* Tells whoever runs an attempt that its answer is not needed. Only for
+ * idempotent requests: a repeat of another may still ask for its answer. */
+void
+bb_leg_cancel(struct bb_exchange *x, const struct bb_leg *leg)
+{
+    if (!x->is_idempotent) {
+        return;
+    }
+    if (leg->is_local) {
+        bb_cancel_here(x->proxy, &x->id);
+    }
+    else {
+        bb_rpc_cancel(x->proxy, &leg->endpoint->rpc, &x->id);
+    }
+}
--- /dev/null
+++ b/proxy/picker.c
@@ -0,0 +1,353 @@
+#include "proxy/picker.h"
+
+#include <glib.h>
+#include <pthread.h>
+#include <stdio.h>
+
+#include "common/clock.h"
+#include "common/registry.h"
+#include "decide/estimate.h"
+#include "decide/outlier.h"
+#include "decide/retry.h"
+#include "decide/route_pick.h"
+
+/* The state of one service; candidates come and go with the table. */
+struct service {
+    struct bb_route route;
+    struct bb_outliers outliers;
+    struct bb_estimate latency[BB_ADMISSION_CLASSES];
+    GHashTable *candidates; /* key -> struct bb_candidate */
+    uint64_t ticked_us;
+};
+
+struct bb_picker {
+    pthread_mutex_t lock;
+    GHashTable *services; /* name -> struct service */
+    const struct bb_routing_policy *policy;
+    struct bb_link_budget link;
+    struct bb_retry_budget retries;
+    struct bb_retry_budget hedges;
+    uint32_t ejection_percent;
+};
+
+enum {
+    TICK_US = 10 * BB_US_PER_MS,
+    DEFAULT_RETRY_PERCENT = 20,
+    DEFAULT_HEDGE_PERCENT = 5,
+    DEFAULT_EJECTION_PERCENT = 34
+};
+
+/* Frees one service. */
+static void
+destroy_service(void *data)
+{
+    struct service *s = data;
+
+    g_hash_table_destroy(s->candidates);
+    g_free(s);
+}
+
+/* Creates a picker with the default policy and shares. */
+struct bb_picker *
+bb_picker_create(void)
+{
+    struct bb_picker *p = g_new0(struct bb_picker, 1);
+
+    (void)pthread_mutex_init(&p->lock, NULL);
+    p->services = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                                        destroy_service);
+    p->policy = bb_registry_find(BB_PLUGIN_ROUTING_POLICY, "least_wait");
+    p->ejection_percent = DEFAULT_EJECTION_PERCENT;
+    bb_retry_budget_configure(&p->retries, DEFAULT_RETRY_PERCENT);
+    bb_retry_budget_configure(&p->hedges, DEFAULT_HEDGE_PERCENT);
+    return p;
+}
+
+/* Frees the picker; NULL is allowed. */
+void
+bb_picker_destroy(struct bb_picker *p)
+{
+    if (p == NULL) {
+        return;
+    }
+    g_hash_table_destroy(p->services);
+    (void)pthread_mutex_destroy(&p->lock);
+    g_free(p);
+}
+
+/* Takes the limits of a configuration. */
+void
+bb_picker_configure(struct bb_picker *p, const struct bb_pick_limits *l)
+{
+    GHashTableIter i;
+    void *value;
+
+    (void)pthread_mutex_lock(&p->lock);
+    bb_retry_budget_configure(&p->retries, l->retry_percent);
+    bb_retry_budget_configure(&p->hedges, l->hedge_percent);
+    bb_link_budget_configure(&p->link, l->link_bytes_per_s, bb_clock_now_us());
+    p->ejection_percent = l->ejection_percent;
+    g_hash_table_iter_init(&i, p->services);
+    while (g_hash_table_iter_next(&i, NULL, &value)) {
+        ((struct service *)value)->outliers.share_percent =
+            l->ejection_percent;
+    }
+    (void)pthread_mutex_unlock(&p->lock);
+}
+
+/* Returns the state of a service, created on first use. */
+static struct service *
+get_service(struct bb_picker *p, const char *name)
+{
+    struct service *s = g_hash_table_lookup(p->services, name);
+
+    if (s == NULL) {
+        s = g_new0(struct service, 1);
+        s->candidates =
+            g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+        bb_outliers_init(&s->outliers, p->ejection_percent);
+        g_hash_table_insert(p->services, g_strdup(name), s);
+    }
+    return s;
+}
+
+/* Returns a candidate by key, or NULL. */
+static struct bb_candidate *
+find_candidate(struct service *s, uint64_t key)
+{
+    return g_hash_table_lookup(s->candidates, &key);
+}
+
+/* Drops the candidates that are no targets any more. */
+static void
+drop_others(struct service *s, const struct bb_pick_question *q)
+{
+    GHashTableIter i;
+    void *value;
+
+    g_hash_table_iter_init(&i, s->candidates);
+    while (g_hash_table_iter_next(&i, NULL, &value)) {
+        uint64_t key = ((struct bb_candidate *)value)->key;
+        bool is_target = false;
+
+        for (uint32_t n = 0; n < q->target_count && !is_target; n++) {
+            is_target = q->targets[n].key == key;
+        }
+        if (!is_target) {
+            bb_outliers_remove(&s->outliers, key);
+            g_hash_table_iter_remove(&i);
+        }
+    }
+}
+
+/* Brings the candidates into line with the targets and writes them to an
+ * array in the targets' order. */
+static void
+sync_candidates(struct service *s, const struct bb_pick_question *q,
+                const struct bb_candidate **out, uint64_t now_us)
+{
+    if (now_us - s->ticked_us > TICK_US) {
+        bb_outliers_tick(&s->outliers, now_us);
+        s->ticked_us = now_us;
+    }
+    for (uint32_t i = 0; i < q->target_count; i++) {
+        const struct bb_pick_target *t = &q->targets[i];
+        struct bb_candidate *c = find_candidate(s, t->key);
+
+        if (c == NULL) {
+            c = g_new0(struct bb_candidate, 1);
+            bb_candidate_init(c, t->key, (enum bb_tier)t->nearness, t->slots);
+            (void)bb_outliers_add(&s->outliers, t->key);
+            g_hash_table_insert(s->candidates, &c->key, c);
+        }
+        c->weight_permille = bb_outlier_weight(&s->outliers, t->key, now_us);
+        out[i] = c;
+    }
+    if (g_hash_table_size(s->candidates) > q->target_count) {
+        drop_others(s, q);
+    }
+}
+
+/* Chooses a gatekeeper and counts the attempt as sent. Returns its position
+ * among the targets, or -1 with the reason. */
+int32_t
+bb_picker_pick(struct bb_picker *p, const struct bb_pick_question *q,
+               uint64_t now_us, enum bb_reason *reason)
+{
+    const struct bb_candidate *candidates[BB_ROUTE_CANDIDATES_MAX];
+    struct bb_pick_question limited = *q;
+    struct bb_route_request r = {
+        .work_class = q->work_class,
+        .may_probe = q->is_idempotent,
+        .link_bytes = q->link_bytes,
+        .excluded_count = q->excluded_count,
+    };
+    struct bb_route_choice choice;
+    struct service *s;
+
+    limited.target_count =
+        MIN(q->target_count, (uint32_t)BB_ROUTE_CANDIDATES_MAX);
+    for (uint32_t i = 0; i < q->excluded_count; i++) {
+        r.excluded[i] = q->excluded[i];
+    }
+    (void)pthread_mutex_lock(&p->lock);
+    s = get_service(p, q->service);
+    sync_candidates(s, &limited, candidates, now_us);
+    choice =
+        bb_route_pick(p->policy, &s->route, candidates, limited.target_count,
+                      &r, &p->link, q->random_bits, now_us);
+    if (choice.index >= 0) {
+        uint64_t key = candidates[choice.index]->key;
+
+        bb_candidate_start(find_candidate(s, key));
+        bb_outlier_start(&s->outliers, key, q->work_class, now_us);
+    }
+    (void)pthread_mutex_unlock(&p->lock);
+    *reason = choice.reason;
+    return choice.index;
+}
+
+/* Notes how an attempt ended that bb_picker_pick counted. */
+void
+bb_picker_end(struct bb_picker *p, const char *service, uint64_t key,
+              enum bb_admission_class work_class, uint64_t start_us,
+              enum bb_pick_end end, uint64_t now_us)
+{
+    uint64_t latency_us = now_us - start_us;
+    struct bb_candidate *c;
+    struct service *s;
+
+    (void)pthread_mutex_lock(&p->lock);
+    s = get_service(p, service);
+    c = find_candidate(s, key);
+    if (end == BB_PICK_ANSWERED) {
+        bb_estimate_add(&s->latency[work_class], latency_us);
+    }
+    if (end == BB_PICK_REFUSED || end == BB_PICK_CANCELLED) {
+        bb_outlier_cancel(&s->outliers, key, start_us);
+    }
+    else {
+        bb_outlier_finish(&s->outliers, key, work_class, start_us,
+                          end != BB_PICK_ANSWERED, now_us);
+    }
+    if (c != NULL) {
+        bb_candidate_finish(c, work_class,
+                            end == BB_PICK_ANSWERED ? latency_us : 0,
+                            end == BB_PICK_ANSWERED);
+        if (end == BB_PICK_NOT_CONNECTED) {
+            bb_candidate_connect_failed(c, now_us);
+        }
+    }
+    (void)pthread_mutex_unlock(&p->lock);
+}
+
+/* Takes the load that a gatekeeper sent with an answer; malformed reports are
+ * ignored. */
+void
+bb_picker_report(struct bb_picker *p, const char *service, uint64_t key,
+                 const char *load, uint64_t now_us)
+{
+    char **parts = load != NULL ? g_strsplit(load, " ", 3) : NULL;
+    uint64_t numbers[3] = {0};
+    struct bb_candidate *c;
+
+    if (parts == NULL) {
+        return;
+    }
+    for (int i = 0; i < 3; i++) {
+        if (parts[i] == NULL ||
+            !g_ascii_string_to_unsigned(parts[i], 10, 0, UINT32_MAX,
+                                        &numbers[i], NULL)) {
+            goto out;
+        }
+    }
+    (void)pthread_mutex_lock(&p->lock);
+    c = find_candidate(get_service(p, service), key);
+    if (c != NULL) {
+        bb_candidate_report(c, (uint32_t)numbers[0], (uint32_t)numbers[1],
+                            (uint32_t)numbers[2], now_us);
+    }
+    (void)pthread_mutex_unlock(&p->lock);
+out:
+    g_strfreev(parts);
+}
+
+/* Notes one first attempt, which fills the budgets. */
+void
+bb_picker_first(struct bb_picker *p)
+{
+    (void)pthread_mutex_lock(&p->lock);
+    bb_retry_budget_deposit(&p->retries);
+    bb_retry_budget_deposit(&p->hedges);
+    (void)pthread_mutex_unlock(&p->lock);
+}
+
+/* Decides whether a refused or failed attempt is repeated, and after which
+ * delay; otherwise with which reason to answer. */
+bool
+bb_picker_may_repeat(struct bb_picker *p, const struct bb_repeat_question *q,
+                     uint64_t *delay_us, enum bb_reason *reason)
+{
+    struct bb_retry_question r = {
+        .reason = q->reason,
+        .ran = q->ran,
+        .is_idempotent = q->is_idempotent,
+        .attempts = q->attempts,
+        .retry_limit = q->retry_limit,
+        .remaining_us = q->remaining_us,
+        .random_bits = q->random_bits,
+    };
+    struct bb_retry_answer a;
+
+    (void)pthread_mutex_lock(&p->lock);
+    r.expected_us = bb_estimate_median_us(
+        &get_service(p, q->service)->latency[q->work_class], 0);
+    a = bb_retry_decide(&r, &p->retries);
+    (void)pthread_mutex_unlock(&p->lock);
+    *delay_us = a.delay_us;
+    *reason = a.reason;
+    return a.is_allowed;
+}
+
+/* Converts to the decision module's question. */
+static struct bb_hedge_question
+to_hedge_question(const struct bb_hedge_request *q)
+{
+    return (struct bb_hedge_question){
+        .is_idempotent = q->is_idempotent,
+        .work_class = q->work_class,
+        .hedges = q->hedges,
+        .hedge_limit = q->hedge_limit,
+        .elapsed_us = q->elapsed_us,
+        .remaining_us = q->remaining_us,
+        .hedge_after_us = q->hedge_after_us,
+    };
+}
+
+/* Returns after which time without an answer a second attempt may be sent. */
+uint64_t
+bb_picker_hedge_delay_us(struct bb_picker *p, const struct bb_hedge_request *q)
+{
+    struct bb_hedge_question h = to_hedge_question(q);
+    uint64_t delay_us;
+
+    (void)pthread_mutex_lock(&p->lock);
+    delay_us = bb_hedge_delay_us(
+        &h, &get_service(p, q->service)->latency[q->work_class]);
+    (void)pthread_mutex_unlock(&p->lock);
+    return delay_us;
+}
+
+/* Decides whether a second attempt is sent now; takes from its budget. */
+bool
+bb_picker_may_hedge(struct bb_picker *p, const struct bb_hedge_request *q)
+{
+    struct bb_hedge_question h = to_hedge_question(q);
+    bool is_allowed;
+
+    (void)pthread_mutex_lock(&p->lock);
+    is_allowed = bb_hedge_decide(
+        &h, &get_service(p, q->service)->latency[q->work_class], &p->hedges);
+    (void)pthread_mutex_unlock(&p->lock);
+    return is_allowed;
+}
--- /dev/null
+++ b/proxy/proxy.c
@@ -0,0 +1,341 @@
+#include "proxy/proxy.h"
+
+#include <microhttpd.h>
+#include <string.h>
+
+#include "common/clock.h"
+#include "common/counters.h"
+#include "common/digest.h"
+#include "common/log.h"
+#include "proxy/internal.h"
+
+enum {
+    DEFAULT_BASE = 64,
+    DEFAULT_STEP = 16,
+    DEFAULT_DETACHED = 64,
+    DEFAULT_CONNECTIONS = 4096,
+    DEFAULT_IDLE_MS = 10000,
+    DEFAULT_SILENT_MS = 1000,
+    DEFAULT_RECORD_ENTRIES = 131072,
+    DEFAULT_RETENTION_S = 600,
+    STORED_MAX_BYTES = 16 * 1024 * 1024,
+    /* The library keeps head and read buffer of a connection in one pool. */
+    POOL_BYTES = 80 * 1024,
+    POOL_INCREMENT_BYTES = 4096,
+    STACK_BYTES = 256 * 1024,
+    LISTEN_BACKLOG = 1024,
+    LOCAL_CONNECTIONS = 64,
+    MS_PER_S = 1000,
+    TICK_US = 50 * BB_US_PER_MS,
+    DRAIN_CHECK_US = 5 * BB_US_PER_MS,
+    WORKER_EXIT_MS = 3000
+};
+
+BB_GAUGE(in_flight_gauge, "baobab_requests_in_flight",
+         "Requests from their head to the end of their answer");
+
+/* Replaces numbers that are 0 by their defaults. */
+static void
+set_defaults(struct bb_proxy_settings *s)
+{
+    uint32_t *numbers[] = {
+        &s->workers.base,     &s->workers.step,    &s->workers.detached_max,
+        &s->connection_limit, &s->idle_timeout_ms, &s->silent_check_ms,
+        &s->record_entries,   &s->retention_s,
+    };
+    static const uint32_t defaults[] = {
+        DEFAULT_BASE,           DEFAULT_STEP,        DEFAULT_DETACHED,
+        DEFAULT_CONNECTIONS,    DEFAULT_IDLE_MS,     DEFAULT_SILENT_MS,
+        DEFAULT_RECORD_ENTRIES, DEFAULT_RETENTION_S,
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(numbers); i++) {
+        if (*numbers[i] == 0) {
+            *numbers[i] = defaults[i];
+        }
+    }
+}
+
+/* Begins a request when its target is known, before the library decodes it.
+ */
+static void *
+on_target(void *context, const char *url, struct MHD_Connection *connection)
+{
+    (void)connection;
+    return bb_exchange_create(context, url);
+}
+
+/* Handles one step of a caller's or another node's request. */
+static enum MHD_Result
+on_request(void *context, struct MHD_Connection *connection, const char *url,
+           const char *method, const char *version, const char *data,
+           size_t *size, void **state)
+{
+    (void)context;
+    (void)url;
+    (void)version;
+    return *state != NULL
+               ? bb_exchange_handle(*state, connection, method, data, size)
+               : MHD_NO;
+}
+
+/* Ends a request, whole or cut off. */
+static void
+on_completed(void *context, struct MHD_Connection *connection, void **state,
+             enum MHD_RequestTerminationCode code)
+{
+    (void)context;
+    (void)connection;
+    (void)code;
+    if (*state != NULL) {
+        bb_exchange_destroy(*state);
+        *state = NULL;
+    }
+}
+
+/* Handles one step of a request of the own upstream. */
+static enum MHD_Result
+on_local_request(void *context, struct MHD_Connection *connection,
+                 const char *url, const char *method, const char *version,
+                 const char *data, size_t *size, void **state)
+{
+    (void)version;
+    return bb_local_handle(context, connection, url, method, data, size,
+                           state);
+}
+
+/* Ends a request of the own upstream. */
+static void
+on_local_completed(void *context, struct MHD_Connection *connection,
+                   void **state, enum MHD_RequestTerminationCode code)
+{
+    (void)context;
+    (void)connection;
+    (void)code;
+    bb_local_completed(state);
+}
+
+/* Leaves targets as they are: they are passed on unchanged. */
+static size_t
+keep_escapes(void *context, struct MHD_Connection *connection, char *text)
+{
+    (void)context;
+    (void)connection;
+    return strlen(text);
+}
+
+/* Starts one HTTP server and learns its port. */
+static struct MHD_Daemon *
+start_daemon(struct bb_proxy *p, const struct bb_address *listen,
+             const struct MHD_OptionItem *options,
+             MHD_AccessHandlerCallback handler, struct bb_address *bound,
+             struct bb_error *e)
+{
+    struct sockaddr_storage address;
+    const union MHD_DaemonInfo *info;
+    struct MHD_Daemon *d;
+    char text[BB_ADDRESS_TEXT_BYTES];
+    unsigned flags = MHD_USE_THREAD_PER_CONNECTION |
+                     MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL |
+                     MHD_USE_ITC;
+
+    (void)bb_address_sockaddr(listen, &address);
+    if (address.ss_family == AF_INET6) {
+        flags |= MHD_USE_IPv6;
+    }
+    d = MHD_start_daemon(
+        flags, listen->port, NULL, NULL, handler, p, MHD_OPTION_SOCK_ADDR,
+        &address, MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)POOL_BYTES,
+        MHD_OPTION_CONNECTION_MEMORY_INCREMENT, (size_t)POOL_INCREMENT_BYTES,
+        MHD_OPTION_THREAD_STACK_SIZE, (size_t)STACK_BYTES,
+        MHD_OPTION_LISTEN_BACKLOG_SIZE, (unsigned)LISTEN_BACKLOG,
+        MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_STRICT_FOR_CLIENT,
+        1, MHD_OPTION_CONNECTION_TIMEOUT,
+        (p->settings.idle_timeout_ms + MS_PER_S - 1) / MS_PER_S,
+        MHD_OPTION_ARRAY, options, MHD_OPTION_END);
+    if (d == NULL) {
+        bb_error_set(e, BB_PROXY_ERROR_LISTEN, "cannot listen on %s",
+                     bb_address_text(listen, text));
+        return NULL;
+    }
+    *bound = *listen;
+    info = MHD_get_daemon_info(d, MHD_DAEMON_INFO_BIND_PORT);
+    if (info != NULL && info->port != 0) {
+        bound->port = info->port;
+    }
+    return d;
+}
+
+/* Starts both HTTP servers. */
+static bool
+start_daemons(struct bb_proxy *p, struct bb_error *e)
+{
+    const struct MHD_OptionItem caller_options[] = {
+        {MHD_OPTION_NOTIFY_COMPLETED, (intptr_t)on_completed, p},
+        {MHD_OPTION_URI_LOG_CALLBACK, (intptr_t)on_target, p},
+        {MHD_OPTION_UNESCAPE_CALLBACK, (intptr_t)keep_escapes, p},
+        {MHD_OPTION_CONNECTION_LIMIT, p->settings.connection_limit, NULL},
+        {MHD_OPTION_END, 0, NULL},
+    };
+    const struct MHD_OptionItem local_options[] = {
+        {MHD_OPTION_NOTIFY_COMPLETED, (intptr_t)on_local_completed, p},
+        {MHD_OPTION_CONNECTION_LIMIT, LOCAL_CONNECTIONS, NULL},
+        {MHD_OPTION_END, 0, NULL},
+    };
+
+    p->caller_daemon =
+        start_daemon(p, &p->settings.caller_listen, caller_options, on_request,
+                     &p->caller_address, e);
+    if (p->caller_daemon == NULL) {
+        return false;
+    }
+    p->local_daemon = start_daemon(p, &p->settings.local_listen, local_options,
+                                   on_local_request, &p->local_address, e);
+    return p->local_daemon != NULL;
+}
+
+/* Moves time on for the gatekeeper. */
+static void *
+tick(void *context)
+{
+    struct bb_proxy *p = context;
+
+    while (!atomic_load(&p->is_stopping)) {
+        bb_gatekeeper_tick(p->gatekeeper);
+        bb_counter_set(&in_flight_gauge, atomic_load(&p->in_flight));
+        bb_clock_sleep_us(TICK_US);
+    }
+    return NULL;
+}
+
+/* Creates the data path and starts to serve. Until a table is set, callers
+ * are refused. Returns NULL with BB_PROXY_ERROR_LISTEN if an address cannot
+ * be used. */
+struct bb_proxy *
+bb_proxy_create(const struct bb_proxy_settings *s, struct bb_error *e)
+{
+    struct bb_proxy *p = g_new0(struct bb_proxy, 1);
+    struct bb_gatekeeper_settings gate;
+
+    p->settings = *s;
+    set_defaults(&p->settings);
+    (void)g_strlcpy(p->host, s->host, sizeof(p->host));
+    (void)g_strlcpy(p->zone, s->zone, sizeof(p->zone));
+    (void)g_strlcpy(p->region, s->region, sizeof(p->region));
+    gate = (struct bb_gatekeeper_settings){
+        .incarnation = s->incarnation,
+        .record_entries = p->settings.record_entries,
+        .retention_s = p->settings.retention_s,
+        .stored_max_bytes = STORED_MAX_BYTES,
+        .changed = s->upstream_changed,
+        .changed_context = s->context,
+    };
+    /* Nodes with one seed must not make equal request ids. */
+    p->random = bb_random_create(
+        bb_hash64(p->host, strlen(p->host), s->seed ^ s->incarnation));
+    p->table = bb_table_holder_create();
+    p->workers = bb_workers_create(&p->settings.workers);
+    p->client = bb_http_client_create(p->workers);
+    p->picker = bb_picker_create();
+    p->gatekeeper = bb_gatekeeper_create(&gate);
+    if (!start_daemons(p, e)) {
+        goto fail;
+    }
+    if (pthread_create(&p->ticker, NULL, tick, p) != 0) {
+        bb_error_set(e, BB_PROXY_ERROR_LISTEN, "cannot start a thread");
+        goto fail;
+    }
+    p->has_ticker = true;
+    return p;
+fail:
+    bb_proxy_destroy(p);
+    return NULL;
+}
+
+/* Returns the address for callers and other nodes, with the port in use. */
+struct bb_address
+bb_proxy_caller_address(const struct bb_proxy *p)
+{
+    return p->caller_address;
+}
+
+/* Returns the address for the own upstream, with the port in use. */
+struct bb_address
+bb_proxy_local_address(const struct bb_proxy *p)
+{
+    return p->local_address;
+}
+
+/* Puts a table in force for requests that begin from now on; takes over the
+ * caller's reference. */
+void
+bb_proxy_set_table(struct bb_proxy *p, struct bb_table *t)
+{
+    const struct bb_pick_limits limits = {
+        .retry_percent = t->limits.retry_budget_percent,
+        .hedge_percent = t->limits.hedge_budget_percent,
+        .ejection_percent = t->limits.ejection_percent,
+        .link_bytes_per_s = t->limits.link_bytes_per_s,
+    };
+
+    bb_picker_configure(p->picker, &limits);
+    bb_gatekeeper_configure(p->gatekeeper, t);
+    bb_table_holder_set(p->table, t);
+}
+
+/* Returns the number of requests in flight. */
+uint32_t
+bb_proxy_in_flight(const struct bb_proxy *p)
+{
+    return atomic_load(&p->in_flight);
+}
+
+/* Refuses new requests and waits for those in flight, at most for the
+ * timeout. True if none is left. */
+bool
+bb_proxy_drain(struct bb_proxy *p, uint32_t timeout_ms)
+{
+    uint64_t end_us = bb_clock_now_us() + (uint64_t)timeout_ms * BB_US_PER_MS;
+
+    atomic_store(&p->is_draining, true);
+    bb_gatekeeper_stop(p->gatekeeper);
+    bb_log_info("proxy.drain", "%u requests in flight", bb_proxy_in_flight(p));
+    while (bb_proxy_in_flight(p) > 0 && bb_clock_now_us() < end_us) {
+        bb_clock_sleep_us(DRAIN_CHECK_US);
+    }
+    return bb_proxy_in_flight(p) == 0;
+}
+
+/* Stops serving and frees the proxy; NULL is allowed. Requests in flight are
+ * cut, so drain first. Memory that a worker still uses is left to the end of
+ * the process. */
+void
+bb_proxy_destroy(struct bb_proxy *p)
+{
+    bool is_free;
+
+    if (p == NULL) {
+        return;
+    }
+    bb_rpc_forget(p);
+    atomic_store(&p->is_stopping, true);
+    if (p->has_ticker) {
+        (void)pthread_join(p->ticker, NULL);
+    }
+    bb_gatekeeper_stop(p->gatekeeper);
+    if (p->local_daemon != NULL) {
+        MHD_stop_daemon(p->local_daemon);
+    }
+    if (p->caller_daemon != NULL) {
+        MHD_stop_daemon(p->caller_daemon);
+    }
+    is_free = bb_workers_destroy(p->workers, WORKER_EXIT_MS);
+    bb_table_holder_destroy(p->table);
+    bb_picker_destroy(p->picker);
+    bb_random_destroy(p->random);
+    if (is_free) {
+        bb_http_client_destroy(p->client);
+        bb_gatekeeper_destroy(p->gatekeeper);
+        g_free(p);
+    }
+}
--- /dev/null
+++ b/proxy/request.c
@@ -0,0 +1,207 @@
+/* The head of a request: checks, and what it says about route, deadline, depth
+ * and identity. */
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "common/clock.h"
+#include "common/log.h"
+#include "decide/retry.h"
+#include "proxy/internal.h"
+
+static const struct {
+    const char *name;
+    uint32_t bit;
+} methods[] = {
+    {"GET", BB_METHOD_GET},         {"HEAD", BB_METHOD_HEAD},
+    {"POST", BB_METHOD_POST},       {"PUT", BB_METHOD_PUT},
+    {"DELETE", BB_METHOD_DELETE},   {"PATCH", BB_METHOD_PATCH},
+    {"OPTIONS", BB_METHOD_OPTIONS},
+};
+
+/* Methods that RFC 9110 calls safe are idempotent on every route. */
+enum {
+    SAFE_METHODS = BB_METHOD_GET | BB_METHOD_HEAD | BB_METHOD_OPTIONS,
+    PEER_DEADLINE_MS = 60000 /* without a field that says less */
+};
+
+/* Returns the bit of a method, or 0 for one that is not passed on. */
+static uint32_t
+method_bit(const char *name)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(methods); i++) {
+        if (strcmp(methods[i].name, name) == 0) {
+            return methods[i].bit;
+        }
+    }
+    return 0;
+}
+
+/* Writes an id as hexadecimal digits. */
+const char *
+bb_id_text(const struct bb_request_id *id, char text[BB_ID_TEXT_BYTES])
+{
+    for (size_t i = 0; i < BB_REQUEST_ID_BYTES; i++) {
+        (void)snprintf(text + 2 * i, 3, "%02x", id->bytes[i]);
+    }
+    return text;
+}
+
+/* Reads an id from exactly 32 hexadecimal digits. */
+bool
+bb_id_parse(const char *text, struct bb_request_id *id)
+{
+    if (text == NULL || strlen(text) != BB_ID_TEXT_BYTES - 1) {
+        return false;
+    }
+    for (size_t i = 0; i < BB_REQUEST_ID_BYTES; i++) {
+        int high = g_ascii_xdigit_value(text[2 * i]);
+        int low = g_ascii_xdigit_value(text[2 * i + 1]);
+
+        if (high < 0 || low < 0) {
+            return false;
+        }
+        id->bytes[i] = (uint8_t)(high << 4 | low);
+    }
+    return true;
+}
+
+/* Copies one field out of the HTTP library. */
+static enum MHD_Result
+copy_header(void *context, enum MHD_ValueKind kind, const char *name,
+            const char *value)
+{
+    struct bb_headers *h = context;
+
+    (void)kind;
+    bb_headers_add(h, name, value);
+    return h->size_bytes <= BB_HEADERS_MAX_BYTES ? MHD_YES : MHD_NO;
+}
+
+/* Checks everything that is wrong whatever the table says; false after a
+ * refusal. */
+static bool
+check_form(struct bb_exchange *x, uint32_t bit)
+{
+    struct bb_framing f;
+
+    (void)MHD_get_connection_values(x->connection, MHD_HEADER_KIND,
+                                    copy_header, x->headers);
+    f = bb_headers_framing(x->headers);
+    x->length_bytes = f.length_bytes;
+    if (f.is_bad || bit == 0 || !bb_url_is_valid(x->url)) {
+        bb_exchange_refuse(x, BB_REASON_BAD_REQUEST, BB_RAN_NO);
+        return false;
+    }
+    return true;
+}
+
+/* Reads what another node says about a request that it sends on. */
+static bool
+read_forwarded(struct bb_exchange *x)
+{
+    const char *work_class = bb_headers_get(x->headers, BB_HEADER_CLASS);
+    const char *attempt = bb_headers_get(x->headers, BB_HEADER_ATTEMPT);
+    uint64_t depth = 0;
+
+    if (!bb_id_parse(bb_headers_get(x->headers, BB_HEADER_ID), &x->id) ||
+        !bb_headers_get_u64(x->headers, BB_HEADER_DEPTH, &depth) ||
+        depth > BB_DEPTH_LIMIT) {
+        bb_exchange_refuse(x, BB_REASON_BAD_REQUEST, BB_RAN_NO);
+        return false;
+    }
+    x->depth = (uint32_t)depth;
+    x->work_class = g_strcmp0(work_class, "long") == 0 ? BB_ADMISSION_LONG
+                                                       : BB_ADMISSION_SHORT;
+    /* Only requests that must not run twice name an incarnation. */
+    x->is_idempotent = !bb_headers_get_u64(x->headers, BB_HEADER_INCARNATION,
+                                           &x->incarnation);
+    x->wants_stored = g_strcmp0(attempt, "stored") == 0;
+    x->service_name = bb_headers_get(x->headers, BB_HEADER_FORWARDED);
+    return true;
+}
+
+/* Makes the identity of a request at its entry. */
+static void
+make_id(struct bb_exchange *x)
+{
+    const char *key = bb_headers_get(x->headers, BB_HEADER_KEY);
+
+    x->id = key != NULL && !x->is_idempotent
+                ? bb_request_id_of(x->service_name, key)
+                : bb_request_id_random(bb_random_u64(x->proxy->random),
+                                       bb_random_u64(x->proxy->random));
+}
+
+/* Finds the route of a caller's request; false after a refusal. */
+static bool
+read_route(struct bb_exchange *x, uint32_t bit)
+{
+    uint64_t depth = 0;
+    bool is_nested = bb_headers_get_u64(x->headers, BB_HEADER_DEPTH, &depth);
+
+    if (x->table == NULL) {
+        bb_exchange_refuse(x, BB_REASON_NO_CONFIGURATION, BB_RAN_NO);
+        return false;
+    }
+    x->route = bb_table_route(x->table, x->url, bit);
+    if (x->route == NULL) {
+        bb_exchange_refuse(x, BB_REASON_NO_ROUTE, BB_RAN_NO);
+        return false;
+    }
+    if (is_nested && !bb_depth_next((uint32_t)MIN(depth, UINT32_MAX),
+                                    x->table->limits.max_depth, &x->depth)) {
+        bb_exchange_refuse(x, BB_REASON_DEPTH_LIMIT, BB_RAN_NO);
+        return false;
+    }
+    x->service = &x->table->services[x->route->service];
+    x->service_name = x->service->settings.name;
+    x->work_class = (enum bb_admission_class)x->route->work_class;
+    x->is_idempotent = x->route->is_idempotent || (bit & SAFE_METHODS) != 0;
+    make_id(x);
+    return true;
+}
+
+/* Sets the deadline from the route's timeout and the request's field. */
+static void
+set_deadline(struct bb_exchange *x)
+{
+    uint64_t remaining_ms = 0;
+    uint64_t limit_ms =
+        x->route != NULL ? x->route->timeout_ms : (uint64_t)PEER_DEADLINE_MS;
+
+    (void)bb_headers_get_u64(x->headers, BB_HEADER_DEADLINE, &remaining_ms);
+    x->deadline_us =
+        bb_deadline_from_remaining(MIN(remaining_ms, limit_ms) * BB_US_PER_MS,
+                                   limit_ms * BB_US_PER_MS, x->start_us);
+}
+
+/* Reads and checks the head. Afterwards the outcome is a refusal or the
+ * request is ready to be run. While the node drains it takes no new work, but
+ * nested calls of requests in flight go on. */
+void
+bb_request_read(struct bb_exchange *x, const char *method)
+{
+    uint32_t bit = method_bit(method);
+
+    x->method = g_strdup(method);
+    if (!check_form(x, bit)) {
+        return;
+    }
+    x->is_forwarded = bb_headers_get(x->headers, BB_HEADER_FORWARDED) != NULL;
+    if (x->is_forwarded ? !read_forwarded(x) : !read_route(x, bit)) {
+        return;
+    }
+    (void)bb_id_text(&x->id, x->id_text);
+    set_deadline(x);
+    if (atomic_load(&x->proxy->is_draining) &&
+        (x->is_forwarded ? !x->wants_stored : x->depth == 0)) {
+        bb_exchange_refuse(x, BB_REASON_SHUTTING_DOWN, BB_RAN_NO);
+        return;
+    }
+    if (x->table != NULL && x->table->limits.max_body_bytes > 0 &&
+        x->length_bytes > 0 &&
+        (uint64_t)x->length_bytes > x->table->limits.max_body_bytes) {
+        bb_exchange_refuse(x, BB_REASON_TOO_LARGE, BB_RAN_NO);
+    }
+}
--- /dev/null
+++ b/proxy/rpc.c
@@ -0,0 +1,215 @@
+/* mesh/exchange.x: QUERY and CANCEL between nodes. libtirpc passes no context
+ * to handlers, so the registered proxy is kept here; there is one RPC server a
+ * process. */
+#include <string.h>
+
+#include "common/clock.h"
+#include "exchange.h"
+#include "proxy/internal.h"
+
+enum { QUERY_TIMEOUT_MS = 400, CANCEL_TIMEOUT_MS = 500 };
+
+static _Atomic(struct bb_proxy *) registered;
+
+/* Answers QUERY. */
+static void
+serve_query(struct bb_proxy *p, SVCXPRT *transport)
+{
+    bb_x_query q = {0};
+    bb_x_query_answer a = {0};
+    struct bb_request_id id;
+
+    if (!svc_getargs(transport, (xdrproc_t)xdr_bb_x_query, (char *)&q)) {
+        svcerr_decode(transport);
+        return;
+    }
+    memcpy(id.bytes, q.id, sizeof(id.bytes));
+    a.result = (u_int)bb_gatekeeper_query(p->gatekeeper, &id, q.incarnation);
+    (void)svc_sendreply(transport, (xdrproc_t)xdr_bb_x_query_answer,
+                        (char *)&a);
+}
+
+/* Answers CANCEL. */
+static void
+serve_cancel(struct bb_proxy *p, SVCXPRT *transport)
+{
+    bb_x_id raw = {0};
+    struct bb_request_id id;
+    bool_t is_taken = TRUE;
+
+    if (!svc_getargs(transport, (xdrproc_t)xdr_bb_x_id, (char *)raw)) {
+        svcerr_decode(transport);
+        return;
+    }
+    memcpy(id.bytes, raw, sizeof(id.bytes));
+    bb_cancel_here(p, &id);
+    (void)svc_sendreply(transport, (xdrproc_t)xdr_bool, (char *)&is_taken);
+}
+
+/* Runs one call of the program. */
+static void
+dispatch(struct svc_req *request, SVCXPRT *transport)
+{
+    struct bb_proxy *p = atomic_load(&registered);
+
+    if (p == NULL) {
+        svcerr_systemerr(transport);
+        return;
+    }
+    switch (request->rq_proc) {
+    case NULLPROC:
+        (void)svc_sendreply(transport, (xdrproc_t)(void (*)(void))xdr_void,
+                            NULL);
+        break;
+    case BB_EXCHANGE_QUERY:
+        serve_query(p, transport);
+        break;
+    case BB_EXCHANGE_CANCEL:
+        serve_cancel(p, transport);
+        break;
+    default:
+        svcerr_noproc(transport);
+        break;
+    }
+}
+
+/* Registers the program of this proxy with the process's RPC server; call it
+ * before the server starts. */
+bool
+bb_proxy_register(struct bb_proxy *p, struct bb_rpc_server *server,
+                  struct bb_error *e)
+{
+    atomic_store(&registered, p);
+    return bb_rpc_server_add(server, BB_EXCHANGE_PROGRAM, BB_EXCHANGE_VERSION,
+                             dispatch, e);
+}
+
+/* Stops answering for a proxy that is being destroyed. */
+void
+bb_rpc_forget(const struct bb_proxy *p)
+{
+    struct bb_proxy *expected = (struct bb_proxy *)p;
+
+    (void)atomic_compare_exchange_strong(&registered, &expected, NULL);
+}
+
+/* Asks the gatekeeper of a leg what became of the request, on a new
+ * connection. False if it gave no answer. */
+bool
+bb_rpc_query(struct bb_exchange *x, const struct bb_leg *leg,
+             enum bb_query_result *result)
+{
+    bb_x_query q = {.incarnation = x->is_idempotent
+                                       ? BB_INCARNATION_ANY
+                                       : leg->endpoint->incarnation};
+    bb_x_query_answer a = {0};
+    const struct bb_rpc_call call = {
+        .program = BB_EXCHANGE_PROGRAM,
+        .version = BB_EXCHANGE_VERSION,
+        .procedure = BB_EXCHANGE_QUERY,
+        .argument_codec = (xdrproc_t)xdr_bb_x_query,
+        .argument = &q,
+        .result_codec = (xdrproc_t)xdr_bb_x_query_answer,
+        .result = &a,
+        .timeout_ms = QUERY_TIMEOUT_MS,
+        .use_new_connection = true,
+    };
+    struct bb_error e = {0};
+
+    memcpy(q.id, x->id.bytes, sizeof(q.id));
+    if (x->proxy->settings.rpc == NULL ||
+        !bb_rpc_pool_call(x->proxy->settings.rpc, &leg->endpoint->rpc, &call,
+                          &e) ||
+        a.result > BB_QUERY_FULL) {
+        return false;
+    }
+    *result = (enum bb_query_result)a.result;
+    return true;
+}
+
+/* A CANCEL on its way. */
+struct cancellation {
+    struct bb_work work;
+    struct bb_proxy *proxy;
+    struct bb_address to;
+    bb_x_id id;
+};
+
+/* Sends a CANCEL; a lost one only wastes work. */
+static void
+run_cancel(void *context)
+{
+    struct cancellation *c = context;
+    bool_t is_taken = FALSE;
+    const struct bb_rpc_call call = {
+        .program = BB_EXCHANGE_PROGRAM,
+        .version = BB_EXCHANGE_VERSION,
+        .procedure = BB_EXCHANGE_CANCEL,
+        .argument_codec = (xdrproc_t)xdr_bb_x_id,
+        .argument = c->id,
+        .result_codec = (xdrproc_t)xdr_bool,
+        .result = &is_taken,
+        .timeout_ms = CANCEL_TIMEOUT_MS,
+    };
+
+    (void)bb_rpc_pool_call(c->proxy->settings.rpc, &c->to, &call, NULL);
+    bb_workers_done(c->proxy->workers, &c->work);
+    g_free(c);
+}
+
+/* Tells another node that a request need not be answered, without waiting. */
+void
+bb_rpc_cancel(struct bb_proxy *p, const struct bb_address *to,
+              const struct bb_request_id *id)
+{
+    struct cancellation *c;
+
+    if (p->settings.rpc == NULL) {
+        return;
+    }
+    c = g_new0(struct cancellation, 1);
+    c->proxy = p;
+    c->to = *to;
+    memcpy(c->id, id->bytes, sizeof(c->id));
+    c->work = (struct bb_work){
+        .run = run_cancel, .context = c, .depth = BB_DEPTH_MAX};
+    if (!bb_workers_submit(p->workers, &c->work, bb_clock_now_us())) {
+        g_free(c);
+    }
+}
+
+/* Cancels a request at this gatekeeper: in its queue, or at the upstream
+ * without waiting for it. */
+void
+bb_cancel_here(struct bb_proxy *p, const struct bb_request_id *id)
+{
+    struct bb_address upstream;
+    struct bb_attempt_request request;
+    struct bb_headers *h;
+    struct bb_watch *w;
+    char text[BB_ID_TEXT_BYTES];
+    char *url;
+
+    if (!bb_gatekeeper_cancel(p->gatekeeper, id, &upstream) ||
+        upstream.port == 0) {
+        return;
+    }
+    h = bb_headers_create();
+    w = bb_watch_create();
+    url = g_strdup_printf("/v1/cancel?id=%s", bb_id_text(id, text));
+    request = (struct bb_attempt_request){
+        .peer = upstream,
+        .method = "POST",
+        .url = url,
+        .headers = h,
+        .read_timeout_s = 1,
+        .idle_timeout_ms = CANCEL_TIMEOUT_MS,
+        .use_new_connection = true,
+        .depth = BB_DEPTH_MAX,
+    };
+    bb_attempt_release(
+        bb_attempt_start(p->client, &request, w, bb_clock_now_us()));
+    g_free(url);
+    bb_headers_destroy(h);
+    bb_watch_unref(w);
+}
--- a/proxy/workers.c
+++ b/proxy/workers.c
@@ -270,8 +270,8 @@
 
 /* Stops the pool and waits for its threads up to the timeout. A worker held
  * by a silent peer beyond it keeps the pool's memory, which is then left to
- * the end of the process. */
-void
+ * the end of the process; the result is false then. */
+bool
 bb_workers_destroy(struct bb_workers *p, uint32_t timeout_ms)
 {
     struct timespec end = bb_clock_timespec(
@@ -279,7 +279,7 @@
     uint32_t left;
 
     if (p == NULL) {
-        return;
+        return true;
     }
     (void)pthread_mutex_lock(&p->lock);
     p->is_stopping = true;
@@ -297,9 +297,10 @@
     if (left > 0) {
         bb_log_warning("workers.left", "%u workers still wait for a peer",
                        left);
-        return;
+        return false;
     }
     (void)pthread_cond_destroy(&p->freed);
     (void)pthread_mutex_destroy(&p->lock);
     g_free(p);
+    return true;
 }
