--- a/include/upstream/work.h
+++ b/include/upstream/work.h
@@ -30,7 +30,8 @@
 struct bb_runs *bb_runs_create(struct bb_behaviour *behaviour);
 void bb_runs_destroy(struct bb_runs *r);
 enum bb_run_outcome bb_runs_execute(struct bb_runs *r, const char *id,
-                                    uint64_t wanted_us, uint64_t end_us,
+                                    const char *call, uint64_t wanted_us,
+                                    uint64_t end_us,
                                     const struct bb_run_inner *inner);
 bool bb_runs_cancel(struct bb_runs *r, const char *id);
 uint32_t bb_runs_in_flight(struct bb_runs *r);
--- /dev/null
+++ b/load/engine.c
@@ -0,0 +1,387 @@
+#include "load/engine.h"
+
+#include <inttypes.h>
+#include <ne_request.h>
+#include <ne_session.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "common/clock.h"
+#include "common/digest.h"
+#include "upstream/pattern.h"
+
+enum {
+    BLOCK_BYTES = 16 * 1024,
+    LATE_US = BB_US_PER_MS,
+    HTTP_OK = 200,
+    CONNECT_TIMEOUT_S = 2,
+    STACK_BYTES = 256 * 1024,
+    DIGEST_TEXT_BYTES = 20
+};
+
+/* A session that makes a single connection: neon would silently repeat a
+ * request whose idle connection turns out closed, which looks like work that
+ * ran twice. */
+struct link {
+    ne_session *session;
+    bool is_closed;
+};
+
+/* One sending thread with a session for each target. */
+struct sender {
+    struct bb_load_run *run;
+    struct bb_load_stats *stats;
+    struct link links[BB_SETTINGS_LIST_MAX + 1]; /* the last is direct */
+    pthread_t thread;
+};
+
+/* One call in progress. */
+struct call {
+    const struct bb_load_call *plan;
+    char id[BB_LOAD_ID_BYTES];
+    uint64_t seed; /* of the pattern in both bodies */
+    uint64_t sent_bytes;
+    uint64_t answer_bytes;
+    bool is_pattern_wrong;
+    enum bb_reason reason;
+    bool is_not_run;
+    char text[512]; /* the beginning of a short answer */
+};
+
+/* Provides the body of a request. */
+static ssize_t
+provide_body(void *data, char *buffer, size_t size_bytes)
+{
+    struct call *c = data;
+    uint64_t left;
+
+    if (size_bytes == 0) {
+        c->sent_bytes = 0;
+        return 0;
+    }
+    left = c->plan->route->body_bytes - c->sent_bytes;
+    size_bytes = MIN(size_bytes, left);
+    bb_pattern_fill(c->seed, c->sent_bytes, (uint8_t *)buffer, size_bytes);
+    c->sent_bytes += size_bytes;
+    return (ssize_t)size_bytes;
+}
+
+/* Returns the digest that the upstream must report for the body. */
+static void
+expected_digest(const struct call *c, char text[DIGEST_TEXT_BYTES])
+{
+    XXH64_state_t *hash = XXH64_createState();
+    uint8_t block[BLOCK_BYTES];
+    uint64_t size = c->plan->route->body_bytes;
+
+    (void)XXH64_reset(hash, 0);
+    for (uint64_t at = 0; at < size; at += sizeof(block)) {
+        size_t count = MIN(sizeof(block), size - at);
+
+        bb_pattern_fill(c->seed, at, block, count);
+        (void)XXH64_update(hash, block, count);
+    }
+    (void)g_snprintf(text, DIGEST_TEXT_BYTES, "%016" PRIx64,
+                     (uint64_t)XXH64_digest(hash));
+    (void)XXH64_freeState(hash);
+}
+
+/* Checks a part of the answer against the pattern of this call. */
+static void
+check_block(struct call *c, const char *block, size_t size)
+{
+    uint8_t expected[BLOCK_BYTES];
+
+    if (c->plan->route->answer_bytes == 0) {
+        size_t room = sizeof(c->text) - 1;
+
+        if (c->answer_bytes < room) {
+            memcpy(c->text + c->answer_bytes, block,
+                   MIN(size, room - c->answer_bytes));
+        }
+    }
+    else {
+        bb_pattern_fill(c->seed, c->answer_bytes, expected, size);
+        c->is_pattern_wrong |= memcmp(expected, block, size) != 0;
+    }
+    c->answer_bytes += size;
+}
+
+/* Builds the request of a call. */
+static ne_request *
+build_request(struct call *c, ne_session *session)
+{
+    const struct bb_load_route *r = c->plan->route;
+    ne_request *q = ne_request_create(session, r->method, r->path);
+
+    ne_add_request_header(q, "X-Call-Id", c->id);
+    if (c->plan->work_us > 0) {
+        ne_print_request_header(q, "X-Work-Us", "%" PRIu64, c->plan->work_us);
+    }
+    if (r->answer_bytes > 0) {
+        ne_print_request_header(q, "X-Answer-Bytes", "%" PRIu64,
+                                r->answer_bytes);
+    }
+    if (r->deadline_ms > 0) {
+        ne_print_request_header(q, "Baobab-Deadline-Ms", "%" PRIu64,
+                                r->deadline_ms);
+    }
+    if (r->call_path[0] != '\0' && !c->plan->is_direct) {
+        ne_add_request_header(q, "X-Call-Path", r->call_path);
+    }
+    if (r->is_keyed) {
+        ne_add_request_header(q, "Idempotency-Key", c->id);
+    }
+    if (r->body_bytes > 0) {
+        ne_set_request_body_provider(q, (ne_off_t)r->body_bytes, provide_body,
+                                     c);
+    }
+    return q;
+}
+
+/* Compares a complete answer with its call: the id, the digest of the body
+ * that was sent, and the length and content of the body that came. */
+static bool
+is_own_answer(struct call *c, ne_request *q)
+{
+    const char *id = ne_get_response_header(q, "X-Call-Id");
+    const char *digest = ne_get_response_header(q, "X-Body-Digest");
+    uint64_t wanted = c->plan->route->answer_bytes;
+    char expected[DIGEST_TEXT_BYTES];
+
+    expected_digest(c, expected);
+    if (id == NULL || strcmp(id, c->id) != 0 || digest == NULL ||
+        strcmp(digest, expected) != 0) {
+        return false;
+    }
+    if (wanted > 0) {
+        return c->answer_bytes == wanted && !c->is_pattern_wrong;
+    }
+    return strstr(c->text, c->id) != NULL;
+}
+
+/* Reads the reason of a refusal. */
+static bool
+read_refusal(struct call *c, ne_request *q)
+{
+    const char *reason = ne_get_response_header(q, "Baobab-Refused");
+    const char *ran = ne_get_response_header(q, "Baobab-Ran");
+
+    c->is_not_run = ran != NULL && strcmp(ran, "no") == 0;
+    return reason != NULL && bb_reason_parse(reason, &c->reason);
+}
+
+/* Makes one call and classifies its end. */
+static enum bb_load_end
+make_call(struct call *c, ne_session *session)
+{
+    ne_request *q = build_request(c, session);
+    enum bb_load_end end = BB_LOAD_BROKEN;
+    char block[BLOCK_BYTES];
+    ssize_t count;
+
+    if (ne_begin_request(q) != NE_OK) {
+        goto out;
+    }
+    while ((count = ne_read_response_block(q, block, sizeof(block))) > 0) {
+        check_block(c, block, (size_t)count);
+    }
+    if (count < 0 || ne_end_request(q) != NE_OK) {
+        goto out;
+    }
+    if (read_refusal(c, q)) {
+        end = BB_LOAD_REFUSED;
+    }
+    else if (ne_get_status(q)->code != HTTP_OK) {
+        end = BB_LOAD_STATUS;
+    }
+    else {
+        end = is_own_answer(c, q) ? BB_LOAD_OK : BB_LOAD_WRONG;
+    }
+out:
+    ne_request_destroy(q);
+    return end;
+}
+
+/* Notes that neon has closed the connection. */
+static void
+on_close(void *data)
+{
+    ((struct link *)data)->is_closed = true;
+}
+
+/* Closes a link; it is opened again by its next call. */
+static void
+close_link(struct link *l)
+{
+    if (l->session != NULL) {
+        ne_session_destroy(l->session);
+        l->session = NULL;
+    }
+    l->is_closed = false;
+}
+
+/* Returns the sender's link for a call, opened if need be. */
+static struct link *
+link_for(struct sender *s, const struct bb_load_call *plan)
+{
+    struct bb_load_run *run = s->run;
+    /* The two calls of a pair have consecutive indices. */
+    uint32_t turn = run->direct.port != 0 ? plan->index / 2 : plan->index;
+    uint32_t at =
+        plan->is_direct ? BB_SETTINGS_LIST_MAX : turn % run->targets.count;
+    const struct bb_address *a =
+        plan->is_direct ? &run->direct : &run->targets.items[at];
+    struct link *l = &s->links[at];
+
+    if (l->is_closed) {
+        close_link(l);
+    }
+    if (l->session == NULL) {
+        l->session = ne_session_create("http", a->ip, a->port);
+        ne_set_read_timeout(l->session, (int)run->timeout_s);
+        ne_set_connect_timeout(l->session, CONNECT_TIMEOUT_S);
+        ne_hook_close_conn(l->session, on_close, l);
+    }
+    return l;
+}
+
+/* Makes one call on a link, which stays open after a whole answer only. */
+static enum bb_load_end
+call_on(struct sender *s, struct call *c)
+{
+    struct link *l = link_for(s, c->plan);
+    enum bb_load_end end = make_call(c, l->session);
+
+    if (end == BB_LOAD_BROKEN) {
+        close_link(l);
+    }
+    else {
+        ne_set_localaddr(l->session, s->run->unusable_address);
+    }
+    return end;
+}
+
+/* Writes one line about a call to the record. */
+static void
+write_record(struct bb_load_run *run, const struct call *c,
+             enum bb_load_end end, uint64_t latency_us)
+{
+    static const char *const names[BB_LOAD_ENDS] = {"ok", "refused", "status",
+                                                    "broken", "wrong"};
+
+    if (run->record == NULL) {
+        return;
+    }
+    (void)pthread_mutex_lock(&run->record_lock);
+    (void)fprintf(run->record,
+                  "{\"id\":\"%s\",\"method\":\"%s\",\"end\":\"%s\","
+                  "\"reason\":\"%s\",\"ran\":\"%s\",\"at_us\":%" PRIu64
+                  ",\"latency_us\":%" PRIu64 "}\n",
+                  c->id, c->plan->route->method, names[end],
+                  bb_reason_name(c->reason),
+                  end == BB_LOAD_OK ? "yes"
+                  : c->is_not_run   ? "no"
+                                    : "unknown",
+                  c->plan->at_us, latency_us);
+    (void)pthread_mutex_unlock(&run->record_lock);
+}
+
+/* Enters one finished call into the statistics. */
+static void
+note(struct sender *s, const struct call *c, enum bb_load_end end,
+     uint64_t now_us)
+{
+    struct bb_load_run *run = s->run;
+    uint64_t planned_us = run->start_us + c->plan->at_us;
+    uint64_t latency_us = now_us - planned_us;
+    uint64_t interval =
+        (now_us - run->start_us) / (BB_LOAD_INTERVAL_MS * BB_US_PER_MS);
+
+    write_record(run, c, end, latency_us);
+    s->stats->ends[end]++;
+    if (end == BB_LOAD_REFUSED) {
+        s->stats->refusals[c->reason]++;
+        s->stats->unknown += !c->is_not_run;
+    }
+    if (end != BB_LOAD_OK) {
+        return;
+    }
+    s->stats->bytes += c->answer_bytes;
+    if (c->plan->is_direct) {
+        bb_load_stats_record(s->stats, BB_LOAD_DIRECT, latency_us);
+        return;
+    }
+    bb_load_stats_record(s->stats, BB_LOAD_PROXIED, latency_us);
+    bb_load_stats_record(
+        s->stats, c->plan->is_long ? BB_LOAD_LONG : BB_LOAD_SHORT, latency_us);
+    s->stats->ok_by_interval[MIN(interval, (uint64_t)run->interval_count)]++;
+}
+
+/* Sends calls at their planned times until there are none. */
+static void *
+send_calls(void *argument)
+{
+    struct sender *s = argument;
+    struct bb_load_run *run = s->run;
+    uint32_t i;
+
+    while ((i = atomic_fetch_add(&run->next, 1)) < run->call_count) {
+        const struct bb_load_call *plan = &run->calls[i];
+        struct call c = {.plan = plan};
+        uint64_t due_us = run->start_us + plan->at_us;
+        struct timespec due = bb_clock_timespec(due_us);
+        enum bb_load_end end;
+
+        (void)g_snprintf(c.id, sizeof(c.id), "%" PRIu64 "-%u", run->seed,
+                         plan->index);
+        c.seed = bb_hash64(c.id, strlen(c.id), 0);
+        while (bb_clock_now_us() < due_us) {
+            (void)clock_nanosleep(CLOCK_MONOTONIC, TIMER_ABSTIME, &due, NULL);
+        }
+        s->stats->late += bb_clock_now_us() > due_us + LATE_US;
+        end = call_on(s, &c);
+        note(s, &c, end, bb_clock_now_us());
+    }
+    return NULL;
+}
+
+/* Runs all planned calls; returns the statistics of all threads. */
+struct bb_load_stats *
+bb_load_execute(struct bb_load_run *run)
+{
+    struct sender *senders = g_new0(struct sender, run->threads);
+    /* TEST-NET-1 is assigned to no interface, so binding to it fails. */
+    static const unsigned char unusable[] = {192, 0, 2, 1};
+    struct bb_load_stats *total;
+    pthread_attr_t attributes;
+
+    run->unusable_address = ne_iaddr_make(ne_iaddr_ipv4, unusable);
+    run->interval_count = (uint32_t)(run->duration_ms / BB_LOAD_INTERVAL_MS);
+    total = bb_load_stats_create(run->interval_count);
+    (void)pthread_attr_init(&attributes);
+    (void)pthread_attr_setstacksize(&attributes, STACK_BYTES);
+    /* Threads must all wait before the first call is due. */
+    run->start_us = bb_clock_now_us() + BB_US_PER_S / 4;
+    for (uint64_t i = 0; i < run->threads; i++) {
+        senders[i].run = run;
+        senders[i].stats = bb_load_stats_create(run->interval_count);
+        if (pthread_create(&senders[i].thread, &attributes, send_calls,
+                           &senders[i]) != 0) {
+            (void)fprintf(stderr, "baobab-load: cannot start a thread\n");
+            abort();
+        }
+    }
+    for (uint64_t i = 0; i < run->threads; i++) {
+        (void)pthread_join(senders[i].thread, NULL);
+        bb_load_stats_add(total, senders[i].stats, run->interval_count);
+        bb_load_stats_destroy(senders[i].stats);
+        for (int n = 0; n <= BB_SETTINGS_LIST_MAX; n++) {
+            close_link(&senders[i].links[n]);
+        }
+    }
+    (void)pthread_attr_destroy(&attributes);
+    ne_iaddr_free(run->unusable_address);
+    g_free(senders);
+    return total;
+}
--- /dev/null
+++ b/load/report.c
@@ -0,0 +1,168 @@
+/* The results of a run as text or JSON. */
+#include <inttypes.h>
+#include <jansson.h>
+
+#include "load/engine.h"
+
+static const char *const kind_names[BB_LOAD_KINDS] = {"proxied", "short",
+                                                      "long", "direct"};
+static const char *const end_names[BB_LOAD_ENDS] = {"ok", "refused", "status",
+                                                    "broken", "wrong"};
+static const double percents[] = {50, 90, 99, 99.9};
+static const char *const percent_names[] = {"p50_us", "p90_us", "p99_us",
+                                            "p999_us"};
+
+/* Returns the latencies of one kind of calls. */
+static json_t *
+kind_json(const struct bb_load_stats *s, enum bb_load_kind kind)
+{
+    json_t *out = json_object();
+
+    json_object_set_new(out, "count",
+                        json_integer((json_int_t)s->counts[kind]));
+    for (size_t i = 0; i < G_N_ELEMENTS(percents); i++) {
+        json_object_set_new(
+            out, percent_names[i],
+            json_real(bb_load_percentile(s, kind, percents[i])));
+    }
+    json_object_set_new(out, "max_us",
+                        json_integer((json_int_t)s->max_us[kind]));
+    json_object_set_new(
+        out, "mean_us",
+        json_real(s->counts[kind] > 0
+                      ? (double)s->sum_us[kind] / (double)s->counts[kind]
+                      : 0));
+    return out;
+}
+
+/* Returns the differences between proxied and direct calls. */
+static json_t *
+difference_json(const struct bb_load_stats *s)
+{
+    json_t *out = json_object();
+
+    for (size_t i = 0; i < G_N_ELEMENTS(percents); i++) {
+        json_object_set_new(
+            out, percent_names[i],
+            json_real(bb_load_percentile(s, BB_LOAD_PROXIED, percents[i]) -
+                      bb_load_percentile(s, BB_LOAD_DIRECT, percents[i])));
+    }
+    return out;
+}
+
+/* Returns the refusals by reason. */
+static json_t *
+refusals_json(const struct bb_load_stats *s)
+{
+    json_t *out = json_object();
+
+    for (int i = 0; i < BB_REASONS; i++) {
+        if (s->refusals[i] > 0) {
+            json_object_set_new(out, bb_reason_name((enum bb_reason)i),
+                                json_integer((json_int_t)s->refusals[i]));
+        }
+    }
+    return out;
+}
+
+/* Writes the report as one JSON object. */
+static void
+report_json(const struct bb_load_run *run, const struct bb_load_stats *s,
+            FILE *out)
+{
+    json_t *root = json_object();
+    json_t *ends = json_object();
+    json_t *intervals = json_array();
+
+    json_object_set_new(root, "workload", json_string(run->workload->name));
+    json_object_set_new(root, "seed", json_integer((json_int_t)run->seed));
+    json_object_set_new(root, "calls", json_integer(run->call_count));
+    json_object_set_new(root, "duration_ms",
+                        json_integer((json_int_t)run->duration_ms));
+    for (int i = 0; i < BB_LOAD_ENDS; i++) {
+        json_object_set_new(ends, end_names[i],
+                            json_integer((json_int_t)s->ends[i]));
+    }
+    json_object_set_new(root, "ends", ends);
+    json_object_set_new(root, "refusals", refusals_json(s));
+    json_object_set_new(root, "unknown", json_integer((json_int_t)s->unknown));
+    json_object_set_new(root, "late", json_integer((json_int_t)s->late));
+    json_object_set_new(root, "answer_bytes",
+                        json_integer((json_int_t)s->bytes));
+    for (int k = 0; k < BB_LOAD_KINDS; k++) {
+        if (s->counts[k] > 0) {
+            json_object_set_new(root, kind_names[k],
+                                kind_json(s, (enum bb_load_kind)k));
+        }
+    }
+    if (s->counts[BB_LOAD_DIRECT] > 0) {
+        json_object_set_new(root, "difference", difference_json(s));
+    }
+    for (uint32_t i = 0; i < run->interval_count; i++) {
+        json_array_append_new(intervals,
+                              json_integer((json_int_t)s->ok_by_interval[i]));
+    }
+    json_object_set_new(root, "ok_by_100_ms", intervals);
+    (void)json_dumpf(root, out, JSON_COMPACT | JSON_REAL_PRECISION(8));
+    (void)fputc('\n', out);
+    json_decref(root);
+}
+
+/* Writes the report as text. */
+static void
+report_text(const struct bb_load_run *run, const struct bb_load_stats *s,
+            FILE *out)
+{
+    (void)fprintf(
+        out, "workload %s, seed %" PRIu64 ", %u calls in %" PRIu64 " ms\n",
+        run->workload->name, run->seed, run->call_count, run->duration_ms);
+    for (int i = 0; i < BB_LOAD_ENDS; i++) {
+        (void)fprintf(out, "%-8s %" PRIu64 "\n", end_names[i], s->ends[i]);
+    }
+    for (int i = 0; i < BB_REASONS; i++) {
+        if (s->refusals[i] > 0) {
+            (void)fprintf(out, "  %s %" PRIu64 "\n",
+                          bb_reason_name((enum bb_reason)i), s->refusals[i]);
+        }
+    }
+    (void)fprintf(out, "unknown  %" PRIu64 "\nlate     %" PRIu64 "\n",
+                  s->unknown, s->late);
+    (void)fprintf(out, "%-8s %9s %9s %9s %9s %9s %9s\n", "us", "count", "p50",
+                  "p90", "p99", "p99.9", "max");
+    for (int k = 0; k < BB_LOAD_KINDS; k++) {
+        enum bb_load_kind kind = (enum bb_load_kind)k;
+
+        if (s->counts[k] == 0) {
+            continue;
+        }
+        (void)fprintf(out, "%-8s %9" PRIu64, kind_names[k], s->counts[k]);
+        for (size_t i = 0; i < G_N_ELEMENTS(percents); i++) {
+            (void)fprintf(out, " %9.0f",
+                          bb_load_percentile(s, kind, percents[i]));
+        }
+        (void)fprintf(out, " %9" PRIu64 "\n", s->max_us[k]);
+    }
+    if (s->counts[BB_LOAD_DIRECT] > 0) {
+        (void)fprintf(out, "%-8s %9s", "added", "");
+        for (size_t i = 0; i < G_N_ELEMENTS(percents); i++) {
+            (void)fprintf(
+                out, " %9.0f",
+                bb_load_percentile(s, BB_LOAD_PROXIED, percents[i]) -
+                    bb_load_percentile(s, BB_LOAD_DIRECT, percents[i]));
+        }
+        (void)fputc('\n', out);
+    }
+}
+
+/* Writes the results of a run. */
+void
+bb_load_report(const struct bb_load_run *run, const struct bb_load_stats *s,
+               bool is_json, FILE *out)
+{
+    if (is_json) {
+        report_json(run, s, out);
+    }
+    else {
+        report_text(run, s, out);
+    }
+}
--- /dev/null
+++ b/load/stats.c
@@ -0,0 +1,108 @@
+#include <math.h>
+
+#include "load/engine.h"
+
+/* Bins grow by 2% from 1 us to 100 s, so a percentile is off by at most 2%. */
+enum { BINS = 931 };
+
+static const double bin_growth = 1.02;
+
+/* Creates one histogram. */
+static gsl_histogram *
+create_histogram(void)
+{
+    gsl_histogram *h = gsl_histogram_alloc(BINS);
+    double ranges[BINS + 1];
+
+    for (int i = 0; i <= BINS; i++) {
+        ranges[i] = pow(bin_growth, i);
+    }
+    (void)gsl_histogram_set_ranges(h, ranges, BINS + 1);
+    return h;
+}
+
+/* Creates empty statistics. */
+struct bb_load_stats *
+bb_load_stats_create(uint32_t interval_count)
+{
+    struct bb_load_stats *s = g_new0(struct bb_load_stats, 1);
+
+    for (int k = 0; k < BB_LOAD_KINDS; k++) {
+        s->latency[k] = create_histogram();
+    }
+    s->ok_by_interval = g_new0(uint64_t, interval_count + 1);
+    return s;
+}
+
+/* Frees statistics. */
+void
+bb_load_stats_destroy(struct bb_load_stats *s)
+{
+    for (int k = 0; k < BB_LOAD_KINDS; k++) {
+        gsl_histogram_free(s->latency[k]);
+    }
+    g_free(s->ok_by_interval);
+    g_free(s);
+}
+
+/* Notes the latency of one call that was answered. */
+void
+bb_load_stats_record(struct bb_load_stats *s, enum bb_load_kind kind,
+                     uint64_t latency_us)
+{
+    double value = latency_us > 1 ? (double)latency_us : 1.0;
+
+    (void)gsl_histogram_increment(s->latency[kind], value);
+    s->max_us[kind] = MAX(s->max_us[kind], latency_us);
+    s->sum_us[kind] += latency_us;
+    s->counts[kind]++;
+}
+
+/* Adds the statistics of one thread to the total. */
+void
+bb_load_stats_add(struct bb_load_stats *to, const struct bb_load_stats *from,
+                  uint32_t interval_count)
+{
+    for (int k = 0; k < BB_LOAD_KINDS; k++) {
+        (void)gsl_histogram_add(to->latency[k], from->latency[k]);
+        to->max_us[k] = MAX(to->max_us[k], from->max_us[k]);
+        to->sum_us[k] += from->sum_us[k];
+        to->counts[k] += from->counts[k];
+    }
+    for (int i = 0; i < BB_LOAD_ENDS; i++) {
+        to->ends[i] += from->ends[i];
+    }
+    for (int i = 0; i < BB_REASONS; i++) {
+        to->refusals[i] += from->refusals[i];
+    }
+    for (uint32_t i = 0; i <= interval_count; i++) {
+        to->ok_by_interval[i] += from->ok_by_interval[i];
+    }
+    to->unknown += from->unknown;
+    to->late += from->late;
+    to->bytes += from->bytes;
+}
+
+/* Returns a percentile in microseconds, interpolated within its bin; 0
+ * without any value. */
+double
+bb_load_percentile(const struct bb_load_stats *s, enum bb_load_kind kind,
+                   double percent)
+{
+    const gsl_histogram *h = s->latency[kind];
+    double wanted = gsl_histogram_sum(h) * percent / 100;
+    double sum = 0;
+
+    for (size_t i = 0; i < BINS; i++) {
+        double count = gsl_histogram_get(h, i);
+
+        if (count > 0 && sum + count >= wanted) {
+            double low = h->range[i];
+            double high = h->range[i + 1];
+
+            return low + (high - low) * (wanted - sum) / count;
+        }
+        sum += count;
+    }
+    return (double)s->max_us[kind];
+}
--- /dev/null
+++ b/load/workload.c
@@ -0,0 +1,209 @@
+#include "load/workload.h"
+
+#include <glib.h>
+#include <jansson.h>
+#include <math.h>
+#include <string.h>
+
+#include "common/clock.h"
+
+enum {
+    WORKLOAD_ERROR_FILE = 1,
+    WORKLOAD_ERROR_VALUE,
+    CALLS_MAX = 20000000,
+    PERMILLE = 1000,
+    DEFAULT_LONG_FACTOR = 50
+};
+
+/* Returns a member that is a whole number, or 0. */
+static uint64_t
+number(const json_t *object, const char *key)
+{
+    json_int_t value = json_integer_value(json_object_get(object, key));
+
+    return value > 0 ? (uint64_t)value : 0;
+}
+
+/* Copies a member that is a string, or the default. */
+static void
+text(const json_t *object, const char *key, const char *otherwise, char *out,
+     size_t size)
+{
+    const char *value = json_string_value(json_object_get(object, key));
+
+    (void)g_strlcpy(out, value != NULL ? value : otherwise, size);
+}
+
+/* Reads the list of routes. */
+static bool
+read_routes(struct bb_workload *w, const json_t *root, struct bb_error *e)
+{
+    const json_t *list = json_object_get(root, "routes");
+
+    w->route_count = (uint32_t)json_array_size(list);
+    w->routes = g_new0(struct bb_load_route, w->route_count);
+    for (uint32_t i = 0; i < w->route_count; i++) {
+        const json_t *item = json_array_get(list, i);
+        struct bb_load_route *r = &w->routes[i];
+
+        text(item, "method", "GET", r->method, sizeof(r->method));
+        text(item, "path", "", r->path, sizeof(r->path));
+        text(item, "call_path", "", r->call_path, sizeof(r->call_path));
+        r->weight = number(item, "weight");
+        r->work_us = number(item, "work_us");
+        r->body_bytes = number(item, "body_bytes");
+        r->answer_bytes = number(item, "answer_bytes");
+        r->deadline_ms = number(item, "deadline_ms");
+        r->is_keyed = json_is_true(json_object_get(item, "keyed"));
+        w->weight_sum += r->weight;
+        if (r->path[0] != '/') {
+            return bb_error_set(e, WORKLOAD_ERROR_VALUE,
+                                "route %u: path must begin with /", i);
+        }
+    }
+    if (w->weight_sum == 0) {
+        return bb_error_set(e, WORKLOAD_ERROR_VALUE, "no route has a weight");
+    }
+    return true;
+}
+
+/* Reads the list of swings, ordered by time. */
+static bool
+read_swings(struct bb_workload *w, const json_t *root, struct bb_error *e)
+{
+    const json_t *list = json_object_get(root, "swings");
+
+    w->swing_count = (uint32_t)json_array_size(list);
+    w->swings = g_new0(struct bb_load_swing, w->swing_count);
+    for (uint32_t i = 0; i < w->swing_count; i++) {
+        const json_t *item = json_array_get(list, i);
+
+        w->swings[i].at_ms = number(item, "at_ms");
+        w->swings[i].factor =
+            json_number_value(json_object_get(item, "factor"));
+        if (w->swings[i].factor <= 0 ||
+            (i > 0 && w->swings[i].at_ms <= w->swings[i - 1].at_ms)) {
+            return bb_error_set(e, WORKLOAD_ERROR_VALUE,
+                                "swing %u: needs a factor above 0 and a "
+                                "later time than the one before",
+                                i);
+        }
+    }
+    return true;
+}
+
+/* Reads a workload file. */
+bool
+bb_workload_read(struct bb_workload *w, const char *path, struct bb_error *e)
+{
+    json_error_t fault;
+    json_t *root = json_load_file(path, JSON_REJECT_DUPLICATES, &fault);
+    bool is_read = false;
+
+    *w = (struct bb_workload){0};
+    if (root == NULL) {
+        bb_error_set(e, WORKLOAD_ERROR_FILE, "%s line %d: %s", path,
+                     fault.line, fault.text);
+        return false;
+    }
+    text(root, "name", path, w->name, sizeof(w->name));
+    w->rate = number(root, "rate");
+    w->long_permille = number(root, "long_permille");
+    w->long_factor = number(root, "long_factor");
+    w->swing_period_ms = number(root, "swing_period_ms");
+    if (w->long_factor == 0) {
+        w->long_factor = DEFAULT_LONG_FACTOR;
+    }
+    is_read = read_routes(w, root, e) && read_swings(w, root, e);
+    json_decref(root);
+    if (!is_read) {
+        bb_workload_clear(w);
+    }
+    return is_read;
+}
+
+/* Frees what a workload holds. */
+void
+bb_workload_clear(struct bb_workload *w)
+{
+    g_free(w->routes);
+    g_free(w->swings);
+    *w = (struct bb_workload){0};
+}
+
+/* Returns the factor of the rate at a time. */
+static double
+factor_at(const struct bb_workload *w, uint64_t at_us)
+{
+    uint64_t at_ms = at_us / BB_US_PER_MS;
+    double factor = 1;
+
+    if (w->swing_period_ms > 0) {
+        at_ms %= w->swing_period_ms;
+    }
+    for (uint32_t i = 0; i < w->swing_count && w->swings[i].at_ms <= at_ms;
+         i++) {
+        factor = w->swings[i].factor;
+    }
+    return factor;
+}
+
+/* Draws a route by weight. */
+static const struct bb_load_route *
+draw_route(const struct bb_workload *w, struct bb_random *random)
+{
+    uint64_t at = bb_random_below(random, w->weight_sum);
+    uint32_t i = 0;
+
+    while (at >= w->routes[i].weight) {
+        at -= w->routes[i].weight;
+        i++;
+    }
+    return &w->routes[i];
+}
+
+/* Plans every call of a run: exponential intervals at the rate of the moment.
+ * With pairs, each proxied call is followed by a direct one of the same kind
+ * half an average interval later, so that both see the same conditions. The
+ * caller frees the result with g_free. */
+struct bb_load_call *
+bb_workload_plan(const struct bb_workload *w, uint64_t seed, uint64_t rate,
+                 uint64_t duration_ms, bool is_paired, uint32_t *count)
+{
+    struct bb_random *random = bb_random_create(seed);
+    GArray *calls = g_array_new(FALSE, TRUE, sizeof(struct bb_load_call));
+    double at_us = 0;
+    double mean_us = (double)BB_US_PER_S / (double)rate;
+
+    while (calls->len < CALLS_MAX) {
+        double u = (double)(bb_random_u64(random) >> 11) / 9007199254740992.0;
+        struct bb_load_call c = {0};
+
+        at_us += -log1p(-u) * mean_us / factor_at(w, (uint64_t)at_us);
+        if (at_us >= (double)duration_ms * BB_US_PER_MS) {
+            break;
+        }
+        c.at_us = (uint64_t)at_us;
+        c.index = calls->len;
+        c.route = draw_route(w, random);
+        c.is_long = bb_random_below(random, PERMILLE) < w->long_permille;
+        c.work_us = c.route->work_us * (c.is_long ? w->long_factor : 1);
+        g_array_append_val(calls, c);
+        if (is_paired) {
+            c.is_direct = true;
+            c.index = calls->len;
+            g_array_append_val(calls, c);
+        }
+    }
+    if (is_paired) {
+        for (guint i = 1; i < calls->len; i += 2) {
+            struct bb_load_call *c =
+                &g_array_index(calls, struct bb_load_call, i);
+
+            c->at_us += (uint64_t)(mean_us / 2);
+        }
+    }
+    bb_random_destroy(random);
+    *count = calls->len;
+    return (struct bb_load_call *)(void *)g_array_free(calls, FALSE);
+}
--- a/upstream/server.c
+++ b/upstream/server.c
@@ -176,16 +176,16 @@
         c->upstream, field(c, BB_CALL_PATH), fields, count / 2, end_us);
 }
 
-/* Returns the id under which a request is recorded. */
+/* Returns a field that can stand in the record, or "-". */
 static const char *
-run_id(const struct call *c)
+id_field(const struct call *c, const char *name)
 {
-    const char *id = field(c, "Baobab-Request-Id");
+    const char *id = field(c, name);
 
-    id = id != NULL ? id : field(c, BB_CALL_ID);
-    id = id != NULL ? id : "-";
-    return strlen(id) < BB_RUN_ID_BYTES && strpbrk(id, "\"\\") == NULL ? id
-                                                                       : "-";
+    return id != NULL && strlen(id) < BB_RUN_ID_BYTES &&
+                   strpbrk(id, "\"\\") == NULL
+               ? id
+               : "-";
 }
 
 /* Runs one request and answers it. */
@@ -206,7 +206,8 @@
         return answer_text(c, MHD_HTTP_SERVICE_UNAVAILABLE, "text/plain",
                            g_string_new("draining\n"), "draining");
     }
-    outcome = bb_runs_execute(u->runs, run_id(c),
+    outcome = bb_runs_execute(u->runs, id_field(c, "Baobab-Request-Id"),
+                              id_field(c, BB_CALL_ID),
                               number_field(c, BB_CALL_WORK_US, 0), end_us,
                               is_nested ? &inner : NULL);
     if (bb_behaviour_draw(&u->behaviour,
--- a/upstream/work.c
+++ b/upstream/work.c
@@ -19,6 +19,7 @@
 
 struct record {
     char *id;
+    char *call; /* the caller's own id */
     uint64_t start_us;
     uint64_t end_us;
     enum bb_run_outcome outcome;
@@ -47,7 +48,10 @@
 static void
 clear_record(void *data)
 {
-    g_free(((struct record *)data)->id);
+    struct record *item = data;
+
+    g_free(item->id);
+    g_free(item->call);
 }
 
 /* Creates an empty set of runs. */
@@ -93,11 +97,12 @@
 
 /* Appends to the record of what ran. */
 static void
-add_record(struct bb_runs *r, const char *id, uint64_t start_us,
-           enum bb_run_outcome outcome)
+add_record(struct bb_runs *r, const char *id, const char *call,
+           uint64_t start_us, enum bb_run_outcome outcome)
 {
     struct record item = {
         .id = g_strdup(id),
+        .call = g_strdup(call),
         .start_us = start_us,
         .end_us = bb_clock_now_us(),
         .outcome = outcome,
@@ -148,8 +153,9 @@
  * (wanted_us, or drawn if 0), then for the inner work unless it is NULL. Ends
  * early at end_us and on cancellation. */
 enum bb_run_outcome
-bb_runs_execute(struct bb_runs *r, const char *id, uint64_t wanted_us,
-                uint64_t end_us, const struct bb_run_inner *inner)
+bb_runs_execute(struct bb_runs *r, const char *id, const char *call,
+                uint64_t wanted_us, uint64_t end_us,
+                const struct bb_run_inner *inner)
 {
     struct run run = {.id = id};
     enum bb_run_outcome outcome = BB_RUN_DEADLINE_WAITING;
@@ -176,7 +182,7 @@
         inner->run(inner->context, end_us);
         (void)pthread_mutex_lock(&r->lock);
     }
-    add_record(r, id, start_us, outcome);
+    add_record(r, id, call, start_us, outcome);
     r->busy--;
     sample_load(r);
     (void)pthread_cond_broadcast(&r->changed);
@@ -258,11 +264,12 @@
         const struct record *item =
             &g_array_index(r->records, struct record, i);
 
-        g_string_append_printf(out,
-                               "{\"id\":\"%s\",\"start_us\":%" PRIu64
-                               ",\"end_us\":%" PRIu64 ",\"outcome\":\"%s\"}\n",
-                               item->id, item->start_us, item->end_us,
-                               names[item->outcome]);
+        g_string_append_printf(
+            out,
+            "{\"id\":\"%s\",\"call\":\"%s\",\"start_us\":%" PRIu64
+            ",\"end_us\":%" PRIu64 ",\"outcome\":\"%s\"}\n",
+            item->id, item->call, item->start_us, item->end_us,
+            names[item->outcome]);
     }
     (void)pthread_mutex_unlock(&r->lock);
 }
