--- a/proxy/entry.c
+++ b/proxy/entry.c
@@ -203,7 +203,7 @@
     o = leg->is_local ? bb_leg_start_local(x, leg) : bb_leg_start_peer(x, leg);
     switch (o.kind) {
     case BB_OUTCOME_NONE:
-        bb_probe_init(&leg->probe, x->is_idempotent,
+        bb_probe_init(&leg->probe, x->is_idempotent, false,
                       (uint64_t)x->proxy->settings.silent_check_ms *
                           BB_US_PER_MS,
                       x->deadline_us, bb_clock_now_us());
