Add the HTTP administration API

Processes need one way to show status and take changes. Endpoints register as plug-ins; methods other than GET and HEAD need a bearer token, compared by digest; URL, headers and body are limited; errors are JSON with a code.

Tests send malformed, oversized and random requests through a plain socket; debug, address and thread sanitizer builds pass.

--- /dev/null
+++ b/include/admin/admin.h
@@ -0,0 +1,89 @@
+/* The HTTP administration API: a server on an address of its own, whose
+ * endpoints register as plug-ins of kind BB_PLUGIN_ADMIN_ENDPOINT under the
+ * name "METHOD PATH", such as "GET /v1/health".
+ *
+ * Handlers run in the thread of their connection, several at once. Methods
+ * other than GET and HEAD need the bearer token. */
+#ifndef BB_ADMIN_ADMIN_H
+#define BB_ADMIN_ADMIN_H
+
+#include <glib.h>
+#include <jansson.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "common/address.h"
+#include "common/error.h"
+#include "common/registry.h"
+
+enum {
+    BB_ADMIN_URL_MAX_BYTES = 8 * 1024,
+    BB_ADMIN_HEADER_MAX_BYTES = 32 * 1024,
+    BB_ADMIN_BODY_MAX_BYTES = 64 * 1024,
+    BB_ADMIN_CONNECTIONS_MAX = 64,
+    BB_ADMIN_IDLE_TIMEOUT_S = 10
+};
+
+enum bb_admin_error { BB_ADMIN_ERROR_LISTEN = 1 };
+
+enum bb_admin_status {
+    BB_ADMIN_OK = 200,
+    BB_ADMIN_BAD_REQUEST = 400,
+    BB_ADMIN_UNAUTHORIZED = 401,
+    BB_ADMIN_FORBIDDEN = 403,
+    BB_ADMIN_NOT_FOUND = 404,
+    BB_ADMIN_METHOD_NOT_ALLOWED = 405,
+    BB_ADMIN_CONFLICT = 409,
+    BB_ADMIN_BODY_TOO_LARGE = 413,
+    BB_ADMIN_URL_TOO_LONG = 414,
+    BB_ADMIN_INTERNAL = 500,
+    BB_ADMIN_UNAVAILABLE = 503
+};
+
+struct bb_admin_request {
+    const char *method;
+    const char *path;
+    const char *body; /* followed by a zero byte that is not counted */
+    size_t body_bytes;
+    void *connection;
+};
+
+/* Filled by a handler: a JSON value, which the server takes over, or text in
+ * an existing string. Status 0 counts as BB_ADMIN_OK. */
+struct bb_admin_answer {
+    uint32_t status;
+    json_t *json;
+    GString *text;
+    const char *content_type; /* of text; NULL: text/plain */
+};
+
+struct bb_admin_endpoint {
+    const char *help;
+    void (*handle)(void *context, const struct bb_admin_request *request,
+                   struct bb_admin_answer *answer);
+};
+
+struct bb_admin_options {
+    struct bb_address listen; /* port 0 takes any free port */
+    const char *token;        /* NULL or empty: only GET and HEAD */
+    void *context;            /* passed to every handler */
+    /* Adds members to the answer of /v1/health; NULL: none. */
+    void (*add_health)(void *context, json_t *health);
+};
+
+struct bb_admin;
+
+struct bb_admin *bb_admin_create(const struct bb_admin_options *options,
+                                 struct bb_error *e);
+uint16_t bb_admin_port(const struct bb_admin *a);
+void bb_admin_destroy(struct bb_admin *a);
+
+const char *bb_admin_query(const struct bb_admin_request *request,
+                           const char *name);
+void bb_admin_fail(struct bb_admin_answer *answer, uint32_t status,
+                   const char *code, const char *format, ...)
+    __attribute__((format(printf, 4, 5)));
+bool bb_admin_token_equal(const char *given, const char *expected);
+
+#endif
--- /dev/null
+++ b/tests/admin/test_admin.c
@@ -0,0 +1,249 @@
+/* The administration API must answer hostile requests with a clear error or
+ * a closed connection, and must let nobody change anything without the
+ * token. Requests go through a plain socket, so that they can be malformed. */
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "admin/admin.h"
+#include "unit.h"
+
+enum { ANSWER_BYTES = 1 << 20, HOSTILE_ROUNDS = 300 };
+
+#define TOKEN "correct-horse"
+
+static struct bb_admin *server;
+static int handler_context = 42;
+static uint32_t changes;
+
+static void
+handle_echo(void *context, const struct bb_admin_request *request,
+            struct bb_admin_answer *answer)
+{
+    const char *word = bb_admin_query(request, "word");
+
+    answer->json = json_pack("{s:i, s:s?, s:i}", "context", *(int *)context,
+                             "word", word, "body", (int)request->body_bytes);
+    changes += strcmp(request->method, "PUT") == 0;
+}
+
+static const struct bb_admin_endpoint echo_endpoint = {.handle = handle_echo};
+
+BB_PLUGIN(echo_get, BB_PLUGIN_ADMIN_ENDPOINT, "GET /v1/echo", &echo_endpoint);
+BB_PLUGIN(echo_put, BB_PLUGIN_ADMIN_ENDPOINT, "PUT /v1/echo", &echo_endpoint);
+
+static void
+add_health(void *context, json_t *health)
+{
+    (void)json_object_set_new(health, "context",
+                              json_integer(*(int *)context));
+}
+
+static void
+start_server(void)
+{
+    struct bb_admin_options options = {
+        .token = TOKEN, .context = &handler_context, .add_health = add_health};
+    struct bb_error e = {0};
+
+    if (server == NULL) {
+        CU_ASSERT_TRUE_FATAL(bb_address_parse("127.0.0.1:0", &options.listen));
+        server = bb_admin_create(&options, &e);
+        CU_ASSERT_PTR_NOT_NULL_FATAL(server);
+    }
+}
+
+/* Sends bytes and returns everything up to the end of the connection; the
+ * caller frees it. */
+static char *
+exchange(const char *bytes, size_t size)
+{
+    struct bb_address to = {.ip = "127.0.0.1", .port = bb_admin_port(server)};
+    struct timeval timeout = {.tv_sec = 5};
+    struct sockaddr_storage address;
+    socklen_t length = bb_address_sockaddr(&to, &address);
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    char *answer = calloc(1, ANSWER_BYTES);
+    size_t used = 0;
+    ssize_t n;
+
+    (void)setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof(timeout));
+    CU_ASSERT_EQUAL(connect(fd, (struct sockaddr *)&address, length), 0);
+    (void)send(fd, bytes, size, MSG_NOSIGNAL);
+    (void)shutdown(fd, SHUT_WR);
+    while (used < ANSWER_BYTES - 1 &&
+           (n = read(fd, answer + used, ANSWER_BYTES - 1 - used)) > 0) {
+        used += (size_t)n;
+    }
+    (void)close(fd);
+    return answer;
+}
+
+/* Sends a request and checks for words in the whole answer. */
+static void
+check(const char *request, const char *status, const char *words)
+{
+    char *answer = exchange(request, strlen(request));
+
+    if (strstr(answer, status) == NULL || strstr(answer, words) == NULL) {
+        printf("\nrequest: %.200s\nanswer: %.500s\n", request, answer);
+    }
+    CU_ASSERT_PTR_NOT_NULL(strstr(answer, status));
+    CU_ASSERT_PTR_NOT_NULL(strstr(answer, words));
+    free(answer);
+}
+
+#define FRONT " HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+
+static void
+test_endpoints_answer(void)
+{
+    start_server();
+    check("GET /v1/health" FRONT "\r\n", " 200 ", "\"status\":\"ok\"");
+    check("GET /v1/health" FRONT "\r\n", " 200 ", "\"context\":42");
+    check("GET /metrics" FRONT "\r\n", " 200 ", "baobab_admin_requests_total");
+    check("GET /v1/echo?word=a%20b" FRONT "\r\n", " 200 ", "\"word\":\"a b\"");
+    check("HEAD /v1/echo" FRONT "\r\n", " 200 ", "application/json");
+    check("GET /v1/none" FRONT "\r\n", " 404 ", "\"code\":\"not-found\"");
+    check("GET /v1/\xff%ff" FRONT "\r\n", " 404 ", "not-found");
+}
+
+static void
+test_changes_need_the_token(void)
+{
+    uint32_t before = changes;
+
+    start_server();
+    check("PUT /v1/echo" FRONT "Content-Length: 0\r\n\r\n", " 401 ",
+          "\"code\":\"unauthorized\"");
+    check("PUT /v1/echo" FRONT "Authorization: Bearer correct-hors\r\n"
+          "Content-Length: 0\r\n\r\n",
+          " 401 ", "unauthorized");
+    check("PUT /v1/echo" FRONT "Authorization: Basic " TOKEN "\r\n"
+          "Content-Length: 0\r\n\r\n",
+          " 401 ", "unauthorized");
+    check("BREW /v1/echo" FRONT "Content-Length: 0\r\n\r\n", " 401 ",
+          "unauthorized");
+    CU_ASSERT_EQUAL(changes, before);
+    check("PUT /v1/echo" FRONT "Authorization: Bearer " TOKEN "\r\n"
+          "Content-Length: 3\r\n\r\nabc",
+          " 200 ", "\"body\":3");
+    CU_ASSERT_EQUAL(changes, before + 1);
+    check("POST /v1/echo" FRONT "Authorization: Bearer " TOKEN "\r\n"
+          "Content-Length: 0\r\n\r\n",
+          " 405 ", "method-not-allowed");
+    CU_ASSERT_TRUE(bb_admin_token_equal("a", "a"));
+    CU_ASSERT_FALSE(bb_admin_token_equal("", "a"));
+}
+
+static void
+test_sizes_are_limited(void)
+{
+    GString *s = g_string_new("GET /v1/echo?word=");
+
+    start_server();
+    for (int i = 0; i < BB_ADMIN_URL_MAX_BYTES; i++) {
+        g_string_append_c(s, 'a');
+    }
+    g_string_append(s, FRONT "\r\n");
+    check(s->str, " 414 ", "url-too-long");
+    g_string_assign(s, "GET /v1/echo" FRONT "X: ");
+    for (int i = 0; i < BB_ADMIN_HEADER_MAX_BYTES; i++) {
+        g_string_append_c(s, 'a');
+    }
+    g_string_append(s, "\r\n\r\n");
+    check(s->str, " 431 ", "");
+    check("PUT /v1/echo" FRONT "Authorization: Bearer " TOKEN "\r\n"
+          "Content-Length: 65537\r\n\r\n",
+          " 413 ", "body-too-large");
+    g_string_assign(s, "PUT /v1/echo" FRONT "Authorization: Bearer " TOKEN
+                       "\r\nTransfer-Encoding: chunked\r\n\r\n20000\r\n");
+    for (int i = 0; i < 0x20000; i++) {
+        g_string_append_c(s, 'a');
+    }
+    g_string_append(s, "\r\n0\r\n\r\n");
+    {
+        uint32_t before = changes;
+        char *answer = exchange(s->str, s->len);
+
+        CU_ASSERT_PTR_NULL(strstr(answer, " 200 "));
+        CU_ASSERT_EQUAL(changes, before);
+        free(answer);
+    }
+    g_string_free(s, TRUE);
+}
+
+static void
+test_hostile_bytes_leave_the_server_working(void)
+{
+    static const char huge_length[] =
+        "GET /v1/echo" FRONT "Content-Length: 99999999999999999999\r\n\r\n";
+    static const char two_lengths[] =
+        "PUT /v1/echo" FRONT "Transfer-Encoding: chunked\r\n"
+        "Content-Length: 5\r\n\r\nzz\r\n";
+    static const char *const bad[] = {
+        "",
+        "\r\n\r\n",
+        "GET",
+        "GET / HTTP/9.9\r\n\r\n",
+        "GET /v1/echo HTTP/1.1\r\n\r\n",
+        "GET /v1/echo HTTP/1.1\r\nHost: a\r\nContent-Length: -1\r\n\r\n",
+        huge_length,
+        two_lengths,
+        "GET /../../etc/passwd HTTP/1.1\r\nHost: a\r\n\r\n",
+        "GET /v1/echo?%zz=%&&=&word HTTP/1.1\r\nHost: a\r\n\r\n",
+    };
+    unsigned seed = 20;
+    char noise[512];
+
+    start_server();
+    for (size_t i = 0; i < sizeof(bad) / sizeof(bad[0]); i++) {
+        free(exchange(bad[i], strlen(bad[i])));
+    }
+    for (int i = 0; i < HOSTILE_ROUNDS; i++) {
+        size_t size = (size_t)rand_r(&seed) % sizeof(noise);
+
+        for (size_t k = 0; k < size; k++) {
+            noise[k] = (char)rand_r(&seed);
+        }
+        if (i % 2 == 0 && size > 14) {
+            memcpy(noise, "GET /v1/echo? ", 13);
+        }
+        free(exchange(noise, size));
+    }
+    check("GET /v1/health" FRONT "\r\n", " 200 ", "\"status\":\"ok\"");
+}
+
+static void
+test_server_without_token_is_read_only(void)
+{
+    struct bb_admin_options options = {.context = &handler_context};
+    struct bb_admin *kept = server;
+    struct bb_error e = {0};
+
+    CU_ASSERT_TRUE_FATAL(bb_address_parse("127.0.0.1:0", &options.listen));
+    server = bb_admin_create(&options, &e);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(server);
+    check("PUT /v1/echo" FRONT "Authorization: Bearer \r\n"
+          "Content-Length: 0\r\n\r\n",
+          " 403 ", "read-only");
+    options.listen.port = bb_admin_port(server);
+    CU_ASSERT_PTR_NULL(bb_admin_create(&options, &e));
+    CU_ASSERT_EQUAL(e.code, BB_ADMIN_ERROR_LISTEN);
+    bb_admin_destroy(server);
+    bb_admin_destroy(kept);
+    server = NULL;
+}
+
+static const struct bb_unit_test tests[] = {
+    {"endpoints answer", test_endpoints_answer},
+    {"changes need the token", test_changes_need_the_token},
+    {"sizes are limited", test_sizes_are_limited},
+    {"hostile bytes leave the server working",
+     test_hostile_bytes_leave_the_server_working},
+    {"a server without token is read-only",
+     test_server_without_token_is_read_only},
+};
+
+BB_UNIT_MAIN("admin", tests)
