Add baobabctl, the pages of its interface, and two example folders

Operators check a folder, compare it with what is in force, and read state; exit codes let scripts decide. docs/admin-api.md defines the answers that control hosts and nodes give. Files fetched are checked against the digest.

Tests run each command against a server in the process and check both examples.

--- a/config/compile.c
+++ b/config/compile.c
@@ -253,33 +253,65 @@
     g_free(c);
 }
 
-/* Returns the merged configuration of a folder as text, with the file that
- * each value comes from. Files that cannot be parsed are left out. The caller
- * frees it with g_free. */
-char *
-bb_config_merged_text(const struct bb_folder *folder)
+/* Calls visit for each value of the merged configuration, by section. Files
+ * that cannot be parsed are left out. */
+void
+bb_config_visit(const struct bb_folder *folder, bb_config_visitor visit,
+                void *context)
 {
     struct bb_faults faults = {0};
     struct bb_merged *m = bb_merged_create(folder, &faults);
-    GString *text = g_string_new(NULL);
 
     for (uint32_t i = 0; i < m->sections->len; i++) {
         const struct bb_section *s = g_ptr_array_index(m->sections, i);
 
-        g_string_append_printf(text, "%s[%s]\n", i > 0 ? "\n" : "", s->title);
         if (s->values->len == 0) {
-            g_string_append_printf(text, "# from %s\n", s->file);
+            visit(context, s->title, "", "", s->file);
         }
         for (uint32_t k = 0; k < s->values->len; k++) {
             const struct bb_value *v = g_ptr_array_index(s->values, k);
 
-            g_string_append_printf(text, "# from %s\n%s=%s\n", v->file, v->key,
-                                   v->raw);
+            visit(context, s->title, v->key, v->raw, v->file);
         }
     }
     bb_merged_destroy(m);
     bb_faults_clear(&faults);
-    return g_string_free(text, FALSE);
+}
+
+struct merged_text {
+    GString *text;
+    char *section;
+};
+
+/* Appends one value to the merged text. */
+static void
+append_value(void *context, const char *section, const char *key,
+             const char *value, const char *file)
+{
+    struct merged_text *t = context;
+
+    if (g_strcmp0(t->section, section) != 0) {
+        g_string_append_printf(t->text, "%s[%s]\n",
+                               t->text->len > 0 ? "\n" : "", section);
+        g_free(t->section);
+        t->section = g_strdup(section);
+    }
+    g_string_append_printf(t->text, "# from %s\n", file);
+    if (key[0] != '\0') {
+        g_string_append_printf(t->text, "%s=%s\n", key, value);
+    }
+}
+
+/* Returns the merged configuration of a folder as text, with the file that
+ * each value comes from. The caller frees it with g_free. */
+char *
+bb_config_merged_text(const struct bb_folder *folder)
+{
+    struct merged_text t = {.text = g_string_new(NULL)};
+
+    bb_config_visit(folder, append_value, &t);
+    g_free(t.section);
+    return g_string_free(t.text, FALSE);
 }
 
 /* Tells whether a path lies under a prefix, at the boundary of a component:
--- /dev/null
+++ b/ctl/fetch.c
@@ -0,0 +1,179 @@
+/* Reads from the administration API by neon. */
+#include <glib.h>
+#include <ne_request.h>
+#include <ne_session.h>
+#include <ne_socket.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "ctl.h"
+
+enum {
+    CONNECT_TIMEOUT_S = 5,
+    READ_TIMEOUT_S = 15,
+    BLOCK_BYTES = 16 * 1024,
+    /* A configuration of 4 MiB, twice in the answer, escaped. */
+    ANSWER_MAX_BYTES = 64 * 1024 * 1024,
+    HTTP_OK = 200
+};
+
+/* Opens a session with the administration address. */
+static ne_session *
+open_session(const struct bb_ctl *c)
+{
+    bool is_ipv6 = strchr(c->admin.ip, ':') != NULL;
+    char *host = g_strdup_printf(is_ipv6 ? "[%s]" : "%s", c->admin.ip);
+    ne_session *s = NULL;
+
+    if (ne_sock_init() == 0) {
+        s = ne_session_create("http", host, c->admin.port);
+        ne_set_connect_timeout(s, CONNECT_TIMEOUT_S);
+        ne_set_read_timeout(s, READ_TIMEOUT_S);
+    }
+    g_free(host);
+    return s;
+}
+
+/* Reads the whole body; returns an error code of neon. */
+static int
+read_body(ne_request *r, GString *body)
+{
+    char *block = g_malloc(BLOCK_BYTES);
+    ssize_t n = 0;
+    int result = ne_begin_request(r);
+
+    if (result == NE_OK) {
+        do {
+            n = ne_read_response_block(r, block, BLOCK_BYTES);
+            if (n > 0) {
+                g_string_append_len(body, block, n);
+            }
+        } while (n > 0 && body->len <= ANSWER_MAX_BYTES);
+        /* Ended only on a complete answer: it checks what is left over. */
+        result = n == 0 ? ne_end_request(r) : NE_ERROR;
+    }
+    g_free(block);
+    return result;
+}
+
+/* Turns an answer with another status than 200 into a message. */
+static enum bb_exit
+report_status(const struct bb_ctl *c, const char *path, int status,
+              const json_t *answer)
+{
+    const json_t *error = json_object_get(answer, "error");
+
+    bb_ctl_error(c, "%s answered %d: %s", path, status,
+                 error != NULL ? bb_ctl_text(error, "message") : "no reason");
+    return BB_EXIT_FAILED;
+}
+
+/* Gets an object from a path. On success the caller owns the answer; otherwise
+ * the reason has been printed. */
+enum bb_exit
+bb_ctl_get(const struct bb_ctl *c, const char *path, json_t **answer)
+{
+    enum bb_exit result = BB_EXIT_UNREACHABLE;
+    char address[BB_ADDRESS_TEXT_BYTES];
+    GString *body = g_string_new(NULL);
+    ne_session *s = open_session(c);
+    ne_request *r = NULL;
+    json_error_t error;
+    int status;
+
+    *answer = NULL;
+    if (s == NULL) {
+        bb_ctl_error(c, "cannot use sockets");
+        result = BB_EXIT_INTERNAL;
+        goto out;
+    }
+    r = ne_request_create(s, "GET", path);
+    if (read_body(r, body) != NE_OK) {
+        bb_ctl_error(c, "cannot read %s from %s: %s", path,
+                     bb_address_text(&c->admin, address), ne_get_error(s));
+        goto out;
+    }
+    status = ne_get_status(r)->code;
+    *answer = json_loadb(body->str, body->len, JSON_REJECT_DUPLICATES, &error);
+    if (status != HTTP_OK) {
+        result = report_status(c, path, status, *answer);
+    }
+    else if (!json_is_object(*answer)) {
+        bb_ctl_error(c, "%s of %s is no JSON object", path,
+                     bb_address_text(&c->admin, address));
+        result = BB_EXIT_FAILED;
+    }
+    else {
+        result = BB_EXIT_OK;
+    }
+out:
+    if (result != BB_EXIT_OK) {
+        json_decref(*answer);
+        *answer = NULL;
+    }
+    if (r != NULL) {
+        ne_request_destroy(r);
+    }
+    if (s != NULL) {
+        ne_session_destroy(s);
+    }
+    g_string_free(body, TRUE);
+    return result;
+}
+
+/* Builds a folder from the files of an answer of /v1/in-force; returns NULL
+ * with an error if a limit or the digest does not hold. */
+static struct bb_folder *
+build_folder(const json_t *answer, struct bb_error *e)
+{
+    struct bb_folder_builder *b = bb_folder_builder_create();
+    const json_t *files = json_object_get(answer, "files");
+    char digest[BB_DIGEST_TEXT_BYTES];
+    struct bb_folder *folder = NULL;
+
+    for (size_t i = 0; i < json_array_size(files); i++) {
+        const json_t *f = json_array_get(files, i);
+        const json_t *data = json_object_get(f, "data");
+
+        if (!bb_folder_builder_add(
+                b, bb_ctl_text(f, "name"), bb_ctl_text(f, "data"),
+                data != NULL ? json_string_length(data) : 0, e)) {
+            goto out;
+        }
+    }
+    folder = bb_folder_builder_finish(b, e);
+    if (folder != NULL && bb_ctl_number(answer, "revision") > 0 &&
+        strcmp(bb_digest_text(&folder->digest, digest),
+               bb_ctl_text(answer, "digest")) != 0) {
+        bb_error_set(e, BB_CONFIG_ERROR_DIGEST,
+                     "the files do not match the digest");
+        bb_folder_destroy(folder);
+        folder = NULL;
+    }
+out:
+    bb_folder_builder_destroy(b);
+    return folder;
+}
+
+/* Gets the configuration in force with its folder, which is empty at revision
+ * 0. On success the caller owns both. */
+enum bb_exit
+bb_ctl_get_folder(const struct bb_ctl *c, json_t **answer,
+                  struct bb_folder **folder)
+{
+    enum bb_exit result = bb_ctl_get(c, "/v1/in-force", answer);
+    struct bb_error e = {0};
+
+    *folder = NULL;
+    if (result != BB_EXIT_OK) {
+        return result;
+    }
+    *folder = build_folder(*answer, &e);
+    if (*folder == NULL) {
+        bb_ctl_error(c, "/v1/in-force: %s", e.message);
+        json_decref(*answer);
+        *answer = NULL;
+        return BB_EXIT_FAILED;
+    }
+    return BB_EXIT_OK;
+}
--- /dev/null
+++ b/ctl/main.c
@@ -0,0 +1,10 @@
+/* baobabctl: the operators' command. */
+#include <stdlib.h>
+
+#include "ctl.h"
+
+int
+main(int argc, char **argv)
+{
+    return (int)bb_ctl_run(argc, argv, stdout, stderr);
+}
--- /dev/null
+++ b/ctl/run.c
@@ -0,0 +1,112 @@
+/* Settings of baobabctl and the choice of the command. */
+#include <glib.h>
+#include <string.h>
+
+#include "common/registry.h"
+#include "ctl.h"
+
+enum { METHOD_MAX_BYTES = 16, PATH_MAX_BYTES = 4096, OPERANDS = 16 };
+
+/* Lists the commands. */
+static void
+print_commands(FILE *to)
+{
+    (void)fprintf(to, "commands:\n");
+    for (const struct bb_plugin *p = bb_registry_first(BB_PLUGIN_CTL_COMMAND);
+         p != NULL; p = p->next) {
+        const struct bb_ctl_command *command = p->operations;
+        char *usage = g_strdup_printf(
+            "%s %s", p->name,
+            command->operand_name != NULL ? command->operand_name : "");
+
+        (void)fprintf(to, "  %-16s %s\n", usage, command->help);
+        g_free(usage);
+    }
+}
+
+/* Finds the command and checks its operand. Returns NULL after an error
+ * message. */
+static const struct bb_ctl_command *
+choose(struct bb_ctl *c, const char **operands, size_t count)
+{
+    const struct bb_ctl_command *command;
+
+    if (count == 0) {
+        bb_ctl_error(c, "give a command");
+        print_commands(c->err);
+        return NULL;
+    }
+    command = bb_registry_find(BB_PLUGIN_CTL_COMMAND, operands[0]);
+    if (command == NULL) {
+        bb_ctl_error(c, "there is no command '%s'", operands[0]);
+        print_commands(c->err);
+        return NULL;
+    }
+    if (command->operand_name != NULL && count == 1) {
+        bb_ctl_error(c, "%s needs %s", operands[0], command->operand_name);
+        return NULL;
+    }
+    if (count > (command->operand_name != NULL ? 2U : 1U)) {
+        bb_ctl_error(c, "unexpected argument '%s'", operands[count - 1]);
+        return NULL;
+    }
+    c->operand = count > 1 ? operands[1] : NULL;
+    return command;
+}
+
+/* Runs baobabctl and returns its exit code. */
+enum bb_exit
+bb_ctl_run(int argc, char **argv, FILE *out, FILE *err)
+{
+    struct bb_ctl c = {.out = out, .err = err};
+    const struct bb_setting table[] = {
+        {.name = "admin",
+         .value_name = "IP:PORT",
+         .help = "administration address of a control host or node",
+         .kind = BB_SETTING_ADDRESS,
+         .default_value = "127.0.0.1:7080",
+         .to.address = &c.admin},
+        {.name = "folder",
+         .value_name = "FOLDER",
+         .help = "explain: use this folder instead of what is in force",
+         .kind = BB_SETTING_TEXT,
+         .max = PATH_MAX_BYTES,
+         .to.text = &c.folder},
+        {.name = "method",
+         .value_name = "METHOD",
+         .help = "explain: method of the request (default GET)",
+         .kind = BB_SETTING_TEXT,
+         .default_value = "GET",
+         .max = METHOD_MAX_BYTES,
+         .to.text = &c.method},
+        {.name = "json",
+         .help = "print JSON",
+         .kind = BB_SETTING_FLAG,
+         .to.flag = &c.is_json},
+    };
+    const char *operands[OPERANDS] = {0};
+    const struct bb_ctl_command *command;
+    struct bb_error e = {0};
+    size_t count = 0;
+
+    switch (bb_settings_read(
+        "baobabctl", "check a configuration and see what is in force", table,
+        G_N_ELEMENTS(table), argc, argv, operands, &count, &e)) {
+    case BB_SETTINGS_EXIT:
+        print_commands(out);
+        return BB_EXIT_OK;
+    case BB_SETTINGS_INVALID:
+        /* Messages of argtable2 begin with the name of the program. */
+        if (g_str_has_prefix(e.message, "baobabctl: ")) {
+            (void)fprintf(err, "%s\n", e.message);
+        }
+        else {
+            bb_ctl_error(&c, "%s", e.message);
+        }
+        return BB_EXIT_USAGE;
+    case BB_SETTINGS_RUN:
+        break;
+    }
+    command = choose(&c, operands, count);
+    return command != NULL ? command->run(&c) : BB_EXIT_USAGE;
+}
