--- a/include/mesh/member.h
+++ b/include/mesh/member.h
@@ -39,7 +39,8 @@
     uint64_t incarnation;
     uint64_t sequence;
     enum bb_member_state state;
-    uint64_t held_revision;
+    uint64_t held_revision;      /* the highest of all incarnations */
+    uint64_t applied_revision;   /* in force in this incarnation */
     char service[BB_NAME_BYTES]; /* empty without an upstream */
     enum bb_upstream_state upstream_state;
     uint32_t slots;
--- a/include/mesh/members.h
+++ b/include/mesh/members.h
@@ -50,7 +50,7 @@
 };
 
 /* Digests of one zone. `records` covers (host, incarnation, sequence, state)
- * with a suspicion counted as alive, `held` the held revisions. */
+ * with a suspicion counted as alive, `held` the held and applied revisions. */
 struct bb_zone_digest {
     char zone[BB_NAME_BYTES];
     uint64_t records;
@@ -59,13 +59,13 @@
     uint64_t held_buckets[BB_MEMBERS_BUCKETS];
 };
 
-/* What is held in a zone as a whole: the lowest revision of its live members
- * and a digest of (host, incarnation) of these. */
+/* What is in force in a zone as a whole: the lowest revision of its live
+ * members and a digest of (host, incarnation) of these. */
 struct bb_zone_floor {
     char zone[BB_NAME_BYTES];
     uint32_t member_count;
     uint64_t roster_digest;
-    uint64_t held_revision;
+    uint64_t applied_revision;
 };
 
 struct bb_members *bb_members_create(void);
@@ -104,7 +104,7 @@
 size_t bb_members_floors(struct bb_members *m, const char *region,
                          struct bb_zone_floor *out, size_t max);
 size_t bb_members_apply_floor(struct bb_members *m,
-                              const struct bb_zone_floor *f);
+                              const struct bb_zone_floor *f, uint64_t now_us);
 
 int bb_member_compare(const struct bb_member *a, const struct bb_member *b);
 
--- a/include/mesh/wire.h
+++ b/include/mesh/wire.h
@@ -6,9 +6,9 @@
 #include <stdbool.h>
 #include <stddef.h>
 
-#include "mesh.h"
 #include "mesh/member.h"
 #include "mesh/members.h"
+#include <mesh.h> /* generated from mesh/mesh.x */
 
 enum { BB_WIRE_IP_BYTES = MESH_IP_MAX };
 
--- a/mesh/gossip.c
+++ b/mesh/gossip.c
@@ -487,6 +487,7 @@
     next.sequence = g->self.sequence;
     next.state = g->self.state;
     next.held_revision = MAX(g->self.held_revision, record->held_revision);
+    next.applied_revision = g->self.applied_revision;
     if (bb_member_compare(&next, &g->self) != 0) {
         next.sequence++;
     }
@@ -502,6 +503,7 @@
 {
     (void)pthread_mutex_lock(&g->lock);
     g->self.held_revision = MAX(g->self.held_revision, revision);
+    g->self.applied_revision = MAX(g->self.applied_revision, revision);
     g->highest_revision = MAX(g->highest_revision, revision);
     publish_self(g, now_us);
     (void)pthread_mutex_unlock(&g->lock);
--- a/mesh/gossip_internal.h
+++ b/mesh/gossip_internal.h
@@ -6,8 +6,8 @@
 #include <pthread.h>
 
 #include "decide/swim.h"
-#include "mesh.h"
 #include "mesh/gossip.h"
+#include <mesh.h> /* generated from mesh/mesh.x */
 
 enum { FORWARDS_MAX = 64 };
 
--- a/mesh/members.c
+++ b/mesh/members.c
@@ -87,8 +87,8 @@
     return 0;
 }
 
-/* Orders two records of one host: the higher replaces the lower. The held
- * revision takes no part; it is merged as a maximum. */
+/* Orders two records of one host: the higher replaces the lower. The held and
+ * applied revisions take no part; they are merged as maxima. */
 int
 bb_member_compare(const struct bb_member *a, const struct bb_member *b)
 {
@@ -187,13 +187,26 @@
     return true;
 }
 
+/* Returns the revision in force of the newer incarnation of two records. */
+static uint64_t
+merge_applied(const struct bb_member *a, const struct bb_member *b)
+{
+    if (a->incarnation != b->incarnation) {
+        return a->incarnation > b->incarnation ? a->applied_revision
+                                               : b->applied_revision;
+    }
+    return MAX(a->applied_revision, b->applied_revision);
+}
+
 /* Merges a record into the entry of its host. */
 static bool
 replace(struct bb_members *m, struct entry *entry, const struct bb_member *r,
         enum bb_member_origin origin, uint64_t now_us)
 {
     uint64_t held = MAX(entry->record.held_revision, r->held_revision);
-    bool is_held_changed = held != entry->record.held_revision;
+    uint64_t applied = merge_applied(&entry->record, r);
+    bool is_held_changed = held != entry->record.held_revision ||
+                           applied != entry->record.applied_revision;
     bool is_newer = bb_member_compare(r, &entry->record) > 0;
     bool is_suspicion = is_newer && r->state == BB_MEMBER_SUSPECT &&
                         entry->record.state == BB_MEMBER_ALIVE &&
@@ -213,6 +226,7 @@
         }
     }
     entry->record.held_revision = held;
+    entry->record.applied_revision = applied;
     if (!is_newer && !is_held_changed) {
         return false;
     }
--- a/mesh/members_digest.c
+++ b/mesh/members_digest.c
@@ -31,7 +31,8 @@
 static uint64_t
 hash_held(const struct bb_member *r)
 {
-    return hash_entry(r->host, r->held_revision, 0, 0, SEED_HELD);
+    return hash_entry(r->host, r->held_revision, r->applied_revision, 0,
+                      SEED_HELD);
 }
 
 /* Returns the bucket of a host, from 0 to BB_MEMBERS_BUCKETS - 1. */
@@ -211,16 +212,16 @@
             return;
         }
         f = &all[(*count)++];
-        *f = (struct bb_zone_floor){.held_revision = UINT64_MAX};
+        *f = (struct bb_zone_floor){.applied_revision = UINT64_MAX};
         (void)g_strlcpy(f->zone, r->zone, sizeof(f->zone));
     }
     f->member_count++;
     f->roster_digest ^= hash_entry(r->host, r->incarnation, 0, 0, SEED_ROSTER);
-    f->held_revision = MIN(f->held_revision, r->held_revision);
+    f->applied_revision = MIN(f->applied_revision, r->applied_revision);
 }
 
-/* Summarises what the live members of each zone of a region hold (of every
- * region if NULL); returns the number of zones. */
+/* Summarises what is in force on the live members of each zone of a region (of
+ * every region if NULL); returns the number of zones. */
 size_t
 bb_members_floors(struct bb_members *m, const char *region,
                   struct bb_zone_floor *out, size_t max)
@@ -243,11 +244,12 @@
     return count;
 }
 
-/* Raises the held revisions of the live members of a zone to the zone's
- * floor, if this table has exactly the members that the floor was computed
- * from. Returns the number of entries raised. */
+/* Raises the revisions of the live members of a zone to the zone's floor, if
+ * this table has exactly the members that the floor was computed from. Returns
+ * the number of entries raised. */
 size_t
-bb_members_apply_floor(struct bb_members *m, const struct bb_zone_floor *f)
+bb_members_apply_floor(struct bb_members *m, const struct bb_zone_floor *f,
+                       uint64_t now_us)
 {
     struct bb_zone_floor own[BB_MEMBERS_ZONES_MAX];
     size_t zones = bb_members_floors(m, NULL, own, BB_MEMBERS_ZONES_MAX);
@@ -259,7 +261,7 @@
         is_same |= strcmp(own[i].zone, f->zone) == 0 &&
                    own[i].member_count == f->member_count &&
                    own[i].roster_digest == f->roster_digest &&
-                   own[i].held_revision < f->held_revision;
+                   own[i].applied_revision < f->applied_revision;
     }
     if (!is_same) {
         return 0;
@@ -267,10 +269,12 @@
     (void)bb_members_select(m, &(struct bb_members_query){.zone = f->zone},
                             &list);
     for (size_t i = 0; i < list.count; i++) {
-        if (is_live(&list.items[i]) &&
-            list.items[i].held_revision < f->held_revision) {
-            bb_members_remember(m, list.items[i].host, f->held_revision);
-            raised++;
+        struct bb_member *r = &list.items[i];
+
+        if (is_live(r) && r->applied_revision < f->applied_revision) {
+            r->applied_revision = f->applied_revision;
+            r->held_revision = MAX(r->held_revision, f->applied_revision);
+            raised += bb_members_merge(m, r, BB_ORIGIN_OTHER_REGION, now_us);
         }
     }
     bb_member_list_clear(&list);
--- /dev/null
+++ b/mesh/mesh.c
@@ -0,0 +1,361 @@
+/* Creation, threads and the public functions of the mesh member. */
+#include "mesh/mesh.h"
+
+#include <errno.h>
+#include <string.h>
+
+#include "common/clock.h"
+#include "common/counters.h"
+#include "common/log.h"
+#include "mesh_internal.h"
+
+enum {
+    /* Nodes ask for at most this many pulls a second from one process. */
+    PULL_RATE_PER_S = 100,
+    PULL_BURST = 32,
+    RETENTION_US = 600 * BB_US_PER_S,
+    EXPIRY_PERIOD_US = BB_US_PER_S,
+    FLOOR_RETRY_MS = 200,
+    FLOOR_PEERS_MAX = 16
+};
+
+BB_GAUGE(members_gauge, "baobab_members", "Entries of the endpoint table");
+BB_GAUGE(held_gauge, "baobab_held_revision", "Revision held by this process");
+BB_GAUGE(highest_gauge, "baobab_highest_revision",
+         "Highest revision known to this process");
+
+/* Initialises a condition variable that waits by the monotonic clock. */
+static void
+init_condition(pthread_cond_t *c)
+{
+    pthread_condattr_t a;
+
+    (void)pthread_condattr_init(&a);
+    (void)pthread_condattr_setclock(&a, CLOCK_MONOTONIC);
+    (void)pthread_cond_init(c, &a);
+    (void)pthread_condattr_destroy(&a);
+}
+
+/* Creates the gossip core on a socket. */
+static bool
+create_gossip(struct bb_mesh *mesh, struct bb_error *e)
+{
+    struct bb_gossip_settings settings = {
+        .members = mesh->members,
+        .self = mesh->settings.self,
+        .seed = bb_random_u64(mesh->random),
+        .send = bb_gossip_socket_send,
+    };
+
+    mesh->socket = bb_gossip_socket_create(&mesh->settings.gossip_bind, e);
+    if (mesh->socket == NULL) {
+        return bb_error_wrap(e, BB_MESH_ERROR_SOCKET, e, "mesh");
+    }
+    if (settings.self.gossip.port == 0) {
+        settings.self.gossip = mesh->settings.gossip_bind;
+        settings.self.gossip.port = bb_gossip_socket_port(mesh->socket);
+        mesh->settings.self.gossip = settings.self.gossip;
+    }
+    settings.context = mesh->socket;
+    mesh->gossip = bb_gossip_create(&settings, mesh->created_us);
+    return true;
+}
+
+/* Creates a mesh member and opens its gossip socket; NULL with
+ * BB_MESH_ERROR_SOCKET if that fails. */
+struct bb_mesh *
+bb_mesh_create(const struct bb_mesh_settings *settings, struct bb_error *e)
+{
+    struct bb_mesh *mesh = g_new0(struct bb_mesh, 1);
+
+    mesh->settings = *settings;
+    mesh->is_control = settings->self.role == BB_ROLE_CONTROL;
+    mesh->created_us = bb_clock_now_us();
+    mesh->members = bb_members_create();
+    mesh->pool = bb_rpc_pool_create();
+    mesh->random = bb_random_create(settings->seed);
+    (void)pthread_mutex_init(&mesh->lock, NULL);
+    (void)pthread_mutex_init(&mesh->apply_lock, NULL);
+    (void)pthread_mutex_init(&mesh->cache_lock, NULL);
+    init_condition(&mesh->wake);
+    init_condition(&mesh->work);
+    init_condition(&mesh->answered);
+    g_queue_init(&mesh->tasks);
+    mesh->peer_by_host =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    bb_pull_bucket_init(&mesh->bucket, PULL_RATE_PER_S, PULL_BURST,
+                        mesh->created_us);
+    if (!create_gossip(mesh, e)) {
+        bb_mesh_destroy(mesh);
+        return NULL;
+    }
+    return mesh;
+}
+
+/* Queues everything that is due and returns whether the routes changed. */
+static bool
+schedule(struct bb_mesh *mesh, uint64_t now_us)
+{
+    uint64_t routing_version;
+    bool is_changed;
+
+    mesh_refresh_view(mesh);
+    mesh_schedule_join(mesh, now_us);
+    mesh_schedule_push(mesh, now_us);
+    mesh_schedule_pull(mesh, now_us);
+    mesh_schedule_reports(mesh, now_us);
+    mesh_schedule_sync(mesh, now_us);
+    if (now_us >= mesh->next_expiry_us) {
+        mesh->next_expiry_us = now_us + EXPIRY_PERIOD_US;
+        (void)bb_members_expire(mesh->members, now_us, RETENTION_US);
+        bb_counter_set(&members_gauge, mesh->view.all.count);
+        bb_counter_set(&highest_gauge, bb_gossip_highest(mesh->gossip));
+    }
+    routing_version = bb_members_routing_version(mesh->members);
+    is_changed = routing_version != mesh->routing_version;
+    mesh->routing_version = routing_version;
+    return is_changed;
+}
+
+/* Decides every tick, or when woken, what is due. */
+static void *
+run_scheduler(void *argument)
+{
+    struct bb_mesh *mesh = argument;
+    const struct bb_mesh_callbacks *c = &mesh->settings.callbacks;
+
+    (void)pthread_mutex_lock(&mesh->lock);
+    while (!mesh->is_stopping) {
+        struct timespec until;
+
+        (void)pthread_mutex_unlock(&mesh->lock);
+        if (schedule(mesh, bb_clock_now_us()) && c->members_changed != NULL) {
+            c->members_changed(c->context);
+        }
+        until =
+            bb_clock_timespec(bb_clock_now_us() + MESH_TICK_MS * BB_US_PER_MS);
+        (void)pthread_mutex_lock(&mesh->lock);
+        bb_counter_set(&held_gauge, mesh->held_revision);
+        while (!mesh->is_stopping && !mesh->is_woken &&
+               pthread_cond_timedwait(&mesh->wake, &mesh->lock, &until) !=
+                   ETIMEDOUT) {
+        }
+        mesh->is_woken = false;
+    }
+    (void)pthread_mutex_unlock(&mesh->lock);
+    return NULL;
+}
+
+/* Starts the threads. */
+bool
+bb_mesh_start(struct bb_mesh *mesh, struct bb_error *e)
+{
+    int result = pthread_create(&mesh->scheduler, NULL, run_scheduler, mesh);
+
+    if (result != 0) {
+        goto fail;
+    }
+    mesh->thread_count = 1;
+    for (int i = 0; i < MESH_WORKERS; i++) {
+        result =
+            pthread_create(&mesh->workers[i], NULL, mesh_run_worker, mesh);
+        if (result != 0) {
+            goto fail;
+        }
+        mesh->thread_count++;
+    }
+    return bb_gossip_socket_start(mesh->socket, mesh->gossip, e);
+fail:
+    return bb_error_set(e, BB_MESH_ERROR_THREAD, "cannot start a thread: %s",
+                        g_strerror(result));
+}
+
+/* Stops the threads; a call under way ends first. A process that leaves for
+ * good tells its zone. May be called again. */
+void
+bb_mesh_stop(struct bb_mesh *mesh, bool is_leaving)
+{
+    uint32_t count = mesh->thread_count;
+    struct task *task;
+
+    if (is_leaving && mesh->gossip != NULL) {
+        bb_gossip_leave(mesh->gossip, bb_clock_now_us());
+    }
+    (void)pthread_mutex_lock(&mesh->lock);
+    mesh->is_stopping = true;
+    mesh->thread_count = 0;
+    (void)pthread_cond_broadcast(&mesh->wake);
+    (void)pthread_cond_broadcast(&mesh->work);
+    (void)pthread_cond_broadcast(&mesh->answered);
+    (void)pthread_mutex_unlock(&mesh->lock);
+    if (count > 0) {
+        (void)pthread_join(mesh->scheduler, NULL);
+    }
+    for (uint32_t i = 1; i < count; i++) {
+        (void)pthread_join(mesh->workers[i - 1], NULL);
+    }
+    while ((task = g_queue_pop_head(&mesh->tasks)) != NULL) {
+        mesh_free_task(task);
+    }
+    bb_gossip_socket_destroy(mesh->socket);
+    mesh->socket = NULL;
+}
+
+/* Stops and frees a mesh member; the RPC server and transport that lead to it
+ * must be gone. NULL is allowed. */
+void
+bb_mesh_destroy(struct bb_mesh *mesh)
+{
+    if (mesh == NULL) {
+        return;
+    }
+    bb_mesh_stop(mesh, false);
+    mesh_drop_cache(mesh);
+    bb_gossip_destroy(mesh->gossip);
+    bb_member_list_clear(&mesh->view.all);
+    bb_rpc_pool_destroy(mesh->pool);
+    bb_members_destroy(mesh->members);
+    bb_random_destroy(mesh->random);
+    g_hash_table_destroy(mesh->peer_by_host);
+    (void)pthread_cond_destroy(&mesh->wake);
+    (void)pthread_cond_destroy(&mesh->work);
+    (void)pthread_cond_destroy(&mesh->answered);
+    (void)pthread_mutex_destroy(&mesh->lock);
+    (void)pthread_mutex_destroy(&mesh->apply_lock);
+    (void)pthread_mutex_destroy(&mesh->cache_lock);
+    g_free(mesh);
+}
+
+/* Announces a revision that this process holds: on a control host when it is
+ * committed, on a node that starts with one from its data folder. From then
+ * on the payload callback must be able to encode it. An older or equal
+ * revision changes nothing. */
+void
+bb_mesh_publish(struct bb_mesh *mesh, uint64_t revision,
+                const struct bb_digest *digest)
+{
+    mesh_hold(mesh, revision, digest);
+}
+
+/* Replaces what the own record says (addresses, service, upstream state,
+ * slots) and tells the relays at once. Incarnation, sequence, state and
+ * revisions stay those of the mesh. */
+void
+bb_mesh_update_self(struct bb_mesh *mesh, const struct bb_member *record)
+{
+    struct target relays[BB_RELAYS_PER_ZONE];
+    size_t count;
+
+    bb_gossip_set_self(mesh->gossip, record, bb_clock_now_us());
+    (void)pthread_mutex_lock(&mesh->lock);
+    count = mesh->view.relay_count;
+    memcpy(relays, mesh->view.relays, sizeof(relays));
+    mesh->is_woken = true;
+    (void)pthread_cond_signal(&mesh->wake);
+    (void)pthread_mutex_unlock(&mesh->lock);
+    for (size_t i = 0; i < count; i++) {
+        if (strcmp(relays[i].host, mesh->settings.self.host) != 0) {
+            bb_gossip_tell(mesh->gossip, relays[i].host, bb_clock_now_us());
+        }
+    }
+}
+
+/* Copies the own record as the others see it. */
+void
+bb_mesh_self(struct bb_mesh *mesh, struct bb_member *out)
+{
+    bb_gossip_self(mesh->gossip, out);
+}
+
+/* Copies the endpoint table, sorted by host; the caller clears the list with
+ * bb_member_list_clear. */
+void
+bb_mesh_members_snapshot(struct bb_mesh *mesh, struct bb_member_list *out)
+{
+    (void)bb_members_select(mesh->members, &(struct bb_members_query){0}, out);
+}
+
+/* Returns the highest revision that this process has heard of. */
+uint64_t
+bb_mesh_highest_revision(struct bb_mesh *mesh)
+{
+    return bb_gossip_highest(mesh->gossip);
+}
+
+/* Asks all control hosts and some zone peers what they remember; call with
+ * the lock held. */
+static void
+ask_for_floor(struct bb_mesh *mesh)
+{
+    const struct bb_member *self = &mesh->settings.self;
+    const struct bb_members_query q = {.zone = self->zone};
+    struct target controls[BB_CONTROL_HOSTS_MAX];
+    size_t count = mesh_live_controls(mesh, NULL, controls);
+    struct bb_member_list peers;
+
+    for (size_t i = 0; i < count; i++) {
+        if (strcmp(controls[i].host, self->host) != 0) {
+            (void)mesh_enqueue_join(mesh, &controls[i]);
+        }
+    }
+    (void)bb_members_select(mesh->members, &q, &peers);
+    for (size_t i = 0, asked = 0; i < peers.count && asked < FLOOR_PEERS_MAX;
+         i++) {
+        if (peers.items[i].state == BB_MEMBER_ALIVE &&
+            strcmp(peers.items[i].host, self->host) != 0) {
+            struct target to = mesh_target(&peers.items[i]);
+
+            asked += mesh_enqueue_join(mesh, &to);
+        }
+    }
+    bb_member_list_clear(&peers);
+}
+
+/* Waits until the JOIN calls under way have ended, a time has come, or the
+ * mesh stops; call with the lock held. */
+static void
+wait_for_joins(struct bb_mesh *mesh, uint64_t until_us)
+{
+    struct timespec until = bb_clock_timespec(until_us);
+
+    while (!mesh->is_stopping && mesh->joins_pending > 0 &&
+           pthread_cond_timedwait(&mesh->answered, &mesh->lock, &until) !=
+               ETIMEDOUT) {
+    }
+}
+
+/* Finds the highest revision that anyone remembers for this host, by asking
+ * zone peers and control hosts until one that can know has answered. The node
+ * must not serve an older one. Returns false if nobody that can know answered
+ * within the timeout: then the node must not serve and asks again. Call after
+ * bb_mesh_start. */
+bool
+bb_mesh_floor_revision(struct bb_mesh *mesh, uint32_t timeout_ms,
+                       uint64_t *revision)
+{
+    uint64_t end_us = bb_clock_now_us() + (uint64_t)timeout_ms * BB_US_PER_MS;
+    bool is_known;
+    bool was_seen;
+    uint64_t heard;
+
+    (void)pthread_mutex_lock(&mesh->lock);
+    do {
+        struct timespec pause;
+
+        ask_for_floor(mesh);
+        wait_for_joins(mesh, end_us);
+        if (mesh->is_floor_known || mesh->is_stopping) {
+            break;
+        }
+        pause = bb_clock_timespec(bb_clock_now_us() +
+                                  FLOOR_RETRY_MS * BB_US_PER_MS);
+        (void)pthread_cond_timedwait(&mesh->answered, &mesh->lock, &pause);
+    } while (bb_clock_now_us() < end_us);
+    is_known = mesh->is_floor_known;
+    *revision = mesh->floor_revision;
+    (void)pthread_mutex_unlock(&mesh->lock);
+    heard =
+        bb_members_held(mesh->members, mesh->settings.self.host, &was_seen);
+    *revision = MAX(*revision, heard);
+    return is_known;
+}
--- a/mesh/mesh.x
+++ b/mesh/mesh.x
@@ -33,6 +33,7 @@
     unsigned hyper sequence;
     unsigned int state;
     unsigned hyper held_revision;
+    unsigned hyper applied_revision;
     mesh_name service;
     unsigned int upstream_state;
     unsigned int slots;
@@ -74,6 +75,7 @@
 
 /* A full bundle, or a delta against the base revision. */
 struct mesh_offer {
+    mesh_name from;
     unsigned hyper revision;
     opaque digest[MESH_DIGEST_BYTES];
     bool is_delta;
@@ -98,14 +100,14 @@
     mesh_offer offer;
 };
 
-/* The lowest revision held by the live members of a zone, with a digest of
+/* The lowest revision in force on the live members of a zone, with a digest of
  * who these are. One entry a zone crosses to the other region in place of a
  * record for each node. */
 struct mesh_zone_floor {
     mesh_name zone;
     unsigned int member_count;
     unsigned hyper roster_digest;
-    unsigned hyper held_revision;
+    unsigned hyper applied_revision;
 };
 
 /* The highest revision that a host held, kept after its record is removed. */
--- /dev/null
+++ b/mesh/pull.c
@@ -0,0 +1,281 @@
+/* Pulling and applying a revision that this node learned of but does not
+ * hold. */
+#include <string.h>
+
+#include "common/clock.h"
+#include "common/counters.h"
+#include "common/log.h"
+#include "mesh_internal.h"
+
+enum {
+    /* An invalid revision is asked for again after this time, in case it was
+     * damaged on the way. */
+    INVALID_RETRY_US = 10 * BB_US_PER_S
+};
+
+BB_COUNTER(pulls_total, "baobab_mesh_pulls_total", "Pulls started");
+BB_COUNTER(pulls_refused_total, "baobab_mesh_pulls_refused_total",
+           "Pulls that the source put off");
+BB_COUNTER(applied_total, "baobab_mesh_revisions_applied_total",
+           "Revisions received and applied");
+BB_COUNTER(invalid_total, "baobab_mesh_revisions_invalid_total",
+           "Revisions received and found invalid");
+
+/* Picks a random live member that holds a revision: of the own zone if there
+ * is one, else of the own region, else of any. */
+static bool
+pick_holder(struct bb_mesh *mesh, uint64_t revision, struct target *out)
+{
+    const struct bb_member *self = &mesh->settings.self;
+    const struct bb_member *picked = NULL;
+    uint32_t best = 0;
+    uint32_t seen = 0;
+
+    for (size_t i = 0; i < mesh->view.all.count; i++) {
+        const struct bb_member *r = &mesh->view.all.items[i];
+        uint32_t nearness = 1 + (strcmp(r->region, self->region) == 0) +
+                            (strcmp(r->zone, self->zone) == 0);
+
+        if (r->applied_revision < revision || r->state != BB_MEMBER_ALIVE ||
+            r->role != BB_ROLE_NODE || strcmp(r->host, self->host) == 0 ||
+            nearness < best) {
+            continue;
+        }
+        if (nearness > best) {
+            best = nearness;
+            seen = 0;
+        }
+        if (bb_random_below(mesh->random, ++seen) == 0) {
+            picked = r;
+        }
+    }
+    if (picked != NULL) {
+        *out = mesh_target(picked);
+    }
+    return picked != NULL;
+}
+
+/* Picks a relay of the own zone, another one with every attempt. */
+static bool
+pick_relay(struct bb_mesh *mesh, uint32_t attempt, struct target *out)
+{
+    const struct view *v = &mesh->view;
+
+    for (size_t i = 0; i < v->relay_count; i++) {
+        *out = v->relays[(attempt + i) % v->relay_count];
+        if (strcmp(out->host, mesh->settings.self.host) != 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Picks a control host, of the own region first; the next one with every
+ * further attempt. */
+static bool
+pick_control(struct bb_mesh *mesh, uint32_t attempt, struct target *out)
+{
+    struct target near[BB_CONTROL_HOSTS_MAX];
+    struct target all[BB_CONTROL_HOSTS_MAX];
+    size_t near_count =
+        mesh_live_controls(mesh, mesh->settings.self.region, near);
+    size_t all_count = mesh_live_controls(mesh, NULL, all);
+    uint32_t round = attempt / BB_PULL_SOURCES;
+    uint64_t own = bb_relay_id(mesh->settings.self.host);
+
+    if (round < near_count) {
+        *out = near[(round + own) % near_count];
+        return true;
+    }
+    if (all_count > 0) {
+        *out = all[(round + own) % all_count];
+    }
+    return all_count > 0;
+}
+
+/* Chooses where to pull from, falling back to the next kind of source where
+ * there is none of the given kind. */
+static bool
+pick_source(struct bb_mesh *mesh, enum bb_pull_source kind, uint32_t attempt,
+            uint64_t revision, struct target *out)
+{
+    for (uint32_t i = 0; i < BB_PULL_SOURCES; i++) {
+        bool is_found = false;
+
+        switch ((enum bb_pull_source)((kind + i) % BB_PULL_SOURCES)) {
+        case BB_PULL_PEER:
+            is_found = pick_holder(mesh, revision, out);
+            break;
+        case BB_PULL_RELAY:
+            is_found = pick_relay(mesh, attempt, out);
+            break;
+        case BB_PULL_CONTROL:
+            is_found = pick_control(mesh, attempt, out);
+            break;
+        case BB_PULL_SOURCES:
+            break;
+        }
+        if (is_found) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Queues a pull if this node is behind and one is due. */
+void
+mesh_schedule_pull(struct bb_mesh *mesh, uint64_t now_us)
+{
+    uint64_t known = bb_gossip_highest(mesh->gossip);
+    struct task task = {.kind = TASK_FETCH};
+    enum bb_pull_source kind;
+
+    if (mesh->settings.callbacks.receive == NULL) {
+        return;
+    }
+    (void)pthread_mutex_lock(&mesh->lock);
+    if (known == mesh->refused_revision && now_us < mesh->refused_until_us) {
+        known = mesh->held_revision;
+    }
+    bb_puller_update(&mesh->puller, mesh->held_revision, known,
+                     mesh->view.is_relay, now_us, bb_random_u64(mesh->random));
+    if (mesh->applying_revision < known &&
+        bb_puller_start(&mesh->puller, now_us, &kind)) {
+        if (pick_source(mesh, kind, mesh->puller.attempt, known, &task.to) &&
+            mesh_enqueue(mesh, &task, true)) {
+            bb_counter_add(&pulls_total, 1);
+        }
+        else {
+            bb_puller_finish(&mesh->puller, false, 0, now_us,
+                             bb_random_u64(mesh->random));
+        }
+    }
+    (void)pthread_mutex_unlock(&mesh->lock);
+}
+
+/* Tells the relays of the zone what this node now holds. */
+static void
+tell_relays(struct bb_mesh *mesh)
+{
+    struct target relays[BB_RELAYS_PER_ZONE];
+    size_t count;
+
+    (void)pthread_mutex_lock(&mesh->lock);
+    count = mesh->view.relay_count;
+    memcpy(relays, mesh->view.relays, sizeof(relays));
+    (void)pthread_mutex_unlock(&mesh->lock);
+    for (size_t i = 0; i < count; i++) {
+        if (strcmp(relays[i].host, mesh->settings.self.host) != 0) {
+            bb_gossip_tell(mesh->gossip, relays[i].host, bb_clock_now_us());
+        }
+    }
+}
+
+/* Notes what became of a payload other than its application. */
+static void
+note_refusal(struct bb_mesh *mesh, enum bb_mesh_receive result,
+             uint64_t revision)
+{
+    (void)pthread_mutex_lock(&mesh->lock);
+    if (result == BB_MESH_NEED_SNAPSHOT) {
+        mesh->needs_snapshot = true;
+    }
+    if (result == BB_MESH_INVALID) {
+        bb_counter_add(&invalid_total, 1);
+        mesh->refused_revision = revision;
+        mesh->refused_until_us = bb_clock_now_us() + INVALID_RETRY_US;
+    }
+    (void)pthread_mutex_unlock(&mesh->lock);
+    if (result == BB_MESH_INVALID) {
+        bb_log_warning("mesh.revision_invalid",
+                       "revision %" G_GUINT64_FORMAT
+                       " was received and is not valid",
+                       revision);
+    }
+}
+
+/* Hands a payload to the node, one at a time, and takes over the outcome. */
+enum bb_mesh_receive
+mesh_apply(struct bb_mesh *mesh, const struct bb_mesh_payload *payload)
+{
+    const struct bb_mesh_callbacks *c = &mesh->settings.callbacks;
+    enum bb_mesh_receive result = BB_MESH_STALE;
+    uint64_t held;
+
+    (void)pthread_mutex_lock(&mesh->apply_lock);
+    (void)pthread_mutex_lock(&mesh->lock);
+    held = mesh->held_revision;
+    (void)pthread_mutex_unlock(&mesh->lock);
+    if (payload->revision > held && c->receive != NULL) {
+        result = c->receive(c->context, payload, &held);
+    }
+    if (result == BB_MESH_APPLIED) {
+        bb_counter_add(&applied_total, 1);
+        mesh_hold(mesh, payload->revision, &payload->digest);
+    }
+    else if (result != BB_MESH_STALE) {
+        note_refusal(mesh, result, payload->revision);
+    }
+    (void)pthread_mutex_unlock(&mesh->apply_lock);
+    if (result == BB_MESH_APPLIED) {
+        tell_relays(mesh);
+    }
+    return result;
+}
+
+/* Applies a payload that was offered. */
+void
+mesh_run_apply(struct bb_mesh *mesh, struct task *task)
+{
+    (void)mesh_apply(mesh, &task->payload);
+    (void)pthread_mutex_lock(&mesh->lock);
+    if (mesh->applying_revision == task->payload.revision) {
+        mesh->applying_revision = 0;
+    }
+    (void)pthread_mutex_unlock(&mesh->lock);
+}
+
+/* Applies what a source sent. */
+static void
+take_fetched(struct bb_mesh *mesh, const mesh_offer *o)
+{
+    struct bb_mesh_payload payload = {
+        .revision = o->revision,
+        .is_delta = o->is_delta,
+        .base_revision = o->base_revision,
+        .data = (uint8_t *)o->payload.payload_val,
+        .size_bytes = o->payload.payload_len,
+    };
+
+    memcpy(payload.digest.bytes, o->digest, sizeof(payload.digest.bytes));
+    (void)mesh_apply(mesh, &payload);
+}
+
+/* Pulls from one source. */
+void
+mesh_run_fetch(struct bb_mesh *mesh, struct task *task)
+{
+    mesh_fetch question = {.host = mesh->settings.self.host};
+    mesh_fetch_answer answer = {0};
+    bool is_refused = false;
+
+    (void)pthread_mutex_lock(&mesh->lock);
+    question.have_revision = mesh->needs_snapshot ? 0 : mesh->held_revision;
+    (void)pthread_mutex_unlock(&mesh->lock);
+    if (mesh_call(mesh, &task->to, MESH_FETCH, &question, &answer)) {
+        is_refused = answer.result == MESH_BUSY;
+        bb_members_remember(mesh->members, task->to.host,
+                            answer.held_revision);
+        if (answer.result == MESH_OK) {
+            take_fetched(mesh, &answer.offer);
+        }
+    }
+    if (is_refused) {
+        bb_counter_add(&pulls_refused_total, 1);
+    }
+    (void)pthread_mutex_lock(&mesh->lock);
+    bb_puller_finish(&mesh->puller, is_refused, answer.retry_after_ms,
+                     bb_clock_now_us(), bb_random_u64(mesh->random));
+    (void)pthread_mutex_unlock(&mesh->lock);
+    xdr_free((xdrproc_t)xdr_mesh_fetch_answer, (char *)&answer);
+}
--- /dev/null
+++ b/mesh/push.c
@@ -0,0 +1,278 @@
+/* Pushing a new revision: control hosts to relays, relays to members. */
+#include <string.h>
+
+#include "common/clock.h"
+#include "common/counters.h"
+#include "mesh_internal.h"
+
+enum {
+    OFFER_RETRY_MS = 1000,
+    OFFER_RETRY_MAX_SHIFT = 4 /* at most 16 s between offers to one peer */
+};
+
+BB_COUNTER(offers_failed_total, "baobab_mesh_offers_failed_total",
+           "Offers that got no answer");
+BB_COUNTER(encodes_total, "baobab_mesh_payloads_encoded_total",
+           "Payloads encoded for receivers");
+
+/* Forgets the encoded payloads. */
+void
+mesh_drop_cache(struct bb_mesh *mesh)
+{
+    (void)pthread_mutex_lock(&mesh->cache_lock);
+    for (uint32_t i = 0; i < MESH_CACHED_PAYLOADS; i++) {
+        free(mesh->cache[i].payload.data);
+        mesh->cache[i] = (struct cached_payload){0};
+    }
+    (void)pthread_mutex_unlock(&mesh->cache_lock);
+}
+
+/* Copies a payload; false without memory. */
+static bool
+copy_payload(const struct bb_mesh_payload *from, struct bb_mesh_payload *out)
+{
+    *out = *from;
+    out->data = malloc(from->size_bytes + 1);
+    if (out->data == NULL) {
+        return false;
+    }
+    if (from->size_bytes > 0) {
+        memcpy(out->data, from->data, from->size_bytes);
+    }
+    return true;
+}
+
+/* Encodes the newest revision for a receiver, or takes a copy of an earlier
+ * encoding for the same base: most receivers hold the same revision. */
+bool
+mesh_payload_for(struct bb_mesh *mesh, uint64_t have_revision,
+                 struct bb_mesh_payload *out)
+{
+    const struct bb_mesh_callbacks *c = &mesh->settings.callbacks;
+    struct cached_payload *slot = NULL;
+    bool is_found = false;
+
+    if (c->payload == NULL) {
+        return false;
+    }
+    (void)pthread_mutex_lock(&mesh->cache_lock);
+    for (uint32_t i = 0; i < MESH_CACHED_PAYLOADS && slot == NULL; i++) {
+        if (mesh->cache[i].is_used &&
+            mesh->cache[i].have_revision == have_revision) {
+            slot = &mesh->cache[i];
+        }
+    }
+    if (slot == NULL) {
+        struct bb_mesh_payload fresh = {0};
+
+        if (!c->payload(c->context, have_revision, &fresh) ||
+            fresh.size_bytes > MESH_PAYLOAD_MAX) {
+            free(fresh.data);
+            goto out;
+        }
+        bb_counter_add(&encodes_total, 1);
+        slot = &mesh->cache[mesh->next_cached++ % MESH_CACHED_PAYLOADS];
+        free(slot->payload.data);
+        *slot = (struct cached_payload){
+            .is_used = true, .have_revision = have_revision, .payload = fresh};
+    }
+    is_found = copy_payload(&slot->payload, out);
+out:
+    (void)pthread_mutex_unlock(&mesh->cache_lock);
+    return is_found;
+}
+
+/* Takes over a revision that this process now holds. An older or equal one
+ * changes nothing. */
+void
+mesh_hold(struct bb_mesh *mesh, uint64_t revision,
+          const struct bb_digest *digest)
+{
+    bool is_newer;
+
+    (void)pthread_mutex_lock(&mesh->lock);
+    is_newer = revision > mesh->held_revision;
+    if (is_newer) {
+        mesh->held_revision = revision;
+        mesh->held_digest = *digest;
+        mesh->needs_snapshot = false;
+    }
+    (void)pthread_mutex_unlock(&mesh->lock);
+    if (!is_newer) {
+        return;
+    }
+    mesh_drop_cache(mesh);
+    bb_gossip_set_held(mesh->gossip, revision, bb_clock_now_us());
+    (void)pthread_mutex_lock(&mesh->lock);
+    mesh->is_woken = true;
+    (void)pthread_cond_signal(&mesh->wake);
+    (void)pthread_mutex_unlock(&mesh->lock);
+}
+
+/* Queues an offer to a peer that is behind, unless one was made recently. */
+static void
+offer(struct bb_mesh *mesh, const struct bb_member *r, uint64_t now_us)
+{
+    struct task task = {.kind = TASK_OFFER, .to = mesh_target(r)};
+    struct peer *peer;
+
+    (void)pthread_mutex_lock(&mesh->lock);
+    peer = mesh_peer(mesh, r->host);
+    if (peer->offered_revision != mesh->held_revision) {
+        peer->offered_revision = mesh->held_revision;
+        peer->offer_attempts = 0;
+        peer->next_offer_us = 0;
+    }
+    if (r->applied_revision < mesh->held_revision && !peer->is_offering &&
+        now_us >= peer->next_offer_us) {
+        uint32_t shift = MIN(peer->offer_attempts, OFFER_RETRY_MAX_SHIFT);
+
+        peer->next_offer_us =
+            now_us + ((uint64_t)OFFER_RETRY_MS << shift) * BB_US_PER_MS;
+        peer->offer_attempts++;
+        peer->is_offering = mesh_enqueue(mesh, &task, false);
+    }
+    (void)pthread_mutex_unlock(&mesh->lock);
+}
+
+/* Offers the held revision to the relays of the zones that this control host
+ * is responsible for. */
+static void
+push_to_relays(struct bb_mesh *mesh, uint64_t now_us)
+{
+    const struct bb_member_list *all = &mesh->view.all;
+    struct bb_member relays[BB_RELAYS_PER_ZONE];
+    GHashTable *seen = g_hash_table_new(g_str_hash, g_str_equal);
+
+    for (size_t i = 0; i < all->count; i++) {
+        const struct bb_member *r = &all->items[i];
+        struct target control;
+        size_t count;
+
+        if (!g_hash_table_add(seen, (gpointer)r->zone) ||
+            !mesh_control_for_zone(mesh, r->zone, r->region, &control) ||
+            strcmp(control.host, mesh->settings.self.host) != 0) {
+            continue;
+        }
+        count = mesh_relays_of(all, r->zone, relays);
+        for (size_t n = 0; n < count; n++) {
+            offer(mesh, &relays[n], now_us);
+        }
+    }
+    g_hash_table_destroy(seen);
+}
+
+/* Offers the held revision to the members of the own zone that this relay
+ * serves. */
+static void
+push_to_members(struct bb_mesh *mesh, uint64_t now_us)
+{
+    const struct view *v = &mesh->view;
+    uint64_t ids[BB_RELAYS_PER_ZONE];
+    uint64_t own = bb_relay_id(mesh->settings.self.host);
+
+    for (size_t i = 0; i < v->relay_count; i++) {
+        ids[i] = bb_relay_id(v->relays[i].host);
+    }
+    for (size_t i = 0; i < v->all.count; i++) {
+        const struct bb_member *r = &v->all.items[i];
+
+        if (r->role == BB_ROLE_NODE && r->state == BB_MEMBER_ALIVE &&
+            strcmp(r->zone, mesh->settings.self.zone) == 0 &&
+            strcmp(r->host, mesh->settings.self.host) != 0 &&
+            bb_relay_for_member(ids, v->relay_count, bb_relay_id(r->host)) ==
+                own) {
+            offer(mesh, r, now_us);
+        }
+    }
+}
+
+/* Queues the offers that are due. */
+void
+mesh_schedule_push(struct bb_mesh *mesh, uint64_t now_us)
+{
+    uint64_t held;
+
+    (void)pthread_mutex_lock(&mesh->lock);
+    held = mesh->held_revision;
+    (void)pthread_mutex_unlock(&mesh->lock);
+    if (held == 0) {
+        return;
+    }
+    if (mesh->is_control) {
+        push_to_relays(mesh, now_us);
+    }
+    else if (mesh->view.is_relay) {
+        push_to_members(mesh, now_us);
+    }
+}
+
+/* Makes one offer for a receiver that holds a revision and stores which one
+ * was offered; false if it got no answer or there is nothing to offer. */
+static bool
+offer_once(struct bb_mesh *mesh, const struct target *to, uint64_t have,
+           mesh_offer_answer *answer, uint64_t *offered)
+{
+    struct bb_mesh_payload payload = {0};
+    mesh_offer o = {.from = mesh->settings.self.host};
+    bool is_done;
+
+    if (!mesh_payload_for(mesh, have, &payload)) {
+        return false;
+    }
+    *offered = payload.revision;
+    o.revision = payload.revision;
+    memcpy(o.digest, payload.digest.bytes, sizeof(o.digest));
+    o.is_delta = payload.is_delta;
+    o.base_revision = payload.base_revision;
+    o.payload.payload_val = (char *)payload.data;
+    o.payload.payload_len = (u_int)payload.size_bytes;
+    is_done = mesh_call(mesh, to, MESH_OFFER, &o, answer);
+    free(payload.data);
+    if (!is_done) {
+        bb_counter_add(&offers_failed_total, 1);
+    }
+    return is_done;
+}
+
+/* Offers the newest revision to a peer, as a delta against what it took last
+ * or what its record says, then as its answer asks for. The last answer is
+ * newer than the record when changes follow each other within a report
+ * period; a wrong guess costs one more offer. */
+void
+mesh_run_offer(struct bb_mesh *mesh, struct task *task)
+{
+    mesh_offer_answer answer = {0};
+    struct bb_member r = {0};
+    struct peer *peer;
+    uint64_t offered;
+    uint64_t have;
+    bool is_done;
+
+    (void)bb_members_get(mesh->members, task->to.host, &r);
+    (void)pthread_mutex_lock(&mesh->lock);
+    peer = mesh_peer(mesh, task->to.host);
+    have = r.applied_revision;
+    if (peer->taken_incarnation == r.incarnation) {
+        have = MAX(have, peer->taken_revision);
+    }
+    (void)pthread_mutex_unlock(&mesh->lock);
+    is_done = offer_once(mesh, &task->to, have, &answer, &offered);
+    if (is_done && answer.result == MESH_NEED_SNAPSHOT) {
+        have = answer.held_revision == have ? 0 : answer.held_revision;
+        is_done = offer_once(mesh, &task->to, have, &answer, &offered);
+    }
+    if (is_done) {
+        bb_members_remember(mesh->members, task->to.host,
+                            answer.held_revision);
+    }
+    (void)pthread_mutex_lock(&mesh->lock);
+    peer = mesh_peer(mesh, task->to.host);
+    peer->is_offering = false;
+    if (is_done) {
+        peer->taken_incarnation = r.incarnation;
+        peer->taken_revision =
+            answer.result == MESH_OK ? offered : answer.held_revision;
+    }
+    (void)pthread_mutex_unlock(&mesh->lock);
+}
--- /dev/null
+++ b/mesh/serve.c
@@ -0,0 +1,283 @@
+/* The handlers of the RPC program. They run on the thread of the RPC server,
+ * take no long and make no calls. */
+#include <stdatomic.h>
+#include <string.h>
+
+#include "common/clock.h"
+#include "mesh_internal.h"
+
+enum {
+    /* A control host that has no other one to compare with has heard from the
+     * relays of its zones by then: they report and compare every 2 s. */
+    INFORMED_AFTER_US = 5 * BB_US_PER_S
+};
+
+/* The one mesh of this process; RPC dispatch has no context of its own. */
+static _Atomic(struct bb_mesh *) registered;
+
+/* Queues an offered payload to be applied. */
+static void
+queue_apply(struct bb_mesh *mesh, const mesh_offer *o)
+{
+    struct task task = {.kind = TASK_APPLY,
+                        .payload = {.revision = o->revision,
+                                    .is_delta = o->is_delta,
+                                    .base_revision = o->base_revision}};
+    size_t size_bytes = o->payload.payload_len;
+
+    memcpy(task.payload.digest.bytes, o->digest, sizeof(o->digest));
+    task.payload.data = malloc(size_bytes + 1);
+    if (task.payload.data == NULL) {
+        return;
+    }
+    if (size_bytes > 0) {
+        memcpy(task.payload.data, o->payload.payload_val, size_bytes);
+    }
+    task.payload.size_bytes = size_bytes;
+    if (mesh_enqueue(mesh, &task, true)) {
+        mesh->applying_revision = o->revision;
+    }
+}
+
+/* OFFER: takes a payload that this node can apply. The answer does not wait
+ * for that; the member record tells when it is in force. */
+static void
+handle_offer(struct bb_mesh *mesh, const mesh_offer *o,
+             mesh_offer_answer *answer)
+{
+    bb_gossip_note_revision(mesh->gossip, o->revision);
+    (void)pthread_mutex_lock(&mesh->lock);
+    answer->held_revision = mesh->held_revision;
+    if (mesh->settings.callbacks.receive == NULL ||
+        o->revision <= mesh->held_revision ||
+        o->revision <= mesh->applying_revision) {
+        answer->result = MESH_STALE;
+    }
+    else if (o->is_delta && (o->base_revision != mesh->held_revision ||
+                             mesh->needs_snapshot)) {
+        answer->result = MESH_NEED_SNAPSHOT;
+    }
+    else {
+        answer->result = MESH_OK;
+        queue_apply(mesh, o);
+    }
+    (void)pthread_mutex_unlock(&mesh->lock);
+}
+
+/* FETCH: sends the newest revision to a node that holds an older one, or
+ * tells it when to ask again. */
+static void
+handle_fetch(struct bb_mesh *mesh, const mesh_fetch *question,
+             mesh_fetch_answer *answer)
+{
+    struct bb_mesh_payload payload = {0};
+    uint64_t random_bits = bb_random_u64(mesh->random);
+    mesh_offer *o = &answer->offer;
+
+    o->from = strdup(mesh->settings.self.host);
+    answer->result = MESH_NONE;
+    (void)pthread_mutex_lock(&mesh->lock);
+    answer->held_revision = mesh->held_revision;
+    if (mesh->held_revision > question->have_revision) {
+        answer->result =
+            bb_pull_bucket_take(&mesh->bucket, bb_clock_now_us(), random_bits,
+                                &answer->retry_after_ms)
+                ? MESH_OK
+                : MESH_BUSY;
+    }
+    (void)pthread_mutex_unlock(&mesh->lock);
+    if (answer->result != MESH_OK) {
+        return;
+    }
+    if (!mesh_payload_for(mesh, question->have_revision, &payload)) {
+        answer->result = MESH_NONE;
+        return;
+    }
+    o->revision = payload.revision;
+    memcpy(o->digest, payload.digest.bytes, sizeof(o->digest));
+    o->is_delta = payload.is_delta;
+    o->base_revision = payload.base_revision;
+    o->payload.payload_val = (char *)payload.data;
+    o->payload.payload_len = (u_int)payload.size_bytes;
+}
+
+/* REPORT: merges records, zone floors and remembered revisions. */
+static void
+handle_report(struct bb_mesh *mesh, const mesh_report *question,
+              mesh_report_answer *answer)
+{
+    uint64_t now_us = bb_clock_now_us();
+
+    bb_gossip_note_revision(mesh->gossip, question->highest_revision);
+    mesh_take_records(mesh, question->records.records_val,
+                      question->records.records_len, question->from);
+    for (u_int i = 0; i < question->held.held_len; i++) {
+        bb_members_remember(mesh->members, question->held.held_val[i].host,
+                            question->held.held_val[i].revision);
+    }
+    for (u_int i = 0; i < question->floors.floors_len; i++) {
+        const mesh_zone_floor *w = &question->floors.floors_val[i];
+        struct bb_zone_floor f = {.member_count = w->member_count,
+                                  .roster_digest = w->roster_digest,
+                                  .applied_revision = w->applied_revision};
+
+        (void)g_strlcpy(f.zone, w->zone, sizeof(f.zone));
+        (void)bb_members_apply_floor(mesh->members, &f, now_us);
+    }
+    answer->highest_revision = bb_gossip_highest(mesh->gossip);
+}
+
+/* JOIN: tells a process what it has to know: the revision it held, and the
+ * members. Whether the answer can be relied on for the former: a zone peer
+ * must have known the host before; a control host must have compared with
+ * another one, or have run for a while. */
+static void
+handle_join(struct bb_mesh *mesh, const mesh_join *question,
+            mesh_join_answer *answer)
+{
+    struct bb_member_list list;
+    struct bb_member r;
+    uint64_t now_us = bb_clock_now_us();
+    bool is_known;
+
+    answer->remembered_revision =
+        bb_members_held(mesh->members, question->record.host, &is_known);
+    answer->highest_revision = bb_gossip_highest(mesh->gossip);
+    (void)pthread_mutex_lock(&mesh->lock);
+    answer->is_informed =
+        is_known ||
+        (mesh->is_control &&
+         (mesh->has_synced || now_us - mesh->created_us >= INFORMED_AFTER_US));
+    (void)pthread_mutex_unlock(&mesh->lock);
+    (void)bb_members_select(mesh->members, &(struct bb_members_query){0},
+                            &list);
+    answer->records.records_val = bb_wire_records(&list);
+    answer->records.records_len = (u_int)list.count;
+    bb_member_list_clear(&list);
+    if (bb_wire_to_member(&question->record, &r) &&
+        strcmp(r.host, mesh->settings.self.host) != 0) {
+        (void)bb_members_merge(mesh->members, &r, BB_ORIGIN_ZONE, now_us);
+    }
+}
+
+/* Returns the name of the process that made a call. */
+static const char *
+caller_of(uint32_t procedure, const void *argument)
+{
+    switch (procedure) {
+    case MESH_OFFER:
+        return ((const mesh_offer *)argument)->from;
+    case MESH_FETCH:
+        return ((const mesh_fetch *)argument)->host;
+    case MESH_REPORT:
+        return ((const mesh_report *)argument)->from;
+    case MESH_SYNC:
+        return ((const mesh_sync *)argument)->from;
+    case MESH_JOIN:
+        return ((const mesh_join *)argument)->record.host;
+    default:
+        return "";
+    }
+}
+
+/* Tells whether a process is in another region, as far as is known. */
+static bool
+is_in_other_region(struct bb_mesh *mesh, const char *host)
+{
+    struct bb_member r;
+
+    return bb_members_get(mesh->members, host, &r) &&
+           strcmp(r.region, mesh->settings.self.region) != 0;
+}
+
+/* Runs the handler of a procedure on a decoded argument. The result is
+ * zeroed before and freed with xdr_free by the caller. False if the procedure
+ * is unknown. */
+bool
+bb_mesh_handle(struct bb_mesh *mesh, uint32_t procedure, void *argument,
+               void *result)
+{
+    const struct mesh_procedure *p = mesh_procedure_find(procedure);
+    bool is_other_region;
+
+    if (p == NULL) {
+        return false;
+    }
+    switch (procedure) {
+    case MESH_OFFER:
+        handle_offer(mesh, argument, result);
+        break;
+    case MESH_FETCH:
+        handle_fetch(mesh, argument, result);
+        break;
+    case MESH_REPORT:
+        handle_report(mesh, argument, result);
+        break;
+    case MESH_SYNC:
+        bb_gossip_note_revision(mesh->gossip,
+                                ((mesh_sync *)argument)->highest_revision);
+        mesh_answer_sync(mesh, argument, result);
+        break;
+    case MESH_JOIN:
+        handle_join(mesh, argument, result);
+        break;
+    default:
+        return false;
+    }
+    is_other_region = is_in_other_region(mesh, caller_of(procedure, argument));
+    bb_traffic_count(p->kind, BB_TRAFFIC_IN,
+                     xdr_sizeof(p->argument_codec, argument), is_other_region);
+    bb_traffic_count(p->kind, BB_TRAFFIC_OUT,
+                     xdr_sizeof(p->result_codec, result), is_other_region);
+    return true;
+}
+
+/* Decodes a call, runs its handler and sends the answer. */
+static void
+dispatch(struct svc_req *request, SVCXPRT *transport)
+{
+    const struct mesh_procedure *p = mesh_procedure_find(request->rq_proc);
+    struct bb_mesh *mesh = atomic_load(&registered);
+    union {
+        mesh_offer offer;
+        mesh_fetch fetch;
+        mesh_report report;
+        mesh_sync sync;
+        mesh_join join;
+    } argument;
+    union {
+        mesh_offer_answer offer;
+        mesh_fetch_answer fetch;
+        mesh_report_answer report;
+        mesh_sync_answer sync;
+        mesh_join_answer join;
+    } result;
+
+    if (p == NULL || mesh == NULL) {
+        svcerr_noproc(transport);
+        return;
+    }
+    memset(&argument, 0, sizeof(argument));
+    memset(&result, 0, sizeof(result));
+    if (!svc_getargs(transport, p->argument_codec, (char *)&argument)) {
+        svcerr_decode(transport);
+    }
+    else if (bb_mesh_handle(mesh, p->number, &argument, &result)) {
+        (void)svc_sendreply(transport, p->result_codec, (char *)&result);
+    }
+    else {
+        svcerr_noproc(transport);
+    }
+    xdr_free(p->argument_codec, (char *)&argument);
+    xdr_free(p->result_codec, (char *)&result);
+}
+
+/* Registers the program of the mesh with the RPC server of the process; call
+ * before the server starts, and destroy the server before the mesh. */
+bool
+bb_mesh_register(struct bb_mesh *mesh, struct bb_rpc_server *server,
+                 struct bb_error *e)
+{
+    atomic_store(&registered, mesh);
+    return bb_rpc_server_add(server, MESH_PROGRAM, MESH_VERSION, dispatch, e);
+}
--- /dev/null
+++ b/mesh/sync.c
@@ -0,0 +1,364 @@
+/* Anti-entropy: two processes compare digests of their tables and exchange
+ * the records of the buckets that differ. */
+#include <string.h>
+
+#include "common/clock.h"
+#include "common/counters.h"
+#include "mesh_internal.h"
+
+enum { WIRE_BUCKETS = 2 * BB_MEMBERS_BUCKETS };
+
+BB_COUNTER(differences_total, "baobab_mesh_sync_differences_total",
+           "Comparisons of tables that found a difference");
+
+/* Queues a comparison with a process. */
+static void
+enqueue_sync(struct bb_mesh *mesh, const struct target *to)
+{
+    struct task task = {.kind = TASK_SYNC, .to = *to};
+    struct peer *peer;
+
+    if (strcmp(to->host, mesh->settings.self.host) == 0) {
+        return;
+    }
+    (void)pthread_mutex_lock(&mesh->lock);
+    peer = mesh_peer(mesh, to->host);
+    if (!peer->is_syncing) {
+        peer->is_syncing = mesh_enqueue(mesh, &task, false);
+    }
+    (void)pthread_mutex_unlock(&mesh->lock);
+}
+
+/* Compares with another control host of the own region, and, if this one is
+ * chosen for it, with one of each other region. */
+static void
+sync_controls(struct bb_mesh *mesh)
+{
+    const struct bb_control_list *list = &mesh->settings.controls;
+    const struct bb_member *self = &mesh->settings.self;
+    struct target near[BB_CONTROL_HOSTS_MAX];
+    struct target to;
+    size_t count = mesh_live_controls(mesh, self->region, near);
+
+    if (count > 0) {
+        enqueue_sync(mesh, &near[bb_random_below(mesh->random, count)]);
+    }
+    if (!mesh_receiver_of_region(mesh, self->region, self->region, &to) ||
+        strcmp(to.host, self->host) != 0) {
+        return;
+    }
+    for (uint32_t i = 0; i < list->count; i++) {
+        if (strcmp(list->items[i].region, self->region) != 0 &&
+            mesh_receiver_of_region(mesh, list->items[i].region, self->region,
+                                    &to)) {
+            enqueue_sync(mesh, &to);
+        }
+    }
+}
+
+/* Queues the comparisons that are due: relays with their control host,
+ * control hosts with each other, and any node with a zone peer whose digest
+ * has differed in gossip for a while. */
+void
+mesh_schedule_sync(struct bb_mesh *mesh, uint64_t now_us)
+{
+    const struct bb_member *self = &mesh->settings.self;
+    struct bb_member r;
+    struct target to;
+    char host[BB_NAME_BYTES];
+
+    if (bb_gossip_differing_peer(mesh->gossip, now_us, host) &&
+        bb_members_get(mesh->members, host, &r)) {
+        to = mesh_target(&r);
+        enqueue_sync(mesh, &to);
+    }
+    if (now_us < mesh->next_sync_us) {
+        return;
+    }
+    mesh->next_sync_us = now_us + MESH_SYNC_MS * BB_US_PER_MS;
+    if (mesh->is_control) {
+        sync_controls(mesh);
+    }
+    else if (mesh->view.is_relay &&
+             mesh_control_for_zone(mesh, self->zone, self->region, &to)) {
+        enqueue_sync(mesh, &to);
+    }
+}
+
+/* Writes a digest in its XDR form, with or without buckets. */
+static void
+encode_digest(const struct bb_zone_digest *d, bool has_buckets,
+              mesh_zone_digest *out, u_quad_t *buckets)
+{
+    *out = (mesh_zone_digest){
+        .zone = bb_wire_name(d->zone), .records = d->records, .held = d->held};
+    if (!has_buckets) {
+        return;
+    }
+    for (uint32_t i = 0; i < BB_MEMBERS_BUCKETS; i++) {
+        buckets[i] = d->buckets[i];
+        buckets[BB_MEMBERS_BUCKETS + i] = d->held_buckets[i];
+    }
+    out->buckets.buckets_val = buckets;
+    out->buckets.buckets_len = WIRE_BUCKETS;
+}
+
+/* Returns the bits of the buckets that differ, or 0 if the other side sent
+ * none. */
+static uint32_t
+differing_buckets(const struct bb_zone_digest *own,
+                  const mesh_zone_digest *other, bool compare_held)
+{
+    uint32_t bits = 0;
+
+    if (other->buckets.buckets_len != WIRE_BUCKETS) {
+        return 0;
+    }
+    for (uint32_t i = 0; i < BB_MEMBERS_BUCKETS; i++) {
+        const u_quad_t *theirs = other->buckets.buckets_val;
+
+        if (own->buckets[i] != theirs[i] ||
+            (compare_held &&
+             own->held_buckets[i] != theirs[BB_MEMBERS_BUCKETS + i])) {
+            bits |= 1U << i;
+        }
+    }
+    return bits;
+}
+
+/* Finds the own digest of a zone, or a zero one. */
+static struct bb_zone_digest
+find_own(const struct bb_zone_digest *all, size_t count, const char *zone)
+{
+    struct bb_zone_digest none = {0};
+
+    for (size_t i = 0; i < count; i++) {
+        if (strcmp(all[i].zone, zone) == 0) {
+            return all[i];
+        }
+    }
+    (void)g_strlcpy(none.zone, zone, sizeof(none.zone));
+    return none;
+}
+
+/* Appends the records of some buckets of a zone to a list. */
+static void
+append_records(struct bb_mesh *mesh, const char *zone, uint32_t buckets,
+               struct bb_member_list *list)
+{
+    const struct bb_members_query q = {.zone = zone, .zone_buckets = buckets};
+    struct bb_member_list more;
+
+    (void)bb_members_select(mesh->members, &q, &more);
+    if (more.count > 0 && list->count + more.count <= MESH_RECORDS_MAX) {
+        list->items =
+            g_renew(struct bb_member, list->items, list->count + more.count);
+        memcpy(list->items + list->count, more.items,
+               more.count * sizeof(*more.items));
+        list->count += more.count;
+    }
+    bb_member_list_clear(&more);
+}
+
+/* Returns an owned copy of a digest for an answer. */
+static mesh_zone_digest
+own_digest(const struct bb_zone_digest *d, bool has_buckets)
+{
+    u_quad_t *buckets = calloc(WIRE_BUCKETS, sizeof(*buckets));
+    mesh_zone_digest out;
+
+    encode_digest(d, has_buckets && buckets != NULL, &out, buckets);
+    if (out.buckets.buckets_val == NULL) {
+        free(buckets);
+    }
+    out.zone = strdup(d->zone);
+    return out;
+}
+
+/* Adds what hosts without a record held. */
+static void
+add_remembered(struct bb_mesh *mesh, mesh_sync_answer *answer)
+{
+    struct bb_held *held = g_new(struct bb_held, MESH_HELD_MAX);
+    size_t count = bb_members_remembered(mesh->members, held, MESH_HELD_MAX);
+
+    answer->held.held_val = calloc(count + 1, sizeof(mesh_held));
+    for (size_t i = 0; answer->held.held_val != NULL && i < count; i++) {
+        answer->held.held_val[i].host = strdup(held[i].host);
+        answer->held.held_val[i].revision = held[i].revision;
+        answer->held.held_len++;
+    }
+    g_free(held);
+}
+
+/* Answers a comparison: the zones that differ, with the own digests, and the
+ * records of the buckets that differ. Zones that the question leaves out are
+ * compared only when it has no buckets, which is its first round. */
+void
+mesh_answer_sync(struct bb_mesh *mesh, const mesh_sync *question,
+                 mesh_sync_answer *answer)
+{
+    struct bb_zone_digest own[BB_MEMBERS_ZONES_MAX];
+    size_t count =
+        bb_members_digests(mesh->members, own, BB_MEMBERS_ZONES_MAX);
+    struct bb_member_list list = {0};
+    bool has_buckets = question->zones.zones_len > 0 &&
+                       question->zones.zones_val[0].buckets.buckets_len > 0;
+
+    answer->highest_revision = bb_gossip_highest(mesh->gossip);
+    answer->zones.zones_val = calloc(MESH_ZONES_MAX, sizeof(mesh_zone_digest));
+    for (u_int i = 0;
+         answer->zones.zones_val != NULL && i < question->zones.zones_len;
+         i++) {
+        const mesh_zone_digest *z = &question->zones.zones_val[i];
+        struct bb_zone_digest d = find_own(own, count, z->zone);
+        uint32_t bits = differing_buckets(&d, z, question->compare_held);
+
+        if (d.records != z->records ||
+            (question->compare_held && d.held != z->held)) {
+            answer->zones.zones_val[answer->zones.zones_len++] =
+                own_digest(&d, has_buckets);
+        }
+        if (bits != 0) {
+            append_records(mesh, z->zone, bits, &list);
+        }
+    }
+    for (size_t i = 0; answer->zones.zones_val != NULL && !has_buckets &&
+                       i < count && answer->zones.zones_len < MESH_ZONES_MAX;
+         i++) {
+        bool is_asked = false;
+
+        for (u_int n = 0; n < question->zones.zones_len; n++) {
+            is_asked |=
+                strcmp(question->zones.zones_val[n].zone, own[i].zone) == 0;
+        }
+        if (!is_asked) {
+            answer->zones.zones_val[answer->zones.zones_len++] =
+                own_digest(&own[i], false);
+        }
+    }
+    answer->records.records_val = bb_wire_records(&list);
+    answer->records.records_len = (u_int)list.count;
+    bb_member_list_clear(&list);
+    if (question->compare_held && has_buckets) {
+        add_remembered(mesh, answer);
+    }
+}
+
+/* Asks the first round, about all zones, without buckets. */
+static bool
+ask_zones(struct bb_mesh *mesh, const struct target *to, bool compare_held,
+          mesh_sync_answer *answer)
+{
+    struct bb_zone_digest own[BB_MEMBERS_ZONES_MAX];
+    mesh_zone_digest zones[BB_MEMBERS_ZONES_MAX];
+    size_t count =
+        bb_members_digests(mesh->members, own, BB_MEMBERS_ZONES_MAX);
+    mesh_sync question = {
+        .from = mesh->settings.self.host,
+        .compare_held = compare_held,
+        .highest_revision = bb_gossip_highest(mesh->gossip),
+        .zones = {.zones_val = zones, .zones_len = (u_int)count},
+    };
+
+    for (size_t i = 0; i < count; i++) {
+        encode_digest(&own[i], false, &zones[i], NULL);
+    }
+    return mesh_call(mesh, to, MESH_SYNC, &question, answer);
+}
+
+/* Asks the second round, about the zones that differ, with buckets. */
+static bool
+ask_buckets(struct bb_mesh *mesh, const struct target *to, bool compare_held,
+            const mesh_sync_answer *first, mesh_sync_answer *answer)
+{
+    struct bb_zone_digest own[BB_MEMBERS_ZONES_MAX];
+    struct bb_zone_digest asked[BB_MEMBERS_ZONES_MAX];
+    mesh_zone_digest zones[BB_MEMBERS_ZONES_MAX];
+    u_quad_t buckets[BB_MEMBERS_ZONES_MAX][WIRE_BUCKETS];
+    size_t count =
+        bb_members_digests(mesh->members, own, BB_MEMBERS_ZONES_MAX);
+    mesh_sync question = {
+        .from = mesh->settings.self.host,
+        .compare_held = compare_held,
+        .highest_revision = bb_gossip_highest(mesh->gossip),
+        .zones = {.zones_val = zones},
+    };
+
+    for (u_int i = 0; i < first->zones.zones_len && i < BB_MEMBERS_ZONES_MAX;
+         i++) {
+        asked[i] = find_own(own, count, first->zones.zones_val[i].zone);
+        encode_digest(&asked[i], true, &zones[i], buckets[i]);
+        question.zones.zones_len++;
+    }
+    return mesh_call(mesh, to, MESH_SYNC, &question, answer);
+}
+
+/* Sends the own records of the buckets that differ. */
+static void
+send_back(struct bb_mesh *mesh, const struct target *to, bool compare_held,
+          const mesh_sync_answer *answer)
+{
+    struct bb_zone_digest own[BB_MEMBERS_ZONES_MAX];
+    size_t count =
+        bb_members_digests(mesh->members, own, BB_MEMBERS_ZONES_MAX);
+    mesh_report question = {.from = mesh->settings.self.host};
+    mesh_report_answer done = {0};
+    struct bb_member_list list = {0};
+
+    for (u_int i = 0; i < answer->zones.zones_len; i++) {
+        const mesh_zone_digest *z = &answer->zones.zones_val[i];
+        struct bb_zone_digest d = find_own(own, count, z->zone);
+        uint32_t bits = differing_buckets(&d, z, compare_held);
+
+        if (bits != 0) {
+            append_records(mesh, z->zone, bits, &list);
+        }
+    }
+    if (list.count > 0) {
+        question.highest_revision = bb_gossip_highest(mesh->gossip);
+        question.records.records_val = bb_wire_records(&list);
+        question.records.records_len = (u_int)list.count;
+        (void)mesh_call(mesh, to, MESH_REPORT, &question, &done);
+    }
+    question.from = NULL;
+    xdr_free((xdrproc_t)xdr_mesh_report, (char *)&question);
+    bb_member_list_clear(&list);
+}
+
+/* Compares with a process in two rounds and exchanges what differs. The held
+ * revisions are compared only inside a region: between regions the zone
+ * floors carry them. */
+void
+mesh_run_sync(struct bb_mesh *mesh, struct task *task)
+{
+    mesh_sync_answer first = {0};
+    mesh_sync_answer second = {0};
+    bool compare_held =
+        strcmp(task->to.region, mesh->settings.self.region) == 0;
+    bool is_done = ask_zones(mesh, &task->to, compare_held, &first);
+
+    if (is_done) {
+        bb_gossip_note_revision(mesh->gossip, first.highest_revision);
+    }
+    if (is_done && first.zones.zones_len > 0) {
+        bb_counter_add(&differences_total, 1);
+        is_done = ask_buckets(mesh, &task->to, compare_held, &first, &second);
+        if (is_done) {
+            mesh_take_records(mesh, second.records.records_val,
+                              second.records.records_len, task->to.host);
+            for (u_int i = 0; i < second.held.held_len; i++) {
+                bb_members_remember(mesh->members,
+                                    second.held.held_val[i].host,
+                                    second.held.held_val[i].revision);
+            }
+            send_back(mesh, &task->to, compare_held, &second);
+        }
+    }
+    (void)pthread_mutex_lock(&mesh->lock);
+    mesh_peer(mesh, task->to.host)->is_syncing = false;
+    mesh->has_synced |= is_done && mesh->is_control;
+    (void)pthread_mutex_unlock(&mesh->lock);
+    xdr_free((xdrproc_t)xdr_mesh_sync_answer, (char *)&first);
+    xdr_free((xdrproc_t)xdr_mesh_sync_answer, (char *)&second);
+}
--- /dev/null
+++ b/mesh/tasks.c
@@ -0,0 +1,167 @@
+/* The queue of tasks, the workers, and the calls they make. */
+#include <string.h>
+
+#include "common/counters.h"
+#include "mesh_internal.h"
+
+BB_COUNTER(dropped_total, "baobab_mesh_tasks_dropped_total",
+           "Tasks dropped because the queue was full");
+
+static const struct mesh_procedure procedures[] = {
+    {MESH_OFFER, (xdrproc_t)xdr_mesh_offer, (xdrproc_t)xdr_mesh_offer_answer,
+     BB_TRAFFIC_OFFER},
+    {MESH_FETCH, (xdrproc_t)xdr_mesh_fetch, (xdrproc_t)xdr_mesh_fetch_answer,
+     BB_TRAFFIC_FETCH},
+    {MESH_REPORT, (xdrproc_t)xdr_mesh_report,
+     (xdrproc_t)xdr_mesh_report_answer, BB_TRAFFIC_REPORT},
+    {MESH_SYNC, (xdrproc_t)xdr_mesh_sync, (xdrproc_t)xdr_mesh_sync_answer,
+     BB_TRAFFIC_SYNC},
+    {MESH_JOIN, (xdrproc_t)xdr_mesh_join, (xdrproc_t)xdr_mesh_join_answer,
+     BB_TRAFFIC_JOIN},
+};
+
+/* Finds a procedure by number; NULL if unknown. */
+const struct mesh_procedure *
+mesh_procedure_find(uint32_t number)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(procedures); i++) {
+        if (procedures[i].number == number) {
+            return &procedures[i];
+        }
+    }
+    return NULL;
+}
+
+/* Frees a task and what it owns. */
+void
+mesh_free_task(struct task *task)
+{
+    free(task->payload.data);
+    bb_member_list_clear(&task->records);
+    g_free(task->floors);
+    g_free(task);
+}
+
+/* Queues a copy of a task, which takes over what the task owns; call with the
+ * lock held. Urgent tasks go first. A full queue drops the task and returns
+ * false. */
+bool
+mesh_enqueue(struct bb_mesh *mesh, struct task *task, bool is_urgent)
+{
+    struct task *copy = g_new(struct task, 1);
+
+    *copy = *task;
+    if (mesh->is_stopping ||
+        g_queue_get_length(&mesh->tasks) >= MESH_QUEUE_MAX) {
+        bb_counter_add(&dropped_total, 1);
+        mesh_free_task(copy);
+        return false;
+    }
+    if (is_urgent) {
+        g_queue_push_head(&mesh->tasks, copy);
+    }
+    else {
+        g_queue_push_tail(&mesh->tasks, copy);
+    }
+    (void)pthread_cond_signal(&mesh->work);
+    return true;
+}
+
+/* Finds or creates what is known about a peer; call with the lock held. */
+struct peer *
+mesh_peer(struct bb_mesh *mesh, const char *host)
+{
+    struct peer *peer = g_hash_table_lookup(mesh->peer_by_host, host);
+
+    if (peer == NULL) {
+        peer = g_new0(struct peer, 1);
+        g_hash_table_insert(mesh->peer_by_host, g_strdup(host), peer);
+    }
+    return peer;
+}
+
+/* Calls a procedure of another process and counts the traffic. The caller
+ * zeroes the result before and frees it with xdr_free. */
+bool
+mesh_call(struct bb_mesh *mesh, const struct target *to, uint32_t procedure,
+          void *argument, void *result)
+{
+    const struct mesh_procedure *p = mesh_procedure_find(procedure);
+    const struct bb_rpc_call call = {
+        .program = MESH_PROGRAM,
+        .version = MESH_VERSION,
+        .procedure = procedure,
+        .argument_codec = p->argument_codec,
+        .argument = argument,
+        .result_codec = p->result_codec,
+        .result = result,
+        .timeout_ms = MESH_CALL_TIMEOUT_MS,
+    };
+    bool is_other_region = strcmp(to->region, mesh->settings.self.region) != 0;
+    struct bb_error e = {0};
+    bool is_done;
+
+    bb_traffic_count(p->kind, BB_TRAFFIC_OUT,
+                     xdr_sizeof(p->argument_codec, argument), is_other_region);
+    if (mesh->settings.transport.call != NULL) {
+        is_done = mesh->settings.transport.call(
+            mesh->settings.transport.context, &to->rpc, &call, &e);
+    }
+    else {
+        is_done = bb_rpc_pool_call(mesh->pool, &to->rpc, &call, &e);
+    }
+    if (is_done) {
+        bb_traffic_count(p->kind, BB_TRAFFIC_IN,
+                         xdr_sizeof(p->result_codec, result), is_other_region);
+    }
+    return is_done;
+}
+
+/* Runs one task. */
+static void
+run_task(struct bb_mesh *mesh, struct task *task)
+{
+    switch (task->kind) {
+    case TASK_OFFER:
+        mesh_run_offer(mesh, task);
+        break;
+    case TASK_APPLY:
+        mesh_run_apply(mesh, task);
+        break;
+    case TASK_FETCH:
+        mesh_run_fetch(mesh, task);
+        break;
+    case TASK_REPORT:
+        mesh_run_report(mesh, task);
+        break;
+    case TASK_SYNC:
+        mesh_run_sync(mesh, task);
+        break;
+    case TASK_JOIN:
+        mesh_run_join(mesh, task);
+        break;
+    }
+}
+
+/* Runs tasks until the mesh stops; the body of each worker. */
+void *
+mesh_run_worker(void *argument)
+{
+    struct bb_mesh *mesh = argument;
+
+    (void)pthread_mutex_lock(&mesh->lock);
+    while (!mesh->is_stopping) {
+        struct task *task = g_queue_pop_head(&mesh->tasks);
+
+        if (task == NULL) {
+            (void)pthread_cond_wait(&mesh->work, &mesh->lock);
+            continue;
+        }
+        (void)pthread_mutex_unlock(&mesh->lock);
+        run_task(mesh, task);
+        mesh_free_task(task);
+        (void)pthread_mutex_lock(&mesh->lock);
+    }
+    (void)pthread_mutex_unlock(&mesh->lock);
+    return NULL;
+}
--- /dev/null
+++ b/mesh/view.c
@@ -0,0 +1,196 @@
+/* Who is a relay and which control host is responsible, as seen from the
+ * table of this process. */
+#include <string.h>
+
+#include "mesh_internal.h"
+
+/* Returns how to call a member. */
+struct target
+mesh_target(const struct bb_member *r)
+{
+    struct target t = {.rpc = r->rpc};
+
+    (void)g_strlcpy(t.host, r->host, sizeof(t.host));
+    (void)g_strlcpy(t.region, r->region, sizeof(t.region));
+    return t;
+}
+
+/* Chooses the relays of a zone among its live nodes; a suspected node counts
+ * as live, so that a false suspicion moves no relay. */
+size_t
+mesh_relays_of(const struct bb_member_list *all, const char *zone,
+               struct bb_member out[BB_RELAYS_PER_ZONE])
+{
+    uint64_t *ids = g_new(uint64_t, all->count + 1);
+    uint64_t chosen[BB_RELAYS_PER_ZONE];
+    size_t live = 0;
+    size_t count;
+
+    for (size_t i = 0; i < all->count; i++) {
+        const struct bb_member *r = &all->items[i];
+
+        if (r->role == BB_ROLE_NODE && r->state <= BB_MEMBER_SUSPECT &&
+            strcmp(r->zone, zone) == 0) {
+            ids[live++] = bb_relay_id(r->host);
+        }
+    }
+    count = bb_relay_choose(ids, live, bb_relay_id(zone), chosen);
+    g_free(ids);
+    for (size_t i = 0; i < all->count; i++) {
+        uint64_t id = bb_relay_id(all->items[i].host);
+
+        for (size_t n = 0; n < count; n++) {
+            if (chosen[n] == id) {
+                out[n] = all->items[i];
+            }
+        }
+    }
+    return count;
+}
+
+/* Tells whether a control host takes part, as far as is known: one without a
+ * record is taken to be live until a call fails. */
+static bool
+is_control_live(struct bb_mesh *mesh, const struct bb_control_host *c)
+{
+    struct bb_member r;
+
+    if (strcmp(c->host, mesh->settings.self.host) == 0) {
+        return true;
+    }
+    if (!bb_members_get(mesh->members, c->host, &r)) {
+        return true;
+    }
+    return r.state <= BB_MEMBER_SUSPECT && r.is_reachable;
+}
+
+/* Lists the live control hosts of a region, or of all if NULL; returns their
+ * number, at most BB_CONTROL_HOSTS_MAX. */
+size_t
+mesh_live_controls(struct bb_mesh *mesh, const char *region,
+                   struct target *out)
+{
+    const struct bb_control_list *list = &mesh->settings.controls;
+    size_t count = 0;
+
+    for (uint32_t i = 0; i < list->count; i++) {
+        const struct bb_control_host *c = &list->items[i];
+
+        if ((region != NULL && strcmp(region, c->region) != 0) ||
+            !is_control_live(mesh, c)) {
+            continue;
+        }
+        out[count] = (struct target){.rpc = c->rpc};
+        (void)g_strlcpy(out[count].host, c->host, sizeof(out[count].host));
+        (void)g_strlcpy(out[count].region, c->region,
+                        sizeof(out[count].region));
+        count++;
+    }
+    return count;
+}
+
+/* Stores the ids of targets. */
+static void
+target_ids(const struct target *targets, size_t count, uint64_t *ids)
+{
+    for (size_t i = 0; i < count; i++) {
+        ids[i] = bb_relay_id(targets[i].host);
+    }
+}
+
+/* Chooses the control host that is responsible for a zone; false if none is
+ * live. */
+bool
+mesh_control_for_zone(struct bb_mesh *mesh, const char *zone,
+                      const char *region, struct target *out)
+{
+    struct target near[BB_CONTROL_HOSTS_MAX];
+    struct target all[BB_CONTROL_HOSTS_MAX];
+    uint64_t near_ids[BB_CONTROL_HOSTS_MAX];
+    uint64_t all_ids[BB_CONTROL_HOSTS_MAX];
+    size_t near_count = mesh_live_controls(mesh, region, near);
+    size_t all_count = mesh_live_controls(mesh, NULL, all);
+    uint64_t chosen;
+
+    target_ids(near, near_count, near_ids);
+    target_ids(all, all_count, all_ids);
+    chosen = bb_relay_control_host(near_ids, near_count, all_ids, all_count,
+                                   bb_relay_id(zone));
+    for (size_t i = 0; i < all_count; i++) {
+        if (all_ids[i] == chosen) {
+            *out = all[i];
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Chooses one live control host of a region for a key; false if it has none.
+ * All control hosts of a region that use the same key choose the same one. */
+bool
+mesh_receiver_of_region(struct bb_mesh *mesh, const char *region,
+                        const char *key, struct target *out)
+{
+    struct target near[BB_CONTROL_HOSTS_MAX];
+    uint64_t ids[BB_CONTROL_HOSTS_MAX];
+    size_t count = mesh_live_controls(mesh, region, near);
+    uint64_t chosen = 0;
+
+    target_ids(near, count, ids);
+    (void)bb_relay_rank(ids, count, bb_relay_id(key), &chosen, 1);
+    for (size_t i = 0; i < count; i++) {
+        if (ids[i] == chosen) {
+            *out = near[i];
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Tells whether this process pings the other zones: a relay, or the first
+ * control host of a zone without nodes. */
+static bool
+is_watcher(struct bb_mesh *mesh, const struct view *v)
+{
+    const char *first = mesh->settings.self.host;
+
+    if (v->is_relay || !mesh->is_control || v->relay_count > 0) {
+        return v->is_relay;
+    }
+    for (size_t i = 0; i < v->all.count; i++) {
+        const struct bb_member *r = &v->all.items[i];
+
+        if (r->state <= BB_MEMBER_SUSPECT && r->role == BB_ROLE_CONTROL &&
+            strcmp(r->zone, mesh->settings.self.zone) == 0 &&
+            strcmp(r->host, first) < 0) {
+            first = r->host;
+        }
+    }
+    return strcmp(first, mesh->settings.self.host) == 0;
+}
+
+/* Takes the table over into the view if it has changed. */
+void
+mesh_refresh_view(struct bb_mesh *mesh)
+{
+    const struct bb_member *self = &mesh->settings.self;
+    struct view *v = &mesh->view;
+    struct bb_member relays[BB_RELAYS_PER_ZONE];
+
+    if (bb_members_version(mesh->members) == mesh->view_version) {
+        return;
+    }
+    bb_member_list_clear(&v->all);
+    mesh->view_version = bb_members_select(
+        mesh->members, &(struct bb_members_query){0}, &v->all);
+    (void)pthread_mutex_lock(&mesh->lock);
+    v->relay_count = mesh_relays_of(&v->all, self->zone, relays);
+    v->is_relay = false;
+    for (size_t i = 0; i < v->relay_count; i++) {
+        v->relays[i] = mesh_target(&relays[i]);
+        v->is_relay |= strcmp(relays[i].host, self->host) == 0;
+    }
+    (void)pthread_mutex_unlock(&mesh->lock);
+    v->is_watcher = is_watcher(mesh, v);
+    bb_gossip_watch_zones(mesh->gossip, v->is_watcher);
+}
--- a/mesh/wire.c
+++ b/mesh/wire.c
@@ -69,6 +69,7 @@
         .sequence = r->sequence,
         .state = r->state,
         .held_revision = r->held_revision,
+        .applied_revision = r->applied_revision,
         .service = bb_wire_name(r->service),
         .upstream_state = r->upstream_state,
         .slots = r->slots,
@@ -102,6 +103,7 @@
     out->incarnation = w->incarnation;
     out->sequence = w->sequence;
     out->held_revision = w->held_revision;
+    out->applied_revision = w->applied_revision;
     out->slots = w->slots;
     out->connections = w->connections;
     out->is_reachable = true;
--- /dev/null
+++ b/tests/mesh/fake_mesh.h
@@ -0,0 +1,208 @@
+/* A mesh of several members in one process: real gossip sockets on loopback,
+ * and a fake transport that runs the handlers of the called member directly.
+ * Each member has a fake configuration store whose payloads are the decimal
+ * revision. */
+#ifndef BB_TESTS_FAKE_MESH_H
+#define BB_TESTS_FAKE_MESH_H
+
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/clock.h"
+#include "mesh/mesh.h"
+#include "unit.h"
+
+enum {
+    FAKE_MEMBERS_MAX = 40,
+    FAKE_PORT_BASE = 40000,
+    FAKE_DELTA_SPAN = 64,
+    FAKE_POLL_MS = 5
+};
+
+struct fake_member {
+    struct bb_mesh *mesh;
+    struct bb_mesh_settings settings;
+    pthread_mutex_t server; /* the one thread of an RPC server */
+    atomic_uint_fast64_t held;
+    atomic_uint deltas;
+    atomic_uint snapshots;
+    atomic_uint fetches;   /* FETCH calls served */
+    atomic_bool is_hung;   /* calls to it get no answer */
+    atomic_bool is_silent; /* its calls get no answer either */
+    atomic_bool refuses;   /* it finds every payload invalid */
+    atomic_uint_fast64_t reached_us;
+};
+
+static struct fake_member fakes[FAKE_MEMBERS_MAX];
+static struct bb_control_list fake_controls;
+static uint64_t fake_incarnation = 1;
+
+static inline bool
+fake_payload(void *context, uint64_t have, struct bb_mesh_payload *out)
+{
+    struct fake_member *f = context;
+    uint64_t held = atomic_load(&f->held);
+    char text[32];
+
+    if (held == 0 || held <= have) {
+        return false;
+    }
+    (void)snprintf(text, sizeof(text), "%llu", (unsigned long long)held);
+    *out = (struct bb_mesh_payload){
+        .revision = held,
+        .digest = bb_digest_of(text, strlen(text)),
+        .is_delta = have != 0 && held - have < FAKE_DELTA_SPAN,
+        .base_revision = have,
+        .data = (uint8_t *)strdup(text),
+        .size_bytes = strlen(text),
+    };
+    return true;
+}
+
+static enum bb_mesh_receive
+fake_receive(void *context, const struct bb_mesh_payload *p, uint64_t *held)
+{
+    struct fake_member *f = context;
+    struct bb_digest digest = bb_digest_of(p->data, p->size_bytes);
+
+    *held = atomic_load(&f->held);
+    if (atomic_load(&f->refuses) || !bb_digest_equal(&digest, &p->digest)) {
+        return BB_MESH_INVALID;
+    }
+    if (p->revision <= *held) {
+        return BB_MESH_STALE;
+    }
+    if (p->is_delta && p->base_revision != *held) {
+        return BB_MESH_NEED_SNAPSHOT;
+    }
+    atomic_fetch_add(p->is_delta ? &f->deltas : &f->snapshots, 1);
+    *held = p->revision;
+    atomic_store(&f->held, p->revision);
+    atomic_store(&f->reached_us, bb_clock_now_us());
+    return BB_MESH_APPLIED;
+}
+
+static inline bool
+fake_call(void *context, const struct bb_address *to,
+          const struct bb_rpc_call *call, struct bb_error *e)
+{
+    struct fake_member *from = context;
+    struct fake_member *f = &fakes[to->port - FAKE_PORT_BASE];
+    bool is_done = false;
+
+    if (atomic_load(&f->is_hung) || atomic_load(&from->is_silent)) {
+        bb_clock_sleep_us(call->timeout_ms * BB_US_PER_MS);
+        return bb_error_set(e, BB_RPC_ERROR_TIMEOUT, "no answer");
+    }
+    (void)pthread_mutex_lock(&f->server);
+    if (f->mesh != NULL) {
+        atomic_fetch_add(&f->fetches, call->procedure == 2);
+        is_done = bb_mesh_handle(f->mesh, call->procedure, call->argument,
+                                 call->result);
+    }
+    (void)pthread_mutex_unlock(&f->server);
+    return is_done || bb_error_set(e, BB_RPC_ERROR_CONNECT, "not running");
+}
+
+/* Starts member i, or starts it again with a new incarnation and nothing
+ * held. */
+static inline void
+fake_start(uint32_t i, enum bb_member_role role, const char *zone,
+           const char *region)
+{
+    struct fake_member *f = &fakes[i];
+    struct bb_error e = {0};
+    struct bb_member self = {
+        .role = role,
+        .rpc = {.ip = "127.0.0.1", .port = (uint16_t)(FAKE_PORT_BASE + i)},
+        .incarnation = ++fake_incarnation,
+    };
+    struct bb_mesh *mesh;
+
+    (void)snprintf(self.host, sizeof(self.host), "host-%u", i);
+    (void)snprintf(self.zone, sizeof(self.zone), "%s", zone);
+    (void)snprintf(self.region, sizeof(self.region), "%s", region);
+    atomic_store(&f->held, 0);
+    atomic_store(&f->deltas, 0);
+    atomic_store(&f->snapshots, 0);
+    f->settings = (struct bb_mesh_settings){
+        .self = self,
+        .controls = fake_controls,
+        .gossip_bind = {.ip = "127.0.0.1"},
+        .seed = i + 1,
+        .callbacks = {.context = f,
+                      .payload = fake_payload,
+                      .receive = role == BB_ROLE_NODE ? fake_receive : NULL},
+        .transport = {.context = f, .call = fake_call},
+    };
+    mesh = bb_mesh_create(&f->settings, &e);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(mesh);
+    (void)pthread_mutex_lock(&f->server);
+    f->mesh = mesh;
+    (void)pthread_mutex_unlock(&f->server);
+    CU_ASSERT_TRUE_FATAL(bb_mesh_start(mesh, &e));
+}
+
+static inline void
+fake_stop(uint32_t i)
+{
+    struct fake_member *f = &fakes[i];
+    struct bb_mesh *mesh = f->mesh;
+
+    bb_mesh_stop(mesh, false);
+    (void)pthread_mutex_lock(&f->server);
+    f->mesh = NULL;
+    (void)pthread_mutex_unlock(&f->server);
+    bb_mesh_destroy(mesh);
+}
+
+static inline void
+fake_add_control(uint32_t i, const char *zone, const char *region)
+{
+    struct bb_control_host *c = &fake_controls.items[fake_controls.count++];
+
+    (void)snprintf(c->host, sizeof(c->host), "host-%u", i);
+    (void)snprintf(c->zone, sizeof(c->zone), "%s", zone);
+    (void)snprintf(c->region, sizeof(c->region), "%s", region);
+    c->rpc = (struct bb_address){.ip = "127.0.0.1",
+                                 .port = (uint16_t)(FAKE_PORT_BASE + i)};
+}
+
+static inline void
+fake_publish(uint32_t i, uint64_t revision)
+{
+    const struct bb_digest none = {0};
+
+    atomic_store(&fakes[i].held, revision);
+    bb_mesh_publish(fakes[i].mesh, revision, &none);
+}
+
+/* Waits until members first..last-1 hold a revision; returns the time in ms,
+ * or UINT64_MAX after the limit. */
+static inline uint64_t
+fake_wait_held(uint32_t first, uint32_t last, uint64_t revision,
+               uint32_t limit_ms)
+{
+    uint64_t start_us = bb_clock_now_us();
+
+    for (;;) {
+        uint64_t took_ms = (bb_clock_now_us() - start_us) / BB_US_PER_MS;
+        uint32_t behind = 0;
+
+        for (uint32_t i = first; i < last; i++) {
+            behind += atomic_load(&fakes[i].held) < revision;
+        }
+        if (behind == 0) {
+            return took_ms;
+        }
+        if (took_ms > limit_ms) {
+            return UINT64_MAX;
+        }
+        bb_clock_sleep_us(FAKE_POLL_MS * BB_US_PER_MS);
+    }
+}
+
+#endif
--- a/tests/mesh/test_members.c
+++ b/tests/mesh/test_members.c
@@ -38,6 +38,7 @@
     r.state = (enum bb_member_state)bb_random_below(random, 4);
     r.slots = (uint32_t)bb_random_below(random, 3);
     r.held_revision = bb_random_below(random, 50);
+    r.applied_revision = bb_random_below(random, 50);
     return r;
 }
 
@@ -55,6 +56,8 @@
         CU_ASSERT_EQUAL(bb_member_compare(&left.items[i], &right.items[i]), 0);
         CU_ASSERT_EQUAL(left.items[i].held_revision,
                         right.items[i].held_revision);
+        CU_ASSERT_EQUAL(left.items[i].applied_revision,
+                        right.items[i].applied_revision);
     }
     CU_ASSERT_EQUAL(bb_members_table_digest(a), bb_members_table_digest(b));
     bb_member_list_clear(&left);
@@ -185,14 +188,14 @@
 
     (void)bb_members_merge(far, &a, BB_ORIGIN_ZONE, 1);
     (void)bb_members_merge(far, &b, BB_ORIGIN_ZONE, 1);
-    a.held_revision = 9;
+    a.applied_revision = 9;
     (void)bb_members_merge(near, &a, BB_ORIGIN_ZONE, 1);
     CU_ASSERT_EQUAL(bb_members_floors(near, "region-0", floors, 4), 1);
-    CU_ASSERT_EQUAL(bb_members_apply_floor(far, &floors[0]), 0);
-    b.held_revision = 8;
+    CU_ASSERT_EQUAL(bb_members_apply_floor(far, &floors[0], 1), 0);
+    b.applied_revision = 8;
     (void)bb_members_merge(near, &b, BB_ORIGIN_ZONE, 1);
     CU_ASSERT_EQUAL(bb_members_floors(near, "region-0", floors, 4), 1);
-    CU_ASSERT_EQUAL(bb_members_apply_floor(far, &floors[0]), 2);
+    CU_ASSERT_EQUAL(bb_members_apply_floor(far, &floors[0], 1), 2);
     CU_ASSERT_EQUAL(bb_members_held(far, "host-0", &is_known), 8);
     bb_members_destroy(near);
     bb_members_destroy(far);
--- /dev/null
+++ b/tests/mesh/test_mesh_rpc.c
@@ -0,0 +1,109 @@
+/* Two processes over real RPC: a control host and a node. The node joins, the
+ * control host pushes a revision and sees from the node's record that it is
+ * in force. Guards against a protocol that works only through the fake
+ * transport. */
+#include <signal.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "fake_mesh.h"
+
+enum { NODE = 1, LIMIT_MS = 10000 };
+
+static struct bb_mesh *
+start_process(uint32_t i, struct bb_rpc_server *server)
+{
+    struct fake_member *f = &fakes[i];
+    struct bb_error e = {0};
+    struct bb_mesh_settings s = {
+        .self = {.zone = "a1",
+                 .region = "a",
+                 .role = i == NODE ? BB_ROLE_NODE : BB_ROLE_CONTROL,
+                 .rpc = {.ip = "127.0.0.1",
+                         .port = bb_rpc_server_port(server)},
+                 .incarnation = 1},
+        .controls = fake_controls,
+        .gossip_bind = {.ip = "127.0.0.1"},
+        .seed = i + 1,
+        .callbacks = {.context = f,
+                      .payload = fake_payload,
+                      .receive = i == NODE ? fake_receive : NULL},
+    };
+
+    (void)snprintf(s.self.host, sizeof(s.self.host), "host-%u", i);
+    f->mesh = bb_mesh_create(&s, &e);
+    if (f->mesh == NULL || !bb_mesh_register(f->mesh, server, &e) ||
+        !bb_rpc_server_start(server, &e) || !bb_mesh_start(f->mesh, &e)) {
+        (void)fprintf(stderr, "%s\n", e.message);
+        exit(EXIT_FAILURE);
+    }
+    return f->mesh;
+}
+
+/* The node's process: runs until it is ended. */
+static void
+run_node(void)
+{
+    const struct bb_address any = {.ip = "127.0.0.1"};
+    struct bb_error e = {0};
+    struct bb_rpc_server *server = bb_rpc_server_create(&any, &e);
+
+    (void)start_process(NODE, server);
+    bb_clock_sleep_us(60ULL * BB_US_PER_S);
+    _exit(EXIT_SUCCESS);
+}
+
+static bool
+is_in_force(struct bb_mesh *mesh, uint64_t revision)
+{
+    struct bb_member_list list;
+    bool is_found = false;
+
+    bb_mesh_members_snapshot(mesh, &list);
+    for (size_t i = 0; i < list.count; i++) {
+        is_found |= list.items[i].role == BB_ROLE_NODE &&
+                    list.items[i].applied_revision == revision;
+    }
+    bb_member_list_clear(&list);
+    return is_found;
+}
+
+static void
+test_push_over_rpc(void)
+{
+    const struct bb_address any = {.ip = "127.0.0.1"};
+    struct bb_error e = {0};
+    struct bb_rpc_server *server = bb_rpc_server_create(&any, &e);
+    struct bb_mesh *mesh;
+    pid_t node;
+
+    CU_ASSERT_PTR_NOT_NULL_FATAL(server);
+    fake_add_control(0, "a1", "a");
+    fake_controls.items[0].rpc.port = bb_rpc_server_port(server);
+    /* Before any thread is started here. */
+    node = fork();
+    if (node == 0) {
+        run_node();
+    }
+    mesh = start_process(0, server);
+    for (uint64_t revision = 1; revision <= 3; revision++) {
+        uint64_t end_us = bb_clock_now_us() + LIMIT_MS * BB_US_PER_MS;
+
+        fake_publish(0, revision);
+        while (!is_in_force(mesh, revision) && bb_clock_now_us() < end_us) {
+            bb_clock_sleep_us(10 * BB_US_PER_MS);
+        }
+        CU_ASSERT_TRUE(is_in_force(mesh, revision));
+    }
+    (void)kill(node, SIGKILL);
+    (void)waitpid(node, NULL, 0);
+    bb_mesh_stop(mesh, false);
+    bb_rpc_server_destroy(server);
+    bb_mesh_destroy(mesh);
+}
+
+static const struct bb_unit_test tests[] = {
+    {"push over RPC", test_push_over_rpc},
+};
+
+BB_UNIT_MAIN("mesh_rpc", tests)
