Test admission by properties of random runs

Cause: limits, reserved slots and the rule that nothing is refused beside a usable slot must hold in every order of events. Change: 30,000 random steps against an independent count, and one test for each rule on deadlines, long work, eviction, slow start, shedding and draining.

--- /dev/null
+++ b/tests/decide/test_admission.c
@@ -0,0 +1,423 @@
+/* Admission: exact limits as properties of random runs, and the rules for
+ * deadlines, long work, slow start, draining and shedding. */
+#include <string.h>
+
+#include "common/random.h"
+#include "decide/admission.h"
+#include "decide/admission_capacity.h"
+#include "unit.h"
+
+enum {
+    SEED = 20261204,
+    STEPS = 30000,
+    SLOTS = 6,
+    TEAMS = 2,
+    MS = 1000,
+    LIVE_MAX = 512
+};
+
+static struct bb_admission a;
+
+static const struct bb_admission_limits usual_limits = {
+    .slots = SLOTS,
+    .connections = 130,
+    .queue_length = 20,
+    .long_work_percent = 67,
+    .team_count = TEAMS,
+};
+
+static void
+start(const struct bb_admission_limits *l)
+{
+    bb_admission_init(&a);
+    bb_admission_configure(&a, l, 1);
+    bb_admission_set_state(&a, BB_ADMISSION_READY, 1);
+}
+
+static struct bb_admission_decision
+arrive(uint64_t id, enum bb_admission_class k, uint64_t deadline_us,
+       uint64_t now_us)
+{
+    const struct bb_admission_request r = {.id = id,
+                                           .work_class = k,
+                                           .team = BB_ADMISSION_NO_TEAM,
+                                           .deadline_us = deadline_us};
+
+    return bb_admission_arrive(&a, &r, now_us);
+}
+
+/* Teaches the estimate of a class. */
+static void
+teach(enum bb_admission_class k, uint64_t duration_us)
+{
+    for (int i = 0; i < 50; i++) {
+        bb_estimate_add(&a.service_time[k], duration_us);
+    }
+}
+
+/* A request of the random run: known to the test, not to the module. */
+struct live {
+    uint64_t id;
+    enum bb_admission_class k;
+    uint16_t team;
+    bool is_running;
+};
+
+static struct {
+    struct live items[LIVE_MAX];
+    uint32_t count;
+    uint64_t next_id;
+} model;
+
+static struct live *
+live_of(uint64_t id)
+{
+    for (uint32_t i = 0; i < model.count; i++) {
+        if (model.items[i].id == id) {
+            return &model.items[i];
+        }
+    }
+    return NULL;
+}
+
+static void
+remove_live(struct live *l)
+{
+    *l = model.items[--model.count];
+}
+
+/* Counts the running ones as the test knows them. */
+static uint32_t
+count_running(bool only_long, uint16_t team)
+{
+    uint32_t n = 0;
+
+    for (uint32_t i = 0; i < model.count; i++) {
+        const struct live *l = &model.items[i];
+
+        n += l->is_running && (!only_long || l->k == BB_ADMISSION_LONG) &&
+             (team == BB_ADMISSION_NO_TEAM || l->team == team);
+    }
+    return n;
+}
+
+/* Checks what must hold when a request has just begun to run. */
+static void
+check_run(const struct live *l, uint64_t now_us)
+{
+    CU_ASSERT_FATAL(count_running(false, BB_ADMISSION_NO_TEAM) <=
+                    bb_admission_usable_slots(&a, now_us));
+    if (l->k == BB_ADMISSION_LONG) {
+        CU_ASSERT_FATAL(count_running(true, BB_ADMISSION_NO_TEAM) <=
+                        bb_admission_long_limit(&a, now_us));
+    }
+    if (l->team < TEAMS && a.limits.team_limits[l->team] > 0) {
+        CU_ASSERT_FATAL(count_running(false, l->team) <=
+                        a.limits.team_limits[l->team]);
+    }
+}
+
+/* Takes all actions for queued requests. */
+static void
+take_actions(uint64_t now_us)
+{
+    struct bb_admission_action action;
+
+    while (bb_admission_next(&a, now_us, &action)) {
+        struct live *l = live_of(action.id);
+
+        CU_ASSERT_PTR_NOT_NULL_FATAL(l);
+        CU_ASSERT_FALSE_FATAL(l->is_running);
+        if (action.decision.kind == BB_ADMISSION_RUN) {
+            l->is_running = true;
+            check_run(l, now_us);
+        }
+        else {
+            const struct bb_admission_request r = {.work_class = l->k,
+                                                   .team = l->team,
+                                                   .deadline_us = UINT64_MAX};
+            struct bb_admission_capacity c = bb_admission_capacity(&a, now_us);
+
+            CU_ASSERT_FATAL(action.decision.reason !=
+                                BB_REASON_CANNOT_FINISH ||
+                            !bb_admission_may_run(&a, &c, &r));
+            remove_live(l);
+        }
+    }
+}
+
+static void
+arrive_at_random(struct bb_random *random, uint64_t now_us)
+{
+    const struct bb_admission_request r = {
+        .id = ++model.next_id,
+        .work_class = bb_random_below(random, 5) == 0 ? BB_ADMISSION_LONG
+                                                      : BB_ADMISSION_SHORT,
+        .team = (uint16_t)bb_random_below(random, TEAMS + 1),
+        .deadline_us = now_us + 1 + bb_random_below(random, 400 * MS),
+    };
+    struct bb_admission_capacity c = bb_admission_capacity(&a, now_us);
+    bool may_run = bb_admission_may_run(&a, &c, &r);
+    struct bb_admission_decision d = bb_admission_arrive(&a, &r, now_us);
+
+    if (d.kind == BB_ADMISSION_REFUSE) {
+        CU_ASSERT_FALSE_FATAL(may_run); /* nothing refused beside a slot */
+        return;
+    }
+    CU_ASSERT_FATAL(model.count < LIVE_MAX);
+    model.items[model.count++] =
+        (struct live){.id = r.id,
+                      .k = r.work_class,
+                      .team = r.team,
+                      .is_running = d.kind == BB_ADMISSION_RUN};
+    if (d.kind == BB_ADMISSION_RUN) {
+        check_run(&model.items[model.count - 1], now_us);
+    }
+}
+
+static void
+finish_at_random(struct bb_random *random, uint64_t now_us)
+{
+    uint32_t at = (uint32_t)bb_random_below(random, model.count);
+    struct live *l = &model.items[at];
+
+    if (model.count == 0) {
+        return;
+    }
+    if (l->is_running) {
+        CU_ASSERT_TRUE(bb_admission_finish(
+            &a, l->id, 1 + bb_random_below(random, 8 * MS), true, now_us));
+        remove_live(l);
+    }
+    else if (bb_random_below(random, 4) == 0) {
+        CU_ASSERT_TRUE(bb_admission_cancel(&a, l->id));
+        remove_live(l);
+    }
+}
+
+/* Changes state, shedding or limits now and then. */
+static void
+change_at_random(struct bb_random *random, uint64_t now_us)
+{
+    struct bb_admission_limits l = usual_limits;
+
+    switch (bb_random_below(random, 6)) {
+    case 0:
+        bb_admission_shed(&a, bb_random_below(random, 50 * MS), now_us);
+        break;
+    case 1:
+        bb_admission_set_state(&a,
+                               (enum bb_admission_state)bb_random_below(
+                                   random, BB_ADMISSION_LEAVING + 1),
+                               now_us);
+        break;
+    case 2:
+        l.slots = 1 + (uint32_t)bb_random_below(random, 9);
+        l.connections = (uint32_t)bb_random_below(random, 9);
+        l.service_limit = (uint32_t)bb_random_below(random, 9);
+        l.queue_length = (uint32_t)bb_random_below(random, 30);
+        l.slow_start_ms = (uint32_t)bb_random_below(random, 100);
+        l.team_limits[1] = (uint32_t)bb_random_below(random, 4);
+        bb_admission_configure(&a, &l, now_us);
+        break;
+    default:
+        bb_admission_set_state(&a, BB_ADMISSION_READY, now_us);
+        break;
+    }
+}
+
+static void
+test_limits_hold_in_random_runs(void)
+{
+    struct bb_random *random = bb_random_create(SEED);
+    uint64_t now_us = 1;
+
+    memset(&model, 0, sizeof(model));
+    start(&usual_limits);
+    for (int i = 0; i < STEPS; i++) {
+        now_us += bb_random_below(random, 2 * MS);
+        take_actions(now_us);
+        switch (bb_random_below(random, 40)) {
+        case 0:
+            change_at_random(random, now_us);
+            break;
+        case 1 ... 15:
+            finish_at_random(random, now_us);
+            break;
+        default:
+            arrive_at_random(random, now_us);
+            break;
+        }
+        CU_ASSERT_FATAL(a.queued_count - a.evicted_count <=
+                        BB_ADMISSION_QUEUE_MAX);
+        take_actions(now_us);
+        CU_ASSERT_FATAL(a.running_count + a.queued_count == model.count);
+    }
+    bb_random_destroy(random);
+}
+
+static void
+test_long_work_leaves_reserved_slots(void)
+{
+    start(&usual_limits);
+    for (uint64_t id = 1; id <= 4; id++) {
+        CU_ASSERT_EQUAL(arrive(id, BB_ADMISSION_LONG, 1000 * MS, 2).kind,
+                        BB_ADMISSION_RUN);
+    }
+    CU_ASSERT_EQUAL(arrive(5, BB_ADMISSION_LONG, 1000 * MS, 2).kind,
+                    BB_ADMISSION_QUEUE);
+    CU_ASSERT_EQUAL(arrive(6, BB_ADMISSION_SHORT, 1000 * MS, 2).kind,
+                    BB_ADMISSION_RUN);
+    CU_ASSERT_EQUAL(arrive(7, BB_ADMISSION_SHORT, 1000 * MS, 2).kind,
+                    BB_ADMISSION_RUN);
+}
+
+/* Guards against undeclared long work that fills the share of long work. */
+static void
+test_overlong_short_work_counts_as_long(void)
+{
+    start(&usual_limits);
+    teach(BB_ADMISSION_SHORT, 1 * MS);
+    for (uint64_t id = 1; id <= 4; id++) {
+        CU_ASSERT_EQUAL(arrive(id, BB_ADMISSION_SHORT, 1000 * MS, 2).kind,
+                        BB_ADMISSION_RUN);
+    }
+    CU_ASSERT_EQUAL(arrive(5, BB_ADMISSION_LONG, 1000 * MS, 30 * MS).kind,
+                    BB_ADMISSION_QUEUE);
+    CU_ASSERT_EQUAL(arrive(6, BB_ADMISSION_SHORT, 1000 * MS, 30 * MS).kind,
+                    BB_ADMISSION_RUN);
+}
+
+static void
+fill_slots(uint64_t now_us)
+{
+    for (uint64_t id = 1; id <= SLOTS; id++) {
+        CU_ASSERT_EQUAL(
+            arrive(id, BB_ADMISSION_SHORT, UINT64_MAX, now_us).kind,
+            BB_ADMISSION_RUN);
+    }
+}
+
+static void
+test_queue_runs_by_deadline(void)
+{
+    struct bb_admission_action action;
+
+    start(&usual_limits);
+    fill_slots(2);
+    (void)arrive(10, BB_ADMISSION_SHORT, 300 * MS, 3);
+    (void)arrive(11, BB_ADMISSION_SHORT, 100 * MS, 3);
+    (void)arrive(12, BB_ADMISSION_SHORT, 200 * MS, 3);
+    for (uint64_t i = 0; i < 3; i++) {
+        const uint64_t order[] = {11, 12, 10};
+
+        CU_ASSERT_FALSE(bb_admission_next(&a, 4, &action));
+        CU_ASSERT_TRUE(bb_admission_finish(&a, i + 1, 0, true, 4));
+        CU_ASSERT_TRUE(bb_admission_next(&a, 4, &action));
+        CU_ASSERT_EQUAL(action.id, order[i]);
+        CU_ASSERT_EQUAL(action.decision.kind, BB_ADMISSION_RUN);
+    }
+}
+
+/* Guards against work that holds a slot and then misses its deadline. */
+static void
+test_work_that_cannot_finish_is_refused(void)
+{
+    struct bb_admission_action action;
+
+    start(&usual_limits);
+    teach(BB_ADMISSION_SHORT, 20 * MS);
+    CU_ASSERT_EQUAL(arrive(99, BB_ADMISSION_SHORT, 2, 2).reason,
+                    BB_REASON_DEADLINE_BEFORE_RUN);
+    fill_slots(2);
+    CU_ASSERT_EQUAL(arrive(10, BB_ADMISSION_SHORT, 10 * MS, 3).reason,
+                    BB_REASON_CANNOT_FINISH);
+    CU_ASSERT_EQUAL(arrive(11, BB_ADMISSION_SHORT, 40 * MS, 3).kind,
+                    BB_ADMISSION_QUEUE);
+    CU_ASSERT_TRUE(bb_admission_next(&a, 35 * MS, &action));
+    CU_ASSERT_EQUAL(action.id, 11);
+    CU_ASSERT_EQUAL(action.decision.reason, BB_REASON_CANNOT_FINISH);
+}
+
+static void
+test_full_queue_evicts_what_cannot_finish(void)
+{
+    struct bb_admission_limits l = usual_limits;
+    struct bb_admission_action action;
+
+    l.queue_length = 2;
+    start(&l);
+    fill_slots(2);
+    (void)arrive(10, BB_ADMISSION_SHORT, 30 * MS, 3);
+    (void)arrive(11, BB_ADMISSION_SHORT, 900 * MS, 3);
+    CU_ASSERT_EQUAL(arrive(12, BB_ADMISSION_SHORT, 800 * MS, 3).reason,
+                    BB_REASON_QUEUE_FULL);
+    teach(BB_ADMISSION_SHORT, 100 * MS); /* 10 cannot finish any more */
+    CU_ASSERT_EQUAL(arrive(13, BB_ADMISSION_SHORT, 800 * MS, 3).kind,
+                    BB_ADMISSION_QUEUE);
+    CU_ASSERT_TRUE(bb_admission_next(&a, 3, &action));
+    CU_ASSERT_EQUAL(action.id, 10);
+    CU_ASSERT_EQUAL(action.decision.reason, BB_REASON_CANNOT_FINISH);
+}
+
+static void
+test_state_signals_are_obeyed_at_once(void)
+{
+    struct bb_admission_limits l = usual_limits;
+    struct bb_admission_action action;
+
+    l.slow_start_ms = 600;
+    start(&l);
+    CU_ASSERT_EQUAL(bb_admission_usable_slots(&a, 2), 1);
+    CU_ASSERT_EQUAL(bb_admission_usable_slots(&a, 300 * MS + 1), 3);
+    CU_ASSERT_EQUAL(bb_admission_usable_slots(&a, 600 * MS + 1), SLOTS);
+    fill_slots(700 * MS);
+    (void)arrive(10, BB_ADMISSION_SHORT, 9000 * MS, 700 * MS);
+    bb_admission_shed(&a, 50 * MS, 700 * MS);
+    CU_ASSERT_EQUAL(arrive(11, BB_ADMISSION_SHORT, 9000 * MS, 700 * MS).reason,
+                    BB_REASON_UPSTREAM_SHEDDING);
+    CU_ASSERT_TRUE(bb_admission_finish(&a, 1, 0, true, 710 * MS));
+    CU_ASSERT_FALSE(bb_admission_next(&a, 710 * MS, &action));
+    CU_ASSERT_EQUAL(bb_admission_wake_us(&a, 710 * MS), 750 * MS);
+    CU_ASSERT_TRUE(bb_admission_next(&a, 750 * MS, &action));
+    CU_ASSERT_EQUAL(action.decision.kind, BB_ADMISSION_RUN);
+    (void)arrive(12, BB_ADMISSION_SHORT, 9000 * MS, 751 * MS);
+    bb_admission_set_state(&a, BB_ADMISSION_DRAINING, 751 * MS);
+    CU_ASSERT_TRUE(bb_admission_next(&a, 751 * MS, &action));
+    CU_ASSERT_EQUAL(action.decision.reason, BB_REASON_UPSTREAM_DRAINING);
+    CU_ASSERT_EQUAL(a.running_count, SLOTS);
+}
+
+/* Guards against a few outliers that make admission refuse everything. */
+static void
+test_estimate_is_robust(void)
+{
+    struct bb_estimate e = {0};
+
+    for (int i = 0; i < 95; i++) {
+        bb_estimate_add(&e, 10 * MS);
+    }
+    for (int i = 0; i < 5; i++) {
+        bb_estimate_add(&e, 60000 * MS);
+    }
+    CU_ASSERT_TRUE(bb_estimate_median_us(&e, 0) < 12 * MS);
+    CU_ASSERT_TRUE(bb_estimate_mean_us(&e, 0) < 16 * MS);
+    CU_ASSERT_TRUE(bb_estimate_quantile_us(&e, 990) > 40000 * MS);
+}
+
+static const struct bb_unit_test tests[] = {
+    {"limits hold in random runs", test_limits_hold_in_random_runs},
+    {"long work leaves reserved slots", test_long_work_leaves_reserved_slots},
+    {"overlong short work counts as long",
+     test_overlong_short_work_counts_as_long},
+    {"the queue runs by deadline", test_queue_runs_by_deadline},
+    {"work that cannot finish is refused",
+     test_work_that_cannot_finish_is_refused},
+    {"a full queue evicts what cannot finish",
+     test_full_queue_evicts_what_cannot_finish},
+    {"state signals are obeyed at once",
+     test_state_signals_are_obeyed_at_once},
+    {"the estimate is robust", test_estimate_is_robust},
+};
+
+BB_UNIT_MAIN("admission", tests)
