--- /dev/null
+++ b/tests/decide/test_once.c
@@ -0,0 +1,275 @@
+/* Retries, hedges and the parts of at-most-once that the explorer holds
+ * constant: time, memory and the choice of witnesses. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "decide/claim.h"
+#include "decide/probe.h"
+#include "decide/record.h"
+#include "decide/retry.h"
+#include "unit.h"
+
+enum { MS = 1000, SLOTS = 16, RETENTION_US = 600000000, HOSTS = 30 };
+
+static struct bb_request_id
+id_of(uint64_t n)
+{
+    return bb_request_id_random(n, n * 7919);
+}
+
+/* Guards against a full record that forgets an id which may still arrive. */
+static void
+test_full_record_refuses_and_keeps(void)
+{
+    struct bb_record_entry entries[SLOTS];
+    struct bb_record r;
+    struct bb_request_id id;
+    uint64_t answer;
+    uint64_t begun = 0;
+
+    bb_record_init(&r, 5, RETENTION_US, entries, SLOTS);
+    do {
+        id = id_of(begun++);
+    } while (bb_record_begin(&r, &id, 5, &answer, 1) == BB_BEGIN_RUN);
+    CU_ASSERT_EQUAL(begun, SLOTS * 3 / 4 + 1);
+    CU_ASSERT_EQUAL(bb_record_begin(&r, &id, 5, &answer, 1), BB_BEGIN_FULL);
+    CU_ASSERT_EQUAL(bb_record_query(&r, &id, 5, &answer, 1), BB_QUERY_FULL);
+    for (uint64_t i = 0; i < SLOTS * 3 / 4; i++) {
+        id = id_of(i);
+        CU_ASSERT_TRUE(bb_record_finish(&r, &id, BB_RECORD_DONE, i + 1, 10));
+        CU_ASSERT_FALSE(bb_record_finish(&r, &id, BB_RECORD_DONE, 99, 10));
+    }
+    CU_ASSERT_FALSE(bb_record_expire(&r, RETENTION_US, &answer));
+    id = id_of(3);
+    CU_ASSERT_EQUAL(bb_record_begin(&r, &id, 5, &answer, RETENTION_US),
+                    BB_BEGIN_DUPLICATE_DONE);
+    CU_ASSERT_EQUAL(answer, 4);
+    begun = 0;
+    while (bb_record_expire(&r, RETENTION_US + 200 * MS, &answer)) {
+        CU_ASSERT_NOT_EQUAL(answer, 0);
+        begun++;
+    }
+    CU_ASSERT_EQUAL(begun, SLOTS * 3 / 4);
+    CU_ASSERT_EQUAL(r.table.used_count, 0);
+}
+
+/* Compares the table with a plain list over random operations. */
+static void
+test_table_keeps_entries_over_removals(void)
+{
+    struct bb_record_entry entries[64];
+    struct bb_record r;
+    bool is_there[200] = {false};
+    uint64_t answer;
+    uint32_t count = 0;
+
+    srand(20261204);
+    bb_record_init(&r, 1, RETENTION_US, entries, 64);
+    for (int i = 0; i < 20000; i++) {
+        int n = rand() % 200;
+        struct bb_request_id id = id_of((uint64_t)n);
+
+        if (is_there[n]) {
+            CU_ASSERT_TRUE_FATAL(bb_record_forget(&r, &id, 1));
+            is_there[n] = false;
+            count--;
+        }
+        else {
+            bool is_begun =
+                bb_record_begin(&r, &id, 1, &answer, 1) == BB_BEGIN_RUN;
+
+            CU_ASSERT_EQUAL_FATAL(is_begun, count < 48);
+            is_there[n] = is_begun;
+            count += is_begun;
+        }
+        CU_ASSERT_EQUAL_FATAL(r.table.used_count, count);
+    }
+}
+
+static void
+test_claim_sets_agree_and_overlap(void)
+{
+    uint64_t hosts[HOSTS];
+    uint64_t changed[HOSTS];
+    uint32_t uses[HOSTS] = {0};
+
+    for (uint64_t i = 0; i < HOSTS; i++) {
+        hosts[i] = 1000 + i;
+        changed[HOSTS - 1 - i] = i == 7 ? 5000 : hosts[i];
+    }
+    for (uint64_t n = 0; n < 1000; n++) {
+        struct bb_request_id key = id_of(n);
+        uint64_t a[BB_CLAIM_SET];
+        uint64_t b[BB_CLAIM_SET];
+        int common = 0;
+
+        CU_ASSERT_EQUAL(bb_claim_set(&key, hosts, HOSTS, a), BB_CLAIM_SET);
+        CU_ASSERT_EQUAL(bb_claim_set(&key, changed, HOSTS, b), BB_CLAIM_SET);
+        CU_ASSERT_TRUE(a[0] != a[1] && a[1] != a[2] && a[0] != a[2]);
+        for (int i = 0; i < BB_CLAIM_SET * BB_CLAIM_SET; i++) {
+            common += a[i / BB_CLAIM_SET] == b[i % BB_CLAIM_SET];
+        }
+        CU_ASSERT_TRUE(common >= 2); /* one host changed */
+        for (int i = 0; i < BB_CLAIM_SET; i++) {
+            uses[a[i] - 1000]++;
+        }
+    }
+    for (int i = 0; i < HOSTS; i++) {
+        CU_ASSERT_TRUE(uses[i] > 60 && uses[i] < 140);
+    }
+    CU_ASSERT_EQUAL(
+        bb_claim_set(&(struct bb_request_id){{1}}, hosts, 2, changed), 2);
+}
+
+static void
+test_witness_over_time(void)
+{
+    struct bb_claim_entry entries[SLOTS];
+    struct bb_witness w;
+    struct bb_request_id key = id_of(1);
+    struct bb_claim a = {.request = id_of(2), .attempt = 1, .gatekeeper = 1};
+    struct bb_claim b = {.request = id_of(3), .attempt = 1, .gatekeeper = 1};
+
+    bb_witness_init(&w, 4, RETENTION_US, true, entries, SLOTS, 10);
+    CU_ASSERT_EQUAL(bb_witness_claim(&w, &key, &a, 4, 11).result,
+                    BB_WITNESS_CANNOT_CONFIRM);
+    CU_ASSERT_EQUAL(bb_witness_claim(&w, &key, &a, 3, 11).result,
+                    BB_WITNESS_OTHER_EPOCH);
+    CU_ASSERT_EQUAL(
+        bb_witness_claim(&w, &key, &a, 4, 10 + RETENTION_US).result,
+        BB_WITNESS_GRANTED);
+    CU_ASSERT_EQUAL(
+        bb_witness_claim(&w, &key, &b, 4, 9 + 2 * (uint64_t)RETENTION_US)
+            .result,
+        BB_WITNESS_HELD);
+    CU_ASSERT_EQUAL(
+        bb_witness_claim(&w, &key, &b, 4, 10 + 2 * (uint64_t)RETENTION_US)
+            .result,
+        BB_WITNESS_GRANTED);
+    bb_witness_set_epoch(&w, 3);
+    CU_ASSERT_EQUAL(w.epoch, 4);
+    CU_ASSERT_FALSE(bb_roster_may_settle(5, 3, 0, 10, 100));
+    CU_ASSERT_FALSE(bb_roster_may_settle(5, 4, 95, 10, 100));
+    CU_ASSERT_TRUE(bb_roster_may_settle(5, 4, 90, 10, 100));
+}
+
+static void
+test_probe_asks_after_the_check_time(void)
+{
+    enum bb_reason reason;
+    struct bb_probe p;
+
+    bb_probe_init(&p, false, false, BB_PROBE_CHECK_US, 9000 * MS, 0);
+    bb_probe_bytes(&p, 600 * MS);
+    CU_ASSERT_EQUAL(bb_probe_step(&p, 1500 * MS, &reason), BB_PROBE_WAIT);
+    CU_ASSERT_EQUAL(bb_probe_wake_us(&p), 1600 * MS);
+    CU_ASSERT_EQUAL(bb_probe_step(&p, 1600 * MS, &reason), BB_PROBE_QUERY);
+    CU_ASSERT_EQUAL(bb_probe_step(&p, 1700 * MS, &reason), BB_PROBE_WAIT);
+    bb_probe_answer(&p, BB_QUERY_RUNNING, 1700 * MS);
+    CU_ASSERT_EQUAL(bb_probe_step(&p, 2700 * MS, &reason), BB_PROBE_QUERY);
+    bb_probe_query_failed(&p, 2800 * MS);
+    CU_ASSERT_EQUAL(bb_probe_wake_us(&p), 3050 * MS);
+    CU_ASSERT_EQUAL(bb_probe_step(&p, 9000 * MS, &reason), BB_PROBE_UNKNOWN);
+    CU_ASSERT_EQUAL(reason, BB_REASON_CONNECTION_SILENT);
+    bb_probe_answer(&p, BB_QUERY_DONE, 9001 * MS); /* too late */
+    CU_ASSERT_EQUAL(bb_probe_step(&p, 9001 * MS, &reason), BB_PROBE_UNKNOWN);
+}
+
+static void
+test_retries_only_when_safe_and_within_budget(void)
+{
+    struct bb_retry_budget b = {0};
+    struct bb_retry_question q = {.reason = BB_REASON_QUEUE_FULL,
+                                  .ran = BB_RAN_NO,
+                                  .attempts = 1,
+                                  .retry_limit = 3,
+                                  .remaining_us = 100 * MS};
+    uint32_t allowed = 0;
+
+    bb_retry_budget_configure(&b, 20);
+    CU_ASSERT_TRUE(bb_retry_decide(&q, &b).is_allowed);
+    q.ran = BB_RAN_UNKNOWN;
+    CU_ASSERT_FALSE(bb_retry_decide(&q, &b).is_allowed);
+    q.is_idempotent = true;
+    CU_ASSERT_TRUE(bb_retry_decide(&q, &b).is_allowed);
+    q.attempts = 4;
+    CU_ASSERT_FALSE(bb_retry_decide(&q, &b).is_allowed);
+    q.attempts = 1;
+    q.reason = BB_REASON_BAD_REQUEST;
+    CU_ASSERT_FALSE(bb_retry_decide(&q, &b).is_allowed);
+    q.reason = BB_REASON_QUEUE_FULL;
+    q.expected_us = 100 * MS;
+    CU_ASSERT_FALSE(bb_retry_decide(&q, &b).is_allowed);
+    q.expected_us = 0;
+    for (int i = 0; i < 1000; i++) { /* every call is refused once */
+        bb_retry_budget_deposit(&b);
+        allowed += bb_retry_decide(&q, &b).is_allowed;
+    }
+    CU_ASSERT_TRUE(allowed >= 200 && allowed <= 205);
+    CU_ASSERT_EQUAL(bb_retry_decide(&q, &b).reason, BB_REASON_RETRY_BUDGET);
+    CU_ASSERT_EQUAL(bb_retry_backoff_us(1, UINT64_MAX), 0);
+    for (uint32_t n = 2; n < 40; n++) {
+        CU_ASSERT_TRUE(bb_retry_backoff_us(n, UINT64_MAX / 3) <= 250 * MS);
+    }
+}
+
+static void
+test_hedges_follow_p95_and_budget(void)
+{
+    struct bb_retry_budget b = {0};
+    struct bb_estimate latency = {0};
+    struct bb_hedge_question q = {.is_idempotent = true,
+                                  .hedge_limit = 1,
+                                  .elapsed_us = 1 * MS,
+                                  .remaining_us = 900 * MS};
+
+    bb_retry_budget_configure(&b, 5);
+    for (int i = 0; i < 100; i++) {
+        bb_estimate_add(&latency, i < 90 ? 200 : 30 * MS);
+    }
+    CU_ASSERT_TRUE(bb_hedge_delay_us(&q, &latency) > 24 * MS);
+    CU_ASSERT_FALSE(bb_hedge_decide(&q, &latency, &b));
+    q.elapsed_us = 40 * MS;
+    CU_ASSERT_TRUE(bb_hedge_decide(&q, &latency, &b));
+    q.work_class = BB_ADMISSION_LONG;
+    CU_ASSERT_FALSE(bb_hedge_decide(&q, &latency, &b));
+    q.hedge_after_us = 1;
+    CU_ASSERT_EQUAL(bb_hedge_delay_us(&q, &latency), 2 * MS); /* floor */
+}
+
+static void
+test_depth_and_deadline_of_nested_calls(void)
+{
+    uint32_t depth = 0;
+    uint64_t left_us = 1000 * MS;
+
+    while (bb_depth_next(depth, 0, &depth)) {
+        uint64_t nested_us = bb_deadline_nested_us(5 + left_us, 5);
+
+        CU_ASSERT_TRUE(nested_us < left_us);
+        left_us = nested_us;
+    }
+    CU_ASSERT_EQUAL(depth, BB_DEPTH_LIMIT);
+    CU_ASSERT_TRUE(left_us > 900 * MS);
+    CU_ASSERT_EQUAL(bb_deadline_nested_us(5, 6), 0);
+    CU_ASSERT_EQUAL(bb_deadline_from_remaining(UINT64_MAX, UINT64_MAX, 9),
+                    UINT64_MAX);
+    CU_ASSERT_EQUAL(bb_deadline_from_remaining(0, 50, 9), 59);
+}
+
+static const struct bb_unit_test tests[] = {
+    {"a full record refuses and keeps", test_full_record_refuses_and_keeps},
+    {"the table keeps entries over removals",
+     test_table_keeps_entries_over_removals},
+    {"claim sets agree and overlap", test_claim_sets_agree_and_overlap},
+    {"a witness over time", test_witness_over_time},
+    {"a probe asks after the check time",
+     test_probe_asks_after_the_check_time},
+    {"retries only when safe and within budget",
+     test_retries_only_when_safe_and_within_budget},
+    {"hedges follow p95 and budget", test_hedges_follow_p95_and_budget},
+    {"depth and deadline of nested calls",
+     test_depth_and_deadline_of_nested_calls},
+};
+
+BB_UNIT_MAIN("once", tests)
