--- /dev/null
+++ b/control/control_settings.h
@@ -0,0 +1,29 @@
+/* The settings of baobab-control. */
+#ifndef BB_CONTROL_SETTINGS_H
+#define BB_CONTROL_SETTINGS_H
+
+#include "common/settings.h"
+#include "mesh/control_list.h"
+
+struct bb_control_settings {
+    const char *host;
+    const char *zone;
+    const char *region;
+    const char *control_text;
+    struct bb_control_list controls;
+    const char *folder;
+    const char *data_folder;
+    struct bb_address rpc;
+    struct bb_address gossip;
+    struct bb_address admin;
+    const char *admin_token; /* NULL: changes of state are refused */
+    uint64_t first_revision;
+    uint64_t seed;
+    bool log_json;
+};
+
+enum bb_settings_result
+bb_control_settings_read(int argc, char **argv,
+                         struct bb_control_settings *out, struct bb_error *e);
+
+#endif
--- /dev/null
+++ b/control/daemon.c
@@ -0,0 +1,327 @@
+#include "daemon.h"
+
+#include <string.h>
+
+#include "common/clock.h"
+#include "common/counters.h"
+#include "common/log.h"
+
+enum {
+    PROPOSE_TIMEOUT_MS = 3000
+};
+
+BB_COUNTER(proposed_total, "baobab_proposals_total",
+           "Configurations proposed by this control host");
+BB_COUNTER(accepted_total, "baobab_proposals_accepted_total",
+           "Proposals of this control host that were accepted");
+BB_COUNTER(refused_total, "baobab_proposals_refused_total",
+           "Proposals of this control host that were refused");
+BB_COUNTER(unanswered_total, "baobab_proposals_unanswered_total",
+           "Proposals without a quorum in time");
+BB_GAUGE(revision_gauge, "baobab_accepted_revision",
+         "Highest accepted revision known to this control host");
+BB_GAUGE(leader_gauge, "baobab_is_leader",
+         "1 while this control host is the leader");
+
+/* A configuration on its way to the quorum. An empty one (without payload)
+ * ends the proposer's thread. */
+struct proposal {
+    uint64_t base;
+    uint64_t version;
+    struct bb_digest digest;
+    uint8_t *payload;
+    size_t size_bytes;
+};
+
+/* Frees a proposal. */
+static void
+destroy_proposal(void *data)
+{
+    struct proposal *p = data;
+
+    g_free(p->payload);
+    g_free(p);
+}
+
+/* Takes a changed folder from the source watch. Must return at once, so the
+ * proposer's thread does the waiting. */
+static void
+queue_proposal(void *context, const struct bb_folder *folder, uint64_t version,
+               uint64_t base_revision)
+{
+    struct bb_control *c = context;
+    struct proposal *p = g_new0(struct proposal, 1);
+    const struct bb_bundle b = {
+        .version = version,
+        .digest = folder->digest,
+        .folder = (struct bb_folder *)folder,
+    };
+
+    p->base = base_revision;
+    p->version = version;
+    p->digest = folder->digest;
+    bb_bundle_encode(&b, &p->payload, &p->size_bytes);
+    g_async_queue_push(c->proposals, p);
+}
+
+/* Turns the outcome of the agreement into the answer for the source watch and
+ * counts it. */
+static enum bb_source_answer
+note_outcome(const struct proposal *p, const struct bb_replicate_result *r)
+{
+    switch (r->outcome) {
+    case BB_REPLICATE_ACCEPTED:
+        bb_counter_add(&accepted_total, 1);
+        bb_log_info("proposal.accepted", "revision %" G_GUINT64_FORMAT,
+                    r->revision);
+        return BB_SOURCE_ACCEPTED;
+    case BB_REPLICATE_STALE_BASE:
+        bb_counter_add(&refused_total, 1);
+        bb_log_warning("proposal.stale_base",
+                       "the folder is based on revision %" G_GUINT64_FORMAT
+                       ", in force is %" G_GUINT64_FORMAT,
+                       p->base, r->revision);
+        return BB_SOURCE_STALE_BASE;
+    case BB_REPLICATE_CONFLICT:
+        bb_counter_add(&refused_total, 1);
+        bb_log_warning("proposal.conflict",
+                       "version %" G_GUINT64_FORMAT
+                       " is not above the accepted one, and the content "
+                       "differs",
+                       p->version);
+        return BB_SOURCE_VERSION_CONFLICT;
+    case BB_REPLICATE_BAD_PAYLOAD:
+        bb_counter_add(&refused_total, 1);
+        bb_log_warning("proposal.too_large",
+                       "%zu bytes after compression; the limit is %d",
+                       p->size_bytes, BB_REPLICATE_PAYLOAD_MAX_BYTES);
+        return BB_SOURCE_INVALID;
+    case BB_REPLICATE_NO_QUORUM:
+        break;
+    }
+    bb_counter_add(&unanswered_total, 1);
+    return BB_SOURCE_UNAVAILABLE;
+}
+
+/* Proposes queued configurations one after the other. */
+static void *
+run_proposer(void *argument)
+{
+    struct bb_control *c = argument;
+
+    for (;;) {
+        struct proposal *p = g_async_queue_pop(c->proposals);
+        struct bb_replicate_result r;
+
+        if (p->payload == NULL) {
+            destroy_proposal(p);
+            break;
+        }
+        bb_counter_add(&proposed_total, 1);
+        r = bb_replicate_propose(c->replicate, p->base, p->version, &p->digest,
+                                 p->payload, p->size_bytes,
+                                 PROPOSE_TIMEOUT_MS);
+        bb_source_watch_answer(c->watch, &p->digest, p->base,
+                               note_outcome(p, &r), r.revision);
+        destroy_proposal(p);
+    }
+    return NULL;
+}
+
+/* Takes an accepted revision from the agreement. */
+static void
+take_committed(void *context, uint64_t revision, uint64_t version,
+               const struct bb_digest *digest, const void *payload,
+               size_t size_bytes)
+{
+    struct bb_control *c = context;
+    char text[BB_DIGEST_TEXT_BYTES];
+    struct bb_error e = {0};
+    struct bb_bundle *b = bb_bundle_decode(payload, size_bytes, &e);
+
+    if (b == NULL) {
+        bb_log_warning("configuration.unreadable",
+                       "revision %" G_GUINT64_FORMAT ": %s", revision,
+                       e.message);
+        return;
+    }
+    b->revision = revision;
+    b->version = version;
+    if (bb_history_add(c->history, b)) {
+        bb_counter_set(&revision_gauge, revision);
+        bb_log_info("configuration.accepted",
+                    "revision %" G_GUINT64_FORMAT " digest %.12s", revision,
+                    bb_digest_text(digest, text));
+        bb_mesh_publish(c->mesh, revision, digest);
+    }
+    bb_source_watch_in_force(c->watch, revision, digest);
+    bb_bundle_unref(b);
+}
+
+/* Notes a change of leadership. */
+static void
+note_role(void *context, enum bb_agree_role role, uint64_t term)
+{
+    (void)context;
+    bb_counter_set(&leader_gauge, role == BB_AGREE_LEADER);
+    if (role == BB_AGREE_LEADER) {
+        bb_log_info("agreement.leader",
+                    "this host leads in term %" G_GUINT64_FORMAT, term);
+    }
+}
+
+/* Encodes the newest revision for a relay. */
+static bool
+encode_payload(void *context, uint64_t have_revision,
+               struct bb_mesh_payload *out)
+{
+    struct bb_control *c = context;
+    struct bb_history_payload p;
+
+    if (!bb_history_encode(c->history, have_revision, &p)) {
+        return false;
+    }
+    *out = (struct bb_mesh_payload){
+        .revision = p.revision,
+        .digest = p.digest,
+        .is_delta = p.is_delta,
+        .base_revision = p.base_revision,
+        .data = p.bytes,
+        .size_bytes = p.size_bytes,
+    };
+    return true;
+}
+
+/* Creates the mesh member of this control host. */
+static bool
+create_mesh(struct bb_control *c, struct bb_error *e)
+{
+    const struct bb_control_settings *s = &c->settings;
+    struct bb_mesh_settings m = {
+        .self = {.role = BB_ROLE_CONTROL,
+                 .rpc = s->rpc,
+                 .gossip = s->gossip,
+                 .incarnation = bb_clock_wall_us()},
+        .controls = s->controls,
+        .gossip_bind = s->gossip,
+        .seed = s->seed,
+        .callbacks = {.context = c, .payload = encode_payload},
+    };
+
+    (void)g_strlcpy(m.self.host, s->host, sizeof(m.self.host));
+    (void)g_strlcpy(m.self.zone, s->zone, sizeof(m.self.zone));
+    (void)g_strlcpy(m.self.region, s->region, sizeof(m.self.region));
+    c->mesh = bb_mesh_create(&m, e);
+    return c->mesh != NULL;
+}
+
+/* Creates the agreement; it recovers its state and may call back at once. */
+static bool
+create_replicate(struct bb_control *c, struct bb_error *e)
+{
+    const struct bb_control_settings *s = &c->settings;
+    struct bb_replicate_peer peers[BB_CONTROL_HOSTS_MAX] = {0};
+    struct bb_replicate_settings r = {
+        .id = s->host,
+        .zone = s->zone,
+        .region = s->region,
+        .peers = peers,
+        .peer_count = s->controls.count,
+        .data_folder = s->data_folder,
+        .first_revision = s->first_revision,
+        .seed = s->seed,
+        .context = c,
+        .committed = take_committed,
+        .role_changed = note_role,
+    };
+
+    for (uint32_t i = 0; i < s->controls.count; i++) {
+        const struct bb_control_host *h = &s->controls.items[i];
+
+        (void)g_strlcpy(peers[i].id, h->host, sizeof(peers[i].id));
+        (void)g_strlcpy(peers[i].region, h->region, sizeof(peers[i].region));
+        peers[i].rpc = h->rpc;
+    }
+    c->replicate = bb_replicate_create(&r, e);
+    return c->replicate != NULL;
+}
+
+/* Creates the watch of the folder; it proposes only once started. */
+static bool
+create_watch(struct bb_control *c, struct bb_error *e)
+{
+    const struct bb_source_watch_options w = {
+        .folder = c->settings.folder,
+        .data_folder = c->settings.data_folder,
+        .propose = queue_proposal,
+        .context = c,
+    };
+
+    c->watch = bb_source_watch_create(&w);
+    if (c->watch == NULL) {
+        return bb_error_set(e, 1, "cannot create the source watch");
+    }
+    return true;
+}
+
+/* Starts the proposer's thread. */
+static bool
+start_proposer(struct bb_control *c, struct bb_error *e)
+{
+    c->has_proposer =
+        pthread_create(&c->proposer, NULL, run_proposer, c) == 0;
+    if (!c->has_proposer) {
+        return bb_error_set(e, 1, "cannot start the proposer's thread");
+    }
+    return true;
+}
+
+/* Starts the administration API. */
+static bool
+create_admin(struct bb_control *c, struct bb_error *e)
+{
+    const struct bb_admin_options o = {.listen = c->settings.admin,
+                                       .token = c->settings.admin_token,
+                                       .context = c};
+
+    c->admin = bb_admin_create(&o, e);
+    return c->admin != NULL;
+}
+
+/* Starts every part, in the order in which they depend on each other. */
+bool
+bb_control_start(struct bb_control *c, struct bb_error *e)
+{
+    c->proposals = g_async_queue_new_full(destroy_proposal);
+    c->history = bb_history_create();
+    c->rpc_server = bb_rpc_server_create(&c->settings.rpc, e);
+    return c->rpc_server != NULL && create_mesh(c, e) && create_watch(c, e) &&
+           create_replicate(c, e) &&
+           bb_replicate_register(c->replicate, c->rpc_server, e) &&
+           bb_mesh_register(c->mesh, c->rpc_server, e) &&
+           bb_rpc_server_start(c->rpc_server, e) && start_proposer(c, e) &&
+           bb_mesh_start(c->mesh, e) && bb_source_watch_start(c->watch, e) &&
+           create_admin(c, e);
+}
+
+/* Stops and frees what was started, in reverse order. */
+void
+bb_control_stop(struct bb_control *c)
+{
+    bb_admin_destroy(c->admin);
+    if (c->has_proposer) {
+        g_async_queue_push(c->proposals, g_new0(struct proposal, 1));
+        (void)pthread_join(c->proposer, NULL);
+    }
+    if (c->mesh != NULL) {
+        bb_mesh_stop(c->mesh, true);
+    }
+    bb_rpc_server_destroy(c->rpc_server);
+    bb_replicate_destroy(c->replicate);
+    bb_source_watch_destroy(c->watch);
+    bb_mesh_destroy(c->mesh);
+    bb_history_destroy(c->history);
+    if (c->proposals != NULL) {
+        g_async_queue_unref(c->proposals);
+    }
+}
--- /dev/null
+++ b/control/daemon.h
@@ -0,0 +1,37 @@
+/* The parts of a running control host, and how they are connected:
+ *
+ *   source watch --propose--> proposer thread --> replicate
+ *   replicate --committed--> history, source watch, mesh --> relays
+ *
+ * Lock order: the daemon's lock is a leaf. */
+#ifndef BB_CONTROL_DAEMON_H
+#define BB_CONTROL_DAEMON_H
+
+#include <glib.h>
+#include <pthread.h>
+
+#include "admin/admin.h"
+#include "config/history.h"
+#include "control/replicate.h"
+#include "control/source_watch.h"
+#include "control_settings.h"
+#include "mesh/mesh.h"
+#include "mesh/rpc.h"
+
+struct bb_control {
+    struct bb_control_settings settings;
+    struct bb_rpc_server *rpc_server;
+    struct bb_history *history;
+    struct bb_mesh *mesh;
+    struct bb_replicate *replicate;
+    struct bb_source_watch *watch;
+    struct bb_admin *admin;
+    GAsyncQueue *proposals; /* of struct proposal */
+    pthread_t proposer;
+    bool has_proposer;
+};
+
+bool bb_control_start(struct bb_control *c, struct bb_error *e);
+void bb_control_stop(struct bb_control *c);
+
+#endif
--- /dev/null
+++ b/control/endpoints.c
@@ -0,0 +1,136 @@
+/* The administration endpoints of a control host. */
+#include "admin/admin.h"
+#include "admin/views.h"
+#include "daemon.h"
+
+/* Answers with the accepted configuration and the nodes that hold it. */
+static void
+get_in_force(void *context, const struct bb_admin_request *request,
+             struct bb_admin_answer *answer)
+{
+    struct bb_control *c = context;
+    struct bb_bundle *b = bb_history_newest(c->history);
+    struct bb_member_list members = {0};
+    struct bb_replicate_status s;
+
+    (void)request;
+    bb_replicate_status(c->replicate, &s);
+    bb_mesh_members_snapshot(c->mesh, &members);
+    answer->json = bb_view_in_force(b, s.is_confirmed, &members, NULL);
+    bb_member_list_clear(&members);
+    bb_bundle_unref(b);
+}
+
+/* Lists what needs an operator. */
+static json_t *
+list_problems(const struct bb_replicate_status *s, const json_t *source)
+{
+    json_t *problems = json_array();
+    const char *conflict = json_string_value(json_object_get(source,
+                                                             "conflict"));
+
+    if (!s->is_confirmed) {
+        (void)json_array_append_new(
+            problems, json_string("no quorum of control hosts: changes are "
+                                  "not accepted"));
+    }
+    if (!s->can_vote) {
+        (void)json_array_append_new(
+            problems, json_sprintf("this host does not vote: %s", s->why_not));
+    }
+    if (json_is_object(json_object_get(source, "outage"))) {
+        (void)json_array_append_new(
+            problems, json_string("the configuration folder cannot be used"));
+    }
+    if (json_is_true(json_object_get(source, "invalid"))) {
+        (void)json_array_append_new(
+            problems, json_string("the folder's last version was refused for "
+                                  "faults"));
+    }
+    if (conflict != NULL && g_strcmp0(conflict, "none") != 0) {
+        (void)json_array_append_new(
+            problems, json_sprintf("the folder was refused: %s", conflict));
+    }
+    for (uint32_t i = 0; i < s->peer_count; i++) {
+        if (!s->peers[i].is_alive) {
+            (void)json_array_append_new(
+                problems, json_sprintf("control host %s does not answer",
+                                       s->peers[i].id));
+        }
+    }
+    return problems;
+}
+
+/* Lists the other control hosts. */
+static json_t *
+list_peers(const struct bb_replicate_status *s)
+{
+    json_t *peers = json_array();
+
+    for (uint32_t i = 0; i < s->peer_count; i++) {
+        (void)json_array_append_new(
+            peers, json_pack("{s:s,s:b}", "host", s->peers[i].id, "alive",
+                             s->peers[i].is_alive));
+    }
+    return peers;
+}
+
+/* Answers with the state of the agreement and of the folder. */
+static void
+get_status(void *context, const struct bb_admin_request *request,
+           struct bb_admin_answer *answer)
+{
+    static const char *const roles[] = {
+        [BB_AGREE_FOLLOWER] = "follower",
+        [BB_AGREE_PRE_CANDIDATE] = "pre-candidate",
+        [BB_AGREE_CANDIDATE] = "candidate",
+        [BB_AGREE_LEADER] = "leader",
+    };
+    struct bb_control *c = context;
+    char digest[BB_DIGEST_TEXT_BYTES] = "";
+    json_t *source = bb_source_watch_status(c->watch);
+    struct bb_replicate_status s;
+
+    (void)request;
+    bb_replicate_status(c->replicate, &s);
+    answer->json = json_pack(
+        "{s:s,s:s,s:s,s:s,s:I,s:I,s:s,s:b,s:s?,s:I,s:b,s:s,s:b,s:s,s:o,s:o,"
+        "s:o}",
+        "host", c->settings.host, "zone", c->settings.zone, "region",
+        c->settings.region, "role", "control", "revision",
+        (json_int_t)s.revision, "version", (json_int_t)s.version, "digest",
+        bb_digest_text(&s.digest, digest), "confirmed", s.is_confirmed,
+        "leader", s.leader[0] != '\0' ? s.leader : NULL, "term",
+        (json_int_t)s.term, "quorum", s.is_confirmed, "agreement_role",
+        roles[s.role], "can_vote", s.can_vote, "why_not", s.why_not,
+        "control_hosts", list_peers(&s), "problems",
+        list_problems(&s, source), "source", source);
+}
+
+/* Answers with all member records. */
+static void
+get_members(void *context, const struct bb_admin_request *request,
+            struct bb_admin_answer *answer)
+{
+    struct bb_control *c = context;
+    struct bb_member_list members = {0};
+
+    (void)request;
+    bb_mesh_members_snapshot(c->mesh, &members);
+    answer->json = bb_view_members(&members);
+    bb_member_list_clear(&members);
+}
+
+static const struct bb_admin_endpoint in_force_endpoint = {
+    .help = "accepted configuration and its holders", .handle = get_in_force};
+static const struct bb_admin_endpoint status_endpoint = {
+    .help = "state of agreement and folder", .handle = get_status};
+static const struct bb_admin_endpoint members_endpoint = {
+    .help = "all members of the mesh", .handle = get_members};
+
+BB_PLUGIN(in_force, BB_PLUGIN_ADMIN_ENDPOINT, "GET /v1/in-force",
+          &in_force_endpoint);
+BB_PLUGIN(status, BB_PLUGIN_ADMIN_ENDPOINT, "GET /v1/status",
+          &status_endpoint);
+BB_PLUGIN(members, BB_PLUGIN_ADMIN_ENDPOINT, "GET /v1/members",
+          &members_endpoint);
--- /dev/null
+++ b/include/admin/views.h
@@ -0,0 +1,17 @@
+/* JSON views that the administration APIs of nodes and control hosts share;
+ * docs/admin-api.md describes their members. */
+#ifndef BB_ADMIN_VIEWS_H
+#define BB_ADMIN_VIEWS_H
+
+#include <jansson.h>
+#include <stdbool.h>
+
+#include "config/bundle.h"
+#include "mesh/members.h"
+
+json_t *bb_view_members(const struct bb_member_list *members);
+json_t *bb_view_in_force(const struct bb_bundle *b, bool is_confirmed,
+                         const struct bb_member_list *members,
+                         const char *zone);
+
+#endif
--- /dev/null
+++ b/node/endpoints.c
@@ -0,0 +1,85 @@
+/* The administration endpoints of a node. */
+#include "admin/admin.h"
+#include "admin/views.h"
+#include "node.h"
+
+/* Answers with what this node serves and who in its zone holds the same. */
+static void
+get_in_force(void *context, const struct bb_admin_request *request,
+             struct bb_admin_answer *answer)
+{
+    struct bb_node *n = context;
+    struct bb_bundle *b = bb_holder_newest(n->holder);
+    struct bb_member_list members = {0};
+
+    (void)request;
+    if (b != NULL && b->revision != bb_holder_served_revision(n->holder)) {
+        bb_bundle_unref(b);
+        b = NULL;
+    }
+    bb_mesh_members_snapshot(n->mesh, &members);
+    answer->json = bb_view_in_force(b, false, &members, n->settings.zone);
+    bb_member_list_clear(&members);
+    bb_bundle_unref(b);
+}
+
+/* Answers with the state of this node. */
+static void
+get_status(void *context, const struct bb_admin_request *request,
+           struct bb_admin_answer *answer)
+{
+    struct bb_node *n = context;
+    struct bb_bundle *b = bb_holder_newest(n->holder);
+    uint64_t served = bb_holder_served_revision(n->holder);
+    uint64_t highest = bb_mesh_highest_revision(n->mesh);
+    char digest[BB_DIGEST_TEXT_BYTES] = "";
+    json_t *problems = json_array();
+
+    (void)request;
+    if (served == 0) {
+        (void)json_array_append_new(
+            problems, json_string("no configuration is in force"));
+    }
+    else if (served < highest) {
+        (void)json_array_append_new(
+            problems, json_string("a later revision is known to the mesh"));
+    }
+    answer->json = json_pack(
+        "{s:s,s:s,s:s,s:s,s:I,s:I,s:s,s:b,s:n,s:n,s:o,s:I,s:I}", "host",
+        n->settings.host, "zone", n->settings.zone, "region",
+        n->settings.region, "role", "node", "revision", (json_int_t)served,
+        "version", (json_int_t)(b != NULL ? b->version : 0), "digest",
+        b != NULL ? bb_digest_text(&b->digest, digest) : "", "confirmed", 0,
+        "leader", "source", "problems", problems, "in_flight",
+        (json_int_t)bb_proxy_in_flight(n->proxy), "highest_known_revision",
+        (json_int_t)highest);
+    bb_bundle_unref(b);
+}
+
+/* Answers with the member records that this node knows. */
+static void
+get_members(void *context, const struct bb_admin_request *request,
+            struct bb_admin_answer *answer)
+{
+    struct bb_node *n = context;
+    struct bb_member_list members = {0};
+
+    (void)request;
+    bb_mesh_members_snapshot(n->mesh, &members);
+    answer->json = bb_view_members(&members);
+    bb_member_list_clear(&members);
+}
+
+static const struct bb_admin_endpoint in_force_endpoint = {
+    .help = "configuration that this node serves", .handle = get_in_force};
+static const struct bb_admin_endpoint status_endpoint = {
+    .help = "state of this node", .handle = get_status};
+static const struct bb_admin_endpoint members_endpoint = {
+    .help = "members known to this node", .handle = get_members};
+
+BB_PLUGIN(in_force, BB_PLUGIN_ADMIN_ENDPOINT, "GET /v1/in-force",
+          &in_force_endpoint);
+BB_PLUGIN(status, BB_PLUGIN_ADMIN_ENDPOINT, "GET /v1/status",
+          &status_endpoint);
+BB_PLUGIN(members, BB_PLUGIN_ADMIN_ENDPOINT, "GET /v1/members",
+          &members_endpoint);
--- a/node/kept_bundle.c
+++ b/node/kept_bundle.c
@@ -3,6 +3,7 @@
 #include <errno.h>
 #include <fcntl.h>
 #include <glib.h>
+#include <stdio.h>
 #include <unistd.h>
 
 enum {
--- a/node/main.c
+++ b/node/main.c
@@ -8,19 +8,7 @@
 #include "common/log.h"
 #include "common/random.h"
 #include "common/stop_signal.h"
-#include "mesh/mesh.h"
-#include "node/holder.h"
-#include "node_settings.h"
-#include "proxy/proxy.h"
-
-struct node {
-    struct bb_node_settings settings;
-    struct bb_rpc_server *rpc_server;
-    struct bb_rpc_pool *rpc_pool;
-    struct bb_holder *holder;
-    struct bb_proxy *proxy;
-    struct bb_mesh *mesh;
-};
+#include "node.h"
 
 /* Puts the state of the own upstream into the own member record. Runs on a
  * thread of the proxy. */
@@ -28,7 +16,7 @@
 publish_upstream(void *context, const char *service, uint32_t slots,
                  uint32_t connections, enum bb_upstream_state state)
 {
-    struct node *n = context;
+    struct bb_node *n = context;
     struct bb_member self;
 
     bb_mesh_self(n->mesh, &self);
@@ -42,7 +30,7 @@
 
 /* Creates the mesh member, which callbacks of the proxy need. */
 static bool
-create_mesh(struct node *n, uint64_t incarnation, struct bb_error *e)
+create_mesh(struct bb_node *n, uint64_t incarnation, struct bb_error *e)
 {
     const struct bb_node_settings *s = &n->settings;
     struct bb_mesh_settings m = {
@@ -75,7 +63,7 @@
 /* Creates the proxy; it starts to answer at once, with refusals until there
  * is a table. */
 static bool
-create_proxy(struct node *n, uint64_t incarnation, struct bb_error *e)
+create_proxy(struct bb_node *n, uint64_t incarnation, struct bb_error *e)
 {
     const struct bb_node_settings *s = &n->settings;
     struct bb_proxy_settings p = {
@@ -96,9 +84,21 @@
     return n->proxy != NULL;
 }
 
+/* Starts the administration API. */
+static bool
+create_admin(struct bb_node *n, struct bb_error *e)
+{
+    const struct bb_admin_options o = {.listen = n->settings.admin,
+                                       .token = n->settings.admin_token,
+                                       .context = n};
+
+    n->admin = bb_admin_create(&o, e);
+    return n->admin != NULL;
+}
+
 /* Starts every part, in the order in which they depend on each other. */
 static bool
-start(struct node *n, struct bb_error *e)
+start(struct bb_node *n, struct bb_error *e)
 {
     const struct bb_node_settings *s = &n->settings;
     const struct bb_holder_settings h = {.host = s->host,
@@ -116,13 +116,13 @@
            bb_proxy_register(n->proxy, n->rpc_server, e) &&
            bb_rpc_server_start(n->rpc_server, e) &&
            bb_holder_start(n->holder, n->mesh, n->proxy, e) &&
-           bb_mesh_start(n->mesh, e);
+           bb_mesh_start(n->mesh, e) && create_admin(n, e);
 }
 
 /* Tells the other nodes to send nothing more, and waits for the calls in
  * flight. */
 static void
-drain(struct node *n)
+drain(struct bb_node *n)
 {
     struct bb_member self;
 
@@ -141,8 +141,9 @@
 
 /* Frees what was started, in reverse order. */
 static void
-destroy(struct node *n)
+destroy(struct bb_node *n)
 {
+    bb_admin_destroy(n->admin);
     bb_proxy_destroy(n->proxy);
     bb_rpc_server_destroy(n->rpc_server);
     bb_holder_destroy(n->holder);
@@ -153,7 +154,7 @@
 int
 main(int argc, char **argv)
 {
-    struct node n = {0};
+    struct bb_node n = {0};
     struct bb_error e = {0};
     int result = BB_EXIT_INTERNAL;
 
