Add the durable store of control hosts

Cause: terms, votes, revisions and the identity of the disk must survive any crash once they are answered. The header has its own checksum, as a damaged length would look like a torn record.

--- /dev/null
+++ b/control/store.c
@@ -0,0 +1,362 @@
+/* The data folder: identity of the disk, log, snapshot. */
+#include "control/store.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <glib.h>
+#include <string.h>
+#include <sys/file.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include "common/counters.h"
+#include "control/agree_codec.h"
+#include "store_internal.h"
+
+enum { FILE_MODE = 0640, FOLDER_MODE = 0750, INCARNATION_TEXT_BYTES = 32 };
+
+BB_COUNTER(syncs_total, "baobab_store_syncs_total",
+           "Syncs of the data folder's files");
+BB_COUNTER(failures_total, "baobab_store_failures_total",
+           "Writes or syncs of the data folder that failed");
+BB_COUNTER(written_bytes, "baobab_store_written_bytes_total",
+           "Bytes written to the data folder");
+
+/* Returns the path of a file in the data folder. */
+void
+store_path(const struct bb_store *s, const char *name,
+           char path[STORE_PATH_BYTES])
+{
+    (void)g_snprintf(path, STORE_PATH_BYTES, "%s/%s", s->folder, name);
+}
+
+/* Records the first failure, after which nothing is written. The kernel may
+ * have dropped the unsynced pages, so a second sync proves nothing. */
+bool
+store_fail(struct bb_store *s, uint32_t code, const char *action,
+           struct bb_error *e)
+{
+    int cause = errno;
+
+    bb_counter_add(&failures_total, 1);
+    (void)pthread_mutex_lock(&s->lock);
+    if (s->failure.code == 0) {
+        bb_error_set(&s->failure, code, "%s: %s", action, g_strerror(cause));
+    }
+    if (e != NULL) {
+        *e = s->failure;
+    }
+    (void)pthread_mutex_unlock(&s->lock);
+    return false;
+}
+
+/* Tells whether an earlier write failed, and how. */
+bool
+store_has_failed(struct bb_store *s, struct bb_error *e)
+{
+    bool has_failed;
+
+    (void)pthread_mutex_lock(&s->lock);
+    has_failed = s->failure.code != 0;
+    if (has_failed && e != NULL) {
+        *e = s->failure;
+    }
+    (void)pthread_mutex_unlock(&s->lock);
+    return has_failed;
+}
+
+/* Writes a block, going on after short writes. */
+bool
+store_write_all(struct bb_store *s, int fd, const void *data,
+                size_t size_bytes)
+{
+    const uint8_t *at = data;
+
+    while (size_bytes > 0) {
+        ssize_t n = s->files.write(fd, at, size_bytes);
+
+        if (n < 0 && errno == EINTR) {
+            continue;
+        }
+        if (n <= 0) {
+            errno = n == 0 ? ENOSPC : errno;
+            return false;
+        }
+        at += n;
+        size_bytes -= (size_t)n;
+        bb_counter_add(&written_bytes, (uint64_t)n);
+    }
+    return true;
+}
+
+/* Replaces a file as a whole: temporary file, sync, rename, sync of the
+ * folder that holds it. */
+bool
+store_replace(struct bb_store *s, const char *name, const void *data,
+              size_t size_bytes, struct bb_error *e)
+{
+    char path[STORE_PATH_BYTES];
+    char temporary[STORE_PATH_BYTES];
+    char *parent = NULL;
+    int parent_fd = -1;
+    bool is_done = false;
+    int fd;
+
+    if (store_has_failed(s, e)) {
+        return false;
+    }
+    store_path(s, name, path);
+    (void)g_snprintf(temporary, sizeof(temporary), "%s/%s.tmp", s->folder,
+                     name);
+    parent = g_path_get_dirname(path);
+    fd = open(temporary, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, FILE_MODE);
+    parent_fd = open(parent, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+    bb_counter_add(&syncs_total, 2);
+    is_done = fd >= 0 && parent_fd >= 0 &&
+              store_write_all(s, fd, data, size_bytes) &&
+              s->files.fsync(fd) == 0 &&
+              s->files.rename(temporary, path) == 0 &&
+              s->files.fsync(parent_fd) == 0;
+    if (!is_done) {
+        (void)store_fail(s, BB_STORE_ERROR_WRITE, name, e);
+        (void)unlink(temporary);
+    }
+    if (fd >= 0) {
+        (void)close(fd);
+    }
+    if (parent_fd >= 0) {
+        (void)close(parent_fd);
+    }
+    g_free(parent);
+    return is_done;
+}
+
+/* Opens the folder and makes sure that no other process uses it. */
+static bool
+open_folder(struct bb_store *s, struct bb_error *e)
+{
+    char path[STORE_PATH_BYTES];
+
+    store_path(s, "payloads", path);
+    if (g_mkdir_with_parents(path, FOLDER_MODE) != 0) {
+        return bb_error_set(e, BB_STORE_ERROR_FOLDER, "cannot create %s: %s",
+                            path, g_strerror(errno));
+    }
+    store_path(s, "lock", path);
+    s->lock_fd = open(path, O_RDWR | O_CREAT | O_CLOEXEC, FILE_MODE);
+    s->folder_fd = open(s->folder, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+    if (s->lock_fd < 0 || s->folder_fd < 0) {
+        return bb_error_set(e, BB_STORE_ERROR_FOLDER, "cannot open %s: %s",
+                            s->folder, g_strerror(errno));
+    }
+    if (flock(s->lock_fd, LOCK_EX | LOCK_NB) != 0) {
+        return bb_error_set(e, BB_STORE_ERROR_IN_USE,
+                            "%s is used by another process", s->folder);
+    }
+    return true;
+}
+
+/* Tells whether the data folder has a file. */
+static bool
+has_file(const struct bb_store *s, const char *name)
+{
+    char path[STORE_PATH_BYTES];
+
+    store_path(s, name, path);
+    return access(path, F_OK) == 0;
+}
+
+/* Opens the log and, at first use, creates it and then the identity. The
+ * identity is last, so its presence means that the log was created. */
+static bool
+open_files(struct bb_store *s, uint64_t incarnation, struct bb_error *e)
+{
+    char path[STORE_PATH_BYTES];
+    char text[INCARNATION_TEXT_BYTES];
+    bool is_first = !has_file(s, "incarnation");
+
+    if (is_first && has_file(s, "snapshot")) {
+        return bb_error_set(e, BB_STORE_ERROR_DAMAGED,
+                            "the incarnation file is missing");
+    }
+    if (!is_first && !has_file(s, "log")) {
+        return bb_error_set(e, BB_STORE_ERROR_DAMAGED, "the log is missing");
+    }
+    store_path(s, "log", path);
+    s->log_fd = open(path, O_RDWR | O_CREAT | O_APPEND | O_CLOEXEC, FILE_MODE);
+    if (s->log_fd < 0) {
+        return store_fail(s, BB_STORE_ERROR_FOLDER, "log", e);
+    }
+    if (!is_first) {
+        return true;
+    }
+    if (lseek(s->log_fd, 0, SEEK_END) != 0) {
+        return bb_error_set(e, BB_STORE_ERROR_DAMAGED,
+                            "a log without an incarnation file");
+    }
+    if (s->files.fsync(s->log_fd) != 0) {
+        return store_fail(s, BB_STORE_ERROR_WRITE, "log", e);
+    }
+    (void)g_snprintf(text, sizeof(text), "%016" G_GINT64_MODIFIER "x\n",
+                     incarnation);
+    return store_replace(s, "incarnation", text, strlen(text), e);
+}
+
+/* Reads the identity of the disk. A damaged file yields another identity or
+ * none, which no member list contains. */
+static bool
+read_incarnation(struct bb_store *s, struct bb_agree_durable *d,
+                 struct bb_error *e)
+{
+    char path[STORE_PATH_BYTES];
+    char *text = NULL;
+
+    store_path(s, "incarnation", path);
+    if (g_file_get_contents(path, &text, NULL, NULL)) {
+        d->incarnation = g_ascii_strtoull(text, NULL, 16);
+    }
+    g_free(text);
+    if (d->incarnation == 0) {
+        return bb_error_set(e, BB_STORE_ERROR_DAMAGED,
+                            "the incarnation file is damaged");
+    }
+    return true;
+}
+
+/* Opens a data folder and fills in the durable state; at first use, the disk
+ * gets the given random incarnation. Returns NULL if the folder cannot be
+ * used. A store that was damaged is returned, with the state as far as it
+ * could be read: bb_store_can_vote then tells why it may not vote. files may
+ * be NULL. */
+struct bb_store *
+bb_store_open(const char *folder, const struct bb_store_files *files,
+              uint64_t incarnation, struct bb_agree_durable *d,
+              struct bb_error *e)
+{
+    static const struct bb_store_files usual = {.write = write,
+                                                .fdatasync = fdatasync,
+                                                .fsync = fsync,
+                                                .ftruncate = ftruncate,
+                                                .rename = rename};
+    struct bb_store *s = g_new0(struct bb_store, 1);
+    struct bb_error problem = {0};
+
+    memset(d, 0, sizeof(*d));
+    (void)g_strlcpy(s->folder, folder, sizeof(s->folder));
+    s->files = files != NULL ? *files : usual;
+    (void)pthread_mutex_init(&s->lock, NULL);
+    (void)pthread_mutex_init(&s->payload_lock, NULL);
+    s->folder_fd = -1;
+    s->lock_fd = -1;
+    s->log_fd = -1;
+    if (!open_folder(s, e)) {
+        bb_store_close(s);
+        return NULL;
+    }
+    if (!open_files(s, incarnation, &problem) ||
+        !read_incarnation(s, d, &problem) || !store_recover(s, d, &problem)) {
+        s->failure = problem;
+        if (e != NULL) {
+            *e = problem;
+        }
+    }
+    return s;
+}
+
+/* Closes the files; NULL is allowed. */
+void
+bb_store_close(struct bb_store *s)
+{
+    if (s == NULL) {
+        return;
+    }
+    if (s->log_fd >= 0) {
+        (void)close(s->log_fd);
+    }
+    if (s->folder_fd >= 0) {
+        (void)close(s->folder_fd);
+    }
+    if (s->lock_fd >= 0) {
+        (void)close(s->lock_fd);
+    }
+    (void)pthread_mutex_destroy(&s->payload_lock);
+    (void)pthread_mutex_destroy(&s->lock);
+    g_free(s);
+}
+
+/* Tells whether everything read and written so far is intact; if not, why
+ * receives the reason. */
+bool
+bb_store_can_vote(struct bb_store *s, char *why, size_t size_bytes)
+{
+    struct bb_error e = {0};
+    bool has_failed = store_has_failed(s, &e);
+
+    if (why != NULL && size_bytes > 0) {
+        (void)g_strlcpy(why, e.message, size_bytes);
+    }
+    return !has_failed;
+}
+
+/* Appends one record with the terms, the vote, the commit index and the
+ * entries from an index on (0: none), and syncs it. */
+bool
+bb_store_append(struct bb_store *s, const struct bb_agree_durable *d,
+                uint64_t first_index, struct bb_error *e)
+{
+    agree_log_record value;
+    uint8_t *data;
+    size_t size = 0;
+    bool is_done;
+
+    if (store_has_failed(s, e)) {
+        return false;
+    }
+    bb_agree_encode_log(d, first_index, &value);
+    data = store_record_build(STORE_LOG_RECORD, s->sequence + 1,
+                              (xdrproc_t)xdr_agree_log_record, &value, &size);
+    xdr_free((xdrproc_t)xdr_agree_log_record, (char *)&value);
+    bb_counter_add(&syncs_total, 1);
+    errno = EINVAL;
+    is_done = data != NULL && store_write_all(s, s->log_fd, data, size) &&
+              s->files.fdatasync(s->log_fd) == 0;
+    g_free(data);
+    if (!is_done) {
+        return store_fail(s, BB_STORE_ERROR_WRITE, "log", e);
+    }
+    s->sequence++;
+    return true;
+}
+
+/* Replaces the snapshot by the whole state and empties the log. A crash in
+ * between leaves records that the snapshot contains; recovery skips them. */
+bool
+bb_store_snapshot(struct bb_store *s, const struct bb_agree_durable *d,
+                  struct bb_error *e)
+{
+    agree_state_record value;
+    uint8_t *data;
+    size_t size = 0;
+    bool is_done;
+
+    if (store_has_failed(s, e)) {
+        return false;
+    }
+    bb_agree_encode_state(d, &value);
+    data =
+        store_record_build(STORE_SNAPSHOT_RECORD, s->sequence + 1,
+                           (xdrproc_t)xdr_agree_state_record, &value, &size);
+    xdr_free((xdrproc_t)xdr_agree_state_record, (char *)&value);
+    errno = EINVAL;
+    is_done = data != NULL && store_replace(s, "snapshot", data, size, e);
+    g_free(data);
+    if (!is_done) {
+        return false;
+    }
+    s->sequence++;
+    if (s->files.ftruncate(s->log_fd, 0) != 0 ||
+        s->files.fdatasync(s->log_fd) != 0) {
+        return store_fail(s, BB_STORE_ERROR_WRITE, "log", e);
+    }
+    return true;
+}
--- /dev/null
+++ b/control/store_payload.c
@@ -0,0 +1,131 @@
+/* Payloads by digest, one file each in payloads/. */
+#include <errno.h>
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "common/counters.h"
+#include "store_internal.h"
+
+enum {
+    NAME_BYTES = 16 + BB_DIGEST_TEXT_BYTES,
+    PAYLOAD_MAX_BYTES = 1024 * 1024
+};
+
+BB_COUNTER(damaged_total, "baobab_store_payloads_damaged_total",
+           "Payloads whose content did not match their digest");
+
+/* Returns the name of a payload's file. */
+static void
+payload_name(const struct bb_digest *digest, char name[NAME_BYTES])
+{
+    char text[BB_DIGEST_TEXT_BYTES];
+
+    (void)g_snprintf(name, NAME_BYTES, "payloads/%s",
+                     bb_digest_text(digest, text));
+}
+
+/* Stores a payload and syncs it, unless it is there. */
+bool
+bb_store_put_payload(struct bb_store *s, const struct bb_digest *digest,
+                     const void *data, size_t size_bytes, struct bb_error *e)
+{
+    struct bb_digest found = bb_digest_of(data, size_bytes);
+    char name[NAME_BYTES];
+    bool is_done;
+
+    if (size_bytes > PAYLOAD_MAX_BYTES || !bb_digest_equal(&found, digest)) {
+        return bb_error_set(e, BB_STORE_ERROR_PAYLOAD,
+                            "payload of %zu bytes does not match its digest",
+                            size_bytes);
+    }
+    payload_name(digest, name);
+    (void)pthread_mutex_lock(&s->payload_lock);
+    is_done = bb_store_has_payload(s, digest) ||
+              store_replace(s, name, data, size_bytes, e);
+    (void)pthread_mutex_unlock(&s->payload_lock);
+    return is_done;
+}
+
+/* Tells whether an intact payload is stored. */
+bool
+bb_store_has_payload(struct bb_store *s, const struct bb_digest *digest)
+{
+    size_t size = 0;
+    void *data = bb_store_get_payload(s, digest, &size, NULL);
+
+    g_free(data);
+    return data != NULL;
+}
+
+/* Reads a payload, which the caller frees with g_free. Returns NULL if it is
+ * missing or does not match its digest. */
+void *
+bb_store_get_payload(struct bb_store *s, const struct bb_digest *digest,
+                     size_t *size_bytes, struct bb_error *e)
+{
+    char name[NAME_BYTES];
+    char path[STORE_PATH_BYTES];
+    struct bb_digest found;
+    gchar *data = NULL;
+    gsize size = 0;
+
+    payload_name(digest, name);
+    store_path(s, name, path);
+    if (!g_file_get_contents(path, &data, &size, NULL)) {
+        (void)bb_error_set(e, BB_STORE_ERROR_PAYLOAD, "%s is missing", name);
+        return NULL;
+    }
+    found = bb_digest_of(data, size);
+    if (!bb_digest_equal(&found, digest)) {
+        (void)bb_error_set(e, BB_STORE_ERROR_PAYLOAD, "%s is damaged", name);
+        bb_counter_add(&damaged_total, 1);
+        g_free(data);
+        return NULL;
+    }
+    *size_bytes = size;
+    return data;
+}
+
+/* Tells whether the durable state refers to a payload. */
+static bool
+is_referenced(const struct bb_agree_durable *d, const char *name)
+{
+    char text[BB_DIGEST_TEXT_BYTES];
+
+    if (strcmp(name, bb_digest_text(&d->base.in_force.digest, text)) == 0) {
+        return true;
+    }
+    for (uint64_t i = 0; i < d->log_count; i++) {
+        if (d->log[i].kind == BB_AGREE_CONFIG &&
+            strcmp(name, bb_digest_text(&d->log[i].digest, text)) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Removes the payloads of compacted entries other than the one in force. */
+void
+bb_store_keep_payloads(struct bb_store *s, const struct bb_agree_durable *d)
+{
+    char path[STORE_PATH_BYTES];
+    const char *name;
+    GDir *dir;
+
+    store_path(s, "payloads", path);
+    dir = g_dir_open(path, 0, NULL);
+    while (dir != NULL && (name = g_dir_read_name(dir)) != NULL) {
+        if (strlen(name) == BB_DIGEST_TEXT_BYTES - 1 &&
+            !is_referenced(d, name)) {
+            char file[STORE_PATH_BYTES + BB_DIGEST_TEXT_BYTES];
+
+            (void)g_snprintf(file, sizeof(file), "%s/%s", path, name);
+            (void)g_unlink(file);
+        }
+    }
+    if (dir != NULL) {
+        g_dir_close(dir);
+    }
+}
--- /dev/null
+++ b/control/store_recover.c
@@ -0,0 +1,153 @@
+/* Recovery: the snapshot, then the records of the log behind it. */
+#include <errno.h>
+#include <glib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "control/agree_codec.h"
+#include "store_internal.h"
+
+/* Reads a whole file; NULL with a size of 0 if it does not exist. */
+static bool
+read_file(const struct bb_store *s, const char *name, uint8_t **data,
+          size_t *size_bytes, struct bb_error *e)
+{
+    char path[STORE_PATH_BYTES];
+    GError *error = NULL;
+    gsize length = 0;
+
+    store_path(s, name, path);
+    *data = NULL;
+    *size_bytes = 0;
+    if (!g_file_get_contents(path, (gchar **)data, &length, &error)) {
+        bool is_missing =
+            g_error_matches(error, G_FILE_ERROR, G_FILE_ERROR_NOENT);
+
+        if (!is_missing) {
+            bb_error_set(e, BB_STORE_ERROR_DAMAGED, "cannot read %s: %s", name,
+                         error->message);
+        }
+        g_error_free(error);
+        return is_missing;
+    }
+    *size_bytes = length;
+    return true;
+}
+
+/* Loads the snapshot, if there is one. */
+static bool
+load_snapshot(struct bb_store *s, struct bb_agree_durable *d,
+              struct bb_error *e)
+{
+    agree_state_record value = {0};
+    struct bb_agree_durable *next = g_new0(struct bb_agree_durable, 1);
+    struct store_record r = {0};
+    uint8_t *data = NULL;
+    size_t size = 0;
+    bool is_good = false;
+
+    if (!read_file(s, "snapshot", &data, &size, e) || data == NULL) {
+        g_free(next);
+        return e->code == 0;
+    }
+    next->incarnation = d->incarnation;
+    if (store_record_read(data, size, &r) == STORE_RECORD_GOOD &&
+        r.kind == STORE_SNAPSHOT_RECORD && r.total_bytes == size) {
+        is_good = store_record_decode(&r, (xdrproc_t)xdr_agree_state_record,
+                                      &value) &&
+                  bb_agree_decode_state(&value, next);
+        xdr_free((xdrproc_t)xdr_agree_state_record, (char *)&value);
+    }
+    if (is_good) {
+        s->sequence = r.sequence;
+        *d = *next;
+    }
+    else {
+        bb_error_set(e, BB_STORE_ERROR_DAMAGED, "the snapshot is damaged");
+    }
+    g_free(data);
+    g_free(next);
+    return is_good;
+}
+
+/* Applies one log record; those that the snapshot contains are skipped. */
+static bool
+replay(struct bb_store *s, const struct store_record *r,
+       struct bb_agree_durable *d)
+{
+    agree_log_record value = {0};
+    struct bb_agree_durable *next;
+    bool is_good = false;
+
+    if (r->kind != STORE_LOG_RECORD || r->sequence > s->sequence + 1) {
+        return false; /* records are missing in between */
+    }
+    if (r->sequence <= s->sequence) {
+        return true;
+    }
+    next = g_new(struct bb_agree_durable, 1);
+    *next = *d;
+    is_good =
+        store_record_decode(r, (xdrproc_t)xdr_agree_log_record, &value) &&
+        bb_agree_decode_log(&value, next);
+    if (is_good) {
+        *d = *next;
+        s->sequence = r->sequence;
+    }
+    g_free(next);
+    xdr_free((xdrproc_t)xdr_agree_log_record, (char *)&value);
+    return is_good;
+}
+
+/* Removes a torn record at the end, which was never answered. */
+static bool
+cut_tail(struct bb_store *s, size_t size_bytes, struct bb_error *e)
+{
+    if (s->files.ftruncate(s->log_fd, (off_t)size_bytes) != 0 ||
+        s->files.fdatasync(s->log_fd) != 0) {
+        return bb_error_set(e, BB_STORE_ERROR_DAMAGED,
+                            "cannot truncate the torn end of the log: %s",
+                            g_strerror(errno));
+    }
+    return true;
+}
+
+/* Replays the log; false if it is damaged before a torn end. */
+static bool
+load_log(struct bb_store *s, struct bb_agree_durable *d, struct bb_error *e)
+{
+    struct store_record r = {0};
+    enum store_record_state state = STORE_RECORD_GOOD;
+    uint8_t *data = NULL;
+    size_t size = 0;
+    size_t at = 0;
+    bool is_good = false;
+
+    if (!read_file(s, "log", &data, &size, e)) {
+        return false;
+    }
+    while (state == STORE_RECORD_GOOD) {
+        state = store_record_read(data + at, size - at, &r);
+        if (state == STORE_RECORD_GOOD && !replay(s, &r, d)) {
+            state = STORE_RECORD_DAMAGED;
+        }
+        at += state == STORE_RECORD_GOOD ? r.total_bytes : 0;
+    }
+    if (state == STORE_RECORD_DAMAGED) {
+        bb_error_set(e, BB_STORE_ERROR_DAMAGED,
+                     "the log is damaged at byte %zu of %zu", at, size);
+    }
+    else {
+        is_good = state == STORE_RECORD_END || cut_tail(s, at, e);
+    }
+    g_free(data);
+    return is_good;
+}
+
+/* Fills in the durable state as far as it can be read. */
+bool
+store_recover(struct bb_store *s, struct bb_agree_durable *d,
+              struct bb_error *e)
+{
+    return load_snapshot(s, d, e) && load_log(s, d, e);
+}
--- /dev/null
+++ b/include/control/agree_codec.h
@@ -0,0 +1,21 @@
+/* Conversion between the structs of the quorum protocol and their XDR form. */
+#ifndef BB_CONTROL_AGREE_CODEC_H
+#define BB_CONTROL_AGREE_CODEC_H
+
+#include "agree.h"
+#include "decide/agree.h"
+
+void bb_agree_encode_message(const struct bb_agree_message *m,
+                             agree_message *out);
+bool bb_agree_decode_message(const agree_message *in,
+                             struct bb_agree_message *m);
+void bb_agree_encode_log(const struct bb_agree_durable *d,
+                         uint64_t first_index, agree_log_record *out);
+bool bb_agree_decode_log(const agree_log_record *in,
+                         struct bb_agree_durable *d);
+void bb_agree_encode_state(const struct bb_agree_durable *d,
+                           agree_state_record *out);
+bool bb_agree_decode_state(const agree_state_record *in,
+                           struct bb_agree_durable *d);
+
+#endif
--- /dev/null
+++ b/include/control/store.h
@@ -0,0 +1,60 @@
+/* Durable storage of a control host, in one data folder:
+ *   incarnation   random identity of the disk, written at first use
+ *   log           records {magic, length, sequence, checksums, payload}
+ *   snapshot      one such record with the whole state, replaced by rename
+ *   payloads/     configurations by digest
+ *
+ * A write has happened only once its function returned true: everything is
+ * synced by then. After the first failure no file is written again. A store
+ * is used by one thread, but for the payload functions, which may be called
+ * from any thread. */
+#ifndef BB_CONTROL_STORE_H
+#define BB_CONTROL_STORE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <sys/types.h>
+
+#include "common/error.h"
+#include "decide/agree.h"
+
+enum bb_store_error {
+    BB_STORE_ERROR_FOLDER = 1, /* the folder cannot be used at all */
+    BB_STORE_ERROR_IN_USE,     /* another process has it open */
+    BB_STORE_ERROR_DAMAGED,    /* readable in part; the host may not vote */
+    BB_STORE_ERROR_WRITE,      /* a write or sync failed */
+    BB_STORE_ERROR_PAYLOAD     /* payload missing, too large or damaged */
+};
+
+/* The file operations that change a disk, replaced by tests. */
+struct bb_store_files {
+    ssize_t (*write)(int fd, const void *data, size_t size_bytes);
+    int (*fdatasync)(int fd);
+    int (*fsync)(int fd);
+    int (*ftruncate)(int fd, off_t size_bytes);
+    int (*rename)(const char *from, const char *to);
+};
+
+struct bb_store;
+
+struct bb_store *bb_store_open(const char *folder,
+                               const struct bb_store_files *files,
+                               uint64_t incarnation,
+                               struct bb_agree_durable *d, struct bb_error *e);
+void bb_store_close(struct bb_store *s);
+bool bb_store_can_vote(struct bb_store *s, char *why, size_t size_bytes);
+bool bb_store_append(struct bb_store *s, const struct bb_agree_durable *d,
+                     uint64_t first_index, struct bb_error *e);
+bool bb_store_snapshot(struct bb_store *s, const struct bb_agree_durable *d,
+                       struct bb_error *e);
+bool bb_store_put_payload(struct bb_store *s, const struct bb_digest *digest,
+                          const void *data, size_t size_bytes,
+                          struct bb_error *e);
+bool bb_store_has_payload(struct bb_store *s, const struct bb_digest *digest);
+void *bb_store_get_payload(struct bb_store *s, const struct bb_digest *digest,
+                           size_t *size_bytes, struct bb_error *e);
+void bb_store_keep_payloads(struct bb_store *s,
+                            const struct bb_agree_durable *d);
+
+#endif
--- /dev/null
+++ b/tests/control/test_store.c
@@ -0,0 +1,366 @@
+/* The store: torn ends, damaged bytes, full disks and failing syncs. */
+#include <errno.h>
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "control/store.h"
+#include "unit.h"
+
+enum { WRITES = 8, SNAPSHOT_AT = 3, INCARNATION = 0x1234 };
+
+static char *folder;
+static struct bb_agree_durable states[WRITES + 1];
+static size_t log_ends[WRITES + 1]; /* size of the log after each write */
+
+/* Faults of the fake file operations. */
+static int write_errno;
+static int sync_errno;
+static size_t write_limit; /* bytes a write takes at most; 0: no limit */
+static uint32_t calls;
+
+static ssize_t
+fake_write(int fd, const void *data, size_t size_bytes)
+{
+    calls++;
+    if (write_limit > 0 && size_bytes > write_limit) {
+        return write(fd, data, write_limit);
+    }
+    if (write_errno != 0) {
+        errno = write_errno;
+        return -1;
+    }
+    return write(fd, data, size_bytes);
+}
+
+static int
+fake_fdatasync(int fd)
+{
+    calls++;
+    if (sync_errno != 0) {
+        errno = sync_errno;
+        return -1;
+    }
+    return fdatasync(fd);
+}
+
+static const struct bb_store_files fakes = {.write = fake_write,
+                                            .fdatasync = fake_fdatasync,
+                                            .fsync = fsync,
+                                            .ftruncate = ftruncate,
+                                            .rename = rename};
+
+/* Reads a file of the folder. */
+static gchar *
+read_file(const char *name, gsize *size)
+{
+    char *path = g_build_filename(folder, name, NULL);
+    gchar *data = NULL;
+
+    CU_ASSERT_TRUE_FATAL(g_file_get_contents(path, &data, size, NULL));
+    g_free(path);
+    return data;
+}
+
+static void
+write_file(const char *name, const gchar *data, gsize size)
+{
+    char *path = g_build_filename(folder, name, NULL);
+    FILE *f = fopen(path, "wb");
+
+    CU_ASSERT_PTR_NOT_NULL_FATAL(f);
+    CU_ASSERT_EQUAL(fwrite(data, 1, size, f), size);
+    (void)fclose(f);
+    g_free(path);
+}
+
+static struct bb_store *
+open_store(struct bb_agree_durable *d)
+{
+    struct bb_error e = {0};
+    struct bb_store *s = bb_store_open(folder, &fakes, INCARNATION, d, &e);
+
+    CU_ASSERT_PTR_NOT_NULL_FATAL(s);
+    return s;
+}
+
+/* Makes the next state: one more entry, now and then another vote. */
+static void
+advance(struct bb_agree_durable *d, uint64_t i)
+{
+    struct bb_agree_entry *e = &d->log[d->log_count];
+
+    *e = (struct bb_agree_entry){
+        .term = i, .revision = i, .kind = BB_AGREE_CONFIG};
+    e->digest.bytes[0] = (uint8_t)i;
+    d->log_count++;
+    d->term = i;
+    d->voted_for = i % 2 == 0 ? INCARNATION : 0;
+    d->commit = d->log_count - 1;
+}
+
+/* Fills a new folder with writes and one snapshot among them. */
+static void
+fill(void)
+{
+    struct bb_agree_durable *d = &states[0];
+    struct bb_store *s;
+
+    folder = g_dir_make_tmp("baobab-store-XXXXXX", NULL);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(folder);
+    s = open_store(d);
+    CU_ASSERT_EQUAL(d->incarnation, INCARNATION);
+    for (uint64_t i = 1; i <= WRITES; i++) {
+        gsize size = 0;
+
+        states[i] = states[i - 1];
+        advance(&states[i], i);
+        CU_ASSERT_TRUE(
+            i == SNAPSHOT_AT
+                ? bb_store_snapshot(s, &states[i], NULL)
+                : bb_store_append(s, &states[i], states[i].log_count, NULL));
+        g_free(read_file("log", &size));
+        log_ends[i] = size;
+    }
+    bb_store_close(s);
+}
+
+static void
+remove_folder(void)
+{
+    static const char *const names[] = {"log", "snapshot", "incarnation",
+                                        "lock", "payloads"};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+        char *path = g_build_filename(folder, names[i], NULL);
+
+        (void)g_remove(path);
+        g_free(path);
+    }
+    (void)g_rmdir(folder);
+    g_free(folder);
+}
+
+/* Guards against answered writes that are lost when the last write was cut
+ * off by a crash at any byte. */
+static void
+test_log_cut_at_every_byte(void)
+{
+    struct bb_agree_durable d;
+    gsize size = 0;
+    gchar *log;
+
+    fill();
+    log = read_file("log", &size);
+    for (gsize cut = 0; cut <= size; cut++) {
+        uint32_t expected = SNAPSHOT_AT;
+        struct bb_store *s;
+
+        write_file("log", log, cut);
+        while (expected < WRITES && log_ends[expected + 1] <= cut) {
+            expected++;
+        }
+        s = open_store(&d);
+        CU_ASSERT_TRUE(bb_store_can_vote(s, NULL, 0));
+        CU_ASSERT_EQUAL(memcmp(&d, &states[expected], sizeof(d)), 0);
+        advance(&d, WRITES + 1);
+        CU_ASSERT_TRUE(bb_store_append(s, &d, d.log_count, NULL));
+        bb_store_close(s);
+        s = open_store(&states[0]);
+        CU_ASSERT_EQUAL(memcmp(&d, &states[0], sizeof(d)), 0);
+        bb_store_close(s);
+    }
+    g_free(log);
+    remove_folder();
+}
+
+/* Flips each byte of one file and checks that the host either has every
+ * answered write or may not vote. */
+static void
+flip_bytes(const char *name, bool changes_identity)
+{
+    struct bb_agree_durable d;
+    gsize size = 0;
+    gchar *data;
+
+    fill();
+    data = read_file(name, &size);
+    for (gsize i = 0; i < size; i++) {
+        struct bb_store *s;
+
+        data[i] ^= 0x41;
+        write_file(name, data, size);
+        s = open_store(&d);
+        if (changes_identity) {
+            CU_ASSERT_TRUE(!bb_store_can_vote(s, NULL, 0) ||
+                           d.incarnation != INCARNATION || i + 1 == size);
+        }
+        else {
+            CU_ASSERT_FALSE(bb_store_can_vote(s, NULL, 0));
+            CU_ASSERT_FALSE(bb_store_append(s, &d, 0, NULL));
+        }
+        bb_store_close(s);
+        data[i] ^= 0x41;
+    }
+    g_free(data);
+    remove_folder();
+}
+
+static void
+test_flipped_bytes(void)
+{
+    flip_bytes("log", false);
+    flip_bytes("snapshot", false);
+    flip_bytes("incarnation", true);
+}
+
+/* Guards against a host that votes without the files it had. */
+static void
+test_missing_files(void)
+{
+    static const char *const names[] = {"log", "snapshot", "incarnation"};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+        struct bb_agree_durable d;
+        struct bb_store *s;
+        char *path;
+
+        fill();
+        path = g_build_filename(folder, names[i], NULL);
+        CU_ASSERT_EQUAL(g_remove(path), 0);
+        g_free(path);
+        s = open_store(&d);
+        CU_ASSERT_FALSE(bb_store_can_vote(s, NULL, 0));
+        bb_store_close(s);
+        remove_folder();
+    }
+}
+
+/* Makes a write fail and checks that nothing is written or synced after it,
+ * and that all answered writes are found again. */
+static void
+fail_write(int write_error, int sync_error)
+{
+    struct bb_agree_durable d;
+    struct bb_agree_durable before;
+    struct bb_error e = {0};
+    char why[BB_ERROR_MESSAGE_BYTES];
+    struct bb_store *s;
+
+    fill();
+    s = open_store(&d);
+    before = d;
+    advance(&d, WRITES + 1);
+    write_errno = write_error;
+    sync_errno = sync_error;
+    write_limit = write_error != 0 ? 100 : 0; /* some bytes are written */
+    CU_ASSERT_FALSE(bb_store_append(s, &d, d.log_count, &e));
+    CU_ASSERT_EQUAL(e.code, BB_STORE_ERROR_WRITE);
+    calls = 0;
+    write_errno = 0;
+    sync_errno = 0;
+    write_limit = 0;
+    CU_ASSERT_FALSE(bb_store_append(s, &d, d.log_count, &e));
+    CU_ASSERT_FALSE(bb_store_snapshot(s, &d, &e));
+    CU_ASSERT_EQUAL(calls, 0);
+    CU_ASSERT_FALSE(bb_store_can_vote(s, why, sizeof(why)));
+    CU_ASSERT_TRUE(strlen(why) > 0);
+    bb_store_close(s);
+    s = open_store(&d);
+    CU_ASSERT_TRUE(bb_store_can_vote(s, NULL, 0));
+    if (write_error != 0) {
+        CU_ASSERT_EQUAL(memcmp(&d, &before, sizeof(d)), 0);
+    }
+    bb_store_close(s);
+    remove_folder();
+}
+
+/* Guards against a write that is answered although it failed, and against a
+ * sync that is retried: the second one may report success for lost pages. */
+static void
+test_errors_of_write_and_sync(void)
+{
+    fail_write(ENOSPC, 0);
+    fail_write(EIO, 0);
+    fail_write(0, EIO);
+}
+
+/* Guards against a payload that is taken for stored on a full disk. */
+static void
+test_full_disk_for_payload(void)
+{
+    struct bb_digest digest = bb_digest_of("x", 1);
+    struct bb_agree_durable d;
+    struct bb_store *s;
+
+    fill();
+    s = open_store(&d);
+    write_errno = ENOSPC;
+    CU_ASSERT_FALSE(bb_store_put_payload(s, &digest, "x", 1, NULL));
+    write_errno = 0;
+    CU_ASSERT_FALSE(bb_store_has_payload(s, &digest));
+    CU_ASSERT_FALSE(bb_store_can_vote(s, NULL, 0));
+    bb_store_close(s);
+    remove_folder();
+}
+
+/* Guards against short writes taken for whole ones. */
+static void
+test_short_writes(void)
+{
+    struct bb_agree_durable d;
+    struct bb_store *s;
+
+    write_limit = 7;
+    fill();
+    write_limit = 0;
+    s = open_store(&d);
+    CU_ASSERT_TRUE(bb_store_can_vote(s, NULL, 0));
+    CU_ASSERT_EQUAL(memcmp(&d, &states[WRITES], sizeof(d)), 0);
+    CU_ASSERT_PTR_NULL(bb_store_open(folder, NULL, 1, &d, NULL));
+    bb_store_close(s);
+    remove_folder();
+}
+
+/* Guards against payloads that are lost, mixed up or removed while needed. */
+static void
+test_payloads(void)
+{
+    static const char text[] = "[service a]\n";
+    struct bb_digest digest = bb_digest_of(text, sizeof(text));
+    struct bb_digest other = bb_digest_of("b", 1);
+    struct bb_agree_durable d;
+    struct bb_store *s;
+    size_t size = 0;
+    void *data;
+
+    fill();
+    s = open_store(&d);
+    CU_ASSERT_TRUE(bb_store_put_payload(s, &digest, text, sizeof(text), NULL));
+    CU_ASSERT_TRUE(bb_store_put_payload(s, &other, "b", 1, NULL));
+    CU_ASSERT_FALSE(bb_store_put_payload(s, &digest, "b", 1, NULL));
+    d.log[0].digest = digest;
+    bb_store_keep_payloads(s, &d);
+    CU_ASSERT_FALSE(bb_store_has_payload(s, &other));
+    data = bb_store_get_payload(s, &digest, &size, NULL);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(data);
+    CU_ASSERT_EQUAL(size, sizeof(text));
+    g_free(data);
+    d.log[0].digest = other;
+    bb_store_keep_payloads(s, &d);
+    bb_store_close(s);
+    remove_folder();
+}
+
+static const struct bb_unit_test tests[] = {
+    {"log cut at every byte", test_log_cut_at_every_byte},
+    {"flipped bytes", test_flipped_bytes},
+    {"missing files", test_missing_files},
+    {"full disk for a payload", test_full_disk_for_payload},
+    {"errors of write and sync", test_errors_of_write_and_sync},
+    {"short writes", test_short_writes},
+    {"payloads", test_payloads},
+};
+
+BB_UNIT_MAIN("store", tests)
