--- /dev/null
+++ b/control/replicate.c
@@ -0,0 +1,387 @@
+/* Life cycle, proposals and status of the replication. */
+#include "control/replicate.h"
+
+#include <errno.h>
+#include <string.h>
+
+#include "common/clock.h"
+#include "replicate_internal.h"
+
+enum { RESEND_US = 500 * 1000, RETRY_PAUSE_US = 50 * 1000 };
+
+/* Orders hosts by id, so that all assign the same slots. */
+static int
+compare_hosts(const void *a, const void *b)
+{
+    const struct bb_replicate_peer *x = a;
+    const struct bb_replicate_peer *y = b;
+
+    return strcmp(x->id, y->id);
+}
+
+/* Fills in the table of hosts and finds the own slot. */
+static bool
+read_hosts(struct bb_replicate *r, const struct bb_replicate_settings *s,
+           struct bb_error *e)
+{
+    struct bb_replicate_peer *own = &r->hosts[0];
+
+    (void)g_strlcpy(own->id, s->id, sizeof(own->id));
+    (void)g_strlcpy(own->region, s->region, sizeof(own->region));
+    r->host_count = 1;
+    for (uint32_t i = 0; i < s->peer_count; i++) {
+        if (strcmp(s->peers[i].id, s->id) == 0) {
+            own->rpc = s->peers[i].rpc;
+            continue;
+        }
+        if (r->host_count == BB_AGREE_HOSTS_MAX) {
+            return bb_error_set(e, BB_REPLICATE_ERROR_SETTINGS,
+                                "more than %d control hosts",
+                                BB_AGREE_HOSTS_MAX);
+        }
+        r->hosts[r->host_count++] = s->peers[i];
+    }
+    qsort(r->hosts, r->host_count, sizeof(r->hosts[0]), compare_hosts);
+    for (uint8_t h = 0; h < r->host_count; h++) {
+        if (h > 0 && strcmp(r->hosts[h].id, r->hosts[h - 1].id) == 0) {
+            return bb_error_set(e, BB_REPLICATE_ERROR_SETTINGS,
+                                "control host %s is listed twice",
+                                r->hosts[h].id);
+        }
+        if (strcmp(r->hosts[h].id, s->id) == 0) {
+            r->self = h;
+        }
+        r->cluster =
+            bb_hash64(r->hosts[h].id, strlen(r->hosts[h].id) + 1, r->cluster);
+    }
+    return true;
+}
+
+/* Opens the store and restarts the protocol from it. */
+static bool
+recover(struct bb_replicate *r, struct bb_error *e)
+{
+    const struct bb_agree_settings s = {.self = r->self,
+                                        .host_count = r->host_count,
+                                        .first_revision =
+                                            r->settings.first_revision};
+    struct bb_agree_durable *d = g_new0(struct bb_agree_durable, 1);
+    struct bb_error cause = {0};
+
+    /* The identity must not depend on the seed: an emptied disk would get its
+     * old one again and be counted as a member that remembers. */
+    r->store = bb_store_open(r->data_folder, r->settings.files,
+                             bb_random_system_seed() | 1, d, &cause);
+    if (r->store == NULL) {
+        (void)bb_error_wrap(e, BB_REPLICATE_ERROR_STORE, &cause,
+                            "data folder");
+    }
+    else {
+        bb_agree_restart(&r->core, &s, d, bb_clock_now_us(),
+                         bb_random_u64(r->random) ^ bb_random_system_seed());
+    }
+    g_free(d);
+    return r->store != NULL;
+}
+
+/* Prepares locks, queues and the transport. */
+static void
+prepare(struct bb_replicate *r)
+{
+    pthread_condattr_t attributes;
+
+    (void)pthread_mutex_init(&r->lock, NULL);
+    (void)pthread_condattr_init(&attributes);
+    (void)pthread_condattr_setclock(&attributes, CLOCK_MONOTONIC);
+    (void)pthread_cond_init(&r->answered, &attributes);
+    (void)pthread_condattr_destroy(&attributes);
+    r->jobs = g_async_queue_new();
+    r->fetches = g_async_queue_new();
+    r->leader = BB_AGREE_NO_HOST;
+    r->pool = bb_rpc_pool_create();
+    if (r->settings.transport != NULL) {
+        r->transport = *r->settings.transport;
+    }
+    else {
+        r->transport = (struct bb_replicate_transport){
+            .context = r->pool, .call = replicate_rpc_call};
+    }
+}
+
+/* Starts the replication of one control host. The texts and lists of the
+ * settings are copied; the context and the callbacks must stay valid. Returns
+ * NULL if the settings or the data folder cannot be used. A damaged data
+ * folder is used without voting. */
+struct bb_replicate *
+bb_replicate_create(const struct bb_replicate_settings *settings,
+                    struct bb_error *e)
+{
+    struct bb_replicate *r = g_new0(struct bb_replicate, 1);
+
+    r->settings = *settings;
+    prepare(r);
+    (void)g_strlcpy(r->region, settings->region, sizeof(r->region));
+    r->data_folder = g_strdup(settings->data_folder);
+    r->random = bb_random_create(settings->seed);
+    if (!read_hosts(r, settings, e) || !recover(r, e)) {
+        goto fail;
+    }
+    r->settings.peers = NULL;
+    r->settings.data_folder = r->data_folder;
+    replicate_publish(r);
+    if (!replicate_peers_start(r) ||
+        pthread_create(&r->engine, NULL, replicate_engine_run, r) != 0) {
+        (void)bb_error_set(e, BB_REPLICATE_ERROR_INTERNAL,
+                           "cannot start the threads of the replication");
+        goto fail;
+    }
+    r->is_engine_started = true;
+    return r;
+fail:
+    bb_replicate_destroy(r);
+    return NULL;
+}
+
+/* Frees the jobs of a queue and the queue. */
+static void
+free_queue(GAsyncQueue *queue)
+{
+    struct replicate_job *job;
+
+    while ((job = g_async_queue_try_pop(queue)) != NULL) {
+        replicate_free_job(job);
+    }
+    g_async_queue_unref(queue);
+}
+
+/* Stops the threads and frees everything; the RPC server must be destroyed
+ * before, and no proposal may be waiting. NULL is allowed. */
+void
+bb_replicate_destroy(struct bb_replicate *r)
+{
+    struct replicate_job *job;
+
+    if (r == NULL) {
+        return;
+    }
+    atomic_store(&r->is_stopping, true);
+    if (r->is_engine_started) {
+        job = g_new0(struct replicate_job, 1);
+        job->kind = REPLICATE_JOB_STOP;
+        g_async_queue_push_front(r->jobs, job);
+        (void)pthread_join(r->engine, NULL);
+    }
+    replicate_peers_stop(r);
+    free_queue(r->jobs);
+    free_queue(r->fetches);
+    bb_store_close(r->store);
+    bb_random_destroy(r->random);
+    bb_rpc_pool_destroy(r->pool);
+    (void)pthread_cond_destroy(&r->answered);
+    (void)pthread_mutex_destroy(&r->lock);
+    g_free(r->data_folder);
+    g_free(r);
+}
+
+/* Hands a proposal to the leader, which may be this host. */
+static bool
+submit(struct bb_replicate *r, uint8_t leader,
+       const struct bb_agree_proposal *p, const void *payload,
+       size_t size_bytes)
+{
+    agree_propose argument = {.cluster = r->cluster};
+    agree_proposal *request = &argument.body.agree_propose_body_u.proposal;
+    agree_ack ack = {0};
+
+    argument.body.kind = AGREE_PROPOSE_REQUEST;
+    request->origin = r->self;
+    request->ticket = p->ticket;
+    request->base = p->base;
+    request->version_label = p->version;
+    memcpy(request->digest, p->digest.bytes, BB_DIGEST_BYTES);
+    request->payload.payload_val = (char *)payload;
+    request->payload.payload_len = (u_int)size_bytes;
+    if (leader == r->self) {
+        return bb_replicate_handle(r, AGREE_PROPOSE, &argument, &ack) &&
+               ack.is_taken;
+    }
+    return r->transport.call(r->transport.context, &r->hosts[leader],
+                             AGREE_PROPOSE, &argument, &ack,
+                             REPLICATE_BULK_TIMEOUT_MS) &&
+           ack.is_taken;
+}
+
+/* Waits for the answer, or until a time. */
+static bool
+wait_answer(struct bb_replicate *r, struct replicate_waiter *w,
+            uint64_t until_us)
+{
+    struct timespec until = bb_clock_timespec(until_us);
+    bool is_answered;
+
+    (void)pthread_mutex_lock(&r->lock);
+    while (!w->is_answered && pthread_cond_timedwait(&r->answered, &r->lock,
+                                                     &until) != ETIMEDOUT) {
+    }
+    is_answered = w->is_answered;
+    (void)pthread_mutex_unlock(&r->lock);
+    return is_answered;
+}
+
+/* Turns a final result of the protocol into an outcome; false for a result
+ * after which the proposal is sent again. */
+static bool
+is_final(const struct replicate_waiter *w, struct bb_replicate_result *result)
+{
+    result->revision = w->revision;
+    switch (w->result) {
+    case BB_AGREE_ACCEPTED:
+        result->outcome = BB_REPLICATE_ACCEPTED;
+        return true;
+    case BB_AGREE_STALE_BASE:
+        result->outcome = BB_REPLICATE_STALE_BASE;
+        return true;
+    case BB_AGREE_CONFLICT:
+        result->outcome = BB_REPLICATE_CONFLICT;
+        return true;
+    case BB_AGREE_CONFIRMED:
+    case BB_AGREE_NOT_LEADER:
+    case BB_AGREE_BUSY:
+    case BB_AGREE_UNKNOWN:
+    default:
+        return false;
+    }
+}
+
+/* Sends the proposal once to the leader known now and waits for the answer.
+ * True if the answer is final. */
+static bool
+attempt(struct bb_replicate *r, struct replicate_waiter *w,
+        struct bb_agree_proposal *p, const void *payload, size_t size_bytes,
+        uint64_t end_us, struct bb_replicate_result *result)
+{
+    uint64_t until_us = bb_clock_now_us() + RESEND_US;
+    uint8_t leader;
+
+    (void)pthread_mutex_lock(&r->lock);
+    leader = r->leader;
+    w->is_answered = false;
+    w->ticket = ++r->next_ticket;
+    p->ticket = w->ticket;
+    (void)pthread_mutex_unlock(&r->lock);
+    if (leader < r->host_count && submit(r, leader, p, payload, size_bytes) &&
+        wait_answer(r, w, until_us < end_us ? until_us : end_us) &&
+        is_final(w, result)) {
+        return true;
+    }
+    bb_clock_sleep_us(RETRY_PAUSE_US);
+    return false;
+}
+
+/* Proposes a configuration on any host and waits for the answer. It is sent
+ * again while the leader changes, which is safe: (base, digest) identifies
+ * it. After BB_REPLICATE_NO_QUORUM it may still be accepted later; proposing
+ * the same again tells. */
+struct bb_replicate_result
+bb_replicate_propose(struct bb_replicate *r, uint64_t base, uint64_t version,
+                     const struct bb_digest *digest, const void *payload,
+                     size_t size_bytes, uint32_t timeout_ms)
+{
+    struct bb_agree_proposal p = {
+        .base = base, .version = version, .digest = *digest};
+    struct bb_replicate_result result = {.outcome = BB_REPLICATE_NO_QUORUM};
+    uint64_t end_us = bb_clock_now_us() + (uint64_t)timeout_ms * BB_US_PER_MS;
+    struct bb_digest found = bb_digest_of(payload, size_bytes);
+    struct replicate_waiter w = {0};
+    struct replicate_waiter **at;
+    bool is_done = false;
+
+    if (size_bytes > BB_REPLICATE_PAYLOAD_MAX_BYTES ||
+        !bb_digest_equal(&found, digest)) {
+        result.outcome = BB_REPLICATE_BAD_PAYLOAD;
+        return result;
+    }
+    (void)pthread_mutex_lock(&r->lock);
+    w.next = r->waiters;
+    r->waiters = &w;
+    (void)pthread_mutex_unlock(&r->lock);
+    while (!is_done && bb_clock_now_us() < end_us) {
+        is_done = attempt(r, &w, &p, payload, size_bytes, end_us, &result);
+    }
+    (void)pthread_mutex_lock(&r->lock);
+    for (at = &r->waiters; *at != &w; at = &(*at)->next) {
+    }
+    *at = w.next;
+    (void)pthread_mutex_unlock(&r->lock);
+    if (!is_done) {
+        result = (struct bb_replicate_result){BB_REPLICATE_NO_QUORUM, 0};
+    }
+    return result;
+}
+
+/* Fills in the status as of now. */
+void
+bb_replicate_status(struct bb_replicate *r, struct bb_replicate_status *status)
+{
+    uint64_t now_us = bb_clock_now_us();
+
+    (void)pthread_mutex_lock(&r->lock);
+    *status = r->status;
+    status->is_confirmed =
+        r->confirmed_us != 0 && now_us < r->confirmed_us + REPLICATE_ALIVE_US;
+    status->peer_count = 0;
+    for (uint8_t h = 0; h < r->host_count; h++) {
+        struct bb_replicate_peer_status *p =
+            &status->peers[status->peer_count];
+
+        if (h != r->self) {
+            (void)g_strlcpy(p->id, r->hosts[h].id, sizeof(p->id));
+            p->is_alive = r->heard_us[h] != 0 &&
+                          now_us < r->heard_us[h] + REPLICATE_ALIVE_US;
+            status->peer_count++;
+        }
+    }
+    (void)pthread_mutex_unlock(&r->lock);
+}
+
+/* Exchanges member records with another control host; *answer is freed with
+ * g_free. Blocks; not for the threads of callbacks. */
+bool
+bb_replicate_exchange(struct bb_replicate *r, const char *peer_id,
+                      const void *records, size_t size_bytes, void **answer,
+                      size_t *answer_bytes, uint32_t timeout_ms,
+                      struct bb_error *e)
+{
+    agree_members argument = {.cluster = r->cluster, .from = r->self};
+    agree_members result = {0};
+
+    argument.records.records_val = (char *)records;
+    argument.records.records_len = (u_int)size_bytes;
+    for (uint8_t h = 0; h < r->host_count; h++) {
+        if (h == r->self || strcmp(r->hosts[h].id, peer_id) != 0) {
+            continue;
+        }
+        if (r->transport.call(r->transport.context, &r->hosts[h],
+                              AGREE_EXCHANGE_MEMBERS, &argument, &result,
+                              timeout_ms)) {
+            *answer = result.records.records_val;
+            *answer_bytes = result.records.records_len;
+            return true;
+        }
+        xdr_free((xdrproc_t)xdr_agree_members, (char *)&result);
+        return bb_error_set(e, BB_REPLICATE_ERROR_CALL, "%s does not answer",
+                            peer_id);
+    }
+    return bb_error_set(e, BB_REPLICATE_ERROR_SETTINGS,
+                        "%s is no other control host", peer_id);
+}
+
+/* Returns the name of an outcome, as shown to operators. */
+const char *
+bb_replicate_outcome_name(enum bb_replicate_outcome outcome)
+{
+    static const char *const names[] = {"accepted", "stale_base", "conflict",
+                                        "no_quorum", "bad_payload"};
+
+    return names[outcome];
+}
--- /dev/null
+++ b/control/replicate_internal.h
@@ -0,0 +1,149 @@
+/* Shared by the files of the replication. */
+#ifndef BB_CONTROL_REPLICATE_INTERNAL_H
+#define BB_CONTROL_REPLICATE_INTERNAL_H
+
+#include <glib.h>
+#include <pthread.h>
+#include <stdatomic.h>
+
+#include "common/random.h"
+#include "control/agree_codec.h"
+#include "control/replicate.h"
+
+enum {
+    REPLICATE_ALIVE_US = 1000 * 1000,
+    REPLICATE_CALL_TIMEOUT_MS = 500,
+    REPLICATE_BULK_TIMEOUT_MS = 3000,
+    REPLICATE_INLINED_MAX = 16,
+    REPLICATE_KNOWN_MAX = 16,
+    REPLICATE_ROUTES_MAX = 64
+};
+
+/* Work for the engine or the fetcher. */
+enum replicate_job_kind {
+    REPLICATE_JOB_MESSAGE,
+    REPLICATE_JOB_PROPOSAL,
+    REPLICATE_JOB_FETCH, /* a payload without a message */
+    REPLICATE_JOB_STOP
+};
+
+struct replicate_job {
+    enum replicate_job_kind kind;
+    struct bb_agree_message message;
+    struct bb_digest in_force; /* payload that the message requires */
+    uint8_t holder;            /* host to fetch payloads from */
+    uint8_t origin;            /* proposal: host that waits for the answer */
+    struct bb_agree_proposal proposal;
+    struct bb_digest missing; /* for the fetcher */
+    void *payload;
+    size_t payload_bytes;
+};
+
+/* A call to a peer; exactly one of the arguments is used. */
+struct replicate_call {
+    uint32_t procedure; /* 0: stop */
+    agree_envelope envelope;
+    agree_propose propose;
+};
+
+/* Two threads call each peer, so that a large payload does not hold up
+ * heartbeats. */
+enum { REPLICATE_LANE_URGENT, REPLICATE_LANE_BULK, REPLICATE_LANES };
+
+struct replicate_sender {
+    struct bb_replicate *r;
+    uint8_t slot;
+    GAsyncQueue *queue;
+    pthread_t thread;
+    bool is_started;
+};
+
+/* Where the answer to a proposal goes. */
+struct replicate_route {
+    uint64_t ticket; /* at the core; 0: free */
+    uint64_t origin_ticket;
+    uint8_t origin;
+};
+
+/* A caller that waits for the answer to its proposal. */
+struct replicate_waiter {
+    uint64_t ticket;
+    bool is_answered;
+    enum bb_agree_result result;
+    uint64_t revision;
+    struct replicate_waiter *next;
+};
+
+struct bb_replicate {
+    struct bb_replicate_settings settings;
+    struct bb_replicate_transport transport;
+    struct bb_replicate_peer hosts[BB_AGREE_HOSTS_MAX]; /* by slot */
+    uint8_t host_count;
+    uint8_t self;
+    uint64_t cluster; /* hash of the host names */
+    char region[BB_NAME_BYTES];
+    char *data_folder;
+    struct bb_store *store;
+    struct bb_random *random;
+    struct bb_rpc_pool *pool;
+
+    /* Used by the engine's thread only. */
+    struct bb_agree core;
+    struct bb_agree_output output;
+    struct replicate_route routes[REPLICATE_ROUTES_MAX];
+    uint64_t next_route;
+    uint64_t delivered_revision;
+    uint64_t fetch_due_us;
+    enum bb_agree_role role;
+    uint64_t role_term;
+    struct bb_digest inlined[BB_AGREE_HOSTS_MAX][REPLICATE_INLINED_MAX];
+    uint32_t inlined_next[BB_AGREE_HOSTS_MAX];
+    struct bb_digest known[REPLICATE_KNOWN_MAX]; /* stored payloads */
+    uint32_t known_next;
+
+    GAsyncQueue *jobs;
+    GAsyncQueue *fetches;
+    struct replicate_sender senders[BB_AGREE_HOSTS_MAX][REPLICATE_LANES];
+    pthread_t engine;
+    pthread_t fetcher;
+    bool is_engine_started;
+    bool is_fetcher_started;
+    atomic_bool is_stopping;
+
+    pthread_mutex_t lock; /* of what follows */
+    pthread_cond_t answered;
+    struct replicate_waiter *waiters;
+    uint64_t next_ticket;
+    struct bb_replicate_status status;
+    uint64_t confirmed_us;
+    uint64_t heard_us[BB_AGREE_HOSTS_MAX];
+    uint8_t leader; /* slot or BB_AGREE_NO_HOST */
+};
+
+/* replicate_engine.c */
+void *replicate_engine_run(void *argument);
+void replicate_publish(struct bb_replicate *r);
+
+/* replicate_output.c */
+void replicate_send(struct bb_replicate *r, const struct bb_agree_message *m);
+void replicate_apply(struct bb_replicate *r);
+void replicate_deliver(struct bb_replicate *r,
+                       const struct bb_agree_config *c);
+void replicate_answer(struct bb_replicate *r, const struct bb_agree_answer *a);
+bool replicate_is_stored(struct bb_replicate *r, const struct bb_digest *d);
+void replicate_complete(struct bb_replicate *r, uint64_t ticket,
+                        enum bb_agree_result result, uint64_t revision);
+
+/* replicate_peer.c */
+bool replicate_peers_start(struct bb_replicate *r);
+void replicate_peers_stop(struct bb_replicate *r);
+void replicate_enqueue(struct bb_replicate *r, uint8_t slot, uint32_t lane,
+                       struct replicate_call *call);
+void replicate_free_job(struct replicate_job *job);
+
+/* replicate_rpc.c */
+bool replicate_rpc_call(void *context, const struct bb_replicate_peer *to,
+                        uint32_t procedure, void *argument, void *result,
+                        uint32_t timeout_ms);
+
+#endif
--- /dev/null
+++ b/control/replicate_peer.c
@@ -0,0 +1,231 @@
+/* Threads that call other control hosts: two senders for each peer, and one
+ * that fetches payloads. */
+#include <string.h>
+
+#include "common/clock.h"
+#include "common/counters.h"
+#include "replicate_internal.h"
+
+enum {
+    QUEUE_MAX = 32,
+    FETCH_ATTEMPTS = 20, /* at the holder, before the leader is asked */
+    FETCH_PAUSE_US = 30 * 1000
+};
+
+BB_COUNTER(sent_total, "baobab_agree_messages_sent_total",
+           "Messages sent to control hosts");
+BB_COUNTER(unsent_total, "baobab_agree_messages_unsent_total",
+           "Messages to control hosts that could not be sent");
+BB_COUNTER(fetched_total, "baobab_agree_payloads_fetched_total",
+           "Payloads fetched from control hosts");
+
+/* Frees a job and its payload. */
+void
+replicate_free_job(struct replicate_job *job)
+{
+    if (job != NULL) {
+        g_free(job->payload);
+        g_free(job);
+    }
+}
+
+static void
+free_call(struct replicate_call *call)
+{
+    xdr_free((xdrproc_t)xdr_agree_envelope, (char *)&call->envelope);
+    xdr_free((xdrproc_t)xdr_agree_propose, (char *)&call->propose);
+    g_free(call);
+}
+
+/* Queues a call to a peer. When too many wait, the oldest is dropped: the
+ * protocol repeats what is still needed. */
+void
+replicate_enqueue(struct bb_replicate *r, uint8_t slot, uint32_t lane,
+                  struct replicate_call *call)
+{
+    struct replicate_call *oldest = NULL;
+    GAsyncQueue *queue;
+
+    if (slot >= r->host_count || slot == r->self) {
+        free_call(call);
+        return;
+    }
+    queue = r->senders[slot][lane].queue;
+    if (g_async_queue_length(queue) >= QUEUE_MAX) {
+        oldest = g_async_queue_try_pop(queue);
+    }
+    if (oldest != NULL) {
+        bb_counter_add(&unsent_total, 1);
+        free_call(oldest);
+    }
+    g_async_queue_push(queue, call);
+}
+
+/* Makes the calls of one lane to one peer. */
+static void *
+run_sender(void *argument)
+{
+    struct replicate_sender *s = argument;
+    struct bb_replicate *r = s->r;
+    bool is_running = true;
+
+    while (is_running) {
+        struct replicate_call *call = g_async_queue_pop(s->queue);
+        agree_ack ack = {0};
+        uint32_t timeout_ms = call->envelope.payload.payload_len > 0
+                                  ? REPLICATE_BULK_TIMEOUT_MS
+                                  : REPLICATE_CALL_TIMEOUT_MS;
+        void *body = call->procedure == AGREE_PROPOSE
+                         ? (void *)&call->propose
+                         : (void *)&call->envelope;
+
+        is_running = call->procedure != 0 && !atomic_load(&r->is_stopping);
+        if (is_running) {
+            bool is_sent =
+                r->transport.call(r->transport.context, &r->hosts[s->slot],
+                                  call->procedure, body, &ack, timeout_ms);
+
+            bb_counter_add(is_sent ? &sent_total : &unsent_total, 1);
+        }
+        free_call(call);
+    }
+    return NULL;
+}
+
+/* Asks one host for a payload and stores it. */
+static bool
+fetch_from(struct bb_replicate *r, uint8_t slot, const struct bb_digest *d)
+{
+    agree_fetch argument = {.cluster = r->cluster};
+    agree_fetched result = {0};
+    bool is_stored = false;
+
+    if (slot == r->self || slot >= r->host_count) {
+        return false;
+    }
+    memcpy(argument.digest, d->bytes, BB_DIGEST_BYTES);
+    if (r->transport.call(r->transport.context, &r->hosts[slot],
+                          AGREE_FETCH_PAYLOAD, &argument, &result,
+                          REPLICATE_BULK_TIMEOUT_MS) &&
+        result.is_found) {
+        is_stored =
+            bb_store_put_payload(r->store, d, result.payload.payload_val,
+                                 result.payload.payload_len, NULL);
+    }
+    xdr_free((xdrproc_t)xdr_agree_fetched, (char *)&result);
+    bb_counter_add(&fetched_total, is_stored);
+    return is_stored;
+}
+
+/* Fetches a payload: from the holder named by the leader, which may just be
+ * receiving it, then from the leader, then from anyone. */
+static bool
+fetch(struct bb_replicate *r, const struct replicate_job *job)
+{
+    const struct bb_digest *d = &job->missing;
+
+    for (uint32_t i = 0; i < FETCH_ATTEMPTS; i++) {
+        if (atomic_load(&r->is_stopping)) {
+            return false;
+        }
+        if (bb_store_has_payload(r->store, d) ||
+            fetch_from(r, job->holder, d)) {
+            return true;
+        }
+        if (job->holder == job->message.from) {
+            break;
+        }
+        bb_clock_sleep_us(FETCH_PAUSE_US);
+    }
+    if (fetch_from(r, job->message.from, d)) {
+        return true;
+    }
+    for (uint8_t h = 0; h < r->host_count; h++) {
+        if (!atomic_load(&r->is_stopping) && h != job->message.from &&
+            h != job->holder && fetch_from(r, h, d)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Fetches the payloads of messages and hands them back to the engine. */
+static void *
+run_fetcher(void *argument)
+{
+    struct bb_replicate *r = argument;
+    bool is_running = true;
+
+    while (is_running) {
+        struct replicate_job *job = g_async_queue_pop(r->fetches);
+
+        is_running = job->kind != REPLICATE_JOB_STOP;
+        if (is_running && fetch(r, job)) {
+            g_async_queue_push(r->jobs, job);
+        }
+        else {
+            replicate_free_job(job);
+        }
+    }
+    return NULL;
+}
+
+/* Starts the threads. */
+bool
+replicate_peers_start(struct bb_replicate *r)
+{
+    for (uint8_t h = 0; h < r->host_count; h++) {
+        for (uint32_t lane = 0; lane < REPLICATE_LANES && h != r->self;
+             lane++) {
+            struct replicate_sender *s = &r->senders[h][lane];
+
+            s->r = r;
+            s->slot = h;
+            s->queue = g_async_queue_new();
+            if (pthread_create(&s->thread, NULL, run_sender, s) != 0) {
+                return false;
+            }
+            s->is_started = true;
+        }
+    }
+    r->is_fetcher_started =
+        pthread_create(&r->fetcher, NULL, run_fetcher, r) == 0;
+    return r->is_fetcher_started;
+}
+
+/* Stops the threads after their running calls and drops what waits. */
+void
+replicate_peers_stop(struct bb_replicate *r)
+{
+    struct replicate_job *job = g_new0(struct replicate_job, 1);
+
+    job->kind = REPLICATE_JOB_STOP;
+    g_async_queue_push(r->fetches, job);
+    for (uint8_t h = 0; h < r->host_count; h++) {
+        for (uint32_t lane = 0; lane < REPLICATE_LANES; lane++) {
+            struct replicate_sender *s = &r->senders[h][lane];
+
+            if (s->is_started) {
+                g_async_queue_push(s->queue, g_new0(struct replicate_call, 1));
+            }
+        }
+    }
+    if (r->is_fetcher_started) {
+        (void)pthread_join(r->fetcher, NULL);
+    }
+    for (uint8_t h = 0; h < r->host_count; h++) {
+        for (uint32_t lane = 0; lane < REPLICATE_LANES; lane++) {
+            struct replicate_sender *s = &r->senders[h][lane];
+            struct replicate_call *call;
+
+            if (s->is_started) {
+                (void)pthread_join(s->thread, NULL);
+            }
+            while (s->queue != NULL &&
+                   (call = g_async_queue_try_pop(s->queue)) != NULL) {
+                free_call(call);
+            }
+            g_clear_pointer(&s->queue, g_async_queue_unref);
+        }
+    }
+}
--- /dev/null
+++ b/control/replicate_rpc.c
@@ -0,0 +1,266 @@
+/* The replication's end of ONC RPC: the server's dispatch, what each procedure
+ * does, and calls to peers. */
+#include <string.h>
+
+#include "common/counters.h"
+#include "replicate_internal.h"
+
+enum { JOBS_MAX = 256 };
+
+BB_COUNTER(dropped_total, "baobab_agree_dropped_total",
+           "Messages between control hosts dropped: foreign, malformed, or "
+           "too many waiting");
+
+/* libtirpc passes no context to a dispatch function. */
+static struct bb_replicate *registered;
+
+struct procedure {
+    xdrproc_t argument_codec;
+    xdrproc_t result_codec;
+};
+
+union argument {
+    agree_envelope envelope;
+    agree_fetch fetch;
+    agree_propose propose;
+    agree_members members;
+};
+
+union result {
+    agree_ack ack;
+    agree_fetched fetched;
+    agree_members members;
+};
+
+/* Returns the codecs of a procedure; false if there is none. */
+static bool
+find_procedure(uint32_t number, struct procedure *p)
+{
+    p->argument_codec = (xdrproc_t)xdr_agree_envelope;
+    p->result_codec = (xdrproc_t)xdr_agree_ack;
+    switch (number) {
+    case AGREE_VOTE:
+    case AGREE_APPEND:
+    case AGREE_FORM:
+    case AGREE_IDENTITY:
+        return true;
+    case AGREE_FETCH_PAYLOAD:
+        p->argument_codec = (xdrproc_t)xdr_agree_fetch;
+        p->result_codec = (xdrproc_t)xdr_agree_fetched;
+        return true;
+    case AGREE_PROPOSE:
+        p->argument_codec = (xdrproc_t)xdr_agree_propose;
+        return true;
+    case AGREE_EXCHANGE_MEMBERS:
+        p->argument_codec = (xdrproc_t)xdr_agree_members;
+        p->result_codec = (xdrproc_t)xdr_agree_members;
+        return true;
+    default:
+        return false;
+    }
+}
+
+/* Calls a peer by ONC RPC; the context is the pool of connections. */
+bool
+replicate_rpc_call(void *context, const struct bb_replicate_peer *to,
+                   uint32_t procedure, void *argument, void *result,
+                   uint32_t timeout_ms)
+{
+    struct procedure p;
+    struct bb_error e = {0};
+
+    if (!find_procedure(procedure, &p)) {
+        return false;
+    }
+    return bb_rpc_pool_call(
+        context, &to->rpc,
+        &(struct bb_rpc_call){.program = AGREE_PROGRAM,
+                              .version = AGREE_VERSION,
+                              .procedure = procedure,
+                              .argument_codec = p.argument_codec,
+                              .argument = argument,
+                              .result_codec = p.result_codec,
+                              .result = result,
+                              .timeout_ms = timeout_ms},
+        &e);
+}
+
+/* Queues a message for the engine; false if it is refused. */
+static bool
+take_envelope(struct bb_replicate *r, const agree_envelope *envelope)
+{
+    struct replicate_job *job;
+
+    if (envelope->cluster != r->cluster ||
+        g_async_queue_length(r->jobs) >= JOBS_MAX) {
+        bb_counter_add(&dropped_total, 1);
+        return false;
+    }
+    job = g_new0(struct replicate_job, 1);
+    job->kind = REPLICATE_JOB_MESSAGE;
+    if (!bb_agree_decode_message(&envelope->message, &job->message) ||
+        job->message.from >= r->host_count ||
+        envelope->holder >= r->host_count) {
+        bb_counter_add(&dropped_total, 1);
+        replicate_free_job(job);
+        return false;
+    }
+    job->holder = (uint8_t)envelope->holder;
+    memcpy(job->in_force.bytes, envelope->in_force, BB_DIGEST_BYTES);
+    job->payload_bytes = envelope->payload.payload_len;
+    job->payload =
+        g_memdup2(envelope->payload.payload_val, job->payload_bytes);
+    g_async_queue_push(r->jobs, job);
+    return true;
+}
+
+/* Reads a payload for a peer. */
+static void
+fetch(struct bb_replicate *r, const agree_fetch *f, agree_fetched *result)
+{
+    struct bb_digest digest;
+    size_t size = 0;
+    void *data = NULL;
+
+    memcpy(digest.bytes, f->digest, BB_DIGEST_BYTES);
+    if (f->cluster == r->cluster) {
+        data = bb_store_get_payload(r->store, &digest, &size, NULL);
+    }
+    result->is_found = data != NULL && size <= BB_REPLICATE_PAYLOAD_MAX_BYTES;
+    if (result->is_found) {
+        result->payload.payload_val = data;
+        result->payload.payload_len = (u_int)size;
+    }
+    else {
+        g_free(data);
+    }
+}
+
+/* Takes a forwarded proposal, or the leader's answer to one. */
+static bool
+take_proposal(struct bb_replicate *r, const agree_propose *p)
+{
+    const agree_proposal *request = &p->body.agree_propose_body_u.proposal;
+    const agree_proposal_answer *answer = &p->body.agree_propose_body_u.answer;
+    struct replicate_job *job;
+
+    if (p->cluster != r->cluster) {
+        return false;
+    }
+    if (p->body.kind == AGREE_PROPOSE_ANSWER) {
+        if (answer->result > BB_AGREE_UNKNOWN) {
+            return false;
+        }
+        replicate_complete(r, answer->ticket,
+                           (enum bb_agree_result)answer->result,
+                           answer->revision);
+        return true;
+    }
+    if (request->origin >= r->host_count ||
+        g_async_queue_length(r->jobs) >= JOBS_MAX) {
+        return false;
+    }
+    job = g_new0(struct replicate_job, 1);
+    job->kind = REPLICATE_JOB_PROPOSAL;
+    job->origin = (uint8_t)request->origin;
+    job->proposal =
+        (struct bb_agree_proposal){.ticket = request->ticket,
+                                   .base = request->base,
+                                   .version = request->version_label};
+    memcpy(job->proposal.digest.bytes, request->digest, BB_DIGEST_BYTES);
+    job->payload_bytes = request->payload.payload_len;
+    job->payload = g_memdup2(request->payload.payload_val, job->payload_bytes);
+    g_async_queue_push(r->jobs, job);
+    return true;
+}
+
+/* Passes member records to the callback. */
+static void
+exchange(struct bb_replicate *r, const agree_members *m, agree_members *result)
+{
+    void *answer = NULL;
+    size_t size = 0;
+
+    result->cluster = r->cluster;
+    result->from = r->self;
+    if (m->cluster != r->cluster || m->from >= r->host_count ||
+        r->settings.exchange == NULL) {
+        return;
+    }
+    r->settings.exchange(r->settings.context, r->hosts[m->from].id,
+                         m->records.records_val, m->records.records_len,
+                         &answer, &size);
+    if (size <= AGREE_MEMBERS_MAX) {
+        result->records.records_val = answer;
+        result->records.records_len = (u_int)size;
+    }
+    else {
+        g_free(answer);
+    }
+}
+
+/* Carries out a procedure on decoded arguments; false for an unknown one. The
+ * result is released with xdr_free. */
+bool
+bb_replicate_handle(struct bb_replicate *r, uint32_t procedure, void *argument,
+                    void *result)
+{
+    switch (procedure) {
+    case AGREE_VOTE:
+    case AGREE_APPEND:
+    case AGREE_FORM:
+    case AGREE_IDENTITY:
+        ((agree_ack *)result)->is_taken = take_envelope(r, argument);
+        return true;
+    case AGREE_FETCH_PAYLOAD:
+        fetch(r, argument, result);
+        return true;
+    case AGREE_PROPOSE:
+        ((agree_ack *)result)->is_taken = take_proposal(r, argument);
+        return true;
+    case AGREE_EXCHANGE_MEMBERS:
+        exchange(r, argument, result);
+        return true;
+    default:
+        return false;
+    }
+}
+
+/* Decodes a request, carries it out and answers. */
+static void
+dispatch(struct svc_req *request, SVCXPRT *transport)
+{
+    union argument argument = {0};
+    union result result = {0};
+    struct procedure p;
+
+    if (request->rq_proc == NULLPROC) {
+        (void)svc_sendreply(transport, (xdrproc_t)(void (*)(void))xdr_void,
+                            NULL);
+        return;
+    }
+    if (registered == NULL || !find_procedure(request->rq_proc, &p)) {
+        svcerr_noproc(transport);
+        return;
+    }
+    if (!svc_getargs(transport, p.argument_codec, (char *)&argument)) {
+        bb_counter_add(&dropped_total, 1);
+        svcerr_decode(transport);
+        return;
+    }
+    (void)bb_replicate_handle(registered, request->rq_proc, &argument,
+                              &result);
+    (void)svc_sendreply(transport, p.result_codec, (char *)&result);
+    xdr_free(p.result_codec, (char *)&result);
+    (void)svc_freeargs(transport, p.argument_codec, (char *)&argument);
+}
+
+/* Adds the program to the process's server, before its start. The server must
+ * be destroyed before the replication. */
+bool
+bb_replicate_register(struct bb_replicate *r, struct bb_rpc_server *s,
+                      struct bb_error *e)
+{
+    registered = r;
+    return bb_rpc_server_add(s, AGREE_PROGRAM, AGREE_VERSION, dispatch, e);
+}
--- a/decide/agree_log.c
+++ b/decide/agree_log.c
@@ -229,3 +229,11 @@
 {
     return agree_config_before(a, a->applied);
 }
+
+/* Returns the last committed configuration, which a host may not have applied
+ * yet. */
+struct bb_agree_config
+bb_agree_committed(const struct bb_agree *a)
+{
+    return agree_config_before(a, a->d.commit);
+}
--- a/include/decide/agree.h
+++ b/include/decide/agree.h
@@ -273,6 +273,7 @@
 const struct bb_agree_entry *bb_agree_entry_at(const struct bb_agree *a,
                                                uint64_t index);
 struct bb_agree_config bb_agree_in_force(const struct bb_agree *a);
+struct bb_agree_config bb_agree_committed(const struct bb_agree *a);
 const char *bb_agree_role_name(enum bb_agree_role role);
 const char *bb_agree_result_name(enum bb_agree_result result);
 
--- /dev/null
+++ b/tests/control/test_replicate.c
@@ -0,0 +1,543 @@
+/* The replication with several control hosts in one process, connected by a
+ * transport that calls the other instance directly and can cut hosts off; and
+ * one host behind a real RPC server. */
+#include <errno.h>
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <pthread.h>
+#include <stdatomic.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "agree.h"
+#include "common/clock.h"
+#include "control/replicate.h"
+#include "unit.h"
+
+enum {
+    HOSTS = 5,
+    WAIT_US = 6 * 1000 * 1000,
+    POLL_US = 10 * 1000,
+    PROPOSE_MS = 5000,
+    PAYLOAD_BYTES = 100000
+};
+
+struct host {
+    struct bb_replicate *r;
+    char folder[256];
+    atomic_bool is_cut;
+    bool fails_writes;
+    atomic_uint delivered; /* last revision */
+    atomic_uint count;     /* callbacks since the start */
+    atomic_bool is_disordered;
+};
+
+static struct bb_replicate_peer peers[HOSTS];
+static struct host hosts[HOSTS];
+static uint32_t host_count;
+static pthread_rwlock_t lock = PTHREAD_RWLOCK_INITIALIZER;
+static atomic_ullong crossing_bytes; /* payload bytes between regions */
+static atomic_bool disk_is_full;
+
+/* Finds a host by its id, "h0" and so on. */
+static struct host *
+find(const char *id)
+{
+    return &hosts[id[1] - '0'];
+}
+
+/* Delivers a call to the other instance; the context is the calling host. */
+static bool
+call(void *context, const struct bb_replicate_peer *to, uint32_t procedure,
+     void *argument, void *result, uint32_t timeout_ms)
+{
+    struct host *from = context;
+    struct host *target = find(to->id);
+    bool crosses = strcmp(to->region, peers[from - hosts].region) != 0;
+    bool is_done = false;
+
+    (void)timeout_ms;
+    (void)pthread_rwlock_rdlock(&lock);
+    if (!from->is_cut && !target->is_cut && target->r != NULL) {
+        is_done = bb_replicate_handle(target->r, procedure, argument, result);
+    }
+    if (is_done && crosses && procedure == AGREE_APPEND) {
+        crossing_bytes += ((agree_envelope *)argument)->payload.payload_len;
+    }
+    if (is_done && crosses && procedure == AGREE_FETCH_PAYLOAD) {
+        crossing_bytes += ((agree_fetched *)result)->payload.payload_len;
+    }
+    (void)pthread_rwlock_unlock(&lock);
+    return is_done;
+}
+
+/* Checks order and content; the payload starts with its own version. */
+static void
+committed(void *context, uint64_t revision, uint64_t version,
+          const struct bb_digest *digest, const void *payload,
+          size_t size_bytes)
+{
+    struct host *h = context;
+    struct bb_digest found = bb_digest_of(payload, size_bytes);
+
+    (void)version;
+    if (revision <= h->delivered || !bb_digest_equal(&found, digest)) {
+        h->is_disordered = true;
+    }
+    h->delivered = (unsigned)revision;
+    h->count++;
+}
+
+static ssize_t
+full_write(int fd, const void *data, size_t size_bytes)
+{
+    if (disk_is_full) {
+        errno = ENOSPC;
+        return -1;
+    }
+    return write(fd, data, size_bytes);
+}
+
+static const struct bb_store_files full_files = {.write = full_write,
+                                                 .fdatasync = fdatasync,
+                                                 .fsync = fsync,
+                                                 .ftruncate = ftruncate,
+                                                 .rename = rename};
+
+static void
+start_host(uint32_t i)
+{
+    struct host *h = &hosts[i];
+    struct bb_error e = {0};
+    const struct bb_replicate_transport transport = {.context = h,
+                                                     .call = call};
+    const struct bb_replicate_settings s = {
+        .id = peers[i].id,
+        .zone = "z",
+        .region = peers[i].region,
+        .peers = peers,
+        .peer_count = host_count,
+        .data_folder = h->folder,
+        .seed = 100 + i,
+        .transport = &transport,
+        .files = h->fails_writes ? &full_files : NULL,
+        .context = h,
+        .committed = committed,
+    };
+    struct bb_replicate *r = bb_replicate_create(&s, &e);
+
+    CU_ASSERT_PTR_NOT_NULL_FATAL(r);
+    (void)pthread_rwlock_wrlock(&lock);
+    h->r = r;
+    (void)pthread_rwlock_unlock(&lock);
+}
+
+static void
+stop_host(uint32_t i)
+{
+    struct bb_replicate *r;
+
+    (void)pthread_rwlock_wrlock(&lock);
+    r = hosts[i].r;
+    hosts[i].r = NULL;
+    (void)pthread_rwlock_unlock(&lock);
+    bb_replicate_destroy(r);
+    hosts[i].delivered = 0;
+    hosts[i].count = 0;
+}
+
+/* Removes a host's data folder, as a lost disk does. */
+static void
+remove_folder(const char *folder)
+{
+    const char *name;
+    GDir *dir = g_dir_open(folder, 0, NULL);
+
+    while (dir != NULL && (name = g_dir_read_name(dir)) != NULL) {
+        char *path = g_build_filename(folder, name, NULL);
+
+        if (g_file_test(path, G_FILE_TEST_IS_DIR)) {
+            remove_folder(path);
+        }
+        else {
+            (void)g_unlink(path);
+        }
+        g_free(path);
+    }
+    if (dir != NULL) {
+        g_dir_close(dir);
+    }
+    (void)g_rmdir(folder);
+}
+
+/* Returns the leader that is not cut off, or -1. */
+static int
+find_leader(void)
+{
+    for (uint32_t i = 0; i < host_count; i++) {
+        struct bb_replicate_status s;
+
+        if (hosts[i].r != NULL && !hosts[i].is_cut) {
+            bb_replicate_status(hosts[i].r, &s);
+            if (s.role == BB_AGREE_LEADER && s.is_confirmed) {
+                return (int)i;
+            }
+        }
+    }
+    return -1;
+}
+
+static int
+wait_leader(void)
+{
+    uint64_t end_us = bb_clock_now_us() + WAIT_US;
+    int leader = find_leader();
+
+    while (leader < 0 && bb_clock_now_us() < end_us) {
+        bb_clock_sleep_us(POLL_US);
+        leader = find_leader();
+    }
+    CU_ASSERT_TRUE_FATAL(leader >= 0);
+    return leader;
+}
+
+/* Waits until all hosts that run and are not cut off have a revision. */
+static bool
+wait_revision(uint64_t revision)
+{
+    uint64_t end_us = bb_clock_now_us() + WAIT_US;
+    bool is_everywhere = false;
+
+    while (!is_everywhere && bb_clock_now_us() < end_us) {
+        is_everywhere = true;
+        for (uint32_t i = 0; i < host_count; i++) {
+            if (hosts[i].r != NULL && !hosts[i].is_cut &&
+                hosts[i].delivered < revision) {
+                is_everywhere = false;
+            }
+        }
+        bb_clock_sleep_us(POLL_US);
+    }
+    return is_everywhere;
+}
+
+/* Starts hosts; the first `near` are in one region, the others in another. */
+static void
+start(uint32_t count, uint32_t near)
+{
+    host_count = count;
+    for (uint32_t i = 0; i < count; i++) {
+        char *folder = g_dir_make_tmp("baobab-replicate-XXXXXX", NULL);
+
+        memset(&hosts[i], 0, sizeof(hosts[i]));
+        (void)g_snprintf(peers[i].id, sizeof(peers[i].id), "h%u", i);
+        (void)g_strlcpy(peers[i].region, i < near ? "near" : "far",
+                        sizeof(peers[i].region));
+        (void)g_strlcpy(hosts[i].folder, folder, sizeof(hosts[i].folder));
+        g_free(folder);
+    }
+    for (uint32_t i = 0; i < count; i++) {
+        start_host(i);
+    }
+    (void)wait_leader();
+}
+
+static void
+stop(void)
+{
+    for (uint32_t i = 0; i < host_count; i++) {
+        CU_ASSERT_FALSE(hosts[i].is_disordered);
+        stop_host(i);
+        remove_folder(hosts[i].folder);
+    }
+}
+
+/* Proposes a payload made from a number. */
+static struct bb_replicate_result
+propose(uint32_t host, uint64_t base, uint64_t version, uint32_t content,
+        size_t size, uint32_t timeout_ms)
+{
+    char *payload = g_malloc0(size);
+    struct bb_replicate_result result;
+    struct bb_digest digest;
+
+    memcpy(payload, &content, sizeof(content));
+    digest = bb_digest_of(payload, size);
+    result = bb_replicate_propose(hosts[host].r, base, version, &digest,
+                                  payload, size, timeout_ms);
+    g_free(payload);
+    return result;
+}
+
+static void
+expect(struct bb_replicate_result result, enum bb_replicate_outcome outcome,
+       uint64_t revision)
+{
+    CU_ASSERT_STRING_EQUAL(bb_replicate_outcome_name(result.outcome),
+                           bb_replicate_outcome_name(outcome));
+    CU_ASSERT_EQUAL(result.revision, revision);
+}
+
+/* Guards against proposals that only the leader takes, and against refusals
+ * that differ between hosts. */
+static void
+test_proposals_on_any_host(void)
+{
+    start(3, 3);
+    for (uint32_t i = 0; i < 3; i++) {
+        expect(propose(i, i, i + 1, i + 1, 1000, PROPOSE_MS),
+               BB_REPLICATE_ACCEPTED, i + 1);
+    }
+    expect(propose(0, 2, 3, 3, 1000, PROPOSE_MS), BB_REPLICATE_ACCEPTED, 3);
+    expect(propose(1, 3, 3, 9, 1000, PROPOSE_MS), BB_REPLICATE_CONFLICT, 3);
+    expect(propose(2, 1, 0, 9, 1000, PROPOSE_MS), BB_REPLICATE_STALE_BASE, 3);
+    CU_ASSERT_TRUE(wait_revision(3));
+    for (uint32_t i = 0; i < 3; i++) {
+        CU_ASSERT_EQUAL(hosts[i].count, 3);
+    }
+    stop();
+}
+
+struct racer {
+    pthread_t thread;
+    uint32_t host;
+    struct bb_replicate_result result;
+};
+
+static void *
+race(void *argument)
+{
+    struct racer *a = argument;
+
+    a->result = propose(a->host, 0, 7, a->host + 1, 1000, PROPOSE_MS);
+    return NULL;
+}
+
+/* Guards against two contents of one version label when operators submit it
+ * at the same time on different hosts. */
+static void
+test_racing_equal_versions(void)
+{
+    struct racer racers[3];
+    uint32_t accepted = 0;
+
+    start(3, 3);
+    for (uint32_t i = 0; i < 3; i++) {
+        racers[i].host = i;
+        (void)pthread_create(&racers[i].thread, NULL, race, &racers[i]);
+    }
+    for (uint32_t i = 0; i < 3; i++) {
+        (void)pthread_join(racers[i].thread, NULL);
+        accepted += racers[i].result.outcome == BB_REPLICATE_ACCEPTED;
+        CU_ASSERT_TRUE(racers[i].result.outcome == BB_REPLICATE_ACCEPTED ||
+                       racers[i].result.outcome == BB_REPLICATE_CONFLICT);
+    }
+    CU_ASSERT_EQUAL(accepted, 1);
+    stop();
+}
+
+/* Guards against more than one copy of a payload on the paid link. */
+static void
+test_one_copy_between_regions(void)
+{
+    uint32_t leader;
+
+    start(5, 3);
+    leader = (uint32_t)find_leader();
+    expect(propose(leader, 0, 0, 1, PAYLOAD_BYTES, PROPOSE_MS),
+           BB_REPLICATE_ACCEPTED, 1);
+    CU_ASSERT_TRUE(wait_revision(1));
+    CU_ASSERT_EQUAL(crossing_bytes, PAYLOAD_BYTES);
+    crossing_bytes = 0;
+    stop();
+}
+
+/* Guards against an isolated leader that goes on answering or whose status
+ * does not show it within 2 s, and against loss when it returns. */
+static void
+test_isolated_leader(void)
+{
+    struct bb_replicate_status s;
+    uint32_t old;
+
+    start(3, 3);
+    old = (uint32_t)find_leader();
+    hosts[old].is_cut = true;
+    expect(propose(old, 0, 0, 1, 1000, 1500), BB_REPLICATE_NO_QUORUM, 0);
+    bb_clock_sleep_us(500 * BB_US_PER_MS);
+    bb_replicate_status(hosts[old].r, &s);
+    CU_ASSERT_FALSE(s.is_confirmed);
+    CU_ASSERT_NOT_EQUAL(s.role, BB_AGREE_LEADER);
+    expect(propose((uint32_t)wait_leader(), 0, 0, 2, 1000, PROPOSE_MS),
+           BB_REPLICATE_ACCEPTED, 1);
+    hosts[old].is_cut = false;
+    CU_ASSERT_TRUE(wait_revision(1));
+    expect(propose(old, 0, 0, 1, 1000, PROPOSE_MS), BB_REPLICATE_STALE_BASE,
+           1);
+    stop();
+}
+
+/* Guards against a host that returns after 300 changes without the current
+ * revision, and against one that does not show it right at the start. */
+static void
+test_restart_after_many_changes(void)
+{
+    uint32_t late;
+
+    start(3, 3);
+    late = ((uint32_t)find_leader() + 1) % 3;
+    expect(propose(late, 0, 0, 1, 1000, PROPOSE_MS), BB_REPLICATE_ACCEPTED, 1);
+    CU_ASSERT_TRUE(wait_revision(1));
+    stop_host(late);
+    for (uint32_t i = 1; i <= 300; i++) {
+        expect(propose((uint32_t)wait_leader(), i, 0, i + 1, 1000, PROPOSE_MS),
+               BB_REPLICATE_ACCEPTED, i + 1);
+    }
+    hosts[late].is_cut = true;
+    start_host(late);
+    bb_clock_sleep_us(300 * BB_US_PER_MS);
+    CU_ASSERT_EQUAL(hosts[late].delivered, 1);
+    hosts[late].is_cut = false;
+    CU_ASSERT_TRUE(wait_revision(301));
+    stop();
+}
+
+/* Guards against a replaced disk that does not become a voter, and against
+ * loss when a second host is lost right after. */
+static void
+test_replaced_disk(void)
+{
+    struct bb_replicate_status s = {0};
+    uint64_t end_us;
+    uint32_t leader;
+    uint32_t lost;
+
+    start(3, 3);
+    leader = (uint32_t)find_leader();
+    lost = (leader + 1) % 3;
+    expect(propose(leader, 0, 0, 1, PAYLOAD_BYTES, PROPOSE_MS),
+           BB_REPLICATE_ACCEPTED, 1);
+    stop_host(lost);
+    remove_folder(hosts[lost].folder);
+    start_host(lost);
+    end_us = bb_clock_now_us() + WAIT_US;
+    while (!s.can_vote && bb_clock_now_us() < end_us) {
+        bb_clock_sleep_us(POLL_US);
+        bb_replicate_status(hosts[lost].r, &s);
+    }
+    CU_ASSERT_TRUE(s.can_vote);
+    stop_host(leader);
+    remove_folder(hosts[leader].folder);
+    expect(propose(lost, 1, 0, 2, 1000, 2 * PROPOSE_MS), BB_REPLICATE_ACCEPTED,
+           2);
+    CU_ASSERT_TRUE(wait_revision(2));
+    start_host(leader);
+    CU_ASSERT_TRUE(wait_revision(2));
+    stop();
+}
+
+/* Guards against a host with a full disk that goes on voting or whose reads
+ * count as confirmed. */
+static void
+test_full_disk(void)
+{
+    struct bb_replicate_status s;
+    uint32_t leader;
+
+    start(3, 3);
+    leader = (uint32_t)find_leader();
+    stop_host(leader);
+    hosts[leader].fails_writes = true;
+    start_host(leader);
+    (void)wait_leader();
+    expect(propose((uint32_t)wait_leader(), 0, 0, 1, 1000, PROPOSE_MS),
+           BB_REPLICATE_ACCEPTED, 1);
+    CU_ASSERT_TRUE(wait_revision(1));
+    disk_is_full = true;
+    expect(propose((leader + 1) % 3, 1, 0, 2, 1000, 2 * PROPOSE_MS),
+           BB_REPLICATE_ACCEPTED, 2);
+    bb_clock_sleep_us(BB_US_PER_S);
+    bb_replicate_status(hosts[leader].r, &s);
+    CU_ASSERT_FALSE(s.can_vote);
+    CU_ASSERT_FALSE(s.is_confirmed);
+    CU_ASSERT_TRUE(strlen(s.why_not) > 0);
+    CU_ASSERT_EQUAL(s.revision, 1);
+    disk_is_full = false;
+    stop();
+}
+
+/* Calls a procedure of the RPC server. */
+static bool
+call_rpc(struct bb_rpc_pool *pool, const struct bb_address *to,
+         uint32_t procedure, xdrproc_t argument_codec, void *argument,
+         xdrproc_t result_codec, void *result)
+{
+    struct bb_error e = {0};
+
+    return bb_rpc_pool_call(
+        pool, to,
+        &(struct bb_rpc_call){.program = AGREE_PROGRAM,
+                              .version = AGREE_VERSION,
+                              .procedure = procedure,
+                              .argument_codec = argument_codec,
+                              .argument = argument,
+                              .result_codec = result_codec,
+                              .result = result,
+                              .timeout_ms = 1000},
+        &e);
+}
+
+/* Guards against requests by RPC that are malformed, unknown or of another
+ * group of hosts: they are refused and change nothing. */
+static void
+test_rpc_requests(void)
+{
+    struct bb_rpc_pool *pool = bb_rpc_pool_create();
+    struct bb_error e = {0};
+    struct bb_rpc_server *server;
+    struct bb_address address;
+    agree_envelope envelope = {0};
+    agree_fetch fetch = {0};
+    agree_fetched fetched = {0};
+    agree_ack ack = {.is_taken = true};
+
+    start(1, 1);
+    expect(propose(0, 0, 0, 1, PAYLOAD_BYTES, PROPOSE_MS),
+           BB_REPLICATE_ACCEPTED, 1);
+    CU_ASSERT_TRUE_FATAL(bb_address_parse("127.0.0.1:0", &address));
+    server = bb_rpc_server_create(&address, &e);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(server);
+    CU_ASSERT_TRUE(bb_replicate_register(hosts[0].r, server, &e));
+    CU_ASSERT_TRUE_FATAL(bb_rpc_server_start(server, &e));
+    address.port = bb_rpc_server_port(server);
+    envelope.message.kind = BB_AGREE_MESSAGE_KINDS;
+    CU_ASSERT_TRUE(call_rpc(pool, &address, AGREE_APPEND,
+                            (xdrproc_t)xdr_agree_envelope, &envelope,
+                            (xdrproc_t)xdr_agree_ack, &ack));
+    CU_ASSERT_FALSE(ack.is_taken);
+    CU_ASSERT_TRUE(call_rpc(pool, &address, AGREE_FETCH_PAYLOAD,
+                            (xdrproc_t)xdr_agree_fetch, &fetch,
+                            (xdrproc_t)xdr_agree_fetched, &fetched));
+    CU_ASSERT_FALSE(fetched.is_found);
+    CU_ASSERT_FALSE(call_rpc(pool, &address, 99, (xdrproc_t)xdr_agree_fetch,
+                             &fetch, (xdrproc_t)xdr_agree_ack, &ack));
+    CU_ASSERT_FALSE(call_rpc(pool, &address, AGREE_PROPOSE,
+                             (xdrproc_t)xdr_agree_fetch, &fetch,
+                             (xdrproc_t)xdr_agree_ack, &ack));
+    bb_rpc_server_destroy(server);
+    bb_rpc_pool_destroy(pool);
+    stop();
+}
+
+static const struct bb_unit_test tests[] = {
+    {"proposals on any host", test_proposals_on_any_host},
+    {"racing equal versions", test_racing_equal_versions},
+    {"one copy between regions", test_one_copy_between_regions},
+    {"isolated leader", test_isolated_leader},
+    {"restart after many changes", test_restart_after_many_changes},
+    {"replaced disk", test_replaced_disk},
+    {"full disk", test_full_disk},
+    {"RPC requests", test_rpc_requests},
+};
+
+BB_UNIT_MAIN("replicate", tests)
