--- a/decide/record.c
+++ b/decide/record.c
@@ -1,14 +1,5 @@
 #include "decide/record.h"
 
-static enum bb_record_fault fault;
-
-/* Seeds a fault that the explorer must find; for tests only. */
-void
-bb_record_set_fault(enum bb_record_fault f)
-{
-    fault = f;
-}
-
 /* Prepares an empty record of one incarnation of a gatekeeper over the
  * caller's memory; entry_count is a power of two. */
 void
@@ -26,7 +17,7 @@
 {
     return incarnation != BB_INCARNATION_ANY &&
            incarnation != r->incarnation &&
-           fault != BB_RECORD_FAULT_ANY_INCARNATION;
+           r->fault != BB_RECORD_FAULT_ANY_INCARNATION;
 }
 
 /* Begins a request unless its id was seen before. With an incarnation other
@@ -83,6 +74,21 @@
     return true;
 }
 
+/* Forgets a running request whose end need not be known, because it is
+ * idempotent. False if it is not recorded as running. */
+bool
+bb_record_forget(struct bb_record *r, const struct bb_request_id *id,
+                 uint64_t now_us)
+{
+    struct bb_record_entry *e = bb_id_table_find(&r->table, id, now_us);
+
+    if (e == NULL || e->state != BB_RECORD_RUNNING) {
+        return false;
+    }
+    bb_id_table_remove(&r->table, e);
+    return true;
+}
+
 /* Answers what became of an id that was sent to an incarnation. An id that
  * was never seen is recorded as refused for good first, so the request that
  * may still be on its way will not run. */
@@ -108,7 +114,7 @@
             return BB_QUERY_REFUSED;
         }
     }
-    if (fault == BB_RECORD_FAULT_FORGETS) {
+    if (r->fault == BB_RECORD_FAULT_FORGETS) {
         return BB_QUERY_NEVER_SEEN;
     }
     e = bb_id_table_insert(&r->table, id, now_us);
--- a/include/decide/record.h
+++ b/include/decide/record.h
@@ -1,5 +1,7 @@
 /* A gatekeeper's record of request ids, which makes "not run" true and lets a
- * request run at most once. Only non-idempotent requests need it. */
+ * request run at most once. Idempotent requests are recorded too while they
+ * run, so that a query can tell a long run from a lost request; they are
+ * forgotten at their end, and run unrecorded if the table is full. */
 #ifndef BB_DECIDE_RECORD_H
 #define BB_DECIDE_RECORD_H
 
@@ -22,7 +24,15 @@
     uint64_t answer; /* handle of the stored answer, 0: not kept */
 };
 
+/* Seeded faults that the explorer must find; set by tests only. */
+enum bb_record_fault {
+    BB_RECORD_FAULT_NONE,
+    BB_RECORD_FAULT_FORGETS,        /* a query drops what it recorded */
+    BB_RECORD_FAULT_ANY_INCARNATION /* incarnations are not compared */
+};
+
 struct bb_record {
+    enum bb_record_fault fault;
     uint64_t incarnation;
     uint64_t retention_us;
     struct bb_id_table table;
@@ -46,12 +56,6 @@
     BB_QUERY_FULL /* never seen, but the refusal could not be recorded */
 };
 
-enum bb_record_fault {
-    BB_RECORD_FAULT_NONE,
-    BB_RECORD_FAULT_FORGETS,        /* a query drops what it recorded */
-    BB_RECORD_FAULT_ANY_INCARNATION /* incarnations are not compared */
-};
-
 void bb_record_init(struct bb_record *r, uint64_t incarnation,
                     uint64_t retention_us, struct bb_record_entry *entries,
                     uint32_t entry_count);
@@ -62,13 +66,12 @@
 bool bb_record_finish(struct bb_record *r, const struct bb_request_id *id,
                       enum bb_record_state state, uint64_t answer,
                       uint64_t now_us);
+bool bb_record_forget(struct bb_record *r, const struct bb_request_id *id,
+                      uint64_t now_us);
 enum bb_query_result bb_record_query(struct bb_record *r,
                                      const struct bb_request_id *id,
                                      uint64_t incarnation, uint64_t *answer,
                                      uint64_t now_us);
 bool bb_record_expire(struct bb_record *r, uint64_t now_us, uint64_t *answer);
 
-/* Seeds a fault that the explorer must find; for tests only. */
-void bb_record_set_fault(enum bb_record_fault f);
-
 #endif
