--- a/include/proxy/headers.h
+++ b/include/proxy/headers.h
@@ -26,17 +26,25 @@
 #define BB_HEADER_RAN "Baobab-Ran"
 #define BB_HEADER_KEY "Idempotency-Key"
 
+/* One field; the texts belong to the list and hold until it changes. */
 struct bb_header {
-    char *name;
-    char *value;
+    const char *name;
+    const char *value;
 };
 
-/* A list of fields in their order. */
+/* A list of fields in their order. All texts lie in one buffer, because the
+ * time of a call through the node is mostly that of its small allocations. */
 struct bb_headers {
-    GArray *items; /* of struct bb_header */
-    uint64_t size_bytes;
+    char *text;
+    uint32_t text_bytes;
+    uint32_t text_capacity;
+    uint32_t *offsets; /* two for each field: name and value */
+    uint32_t count;
+    uint32_t capacity;
 };
 
+typedef void (*bb_header_visit)(void *context, const struct bb_header *h);
+
 /* What the fields of a request say about its body. */
 struct bb_framing {
     int64_t length_bytes; /* BB_LENGTH_CHUNKED, or the exact length */
@@ -50,11 +58,14 @@
 void bb_headers_addf(struct bb_headers *h, const char *name,
                      const char *format, ...)
     __attribute__((format(printf, 3, 4)));
+struct bb_header bb_headers_at(const struct bb_headers *h, uint32_t index);
 const char *bb_headers_get(const struct bb_headers *h, const char *name);
 bool bb_headers_get_u64(const struct bb_headers *h, const char *name,
                         uint64_t *value);
 struct bb_framing bb_headers_framing(const struct bb_headers *h);
 bool bb_url_is_valid(const char *url);
+void bb_headers_visit_end_to_end(const struct bb_headers *h,
+                                 bb_header_visit visit, void *context);
 void bb_headers_copy_end_to_end(const struct bb_headers *from,
                                 struct bb_headers *to);
 
--- a/include/proxy/http_client.h
+++ b/include/proxy/http_client.h
@@ -51,10 +51,10 @@
     struct bb_address peer;
     const char *method;
     const char *url;
-    const struct bb_headers *headers;
-    struct bb_body *body; /* NULL without one */
-    int64_t length_bytes; /* of the body, or BB_LENGTH_CHUNKED */
-    bool is_replayable;   /* the body is whole in its ring */
+    struct bb_headers *headers; /* taken over by the attempt */
+    struct bb_body *body;       /* NULL without one */
+    int64_t length_bytes;       /* of the body, or BB_LENGTH_CHUNKED */
+    bool is_replayable;         /* the body is whole in its ring */
     bool expect_continue; /* let the peer refuse before the body is sent */
     bool use_new_connection;
     bool must_finish;    /* read the answer to its end for the callback */
--- a/include/proxy/internal.h
+++ b/include/proxy/internal.h
@@ -91,6 +91,7 @@
     bool is_counted;
     bool is_forwarded;
     bool is_idempotent;
+    bool is_keyed; /* by the caller, not by this node */
     bool wants_stored;
     struct bb_request_id id;
     char id_text[BB_ID_TEXT_BYTES];
--- a/load/main.c
+++ b/load/main.c
@@ -44,9 +44,9 @@
          .to.address = &run->direct},
         {.name = "record",
          .value_name = "FILE",
-         .help = "write one JSON line for each call",
+         .help = "write one JSON line for each call; -: no",
          .kind = BB_SETTING_TEXT,
-         .default_value = "",
+         .default_value = "-",
          .to.text = &s->record},
         {.name = "json",
          .help = "report in JSON",
@@ -121,7 +121,7 @@
         code = BB_EXIT_USAGE;
         goto out;
     }
-    if (s->record[0] != '\0' &&
+    if (strcmp(s->record, "-") != 0 &&
         (run->record = fopen(s->record, "we")) == NULL) {
         bb_error_set(e, 1, "%s: %s", s->record, g_strerror(errno));
         code = BB_EXIT_INTERNAL;
--- a/proxy/answer.c
+++ b/proxy/answer.c
@@ -93,16 +93,11 @@
                                              free_stream);
 }
 
-/* Adds a list of fields to a response. */
+/* Adds one field of the upstream to a response. */
 static void
-add_headers(struct MHD_Response *r, const struct bb_headers *h)
+add_header(void *context, const struct bb_header *h)
 {
-    for (guint i = 0; i < h->items->len; i++) {
-        const struct bb_header *item =
-            &g_array_index(h->items, struct bb_header, i);
-
-        (void)MHD_add_response_header(r, item->name, item->value);
-    }
+    (void)MHD_add_response_header(context, h->name, h->value);
 }
 
 /* Adds the fields of the proxy itself. Another node is told the load and the
@@ -154,7 +149,6 @@
 bb_answer_queue(struct bb_exchange *x)
 {
     struct MHD_Response *r = NULL;
-    struct bb_headers *h = bb_headers_create();
     unsigned status = 0;
     enum MHD_Result result;
 
@@ -162,14 +156,15 @@
     case BB_OUTCOME_ANSWER:
         status = x->outcome.attempt->status;
         r = create_response(x, x->outcome.attempt);
-        bb_headers_copy_end_to_end(x->outcome.attempt->headers, h);
+        bb_headers_visit_end_to_end(x->outcome.attempt->headers, add_header,
+                                    r);
         break;
     case BB_OUTCOME_STORED:
         status = x->outcome.stored->status;
         r = MHD_create_response_from_buffer(x->outcome.stored->body->len,
                                             x->outcome.stored->body->data,
                                             MHD_RESPMEM_MUST_COPY);
-        bb_headers_copy_end_to_end(x->outcome.stored->headers, h);
+        bb_headers_visit_end_to_end(x->outcome.stored->headers, add_header, r);
         break;
     case BB_OUTCOME_REFUSED:
     case BB_OUTCOME_NONE:
@@ -178,14 +173,11 @@
         break;
     }
     if (r == NULL) {
-        bb_headers_destroy(h);
         return MHD_NO;
     }
-    add_headers(r, h);
     add_own_headers(x, r);
     bb_counter_add(&answers_total, 1);
     result = MHD_queue_response(x->connection, status, r);
     MHD_destroy_response(r);
-    bb_headers_destroy(h);
     return result;
 }
--- a/proxy/entry.c
+++ b/proxy/entry.c
@@ -183,6 +183,8 @@
 static void
 start_leg(struct bb_exchange *x, struct bb_leg *leg, bool is_hedge)
 {
+    uint64_t check_us =
+        (uint64_t)x->proxy->settings.silent_check_ms * BB_US_PER_MS;
     enum bb_reason reason = BB_REASON_NONE;
     struct bb_outcome o;
     uint64_t key;
@@ -203,9 +205,7 @@
     o = leg->is_local ? bb_leg_start_local(x, leg) : bb_leg_start_peer(x, leg);
     switch (o.kind) {
     case BB_OUTCOME_NONE:
-        bb_probe_init(&leg->probe, x->is_idempotent,
-                      (uint64_t)x->proxy->settings.silent_check_ms *
-                          BB_US_PER_MS,
+        bb_probe_init(&leg->probe, x->is_idempotent, x->is_keyed, check_us,
                       x->deadline_us, bb_clock_now_us());
         break;
     case BB_OUTCOME_REFUSED:
--- a/proxy/gatekeeper.c
+++ b/proxy/gatekeeper.c
@@ -537,8 +537,30 @@
     }
 }
 
+/* Tells whether a request waits or runs here. Called with the lock held. */
+static bool
+is_present(const struct bb_gatekeeper *g, const struct bb_request_id *id)
+{
+    for (guint i = 0; i < g->waiters->len; i++) {
+        const struct waiter *w = g_ptr_array_index(g->waiters, i);
+
+        if (bb_request_id_equal(&w->id, id)) {
+            return true;
+        }
+    }
+    for (guint i = 0; i < g->tickets->len; i++) {
+        const struct bb_ticket *t = g_ptr_array_index(g->tickets, i);
+
+        if (bb_request_id_equal(&t->id, id)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Answers what became of a request id; an id never seen is refused for good
- * from now on. */
+ * from now on. Idempotent requests are not in the record, but are found while
+ * they wait or run. */
 enum bb_query_result
 bb_gatekeeper_query(struct bb_gatekeeper *g, const struct bb_request_id *id,
                     uint64_t incarnation)
@@ -547,8 +569,9 @@
     uint64_t handle;
 
     (void)pthread_mutex_lock(&g->lock);
-    result = bb_record_query(&g->record, id, incarnation, &handle,
-                             bb_clock_now_us());
+    result = is_present(g, id) ? BB_QUERY_RUNNING
+                               : bb_record_query(&g->record, id, incarnation,
+                                                 &handle, bb_clock_now_us());
     (void)pthread_mutex_unlock(&g->lock);
     return result;
 }
--- a/proxy/headers.c
+++ b/proxy/headers.c
@@ -16,24 +16,18 @@
 
 static const char own_prefix[] = "Baobab-";
 
-/* Frees the texts of one field. */
-static void
-clear_header(void *data)
-{
-    struct bb_header *h = data;
-
-    g_free(h->name);
-    g_free(h->value);
-}
+enum { FIRST_TEXT_BYTES = 1024, FIRST_COUNT = 24 };
 
 /* Creates an empty list. */
 struct bb_headers *
 bb_headers_create(void)
 {
-    struct bb_headers *h = g_new0(struct bb_headers, 1);
+    struct bb_headers *h = g_new(struct bb_headers, 1);
 
-    h->items = g_array_new(FALSE, TRUE, sizeof(struct bb_header));
-    g_array_set_clear_func(h->items, clear_header);
+    *h = (struct bb_headers){.text_capacity = FIRST_TEXT_BYTES,
+                             .capacity = FIRST_COUNT};
+    h->text = g_malloc(h->text_capacity);
+    h->offsets = g_new(uint32_t, 2 * (size_t)h->capacity);
     return h;
 }
 
@@ -42,22 +36,49 @@
 bb_headers_destroy(struct bb_headers *h)
 {
     if (h != NULL) {
-        (void)g_array_free(h->items, TRUE);
+        g_free(h->text);
+        g_free(h->offsets);
         g_free(h);
     }
 }
 
+/* Copies a text into the buffer; returns its offset. */
+static uint32_t
+put_text(struct bb_headers *h, const char *text)
+{
+    size_t size = strlen(text) + 1;
+    uint32_t offset = h->text_bytes;
+
+    while (h->text_bytes + size > h->text_capacity) {
+        h->text_capacity *= 2;
+        h->text = g_realloc(h->text, h->text_capacity);
+    }
+    memcpy(h->text + offset, text, size);
+    h->text_bytes += (uint32_t)size;
+    return offset;
+}
+
 /* Appends a field; the texts are copied. */
 void
 bb_headers_add(struct bb_headers *h, const char *name, const char *value)
 {
-    struct bb_header item = {
-        .name = g_strdup(name),
-        .value = g_strdup(value != NULL ? value : ""),
-    };
+    if (h->count == h->capacity) {
+        h->capacity *= 2;
+        h->offsets = g_renew(uint32_t, h->offsets, 2 * (size_t)h->capacity);
+    }
+    h->offsets[2 * h->count] = put_text(h, name);
+    h->offsets[2 * h->count + 1] = put_text(h, value != NULL ? value : "");
+    h->count++;
+}
 
-    h->size_bytes += strlen(item.name) + strlen(item.value);
-    g_array_append_val(h->items, item);
+/* Returns one field. */
+struct bb_header
+bb_headers_at(const struct bb_headers *h, uint32_t index)
+{
+    return (struct bb_header){
+        .name = h->text + h->offsets[2 * index],
+        .value = h->text + h->offsets[2 * index + 1],
+    };
 }
 
 /* Appends a field with a formatted value. */
@@ -79,12 +100,11 @@
 const char *
 bb_headers_get(const struct bb_headers *h, const char *name)
 {
-    for (guint i = 0; i < h->items->len; i++) {
-        const struct bb_header *item =
-            &g_array_index(h->items, struct bb_header, i);
+    for (uint32_t i = 0; i < h->count; i++) {
+        const struct bb_header item = bb_headers_at(h, i);
 
-        if (g_ascii_strcasecmp(item->name, name) == 0) {
-            return item->value;
+        if (g_ascii_strcasecmp(item.name, name) == 0) {
+            return item.value;
         }
     }
     return NULL;
@@ -157,29 +177,28 @@
     uint32_t codings = 0;
     uint32_t hosts = 0;
 
-    for (guint i = 0; i < h->items->len && f.fault == NULL; i++) {
-        const struct bb_header *item =
-            &g_array_index(h->items, struct bb_header, i);
+    for (uint32_t i = 0; i < h->count && f.fault == NULL; i++) {
+        const struct bb_header item = bb_headers_at(h, i);
 
-        if (!is_token(item->name)) {
+        if (!is_token(item.name)) {
             f.fault = "malformed field name";
         }
-        else if (!is_field_value(item->value)) {
+        else if (!is_field_value(item.value)) {
             f.fault = "control character in a field";
         }
-        else if (g_ascii_strcasecmp(item->name, "Content-Length") == 0) {
+        else if (g_ascii_strcasecmp(item.name, "Content-Length") == 0) {
             lengths++;
-            f.fault = parse_length(item->value, &f.length_bytes)
+            f.fault = parse_length(item.value, &f.length_bytes)
                           ? NULL
                           : "malformed Content-Length";
         }
-        else if (g_ascii_strcasecmp(item->name, "Transfer-Encoding") == 0) {
+        else if (g_ascii_strcasecmp(item.name, "Transfer-Encoding") == 0) {
             codings++;
-            f.fault = g_ascii_strcasecmp(item->value, "chunked") == 0
+            f.fault = g_ascii_strcasecmp(item.value, "chunked") == 0
                           ? NULL
                           : "transfer coding is not chunked alone";
         }
-        else if (g_ascii_strcasecmp(item->name, "Host") == 0) {
+        else if (g_ascii_strcasecmp(item.name, "Host") == 0) {
             hosts++;
         }
     }
@@ -189,7 +208,7 @@
     if (f.fault == NULL && hosts > 1) {
         f.fault = "more than one Host field";
     }
-    if (f.fault == NULL && h->size_bytes > BB_HEADERS_MAX_BYTES) {
+    if (f.fault == NULL && h->text_bytes > BB_HEADERS_MAX_BYTES) {
         f.fault = "header too large";
     }
     if (codings > 0) {
@@ -232,34 +251,50 @@
     return false;
 }
 
-/* Copies the fields that are meant for the other end. The fields between
- * nodes are left out; who needs one adds it. */
+/* Shows the fields that are meant for the other end. The fields between nodes
+ * are left out; who needs one adds it. */
 void
-bb_headers_copy_end_to_end(const struct bb_headers *from,
-                           struct bb_headers *to)
+bb_headers_visit_end_to_end(const struct bb_headers *h, bb_header_visit visit,
+                            void *context)
 {
-    GString *connection = g_string_new(NULL);
-    char **listed;
+    char **listed = NULL;
 
-    for (guint i = 0; i < from->items->len; i++) {
-        const struct bb_header *item =
-            &g_array_index(from->items, struct bb_header, i);
+    if (bb_headers_get(h, "Connection") != NULL) {
+        GString *connection = g_string_new(NULL);
 
-        if (g_ascii_strcasecmp(item->name, "Connection") == 0) {
-            g_string_append_printf(connection, "%s,", item->value);
+        for (uint32_t i = 0; i < h->count; i++) {
+            const struct bb_header item = bb_headers_at(h, i);
+
+            if (g_ascii_strcasecmp(item.name, "Connection") == 0) {
+                g_string_append_printf(connection, "%s,", item.value);
+            }
         }
+        listed = g_strsplit(connection->str, ",", -1);
+        (void)g_string_free(connection, TRUE);
     }
-    listed = g_strsplit(connection->str, ",", -1);
-    for (guint i = 0; i < from->items->len; i++) {
-        const struct bb_header *item =
-            &g_array_index(from->items, struct bb_header, i);
-
-        if (!is_hop_by_hop(item->name, listed) &&
-            g_ascii_strncasecmp(item->name, own_prefix,
-                                sizeof(own_prefix) - 1) != 0) {
-            bb_headers_add(to, item->name, item->value);
+    for (uint32_t i = 0; i < h->count; i++) {
+        const struct bb_header item = bb_headers_at(h, i);
+
+        if (g_ascii_strncasecmp(item.name, own_prefix,
+                                sizeof(own_prefix) - 1) != 0 &&
+            !is_hop_by_hop(item.name, listed)) {
+            visit(context, &item);
         }
     }
     g_strfreev(listed);
-    (void)g_string_free(connection, TRUE);
+}
+
+/* Appends one field to another list. */
+static void
+append(void *context, const struct bb_header *h)
+{
+    bb_headers_add(context, h->name, h->value);
+}
+
+/* Copies the fields that are meant for the other end. */
+void
+bb_headers_copy_end_to_end(const struct bb_headers *from,
+                           struct bb_headers *to)
+{
+    bb_headers_visit_end_to_end(from, append, to);
 }
--- a/proxy/http_client.c
+++ b/proxy/http_client.c
@@ -54,7 +54,6 @@
     struct bb_attempt_request request;
     char *method;
     char *url;
-    struct bb_headers *request_headers;
     uint64_t body_position;
     GByteArray *kept; /* a copy of the answer, while it is short enough */
     atomic_uint references;
@@ -249,7 +248,7 @@
     bb_body_unref(a->request.body);
     bb_body_unref(a->public.answer);
     bb_headers_destroy(a->public.headers);
-    bb_headers_destroy(a->request_headers);
+    bb_headers_destroy(a->request.headers);
     bb_watch_unref(a->watch);
     if (a->kept != NULL) {
         (void)g_byte_array_free(a->kept, TRUE);
@@ -305,11 +304,10 @@
 {
     ne_request *request = ne_request_create(s->neon, a->method, a->url);
 
-    for (guint i = 0; i < a->request_headers->items->len; i++) {
-        const struct bb_header *h =
-            &g_array_index(a->request_headers->items, struct bb_header, i);
+    for (uint32_t i = 0; i < a->request.headers->count; i++) {
+        const struct bb_header h = bb_headers_at(a->request.headers, i);
 
-        ne_add_request_header(request, h->name, h->value);
+        ne_add_request_header(request, h.name, h.value);
     }
     if (a->request.body != NULL) {
         ne_set_request_body_provider(request, a->request.length_bytes,
@@ -475,8 +473,8 @@
 }
 
 /* Starts a request on a worker; its progress is signalled to the watch. The
- * fields are copied and the body referenced. Returns NULL, with nothing sent,
- * if no worker is free until end_us. */
+ * fields are taken over and the body referenced. Returns NULL, with nothing
+ * sent, if no worker is free until end_us. */
 struct bb_attempt *
 bb_attempt_start(struct bb_http_client *c,
                  const struct bb_attempt_request *request,
@@ -490,13 +488,6 @@
     a->request.body = bb_body_ref(request->body);
     a->method = g_strdup(request->method);
     a->url = g_strdup(request->url);
-    a->request_headers = bb_headers_create();
-    for (guint i = 0; i < request->headers->items->len; i++) {
-        const struct bb_header *h =
-            &g_array_index(request->headers->items, struct bb_header, i);
-
-        bb_headers_add(a->request_headers, h->name, h->value);
-    }
     a->public.headers = bb_headers_create();
     a->kept = request->keep_bytes > 0 ? g_byte_array_new() : NULL;
     a->public.answer = bb_body_create();
--- a/proxy/leg.c
+++ b/proxy/leg.c
@@ -63,7 +63,7 @@
 
 /* Fills in what both kinds of attempts have in common. */
 static struct bb_attempt_request
-base_request(const struct bb_exchange *x, const struct bb_headers *h)
+base_request(const struct bb_exchange *x, struct bb_headers *h)
 {
     uint64_t now_us = bb_clock_now_us();
     uint64_t left_us = x->deadline_us > now_us ? x->deadline_us - now_us : 0;
@@ -201,7 +201,6 @@
     leg->start_us = bb_clock_now_us();
     leg->attempt =
         bb_attempt_start(p->client, &request, x->watch, x->deadline_us);
-    bb_headers_destroy(h);
     if (leg->attempt == NULL) {
         bb_gatekeeper_leave(g.ticket, BB_TICKET_REFUSED, NULL);
         return refused(BB_REASON_WORKER_LIMIT, BB_RAN_NO);
@@ -240,7 +239,6 @@
         (x->length_bytes < 0 || x->length_bytes > EXPECT_BYTES);
     leg->attempt =
         bb_attempt_start(p->client, &request, x->watch, x->deadline_us);
-    bb_headers_destroy(h);
     return leg->attempt != NULL ? started
                                 : refused(BB_REASON_WORKER_LIMIT, BB_RAN_NO);
 }
--- a/proxy/request.c
+++ b/proxy/request.c
@@ -1,7 +1,6 @@
 /* The head of a request: checks, and what it says about route, deadline, depth
  * and identity. */
 #include <inttypes.h>
-#include <stdio.h>
 #include <string.h>
 
 #include "common/clock.h"
@@ -41,9 +40,13 @@
 const char *
 bb_id_text(const struct bb_request_id *id, char text[BB_ID_TEXT_BYTES])
 {
+    static const char digits[] = "0123456789abcdef";
+
     for (size_t i = 0; i < BB_REQUEST_ID_BYTES; i++) {
-        (void)snprintf(text + 2 * i, 3, "%02x", id->bytes[i]);
+        text[2 * i] = digits[id->bytes[i] >> 4];
+        text[2 * i + 1] = digits[id->bytes[i] & 0xf];
     }
+    text[BB_ID_TEXT_BYTES - 1] = '\0';
     return text;
 }
 
@@ -75,7 +78,7 @@
 
     (void)kind;
     bb_headers_add(h, name, value);
-    return h->size_bytes <= BB_HEADERS_MAX_BYTES ? MHD_YES : MHD_NO;
+    return h->text_bytes <= BB_HEADERS_MAX_BYTES ? MHD_YES : MHD_NO;
 }
 
 /* Checks everything that is wrong whatever the table says; false after a
@@ -127,7 +130,8 @@
 {
     const char *key = bb_headers_get(x->headers, BB_HEADER_KEY);
 
-    x->id = key != NULL && !x->is_idempotent
+    x->is_keyed = key != NULL && !x->is_idempotent;
+    x->id = x->is_keyed
                 ? bb_request_id_of(x->service_name, key)
                 : bb_request_id_random(bb_random_u64(x->proxy->random),
                                        bb_random_u64(x->proxy->random));
--- a/proxy/rpc.c
+++ b/proxy/rpc.c
@@ -210,6 +210,5 @@
     bb_attempt_release(
         bb_attempt_start(p->client, &request, w, bb_clock_now_us()));
     g_free(url);
-    bb_headers_destroy(h);
     bb_watch_unref(w);
 }
--- /dev/null
+++ b/tests/proxy/fixture.c
@@ -0,0 +1,248 @@
+#include "fixture.h"
+
+#include <glib.h>
+#include <microhttpd.h>
+#include <poll.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+static const struct bb_address any = {.ip = "127.0.0.1", .port = 0};
+
+void
+start_upstream(struct test_upstream *u, const struct bb_behaviour_values *v)
+{
+    struct bb_error e = {0};
+
+    *u = (struct test_upstream){.upstream = {.host = "up",
+                                             .service = "s",
+                                             .listen = any,
+                                             .idle_timeout_s = 60}};
+    bb_behaviour_init(&u->upstream.behaviour, v, 7);
+    u->upstream.runs = bb_runs_create(&u->upstream.behaviour);
+    atomic_store(&u->upstream.state, BB_UPSTREAM_READY);
+    u->daemon = bb_upstream_serve(&u->upstream, &e);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(u->daemon);
+}
+
+void
+stop_upstream(struct test_upstream *u)
+{
+    MHD_stop_daemon(u->daemon);
+    bb_runs_destroy(u->upstream.runs);
+    bb_behaviour_clear(&u->upstream.behaviour);
+}
+
+/* Starts a node with one route "/" to service "s"; change the route and call
+ * apply_table. */
+void
+start_node(struct test_node *n, const char *host, struct bb_proxy_settings s)
+{
+    struct bb_error e = {0};
+
+    *n = (struct test_node){.service = {.name = "s",
+                                        .team = BB_INDEX_NONE,
+                                        .queue_length = 16,
+                                        .long_work_percent = 100,
+                                        .retention_s = 600},
+                            .route = {.name = "all",
+                                      .path_prefix = "/",
+                                      .methods = BB_METHOD_ANY,
+                                      .timeout_ms = 5000,
+                                      .retry_limit = 2},
+                            .config = {.revision = 1,
+                                       .limits = {.max_depth = 16,
+                                                  .retry_budget_percent = 20,
+                                                  .hedge_budget_percent = 5,
+                                                  .ejection_percent = 34}}};
+    s.host = host;
+    s.zone = "z1";
+    s.region = "r";
+    s.caller_listen = any;
+    s.local_listen = any;
+    s.incarnation = 5;
+    s.seed = 11;
+    s.record_entries = 1024;
+    n->proxy = bb_proxy_create(&s, &e);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(n->proxy);
+}
+
+void
+add_member(struct test_node *n, const char *host, const char *zone,
+           struct bb_address http, struct bb_address rpc)
+{
+    struct bb_member *m = &n->members[n->member_count++];
+
+    (void)g_strlcpy(m->host, host, sizeof(m->host));
+    (void)g_strlcpy(m->zone, zone, sizeof(m->zone));
+    (void)g_strlcpy(m->region, "r", sizeof(m->region));
+    (void)g_strlcpy(m->service, "s", sizeof(m->service));
+    m->http = http;
+    m->rpc = rpc;
+    m->incarnation = 5;
+    m->upstream_state = BB_UPSTREAM_READY;
+    m->slots = 4;
+    m->is_reachable = true;
+}
+
+void
+apply_table(struct test_node *n)
+{
+    const struct bb_own_place own = {
+        .host = "entry", .zone = "z1", .region = "r"};
+
+    n->config.services = &n->service;
+    n->config.service_count = 1;
+    n->config.routes = &n->route;
+    n->config.route_count = 1;
+    bb_proxy_set_table(n->proxy, bb_table_build(&n->config, n->members,
+                                                n->member_count, &own));
+}
+
+void
+stop_node(struct test_node *n)
+{
+    bb_proxy_destroy(n->proxy);
+}
+
+void
+announce_upstream(struct test_node *n, const struct bb_address *a,
+                  enum bb_upstream_state state, uint32_t slots)
+{
+    static const char *const states[] = {"", "starting", "ready", "draining",
+                                         "leaving"};
+    char address[BB_ADDRESS_TEXT_BYTES];
+    char *body = g_strdup_printf(
+        "{\"service\":\"s\",\"address\":\"%s\",\"slots\":%u,"
+        "\"connections\":100,\"state\":\"%s\",\"lifetime_ms\":60000}",
+        bb_address_text(a, address), slots, states[state]);
+    char *request = g_strdup_printf("PUT /v1/upstream HTTP/1.1\r\nHost: n\r\n"
+                                    "Connection: close\r\n"
+                                    "Content-Length: %zu\r\n\r\n%s",
+                                    strlen(body), body);
+    struct test_answer *answer =
+        call(bb_proxy_local_address(n->proxy), request);
+
+    CU_ASSERT_EQUAL(answer->status, 200);
+    g_free(answer);
+    g_free(request);
+    g_free(body);
+}
+
+int
+connect_to(struct bb_address a)
+{
+    struct sockaddr_storage s;
+    socklen_t length = bb_address_sockaddr(&a, &s);
+    int fd = socket(s.ss_family, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+    CU_ASSERT_EQUAL_FATAL(connect(fd, (struct sockaddr *)&s, length), 0);
+    return fd;
+}
+
+void
+send_text(int fd, const char *text)
+{
+    size_t left = strlen(text);
+
+    while (left > 0) {
+        ssize_t n = send(fd, text, left, MSG_NOSIGNAL);
+
+        if (n <= 0) {
+            return;
+        }
+        text += n;
+        left -= (size_t)n;
+    }
+}
+
+/* Tells whether an answer that ended here is whole. */
+static bool
+is_whole(const struct test_answer *a)
+{
+    const char *body = strstr(a->text, "\r\n\r\n");
+    const char *length = strcasestr(a->text, "content-length:");
+
+    if (body == NULL) {
+        return false;
+    }
+    body += 4;
+    if (length != NULL && length < body) {
+        return a->size - (size_t)(body - a->text) >=
+               strtoul(length + strlen("content-length:"), NULL, 10);
+    }
+    return a->size >= 5 && memcmp(a->text + a->size - 5, "0\r\n\r\n", 5) == 0;
+}
+
+/* Reads until the peer closes or the timeout. */
+void
+read_answer(int fd, struct test_answer *a, uint32_t timeout_ms)
+{
+    uint64_t end_us = bb_clock_now_us() + (uint64_t)timeout_ms * BB_US_PER_MS;
+
+    memset(a, 0, sizeof(*a));
+    while (bb_clock_now_us() < end_us && a->size < sizeof(a->text) - 1) {
+        struct pollfd p = {.fd = fd, .events = POLLIN};
+        ssize_t n;
+
+        if (poll(&p, 1, 20) != 1) {
+            continue;
+        }
+        n = recv(fd, a->text + a->size, sizeof(a->text) - 1 - a->size, 0);
+        if (n <= 0) {
+            break;
+        }
+        a->size += (size_t)n;
+    }
+    if (strncmp(a->text, "HTTP/1.1 ", 9) == 0) {
+        a->status = atoi(a->text + 9);
+    }
+    a->is_complete = is_whole(a);
+}
+
+struct test_answer *
+call(struct bb_address address, const char *request)
+{
+    struct test_answer *a = g_new0(struct test_answer, 1);
+    int fd = connect_to(address);
+
+    send_text(fd, request);
+    read_answer(fd, a, 8000);
+    (void)close(fd);
+    return a;
+}
+
+bool
+has(const struct test_answer *a, const char *text)
+{
+    return strcasestr(a->text, text) != NULL;
+}
+
+/* Opens a listener whose connections are never served. */
+int
+silent_listener(struct bb_address *a)
+{
+    struct sockaddr_storage s;
+    socklen_t length = bb_address_sockaddr(&any, &s);
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+    CU_ASSERT_EQUAL_FATAL(bind(fd, (struct sockaddr *)&s, length), 0);
+    CU_ASSERT_EQUAL_FATAL(listen(fd, 16), 0);
+    (void)getsockname(fd, (struct sockaddr *)&s, &length);
+    (void)bb_address_from_sockaddr(&s, a);
+    return fd;
+}
+
+uint64_t
+resident_bytes(void)
+{
+    FILE *f = fopen("/proc/self/statm", "re");
+    unsigned long total = 0;
+    unsigned long resident = 0;
+
+    CU_ASSERT_PTR_NOT_NULL_FATAL(f);
+    CU_ASSERT_EQUAL(fscanf(f, "%lu %lu", &total, &resident), 2);
+    (void)fclose(f);
+    return (uint64_t)resident * (uint64_t)sysconf(_SC_PAGESIZE);
+}
--- /dev/null
+++ b/tests/proxy/test_exchange.c
@@ -0,0 +1,495 @@
+/* Requests through one and two nodes: whole answers, streaming with bounded
+ * memory, breaks that must be visible, and refusals that must be true. */
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "fixture.h"
+
+enum { LARGE_BYTES = 64 * 1024 * 1024, BLOCK_BYTES = 64 * 1024, SLOTS = 4 };
+
+static const struct bb_behaviour_values quick = {.slots = SLOTS,
+                                                 .connections = 64,
+                                                 .service_us = 1000,
+                                                 .load_percent = 100,
+                                                 .cold_factor = 1,
+                                                 .slow_factor = 1,
+                                                 .long_factor = 1};
+
+static struct test_upstream upstream;
+static struct test_node gate;  /* beside the upstream */
+static struct test_node entry; /* has no upstream */
+static struct bb_rpc_server *server;
+static struct bb_rpc_pool *pool;
+
+static void
+start(struct bb_proxy_settings s)
+{
+    struct bb_error e = {0};
+    struct bb_address any = {.ip = "127.0.0.1"};
+    struct bb_address rpc = any;
+
+    start_upstream(&upstream, &quick);
+    start_node(&gate, "gate", s);
+    pool = bb_rpc_pool_create();
+    server = bb_rpc_server_create(&any, &e);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(server);
+    CU_ASSERT_TRUE(bb_proxy_register(gate.proxy, server, &e));
+    CU_ASSERT_TRUE(bb_rpc_server_start(server, &e));
+    rpc.port = bb_rpc_server_port(server);
+    s.rpc = pool;
+    start_node(&entry, "entry", s);
+    announce_upstream(&gate, &upstream.upstream.listen, BB_UPSTREAM_READY,
+                      SLOTS);
+    add_member(&entry, "gate", "z2", bb_proxy_caller_address(gate.proxy), rpc);
+    add_member(&gate, "gate", "z2", bb_proxy_caller_address(gate.proxy), rpc);
+    apply_table(&entry);
+    apply_table(&gate);
+}
+
+static void
+stop(void)
+{
+    stop_node(&entry);
+    stop_node(&gate);
+    bb_rpc_server_destroy(server);
+    bb_rpc_pool_destroy(pool);
+    stop_upstream(&upstream);
+}
+
+static struct test_answer *
+get(const char *headers)
+{
+    char *request = g_strdup_printf("GET /a HTTP/1.1\r\nHost: h\r\n"
+                                    "Connection: close\r\n%s\r\n",
+                                    headers);
+    struct test_answer *a =
+        call(bb_proxy_caller_address(entry.proxy), request);
+
+    g_free(request);
+    return a;
+}
+
+/* Guards against answers that get lost or mixed up on the way, and against
+ * node-to-node fields that reach a caller. */
+static void
+test_small_requests_pass(void)
+{
+    struct test_answer *a;
+
+    start((struct bb_proxy_settings){0});
+    a = get("X-Call-Id: one\r\n");
+    CU_ASSERT_EQUAL(a->status, 200);
+    CU_ASSERT_TRUE(a->is_complete);
+    CU_ASSERT_TRUE(has(a, "\"id\":\"one\""));
+    CU_ASSERT_TRUE(has(a, "Baobab-Request-Id: "));
+    CU_ASSERT_FALSE(has(a, "Baobab-Load"));
+    CU_ASSERT_FALSE(has(a, "Baobab-Incarnation"));
+    g_free(a);
+    a = call(bb_proxy_caller_address(entry.proxy),
+             "POST /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+             "X-Call-Id: two\r\nContent-Length: 5\r\n\r\nhello");
+    CU_ASSERT_EQUAL(a->status, 200);
+    CU_ASSERT_TRUE(has(a, "\"digest\":\"26c7827d889f6da3\""));
+    g_free(a);
+    a = call(bb_proxy_caller_address(entry.proxy),
+             "POST /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+             "X-Call-Id: three\r\nTransfer-Encoding: chunked\r\n\r\n"
+             "2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n");
+    CU_ASSERT_EQUAL(a->status, 200);
+    CU_ASSERT_TRUE(has(a, "\"digest\":\"26c7827d889f6da3\""));
+    g_free(a);
+    stop();
+}
+
+/* Guards against bodies that are held whole in memory. */
+static void
+test_large_bodies_stay_bounded(void)
+{
+    static char block[BLOCK_BYTES];
+    struct test_answer *a = g_new0(struct test_answer, 1);
+    uint64_t before;
+    uint64_t received = 0;
+    ssize_t n;
+    int fd;
+
+    start((struct bb_proxy_settings){0});
+    g_free(get(""));
+    before = resident_bytes();
+    fd = connect_to(bb_proxy_caller_address(entry.proxy));
+    send_text(fd, "PUT /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+                  "Content-Length: 67108864\r\n\r\n");
+    for (int i = 0; i < LARGE_BYTES / BLOCK_BYTES; i++) {
+        memset(block, 'a' + i % 26, sizeof(block));
+        for (size_t sent = 0; sent < sizeof(block);) {
+            n = send(fd, block + sent, sizeof(block) - sent, MSG_NOSIGNAL);
+            CU_ASSERT_TRUE_FATAL(n > 0);
+            sent += (size_t)n;
+        }
+    }
+    read_answer(fd, a, 8000);
+    CU_ASSERT_EQUAL(a->status, 200);
+    CU_ASSERT_TRUE(has(a, "\"bytes\":67108864"));
+    (void)close(fd);
+    fd = connect_to(bb_proxy_caller_address(entry.proxy));
+    send_text(fd, "GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+                  "X-Answer-Bytes: 67108864\r\n\r\n");
+    while ((n = recv(fd, block, sizeof(block), 0)) > 0) {
+        received += (uint64_t)n;
+    }
+    CU_ASSERT_TRUE(received > LARGE_BYTES);
+    (void)close(fd);
+    /* Both nodes and the upstream share this process. */
+    CU_ASSERT_TRUE(resident_bytes() < before + 24 * 1024 * 1024);
+    g_free(a);
+    stop();
+}
+
+/* Guards against a cut answer that looks complete to the caller. */
+static void
+test_cut_answers_are_seen_as_broken(void)
+{
+    struct bb_error e = {0};
+    json_t *cut = json_pack("{s:i}", "truncate_permille", 1000);
+    struct test_answer *a;
+
+    start((struct bb_proxy_settings){0});
+    CU_ASSERT_TRUE(bb_behaviour_apply(&upstream.upstream.behaviour, cut, &e));
+    a = get("X-Answer-Bytes: 40000\r\n");
+    CU_ASSERT_FALSE(a->is_complete && a->status == 200);
+    g_free(a);
+    a = get("X-Answer-Bytes: 1000\r\n");
+    CU_ASSERT_FALSE(a->is_complete && a->status == 200);
+    g_free(a);
+    json_decref(cut);
+    stop();
+}
+
+/* Guards against a peer that holds threads and slots by doing nothing. */
+static void
+test_slow_peers_are_cut(void)
+{
+    struct test_answer *a = g_new0(struct test_answer, 1);
+    char byte;
+    uint64_t start_us;
+    int sender;
+    int reader;
+
+    start((struct bb_proxy_settings){.idle_timeout_ms = 1000});
+    start_us = bb_clock_now_us();
+    sender = connect_to(bb_proxy_caller_address(entry.proxy));
+    send_text(sender, "PUT /a HTTP/1.1\r\nHost: h\r\n"
+                      "Content-Length: 1000000\r\n\r\nabc");
+    reader = connect_to(bb_proxy_caller_address(entry.proxy));
+    send_text(reader, "GET /a HTTP/1.1\r\nHost: h\r\n"
+                      "X-Answer-Bytes: 67108864\r\n\r\n");
+    read_answer(sender, a, 6000);
+    CU_ASSERT_NOT_EQUAL(a->status, 200);
+    CU_ASSERT_TRUE(bb_clock_now_us() - start_us < 4 * (uint64_t)BB_US_PER_S);
+    for (int i = 0; i < 60 && bb_proxy_in_flight(entry.proxy) > 0; i++) {
+        bb_clock_sleep_us(100 * BB_US_PER_MS);
+    }
+    CU_ASSERT_EQUAL(bb_proxy_in_flight(entry.proxy), 0);
+    CU_ASSERT_EQUAL(recv(sender, &byte, 1, MSG_DONTWAIT), 0);
+    (void)close(sender);
+    (void)close(reader);
+    g_free(a);
+    stop();
+}
+
+/* Guards against requests that two parsers delimit differently. */
+static void
+test_smuggling_is_refused(void)
+{
+    static const char *const attempts[] = {
+        "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+        "Content-Length: 3\r\nContent-Length: 3\r\n\r\nabc",
+        "Content-Length: +3\r\n\r\nabc",
+        "Content-Length: 3, 3\r\n\r\nabc",
+        "Content-Length: 0x3\r\n\r\nabc",
+        "Transfer-Encoding: chunked, gzip\r\n\r\n0\r\n\r\n",
+        "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n",
+        "Transfer-Encoding : chunked\r\n\r\n0\r\n\r\n",
+        "X Bad: 1\r\n\r\n",
+        "X-Bad: a\x01z\r\n\r\n",
+    };
+
+    start((struct bb_proxy_settings){0});
+    for (size_t i = 0; i < G_N_ELEMENTS(attempts); i++) {
+        char *request =
+            g_strdup_printf("POST /a HTTP/1.1\r\nHost: h\r\n%s"
+                            "GET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n",
+                            attempts[i]);
+        struct test_answer *a =
+            call(bb_proxy_caller_address(entry.proxy), request);
+
+        CU_ASSERT_TRUE(a->status == 400 || a->status == 0);
+        CU_ASSERT_FALSE(has(a, "HTTP/1.1 200"));
+        if (has(a, "HTTP/1.1 200")) {
+            (void)printf("attempt %zu: %s\n", i, a->text);
+        }
+        g_free(a);
+        g_free(request);
+    }
+    stop();
+}
+
+/* Guards against fields of one connection that travel further. */
+static void
+test_hop_by_hop_fields_end(void)
+{
+    struct test_answer *a;
+
+    start((struct bb_proxy_settings){0});
+    a = call(bb_proxy_caller_address(entry.proxy),
+             "GET /a HTTP/1.1\r\nHost: h\r\nConnection: close, X-Work-Us\r\n"
+             "X-Work-Us: 60000000\r\nBaobab-Refused: forged\r\n\r\n");
+    CU_ASSERT_EQUAL(a->status, 200);
+    g_free(a);
+    stop();
+}
+
+/* Guards against deadlines that are rounded to whole seconds. */
+static void
+test_deadline_is_kept_in_milliseconds(void)
+{
+    uint64_t start_us;
+    uint64_t took_us;
+    struct test_answer *a;
+
+    start((struct bb_proxy_settings){0});
+    start_us = bb_clock_now_us();
+    a = get("X-Work-Us: 3000000\r\nBaobab-Deadline-Ms: 150\r\n");
+    took_us = bb_clock_now_us() - start_us;
+    CU_ASSERT_EQUAL(a->status, 504);
+    CU_ASSERT_TRUE(took_us >= 100 * BB_US_PER_MS);
+    CU_ASSERT_TRUE(took_us < 600 * BB_US_PER_MS);
+    g_free(a);
+    stop();
+}
+
+/* Guards against a hung upstream that holds the caller past the deadline. */
+static void
+test_silent_upstream_ends_at_the_deadline(void)
+{
+    struct bb_address silent;
+    int listener = silent_listener(&silent);
+    uint64_t start_us;
+    struct test_answer *a;
+
+    start((struct bb_proxy_settings){0});
+    announce_upstream(&gate, &silent, BB_UPSTREAM_READY, SLOTS);
+    start_us = bb_clock_now_us();
+    a = call(bb_proxy_caller_address(entry.proxy),
+             "POST /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+             "Baobab-Deadline-Ms: 300\r\nContent-Length: 1\r\n\r\nx");
+    CU_ASSERT_EQUAL(a->status, 504);
+    CU_ASSERT_TRUE(has(a, "Baobab-Ran: unknown"));
+    CU_ASSERT_TRUE(bb_clock_now_us() - start_us < 1500 * BB_US_PER_MS);
+    g_free(a);
+    (void)close(listener);
+    stop();
+}
+
+/* Guards against a request that is lost or runs twice because its connection
+ * to the chosen gatekeeper falls silent. */
+static void
+test_silent_connection_is_asked_about(void)
+{
+    struct bb_address silent;
+    int listener = silent_listener(&silent);
+    GString *ran = g_string_new(NULL);
+    struct test_answer *a;
+
+    start((struct bb_proxy_settings){.silent_check_ms = 100});
+    /* Own zone, so it is chosen first; its RPC is that of the gate. */
+    add_member(&entry, "silent", "z1", silent, entry.members[0].rpc);
+    apply_table(&entry);
+    a = call(bb_proxy_caller_address(entry.proxy),
+             "POST /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+             "X-Call-Id: q\r\nContent-Length: 1\r\n\r\nx");
+    /* The gate's record is shared here, so its refusal for good holds there
+     * too: the request must not run anywhere. */
+    CU_ASSERT_TRUE(has(a, "Baobab-Ran: no"));
+    bb_runs_write(upstream.upstream.runs, ran);
+    CU_ASSERT_PTR_NOT_NULL(strstr(ran->str, "\"runs\":0,"));
+    (void)g_string_free(ran, TRUE);
+    g_free(a);
+    a = get("X-Call-Id: r\r\n");
+    CU_ASSERT_EQUAL(a->status, 200);
+    g_free(a);
+    (void)close(listener);
+    stop();
+}
+
+struct caller {
+    pthread_t thread;
+    const char *request;
+    struct test_answer *answer;
+};
+
+static void *
+run_caller(void *argument)
+{
+    struct caller *c = argument;
+
+    c->answer = call(bb_proxy_caller_address(entry.proxy), c->request);
+    return NULL;
+}
+
+static void
+run_callers(struct caller *callers, size_t count, const char *request)
+{
+    for (size_t i = 0; i < count; i++) {
+        callers[i].request = request;
+        CU_ASSERT_EQUAL_FATAL(
+            pthread_create(&callers[i].thread, NULL, run_caller, &callers[i]),
+            0);
+    }
+}
+
+/* Guards against an upstream that gets more than its slots, and against
+ * refusals while the queue has room. */
+static void
+test_queue_keeps_the_slots(void)
+{
+    struct caller callers[3 * SLOTS] = {0};
+    uint32_t busy = 0;
+    uint32_t waiting = 0;
+    uint32_t busiest = 0;
+
+    start((struct bb_proxy_settings){0});
+    run_callers(callers, G_N_ELEMENTS(callers),
+                "GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+                "X-Work-Us: 50000\r\n\r\n");
+    for (int i = 0; i < 20; i++) {
+        bb_runs_load(upstream.upstream.runs, &busy, &waiting);
+        busiest = MAX(busiest, busy + waiting);
+        bb_clock_sleep_us(5 * BB_US_PER_MS);
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(callers); i++) {
+        (void)pthread_join(callers[i].thread, NULL);
+        CU_ASSERT_EQUAL(callers[i].answer->status, 200);
+        g_free(callers[i].answer);
+    }
+    CU_ASSERT_EQUAL(busiest, SLOTS);
+    stop();
+}
+
+/* Guards against a shutdown that cuts requests in flight or takes new ones. */
+static void
+test_drain_cuts_nothing(void)
+{
+    struct caller callers[SLOTS] = {0};
+    struct test_answer *a;
+
+    start((struct bb_proxy_settings){0});
+    entry.route.retry_limit = 0; /* the refusal itself is what is checked */
+    apply_table(&entry);
+    run_callers(callers, G_N_ELEMENTS(callers),
+                "GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+                "X-Work-Us: 2000000\r\n\r\n");
+    while (bb_runs_in_flight(upstream.upstream.runs) < SLOTS) {
+        bb_clock_sleep_us(5 * BB_US_PER_MS);
+    }
+    CU_ASSERT_FALSE(bb_proxy_drain(gate.proxy, 10));
+    a = get("");
+    CU_ASSERT_TRUE(has(a, "Baobab-Refused: shutting_down"));
+    CU_ASSERT_TRUE(has(a, "Baobab-Ran: no"));
+    g_free(a);
+    CU_ASSERT_TRUE(bb_proxy_drain(entry.proxy, 8000));
+    CU_ASSERT_TRUE(bb_proxy_drain(gate.proxy, 8000));
+    for (size_t i = 0; i < G_N_ELEMENTS(callers); i++) {
+        (void)pthread_join(callers[i].thread, NULL);
+        CU_ASSERT_EQUAL(callers[i].answer->status, 200);
+        CU_ASSERT_TRUE(callers[i].answer->is_complete);
+        g_free(callers[i].answer);
+    }
+    stop();
+}
+
+/* Guards against a second run of a non-idempotent request with one key. */
+static void
+test_repeat_gets_the_first_answer(void)
+{
+    static const char request[] =
+        "POST /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+        "Idempotency-Key: k1\r\nX-Call-Id: same\r\n"
+        "Content-Length: 1\r\n\r\nx";
+    struct test_answer *first;
+    struct test_answer *second;
+    GString *ran = g_string_new(NULL);
+
+    start((struct bb_proxy_settings){0});
+    first = call(bb_proxy_caller_address(entry.proxy), request);
+    second = call(bb_proxy_caller_address(entry.proxy), request);
+    CU_ASSERT_EQUAL(first->status, 200);
+    CU_ASSERT_EQUAL(second->status, 200);
+    CU_ASSERT_TRUE(has(second, "\"id\":\"same\""));
+    bb_runs_write(upstream.upstream.runs, ran);
+    CU_ASSERT_PTR_NOT_NULL(strstr(ran->str, "\"runs\":1,"));
+    (void)g_string_free(ran, TRUE);
+    g_free(first);
+    g_free(second);
+    stop();
+}
+
+/* Guards against work that is sent to an upstream that is gone, shedding or
+ * draining, and against refusals that do not say why. */
+static void
+test_refusals_say_why(void)
+{
+    struct bb_error e = {0};
+    json_t *shed = json_pack("{s:b}", "shedding", 1);
+    struct test_answer *a;
+
+    start((struct bb_proxy_settings){0});
+    entry.route.retry_limit = 0; /* the refusal itself is what is checked */
+    apply_table(&entry);
+    announce_upstream(&gate, &upstream.upstream.listen, BB_UPSTREAM_DRAINING,
+                      SLOTS);
+    a = get("");
+    CU_ASSERT_TRUE(has(a, "Baobab-Refused: upstream_draining"));
+    g_free(a);
+    announce_upstream(&gate, &upstream.upstream.listen, BB_UPSTREAM_READY,
+                      SLOTS);
+    CU_ASSERT_TRUE(bb_behaviour_apply(&upstream.upstream.behaviour, shed, &e));
+    a = get("");
+    CU_ASSERT_TRUE(has(a, "Baobab-Refused: upstream_shedding"));
+    CU_ASSERT_TRUE(has(a, "Baobab-Ran: no"));
+    g_free(a);
+    json_decref(shed);
+    a = get("Baobab-Depth: 16\r\n");
+    CU_ASSERT_TRUE(has(a, "Baobab-Refused: depth_limit"));
+    g_free(a);
+    (void)g_strlcpy(entry.route.path_prefix, "/b", BB_PATH_BYTES);
+    apply_table(&entry);
+    a = get("");
+    CU_ASSERT_EQUAL(a->status, 404);
+    CU_ASSERT_TRUE(has(a, "Baobab-Refused: no_route"));
+    g_free(a);
+    stop();
+}
+
+static const struct bb_unit_test tests[] = {
+    {"small requests pass", test_small_requests_pass},
+    {"large bodies stay bounded", test_large_bodies_stay_bounded},
+    {"cut answers are seen as broken", test_cut_answers_are_seen_as_broken},
+    {"slow peers are cut", test_slow_peers_are_cut},
+    {"smuggling is refused", test_smuggling_is_refused},
+    {"hop-by-hop fields end", test_hop_by_hop_fields_end},
+    {"deadline is kept in milliseconds",
+     test_deadline_is_kept_in_milliseconds},
+    {"silent upstream ends at the deadline",
+     test_silent_upstream_ends_at_the_deadline},
+    {"silent connection is asked about",
+     test_silent_connection_is_asked_about},
+    {"queue keeps the slots", test_queue_keeps_the_slots},
+    {"drain cuts nothing", test_drain_cuts_nothing},
+    {"repeat gets the first answer", test_repeat_gets_the_first_answer},
+    {"refusals say why", test_refusals_say_why},
+};
+
+BB_UNIT_MAIN("exchange", tests)
