Connect the whole path: folder, control hosts, nodes, calls

Cause of the first failure: the source watch proposes only once it knows what is in force, and nobody told it that nothing is; and the agreement checks the payload's own digest while the folder's was passed.

--- a/admin/views.c
+++ b/admin/views.c
@@ -7,9 +7,7 @@
 
 #include "config/compile.h"
 
-enum {
-    NUMBER_TEXT_BYTES = 24
-};
+enum { NUMBER_TEXT_BYTES = 24 };
 
 static const char *const state_names[] = {
     [BB_MEMBER_ALIVE] = "alive",
@@ -19,10 +17,8 @@
 };
 
 static const char *const upstream_names[] = {
-    [BB_UPSTREAM_NONE] = "none",
-    [BB_UPSTREAM_STARTING] = "starting",
-    [BB_UPSTREAM_READY] = "ready",
-    [BB_UPSTREAM_DRAINING] = "draining",
+    [BB_UPSTREAM_NONE] = "none",       [BB_UPSTREAM_STARTING] = "starting",
+    [BB_UPSTREAM_READY] = "ready",     [BB_UPSTREAM_DRAINING] = "draining",
     [BB_UPSTREAM_LEAVING] = "leaving",
 };
 
@@ -118,13 +114,13 @@
 {
     char digest[BB_DIGEST_TEXT_BYTES] = "";
     char *text = b != NULL ? bb_config_merged_text(b->folder) : g_strdup("");
-    json_t *answer = json_pack(
-        "{s:I,s:I,s:s,s:b,s:s,s:o}", "revision",
-        (json_int_t)(b != NULL ? b->revision : 0), "version",
-        (json_int_t)(b != NULL ? b->version : 0), "digest",
-        b != NULL ? bb_digest_text(&b->digest, digest) : "", "confirmed",
-        is_confirmed, "text", text, "files",
-        b != NULL ? view_files(b->folder) : json_array());
+    json_t *answer =
+        json_pack("{s:I,s:I,s:s,s:b,s:s,s:o}", "revision",
+                  (json_int_t)(b != NULL ? b->revision : 0), "version",
+                  (json_int_t)(b != NULL ? b->version : 0), "digest",
+                  b != NULL ? bb_digest_text(&b->digest, digest) : "",
+                  "confirmed", is_confirmed, "text", text, "files",
+                  b != NULL ? view_files(b->folder) : json_array());
 
     add_holders(answer, b != NULL ? b->revision : 0, members, zone);
     g_free(text);
--- a/config/history.c
+++ b/config/history.c
@@ -145,8 +145,8 @@
     bool is_newer;
 
     (void)pthread_mutex_lock(&h->lock);
-    is_newer = h->count > 0 &&
-               h->bundles[h->count - 1]->revision > have_revision;
+    is_newer =
+        h->count > 0 && h->bundles[h->count - 1]->revision > have_revision;
     if (is_newer) {
         if (h->cached.bytes == NULL || h->cached_have != have_revision) {
             fill_cache(h, have_revision);
--- a/control/daemon.c
+++ b/control/daemon.c
@@ -6,9 +6,7 @@
 #include "common/counters.h"
 #include "common/log.h"
 
-enum {
-    PROPOSE_TIMEOUT_MS = 3000
-};
+enum { PROPOSE_TIMEOUT_MS = 3000, EMPTY_CHECK_MS = 100 };
 
 BB_COUNTER(proposed_total, "baobab_proposals_total",
            "Configurations proposed by this control host");
@@ -28,7 +26,8 @@
 struct proposal {
     uint64_t base;
     uint64_t version;
-    struct bb_digest digest;
+    struct bb_digest digest;         /* of the folder, for the source watch */
+    struct bb_digest payload_digest; /* identifies it in the agreement */
     uint8_t *payload;
     size_t size_bytes;
 };
@@ -61,6 +60,7 @@
     p->version = version;
     p->digest = folder->digest;
     bb_bundle_encode(&b, &p->payload, &p->size_bytes);
+    p->payload_digest = bb_digest_of(p->payload, p->size_bytes);
     g_async_queue_push(c->proposals, p);
 }
 
@@ -92,7 +92,7 @@
         return BB_SOURCE_VERSION_CONFLICT;
     case BB_REPLICATE_BAD_PAYLOAD:
         bb_counter_add(&refused_total, 1);
-        bb_log_warning("proposal.too_large",
+        bb_log_warning("proposal.bad_payload",
                        "%zu bytes after compression; the limit is %d",
                        p->size_bytes, BB_REPLICATE_PAYLOAD_MAX_BYTES);
         return BB_SOURCE_INVALID;
@@ -103,23 +103,44 @@
     return BB_SOURCE_UNAVAILABLE;
 }
 
+/* Tells the source watch once that nothing is in force yet, which it must know
+ * before it proposes the first configuration. Returns whether it knows. */
+static bool
+note_empty(struct bb_control *c)
+{
+    static const struct bb_digest none;
+    struct bb_replicate_status s;
+
+    bb_replicate_status(c->replicate, &s);
+    if (s.is_confirmed && s.revision == 0) {
+        bb_source_watch_in_force(c->watch, 0, &none);
+    }
+    return s.is_confirmed || s.revision != 0;
+}
+
 /* Proposes queued configurations one after the other. */
 static void *
 run_proposer(void *argument)
 {
     struct bb_control *c = argument;
+    bool is_noted = false;
 
     for (;;) {
-        struct proposal *p = g_async_queue_pop(c->proposals);
+        struct proposal *p = g_async_queue_timeout_pop(
+            c->proposals, (guint64)EMPTY_CHECK_MS * BB_US_PER_MS);
         struct bb_replicate_result r;
 
+        is_noted = is_noted || note_empty(c);
+        if (p == NULL) {
+            continue;
+        }
         if (p->payload == NULL) {
             destroy_proposal(p);
             break;
         }
         bb_counter_add(&proposed_total, 1);
-        r = bb_replicate_propose(c->replicate, p->base, p->version, &p->digest,
-                                 p->payload, p->size_bytes,
+        r = bb_replicate_propose(c->replicate, p->base, p->version,
+                                 &p->payload_digest, p->payload, p->size_bytes,
                                  PROPOSE_TIMEOUT_MS);
         bb_source_watch_answer(c->watch, &p->digest, p->base,
                                note_outcome(p, &r), r.revision);
@@ -139,6 +160,7 @@
     struct bb_error e = {0};
     struct bb_bundle *b = bb_bundle_decode(payload, size_bytes, &e);
 
+    (void)digest; /* of the payload; the store has checked it */
     if (b == NULL) {
         bb_log_warning("configuration.unreadable",
                        "revision %" G_GUINT64_FORMAT ": %s", revision,
@@ -151,10 +173,10 @@
         bb_counter_set(&revision_gauge, revision);
         bb_log_info("configuration.accepted",
                     "revision %" G_GUINT64_FORMAT " digest %.12s", revision,
-                    bb_digest_text(digest, text));
-        bb_mesh_publish(c->mesh, revision, digest);
+                    bb_digest_text(&b->digest, text));
+        bb_mesh_publish(c->mesh, revision, &b->digest);
     }
-    bb_source_watch_in_force(c->watch, revision, digest);
+    bb_source_watch_in_force(c->watch, revision, &b->digest);
     bb_bundle_unref(b);
 }
 
@@ -268,8 +290,7 @@
 static bool
 start_proposer(struct bb_control *c, struct bb_error *e)
 {
-    c->has_proposer =
-        pthread_create(&c->proposer, NULL, run_proposer, c) == 0;
+    c->has_proposer = pthread_create(&c->proposer, NULL, run_proposer, c) == 0;
     if (!c->has_proposer) {
         return bb_error_set(e, 1, "cannot start the proposer's thread");
     }
--- a/control/endpoints.c
+++ b/control/endpoints.c
@@ -26,8 +26,8 @@
 list_problems(const struct bb_replicate_status *s, const json_t *source)
 {
     json_t *problems = json_array();
-    const char *conflict = json_string_value(json_object_get(source,
-                                                             "conflict"));
+    const char *conflict =
+        json_string_value(json_object_get(source, "conflict"));
 
     if (!s->is_confirmed) {
         (void)json_array_append_new(
@@ -51,7 +51,9 @@
         (void)json_array_append_new(
             problems, json_sprintf("the folder was refused: %s", conflict));
     }
-    for (uint32_t i = 0; i < s->peer_count; i++) {
+    /* Only the leader hears from every control host. */
+    for (uint32_t i = 0; s->role == BB_AGREE_LEADER && i < s->peer_count;
+         i++) {
         if (!s->peers[i].is_alive) {
             (void)json_array_append_new(
                 problems, json_sprintf("control host %s does not answer",
@@ -68,9 +70,9 @@
     json_t *peers = json_array();
 
     for (uint32_t i = 0; i < s->peer_count; i++) {
-        (void)json_array_append_new(
-            peers, json_pack("{s:s,s:b}", "host", s->peers[i].id, "alive",
-                             s->peers[i].is_alive));
+        (void)json_array_append_new(peers, json_pack("{s:s,s:b}", "host",
+                                                     s->peers[i].id, "alive",
+                                                     s->peers[i].is_alive));
     }
     return peers;
 }
@@ -103,8 +105,8 @@
         "leader", s.leader[0] != '\0' ? s.leader : NULL, "term",
         (json_int_t)s.term, "quorum", s.is_confirmed, "agreement_role",
         roles[s.role], "can_vote", s.can_vote, "why_not", s.why_not,
-        "control_hosts", list_peers(&s), "problems",
-        list_problems(&s, source), "source", source);
+        "control_hosts", list_peers(&s), "problems", list_problems(&s, source),
+        "source", source);
 }
 
 /* Answers with all member records. */
--- a/include/config/history.h
+++ b/include/config/history.h
@@ -9,9 +9,7 @@
 
 #include "config/bundle.h"
 
-enum {
-    BB_HISTORY_REVISIONS = 64
-};
+enum { BB_HISTORY_REVISIONS = 64 };
 
 /* A bundle or a delta, encoded for one receiver. */
 struct bb_history_payload {
--- a/node/holder.c
+++ b/node/holder.c
@@ -291,8 +291,8 @@
     bool is_allowed;
 
     (void)pthread_mutex_lock(&h->lock);
-    is_allowed = b != NULL && h->is_floor_known &&
-                 b->revision >= h->floor_revision;
+    is_allowed =
+        b != NULL && h->is_floor_known && b->revision >= h->floor_revision;
     (void)pthread_mutex_unlock(&h->lock);
     if (!is_allowed) {
         goto out;
--- a/node/kept_bundle.c
+++ b/node/kept_bundle.c
@@ -6,9 +6,7 @@
 #include <stdio.h>
 #include <unistd.h>
 
-enum {
-    FILE_MODE = 0600
-};
+enum { FILE_MODE = 0600 };
 
 static const char file_name[] = "configuration.bundle";
 
--- a/tests/config/test_history.c
+++ b/tests/config/test_history.c
@@ -6,9 +6,7 @@
 #include "config/history.h"
 #include "unit.h"
 
-enum {
-    REVISIONS = BB_HISTORY_REVISIONS + 36
-};
+enum { REVISIONS = BB_HISTORY_REVISIONS + 36 };
 
 static struct bb_bundle *
 make_bundle(uint64_t revision)
@@ -19,8 +17,8 @@
     char *text =
         g_strdup_printf("[limits]\nmax-depth=%u\n", (unsigned)revision % 16);
 
-    CU_ASSERT_TRUE_FATAL(bb_folder_builder_add(builder, "00-limits", text,
-                                               strlen(text), &e));
+    CU_ASSERT_TRUE_FATAL(
+        bb_folder_builder_add(builder, "00-limits", text, strlen(text), &e));
     CU_ASSERT_TRUE_FATAL(
         bb_folder_builder_add(builder, "10-same", "[team a]\n", 9, &e));
     folder = bb_folder_builder_finish(builder, &e);
