--- /dev/null
+++ b/bench/demo.sh
@@ -0,0 +1,114 @@
+#!/usr/bin/env bash
+# Starts a small mesh of two regions with two zones each, sends calls through
+# it, changes its configuration, offers a bad file, drains an upstream, and
+# stops everything. Ends with exit code 0 only if all of it worked.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+MESH_BUILD=${1:-build}
+. bench/mesh-lib.sh
+trap 'mesh_stop_all; rm -rf "$MESH_DIR"' EXIT
+
+SECONDS_OF_LOAD=14
+RATE=150
+zones=(accra-1 accra-2 kumasi-1 kumasi-2)
+regions=(accra accra kumasi kumasi)
+services=(proofdesk presslink photovault orderbook)
+CONTROL_ZONES=(accra-1 accra-2 kumasi-1)
+CONTROL_REGIONS=(accra accra kumasi)
+nodes=(node-0 node-1 node-2 node-3 node-4 node-5 node-6 node-7)
+
+# wait_holders COUNT: waits until control-1 knows that many holders.
+wait_holders() {
+    local deadline=$((SECONDS + 10))
+    until MESH_ADMIN=1 mesh_ctl in-force >"$MESH_DIR/in-force.txt" &&
+        grep -q "^holders: $1\$" "$MESH_DIR/in-force.txt"; do
+        [ $SECONDS -lt $deadline ] || mesh_fail "not $1 holders"
+        sleep 0.05
+    done
+}
+
+echo "1. Starting 3 control hosts, 8 nodes and 8 upstreams in 2 regions"
+for i in 0 1 2; do
+    mesh_put_folder "$i" examples/adinkra
+    mesh_start_control "$i"
+done
+for i in 0 1 2 3 4 5 6 7; do
+    mesh_start_node "$i" "${zones[$((i % 4))]}" "${regions[$((i % 4))]}"
+done
+sleep 0.3
+# Two upstreams of each service, one in each region.
+for i in 0 1 2 3 4 5 6 7; do
+    mesh_start_upstream "$i" "${services[$(((i + i / 4) % 4))]}"
+done
+mesh_wait_revision 1 "${nodes[@]}"
+sleep 0.7
+mesh_ctl members
+
+echo
+echo "2. Sending the Adinkra workload, $RATE calls a second for" \
+    "$SECONDS_OF_LOAD s, through all nodes"
+targets=
+for i in 0 1 2 3 4 5 6 7; do
+    targets+="${targets:+,}127.0.0.1:$((MESH_NODE_BASE + 10 * i))"
+done
+"$MESH_BUILD/load/baobab-load" --targets "$targets" \
+    --workload bench/workloads/adinkra.json --rate "$RATE" \
+    --duration-ms $((SECONDS_OF_LOAD * 1000)) --seed 7 --json \
+    >"$MESH_DIR/load.json" 2>"$MESH_DIR/load.log" &
+load_pid=$!
+sleep 2
+
+echo
+echo "3. Changing a file in the folder of control-0"
+folder="$MESH_DIR/control-0/folder"
+sed 's/^version=1$/version=2/' "$folder/00-configuration.conf" \
+    >"$folder/.new"
+sed 's/^queue-length=64$/queue-length=48/' "$folder/20-services.conf" \
+    >"$folder/.services"
+mv "$folder/.services" "$folder/20-services.conf"
+start_ms=$(mesh_now_ms)
+mv "$folder/.new" "$folder/00-configuration.conf"
+mesh_wait_revision 2 "${nodes[@]}"
+echo "   revision 2 in force on all 8 nodes after" \
+    "$((MESH_LAST_MS - start_ms)) ms"
+wait_holders 8
+echo "   control-1, to which the nodes' acknowledgements travelled, shows:"
+MESH_ADMIN=1 mesh_ctl in-force >"$MESH_DIR/in-force.txt"
+sed -n 1,14p "$MESH_DIR/in-force.txt"
+
+echo
+echo "4. Offering a file with faults while calls go on"
+printf '[route broken]\npath=/broken\nservice=nowhere\n' >"$folder/.bad"
+sed -e 's/^version=2$/version=3/' \
+    -e 's/;50-orders.conf$/;50-orders.conf;60-bad.conf/' \
+    "$folder/00-configuration.conf" >"$folder/.new"
+mv "$folder/.bad" "$folder/60-bad.conf"
+mv "$folder/.new" "$folder/00-configuration.conf"
+sleep 1
+if "$MESH_BUILD/ctl/baobabctl" check "$folder"; then
+    mesh_fail "the faulty folder passed the check"
+fi
+mesh_ctl status >"$MESH_DIR/status.txt" || true
+cat "$MESH_DIR/status.txt"
+mesh_ctl in-force >"$MESH_DIR/in-force.txt"
+grep -q "^revision 2," "$MESH_DIR/in-force.txt" ||
+    mesh_fail "revision 2 is not in force any more"
+
+echo
+echo "5. Draining the upstream of node-0"
+ran() {
+    curl -s "http://127.0.0.1:$((MESH_NODE_BASE + 5))/v1/ran?counts" ||
+        true
+}
+mesh_signal TERM upstream-0
+sleep 2
+grep -h "drain\|state" "$MESH_DIR/upstream-0.log" "$MESH_DIR/node-0.log" |
+    tail -n 3
+
+wait "$load_pid" || mesh_fail "the load generator reported failed calls"
+echo
+echo "6. Result of the load"
+cat "$MESH_DIR/load.json"
+grep -q '"failed": *0\b' "$MESH_DIR/load.json" ||
+    mesh_fail "calls failed during the demo"
+echo "Demo finished: no call failed."
