--- a/proxy/entry.c
+++ b/proxy/entry.c
@@ -453,11 +453,33 @@
     }
 }
 
+/* Asks the gatekeeper of a silent leg. When it says that the request is not
+ * there any more, its answer may be on its way on the first connection, so
+ * the gatekeeper is asked once more before that connection is given up. */
+static void
+query(struct bb_exchange *x, struct bb_leg *leg)
+{
+    enum bb_query_result result;
+    bool is_over;
+
+    if (!bb_rpc_query(x, leg, &result)) {
+        bb_probe_query_failed(&leg->probe, bb_clock_now_us());
+        return;
+    }
+    is_over = result == BB_QUERY_DONE ||
+              (result == BB_QUERY_NEVER_SEEN && x->is_idempotent);
+    if (is_over && leg->attempt != NULL && !leg->is_asked_again) {
+        leg->is_asked_again = true;
+        bb_probe_query_failed(&leg->probe, bb_clock_now_us());
+        return;
+    }
+    bb_probe_answer(&leg->probe, result, bb_clock_now_us());
+}
+
 /* Watches over an attempt at another node that may have fallen silent. */
 static void
 check_silence(struct bb_exchange *x, struct bb_leg *leg)
 {
-    enum bb_query_result result;
     enum bb_reason reason;
     uint64_t key = leg->key;
     bool has_sent_body = is_body_gone(x, leg);
@@ -466,12 +488,7 @@
     case BB_PROBE_WAIT:
         break;
     case BB_PROBE_QUERY:
-        if (bb_rpc_query(x, leg, &result)) {
-            bb_probe_answer(&leg->probe, result, bb_clock_now_us());
-        }
-        else {
-            bb_probe_query_failed(&leg->probe, bb_clock_now_us());
-        }
+        query(x, leg);
         break;
     case BB_PROBE_TAKE_ANSWER:
         if (!leg->is_stored_answer) {
--- a/tests/proxy/test_exchange.c
+++ b/tests/proxy/test_exchange.c
@@ -436,10 +436,9 @@
     stop();
 }
 
-/* Guards against work that is sent to an upstream that is gone, shedding or
- * draining, and against refusals that do not say why. */
+/* Guards against an upstream's own refusal that is passed on as an answer. */
 static void
-test_refusals_say_why(void)
+test_shedding_is_a_refusal(void)
 {
     struct bb_error e = {0};
     json_t *shed = json_pack("{s:b}", "shedding", 1);
@@ -448,19 +447,29 @@
     start((struct bb_proxy_settings){0});
     entry.route.retry_limit = 0; /* the refusal itself is what is checked */
     apply_table(&entry);
-    announce_upstream(&gate, &upstream.upstream.listen, BB_UPSTREAM_DRAINING,
-                      SLOTS);
-    a = get("");
-    CU_ASSERT_TRUE(has(a, "Baobab-Refused: upstream_draining"));
-    g_free(a);
-    announce_upstream(&gate, &upstream.upstream.listen, BB_UPSTREAM_READY,
-                      SLOTS);
     CU_ASSERT_TRUE(bb_behaviour_apply(&upstream.upstream.behaviour, shed, &e));
     a = get("");
     CU_ASSERT_TRUE(has(a, "Baobab-Refused: upstream_shedding"));
     CU_ASSERT_TRUE(has(a, "Baobab-Ran: no"));
     g_free(a);
     json_decref(shed);
+    stop();
+}
+
+/* Guards against refusals that do not say why. */
+static void
+test_refusals_say_why(void)
+{
+    struct test_answer *a;
+
+    start((struct bb_proxy_settings){0});
+    entry.route.retry_limit = 0; /* the refusal itself is what is checked */
+    apply_table(&entry);
+    announce_upstream(&gate, &upstream.upstream.listen, BB_UPSTREAM_DRAINING,
+                      SLOTS);
+    a = get("");
+    CU_ASSERT_TRUE(has(a, "Baobab-Refused: upstream_draining"));
+    g_free(a);
     a = get("Baobab-Depth: 16\r\n");
     CU_ASSERT_TRUE(has(a, "Baobab-Refused: depth_limit"));
     g_free(a);
@@ -489,6 +498,7 @@
     {"queue keeps the slots", test_queue_keeps_the_slots},
     {"drain cuts nothing", test_drain_cuts_nothing},
     {"repeat gets the first answer", test_repeat_gets_the_first_answer},
+    {"shedding is a refusal", test_shedding_is_a_refusal},
     {"refusals say why", test_refusals_say_why},
 };
 
