--- a/decide/admission_queue.c
+++ b/decide/admission_queue.c
@@ -7,7 +7,8 @@
     US_PER_MS = 1000,
     /* A standing queue longer than this would take more than a second to
      * drain after a burst at 70% load, and serves callers no better. */
-    QUEUE_WAIT_MS_DEFAULT = 300
+    QUEUE_WAIT_MS_DEFAULT = 300,
+    OWN_DURATIONS = 4
 };
 
 static uint32_t
@@ -106,7 +107,7 @@
 }
 
 /* Returns the longest wait for which a class is queued. Long work is allowed
- * two of its own durations, because it would never be queued otherwise. */
+ * four of its own durations, because it would hardly be queued otherwise. */
 uint64_t
 bb_admission_longest_wait_us(const struct bb_admission *a,
                              enum bb_admission_class k)
@@ -114,9 +115,9 @@
     uint64_t limit_ms = a->limits.queue_wait_ms > 0 ? a->limits.queue_wait_ms
                                                     : QUEUE_WAIT_MS_DEFAULT;
     uint64_t limit_us = limit_ms * US_PER_MS;
-    uint64_t two_us = 2 * bb_admission_service_us(a, k);
+    uint64_t own_us = OWN_DURATIONS * bb_admission_service_us(a, k);
 
-    return two_us > limit_us ? two_us : limit_us;
+    return k == BB_ADMISSION_LONG && own_us > limit_us ? own_us : limit_us;
 }
 
 /* Estimates how long a request would wait in the queue. */
--- /dev/null
+++ b/replay/fields.c
@@ -0,0 +1,139 @@
+/* Reading of the fields of a trace line, each checked. */
+#include <inttypes.h>
+#include <string.h>
+
+#include "replay/replay.h"
+
+/* Finds a field and marks it as taken. */
+static const json_t *
+take(struct bb_replay_line *l, const char *key)
+{
+    const json_t *v = json_object_get(l->object, key);
+
+    if (v != NULL) {
+        l->taken++;
+    }
+    return v;
+}
+
+/* Checks that a value is a whole number within its limit. */
+static bool
+check_number(struct bb_replay_line *l, const char *key, const json_t *v,
+             uint64_t max, uint64_t *out)
+{
+    json_int_t n = json_integer_value(v);
+
+    if (!json_is_integer(v) || n < 0 || (uint64_t)n > max) {
+        return bb_error_set(l->error, BB_REPLAY_ERROR_FIELD,
+                            "field \"%s\" is no whole number from 0 to "
+                            "%" PRIu64,
+                            key, max);
+    }
+    *out = (uint64_t)n;
+    return true;
+}
+
+/* Reads a number that must be there. */
+bool
+bb_replay_number(struct bb_replay_line *l, const char *key, uint64_t max,
+                 uint64_t *out)
+{
+    const json_t *v = take(l, key);
+
+    if (v == NULL) {
+        return bb_error_set(l->error, BB_REPLAY_ERROR_FIELD,
+                            "field \"%s\" is missing", key);
+    }
+    return check_number(l, key, v, max, out);
+}
+
+/* Reads a number, or takes the fallback if it is not there. */
+bool
+bb_replay_number_or(struct bb_replay_line *l, const char *key, uint64_t max,
+                    uint64_t fallback, uint64_t *out)
+{
+    const json_t *v = take(l, key);
+
+    *out = fallback;
+    return v == NULL || check_number(l, key, v, max, out);
+}
+
+/* Reads true or false, or takes the fallback if it is not there. */
+bool
+bb_replay_flag_or(struct bb_replay_line *l, const char *key, bool fallback,
+                  bool *out)
+{
+    const json_t *v = take(l, key);
+
+    *out = fallback;
+    if (v == NULL) {
+        return true;
+    }
+    *out = json_is_true(v);
+    return json_is_boolean(v) ||
+           bb_error_set(l->error, BB_REPLAY_ERROR_FIELD,
+                        "field \"%s\" is neither true nor false", key);
+}
+
+/* Reads a text that must be there; it lives as long as the line. */
+bool
+bb_replay_text(struct bb_replay_line *l, const char *key, const char **out)
+{
+    const json_t *v = take(l, key);
+
+    *out = json_string_value(v);
+    return *out != NULL ||
+           bb_error_set(l->error, BB_REPLAY_ERROR_FIELD,
+                        "field \"%s\" is missing or no text", key);
+}
+
+/* Reads one of several names; a fallback of count means that it must be
+ * there. */
+bool
+bb_replay_choice(struct bb_replay_line *l, const char *key,
+                 const char *const *names, uint32_t count, uint32_t fallback,
+                 uint32_t *out)
+{
+    const json_t *v = take(l, key);
+    const char *text = json_string_value(v);
+
+    *out = fallback;
+    if (v == NULL && fallback < count) {
+        return true;
+    }
+    for (uint32_t i = 0; text != NULL && i < count; i++) {
+        if (strcmp(text, names[i]) == 0) {
+            *out = i;
+            return true;
+        }
+    }
+    return bb_error_set(l->error, BB_REPLAY_ERROR_FIELD,
+                        "field \"%s\" must be one of the %" PRIu32
+                        " names from \"%s\" to \"%s\"",
+                        key, count, names[0], names[count - 1]);
+}
+
+/* Sets the error for an event that a module does not have; returns false. */
+bool
+bb_replay_unknown_event(struct bb_replay_line *l, const char *event)
+{
+    return bb_error_set(l->error, BB_REPLAY_ERROR_FIELD,
+                        "the module has no event \"%.64s\"", event);
+}
+
+/* Adds a number to a result; larger ones are cut to the largest. */
+void
+bb_replay_set_number(json_t *result, const char *key, uint64_t value)
+{
+    uint64_t shown =
+        value < BB_REPLAY_NUMBER_MAX ? value : BB_REPLAY_NUMBER_MAX;
+
+    (void)json_object_set_new(result, key, json_integer((json_int_t)shown));
+}
+
+/* Adds a text to a result. */
+void
+bb_replay_set_text(json_t *result, const char *key, const char *value)
+{
+    (void)json_object_set_new(result, key, json_string(value));
+}
--- /dev/null
+++ b/replay/module_claim.c
@@ -0,0 +1,174 @@
+/* Adapter of the claim module: witnesses 0 to 7, and one claim at a time. The
+ * roster is hosts 0 to 2 in epoch 1; later ones come with a roster event. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/clock.h"
+#include "common/registry.h"
+#include "decide/claim.h"
+#include "replay/replay.h"
+
+enum {
+    WITNESSES = 8,
+    ENTRIES = 64,
+    RETENTION_S = 600,
+    ATTEMPTS_MAX = 1000,
+    FIRST_HOSTS = 3
+};
+
+struct witness {
+    struct bb_witness witness;
+    struct bb_claim_entry entries[ENTRIES];
+    bool is_gone;
+};
+
+struct state {
+    struct witness witnesses[WITNESSES];
+    struct bb_roster roster;
+};
+
+static const char *const step_names[] = {"ask", "run", "join", "refused"};
+
+static void
+start(struct witness *w, uint64_t epoch, bool is_restart, uint64_t now_us)
+{
+    bb_witness_init(&w->witness, epoch, (uint64_t)RETENTION_S * BB_US_PER_S,
+                    is_restart, w->entries, ENTRIES, now_us);
+    w->is_gone = false;
+}
+
+static void *
+create(void)
+{
+    struct state *s = calloc(1, sizeof(*s));
+
+    if (s == NULL) {
+        return NULL;
+    }
+    s->roster.epoch = 1;
+    s->roster.host_count = FIRST_HOSTS;
+    for (uint64_t i = 0; i < WITNESSES; i++) {
+        start(&s->witnesses[i], 1, false, 0);
+        if (i < FIRST_HOSTS) {
+            s->roster.hosts[i] = i;
+        }
+    }
+    return s;
+}
+
+static struct witness *
+find(struct state *s, struct bb_replay_line *l)
+{
+    uint64_t i;
+
+    return bb_replay_number(l, "witness", WITNESSES - 1, &i) ? &s->witnesses[i]
+                                                             : NULL;
+}
+
+/* Claims a key at all its witnesses and tells what follows. */
+static bool
+claim(struct state *s, struct bb_replay_line *l, json_t *result)
+{
+    struct bb_claim wanted = {0};
+    struct bb_claim held = {0};
+    struct bb_claim_requester q;
+    struct bb_request_id key;
+    enum bb_reason reason;
+    const char *key_text;
+    const char *id_text;
+    uint64_t attempt;
+    enum bb_claim_step step;
+
+    if (!bb_replay_text(l, "key", &key_text) ||
+        !bb_replay_text(l, "id", &id_text) ||
+        !bb_replay_number_or(l, "attempt", ATTEMPTS_MAX, 1, &attempt) ||
+        !bb_replay_number(l, "gatekeeper", BB_REPLAY_NUMBER_MAX,
+                          &wanted.gatekeeper) ||
+        !bb_replay_number_or(l, "incarnation", BB_REPLAY_NUMBER_MAX, 1,
+                             &wanted.incarnation)) {
+        return false;
+    }
+    key = bb_request_id_of("trace", key_text);
+    wanted.request = bb_request_id_of("trace", id_text);
+    wanted.attempt = (uint32_t)attempt;
+    bb_claim_start(&q, &s->roster, &key, &wanted);
+    for (uint32_t i = 0; i < q.witness_count; i++) {
+        struct witness *w = &s->witnesses[q.witnesses[i]];
+        struct bb_witness_answer a = {.result = BB_WITNESS_UNREACHABLE};
+
+        if (!w->is_gone) {
+            a = bb_witness_claim(&w->witness, &key, &wanted, q.epoch,
+                                 l->now_us);
+        }
+        (void)bb_claim_answer(&q, q.witnesses[i], &a);
+    }
+    step = bb_claim_step(&q, &held, &reason);
+    bb_replay_set_text(result, "step", step_names[step]);
+    bb_replay_set_text(result, "reason", bb_reason_name(reason));
+    bb_replay_set_number(result, "gatekeeper", held.gatekeeper);
+    bb_replay_set_number(result, "attempt", held.attempt);
+    return true;
+}
+
+/* Replaces one host of the roster by another. */
+static bool
+change_roster(struct state *s, struct bb_replay_line *l)
+{
+    uint64_t from;
+    uint64_t to;
+
+    if (!bb_replay_number(l, "from", WITNESSES - 1, &from) ||
+        !bb_replay_number(l, "to", WITNESSES - 1, &to)) {
+        return false;
+    }
+    memcpy(s->roster.previous, s->roster.hosts, sizeof(s->roster.previous));
+    s->roster.previous_count = s->roster.host_count;
+    s->roster.epoch++;
+    for (uint32_t i = 0; i < s->roster.host_count; i++) {
+        if (s->roster.hosts[i] == from) {
+            s->roster.hosts[i] = to;
+        }
+    }
+    return true;
+}
+
+static bool
+apply(void *state, const char *event, struct bb_replay_line *l, json_t *result)
+{
+    struct state *s = state;
+    struct witness *w;
+
+    if (strcmp(event, "claim") == 0) {
+        return claim(s, l, result);
+    }
+    if (strcmp(event, "roster") == 0) {
+        return change_roster(s, l);
+    }
+    if (strcmp(event, "settle") == 0) {
+        s->roster.previous_count = 0;
+        return true;
+    }
+    if (strcmp(event, "adopt") != 0 && strcmp(event, "gone") != 0 &&
+        strcmp(event, "restart") != 0) {
+        return bb_replay_unknown_event(l, event);
+    }
+    w = find(s, l);
+    if (w == NULL) {
+        return false;
+    }
+    if (strcmp(event, "adopt") == 0) {
+        bb_witness_set_epoch(&w->witness, s->roster.epoch);
+    }
+    else if (strcmp(event, "gone") == 0) {
+        w->is_gone = true;
+    }
+    else {
+        start(w, s->roster.epoch, true, l->now_us);
+    }
+    return true;
+}
+
+static const struct bb_replay_module claims = {
+    .create = create, .destroy = free, .apply = apply};
+
+BB_PLUGIN(claims, BB_PLUGIN_REPLAY_MODULE, "claim", &claims);
--- /dev/null
+++ b/replay/module_record.c
@@ -0,0 +1,228 @@
+/* Adapter of record and probe: up to four gatekeepers that begin, finish,
+ * answer queries and restart; and one probe that watches a call. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/clock.h"
+#include "common/registry.h"
+#include "decide/probe.h"
+#include "decide/record.h"
+#include "replay/replay.h"
+
+enum { GATEKEEPERS = 4, ENTRIES = 64, RETENTION_S = 600, MS_MAX = 86400000 };
+
+struct gatekeeper {
+    struct bb_record record;
+    struct bb_record_entry entries[ENTRIES];
+};
+
+struct state {
+    struct gatekeeper gatekeepers[GATEKEEPERS];
+    struct bb_probe probe;
+};
+
+static const char *const begin_names[] = {
+    "run",  "duplicate_running", "duplicate_done", "refused",
+    "full", "other_incarnation"};
+static const char *const query_names[] = {
+    "never_seen", "running", "done", "refused", "other_incarnation", "full"};
+static const char *const step_names[] = {"wait", "query", "take_answer",
+                                         "retry", "unknown"};
+static const char *const outcome_names[] = {"done", "refused"};
+
+enum { QUERY_NAMES = sizeof(query_names) / sizeof(query_names[0]) };
+
+static void
+start(struct gatekeeper *g, uint64_t incarnation)
+{
+    bb_record_init(&g->record, incarnation,
+                   (uint64_t)RETENTION_S * BB_US_PER_S, g->entries, ENTRIES);
+}
+
+static void *
+create(void)
+{
+    struct state *s = calloc(1, sizeof(*s));
+
+    for (uint64_t i = 0; s != NULL && i < GATEKEEPERS; i++) {
+        start(&s->gatekeepers[i], 1);
+    }
+    return s;
+}
+
+/* Reads which gatekeeper an event is for. */
+static struct gatekeeper *
+find(struct state *s, struct bb_replay_line *l)
+{
+    uint64_t i;
+
+    return bb_replay_number(l, "gatekeeper", GATEKEEPERS - 1, &i)
+               ? &s->gatekeepers[i]
+               : NULL;
+}
+
+/* Reads the id and incarnation of begin and query. */
+static bool
+read_id(struct bb_replay_line *l, struct bb_request_id *id,
+        uint64_t *incarnation)
+{
+    const char *text;
+
+    if (!bb_replay_text(l, "id", &text) ||
+        !bb_replay_number_or(l, "incarnation", BB_REPLAY_NUMBER_MAX,
+                             BB_INCARNATION_ANY, incarnation)) {
+        return false;
+    }
+    *id = bb_request_id_of("trace", text);
+    return true;
+}
+
+static bool
+begin_or_query(struct state *s, struct bb_replay_line *l, bool is_query,
+               json_t *result)
+{
+    struct gatekeeper *g = find(s, l);
+    struct bb_request_id id;
+    uint64_t incarnation;
+    uint64_t answer;
+
+    if (g == NULL || !read_id(l, &id, &incarnation)) {
+        return false;
+    }
+    if (is_query) {
+        bb_replay_set_text(
+            result, "result",
+            query_names[bb_record_query(&g->record, &id, incarnation, &answer,
+                                        l->now_us)]);
+    }
+    else {
+        bb_replay_set_text(
+            result, "result",
+            begin_names[bb_record_begin(&g->record, &id, incarnation, &answer,
+                                        l->now_us)]);
+    }
+    bb_replay_set_number(result, "answer", answer);
+    return true;
+}
+
+static bool
+finish(struct state *s, struct bb_replay_line *l, json_t *result)
+{
+    struct gatekeeper *g = find(s, l);
+    const char *text;
+    uint64_t answer;
+    uint32_t outcome;
+    struct bb_request_id id;
+
+    if (g == NULL || !bb_replay_text(l, "id", &text) ||
+        !bb_replay_choice(l, "outcome", outcome_names, 2, 0, &outcome) ||
+        !bb_replay_number_or(l, "answer", BB_REPLAY_NUMBER_MAX, 0, &answer)) {
+        return false;
+    }
+    id = bb_request_id_of("trace", text);
+    (void)json_object_set_new(
+        result, "known",
+        json_boolean(bb_record_finish(
+            &g->record, &id, outcome == 0 ? BB_RECORD_DONE : BB_RECORD_REFUSED,
+            answer, l->now_us)));
+    return true;
+}
+
+static bool
+send_call(struct state *s, struct bb_replay_line *l)
+{
+    bool is_idempotent;
+    bool is_keyed;
+    uint64_t deadline_ms;
+
+    if (!bb_replay_flag_or(l, "idempotent", false, &is_idempotent) ||
+        !bb_replay_flag_or(l, "keyed", false, &is_keyed) ||
+        !bb_replay_number(l, "deadline_ms", MS_MAX, &deadline_ms)) {
+        return false;
+    }
+    bb_probe_init(&s->probe, is_idempotent, is_keyed, BB_PROBE_CHECK_US,
+                  l->now_us + deadline_ms * BB_US_PER_MS, l->now_us);
+    return true;
+}
+
+/* Feeds the probe with the answer to its query. */
+static bool
+answer_query(struct state *s, struct bb_replay_line *l)
+{
+    uint32_t named;
+
+    if (!bb_replay_choice(l, "result", query_names, QUERY_NAMES, QUERY_NAMES,
+                          &named)) {
+        return false;
+    }
+    bb_probe_answer(&s->probe, (enum bb_query_result)named, l->now_us);
+    return true;
+}
+
+static bool
+restart(struct state *s, struct bb_replay_line *l)
+{
+    struct gatekeeper *g = find(s, l);
+
+    if (g != NULL) {
+        start(g, g->record.incarnation + 1);
+    }
+    return g != NULL;
+}
+
+static bool
+apply_to_probe(struct state *s, const char *event, struct bb_replay_line *l,
+               json_t *result)
+{
+    enum bb_reason reason;
+    bool ok = true;
+
+    if (strcmp(event, "send") == 0) {
+        ok = send_call(s, l);
+    }
+    else if (strcmp(event, "bytes") == 0) {
+        bb_probe_bytes(&s->probe, l->now_us);
+    }
+    else if (strcmp(event, "broken") == 0) {
+        bb_probe_broken(&s->probe, l->now_us);
+    }
+    else if (strcmp(event, "answered") == 0) {
+        ok = answer_query(s, l);
+    }
+    else if (strcmp(event, "query_failed") == 0) {
+        bb_probe_query_failed(&s->probe, l->now_us);
+    }
+    else if (strcmp(event, "step") != 0) {
+        return bb_replay_unknown_event(l, event);
+    }
+    if (ok) {
+        bb_replay_set_text(
+            result, "step",
+            step_names[bb_probe_step(&s->probe, l->now_us, &reason)]);
+        bb_replay_set_text(result, "reason", bb_reason_name(reason));
+    }
+    return ok;
+}
+
+static bool
+apply(void *state, const char *event, struct bb_replay_line *l, json_t *result)
+{
+    if (strcmp(event, "begin") == 0) {
+        return begin_or_query(state, l, false, result);
+    }
+    if (strcmp(event, "query") == 0) {
+        return begin_or_query(state, l, true, result);
+    }
+    if (strcmp(event, "finish") == 0) {
+        return finish(state, l, result);
+    }
+    if (strcmp(event, "restart") == 0) {
+        return restart(state, l);
+    }
+    return apply_to_probe(state, event, l, result);
+}
+
+static const struct bb_replay_module record = {
+    .create = create, .destroy = free, .apply = apply};
+
+BB_PLUGIN(record, BB_PLUGIN_REPLAY_MODULE, "record", &record);
--- /dev/null
+++ b/replay/offered_load.c
@@ -0,0 +1,260 @@
+#include "offered_load.h"
+
+#include <math.h>
+#include <stdlib.h>
+
+#include "common/clock.h"
+#include "common/random.h"
+#include "decide/admission_capacity.h"
+#include "replay/replay.h"
+
+enum { PERCENT = 100, PERMILLE = 1000, P50 = 500, P99 = 990 };
+
+/* What is counted while a load runs. */
+struct tally {
+    uint64_t arrived;
+    uint64_t refused;
+    uint64_t refused_beside_slot;
+    uint64_t late;
+    uint64_t good;
+    uint64_t good_us; /* service time of calls that met their deadline */
+    uint64_t latency_count[BB_ADMISSION_CLASSES];
+    uint64_t *latency_us[BB_ADMISSION_CLASSES];
+};
+
+struct run {
+    struct bb_offered_state *s;
+    struct bb_admission *a;
+    const struct bb_offered_load *load;
+    struct bb_random *random;
+    struct tally t;
+    uint64_t now_us;
+    uint64_t next_us[BB_ADMISSION_CLASSES]; /* arrivals */
+};
+
+/* Draws the time to the next arrival of a class. */
+static uint64_t
+gap_us(struct run *r, int k)
+{
+    double u = (double)(bb_random_below(r->random, 1U << 30) + 1) / (1U << 30);
+
+    if (r->load->rate[k] == 0) {
+        return UINT64_MAX / 4;
+    }
+    return (uint64_t)(-log(u) * BB_US_PER_S / (double)r->load->rate[k]) + 1;
+}
+
+static struct bb_offered_call *
+find(struct run *r, uint64_t id)
+{
+    for (uint32_t i = 0; i < r->s->live_count; i++) {
+        if (r->s->live[i].id == id) {
+            return &r->s->live[i];
+        }
+    }
+    return NULL;
+}
+
+/* Takes the actions for queued calls. */
+static void
+take_actions(struct run *r)
+{
+    struct bb_admission_action action;
+
+    while (bb_admission_next(r->a, r->now_us, &action)) {
+        struct bb_offered_call *c = find(r, action.id);
+
+        if (c == NULL) {
+            continue;
+        }
+        if (action.decision.kind == BB_ADMISSION_RUN) {
+            c->finish_us = r->now_us + c->duration_us;
+        }
+        else {
+            r->t.refused++;
+            *c = r->s->live[--r->s->live_count];
+        }
+    }
+}
+
+/* One call arrives. */
+static void
+arrive(struct run *r, enum bb_admission_class k)
+{
+    uint64_t mean_us = r->load->service_us[k];
+    uint64_t spread_us = mean_us * 2 / 3;
+    const struct bb_admission_request q = {
+        .id = ++r->s->next_id,
+        .work_class = k,
+        .team = BB_ADMISSION_NO_TEAM,
+        .deadline_us = r->now_us + r->load->deadline_us,
+    };
+    struct bb_admission_capacity c = bb_admission_capacity(r->a, r->now_us);
+    bool has_slot = bb_admission_may_run(r->a, &c, &q);
+    struct bb_offered_call call = {
+        .id = q.id,
+        .arrive_us = r->now_us,
+        .duration_us = 1 + mean_us - mean_us / 3 +
+                       bb_random_below(r->random, spread_us + 1),
+        .deadline_us = q.deadline_us,
+        .work_class = k,
+    };
+    struct bb_admission_decision d;
+
+    r->t.arrived++;
+    if (r->s->live_count == BB_OFFERED_LIVE_MAX) {
+        r->t.refused++;
+        return;
+    }
+    d = bb_admission_arrive(r->a, &q, r->now_us);
+    if (d.kind == BB_ADMISSION_REFUSE) {
+        r->t.refused++;
+        r->t.refused_beside_slot += has_slot;
+        return;
+    }
+    if (d.kind == BB_ADMISSION_RUN) {
+        call.finish_us = r->now_us + call.duration_us;
+    }
+    r->s->live[r->s->live_count++] = call;
+}
+
+/* A call ends. */
+static void
+finish(struct run *r, struct bb_offered_call *c)
+{
+    uint64_t *count = &r->t.latency_count[c->work_class];
+
+    (void)bb_admission_finish(r->a, c->id, c->duration_us, true, r->now_us);
+    if (r->now_us <= c->deadline_us) {
+        r->t.good++;
+        r->t.good_us += c->duration_us;
+    }
+    else {
+        r->t.late++;
+    }
+    if (*count < BB_OFFERED_CALLS_MAX) {
+        r->t.latency_us[c->work_class][(*count)++] = r->now_us - c->arrive_us;
+    }
+    *c = r->s->live[--r->s->live_count];
+}
+
+/* Finds the call that ends first; NULL if none runs. */
+static struct bb_offered_call *
+first_to_finish(struct run *r)
+{
+    struct bb_offered_call *first = NULL;
+
+    for (uint32_t i = 0; i < r->s->live_count; i++) {
+        struct bb_offered_call *c = &r->s->live[i];
+
+        if (c->finish_us > 0 &&
+            (first == NULL || c->finish_us < first->finish_us)) {
+            first = c;
+        }
+    }
+    return first;
+}
+
+/* Handles the next event; false when the load's time is over. */
+static bool
+step(struct run *r, uint64_t end_us)
+{
+    struct bb_offered_call *c = first_to_finish(r);
+    uint64_t at_us = bb_admission_wake_us(r->a, r->now_us + 1);
+    int k = r->next_us[BB_ADMISSION_SHORT] <= r->next_us[BB_ADMISSION_LONG]
+                ? BB_ADMISSION_SHORT
+                : BB_ADMISSION_LONG;
+
+    at_us = r->next_us[k] < at_us ? r->next_us[k] : at_us;
+    at_us = c != NULL && c->finish_us < at_us ? c->finish_us : at_us;
+    if (at_us >= end_us || r->t.arrived >= BB_OFFERED_CALLS_MAX) {
+        return false;
+    }
+    r->now_us = at_us;
+    if (c != NULL && c->finish_us == at_us) {
+        finish(r, c);
+    }
+    else if (r->next_us[k] == at_us) {
+        r->next_us[k] += gap_us(r, k);
+        arrive(r, (enum bb_admission_class)k);
+    }
+    take_actions(r);
+    return true;
+}
+
+static int
+compare_times(const void *a, const void *b)
+{
+    uint64_t x = *(const uint64_t *)a;
+    uint64_t y = *(const uint64_t *)b;
+
+    return (x > y) - (x < y);
+}
+
+/* Adds a quantile of one class's latencies, which must be sorted. */
+static void
+set_quantile(json_t *result, const char *key, const struct tally *t, int k,
+             uint32_t permille)
+{
+    uint64_t n = t->latency_count[k];
+
+    bb_replay_set_number(
+        result, key,
+        n == 0 ? 0 : t->latency_us[k][(n - 1) * permille / PERMILLE]);
+}
+
+/* Adds the tally to the result of the trace line. */
+static void
+report(struct run *r, json_t *result)
+{
+    struct tally *t = &r->t;
+    uint64_t capacity_us = r->load->for_us * bb_admission_full_slots(r->a);
+
+    for (int k = 0; k < BB_ADMISSION_CLASSES; k++) {
+        qsort(t->latency_us[k], t->latency_count[k], sizeof(uint64_t),
+              compare_times);
+    }
+    bb_replay_set_number(result, "arrived", t->arrived);
+    bb_replay_set_number(result, "refused", t->refused);
+    bb_replay_set_number(result, "refused_beside_slot",
+                         t->refused_beside_slot);
+    bb_replay_set_number(result, "late", t->late);
+    bb_replay_set_number(result, "good", t->good);
+    bb_replay_set_number(
+        result, "goodput_percent",
+        capacity_us == 0 ? 0 : t->good_us * PERCENT / capacity_us);
+    set_quantile(result, "short_p50_us", t, BB_ADMISSION_SHORT, P50);
+    set_quantile(result, "short_p99_us", t, BB_ADMISSION_SHORT, P99);
+    set_quantile(result, "long_p99_us", t, BB_ADMISSION_LONG, P99);
+}
+
+/* Offers a load from now_us on for its duration and reports what came of it.
+ * Calls that still run or wait at the end stay for the next load. */
+void
+bb_offered_load_run(struct bb_offered_state *s, struct bb_admission *a,
+                    const struct bb_offered_load *l, uint64_t now_us,
+                    json_t *result)
+{
+    struct run r = {.s = s,
+                    .a = a,
+                    .load = l,
+                    .random = bb_random_create(l->seed),
+                    .now_us = now_us};
+
+    for (int k = 0; k < BB_ADMISSION_CLASSES; k++) {
+        r.t.latency_us[k] = calloc(BB_OFFERED_CALLS_MAX, sizeof(uint64_t));
+        r.next_us[k] = now_us + gap_us(&r, k);
+        if (r.t.latency_us[k] == NULL) {
+            goto out;
+        }
+    }
+    while (step(&r, now_us + l->for_us)) {
+    }
+    s->until_us = now_us + l->for_us;
+    report(&r, result);
+out:
+    for (int k = 0; k < BB_ADMISSION_CLASSES; k++) {
+        free(r.t.latency_us[k]);
+    }
+    bb_random_destroy(r.random);
+}
--- /dev/null
+++ b/replay/offered_load.h
@@ -0,0 +1,44 @@
+/* Open-loop load on one admission state in virtual time, for traces that
+ * cover seconds of demand in one line. */
+#ifndef BB_REPLAY_OFFERED_LOAD_H
+#define BB_REPLAY_OFFERED_LOAD_H
+
+#include <jansson.h>
+#include <stdint.h>
+
+#include "decide/admission.h"
+
+/* Rates are calls a second. Durations vary by a third around their mean;
+ * arrivals are a Poisson process of the seed. */
+struct bb_offered_load {
+    uint64_t rate[BB_ADMISSION_CLASSES];
+    uint64_t service_us[BB_ADMISSION_CLASSES];
+    uint64_t deadline_us;
+    uint64_t for_us;
+    uint64_t seed;
+};
+
+enum { BB_OFFERED_LIVE_MAX = 2048, BB_OFFERED_CALLS_MAX = 1000000 };
+
+struct bb_offered_call {
+    uint64_t id;
+    uint64_t arrive_us;
+    uint64_t finish_us; /* 0 while it is queued */
+    uint64_t duration_us;
+    uint64_t deadline_us;
+    enum bb_admission_class work_class;
+};
+
+/* Kept between loads, so that one can follow on another. */
+struct bb_offered_state {
+    uint64_t until_us;
+    uint64_t next_id;
+    uint32_t live_count;
+    struct bb_offered_call live[BB_OFFERED_LIVE_MAX];
+};
+
+void bb_offered_load_run(struct bb_offered_state *s, struct bb_admission *a,
+                         const struct bb_offered_load *l, uint64_t now_us,
+                         json_t *result);
+
+#endif
--- /dev/null
+++ b/replay/trace.c
@@ -0,0 +1,284 @@
+/* The reader of traces: lines, virtual time, comparison with what is
+ * expected. */
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/registry.h"
+#include "replay/replay.h"
+
+enum { SHOWN_BYTES = 200 };
+
+struct loaded {
+    const struct bb_replay_module *module;
+    void *state;
+};
+
+struct replay {
+    uint64_t now_us;
+    uint32_t line_number;
+    const char *default_module; /* a name of the registry */
+    struct loaded loaded[BB_REPLAY_MODULES_MAX];
+    uint32_t loaded_count;
+    bool is_verbose;
+};
+
+enum line_result { LINE_READ, LINE_END, LINE_FAULT };
+
+/* Reads one line without its end; refuses one that is too long or holds a
+ * zero byte. */
+static enum line_result
+read_line(FILE *in, char *line, size_t *length, struct bb_error *e)
+{
+    int c = fgetc(in);
+
+    *length = 0;
+    if (c == EOF) {
+        return LINE_END;
+    }
+    while (c != EOF && c != '\n') {
+        if (c == '\0' || *length == BB_REPLAY_LINE_BYTES) {
+            bb_error_set(e, BB_REPLAY_ERROR_SYNTAX,
+                         c == '\0' ? "the line holds a zero byte"
+                                   : "the line is longer than 65536 bytes");
+            return LINE_FAULT;
+        }
+        line[(*length)++] = (char)c;
+        c = fgetc(in);
+    }
+    if (ferror(in)) {
+        bb_error_set(e, BB_REPLAY_ERROR_READ, "the trace cannot be read");
+        return LINE_FAULT;
+    }
+    return LINE_READ;
+}
+
+/* Finds the state of a module, created at its first use. */
+static struct loaded *
+load(struct replay *r, const char *name, struct bb_error *e)
+{
+    const struct bb_replay_module *m =
+        bb_registry_find(BB_PLUGIN_REPLAY_MODULE, name);
+
+    if (m == NULL) {
+        bb_error_set(e, BB_REPLAY_ERROR_FIELD, "no module \"%.64s\"", name);
+        return NULL;
+    }
+    for (uint32_t i = 0; i < r->loaded_count; i++) {
+        if (r->loaded[i].module == m) {
+            return &r->loaded[i];
+        }
+    }
+    if (r->loaded_count == BB_REPLAY_MODULES_MAX) {
+        bb_error_set(e, BB_REPLAY_ERROR_FIELD, "more modules than %d",
+                     BB_REPLAY_MODULES_MAX);
+        return NULL;
+    }
+    r->loaded[r->loaded_count] =
+        (struct loaded){.module = m, .state = m->create()};
+    if (r->loaded[r->loaded_count].state == NULL) {
+        bb_error_set(e, BB_REPLAY_ERROR_READ, "out of memory");
+        return NULL;
+    }
+    return &r->loaded[r->loaded_count++];
+}
+
+/* Tells whether a value is what is expected: equal, or within an expected
+ * {"min":, "max":}. */
+static bool
+is_expected(const json_t *expected, const json_t *value)
+{
+    const json_t *min = json_object_get(expected, "min");
+    const json_t *max = json_object_get(expected, "max");
+
+    if (min == NULL && max == NULL) {
+        return value != NULL && json_equal(expected, value);
+    }
+    return json_is_number(value) &&
+           (min == NULL ||
+            json_number_value(value) >= json_number_value(min)) &&
+           (max == NULL || json_number_value(value) <= json_number_value(max));
+}
+
+/* Compares a result with what the line expects. */
+static bool
+compare(const json_t *expect, const json_t *result,
+        struct bb_replay_summary *s, struct bb_error *e)
+{
+    const char *key;
+    json_t *expected;
+
+    if (expect != NULL && !json_is_object(expect)) {
+        return bb_error_set(e, BB_REPLAY_ERROR_FIELD,
+                            "field \"expect\" is no object");
+    }
+    json_object_foreach((json_t *)expect, key, expected)
+    {
+        const json_t *value = json_object_get(result, key);
+
+        s->expectations++;
+        if (!is_expected(expected, value)) {
+            char *want = json_dumps(expected, JSON_ENCODE_ANY | JSON_COMPACT);
+            char *got =
+                value == NULL
+                    ? NULL
+                    : json_dumps(value, JSON_ENCODE_ANY | JSON_COMPACT);
+
+            bb_error_set(e, BB_REPLAY_ERROR_DIFFERENCE,
+                         "\"%.64s\" is %.*s, expected %.*s", key, SHOWN_BYTES,
+                         got != NULL ? got : "not in the result", SHOWN_BYTES,
+                         want);
+            free(want);
+            free(got);
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Reads the header line, which names the trace and the usual module. */
+static bool
+apply_header(struct replay *r, struct bb_replay_line *l)
+{
+    const char *text;
+    const char *module;
+    const struct bb_plugin *p = bb_registry_first(BB_PLUGIN_REPLAY_MODULE);
+
+    if (!bb_replay_text(l, "trace", &text) ||
+        !bb_replay_text(l, "outcome", &text) ||
+        !bb_replay_text(l, "module", &module)) {
+        return false;
+    }
+    while (p != NULL && strcmp(p->name, module) != 0) {
+        p = p->next;
+    }
+    if (p == NULL) {
+        return bb_error_set(l->error, BB_REPLAY_ERROR_FIELD,
+                            "no module \"%.64s\"", module);
+    }
+    r->default_module = p->name;
+    return true;
+}
+
+/* Applies the event of one line. */
+static bool
+apply_event(struct replay *r, struct bb_replay_line *l, json_t *result,
+            struct bb_replay_summary *s)
+{
+    const char *name = r->default_module;
+    const json_t *expect = json_object_get(l->object, "expect");
+    const char *event;
+    struct loaded *m;
+
+    if (!bb_replay_number(l, "at_us", BB_REPLAY_NUMBER_MAX, &l->now_us) ||
+        !bb_replay_text(l, "do", &event) ||
+        (json_object_get(l->object, "module") != NULL &&
+         !bb_replay_text(l, "module", &name))) {
+        return false;
+    }
+    if (l->now_us < r->now_us) {
+        return bb_error_set(l->error, BB_REPLAY_ERROR_FIELD,
+                            "\"at_us\" goes back");
+    }
+    r->now_us = l->now_us;
+    m = load(r, name, l->error);
+    if (m == NULL || !m->module->apply(m->state, event, l, result)) {
+        return false;
+    }
+    l->taken += expect != NULL;
+    s->events++;
+    if (l->taken != json_object_size(l->object)) {
+        return bb_error_set(l->error, BB_REPLAY_ERROR_FIELD,
+                            "the line has fields that \"%.64s\" does not know",
+                            event);
+    }
+    return compare(expect, result, s, l->error);
+}
+
+/* Prints what came of an event. */
+static void
+show(const struct replay *r, const json_t *result)
+{
+    char *text = json_dumps(result, JSON_COMPACT | JSON_SORT_KEYS);
+
+    printf("%" PRIu32 ": %s\n", r->line_number, text);
+    free(text);
+}
+
+/* Applies one line; empty lines are passed over. */
+static bool
+apply_line(struct replay *r, const char *text, size_t length,
+           struct bb_replay_summary *s, struct bb_error *e)
+{
+    json_error_t fault;
+    json_t *result = json_object();
+    json_t *object = NULL;
+    struct bb_replay_line l = {.error = e};
+    bool ok = true;
+
+    if (length == 0) {
+        goto out;
+    }
+    object = json_loadb(text, length, JSON_REJECT_DUPLICATES, &fault);
+    if (!json_is_object(object)) {
+        ok = bb_error_set(e, BB_REPLAY_ERROR_SYNTAX, "no JSON object: %s",
+                          object == NULL ? fault.text : "another value");
+        goto out;
+    }
+    l.object = object;
+    if (r->default_module == NULL) {
+        ok = apply_header(r, &l);
+        goto out;
+    }
+    ok = apply_event(r, &l, result, s);
+    if (r->is_verbose) {
+        show(r, result);
+    }
+out:
+    json_decref(object);
+    json_decref(result);
+    return ok;
+}
+
+/* Replays a trace up to its first fault or difference, which the error names
+ * together with the line. */
+bool
+bb_replay_stream(FILE *in, bool is_verbose, struct bb_replay_summary *s,
+                 struct bb_error *e)
+{
+    struct replay r = {.is_verbose = is_verbose};
+    char *line = malloc(BB_REPLAY_LINE_BYTES);
+    enum line_result got = LINE_READ;
+    struct bb_error cause = {0};
+    bool ok = line != NULL;
+    size_t length;
+
+    *s = (struct bb_replay_summary){0};
+    while (ok && got == LINE_READ) {
+        r.line_number++;
+        got = read_line(in, line, &length, &cause);
+        ok = got != LINE_FAULT;
+        if (got == LINE_READ) {
+            ok = r.line_number <= BB_REPLAY_LINES_MAX
+                     ? apply_line(&r, line, length, s, &cause)
+                     : bb_error_set(&cause, BB_REPLAY_ERROR_SYNTAX,
+                                    "the trace has too many lines");
+        }
+    }
+    if (ok && r.default_module == NULL) {
+        ok =
+            bb_error_set(&cause, BB_REPLAY_ERROR_SYNTAX, "the trace is empty");
+    }
+    for (uint32_t i = 0; i < r.loaded_count; i++) {
+        r.loaded[i].module->destroy(r.loaded[i].state);
+    }
+    free(line);
+    if (!ok) {
+        char context[32];
+
+        (void)snprintf(context, sizeof(context), "line %" PRIu32,
+                       r.line_number);
+        return bb_error_wrap(e, cause.code, &cause, context);
+    }
+    return true;
+}
