Refuse folders that cannot be sent; bound the folder signature

A folder within 4 MiB can exceed one RPC record when compressed, and would then be valid for check but never come into force; it is a fault now. The signature stops behind the file limit and includes the folder's own times.

--- a/config/compile.c
+++ b/config/compile.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "common/registry.h"
+#include "config/bundle.h"
 #include "merge.h"
 
 struct method_row {
@@ -202,6 +203,33 @@
     }
 }
 
+/* Reports a folder that is within its own limits but too large, encoded, for
+ * one message. Only large folders are encoded for this. */
+static void
+check_encoded_size(const struct bb_folder *f, struct bb_faults *faults)
+{
+    /* Name, size and padding of a file in a bundle. */
+    const size_t file_overhead_bytes = BB_FILE_NAME_MAX_BYTES + 16;
+    struct bb_bundle b = {.digest = f->digest,
+                          .folder = (struct bb_folder *)(uintptr_t)f};
+    uint8_t *bytes;
+    size_t size;
+
+    /* zstd adds less than 1% to what it cannot compress. */
+    if (f->size_bytes + f->file_count * file_overhead_bytes <
+        BB_BUNDLE_MAX_BYTES / 100 * 99) {
+        return;
+    }
+    bb_bundle_encode(&b, &bytes, &size);
+    if (size > BB_BUNDLE_MAX_BYTES) {
+        bb_faults_add(faults, NULL, NULL, NULL,
+                      "the folder has %zu bytes when compressed; at most %d "
+                      "can be sent",
+                      size, BB_BUNDLE_MAX_BYTES);
+    }
+    g_free(bytes);
+}
+
 /* Compiles a folder. Adds every fault to faults and returns NULL if there is
  * one. The caller sets the revision and frees the result with
  * bb_config_destroy. */
@@ -226,6 +254,7 @@
     run_handlers(&c);
     add_default_sections(&c, &limits);
     finish(&c);
+    check_encoded_size(folder, faults);
     bb_merged_destroy(c.merged);
     if (faults->count > faults_before) {
         bb_config_destroy(c.config);
--- a/control/source_files.c
+++ b/control/source_files.c
@@ -207,29 +207,36 @@
 }
 
 /* Returns a signature of names, sizes and times of a folder's files, without
- * reading them. is_recent tells that a file changed so recently that an equal
- * signature does not prove equal content. */
+ * reading them. Stops behind the limit, where the folder is an outage anyway.
+ * is_recent tells that a file changed so recently that an equal signature does
+ * not prove equal content. */
 uint64_t
 bb_source_signature(const char *folder, bool *is_recent)
 {
     int64_t now_s = (int64_t)(bb_clock_wall_us() / BB_US_PER_S);
     DIR *directory = opendir(folder);
     const struct dirent *entry;
-    uint64_t sum = 1;
+    struct stat s = {0};
+    uint32_t count = 0;
+    uint64_t sum;
 
     *is_recent = false;
     if (directory == NULL) {
         return (uint64_t)errno << 32;
     }
-    while ((entry = readdir(directory)) != NULL) {
-        struct stat s = {0};
-
+    /* The folder's own times show entries that appear and vanish. */
+    (void)fstat(dirfd(directory), &s);
+    sum = add_entry(1, "", &s);
+    while (count <= BB_FOLDER_MAX_FILES &&
+           (entry = readdir(directory)) != NULL) {
+        s = (struct stat){0};
         if (bb_folder_name_is_ignored(entry->d_name)) {
             continue;
         }
         if (fstatat(dirfd(directory), entry->d_name, &s, 0) != 0) {
             s.st_size = -errno;
         }
+        count++;
         sum = add_entry(sum, entry->d_name, &s);
         *is_recent = *is_recent || s.st_ctim.tv_sec > now_s - RECENT_S;
     }
--- a/include/config/bundle.h
+++ b/include/config/bundle.h
@@ -11,6 +11,10 @@
 #include "common/error.h"
 #include "config/folder.h"
 
+/* Of an encoded bundle or delta: an RPC record of 1 MiB less 16 KiB for what
+ * is sent around it. A folder that does not fit is a fault. */
+enum { BB_BUNDLE_MAX_BYTES = 1024 * 1024 - 16 * 1024 };
+
 struct bb_bundle {
     uint64_t revision;
     uint64_t version; /* operator label, 0 if none */
--- a/include/control/source_watch.h
+++ b/include/control/source_watch.h
@@ -26,7 +26,8 @@
     BB_SOURCE_WATCH_ERROR_THREAD
 };
 
-/* Must return at once; the outcome is given to bb_source_watch_answer. The
+/* Runs in the watcher's thread. It may block, which delays the next scan. The
+ * outcome is given to bb_source_watch_answer, during the call or later. The
  * folder is valid during the call only. */
 typedef void (*bb_source_propose)(void *context,
                                   const struct bb_folder *folder,
--- a/tests/config/test_compile.c
+++ b/tests/config/test_compile.c
@@ -1,7 +1,10 @@
 /* Validation must report every fault with its place, and must never accept a
  * configuration that routes, owns or calls what does not exist. */
+#include "common/random.h"
 #include "fixture.h"
 
+enum { MUTATION_ROUNDS = 5000 };
+
 static const char base[] = "[team press]\nmax-in-flight=9\n"
                            "[region accra]\n[zone accra-1]\nregion=accra\n"
                            "[service proofdesk]\nteam=press\n"
@@ -147,6 +150,66 @@
     g_string_free(text, TRUE);
 }
 
+static void
+test_folder_that_cannot_be_sent_is_a_fault(void)
+{
+    struct bb_random *r = bb_random_create(7);
+    GString *text = g_string_new("#");
+    struct bb_folder_builder *b = bb_folder_builder_create();
+    struct bb_faults faults = {0};
+    struct bb_error e = {0};
+    struct bb_folder *f;
+
+    g_string_set_size(text, BB_FILE_MAX_BYTES);
+    for (int i = 0; i < 5; i++) {
+        char name[2] = {(char)('a' + i), '\0'};
+
+        for (gsize k = 1; k < text->len; k++) {
+            text->str[k] = (char)('!' + bb_random_below(r, 94));
+        }
+        text->str[text->len - 1] = '\n';
+        CU_ASSERT_TRUE(
+            bb_folder_builder_add(b, name, text->str, text->len, &e));
+    }
+    f = bb_folder_builder_finish(b, &e);
+    CU_ASSERT_PTR_NULL(bb_config_compile(f, &faults));
+    CU_ASSERT_EQUAL(faults.count, 1);
+    bb_faults_clear(&faults);
+    bb_folder_destroy(f);
+    bb_folder_builder_destroy(b);
+    g_string_free(text, TRUE);
+    bb_random_destroy(r);
+}
+
+/* Every accepted mutation of a valid file must refer to what exists, and none
+ * may crash the parser or the checks. */
+static void
+test_mutated_text_never_breaks_compilation(void)
+{
+    struct bb_random *r = bb_random_create(11);
+    uint32_t valid_count = 0;
+
+    for (int round = 0; round < MUTATION_ROUNDS; round++) {
+        char text[] = "[service a]\ncalls=b\n[service b]\nteam=press\n"
+                      "[route r]\npath=/a\nservice=b\nmethods=GET;PUT\n"
+                      "[zone z]\nregion=accra\n[limits]\nmax-depth=9\n";
+        char *faults;
+
+        for (uint64_t i = bb_random_below(r, 4) + 1; i > 0; i--) {
+            char *at = &text[bb_random_below(r, sizeof(text) - 2)];
+
+            *at = bb_random_below(r, 2) == 0
+                      ? (char)bb_random_below(r, 256)
+                      : text[bb_random_below(r, sizeof(text) - 2)];
+        }
+        faults = faults_of(text, sizeof(text) - 1);
+        valid_count += faults[0] == '\0';
+        g_free(faults);
+    }
+    CU_ASSERT_TRUE(valid_count > 0 && valid_count < MUTATION_ROUNDS);
+    bb_random_destroy(r);
+}
+
 static void
 test_later_file_overrides_and_origin_is_kept(void)
 {
@@ -207,6 +270,10 @@
     {"three faults are reported at once",
      test_three_faults_are_reported_at_once},
     {"hostile sizes stay bounded", test_hostile_sizes_stay_bounded},
+    {"a folder that cannot be sent is a fault",
+     test_folder_that_cannot_be_sent_is_a_fault},
+    {"mutated text never breaks compilation",
+     test_mutated_text_never_breaks_compilation},
     {"a later file overrides and the origin is kept",
      test_later_file_overrides_and_origin_is_kept},
     {"routes match the longest prefix at a boundary",
