--- a/control/source_watch.c
+++ b/control/source_watch.c
@@ -406,7 +406,7 @@
         outage = json_null();
     }
     j = json_pack("{s:s, s:o, s:s, s:I, s:b, s:b, s:b, s:s, s:o}", "folder",
-                  w->folder, "outage", outage, "digest",
+                  w->folder_name, "outage", outage, "digest",
                   bb_digest_text(&s->saved.settled, settled), "base_revision",
                   (json_int_t)s->saved.base_revision, "differs",
                   s->knows_in_force &&
