Claim idempotency keys before a keyed request is sent

Cause: two entry nodes could run one key at two gatekeepers. Change: CLAIM RPC, the witness of each node, rosters given by bb_proxy_set_roster; a keyed request without two grants is refused, ran: no; a held key leads to its gatekeeper and the stored answer. Checked: proxy tests, also under the address and thread sanitizers.

--- /dev/null
+++ b/include/proxy/claims.h
@@ -0,0 +1,30 @@
+/* Claims of idempotency keys: the witness of this node and the rosters by
+ * which an entry node finds the witnesses of a key.
+ *
+ * Lock order: the lock of the claims is a leaf. */
+#ifndef BB_PROXY_CLAIMS_H
+#define BB_PROXY_CLAIMS_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "decide/claim.h"
+
+struct bb_claims;
+
+struct bb_claims *bb_claims_create(uint64_t own_key, uint32_t entries,
+                                   uint32_t retention_s,
+                                   bool restarted_without_data);
+void bb_claims_destroy(struct bb_claims *c);
+void bb_claims_set_roster(struct bb_claims *c, const char *service,
+                          const struct bb_roster *r);
+bool bb_claims_start(struct bb_claims *c, const char *service,
+                     const struct bb_request_id *key,
+                     const struct bb_claim *wanted,
+                     struct bb_claim_requester *q);
+struct bb_witness_answer bb_claims_witness(struct bb_claims *c,
+                                           const struct bb_request_id *key,
+                                           const struct bb_claim *claim,
+                                           uint64_t epoch);
+
+#endif
--- a/include/proxy/internal.h
+++ b/include/proxy/internal.h
@@ -9,6 +9,7 @@
 #include "common/random.h"
 #include "decide/probe.h"
 #include "proxy/body.h"
+#include "proxy/claims.h"
 #include "proxy/gatekeeper.h"
 #include "proxy/headers.h"
 #include "proxy/http_client.h"
@@ -34,6 +35,7 @@
     struct bb_http_client *client;
     struct bb_gatekeeper *gatekeeper;
     struct bb_picker *picker;
+    struct bb_claims *claims;
     struct bb_random *random;
     struct MHD_Daemon *caller_daemon;
     struct MHD_Daemon *local_daemon;
@@ -52,6 +54,7 @@
     struct bb_attempt *attempt; /* NULL after its connection broke */
     const struct bb_endpoint *endpoint;
     uint64_t key;
+    uint64_t incarnation;  /* of the gatekeeper, that it is meant for */
     bool is_local;         /* straight to the own upstream */
     bool is_stored_answer; /* asks for the kept answer only */
     bool is_asked_again;   /* by QUERY, before giving the connection up */
@@ -94,6 +97,9 @@
     bool is_idempotent;
     bool is_keyed; /* by the caller, not by this node */
     bool wants_stored;
+    struct bb_request_id key; /* of the caller, with the service */
+    uint32_t claim_attempt;   /* of the claim that holds the key */
+    const struct bb_endpoint *last_endpoint;
     struct bb_request_id id;
     char id_text[BB_ID_TEXT_BYTES];
     uint64_t incarnation;
@@ -125,6 +131,7 @@
 void bb_request_read(struct bb_exchange *x, const char *method);
 const char *bb_id_text(const struct bb_request_id *id,
                        char text[BB_ID_TEXT_BYTES]);
+uint64_t bb_host_key(const char *host);
 bool bb_id_parse(const char *text, struct bb_request_id *id);
 
 /* entry.c: runs attempts until the outcome is known; with until_sending, only
@@ -147,6 +154,16 @@
 void bb_rpc_forget(const struct bb_proxy *p);
 void bb_cancel_here(struct bb_proxy *p, const struct bb_request_id *id);
 
+bool bb_rpc_claim(struct bb_proxy *p, const struct bb_address *to,
+                  const struct bb_request_id *key,
+                  const struct bb_claim *claim, uint64_t epoch,
+                  struct bb_witness_answer *out);
+
+/* claim_call.c: claims of keys before a request is sent */
+struct bb_outcome bb_claim_call(struct bb_exchange *x, struct bb_leg *leg);
+bool bb_claim_is_refused_for_good(struct bb_exchange *x,
+                                  const struct bb_endpoint *e);
+
 /* answer.c */
 enum MHD_Result bb_answer_queue(struct bb_exchange *x);
 
--- a/include/proxy/table.h
+++ b/include/proxy/table.h
@@ -32,6 +32,8 @@
     uint32_t team_max_in_flight;
     struct bb_endpoint *endpoints;
     uint32_t endpoint_count;
+    struct bb_endpoint *gatekeepers; /* usable or not: they may be witnesses */
+    uint32_t gatekeeper_count;
 };
 
 struct bb_table {
--- /dev/null
+++ b/proxy/claim_call.c
@@ -0,0 +1,107 @@
+/* Claims before a keyed request is sent: asks the witnesses of its key, and
+ * follows the claim that holds the key. */
+#include <string.h>
+
+#include "common/clock.h"
+#include "proxy/internal.h"
+
+/* Returns a gatekeeper of the service by key, usable or not. */
+static const struct bb_endpoint *
+find_gatekeeper(const struct bb_exchange *x, uint64_t key)
+{
+    for (uint32_t i = 0; i < x->service->gatekeeper_count; i++) {
+        if (bb_host_key(x->service->gatekeepers[i].host) == key) {
+            return &x->service->gatekeepers[i];
+        }
+    }
+    return NULL;
+}
+
+/* Asks one witness. */
+static struct bb_witness_answer
+ask(struct bb_exchange *x, const struct bb_claim_requester *q,
+    uint64_t witness)
+{
+    struct bb_witness_answer a = {.result = BB_WITNESS_UNREACHABLE};
+    const struct bb_endpoint *e;
+
+    if (witness == bb_host_key(x->proxy->host)) {
+        return bb_claims_witness(x->proxy->claims, &q->key, &q->wanted,
+                                 q->epoch);
+    }
+    e = find_gatekeeper(x, witness);
+    if (e == NULL ||
+        !bb_rpc_claim(x->proxy, &e->rpc, &q->key, &q->wanted, q->epoch, &a)) {
+        a.result = BB_WITNESS_UNREACHABLE;
+    }
+    return a;
+}
+
+/* Claims the key of an exchange for the gatekeeper of a leg. On success the
+ * leg points at the gatekeeper where the request may run, under the id of the
+ * claim that holds the key; otherwise the result is a refusal. */
+struct bb_outcome
+bb_claim_call(struct bb_exchange *x, struct bb_leg *leg)
+{
+    struct bb_outcome o = {.kind = BB_OUTCOME_REFUSED,
+                           .reason = BB_REASON_KEY_OWNER_UNAVAILABLE,
+                           .ran = BB_RAN_NO};
+    struct bb_claim wanted = {
+        .request = x->id,
+        .attempt = x->claim_attempt + 1,
+        .gatekeeper = leg->key,
+        .incarnation = leg->endpoint->incarnation,
+    };
+    struct bb_claim_requester q;
+    struct bb_claim held = {0};
+    enum bb_claim_step step;
+
+    if (!bb_claims_start(x->proxy->claims, x->service_name, &x->key, &wanted,
+                         &q)) {
+        return o;
+    }
+    step = bb_claim_step(&q, &held, &o.reason);
+    for (uint32_t i = 0; i < q.witness_count && step == BB_CLAIM_ASK; i++) {
+        struct bb_witness_answer a = ask(x, &q, q.witnesses[i]);
+
+        (void)bb_claim_answer(&q, q.witnesses[i], &a);
+        step = bb_claim_step(&q, &held, &o.reason);
+    }
+    if (step != BB_CLAIM_RUN && step != BB_CLAIM_JOIN) {
+        return o;
+    }
+    if (step == BB_CLAIM_JOIN) {
+        leg->endpoint = find_gatekeeper(x, held.gatekeeper);
+        if (leg->endpoint == NULL) {
+            o.ran = BB_RAN_UNKNOWN;
+            return o;
+        }
+        leg->is_local = leg->endpoint->is_own;
+        x->id = held.request;
+        (void)bb_id_text(&x->id, x->id_text);
+    }
+    x->claim_attempt = held.attempt;
+    leg->incarnation = held.incarnation;
+    o.kind = BB_OUTCOME_NONE;
+    return o;
+}
+
+/* Tells whether the gatekeeper that refused a keyed request will never run
+ * it, which must hold before another one may be claimed. An id that it has
+ * not seen is refused for good by the question. */
+bool
+bb_claim_is_refused_for_good(struct bb_exchange *x,
+                             const struct bb_endpoint *e)
+{
+    struct bb_leg leg = {.endpoint = e, .incarnation = e->incarnation};
+    enum bb_query_result result;
+
+    if (e->is_own) {
+        result =
+            bb_gatekeeper_query(x->proxy->gatekeeper, &x->id, e->incarnation);
+    }
+    else if (!bb_rpc_query(x, &leg, &result)) {
+        return false;
+    }
+    return result == BB_QUERY_NEVER_SEEN || result == BB_QUERY_REFUSED;
+}
--- /dev/null
+++ b/proxy/claims.c
@@ -0,0 +1,116 @@
+#include "proxy/claims.h"
+
+#include <glib.h>
+#include <pthread.h>
+
+#include "common/clock.h"
+
+enum { EXPIRE_PER_CLAIM = 2 };
+
+struct bb_claims {
+    pthread_mutex_t lock;
+    GHashTable *rosters; /* service -> struct bb_roster */
+    struct bb_witness witness;
+    struct bb_claim_entry *entries;
+    uint64_t own_key;
+};
+
+/* Creates the claims of a node. A host that may have granted claims before,
+ * and has lost them, confirms none until the retention time has passed. */
+struct bb_claims *
+bb_claims_create(uint64_t own_key, uint32_t entries, uint32_t retention_s,
+                 bool restarted_without_data)
+{
+    struct bb_claims *c = g_new0(struct bb_claims, 1);
+
+    (void)pthread_mutex_init(&c->lock, NULL);
+    c->own_key = own_key;
+    c->rosters =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    c->entries = g_new0(struct bb_claim_entry, entries);
+    bb_witness_init(&c->witness, 0, (uint64_t)retention_s * BB_US_PER_S,
+                    restarted_without_data, c->entries, entries,
+                    bb_clock_now_us());
+    return c;
+}
+
+/* Frees the claims; NULL is allowed. */
+void
+bb_claims_destroy(struct bb_claims *c)
+{
+    if (c == NULL) {
+        return;
+    }
+    g_hash_table_destroy(c->rosters);
+    g_free(c->entries);
+    (void)pthread_mutex_destroy(&c->lock);
+    g_free(c);
+}
+
+/* Tells whether a roster names this node. */
+static bool
+names_own(const struct bb_claims *c, const struct bb_roster *r)
+{
+    for (uint32_t i = 0; i < r->host_count; i++) {
+        if (r->hosts[i] == c->own_key) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Adopts the agreed roster of a service; one with an earlier epoch is
+ * ignored. The witness follows the roster that names this node. */
+void
+bb_claims_set_roster(struct bb_claims *c, const char *service,
+                     const struct bb_roster *r)
+{
+    const struct bb_roster *old;
+
+    (void)pthread_mutex_lock(&c->lock);
+    old = g_hash_table_lookup(c->rosters, service);
+    if (old == NULL || old->epoch <= r->epoch) {
+        g_hash_table_replace(c->rosters, g_strdup(service),
+                             g_memdup2(r, sizeof(*r)));
+        if (names_own(c, r)) {
+            bb_witness_set_epoch(&c->witness, r->epoch);
+        }
+    }
+    (void)pthread_mutex_unlock(&c->lock);
+}
+
+/* Prepares a claim; false if no roster of the service is known. */
+bool
+bb_claims_start(struct bb_claims *c, const char *service,
+                const struct bb_request_id *key, const struct bb_claim *wanted,
+                struct bb_claim_requester *q)
+{
+    const struct bb_roster *r;
+
+    (void)pthread_mutex_lock(&c->lock);
+    r = g_hash_table_lookup(c->rosters, service);
+    if (r != NULL) {
+        bb_claim_start(q, r, key, wanted);
+    }
+    (void)pthread_mutex_unlock(&c->lock);
+    return r != NULL;
+}
+
+/* Answers a claim as the witness of this node. */
+struct bb_witness_answer
+bb_claims_witness(struct bb_claims *c, const struct bb_request_id *key,
+                  const struct bb_claim *claim, uint64_t epoch)
+{
+    struct bb_witness_answer a;
+    uint64_t now_us = bb_clock_now_us();
+
+    (void)pthread_mutex_lock(&c->lock);
+    for (int i = 0; i < EXPIRE_PER_CLAIM; i++) {
+        if (!bb_witness_expire(&c->witness, now_us)) {
+            break;
+        }
+    }
+    a = bb_witness_claim(&c->witness, key, claim, epoch, now_us);
+    (void)pthread_mutex_unlock(&c->lock);
+    return a;
+}
--- a/proxy/entry.c
+++ b/proxy/entry.c
@@ -6,7 +6,6 @@
 
 #include "common/clock.h"
 #include "common/counters.h"
-#include "common/digest.h"
 #include "proxy/internal.h"
 
 enum {
@@ -49,6 +48,7 @@
         bb_picker_end(x->proxy->picker, x->service_name, leg->key,
                       x->work_class, leg->start_us, end, bb_clock_now_us());
     }
+    x->last_endpoint = leg->endpoint;
     if (leg->attempt != x->outcome.attempt) {
         bb_attempt_release(leg->attempt);
     }
@@ -110,7 +110,7 @@
     memcpy(q.excluded, x->excluded, sizeof(q.excluded));
     for (uint32_t i = 0; i < s->endpoint_count; i++) {
         const struct bb_endpoint *e = &s->endpoints[i];
-        uint64_t key = bb_hash64(e->host, strlen(e->host), 0);
+        uint64_t key = bb_host_key(e->host);
 
         targets[q.target_count++] = (struct bb_pick_target){
             .key = key, .nearness = e->nearness, .slots = e->slots};
@@ -145,6 +145,20 @@
     return is_gone;
 }
 
+/* Tells whether a keyed request may be tried elsewhere. A claim that was not
+ * granted can be repeated; one that was granted can move on only when its
+ * gatekeeper has refused the request for good. */
+static bool
+may_claim_again(struct bb_exchange *x, enum bb_reason reason)
+{
+    if (reason == BB_REASON_KEY_OWNER_UNAVAILABLE ||
+        reason == BB_REASON_KEY_OWNER_CHANGED) {
+        return true;
+    }
+    return x->last_endpoint != NULL &&
+           bb_claim_is_refused_for_good(x, x->last_endpoint);
+}
+
 /* Decides what follows a refused or failed attempt: a repeat elsewhere, or
  * the refusal as the outcome. */
 static void
@@ -170,6 +184,7 @@
     }
     q.retry_limit = x->is_forwarded ? 0 : x->route->retry_limit;
     if (x->is_forwarded || has_sent_body ||
+        (x->is_keyed && !may_claim_again(x, reason)) ||
         !bb_picker_may_repeat(x->proxy->picker, &q, &delay_us, &final)) {
         refuse(x, final, ran);
         return;
@@ -179,6 +194,22 @@
     bb_clock_sleep_us(delay_us);
 }
 
+/* Claims the key of a keyed request and sends the request. */
+static struct bb_outcome
+send_leg(struct bb_exchange *x, struct bb_leg *leg)
+{
+    struct bb_outcome o = {.kind = BB_OUTCOME_NONE};
+
+    if (x->is_keyed) {
+        o = bb_claim_call(x, leg);
+    }
+    if (o.kind == BB_OUTCOME_NONE) {
+        o = leg->is_local ? bb_leg_start_local(x, leg)
+                          : bb_leg_start_peer(x, leg);
+    }
+    return o;
+}
+
 /* Starts an attempt in a free leg. */
 static void
 start_leg(struct bb_exchange *x, struct bb_leg *leg, bool is_hedge)
@@ -199,10 +230,11 @@
             return;
         }
         leg->is_local = leg->endpoint->is_own;
+        leg->incarnation = leg->endpoint->incarnation;
     }
     x->attempts++;
     leg->is_used = true;
-    o = leg->is_local ? bb_leg_start_local(x, leg) : bb_leg_start_peer(x, leg);
+    o = send_leg(x, leg);
     switch (o.kind) {
     case BB_OUTCOME_NONE:
         bb_probe_init(&leg->probe, x->is_idempotent, x->is_keyed, check_us,
--- a/proxy/headers.c
+++ b/proxy/headers.c
@@ -233,18 +233,41 @@
     return url[0] == '/' && length <= BB_URL_MAX_BYTES;
 }
 
+/* Tells whether a list such as "close, X-One" names a field. */
+static bool
+is_in_list(const char *list, const char *name)
+{
+    size_t length = strlen(name);
+
+    while (*list != '\0') {
+        size_t count;
+
+        list += strspn(list, ", \t");
+        count = strcspn(list, ", \t");
+        if (count == length && g_ascii_strncasecmp(list, name, count) == 0) {
+            return true;
+        }
+        list += count;
+    }
+    return false;
+}
+
 /* Tells whether a field ends at this hop: the fixed ones and those listed in
  * Connection. */
 static bool
-is_hop_by_hop(const char *name, char *const *listed)
+is_hop_by_hop(const struct bb_headers *h, const char *name,
+              bool has_connection)
 {
     for (size_t i = 0; i < G_N_ELEMENTS(hop_by_hop); i++) {
         if (g_ascii_strcasecmp(name, hop_by_hop[i]) == 0) {
             return true;
         }
     }
-    for (size_t i = 0; listed != NULL && listed[i] != NULL; i++) {
-        if (g_ascii_strcasecmp(name, g_strstrip(listed[i])) == 0) {
+    for (uint32_t i = 0; has_connection && i < h->count; i++) {
+        const struct bb_header item = bb_headers_at(h, i);
+
+        if (g_ascii_strcasecmp(item.name, "Connection") == 0 &&
+            is_in_list(item.value, name)) {
             return true;
         }
     }
@@ -257,31 +280,17 @@
 bb_headers_visit_end_to_end(const struct bb_headers *h, bb_header_visit visit,
                             void *context)
 {
-    char **listed = NULL;
+    bool has_connection = bb_headers_get(h, "Connection") != NULL;
 
-    if (bb_headers_get(h, "Connection") != NULL) {
-        GString *connection = g_string_new(NULL);
-
-        for (uint32_t i = 0; i < h->count; i++) {
-            const struct bb_header item = bb_headers_at(h, i);
-
-            if (g_ascii_strcasecmp(item.name, "Connection") == 0) {
-                g_string_append_printf(connection, "%s,", item.value);
-            }
-        }
-        listed = g_strsplit(connection->str, ",", -1);
-        (void)g_string_free(connection, TRUE);
-    }
     for (uint32_t i = 0; i < h->count; i++) {
         const struct bb_header item = bb_headers_at(h, i);
 
         if (g_ascii_strncasecmp(item.name, own_prefix,
                                 sizeof(own_prefix) - 1) != 0 &&
-            !is_hop_by_hop(item.name, listed)) {
+            !is_hop_by_hop(h, item.name, has_connection)) {
             visit(context, &item);
         }
     }
-    g_strfreev(listed);
 }
 
 /* Appends one field to another list. */
--- a/proxy/leg.c
+++ b/proxy/leg.c
@@ -168,7 +168,7 @@
         .service = x->service_name,
         .id = x->id,
         .is_idempotent = x->is_idempotent,
-        .incarnation = x->incarnation,
+        .incarnation = x->is_forwarded ? x->incarnation : leg->incarnation,
         .work_class = x->work_class,
         .deadline_us = x->deadline_us,
     };
@@ -230,7 +230,7 @@
     }
     if (!x->is_idempotent) {
         bb_headers_addf(h, BB_HEADER_INCARNATION, "%" PRIu64,
-                        leg->endpoint->incarnation);
+                        leg->incarnation);
     }
     request.peer = leg->endpoint->http;
     request.use_new_connection = leg->is_stored_answer;
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -237,6 +237,9 @@
     p->workers = bb_workers_create(&p->settings.workers);
     p->client = bb_http_client_create(p->workers);
     p->picker = bb_picker_create();
+    p->claims =
+        bb_claims_create(bb_host_key(p->host), p->settings.record_entries,
+                         p->settings.retention_s, s->restarted_without_data);
     p->gatekeeper = bb_gatekeeper_create(&gate);
     if (!start_daemons(p, e)) {
         goto fail;
@@ -283,6 +286,16 @@
     bb_table_holder_set(p->table, t);
 }
 
+/* Adopts the agreed roster of a service. Its hosts are given by bb_hash64 of
+ * their names with seed 0. Without a roster, requests with an idempotency key
+ * are refused, because nothing could keep them from running twice. */
+void
+bb_proxy_set_roster(struct bb_proxy *p, const char *service,
+                    const struct bb_roster *r)
+{
+    bb_claims_set_roster(p->claims, service, r);
+}
+
 /* Returns the number of requests in flight. */
 uint32_t
 bb_proxy_in_flight(const struct bb_proxy *p)
@@ -336,6 +349,7 @@
     if (is_free) {
         bb_http_client_destroy(p->client);
         bb_gatekeeper_destroy(p->gatekeeper);
+        bb_claims_destroy(p->claims);
         g_free(p);
     }
 }
--- a/proxy/request.c
+++ b/proxy/request.c
@@ -4,7 +4,7 @@
 #include <string.h>
 
 #include "common/clock.h"
-#include "common/log.h"
+#include "common/digest.h"
 #include "decide/retry.h"
 #include "proxy/internal.h"
 
@@ -36,6 +36,13 @@
     return 0;
 }
 
+/* Returns the key by which decisions know a host. */
+uint64_t
+bb_host_key(const char *host)
+{
+    return bb_hash64(host, strlen(host), 0);
+}
+
 /* Writes an id as hexadecimal digits. */
 const char *
 bb_id_text(const struct bb_request_id *id, char text[BB_ID_TEXT_BYTES])
@@ -131,10 +138,11 @@
     const char *key = bb_headers_get(x->headers, BB_HEADER_KEY);
 
     x->is_keyed = key != NULL && !x->is_idempotent;
-    x->id = x->is_keyed
-                ? bb_request_id_of(x->service_name, key)
-                : bb_request_id_random(bb_random_u64(x->proxy->random),
-                                       bb_random_u64(x->proxy->random));
+    if (x->is_keyed) {
+        x->key = bb_request_id_of(x->service_name, key);
+    }
+    x->id = bb_request_id_random(bb_random_u64(x->proxy->random),
+                                 bb_random_u64(x->proxy->random));
 }
 
 /* Finds the route of a caller's request; false after a refusal. */
--- a/proxy/rpc.c
+++ b/proxy/rpc.c
@@ -1,6 +1,6 @@
-/* mesh/exchange.x: QUERY and CANCEL between nodes. libtirpc passes no context
- * to handlers, so the registered proxy is kept here; there is one RPC server a
- * process. */
+/* mesh/exchange.x: QUERY, CANCEL and CLAIM between nodes. libtirpc passes no
+ * context to handlers, so the registered proxy is kept here; there is one RPC
+ * server a process. */
 #include <string.h>
 
 #include "common/clock.h"
@@ -46,6 +46,36 @@
     (void)svc_sendreply(transport, (xdrproc_t)xdr_bool, (char *)&is_taken);
 }
 
+/* Answers CLAIM. */
+static void
+serve_claim(struct bb_proxy *p, SVCXPRT *transport)
+{
+    bb_x_claim c = {0};
+    bb_x_claim_answer out = {0};
+    struct bb_witness_answer a;
+    struct bb_request_id key;
+    struct bb_claim claim;
+
+    if (!svc_getargs(transport, (xdrproc_t)xdr_bb_x_claim, (char *)&c)) {
+        svcerr_decode(transport);
+        return;
+    }
+    memcpy(key.bytes, c.key, sizeof(key.bytes));
+    claim = (struct bb_claim){.attempt = c.attempt,
+                              .gatekeeper = c.gatekeeper,
+                              .incarnation = c.incarnation};
+    memcpy(claim.request.bytes, c.id, sizeof(c.id));
+    a = bb_claims_witness(p->claims, &key, &claim, c.epoch);
+    out.result = (u_int)a.result;
+    out.epoch = a.epoch;
+    out.attempt = a.held.attempt;
+    out.gatekeeper = a.held.gatekeeper;
+    out.incarnation = a.held.incarnation;
+    memcpy(out.id, a.held.request.bytes, sizeof(out.id));
+    (void)svc_sendreply(transport, (xdrproc_t)xdr_bb_x_claim_answer,
+                        (char *)&out);
+}
+
 /* Runs one call of the program. */
 static void
 dispatch(struct svc_req *request, SVCXPRT *transport)
@@ -67,6 +97,9 @@
     case BB_EXCHANGE_CANCEL:
         serve_cancel(p, transport);
         break;
+    case BB_EXCHANGE_CLAIM:
+        serve_claim(p, transport);
+        break;
     default:
         svcerr_noproc(transport);
         break;
@@ -99,9 +132,8 @@
 bb_rpc_query(struct bb_exchange *x, const struct bb_leg *leg,
              enum bb_query_result *result)
 {
-    bb_x_query q = {.incarnation = x->is_idempotent
-                                       ? BB_INCARNATION_ANY
-                                       : leg->endpoint->incarnation};
+    bb_x_query q = {.incarnation = x->is_idempotent ? BB_INCARNATION_ANY
+                                                    : leg->incarnation};
     bb_x_query_answer a = {0};
     const struct bb_rpc_call call = {
         .program = BB_EXCHANGE_PROGRAM,
@@ -127,6 +159,48 @@
     return true;
 }
 
+/* Asks the witness at another node for a key. False if it gave no answer. */
+bool
+bb_rpc_claim(struct bb_proxy *p, const struct bb_address *to,
+             const struct bb_request_id *key, const struct bb_claim *claim,
+             uint64_t epoch, struct bb_witness_answer *out)
+{
+    bb_x_claim c = {
+        .attempt = claim->attempt,
+        .gatekeeper = claim->gatekeeper,
+        .incarnation = claim->incarnation,
+        .epoch = epoch,
+    };
+    bb_x_claim_answer a = {0};
+    const struct bb_rpc_call call = {
+        .program = BB_EXCHANGE_PROGRAM,
+        .version = BB_EXCHANGE_VERSION,
+        .procedure = BB_EXCHANGE_CLAIM,
+        .argument_codec = (xdrproc_t)xdr_bb_x_claim,
+        .argument = &c,
+        .result_codec = (xdrproc_t)xdr_bb_x_claim_answer,
+        .result = &a,
+        .timeout_ms = QUERY_TIMEOUT_MS,
+    };
+
+    memcpy(c.key, key->bytes, sizeof(c.key));
+    memcpy(c.id, claim->request.bytes, sizeof(c.id));
+    if (p->settings.rpc == NULL ||
+        !bb_rpc_pool_call(p->settings.rpc, to, &call, NULL) ||
+        a.result >= BB_WITNESS_UNREACHABLE) {
+        return false;
+    }
+    *out = (struct bb_witness_answer){
+        .result = (enum bb_witness_result)a.result,
+        .epoch = a.epoch,
+        .held = {.attempt = a.attempt,
+                 .gatekeeper = a.gatekeeper,
+                 .incarnation = a.incarnation},
+    };
+    memcpy(out->held.request.bytes, a.id, sizeof(a.id));
+    return true;
+}
+
 /* A CANCEL on its way. */
 struct cancellation {
     struct bb_work work;
--- a/proxy/table.c
+++ b/proxy/table.c
@@ -78,9 +78,15 @@
         out->team_max_in_flight = c->teams[s->team].max_in_flight;
     }
     out->endpoints = g_new0(struct bb_endpoint, count);
+    out->gatekeepers = g_new0(struct bb_endpoint, count);
     for (size_t i = 0; i < count; i++) {
-        if (strcmp(members[i].service, s->name) == 0 &&
-            is_usable(c, &members[i])) {
+        if (strcmp(members[i].service, s->name) != 0 ||
+            members[i].state >= BB_MEMBER_DEAD) {
+            continue;
+        }
+        out->gatekeepers[out->gatekeeper_count++] =
+            make_endpoint(&members[i], own);
+        if (is_usable(c, &members[i])) {
             out->endpoints[out->endpoint_count++] =
                 make_endpoint(&members[i], own);
         }
@@ -183,6 +189,7 @@
     }
     for (uint16_t i = 0; i < t->service_count; i++) {
         g_free(t->services[i].endpoints);
+        g_free(t->services[i].gatekeepers);
     }
     g_free(t->services);
     g_free(t->routes);
--- a/tests/proxy/fixture.c
+++ b/tests/proxy/fixture.c
@@ -1,5 +1,7 @@
 #include "fixture.h"
 
+#include "common/digest.h"
+
 #include <glib.h>
 #include <microhttpd.h>
 #include <poll.h>
@@ -100,6 +102,18 @@
                                                 n->member_count, &own));
 }
 
+/* Makes the hosts "gate" and "entry" the witnesses of keys. */
+void
+apply_roster(struct test_node *n)
+{
+    const struct bb_roster r = {
+        .epoch = 1,
+        .host_count = 2,
+        .hosts = {bb_hash64("gate", 4, 0), bb_hash64("entry", 5, 0)}};
+
+    bb_proxy_set_roster(n->proxy, "s", &r);
+}
+
 void
 stop_node(struct test_node *n)
 {
--- a/tests/proxy/fixture.h
+++ b/tests/proxy/fixture.h
@@ -41,6 +41,7 @@
 void add_member(struct test_node *n, const char *host, const char *zone,
                 struct bb_address http, struct bb_address rpc);
 void apply_table(struct test_node *n);
+void apply_roster(struct test_node *n);
 void stop_node(struct test_node *n);
 
 int connect_to(struct bb_address a);
--- a/tests/proxy/test_exchange.c
+++ b/tests/proxy/test_exchange.c
@@ -421,18 +421,36 @@
     struct test_answer *first;
     struct test_answer *second;
     GString *ran = g_string_new(NULL);
+    struct test_node other;
 
     start((struct bb_proxy_settings){0});
+    /* Without a roster nothing keeps the key from being used twice. */
+    first = call(bb_proxy_caller_address(entry.proxy), request);
+    CU_ASSERT_TRUE(has(first, "Baobab-Refused: key_owner_unavailable"));
+    CU_ASSERT_TRUE(has(first, "Baobab-Ran: no"));
+    g_free(first);
+    apply_roster(&gate);
+    apply_roster(&entry);
     first = call(bb_proxy_caller_address(entry.proxy), request);
     second = call(bb_proxy_caller_address(entry.proxy), request);
     CU_ASSERT_EQUAL(first->status, 200);
     CU_ASSERT_EQUAL(second->status, 200);
     CU_ASSERT_TRUE(has(second, "\"id\":\"same\""));
+    g_free(second);
+    /* Another entry node reaches only one of the two witnesses. */
+    start_node(&other, "other", (struct bb_proxy_settings){.rpc = pool});
+    memcpy(other.members, entry.members, sizeof(other.members));
+    other.member_count = entry.member_count;
+    apply_table(&other);
+    apply_roster(&other);
+    second = call(bb_proxy_caller_address(other.proxy), request);
+    CU_ASSERT_TRUE(has(second, "Baobab-Refused: key_owner_unavailable"));
     bb_runs_write(upstream.upstream.runs, ran);
     CU_ASSERT_PTR_NOT_NULL(strstr(ran->str, "\"runs\":1,"));
     (void)g_string_free(ran, TRUE);
     g_free(first);
     g_free(second);
+    stop_node(&other);
     stop();
 }
 
