--- a/include/proxy/internal.h
+++ b/include/proxy/internal.h
@@ -139,6 +139,30 @@
 void bb_entry_run(struct bb_exchange *x, bool until_sending);
 void bb_entry_release(struct bb_exchange *x);
 
+/* entry.c, for hedge.c and silence.c */
+void bb_entry_refuse(struct bb_exchange *x, enum bb_reason reason,
+                     enum bb_ran ran);
+uint32_t bb_entry_active_legs(const struct bb_exchange *x);
+void bb_entry_end_leg(struct bb_exchange *x, struct bb_leg *leg,
+                      enum bb_pick_end end);
+void bb_entry_exclude(struct bb_exchange *x, uint64_t key);
+void bb_entry_after_failure(struct bb_exchange *x, uint64_t key,
+                            enum bb_reason reason, enum bb_ran ran,
+                            bool has_sent_body);
+void bb_entry_start_leg(struct bb_exchange *x, struct bb_leg *leg,
+                        bool is_hedge);
+
+/* hedge.c */
+bool bb_entry_hedge_time(const struct bb_exchange *x,
+                         struct bb_hedge_request *q, uint64_t *at_us);
+void bb_entry_try_hedge(struct bb_exchange *x);
+
+/* silence.c */
+bool bb_entry_is_body_gone(const struct bb_exchange *x,
+                           const struct bb_leg *leg);
+void bb_entry_on_lost(struct bb_exchange *x, struct bb_leg *leg);
+void bb_entry_check_silence(struct bb_exchange *x, struct bb_leg *leg);
+
 /* leg.c: one attempt at the own upstream or at another node */
 struct bb_outcome bb_leg_start_local(struct bb_exchange *x,
                                      struct bb_leg *leg);
--- a/proxy/entry.c
+++ b/proxy/entry.c
@@ -13,23 +13,22 @@
     LINK_OVERHEAD_BYTES = 4096         /* fields and a usual answer */
 };
 
-BB_COUNTER(hedges_total, "baobab_hedges_total", "Second attempts sent");
 BB_COUNTER(gone_total, "baobab_callers_gone_total",
            "Requests whose caller closed the connection");
 
 enum event { EVENT_TIMER, EVENT_SENDING, EVENT_LEG };
 
 /* Sets the outcome to a refusal. */
-static void
-refuse(struct bb_exchange *x, enum bb_reason reason, enum bb_ran ran)
+void
+bb_entry_refuse(struct bb_exchange *x, enum bb_reason reason, enum bb_ran ran)
 {
     x->outcome = (struct bb_outcome){
         .kind = BB_OUTCOME_REFUSED, .reason = reason, .ran = ran};
 }
 
 /* Returns the number of attempts in progress. */
-static uint32_t
-active_legs(const struct bb_exchange *x)
+uint32_t
+bb_entry_active_legs(const struct bb_exchange *x)
 {
     uint32_t count = 0;
 
@@ -41,8 +40,9 @@
 
 /* Ends a leg: reports to the picker and lets go of its attempt, unless the
  * outcome keeps it. */
-static void
-end_leg(struct bb_exchange *x, struct bb_leg *leg, enum bb_pick_end end)
+void
+bb_entry_end_leg(struct bb_exchange *x, struct bb_leg *leg,
+                 enum bb_pick_end end)
 {
     if (!x->is_forwarded) {
         bb_picker_end(x->proxy->picker, x->service_name, leg->key,
@@ -62,7 +62,7 @@
     for (int i = 0; i < BB_LEGS_MAX; i++) {
         if (x->legs[i].is_used) {
             bb_leg_cancel(x, &x->legs[i]);
-            end_leg(x, &x->legs[i], BB_PICK_CANCELLED);
+            bb_entry_end_leg(x, &x->legs[i], BB_PICK_CANCELLED);
         }
     }
 }
@@ -79,8 +79,8 @@
 }
 
 /* Leaves a gatekeeper out of later picks. */
-static void
-exclude(struct bb_exchange *x, uint64_t key)
+void
+bb_entry_exclude(struct bb_exchange *x, uint64_t key)
 {
     if (x->excluded_count < BB_PICK_EXCLUDED_MAX) {
         x->excluded[x->excluded_count++] = key;
@@ -129,22 +129,6 @@
     return chosen;
 }
 
-/* Tells whether part of a body that streams has been taken, so that no other
- * attempt can send it. */
-static bool
-is_body_gone(const struct bb_exchange *x, const struct bb_leg *leg)
-{
-    bool is_gone;
-
-    if (!x->is_streaming) {
-        return false;
-    }
-    bb_watch_lock(x->watch);
-    is_gone = leg->attempt == NULL || leg->attempt->has_taken_body;
-    bb_watch_unlock(x->watch);
-    return is_gone;
-}
-
 /* Tells whether a keyed request may be tried elsewhere. A claim that was not
  * granted can be repeated; one that was granted can move on only when its
  * gatekeeper has refused the request for good. */
@@ -161,9 +145,10 @@
 
 /* Decides what follows a refused or failed attempt: a repeat elsewhere, or
  * the refusal as the outcome. */
-static void
-after_failure(struct bb_exchange *x, uint64_t key, enum bb_reason reason,
-              enum bb_ran ran, bool has_sent_body)
+void
+bb_entry_after_failure(struct bb_exchange *x, uint64_t key,
+                       enum bb_reason reason, enum bb_ran ran,
+                       bool has_sent_body)
 {
     uint64_t now_us = bb_clock_now_us();
     struct bb_repeat_question q = {
@@ -179,18 +164,18 @@
     enum bb_reason final = reason;
     uint64_t delay_us = 0;
 
-    if (active_legs(x) > 0) {
+    if (bb_entry_active_legs(x) > 0) {
         return;
     }
     q.retry_limit = x->is_forwarded ? 0 : x->route->retry_limit;
     if (x->is_forwarded || has_sent_body ||
         (x->is_keyed && !may_claim_again(x, reason)) ||
         !bb_picker_may_repeat(x->proxy->picker, &q, &delay_us, &final)) {
-        refuse(x, final, ran);
+        bb_entry_refuse(x, final, ran);
         return;
     }
     bb_reason_count_retry(reason);
-    exclude(x, key);
+    bb_entry_exclude(x, key);
     bb_clock_sleep_us(delay_us);
 }
 
@@ -211,8 +196,8 @@
 }
 
 /* Starts an attempt in a free leg. */
-static void
-start_leg(struct bb_exchange *x, struct bb_leg *leg, bool is_hedge)
+void
+bb_entry_start_leg(struct bb_exchange *x, struct bb_leg *leg, bool is_hedge)
 {
     uint64_t check_us =
         (uint64_t)x->proxy->settings.silent_check_ms * BB_US_PER_MS;
@@ -225,7 +210,7 @@
         leg->endpoint = pick(x, leg, is_hedge, &reason);
         if (leg->endpoint == NULL) {
             if (!is_hedge) {
-                refuse(x, reason, BB_RAN_NO);
+                bb_entry_refuse(x, reason, BB_RAN_NO);
             }
             return;
         }
@@ -242,78 +227,17 @@
         break;
     case BB_OUTCOME_REFUSED:
         key = leg->key;
-        end_leg(x, leg, BB_PICK_REFUSED);
-        after_failure(x, key, o.reason, o.ran, false);
+        bb_entry_end_leg(x, leg, BB_PICK_REFUSED);
+        bb_entry_after_failure(x, key, o.reason, o.ran, false);
         break;
     case BB_OUTCOME_ANSWER:
     case BB_OUTCOME_STORED:
-        end_leg(x, leg, BB_PICK_CANCELLED);
+        bb_entry_end_leg(x, leg, BB_PICK_CANCELLED);
         x->outcome = o;
         break;
     }
 }
 
-/* Tells whether a second attempt may be made beside the first, and when. */
-static bool
-hedge_time(const struct bb_exchange *x, struct bb_hedge_request *q,
-           uint64_t *at_us)
-{
-    uint64_t now_us = bb_clock_now_us();
-
-    if (x->is_forwarded || !x->is_idempotent || x->body != NULL ||
-        active_legs(x) != 1 || x->hedges >= x->route->hedge_limit ||
-        x->service->endpoint_count < 2) {
-        return false;
-    }
-    *q = (struct bb_hedge_request){
-        .service = x->service_name,
-        .is_idempotent = true,
-        .work_class = x->work_class,
-        .hedges = x->hedges,
-        .hedge_limit = x->route->hedge_limit,
-        .elapsed_us = now_us - x->start_us,
-        .remaining_us = x->deadline_us > now_us ? x->deadline_us - now_us : 0,
-        .hedge_after_us = (uint64_t)x->route->hedge_after_ms * BB_US_PER_MS,
-    };
-    *at_us = x->start_us + bb_picker_hedge_delay_us(x->proxy->picker, q);
-    return true;
-}
-
-/* Sends a second attempt if its time has come and the budget allows it. */
-static void
-try_hedge(struct bb_exchange *x)
-{
-    struct bb_hedge_request q;
-    uint64_t at_us;
-    struct bb_leg *first = NULL;
-    struct bb_leg *second = NULL;
-    uint32_t excluded_count = x->excluded_count;
-
-    if (!hedge_time(x, &q, &at_us) || bb_clock_now_us() < at_us) {
-        return;
-    }
-    x->hedges++; /* also when it is not allowed: asked once */
-    if (!bb_picker_may_hedge(x->proxy->picker, &q)) {
-        return;
-    }
-    for (int i = 0; i < BB_LEGS_MAX; i++) {
-        if (x->legs[i].is_used) {
-            first = &x->legs[i];
-        }
-        else {
-            second = &x->legs[i];
-        }
-    }
-    exclude(x, first->key);
-    start_leg(x, second, true);
-    x->excluded_count = excluded_count;
-    if (second->is_used && second->key == first->key) {
-        end_leg(x, second, BB_PICK_CANCELLED);
-        return;
-    }
-    bb_counter_add(&hedges_total, second->is_used);
-}
-
 /* Returns when the waiting side must look again without a signal. */
 static uint64_t
 wake_time(const struct bb_exchange *x)
@@ -322,7 +246,7 @@
     struct bb_hedge_request q;
     uint64_t hedge_us;
 
-    if (hedge_time(x, &q, &hedge_us)) {
+    if (bb_entry_hedge_time(x, &q, &hedge_us)) {
         wake_us = MIN(wake_us, hedge_us);
     }
     for (int i = 0; i < BB_LEGS_MAX; i++) {
@@ -399,7 +323,7 @@
 static void
 on_head(struct bb_exchange *x, struct bb_leg *leg)
 {
-    bool has_sent_body = is_body_gone(x, leg);
+    bool has_sent_body = bb_entry_is_body_gone(x, leg);
     uint64_t key = leg->key;
     enum bb_reason reason;
     enum bb_ran ran;
@@ -410,42 +334,16 @@
                          bb_clock_now_us());
     }
     if (is_refusal(leg, &reason, &ran)) {
-        end_leg(x, leg, BB_PICK_REFUSED);
-        after_failure(x, key, reason, ran, has_sent_body);
+        bb_entry_end_leg(x, leg, BB_PICK_REFUSED);
+        bb_entry_after_failure(x, key, reason, ran, has_sent_body);
         return;
     }
     x->outcome = (struct bb_outcome){.kind = BB_OUTCOME_ANSWER,
                                      .attempt = leg->attempt};
-    end_leg(x, leg, BB_PICK_ANSWERED);
+    bb_entry_end_leg(x, leg, BB_PICK_ANSWERED);
     cancel_legs(x);
 }
 
-/* A request was sent and its connection broke. */
-static void
-on_lost(struct bb_exchange *x, struct bb_leg *leg)
-{
-    bool has_sent_body = is_body_gone(x, leg);
-    uint64_t key = leg->key;
-    bool is_local = leg->is_local;
-
-    if (leg->is_stored_answer) {
-        end_leg(x, leg, BB_PICK_FAILED);
-        refuse(x, BB_REASON_CONNECTION_LOST, BB_RAN_UNKNOWN);
-        return;
-    }
-    if (!is_local && !x->is_idempotent) {
-        bb_probe_broken(&leg->probe, bb_clock_now_us());
-        bb_attempt_release(leg->attempt);
-        leg->attempt = NULL;
-        return;
-    }
-    end_leg(x, leg, BB_PICK_FAILED);
-    after_failure(x, key,
-                  is_local ? BB_REASON_UPSTREAM_BROKEN
-                           : BB_REASON_CONNECTION_LOST,
-                  BB_RAN_UNKNOWN, has_sent_body);
-}
-
 /* Deals with an attempt that has news. */
 static void
 on_leg(struct bb_exchange *x, struct bb_leg *leg)
@@ -457,11 +355,12 @@
         on_head(x, leg);
         break;
     case BB_ATTEMPT_LOST:
-        on_lost(x, leg);
+        bb_entry_on_lost(x, leg);
         break;
     case BB_ATTEMPT_NOT_SENT:
-        end_leg(x, leg, BB_PICK_NOT_CONNECTED);
-        after_failure(x, key, BB_REASON_CONNECT_FAILED, BB_RAN_NO, false);
+        bb_entry_end_leg(x, leg, BB_PICK_NOT_CONNECTED);
+        bb_entry_after_failure(x, key, BB_REASON_CONNECT_FAILED, BB_RAN_NO,
+                               false);
         break;
     case BB_ATTEMPT_STARTED:
     case BB_ATTEMPT_SENDING:
@@ -469,78 +368,6 @@
     }
 }
 
-/* Fetches the answer that the gatekeeper kept, on a new connection. */
-static void
-take_stored(struct bb_exchange *x, struct bb_leg *leg)
-{
-    struct bb_outcome o;
-
-    bb_attempt_release(leg->attempt);
-    leg->attempt = NULL;
-    leg->is_stored_answer = true;
-    o = bb_leg_start_peer(x, leg);
-    if (o.kind == BB_OUTCOME_REFUSED) {
-        end_leg(x, leg, BB_PICK_FAILED);
-        refuse(x, o.reason, BB_RAN_UNKNOWN);
-    }
-}
-
-/* Asks the gatekeeper of a silent leg. When it says that the request is not
- * there any more, its answer may be on its way on the first connection, so
- * the gatekeeper is asked once more before that connection is given up. */
-static void
-query(struct bb_exchange *x, struct bb_leg *leg)
-{
-    enum bb_query_result result;
-    bool is_over;
-
-    if (!bb_rpc_query(x, leg, &result)) {
-        bb_probe_query_failed(&leg->probe, bb_clock_now_us());
-        return;
-    }
-    is_over = result == BB_QUERY_DONE ||
-              (result == BB_QUERY_NEVER_SEEN && x->is_idempotent);
-    if (is_over && leg->attempt != NULL && !leg->is_asked_again) {
-        leg->is_asked_again = true;
-        bb_probe_query_failed(&leg->probe, bb_clock_now_us());
-        return;
-    }
-    bb_probe_answer(&leg->probe, result, bb_clock_now_us());
-}
-
-/* Watches over an attempt at another node that may have fallen silent. */
-static void
-check_silence(struct bb_exchange *x, struct bb_leg *leg)
-{
-    enum bb_reason reason;
-    uint64_t key = leg->key;
-    bool has_sent_body = is_body_gone(x, leg);
-
-    switch (bb_probe_step(&leg->probe, bb_clock_now_us(), &reason)) {
-    case BB_PROBE_WAIT:
-        break;
-    case BB_PROBE_QUERY:
-        query(x, leg);
-        break;
-    case BB_PROBE_TAKE_ANSWER:
-        if (!leg->is_stored_answer) {
-            take_stored(x, leg);
-        }
-        break;
-    case BB_PROBE_RETRY:
-        bb_http_client_forget_peer(x->proxy->client, &leg->endpoint->http);
-        end_leg(x, leg, BB_PICK_FAILED);
-        after_failure(x, key, reason,
-                      x->is_idempotent ? BB_RAN_UNKNOWN : BB_RAN_NO,
-                      has_sent_body);
-        break;
-    case BB_PROBE_UNKNOWN:
-        end_leg(x, leg, BB_PICK_FAILED);
-        refuse(x, reason, BB_RAN_UNKNOWN);
-        break;
-    }
-}
-
 /* Tells whether the caller has closed its connection. A non-idempotent
  * request goes on, since its answer may be asked for again. */
 static bool
@@ -565,16 +392,16 @@
     if (is_caller_gone(x)) {
         bb_counter_add(&gone_total, 1);
         cancel_legs(x);
-        refuse(x, BB_REASON_CANCELLED, BB_RAN_UNKNOWN);
+        bb_entry_refuse(x, BB_REASON_CANCELLED, BB_RAN_UNKNOWN);
         return;
     }
-    try_hedge(x);
+    bb_entry_try_hedge(x);
     for (int i = 0; i < BB_LEGS_MAX; i++) {
         struct bb_leg *leg = &x->legs[i];
 
         if (x->outcome.kind == BB_OUTCOME_NONE && leg->is_used &&
             !leg->is_local) {
-            check_silence(x, leg);
+            bb_entry_check_silence(x, leg);
         }
     }
 }
@@ -584,13 +411,13 @@
 static void
 on_deadline(struct bb_exchange *x)
 {
-    bool was_sent = active_legs(x) > 0;
+    bool was_sent = bb_entry_active_legs(x) > 0;
 
     cancel_legs(x);
-    refuse(x,
-           was_sent ? BB_REASON_DEADLINE_RUNNING
-                    : BB_REASON_DEADLINE_BEFORE_RUN,
-           was_sent ? BB_RAN_UNKNOWN : BB_RAN_NO);
+    bb_entry_refuse(x,
+                    was_sent ? BB_REASON_DEADLINE_RUNNING
+                             : BB_REASON_DEADLINE_BEFORE_RUN,
+                    was_sent ? BB_RAN_UNKNOWN : BB_RAN_NO);
 }
 
 /* Runs attempts until the outcome is known; with until_sending, also returns
@@ -608,8 +435,8 @@
             on_deadline(x);
             break;
         }
-        if (active_legs(x) == 0) {
-            start_leg(x, &x->legs[0], false);
+        if (bb_entry_active_legs(x) == 0) {
+            bb_entry_start_leg(x, &x->legs[0], false);
             continue;
         }
         switch (wait_for_event(x, until_sending, &leg)) {
--- /dev/null
+++ b/proxy/gate_query.c
@@ -0,0 +1,165 @@
+/* Questions about single requests at a gatekeeper, its stored answers, and
+ * its load. */
+#include "common/clock.h"
+#include "proxy/gatekeeper_state.h"
+
+/* Creates an empty answer with one reference. */
+struct bb_stored_answer *
+bb_stored_answer_create(void)
+{
+    struct bb_stored_answer *a = g_new0(struct bb_stored_answer, 1);
+
+    a->references = 1;
+    a->headers = bb_headers_create();
+    a->body = g_byte_array_new();
+    return a;
+}
+
+/* Gives a reference back; NULL is allowed. */
+void
+bb_stored_answer_unref(struct bb_stored_answer *a)
+{
+    if (a != NULL && g_atomic_int_dec_and_test(&a->references)) {
+        bb_headers_destroy(a->headers);
+        (void)g_byte_array_free(a->body, TRUE);
+        g_free(a);
+    }
+}
+
+/* Takes a reference to the answer behind a handle. */
+struct bb_stored_answer *
+bb_gate_ref_stored(uint64_t handle)
+{
+    struct bb_stored_answer *a = (struct bb_stored_answer *)(uintptr_t)handle;
+
+    if (a != NULL) {
+        g_atomic_int_inc(&a->references);
+    }
+    return a;
+}
+
+/* Tells whether a request waits or runs here. Called with the lock held. */
+static bool
+is_present(const struct bb_gatekeeper *g, const struct bb_request_id *id)
+{
+    for (guint i = 0; i < g->waiters->len; i++) {
+        const struct bb_gate_waiter *w = g_ptr_array_index(g->waiters, i);
+
+        if (bb_request_id_equal(&w->id, id)) {
+            return true;
+        }
+    }
+    for (guint i = 0; i < g->tickets->len; i++) {
+        const struct bb_ticket *t = g_ptr_array_index(g->tickets, i);
+
+        if (bb_request_id_equal(&t->id, id)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Answers what became of a request id; an id never seen is refused for good
+ * from now on. Idempotent requests are not in the record, but are found while
+ * they wait or run. */
+enum bb_query_result
+bb_gatekeeper_query(struct bb_gatekeeper *g, const struct bb_request_id *id,
+                    uint64_t incarnation)
+{
+    enum bb_query_result result;
+    uint64_t handle;
+
+    (void)pthread_mutex_lock(&g->lock);
+    result = is_present(g, id) ? BB_QUERY_RUNNING
+                               : bb_record_query(&g->record, id, incarnation,
+                                                 &handle, bb_clock_now_us());
+    (void)pthread_mutex_unlock(&g->lock);
+    return result;
+}
+
+/* Returns a reference to the kept answer of a finished request, or NULL. */
+struct bb_stored_answer *
+bb_gatekeeper_stored(struct bb_gatekeeper *g, const struct bb_request_id *id)
+{
+    struct bb_stored_answer *a = NULL;
+    uint64_t handle;
+
+    (void)pthread_mutex_lock(&g->lock);
+    if (bb_record_query(&g->record, id, BB_INCARNATION_ANY, &handle,
+                        bb_clock_now_us()) == BB_QUERY_DONE) {
+        a = bb_gate_ref_stored(handle);
+    }
+    (void)pthread_mutex_unlock(&g->lock);
+    return a;
+}
+
+/* Cancels a request: a queued one is refused at once; for a running one the
+ * upstream's address is returned, where it must be cancelled. False if the id
+ * neither waits nor runs. */
+bool
+bb_gatekeeper_cancel(struct bb_gatekeeper *g, const struct bb_request_id *id,
+                     struct bb_address *upstream)
+{
+    bool is_found = false;
+
+    *upstream = (struct bb_address){0};
+    (void)pthread_mutex_lock(&g->lock);
+    for (guint i = 0; i < g->waiters->len && !is_found; i++) {
+        struct bb_gate_waiter *w = g_ptr_array_index(g->waiters, i);
+
+        if (!w->is_decided && bb_request_id_equal(&w->id, id) &&
+            bb_admission_cancel(&g->admission, w->admission_id)) {
+            w->is_decided = true;
+            w->decision = (struct bb_admission_decision){
+                .kind = BB_ADMISSION_REFUSE, .reason = BB_REASON_CANCELLED};
+            (void)pthread_cond_signal(&w->decided);
+            is_found = true;
+        }
+    }
+    for (guint i = 0; i < g->tickets->len && !is_found; i++) {
+        const struct bb_ticket *t = g_ptr_array_index(g->tickets, i);
+
+        if (bb_request_id_equal(&t->id, id)) {
+            *upstream = t->upstream;
+            is_found = true;
+        }
+    }
+    (void)pthread_mutex_unlock(&g->lock);
+    return is_found;
+}
+
+/* Copies the last announcement; false if there is no upstream. */
+bool
+bb_gatekeeper_upstream(struct bb_gatekeeper *g, struct bb_announcement *a)
+{
+    (void)pthread_mutex_lock(&g->lock);
+    *a = g->upstream;
+    (void)pthread_mutex_unlock(&g->lock);
+    return a->state != BB_UPSTREAM_NONE;
+}
+
+/* Returns how many requests the upstream runs. */
+uint32_t
+bb_gatekeeper_running(struct bb_gatekeeper *g)
+{
+    uint32_t count;
+
+    (void)pthread_mutex_lock(&g->lock);
+    count = g->admission.running_count;
+    (void)pthread_mutex_unlock(&g->lock);
+    return count;
+}
+
+/* Writes the load for entry nodes: running, queued and usable slots. */
+const char *
+bb_gatekeeper_load(struct bb_gatekeeper *g, char text[BB_LOAD_TEXT_BYTES])
+{
+    struct bb_admission_load l;
+
+    (void)pthread_mutex_lock(&g->lock);
+    l = bb_admission_load(&g->admission, bb_clock_now_us());
+    (void)pthread_mutex_unlock(&g->lock);
+    (void)g_snprintf(text, BB_LOAD_TEXT_BYTES, "%u %u %u", l.running, l.queued,
+                     l.slots);
+    return text;
+}
--- a/proxy/gatekeeper.c
+++ b/proxy/gatekeeper.c
@@ -1,8 +1,6 @@
-#include "proxy/gatekeeper.h"
+#include "proxy/gatekeeper_state.h"
 
 #include <errno.h>
-#include <inttypes.h>
-#include <pthread.h>
 #include <string.h>
 
 #include "common/clock.h"
@@ -23,54 +21,6 @@
 BB_COUNTER(queued_total, "baobab_gatekeeper_queued_total",
            "Requests that waited for a slot");
 
-/* A queued request; on the stack of its thread. */
-struct waiter {
-    uint64_t admission_id;
-    struct bb_request_id id;
-    pthread_cond_t decided;
-    bool is_decided;
-    struct bb_admission_decision decision;
-};
-
-struct bb_gatekeeper {
-    pthread_mutex_t lock;
-    pthread_cond_t finished; /* a recorded request ended */
-    struct bb_gatekeeper_settings settings;
-    struct bb_admission admission;
-    struct bb_admission_limits limits;
-    struct bb_record record;
-    struct bb_record_entry *entries;
-    uint64_t stored_bytes;
-    struct bb_announcement upstream;
-    uint64_t expires_us;
-    GPtrArray *waiters; /* of struct waiter */
-    GPtrArray *tickets; /* of struct bb_ticket, all that run */
-    uint64_t next_id;
-};
-
-/* Creates an empty answer with one reference. */
-struct bb_stored_answer *
-bb_stored_answer_create(void)
-{
-    struct bb_stored_answer *a = g_new0(struct bb_stored_answer, 1);
-
-    a->references = 1;
-    a->headers = bb_headers_create();
-    a->body = g_byte_array_new();
-    return a;
-}
-
-/* Gives a reference back; NULL is allowed. */
-void
-bb_stored_answer_unref(struct bb_stored_answer *a)
-{
-    if (a != NULL && g_atomic_int_dec_and_test(&a->references)) {
-        bb_headers_destroy(a->headers);
-        (void)g_byte_array_free(a->body, TRUE);
-        g_free(a);
-    }
-}
-
 /* Creates a gatekeeper without an upstream. */
 struct bb_gatekeeper *
 bb_gatekeeper_create(const struct bb_gatekeeper_settings *s)
@@ -126,7 +76,7 @@
 
     while (bb_admission_next(&g->admission, bb_clock_now_us(), &action)) {
         for (guint i = 0; i < g->waiters->len; i++) {
-            struct waiter *w = g_ptr_array_index(g->waiters, i);
+            struct bb_gate_waiter *w = g_ptr_array_index(g->waiters, i);
 
             if (w->admission_id == action.id && !w->is_decided) {
                 w->is_decided = true;
@@ -257,7 +207,7 @@
 wait_in_queue(struct bb_gatekeeper *g, uint64_t admission_id,
               const struct bb_request_id *id)
 {
-    struct waiter w = {.admission_id = admission_id, .id = *id};
+    struct bb_gate_waiter w = {.admission_id = admission_id, .id = *id};
     pthread_condattr_t attributes;
 
     (void)pthread_condattr_init(&attributes);
@@ -302,18 +252,6 @@
     }
 }
 
-/* Takes a reference to the answer behind a handle. */
-static struct bb_stored_answer *
-ref_stored(uint64_t handle)
-{
-    struct bb_stored_answer *a = (struct bb_stored_answer *)(uintptr_t)handle;
-
-    if (a != NULL) {
-        g_atomic_int_inc(&a->references);
-    }
-    return a;
-}
-
 /* Waits until a request that already runs here has ended. Called with the
  * lock held. */
 static struct bb_gate_result
@@ -334,7 +272,7 @@
                  ETIMEDOUT);
     if (q == BB_QUERY_DONE) {
         result.kind = BB_GATE_STORED;
-        result.stored = ref_stored(handle);
+        result.stored = bb_gate_ref_stored(handle);
     }
     else if (q == BB_QUERY_REFUSED) {
         result.reason = BB_REASON_ALREADY_REFUSED;
@@ -536,129 +474,3 @@
         report(g, &changed);
     }
 }
-
-/* Tells whether a request waits or runs here. Called with the lock held. */
-static bool
-is_present(const struct bb_gatekeeper *g, const struct bb_request_id *id)
-{
-    for (guint i = 0; i < g->waiters->len; i++) {
-        const struct waiter *w = g_ptr_array_index(g->waiters, i);
-
-        if (bb_request_id_equal(&w->id, id)) {
-            return true;
-        }
-    }
-    for (guint i = 0; i < g->tickets->len; i++) {
-        const struct bb_ticket *t = g_ptr_array_index(g->tickets, i);
-
-        if (bb_request_id_equal(&t->id, id)) {
-            return true;
-        }
-    }
-    return false;
-}
-
-/* Answers what became of a request id; an id never seen is refused for good
- * from now on. Idempotent requests are not in the record, but are found while
- * they wait or run. */
-enum bb_query_result
-bb_gatekeeper_query(struct bb_gatekeeper *g, const struct bb_request_id *id,
-                    uint64_t incarnation)
-{
-    enum bb_query_result result;
-    uint64_t handle;
-
-    (void)pthread_mutex_lock(&g->lock);
-    result = is_present(g, id) ? BB_QUERY_RUNNING
-                               : bb_record_query(&g->record, id, incarnation,
-                                                 &handle, bb_clock_now_us());
-    (void)pthread_mutex_unlock(&g->lock);
-    return result;
-}
-
-/* Returns a reference to the kept answer of a finished request, or NULL. */
-struct bb_stored_answer *
-bb_gatekeeper_stored(struct bb_gatekeeper *g, const struct bb_request_id *id)
-{
-    struct bb_stored_answer *a = NULL;
-    uint64_t handle;
-
-    (void)pthread_mutex_lock(&g->lock);
-    if (bb_record_query(&g->record, id, BB_INCARNATION_ANY, &handle,
-                        bb_clock_now_us()) == BB_QUERY_DONE) {
-        a = ref_stored(handle);
-    }
-    (void)pthread_mutex_unlock(&g->lock);
-    return a;
-}
-
-/* Cancels a request: a queued one is refused at once; for a running one the
- * upstream's address is returned, where it must be cancelled. False if the id
- * neither waits nor runs. */
-bool
-bb_gatekeeper_cancel(struct bb_gatekeeper *g, const struct bb_request_id *id,
-                     struct bb_address *upstream)
-{
-    bool is_found = false;
-
-    *upstream = (struct bb_address){0};
-    (void)pthread_mutex_lock(&g->lock);
-    for (guint i = 0; i < g->waiters->len && !is_found; i++) {
-        struct waiter *w = g_ptr_array_index(g->waiters, i);
-
-        if (!w->is_decided && bb_request_id_equal(&w->id, id) &&
-            bb_admission_cancel(&g->admission, w->admission_id)) {
-            w->is_decided = true;
-            w->decision = (struct bb_admission_decision){
-                .kind = BB_ADMISSION_REFUSE, .reason = BB_REASON_CANCELLED};
-            (void)pthread_cond_signal(&w->decided);
-            is_found = true;
-        }
-    }
-    for (guint i = 0; i < g->tickets->len && !is_found; i++) {
-        const struct bb_ticket *t = g_ptr_array_index(g->tickets, i);
-
-        if (bb_request_id_equal(&t->id, id)) {
-            *upstream = t->upstream;
-            is_found = true;
-        }
-    }
-    (void)pthread_mutex_unlock(&g->lock);
-    return is_found;
-}
-
-/* Copies the last announcement; false if there is no upstream. */
-bool
-bb_gatekeeper_upstream(struct bb_gatekeeper *g, struct bb_announcement *a)
-{
-    (void)pthread_mutex_lock(&g->lock);
-    *a = g->upstream;
-    (void)pthread_mutex_unlock(&g->lock);
-    return a->state != BB_UPSTREAM_NONE;
-}
-
-/* Returns how many requests the upstream runs. */
-uint32_t
-bb_gatekeeper_running(struct bb_gatekeeper *g)
-{
-    uint32_t count;
-
-    (void)pthread_mutex_lock(&g->lock);
-    count = g->admission.running_count;
-    (void)pthread_mutex_unlock(&g->lock);
-    return count;
-}
-
-/* Writes the load for entry nodes: running, queued and usable slots. */
-const char *
-bb_gatekeeper_load(struct bb_gatekeeper *g, char text[BB_LOAD_TEXT_BYTES])
-{
-    struct bb_admission_load l;
-
-    (void)pthread_mutex_lock(&g->lock);
-    l = bb_admission_load(&g->admission, bb_clock_now_us());
-    (void)pthread_mutex_unlock(&g->lock);
-    (void)g_snprintf(text, BB_LOAD_TEXT_BYTES, "%u %u %u", l.running, l.queued,
-                     l.slots);
-    return text;
-}
--- a/proxy/headers.c
+++ b/proxy/headers.c
@@ -42,18 +42,19 @@
     }
 }
 
-/* Copies a text into the buffer; returns its offset. */
+/* Copies a text (NULL counts as empty) into the buffer; returns its offset.
+ */
 static uint32_t
 put_text(struct bb_headers *h, const char *text)
 {
-    size_t size = strlen(text) + 1;
+    size_t size = text != NULL ? strlen(text) + 1 : 1;
     uint32_t offset = h->text_bytes;
 
     while (h->text_bytes + size > h->text_capacity) {
         h->text_capacity *= 2;
         h->text = g_realloc(h->text, h->text_capacity);
     }
-    memcpy(h->text + offset, text, size);
+    memcpy(h->text + offset, text != NULL ? text : "", size);
     h->text_bytes += (uint32_t)size;
     return offset;
 }
@@ -67,7 +68,7 @@
         h->offsets = g_renew(uint32_t, h->offsets, 2 * (size_t)h->capacity);
     }
     h->offsets[2 * h->count] = put_text(h, name);
-    h->offsets[2 * h->count + 1] = put_text(h, value != NULL ? value : "");
+    h->offsets[2 * h->count + 1] = put_text(h, value);
     h->count++;
 }
 
--- /dev/null
+++ b/proxy/hedge.c
@@ -0,0 +1,67 @@
+/* A second attempt beside a slow first one. */
+#include "common/clock.h"
+#include "common/counters.h"
+#include "proxy/internal.h"
+
+BB_COUNTER(hedges_total, "baobab_hedges_total", "Second attempts sent");
+
+/* Tells whether a second attempt may be made beside the first, and when. */
+bool
+bb_entry_hedge_time(const struct bb_exchange *x, struct bb_hedge_request *q,
+                    uint64_t *at_us)
+{
+    uint64_t now_us = bb_clock_now_us();
+
+    if (x->is_forwarded || !x->is_idempotent || x->body != NULL ||
+        bb_entry_active_legs(x) != 1 || x->hedges >= x->route->hedge_limit ||
+        x->service->endpoint_count < 2) {
+        return false;
+    }
+    *q = (struct bb_hedge_request){
+        .service = x->service_name,
+        .is_idempotent = true,
+        .work_class = x->work_class,
+        .hedges = x->hedges,
+        .hedge_limit = x->route->hedge_limit,
+        .elapsed_us = now_us - x->start_us,
+        .remaining_us = x->deadline_us > now_us ? x->deadline_us - now_us : 0,
+        .hedge_after_us = (uint64_t)x->route->hedge_after_ms * BB_US_PER_MS,
+    };
+    *at_us = x->start_us + bb_picker_hedge_delay_us(x->proxy->picker, q);
+    return true;
+}
+
+/* Sends a second attempt if its time has come and the budget allows it. */
+void
+bb_entry_try_hedge(struct bb_exchange *x)
+{
+    struct bb_hedge_request q;
+    uint64_t at_us;
+    struct bb_leg *first = NULL;
+    struct bb_leg *second = NULL;
+    uint32_t excluded_count = x->excluded_count;
+
+    if (!bb_entry_hedge_time(x, &q, &at_us) || bb_clock_now_us() < at_us) {
+        return;
+    }
+    x->hedges++; /* also when it is not allowed: asked once */
+    if (!bb_picker_may_hedge(x->proxy->picker, &q)) {
+        return;
+    }
+    for (int i = 0; i < BB_LEGS_MAX; i++) {
+        if (x->legs[i].is_used) {
+            first = &x->legs[i];
+        }
+        else {
+            second = &x->legs[i];
+        }
+    }
+    bb_entry_exclude(x, first->key);
+    bb_entry_start_leg(x, second, true);
+    x->excluded_count = excluded_count;
+    if (second->is_used && second->key == first->key) {
+        bb_entry_end_leg(x, second, BB_PICK_CANCELLED);
+        return;
+    }
+    bb_counter_add(&hedges_total, second->is_used);
+}
