Wake threads after the locks they need are free

Cause: a woken thread met the lock that its waker still held (futex wakes of contended mutexes in strace). Change: watch and workers are signalled after the unlock.

--- a/proxy/hedge.c
+++ b/proxy/hedge.c
@@ -37,8 +37,8 @@
 {
     struct bb_hedge_request q;
     uint64_t at_us;
-    struct bb_leg *first = NULL;
-    struct bb_leg *second = NULL;
+    struct bb_leg *first = &x->legs[x->legs[0].is_used ? 0 : 1];
+    struct bb_leg *second = &x->legs[x->legs[0].is_used ? 1 : 0];
     uint32_t excluded_count = x->excluded_count;
 
     if (!bb_entry_hedge_time(x, &q, &at_us) || bb_clock_now_us() < at_us) {
@@ -48,14 +48,6 @@
     if (!bb_picker_may_hedge(x->proxy->picker, &q)) {
         return;
     }
-    for (int i = 0; i < BB_LEGS_MAX; i++) {
-        if (x->legs[i].is_used) {
-            first = &x->legs[i];
-        }
-        else {
-            second = &x->legs[i];
-        }
-    }
     bb_entry_exclude(x, first->key);
     bb_entry_start_leg(x, second, true);
     x->excluded_count = excluded_count;
--- a/proxy/http_client.c
+++ b/proxy/http_client.c
@@ -264,8 +264,9 @@
 {
     bb_watch_lock(a->watch);
     a->public.state = state;
-    bb_watch_signal(a->watch);
     bb_watch_unlock(a->watch);
+    /* After the unlock, or the woken thread would wait for the lock. */
+    bb_watch_signal(a->watch);
 }
 
 /* Provides neon with the next part of the request's body. */
--- a/proxy/workers.c
+++ b/proxy/workers.c
@@ -14,7 +14,8 @@
 BB_GAUGE(detached_gauge, "baobab_workers_detached",
          "Workers whose caller has gone");
 
-/* A thread without work, waiting for some. */
+/* A thread without work, waiting for some. Kept after the thread has ended,
+ * for the next one, because it is signalled without the lock. */
 struct idle_worker {
     pthread_cond_t wake;
     struct bb_work *work;
@@ -29,6 +30,7 @@
     uint32_t detached;
     uint32_t threads;
     uint32_t waiting;
+    struct idle_worker *unused;
     struct idle_worker *idle; /* the last to become idle first: warm caches */
     bool is_stopping;
 };
@@ -144,6 +146,22 @@
     return self->work;
 }
 
+/* Returns the idle state for a new thread. Called with the lock held. */
+static struct idle_worker *
+take_unused(struct bb_workers *p)
+{
+    struct idle_worker *w = p->unused;
+
+    if (w != NULL) {
+        p->unused = w->next;
+    }
+    else {
+        w = g_new0(struct idle_worker, 1);
+        init_condition(&w->wake);
+    }
+    return w;
+}
+
 struct thread_start {
     struct bb_workers *pool;
     struct bb_work *work;
@@ -156,11 +174,11 @@
     struct thread_start start = *(struct thread_start *)argument;
     struct bb_workers *p = start.pool;
     struct bb_work *w = start.work;
-    struct idle_worker self = {0};
+    struct idle_worker *self;
 
     g_free(argument);
-    init_condition(&self.wake);
     (void)pthread_mutex_lock(&p->lock);
+    self = take_unused(p);
     while (w != NULL) {
         void (*run)(void *) = w->run;
         void *context = w->context;
@@ -168,12 +186,13 @@
         (void)pthread_mutex_unlock(&p->lock);
         run(context);
         (void)pthread_mutex_lock(&p->lock);
-        w = wait_for_work(p, &self);
+        w = wait_for_work(p, self);
     }
     p->threads--;
+    self->next = p->unused;
+    p->unused = self;
     (void)pthread_cond_broadcast(&p->freed);
     (void)pthread_mutex_unlock(&p->lock);
-    (void)pthread_cond_destroy(&self.wake);
     return NULL;
 }
 
@@ -208,6 +227,7 @@
 bb_workers_submit(struct bb_workers *p, struct bb_work *w, uint64_t end_us)
 {
     struct timespec end = bb_clock_timespec(end_us);
+    struct idle_worker *worker = NULL;
     bool is_accepted = false;
 
     w->depth = MIN(w->depth, (uint32_t)BB_DEPTH_MAX);
@@ -225,12 +245,10 @@
     if (p->is_stopping) {
         goto out;
     }
-    if (p->idle != NULL) {
-        struct idle_worker *worker = p->idle;
-
+    worker = p->idle;
+    if (worker != NULL) {
         p->idle = worker->next;
         worker->work = w;
-        (void)pthread_cond_signal(&worker->wake);
     }
     else if (!start_thread(p, w)) {
         goto out;
@@ -240,6 +258,9 @@
     is_accepted = true;
 out:
     (void)pthread_mutex_unlock(&p->lock);
+    if (worker != NULL) {
+        (void)pthread_cond_signal(&worker->wake);
+    }
     return is_accepted;
 }
 
@@ -299,6 +320,13 @@
                        left);
         return false;
     }
+    while (p->unused != NULL) {
+        struct idle_worker *w = p->unused;
+
+        p->unused = w->next;
+        (void)pthread_cond_destroy(&w->wake);
+        g_free(w);
+    }
     (void)pthread_cond_destroy(&p->freed);
     (void)pthread_mutex_destroy(&p->lock);
     g_free(p);
