mesh: find holders of a revision through gossip and pull across the link once

Cause: with both control hosts of a region isolated, its nodes took 1.8 to 2.4 s to hold a revision that only the other region had, over the bound of 2 s: who holds it was not known, and each pull from an isolated host cost 500 ms.

Change: datagrams of a member that is behind carry a record of one that is not; pulls inside the region time out after 300 ms and the first retries follow after 20 to 100 ms; zones are pinged every 500 ms, those of other regions one a second; only relays pull from another region at first.

--- a/decide/relay.c
+++ b/decide/relay.c
@@ -16,6 +16,11 @@
      * attempts within the 2 s allowed for an isolated relay. */
     JITTER_MIN_MS = 100,
     JITTER_MAX_MS = 400,
+    /* The first attempts at other sources follow sooner: the pulls of a zone
+     * are spread already, and an isolated control host must not cost 2 s. */
+    QUICK_ATTEMPTS = BB_PULL_SOURCES,
+    QUICK_MIN_MS = 20,
+    QUICK_MAX_MS = 100,
     RETRY_JITTER_MS = 100,
     /* Refused callers are never told to wait longer, so that a bound on the
      * return of all nodes does not depend on how many asked. */
@@ -111,13 +116,11 @@
     return chosen;
 }
 
-/* Returns a delay with jitter in microseconds. */
+/* Returns a random delay between two bounds, in microseconds. */
 static uint64_t
-jitter_us(uint64_t random_bits)
+jitter_us(uint64_t min_ms, uint64_t max_ms, uint64_t random_bits)
 {
-    uint64_t range_us = (JITTER_MAX_MS - JITTER_MIN_MS) * US_PER_MS;
-
-    return JITTER_MIN_MS * US_PER_MS + random_bits % range_us;
+    return min_ms * US_PER_MS + random_bits % ((max_ms - min_ms) * US_PER_MS);
 }
 
 /* Compares the held revision with the highest known one. When the member
@@ -135,7 +138,8 @@
         p->is_behind = true;
         p->attempt = 0;
         p->behind_since_us = now_us;
-        p->due_us = now_us + jitter_us(random_bits);
+        p->due_us =
+            now_us + jitter_us(JITTER_MIN_MS, JITTER_MAX_MS, random_bits);
     }
 }
 
@@ -168,7 +172,10 @@
         return;
     }
     p->attempt++;
-    p->due_us = now_us + jitter_us(random_bits);
+    p->due_us =
+        now_us + (p->attempt < QUICK_ATTEMPTS
+                      ? jitter_us(QUICK_MIN_MS, QUICK_MAX_MS, random_bits)
+                      : jitter_us(JITTER_MIN_MS, JITTER_MAX_MS, random_bits));
 }
 
 /* Prepares a full bucket. */
--- a/include/mesh/gossip.h
+++ b/include/mesh/gossip.h
@@ -20,7 +20,10 @@
 enum {
     BB_GOSSIP_DATAGRAM_MAX_BYTES = 1400,
     BB_GOSSIP_TICK_MS = 25,
-    BB_GOSSIP_UNREACHABLE_MS = 5000 /* silence after which a zone is cut off */
+    /* Silence after which a zone is taken to be cut off; one of another region
+     * is pinged less often. */
+    BB_GOSSIP_UNREACHABLE_MS = 5000,
+    BB_GOSSIP_FAR_UNREACHABLE_MS = 10000
 };
 
 struct bb_gossip;
--- a/include/mesh/members.h
+++ b/include/mesh/members.h
@@ -85,6 +85,10 @@
                          uint64_t retention_us);
 void bb_members_set_zone_reachable(struct bb_members *m, const char *zone,
                                    bool is_reachable);
+bool bb_members_find_holder(struct bb_members *m, uint64_t revision,
+                            const char *region, struct bb_member *out);
+bool bb_members_zone_region(struct bb_members *m, const char *zone,
+                            char region[BB_NAME_BYTES]);
 size_t bb_members_pick_gossip(struct bb_members *m, const char *zone,
                               const char *except_host, struct bb_member *out,
                               size_t max);
--- a/mesh/gossip.c
+++ b/mesh/gossip.c
@@ -12,7 +12,9 @@
 
 enum {
     FORWARD_LIFETIME_US = BB_US_PER_S,
-    WATCH_PERIOD_US = BB_US_PER_S,
+    /* Pings to other zones carry the highest revision, so this also bounds how
+     * long a zone with an isolated control host stays behind. */
+    WATCH_PERIOD_US = BB_US_PER_S / 2,
     /* Longer than a change needs to spread by gossip, so that only records
      * that gossip has missed lead to a comparison by RPC. */
     DIFFER_US = 2 * BB_US_PER_S
@@ -251,40 +253,71 @@
     }
 }
 
-/* Pings a random live member of each other zone. */
+/* Pings a random live member of a zone. */
 static void
-watch_zones(struct bb_gossip *g, uint64_t now_us)
+ping_zone(struct bb_gossip *g, const struct zone_contact *z,
+          const struct bb_member_list *list, uint64_t now_us)
 {
-    const struct bb_members_query q = {.except_zone = g->self.zone};
     const struct gossip_message m = {
         .kind = MESH_PING,
         .number = ++g->next_number,
         .target = "",
         .is_bare = true,
     };
+    const struct bb_member *picked = NULL;
+    uint32_t seen = 0;
+
+    for (size_t i = 0; i < list->count; i++) {
+        const struct bb_member *r = &list->items[i];
+
+        if (strcmp(r->zone, z->zone) == 0 && r->state <= BB_MEMBER_SUSPECT &&
+            r->gossip.port != 0 && next_random(g) % ++seen == 0) {
+            picked = r;
+        }
+    }
+    if (picked != NULL) {
+        gossip_send(g, &picked->gossip, picked->region, &m, now_us);
+    }
+}
+
+/* Tells whether a zone is of another region. */
+static bool
+is_far(const struct bb_gossip *g, const struct zone_contact *z)
+{
+    return strcmp(z->region, g->self.region) != 0;
+}
+
+/* Pings the other zones: those of the own region in every round, and one of
+ * another region in every second round, because that link is billed by
+ * volume. */
+static void
+watch_zones(struct bb_gossip *g, uint64_t now_us)
+{
+    const struct bb_members_query q = {.except_zone = g->self.zone};
     struct bb_member_list list;
+    uint32_t far_count = 0;
+    uint32_t far_index = 0;
 
     (void)bb_members_select(g->settings.members, &q, &list);
     for (size_t i = 0; i < list.count; i++) {
         (void)gossip_zone(g, list.items[i].zone, now_us);
     }
-    for (uint32_t z = 0; z < g->zone_count; z++) {
-        const struct bb_member *picked = NULL;
-        uint32_t seen = 0;
-
-        for (size_t i = 0; i < list.count; i++) {
-            const struct bb_member *r = &list.items[i];
+    for (uint32_t i = 0; i < g->zone_count; i++) {
+        far_count += is_far(g, &g->zones[i]);
+    }
+    for (uint32_t i = 0; i < g->zone_count; i++) {
+        bool is_turn = true;
 
-            if (strcmp(r->zone, g->zones[z].zone) == 0 &&
-                r->state <= BB_MEMBER_SUSPECT && r->gossip.port != 0 &&
-                next_random(g) % ++seen == 0) {
-                picked = r;
-            }
+        if (is_far(g, &g->zones[i])) {
+            is_turn = g->watch_round % 2 == 0 &&
+                      far_index == g->watch_round / 2 % far_count;
+            far_index++;
         }
-        if (picked != NULL) {
-            gossip_send(g, &picked->gossip, picked->region, &m, now_us);
+        if (is_turn) {
+            ping_zone(g, &g->zones[i], &list, now_us);
         }
     }
+    g->watch_round++;
     bb_member_list_clear(&list);
 }
 
@@ -294,12 +327,18 @@
 {
     for (uint32_t i = 0; i < g->zone_count; i++) {
         struct zone_contact *z = &g->zones[i];
-        bool is_reachable = now_us - z->heard_us <
-                            (uint64_t)BB_GOSSIP_UNREACHABLE_MS * BB_US_PER_MS;
+        uint64_t limit_ms = BB_GOSSIP_UNREACHABLE_MS;
 
-        z->is_reachable = is_reachable;
+        if (z->region[0] == '\0') {
+            (void)bb_members_zone_region(g->settings.members, z->zone,
+                                         z->region);
+        }
+        if (is_far(g, z)) {
+            limit_ms = BB_GOSSIP_FAR_UNREACHABLE_MS;
+        }
         bb_members_set_zone_reachable(g->settings.members, z->zone,
-                                      is_reachable);
+                                      now_us - z->heard_us <
+                                          limit_ms * BB_US_PER_MS);
     }
 }
 
--- a/mesh/gossip_codec.c
+++ b/mesh/gossip_codec.c
@@ -34,8 +34,9 @@
     return g->zone_count;
 }
 
-/* Chooses the records of a datagram: the own one, the extra one, then those
- * that are least spread. Returns their number. */
+/* Chooses the records of a datagram: the own one, the extra one, a member that
+ * holds the highest revision if this process does not, then those that are
+ * least spread. Returns their number. */
 static size_t
 choose_records(struct bb_gossip *g, const struct gossip_message *m,
                struct bb_member *out)
@@ -46,6 +47,12 @@
     if (m->extra != NULL && strcmp(m->extra->host, g->self.host) != 0) {
         out[count++] = *m->extra;
     }
+    if (!m->is_bare && g->highest_revision > g->self.applied_revision &&
+        bb_members_find_holder(g->settings.members, g->highest_revision,
+                               g->self.region, &out[count])) {
+        /* Whoever hears of the revision from here also learns where it is. */
+        count++;
+    }
     if (!m->is_bare) {
         count += bb_members_pick_gossip(g->settings.members, g->self.zone,
                                         g->self.host, out + count, PICKED_MAX);
@@ -59,9 +66,9 @@
             const char *to_region, const struct gossip_message *m,
             uint64_t now_us)
 {
-    struct bb_member members[PICKED_MAX + 2];
-    mesh_record records[PICKED_MAX + 2];
-    struct bb_wire_endpoints storage[PICKED_MAX + 2];
+    struct bb_member members[PICKED_MAX + 3];
+    mesh_record records[PICKED_MAX + 3];
+    struct bb_wire_endpoints storage[PICKED_MAX + 3];
     mesh_zone_age ages[BB_MEMBERS_ZONES_MAX];
     char data[BB_GOSSIP_DATAGRAM_MAX_BYTES];
     size_t count = choose_records(g, m, members);
@@ -111,7 +118,7 @@
         return NULL;
     }
     z = &g->zones[g->zone_count++];
-    *z = (struct zone_contact){.heard_us = now_us, .is_reachable = true};
+    *z = (struct zone_contact){.heard_us = now_us};
     (void)g_strlcpy(z->zone, zone, sizeof(z->zone));
     return z;
 }
--- a/mesh/gossip_internal.h
+++ b/mesh/gossip_internal.h
@@ -23,8 +23,8 @@
 /* When any process of the own zone last heard from another zone. */
 struct zone_contact {
     char zone[BB_NAME_BYTES];
+    char region[BB_NAME_BYTES]; /* empty until a member of it is known */
     uint64_t heard_us;
-    bool is_reachable;
 };
 
 struct bb_gossip {
@@ -43,6 +43,7 @@
     uint32_t zone_count;
     bool is_watching_zones;
     uint64_t next_watch_us;
+    uint32_t watch_round;
     uint64_t digests_version; /* of the table when digests were computed */
     uint64_t table_digest;
     uint64_t held_digest;
--- a/mesh/members.c
+++ b/mesh/members.c
@@ -474,3 +474,54 @@
     g_free(picked);
     return count;
 }
+
+/* Finds a live member that has a revision in force, one of the given region
+ * if there is one; false if none is known. */
+bool
+bb_members_find_holder(struct bb_members *m, uint64_t revision,
+                       const char *region, struct bb_member *out)
+{
+    const struct bb_member *found = NULL;
+    GHashTableIter i;
+    gpointer value;
+
+    (void)pthread_mutex_lock(&m->lock);
+    g_hash_table_iter_init(&i, m->entry_by_host);
+    while (g_hash_table_iter_next(&i, NULL, &value)) {
+        const struct entry *entry = value;
+        const struct bb_member *r = &entry->record;
+
+        if (r->applied_revision >= revision && r->state == BB_MEMBER_ALIVE &&
+            (found == NULL || strcmp(r->region, region) == 0)) {
+            found = r;
+        }
+    }
+    if (found != NULL) {
+        *out = *found;
+    }
+    (void)pthread_mutex_unlock(&m->lock);
+    return found != NULL;
+}
+
+/* Finds the region of a zone; false if no member of the zone is known. */
+bool
+bb_members_zone_region(struct bb_members *m, const char *zone,
+                       char region[BB_NAME_BYTES])
+{
+    GHashTableIter i;
+    gpointer value;
+    bool is_found = false;
+
+    (void)pthread_mutex_lock(&m->lock);
+    g_hash_table_iter_init(&i, m->entry_by_host);
+    while (!is_found && g_hash_table_iter_next(&i, NULL, &value)) {
+        const struct entry *entry = value;
+
+        if (strcmp(entry->record.zone, zone) == 0) {
+            (void)g_strlcpy(region, entry->record.region, BB_NAME_BYTES);
+            is_found = true;
+        }
+    }
+    (void)pthread_mutex_unlock(&m->lock);
+    return is_found;
+}
--- a/mesh/mesh_internal.h
+++ b/mesh/mesh_internal.h
@@ -28,6 +28,10 @@
     MESH_REPORT_MS = 200,
     MESH_SYNC_MS = 2000,
     MESH_CALL_TIMEOUT_MS = 500,
+    /* Of a FETCH inside the region; one from another region can take 280 ms
+     * for 1 MiB at 30 Mbit/s alone. */
+    MESH_NEAR_FETCH_TIMEOUT_MS = 300,
+    MESH_FAR_TIMEOUT_MS = 1500,
     MESH_CACHED_PAYLOADS = 4
 };
 
--- a/mesh/pull.c
+++ b/mesh/pull.c
@@ -10,7 +10,8 @@
 enum {
     /* An invalid revision is asked for again after this time, in case it was
      * damaged on the way. */
-    INVALID_RETRY_US = 10 * BB_US_PER_S
+    INVALID_RETRY_US = 10 * BB_US_PER_S,
+    FAR_ATTEMPTS = 2 * BB_PULL_SOURCES
 };
 
 BB_COUNTER(pulls_total, "baobab_mesh_pulls_total", "Pulls started");
@@ -22,9 +23,10 @@
            "Revisions received and found invalid");
 
 /* Picks a random live member that holds a revision: of the own zone if there
- * is one, else of the own region, else of any. */
+ * is one, else of the own region, else, if allowed, of any. */
 static bool
-pick_holder(struct bb_mesh *mesh, uint64_t revision, struct target *out)
+pick_holder(struct bb_mesh *mesh, uint64_t revision, bool is_far_allowed,
+            struct target *out)
 {
     const struct bb_member *self = &mesh->settings.self;
     const struct bb_member *picked = NULL;
@@ -37,8 +39,8 @@
                             (strcmp(r->zone, self->zone) == 0);
 
         if (r->applied_revision < revision || r->state != BB_MEMBER_ALIVE ||
-            r->role != BB_ROLE_NODE || strcmp(r->host, self->host) == 0 ||
-            nearness < best) {
+            strcmp(r->host, self->host) == 0 || nearness < best ||
+            (nearness == 1 && !is_far_allowed)) {
             continue;
         }
         if (nearness > best) {
@@ -70,27 +72,40 @@
     return false;
 }
 
-/* Picks a control host, of the own region first; the next one with every
- * further attempt. */
+/* Picks a control host, in turn of the own region and, if allowed, of the
+ * others. */
 static bool
-pick_control(struct bb_mesh *mesh, uint32_t attempt, struct target *out)
+pick_control(struct bb_mesh *mesh, uint32_t attempt, bool is_far_allowed,
+             struct target *out)
 {
-    struct target near[BB_CONTROL_HOSTS_MAX];
+    const char *region = mesh->settings.self.region;
     struct target all[BB_CONTROL_HOSTS_MAX];
-    size_t near_count =
-        mesh_live_controls(mesh, mesh->settings.self.region, near);
+    struct target sorted[BB_CONTROL_HOSTS_MAX];
     size_t all_count = mesh_live_controls(mesh, NULL, all);
+    size_t near_count = 0;
+    size_t far_count = 0;
     uint32_t round = attempt / BB_PULL_SOURCES;
-    uint64_t own = bb_relay_id(mesh->settings.self.host);
+    uint64_t own = bb_relay_id(mesh->settings.self.host) + round / 2;
 
-    if (round < near_count) {
-        *out = near[(round + own) % near_count];
+    for (size_t i = 0; i < all_count; i++) {
+        if (strcmp(all[i].region, region) == 0) {
+            sorted[near_count++] = all[i];
+        }
+    }
+    for (size_t i = 0; i < all_count; i++) {
+        if (strcmp(all[i].region, region) != 0) {
+            sorted[near_count + far_count++] = all[i];
+        }
+    }
+    if (near_count > 0 &&
+        (round % 2 == 0 || !is_far_allowed || far_count == 0)) {
+        *out = sorted[(own + (is_far_allowed ? 0 : round)) % near_count];
         return true;
     }
-    if (all_count > 0) {
-        *out = all[(round + own) % all_count];
+    if (far_count > 0) {
+        *out = sorted[near_count + own % far_count];
     }
-    return all_count > 0;
+    return far_count > 0;
 }
 
 /* Chooses where to pull from, falling back to the next kind of source where
@@ -99,18 +114,23 @@
 pick_source(struct bb_mesh *mesh, enum bb_pull_source kind, uint32_t attempt,
             uint64_t revision, struct target *out)
 {
+    /* Relays fetch across the link between regions, the other members only
+     * when that has not helped them, so that the bytes on that link do not
+     * depend on the number of nodes. */
+    bool is_far_allowed = mesh->view.is_relay || attempt >= FAR_ATTEMPTS;
+
     for (uint32_t i = 0; i < BB_PULL_SOURCES; i++) {
         bool is_found = false;
 
         switch ((enum bb_pull_source)((kind + i) % BB_PULL_SOURCES)) {
         case BB_PULL_PEER:
-            is_found = pick_holder(mesh, revision, out);
+            is_found = pick_holder(mesh, revision, is_far_allowed, out);
             break;
         case BB_PULL_RELAY:
             is_found = pick_relay(mesh, attempt, out);
             break;
         case BB_PULL_CONTROL:
-            is_found = pick_control(mesh, attempt, out);
+            is_found = pick_control(mesh, attempt, is_far_allowed, out);
             break;
         case BB_PULL_SOURCES:
             break;
--- a/mesh/tasks.c
+++ b/mesh/tasks.c
@@ -80,6 +80,17 @@
     return peer;
 }
 
+/* Returns how long a call may take. */
+static uint32_t
+timeout_of(uint32_t procedure, bool is_other_region)
+{
+    if (is_other_region) {
+        return MESH_FAR_TIMEOUT_MS;
+    }
+    return procedure == MESH_FETCH ? MESH_NEAR_FETCH_TIMEOUT_MS
+                                   : MESH_CALL_TIMEOUT_MS;
+}
+
 /* Calls a procedure of another process and counts the traffic. The caller
  * zeroes the result before and frees it with xdr_free. */
 bool
@@ -87,6 +98,7 @@
           void *argument, void *result)
 {
     const struct mesh_procedure *p = mesh_procedure_find(procedure);
+    bool is_other_region = strcmp(to->region, mesh->settings.self.region) != 0;
     const struct bb_rpc_call call = {
         .program = MESH_PROGRAM,
         .version = MESH_VERSION,
@@ -95,9 +107,8 @@
         .argument = argument,
         .result_codec = p->result_codec,
         .result = result,
-        .timeout_ms = MESH_CALL_TIMEOUT_MS,
+        .timeout_ms = timeout_of(procedure, is_other_region),
     };
-    bool is_other_region = strcmp(to->region, mesh->settings.self.region) != 0;
     struct bb_error e = {0};
     bool is_done;
 
