Replace GLib's queues between the threads of the replication

Cause: the thread sanitizer does not see the locks of GAsyncQueue, and a full disk noticed by the fetcher did not end voting, which test_full_disk showed now and then. Change: a small queue on POSIX locks; the engine looks at the store each tick. Conclusion: test_replicate is clean with the address, undefined and thread sanitizers; three parallel runs pass.

--- a/control/replicate.c
+++ b/control/replicate.c
@@ -95,8 +95,8 @@
     (void)pthread_condattr_setclock(&attributes, CLOCK_MONOTONIC);
     (void)pthread_cond_init(&r->answered, &attributes);
     (void)pthread_condattr_destroy(&attributes);
-    r->jobs = g_async_queue_new();
-    r->fetches = g_async_queue_new();
+    replicate_queue_init(&r->jobs);
+    replicate_queue_init(&r->fetches);
     r->leader = BB_AGREE_NO_HOST;
     r->pool = bb_rpc_pool_create();
     if (r->settings.transport != NULL) {
@@ -142,18 +142,6 @@
     return NULL;
 }
 
-/* Frees the jobs of a queue and the queue. */
-static void
-free_queue(GAsyncQueue *queue)
-{
-    struct replicate_job *job;
-
-    while ((job = g_async_queue_try_pop(queue)) != NULL) {
-        replicate_free_job(job);
-    }
-    g_async_queue_unref(queue);
-}
-
 /* Stops the threads and frees everything; the RPC server must be destroyed
  * before, and no proposal may be waiting. NULL is allowed. */
 void
@@ -168,12 +156,12 @@
     if (r->is_engine_started) {
         job = g_new0(struct replicate_job, 1);
         job->kind = REPLICATE_JOB_STOP;
-        g_async_queue_push_front(r->jobs, job);
+        replicate_free_job(replicate_queue_push(&r->jobs, job, UINT32_MAX));
         (void)pthread_join(r->engine, NULL);
     }
     replicate_peers_stop(r);
-    free_queue(r->jobs);
-    free_queue(r->fetches);
+    replicate_queue_clear(&r->jobs, replicate_free_job);
+    replicate_queue_clear(&r->fetches, replicate_free_job);
     bb_store_close(r->store);
     bb_random_destroy(r->random);
     bb_rpc_pool_destroy(r->pool);
--- a/control/replicate_engine.c
+++ b/control/replicate_engine.c
@@ -6,11 +6,7 @@
 #include "common/log.h"
 #include "replicate_internal.h"
 
-enum {
-    TICK_US = 10 * 1000,
-    FETCH_INTERVAL_US = 1000 * 1000,
-    FETCHES_MAX = 16
-};
+enum { TICK_US = 10 * 1000, FETCH_INTERVAL_US = 1000 * 1000 };
 
 BB_GAUGE(revision_gauge, "baobab_agree_revision", "Revision in force here");
 BB_GAUGE(term_gauge, "baobab_agree_term", "Term of the quorum protocol");
@@ -173,11 +169,11 @@
 static void
 hold(struct bb_replicate *r, struct replicate_job *job)
 {
-    if (g_async_queue_length(r->fetches) >= FETCHES_MAX) {
+    if (replicate_queue_length(&r->fetches) >= REPLICATE_FETCHES_MAX) {
         replicate_free_job(job);
         return;
     }
-    g_async_queue_push(r->fetches, job);
+    replicate_free_job(replicate_queue_push(&r->fetches, job, UINT32_MAX));
 }
 
 /* Takes a message, once the payloads it names are stored. While entries wait
@@ -297,10 +293,9 @@
     uint64_t tick_due_us = 0;
     bool is_running = true;
 
-    check_store(r);
     while (is_running) {
         struct replicate_job *job =
-            g_async_queue_timeout_pop(r->jobs, TICK_US);
+            replicate_queue_pop(&r->jobs, bb_clock_now_us() + TICK_US);
         uint64_t now_us;
 
         if (job != NULL) {
@@ -309,6 +304,7 @@
         now_us = bb_clock_now_us();
         if (is_running && now_us >= tick_due_us) {
             tick_due_us = now_us + TICK_US;
+            check_store(r); /* the fetcher writes too */
             feed(r, (struct bb_agree_event){.kind = BB_AGREE_EVENT_TICK});
             recover_payload(r, now_us);
         }
--- a/control/replicate_internal.h
+++ b/control/replicate_internal.h
@@ -16,7 +16,9 @@
     REPLICATE_BULK_TIMEOUT_MS = 3000,
     REPLICATE_INLINED_MAX = 16,
     REPLICATE_KNOWN_MAX = 16,
-    REPLICATE_ROUTES_MAX = 64
+    REPLICATE_ROUTES_MAX = 64,
+    REPLICATE_JOBS_MAX = 256,
+    REPLICATE_FETCHES_MAX = 16
 };
 
 /* Work for the engine or the fetcher. */
@@ -39,6 +41,13 @@
     size_t payload_bytes;
 };
 
+/* Items of the queues are jobs or calls. Its lock is a leaf. */
+struct replicate_queue {
+    pthread_mutex_t lock;
+    pthread_cond_t filled;
+    GQueue items;
+};
+
 /* A call to a peer; exactly one of the arguments is used. */
 struct replicate_call {
     uint32_t procedure; /* 0: stop */
@@ -53,8 +62,9 @@
 struct replicate_sender {
     struct bb_replicate *r;
     uint8_t slot;
-    GAsyncQueue *queue;
+    struct replicate_queue queue;
     pthread_t thread;
+    bool is_ready; /* the queue exists */
     bool is_started;
 };
 
@@ -101,8 +111,8 @@
     struct bb_digest known[REPLICATE_KNOWN_MAX]; /* stored payloads */
     uint32_t known_next;
 
-    GAsyncQueue *jobs;
-    GAsyncQueue *fetches;
+    struct replicate_queue jobs;
+    struct replicate_queue fetches;
     struct replicate_sender senders[BB_AGREE_HOSTS_MAX][REPLICATE_LANES];
     pthread_t engine;
     pthread_t fetcher;
@@ -139,7 +149,16 @@
 void replicate_peers_stop(struct bb_replicate *r);
 void replicate_enqueue(struct bb_replicate *r, uint8_t slot, uint32_t lane,
                        struct replicate_call *call);
-void replicate_free_job(struct replicate_job *job);
+void replicate_free_job(void *job);
+
+/* replicate_queue.c */
+void replicate_queue_init(struct replicate_queue *q);
+void replicate_queue_clear(struct replicate_queue *q,
+                           void (*free_item)(void *));
+void *replicate_queue_push(struct replicate_queue *q, void *item,
+                           uint32_t max);
+void *replicate_queue_pop(struct replicate_queue *q, uint64_t until_us);
+uint32_t replicate_queue_length(struct replicate_queue *q);
 
 /* replicate_rpc.c */
 bool replicate_rpc_call(void *context, const struct bb_replicate_peer *to,
--- a/control/replicate_peer.c
+++ b/control/replicate_peer.c
@@ -21,17 +21,25 @@
 
 /* Frees a job and its payload. */
 void
-replicate_free_job(struct replicate_job *job)
+replicate_free_job(void *item)
 {
+    struct replicate_job *job = item;
+
     if (job != NULL) {
         g_free(job->payload);
         g_free(job);
     }
 }
 
+/* Frees a call and its arguments. */
 static void
-free_call(struct replicate_call *call)
+free_call(void *item)
 {
+    struct replicate_call *call = item;
+
+    if (call == NULL) {
+        return;
+    }
     xdr_free((xdrproc_t)xdr_agree_envelope, (char *)&call->envelope);
     xdr_free((xdrproc_t)xdr_agree_propose, (char *)&call->propose);
     g_free(call);
@@ -43,22 +51,14 @@
 replicate_enqueue(struct bb_replicate *r, uint8_t slot, uint32_t lane,
                   struct replicate_call *call)
 {
-    struct replicate_call *oldest = NULL;
-    GAsyncQueue *queue;
+    struct replicate_call *oldest = call;
 
-    if (slot >= r->host_count || slot == r->self) {
-        free_call(call);
-        return;
-    }
-    queue = r->senders[slot][lane].queue;
-    if (g_async_queue_length(queue) >= QUEUE_MAX) {
-        oldest = g_async_queue_try_pop(queue);
-    }
-    if (oldest != NULL) {
-        bb_counter_add(&unsent_total, 1);
-        free_call(oldest);
+    if (slot < r->host_count && slot != r->self) {
+        oldest = replicate_queue_push(&r->senders[slot][lane].queue, call,
+                                      QUEUE_MAX);
+        bb_counter_add(&unsent_total, oldest != NULL);
     }
-    g_async_queue_push(queue, call);
+    free_call(oldest);
 }
 
 /* Makes the calls of one lane to one peer. */
@@ -70,7 +70,8 @@
     bool is_running = true;
 
     while (is_running) {
-        struct replicate_call *call = g_async_queue_pop(s->queue);
+        struct replicate_call *call =
+            replicate_queue_pop(&s->queue, UINT64_MAX / 2);
         agree_ack ack = {0};
         uint32_t timeout_ms = call->envelope.payload.payload_len > 0
                                   ? REPLICATE_BULK_TIMEOUT_MS
@@ -157,11 +158,13 @@
     bool is_running = true;
 
     while (is_running) {
-        struct replicate_job *job = g_async_queue_pop(r->fetches);
+        struct replicate_job *job =
+            replicate_queue_pop(&r->fetches, UINT64_MAX / 2);
 
         is_running = job->kind != REPLICATE_JOB_STOP;
         if (is_running && fetch(r, job)) {
-            g_async_queue_push(r->jobs, job);
+            replicate_free_job(
+                replicate_queue_push(&r->jobs, job, REPLICATE_JOBS_MAX));
         }
         else {
             replicate_free_job(job);
@@ -181,7 +184,8 @@
 
             s->r = r;
             s->slot = h;
-            s->queue = g_async_queue_new();
+            replicate_queue_init(&s->queue);
+            s->is_ready = true;
             if (pthread_create(&s->thread, NULL, run_sender, s) != 0) {
                 return false;
             }
@@ -193,6 +197,18 @@
     return r->is_fetcher_started;
 }
 
+/* Waits for the sender's running call, then drops what waits. */
+static void
+stop_sender(struct replicate_sender *s)
+{
+    if (s->is_started) {
+        (void)pthread_join(s->thread, NULL);
+    }
+    if (s->is_ready) {
+        replicate_queue_clear(&s->queue, free_call);
+    }
+}
+
 /* Stops the threads after their running calls and drops what waits. */
 void
 replicate_peers_stop(struct bb_replicate *r)
@@ -200,13 +216,14 @@
     struct replicate_job *job = g_new0(struct replicate_job, 1);
 
     job->kind = REPLICATE_JOB_STOP;
-    g_async_queue_push(r->fetches, job);
+    replicate_free_job(replicate_queue_push(&r->fetches, job, UINT32_MAX));
     for (uint8_t h = 0; h < r->host_count; h++) {
         for (uint32_t lane = 0; lane < REPLICATE_LANES; lane++) {
             struct replicate_sender *s = &r->senders[h][lane];
 
             if (s->is_started) {
-                g_async_queue_push(s->queue, g_new0(struct replicate_call, 1));
+                free_call(replicate_queue_push(
+                    &s->queue, g_new0(struct replicate_call, 1), UINT32_MAX));
             }
         }
     }
@@ -215,17 +232,7 @@
     }
     for (uint8_t h = 0; h < r->host_count; h++) {
         for (uint32_t lane = 0; lane < REPLICATE_LANES; lane++) {
-            struct replicate_sender *s = &r->senders[h][lane];
-            struct replicate_call *call;
-
-            if (s->is_started) {
-                (void)pthread_join(s->thread, NULL);
-            }
-            while (s->queue != NULL &&
-                   (call = g_async_queue_try_pop(s->queue)) != NULL) {
-                free_call(call);
-            }
-            g_clear_pointer(&s->queue, g_async_queue_unref);
+            stop_sender(&r->senders[h][lane]);
         }
     }
 }
--- a/control/replicate_rpc.c
+++ b/control/replicate_rpc.c
@@ -5,8 +5,6 @@
 #include "common/counters.h"
 #include "replicate_internal.h"
 
-enum { JOBS_MAX = 256 };
-
 BB_COUNTER(dropped_total, "baobab_agree_dropped_total",
            "Messages between control hosts dropped: foreign, malformed, or "
            "too many waiting");
@@ -92,7 +90,7 @@
     struct replicate_job *job;
 
     if (envelope->cluster != r->cluster ||
-        g_async_queue_length(r->jobs) >= JOBS_MAX) {
+        replicate_queue_length(&r->jobs) >= REPLICATE_JOBS_MAX) {
         bb_counter_add(&dropped_total, 1);
         return false;
     }
@@ -110,7 +108,8 @@
     job->payload_bytes = envelope->payload.payload_len;
     job->payload =
         g_memdup2(envelope->payload.payload_val, job->payload_bytes);
-    g_async_queue_push(r->jobs, job);
+    replicate_free_job(
+        replicate_queue_push(&r->jobs, job, REPLICATE_JOBS_MAX));
     return true;
 }
 
@@ -157,7 +156,7 @@
         return true;
     }
     if (request->origin >= r->host_count ||
-        g_async_queue_length(r->jobs) >= JOBS_MAX) {
+        replicate_queue_length(&r->jobs) >= REPLICATE_JOBS_MAX) {
         return false;
     }
     job = g_new0(struct replicate_job, 1);
@@ -170,7 +169,8 @@
     memcpy(job->proposal.digest.bytes, request->digest, BB_DIGEST_BYTES);
     job->payload_bytes = request->payload.payload_len;
     job->payload = g_memdup2(request->payload.payload_val, job->payload_bytes);
-    g_async_queue_push(r->jobs, job);
+    replicate_free_job(
+        replicate_queue_push(&r->jobs, job, REPLICATE_JOBS_MAX));
     return true;
 }
 
--- a/decide/agree_append.c
+++ b/decide/agree_append.c
@@ -75,7 +75,7 @@
     a->confirmed_round = a->round;
     a->quorum_us = st->now_us;
     a->heartbeat_due_us = st->now_us + BB_AGREE_HEARTBEAT_US;
-    for (uint8_t slot = 0; slot < BB_AGREE_SLOTS; slot++) {
+    for (uint32_t slot = 0; slot < BB_AGREE_SLOTS; slot++) {
         a->progress[slot] = (struct bb_agree_progress){0};
     }
     agree_refresh_progress(a);
@@ -100,7 +100,7 @@
 {
     uint32_t slots = 0;
 
-    for (uint8_t slot = 0; slot < BB_AGREE_SLOTS; slot++) {
+    for (uint32_t slot = 0; slot < BB_AGREE_SLOTS; slot++) {
         if (a->progress[slot].incarnation != 0 &&
             a->progress[slot].match >= index) {
             slots |= 1u << slot;
@@ -286,7 +286,7 @@
     while (a->confirmed_round < a->round) {
         uint32_t slots = 1u << a->self;
 
-        for (uint8_t slot = 0; slot < BB_AGREE_SLOTS; slot++) {
+        for (uint32_t slot = 0; slot < BB_AGREE_SLOTS; slot++) {
             if (a->progress[slot].round > a->confirmed_round) {
                 slots |= 1u << slot;
             }
--- a/tests/decide/agree_model.c
+++ b/tests/decide/agree_model.c
@@ -282,7 +282,7 @@
 model_start(struct model_state *s)
 {
     memset(s, 0, sizeof(*s));
-    for (uint8_t h = 0; h < MODEL_HOSTS; h++) {
+    for (uint32_t h = 0; h < MODEL_HOSTS; h++) {
         lose_disk(s, h);
     }
 }
@@ -290,7 +290,7 @@
 void
 model_set_faults(struct model_state *s, struct bb_agree_faults f)
 {
-    for (uint8_t h = 0; h < MODEL_HOSTS; h++) {
+    for (uint32_t h = 0; h < MODEL_HOSTS; h++) {
         s->hosts[h].faults = f;
         rehash(s, h);
     }
@@ -337,7 +337,7 @@
                                .now_us = LONG_AFTER_US,
                                .with.ticket = 256};
 
-    for (uint8_t r = 0; r < MODEL_REVISIONS_MAX; r++) {
+    for (uint32_t r = 0; r < MODEL_REVISIONS_MAX; r++) {
         e.with.ticket = s->accepted[r] != 0 ? 256u + r : e.with.ticket;
     }
     feed(s, host, e);
@@ -402,7 +402,7 @@
 static bool
 is_whole(const struct model_state *s)
 {
-    for (uint8_t h = 0; h < MODEL_HOSTS; h++) {
+    for (uint32_t h = 0; h < MODEL_HOSTS; h++) {
         if (!bb_agree_is_voter(&s->hosts[h])) {
             return s->disk_number == MODEL_HOSTS;
         }
@@ -432,12 +432,12 @@
         [MODEL_READ] = b->reads > 0 && is_leader,
     };
 
-    for (uint8_t kind = MODEL_SYNC; kind <= MODEL_READ; kind++) {
+    for (uint32_t kind = MODEL_SYNC; kind <= MODEL_READ; kind++) {
         if (kind != MODEL_PROPOSE && allowed[kind]) {
             out[n++] = (struct model_action){.kind = kind, .host = h};
         }
     }
-    for (uint8_t to = 0; to < MODEL_HOSTS && wants_proposal(s, h); to++) {
+    for (uint32_t to = 0; to < MODEL_HOSTS && wants_proposal(s, h); to++) {
         if (s->hosts[to].role == BB_AGREE_LEADER) {
             out[n++] = (struct model_action){
                 .kind = MODEL_PROPOSE, .host = h, .other = to};
@@ -454,7 +454,7 @@
     uint32_t n = 0;
 
     g_assert(max >= MODEL_NETWORK_MAX + MODEL_HOSTS * 16);
-    for (uint8_t h = 0; h < MODEL_HOSTS; h++) {
+    for (uint32_t h = 0; h < MODEL_HOSTS; h++) {
         n += host_actions(s, h, &actions[n]);
     }
     for (uint32_t i = 0; i < s->network_count; i++) {
@@ -501,7 +501,7 @@
 bool
 model_replaced(const struct model_state *s)
 {
-    for (uint8_t h = 0; h < MODEL_HOSTS; h++) {
+    for (uint32_t h = 0; h < MODEL_HOSTS; h++) {
         if (s->hosts[h].d.incarnation > MODEL_HOSTS &&
             bb_agree_is_voter(&s->hosts[h])) {
             return true;
@@ -519,7 +519,7 @@
 
     while (is_busy) {
         is_busy = false;
-        for (uint8_t h = 0; h < MODEL_HOSTS; h++) {
+        for (uint32_t h = 0; h < MODEL_HOSTS; h++) {
             if (s->hosts[h].write_sequence != s->hosts[h].synced_sequence) {
                 model_step(
                     s, (struct model_action){.kind = MODEL_SYNC, .host = h});
@@ -543,7 +543,7 @@
 model_elect(struct model_state *s, uint8_t host)
 {
     for (uint8_t round = 0; round < 2; round++) {
-        for (uint8_t h = 0; h < MODEL_HOSTS; h++) {
+        for (uint32_t h = 0; h < MODEL_HOSTS; h++) {
             if (s->hosts[h].d.formation.id == 0) {
                 s->budget.identities++;
                 model_step(s, (struct model_action){.kind = MODEL_IDENTIFY,
--- a/tests/decide/test_agree_explorer.c
+++ b/tests/decide/test_agree_explorer.c
@@ -197,7 +197,7 @@
     s->budget.heartbeats++;
     model_step(s, (struct model_action){.kind = MODEL_HEARTBEAT, .host = 0});
     model_settle(s);
-    for (uint8_t h = 0; h < MODEL_HOSTS; h++) {
+    for (uint32_t h = 0; h < MODEL_HOSTS; h++) {
         CU_ASSERT_EQUAL_FATAL(bb_agree_in_force(&s->hosts[h]).revision, 1);
         s->folders[h] =
             (struct model_folder){.content = 1, .observed = 1, .base = 1};
