--- a/decide/admission.c
+++ b/decide/admission.c
@@ -60,7 +60,8 @@
 bb_admission_shed(struct bb_admission *a, uint64_t duration_us,
                   uint64_t now_us)
 {
-    a->shed_until_us = now_us + duration_us;
+    a->shed_until_us =
+        duration_us < UINT64_MAX - now_us ? now_us + duration_us : UINT64_MAX;
 }
 
 /* Returns why nothing may start, or BB_REASON_NONE. */
@@ -117,30 +118,42 @@
     return BB_REASON_QUEUE_FULL;
 }
 
-/* Queues a request that may not run now, or refuses it. A queued request that
- * cannot make its deadline gives way to one that can. */
+/* Returns the expected wait of a request that may not run now. If it passes a
+ * limit by one place in the queue, a queued request that cannot make its
+ * deadline gives way. */
+static uint64_t
+wait_within(struct bb_admission *a, const struct bb_admission_capacity *c,
+            const struct bb_admission_request *r, uint64_t limit_us,
+            uint64_t now_us)
+{
+    enum bb_admission_class k = r->work_class;
+    uint32_t ahead = bb_admission_count_ahead(a, k, r->deadline_us);
+    uint64_t wait_us = bb_admission_expected_wait_us(a, c, k, ahead);
+
+    if (wait_us > limit_us && ahead > 0 &&
+        bb_admission_expected_wait_us(a, c, k, ahead - 1) <= limit_us &&
+        bb_admission_evict(a, c, k == BB_ADMISSION_LONG, now_us)) {
+        wait_us = bb_admission_wait_of(a, c, r);
+    }
+    return wait_us;
+}
+
+/* Queues a request that may not run now, or refuses it. */
 static struct bb_admission_decision
 queue_or_refuse(struct bb_admission *a, const struct bb_admission_capacity *c,
                 const struct bb_admission_request *r, uint64_t now_us)
 {
     struct bb_admission_decision d = {.kind = BB_ADMISSION_REFUSE};
-    enum bb_admission_class k = r->work_class;
-    uint64_t wait = bb_admission_wait_of(a, c, r);
+    uint64_t longest_us = bb_admission_longest_wait_us(a, r->work_class);
+    uint64_t latest_us = bb_admission_latest_start_us(a, r, now_us);
+    uint64_t wait_us = wait_within(
+        a, c, r, latest_us < longest_us ? latest_us : longest_us, now_us);
 
-    if (!bb_admission_is_feasible(a, r, wait, now_us) &&
-        bb_admission_evict(a, c, false, now_us)) {
-        wait = bb_admission_wait_of(a, c, r);
-    }
-    if (!bb_admission_is_feasible(a, r, wait, now_us)) {
+    if (wait_us > latest_us || !bb_admission_is_feasible(a, r, 0, now_us)) {
         d.reason = BB_REASON_CANNOT_FINISH;
         return d;
     }
-    if (wait > bb_admission_longest_wait_us(a, k) &&
-        bb_admission_evict(a, c, k == BB_ADMISSION_LONG, now_us)) {
-        wait = bb_admission_wait_of(a, c, r);
-    }
-    if (wait > bb_admission_longest_wait_us(a, k) ||
-        !bb_admission_make_room(a, c, r, now_us)) {
+    if (wait_us > longest_us || !bb_admission_make_room(a, c, r, now_us)) {
         d.reason = full_reason(a, r);
         return d;
     }
@@ -187,7 +200,8 @@
     }
     /* Queued work goes first, unless the queue has no room to wait in. */
     if (has_runnable(a, &c) &&
-        a->queued_count - a->evicted_count < a->limits.queue_length) {
+        a->queued_count - a->evicted_count < a->limits.queue_length &&
+        a->queued_count < BB_ADMISSION_QUEUE_MAX) {
         bb_admission_put_queued(a, r);
         d.kind = BB_ADMISSION_QUEUE;
         return d;
--- a/decide/admission_capacity.c
+++ b/decide/admission_capacity.c
@@ -173,15 +173,29 @@
     return (ahead + 1) * bb_admission_service_us(a, work_class) / slots;
 }
 
+/* Returns the longest wait after which a request still ends by its deadline
+ * if it takes the usual time; 0 if there is none. */
+uint64_t
+bb_admission_latest_start_us(const struct bb_admission *a,
+                             const struct bb_admission_request *r,
+                             uint64_t now_us)
+{
+    uint64_t need_us = bb_estimate_median_us(&a->service_time[r->work_class],
+                                             SERVICE_TIME_DEFAULT_US);
+    uint64_t left_us = r->deadline_us > now_us ? r->deadline_us - now_us : 0;
+
+    return left_us > need_us ? left_us - need_us : 0;
+}
+
 /* Tells whether work that starts after a wait ends by its deadline. */
 bool
 bb_admission_is_feasible(const struct bb_admission *a,
-                         const struct bb_admission_request *r, uint64_t wait,
-                         uint64_t now_us)
+                         const struct bb_admission_request *r,
+                         uint64_t wait_us, uint64_t now_us)
 {
     uint64_t need_us = bb_estimate_median_us(&a->service_time[r->work_class],
                                              SERVICE_TIME_DEFAULT_US);
 
     return r->deadline_us > now_us &&
-           r->deadline_us - now_us >= wait + need_us;
+           r->deadline_us - now_us >= wait_us + need_us;
 }
--- a/decide/admission_queue.c
+++ b/decide/admission_queue.c
@@ -66,9 +66,9 @@
     return count;
 }
 
-/* Marks the queued request that is least able to make its deadline, if there
- * is one that cannot. Only the class that needs room is searched, if the
- * class itself is at its limit. */
+/* Marks the first queued request that cannot make its deadline and for which
+ * no slot is free; false if there is none. Only long ones are searched if long
+ * work is at its limit. */
 bool
 bb_admission_evict(struct bb_admission *a,
                    const struct bb_admission_capacity *c, bool only_long,
@@ -84,6 +84,7 @@
             continue;
         }
         if ((!only_long || k == BB_ADMISSION_LONG) &&
+            !bb_admission_may_run(a, c, &q->request) &&
             !bb_admission_is_feasible(
                 a, &q->request,
                 bb_admission_expected_wait_us(a, c, k, ahead[k]), now_us)) {
--- a/decide/record.c
+++ b/decide/record.c
@@ -20,6 +20,14 @@
            r->fault != BB_RECORD_FAULT_ANY_INCARNATION;
 }
 
+/* Finds an entry, also an expired one that has not been removed yet: it is
+ * kept until bb_record_expire has given out the handle of its answer. */
+static struct bb_record_entry *
+find(const struct bb_record *r, const struct bb_request_id *id)
+{
+    return bb_id_table_find(&r->table, id, 0);
+}
+
 /* Begins a request unless its id was seen before. With an incarnation other
  * than BB_INCARNATION_ANY the request is meant for that one only; a request
  * that may run elsewhere or has been sent before must name it. The answer's
@@ -34,7 +42,7 @@
     if (is_other_incarnation(r, incarnation)) {
         return BB_BEGIN_OTHER_INCARNATION;
     }
-    e = bb_id_table_find(&r->table, id, now_us);
+    e = find(r, id);
     if (e != NULL) {
         switch (e->state) {
         case BB_RECORD_RUNNING:
@@ -62,7 +70,7 @@
 bb_record_finish(struct bb_record *r, const struct bb_request_id *id,
                  enum bb_record_state state, uint64_t answer, uint64_t now_us)
 {
-    struct bb_record_entry *e = bb_id_table_find(&r->table, id, now_us);
+    struct bb_record_entry *e = find(r, id);
 
     if (e == NULL || e->state != BB_RECORD_RUNNING ||
         state == BB_RECORD_RUNNING) {
@@ -80,8 +88,9 @@
 bb_record_forget(struct bb_record *r, const struct bb_request_id *id,
                  uint64_t now_us)
 {
-    struct bb_record_entry *e = bb_id_table_find(&r->table, id, now_us);
+    struct bb_record_entry *e = find(r, id);
 
+    (void)now_us;
     if (e == NULL || e->state != BB_RECORD_RUNNING) {
         return false;
     }
@@ -102,7 +111,7 @@
     if (is_other_incarnation(r, incarnation)) {
         return BB_QUERY_OTHER_INCARNATION;
     }
-    e = bb_id_table_find(&r->table, id, now_us);
+    e = find(r, id);
     if (e != NULL) {
         switch (e->state) {
         case BB_RECORD_RUNNING:
--- a/include/decide/admission_capacity.h
+++ b/include/decide/admission_capacity.h
@@ -30,6 +30,9 @@
                                        const struct bb_admission_capacity *c,
                                        enum bb_admission_class work_class,
                                        uint32_t ahead);
+uint64_t bb_admission_latest_start_us(const struct bb_admission *a,
+                                      const struct bb_admission_request *r,
+                                      uint64_t now_us);
 bool bb_admission_is_feasible(const struct bb_admission *a,
                               const struct bb_admission_request *r,
                               uint64_t wait_us, uint64_t now_us);
--- a/replay/module_record.c
+++ b/replay/module_record.c
@@ -89,6 +89,9 @@
     if (g == NULL || !read_id(l, &id, &incarnation)) {
         return false;
     }
+    for (int i = 0; i < ENTRIES; i++) {
+        (void)bb_record_expire(&g->record, l->now_us, &answer);
+    }
     if (is_query) {
         bb_replay_set_text(
             result, "result",
