Stop the node's table thread before the proxy is destroyed

Cause: baobab-node crashed on SIGTERM in bb_picker_configure: the holder's thread put a table into a proxy that was already freed. After: the thread is joined first.

--- a/include/node/holder.h
+++ b/include/node/holder.h
@@ -28,6 +28,7 @@
 struct bb_holder *bb_holder_create(const struct bb_holder_settings *s);
 bool bb_holder_start(struct bb_holder *h, struct bb_mesh *mesh,
                      struct bb_proxy *proxy, struct bb_error *e);
+void bb_holder_stop(struct bb_holder *h);
 void bb_holder_destroy(struct bb_holder *h);
 
 bool bb_holder_payload(void *holder, uint64_t have_revision,
--- a/node/holder.c
+++ b/node/holder.c
@@ -395,10 +395,10 @@
     return true;
 }
 
-/* Stops the threads and frees the holder; NULL is allowed. The mesh must not
- * call back any more. */
+/* Stops the threads; the proxy and the mesh may be destroyed afterwards.
+ * Calls of the functions above stay allowed and change no table any more. */
 void
-bb_holder_destroy(struct bb_holder *h)
+bb_holder_stop(struct bb_holder *h)
 {
     if (h == NULL) {
         return;
@@ -409,10 +409,22 @@
     (void)pthread_mutex_unlock(&h->lock);
     if (h->has_rebuild_thread) {
         (void)pthread_join(h->rebuild_thread, NULL);
+        h->has_rebuild_thread = false;
     }
     if (h->has_floor_thread) {
         (void)pthread_join(h->floor_thread, NULL);
+        h->has_floor_thread = false;
+    }
+}
+
+/* Stops and frees the holder; NULL is allowed. */
+void
+bb_holder_destroy(struct bb_holder *h)
+{
+    if (h == NULL) {
+        return;
     }
+    bb_holder_stop(h);
     bb_config_destroy(h->config);
     bb_history_destroy(h->history);
     (void)pthread_cond_destroy(&h->changed);
--- a/node/main.c
+++ b/node/main.c
@@ -54,6 +54,7 @@
     (void)g_strlcpy(m.self.region, s->region, sizeof(m.self.region));
     if (kept != NULL) {
         m.self.held_revision = kept->revision;
+        m.self.applied_revision = kept->revision;
         bb_bundle_unref(kept);
     }
     n->mesh = bb_mesh_create(&m, e);
@@ -144,8 +145,10 @@
 destroy(struct bb_node *n)
 {
     bb_admin_destroy(n->admin);
-    bb_proxy_destroy(n->proxy);
     bb_rpc_server_destroy(n->rpc_server);
+    /* The holder's threads use the proxy, and the proxy calls the holder. */
+    bb_holder_stop(n->holder);
+    bb_proxy_destroy(n->proxy);
     bb_holder_destroy(n->holder);
     bb_mesh_destroy(n->mesh);
     bb_rpc_pool_destroy(n->rpc_pool);
