mesh: code names and payloads without libtirpc's shared fill buffer

Cause: the thread sanitizer reports a data race in libtirpc, whose decoder reads the bytes that fill up a string or opaque value into a static buffer, as soon as two threads decode at once.

Change: names and payloads have codecs of their own with the same wire format; zone watch split from the gossip core; test mutexes are created before any member runs; a possible division by zero found by clang-tidy is removed.

Conclusion: tests/mesh/test_mesh and test_mesh_rpc are clean under the thread sanitizer.

--- a/mesh/gossip.c
+++ b/mesh/gossip.c
@@ -30,8 +30,8 @@
            "Members that this process declared dead");
 
 /* Returns random bits. */
-static uint64_t
-next_random(struct bb_gossip *g)
+uint64_t
+gossip_random(struct bb_gossip *g)
 {
     uint64_t z = g->random += 0x9e3779b97f4a7c15ULL;
 
@@ -64,7 +64,7 @@
     g->peer_by_id =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
     bb_swim_init(&g->swim, &swim, bb_relay_id(g->self.host), now_us,
-                 next_random(g));
+                 gossip_random(g));
     publish_self(g, now_us);
     return g;
 }
@@ -253,95 +253,6 @@
     }
 }
 
-/* Pings a random live member of a zone. */
-static void
-ping_zone(struct bb_gossip *g, const struct zone_contact *z,
-          const struct bb_member_list *list, uint64_t now_us)
-{
-    const struct gossip_message m = {
-        .kind = MESH_PING,
-        .number = ++g->next_number,
-        .target = "",
-        .is_bare = true,
-    };
-    const struct bb_member *picked = NULL;
-    uint32_t seen = 0;
-
-    for (size_t i = 0; i < list->count; i++) {
-        const struct bb_member *r = &list->items[i];
-
-        if (strcmp(r->zone, z->zone) == 0 && r->state <= BB_MEMBER_SUSPECT &&
-            r->gossip.port != 0 && next_random(g) % ++seen == 0) {
-            picked = r;
-        }
-    }
-    if (picked != NULL) {
-        gossip_send(g, &picked->gossip, picked->region, &m, now_us);
-    }
-}
-
-/* Tells whether a zone is of another region. */
-static bool
-is_far(const struct bb_gossip *g, const struct zone_contact *z)
-{
-    return strcmp(z->region, g->self.region) != 0;
-}
-
-/* Pings the other zones: those of the own region in every round, and one of
- * another region in every second round, because that link is billed by
- * volume. */
-static void
-watch_zones(struct bb_gossip *g, uint64_t now_us)
-{
-    const struct bb_members_query q = {.except_zone = g->self.zone};
-    struct bb_member_list list;
-    uint32_t far_count = 0;
-    uint32_t far_index = 0;
-
-    (void)bb_members_select(g->settings.members, &q, &list);
-    for (size_t i = 0; i < list.count; i++) {
-        (void)gossip_zone(g, list.items[i].zone, now_us);
-    }
-    for (uint32_t i = 0; i < g->zone_count; i++) {
-        far_count += is_far(g, &g->zones[i]);
-    }
-    for (uint32_t i = 0; i < g->zone_count; i++) {
-        bool is_turn = true;
-
-        if (is_far(g, &g->zones[i])) {
-            is_turn = g->watch_round % 2 == 0 &&
-                      far_index == g->watch_round / 2 % far_count;
-            far_index++;
-        }
-        if (is_turn) {
-            ping_zone(g, &g->zones[i], &list, now_us);
-        }
-    }
-    g->watch_round++;
-    bb_member_list_clear(&list);
-}
-
-/* Marks zones as reachable or not by the time since they were heard from. */
-static void
-mark_zones(struct bb_gossip *g, uint64_t now_us)
-{
-    for (uint32_t i = 0; i < g->zone_count; i++) {
-        struct zone_contact *z = &g->zones[i];
-        uint64_t limit_ms = BB_GOSSIP_UNREACHABLE_MS;
-
-        if (z->region[0] == '\0') {
-            (void)bb_members_zone_region(g->settings.members, z->zone,
-                                         z->region);
-        }
-        if (is_far(g, z)) {
-            limit_ms = BB_GOSSIP_FAR_UNREACHABLE_MS;
-        }
-        bb_members_set_zone_reachable(g->settings.members, z->zone,
-                                      now_us - z->heard_us <
-                                          limit_ms * BB_US_PER_MS);
-    }
-}
-
 /* Advances time: probes, suspicions, and the watch of other zones. Call at
  * least every BB_GOSSIP_TICK_MS. */
 void
@@ -350,16 +261,13 @@
     (void)pthread_mutex_lock(&g->lock);
     gossip_refresh_digests(g);
     refresh_peers(g, now_us);
-    bb_swim_tick(&g->swim, now_us, next_random(g), &g->actions);
+    bb_swim_tick(&g->swim, now_us, gossip_random(g), &g->actions);
     for (uint32_t i = 0; i < g->actions.count; i++) {
         act(g, &g->actions.items[i], now_us);
     }
     if (now_us >= g->next_watch_us) {
         g->next_watch_us = now_us + WATCH_PERIOD_US;
-        if (g->is_watching_zones) {
-            watch_zones(g, now_us);
-        }
-        mark_zones(g, now_us);
+        gossip_check_zones(g, now_us);
     }
     (void)pthread_mutex_unlock(&g->lock);
 }
--- a/mesh/gossip_internal.h
+++ b/mesh/gossip_internal.h
@@ -63,9 +63,9 @@
 void gossip_send(struct bb_gossip *g, const struct bb_address *to,
                  const char *to_region, const struct gossip_message *m,
                  uint64_t now_us);
-struct zone_contact *gossip_zone(struct bb_gossip *g, const char *zone,
-                                 uint64_t now_us);
+uint64_t gossip_random(struct bb_gossip *g);
 void gossip_hear_zone(struct bb_gossip *g, const char *zone, uint64_t heard_us,
                       uint64_t now_us);
+void gossip_check_zones(struct bb_gossip *g, uint64_t now_us);
 
 #endif
--- /dev/null
+++ b/mesh/gossip_zones.c
@@ -0,0 +1,146 @@
+/* The watch of other zones: which of them any process of the own zone has
+ * heard from lately. */
+#include <string.h>
+
+#include "common/clock.h"
+#include "gossip_internal.h"
+
+/* Finds the contact of a zone or adds one that counts as heard now; NULL if
+ * there are too many zones. */
+static struct zone_contact *
+gossip_zone(struct bb_gossip *g, const char *zone, uint64_t now_us)
+{
+    struct zone_contact *z;
+
+    for (uint32_t i = 0; i < g->zone_count; i++) {
+        if (strcmp(g->zones[i].zone, zone) == 0) {
+            return &g->zones[i];
+        }
+    }
+    if (g->zone_count == BB_MEMBERS_ZONES_MAX) {
+        return NULL;
+    }
+    z = &g->zones[g->zone_count++];
+    *z = (struct zone_contact){.heard_us = now_us};
+    (void)g_strlcpy(z->zone, zone, sizeof(z->zone));
+    return z;
+}
+
+/* Notes that another zone was heard from, here or by a zone peer. */
+void
+gossip_hear_zone(struct bb_gossip *g, const char *zone, uint64_t heard_us,
+                 uint64_t now_us)
+{
+    struct zone_contact *z;
+
+    if (strcmp(zone, g->self.zone) == 0) {
+        return;
+    }
+    z = gossip_zone(g, zone, now_us);
+    if (z != NULL && z->heard_us < heard_us && heard_us <= now_us) {
+        z->heard_us = heard_us;
+    }
+}
+
+/* Pings a random live member of a zone. */
+static void
+ping_zone(struct bb_gossip *g, const struct zone_contact *z,
+          const struct bb_member_list *list, uint64_t now_us)
+{
+    const struct gossip_message m = {
+        .kind = MESH_PING,
+        .number = ++g->next_number,
+        .target = "",
+        .is_bare = true,
+    };
+    const struct bb_member *picked = NULL;
+    uint32_t seen = 0;
+
+    for (size_t i = 0; i < list->count; i++) {
+        const struct bb_member *r = &list->items[i];
+
+        if (strcmp(r->zone, z->zone) == 0 && r->state <= BB_MEMBER_SUSPECT &&
+            r->gossip.port != 0 && gossip_random(g) % ++seen == 0) {
+            picked = r;
+        }
+    }
+    if (picked != NULL) {
+        gossip_send(g, &picked->gossip, picked->region, &m, now_us);
+    }
+}
+
+/* Tells whether a zone is of another region. */
+static bool
+is_far(const struct bb_gossip *g, const struct zone_contact *z)
+{
+    return strcmp(z->region, g->self.region) != 0;
+}
+
+/* Pings the other zones: those of the own region in every round, and one of
+ * another region in every second round, because that link is billed by
+ * volume. */
+static void
+watch_zones(struct bb_gossip *g, uint64_t now_us)
+{
+    const struct bb_members_query q = {.except_zone = g->self.zone};
+    struct bb_member_list list;
+    uint32_t far_count = 0;
+    uint32_t far_index = 0;
+    uint32_t far_turn = 0;
+
+    (void)bb_members_select(g->settings.members, &q, &list);
+    for (size_t i = 0; i < list.count; i++) {
+        (void)gossip_zone(g, list.items[i].zone, now_us);
+    }
+    for (uint32_t i = 0; i < g->zone_count; i++) {
+        far_count += is_far(g, &g->zones[i]);
+    }
+    if (far_count > 0) {
+        far_turn = g->watch_round / 2 % far_count;
+    }
+    for (uint32_t i = 0; i < g->zone_count; i++) {
+        bool is_turn = true;
+
+        if (is_far(g, &g->zones[i])) {
+            is_turn = g->watch_round % 2 == 0 && far_index == far_turn;
+            far_index++;
+        }
+        if (is_turn) {
+            ping_zone(g, &g->zones[i], &list, now_us);
+        }
+    }
+    g->watch_round++;
+    bb_member_list_clear(&list);
+}
+
+/* Marks zones as reachable or not by the time since they were heard from. */
+static void
+mark_zones(struct bb_gossip *g, uint64_t now_us)
+{
+    for (uint32_t i = 0; i < g->zone_count; i++) {
+        struct zone_contact *z = &g->zones[i];
+        uint64_t limit_ms = BB_GOSSIP_UNREACHABLE_MS;
+
+        if (z->region[0] == '\0') {
+            (void)bb_members_zone_region(g->settings.members, z->zone,
+                                         z->region);
+        }
+        if (is_far(g, z)) {
+            limit_ms = BB_GOSSIP_FAR_UNREACHABLE_MS;
+        }
+        bb_members_set_zone_reachable(g->settings.members, z->zone,
+                                      now_us - z->heard_us <
+                                          limit_ms * BB_US_PER_MS);
+    }
+}
+
+/* Pings other zones if this process does that for its zone, and marks the
+ * zones as reachable or not. */
+void
+gossip_check_zones(struct bb_gossip *g, uint64_t now_us)
+{
+    if (g->is_watching_zones) {
+        watch_zones(g, now_us);
+    }
+    mark_zones(g, now_us);
+}
--- a/mesh/mesh.x
+++ b/mesh/mesh.x
@@ -13,7 +13,20 @@
 const MESH_BUCKETS_MAX = 16;
 const MESH_HELD_MAX = 1024;
 
-typedef string mesh_name<MESH_NAME_MAX>;
+/* Written by hand in mesh/wire.c: the decoder of libtirpc reads the bytes that
+ * fill up a string or opaque value into a static buffer, which is a data race
+ * between threads. On the wire these are string<MESH_NAME_MAX> and
+ * opaque<MESH_PAYLOAD_MAX>. */
+#ifdef RPC_HDR
+%typedef char *mesh_name;
+%struct mesh_bytes {
+%    u_int len;
+%    char *val;
+%};
+%typedef struct mesh_bytes mesh_bytes;
+%extern bool_t xdr_mesh_name(XDR *, mesh_name *);
+%extern bool_t xdr_mesh_bytes(XDR *, mesh_bytes *);
+#endif
 
 /* 4 bytes for IPv4, 16 for IPv6, none if there is no such endpoint. */
 struct mesh_endpoint {
@@ -80,7 +93,7 @@
     opaque digest[MESH_DIGEST_BYTES];
     bool is_delta;
     unsigned hyper base_revision;
-    opaque payload<MESH_PAYLOAD_MAX>;
+    mesh_bytes payload;
 };
 
 struct mesh_offer_answer {
--- a/mesh/pull.c
+++ b/mesh/pull.c
@@ -263,8 +263,8 @@
         .revision = o->revision,
         .is_delta = o->is_delta,
         .base_revision = o->base_revision,
-        .data = (uint8_t *)o->payload.payload_val,
-        .size_bytes = o->payload.payload_len,
+        .data = (uint8_t *)o->payload.val,
+        .size_bytes = o->payload.len,
     };
 
     memcpy(payload.digest.bytes, o->digest, sizeof(payload.digest.bytes));
--- a/mesh/push.c
+++ b/mesh/push.c
@@ -225,8 +225,8 @@
     memcpy(o.digest, payload.digest.bytes, sizeof(o.digest));
     o.is_delta = payload.is_delta;
     o.base_revision = payload.base_revision;
-    o.payload.payload_val = (char *)payload.data;
-    o.payload.payload_len = (u_int)payload.size_bytes;
+    o.payload.val = (char *)payload.data;
+    o.payload.len = (u_int)payload.size_bytes;
     is_done = mesh_call(mesh, to, MESH_OFFER, &o, answer);
     free(payload.data);
     if (!is_done) {
--- a/mesh/serve.c
+++ b/mesh/serve.c
@@ -23,7 +23,7 @@
                         .payload = {.revision = o->revision,
                                     .is_delta = o->is_delta,
                                     .base_revision = o->base_revision}};
-    size_t size_bytes = o->payload.payload_len;
+    size_t size_bytes = o->payload.len;
 
     memcpy(task.payload.digest.bytes, o->digest, sizeof(o->digest));
     task.payload.data = malloc(size_bytes + 1);
@@ -31,7 +31,7 @@
         return;
     }
     if (size_bytes > 0) {
-        memcpy(task.payload.data, o->payload.payload_val, size_bytes);
+        memcpy(task.payload.data, o->payload.val, size_bytes);
     }
     task.payload.size_bytes = size_bytes;
     if (mesh_enqueue(mesh, &task, true)) {
@@ -97,8 +97,8 @@
     memcpy(o->digest, payload.digest.bytes, sizeof(o->digest));
     o->is_delta = payload.is_delta;
     o->base_revision = payload.base_revision;
-    o->payload.payload_val = (char *)payload.data;
-    o->payload.payload_len = (u_int)payload.size_bytes;
+    o->payload.val = (char *)payload.data;
+    o->payload.len = (u_int)payload.size_bytes;
 }
 
 /* REPORT: merges records, zone floors and remembered revisions. */
--- a/mesh/sync.c
+++ b/mesh/sync.c
@@ -191,6 +191,30 @@
     g_free(held);
 }
 
+/* Adds a digest to an answer. */
+static void
+add_digest(mesh_sync_answer *answer, const struct bb_zone_digest *d,
+           bool has_buckets)
+{
+    if (answer->zones.zones_val != NULL &&
+        answer->zones.zones_len < MESH_ZONES_MAX) {
+        answer->zones.zones_val[answer->zones.zones_len++] =
+            own_digest(d, has_buckets);
+    }
+}
+
+/* Tells whether a question names a zone. */
+static bool
+names_zone(const mesh_sync *question, const char *zone)
+{
+    for (u_int i = 0; i < question->zones.zones_len; i++) {
+        if (strcmp(question->zones.zones_val[i].zone, zone) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Answers a comparison: the zones that differ, with the own digests, and the
  * records of the buckets that differ. Zones that the question leaves out are
  * compared only when it has no buckets, which is its first round. */
@@ -207,34 +231,22 @@
 
     answer->highest_revision = bb_gossip_highest(mesh->gossip);
     answer->zones.zones_val = calloc(MESH_ZONES_MAX, sizeof(mesh_zone_digest));
-    for (u_int i = 0;
-         answer->zones.zones_val != NULL && i < question->zones.zones_len;
-         i++) {
+    for (u_int i = 0; i < question->zones.zones_len; i++) {
         const mesh_zone_digest *z = &question->zones.zones_val[i];
         struct bb_zone_digest d = find_own(own, count, z->zone);
         uint32_t bits = differing_buckets(&d, z, question->compare_held);
 
         if (d.records != z->records ||
             (question->compare_held && d.held != z->held)) {
-            answer->zones.zones_val[answer->zones.zones_len++] =
-                own_digest(&d, has_buckets);
+            add_digest(answer, &d, has_buckets);
         }
         if (bits != 0) {
             append_records(mesh, z->zone, bits, &list);
         }
     }
-    for (size_t i = 0; answer->zones.zones_val != NULL && !has_buckets &&
-                       i < count && answer->zones.zones_len < MESH_ZONES_MAX;
-         i++) {
-        bool is_asked = false;
-
-        for (u_int n = 0; n < question->zones.zones_len; n++) {
-            is_asked |=
-                strcmp(question->zones.zones_val[n].zone, own[i].zone) == 0;
-        }
-        if (!is_asked) {
-            answer->zones.zones_val[answer->zones.zones_len++] =
-                own_digest(&own[i], false);
+    for (size_t i = 0; i < count && !has_buckets; i++) {
+        if (!names_zone(question, own[i].zone)) {
+            add_digest(answer, &own[i], false);
         }
     }
     answer->records.records_val = bb_wire_records(&list);
--- a/mesh/wire.c
+++ b/mesh/wire.c
@@ -8,6 +8,67 @@
 
 enum { IPV4_BYTES = 4, IPV6_BYTES = 16, PORT_MAX = 65535 };
 
+/* Codes the bytes of a string or opaque value with the zero bytes that fill
+ * it up to whole units. */
+static bool_t
+code_bytes(XDR *x, char *data, u_int length)
+{
+    char fill[BYTES_PER_XDR_UNIT] = {0};
+    u_int fill_length = RNDUP(length) - length;
+
+    if (x->x_op == XDR_ENCODE) {
+        return XDR_PUTBYTES(x, data, length) &&
+               XDR_PUTBYTES(x, fill, fill_length);
+    }
+    return XDR_GETBYTES(x, data, length) && XDR_GETBYTES(x, fill, fill_length);
+}
+
+/* Codes a value of variable length. A decoded value is followed by a zero
+ * byte and belongs to the caller. */
+static bool_t
+code_variable(XDR *x, char **data, u_int *length, u_int max)
+{
+    if (x->x_op == XDR_FREE) {
+        free(*data);
+        *data = NULL;
+        return TRUE;
+    }
+    if (!xdr_u_int(x, length) || *length > max) {
+        return FALSE;
+    }
+    if (x->x_op == XDR_DECODE) {
+        *data = calloc(1, *length + 1U);
+        if (*data == NULL) {
+            return FALSE;
+        }
+    }
+    return code_bytes(x, *data, *length);
+}
+
+/* Codes a name as string<MESH_NAME_MAX>. */
+bool_t
+xdr_mesh_name(XDR *x, mesh_name *name)
+{
+    u_int length = 0;
+
+    if (x->x_op == XDR_ENCODE) {
+        if (*name == NULL) {
+            return FALSE;
+        }
+        length = (u_int)strlen(*name);
+    }
+    /* A zero byte inside would give two names for one text. */
+    return code_variable(x, name, &length, MESH_NAME_MAX) &&
+           (x->x_op != XDR_DECODE || strlen(*name) == length);
+}
+
+/* Codes a payload as opaque<MESH_PAYLOAD_MAX>. */
+bool_t
+xdr_mesh_bytes(XDR *x, mesh_bytes *bytes)
+{
+    return code_variable(x, &bytes->val, &bytes->len, MESH_PAYLOAD_MAX);
+}
+
 /* Encodes an endpoint into the given storage. */
 static mesh_endpoint
 encode_endpoint(const struct bb_address *a, char *storage)
--- a/tests/mesh/test_mesh.c
+++ b/tests/mesh/test_mesh.c
@@ -35,6 +35,8 @@
     }
     for (uint32_t i = 0; i < MEMBERS; i++) {
         (void)pthread_mutex_init(&fakes[i].server, NULL);
+    }
+    for (uint32_t i = 0; i < MEMBERS; i++) {
         start_member(i);
     }
 }
