bench: measure the costs of membership

Change: bench/members.c prints JSON: time of merging, queries and digests, encoded sizes, and the gossip of a zone under a virtual clock.

--- /dev/null
+++ b/bench/members.c
@@ -0,0 +1,353 @@
+/* Measures what membership costs a process at several sizes of the fleet:
+ * processor time for merging, queries, digests and datagrams, encoded sizes,
+ * and the steady gossip of a zone under a virtual clock. Prints JSON. The
+ * sizes are given as "zones x members a zone"; the seed is fixed. */
+#include <glib.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <string.h>
+#include <time.h>
+
+#include "common/clock.h"
+#include "common/random.h"
+#include "mesh/gossip.h"
+#include "mesh/wire.h"
+
+enum {
+    SEED = 17,
+    NS_PER_S = 1000000000,
+    ROUNDS = 200,
+    ZONES_MAX = 6,
+    ZONE_MEMBERS_MAX = 75,
+    GOSSIP_S = 60,
+    GOSSIP_STEP_US = 5 * BB_US_PER_MS,
+    QUEUE_MAX = 65536,
+    PORT_BASE = 1000,
+    UDP_HEADER_BYTES = 28
+};
+
+struct packet {
+    uint16_t from;
+    uint16_t to;
+    uint16_t size_bytes;
+    char data[BB_GOSSIP_DATAGRAM_MAX_BYTES];
+};
+
+static struct packet *queue;
+static size_t queued;
+static uint64_t sent_bytes;
+static uint64_t sent_count;
+
+/* Returns the processor time of this thread in nanoseconds. */
+static uint64_t
+cpu_ns(void)
+{
+    struct timespec t;
+
+    (void)clock_gettime(CLOCK_THREAD_CPUTIME_ID, &t);
+    return (uint64_t)t.tv_sec * NS_PER_S + (uint64_t)t.tv_nsec;
+}
+
+/* Returns a record as a node of the target fleet has it. */
+static struct bb_member
+make_record(uint32_t zone, uint32_t i)
+{
+    struct bb_member r = {
+        .role = BB_ROLE_NODE,
+        .http = {.ip = "10.20.30.40", .port = 8080},
+        .rpc = {.ip = "10.20.30.40", .port = 8081},
+        .gossip = {.ip = "10.20.30.40", .port = (uint16_t)(PORT_BASE + i)},
+        .incarnation = 1700000000000000ULL,
+        .sequence = 1,
+        .held_revision = 100000,
+        .applied_revision = 100000,
+        .upstream_state = BB_UPSTREAM_READY,
+        .slots = 6,
+        .connections = 130,
+    };
+
+    (void)snprintf(r.host, sizeof(r.host), "node-%u-%03u", zone, i);
+    (void)snprintf(r.zone, sizeof(r.zone), "zone-%u", zone);
+    (void)snprintf(r.region, sizeof(r.region), "region-%u", zone % 2);
+    (void)snprintf(r.service, sizeof(r.service), "service-%u", i % 28);
+    return r;
+}
+
+/* Fills a table. */
+static struct bb_members *
+make_table(uint32_t zones, uint32_t per_zone)
+{
+    struct bb_members *m = bb_members_create();
+
+    for (uint32_t z = 0; z < zones; z++) {
+        for (uint32_t i = 0; i < per_zone; i++) {
+            struct bb_member r = make_record(z, i);
+
+            (void)bb_members_merge(m, &r, BB_ORIGIN_ZONE, 0);
+        }
+    }
+    return m;
+}
+
+/* Measures merging every record of a table: unchanged, then changed. */
+static void
+measure_merge(struct bb_members *m, json_t *out)
+{
+    struct bb_member_list list;
+    uint64_t start_ns;
+    uint64_t same_ns = 0;
+    uint64_t changed_ns = 0;
+
+    (void)bb_members_select(m, &(struct bb_members_query){0}, &list);
+    for (int round = 0; round < ROUNDS; round++) {
+        start_ns = cpu_ns();
+        for (size_t i = 0; i < list.count; i++) {
+            (void)bb_members_merge(m, &list.items[i], BB_ORIGIN_ZONE, 0);
+        }
+        same_ns += cpu_ns() - start_ns;
+        for (size_t i = 0; i < list.count; i++) {
+            list.items[i].sequence++;
+        }
+        start_ns = cpu_ns();
+        for (size_t i = 0; i < list.count; i++) {
+            (void)bb_members_merge(m, &list.items[i], BB_ORIGIN_ZONE, 0);
+        }
+        changed_ns += cpu_ns() - start_ns;
+    }
+    json_object_set_new(
+        out, "merge_unchanged_ns",
+        json_integer((json_int_t)(same_ns / (ROUNDS * list.count))));
+    json_object_set_new(
+        out, "merge_changed_ns",
+        json_integer((json_int_t)(changed_ns / (ROUNDS * list.count))));
+    bb_member_list_clear(&list);
+}
+
+/* Measures a snapshot, a query of changes, and the digests. */
+static void
+measure_queries(struct bb_members *m, json_t *out)
+{
+    struct bb_zone_digest digests[BB_MEMBERS_ZONES_MAX];
+    struct bb_members_query q = {0};
+    struct bb_member_list list;
+    uint64_t times_ns[5] = {cpu_ns()};
+    static const char *const names[] = {"snapshot_ns", "changes_ns",
+                                        "zone_digests_ns", "table_digest_ns"};
+
+    for (int round = 0; round < ROUNDS; round++) {
+        (void)bb_members_select(m, &q, &list);
+        bb_member_list_clear(&list);
+    }
+    times_ns[1] = cpu_ns();
+    q.since = bb_members_version(m) - 1;
+    for (int round = 0; round < ROUNDS; round++) {
+        (void)bb_members_select(m, &q, &list);
+        bb_member_list_clear(&list);
+    }
+    times_ns[2] = cpu_ns();
+    for (int round = 0; round < ROUNDS; round++) {
+        (void)bb_members_digests(m, digests, BB_MEMBERS_ZONES_MAX);
+    }
+    times_ns[3] = cpu_ns();
+    for (int round = 0; round < ROUNDS; round++) {
+        (void)bb_members_table_digest(m);
+    }
+    times_ns[4] = cpu_ns();
+    for (int i = 0; i < 4; i++) {
+        json_object_set_new(
+            out, names[i],
+            json_integer(
+                (json_int_t)((times_ns[i + 1] - times_ns[i]) / ROUNDS)));
+    }
+}
+
+/* Measures encoded sizes and the time to encode a whole table. */
+static void
+measure_sizes(struct bb_members *m, json_t *out)
+{
+    struct bb_member_list list;
+    struct bb_zone_floor floors[BB_MEMBERS_ZONES_MAX];
+    size_t zones = bb_members_floors(m, NULL, floors, BB_MEMBERS_ZONES_MAX);
+    mesh_report report = {.from = bb_wire_name("control-0")};
+    mesh_zone_floor floor = {.zone = floors[0].zone};
+    char *data = g_malloc(MESH_PAYLOAD_MAX);
+    uint64_t start_ns = cpu_ns();
+    size_t size_bytes;
+
+    (void)bb_members_select(m, &(struct bb_members_query){0}, &list);
+    report.records.records_val = bb_wire_records(&list);
+    report.records.records_len = (u_int)list.count;
+    size_bytes = bb_wire_encode((xdrproc_t)xdr_mesh_report, &report, data,
+                                MESH_PAYLOAD_MAX);
+    json_object_set_new(out, "encode_table_ns",
+                        json_integer((json_int_t)(cpu_ns() - start_ns)));
+    json_object_set_new(out, "table_bytes",
+                        json_integer((json_int_t)size_bytes));
+    json_object_set_new(out, "record_bytes",
+                        json_integer((json_int_t)(size_bytes / list.count)));
+    size_bytes = xdr_sizeof((xdrproc_t)xdr_mesh_zone_floor, &floor);
+    json_object_set_new(out, "zone_floors_bytes",
+                        json_integer((json_int_t)(size_bytes * zones)));
+    report.from = NULL;
+    xdr_free((xdrproc_t)xdr_mesh_report, (char *)&report);
+    bb_member_list_clear(&list);
+    g_free(data);
+}
+
+/* Measures one size of the fleet. */
+static json_t *
+measure_size(uint32_t zones, uint32_t per_zone)
+{
+    struct bb_members *m = make_table(zones, per_zone);
+    json_t *out = json_object();
+
+    json_object_set_new(out, "members",
+                        json_integer((json_int_t)zones * per_zone));
+    measure_merge(m, out);
+    measure_queries(m, out);
+    measure_sizes(m, out);
+    bb_members_destroy(m);
+    return out;
+}
+
+/* Takes a datagram of a core on its way. */
+static void
+take_packet(void *context, const struct bb_address *to, const void *data,
+            size_t size_bytes)
+{
+    struct packet *p = &queue[queued];
+
+    sent_bytes += size_bytes + UDP_HEADER_BYTES;
+    sent_count++;
+    if (queued == QUEUE_MAX) {
+        return;
+    }
+    queued++;
+    p->from = *(const uint16_t *)context;
+    p->to = (uint16_t)(to->port - PORT_BASE);
+    p->size_bytes = (uint16_t)size_bytes;
+    memcpy(p->data, data, size_bytes);
+}
+
+/* Runs the gossip of one zone inside a fleet for a while. Every second each
+ * member applies a revision if is_changing, the load of a busy day. */
+static void
+run_gossip(struct bb_gossip **cores, uint32_t per_zone, uint64_t *now_us,
+           uint32_t duration_s, bool is_changing)
+{
+    uint64_t end_us = *now_us + (uint64_t)duration_s * BB_US_PER_S;
+    uint64_t revision = 1000000;
+    struct packet *batch = g_new(struct packet, QUEUE_MAX);
+
+    for (; *now_us < end_us; *now_us += GOSSIP_STEP_US) {
+        size_t count = queued;
+
+        memcpy(batch, queue, count * sizeof(*batch));
+        queued = 0;
+        for (size_t i = 0; i < count; i++) {
+            struct bb_address from = {
+                .ip = "10.20.30.40",
+                .port = (uint16_t)(PORT_BASE + batch[i].from)};
+
+            if (batch[i].to < per_zone) {
+                (void)bb_gossip_receive(cores[batch[i].to], &from,
+                                        batch[i].data, batch[i].size_bytes,
+                                        *now_us);
+            }
+        }
+        revision += *now_us % BB_US_PER_S == 0;
+        for (uint32_t i = 0; i < per_zone; i++) {
+            if (is_changing && *now_us % BB_US_PER_S == 0) {
+                bb_gossip_set_held(cores[i], revision, *now_us);
+            }
+            if (*now_us % (BB_GOSSIP_TICK_MS * BB_US_PER_MS) == 0) {
+                bb_gossip_tick(cores[i], *now_us);
+            }
+        }
+    }
+    g_free(batch);
+}
+
+/* Measures the gossip of a member of a zone, idle or with changes. */
+static json_t *
+measure_gossip(uint32_t zones, uint32_t per_zone, bool is_changing)
+{
+    struct bb_gossip *cores[ZONE_MEMBERS_MAX];
+    struct bb_members *tables[ZONE_MEMBERS_MAX];
+    uint16_t indices[ZONE_MEMBERS_MAX];
+    json_t *out = json_object();
+    uint64_t now_us = BB_US_PER_S;
+    uint64_t start_ns;
+    double member_seconds = (double)per_zone * GOSSIP_S;
+
+    queued = 0;
+    for (uint32_t i = 0; i < per_zone; i++) {
+        struct bb_gossip_settings settings = {
+            .members = tables[i] = make_table(zones, per_zone),
+            .self = make_record(0, i),
+            .seed = SEED + i,
+            .send = take_packet,
+            .context = &indices[i],
+        };
+
+        indices[i] = (uint16_t)i;
+        cores[i] = bb_gossip_create(&settings, now_us);
+    }
+    run_gossip(cores, per_zone, &now_us, GOSSIP_S, false);
+    sent_bytes = 0;
+    sent_count = 0;
+    start_ns = cpu_ns();
+    run_gossip(cores, per_zone, &now_us, GOSSIP_S, is_changing);
+    json_object_set_new(out, "cpu_percent_per_member",
+                        json_real((double)(cpu_ns() - start_ns) / NS_PER_S /
+                                  member_seconds * 100));
+    json_object_set_new(out, "datagrams_per_s_per_member",
+                        json_real((double)sent_count / member_seconds));
+    json_object_set_new(out, "bytes_out_per_s_per_member",
+                        json_real((double)sent_bytes / member_seconds));
+    json_object_set_new(
+        out, "bytes_per_datagram",
+        json_real(sent_count == 0 ? 0
+                                  : (double)sent_bytes / (double)sent_count));
+    for (uint32_t i = 0; i < per_zone; i++) {
+        bb_gossip_destroy(cores[i]);
+        bb_members_destroy(tables[i]);
+    }
+    return out;
+}
+
+/* Measures all sizes and prints the figures. */
+int
+main(void)
+{
+    static const uint32_t zone_counts[] = {1, 2, 4, ZONES_MAX};
+    static const uint32_t zone_sizes[] = {16, 32, ZONE_MEMBERS_MAX};
+    json_t *out = json_object();
+    json_t *tables = json_array();
+    json_t *gossip = json_array();
+
+    queue = g_new(struct packet, QUEUE_MAX + 1);
+    for (size_t i = 0; i < G_N_ELEMENTS(zone_counts); i++) {
+        json_array_append_new(tables,
+                              measure_size(zone_counts[i], ZONE_MEMBERS_MAX));
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(zone_sizes); i++) {
+        json_t *o = json_object();
+
+        json_object_set_new(o, "zones", json_integer(ZONES_MAX));
+        json_object_set_new(o, "members_per_zone",
+                            json_integer(zone_sizes[i]));
+        json_object_set_new(o, "idle",
+                            measure_gossip(ZONES_MAX, zone_sizes[i], false));
+        json_object_set_new(o, "change_every_s",
+                            measure_gossip(ZONES_MAX, zone_sizes[i], true));
+        json_array_append_new(gossip, o);
+    }
+    json_object_set_new(out, "tables", tables);
+    json_object_set_new(out, "gossip", gossip);
+    (void)json_dumpf(out, stdout, JSON_INDENT(2) | JSON_REAL_PRECISION(4));
+    (void)putchar('\n');
+    json_decref(out);
+    g_free(queue);
+    return 0;
+}
