Let a gatekeeper send calls elsewhere while its upstream is slow

Change: admission notices from its running short requests that the upstream is slow and refuses first attempts that can go elsewhere (upstream_slow), with a test every 300 ms; entry nodes eject on that refusal, weigh the age of their oldest call in the choice, and use ejected gatekeepers when all others are full; hedges wait for 1.25 times p95; ejections double up to 1.2 s only.

--- a/decide/admission.c
+++ b/decide/admission.c
@@ -4,7 +4,13 @@
 
 #include "decide/admission_capacity.h"
 
-enum { US_PER_MS = 1000, SLOW_START_STEPS = 20 };
+enum {
+    US_PER_MS = 1000,
+    SLOW_START_STEPS = 20,
+    /* A slow upstream is tested this often, so that its recovery is seen soon
+     * after at a cost of few slow calls. */
+    SLOW_TEST_US = 300000
+};
 
 static uint32_t
 min_u32(uint32_t a, uint32_t b)
@@ -176,10 +182,34 @@
     return false;
 }
 
+/* Tells whether a request that can go elsewhere is to do so, because the
+ * upstream is slow. Now and then one is let through as a test. Slowness ends
+ * with a short request that started after it began and ran in the usual time.
+ */
+static bool
+is_sent_elsewhere(struct bb_admission *a, const struct bb_admission_request *r,
+                  uint64_t now_us)
+{
+    if (!a->is_slow && bb_admission_runs_slow(a, now_us)) {
+        a->is_slow = true;
+        a->slow_since_us = now_us;
+        a->slow_test_us = now_us + SLOW_TEST_US;
+    }
+    if (!a->is_slow || !r->may_go_elsewhere) {
+        return false;
+    }
+    if (now_us < a->slow_test_us) {
+        return true;
+    }
+    a->slow_test_us = now_us + SLOW_TEST_US;
+    return false;
+}
+
 /* Decides about a request that arrives. A refused one did not run. While a
  * slot is free that the request may use, it is refused only because its
  * deadline has passed: an estimate that is too high would otherwise refuse
- * all work and never be corrected. */
+ * all work and never be corrected. The exception is a slow upstream: a request
+ * that can go elsewhere is told to. */
 struct bb_admission_decision
 bb_admission_arrive(struct bb_admission *a,
                     const struct bb_admission_request *r, uint64_t now_us)
@@ -195,6 +225,10 @@
         d.reason = BB_REASON_DEADLINE_BEFORE_RUN;
         return d;
     }
+    if (is_sent_elsewhere(a, r, now_us)) {
+        d.reason = BB_REASON_UPSTREAM_SLOW;
+        return d;
+    }
     if (!bb_admission_may_run(a, &c, r)) {
         return queue_or_refuse(a, &c, r, now_us);
     }
@@ -246,7 +280,6 @@
     uint32_t i = find_running(a, id);
     struct bb_admission_running r;
 
-    (void)now_us;
     if (i == a->running_count) {
         return false;
     }
@@ -255,6 +288,11 @@
     if (r.team < BB_ADMISSION_TEAMS_MAX) {
         a->team_running[r.team]--;
     }
+    if (is_success && r.work_class == BB_ADMISSION_SHORT &&
+        duration_us < bb_admission_slow_us(a)) {
+        a->usual_us = now_us;
+        a->is_slow = a->is_slow && r.start_us < a->slow_since_us;
+    }
     if (is_success && duration_us > 0) {
         bb_estimate_add(&a->service_time[r.work_class], duration_us);
     }
--- a/decide/admission_capacity.c
+++ b/decide/admission_capacity.c
@@ -7,6 +7,13 @@
      * counts as long; below the floor the difference does no harm. */
     OVERLONG_FACTOR = 8,
     OVERLONG_FLOOR_US = 5000,
+    /* A short request is slow from this many medians. The upstream is slow
+     * when at least half of the running short requests are, and two; or when
+     * one of three is and none has ended in usual time for that long. */
+    SLOW_FACTOR = 3,
+    SLOW_FLOOR_US = 3000,
+    SLOW_COUNT = 2,
+    SLOW_RUNNING = 3,
     /* Assumed without observations, small so that nothing is refused by
      * guess. */
     SERVICE_TIME_DEFAULT_US = 1000
@@ -92,6 +99,41 @@
     return us < OVERLONG_FLOOR_US ? OVERLONG_FLOOR_US : us;
 }
 
+/* Returns the duration from which a short request is slow. */
+uint64_t
+bb_admission_slow_us(const struct bb_admission *a)
+{
+    const struct bb_estimate *e = &a->service_time[BB_ADMISSION_SHORT];
+    uint64_t us = SLOW_FACTOR * bb_estimate_median_us(e, 0);
+
+    if (e->total == 0) {
+        return UINT64_MAX;
+    }
+    return us < SLOW_FLOOR_US ? SLOW_FLOOR_US : us;
+}
+
+/* Tells whether the running short requests show that the upstream is slow. A
+ * few long requests that are not declared do not make up half of them. */
+bool
+bb_admission_runs_slow(const struct bb_admission *a, uint64_t now_us)
+{
+    uint64_t slow_us = bb_admission_slow_us(a);
+    uint32_t running = 0;
+    uint32_t slow = 0;
+
+    for (uint32_t i = 0; i < a->running_count; i++) {
+        const struct bb_admission_running *r = &a->running[i];
+
+        if (r->work_class == BB_ADMISSION_SHORT) {
+            running++;
+            slow += now_us > r->start_us && now_us - r->start_us >= slow_us;
+        }
+    }
+    return (slow >= SLOW_COUNT && 2 * slow >= running) ||
+           (slow > 0 && running >= SLOW_RUNNING &&
+            now_us - a->usual_us >= slow_us);
+}
+
 /* Counts the running requests that are long by class or by duration. */
 static uint32_t
 count_long(const struct bb_admission *a, uint64_t now_us)
--- a/decide/outlier.c
+++ b/decide/outlier.c
@@ -23,7 +23,10 @@
     SCORE_GOOD = 2,
     OBSERVATIONS_MIN = 4,
     EJECT_BASE_US = 300000,
-    EJECT_DOUBLINGS_MAX = 4,
+    EJECT_DOUBLINGS_MAX = 2,
+    /* After a refusal as slow; a probe that is refused again costs no more
+     * than a round trip, so this does not grow. */
+    EJECT_REFUSED_US = 250000,
     PROBE_GOOD = 1,
     RETURN_GOOD = 4,
     /* After this time without an ejection the next one is short again. */
@@ -233,6 +236,7 @@
     m->score = m->score > SCORE_GOOD ? m->score - SCORE_GOOD : 0;
     m->good++;
     switch (m->stage) {
+    case BB_OUTLIER_EJECTED: /* a call for which all others were full */
     case BB_OUTLIER_PROBING:
         if (m->good >= PROBE_GOOD) {
             set_stage(m, BB_OUTLIER_RETURNING, now_us);
@@ -248,8 +252,6 @@
             m->ejections = 0;
         }
         break;
-    case BB_OUTLIER_EJECTED:
-        break;
     }
 }
 
@@ -351,6 +353,40 @@
     }
 }
 
+/* Ejects a member whose gatekeeper refused a call because its upstream is
+ * slow; the gatekeeper sees all calls of the upstream and notices it sooner
+ * than one entry node. False if no more may be ejected. */
+bool
+bb_outlier_report_slow(struct bb_outliers *o, uint64_t key, uint64_t now_us)
+{
+    struct bb_outlier_member *m = find(o, key);
+
+    if (m == NULL || m->stage == BB_OUTLIER_EJECTED ||
+        (m->stage != BB_OUTLIER_PROBING && !has_room(o))) {
+        return false;
+    }
+    set_stage(m, BB_OUTLIER_EJECTED, now_us);
+    m->eject_until_us = now_us + EJECT_REFUSED_US;
+    return true;
+}
+
+/* Tells whether a first attempt to a member may be sent as one that can go
+ * elsewhere. Not so when other members use up the share that may be ejected:
+ * if the whole service is slow, a refusal would only cost a round trip. */
+bool
+bb_outlier_may_go_elsewhere(const struct bb_outliers *o, uint64_t key)
+{
+    for (uint32_t i = 0; i < o->count; i++) {
+        const struct bb_outlier_member *m = &o->members[i];
+
+        if (m->key == key && (m->stage == BB_OUTLIER_EJECTED ||
+                              m->stage == BB_OUTLIER_PROBING)) {
+            return true;
+        }
+    }
+    return has_room(o);
+}
+
 /* Notes that a call ended without an observation: refused before it ran, or
  * cancelled. */
 void
@@ -435,3 +471,26 @@
     }
     return WEIGHT_FULL;
 }
+
+/* Sets a candidate's weight and the age of its oldest short call, before a
+ * pick. */
+void
+bb_outlier_apply(const struct bb_outliers *o, struct bb_candidate *c,
+                 uint64_t now_us)
+{
+    c->weight_permille = bb_outlier_weight(o, c->key, now_us);
+    c->waiting_us = 0;
+    for (uint32_t i = 0; i < o->count; i++) {
+        const struct bb_outlier_member *m = &o->members[i];
+
+        for (uint32_t j = 0;
+             m->key == c->key && j < BB_OUTLIER_OUTSTANDING_MAX; j++) {
+            const struct bb_outlier_call *k = &m->calls[j];
+
+            if (k->start_us != 0 && k->work_class == BB_ADMISSION_SHORT &&
+                now_us > k->start_us && now_us - k->start_us > c->waiting_us) {
+                c->waiting_us = now_us - k->start_us;
+            }
+        }
+    }
+}
--- a/decide/policy_least_wait.c
+++ b/decide/policy_least_wait.c
@@ -5,8 +5,15 @@
 
 enum { HALF_BITS = 32 };
 
-/* Draws a position in usable[] in proportion to the candidates' weights, or
- * evenly if all are ejected. */
+/* An ejected candidate is offered only when all others are full. */
+static uint32_t
+weight_of(const struct bb_candidate *c)
+{
+    return c->weight_permille > 0 ? c->weight_permille
+                                  : (uint32_t)BB_ROUTE_WEIGHT_PROBE;
+}
+
+/* Draws a position in usable[] in proportion to the candidates' weights. */
 static uint32_t
 draw(const struct bb_candidate *const *candidates, const uint32_t *usable,
      uint32_t usable_count, uint32_t random_bits)
@@ -15,14 +22,14 @@
     uint64_t at;
 
     for (uint32_t i = 0; i < usable_count; i++) {
-        sum += candidates[usable[i]]->weight_permille;
+        sum += weight_of(candidates[usable[i]]);
     }
     if (sum == 0) {
-        return usable_count == 0 ? 0 : random_bits % usable_count;
+        return 0;
     }
     at = random_bits % sum;
     for (uint32_t i = 0; i < usable_count; i++) {
-        uint32_t weight = candidates[usable[i]]->weight_permille;
+        uint32_t weight = weight_of(candidates[usable[i]]);
 
         if (at < weight) {
             return i;
--- a/decide/reason.c
+++ b/decide/reason.c
@@ -59,6 +59,7 @@
     [BB_REASON_LINK_BUDGET] = {"link_budget", HTTP_UNAVAILABLE},
     [BB_REASON_CANCELLED] = {"cancelled", HTTP_UNAVAILABLE},
     [BB_REASON_UPSTREAM_BROKEN] = {"upstream_broken", HTTP_BAD_GATEWAY},
+    [BB_REASON_UPSTREAM_SLOW] = {"upstream_slow", HTTP_UNAVAILABLE},
 };
 
 static struct bb_counter refusals_not_run[BB_REASONS];
--- a/decide/retry.c
+++ b/decide/retry.c
@@ -12,6 +12,9 @@
     BACKOFF_MAX_US = 250000,
     BACKOFF_DOUBLINGS_MAX = 7,
     HEDGE_PERMILLE = 950,
+    /* A quarter more than p95: at p95 itself one call in twenty would be
+     * hedged at all times, and no budget left for a slow period. */
+    HEDGE_MARGIN_PERCENT = 125,
     HEDGE_FLOOR_US = 2000,
     HEDGE_OBSERVATIONS_MIN = 20,
     HEDGE_DEFAULT_US = 50000,
@@ -75,6 +78,7 @@
     case BB_REASON_RECORD_FULL:
     case BB_REASON_KEY_OWNER_CHANGED:
     case BB_REASON_UPSTREAM_BROKEN:
+    case BB_REASON_UPSTREAM_SLOW:
         return true;
     default:
         return false;
@@ -127,7 +131,7 @@
 }
 
 /* Returns after which time without an answer a second attempt is sent: the
- * configured one, or the observed p95, never below the floor. */
+ * configured one, or the observed p95 and a margin, never below the floor. */
 uint64_t
 bb_hedge_delay_us(const struct bb_hedge_question *q,
                   const struct bb_estimate *latency)
@@ -137,7 +141,8 @@
     if (us == 0) {
         us = latency->total < HEDGE_OBSERVATIONS_MIN
                  ? HEDGE_DEFAULT_US
-                 : bb_estimate_quantile_us(latency, HEDGE_PERMILLE);
+                 : bb_estimate_quantile_us(latency, HEDGE_PERMILLE) *
+                       HEDGE_MARGIN_PERCENT / PERCENT;
     }
     return us < HEDGE_FLOOR_US ? HEDGE_FLOOR_US : us;
 }
--- a/decide/route_pick.c
+++ b/decide/route_pick.c
@@ -136,7 +136,8 @@
 }
 
 /* Returns the expected time of one more call, in microseconds: the usual
- * latency times the calls before it for each slot. */
+ * latency times the calls before it for each slot. A call that waits longer
+ * than usual counts at once, before its answer. */
 double
 bb_candidate_cost(const struct bb_candidate *c,
                   enum bb_admission_class work_class, uint64_t now_us)
@@ -147,6 +148,10 @@
     double slots = c->slots > 0 ? c->slots : 1;
     double held = bb_candidate_occupied(c, now_us) + 1.0;
 
+    if (work_class == BB_ADMISSION_SHORT &&
+        (double)c->waiting_us > latency_us) {
+        latency_us = (double)c->waiting_us;
+    }
     return latency_us * held / slots;
 }
 
@@ -243,16 +248,16 @@
     return is_alive(c, r, now_us) && c->weight_permille > least;
 }
 
-/* Tells whether every usable gatekeeper of the own zone is saturated. */
+/* Tells whether every usable gatekeeper up to a tier is saturated. */
 static bool
-is_zone_saturated(const struct bb_candidate *const *candidates, uint32_t count,
-                  const struct bb_route_request *r, uint32_t percent,
-                  uint64_t now_us)
+is_tier_saturated(const struct bb_candidate *const *candidates, uint32_t count,
+                  const struct bb_route_request *r, enum bb_tier tier,
+                  uint32_t percent, uint64_t now_us)
 {
     for (uint32_t i = 0; i < count; i++) {
         const struct bb_candidate *c = candidates[i];
 
-        if (c->tier == BB_TIER_ZONE && is_usable(c, r, now_us) &&
+        if (c->tier <= tier && is_usable(c, r, now_us) &&
             !is_saturated(c, percent, now_us)) {
             return false;
         }
@@ -287,7 +292,8 @@
     uint32_t region =
         s->is_region_left ? REGION_RETURN_PERCENT : REGION_LEAVE_PERCENT;
 
-    s->is_zone_left = is_zone_saturated(candidates, count, r, zone, now_us);
+    s->is_zone_left =
+        is_tier_saturated(candidates, count, r, BB_TIER_ZONE, zone, now_us);
     if (!is_region_saturated(candidates, count, r, region, now_us)) {
         s->is_region_left = false;
         s->region_saturated_us = 0;
@@ -321,8 +327,9 @@
     return n;
 }
 
-/* Collects the candidates of the own region: usable ones, or those that are
- * ejected if there are no others, since a slow one is better than none. */
+/* Collects the candidates of the own region: usable ones and, if those are
+ * all full, ejected ones too, since a slow one that is free is better than a
+ * queue, and may have recovered. */
 static uint32_t
 collect_region(const struct bb_route *s,
                const struct bb_candidate *const *candidates, uint32_t count,
@@ -330,7 +337,10 @@
                uint32_t *found)
 {
     enum bb_tier tier = s->is_zone_left ? BB_TIER_REGION : BB_TIER_ZONE;
-    uint32_t n = collect(candidates, count, r, tier, true, now_us, found);
+    bool is_full = s->is_zone_left &&
+                   is_tier_saturated(candidates, count, r, BB_TIER_REGION,
+                                     ZONE_LEAVE_PERCENT, now_us);
+    uint32_t n = collect(candidates, count, r, tier, !is_full, now_us, found);
 
     if (n == 0) {
         n = collect(candidates, count, r, BB_TIER_REGION, true, now_us, found);
--- a/include/decide/admission.h
+++ b/include/decide/admission.h
@@ -51,6 +51,9 @@
     enum bb_admission_class work_class;
     uint16_t team; /* BB_ADMISSION_NO_TEAM if none */
     uint64_t deadline_us;
+    /* The entry node can try elsewhere at once: it may be refused because the
+     * upstream is slow at present. Never set for a repeated attempt. */
+    bool may_go_elsewhere;
 };
 
 enum bb_admission_kind {
@@ -87,7 +90,11 @@
     struct bb_admission_limits limits;
     enum bb_admission_state state;
     bool is_stopping;
-    uint64_t ready_us; /* since when, for slow start */
+    bool is_slow; /* most short requests run much longer than usual */
+    uint64_t slow_since_us;
+    uint64_t usual_us;     /* when a short request last ended in usual time */
+    uint64_t slow_test_us; /* when the next request tests a slow upstream */
+    uint64_t ready_us;     /* since when, for slow start */
     uint64_t shed_until_us;
     uint32_t running_count;
     uint32_t queued_count; /* includes evicted ones not yet taken */
--- a/include/decide/admission_capacity.h
+++ b/include/decide/admission_capacity.h
@@ -20,6 +20,8 @@
 bb_admission_capacity(const struct bb_admission *a, uint64_t now_us);
 uint32_t bb_admission_full_slots(const struct bb_admission *a);
 uint64_t bb_admission_overlong_us(const struct bb_admission *a);
+bool bb_admission_runs_slow(const struct bb_admission *a, uint64_t now_us);
+uint64_t bb_admission_slow_us(const struct bb_admission *a);
 bool bb_admission_team_has_room(const struct bb_admission *a, uint16_t team);
 bool bb_admission_may_run(const struct bb_admission *a,
                           const struct bb_admission_capacity *c,
--- a/include/decide/outlier.h
+++ b/include/decide/outlier.h
@@ -8,6 +8,7 @@
 #include <stdint.h>
 
 #include "decide/admission.h"
+#include "decide/route_pick.h"
 
 enum { BB_OUTLIER_MEMBERS_MAX = 512, BB_OUTLIER_OUTSTANDING_MAX = 16 };
 
@@ -59,9 +60,14 @@
                        enum bb_admission_class work_class, uint64_t start_us,
                        bool is_failure, uint64_t now_us);
 void bb_outlier_cancel(struct bb_outliers *o, uint64_t key, uint64_t start_us);
+bool bb_outlier_report_slow(struct bb_outliers *o, uint64_t key,
+                            uint64_t now_us);
+bool bb_outlier_may_go_elsewhere(const struct bb_outliers *o, uint64_t key);
 void bb_outliers_tick(struct bb_outliers *o, uint64_t now_us);
 uint32_t bb_outlier_weight(const struct bb_outliers *o, uint64_t key,
                            uint64_t now_us);
+void bb_outlier_apply(const struct bb_outliers *o, struct bb_candidate *c,
+                      uint64_t now_us);
 uint32_t bb_outliers_ejected(const struct bb_outliers *o);
 
 #endif
--- a/include/decide/route_pick.h
+++ b/include/decide/route_pick.h
@@ -30,6 +30,7 @@
     uint32_t queued;          /* reported */
     uint64_t reported_us;     /* when the report arrived; 0: never */
     uint32_t in_flight;       /* own calls without an answer */
+    uint64_t waiting_us;      /* age of the oldest own short call */
     uint32_t in_flight_at_report;
     uint32_t connect_failures; /* since the last success */
     uint64_t failed_us;
--- a/replay/module_admission.c
+++ b/replay/module_admission.c
@@ -109,6 +109,8 @@
     if (!bb_replay_number(l, "id", BB_REPLAY_NUMBER_MAX, &r.id) ||
         !bb_replay_choice(l, "class", class_names, BB_ADMISSION_CLASSES,
                           BB_ADMISSION_SHORT, &k) ||
+        !bb_replay_flag_or(l, "may_go_elsewhere", false,
+                           &r.may_go_elsewhere) ||
         !bb_replay_number(l, "deadline_ms", MS_MAX, &deadline_ms)) {
         return false;
     }
--- a/replay/module_routing.c
+++ b/replay/module_routing.c
@@ -199,6 +199,13 @@
             c->is_draining = true;
         }
     }
+    else if (strcmp(event, "refused_slow") == 0) {
+        c = find(s, l);
+        ok = c != NULL;
+        if (ok) {
+            (void)bb_outlier_report_slow(&s->outliers, c->key, l->now_us);
+        }
+    }
     else if (strcmp(event, "link") == 0) {
         ok = bb_replay_number(l, "bytes_per_s", BB_REPLAY_NUMBER_MAX,
                               &bytes_per_s);
