--- a/decide/admission_queue.c
+++ b/decide/admission_queue.c
@@ -6,9 +6,9 @@
     PERCENT = 100,
     US_PER_MS = 1000,
     /* A standing queue longer than this would take more than a second to
-     * drain after a burst at 70% load, and serves callers no better. */
-    QUEUE_WAIT_MS_DEFAULT = 300,
-    OWN_DURATIONS = 4
+     * drain after a burst at 80% load, and serves callers no better. */
+    QUEUE_WAIT_MS_DEFAULT = 200,
+    LONG_DURATIONS = 4
 };
 
 static uint32_t
@@ -108,7 +108,8 @@
 }
 
 /* Returns the longest wait for which a class is queued. Long work is allowed
- * four of its own durations, because it would hardly be queued otherwise. */
+ * four of its own durations, because it would hardly be queued otherwise;
+ * short work at least one. */
 uint64_t
 bb_admission_longest_wait_us(const struct bb_admission *a,
                              enum bb_admission_class k)
@@ -116,9 +117,12 @@
     uint64_t limit_ms = a->limits.queue_wait_ms > 0 ? a->limits.queue_wait_ms
                                                     : QUEUE_WAIT_MS_DEFAULT;
     uint64_t limit_us = limit_ms * US_PER_MS;
-    uint64_t own_us = OWN_DURATIONS * bb_admission_service_us(a, k);
+    uint64_t own_us = bb_admission_service_us(a, k);
 
-    return k == BB_ADMISSION_LONG && own_us > limit_us ? own_us : limit_us;
+    if (k == BB_ADMISSION_LONG) {
+        own_us *= LONG_DURATIONS;
+    }
+    return own_us > limit_us ? own_us : limit_us;
 }
 
 /* Estimates how long a request would wait in the queue. */
--- a/include/decide/admission.h
+++ b/include/decide/admission.h
@@ -40,7 +40,7 @@
     uint32_t queue_length;      /* at most BB_ADMISSION_QUEUE_MAX */
     uint32_t long_work_percent; /* most slots that long work may hold */
     uint32_t slow_start_ms;
-    uint32_t queue_wait_ms; /* longest expected wait; 0: 300 ms */
+    uint32_t queue_wait_ms; /* longest expected wait; 0: 200 ms */
     uint32_t service_limit; /* most running requests; 0: slots */
     uint16_t team_count;
     uint32_t team_limits[BB_ADMISSION_TEAMS_MAX]; /* 0: no limit */
--- a/include/decide/claim.h
+++ b/include/decide/claim.h
@@ -30,8 +30,9 @@
 };
 
 /* Where a request may run: attempt number, gatekeeper and incarnation. The
- * next attempt may be claimed only once the gatekeeper of the one before has
- * refused the id for good. */
+ * next attempt may be claimed only once that incarnation of the gatekeeper has
+ * refused the id for good; the answer of a later incarnation does not count.
+ */
 struct bb_claim {
     struct bb_request_id request;
     uint32_t attempt; /* from 1 */
