Explore repeated claims and a keyed request that moves on too early

Cause: an entry node may claim again after a claim without quorum, which the explorer did not cover; and it must not move on after a restart. Change: scenarios with a repeated claim at another gatekeeper under the same attempt number; a seventh seeded fault; a trace that cannot be read ends with exit code 4 also for a folder.

--- a/decide/probe.c
+++ b/decide/probe.c
@@ -93,6 +93,8 @@
 bb_probe_begin(struct bb_probe *p, enum bb_begin_result result,
                uint64_t now_us)
 {
+    bool is_keyed = p->is_keyed && p->fault != BB_PROBE_FAULT_MOVES_ON;
+
     switch (result) {
     case BB_BEGIN_RUN:
         break;
@@ -106,7 +108,7 @@
         finish(p, BB_PROBE_RETRY, BB_REASON_ALREADY_REFUSED);
         break;
     case BB_BEGIN_FULL:
-        if (p->is_keyed) {
+        if (is_keyed) {
             p->next_query_us = now_us;
         }
         else {
@@ -114,7 +116,7 @@
         }
         break;
     case BB_BEGIN_OTHER_INCARNATION:
-        finish(p, p->is_keyed ? BB_PROBE_UNKNOWN : BB_PROBE_RETRY,
+        finish(p, is_keyed ? BB_PROBE_UNKNOWN : BB_PROBE_RETRY,
                BB_REASON_GATEKEEPER_RESTARTED);
         break;
     }
--- a/include/decide/probe.h
+++ b/include/decide/probe.h
@@ -23,7 +23,8 @@
 /* Seeded faults that the explorer must find; set by tests only. */
 enum bb_probe_fault {
     BB_PROBE_FAULT_NONE,
-    BB_PROBE_FAULT_NO_QUERY /* retries without asking */
+    BB_PROBE_FAULT_NO_QUERY, /* retries without asking */
+    BB_PROBE_FAULT_MOVES_ON  /* keyed, although not refused for good */
 };
 
 struct bb_probe {
--- a/replay/trace.c
+++ b/replay/trace.c
@@ -33,7 +33,7 @@
     int c = fgetc(in);
 
     *length = 0;
-    if (c == EOF) {
+    if (c == EOF && !ferror(in)) {
         return LINE_END;
     }
     while (c != EOF && c != '\n') {
--- a/tests/decide/test_explore_calls.c
+++ b/tests/decide/test_explore_calls.c
@@ -83,6 +83,7 @@
     uint8_t delays;
     uint8_t copies;
     uint8_t refusals;
+    uint8_t reclaims; /* claims again after one without quorum */
 };
 
 struct state {
@@ -298,6 +299,7 @@
     put(&p, s->runs << 4 | s->spent.restarts);
     put(&p, s->spent.losses << 4 | s->spent.delays);
     put(&p, s->spent.copies << 4 | s->spent.refusals);
+    put(&p, s->spent.reclaims);
     mark = bb_hash64(p.bytes, p.count, 1) | 1;
     at = mark >> (64 - VISITED_BITS);
     while (x.visited[at] != 0) {
@@ -467,7 +469,14 @@
         e->phase = READY;
         break;
     case BB_CLAIM_REFUSED:
-        end(s, i, NOT_RUN);
+        if (s->spent.reclaims == x.scenario->may.reclaims) {
+            end(s, i, NOT_RUN);
+            break;
+        }
+        s->spent.reclaims++;
+        e->claim.gatekeeper = (e->claim.gatekeeper + 1) % OLD_HOSTS;
+        e->claim.incarnation = s->hosts[e->claim.gatekeeper].incarnation;
+        start_claim(s, i);
         break;
     }
 }
@@ -838,11 +847,18 @@
 static void
 test_no_order_of_events_breaks_the_rules(void)
 {
-    /* The budget is restarts, losses, delays, copies, refusals. */
+    /* The budget is restarts, losses, delays, copies, refusals, and claims
+     * again. */
     static const struct scenario sound[] = {
         {"without key", 1, {1, 3, 2, 1, 1}, false, true},
         {"one key, restart, loss", 2, {1, 1, 0, 0, 0}, false, false},
         {"one key, restart, delay", 2, {1, 0, 1, 0, 0}, false, false},
+        {"one key, loss, claims again", 2, {0, 1, 0, 0, 0, 1}, false, false},
+        {"one key, restart, claims again",
+         2,
+         {1, 0, 0, 0, 0, 1},
+         false,
+         false},
         {"one key, restart, roster", 2, {1, 0, 0, 0, 0}, true, false},
         {"one key, loss, roster", 2, {0, 1, 0, 0, 0}, true, false},
     };
@@ -871,6 +887,10 @@
          1,
          {.losses = 1},
          .probe_fault = BB_PROBE_FAULT_NO_QUERY},
+        {"fault: moves on after a restart",
+         2,
+         {.restarts = 1, .losses = 1},
+         .probe_fault = BB_PROBE_FAULT_MOVES_ON},
         {"fault: record forgets an id",
          1,
          {.losses = 1},
