Cut nothing when a node or an upstream gets SIGTERM

Cause: a POST sent on an idle connection that the leaving node closed was answered unknown (1 of 27 calls in test_sigterm). Change: answers close their connection while the node drains; entry nodes drop idle connections to a node that shuts down or has left the table; after the last request the node answers QUERY for one more second. Tests: test_sigterm, and calls 14 deep in test_nested.

--- a/proxy/answer.c
+++ b/proxy/answer.c
@@ -111,6 +111,9 @@
         (void)MHD_add_response_header(r, BB_HEADER_ID, x->id_text);
     }
     (void)MHD_add_response_header(r, "Via", "1.1 baobab");
+    if (atomic_load(&x->proxy->is_draining)) {
+        (void)MHD_add_response_header(r, "Connection", "close");
+    }
     if (x->is_forwarded) {
         (void)MHD_add_response_header(
             r, BB_HEADER_LOAD, bb_gatekeeper_load(x->proxy->gatekeeper, text));
--- a/proxy/entry.c
+++ b/proxy/entry.c
@@ -334,6 +334,9 @@
                          bb_clock_now_us());
     }
     if (is_refusal(leg, &reason, &ran)) {
+        if (reason == BB_REASON_SHUTTING_DOWN && !leg->is_local) {
+            bb_http_client_forget_peer(x->proxy->client, &leg->endpoint->http);
+        }
         bb_entry_end_leg(x, leg, BB_PICK_REFUSED);
         bb_entry_after_failure(x, key, reason, ran, has_sent_body);
         return;
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -28,6 +28,9 @@
     MS_PER_S = 1000,
     TICK_US = 50 * BB_US_PER_MS,
     DRAIN_CHECK_US = 5 * BB_US_PER_MS,
+    /* Other nodes may have sent a request on an idle connection just before
+     * it was closed; for this long they can ask what became of it. */
+    LINGER_US = BB_US_PER_S,
     WORKER_EXIT_MS = 3000
 };
 
@@ -269,6 +272,26 @@
     return p->local_address;
 }
 
+/* Closes the idle connections to gatekeepers that are not in a new table: one
+ * that has left would not answer on them, nor say what became of a request. */
+static void
+forget_gone(struct bb_proxy *p, const struct bb_table *old,
+            const struct bb_table *t)
+{
+    for (uint16_t i = 0; i < old->service_count; i++) {
+        const struct bb_table_service *s = &old->services[i];
+        const struct bb_table_service *n =
+            bb_table_service(t, s->settings.name);
+
+        for (uint32_t k = 0; k < s->endpoint_count; k++) {
+            if (n == NULL ||
+                bb_table_endpoint(n, s->endpoints[k].host) == NULL) {
+                bb_http_client_forget_peer(p->client, &s->endpoints[k].http);
+            }
+        }
+    }
+}
+
 /* Puts a table in force for requests that begin from now on; takes over the
  * caller's reference. */
 void
@@ -281,8 +304,14 @@
         .link_bytes_per_s = t->limits.link_bytes_per_s,
     };
 
+    struct bb_table *old = bb_table_holder_get(p->table);
+
     bb_picker_configure(p->picker, &limits);
     bb_gatekeeper_configure(p->gatekeeper, t);
+    if (old != NULL) {
+        forget_gone(p, old, t);
+        bb_table_unref(old);
+    }
     bb_table_holder_set(p->table, t);
 }
 
@@ -304,7 +333,8 @@
 }
 
 /* Refuses new requests and waits for those in flight, at most for the
- * timeout. True if none is left. */
+ * timeout. If none is left, closes all connections, goes on answering the RPC
+ * program for a second, and returns true. */
 bool
 bb_proxy_drain(struct bb_proxy *p, uint32_t timeout_ms)
 {
@@ -316,7 +346,15 @@
     while (bb_proxy_in_flight(p) > 0 && bb_clock_now_us() < end_us) {
         bb_clock_sleep_us(DRAIN_CHECK_US);
     }
-    return bb_proxy_in_flight(p) == 0;
+    if (bb_proxy_in_flight(p) > 0) {
+        return false;
+    }
+    if (p->caller_daemon != NULL) {
+        MHD_stop_daemon(p->caller_daemon);
+        p->caller_daemon = NULL;
+        bb_clock_sleep_us(LINGER_US);
+    }
+    return true;
 }
 
 /* Stops serving and frees the proxy; NULL is allowed. Requests in flight are
--- a/tests/proxy/fixture.c
+++ b/tests/proxy/fixture.c
@@ -123,14 +123,22 @@
 void
 announce_upstream(struct test_node *n, const struct bb_address *a,
                   enum bb_upstream_state state, uint32_t slots)
+{
+    announce_as(n, "s", a, state, slots);
+}
+
+void
+announce_as(struct test_node *n, const char *service,
+            const struct bb_address *a, enum bb_upstream_state state,
+            uint32_t slots)
 {
     static const char *const states[] = {"", "starting", "ready", "draining",
                                          "leaving"};
     char address[BB_ADDRESS_TEXT_BYTES];
     char *body = g_strdup_printf(
-        "{\"service\":\"s\",\"address\":\"%s\",\"slots\":%u,"
+        "{\"service\":\"%s\",\"address\":\"%s\",\"slots\":%u,"
         "\"connections\":100,\"state\":\"%s\",\"lifetime_ms\":60000}",
-        bb_address_text(a, address), slots, states[state]);
+        service, bb_address_text(a, address), slots, states[state]);
     char *request = g_strdup_printf("PUT /v1/upstream HTTP/1.1\r\nHost: n\r\n"
                                     "Connection: close\r\n"
                                     "Content-Length: %zu\r\n\r\n%s",
--- a/tests/proxy/fixture.h
+++ b/tests/proxy/fixture.h
@@ -38,6 +38,9 @@
                 struct bb_proxy_settings s);
 void announce_upstream(struct test_node *n, const struct bb_address *a,
                        enum bb_upstream_state state, uint32_t slots);
+void announce_as(struct test_node *n, const char *service,
+                 const struct bb_address *a, enum bb_upstream_state state,
+                 uint32_t slots);
 void add_member(struct test_node *n, const char *host, const char *zone,
                 struct bb_address http, struct bb_address rpc);
 void apply_table(struct test_node *n);
--- /dev/null
+++ b/tests/proxy/test_nested.c
@@ -0,0 +1,157 @@
+/* Calls 14 deep through as many services, with few workers and slots: full
+ * load must not end in calls that wait for each other. */
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "fixture.h"
+
+enum {
+    SERVICES = 14,
+    CALLERS = 24,
+    CALLS_EACH = 6,
+    DEADLINE_MS = 3000,
+    SLOTS = 3
+};
+
+static const struct bb_behaviour_values quick = {.slots = SLOTS,
+                                                 .connections = 64,
+                                                 .service_us = 500,
+                                                 .load_percent = 100,
+                                                 .cold_factor = 1,
+                                                 .slow_factor = 1,
+                                                 .long_factor = 1};
+
+static struct test_upstream upstreams[SERVICES];
+static struct test_node nodes[SERVICES];
+static struct bb_service services[SERVICES];
+static struct bb_route routes[SERVICES];
+static struct bb_member members[SERVICES];
+static char hosts[SERVICES][BB_NAME_BYTES];
+static atomic_uint done;
+static atomic_uint refused;
+static atomic_uint other;
+
+static void
+describe(int i)
+{
+    struct bb_member *m = &members[i];
+
+    services[i] = (struct bb_service){.team = BB_INDEX_NONE,
+                                      .queue_length = 64,
+                                      .long_work_percent = 100,
+                                      .retention_s = 600};
+    (void)g_snprintf(services[i].name, BB_NAME_BYTES, "s%d", i);
+    routes[i] = (struct bb_route){.methods = BB_METHOD_ANY,
+                                  .service = (uint16_t)i,
+                                  .timeout_ms = DEADLINE_MS,
+                                  .retry_limit = 1};
+    (void)g_snprintf(routes[i].path_prefix, BB_PATH_BYTES, "/s%d", i);
+    (void)g_snprintf(hosts[i], BB_NAME_BYTES, "h%d", i);
+    (void)g_strlcpy(m->host, hosts[i], BB_NAME_BYTES);
+    (void)g_strlcpy(m->zone, "z1", BB_NAME_BYTES);
+    (void)g_strlcpy(m->region, "r", BB_NAME_BYTES);
+    (void)g_strlcpy(m->service, services[i].name, BB_NAME_BYTES);
+    m->http = bb_proxy_caller_address(nodes[i].proxy);
+    m->upstream_state = BB_UPSTREAM_READY;
+    m->slots = SLOTS;
+    m->is_reachable = true;
+}
+
+static void
+start_all(void)
+{
+    const struct bb_proxy_settings settings = {
+        .workers = {.base = 4, .step = 2, .detached_max = 8}};
+    const struct bb_config config = {.revision = 1,
+                                     .limits = {.max_depth = 16,
+                                                .retry_budget_percent = 20,
+                                                .hedge_budget_percent = 5,
+                                                .ejection_percent = 34},
+                                     .services = services,
+                                     .service_count = SERVICES,
+                                     .routes = routes,
+                                     .route_count = SERVICES};
+
+    for (int i = 0; i < SERVICES; i++) {
+        char name[BB_NAME_BYTES];
+
+        (void)g_snprintf(name, sizeof(name), "h%d", i);
+        start_upstream(&upstreams[i], &quick);
+        start_node(&nodes[i], name, settings);
+        describe(i);
+        /* The nested calls of service i enter at the node beside it. */
+        upstreams[i].upstream.node = members[i].http;
+        announce_as(&nodes[i], services[i].name, &upstreams[i].upstream.listen,
+                    BB_UPSTREAM_READY, SLOTS);
+    }
+    for (int i = 0; i < SERVICES; i++) {
+        const struct bb_own_place own = {hosts[i], "z1", "r"};
+
+        bb_proxy_set_table(nodes[i].proxy,
+                           bb_table_build(&config, members, SERVICES, &own));
+    }
+}
+
+static void *
+run_calls(void *argument)
+{
+    (void)argument;
+    for (int i = 0; i < CALLS_EACH; i++) {
+        GString *request =
+            g_string_new("GET /s0 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+                         "X-Call-Path: ");
+        struct test_answer *a;
+
+        for (int s = 1; s < SERVICES; s++) {
+            g_string_append_printf(request, "/s%d%s", s,
+                                   s < SERVICES - 1 ? ";" : "\r\n\r\n");
+        }
+        a = call(bb_proxy_caller_address(nodes[0].proxy), request->str);
+        (void)atomic_fetch_add(a->status == 200                     ? &done
+                               : a->status >= 429 || a->status == 0 ? &refused
+                                                                    : &other,
+                               1);
+        g_free(a);
+        (void)g_string_free(request, TRUE);
+    }
+    return NULL;
+}
+
+/* Guards against nested calls that hold each other's workers or slots until
+ * their deadlines. */
+static void
+test_deep_calls_do_not_deadlock(void)
+{
+    pthread_t threads[CALLERS];
+    uint64_t start_us;
+
+    start_all();
+    start_us = bb_clock_now_us();
+    for (int i = 0; i < CALLERS; i++) {
+        CU_ASSERT_EQUAL_FATAL(
+            pthread_create(&threads[i], NULL, run_calls, NULL), 0);
+    }
+    for (int i = 0; i < CALLERS; i++) {
+        (void)pthread_join(threads[i], NULL);
+    }
+    (void)printf("%u done, %u refused, %u other in %u ms ... ",
+                 atomic_load(&done), atomic_load(&refused),
+                 atomic_load(&other),
+                 (unsigned)((bb_clock_now_us() - start_us) / BB_US_PER_MS));
+    /* The callers ask for eight times what the slots of a service run. */
+    CU_ASSERT_TRUE(atomic_load(&done) >= CALLERS * CALLS_EACH / 2);
+    CU_ASSERT_EQUAL(atomic_load(&other), 0);
+    CU_ASSERT_TRUE(bb_clock_now_us() - start_us < 20 * (uint64_t)BB_US_PER_S);
+    for (int i = 0; i < SERVICES; i++) {
+        CU_ASSERT_EQUAL(bb_runs_in_flight(upstreams[i].upstream.runs), 0);
+        stop_node(&nodes[i]);
+        stop_upstream(&upstreams[i]);
+    }
+}
+
+static const struct bb_unit_test tests[] = {
+    {"deep calls do not deadlock", test_deep_calls_do_not_deadlock},
+};
+
+BB_UNIT_MAIN("nested", tests)
