Wait for the upstream in the gatekeeper's own thread

Cause: two of the eight wake-ups that two hops add were the hand-over to a worker and back at the gatekeeper, whose deadline the entry node keeps anyway. Change: a forwarded request without a streaming body runs neon in the connection's thread, counted like a worker; a long answer goes on in one. Checked: proxy tests plain and under the address and thread sanitizers.

--- a/include/proxy/http_client.h
+++ b/include/proxy/http_client.h
@@ -57,8 +57,9 @@
     bool is_replayable;         /* the body is whole in its ring */
     bool expect_continue; /* let the peer refuse before the body is sent */
     bool use_new_connection;
-    bool must_finish;    /* read the answer to its end for the callback */
-    uint32_t keep_bytes; /* longest answer kept for the callback */
+    bool is_inline;   /* started by bb_attempt_run, in the caller's thread */
+    bool must_finish; /* read the answer to its end for the callback */
+    uint32_t keep_bytes;          /* longest answer kept for the callback */
     bb_attempt_finished finished; /* NULL: none */
     void *finished_context;
     uint32_t read_timeout_s;
@@ -86,6 +87,7 @@
 struct bb_attempt *bb_attempt_start(struct bb_http_client *c,
                                     const struct bb_attempt_request *request,
                                     struct bb_watch *watch, uint64_t end_us);
+void bb_attempt_run(struct bb_attempt *a);
 void bb_attempt_release(struct bb_attempt *a);
 
 #endif
--- a/proxy/http_client.c
+++ b/proxy/http_client.c
@@ -1,51 +1,22 @@
 #include "proxy/http_client.h"
 
-#include <arpa/inet.h>
 #include <glib.h>
 #include <ne_request.h>
-#include <ne_session.h>
-#include <ne_socket.h>
 #include <stdatomic.h>
-#include <string.h>
 
-#include "common/clock.h"
 #include "common/counters.h"
+#include "proxy/session.h"
 
 enum {
-    IDLE_SESSIONS_MAX = 64, /* per peer */
-    IDLE_MAX_US = 5 * BB_US_PER_S,
-    CONNECT_TIMEOUT_S = 1,
     BLOCK_BYTES = 16 * 1024,
     /* An answer announced as no longer than this is read before its head is
      * reported: one wake-up instead of two, and one write to the caller. */
     SHORT_ANSWER_BYTES = 16 * 1024
 };
 
-BB_COUNTER(connections_total, "baobab_http_connections_total",
-           "Connections opened to nodes and upstreams");
 BB_COUNTER(discarded_total, "baobab_late_answers_total",
            "Answers discarded because nobody waited any more");
 
-/* One neon session, used for a single connection: neon would silently send a
- * request again on a new connection when an idle one turns out closed, which
- * runs non-idempotent work twice. */
-struct session {
-    ne_session *neon;
-    ne_inet_addr *address;
-    const ne_inet_addr *addresses[1];
-    char key[BB_ADDRESS_TEXT_BYTES];
-    uint64_t idle_since_us;
-    bool is_connected;
-    bool is_closed;
-};
-
-struct bb_http_client {
-    pthread_mutex_t lock;
-    struct bb_workers *workers;
-    GHashTable *idle_by_peer; /* text -> GQueue of session */
-    ne_inet_addr *unusable_address;
-};
-
 struct attempt {
     struct bb_attempt public; /* first, so that both addresses are equal */
     struct bb_http_client *client;
@@ -55,189 +26,14 @@
     char *method;
     char *url;
     uint64_t body_position;
+    struct bb_session *session;
+    ne_request *exchange;
+    bool is_whole;
     GByteArray *kept; /* a copy of the answer, while it is short enough */
     atomic_uint references;
     atomic_bool is_released;
 };
 
-/* Frees a session and closes its connection. */
-static void
-destroy_session(struct session *s)
-{
-    ne_session_destroy(s->neon);
-    ne_iaddr_free(s->address);
-    g_free(s);
-}
-
-/* Frees the idle sessions of one peer. */
-static void
-destroy_queue(void *data)
-{
-    GQueue *queue = data;
-    struct session *s;
-
-    while ((s = g_queue_pop_head(queue)) != NULL) {
-        destroy_session(s);
-    }
-    g_queue_free(queue);
-}
-
-/* Notes that neon has connected. */
-static void
-on_status(void *data, ne_session_status status,
-          const ne_session_status_info *info)
-{
-    struct session *s = data;
-
-    (void)info;
-    if (status == ne_status_connected) {
-        s->is_connected = true;
-    }
-}
-
-/* Notes that neon has closed the connection. */
-static void
-on_close(void *data)
-{
-    struct session *s = data;
-
-    s->is_closed = true;
-}
-
-/* Converts an address to neon's form. */
-static ne_inet_addr *
-to_neon_address(const struct bb_address *a)
-{
-    unsigned char raw[sizeof(struct in6_addr)];
-
-    if (inet_pton(AF_INET, a->ip, raw) == 1) {
-        return ne_iaddr_make(ne_iaddr_ipv4, raw);
-    }
-    return inet_pton(AF_INET6, a->ip, raw) == 1
-               ? ne_iaddr_make(ne_iaddr_ipv6, raw)
-               : NULL;
-}
-
-/* Creates a session that connects on its first request. */
-static struct session *
-create_session(const struct bb_attempt_request *r)
-{
-    struct session *s = g_new0(struct session, 1);
-    bool is_v6 = strchr(r->peer.ip, ':') != NULL;
-    char host[INET6_ADDRSTRLEN + 2];
-
-    s->address = to_neon_address(&r->peer);
-    if (s->address == NULL) {
-        g_free(s);
-        return NULL;
-    }
-    (void)g_snprintf(host, sizeof(host), is_v6 ? "[%s]" : "%s", r->peer.ip);
-    s->neon = ne_session_create("http", host, r->peer.port);
-    s->addresses[0] = s->address;
-    ne_set_addrlist(s->neon, s->addresses, 1);
-    ne_set_connect_timeout(s->neon, CONNECT_TIMEOUT_S);
-    ne_set_read_timeout(s->neon, (int)MAX(r->read_timeout_s, 1U));
-    ne_set_notifier(s->neon, on_status, s);
-    ne_hook_close_conn(s->neon, on_close, s);
-    (void)bb_address_text(&r->peer, s->key);
-    bb_counter_add(&connections_total, 1);
-    return s;
-}
-
-/* Takes the session that was used last and closes those idle for long. */
-static struct session *
-take_session(struct bb_http_client *c, const struct bb_attempt_request *r)
-{
-    uint64_t now_us = bb_clock_now_us();
-    char key[BB_ADDRESS_TEXT_BYTES];
-    struct session *s = NULL;
-    GQueue *queue;
-
-    (void)pthread_mutex_lock(&c->lock);
-    queue =
-        g_hash_table_lookup(c->idle_by_peer, bb_address_text(&r->peer, key));
-    if (queue != NULL) {
-        while ((s = g_queue_peek_tail(queue)) != NULL &&
-               now_us - s->idle_since_us > IDLE_MAX_US) {
-            destroy_session(g_queue_pop_tail(queue));
-        }
-        s = r->use_new_connection ? NULL : g_queue_pop_head(queue);
-    }
-    (void)pthread_mutex_unlock(&c->lock);
-    return s != NULL ? s : create_session(r);
-}
-
-/* Keeps a session for the next request, or closes it. */
-static void
-put_session(struct bb_http_client *c, struct session *s)
-{
-    GQueue *queue;
-
-    if (!s->is_closed) {
-        /* No local address means no second connection; see struct session. */
-        ne_set_localaddr(s->neon, c->unusable_address);
-        s->idle_since_us = bb_clock_now_us();
-        (void)pthread_mutex_lock(&c->lock);
-        queue = g_hash_table_lookup(c->idle_by_peer, s->key);
-        if (queue == NULL) {
-            queue = g_queue_new();
-            g_hash_table_insert(c->idle_by_peer, g_strdup(s->key), queue);
-        }
-        if (g_queue_get_length(queue) < IDLE_SESSIONS_MAX) {
-            g_queue_push_head(queue, s);
-            s = NULL;
-        }
-        (void)pthread_mutex_unlock(&c->lock);
-    }
-    if (s != NULL) {
-        destroy_session(s);
-    }
-}
-
-/* Creates a client whose requests run on the given workers. */
-struct bb_http_client *
-bb_http_client_create(struct bb_workers *workers)
-{
-    /* TEST-NET-1 is assigned to no interface, so binding to it fails. */
-    static const unsigned char unusable[] = {192, 0, 2, 1};
-    struct bb_http_client *c = g_new0(struct bb_http_client, 1);
-
-    (void)ne_sock_init();
-    (void)pthread_mutex_init(&c->lock, NULL);
-    c->workers = workers;
-    c->idle_by_peer =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, destroy_queue);
-    c->unusable_address = ne_iaddr_make(ne_iaddr_ipv4, unusable);
-    return c;
-}
-
-/* Closes the idle sessions and frees the client; no request may run. NULL is
- * allowed. */
-void
-bb_http_client_destroy(struct bb_http_client *c)
-{
-    if (c == NULL) {
-        return;
-    }
-    g_hash_table_destroy(c->idle_by_peer);
-    ne_iaddr_free(c->unusable_address);
-    (void)pthread_mutex_destroy(&c->lock);
-    g_free(c);
-    ne_sock_exit();
-}
-
-/* Closes the idle sessions of a peer, after one of them fell silent. */
-void
-bb_http_client_forget_peer(struct bb_http_client *c,
-                           const struct bb_address *peer)
-{
-    char key[BB_ADDRESS_TEXT_BYTES];
-
-    (void)pthread_mutex_lock(&c->lock);
-    (void)g_hash_table_remove(c->idle_by_peer, bb_address_text(peer, key));
-    (void)pthread_mutex_unlock(&c->lock);
-}
-
 /* Gives one of the two references back; the last one frees the attempt. */
 static void
 unref_attempt(struct attempt *a)
@@ -301,7 +97,7 @@
 
 /* Builds neon's request. */
 static ne_request *
-build_request(struct attempt *a, struct session *s)
+build_request(struct attempt *a, struct bb_session *s)
 {
     ne_request *request = ne_request_create(s->neon, a->method, a->url);
 
@@ -404,64 +200,73 @@
     }
 }
 
-/* Sends the request and reads the answer on one session. Returns whether the
- * session can be used again. */
+/* Sends the request and reads the head of the answer. False, with the end
+ * reported, if none came. */
 static bool
-exchange(struct attempt *a, struct session *s)
+begin(struct attempt *a)
 {
-    ne_request *request = build_request(a, s);
-    bool is_short;
-    bool is_whole = false;
-
-    if (ne_begin_request(request) != NE_OK) {
-        report_finished(a, s->is_connected, false);
-        set_state(a, s->is_connected ? BB_ATTEMPT_LOST : BB_ATTEMPT_NOT_SENT);
-        goto out;
+    bool is_sent;
+
+    a->session = bb_session_take(a->client, &a->request);
+    if (a->session == NULL) {
+        report_finished(a, false, false);
+        set_state(a, BB_ATTEMPT_NOT_SENT);
+        return false;
+    }
+    a->exchange = build_request(a, a->session);
+    if (ne_begin_request(a->exchange) != NE_OK) {
+        is_sent = a->session->is_connected;
+        report_finished(a, is_sent, false);
+        set_state(a, is_sent ? BB_ATTEMPT_LOST : BB_ATTEMPT_NOT_SENT);
+        return false;
     }
-    read_head(a, request);
-    is_short = a->public.answer_length_bytes >= 0 &&
-               a->public.answer_length_bytes <= SHORT_ANSWER_BYTES;
-    if (!is_short) {
+    read_head(a, a->exchange);
+    return true;
+}
+
+/* Tells whether the whole answer is read before its head is reported. */
+static bool
+is_short(const struct attempt *a)
+{
+    return a->public.answer_length_bytes >= 0 &&
+           a->public.answer_length_bytes <= SHORT_ANSWER_BYTES;
+}
+
+/* Reads the body of the answer and reports the end. */
+static void
+finish(struct attempt *a)
+{
+    if (!is_short(a)) {
         set_state(a, BB_ATTEMPT_HEAD);
     }
-    is_whole = read_answer(a, request) && ne_end_request(request) == NE_OK;
-    if (!is_short) {
-        report_finished(a, true, is_whole);
+    a->is_whole =
+        read_answer(a, a->exchange) && ne_end_request(a->exchange) == NE_OK;
+    if (!is_short(a)) {
+        report_finished(a, true, a->is_whole);
     }
-    end_answer(a, is_whole);
-    if (is_short) {
-        report_finished(a, true, is_whole);
-        set_state(a, is_whole ? BB_ATTEMPT_HEAD : BB_ATTEMPT_LOST);
+    end_answer(a, a->is_whole);
+    if (is_short(a)) {
+        report_finished(a, true, a->is_whole);
+        set_state(a, a->is_whole ? BB_ATTEMPT_HEAD : BB_ATTEMPT_LOST);
     }
-out:
-    ne_request_destroy(request);
-    return is_whole;
 }
 
-/* Runs an attempt on a worker. */
+/* Gives back what an attempt used, and the attempt itself. */
 static void
-run_attempt(void *context)
+clean_up(struct attempt *a)
 {
-    struct attempt *a = context;
     struct bb_http_client *c = a->client;
-    struct session *s = take_session(c, &a->request);
-
-    bool is_reusable = false;
 
-    if (s == NULL) {
-        report_finished(a, false, false);
-        set_state(a, BB_ATTEMPT_NOT_SENT);
+    if (a->exchange != NULL) {
+        ne_request_destroy(a->exchange);
     }
-    else {
-        is_reusable = exchange(a, s);
-        if (is_reusable) {
-            put_session(c, s);
-        }
-        else {
-            destroy_session(s);
-        }
+    if (a->is_whole) {
+        bb_session_put(c, a->session);
+    }
+    else if (a->session != NULL) {
+        bb_session_destroy(a->session);
     }
-    if (!is_reusable && atomic_load(&a->is_released)) {
+    if (!a->is_whole && atomic_load(&a->is_released)) {
         bb_counter_add(&discarded_total, 1);
     }
     /* Nobody takes the rest of the request's body. */
@@ -473,15 +278,62 @@
     unref_attempt(a);
 }
 
-/* Starts a request on a worker; its progress is signalled to the watch. The
- * fields are taken over and the body referenced. Returns NULL, with nothing
- * sent, if no worker is free until end_us. */
+/* Runs an attempt on a worker. */
+static void
+run_attempt(void *context)
+{
+    struct attempt *a = context;
+
+    if (begin(a)) {
+        finish(a);
+    }
+    clean_up(a);
+}
+
+/* Reads a long answer on a worker, after its head was read elsewhere. */
+static void
+run_rest(void *context)
+{
+    struct attempt *a = context;
+
+    finish(a);
+    clean_up(a);
+}
+
+/* Runs an attempt that was started as inline in the calling thread, which
+ * would only wait for it. A long answer is read by a worker, since the caller
+ * must pass it on meanwhile. */
+void
+bb_attempt_run(struct bb_attempt *public)
+{
+    struct attempt *a = (struct attempt *)public;
+
+    if (begin(a)) {
+        if (!is_short(a)) {
+            a->work.run = run_rest;
+            if (bb_workers_continue(a->client->workers, &a->work)) {
+                return;
+            }
+            report_finished(a, true, false);
+            set_state(a, BB_ATTEMPT_LOST);
+        }
+        else {
+            finish(a);
+        }
+    }
+    clean_up(a);
+}
+
+/* Starts a request, on a worker unless it is inline; its progress is signalled
+ * to the watch. The fields are taken over and the body referenced. Returns
+ * NULL, with nothing sent, if no worker is free until end_us. */
 struct bb_attempt *
 bb_attempt_start(struct bb_http_client *c,
                  const struct bb_attempt_request *request,
                  struct bb_watch *watch, uint64_t end_us)
 {
     struct attempt *a = g_new0(struct attempt, 1);
+    bool is_accepted;
 
     a->client = c;
     a->watch = bb_watch_ref(watch);
@@ -498,7 +350,10 @@
         .context = a,
         .depth = request->depth,
     };
-    if (!bb_workers_submit(c->workers, &a->work, end_us)) {
+    is_accepted = request->is_inline
+                      ? bb_workers_enter(c->workers, &a->work, end_us)
+                      : bb_workers_submit(c->workers, &a->work, end_us);
+    if (!is_accepted) {
         atomic_store(&a->references, 1);
         unref_attempt(a);
         return NULL;
--- a/proxy/leg.c
+++ b/proxy/leg.c
@@ -196,6 +196,10 @@
     request.peer = g.ticket->upstream;
     request.keep_bytes = x->is_idempotent ? 0 : BB_STORED_ANSWER_MAX_BYTES;
     request.must_finish = !x->is_idempotent;
+    /* The entry node keeps the deadline to the millisecond, so this thread can
+     * wait for the upstream itself; handing the call to a worker and back
+     * costs two wake-ups. */
+    request.is_inline = x->is_forwarded && !x->is_streaming;
     request.finished = on_finished;
     request.finished_context = g.ticket;
     leg->start_us = bb_clock_now_us();
@@ -205,6 +209,9 @@
         bb_gatekeeper_leave(g.ticket, BB_TICKET_REFUSED, NULL);
         return refused(BB_REASON_WORKER_LIMIT, BB_RAN_NO);
     }
+    if (request.is_inline) {
+        bb_attempt_run(leg->attempt);
+    }
     return started;
 }
 
--- /dev/null
+++ b/proxy/session.c
@@ -0,0 +1,197 @@
+#include "proxy/session.h"
+
+#include <arpa/inet.h>
+#include <glib.h>
+#include <ne_request.h>
+#include <string.h>
+
+#include "common/clock.h"
+#include "common/counters.h"
+
+enum {
+    IDLE_SESSIONS_MAX = 64, /* per peer */
+    IDLE_MAX_US = 5 * BB_US_PER_S,
+    CONNECT_TIMEOUT_S = 1
+};
+
+BB_COUNTER(connections_total, "baobab_http_connections_total",
+           "Connections opened to nodes and upstreams");
+
+/* Frees a session and closes its connection. */
+void
+bb_session_destroy(struct bb_session *s)
+{
+    ne_session_destroy(s->neon);
+    ne_iaddr_free(s->address);
+    g_free(s);
+}
+
+/* Frees the idle sessions of one peer. */
+static void
+destroy_queue(void *data)
+{
+    GQueue *queue = data;
+    struct bb_session *s;
+
+    while ((s = g_queue_pop_head(queue)) != NULL) {
+        bb_session_destroy(s);
+    }
+    g_queue_free(queue);
+}
+
+/* Notes that neon has connected. */
+static void
+on_status(void *data, ne_session_status status,
+          const ne_session_status_info *info)
+{
+    struct bb_session *s = data;
+
+    (void)info;
+    if (status == ne_status_connected) {
+        s->is_connected = true;
+    }
+}
+
+/* Notes that neon has closed the connection. */
+static void
+on_close(void *data)
+{
+    struct bb_session *s = data;
+
+    s->is_closed = true;
+}
+
+/* Converts an address to neon's form. */
+static ne_inet_addr *
+to_neon_address(const struct bb_address *a)
+{
+    unsigned char raw[sizeof(struct in6_addr)];
+
+    if (inet_pton(AF_INET, a->ip, raw) == 1) {
+        return ne_iaddr_make(ne_iaddr_ipv4, raw);
+    }
+    return inet_pton(AF_INET6, a->ip, raw) == 1
+               ? ne_iaddr_make(ne_iaddr_ipv6, raw)
+               : NULL;
+}
+
+/* Creates a session that connects on its first request. */
+static struct bb_session *
+create_session(const struct bb_attempt_request *r)
+{
+    struct bb_session *s = g_new0(struct bb_session, 1);
+    bool is_v6 = strchr(r->peer.ip, ':') != NULL;
+    char host[INET6_ADDRSTRLEN + 2];
+
+    s->address = to_neon_address(&r->peer);
+    if (s->address == NULL) {
+        g_free(s);
+        return NULL;
+    }
+    (void)g_snprintf(host, sizeof(host), is_v6 ? "[%s]" : "%s", r->peer.ip);
+    s->neon = ne_session_create("http", host, r->peer.port);
+    s->addresses[0] = s->address;
+    ne_set_addrlist(s->neon, s->addresses, 1);
+    ne_set_connect_timeout(s->neon, CONNECT_TIMEOUT_S);
+    ne_set_read_timeout(s->neon, (int)MAX(r->read_timeout_s, 1U));
+    ne_set_notifier(s->neon, on_status, s);
+    ne_hook_close_conn(s->neon, on_close, s);
+    (void)bb_address_text(&r->peer, s->key);
+    bb_counter_add(&connections_total, 1);
+    return s;
+}
+
+/* Takes the session that was used last and closes those idle for long. */
+struct bb_session *
+bb_session_take(struct bb_http_client *c, const struct bb_attempt_request *r)
+{
+    uint64_t now_us = bb_clock_now_us();
+    char key[BB_ADDRESS_TEXT_BYTES];
+    struct bb_session *s = NULL;
+    GQueue *queue;
+
+    (void)pthread_mutex_lock(&c->lock);
+    queue =
+        g_hash_table_lookup(c->idle_by_peer, bb_address_text(&r->peer, key));
+    if (queue != NULL) {
+        while ((s = g_queue_peek_tail(queue)) != NULL &&
+               now_us - s->idle_since_us > IDLE_MAX_US) {
+            bb_session_destroy(g_queue_pop_tail(queue));
+        }
+        s = r->use_new_connection ? NULL : g_queue_pop_head(queue);
+    }
+    (void)pthread_mutex_unlock(&c->lock);
+    return s != NULL ? s : create_session(r);
+}
+
+/* Keeps a session for the next request, or closes it. */
+void
+bb_session_put(struct bb_http_client *c, struct bb_session *s)
+{
+    GQueue *queue;
+
+    if (!s->is_closed) {
+        /* No local address means no second connection; see struct bb_session.
+         */
+        ne_set_localaddr(s->neon, c->unusable_address);
+        s->idle_since_us = bb_clock_now_us();
+        (void)pthread_mutex_lock(&c->lock);
+        queue = g_hash_table_lookup(c->idle_by_peer, s->key);
+        if (queue == NULL) {
+            queue = g_queue_new();
+            g_hash_table_insert(c->idle_by_peer, g_strdup(s->key), queue);
+        }
+        if (g_queue_get_length(queue) < IDLE_SESSIONS_MAX) {
+            g_queue_push_head(queue, s);
+            s = NULL;
+        }
+        (void)pthread_mutex_unlock(&c->lock);
+    }
+    if (s != NULL) {
+        bb_session_destroy(s);
+    }
+}
+
+/* Creates a client whose requests run on the given workers. */
+struct bb_http_client *
+bb_http_client_create(struct bb_workers *workers)
+{
+    /* TEST-NET-1 is assigned to no interface, so binding to it fails. */
+    static const unsigned char unusable[] = {192, 0, 2, 1};
+    struct bb_http_client *c = g_new0(struct bb_http_client, 1);
+
+    (void)ne_sock_init();
+    (void)pthread_mutex_init(&c->lock, NULL);
+    c->workers = workers;
+    c->idle_by_peer =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, destroy_queue);
+    c->unusable_address = ne_iaddr_make(ne_iaddr_ipv4, unusable);
+    return c;
+}
+
+/* Closes the idle sessions and frees the client; no request may run. NULL is
+ * allowed. */
+void
+bb_http_client_destroy(struct bb_http_client *c)
+{
+    if (c == NULL) {
+        return;
+    }
+    g_hash_table_destroy(c->idle_by_peer);
+    ne_iaddr_free(c->unusable_address);
+    (void)pthread_mutex_destroy(&c->lock);
+    g_free(c);
+    ne_sock_exit();
+}
+
+/* Closes the idle sessions of a peer, after one of them fell silent. */
+void
+bb_http_client_forget_peer(struct bb_http_client *c,
+                           const struct bb_address *peer)
+{
+    char key[BB_ADDRESS_TEXT_BYTES];
+
+    (void)pthread_mutex_lock(&c->lock);
+    (void)g_hash_table_remove(c->idle_by_peer, bb_address_text(peer, key));
+    (void)pthread_mutex_unlock(&c->lock);
+}
--- a/proxy/workers.c
+++ b/proxy/workers.c
@@ -219,19 +219,14 @@
     return true;
 }
 
-/* Hands work to a worker, waiting for room until end_us. The work's run
- * function must call bb_workers_done as its last use of the work. False when
- * the time has passed, the pool stops or no thread can be started: the work
- * has not run then. */
-bool
-bb_workers_submit(struct bb_workers *p, struct bb_work *w, uint64_t end_us)
+/* Waits for room until end_us and counts the work as running. Called with the
+ * lock held. */
+static bool
+take_room(struct bb_workers *p, struct bb_work *w, uint64_t end_us)
 {
     struct timespec end = bb_clock_timespec(end_us);
-    struct idle_worker *worker = NULL;
-    bool is_accepted = false;
 
     w->depth = MIN(w->depth, (uint32_t)BB_DEPTH_MAX);
-    (void)pthread_mutex_lock(&p->lock);
     while (!p->is_stopping && !has_room(p, w->depth)) {
         int result;
 
@@ -239,31 +234,85 @@
         result = pthread_cond_timedwait(&p->freed, &p->lock, &end);
         p->waiting--;
         if (result == ETIMEDOUT && !has_room(p, w->depth)) {
-            goto out;
+            return false;
         }
     }
     if (p->is_stopping) {
-        goto out;
-    }
-    worker = p->idle;
-    if (worker != NULL) {
-        p->idle = worker->next;
-        worker->work = w;
-    }
-    else if (!start_thread(p, w)) {
-        goto out;
+        return false;
     }
     p->busy[w->depth]++;
     update_gauges(p);
-    is_accepted = true;
-out:
+    return true;
+}
+
+/* Gives work to an idle thread or a new one. Called with the lock held; the
+ * result in `idle` must be signalled after the unlock. */
+static bool
+give(struct bb_workers *p, struct bb_work *w, struct idle_worker **idle)
+{
+    *idle = p->idle;
+    if (*idle == NULL) {
+        return start_thread(p, w);
+    }
+    p->idle = (*idle)->next;
+    (*idle)->work = w;
+    return true;
+}
+
+/* Hands work to a worker, waiting for room until end_us. The work's run
+ * function must call bb_workers_done as its last use of the work. False when
+ * the time has passed, the pool stops or no thread can be started: the work
+ * has not run then. */
+bool
+bb_workers_submit(struct bb_workers *p, struct bb_work *w, uint64_t end_us)
+{
+    struct idle_worker *idle = NULL;
+    bool is_accepted;
+
+    (void)pthread_mutex_lock(&p->lock);
+    is_accepted = take_room(p, w, end_us);
+    if (is_accepted && !give(p, w, &idle)) {
+        p->busy[w->depth]--;
+        is_accepted = false;
+    }
     (void)pthread_mutex_unlock(&p->lock);
-    if (worker != NULL) {
-        (void)pthread_cond_signal(&worker->wake);
+    if (idle != NULL) {
+        (void)pthread_cond_signal(&idle->wake);
     }
     return is_accepted;
 }
 
+/* Counts work that the calling thread does itself, waiting for room until
+ * end_us. It ends with bb_workers_done, by this thread or a worker that
+ * continues it. */
+bool
+bb_workers_enter(struct bb_workers *p, struct bb_work *w, uint64_t end_us)
+{
+    bool is_accepted;
+
+    (void)pthread_mutex_lock(&p->lock);
+    is_accepted = take_room(p, w, end_us);
+    (void)pthread_mutex_unlock(&p->lock);
+    return is_accepted;
+}
+
+/* Hands work that was entered to a worker. False if no thread can be started;
+ * the caller then still has it. */
+bool
+bb_workers_continue(struct bb_workers *p, struct bb_work *w)
+{
+    struct idle_worker *idle = NULL;
+    bool is_given;
+
+    (void)pthread_mutex_lock(&p->lock);
+    is_given = !p->is_stopping && give(p, w, &idle);
+    (void)pthread_mutex_unlock(&p->lock);
+    if (idle != NULL) {
+        (void)pthread_cond_signal(&idle->wake);
+    }
+    return is_given;
+}
+
 /* Reports the end of a unit of work, from its run function. */
 void
 bb_workers_done(struct bb_workers *p, struct bb_work *w)
