--- a/tests/proxy/proxy_node.c
+++ b/tests/proxy/proxy_node.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "common/clock.h"
+#include "common/digest.h"
 #include "common/log.h"
 #include "common/settings.h"
 #include "proxy/proxy.h"
@@ -60,13 +61,14 @@
     const struct bb_own_place place = {
         .host = n->settings.host, .zone = "z", .region = "r"};
     struct bb_member members[PEERS_MAX + 1] = {0};
+    struct bb_roster roster = {.epoch = 1};
     size_t count = 0;
 
     (void)strncpy(service.name, n->service, sizeof(service.name) - 1);
     for (uint32_t i = 0; i < n->peers.count; i++) {
         struct bb_member *m = &members[count++];
 
-        (void)snprintf(m->host, sizeof(m->host), "peer-%u", i);
+        (void)bb_address_text(&n->peers.items[i], m->host);
         (void)strcpy(m->zone, "z");
         (void)strcpy(m->region, "r");
         (void)strncpy(m->service, n->service, sizeof(m->service) - 1);
@@ -81,6 +83,11 @@
     if (n->own.service[0] != '\0') {
         members[count++] = n->own;
     }
+    for (size_t i = 0; i < count; i++) {
+        roster.hosts[roster.host_count++] =
+            bb_hash64(members[i].host, strlen(members[i].host), 0);
+    }
+    bb_proxy_set_roster(n->proxy, n->service, &roster);
     bb_proxy_set_table(n->proxy,
                        bb_table_build(&config, members, count, &place));
 }
@@ -121,9 +128,9 @@
     const struct bb_setting table[] = {
         {.name = "host",
          .value_name = "NAME",
-         .help = "own name",
+         .help = "own name; -: the address for callers",
          .kind = BB_SETTING_TEXT,
-         .is_required = true,
+         .default_value = "-",
          .to.text = &s->host},
         {.name = "service",
          .value_name = "NAME",
@@ -188,6 +195,7 @@
     struct node n = {0};
     struct bb_error e = {0};
     struct bb_rpc_server *server;
+    char own_name[BB_ADDRESS_TEXT_BYTES];
     sigset_t signals;
     int signal_number = 0;
     int code = 1;
@@ -201,6 +209,9 @@
     (void)pthread_sigmask(SIG_BLOCK, &signals, NULL);
     bb_log_start("proxy-node", n.settings.host, false);
     (void)pthread_mutex_init(&n.lock, NULL);
+    if (strcmp(n.settings.host, "-") == 0) {
+        n.settings.host = bb_address_text(&n.settings.caller_listen, own_name);
+    }
     n.settings.zone = "z";
     n.settings.region = "r";
     n.settings.seed = n.seed;
