--- /dev/null
+++ b/bench/convergence.sh
@@ -0,0 +1,220 @@
+#!/usr/bin/env bash
+# Measures how long a changed file takes to be in force on every node, in
+# ordinary runs and after faults, and what control traffic costs.
+#
+#   bench/convergence.sh [NODES] [CHANGES] [FAULT...]
+#
+# Faults: leader (SIGKILL the leading control host), relay (SIGKILL a relay),
+# stop (SIGSTOP a control host), restart (kill and start all nodes). Prints
+# one JSON line for each measurement; exits with 1 if a node did not converge.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+NODES=${1:-32}
+CHANGES=${2:-20}
+shift $(($# < 2 ? $# : 2))
+FAULTS=("$@")
+REST_S=${REST_S:-20}
+MESH_NODE_BASE=${MESH_NODE_BASE:-26000}
+MESH_CONTROL_BASE=${MESH_CONTROL_BASE:-25900}
+. bench/mesh-lib.sh
+trap 'mesh_stop_all; [ -n "${KEEP:-}" ] || rm -rf "$MESH_DIR"' EXIT
+
+zones=(accra-1 accra-2 kumasi-1 kumasi-2)
+regions=(accra accra kumasi kumasi)
+CONTROL_ZONES=(accra-1 accra-2 kumasi-1)
+CONTROL_REGIONS=(accra accra kumasi)
+nodes=()
+for ((i = 0; i < NODES; i++)); do nodes+=("node-$i"); done
+folder="$MESH_DIR/control-0/folder"
+version=1
+
+start_node() {
+    mesh_start_node "$1" "${zones[$(($1 % 4))]}" "${regions[$(($1 % 4))]}"
+}
+
+# change: raises the version in the folder; sets changed_ms.
+change() {
+    version=$((version + 1))
+    sed "s/^version=.*/version=$version/" "$folder/00-configuration.conf" \
+        >"$folder/.new"
+    changed_ms=$(mesh_now_ms)
+    mv "$folder/.new" "$folder/00-configuration.conf"
+}
+
+# delays REVISION SINCE_MS: prints one delay in ms for each node that holds the
+# revision, the first that is at least as new. Log times are of the same day.
+delays() {
+    local day_ms=$(($2 % 86400000))
+    for name in "${nodes[@]}"; do
+        awk -v want="$1" -v since="$day_ms" '/configuration.in_force/ {
+            for (i = 1; i < NF; i++)
+                if ($i == "revision" && $(i + 1) + 0 >= want) {
+                    split(substr($1, 12, 12), t, ":")
+                    printf "%d\n", (t[1] * 3600 + t[2] * 60 + t[3]) * 1000 \
+                        - since
+                    exit } }' "$MESH_DIR/$name.log"
+    done
+}
+
+# wait_held REVISION LIMIT_S: waits until every node has logged it.
+wait_held() {
+    local deadline=$((SECONDS + $2))
+    until [ "$(delays "$1" 0 | wc -l)" = "$NODES" ]; do
+        [ $SECONDS -lt $deadline ] || return 1
+        sleep 0.2
+    done
+}
+
+# revision_now: the revision in force by a control host that answers.
+revision_now() {
+    local a line
+    for a in 0 1 2; do
+        line=$(MESH_ADMIN=$a timeout 2 "$MESH_BUILD/ctl/baobabctl" --admin \
+            "127.0.0.1:$((MESH_CONTROL_BASE + 10 * a + 2))" in-force \
+            2>/dev/null | head -n 1 || true)
+        case $line in
+        revision*) echo "$line" | sed 's/revision \([0-9]*\).*/\1/'; return ;;
+        esac
+    done
+    echo 0
+}
+
+summary() {
+    sort -n | awk -v name="$1" -v nodes="$NODES" '{ v[NR] = $1 }
+        END { printf "{\"measure\":\"%s\",\"nodes\":%d,\"samples\":%d," \
+            "\"p50_ms\":%d,\"p99_ms\":%d,\"max_ms\":%d}\n", name, nodes, NR, \
+            v[int((NR + 1) / 2)], v[int(NR * 0.99 + 0.5)], v[NR] }'
+}
+
+# cpu_ticks PID: user and system time in clock ticks.
+cpu_ticks() { awk '{ print $14 + $15 }' "/proc/$1/stat"; }
+rss_kb() { awk '/VmRSS/ { print $2 }' "/proc/$1/status"; }
+control_bytes() {
+    mesh_get "$1" /metrics |
+        awk '/^baobab_mesh_bytes_total/ { s += $2 } END { printf "%d\n", s }'
+}
+
+# costs LABEL SECONDS: CPU, memory and control bytes of every process.
+costs() {
+    local i pid sum=0 max=0 rss=0 t bytes=0 b max_b=0
+    local -a before after
+    for ((i = 0; i < NODES; i++)); do
+        before[i]=$(cpu_ticks "${MESH_PID_OF[node-$i]}")
+    done
+    local b0 b1 sample=$((NODES < 8 ? NODES : 8))
+    local -a bytes0
+    for ((i = 0; i < sample; i++)); do
+        bytes0[i]=$(control_bytes $((MESH_NODE_BASE + 10 * i + 4)))
+    done
+    local c0 c1
+    c0=$(cpu_ticks "${MESH_PID_OF[control-0]}")
+    sleep "$2"
+    for ((i = 0; i < NODES; i++)); do
+        t=$(($(cpu_ticks "${MESH_PID_OF[node-$i]}") - before[i]))
+        sum=$((sum + t))
+        [ $t -gt $max ] && max=$t
+        t=$(rss_kb "${MESH_PID_OF[node-$i]}")
+        [ "$t" -gt $rss ] && rss=$t
+    done
+    for ((i = 0; i < sample; i++)); do
+        b=$(($(control_bytes $((MESH_NODE_BASE + 10 * i + 4))) - bytes0[i]))
+        bytes=$((bytes + b))
+        [ $b -gt $max_b ] && max_b=$b
+    done
+    c1=$(cpu_ticks "${MESH_PID_OF[control-0]}")
+    awk -v l="$1" -v n="$NODES" -v s="$2" -v sum=$sum -v max=$max -v rss=$rss \
+        -v bytes=$bytes -v mb=$max_b -v sample=$sample -v c=$((c1 - c0)) \
+        -v hz="$(getconf CLK_TCK)" -v crss="$(rss_kb "${MESH_PID_OF[control-0]}")" \
+        'BEGIN { printf "{\"measure\":\"%s\",\"nodes\":%d,\"seconds\":%d," \
+        "\"node_core_percent_mean\":%.2f,\"node_core_percent_max\":%.2f," \
+        "\"node_rss_max_mb\":%.1f,\"node_bytes_per_s_mean\":%.0f," \
+        "\"node_bytes_per_s_max\":%.0f,\"control_core_percent\":%.2f," \
+        "\"control_rss_mb\":%.1f}\n", l, n, s, 100 * sum / hz / s / n, \
+        100 * max / hz / s, rss / 1024, bytes / s / sample, mb / s, \
+        100 * c / hz / s, crss / 1024 }'
+}
+
+for i in 0 1 2; do
+    mesh_put_folder "$i" examples/adinkra
+    mesh_start_control "$i"
+done
+for ((i = 0; i < NODES; i++)); do start_node "$i"; done
+start_ms=$(mesh_now_ms)
+wait_held 1 30 || mesh_fail "not every node got the first revision"
+sleep 2
+sleep "${SETTLE_S:-15}"
+costs rest "$REST_S"
+
+for ((c = 0; c < CHANGES; c++)); do
+    before=$(revision_now)
+    change
+    wait_held $((before + 1)) 10 || mesh_fail "change $c did not converge"
+    delays $((before + 1)) "$changed_ms" >>"$MESH_DIR/delays"
+done
+[ "$CHANGES" -gt 0 ] && summary change <"$MESH_DIR/delays"
+
+leader() {
+    local a
+    for a in 0 1 2; do
+        if MESH_ADMIN=$a mesh_ctl status 2>/dev/null |
+            grep -q "^leader control-$a,"; then
+            echo "$a"
+            return
+        fi
+    done
+}
+
+for fault in "${FAULTS[@]}"; do
+    before=$(revision_now)
+    case $fault in
+    leader)
+        victim=$(leader)
+        # The folder of control-0 must go on being watched.
+        if [ "$victim" = 0 ]; then
+            folder="$MESH_DIR/control-1/folder"
+            cp "$MESH_DIR"/control-0/folder/*.conf "$folder/"
+            sleep 1
+        fi
+        mesh_signal KILL "control-$victim"
+        ;;
+    relay) mesh_signal KILL node-0 ;;
+    stop)
+        victim=$(((${folder: -8:1} + 1) % 3))
+        mesh_signal STOP "control-$victim"
+        ;;
+    restart)
+        killed_ms=$(mesh_now_ms)
+        for name in "${nodes[@]}"; do mesh_signal KILL "$name"; done
+        # Their ports are free once the processes are gone.
+        for name in "${nodes[@]}"; do
+            wait "${MESH_PID_OF[$name]}" 2>/dev/null || true
+        done
+        for ((i = 0; i < NODES; i++)); do
+            : >"$MESH_DIR/node-$i.log"
+            start_node "$i"
+        done
+        ;;
+    esac
+    if [ "$fault" = restart ]; then
+        wait_held "$before" 15 || mesh_fail "nodes are not current again"
+        delays "$before" "$killed_ms" | summary restart-current
+    fi
+    if [ "$fault" = relay ]; then
+        saved=("${nodes[@]}")
+        nodes=("${nodes[@]:1}")
+        NODES=$((NODES - 1))
+    fi
+    change
+    wait_held $((before + 1)) 15 || mesh_fail "no convergence after $fault"
+    delays $((before + 1)) "$changed_ms" | summary "after-$fault"
+    case $fault in
+    leader) mesh_start_control "$victim"; sleep 3 ;;
+    stop) mesh_signal CONT "control-$victim"; sleep 2 ;;
+    relay)
+        nodes=("${saved[@]}")
+        NODES=$((NODES + 1))
+        start_node 0
+        wait_held $((before + 1)) 10 || mesh_fail "no return after $fault"
+        ;;
+    esac
+done
