mesh: tell restarted processes everything again; fix the RPC test

Cause: a control host that restarts has lost its memory, but peers went on from where their reports had stopped, and two control hosts that had both just restarted could call each other informed about held revisions. A revision that nobody can send was asked for up to ten times a second for ever. tests/mesh/test_mesh_rpc failed in 2 of 12 runs: the forked node had inherited the control host's listening socket and took its calls.

Change: the report cursor starts again with a new incarnation; only a comparison with an informed control host makes another one informed; pulls slow down up to eight times; with no control host live, all are asked; the test forks before it opens the server.

--- a/bench/members.c
+++ b/bench/members.c
@@ -185,9 +185,9 @@
                         json_integer((json_int_t)size_bytes));
     json_object_set_new(out, "record_bytes",
                         json_integer((json_int_t)(size_bytes / list.count)));
-    size_bytes = xdr_sizeof((xdrproc_t)xdr_mesh_zone_floor, &floor);
+    size_bytes = zones * xdr_sizeof((xdrproc_t)xdr_mesh_zone_floor, &floor);
     json_object_set_new(out, "zone_floors_bytes",
-                        json_integer((json_int_t)(size_bytes * zones)));
+                        json_integer((json_int_t)size_bytes));
     report.from = NULL;
     xdr_free((xdrproc_t)xdr_mesh_report, (char *)&report);
     bb_member_list_clear(&list);
@@ -200,9 +200,9 @@
 {
     struct bb_members *m = make_table(zones, per_zone);
     json_t *out = json_object();
+    uint32_t members = zones * per_zone;
 
-    json_object_set_new(out, "members",
-                        json_integer((json_int_t)zones * per_zone));
+    json_object_set_new(out, "members", json_integer(members));
     measure_merge(m, out);
     measure_queries(m, out);
     measure_sizes(m, out);
--- a/decide/relay.c
+++ b/decide/relay.c
@@ -21,6 +21,10 @@
     QUICK_ATTEMPTS = BB_PULL_SOURCES,
     QUICK_MIN_MS = 20,
     QUICK_MAX_MS = 100,
+    /* Later attempts slow down, up to eight times, so that a revision that
+     * nobody can send costs little. */
+    ATTEMPTS_PER_SLOWDOWN = 4 * BB_PULL_SOURCES,
+    SLOWDOWN_SHIFT_MAX = 3,
     RETRY_JITTER_MS = 100,
     /* Refused callers are never told to wait longer, so that a bound on the
      * return of all nodes does not depend on how many asked. */
@@ -166,16 +170,23 @@
 bb_puller_finish(struct bb_puller *p, bool is_refused, uint32_t retry_after_ms,
                  uint64_t now_us, uint64_t random_bits)
 {
+    uint32_t shift;
+
     p->is_pulling = false;
     if (is_refused) {
         p->due_us = now_us + (uint64_t)retry_after_ms * US_PER_MS;
         return;
     }
     p->attempt++;
-    p->due_us =
-        now_us + (p->attempt < QUICK_ATTEMPTS
-                      ? jitter_us(QUICK_MIN_MS, QUICK_MAX_MS, random_bits)
-                      : jitter_us(JITTER_MIN_MS, JITTER_MAX_MS, random_bits));
+    if (p->attempt < QUICK_ATTEMPTS) {
+        p->due_us =
+            now_us + jitter_us(QUICK_MIN_MS, QUICK_MAX_MS, random_bits);
+        return;
+    }
+    shift = p->attempt / ATTEMPTS_PER_SLOWDOWN;
+    shift = shift < SLOWDOWN_SHIFT_MAX ? shift : SLOWDOWN_SHIFT_MAX;
+    p->due_us = now_us + (jitter_us(JITTER_MIN_MS, JITTER_MAX_MS, random_bits)
+                          << shift);
 }
 
 /* Prepares a full bucket. */
--- a/mesh/exchange.c
+++ b/mesh/exchange.c
@@ -54,6 +54,7 @@
        struct bb_members_query *q, uint64_t first, uint64_t now_us)
 {
     struct task task = {.kind = TASK_REPORT, .to = *to};
+    struct bb_member r;
     struct peer *peer;
 
     (void)pthread_mutex_lock(&mesh->lock);
@@ -65,6 +66,12 @@
     if (peer->is_reporting || now_us < peer->next_report_us) {
         goto out;
     }
+    if (bb_members_get(mesh->members, to->host, &r) &&
+        r.incarnation != peer->told_incarnation) {
+        /* It has restarted and knows nothing of earlier reports. */
+        peer->cursor = peer->told_incarnation == 0 ? peer->cursor : first;
+        peer->told_incarnation = r.incarnation;
+    }
     peer->next_report_us = now_us + MESH_REPORT_MS * BB_US_PER_MS;
     q->since = peer->cursor;
     task.cursor = bb_members_select(mesh->members, q, &task.records);
@@ -302,8 +309,8 @@
         now_us +
         (JOIN_RETRY_MS + bb_random_below(mesh->random, JOIN_JITTER_MS)) *
             BB_US_PER_MS;
-    count = mesh_live_controls(mesh, mesh->join_round % 2 == 0 ? region : NULL,
-                               controls);
+    count = mesh_controls_to_ask(
+        mesh, mesh->join_round % 2 == 0 ? region : NULL, controls);
     if (count > 0) {
         const struct target *to =
             &controls[(own + mesh->join_round / 2) % count];
--- a/mesh/mesh.c
+++ b/mesh/mesh.c
@@ -290,7 +290,7 @@
     const struct bb_member *self = &mesh->settings.self;
     const struct bb_members_query q = {.zone = self->zone};
     struct target controls[BB_CONTROL_HOSTS_MAX];
-    size_t count = mesh_live_controls(mesh, NULL, controls);
+    size_t count = mesh_controls_to_ask(mesh, NULL, controls);
     struct bb_member_list peers;
 
     for (size_t i = 0; i < count; i++) {
--- a/mesh/mesh.x
+++ b/mesh/mesh.x
@@ -160,6 +160,7 @@
 /* The zones that differ; with the records of the buckets that differ if the
  * question had buckets. */
 struct mesh_sync_answer {
+    bool is_informed;
     unsigned hyper highest_revision;
     mesh_zone_digest zones<MESH_ZONES_MAX>;
     mesh_held held<MESH_HELD_MAX>;
--- a/mesh/mesh_internal.h
+++ b/mesh/mesh_internal.h
@@ -65,6 +65,7 @@
 struct peer {
     bool has_cursor;
     uint64_t cursor; /* version of the table up to which it was told */
+    uint64_t told_incarnation;
     bool is_reporting;
     uint64_t next_report_us;
     bool is_offering;
@@ -124,7 +125,7 @@
     uint32_t joins_pending;
     bool is_floor_known;
     uint64_t floor_revision;
-    bool has_synced; /* with another control host */
+    bool has_synced; /* with a control host that was informed */
 
     /* The scheduler's own. */
     struct view view;
@@ -167,6 +168,8 @@
                       struct bb_member out[BB_RELAYS_PER_ZONE]);
 size_t mesh_live_controls(struct bb_mesh *mesh, const char *region,
                           struct target *out);
+size_t mesh_controls_to_ask(struct bb_mesh *mesh, const char *region,
+                            struct target *out);
 bool mesh_control_for_zone(struct bb_mesh *mesh, const char *zone,
                            const char *region, struct target *out);
 bool mesh_receiver_of_region(struct bb_mesh *mesh, const char *region,
@@ -201,6 +204,7 @@
 /* sync.c */
 void mesh_schedule_sync(struct bb_mesh *mesh, uint64_t now_us);
 void mesh_run_sync(struct bb_mesh *mesh, struct task *task);
+bool mesh_is_informed(struct bb_mesh *mesh);
 void mesh_answer_sync(struct bb_mesh *mesh, const mesh_sync *question,
                       mesh_sync_answer *answer);
 
--- a/mesh/pull.c
+++ b/mesh/pull.c
@@ -81,7 +81,7 @@
     const char *region = mesh->settings.self.region;
     struct target all[BB_CONTROL_HOSTS_MAX];
     struct target sorted[BB_CONTROL_HOSTS_MAX];
-    size_t all_count = mesh_live_controls(mesh, NULL, all);
+    size_t all_count = mesh_controls_to_ask(mesh, NULL, all);
     size_t near_count = 0;
     size_t far_count = 0;
     uint32_t round = attempt / BB_PULL_SOURCES;
--- a/mesh/serve.c
+++ b/mesh/serve.c
@@ -127,10 +127,24 @@
     answer->highest_revision = bb_gossip_highest(mesh->gossip);
 }
 
+/* Tells whether this is a control host that knows what each host held: it has
+ * compared with one that knew, or has run long enough to be told. */
+bool
+mesh_is_informed(struct bb_mesh *mesh)
+{
+    bool is_informed;
+
+    (void)pthread_mutex_lock(&mesh->lock);
+    is_informed = mesh->is_control &&
+                  (mesh->has_synced ||
+                   bb_clock_now_us() - mesh->created_us >= INFORMED_AFTER_US);
+    (void)pthread_mutex_unlock(&mesh->lock);
+    return is_informed;
+}
+
 /* JOIN: tells a process what it has to know: the revision it held, and the
  * members. Whether the answer can be relied on for the former: a zone peer
- * must have known the host before; a control host must have compared with
- * another one, or have run for a while. */
+ * must have known the host before; a control host must be informed. */
 static void
 handle_join(struct bb_mesh *mesh, const mesh_join *question,
             mesh_join_answer *answer)
@@ -143,12 +157,7 @@
     answer->remembered_revision =
         bb_members_held(mesh->members, question->record.host, &is_known);
     answer->highest_revision = bb_gossip_highest(mesh->gossip);
-    (void)pthread_mutex_lock(&mesh->lock);
-    answer->is_informed =
-        is_known ||
-        (mesh->is_control &&
-         (mesh->has_synced || now_us - mesh->created_us >= INFORMED_AFTER_US));
-    (void)pthread_mutex_unlock(&mesh->lock);
+    answer->is_informed = is_known || mesh_is_informed(mesh);
     (void)bb_members_select(mesh->members, &(struct bb_members_query){0},
                             &list);
     answer->records.records_val = bb_wire_records(&list);
--- a/mesh/sync.c
+++ b/mesh/sync.c
@@ -229,6 +229,7 @@
     bool has_buckets = question->zones.zones_len > 0 &&
                        question->zones.zones_val[0].buckets.buckets_len > 0;
 
+    answer->is_informed = mesh_is_informed(mesh);
     answer->highest_revision = bb_gossip_highest(mesh->gossip);
     answer->zones.zones_val = calloc(MESH_ZONES_MAX, sizeof(mesh_zone_digest));
     for (u_int i = 0; i < question->zones.zones_len; i++) {
@@ -369,7 +370,7 @@
     }
     (void)pthread_mutex_lock(&mesh->lock);
     mesh_peer(mesh, task->to.host)->is_syncing = false;
-    mesh->has_synced |= is_done && mesh->is_control;
+    mesh->has_synced |= is_done && first.is_informed && compare_held;
     (void)pthread_mutex_unlock(&mesh->lock);
     xdr_free((xdrproc_t)xdr_mesh_sync_answer, (char *)&first);
     xdr_free((xdrproc_t)xdr_mesh_sync_answer, (char *)&second);
--- a/mesh/view.c
+++ b/mesh/view.c
@@ -64,11 +64,10 @@
     return r.state <= BB_MEMBER_SUSPECT && r.is_reachable;
 }
 
-/* Lists the live control hosts of a region, or of all if NULL; returns their
- * number, at most BB_CONTROL_HOSTS_MAX. */
-size_t
-mesh_live_controls(struct bb_mesh *mesh, const char *region,
-                   struct target *out)
+/* Lists the control hosts of a region, or of all if NULL. */
+static size_t
+list_controls(struct bb_mesh *mesh, const char *region, bool only_live,
+              struct target *out)
 {
     const struct bb_control_list *list = &mesh->settings.controls;
     size_t count = 0;
@@ -77,7 +76,7 @@
         const struct bb_control_host *c = &list->items[i];
 
         if ((region != NULL && strcmp(region, c->region) != 0) ||
-            !is_control_live(mesh, c)) {
+            (only_live && !is_control_live(mesh, c))) {
             continue;
         }
         out[count] = (struct target){.rpc = c->rpc};
@@ -89,6 +88,26 @@
     return count;
 }
 
+/* Lists the live control hosts of a region, or of all if NULL; returns their
+ * number, at most BB_CONTROL_HOSTS_MAX. */
+size_t
+mesh_live_controls(struct bb_mesh *mesh, const char *region,
+                   struct target *out)
+{
+    return list_controls(mesh, region, true, out);
+}
+
+/* Lists the control hosts that are worth a question: the live ones, or all if
+ * none is, since the table may be out of date. */
+size_t
+mesh_controls_to_ask(struct bb_mesh *mesh, const char *region,
+                     struct target *out)
+{
+    size_t count = list_controls(mesh, region, true, out);
+
+    return count > 0 ? count : list_controls(mesh, region, false, out);
+}
+
 /* Stores the ids of targets. */
 static void
 target_ids(const struct target *targets, size_t count, uint64_t *ids)
--- a/tests/mesh/test_mesh_rpc.c
+++ b/tests/mesh/test_mesh_rpc.c
@@ -40,14 +40,21 @@
     return f->mesh;
 }
 
-/* The node's process: runs until it is ended. */
+/* The node's process: learns the control host's port and runs until it is
+ * ended. */
 static void
-run_node(void)
+run_node(int port_fd)
 {
     const struct bb_address any = {.ip = "127.0.0.1"};
     struct bb_error e = {0};
     struct bb_rpc_server *server = bb_rpc_server_create(&any, &e);
 
+    uint16_t port = 0;
+
+    if (read(port_fd, &port, sizeof(port)) != sizeof(port)) {
+        _exit(EXIT_FAILURE);
+    }
+    fake_controls.items[0].rpc.port = port;
     (void)start_process(NODE, server);
     bb_clock_sleep_us(60ULL * BB_US_PER_S);
     _exit(EXIT_SUCCESS);
@@ -73,18 +80,25 @@
 {
     const struct bb_address any = {.ip = "127.0.0.1"};
     struct bb_error e = {0};
-    struct bb_rpc_server *server = bb_rpc_server_create(&any, &e);
+    struct bb_rpc_server *server;
     struct bb_mesh *mesh;
+    uint16_t port;
+    int port_fds[2];
     pid_t node;
 
-    CU_ASSERT_PTR_NOT_NULL_FATAL(server);
     fake_add_control(0, "a1", "a");
-    fake_controls.items[0].rpc.port = bb_rpc_server_port(server);
-    /* Before any thread is started here. */
+    CU_ASSERT_EQUAL_FATAL(pipe(port_fds), 0);
+    /* Before any thread or RPC server of this process: the child would accept
+     * calls on an inherited listening socket. */
     node = fork();
     if (node == 0) {
-        run_node();
+        run_node(port_fds[0]);
     }
+    server = bb_rpc_server_create(&any, &e);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(server);
+    port = bb_rpc_server_port(server);
+    fake_controls.items[0].rpc.port = port;
+    CU_ASSERT_EQUAL(write(port_fds[1], &port, sizeof(port)), sizeof(port));
     mesh = start_process(0, server);
     for (uint64_t revision = 1; revision <= 3; revision++) {
         uint64_t end_us = bb_clock_now_us() + LIMIT_MS * BB_US_PER_MS;
@@ -95,6 +109,8 @@
         }
         CU_ASSERT_TRUE(is_in_force(mesh, revision));
     }
+    (void)close(port_fds[0]);
+    (void)close(port_fds[1]);
     (void)kill(node, SIGKILL);
     (void)waitpid(node, NULL, 0);
     bb_mesh_stop(mesh, false);
