--- a/include/proxy/gatekeeper.h
+++ b/include/proxy/gatekeeper.h
@@ -51,6 +51,7 @@
     uint32_t record_entries; /* a power of two */
     uint32_t retention_s;
     uint64_t stored_max_bytes; /* of all kept answers together */
+    bool ignores_slots;        /* limits by connections alone */
     bb_upstream_changed changed;
     void *changed_context;
 };
--- a/include/proxy/picker.h
+++ b/include/proxy/picker.h
@@ -75,7 +75,7 @@
 
 struct bb_picker;
 
-struct bb_picker *bb_picker_create(void);
+struct bb_picker *bb_picker_create(const char *policy);
 void bb_picker_destroy(struct bb_picker *p);
 void bb_picker_configure(struct bb_picker *p, const struct bb_pick_limits *l);
 int32_t bb_picker_pick(struct bb_picker *p, const struct bb_pick_question *q,
--- a/include/proxy/proxy.h
+++ b/include/proxy/proxy.h
@@ -35,6 +35,8 @@
     uint32_t silent_check_ms;    /* [1000] */
     uint32_t record_entries;     /* [131072], a power of two */
     uint32_t retention_s;        /* [600] until a configuration says more */
+    const char *routing_policy;  /* NULL: least_wait */
+    bool ignores_slots;          /* measurements only: no exact limits */
     bool restarted_without_data; /* this host may have granted claims */
     bb_upstream_changed upstream_changed;
     void *context;
--- a/node/main.c
+++ b/node/main.c
@@ -76,6 +76,8 @@
         .incarnation = incarnation,
         .seed = s->seed,
         .workers = {.base = (uint32_t)s->workers},
+        .routing_policy = s->routing_policy,
+        .ignores_slots = s->ignores_slots,
         .rpc = n->rpc_pool,
         .upstream_changed = publish_upstream,
         .context = n,
--- a/node/node_settings.c
+++ b/node/node_settings.c
@@ -1,12 +1,15 @@
 #include "node_settings.h"
 
+#include "common/registry.h"
+
 enum {
     WORKERS_MIN = 4,
     WORKERS_MAX = 1024,
     SHUTDOWN_MAX_MS = 10 * 60 * 1000,
     FOLDER_MAX_BYTES = 4000,
     TOKEN_MAX_BYTES = 256,
-    LIST_MAX_BYTES = 4096
+    LIST_MAX_BYTES = 4096,
+    ERROR_POLICY = 1
 };
 
 /* Fills the settings from flags, environment and defaults and checks them. */
@@ -52,6 +55,11 @@
         {"seed", "NUMBER", "random seed; 0 takes one from the system",
          BB_SETTING_NUMBER, false, "0", 0, UINT64_MAX,
          .to.number = &out->seed},
+        {"routing-policy", "NAME", "least_wait or round_robin",
+         BB_SETTING_TEXT, false, "least_wait", 1, BB_NAME_BYTES - 1,
+         .to.text = &out->routing_policy},
+        {"ignore-slots", NULL, "measurements only: no limit by slots",
+         BB_SETTING_FLAG, .to.flag = &out->ignores_slots},
         {"log-json", NULL, "write log lines as JSON", BB_SETTING_FLAG,
          .to.flag = &out->log_json},
     };
@@ -63,5 +71,14 @@
         !bb_control_list_parse(out->control_text, &out->controls, e)) {
         result = BB_SETTINGS_INVALID;
     }
+    if (result == BB_SETTINGS_RUN &&
+        bb_registry_find(BB_PLUGIN_ROUTING_POLICY, out->routing_policy) ==
+            NULL) {
+        bb_error_set(e, ERROR_POLICY,
+                     "setting routing-policy: value '%s' is not allowed; use "
+                     "least_wait or round_robin",
+                     out->routing_policy);
+        result = BB_SETTINGS_INVALID;
+    }
     return result;
 }
--- a/node/node_settings.h
+++ b/node/node_settings.h
@@ -20,6 +20,8 @@
     const char *data_folder; /* NULL: nothing is kept */
     uint64_t workers;
     uint64_t shutdown_ms;
+    const char *routing_policy;
+    bool ignores_slots;
     uint64_t seed;
     bool log_json;
 };
--- a/proxy/gatekeeper.c
+++ b/proxy/gatekeeper.c
@@ -95,7 +95,9 @@
 {
     uint64_t now_us = bb_clock_now_us();
 
-    g->limits.slots = MIN(g->upstream.slots, (uint32_t)BB_ADMISSION_SLOTS_MAX);
+    g->limits.slots = MIN(g->settings.ignores_slots ? g->upstream.connections
+                                                    : g->upstream.slots,
+                          (uint32_t)BB_ADMISSION_SLOTS_MAX);
     g->limits.connections = g->upstream.connections;
     bb_admission_configure(&g->admission, &g->limits, now_us);
     bb_admission_set_state(&g->admission,
--- a/proxy/picker.c
+++ b/proxy/picker.c
@@ -47,16 +47,16 @@
     g_free(s);
 }
 
-/* Creates a picker with the default policy and shares. */
+/* Creates a picker with a registered routing policy and default shares. */
 struct bb_picker *
-bb_picker_create(void)
+bb_picker_create(const char *policy)
 {
     struct bb_picker *p = g_new0(struct bb_picker, 1);
 
     (void)pthread_mutex_init(&p->lock, NULL);
     p->services = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
                                         destroy_service);
-    p->policy = bb_registry_find(BB_PLUGIN_ROUTING_POLICY, "least_wait");
+    p->policy = bb_registry_find(BB_PLUGIN_ROUTING_POLICY, policy);
     p->ejection_percent = DEFAULT_EJECTION_PERCENT;
     bb_retry_budget_configure(&p->retries, DEFAULT_RETRY_PERCENT);
     bb_retry_budget_configure(&p->hedges, DEFAULT_HEDGE_PERCENT);
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -230,6 +230,7 @@
         .record_entries = p->settings.record_entries,
         .retention_s = p->settings.retention_s,
         .stored_max_bytes = STORED_MAX_BYTES,
+        .ignores_slots = s->ignores_slots,
         .changed = s->upstream_changed,
         .changed_context = s->context,
     };
@@ -239,7 +240,8 @@
     p->table = bb_table_holder_create();
     p->workers = bb_workers_create(&p->settings.workers);
     p->client = bb_http_client_create(p->workers);
-    p->picker = bb_picker_create();
+    p->picker = bb_picker_create(s->routing_policy != NULL ? s->routing_policy
+                                                           : "least_wait");
     p->claims =
         bb_claims_create(bb_host_key(p->host), p->settings.record_entries,
                          p->settings.retention_s, s->restarted_without_data);
