--- a/tests/decide/agree_model.c
+++ b/tests/decide/agree_model.c
@@ -1,5 +1,7 @@
 #include "agree_model.h"
 
+#include "agree_internal.h"
+
 #include <glib.h>
 #include <stddef.h>
 #include <stdio.h>
@@ -397,13 +399,28 @@
     feed(s, a.host, e);
 }
 
-/* Tells whether one more disk may be lost: none was lost yet, or all disks
- * know that they are admitted. Losing a majority loses data by design. */
+/* Tells whether any host knows that a host's present disk is admitted. */
+static bool
+is_admitted(const struct model_state *s, uint32_t host)
+{
+    for (uint32_t h = 0; h < MODEL_HOSTS; h++) {
+        uint64_t members[BB_AGREE_HOSTS_MAX];
+
+        agree_members(&s->hosts[h], s->hosts[h].d.commit, members);
+        if (members[host] == s->hosts[host].d.incarnation) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Tells whether one more disk may be lost: none was lost yet, or the last
+ * replacement is complete. Losing a majority loses data by design. */
 static bool
 is_whole(const struct model_state *s)
 {
     for (uint32_t h = 0; h < MODEL_HOSTS; h++) {
-        if (!bb_agree_is_voter(&s->hosts[h])) {
+        if (!is_admitted(s, h)) {
             return s->disk_number == MODEL_HOSTS;
         }
     }
