Count a revision as in force once it is applied

Change: the configuration in force is kept as of the applied index; arguments of a request that does not decode are freed.

--- a/control/replicate_rpc.c
+++ b/control/replicate_rpc.c
@@ -246,6 +246,7 @@
     if (!svc_getargs(transport, p.argument_codec, (char *)&argument)) {
         bb_counter_add(&dropped_total, 1);
         svcerr_decode(transport);
+        (void)svc_freeargs(transport, p.argument_codec, (char *)&argument);
         return;
     }
     (void)bb_replicate_handle(registered, request->rq_proc, &argument,
--- a/decide/agree.c
+++ b/decide/agree.c
@@ -24,6 +24,7 @@
     a->nonce = random;
     a->d = *d;
     a->applied = a->d.commit;
+    a->in_force = agree_config_before(a, a->applied);
     agree_reset_election(&st);
 }
 
--- a/decide/agree_log.c
+++ b/decide/agree_log.c
@@ -221,13 +221,15 @@
         st->out->apply_last = a->d.commit;
         a->applied = a->d.commit;
     }
+    a->in_force = agree_config_before(a, a->applied);
 }
 
-/* Returns the configuration in force: the last committed and applied one. */
+/* Returns the configuration in force: the last one committed and applied. A
+ * snapshot that was taken but is not synced yet does not count. */
 struct bb_agree_config
 bb_agree_in_force(const struct bb_agree *a)
 {
-    return agree_config_before(a, a->applied);
+    return a->in_force;
 }
 
 /* Returns the last committed configuration, which a host may not have applied
--- a/include/decide/agree.h
+++ b/include/decide/agree.h
@@ -237,6 +237,7 @@
     uint64_t write_sequence;
     uint64_t synced_sequence;
     uint64_t applied;
+    struct bb_agree_config in_force; /* as of applied */
     uint64_t append_match;
     uint64_t append_round;
     uint64_t round;
