Carry payloads above 240 KiB in RPC results

Cause: three processes on loopback accepted no payload of 200 kB or more. libtirpc's non-blocking server loses arguments of several fragments; its client's buffer, and with it a fragment, was 64 KiB and is at most 256 KiB. A scratch client showed arguments of 300 kB refused, results of 1 MB received. Change: the RPC client uses a buffer of 256 KiB for arguments above 8 KiB and refuses larger ones by name; the leader fetches a large payload from the host that proposes it.

--- a/control/agree.x
+++ b/control/agree.x
@@ -7,7 +7,8 @@
 const AGREE_DIGEST_BYTES = 32;
 /* An RPC record of 1 MiB less 16 KiB for everything around the payload. */
 const AGREE_PAYLOAD_MAX = 1032192;
-const AGREE_MEMBERS_MAX = 1032192;
+const AGREE_INLINE_MAX = 245760; /* 240 KiB, of 252 for an argument */
+const AGREE_MEMBERS_MAX = 245760;
 
 typedef opaque agree_digest[AGREE_DIGEST_BYTES];
 
@@ -88,7 +89,7 @@
     agree_message message;
     agree_digest in_force;
     unsigned int holder;
-    opaque payload<AGREE_PAYLOAD_MAX>;
+    opaque payload<AGREE_INLINE_MAX>;
 };
 
 struct agree_ack {
@@ -111,7 +112,7 @@
     unsigned hyper base;
     unsigned hyper version_label;
     agree_digest digest;
-    opaque payload<AGREE_PAYLOAD_MAX>;
+    opaque payload<AGREE_INLINE_MAX>; /* empty: fetch it from the origin */
 };
 
 struct agree_proposal_answer {
--- a/control/replicate.c
+++ b/control/replicate.c
@@ -187,8 +187,14 @@
     request->base = p->base;
     request->version_label = p->version;
     memcpy(request->digest, p->digest.bytes, BB_DIGEST_BYTES);
-    request->payload.payload_val = (char *)payload;
-    request->payload.payload_len = (u_int)size_bytes;
+    if (size_bytes <= BB_REPLICATE_INLINE_MAX_BYTES) {
+        request->payload.payload_val = (char *)payload;
+        request->payload.payload_len = (u_int)size_bytes;
+    }
+    else if (!bb_store_put_payload(r->store, &p->digest, payload, size_bytes,
+                                   NULL)) {
+        return false;
+    }
     if (leader == r->self) {
         return bb_replicate_handle(r, AGREE_PROPOSE, &argument, &ack) &&
                ack.is_taken;
@@ -284,7 +290,7 @@
     struct replicate_waiter **at;
     bool is_done = false;
 
-    if (size_bytes > BB_REPLICATE_PAYLOAD_MAX_BYTES ||
+    if (size_bytes == 0 || size_bytes > BB_REPLICATE_PAYLOAD_MAX_BYTES ||
         !bb_digest_equal(&found, digest)) {
         result.outcome = BB_REPLICATE_BAD_PAYLOAD;
         return result;
--- a/control/replicate_engine.c
+++ b/control/replicate_engine.c
@@ -208,32 +208,56 @@
     hold(r, job);
 }
 
+/* Stores the payload that came with a proposal. One that did not is fetched
+ * from its origin, and the job is then taken again. */
+static bool
+store_proposal(struct bb_replicate *r, const struct replicate_job *job,
+               bool *must_fetch)
+{
+    bool is_stored;
+
+    *must_fetch = false;
+    if (r->core.role != BB_AGREE_LEADER) {
+        return true; /* refused by the core */
+    }
+    if (job->payload_bytes == 0) {
+        *must_fetch = !bb_store_has_payload(r->store, &job->proposal.digest);
+        return !*must_fetch;
+    }
+    is_stored = bb_store_put_payload(r->store, &job->proposal.digest,
+                                     job->payload, job->payload_bytes, NULL);
+    check_store(r);
+    return is_stored;
+}
+
 /* Takes a proposal: its payload is stored before the core sees it. */
 static void
 take_proposal(struct bb_replicate *r, struct replicate_job *job)
 {
     struct bb_agree_event e = {.kind = BB_AGREE_EVENT_PROPOSAL,
                                .with.proposal = job->proposal};
-    uint64_t ticket = ++r->next_route;
-    bool is_stored = true;
+    struct replicate_route *route;
+    bool must_fetch;
+    bool is_stored = store_proposal(r, job, &must_fetch);
 
-    r->routes[ticket % REPLICATE_ROUTES_MAX] =
-        (struct replicate_route){.ticket = ticket,
-                                 .origin_ticket = job->proposal.ticket,
-                                 .origin = job->origin};
-    e.with.proposal.ticket = ticket;
-    if (r->core.role == BB_AGREE_LEADER) {
-        is_stored =
-            bb_store_put_payload(r->store, &job->proposal.digest, job->payload,
-                                 job->payload_bytes, NULL);
-        check_store(r);
+    if (must_fetch) {
+        job->missing = job->proposal.digest;
+        job->holder = job->origin;
+        job->message.from = job->origin;
+        hold(r, job);
+        return;
     }
+    e.with.proposal.ticket = ++r->next_route;
+    route = &r->routes[r->next_route % REPLICATE_ROUTES_MAX];
+    *route = (struct replicate_route){.ticket = r->next_route,
+                                      .origin_ticket = job->proposal.ticket,
+                                      .origin = job->origin};
     if (is_stored) {
         feed(r, e);
     }
     else {
         replicate_answer(
-            r, &(struct bb_agree_answer){.ticket = ticket,
+            r, &(struct bb_agree_answer){.ticket = r->next_route,
                                          .result = BB_AGREE_NOT_LEADER});
     }
     replicate_free_job(job);
--- a/control/replicate_output.c
+++ b/control/replicate_output.c
@@ -115,6 +115,9 @@
         return;
     }
     data = bb_store_get_payload(r->store, &last->digest, &size, NULL);
+    if (size > BB_REPLICATE_INLINE_MAX_BYTES) {
+        g_clear_pointer(&data, g_free); /* the receiver fetches it */
+    }
     if (data != NULL) {
         envelope->payload.payload_val = data;
         envelope->payload.payload_len = (u_int)size;
--- a/include/control/replicate.h
+++ b/include/control/replicate.h
@@ -17,6 +17,8 @@
 
 enum {
     BB_REPLICATE_PAYLOAD_MAX_BYTES = 1032192, /* 1 MiB less 16 KiB */
+    /* Larger payloads are fetched: an RPC argument holds 252 KiB. */
+    BB_REPLICATE_INLINE_MAX_BYTES = 240 * 1024,
     BB_REPLICATE_WHY_BYTES = 256
 };
 
--- a/mesh/rpc_client.c
+++ b/mesh/rpc_client.c
@@ -13,7 +13,19 @@
 #include "common/counters.h"
 #include "mesh/rpc.h"
 
-enum { IDLE_CONNECTIONS_MAX = 4, KEY_BYTES = 128, MS_PER_S = 1000 };
+enum {
+    IDLE_CONNECTIONS_MAX = 4,
+    KEY_BYTES = 128,
+    MS_PER_S = 1000,
+    /* libtirpc's non-blocking server loses arguments of several fragments. Its
+     * client writes a fragment whenever its buffer is full, and the buffer is
+     * at most 256 KiB. Larger data travels in results. 4 KiB are left for the
+     * header of the call. */
+    SMALL_ARGUMENT_BYTES = 8 * 1024,
+    SMALL_BUFFER_BYTES = SMALL_ARGUMENT_BYTES + 4096,
+    LARGE_BUFFER_BYTES = 256 * 1024,
+    ARGUMENT_MAX_BYTES = LARGE_BUFFER_BYTES - 4096
+};
 
 BB_COUNTER(calls_total, "baobab_rpc_calls_total", "RPC calls made");
 BB_COUNTER(failures_total, "baobab_rpc_failures_total", "RPC calls failed");
@@ -123,7 +135,7 @@
 /* Opens a client connection for the program of the call. */
 static CLIENT *
 open_client(const struct bb_address *to, const struct bb_rpc_call *call,
-            struct bb_error *e)
+            bool is_large, struct bb_error *e)
 {
     struct sockaddr_storage address;
     socklen_t length;
@@ -140,7 +152,9 @@
     peer.buf = &address;
     peer.len = length;
     peer.maxlen = sizeof(address);
-    client = clnt_vc_create(fd, &peer, call->program, call->version, 0, 0);
+    client = clnt_vc_create(fd, &peer, call->program, call->version,
+                            is_large ? LARGE_BUFFER_BYTES : SMALL_BUFFER_BYTES,
+                            SMALL_BUFFER_BYTES);
     if (client == NULL) {
         (void)close(fd);
         bb_error_set(e, BB_RPC_ERROR_CONNECT, "cannot use connection to %s",
@@ -226,10 +240,20 @@
     char key[KEY_BYTES];
     enum clnt_stat status = RPC_CANTSEND;
     CLIENT *client = NULL;
+    unsigned long size = xdr_sizeof(call->argument_codec, call->argument);
+    bool is_large = size > SMALL_ARGUMENT_BYTES;
 
-    (void)g_snprintf(key, sizeof(key), "%s/%x/%x", bb_address_text(to, text),
-                     call->program, call->version);
+    (void)g_snprintf(key, sizeof(key), "%s/%x/%x/%d",
+                     bb_address_text(to, text), call->program, call->version,
+                     is_large);
     bb_counter_add(&calls_total, 1);
+    if (size > ARGUMENT_MAX_BYTES) {
+        bb_counter_add(&failures_total, 1);
+        return bb_error_set(
+            e, BB_RPC_ERROR_CALL,
+            "an argument of %lu bytes is above the limit of %d", size,
+            ARGUMENT_MAX_BYTES);
+    }
     if (!call->use_new_connection) {
         client = take_idle(p, key);
     }
@@ -241,7 +265,7 @@
         }
     }
     if (client == NULL) {
-        client = open_client(to, call, e);
+        client = open_client(to, call, is_large, e);
         if (client == NULL) {
             bb_counter_add(&failures_total, 1);
             return false;
--- a/tests/control/test_replicate.c
+++ b/tests/control/test_replicate.c
@@ -278,6 +278,24 @@
     CU_ASSERT_EQUAL(result.revision, revision);
 }
 
+/* Guards against payloads above the size of an RPC argument that do not reach
+ * the leader or the other hosts. */
+static void
+test_largest_payload(void)
+{
+    start(3, 2);
+    for (uint32_t i = 0; i < 3; i++) {
+        expect(propose(i, i, 0, i + 1, BB_REPLICATE_PAYLOAD_MAX_BYTES,
+                       PROPOSE_MS),
+               BB_REPLICATE_ACCEPTED, i + 1);
+    }
+    CU_ASSERT_TRUE(wait_revision(3));
+    expect(propose(0, 3, 0, 4, BB_REPLICATE_PAYLOAD_MAX_BYTES + 1, 100),
+           BB_REPLICATE_BAD_PAYLOAD, 0);
+    stop();
+    crossing_bytes = 0;
+}
+
 /* Guards against proposals that only the leader takes, and against refusals
  * that differ between hosts. */
 static void
@@ -519,6 +537,14 @@
                             (xdrproc_t)xdr_agree_fetch, &fetch,
                             (xdrproc_t)xdr_agree_fetched, &fetched));
     CU_ASSERT_FALSE(fetched.is_found);
+    envelope.message.kind = BB_AGREE_VOTE; /* of no group of hosts */
+    envelope.payload.payload_val = g_malloc0(AGREE_INLINE_MAX);
+    envelope.payload.payload_len = AGREE_INLINE_MAX;
+    CU_ASSERT_TRUE(call_rpc(pool, &address, AGREE_APPEND,
+                            (xdrproc_t)xdr_agree_envelope, &envelope,
+                            (xdrproc_t)xdr_agree_ack, &ack));
+    CU_ASSERT_FALSE(ack.is_taken);
+    g_free(envelope.payload.payload_val);
     CU_ASSERT_FALSE(call_rpc(pool, &address, 99, (xdrproc_t)xdr_agree_fetch,
                              &fetch, (xdrproc_t)xdr_agree_ack, &ack));
     CU_ASSERT_FALSE(call_rpc(pool, &address, AGREE_PROPOSE,
@@ -537,6 +563,7 @@
     {"restart after many changes", test_restart_after_many_changes},
     {"replaced disk", test_replaced_disk},
     {"full disk", test_full_disk},
+    {"largest payload", test_largest_payload},
     {"RPC requests", test_rpc_requests},
 };
 
