Send one copy of a proposal's payload between regions

Cause: a payload proposed in the other region came back over the paid link, inline or by a fetch. Change: the proposing host stores its payload, and the leader names it as the holder to the hosts of its region. Conclusion: test_one_copy_between_regions counts one copy for a proposal from either region.

--- a/control/replicate.c
+++ b/control/replicate.c
@@ -152,6 +152,7 @@
     if (r == NULL) {
         return;
     }
+    replicate_unregister(r);
     atomic_store(&r->is_stopping, true);
     if (r->is_engine_started) {
         job = g_new0(struct replicate_job, 1);
@@ -191,8 +192,9 @@
         request->payload.payload_val = (char *)payload;
         request->payload.payload_len = (u_int)size_bytes;
     }
-    else if (!bb_store_put_payload(r->store, &p->digest, payload, size_bytes,
-                                   NULL)) {
+    /* The leader, or hosts of this region, may fetch it from here. */
+    if (!bb_store_put_payload(r->store, &p->digest, payload, size_bytes,
+                              NULL)) {
         return false;
     }
     if (leader == r->self) {
--- a/control/replicate_engine.c
+++ b/control/replicate_engine.c
@@ -253,6 +253,9 @@
                                       .origin_ticket = job->proposal.ticket,
                                       .origin = job->origin};
     if (is_stored) {
+        r->origins[r->origin_next++ % REPLICATE_ORIGINS_MAX] =
+            (struct replicate_origin){.digest = job->proposal.digest,
+                                      .host = job->origin};
         feed(r, e);
     }
     else {
--- a/control/replicate_internal.h
+++ b/control/replicate_internal.h
@@ -16,6 +16,7 @@
     REPLICATE_BULK_TIMEOUT_MS = 3000,
     REPLICATE_INLINED_MAX = 16,
     REPLICATE_KNOWN_MAX = 16,
+    REPLICATE_ORIGINS_MAX = 8,
     REPLICATE_ROUTES_MAX = 64,
     REPLICATE_JOBS_MAX = 256,
     REPLICATE_FETCHES_MAX = 16
@@ -75,6 +76,12 @@
     uint8_t origin;
 };
 
+/* A host that proposed a payload and hence holds it. */
+struct replicate_origin {
+    struct bb_digest digest;
+    uint8_t host;
+};
+
 /* A caller that waits for the answer to its proposal. */
 struct replicate_waiter {
     uint64_t ticket;
@@ -110,6 +117,8 @@
     uint32_t inlined_next[BB_AGREE_HOSTS_MAX];
     struct bb_digest known[REPLICATE_KNOWN_MAX]; /* stored payloads */
     uint32_t known_next;
+    struct replicate_origin origins[REPLICATE_ORIGINS_MAX];
+    uint32_t origin_next;
 
     struct replicate_queue jobs;
     struct replicate_queue fetches;
@@ -161,6 +170,7 @@
 uint32_t replicate_queue_length(struct replicate_queue *q);
 
 /* replicate_rpc.c */
+void replicate_unregister(const struct bb_replicate *r);
 bool replicate_rpc_call(void *context, const struct bb_replicate_peer *to,
                         uint32_t procedure, void *argument, void *result,
                         uint32_t timeout_ms);
--- a/control/replicate_output.c
+++ b/control/replicate_output.c
@@ -55,16 +55,33 @@
     }
 }
 
-/* Returns the host of a peer's region that gets payloads inline: the first one
- * heard of lately, or else the first one. */
+/* Returns the host of another region that holds a payload because it proposed
+ * it, or BB_AGREE_NO_HOST. */
 static uint8_t
-inline_host(const struct bb_replicate *r, uint8_t slot)
+find_origin(const struct bb_replicate *r, const char *region,
+            const struct bb_agree_entry *e)
+{
+    for (uint32_t i = 0; e != NULL && i < REPLICATE_ORIGINS_MAX; i++) {
+        const struct replicate_origin *o = &r->origins[i];
+
+        if (bb_digest_equal(&o->digest, &e->digest) &&
+            strcmp(r->hosts[o->host].region, region) == 0) {
+            return o->host;
+        }
+    }
+    return BB_AGREE_NO_HOST;
+}
+
+/* Returns the host of a region that gets payloads inline: the first one heard
+ * of lately, or else the first one. */
+static uint8_t
+inline_host(const struct bb_replicate *r, const char *region)
 {
     uint64_t now_us = bb_clock_now_us();
     uint8_t first = BB_AGREE_NO_HOST;
 
     for (uint8_t h = 0; h < r->host_count; h++) {
-        if (strcmp(r->hosts[h].region, r->hosts[slot].region) != 0) {
+        if (strcmp(r->hosts[h].region, region) != 0) {
             continue;
         }
         if (now_us < r->core.heard_us[h] + REPLICATE_ALIVE_US) {
@@ -89,39 +106,52 @@
     return false;
 }
 
-/* Chooses where the receiver of new entries gets the payload: inline for one
- * host of another region, so that one copy crosses the paid link; from that
- * host for the others there; from the leader in its own region. */
+/* Puts the payload of an entry into a message, unless it is too large. */
+static void
+put_inline(struct bb_replicate *r, const struct bb_agree_entry *e,
+           agree_envelope *envelope)
+{
+    size_t size = 0;
+    void *data = bb_store_get_payload(r->store, &e->digest, &size, NULL);
+
+    if (data == NULL || size > BB_REPLICATE_INLINE_MAX_BYTES) {
+        g_free(data); /* the receiver fetches it */
+        return;
+    }
+    envelope->payload.payload_val = data;
+    envelope->payload.payload_len = (u_int)size;
+    bb_counter_add(&inlined_total, 1);
+}
+
+/* Chooses where the receiver of new entries gets the payload, so that one copy
+ * crosses the paid link: in its own region the leader has it; in another one
+ * the host that proposed it has it, or else one host gets it inline; the
+ * others there fetch it from that host. */
 static void
 attach_payload(struct bb_replicate *r, const struct bb_agree_message *m,
                agree_envelope *envelope)
 {
+    const char *region = r->hosts[m->to].region;
     const struct bb_agree_entry *last = NULL;
-    uint8_t host = r->self;
-    size_t size = 0;
-    void *data;
+    uint8_t origin;
+    uint8_t host;
 
     for (uint8_t i = 0; i < m->count; i++) {
         if (m->body.entries[i].kind == BB_AGREE_CONFIG) {
             last = &m->body.entries[i];
         }
     }
-    if (strcmp(r->hosts[m->to].region, r->region) != 0) {
-        host = inline_host(r, m->to);
-    }
-    envelope->holder = host == m->to ? r->self : host;
-    if (last == NULL || host != m->to ||
-        was_inlined(r, m->to, &last->digest)) {
+    if (strcmp(region, r->region) == 0) {
         return;
     }
-    data = bb_store_get_payload(r->store, &last->digest, &size, NULL);
-    if (size > BB_REPLICATE_INLINE_MAX_BYTES) {
-        g_clear_pointer(&data, g_free); /* the receiver fetches it */
+    origin = find_origin(r, region, last);
+    host = origin != BB_AGREE_NO_HOST ? origin : inline_host(r, region);
+    if (host != m->to) {
+        envelope->holder = host;
     }
-    if (data != NULL) {
-        envelope->payload.payload_val = data;
-        envelope->payload.payload_len = (u_int)size;
-        bb_counter_add(&inlined_total, 1);
+    else if (origin == BB_AGREE_NO_HOST && last != NULL &&
+             !was_inlined(r, m->to, &last->digest)) {
+        put_inline(r, last, envelope);
     }
 }
 
--- a/control/replicate_rpc.c
+++ b/control/replicate_rpc.c
@@ -265,3 +265,12 @@
     registered = r;
     return bb_rpc_server_add(s, AGREE_PROGRAM, AGREE_VERSION, dispatch, e);
 }
+
+/* Forgets a replication that is about to be freed. */
+void
+replicate_unregister(const struct bb_replicate *r)
+{
+    if (registered == r) {
+        registered = NULL;
+    }
+}
--- a/tests/control/test_replicate.c
+++ b/tests/control/test_replicate.c
@@ -64,6 +64,14 @@
     if (is_done && crosses && procedure == AGREE_APPEND) {
         crossing_bytes += ((agree_envelope *)argument)->payload.payload_len;
     }
+    if (is_done && crosses && procedure == AGREE_PROPOSE) {
+        const agree_propose_body *body = &((agree_propose *)argument)->body;
+
+        if (body->kind == AGREE_PROPOSE_REQUEST) {
+            crossing_bytes +=
+                body->agree_propose_body_u.proposal.payload.payload_len;
+        }
+    }
     if (is_done && crosses && procedure == AGREE_FETCH_PAYLOAD) {
         crossing_bytes += ((agree_fetched *)result)->payload.payload_len;
     }
@@ -366,8 +374,14 @@
            BB_REPLICATE_ACCEPTED, 1);
     CU_ASSERT_TRUE(wait_revision(1));
     CU_ASSERT_EQUAL(crossing_bytes, PAYLOAD_BYTES);
+    /* A host of the other region proposes. */
     crossing_bytes = 0;
+    expect(propose(leader < 3 ? 4 : 0, 1, 0, 2, PAYLOAD_BYTES, PROPOSE_MS),
+           BB_REPLICATE_ACCEPTED, 2);
+    CU_ASSERT_TRUE(wait_revision(2));
+    CU_ASSERT_EQUAL(crossing_bytes, PAYLOAD_BYTES);
     stop();
+    crossing_bytes = 0;
 }
 
 /* Guards against an isolated leader that goes on answering or whose status
