--- a/control/replicate_rpc.c
+++ b/control/replicate_rpc.c
@@ -246,6 +246,7 @@
     if (!svc_getargs(transport, p.argument_codec, (char *)&argument)) {
         bb_counter_add(&dropped_total, 1);
         svcerr_decode(transport);
+        (void)svc_freeargs(transport, p.argument_codec, (char *)&argument);
         return;
     }
     (void)bb_replicate_handle(registered, request->rq_proc, &argument,
@@ -264,3 +265,12 @@
     registered = r;
     return bb_rpc_server_add(s, AGREE_PROGRAM, AGREE_VERSION, dispatch, e);
 }
+
+/* Forgets a replication that is about to be freed. */
+void
+replicate_unregister(const struct bb_replicate *r)
+{
+    if (registered == r) {
+        registered = NULL;
+    }
+}
