Overlap the wake-ups of a call with its preparation

Cause: at the entry a call waits for two wake-ups in its own process: the worker's, and the connection's thread when the answer is there. Change: a worker is roused when a head arrives and looks for work up to 80 us without sleeping; the waiting thread is woken when an answer begins to arrive. Conclusion: the other wake-ups are those of sockets, which this cannot reach.

--- a/include/proxy/http_client.h
+++ b/include/proxy/http_client.h
@@ -10,6 +10,7 @@
 #define BB_PROXY_HTTP_CLIENT_H
 
 #include <pthread.h>
+#include <stdatomic.h>
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -70,6 +71,8 @@
 /* The watch's lock guards the state; the rest is fixed once the state is
  * BB_ATTEMPT_HEAD. */
 struct bb_attempt {
+    atomic_bool is_arriving; /* a short answer is being read */
+    atomic_bool is_over;     /* the state changes no more */
     enum bb_attempt_state state;
     bool has_taken_body; /* guarded too: part of a body that streams is gone */
     uint32_t status;
--- a/include/proxy/internal.h
+++ b/include/proxy/internal.h
@@ -57,6 +57,7 @@
     uint64_t incarnation;  /* of the gatekeeper, that it is meant for */
     bool is_local;         /* straight to the own upstream */
     bool is_stored_answer; /* asks for the kept answer only */
+    bool has_watched;      /* for the end of a short answer */
     bool is_asked_again;   /* by QUERY, before giving the connection up */
     uint64_t start_us;
     struct bb_probe probe;
--- a/include/proxy/workers.h
+++ b/include/proxy/workers.h
@@ -36,6 +36,7 @@
 struct bb_workers *bb_workers_create(const struct bb_workers_limits *limits);
 bool bb_workers_submit(struct bb_workers *p, struct bb_work *w,
                        uint64_t end_us);
+void bb_workers_rouse(struct bb_workers *p);
 bool bb_workers_enter(struct bb_workers *p, struct bb_work *w,
                       uint64_t end_us);
 bool bb_workers_continue(struct bb_workers *p, struct bb_work *w);
--- a/proxy/entry.c
+++ b/proxy/entry.c
@@ -9,6 +9,9 @@
 #include "proxy/internal.h"
 
 enum {
+    /* How long an answer that has begun to arrive is waited for without
+     * sleeping; a short one is read within it. */
+    ARRIVAL_US = 60,
     GONE_CHECK_US = 50 * BB_US_PER_MS, /* for callers that closed */
     LINK_OVERHEAD_BYTES = 4096         /* fields and a usual answer */
 };
@@ -259,6 +262,32 @@
     return wake_us;
 }
 
+/* Looks for the end of a short answer that is being read, without sleeping.
+ * False if there is none, or after it was looked for once. Called with the
+ * watch's lock, which is given up meanwhile. */
+static bool
+watch_arrival(struct bb_exchange *x)
+{
+    for (int i = 0; i < BB_LEGS_MAX; i++) {
+        struct bb_leg *leg = &x->legs[i];
+        uint64_t end_us;
+
+        if (leg->attempt == NULL || leg->has_watched ||
+            !atomic_load(&leg->attempt->is_arriving)) {
+            continue;
+        }
+        leg->has_watched = true;
+        end_us = bb_clock_now_us() + ARRIVAL_US;
+        bb_watch_unlock(x->watch);
+        while (!atomic_load(&leg->attempt->is_over) &&
+               bb_clock_now_us() < end_us) {
+        }
+        bb_watch_lock(x->watch);
+        return true;
+    }
+    return false;
+}
+
 /* Waits until an attempt has news or it is time to look again. */
 static enum event
 wait_for_event(struct bb_exchange *x, bool until_sending, struct bb_leg **out)
@@ -286,7 +315,9 @@
         if (event != EVENT_TIMER || !has_time) {
             break;
         }
-        has_time = bb_watch_wait(x->watch, wake_us);
+        if (!watch_arrival(x)) {
+            has_time = bb_watch_wait(x->watch, wake_us);
+        }
     }
     bb_watch_unlock(x->watch);
     return event;
--- a/proxy/exchange.c
+++ b/proxy/exchange.c
@@ -95,6 +95,11 @@
 static enum MHD_Result
 begin(struct bb_exchange *x, const char *method)
 {
+    /* A request of another node is not handed to a worker. */
+    if (MHD_lookup_connection_value(x->connection, MHD_HEADER_KIND,
+                                    BB_HEADER_FORWARDED) == NULL) {
+        bb_workers_rouse(x->proxy->workers);
+    }
     x->start_us = bb_clock_now_us();
     x->table = bb_table_holder_get(x->proxy->table);
     (void)atomic_fetch_add(&x->proxy->in_flight, 1);
--- a/proxy/http_client.c
+++ b/proxy/http_client.c
@@ -61,6 +61,7 @@
     bb_watch_lock(a->watch);
     a->public.state = state;
     bb_watch_unlock(a->watch);
+    atomic_store(&a->public.is_over, state != BB_ATTEMPT_SENDING);
     /* After the unlock, or the woken thread would wait for the lock. */
     bb_watch_signal(a->watch);
 }
@@ -239,6 +240,11 @@
     if (!is_short(a)) {
         set_state(a, BB_ATTEMPT_HEAD);
     }
+    else if (!a->request.is_inline) {
+        /* The waiting thread wakes up while the rest is read. */
+        atomic_store(&a->public.is_arriving, true);
+        bb_watch_signal(a->watch);
+    }
     a->is_whole =
         read_answer(a, a->exchange) && ne_end_request(a->exchange) == NE_OK;
     if (!is_short(a)) {
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -20,7 +20,7 @@
     DEFAULT_RETENTION_S = 600,
     STORED_MAX_BYTES = 16 * 1024 * 1024,
     /* The library keeps head and read buffer of a connection in one pool. */
-    POOL_BYTES = 56 * 1024,
+    POOL_BYTES = 40 * 1024,
     POOL_INCREMENT_BYTES = 4096,
     STACK_BYTES = 256 * 1024,
     LISTEN_BACKLOG = 1024,
--- a/proxy/workers.c
+++ b/proxy/workers.c
@@ -3,12 +3,19 @@
 #include <errno.h>
 #include <glib.h>
 #include <pthread.h>
+#include <stdatomic.h>
 
 #include "common/clock.h"
 #include "common/counters.h"
 #include "common/log.h"
 
-enum { STACK_BYTES = 256 * 1024, IDLE_MAX_S = 30 };
+enum {
+    STACK_BYTES = 256 * 1024,
+    IDLE_MAX_S = 30,
+    /* How long a roused worker looks for work without sleeping: somewhat more
+     * than a request's head takes to be read and routed. */
+    ROUSED_US = 80
+};
 
 BB_GAUGE(busy_gauge, "baobab_workers_busy", "Workers that run a call");
 BB_GAUGE(detached_gauge, "baobab_workers_detached",
@@ -18,7 +25,8 @@
  * for the next one, because it is signalled without the lock. */
 struct idle_worker {
     pthread_cond_t wake;
-    struct bb_work *work;
+    _Atomic(struct bb_work *) work;
+    bool is_roused;
     struct idle_worker *next;
 };
 
@@ -123,6 +131,20 @@
     }
 }
 
+/* Looks for work for a short time without sleeping. Called with the lock
+ * held, which is given up meanwhile. */
+static void
+look_for_work(struct bb_workers *p, struct idle_worker *self)
+{
+    uint64_t end_us = bb_clock_now_us() + ROUSED_US;
+
+    (void)pthread_mutex_unlock(&p->lock);
+    while (atomic_load(&self->work) == NULL && bb_clock_now_us() < end_us) {
+    }
+    (void)pthread_mutex_lock(&p->lock);
+    self->is_roused = false;
+}
+
 /* Waits for work; NULL when the thread has been idle for long or the pool
  * stops. Called with the lock held. */
 static struct bb_work *
@@ -132,9 +154,14 @@
         bb_clock_now_us() + (uint64_t)IDLE_MAX_S * BB_US_PER_S);
 
     self->work = NULL;
+    self->is_roused = false;
     self->next = p->idle;
     p->idle = self;
     while (self->work == NULL && !p->is_stopping) {
+        if (self->is_roused) {
+            look_for_work(p, self);
+            continue;
+        }
         if (pthread_cond_timedwait(&self->wake, &p->lock, &end) == ETIMEDOUT &&
             self->work == NULL) {
             break;
@@ -282,6 +309,27 @@
     return is_accepted;
 }
 
+/* Wakes an idle worker for work that is about to be submitted, so that its
+ * wake-up and the preparation of the work take place at the same time. */
+void
+bb_workers_rouse(struct bb_workers *p)
+{
+    struct idle_worker *w;
+
+    (void)pthread_mutex_lock(&p->lock);
+    w = p->idle;
+    while (w != NULL && w->is_roused) {
+        w = w->next;
+    }
+    if (w != NULL) {
+        w->is_roused = true;
+    }
+    (void)pthread_mutex_unlock(&p->lock);
+    if (w != NULL) {
+        (void)pthread_cond_signal(&w->wake);
+    }
+}
+
 /* Counts work that the calling thread does itself, waiting for room until
  * end_us. It ends with bb_workers_done, by this thread or a worker that
  * continues it. */
