config: carry the rosters of witnesses in each bundle

Cause: nothing agreed or distributed a roster, so nodes refuse each request with an idempotency key (key_owner_unavailable).

Change: a bundle holds, beside the operators' folder, a sorted set of rosters {service, epoch, hosts, previous hosts}: at most 256 services, 512 hosts in a list and 4096 names in total. Encoding, decoding and deltas carry them, a delta by service. The digest of a bundle covers folder and rosters; without rosters it is the one of the folder. The source watch and the administration API compare the digest of the folder alone. A folder may take 32 KiB less once compressed, which is left for rosters. The magic numbers of bundles and deltas change.

Tests: damage at every byte and bit of a bundle and a delta with rosters is refused; limits and the largest set are covered. test_bundle, test_compile, test_history, test_ctl, test_pages and test_admin pass.

--- a/admin/answers.c
+++ b/admin/answers.c
@@ -67,7 +67,7 @@
     text = bb_config_merged_text(b->folder);
     j = json_pack("{s:I, s:I, s:s, s:b, s:s, s:o, s:[], s:[]}", "revision",
                   (json_int_t)b->revision, "version", (json_int_t)b->version,
-                  "digest", bb_digest_text(&b->digest, digest), "confirmed",
+                  "digest", bb_digest_text(&b->folder->digest, digest), "confirmed",
                   is_confirmed, "text", text, "files", files_json(b->folder),
                   "holders", "missing");
     g_free(text);
--- a/config/bundle.c
+++ b/config/bundle.c
@@ -4,16 +4,26 @@
 
 #include "bundle_codec.h"
 
-/* Creates a bundle with one reference; it takes over the folder. */
+/* Creates a bundle without rosters; it takes over the folder. */
 struct bb_bundle *
 bb_bundle_create(uint64_t revision, uint64_t version, struct bb_folder *folder)
+{
+    return bb_bundle_create_with(revision, version, folder,
+                                 bb_rosters_create());
+}
+
+/* Creates a bundle with one reference; it takes over folder and rosters. */
+struct bb_bundle *
+bb_bundle_create_with(uint64_t revision, uint64_t version,
+                      struct bb_folder *folder, struct bb_rosters *rosters)
 {
     struct bb_bundle *b = g_new0(struct bb_bundle, 1);
 
     b->revision = revision;
     b->version = version;
-    b->digest = folder->digest;
+    b->digest = bb_rosters_digest(rosters, &folder->digest);
     b->folder = folder;
+    b->rosters = rosters;
     atomic_init(&b->reference_count, 1);
     return b;
 }
@@ -34,6 +44,7 @@
     if (b != NULL && atomic_fetch_sub_explicit(&b->reference_count, 1,
                                                memory_order_acq_rel) == 1) {
         bb_folder_destroy(b->folder);
+        bb_rosters_destroy(b->rosters);
         g_free(b);
     }
 }
@@ -57,31 +68,35 @@
     for (uint32_t i = 0; ok && i < count; i++) {
         ok = bb_codec_put_file(&x, &b->folder->files[i]);
     }
-    /* A folder within its limits fits into the buffer. */
+    count = b->rosters->count;
+    ok = ok && xdr_uint32_t(&x, &count);
+    for (uint32_t i = 0; ok && i < count; i++) {
+        ok = bb_codec_put_roster(&x, &b->rosters->items[i]);
+    }
+    /* A folder and rosters within their limits fit into the buffer. */
     g_assert(ok);
     bb_codec_pack(BB_MAGIC_BUNDLE, body, xdr_getpos(&x), bytes, size_bytes);
     XDR_DESTROY(&x);
     g_free(body);
 }
 
-/* Finishes a folder and makes it a bundle, if its digest is the expected
- * one. */
-static struct bb_bundle *
-finish_bundle(struct bb_folder_builder *b, uint64_t revision, uint64_t version,
-              const struct bb_digest *expected, struct bb_error *e)
+/* Makes a bundle of a folder and rosters, which it takes over. Returns NULL
+ * with BB_CONFIG_ERROR_DIGEST if their digest is not the expected one. */
+struct bb_bundle *
+bb_codec_finish(uint64_t revision, uint64_t version, struct bb_folder *folder,
+                struct bb_rosters *rosters, const struct bb_digest *expected,
+                struct bb_error *e)
 {
-    struct bb_folder *folder = bb_folder_builder_finish(b, e);
+    struct bb_bundle *b =
+        bb_bundle_create_with(revision, version, folder, rosters);
 
-    if (folder == NULL) {
-        return NULL;
-    }
-    if (!bb_digest_equal(&folder->digest, expected)) {
+    if (!bb_digest_equal(&b->digest, expected)) {
         bb_error_set(e, BB_CONFIG_ERROR_DIGEST,
                      "the decoded configuration does not match its digest");
-        bb_folder_destroy(folder);
-        return NULL;
+        bb_bundle_unref(b);
+        b = NULL;
     }
-    return bb_bundle_create(revision, version, folder);
+    return b;
 }
 
 /* Reports a body that ends early or has bytes left over. */
@@ -92,19 +107,51 @@
                         "the encoded configuration has a wrong structure");
 }
 
+/* Reads all files into a builder. */
+static bool
+get_files(XDR *x, struct bb_folder_builder *b, struct bb_error *e)
+{
+    uint32_t count = 0;
+    bool ok = true;
+
+    if (!xdr_uint32_t(x, &count) || count > BB_FOLDER_MAX_FILES) {
+        return format_error(e);
+    }
+    for (uint32_t i = 0; ok && i < count; i++) {
+        ok = bb_codec_get_file(x, b, e);
+    }
+    return ok;
+}
+
+/* Reads all rosters, which must be of different services. */
+static bool
+get_rosters(XDR *x, struct bb_rosters *rosters, struct bb_error *e)
+{
+    uint32_t count = 0;
+    bool ok = true;
+
+    if (!xdr_uint32_t(x, &count) || count > BB_ROSTERS_MAX) {
+        return format_error(e);
+    }
+    for (uint32_t i = 0; ok && i < count; i++) {
+        ok = bb_codec_get_roster(x, rosters, e);
+    }
+    return ok && (rosters->count == count || format_error(e));
+}
+
 /* Decodes a whole bundle. Returns NULL with an error of enum bb_config_error
  * if anything does not match. */
 struct bb_bundle *
 bb_bundle_decode(const uint8_t *bytes, size_t size_bytes, struct bb_error *e)
 {
     struct bb_folder_builder *b = NULL;
+    struct bb_rosters *rosters = NULL;
+    struct bb_folder *folder = NULL;
     struct bb_bundle *bundle = NULL;
     struct bb_digest digest;
     uint64_t revision = 0;
     uint64_t version = 0;
-    uint32_t count = 0;
     size_t size = 0;
-    bool ok = true;
     XDR x;
     uint8_t *body =
         bb_codec_unpack(BB_MAGIC_BUNDLE, bytes, size_bytes, &size, e);
@@ -113,27 +160,30 @@
         return NULL;
     }
     b = bb_folder_builder_create();
+    rosters = bb_rosters_create();
     xdrmem_create(&x, (char *)body, (u_int)size, XDR_DECODE);
     if (!xdr_uint64_t(&x, &revision) || !xdr_uint64_t(&x, &version) ||
-        !bb_codec_digest(&x, &digest) || !xdr_uint32_t(&x, &count) ||
-        count > BB_FOLDER_MAX_FILES) {
+        !bb_codec_digest(&x, &digest)) {
         format_error(e);
         goto out;
     }
-    for (uint32_t i = 0; ok && i < count; i++) {
-        ok = bb_codec_get_file(&x, b, e);
-    }
-    if (!ok) {
+    if (!get_files(&x, b, e) || !get_rosters(&x, rosters, e)) {
         goto out;
     }
     if (xdr_getpos(&x) != size) {
         format_error(e);
         goto out;
     }
-    bundle = finish_bundle(b, revision, version, &digest, e);
+    folder = bb_folder_builder_finish(b, e);
+    if (folder != NULL) {
+        bundle =
+            bb_codec_finish(revision, version, folder, rosters, &digest, e);
+        rosters = NULL;
+    }
 out:
     XDR_DESTROY(&x);
     bb_folder_builder_destroy(b);
+    bb_rosters_destroy(rosters);
     g_free(body);
     return bundle;
 }
--- a/config/bundle_codec.h
+++ b/config/bundle_codec.h
@@ -7,16 +7,22 @@
 #include <rpc/rpc.h>
 
 #include "common/error.h"
-#include "config/folder.h"
+#include "config/bundle.h"
 
 enum {
-    BB_MAGIC_BUNDLE = 0x42424231, /* "BBB1" */
-    BB_MAGIC_DELTA = 0x42424431,  /* "BBD1" */
+    BB_MAGIC_BUNDLE = 0x42424232, /* "BBB2" */
+    BB_MAGIC_DELTA = 0x42424432,  /* "BBD2" */
+    BB_NAME_FRAMED_BYTES = BB_NAME_BYTES + 4,
+    /* Names removed by a delta, rosters with their epoch and counts, hosts. */
+    BB_ROSTERS_EXPANDED_MAX_BYTES =
+        BB_ROSTERS_MAX * (2 * BB_NAME_FRAMED_BYTES + 16) +
+        BB_ROSTER_NAMES_MAX * BB_NAME_FRAMED_BYTES,
     /* Every name at its longest, every file's XDR framing, the content and
      * the fields at the front. */
     BB_EXPANDED_MAX_BYTES =
         BB_FOLDER_MAX_BYTES +
-        2 * BB_FOLDER_MAX_FILES * (BB_FILE_NAME_MAX_BYTES + 16) + 1024
+        2 * BB_FOLDER_MAX_FILES * (BB_FILE_NAME_MAX_BYTES + 16) +
+        BB_ROSTERS_EXPANDED_MAX_BYTES + 1024
 };
 
 void bb_codec_pack(uint32_t magic, const uint8_t *expanded, size_t size_bytes,
@@ -30,5 +36,15 @@
 bool bb_codec_put_file(XDR *x, const struct bb_file *f);
 bool bb_codec_get_file(XDR *x, struct bb_folder_builder *b,
                        struct bb_error *e);
+bool bb_codec_put_short_name(XDR *x, const char *name);
+bool bb_codec_get_short_name(XDR *x, char name[BB_NAME_BYTES]);
+bool bb_codec_put_roster(XDR *x, const struct bb_service_roster *r);
+bool bb_codec_get_roster(XDR *x, struct bb_rosters *rosters,
+                         struct bb_error *e);
+struct bb_bundle *bb_codec_finish(uint64_t revision, uint64_t version,
+                                  struct bb_folder *folder,
+                                  struct bb_rosters *rosters,
+                                  const struct bb_digest *expected,
+                                  struct bb_error *e);
 
 #endif
--- a/config/compile.c
+++ b/config/compile.c
@@ -210,22 +210,24 @@
 {
     /* Name, size and padding of a file in a bundle. */
     const size_t file_overhead_bytes = BB_FILE_NAME_MAX_BYTES + 16;
+    struct bb_rosters none = {0};
     struct bb_bundle b = {.digest = f->digest,
-                          .folder = (struct bb_folder *)(uintptr_t)f};
+                          .folder = (struct bb_folder *)(uintptr_t)f,
+                          .rosters = &none};
     uint8_t *bytes;
     size_t size;
 
     /* zstd adds less than 1% to what it cannot compress. */
     if (f->size_bytes + f->file_count * file_overhead_bytes <
-        BB_BUNDLE_MAX_BYTES / 100 * 99) {
+        BB_BUNDLE_FOLDER_MAX_BYTES / 100 * 99) {
         return;
     }
     bb_bundle_encode(&b, &bytes, &size);
-    if (size > BB_BUNDLE_MAX_BYTES) {
+    if (size > BB_BUNDLE_FOLDER_MAX_BYTES) {
         bb_faults_add(faults, NULL, NULL, NULL,
                       "the folder has %zu bytes when compressed; at most %d "
                       "can be sent",
-                      size, BB_BUNDLE_MAX_BYTES);
+                      size, BB_BUNDLE_FOLDER_MAX_BYTES);
     }
     g_free(bytes);
 }
--- a/control/daemon.c
+++ b/control/daemon.c
@@ -50,10 +50,12 @@
 {
     struct bb_control *c = context;
     struct proposal *p = g_new0(struct proposal, 1);
+    struct bb_rosters none = {0};
     const struct bb_bundle b = {
         .version = version,
         .digest = folder->digest,
         .folder = (struct bb_folder *)folder,
+        .rosters = &none,
     };
 
     p->base = base_revision;
@@ -176,7 +178,7 @@
                     bb_digest_text(&b->digest, text));
         bb_mesh_publish(c->mesh, revision, &b->digest);
     }
-    bb_source_watch_in_force(c->watch, revision, &b->digest);
+    bb_source_watch_in_force(c->watch, revision, &b->folder->digest);
     bb_bundle_unref(b);
 }
 
--- a/include/config/bundle.h
+++ b/include/config/bundle.h
@@ -10,21 +10,32 @@
 
 #include "common/error.h"
 #include "config/folder.h"
-
-/* Of an encoded bundle or delta: an RPC record of 1 MiB less 16 KiB for what
- * is sent around it. A folder that does not fit is a fault. */
-enum { BB_BUNDLE_MAX_BYTES = 1024 * 1024 - 16 * 1024 };
+#include "config/rosters.h"
+
+enum {
+    /* Of an encoded bundle or delta: an RPC record of 1 MiB less 16 KiB for
+     * what is sent around it. */
+    BB_BUNDLE_MAX_BYTES = 1024 * 1024 - 16 * 1024,
+    /* Of an encoded folder alone; larger is a fault. The rest is for rosters:
+     * 450 hosts with names of 20 bytes, in two lists, are 22 KB before
+     * compression. */
+    BB_BUNDLE_FOLDER_MAX_BYTES = BB_BUNDLE_MAX_BYTES - 32 * 1024
+};
 
 struct bb_bundle {
     uint64_t revision;
-    uint64_t version; /* operator label, 0 if none */
-    struct bb_digest digest;
+    uint64_t version;        /* operator label, 0 if none */
+    struct bb_digest digest; /* of folder and rosters */
     struct bb_folder *folder;
+    struct bb_rosters *rosters; /* never NULL */
     _Atomic uint32_t reference_count;
 };
 
 struct bb_bundle *bb_bundle_create(uint64_t revision, uint64_t version,
                                    struct bb_folder *folder);
+struct bb_bundle *bb_bundle_create_with(uint64_t revision, uint64_t version,
+                                        struct bb_folder *folder,
+                                        struct bb_rosters *rosters);
 struct bb_bundle *bb_bundle_ref(struct bb_bundle *b);
 void bb_bundle_unref(struct bb_bundle *b);
 
--- a/tests/config/test_bundle.c
+++ b/tests/config/test_bundle.c
@@ -18,6 +18,145 @@
     return bb_bundle_create(revision, 7, fixture_folder(files));
 }
 
+/* Adds a roster; a count may be 0. The names are the service, a dash and four
+ * digits from `first` on. */
+static bool
+put_roster(struct bb_rosters *r, const char *service, uint64_t epoch,
+           uint32_t first, uint32_t host_count, uint32_t previous_count,
+           struct bb_error *e)
+{
+    struct bb_service_roster item = {.epoch = epoch};
+    char(*names)[BB_NAME_BYTES] =
+        g_malloc0_n(1 + host_count + previous_count, sizeof(names[0]));
+    bool ok;
+
+    (void)g_strlcpy(item.service, service, sizeof(item.service));
+    for (uint32_t i = 0; i < host_count + previous_count; i++) {
+        uint32_t n = i < host_count ? first + i : i - host_count;
+
+        (void)g_snprintf(names[i], BB_NAME_BYTES, "%s-%04u", service, n);
+    }
+    item.hosts = (struct bb_host_list){names, host_count};
+    item.previous = (struct bb_host_list){names + host_count, previous_count};
+    ok = bb_rosters_put(r, &item, e);
+    g_free(names);
+    return ok;
+}
+
+/* Makes a bundle with the rosters of two services. */
+static struct bb_bundle *
+make_rostered(uint64_t revision, const char *const *files, const char *a,
+              const char *b, uint64_t epoch)
+{
+    struct bb_rosters *r = bb_rosters_create();
+    struct bb_error e = {0};
+
+    CU_ASSERT_TRUE_FATAL(put_roster(r, b, 1, 0, 3, 0, &e));
+    CU_ASSERT_TRUE_FATAL(put_roster(r, a, epoch, 1, 3, epoch > 1 ? 3 : 0, &e));
+    return bb_bundle_create_with(revision, 7, fixture_folder(files), r);
+}
+
+/* Guards against a roster that gets lost or changed on its way, and against a
+ * digest that stays equal when a roster changes. */
+static void
+test_rosters_survive_encoding_and_deltas(void)
+{
+    struct bb_bundle *from = make_rostered(5, old_files, "a", "b", 1);
+    struct bb_bundle *to = make_rostered(6, old_files, "a", "c", 2);
+    const struct bb_bundle *bundles[] = {from, to};
+    struct bb_bundle *copy;
+    struct bb_error e = {0};
+    uint8_t *bytes;
+    size_t size;
+    size_t whole_size;
+
+    CU_ASSERT_TRUE(
+        bb_digest_equal(&from->folder->digest, &to->folder->digest));
+    CU_ASSERT_FALSE(bb_digest_equal(&from->digest, &to->digest));
+    for (int i = 0; i < 2; i++) {
+        bb_bundle_encode(bundles[i], &bytes, &whole_size);
+        copy = bb_bundle_decode(bytes, whole_size, &e);
+        fixture_require(copy);
+        CU_ASSERT_TRUE(bb_digest_equal(&copy->digest, &bundles[i]->digest));
+        CU_ASSERT_TRUE(bb_service_roster_equal(
+            &copy->rosters->items[0], &bundles[i]->rosters->items[0]));
+        bb_bundle_unref(copy);
+        g_free(bytes);
+    }
+    bb_delta_encode(from, to, &bytes, &size);
+    copy = bb_delta_apply(from, bytes, size, &e);
+    fixture_require(copy);
+    CU_ASSERT_TRUE(bb_digest_equal(&copy->digest, &to->digest));
+    CU_ASSERT_EQUAL(copy->rosters->count, 2);
+    CU_ASSERT_PTR_NULL(bb_rosters_find(copy->rosters, "b"));
+    CU_ASSERT_EQUAL(bb_rosters_find(copy->rosters, "a")->previous.count, 3);
+    CU_ASSERT_PTR_NULL(bb_delta_apply(to, bytes, size, &e));
+    CU_ASSERT_EQUAL(e.code, BB_CONFIG_ERROR_BASE);
+    bb_bundle_unref(copy);
+    g_free(bytes);
+    bb_bundle_unref(from);
+    bb_bundle_unref(to);
+}
+
+/* Guards against more services, hosts or names than a receiver takes, and
+ * against lists whose order would make two digests of one roster. */
+static void
+test_rosters_over_their_limits_are_refused(void)
+{
+    struct bb_rosters *r = bb_rosters_create();
+    struct bb_service_roster bad = {.service = "s", .epoch = 1};
+    char names[2][BB_NAME_BYTES] = {"b", "a"};
+    char service[BB_NAME_BYTES];
+    struct bb_error e = {0};
+
+    CU_ASSERT_FALSE(put_roster(r, "s", 1, 0, BB_ROSTER_HOSTS_MAX + 1, 0, &e));
+    CU_ASSERT_FALSE(put_roster(r, "s", 0, 0, 3, 0, &e));
+    CU_ASSERT_FALSE(put_roster(r, "", 1, 0, 3, 0, &e));
+    CU_ASSERT_FALSE(put_roster(r, "s", 1, 0, 0, 3, &e));
+    bad.hosts = (struct bb_host_list){names, 2};
+    CU_ASSERT_FALSE(bb_rosters_put(r, &bad, &e));
+    CU_ASSERT_EQUAL(e.code, BB_CONFIG_ERROR_FORMAT);
+    CU_ASSERT_EQUAL(r->count, 0);
+    for (int i = 0; i < BB_ROSTERS_MAX; i++) {
+        (void)g_snprintf(service, sizeof(service), "%03d", i);
+        CU_ASSERT_TRUE_FATAL(put_roster(r, service, 1, 0, 8, 7, &e));
+    }
+    CU_ASSERT_FALSE(put_roster(r, "zzz", 1, 0, 1, 0, &e));
+    CU_ASSERT_EQUAL(e.code, BB_CONFIG_ERROR_LIMIT);
+    CU_ASSERT_TRUE(put_roster(r, "000", 2, 1, 8, 8, &e));
+    CU_ASSERT_FALSE(put_roster(r, "001", 2, 1, 512, 512, &e));
+    CU_ASSERT_EQUAL(e.code, BB_CONFIG_ERROR_LIMIT);
+    bb_rosters_destroy(r);
+}
+
+/* Guards against a largest set of rosters that overruns the buffers. */
+static void
+test_full_rosters_survive_encoding(void)
+{
+    struct bb_rosters *r = bb_rosters_create();
+    char service[BB_NAME_BYTES];
+    struct bb_bundle *bundle;
+    struct bb_bundle *copy;
+    struct bb_error e = {0};
+    uint8_t *bytes;
+    size_t size;
+
+    for (int i = 0; i < BB_ROSTERS_MAX; i++) {
+        /* 58 bytes and the five of the host's number are the longest name. */
+        (void)g_snprintf(service, sizeof(service), "%058d", i);
+        CU_ASSERT_TRUE_FATAL(put_roster(r, service, 1, 0, 8, 8, &e));
+    }
+    bundle = bb_bundle_create_with(1, 0, fixture_folder(old_files), r);
+    bb_bundle_encode(bundle, &bytes, &size);
+    CU_ASSERT_TRUE(size < BB_BUNDLE_MAX_BYTES);
+    copy = bb_bundle_decode(bytes, size, &e);
+    fixture_require(copy);
+    CU_ASSERT_TRUE(bb_digest_equal(&copy->digest, &bundle->digest));
+    bb_bundle_unref(copy);
+    bb_bundle_unref(bundle);
+    g_free(bytes);
+}
+
 static void
 test_bundle_survives_encoding(void)
 {
@@ -122,8 +261,8 @@
 static void
 test_every_damage_is_refused(void)
 {
-    struct bb_bundle *from = make_bundle(5, old_files);
-    struct bb_bundle *to = make_bundle(6, new_files);
+    struct bb_bundle *from = make_rostered(5, old_files, "a", "b", 1);
+    struct bb_bundle *to = make_rostered(6, new_files, "a", "c", 2);
     uint8_t *bytes;
     size_t size;
 
@@ -167,6 +306,11 @@
 
 static const struct bb_unit_test tests[] = {
     {"a bundle survives encoding", test_bundle_survives_encoding},
+    {"rosters survive encoding and deltas",
+     test_rosters_survive_encoding_and_deltas},
+    {"rosters over their limits are refused",
+     test_rosters_over_their_limits_are_refused},
+    {"full rosters survive encoding", test_full_rosters_survive_encoding},
     {"a delta leads to the new bundle only from its base",
      test_delta_leads_to_the_new_bundle_only_from_its_base},
     {"every damage is refused", test_every_damage_is_refused},
