control: propose roster changes from the leader

Cause: rosters are planned by decide/roster but nobody proposes them, and a revision that only changes a roster would make an operator's proposal against the revision before it stale.

Change: roster_keeper observes the members every 250 ms on every control host and proposes changes on the leader, without a version label; the bundle keeps the operators' label. Retention comes from the compiled configuration. A host counts as having adopted an epoch when its applied revision has it, when it left in good order, or when it is dead and the operators have drained it. proposal submits an operator's folder with the rosters of the revision it is against, and once more when only rosters changed since its base; a resend whose answer was lost is recognised by the history although its payload has other rosters by then. A host that does not hold the base does not propose. /v1/status shows the operators' version and the digest of the folder.

--- a/config/folder.c
+++ b/config/folder.c
@@ -213,6 +213,21 @@
     return NULL;
 }
 
+/* Copies a folder with its files. */
+struct bb_folder *
+bb_folder_copy(const struct bb_folder *f)
+{
+    struct bb_folder *copy = g_memdup2(f, sizeof(*f));
+
+    copy->files = g_memdup2(f->files, f->file_count * sizeof(f->files[0]));
+    for (uint32_t i = 0; i < f->file_count; i++) {
+        copy->files[i].name = g_strdup(f->files[i].name);
+        copy->files[i].data =
+            g_memdup2(f->files[i].data, f->files[i].size_bytes + 1);
+    }
+    return copy;
+}
+
 /* Frees a folder; NULL is allowed. */
 void
 bb_folder_destroy(struct bb_folder *f)
--- a/control/daemon.c
+++ b/control/daemon.c
@@ -6,7 +6,7 @@
 #include "common/counters.h"
 #include "common/log.h"
 
-enum { PROPOSE_TIMEOUT_MS = 3000, EMPTY_CHECK_MS = 100 };
+enum { EMPTY_CHECK_MS = 100 };
 
 BB_COUNTER(proposed_total, "baobab_proposals_total",
            "Configurations proposed by this control host");
@@ -21,15 +21,12 @@
 BB_GAUGE(leader_gauge, "baobab_is_leader",
          "1 while this control host is the leader");
 
-/* A configuration on its way to the quorum. An empty one (without payload)
- * ends the proposer's thread. */
+/* A folder on its way to the quorum. An empty one (without folder) ends the
+ * proposer's thread. */
 struct proposal {
     uint64_t base;
     uint64_t version;
-    struct bb_digest digest;         /* of the folder, for the source watch */
-    struct bb_digest payload_digest; /* identifies it in the agreement */
-    uint8_t *payload;
-    size_t size_bytes;
+    struct bb_folder *folder;
 };
 
 /* Frees a proposal. */
@@ -38,7 +35,7 @@
 {
     struct proposal *p = data;
 
-    g_free(p->payload);
+    bb_folder_destroy(p->folder);
     g_free(p);
 }
 
@@ -50,22 +47,25 @@
 {
     struct bb_control *c = context;
     struct proposal *p = g_new0(struct proposal, 1);
-    struct bb_rosters none = {0};
-    const struct bb_bundle b = {
-        .version = version,
-        .digest = folder->digest,
-        .folder = (struct bb_folder *)folder,
-        .rosters = &none,
-    };
 
     p->base = base_revision;
     p->version = version;
-    p->digest = folder->digest;
-    bb_bundle_encode(&b, &p->payload, &p->size_bytes);
-    p->payload_digest = bb_digest_of(p->payload, p->size_bytes);
+    p->folder = bb_folder_copy(folder);
     g_async_queue_push(c->proposals, p);
 }
 
+/* Hands a proposal to the agreement. */
+static struct bb_replicate_result
+propose(void *context, uint64_t base, uint64_t version,
+        const struct bb_digest *digest, const void *payload, size_t size_bytes,
+        uint32_t timeout_ms)
+{
+    struct bb_control *c = context;
+
+    return bb_replicate_propose(c->replicate, base, version, digest, payload,
+                                size_bytes, timeout_ms);
+}
+
 /* Turns the outcome of the agreement into the answer for the source watch and
  * counts it. */
 static enum bb_source_answer
@@ -95,8 +95,9 @@
     case BB_REPLICATE_BAD_PAYLOAD:
         bb_counter_add(&refused_total, 1);
         bb_log_warning("proposal.bad_payload",
-                       "%zu bytes after compression; the limit is %d",
-                       p->size_bytes, BB_REPLICATE_PAYLOAD_MAX_BYTES);
+                       "the folder and the rosters of witnesses have more "
+                       "than %d bytes after compression",
+                       BB_REPLICATE_PAYLOAD_MAX_BYTES);
         return BB_SOURCE_INVALID;
     case BB_REPLICATE_NO_QUORUM:
         break;
@@ -136,15 +137,13 @@
         if (p == NULL) {
             continue;
         }
-        if (p->payload == NULL) {
+        if (p->folder == NULL) {
             destroy_proposal(p);
             break;
         }
         bb_counter_add(&proposed_total, 1);
-        r = bb_replicate_propose(c->replicate, p->base, p->version,
-                                 &p->payload_digest, p->payload, p->size_bytes,
-                                 PROPOSE_TIMEOUT_MS);
-        bb_source_watch_answer(c->watch, &p->digest, p->base,
+        r = bb_proposal_submit(&c->target, p->folder, p->version, p->base);
+        bb_source_watch_answer(c->watch, &p->folder->digest, p->base,
                                note_outcome(p, &r), r.revision);
         destroy_proposal(p);
     }
@@ -170,7 +169,11 @@
         return;
     }
     b->revision = revision;
-    b->version = version;
+    /* A change of rosters has no version of its own; the bundle keeps the
+     * operators' one. */
+    if (version != 0) {
+        b->version = version;
+    }
     if (bb_history_add(c->history, b)) {
         bb_counter_set(&revision_gauge, revision);
         bb_log_info("configuration.accepted",
@@ -299,6 +302,14 @@
     return true;
 }
 
+/* Starts the thread that keeps the rosters. */
+static bool
+start_keeper(struct bb_control *c, struct bb_error *e)
+{
+    c->keeper = bb_roster_keeper_create(&c->target, c->replicate, c->mesh, e);
+    return c->keeper != NULL;
+}
+
 /* Starts the administration API. */
 static bool
 create_admin(struct bb_control *c, struct bb_error *e)
@@ -317,6 +328,8 @@
 {
     c->proposals = g_async_queue_new_full(destroy_proposal);
     c->history = bb_history_create();
+    c->target = (struct bb_proposal_target){
+        .history = c->history, .context = c, .propose = propose};
     c->rpc_server = bb_rpc_server_create(&c->settings.rpc, e);
     return c->rpc_server != NULL && create_mesh(c, e) && create_watch(c, e) &&
            create_replicate(c, e) &&
@@ -324,7 +337,7 @@
            bb_mesh_register(c->mesh, c->rpc_server, e) &&
            bb_rpc_server_start(c->rpc_server, e) && start_proposer(c, e) &&
            bb_mesh_start(c->mesh, e) && bb_source_watch_start(c->watch, e) &&
-           create_admin(c, e);
+           start_keeper(c, e) && create_admin(c, e);
 }
 
 /* Stops and frees what was started, in reverse order. */
@@ -332,6 +345,7 @@
 bb_control_stop(struct bb_control *c)
 {
     bb_admin_destroy(c->admin);
+    bb_roster_keeper_destroy(c->keeper);
     if (c->has_proposer) {
         g_async_queue_push(c->proposals, g_new0(struct proposal, 1));
         (void)pthread_join(c->proposer, NULL);
--- a/control/daemon.h
+++ b/control/daemon.h
@@ -1,6 +1,7 @@
 /* The parts of a running control host, and how they are connected:
  *
  *   source watch --propose--> proposer thread --> replicate
+ *   members --> roster keeper --propose--> replicate, on the leader
  *   replicate --committed--> history, source watch, mesh --> relays
  *
  * Lock order: the daemon's lock is a leaf. */
@@ -12,11 +13,13 @@
 
 #include "admin/admin.h"
 #include "config/history.h"
+#include "control/proposal.h"
 #include "control/replicate.h"
 #include "control/source_watch.h"
 #include "control_settings.h"
 #include "mesh/mesh.h"
 #include "mesh/rpc.h"
+#include "roster_keeper.h"
 
 struct bb_control {
     struct bb_control_settings settings;
@@ -26,6 +29,8 @@
     struct bb_replicate *replicate;
     struct bb_source_watch *watch;
     struct bb_admin *admin;
+    struct bb_proposal_target target;
+    struct bb_roster_keeper *keeper;
     GAsyncQueue *proposals; /* of struct proposal */
     pthread_t proposer;
     bool has_proposer;
--- a/control/endpoints.c
+++ b/control/endpoints.c
@@ -91,6 +91,7 @@
     struct bb_control *c = context;
     char digest[BB_DIGEST_TEXT_BYTES] = "";
     json_t *source = bb_source_watch_status(c->watch);
+    struct bb_bundle *b = bb_history_newest(c->history);
     struct bb_replicate_status s;
 
     (void)request;
@@ -100,13 +101,15 @@
         "s:o}",
         "host", c->settings.host, "zone", c->settings.zone, "region",
         c->settings.region, "role", "control", "revision",
-        (json_int_t)s.revision, "version", (json_int_t)s.version, "digest",
-        bb_digest_text(&s.digest, digest), "confirmed", s.is_confirmed,
-        "leader", s.leader[0] != '\0' ? s.leader : NULL, "term",
-        (json_int_t)s.term, "quorum", s.is_confirmed, "agreement_role",
-        roles[s.role], "can_vote", s.can_vote, "why_not", s.why_not,
-        "control_hosts", list_peers(&s), "problems", list_problems(&s, source),
-        "source", source);
+        (json_int_t)s.revision, "version",
+        (json_int_t)(b != NULL ? b->version : 0), "digest",
+        b != NULL ? bb_digest_text(&b->folder->digest, digest) : "",
+        "confirmed", s.is_confirmed, "leader",
+        s.leader[0] != '\0' ? s.leader : NULL, "term", (json_int_t)s.term,
+        "quorum", s.is_confirmed, "agreement_role", roles[s.role], "can_vote",
+        s.can_vote, "why_not", s.why_not, "control_hosts", list_peers(&s),
+        "problems", list_problems(&s, source), "source", source);
+    bb_bundle_unref(b);
 }
 
 /* Answers with all member records. */
--- /dev/null
+++ b/control/roster_keeper.c
@@ -0,0 +1,188 @@
+#include "roster_keeper.h"
+
+#include <errno.h>
+#include <glib.h>
+#include <pthread.h>
+
+#include "common/clock.h"
+#include "common/counters.h"
+#include "common/log.h"
+#include "config/compile.h"
+#include "roster_plan.h"
+
+enum { STEP_MS = 250 };
+
+BB_COUNTER(proposed_total, "baobab_roster_proposals_total",
+           "Changes of rosters proposed by this control host");
+BB_COUNTER(accepted_total, "baobab_roster_accepted_total",
+           "Changes of rosters proposed here that were accepted");
+
+struct bb_roster_keeper {
+    struct bb_proposal_target target;
+    struct bb_replicate *replicate;
+    struct bb_mesh *mesh;
+    pthread_t thread;
+    pthread_mutex_t lock; /* a leaf */
+    pthread_cond_t wake;
+    bool is_stopping;
+    /* Of the thread alone. */
+    struct bb_roster_plan *plan;
+    struct bb_config *config;
+};
+
+/* Tells whether this host may propose: others would only be refused. */
+static bool
+is_leader(struct bb_roster_keeper *k)
+{
+    struct bb_replicate_status s;
+
+    bb_replicate_status(k->replicate, &s);
+    return s.role == BB_AGREE_LEADER && s.is_confirmed;
+}
+
+/* Proposes rosters beside the operators' files in force. Any refusal means
+ * that a newer revision exists or none can be agreed on now; the next step
+ * starts from what is in force then. */
+static void
+propose(struct bb_roster_keeper *k, const struct bb_bundle *b,
+        const struct bb_rosters *rosters)
+{
+    struct bb_replicate_result r;
+
+    bb_counter_add(&proposed_total, 1);
+    r = bb_proposal_send(&k->target, b->folder, rosters, b->version, 0,
+                         b->revision);
+    if (r.outcome == BB_REPLICATE_ACCEPTED) {
+        bb_counter_add(&accepted_total, 1);
+        bb_log_info("roster.accepted",
+                    "revision %" G_GUINT64_FORMAT
+                    " has other rosters of witnesses",
+                    r.revision);
+    }
+    else if (r.outcome == BB_REPLICATE_BAD_PAYLOAD) {
+        bb_log_warning("roster.too_large",
+                       "folder and rosters do not fit into one revision");
+    }
+}
+
+/* Compiles a revision if it is another one than the last. */
+static bool
+follow(struct bb_roster_keeper *k, const struct bb_bundle *b)
+{
+    struct bb_faults faults = {0};
+
+    if (k->config != NULL && k->config->revision == b->revision) {
+        return true;
+    }
+    bb_config_destroy(k->config);
+    k->config = bb_config_compile(b->folder, &faults);
+    if (k->config != NULL) {
+        k->config->revision = b->revision;
+    }
+    bb_faults_clear(&faults);
+    return k->config != NULL;
+}
+
+/* Observes the members and proposes other rosters if it is time to. */
+static void
+step(struct bb_roster_keeper *k)
+{
+    struct bb_bundle *b = bb_history_newest(k->target.history);
+    struct bb_member_list members = {0};
+    struct bb_rosters *rosters = NULL;
+
+    if (b != NULL && follow(k, b)) {
+        bb_mesh_members_snapshot(k->mesh, &members);
+        rosters = bb_roster_plan_step(k->plan, b, k->config, &members,
+                                      bb_clock_now_us());
+        bb_member_list_clear(&members);
+    }
+    if (rosters != NULL && is_leader(k)) {
+        propose(k, b, rosters);
+    }
+    bb_rosters_destroy(rosters);
+    bb_bundle_unref(b);
+}
+
+/* Waits until the next step; false if the keeper stops. */
+static bool
+wait_step(struct bb_roster_keeper *k)
+{
+    struct timespec until = bb_clock_timespec(
+        bb_clock_now_us() + (uint64_t)STEP_MS * BB_US_PER_MS);
+    int result = 0;
+    bool is_stopping;
+
+    (void)pthread_mutex_lock(&k->lock);
+    while (!k->is_stopping && result != ETIMEDOUT) {
+        result = pthread_cond_timedwait(&k->wake, &k->lock, &until);
+    }
+    is_stopping = k->is_stopping;
+    (void)pthread_mutex_unlock(&k->lock);
+    return !is_stopping;
+}
+
+/* Steps until told to stop. */
+static void *
+run(void *argument)
+{
+    struct bb_roster_keeper *k = argument;
+
+    while (wait_step(k)) {
+        step(k);
+    }
+    return NULL;
+}
+
+/* Creates a keeper and starts its thread; history, agreement and mesh outlive
+ * it. */
+struct bb_roster_keeper *
+bb_roster_keeper_create(const struct bb_proposal_target *target,
+                        struct bb_replicate *replicate, struct bb_mesh *mesh,
+                        struct bb_error *e)
+{
+    struct bb_roster_keeper *k = g_new0(struct bb_roster_keeper, 1);
+    pthread_condattr_t attributes;
+
+    k->target = *target;
+    k->replicate = replicate;
+    k->mesh = mesh;
+    k->plan = bb_roster_plan_create();
+    (void)pthread_mutex_init(&k->lock, NULL);
+    (void)pthread_condattr_init(&attributes);
+    (void)pthread_condattr_setclock(&attributes, CLOCK_MONOTONIC);
+    (void)pthread_cond_init(&k->wake, &attributes);
+    (void)pthread_condattr_destroy(&attributes);
+    if (pthread_create(&k->thread, NULL, run, k) != 0) {
+        bb_error_set(e, 1, "cannot start the thread of the rosters");
+        k->is_stopping = true;
+        bb_roster_keeper_destroy(k);
+        k = NULL;
+    }
+    return k;
+}
+
+/* Stops the thread and frees the keeper; NULL is allowed. */
+void
+bb_roster_keeper_destroy(struct bb_roster_keeper *k)
+{
+    bool has_thread;
+
+    if (k == NULL) {
+        return;
+    }
+    (void)pthread_mutex_lock(&k->lock);
+    /* Set before only if the thread did not start. */
+    has_thread = !k->is_stopping;
+    k->is_stopping = true;
+    (void)pthread_cond_signal(&k->wake);
+    (void)pthread_mutex_unlock(&k->lock);
+    if (has_thread) {
+        (void)pthread_join(k->thread, NULL);
+    }
+    bb_config_destroy(k->config);
+    bb_roster_plan_destroy(k->plan);
+    (void)pthread_cond_destroy(&k->wake);
+    (void)pthread_mutex_destroy(&k->lock);
+    g_free(k);
+}
--- /dev/null
+++ b/control/roster_keeper.h
@@ -0,0 +1,18 @@
+/* Keeps the rosters of witnesses up to date: a thread that observes the
+ * members on every control host and proposes changes on the leader. */
+#ifndef BB_CONTROL_ROSTER_KEEPER_H
+#define BB_CONTROL_ROSTER_KEEPER_H
+
+#include "common/error.h"
+#include "control/proposal.h"
+#include "mesh/mesh.h"
+
+struct bb_roster_keeper;
+
+struct bb_roster_keeper *
+bb_roster_keeper_create(const struct bb_proposal_target *target,
+                        struct bb_replicate *replicate, struct bb_mesh *mesh,
+                        struct bb_error *e);
+void bb_roster_keeper_destroy(struct bb_roster_keeper *k);
+
+#endif
--- /dev/null
+++ b/control/roster_plan.c
@@ -0,0 +1,244 @@
+#include "roster_plan.h"
+
+#include <string.h>
+
+#include "common/clock.h"
+#include "common/log.h"
+#include "decide/roster.h"
+
+/* What is remembered of one service. */
+struct service_plan {
+    struct bb_roster_planner planner;
+    uint64_t epoch;
+    uint64_t epoch_revision; /* in which it came into force, or later */
+};
+
+struct bb_roster_plan {
+    GHashTable *services; /* name -> struct service_plan */
+    /* Work space, as these are too large for a stack. */
+    struct bb_roster present;
+    struct bb_roster next;
+    struct bb_roster_host hosts[BB_ROSTER_SEEN_MAX];
+};
+
+/* Creates a plan that remembers nothing. */
+struct bb_roster_plan *
+bb_roster_plan_create(void)
+{
+    struct bb_roster_plan *p = g_new0(struct bb_roster_plan, 1);
+
+    p->services =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    return p;
+}
+
+/* Frees a plan; NULL is allowed. */
+void
+bb_roster_plan_destroy(struct bb_roster_plan *p)
+{
+    if (p != NULL) {
+        g_hash_table_destroy(p->services);
+        g_free(p);
+    }
+}
+
+/* Returns what is remembered of a service. */
+static struct service_plan *
+find_service(struct bb_roster_plan *p, const char *service)
+{
+    struct service_plan *s = g_hash_table_lookup(p->services, service);
+
+    if (s == NULL) {
+        s = g_new0(struct service_plan, 1);
+        (void)g_hash_table_insert(p->services, g_strdup(service), s);
+    }
+    return s;
+}
+
+/* Tells whether the operators want a host to take no more work. */
+static bool
+is_drained(const struct bb_config *c, const char *host)
+{
+    for (uint16_t i = 0; i < c->drain_count; i++) {
+        if (strcmp(c->drains[i].host, host) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Describes a member as a witness of a service. A host adopts an epoch with
+ * the revision that brings it. One that left in good order grants nothing any
+ * more, nor does one that is dead and that the operators have drained: dead
+ * alone may mean cut off from its zone. */
+static struct bb_roster_host
+describe(const struct bb_member *m, const char *service,
+         const struct bb_config *c, uint64_t epoch_revision)
+{
+    bool is_running =
+        m->state == BB_MEMBER_ALIVE || m->state == BB_MEMBER_SUSPECT;
+    bool is_serving = is_running && strcmp(m->service, service) == 0;
+    bool is_out = is_drained(c, m->host);
+
+    return (struct bb_roster_host){
+        .host = bb_roster_host_key(m->host),
+        .is_ready = is_serving && !is_out && m->state == BB_MEMBER_ALIVE &&
+                    m->is_reachable && m->upstream_state == BB_UPSTREAM_READY,
+        .is_there = is_serving,
+        .has_adopted = m->applied_revision >= epoch_revision ||
+                       m->state == BB_MEMBER_LEFT || (!is_running && is_out),
+    };
+}
+
+/* Tells whether a list names a host. */
+static bool
+names_host(const struct bb_host_list *l, const char *host)
+{
+    for (uint32_t i = 0; i < l->count; i++) {
+        if (strcmp(l->names[i], host) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Lists the members that serve a service or are in its roster. */
+static uint32_t
+list_hosts(struct bb_roster_plan *p, const char *service,
+           const struct bb_service_roster *r, const struct bb_config *c,
+           const struct bb_member_list *members, uint64_t epoch_revision)
+{
+    uint32_t count = 0;
+
+    for (size_t i = 0; i < members->count && count < BB_ROSTER_SEEN_MAX; i++) {
+        const struct bb_member *m = &members->items[i];
+
+        if (m->role == BB_ROLE_NODE &&
+            (strcmp(m->service, service) == 0 ||
+             (r != NULL && (names_host(&r->hosts, m->host) ||
+                            names_host(&r->previous, m->host))))) {
+            p->hosts[count] = describe(m, service, c, epoch_revision);
+            count++;
+        }
+    }
+    return count;
+}
+
+/* Orders host names. */
+static int
+compare_names(const void *a, const void *b)
+{
+    return strcmp(a, b);
+}
+
+/* Returns the name of a host by its key, from the members and the present
+ * roster, or NULL. */
+static const char *
+find_name(const struct bb_member_list *members,
+          const struct bb_service_roster *r, uint64_t key)
+{
+    for (uint32_t i = 0; r != NULL && i < r->hosts.count; i++) {
+        if (bb_roster_host_key(r->hosts.names[i]) == key) {
+            return r->hosts.names[i];
+        }
+    }
+    for (size_t i = 0; i < members->count; i++) {
+        if (bb_roster_host_key(members->items[i].host) == key) {
+            return members->items[i].host;
+        }
+    }
+    return NULL;
+}
+
+/* Adds the planned roster of a service to a set. */
+static bool
+put_next(const struct bb_roster *next, const char *service,
+         const struct bb_service_roster *present,
+         const struct bb_member_list *members, struct bb_rosters *rosters)
+{
+    char(*names)[BB_NAME_BYTES] =
+        g_malloc0_n(next->host_count, sizeof(names[0]));
+    struct bb_service_roster item = {.epoch = next->epoch,
+                                     .hosts = {names, next->host_count}};
+    struct bb_error e = {0};
+    bool ok = true;
+
+    (void)g_strlcpy(item.service, service, sizeof(item.service));
+    for (uint32_t i = 0; ok && i < next->host_count; i++) {
+        const char *name = find_name(members, present, next->hosts[i]);
+
+        ok = name != NULL;
+        if (ok) {
+            (void)g_strlcpy(names[i], name, sizeof(names[i]));
+        }
+    }
+    qsort(names, next->host_count, sizeof(names[0]), compare_names);
+    if (next->previous_count > 0 && present != NULL) {
+        item.previous = present->hosts;
+    }
+    ok = ok && bb_rosters_put(rosters, &item, &e);
+    if (!ok) {
+        bb_log_warning("roster.refused", "service %s: %s", service,
+                       e.code != 0 ? e.message : "a host has no name");
+    }
+    g_free(names);
+    return ok;
+}
+
+/* Plans the roster of one service; true if it changes the set. */
+static bool
+step_service(struct bb_roster_plan *p, const struct bb_bundle *in_force,
+             const struct bb_config *config, uint16_t service,
+             const struct bb_member_list *members, uint64_t now_us,
+             struct bb_rosters *rosters)
+{
+    const struct bb_service *c = &config->services[service];
+    const struct bb_service_roster *r =
+        bb_rosters_find(in_force->rosters, c->name);
+    struct service_plan *s = find_service(p, c->name);
+    struct bb_roster_input in = {
+        .now_us = now_us,
+        .retention_us = (uint64_t)c->retention_s * BB_US_PER_S,
+        /* No epoch is higher than the revision that brings it, so this one is
+         * above those of a roster that was lost with all disks. */
+        .first_epoch = in_force->revision + 1,
+        .present = &p->present,
+        .hosts = p->hosts,
+    };
+
+    memset(&p->present, 0, sizeof(p->present));
+    if (r != NULL) {
+        bb_roster_of_service(r, &p->present);
+        if (s->epoch != r->epoch) {
+            s->epoch = r->epoch;
+            s->epoch_revision = in_force->revision;
+        }
+    }
+    in.host_count =
+        list_hosts(p, c->name, r, config, members, s->epoch_revision);
+    return bb_roster_step(&s->planner, &in, &p->next) &&
+           put_next(&p->next, c->name, r, members, rosters);
+}
+
+/* Takes note of the members and returns the rosters to be proposed now, which
+ * the caller frees, or NULL if those in force stay. The roster of a service
+ * that is not configured stays as it is, in case the service returns. */
+struct bb_rosters *
+bb_roster_plan_step(struct bb_roster_plan *p, const struct bb_bundle *in_force,
+                    const struct bb_config *config,
+                    const struct bb_member_list *members, uint64_t now_us)
+{
+    struct bb_rosters *rosters = bb_rosters_copy(in_force->rosters);
+    bool is_changed = false;
+
+    for (uint16_t i = 0; i < config->service_count; i++) {
+        is_changed =
+            step_service(p, in_force, config, i, members, now_us, rosters) ||
+            is_changed;
+    }
+    if (!is_changed) {
+        bb_rosters_destroy(rosters);
+        rosters = NULL;
+    }
+    return rosters;
+}
--- /dev/null
+++ b/control/roster_plan.h
@@ -0,0 +1,23 @@
+/* Inside the control host: the rosters of all services, from the members of
+ * the mesh. */
+#ifndef BB_CONTROL_ROSTER_PLAN_H
+#define BB_CONTROL_ROSTER_PLAN_H
+
+#include <glib.h>
+#include <stdint.h>
+
+#include "config/bundle.h"
+#include "config/config.h"
+#include "mesh/members.h"
+
+struct bb_roster_plan;
+
+struct bb_roster_plan *bb_roster_plan_create(void);
+void bb_roster_plan_destroy(struct bb_roster_plan *p);
+struct bb_rosters *bb_roster_plan_step(struct bb_roster_plan *p,
+                                       const struct bb_bundle *in_force,
+                                       const struct bb_config *config,
+                                       const struct bb_member_list *members,
+                                       uint64_t now_us);
+
+#endif
--- a/include/config/folder.h
+++ b/include/config/folder.h
@@ -66,6 +66,7 @@
 bool bb_folder_name_is_ignored(const char *name);
 const struct bb_file *bb_folder_find(const struct bb_folder *f,
                                      const char *name);
+struct bb_folder *bb_folder_copy(const struct bb_folder *f);
 void bb_folder_destroy(struct bb_folder *f);
 const char *bb_outage_name(enum bb_outage o);
 
--- /dev/null
+++ b/tests/control/test_proposal.c
@@ -0,0 +1,222 @@
+/* A change of rosters must never refuse an operator's change, and must never
+ * be undone by one. */
+#include <string.h>
+
+#include "control/proposal.h"
+#include "unit.h"
+
+/* A stand-in for the agreement: accepts what is against the newest revision,
+ * and can let another proposal go first. */
+struct agreement {
+    struct bb_history *history;
+    uint64_t revision; /* accepted last */
+    uint64_t label;
+    uint32_t calls;
+    const char *other_text; /* folder of the one that goes first */
+    uint64_t other_epoch;
+    bool loses_answer; /* of the next accepted proposal */
+};
+
+static struct bb_folder *
+make_folder(const char *text)
+{
+    struct bb_folder_builder *b = bb_folder_builder_create();
+    struct bb_folder *f;
+    struct bb_error e = {0};
+
+    CU_ASSERT_TRUE(bb_folder_builder_add(b, "a.conf", text, strlen(text), &e));
+    f = bb_folder_builder_finish(b, &e);
+    bb_folder_builder_destroy(b);
+    return f;
+}
+
+/* Makes a set with one roster, or an empty one for epoch 0. */
+static struct bb_rosters *
+make_rosters(uint64_t epoch)
+{
+    struct bb_rosters *r = bb_rosters_create();
+    char names[1][BB_NAME_BYTES] = {"host"};
+    struct bb_service_roster item = {
+        .service = "s", .epoch = epoch, .hosts = {names, 1}};
+    struct bb_error e = {0};
+
+    CU_ASSERT_TRUE(epoch == 0 || bb_rosters_put(r, &item, &e));
+    return r;
+}
+
+/* Puts a revision in force. */
+static void
+put_in_force(struct agreement *a, struct bb_folder *folder,
+       struct bb_rosters *rosters, uint64_t version)
+{
+    struct bb_bundle *b =
+        bb_bundle_create_with(++a->revision, version, folder, rosters);
+
+    CU_ASSERT_TRUE(bb_history_add(a->history, b));
+    bb_bundle_unref(b);
+}
+
+static struct bb_replicate_result
+fake_propose(void *context, uint64_t base, uint64_t version,
+             const struct bb_digest *digest, const void *payload,
+             size_t size_bytes, uint32_t timeout_ms)
+{
+    struct agreement *a = context;
+    struct bb_error e = {0};
+    struct bb_bundle *b;
+
+    (void)digest;
+    (void)timeout_ms;
+    a->calls++;
+    if (a->other_text != NULL) {
+        put_in_force(a, make_folder(a->other_text), make_rosters(a->other_epoch), 0);
+        a->other_text = NULL;
+    }
+    if (version != 0 && version <= a->label) {
+        return (struct bb_replicate_result){BB_REPLICATE_CONFLICT,
+                                            a->revision};
+    }
+    if (base != a->revision) {
+        return (struct bb_replicate_result){BB_REPLICATE_STALE_BASE,
+                                            a->revision};
+    }
+    b = bb_bundle_decode(payload, size_bytes, &e);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(b);
+    put_in_force(a, bb_folder_copy(b->folder), bb_rosters_copy(b->rosters),
+           b->version);
+    a->label = version;
+    bb_bundle_unref(b);
+    if (a->loses_answer) {
+        a->loses_answer = false;
+        return (struct bb_replicate_result){BB_REPLICATE_NO_QUORUM, 0};
+    }
+    return (struct bb_replicate_result){BB_REPLICATE_ACCEPTED, a->revision};
+}
+
+/* Submits a folder with one text. */
+static struct bb_replicate_result
+submit(struct agreement *a, const char *text, uint64_t version, uint64_t base)
+{
+    const struct bb_proposal_target t = {
+        .history = a->history, .context = a, .propose = fake_propose};
+    struct bb_folder *f = make_folder(text);
+    struct bb_replicate_result r = bb_proposal_submit(&t, f, version, base);
+
+    bb_folder_destroy(f);
+    return r;
+}
+
+/* Returns the epoch of the roster in force, 0 without one. */
+static uint64_t
+epoch_in_force(struct agreement *a)
+{
+    struct bb_bundle *b = bb_history_newest(a->history);
+    const struct bb_service_roster *r = bb_rosters_find(b->rosters, "s");
+    uint64_t epoch = r == NULL ? 0 : r->epoch;
+
+    bb_bundle_unref(b);
+    return epoch;
+}
+
+/* Starts with revision 1: folder "old", label 1, no roster. */
+static void
+start(struct agreement *a)
+{
+    *a = (struct agreement){.history = bb_history_create(), .label = 1};
+    put_in_force(a, make_folder("old\n"), make_rosters(0), 1);
+}
+
+static void
+test_roster_change_does_not_refuse_an_operators_change(void)
+{
+    struct agreement a;
+    struct bb_replicate_result r;
+
+    start(&a);
+    a.other_text = "old\n";
+    a.other_epoch = 2;
+    r = submit(&a, "new\n", 2, 1);
+    CU_ASSERT_EQUAL(r.outcome, BB_REPLICATE_ACCEPTED);
+    CU_ASSERT_EQUAL(r.revision, 3);
+    CU_ASSERT_EQUAL(a.calls, 2);
+    CU_ASSERT_EQUAL(epoch_in_force(&a), 2);
+    /* Known before: the first call is against the newest revision. */
+    put_in_force(&a, make_folder("new\n"), make_rosters(4), 2);
+    r = submit(&a, "newer\n", 3, 3);
+    CU_ASSERT_EQUAL(r.outcome, BB_REPLICATE_ACCEPTED);
+    CU_ASSERT_EQUAL(a.calls, 3);
+    CU_ASSERT_EQUAL(epoch_in_force(&a), 4);
+    bb_history_destroy(a.history);
+}
+
+static void
+test_operators_changes_still_conflict(void)
+{
+    struct agreement a;
+    struct bb_replicate_result r;
+
+    start(&a);
+    a.other_text = "other\n";
+    a.other_epoch = 2;
+    r = submit(&a, "new\n", 2, 1);
+    CU_ASSERT_EQUAL(r.outcome, BB_REPLICATE_STALE_BASE);
+    CU_ASSERT_EQUAL(r.revision, 2);
+    r = submit(&a, "new\n", 1, 1);
+    CU_ASSERT_EQUAL(r.outcome, BB_REPLICATE_CONFLICT);
+    CU_ASSERT_EQUAL(a.revision, 2);
+    CU_ASSERT_EQUAL(epoch_in_force(&a), 2);
+    bb_history_destroy(a.history);
+}
+
+/* Guards against a resend that becomes a conflict with itself because the
+ * roster, and so the payload, is another one by then. */
+static void
+test_resend_after_a_lost_answer_is_accepted(void)
+{
+    struct agreement a;
+    struct bb_replicate_result r;
+
+    start(&a);
+    a.loses_answer = true;
+    r = submit(&a, "new\n", 2, 1);
+    CU_ASSERT_EQUAL(r.outcome, BB_REPLICATE_NO_QUORUM);
+    put_in_force(&a, make_folder("new\n"), make_rosters(3), 2);
+    r = submit(&a, "new\n", 2, 1);
+    CU_ASSERT_EQUAL(r.outcome, BB_REPLICATE_ACCEPTED);
+    CU_ASSERT_EQUAL(r.revision, 2);
+    CU_ASSERT_EQUAL(a.revision, 3);
+    put_in_force(&a, make_folder("later\n"), make_rosters(3), 3);
+    r = submit(&a, "new\n", 2, 1);
+    CU_ASSERT_EQUAL(r.outcome, BB_REPLICATE_ACCEPTED);
+    CU_ASSERT_EQUAL(r.revision, 2);
+    CU_ASSERT_EQUAL(a.calls, 1);
+    bb_history_destroy(a.history);
+}
+
+/* Guards against a host that is behind and would drop the rosters of the
+ * base, which it does not have. */
+static void
+test_a_base_that_is_not_held_is_not_proposed_against(void)
+{
+    struct agreement a;
+    struct bb_replicate_result r;
+
+    start(&a);
+    r = submit(&a, "new\n", 2, 5);
+    CU_ASSERT_EQUAL(r.outcome, BB_REPLICATE_NO_QUORUM);
+    CU_ASSERT_EQUAL(a.calls, 0);
+    bb_history_destroy(a.history);
+}
+
+static const struct bb_unit_test tests[] = {
+    {"a roster change does not refuse an operator's change",
+     test_roster_change_does_not_refuse_an_operators_change},
+    {"operators' changes still conflict",
+     test_operators_changes_still_conflict},
+    {"a resend after a lost answer is accepted",
+     test_resend_after_a_lost_answer_is_accepted},
+    {"a base that is not held is not proposed against",
+     test_a_base_that_is_not_held_is_not_proposed_against},
+};
+
+BB_UNIT_MAIN("proposal", tests)
