node: give the agreed rosters to the proxy

Cause: requests with an idempotency key were refused with key_owner_unavailable, as no node had a roster; make demo failed.

Change: the holder hands the rosters of a revision to the proxy together with its table. /v1/in-force and baobabctl in-force show service, epoch, hosts and previous hosts. The demo waits for the rosters and counts revisions from there.

Three faults on the way that could have let a key run twice or block: the proxy was never told of a restart, so a restarted witness granted keys anew; a node took revisions before its floor was known, so what others remember did not tell a restart from a first start (payloads are now taken only after that); the witness kept claims for 600 s whatever retention-s says. A host that a change removes now adopts the new epoch too, as it is asked while the previous list counts.

--- a/admin/answers.c
+++ b/admin/answers.c
@@ -49,6 +49,36 @@
     return files;
 }
 
+/* Returns a list of host names. */
+static json_t *
+hosts_json(const struct bb_host_list *l)
+{
+    json_t *hosts = json_array();
+
+    for (uint32_t i = 0; i < l->count; i++) {
+        (void)json_array_append_new(hosts, json_string(l->names[i]));
+    }
+    return hosts;
+}
+
+/* Returns the rosters of witnesses. */
+static json_t *
+rosters_json(const struct bb_rosters *r)
+{
+    json_t *rosters = json_array();
+
+    for (uint32_t i = 0; i < r->count; i++) {
+        const struct bb_service_roster *item = &r->items[i];
+
+        (void)json_array_append_new(
+            rosters, json_pack("{s:s, s:I, s:o, s:o}", "service",
+                               item->service, "epoch", (json_int_t)item->epoch,
+                               "hosts", hosts_json(&item->hosts), "previous",
+                               hosts_json(&item->previous)));
+    }
+    return rosters;
+}
+
 /* Returns the answer of /v1/in-force for a bundle, or for NULL the one of
  * revision 0, with empty lists of holders and missing members. */
 json_t *
@@ -59,17 +89,18 @@
     char *text;
 
     if (b == NULL) {
-        return json_pack("{s:i, s:i, s:s, s:b, s:s, s:[], s:[], s:[]}",
+        return json_pack("{s:i, s:i, s:s, s:b, s:s, s:[], s:[], s:[], s:[]}",
                          "revision", 0, "version", 0, "digest", digest,
                          "confirmed", is_confirmed, "text", "", "files",
-                         "holders", "missing");
+                         "rosters", "holders", "missing");
     }
     text = bb_config_merged_text(b->folder);
-    j = json_pack("{s:I, s:I, s:s, s:b, s:s, s:o, s:[], s:[]}", "revision",
-                  (json_int_t)b->revision, "version", (json_int_t)b->version,
-                  "digest", bb_digest_text(&b->folder->digest, digest), "confirmed",
+    j = json_pack("{s:I, s:I, s:s, s:b, s:s, s:o, s:o, s:[], s:[]}",
+                  "revision", (json_int_t)b->revision, "version",
+                  (json_int_t)b->version, "digest",
+                  bb_digest_text(&b->folder->digest, digest), "confirmed",
                   is_confirmed, "text", text, "files", files_json(b->folder),
-                  "holders", "missing");
+                  "rosters", rosters_json(b->rosters), "holders", "missing");
     g_free(text);
     return j;
 }
--- a/bench/demo.sh
+++ b/bench/demo.sh
@@ -41,8 +41,11 @@
     mesh_start_upstream "$i" "${services[$(((i + i / 4) % 4))]}"
 done
 mesh_wait_revision 1 "${nodes[@]}"
-sleep 0.7
+# Requests with an idempotency key need the witnesses of their service.
+mesh_wait_rosters "${#services[@]}" "${nodes[@]}"
+revision=$(mesh_revision)
 mesh_ctl members
+mesh_ctl in-force | sed -n '/^rosters:/,/^$/p'
 
 echo
 echo "2. Sending the Adinkra workload, $RATE calls a second for" \
@@ -69,8 +72,8 @@
 mv "$folder/.services" "$folder/20-services.conf"
 start_ms=$(mesh_now_ms)
 mv "$folder/.new" "$folder/00-configuration.conf"
-mesh_wait_revision 2 "${nodes[@]}"
-echo "   revision 2 in force on all 8 nodes after" \
+mesh_wait_revision $((revision + 1)) "${nodes[@]}"
+echo "   revision $((revision + 1)) in force on all 8 nodes after" \
     "$((MESH_LAST_MS - start_ms)) ms"
 wait_holders 8
 echo "   control-1, to which the nodes' acknowledgements travelled, shows:"
@@ -92,8 +95,8 @@
 mesh_ctl status >"$MESH_DIR/status.txt" || true
 cat "$MESH_DIR/status.txt"
 mesh_ctl in-force >"$MESH_DIR/in-force.txt"
-grep -q "^revision 2," "$MESH_DIR/in-force.txt" ||
-    mesh_fail "revision 2 is not in force any more"
+grep -q "^revision $((revision + 1))," "$MESH_DIR/in-force.txt" ||
+    mesh_fail "revision $((revision + 1)) is not in force any more"
 
 echo
 echo "5. Draining node-4 by a file in the folder"
@@ -108,7 +111,7 @@
 rm "$folder/60-bad.conf"
 mv "$folder/.drain" "$folder/60-drain.conf"
 mv "$folder/.new" "$folder/00-configuration.conf"
-mesh_wait_revision 3 "${nodes[@]}"
+mesh_wait_revision $((revision + 2)) "${nodes[@]}"
 sleep 0.5
 before=$(work_started)
 sleep 2
--- a/bench/mesh-lib.sh
+++ b/bench/mesh-lib.sh
@@ -146,6 +146,23 @@
     return 0
 }
 
+# mesh_revision: prints the revision in force at control host MESH_ADMIN.
+mesh_revision() {
+    mesh_ctl in-force | sed -n 's/^revision \([0-9]*\),.*/\1/p'
+}
+
+# mesh_wait_rosters COUNT NAME...: waits until that many services have a roster
+# of witnesses and each node has it in force. Fails after 20 s.
+mesh_wait_rosters() {
+    local count=$1 deadline=$((SECONDS + ${MESH_WAIT_S:-20}))
+    shift
+    until mesh_ctl in-force 2>/dev/null | grep -q "^rosters: $count\$"; do
+        [ $SECONDS -lt $deadline ] || mesh_fail "not $count rosters"
+        sleep 0.1
+    done
+    mesh_wait_revision "$(mesh_revision)" "$@"
+}
+
 # mesh_get PORT PATH: prints the body of an HTTP answer from 127.0.0.1.
 mesh_get() {
     local line
--- a/ctl/command_in_force.c
+++ b/ctl/command_in_force.c
@@ -1,4 +1,5 @@
-/* baobabctl in-force: what is in force, where it comes from, who holds it. */
+/* baobabctl in-force: what is in force, where it comes from, who holds it, and
+ * the rosters of witnesses. */
 #include <inttypes.h>
 
 #include "common/registry.h"
@@ -20,6 +21,37 @@
     }
 }
 
+/* Prints the names of a list of hosts after a word. */
+static void
+print_hosts(const struct bb_ctl *c, const char *word, const json_t *hosts)
+{
+    if (json_array_size(hosts) > 0) {
+        (void)fprintf(c->out, "    %s:", word);
+        for (size_t i = 0; i < json_array_size(hosts); i++) {
+            (void)fprintf(c->out, " %s",
+                          json_string_value(json_array_get(hosts, i)));
+        }
+        (void)fprintf(c->out, "\n");
+    }
+}
+
+/* Prints the rosters of witnesses. */
+static void
+print_rosters(const struct bb_ctl *c, const json_t *answer)
+{
+    const json_t *rosters = json_object_get(answer, "rosters");
+
+    (void)fprintf(c->out, "\nrosters: %zu\n", json_array_size(rosters));
+    for (size_t i = 0; i < json_array_size(rosters); i++) {
+        const json_t *r = json_array_get(rosters, i);
+
+        (void)fprintf(c->out, "  %-24s epoch %" PRIu64 "\n",
+                      bb_ctl_text(r, "service"), bb_ctl_number(r, "epoch"));
+        print_hosts(c, "hosts", json_object_get(r, "hosts"));
+        print_hosts(c, "previous", json_object_get(r, "previous"));
+    }
+}
+
 /* Runs the command. It fails if nothing is in force, or if no quorum confirms
  * what is. */
 static enum bb_exit
@@ -52,6 +84,7 @@
                       bb_ctl_text(answer, "digest"));
         print_members(c, answer, "holders");
         print_members(c, answer, "missing");
+        print_rosters(c, answer);
         (void)fprintf(c->out, "\n%s", bb_ctl_text(answer, "text"));
     }
     bb_folder_destroy(folder);
--- a/include/proxy/proxy.h
+++ b/include/proxy/proxy.h
@@ -49,6 +49,7 @@
 void bb_proxy_set_table(struct bb_proxy *p, struct bb_table *t);
 void bb_proxy_set_roster(struct bb_proxy *p, const char *service,
                          const struct bb_roster *r);
+void bb_proxy_note_restart(struct bb_proxy *p);
 bool bb_proxy_register(struct bb_proxy *p, struct bb_rpc_server *server,
                        struct bb_error *e);
 uint32_t bb_proxy_in_flight(const struct bb_proxy *p);
--- a/node/endpoints.c
+++ b/node/endpoints.c
@@ -49,8 +49,8 @@
         n->settings.host, "zone", n->settings.zone, "region",
         n->settings.region, "role", "node", "revision", (json_int_t)served,
         "version", (json_int_t)(b != NULL ? b->version : 0), "digest",
-        b != NULL ? bb_digest_text(&b->folder->digest, digest) : "", "confirmed", 0,
-        "leader", "source", "problems", problems, "in_flight",
+        b != NULL ? bb_digest_text(&b->folder->digest, digest) : "",
+        "confirmed", 0, "leader", "source", "problems", problems, "in_flight",
         (json_int_t)bb_proxy_in_flight(n->proxy), "highest_known_revision",
         (json_int_t)highest);
     bb_bundle_unref(b);
--- a/node/holder.c
+++ b/node/holder.c
@@ -43,6 +43,7 @@
     bool is_changed;
     bool is_stopping;
     bool is_floor_known;
+    bool has_kept; /* this host ran before, as its disk shows */
     uint64_t floor_revision;
     uint64_t served_revision;
     bool has_rebuild_thread;
@@ -51,6 +52,7 @@
     pthread_t floor_thread;
     /* Of the rebuild thread alone. */
     struct bb_config *config;
+    uint64_t roster_revision; /* whose rosters the proxy has */
 };
 
 /* Loads the copy kept on disk. Its revision is the last one this host held,
@@ -69,6 +71,7 @@
     }
     (void)bb_history_add(h->history, b);
     h->is_floor_known = true;
+    h->has_kept = true;
     h->floor_revision = b->revision;
     h->is_changed = true;
     bb_bundle_unref(b);
@@ -220,6 +223,20 @@
     }
 }
 
+/* Tells whether payloads are taken. Before the floor is known they are not:
+ * others remember what this host holds, and could not tell it from what it
+ * held before a restart. */
+static bool
+takes_payloads(struct bb_holder *h)
+{
+    bool is_known;
+
+    (void)pthread_mutex_lock(&h->lock);
+    is_known = h->is_floor_known;
+    (void)pthread_mutex_unlock(&h->lock);
+    return is_known;
+}
+
 /* Applies a payload from the mesh as a whole. A revision below the floor is
  * taken as a base for deltas but not served. */
 enum bb_mesh_receive
@@ -232,6 +249,9 @@
     struct bb_bundle *b = NULL;
 
     *held_revision = newest == NULL ? 0 : newest->revision;
+    if (!takes_payloads(h)) {
+        goto out;
+    }
     if (newest != NULL && payload->revision <= newest->revision) {
         bb_counter_add(&stale_total, 1);
         goto out;
@@ -278,6 +298,24 @@
     }
 }
 
+/* Gives the rosters of a revision to the proxy, once. */
+static void
+set_rosters(struct bb_holder *h, const struct bb_bundle *b)
+{
+    struct bb_roster *r;
+
+    if (h->roster_revision == b->revision) {
+        return;
+    }
+    h->roster_revision = b->revision;
+    r = g_new(struct bb_roster, 1);
+    for (uint32_t i = 0; i < b->rosters->count; i++) {
+        bb_roster_of_service(&b->rosters->items[i], r);
+        bb_proxy_set_roster(h->proxy, b->rosters->items[i].service, r);
+    }
+    g_free(r);
+}
+
 /* Builds a table from the newest bundle and the present members and hands it
  * to the proxy, unless the floor is unknown or not reached yet. */
 static void
@@ -313,6 +351,7 @@
     t = bb_table_build(h->config, members.items, members.count, &own);
     note_served(h, b, t->route_count);
     bb_proxy_set_table(h->proxy, t);
+    set_rosters(h, b);
     bb_member_list_clear(&members);
 out:
     bb_bundle_unref(b);
@@ -365,6 +404,9 @@
             bb_clock_sleep_us((uint64_t)FLOOR_RETRY_MS * BB_US_PER_MS);
             continue;
         }
+        if (revision > 0) {
+            bb_proxy_note_restart(h->proxy);
+        }
         (void)pthread_mutex_lock(&h->lock);
         h->is_floor_known = true;
         h->floor_revision = revision;
@@ -385,6 +427,9 @@
 {
     h->mesh = mesh;
     h->proxy = proxy;
+    if (h->has_kept) {
+        bb_proxy_note_restart(proxy);
+    }
     h->has_rebuild_thread =
         pthread_create(&h->rebuild_thread, NULL, run_rebuilds, h) == 0;
     h->has_floor_thread =
--- a/proxy/claims.c
+++ b/proxy/claims.c
@@ -13,6 +13,8 @@
     struct bb_witness witness;
     struct bb_claim_entry *entries;
     uint64_t own_key;
+    uint64_t started_us;
+    bool has_restarted; /* and lost the claims that it granted before */
 };
 
 /* Creates the claims of a node. A host that may have granted claims before,
@@ -25,12 +27,14 @@
 
     (void)pthread_mutex_init(&c->lock, NULL);
     c->own_key = own_key;
+    c->started_us = bb_clock_now_us();
+    c->has_restarted = restarted_without_data;
     c->rosters =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     c->entries = g_new0(struct bb_claim_entry, entries);
     bb_witness_init(&c->witness, 0, (uint64_t)retention_s * BB_US_PER_S,
                     restarted_without_data, c->entries, entries,
-                    bb_clock_now_us());
+                    c->started_us);
     return c;
 }
 
@@ -47,7 +51,8 @@
     g_free(c);
 }
 
-/* Tells whether a roster names this node. */
+/* Tells whether a roster names this node in one of its lists. A host that a
+ * change removes is still asked while the previous list counts. */
 static bool
 names_own(const struct bb_claims *c, const struct bb_roster *r)
 {
@@ -56,14 +61,41 @@
             return true;
         }
     }
+    for (uint32_t i = 0; i < r->previous_count; i++) {
+        if (r->previous[i] == c->own_key) {
+            return true;
+        }
+    }
     return false;
 }
 
+/* Lets the witness confirm nothing until the retention time has passed since
+ * the start, if it lost its claims. */
+static void
+hold_back(struct bb_claims *c)
+{
+    if (c->has_restarted) {
+        c->witness.confirms_from_us = c->started_us + c->witness.retention_us;
+    }
+}
+
+/* Records that this host ran before and may have granted claims that it does
+ * not know any more. */
+void
+bb_claims_note_restart(struct bb_claims *c)
+{
+    (void)pthread_mutex_lock(&c->lock);
+    c->has_restarted = true;
+    hold_back(c);
+    (void)pthread_mutex_unlock(&c->lock);
+}
+
 /* Adopts the agreed roster of a service; one with an earlier epoch is
- * ignored. The witness follows the roster that names this node. */
+ * ignored. The witness follows the roster that names this node, and keeps
+ * claims for the retention time of that service, 0 if unknown. */
 void
 bb_claims_set_roster(struct bb_claims *c, const char *service,
-                     const struct bb_roster *r)
+                     const struct bb_roster *r, uint32_t retention_s)
 {
     const struct bb_roster *old;
 
@@ -74,6 +106,10 @@
                              g_memdup2(r, sizeof(*r)));
         if (names_own(c, r)) {
             bb_witness_set_epoch(&c->witness, r->epoch);
+            if (retention_s > 0) {
+                c->witness.retention_us = (uint64_t)retention_s * BB_US_PER_S;
+                hold_back(c);
+            }
         }
     }
     (void)pthread_mutex_unlock(&c->lock);
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -286,14 +286,29 @@
     bb_table_holder_set(p->table, t);
 }
 
-/* Adopts the agreed roster of a service. Its hosts are given by bb_hash64 of
- * their names with seed 0. Without a roster, requests with an idempotency key
- * are refused, because nothing could keep them from running twice. */
+/* Adopts the agreed roster of a service, after the table of its revision. Its
+ * hosts are given by bb_hash64 of their names with seed 0. Without a roster,
+ * requests with an idempotency key are refused, because nothing could keep
+ * them from running twice. */
 void
 bb_proxy_set_roster(struct bb_proxy *p, const char *service,
                     const struct bb_roster *r)
 {
-    bb_claims_set_roster(p->claims, service, r);
+    struct bb_table *t = bb_table_holder_get(p->table);
+    const struct bb_table_service *s =
+        t == NULL ? NULL : bb_table_service(t, service);
+    uint32_t retention_s = s == NULL ? 0 : s->settings.retention_s;
+
+    bb_table_unref(t);
+    bb_claims_set_roster(p->claims, service, r, retention_s);
+}
+
+/* Records that this host ran before. Its witness may have granted claims that
+ * are lost, and confirms none for the retention time. */
+void
+bb_proxy_note_restart(struct bb_proxy *p)
+{
+    bb_claims_note_restart(p->claims);
 }
 
 /* Returns the number of requests in flight. */
