--- a/include/node/holder.h
+++ b/include/node/holder.h
@@ -3,8 +3,8 @@
  * A payload is applied as a whole or not at all. The table goes to the proxy
  * only once the floor is known and reached: the highest revision that anyone
  * remembers for this host. No payload is taken before. The proxy gets the
- * rosters of a revision with its table. One thread builds tables; changes that arrive
- * while it works are covered by the next table.
+ * rosters of a revision with its table. One thread builds tables; changes that
+ * arrive while it works are covered by the next table.
  *
  * Lock order: the holder's lock, then the lock of the history. */
 #ifndef BB_NODE_HOLDER_H
--- a/proxy/claim_call.c
+++ b/proxy/claim_call.c
@@ -73,6 +73,7 @@
     if (step == BB_CLAIM_JOIN) {
         leg->endpoint = find_gatekeeper(x, held.gatekeeper);
         if (leg->endpoint == NULL) {
+            o.reason = BB_REASON_CONNECTION_LOST;
             o.ran = BB_RAN_UNKNOWN;
             return o;
         }
