--- a/tests/control/test_proposal.c
+++ b/tests/control/test_proposal.c
@@ -47,7 +47,7 @@
 /* Puts a revision in force. */
 static void
 put_in_force(struct agreement *a, struct bb_folder *folder,
-       struct bb_rosters *rosters, uint64_t version)
+             struct bb_rosters *rosters, uint64_t version)
 {
     struct bb_bundle *b =
         bb_bundle_create_with(++a->revision, version, folder, rosters);
@@ -69,7 +69,8 @@
     (void)timeout_ms;
     a->calls++;
     if (a->other_text != NULL) {
-        put_in_force(a, make_folder(a->other_text), make_rosters(a->other_epoch), 0);
+        put_in_force(a, make_folder(a->other_text),
+                     make_rosters(a->other_epoch), 0);
         a->other_text = NULL;
     }
     if (version != 0 && version <= a->label) {
@@ -83,7 +84,7 @@
     b = bb_bundle_decode(payload, size_bytes, &e);
     CU_ASSERT_PTR_NOT_NULL_FATAL(b);
     put_in_force(a, bb_folder_copy(b->folder), bb_rosters_copy(b->rosters),
-           b->version);
+                 b->version);
     a->label = version;
     bb_bundle_unref(b);
     if (a->loses_answer) {
