Log through the project's writer in test_replicate

Cause: GLib's default writer converts local times, in whose lock the thread sanitizer reports a race between two hosts of one test process. Change: the test starts the log as every binary does.

--- a/tests/control/test_replicate.c
+++ b/tests/control/test_replicate.c
@@ -11,6 +11,7 @@
 
 #include "agree.h"
 #include "common/clock.h"
+#include "common/log.h"
 #include "control/replicate.h"
 #include "unit.h"
 
@@ -233,6 +234,14 @@
 static void
 start(uint32_t count, uint32_t near)
 {
+    static bool has_log;
+
+    if (!has_log) {
+        /* GLib's own writer of logs converts local times, in whose lock the
+         * thread sanitizer reports a race. */
+        bb_log_start("test_replicate", "test", false);
+        has_log = true;
+    }
     host_count = count;
     for (uint32_t i = 0; i < count; i++) {
         char *folder = g_dir_make_tmp("baobab-replicate-XXXXXX", NULL);
