--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -20,7 +20,7 @@
     DEFAULT_RETENTION_S = 600,
     STORED_MAX_BYTES = 16 * 1024 * 1024,
     /* The library keeps head and read buffer of a connection in one pool. */
-    POOL_BYTES = 56 * 1024,
+    POOL_BYTES = 40 * 1024,
     POOL_INCREMENT_BYTES = 4096,
     STACK_BYTES = 256 * 1024,
     LISTEN_BACKLOG = 1024,
@@ -317,14 +317,29 @@
     bb_table_holder_set(p->table, t);
 }
 
-/* Adopts the agreed roster of a service. Its hosts are given by bb_hash64 of
- * their names with seed 0. Without a roster, requests with an idempotency key
- * are refused, because nothing could keep them from running twice. */
+/* Adopts the agreed roster of a service, after the table of its revision. Its
+ * hosts are given by bb_hash64 of their names with seed 0. Without a roster,
+ * requests with an idempotency key are refused, because nothing could keep
+ * them from running twice. */
 void
 bb_proxy_set_roster(struct bb_proxy *p, const char *service,
                     const struct bb_roster *r)
 {
-    bb_claims_set_roster(p->claims, service, r);
+    struct bb_table *t = bb_table_holder_get(p->table);
+    const struct bb_table_service *s =
+        t == NULL ? NULL : bb_table_service(t, service);
+    uint32_t retention_s = s == NULL ? 0 : s->settings.retention_s;
+
+    bb_table_unref(t);
+    bb_claims_set_roster(p->claims, service, r, retention_s);
+}
+
+/* Records that this host ran before. Its witness may have granted claims that
+ * are lost, and confirms none for the retention time. */
+void
+bb_proxy_note_restart(struct bb_proxy *p)
+{
+    bb_claims_note_restart(p->claims);
 }
 
 /* Returns the number of requests in flight. */
--- a/tests/control/test_replicate.c
+++ b/tests/control/test_replicate.c
@@ -64,6 +64,14 @@
     if (is_done && crosses && procedure == AGREE_APPEND) {
         crossing_bytes += ((agree_envelope *)argument)->payload.payload_len;
     }
+    if (is_done && crosses && procedure == AGREE_PROPOSE) {
+        const agree_propose_body *body = &((agree_propose *)argument)->body;
+
+        if (body->kind == AGREE_PROPOSE_REQUEST) {
+            crossing_bytes +=
+                body->agree_propose_body_u.proposal.payload.payload_len;
+        }
+    }
     if (is_done && crosses && procedure == AGREE_FETCH_PAYLOAD) {
         crossing_bytes += ((agree_fetched *)result)->payload.payload_len;
     }
@@ -278,6 +286,24 @@
     CU_ASSERT_EQUAL(result.revision, revision);
 }
 
+/* Guards against payloads above the size of an RPC argument that do not reach
+ * the leader or the other hosts. */
+static void
+test_largest_payload(void)
+{
+    start(3, 2);
+    for (uint32_t i = 0; i < 3; i++) {
+        expect(propose(i, i, 0, i + 1, BB_REPLICATE_PAYLOAD_MAX_BYTES,
+                       PROPOSE_MS),
+               BB_REPLICATE_ACCEPTED, i + 1);
+    }
+    CU_ASSERT_TRUE(wait_revision(3));
+    expect(propose(0, 3, 0, 4, BB_REPLICATE_PAYLOAD_MAX_BYTES + 1, 100),
+           BB_REPLICATE_BAD_PAYLOAD, 0);
+    stop();
+    crossing_bytes = 0;
+}
+
 /* Guards against proposals that only the leader takes, and against refusals
  * that differ between hosts. */
 static void
@@ -348,8 +374,14 @@
            BB_REPLICATE_ACCEPTED, 1);
     CU_ASSERT_TRUE(wait_revision(1));
     CU_ASSERT_EQUAL(crossing_bytes, PAYLOAD_BYTES);
+    /* A host of the other region proposes. */
     crossing_bytes = 0;
+    expect(propose(leader < 3 ? 4 : 0, 1, 0, 2, PAYLOAD_BYTES, PROPOSE_MS),
+           BB_REPLICATE_ACCEPTED, 2);
+    CU_ASSERT_TRUE(wait_revision(2));
+    CU_ASSERT_EQUAL(crossing_bytes, PAYLOAD_BYTES);
     stop();
+    crossing_bytes = 0;
 }
 
 /* Guards against an isolated leader that goes on answering or whose status
@@ -519,6 +551,14 @@
                             (xdrproc_t)xdr_agree_fetch, &fetch,
                             (xdrproc_t)xdr_agree_fetched, &fetched));
     CU_ASSERT_FALSE(fetched.is_found);
+    envelope.message.kind = BB_AGREE_VOTE; /* of no group of hosts */
+    envelope.payload.payload_val = g_malloc0(AGREE_INLINE_MAX);
+    envelope.payload.payload_len = AGREE_INLINE_MAX;
+    CU_ASSERT_TRUE(call_rpc(pool, &address, AGREE_APPEND,
+                            (xdrproc_t)xdr_agree_envelope, &envelope,
+                            (xdrproc_t)xdr_agree_ack, &ack));
+    CU_ASSERT_FALSE(ack.is_taken);
+    g_free(envelope.payload.payload_val);
     CU_ASSERT_FALSE(call_rpc(pool, &address, 99, (xdrproc_t)xdr_agree_fetch,
                              &fetch, (xdrproc_t)xdr_agree_ack, &ack));
     CU_ASSERT_FALSE(call_rpc(pool, &address, AGREE_PROPOSE,
@@ -537,6 +577,7 @@
     {"restart after many changes", test_restart_after_many_changes},
     {"replaced disk", test_replaced_disk},
     {"full disk", test_full_disk},
+    {"largest payload", test_largest_payload},
     {"RPC requests", test_rpc_requests},
 };
 
