mesh: split the table's queries and the gossip state into files of their own

Change: functions moved without change. Conclusion: test_members and test_gossip pass with the same assertion counts.

--- /dev/null
+++ b/mesh/gossip_state.c
@@ -0,0 +1,70 @@
+/* Access to the state of the gossip core. */
+#include <string.h>
+
+#include "common/clock.h"
+#include "gossip_internal.h"
+
+enum {
+    /* Longer than a change needs to spread by gossip, so that only records
+     * that gossip has missed lead to a comparison by RPC. */
+    DIFFER_US = 2 * BB_US_PER_S
+};
+
+/* Copies the own record. */
+void
+bb_gossip_self(struct bb_gossip *g, struct bb_member *out)
+{
+    (void)pthread_mutex_lock(&g->lock);
+    *out = g->self;
+    (void)pthread_mutex_unlock(&g->lock);
+}
+
+/* Turns the pings to other zones on or off; only the relays of a zone send
+ * them, so that their number does not depend on the size of the zone. */
+void
+bb_gossip_watch_zones(struct bb_gossip *g, bool is_watching)
+{
+    (void)pthread_mutex_lock(&g->lock);
+    g->is_watching_zones = is_watching;
+    (void)pthread_mutex_unlock(&g->lock);
+}
+
+/* Raises the highest revision known. */
+void
+bb_gossip_note_revision(struct bb_gossip *g, uint64_t revision)
+{
+    (void)pthread_mutex_lock(&g->lock);
+    g->highest_revision = MAX(g->highest_revision, revision);
+    (void)pthread_mutex_unlock(&g->lock);
+}
+
+/* Returns the highest revision known. */
+uint64_t
+bb_gossip_highest(struct bb_gossip *g)
+{
+    uint64_t revision;
+
+    (void)pthread_mutex_lock(&g->lock);
+    revision = g->highest_revision;
+    (void)pthread_mutex_unlock(&g->lock);
+    return revision;
+}
+
+/* Returns a zone peer whose table has differed from the own one for longer
+ * than gossip needs; false if there is none. The time then starts again. */
+bool
+bb_gossip_differing_peer(struct bb_gossip *g, uint64_t now_us,
+                         char host[BB_NAME_BYTES])
+{
+    bool is_found = false;
+
+    (void)pthread_mutex_lock(&g->lock);
+    if (g->differs_since_us != 0 &&
+        now_us - g->differs_since_us >= DIFFER_US) {
+        g->differs_since_us = 0;
+        (void)g_strlcpy(host, g->differing_peer, BB_NAME_BYTES);
+        is_found = true;
+    }
+    (void)pthread_mutex_unlock(&g->lock);
+    return is_found;
+}
--- /dev/null
+++ b/mesh/members_query.c
@@ -0,0 +1,177 @@
+/* Queries of the endpoint table, and the choice of records to gossip. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "members_internal.h"
+
+/* Tells whether a query selects an entry. */
+static bool
+is_selected(const struct entry *entry, const struct bb_members_query *q)
+{
+    const struct bb_member *r = &entry->record;
+    uint64_t version =
+        q->only_routing ? entry->routing_version : entry->version;
+
+    return version > q->since &&
+           (q->zone == NULL || strcmp(q->zone, r->zone) == 0) &&
+           (q->except_zone == NULL || strcmp(q->except_zone, r->zone) != 0) &&
+           (q->region == NULL || strcmp(q->region, r->region) == 0) &&
+           (q->origins == 0 || (q->origins & entry->origin) != 0) &&
+           (q->zone_buckets == 0 ||
+            (q->zone_buckets & 1U << bb_members_bucket(r->host)) != 0);
+}
+
+/* Orders list items by host. */
+static int
+compare_hosts(const void *a, const void *b)
+{
+    const struct bb_member *left = a;
+    const struct bb_member *right = b;
+
+    return strcmp(left->host, right->host);
+}
+
+/* Copies the selected records, sorted by host, and returns the version of the
+ * table they were taken from. The caller clears the list. */
+uint64_t
+bb_members_select(struct bb_members *m, const struct bb_members_query *q,
+                  struct bb_member_list *out)
+{
+    GHashTableIter i;
+    gpointer value;
+    uint64_t version;
+
+    *out = (struct bb_member_list){0};
+    (void)pthread_mutex_lock(&m->lock);
+    version = m->version;
+    if (version > q->since) {
+        out->items =
+            g_new(struct bb_member, g_hash_table_size(m->entry_by_host) + 1);
+        g_hash_table_iter_init(&i, m->entry_by_host);
+        while (g_hash_table_iter_next(&i, NULL, &value)) {
+            const struct entry *entry = value;
+
+            if (is_selected(entry, q)) {
+                out->items[out->count++] = entry->record;
+            }
+        }
+    }
+    (void)pthread_mutex_unlock(&m->lock);
+    if (out->count > 1) {
+        qsort(out->items, out->count, sizeof(*out->items), compare_hosts);
+    }
+    return version;
+}
+
+/* Frees the items of a list. */
+void
+bb_member_list_clear(struct bb_member_list *list)
+{
+    g_free(list->items);
+    *list = (struct bb_member_list){0};
+}
+
+/* Puts an entry into a list sorted by the number of sends left. */
+static void
+insert_by_sends(struct entry **picked, size_t *count, size_t max,
+                struct entry *entry)
+{
+    size_t at = *count;
+
+    if (at == max) {
+        if (max == 0 || picked[max - 1]->sends_left >= entry->sends_left) {
+            return;
+        }
+        at = max - 1;
+    }
+    else {
+        (*count)++;
+    }
+    while (at > 0 && picked[at - 1]->sends_left < entry->sends_left) {
+        picked[at] = picked[at - 1];
+        at--;
+    }
+    picked[at] = entry;
+}
+
+/* Copies the records of a zone that most need to be gossiped, least spread
+ * first, and counts one send for each. */
+size_t
+bb_members_pick_gossip(struct bb_members *m, const char *zone,
+                       const char *except_host, struct bb_member *out,
+                       size_t max)
+{
+    struct entry **picked = g_new(struct entry *, max + 1);
+    GHashTableIter i;
+    gpointer value;
+    size_t count = 0;
+
+    (void)pthread_mutex_lock(&m->lock);
+    g_hash_table_iter_init(&i, m->entry_by_host);
+    while (g_hash_table_iter_next(&i, NULL, &value)) {
+        struct entry *entry = value;
+
+        if (entry->sends_left > 0 && strcmp(entry->record.zone, zone) == 0 &&
+            strcmp(entry->record.host, except_host) != 0) {
+            insert_by_sends(picked, &count, max, entry);
+        }
+    }
+    for (size_t n = 0; n < count; n++) {
+        picked[n]->sends_left--;
+        out[n] = picked[n]->record;
+    }
+    (void)pthread_mutex_unlock(&m->lock);
+    g_free(picked);
+    return count;
+}
+
+/* Finds a live member that has a revision in force, one of the given region
+ * if there is one; false if none is known. */
+bool
+bb_members_find_holder(struct bb_members *m, uint64_t revision,
+                       const char *region, struct bb_member *out)
+{
+    const struct bb_member *found = NULL;
+    GHashTableIter i;
+    gpointer value;
+
+    (void)pthread_mutex_lock(&m->lock);
+    g_hash_table_iter_init(&i, m->entry_by_host);
+    while (g_hash_table_iter_next(&i, NULL, &value)) {
+        const struct entry *entry = value;
+        const struct bb_member *r = &entry->record;
+
+        if (r->applied_revision >= revision && r->state == BB_MEMBER_ALIVE &&
+            (found == NULL || strcmp(r->region, region) == 0)) {
+            found = r;
+        }
+    }
+    if (found != NULL) {
+        *out = *found;
+    }
+    (void)pthread_mutex_unlock(&m->lock);
+    return found != NULL;
+}
+
+/* Finds the region of a zone; false if no member of the zone is known. */
+bool
+bb_members_zone_region(struct bb_members *m, const char *zone,
+                       char region[BB_NAME_BYTES])
+{
+    GHashTableIter i;
+    gpointer value;
+    bool is_found = false;
+
+    (void)pthread_mutex_lock(&m->lock);
+    g_hash_table_iter_init(&i, m->entry_by_host);
+    while (!is_found && g_hash_table_iter_next(&i, NULL, &value)) {
+        const struct entry *entry = value;
+
+        if (strcmp(entry->record.zone, zone) == 0) {
+            (void)g_strlcpy(region, entry->record.region, BB_NAME_BYTES);
+            is_found = true;
+        }
+    }
+    (void)pthread_mutex_unlock(&m->lock);
+    return is_found;
+}
