Let gatekeepers, not worker limits, decide under overload

Cause: at twice the capacity, entry nodes queued calls for their 64 workers in order of arrival until the deadline; calls then ran too late to be used. Change: 256 workers at depth 0, and a worker is waited for during a quarter of the remaining time at most.

--- a/include/proxy/proxy.h
+++ b/include/proxy/proxy.h
@@ -28,7 +28,7 @@
     struct bb_address local_listen;  /* for the own upstream only */
     uint64_t incarnation;
     uint64_t seed;
-    struct bb_workers_limits workers; /* [64, 16 a depth, 64 detached] */
+    struct bb_workers_limits workers; /* [256, 16 a depth, 64 detached] */
     struct bb_rpc_pool *rpc;     /* owned by the caller, outlives the proxy */
     uint32_t connection_limit;   /* [4096] */
     uint32_t idle_timeout_ms;    /* [10000] slow readers and senders */
--- a/proxy/leg.c
+++ b/proxy/leg.c
@@ -10,7 +10,8 @@
 enum {
     HTTP_UNAVAILABLE = 503,
     EXTRA_TIMEOUT_S = 2, /* neon's whole seconds end after the own deadline */
-    EXPECT_BYTES = 64 * 1024
+    EXPECT_BYTES = 64 * 1024,
+    WORKER_WAIT_SHARE = 4
 };
 
 static const struct bb_outcome started = {.kind = BB_OUTCOME_NONE};
@@ -61,6 +62,17 @@
     }
 }
 
+/* Returns until when a worker is waited for: what remains is needed to run. */
+static uint64_t
+worker_end_us(const struct bb_exchange *x)
+{
+    uint64_t now_us = bb_clock_now_us();
+
+    return x->deadline_us > now_us
+               ? now_us + (x->deadline_us - now_us) / WORKER_WAIT_SHARE
+               : now_us;
+}
+
 /* Fills in what both kinds of attempts have in common. */
 static struct bb_attempt_request
 base_request(const struct bb_exchange *x, struct bb_headers *h)
@@ -204,7 +216,7 @@
     request.finished_context = g.ticket;
     leg->start_us = bb_clock_now_us();
     leg->attempt =
-        bb_attempt_start(p->client, &request, x->watch, x->deadline_us);
+        bb_attempt_start(p->client, &request, x->watch, worker_end_us(x));
     if (leg->attempt == NULL) {
         bb_gatekeeper_leave(g.ticket, BB_TICKET_REFUSED, NULL);
         return refused(BB_REASON_WORKER_LIMIT, BB_RAN_NO);
@@ -245,7 +257,7 @@
         x->is_streaming &&
         (x->length_bytes < 0 || x->length_bytes > EXPECT_BYTES);
     leg->attempt =
-        bb_attempt_start(p->client, &request, x->watch, x->deadline_us);
+        bb_attempt_start(p->client, &request, x->watch, worker_end_us(x));
     return leg->attempt != NULL ? started
                                 : refused(BB_REASON_WORKER_LIMIT, BB_RAN_NO);
 }
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -10,7 +10,9 @@
 #include "proxy/internal.h"
 
 enum {
-    DEFAULT_BASE = 64,
+    /* Far above the slots that one node can use: under overload gatekeepers
+     * must decide by deadline, not the order in which workers become free. */
+    DEFAULT_BASE = 256,
     DEFAULT_STEP = 16,
     DEFAULT_DETACHED = 64,
     DEFAULT_CONNECTIONS = 4096,
