--- a/control/roster_keeper.c
+++ b/control/roster_keeper.c
@@ -8,7 +8,7 @@
 #include "common/counters.h"
 #include "common/log.h"
 #include "config/compile.h"
-#include "roster_plan.h"
+#include "control/roster_plan.h"
 
 enum { STEP_MS = 250 };
 
--- a/control/roster_plan.c
+++ b/control/roster_plan.c
@@ -1,4 +1,4 @@
-#include "roster_plan.h"
+#include "control/roster_plan.h"
 
 #include <string.h>
 
--- a/control/roster_plan.h
+++ b/include/control/roster_plan.h
@@ -1,4 +1,4 @@
-/* Inside the control host: the rosters of all services, from the members of
+/* The rosters of all services, planned by decide/roster from the members of
  * the mesh. */
 #ifndef BB_CONTROL_ROSTER_PLAN_H
 #define BB_CONTROL_ROSTER_PLAN_H
--- /dev/null
+++ b/tests/proxy/test_claims.c
@@ -0,0 +1,62 @@
+/* The witness of a node. One that grants a key too early or too late lets a
+ * request run twice or refuses it for nothing. */
+#include "proxy/claims.h"
+#include "unit.h"
+
+enum { OWN = 7, ENTRIES = 64 };
+
+static struct bb_witness_answer
+claim(struct bb_claims *c, uint64_t key, uint64_t epoch)
+{
+    struct bb_request_id id = bb_request_id_random(key, 1);
+    struct bb_claim wanted = {.request = id, .attempt = 1, .gatekeeper = 1};
+
+    return bb_claims_witness(c, &id, &wanted, epoch);
+}
+
+/* Guards against a claim that counts on a host which a change removes, and
+ * finds it in the epoch before. */
+static void
+test_removed_host_adopts_the_epoch(void)
+{
+    struct bb_claims *c = bb_claims_create(OWN, ENTRIES, 600, false);
+    struct bb_roster r = {.epoch = 3, .host_count = 2, .hosts = {OWN, 8}};
+
+    bb_claims_set_roster(c, "s", &r, 600);
+    CU_ASSERT_EQUAL(claim(c, 1, 3).result, BB_WITNESS_GRANTED);
+    r = (struct bb_roster){.epoch = 4,
+                           .host_count = 2,
+                           .hosts = {8, 9},
+                           .previous_count = 2,
+                           .previous = {OWN, 8}};
+    bb_claims_set_roster(c, "s", &r, 600);
+    CU_ASSERT_EQUAL(claim(c, 2, 4).result, BB_WITNESS_GRANTED);
+    CU_ASSERT_EQUAL(claim(c, 3, 3).result, BB_WITNESS_OTHER_EPOCH);
+    /* Settled: the host is out and follows no further epoch. */
+    r = (struct bb_roster){.epoch = 5, .host_count = 2, .hosts = {8, 9}};
+    bb_claims_set_roster(c, "s", &r, 600);
+    CU_ASSERT_EQUAL(claim(c, 4, 5).result, BB_WITNESS_OTHER_EPOCH);
+    bb_claims_destroy(c);
+}
+
+/* Guards against a restarted witness that grants a key anew, also when the
+ * retention time of the service is known only later. */
+static void
+test_restarted_witness_confirms_nothing(void)
+{
+    struct bb_claims *c = bb_claims_create(OWN, ENTRIES, 0, false);
+    struct bb_roster r = {.epoch = 3, .host_count = 1, .hosts = {OWN}};
+
+    bb_claims_note_restart(c);
+    bb_claims_set_roster(c, "s", &r, 600);
+    CU_ASSERT_EQUAL(claim(c, 1, 3).result, BB_WITNESS_CANNOT_CONFIRM);
+    bb_claims_destroy(c);
+}
+
+static const struct bb_unit_test tests[] = {
+    {"a removed host adopts the epoch", test_removed_host_adopts_the_epoch},
+    {"a restarted witness confirms nothing",
+     test_restarted_witness_confirms_nothing},
+};
+
+BB_UNIT_MAIN("claims", tests)
