--- a/decide/roster.c
+++ b/decide/roster.c
@@ -136,7 +136,8 @@
 }
 
 /* Makes the first roster of all ready hosts once they have been the same for
- * long enough. */
+ * long enough. A roster without a quorum would grant nothing, and the next
+ * host could join it only after the retention time. */
 static bool
 make_first(struct bb_roster_planner *p, const struct bb_roster_input *in,
            struct bb_roster *next)
@@ -158,7 +159,8 @@
         p->ready_hash = hash;
         p->ready_since_us = in->now_us;
     }
-    return count > 0 && in->now_us - p->ready_since_us >= BB_ROSTER_STABLE_US;
+    return count >= BB_CLAIM_QUORUM &&
+           in->now_us - p->ready_since_us >= BB_ROSTER_STABLE_US;
 }
 
 /* Drops the previous list once no quorum of its hosts can grant under it and
--- a/tests/decide/test_roster.c
+++ b/tests/decide/test_roster.c
@@ -220,12 +220,16 @@
 }
 
 /* Guards against a first roster of the few hosts that announce themselves
- * first, which could then grow by one host in the retention time only. */
+ * first, which could then grow by one host in the retention time only; one of
+ * a single host could not grant a claim until then. */
 static void
 test_first_roster_waits_for_a_stable_set(void)
 {
     random_source = bb_random_create(SEED);
-    start(2);
+    start(1);
+    run(10 * (uint64_t)BB_ROSTER_STABLE_US);
+    s.hosts[1].is_ready = true;
+    s.hosts[1].is_there = true;
     run(BB_ROSTER_STABLE_US);
     s.hosts[2].is_ready = true;
     s.hosts[2].is_there = true;
