--- a/tests/config/test_history.c
+++ b/tests/config/test_history.c
@@ -24,6 +24,7 @@
     folder = bb_folder_builder_finish(builder, &e);
     CU_ASSERT_PTR_NOT_NULL_FATAL(folder);
     g_free(text);
+    bb_folder_builder_destroy(builder);
     return bb_bundle_create(revision, 0, folder);
 }
 
