--- a/decide/admission.c
+++ b/decide/admission.c
@@ -4,7 +4,13 @@
 
 #include "decide/admission_capacity.h"
 
-enum { US_PER_MS = 1000, SLOW_START_STEPS = 20 };
+enum {
+    US_PER_MS = 1000,
+    SLOW_START_STEPS = 20,
+    /* A slow upstream is tested this often, so that its recovery is seen soon
+     * after at a cost of few slow calls. */
+    SLOW_TEST_US = 300000
+};
 
 static uint32_t
 min_u32(uint32_t a, uint32_t b)
@@ -60,7 +66,8 @@
 bb_admission_shed(struct bb_admission *a, uint64_t duration_us,
                   uint64_t now_us)
 {
-    a->shed_until_us = now_us + duration_us;
+    a->shed_until_us =
+        duration_us < UINT64_MAX - now_us ? now_us + duration_us : UINT64_MAX;
 }
 
 /* Returns why nothing may start, or BB_REASON_NONE. */
@@ -117,30 +124,42 @@
     return BB_REASON_QUEUE_FULL;
 }
 
-/* Queues a request that may not run now, or refuses it. A queued request that
- * cannot make its deadline gives way to one that can. */
+/* Returns the expected wait of a request that may not run now. If it passes a
+ * limit by one place in the queue, a queued request that cannot make its
+ * deadline gives way. */
+static uint64_t
+wait_within(struct bb_admission *a, const struct bb_admission_capacity *c,
+            const struct bb_admission_request *r, uint64_t limit_us,
+            uint64_t now_us)
+{
+    enum bb_admission_class k = r->work_class;
+    uint32_t ahead = bb_admission_count_ahead(a, k, r->deadline_us);
+    uint64_t wait_us = bb_admission_expected_wait_us(a, c, k, ahead);
+
+    if (wait_us > limit_us && ahead > 0 &&
+        bb_admission_expected_wait_us(a, c, k, ahead - 1) <= limit_us &&
+        bb_admission_evict(a, c, k == BB_ADMISSION_LONG, now_us)) {
+        wait_us = bb_admission_wait_of(a, c, r);
+    }
+    return wait_us;
+}
+
+/* Queues a request that may not run now, or refuses it. */
 static struct bb_admission_decision
 queue_or_refuse(struct bb_admission *a, const struct bb_admission_capacity *c,
                 const struct bb_admission_request *r, uint64_t now_us)
 {
     struct bb_admission_decision d = {.kind = BB_ADMISSION_REFUSE};
-    enum bb_admission_class k = r->work_class;
-    uint64_t wait = bb_admission_wait_of(a, c, r);
+    uint64_t longest_us = bb_admission_longest_wait_us(a, r->work_class);
+    uint64_t latest_us = bb_admission_latest_start_us(a, r, now_us);
+    uint64_t wait_us = wait_within(
+        a, c, r, latest_us < longest_us ? latest_us : longest_us, now_us);
 
-    if (!bb_admission_is_feasible(a, r, wait, now_us) &&
-        bb_admission_evict(a, c, false, now_us)) {
-        wait = bb_admission_wait_of(a, c, r);
-    }
-    if (!bb_admission_is_feasible(a, r, wait, now_us)) {
+    if (wait_us > latest_us || !bb_admission_is_feasible(a, r, 0, now_us)) {
         d.reason = BB_REASON_CANNOT_FINISH;
         return d;
     }
-    if (wait > bb_admission_longest_wait_us(a, k) &&
-        bb_admission_evict(a, c, k == BB_ADMISSION_LONG, now_us)) {
-        wait = bb_admission_wait_of(a, c, r);
-    }
-    if (wait > bb_admission_longest_wait_us(a, k) ||
-        !bb_admission_make_room(a, c, r, now_us)) {
+    if (wait_us > longest_us || !bb_admission_make_room(a, c, r, now_us)) {
         d.reason = full_reason(a, r);
         return d;
     }
@@ -163,10 +182,34 @@
     return false;
 }
 
+/* Tells whether a request that can go elsewhere is to do so, because the
+ * upstream is slow. Now and then one is let through as a test. Slowness ends
+ * with a short request that started after it began and ran in the usual time.
+ */
+static bool
+is_sent_elsewhere(struct bb_admission *a, const struct bb_admission_request *r,
+                  uint64_t now_us)
+{
+    if (!a->is_slow && bb_admission_runs_slow(a, now_us)) {
+        a->is_slow = true;
+        a->slow_since_us = now_us;
+        a->slow_test_us = now_us + SLOW_TEST_US;
+    }
+    if (!a->is_slow || !r->may_go_elsewhere) {
+        return false;
+    }
+    if (now_us < a->slow_test_us) {
+        return true;
+    }
+    a->slow_test_us = now_us + SLOW_TEST_US;
+    return false;
+}
+
 /* Decides about a request that arrives. A refused one did not run. While a
  * slot is free that the request may use, it is refused only because its
  * deadline has passed: an estimate that is too high would otherwise refuse
- * all work and never be corrected. */
+ * all work and never be corrected. The exception is a slow upstream: a request
+ * that can go elsewhere is told to. */
 struct bb_admission_decision
 bb_admission_arrive(struct bb_admission *a,
                     const struct bb_admission_request *r, uint64_t now_us)
@@ -182,12 +225,17 @@
         d.reason = BB_REASON_DEADLINE_BEFORE_RUN;
         return d;
     }
+    if (is_sent_elsewhere(a, r, now_us)) {
+        d.reason = BB_REASON_UPSTREAM_SLOW;
+        return d;
+    }
     if (!bb_admission_may_run(a, &c, r)) {
         return queue_or_refuse(a, &c, r, now_us);
     }
     /* Queued work goes first, unless the queue has no room to wait in. */
     if (has_runnable(a, &c) &&
-        a->queued_count - a->evicted_count < a->limits.queue_length) {
+        a->queued_count - a->evicted_count < a->limits.queue_length &&
+        a->queued_count < BB_ADMISSION_QUEUE_MAX) {
         bb_admission_put_queued(a, r);
         d.kind = BB_ADMISSION_QUEUE;
         return d;
@@ -232,7 +280,6 @@
     uint32_t i = find_running(a, id);
     struct bb_admission_running r;
 
-    (void)now_us;
     if (i == a->running_count) {
         return false;
     }
@@ -241,6 +288,11 @@
     if (r.team < BB_ADMISSION_TEAMS_MAX) {
         a->team_running[r.team]--;
     }
+    if (is_success && r.work_class == BB_ADMISSION_SHORT &&
+        duration_us < bb_admission_slow_us(a)) {
+        a->usual_us = now_us;
+        a->is_slow = a->is_slow && r.start_us < a->slow_since_us;
+    }
     if (is_success && duration_us > 0) {
         bb_estimate_add(&a->service_time[r.work_class], duration_us);
     }
--- a/decide/admission_queue.c
+++ b/decide/admission_queue.c
@@ -6,8 +6,9 @@
     PERCENT = 100,
     US_PER_MS = 1000,
     /* A standing queue longer than this would take more than a second to
-     * drain after a burst at 70% load, and serves callers no better. */
-    QUEUE_WAIT_MS_DEFAULT = 300
+     * drain after a burst at 80% load, and serves callers no better. */
+    QUEUE_WAIT_MS_DEFAULT = 200,
+    LONG_DURATIONS = 4
 };
 
 static uint32_t
@@ -65,9 +66,9 @@
     return count;
 }
 
-/* Marks the queued request that is least able to make its deadline, if there
- * is one that cannot. Only the class that needs room is searched, if the
- * class itself is at its limit. */
+/* Marks the first queued request that cannot make its deadline and for which
+ * no slot is free; false if there is none. Only long ones are searched if long
+ * work is at its limit. */
 bool
 bb_admission_evict(struct bb_admission *a,
                    const struct bb_admission_capacity *c, bool only_long,
@@ -83,6 +84,7 @@
             continue;
         }
         if ((!only_long || k == BB_ADMISSION_LONG) &&
+            !bb_admission_may_run(a, c, &q->request) &&
             !bb_admission_is_feasible(
                 a, &q->request,
                 bb_admission_expected_wait_us(a, c, k, ahead[k]), now_us)) {
@@ -106,7 +108,8 @@
 }
 
 /* Returns the longest wait for which a class is queued. Long work is allowed
- * two of its own durations, because it would never be queued otherwise. */
+ * four of its own durations, because it would hardly be queued otherwise;
+ * short work at least one. */
 uint64_t
 bb_admission_longest_wait_us(const struct bb_admission *a,
                              enum bb_admission_class k)
@@ -114,9 +117,12 @@
     uint64_t limit_ms = a->limits.queue_wait_ms > 0 ? a->limits.queue_wait_ms
                                                     : QUEUE_WAIT_MS_DEFAULT;
     uint64_t limit_us = limit_ms * US_PER_MS;
-    uint64_t two_us = 2 * bb_admission_service_us(a, k);
+    uint64_t own_us = bb_admission_service_us(a, k);
 
-    return two_us > limit_us ? two_us : limit_us;
+    if (k == BB_ADMISSION_LONG) {
+        own_us *= LONG_DURATIONS;
+    }
+    return own_us > limit_us ? own_us : limit_us;
 }
 
 /* Estimates how long a request would wait in the queue. */
