Keep the gossip socket until the mesh member is destroyed

Cause: bb_mesh_stop freed the socket while another thread of the node, the one that takes announcements of the upstream, could still send through it. Now stopping ends only the thread; the socket is closed with the member.

--- a/include/mesh/gossip.h
+++ b/include/mesh/gossip.h
@@ -70,6 +70,7 @@
                            const void *data, size_t size_bytes);
 bool bb_gossip_socket_start(struct bb_gossip_socket *s, struct bb_gossip *g,
                             struct bb_error *e);
+void bb_gossip_socket_stop(struct bb_gossip_socket *s);
 void bb_gossip_socket_destroy(struct bb_gossip_socket *s);
 
 #endif
--- a/mesh/gossip_socket.c
+++ b/mesh/gossip_socket.c
@@ -142,6 +142,17 @@
     return true;
 }
 
+/* Stops the thread; sending stays possible until the socket is destroyed. */
+void
+bb_gossip_socket_stop(struct bb_gossip_socket *s)
+{
+    if (s->is_started) {
+        atomic_store(&s->is_stopping, true);
+        (void)pthread_join(s->thread, NULL);
+        s->is_started = false;
+    }
+}
+
 /* Stops the thread and closes the socket; NULL is allowed. */
 void
 bb_gossip_socket_destroy(struct bb_gossip_socket *s)
@@ -149,10 +160,7 @@
     if (s == NULL) {
         return;
     }
-    if (s->is_started) {
-        atomic_store(&s->is_stopping, true);
-        (void)pthread_join(s->thread, NULL);
-    }
+    bb_gossip_socket_stop(s);
     if (s->fd >= 0) {
         (void)close(s->fd);
     }
--- a/mesh/mesh.c
+++ b/mesh/mesh.c
@@ -197,8 +197,10 @@
     while ((task = g_queue_pop_head(&mesh->tasks)) != NULL) {
         mesh_free_task(task);
     }
-    bb_gossip_socket_destroy(mesh->socket);
-    mesh->socket = NULL;
+    /* Other threads of the process may still change the own record. */
+    if (mesh->socket != NULL) {
+        bb_gossip_socket_stop(mesh->socket);
+    }
 }
 
 /* Stops and frees a mesh member; the RPC server and transport that lead to it
@@ -210,6 +212,7 @@
         return;
     }
     bb_mesh_stop(mesh, false);
+    bb_gossip_socket_destroy(mesh->socket);
     mesh_drop_cache(mesh);
     bb_gossip_destroy(mesh->gossip);
     bb_member_list_clear(&mesh->view.all);
