--- a/bench/convergence.sh
+++ b/bench/convergence.sh
@@ -94,6 +94,32 @@
         awk '/^baobab_mesh_bytes_total/ { s += $2 } END { printf "%d\n", s }'
 }
 
+# link_bytes: control bytes that all processes have sent to the other region;
+# those of the control hosts' agreement are counted by the calling side for
+# both directions.
+link_bytes() {
+    local i port
+    {
+        for ((i = 0; i < NODES; i++)); do
+            mesh_get $((MESH_NODE_BASE + 10 * i + 4)) /metrics
+        done
+        for i in 0 1 2; do
+            mesh_get $((MESH_CONTROL_BASE + 10 * i + 2)) /metrics
+        done
+    } | awk '/^baobab_mesh_other_region_bytes_total{direction="out"}/ ||
+        /^baobab_agree_other_region_bytes_total/ { s += $2 }
+        END { printf "%d\n", s }'
+}
+
+# all_bytes: control bytes in and out of the sampled nodes.
+all_bytes() {
+    local i s=0
+    for ((i = 0; i < (NODES < 8 ? NODES : 8); i++)); do
+        s=$((s + $(control_bytes $((MESH_NODE_BASE + 10 * i + 4)))))
+    done
+    echo $((s / (NODES < 8 ? NODES : 8)))
+}
+
 # costs LABEL SECONDS: CPU, memory and control bytes of every process.
 costs() {
     local i pid sum=0 max=0 rss=0 t bytes=0 b max_b=0
@@ -145,13 +171,34 @@
 sleep "${SETTLE_S:-15}"
 costs rest "$REST_S"
 
+link_start=$(link_bytes)
+bytes_start=$(all_bytes)
+clock_start=$(mesh_now_ms)
+sleep "${IDLE_S:-10}"
+link_idle=$(link_bytes)
+bytes_idle=$(all_bytes)
+clock_idle=$(mesh_now_ms)
 for ((c = 0; c < CHANGES; c++)); do
     before=$(revision_now)
     change
     wait_held $((before + 1)) 10 || mesh_fail "change $c did not converge"
     delays $((before + 1)) "$changed_ms" >>"$MESH_DIR/delays"
 done
-[ "$CHANGES" -gt 0 ] && summary change <"$MESH_DIR/delays"
+if [ "$CHANGES" -gt 0 ]; then
+    summary change <"$MESH_DIR/delays"
+    # What the changes cost beyond the traffic of an idle mesh.
+    awk -v n="$NODES" -v c="$CHANGES" -v l0="$link_start" -v l1="$link_idle" \
+        -v l2="$(link_bytes)" -v b0="$bytes_start" -v b1="$bytes_idle" \
+        -v b2="$(all_bytes)" -v t0="$clock_start" -v t1="$clock_idle" \
+        -v t2="$(mesh_now_ms)" 'BEGIN {
+            lr = (l1 - l0) / (t1 - t0); br = (b1 - b0) / (t1 - t0)
+            printf "{\"measure\":\"change-cost\",\"nodes\":%d," \
+                "\"link_bytes_per_s_idle\":%.0f," \
+                "\"link_bytes_per_change\":%.0f," \
+                "\"node_bytes_per_change\":%.0f}\n", n, lr * 1000,
+                (l2 - l1 - lr * (t2 - t1)) / c,
+                (b2 - b1 - br * (t2 - t1)) / c }'
+fi
 
 leader() {
     local a
--- a/control/replicate.c
+++ b/control/replicate.c
@@ -201,9 +201,8 @@
         return bb_replicate_handle(r, AGREE_PROPOSE, &argument, &ack) &&
                ack.is_taken;
     }
-    return r->transport.call(r->transport.context, &r->hosts[leader],
-                             AGREE_PROPOSE, &argument, &ack,
-                             REPLICATE_BULK_TIMEOUT_MS) &&
+    return replicate_call(r, leader, AGREE_PROPOSE, &argument, &ack,
+                          REPLICATE_BULK_TIMEOUT_MS) &&
            ack.is_taken;
 }
 
@@ -357,9 +356,8 @@
         if (h == r->self || strcmp(r->hosts[h].id, peer_id) != 0) {
             continue;
         }
-        if (r->transport.call(r->transport.context, &r->hosts[h],
-                              AGREE_EXCHANGE_MEMBERS, &argument, &result,
-                              timeout_ms)) {
+        if (replicate_call(r, h, AGREE_EXCHANGE_MEMBERS, &argument, &result,
+                           timeout_ms)) {
             *answer = result.records.records_val;
             *answer_bytes = result.records.records_len;
             return true;
--- a/control/replicate_internal.h
+++ b/control/replicate_internal.h
@@ -171,6 +171,8 @@
 
 /* replicate_rpc.c */
 void replicate_unregister(const struct bb_replicate *r);
+bool replicate_call(struct bb_replicate *r, uint8_t slot, uint32_t procedure,
+                    void *argument, void *result, uint32_t timeout_ms);
 bool replicate_rpc_call(void *context, const struct bb_replicate_peer *to,
                         uint32_t procedure, void *argument, void *result,
                         uint32_t timeout_ms);
--- a/control/replicate_peer.c
+++ b/control/replicate_peer.c
@@ -82,9 +82,8 @@
 
         is_running = call->procedure != 0 && !atomic_load(&r->is_stopping);
         if (is_running) {
-            bool is_sent =
-                r->transport.call(r->transport.context, &r->hosts[s->slot],
-                                  call->procedure, body, &ack, timeout_ms);
+            bool is_sent = replicate_call(r, s->slot, call->procedure, body,
+                                          &ack, timeout_ms);
 
             bb_counter_add(is_sent ? &sent_total : &unsent_total, 1);
         }
@@ -105,9 +104,8 @@
         return false;
     }
     memcpy(argument.digest, d->bytes, BB_DIGEST_BYTES);
-    if (r->transport.call(r->transport.context, &r->hosts[slot],
-                          AGREE_FETCH_PAYLOAD, &argument, &result,
-                          REPLICATE_BULK_TIMEOUT_MS) &&
+    if (replicate_call(r, slot, AGREE_FETCH_PAYLOAD, &argument, &result,
+                       REPLICATE_BULK_TIMEOUT_MS) &&
         result.is_found) {
         is_stored =
             bb_store_put_payload(r->store, d, result.payload.payload_val,
--- a/control/replicate_rpc.c
+++ b/control/replicate_rpc.c
@@ -5,6 +5,14 @@
 #include "common/counters.h"
 #include "replicate_internal.h"
 
+enum {
+    /* TCP and IP headers with timestamps, the record mark and the RPC header,
+     * for each direction of a call. */
+    CALL_HEADER_BYTES = 96
+};
+
+BB_COUNTER(other_region_bytes, "baobab_agree_other_region_bytes_total",
+           "Bytes of calls to control hosts of other regions, both ways");
 BB_COUNTER(dropped_total, "baobab_agree_dropped_total",
            "Messages between control hosts dropped: foreign, malformed, or "
            "too many waiting");
@@ -83,6 +91,36 @@
         &e);
 }
 
+/* Counts the bytes of a call to a host of another region. */
+static void
+count_region_bytes(const struct bb_replicate *r, uint8_t slot,
+                   uint32_t procedure, void *argument, void *result)
+{
+    struct procedure p;
+
+    if (strcmp(r->hosts[slot].region, r->hosts[r->self].region) != 0 &&
+        find_procedure(procedure, &p)) {
+        bb_counter_add(&other_region_bytes,
+                       xdr_sizeof(p.argument_codec, argument) +
+                           xdr_sizeof(p.result_codec, result) +
+                           2 * CALL_HEADER_BYTES);
+    }
+}
+
+/* Calls a procedure of another control host by its slot. */
+bool
+replicate_call(struct bb_replicate *r, uint8_t slot, uint32_t procedure,
+               void *argument, void *result, uint32_t timeout_ms)
+{
+    bool ok = r->transport.call(r->transport.context, &r->hosts[slot],
+                                procedure, argument, result, timeout_ms);
+
+    if (ok) {
+        count_region_bytes(r, slot, procedure, argument, result);
+    }
+    return ok;
+}
+
 /* Queues a message for the engine; false if it is refused. */
 static bool
 take_envelope(struct bb_replicate *r, const agree_envelope *envelope)
