--- a/include/proxy/gatekeeper.h
+++ b/include/proxy/gatekeeper.h
@@ -60,6 +60,7 @@
     struct bb_request_id id;
     bool is_idempotent;
     uint64_t incarnation; /* it is meant for; BB_INCARNATION_ANY */
+    bool may_go_elsewhere;
     enum bb_admission_class work_class;
     uint64_t deadline_us;
 };
--- a/include/proxy/internal.h
+++ b/include/proxy/internal.h
@@ -54,7 +54,8 @@
     struct bb_attempt *attempt; /* NULL after its connection broke */
     const struct bb_endpoint *endpoint;
     uint64_t key;
-    uint64_t incarnation;  /* of the gatekeeper, that it is meant for */
+    uint64_t incarnation; /* of the gatekeeper, that it is meant for */
+    bool may_go_elsewhere;
     bool is_local;         /* straight to the own upstream */
     bool is_stored_answer; /* asks for the kept answer only */
     bool has_watched;      /* for the end of a short answer */
@@ -101,6 +102,8 @@
     struct bb_request_id key; /* of the caller, with the service */
     uint32_t claim_attempt;   /* of the claim that holds the key */
     const struct bb_endpoint *last_endpoint;
+    uint64_t last_incarnation; /* that the last attempt was meant for */
+    bool may_go_elsewhere;     /* said by the entry node */
     struct bb_request_id id;
     char id_text[BB_ID_TEXT_BYTES];
     uint64_t incarnation;
@@ -186,8 +189,7 @@
 
 /* claim_call.c: claims of keys before a request is sent */
 struct bb_outcome bb_claim_call(struct bb_exchange *x, struct bb_leg *leg);
-bool bb_claim_is_refused_for_good(struct bb_exchange *x,
-                                  const struct bb_endpoint *e);
+bool bb_claim_is_refused_for_good(struct bb_exchange *x);
 
 /* answer.c */
 enum MHD_Result bb_answer_queue(struct bb_exchange *x);
--- a/include/proxy/picker.h
+++ b/include/proxy/picker.h
@@ -37,8 +37,9 @@
 /* The end of one attempt as the entry node saw it. */
 enum bb_pick_end {
     BB_PICK_ANSWERED,
-    BB_PICK_FAILED,  /* connection or upstream */
-    BB_PICK_REFUSED, /* by the gatekeeper; says nothing about speed */
+    BB_PICK_FAILED,       /* connection or upstream */
+    BB_PICK_REFUSED,      /* by the gatekeeper; says nothing about speed */
+    BB_PICK_REFUSED_SLOW, /* by the gatekeeper: its upstream is slow */
     BB_PICK_NOT_CONNECTED,
     BB_PICK_CANCELLED
 };
@@ -79,7 +80,8 @@
 void bb_picker_destroy(struct bb_picker *p);
 void bb_picker_configure(struct bb_picker *p, const struct bb_pick_limits *l);
 int32_t bb_picker_pick(struct bb_picker *p, const struct bb_pick_question *q,
-                       uint64_t now_us, enum bb_reason *reason);
+                       uint64_t now_us, bool *may_go_elsewhere,
+                       enum bb_reason *reason);
 void bb_picker_end(struct bb_picker *p, const char *service, uint64_t key,
                    enum bb_admission_class work_class, uint64_t start_us,
                    enum bb_pick_end end, uint64_t now_us);
--- a/proxy/claim_call.c
+++ b/proxy/claim_call.c
@@ -88,17 +88,18 @@
 
 /* Tells whether the gatekeeper that refused a keyed request will never run
  * it, which must hold before another one may be claimed. An id that it has
- * not seen is refused for good by the question. */
+ * not seen is refused for good by the question, which names the incarnation
+ * of the claim. */
 bool
-bb_claim_is_refused_for_good(struct bb_exchange *x,
-                             const struct bb_endpoint *e)
+bb_claim_is_refused_for_good(struct bb_exchange *x)
 {
-    struct bb_leg leg = {.endpoint = e, .incarnation = e->incarnation};
+    const struct bb_endpoint *e = x->last_endpoint;
+    struct bb_leg leg = {.endpoint = e, .incarnation = x->last_incarnation};
     enum bb_query_result result;
 
     if (e->is_own) {
-        result =
-            bb_gatekeeper_query(x->proxy->gatekeeper, &x->id, e->incarnation);
+        result = bb_gatekeeper_query(x->proxy->gatekeeper, &x->id,
+                                     x->last_incarnation);
     }
     else if (!bb_rpc_query(x, &leg, &result)) {
         return false;
--- a/proxy/entry.c
+++ b/proxy/entry.c
@@ -52,6 +52,7 @@
                       x->work_class, leg->start_us, end, bb_clock_now_us());
     }
     x->last_endpoint = leg->endpoint;
+    x->last_incarnation = leg->incarnation;
     if (leg->attempt != x->outcome.attempt) {
         bb_attempt_release(leg->attempt);
     }
@@ -123,7 +124,8 @@
         }
     }
     leg->start_us = bb_clock_now_us();
-    index = bb_picker_pick(x->proxy->picker, &q, leg->start_us, reason);
+    index = bb_picker_pick(x->proxy->picker, &q, leg->start_us,
+                           &leg->may_go_elsewhere, reason);
     if (index >= 0) {
         chosen = &s->endpoints[index];
         leg->key = targets[index].key;
@@ -142,8 +144,7 @@
         reason == BB_REASON_KEY_OWNER_CHANGED) {
         return true;
     }
-    return x->last_endpoint != NULL &&
-           bb_claim_is_refused_for_good(x, x->last_endpoint);
+    return x->last_endpoint != NULL && bb_claim_is_refused_for_good(x);
 }
 
 /* Decides what follows a refused or failed attempt: a repeat elsewhere, or
@@ -182,6 +183,14 @@
     bb_clock_sleep_us(delay_us);
 }
 
+/* Returns what a refusal tells the picker. */
+static enum bb_pick_end
+refusal_end(enum bb_reason reason)
+{
+    return reason == BB_REASON_UPSTREAM_SLOW ? BB_PICK_REFUSED_SLOW
+                                             : BB_PICK_REFUSED;
+}
+
 /* Claims the key of a keyed request and sends the request. */
 static struct bb_outcome
 send_leg(struct bb_exchange *x, struct bb_leg *leg)
@@ -219,6 +228,8 @@
         }
         leg->is_local = leg->endpoint->is_own;
         leg->incarnation = leg->endpoint->incarnation;
+        leg->may_go_elsewhere &= !x->is_keyed && !x->is_streaming &&
+                                 x->route->retry_limit > 0 && !is_hedge;
     }
     x->attempts++;
     leg->is_used = true;
@@ -230,7 +241,7 @@
         break;
     case BB_OUTCOME_REFUSED:
         key = leg->key;
-        bb_entry_end_leg(x, leg, BB_PICK_REFUSED);
+        bb_entry_end_leg(x, leg, refusal_end(o.reason));
         bb_entry_after_failure(x, key, o.reason, o.ran, false);
         break;
     case BB_OUTCOME_ANSWER:
@@ -368,7 +379,7 @@
         if (reason == BB_REASON_SHUTTING_DOWN && !leg->is_local) {
             bb_http_client_forget_peer(x->proxy->client, &leg->endpoint->http);
         }
-        bb_entry_end_leg(x, leg, BB_PICK_REFUSED);
+        bb_entry_end_leg(x, leg, refusal_end(reason));
         bb_entry_after_failure(x, key, reason, ran, has_sent_body);
         return;
     }
--- a/proxy/leg.c
+++ b/proxy/leg.c
@@ -181,6 +181,8 @@
         .id = x->id,
         .is_idempotent = x->is_idempotent,
         .incarnation = x->is_forwarded ? x->incarnation : leg->incarnation,
+        .may_go_elsewhere =
+            x->is_forwarded ? x->may_go_elsewhere : leg->may_go_elsewhere,
         .work_class = x->work_class,
         .deadline_us = x->deadline_us,
     };
@@ -245,7 +247,8 @@
         request.body = NULL;
     }
     else {
-        bb_headers_addf(h, BB_HEADER_ATTEMPT, "%u", x->attempts);
+        bb_headers_addf(h, BB_HEADER_ATTEMPT, "%u%s", x->attempts,
+                        leg->may_go_elsewhere ? " elsewhere" : "");
     }
     if (!x->is_idempotent) {
         bb_headers_addf(h, BB_HEADER_INCARNATION, "%" PRIu64,
--- a/proxy/picker.c
+++ b/proxy/picker.c
@@ -34,7 +34,8 @@
     TICK_US = 10 * BB_US_PER_MS,
     DEFAULT_RETRY_PERCENT = 20,
     DEFAULT_HEDGE_PERCENT = 5,
-    DEFAULT_EJECTION_PERCENT = 34
+    DEFAULT_EJECTION_PERCENT = 34,
+    TOKEN_MILLI = 1000 /* one repeat, as struct bb_retry_budget counts */
 };
 
 /* Frees one service. */
@@ -160,7 +161,7 @@
             (void)bb_outliers_add(&s->outliers, t->key);
             g_hash_table_insert(s->candidates, &c->key, c);
         }
-        c->weight_permille = bb_outlier_weight(&s->outliers, t->key, now_us);
+        bb_outlier_apply(&s->outliers, c, now_us);
         out[i] = c;
     }
     if (g_hash_table_size(s->candidates) > q->target_count) {
@@ -169,10 +170,11 @@
 }
 
 /* Chooses a gatekeeper and counts the attempt as sent. Returns its position
- * among the targets, or -1 with the reason. */
+ * among the targets, or -1 with the reason. may_go_elsewhere is set if a
+ * refusal because of a slow upstream would only cost a repeat. */
 int32_t
 bb_picker_pick(struct bb_picker *p, const struct bb_pick_question *q,
-               uint64_t now_us, enum bb_reason *reason)
+               uint64_t now_us, bool *may_go_elsewhere, enum bb_reason *reason)
 {
     const struct bb_candidate *candidates[BB_ROUTE_CANDIDATES_MAX];
     struct bb_pick_question limited = *q;
@@ -199,6 +201,10 @@
     if (choice.index >= 0) {
         uint64_t key = candidates[choice.index]->key;
 
+        *may_go_elsewhere = q->excluded_count == 0 &&
+                            limited.target_count > 1 &&
+                            p->retries.tokens_milli >= TOKEN_MILLI &&
+                            bb_outlier_may_go_elsewhere(&s->outliers, key);
         bb_candidate_start(find_candidate(s, key));
         bb_outlier_start(&s->outliers, key, q->work_class, now_us);
     }
@@ -223,7 +229,10 @@
     if (end == BB_PICK_ANSWERED) {
         bb_estimate_add(&s->latency[work_class], latency_us);
     }
-    if (end == BB_PICK_REFUSED || end == BB_PICK_CANCELLED) {
+    if (end == BB_PICK_REFUSED_SLOW) {
+        (void)bb_outlier_report_slow(&s->outliers, key, now_us);
+    }
+    if (end != BB_PICK_ANSWERED && end != BB_PICK_FAILED) {
         bb_outlier_cancel(&s->outliers, key, start_us);
     }
     else {
