--- /dev/null
+++ b/tests/node/test_kept_bundle.c
@@ -0,0 +1,122 @@
+/* A node that starts from its own disk must get back exactly what it saved,
+ * or nothing: a damaged copy must never be served. */
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <string.h>
+
+#include "node/kept_bundle.h"
+#include "unit.h"
+
+static struct bb_bundle *
+make_bundle(uint64_t revision)
+{
+    struct bb_folder_builder *builder = bb_folder_builder_create();
+    struct bb_error e = {0};
+    struct bb_folder *folder;
+
+    CU_ASSERT_TRUE_FATAL(
+        bb_folder_builder_add(builder, "00-team", "[team a]\n", 9, &e));
+    folder = bb_folder_builder_finish(builder, &e);
+    bb_folder_builder_destroy(builder);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(folder);
+    return bb_bundle_create(revision, 7, folder);
+}
+
+static char *
+make_folder(void)
+{
+    char *folder = g_dir_make_tmp("baobab-kept-XXXXXX", NULL);
+
+    CU_ASSERT_PTR_NOT_NULL_FATAL(folder);
+    return folder;
+}
+
+static void
+remove_folder(char *folder, const char *file)
+{
+    (void)g_unlink(file);
+    (void)g_rmdir(folder);
+    g_free(folder);
+}
+
+static void
+test_copy_comes_back_and_is_replaced(void)
+{
+    char *folder = make_folder();
+    char *file = g_build_filename(folder, "configuration.bundle", NULL);
+    struct bb_error e = {0};
+
+    CU_ASSERT_PTR_NULL(bb_kept_bundle_load(folder, &e));
+    CU_ASSERT_EQUAL(e.code, 0);
+    for (uint64_t r = 3; r < 5; r++) {
+        struct bb_bundle *b = make_bundle(r);
+        struct bb_bundle *back;
+
+        CU_ASSERT_TRUE(bb_kept_bundle_save(folder, b, &e));
+        back = bb_kept_bundle_load(folder, &e);
+        CU_ASSERT_PTR_NOT_NULL_FATAL(back);
+        CU_ASSERT_EQUAL(back->revision, r);
+        CU_ASSERT_EQUAL(back->version, 7);
+        CU_ASSERT_TRUE(bb_digest_equal(&back->digest, &b->digest));
+        bb_bundle_unref(back);
+        bb_bundle_unref(b);
+    }
+    remove_folder(folder, file);
+    g_free(file);
+}
+
+/* Writes a changed copy and checks that it is refused. */
+static void
+check_refused(const char *folder, const char *file, const char *bytes,
+              size_t size)
+{
+    struct bb_error e = {0};
+
+    CU_ASSERT_TRUE_FATAL(g_file_set_contents(file, bytes, (gssize)size, NULL));
+    CU_ASSERT_PTR_NULL(bb_kept_bundle_load(folder, &e));
+    CU_ASSERT_EQUAL(e.code, BB_KEPT_ERROR_DAMAGED);
+}
+
+static void
+test_damaged_copy_is_refused(void)
+{
+    char *folder = make_folder();
+    char *file = g_build_filename(folder, "configuration.bundle", NULL);
+    struct bb_bundle *b = make_bundle(9);
+    struct bb_error e = {0};
+    char *bytes = NULL;
+    gsize size = 0;
+
+    CU_ASSERT_TRUE_FATAL(bb_kept_bundle_save(folder, b, &e));
+    CU_ASSERT_TRUE_FATAL(g_file_get_contents(file, &bytes, &size, NULL));
+    for (gsize i = 0; i < size; i++) {
+        check_refused(folder, file, bytes, i);
+        bytes[i] = (char)(bytes[i] ^ 0x20);
+        check_refused(folder, file, bytes, size);
+        bytes[i] = (char)(bytes[i] ^ 0x20);
+    }
+    g_free(bytes);
+    bb_bundle_unref(b);
+    remove_folder(folder, file);
+    g_free(file);
+}
+
+static void
+test_missing_folder_is_reported(void)
+{
+    struct bb_bundle *b = make_bundle(1);
+    struct bb_error e = {0};
+
+    CU_ASSERT_FALSE(bb_kept_bundle_save("/nonexistent/folder", b, &e));
+    CU_ASSERT_EQUAL(e.code, BB_KEPT_ERROR_WRITE);
+    bb_bundle_unref(b);
+}
+
+static const struct bb_unit_test tests[] = {
+    {"the copy comes back and is replaced",
+     test_copy_comes_back_and_is_replaced},
+    {"a damaged copy is refused", test_damaged_copy_is_refused},
+    {"a missing folder is reported", test_missing_folder_is_reported},
+};
+
+BB_UNIT_MAIN("kept bundle", tests)
