Ask a claim's gatekeeper under the incarnation of the claim

Cause: after a refusal of a keyed request the entry node asked the gatekeeper whether the request was refused for good, naming the incarnation in its table. For a joined request whose gatekeeper has restarted, the new process answers "never seen", the entry node claimed the key for another gatekeeper, and the request ran twice.

Change: bb_claim_query names the incarnation of the attempt that was refused. If another incarnation runs there, the caller is told gatekeeper_restarted with ran: unknown. tests/proxy/test_claim_restart sends one key twice, with a restart of its gatekeeper in between whose upstream has not announced itself yet.

--- a/include/proxy/internal.h
+++ b/include/proxy/internal.h
@@ -100,7 +100,8 @@
     bool wants_stored;
     struct bb_request_id key; /* of the caller, with the service */
     uint32_t claim_attempt;   /* of the claim that holds the key */
-    const struct bb_endpoint *last_endpoint;
+    const struct bb_endpoint *last_endpoint; /* of the last attempt */
+    uint64_t last_incarnation;               /* that it was meant for */
     struct bb_request_id id;
     char id_text[BB_ID_TEXT_BYTES];
     uint64_t incarnation;
@@ -186,8 +187,8 @@
 
 /* claim_call.c: claims of keys before a request is sent */
 struct bb_outcome bb_claim_call(struct bb_exchange *x, struct bb_leg *leg);
-bool bb_claim_is_refused_for_good(struct bb_exchange *x,
-                                  const struct bb_endpoint *e);
+bool bb_claim_query(struct bb_exchange *x, const struct bb_endpoint *e,
+                    uint64_t incarnation, enum bb_query_result *result);
 
 /* answer.c */
 enum MHD_Result bb_answer_queue(struct bb_exchange *x);
--- a/proxy/claim_call.c
+++ b/proxy/claim_call.c
@@ -87,22 +87,21 @@
     return o;
 }
 
-/* Tells whether the gatekeeper that refused a keyed request will never run
- * it, which must hold before another one may be claimed. An id that it has
- * not seen is refused for good by the question. */
+/* Asks the gatekeeper of a claim what became of the request. The question
+ * names the incarnation of the claim: the process that runs there at present
+ * may never have seen a request that an earlier one ran. An id that this
+ * incarnation has not seen is refused for good by the question. False if there
+ * was no answer. */
 bool
-bb_claim_is_refused_for_good(struct bb_exchange *x,
-                             const struct bb_endpoint *e)
+bb_claim_query(struct bb_exchange *x, const struct bb_endpoint *e,
+               uint64_t incarnation, enum bb_query_result *result)
 {
-    struct bb_leg leg = {.endpoint = e, .incarnation = e->incarnation};
-    enum bb_query_result result;
+    const struct bb_leg leg = {.endpoint = e, .incarnation = incarnation};
 
     if (e->is_own) {
-        result =
-            bb_gatekeeper_query(x->proxy->gatekeeper, &x->id, e->incarnation);
+        *result =
+            bb_gatekeeper_query(x->proxy->gatekeeper, &x->id, incarnation);
+        return true;
     }
-    else if (!bb_rpc_query(x, &leg, &result)) {
-        return false;
-    }
-    return result == BB_QUERY_NEVER_SEEN || result == BB_QUERY_REFUSED;
+    return bb_rpc_query(x, &leg, result);
 }
--- a/proxy/entry.c
+++ b/proxy/entry.c
@@ -52,6 +52,7 @@
                       x->work_class, leg->start_us, end, bb_clock_now_us());
     }
     x->last_endpoint = leg->endpoint;
+    x->last_incarnation = leg->incarnation;
     if (leg->attempt != x->outcome.attempt) {
         bb_attempt_release(leg->attempt);
     }
@@ -134,16 +135,27 @@
 
 /* Tells whether a keyed request may be tried elsewhere. A claim that was not
  * granted can be repeated; one that was granted can move on only when its
- * gatekeeper has refused the request for good. */
+ * gatekeeper has refused the request for good. If that gatekeeper restarted,
+ * nobody knows whether the request ran, which the reason then says. */
 static bool
-may_claim_again(struct bb_exchange *x, enum bb_reason reason)
+may_claim_again(struct bb_exchange *x, enum bb_reason *reason,
+                enum bb_ran *ran)
 {
-    if (reason == BB_REASON_KEY_OWNER_UNAVAILABLE ||
-        reason == BB_REASON_KEY_OWNER_CHANGED) {
+    enum bb_query_result result;
+
+    if (*reason == BB_REASON_KEY_OWNER_UNAVAILABLE ||
+        *reason == BB_REASON_KEY_OWNER_CHANGED) {
         return true;
     }
-    return x->last_endpoint != NULL &&
-           bb_claim_is_refused_for_good(x, x->last_endpoint);
+    if (x->last_endpoint == NULL ||
+        !bb_claim_query(x, x->last_endpoint, x->last_incarnation, &result)) {
+        return false;
+    }
+    if (result == BB_QUERY_OTHER_INCARNATION) {
+        *reason = BB_REASON_GATEKEEPER_RESTARTED;
+        *ran = BB_RAN_UNKNOWN;
+    }
+    return result == BB_QUERY_NEVER_SEEN || result == BB_QUERY_REFUSED;
 }
 
 /* Decides what follows a refused or failed attempt: a repeat elsewhere, or
@@ -172,7 +184,7 @@
     }
     q.retry_limit = x->is_forwarded ? 0 : x->route->retry_limit;
     if (x->is_forwarded || has_sent_body ||
-        (x->is_keyed && !may_claim_again(x, reason)) ||
+        (x->is_keyed && !may_claim_again(x, &final, &ran)) ||
         !bb_picker_may_repeat(x->proxy->picker, &q, &delay_us, &final)) {
         bb_entry_refuse(x, final, ran);
         return;
--- a/tests/proxy/fixture.c
+++ b/tests/proxy/fixture.c
@@ -63,7 +63,7 @@
     s.region = "r";
     s.caller_listen = any;
     s.local_listen = any;
-    s.incarnation = 5;
+    s.incarnation = s.incarnation != 0 ? s.incarnation : 5;
     s.seed = 11;
     s.record_entries = 1024;
     n->proxy = bb_proxy_create(&s, &e);
--- /dev/null
+++ b/tests/proxy/test_claim_restart.c
@@ -0,0 +1,123 @@
+/* A key whose gatekeeper restarted between two sends. One proxy stands for
+ * the witness "third" all the time, and for the gatekeeper "gate" after its
+ * restart, since a process has one RPC server. */
+#include <glib.h>
+#include <string.h>
+
+#include "common/digest.h"
+#include "fixture.h"
+
+enum { SLOTS = 4, INCARNATION_AFTER = 6 };
+
+static const struct bb_behaviour_values quick = {.slots = SLOTS,
+                                                 .connections = 64,
+                                                 .service_us = 1000,
+                                                 .load_percent = 100,
+                                                 .cold_factor = 1,
+                                                 .slow_factor = 1,
+                                                 .long_factor = 1};
+
+static const char request[] =
+    "POST /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+    "Idempotency-Key: k\r\nContent-Length: 1\r\n\r\nx";
+
+static struct test_upstream upstream; /* of the gate */
+static struct test_upstream second;   /* of the entry node */
+static struct test_node gate;
+static struct test_node entry;
+static struct test_node third;
+static struct bb_rpc_server *server;
+static struct bb_rpc_pool *pool;
+
+static void
+start(void)
+{
+    struct bb_error e = {0};
+    struct bb_address rpc = {.ip = "127.0.0.1"};
+    const struct bb_roster r = {
+        .epoch = 1,
+        .host_count = 2,
+        .hosts = {bb_hash64("entry", 5, 0), bb_hash64("third", 5, 0)}};
+
+    start_upstream(&upstream, &quick);
+    start_upstream(&second, &quick);
+    pool = bb_rpc_pool_create();
+    server = bb_rpc_server_create(&rpc, &e);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(server);
+    start_node(&gate, "gate", (struct bb_proxy_settings){0});
+    start_node(&third, "third",
+               (struct bb_proxy_settings){.incarnation = INCARNATION_AFTER});
+    start_node(&entry, "entry", (struct bb_proxy_settings){.rpc = pool});
+    CU_ASSERT_TRUE(bb_proxy_register(third.proxy, server, &e));
+    CU_ASSERT_TRUE(bb_rpc_server_start(server, &e));
+    rpc.port = bb_rpc_server_port(server);
+    announce_upstream(&gate, &upstream.upstream.listen, BB_UPSTREAM_READY,
+                      SLOTS);
+    announce_upstream(&entry, &second.upstream.listen, BB_UPSTREAM_READY,
+                      SLOTS);
+    add_member(&entry, "gate", "z1", bb_proxy_caller_address(gate.proxy), rpc);
+    add_member(&entry, "third", "z1", bb_proxy_caller_address(third.proxy),
+               rpc);
+    entry.members[1].upstream_state = BB_UPSTREAM_DRAINING;
+    apply_table(&entry);
+    bb_proxy_set_roster(third.proxy, "s", &r);
+    bb_proxy_set_roster(entry.proxy, "s", &r);
+}
+
+/* The gate's host runs a new process, whose upstream has not announced itself
+ * there yet; the entry node's own upstream is another place to go. */
+static void
+restart_gate(void)
+{
+    entry.members[0].http = bb_proxy_caller_address(third.proxy);
+    entry.members[0].incarnation = INCARNATION_AFTER;
+    add_member(&entry, "entry", "z2", bb_proxy_caller_address(entry.proxy),
+               entry.members[0].rpc);
+    apply_table(&entry);
+}
+
+static bool
+has_run(struct test_upstream *u, const char *runs)
+{
+    GString *ran = g_string_new(NULL);
+    bool is_equal;
+
+    bb_runs_write(u->upstream.runs, ran);
+    is_equal = strstr(ran->str, runs) != NULL;
+    (void)g_string_free(ran, TRUE);
+    return is_equal;
+}
+
+/* Guards against a key that runs twice because the restarted gatekeeper has
+ * never seen the request and the entry node takes that for a refusal. */
+static void
+test_restarted_gatekeeper_is_not_believed(void)
+{
+    struct test_answer *a;
+
+    start();
+    a = call(bb_proxy_caller_address(entry.proxy), request);
+    CU_ASSERT_EQUAL(a->status, 200);
+    g_free(a);
+    CU_ASSERT_TRUE(has_run(&upstream, "\"runs\":1,"));
+    restart_gate();
+    a = call(bb_proxy_caller_address(entry.proxy), request);
+    CU_ASSERT_TRUE(has(a, "Baobab-Refused: gatekeeper_restarted"));
+    CU_ASSERT_TRUE(has(a, "Baobab-Ran: unknown"));
+    CU_ASSERT_TRUE(has_run(&second, "\"runs\":0,"));
+    g_free(a);
+    stop_node(&entry);
+    stop_node(&third);
+    stop_node(&gate);
+    bb_rpc_server_destroy(server);
+    bb_rpc_pool_destroy(pool);
+    stop_upstream(&upstream);
+    stop_upstream(&second);
+}
+
+static const struct bb_unit_test tests[] = {
+    {"a restarted gatekeeper is not believed",
+     test_restarted_gatekeeper_is_not_believed},
+};
+
+BB_UNIT_MAIN("claim_restart", tests)
