Let slow upstreams refuse calls that can go elsewhere

Cause: the data path did not use bb_probe_begin, bb_outlier_apply, bb_outlier_may_go_elsewhere and bb_outlier_report_slow. A gatekeeper whose upstream was slow queued calls that another one could have served. A failed connection counted twice: as the end of a call and as a failure to connect. The entry node did not know the load of its own gatekeeper, only its own calls there, and sent more to it than to others.

Change: the picker marks a first attempt that outlier and retry budget allow to go elsewhere; the mark travels as Baobab-Elsewhere. The refusal upstream_slow ejects the gatekeeper. Candidates get weight and waiting time from bb_outlier_apply. A refusal by the record goes through bb_probe_begin: a request without key may move on after another incarnation refused it, a keyed one may not. The load of an answer is reported after its end, and that of the own gatekeeper before each choice. Refusals moved from entry.c to refusal.c.

--- a/decide/retry.c
+++ b/decide/retry.c
@@ -42,11 +42,18 @@
     }
 }
 
+/* Tells whether a token is there, without taking it. */
+bool
+bb_retry_budget_has(const struct bb_retry_budget *b)
+{
+    return b->tokens_milli >= MILLI;
+}
+
 /* Takes one token; false if there is none. */
 bool
 bb_retry_budget_take(struct bb_retry_budget *b)
 {
-    if (b->tokens_milli < MILLI) {
+    if (!bb_retry_budget_has(b)) {
         return false;
     }
     b->tokens_milli -= MILLI;
--- a/include/decide/retry.h
+++ b/include/decide/retry.h
@@ -48,6 +48,7 @@
 
 void bb_retry_budget_configure(struct bb_retry_budget *b, uint32_t percent);
 void bb_retry_budget_deposit(struct bb_retry_budget *b);
+bool bb_retry_budget_has(const struct bb_retry_budget *b);
 bool bb_retry_budget_take(struct bb_retry_budget *b);
 bool bb_retry_reason_is_transient(enum bb_reason r);
 struct bb_retry_answer bb_retry_decide(const struct bb_retry_question *q,
--- a/include/proxy/gatekeeper.h
+++ b/include/proxy/gatekeeper.h
@@ -63,6 +63,7 @@
     uint64_t incarnation; /* it is meant for; BB_INCARNATION_ANY */
     enum bb_admission_class work_class;
     uint64_t deadline_us;
+    bool may_go_elsewhere; /* if the upstream is slow at present */
 };
 
 /* A slot of the upstream; given back exactly once. */
--- a/include/proxy/headers.h
+++ b/include/proxy/headers.h
@@ -18,6 +18,7 @@
 #define BB_HEADER_DEPTH "Baobab-Depth"
 #define BB_HEADER_CLASS "Baobab-Class"
 #define BB_HEADER_ATTEMPT "Baobab-Attempt"
+#define BB_HEADER_ELSEWHERE "Baobab-Elsewhere"
 #define BB_HEADER_REVISION "Baobab-Revision"
 #define BB_HEADER_FORWARDED "Baobab-Forwarded"
 #define BB_HEADER_LOAD "Baobab-Load"
--- a/include/proxy/internal.h
+++ b/include/proxy/internal.h
@@ -57,8 +57,10 @@
     uint64_t incarnation;  /* of the gatekeeper, that it is meant for */
     bool is_local;         /* straight to the own upstream */
     bool is_stored_answer; /* asks for the kept answer only */
-    bool has_watched;      /* for the end of a short answer */
-    bool is_asked_again;   /* by QUERY, before giving the connection up */
+    bool may_go_elsewhere; /* if the gatekeeper's upstream is slow */
+    bool is_refused_by_record;
+    bool has_watched;    /* for the end of a short answer */
+    bool is_asked_again; /* by QUERY, before giving the connection up */
     uint64_t start_us;
     struct bb_probe probe;
 };
@@ -98,6 +100,7 @@
     bool is_idempotent;
     bool is_keyed; /* by the caller, not by this node */
     bool wants_stored;
+    bool may_go_elsewhere; /* as the entry node says of a forwarded request */
     struct bb_request_id key; /* of the caller, with the service */
     uint32_t claim_attempt;   /* of the claim that holds the key */
     const struct bb_endpoint *last_endpoint; /* of the last attempt */
@@ -154,6 +157,10 @@
 void bb_entry_start_leg(struct bb_exchange *x, struct bb_leg *leg,
                         bool is_hedge);
 
+/* refusal.c */
+bool bb_entry_on_refusal(struct bb_exchange *x, struct bb_leg *leg);
+enum bb_pick_end bb_entry_refusal_end(enum bb_reason reason);
+
 /* hedge.c */
 bool bb_entry_hedge_time(const struct bb_exchange *x,
                          struct bb_hedge_request *q, uint64_t *at_us);
--- a/include/proxy/picker.h
+++ b/include/proxy/picker.h
@@ -28,17 +28,25 @@
     uint32_t target_count;
     enum bb_admission_class work_class;
     bool is_idempotent;
+    bool can_repeat;     /* a first attempt, which may be sent again */
     uint64_t link_bytes; /* expected, for the budget of the paid link */
     uint64_t excluded[BB_PICK_EXCLUDED_MAX];
     uint32_t excluded_count;
     uint64_t random_bits;
 };
 
+struct bb_pick_answer {
+    int32_t index; /* into the targets, or -1 */
+    enum bb_reason reason;
+    bool may_go_elsewhere; /* if the gatekeeper's upstream is slow */
+};
+
 /* The end of one attempt as the entry node saw it. */
 enum bb_pick_end {
     BB_PICK_ANSWERED,
     BB_PICK_FAILED,  /* connection or upstream */
     BB_PICK_REFUSED, /* by the gatekeeper; says nothing about speed */
+    BB_PICK_SLOW,    /* refused because the upstream is slow */
     BB_PICK_NOT_CONNECTED,
     BB_PICK_CANCELLED
 };
@@ -78,8 +86,9 @@
 struct bb_picker *bb_picker_create(const char *policy);
 void bb_picker_destroy(struct bb_picker *p);
 void bb_picker_configure(struct bb_picker *p, const struct bb_pick_limits *l);
-int32_t bb_picker_pick(struct bb_picker *p, const struct bb_pick_question *q,
-                       uint64_t now_us, enum bb_reason *reason);
+struct bb_pick_answer bb_picker_pick(struct bb_picker *p,
+                                     const struct bb_pick_question *q,
+                                     uint64_t now_us);
 void bb_picker_end(struct bb_picker *p, const char *service, uint64_t key,
                    enum bb_admission_class work_class, uint64_t start_us,
                    enum bb_pick_end end, uint64_t now_us);
--- a/proxy/entry.c
+++ b/proxy/entry.c
@@ -41,6 +41,29 @@
     return count;
 }
 
+/* Passes the load that came with an answer or a refusal to the picker. */
+static void
+report_load(const struct bb_exchange *x, const struct bb_leg *leg)
+{
+    if (leg->attempt != NULL && !leg->is_local) {
+        bb_picker_report(x->proxy->picker, x->service_name, leg->key,
+                         bb_headers_get(leg->attempt->headers, BB_HEADER_LOAD),
+                         bb_clock_now_us());
+    }
+}
+
+/* Passes the load of the own gatekeeper to the picker, which would not know
+ * of the calls that other entry nodes have sent there. */
+static void
+report_own_load(const struct bb_exchange *x, uint64_t key)
+{
+    char text[BB_LOAD_TEXT_BYTES];
+
+    bb_picker_report(x->proxy->picker, x->service_name, key,
+                     bb_gatekeeper_load(x->proxy->gatekeeper, text),
+                     bb_clock_now_us());
+}
+
 /* Ends a leg: reports to the picker and lets go of its attempt, unless the
  * outcome keeps it. */
 void
@@ -50,6 +73,10 @@
     if (!x->is_forwarded) {
         bb_picker_end(x->proxy->picker, x->service_name, leg->key,
                       x->work_class, leg->start_us, end, bb_clock_now_us());
+        if (end == BB_PICK_ANSWERED || end == BB_PICK_REFUSED ||
+            end == BB_PICK_SLOW) {
+            report_load(x, leg);
+        }
     }
     x->last_endpoint = leg->endpoint;
     x->last_incarnation = leg->incarnation;
@@ -104,12 +131,14 @@
         .targets = targets,
         .work_class = x->work_class,
         .is_idempotent = x->is_idempotent,
+        .can_repeat = x->attempts == 0 && x->route->retry_limit > 0 &&
+                      !x->is_keyed && !x->is_streaming,
         .link_bytes = (uint64_t)MAX(x->length_bytes, 0) + LINK_OVERHEAD_BYTES,
         .excluded_count = x->excluded_count,
         .random_bits = bb_random_u64(x->proxy->random),
     };
     const struct bb_endpoint *chosen = NULL;
-    int32_t index;
+    struct bb_pick_answer a;
 
     memcpy(q.excluded, x->excluded, sizeof(q.excluded));
     for (uint32_t i = 0; i < s->endpoint_count; i++) {
@@ -118,16 +147,21 @@
 
         targets[q.target_count++] = (struct bb_pick_target){
             .key = key, .nearness = e->nearness, .slots = e->slots};
+        if (e->is_own) {
+            report_own_load(x, key);
+        }
         /* A hedge does not wait in the own queue. */
         if (is_hedge && e->is_own && q.excluded_count < BB_PICK_EXCLUDED_MAX) {
             q.excluded[q.excluded_count++] = key;
         }
     }
     leg->start_us = bb_clock_now_us();
-    index = bb_picker_pick(x->proxy->picker, &q, leg->start_us, reason);
-    if (index >= 0) {
-        chosen = &s->endpoints[index];
-        leg->key = targets[index].key;
+    a = bb_picker_pick(x->proxy->picker, &q, leg->start_us);
+    *reason = a.reason;
+    if (a.index >= 0) {
+        chosen = &s->endpoints[a.index];
+        leg->key = targets[a.index].key;
+        leg->may_go_elsewhere = a.may_go_elsewhere;
     }
     g_free(targets);
     return chosen;
@@ -242,7 +276,7 @@
         break;
     case BB_OUTCOME_REFUSED:
         key = leg->key;
-        bb_entry_end_leg(x, leg, BB_PICK_REFUSED);
+        bb_entry_end_leg(x, leg, bb_entry_refusal_end(o.reason));
         bb_entry_after_failure(x, key, o.reason, o.ran, false);
         break;
     case BB_OUTCOME_ANSWER:
@@ -335,53 +369,11 @@
     return event;
 }
 
-/* Returns the refusal that an answer carries, if it is one: by the gatekeeper
- * of another node, or by the own upstream. */
-static bool
-is_refusal(const struct bb_leg *leg, enum bb_reason *reason, enum bb_ran *ran)
-{
-    const struct bb_attempt *a = leg->attempt;
-    const char *text;
-
-    if (leg->is_local) {
-        enum bb_reason r = bb_leg_upstream_refusal(a);
-
-        *reason = r;
-        *ran = BB_RAN_NO;
-        return r != BB_REASON_NONE;
-    }
-    text = bb_headers_get(a->headers, BB_HEADER_REFUSED);
-    if (text == NULL) {
-        return false;
-    }
-    *reason = BB_REASON_UPSTREAM_BROKEN;
-    (void)bb_reason_parse(text, reason);
-    text = bb_headers_get(a->headers, BB_HEADER_RAN);
-    *ran =
-        text != NULL && strcmp(text, "no") == 0 ? BB_RAN_NO : BB_RAN_UNKNOWN;
-    return true;
-}
-
 /* An answer's head has arrived. */
 static void
 on_head(struct bb_exchange *x, struct bb_leg *leg)
 {
-    bool has_sent_body = bb_entry_is_body_gone(x, leg);
-    uint64_t key = leg->key;
-    enum bb_reason reason;
-    enum bb_ran ran;
-
-    if (!leg->is_local) {
-        bb_picker_report(x->proxy->picker, x->service_name, leg->key,
-                         bb_headers_get(leg->attempt->headers, BB_HEADER_LOAD),
-                         bb_clock_now_us());
-    }
-    if (is_refusal(leg, &reason, &ran)) {
-        if (reason == BB_REASON_SHUTTING_DOWN && !leg->is_local) {
-            bb_http_client_forget_peer(x->proxy->client, &leg->endpoint->http);
-        }
-        bb_entry_end_leg(x, leg, BB_PICK_REFUSED);
-        bb_entry_after_failure(x, key, reason, ran, has_sent_body);
+    if (bb_entry_on_refusal(x, leg)) {
         return;
     }
     x->outcome = (struct bb_outcome){.kind = BB_OUTCOME_ANSWER,
--- a/proxy/gatekeeper.c
+++ b/proxy/gatekeeper.c
@@ -349,6 +349,7 @@
         .work_class = r->work_class,
         .team = g->limits.team_count > 0 ? 0 : BB_ADMISSION_NO_TEAM,
         .deadline_us = r->deadline_us,
+        .may_go_elsewhere = r->may_go_elsewhere && !g->settings.ignores_slots,
     };
     struct bb_admission_decision d =
         bb_admission_arrive(&g->admission, &request, bb_clock_now_us());
--- a/proxy/leg.c
+++ b/proxy/leg.c
@@ -183,6 +183,8 @@
         .incarnation = x->is_forwarded ? x->incarnation : leg->incarnation,
         .work_class = x->work_class,
         .deadline_us = x->deadline_us,
+        .may_go_elsewhere =
+            x->is_forwarded ? x->may_go_elsewhere : leg->may_go_elsewhere,
     };
     struct bb_attempt_request request;
     struct bb_gate_result g;
@@ -247,6 +249,9 @@
     else {
         bb_headers_addf(h, BB_HEADER_ATTEMPT, "%u", x->attempts);
     }
+    if (leg->may_go_elsewhere) {
+        bb_headers_add(h, BB_HEADER_ELSEWHERE, "1");
+    }
     if (!x->is_idempotent) {
         bb_headers_addf(h, BB_HEADER_INCARNATION, "%" PRIu64,
                         leg->incarnation);
--- a/proxy/picker.c
+++ b/proxy/picker.c
@@ -160,7 +160,7 @@
             (void)bb_outliers_add(&s->outliers, t->key);
             g_hash_table_insert(s->candidates, &c->key, c);
         }
-        c->weight_permille = bb_outlier_weight(&s->outliers, t->key, now_us);
+        bb_outlier_apply(&s->outliers, c, now_us);
         out[i] = c;
     }
     if (g_hash_table_size(s->candidates) > q->target_count) {
@@ -168,11 +168,11 @@
     }
 }
 
-/* Chooses a gatekeeper and counts the attempt as sent. Returns its position
- * among the targets, or -1 with the reason. */
-int32_t
+/* Chooses a gatekeeper and counts the attempt as sent. The attempt may go
+ * elsewhere only if a token for its repeat is there. */
+struct bb_pick_answer
 bb_picker_pick(struct bb_picker *p, const struct bb_pick_question *q,
-               uint64_t now_us, enum bb_reason *reason)
+               uint64_t now_us)
 {
     const struct bb_candidate *candidates[BB_ROUTE_CANDIDATES_MAX];
     struct bb_pick_question limited = *q;
@@ -182,6 +182,7 @@
         .link_bytes = q->link_bytes,
         .excluded_count = q->excluded_count,
     };
+    struct bb_pick_answer answer = {0};
     struct bb_route_choice choice;
     struct service *s;
 
@@ -201,10 +202,39 @@
 
         bb_candidate_start(find_candidate(s, key));
         bb_outlier_start(&s->outliers, key, q->work_class, now_us);
+        answer.may_go_elsewhere =
+            q->can_repeat && bb_retry_budget_has(&p->retries) &&
+            bb_outlier_may_go_elsewhere(&s->outliers, key);
     }
     (void)pthread_mutex_unlock(&p->lock);
-    *reason = choice.reason;
-    return choice.index;
+    answer.index = choice.index;
+    answer.reason = choice.reason;
+    return answer;
+}
+
+/* Notes the end of an attempt for the ejection of gatekeepers. Called with the
+ * lock held. */
+static void
+end_outlier_call(struct service *s, uint64_t key,
+                 enum bb_admission_class work_class, uint64_t start_us,
+                 enum bb_pick_end end, uint64_t now_us)
+{
+    switch (end) {
+    case BB_PICK_ANSWERED:
+    case BB_PICK_FAILED:
+        bb_outlier_finish(&s->outliers, key, work_class, start_us,
+                          end == BB_PICK_FAILED, now_us);
+        break;
+    case BB_PICK_SLOW:
+        bb_outlier_cancel(&s->outliers, key, start_us);
+        (void)bb_outlier_report_slow(&s->outliers, key, now_us);
+        break;
+    case BB_PICK_REFUSED:
+    case BB_PICK_NOT_CONNECTED:
+    case BB_PICK_CANCELLED:
+        bb_outlier_cancel(&s->outliers, key, start_us);
+        break;
+    }
 }
 
 /* Notes how an attempt ended that bb_picker_pick counted. */
@@ -223,20 +253,14 @@
     if (end == BB_PICK_ANSWERED) {
         bb_estimate_add(&s->latency[work_class], latency_us);
     }
-    if (end == BB_PICK_REFUSED || end == BB_PICK_CANCELLED) {
-        bb_outlier_cancel(&s->outliers, key, start_us);
-    }
-    else {
-        bb_outlier_finish(&s->outliers, key, work_class, start_us,
-                          end != BB_PICK_ANSWERED, now_us);
+    end_outlier_call(s, key, work_class, start_us, end, now_us);
+    if (c != NULL && end == BB_PICK_NOT_CONNECTED) {
+        bb_candidate_connect_failed(c, now_us);
     }
-    if (c != NULL) {
+    else if (c != NULL) {
         bb_candidate_finish(c, work_class,
                             end == BB_PICK_ANSWERED ? latency_us : 0,
                             end == BB_PICK_ANSWERED);
-        if (end == BB_PICK_NOT_CONNECTED) {
-            bb_candidate_connect_failed(c, now_us);
-        }
     }
     (void)pthread_mutex_unlock(&p->lock);
 }
--- a/proxy/request.c
+++ b/proxy/request.c
@@ -127,6 +127,8 @@
     x->is_idempotent = !bb_headers_get_u64(x->headers, BB_HEADER_INCARNATION,
                                            &x->incarnation);
     x->wants_stored = g_strcmp0(attempt, "stored") == 0;
+    x->may_go_elsewhere =
+        bb_headers_get(x->headers, BB_HEADER_ELSEWHERE) != NULL;
     x->service_name = bb_headers_get(x->headers, BB_HEADER_FORWARDED);
     return true;
 }
--- a/proxy/silence.c
+++ b/proxy/silence.c
@@ -91,6 +91,9 @@
     enum bb_reason reason;
     uint64_t key = leg->key;
     bool has_sent_body = bb_entry_is_body_gone(x, leg);
+    /* A refusal says nothing against the connection or the speed. */
+    bool is_refused = leg->is_refused_by_record;
+    enum bb_pick_end end = is_refused ? BB_PICK_REFUSED : BB_PICK_FAILED;
 
     switch (bb_probe_step(&leg->probe, bb_clock_now_us(), &reason)) {
     case BB_PROBE_WAIT:
@@ -104,14 +107,16 @@
         }
         break;
     case BB_PROBE_RETRY:
-        bb_http_client_forget_peer(x->proxy->client, &leg->endpoint->http);
-        bb_entry_end_leg(x, leg, BB_PICK_FAILED);
+        if (!is_refused) {
+            bb_http_client_forget_peer(x->proxy->client, &leg->endpoint->http);
+        }
+        bb_entry_end_leg(x, leg, end);
         bb_entry_after_failure(x, key, reason,
                                x->is_idempotent ? BB_RAN_UNKNOWN : BB_RAN_NO,
                                has_sent_body);
         break;
     case BB_PROBE_UNKNOWN:
-        bb_entry_end_leg(x, leg, BB_PICK_FAILED);
+        bb_entry_end_leg(x, leg, end);
         bb_entry_refuse(x, reason, BB_RAN_UNKNOWN);
         break;
     }
--- /dev/null
+++ b/tests/proxy/test_slow.c
@@ -0,0 +1,180 @@
+/* A gatekeeper whose upstream has become slow refuses calls that can go
+ * elsewhere, and only those. */
+#include <glib.h>
+#include <string.h>
+
+#include "common/counters.h"
+#include "fixture.h"
+
+enum {
+    SLOTS = 4,
+    WARM_CALLS = 60,
+    HELD = 2,
+    CALLS = 16,
+    SLOW_US = 2 * BB_US_PER_S,
+    TEST_US = 300 * BB_US_PER_MS
+};
+
+static const struct bb_behaviour_values quick = {.slots = SLOTS,
+                                                 .connections = 64,
+                                                 .service_us = 2000,
+                                                 .load_percent = 100,
+                                                 .cold_factor = 1,
+                                                 .slow_factor = 1,
+                                                 .long_factor = 1};
+
+static struct test_upstream upstreams[2];
+static struct test_node gates[2];
+static struct test_node entry;
+
+static void
+start(void)
+{
+    static const char *const hosts[] = {"gate-0", "gate-1"};
+    static const char *const names[] = {"up-0", "up-1"};
+    struct bb_address no_rpc = {.ip = "127.0.0.1", .port = 1};
+
+    start_node(&entry, "entry", (struct bb_proxy_settings){0});
+    entry.config.limits.ejection_percent = 50;
+    for (int i = 0; i < 2; i++) {
+        start_upstream(&upstreams[i], &quick);
+        upstreams[i].upstream.host = names[i];
+        start_node(&gates[i], hosts[i], (struct bb_proxy_settings){0});
+        announce_upstream(&gates[i], &upstreams[i].upstream.listen,
+                          BB_UPSTREAM_READY, SLOTS);
+        add_member(&entry, hosts[i], "z1",
+                   bb_proxy_caller_address(gates[i].proxy), no_rpc);
+    }
+    apply_table(&entry);
+}
+
+static void
+stop(void)
+{
+    stop_node(&entry);
+    for (int i = 0; i < 2; i++) {
+        stop_node(&gates[i]);
+        stop_upstream(&upstreams[i]);
+    }
+}
+
+static uint64_t
+slow_refusals(void)
+{
+    const struct bb_counter *c = bb_counter_find(
+        "baobab_refusals_total", "reason=\"upstream_slow\",ran=\"no\"");
+
+    CU_ASSERT_PTR_NOT_NULL_FATAL(c);
+    return bb_counter_get(c);
+}
+
+/* Sends a request to the first gatekeeper as an entry node does. */
+static struct test_answer *
+forward(const char *mark)
+{
+    static atomic_uint number;
+    char *text = g_strdup_printf(
+        "GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+        "Baobab-Forwarded: s\r\nBaobab-Depth: 0\r\nBaobab-Class: short\r\n"
+        "Baobab-Deadline-Ms: 5000\r\nBaobab-Request-Id: %032x\r\n%s\r\n",
+        atomic_fetch_add(&number, 1) + 1, mark);
+    struct test_answer *a =
+        call(bb_proxy_caller_address(gates[0].proxy), text);
+
+    g_free(text);
+    return a;
+}
+
+static void *
+run_forward(void *argument)
+{
+    struct test_answer *a = forward("");
+
+    (void)argument;
+    CU_ASSERT_EQUAL(a->status, 200);
+    g_free(a);
+    return NULL;
+}
+
+/* Teaches the first gatekeeper its usual duration, then keeps half of its
+ * slots in calls that take much longer. */
+static void
+occupy(pthread_t threads[HELD])
+{
+    json_t *slow = json_pack("{s:i}", "service_us", SLOW_US);
+    struct bb_error e = {0};
+
+    for (int i = 0; i < WARM_CALLS; i++) {
+        (void)run_forward(NULL);
+    }
+    CU_ASSERT_TRUE(
+        bb_behaviour_apply(&upstreams[0].upstream.behaviour, slow, &e));
+    for (int i = 0; i < HELD; i++) {
+        CU_ASSERT_EQUAL_FATAL(
+            pthread_create(&threads[i], NULL, run_forward, NULL), 0);
+    }
+    bb_clock_sleep_us(SLOW_US / 2);
+    json_decref(slow);
+}
+
+/* Guards against calls that wait at a slowed upstream although they could go
+ * elsewhere, and against refusals of those that could not. */
+static void
+test_only_marked_calls_are_refused(void)
+{
+    pthread_t threads[HELD];
+    struct test_answer *a;
+
+    start();
+    occupy(threads);
+    a = forward("Baobab-Elsewhere: 1\r\n");
+    CU_ASSERT_TRUE(has(a, "Baobab-Refused: upstream_slow"));
+    CU_ASSERT_TRUE(has(a, "Baobab-Ran: no"));
+    g_free(a);
+    (void)run_forward(NULL);
+    for (int i = 0; i < HELD; i++) {
+        (void)pthread_join(threads[i], NULL);
+    }
+    stop();
+}
+
+/* Guards against an entry node that passes the refusal on to its caller, and
+ * against one that goes on asking the slow gatekeeper. */
+static void
+test_entry_goes_elsewhere(void)
+{
+    uint64_t before = slow_refusals();
+    uint64_t slow_answers = 0;
+    uint64_t start_us;
+    uint64_t tests;
+    pthread_t threads[HELD];
+
+    start();
+    occupy(threads);
+    start_us = bb_clock_now_us();
+    for (int i = 0; i < CALLS; i++) {
+        struct test_answer *a =
+            call(bb_proxy_caller_address(entry.proxy),
+                 "GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+
+        CU_ASSERT_EQUAL(a->status, 200);
+        slow_answers += has(a, "X-Upstream-Host: up-0");
+        g_free(a);
+    }
+    /* On a slow machine the gatekeeper is tried again, once in this time. */
+    tests = (bb_clock_now_us() - start_us) / TEST_US;
+    CU_ASSERT_TRUE(slow_refusals() > before);
+    CU_ASSERT_TRUE(slow_refusals() <= before + 1 + tests);
+    CU_ASSERT_TRUE(slow_answers <= tests);
+    for (int i = 0; i < HELD; i++) {
+        (void)pthread_join(threads[i], NULL);
+    }
+    stop();
+}
+
+static const struct bb_unit_test tests[] = {
+    {"only marked calls are refused", test_only_marked_calls_are_refused},
+    {"the entry node goes elsewhere", test_entry_goes_elsewhere},
+};
+
+BB_UNIT_MAIN("slow", tests)
