Let a node confirm claims only once it is known to be new

Cause: the witness of a node could confirm claims from its start until the mesh had said that the host held a revision before. In this time a restarted host could grant a key whose claim it had lost.

Change: the node creates the proxy as restarted without data. The holder lets it confirm at once only if the mesh answers that the host never held a revision (floor 0); with a kept bundle or a higher floor it confirms after the retention time. bb_proxy_note_first_start replaces bb_proxy_note_restart, and the test of a restarted witness creates it as restarted instead of noting it.

--- a/include/proxy/claims.h
+++ b/include/proxy/claims.h
@@ -15,7 +15,7 @@
 struct bb_claims *bb_claims_create(uint64_t own_key, uint32_t entries,
                                    uint32_t retention_s,
                                    bool restarted_without_data);
-void bb_claims_note_restart(struct bb_claims *c);
+void bb_claims_note_first_start(struct bb_claims *c);
 void bb_claims_destroy(struct bb_claims *c);
 void bb_claims_set_roster(struct bb_claims *c, const char *service,
                           const struct bb_roster *r, uint32_t retention_s);
--- a/node/holder.c
+++ b/node/holder.c
@@ -43,7 +43,6 @@
     bool is_changed;
     bool is_stopping;
     bool is_floor_known;
-    bool has_kept; /* this host ran before, as its disk shows */
     uint64_t floor_revision;
     uint64_t served_revision;
     bool has_rebuild_thread;
@@ -71,7 +70,6 @@
     }
     (void)bb_history_add(h->history, b);
     h->is_floor_known = true;
-    h->has_kept = true;
     h->floor_revision = b->revision;
     h->is_changed = true;
     bb_bundle_unref(b);
@@ -404,8 +402,8 @@
             bb_clock_sleep_us((uint64_t)FLOOR_RETRY_MS * BB_US_PER_MS);
             continue;
         }
-        if (revision > 0) {
-            bb_proxy_note_restart(h->proxy);
+        if (revision == 0) {
+            bb_proxy_note_first_start(h->proxy);
         }
         (void)pthread_mutex_lock(&h->lock);
         h->is_floor_known = true;
@@ -427,9 +425,6 @@
 {
     h->mesh = mesh;
     h->proxy = proxy;
-    if (h->has_kept) {
-        bb_proxy_note_restart(proxy);
-    }
     h->has_rebuild_thread =
         pthread_create(&h->rebuild_thread, NULL, run_rebuilds, h) == 0;
     h->has_floor_thread =
--- a/node/main.c
+++ b/node/main.c
@@ -78,6 +78,8 @@
         .workers = {.base = (uint32_t)s->workers},
         .routing_policy = s->routing_policy,
         .ignores_slots = s->ignores_slots,
+        /* Until the others say that this host never held a revision. */
+        .restarted_without_data = true,
         .rpc = n->rpc_pool,
         .upstream_changed = publish_upstream,
         .context = n,
--- a/proxy/claims.c
+++ b/proxy/claims.c
@@ -79,14 +79,14 @@
     }
 }
 
-/* Records that this host ran before and may have granted claims that it does
- * not know any more. */
+/* Records that this host never granted claims before, so that there are none
+ * it could have lost. */
 void
-bb_claims_note_restart(struct bb_claims *c)
+bb_claims_note_first_start(struct bb_claims *c)
 {
     (void)pthread_mutex_lock(&c->lock);
-    c->has_restarted = true;
-    hold_back(c);
+    c->has_restarted = false;
+    c->witness.confirms_from_us = 0;
     (void)pthread_mutex_unlock(&c->lock);
 }
 
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -336,12 +336,12 @@
     bb_claims_set_roster(p->claims, service, r, retention_s);
 }
 
-/* Records that this host ran before. Its witness may have granted claims that
- * are lost, and confirms none for the retention time. */
+/* Records that this host never held a configuration before, so that its
+ * witness cannot have granted claims and may confirm them at once. */
 void
-bb_proxy_note_restart(struct bb_proxy *p)
+bb_proxy_note_first_start(struct bb_proxy *p)
 {
-    bb_claims_note_restart(p->claims);
+    bb_claims_note_first_start(p->claims);
 }
 
 /* Returns the number of requests in flight. */
--- a/tests/proxy/test_claims.c
+++ b/tests/proxy/test_claims.c
@@ -44,19 +44,40 @@
 static void
 test_restarted_witness_confirms_nothing(void)
 {
-    struct bb_claims *c = bb_claims_create(OWN, ENTRIES, 0, false);
+    struct bb_claims *c = bb_claims_create(OWN, ENTRIES, 0, true);
     struct bb_roster r = {.epoch = 3, .host_count = 1, .hosts = {OWN}};
 
-    bb_claims_note_restart(c);
     bb_claims_set_roster(c, "s", &r, 600);
     CU_ASSERT_EQUAL(claim(c, 1, 3).result, BB_WITNESS_CANNOT_CONFIRM);
     bb_claims_destroy(c);
 }
 
+/* Guards against a new host that refuses keys for the retention time although
+ * it has lost nothing, in both orders of roster and floor. */
+static void
+test_new_host_confirms_at_once(void)
+{
+    struct bb_roster r = {.epoch = 3, .host_count = 1, .hosts = {OWN}};
+
+    for (int is_roster_first = 0; is_roster_first < 2; is_roster_first++) {
+        struct bb_claims *c = bb_claims_create(OWN, ENTRIES, 600, true);
+
+        if (is_roster_first) {
+            bb_claims_set_roster(c, "s", &r, 600);
+            CU_ASSERT_EQUAL(claim(c, 1, 3).result, BB_WITNESS_CANNOT_CONFIRM);
+        }
+        bb_claims_note_first_start(c);
+        bb_claims_set_roster(c, "s", &r, 600);
+        CU_ASSERT_EQUAL(claim(c, 1, 3).result, BB_WITNESS_GRANTED);
+        bb_claims_destroy(c);
+    }
+}
+
 static const struct bb_unit_test tests[] = {
     {"a removed host adopts the epoch", test_removed_host_adopts_the_epoch},
     {"a restarted witness confirms nothing",
      test_restarted_witness_confirms_nothing},
+    {"a new host confirms at once", test_new_host_confirms_at_once},
 };
 
 BB_UNIT_MAIN("claims", tests)
