Count the bytes of calls that cross the paid link

baobab_link_bytes_total counts requests and answers that an entry node exchanges with gatekeepers of another region, so that "0 call bytes while the own region can serve" can be checked. test_link: 0 for a call inside the region; 80,000 to 82,000 for one with two bodies of 40,000 bytes outside it.

--- a/include/proxy/http_client.h
+++ b/include/proxy/http_client.h
@@ -58,8 +58,9 @@
     bool is_replayable;         /* the body is whole in its ring */
     bool expect_continue; /* let the peer refuse before the body is sent */
     bool use_new_connection;
-    bool is_inline;   /* started by bb_attempt_run, in the caller's thread */
-    bool must_finish; /* read the answer to its end for the callback */
+    bool crosses_link; /* the peer is in another region */
+    bool is_inline;    /* started by bb_attempt_run, in the caller's thread */
+    bool must_finish;  /* read the answer to its end for the callback */
     uint32_t keep_bytes;          /* longest answer kept for the callback */
     bb_attempt_finished finished; /* NULL: none */
     void *finished_context;
--- a/proxy/http_client.c
+++ b/proxy/http_client.c
@@ -3,6 +3,7 @@
 #include <glib.h>
 #include <ne_request.h>
 #include <stdatomic.h>
+#include <string.h>
 
 #include "common/counters.h"
 #include "proxy/session.h"
@@ -17,6 +18,15 @@
 BB_COUNTER(discarded_total, "baobab_late_answers_total",
            "Answers discarded because nobody waited any more");
 
+BB_COUNTER(link_bytes_total, "baobab_link_bytes_total",
+           "Bytes of requests and answers exchanged with gatekeepers in "
+           "another region");
+
+enum {
+    FIELD_BYTES = 4, /* colon, space and line end */
+    TERMINATORS = 2  /* in the buffer of fields, for each of them */
+};
+
 struct attempt {
     struct bb_attempt public; /* first, so that both addresses are equal */
     struct bb_http_client *client;
@@ -66,6 +76,22 @@
     bb_watch_signal(a->watch);
 }
 
+/* Counts bytes that cross the paid link, if the peer is behind it. */
+static void
+count_link(const struct attempt *a, size_t size_bytes)
+{
+    if (a->request.crosses_link) {
+        bb_counter_add(&link_bytes_total, size_bytes);
+    }
+}
+
+/* Returns the size of fields as they are sent. */
+static size_t
+fields_size(const struct bb_headers *h)
+{
+    return h->text_bytes + (size_t)h->count * (FIELD_BYTES - TERMINATORS);
+}
+
 /* Provides neon with the next part of the request's body. */
 static ssize_t
 provide_body(void *data, char *buffer, size_t size_bytes)
@@ -93,6 +119,7 @@
         count = bb_body_read(a->request.body, buffer, size_bytes,
                              a->request.idle_timeout_ms);
     }
+    count_link(a, count > 0 ? (size_t)count : 0);
     return count >= 0 ? count : -1;
 }
 
@@ -168,6 +195,7 @@
             return count == 0;
         }
         keep(a, block, (size_t)count);
+        count_link(a, (size_t)count);
         if (is_read &&
             bb_body_write(a->public.answer, block, (size_t)count,
                           a->request.idle_timeout_ms) != BB_BODY_WRITTEN) {
@@ -206,6 +234,7 @@
 static bool
 begin(struct attempt *a)
 {
+    bool is_begun;
     bool is_sent;
 
     a->session = bb_session_take(a->client, &a->request);
@@ -215,13 +244,19 @@
         return false;
     }
     a->exchange = build_request(a, a->session);
-    if (ne_begin_request(a->exchange) != NE_OK) {
-        is_sent = a->session->is_connected;
+    is_begun = ne_begin_request(a->exchange) == NE_OK;
+    is_sent = a->session->is_connected;
+    if (is_sent) {
+        count_link(a, strlen(a->method) + strlen(a->url) +
+                          fields_size(a->request.headers));
+    }
+    if (!is_begun) {
         report_finished(a, is_sent, false);
         set_state(a, is_sent ? BB_ATTEMPT_LOST : BB_ATTEMPT_NOT_SENT);
         return false;
     }
     read_head(a, a->exchange);
+    count_link(a, fields_size(a->public.headers));
     return true;
 }
 
--- a/proxy/leg.c
+++ b/proxy/leg.c
@@ -258,6 +258,7 @@
     }
     request.peer = leg->endpoint->http;
     request.use_new_connection = leg->is_stored_answer;
+    request.crosses_link = leg->endpoint->nearness == BB_NEAR_OTHER;
     request.expect_continue =
         x->is_streaming &&
         (x->length_bytes < 0 || x->length_bytes > EXPECT_BYTES);
--- /dev/null
+++ b/tests/proxy/test_link.c
@@ -0,0 +1,83 @@
+/* Bytes of calls between regions, which are billed. */
+#include <glib.h>
+#include <string.h>
+
+#include "common/counters.h"
+#include "fixture.h"
+
+enum { SLOTS = 4, BODY_BYTES = 40000 };
+
+static const struct bb_behaviour_values quick = {.slots = SLOTS,
+                                                 .connections = 64,
+                                                 .service_us = 1000,
+                                                 .load_percent = 100,
+                                                 .cold_factor = 1,
+                                                 .slow_factor = 1,
+                                                 .long_factor = 1};
+
+static uint64_t
+link_bytes(void)
+{
+    const struct bb_counter *c =
+        bb_counter_find("baobab_link_bytes_total", NULL);
+
+    CU_ASSERT_PTR_NOT_NULL_FATAL(c);
+    return bb_counter_get(c);
+}
+
+/* Sends a call with a body and an answer of the same size. */
+static void
+make_call(struct test_node *entry)
+{
+    char *body = g_strnfill(BODY_BYTES, 'x');
+    char *request =
+        g_strdup_printf("POST /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+                        "X-Answer-Bytes: %d\r\nContent-Length: %d\r\n\r\n%s",
+                        BODY_BYTES, BODY_BYTES, body);
+    struct test_answer *a =
+        call(bb_proxy_caller_address(entry->proxy), request);
+
+    CU_ASSERT_EQUAL(a->status, 200);
+    CU_ASSERT_TRUE(a->is_complete);
+    g_free(a);
+    g_free(request);
+    g_free(body);
+}
+
+/* Guards against calls across the paid link that are not counted, and against
+ * counting those inside the region. */
+static void
+test_only_other_regions_count(void)
+{
+    struct bb_address no_rpc = {.ip = "127.0.0.1", .port = 1};
+    struct test_upstream upstream;
+    struct test_node gate;
+    struct test_node entry;
+
+    start_upstream(&upstream, &quick);
+    start_node(&gate, "gate", (struct bb_proxy_settings){0});
+    start_node(&entry, "entry", (struct bb_proxy_settings){0});
+    announce_upstream(&gate, &upstream.upstream.listen, BB_UPSTREAM_READY,
+                      SLOTS);
+    add_member(&entry, "gate", "z2", bb_proxy_caller_address(gate.proxy),
+               no_rpc);
+    entry.config.limits.link_bytes_per_s = 1000000;
+    apply_table(&entry);
+    make_call(&entry);
+    CU_ASSERT_EQUAL(link_bytes(), 0);
+    (void)g_strlcpy(entry.members[0].region, "far", BB_NAME_BYTES);
+    (void)g_strlcpy(entry.members[0].host, "gate-2", BB_NAME_BYTES);
+    apply_table(&entry);
+    make_call(&entry);
+    CU_ASSERT_TRUE(link_bytes() > 2 * BODY_BYTES);
+    CU_ASSERT_TRUE(link_bytes() < 2 * BODY_BYTES + 2000);
+    stop_node(&entry);
+    stop_node(&gate);
+    stop_upstream(&upstream);
+}
+
+static const struct bb_unit_test tests[] = {
+    {"only other regions count", test_only_other_regions_count},
+};
+
+BB_UNIT_MAIN("link", tests)
