--- a/proxy/picker.c
+++ b/proxy/picker.c
@@ -203,7 +203,8 @@
         bb_candidate_start(find_candidate(s, key));
         bb_outlier_start(&s->outliers, key, q->work_class, now_us);
         answer.may_go_elsewhere =
-            q->can_repeat && bb_retry_budget_has(&p->retries) &&
+            q->can_repeat && limited.target_count > 1 &&
+            bb_retry_budget_has(&p->retries) &&
             bb_outlier_may_go_elsewhere(&s->outliers, key);
     }
     (void)pthread_mutex_unlock(&p->lock);
