--- a/proxy/leg.c
+++ b/proxy/leg.c
@@ -181,10 +181,10 @@
         .id = x->id,
         .is_idempotent = x->is_idempotent,
         .incarnation = x->is_forwarded ? x->incarnation : leg->incarnation,
-        .may_go_elsewhere =
-            x->is_forwarded ? x->may_go_elsewhere : leg->may_go_elsewhere,
         .work_class = x->work_class,
         .deadline_us = x->deadline_us,
+        .may_go_elsewhere =
+            x->is_forwarded ? x->may_go_elsewhere : leg->may_go_elsewhere,
     };
     struct bb_attempt_request request;
     struct bb_gate_result g;
@@ -247,8 +247,10 @@
         request.body = NULL;
     }
     else {
-        bb_headers_addf(h, BB_HEADER_ATTEMPT, "%u%s", x->attempts,
-                        leg->may_go_elsewhere ? " elsewhere" : "");
+        bb_headers_addf(h, BB_HEADER_ATTEMPT, "%u", x->attempts);
+    }
+    if (leg->may_go_elsewhere) {
+        bb_headers_add(h, BB_HEADER_ELSEWHERE, "1");
     }
     if (!x->is_idempotent) {
         bb_headers_addf(h, BB_HEADER_INCARNATION, "%" PRIu64,
@@ -256,6 +258,7 @@
     }
     request.peer = leg->endpoint->http;
     request.use_new_connection = leg->is_stored_answer;
+    request.crosses_link = leg->endpoint->nearness == BB_NEAR_OTHER;
     request.expect_continue =
         x->is_streaming &&
         (x->length_bytes < 0 || x->length_bytes > EXPECT_BYTES);
--- a/proxy/request.c
+++ b/proxy/request.c
@@ -128,7 +128,7 @@
                                            &x->incarnation);
     x->wants_stored = g_strcmp0(attempt, "stored") == 0;
     x->may_go_elsewhere =
-        attempt != NULL && g_str_has_suffix(attempt, " elsewhere");
+        bb_headers_get(x->headers, BB_HEADER_ELSEWHERE) != NULL;
     x->service_name = bb_headers_get(x->headers, BB_HEADER_FORWARDED);
     return true;
 }
