--- a/control/replicate_internal.h
+++ b/control/replicate_internal.h
@@ -122,6 +122,7 @@
 
     struct replicate_queue jobs;
     struct replicate_queue fetches;
+    uint64_t silent_until_us[BB_AGREE_HOSTS_MAX]; /* fetcher's thread */
     struct replicate_sender senders[BB_AGREE_HOSTS_MAX][REPLICATE_LANES];
     pthread_t engine;
     pthread_t fetcher;
--- a/control/replicate_peer.c
+++ b/control/replicate_peer.c
@@ -9,7 +9,11 @@
 enum {
     QUEUE_MAX = 32,
     FETCH_ATTEMPTS = 20, /* at the holder, before the leader is asked */
-    FETCH_PAUSE_US = 30 * 1000
+    FETCH_PAUSE_US = 30 * 1000,
+    FETCH_TIMEOUT_MS = 1000,
+    /* A host that did not answer is not asked again for this time, so that
+     * a stopped one does not hold up all fetches. */
+    SILENT_US = 5 * 1000 * 1000
 };
 
 BB_COUNTER(sent_total, "baobab_agree_messages_sent_total",
@@ -101,14 +105,17 @@
     agree_fetched result = {0};
     bool is_stored = false;
 
-    if (slot == r->self || slot >= r->host_count) {
+    if (slot == r->self || slot >= r->host_count ||
+        bb_clock_now_us() < r->silent_until_us[slot]) {
         return false;
     }
     memcpy(argument.digest, d->bytes, BB_DIGEST_BYTES);
-    if (r->transport.call(r->transport.context, &r->hosts[slot],
-                          AGREE_FETCH_PAYLOAD, &argument, &result,
-                          REPLICATE_BULK_TIMEOUT_MS) &&
-        result.is_found) {
+    if (!r->transport.call(r->transport.context, &r->hosts[slot],
+                           AGREE_FETCH_PAYLOAD, &argument, &result,
+                           FETCH_TIMEOUT_MS)) {
+        r->silent_until_us[slot] = bb_clock_now_us() + SILENT_US;
+    }
+    else if (result.is_found) {
         is_stored =
             bb_store_put_payload(r->store, d, result.payload.payload_val,
                                  result.payload.payload_len, NULL);
@@ -133,7 +140,8 @@
             fetch_from(r, job->holder, d)) {
             return true;
         }
-        if (job->holder == job->message.from) {
+        if (job->holder == job->message.from || job->holder >= r->host_count ||
+            bb_clock_now_us() < r->silent_until_us[job->holder]) {
             break;
         }
         bb_clock_sleep_us(FETCH_PAUSE_US);
