--- a/control/replicate_output.c
+++ b/control/replicate_output.c
@@ -92,24 +92,23 @@
     return first;
 }
 
-/* Tells whether a payload was sent inline to a host before, and notes it. A
- * host that lost it fetches it. */
+/* Tells whether a payload was sent inline to a host before. */
 static bool
-was_inlined(struct bb_replicate *r, uint8_t slot, const struct bb_digest *d)
+was_inlined(const struct bb_replicate *r, uint8_t slot,
+            const struct bb_digest *d)
 {
     for (uint32_t i = 0; i < REPLICATE_INLINED_MAX; i++) {
         if (bb_digest_equal(&r->inlined[slot][i], d)) {
             return true;
         }
     }
-    r->inlined[slot][r->inlined_next[slot]++ % REPLICATE_INLINED_MAX] = *d;
     return false;
 }
 
 /* Puts the payload of an entry into a message, unless it is too large. */
 static void
-put_inline(struct bb_replicate *r, const struct bb_agree_entry *e,
-           agree_envelope *envelope)
+put_inline(struct bb_replicate *r, uint8_t slot,
+           const struct bb_agree_entry *e, agree_envelope *envelope)
 {
     size_t size = 0;
     void *data = bb_store_get_payload(r->store, &e->digest, &size, NULL);
@@ -118,6 +117,8 @@
         g_free(data); /* the receiver fetches it */
         return;
     }
+    r->inlined[slot][r->inlined_next[slot]++ % REPLICATE_INLINED_MAX] =
+        e->digest;
     envelope->payload.payload_val = data;
     envelope->payload.payload_len = (u_int)size;
     bb_counter_add(&inlined_total, 1);
@@ -149,9 +150,15 @@
     if (host != m->to) {
         envelope->holder = host;
     }
-    else if (origin == BB_AGREE_NO_HOST && last != NULL &&
-             !was_inlined(r, m->to, &last->digest)) {
-        put_inline(r, last, envelope);
+    else if (origin == BB_AGREE_NO_HOST && last != NULL) {
+        if (was_inlined(r, m->to, &last->digest)) {
+            /* It may still be under way on the other lane: the receiver waits
+             * for it before it asks the leader. */
+            envelope->holder = m->to;
+        }
+        else {
+            put_inline(r, m->to, last, envelope);
+        }
     }
 }
 
