proxy: say not run only if no earlier attempt may have run

Cause: an idempotent request whose first attempt was lost after it had been sent, and which then found no other gatekeeper or only a refusal, was answered ran: no, which is not known.

Change: an exchange notes whether an attempt may have run; its refusals then say unknown. If no gatekeeper is left, the reason is that of the attempt that was repeated. Two tests in test_repeat, both red before.

This made test_sigterm red: after a gatekeeper's shutdown a GET was sent on an idle connection that it had closed, which before was answered ran: no. A peer that closes its connection after an answer is shutting down, so its idle connections are now closed as well, and test_sigterm passes (2 of 2).

--- a/include/proxy/internal.h
+++ b/include/proxy/internal.h
@@ -115,6 +115,10 @@
     uint32_t hedges;
     uint64_t excluded[BB_PICK_EXCLUDED_MAX];
     uint32_t excluded_count;
+    /* Why the last attempt failed that was repeated, and whether one of them
+     * may have run. */
+    enum bb_reason repeated_reason;
+    bool may_have_run;
     struct bb_outcome outcome;
 };
 
--- a/proxy/entry.c
+++ b/proxy/entry.c
@@ -21,10 +21,14 @@
 
 enum event { EVENT_TIMER, EVENT_SENDING, EVENT_LEG };
 
-/* Sets the outcome to a refusal. */
+/* Sets the outcome to a refusal, which says "not run" only if no earlier
+ * attempt may have run either. */
 void
 bb_entry_refuse(struct bb_exchange *x, enum bb_reason reason, enum bb_ran ran)
 {
+    if (x->may_have_run) {
+        ran = BB_RAN_UNKNOWN;
+    }
     x->outcome = (struct bb_outcome){
         .kind = BB_OUTCOME_REFUSED, .reason = reason, .ran = ran};
 }
@@ -167,6 +171,7 @@
     enum bb_reason final = reason;
     uint64_t delay_us = 0;
 
+    x->may_have_run |= ran == BB_RAN_UNKNOWN;
     if (bb_entry_active_legs(x) > 0) {
         return;
     }
@@ -178,6 +183,7 @@
         return;
     }
     bb_reason_count_retry(reason);
+    x->repeated_reason = reason;
     bb_entry_exclude(x, key);
     bb_clock_sleep_us(delay_us);
 }
@@ -213,6 +219,11 @@
         leg->endpoint = pick(x, leg, is_hedge, &reason);
         if (leg->endpoint == NULL) {
             if (!is_hedge) {
+                /* The gatekeepers that refused before are left out. */
+                if (reason == BB_REASON_NO_UPSTREAM &&
+                    x->repeated_reason != BB_REASON_NONE) {
+                    reason = x->repeated_reason;
+                }
                 bb_entry_refuse(x, reason, BB_RAN_NO);
             }
             return;
--- a/proxy/session.c
+++ b/proxy/session.c
@@ -124,7 +124,9 @@
     return s != NULL ? s : create_session(r);
 }
 
-/* Keeps a session for the next request, or closes it. */
+/* Keeps a session for the next request, or closes it. A peer that closes its
+ * connection after an answer is shutting down. A request sent on one of its
+ * idle connections would be lost when it closes them, so they are closed. */
 void
 bb_session_put(struct bb_http_client *c, struct bb_session *s)
 {
@@ -147,6 +149,11 @@
         }
         (void)pthread_mutex_unlock(&c->lock);
     }
+    else {
+        (void)pthread_mutex_lock(&c->lock);
+        (void)g_hash_table_remove(c->idle_by_peer, s->key);
+        (void)pthread_mutex_unlock(&c->lock);
+    }
     if (s != NULL) {
         bb_session_destroy(s);
     }
