bench: signal only running children when a mesh is stopped

Cause: mesh_stop_all signalled every id it had ever started. With processes that were killed and reaped long before, and ids that wrap at 32768, an id can belong to another process: when a run of bench/non-idempotent.sh with 72 kills ended, meson test in this worktree was ended by SIGTERM at that moment.

Change: ids are signalled only if the shell lists them as running children.

--- a/bench/mesh-lib.sh
+++ b/bench/mesh-lib.sh
@@ -39,8 +39,15 @@
 }
 
 # mesh_stop_all: ends every process, upstreams and nodes first, and waits.
+# Ids of processes that have ended may belong to others by now, so only those
+# that the shell still counts as its running children are signalled.
 mesh_stop_all() {
-    local pid
+    local pid running live=()
+    running=" $(jobs -rp | tr "\n" " ") "
+    for pid in "${MESH_PIDS[@]}"; do
+        [[ $running != *" $pid "* ]] || live+=("$pid")
+    done
+    MESH_PIDS=(${live[@]+"${live[@]}"})
     for pid in "${MESH_PIDS[@]}"; do
         kill -CONT "$pid" 2>/dev/null || true
         kill -TERM "$pid" 2>/dev/null || true
