--- a/control/replicate_peer.c
+++ b/control/replicate_peer.c
@@ -86,9 +86,8 @@
 
         is_running = call->procedure != 0 && !atomic_load(&r->is_stopping);
         if (is_running) {
-            bool is_sent =
-                replicate_call(r, s->slot,
-                                  call->procedure, body, &ack, timeout_ms);
+            bool is_sent = replicate_call(r, s->slot, call->procedure, body,
+                                          &ack, timeout_ms);
 
             bb_counter_add(is_sent ? &sent_total : &unsent_total, 1);
         }
@@ -110,9 +109,8 @@
         return false;
     }
     memcpy(argument.digest, d->bytes, BB_DIGEST_BYTES);
-    if (!replicate_call(r, slot,
-                           AGREE_FETCH_PAYLOAD, &argument, &result,
-                           FETCH_TIMEOUT_MS)) {
+    if (!replicate_call(r, slot, AGREE_FETCH_PAYLOAD, &argument, &result,
+                        FETCH_TIMEOUT_MS)) {
         r->silent_until_us[slot] = bb_clock_now_us() + SILENT_US;
     }
     else if (result.is_found) {
--- a/decide/route_pick.c
+++ b/decide/route_pick.c
@@ -364,12 +364,21 @@
 {
     struct bb_route_choice choice = {.index = -1,
                                      .reason = BB_REASON_NO_UPSTREAM};
+    struct bb_route_request any = *r;
     uint32_t found[BB_ROUTE_CANDIDATES_MAX];
     uint32_t n;
     uint32_t at;
 
-    update_tiers(s, candidates, count, r, now_us);
+    /* That this call has tried a gatekeeper does not make its region full. */
+    any.excluded_count = 0;
+    update_tiers(s, candidates, count, &any, now_us);
     n = collect_region(s, candidates, count, r, now_us, found);
+    if (n == 0 && r->excluded_count > 0) {
+        n = collect_region(s, candidates, count, &any, now_us, found);
+        if (n > 0 && r->is_hedge) {
+            return choice;
+        }
+    }
     if (s->is_region_left || n == 0) {
         uint32_t remote[BB_ROUTE_CANDIDATES_MAX];
         uint32_t all = collect(candidates, count, r, BB_TIER_REMOTE, true,
--- a/include/decide/route_pick.h
+++ b/include/decide/route_pick.h
@@ -56,6 +56,7 @@
 
 struct bb_route_request {
     enum bb_admission_class work_class;
+    bool is_hedge;       /* goes to another gatekeeper or nowhere */
     bool may_probe;      /* may go to a gatekeeper that was ejected recently */
     uint64_t link_bytes; /* expected size of call and answer together */
     uint64_t excluded[BB_ROUTE_EXCLUDED_MAX]; /* keys tried before */
--- a/include/proxy/picker.h
+++ b/include/proxy/picker.h
@@ -30,6 +30,7 @@
     bool is_idempotent;
     bool can_repeat;     /* a first attempt, which may be sent again */
     uint64_t link_bytes; /* expected, for the budget of the paid link */
+    bool is_hedge;
     uint64_t excluded[BB_PICK_EXCLUDED_MAX];
     uint32_t excluded_count;
     uint64_t random_bits;
--- a/proxy/entry.c
+++ b/proxy/entry.c
@@ -138,6 +138,7 @@
         .can_repeat = x->attempts == 0 && x->route->retry_limit > 0 &&
                       !x->is_keyed && !x->is_streaming,
         .link_bytes = (uint64_t)MAX(x->length_bytes, 0) + LINK_OVERHEAD_BYTES,
+        .is_hedge = is_hedge,
         .excluded_count = x->excluded_count,
         .random_bits = bb_random_u64(x->proxy->random),
     };
--- a/proxy/picker.c
+++ b/proxy/picker.c
@@ -180,6 +180,7 @@
         .work_class = q->work_class,
         .may_probe = q->is_idempotent,
         .link_bytes = q->link_bytes,
+        .is_hedge = q->is_hedge,
         .excluded_count = q->excluded_count,
     };
     struct bb_pick_answer answer = {0};
--- a/tests/decide/test_routing.c
+++ b/tests/decide/test_routing.c
@@ -191,7 +191,36 @@
     }
 }
 
+/* Guards against calls that cross the paid link only because each gatekeeper
+ * of the own region has refused them once. */
+static void
+test_tried_gatekeepers_do_not_empty_the_region(void)
+{
+    const enum bb_tier tiers[COUNT] = {[0] = BB_TIER_ZONE,
+                                       [1] = BB_TIER_REGION,
+                                       [2 ... COUNT - 1] = BB_TIER_REMOTE};
+    struct bb_route_request r = {
+        .link_bytes = 1000, .excluded = {1, 2}, .excluded_count = 2};
+    const void *policy =
+        bb_registry_find(BB_PLUGIN_ROUTING_POLICY, "least_wait");
+
+    set_up(tiers, 1000000);
+    for (uint64_t now_us = 1; now_us < 3000000; now_us += 1000) {
+        struct bb_route_choice c = bb_route_pick(
+            policy, &route, all, COUNT, &r, &link_budget, now_us, now_us);
+
+        CU_ASSERT_TRUE(c.index == 0 || c.index == 1);
+    }
+    r.is_hedge = true;
+    CU_ASSERT_EQUAL(
+        bb_route_pick(policy, &route, all, COUNT, &r, &link_budget, 0, 3000000)
+            .index,
+        -1);
+}
+
 static const struct bb_unit_test tests[] = {
+    {"tried gatekeepers do not empty the region",
+     test_tried_gatekeepers_do_not_empty_the_region},
     {"concurrent picks spread", test_concurrent_picks_spread},
     {"a slower candidate gets less", test_a_slower_candidate_gets_less},
     {"round robin takes turns", test_round_robin_takes_turns},
