--- a/tests/proxy/test_link.c
+++ b/tests/proxy/test_link.c
@@ -4,6 +4,7 @@
 
 #include "common/counters.h"
 #include "fixture.h"
+#include "proxy/picker.h"
 
 enum { SLOTS = 4, BODY_BYTES = 40000 };
 
@@ -76,8 +77,29 @@
     stop_upstream(&upstream);
 }
 
+/* Guards against a hedge that crosses the paid link because the gatekeepers
+ * of the own region are left out. */
+static void
+test_hedges_stay_in_the_region(void)
+{
+    const struct bb_pick_target far = {
+        .key = 1, .nearness = BB_NEAR_OTHER, .slots = SLOTS};
+    const struct bb_pick_limits limits = {.ejection_percent = 34,
+                                          .link_bytes_per_s = 1000000};
+    struct bb_pick_question q = {
+        .service = "s", .targets = &far, .target_count = 1};
+    struct bb_picker *p = bb_picker_create("least_wait");
+
+    bb_picker_configure(p, &limits);
+    CU_ASSERT_EQUAL(bb_picker_pick(p, &q, bb_clock_now_us()).index, 0);
+    q.stays_in_region = true;
+    CU_ASSERT_EQUAL(bb_picker_pick(p, &q, bb_clock_now_us()).index, -1);
+    bb_picker_destroy(p);
+}
+
 static const struct bb_unit_test tests[] = {
     {"only other regions count", test_only_other_regions_count},
+    {"hedges stay in the region", test_hedges_stay_in_the_region},
 };
 
 BB_UNIT_MAIN("link", tests)
