--- a/decide/route_pick.c
+++ b/decide/route_pick.c
@@ -379,7 +379,9 @@
             return choice;
         }
     }
-    if (s->is_region_left || n == 0) {
+    /* The region serves the first attempt, so a hedge is no reason to pay for
+     * the link. */
+    if (!r->is_hedge && (s->is_region_left || n == 0)) {
         uint32_t remote[BB_ROUTE_CANDIDATES_MAX];
         uint32_t all = collect(candidates, count, r, BB_TIER_REMOTE, true,
                                now_us, remote);
--- a/include/proxy/picker.h
+++ b/include/proxy/picker.h
@@ -28,8 +28,7 @@
     uint32_t target_count;
     enum bb_admission_class work_class;
     bool is_idempotent;
-    bool can_repeat; /* a first attempt, which may be sent again */
-    bool stays_in_region;
+    bool can_repeat;     /* a first attempt, which may be sent again */
     uint64_t link_bytes; /* expected, for the budget of the paid link */
     bool is_hedge;
     uint64_t excluded[BB_PICK_EXCLUDED_MAX];
--- a/proxy/entry.c
+++ b/proxy/entry.c
@@ -137,9 +137,6 @@
         .is_idempotent = x->is_idempotent,
         .can_repeat = x->attempts == 0 && x->route->retry_limit > 0 &&
                       !x->is_keyed && !x->is_streaming,
-        /* The region serves the first attempt, so a hedge is no reason to
-         * pay for the link. */
-        .stays_in_region = is_hedge,
         .link_bytes = (uint64_t)MAX(x->length_bytes, 0) + LINK_OVERHEAD_BYTES,
         .is_hedge = is_hedge,
         .excluded_count = x->excluded_count,
--- a/proxy/picker.c
+++ b/proxy/picker.c
@@ -183,7 +183,6 @@
         .is_hedge = q->is_hedge,
         .excluded_count = q->excluded_count,
     };
-    struct bb_link_budget no_link = {0};
     struct bb_pick_answer answer = {0};
     struct bb_route_choice choice;
     struct service *s;
@@ -196,9 +195,9 @@
     (void)pthread_mutex_lock(&p->lock);
     s = get_service(p, q->service);
     sync_candidates(s, &limited, candidates, now_us);
-    choice = bb_route_pick(
-        p->policy, &s->route, candidates, limited.target_count, &r,
-        q->stays_in_region ? &no_link : &p->link, q->random_bits, now_us);
+    choice =
+        bb_route_pick(p->policy, &s->route, candidates, limited.target_count,
+                      &r, &p->link, q->random_bits, now_us);
     if (choice.index >= 0) {
         uint64_t key = candidates[choice.index]->key;
 
