--- a/decide/route_pick.c
+++ b/decide/route_pick.c
@@ -373,11 +373,9 @@
     any.excluded_count = 0;
     update_tiers(s, candidates, count, &any, now_us);
     n = collect_region(s, candidates, count, r, now_us, found);
-    if (n == 0 && r->excluded_count > 0) {
-        n = collect_region(s, candidates, count, &any, now_us, found);
-        if (n > 0 && r->is_hedge) {
-            return choice;
-        }
+    if (n == 0 && !s->is_region_left &&
+        collect_region(s, candidates, count, &any, now_us, found) > 0) {
+        return choice;
     }
     /* The region serves the first attempt, so a hedge is no reason to pay for
      * the link. */
