--- a/control/daemon.c
+++ b/control/daemon.c
@@ -202,21 +202,9 @@
 encode_payload(void *context, uint64_t have_revision,
                struct bb_mesh_payload *out)
 {
-    struct bb_control *c = context;
-    struct bb_history_payload p;
+    const struct bb_control *c = context;
 
-    if (!bb_history_encode(c->history, have_revision, &p)) {
-        return false;
-    }
-    *out = (struct bb_mesh_payload){
-        .revision = p.revision,
-        .digest = p.digest,
-        .is_delta = p.is_delta,
-        .base_revision = p.base_revision,
-        .data = p.bytes,
-        .size_bytes = p.size_bytes,
-    };
-    return true;
+    return bb_mesh_payload_encode(c->history, have_revision, out);
 }
 
 /* Creates the mesh member of this control host. */
--- a/control/daemon.h
+++ b/control/daemon.h
@@ -18,6 +18,7 @@
 #include "control/source_watch.h"
 #include "control_settings.h"
 #include "mesh/mesh.h"
+#include "mesh/payload.h"
 #include "mesh/rpc.h"
 #include "roster_keeper.h"
 
--- a/control/endpoints.c
+++ b/control/endpoints.c
@@ -10,14 +10,11 @@
 {
     struct bb_control *c = context;
     struct bb_bundle *b = bb_history_newest(c->history);
-    struct bb_member_list members = {0};
     struct bb_replicate_status s;
 
     (void)request;
     bb_replicate_status(c->replicate, &s);
-    bb_mesh_members_snapshot(c->mesh, &members);
-    answer->json = bb_view_in_force(b, s.is_confirmed, &members, NULL);
-    bb_member_list_clear(&members);
+    answer->json = bb_view_in_force(b, s.is_confirmed, c->mesh, NULL);
     bb_bundle_unref(b);
 }
 
@@ -118,12 +115,9 @@
             struct bb_admin_answer *answer)
 {
     struct bb_control *c = context;
-    struct bb_member_list members = {0};
 
     (void)request;
-    bb_mesh_members_snapshot(c->mesh, &members);
-    answer->json = bb_view_members(&members);
-    bb_member_list_clear(&members);
+    answer->json = bb_view_members(c->mesh);
 }
 
 static const struct bb_admin_endpoint in_force_endpoint = {
--- a/include/admin/views.h
+++ b/include/admin/views.h
@@ -7,11 +7,10 @@
 #include <stdbool.h>
 
 #include "config/bundle.h"
-#include "mesh/members.h"
+#include "mesh/mesh.h"
 
-json_t *bb_view_members(const struct bb_member_list *members);
+json_t *bb_view_members(struct bb_mesh *mesh);
 json_t *bb_view_in_force(const struct bb_bundle *b, bool is_confirmed,
-                         const struct bb_member_list *members,
-                         const char *zone);
+                         struct bb_mesh *mesh, const char *zone);
 
 #endif
--- /dev/null
+++ b/include/mesh/payload.h
@@ -0,0 +1,11 @@
+/* Payloads of the mesh made from a history of revisions. */
+#ifndef BB_MESH_PAYLOAD_H
+#define BB_MESH_PAYLOAD_H
+
+#include "config/history.h"
+#include "mesh/mesh.h"
+
+bool bb_mesh_payload_encode(struct bb_history *h, uint64_t have_revision,
+                            struct bb_mesh_payload *out);
+
+#endif
--- a/include/node/holder.h
+++ b/include/node/holder.h
@@ -15,6 +15,7 @@
 
 #include "config/history.h"
 #include "mesh/mesh.h"
+#include "mesh/payload.h"
 #include "proxy/proxy.h"
 
 struct bb_holder_settings {
--- /dev/null
+++ b/mesh/payload.c
@@ -0,0 +1,24 @@
+#include "mesh/payload.h"
+
+/* Encodes the newest revision of a history for a member that holds
+ * have_revision, as the payload callback of a mesh member must. The caller
+ * frees out->data. Returns false if there is nothing newer. */
+bool
+bb_mesh_payload_encode(struct bb_history *h, uint64_t have_revision,
+                       struct bb_mesh_payload *out)
+{
+    struct bb_history_payload p;
+
+    if (!bb_history_encode(h, have_revision, &p)) {
+        return false;
+    }
+    *out = (struct bb_mesh_payload){
+        .revision = p.revision,
+        .digest = p.digest,
+        .is_delta = p.is_delta,
+        .base_revision = p.base_revision,
+        .data = p.bytes,
+        .size_bytes = p.size_bytes,
+    };
+    return true;
+}
--- a/node/endpoints.c
+++ b/node/endpoints.c
@@ -10,16 +10,13 @@
 {
     struct bb_node *n = context;
     struct bb_bundle *b = bb_holder_newest(n->holder);
-    struct bb_member_list members = {0};
 
     (void)request;
     if (b != NULL && b->revision != bb_holder_served_revision(n->holder)) {
         bb_bundle_unref(b);
         b = NULL;
     }
-    bb_mesh_members_snapshot(n->mesh, &members);
-    answer->json = bb_view_in_force(b, false, &members, n->settings.zone);
-    bb_member_list_clear(&members);
+    answer->json = bb_view_in_force(b, false, n->mesh, n->settings.zone);
     bb_bundle_unref(b);
 }
 
@@ -62,12 +59,9 @@
             struct bb_admin_answer *answer)
 {
     struct bb_node *n = context;
-    struct bb_member_list members = {0};
 
     (void)request;
-    bb_mesh_members_snapshot(n->mesh, &members);
-    answer->json = bb_view_members(&members);
-    bb_member_list_clear(&members);
+    answer->json = bb_view_members(n->mesh);
 }
 
 static const struct bb_admin_endpoint in_force_endpoint = {
--- a/node/holder.c
+++ b/node/holder.c
@@ -135,21 +135,9 @@
 bb_holder_payload(void *holder, uint64_t have_revision,
                   struct bb_mesh_payload *out)
 {
-    struct bb_holder *h = holder;
-    struct bb_history_payload p;
+    const struct bb_holder *h = holder;
 
-    if (!bb_history_encode(h->history, have_revision, &p)) {
-        return false;
-    }
-    *out = (struct bb_mesh_payload){
-        .revision = p.revision,
-        .digest = p.digest,
-        .is_delta = p.is_delta,
-        .base_revision = p.base_revision,
-        .data = p.bytes,
-        .size_bytes = p.size_bytes,
-    };
-    return true;
+    return bb_mesh_payload_encode(h->history, have_revision, out);
 }
 
 /* Decodes a payload. Sets the result if there is no bundle to apply. */
