--- a/decide/route_pick.c
+++ b/decide/route_pick.c
@@ -319,6 +319,11 @@
     for (uint32_t i = 0; i < count && n < BB_ROUTE_CANDIDATES_MAX; i++) {
         const struct bb_candidate *c = candidates[i];
 
+        /* A hedge that waits in a queue helps nobody and takes a slot later.
+         */
+        if (r->is_hedge && bb_candidate_occupied(c, now_us) >= c->slots) {
+            continue;
+        }
         if (c->tier <= tier &&
             (only_usable ? is_usable(c, r, now_us) : is_alive(c, r, now_us))) {
             found[n++] = i;
--- a/tests/decide/test_routing.c
+++ b/tests/decide/test_routing.c
@@ -219,7 +219,28 @@
     CU_ASSERT_EQUAL(c.index, 1);
 }
 
+/* Guards against hedges that take slots from first attempts under overload. */
+static void
+test_hedges_need_a_free_slot(void)
+{
+    const struct bb_route_request r = {.is_hedge = true};
+    const void *policy =
+        bb_registry_find(BB_PLUGIN_ROUTING_POLICY, "least_wait");
+    struct bb_route_choice c;
+
+    set_up(same_zone, 0);
+    for (int i = 0; i < COUNT; i++) {
+        bb_candidate_report(&items[i], SLOTS, 3, SLOTS, 1);
+    }
+    c = bb_route_pick(policy, &route, all, COUNT, &r, &link_budget, 0, 2);
+    CU_ASSERT_EQUAL(c.index, -1);
+    bb_candidate_report(&items[2], SLOTS - 1, 0, SLOTS, 1);
+    c = bb_route_pick(policy, &route, all, COUNT, &r, &link_budget, 0, 2);
+    CU_ASSERT_EQUAL(c.index, 2);
+}
+
 static const struct bb_unit_test tests[] = {
+    {"hedges need a free slot", test_hedges_need_a_free_slot},
     {"tried gatekeepers do not empty the region",
      test_tried_gatekeepers_do_not_empty_the_region},
     {"concurrent picks spread", test_concurrent_picks_spread},
