Give calls to the own upstream workers of their own

Cause: a gatekeeper's call that had been given a slot still took a worker from the pool that the entry side uses, whose calls wait in the queues of other gatekeepers. So slots stayed idle under overload, and two nodes could wait for each other until a deadline.

--- a/include/proxy/internal.h
+++ b/include/proxy/internal.h
@@ -33,6 +33,10 @@
     struct bb_table_holder *table;
     struct bb_workers *workers;
     struct bb_http_client *client;
+    /* For the own upstream alone: a call that holds a slot there must not
+     * wait for workers that wait for slots of other gatekeepers. */
+    struct bb_workers *upstream_workers;
+    struct bb_http_client *upstream_client;
     struct bb_gatekeeper *gatekeeper;
     struct bb_picker *picker;
     struct bb_claims *claims;
--- a/proxy/leg.c
+++ b/proxy/leg.c
@@ -217,8 +217,8 @@
     request.finished = on_finished;
     request.finished_context = g.ticket;
     leg->start_us = bb_clock_now_us();
-    leg->attempt =
-        bb_attempt_start(p->client, &request, x->watch, worker_end_us(x));
+    leg->attempt = bb_attempt_start(p->upstream_client, &request, x->watch,
+                                    worker_end_us(x));
     if (leg->attempt == NULL) {
         bb_gatekeeper_leave(g.ticket, BB_TICKET_REFUSED, NULL);
         return refused(BB_REASON_WORKER_LIMIT, BB_RAN_NO);
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -39,6 +39,13 @@
 BB_GAUGE(in_flight_gauge, "baobab_requests_in_flight",
          "Requests from their head to the end of their answer");
 
+/* Workers for the own upstream; its slots are what limits them. */
+static const struct bb_workers_limits upstream_limits = {
+    .base = BB_ADMISSION_SLOTS_MAX,
+    .step = DEFAULT_STEP,
+    .detached_max = DEFAULT_DETACHED,
+};
+
 /* Replaces numbers that are 0 by their defaults. */
 static void
 set_defaults(struct bb_proxy_settings *s)
@@ -242,6 +249,8 @@
     p->table = bb_table_holder_create();
     p->workers = bb_workers_create(&p->settings.workers);
     p->client = bb_http_client_create(p->workers);
+    p->upstream_workers = bb_workers_create(&upstream_limits);
+    p->upstream_client = bb_http_client_create(p->upstream_workers);
     p->picker = bb_picker_create(s->routing_policy != NULL ? s->routing_policy
                                                            : "least_wait");
     p->claims =
@@ -400,11 +409,13 @@
         MHD_stop_daemon(p->caller_daemon);
     }
     is_free = bb_workers_destroy(p->workers, WORKER_EXIT_MS);
+    is_free &= bb_workers_destroy(p->upstream_workers, WORKER_EXIT_MS);
     bb_table_holder_destroy(p->table);
     bb_picker_destroy(p->picker);
     bb_random_destroy(p->random);
     if (is_free) {
         bb_http_client_destroy(p->client);
+        bb_http_client_destroy(p->upstream_client);
         bb_gatekeeper_destroy(p->gatekeeper);
         bb_claims_destroy(p->claims);
         g_free(p);
