--- a/bench/convergence.sh
+++ b/bench/convergence.sh
@@ -165,7 +165,6 @@
     mesh_start_control "$i"
 done
 for ((i = 0; i < NODES; i++)); do start_node "$i"; done
-start_ms=$(mesh_now_ms)
 wait_held 1 30 || mesh_fail "not every node got the first revision"
 sleep 2
 sleep "${SETTLE_S:-15}"
