--- a/common/log.c
+++ b/common/log.c
@@ -9,6 +9,7 @@
 #include <string.h>
 
 #include "common/clock.h"
+#include "common/event_log.h"
 
 enum { TIME_TEXT_BYTES = 40 };
 
@@ -43,6 +44,18 @@
                    (unsigned)(now_us % BB_US_PER_S / BB_US_PER_MS));
 }
 
+/* Hands a line to the log of decisions, which never blocks. */
+static void
+put_event(GLogLevelFlags level, const char *line)
+{
+    char *whole = g_strconcat(line != NULL ? line : "{}", "\n", NULL);
+
+    bb_events_put(level <= G_LOG_LEVEL_WARNING ? BB_EVENT_FAILURE
+                                               : BB_EVENT_ORDINARY,
+                  whole, strlen(whole));
+    g_free(whole);
+}
+
 /* Writes one log entry as a line of text or of JSON. */
 static GLogWriterOutput
 write_entry(GLogLevelFlags level, const GLogField *fields, gsize n, void *data)
@@ -61,7 +74,12 @@
             "event", event, "message", message);
         char *line = entry ? json_dumps(entry, JSON_COMPACT) : NULL;
 
-        (void)fprintf(stderr, "%s\n", line ? line : "{}");
+        if (bb_events_is_started()) {
+            put_event(level, line);
+        }
+        else {
+            (void)fprintf(stderr, "%s\n", line ? line : "{}");
+        }
         free(line);
         json_decref(entry);
     }
--- /dev/null
+++ b/decide/balance.c
@@ -0,0 +1,152 @@
+/* Choice of a gate for one attempt. */
+#include "decide/balance.h"
+
+enum {
+    /* Before the first report: an ordinary duration. */
+    FIRST_SERVICE_US = 100 * 1000,
+    /* Requests of equal cost are spread by so much. */
+    JITTER_US = 4000
+};
+
+/* Estimates how many requests a gate holds: its report, which fades, and the
+ * own ones since. */
+static uint32_t
+held(const struct bb_gate_view *v, uint64_t now_us)
+{
+    uint32_t reported = v->running + v->queued;
+    uint32_t since = v->in_flight > v->in_flight_at_report
+                         ? v->in_flight - v->in_flight_at_report
+                         : 0;
+
+    if (v->reported_us == 0 ||
+        now_us - v->reported_us > 2 * BB_BALANCE_REPORT_HALF_US) {
+        reported = reported > v->slots / 2 ? v->slots / 2 : reported;
+    }
+    else if (now_us - v->reported_us > BB_BALANCE_REPORT_HALF_US) {
+        reported /= 2;
+    }
+    reported += since;
+    return reported > v->in_flight ? reported : v->in_flight;
+}
+
+/* Estimates the wait for a slot at a gate. */
+uint64_t
+bb_balance_wait_us(const struct bb_gate_view *v, uint64_t now_us)
+{
+    uint32_t n = held(v, now_us);
+    uint64_t service_us =
+        v->service_us != 0 ? v->service_us : FIRST_SERVICE_US;
+
+    if (v->slots == 0) {
+        return UINT32_MAX;
+    }
+    return n < v->slots ? 0 : (n - v->slots + 1) * service_us / v->slots;
+}
+
+/* Estimates the time to an answer, with the price of distance and the risk of
+ * failure. */
+uint64_t
+bb_balance_cost_us(const struct bb_gate_view *v, uint64_t now_us)
+{
+    uint64_t service_us =
+        v->service_us != 0 ? v->service_us : FIRST_SERVICE_US;
+    uint64_t cost_us = bb_balance_wait_us(v, now_us) + service_us;
+
+    if (v->slots > 0) {
+        /* Upstreams run slower the fuller they are. */
+        cost_us += service_us * held(v, now_us) / (4 * (uint64_t)v->slots);
+    }
+    if (now_us < v->cold_until_us) {
+        cost_us += service_us;
+    }
+    cost_us += (uint64_t)BB_BALANCE_FAILURE_US * v->failing_permille /
+               BB_BALANCE_PERMILLE;
+    switch (v->distance) {
+    case BB_SAME_ZONE:
+        break;
+    case BB_SAME_REGION:
+        cost_us += BB_BALANCE_ZONE_PRICE_US;
+        break;
+    case BB_OTHER_REGION:
+        cost_us += BB_BALANCE_REGION_PRICE_US;
+        break;
+    }
+    return cost_us;
+}
+
+/* Returns whether a gate may be chosen. */
+static bool
+is_usable(const struct bb_gate_view *v, uint32_t index,
+          const struct bb_balance_request *r, uint64_t now_us)
+{
+    for (uint32_t i = 0; i < r->tried_count; i++) {
+        if (r->tried[i] == index) {
+            return false;
+        }
+    }
+    return v->is_ready && v->slots > 0 && now_us >= v->suspended_until_us &&
+           (r->may_leave_region || v->distance != BB_OTHER_REGION) &&
+           (!r->wants_free_slot || held(v, now_us) < v->slots);
+}
+
+/* Returns the index of the best gate, or -1. */
+int32_t
+bb_balance_pick(const struct bb_gate_view *const *views, uint32_t count,
+                const struct bb_balance_request *r, uint64_t random_bits,
+                uint64_t now_us)
+{
+    int32_t best = -1;
+    uint64_t best_us = 0;
+
+    for (uint32_t i = 0; i < count; i++) {
+        uint64_t cost_us;
+
+        if (!is_usable(views[i], i, r, now_us)) {
+            continue;
+        }
+        cost_us = bb_balance_cost_us(views[i], now_us) +
+                  (random_bits >> (8 * (i % 7))) % JITTER_US;
+        if (best < 0 || cost_us < best_us) {
+            best = (int32_t)i;
+            best_us = cost_us;
+        }
+    }
+    return best;
+}
+
+/* Takes the load that a gate reported with an answer. */
+void
+bb_gate_view_report(struct bb_gate_view *v, uint32_t running, uint32_t queued,
+                    uint32_t slots, uint32_t service_us,
+                    uint32_t failing_permille, uint64_t now_us)
+{
+    v->running = running;
+    v->queued = queued;
+    if (slots != 0) {
+        v->slots = slots;
+    }
+    v->service_us = service_us;
+    v->failing_permille = failing_permille;
+    v->reported_us = now_us;
+    v->in_flight_at_report = v->in_flight;
+}
+
+/* Leaves a gate out for a time that doubles with each failure in a row. */
+void
+bb_gate_view_unreachable(struct bb_gate_view *v, uint64_t now_us)
+{
+    v->suspend_us =
+        v->suspend_us == 0 ? BB_BALANCE_SUSPEND_US : 2 * v->suspend_us;
+    if (v->suspend_us > BB_BALANCE_SUSPEND_MAX_US) {
+        v->suspend_us = BB_BALANCE_SUSPEND_MAX_US;
+    }
+    v->suspended_until_us = now_us + v->suspend_us;
+}
+
+/* Notes that a gate answered. */
+void
+bb_gate_view_reached(struct bb_gate_view *v)
+{
+    v->suspend_us = 0;
+    v->suspended_until_us = 0;
+}
--- /dev/null
+++ b/decide/gate_queue.c
@@ -0,0 +1,197 @@
+/* Admission in front of one upstream. */
+#include "decide/gate_queue.h"
+
+#include <string.h>
+
+enum { PERCENT = 100 };
+
+/* Prepares an empty queue. */
+void
+bb_gate_queue_init(struct bb_gate_queue *q, uint32_t slots)
+{
+    memset(q, 0, sizeof(*q));
+    q->slots = slots;
+    q->mean_us = BB_GATE_FIRST_DURATION_US;
+}
+
+/* Sets how many requests may run; running ones are not affected. */
+void
+bb_gate_queue_set_slots(struct bb_gate_queue *q, uint32_t slots)
+{
+    q->slots = slots;
+}
+
+static uint32_t
+rank_index(uint32_t rank)
+{
+    return rank < BB_GATE_RANKS ? rank : BB_GATE_RANKS - 1;
+}
+
+/* Returns the usual duration of a rank; half of it is used as the least that
+ * a request needs, because durations differ widely. */
+static uint64_t
+least_us(const struct bb_gate_queue *q, uint32_t rank)
+{
+    uint64_t d = q->duration_us[rank_index(rank)];
+
+    return (d != 0 ? d : q->mean_us) / 2;
+}
+
+/* Returns whether a goes before b. */
+static bool
+goes_before(const struct bb_gate_queue *q, const struct bb_gate_request *a,
+            const struct bb_gate_request *b, uint64_t now_us)
+{
+    bool a_in_time = a->aim_us >= now_us + least_us(q, a->rank);
+    bool b_in_time = b->aim_us >= now_us + least_us(q, b->rank);
+
+    if (a->is_nested != b->is_nested) {
+        return a->is_nested;
+    }
+    if (a->rank != b->rank) {
+        return a->rank < b->rank;
+    }
+    if (a_in_time != b_in_time) {
+        return a_in_time;
+    }
+    return a->deadline_us < b->deadline_us;
+}
+
+/* Estimates how long a request would wait, from those that go before it. */
+uint64_t
+bb_gate_queue_wait_us(const struct bb_gate_queue *q,
+                      const struct bb_gate_request *r)
+{
+    uint64_t ahead = 0;
+
+    if (q->slots == 0) {
+        return UINT64_MAX;
+    }
+    if (q->running < q->slots) {
+        return 0;
+    }
+    for (uint32_t i = 0; i < q->queued; i++) {
+        ahead += r == NULL || !goes_before(q, r, &q->queue[i], 0);
+    }
+    return (ahead + 1) * q->mean_us / q->slots;
+}
+
+/* Takes a request that has arrived. Runs only if a slot is free and nothing
+ * waits before it. */
+enum bb_gate_verdict
+bb_gate_queue_arrive(struct bb_gate_queue *q, const struct bb_gate_request *r,
+                     bool may_wait, uint64_t now_us)
+{
+    uint64_t wait_us;
+
+    if (r->deadline_us <= now_us || q->slots == 0) {
+        return BB_GATE_REFUSE;
+    }
+    if (q->running < q->slots) {
+        q->running++;
+        return BB_GATE_RUN;
+    }
+    wait_us = bb_gate_queue_wait_us(q, r);
+    if (!may_wait || q->queued == BB_GATE_QUEUE_MAX ||
+        now_us + wait_us + least_us(q, r->rank) > r->deadline_us) {
+        return BB_GATE_REFUSE;
+    }
+    q->queue[q->queued++] = *r;
+    return BB_GATE_WAIT;
+}
+
+/* Removes the request at a position. */
+static void
+remove_at(struct bb_gate_queue *q, uint32_t at)
+{
+    q->queue[at] = q->queue[--q->queued];
+}
+
+/* Returns the next queued request that is to run, or that can no longer be
+ * answered in time. Call until it returns false. */
+bool
+bb_gate_queue_next(struct bb_gate_queue *q, uint64_t now_us, uint64_t *id,
+                   enum bb_gate_verdict *verdict)
+{
+    uint32_t best = 0;
+
+    for (uint32_t i = 0; i < q->queued; i++) {
+        const struct bb_gate_request *r = &q->queue[i];
+
+        if (q->slots == 0 ||
+            now_us + least_us(q, r->rank) / 2 >= r->deadline_us) {
+            *id = r->id;
+            *verdict = BB_GATE_REFUSE;
+            remove_at(q, i);
+            return true;
+        }
+        if (goes_before(q, r, &q->queue[best], now_us)) {
+            best = i;
+        }
+    }
+    if (q->queued == 0 || q->running >= q->slots) {
+        return false;
+    }
+    *id = q->queue[best].id;
+    *verdict = BB_GATE_RUN;
+    remove_at(q, best);
+    q->running++;
+    return true;
+}
+
+/* Removes a queued request; returns false if it is not queued. */
+bool
+bb_gate_queue_cancel(struct bb_gate_queue *q, uint64_t id)
+{
+    for (uint32_t i = 0; i < q->queued; i++) {
+        if (q->queue[i].id == id) {
+            remove_at(q, i);
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Moves an average towards a value. */
+static uint64_t
+average(uint64_t old_us, uint64_t new_us)
+{
+    return old_us == 0 ? new_us
+                       : (old_us * (PERCENT - BB_GATE_AVERAGE_PERCENT) +
+                          new_us * BB_GATE_AVERAGE_PERCENT) /
+                             PERCENT;
+}
+
+/* Frees the slot of a request that has ended. Only whole answers tell how
+ * long requests take. */
+void
+bb_gate_queue_finish(struct bb_gate_queue *q, uint32_t rank,
+                     uint64_t duration_us, bool is_success)
+{
+    uint64_t *by_rank = &q->duration_us[rank_index(rank)];
+
+    q->running -= q->running > 0;
+    if (is_success) {
+        *by_rank = average(*by_rank, duration_us);
+        q->mean_us = average(q->mean_us, duration_us);
+    }
+}
+
+/* Returns the earliest time at which a queued request has to be refused, or 0
+ * if none is queued. */
+uint64_t
+bb_gate_queue_due_us(const struct bb_gate_queue *q)
+{
+    uint64_t due_us = 0;
+
+    for (uint32_t i = 0; i < q->queued; i++) {
+        uint64_t least = least_us(q, q->queue[i].rank) / 2;
+        uint64_t end_us = q->queue[i].deadline_us;
+        uint64_t at_us = end_us > least ? end_us - least : 1;
+
+        if (due_us == 0 || at_us < due_us) {
+            due_us = at_us;
+        }
+    }
+    return due_us;
+}
--- /dev/null
+++ b/fleet/instances.c
@@ -0,0 +1,118 @@
+/* Table of upstreams by the address of their gate. */
+#include "fleet/instances.h"
+
+struct bb_instances {
+    GHashTable *by_gate;
+};
+
+/* Copies a record. */
+fleet_instance *
+bb_instance_copy(const fleet_instance *i)
+{
+    fleet_instance *c = g_new(fleet_instance, 1);
+
+    *c = *i;
+    c->gate = g_strdup(i->gate);
+    c->zone = g_strdup(i->zone);
+    c->region = g_strdup(i->region);
+    c->service = g_strdup(i->service);
+    c->id = g_strdup(i->id);
+    return c;
+}
+
+/* Frees a record made by bb_instance_copy; NULL is allowed. */
+void
+bb_instance_destroy(fleet_instance *i)
+{
+    if (i != NULL) {
+        g_free(i->gate);
+        g_free(i->zone);
+        g_free(i->region);
+        g_free(i->service);
+        g_free(i->id);
+        g_free(i);
+    }
+}
+
+static void
+destroy_record(void *data)
+{
+    bb_instance_destroy(data);
+}
+
+/* Creates an empty table. */
+struct bb_instances *
+bb_instances_create(void)
+{
+    struct bb_instances *t = g_new0(struct bb_instances, 1);
+
+    t->by_gate =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, destroy_record);
+    return t;
+}
+
+/* Frees the table; NULL is allowed. */
+void
+bb_instances_destroy(struct bb_instances *t)
+{
+    if (t != NULL) {
+        g_hash_table_destroy(t->by_gate);
+        g_free(t);
+    }
+}
+
+/* Takes a record if it is newer than the one in the table. Returns whether
+ * the table changed. */
+bool
+bb_instances_merge(struct bb_instances *t, const fleet_instance *i)
+{
+    const fleet_instance *old = g_hash_table_lookup(t->by_gate, i->gate);
+    fleet_instance *copy;
+
+    if (old != NULL &&
+        (i->epoch < old->epoch ||
+         (i->epoch == old->epoch && i->sequence <= old->sequence))) {
+        return false;
+    }
+    copy = bb_instance_copy(i);
+    g_hash_table_replace(t->by_gate, copy->gate, copy);
+    return true;
+}
+
+/* Returns the record of a gate, or NULL. */
+const fleet_instance *
+bb_instances_find(const struct bb_instances *t, const char *gate)
+{
+    return g_hash_table_lookup(t->by_gate, gate);
+}
+
+/* Returns how many records there are. */
+uint32_t
+bb_instances_count(const struct bb_instances *t)
+{
+    return g_hash_table_size(t->by_gate);
+}
+
+/* Calls a function for each record. */
+void
+bb_instances_visit(const struct bb_instances *t, bb_instance_visit visit,
+                   void *context)
+{
+    GHashTableIter it;
+    gpointer value;
+
+    g_hash_table_iter_init(&it, t->by_gate);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        visit(context, value);
+    }
+}
+
+/* Returns the name of a state for status and logs. */
+const char *
+bb_instance_state_name(uint32_t state)
+{
+    static const char *const names[] = {"none", "ready", "draining", "down",
+                                        "gone"};
+
+    return state < G_N_ELEMENTS(names) ? names[state] : "unknown";
+}
--- /dev/null
+++ b/include/decide/balance.h
@@ -0,0 +1,66 @@
+/* Choice of a gate for one attempt. Answers uneven load, upstreams of unlike
+ * speed, and slow, failing, cold or silent ones: the gate with the least
+ * expected time to an answer, with a price on distance. */
+#ifndef BB_DECIDE_BALANCE_H
+#define BB_DECIDE_BALANCE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+enum {
+    /* What distance costs, as a time: a call that leaves its zone or its
+     * region pays for its bytes besides the way. */
+    BB_BALANCE_ZONE_PRICE_US = 25 * 1000,
+    BB_BALANCE_REGION_PRICE_US = 250 * 1000,
+    /* A report counts half after this time. */
+    BB_BALANCE_REPORT_HALF_US = 400 * 1000,
+    /* Price of an answer that is certain to fail. */
+    BB_BALANCE_FAILURE_US = 2000 * 1000,
+    BB_BALANCE_PERMILLE = 1000,
+    /* How long a gate that could not be reached is left out at first, and at
+     * most. */
+    BB_BALANCE_SUSPEND_US = 500 * 1000,
+    BB_BALANCE_SUSPEND_MAX_US = 4000 * 1000,
+    BB_BALANCE_TRIED_MAX = 16,
+    /* Weight of the newest outcome in the failure average, in permille. */
+    BB_BALANCE_OUTCOME_PERMILLE = 120
+};
+
+enum bb_distance { BB_SAME_ZONE, BB_SAME_REGION, BB_OTHER_REGION };
+
+/* What an entry node knows of one gate. */
+struct bb_gate_view {
+    enum bb_distance distance;
+    bool is_ready; /* by its own announcement */
+    uint32_t slots;
+    uint32_t running; /* reported, as the next three */
+    uint32_t queued;
+    uint32_t service_us;
+    uint32_t failing_permille;
+    uint64_t reported_us; /* 0: never */
+    uint32_t in_flight;
+    uint32_t in_flight_at_report;
+    uint64_t cold_until_us;
+    uint64_t suspended_until_us;
+    uint64_t suspend_us; /* length of the last suspension */
+};
+
+struct bb_balance_request {
+    bool wants_free_slot; /* leave out gates known to be full */
+    bool may_leave_region;
+    uint64_t tried[BB_BALANCE_TRIED_MAX]; /* indices left out */
+    uint32_t tried_count;
+};
+
+uint64_t bb_balance_cost_us(const struct bb_gate_view *v, uint64_t now_us);
+uint64_t bb_balance_wait_us(const struct bb_gate_view *v, uint64_t now_us);
+int32_t bb_balance_pick(const struct bb_gate_view *const *views,
+                        uint32_t count, const struct bb_balance_request *r,
+                        uint64_t random_bits, uint64_t now_us);
+void bb_gate_view_report(struct bb_gate_view *v, uint32_t running,
+                         uint32_t queued, uint32_t slots, uint32_t service_us,
+                         uint32_t failing_permille, uint64_t now_us);
+void bb_gate_view_unreachable(struct bb_gate_view *v, uint64_t now_us);
+void bb_gate_view_reached(struct bb_gate_view *v);
+
+#endif
--- /dev/null
+++ b/include/decide/gate_queue.h
@@ -0,0 +1,56 @@
+/* Admission in front of one upstream. Answers load in excess of its slots: a
+ * request runs at once on a free slot, waits if it can still be answered in
+ * time, or is refused at once, never after waiting in vain.
+ *
+ * Order of the queue: calls of requests that already hold a slot elsewhere,
+ * then the urgent ranks, then those that can still be answered within their
+ * aim, then the earliest deadline. */
+#ifndef BB_DECIDE_GATE_QUEUE_H
+#define BB_DECIDE_GATE_QUEUE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+enum {
+    BB_GATE_QUEUE_MAX = 512,
+    BB_GATE_RANKS = 8,
+    /* Weight of the newest duration in the moving average, in percent. */
+    BB_GATE_AVERAGE_PERCENT = 10,
+    /* Assumed duration before the first request has ended. */
+    BB_GATE_FIRST_DURATION_US = 100 * 1000
+};
+
+enum bb_gate_verdict { BB_GATE_RUN, BB_GATE_WAIT, BB_GATE_REFUSE };
+
+struct bb_gate_request {
+    uint64_t id;   /* unique among those queued */
+    uint32_t rank; /* 0: most urgent */
+    bool is_nested;
+    uint64_t aim_us;      /* time by which the answer is worth most */
+    uint64_t deadline_us; /* time after which nobody waits */
+};
+
+struct bb_gate_queue {
+    uint32_t slots;
+    uint32_t running;
+    uint32_t queued;
+    uint64_t duration_us[BB_GATE_RANKS]; /* moving averages by rank */
+    uint64_t mean_us;                    /* over all ranks */
+    struct bb_gate_request queue[BB_GATE_QUEUE_MAX];
+};
+
+void bb_gate_queue_init(struct bb_gate_queue *q, uint32_t slots);
+void bb_gate_queue_set_slots(struct bb_gate_queue *q, uint32_t slots);
+uint64_t bb_gate_queue_wait_us(const struct bb_gate_queue *q,
+                               const struct bb_gate_request *r);
+enum bb_gate_verdict bb_gate_queue_arrive(struct bb_gate_queue *q,
+                                          const struct bb_gate_request *r,
+                                          bool may_wait, uint64_t now_us);
+bool bb_gate_queue_next(struct bb_gate_queue *q, uint64_t now_us, uint64_t *id,
+                        enum bb_gate_verdict *verdict);
+bool bb_gate_queue_cancel(struct bb_gate_queue *q, uint64_t id);
+void bb_gate_queue_finish(struct bb_gate_queue *q, uint32_t rank,
+                          uint64_t duration_us, bool is_success);
+uint64_t bb_gate_queue_due_us(const struct bb_gate_queue *q);
+
+#endif
--- /dev/null
+++ b/include/decide/voters.h
@@ -0,0 +1,35 @@
+/* Which disks should vote: an odd number that the tolerance needs, spread
+ * over availability zones, changed by one disk at a time. */
+#ifndef BB_DECIDE_VOTERS_H
+#define BB_DECIDE_VOTERS_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "decide/quorum.h"
+
+enum {
+    /* A voter that is away for so long is replaced by a host standing by;
+     * longer than a restart takes, shorter than a typical outage. */
+    BB_VOTERS_REPLACE_US = 3000 * 1000,
+    BB_VOTERS_HOSTS_MAX = BB_QUORUM_PEERS_MAX + 1
+};
+
+struct bb_voter_host {
+    uint64_t disk;
+    uint64_t zone;      /* any number that differs between zones */
+    bool is_replaced;   /* another disk is in use at its address */
+    uint64_t absent_us; /* 0: connected */
+};
+
+struct bb_voters {
+    uint64_t disks[BB_QUORUM_VOTERS_MAX];
+    uint32_t count;
+};
+
+uint32_t bb_voters_target(uint32_t lost_hosts, uint32_t lost_zones);
+bool bb_voters_plan(const struct bb_voter_host *hosts, uint32_t host_count,
+                    const struct bb_voters *now, uint64_t self,
+                    uint32_t target, struct bb_voters *next);
+
+#endif
--- /dev/null
+++ b/include/fleet/frame.h
@@ -0,0 +1,32 @@
+/* fleet_message framing on a connection. */
+#ifndef BB_FLEET_FRAME_H
+#define BB_FLEET_FRAME_H
+
+#include <stdbool.h>
+
+#include "fleet.h"
+#include "net/stream.h"
+
+enum { BB_FRAME_MAX_BYTES = 24 * 1024 * 1024 };
+
+struct bb_frames;
+
+struct bb_frames_events {
+    void (*opened)(void *context, struct bb_frames *f); /* own connections */
+    /* The message is freed after the call. */
+    void (*message)(void *context, struct bb_frames *f, fleet_message *m);
+    /* The connection is over; bb_frames_close is owed. */
+    void (*ended)(void *context, struct bb_frames *f);
+};
+
+struct bb_frames *bb_frames_open(uv_loop_t *loop, const struct bb_address *to,
+                                 uint32_t timeout_ms,
+                                 const struct bb_frames_events *events,
+                                 void *context);
+struct bb_frames *bb_frames_accept(struct bb_stream *s,
+                                   const struct bb_frames_events *events,
+                                   void *context);
+bool bb_frames_send(struct bb_frames *f, fleet_message *m);
+void bb_frames_close(struct bb_frames *f);
+
+#endif
--- /dev/null
+++ b/include/fleet/instances.h
@@ -0,0 +1,37 @@
+/* Upstreams and their gates, as announced by the nodes next to them. Kept by
+ * nodes and control hosts; the record with the higher epoch, then sequence,
+ * holds, so merging is commutative and idempotent. */
+#ifndef BB_FLEET_INSTANCES_H
+#define BB_FLEET_INSTANCES_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "fleet.h"
+
+enum bb_instance_state {
+    BB_INSTANCE_NONE, /* the node knows no upstream */
+    BB_INSTANCE_READY,
+    BB_INSTANCE_DRAINING, /* takes no new work */
+    BB_INSTANCE_DOWN,     /* its node cannot reach it */
+    BB_INSTANCE_GONE      /* its node is stopping */
+};
+
+struct bb_instances;
+
+typedef void (*bb_instance_visit)(void *context, const fleet_instance *i);
+
+struct bb_instances *bb_instances_create(void);
+void bb_instances_destroy(struct bb_instances *t);
+bool bb_instances_merge(struct bb_instances *t, const fleet_instance *i);
+const fleet_instance *bb_instances_find(const struct bb_instances *t,
+                                        const char *gate);
+uint32_t bb_instances_count(const struct bb_instances *t);
+void bb_instances_visit(const struct bb_instances *t, bb_instance_visit visit,
+                        void *context);
+fleet_instance *bb_instance_copy(const fleet_instance *i);
+void bb_instance_destroy(fleet_instance *i);
+const char *bb_instance_state_name(uint32_t state);
+
+#endif
--- /dev/null
+++ b/include/fleet/store.h
@@ -0,0 +1,35 @@
+/* Durable state of a control host: two files that are overwritten in turn, so
+ * that the newest whole one holds after any interruption.
+ *
+ * A write runs in a thread of libuv's pool; the callback comes in the loop's
+ * thread. One write is under way at a time. */
+#ifndef BB_FLEET_STORE_H
+#define BB_FLEET_STORE_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <uv.h>
+
+#include "common/error.h"
+#include "fleet.h"
+
+enum bb_fleet_error {
+    BB_FLEET_ERROR_STORE = 1, /* the data folder cannot be used */
+    BB_FLEET_ERROR_LISTEN,
+    BB_FLEET_ERROR_SETTINGS
+};
+
+struct bb_fleet_store;
+
+typedef void (*bb_store_done)(void *context, bool is_written);
+
+struct bb_fleet_store *bb_fleet_store_open(uv_loop_t *loop, const char *folder,
+                                           fleet_stored *newest,
+                                           bool *has_state,
+                                           struct bb_error *e);
+bool bb_fleet_store_is_busy(const struct bb_fleet_store *s);
+bool bb_fleet_store_write(struct bb_fleet_store *s, fleet_stored *state,
+                          bb_store_done done, void *context);
+void bb_fleet_store_close(struct bb_fleet_store *s);
+
+#endif
--- /dev/null
+++ b/include/net/http.h
@@ -0,0 +1,79 @@
+/* Heads of HTTP/1.1 messages and a reader that takes one message at a time
+ * from a byte stream. */
+#ifndef BB_NET_HTTP_H
+#define BB_NET_HTTP_H
+
+#include <glib.h>
+#include <http_parser.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+enum { BB_HTTP_FIELDS_MAX = 128, BB_HTTP_HEAD_MAX_BYTES = 64 * 1024 };
+
+struct bb_field {
+    uint32_t name; /* offset of a zero-ended text in bb_head.text */
+    uint32_t value;
+};
+
+/* The head of a message. Texts lie in one buffer. */
+struct bb_head {
+    GString *text;
+    uint32_t target; /* offset of the request target */
+    uint16_t status; /* of a response */
+    uint8_t method;  /* of a request: enum http_method */
+    uint8_t field_count;
+    bool has_length;
+    bool is_chunked;
+    bool keeps_alive;
+    uint64_t length_bytes;
+    struct bb_field fields[BB_HTTP_FIELDS_MAX];
+};
+
+enum bb_reader_state {
+    BB_READER_HEAD, /* between messages or inside a head */
+    BB_READER_BODY,
+    BB_READER_DONE, /* a whole message; bb_reader_next goes on */
+    BB_READER_FAILED
+};
+
+struct bb_reader_events {
+    /* The head is complete. Returns false if the message is refused. */
+    bool (*head)(void *context);
+    void (*body)(void *context, const char *data, size_t size_bytes);
+};
+
+struct bb_reader {
+    http_parser parser;
+    enum bb_reader_state state;
+    struct bb_head head;
+    const struct bb_reader_events *events;
+    void *context;
+    size_t head_bytes;
+    size_t head_limit_bytes; /* 0: BB_HTTP_HEAD_MAX_BYTES */
+    uint32_t name;           /* of the field being read */
+    uint32_t value;
+    uint32_t text_used;
+    bool has_started; /* a byte of the message has arrived */
+    bool is_value;
+    bool is_oversized;
+    bool is_headless;   /* response to HEAD: no body follows */
+    bool is_eof_framed; /* the response ends with its connection */
+};
+
+void bb_reader_init(struct bb_reader *r, enum http_parser_type type,
+                    const struct bb_reader_events *events, void *context);
+void bb_reader_clear(struct bb_reader *r);
+void bb_reader_next(struct bb_reader *r);
+size_t bb_reader_feed(struct bb_reader *r, const char *data,
+                      size_t size_bytes);
+bool bb_reader_end(struct bb_reader *r);
+
+const char *bb_head_target(const struct bb_head *h);
+const char *bb_head_get(const struct bb_head *h, const char *name);
+bool bb_head_get_u64(const struct bb_head *h, const char *name,
+                     uint64_t *value);
+bool bb_head_is_hop_by_hop(const struct bb_head *h, const char *name);
+const char *bb_http_reason(uint32_t status);
+
+#endif
--- /dev/null
+++ b/include/path/directory.h
@@ -0,0 +1,44 @@
+/* Gates by service, as an entry node sees them: announcements merged with its
+ * own experience. */
+#ifndef BB_PATH_DIRECTORY_H
+#define BB_PATH_DIRECTORY_H
+
+#include <glib.h>
+#include <stdint.h>
+
+#include "common/address.h"
+#include "decide/balance.h"
+#include "decide/retry_window.h"
+#include "fleet/instances.h"
+
+enum { BB_DIRECTORY_GATES_MAX = 512 };
+
+struct bb_directory;
+
+struct bb_gate_entry {
+    char *text; /* address of the gate */
+    struct bb_address at;
+    char *service;
+    char *instance;
+    uint64_t epoch;
+    struct bb_gate_view view;
+};
+
+/* A service with its gates. */
+struct bb_service_entry {
+    char *name;
+    GPtrArray *gates; /* struct bb_gate_entry */
+    struct bb_retry_window retries;
+};
+
+struct bb_directory *bb_directory_create(const char *zone, const char *region);
+void bb_directory_destroy(struct bb_directory *d);
+void bb_directory_update(struct bb_directory *d, const fleet_instance *i,
+                         uint64_t now_us);
+struct bb_service_entry *bb_directory_service(struct bb_directory *d,
+                                              const char *name);
+struct bb_gate_entry *bb_directory_gate(struct bb_directory *d,
+                                        const char *text);
+uint32_t bb_directory_count(const struct bb_directory *d);
+
+#endif
--- /dev/null
+++ b/include/path/gate.h
@@ -0,0 +1,58 @@
+/* The gate: admits requests of entry nodes to the one upstream next to it,
+ * and alone decides when none may start any more. */
+#ifndef BB_PATH_GATE_H
+#define BB_PATH_GATE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <uv.h>
+
+#include "common/address.h"
+#include "common/error.h"
+#include "path/dialect.h"
+#include "path/upstream.h"
+
+/* Fields between entry nodes and gates, besides those of the dialect. */
+#define BB_FIELD_CALL "Baobab-Call" /* service rank aim_ms flags */
+#define BB_FIELD_LOAD "Baobab-Load" /* running queued slots us permille */
+#define BB_FIELD_REFUSED "Baobab-Refused" /* reason: it did not run */
+#define BB_FIELD_FAILED "Baobab-Failed"   /* reason: it may have run */
+
+enum {
+    BB_GATE_CONNECT_MS = 250,
+    /* Upstreams state when they close idle connections; this holds for those
+     * that do not. */
+    BB_GATE_IDLE_MS = 4000,
+    /* Weight of the newest answer in the share of failures, in permille. */
+    BB_GATE_FAILURE_PERMILLE = 80,
+    BB_GATE_FLAG_NESTED = 'n',
+    BB_GATE_FLAG_WAIT = 'w',
+    BB_GATE_FLAG_REPEAT = 'i' /* idempotent: may be sent again */
+};
+
+struct bb_gate;
+
+struct bb_gate_settings {
+    struct bb_address at;
+    struct bb_address upstream;
+    const char *upstream_text; /* as upstreams announce it */
+    const char *zone;
+    const char *region;
+    const struct bb_dialect *dialect;
+    /* The state of the upstream changed. */
+    void (*changed)(void *context, const struct bb_upstream *u);
+    void *context;
+};
+
+struct bb_gate *bb_gate_create(uv_loop_t *loop,
+                               const struct bb_gate_settings *s,
+                               struct bb_error *e);
+enum bb_announce_result bb_gate_announce(struct bb_gate *g, const char *id,
+                                         const struct bb_announcement *a);
+bool bb_gate_withdraw(struct bb_gate *g, const char *id, uint64_t born_ms);
+void bb_gate_stop(struct bb_gate *g);
+uint32_t bb_gate_busy_count(const struct bb_gate *g);
+const struct bb_upstream *bb_gate_upstream(const struct bb_gate *g);
+void bb_gate_destroy(struct bb_gate *g);
+
+#endif
--- /dev/null
+++ b/include/path/rules.h
@@ -0,0 +1,68 @@
+/* Routing rules in force: which requests go to which services, and within
+ * which limits. Immutable once built and shared by reference. */
+#ifndef BB_PATH_RULES_H
+#define BB_PATH_RULES_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "common/error.h"
+#include "net/http_server.h"
+
+enum bb_rules_error {
+    BB_RULES_ERROR_SYNTAX = 1, /* cannot be read in full */
+    BB_RULES_ERROR_VALUE,      /* a value is missing or out of range */
+    BB_RULES_ERROR_REFERENCE   /* a name that does not exist */
+};
+
+/* One of the services that a route is split over. */
+struct bb_part {
+    char *service;
+    uint32_t weight;
+};
+
+struct bb_rule {
+    char *name;
+    char *host;
+    char *prefix; /* begins and ends with a slash */
+    bool is_idempotent;
+    uint32_t timeout_ms;
+    uint32_t aim_ms;
+    uint32_t rank; /* 0: most urgent */
+    uint32_t attempts;
+    uint32_t part_count;
+    uint64_t weight_sum;
+    struct bb_part *parts;
+};
+
+struct bb_service_rule {
+    char *name;
+    char *health_path;
+    uint32_t connections_max;
+};
+
+struct bb_rules {
+    gatomicrefcount references;
+    uint64_t version;
+    struct bb_server_limits limits;
+    GPtrArray *rules;     /* struct bb_rule */
+    GPtrArray *services;  /* struct bb_service_rule */
+    GHashTable *by_place; /* host and prefix to struct bb_rule */
+};
+
+struct bb_rules *bb_rules_create(void);
+struct bb_rule *bb_rules_add(struct bb_rules *r, const char *name,
+                             const char *host, const char *prefix);
+void bb_rule_add_part(struct bb_rule *r, const char *service, uint32_t weight);
+void bb_rules_add_service(struct bb_rules *r, const char *name,
+                          const char *health_path, uint32_t connections_max);
+bool bb_rules_seal(struct bb_rules *r, struct bb_error *e);
+const struct bb_service_rule *bb_rules_service(const struct bb_rules *r,
+                                               const char *name);
+const struct bb_rule *bb_rules_match(const struct bb_rules *r,
+                                     const char *host, const char *target);
+struct bb_rules *bb_rules_ref(struct bb_rules *r);
+void bb_rules_unref(struct bb_rules *r);
+
+#endif
--- /dev/null
+++ b/net/http.c
@@ -0,0 +1,329 @@
+/* HTTP/1.1 message reader on http_parser. */
+#include "net/http.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+/* Fields that concern one connection only (RFC 9110, 7.6.1). */
+static const char *const connection_fields[] = {
+    "connection", "keep-alive",        "proxy-authenticate",
+    "te",         "trailer",           "proxy-authorization",
+    "upgrade",    "transfer-encoding", "proxy-connection",
+    "expect",     "content-length",
+};
+
+/* Appends bytes to the text of the head; the first piece of a text returns
+ * its offset. */
+static void
+append_text(struct bb_reader *r, const char *data, size_t size_bytes)
+{
+    r->head_bytes += size_bytes;
+    if (r->head_bytes > (r->head_limit_bytes != 0
+                             ? r->head_limit_bytes
+                             : (size_t)BB_HTTP_HEAD_MAX_BYTES)) {
+        r->is_oversized = true;
+        return;
+    }
+    g_string_append_len(r->head.text, data, (gssize)size_bytes);
+}
+
+/* Ends a text by a zero byte; returns where the next one starts. */
+static uint32_t
+end_text(struct bb_reader *r)
+{
+    g_string_append_c(r->head.text, '\0');
+    return (uint32_t)r->head.text->len;
+}
+
+static int
+on_begin(http_parser *p)
+{
+    struct bb_reader *r = p->data;
+
+    r->head_bytes = 0;
+    r->is_value = false;
+    g_string_truncate(r->head.text, 0);
+    r->head.field_count = 0;
+    r->head.target = 0;
+    r->name = 0;
+    r->value = 0;
+    return 0;
+}
+
+static int
+on_url(http_parser *p, const char *data, size_t n)
+{
+    struct bb_reader *r = p->data;
+
+    append_text(r, data, n);
+    return r->is_oversized ? 1 : 0;
+}
+
+/* Stores the field whose value has just ended. */
+static int
+store_field(struct bb_reader *r)
+{
+    struct bb_head *h = &r->head;
+
+    if (h->field_count == BB_HTTP_FIELDS_MAX - 1) {
+        r->is_oversized = true;
+        return 1;
+    }
+    h->fields[h->field_count++] =
+        (struct bb_field){.name = r->name, .value = r->value};
+    r->is_value = false;
+    r->name = end_text(r);
+    return 0;
+}
+
+static int
+on_field(http_parser *p, const char *data, size_t n)
+{
+    struct bb_reader *r = p->data;
+
+    if (r->is_value && store_field(r) != 0) {
+        return 1;
+    }
+    if (r->name == 0) {
+        r->name = end_text(r); /* after the target */
+    }
+    append_text(r, data, n);
+    return r->is_oversized ? 1 : 0;
+}
+
+static int
+on_value(http_parser *p, const char *data, size_t n)
+{
+    struct bb_reader *r = p->data;
+
+    if (!r->is_value) {
+        r->is_value = true;
+        r->value = end_text(r);
+    }
+    append_text(r, data, n);
+    return r->is_oversized ? 1 : 0;
+}
+
+/* Returns whether a request could be read differently by another parser. */
+static bool
+is_ambiguous(const struct bb_head *h)
+{
+    uint32_t lengths = 0;
+    uint32_t hosts = 0;
+    bool is_bad = false;
+
+    for (uint32_t i = 0; i < h->field_count; i++) {
+        const char *name = h->text->str + h->fields[i].name;
+        const char *value = h->text->str + h->fields[i].value;
+
+        lengths += strcasecmp(name, "content-length") == 0;
+        hosts += strcasecmp(name, "host") == 0;
+        is_bad = is_bad || (strcasecmp(name, "transfer-encoding") == 0 &&
+                            strcasecmp(value, "chunked") != 0);
+    }
+    return is_bad || lengths > 1 || hosts > 1 ||
+           (lengths == 1 && h->is_chunked);
+}
+
+static int
+on_head(http_parser *p)
+{
+    struct bb_reader *r = p->data;
+    struct bb_head *h = &r->head;
+
+    if (r->is_value && store_field(r) != 0) {
+        return -1;
+    }
+    if (r->name == 0) {
+        r->name = end_text(r);
+    }
+    h->status = (uint16_t)p->status_code;
+    h->method = (uint8_t)p->method;
+    h->is_chunked = (p->flags & F_CHUNKED) != 0;
+    h->has_length = bb_head_get_u64(h, "Content-Length", &h->length_bytes);
+    h->keeps_alive = http_should_keep_alive(p) != 0;
+    r->is_eof_framed = p->type == HTTP_RESPONSE && !h->has_length &&
+                       !h->is_chunked && !r->is_headless && h->status >= 200 &&
+                       h->status != 204 && h->status != 304;
+    if (is_ambiguous(h) || p->upgrade != 0) {
+        return -1;
+    }
+    r->state = BB_READER_BODY;
+    if (!r->events->head(r->context)) {
+        return -1;
+    }
+    return r->is_headless ? 1 : 0;
+}
+
+static int
+on_body(http_parser *p, const char *data, size_t n)
+{
+    struct bb_reader *r = p->data;
+
+    r->events->body(r->context, data, n);
+    return 0;
+}
+
+static int
+on_done(http_parser *p)
+{
+    struct bb_reader *r = p->data;
+
+    r->state = BB_READER_DONE;
+    http_parser_pause(p, 1);
+    return 0;
+}
+
+static const http_parser_settings parser_settings = {
+    .on_message_begin = on_begin,
+    .on_url = on_url,
+    .on_header_field = on_field,
+    .on_header_value = on_value,
+    .on_headers_complete = on_head,
+    .on_body = on_body,
+    .on_message_complete = on_done,
+};
+
+/* Prepares a reader for requests or responses. */
+void
+bb_reader_init(struct bb_reader *r, enum http_parser_type type,
+               const struct bb_reader_events *events, void *context)
+{
+    memset(r, 0, sizeof(*r));
+    http_parser_init(&r->parser, type);
+    r->parser.data = r;
+    r->events = events;
+    r->context = context;
+    r->head.text = g_string_sized_new(512);
+}
+
+/* Frees what a reader holds. */
+void
+bb_reader_clear(struct bb_reader *r)
+{
+    if (r->head.text != NULL) {
+        g_string_free(r->head.text, TRUE);
+        r->head.text = NULL;
+    }
+}
+
+/* Continues with the next message of the connection. */
+void
+bb_reader_next(struct bb_reader *r)
+{
+    enum http_parser_type type = (enum http_parser_type)r->parser.type;
+
+    http_parser_init(&r->parser, type);
+    r->parser.data = r;
+    r->state = BB_READER_HEAD;
+    r->has_started = false;
+}
+
+/* Reads up to the end of one message; returns how many bytes were used. */
+size_t
+bb_reader_feed(struct bb_reader *r, const char *data, size_t size_bytes)
+{
+    size_t used;
+
+    if (r->state == BB_READER_DONE || r->state == BB_READER_FAILED ||
+        size_bytes == 0) {
+        return 0;
+    }
+    r->has_started = true;
+    used = http_parser_execute(&r->parser, &parser_settings, data, size_bytes);
+    if (HTTP_PARSER_ERRNO(&r->parser) == HPE_PAUSED) {
+        return used;
+    }
+    if (HTTP_PARSER_ERRNO(&r->parser) != HPE_OK || r->parser.upgrade != 0) {
+        r->state = BB_READER_FAILED;
+    }
+    return used;
+}
+
+/* Notes the end of the connection. Returns whether a message that is framed
+ * by it became complete. */
+bool
+bb_reader_end(struct bb_reader *r)
+{
+    if (r->state != BB_READER_BODY || !r->is_eof_framed) {
+        return false;
+    }
+    (void)http_parser_execute(&r->parser, &parser_settings, NULL, 0);
+    return r->state == BB_READER_DONE;
+}
+
+/* Returns the target of a request. */
+const char *
+bb_head_target(const struct bb_head *h)
+{
+    return h->text->str + h->target;
+}
+
+/* Returns the value of the first field of a name, or NULL. */
+const char *
+bb_head_get(const struct bb_head *h, const char *name)
+{
+    for (uint32_t i = 0; i < h->field_count; i++) {
+        if (strcasecmp(h->text->str + h->fields[i].name, name) == 0) {
+            return h->text->str + h->fields[i].value;
+        }
+    }
+    return NULL;
+}
+
+/* Reads a field as a whole number; returns false if there is none or it is
+ * none. */
+bool
+bb_head_get_u64(const struct bb_head *h, const char *name, uint64_t *value)
+{
+    const char *text = bb_head_get(h, name);
+    char *end = NULL;
+
+    if (text == NULL || text[0] < '0' || text[0] > '9') {
+        return false;
+    }
+    errno = 0;
+    *value = strtoull(text, &end, 10);
+    return errno == 0 && *end == '\0';
+}
+
+/* Returns whether a field concerns this connection only, by its name or
+ * because Connection lists it. */
+bool
+bb_head_is_hop_by_hop(const struct bb_head *h, const char *name)
+{
+    const char *list = bb_head_get(h, "Connection");
+    size_t length = strlen(name);
+
+    for (size_t i = 0; i < G_N_ELEMENTS(connection_fields); i++) {
+        if (strcasecmp(name, connection_fields[i]) == 0) {
+            return true;
+        }
+    }
+    while (list != NULL && *list != '\0') {
+        list += strspn(list, ", \t");
+        if (strncasecmp(list, name, length) == 0 &&
+            strcspn(list, ", \t") == length) {
+            return true;
+        }
+        list += strcspn(list, ",");
+    }
+    return false;
+}
+
+/* Returns the reason phrase of a status. */
+const char *
+bb_http_reason(uint32_t status)
+{
+    switch (status) {
+#define STATUS_CASE(number, name, text)                                       \
+    case number:                                                              \
+        return #text;
+        HTTP_STATUS_MAP(STATUS_CASE)
+#undef STATUS_CASE
+    default:
+        return "Unknown";
+    }
+}
--- /dev/null
+++ b/net/stream.c
@@ -0,0 +1,396 @@
+/* TCP connections with bounded time for unacknowledged data. */
+#include "net/stream.h"
+
+#include <glib.h>
+#include <netinet/tcp.h>
+#include <string.h>
+
+enum { READ_BYTES = 64 * 1024 };
+
+struct bb_stream {
+    uv_tcp_t tcp;
+    uv_connect_t connect;
+    uv_timer_t *connect_timer;
+    const struct bb_stream_events *events;
+    void *context;
+    size_t queued_bytes;
+    bool is_connected;
+    bool is_paused;
+    bool is_finishing; /* close once everything is written */
+    bool is_closed;
+};
+
+struct write_request {
+    uv_write_t request;
+    struct bb_stream *stream;
+    size_t size_bytes;
+    char data[];
+};
+
+struct bb_listener {
+    uv_tcp_t tcp;
+    bb_accept accept;
+    void *context;
+};
+
+/* One buffer serves all reads: the data is consumed within the callback. */
+static char read_buffer[READ_BYTES];
+
+/* Frees a stream after libuv has let go of its handle. */
+static void
+free_stream(uv_handle_t *h)
+{
+    g_free(h->data);
+}
+
+/* Frees a timer that belongs to no structure. */
+static void
+free_timer(uv_handle_t *h)
+{
+    g_free(h);
+}
+
+/* Ends the timer that limits the connection attempt. */
+static void
+stop_connect_timer(struct bb_stream *s)
+{
+    if (s->connect_timer != NULL) {
+        uv_close((uv_handle_t *)s->connect_timer, free_timer);
+        s->connect_timer = NULL;
+    }
+}
+
+/* Tells the owner that the connection is over. */
+static void
+report_end(struct bb_stream *s, int status)
+{
+    if (s->is_closed) {
+        return;
+    }
+    if (s->is_finishing || s->events == NULL) {
+        bb_stream_close(s);
+        return;
+    }
+    s->events->ended(s->context, status);
+}
+
+/* Sets the options that detect a peer that is gone. */
+static void
+set_options(struct bb_stream *s)
+{
+    int fd = -1;
+    unsigned unacked_ms = BB_STREAM_UNACKED_MS;
+    int on = 1;
+    int idle_s = BB_STREAM_KEEPALIVE_IDLE_S;
+    int interval_s = BB_STREAM_KEEPALIVE_INTERVAL_S;
+    int probes = BB_STREAM_KEEPALIVE_PROBES;
+
+    (void)uv_tcp_nodelay(&s->tcp, 1);
+    if (uv_fileno((uv_handle_t *)&s->tcp, &fd) != 0) {
+        return;
+    }
+    /* Best effort: deadlines still bound every call without them. */
+    (void)setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked_ms,
+                     sizeof(unacked_ms));
+    (void)setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+    (void)setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle_s, sizeof(idle_s));
+    (void)setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval_s,
+                     sizeof(interval_s));
+    (void)setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+}
+
+static void
+give_buffer(uv_handle_t *h, size_t suggested, uv_buf_t *out)
+{
+    (void)h;
+    (void)suggested;
+    *out = uv_buf_init(read_buffer, sizeof(read_buffer));
+}
+
+/* Passes received bytes on, or the end of the connection. */
+static void
+take_data(uv_stream_t *h, ssize_t n, const uv_buf_t *buffer)
+{
+    struct bb_stream *s = h->data;
+
+    if (n == 0 || s->is_closed) {
+        return;
+    }
+    if (n < 0) {
+        (void)uv_read_stop(h);
+        report_end(s, n == UV_EOF ? 0 : (int)n);
+        return;
+    }
+    if (s->events != NULL && !s->is_finishing) {
+        s->events->data(s->context, buffer->base, (size_t)n);
+    }
+}
+
+/* Starts reading on an established connection. */
+static void
+start_reading(struct bb_stream *s)
+{
+    s->is_connected = true;
+    set_options(s);
+    (void)uv_read_start((uv_stream_t *)&s->tcp, give_buffer, take_data);
+}
+
+static void
+end_connect(uv_connect_t *request, int status)
+{
+    struct bb_stream *s = request->handle->data;
+
+    if (s->is_closed) {
+        return;
+    }
+    stop_connect_timer(s);
+    if (status != 0) {
+        report_end(s, status);
+        return;
+    }
+    start_reading(s);
+    if (s->events->connected != NULL) {
+        s->events->connected(s->context);
+    }
+}
+
+static void
+end_connect_time(uv_timer_t *t)
+{
+    struct bb_stream *s = t->data;
+
+    stop_connect_timer(s);
+    report_end(s, UV_ETIMEDOUT);
+}
+
+/* Creates the handle of a connection. */
+static struct bb_stream *
+create_stream(uv_loop_t *loop)
+{
+    struct bb_stream *s = g_new0(struct bb_stream, 1);
+
+    (void)uv_tcp_init(loop, &s->tcp);
+    s->tcp.data = s;
+    return s;
+}
+
+/* Opens a connection; `ended` reports a failure, also of the time limit.
+ * Returns NULL if no socket is to be had at all. */
+struct bb_stream *
+bb_stream_connect(uv_loop_t *loop, const struct bb_address *to,
+                  uint32_t timeout_ms, const struct bb_stream_events *events,
+                  void *context)
+{
+    struct sockaddr_storage address;
+    struct bb_stream *s = create_stream(loop);
+
+    s->events = events;
+    s->context = context;
+    if (bb_address_sockaddr(to, &address) == 0 ||
+        uv_tcp_connect(&s->connect, &s->tcp, (struct sockaddr *)&address,
+                       end_connect) != 0) {
+        bb_stream_close(s);
+        return NULL;
+    }
+    s->connect_timer = g_new0(uv_timer_t, 1);
+    (void)uv_timer_init(loop, s->connect_timer);
+    s->connect_timer->data = s;
+    (void)uv_timer_start(s->connect_timer, end_connect_time, timeout_ms, 0);
+    return s;
+}
+
+/* Sets who receives the events of an accepted connection. */
+void
+bb_stream_attach(struct bb_stream *s, const struct bb_stream_events *events,
+                 void *context)
+{
+    s->events = events;
+    s->context = context;
+}
+
+static void
+end_write(uv_write_t *request, int status)
+{
+    struct write_request *w = (struct write_request *)request;
+    struct bb_stream *s = w->stream;
+
+    if (status != UV_ECANCELED && !s->is_closed) {
+        s->queued_bytes -= w->size_bytes;
+        if (status != 0) {
+            report_end(s, status);
+        }
+        else if (s->queued_bytes == 0 && s->is_finishing) {
+            bb_stream_close(s);
+        }
+        else if (s->queued_bytes == 0 && s->events != NULL &&
+                 s->events->drained != NULL) {
+            s->events->drained(s->context);
+        }
+    }
+    g_free(w);
+}
+
+/* Writes at once as much as the socket takes and queues a copy of the rest.
+ * A failure is reported by `ended`, never from within this call. */
+void
+bb_stream_write(struct bb_stream *s, const void *data, size_t size_bytes)
+{
+    size_t done = 0;
+    struct write_request *w;
+    uv_buf_t buffer;
+
+    if (s->is_connected && s->queued_bytes == 0) {
+        uv_buf_t now = uv_buf_init((char *)data, (unsigned)size_bytes);
+        int n = uv_try_write((uv_stream_t *)&s->tcp, &now, 1);
+
+        done = n > 0 ? (size_t)n : 0;
+    }
+    if (done == size_bytes) {
+        return;
+    }
+    w = g_malloc(sizeof(*w) + size_bytes - done);
+    w->stream = s;
+    w->size_bytes = size_bytes - done;
+    memcpy(w->data, (const char *)data + done, w->size_bytes);
+    s->queued_bytes += w->size_bytes;
+    buffer = uv_buf_init(w->data, (unsigned)w->size_bytes);
+    if (uv_write(&w->request, (uv_stream_t *)&s->tcp, &buffer, 1, end_write) !=
+        0) {
+        s->queued_bytes -= w->size_bytes;
+        g_free(w);
+    }
+}
+
+/* Returns how many bytes wait for the socket. */
+size_t
+bb_stream_queued_bytes(const struct bb_stream *s)
+{
+    return s->queued_bytes;
+}
+
+/* Stops reading until bb_stream_resume, so that the peer has to wait. */
+void
+bb_stream_pause(struct bb_stream *s)
+{
+    if (!s->is_paused && s->is_connected) {
+        s->is_paused = true;
+        (void)uv_read_stop((uv_stream_t *)&s->tcp);
+    }
+}
+
+/* Continues reading after bb_stream_pause. */
+void
+bb_stream_resume(struct bb_stream *s)
+{
+    if (s->is_paused && !s->is_closed) {
+        s->is_paused = false;
+        (void)uv_read_start((uv_stream_t *)&s->tcp, give_buffer, take_data);
+    }
+}
+
+/* Closes the connection once all written bytes are out. The owner must not
+ * use the stream afterwards. Reading goes on, as unread bytes would turn the
+ * close into a reset that can overtake the last answer. */
+void
+bb_stream_finish(struct bb_stream *s)
+{
+    s->events = NULL;
+    s->is_finishing = true;
+    if (s->queued_bytes == 0) {
+        bb_stream_close(s);
+        return;
+    }
+    bb_stream_resume(s);
+}
+
+/* Closes the connection; what is still queued is dropped. */
+void
+bb_stream_close(struct bb_stream *s)
+{
+    if (s->is_closed) {
+        return;
+    }
+    s->is_closed = true;
+    stop_connect_timer(s);
+    uv_close((uv_handle_t *)&s->tcp, free_stream);
+}
+
+/* Closes the connection by a reset, which also reaches a peer that does not
+ * read. */
+void
+bb_stream_reset(struct bb_stream *s)
+{
+    if (s->is_closed) {
+        return;
+    }
+    if (s->is_connected && uv_tcp_close_reset(&s->tcp, free_stream) == 0) {
+        s->is_closed = true;
+        stop_connect_timer(s);
+        return;
+    }
+    bb_stream_close(s);
+}
+
+static void
+take_connection(uv_stream_t *h, int status)
+{
+    struct bb_listener *l = h->data;
+    struct bb_stream *s;
+
+    if (status != 0) {
+        return;
+    }
+    s = create_stream(h->loop);
+    if (uv_accept(h, (uv_stream_t *)&s->tcp) != 0) {
+        bb_stream_close(s);
+        return;
+    }
+    l->accept(l->context, s);
+    if (!s->is_closed) {
+        start_reading(s);
+    }
+}
+
+static void
+free_listener(uv_handle_t *h)
+{
+    g_free(h->data);
+}
+
+/* Listens on an address; returns NULL and an error if that fails. */
+struct bb_listener *
+bb_listener_create(uv_loop_t *loop, const struct bb_address *at,
+                   bb_accept accept, void *context, struct bb_error *e)
+{
+    char text[BB_ADDRESS_TEXT_BYTES];
+    struct sockaddr_storage address;
+    struct bb_listener *l = g_new0(struct bb_listener, 1);
+    int status;
+
+    (void)uv_tcp_init(loop, &l->tcp);
+    l->tcp.data = l;
+    l->accept = accept;
+    l->context = context;
+    (void)bb_address_sockaddr(at, &address);
+    status = uv_tcp_bind(&l->tcp, (struct sockaddr *)&address, 0);
+    if (status == 0) {
+        status = uv_listen((uv_stream_t *)&l->tcp, BB_STREAM_BACKLOG,
+                           take_connection);
+    }
+    if (status != 0) {
+        (void)bb_error_set(e, BB_NET_ERROR_LISTEN, "cannot listen on %s: %s",
+                           bb_address_text(at, text), uv_strerror(status));
+        bb_listener_destroy(l);
+        return NULL;
+    }
+    return l;
+}
+
+/* Stops listening; NULL is allowed. */
+void
+bb_listener_destroy(struct bb_listener *l)
+{
+    if (l != NULL) {
+        uv_close((uv_handle_t *)&l->tcp, free_listener);
+    }
+}
--- /dev/null
+++ b/path/attempt.c
@@ -0,0 +1,576 @@
+/* Tries of one request at gates: which gate, what its answer means, and
+ * whether another try follows. */
+#include <stdio.h>
+#include <string.h>
+
+#include "common/clock.h"
+#include "common/counters.h"
+#include "entry_internal.h"
+#include "path/gate.h"
+
+BB_COUNTER(tries_total, "baobab_entry_tries_total", "Sends to gates");
+BB_COUNTER(repeats_total, "baobab_entry_repeats_total",
+           "Requests sent again after they may have reached an upstream");
+BB_COUNTER(no_budget_total, "baobab_entry_no_budget_total",
+           "Repeats left out because the retry budget was spent");
+BB_COUNTER(far_total, "baobab_entry_far_total",
+           "Sends to gates in another region");
+
+enum {
+    /* A gate that is not chosen for this many microseconds of expected wait
+     * less is not worth a refused try. */
+    PROBE_GAIN_US = 10 * 1000
+};
+
+static bool
+is_in(char list[BB_ENTRY_TRIES_MAX][BB_ADDRESS_TEXT_BYTES], uint32_t count,
+      const char *text)
+{
+    for (uint32_t i = 0; i < count; i++) {
+        if (strcmp(list[i], text) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+add_to(char list[BB_ENTRY_TRIES_MAX][BB_ADDRESS_TEXT_BYTES], uint32_t *count,
+       const char *text)
+{
+    if (*count < BB_ENTRY_TRIES_MAX) {
+        g_strlcpy(list[(*count)++], text, BB_ADDRESS_TEXT_BYTES);
+    }
+}
+
+/* Lists the gates that this call may still use; returns how many. */
+static uint32_t
+list_gates(struct call *c, struct bb_gate_entry **gates,
+           const struct bb_gate_view **views)
+{
+    uint32_t n = 0;
+
+    for (guint i = 0; i < c->service->gates->len && n < BB_DIRECTORY_GATES_MAX;
+         i++) {
+        struct bb_gate_entry *g = g_ptr_array_index(c->service->gates, i);
+
+        if (!is_in(c->left_out, c->left_out_count, g->text)) {
+            gates[n] = g;
+            views[n++] = &g->view;
+        }
+    }
+    return n;
+}
+
+/* Returns fresh random bits. */
+static uint64_t
+random_bits(void)
+{
+    return ((uint64_t)g_random_int() << 32) | g_random_int();
+}
+
+/* Chooses the next gate, and whether the request may wait there: only where
+ * no other gate that has not refused it yet promises less. */
+static struct bb_gate_entry *
+choose_gate(struct call *c, uint64_t now_us)
+{
+    struct bb_gate_entry *gates[BB_DIRECTORY_GATES_MAX];
+    const struct bb_gate_view *views[BB_DIRECTORY_GATES_MAX];
+    uint32_t n = list_gates(c, gates, views);
+    struct bb_balance_request r = {.may_leave_region = true};
+    int32_t best = bb_balance_pick(views, n, &r, random_bits(), now_us);
+    struct bb_gate_entry *g;
+    bool has_other = false;
+
+    if (best < 0) {
+        return NULL;
+    }
+    g = gates[best];
+    for (uint32_t i = 0; i < n; i++) {
+        has_other =
+            has_other ||
+            (gates[i] != g && views[i]->is_ready &&
+             now_us >= views[i]->suspended_until_us &&
+             views[i]->distance <= MAX(g->view.distance, BB_SAME_REGION) &&
+             !is_in(c->seen_full, c->seen_full_count, gates[i]->text) &&
+             bb_balance_wait_us(views[i], now_us) < PROBE_GAIN_US);
+    }
+    c->is_waiting_allowed = !has_other ||
+                            is_in(c->seen_full, c->seen_full_count, g->text) ||
+                            c->tries + 2 >= BB_ENTRY_TRIES_MAX;
+    return g;
+}
+
+/* Gives the present gate back after a try. */
+void
+call_leave_gate(struct call *c)
+{
+    struct bb_gate_entry *g =
+        bb_directory_gate(c->entry->settings.directory, c->gate);
+
+    if (g != NULL && g->view.in_flight > 0) {
+        g->view.in_flight--;
+    }
+}
+
+/* Returns the time kept for the way back from a gate. */
+static uint64_t
+return_us(const struct bb_gate_entry *g)
+{
+    switch (g->view.distance) {
+    case BB_SAME_ZONE:
+        return (uint64_t)BB_ENTRY_RETURN_ZONE_MS * BB_US_PER_MS;
+    case BB_SAME_REGION:
+        return (uint64_t)BB_ENTRY_RETURN_REGION_MS * BB_US_PER_MS;
+    case BB_OTHER_REGION:
+        break;
+    }
+    return (uint64_t)BB_ENTRY_RETURN_FAR_MS * BB_US_PER_MS;
+}
+
+/* Returns whether a request comes from the upstream of this host: then it is
+ * a call of a request that holds a slot already. */
+static bool
+is_nested(const struct call *c)
+{
+    return c->rule->rank == 0;
+}
+
+/* Writes the head of the request for a gate. */
+static GString *
+build_head(const struct call *c, const struct bb_gate_entry *g,
+           uint64_t left_us, uint64_t now_us)
+{
+    const struct bb_entry_settings *s = &c->entry->settings;
+    const struct bb_dialect_fields *names = &s->dialect->fields;
+    const char *const without[] = {names->deadline_ms, names->caller_service,
+                                   names->expect_instance, NULL};
+    uint64_t aim_us = c->aim_us > now_us ? c->aim_us - now_us : 0;
+    GString *head = g_string_sized_new(512);
+
+    (void)g;
+    bb_forward_request_line(&c->exchange->head, head);
+    bb_forward_fields(&c->exchange->head, without, head);
+    g_string_append_printf(
+        head,
+        "%s: %" G_GUINT64_FORMAT "\r\n%s: %s\r\n" BB_FIELD_CALL
+        ": %s %u %u %s%s-\r\n",
+        names->deadline_ms, left_us / BB_US_PER_MS, names->caller_service,
+        s->service, c->service->name, c->rule->rank,
+        (unsigned)(aim_us / BB_US_PER_MS), c->is_waiting_allowed ? "w" : "",
+        is_nested(c) ? "n" : "");
+    bb_forward_length(c->exchange, head);
+    g_string_append(head, "\r\n");
+    return head;
+}
+
+/* Reads the load that a gate reports. */
+static void
+take_load(struct call *c, const struct bb_head *h)
+{
+    struct bb_gate_entry *g =
+        bb_directory_gate(c->entry->settings.directory, c->gate);
+    const char *text = bb_head_get(h, BB_FIELD_LOAD);
+    unsigned running = 0;
+    unsigned queued = 0;
+    unsigned slots = 0;
+    unsigned service_us = 0;
+    unsigned failing = 0;
+
+    if (g == NULL || text == NULL ||
+        sscanf(text, "%u %u %u %u %u", &running, &queued, &slots, &service_us,
+               &failing) != 5) {
+        return;
+    }
+    bb_gate_view_report(&g->view, running, queued, slots, service_us, failing,
+                        bb_clock_now_us());
+    bb_gate_view_reached(&g->view);
+}
+
+static bool
+take_head(void *context, const struct bb_head *h)
+{
+    struct call *c = context;
+    const struct bb_dialect_fields *names =
+        &c->entry->settings.dialect->fields;
+
+    take_load(c, h);
+    c->is_refused = bb_head_get(h, BB_FIELD_REFUSED) != NULL;
+    c->is_failed = bb_head_get(h, BB_FIELD_FAILED) != NULL;
+    c->is_not_run = bb_head_get(h, names->not_run) != NULL ||
+                    (h->status == 421 && !c->is_refused);
+    c->is_sealed = bb_head_get(h, names->seal) != NULL;
+    if (c->is_refused || c->is_failed) {
+        const char *reason =
+            bb_head_get(h, c->is_refused ? BB_FIELD_REFUSED : BB_FIELD_FAILED);
+
+        bb_event_append(c->lines, "entry.gate_said", c->id,
+                        "\"gate\":\"%s\",\"%s\":\"%s\",\"load\":\"%s\"",
+                        c->gate, c->is_refused ? "refused" : "failed", reason,
+                        bb_head_get(h, BB_FIELD_LOAD) != NULL
+                            ? bb_head_get(h, BB_FIELD_LOAD)
+                            : "");
+        if (c->is_refused && strcmp(reason, "full") == 0) {
+            add_to(c->seen_full, &c->seen_full_count, c->gate);
+        }
+        else {
+            add_to(c->left_out, &c->left_out_count, c->gate);
+        }
+    }
+    bb_relay_take_head(&c->relay, h, c->exchange->head.method == HTTP_HEAD);
+    return true;
+}
+
+static void
+take_body(void *context, const char *data, size_t size_bytes)
+{
+    struct call *c = context;
+
+    if (bb_relay_take_body(&c->relay, c->exchange, data, size_bytes) &&
+        bb_exchange_queued_bytes(c->exchange) > BB_STREAM_HIGH_WATER_BYTES) {
+        bb_fetch_pause(c->fetch);
+    }
+}
+
+/* Says what a finished try means. */
+static enum try_result
+classify(const struct call *c, enum bb_fetch_result result)
+{
+    bool is_success = c->relay.status >= 200 && c->relay.status < 300;
+
+    switch (result) {
+    case BB_FETCH_NOT_CONNECTED:
+        return TRY_UNREACHABLE;
+    case BB_FETCH_LOST:
+    case BB_FETCH_TRUNCATED:
+    case BB_FETCH_GARBLED:
+        return TRY_UNKNOWN;
+    case BB_FETCH_COMPLETE:
+        break;
+    }
+    if (c->is_refused) {
+        return TRY_REFUSED;
+    }
+    if (c->is_not_run) {
+        return TRY_NOT_RUN;
+    }
+    if (c->is_failed || (is_success && !c->is_sealed)) {
+        return TRY_UNKNOWN;
+    }
+    return TRY_ANSWER;
+}
+
+static const char *
+try_result_name(enum try_result r)
+{
+    static const char *const names[] = {"answer", "refused", "not_run",
+                                        "unreachable", "unknown"};
+
+    return names[r];
+}
+
+/* Returns whether there is time for another try. */
+static bool
+has_time(const struct call *c)
+{
+    return bb_clock_now_us() + (uint64_t)BB_ENTRY_LEAST_MS * BB_US_PER_MS <
+           c->deadline_us;
+}
+
+/* Returns after how long a refused caller should come back: when the best
+ * gate expects a free slot, spread so that callers do not return together. */
+static uint32_t
+retry_after_ms(struct call *c)
+{
+    uint64_t now_us = bb_clock_now_us();
+    uint64_t best_us = UINT64_MAX;
+    uint64_t ms;
+
+    for (guint i = 0; i < c->service->gates->len; i++) {
+        const struct bb_gate_entry *g =
+            g_ptr_array_index(c->service->gates, i);
+
+        if (g->view.is_ready) {
+            best_us = MIN(best_us, bb_balance_wait_us(&g->view, now_us));
+        }
+    }
+    ms = CLAMP(best_us / BB_US_PER_MS, (uint64_t)BB_ENTRY_RETRY_MIN_MS,
+               (uint64_t)BB_ENTRY_RETRY_MAX_MS);
+    return (uint32_t)(ms + random_bits() % (ms / 2 + 1));
+}
+
+/* Keeps a failure of an upstream while another try is made. */
+static void
+hold_answer(struct call *c)
+{
+    if (c->has_held_answer) {
+        bb_relay_clear(&c->held);
+    }
+    c->held = c->relay;
+    c->has_held_answer = true;
+    bb_relay_init(&c->relay);
+}
+
+/* Passes the kept failure of an upstream on. */
+void
+call_deliver_held(struct call *c)
+{
+    bb_relay_clear(&c->relay);
+    c->relay = c->held;
+    c->has_held_answer = false;
+    call_deliver(c);
+}
+
+/* Answers a call for which there is no further try. */
+static void
+give_up(struct call *c, const char *reason)
+{
+    if (c->has_held_answer) {
+        call_deliver_held(c);
+    }
+    else if (c->may_have_run) {
+        call_answer(c, 502, reason, 0);
+    }
+    else {
+        call_answer(c, 503, reason, retry_after_ms(c));
+    }
+}
+
+/* Decides whether a request that reached an upstream may be sent to another
+ * one. Follows from the route: what may run twice, and on how many. */
+static bool
+may_repeat(struct call *c, bool has_run)
+{
+    if ((has_run && !c->rule->is_idempotent) ||
+        c->attempts >= c->rule->attempts || c->is_long || !has_time(c)) {
+        return false;
+    }
+    if (!bb_retry_window_take(&c->service->retries,
+                              &c->entry->settings.retries,
+                              bb_clock_now_us())) {
+        bb_counter_add(&no_budget_total, 1);
+        bb_event_append(c->lines, "entry.no_budget", c->id,
+                        "\"service\":\"%s\"", c->service->name);
+        return false;
+    }
+    bb_counter_add(&repeats_total, 1);
+    return true;
+}
+
+/* Tries another gate after one that did not send the request on. The start of
+ * a long body is no longer here. */
+static void
+try_elsewhere(struct call *c)
+{
+    if (c->is_long || !has_time(c)) {
+        give_up(c, c->is_long ? "long_body" : "late");
+        return;
+    }
+    call_try(c);
+}
+
+/* Goes on after a try that brought a whole answer of the upstream. */
+static void
+take_answer(struct call *c)
+{
+    if (c->relay.status >= 500 && may_repeat(c, true)) {
+        hold_answer(c);
+        add_to(c->left_out, &c->left_out_count, c->gate);
+        call_try(c);
+        return;
+    }
+    call_deliver(c);
+}
+
+static void
+take_done(void *context, enum bb_fetch_result result)
+{
+    struct call *c = context;
+    struct bb_gate_entry *g =
+        bb_directory_gate(c->entry->settings.directory, c->gate);
+    enum try_result r = classify(c, result);
+
+    c->fetch = NULL;
+    call_leave_gate(c);
+    if (r != TRY_ANSWER || c->relay.status >= 500) {
+        bb_event_append(c->lines, "entry.try_ended", c->id,
+                        "\"gate\":\"%s\",\"result\":\"%s\",\"fetch\":\"%s\","
+                        "\"status\":%u,\"took_us\":%" G_GUINT64_FORMAT,
+                        c->gate, try_result_name(r),
+                        bb_fetch_result_name(result), c->relay.status,
+                        bb_clock_now_us() - c->try_started_us);
+    }
+    if (c->relay.is_streaming) {
+        if (result == BB_FETCH_COMPLETE) {
+            call_deliver(c);
+            return;
+        }
+        bb_event_append(c->lines, "entry.broken_off", c->id,
+                        "\"reason\":\"%s\"", bb_fetch_result_name(result));
+        bb_exchange_abort(c->exchange);
+        call_destroy(c, BB_EVENT_FAILURE);
+        return;
+    }
+    switch (r) {
+    case TRY_ANSWER:
+        c->attempts++;
+        c->may_have_run = true;
+        take_answer(c);
+        return;
+    case TRY_REFUSED:
+        try_elsewhere(c);
+        return;
+    case TRY_NOT_RUN:
+        c->attempts++;
+        add_to(c->left_out, &c->left_out_count, c->gate);
+        if (may_repeat(c, false)) {
+            call_try(c);
+            return;
+        }
+        give_up(c, "upstream_refused");
+        return;
+    case TRY_UNREACHABLE:
+        if (g != NULL) {
+            bb_gate_view_unreachable(&g->view, bb_clock_now_us());
+        }
+        add_to(c->left_out, &c->left_out_count, c->gate);
+        try_elsewhere(c);
+        return;
+    case TRY_UNKNOWN:
+        c->attempts++;
+        c->may_have_run = true;
+        if (result != BB_FETCH_COMPLETE && g != NULL) {
+            bb_gate_view_unreachable(&g->view, bb_clock_now_us());
+        }
+        add_to(c->left_out, &c->left_out_count, c->gate);
+        if (may_repeat(c, true)) {
+            call_try(c);
+            return;
+        }
+        give_up(c, "lost");
+        return;
+    }
+}
+
+/* Sends what has arrived of a long request body. */
+void
+call_send_more(struct call *c)
+{
+    struct bb_exchange *x = c->exchange;
+    bool is_last = x->is_body_complete;
+
+    if (c->is_chunked) {
+        GString *framed = g_string_new(NULL);
+
+        if (x->body->len > 0) {
+            bb_forward_chunk(x->body->str, x->body->len, framed);
+        }
+        if (is_last) {
+            bb_forward_chunk(NULL, 0, framed);
+        }
+        bb_fetch_send_body(c->fetch, framed->str, framed->len, is_last);
+        g_string_free(framed, TRUE);
+    }
+    else {
+        bb_fetch_send_body(c->fetch, x->body->str, x->body->len, is_last);
+    }
+    g_string_truncate(x->body, 0);
+    if (bb_fetch_queued_bytes(c->fetch) > BB_STREAM_HIGH_WATER_BYTES) {
+        bb_exchange_pause(x);
+    }
+}
+
+static void
+take_drained(void *context)
+{
+    struct call *c = context;
+
+    bb_exchange_resume(c->exchange);
+}
+
+static const struct bb_fetch_events fetch_events = {.head = take_head,
+                                                    .body = take_body,
+                                                    .done = take_done,
+                                                    .drained = take_drained};
+
+/* Notes the gate that was chosen and what was known of it. */
+static void
+note_try(struct call *c, const struct bb_gate_entry *g, uint64_t now_us)
+{
+    bb_event_append(
+        c->lines, "entry.try", c->id,
+        "\"gate\":\"%s\",\"instance\":\"%s\",\"distance\":%u,"
+        "\"may_wait\":%s,\"running\":%u,\"queued\":%u,\"slots\":%u,"
+        "\"in_flight\":%u,\"failing\":%u,\"report_age_ms\":%d",
+        g->text, g->instance, g->view.distance,
+        c->is_waiting_allowed ? "true" : "false", g->view.running,
+        g->view.queued, g->view.slots, g->view.in_flight,
+        g->view.failing_permille,
+        g->view.reported_us != 0
+            ? (int)((now_us - g->view.reported_us) / BB_US_PER_MS)
+            : -1);
+}
+
+/* Sends the request to the best gate left, or answers it. */
+void
+call_try(struct call *c)
+{
+    uint64_t now_us = bb_clock_now_us();
+    struct bb_gate_entry *g =
+        c->tries < BB_ENTRY_TRIES_MAX ? choose_gate(c, now_us) : NULL;
+    struct bb_exchange *x = c->exchange;
+    struct bb_fetch_request r = {0};
+    GString *head;
+    uint64_t left_us;
+
+    if (g == NULL) {
+        give_up(c,
+                c->service->gates->len == 0 ? "no_upstream" : "no_gate_left");
+        return;
+    }
+    left_us = c->deadline_us - MIN(c->deadline_us, now_us + return_us(g));
+    if (left_us < BB_US_PER_MS) {
+        give_up(c, "late");
+        return;
+    }
+    note_try(c, g, now_us);
+    c->tries++;
+    c->is_refused = false;
+    c->is_failed = false;
+    c->is_not_run = false;
+    c->is_sealed = false;
+    bb_relay_reset(&c->relay);
+    c->is_long = c->is_long || !x->is_body_complete;
+    c->is_chunked = bb_forward_is_chunked(x);
+    g_strlcpy(c->gate, g->text, sizeof(c->gate));
+    c->try_started_us = now_us;
+    head = build_head(c, g, left_us, now_us);
+    r = (struct bb_fetch_request){
+        .to = g->at,
+        .head = head,
+        .is_body_complete = x->is_body_complete,
+        .is_head_method = x->head.method == HTTP_HEAD,
+    };
+    if (!c->is_chunked) {
+        r.body = x->body->str;
+        r.body_bytes = x->body->len;
+    }
+    bb_counter_add(&tries_total, 1);
+    if (g->view.distance == BB_OTHER_REGION) {
+        bb_counter_add(&far_total, 1);
+    }
+    c->fetch = bb_fetch_start(c->entry->pool, &r, &fetch_events, c);
+    g_string_free(head, TRUE);
+    if (c->fetch == NULL) {
+        add_to(c->left_out, &c->left_out_count, c->gate);
+        give_up(c, "no_socket");
+        return;
+    }
+    g->view.in_flight++;
+    if (c->is_chunked) {
+        call_send_more(c);
+    }
+    else if (c->is_long) {
+        g_string_truncate(x->body, 0);
+    }
+}
--- /dev/null
+++ b/path/directory.c
@@ -0,0 +1,159 @@
+/* Gates by service. */
+#include "path/directory.h"
+
+#include <string.h>
+
+struct bb_directory {
+    char *zone;
+    char *region;
+    GHashTable *gates;    /* address text to struct bb_gate_entry */
+    GHashTable *services; /* name to struct bb_service_entry */
+};
+
+static void
+free_gate(void *data)
+{
+    struct bb_gate_entry *g = data;
+
+    g_free(g->text);
+    g_free(g->service);
+    g_free(g->instance);
+    g_free(g);
+}
+
+static void
+free_service(void *data)
+{
+    struct bb_service_entry *s = data;
+
+    g_ptr_array_free(s->gates, TRUE);
+    g_free(s->name);
+    g_free(s);
+}
+
+/* Creates an empty directory for a node in a zone. */
+struct bb_directory *
+bb_directory_create(const char *zone, const char *region)
+{
+    struct bb_directory *d = g_new0(struct bb_directory, 1);
+
+    d->zone = g_strdup(zone);
+    d->region = g_strdup(region);
+    d->gates = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_gate);
+    d->services =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_service);
+    return d;
+}
+
+/* Frees a directory; NULL is allowed. */
+void
+bb_directory_destroy(struct bb_directory *d)
+{
+    if (d != NULL) {
+        g_hash_table_destroy(d->services);
+        g_hash_table_destroy(d->gates);
+        g_free(d->zone);
+        g_free(d->region);
+        g_free(d);
+    }
+}
+
+/* Returns a service, which is created when first asked for. */
+struct bb_service_entry *
+bb_directory_service(struct bb_directory *d, const char *name)
+{
+    struct bb_service_entry *s = g_hash_table_lookup(d->services, name);
+
+    if (s == NULL) {
+        s = g_new0(struct bb_service_entry, 1);
+        s->name = g_strdup(name);
+        s->gates = g_ptr_array_new();
+        g_hash_table_insert(d->services, s->name, s);
+    }
+    return s;
+}
+
+/* Returns a gate by its address, or NULL. */
+struct bb_gate_entry *
+bb_directory_gate(struct bb_directory *d, const char *text)
+{
+    return g_hash_table_lookup(d->gates, text);
+}
+
+/* Returns how many nodes are known. */
+uint32_t
+bb_directory_count(const struct bb_directory *d)
+{
+    return g_hash_table_size(d->gates);
+}
+
+/* Returns how far away a node is. */
+static enum bb_distance
+distance_to(const struct bb_directory *d, const fleet_instance *i)
+{
+    if (strcmp(d->zone, i->zone) == 0) {
+        return BB_SAME_ZONE;
+    }
+    return strcmp(d->region, i->region) == 0 ? BB_SAME_REGION
+                                             : BB_OTHER_REGION;
+}
+
+/* Adds a gate that was not known. */
+static struct bb_gate_entry *
+add_gate(struct bb_directory *d, const fleet_instance *i)
+{
+    struct bb_gate_entry *g = g_new0(struct bb_gate_entry, 1);
+
+    if (!bb_address_parse(i->gate, &g->at)) {
+        g_free(g);
+        return NULL;
+    }
+    g->text = g_strdup(i->gate);
+    g->service = g_strdup("");
+    g->instance = g_strdup("");
+    g_hash_table_insert(d->gates, g->text, g);
+    return g;
+}
+
+/* Takes an announcement. What was learned of an earlier upstream or an
+ * earlier run of the node there is forgotten. */
+void
+bb_directory_update(struct bb_directory *d, const fleet_instance *i,
+                    uint64_t now_us)
+{
+    struct bb_gate_entry *g = g_hash_table_lookup(d->gates, i->gate);
+
+    if (g == NULL) {
+        g = add_gate(d, i);
+    }
+    if (g == NULL) {
+        return;
+    }
+    if (strcmp(g->service, i->service) != 0) {
+        if (g->service[0] != '\0') {
+            (void)g_ptr_array_remove(
+                bb_directory_service(d, g->service)->gates, g);
+        }
+        if (i->service[0] != '\0') {
+            g_ptr_array_add(bb_directory_service(d, i->service)->gates, g);
+        }
+        g_free(g->service);
+        g->service = g_strdup(i->service);
+    }
+    if (strcmp(g->instance, i->id) != 0 || g->epoch != i->epoch) {
+        uint32_t in_flight = g->view.in_flight;
+
+        g->view = (struct bb_gate_view){.in_flight = in_flight};
+        g_free(g->instance);
+        g->instance = g_strdup(i->id);
+        g->epoch = i->epoch;
+    }
+    g->view.distance = distance_to(d, i);
+    g->view.is_ready = i->state == BB_INSTANCE_READY;
+    g->view.slots = i->slots;
+    g->view.cold_until_us =
+        i->cold_ms != 0 ? now_us + (uint64_t)i->cold_ms * 1000 : 0;
+    if (g->view.is_ready) {
+        bb_gate_view_reached(&g->view);
+    }
+}
--- /dev/null
+++ b/path/entry.c
@@ -0,0 +1,373 @@
+/* The entry for the callers of one host. */
+#include "path/entry.h"
+
+#include <stdio.h>
+#include <string.h>
+#include <strings.h>
+
+#include "common/clock.h"
+#include "common/counters.h"
+#include "common/event_log.h"
+#include "common/log.h"
+#include "entry_internal.h"
+
+BB_COUNTER(requests_total, "baobab_entry_requests_total",
+           "Requests of callers on this host");
+BB_COUNTER(answered_total, "baobab_entry_answered_total",
+           "Answers of upstreams passed on");
+BB_COUNTER(gone_total, "baobab_entry_gone_total",
+           "Requests whose caller left before the answer");
+BB_COUNTER(refused_total, "baobab_entry_refused_total",
+           "Requests answered as not run");
+BB_COUNTER(unknown_total, "baobab_entry_unknown_total",
+           "Requests answered with an unknown outcome");
+BB_COUNTER(late_total, "baobab_entry_late_total",
+           "Requests that reached their deadline");
+BB_COUNTER(no_route_total, "baobab_entry_no_route_total",
+           "Requests without a route");
+
+/* Answers a request by this node itself. */
+void
+call_answer(struct call *c, uint32_t status, const char *reason,
+            uint32_t retry_ms)
+{
+    GString *fields = g_string_new(NULL);
+
+    g_string_append_printf(fields, BB_FIELD_REASON ": %s\r\n", reason);
+    if (retry_ms != 0) {
+        g_string_append_printf(fields, "Retry-After: %u.%03u\r\n",
+                               retry_ms / 1000, retry_ms % 1000);
+    }
+    if (status == 503) {
+        bb_counter_add(&refused_total, 1);
+    }
+    else if (status == 502) {
+        bb_counter_add(&unknown_total, 1);
+    }
+    else if (status == 504) {
+        bb_counter_add(&late_total, 1);
+    }
+    bb_event_append(
+        c->lines, "entry.answered", c->id,
+        "\"status\":%u,\"reason\":\"%s\",\"attempts\":%u,"
+        "\"tries\":%u,\"may_have_run\":%s,\"took_us\":%" G_GUINT64_FORMAT
+        ",\"retry_ms\":%u",
+        status, reason, c->attempts, c->tries,
+        c->may_have_run ? "true" : "false",
+        bb_clock_now_us() - c->exchange->arrived_us, retry_ms);
+    bb_exchange_answer(c->exchange, status, fields, NULL, 0);
+    g_string_free(fields, TRUE);
+    call_destroy(c, BB_EVENT_FAILURE);
+}
+
+/* Passes the collected answer of an upstream on. */
+void
+call_deliver(struct call *c)
+{
+    bool is_plain = c->relay.status < 500 && c->tries == 1;
+
+    bb_counter_add(&answered_total, 1);
+    if (!is_plain) {
+        bb_event_append(
+            c->lines, "entry.answered", c->id,
+            "\"status\":%u,\"reason\":\"upstream\",\"attempts\":%u,"
+            "\"tries\":%u,\"took_us\":%" G_GUINT64_FORMAT,
+            c->relay.status, c->attempts, c->tries,
+            bb_clock_now_us() - c->exchange->arrived_us);
+    }
+    else {
+        g_string_truncate(c->lines, 0);
+    }
+    bb_relay_finish(&c->relay, c->exchange);
+    call_destroy(c, c->relay.status >= 500 ? BB_EVENT_FAILURE
+                                           : BB_EVENT_ORDINARY);
+}
+
+static void
+free_call(uv_handle_t *h)
+{
+    struct call *c = h->data;
+
+    bb_relay_clear(&c->relay);
+    g_string_free(c->lines, TRUE);
+    bb_rules_unref(c->rules);
+    g_free(c);
+}
+
+/* Ends a call whose exchange is answered or gone; writes its log lines. */
+void
+call_destroy(struct call *c, enum bb_event_class lines)
+{
+    bb_events_put(lines, c->lines->str, c->lines->len);
+    if (c->fetch != NULL) {
+        bb_fetch_cancel(c->fetch);
+        c->fetch = NULL;
+        call_leave_gate(c);
+    }
+    uv_close((uv_handle_t *)&c->timer, free_call);
+}
+
+/* Ends a call at its deadline. */
+static void
+end_time(uv_timer_t *t)
+{
+    struct call *c = t->data;
+
+    if (c->relay.is_streaming) {
+        bb_event_append(c->lines, "entry.broken_off", c->id,
+                        "\"reason\":\"deadline\"");
+        bb_exchange_abort(c->exchange);
+        call_destroy(c, BB_EVENT_FAILURE);
+        return;
+    }
+    if (c->has_held_answer) {
+        call_deliver_held(c);
+        return;
+    }
+    if (c->fetch == NULL && !c->may_have_run) {
+        call_answer(c, 503, "late", 0);
+        return;
+    }
+    call_answer(c, 504, "deadline", 0);
+}
+
+/* Chooses among the services of a route so that each gets its share of every
+ * run of requests, also of a short one. */
+static const char *
+choose_service(struct bb_entry *n, const struct bb_rule *rule)
+{
+    struct split *s;
+    uint32_t best = 0;
+
+    if (rule->part_count == 1) {
+        return rule->parts[0].service;
+    }
+    s = g_hash_table_lookup(n->splits, rule);
+    if (s == NULL) {
+        s = g_malloc0(sizeof(*s) + rule->part_count * sizeof(int64_t));
+        for (uint32_t i = 0; i < rule->part_count; i++) {
+            /* Nodes start at different places of the cycle. */
+            s->credits[i] = g_random_int_range(
+                0, (gint32)MIN(rule->weight_sum, G_MAXINT32));
+        }
+        g_hash_table_insert(n->splits, (gpointer)rule, s);
+    }
+    for (uint32_t i = 0; i < rule->part_count; i++) {
+        s->credits[i] += rule->parts[i].weight;
+        if (rule->parts[i].weight > 0 && (rule->parts[best].weight == 0 ||
+                                          s->credits[i] > s->credits[best])) {
+            best = i;
+        }
+    }
+    s->credits[best] -= (int64_t)rule->weight_sum;
+    return rule->parts[best].service;
+}
+
+/* Finds the route of a request. Returns false after an answer was given. */
+static bool
+find_route(struct bb_entry *n, struct call *c)
+{
+    const char *host = bb_head_get(&c->exchange->head, "Host");
+
+    if (n->rules == NULL) {
+        call_answer(c, 503, "no_configuration", BB_ENTRY_RETRY_MIN_MS);
+        return false;
+    }
+    c->rules = bb_rules_ref(n->rules);
+    c->rule = bb_rules_match(c->rules, host != NULL ? host : "",
+                             bb_head_target(&c->exchange->head));
+    if (c->rule == NULL) {
+        bb_counter_add(&no_route_total, 1);
+        call_answer(c, 404, "no_route", 0);
+        return false;
+    }
+    c->service = bb_directory_service(n->settings.directory,
+                                      choose_service(n, c->rule));
+    return true;
+}
+
+/* Sets the times of a call: the caller's and the route's, whichever ends
+ * first. */
+static void
+set_times(struct call *c)
+{
+    const struct bb_dialect_fields *names =
+        &c->entry->settings.dialect->fields;
+    uint64_t from_us = c->exchange->arrived_us;
+    uint64_t wait_ms = BB_ENTRY_DEADLINE_MS;
+
+    (void)bb_head_get_u64(&c->exchange->head, names->deadline_ms, &wait_ms);
+    wait_ms = MIN(wait_ms, c->rule->timeout_ms);
+    c->deadline_us = from_us + wait_ms * BB_US_PER_MS;
+    c->aim_us = from_us + (uint64_t)c->rule->aim_ms * BB_US_PER_MS;
+}
+
+static void
+begin(void *context, struct bb_exchange *x)
+{
+    struct bb_entry *n = context;
+    struct call *c = g_new0(struct call, 1);
+    const char *id;
+    uint64_t now_us = bb_clock_now_us();
+
+    bb_counter_add(&requests_total, 1);
+    c->entry = n;
+    c->exchange = x;
+    x->user = c;
+    c->lines = g_string_new(NULL);
+    (void)uv_timer_init(n->loop, &c->timer);
+    c->timer.data = c;
+    bb_relay_init(&c->relay);
+    id = bb_head_get(&x->head, n->settings.dialect->fields.request_id);
+    c->has_id = id != NULL && strlen(id) < sizeof(c->id);
+    g_strlcpy(c->id, c->has_id ? id : "", sizeof(c->id));
+    if (!c->has_id) {
+        call_answer(c, 400, "no_request_id", 0);
+        return;
+    }
+    if (!find_route(n, c)) {
+        return;
+    }
+    set_times(c);
+    bb_event_append(
+        c->lines, "entry.routed", c->id,
+        "\"route\":\"%s\",\"service\":\"%s\",\"version\":%" G_GUINT64_FORMAT
+        ",\"left_ms\":%d",
+        c->rule->name, c->service->name, c->rules->version,
+        (int)(((int64_t)c->deadline_us - (int64_t)now_us) / BB_US_PER_MS));
+    if (c->deadline_us <= now_us) {
+        call_answer(c, 503, "late", 0);
+        return;
+    }
+    (void)uv_timer_start(&c->timer, end_time,
+                         (c->deadline_us - now_us) / BB_US_PER_MS + 1, 0);
+    bb_retry_window_first(&c->service->retries, &n->settings.retries, now_us);
+    call_try(c);
+}
+
+static void
+take_more(void *context, struct bb_exchange *x)
+{
+    struct call *c = x->user;
+
+    (void)context;
+    if (c->fetch != NULL && c->is_long) {
+        call_send_more(c);
+    }
+}
+
+static void
+resume(void *context, struct bb_exchange *x)
+{
+    struct call *c = x->user;
+
+    (void)context;
+    if (c->fetch != NULL) {
+        bb_fetch_resume(c->fetch);
+    }
+}
+
+/* Stops all work for a caller that left. */
+static void
+gone(void *context, struct bb_exchange *x)
+{
+    struct call *c = x->user;
+
+    (void)context;
+    if (c == NULL) {
+        return;
+    }
+    bb_counter_add(&gone_total, 1);
+    bb_event_append(c->lines, "entry.caller_left", c->id,
+                    "\"took_us\":%" G_GUINT64_FORMAT ",\"running\":%s",
+                    bb_clock_now_us() - x->arrived_us,
+                    c->fetch != NULL ? "true" : "false");
+    call_destroy(c, BB_EVENT_FAILURE);
+}
+
+/* Lets safe requests run beside the ones before them on a connection. */
+static bool
+may_overlap(void *context, const struct bb_head *h)
+{
+    const struct bb_entry *n = context;
+    const char *host = bb_head_get(h, "Host");
+    const struct bb_rule *rule =
+        n->rules != NULL ? bb_rules_match(n->rules, host != NULL ? host : "",
+                                          bb_head_target(h))
+                         : NULL;
+
+    return rule != NULL && rule->is_idempotent;
+}
+
+static const struct bb_server_handler handler = {.may_overlap = may_overlap,
+                                                 .begin = begin,
+                                                 .body = take_more,
+                                                 .drained = resume,
+                                                 .gone = gone};
+
+/* Opens the entry. It answers 503 until bb_entry_set_rules. Returns NULL and
+ * an error if the address cannot be used. */
+struct bb_entry *
+bb_entry_create(uv_loop_t *loop, const struct bb_entry_settings *s,
+                struct bb_error *e)
+{
+    static const struct bb_pool_settings pool = {
+        .connect_timeout_ms = BB_ENTRY_CONNECT_MS,
+        .idle_max_ms = BB_ENTRY_IDLE_MS};
+    struct bb_entry *n = g_new0(struct bb_entry, 1);
+
+    n->loop = loop;
+    n->settings = *s;
+    n->pool = bb_pool_create(loop, &pool);
+    n->splits = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+    n->server = bb_server_create(loop, &s->at, &handler, n, e);
+    if (n->server == NULL) {
+        bb_entry_destroy(n);
+        return NULL;
+    }
+    return n;
+}
+
+/* Puts rules in force; calls under way keep theirs. */
+void
+bb_entry_set_rules(struct bb_entry *n, struct bb_rules *r)
+{
+    bb_rules_unref(n->rules);
+    n->rules = bb_rules_ref(r);
+    g_hash_table_remove_all(n->splits);
+    bb_server_set_limits(n->server, &r->limits);
+}
+
+/* Lets each further answer end its connection. */
+void
+bb_entry_drain(struct bb_entry *n)
+{
+    bb_server_drain(n->server);
+}
+
+/* Closes connections without a request. */
+void
+bb_entry_close_idle(struct bb_entry *n)
+{
+    bb_server_close_idle(n->server);
+}
+
+/* Returns how many requests are not answered. */
+uint32_t
+bb_entry_busy_count(const struct bb_entry *n)
+{
+    return bb_server_busy_count(n->server);
+}
+
+/* Closes the entry; NULL is allowed. */
+void
+bb_entry_destroy(struct bb_entry *n)
+{
+    if (n != NULL) {
+        bb_server_destroy(n->server);
+        bb_pool_destroy(n->pool);
+        g_hash_table_destroy(n->splits);
+        bb_rules_unref(n->rules);
+        g_free(n);
+    }
+}
--- /dev/null
+++ b/path/entry_internal.h
@@ -0,0 +1,85 @@
+/* Parts of the entry, for its own files. */
+#ifndef BB_PATH_ENTRY_INTERNAL_H
+#define BB_PATH_ENTRY_INTERNAL_H
+
+#include "common/event_log.h"
+#include "net/fetch.h"
+#include "path/entry.h"
+#include "path/relay.h"
+
+/* Why this node answered itself. */
+#define BB_FIELD_REASON "Baobab-Reason"
+
+/* Credits of the services of a split route. */
+struct split {
+    uint32_t unused;
+    int64_t credits[];
+};
+
+struct bb_entry {
+    uv_loop_t *loop;
+    struct bb_entry_settings settings;
+    struct bb_server *server;
+    struct bb_pool *pool;
+    struct bb_rules *rules;
+    GHashTable *splits; /* struct bb_rule to struct split */
+};
+
+/* What a try at a gate ended with. */
+enum try_result {
+    TRY_ANSWER,      /* a whole answer of the upstream */
+    TRY_REFUSED,     /* by the gate: it was not sent to the upstream */
+    TRY_NOT_RUN,     /* by the upstream's own word */
+    TRY_UNREACHABLE, /* nothing was sent */
+    TRY_UNKNOWN      /* it may have run */
+};
+
+/* One request of a caller. */
+struct call {
+    struct bb_entry *entry;
+    struct bb_exchange *exchange;
+    uv_timer_t timer;
+    struct bb_rules *rules;
+    const struct bb_rule *rule;
+    struct bb_service_entry *service;
+    struct bb_fetch *fetch;
+    struct bb_relay relay;
+    GString *lines; /* of the log, written if anything went wrong */
+    char id[BB_DIALECT_ID_BYTES];
+    uint64_t deadline_us;
+    uint64_t aim_us;
+    uint64_t try_started_us;
+    char gate[BB_ADDRESS_TEXT_BYTES]; /* tried at present */
+    char left_out[BB_ENTRY_TRIES_MAX][BB_ADDRESS_TEXT_BYTES];
+    uint32_t left_out_count;
+    char seen_full[BB_ENTRY_TRIES_MAX][BB_ADDRESS_TEXT_BYTES];
+    uint32_t seen_full_count;
+    uint32_t attempts; /* arrivals at upstreams */
+    uint32_t tries;    /* sends to gates */
+    bool has_id;
+    bool is_long;    /* the body did not come in whole before the first try */
+    bool is_chunked; /* as sent to the gate */
+    bool may_have_run;
+    bool is_waiting_allowed; /* this try may queue at the gate */
+    bool is_refused;         /* answer of this try: by the gate */
+    bool is_failed;          /* answer of this try: the gate lost it */
+    bool is_not_run;         /* answer of this try: by the upstream */
+    bool is_sealed;
+    bool has_held_answer; /* a failure of an upstream, kept for the case that
+                             the next try brings none */
+    struct bb_relay held;
+};
+
+/* entry.c */
+void call_answer(struct call *c, uint32_t status, const char *reason,
+                 uint32_t retry_ms);
+void call_deliver(struct call *c);
+void call_destroy(struct call *c, enum bb_event_class lines);
+
+/* attempt.c */
+void call_try(struct call *c);
+void call_send_more(struct call *c);
+void call_leave_gate(struct call *c);
+void call_deliver_held(struct call *c);
+
+#endif
--- /dev/null
+++ b/path/host.c
@@ -0,0 +1,208 @@
+/* The frame of a long-running program. */
+#include "path/host.h"
+
+#include <glib.h>
+#include <signal.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "common/counters.h"
+#include "common/event_log.h"
+#include "common/log.h"
+#include "net/http_server.h"
+
+struct bb_host {
+    uv_loop_t loop;
+    uv_signal_t signals[3];
+    uv_timer_t flush;
+    struct bb_server *metrics;
+    const struct bb_host_events *events;
+    void *context;
+    bool is_stopping;
+};
+
+static void
+take_signal(uv_signal_t *s, int number)
+{
+    struct bb_host *h = s->data;
+
+    if (number == SIGHUP) {
+        bb_log_info("host.reload", "SIGHUP");
+        h->events->reload(h->context);
+    }
+    else if (!h->is_stopping) {
+        h->is_stopping = true;
+        bb_log_info("host.stopping", "signal %d", number);
+        h->events->stop(h->context);
+    }
+}
+
+static void
+run_flush(uv_timer_t *t)
+{
+    if (bb_events_flush()) {
+        (void)uv_timer_start(t, run_flush, BB_EVENTS_FLUSH_MS, 0);
+    }
+}
+
+/* Called when log lines wait to be written. */
+static void
+wake_flush(void *context)
+{
+    struct bb_host *h = context;
+
+    if (!uv_is_active((uv_handle_t *)&h->flush)) {
+        (void)uv_timer_start(&h->flush, run_flush, BB_EVENTS_FLUSH_MS, 0);
+    }
+}
+
+/* Prepares the loop, signals and log of a program. */
+struct bb_host *
+bb_host_create(const char *program, const char *name,
+               const struct bb_host_events *events, void *context)
+{
+    static const int numbers[] = {SIGTERM, SIGINT, SIGHUP};
+    struct bb_host *h = g_new0(struct bb_host, 1);
+
+    h->events = events;
+    h->context = context;
+    (void)signal(SIGPIPE, SIG_IGN);
+    (void)uv_loop_init(&h->loop);
+    (void)uv_timer_init(&h->loop, &h->flush);
+    for (size_t i = 0; i < G_N_ELEMENTS(numbers); i++) {
+        (void)uv_signal_init(&h->loop, &h->signals[i]);
+        h->signals[i].data = h;
+        (void)uv_signal_start(&h->signals[i], take_signal, numbers[i]);
+    }
+    bb_log_start(program, name, true);
+    bb_events_start(STDOUT_FILENO, wake_flush, h);
+    bb_log_info("host.start", "version " BB_VERSION);
+    return h;
+}
+
+/* Returns the loop. */
+uv_loop_t *
+bb_host_loop(struct bb_host *h)
+{
+    return &h->loop;
+}
+
+static bool
+may_overlap(void *context, const struct bb_head *h)
+{
+    (void)context;
+    (void)h;
+    return false;
+}
+
+/* Answers any request on the metrics address with all counters. */
+static void
+answer_metrics(void *context, struct bb_exchange *x)
+{
+    GString *text = g_string_new(NULL);
+    GString *fields =
+        g_string_new("Content-Type: text/plain; version=0.0.4\r\n");
+
+    (void)context;
+    bb_counters_write(text);
+    bb_exchange_answer(x, 200, fields, text->str, text->len);
+    g_string_free(text, TRUE);
+    g_string_free(fields, TRUE);
+}
+
+static void
+ignore(void *context, struct bb_exchange *x)
+{
+    (void)context;
+    (void)x;
+}
+
+static const struct bb_server_handler metrics_handler = {
+    .may_overlap = may_overlap,
+    .begin = answer_metrics,
+    .body = ignore,
+    .drained = ignore,
+    .gone = ignore};
+
+/* Serves the counters; returns false and an error if the address cannot be
+ * used. */
+bool
+bb_host_serve_metrics(struct bb_host *h, const struct bb_address *at,
+                      struct bb_error *e)
+{
+    h->metrics = bb_server_create(&h->loop, at, &metrics_handler, h, e);
+    return h->metrics != NULL;
+}
+
+/* Runs until bb_host_stop. */
+void
+bb_host_run(struct bb_host *h)
+{
+    (void)uv_run(&h->loop, UV_RUN_DEFAULT);
+}
+
+/* Ends bb_host_run. */
+void
+bb_host_stop(struct bb_host *h)
+{
+    bb_log_info("host.stop", "%s", h->is_stopping ? "on request" : "");
+    (void)bb_events_flush();
+    uv_stop(&h->loop);
+}
+
+static void
+close_handle(uv_handle_t *handle, void *context)
+{
+    (void)context;
+    if (!uv_is_closing(handle)) {
+        uv_close(handle, NULL);
+    }
+}
+
+/* Frees the loop; everything else that uses it must be destroyed before. */
+void
+bb_host_destroy(struct bb_host *h)
+{
+    bb_server_destroy(h->metrics);
+    uv_walk(&h->loop, close_handle, NULL);
+    (void)uv_run(&h->loop, UV_RUN_DEFAULT);
+    (void)uv_loop_close(&h->loop);
+    (void)bb_events_flush();
+    g_free(h);
+}
+
+/* Reads the seed addresses from the file of live settings, a key file with
+ * the key `seeds` in the group `live`. Returns false if it cannot be read. */
+bool
+bb_host_read_seeds(const char *file, struct bb_address_list *seeds)
+{
+    GKeyFile *k = g_key_file_new();
+    GError *error = NULL;
+    gsize count = 0;
+    char **list = NULL;
+    bool is_good = false;
+
+    g_key_file_set_list_separator(k, ',');
+    if (file[0] == '\0' ||
+        !g_key_file_load_from_file(k, file, G_KEY_FILE_NONE, &error)) {
+        goto done;
+    }
+    list = g_key_file_get_string_list(k, "live", "seeds", &count, &error);
+    seeds->count = 0;
+    for (gsize i = 0; i < count && seeds->count < BB_SETTINGS_LIST_MAX; i++) {
+        if (bb_address_parse(g_strstrip(list[i]),
+                             &seeds->items[seeds->count])) {
+            seeds->count++;
+        }
+    }
+    is_good = seeds->count > 0;
+done:
+    if (!is_good && file[0] != '\0') {
+        bb_log_warning("host.live_settings", "%s: %s", file,
+                       error != NULL ? error->message : "no seeds");
+    }
+    g_clear_error(&error);
+    g_strfreev(list);
+    g_key_file_free(k);
+    return is_good;
+}
--- /dev/null
+++ b/path/rules.c
@@ -0,0 +1,224 @@
+/* Routing rules: construction, checks and look-up. */
+#include "path/rules.h"
+
+#include <string.h>
+
+enum { LIMITS_MIN = 1 };
+
+static void
+free_rule(void *data)
+{
+    struct bb_rule *r = data;
+
+    for (uint32_t i = 0; i < r->part_count; i++) {
+        g_free(r->parts[i].service);
+    }
+    g_free(r->parts);
+    g_free(r->name);
+    g_free(r->host);
+    g_free(r->prefix);
+    g_free(r);
+}
+
+static void
+free_service(void *data)
+{
+    struct bb_service_rule *s = data;
+
+    g_free(s->name);
+    g_free(s->health_path);
+    g_free(s);
+}
+
+/* Creates rules without any route; the caller fills them and seals them. */
+struct bb_rules *
+bb_rules_create(void)
+{
+    struct bb_rules *r = g_new0(struct bb_rules, 1);
+
+    g_atomic_ref_count_init(&r->references);
+    r->rules = g_ptr_array_new_with_free_func(free_rule);
+    r->services = g_ptr_array_new_with_free_func(free_service);
+    r->by_place = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    return r;
+}
+
+/* Adds a route; its other fields are set by the caller. */
+struct bb_rule *
+bb_rules_add(struct bb_rules *r, const char *name, const char *host,
+             const char *prefix)
+{
+    struct bb_rule *rule = g_new0(struct bb_rule, 1);
+
+    rule->name = g_strdup(name);
+    rule->host = g_ascii_strdown(host, -1);
+    rule->prefix = g_strdup(prefix);
+    rule->attempts = 1;
+    g_ptr_array_add(r->rules, rule);
+    return rule;
+}
+
+/* Adds a service to those that a route is split over. */
+void
+bb_rule_add_part(struct bb_rule *r, const char *service, uint32_t weight)
+{
+    r->parts = g_renew(struct bb_part, r->parts, r->part_count + 1);
+    r->parts[r->part_count++] =
+        (struct bb_part){.service = g_strdup(service), .weight = weight};
+    r->weight_sum += weight;
+}
+
+/* Adds a service. */
+void
+bb_rules_add_service(struct bb_rules *r, const char *name,
+                     const char *health_path, uint32_t connections_max)
+{
+    struct bb_service_rule *s = g_new0(struct bb_service_rule, 1);
+
+    s->name = g_strdup(name);
+    s->health_path = g_strdup(health_path);
+    s->connections_max = connections_max;
+    g_ptr_array_add(r->services, s);
+}
+
+/* Returns a service by its name, or NULL. */
+const struct bb_service_rule *
+bb_rules_service(const struct bb_rules *r, const char *name)
+{
+    for (guint i = 0; i < r->services->len; i++) {
+        const struct bb_service_rule *s = g_ptr_array_index(r->services, i);
+
+        if (strcmp(s->name, name) == 0) {
+            return s;
+        }
+    }
+    return NULL;
+}
+
+/* Checks one route. */
+static bool
+check_rule(const struct bb_rules *r, const struct bb_rule *rule,
+           struct bb_error *e)
+{
+    size_t length = strlen(rule->prefix);
+
+    if (rule->host[0] == '\0') {
+        return bb_error_set(e, BB_RULES_ERROR_VALUE,
+                            "route %s: the host is empty", rule->name);
+    }
+    if (length == 0 || rule->prefix[0] != '/' ||
+        rule->prefix[length - 1] != '/') {
+        return bb_error_set(e, BB_RULES_ERROR_VALUE,
+                            "route %s: the prefix %s does not begin and end "
+                            "with a slash",
+                            rule->name, rule->prefix);
+    }
+    if (rule->timeout_ms == 0) {
+        return bb_error_set(e, BB_RULES_ERROR_VALUE,
+                            "route %s: the timeout is 0", rule->name);
+    }
+    if (rule->weight_sum == 0) {
+        return bb_error_set(e, BB_RULES_ERROR_VALUE,
+                            "route %s: the weights add up to 0", rule->name);
+    }
+    for (uint32_t i = 0; i < rule->part_count; i++) {
+        if (bb_rules_service(r, rule->parts[i].service) == NULL) {
+            return bb_error_set(e, BB_RULES_ERROR_REFERENCE,
+                                "route %s: there is no service %s", rule->name,
+                                rule->parts[i].service);
+        }
+    }
+    return true;
+}
+
+/* Returns the key of a host and a prefix of a path. */
+static char *
+place_key(const char *host, size_t host_bytes, const char *path,
+          size_t path_bytes)
+{
+    char *key = g_malloc(host_bytes + path_bytes + 1);
+
+    for (size_t i = 0; i < host_bytes; i++) {
+        key[i] = g_ascii_tolower(host[i]);
+    }
+    memcpy(key + host_bytes, path, path_bytes);
+    key[host_bytes + path_bytes] = '\0';
+    return key;
+}
+
+/* Checks complete rules and builds their index. After true they must not be
+ * changed; after false the error says what is wrong. */
+bool
+bb_rules_seal(struct bb_rules *r, struct bb_error *e)
+{
+    if (r->limits.head_bytes < LIMITS_MIN ||
+        r->limits.body_bytes < LIMITS_MIN ||
+        r->limits.head_timeout_ms < LIMITS_MIN ||
+        r->limits.idle_timeout_ms < LIMITS_MIN) {
+        return bb_error_set(e, BB_RULES_ERROR_VALUE,
+                            "a limit is missing or 0");
+    }
+    for (guint i = 0; i < r->rules->len; i++) {
+        struct bb_rule *rule = g_ptr_array_index(r->rules, i);
+        char *key;
+
+        if (!check_rule(r, rule, e)) {
+            return false;
+        }
+        key = place_key(rule->host, strlen(rule->host), rule->prefix,
+                        strlen(rule->prefix));
+        if (!g_hash_table_insert(r->by_place, key, rule)) {
+            return bb_error_set(e, BB_RULES_ERROR_VALUE,
+                                "route %s: another route has its place",
+                                rule->name);
+        }
+    }
+    return true;
+}
+
+/* Returns the route of the host (with or without a port) whose prefix is the
+ * longest that begins the path of the target, or NULL. */
+const struct bb_rule *
+bb_rules_match(const struct bb_rules *r, const char *host, const char *target)
+{
+    size_t host_bytes = strcspn(host, ":");
+    size_t path_bytes = strcspn(target, "?#");
+
+    while (path_bytes > 0) {
+        const struct bb_rule *rule;
+        char *key;
+
+        if (target[path_bytes - 1] != '/') {
+            path_bytes--;
+            continue;
+        }
+        key = place_key(host, host_bytes, target, path_bytes);
+        rule = g_hash_table_lookup(r->by_place, key);
+        g_free(key);
+        if (rule != NULL) {
+            return rule;
+        }
+        path_bytes--;
+    }
+    return NULL;
+}
+
+/* Takes a reference. */
+struct bb_rules *
+bb_rules_ref(struct bb_rules *r)
+{
+    g_atomic_ref_count_inc(&r->references);
+    return r;
+}
+
+/* Gives a reference back; NULL is allowed. */
+void
+bb_rules_unref(struct bb_rules *r)
+{
+    if (r != NULL && g_atomic_ref_count_dec(&r->references)) {
+        g_hash_table_destroy(r->by_place);
+        g_ptr_array_free(r->rules, TRUE);
+        g_ptr_array_free(r->services, TRUE);
+        g_free(r);
+    }
+}
--- /dev/null
+++ b/path/upstream.c
@@ -0,0 +1,67 @@
+/* Order of the calls by which an upstream announces itself. */
+#include "path/upstream.h"
+
+#include <string.h>
+
+/* Returns whether a call is older than what is known: of an incarnation that
+ * was born earlier, or earlier in the same one. */
+static bool
+is_old(const struct bb_upstream *u, const char *id,
+       const struct bb_announcement *a)
+{
+    bool is_same_id = strcmp(u->id, id) == 0;
+
+    if (u->state == BB_INSTANCE_NONE) {
+        return false;
+    }
+    if (a->born_ms != u->born_ms) {
+        return a->born_ms < u->born_ms;
+    }
+    return is_same_id && a->sequence <= u->sequence;
+}
+
+/* Takes an announcement of the upstream at `address`. One that leaves stays
+ * so until another incarnation is born. */
+enum bb_announce_result
+bb_upstream_announce(struct bb_upstream *u, const char *id,
+                     const struct bb_announcement *a, const char *address,
+                     uint64_t now_us)
+{
+    bool is_new = strcmp(u->id, id) != 0 || a->born_ms != u->born_ms;
+
+    if (strcmp(a->address, address) != 0) {
+        return BB_ANNOUNCE_FOREIGN;
+    }
+    if (is_old(u, id, a)) {
+        return BB_ANNOUNCE_OLD;
+    }
+    if (is_new) {
+        memset(u, 0, sizeof(*u));
+        g_strlcpy(u->id, id, sizeof(u->id));
+        u->born_ms = a->born_ms;
+    }
+    g_strlcpy(u->service, a->service, sizeof(u->service));
+    u->sequence = a->sequence;
+    u->slots = a->slots;
+    u->heard_us = now_us;
+    u->cold_until_us =
+        a->cold_ms != 0 ? now_us + (uint64_t)a->cold_ms * 1000 : 0;
+    if (a->is_draining || u->state == BB_INSTANCE_DRAINING) {
+        u->state = BB_INSTANCE_DRAINING;
+    }
+    else {
+        u->state = BB_INSTANCE_READY;
+    }
+    return BB_ANNOUNCE_TAKEN;
+}
+
+/* Takes a withdrawal; returns whether it is about the upstream known here. */
+bool
+bb_upstream_withdraw(struct bb_upstream *u, const char *id, uint64_t born_ms)
+{
+    if (strcmp(u->id, id) != 0 || (born_ms != 0 && born_ms < u->born_ms)) {
+        return false;
+    }
+    u->state = BB_INSTANCE_DRAINING;
+    return true;
+}
--- /dev/null
+++ b/proxyd/main.c
@@ -0,0 +1,350 @@
+/* baobab-proxy: entry for the callers of one host and gate of its upstream. */
+#include <stdio.h>
+#include <string.h>
+
+#include "common/clock.h"
+#include "common/log.h"
+#include "common/registry.h"
+#include "fleet/agent.h"
+#include "path/entry.h"
+#include "path/gate.h"
+#include "path/host.h"
+#include "settings.h"
+
+enum {
+    /* Callers need two missed checks of one second each, and the answer on
+     * its way, to learn that this host stops. */
+    STOP_QUIET_MS = 2600,
+    STOP_POLL_MS = 100,
+    /* Kept from the grace time for the end itself. */
+    STOP_MARGIN_MS = 700
+};
+
+struct proxy {
+    struct proxy_settings settings;
+    struct bb_host *host;
+    const struct bb_dialect *dialect;
+    struct bb_directory *directory;
+    struct bb_entry *entry;
+    struct bb_gate *gate;
+    struct bb_agent *agent;
+    struct bb_server *ready;
+    struct bb_server *announce;
+    uv_timer_t stop_timer;
+    uint64_t stop_us;
+    bool has_rules;
+    bool is_stopping;
+};
+
+/* Puts a configuration in force here. */
+static void
+take_configuration(void *context, uint64_t version, GBytes *raw)
+{
+    struct proxy *p = context;
+    struct bb_error e = {0};
+    gsize size = 0;
+    const char *text = g_bytes_get_data(raw, &size);
+    struct bb_rules *r = p->dialect->decode_rules(text, size, &e);
+
+    if (r == NULL) {
+        bb_log_warning("proxy.configuration",
+                       "version %" G_GUINT64_FORMAT ": %s", version,
+                       e.message);
+        return;
+    }
+    bb_entry_set_rules(p->entry, r);
+    bb_rules_unref(r);
+    p->has_rules = true;
+}
+
+static void
+take_instance(void *context, const fleet_instance *i)
+{
+    struct proxy *p = context;
+
+    bb_log_info("proxy.instance",
+                "%s %s service %s id %s epoch %" G_GUINT64_FORMAT
+                " sequence %" G_GUINT64_FORMAT,
+                i->gate, bb_instance_state_name(i->state), i->service, i->id,
+                (guint64)i->epoch, (guint64)i->sequence);
+    bb_directory_update(p->directory, i, bb_clock_now_us());
+}
+
+/* Reads the seed addresses again. */
+static void
+reload(void *context)
+{
+    struct proxy *p = context;
+    struct bb_address_list seeds = {0};
+
+    if (bb_host_read_seeds(p->settings.live_file, &seeds)) {
+        bb_agent_set_seeds(p->agent, &seeds);
+    }
+}
+
+static const struct bb_agent_events agent_events = {
+    .in_force = take_configuration, .instance = take_instance, .lost = reload};
+
+/* Announces the state of the upstream to the other nodes, this one first. */
+static void
+announce_state(void *context, const struct bb_upstream *u)
+{
+    struct proxy *p = context;
+    char gate[BB_ADDRESS_TEXT_BYTES];
+    uint64_t now_us = bb_clock_now_us();
+    fleet_instance i = {
+        .gate = (char *)bb_address_text(&p->settings.gate, gate),
+        .zone = (char *)p->settings.zone,
+        .region = (char *)p->settings.region,
+        .service = (char *)u->service,
+        .id = (char *)u->id,
+        .state = u->state,
+        .slots = u->slots,
+        .cold_ms = u->cold_until_us > now_us
+                       ? (u_int)((u->cold_until_us - now_us) / BB_US_PER_MS)
+                       : 0};
+
+    bb_directory_update(p->directory, &i, now_us);
+    if (p->agent != NULL) {
+        bb_agent_announce(p->agent, &i);
+    }
+}
+
+static void
+answer_ready(void *context, struct bb_exchange *x)
+{
+    struct proxy *p = context;
+    char id[BB_DIALECT_ID_BYTES];
+    bool is_known =
+        p->dialect->classify(x->head.method, bb_head_target(&x->head), id) ==
+        BB_CALL_READY;
+    uint32_t status = !is_known                         ? 404
+                      : p->has_rules && !p->is_stopping ? 200
+                                                        : 503;
+
+    bb_exchange_answer(x, status, NULL, NULL, 0);
+}
+
+/* Acknowledges a call of the upstream. */
+static void
+acknowledge(const struct proxy *p, struct bb_exchange *x)
+{
+    GString *fields = g_string_new(NULL);
+
+    g_string_append_printf(fields, "Content-Type: %s\r\n",
+                           p->dialect->content_type);
+    bb_exchange_answer(x, 200, fields, p->dialect->done_body,
+                       strlen(p->dialect->done_body));
+    g_string_free(fields, TRUE);
+}
+
+/* Refuses a call of an upstream. */
+static void
+refuse(struct bb_exchange *x, uint32_t status, const char *why)
+{
+    bb_log_warning("announce.refused", "%s: %s", bb_head_target(&x->head),
+                   why);
+    bb_exchange_answer(x, status, NULL, why, strlen(why));
+}
+
+static void
+take_announcement(struct proxy *p, struct bb_exchange *x, const char *id)
+{
+    struct bb_announcement a;
+    struct bb_error e = {0};
+
+    if (!p->dialect->decode_announcement(x->body->str, x->body->len, &a, &e)) {
+        refuse(x, 400, e.message);
+        return;
+    }
+    switch (bb_gate_announce(p->gate, id, &a)) {
+    case BB_ANNOUNCE_TAKEN:
+    case BB_ANNOUNCE_OLD:
+        acknowledge(p, x);
+        break;
+    case BB_ANNOUNCE_FOREIGN:
+        refuse(x, 400, "the upstream is not on this host");
+        break;
+    }
+}
+
+/* Takes a call of the upstream on this host. */
+static void
+take_call(void *context, struct bb_exchange *x)
+{
+    struct proxy *p = context;
+    char id[BB_DIALECT_ID_BYTES] = "";
+
+    switch (
+        p->dialect->classify(x->head.method, bb_head_target(&x->head), id)) {
+    case BB_CALL_ANNOUNCE:
+        take_announcement(p, x, id);
+        break;
+    case BB_CALL_WITHDRAW:
+        (void)bb_gate_withdraw(
+            p->gate, id,
+            p->dialect->decode_born_ms(x->body->str, x->body->len));
+        acknowledge(p, x);
+        break;
+    case BB_CALL_READY:
+        answer_ready(p, x);
+        break;
+    case BB_CALL_UNKNOWN:
+    case BB_CALL_ORDER:
+    case BB_CALL_IN_FORCE:
+        refuse(x, 404, "no such call here");
+        break;
+    }
+}
+
+static bool
+may_overlap(void *context, const struct bb_head *h)
+{
+    (void)context;
+    (void)h;
+    return false;
+}
+
+static void
+ignore(void *context, struct bb_exchange *x)
+{
+    (void)context;
+    (void)x;
+}
+
+static const struct bb_server_handler ready_handler = {.may_overlap =
+                                                           may_overlap,
+                                                       .begin = answer_ready,
+                                                       .body = ignore,
+                                                       .drained = ignore,
+                                                       .gone = ignore};
+
+static const struct bb_server_handler announce_handler = {.may_overlap =
+                                                              may_overlap,
+                                                          .begin = take_call,
+                                                          .body = ignore,
+                                                          .drained = ignore,
+                                                          .gone = ignore};
+
+/* Ends the process once nothing is under way, or at the end of the grace
+ * time. */
+static void
+poll_stop(uv_timer_t *t)
+{
+    struct proxy *p = t->data;
+    uint64_t waited_ms = (bb_clock_now_us() - p->stop_us) / BB_US_PER_MS;
+    uint32_t busy =
+        bb_entry_busy_count(p->entry) + bb_gate_busy_count(p->gate);
+
+    if (waited_ms + STOP_MARGIN_MS >= p->settings.grace_s * 1000 ||
+        (waited_ms >= STOP_QUIET_MS && busy == 0)) {
+        bb_log_info("proxy.stopped", "%u requests under way", busy);
+        bb_host_stop(p->host);
+    }
+}
+
+/* Stops: callers are sent elsewhere, what is under way is finished. */
+static void
+stop(void *context)
+{
+    struct proxy *p = context;
+
+    p->is_stopping = true;
+    p->stop_us = bb_clock_now_us();
+    bb_gate_stop(p->gate);
+    bb_entry_drain(p->entry);
+    (void)uv_timer_start(&p->stop_timer, poll_stop, STOP_POLL_MS,
+                         STOP_POLL_MS);
+}
+
+static const struct bb_host_events host_events = {.stop = stop,
+                                                  .reload = reload};
+
+/* Opens all addresses. */
+static bool
+open_addresses(struct proxy *p, struct bb_error *e)
+{
+    const struct proxy_settings *s = &p->settings;
+    uv_loop_t *loop = bb_host_loop(p->host);
+    const struct bb_entry_settings entry = {
+        .at = s->entry,
+        .service = s->service,
+        .ip = s->ip,
+        .dialect = p->dialect,
+        .directory = p->directory,
+        .retries = {.window_ms = (uint32_t)s->retry_window_s * 1000,
+                    .ratio_permille = s->retry_ratio_permille,
+                    .allowance = (uint32_t)s->retry_allowance}};
+    const struct bb_gate_settings gate = {.at = s->gate,
+                                          .upstream = s->upstream_address,
+                                          .upstream_text = s->upstream,
+                                          .zone = s->zone,
+                                          .region = s->region,
+                                          .dialect = p->dialect,
+                                          .changed = announce_state,
+                                          .context = p};
+    const struct bb_agent_settings agent = {.ip = s->ip,
+                                            .zone = s->zone,
+                                            .region = s->region,
+                                            .peer_port =
+                                                (uint16_t)s->control_port,
+                                            .seeds = s->seeds};
+
+    p->entry = bb_entry_create(loop, &entry, e);
+    p->gate = p->entry != NULL ? bb_gate_create(loop, &gate, e) : NULL;
+    p->ready = p->gate != NULL
+                   ? bb_server_create(loop, &s->ready, &ready_handler, p, e)
+                   : NULL;
+    p->announce = p->ready != NULL ? bb_server_create(loop, &s->announce,
+                                                      &announce_handler, p, e)
+                                   : NULL;
+    if (p->announce == NULL ||
+        !bb_host_serve_metrics(p->host, &s->metrics, e)) {
+        return false;
+    }
+    p->agent = bb_agent_create(loop, &agent, &agent_events, p);
+    return true;
+}
+
+int
+main(int argc, char **argv)
+{
+    struct proxy p = {0};
+    struct bb_error e = {0};
+    int code = BB_EXIT_INTERNAL;
+
+    switch (proxy_settings_read(&p.settings, argc, argv, &e)) {
+    case BB_SETTINGS_EXIT:
+        return BB_EXIT_OK;
+    case BB_SETTINGS_INVALID:
+        (void)fprintf(stderr, "baobab-proxy: %s\n", e.message);
+        return BB_EXIT_USAGE;
+    case BB_SETTINGS_RUN:
+        break;
+    }
+    p.dialect = bb_registry_find(BB_PLUGIN_DIALECT, p.settings.dialect);
+    if (p.dialect == NULL) {
+        (void)fprintf(stderr, "baobab-proxy: there is no dialect %s\n",
+                      p.settings.dialect);
+        return BB_EXIT_USAGE;
+    }
+    p.host = bb_host_create("baobab-proxy", p.settings.host, &host_events, &p);
+    p.directory = bb_directory_create(p.settings.zone, p.settings.region);
+    (void)uv_timer_init(bb_host_loop(p.host), &p.stop_timer);
+    p.stop_timer.data = &p;
+    if (!open_addresses(&p, &e)) {
+        (void)fprintf(stderr, "baobab-proxy: %s\n", e.message);
+        goto done;
+    }
+    bb_host_run(p.host);
+    code = BB_EXIT_OK;
+done:
+    bb_agent_destroy(p.agent);
+    bb_server_destroy(p.announce);
+    bb_server_destroy(p.ready);
+    bb_gate_destroy(p.gate);
+    bb_entry_destroy(p.entry);
+    bb_host_destroy(p.host);
+    bb_directory_destroy(p.directory);
+    return code;
+}
--- /dev/null
+++ b/proxyd/settings.c
@@ -0,0 +1,158 @@
+/* Settings of baobab-proxy. */
+#include "settings.h"
+
+#include <stdlib.h>
+
+enum { PERMILLE = 1000, PORT_MAX = 65535 };
+
+/* Reads flags and environment variables; returns what the program is to do
+ * next. */
+enum bb_settings_result
+proxy_settings_read(struct proxy_settings *s, int argc, char **argv,
+                    struct bb_error *e)
+{
+    const struct bb_setting table[] = {
+        {.name = "host",
+         .value_name = "NAME",
+         .help = "name of this host",
+         .kind = BB_SETTING_TEXT,
+         .is_required = true,
+         .to.text = &s->host},
+        {.name = "ip",
+         .value_name = "IP",
+         .help = "address of this host",
+         .kind = BB_SETTING_TEXT,
+         .is_required = true,
+         .to.text = &s->ip},
+        {.name = "zone",
+         .value_name = "NAME",
+         .help = "availability zone",
+         .kind = BB_SETTING_TEXT,
+         .is_required = true,
+         .to.text = &s->zone},
+        {.name = "region",
+         .value_name = "NAME",
+         .help = "region",
+         .kind = BB_SETTING_TEXT,
+         .is_required = true,
+         .to.text = &s->region},
+        {.name = "service",
+         .value_name = "NAME",
+         .help = "service of the upstream on this host",
+         .kind = BB_SETTING_TEXT,
+         .is_required = true,
+         .to.text = &s->service},
+        {.name = "dialect",
+         .value_name = "NAME",
+         .help = "names used by callers and upstreams",
+         .kind = BB_SETTING_TEXT,
+         .default_value = "platform",
+         .to.text = &s->dialect},
+        {.name = "upstream",
+         .value_name = "IP:PORT",
+         .help = "address of the upstream on this host",
+         .kind = BB_SETTING_TEXT,
+         .is_required = true,
+         .to.text = &s->upstream},
+        {.name = "live-settings",
+         .value_name = "FILE",
+         .help = "file with settings that may change, read again on SIGHUP",
+         .kind = BB_SETTING_TEXT,
+         .default_value = "",
+         .to.text = &s->live_file},
+        {.name = "listen-entry",
+         .value_name = "IP:PORT",
+         .help = "for callers on this host",
+         .kind = BB_SETTING_ADDRESS,
+         .is_required = true,
+         .to.address = &s->entry},
+        {.name = "listen-gate",
+         .value_name = "IP:PORT",
+         .help = "for other nodes",
+         .kind = BB_SETTING_ADDRESS,
+         .is_required = true,
+         .to.address = &s->gate},
+        {.name = "listen-ready",
+         .value_name = "IP:PORT",
+         .help = "answers whether callers may come",
+         .kind = BB_SETTING_ADDRESS,
+         .is_required = true,
+         .to.address = &s->ready},
+        {.name = "listen-announce",
+         .value_name = "IP:PORT",
+         .help = "for the upstream on this host",
+         .kind = BB_SETTING_ADDRESS,
+         .is_required = true,
+         .to.address = &s->announce},
+        {.name = "listen-metrics",
+         .value_name = "IP:PORT",
+         .help = "counters in the Prometheus text format",
+         .kind = BB_SETTING_ADDRESS,
+         .is_required = true,
+         .to.address = &s->metrics},
+        {.name = "seeds",
+         .value_name = "IP:PORT,...",
+         .help = "operator addresses of up to three control hosts",
+         .kind = BB_SETTING_ADDRESS_LIST,
+         .is_required = true,
+         .to.addresses = &s->seeds},
+        {.name = "control-port",
+         .value_name = "PORT",
+         .help = "of control hosts, for nodes",
+         .kind = BB_SETTING_NUMBER,
+         .is_required = true,
+         .min = 1,
+         .max = PORT_MAX,
+         .to.number = &s->control_port},
+        {.name = "grace",
+         .value_name = "SECONDS",
+         .help = "from SIGTERM to the end of the process",
+         .kind = BB_SETTING_NUMBER,
+         .default_value = "6",
+         .min = 1,
+         .max = 600,
+         .to.number = &s->grace_s},
+        {.name = "retry-window",
+         .value_name = "SECONDS",
+         .help = "over which the retry budget holds",
+         .kind = BB_SETTING_NUMBER,
+         .default_value = "10",
+         .min = 1,
+         .max = 600,
+         .to.number = &s->retry_window_s},
+        {.name = "retry-ratio",
+         .value_name = "SHARE",
+         .help = "repeated sends for each request, on all hosts together",
+         .kind = BB_SETTING_TEXT,
+         .default_value = "0.2",
+         .to.text = &s->retry_ratio},
+        {.name = "retry-allowance",
+         .value_name = "COUNT",
+         .help = "repeated sends of all hosts in a window besides",
+         .kind = BB_SETTING_NUMBER,
+         .default_value = "60",
+         .max = 1000000,
+         .to.number = &s->retry_allowance},
+    };
+    enum bb_settings_result r = bb_settings_read(
+        "baobab-proxy", "Entry and gate of one upstream host.", table,
+        sizeof(table) / sizeof(table[0]), argc, argv, NULL, NULL, e);
+    char *end = NULL;
+    double ratio;
+
+    if (r != BB_SETTINGS_RUN) {
+        return r;
+    }
+    ratio = strtod(s->retry_ratio, &end);
+    if (*end != '\0' || ratio < 0 || ratio > 1) {
+        (void)bb_error_set(e, 1, "retry-ratio: %s is no share from 0 to 1",
+                           s->retry_ratio);
+        return BB_SETTINGS_INVALID;
+    }
+    s->retry_ratio_permille = (uint32_t)(ratio * PERMILLE);
+    if (!bb_address_parse(s->upstream, &s->upstream_address)) {
+        (void)bb_error_set(e, 1, "upstream: %s is no address", s->upstream);
+        return BB_SETTINGS_INVALID;
+    }
+    return r;
+}
