--- a/decide/balance.c
+++ b/decide/balance.c
@@ -2,6 +2,11 @@
 #include "decide/balance.h"
 
 enum {
+    PERCENT = 100,
+    /* After the tiers of enum bb_distance. */
+    NOT_COMFORTABLE = BB_OTHER_REGION + 1,
+    /* Way to another region and back. */
+    REGION_WAY_US = 50 * 1000,
     /* Before the first report: an ordinary duration. */
     FIRST_SERVICE_US = 100 * 1000,
     /* Requests of equal cost are spread by so much. */
@@ -43,6 +48,14 @@
     return n < v->slots ? 0 : (n - v->slots + 1) * service_us / v->slots;
 }
 
+/* Returns whether one request should find out what a gate near by can do. */
+static bool
+is_unexplored(const struct bb_gate_view *v)
+{
+    return v->reported_us == 0 && v->in_flight == 0 &&
+           v->distance != BB_OTHER_REGION;
+}
+
 /* Estimates the time to an answer, with the price of distance and the risk of
  * failure. */
 uint64_t
@@ -59,6 +72,9 @@
     if (now_us < v->cold_until_us) {
         cost_us += service_us;
     }
+    if (is_unexplored(v)) {
+        return 0;
+    }
     cost_us += (uint64_t)BB_BALANCE_FAILURE_US * v->failing_permille /
                BB_BALANCE_PERMILLE;
     switch (v->distance) {
@@ -89,7 +105,26 @@
            (!r->wants_free_slot || held(v, now_us) < v->slots);
 }
 
-/* Returns the index of the best gate, or -1. */
+/* Returns whether a gate can be expected to answer well in time. */
+static bool
+is_comfortable(const struct bb_gate_view *v, uint64_t aim_left_us,
+               uint64_t now_us)
+{
+    uint64_t service_us = v->service_us != 0 ? v->service_us
+                                             : FIRST_SERVICE_US;
+    uint64_t needed_us =
+        bb_balance_wait_us(v, now_us) + service_us + service_us / 2;
+
+    if (v->distance == BB_OTHER_REGION) {
+        needed_us += REGION_WAY_US;
+    }
+    return v->failing_permille < BB_BALANCE_COMFORT_FAILING_PERMILLE &&
+           now_us >= v->cold_until_us &&
+           needed_us * PERCENT <= aim_left_us * BB_BALANCE_COMFORT_PERCENT;
+}
+
+/* Returns the index of the best gate, or -1: the best of the nearest ones
+ * that can answer in time, or where there is none the best of all. */
 int32_t
 bb_balance_pick(const struct bb_gate_view *const *views, uint32_t count,
                 const struct bb_balance_request *r, uint64_t random_bits,
@@ -97,17 +132,27 @@
 {
     int32_t best = -1;
     uint64_t best_us = 0;
+    uint32_t best_tier = 0;
 
     for (uint32_t i = 0; i < count; i++) {
         uint64_t cost_us;
+        uint32_t tier;
 
         if (!is_usable(views[i], i, r, now_us)) {
             continue;
         }
+        tier = is_comfortable(views[i], r->aim_left_us, now_us)
+                   ? views[i]->distance
+                   : NOT_COMFORTABLE;
+        if (is_unexplored(views[i])) {
+            tier = 0;
+        }
         cost_us = bb_balance_cost_us(views[i], now_us) +
                   (random_bits >> (8 * (i % 7))) % JITTER_US;
-        if (best < 0 || cost_us < best_us) {
+        if (best < 0 || tier < best_tier ||
+            (tier == best_tier && cost_us < best_us)) {
             best = (int32_t)i;
+            best_tier = tier;
             best_us = cost_us;
         }
     }
--- a/decide/gate_queue.c
+++ b/decide/gate_queue.c
@@ -21,20 +21,21 @@
     q->slots = slots;
 }
 
-static uint32_t
-rank_index(uint32_t rank)
+/* Returns the usual duration of a class of requests. */
+static uint64_t
+usual_us(const struct bb_gate_queue *q, uint32_t class_index)
 {
-    return rank < BB_GATE_RANKS ? rank : BB_GATE_RANKS - 1;
+    uint64_t d = q->duration_us[class_index % BB_GATE_CLASSES];
+
+    return d != 0 ? d : q->mean_us;
 }
 
-/* Returns the usual duration of a rank; half of it is used as the least that
- * a request needs, because durations differ widely. */
+/* Returns the least time that a request is given: half of the usual one,
+ * because durations differ widely. */
 static uint64_t
-least_us(const struct bb_gate_queue *q, uint32_t rank)
+least_us(const struct bb_gate_queue *q, uint32_t class_index)
 {
-    uint64_t d = q->duration_us[rank_index(rank)];
-
-    return (d != 0 ? d : q->mean_us) / 2;
+    return usual_us(q, class_index) / 2;
 }
 
 /* Returns whether a goes before b. */
@@ -42,8 +43,8 @@
 goes_before(const struct bb_gate_queue *q, const struct bb_gate_request *a,
             const struct bb_gate_request *b, uint64_t now_us)
 {
-    bool a_in_time = a->aim_us >= now_us + least_us(q, a->rank);
-    bool b_in_time = b->aim_us >= now_us + least_us(q, b->rank);
+    bool a_in_time = a->aim_us >= now_us + usual_us(q, a->class_index);
+    bool b_in_time = b->aim_us >= now_us + usual_us(q, b->class_index);
 
     if (a->is_nested != b->is_nested) {
         return a->is_nested;
@@ -76,6 +77,27 @@
     return (ahead + 1) * q->mean_us / q->slots;
 }
 
+/* Returns whether a request should wait. One that would miss its aim takes
+ * the slot of others that would not: it waits only for a short queue. Calls
+ * of running requests wait as long as they can, since a refusal would waste
+ * what has run already. */
+static bool
+is_worth_waiting(const struct bb_gate_queue *q,
+                 const struct bb_gate_request *r, uint64_t wait_us,
+                 uint64_t now_us)
+{
+    uint64_t usual = usual_us(q, r->class_index);
+    uint64_t left_us = r->deadline_us - now_us;
+
+    if (r->is_nested) {
+        return wait_us + usual / 2 <= left_us;
+    }
+    if (now_us + wait_us + usual <= r->aim_us) {
+        return true;
+    }
+    return (wait_us + usual) * PERCENT <= left_us * BB_GATE_LATE_PERCENT;
+}
+
 /* Takes a request that has arrived. Runs only if a slot is free and nothing
  * waits before it. */
 enum bb_gate_verdict
@@ -93,7 +115,7 @@
     }
     wait_us = bb_gate_queue_wait_us(q, r);
     if (!may_wait || q->queued == BB_GATE_QUEUE_MAX ||
-        now_us + wait_us + least_us(q, r->rank) > r->deadline_us) {
+        !is_worth_waiting(q, r, wait_us, now_us)) {
         return BB_GATE_REFUSE;
     }
     q->queue[q->queued++] = *r;
@@ -119,7 +141,7 @@
         const struct bb_gate_request *r = &q->queue[i];
 
         if (q->slots == 0 ||
-            now_us + least_us(q, r->rank) / 2 >= r->deadline_us) {
+            now_us + least_us(q, r->class_index) / 2 >= r->deadline_us) {
             *id = r->id;
             *verdict = BB_GATE_REFUSE;
             remove_at(q, i);
@@ -165,14 +187,14 @@
 /* Frees the slot of a request that has ended. Only whole answers tell how
  * long requests take. */
 void
-bb_gate_queue_finish(struct bb_gate_queue *q, uint32_t rank,
+bb_gate_queue_finish(struct bb_gate_queue *q, uint32_t class_index,
                      uint64_t duration_us, bool is_success)
 {
-    uint64_t *by_rank = &q->duration_us[rank_index(rank)];
+    uint64_t *of_class = &q->duration_us[class_index % BB_GATE_CLASSES];
 
     q->running -= q->running > 0;
     if (is_success) {
-        *by_rank = average(*by_rank, duration_us);
+        *of_class = average(*of_class, duration_us);
         q->mean_us = average(q->mean_us, duration_us);
     }
 }
@@ -185,7 +207,7 @@
     uint64_t due_us = 0;
 
     for (uint32_t i = 0; i < q->queued; i++) {
-        uint64_t least = least_us(q, q->queue[i].rank) / 2;
+        uint64_t least = least_us(q, q->queue[i].class_index) / 2;
         uint64_t end_us = q->queue[i].deadline_us;
         uint64_t at_us = end_us > least ? end_us - least : 1;
 
--- a/decide/retry_window.c
+++ b/decide/retry_window.c
@@ -6,9 +6,12 @@
 enum {
     US_PER_MS = 1000,
     PERMILLE = 1000,
-    /* Used share of the budget: calls made by a repeated run count as
-     * repeats at the service that they call, unseen by this host. */
-    USED_PERMILLE = 600
+    /* Used share of the budget: sends cross on their way, and a host learns
+     * late how many others share the allowance. */
+    USED_PERMILLE = 700,
+    /* Requests are counted over the window, repeats over two buckets more, as
+     * any span of the window's length counts. */
+    FIRSTS_BUCKETS = BB_RETRY_WINDOW_BUCKETS - 2
 };
 
 /* Empties the buckets that have left the window. */
@@ -17,7 +20,7 @@
         uint64_t now_us)
 {
     uint64_t length_us =
-        (uint64_t)l->window_ms * US_PER_MS / BB_RETRY_WINDOW_BUCKETS;
+        (uint64_t)l->window_ms * US_PER_MS / FIRSTS_BUCKETS;
     uint64_t bucket = now_us / (length_us != 0 ? length_us : 1);
 
     if (bucket - w->bucket >= BB_RETRY_WINDOW_BUCKETS) {
@@ -28,17 +31,23 @@
     while (w->bucket < bucket) {
         w->bucket++;
         w->firsts[w->bucket % BB_RETRY_WINDOW_BUCKETS] = 0;
-        w->repeats[w->bucket % BB_RETRY_WINDOW_BUCKETS] = 0;
+        w->repeats_milli[w->bucket % BB_RETRY_WINDOW_BUCKETS] = 0;
     }
 }
 
-/* Counts the first send of a request. */
+/* Counts the first send of a request. `repeat_permille` is the chance that it
+ * is a call of a run that was itself a repeat: it then counts as one too. */
 void
 bb_retry_window_first(struct bb_retry_window *w,
-                      const struct bb_retry_limits *l, uint64_t now_us)
+                      const struct bb_retry_limits *l,
+                      uint32_t repeat_permille, uint64_t now_us)
 {
+    uint32_t at;
+
     advance(w, l, now_us);
-    w->firsts[w->bucket % BB_RETRY_WINDOW_BUCKETS]++;
+    at = w->bucket % BB_RETRY_WINDOW_BUCKETS;
+    w->firsts[at]++;
+    w->repeats_milli[at] += repeat_permille;
 }
 
 /* Takes one repeat out of the budget; returns false if it is spent. */
@@ -47,20 +56,23 @@
                      const struct bb_retry_limits *l, uint64_t now_us)
 {
     uint64_t firsts = 0;
-    uint64_t repeats = 0;
+    uint64_t repeats_milli = 0;
     uint64_t budget_milli;
 
     advance(w, l, now_us);
     for (uint32_t i = 0; i < BB_RETRY_WINDOW_BUCKETS; i++) {
-        firsts += w->firsts[i];
-        repeats += w->repeats[i];
+        uint32_t at = (uint32_t)((w->bucket + BB_RETRY_WINDOW_BUCKETS - i) %
+                                 BB_RETRY_WINDOW_BUCKETS);
+
+        firsts += i < FIRSTS_BUCKETS ? w->firsts[at] : 0;
+        repeats_milli += w->repeats_milli[at];
     }
-    budget_milli =
-        firsts * l->ratio_permille +
-        (uint64_t)l->allowance * PERMILLE / (l->hosts != 0 ? l->hosts : 1);
-    if ((repeats + 1) * PERMILLE > budget_milli * USED_PERMILLE / PERMILLE) {
+    budget_milli = firsts * l->ratio_permille +
+                   (uint64_t)l->allowance * PERMILLE /
+                       (l->hosts != 0 ? l->hosts : 1);
+    if (repeats_milli + PERMILLE > budget_milli * USED_PERMILLE / PERMILLE) {
         return false;
     }
-    w->repeats[w->bucket % BB_RETRY_WINDOW_BUCKETS]++;
+    w->repeats_milli[w->bucket % BB_RETRY_WINDOW_BUCKETS] += PERMILLE;
     return true;
 }
--- a/fleet/core_orders.c
+++ b/fleet/core_orders.c
@@ -176,16 +176,12 @@
             return;
         }
     }
-    for (GList *at = c->orders.head; at != NULL;) {
-        GList *next = at->next;
-        struct core_order *o = at->data;
-
-        if (now_us >= o->deadline_us) {
-            g_queue_delete_link(&c->orders, at);
-            bb_counter_add(&unknown_total, 1);
-            end_order(c, o, BB_ORDER_UNKNOWN);
-        }
-        at = next;
+    while (!g_queue_is_empty(&c->orders) &&
+           now_us >=
+               ((struct core_order *)g_queue_peek_head(&c->orders))
+                   ->deadline_us) {
+        bb_counter_add(&unknown_total, 1);
+        end_order(c, g_queue_pop_head(&c->orders), BB_ORDER_UNKNOWN);
     }
     if (c->in_flight != NULL && c->in_flight->done != NULL &&
         now_us >= c->in_flight->deadline_us) {
--- a/include/decide/balance.h
+++ b/include/decide/balance.h
@@ -12,6 +12,10 @@
      * region pays for its bytes besides the way. */
     BB_BALANCE_ZONE_PRICE_US = 25 * 1000,
     BB_BALANCE_REGION_PRICE_US = 250 * 1000,
+    /* A near gate is good enough while wait and one and a half times the
+     * usual duration stay within this part of the time that is left. */
+    BB_BALANCE_COMFORT_PERCENT = 75,
+    BB_BALANCE_COMFORT_FAILING_PERMILLE = 200,
     /* A report counts half after this time. */
     BB_BALANCE_REPORT_HALF_US = 400 * 1000,
     /* Price of an answer that is certain to fail. */
@@ -48,6 +52,7 @@
 struct bb_balance_request {
     bool wants_free_slot; /* leave out gates known to be full */
     bool may_leave_region;
+    uint64_t aim_left_us; /* until the answer is worth less */
     uint64_t tried[BB_BALANCE_TRIED_MAX]; /* indices left out */
     uint32_t tried_count;
 };
--- a/include/decide/gate_queue.h
+++ b/include/decide/gate_queue.h
@@ -13,9 +13,12 @@
 
 enum {
     BB_GATE_QUEUE_MAX = 512,
-    BB_GATE_RANKS = 8,
+    BB_GATE_CLASSES = 32,
     /* Weight of the newest duration in the moving average, in percent. */
     BB_GATE_AVERAGE_PERCENT = 10,
+    /* Part of the time left that wait and run may take where the aim is
+     * missed anyway. */
+    BB_GATE_LATE_PERCENT = 35,
     /* Assumed duration before the first request has ended. */
     BB_GATE_FIRST_DURATION_US = 100 * 1000
 };
@@ -24,7 +27,8 @@
 
 struct bb_gate_request {
     uint64_t id;   /* unique among those queued */
-    uint32_t rank; /* 0: most urgent */
+    uint32_t rank;        /* 0: most urgent */
+    uint32_t class_index; /* requests that last alike; of their route */
     bool is_nested;
     uint64_t aim_us;      /* time by which the answer is worth most */
     uint64_t deadline_us; /* time after which nobody waits */
@@ -34,8 +38,8 @@
     uint32_t slots;
     uint32_t running;
     uint32_t queued;
-    uint64_t duration_us[BB_GATE_RANKS]; /* moving averages by rank */
-    uint64_t mean_us;                    /* over all ranks */
+    uint64_t duration_us[BB_GATE_CLASSES]; /* moving averages */
+    uint64_t mean_us;                    /* over all classes */
     struct bb_gate_request queue[BB_GATE_QUEUE_MAX];
 };
 
@@ -49,7 +53,7 @@
 bool bb_gate_queue_next(struct bb_gate_queue *q, uint64_t now_us, uint64_t *id,
                         enum bb_gate_verdict *verdict);
 bool bb_gate_queue_cancel(struct bb_gate_queue *q, uint64_t id);
-void bb_gate_queue_finish(struct bb_gate_queue *q, uint32_t rank,
+void bb_gate_queue_finish(struct bb_gate_queue *q, uint32_t class_index,
                           uint64_t duration_us, bool is_success);
 uint64_t bb_gate_queue_due_us(const struct bb_gate_queue *q);
 
--- a/include/decide/retry_window.h
+++ b/include/decide/retry_window.h
@@ -7,7 +7,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-enum { BB_RETRY_WINDOW_BUCKETS = 10 };
+enum { BB_RETRY_WINDOW_BUCKETS = 12 };
 
 struct bb_retry_limits {
     uint32_t window_ms;
@@ -19,11 +19,12 @@
 struct bb_retry_window {
     uint64_t bucket; /* number of the newest bucket */
     uint32_t firsts[BB_RETRY_WINDOW_BUCKETS];
-    uint32_t repeats[BB_RETRY_WINDOW_BUCKETS];
+    uint32_t repeats_milli[BB_RETRY_WINDOW_BUCKETS];
 };
 
 void bb_retry_window_first(struct bb_retry_window *w,
-                           const struct bb_retry_limits *l, uint64_t now_us);
+                           const struct bb_retry_limits *l,
+                           uint32_t repeat_permille, uint64_t now_us);
 bool bb_retry_window_take(struct bb_retry_window *w,
                           const struct bb_retry_limits *l, uint64_t now_us);
 
--- a/include/path/entry.h
+++ b/include/path/entry.h
@@ -43,6 +43,10 @@
     const struct bb_dialect *dialect;
     struct bb_directory *directory;
     struct bb_retry_limits retries;
+    /* Share of the requests running on this host's upstream that are
+     * repeats: their calls count as repeats too. */
+    uint32_t (*repeat_permille)(void *context);
+    void *context;
 };
 
 struct bb_entry *bb_entry_create(uv_loop_t *loop,
@@ -50,6 +54,7 @@
                                  struct bb_error *e);
 void bb_entry_set_rules(struct bb_entry *n, struct bb_rules *r);
 void bb_entry_drain(struct bb_entry *n);
+void bb_entry_stop(struct bb_entry *n);
 void bb_entry_close_idle(struct bb_entry *n);
 uint32_t bb_entry_busy_count(const struct bb_entry *n);
 void bb_entry_destroy(struct bb_entry *n);
--- a/include/path/gate.h
+++ b/include/path/gate.h
@@ -13,7 +13,7 @@
 #include "path/upstream.h"
 
 /* Fields between entry nodes and gates, besides those of the dialect. */
-#define BB_FIELD_CALL "Baobab-Call" /* service rank aim_ms flags */
+#define BB_FIELD_CALL "Baobab-Call" /* service rank class aim_ms flags */
 #define BB_FIELD_LOAD "Baobab-Load" /* running queued slots us permille */
 #define BB_FIELD_REFUSED "Baobab-Refused" /* reason: it did not run */
 #define BB_FIELD_FAILED "Baobab-Failed"   /* reason: it may have run */
@@ -27,7 +27,7 @@
     BB_GATE_FAILURE_PERMILLE = 80,
     BB_GATE_FLAG_NESTED = 'n',
     BB_GATE_FLAG_WAIT = 'w',
-    BB_GATE_FLAG_REPEAT = 'i' /* idempotent: may be sent again */
+    BB_GATE_FLAG_REPEAT = 'r'
 };
 
 struct bb_gate;
@@ -52,6 +52,7 @@
 bool bb_gate_withdraw(struct bb_gate *g, const char *id, uint64_t born_ms);
 void bb_gate_stop(struct bb_gate *g);
 uint32_t bb_gate_busy_count(const struct bb_gate *g);
+uint32_t bb_gate_repeat_permille(const struct bb_gate *g);
 const struct bb_upstream *bb_gate_upstream(const struct bb_gate *g);
 void bb_gate_destroy(struct bb_gate *g);
 
--- a/net/fetch.c
+++ b/net/fetch.c
@@ -131,6 +131,7 @@
         return;
     }
     bb_stream_resume(l->stream);
+    bb_stream_watch(l->stream, false);
     l->usable_until_us = bb_clock_now_us() + (uint64_t)idle_ms * BB_US_PER_MS;
     l->next = l->target->idle;
     if (l->next != NULL) {
@@ -403,6 +404,7 @@
         }
         bb_counter_add(&opened_total, 1);
     }
+    bb_stream_watch(l->stream, true);
     l->reader.is_headless = r->is_head_method;
     l->has_extra_bytes = false;
     l->fetch = f;
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -48,6 +48,7 @@
     bool is_waiting; /* parsing stopped until an exchange ends */
     bool is_feeding;
     bool is_closed;
+    char peer_ip[INET6_ADDRSTRLEN];
 };
 
 static void read_on(struct bb_server_connection *c);
@@ -136,14 +137,19 @@
     if (c->is_closing) {
         (void)uv_timer_start(&c->timer, end_wait, BB_SERVER_LINGER_MS, 0);
     }
+    else if (c->current != NULL && !c->current->is_begun) {
+        /* The peer has to go on with its body. */
+        (void)uv_timer_start(&c->timer, end_wait, l->idle_timeout_ms, 0);
+    }
+    else if (!g_queue_is_empty(&c->exchanges)) {
+        /* Requests before it are answered first, whatever is half read. */
+        (void)uv_timer_stop(&c->timer);
+    }
     else if (c->reader.state == BB_READER_HEAD && c->reader.has_started) {
         (void)uv_timer_start(&c->timer, end_wait, l->head_timeout_ms, 0);
     }
-    else if (g_queue_is_empty(&c->exchanges)) {
-        (void)uv_timer_start(&c->timer, end_wait, l->idle_timeout_ms, 0);
-    }
     else {
-        (void)uv_timer_stop(&c->timer);
+        (void)uv_timer_start(&c->timer, end_wait, l->idle_timeout_ms, 0);
     }
 }
 
@@ -416,7 +422,7 @@
 {
     struct bb_server_connection *c = context;
 
-    if (c->is_closing) {
+    if (c->is_closing || c->reader.state == BB_READER_FAILED) {
         return;
     }
     if (c->is_waiting) {
@@ -465,6 +471,7 @@
     }
     s->connections = c;
     bb_stream_attach(stream, &stream_events, c);
+    bb_stream_peer_ip(stream, c->peer_ip, sizeof(c->peer_ip));
     set_timer(c);
 }
 
@@ -563,8 +570,9 @@
     bool has_body = status != 204 && status != 304;
 
     x->is_started = true;
-    if (x->connection->server->is_draining) {
-        x->closes = true;
+    if (x->connection->server->is_draining &&
+        g_queue_peek_tail(&x->connection->exchanges) == x) {
+        x->closes = true; /* not before requests that are under way */
     }
     if (x->output == NULL) {
         x->output = g_string_sized_new(512);
@@ -633,6 +641,13 @@
     bb_exchange_end(x);
 }
 
+/* Returns the address from which a request came. */
+const char *
+bb_exchange_peer_ip(const struct bb_exchange *x)
+{
+    return x->connection->peer_ip;
+}
+
 /* Returns how many bytes of answers wait for the socket. */
 size_t
 bb_exchange_queued_bytes(const struct bb_exchange *x)
--- a/net/stream.c
+++ b/net/stream.c
@@ -80,7 +80,6 @@
 {
     int fd = -1;
     unsigned unacked_ms = BB_STREAM_UNACKED_MS;
-    int on = 1;
     int idle_s = BB_STREAM_KEEPALIVE_IDLE_S;
     int interval_s = BB_STREAM_KEEPALIVE_INTERVAL_S;
     int probes = BB_STREAM_KEEPALIVE_PROBES;
@@ -92,7 +91,6 @@
     /* Best effort: deadlines still bound every call without them. */
     (void)setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked_ms,
                      sizeof(unacked_ms));
-    (void)setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
     (void)setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle_s, sizeof(idle_s));
     (void)setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval_s,
                      sizeof(interval_s));
@@ -107,6 +105,23 @@
     *out = uv_buf_init(read_buffer, sizeof(read_buffer));
 }
 
+/* Returns the status of a connection that libuv reports as ended. It does so
+ * also for a reset that follows data within one wake-up, without reading the
+ * error. */
+static int
+end_status(const uv_stream_t *h)
+{
+    int fd = -1;
+    int error = 0;
+    socklen_t size = sizeof(error);
+
+    if (uv_fileno((const uv_handle_t *)h, &fd) != 0 ||
+        getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &size) != 0) {
+        return UV_EIO;
+    }
+    return error == 0 ? 0 : uv_translate_sys_error(error);
+}
+
 /* Passes received bytes on, or the end of the connection. */
 static void
 take_data(uv_stream_t *h, ssize_t n, const uv_buf_t *buffer)
@@ -118,7 +133,7 @@
     }
     if (n < 0) {
         (void)uv_read_stop(h);
-        report_end(s, n == UV_EOF ? 0 : (int)n);
+        report_end(s, n == UV_EOF ? end_status(h) : (int)n);
         return;
     }
     if (s->events != NULL && !s->is_finishing) {
@@ -268,6 +283,34 @@
     return s->queued_bytes;
 }
 
+/* Switches keep-alive probes on while an answer is awaited: an idle
+ * connection needs none, and each probe is traffic. */
+void
+bb_stream_watch(struct bb_stream *s, bool is_watched)
+{
+    int fd = -1;
+    int on = is_watched ? 1 : 0;
+
+    if (uv_fileno((uv_handle_t *)&s->tcp, &fd) == 0) {
+        (void)setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+    }
+}
+
+/* Writes the peer's address as text, or an empty text if it is gone. */
+void
+bb_stream_peer_ip(const struct bb_stream *s, char *ip, size_t size_bytes)
+{
+    struct sockaddr_storage from;
+    int size = sizeof(from);
+    struct bb_address a;
+
+    ip[0] = '\0';
+    if (uv_tcp_getpeername(&s->tcp, (struct sockaddr *)&from, &size) == 0 &&
+        bb_address_from_sockaddr(&from, &a)) {
+        g_strlcpy(ip, a.ip, size_bytes);
+    }
+}
+
 /* Stops reading until bb_stream_resume, so that the peer has to wait. */
 void
 bb_stream_pause(struct bb_stream *s)
--- a/path/attempt.c
+++ b/path/attempt.c
@@ -77,7 +77,9 @@
     struct bb_gate_entry *gates[BB_DIRECTORY_GATES_MAX];
     const struct bb_gate_view *views[BB_DIRECTORY_GATES_MAX];
     uint32_t n = list_gates(c, gates, views);
-    struct bb_balance_request r = {.may_leave_region = true};
+    struct bb_balance_request r = {
+        .may_leave_region = true,
+        .aim_left_us = c->aim_us > now_us ? c->aim_us - now_us : 0};
     int32_t best = bb_balance_pick(views, n, &r, random_bits(), now_us);
     struct bb_gate_entry *g;
     bool has_other = false;
@@ -128,14 +130,6 @@
     return (uint64_t)BB_ENTRY_RETURN_FAR_MS * BB_US_PER_MS;
 }
 
-/* Returns whether a request comes from the upstream of this host: then it is
- * a call of a request that holds a slot already. */
-static bool
-is_nested(const struct call *c)
-{
-    return c->rule->rank == 0;
-}
-
 /* Writes the head of the request for a gate. */
 static GString *
 build_head(const struct call *c, const struct bb_gate_entry *g,
@@ -154,11 +148,11 @@
     g_string_append_printf(
         head,
         "%s: %" G_GUINT64_FORMAT "\r\n%s: %s\r\n" BB_FIELD_CALL
-        ": %s %u %u %s%s-\r\n",
+        ": %s %u %u %u %s%s%s-\r\n",
         names->deadline_ms, left_us / BB_US_PER_MS, names->caller_service,
-        s->service, c->service->name, c->rule->rank,
+        s->service, c->service->name, c->rule->rank, c->rule->class_index,
         (unsigned)(aim_us / BB_US_PER_MS), c->is_waiting_allowed ? "w" : "",
-        is_nested(c) ? "n" : "");
+        c->is_nested ? "n" : "", c->attempts > 0 ? "r" : "");
     bb_forward_length(c->exchange, head);
     g_string_append(head, "\r\n");
     return head;
@@ -210,6 +204,7 @@
                         bb_head_get(h, BB_FIELD_LOAD) != NULL
                             ? bb_head_get(h, BB_FIELD_LOAD)
                             : "");
+        c->is_late = c->is_refused && strcmp(reason, "late") == 0;
         if (c->is_refused && strcmp(reason, "full") == 0) {
             add_to(c->seen_full, &c->seen_full_count, c->gate);
         }
@@ -341,12 +336,14 @@
 static bool
 may_repeat(struct call *c, bool has_run)
 {
+    struct bb_retry_limits limits = c->entry->settings.retries;
+
     if ((has_run && !c->rule->is_idempotent) ||
         c->attempts >= c->rule->attempts || c->is_long || !has_time(c)) {
         return false;
     }
-    if (!bb_retry_window_take(&c->service->retries,
-                              &c->entry->settings.retries,
+    limits.hosts = bb_directory_count(c->entry->settings.directory);
+    if (!bb_retry_window_take(&c->service->retries, &limits,
                               bb_clock_now_us())) {
         bb_counter_add(&no_budget_total, 1);
         bb_event_append(c->lines, "entry.no_budget", c->id,
@@ -362,7 +359,7 @@
 static void
 try_elsewhere(struct call *c)
 {
-    if (c->is_long || !has_time(c)) {
+    if (c->is_long || c->is_late || !has_time(c)) {
         give_up(c, c->is_long ? "long_body" : "late");
         return;
     }
--- a/path/entry.c
+++ b/path/entry.c
@@ -89,6 +89,9 @@
     struct call *c = h->data;
 
     bb_relay_clear(&c->relay);
+    if (c->has_held_answer) {
+        bb_relay_clear(&c->held);
+    }
     g_string_free(c->lines, TRUE);
     bb_rules_unref(c->rules);
     g_free(c);
@@ -225,6 +228,10 @@
         call_answer(c, 400, "no_request_id", 0);
         return;
     }
+    if (n->is_stopping) {
+        call_answer(c, 503, "stopping", BB_ENTRY_RETRY_MIN_MS);
+        return;
+    }
     if (!find_route(n, c)) {
         return;
     }
@@ -241,7 +248,11 @@
     }
     (void)uv_timer_start(&c->timer, end_time,
                          (c->deadline_us - now_us) / BB_US_PER_MS + 1, 0);
-    bb_retry_window_first(&c->service->retries, &n->settings.retries, now_us);
+    c->is_nested = strcmp(bb_exchange_peer_ip(x), n->settings.ip) == 0;
+    bb_retry_window_first(
+        &c->service->retries, &n->settings.retries,
+        c->is_nested ? n->settings.repeat_permille(n->settings.context) : 0,
+        now_us);
     call_try(c);
 }
 
@@ -345,6 +356,13 @@
     bb_server_drain(n->server);
 }
 
+/* Refuses each further request; what is under way is finished. */
+void
+bb_entry_stop(struct bb_entry *n)
+{
+    n->is_stopping = true;
+}
+
 /* Closes connections without a request. */
 void
 bb_entry_close_idle(struct bb_entry *n)
--- a/path/entry_internal.h
+++ b/path/entry_internal.h
@@ -23,6 +23,7 @@
     struct bb_pool *pool;
     struct bb_rules *rules;
     GHashTable *splits; /* struct bb_rule to struct split */
+    bool is_stopping;
 };
 
 /* What a try at a gate ended with. */
@@ -57,6 +58,9 @@
     uint32_t attempts; /* arrivals at upstreams */
     uint32_t tries;    /* sends to gates */
     bool has_id;
+    bool is_nested;  /* made by the upstream of this host, for a request that
+                        holds a slot there */
+    bool is_late;    /* the gate said so: no time for another one */
     bool is_long;    /* the body did not come in whole before the first try */
     bool is_chunked; /* as sent to the gate */
     bool may_have_run;
--- a/path/gate.c
+++ b/path/gate.c
@@ -56,6 +56,7 @@
     GHashTable *jobs; /* id to struct job, of those queued */
     uint64_t next_id;
     uint32_t failing_permille;
+    uint32_t running_repeats;
     bool is_stopping;
     bool is_unreachable; /* since the last announcement */
 };
@@ -72,6 +73,7 @@
     char call_id[BB_DIALECT_ID_BYTES];
     char service[SERVICE_TEXT_BYTES];
     bool is_chunked;
+    bool is_repeat;  /* sent to an upstream before */
     bool has_failed; /* the answer says so itself */
     bool is_not_run; /* by the upstream's own word */
 };
@@ -92,6 +94,17 @@
         g->failing_permille);
 }
 
+/* Frees the slot of a request that was sent to the upstream. */
+static void
+leave_slot(struct job *j, uint64_t took_us, bool is_success)
+{
+    struct bb_gate *g = j->gate;
+
+    bb_gate_queue_finish(&g->queue, j->request.class_index, took_us,
+                         is_success);
+    g->running_repeats -= j->is_repeat;
+}
+
 /* Answers a request that has not run here and never will. */
 static void
 refuse(struct bb_gate *g, struct bb_exchange *x, const char *id,
@@ -221,11 +234,8 @@
     uint64_t took_us = bb_clock_now_us() - j->started_us;
     bool is_whole = result == BB_FETCH_COMPLETE;
 
-    bb_gate_queue_finish(&g->queue, j->request.rank, took_us,
-                         is_whole && !j->has_failed && !j->is_not_run);
-    if (!j->is_not_run) {
-        note_outcome(g, !is_whole || j->has_failed);
-    }
+    leave_slot(j, took_us, is_whole && !j->has_failed && !j->is_not_run);
+    note_outcome(g, !is_whole || j->has_failed || j->is_not_run);
     if (is_whole) {
         bb_relay_finish(&j->relay, j->exchange);
     }
@@ -325,6 +335,7 @@
     };
 
     j->started_us = now_us;
+    g->running_repeats += j->is_repeat;
     j->is_chunked = bb_forward_is_chunked(x);
     if (!j->is_chunked) {
         r.body = x->body->str;
@@ -334,7 +345,7 @@
     j->fetch = bb_fetch_start(g->pool, &r, &fetch_events, j);
     g_string_free(head, TRUE);
     if (j->fetch == NULL) {
-        bb_gate_queue_finish(&g->queue, j->request.rank, 0, false);
+        leave_slot(j, 0, false);
         refuse(g, x, j->call_id, &refused_unreachable, "unreachable");
         free_job(j);
         return;
@@ -397,19 +408,22 @@
     uint64_t deadline_ms = DEFAULT_DEADLINE_MS;
     char flags[8] = "";
     unsigned rank = 0;
+    unsigned class_index = 0;
     unsigned aim_ms = 0;
 
     if (call == NULL || id == NULL || strlen(id) >= sizeof(j->call_id) ||
-        sscanf(call, "%127s %u %u %7s", j->service, &rank, &aim_ms, flags) <
-            3) {
+        sscanf(call, "%127s %u %u %u %7s", j->service, &rank, &class_index,
+               &aim_ms, flags) < 4) {
         return false;
     }
     (void)bb_head_get_u64(&x->head, names->deadline_ms, &deadline_ms);
     g_strlcpy(j->call_id, id, sizeof(j->call_id));
     *may_wait = strchr(flags, BB_GATE_FLAG_WAIT) != NULL;
+    j->is_repeat = strchr(flags, BB_GATE_FLAG_REPEAT) != NULL;
     j->request = (struct bb_gate_request){
         .id = ++g->next_id,
         .rank = rank,
+        .class_index = class_index,
         .is_nested = strchr(flags, BB_GATE_FLAG_NESTED) != NULL,
         .aim_us = now_us + (uint64_t)aim_ms * BB_US_PER_MS,
         .deadline_us = now_us + deadline_ms * BB_US_PER_MS};
@@ -513,7 +527,7 @@
     bb_counter_add(&cancelled_total, 1);
     if (j->fetch != NULL) {
         bb_fetch_cancel(j->fetch);
-        bb_gate_queue_finish(&g->queue, j->request.rank, 0, false);
+        leave_slot(j, 0, false);
     }
     else {
         (void)bb_gate_queue_cancel(&g->queue, j->request.id);
@@ -629,6 +643,16 @@
     return bb_server_busy_count(g->server);
 }
 
+/* Returns the share of the running requests that are repeats, in permille. */
+uint32_t
+bb_gate_repeat_permille(const struct bb_gate *g)
+{
+    return g->queue.running == 0
+               ? 0
+               : MIN(g->running_repeats * PERMILLE / g->queue.running,
+                     (uint32_t)PERMILLE);
+}
+
 /* Returns what is known of the upstream. */
 const struct bb_upstream *
 bb_gate_upstream(const struct bb_gate *g)
--- a/path/host.c
+++ b/path/host.c
@@ -11,6 +11,9 @@
 #include "common/log.h"
 #include "net/http_server.h"
 
+/* Turns of the loop in which closed handles are released. */
+enum { CLOSE_TURNS = 3 };
+
 struct bb_host {
     uv_loop_t loop;
     uv_signal_t signals[3];
@@ -165,10 +168,14 @@
 {
     bb_server_destroy(h->metrics);
     uv_walk(&h->loop, close_handle, NULL);
-    (void)uv_run(&h->loop, UV_RUN_DEFAULT);
-    (void)uv_loop_close(&h->loop);
+    /* Not until all is done: a write to a stalled disk may never end. */
+    for (int i = 0; i < CLOSE_TURNS; i++) {
+        (void)uv_run(&h->loop, UV_RUN_NOWAIT);
+    }
     (void)bb_events_flush();
-    g_free(h);
+    if (uv_loop_close(&h->loop) == 0) {
+        g_free(h);
+    }
 }
 
 /* Reads the seed addresses from the file of live settings, a key file with
--- a/path/rules.c
+++ b/path/rules.c
@@ -3,6 +3,8 @@
 
 #include <string.h>
 
+#include "common/digest.h"
+
 enum { LIMITS_MIN = 1 };
 
 static void
@@ -54,6 +56,8 @@
     rule->host = g_ascii_strdown(host, -1);
     rule->prefix = g_strdup(prefix);
     rule->attempts = 1;
+    rule->class_index = (uint32_t)(bb_hash64(name, strlen(name), 0) %
+                                   BB_RULES_CLASSES);
     g_ptr_array_add(r->rules, rule);
     return rule;
 }
--- a/proxyd/main.c
+++ b/proxyd/main.c
@@ -236,6 +236,9 @@
     uint32_t busy =
         bb_entry_busy_count(p->entry) + bb_gate_busy_count(p->gate);
 
+    if (waited_ms >= STOP_QUIET_MS) {
+        bb_entry_stop(p->entry);
+    }
     if (waited_ms + STOP_MARGIN_MS >= p->settings.grace_s * 1000 ||
         (waited_ms >= STOP_QUIET_MS && busy == 0)) {
         bb_log_info("proxy.stopped", "%u requests under way", busy);
@@ -260,6 +263,15 @@
 static const struct bb_host_events host_events = {.stop = stop,
                                                   .reload = reload};
 
+/* Returns the share of repeats among the requests of the upstream. */
+static uint32_t
+repeat_permille(void *context)
+{
+    const struct proxy *p = context;
+
+    return bb_gate_repeat_permille(p->gate);
+}
+
 /* Opens all addresses. */
 static bool
 open_addresses(struct proxy *p, struct bb_error *e)
@@ -274,7 +286,9 @@
         .directory = p->directory,
         .retries = {.window_ms = (uint32_t)s->retry_window_s * 1000,
                     .ratio_permille = s->retry_ratio_permille,
-                    .allowance = (uint32_t)s->retry_allowance}};
+                    .allowance = (uint32_t)s->retry_allowance},
+        .repeat_permille = repeat_permille,
+        .context = p};
     const struct bb_gate_settings gate = {.at = s->gate,
                                           .upstream = s->upstream_address,
                                           .upstream_text = s->upstream,
