--- a/decide/balance.c
+++ b/decide/balance.c
@@ -5,8 +5,6 @@
     PERCENT = 100,
     /* After the tiers of enum bb_distance. */
     NOT_COMFORTABLE = BB_OTHER_REGION + 1,
-    /* Way to another region and back. */
-    REGION_WAY_US = 50 * 1000,
     /* Before the first report: an ordinary duration. */
     FIRST_SERVICE_US = 100 * 1000,
     /* Requests of equal cost are spread by so much. */
@@ -115,9 +113,6 @@
     uint64_t needed_us =
         bb_balance_wait_us(v, now_us) + service_us + service_us / 2;
 
-    if (v->distance == BB_OTHER_REGION) {
-        needed_us += REGION_WAY_US;
-    }
     return v->failing_permille < BB_BALANCE_COMFORT_FAILING_PERMILLE &&
            now_us >= v->cold_until_us &&
            needed_us * PERCENT <= aim_left_us * BB_BALANCE_COMFORT_PERCENT;
@@ -141,7 +136,8 @@
         if (!is_usable(views[i], i, r, now_us)) {
             continue;
         }
-        tier = is_comfortable(views[i], r->aim_left_us, now_us)
+        tier = views[i]->distance != BB_OTHER_REGION &&
+                       is_comfortable(views[i], r->aim_left_us, now_us)
                    ? views[i]->distance
                    : NOT_COMFORTABLE;
         if (is_unexplored(views[i])) {
