Hedge slow idempotent requests; count the aim from the first attempt

A request slower than nineteen of twenty of its class goes to a second gate near by that has a free slot, out of the retry budget. The first answer is passed on, the other try is cancelled.

--- a/include/path/entry.h
+++ b/include/path/entry.h
@@ -26,6 +26,8 @@
     BB_ENTRY_RETURN_ZONE_MS = 2,
     BB_ENTRY_RETURN_REGION_MS = 5,
     BB_ENTRY_RETURN_FAR_MS = 30,
+    /* Past a route's timeout, for the gate's word that it did not run. */
+    BB_ENTRY_LAST_WORD_MS = 80,
     /* Less time than this is not worth another attempt. */
     BB_ENTRY_LEAST_MS = 20,
     /* A refused caller is told to come back after the expected wait, within
--- a/path/attempt.c
+++ b/path/attempt.c
@@ -13,6 +13,8 @@
            "Requests sent again after they may have reached an upstream");
 BB_COUNTER(no_budget_total, "baobab_entry_no_budget_total",
            "Repeats left out because the retry budget was spent");
+BB_COUNTER(hedges_total, "baobab_entry_hedges_total",
+           "Slow requests sent to a second gate as well");
 BB_COUNTER(far_total, "baobab_entry_far_total",
            "Sends to gates in another region");
 
@@ -72,7 +74,7 @@
 /* Chooses the next gate, and whether the request may wait there: only where
  * no other gate that has not refused it yet promises less. */
 static struct bb_gate_entry *
-choose_gate(struct call *c, uint64_t now_us)
+choose_gate(struct call *c, bool *may_wait, uint64_t now_us)
 {
     struct bb_gate_entry *gates[BB_DIRECTORY_GATES_MAX];
     const struct bb_gate_view *views[BB_DIRECTORY_GATES_MAX];
@@ -97,24 +99,51 @@
              !is_in(c->seen_full, c->seen_full_count, gates[i]->text) &&
              bb_balance_wait_us(views[i], now_us) < PROBE_GAIN_US);
     }
-    c->is_waiting_allowed = !has_other ||
+    *may_wait = !has_other ||
                             is_in(c->seen_full, c->seen_full_count, g->text) ||
                             c->tries + 2 >= BB_ENTRY_TRIES_MAX;
     return g;
 }
 
-/* Gives the present gate back after a try. */
-void
-call_leave_gate(struct call *c)
+/* Returns the gate of a try, unless it is no longer known. */
+static struct bb_gate_entry *
+find_gate(const struct attempt *a)
 {
-    struct bb_gate_entry *g =
-        bb_directory_gate(c->entry->settings.directory, c->gate);
+    return bb_directory_gate(a->call->entry->settings.directory, a->gate);
+}
+
+/* Gives the gate of a try back. */
+static void
+leave_gate(const struct attempt *a)
+{
+    struct bb_gate_entry *g = find_gate(a);
 
     if (g != NULL && g->view.in_flight > 0) {
         g->view.in_flight--;
     }
 }
 
+/* Gives a try up; its gate stops the work. */
+void
+attempt_cancel(struct attempt *a)
+{
+    if (a->fetch != NULL) {
+        bb_fetch_cancel(a->fetch);
+        a->fetch = NULL;
+        leave_gate(a);
+    }
+}
+
+/* Returns the other try of a call, which may not be under way. */
+static struct attempt *
+other_of(struct attempt *a)
+{
+    struct call *c = a->call;
+
+    return a == &c->attempts_now[0] ? &c->attempts_now[1]
+                                    : &c->attempts_now[0];
+}
+
 /* Returns the time kept for the way back from a gate. */
 static uint64_t
 return_us(const struct bb_gate_entry *g)
@@ -132,9 +161,9 @@
 
 /* Writes the head of the request for a gate. */
 static GString *
-build_head(const struct call *c, const struct bb_gate_entry *g,
-           uint64_t left_us, uint64_t now_us)
+build_head(const struct attempt *a, uint64_t left_us, uint64_t now_us)
 {
+    const struct call *c = a->call;
     const struct bb_entry_settings *s = &c->entry->settings;
     const struct bb_dialect_fields *names = &s->dialect->fields;
     const char *const without[] = {names->deadline_ms, names->caller_service,
@@ -142,7 +171,6 @@
     uint64_t aim_us = c->aim_us > now_us ? c->aim_us - now_us : 0;
     GString *head = g_string_sized_new(512);
 
-    (void)g;
     bb_forward_request_line(&c->exchange->head, head);
     bb_forward_fields(&c->exchange->head, without, head);
     g_string_append_printf(
@@ -151,8 +179,9 @@
         ": %s %u %u %u %s%s%s-\r\n",
         names->deadline_ms, left_us / BB_US_PER_MS, names->caller_service,
         s->service, c->service->name, c->rule->rank, c->rule->class_index,
-        (unsigned)(aim_us / BB_US_PER_MS), c->is_waiting_allowed ? "w" : "",
-        c->is_nested ? "n" : "", c->attempts > 0 ? "r" : "");
+        (unsigned)(aim_us / BB_US_PER_MS), a->may_wait ? "w" : "",
+        c->is_nested ? "n" : "",
+        c->arrivals > 0 || a != &c->attempts_now[0] ? "r" : "");
     bb_forward_length(c->exchange, head);
     g_string_append(head, "\r\n");
     return head;
@@ -160,10 +189,9 @@
 
 /* Reads the load that a gate reports. */
 static void
-take_load(struct call *c, const struct bb_head *h)
+take_load(const struct attempt *a, const struct bb_head *h)
 {
-    struct bb_gate_entry *g =
-        bb_directory_gate(c->entry->settings.directory, c->gate);
+    struct bb_gate_entry *g = find_gate(a);
     const char *text = bb_head_get(h, BB_FIELD_LOAD);
     unsigned running = 0;
     unsigned queued = 0;
@@ -181,57 +209,70 @@
     bb_gate_view_reached(&g->view);
 }
 
+/* Notes what a gate said of itself: it refused the request, or lost its
+ * answer. */
+static void
+note_gate_word(struct attempt *a, const struct bb_head *h)
+{
+    struct call *c = a->call;
+    const char *reason =
+        bb_head_get(h, a->is_refused ? BB_FIELD_REFUSED : BB_FIELD_FAILED);
+    const char *load = bb_head_get(h, BB_FIELD_LOAD);
+
+    bb_event_append(c->lines, "entry.gate_said", c->id,
+                    "\"gate\":\"%s\",\"%s\":\"%s\",\"load\":\"%s\"", a->gate,
+                    a->is_refused ? "refused" : "failed", reason,
+                    load != NULL ? load : "");
+    c->is_late = c->is_late || (a->is_refused && strcmp(reason, "late") == 0);
+    if (a->is_refused && strcmp(reason, "full") == 0) {
+        add_to(c->seen_full, &c->seen_full_count, a->gate);
+    }
+    else {
+        add_to(c->left_out, &c->left_out_count, a->gate);
+    }
+}
+
 static bool
 take_head(void *context, const struct bb_head *h)
 {
-    struct call *c = context;
+    struct attempt *a = context;
     const struct bb_dialect_fields *names =
-        &c->entry->settings.dialect->fields;
-
-    take_load(c, h);
-    c->is_refused = bb_head_get(h, BB_FIELD_REFUSED) != NULL;
-    c->is_failed = bb_head_get(h, BB_FIELD_FAILED) != NULL;
-    c->is_not_run = bb_head_get(h, names->not_run) != NULL ||
-                    (h->status == 421 && !c->is_refused);
-    c->is_sealed = bb_head_get(h, names->seal) != NULL;
-    if (c->is_refused || c->is_failed) {
-        const char *reason =
-            bb_head_get(h, c->is_refused ? BB_FIELD_REFUSED : BB_FIELD_FAILED);
-
-        bb_event_append(c->lines, "entry.gate_said", c->id,
-                        "\"gate\":\"%s\",\"%s\":\"%s\",\"load\":\"%s\"",
-                        c->gate, c->is_refused ? "refused" : "failed", reason,
-                        bb_head_get(h, BB_FIELD_LOAD) != NULL
-                            ? bb_head_get(h, BB_FIELD_LOAD)
-                            : "");
-        c->is_late = c->is_refused && strcmp(reason, "late") == 0;
-        if (c->is_refused && strcmp(reason, "full") == 0) {
-            add_to(c->seen_full, &c->seen_full_count, c->gate);
-        }
-        else {
-            add_to(c->left_out, &c->left_out_count, c->gate);
-        }
-    }
-    bb_relay_take_head(&c->relay, h, c->exchange->head.method == HTTP_HEAD);
+        &a->call->entry->settings.dialect->fields;
+
+    take_load(a, h);
+    a->is_refused = bb_head_get(h, BB_FIELD_REFUSED) != NULL;
+    a->is_failed = bb_head_get(h, BB_FIELD_FAILED) != NULL;
+    a->is_not_run = bb_head_get(h, names->not_run) != NULL ||
+                    (h->status == 421 && !a->is_refused);
+    a->is_sealed = bb_head_get(h, names->seal) != NULL;
+    if (a->is_refused || a->is_failed) {
+        note_gate_word(a, h);
+    }
+    bb_relay_take_head(&a->relay, h,
+                       a->call->exchange->head.method == HTTP_HEAD);
     return true;
 }
 
 static void
 take_body(void *context, const char *data, size_t size_bytes)
 {
-    struct call *c = context;
+    struct attempt *a = context;
+    struct bb_exchange *x = a->call->exchange;
+    bool is_out = bb_relay_take_body(&a->relay, x, data, size_bytes);
 
-    if (bb_relay_take_body(&c->relay, c->exchange, data, size_bytes) &&
-        bb_exchange_queued_bytes(c->exchange) > BB_STREAM_HIGH_WATER_BYTES) {
-        bb_fetch_pause(c->fetch);
+    if (is_out) {
+        attempt_cancel(other_of(a));
+    }
+    if (is_out && bb_exchange_queued_bytes(x) > BB_STREAM_HIGH_WATER_BYTES) {
+        bb_fetch_pause(a->fetch);
     }
 }
 
 /* Says what a finished try means. */
 static enum try_result
-classify(const struct call *c, enum bb_fetch_result result)
+classify(const struct attempt *a, enum bb_fetch_result result)
 {
-    bool is_success = c->relay.status >= 200 && c->relay.status < 300;
+    bool is_success = a->relay.status >= 200 && a->relay.status < 300;
 
     switch (result) {
     case BB_FETCH_NOT_CONNECTED:
@@ -243,13 +284,13 @@
     case BB_FETCH_COMPLETE:
         break;
     }
-    if (c->is_refused) {
+    if (a->is_refused) {
         return TRY_REFUSED;
     }
-    if (c->is_not_run) {
+    if (a->is_not_run) {
         return TRY_NOT_RUN;
     }
-    if (c->is_failed || (is_success && !c->is_sealed)) {
+    if (a->is_failed || (is_success && !a->is_sealed)) {
         return TRY_UNKNOWN;
     }
     return TRY_ANSWER;
@@ -296,24 +337,23 @@
 
 /* Keeps a failure of an upstream while another try is made. */
 static void
-hold_answer(struct call *c)
+hold_answer(struct attempt *a)
 {
+    struct call *c = a->call;
+
     if (c->has_held_answer) {
         bb_relay_clear(&c->held);
     }
-    c->held = c->relay;
+    c->held = a->relay;
     c->has_held_answer = true;
-    bb_relay_init(&c->relay);
+    bb_relay_init(&a->relay);
 }
 
 /* Passes the kept failure of an upstream on. */
 void
 call_deliver_held(struct call *c)
 {
-    bb_relay_clear(&c->relay);
-    c->relay = c->held;
-    c->has_held_answer = false;
-    call_deliver(c);
+    call_deliver(c, &c->held);
 }
 
 /* Answers a call for which there is no further try. */
@@ -339,7 +379,7 @@
     struct bb_retry_limits limits = c->entry->settings.retries;
 
     if ((has_run && !c->rule->is_idempotent) ||
-        c->attempts >= c->rule->attempts || c->is_long || !has_time(c)) {
+        c->arrivals >= c->rule->attempts || c->is_long || !has_time(c)) {
         return false;
     }
     limits.hosts = bb_directory_count(c->entry->settings.directory);
@@ -366,80 +406,74 @@
     call_try(c);
 }
 
-/* Goes on after a try that brought a whole answer of the upstream. */
+/* Notes a try that has ended, and what it says of its gate. */
 static void
-take_answer(struct call *c)
+note_end(struct attempt *a, enum try_result r, enum bb_fetch_result result)
 {
-    if (c->relay.status >= 500 && may_repeat(c, true)) {
-        hold_answer(c);
-        add_to(c->left_out, &c->left_out_count, c->gate);
-        call_try(c);
+    struct call *c = a->call;
+    struct bb_gate_entry *g = find_gate(a);
+    uint64_t took_us = bb_clock_now_us() - a->started_us;
+
+    if (r == TRY_ANSWER && a->relay.status < 500) {
+        call_note_duration(c, took_us);
         return;
     }
-    call_deliver(c);
+    bb_event_append(c->lines, "entry.try_ended", c->id,
+                    "\"gate\":\"%s\",\"result\":\"%s\",\"fetch\":\"%s\","
+                    "\"status\":%u,\"took_us\":%" G_GUINT64_FORMAT,
+                    a->gate, try_result_name(r), bb_fetch_result_name(result),
+                    a->relay.status, took_us);
+    if (g != NULL && result != BB_FETCH_COMPLETE) {
+        bb_gate_view_unreachable(&g->view, bb_clock_now_us());
+    }
+    if (r != TRY_REFUSED) {
+        add_to(c->left_out, &c->left_out_count, a->gate);
+    }
 }
 
+/* Ends a call whose answer had begun to go out. */
 static void
-take_done(void *context, enum bb_fetch_result result)
+end_stream(struct attempt *a, enum bb_fetch_result result)
 {
-    struct call *c = context;
-    struct bb_gate_entry *g =
-        bb_directory_gate(c->entry->settings.directory, c->gate);
-    enum try_result r = classify(c, result);
-
-    c->fetch = NULL;
-    call_leave_gate(c);
-    if (r != TRY_ANSWER || c->relay.status >= 500) {
-        bb_event_append(c->lines, "entry.try_ended", c->id,
-                        "\"gate\":\"%s\",\"result\":\"%s\",\"fetch\":\"%s\","
-                        "\"status\":%u,\"took_us\":%" G_GUINT64_FORMAT,
-                        c->gate, try_result_name(r),
-                        bb_fetch_result_name(result), c->relay.status,
-                        bb_clock_now_us() - c->try_started_us);
-    }
-    if (c->relay.is_streaming) {
-        if (result == BB_FETCH_COMPLETE) {
-            call_deliver(c);
-            return;
-        }
-        bb_event_append(c->lines, "entry.broken_off", c->id,
-                        "\"reason\":\"%s\"", bb_fetch_result_name(result));
-        bb_exchange_abort(c->exchange);
-        call_destroy(c, BB_EVENT_FAILURE);
+    struct call *c = a->call;
+
+    if (result == BB_FETCH_COMPLETE) {
+        call_deliver(c, &a->relay);
         return;
     }
+    bb_event_append(c->lines, "entry.broken_off", c->id, "\"reason\":\"%s\"",
+                    bb_fetch_result_name(result));
+    bb_exchange_abort(c->exchange);
+    call_destroy(c, BB_EVENT_FAILURE);
+}
+
+/* Decides what follows a try that brought no good answer, once no other try
+ * is under way. */
+static void
+go_on(struct attempt *a, enum try_result r)
+{
+    struct call *c = a->call;
+
     switch (r) {
     case TRY_ANSWER:
-        c->attempts++;
-        c->may_have_run = true;
-        take_answer(c);
+        if (may_repeat(c, true)) {
+            call_try(c);
+            return;
+        }
+        call_deliver_held(c);
         return;
     case TRY_REFUSED:
+    case TRY_UNREACHABLE:
         try_elsewhere(c);
         return;
     case TRY_NOT_RUN:
-        c->attempts++;
-        add_to(c->left_out, &c->left_out_count, c->gate);
-        if (may_repeat(c, false)) {
+        if (may_repeat(c, c->may_have_run)) {
             call_try(c);
             return;
         }
         give_up(c, "upstream_refused");
         return;
-    case TRY_UNREACHABLE:
-        if (g != NULL) {
-            bb_gate_view_unreachable(&g->view, bb_clock_now_us());
-        }
-        add_to(c->left_out, &c->left_out_count, c->gate);
-        try_elsewhere(c);
-        return;
     case TRY_UNKNOWN:
-        c->attempts++;
-        c->may_have_run = true;
-        if (result != BB_FETCH_COMPLETE && g != NULL) {
-            bb_gate_view_unreachable(&g->view, bb_clock_now_us());
-        }
-        add_to(c->left_out, &c->left_out_count, c->gate);
         if (may_repeat(c, true)) {
             call_try(c);
             return;
@@ -449,13 +483,46 @@
     }
 }
 
+static void
+take_done(void *context, enum bb_fetch_result result)
+{
+    struct attempt *a = context;
+    struct call *c = a->call;
+    enum try_result r = classify(a, result);
+
+    a->fetch = NULL;
+    leave_gate(a);
+    note_end(a, r, result);
+    if (a->relay.is_streaming) {
+        end_stream(a, result);
+        return;
+    }
+    c->may_have_run = c->may_have_run || r == TRY_ANSWER || r == TRY_UNKNOWN;
+    c->arrivals += r == TRY_ANSWER || r == TRY_UNKNOWN || r == TRY_NOT_RUN;
+    if (r == TRY_ANSWER && a->relay.status < 500) {
+        attempt_cancel(other_of(a));
+        call_deliver(c, &a->relay);
+        return;
+    }
+    if (r == TRY_ANSWER) {
+        hold_answer(a);
+    }
+    if (other_of(a)->fetch == NULL) {
+        go_on(a, r);
+    }
+}
+
 /* Sends what has arrived of a long request body. */
 void
 call_send_more(struct call *c)
 {
     struct bb_exchange *x = c->exchange;
+    struct bb_fetch *f = c->attempts_now[0].fetch;
     bool is_last = x->is_body_complete;
 
+    if (f == NULL) {
+        return;
+    }
     if (c->is_chunked) {
         GString *framed = g_string_new(NULL);
 
@@ -465,14 +532,14 @@
         if (is_last) {
             bb_forward_chunk(NULL, 0, framed);
         }
-        bb_fetch_send_body(c->fetch, framed->str, framed->len, is_last);
+        bb_fetch_send_body(f, framed->str, framed->len, is_last);
         g_string_free(framed, TRUE);
     }
     else {
-        bb_fetch_send_body(c->fetch, x->body->str, x->body->len, is_last);
+        bb_fetch_send_body(f, x->body->str, x->body->len, is_last);
     }
     g_string_truncate(x->body, 0);
-    if (bb_fetch_queued_bytes(c->fetch) > BB_STREAM_HIGH_WATER_BYTES) {
+    if (bb_fetch_queued_bytes(f) > BB_STREAM_HIGH_WATER_BYTES) {
         bb_exchange_pause(x);
     }
 }
@@ -480,9 +547,9 @@
 static void
 take_drained(void *context)
 {
-    struct call *c = context;
+    struct attempt *a = context;
 
-    bb_exchange_resume(c->exchange);
+    bb_exchange_resume(a->call->exchange);
 }
 
 static const struct bb_fetch_events fetch_events = {.head = take_head,
@@ -492,56 +559,48 @@
 
 /* Notes the gate that was chosen and what was known of it. */
 static void
-note_try(struct call *c, const struct bb_gate_entry *g, uint64_t now_us)
+note_try(const struct attempt *a, const struct bb_gate_entry *g,
+         uint64_t now_us)
 {
+    struct call *c = a->call;
+
     bb_event_append(
-        c->lines, "entry.try", c->id,
+        c->lines, a == &c->attempts_now[0] ? "entry.try" : "entry.hedge",
+        c->id,
         "\"gate\":\"%s\",\"instance\":\"%s\",\"distance\":%u,"
         "\"may_wait\":%s,\"running\":%u,\"queued\":%u,\"slots\":%u,"
         "\"in_flight\":%u,\"failing\":%u,\"report_age_ms\":%d",
-        g->text, g->instance, g->view.distance,
-        c->is_waiting_allowed ? "true" : "false", g->view.running,
-        g->view.queued, g->view.slots, g->view.in_flight,
+        g->text, g->instance, g->view.distance, a->may_wait ? "true" : "false",
+        g->view.running, g->view.queued, g->view.slots, g->view.in_flight,
         g->view.failing_permille,
         g->view.reported_us != 0
             ? (int)((now_us - g->view.reported_us) / BB_US_PER_MS)
             : -1);
 }
 
-/* Sends the request to the best gate left, or answers it. */
-void
-call_try(struct call *c)
+/* Sends the request to a gate. Returns false if there is no time or no
+ * socket for it. */
+static bool
+start_attempt(struct attempt *a, struct bb_gate_entry *g, bool may_wait,
+              uint64_t now_us)
 {
-    uint64_t now_us = bb_clock_now_us();
-    struct bb_gate_entry *g =
-        c->tries < BB_ENTRY_TRIES_MAX ? choose_gate(c, now_us) : NULL;
+    struct call *c = a->call;
     struct bb_exchange *x = c->exchange;
+    uint64_t left_us =
+        c->deadline_us - MIN(c->deadline_us, now_us + return_us(g));
     struct bb_fetch_request r = {0};
     GString *head;
-    uint64_t left_us;
 
-    if (g == NULL) {
-        give_up(c,
-                c->service->gates->len == 0 ? "no_upstream" : "no_gate_left");
-        return;
-    }
-    left_us = c->deadline_us - MIN(c->deadline_us, now_us + return_us(g));
     if (left_us < BB_US_PER_MS) {
-        give_up(c, "late");
-        return;
+        return false;
     }
-    note_try(c, g, now_us);
+    a->may_wait = may_wait;
+    note_try(a, g, now_us);
     c->tries++;
-    c->is_refused = false;
-    c->is_failed = false;
-    c->is_not_run = false;
-    c->is_sealed = false;
-    bb_relay_reset(&c->relay);
-    c->is_long = c->is_long || !x->is_body_complete;
-    c->is_chunked = bb_forward_is_chunked(x);
-    g_strlcpy(c->gate, g->text, sizeof(c->gate));
-    c->try_started_us = now_us;
-    head = build_head(c, g, left_us, now_us);
+    bb_relay_reset(&a->relay);
+    g_strlcpy(a->gate, g->text, sizeof(a->gate));
+    a->started_us = now_us;
+    head = build_head(a, left_us, now_us);
     r = (struct bb_fetch_request){
         .to = g->at,
         .head = head,
@@ -556,14 +615,38 @@
     if (g->view.distance == BB_OTHER_REGION) {
         bb_counter_add(&far_total, 1);
     }
-    c->fetch = bb_fetch_start(c->entry->pool, &r, &fetch_events, c);
+    a->fetch = bb_fetch_start(c->entry->pool, &r, &fetch_events, a);
     g_string_free(head, TRUE);
-    if (c->fetch == NULL) {
-        add_to(c->left_out, &c->left_out_count, c->gate);
-        give_up(c, "no_socket");
-        return;
+    if (a->fetch == NULL) {
+        add_to(c->left_out, &c->left_out_count, a->gate);
+        return false;
     }
     g->view.in_flight++;
+    return true;
+}
+
+/* Sends the request to the best gate left, or answers it. */
+void
+call_try(struct call *c)
+{
+    uint64_t now_us = bb_clock_now_us();
+    bool may_wait = false;
+    struct bb_gate_entry *g = c->tries < BB_ENTRY_TRIES_MAX
+                                  ? choose_gate(c, &may_wait, now_us)
+                                  : NULL;
+    struct bb_exchange *x = c->exchange;
+
+    if (g == NULL) {
+        give_up(c,
+                c->service->gates->len == 0 ? "no_upstream" : "no_gate_left");
+        return;
+    }
+    c->is_long = c->is_long || !x->is_body_complete;
+    c->is_chunked = bb_forward_is_chunked(x);
+    if (!start_attempt(&c->attempts_now[0], g, may_wait, now_us)) {
+        give_up(c, "late");
+        return;
+    }
     if (c->is_chunked) {
         call_send_more(c);
     }
@@ -571,3 +654,29 @@
         g_string_truncate(x->body, 0);
     }
 }
+
+/* Sends a slow request to a second gate as well, if the route allows it and
+ * another gate near by has a free slot. The first answer is passed on. */
+void
+call_hedge(struct call *c)
+{
+    uint64_t now_us = bb_clock_now_us();
+    struct attempt *first = &c->attempts_now[0];
+    struct attempt *second = &c->attempts_now[1];
+    struct bb_gate_entry *g;
+    bool may_wait = false;
+
+    if (first->fetch == NULL || second->fetch != NULL ||
+        first->relay.is_streaming || c->tries >= BB_ENTRY_TRIES_MAX ||
+        c->arrivals + 1 >= c->rule->attempts) {
+        return;
+    }
+    add_to(c->left_out, &c->left_out_count, first->gate);
+    g = choose_gate(c, &may_wait, now_us);
+    if (g == NULL || g->view.distance == BB_OTHER_REGION ||
+        bb_balance_wait_us(&g->view, now_us) > 0 || !may_repeat(c, true)) {
+        return;
+    }
+    bb_counter_add(&hedges_total, 1);
+    (void)start_attempt(second, g, false, now_us);
+}
--- a/path/entry.c
+++ b/path/entry.c
@@ -11,6 +11,16 @@
 #include "common/log.h"
 #include "entry_internal.h"
 
+enum {
+    PERCENT = 100,
+    /* Step of the estimate of slow answers: a part of it, and how many parts
+     * make the share that is slower one in so many. */
+    SLOW_STEP = 100,
+    SLOW_PARTS = 20,
+    /* No hedge before this part of the aim: the answer is in time anyway. */
+    HEDGE_AIM_PERCENT = 35
+};
+
 BB_COUNTER(requests_total, "baobab_entry_requests_total",
            "Requests of callers on this host");
 BB_COUNTER(answered_total, "baobab_entry_answered_total",
@@ -52,7 +62,7 @@
         "\"status\":%u,\"reason\":\"%s\",\"attempts\":%u,"
         "\"tries\":%u,\"may_have_run\":%s,\"took_us\":%" G_GUINT64_FORMAT
         ",\"retry_ms\":%u",
-        status, reason, c->attempts, c->tries,
+        status, reason, c->arrivals, c->tries,
         c->may_have_run ? "true" : "false",
         bb_clock_now_us() - c->exchange->arrived_us, retry_ms);
     bb_exchange_answer(c->exchange, status, fields, NULL, 0);
@@ -60,11 +70,11 @@
     call_destroy(c, BB_EVENT_FAILURE);
 }
 
-/* Passes the collected answer of an upstream on. */
+/* Passes a collected answer of an upstream on. */
 void
-call_deliver(struct call *c)
+call_deliver(struct call *c, struct bb_relay *answer)
 {
-    bool is_plain = c->relay.status < 500 && c->tries == 1;
+    bool is_plain = answer->status < 500 && c->tries == 1;
 
     bb_counter_add(&answered_total, 1);
     if (!is_plain) {
@@ -72,15 +82,34 @@
             c->lines, "entry.answered", c->id,
             "\"status\":%u,\"reason\":\"upstream\",\"attempts\":%u,"
             "\"tries\":%u,\"took_us\":%" G_GUINT64_FORMAT,
-            c->relay.status, c->attempts, c->tries,
+            answer->status, c->arrivals, c->tries,
             bb_clock_now_us() - c->exchange->arrived_us);
     }
     else {
         g_string_truncate(c->lines, 0);
     }
-    bb_relay_finish(&c->relay, c->exchange);
-    call_destroy(c, c->relay.status >= 500 ? BB_EVENT_FAILURE
-                                           : BB_EVENT_ORDINARY);
+    bb_relay_finish(answer, c->exchange);
+    call_destroy(c,
+                 answer->status >= 500 ? BB_EVENT_FAILURE : BB_EVENT_ORDINARY);
+}
+
+/* Moves the estimate of a class's slow answers: up by nineteen parts for each
+ * slower one, down by one part for each faster one. */
+void
+call_note_duration(struct call *c, uint64_t took_us)
+{
+    uint64_t *slow_us = &c->entry->slow_us[c->rule->class_index];
+    uint64_t part_us = *slow_us / SLOW_STEP;
+
+    if (*slow_us == 0) {
+        *slow_us = 2 * took_us;
+    }
+    else if (took_us > *slow_us) {
+        *slow_us += part_us * (SLOW_PARTS - 1);
+    }
+    else {
+        *slow_us -= MIN(part_us, *slow_us - 1);
+    }
 }
 
 static void
@@ -88,7 +117,8 @@
 {
     struct call *c = h->data;
 
-    bb_relay_clear(&c->relay);
+    bb_relay_clear(&c->attempts_now[0].relay);
+    bb_relay_clear(&c->attempts_now[1].relay);
     if (c->has_held_answer) {
         bb_relay_clear(&c->held);
     }
@@ -102,21 +132,25 @@
 call_destroy(struct call *c, enum bb_event_class lines)
 {
     bb_events_put(lines, c->lines->str, c->lines->len);
-    if (c->fetch != NULL) {
-        bb_fetch_cancel(c->fetch);
-        c->fetch = NULL;
-        call_leave_gate(c);
-    }
+    attempt_cancel(&c->attempts_now[0]);
+    attempt_cancel(&c->attempts_now[1]);
     uv_close((uv_handle_t *)&c->timer, free_call);
 }
 
+/* Returns whether a send to a gate is under way. */
+static bool
+is_under_way(const struct call *c)
+{
+    return c->attempts_now[0].fetch != NULL ||
+           c->attempts_now[1].fetch != NULL;
+}
+
 /* Ends a call at its deadline. */
 static void
-end_time(uv_timer_t *t)
+end_call(struct call *c)
 {
-    struct call *c = t->data;
-
-    if (c->relay.is_streaming) {
+    if (c->attempts_now[0].relay.is_streaming ||
+        c->attempts_now[1].relay.is_streaming) {
         bb_event_append(c->lines, "entry.broken_off", c->id,
                         "\"reason\":\"deadline\"");
         bb_exchange_abort(c->exchange);
@@ -127,13 +161,45 @@
         call_deliver_held(c);
         return;
     }
-    if (c->fetch == NULL && !c->may_have_run) {
+    if (!is_under_way(c) && !c->may_have_run) {
         call_answer(c, 503, "late", 0);
         return;
     }
     call_answer(c, 504, "deadline", 0);
 }
 
+static void
+run_timer(uv_timer_t *t)
+{
+    struct call *c = t->data;
+    uint64_t now_us = bb_clock_now_us();
+
+    if (now_us < c->answer_us) {
+        (void)uv_timer_start(&c->timer, run_timer,
+                             (c->answer_us - now_us) / BB_US_PER_MS + 1, 0);
+        call_hedge(c);
+        return;
+    }
+    end_call(c);
+}
+
+/* Sets the timer: to the time after which a request that may be repeated is
+ * slow, or to the deadline. */
+static void
+start_timer(struct call *c, uint64_t now_us)
+{
+    uint64_t slow_us = c->entry->slow_us[c->rule->class_index];
+    uint64_t least_us =
+        (uint64_t)c->rule->aim_ms * BB_US_PER_MS * HEDGE_AIM_PERCENT / PERCENT;
+    uint64_t due_us = c->answer_us;
+
+    if (c->rule->is_idempotent && c->rule->attempts > 1 && slow_us != 0) {
+        due_us = MIN(due_us, now_us + MAX(slow_us, least_us));
+    }
+    (void)uv_timer_start(&c->timer, run_timer,
+                         (due_us - now_us) / BB_US_PER_MS + 1, 0);
+}
+
 /* Chooses among the services of a route so that each gets its share of every
  * run of requests, also of a short one. */
 static const char *
@@ -190,19 +256,32 @@
 }
 
 /* Sets the times of a call: the caller's and the route's, whichever ends
- * first. */
+ * first. The aim counts from the caller's first attempt: one that comes again
+ * has that much less of its time left. */
 static void
 set_times(struct call *c)
 {
     const struct bb_dialect_fields *names =
         &c->entry->settings.dialect->fields;
     uint64_t from_us = c->exchange->arrived_us;
-    uint64_t wait_ms = BB_ENTRY_DEADLINE_MS;
-
-    (void)bb_head_get_u64(&c->exchange->head, names->deadline_ms, &wait_ms);
-    wait_ms = MIN(wait_ms, c->rule->timeout_ms);
-    c->deadline_us = from_us + wait_ms * BB_US_PER_MS;
-    c->aim_us = from_us + (uint64_t)c->rule->aim_ms * BB_US_PER_MS;
+    uint64_t *patience_us = &c->entry->patience_us[c->rule->class_index];
+    uint64_t left_ms = BB_ENTRY_DEADLINE_MS;
+    uint64_t left_us;
+    uint64_t aim_us = (uint64_t)c->rule->aim_ms * BB_US_PER_MS;
+
+    (void)bb_head_get_u64(&c->exchange->head, names->deadline_ms, &left_ms);
+    left_us = MIN(left_ms, (uint64_t)BB_ENTRY_DEADLINE_MS) * BB_US_PER_MS;
+    *patience_us = MAX(*patience_us, left_us);
+    if (!c->is_nested) {
+        aim_us -= MIN(aim_us, *patience_us - left_us);
+    }
+    c->aim_us = from_us + aim_us;
+    c->deadline_us =
+        from_us + MIN(left_us, (uint64_t)c->rule->timeout_ms * BB_US_PER_MS);
+    /* The gate's own word comes before, if there is time for it. */
+    c->answer_us =
+        MIN(from_us + left_us,
+            c->deadline_us + (uint64_t)BB_ENTRY_LAST_WORD_MS * BB_US_PER_MS);
 }
 
 static void
@@ -220,7 +299,10 @@
     c->lines = g_string_new(NULL);
     (void)uv_timer_init(n->loop, &c->timer);
     c->timer.data = c;
-    bb_relay_init(&c->relay);
+    for (size_t i = 0; i < G_N_ELEMENTS(c->attempts_now); i++) {
+        c->attempts_now[i].call = c;
+        bb_relay_init(&c->attempts_now[i].relay);
+    }
     id = bb_head_get(&x->head, n->settings.dialect->fields.request_id);
     c->has_id = id != NULL && strlen(id) < sizeof(c->id);
     g_strlcpy(c->id, c->has_id ? id : "", sizeof(c->id));
@@ -235,6 +317,7 @@
     if (!find_route(n, c)) {
         return;
     }
+    c->is_nested = strcmp(bb_exchange_peer_ip(x), n->settings.ip) == 0;
     set_times(c);
     bb_event_append(
         c->lines, "entry.routed", c->id,
@@ -246,9 +329,7 @@
         call_answer(c, 503, "late", 0);
         return;
     }
-    (void)uv_timer_start(&c->timer, end_time,
-                         (c->deadline_us - now_us) / BB_US_PER_MS + 1, 0);
-    c->is_nested = strcmp(bb_exchange_peer_ip(x), n->settings.ip) == 0;
+    start_timer(c, now_us);
     bb_retry_window_first(
         &c->service->retries, &n->settings.retries,
         c->is_nested ? n->settings.repeat_permille(n->settings.context) : 0,
@@ -262,7 +343,7 @@
     struct call *c = x->user;
 
     (void)context;
-    if (c->fetch != NULL && c->is_long) {
+    if (c->is_long) {
         call_send_more(c);
     }
 }
@@ -273,8 +354,10 @@
     struct call *c = x->user;
 
     (void)context;
-    if (c->fetch != NULL) {
-        bb_fetch_resume(c->fetch);
+    for (size_t i = 0; i < G_N_ELEMENTS(c->attempts_now); i++) {
+        if (c->attempts_now[i].fetch != NULL) {
+            bb_fetch_resume(c->attempts_now[i].fetch);
+        }
     }
 }
 
@@ -292,7 +375,7 @@
     bb_event_append(c->lines, "entry.caller_left", c->id,
                     "\"took_us\":%" G_GUINT64_FORMAT ",\"running\":%s",
                     bb_clock_now_us() - x->arrived_us,
-                    c->fetch != NULL ? "true" : "false");
+                    is_under_way(c) ? "true" : "false");
     call_destroy(c, BB_EVENT_FAILURE);
 }
 
--- a/path/entry_internal.h
+++ b/path/entry_internal.h
@@ -23,6 +23,11 @@
     struct bb_pool *pool;
     struct bb_rules *rules;
     GHashTable *splits; /* struct bb_rule to struct split */
+    /* By class of requests: nineteen of twenty answers came within this. */
+    uint64_t slow_us[BB_RULES_CLASSES];
+    /* Longest time that callers of a class said they wait: that of a first
+     * attempt. */
+    uint64_t patience_us[BB_RULES_CLASSES];
     bool is_stopping;
 };
 
@@ -35,40 +40,49 @@
     TRY_UNKNOWN      /* it may have run */
 };
 
+struct call;
+
+/* One send of a request to a gate. */
+struct attempt {
+    struct call *call;
+    struct bb_fetch *fetch; /* NULL: not under way */
+    struct bb_relay relay;
+    char gate[BB_ADDRESS_TEXT_BYTES];
+    uint64_t started_us;
+    bool may_wait;   /* it may queue at the gate */
+    bool is_refused; /* answered by the gate: not sent to the upstream */
+    bool is_failed;  /* answered by the gate: the answer was lost */
+    bool is_not_run; /* by the upstream's own word */
+    bool is_sealed;
+};
+
 /* One request of a caller. */
 struct call {
     struct bb_entry *entry;
     struct bb_exchange *exchange;
-    uv_timer_t timer;
+    uv_timer_t timer; /* for the hedge, then for the deadline */
     struct bb_rules *rules;
     const struct bb_rule *rule;
     struct bb_service_entry *service;
-    struct bb_fetch *fetch;
-    struct bb_relay relay;
+    struct attempt attempts_now[2]; /* the second one is a hedge */
     GString *lines; /* of the log, written if anything went wrong */
     char id[BB_DIALECT_ID_BYTES];
-    uint64_t deadline_us;
+    uint64_t deadline_us; /* of the caller or the route */
+    uint64_t answer_us;   /* when this node answers by itself */
     uint64_t aim_us;
-    uint64_t try_started_us;
-    char gate[BB_ADDRESS_TEXT_BYTES]; /* tried at present */
     char left_out[BB_ENTRY_TRIES_MAX][BB_ADDRESS_TEXT_BYTES];
     uint32_t left_out_count;
     char seen_full[BB_ENTRY_TRIES_MAX][BB_ADDRESS_TEXT_BYTES];
     uint32_t seen_full_count;
-    uint32_t attempts; /* arrivals at upstreams */
+    uint32_t arrivals; /* at upstreams */
     uint32_t tries;    /* sends to gates */
     bool has_id;
     bool is_nested;  /* made by the upstream of this host, for a request that
                         holds a slot there */
-    bool is_late;    /* the gate said so: no time for another one */
+    bool is_late;    /* a gate said so: no time for another one */
     bool is_long;    /* the body did not come in whole before the first try */
     bool is_chunked; /* as sent to the gate */
     bool may_have_run;
-    bool is_waiting_allowed; /* this try may queue at the gate */
-    bool is_refused;         /* answer of this try: by the gate */
-    bool is_failed;          /* answer of this try: the gate lost it */
-    bool is_not_run;         /* answer of this try: by the upstream */
-    bool is_sealed;
     bool has_held_answer; /* a failure of an upstream, kept for the case that
                              the next try brings none */
     struct bb_relay held;
@@ -77,13 +91,15 @@
 /* entry.c */
 void call_answer(struct call *c, uint32_t status, const char *reason,
                  uint32_t retry_ms);
-void call_deliver(struct call *c);
+void call_deliver(struct call *c, struct bb_relay *answer);
+void call_note_duration(struct call *c, uint64_t took_us);
 void call_destroy(struct call *c, enum bb_event_class lines);
 
 /* attempt.c */
 void call_try(struct call *c);
 void call_send_more(struct call *c);
-void call_leave_gate(struct call *c);
+void call_hedge(struct call *c);
+void attempt_cancel(struct attempt *a);
 void call_deliver_held(struct call *c);
 
 #endif
--- a/path/rules.c
+++ b/path/rules.c
@@ -56,8 +56,8 @@
     rule->host = g_ascii_strdown(host, -1);
     rule->prefix = g_strdup(prefix);
     rule->attempts = 1;
-    rule->class_index = (uint32_t)(bb_hash64(name, strlen(name), 0) %
-                                   BB_RULES_CLASSES);
+    rule->class_index =
+        (uint32_t)(bb_hash64(name, strlen(name), 0) % BB_RULES_CLASSES);
     g_ptr_array_add(r->rules, rule);
     return rule;
 }
