--- a/decide/balance.c
+++ b/decide/balance.c
@@ -32,6 +32,36 @@
     return reported > v->in_flight ? reported : v->in_flight;
 }
 
+/* Returns the usual time to an answer of a class, from the own requests, or
+ * else of all requests there. */
+static uint64_t
+class_us(const struct bb_gate_view *v, uint32_t class_index)
+{
+    uint32_t own_us = v->class_us[class_index % BB_BALANCE_CLASSES];
+
+    if (own_us != 0) {
+        return own_us;
+    }
+    return v->service_us != 0 ? v->service_us : FIRST_SERVICE_US;
+}
+
+/* Notes how long an answer took. */
+void
+bb_gate_view_answered(struct bb_gate_view *v, uint32_t class_index,
+                      uint64_t took_us)
+{
+    uint32_t *own_us = &v->class_us[class_index % BB_BALANCE_CLASSES];
+    uint64_t sum;
+
+    if (took_us > UINT32_MAX) {
+        took_us = UINT32_MAX;
+    }
+    sum = *own_us == 0
+              ? took_us * BB_BALANCE_AVERAGE_PARTS
+              : (uint64_t)*own_us * (BB_BALANCE_AVERAGE_PARTS - 1) + took_us;
+    *own_us = (uint32_t)(sum / BB_BALANCE_AVERAGE_PARTS);
+}
+
 /* Estimates the wait for a slot at a gate. */
 uint64_t
 bb_balance_wait_us(const struct bb_gate_view *v, uint64_t now_us)
@@ -57,10 +87,10 @@
 /* Estimates the time to an answer, with the price of distance and the risk of
  * failure. */
 uint64_t
-bb_balance_cost_us(const struct bb_gate_view *v, uint64_t now_us)
+bb_balance_cost_us(const struct bb_gate_view *v, uint32_t class_index,
+                   uint64_t now_us)
 {
-    uint64_t service_us =
-        v->service_us != 0 ? v->service_us : FIRST_SERVICE_US;
+    uint64_t service_us = class_us(v, class_index);
     uint64_t cost_us = bb_balance_wait_us(v, now_us) + service_us;
 
     if (v->slots > 0) {
@@ -105,17 +135,16 @@
 
 /* Returns whether a gate can be expected to answer well in time. */
 static bool
-is_comfortable(const struct bb_gate_view *v, uint64_t aim_left_us,
-               uint64_t now_us)
+is_comfortable(const struct bb_gate_view *v,
+               const struct bb_balance_request *r, uint64_t now_us)
 {
-    uint64_t service_us = v->service_us != 0 ? v->service_us
-                                             : FIRST_SERVICE_US;
+    uint64_t service_us = class_us(v, r->class_index);
     uint64_t needed_us =
         bb_balance_wait_us(v, now_us) + service_us + service_us / 2;
 
     return v->failing_permille < BB_BALANCE_COMFORT_FAILING_PERMILLE &&
            now_us >= v->cold_until_us &&
-           needed_us * PERCENT <= aim_left_us * BB_BALANCE_COMFORT_PERCENT;
+           needed_us * PERCENT <= r->aim_left_us * BB_BALANCE_COMFORT_PERCENT;
 }
 
 /* Returns the index of the best gate, or -1: the best of the nearest ones
@@ -137,13 +166,13 @@
             continue;
         }
         tier = views[i]->distance != BB_OTHER_REGION &&
-                       is_comfortable(views[i], r->aim_left_us, now_us)
+                       is_comfortable(views[i], r, now_us)
                    ? views[i]->distance
                    : NOT_COMFORTABLE;
         if (is_unexplored(views[i])) {
             tier = 0;
         }
-        cost_us = bb_balance_cost_us(views[i], now_us) +
+        cost_us = bb_balance_cost_us(views[i], r->class_index, now_us) +
                   (random_bits >> (8 * (i % 7))) % JITTER_US;
         if (best < 0 || tier < best_tier ||
             (tier == best_tier && cost_us < best_us)) {
--- a/include/decide/balance.h
+++ b/include/decide/balance.h
@@ -26,6 +26,9 @@
     BB_BALANCE_SUSPEND_US = 500 * 1000,
     BB_BALANCE_SUSPEND_MAX_US = 4000 * 1000,
     BB_BALANCE_TRIED_MAX = 16,
+    BB_BALANCE_CLASSES = 32,
+    /* Weight of the newest answer in the averages, as one in so many. */
+    BB_BALANCE_AVERAGE_PARTS = 8,
     /* Weight of the newest outcome in the failure average, in permille. */
     BB_BALANCE_OUTCOME_PERMILLE = 120
 };
@@ -47,17 +50,21 @@
     uint64_t cold_until_us;
     uint64_t suspended_until_us;
     uint64_t suspend_us; /* length of the last suspension */
+    /* Usual time to an answer by class of requests, 0: none yet. */
+    uint32_t class_us[BB_BALANCE_CLASSES];
 };
 
 struct bb_balance_request {
     bool wants_free_slot; /* leave out gates known to be full */
     bool may_leave_region;
-    uint64_t aim_left_us; /* until the answer is worth less */
+    uint32_t class_index;
+    uint64_t aim_left_us;                 /* until the answer is worth less */
     uint64_t tried[BB_BALANCE_TRIED_MAX]; /* indices left out */
     uint32_t tried_count;
 };
 
-uint64_t bb_balance_cost_us(const struct bb_gate_view *v, uint64_t now_us);
+uint64_t bb_balance_cost_us(const struct bb_gate_view *v, uint32_t class_index,
+                            uint64_t now_us);
 uint64_t bb_balance_wait_us(const struct bb_gate_view *v, uint64_t now_us);
 int32_t bb_balance_pick(const struct bb_gate_view *const *views,
                         uint32_t count, const struct bb_balance_request *r,
@@ -65,6 +72,8 @@
 void bb_gate_view_report(struct bb_gate_view *v, uint32_t running,
                          uint32_t queued, uint32_t slots, uint32_t service_us,
                          uint32_t failing_permille, uint64_t now_us);
+void bb_gate_view_answered(struct bb_gate_view *v, uint32_t class_index,
+                           uint64_t took_us);
 void bb_gate_view_unreachable(struct bb_gate_view *v, uint64_t now_us);
 void bb_gate_view_reached(struct bb_gate_view *v);
 
--- a/path/attempt.c
+++ b/path/attempt.c
@@ -81,6 +81,7 @@
     uint32_t n = list_gates(c, gates, views);
     struct bb_balance_request r = {
         .may_leave_region = true,
+        .class_index = c->rule->class_index,
         .aim_left_us = c->aim_us > now_us ? c->aim_us - now_us : 0};
     int32_t best = bb_balance_pick(views, n, &r, random_bits(), now_us);
     struct bb_gate_entry *g;
@@ -100,8 +101,8 @@
              bb_balance_wait_us(views[i], now_us) < PROBE_GAIN_US);
     }
     *may_wait = !has_other ||
-                            is_in(c->seen_full, c->seen_full_count, g->text) ||
-                            c->tries + 2 >= BB_ENTRY_TRIES_MAX;
+                is_in(c->seen_full, c->seen_full_count, g->text) ||
+                c->tries + 2 >= BB_ENTRY_TRIES_MAX;
     return g;
 }
 
@@ -416,6 +417,9 @@
 
     if (r == TRY_ANSWER && a->relay.status < 500) {
         call_note_duration(c, took_us);
+        if (g != NULL) {
+            bb_gate_view_answered(&g->view, c->rule->class_index, took_us);
+        }
         return;
     }
     bb_event_append(c->lines, "entry.try_ended", c->id,
