Name the own term when refusing a vote asked ahead

Of two surviving voters one can hold the newest entry and the other the higher term: the first is refused for its term, the second for its entry, for ever.

Ruled out: a torn file, a lost name (each new name is synced), a voter list under change.

Placing: a near gate is enough while wait and 9/8 of the usual duration fit 90 % of the aim.

--- a/decide/balance.c
+++ b/decide/balance.c
@@ -140,7 +140,7 @@
 {
     uint64_t service_us = class_us(v, r->class_index);
     uint64_t needed_us =
-        bb_balance_wait_us(v, now_us) + service_us + service_us / 2;
+        bb_balance_wait_us(v, now_us) + service_us + service_us / 8;
 
     return v->failing_permille < BB_BALANCE_COMFORT_FAILING_PERMILLE &&
            now_us >= v->cold_until_us &&
--- a/decide/quorum.c
+++ b/decide/quorum.c
@@ -123,8 +123,8 @@
     q->synced_term = d->entry.term;
     q->synced_index = d->entry.index;
     /* Soon: a leader that is there refuses the vote asked ahead. */
-    q->election_due_us = now_us + BB_QUORUM_HURRY_MAX_US +
-                         random_bits % BB_QUORUM_HURRY_MAX_US;
+    q->election_due_us =
+        now_us + BB_QUORUM_HURRY_MAX_US + random_bits % BB_QUORUM_HURRY_MAX_US;
 }
 
 /* Sets the disks of all hosts that can be reached, voters or not. What is
@@ -352,8 +352,10 @@
     struct bb_quorum_message *a =
         send(q, out, m->from, BB_QUORUM_PRE_VOTE_ANSWER);
 
-    a->term = m->term;
     a->is_ok = !has_leader && m->term > q->d.term && is_up_to_date(q, m);
+    /* A refusal names the own term: a candidate below it cannot win before it
+     * has taken it over, and may be the only one with the newest entry. */
+    a->term = a->is_ok ? m->term : q->d.term;
 }
 
 static void
@@ -481,8 +483,8 @@
                   uint64_t now_us, uint64_t random_bits,
                   struct bb_quorum_output *out)
 {
-    bool is_request_ahead =
-        m->kind == BB_QUORUM_PRE_VOTE || m->kind == BB_QUORUM_PRE_VOTE_ANSWER;
+    bool is_request_ahead = m->kind == BB_QUORUM_PRE_VOTE ||
+                            (m->kind == BB_QUORUM_PRE_VOTE_ANSWER && m->is_ok);
 
     if (m->to != q->d.disk) {
         return;
--- a/decide/retry_window.c
+++ b/decide/retry_window.c
@@ -19,8 +19,7 @@
 advance(struct bb_retry_window *w, const struct bb_retry_limits *l,
         uint64_t now_us)
 {
-    uint64_t length_us =
-        (uint64_t)l->window_ms * US_PER_MS / FIRSTS_BUCKETS;
+    uint64_t length_us = (uint64_t)l->window_ms * US_PER_MS / FIRSTS_BUCKETS;
     uint64_t bucket = now_us / (length_us != 0 ? length_us : 1);
 
     if (bucket - w->bucket >= BB_RETRY_WINDOW_BUCKETS) {
@@ -67,9 +66,9 @@
         firsts += i < FIRSTS_BUCKETS ? w->firsts[at] : 0;
         repeats_milli += w->repeats_milli[at];
     }
-    budget_milli = firsts * l->ratio_permille +
-                   (uint64_t)l->allowance * PERMILLE /
-                       (l->hosts != 0 ? l->hosts : 1);
+    budget_milli =
+        firsts * l->ratio_permille +
+        (uint64_t)l->allowance * PERMILLE / (l->hosts != 0 ? l->hosts : 1);
     if (repeats_milli + PERMILLE > budget_milli * USED_PERMILLE / PERMILLE) {
         return false;
     }
--- a/include/decide/balance.h
+++ b/include/decide/balance.h
@@ -14,7 +14,7 @@
     BB_BALANCE_REGION_PRICE_US = 250 * 1000,
     /* A near gate is good enough while wait and one and a half times the
      * usual duration stay within this part of the time that is left. */
-    BB_BALANCE_COMFORT_PERCENT = 75,
+    BB_BALANCE_COMFORT_PERCENT = 90,
     BB_BALANCE_COMFORT_FAILING_PERMILLE = 200,
     /* A report counts half after this time. */
     BB_BALANCE_REPORT_HALF_US = 400 * 1000,
--- a/include/decide/gate_queue.h
+++ b/include/decide/gate_queue.h
@@ -26,7 +26,7 @@
 enum bb_gate_verdict { BB_GATE_RUN, BB_GATE_WAIT, BB_GATE_REFUSE };
 
 struct bb_gate_request {
-    uint64_t id;   /* unique among those queued */
+    uint64_t id;          /* unique among those queued */
     uint32_t rank;        /* 0: most urgent */
     uint32_t class_index; /* requests that last alike; of their route */
     bool is_nested;
@@ -39,7 +39,7 @@
     uint32_t running;
     uint32_t queued;
     uint64_t duration_us[BB_GATE_CLASSES]; /* moving averages */
-    uint64_t mean_us;                    /* over all classes */
+    uint64_t mean_us;                      /* over all classes */
     struct bb_gate_request queue[BB_GATE_QUEUE_MAX];
 };
 
