--- a/decide/gate_queue.c
+++ b/decide/gate_queue.c
@@ -38,13 +38,22 @@
     return usual_us(q, class_index) / 2;
 }
 
+/* Returns whether a request can be expected to be answered within its aim if
+ * it starts now. */
+static bool
+is_in_time(const struct bb_gate_queue *q, const struct bb_gate_request *r,
+           uint64_t now_us)
+{
+    return r->aim_us >= now_us + usual_us(q, r->class_index);
+}
+
 /* Returns whether a goes before b. */
 static bool
 goes_before(const struct bb_gate_queue *q, const struct bb_gate_request *a,
             const struct bb_gate_request *b, uint64_t now_us)
 {
-    bool a_in_time = a->aim_us >= now_us + usual_us(q, a->class_index);
-    bool b_in_time = b->aim_us >= now_us + usual_us(q, b->class_index);
+    bool a_in_time = is_in_time(q, a, now_us);
+    bool b_in_time = is_in_time(q, b, now_us);
 
     if (a->is_nested != b->is_nested) {
         return a->is_nested;
@@ -55,13 +64,13 @@
     if (a_in_time != b_in_time) {
         return a_in_time;
     }
-    return a->deadline_us < b->deadline_us;
+    return a_in_time ? a->aim_us < b->aim_us : a->deadline_us < b->deadline_us;
 }
 
 /* Estimates how long a request would wait, from those that go before it. */
 uint64_t
 bb_gate_queue_wait_us(const struct bb_gate_queue *q,
-                      const struct bb_gate_request *r)
+                      const struct bb_gate_request *r, uint64_t now_us)
 {
     uint64_t ahead = 0;
 
@@ -72,7 +81,7 @@
         return 0;
     }
     for (uint32_t i = 0; i < q->queued; i++) {
-        ahead += r == NULL || !goes_before(q, r, &q->queue[i], 0);
+        ahead += r == NULL || !goes_before(q, r, &q->queue[i], now_us);
     }
     return (ahead + 1) * q->mean_us / q->slots;
 }
@@ -113,7 +122,7 @@
         q->running++;
         return BB_GATE_RUN;
     }
-    wait_us = bb_gate_queue_wait_us(q, r);
+    wait_us = bb_gate_queue_wait_us(q, r, now_us);
     if (!may_wait || q->queued == BB_GATE_QUEUE_MAX ||
         !is_worth_waiting(q, r, wait_us, now_us)) {
         return BB_GATE_REFUSE;
@@ -129,6 +138,18 @@
     q->queue[at] = q->queue[--q->queued];
 }
 
+/* Returns whether a queued request should be refused now: its deadline is too
+ * near, or it will miss its aim and those in time keep all slots busy. */
+static bool
+is_hopeless(const struct bb_gate_queue *q, const struct bb_gate_request *r,
+            uint32_t in_time, uint64_t now_us)
+{
+    if (now_us + least_us(q, r->class_index) / 2 >= r->deadline_us) {
+        return true;
+    }
+    return !r->is_nested && in_time >= q->slots && !is_in_time(q, r, now_us);
+}
+
 /* Returns the next queued request that is to run, or that can no longer be
  * answered in time. Call until it returns false. */
 bool
@@ -136,12 +157,15 @@
                    enum bb_gate_verdict *verdict)
 {
     uint32_t best = 0;
+    uint32_t in_time = 0;
 
+    for (uint32_t i = 0; i < q->queued; i++) {
+        in_time += is_in_time(q, &q->queue[i], now_us);
+    }
     for (uint32_t i = 0; i < q->queued; i++) {
         const struct bb_gate_request *r = &q->queue[i];
 
-        if (q->slots == 0 ||
-            now_us + least_us(q, r->class_index) / 2 >= r->deadline_us) {
+        if (q->slots == 0 || is_hopeless(q, r, in_time, now_us)) {
             *id = r->id;
             *verdict = BB_GATE_REFUSE;
             remove_at(q, i);
--- a/include/decide/gate_queue.h
+++ b/include/decide/gate_queue.h
@@ -4,7 +4,7 @@
  *
  * Order of the queue: calls of requests that already hold a slot elsewhere,
  * then the urgent ranks, then those that can still be answered within their
- * aim, then the earliest deadline. */
+ * aim, the one with the earliest first. */
 #ifndef BB_DECIDE_GATE_QUEUE_H
 #define BB_DECIDE_GATE_QUEUE_H
 
@@ -46,7 +46,8 @@
 void bb_gate_queue_init(struct bb_gate_queue *q, uint32_t slots);
 void bb_gate_queue_set_slots(struct bb_gate_queue *q, uint32_t slots);
 uint64_t bb_gate_queue_wait_us(const struct bb_gate_queue *q,
-                               const struct bb_gate_request *r);
+                               const struct bb_gate_request *r,
+                               uint64_t now_us);
 enum bb_gate_verdict bb_gate_queue_arrive(struct bb_gate_queue *q,
                                           const struct bb_gate_request *r,
                                           bool may_wait, uint64_t now_us);
