--- a/fleet/core.c
+++ b/fleet/core.c
@@ -342,8 +342,9 @@
         d.entry.content = s->entry.content;
         d.entry.voter_count =
             MIN(s->entry.voters.voters_len, BB_QUORUM_VOTERS_MAX);
-        memcpy(d.entry.voters, s->entry.voters.voters_val,
-               d.entry.voter_count * sizeof(d.entry.voters[0]));
+        for (uint64_t i = 0; i < d.entry.voter_count; i++) {
+            d.entry.voters[i] = s->entry.voters.voters_val[i];
+        }
         if (s->content.content != 0) {
             (void)bb_contents_unpack(c->contents, &s->content);
         }
@@ -447,7 +448,6 @@
     bb_instances_destroy(c->instances);
     bb_state_clear(&c->state);
     bb_content_clear(&c->stored_pack);
-    bb_fleet_store_close(c->store);
     g_free(c->self.ip);
     g_free(c->self.zone);
     g_free(c->self.region);
@@ -461,6 +461,8 @@
     if (c == NULL) {
         return;
     }
+    /* First: the end of a write under way must find nothing of this. */
+    bb_fleet_store_close(c->store);
     core_fail_orders(c);
     core_close_links(c);
     bb_listener_destroy(c->listener);
--- a/fleet/core_orders.c
+++ b/fleet/core_orders.c
@@ -177,9 +177,8 @@
         }
     }
     while (!g_queue_is_empty(&c->orders) &&
-           now_us >=
-               ((struct core_order *)g_queue_peek_head(&c->orders))
-                   ->deadline_us) {
+           now_us >= ((struct core_order *)g_queue_peek_head(&c->orders))
+                         ->deadline_us) {
         bb_counter_add(&unknown_total, 1);
         end_order(c, g_queue_pop_head(&c->orders), BB_ORDER_UNKNOWN);
     }
--- a/fleet/core_peers.c
+++ b/fleet/core_peers.c
@@ -478,8 +478,9 @@
     m.entry.index = q->entry.index;
     m.entry.content = q->entry.content;
     m.entry.voter_count = q->entry.voters.voters_len;
-    memcpy(m.entry.voters, q->entry.voters.voters_val,
-           m.entry.voter_count * sizeof(m.entry.voters[0]));
+    for (uint64_t i = 0; i < m.entry.voter_count; i++) {
+        m.entry.voters[i] = q->entry.voters.voters_val[i];
+    }
     if (q->wants_content) {
         p->acked_content = 0;
         p->sent_content = 0;
--- /dev/null
+++ b/tests/platform/test_dialect.c
@@ -0,0 +1,236 @@
+/* The platform's names and formats, with hostile input. */
+#include <string.h>
+
+#include "common/registry.h"
+#include "path/dialect.h"
+#include "path/upstream.h"
+#include "unit.h"
+
+#define ORDER(version, route)                                                 \
+    "{\"version\":" version                                                   \
+    ",\"services\":[{\"name\":\"a\",\"health_path\":\"/h\","                  \
+    "\"max_connections\":9},{\"name\":\"b\"}],\"limits\":{"                   \
+    "\"max_header_bytes\":16384,\"max_body_bytes\":1000,"                     \
+    "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},"                  \
+    "\"virtual_hosts\":[{\"host\":\"h.example\",\"paths\":[" route "]}]}"
+#define ROUTE(more)                                                           \
+    "{\"name\":\"r\",\"path_prefix\":\"/p/\",\"route_type\":\"safe\","        \
+    "\"timeout_ms\":900,\"target_latency_ms\":300,\"priority\":1,"            \
+    "\"attempts\":2" more "}"
+
+static const struct bb_dialect *
+platform(void)
+{
+    return bb_registry_find(BB_PLUGIN_DIALECT, "platform");
+}
+
+static struct bb_rules *
+decode(const char *text)
+{
+    struct bb_error e = {0};
+    struct bb_rules *r = platform()->decode_rules(text, strlen(text), &e);
+
+    CU_ASSERT_TRUE(r != NULL || e.message[0] != '\0');
+    return r;
+}
+
+/* Guards against: a valid order refused or read wrongly. */
+static void
+test_order(void)
+{
+    struct bb_rules *r =
+        decode(
+            ORDER("7", ROUTE(",\"weighted_services\":[{\"service\":\"a\","
+                             "\"weight\":90},{\"service\":\"b\",\"weight\":10}"
+                             "]") ",{\"name\":\"q\",\"path_prefix\":\"/p/long/"
+                                  "\","
+                                  "\"route_type\":\"unsafe\",\"timeout_ms\":5,"
+                                  "\"service\":\"b\",\"new_field\":[1]}"));
+    const struct bb_rule *rule;
+
+    CU_ASSERT_PTR_NOT_NULL_FATAL(r);
+    CU_ASSERT_EQUAL(r->version, 7);
+    CU_ASSERT_EQUAL(r->limits.idle_timeout_ms, 15000);
+    rule = bb_rules_match(r, "H.example:80", "/p/x?y=/p/long/");
+    CU_ASSERT_PTR_NOT_NULL_FATAL(rule);
+    CU_ASSERT_STRING_EQUAL(rule->name, "r");
+    CU_ASSERT_EQUAL(rule->weight_sum, 100);
+    CU_ASSERT_TRUE(rule->is_idempotent);
+    rule = bb_rules_match(r, "h.example", "/p/long/x");
+    CU_ASSERT_PTR_NOT_NULL_FATAL(rule);
+    CU_ASSERT_FALSE(rule->is_idempotent);
+    CU_ASSERT_PTR_NULL(bb_rules_match(r, "h.example", "/p"));
+    CU_ASSERT_PTR_NULL(bb_rules_match(r, "i.example", "/p/x"));
+    bb_rules_unref(r);
+}
+
+/* Guards against: an invalid order put in force, in part or as a whole. */
+static void
+test_invalid_orders(void)
+{
+    static const char *const bad[] = {
+        "",
+        "{",
+        "[]",
+        "{\"version\":1}",
+        ORDER("0", ROUTE(",\"service\":\"a\"")),
+        ORDER("\"7\"", ROUTE(",\"service\":\"a\"")),
+        ORDER("7", ROUTE(",\"service\":\"none\"")),
+        ORDER("7", ROUTE("")),
+        ORDER("7", ROUTE(",\"weighted_services\":[]")),
+        ORDER("7", ROUTE(",\"weighted_services\":[{\"service\":\"a\","
+                         "\"weight\":0}]")),
+        ORDER("7", ROUTE(",\"weighted_services\":[{\"service\":\"a\","
+                         "\"weight\":-1}]")),
+        ORDER("7",
+              ROUTE(",\"service\":\"a\"") "," ROUTE(",\"service\":\"b\"")),
+        ORDER("7", "{\"name\":\"r\",\"path_prefix\":\"/p/\","
+                   "\"route_type\":\"odd\",\"timeout_ms\":9,"
+                   "\"service\":\"a\"}"),
+        ORDER("7", "{\"name\":\"r\",\"path_prefix\":\"/p/\","
+                   "\"route_type\":\"safe\",\"timeout_ms\":0,"
+                   "\"service\":\"a\"}"),
+        ORDER("7", "{\"name\":\"r\",\"path_prefix\":\"p\","
+                   "\"route_type\":\"safe\",\"timeout_ms\":9,"
+                   "\"service\":\"a\"}"),
+    };
+    const char *whole = ORDER("7", ROUTE(",\"service\":\"a\""));
+    struct bb_rules *r = decode(whole);
+
+    CU_ASSERT_PTR_NOT_NULL(r);
+    bb_rules_unref(r);
+    for (size_t i = 0; i < sizeof(bad) / sizeof(bad[0]); i++) {
+        r = decode(bad[i]);
+        CU_ASSERT_PTR_NULL(r);
+        bb_rules_unref(r);
+    }
+    for (size_t n = 0; n < strlen(whole); n++) {
+        struct bb_error e = {0};
+
+        r = platform()->decode_rules(whole, n, &e);
+        CU_ASSERT_PTR_NULL(r);
+        bb_rules_unref(r);
+    }
+}
+
+#define BEAT(state, seq, born)                                                \
+    "{\"address\":\"10.0.0.1:80\",\"info\":{\"service\":\"a\","               \
+    "\"version\":\"v1\",\"zone\":\"z\",\"max_concurrency\":6},"               \
+    "\"status\":{\"state\":" state ",\"seq\":" seq                            \
+    ",\"warmup_left_ms\":40},\"born\":" born "}"
+
+static bool
+decode_beat(const char *text, struct bb_announcement *a)
+{
+    struct bb_error e = {0};
+
+    return platform()->decode_announcement(text, strlen(text), a, &e);
+}
+
+/* Guards against: a heartbeat of another writer that names an upstream. */
+static void
+test_heartbeats(void)
+{
+    static const char *const bad[] = {
+        "",
+        "nonsense",
+        "{}",
+        "{\"address\":1}",
+        BEAT("\"sleepy\"", "4", "9"),
+        BEAT("4", "4", "9"),
+        BEAT("\"ready\"", "\"4\"", "9"),
+        BEAT("\"ready\"", "-4", "9"),
+        BEAT("\"ready\"", "4", "\"today\""),
+        BEAT("\"ready\"", "4", "1.5"),
+        "{\"address\":\"10.0.0.1:80\",\"info\":[],\"status\":{}}",
+    };
+    struct bb_announcement a;
+
+    CU_ASSERT_TRUE(decode_beat(BEAT("\"draining\"", "4", "9"), &a));
+    CU_ASSERT_TRUE(a.is_draining);
+    CU_ASSERT_EQUAL(a.slots, 6);
+    CU_ASSERT_EQUAL(a.sequence, 4);
+    CU_ASSERT_EQUAL(a.born_ms, 9);
+    CU_ASSERT_EQUAL(a.cold_ms, 40);
+    for (size_t i = 0; i < sizeof(bad) / sizeof(bad[0]); i++) {
+        CU_ASSERT_FALSE(decode_beat(bad[i], &a));
+    }
+}
+
+/* Guards against: a late call of a dead incarnation, or of an earlier time,
+ * that brings an upstream back. */
+static void
+test_incarnations(void)
+{
+    struct bb_upstream u = {0};
+    struct bb_announcement a = {.address = "x:1",
+                                .service = "s",
+                                .slots = 2,
+                                .sequence = 10,
+                                .born_ms = 100};
+
+    CU_ASSERT_EQUAL(bb_upstream_announce(&u, "old", &a, "x:1", 1),
+                    BB_ANNOUNCE_TAKEN);
+    CU_ASSERT_EQUAL(bb_upstream_announce(&u, "old", &a, "y:1", 1),
+                    BB_ANNOUNCE_FOREIGN);
+    a.sequence = 1;
+    CU_ASSERT_EQUAL(bb_upstream_announce(&u, "old", &a, "x:1", 1),
+                    BB_ANNOUNCE_OLD);
+    /* A restart under the same id counts from the start. */
+    a.born_ms = 200;
+    CU_ASSERT_EQUAL(bb_upstream_announce(&u, "old", &a, "x:1", 1),
+                    BB_ANNOUNCE_TAKEN);
+    a.is_draining = true;
+    a.sequence = 2;
+    CU_ASSERT_EQUAL(bb_upstream_announce(&u, "old", &a, "x:1", 1),
+                    BB_ANNOUNCE_TAKEN);
+    CU_ASSERT_EQUAL(u.state, BB_INSTANCE_DRAINING);
+    a.is_draining = false;
+    a.sequence = 3;
+    (void)bb_upstream_announce(&u, "old", &a, "x:1", 1);
+    CU_ASSERT_EQUAL(u.state, BB_INSTANCE_DRAINING);
+    a.born_ms = 300;
+    a.sequence = 1;
+    CU_ASSERT_EQUAL(bb_upstream_announce(&u, "new", &a, "x:1", 1),
+                    BB_ANNOUNCE_TAKEN);
+    CU_ASSERT_EQUAL(u.state, BB_INSTANCE_READY);
+    a.born_ms = 200;
+    a.sequence = 99;
+    CU_ASSERT_EQUAL(bb_upstream_announce(&u, "old", &a, "x:1", 1),
+                    BB_ANNOUNCE_OLD);
+    CU_ASSERT_FALSE(bb_upstream_withdraw(&u, "old", 200));
+    CU_ASSERT_TRUE(bb_upstream_withdraw(&u, "new", 300));
+}
+
+/* Guards against: a call taken for another one. */
+static void
+test_calls(void)
+{
+    char id[BB_DIALECT_ID_BYTES] = "";
+    const struct bb_dialect *d = platform();
+
+    CU_ASSERT_EQUAL(d->classify(HTTP_GET, "/ready", id), BB_CALL_READY);
+    CU_ASSERT_EQUAL(d->classify(HTTP_POST, "/instances/i-1/heartbeat", id),
+                    BB_CALL_ANNOUNCE);
+    CU_ASSERT_STRING_EQUAL(id, "i-1");
+    CU_ASSERT_EQUAL(d->classify(HTTP_POST, "/instances/i-1/deregister", id),
+                    BB_CALL_WITHDRAW);
+    CU_ASSERT_EQUAL(d->classify(HTTP_POST, "/config/replace", id),
+                    BB_CALL_ORDER);
+    CU_ASSERT_EQUAL(d->classify(HTTP_GET, "/config/read", id),
+                    BB_CALL_IN_FORCE);
+    CU_ASSERT_EQUAL(d->classify(HTTP_GET, "/config/replace", id),
+                    BB_CALL_UNKNOWN);
+    CU_ASSERT_EQUAL(d->classify(HTTP_POST, "/instances//heartbeat", id),
+                    BB_CALL_UNKNOWN);
+    CU_ASSERT_EQUAL(d->classify(HTTP_POST, "/instances/i/heartbeats", id),
+                    BB_CALL_UNKNOWN);
+}
+
+static const struct bb_unit_test tests[] = {
+    {"order", test_order},           {"invalid orders", test_invalid_orders},
+    {"heartbeats", test_heartbeats}, {"incarnations", test_incarnations},
+    {"calls", test_calls},
+};
+
+BB_UNIT_MAIN("dialect", tests)
