--- a/include/common/settings.h
+++ b/include/common/settings.h
@@ -46,6 +46,18 @@
     } to;
 };
 
+/* Rows of a table that must be given. */
+#define BB_SETTING_TEXT_ROW(name_, value_, help_, to_)                        \
+    {                                                                         \
+        .name = (name_), .value_name = (value_), .help = (help_),             \
+        .kind = BB_SETTING_TEXT, .is_required = true, .to.text = (to_)        \
+    }
+#define BB_SETTING_ADDRESS_ROW(name_, help_, to_)                             \
+    {                                                                         \
+        .name = (name_), .value_name = "IP:PORT", .help = (help_),            \
+        .kind = BB_SETTING_ADDRESS, .is_required = true, .to.address = (to_)  \
+    }
+
 enum bb_settings_result {
     BB_SETTINGS_RUN,
     BB_SETTINGS_EXIT, /* --help or --version was answered */
--- a/net/fetch.c
+++ b/net/fetch.c
@@ -88,6 +88,23 @@
     g_free(l);
 }
 
+/* Closes all idle connections of a target. */
+static void
+close_idle(struct target *t)
+{
+    struct link *l = t->idle;
+
+    t->idle = NULL;
+    while (l != NULL) {
+        struct link *next = l->next;
+
+        l->next = NULL;
+        l->previous = NULL;
+        destroy_link(l, bb_stream_close);
+        l = next;
+    }
+}
+
 /* Ends a fetch; its connection is kept or closed before. */
 static void
 end_fetch(struct bb_fetch *f, enum bb_fetch_result result)
@@ -292,12 +309,8 @@
 static void
 free_target(void *data)
 {
-    struct target *t = data;
-
-    while (t->idle != NULL) {
-        destroy_link(t->idle, bb_stream_close);
-    }
-    g_free(t);
+    close_idle(data);
+    g_free(data);
 }
 
 /* Creates an empty pool. */
@@ -344,11 +357,7 @@
 void
 bb_pool_forget(struct bb_pool *p, const struct bb_address *to)
 {
-    struct target *t = find_target(p, to);
-
-    while (t->idle != NULL) {
-        destroy_link(t->idle, bb_stream_close);
-    }
+    close_idle(find_target(p, to));
 }
 
 /* Takes the kept connection that was used last, if it may still be used. */
@@ -357,16 +366,18 @@
 {
     uint64_t now_us = bb_clock_now_us();
 
-    while (t->idle != NULL) {
-        struct link *l = t->idle;
+    struct link *l = t->idle;
 
-        if (l->usable_until_us > now_us) {
-            unlink_idle(l);
-            return l;
-        }
-        destroy_link(l, bb_stream_close);
+    if (l == NULL) {
+        return NULL;
     }
-    return NULL;
+    /* The others were used before it: they are no better. */
+    if (l->usable_until_us <= now_us) {
+        close_idle(t);
+        return NULL;
+    }
+    unlink_idle(l);
+    return l;
 }
 
 /* Sends a request. Events never come from within this call, but NULL is
