--- a/decide/balance.c
+++ b/decide/balance.c
@@ -76,6 +76,22 @@
     return n < v->slots ? 0 : (n - v->slots + 1) * service_us / v->slots;
 }
 
+/* Returns what is left of a share of failures after a time. */
+uint32_t
+bb_balance_fade(uint32_t permille, uint64_t age_us)
+{
+    uint64_t halves = age_us / BB_BALANCE_FAILING_HALF_US;
+
+    return halves < 31 ? permille >> halves : 0;
+}
+
+/* Returns the share of failures to be expected of a gate. */
+static uint32_t
+failing_permille(const struct bb_gate_view *v, uint64_t now_us)
+{
+    return bb_balance_fade(v->failing_permille, now_us - v->reported_us);
+}
+
 /* Returns whether one request should find out what a gate near by can do. */
 static bool
 is_unexplored(const struct bb_gate_view *v)
@@ -103,7 +119,7 @@
     if (is_unexplored(v)) {
         return 0;
     }
-    cost_us += (uint64_t)BB_BALANCE_FAILURE_US * v->failing_permille /
+    cost_us += (uint64_t)BB_BALANCE_FAILURE_US * failing_permille(v, now_us) /
                BB_BALANCE_PERMILLE;
     switch (v->distance) {
     case BB_SAME_ZONE:
@@ -142,7 +158,7 @@
     uint64_t needed_us =
         bb_balance_wait_us(v, now_us) + service_us + service_us / 8;
 
-    return v->failing_permille < BB_BALANCE_COMFORT_FAILING_PERMILLE &&
+    return failing_permille(v, now_us) < BB_BALANCE_COMFORT_FAILING_PERMILLE &&
            now_us >= v->cold_until_us &&
            needed_us * PERCENT <= r->aim_left_us * BB_BALANCE_COMFORT_PERCENT;
 }
--- a/decide/quorum.c
+++ b/decide/quorum.c
@@ -123,8 +123,8 @@
     q->synced_term = d->entry.term;
     q->synced_index = d->entry.index;
     /* Soon: a leader that is there refuses the vote asked ahead. */
-    q->election_due_us =
-        now_us + BB_QUORUM_HURRY_MAX_US + random_bits % BB_QUORUM_HURRY_MAX_US;
+    q->election_due_us = now_us + BB_QUORUM_START_US +
+                         random_bits % BB_QUORUM_HURRY_MAX_US;
 }
 
 /* Sets the disks of all hosts that can be reached, voters or not. What is
--- a/include/decide/balance.h
+++ b/include/decide/balance.h
@@ -18,6 +18,9 @@
     BB_BALANCE_COMFORT_FAILING_PERMILLE = 200,
     /* A report counts half after this time. */
     BB_BALANCE_REPORT_HALF_US = 400 * 1000,
+    /* A reported share of failures halves in this time: an upstream that is
+     * left out shows no recovery by itself. */
+    BB_BALANCE_FAILING_HALF_US = 1000 * 1000,
     /* Price of an answer that is certain to fail. */
     BB_BALANCE_FAILURE_US = 2000 * 1000,
     BB_BALANCE_PERMILLE = 1000,
@@ -66,6 +69,7 @@
 uint64_t bb_balance_cost_us(const struct bb_gate_view *v, uint32_t class_index,
                             uint64_t now_us);
 uint64_t bb_balance_wait_us(const struct bb_gate_view *v, uint64_t now_us);
+uint32_t bb_balance_fade(uint32_t permille, uint64_t age_us);
 int32_t bb_balance_pick(const struct bb_gate_view *const *views,
                         uint32_t count, const struct bb_balance_request *r,
                         uint64_t random_bits, uint64_t now_us);
--- a/include/decide/quorum.h
+++ b/include/decide/quorum.h
@@ -29,6 +29,8 @@
     BB_QUORUM_HEARTBEAT_US = 350 * 1000,
     BB_QUORUM_ELECTION_MIN_US = 900 * 1000,
     BB_QUORUM_ELECTION_MAX_US = 1500 * 1000,
+    /* After a start, when connections to the others are open. */
+    BB_QUORUM_START_US = 120 * 1000,
     /* After the connection of the leader was lost. */
     BB_QUORUM_HURRY_MAX_US = 300 * 1000,
     /* Wait for votes before the next attempt. */
--- a/path/gate.c
+++ b/path/gate.c
@@ -8,6 +8,7 @@
 #include "common/counters.h"
 #include "common/event_log.h"
 #include "common/log.h"
+#include "decide/balance.h"
 #include "decide/gate_queue.h"
 #include "net/fetch.h"
 #include "path/relay.h"
@@ -55,7 +56,8 @@
     struct bb_gate_queue queue;
     GHashTable *jobs; /* id to struct job, of those queued */
     uint64_t next_id;
-    uint32_t failing_permille;
+    uint32_t failing_permille; /* as of outcome_us */
+    uint64_t outcome_us;
     uint32_t running_repeats;
     bool is_stopping;
     bool is_unreachable; /* since the last announcement */
@@ -159,7 +161,11 @@
 note_outcome(struct bb_gate *g, bool is_failure)
 {
     uint32_t newest = is_failure ? PERMILLE : 0;
+    uint64_t now_us = bb_clock_now_us();
 
+    g->failing_permille =
+        bb_balance_fade(g->failing_permille, now_us - g->outcome_us);
+    g->outcome_us = now_us;
     g->failing_permille =
         (g->failing_permille * (PERMILLE - BB_GATE_FAILURE_PERMILLE) +
          newest * BB_GATE_FAILURE_PERMILLE) /
