--- a/common/event_log.c
+++ b/common/event_log.c
@@ -12,6 +12,7 @@
 
 enum {
     PERCENT = 100,
+    LINE_BYTES = 256,
     /* A pipe that polls writable takes so much without blocking. */
     PIECE_BYTES = 4096
 };
@@ -23,6 +24,7 @@
 
 static struct {
     int fd;
+    const char *host;
     bool is_started;
     bool is_broken; /* the descriptor is closed */
     bb_events_wake wake;
@@ -39,8 +41,10 @@
 /* Starts the log on a descriptor; `wake` is called when lines wait and
  * bb_events_flush should be called within BB_EVENTS_FLUSH_MS. */
 void
-bb_events_start(int fd, bb_events_wake wake, void *context)
+bb_events_start(int fd, const char *host, bb_events_wake wake, void *context)
 {
+    memset(&events, 0, sizeof(events));
+    events.host = host;
     events.fd = fd;
     events.wake = wake;
     events.context = context;
@@ -78,9 +82,10 @@
 {
     va_list args;
 
-    g_string_append_printf(lines,
-                           "{\"t_ms\":%" G_GUINT64_FORMAT ",\"event\":\"%s\"",
-                           bb_clock_now_us() / BB_US_PER_MS, event);
+    g_string_append_printf(
+        lines,
+        "{\"time_ms\":%" G_GUINT64_FORMAT ",\"host\":\"%s\",\"event\":\"%s\"",
+        bb_clock_wall_us() / BB_US_PER_MS, events.host, event);
     if (id != NULL) {
         append_id(lines, id);
     }
@@ -156,18 +161,19 @@
 static void
 report_dropped(void)
 {
-    char line[128];
+    char line[LINE_BYTES];
     int n;
 
     if (events.dropped == events.reported ||
         events.used > BB_EVENTS_RING_BYTES / 2) {
         return;
     }
-    n = g_snprintf(
-        line, sizeof(line),
-        "{\"t_ms\":%" G_GUINT64_FORMAT
-        ",\"event\":\"log.dropped\",\"lines\":%" G_GUINT64_FORMAT "}\n",
-        bb_clock_now_us() / BB_US_PER_MS, events.dropped - events.reported);
+    n = g_snprintf(line, sizeof(line),
+                   "{\"time_ms\":%" G_GUINT64_FORMAT
+                   ",\"host\":\"%s\",\"event\":\"log.dropped\",\"lines\":"
+                   "%" G_GUINT64_FORMAT "}\n",
+                   bb_clock_wall_us() / BB_US_PER_MS, events.host,
+                   events.dropped - events.reported);
     events.reported = events.dropped;
     copy_in(line, (size_t)n);
 }
--- a/ctl/ctl.h
+++ b/ctl/ctl.h
@@ -16,6 +16,7 @@
     struct bb_address admin;
     const char *folder; /* NULL if not given */
     const char *method;
+    const char *log; /* file with log lines, - for standard input */
     bool is_json;
     const char *operand; /* NULL if not given */
     FILE *out;
--- a/include/common/event_log.h
+++ b/include/common/event_log.h
@@ -13,7 +13,7 @@
     BB_EVENTS_RING_BYTES = 128 * 1024,
     /* Bytes of lines a second, averaged over BB_EVENTS_BURST_S: a host writes
      * at most 2 MB in a day of a minute under full load. */
-    BB_EVENTS_BYTES_PER_S = 32 * 1024,
+    BB_EVENTS_BYTES_PER_S = 40 * 1024,
     BB_EVENTS_BURST_S = 4,
     /* Part of the ring and of the budget that only failures may use. */
     BB_EVENTS_RESERVED_PERCENT = 50,
@@ -24,7 +24,8 @@
 
 typedef void (*bb_events_wake)(void *context);
 
-void bb_events_start(int fd, bb_events_wake wake, void *context);
+void bb_events_start(int fd, const char *host, bb_events_wake wake,
+                     void *context);
 bool bb_events_is_started(void);
 void bb_event_append(GString *lines, const char *event, const char *id,
                      const char *format, ...)
--- /dev/null
+++ b/include/common/histogram.h
@@ -0,0 +1,35 @@
+/* Latency histograms with fixed buckets, written in the Prometheus text
+ * format. Used by one thread. */
+#ifndef BB_COMMON_HISTOGRAM_H
+#define BB_COMMON_HISTOGRAM_H
+
+#include <glib.h>
+#include <stdint.h>
+
+enum { BB_HISTOGRAM_BUCKETS = 14 };
+
+struct bb_histogram {
+    const char *name;
+    const char *help;
+    const char *label; /* such as outcome="answered", or NULL */
+    uint64_t counts[BB_HISTOGRAM_BUCKETS + 1]; /* the last one: above all */
+    uint64_t sum_us;
+    struct bb_histogram *next;
+};
+
+void bb_histogram_register(struct bb_histogram *h);
+void bb_histogram_add(struct bb_histogram *h, uint64_t duration_us);
+uint64_t bb_histogram_count(const struct bb_histogram *h);
+void bb_histograms_write(GString *out);
+
+/* Defines and registers a histogram. */
+#define BB_HISTOGRAM(identifier, name_, label_, help_)                        \
+    static struct bb_histogram identifier = {                                 \
+        .name = (name_), .help = (help_), .label = (label_)};                 \
+    __attribute__((constructor)) static void identifier##_register(void)      \
+    {                                                                         \
+        bb_histogram_register(&identifier);                                   \
+    }                                                                         \
+    struct bb_histogram
+
+#endif
--- a/include/path/entry.h
+++ b/include/path/entry.h
@@ -15,7 +15,9 @@
 #include "path/rules.h"
 
 enum {
-    BB_ENTRY_CONNECT_MS = 350,
+    /* Several round trips between regions; a host without power does not
+     * refuse, it stays silent. */
+    BB_ENTRY_CONNECT_MS = 200,
     /* Gates keep connections of entry nodes open for a minute. */
     BB_ENTRY_IDLE_MS = 20000,
     /* Sends to gates for one request, refused ones included. */
--- a/include/path/gate.h
+++ b/include/path/gate.h
@@ -14,7 +14,8 @@
 
 /* Fields between entry nodes and gates, besides those of the dialect. */
 #define BB_FIELD_CALL "Baobab-Call" /* service rank class aim_ms flags */
-#define BB_FIELD_LOAD "Baobab-Load" /* running queued slots us permille */
+#define BB_FIELD_LOAD                                                         \
+    "Baobab-Load" /* running queued slots mean_us permille ran_us */
 #define BB_FIELD_REFUSED "Baobab-Refused" /* reason: it did not run */
 #define BB_FIELD_FAILED "Baobab-Failed"   /* reason: it may have run */
 
--- a/path/attempt.c
+++ b/path/attempt.c
@@ -190,7 +190,7 @@
 
 /* Reads the load that a gate reports. */
 static void
-take_load(const struct attempt *a, const struct bb_head *h)
+take_load(struct attempt *a, const struct bb_head *h)
 {
     struct bb_gate_entry *g = find_gate(a);
     const char *text = bb_head_get(h, BB_FIELD_LOAD);
@@ -199,14 +199,16 @@
     unsigned slots = 0;
     unsigned service_us = 0;
     unsigned failing = 0;
+    unsigned long long ran_us = 0;
 
     if (g == NULL || text == NULL ||
-        sscanf(text, "%u %u %u %u %u", &running, &queued, &slots, &service_us,
-               &failing) != 5) {
+        sscanf(text, "%u %u %u %u %u %llu", &running, &queued, &slots,
+               &service_us, &failing, &ran_us) != 6) {
         return;
     }
     bb_gate_view_report(&g->view, running, queued, slots, service_us, failing,
                         bb_clock_now_us());
+    a->ran_us = ran_us;
     bb_gate_view_reached(&g->view);
 }
 
@@ -422,6 +424,9 @@
         }
         return;
     }
+    if (r == TRY_REFUSED) {
+        return; /* the gate's word is logged already */
+    }
     bb_event_append(c->lines, "entry.try_ended", c->id,
                     "\"gate\":\"%s\",\"result\":\"%s\",\"fetch\":\"%s\","
                     "\"status\":%u,\"took_us\":%" G_GUINT64_FORMAT,
@@ -430,9 +435,7 @@
     if (g != NULL && result != BB_FETCH_COMPLETE) {
         bb_gate_view_unreachable(&g->view, bb_clock_now_us());
     }
-    if (r != TRY_REFUSED) {
-        add_to(c->left_out, &c->left_out_count, a->gate);
-    }
+    add_to(c->left_out, &c->left_out_count, a->gate);
 }
 
 /* Ends a call whose answer had begun to go out. */
--- a/path/entry.c
+++ b/path/entry.c
@@ -8,6 +8,7 @@
 #include "common/clock.h"
 #include "common/counters.h"
 #include "common/event_log.h"
+#include "common/histogram.h"
 #include "common/log.h"
 #include "entry_internal.h"
 
@@ -21,6 +22,47 @@
     HEDGE_AIM_PERCENT = 35
 };
 
+BB_HISTOGRAM(answered_time, "baobab_entry_seconds", "outcome=\"answered\"",
+             "From the arrival of a request to its answer");
+BB_HISTOGRAM(refused_time, "baobab_entry_seconds", "outcome=\"not_run\"",
+             "From the arrival of a request to its answer");
+BB_HISTOGRAM(unknown_time, "baobab_entry_seconds", "outcome=\"unknown\"",
+             "From the arrival of a request to its answer");
+BB_HISTOGRAM(late_time, "baobab_entry_seconds", "outcome=\"deadline\"",
+             "From the arrival of a request to its answer");
+BB_HISTOGRAM(added_time, "baobab_entry_added_seconds", NULL,
+             "Time of an answered request outside of its upstream");
+
+/* Answers of this node by reason. */
+#define OWN_ANSWER(reason_)                                                   \
+    {                                                                         \
+        .reason = reason_, .counter = {                                       \
+            .name = "baobab_entry_own_answers_total",                         \
+            .help = "Answers of the entry itself, by reason",                 \
+            .label = "reason=\"" reason_ "\""                                 \
+        }                                                                     \
+    }
+
+static struct {
+    const char *reason;
+    struct bb_counter counter;
+} own_answers[] = {
+    OWN_ANSWER("deadline"),         OWN_ANSWER("late"),
+    OWN_ANSWER("long_body"),        OWN_ANSWER("lost"),
+    OWN_ANSWER("no_configuration"), OWN_ANSWER("no_gate_left"),
+    OWN_ANSWER("no_request_id"),    OWN_ANSWER("no_route"),
+    OWN_ANSWER("no_upstream"),      OWN_ANSWER("stopping"),
+    OWN_ANSWER("upstream_refused"),
+};
+
+__attribute__((constructor)) static void
+register_own_answers(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(own_answers); i++) {
+        bb_counter_register(&own_answers[i].counter);
+    }
+}
+
 BB_COUNTER(requests_total, "baobab_entry_requests_total",
            "Requests of callers on this host");
 BB_COUNTER(answered_total, "baobab_entry_answered_total",
@@ -36,6 +78,35 @@
 BB_COUNTER(no_route_total, "baobab_entry_no_route_total",
            "Requests without a route");
 
+/* Counts an answer of this node itself, by status and by reason. */
+static void
+count_own_answer(const struct call *c, uint32_t status, const char *reason)
+{
+    uint64_t took_us = bb_clock_now_us() - c->exchange->arrived_us;
+
+    switch (status) {
+    case 503:
+        bb_counter_add(&refused_total, 1);
+        bb_histogram_add(&refused_time, took_us);
+        break;
+    case 502:
+        bb_counter_add(&unknown_total, 1);
+        bb_histogram_add(&unknown_time, took_us);
+        break;
+    case 504:
+        bb_counter_add(&late_total, 1);
+        bb_histogram_add(&late_time, took_us);
+        break;
+    default:
+        break;
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(own_answers); i++) {
+        if (strcmp(own_answers[i].reason, reason) == 0) {
+            bb_counter_add(&own_answers[i].counter, 1);
+        }
+    }
+}
+
 /* Answers a request by this node itself. */
 void
 call_answer(struct call *c, uint32_t status, const char *reason,
@@ -48,15 +119,7 @@
         g_string_append_printf(fields, "Retry-After: %u.%03u\r\n",
                                retry_ms / 1000, retry_ms % 1000);
     }
-    if (status == 503) {
-        bb_counter_add(&refused_total, 1);
-    }
-    else if (status == 502) {
-        bb_counter_add(&unknown_total, 1);
-    }
-    else if (status == 504) {
-        bb_counter_add(&late_total, 1);
-    }
+    count_own_answer(c, status, reason);
     bb_event_append(
         c->lines, "entry.answered", c->id,
         "\"status\":%u,\"reason\":\"%s\",\"attempts\":%u,"
@@ -70,6 +133,23 @@
     call_destroy(c, BB_EVENT_FAILURE);
 }
 
+/* Counts how long an answered request took, and how much of it was spent
+ * outside of its upstream. */
+static void
+note_times(const struct call *c, const struct bb_relay *answer)
+{
+    uint64_t took_us = bb_clock_now_us() - c->exchange->arrived_us;
+
+    bb_histogram_add(&answered_time, took_us);
+    for (size_t i = 0; i < G_N_ELEMENTS(c->attempts_now); i++) {
+        const struct attempt *a = &c->attempts_now[i];
+
+        if (answer == &a->relay && took_us >= a->ran_us) {
+            bb_histogram_add(&added_time, took_us - a->ran_us);
+        }
+    }
+}
+
 /* Passes a collected answer of an upstream on. */
 void
 call_deliver(struct call *c, struct bb_relay *answer)
@@ -77,6 +157,7 @@
     bool is_plain = answer->status < 500 && c->tries == 1;
 
     bb_counter_add(&answered_total, 1);
+    note_times(c, answer);
     if (!is_plain) {
         bb_event_append(
             c->lines, "entry.answered", c->id,
--- a/path/entry_internal.h
+++ b/path/entry_internal.h
@@ -49,6 +49,7 @@
     struct bb_relay relay;
     char gate[BB_ADDRESS_TEXT_BYTES];
     uint64_t started_us;
+    uint64_t ran_us; /* at the upstream, by the gate's word */
     bool may_wait;   /* it may queue at the gate */
     bool is_refused; /* answered by the gate: not sent to the upstream */
     bool is_failed;  /* answered by the gate: the answer was lost */
--- a/path/gate.c
+++ b/path/gate.c
@@ -7,6 +7,7 @@
 #include "common/clock.h"
 #include "common/counters.h"
 #include "common/event_log.h"
+#include "common/histogram.h"
 #include "common/log.h"
 #include "decide/balance.h"
 #include "decide/gate_queue.h"
@@ -39,6 +40,12 @@
 REFUSED(refused_unreachable, "unreachable");
 REFUSED(refused_malformed, "malformed");
 
+BB_HISTOGRAM(wait_time, "baobab_gate_wait_seconds", NULL,
+             "From the arrival of a request at the gate to its start");
+BB_HISTOGRAM(upstream_time, "baobab_gate_upstream_seconds",
+             "outcome=\"whole\"", "Time of a request at the upstream");
+BB_HISTOGRAM(lost_time, "baobab_gate_upstream_seconds", "outcome=\"lost\"",
+             "Time of a request at the upstream");
 BB_COUNTER(run_total, "baobab_gate_run_total",
            "Requests sent to the upstream");
 BB_COUNTER(lost_total, "baobab_gate_lost_total",
@@ -84,16 +91,16 @@
 
 /* Writes the fields that tell entry nodes the load. */
 static void
-add_load(const struct bb_gate *g, GString *fields)
+add_load(const struct bb_gate *g, uint64_t ran_us, GString *fields)
 {
     bool is_open = g->upstream.state == BB_INSTANCE_READY && !g->is_stopping &&
                    !g->is_unreachable;
 
     g_string_append_printf(
-        fields, BB_FIELD_LOAD ": %u %u %u %u %u\r\n", g->queue.running,
-        g->queue.queued, is_open ? g->queue.slots : 0,
+        fields, BB_FIELD_LOAD ": %u %u %u %u %u %" G_GUINT64_FORMAT "\r\n",
+        g->queue.running, g->queue.queued, is_open ? g->queue.slots : 0,
         (unsigned)MIN(g->queue.mean_us, (uint64_t)UINT32_MAX),
-        g->failing_permille);
+        g->failing_permille, ran_us);
 }
 
 /* Frees the slot of a request that was sent to the upstream. */
@@ -117,14 +124,18 @@
 
     bb_counter_add(counter, 1);
     g_string_append_printf(fields, "%s\r\n", reason);
-    add_load(g, fields);
+    add_load(g, 0, fields);
     bb_event_append(line, "gate.refused", id,
                     "\"reason\":\"%s\",\"running\":%u,\"queued\":%u,"
                     "\"slots\":%u,\"state\":\"%s\",\"mean_us\":%u",
                     reason, g->queue.running, g->queue.queued, g->queue.slots,
                     bb_instance_state_name(g->upstream.state),
                     (unsigned)g->queue.mean_us);
-    bb_events_put(BB_EVENT_FAILURE, line->str, line->len);
+    /* The entry node logs it too, and goes on to another gate if it was full
+     * here. */
+    bb_events_put(counter == &refused_full ? BB_EVENT_ORDINARY
+                                           : BB_EVENT_FAILURE,
+                  line->str, line->len);
     g_string_free(line, TRUE);
     bb_exchange_answer(x, 503, fields, NULL, 0);
     g_string_free(fields, TRUE);
@@ -187,7 +198,7 @@
     bb_events_put(BB_EVENT_FAILURE, line->str, line->len);
     g_string_free(line, TRUE);
     g_string_append_printf(fields, BB_FIELD_FAILED ": %s\r\n", reason);
-    add_load(g, fields);
+    add_load(g, 0, fields);
     bb_exchange_answer(j->exchange, 502, fields, NULL, 0);
     g_string_free(fields, TRUE);
 }
@@ -207,7 +218,7 @@
     j->is_not_run = is_not_run;
     j->has_failed = h->status >= 500;
     bb_relay_take_head(&j->relay, h, j->exchange->head.method == HTTP_HEAD);
-    add_load(j->gate, j->relay.fields);
+    add_load(j->gate, bb_clock_now_us() - j->started_us, j->relay.fields);
     return true;
 }
 
@@ -241,6 +252,7 @@
     bool is_whole = result == BB_FETCH_COMPLETE;
 
     leave_slot(j, took_us, is_whole && !j->has_failed && !j->is_not_run);
+    bb_histogram_add(is_whole ? &upstream_time : &lost_time, took_us);
     note_outcome(g, !is_whole || j->has_failed || j->is_not_run);
     if (is_whole) {
         bb_relay_finish(&j->relay, j->exchange);
@@ -341,6 +353,7 @@
     };
 
     j->started_us = now_us;
+    bb_histogram_add(&wait_time, now_us - j->exchange->arrived_us);
     g->running_repeats += j->is_repeat;
     j->is_chunked = bb_forward_is_chunked(x);
     if (!j->is_chunked) {
--- a/path/host.c
+++ b/path/host.c
@@ -8,6 +8,7 @@
 
 #include "common/counters.h"
 #include "common/event_log.h"
+#include "common/histogram.h"
 #include "common/log.h"
 #include "net/http_server.h"
 
@@ -78,7 +79,7 @@
         (void)uv_signal_start(&h->signals[i], take_signal, numbers[i]);
     }
     bb_log_start(program, name, true);
-    bb_events_start(STDOUT_FILENO, wake_flush, h);
+    bb_events_start(STDOUT_FILENO, name, wake_flush, h);
     bb_log_info("host.start", "version " BB_VERSION);
     return h;
 }
@@ -108,6 +109,7 @@
 
     (void)context;
     bb_counters_write(text);
+    bb_histograms_write(text);
     bb_exchange_answer(x, 200, fields, text->str, text->len);
     g_string_free(text, TRUE);
     g_string_free(fields, TRUE);
