--- a/decide/gate_queue.c
+++ b/decide/gate_queue.c
@@ -55,9 +55,6 @@
     bool a_in_time = is_in_time(q, a, now_us);
     bool b_in_time = is_in_time(q, b, now_us);
 
-    if (a->is_nested != b->is_nested) {
-        return a->is_nested;
-    }
     if (a->rank != b->rank) {
         return a->rank < b->rank;
     }
--- a/include/decide/gate_queue.h
+++ b/include/decide/gate_queue.h
@@ -2,8 +2,8 @@
  * request runs at once on a free slot, waits if it can still be answered in
  * time, or is refused at once, never after waiting in vain.
  *
- * Order of the queue: calls of requests that already hold a slot elsewhere,
- * then the urgent ranks, then those that can still be answered within their
+ * Order of the queue: the urgent ranks first, then those that can still be
+ * answered within their
  * aim, the one with the earliest first. */
 #ifndef BB_DECIDE_GATE_QUEUE_H
 #define BB_DECIDE_GATE_QUEUE_H
--- a/path/entry.c
+++ b/path/entry.c
@@ -356,9 +356,13 @@
     if (!c->is_nested) {
         aim_us -= MIN(aim_us, *patience_us - left_us);
     }
-    c->aim_us = from_us + aim_us;
     c->deadline_us =
         from_us + MIN(left_us, (uint64_t)c->rule->timeout_ms * BB_US_PER_MS);
+    c->aim_us = from_us + aim_us;
+    if (c->is_nested && c->aim_us < c->deadline_us) {
+        /* Late it still saves what its parent has run. */
+        c->aim_us += (c->deadline_us - c->aim_us) / 2;
+    }
     /* The gate's own word comes before, if there is time for it. */
     c->answer_us =
         MIN(from_us + left_us,
