--- a/include/decide/gate_queue.h
+++ b/include/decide/gate_queue.h
@@ -3,8 +3,7 @@
  * time, or is refused at once, never after waiting in vain.
  *
  * Order of the queue: the urgent ranks first, then those that can still be
- * answered within their
- * aim, the one with the earliest first. */
+ * answered within their aim, the one with the earliest first. */
 #ifndef BB_DECIDE_GATE_QUEUE_H
 #define BB_DECIDE_GATE_QUEUE_H
 
