--- /dev/null
+++ b/tests/decide/test_load_decisions.c
@@ -0,0 +1,419 @@
+/* Plays loads against the decisions of gate and entry, and checks what callers
+ * get. Each test names the load. */
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "decide/balance.h"
+#include "decide/gate_queue.h"
+#include "decide/retry_window.h"
+#include "unit.h"
+
+enum {
+    MS = 1000,
+    S = 1000 * 1000,
+    SLOTS = 6,
+    SERVICE_US = 200 * MS,
+    AIM_US = 800 * MS,
+    DEADLINE_US = 2000 * MS,
+    REQUESTS_MAX = 4000,
+    HOSTS = 16
+};
+
+static uint64_t random_state;
+
+static uint64_t
+next_random(void)
+{
+    random_state ^= random_state << 13;
+    random_state ^= random_state >> 7;
+    random_state ^= random_state << 17;
+    return random_state;
+}
+
+/* Returns an exponentially distributed time. */
+static uint64_t
+exponential(uint64_t mean_us)
+{
+    double u = (double)(next_random() % 1000000 + 1) / 1000001;
+
+    return (uint64_t)(-log(u) * (double)mean_us);
+}
+
+enum fate { COMING, WAITING, RUNNING, SERVED, REFUSED };
+
+struct request {
+    struct bb_gate_request r;
+    uint64_t arrive_us;
+    uint64_t end_us; /* of the run, or of the refusal */
+    uint64_t service_us;
+    enum fate fate;
+};
+
+/* One gate and the requests that come to it. */
+struct play {
+    struct bb_gate_queue queue;
+    struct request requests[REQUESTS_MAX];
+    uint32_t count;
+};
+
+/* Adds requests that arrive at random over a time. */
+static void
+add_load(struct play *p, uint64_t from_us, uint64_t to_us, double per_second,
+         uint32_t rank, uint64_t aim_us, uint64_t deadline_us)
+{
+    uint64_t at_us = from_us + exponential((uint64_t)(S / per_second));
+
+    while (at_us < to_us && p->count < REQUESTS_MAX) {
+        p->requests[p->count] = (struct request){
+            .r = {.id = p->count,
+                  .rank = rank,
+                  .class_index = rank,
+                  .aim_us = at_us + aim_us,
+                  .deadline_us = at_us + deadline_us},
+            .arrive_us = at_us,
+            .service_us = SERVICE_US / 2 + exponential(SERVICE_US / 2)};
+        p->count++;
+        at_us += exponential((uint64_t)(S / per_second));
+    }
+}
+
+static void
+take_queue(struct play *p, uint64_t now_us)
+{
+    enum bb_gate_verdict v;
+    uint64_t id = 0;
+
+    while (bb_gate_queue_next(&p->queue, now_us, &id, &v)) {
+        struct request *r = &p->requests[id];
+
+        r->fate = v == BB_GATE_RUN ? RUNNING : REFUSED;
+        r->end_us = v == BB_GATE_RUN ? now_us + r->service_us : now_us;
+    }
+}
+
+/* Plays all requests in steps of a millisecond. */
+static void
+run_play(struct play *p)
+{
+    for (uint64_t now_us = 0; now_us < 30 * (uint64_t)S; now_us += MS) {
+        for (uint32_t i = 0; i < p->count; i++) {
+            struct request *r = &p->requests[i];
+
+            if (r->fate == RUNNING && now_us >= r->end_us) {
+                r->fate = SERVED;
+                bb_gate_queue_finish(&p->queue, r->r.class_index,
+                                     r->service_us, true);
+            }
+        }
+        take_queue(p, now_us);
+        for (uint32_t i = 0; i < p->count; i++) {
+            struct request *r = &p->requests[i];
+
+            if (r->fate != COMING || now_us < r->arrive_us) {
+                continue;
+            }
+            switch (bb_gate_queue_arrive(&p->queue, &r->r, true, now_us)) {
+            case BB_GATE_RUN:
+                r->fate = RUNNING;
+                r->end_us = now_us + r->service_us;
+                break;
+            case BB_GATE_WAIT:
+                r->fate = WAITING;
+                break;
+            case BB_GATE_REFUSE:
+                r->fate = REFUSED;
+                r->end_us = now_us;
+                break;
+            }
+        }
+    }
+}
+
+struct result {
+    uint32_t asked;
+    uint32_t in_aim;
+    uint32_t late;
+    uint32_t refused;
+    uint32_t held_refused; /* after more than an eighth of the aim */
+};
+
+/* Counts the fates of one rank's requests that arrived within a time. */
+static struct result
+count(const struct play *p, uint32_t rank, uint64_t from_us, uint64_t to_us)
+{
+    struct result c = {0};
+
+    for (uint32_t i = 0; i < p->count; i++) {
+        const struct request *r = &p->requests[i];
+
+        if (r->r.rank != rank || r->arrive_us < from_us ||
+            r->arrive_us >= to_us) {
+            continue;
+        }
+        c.asked++;
+        c.in_aim += r->fate == SERVED && r->end_us <= r->r.aim_us;
+        c.late += r->fate == SERVED && r->end_us > r->r.aim_us;
+        c.refused += r->fate == REFUSED;
+        c.held_refused +=
+            r->fate == REFUSED && r->end_us - r->arrive_us > AIM_US / 8;
+    }
+    return c;
+}
+
+static struct play *
+create_play(uint64_t seed)
+{
+    struct play *p = calloc(1, sizeof(*p));
+
+    random_state = seed * 0x9e3779b97f4a7c15ULL + 1;
+    bb_gate_queue_init(&p->queue, SLOTS);
+    p->queue.mean_us = SERVICE_US;
+    return p;
+}
+
+/* Load: twice the capacity for ten seconds. Callers that are served get their
+ * answers in time, the slots stay busy, and who cannot be served learns it
+ * soon. */
+static void
+test_twice_capacity(void)
+{
+    const double capacity = (double)SLOTS * S / SERVICE_US;
+
+    for (uint64_t seed = 1; seed <= 5; seed++) {
+        struct play *p = create_play(seed);
+        struct result c;
+
+        add_load(p, 0, 10 * (uint64_t)S, 2 * capacity, 1, AIM_US, DEADLINE_US);
+        run_play(p);
+        c = count(p, 1, 0, 10 * (uint64_t)S);
+        CU_ASSERT_EQUAL(c.in_aim + c.late + c.refused, c.asked);
+        CU_ASSERT_TRUE(c.in_aim + c.late >= 0.95 * 10 * capacity);
+        CU_ASSERT_TRUE(c.in_aim >= 4 * c.late);
+        CU_ASSERT_TRUE(c.held_refused * 4 <= c.refused);
+        free(p);
+    }
+}
+
+/* Load: one and a half times the capacity, and as many again of requests that
+ * were refused once and have little of their time left. Guards against those
+ * going ahead of fresh ones because their deadline is near. */
+static void
+test_returning_callers(void)
+{
+    const double capacity = (double)SLOTS * S / SERVICE_US;
+
+    for (uint64_t seed = 1; seed <= 5; seed++) {
+        struct play *p = create_play(seed);
+        struct result fresh;
+
+        add_load(p, 0, 10 * (uint64_t)S, 1.5 * capacity, 1, AIM_US,
+                 DEADLINE_US);
+        /* The same rank, but of a class of its own to be counted apart. */
+        for (uint32_t i = p->count; i > 0; i--) {
+            if (p->count < REQUESTS_MAX && i % 2 == 0) {
+                struct request *r = &p->requests[p->count];
+
+                *r = p->requests[i - 1];
+                r->r.id = p->count++;
+                r->r.class_index = 9;
+                r->r.aim_us = r->arrive_us + 10 * MS;
+                r->r.deadline_us = r->arrive_us + 900 * MS;
+            }
+        }
+        run_play(p);
+        memset(&fresh, 0, sizeof(fresh));
+        for (uint32_t i = 0; i < p->count; i++) {
+            const struct request *r = &p->requests[i];
+
+            fresh.asked += r->r.class_index == 1;
+            fresh.in_aim += r->r.class_index == 1 && r->fate == SERVED &&
+                            r->end_us <= r->r.aim_us;
+        }
+        /* Two thirds could be served if no other came. */
+        CU_ASSERT_TRUE(fresh.in_aim * 2 >= fresh.asked);
+        free(p);
+    }
+}
+
+/* Load: urgent requests at half of the capacity beside others at the whole of
+ * it. The urgent ones are served, the others get what is left. */
+static void
+test_ranks(void)
+{
+    const double capacity = (double)SLOTS * S / SERVICE_US;
+
+    for (uint64_t seed = 1; seed <= 5; seed++) {
+        struct play *p = create_play(seed);
+        struct result urgent;
+        struct result other;
+
+        add_load(p, 0, 10 * (uint64_t)S, 0.5 * capacity, 1, AIM_US,
+                 DEADLINE_US);
+        add_load(p, 0, 10 * (uint64_t)S, capacity, 2, AIM_US, DEADLINE_US);
+        run_play(p);
+        urgent = count(p, 1, 0, 10 * (uint64_t)S);
+        other = count(p, 2, 0, 10 * (uint64_t)S);
+        CU_ASSERT_TRUE(urgent.in_aim * 20 >= urgent.asked * 19);
+        CU_ASSERT_TRUE(other.in_aim * 4 >= other.asked);
+        free(p);
+    }
+}
+
+static struct bb_gate_view
+view(enum bb_distance distance)
+{
+    return (struct bb_gate_view){.distance = distance,
+                                 .is_ready = true,
+                                 .slots = SLOTS,
+                                 .service_us = SERVICE_US,
+                                 .reported_us = 1};
+}
+
+static int32_t
+pick(const struct bb_gate_view *views, uint32_t n, uint64_t now_us)
+{
+    const struct bb_gate_view *list[8];
+    struct bb_balance_request r = {.may_leave_region = true,
+                                   .aim_left_us = AIM_US};
+
+    for (uint32_t i = 0; i < n; i++) {
+        list[i] = &views[i];
+    }
+    return bb_balance_pick(list, n, &r, next_random(), now_us);
+}
+
+/* Load: light. Calls stay in their zone, where they cost no link. */
+static void
+test_near(void)
+{
+    struct bb_gate_view v[] = {view(BB_OTHER_REGION), view(BB_SAME_REGION),
+                               view(BB_SAME_ZONE)};
+
+    random_state = 5;
+    v[0].service_us = SERVICE_US / 2;
+    v[1].service_us = SERVICE_US / 2;
+    for (uint32_t i = 0; i < 100; i++) {
+        CU_ASSERT_EQUAL(pick(v, 3, S), 2);
+    }
+    /* The zone's gate is full: the own region, not the other one. */
+    bb_gate_view_report(&v[2], SLOTS, 3 * SLOTS, SLOTS, SERVICE_US, 0, S);
+    CU_ASSERT_EQUAL(pick(v, 3, S), 1);
+    bb_gate_view_report(&v[1], SLOTS, 6 * SLOTS, SLOTS, SERVICE_US, 0, S);
+    bb_gate_view_report(&v[2], SLOTS, 6 * SLOTS, SLOTS, SERVICE_US, 0, S);
+    CU_ASSERT_EQUAL(pick(v, 3, S), 0);
+}
+
+/* Load: an upstream joins. It gets a request of each entry near by at once,
+ * and only one before its first answer. */
+static void
+test_joining(void)
+{
+    struct bb_gate_view v[] = {view(BB_SAME_ZONE), view(BB_SAME_REGION)};
+
+    random_state = 6;
+    v[1].reported_us = 0;
+    CU_ASSERT_EQUAL(pick(v, 2, S), 1);
+    v[1].in_flight = 1;
+    CU_ASSERT_EQUAL(pick(v, 2, S), 0);
+}
+
+/* Load: an upstream fails and recovers. It is left out while it fails, and
+ * tried again although nobody reports that it is well. */
+static void
+test_failing(void)
+{
+    struct bb_gate_view v[] = {view(BB_SAME_ZONE), view(BB_SAME_REGION)};
+
+    random_state = 7;
+    bb_gate_view_report(&v[0], 1, 0, SLOTS, SERVICE_US, 600, 10 * S);
+    v[1].reported_us = 10 * S;
+    CU_ASSERT_EQUAL(pick(v, 2, 10 * S), 1);
+    CU_ASSERT_EQUAL(pick(v, 2, 14 * (uint64_t)S), 0);
+    bb_gate_view_unreachable(&v[0], 14 * (uint64_t)S);
+    CU_ASSERT_EQUAL(pick(v, 2, 14 * (uint64_t)S + 100 * MS), 1);
+    CU_ASSERT_EQUAL(pick(v, 2, 16 * (uint64_t)S), 0);
+}
+
+/* Load: every second request fails on all hosts for half a minute. In no span
+ * of the window's length are there more repeats, over all hosts together, than
+ * the budget for the requests of that span. */
+static void
+test_retry_storm(void)
+{
+    const struct bb_retry_limits limits = {.window_ms = 10000,
+                                           .ratio_permille = 200,
+                                           .allowance = 64,
+                                           .hosts = HOSTS};
+    static struct bb_retry_window windows[HOSTS];
+    static uint32_t firsts[3000];
+    static uint32_t repeats[3000];
+
+    random_state = 8;
+    memset(windows, 0, sizeof(windows));
+    for (uint32_t t = 0; t < 3000; t++) {
+        uint64_t now_us = (uint64_t)t * 10 * MS + 100 * (uint64_t)S;
+        uint32_t n = t < 500 ? 8 : t < 1500 ? 1 : 5;
+
+        for (uint32_t i = 0; i < n; i++) {
+            struct bb_retry_window *w = &windows[next_random() % HOSTS];
+
+            bb_retry_window_first(w, &limits, 0, now_us);
+            firsts[t]++;
+            if (next_random() % 2 == 0) {
+                repeats[t] += bb_retry_window_take(w, &limits, now_us);
+            }
+        }
+    }
+    for (uint32_t start = 0; start + 1000 <= 3000; start += 50) {
+        uint32_t f = 0;
+        uint32_t r = 0;
+        uint32_t before = 0;
+
+        for (uint32_t t = start; t < start + 1000; t++) {
+            f += firsts[t];
+            r += repeats[t];
+        }
+        /* The span half a window earlier counts too, if it has more. */
+        for (uint32_t t = start >= 500 ? start - 500 : 0;
+             start >= 500 && t < start + 500; t++) {
+            before += firsts[t];
+        }
+        f = f > before ? f : before;
+        CU_ASSERT_TRUE(r <= f * 0.2 + 64);
+        /* Under a steady load the budget is there to be used. */
+        CU_ASSERT_TRUE(start < 1700 || r * 4 >= f * 0.2);
+    }
+}
+
+/* Load: half of what runs on a host's upstream are repeats. Their calls use
+ * the budget up, so that no further repeat is added. */
+static void
+test_calls_of_repeats(void)
+{
+    const struct bb_retry_limits limits = {
+        .window_ms = 10000, .ratio_permille = 200, .hosts = 1};
+    struct bb_retry_window w;
+    uint32_t taken = 0;
+
+    memset(&w, 0, sizeof(w));
+    for (uint32_t i = 0; i < 200; i++) {
+        bb_retry_window_first(&w, &limits, 500, 50 * S + i * MS);
+        taken += bb_retry_window_take(&w, &limits, 50 * S + i * MS);
+    }
+    CU_ASSERT_EQUAL(taken, 0);
+}
+
+static const struct bb_unit_test tests[] = {
+    {"twice the capacity", test_twice_capacity},
+    {"returning callers", test_returning_callers},
+    {"ranks", test_ranks},
+    {"near gates", test_near},
+    {"joining upstream", test_joining},
+    {"failing upstream", test_failing},
+    {"retry storm", test_retry_storm},
+    {"calls of repeats", test_calls_of_repeats},
+};
+
+BB_UNIT_MAIN("load", tests)
