Keep the gate open for the first part of a stop

Cause: a host that restarts took its upstream out of service for 3.2 s, from SIGTERM on (incident inc-068e, docs/incidents.md).

--- a/proxyd/main.c
+++ b/proxyd/main.c
@@ -15,6 +15,9 @@
     /* Callers need two missed checks of one second each, and the answer on
      * its way, to learn that this host stops. */
     STOP_QUIET_MS = 2600,
+    /* The upstream of a host that only restarts is well: its gate admits
+     * requests as long as ordinary ones still end before the process does. */
+    STOP_GATE_MS = 1600,
     STOP_POLL_MS = 100,
     /* Kept from the grace time for the end itself. */
     STOP_MARGIN_MS = 700
@@ -34,6 +37,7 @@
     uint64_t stop_us;
     bool has_rules;
     bool is_stopping;
+    bool is_gate_stopped;
 };
 
 /* Puts a configuration in force here. */
@@ -236,6 +240,10 @@
     uint32_t busy =
         bb_entry_busy_count(p->entry) + bb_gate_busy_count(p->gate);
 
+    if (waited_ms >= STOP_GATE_MS && !p->is_gate_stopped) {
+        p->is_gate_stopped = true;
+        bb_gate_stop(p->gate);
+    }
     if (waited_ms >= STOP_QUIET_MS) {
         bb_entry_stop(p->entry);
     }
@@ -254,7 +262,6 @@
 
     p->is_stopping = true;
     p->stop_us = bb_clock_now_us();
-    bb_gate_stop(p->gate);
     bb_entry_drain(p->entry);
     (void)uv_timer_start(&p->stop_timer, poll_stop, STOP_POLL_MS,
                          STOP_POLL_MS);
