--- a/tests/platform/test_dialect.c
+++ b/tests/platform/test_dialect.c
@@ -38,14 +38,13 @@
 static void
 test_order(void)
 {
-    struct bb_rules *r =
-        decode(
-            ORDER("7", ROUTE(",\"weighted_services\":[{\"service\":\"a\","
-                             "\"weight\":90},{\"service\":\"b\",\"weight\":10}"
-                             "]") ",{\"name\":\"q\",\"path_prefix\":\"/p/long/"
-                                  "\","
-                                  "\"route_type\":\"unsafe\",\"timeout_ms\":5,"
-                                  "\"service\":\"b\",\"new_field\":[1]}"));
+    struct bb_rules *r = decode(
+        ORDER("7", ROUTE(",\"weighted_services\":[{\"service\":\"a\","
+                         "\"weight\":90},{\"service\":\"b\",\"weight\":10}"
+                         "]") ",{\"name\":\"q\",\"path_prefix\":\"/p/long/"
+                              "\","
+                              "\"route_type\":\"unsafe\",\"timeout_ms\":5,"
+                              "\"service\":\"b\",\"new_field\":[1]}"));
     const struct bb_rule *rule;
 
     CU_ASSERT_PTR_NOT_NULL_FATAL(r);
