--- a/cored/main.c
+++ b/cored/main.c
@@ -185,26 +185,8 @@
     bb_core_cancel(d->core, x);
 }
 
-static bool
-may_overlap(void *context, const struct bb_head *h)
-{
-    (void)context;
-    (void)h;
-    return false;
-}
-
-static void
-ignore(void *context, struct bb_exchange *x)
-{
-    (void)context;
-    (void)x;
-}
-
-static const struct bb_server_handler handler = {.may_overlap = may_overlap,
-                                                 .begin = begin,
-                                                 .body = begin,
-                                                 .drained = ignore,
-                                                 .gone = gone};
+static const struct bb_server_handler handler = {
+    .begin = begin, .body = begin, .gone = gone};
 
 static void
 end_stop(uv_timer_t *t)
--- a/decide/balance.c
+++ b/decide/balance.c
@@ -136,17 +136,11 @@
 
 /* Returns whether a gate may be chosen. */
 static bool
-is_usable(const struct bb_gate_view *v, uint32_t index,
-          const struct bb_balance_request *r, uint64_t now_us)
+is_usable(const struct bb_gate_view *v, const struct bb_balance_request *r,
+          uint64_t now_us)
 {
-    for (uint32_t i = 0; i < r->tried_count; i++) {
-        if (r->tried[i] == index) {
-            return false;
-        }
-    }
     return v->is_ready && v->slots > 0 && now_us >= v->suspended_until_us &&
-           (r->may_leave_region || v->distance != BB_OTHER_REGION) &&
-           (!r->wants_free_slot || held(v, now_us) < v->slots);
+           (r->may_leave_region || v->distance != BB_OTHER_REGION);
 }
 
 /* Returns whether a gate can be expected to answer well in time. */
@@ -178,7 +172,7 @@
         uint64_t cost_us;
         uint32_t tier;
 
-        if (!is_usable(views[i], i, r, now_us)) {
+        if (!is_usable(views[i], r, now_us)) {
             continue;
         }
         tier = views[i]->distance != BB_OTHER_REGION &&
--- a/fleet/agent.c
+++ b/fleet/agent.c
@@ -471,27 +471,6 @@
     send_own(a);
 }
 
-/* Returns whether a control host has answered on the present connection. */
-bool
-bb_agent_is_connected(const struct bb_agent *a)
-{
-    return a->is_introduced;
-}
-
-/* Returns the operators' version in force here, 0 if none. */
-uint64_t
-bb_agent_version(const struct bb_agent *a)
-{
-    return a->version;
-}
-
-/* Returns all announcements known here, with the own one. */
-const struct bb_instances *
-bb_agent_instances(const struct bb_agent *a)
-{
-    return a->instances;
-}
-
 static void
 free_agent(uv_handle_t *h)
 {
--- a/fleet/instances.c
+++ b/fleet/instances.c
@@ -79,13 +79,6 @@
     return true;
 }
 
-/* Returns the record of a gate, or NULL. */
-const fleet_instance *
-bb_instances_find(const struct bb_instances *t, const char *gate)
-{
-    return g_hash_table_lookup(t->by_gate, gate);
-}
-
 /* Returns how many records there are. */
 uint32_t
 bb_instances_count(const struct bb_instances *t)
--- a/include/decide/balance.h
+++ b/include/decide/balance.h
@@ -28,7 +28,6 @@
      * most. */
     BB_BALANCE_SUSPEND_US = 500 * 1000,
     BB_BALANCE_SUSPEND_MAX_US = 4000 * 1000,
-    BB_BALANCE_TRIED_MAX = 16,
     BB_BALANCE_CLASSES = 32,
     /* Weight of the newest answer in the averages, as one in so many. */
     BB_BALANCE_AVERAGE_PARTS = 8,
@@ -58,12 +57,9 @@
 };
 
 struct bb_balance_request {
-    bool wants_free_slot; /* leave out gates known to be full */
     bool may_leave_region;
     uint32_t class_index;
-    uint64_t aim_left_us;                 /* until the answer is worth less */
-    uint64_t tried[BB_BALANCE_TRIED_MAX]; /* indices left out */
-    uint32_t tried_count;
+    uint64_t aim_left_us; /* until the answer is worth less */
 };
 
 uint64_t bb_balance_cost_us(const struct bb_gate_view *v, uint32_t class_index,
--- a/include/fleet/agent.h
+++ b/include/fleet/agent.h
@@ -54,9 +54,6 @@
 void bb_agent_set_seeds(struct bb_agent *a,
                         const struct bb_address_list *seeds);
 void bb_agent_announce(struct bb_agent *a, const fleet_instance *own);
-bool bb_agent_is_connected(const struct bb_agent *a);
-uint64_t bb_agent_version(const struct bb_agent *a);
-const struct bb_instances *bb_agent_instances(const struct bb_agent *a);
 void bb_agent_destroy(struct bb_agent *a);
 
 #endif
--- a/include/fleet/instances.h
+++ b/include/fleet/instances.h
@@ -25,8 +25,6 @@
 struct bb_instances *bb_instances_create(void);
 void bb_instances_destroy(struct bb_instances *t);
 bool bb_instances_merge(struct bb_instances *t, const fleet_instance *i);
-const fleet_instance *bb_instances_find(const struct bb_instances *t,
-                                        const char *gate);
 uint32_t bb_instances_count(const struct bb_instances *t);
 void bb_instances_visit(const struct bb_instances *t, bb_instance_visit visit,
                         void *context);
--- a/include/net/http_server.h
+++ b/include/net/http_server.h
@@ -47,6 +47,7 @@
     void *user;
 };
 
+/* What is not needed may be NULL; requests then never overlap. */
 struct bb_server_handler {
     /* Whether the request may run before earlier ones of its connection are
      * answered. */
@@ -69,7 +70,6 @@
 /* Every answer from now on closes its connection; idle ones stay open for
  * requests that are on their way. */
 void bb_server_drain(struct bb_server *s);
-void bb_server_close_idle(struct bb_server *s);
 uint32_t bb_server_busy_count(const struct bb_server *s);
 void bb_server_destroy(struct bb_server *s);
 
--- a/include/path/entry.h
+++ b/include/path/entry.h
@@ -59,7 +59,6 @@
 void bb_entry_set_rules(struct bb_entry *n, struct bb_rules *r);
 void bb_entry_drain(struct bb_entry *n);
 void bb_entry_stop(struct bb_entry *n);
-void bb_entry_close_idle(struct bb_entry *n);
 uint32_t bb_entry_busy_count(const struct bb_entry *n);
 void bb_entry_destroy(struct bb_entry *n);
 
--- a/include/path/gate.h
+++ b/include/path/gate.h
@@ -54,7 +54,6 @@
 void bb_gate_stop(struct bb_gate *g);
 uint32_t bb_gate_busy_count(const struct bb_gate *g);
 uint32_t bb_gate_repeat_permille(const struct bb_gate *g);
-const struct bb_upstream *bb_gate_upstream(const struct bb_gate *g);
 void bb_gate_destroy(struct bb_gate *g);
 
 #endif
--- a/net/fetch.c
+++ b/net/fetch.c
@@ -50,7 +50,6 @@
     struct link *link;
     const struct bb_fetch_events *events;
     void *context;
-    bool is_reused;
     bool is_body_sent;
     bool is_connected;
     bool is_skipping; /* the answer being read belongs to another request */
@@ -395,7 +394,6 @@
     f->is_head_method = r->is_head_method;
     f->is_body_sent = r->is_body_complete;
     if (l != NULL) {
-        f->is_reused = true;
         f->is_connected = true;
         bb_reader_next(&l->reader);
         bb_counter_add(&reused_total, 1);
@@ -466,13 +464,6 @@
     bb_stream_resume(f->link->stream);
 }
 
-/* Returns whether the request went out on a kept connection. */
-bool
-bb_fetch_was_reused(const struct bb_fetch *f)
-{
-    return f->is_reused;
-}
-
 /* Gives a request up. */
 void
 bb_fetch_cancel(struct bb_fetch *f)
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -87,7 +87,9 @@
     while ((x = g_queue_pop_head(&c->exchanges)) != NULL) {
         if (x->is_begun && !x->is_ended) {
             c->server->busy_count--;
-            c->server->handler->gone(c->server->context, x);
+            if (c->server->handler->gone != NULL) {
+                c->server->handler->gone(c->server->context, x);
+            }
         }
         free_exchange(x);
     }
@@ -330,14 +332,17 @@
         c->current = NULL;
     }
     if (x->is_begun && !x->is_ended) {
-        s->handler->body(s->context, x);
+        if (s->handler->body != NULL) {
+            s->handler->body(s->context, x);
+        }
         return is_done;
     }
     if (!is_done && x->body->len < BB_SERVER_COLLECT_BYTES) {
         return false;
     }
     if (g_queue_peek_head(&c->exchanges) != x &&
-        !s->handler->may_overlap(s->context, &x->head)) {
+        (s->handler->may_overlap == NULL ||
+         !s->handler->may_overlap(s->context, &x->head))) {
         c->is_waiting = true;
         return false;
     }
@@ -445,7 +450,8 @@
     struct bb_server_connection *c = context;
     struct bb_exchange *x = g_queue_peek_head(&c->exchanges);
 
-    if (x != NULL && x->is_begun && !x->is_ended) {
+    if (x != NULL && x->is_begun && !x->is_ended &&
+        c->server->handler->drained != NULL) {
         c->server->handler->drained(c->server->context, x);
     }
 }
@@ -515,21 +521,6 @@
     s->is_draining = true;
 }
 
-/* Closes connections on which nothing has arrived since the last answer. */
-void
-bb_server_close_idle(struct bb_server *s)
-{
-    struct bb_server_connection *next;
-
-    for (struct bb_server_connection *c = s->connections; c != NULL;
-         c = next) {
-        next = c->next;
-        if (g_queue_is_empty(&c->exchanges) && !c->reader.has_started) {
-            close_connection(c, bb_stream_close);
-        }
-    }
-}
-
 /* Returns how many requests are not answered yet. */
 uint32_t
 bb_server_busy_count(const struct bb_server *s)
--- a/path/entry.c
+++ b/path/entry.c
@@ -531,13 +531,6 @@
     n->is_stopping = true;
 }
 
-/* Closes connections without a request. */
-void
-bb_entry_close_idle(struct bb_entry *n)
-{
-    bb_server_close_idle(n->server);
-}
-
 /* Returns how many requests are not answered. */
 uint32_t
 bb_entry_busy_count(const struct bb_entry *n)
--- a/path/gate.c
+++ b/path/gate.c
@@ -556,19 +556,8 @@
     run_queue(g);
 }
 
-static bool
-may_overlap(void *context, const struct bb_head *h)
-{
-    (void)context;
-    (void)h;
-    return false; /* entry nodes do not pipeline */
-}
-
-static const struct bb_server_handler handler = {.may_overlap = may_overlap,
-                                                 .begin = begin,
-                                                 .body = take_more,
-                                                 .drained = resume,
-                                                 .gone = gone};
+static const struct bb_server_handler handler = {
+    .begin = begin, .body = take_more, .drained = resume, .gone = gone};
 
 /* Opens the gate; it admits nothing until the upstream has announced itself.
  * Returns NULL and an error if the address cannot be used. */
@@ -672,13 +661,6 @@
                      (uint32_t)PERMILLE);
 }
 
-/* Returns what is known of the upstream. */
-const struct bb_upstream *
-bb_gate_upstream(const struct bb_gate *g)
-{
-    return &g->upstream;
-}
-
 static void
 free_gate(uv_handle_t *h)
 {
--- a/path/host.c
+++ b/path/host.c
@@ -91,14 +91,6 @@
     return &h->loop;
 }
 
-static bool
-may_overlap(void *context, const struct bb_head *h)
-{
-    (void)context;
-    (void)h;
-    return false;
-}
-
 /* Answers any request on the metrics address with all counters. */
 static void
 answer_metrics(void *context, struct bb_exchange *x)
@@ -115,19 +107,8 @@
     g_string_free(fields, TRUE);
 }
 
-static void
-ignore(void *context, struct bb_exchange *x)
-{
-    (void)context;
-    (void)x;
-}
-
-static const struct bb_server_handler metrics_handler = {
-    .may_overlap = may_overlap,
-    .begin = answer_metrics,
-    .body = ignore,
-    .drained = ignore,
-    .gone = ignore};
+static const struct bb_server_handler metrics_handler = {.begin =
+                                                             answer_metrics};
 
 /* Serves the counters; returns false and an error if the address cannot be
  * used. */
--- a/proxyd/main.c
+++ b/proxyd/main.c
@@ -201,34 +201,9 @@
     }
 }
 
-static bool
-may_overlap(void *context, const struct bb_head *h)
-{
-    (void)context;
-    (void)h;
-    return false;
-}
-
-static void
-ignore(void *context, struct bb_exchange *x)
-{
-    (void)context;
-    (void)x;
-}
+static const struct bb_server_handler ready_handler = {.begin = answer_ready};
 
-static const struct bb_server_handler ready_handler = {.may_overlap =
-                                                           may_overlap,
-                                                       .begin = answer_ready,
-                                                       .body = ignore,
-                                                       .drained = ignore,
-                                                       .gone = ignore};
-
-static const struct bb_server_handler announce_handler = {.may_overlap =
-                                                              may_overlap,
-                                                          .begin = take_call,
-                                                          .body = ignore,
-                                                          .drained = ignore,
-                                                          .gone = ignore};
+static const struct bb_server_handler announce_handler = {.begin = take_call};
 
 /* Ends the process once nothing is under way, or at the end of the grace
  * time. */
