--- a/tests/fleet/test_fleet.c
+++ b/tests/fleet/test_fleet.c
@@ -8,7 +8,9 @@
 
 #include "common/clock.h"
 #include "fleet/agent.h"
+#include "fleet/content.h"
 #include "fleet/core.h"
+#include "fleet/frame.h"
 #include "fleet/store.h"
 #include "net/stream.h"
 #include "unit.h"
@@ -467,6 +469,100 @@
     close_bench(&b);
 }
 
+/* A control host that sends two configurations, the older one last. */
+struct older {
+    struct bb_frames *frames;
+    bool is_sent;
+};
+
+static void
+send_state(struct bb_frames *f, uint64_t revision, uint64_t version,
+           const char *text)
+{
+    struct bb_contents *contents = bb_contents_create();
+    fleet_state s = {.label = version,
+                     .config = {.config_len = (u_int)strlen(text),
+                                .config_val = (char *)text}};
+    GBytes *raw = bb_state_encode(&s);
+    uint64_t content = bb_contents_add(contents, raw);
+    fleet_message m = {.kind = FLEET_CONTENT};
+
+    m.fleet_message_u.update.revision = revision;
+    CU_ASSERT_TRUE(bb_contents_pack(contents, content, 0,
+                                    &m.fleet_message_u.update.content));
+    CU_ASSERT_TRUE(bb_frames_send(f, &m));
+    bb_content_clear(&m.fleet_message_u.update.content);
+    g_bytes_unref(raw);
+    bb_contents_destroy(contents);
+}
+
+static void
+answer_node(void *context, struct bb_frames *f, fleet_message *m)
+{
+    struct older *o = context;
+
+    if (m->kind == FLEET_HELLO && !o->is_sent) {
+        o->is_sent = true;
+        send_state(f, 5, 2, "newer");
+        send_state(f, 4, 1, "older");
+    }
+}
+
+static void
+note_frames_end(void *context, struct bb_frames *f)
+{
+    struct older *o = context;
+
+    bb_frames_close(f);
+    o->frames = NULL;
+}
+
+static const struct bb_frames_events older_events = {.message = answer_node,
+                                                     .ended = note_frames_end};
+
+static void
+accept_node(void *context, struct bb_stream *s)
+{
+    struct older *o = context;
+
+    bb_frames_close(o->frames);
+    o->frames = bb_frames_accept(s, &older_events, o);
+}
+
+/* Guards against: a control host that is behind taking a node back. */
+static void
+test_older_update(void)
+{
+    struct bench b;
+    struct node n = {0};
+    struct older o = {0};
+    struct bb_error e = {0};
+    struct bb_address at = {0};
+    struct bb_listener *l;
+    struct bb_agent_settings s = {
+        .ip = "127.0.7.50", .zone = "z0", .region = "r"};
+    struct bb_agent *a;
+
+    open_bench(&b, 0);
+    s.peer_port = b.port;
+    s.seeds = seeds(&b);
+    s.seeds.count = 1;
+    at.port = b.port;
+    g_strlcpy(at.ip, b.ips[0], sizeof(at.ip));
+    l = bb_listener_create(&b.loop, &at, accept_node, &o, &e);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(l);
+    a = bb_agent_create(&b.loop, &s, &agent_events, &n);
+    CU_ASSERT_TRUE(wait_version(&b, &n, 2, 2000));
+    run(&b, NULL, 100);
+    CU_ASSERT_EQUAL(n.version, 2);
+    CU_ASSERT_STRING_EQUAL(n.text, "newer");
+    CU_ASSERT_FALSE(n.has_gone_back);
+    bb_agent_destroy(a);
+    bb_frames_close(o.frames);
+    bb_listener_destroy(l);
+    close_bench(&b);
+}
+
 static void
 ignore_data(void *context, const char *data, size_t n)
 {
@@ -567,10 +663,15 @@
 }
 
 static const struct bb_unit_test tests[] = {
-    {"orders", test_orders},     {"race", test_race},
-    {"restarts", test_restarts}, {"lost disks", test_lost_disks},
-    {"minority", test_minority}, {"agent", test_agent},
-    {"garbage", test_garbage},   {"torn file", test_torn_file},
+    {"orders", test_orders},
+    {"race", test_race},
+    {"restarts", test_restarts},
+    {"lost disks", test_lost_disks},
+    {"minority", test_minority},
+    {"agent", test_agent},
+    {"garbage", test_garbage},
+    {"torn file", test_torn_file},
+    {"older update", test_older_update},
 };
 
 BB_UNIT_MAIN("fleet", tests)
--- a/tests/path/test_path.c
+++ b/tests/path/test_path.c
@@ -399,6 +399,31 @@
     bench_close(&b);
 }
 
+/* Guards against: a gate that admits requests of entry nodes that do not know
+ * yet that its upstream leaves. */
+static void
+test_draining_gate(void)
+{
+    struct bench b;
+    struct client *c;
+    struct bb_address entry;
+
+    bench_open(&b);
+    entry = b.entry_at;
+    b.entry_at = b.upstreams[0].at;
+    b.entry_at.port++; /* the gate's */
+    c = client_open(&b);
+    b.entry_at = entry;
+    client_send(c, SAFE("a1") BB_FIELD_CALL ": s 1 1 500 w\r\n\r\n");
+    CU_ASSERT_TRUE(bench_wait_text(&b, c, "body", 500));
+    bench_announce(&b, 0, true);
+    client_send(c, SAFE("a2") BB_FIELD_CALL ": s 1 1 500 w\r\n\r\n");
+    CU_ASSERT_TRUE(bench_wait_text(&b, c, BB_FIELD_REFUSED, 500));
+    CU_ASSERT_EQUAL(arrivals(&b), 1);
+    client_close(c);
+    bench_close(&b);
+}
+
 static struct script
 answer_by_number(struct upstream *u, uint32_t number, const struct bb_head *h)
 {
@@ -528,6 +553,7 @@
     {"caller leaves", test_caller_leaves},
     {"timeout of the route", test_timeout},
     {"draining", test_draining},
+    {"draining gate", test_draining_gate},
     {"pipelined requests", test_pipeline},
     {"queue", test_queue},
     {"long body", test_long_body},
