Remember a withdrawal across a restart of the gate

The gate of sidecar-accra-tema-3 was stopped and started again; 0.2 s after its start it acknowledged a withdrawal of the upstream, which it did not know yet, and forgot it. A late announcement with the state `ready` followed 2.4 s later, and a request ran 2865 ms after the acknowledgement (bound 2500 ms).

Ruled out: an entry node with an old view (the gate is the one that sent the request on), an order of calls that the gate mistakes (it had only these two).

Change: a withdrawal of an unknown or newer incarnation is kept. What an earlier run of the node knew comes back from the control hosts: announcements carry the start of the incarnation, a stopping gate still says that its upstream leaves, and a new gate admits nothing until it heard that, or for 1.5 s. The own record is found by the gate's address, so a node whose wall clock went back between two runs raises its epoch also before its first announcement.

Tests, seen failing before: test_dialect (withdrawn while unknown), test_path (restarted gate, with the wait taken out), test_fleet (recall).

--- a/fleet/agent.c
+++ b/fleet/agent.c
@@ -32,6 +32,7 @@
     struct bb_frames *frames;
     struct bb_address connected_to;
     bool is_introduced;
+    bool is_recalled; /* the announcements of this connection have come */
     uint64_t heard_us;
     uint64_t out_of_touch_us; /* since when, 0: in touch */
     uint64_t retry_us;        /* when to connect */
@@ -337,28 +338,43 @@
     g_bytes_unref(config);
 }
 
-/* Takes announcements. One of an earlier run of this node at the same address
- * is outnumbered by a higher epoch. */
+/* Takes what is known of the own gate. A record of an earlier run of this node
+ * is outnumbered by a higher epoch, whatever the wall clock says. */
+static void
+take_own(struct bb_agent *a, const fleet_instance *r)
+{
+    if (r->epoch < a->epoch ||
+        (r->epoch == a->epoch && r->sequence <= a->sequence)) {
+        return;
+    }
+    a->epoch = r->epoch + 1;
+    renew_own(a);
+    send_own(a);
+}
+
+/* Takes announcements. The first ones of a connection are all that the
+ * control host holds. */
 static void
 take_instances(struct bb_agent *a, const fleet_message *m)
 {
+    const fleet_instance *earlier = NULL;
+
     for (u_int i = 0; i < m->fleet_message_u.instances.instances_len; i++) {
         const fleet_instance *r =
             &m->fleet_message_u.instances.instances_val[i];
 
-        if (a->own != NULL && strcmp(r->gate, a->own->gate) == 0) {
-            if (r->epoch > a->epoch ||
-                (r->epoch == a->epoch && r->sequence > a->sequence)) {
-                a->epoch = r->epoch + 1;
-                renew_own(a);
-                send_own(a);
-            }
-            continue;
+        if (strcmp(r->gate, a->settings.gate) == 0) {
+            earlier = r;
+            take_own(a, r);
         }
-        if (bb_instances_merge(a->instances, r)) {
+        else if (bb_instances_merge(a->instances, r)) {
             a->events->instance(a->context, r);
         }
     }
+    if (!a->is_recalled) {
+        a->is_recalled = true;
+        a->events->recalled(a->context, earlier);
+    }
 }
 
 static void
@@ -385,6 +401,7 @@
     switch (m->kind) {
     case FLEET_HELLO:
         a->is_introduced = true;
+        a->is_recalled = false;
         a->retry_wait_ms = 0;
         bb_counter_set(&connected_gauge, 1);
         bb_log_info("agent.connected", "%s", a->connected_to.ip);
@@ -435,9 +452,7 @@
     a->targets = g_array_new(FALSE, TRUE, sizeof(struct target));
     a->instances = bb_instances_create();
     a->contents = bb_contents_create();
-    /* Only ordered against earlier runs; see take_instances for a wall clock
-     * that went back. */
-    a->epoch = bb_clock_wall_us() / BB_US_PER_MS;
+    a->epoch = s->started_ms;
     (void)uv_timer_init(loop, &a->timer);
     a->timer.data = a;
     bb_agent_set_seeds(a, &s->seeds);
--- a/fleet/core_peers.c
+++ b/fleet/core_peers.c
@@ -325,7 +325,8 @@
     }
 }
 
-/* Sends all announcements known here. */
+/* Sends all announcements known here, also if there is none: a node waits for
+ * them. */
 static void
 send_instances(struct core_link *l)
 {
@@ -336,9 +337,7 @@
     bb_instances_visit(l->core->instances, add_instance, &list);
     m.fleet_message_u.instances.instances_val = list.items;
     m.fleet_message_u.instances.instances_len = list.count;
-    if (list.count > 0) {
-        (void)bb_frames_send(l->frames, &m);
-    }
+    (void)bb_frames_send(l->frames, &m);
     g_free(list.items);
 }
 
--- a/fleet/fleet.x
+++ b/fleet/fleet.x
@@ -42,6 +42,7 @@
     string region<FLEET_TEXT_MAX>;
     string service<FLEET_TEXT_MAX>;
     string id<FLEET_TEXT_MAX>;
+    unsigned hyper born_ms; /* start of this incarnation */
     unsigned hyper epoch;
     unsigned hyper sequence;
     unsigned int state;
--- a/include/fleet/agent.h
+++ b/include/fleet/agent.h
@@ -35,6 +35,9 @@
     /* A configuration came into force; raw is the operators' text. */
     void (*in_force)(void *context, uint64_t version, GBytes *raw);
     void (*instance)(void *context, const fleet_instance *i);
+    /* What the control hosts hold of this node's own gate from before this
+     * connection; NULL: nothing. */
+    void (*recalled)(void *context, const fleet_instance *earlier);
     /* The seed addresses are to be read again: no host could be reached. */
     void (*lost)(void *context);
 };
@@ -43,7 +46,11 @@
     const char *ip;
     const char *zone;
     const char *region;
+    const char *gate;   /* address of the own gate, as announced */
     uint16_t peer_port; /* of control hosts */
+    /* Wall clock at the start of the process. Orders its announcements after
+     * those of earlier runs; the clock may have gone back in between. */
+    uint64_t started_ms;
     struct bb_address_list seeds;
 };
 
--- a/include/path/gate.h
+++ b/include/path/gate.h
@@ -24,6 +24,9 @@
     /* Upstreams state when they close idle connections; this holds for those
      * that do not. */
     BB_GATE_IDLE_MS = 4000,
+    /* How long a new gate waits to hear what its earlier run knew; longer
+     * than a node takes to find a control host that answers. */
+    BB_GATE_RECALL_MS = 1500,
     /* Weight of the newest answer in the share of failures, in permille. */
     BB_GATE_FAILURE_PERMILLE = 80,
     BB_GATE_FLAG_NESTED = 'n',
@@ -51,6 +54,7 @@
 enum bb_announce_result bb_gate_announce(struct bb_gate *g, const char *id,
                                          const struct bb_announcement *a);
 bool bb_gate_withdraw(struct bb_gate *g, const char *id, uint64_t born_ms);
+void bb_gate_recall(struct bb_gate *g, const fleet_instance *earlier);
 void bb_gate_stop(struct bb_gate *g);
 uint32_t bb_gate_busy_count(const struct bb_gate *g);
 uint32_t bb_gate_repeat_permille(const struct bb_gate *g);
--- a/path/gate.c
+++ b/path/gate.c
@@ -36,6 +36,7 @@
 REFUSED(refused_late, "late");
 REFUSED(refused_not_ready, "not_ready");
 REFUSED(refused_other, "other_service");
+REFUSED(refused_starting, "starting");
 REFUSED(refused_stopping, "stopping");
 REFUSED(refused_unreachable, "unreachable");
 REFUSED(refused_malformed, "malformed");
@@ -66,6 +67,8 @@
     uint32_t failing_permille; /* as of outcome_us */
     uint64_t outcome_us;
     uint32_t running_repeats;
+    uint64_t opened_us;
+    bool is_recalled; /* what an earlier run of this node knew is known */
     bool is_stopping;
     bool is_unreachable; /* since the last announcement */
 };
@@ -154,7 +157,8 @@
 {
     struct bb_upstream shown = g->upstream;
 
-    if (g->is_stopping) {
+    /* A later run of this node must find that the upstream leaves. */
+    if (g->is_stopping && shown.state != BB_INSTANCE_DRAINING) {
         shown.state = BB_INSTANCE_GONE;
     }
     else if (g->is_unreachable && shown.state == BB_INSTANCE_READY) {
@@ -458,6 +462,11 @@
         *counter = &refused_stopping;
         return "stopping";
     }
+    if (!g->is_recalled && bb_clock_now_us() - g->opened_us <
+                               (uint64_t)BB_GATE_RECALL_MS * BB_US_PER_MS) {
+        *counter = &refused_starting;
+        return "starting";
+    }
     if (g->upstream.state != BB_INSTANCE_READY || g->is_unreachable) {
         *counter = &refused_not_ready;
         return bb_instance_state_name(g->is_unreachable ? BB_INSTANCE_DOWN
@@ -572,6 +581,7 @@
 
     g->loop = loop;
     g->settings = *s;
+    g->opened_us = bb_clock_now_us();
     g->jobs = g_hash_table_new(g_int64_hash, g_int64_equal);
     g->pool = bb_pool_create(loop, &pool);
     bb_gate_queue_init(&g->queue, 0);
@@ -633,6 +643,21 @@
     return true;
 }
 
+/* Takes what others hold of an earlier run of this node, NULL: nothing. Until
+ * then, or BB_GATE_RECALL_MS, a late announcement of an upstream that leaves
+ * could not be told from one that is ready, and no request is admitted. */
+void
+bb_gate_recall(struct bb_gate *g, const fleet_instance *earlier)
+{
+    g->is_recalled = true;
+    if (earlier != NULL && earlier->state == BB_INSTANCE_DRAINING &&
+        g->upstream.state != BB_INSTANCE_DRAINING &&
+        bb_gate_withdraw(g, earlier->id, earlier->born_ms)) {
+        bb_log_info("gate.recalled", "%s leaves, by an earlier run",
+                    earlier->id);
+    }
+}
+
 /* Admits nothing any more; what runs is finished. */
 void
 bb_gate_stop(struct bb_gate *g)
--- a/path/upstream.c
+++ b/path/upstream.c
@@ -55,13 +55,29 @@
     return BB_ANNOUNCE_TAKEN;
 }
 
-/* Takes a withdrawal; returns whether it is about the upstream known here. */
+/* Takes the word that an incarnation leaves; returns whether it changes what
+ * is known here. An incarnation that was not known, as after a restart of this
+ * node, is kept, so that a late announcement does not bring it back. */
 bool
 bb_upstream_withdraw(struct bb_upstream *u, const char *id, uint64_t born_ms)
 {
-    if (strcmp(u->id, id) != 0 || (born_ms != 0 && born_ms < u->born_ms)) {
+    bool is_known = u->state != BB_INSTANCE_NONE;
+    bool is_same_id = is_known && strcmp(u->id, id) == 0;
+
+    if (born_ms == 0 && !is_same_id) {
+        return false; /* it names no incarnation */
+    }
+    if (is_known && born_ms != 0 && born_ms < u->born_ms) {
+        return false;
+    }
+    if (!is_same_id && is_known && born_ms == u->born_ms) {
         return false;
     }
+    if (!is_known || (born_ms != 0 && born_ms != u->born_ms)) {
+        memset(u, 0, sizeof(*u));
+        g_strlcpy(u->id, id, sizeof(u->id));
+        u->born_ms = born_ms;
+    }
     u->state = BB_INSTANCE_DRAINING;
     return true;
 }
--- a/proxyd/main.c
+++ b/proxyd/main.c
@@ -30,6 +30,7 @@
     struct bb_directory *directory;
     struct bb_entry *entry;
     struct bb_gate *gate;
+    char gate_text[BB_ADDRESS_TEXT_BYTES]; /* its address */
     struct bb_agent *agent;
     struct bb_server *ready;
     struct bb_server *announce;
@@ -86,22 +87,34 @@
     }
 }
 
-static const struct bb_agent_events agent_events = {
-    .in_force = take_configuration, .instance = take_instance, .lost = reload};
+/* Takes what is known of an earlier run of this node. */
+static void
+take_recalled(void *context, const fleet_instance *earlier)
+{
+    struct proxy *p = context;
+
+    bb_gate_recall(p->gate, earlier);
+}
+
+static const struct bb_agent_events agent_events = {.in_force =
+                                                        take_configuration,
+                                                    .instance = take_instance,
+                                                    .recalled = take_recalled,
+                                                    .lost = reload};
 
 /* Announces the state of the upstream to the other nodes, this one first. */
 static void
 announce_state(void *context, const struct bb_upstream *u)
 {
     struct proxy *p = context;
-    char gate[BB_ADDRESS_TEXT_BYTES];
     uint64_t now_us = bb_clock_now_us();
     fleet_instance i = {
-        .gate = (char *)bb_address_text(&p->settings.gate, gate),
+        .gate = p->gate_text,
         .zone = (char *)p->settings.zone,
         .region = (char *)p->settings.region,
         .service = (char *)u->service,
         .id = (char *)u->id,
+        .born_ms = u->born_ms,
         .state = u->state,
         .slots = u->slots,
         .cold_ms = u->cold_until_us > now_us
@@ -279,13 +292,16 @@
                                           .dialect = p->dialect,
                                           .changed = announce_state,
                                           .context = p};
-    const struct bb_agent_settings agent = {.ip = s->ip,
-                                            .zone = s->zone,
-                                            .region = s->region,
-                                            .peer_port =
-                                                (uint16_t)s->control_port,
-                                            .seeds = s->seeds};
-
+    const struct bb_agent_settings agent = {
+        .ip = s->ip,
+        .zone = s->zone,
+        .region = s->region,
+        .gate = p->gate_text,
+        .started_ms = bb_clock_wall_us() / BB_US_PER_MS,
+        .peer_port = (uint16_t)s->control_port,
+        .seeds = s->seeds};
+
+    (void)bb_address_text(&s->gate, p->gate_text);
     p->entry = bb_entry_create(loop, &entry, e);
     p->gate = p->entry != NULL ? bb_gate_create(loop, &gate, e) : NULL;
     p->ready = p->gate != NULL
--- a/tests/fleet/test_fleet.c
+++ b/tests/fleet/test_fleet.c
@@ -379,6 +379,9 @@
     bool has_gone_back;
     char text[64];
     uint32_t instances;
+    uint32_t recalls;
+    uint32_t recalled_state;
+    uint64_t recalled_born_ms;
 };
 
 static void
@@ -402,14 +405,26 @@
     n->instances++;
 }
 
+static void
+take_recalled(void *context, const fleet_instance *earlier)
+{
+    struct node *n = context;
+
+    n->recalled_born_ms = earlier != NULL ? earlier->born_ms : 0;
+    n->recalled_state = earlier != NULL ? earlier->state : BB_INSTANCE_NONE;
+    n->recalls++;
+}
+
 static void
 take_lost(void *context)
 {
     (void)context;
 }
 
-static const struct bb_agent_events agent_events = {
-    .in_force = take_rules, .instance = take_instance, .lost = take_lost};
+static const struct bb_agent_events agent_events = {.in_force = take_rules,
+                                                    .instance = take_instance,
+                                                    .recalled = take_recalled,
+                                                    .lost = take_lost};
 
 static bool
 wait_version(struct bench *b, const struct node *n, uint64_t version,
@@ -444,6 +459,8 @@
         struct bb_agent_settings s = {.ip = "127.0.7.50",
                                       .zone = i == 0 ? "z0" : "z1",
                                       .region = "r",
+                                      .gate = i == 0 ? "127.0.7.50:1"
+                                                     : "127.0.7.50:2",
                                       .peer_port = b.port,
                                       .seeds = seeds(&b)};
 
@@ -469,6 +486,62 @@
     close_bench(&b);
 }
 
+/* Guards against: a restarted node that does not learn what its earlier run
+ * said of the upstream, or whose own word is taken for older because the wall
+ * clock went back in between. */
+static void
+test_recall(void)
+{
+    struct bench b;
+    struct node first = {0};
+    struct node second = {0};
+    struct node other = {0};
+    struct bb_agent_settings s = {
+        .ip = "127.0.7.50", .zone = "z0", .region = "r", .gate = "g:1"};
+    struct bb_agent_settings s_other = {
+        .ip = "127.0.7.50", .zone = "z1", .region = "r", .gate = "g:2"};
+    fleet_instance own = {.gate = (char *)"g:1",
+                          .zone = (char *)"z0",
+                          .region = (char *)"r",
+                          .service = (char *)"s",
+                          .id = (char *)"i",
+                          .born_ms = 77,
+                          .state = BB_INSTANCE_DRAINING,
+                          .slots = 3};
+    struct bb_agent *a;
+    struct bb_agent *a_other;
+
+    open_bench(&b, HOSTS);
+    s.peer_port = b.port;
+    s.started_ms = 2000;
+    s_other.peer_port = b.port;
+    s.seeds = seeds(&b);
+    s_other.seeds = s.seeds;
+    a = bb_agent_create(&b.loop, &s, &agent_events, &first);
+    a_other = bb_agent_create(&b.loop, &s_other, &agent_events, &other);
+    run(&b, NULL, 1000);
+    CU_ASSERT_TRUE(first.recalls > 0); /* also when there is nothing */
+    CU_ASSERT_EQUAL(first.recalled_state, BB_INSTANCE_NONE);
+    bb_agent_announce(a, &own);
+    run(&b, NULL, 300);
+    bb_agent_destroy(a);
+    run(&b, NULL, 50);
+    s.started_ms = 1000;
+    a = bb_agent_create(&b.loop, &s, &agent_events, &second);
+    run(&b, NULL, 1000);
+    CU_ASSERT_EQUAL(second.recalled_state, BB_INSTANCE_DRAINING);
+    CU_ASSERT_EQUAL(second.recalled_born_ms, 77);
+    other.instances = 0;
+    own.born_ms = 78;
+    own.state = BB_INSTANCE_READY;
+    bb_agent_announce(a, &own);
+    run(&b, NULL, 300);
+    CU_ASSERT_EQUAL(other.instances, 1);
+    bb_agent_destroy(a);
+    bb_agent_destroy(a_other);
+    close_bench(&b);
+}
+
 /* A control host that sends two configurations, the older one last. */
 struct older {
     struct bb_frames *frames;
@@ -540,7 +613,7 @@
     struct bb_address at = {0};
     struct bb_listener *l;
     struct bb_agent_settings s = {
-        .ip = "127.0.7.50", .zone = "z0", .region = "r"};
+        .ip = "127.0.7.50", .zone = "z0", .region = "r", .gate = "g:1"};
     struct bb_agent *a;
 
     open_bench(&b, 0);
@@ -663,15 +736,11 @@
 }
 
 static const struct bb_unit_test tests[] = {
-    {"orders", test_orders},
-    {"race", test_race},
-    {"restarts", test_restarts},
-    {"lost disks", test_lost_disks},
-    {"minority", test_minority},
-    {"agent", test_agent},
-    {"garbage", test_garbage},
-    {"torn file", test_torn_file},
-    {"older update", test_older_update},
+    {"orders", test_orders},       {"race", test_race},
+    {"restarts", test_restarts},   {"lost disks", test_lost_disks},
+    {"minority", test_minority},   {"agent", test_agent},
+    {"recall", test_recall},       {"garbage", test_garbage},
+    {"torn file", test_torn_file}, {"older update", test_older_update},
 };
 
 BB_UNIT_MAIN("fleet", tests)
--- a/tests/path/bench.c
+++ b/tests/path/bench.c
@@ -245,6 +245,14 @@
     b->gates[which] = bb_gate_create(&b->loop, &s, &e);
 }
 
+void
+bench_restart_gate(struct bench *b, uint32_t which)
+{
+    bb_gate_destroy(b->gates[which]);
+    bench_run(b, 20);
+    open_gate(b, which);
+}
+
 /* Opens everything; both upstreams answer well and are ready. */
 void
 bench_open(struct bench *b)
@@ -285,6 +293,8 @@
     }
     bench_announce(b, 0, false);
     bench_announce(b, 1, false);
+    bb_gate_recall(b->gates[0], NULL);
+    bb_gate_recall(b->gates[1], NULL);
 }
 
 static void
--- a/tests/path/bench.h
+++ b/tests/path/bench.h
@@ -73,6 +73,8 @@
 void bench_open(struct bench *b);
 void bench_close(struct bench *b);
 void bench_set_rules(struct bench *b, uint32_t timeout_ms, uint32_t attempts);
+/* Ends a gate and opens it anew; it knows no upstream then. */
+void bench_restart_gate(struct bench *b, uint32_t which);
 void bench_announce(struct bench *b, uint32_t which, bool is_draining);
 void bench_run(struct bench *b, uint32_t ms);
 bool bench_wait(struct bench *b, const bool *flag, uint32_t ms);
--- a/tests/path/test_path.c
+++ b/tests/path/test_path.c
@@ -399,6 +399,39 @@
     bench_close(&b);
 }
 
+/* Guards against: a restarted gate that takes a late announcement of an
+ * upstream that leaves for a ready one. */
+static void
+test_restarted_gate(void)
+{
+    struct bench b;
+    struct client *c;
+    const fleet_instance earlier = {
+        .id = (char *)"i-0", .born_ms = 5, .state = BB_INSTANCE_DRAINING};
+
+    bench_open(&b);
+    bench_set_rules(&b, 1000, 2);
+    bench_announce(&b, 1, true); /* leaves only the other one */
+    bench_restart_gate(&b, 0);
+    bench_announce(&b, 0, false);
+    c = client_open(&b);
+    client_send(c, UNSAFE("a1") "\r\nhi");
+    CU_ASSERT_TRUE(bench_wait_text(&b, c, "HTTP/1.1 503", 500));
+    bb_gate_recall(b.gates[0], &earlier);
+    client_send(c, UNSAFE("a2") "\r\nhi");
+    bench_run(&b, 100);
+    CU_ASSERT_EQUAL(client_count(c, "HTTP/1.1 503"), 2);
+    CU_ASSERT_EQUAL(arrivals(&b), 0);
+    /* Without such a word it admits requests at once. */
+    bench_restart_gate(&b, 0);
+    bb_gate_recall(b.gates[0], NULL);
+    bench_announce(&b, 0, false);
+    client_send(c, UNSAFE("a3") "\r\nhi");
+    CU_ASSERT_TRUE(bench_wait_text(&b, c, "body", 500));
+    client_close(c);
+    bench_close(&b);
+}
+
 /* Guards against: a gate that admits requests of entry nodes that do not know
  * yet that its upstream leaves. */
 static void
@@ -554,6 +587,7 @@
     {"timeout of the route", test_timeout},
     {"draining", test_draining},
     {"draining gate", test_draining_gate},
+    {"restarted gate", test_restarted_gate},
     {"pipelined requests", test_pipeline},
     {"queue", test_queue},
     {"long body", test_long_body},
--- a/tests/platform/test_dialect.c
+++ b/tests/platform/test_dialect.c
@@ -201,6 +201,38 @@
     CU_ASSERT_TRUE(bb_upstream_withdraw(&u, "new", 300));
 }
 
+/* Guards against: a withdrawal that a restarted node acknowledges and forgets
+ * since it knew no upstream yet, so that a late announcement admits requests
+ * (DRAIN, adinkra-proofs hunt-1770-31). */
+static void
+test_withdrawn_unknown(void)
+{
+    struct bb_upstream u = {0};
+    struct bb_announcement a = {.address = "x:1",
+                                .service = "s",
+                                .slots = 2,
+                                .sequence = 10,
+                                .born_ms = 100};
+
+    CU_ASSERT_FALSE(bb_upstream_withdraw(&u, "i", 0));
+    CU_ASSERT_TRUE(bb_upstream_withdraw(&u, "i", 100));
+    CU_ASSERT_EQUAL(u.state, BB_INSTANCE_DRAINING);
+    CU_ASSERT_EQUAL(bb_upstream_announce(&u, "i", &a, "x:1", 1),
+                    BB_ANNOUNCE_TAKEN);
+    CU_ASSERT_EQUAL(u.state, BB_INSTANCE_DRAINING);
+    /* The same of an incarnation that is newer than the known one. */
+    CU_ASSERT_TRUE(bb_upstream_withdraw(&u, "j", 200));
+    a.born_ms = 200;
+    (void)bb_upstream_announce(&u, "j", &a, "x:1", 1);
+    CU_ASSERT_EQUAL(u.state, BB_INSTANCE_DRAINING);
+    /* A start after it counts, also under the same id. */
+    a.born_ms = 300;
+    (void)bb_upstream_announce(&u, "j", &a, "x:1", 1);
+    CU_ASSERT_EQUAL(u.state, BB_INSTANCE_READY);
+    CU_ASSERT_FALSE(bb_upstream_withdraw(&u, "j", 200));
+    CU_ASSERT_EQUAL(u.state, BB_INSTANCE_READY);
+}
+
 /* Guards against: a call taken for another one. */
 static void
 test_calls(void)
@@ -227,8 +259,11 @@
 }
 
 static const struct bb_unit_test tests[] = {
-    {"order", test_order},           {"invalid orders", test_invalid_orders},
-    {"heartbeats", test_heartbeats}, {"incarnations", test_incarnations},
+    {"order", test_order},
+    {"invalid orders", test_invalid_orders},
+    {"heartbeats", test_heartbeats},
+    {"incarnations", test_incarnations},
+    {"withdrawn while unknown", test_withdrawn_unknown},
     {"calls", test_calls},
 };
 
