Let requests wait a little at each gate in place of searching for a slot

Cause: on the grown sites an entry node hears of each of 14 to 29 gates of a service once in seconds, so what it knows is old.

Ruled out: too few slots (58% used in those seconds); processor time in the mean (0.015 of 0.1 cores).

Change: - decide/balance: bb_balance_offer chooses the gate and how long the request may wait there: a fifth of the time left at the first gate, three tenths at the second, then as long as it can be in time. - decide/gate_queue: a wait takes at most 35% of the time left until the aim; late requests only wait in an empty queue; no request starts with less than 75% of its usual duration left. - The gate of the own host is a place of its own and comes first while it has a free slot, which the entry knows exactly: such a call costs no link. - proxyd/apply_pace: decoding configurations takes at most a tenth of the processor; in a storm those in between are passed over. - net/fetch: a request that must not run twice, or that was lost once, takes no kept connection that was idle for 100 ms; a lost one lowers the limit for all for 10 s (upstreams that forget idle connections).

--- a/decide/balance.c
+++ b/decide/balance.c
@@ -3,7 +3,7 @@
 
 enum {
     PERCENT = 100,
-    /* After the tiers of enum bb_distance. */
+    /* After the tiers that are an enum bb_distance. */
     NOT_COMFORTABLE = BB_OTHER_REGION + 1,
     /* Before the first report: an ordinary duration. */
     FIRST_SERVICE_US = 100 * 1000,
@@ -122,6 +122,7 @@
     cost_us += (uint64_t)BB_BALANCE_FAILURE_US * failing_permille(v, now_us) /
                BB_BALANCE_PERMILLE;
     switch (v->distance) {
+    case BB_SAME_HOST:
     case BB_SAME_ZONE:
         break;
     case BB_SAME_REGION:
@@ -157,6 +158,24 @@
            needed_us * PERCENT <= r->aim_left_us * BB_BALANCE_COMFORT_PERCENT;
 }
 
+/* Returns the rank of a gate by its place: near gates that can answer in time
+ * first. That of the own host comes before others while it has a free slot, as
+ * it costs no link; its queue is no better than another one near by. */
+static uint32_t
+tier_of(const struct bb_gate_view *v, const struct bb_balance_request *r,
+        uint64_t now_us)
+{
+    if (is_unexplored(v)) {
+        return BB_SAME_HOST;
+    }
+    if (v->distance == BB_OTHER_REGION || !is_comfortable(v, r, now_us)) {
+        return NOT_COMFORTABLE;
+    }
+    return v->distance == BB_SAME_HOST && bb_balance_wait_us(v, now_us) > 0
+               ? BB_SAME_ZONE
+               : v->distance;
+}
+
 /* Returns the index of the best gate, or -1: the best of the nearest ones
  * that can answer in time, or where there is none the best of all. */
 int32_t
@@ -175,13 +194,7 @@
         if (!is_usable(views[i], r, now_us)) {
             continue;
         }
-        tier = views[i]->distance != BB_OTHER_REGION &&
-                       is_comfortable(views[i], r, now_us)
-                   ? views[i]->distance
-                   : NOT_COMFORTABLE;
-        if (is_unexplored(views[i])) {
-            tier = 0;
-        }
+        tier = tier_of(views[i], r, now_us);
         cost_us = bb_balance_cost_us(views[i], r->class_index, now_us) +
                   (random_bits >> (8 * (i % 7))) % JITTER_US;
         if (best < 0 || tier < best_tier ||
@@ -194,6 +207,60 @@
     return best;
 }
 
+/* Returns how long a request may wait at its next gate, after a number of
+ * refusals. */
+static uint64_t
+wait_limit_us(uint32_t refusals, uint64_t aim_left_us)
+{
+    switch (refusals) {
+    case 0:
+        return aim_left_us * BB_BALANCE_FIRST_WAIT_PERCENT / PERCENT;
+    case 1:
+        return aim_left_us * BB_BALANCE_SECOND_WAIT_PERCENT / PERCENT;
+    default:
+        return UINT64_MAX;
+    }
+}
+
+/* Chooses a gate, and how long the request may wait there. Answers many
+ * entries that each know little of many gates: a short wait costs less than a
+ * search for a free slot, and a queue that is longer than this entry thought
+ * is found out at once. `has_refused` tells which gates were full for this
+ * request. */
+struct bb_balance_offer
+bb_balance_offer(const struct bb_gate_view *const *views,
+                 const bool *has_refused, uint32_t count,
+                 const struct bb_balance_request *r, uint64_t random_bits,
+                 uint64_t now_us)
+{
+    struct bb_balance_offer o = {
+        .gate = bb_balance_pick(views, count, r, random_bits, now_us),
+        .wait_max_us = UINT64_MAX};
+    const struct bb_gate_view *best;
+    uint32_t refusals = 0;
+    bool has_other = false;
+
+    if (o.gate < 0 || has_refused[o.gate]) {
+        return o;
+    }
+    best = views[o.gate];
+    for (uint32_t i = 0; i < count; i++) {
+        const struct bb_gate_view *v = views[i];
+
+        refusals += has_refused[i];
+        has_other =
+            has_other || (v != best && !has_refused[i] && v->is_ready &&
+                          now_us >= v->suspended_until_us &&
+                          (v->distance <= best->distance ||
+                           v->distance <= BB_SAME_REGION) &&
+                          bb_balance_wait_us(v, now_us) < BB_BALANCE_PROBE_US);
+    }
+    if (has_other) {
+        o.wait_max_us = wait_limit_us(refusals, r->aim_left_us);
+    }
+    return o;
+}
+
 /* Takes the load that a gate reported with an answer. */
 void
 bb_gate_view_report(struct bb_gate_view *v, uint32_t running, uint32_t queued,
--- a/decide/gate_queue.c
+++ b/decide/gate_queue.c
@@ -30,12 +30,15 @@
     return d != 0 ? d : q->mean_us;
 }
 
-/* Returns the least time that a request is given: half of the usual one,
- * because durations differ widely. */
+/* Returns the least time that a request is given. Calls of running requests
+ * get a chance also with little time: their parent has run already. */
 static uint64_t
-least_us(const struct bb_gate_queue *q, uint32_t class_index)
+least_us(const struct bb_gate_queue *q, const struct bb_gate_request *r)
 {
-    return usual_us(q, class_index) / 2;
+    return usual_us(q, r->class_index) *
+           (r->is_nested ? BB_GATE_LEAST_NESTED_PERCENT
+                         : BB_GATE_LEAST_PERCENT) /
+           PERCENT;
 }
 
 /* Returns whether a request can be expected to be answered within its aim if
@@ -99,16 +102,18 @@
         return wait_us + usual / 2 <= left_us;
     }
     if (now_us + wait_us + usual <= r->aim_us) {
-        return true;
+        return wait_us * PERCENT <=
+               (r->aim_us - now_us) * BB_GATE_WAIT_PERCENT;
     }
-    return (wait_us + usual) * PERCENT <= left_us * BB_GATE_LATE_PERCENT;
+    return q->queued == 0 &&
+           (wait_us + usual) * PERCENT <= left_us * BB_GATE_LATE_PERCENT;
 }
 
 /* Takes a request that has arrived. Runs only if a slot is free and nothing
- * waits before it. */
+ * waits before it, and waits no longer than wait_max_us. */
 enum bb_gate_verdict
 bb_gate_queue_arrive(struct bb_gate_queue *q, const struct bb_gate_request *r,
-                     bool may_wait, uint64_t now_us)
+                     uint64_t wait_max_us, uint64_t now_us)
 {
     uint64_t wait_us;
 
@@ -120,7 +125,7 @@
         return BB_GATE_RUN;
     }
     wait_us = bb_gate_queue_wait_us(q, r, now_us);
-    if (!may_wait || q->queued == BB_GATE_QUEUE_MAX ||
+    if (wait_us > wait_max_us || q->queued == BB_GATE_QUEUE_MAX ||
         !is_worth_waiting(q, r, wait_us, now_us)) {
         return BB_GATE_REFUSE;
     }
@@ -141,7 +146,7 @@
 is_hopeless(const struct bb_gate_queue *q, const struct bb_gate_request *r,
             uint32_t in_time, uint64_t now_us)
 {
-    if (now_us + least_us(q, r->class_index) / 2 >= r->deadline_us) {
+    if (now_us + least_us(q, r) >= r->deadline_us) {
         return true;
     }
     return !r->is_nested && in_time >= q->slots && !is_in_time(q, r, now_us);
@@ -228,7 +233,7 @@
     uint64_t due_us = 0;
 
     for (uint32_t i = 0; i < q->queued; i++) {
-        uint64_t least = least_us(q, q->queue[i].class_index) / 2;
+        uint64_t least = least_us(q, &q->queue[i]);
         uint64_t end_us = q->queue[i].deadline_us;
         uint64_t at_us = end_us > least ? end_us - least : 1;
 
--- a/include/decide/balance.h
+++ b/include/decide/balance.h
@@ -29,13 +29,25 @@
     BB_BALANCE_SUSPEND_US = 500 * 1000,
     BB_BALANCE_SUSPEND_MAX_US = 4000 * 1000,
     BB_BALANCE_CLASSES = 32,
+    /* Part of the time left that a request may wait at the first gate, and at
+     * the second one; after that it waits wherever it is answered in time. */
+    BB_BALANCE_FIRST_WAIT_PERCENT = 20,
+    BB_BALANCE_SECOND_WAIT_PERCENT = 30,
+    /* A gate that promises no shorter wait than this is not worth another
+     * try. */
+    BB_BALANCE_PROBE_US = 10 * 1000,
     /* Weight of the newest answer in the averages, as one in so many. */
     BB_BALANCE_AVERAGE_PARTS = 8,
     /* Weight of the newest outcome in the failure average, in permille. */
     BB_BALANCE_OUTCOME_PERMILLE = 120
 };
 
-enum bb_distance { BB_SAME_ZONE, BB_SAME_REGION, BB_OTHER_REGION };
+enum bb_distance {
+    BB_SAME_HOST,
+    BB_SAME_ZONE,
+    BB_SAME_REGION,
+    BB_OTHER_REGION
+};
 
 /* What an entry node knows of one gate. */
 struct bb_gate_view {
@@ -62,9 +74,20 @@
     uint64_t aim_left_us; /* until the answer is worth less */
 };
 
+/* Where a request is sent next. */
+struct bb_balance_offer {
+    int32_t gate;         /* its index, or -1 */
+    uint64_t wait_max_us; /* UINT64_MAX: as long as it can be in time */
+};
+
 uint64_t bb_balance_cost_us(const struct bb_gate_view *v, uint32_t class_index,
                             uint64_t now_us);
 uint64_t bb_balance_wait_us(const struct bb_gate_view *v, uint64_t now_us);
+struct bb_balance_offer
+bb_balance_offer(const struct bb_gate_view *const *views,
+                 const bool *has_refused, uint32_t count,
+                 const struct bb_balance_request *r, uint64_t random_bits,
+                 uint64_t now_us);
 uint32_t bb_balance_fade(uint32_t permille, uint64_t age_us);
 int32_t bb_balance_pick(const struct bb_gate_view *const *views,
                         uint32_t count, const struct bb_balance_request *r,
--- a/include/decide/gate_queue.h
+++ b/include/decide/gate_queue.h
@@ -15,9 +15,15 @@
     BB_GATE_CLASSES = 32,
     /* Weight of the newest duration in the moving average, in percent. */
     BB_GATE_AVERAGE_PERCENT = 10,
+    /* Part of the time left until the aim that a wait may take: durations
+     * vary, and a longer queue serves no more requests. */
+    BB_GATE_WAIT_PERCENT = 35,
     /* Part of the time left that wait and run may take where the aim is
      * missed anyway. */
     BB_GATE_LATE_PERCENT = 35,
+    /* Part of the usual duration that must be left at the start. */
+    BB_GATE_LEAST_PERCENT = 75,
+    BB_GATE_LEAST_NESTED_PERCENT = 25,
     /* Assumed duration before the first request has ended. */
     BB_GATE_FIRST_DURATION_US = 100 * 1000
 };
@@ -49,7 +55,8 @@
                                uint64_t now_us);
 enum bb_gate_verdict bb_gate_queue_arrive(struct bb_gate_queue *q,
                                           const struct bb_gate_request *r,
-                                          bool may_wait, uint64_t now_us);
+                                          uint64_t wait_max_us,
+                                          uint64_t now_us);
 bool bb_gate_queue_next(struct bb_gate_queue *q, uint64_t now_us, uint64_t *id,
                         enum bb_gate_verdict *verdict);
 bool bb_gate_queue_cancel(struct bb_gate_queue *q, uint64_t id);
--- a/include/net/fetch.h
+++ b/include/net/fetch.h
@@ -41,7 +41,8 @@
     size_t body_bytes;
     bool is_body_complete;
     bool is_head_method;
-    bool wants_fresh; /* no kept connection */
+    /* A kept connection that was idle for longer is not used; 0: any. */
+    uint32_t idle_max_ms;
 };
 
 struct bb_pool *bb_pool_create(uv_loop_t *loop,
--- a/include/path/directory.h
+++ b/include/path/directory.h
@@ -31,7 +31,8 @@
     struct bb_retry_window retries;
 };
 
-struct bb_directory *bb_directory_create(const char *zone, const char *region);
+struct bb_directory *bb_directory_create(const char *gate, const char *zone,
+                                         const char *region);
 void bb_directory_destroy(struct bb_directory *d);
 void bb_directory_update(struct bb_directory *d, const fleet_instance *i,
                          uint64_t now_us);
--- a/include/path/entry.h
+++ b/include/path/entry.h
@@ -50,6 +50,8 @@
     /* Share of the requests running on this host's upstream that are
      * repeats: their calls count as repeats too. */
     uint32_t (*repeat_permille)(void *context);
+    /* Brings the view of the gate on this host up to date. */
+    void (*own_load)(void *context, struct bb_gate_view *v);
     void *context;
 };
 
--- a/include/path/gate.h
+++ b/include/path/gate.h
@@ -9,11 +9,13 @@
 
 #include "common/address.h"
 #include "common/error.h"
+#include "decide/balance.h"
 #include "path/dialect.h"
 #include "path/upstream.h"
 
 /* Fields between entry nodes and gates, besides those of the dialect. */
-#define BB_FIELD_CALL "Baobab-Call" /* service rank class aim_ms flags */
+#define BB_FIELD_CALL                                                         \
+    "Baobab-Call" /* service rank class aim_ms wait_ms flags */
 #define BB_FIELD_LOAD                                                         \
     "Baobab-Load" /* running queued slots mean_us permille ran_us */
 #define BB_FIELD_REFUSED "Baobab-Refused" /* reason: it did not run */
@@ -29,8 +31,13 @@
     BB_GATE_RECALL_MS = 1500,
     /* Weight of the newest answer in the share of failures, in permille. */
     BB_GATE_FAILURE_PERMILLE = 80,
+    /* A request that must not run twice, or that was lost once, takes no kept
+     * connection that was idle for longer: upstreams may forget those without
+     * notice. */
+    BB_GATE_ONCE_IDLE_MS = 100,
     BB_GATE_FLAG_NESTED = 'n',
-    BB_GATE_FLAG_WAIT = 'w',
+    BB_GATE_FLAG_ONCE = 'o',       /* not idempotent */
+    BB_GATE_WAIT_ANY_MS = 1000000, /* as long as it is in time */
     BB_GATE_FLAG_REPEAT = 'r'
 };
 
@@ -58,6 +65,7 @@
 void bb_gate_stop(struct bb_gate *g);
 uint32_t bb_gate_busy_count(const struct bb_gate *g);
 uint32_t bb_gate_repeat_permille(const struct bb_gate *g);
+void bb_gate_load(const struct bb_gate *g, struct bb_gate_view *v);
 void bb_gate_destroy(struct bb_gate *g);
 
 #endif
--- a/net/fetch.c
+++ b/net/fetch.c
@@ -11,6 +11,11 @@
     /* Share of a peer's stated idle timeout within which its connection is
      * used again: the rest covers the way of a close that crosses. */
     KEEP_ALIVE_PERCENT = 70,
+    /* A kept connection that was lost shows that the peer forgets idle ones
+     * sooner than it says: for some time only those are used that were idle
+     * for a smaller part of that. */
+    LOST_IDLE_PERCENT = 50,
+    LOST_IDLE_HOLD_MS = 10000,
     MS_PER_S = 1000
 };
 
@@ -18,6 +23,8 @@
            "Connections opened to other nodes and upstreams");
 BB_COUNTER(reused_total, "baobab_fetch_reused_total",
            "Requests sent on a kept connection");
+BB_COUNTER(lost_idle_total, "baobab_fetch_lost_idle_total",
+           "Kept connections that were lost with the next request on them");
 BB_COUNTER(stray_total, "baobab_fetch_stray_answers_total",
            "Answers skipped because they belong to another request");
 
@@ -25,6 +32,8 @@
 struct target {
     struct bb_address address;
     struct link *idle;
+    uint64_t idle_limit_us; /* learned from lost connections, 0: none */
+    uint64_t idle_limit_until_us;
 };
 
 struct bb_pool {
@@ -43,6 +52,8 @@
     struct link *next; /* in the idle list */
     struct link *previous;
     uint64_t usable_until_us;
+    uint64_t idle_since_us;
+    uint64_t idle_us; /* before the present fetch, 0: a new connection */
     bool has_extra_bytes;
 };
 
@@ -148,7 +159,8 @@
     }
     bb_stream_resume(l->stream);
     bb_stream_watch(l->stream, false);
-    l->usable_until_us = bb_clock_now_us() + (uint64_t)idle_ms * BB_US_PER_MS;
+    l->idle_since_us = bb_clock_now_us();
+    l->usable_until_us = l->idle_since_us + (uint64_t)idle_ms * BB_US_PER_MS;
     l->next = l->target->idle;
     if (l->next != NULL) {
         l->next->previous = l;
@@ -156,12 +168,29 @@
     l->target->idle = l;
 }
 
+/* Notes that a peer lost a kept connection before any byte of an answer. */
+static void
+note_lost_idle(struct link *l)
+{
+    struct target *t = l->target;
+
+    t->idle_limit_us = l->idle_us * LOST_IDLE_PERCENT / 100;
+    t->idle_limit_until_us =
+        bb_clock_now_us() + (uint64_t)LOST_IDLE_HOLD_MS * BB_US_PER_MS;
+    bb_counter_add(&lost_idle_total, 1);
+}
+
 /* Fails the fetch of a connection that is over. */
 static void
 fail_link(struct link *l, enum bb_fetch_result result)
 {
     struct bb_fetch *f = l->fetch;
 
+    if (result == BB_FETCH_LOST && f != NULL && !f->has_bytes &&
+        l->idle_us != 0) {
+        note_lost_idle(l);
+    }
+
     destroy_link(l, bb_stream_close);
     if (f != NULL) {
         end_fetch(f, result);
@@ -359,17 +388,32 @@
     close_idle(find_target(p, to));
 }
 
+/* Returns how long a connection may have been idle for a request. */
+static uint64_t
+idle_max_us(const struct target *t, const struct bb_fetch_request *r,
+            uint64_t now_us)
+{
+    uint64_t max_us = r->idle_max_ms != 0
+                          ? (uint64_t)r->idle_max_ms * BB_US_PER_MS
+                          : UINT64_MAX;
+
+    return now_us < t->idle_limit_until_us ? MIN(max_us, t->idle_limit_us)
+                                           : max_us;
+}
+
 /* Takes the kept connection that was used last, if it may still be used. */
 static struct link *
-take_idle(struct target *t)
+take_idle(struct target *t, const struct bb_fetch_request *r)
 {
     uint64_t now_us = bb_clock_now_us();
-
     struct link *l = t->idle;
 
     if (l == NULL) {
         return NULL;
     }
+    if (now_us - l->idle_since_us > idle_max_us(t, r, now_us)) {
+        return NULL;
+    }
     /* The others were used before it: they are no better. */
     if (l->usable_until_us <= now_us) {
         close_idle(t);
@@ -386,7 +430,7 @@
                const struct bb_fetch_events *events, void *context)
 {
     struct target *t = find_target(p, &r->to);
-    struct link *l = r->wants_fresh ? NULL : take_idle(t);
+    struct link *l = take_idle(t, r);
     struct bb_fetch *f = g_new0(struct bb_fetch, 1);
 
     f->events = events;
@@ -395,6 +439,7 @@
     f->is_body_sent = r->is_body_complete;
     if (l != NULL) {
         f->is_connected = true;
+        l->idle_us = bb_clock_now_us() - l->idle_since_us + 1;
         bb_reader_next(&l->reader);
         bb_counter_add(&reused_total, 1);
     }
--- a/path/attempt.c
+++ b/path/attempt.c
@@ -18,12 +18,6 @@
 BB_COUNTER(far_total, "baobab_entry_far_total",
            "Sends to gates in another region");
 
-enum {
-    /* A gate that is not chosen for this many microseconds of expected wait
-     * less is not worth a refused try. */
-    PROBE_GAIN_US = 10 * 1000
-};
-
 static bool
 is_in(char list[BB_ENTRY_TRIES_MAX][BB_ADDRESS_TEXT_BYTES], uint32_t count,
       const char *text)
@@ -45,23 +39,36 @@
     }
 }
 
-/* Lists the gates that this call may still use; returns how many. */
-static uint32_t
-list_gates(struct call *c, struct bb_gate_entry **gates,
-           const struct bb_gate_view **views)
+/* The gates that a call may still use. */
+struct candidates {
+    struct bb_gate_entry *gates[BB_DIRECTORY_GATES_MAX];
+    const struct bb_gate_view *views[BB_DIRECTORY_GATES_MAX];
+    bool has_refused[BB_DIRECTORY_GATES_MAX];
+    uint32_t count;
+};
+
+static void
+list_candidates(struct call *c, struct candidates *l)
 {
-    uint32_t n = 0;
+    const struct bb_entry_settings *s = &c->entry->settings;
 
-    for (guint i = 0; i < c->service->gates->len && n < BB_DIRECTORY_GATES_MAX;
+    l->count = 0;
+    for (guint i = 0;
+         i < c->service->gates->len && l->count < BB_DIRECTORY_GATES_MAX;
          i++) {
         struct bb_gate_entry *g = g_ptr_array_index(c->service->gates, i);
 
         if (!is_in(c->left_out, c->left_out_count, g->text)) {
-            gates[n] = g;
-            views[n++] = &g->view;
+            if (g->view.distance == BB_SAME_HOST) {
+                s->own_load(s->context, &g->view);
+            }
+            l->gates[l->count] = g;
+            l->views[l->count] = &g->view;
+            l->has_refused[l->count] =
+                is_in(c->seen_full, c->seen_full_count, g->text);
+            l->count++;
         }
     }
-    return n;
 }
 
 /* Returns fresh random bits. */
@@ -71,39 +78,22 @@
     return ((uint64_t)g_random_int() << 32) | g_random_int();
 }
 
-/* Chooses the next gate, and whether the request may wait there: only where
- * no other gate that has not refused it yet promises less. */
+/* Chooses the next gate, and how long the request may wait there. */
 static struct bb_gate_entry *
-choose_gate(struct call *c, bool *may_wait, uint64_t now_us)
+choose_gate(struct call *c, uint64_t *wait_max_us, uint64_t now_us)
 {
-    struct bb_gate_entry *gates[BB_DIRECTORY_GATES_MAX];
-    const struct bb_gate_view *views[BB_DIRECTORY_GATES_MAX];
-    uint32_t n = list_gates(c, gates, views);
+    struct candidates l;
     struct bb_balance_request r = {
         .may_leave_region = true,
         .class_index = c->rule->class_index,
         .aim_left_us = c->aim_us > now_us ? c->aim_us - now_us : 0};
-    int32_t best = bb_balance_pick(views, n, &r, random_bits(), now_us);
-    struct bb_gate_entry *g;
-    bool has_other = false;
+    struct bb_balance_offer o;
 
-    if (best < 0) {
-        return NULL;
-    }
-    g = gates[best];
-    for (uint32_t i = 0; i < n; i++) {
-        has_other =
-            has_other ||
-            (gates[i] != g && views[i]->is_ready &&
-             now_us >= views[i]->suspended_until_us &&
-             views[i]->distance <= MAX(g->view.distance, BB_SAME_REGION) &&
-             !is_in(c->seen_full, c->seen_full_count, gates[i]->text) &&
-             bb_balance_wait_us(views[i], now_us) < PROBE_GAIN_US);
-    }
-    *may_wait = !has_other ||
-                is_in(c->seen_full, c->seen_full_count, g->text) ||
-                c->tries + 2 >= BB_ENTRY_TRIES_MAX;
-    return g;
+    list_candidates(c, &l);
+    o = bb_balance_offer(l.views, l.has_refused, l.count, &r, random_bits(),
+                         now_us);
+    *wait_max_us = o.wait_max_us;
+    return o.gate >= 0 ? l.gates[o.gate] : NULL;
 }
 
 /* Returns the gate of a try, unless it is no longer known. */
@@ -150,6 +140,7 @@
 return_us(const struct bb_gate_entry *g)
 {
     switch (g->view.distance) {
+    case BB_SAME_HOST:
     case BB_SAME_ZONE:
         return (uint64_t)BB_ENTRY_RETURN_ZONE_MS * BB_US_PER_MS;
     case BB_SAME_REGION:
@@ -177,11 +168,13 @@
     g_string_append_printf(
         head,
         "%s: %" G_GUINT64_FORMAT "\r\n%s: %s\r\n" BB_FIELD_CALL
-        ": %s %u %u %u %s%s%s-\r\n",
+        ": %s %u %u %u %u %s%s%s-\r\n",
         names->deadline_ms, left_us / BB_US_PER_MS, names->caller_service,
         s->service, c->service->name, c->rule->rank, c->rule->class_index,
-        (unsigned)(aim_us / BB_US_PER_MS), a->may_wait ? "w" : "",
-        c->is_nested ? "n" : "",
+        (unsigned)(aim_us / BB_US_PER_MS),
+        (unsigned)MIN(a->wait_max_us / BB_US_PER_MS,
+                      (uint64_t)BB_GATE_WAIT_ANY_MS),
+        c->is_nested ? "n" : "", c->rule->is_idempotent ? "" : "o",
         c->arrivals > 0 || a != &c->attempts_now[0] ? "r" : "");
     bb_forward_length(c->exchange, head);
     g_string_append(head, "\r\n");
@@ -575,9 +568,11 @@
         c->lines, a == &c->attempts_now[0] ? "entry.try" : "entry.hedge",
         c->id,
         "\"gate\":\"%s\",\"instance\":\"%s\",\"distance\":%u,"
-        "\"may_wait\":%s,\"running\":%u,\"queued\":%u,\"slots\":%u,"
+        "\"wait_max_ms\":%u,\"running\":%u,\"queued\":%u,\"slots\":%u,"
         "\"in_flight\":%u,\"failing\":%u,\"report_age_ms\":%d",
-        g->text, g->instance, g->view.distance, a->may_wait ? "true" : "false",
+        g->text, g->instance, g->view.distance,
+        (unsigned)MIN(a->wait_max_us / BB_US_PER_MS,
+                      (uint64_t)BB_GATE_WAIT_ANY_MS),
         g->view.running, g->view.queued, g->view.slots, g->view.in_flight,
         g->view.failing_permille,
         g->view.reported_us != 0
@@ -588,7 +583,7 @@
 /* Sends the request to a gate. Returns false if there is no time or no
  * socket for it. */
 static bool
-start_attempt(struct attempt *a, struct bb_gate_entry *g, bool may_wait,
+start_attempt(struct attempt *a, struct bb_gate_entry *g, uint64_t wait_max_us,
               uint64_t now_us)
 {
     struct call *c = a->call;
@@ -601,7 +596,7 @@
     if (left_us < BB_US_PER_MS) {
         return false;
     }
-    a->may_wait = may_wait;
+    a->wait_max_us = wait_max_us;
     note_try(a, g, now_us);
     c->tries++;
     bb_relay_reset(&a->relay);
@@ -637,9 +632,9 @@
 call_try(struct call *c)
 {
     uint64_t now_us = bb_clock_now_us();
-    bool may_wait = false;
+    uint64_t wait_max_us = 0;
     struct bb_gate_entry *g = c->tries < BB_ENTRY_TRIES_MAX
-                                  ? choose_gate(c, &may_wait, now_us)
+                                  ? choose_gate(c, &wait_max_us, now_us)
                                   : NULL;
     struct bb_exchange *x = c->exchange;
 
@@ -650,7 +645,7 @@
     }
     c->is_long = c->is_long || !x->is_body_complete;
     c->is_chunked = bb_forward_is_chunked(x);
-    if (!start_attempt(&c->attempts_now[0], g, may_wait, now_us)) {
+    if (!start_attempt(&c->attempts_now[0], g, wait_max_us, now_us)) {
         give_up(c, "late");
         return;
     }
@@ -671,7 +666,7 @@
     struct attempt *first = &c->attempts_now[0];
     struct attempt *second = &c->attempts_now[1];
     struct bb_gate_entry *g;
-    bool may_wait = false;
+    uint64_t wait_max_us = 0;
 
     if (first->fetch == NULL || second->fetch != NULL ||
         first->relay.is_streaming || c->tries >= BB_ENTRY_TRIES_MAX ||
@@ -679,11 +674,11 @@
         return;
     }
     add_to(c->left_out, &c->left_out_count, first->gate);
-    g = choose_gate(c, &may_wait, now_us);
+    g = choose_gate(c, &wait_max_us, now_us);
     if (g == NULL || g->view.distance == BB_OTHER_REGION ||
         bb_balance_wait_us(&g->view, now_us) > 0 || !may_repeat(c, true)) {
         return;
     }
     bb_counter_add(&hedges_total, 1);
-    (void)start_attempt(second, g, false, now_us);
+    (void)start_attempt(second, g, 0, now_us);
 }
--- a/path/directory.c
+++ b/path/directory.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 struct bb_directory {
+    char *gate; /* the own one */
     char *zone;
     char *region;
     GHashTable *gates;    /* address text to struct bb_gate_entry */
@@ -31,12 +32,14 @@
     g_free(s);
 }
 
-/* Creates an empty directory for a node in a zone. */
+/* Creates an empty directory for a node in a zone, by the address of its own
+ * gate. */
 struct bb_directory *
-bb_directory_create(const char *zone, const char *region)
+bb_directory_create(const char *gate, const char *zone, const char *region)
 {
     struct bb_directory *d = g_new0(struct bb_directory, 1);
 
+    d->gate = g_strdup(gate);
     d->zone = g_strdup(zone);
     d->region = g_strdup(region);
     d->gates = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_gate);
@@ -52,6 +55,7 @@
     if (d != NULL) {
         g_hash_table_destroy(d->services);
         g_hash_table_destroy(d->gates);
+        g_free(d->gate);
         g_free(d->zone);
         g_free(d->region);
         g_free(d);
@@ -91,6 +95,9 @@
 static enum bb_distance
 distance_to(const struct bb_directory *d, const fleet_instance *i)
 {
+    if (strcmp(d->gate, i->gate) == 0) {
+        return BB_SAME_HOST;
+    }
     if (strcmp(d->zone, i->zone) == 0) {
         return BB_SAME_ZONE;
     }
--- a/path/entry_internal.h
+++ b/path/entry_internal.h
@@ -49,11 +49,11 @@
     struct bb_relay relay;
     char gate[BB_ADDRESS_TEXT_BYTES];
     uint64_t started_us;
-    uint64_t ran_us; /* at the upstream, by the gate's word */
-    bool may_wait;   /* it may queue at the gate */
-    bool is_refused; /* answered by the gate: not sent to the upstream */
-    bool is_failed;  /* answered by the gate: the answer was lost */
-    bool is_not_run; /* by the upstream's own word */
+    uint64_t ran_us;      /* at the upstream, by the gate's word */
+    uint64_t wait_max_us; /* at the gate; UINT64_MAX: as long as in time */
+    bool is_refused;      /* answered by the gate: not sent to the upstream */
+    bool is_failed;       /* answered by the gate: the answer was lost */
+    bool is_not_run;      /* by the upstream's own word */
     bool is_sealed;
 };
 
--- a/path/gate.c
+++ b/path/gate.c
@@ -85,6 +85,7 @@
     char call_id[BB_DIALECT_ID_BYTES];
     char service[SERVICE_TEXT_BYTES];
     bool is_chunked;
+    bool is_once;    /* must not run twice */
     bool is_repeat;  /* sent to an upstream before */
     bool has_failed; /* the answer says so itself */
     bool is_not_run; /* by the upstream's own word */
@@ -354,6 +355,8 @@
         .head = head,
         .is_body_complete = x->is_body_complete,
         .is_head_method = x->head.method == HTTP_HEAD,
+        .idle_max_ms =
+            j->is_once || j->is_repeat ? (uint32_t)BB_GATE_ONCE_IDLE_MS : 0,
     };
 
     j->started_us = now_us;
@@ -422,7 +425,7 @@
  * or malformed. */
 static bool
 read_call(struct bb_gate *g, struct bb_exchange *x, struct job *j,
-          bool *may_wait)
+          uint64_t *wait_max_us)
 {
     const struct bb_dialect_fields *names = &g->settings.dialect->fields;
     const char *call = bb_head_get(&x->head, BB_FIELD_CALL);
@@ -433,16 +436,20 @@
     unsigned rank = 0;
     unsigned class_index = 0;
     unsigned aim_ms = 0;
+    unsigned wait_ms = 0;
 
     if (call == NULL || id == NULL || strlen(id) >= sizeof(j->call_id) ||
-        sscanf(call, "%127s %u %u %u %7s", j->service, &rank, &class_index,
-               &aim_ms, flags) < 4) {
+        sscanf(call, "%127s %u %u %u %u %7s", j->service, &rank, &class_index,
+               &aim_ms, &wait_ms, flags) < 5) {
         return false;
     }
     (void)bb_head_get_u64(&x->head, names->deadline_ms, &deadline_ms);
     g_strlcpy(j->call_id, id, sizeof(j->call_id));
-    *may_wait = strchr(flags, BB_GATE_FLAG_WAIT) != NULL;
+    *wait_max_us = wait_ms >= BB_GATE_WAIT_ANY_MS
+                       ? UINT64_MAX
+                       : (uint64_t)wait_ms * BB_US_PER_MS;
     j->is_repeat = strchr(flags, BB_GATE_FLAG_REPEAT) != NULL;
+    j->is_once = strchr(flags, BB_GATE_FLAG_ONCE) != NULL;
     j->request = (struct bb_gate_request){
         .id = ++g->next_id,
         .rank = rank,
@@ -486,12 +493,13 @@
     struct job *j = g_new0(struct job, 1);
     struct bb_counter *counter = &refused_malformed;
     const char *closed = NULL;
-    bool may_wait = false;
+    bool is_late;
+    uint64_t wait_max_us = 0;
 
     j->gate = g;
     j->exchange = x;
     bb_relay_init(&j->relay);
-    if (!read_call(g, x, j, &may_wait)) {
+    if (!read_call(g, x, j, &wait_max_us)) {
         refuse(g, x, NULL, counter, "malformed");
         free_job(j);
         return;
@@ -503,7 +511,7 @@
         return;
     }
     x->user = j;
-    switch (bb_gate_queue_arrive(&g->queue, &j->request, may_wait,
+    switch (bb_gate_queue_arrive(&g->queue, &j->request, wait_max_us,
                                  bb_clock_now_us())) {
     case BB_GATE_RUN:
         run_job(j);
@@ -513,8 +521,9 @@
         run_queue(g);
         break;
     case BB_GATE_REFUSE:
-        refuse(g, x, j->call_id, may_wait ? &refused_late : &refused_full,
-               may_wait ? "late" : "full");
+        is_late = wait_max_us == UINT64_MAX;
+        refuse(g, x, j->call_id, is_late ? &refused_late : &refused_full,
+               is_late ? "late" : "full");
         free_job(j);
         break;
     }
@@ -686,6 +695,15 @@
                      (uint32_t)PERMILLE);
 }
 
+/* Brings the view of this gate up to date for the entry on the same host. */
+void
+bb_gate_load(const struct bb_gate *g, struct bb_gate_view *v)
+{
+    bb_gate_view_report(v, g->queue.running, g->queue.queued, g->queue.slots,
+                        (uint32_t)MIN(g->queue.mean_us, (uint64_t)UINT32_MAX),
+                        g->failing_permille, bb_clock_now_us());
+}
+
 static void
 free_gate(uv_handle_t *h)
 {
--- a/proxyd/main.c
+++ b/proxyd/main.c
@@ -2,6 +2,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "apply_pace.h"
 #include "common/clock.h"
 #include "common/log.h"
 #include "common/registry.h"
@@ -28,6 +29,7 @@
     struct bb_host *host;
     const struct bb_dialect *dialect;
     struct bb_directory *directory;
+    struct apply_pace *pace;
     struct bb_entry *entry;
     struct bb_gate *gate;
     char gate_text[BB_ADDRESS_TEXT_BYTES]; /* its address */
@@ -43,7 +45,7 @@
 
 /* Puts a configuration in force here. */
 static void
-take_configuration(void *context, uint64_t version, GBytes *raw)
+apply_configuration(void *context, uint64_t version, GBytes *raw)
 {
     struct proxy *p = context;
     struct bb_error e = {0};
@@ -62,6 +64,14 @@
     p->has_rules = true;
 }
 
+static void
+take_configuration(void *context, uint64_t version, GBytes *raw)
+{
+    struct proxy *p = context;
+
+    apply_pace_take(p->pace, version, raw);
+}
+
 static void
 take_instance(void *context, const fleet_instance *i)
 {
@@ -267,6 +277,14 @@
     return bb_gate_repeat_permille(p->gate);
 }
 
+static void
+own_load(void *context, struct bb_gate_view *v)
+{
+    const struct proxy *p = context;
+
+    bb_gate_load(p->gate, v);
+}
+
 /* Opens all addresses. */
 static bool
 open_addresses(struct proxy *p, struct bb_error *e)
@@ -283,6 +301,7 @@
                     .ratio_permille = s->retry_ratio_permille,
                     .allowance = (uint32_t)s->retry_allowance},
         .repeat_permille = repeat_permille,
+        .own_load = own_load,
         .context = p};
     const struct bb_gate_settings gate = {.at = s->gate,
                                           .upstream = s->upstream_address,
@@ -301,7 +320,6 @@
         .peer_port = (uint16_t)s->control_port,
         .seeds = s->seeds};
 
-    (void)bb_address_text(&s->gate, p->gate_text);
     p->entry = bb_entry_create(loop, &entry, e);
     p->gate = p->entry != NULL ? bb_gate_create(loop, &gate, e) : NULL;
     p->ready = p->gate != NULL
@@ -341,7 +359,10 @@
         return BB_EXIT_USAGE;
     }
     p.host = bb_host_create("baobab-proxy", p.settings.host, &host_events, &p);
-    p.directory = bb_directory_create(p.settings.zone, p.settings.region);
+    p.pace = apply_pace_create(bb_host_loop(p.host), apply_configuration, &p);
+    (void)bb_address_text(&p.settings.gate, p.gate_text);
+    p.directory =
+        bb_directory_create(p.gate_text, p.settings.zone, p.settings.region);
     (void)uv_timer_init(bb_host_loop(p.host), &p.stop_timer);
     p.stop_timer.data = &p;
     if (!open_addresses(&p, &e)) {
@@ -352,6 +373,7 @@
     code = BB_EXIT_OK;
 done:
     bb_agent_destroy(p.agent);
+    apply_pace_destroy(p.pace);
     bb_server_destroy(p.announce);
     bb_server_destroy(p.ready);
     bb_gate_destroy(p.gate);
--- a/tests/decide/test_load_decisions.c
+++ b/tests/decide/test_load_decisions.c
@@ -114,7 +114,8 @@
             if (r->fate != COMING || now_us < r->arrive_us) {
                 continue;
             }
-            switch (bb_gate_queue_arrive(&p->queue, &r->r, true, now_us)) {
+            switch (
+                bb_gate_queue_arrive(&p->queue, &r->r, UINT64_MAX, now_us)) {
             case BB_GATE_RUN:
                 r->fate = RUNNING;
                 r->end_us = now_us + r->service_us;
@@ -284,6 +285,165 @@
     return bb_balance_pick(list, n, &r, next_random(), now_us);
 }
 
+enum {
+    ENTRIES = 87,
+    GATES = 24,
+    FLEET_REQUESTS = 12000,
+    TRIES_MAX = 8,
+    TRY_US = 10 * MS /* of a host that is slow and far */
+};
+
+/* Many entries, each with its own views of many gates. */
+struct fleet {
+    struct bb_gate_queue queues[GATES];
+    struct bb_gate_view views[ENTRIES][GATES];
+    struct fleet_request {
+        struct bb_gate_request r;
+        uint64_t next_us; /* of the next try, or the end of the run */
+        uint64_t service_us;
+        enum fate fate;
+        uint32_t entry;
+        int32_t gate;
+        uint32_t tries;
+        bool has_refused[GATES];
+    } requests[FLEET_REQUESTS];
+};
+
+static void
+note_load(struct fleet *f, const struct fleet_request *r, uint64_t now_us)
+{
+    const struct bb_gate_queue *q = &f->queues[r->gate];
+
+    bb_gate_view_report(&f->views[r->entry][r->gate], q->running, q->queued,
+                        q->slots, (uint32_t)q->mean_us, 0, now_us);
+}
+
+/* Sends a request to the gate that its entry chooses. */
+static void
+try_gate(struct fleet *f, struct fleet_request *r, uint64_t now_us)
+{
+    const struct bb_gate_view *list[GATES];
+    struct bb_balance_request b = {
+        .aim_left_us = r->r.aim_us > now_us ? r->r.aim_us - now_us : 0};
+    struct bb_balance_offer o;
+
+    for (uint32_t i = 0; i < GATES; i++) {
+        list[i] = &f->views[r->entry][i];
+    }
+    o = bb_balance_offer(list, r->has_refused, GATES, &b, next_random(),
+                         now_us);
+    r->gate = o.gate;
+    if (o.gate < 0 || r->tries == TRIES_MAX) {
+        r->fate = REFUSED;
+        return;
+    }
+    r->tries++;
+    switch (bb_gate_queue_arrive(&f->queues[r->gate], &r->r, o.wait_max_us,
+                                 now_us)) {
+    case BB_GATE_RUN:
+        r->fate = RUNNING;
+        r->next_us = now_us + r->service_us;
+        f->views[r->entry][r->gate].in_flight++;
+        break;
+    case BB_GATE_WAIT:
+        r->fate = WAITING;
+        f->views[r->entry][r->gate].in_flight++;
+        break;
+    case BB_GATE_REFUSE:
+        r->has_refused[r->gate] = true;
+        r->next_us = now_us + TRY_US;
+        r->fate = o.wait_max_us == UINT64_MAX ? REFUSED : COMING;
+        note_load(f, r, now_us);
+        break;
+    }
+}
+
+/* Ends the runs that are over and starts what waits. */
+static void
+run_gates(struct fleet *f, uint64_t now_us)
+{
+    enum bb_gate_verdict v;
+    uint64_t id = 0;
+
+    for (uint32_t i = 0; i < FLEET_REQUESTS; i++) {
+        struct fleet_request *r = &f->requests[i];
+
+        if (r->fate == RUNNING && now_us >= r->next_us) {
+            r->fate = SERVED;
+            f->views[r->entry][r->gate].in_flight--;
+            bb_gate_queue_finish(&f->queues[r->gate], 1, r->service_us, true);
+            note_load(f, r, now_us);
+        }
+    }
+    for (uint32_t i = 0; i < GATES; i++) {
+        while (bb_gate_queue_next(&f->queues[i], now_us, &id, &v)) {
+            struct fleet_request *r = &f->requests[id];
+
+            r->fate = v == BB_GATE_RUN ? RUNNING : REFUSED;
+            r->next_us = now_us + r->service_us;
+            if (v != BB_GATE_RUN) {
+                f->views[r->entry][i].in_flight--;
+            }
+        }
+    }
+}
+
+/* Load: 85% of the capacity of 24 gates, from 87 entries, so that each entry
+ * hears of a gate once in some seconds. Guards against: searching for a free
+ * slot by refusals, which fills the links with refused requests, and queues
+ * so long that answers are late. */
+static void
+test_many_entries(void)
+{
+    const double capacity = (double)GATES * SLOTS * S / SERVICE_US;
+    struct fleet *f = calloc(1, sizeof(*f));
+    uint64_t at_us = S;
+    uint32_t tries = 0;
+    uint32_t in_aim = 0;
+
+    random_state = 9;
+    for (uint32_t i = 0; i < GATES; i++) {
+        bb_gate_queue_init(&f->queues[i], SLOTS);
+        f->queues[i].mean_us = SERVICE_US;
+        for (uint32_t k = 0; k < ENTRIES; k++) {
+            f->views[k][i] = view(BB_SAME_ZONE);
+        }
+    }
+    for (uint32_t i = 0; i < FLEET_REQUESTS; i++) {
+        at_us += exponential((uint64_t)(S / (0.85 * capacity)));
+        f->requests[i] = (struct fleet_request){
+            .r = {.id = i,
+                  .rank = 1,
+                  .class_index = 1,
+                  .aim_us = at_us + AIM_US,
+                  .deadline_us = at_us + DEADLINE_US},
+            .next_us = at_us,
+            .service_us = SERVICE_US / 2 + exponential(SERVICE_US / 2),
+            .entry = (uint32_t)(next_random() % ENTRIES)};
+    }
+    for (uint64_t now_us = S; now_us < at_us + 3 * (uint64_t)S; now_us += MS) {
+        run_gates(f, now_us);
+        for (uint32_t i = 0; i < FLEET_REQUESTS; i++) {
+            struct fleet_request *r = &f->requests[i];
+
+            if (r->fate == COMING && now_us >= r->next_us) {
+                try_gate(f, r, now_us);
+            }
+        }
+    }
+    for (uint32_t i = 0; i < FLEET_REQUESTS; i++) {
+        const struct fleet_request *r = &f->requests[i];
+
+        tries += r->tries;
+        in_aim += r->fate == SERVED && r->next_us <= r->r.aim_us;
+    }
+    CU_ASSERT_TRUE(tries * 2 <= FLEET_REQUESTS * 3);
+    CU_ASSERT_TRUE(in_aim * 20 >= FLEET_REQUESTS * 19);
+    printf("(%.2f tries a request, %.3f in time) ",
+           (double)tries / FLEET_REQUESTS, (double)in_aim / FLEET_REQUESTS);
+    free(f);
+}
+
 /* Load: light. Calls stay in their zone, where they cost no link. */
 static void
 test_near(void)
@@ -297,6 +457,13 @@
     for (uint32_t i = 0; i < 100; i++) {
         CU_ASSERT_EQUAL(pick(v, 3, S), 2);
     }
+    /* The own host's gate before it, but only with a free slot. */
+    v[1].distance = BB_SAME_HOST;
+    CU_ASSERT_EQUAL(pick(v, 3, S), 1);
+    bb_gate_view_report(&v[1], SLOTS, 0, SLOTS, SERVICE_US, 0, S);
+    CU_ASSERT_EQUAL(pick(v, 3, S), 2);
+    v[1] = view(BB_SAME_REGION);
+    v[1].service_us = SERVICE_US / 2;
     /* The zone's gate is full: the own region, not the other one. */
     bb_gate_view_report(&v[2], SLOTS, 3 * SLOTS, SLOTS, SERVICE_US, 0, S);
     CU_ASSERT_EQUAL(pick(v, 3, S), 1);
@@ -409,6 +576,7 @@
     {"twice the capacity", test_twice_capacity},
     {"returning callers", test_returning_callers},
     {"ranks", test_ranks},
+    {"many entries", test_many_entries},
     {"near gates", test_near},
     {"joining upstream", test_joining},
     {"failing upstream", test_failing},
--- a/tests/path/bench.c
+++ b/tests/path/bench.c
@@ -28,7 +28,8 @@
     uv_timer_t timer;
     struct script script;
     char id[64];
-    bool is_waiting; /* for the delay of the answer */
+    uint64_t answered_us; /* 0: never */
+    bool is_waiting;      /* for the delay of the answer */
     bool is_closed;
 };
 
@@ -75,6 +76,7 @@
     }
     switch (l->script.end) {
     case SCRIPT_KEEP:
+        l->answered_us = bb_clock_now_us();
         bb_reader_next(&l->reader);
         break;
     case SCRIPT_CLOSE:
@@ -133,6 +135,13 @@
     struct line *l = context;
     size_t used = 0;
 
+    if (l->upstream->forgets_ms != 0 && l->answered_us != 0 &&
+        bb_clock_now_us() - l->answered_us >
+            (uint64_t)l->upstream->forgets_ms * BB_US_PER_MS) {
+        l->upstream->forgot++;
+        close_line(l, bb_stream_reset);
+        return;
+    }
     while (used < n && !l->is_closed) {
         size_t step = bb_reader_feed(&l->reader, data + used, n - used);
 
@@ -261,7 +270,7 @@
 
     memset(b, 0, sizeof(*b));
     (void)uv_loop_init(&b->loop);
-    b->directory = bb_directory_create("z", "r");
+    b->directory = bb_directory_create("", "z", "r");
     for (uint32_t i = 0; i < 2; i++) {
         struct upstream *u = &b->upstreams[i];
 
--- a/tests/path/bench.h
+++ b/tests/path/bench.h
@@ -44,6 +44,9 @@
     uint32_t requests;
     uint32_t cut;  /* connections ended by the gate before the answer */
     uint32_t open; /* connections */
+    /* Resets a connection that was idle for longer when more comes on it. */
+    uint32_t forgets_ms;
+    uint32_t forgot;
     char last_id[64];
     GString *last_head; /* fields of the last request, "name: value\n" */
     GString *last_body;
--- a/tests/path/test_path.c
+++ b/tests/path/test_path.c
@@ -432,6 +432,37 @@
     bench_close(&b);
 }
 
+/* Guards against: requests that are lost on kept connections that their
+ * upstream has forgotten: none that must not run twice, and not one after the
+ * other of those that may. */
+static void
+test_forgotten_connections(void)
+{
+    struct bench b;
+    struct client *c;
+
+    bench_open(&b);
+    bench_set_rules(&b, 1000, 2);
+    b.upstreams[0].forgets_ms = 120;
+    b.upstreams[1].forgets_ms = 120;
+    c = client_open(&b);
+    for (uint32_t i = 0; i < 6; i++) {
+        client_send(c, UNSAFE("a1") "\r\nhi");
+        bench_run(&b, 180);
+    }
+    CU_ASSERT_EQUAL(client_count(c, "body"), 6);
+    CU_ASSERT_EQUAL(b.upstreams[0].forgot + b.upstreams[1].forgot, 0);
+    for (uint32_t i = 0; i < 10; i++) {
+        client_send(c, SAFE("a1") "\r\n");
+        bench_run(&b, 180);
+    }
+    CU_ASSERT_EQUAL(client_count(c, "body"), 16);
+    CU_ASSERT_TRUE(b.upstreams[0].forgot <= 1);
+    CU_ASSERT_TRUE(b.upstreams[1].forgot <= 1);
+    client_close(c);
+    bench_close(&b);
+}
+
 /* Guards against: a gate that admits requests of entry nodes that do not know
  * yet that its upstream leaves. */
 static void
@@ -447,10 +478,10 @@
     b.entry_at.port++; /* the gate's */
     c = client_open(&b);
     b.entry_at = entry;
-    client_send(c, SAFE("a1") BB_FIELD_CALL ": s 1 1 500 w\r\n\r\n");
+    client_send(c, SAFE("a1") BB_FIELD_CALL ": s 1 1 500 1000000 -\r\n\r\n");
     CU_ASSERT_TRUE(bench_wait_text(&b, c, "body", 500));
     bench_announce(&b, 0, true);
-    client_send(c, SAFE("a2") BB_FIELD_CALL ": s 1 1 500 w\r\n\r\n");
+    client_send(c, SAFE("a2") BB_FIELD_CALL ": s 1 1 500 1000000 -\r\n\r\n");
     CU_ASSERT_TRUE(bench_wait_text(&b, c, BB_FIELD_REFUSED, 500));
     CU_ASSERT_EQUAL(arrivals(&b), 1);
     client_close(c);
@@ -587,6 +618,7 @@
     {"timeout of the route", test_timeout},
     {"draining", test_draining},
     {"draining gate", test_draining_gate},
+    {"forgotten connections", test_forgotten_connections},
     {"restarted gate", test_restarted_gate},
     {"pipelined requests", test_pipeline},
     {"queue", test_queue},
