Prefer the own host's gate while its wait is short; learn idle limits with care

A connection lost for another reason than idling (an upstream that is full, or ends) set the limit of idle time to next to nothing, so that each request opened a connection for ten seconds. And the exact load of the own gate was reported with a later time than the one it was compared with, which made it look old.

Change: only a loss after 100 ms of idling teaches a limit; the own load takes the caller's time; the own gate comes first while its wait is at most 15% of the time left; a second send of a slow request goes to a gate of the own zone with a quarter of its slots free.

--- a/decide/balance.c
+++ b/decide/balance.c
@@ -76,6 +76,16 @@
     return n < v->slots ? 0 : (n - v->slots + 1) * service_us / v->slots;
 }
 
+/* Returns whether a gate may get the second send of a slow request: one near
+ * by that has room to spare, so that it takes no slot from others. */
+bool
+bb_balance_may_hedge(const struct bb_gate_view *v, uint64_t now_us)
+{
+    return v->distance <= BB_SAME_ZONE &&
+           held(v, now_us) * PERCENT <=
+               v->slots * (uint32_t)BB_BALANCE_HEDGE_USED_PERCENT;
+}
+
 /* Returns what is left of a share of failures after a time. */
 uint32_t
 bb_balance_fade(uint32_t permille, uint64_t age_us)
@@ -102,9 +112,8 @@
 
 /* Estimates the time to an answer, with the price of distance and the risk of
  * failure. */
-uint64_t
-bb_balance_cost_us(const struct bb_gate_view *v, uint32_t class_index,
-                   uint64_t now_us)
+static uint64_t
+cost_us_of(const struct bb_gate_view *v, uint32_t class_index, uint64_t now_us)
 {
     uint64_t service_us = class_us(v, class_index);
     uint64_t cost_us = bb_balance_wait_us(v, now_us) + service_us;
@@ -159,8 +168,8 @@
 }
 
 /* Returns the rank of a gate by its place: near gates that can answer in time
- * first. That of the own host comes before others while it has a free slot, as
- * it costs no link; its queue is no better than another one near by. */
+ * first. That of the own host comes before others while its wait is short, as
+ * it costs no link. */
 static uint32_t
 tier_of(const struct bb_gate_view *v, const struct bb_balance_request *r,
         uint64_t now_us)
@@ -171,7 +180,9 @@
     if (v->distance == BB_OTHER_REGION || !is_comfortable(v, r, now_us)) {
         return NOT_COMFORTABLE;
     }
-    return v->distance == BB_SAME_HOST && bb_balance_wait_us(v, now_us) > 0
+    return v->distance == BB_SAME_HOST &&
+                   bb_balance_wait_us(v, now_us) * PERCENT >
+                       r->aim_left_us * BB_BALANCE_OWN_WAIT_PERCENT
                ? BB_SAME_ZONE
                : v->distance;
 }
@@ -195,7 +206,7 @@
             continue;
         }
         tier = tier_of(views[i], r, now_us);
-        cost_us = bb_balance_cost_us(views[i], r->class_index, now_us) +
+        cost_us = cost_us_of(views[i], r->class_index, now_us) +
                   (random_bits >> (8 * (i % 7))) % JITTER_US;
         if (best < 0 || tier < best_tier ||
             (tier == best_tier && cost_us < best_us)) {
--- a/include/decide/balance.h
+++ b/include/decide/balance.h
@@ -18,6 +18,8 @@
     BB_BALANCE_COMFORT_FAILING_PERMILLE = 200,
     /* A report counts half after this time. */
     BB_BALANCE_REPORT_HALF_US = 400 * 1000,
+    /* The own host's gate comes first up to this part of the time left. */
+    BB_BALANCE_OWN_WAIT_PERCENT = 15,
     /* A reported share of failures halves in this time: an upstream that is
      * left out shows no recovery by itself. */
     BB_BALANCE_FAILING_HALF_US = 1000 * 1000,
@@ -29,6 +31,8 @@
     BB_BALANCE_SUSPEND_US = 500 * 1000,
     BB_BALANCE_SUSPEND_MAX_US = 4000 * 1000,
     BB_BALANCE_CLASSES = 32,
+    /* Part of the slots that may be in use where a second send goes. */
+    BB_BALANCE_HEDGE_USED_PERCENT = 75,
     /* Part of the time left that a request may wait at the first gate, and at
      * the second one; after that it waits wherever it is answered in time. */
     BB_BALANCE_FIRST_WAIT_PERCENT = 20,
@@ -80,14 +84,13 @@
     uint64_t wait_max_us; /* UINT64_MAX: as long as it can be in time */
 };
 
-uint64_t bb_balance_cost_us(const struct bb_gate_view *v, uint32_t class_index,
-                            uint64_t now_us);
 uint64_t bb_balance_wait_us(const struct bb_gate_view *v, uint64_t now_us);
 struct bb_balance_offer
 bb_balance_offer(const struct bb_gate_view *const *views,
                  const bool *has_refused, uint32_t count,
                  const struct bb_balance_request *r, uint64_t random_bits,
                  uint64_t now_us);
+bool bb_balance_may_hedge(const struct bb_gate_view *v, uint64_t now_us);
 uint32_t bb_balance_fade(uint32_t permille, uint64_t age_us);
 int32_t bb_balance_pick(const struct bb_gate_view *const *views,
                         uint32_t count, const struct bb_balance_request *r,
--- a/include/path/entry.h
+++ b/include/path/entry.h
@@ -51,7 +51,7 @@
      * repeats: their calls count as repeats too. */
     uint32_t (*repeat_permille)(void *context);
     /* Brings the view of the gate on this host up to date. */
-    void (*own_load)(void *context, struct bb_gate_view *v);
+    void (*own_load)(void *context, struct bb_gate_view *v, uint64_t now_us);
     void *context;
 };
 
--- a/net/fetch.c
+++ b/net/fetch.c
@@ -15,6 +15,9 @@
      * sooner than it says: for some time only those are used that were idle
      * for a smaller part of that. */
     LOST_IDLE_PERCENT = 50,
+    /* A loss after less than this has other causes: a peer that is full or
+     * ends. */
+    LOST_IDLE_LEAST_MS = 100,
     LOST_IDLE_HOLD_MS = 10000,
     MS_PER_S = 1000
 };
@@ -187,7 +190,7 @@
     struct bb_fetch *f = l->fetch;
 
     if (result == BB_FETCH_LOST && f != NULL && !f->has_bytes &&
-        l->idle_us != 0) {
+        l->idle_us >= (uint64_t)LOST_IDLE_LEAST_MS * BB_US_PER_MS) {
         note_lost_idle(l);
     }
 
--- a/path/attempt.c
+++ b/path/attempt.c
@@ -48,7 +48,7 @@
 };
 
 static void
-list_candidates(struct call *c, struct candidates *l)
+list_candidates(struct call *c, struct candidates *l, uint64_t now_us)
 {
     const struct bb_entry_settings *s = &c->entry->settings;
 
@@ -60,7 +60,7 @@
 
         if (!is_in(c->left_out, c->left_out_count, g->text)) {
             if (g->view.distance == BB_SAME_HOST) {
-                s->own_load(s->context, &g->view);
+                s->own_load(s->context, &g->view, now_us);
             }
             l->gates[l->count] = g;
             l->views[l->count] = &g->view;
@@ -89,7 +89,7 @@
         .aim_left_us = c->aim_us > now_us ? c->aim_us - now_us : 0};
     struct bb_balance_offer o;
 
-    list_candidates(c, &l);
+    list_candidates(c, &l, now_us);
     o = bb_balance_offer(l.views, l.has_refused, l.count, &r, random_bits(),
                          now_us);
     *wait_max_us = o.wait_max_us;
@@ -675,8 +675,8 @@
     }
     add_to(c->left_out, &c->left_out_count, first->gate);
     g = choose_gate(c, &wait_max_us, now_us);
-    if (g == NULL || g->view.distance == BB_OTHER_REGION ||
-        bb_balance_wait_us(&g->view, now_us) > 0 || !may_repeat(c, true)) {
+    if (g == NULL || !bb_balance_may_hedge(&g->view, now_us) ||
+        !may_repeat(c, true)) {
         return;
     }
     bb_counter_add(&hedges_total, 1);
--- a/path/gate.c
+++ b/path/gate.c
@@ -697,11 +697,11 @@
 
 /* Brings the view of this gate up to date for the entry on the same host. */
 void
-bb_gate_load(const struct bb_gate *g, struct bb_gate_view *v)
+bb_gate_load(const struct bb_gate *g, struct bb_gate_view *v, uint64_t now_us)
 {
     bb_gate_view_report(v, g->queue.running, g->queue.queued, g->queue.slots,
                         (uint32_t)MIN(g->queue.mean_us, (uint64_t)UINT32_MAX),
-                        g->failing_permille, bb_clock_now_us());
+                        g->failing_permille, now_us);
 }
 
 static void
--- a/proxyd/main.c
+++ b/proxyd/main.c
@@ -278,11 +278,11 @@
 }
 
 static void
-own_load(void *context, struct bb_gate_view *v)
+own_load(void *context, struct bb_gate_view *v, uint64_t now_us)
 {
     const struct proxy *p = context;
 
-    bb_gate_load(p->gate, v);
+    bb_gate_load(p->gate, v, now_us);
 }
 
 /* Opens all addresses. */
