Tell callers from the upstream of their host, which share its address

Cause: an entry took each request from its own address for a call of the upstream next to it. On the platform all callers come from that address, so every request was treated as such a call: it waited in the queue until near its deadline (1049 ms half of the class that waits longest, 639 ms the busiest, whose aim is 800 ms), its aim was moved towards its deadline, and at the crest most answers were late (208 of 300 in two seconds).

Change: a call is a request whose id names, in the dialect's way, a request that runs at this host's upstream. Its parent says whether it counts as a repeat, in place of the share of repeats. Classes of routes follow from services and policy instead of the name: 300 idle routes no longer share theirs with busy ones by chance.

Tests: test_path (calls of the upstream; seen failing with each request taken for a call), test_dialect (parents).

--- a/include/decide/balance.h
+++ b/include/decide/balance.h
@@ -30,7 +30,7 @@
      * most. */
     BB_BALANCE_SUSPEND_US = 500 * 1000,
     BB_BALANCE_SUSPEND_MAX_US = 4000 * 1000,
-    BB_BALANCE_CLASSES = 32,
+    BB_BALANCE_CLASSES = 64,
     /* Part of the slots that may be in use where a second send goes. */
     BB_BALANCE_HEDGE_USED_PERCENT = 75,
     /* Part of the time left that a request may wait at the first gate, and at
--- a/include/decide/gate_queue.h
+++ b/include/decide/gate_queue.h
@@ -12,7 +12,7 @@
 
 enum {
     BB_GATE_QUEUE_MAX = 512,
-    BB_GATE_CLASSES = 32,
+    BB_GATE_CLASSES = 64,
     /* Weight of the newest duration in the moving average, in percent. */
     BB_GATE_AVERAGE_PERCENT = 10,
     /* Part of the time left until the aim that a wait may take: durations
--- a/include/path/dialect.h
+++ b/include/path/dialect.h
@@ -55,6 +55,9 @@
 
 struct bb_dialect {
     struct bb_dialect_fields fields;
+    /* Reads the id of the request that made this one out of its id. Returns
+     * false if a client made it, as far as the id tells. */
+    bool (*read_parent)(const char *id, char parent[BB_DIALECT_ID_BYTES]);
     /* Names a call; id receives that of the upstream, if it names one. */
     enum bb_call (*classify)(enum http_method method, const char *target,
                              char id[BB_DIALECT_ID_BYTES]);
--- a/include/path/entry.h
+++ b/include/path/entry.h
@@ -43,13 +43,12 @@
 struct bb_entry_settings {
     struct bb_address at;
     const char *service; /* on this host: the caller's */
-    const char *ip;      /* of this host: calls of its upstream */
     const struct bb_dialect *dialect;
     struct bb_directory *directory;
     struct bb_retry_limits retries;
-    /* Share of the requests running on this host's upstream that are
-     * repeats: their calls count as repeats too. */
-    uint32_t (*repeat_permille)(void *context);
+    /* Returns whether a request runs on the upstream of this host, and
+     * whether it was sent to another one before. */
+    bool (*find_running)(void *context, const char *id, bool *is_repeat);
     /* Brings the view of the gate on this host up to date. */
     void (*own_load)(void *context, struct bb_gate_view *v, uint64_t now_us);
     void *context;
--- a/include/path/gate.h
+++ b/include/path/gate.h
@@ -64,7 +64,8 @@
 void bb_gate_recall(struct bb_gate *g, const fleet_instance *earlier);
 void bb_gate_stop(struct bb_gate *g);
 uint32_t bb_gate_busy_count(const struct bb_gate *g);
-uint32_t bb_gate_repeat_permille(const struct bb_gate *g);
+bool bb_gate_find_running(const struct bb_gate *g, const char *id,
+                          bool *is_repeat);
 void bb_gate_load(const struct bb_gate *g, struct bb_gate_view *v,
                   uint64_t now_us);
 void bb_gate_destroy(struct bb_gate *g);
--- a/include/path/rules.h
+++ b/include/path/rules.h
@@ -10,7 +10,7 @@
 #include "common/error.h"
 #include "net/http_server.h"
 
-enum { BB_RULES_CLASSES = 32 };
+enum { BB_RULES_CLASSES = 64 };
 
 enum bb_rules_error {
     BB_RULES_ERROR_SYNTAX = 1, /* cannot be read in full */
@@ -33,7 +33,7 @@
     uint32_t aim_ms;
     uint32_t rank; /* 0: most urgent */
     uint32_t attempts;
-    uint32_t class_index; /* by name: gates learn how long a class runs */
+    uint32_t class_index; /* gates learn how long a class runs */
     uint32_t part_count;
     uint64_t weight_sum;
     struct bb_part *parts;
--- a/path/entry.c
+++ b/path/entry.c
@@ -14,6 +14,7 @@
 
 enum {
     PERCENT = 100,
+    ALL_PERMILLE = 1000,
     /* Step of the estimate of slow answers: a part of it, and how many parts
      * make the share that is slower one in so many. */
     SLOW_STEP = 100,
@@ -65,6 +66,8 @@
 
 BB_COUNTER(requests_total, "baobab_entry_requests_total",
            "Requests of callers on this host");
+BB_COUNTER(calls_total, "baobab_entry_calls_total",
+           "Requests that the upstream of this host made for one it runs");
 BB_COUNTER(answered_total, "baobab_entry_answered_total",
            "Answers of upstreams passed on");
 BB_COUNTER(gone_total, "baobab_entry_gone_total",
@@ -369,6 +372,20 @@
             c->deadline_us + (uint64_t)BB_ENTRY_LAST_WORD_MS * BB_US_PER_MS);
 }
 
+/* Finds out whether the upstream of this host makes the request, for one that
+ * it runs. Callers and upstream share addresses; an id that only looks like
+ * that of a call is no call. */
+static void
+find_parent(struct call *c)
+{
+    const struct bb_entry_settings *s = &c->entry->settings;
+    char parent[BB_DIALECT_ID_BYTES];
+
+    c->is_nested = s->dialect->read_parent(c->id, parent) &&
+                   s->find_running(s->context, parent, &c->is_of_repeat);
+    bb_counter_add(&calls_total, c->is_nested);
+}
+
 static void
 begin(void *context, struct bb_exchange *x)
 {
@@ -402,23 +419,22 @@
     if (!find_route(n, c)) {
         return;
     }
-    c->is_nested = strcmp(bb_exchange_peer_ip(x), n->settings.ip) == 0;
+    find_parent(c);
     set_times(c);
     bb_event_append(
         c->lines, "entry.routed", c->id,
         "\"route\":\"%s\",\"service\":\"%s\",\"version\":%" G_GUINT64_FORMAT
-        ",\"left_ms\":%d",
+        ",\"is_call\":%s,\"left_ms\":%d",
         c->rule->name, c->service->name, c->rules->version,
+        c->is_nested ? "true" : "false",
         (int)(((int64_t)c->deadline_us - (int64_t)now_us) / BB_US_PER_MS));
     if (c->deadline_us <= now_us) {
         call_answer(c, 503, "late", 0);
         return;
     }
     start_timer(c, now_us);
-    bb_retry_window_first(
-        &c->service->retries, &n->settings.retries,
-        c->is_nested ? n->settings.repeat_permille(n->settings.context) : 0,
-        now_us);
+    bb_retry_window_first(&c->service->retries, &n->settings.retries,
+                          c->is_of_repeat ? ALL_PERMILLE : 0, now_us);
     call_try(c);
 }
 
--- a/path/entry_internal.h
+++ b/path/entry_internal.h
@@ -78,9 +78,10 @@
     uint32_t arrivals; /* at upstreams */
     uint32_t tries;    /* sends to gates */
     bool has_id;
-    bool is_nested;  /* made by the upstream of this host, for a request that
-                        holds a slot there */
-    bool is_late;    /* a gate said so: no time for another one */
+    bool is_of_repeat; /* made for a request that is itself a repeat */
+    bool is_nested;    /* made by the upstream of this host, for a request that
+                          holds a slot there */
+    bool is_late;      /* a gate said so: no time for another one */
     bool is_long;    /* the body did not come in whole before the first try */
     bool is_chunked; /* as sent to the gate */
     bool may_have_run;
--- a/path/gate.c
+++ b/path/gate.c
@@ -66,7 +66,7 @@
     uint64_t next_id;
     uint32_t failing_permille; /* as of outcome_us */
     uint64_t outcome_us;
-    uint32_t running_repeats;
+    GHashTable *running; /* call_id to struct job, of those at the upstream */
     uint64_t opened_us;
     bool is_recalled; /* what an earlier run of this node knew is known */
     bool is_stopping;
@@ -115,7 +115,9 @@
 
     bb_gate_queue_finish(&g->queue, j->request.class_index, took_us,
                          is_success);
-    g->running_repeats -= j->is_repeat;
+    if (g_hash_table_lookup(g->running, j->call_id) == j) {
+        (void)g_hash_table_remove(g->running, j->call_id);
+    }
 }
 
 /* Answers a request that has not run here and never will. */
@@ -361,7 +363,7 @@
 
     j->started_us = now_us;
     bb_histogram_add(&wait_time, now_us - j->exchange->arrived_us);
-    g->running_repeats += j->is_repeat;
+    g_hash_table_replace(g->running, j->call_id, j);
     j->is_chunked = bb_forward_is_chunked(x);
     if (!j->is_chunked) {
         r.body = x->body->str;
@@ -592,6 +594,7 @@
     g->settings = *s;
     g->opened_us = bb_clock_now_us();
     g->jobs = g_hash_table_new(g_int64_hash, g_int64_equal);
+    g->running = g_hash_table_new(g_str_hash, g_str_equal);
     g->pool = bb_pool_create(loop, &pool);
     bb_gate_queue_init(&g->queue, 0);
     (void)uv_timer_init(loop, &g->timer);
@@ -685,14 +688,15 @@
     return bb_server_busy_count(g->server);
 }
 
-/* Returns the share of the running requests that are repeats, in permille. */
-uint32_t
-bb_gate_repeat_permille(const struct bb_gate *g)
+/* Returns whether a request with this id is at the upstream, and whether it
+ * was sent to another one before. */
+bool
+bb_gate_find_running(const struct bb_gate *g, const char *id, bool *is_repeat)
 {
-    return g->queue.running == 0
-               ? 0
-               : MIN(g->running_repeats * PERMILLE / g->queue.running,
-                     (uint32_t)PERMILLE);
+    const struct job *j = g_hash_table_lookup(g->running, id);
+
+    *is_repeat = j != NULL && j->is_repeat;
+    return j != NULL;
 }
 
 /* Brings the view of this gate up to date for the entry on the same host. */
@@ -711,6 +715,7 @@
 
     bb_pool_destroy(g->pool);
     g_hash_table_destroy(g->jobs);
+    g_hash_table_destroy(g->running);
     g_free(g);
 }
 
--- a/path/rules.c
+++ b/path/rules.c
@@ -56,8 +56,6 @@
     rule->host = g_ascii_strdown(host, -1);
     rule->prefix = g_strdup(prefix);
     rule->attempts = 1;
-    rule->class_index =
-        (uint32_t)(bb_hash64(name, strlen(name), 0) % BB_RULES_CLASSES);
     g_ptr_array_add(r->rules, rule);
     return rule;
 }
@@ -150,6 +148,23 @@
     return key;
 }
 
+/* Returns the class of a route. Routes to the same services under the same
+ * policy last alike; the number is the same on all nodes. */
+static uint32_t
+class_of(const struct bb_rule *rule)
+{
+    const uint32_t policy[] = {rule->is_idempotent, rule->timeout_ms,
+                               rule->aim_ms, rule->rank};
+    uint64_t hash = bb_hash64(policy, sizeof(policy), 0);
+
+    for (uint32_t i = 0; i < rule->part_count; i++) {
+        const char *service = rule->parts[i].service;
+
+        hash = bb_hash64(service, strlen(service), hash);
+    }
+    return (uint32_t)(hash % BB_RULES_CLASSES);
+}
+
 /* Checks complete rules and builds their index. After true they must not be
  * changed; after false the error says what is wrong. */
 bool
@@ -169,6 +184,7 @@
         if (!check_rule(r, rule, e)) {
             return false;
         }
+        rule->class_index = class_of(rule);
         key = place_key(rule->host, strlen(rule->host), rule->prefix,
                         strlen(rule->prefix));
         if (!g_hash_table_insert(r->by_place, key, rule)) {
--- a/proxyd/main.c
+++ b/proxyd/main.c
@@ -268,13 +268,12 @@
 static const struct bb_host_events host_events = {.stop = stop,
                                                   .reload = reload};
 
-/* Returns the share of repeats among the requests of the upstream. */
-static uint32_t
-repeat_permille(void *context)
+static bool
+find_running(void *context, const char *id, bool *is_repeat)
 {
     const struct proxy *p = context;
 
-    return bb_gate_repeat_permille(p->gate);
+    return bb_gate_find_running(p->gate, id, is_repeat);
 }
 
 static void
@@ -294,13 +293,12 @@
     const struct bb_entry_settings entry = {
         .at = s->entry,
         .service = s->service,
-        .ip = s->ip,
         .dialect = p->dialect,
         .directory = p->directory,
         .retries = {.window_ms = (uint32_t)s->retry_window_s * 1000,
                     .ratio_permille = s->retry_ratio_permille,
                     .allowance = (uint32_t)s->retry_allowance},
-        .repeat_permille = repeat_permille,
+        .find_running = find_running,
         .own_load = own_load,
         .context = p};
     const struct bb_gate_settings gate = {.at = s->gate,
--- a/tests/path/bench.c
+++ b/tests/path/bench.c
@@ -10,7 +10,19 @@
 const char good_answer[] = "HTTP/1.1 200 OK\r\nT-Id: {id}\r\nT-Seal: s\r\n"
                            "Content-Length: 4\r\n\r\nbody";
 
+static bool
+read_parent(const char *id, char parent[BB_DIALECT_ID_BYTES])
+{
+    const char *end = strchr(id, '/');
+
+    if (end != NULL) {
+        g_strlcpy(parent, id, (size_t)(end - id) + 1);
+    }
+    return end != NULL;
+}
+
 static const struct bb_dialect dialect = {
+    .read_parent = read_parent,
     .fields = {.request_id = T_ID,
                .deadline_ms = T_DEADLINE,
                .seal = T_SEAL,
@@ -224,11 +236,12 @@
     bb_directory_update(b->directory, &i, bb_clock_now_us());
 }
 
-static uint32_t
-no_repeats(void *context)
+static bool
+find_running(void *context, const char *id, bool *is_repeat)
 {
-    (void)context;
-    return 0;
+    const struct bench *b = context;
+
+    return bb_gate_find_running(b->gates[0], id, is_repeat);
 }
 
 /* Opens one gate on the port above its upstream's. */
@@ -288,13 +301,13 @@
     g_strlcpy(b->entry_at.ip, "127.0.0.1", sizeof(b->entry_at.ip));
     while (b->entry == NULL) {
         struct bb_entry_settings s = {.service = "caller",
-                                      .ip = "127.0.0.9",
                                       .dialect = &dialect,
                                       .directory = b->directory,
                                       .retries = {.window_ms = 10000,
                                                   .ratio_permille = 200,
                                                   .allowance = 40},
-                                      .repeat_permille = no_repeats};
+                                      .find_running = find_running,
+                                      .context = b};
 
         b->entry_at.port = (uint16_t)(20000 + g_random_int_range(0, 40000));
         s.at = b->entry_at;
--- a/tests/path/test_path.c
+++ b/tests/path/test_path.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "bench.h"
+#include "common/counters.h"
 #include "unit.h"
 
 #define SAFE(id) "GET /safe/x HTTP/1.1\r\nHost: h\r\nT-Id: " id "\r\n"
@@ -399,6 +400,47 @@
     bench_close(&b);
 }
 
+/* Guards against: callers taken for the upstream of their host, whose address
+ * they share, and so let wait longer than their answer is worth; an id that
+ * only looks like that of a call. */
+static void
+test_calls_of_upstream(void)
+{
+    const struct bb_counter *calls =
+        bb_counter_find("baobab_entry_calls_total", NULL);
+    uint64_t before = bb_counter_get(calls);
+    struct bench b;
+    struct client *c;
+    struct client *upstream;
+    bool is_repeat = true;
+
+    bench_open(&b);
+    bench_set_rules(&b, 1000, 2);
+    bench_announce(&b, 1, true); /* the first gate alone */
+    script_both(&b, answer_slowly);
+    c = client_open(&b);
+    upstream = client_open(&b);
+    client_send(c, UNSAFE("a1") "\r\nhi");
+    bench_run(&b, 100);
+    CU_ASSERT_EQUAL(bb_counter_get(calls), before);
+    CU_ASSERT_TRUE(bb_gate_find_running(b.gates[0], "a1", &is_repeat));
+    CU_ASSERT_FALSE(is_repeat);
+    client_send(upstream, UNSAFE("a1/x") "\r\nhi");
+    bench_run(&b, 50);
+    CU_ASSERT_EQUAL(bb_counter_get(calls), before + 1);
+    client_leave(c);
+    bench_run(&b, 100);
+    CU_ASSERT_FALSE(bb_gate_find_running(b.gates[0], "a1", &is_repeat));
+    client_close(c);
+    c = client_open(&b);
+    client_send(c, UNSAFE("a1/y") "\r\nhi");
+    bench_run(&b, 50);
+    CU_ASSERT_EQUAL(bb_counter_get(calls), before + 1);
+    client_close(c);
+    client_close(upstream);
+    bench_close(&b);
+}
+
 /* Guards against: a restarted gate that takes a late announcement of an
  * upstream that leaves for a ready one. */
 static void
@@ -619,6 +661,7 @@
     {"draining", test_draining},
     {"draining gate", test_draining_gate},
     {"forgotten connections", test_forgotten_connections},
+    {"calls of the upstream", test_calls_of_upstream},
     {"restarted gate", test_restarted_gate},
     {"pipelined requests", test_pipeline},
     {"queue", test_queue},
--- a/tests/platform/test_dialect.c
+++ b/tests/platform/test_dialect.c
@@ -233,6 +233,20 @@
     CU_ASSERT_EQUAL(u.state, BB_INSTANCE_READY);
 }
 
+/* Guards against: a client's request taken for a call of a backend. */
+static void
+test_parents(void)
+{
+    char parent[BB_DIALECT_ID_BYTES] = "";
+
+    CU_ASSERT_FALSE(platform()->read_parent("39af2354bfc82385", parent));
+    CU_ASSERT_FALSE(platform()->read_parent(".39af", parent));
+    CU_ASSERT_TRUE(platform()->read_parent("39af.4adf", parent));
+    CU_ASSERT_STRING_EQUAL(parent, "39af");
+    CU_ASSERT_TRUE(platform()->read_parent("39af.4adf.1", parent));
+    CU_ASSERT_STRING_EQUAL(parent, "39af.4adf");
+}
+
 /* Guards against: a call taken for another one. */
 static void
 test_calls(void)
@@ -264,6 +278,7 @@
     {"heartbeats", test_heartbeats},
     {"incarnations", test_incarnations},
     {"withdrawn while unknown", test_withdrawn_unknown},
+    {"parents", test_parents},
     {"calls", test_calls},
 };
 
