Raise the price of distance where no gate is in time

Cause: at the crest all gates are full, and a call left its zone or region for a queue that was 25 or 250 ms shorter.

Change: 200 ms for another zone, 500 ms for another region. While a near gate is in time nothing changes.

Test: test_load_decisions (far queues, seen failing with the old prices).

--- a/include/decide/balance.h
+++ b/include/decide/balance.h
@@ -10,8 +10,8 @@
 enum {
     /* What distance costs, as a time: a call that leaves its zone or its
      * region pays for its bytes besides the way. */
-    BB_BALANCE_ZONE_PRICE_US = 25 * 1000,
-    BB_BALANCE_REGION_PRICE_US = 250 * 1000,
+    BB_BALANCE_ZONE_PRICE_US = 200 * 1000,
+    BB_BALANCE_REGION_PRICE_US = 500 * 1000,
     /* A near gate is good enough while wait and one and a half times the
      * usual duration stay within this part of the time that is left. */
     BB_BALANCE_COMFORT_PERCENT = 90,
--- a/tests/decide/test_load_decisions.c
+++ b/tests/decide/test_load_decisions.c
@@ -473,6 +473,26 @@
     CU_ASSERT_EQUAL(pick(v, 3, S), 0);
 }
 
+/* Load: more than all gates can serve. Guards against: calls that leave their
+ * zone or region, and pay for the way, for a queue that is hardly shorter. */
+static void
+test_far_queues(void)
+{
+    struct bb_gate_view v[] = {view(BB_SAME_ZONE), view(BB_SAME_REGION),
+                               view(BB_OTHER_REGION)};
+
+    random_state = 12;
+    bb_gate_view_report(&v[0], SLOTS, 6 * SLOTS, SLOTS, SERVICE_US, 0, S);
+    bb_gate_view_report(&v[1], SLOTS, 6 * SLOTS - 4, SLOTS, SERVICE_US, 0, S);
+    bb_gate_view_report(&v[2], SLOTS, 5 * SLOTS, SLOTS, SERVICE_US, 0, S);
+    CU_ASSERT_EQUAL(pick(v, 3, S), 0);
+    bb_gate_view_report(&v[1], SLOTS, 4 * SLOTS, SLOTS, SERVICE_US, 0, S);
+    CU_ASSERT_EQUAL(pick(v, 3, S), 1);
+    bb_gate_view_report(&v[1], SLOTS, 6 * SLOTS, SLOTS, SERVICE_US, 0, S);
+    bb_gate_view_report(&v[2], SLOTS, 2 * SLOTS, SLOTS, SERVICE_US, 0, S);
+    CU_ASSERT_EQUAL(pick(v, 3, S), 2);
+}
+
 /* Load: an upstream joins. It gets a request of each entry near by at once,
  * and only one before its first answer. */
 static void
@@ -579,6 +599,7 @@
     {"ranks", test_ranks},
     {"many entries", test_many_entries},
     {"near gates", test_near},
+    {"far queues", test_far_queues},
     {"joining upstream", test_joining},
     {"failing upstream", test_failing},
     {"retry storm", test_retry_storm},
