One function each for long bodies and random bits; drop what is not used

Left over from the last read-through: gate and entry passed long bodies on by the same code, control hosts and entries each made random bits, the leader's round was set twice, peers' addresses and `may_leave_region` had no reader that needed them.

Traced: after a loss at 360 ms of idling the limit of 180 ms let a second one happen, so the number of losses depended on which upstream was asked. After a loss only connections that were idle for less than 50 ms are used for ten seconds; the bound of the test stays.

--- a/common/random.c
+++ b/common/random.c
@@ -69,3 +69,10 @@
     }
     return seed;
 }
+
+/* Returns random bits that need no seed to be repeated. */
+uint64_t
+bb_random_bits(void)
+{
+    return (uint64_t)g_random_int() << WORD_BITS | g_random_int();
+}
--- a/decide/balance.c
+++ b/decide/balance.c
@@ -146,11 +146,9 @@
 
 /* Returns whether a gate may be chosen. */
 static bool
-is_usable(const struct bb_gate_view *v, const struct bb_balance_request *r,
-          uint64_t now_us)
+is_usable(const struct bb_gate_view *v, uint64_t now_us)
 {
-    return v->is_ready && v->slots > 0 && now_us >= v->suspended_until_us &&
-           (r->may_leave_region || v->distance != BB_OTHER_REGION);
+    return v->is_ready && v->slots > 0 && now_us >= v->suspended_until_us;
 }
 
 /* Returns whether a gate can be expected to answer well in time. */
@@ -202,7 +200,7 @@
         uint64_t cost_us;
         uint32_t tier;
 
-        if (!is_usable(views[i], r, now_us)) {
+        if (!is_usable(views[i], now_us)) {
             continue;
         }
         tier = tier_of(views[i], r, now_us);
--- a/decide/quorum.c
+++ b/decide/quorum.c
@@ -423,9 +423,6 @@
     q->leader = m->from;
     q->leader_heard_us = now_us;
     q->leader_is_confirmed = m->is_confirmed;
-    q->append_round = m->round > q->append_round || q->append_round == 0
-                          ? m->round
-                          : q->append_round;
     if (m->entry.term == m->term &&
         compare_entries(&m->entry, &q->d.entry) > 0) {
         q->d.entry = m->entry;
--- a/fleet/core.c
+++ b/fleet/core.c
@@ -21,13 +21,6 @@
 static void run_timer(uv_timer_t *t);
 static void end_write(void *context, bool is_written);
 
-/* Returns fresh random bits. */
-uint64_t
-core_random(void)
-{
-    return ((uint64_t)g_random_int() << 32) | g_random_int();
-}
-
 /* Copies the known control hosts into the stored form. */
 static void
 list_known(struct bb_core *c, fleet_stored *s, fleet_host *list)
@@ -303,7 +296,7 @@
         c->store_retry_us = 0;
     }
     if (now_us >= bb_quorum_due_us(&c->quorum)) {
-        bb_quorum_tick(&c->quorum, now_us, core_random(), &out);
+        bb_quorum_tick(&c->quorum, now_us, bb_random_bits(), &out);
     }
     core_apply(c, &out);
     if (now_us >= c->plan_due_us) {
@@ -330,7 +323,7 @@
 static void
 restore(struct bb_core *c, const fleet_stored *s, bool has_state)
 {
-    struct bb_quorum_durable d = {.disk = core_random() | 1};
+    struct bb_quorum_durable d = {.disk = bb_random_bits() | 1};
     uint64_t now_us = bb_clock_now_us();
 
     if (has_state) {
@@ -360,7 +353,7 @@
     }
     c->self.disk = d.disk;
     c->self.is_empty = d.entry.index == 0;
-    bb_quorum_init(&c->quorum, &d, now_us, core_random());
+    bb_quorum_init(&c->quorum, &d, now_us, bb_random_bits());
     if (!has_state) {
         /* The identity must be durable before others count on it. */
         c->quorum.write_sequence++;
--- a/fleet/core_internal.h
+++ b/fleet/core_internal.h
@@ -86,12 +86,10 @@
     GQueue reads;
     struct core_order *in_flight;
     uint64_t in_flight_content;
-    GBytes *stored_pack_source; /* whose compressed form is kept */
     fleet_content stored_pack;
 };
 
 /* core.c */
-uint64_t core_random(void);
 void core_apply(struct bb_core *c, struct bb_quorum_output *out);
 void core_schedule(struct bb_core *c);
 void core_publish(struct bb_core *c);
--- a/fleet/core_peers.c
+++ b/fleet/core_peers.c
@@ -6,6 +6,7 @@
 #include "common/clock.h"
 #include "common/counters.h"
 #include "common/log.h"
+#include "common/random.h"
 
 BB_GAUGE(nodes_gauge, "baobab_core_nodes", "Nodes connected to this host");
 BB_GAUGE(hosts_gauge, "baobab_core_hosts",
@@ -180,7 +181,7 @@
             p->dial_at_us = now_us;
             bb_log_info("core.host_lost", "%s", p->at.ip);
             bb_quorum_lost_leader(&c->quorum, p->host->disk, now_us,
-                                  core_random());
+                                  bb_random_bits());
         }
     }
     core_update_peers(c);
@@ -494,7 +495,8 @@
             return;
         }
     }
-    bb_quorum_receive(&c->quorum, &m, bb_clock_now_us(), core_random(), &out);
+    bb_quorum_receive(&c->quorum, &m, bb_clock_now_us(), bb_random_bits(),
+                      &out);
     if (q->kind == BB_QUORUM_APPEND_ANSWER && m.is_ok &&
         m.entry.term == c->quorum.d.entry.term &&
         m.entry.index == c->quorum.d.entry.index) {
--- a/include/common/random.h
+++ b/include/common/random.h
@@ -12,5 +12,6 @@
 uint64_t bb_random_u64(struct bb_random *r);
 uint64_t bb_random_below(struct bb_random *r, uint64_t bound);
 uint64_t bb_random_system_seed(void);
+uint64_t bb_random_bits(void);
 
 #endif
--- a/include/decide/balance.h
+++ b/include/decide/balance.h
@@ -73,7 +73,6 @@
 };
 
 struct bb_balance_request {
-    bool may_leave_region;
     uint32_t class_index;
     uint64_t aim_left_us; /* until the answer is worth less */
 };
--- a/include/net/http_server.h
+++ b/include/net/http_server.h
@@ -82,7 +82,6 @@
 void bb_exchange_answer(struct bb_exchange *x, uint32_t status,
                         const GString *fields, const char *body,
                         size_t size_bytes);
-const char *bb_exchange_peer_ip(const struct bb_exchange *x);
 size_t bb_exchange_queued_bytes(const struct bb_exchange *x);
 /* Backpressure on a long request body. */
 void bb_exchange_pause(struct bb_exchange *x);
--- a/include/net/stream.h
+++ b/include/net/stream.h
@@ -54,7 +54,6 @@
                       const struct bb_stream_events *events, void *context);
 void bb_stream_write(struct bb_stream *s, const void *data, size_t size_bytes);
 size_t bb_stream_queued_bytes(const struct bb_stream *s);
-void bb_stream_peer_ip(const struct bb_stream *s, char *ip, size_t size_bytes);
 void bb_stream_watch(struct bb_stream *s, bool is_watched);
 void bb_stream_pause(struct bb_stream *s);
 void bb_stream_resume(struct bb_stream *s);
--- a/net/fetch.c
+++ b/net/fetch.c
@@ -11,13 +11,13 @@
     /* Share of a peer's stated idle timeout within which its connection is
      * used again: the rest covers the way of a close that crosses. */
     KEEP_ALIVE_PERCENT = 70,
-    /* A kept connection that was lost shows that the peer forgets idle ones
-     * sooner than it says: for some time only those are used that were idle
-     * for a smaller part of that. */
-    LOST_IDLE_PERCENT = 50,
-    /* A loss after less than this has other causes: a peer that is full or
-     * ends. */
+    /* A kept connection that is lost after so much idling shows that the peer
+     * forgets idle ones sooner than it says. A loss after less has other
+     * causes: a peer that is full or ends. */
     LOST_IDLE_LEAST_MS = 100,
+    /* Then only those are used that were idle for less than this, for a time.
+     */
+    LOST_IDLE_LIMIT_MS = 50,
     LOST_IDLE_HOLD_MS = 10000,
     MS_PER_S = 1000
 };
@@ -35,8 +35,7 @@
 struct target {
     struct bb_address address;
     struct link *idle;
-    uint64_t idle_limit_us; /* learned from lost connections, 0: none */
-    uint64_t idle_limit_until_us;
+    uint64_t forgets_until_us; /* the peer forgets idle connections */
 };
 
 struct bb_pool {
@@ -175,10 +174,7 @@
 static void
 note_lost_idle(struct link *l)
 {
-    struct target *t = l->target;
-
-    t->idle_limit_us = l->idle_us * LOST_IDLE_PERCENT / 100;
-    t->idle_limit_until_us =
+    l->target->forgets_until_us =
         bb_clock_now_us() + (uint64_t)LOST_IDLE_HOLD_MS * BB_US_PER_MS;
     bb_counter_add(&lost_idle_total, 1);
 }
@@ -400,8 +396,9 @@
                           ? (uint64_t)r->idle_max_ms * BB_US_PER_MS
                           : UINT64_MAX;
 
-    return now_us < t->idle_limit_until_us ? MIN(max_us, t->idle_limit_us)
-                                           : max_us;
+    return now_us < t->forgets_until_us
+               ? MIN(max_us, (uint64_t)LOST_IDLE_LIMIT_MS * BB_US_PER_MS)
+               : max_us;
 }
 
 /* Takes the kept connection that was used last, if it may still be used. */
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -48,7 +48,6 @@
     bool is_waiting; /* parsing stopped until an exchange ends */
     bool is_feeding;
     bool is_closed;
-    char peer_ip[INET6_ADDRSTRLEN];
 };
 
 static void read_on(struct bb_server_connection *c);
@@ -477,7 +476,6 @@
     }
     s->connections = c;
     bb_stream_attach(stream, &stream_events, c);
-    bb_stream_peer_ip(stream, c->peer_ip, sizeof(c->peer_ip));
     set_timer(c);
 }
 
@@ -632,13 +630,6 @@
     bb_exchange_end(x);
 }
 
-/* Returns the address from which a request came. */
-const char *
-bb_exchange_peer_ip(const struct bb_exchange *x)
-{
-    return x->connection->peer_ip;
-}
-
 /* Returns how many bytes of answers wait for the socket. */
 size_t
 bb_exchange_queued_bytes(const struct bb_exchange *x)
--- a/net/stream.c
+++ b/net/stream.c
@@ -296,21 +296,6 @@
     }
 }
 
-/* Writes the peer's address as text, or an empty text if it is gone. */
-void
-bb_stream_peer_ip(const struct bb_stream *s, char *ip, size_t size_bytes)
-{
-    struct sockaddr_storage from;
-    int size = sizeof(from);
-    struct bb_address a;
-
-    ip[0] = '\0';
-    if (uv_tcp_getpeername(&s->tcp, (struct sockaddr *)&from, &size) == 0 &&
-        bb_address_from_sockaddr(&from, &a)) {
-        g_strlcpy(ip, a.ip, size_bytes);
-    }
-}
-
 /* Stops reading until bb_stream_resume, so that the peer has to wait. */
 void
 bb_stream_pause(struct bb_stream *s)
--- a/path/attempt.c
+++ b/path/attempt.c
@@ -5,6 +5,7 @@
 
 #include "common/clock.h"
 #include "common/counters.h"
+#include "common/random.h"
 #include "entry_internal.h"
 #include "path/gate.h"
 
@@ -71,26 +72,18 @@
     }
 }
 
-/* Returns fresh random bits. */
-static uint64_t
-random_bits(void)
-{
-    return ((uint64_t)g_random_int() << 32) | g_random_int();
-}
-
 /* Chooses the next gate, and how long the request may wait there. */
 static struct bb_gate_entry *
 choose_gate(struct call *c, uint64_t *wait_max_us, uint64_t now_us)
 {
     struct candidates l;
     struct bb_balance_request r = {
-        .may_leave_region = true,
         .class_index = c->rule->class_index,
         .aim_left_us = c->aim_us > now_us ? c->aim_us - now_us : 0};
     struct bb_balance_offer o;
 
     list_candidates(c, &l, now_us);
-    o = bb_balance_offer(l.views, l.has_refused, l.count, &r, random_bits(),
+    o = bb_balance_offer(l.views, l.has_refused, l.count, &r, bb_random_bits(),
                          now_us);
     *wait_max_us = o.wait_max_us;
     return o.gate >= 0 ? l.gates[o.gate] : NULL;
@@ -328,7 +321,7 @@
     }
     ms = CLAMP(best_us / BB_US_PER_MS, (uint64_t)BB_ENTRY_RETRY_MIN_MS,
                (uint64_t)BB_ENTRY_RETRY_MAX_MS);
-    return (uint32_t)(ms + random_bits() % (ms / 2 + 1));
+    return (uint32_t)(ms + bb_random_bits() % (ms / 2 + 1));
 }
 
 /* Keeps a failure of an upstream while another try is made. */
@@ -516,31 +509,8 @@
 void
 call_send_more(struct call *c)
 {
-    struct bb_exchange *x = c->exchange;
-    struct bb_fetch *f = c->attempts_now[0].fetch;
-    bool is_last = x->is_body_complete;
-
-    if (f == NULL) {
-        return;
-    }
-    if (c->is_chunked) {
-        GString *framed = g_string_new(NULL);
-
-        if (x->body->len > 0) {
-            bb_forward_chunk(x->body->str, x->body->len, framed);
-        }
-        if (is_last) {
-            bb_forward_chunk(NULL, 0, framed);
-        }
-        bb_fetch_send_body(f, framed->str, framed->len, is_last);
-        g_string_free(framed, TRUE);
-    }
-    else {
-        bb_fetch_send_body(f, x->body->str, x->body->len, is_last);
-    }
-    g_string_truncate(x->body, 0);
-    if (bb_fetch_queued_bytes(f) > BB_STREAM_HIGH_WATER_BYTES) {
-        bb_exchange_pause(x);
+    if (c->attempts_now[0].fetch != NULL) {
+        bb_forward_body(c->exchange, c->attempts_now[0].fetch, c->is_chunked);
     }
 }
 
--- a/path/gate.c
+++ b/path/gate.c
@@ -282,34 +282,6 @@
     run_queue(g);
 }
 
-/* Sends what has arrived of a long request body. */
-static void
-send_more(struct job *j)
-{
-    struct bb_exchange *x = j->exchange;
-    GString *framed = NULL;
-    bool is_last = x->is_body_complete;
-
-    if (j->is_chunked) {
-        framed = g_string_new(NULL);
-        if (x->body->len > 0) {
-            bb_forward_chunk(x->body->str, x->body->len, framed);
-        }
-        if (is_last) {
-            bb_forward_chunk(NULL, 0, framed);
-        }
-        bb_fetch_send_body(j->fetch, framed->str, framed->len, is_last);
-        g_string_free(framed, TRUE);
-    }
-    else {
-        bb_fetch_send_body(j->fetch, x->body->str, x->body->len, is_last);
-    }
-    g_string_truncate(x->body, 0);
-    if (bb_fetch_queued_bytes(j->fetch) > BB_STREAM_HIGH_WATER_BYTES) {
-        bb_exchange_pause(x);
-    }
-}
-
 static void
 take_drained(void *context)
 {
@@ -379,7 +351,7 @@
         return;
     }
     if (j->is_chunked) {
-        send_more(j);
+        bb_forward_body(j->exchange, j->fetch, j->is_chunked);
     }
     else if (!x->is_body_complete) {
         g_string_truncate(x->body, 0);
@@ -538,7 +510,7 @@
 
     (void)context;
     if (j != NULL && j->fetch != NULL) {
-        send_more(j);
+        bb_forward_body(j->exchange, j->fetch, j->is_chunked);
     }
 }
 
--- a/path/relay.c
+++ b/path/relay.c
@@ -113,6 +113,34 @@
     g_string_append(out, "\r\n");
 }
 
+/* Sends what has arrived of a long request body, and lets its sender wait
+ * while much of it is queued. */
+void
+bb_forward_body(struct bb_exchange *x, struct bb_fetch *f, bool is_chunked)
+{
+    bool is_last = x->is_body_complete;
+
+    if (is_chunked) {
+        GString *framed = g_string_new(NULL);
+
+        if (x->body->len > 0) {
+            bb_forward_chunk(x->body->str, x->body->len, framed);
+        }
+        if (is_last) {
+            bb_forward_chunk(NULL, 0, framed);
+        }
+        bb_fetch_send_body(f, framed->str, framed->len, is_last);
+        g_string_free(framed, TRUE);
+    }
+    else {
+        bb_fetch_send_body(f, x->body->str, x->body->len, is_last);
+    }
+    g_string_truncate(x->body, 0);
+    if (bb_fetch_queued_bytes(f) > BB_STREAM_HIGH_WATER_BYTES) {
+        bb_exchange_pause(x);
+    }
+}
+
 /* Takes the head of an answer. */
 void
 bb_relay_take_head(struct bb_relay *r, const struct bb_head *h,
--- a/tests/decide/test_load_decisions.c
+++ b/tests/decide/test_load_decisions.c
@@ -276,8 +276,7 @@
 pick(const struct bb_gate_view *views, uint32_t n, uint64_t now_us)
 {
     const struct bb_gate_view *list[8];
-    struct bb_balance_request r = {.may_leave_region = true,
-                                   .aim_left_us = AIM_US};
+    struct bb_balance_request r = {.aim_left_us = AIM_US};
 
     for (uint32_t i = 0; i < n; i++) {
         list[i] = &views[i];
