Keep callers' patience by route, and a quarter of the aim in any case

An entry takes a caller with less time left than others had for one that comes again, and shortens its aim by the difference. Since routes of one policy share a class, the longest time was shared with routes whose callers wait longer: the aim was over on arrival (-12 us in the gate's line), and such a request waits for nothing.

Change: the longest time is kept by the route's name; the aim keeps at least a quarter, since callers of one route may differ as well.

Test: test_path (short patience, seen failing without the quarter).

--- a/include/path/rules.h
+++ b/include/path/rules.h
@@ -33,7 +33,8 @@
     uint32_t aim_ms;
     uint32_t rank; /* 0: most urgent */
     uint32_t attempts;
-    uint32_t class_index; /* gates learn how long a class runs */
+    uint32_t class_index;   /* gates learn how long a class runs */
+    uint32_t callers_index; /* entries learn how long callers wait */
     uint32_t part_count;
     uint64_t weight_sum;
     struct bb_part *parts;
--- a/path/entry.c
+++ b/path/entry.c
@@ -19,6 +19,9 @@
      * make the share that is slower one in so many. */
     SLOW_STEP = 100,
     SLOW_PARTS = 20,
+    /* Left of the aim of a caller that seems to have come before: it may also
+     * be one that waits less long than others on its route. */
+    LEAST_AIM_PERCENT = 25,
     /* No hedge before this part of the aim: the answer is in time anyway. */
     HEDGE_AIM_PERCENT = 35
 };
@@ -348,7 +351,7 @@
     const struct bb_dialect_fields *names =
         &c->entry->settings.dialect->fields;
     uint64_t from_us = c->exchange->arrived_us;
-    uint64_t *patience_us = &c->entry->patience_us[c->rule->class_index];
+    uint64_t *patience_us = &c->entry->patience_us[c->rule->callers_index];
     uint64_t left_ms = BB_ENTRY_DEADLINE_MS;
     uint64_t left_us;
     uint64_t aim_us = (uint64_t)c->rule->aim_ms * BB_US_PER_MS;
@@ -357,7 +360,8 @@
     left_us = MIN(left_ms, (uint64_t)BB_ENTRY_DEADLINE_MS) * BB_US_PER_MS;
     *patience_us = MAX(*patience_us, left_us);
     if (!c->is_nested) {
-        aim_us -= MIN(aim_us, *patience_us - left_us);
+        aim_us = MAX(aim_us - MIN(aim_us, *patience_us - left_us),
+                     aim_us * LEAST_AIM_PERCENT / PERCENT);
     }
     c->deadline_us =
         from_us + MIN(left_us, (uint64_t)c->rule->timeout_ms * BB_US_PER_MS);
--- a/path/rules.c
+++ b/path/rules.c
@@ -56,6 +56,9 @@
     rule->host = g_ascii_strdown(host, -1);
     rule->prefix = g_strdup(prefix);
     rule->attempts = 1;
+    /* Callers of two routes under one policy may wait for different times. */
+    rule->callers_index =
+        (uint32_t)(bb_hash64(name, strlen(name), 0) % BB_RULES_CLASSES);
     g_ptr_array_add(r->rules, rule);
     return rule;
 }
--- a/tests/path/test_path.c
+++ b/tests/path/test_path.c
@@ -400,6 +400,15 @@
     bench_close(&b);
 }
 
+static struct script
+answer_late(struct upstream *u, uint32_t number, const struct bb_head *h)
+{
+    (void)u;
+    (void)number;
+    (void)h;
+    return (struct script){.text = good_answer, .delay_ms = 150};
+}
+
 /* Guards against: callers taken for the upstream of their host, whose address
  * they share, and so let wait longer than their answer is worth; an id that
  * only looks like that of a call. */
@@ -441,6 +450,36 @@
     bench_close(&b);
 }
 
+/* Guards against: a caller that waits less long than others on its route being
+ * taken for one that comes again late, and refused where a short wait would do
+ * (CONFIG, adinkra-proofs scale-1 --seed 957733797976). */
+static void
+test_short_patience(void)
+{
+    struct bench b;
+    struct client *c;
+
+    bench_open(&b);
+    bench_set_rules(&b, 1000, 2);
+    bench_announce(&b, 1, true); /* the first gate alone, two slots */
+    c = client_open(&b);
+    for (uint32_t i = 0; i < 30; i++) {
+        client_send(c, SAFE("p") "T-Deadline: 9000\r\n\r\n");
+        bench_run(&b, 5);
+    }
+    CU_ASSERT_EQUAL(client_count(c, "body"), 30);
+    client_close(c);
+    script_both(&b, answer_late);
+    c = client_open(&b);
+    for (uint32_t i = 0; i < 4; i++) {
+        client_send(c, SAFE("q") "T-Deadline: 900\r\n\r\n");
+    }
+    bench_run(&b, 600);
+    CU_ASSERT_EQUAL(client_count(c, "body"), 4);
+    client_close(c);
+    bench_close(&b);
+}
+
 /* Guards against: a restarted gate that takes a late announcement of an
  * upstream that leaves for a ready one. */
 static void
@@ -662,6 +701,7 @@
     {"draining gate", test_draining_gate},
     {"forgotten connections", test_forgotten_connections},
     {"calls of the upstream", test_calls_of_upstream},
+    {"short patience", test_short_patience},
     {"restarted gate", test_restarted_gate},
     {"pipelined requests", test_pipeline},
     {"queue", test_queue},
