--- a/decide/balance.c
+++ b/decide/balance.c
@@ -76,12 +76,12 @@
     return n < v->slots ? 0 : (n - v->slots + 1) * service_us / v->slots;
 }
 
-/* Returns whether a gate may get the second send of a slow request: one near
- * by that has room to spare, so that it takes no slot from others. */
+/* Returns whether a gate may get the second send of a slow request: one of the
+ * own region that has room to spare, so that it takes no slot from others. */
 bool
 bb_balance_may_hedge(const struct bb_gate_view *v, uint64_t now_us)
 {
-    return v->distance <= BB_SAME_ZONE &&
+    return v->distance <= BB_SAME_REGION &&
            held(v, now_us) * PERCENT <=
                v->slots * (uint32_t)BB_BALANCE_HEDGE_USED_PERCENT;
 }
--- a/tests/decide/test_load_decisions.c
+++ b/tests/decide/test_load_decisions.c
@@ -532,6 +532,23 @@
     CU_ASSERT_TRUE(pick(v, 6, S) >= 3);
 }
 
+/* Load: light, with one slow upstream, and then the crest. Guards against: no
+ * second send in a region with one gate a zone; second sends that take slots
+ * from others, or cross the link. */
+static void
+test_hedges(void)
+{
+    struct bb_gate_view near = view(BB_SAME_REGION);
+    struct bb_gate_view far = view(BB_OTHER_REGION);
+
+    bb_gate_view_report(&near, SLOTS / 2, 0, SLOTS, SERVICE_US, 0, S);
+    bb_gate_view_report(&far, 0, 0, SLOTS, SERVICE_US, 0, S);
+    CU_ASSERT_TRUE(bb_balance_may_hedge(&near, S));
+    CU_ASSERT_FALSE(bb_balance_may_hedge(&far, S));
+    bb_gate_view_report(&near, SLOTS - 1, 0, SLOTS, SERVICE_US, 0, S);
+    CU_ASSERT_FALSE(bb_balance_may_hedge(&near, S));
+}
+
 /* Load: an upstream fails and recovers. It is left out while it fails, and
  * tried again although nobody reports that it is well. */
 static void
@@ -716,6 +733,7 @@
     {"far queues", test_far_queues},
     {"joining upstream", test_joining},
     {"many unknown gates", test_many_unknown},
+    {"hedges", test_hedges},
     {"failing upstream", test_failing},
     {"retry storm", test_retry_storm},
     {"calls of repeats", test_calls_of_repeats},
