Drop what is written twice or never used in the programs of the platform

Written twice: both programs on the loop had the same nine rows of settings, now BB_HOST_SETTING_ROWS beside the frame that uses them. The order of announcements stood in the table and in the agent, now bb_instance_is_newer. The line about dropped log lines was formatted by hand beside bb_event_append. Two branches of the control host's spreading did the same. The flags between entry and gate were letters on one side and constants on the other. Two tests of announcements shared a literal.

Never used: the agent's merge of its own record since that record is found by its address, a struct around the credits of a split route, zone and region of the gate, the address of a pool's target, a role's name.

Work done twice: the configuration of an update was copied once more after it was decoded.

tests/docs/test_events.sh looked for log lines that are written by hand and ended without a word once there was none; it still looks for them.

--- a/common/event_log.c
+++ b/common/event_log.c
@@ -12,7 +12,6 @@
 
 enum {
     PERCENT = 100,
-    LINE_BYTES = 256,
     /* A pipe that polls writable takes so much without blocking. */
     PIECE_BYTES = 4096
 };
@@ -161,21 +160,18 @@
 static void
 report_dropped(void)
 {
-    char line[LINE_BYTES];
-    int n;
+    GString *line;
 
     if (events.dropped == events.reported ||
         events.used > BB_EVENTS_RING_BYTES / 2) {
         return;
     }
-    n = g_snprintf(line, sizeof(line),
-                   "{\"time_ms\":%" G_GUINT64_FORMAT
-                   ",\"host\":\"%s\",\"event\":\"log.dropped\",\"lines\":"
-                   "%" G_GUINT64_FORMAT "}\n",
-                   bb_clock_wall_us() / BB_US_PER_MS, events.host,
-                   events.dropped - events.reported);
+    line = g_string_new(NULL);
+    bb_event_append(line, "log.dropped", NULL, "\"lines\":%" G_GUINT64_FORMAT,
+                    events.dropped - events.reported);
     events.reported = events.dropped;
-    copy_in(line, (size_t)n);
+    copy_in(line->str, line->len);
+    g_string_free(line, TRUE);
 }
 
 /* Writes what the descriptor takes without waiting. Returns whether lines are
--- a/common/histogram.c
+++ b/common/histogram.c
@@ -39,8 +39,8 @@
 }
 
 /* Returns how many durations were counted. */
-uint64_t
-bb_histogram_count(const struct bb_histogram *h)
+static uint64_t
+count_of(const struct bb_histogram *h)
 {
     uint64_t count = 0;
 
@@ -95,8 +95,8 @@
                                         (double)bounds_us[i] / BB_US_PER_S),
                          (double)sum);
         }
-        write_sample(out, h, "_bucket", "+Inf", (double)bb_histogram_count(h));
+        write_sample(out, h, "_bucket", "+Inf", (double)count_of(h));
         write_sample(out, h, "_sum", NULL, (double)h->sum_us / BB_US_PER_S);
-        write_sample(out, h, "_count", NULL, (double)bb_histogram_count(h));
+        write_sample(out, h, "_count", NULL, (double)count_of(h));
     }
 }
--- a/cored/main.c
+++ b/cored/main.c
@@ -210,7 +210,7 @@
     struct cored *d = context;
     struct bb_address_list seeds = {0};
 
-    if (bb_host_read_seeds(d->settings.live_file, &seeds)) {
+    if (bb_host_read_seeds(d->settings.common.live_file, &seeds)) {
         bb_core_set_seeds(d->core, &seeds);
     }
 }
@@ -225,25 +225,25 @@
     const struct core_settings *s = &d->settings;
     uv_loop_t *loop = bb_host_loop(d->host);
     struct bb_core_settings core = {
-        .ip = s->ip,
+        .ip = s->common.ip,
         .operators = s->operators,
-        .zone = s->zone,
-        .region = s->region,
+        .zone = s->common.zone,
+        .region = s->common.region,
         .data_folder = s->data_folder,
-        .seeds = s->seeds,
+        .seeds = s->common.seeds,
         .may_form = strcmp(s->first_start, "true") == 0,
         .voters = bb_voters_target((uint32_t)s->lost_hosts,
                                    (uint32_t)s->lost_zones)};
 
-    g_strlcpy(core.peers.ip, s->ip, sizeof(core.peers.ip));
-    core.peers.port = (uint16_t)s->control_port;
+    g_strlcpy(core.peers.ip, s->common.ip, sizeof(core.peers.ip));
+    core.peers.port = (uint16_t)s->common.control_port;
     d->core = bb_core_create(loop, &core, e);
     if (d->core == NULL) {
         return false;
     }
     d->operators = bb_server_create(loop, &s->operators, &handler, d, e);
     return d->operators != NULL &&
-           bb_host_serve_metrics(d->host, &s->metrics, e);
+           bb_host_serve_metrics(d->host, &s->common.metrics, e);
 }
 
 int
@@ -262,15 +262,16 @@
     case BB_SETTINGS_RUN:
         break;
     }
-    d.dialect = bb_registry_find(BB_PLUGIN_DIALECT, d.settings.dialect);
+    d.dialect = bb_registry_find(BB_PLUGIN_DIALECT, d.settings.common.dialect);
     if (d.dialect == NULL) {
         (void)fprintf(stderr, "baobab-core: there is no dialect %s\n",
-                      d.settings.dialect);
+                      d.settings.common.dialect);
         return BB_EXIT_USAGE;
     }
     /* The store writes one file at a time. */
     (void)g_setenv("UV_THREADPOOL_SIZE", "1", TRUE);
-    d.host = bb_host_create("baobab-core", d.settings.host, &host_events, &d);
+    d.host = bb_host_create("baobab-core", d.settings.common.host,
+                            &host_events, &d);
     (void)uv_timer_init(bb_host_loop(d.host), &d.stop_timer);
     d.stop_timer.data = &d;
     if (!open_all(&d, &e)) {
--- a/decide/gate_queue.c
+++ b/decide/gate_queue.c
@@ -67,21 +67,16 @@
     return a_in_time ? a->aim_us < b->aim_us : a->deadline_us < b->deadline_us;
 }
 
-/* Estimates how long a request would wait, from those that go before it. */
-uint64_t
-bb_gate_queue_wait_us(const struct bb_gate_queue *q,
-                      const struct bb_gate_request *r, uint64_t now_us)
+/* Estimates how long a request would wait while all slots are taken, from
+ * those that go before it. */
+static uint64_t
+expected_wait_us(const struct bb_gate_queue *q,
+                 const struct bb_gate_request *r, uint64_t now_us)
 {
     uint64_t ahead = 0;
 
-    if (q->slots == 0) {
-        return UINT64_MAX;
-    }
-    if (q->running < q->slots) {
-        return 0;
-    }
     for (uint32_t i = 0; i < q->queued; i++) {
-        ahead += r == NULL || !goes_before(q, r, &q->queue[i], now_us);
+        ahead += !goes_before(q, r, &q->queue[i], now_us);
     }
     return (ahead + 1) * q->mean_us / q->slots;
 }
@@ -124,7 +119,7 @@
         q->running++;
         return BB_GATE_RUN;
     }
-    wait_us = bb_gate_queue_wait_us(q, r, now_us);
+    wait_us = expected_wait_us(q, r, now_us);
     if (wait_us > wait_max_us || q->queued == BB_GATE_QUEUE_MAX ||
         !is_worth_waiting(q, r, wait_us, now_us)) {
         return BB_GATE_REFUSE;
--- a/decide/quorum.c
+++ b/decide/quorum.c
@@ -313,7 +313,7 @@
         return;
     }
     q->leader = 0;
-    if (!bb_quorum_is_voter(q)) {
+    if (!lists(&q->d.entry, q->d.disk)) {
         delay_election(q, now_us, random_bits);
         return;
     }
@@ -654,13 +654,6 @@
     return count >= majority(q);
 }
 
-/* Returns whether the own disk has a vote. */
-bool
-bb_quorum_is_voter(const struct bb_quorum *q)
-{
-    return lists(&q->d.entry, q->d.disk);
-}
-
 /* Returns whether a leader with a majority was heard lately. */
 bool
 bb_quorum_is_in_touch(const struct bb_quorum *q, uint64_t now_us)
@@ -680,13 +673,3 @@
     return q->role == BB_QUORUM_LEADER ? q->heartbeat_due_us
                                        : q->election_due_us;
 }
-
-/* Returns the name of a role for status and logs. */
-const char *
-bb_quorum_role_name(enum bb_quorum_role role)
-{
-    static const char *const names[] = {"follower", "pre_candidate",
-                                        "candidate", "leader"};
-
-    return names[role];
-}
--- a/fleet/agent.c
+++ b/fleet/agent.c
@@ -232,11 +232,7 @@
 {
     fleet_message m = {.kind = FLEET_INSTANCES};
 
-    if (a->own == NULL) {
-        return;
-    }
-    (void)bb_instances_merge(a->instances, a->own);
-    if (a->frames == NULL || !a->is_introduced) {
+    if (a->own == NULL || a->frames == NULL || !a->is_introduced) {
         return;
     }
     m.fleet_message_u.instances.instances_val = a->own;
@@ -330,7 +326,9 @@
                 "version %" G_GUINT64_FORMAT " index %" G_GUINT64_FORMAT
                 " from %s",
                 a->version, a->revision, a->connected_to.ip);
-    config = g_bytes_new(s.config.config_val, s.config.config_len);
+    config = g_bytes_new_take(s.config.config_val, s.config.config_len);
+    s.config.config_val = NULL;
+    s.config.config_len = 0;
     bb_state_clear(&s);
     if (g_bytes_get_size(config) > 0) {
         a->events->in_force(a->context, a->version, config);
@@ -343,13 +341,11 @@
 static void
 take_own(struct bb_agent *a, const fleet_instance *r)
 {
-    if (r->epoch < a->epoch ||
-        (r->epoch == a->epoch && r->sequence <= a->sequence)) {
-        return;
+    if (bb_instance_is_newer(r, a->epoch, a->sequence)) {
+        a->epoch = r->epoch + 1;
+        renew_own(a);
+        send_own(a);
     }
-    a->epoch = r->epoch + 1;
-    renew_own(a);
-    send_own(a);
 }
 
 /* Takes announcements. The first ones of a connection are all that the
--- a/fleet/core_peers.c
+++ b/fleet/core_peers.c
@@ -630,14 +630,11 @@
     out.fleet_message_u.instances.instances_len = n;
     for (guint i = 0; n > 0 && i < c->links->len; i++) {
         struct core_link *l = g_ptr_array_index(c->links, i);
-        bool is_way_out = l->kind == CORE_LINK_NODE ||
-                          (l->kind == CORE_LINK_CONTROL && l->peer != NULL &&
-                           l == peer_link(l->peer));
+        /* One of the two connections to each other control host. */
+        bool is_to_peer = l->kind == CORE_LINK_CONTROL && l->peer != NULL &&
+                          l->peer != from->peer && l == peer_link(l->peer);
 
-        if (l != from && is_way_out && l->peer != from->peer) {
-            (void)bb_frames_send(l->frames, &out);
-        }
-        else if (l != from && l->kind == CORE_LINK_NODE) {
+        if (l != from && (l->kind == CORE_LINK_NODE || is_to_peer)) {
             (void)bb_frames_send(l->frames, &out);
         }
     }
--- a/fleet/instances.c
+++ b/fleet/instances.c
@@ -61,6 +61,14 @@
     }
 }
 
+/* Returns whether a record is newer than one with these numbers. */
+bool
+bb_instance_is_newer(const fleet_instance *i, uint64_t epoch,
+                     uint64_t sequence)
+{
+    return i->epoch > epoch || (i->epoch == epoch && i->sequence > sequence);
+}
+
 /* Takes a record if it is newer than the one in the table. Returns whether
  * the table changed. */
 bool
@@ -69,9 +77,7 @@
     const fleet_instance *old = g_hash_table_lookup(t->by_gate, i->gate);
     fleet_instance *copy;
 
-    if (old != NULL &&
-        (i->epoch < old->epoch ||
-         (i->epoch == old->epoch && i->sequence <= old->sequence))) {
+    if (old != NULL && !bb_instance_is_newer(i, old->epoch, old->sequence)) {
         return false;
     }
     copy = bb_instance_copy(i);
--- a/include/common/histogram.h
+++ b/include/common/histogram.h
@@ -19,7 +19,6 @@
 
 void bb_histogram_register(struct bb_histogram *h);
 void bb_histogram_add(struct bb_histogram *h, uint64_t duration_us);
-uint64_t bb_histogram_count(const struct bb_histogram *h);
 void bb_histograms_write(GString *out);
 
 /* Defines and registers a histogram. */
--- a/include/decide/gate_queue.h
+++ b/include/decide/gate_queue.h
@@ -50,9 +50,6 @@
 
 void bb_gate_queue_init(struct bb_gate_queue *q, uint32_t slots);
 void bb_gate_queue_set_slots(struct bb_gate_queue *q, uint32_t slots);
-uint64_t bb_gate_queue_wait_us(const struct bb_gate_queue *q,
-                               const struct bb_gate_request *r,
-                               uint64_t now_us);
 enum bb_gate_verdict bb_gate_queue_arrive(struct bb_gate_queue *q,
                                           const struct bb_gate_request *r,
                                           uint64_t wait_max_us,
--- a/include/decide/quorum.h
+++ b/include/decide/quorum.h
@@ -164,9 +164,7 @@
                         struct bb_quorum_output *out);
 bool bb_quorum_is_round_confirmed(const struct bb_quorum *q, uint64_t round);
 bool bb_quorum_can_propose(const struct bb_quorum *q);
-bool bb_quorum_is_voter(const struct bb_quorum *q);
 bool bb_quorum_is_in_touch(const struct bb_quorum *q, uint64_t now_us);
 uint64_t bb_quorum_due_us(const struct bb_quorum *q);
-const char *bb_quorum_role_name(enum bb_quorum_role role);
 
 #endif
--- a/include/fleet/instances.h
+++ b/include/fleet/instances.h
@@ -24,6 +24,8 @@
 
 struct bb_instances *bb_instances_create(void);
 void bb_instances_destroy(struct bb_instances *t);
+bool bb_instance_is_newer(const fleet_instance *i, uint64_t epoch,
+                          uint64_t sequence);
 bool bb_instances_merge(struct bb_instances *t, const fleet_instance *i);
 uint32_t bb_instances_count(const struct bb_instances *t);
 void bb_instances_visit(const struct bb_instances *t, bb_instance_visit visit,
--- a/include/path/gate.h
+++ b/include/path/gate.h
@@ -47,8 +47,6 @@
     struct bb_address at;
     struct bb_address upstream;
     const char *upstream_text; /* as upstreams announce it */
-    const char *zone;
-    const char *region;
     const struct bb_dialect *dialect;
     /* The state of the upstream changed. */
     void (*changed)(void *context, const struct bb_upstream *u);
--- a/include/path/host.h
+++ b/include/path/host.h
@@ -10,6 +10,55 @@
 #include "common/error.h"
 #include "common/settings.h"
 
+/* Settings that each program on this frame has. */
+struct bb_host_settings {
+    const char *host;
+    const char *ip;
+    const char *zone;
+    const char *region;
+    const char *dialect;
+    const char *live_file;
+    struct bb_address metrics;
+    struct bb_address_list seeds;
+    uint64_t control_port;
+};
+
+enum { BB_PORT_MAX = 65535 };
+
+/* Their rows in the table of a program: which names the dialect translates,
+ * and for whom the control port is. */
+#define BB_HOST_SETTING_ROWS(h, dialect_help_, port_help_)                    \
+    BB_SETTING_TEXT_ROW("host", "NAME", "name of this host", &(h)->host),     \
+        BB_SETTING_TEXT_ROW("ip", "IP", "address of this host", &(h)->ip),    \
+        BB_SETTING_TEXT_ROW("zone", "NAME", "availability zone", &(h)->zone), \
+        BB_SETTING_TEXT_ROW("region", "NAME", "region", &(h)->region),        \
+        {.name = "dialect",                                                   \
+         .value_name = "NAME",                                                \
+         .help = (dialect_help_),                                             \
+         .kind = BB_SETTING_TEXT,                                             \
+         .default_value = "platform",                                         \
+         .to.text = &(h)->dialect},                                           \
+        {.name = "live-settings",                                             \
+         .value_name = "FILE",                                                \
+         .help = "file with settings that may change, read again on SIGHUP",  \
+         .kind = BB_SETTING_TEXT,                                             \
+         .default_value = "",                                                 \
+         .to.text = &(h)->live_file},                                         \
+        BB_SETTING_ADDRESS_ROW("listen-metrics",                              \
+                               "counters in the Prometheus text format",      \
+                               &(h)->metrics),                                \
+        {.name = "seeds",                                                     \
+         .value_name = "IP:PORT,...",                                         \
+         .help = "operator addresses of up to three control hosts",           \
+         .kind = BB_SETTING_ADDRESS_LIST,                                     \
+         .is_required = true,                                                 \
+         .to.addresses = &(h)->seeds},                                        \
+    {                                                                         \
+        .name = "control-port", .value_name = "PORT", .help = (port_help_),   \
+        .kind = BB_SETTING_NUMBER, .is_required = true, .min = 1,             \
+        .max = BB_PORT_MAX, .to.number = &(h)->control_port                   \
+    }
+
 struct bb_host;
 
 struct bb_host_events {
--- a/include/path/relay.h
+++ b/include/path/relay.h
@@ -36,6 +36,5 @@
 bool bb_forward_is_chunked(const struct bb_exchange *x);
 void bb_forward_body(struct bb_exchange *x, struct bb_fetch *f,
                      bool is_chunked);
-void bb_forward_chunk(const char *data, size_t size_bytes, GString *out);
 
 #endif
--- a/include/path/rules.h
+++ b/include/path/rules.h
@@ -62,8 +62,6 @@
 void bb_rules_add_service(struct bb_rules *r, const char *name,
                           const char *health_path, uint32_t connections_max);
 bool bb_rules_seal(struct bb_rules *r, struct bb_error *e);
-const struct bb_service_rule *bb_rules_service(const struct bb_rules *r,
-                                               const char *name);
 const struct bb_rule *bb_rules_match(const struct bb_rules *r,
                                      const char *host, const char *target);
 struct bb_rules *bb_rules_ref(struct bb_rules *r);
--- a/net/fetch.c
+++ b/net/fetch.c
@@ -33,7 +33,6 @@
 
 /* Kept connections to one address, the most recently used first. */
 struct target {
-    struct bb_address address;
     struct link *idle;
     uint64_t forgets_until_us; /* the peer forgets idle connections */
 };
@@ -374,7 +373,6 @@
     t = g_hash_table_lookup(p->targets, text);
     if (t == NULL) {
         t = g_new0(struct target, 1);
-        t->address = *to;
         g_hash_table_insert(p->targets, g_strdup(text), t);
     }
     return t;
--- a/path/attempt.c
+++ b/path/attempt.c
@@ -144,6 +144,14 @@
     return (uint64_t)BB_ENTRY_RETURN_FAR_MS * BB_US_PER_MS;
 }
 
+/* Returns how long a request may wait at its gate, as it is written. */
+static unsigned
+wait_max_ms(const struct attempt *a)
+{
+    return (unsigned)MIN(a->wait_max_us / BB_US_PER_MS,
+                         (uint64_t)BB_GATE_WAIT_ANY_MS);
+}
+
 /* Writes the head of the request for a gate. */
 static GString *
 build_head(const struct attempt *a, uint64_t left_us, uint64_t now_us)
@@ -158,17 +166,23 @@
 
     bb_forward_request_line(&c->exchange->head, head);
     bb_forward_fields(&c->exchange->head, without, head);
-    g_string_append_printf(
-        head,
-        "%s: %" G_GUINT64_FORMAT "\r\n%s: %s\r\n" BB_FIELD_CALL
-        ": %s %u %u %u %u %s%s%s-\r\n",
-        names->deadline_ms, left_us / BB_US_PER_MS, names->caller_service,
-        s->service, c->service->name, c->rule->rank, c->rule->class_index,
-        (unsigned)(aim_us / BB_US_PER_MS),
-        (unsigned)MIN(a->wait_max_us / BB_US_PER_MS,
-                      (uint64_t)BB_GATE_WAIT_ANY_MS),
-        c->is_nested ? "n" : "", c->rule->is_idempotent ? "" : "o",
-        c->arrivals > 0 || a != &c->attempts_now[0] ? "r" : "");
+    g_string_append_printf(head,
+                           "%s: %" G_GUINT64_FORMAT
+                           "\r\n%s: %s\r\n" BB_FIELD_CALL ": %s %u %u %u %u ",
+                           names->deadline_ms, left_us / BB_US_PER_MS,
+                           names->caller_service, s->service, c->service->name,
+                           c->rule->rank, c->rule->class_index,
+                           (unsigned)(aim_us / BB_US_PER_MS), wait_max_ms(a));
+    if (c->is_nested) {
+        g_string_append_c(head, BB_GATE_FLAG_NESTED);
+    }
+    if (!c->rule->is_idempotent) {
+        g_string_append_c(head, BB_GATE_FLAG_ONCE);
+    }
+    if (c->arrivals > 0 || a != &c->attempts_now[0]) {
+        g_string_append_c(head, BB_GATE_FLAG_REPEAT);
+    }
+    g_string_append(head, "-\r\n"); /* the flags are never empty */
     bb_forward_length(c->exchange, head);
     g_string_append(head, "\r\n");
     return head;
@@ -540,9 +554,7 @@
         "\"gate\":\"%s\",\"instance\":\"%s\",\"distance\":%u,"
         "\"wait_max_ms\":%u,\"running\":%u,\"queued\":%u,\"slots\":%u,"
         "\"in_flight\":%u,\"failing\":%u,\"report_age_ms\":%d",
-        g->text, g->instance, g->view.distance,
-        (unsigned)MIN(a->wait_max_us / BB_US_PER_MS,
-                      (uint64_t)BB_GATE_WAIT_ANY_MS),
+        g->text, g->instance, g->view.distance, wait_max_ms(a),
         g->view.running, g->view.queued, g->view.slots, g->view.in_flight,
         g->view.failing_permille,
         g->view.reported_us != 0
--- a/path/entry.c
+++ b/path/entry.c
@@ -292,30 +292,30 @@
 static const char *
 choose_service(struct bb_entry *n, const struct bb_rule *rule)
 {
-    struct split *s;
+    int64_t *credits;
     uint32_t best = 0;
 
     if (rule->part_count == 1) {
         return rule->parts[0].service;
     }
-    s = g_hash_table_lookup(n->splits, rule);
-    if (s == NULL) {
-        s = g_malloc0(sizeof(*s) + rule->part_count * sizeof(int64_t));
+    credits = g_hash_table_lookup(n->splits, rule);
+    if (credits == NULL) {
+        credits = g_new0(int64_t, rule->part_count);
         for (uint32_t i = 0; i < rule->part_count; i++) {
             /* Nodes start at different places of the cycle. */
-            s->credits[i] = g_random_int_range(
+            credits[i] = g_random_int_range(
                 0, (gint32)MIN(rule->weight_sum, G_MAXINT32));
         }
-        g_hash_table_insert(n->splits, (gpointer)rule, s);
+        g_hash_table_insert(n->splits, (gpointer)rule, credits);
     }
     for (uint32_t i = 0; i < rule->part_count; i++) {
-        s->credits[i] += rule->parts[i].weight;
-        if (rule->parts[i].weight > 0 && (rule->parts[best].weight == 0 ||
-                                          s->credits[i] > s->credits[best])) {
+        credits[i] += rule->parts[i].weight;
+        if (rule->parts[i].weight > 0 &&
+            (rule->parts[best].weight == 0 || credits[i] > credits[best])) {
             best = i;
         }
     }
-    s->credits[best] -= (int64_t)rule->weight_sum;
+    credits[best] -= (int64_t)rule->weight_sum;
     return rule->parts[best].service;
 }
 
@@ -410,12 +410,11 @@
         bb_relay_init(&c->attempts_now[i].relay);
     }
     id = bb_head_get(&x->head, n->settings.dialect->fields.request_id);
-    c->has_id = id != NULL && strlen(id) < sizeof(c->id);
-    g_strlcpy(c->id, c->has_id ? id : "", sizeof(c->id));
-    if (!c->has_id) {
+    if (id == NULL || strlen(id) >= sizeof(c->id)) {
         call_answer(c, 400, "no_request_id", 0);
         return;
     }
+    g_strlcpy(c->id, id, sizeof(c->id));
     if (n->is_stopping) {
         call_answer(c, 503, "stopping", BB_ENTRY_RETRY_MIN_MS);
         return;
--- a/path/entry_internal.h
+++ b/path/entry_internal.h
@@ -10,23 +10,18 @@
 /* Why this node answered itself. */
 #define BB_FIELD_REASON "Baobab-Reason"
 
-/* Credits of the services of a split route. */
-struct split {
-    uint32_t unused;
-    int64_t credits[];
-};
-
 struct bb_entry {
     uv_loop_t *loop;
     struct bb_entry_settings settings;
     struct bb_server *server;
     struct bb_pool *pool;
     struct bb_rules *rules;
-    GHashTable *splits; /* struct bb_rule to struct split */
+    /* struct bb_rule to int64_t[], the credits of its services */
+    GHashTable *splits;
     /* By class of requests: nineteen of twenty answers came within this. */
     uint64_t slow_us[BB_RULES_CLASSES];
-    /* Longest time that callers of a class said they wait: that of a first
-     * attempt. */
+    /* By callers_index of their route: the longest time that callers said they
+     * wait, that of a first attempt. */
     uint64_t patience_us[BB_RULES_CLASSES];
     bool is_stopping;
 };
@@ -77,7 +72,6 @@
     uint32_t seen_full_count;
     uint32_t arrivals; /* at upstreams */
     uint32_t tries;    /* sends to gates */
-    bool has_id;
     bool is_of_repeat; /* made for a request that is itself a repeat */
     bool is_nested;    /* made by the upstream of this host, for a request that
                           holds a slot there */
--- a/path/relay.c
+++ b/path/relay.c
@@ -103,8 +103,8 @@
 }
 
 /* Frames a piece of a body; size 0 is the last one. */
-void
-bb_forward_chunk(const char *data, size_t size_bytes, GString *out)
+static void
+append_chunk(const char *data, size_t size_bytes, GString *out)
 {
     g_string_append_printf(out, "%zx\r\n", size_bytes);
     if (size_bytes > 0) {
@@ -124,10 +124,10 @@
         GString *framed = g_string_new(NULL);
 
         if (x->body->len > 0) {
-            bb_forward_chunk(x->body->str, x->body->len, framed);
+            append_chunk(x->body->str, x->body->len, framed);
         }
         if (is_last) {
-            bb_forward_chunk(NULL, 0, framed);
+            append_chunk(NULL, 0, framed);
         }
         bb_fetch_send_body(f, framed->str, framed->len, is_last);
         g_string_free(framed, TRUE);
@@ -165,7 +165,7 @@
         return;
     }
     piece = g_string_sized_new(size_bytes + 16);
-    bb_forward_chunk(data, size_bytes, piece);
+    append_chunk(data, size_bytes, piece);
     bb_exchange_send(x, piece->str, piece->len);
     g_string_free(piece, TRUE);
 }
--- a/path/rules.c
+++ b/path/rules.c
@@ -87,8 +87,8 @@
 }
 
 /* Returns a service by its name, or NULL. */
-const struct bb_service_rule *
-bb_rules_service(const struct bb_rules *r, const char *name)
+static const struct bb_service_rule *
+find_service(const struct bb_rules *r, const char *name)
 {
     for (guint i = 0; i < r->services->len; i++) {
         const struct bb_service_rule *s = g_ptr_array_index(r->services, i);
@@ -127,7 +127,7 @@
                             "route %s: the weights add up to 0", rule->name);
     }
     for (uint32_t i = 0; i < rule->part_count; i++) {
-        if (bb_rules_service(r, rule->parts[i].service) == NULL) {
+        if (find_service(r, rule->parts[i].service) == NULL) {
             return bb_error_set(e, BB_RULES_ERROR_REFERENCE,
                                 "route %s: there is no service %s", rule->name,
                                 rule->parts[i].service);
--- a/proxyd/main.c
+++ b/proxyd/main.c
@@ -92,7 +92,7 @@
     struct proxy *p = context;
     struct bb_address_list seeds = {0};
 
-    if (bb_host_read_seeds(p->settings.live_file, &seeds)) {
+    if (bb_host_read_seeds(p->settings.common.live_file, &seeds)) {
         bb_agent_set_seeds(p->agent, &seeds);
     }
 }
@@ -120,8 +120,8 @@
     uint64_t now_us = bb_clock_now_us();
     fleet_instance i = {
         .gate = p->gate_text,
-        .zone = (char *)p->settings.zone,
-        .region = (char *)p->settings.region,
+        .zone = (char *)p->settings.common.zone,
+        .region = (char *)p->settings.common.region,
         .service = (char *)u->service,
         .id = (char *)u->id,
         .born_ms = u->born_ms,
@@ -304,19 +304,17 @@
     const struct bb_gate_settings gate = {.at = s->gate,
                                           .upstream = s->upstream_address,
                                           .upstream_text = s->upstream,
-                                          .zone = s->zone,
-                                          .region = s->region,
                                           .dialect = p->dialect,
                                           .changed = announce_state,
                                           .context = p};
     const struct bb_agent_settings agent = {
-        .ip = s->ip,
-        .zone = s->zone,
-        .region = s->region,
+        .ip = s->common.ip,
+        .zone = s->common.zone,
+        .region = s->common.region,
         .gate = p->gate_text,
         .started_ms = bb_clock_wall_us() / BB_US_PER_MS,
-        .peer_port = (uint16_t)s->control_port,
-        .seeds = s->seeds};
+        .peer_port = (uint16_t)s->common.control_port,
+        .seeds = s->common.seeds};
 
     p->entry = bb_entry_create(loop, &entry, e);
     p->gate = p->entry != NULL ? bb_gate_create(loop, &gate, e) : NULL;
@@ -327,7 +325,7 @@
                                                       &announce_handler, p, e)
                                    : NULL;
     if (p->announce == NULL ||
-        !bb_host_serve_metrics(p->host, &s->metrics, e)) {
+        !bb_host_serve_metrics(p->host, &s->common.metrics, e)) {
         return false;
     }
     p->agent = bb_agent_create(loop, &agent, &agent_events, p);
@@ -350,17 +348,18 @@
     case BB_SETTINGS_RUN:
         break;
     }
-    p.dialect = bb_registry_find(BB_PLUGIN_DIALECT, p.settings.dialect);
+    p.dialect = bb_registry_find(BB_PLUGIN_DIALECT, p.settings.common.dialect);
     if (p.dialect == NULL) {
         (void)fprintf(stderr, "baobab-proxy: there is no dialect %s\n",
-                      p.settings.dialect);
+                      p.settings.common.dialect);
         return BB_EXIT_USAGE;
     }
-    p.host = bb_host_create("baobab-proxy", p.settings.host, &host_events, &p);
+    p.host = bb_host_create("baobab-proxy", p.settings.common.host,
+                            &host_events, &p);
     p.pace = apply_pace_create(bb_host_loop(p.host), apply_configuration, &p);
     (void)bb_address_text(&p.settings.gate, p.gate_text);
-    p.directory =
-        bb_directory_create(p.gate_text, p.settings.zone, p.settings.region);
+    p.directory = bb_directory_create(p.gate_text, p.settings.common.zone,
+                                      p.settings.common.region);
     (void)uv_timer_init(bb_host_loop(p.host), &p.stop_timer);
     p.stop_timer.data = &p;
     if (!open_addresses(&p, &e)) {
--- a/proxyd/settings.c
+++ b/proxyd/settings.c
@@ -3,7 +3,7 @@
 
 #include <stdlib.h>
 
-enum { PERMILLE = 1000, PORT_MAX = 65535 };
+enum { PERMILLE = 1000 };
 
 /* Reads flags and environment variables; returns what the program is to do
  * next. */
@@ -12,28 +12,14 @@
                     struct bb_error *e)
 {
     const struct bb_setting table[] = {
-        BB_SETTING_TEXT_ROW("host", "NAME", "name of this host", &s->host),
-        BB_SETTING_TEXT_ROW("ip", "IP", "address of this host", &s->ip),
-        BB_SETTING_TEXT_ROW("zone", "NAME", "availability zone", &s->zone),
-        BB_SETTING_TEXT_ROW("region", "NAME", "region", &s->region),
+        BB_HOST_SETTING_ROWS(&s->common, "names used by callers and upstreams",
+                             "of control hosts, for nodes"),
         BB_SETTING_TEXT_ROW("service", "NAME",
                             "service of the upstream on this host",
                             &s->service),
-        {.name = "dialect",
-         .value_name = "NAME",
-         .help = "names used by callers and upstreams",
-         .kind = BB_SETTING_TEXT,
-         .default_value = "platform",
-         .to.text = &s->dialect},
         BB_SETTING_TEXT_ROW("upstream", "IP:PORT",
                             "address of the upstream on this host",
                             &s->upstream),
-        {.name = "live-settings",
-         .value_name = "FILE",
-         .help = "file with settings that may change, read again on SIGHUP",
-         .kind = BB_SETTING_TEXT,
-         .default_value = "",
-         .to.text = &s->live_file},
         BB_SETTING_ADDRESS_ROW("listen-entry", "for callers on this host",
                                &s->entry),
         BB_SETTING_ADDRESS_ROW("listen-gate", "for other nodes", &s->gate),
@@ -41,23 +27,6 @@
                                "answers whether callers may come", &s->ready),
         BB_SETTING_ADDRESS_ROW("listen-announce",
                                "for the upstream on this host", &s->announce),
-        BB_SETTING_ADDRESS_ROW("listen-metrics",
-                               "counters in the Prometheus text format",
-                               &s->metrics),
-        {.name = "seeds",
-         .value_name = "IP:PORT,...",
-         .help = "operator addresses of up to three control hosts",
-         .kind = BB_SETTING_ADDRESS_LIST,
-         .is_required = true,
-         .to.addresses = &s->seeds},
-        {.name = "control-port",
-         .value_name = "PORT",
-         .help = "of control hosts, for nodes",
-         .kind = BB_SETTING_NUMBER,
-         .is_required = true,
-         .min = 1,
-         .max = PORT_MAX,
-         .to.number = &s->control_port},
         {.name = "grace",
          .value_name = "SECONDS",
          .help = "from SIGTERM to the end of the process",
--- a/tests/docs/test_events.sh
+++ b/tests/docs/test_events.sh
@@ -8,7 +8,8 @@
     grep -oE '"(entry|gate|upstream|announce|proxy|agent|core|content|order|store|fleet|server|host|log)\.[a-z_]+' |
     tr -d '"' | sort -u)
 code="$code
-$(grep -oE '\\"event\\":\\"log\.[a-z]+' common/event_log.c | grep -oE 'log\.[a-z]+')"
-code=$(grep -vE '\.(h|c|toml)$' <<<"$code" | sort -u)
+$(grep -oE '\\"event\\":\\"log\.[a-z]+' common/event_log.c |
+    grep -oE 'log\.[a-z]+' || true)" # lines written without the common form
+code=$(grep -vE '^$|\.(h|c|toml)$' <<<"$code" | sort -u)
 table=$(grep -oE '^\| `[a-z]+\.[a-z_]+`' docs/events.md | tr -d '|` ' | sort -u)
 diff <(echo "$code") <(echo "$table")
--- a/tests/path/bench.c
+++ b/tests/path/bench.c
@@ -252,8 +252,6 @@
     static char texts[2][BB_ADDRESS_TEXT_BYTES];
     struct upstream *u = &b->upstreams[which];
     struct bb_gate_settings s = {.upstream = u->at,
-                                 .zone = "z",
-                                 .region = "r",
                                  .dialect = &dialect,
                                  .changed = ignore_change,
                                  .context = contexts[which]};
--- a/tests/platform/test_dialect.c
+++ b/tests/platform/test_dialect.c
@@ -156,17 +156,19 @@
     }
 }
 
+static const struct bb_announcement ready = {.address = "x:1",
+                                             .service = "s",
+                                             .slots = 2,
+                                             .sequence = 10,
+                                             .born_ms = 100};
+
 /* Guards against: a late call of a dead incarnation, or of an earlier time,
  * that brings an upstream back. */
 static void
 test_incarnations(void)
 {
     struct bb_upstream u = {0};
-    struct bb_announcement a = {.address = "x:1",
-                                .service = "s",
-                                .slots = 2,
-                                .sequence = 10,
-                                .born_ms = 100};
+    struct bb_announcement a = ready;
 
     CU_ASSERT_EQUAL(bb_upstream_announce(&u, "old", &a, "x:1", 1),
                     BB_ANNOUNCE_TAKEN);
@@ -208,11 +210,7 @@
 test_withdrawn_unknown(void)
 {
     struct bb_upstream u = {0};
-    struct bb_announcement a = {.address = "x:1",
-                                .service = "s",
-                                .slots = 2,
-                                .sequence = 10,
-                                .born_ms = 100};
+    struct bb_announcement a = ready;
 
     CU_ASSERT_FALSE(bb_upstream_withdraw(&u, "i", 0));
     CU_ASSERT_TRUE(bb_upstream_withdraw(&u, "i", 100));
