Name the admin responses and the retry test after what they hold

Cause: admin/views.c builds whole responses of the admin API, and tests/proxy/test_repeat.c tests retries; neither name says so.

--- a/admin/views.c
+++ b/admin/responses.c
@@ -1,4 +1,4 @@
-#include "admin/views.h"
+#include "admin/responses.h"
 
 #include <string.h>
 
--- a/control/endpoints.c
+++ b/control/endpoints.c
@@ -1,6 +1,6 @@
 /* The administration endpoints of a control host. */
 #include "admin/admin.h"
-#include "admin/views.h"
+#include "admin/responses.h"
 #include "daemon.h"
 
 /* GET /v1/in-force: the newest accepted revision and the nodes that have
--- a/include/admin/response_parts.h
+++ b/include/admin/response_parts.h
@@ -1,5 +1,5 @@
 /* Parts from which the JSON responses of control hosts and nodes are built.
- * Endpoints use admin/views.h, which returns whole responses.
+ * Endpoints use admin/responses.h, which returns whole responses.
  * docs/admin-api.md describes their members. */
 #ifndef BB_ADMIN_RESPONSE_PARTS_H
 #define BB_ADMIN_RESPONSE_PARTS_H
--- a/include/admin/views.h
+++ b/include/admin/responses.h
@@ -1,7 +1,7 @@
 /* Whole JSON responses about the mesh and the configuration in force, the same
  * for nodes and control hosts; docs/admin-api.md describes their members. */
-#ifndef BB_ADMIN_VIEWS_H
-#define BB_ADMIN_VIEWS_H
+#ifndef BB_ADMIN_RESPONSES_H
+#define BB_ADMIN_RESPONSES_H
 
 #include <jansson.h>
 #include <stdbool.h>
--- a/node/endpoints.c
+++ b/node/endpoints.c
@@ -1,6 +1,6 @@
 /* Administration API endpoints of a node. */
 #include "admin/admin.h"
-#include "admin/views.h"
+#include "admin/responses.h"
 #include "node.h"
 
 /* GET /v1/in-force: the configuration that this node serves, and the nodes of
--- a/tests/proxy/test_repeat.c
+++ b/tests/proxy/test_retry.c
@@ -90,4 +90,4 @@
      test_refusal_of_the_only_gatekeeper_is_reported},
 };
 
-BB_UNIT_MAIN("repeat", tests)
+BB_UNIT_MAIN("retry", tests)
