--- a/config/section_configuration.c
+++ b/config/section_configuration.c
@@ -41,7 +41,7 @@
             (uint32_t)bb_section_get_number(c, s, "retry-budget-percent"),
         .hedge_budget_percent =
             (uint32_t)bb_section_get_number(c, s, "hedge-budget-percent"),
-        .ejection_percent =
+        .max_ejected_percent =
             (uint32_t)bb_section_get_number(c, s, "ejection-percent"),
         .link_bytes_per_s = bb_section_get_number(c, s, "link-bytes-per-s"),
     };
--- a/control/agree.x
+++ b/control/agree.x
@@ -136,7 +136,7 @@
 };
 
 /* The leader's answer; `result` is an enum bb_agree_result. */
-struct agree_proposal_answer {
+struct agree_proposal_response {
     unsigned hyper ticket;
     unsigned int result;
     unsigned hyper revision;
@@ -145,14 +145,14 @@
 /* Carries a proposal to the leader, or the answer back to its origin. */
 enum agree_propose_kind {
     AGREE_PROPOSE_REQUEST = 0,
-    AGREE_PROPOSE_ANSWER = 1
+    AGREE_PROPOSE_RESPONSE = 1
 };
 
 union agree_propose_body switch (agree_propose_kind kind) {
 case AGREE_PROPOSE_REQUEST:
     agree_proposal proposal;
-case AGREE_PROPOSE_ANSWER:
-    agree_proposal_answer answer;
+case AGREE_PROPOSE_RESPONSE:
+    agree_proposal_response response;
 };
 
 struct agree_propose_message {
--- a/control/daemon.c
+++ b/control/daemon.c
@@ -14,7 +14,7 @@
            "Proposals of this control host that were accepted");
 BB_COUNTER(refused_total, "baobab_proposals_refused_total",
            "Proposals of this control host that were refused");
-BB_COUNTER(unanswered_total, "baobab_proposals_unanswered_total",
+BB_COUNTER(no_quorum_total, "baobab_proposals_unanswered_total",
            "Proposals without a quorum in time");
 BB_GAUGE(revision_gauge, "baobab_accepted_revision",
          "Highest accepted revision known to this control host");
@@ -67,7 +67,7 @@
 
 /* Counts and logs the outcome of a proposal and converts it to the answer for
  * the source watch. */
-static enum bb_source_answer
+static enum bb_source_result
 record_outcome(const struct queued_proposal *p,
                const struct bb_replicate_result *r)
 {
@@ -76,14 +76,14 @@
         bb_counter_add(&accepted_total, 1);
         bb_log_info("proposal.accepted", "revision %" G_GUINT64_FORMAT,
                     r->revision);
-        return BB_SOURCE_ANSWER_ACCEPTED;
+        return BB_SOURCE_RESULT_ACCEPTED;
     case BB_REPLICATE_STALE_BASE:
         bb_counter_add(&refused_total, 1);
         bb_log_warning("proposal.stale_base",
                        "the folder is based on revision %" G_GUINT64_FORMAT
                        ", but revision %" G_GUINT64_FORMAT " is the newest",
                        p->base_revision, r->revision);
-        return BB_SOURCE_ANSWER_STALE_BASE;
+        return BB_SOURCE_RESULT_STALE_BASE;
     case BB_REPLICATE_CONFLICT:
         bb_counter_add(&refused_total, 1);
         bb_log_warning("proposal.conflict",
@@ -91,7 +91,7 @@
                        " is not above the accepted one, and the content "
                        "differs",
                        p->version);
-        return BB_SOURCE_ANSWER_VERSION_CONFLICT;
+        return BB_SOURCE_RESULT_VERSION_CONFLICT;
     case BB_REPLICATE_BAD_PAYLOAD:
         bb_counter_add(&refused_total, 1);
         bb_log_warning("proposal.bad_payload",
@@ -99,12 +99,12 @@
                        "more than %d bytes after compression, or do not match "
                        "their digest",
                        BB_REPLICATE_PAYLOAD_MAX_BYTES);
-        return BB_SOURCE_ANSWER_INVALID;
+        return BB_SOURCE_RESULT_INVALID;
     case BB_REPLICATE_NO_QUORUM:
         break;
     }
-    bb_counter_add(&unanswered_total, 1);
-    return BB_SOURCE_ANSWER_UNKNOWN;
+    bb_counter_add(&no_quorum_total, 1);
+    return BB_SOURCE_RESULT_UNKNOWN;
 }
 
 /* Tells the source watch that no revision is in force, if a quorum confirms
@@ -148,7 +148,7 @@
         bb_counter_add(&proposed_total, 1);
         r = bb_proposal_submit_folder(&c->proposal_target, p->folder,
                                       p->version, p->base_revision);
-        bb_source_watch_report_answer(c->source_watch, &p->folder->digest,
+        bb_source_watch_report_result(c->source_watch, &p->folder->digest,
                                       p->base_revision, record_outcome(p, &r),
                                       r.revision);
         destroy_proposal(p);
@@ -231,7 +231,7 @@
         .control_hosts = s->control_hosts,
         .gossip_bind_address = s->gossip_address,
         .seed = s->seed,
-        .callbacks = {.context = c, .payload = encode_payload},
+        .callbacks = {.context = c, .encode_payload = encode_payload},
     };
 
     (void)g_strlcpy(m.self.host, s->host, sizeof(m.self.host));
--- a/control/endpoints.c
+++ b/control/endpoints.c
@@ -7,7 +7,7 @@
  * it. */
 static void
 get_in_force(void *context, const struct bb_admin_request *request,
-             struct bb_admin_response *answer)
+             struct bb_admin_response *response)
 {
     struct bb_control *c = context;
     struct bb_bundle *b = bb_bundle_history_newest(c->history);
@@ -15,8 +15,8 @@
 
     (void)request;
     bb_replicate_status(c->replicate, &s);
-    answer->json = bb_admin_in_force_with_holders_json(b, s.has_recent_quorum,
-                                                       c->mesh, NULL);
+    response->json = bb_admin_in_force_with_holders_json(
+        b, s.has_recent_quorum, c->mesh, NULL);
     bb_bundle_unref(b);
 }
 
@@ -81,7 +81,7 @@
 /* GET /v1/status: the state of the quorum protocol and of the folder. */
 static void
 get_status(void *context, const struct bb_admin_request *request,
-           struct bb_admin_response *answer)
+           struct bb_admin_response *response)
 {
     static const char *const roles[] = {
         [BB_AGREE_FOLLOWER] = "follower",
@@ -97,7 +97,7 @@
 
     (void)request;
     bb_replicate_status(c->replicate, &s);
-    answer->json = json_pack(
+    response->json = json_pack(
         "{s:s,s:s,s:s,s:s,s:I,s:I,s:s,s:b,s:s?,s:I,s:b,s:s,s:b,s:s,s:o,s:o,"
         "s:o}",
         "host", c->settings.host, "zone", c->settings.zone, "region",
@@ -117,12 +117,12 @@
 /* GET /v1/members: all members of the mesh. */
 static void
 get_members(void *context, const struct bb_admin_request *request,
-            struct bb_admin_response *answer)
+            struct bb_admin_response *response)
 {
     struct bb_control *c = context;
 
     (void)request;
-    answer->json = bb_admin_members_json(c->mesh);
+    response->json = bb_admin_members_json(c->mesh);
 }
 
 static const struct bb_admin_endpoint in_force_endpoint = {
--- a/control/replicate.c
+++ b/control/replicate.c
@@ -95,7 +95,7 @@
     (void)pthread_mutex_init(&r->lock, NULL);
     (void)pthread_condattr_init(&attributes);
     (void)pthread_condattr_setclock(&attributes, CLOCK_MONOTONIC);
-    (void)pthread_cond_init(&r->waiter_answered, &attributes);
+    (void)pthread_cond_init(&r->waiter_completed, &attributes);
     (void)pthread_condattr_destroy(&attributes);
     replicate_queue_init(&r->job_queue);
     replicate_queue_init(&r->fetch_queue);
@@ -173,7 +173,7 @@
     bb_store_close(r->store);
     bb_random_destroy(r->random);
     bb_rpc_pool_destroy(r->pool);
-    (void)pthread_cond_destroy(&r->waiter_answered);
+    (void)pthread_cond_destroy(&r->waiter_completed);
     (void)pthread_mutex_destroy(&r->lock);
     g_free(r->data_folder);
     g_free(r);
@@ -216,20 +216,20 @@
 
 /* Waits for the answer until a time; false if none came. */
 static bool
-wait_for_answer(struct bb_replicate *r, struct replicate_waiter *w,
-                uint64_t until_us)
+wait_for_completion(struct bb_replicate *r, struct replicate_waiter *w,
+                    uint64_t until_us)
 {
     struct timespec until = bb_clock_to_timespec(until_us);
-    bool is_answered;
+    bool is_complete;
 
     (void)pthread_mutex_lock(&r->lock);
-    while (!w->is_answered &&
-           pthread_cond_timedwait(&r->waiter_answered, &r->lock, &until) !=
+    while (!w->is_complete &&
+           pthread_cond_timedwait(&r->waiter_completed, &r->lock, &until) !=
                ETIMEDOUT) {
     }
-    is_answered = w->is_answered;
+    is_complete = w->is_complete;
     (void)pthread_mutex_unlock(&r->lock);
-    return is_answered;
+    return is_complete;
 }
 
 /* Converts a result of the protocol to an outcome. Returns false if it is not
@@ -271,13 +271,13 @@
 
     (void)pthread_mutex_lock(&r->lock);
     leader = r->leader;
-    w->is_answered = false;
+    w->is_complete = false;
     w->ticket = ++r->last_ticket;
     p->ticket = w->ticket;
     (void)pthread_mutex_unlock(&r->lock);
     if (leader < r->host_count &&
         send_proposal(r, leader, p, payload, size_bytes) &&
-        wait_for_answer(r, w, until_us < end_us ? until_us : end_us) &&
+        wait_for_completion(r, w, until_us < end_us ? until_us : end_us) &&
         get_final_outcome(w, result)) {
         return true;
     }
@@ -366,7 +366,7 @@
 bool
 bb_replicate_exchange_members(struct bb_replicate *r, const char *peer_id,
                               const void *records, size_t size_bytes,
-                              void **answer, size_t *answer_bytes,
+                              void **response, size_t *response_bytes,
                               uint32_t timeout_ms, struct bb_error *e)
 {
     agree_members argument = {.cluster_id = r->cluster_id,
@@ -381,12 +381,12 @@
         }
         if (replicate_call_peer(r, h, AGREE_EXCHANGE_MEMBERS, &argument,
                                 &result, timeout_ms)) {
-            *answer = result.records.records_val;
-            *answer_bytes = result.records.records_len;
+            *response = result.records.records_val;
+            *response_bytes = result.records.records_len;
             return true;
         }
         xdr_free((xdrproc_t)xdr_agree_members, (char *)&result);
-        return bb_error_set(e, BB_REPLICATE_ERROR_NO_ANSWER,
+        return bb_error_set(e, BB_REPLICATE_ERROR_NO_RESPONSE,
                             "%s does not answer", peer_id);
     }
     return bb_error_set(e, BB_REPLICATE_ERROR_SETTINGS,
--- a/control/replicate_engine.c
+++ b/control/replicate_engine.c
@@ -134,8 +134,8 @@
             e.kind = BB_AGREE_EVENT_SYNC_FAILED;
         }
         replicate_deliver_committed(r);
-        for (uint32_t i = 0; i < out->answer_count; i++) {
-            replicate_send_answer(r, &out->answers[i]);
+        for (uint32_t i = 0; i < out->response_count; i++) {
+            replicate_send_response(r, &out->responses[i]);
         }
     } while (must_persist);
     report_role_change(r);
@@ -251,7 +251,7 @@
 {
     struct bb_agree_event e = {.kind = BB_AGREE_EVENT_PROPOSAL,
                                .as.proposal = job->proposal};
-    struct replicate_answer_route *route;
+    struct replicate_response_route *route;
     bool must_fetch;
     bool is_stored = store_proposal_payload(r, job, &must_fetch);
 
@@ -263,22 +263,23 @@
         return;
     }
     e.as.proposal.ticket = ++r->last_agree_ticket;
-    route =
-        &r->answer_routes[r->last_agree_ticket % REPLICATE_ANSWER_ROUTES_MAX];
-    *route =
-        (struct replicate_answer_route){.agree_ticket = r->last_agree_ticket,
-                                        .origin_ticket = job->proposal.ticket,
-                                        .origin_host = job->origin_host};
+    route = &r->response_routes[r->last_agree_ticket %
+                                REPLICATE_RESPONSE_ROUTES_MAX];
+    *route = (struct replicate_response_route){
+        .agree_ticket = r->last_agree_ticket,
+        .origin_ticket = job->proposal.ticket,
+        .origin_host = job->origin_host};
     if (is_stored) {
         r->payload_origins[r->origin_next++ % REPLICATE_ORIGINS_MAX] =
             (struct replicate_payload_origin){.digest = job->proposal.digest,
-                                              .holder = job->origin_host};
+                                              .payload_host =
+                                                  job->origin_host};
         run_event(r, e);
     }
     else {
-        replicate_send_answer(
-            r, &(struct bb_agree_answer){.ticket = r->last_agree_ticket,
-                                         .result = BB_AGREE_NOT_LEADER});
+        replicate_send_response(
+            r, &(struct bb_agree_response){.ticket = r->last_agree_ticket,
+                                           .result = BB_AGREE_NOT_LEADER});
     }
     replicate_free_job(job);
 }
--- a/control/replicate_internal.h
+++ b/control/replicate_internal.h
@@ -23,7 +23,7 @@
     REPLICATE_INLINED_DIGESTS_MAX = 16,
     REPLICATE_STORED_DIGESTS_MAX = 16,
     REPLICATE_ORIGINS_MAX = 8,
-    REPLICATE_ANSWER_ROUTES_MAX = 64,
+    REPLICATE_RESPONSE_ROUTES_MAX = 64,
     /* Lengths of the queues. */
     REPLICATE_JOBS_MAX = 256,
     REPLICATE_FETCHES_MAX = 16
@@ -83,7 +83,7 @@
 };
 
 /* Where the answer to a proposal is sent. */
-struct replicate_answer_route {
+struct replicate_response_route {
     uint64_t agree_ticket;  /* in the state machine; 0: unused */
     uint64_t origin_ticket; /* of the host that proposed */
     uint8_t origin_host;    /* its slot */
@@ -92,13 +92,13 @@
 /* A host that proposed a payload and therefore has it stored. */
 struct replicate_payload_origin {
     struct bb_digest digest;
-    uint8_t holder; /* slot */
+    uint8_t payload_host; /* slot */
 };
 
 /* A call of bb_replicate_propose that waits for its answer. */
 struct replicate_waiter {
     uint64_t ticket;
-    bool is_answered;
+    bool is_complete;
     enum bb_agree_result result;
     uint64_t revision;
     struct replicate_waiter *next;
@@ -120,7 +120,8 @@
     /* Used by the engine only. */
     struct bb_agree agree;
     struct bb_agree_output output;
-    struct replicate_answer_route answer_routes[REPLICATE_ANSWER_ROUTES_MAX];
+    struct replicate_response_route
+        response_routes[REPLICATE_RESPONSE_ROUTES_MAX];
     uint64_t last_agree_ticket;
     uint64_t delivered_revision; /* last one passed to the callback */
     uint64_t next_fetch_us;      /* of a lost payload in force */
@@ -149,7 +150,7 @@
     atomic_bool is_stopping;
 
     pthread_mutex_t lock; /* guards the members below */
-    pthread_cond_t waiter_answered;
+    pthread_cond_t waiter_completed;
     struct replicate_waiter *waiters; /* on their callers' stacks */
     uint64_t last_ticket;
     struct bb_replicate_status status;
@@ -168,8 +169,8 @@
 void replicate_deliver_committed(struct bb_replicate *r);
 void replicate_deliver_revision(struct bb_replicate *r,
                                 const struct bb_agree_config *c);
-void replicate_send_answer(struct bb_replicate *r,
-                           const struct bb_agree_answer *a);
+void replicate_send_response(struct bb_replicate *r,
+                             const struct bb_agree_response *a);
 bool replicate_is_payload_stored(struct bb_replicate *r,
                                  const struct bb_digest *d);
 void replicate_complete_proposal(struct bb_replicate *r, uint64_t ticket,
--- a/control/replicate_output.c
+++ b/control/replicate_output.c
@@ -38,18 +38,18 @@
 {
     switch ((enum bb_agree_message_kind)kind) {
     case BB_AGREE_IDENTITY:
-    case BB_AGREE_IDENTITY_ANSWER:
+    case BB_AGREE_IDENTITY_RESPONSE:
         return AGREE_IDENTITY;
     case BB_AGREE_FORM:
         return AGREE_FORM;
     case BB_AGREE_APPEND:
-    case BB_AGREE_APPEND_ANSWER:
+    case BB_AGREE_APPEND_RESPONSE:
     case BB_AGREE_SNAPSHOT:
         return AGREE_APPEND;
     case BB_AGREE_PRE_VOTE:
-    case BB_AGREE_PRE_VOTE_ANSWER:
+    case BB_AGREE_PRE_VOTE_RESPONSE:
     case BB_AGREE_VOTE:
-    case BB_AGREE_VOTE_ANSWER:
+    case BB_AGREE_VOTE_RESPONSE:
     case BB_AGREE_MESSAGE_KINDS:
     default:
         return AGREE_VOTE;
@@ -66,8 +66,8 @@
         const struct replicate_payload_origin *o = &r->payload_origins[i];
 
         if (bb_digest_equal(&o->digest, &e->digest) &&
-            strcmp(r->hosts[o->holder].region, region) == 0) {
-            return o->holder;
+            strcmp(r->hosts[o->payload_host].region, region) == 0) {
+            return o->payload_host;
         }
     }
     return BB_AGREE_NO_HOST;
@@ -248,24 +248,25 @@
 {
     (void)pthread_mutex_lock(&r->lock);
     for (struct replicate_waiter *w = r->waiters; w != NULL; w = w->next) {
-        if (w->ticket == ticket && !w->is_answered) {
-            w->is_answered = true;
+        if (w->ticket == ticket && !w->is_complete) {
+            w->is_complete = true;
             w->result = result;
             w->revision = revision;
         }
     }
-    (void)pthread_cond_broadcast(&r->waiter_answered);
+    (void)pthread_cond_broadcast(&r->waiter_completed);
     (void)pthread_mutex_unlock(&r->lock);
 }
 
 /* Sends the protocol's answer to the host that made the proposal. */
 void
-replicate_send_answer(struct bb_replicate *r, const struct bb_agree_answer *a)
+replicate_send_response(struct bb_replicate *r,
+                        const struct bb_agree_response *a)
 {
-    struct replicate_answer_route *route =
-        &r->answer_routes[a->ticket % REPLICATE_ANSWER_ROUTES_MAX];
+    struct replicate_response_route *route =
+        &r->response_routes[a->ticket % REPLICATE_RESPONSE_ROUTES_MAX];
     struct replicate_outgoing_call *call;
-    agree_proposal_answer *answer;
+    agree_proposal_response *response;
 
     if (route->agree_ticket != a->ticket) {
         return; /* reused by a later proposal; the caller resends */
@@ -279,10 +280,10 @@
     call = g_new0(struct replicate_outgoing_call, 1);
     call->procedure = AGREE_PROPOSE;
     call->propose.cluster_id = r->cluster_id;
-    call->propose.body.kind = AGREE_PROPOSE_ANSWER;
-    answer = &call->propose.body.agree_propose_body_u.answer;
-    answer->ticket = route->origin_ticket;
-    answer->result = a->result;
-    answer->revision = a->revision;
+    call->propose.body.kind = AGREE_PROPOSE_RESPONSE;
+    response = &call->propose.body.agree_propose_body_u.response;
+    response->ticket = route->origin_ticket;
+    response->result = a->result;
+    response->revision = a->revision;
     replicate_queue_call(r, route->origin_host, REPLICATE_SENDER_URGENT, call);
 }
--- a/control/replicate_peer.c
+++ b/control/replicate_peer.c
@@ -14,7 +14,7 @@
     FETCH_TIMEOUT_MS = 1000,
     /* A host that did not answer is not asked again for this time, so that a
      * stopped host does not delay all fetches. */
-    SKIP_UNANSWERING_US = 5 * 1000 * 1000
+    SKIP_UNRESPONSIVE_US = 5 * 1000 * 1000
 };
 
 BB_COUNTER(sent_total, "baobab_agree_messages_sent_total",
@@ -116,7 +116,7 @@
     memcpy(argument.digest, d->bytes, BB_DIGEST_BYTES);
     if (!replicate_call_peer(r, slot, AGREE_FETCH_PAYLOAD, &argument, &result,
                              FETCH_TIMEOUT_MS)) {
-        r->skip_until_us[slot] = bb_clock_now_us() + SKIP_UNANSWERING_US;
+        r->skip_until_us[slot] = bb_clock_now_us() + SKIP_UNRESPONSIVE_US;
     }
     else if (result.is_found) {
         is_stored =
--- a/control/replicate_rpc.c
+++ b/control/replicate_rpc.c
@@ -188,19 +188,20 @@
 accept_proposal_message(struct bb_replicate *r, const agree_propose_message *p)
 {
     const agree_proposal *request = &p->body.agree_propose_body_u.proposal;
-    const agree_proposal_answer *answer = &p->body.agree_propose_body_u.answer;
+    const agree_proposal_response *response =
+        &p->body.agree_propose_body_u.response;
     struct replicate_job *job;
 
     if (p->cluster_id != r->cluster_id) {
         return false;
     }
-    if (p->body.kind == AGREE_PROPOSE_ANSWER) {
-        if (answer->result > BB_AGREE_UNKNOWN) {
+    if (p->body.kind == AGREE_PROPOSE_RESPONSE) {
+        if (response->result > BB_AGREE_UNKNOWN) {
             return false;
         }
-        replicate_complete_proposal(r, answer->ticket,
-                                    (enum bb_agree_result)answer->result,
-                                    answer->revision);
+        replicate_complete_proposal(r, response->ticket,
+                                    (enum bb_agree_result)response->result,
+                                    response->revision);
         return true;
     }
     if (request->origin_host >= r->host_count ||
@@ -228,7 +229,7 @@
 exchange_members(struct bb_replicate *r, const agree_members *m,
                  agree_members *result)
 {
-    void *answer = NULL;
+    void *response = NULL;
     size_t size = 0;
 
     result->cluster_id = r->cluster_id;
@@ -239,13 +240,13 @@
     }
     r->settings.exchange_members(
         r->settings.context, r->hosts[m->from_host].id, m->records.records_val,
-        m->records.records_len, &answer, &size);
+        m->records.records_len, &response, &size);
     if (size <= AGREE_MEMBER_RECORDS_MAX_BYTES) {
-        result->records.records_val = answer;
+        result->records.records_val = response;
         result->records.records_len = (u_int)size;
     }
     else {
-        g_free(answer);
+        g_free(response);
     }
 }
 
--- a/control/source_watch.c
+++ b/control/source_watch.c
@@ -125,11 +125,11 @@
  * and logs one that was resolved. The caller holds the lock. */
 static void
 record_conflict(struct bb_source_watch *w, enum bb_source_conflict before,
-                bool is_answered)
+                bool is_response)
 {
     enum bb_source_conflict now = w->source.conflict;
 
-    if (now == before && !(is_answered && now != BB_SOURCE_CONFLICT_NONE)) {
+    if (now == before && !(is_response && now != BB_SOURCE_CONFLICT_NONE)) {
         return;
     }
     if (now == BB_SOURCE_CONFLICT_NONE) {
@@ -157,7 +157,7 @@
     before = w->source.conflict;
     a = bb_source_step(&w->source, e);
     record_conflict(w, before,
-                    e->kind == BB_SOURCE_EVENT_ANSWERED && a.must_save);
+                    e->kind == BB_SOURCE_EVENT_RESPONSE && a.must_save);
     (void)pthread_mutex_unlock(&w->lock);
     w->must_save = w->must_save || a.must_save;
     return a;
@@ -172,10 +172,10 @@
 {
     char *text = bb_config_faults_format(faults);
     struct bb_source_event e = {
-        .kind = BB_SOURCE_EVENT_ANSWERED,
-        .as.answered = {.digest = a->digest,
+        .kind = BB_SOURCE_EVENT_RESPONSE,
+        .as.response = {.digest = a->digest,
                         .base_revision = a->base_revision,
-                        .answer = BB_SOURCE_ANSWER_INVALID}};
+                        .result = BB_SOURCE_RESULT_INVALID}};
 
     (void)pthread_mutex_lock(&w->lock);
     bb_source_incidents_add(&w->incidents, "invalid", &a->digest, text);
@@ -286,9 +286,9 @@
     struct bb_source_action a;
 
     read_folder_if_changed(w, now_us);
-    e.as.observed.is_usable = w->outage == BB_FOLDER_OUTAGE_NONE;
-    if (e.as.observed.is_usable) {
-        e.as.observed.digest = w->last_folder->digest;
+    e.as.scanned.is_usable = w->outage == BB_FOLDER_OUTAGE_NONE;
+    if (e.as.scanned.is_usable) {
+        e.as.scanned.digest = w->last_folder->digest;
     }
     a = run_event(w, &e);
     publish_outage(w);
@@ -387,22 +387,22 @@
 }
 
 /* Reports the outcome of the proposal with a digest and base; revision is the
- * accepted one and used for BB_SOURCE_ANSWER_ACCEPTED only. */
+ * accepted one and used for BB_SOURCE_RESULT_ACCEPTED only. */
 void
-bb_source_watch_report_answer(struct bb_source_watch *w,
+bb_source_watch_report_result(struct bb_source_watch *w,
                               const struct bb_digest *digest,
                               uint64_t base_revision,
-                              enum bb_source_answer answer, uint64_t revision)
+                              enum bb_source_result result, uint64_t revision)
 {
-    if (answer != BB_SOURCE_ANSWER_ACCEPTED &&
-        answer != BB_SOURCE_ANSWER_UNKNOWN) {
+    if (result != BB_SOURCE_RESULT_ACCEPTED &&
+        result != BB_SOURCE_RESULT_UNKNOWN) {
         bb_counter_add(&refusals, 1);
     }
     queue_event(w, &(struct bb_source_event){
-                       .kind = BB_SOURCE_EVENT_ANSWERED,
-                       .as.answered = {.digest = *digest,
+                       .kind = BB_SOURCE_EVENT_RESPONSE,
+                       .as.response = {.digest = *digest,
                                        .base_revision = base_revision,
-                                       .answer = answer,
+                                       .result = result,
                                        .revision = revision}});
 }
 
@@ -436,7 +436,7 @@
                   "differs",
                   s->knows_in_force &&
                       !bb_digest_equal(&s->saved.settled, &s->in_force_digest),
-                  "waiting", s->is_awaiting_answer, "invalid", s->is_invalid,
+                  "waiting", s->is_awaiting_response, "invalid", s->is_invalid,
                   "conflict", bb_source_conflict_name(s->conflict), "history",
                   bb_source_incidents_json(&w->incidents));
     (void)pthread_mutex_unlock(&w->lock);
--- a/ctl/command_trace.c
+++ b/ctl/command_trace.c
@@ -121,18 +121,22 @@
 static bool
 print_cause(const struct bb_ctl_context *c, const GPtrArray *lines)
 {
-    const json_t *answered = find_last_event(lines, "entry.answered");
+    const json_t *response_event = find_last_event(lines, "entry.answered");
     const json_t *gate_report = find_last_event(lines, "entry.gate_said");
     const json_t *caller_left = find_last_event(lines, "entry.caller_left");
     const json_t *routed = find_last_event(lines, "entry.routed");
     const char *service =
         routed != NULL ? bb_ctl_get_text(routed, "service") : "";
-    const char *reason =
-        answered != NULL ? bb_ctl_get_text(answered, "reason") : "";
-    uint64_t status =
-        answered != NULL ? bb_ctl_get_number(answered, "status") : 0;
+    const char *reason = response_event != NULL
+                             ? bb_ctl_get_text(response_event, "reason")
+                             : "";
+    uint64_t status = response_event != NULL
+                          ? bb_ctl_get_number(response_event, "status")
+                          : 0;
     uint64_t took_ms =
-        answered != NULL ? bb_ctl_get_number(answered, "took_us") / 1000 : 0;
+        response_event != NULL
+            ? bb_ctl_get_number(response_event, "took_us") / 1000
+            : 0;
 
     if (caller_left != NULL) {
         (void)fprintf(c->out,
@@ -144,7 +148,7 @@
                       find_last_gate(lines));
         return true;
     }
-    if (answered == NULL) {
+    if (response_event == NULL) {
         const json_t *broken_off = find_last_event(lines, "entry.broken_off");
 
         (void)fprintf(
@@ -178,7 +182,8 @@
     /* 504 is sent at the deadline only if the request may have run or an
      * attempt is still under way, which may_have_run does not count yet. */
     (void)fprintf(c->out, "; it %s\n",
-                  bb_ctl_get_boolean(answered, "may_have_run") || status == 504
+                  bb_ctl_get_boolean(response_event, "may_have_run") ||
+                          status == 504
                       ? "may have run"
                       : "did not run");
     return true;
--- a/decide/agree.c
+++ b/decide/agree.c
@@ -94,8 +94,8 @@
     case BB_AGREE_IDENTITY:
         agree_on_identity(st, m);
         break;
-    case BB_AGREE_IDENTITY_ANSWER:
-        agree_on_identity_answer(st, m);
+    case BB_AGREE_IDENTITY_RESPONSE:
+        agree_on_identity_response(st, m);
         break;
     case BB_AGREE_FORM:
         agree_on_formation(st, m);
@@ -104,15 +104,15 @@
     case BB_AGREE_VOTE:
         agree_on_vote_request(st, m);
         break;
-    case BB_AGREE_PRE_VOTE_ANSWER:
-    case BB_AGREE_VOTE_ANSWER:
-        agree_on_vote_answer(st, m);
+    case BB_AGREE_PRE_VOTE_RESPONSE:
+    case BB_AGREE_VOTE_RESPONSE:
+        agree_on_vote_response(st, m);
         break;
     case BB_AGREE_APPEND:
         agree_on_append(st, m);
         break;
-    case BB_AGREE_APPEND_ANSWER:
-        agree_on_append_answer(st, m);
+    case BB_AGREE_APPEND_RESPONSE:
+        agree_on_append_response(st, m);
         break;
     case BB_AGREE_SNAPSHOT:
         agree_on_snapshot(st, m);
@@ -162,8 +162,8 @@
 {
     struct bb_agree *a = st->a;
 
-    if (a->has_pending_append_answer && a->faults.answers_before_sync) {
-        agree_send_append_answer(st);
+    if (a->has_pending_append_response && a->faults.responds_before_sync) {
+        agree_send_append_response(st);
     }
     if (a->write_sequence != a->synced_sequence || a->is_storage_failed) {
         return;
@@ -185,12 +185,12 @@
     else if (a->pending_vote_to != BB_AGREE_NO_HOST) {
         agree_send_granted_vote(st);
     }
-    if (a->has_pending_append_answer) {
-        agree_send_append_answer(st);
+    if (a->has_pending_append_response) {
+        agree_send_append_response(st);
     }
     agree_apply_committed(st);
-    agree_answer_applied(st);
-    agree_answer_reads(st);
+    agree_complete_proposals(st);
+    agree_complete_reads(st);
 }
 
 /* Stops voting and replicating for good after a failed write, which is not
@@ -222,7 +222,7 @@
     out->apply_first_index = 1;
     out->apply_last_index = 0;
     out->message_count = 0;
-    out->answer_count = 0;
+    out->response_count = 0;
     agree_compact(&st);
     switch (event->kind) {
     case BB_AGREE_EVENT_MESSAGE:
--- a/decide/agree_append.c
+++ b/decide/agree_append.c
@@ -147,16 +147,16 @@
 /* Answers the leader with the last index up to which the log equals the
  * leader's; all of it must be synced. */
 void
-agree_send_append_answer(struct agree_step *st)
+agree_send_append_response(struct agree_step *st)
 {
     struct bb_agree *a = st->a;
     struct bb_agree_message *r;
 
-    a->has_pending_append_answer = 0;
+    a->has_pending_append_response = 0;
     if (a->leader == BB_AGREE_NO_HOST) {
         return;
     }
-    r = agree_add_message(st, BB_AGREE_APPEND_ANSWER, a->leader);
+    r = agree_add_message(st, BB_AGREE_APPEND_RESPONSE, a->leader);
     r->is_ok = true;
     r->index = a->append_match_index;
     r->round = a->append_round;
@@ -169,7 +169,7 @@
 {
     struct bb_agree *a = st->a;
     struct bb_agree_message *r =
-        agree_add_message(st, BB_AGREE_APPEND_ANSWER, m->from);
+        agree_add_message(st, BB_AGREE_APPEND_RESPONSE, m->from);
     uint64_t last = bb_agree_last_index(a);
 
     r->index = m->index > 0 && m->index - 1 < last ? m->index - 1 : last;
@@ -260,7 +260,7 @@
     if (matched > a->append_match_index) {
         a->append_match_index = matched;
     }
-    a->has_pending_append_answer = 1;
+    a->has_pending_append_response = 1;
     agree_advance_commit_to(st, m->commit_index < matched ? m->commit_index
                                                           : matched);
 }
@@ -300,7 +300,7 @@
     if (s->index > a->append_match_index) {
         a->append_match_index = s->index;
     }
-    a->has_pending_append_answer = 1;
+    a->has_pending_append_response = 1;
 }
 
 /* Raises the confirmed round to the last heartbeat round that a quorum has
@@ -314,7 +314,7 @@
         uint32_t slots = 1u << a->self;
 
         for (uint32_t slot = 0; slot < BB_AGREE_SLOTS; slot++) {
-            if (a->progress[slot].answered_round > a->confirmed_round) {
+            if (a->progress[slot].acknowledged_round > a->confirmed_round) {
                 slots |= 1u << slot;
             }
         }
@@ -330,7 +330,8 @@
 /* Processes a follower's answer to an append or a snapshot: updates its
  * progress, sends more entries, commits, and admits a joining disk. */
 void
-agree_on_append_answer(struct agree_step *st, const struct bb_agree_message *m)
+agree_on_append_response(struct agree_step *st,
+                         const struct bb_agree_message *m)
 {
     struct bb_agree *a = st->a;
     uint8_t slot = agree_find_slot(a, m->from, m->incarnation);
@@ -354,8 +355,8 @@
         a->progress[BB_AGREE_JOINING_SLOT] = (struct bb_agree_progress){0};
     }
     p = &a->progress[slot];
-    p->answered_round =
-        m->round > p->answered_round ? m->round : p->answered_round;
+    p->acknowledged_round =
+        m->round > p->acknowledged_round ? m->round : p->acknowledged_round;
     if (!m->is_ok) {
         p->next_index =
             m->index < p->match_index ? p->match_index + 1 : m->index + 1;
--- a/decide/agree_internal.h
+++ b/decide/agree_internal.h
@@ -38,8 +38,8 @@
 void agree_request_identities(struct agree_step *st);
 void agree_on_identity(struct agree_step *st,
                        const struct bb_agree_message *m);
-void agree_on_identity_answer(struct agree_step *st,
-                              const struct bb_agree_message *m);
+void agree_on_identity_response(struct agree_step *st,
+                                const struct bb_agree_message *m);
 void agree_on_formation(struct agree_step *st,
                         const struct bb_agree_message *m);
 void agree_admit_if_caught_up(struct agree_step *st);
@@ -53,18 +53,18 @@
 void agree_send_granted_vote(struct agree_step *st);
 void agree_on_vote_request(struct agree_step *st,
                            const struct bb_agree_message *m);
-void agree_on_vote_answer(struct agree_step *st,
-                          const struct bb_agree_message *m);
+void agree_on_vote_response(struct agree_step *st,
+                            const struct bb_agree_message *m);
 
 /* agree_append.c */
 void agree_become_leader(struct agree_step *st);
 void agree_send_appends(struct agree_step *st);
-void agree_send_append_answer(struct agree_step *st);
+void agree_send_append_response(struct agree_step *st);
 void agree_advance_commit(struct agree_step *st);
 void agree_advance_commit_to(struct agree_step *st, uint64_t index);
 void agree_on_append(struct agree_step *st, const struct bb_agree_message *m);
-void agree_on_append_answer(struct agree_step *st,
-                            const struct bb_agree_message *m);
+void agree_on_append_response(struct agree_step *st,
+                              const struct bb_agree_message *m);
 void agree_on_snapshot(struct agree_step *st,
                        const struct bb_agree_message *m);
 
@@ -72,10 +72,10 @@
 void agree_on_proposal(struct agree_step *st,
                        const struct bb_agree_proposal *p);
 void agree_on_read(struct agree_step *st, uint64_t ticket);
-void agree_add_answer(struct agree_step *st, uint64_t ticket,
-                      enum bb_agree_result result, uint64_t revision);
-void agree_answer_applied(struct agree_step *st);
-void agree_answer_reads(struct agree_step *st);
+void agree_add_response(struct agree_step *st, uint64_t ticket,
+                        enum bb_agree_result result, uint64_t revision);
+void agree_complete_proposals(struct agree_step *st);
+void agree_complete_reads(struct agree_step *st);
 void agree_fail_pending(struct agree_step *st);
 
 /* agree.c */
--- a/decide/agree_member.c
+++ b/decide/agree_member.c
@@ -158,8 +158,8 @@
         a->empty_hosts != (1u << a->host_count) - 1) {
         return;
     }
-    a->answered_incarnations[0] = a->durable.incarnation;
-    memcpy(f.members, a->answered_incarnations, sizeof(f.members));
+    a->reported_incarnations[0] = a->durable.incarnation;
+    memcpy(f.members, a->reported_incarnations, sizeof(f.members));
     adopt_formation(st, &f);
 }
 
@@ -207,7 +207,8 @@
     if (a->write_sequence != a->synced_sequence) {
         return; /* the own incarnation may not be synced yet */
     }
-    agree_add_message(st, BB_AGREE_IDENTITY_ANSWER, m->from)->nonce = m->nonce;
+    agree_add_message(st, BB_AGREE_IDENTITY_RESPONSE, m->from)->nonce =
+        m->nonce;
     if (a->durable.formation.id == 0) {
         return;
     }
@@ -232,8 +233,8 @@
 /* Records which hosts have empty disks. Only answers to requests of this run
  * of the process count, because an older answer may predate a formation. */
 void
-agree_on_identity_answer(struct agree_step *st,
-                         const struct bb_agree_message *m)
+agree_on_identity_response(struct agree_step *st,
+                           const struct bb_agree_message *m)
 {
     struct bb_agree *a = st->a;
 
@@ -245,7 +246,7 @@
         return;
     }
     a->empty_hosts |= (uint8_t)(1u << m->from);
-    a->answered_incarnations[m->from] = m->incarnation;
+    a->reported_incarnations[m->from] = m->incarnation;
     form_if_all_empty(st);
 }
 
--- a/decide/agree_propose.c
+++ b/decide/agree_propose.c
@@ -12,28 +12,28 @@
 /* Adds an answer to the output, which is never full: a step answers at most
  * all pending requests and the one that it was called with. */
 void
-agree_add_answer(struct agree_step *st, uint64_t ticket,
-                 enum bb_agree_result result, uint64_t revision)
+agree_add_response(struct agree_step *st, uint64_t ticket,
+                   enum bb_agree_result result, uint64_t revision)
 {
     struct bb_agree_output *out = st->out;
 
-    if (out->answer_count < BB_AGREE_ANSWERS_MAX) {
-        out->answers[out->answer_count] = (struct bb_agree_answer){
+    if (out->response_count < BB_AGREE_RESPONSES_MAX) {
+        out->responses[out->response_count] = (struct bb_agree_response){
             .ticket = ticket, .result = result, .revision = revision};
-        out->answer_count++;
+        out->response_count++;
     }
 }
 
 /* Answers a proposal as accepted, now or once the entry at the log index is
  * applied. Index 0 stands for a compacted entry, which is applied already. */
 static void
-answer_when_applied(struct agree_step *st, uint64_t ticket, uint64_t index,
-                    uint64_t revision)
+respond_when_applied(struct agree_step *st, uint64_t ticket, uint64_t index,
+                     uint64_t revision)
 {
     struct bb_agree *a = st->a;
 
     if (index <= a->applied_index) {
-        agree_add_answer(st, ticket, BB_AGREE_ACCEPTED, revision);
+        agree_add_response(st, ticket, BB_AGREE_ACCEPTED, revision);
         return;
     }
     a->pending_proposals[a->pending_proposal_count] =
@@ -78,11 +78,11 @@
     uint64_t index = 0;
 
     if (a->role != BB_AGREE_LEADER) {
-        agree_add_answer(st, p->ticket, BB_AGREE_NOT_LEADER, 0);
+        agree_add_response(st, p->ticket, BB_AGREE_NOT_LEADER, 0);
         return;
     }
     if (a->pending_proposal_count == BB_AGREE_PENDING_PROPOSALS_MAX) {
-        agree_add_answer(st, p->ticket, BB_AGREE_BUSY, 0);
+        agree_add_response(st, p->ticket, BB_AGREE_BUSY, 0);
         return;
     }
     if (agree_find_proposal(a, p->base_revision, &p->digest, &revision,
@@ -91,16 +91,16 @@
          bb_digest_equal(&p->digest, &last.digest) &&
          agree_find_proposal(a, last.base_revision, &last.digest, &revision,
                              &index))) {
-        answer_when_applied(st, p->ticket, index, revision);
+        respond_when_applied(st, p->ticket, index, revision);
         return;
     }
     result = check_proposal(a, p, &last);
     if (result != BB_AGREE_ACCEPTED) {
-        agree_add_answer(st, p->ticket, result, last.revision);
+        agree_add_response(st, p->ticket, result, last.revision);
         return;
     }
     agree_append(st, &e);
-    answer_when_applied(st, p->ticket, bb_agree_last_index(a), e.revision);
+    respond_when_applied(st, p->ticket, bb_agree_last_index(a), e.revision);
     agree_send_appends(st);
 }
 
@@ -112,11 +112,11 @@
     struct bb_agree *a = st->a;
 
     if (a->role != BB_AGREE_LEADER) {
-        agree_add_answer(st, ticket, BB_AGREE_NOT_LEADER, 0);
+        agree_add_response(st, ticket, BB_AGREE_NOT_LEADER, 0);
         return;
     }
     if (a->pending_read_count == BB_AGREE_PENDING_READS_MAX) {
-        agree_add_answer(st, ticket, BB_AGREE_BUSY, 0);
+        agree_add_response(st, ticket, BB_AGREE_BUSY, 0);
         return;
     }
     a->round++;
@@ -131,7 +131,7 @@
 
 /* Answers the pending proposals whose entries are applied. */
 void
-agree_answer_applied(struct agree_step *st)
+agree_complete_proposals(struct agree_step *st)
 {
     struct bb_agree *a = st->a;
     uint8_t kept = 0;
@@ -145,8 +145,8 @@
             kept++;
         }
         else {
-            agree_add_answer(st, p.ticket, BB_AGREE_ACCEPTED,
-                             e != NULL ? e->revision : 0);
+            agree_add_response(st, p.ticket, BB_AGREE_ACCEPTED,
+                               e != NULL ? e->revision : 0);
         }
     }
     memset(&a->pending_proposals[kept], 0,
@@ -159,7 +159,7 @@
  * of the own term is applied: before that, the commit index may lack entries
  * committed by earlier leaders. */
 void
-agree_answer_reads(struct agree_step *st)
+agree_complete_reads(struct agree_step *st)
 {
     struct bb_agree *a = st->a;
     uint64_t term = 0;
@@ -174,8 +174,8 @@
             kept++;
         }
         else {
-            agree_add_answer(st, r.ticket, BB_AGREE_CONFIRMED,
-                             bb_agree_config_in_force(a).revision);
+            agree_add_response(st, r.ticket, BB_AGREE_CONFIRMED,
+                               bb_agree_config_in_force(a).revision);
         }
     }
     memset(&a->pending_reads[kept], 0,
@@ -192,12 +192,12 @@
     struct bb_agree *a = st->a;
 
     for (uint8_t i = 0; i < a->pending_proposal_count; i++) {
-        agree_add_answer(st, a->pending_proposals[i].ticket, BB_AGREE_UNKNOWN,
-                         0);
+        agree_add_response(st, a->pending_proposals[i].ticket,
+                           BB_AGREE_UNKNOWN, 0);
     }
     for (uint8_t i = 0; i < a->pending_read_count; i++) {
-        agree_add_answer(st, a->pending_reads[i].ticket, BB_AGREE_NOT_LEADER,
-                         0);
+        agree_add_response(st, a->pending_reads[i].ticket, BB_AGREE_NOT_LEADER,
+                           0);
     }
     memset(a->pending_proposals, 0, sizeof(a->pending_proposals));
     memset(a->pending_reads, 0, sizeof(a->pending_reads));
--- a/decide/agree_vote.c
+++ b/decide/agree_vote.c
@@ -27,7 +27,7 @@
         a->durable.voted_for = 0;
         a->append_match_index = 0;
         a->append_round = 0;
-        a->has_pending_append_answer = 0;
+        a->has_pending_append_response = 0;
         a->pending_vote_to = BB_AGREE_NO_HOST;
         agree_request_write(st, 0);
     }
@@ -116,12 +116,12 @@
 /* Answers a vote or pre-vote request. The answer repeats the term of the
  * request and carries the own term in index_term. */
 static void
-send_vote_answer(struct agree_step *st, const struct bb_agree_message *m,
-                 bool is_ok)
+send_vote_response(struct agree_step *st, const struct bb_agree_message *m,
+                   bool is_ok)
 {
     enum bb_agree_message_kind kind = m->kind == BB_AGREE_PRE_VOTE
-                                          ? BB_AGREE_PRE_VOTE_ANSWER
-                                          : BB_AGREE_VOTE_ANSWER;
+                                          ? BB_AGREE_PRE_VOTE_RESPONSE
+                                          : BB_AGREE_VOTE_RESPONSE;
     struct bb_agree_message *r = agree_add_message(st, kind, m->from);
 
     r->term = m->term;
@@ -135,7 +135,7 @@
 {
     struct bb_agree *a = st->a;
     struct bb_agree_message *r =
-        agree_add_message(st, BB_AGREE_VOTE_ANSWER, a->pending_vote_to);
+        agree_add_message(st, BB_AGREE_VOTE_RESPONSE, a->pending_vote_to);
 
     r->term = a->durable.term;
     r->index_term = a->durable.term;
@@ -175,7 +175,7 @@
 /* Answers a pre-vote request. It is refused while this host hears from a
  * leader, so that a host that rejoins does not disturb it. */
 static void
-answer_pre_vote(struct agree_step *st, const struct bb_agree_message *m)
+respond_to_pre_vote(struct agree_step *st, const struct bb_agree_message *m)
 {
     const struct bb_agree *a = st->a;
     bool has_leader = a->role == BB_AGREE_LEADER ||
@@ -183,9 +183,9 @@
                        st->now_us < a->leader_last_heard_us +
                                         BB_AGREE_ELECTION_TIMEOUT_MIN_US);
 
-    send_vote_answer(st, m,
-                     m->term > a->durable.term && is_log_up_to_date(a, m) &&
-                         !has_leader);
+    send_vote_response(st, m,
+                       m->term > a->durable.term && is_log_up_to_date(a, m) &&
+                           !has_leader);
 }
 
 /* Processes a vote or pre-vote request. A disk that is not a member does not
@@ -201,7 +201,7 @@
         return;
     }
     if (m->kind == BB_AGREE_PRE_VOTE) {
-        answer_pre_vote(st, m);
+        respond_to_pre_vote(st, m);
         return;
     }
     if (m->term > a->durable.term) {
@@ -210,7 +210,7 @@
     if (m->term < a->durable.term || !is_log_up_to_date(a, m) ||
         (a->durable.voted_for != 0 &&
          a->durable.voted_for != m->incarnation)) {
-        send_vote_answer(st, m, false);
+        send_vote_response(st, m, false);
         return;
     }
     if (a->durable.voted_for == 0) {
@@ -225,10 +225,10 @@
  * with a quorum. Only answers of member disks, or of the one that a pending
  * entry admits, count. */
 void
-agree_on_vote_answer(struct agree_step *st, const struct bb_agree_message *m)
+agree_on_vote_response(struct agree_step *st, const struct bb_agree_message *m)
 {
     struct bb_agree *a = st->a;
-    bool is_pre = m->kind == BB_AGREE_PRE_VOTE_ANSWER;
+    bool is_pre = m->kind == BB_AGREE_PRE_VOTE_RESPONSE;
     uint8_t role = is_pre ? BB_AGREE_PRE_CANDIDATE : BB_AGREE_CANDIDATE;
     uint8_t slot = agree_find_slot(a, m->from, m->incarnation);
 
--- a/decide/claim.c
+++ b/decide/claim.c
@@ -97,11 +97,11 @@
  * the retention time after it was last granted. A witness that cannot grant
  * still reports another claim that it holds, unless the new one is a later
  * attempt of the same request. */
-struct bb_witness_answer
+struct bb_witness_response
 bb_witness_claim(struct bb_witness *w, const struct bb_request_id *key,
                  const struct bb_claim *c, uint64_t epoch, uint64_t now_us)
 {
-    struct bb_witness_answer a = {.epoch = w->epoch};
+    struct bb_witness_response a = {.epoch = w->epoch};
     struct bb_claim_entry *e;
 
     if (epoch != w->epoch) {
@@ -177,7 +177,7 @@
 }
 
 /* Starts a claim of a key. The caller sends it to every host in witnesses[]
- * and passes each answer to bb_claim_add_answer. */
+ * and passes each answer to bb_claim_add_response. */
 void
 bb_claim_start(struct bb_claim_requester *q, const struct bb_roster *r,
                const struct bb_request_id *key, const struct bb_claim *wanted)
@@ -195,13 +195,13 @@
  * later answer replaces an earlier one. Returns false if the host is not a
  * witness of this claim. */
 bool
-bb_claim_add_answer(struct bb_claim_requester *q, uint64_t witness,
-                    const struct bb_witness_answer *a)
+bb_claim_add_response(struct bb_claim_requester *q, uint64_t witness,
+                      const struct bb_witness_response *a)
 {
     for (uint32_t i = 0; i < q->witness_count; i++) {
         if (q->witnesses[i] == witness) {
-            q->answers[i] = *a;
-            q->has_answered[i] = true;
+            q->responses[i] = *a;
+            q->has_responded[i] = true;
             return true;
         }
     }
@@ -216,11 +216,11 @@
     uint32_t count = 0;
 
     for (uint32_t i = 0; i < q->witness_count; i++) {
-        enum bb_witness_result r = q->answers[i].result;
+        enum bb_witness_result r = q->responses[i].result;
 
-        if (in_set[i] && q->has_answered[i] &&
+        if (in_set[i] && q->has_responded[i] &&
             (r == BB_WITNESS_GRANTED || r == BB_WITNESS_HELD) &&
-            is_same_claim(&q->answers[i].held, c)) {
+            is_same_claim(&q->responses[i].held, c)) {
             count++;
         }
     }
@@ -246,8 +246,8 @@
 refusal_reason(const struct bb_claim_requester *q)
 {
     for (uint32_t i = 0; i < q->witness_count; i++) {
-        if (q->has_answered[i] &&
-            q->answers[i].result == BB_WITNESS_OTHER_EPOCH) {
+        if (q->has_responded[i] &&
+            q->responses[i].result == BB_WITNESS_OTHER_EPOCH) {
             return BB_REASON_KEY_OWNER_CHANGED;
         }
     }
@@ -267,13 +267,13 @@
 
     *reason = BB_REASON_NONE;
     for (uint32_t i = 0; i < q->witness_count; i++) {
-        if (!q->has_answered[i]) {
+        if (!q->has_responded[i]) {
             is_complete = false;
         }
-        else if (q->answers[i].result == BB_WITNESS_GRANTED ||
-                 q->answers[i].result == BB_WITNESS_HELD) {
-            if (has_quorum(q, &q->answers[i].held)) {
-                *held = q->answers[i].held;
+        else if (q->responses[i].result == BB_WITNESS_GRANTED ||
+                 q->responses[i].result == BB_WITNESS_HELD) {
+            if (has_quorum(q, &q->responses[i].held)) {
+                *held = q->responses[i].held;
                 return is_same_claim(held, &q->wanted) ? BB_CLAIM_RUN
                                                        : BB_CLAIM_JOIN;
             }
--- a/decide/probe.c
+++ b/decide/probe.c
@@ -65,8 +65,8 @@
 
 /* To be called with the answer to a query. */
 void
-bb_probe_query_answered(struct bb_probe *p, enum bb_query_result result,
-                        uint64_t now_us)
+bb_probe_query_completed(struct bb_probe *p, enum bb_query_result result,
+                         uint64_t now_us)
 {
     p->is_query_pending = false;
     p->next_query_us = now_us + p->check_interval_us;
@@ -76,7 +76,7 @@
         set_final_step(p, BB_PROBE_RETRY, connection_reason(p));
         break;
     case BB_QUERY_DONE:
-        set_final_step(p, BB_PROBE_TAKE_ANSWER, BB_REASON_NONE);
+        set_final_step(p, BB_PROBE_FETCH_RESPONSE, BB_REASON_NONE);
         break;
     case BB_QUERY_OTHER_INCARNATION:
         set_final_step(p, p->is_idempotent ? BB_PROBE_RETRY : BB_PROBE_UNKNOWN,
@@ -94,8 +94,8 @@
  * record is queried again, and another incarnation may have run the request,
  * so the outcome is unknown. */
 void
-bb_probe_begin_answered(struct bb_probe *p, enum bb_begin_result result,
-                        uint64_t now_us)
+bb_probe_begin_completed(struct bb_probe *p, enum bb_begin_result result,
+                         uint64_t now_us)
 {
     bool is_keyed = p->is_keyed && p->fault != BB_PROBE_FAULT_RETRIES_KEYED;
 
@@ -106,7 +106,7 @@
         p->next_query_us = now_us + p->check_interval_us;
         break;
     case BB_BEGIN_DUPLICATE_DONE:
-        set_final_step(p, BB_PROBE_TAKE_ANSWER, BB_REASON_NONE);
+        set_final_step(p, BB_PROBE_FETCH_RESPONSE, BB_REASON_NONE);
         break;
     case BB_BEGIN_REFUSED:
         set_final_step(p, BB_PROBE_RETRY, BB_REASON_ALREADY_REFUSED);
@@ -144,7 +144,7 @@
 }
 
 /* Returns what to do now. After BB_PROBE_QUERY the caller must report the
- * result with bb_probe_query_answered or bb_probe_query_failed. Sets *reason
+ * result with bb_probe_query_completed or bb_probe_query_failed. Sets *reason
  * to why the call is retried or its outcome is unknown, else to
  * BB_REASON_NONE. */
 enum bb_probe_step
--- a/decide/quorum.c
+++ b/decide/quorum.c
@@ -84,7 +84,7 @@
 static bool
 is_entry_synced(const struct bb_quorum *q)
 {
-    return q->faults.answers_before_sync ||
+    return q->faults.responds_before_sync ||
            (q->synced_term == q->durable.entry.term &&
             q->synced_index == q->durable.entry.index);
 }
@@ -115,7 +115,7 @@
         q->durable.voted_for = 0;
         q->leader = 0;
         q->pending_vote_to = 0;
-        q->has_pending_append_answer = false;
+        q->has_pending_append_response = false;
         (void)request_write(q, out);
     }
 }
@@ -376,15 +376,15 @@
 /* Answers a pre-vote request. It is refused while this host leads or hears
  * from a leader, so that a host that rejoins does not disturb the leader. */
 static void
-answer_pre_vote(struct bb_quorum *q, const struct bb_quorum_message *m,
-                uint64_t now_us, struct bb_quorum_output *out)
+respond_to_pre_vote(struct bb_quorum *q, const struct bb_quorum_message *m,
+                    uint64_t now_us, struct bb_quorum_output *out)
 {
     bool has_leader =
         q->role == BB_QUORUM_LEADER ||
         (q->leader != 0 &&
          now_us - q->leader_last_heard_us < BB_QUORUM_ELECTION_TIMEOUT_MIN_US);
     struct bb_quorum_message *a =
-        add_message(q, out, m->from, BB_QUORUM_PRE_VOTE_ANSWER);
+        add_message(q, out, m->from, BB_QUORUM_PRE_VOTE_RESPONSE);
 
     a->is_ok =
         !has_leader && m->term > q->durable.term && is_entry_up_to_date(q, m);
@@ -396,16 +396,16 @@
 
 /* Answers a vote request; a granted vote is sent once it is synced. */
 static void
-answer_vote(struct bb_quorum *q, const struct bb_quorum_message *m,
-            uint64_t now_us, uint64_t random_bits,
-            struct bb_quorum_output *out)
+respond_to_vote(struct bb_quorum *q, const struct bb_quorum_message *m,
+                uint64_t now_us, uint64_t random_bits,
+                struct bb_quorum_output *out)
 {
     if (m->term > q->durable.term) {
         become_follower(q, m->term, out);
     }
     if (m->term < q->durable.term || !is_entry_up_to_date(q, m) ||
         (q->durable.voted_for != 0 && q->durable.voted_for != m->from)) {
-        add_message(q, out, m->from, BB_QUORUM_VOTE_ANSWER)->is_ok = false;
+        add_message(q, out, m->from, BB_QUORUM_VOTE_RESPONSE)->is_ok = false;
         return;
     }
     reset_election_timer(q, now_us, random_bits);
@@ -433,18 +433,18 @@
 
 /* Answers the leader with the term and index of the synced entry. */
 static void
-send_append_answer(struct bb_quorum *q, uint64_t to,
-                   struct bb_quorum_output *out)
+send_append_response(struct bb_quorum *q, uint64_t to,
+                     struct bb_quorum_output *out)
 {
     struct bb_quorum_message *a =
-        add_message(q, out, to, BB_QUORUM_APPEND_ANSWER);
+        add_message(q, out, to, BB_QUORUM_APPEND_RESPONSE);
 
     a->is_ok = true;
     a->round = q->append_round;
-    a->entry.term =
-        q->faults.answers_before_sync ? q->durable.entry.term : q->synced_term;
-    a->entry.index = q->faults.answers_before_sync ? q->durable.entry.index
-                                                   : q->synced_index;
+    a->entry.term = q->faults.responds_before_sync ? q->durable.entry.term
+                                                   : q->synced_term;
+    a->entry.index = q->faults.responds_before_sync ? q->durable.entry.index
+                                                    : q->synced_index;
 }
 
 /* Processes an append or heartbeat of a leader. Answers at once with what is
@@ -454,7 +454,7 @@
           uint64_t now_us, uint64_t random_bits, struct bb_quorum_output *out)
 {
     if (m->term < q->durable.term) {
-        add_message(q, out, m->from, BB_QUORUM_APPEND_ANSWER)->is_ok = false;
+        add_message(q, out, m->from, BB_QUORUM_APPEND_RESPONSE)->is_ok = false;
         return;
     }
     become_follower(q, m->term, out);
@@ -466,7 +466,7 @@
         compare_entries(&m->entry, &q->durable.entry) > 0) {
         q->durable.entry = m->entry;
         q->is_committed = false;
-        q->has_pending_append_answer = true;
+        q->has_pending_append_response = true;
         q->pending_append_sequence = request_write(q, out);
     }
     if (!q->is_committed && q->durable.entry.term == m->term &&
@@ -476,7 +476,7 @@
         out->has_committed = true;
     }
     q->append_round = m->round;
-    send_append_answer(q, m->from, out);
+    send_append_response(q, m->from, out);
 }
 
 /* Updates the time of the last quorum, if a majority of the voters (with the
@@ -499,8 +499,8 @@
 
 /* Processes a follower's answer: updates its progress and commits. */
 static void
-on_append_answer(struct bb_quorum *q, const struct bb_quorum_message *m,
-                 uint64_t now_us, struct bb_quorum_output *out)
+on_append_response(struct bb_quorum *q, const struct bb_quorum_message *m,
+                   uint64_t now_us, struct bb_quorum_output *out)
 {
     struct bb_quorum_peer *p = find_peer(q, m->from);
 
@@ -509,8 +509,8 @@
         return;
     }
     p->last_heard_us = now_us;
-    if (m->round > p->answered_round) {
-        p->answered_round = m->round;
+    if (m->round > p->acknowledged_round) {
+        p->acknowledged_round = m->round;
     }
     if (m->entry.term == q->durable.term && m->entry.index > p->match_index) {
         p->match_index = m->entry.index;
@@ -527,7 +527,7 @@
 {
     /* Carries the next term, in which there is no election yet. */
     bool is_pre_vote = m->kind == BB_QUORUM_PRE_VOTE ||
-                       (m->kind == BB_QUORUM_PRE_VOTE_ANSWER && m->is_ok);
+                       (m->kind == BB_QUORUM_PRE_VOTE_RESPONSE && m->is_ok);
 
     if (m->to != q->durable.disk_id) {
         return;
@@ -539,18 +539,18 @@
     }
     switch ((enum bb_quorum_message_kind)m->kind) {
     case BB_QUORUM_PRE_VOTE:
-        answer_pre_vote(q, m, now_us, out);
+        respond_to_pre_vote(q, m, now_us, out);
         break;
-    case BB_QUORUM_PRE_VOTE_ANSWER:
+    case BB_QUORUM_PRE_VOTE_RESPONSE:
         if (q->role == BB_QUORUM_PRE_CANDIDATE && m->is_ok &&
             m->term == q->durable.term + 1 && count_vote(q, m->from)) {
             become_candidate(q, now_us, random_bits, out);
         }
         break;
     case BB_QUORUM_VOTE:
-        answer_vote(q, m, now_us, random_bits, out);
+        respond_to_vote(q, m, now_us, random_bits, out);
         break;
-    case BB_QUORUM_VOTE_ANSWER:
+    case BB_QUORUM_VOTE_RESPONSE:
         if (q->role == BB_QUORUM_CANDIDATE && m->is_ok &&
             m->term == q->durable.term && q->vote_count > 0 &&
             count_vote(q, m->from)) {
@@ -560,8 +560,8 @@
     case BB_QUORUM_APPEND:
         on_append(q, m, now_us, random_bits, out);
         break;
-    case BB_QUORUM_APPEND_ANSWER:
-        on_append_answer(q, m, now_us, out);
+    case BB_QUORUM_APPEND_RESPONSE:
+        on_append_response(q, m, now_us, out);
         break;
     case BB_QUORUM_MESSAGE_KINDS:
         break;
@@ -595,13 +595,13 @@
             }
         }
         else if (to == q->durable.voted_for && to != q->durable.disk_id) {
-            add_message(q, out, to, BB_QUORUM_VOTE_ANSWER)->is_ok = true;
+            add_message(q, out, to, BB_QUORUM_VOTE_RESPONSE)->is_ok = true;
         }
     }
-    if (q->has_pending_append_answer &&
+    if (q->has_pending_append_response &&
         sequence >= q->pending_append_sequence && q->leader != 0) {
-        q->has_pending_append_answer = false;
-        send_append_answer(q, q->leader, out);
+        q->has_pending_append_response = false;
+        send_append_response(q, q->leader, out);
     }
     advance_commit(q, now_us, out);
 }
@@ -699,7 +699,7 @@
     }
     for (uint32_t i = 0; i < q->peer_count; i++) {
         count += is_voter(&q->durable.entry, q->peers[i].disk_id) &&
-                 q->peers[i].answered_round >= round;
+                 q->peers[i].acknowledged_round >= round;
     }
     return count >= majority_size(q);
 }
--- a/decide/record.c
+++ b/decide/record.c
@@ -31,15 +31,16 @@
 /* Records a request as running unless its id was seen before. A request that
  * names an incarnation other than BB_INCARNATION_ANY is accepted by that one
  * only; a request that may run elsewhere or has been sent before must name it.
- * Sets *answer_handle to the stored answer for BB_BEGIN_DUPLICATE_DONE, else
+ * Sets *response_handle to the stored answer for BB_BEGIN_DUPLICATE_DONE, else
  * to 0. */
 enum bb_begin_result
 bb_record_begin(struct bb_record *r, const struct bb_request_id *id,
-                uint64_t incarnation, uint64_t *answer_handle, uint64_t now_us)
+                uint64_t incarnation, uint64_t *response_handle,
+                uint64_t now_us)
 {
     struct bb_record_entry *e;
 
-    *answer_handle = 0;
+    *response_handle = 0;
     if (is_other_incarnation(r, incarnation)) {
         return BB_BEGIN_OTHER_INCARNATION;
     }
@@ -49,7 +50,7 @@
         case BB_RECORD_RUNNING:
             return BB_BEGIN_DUPLICATE_RUNNING;
         case BB_RECORD_DONE:
-            *answer_handle = e->answer_handle;
+            *response_handle = e->response_handle;
             return BB_BEGIN_DUPLICATE_DONE;
         case BB_RECORD_REFUSED:
             return BB_BEGIN_REFUSED;
@@ -69,7 +70,7 @@
  * ran. Returns false if the id is not recorded as running. */
 bool
 bb_record_finish(struct bb_record *r, const struct bb_request_id *id,
-                 enum bb_record_state state, uint64_t answer_handle,
+                 enum bb_record_state state, uint64_t response_handle,
                  uint64_t now_us)
 {
     struct bb_record_entry *e = find_entry(r, id);
@@ -79,7 +80,7 @@
         return false;
     }
     e->state = state;
-    e->answer_handle = answer_handle;
+    e->response_handle = response_handle;
     e->slot.keep_until_us = now_us + r->retention_us;
     return true;
 }
@@ -103,15 +104,16 @@
 
 /* Returns what became of a request id that was sent to an incarnation. An id
  * never seen is first recorded as permanently refused, so that a request still
- * on its way will not run. Sets *answer_handle as bb_record_begin does, for
+ * on its way will not run. Sets *response_handle as bb_record_begin does, for
  * BB_QUERY_DONE. */
 enum bb_query_result
 bb_record_query(struct bb_record *r, const struct bb_request_id *id,
-                uint64_t incarnation, uint64_t *answer_handle, uint64_t now_us)
+                uint64_t incarnation, uint64_t *response_handle,
+                uint64_t now_us)
 {
     struct bb_record_entry *e;
 
-    *answer_handle = 0;
+    *response_handle = 0;
     if (is_other_incarnation(r, incarnation)) {
         return BB_QUERY_OTHER_INCARNATION;
     }
@@ -121,7 +123,7 @@
         case BB_RECORD_RUNNING:
             return BB_QUERY_RUNNING;
         case BB_RECORD_DONE:
-            *answer_handle = e->answer_handle;
+            *response_handle = e->response_handle;
             return BB_QUERY_DONE;
         case BB_RECORD_REFUSED:
             return BB_QUERY_REFUSED;
@@ -139,19 +141,20 @@
     return BB_QUERY_NEVER_SEEN;
 }
 
-/* Removes one expired entry and sets *answer_handle to its answer, for
+/* Removes one expired entry and sets *response_handle to its answer, for
  * the caller to release (0: none). Returns false if this scan of part of the
  * table found none. Call it a few times for each bb_record_begin. */
 bool
-bb_record_expire(struct bb_record *r, uint64_t now_us, uint64_t *answer_handle)
+bb_record_expire(struct bb_record *r, uint64_t now_us,
+                 uint64_t *response_handle)
 {
     struct bb_record_entry *e = bb_id_table_find_expired(&r->table, now_us);
 
-    *answer_handle = 0;
+    *response_handle = 0;
     if (e == NULL) {
         return false;
     }
-    *answer_handle = e->answer_handle;
+    *response_handle = e->response_handle;
     bb_id_table_remove(&r->table, e);
     return true;
 }
--- a/decide/retry.c
+++ b/decide/retry.c
@@ -145,7 +145,7 @@
  * configured delay, or the observed p95 plus a margin, and at least
  * HEDGE_DELAY_MIN_US. */
 uint64_t
-bb_hedge_delay_us(const struct bb_unanswered_request *q,
+bb_hedge_delay_us(const struct bb_pending_request *q,
                   const struct bb_duration_stats *latency)
 {
     uint64_t us = q->hedge_after_us;
@@ -164,7 +164,7 @@
  * idempotent short requests are hedged, after the hedge delay, and if more
  * than the median latency is left until the deadline. */
 bool
-bb_hedge_decide(const struct bb_unanswered_request *q,
+bb_hedge_decide(const struct bb_pending_request *q,
                 const struct bb_duration_stats *latency,
                 struct bb_retry_budget *b)
 {
--- a/decide/source.c
+++ b/decide/source.c
@@ -102,7 +102,7 @@
 static bool
 adopt_in_force(struct bb_source *s, const struct bb_digest *digest)
 {
-    s->is_awaiting_answer = false;
+    s->is_awaiting_response = false;
     s->is_invalid = false;
     s->conflict = BB_SOURCE_CONFLICT_NONE;
     return set_settled(s, digest, s->in_force_revision);
@@ -114,10 +114,10 @@
 static void
 update_candidate(struct bb_source *s, const struct bb_source_event *e)
 {
-    const struct bb_digest *digest = &e->as.observed.digest;
+    const struct bb_digest *digest = &e->as.scanned.digest;
     uint64_t now_us = e->now_us;
 
-    if (!e->as.observed.is_usable) {
+    if (!e->as.scanned.is_usable) {
         s->has_candidate = false;
         s->is_stable = false;
     }
@@ -171,17 +171,17 @@
  * changes; the base stays. Returns true, as the saved state changes. */
 static bool
 record_refusal(struct bb_source *s, const struct bb_digest *digest,
-               enum bb_source_answer answer)
+               enum bb_source_result result)
 {
     remove_open_proposal(&s->saved, find_open_proposal(&s->saved, digest));
     if (!bb_digest_equal(&s->proposed, digest)) {
         return true;
     }
-    s->is_awaiting_answer = false;
-    s->is_invalid = answer == BB_SOURCE_ANSWER_INVALID;
-    s->conflict = answer == BB_SOURCE_ANSWER_STALE_BASE
+    s->is_awaiting_response = false;
+    s->is_invalid = result == BB_SOURCE_RESULT_INVALID;
+    s->conflict = result == BB_SOURCE_RESULT_STALE_BASE
                       ? BB_SOURCE_CONFLICT_STALE_BASE
-                  : answer == BB_SOURCE_ANSWER_VERSION_CONFLICT
+                  : result == BB_SOURCE_RESULT_VERSION_CONFLICT
                       ? BB_SOURCE_CONFLICT_VERSION
                       : BB_SOURCE_CONFLICT_NONE;
     (void)set_settled(s, digest, s->saved.base_revision);
@@ -191,29 +191,29 @@
 /* Records the answer to an open proposal; ignores late answers to others.
  * Returns whether the saved state changed. */
 static bool
-record_answer(struct bb_source *s, const struct bb_source_event *e)
+record_result(struct bb_source *s, const struct bb_source_event *e)
 {
-    const struct bb_digest *digest = &e->as.answered.digest;
+    const struct bb_digest *digest = &e->as.response.digest;
 
-    if (e->as.answered.base_revision != s->saved.base_revision ||
+    if (e->as.response.base_revision != s->saved.base_revision ||
         find_open_proposal(&s->saved, digest) ==
             s->saved.open_proposal_count) {
         return false;
     }
-    switch (e->as.answered.answer) {
-    case BB_SOURCE_ANSWER_UNKNOWN:
+    switch (e->as.response.result) {
+    case BB_SOURCE_RESULT_UNKNOWN:
         return false;
-    case BB_SOURCE_ANSWER_ACCEPTED:
-        s->is_awaiting_answer = false;
+    case BB_SOURCE_RESULT_ACCEPTED:
+        s->is_awaiting_response = false;
         s->is_invalid = false;
         s->conflict = BB_SOURCE_CONFLICT_NONE;
-        (void)update_in_force(s, e->as.answered.revision, digest);
-        (void)set_settled(s, digest, e->as.answered.revision);
+        (void)update_in_force(s, e->as.response.revision, digest);
+        (void)set_settled(s, digest, e->as.response.revision);
         return true;
-    case BB_SOURCE_ANSWER_INVALID:
-    case BB_SOURCE_ANSWER_STALE_BASE:
-    case BB_SOURCE_ANSWER_VERSION_CONFLICT:
-        return record_refusal(s, digest, e->as.answered.answer);
+    case BB_SOURCE_RESULT_INVALID:
+    case BB_SOURCE_RESULT_STALE_BASE:
+    case BB_SOURCE_RESULT_VERSION_CONFLICT:
+        return record_refusal(s, digest, e->as.response.result);
     }
     return false;
 }
@@ -225,12 +225,12 @@
 {
     struct bb_source_action a = {0};
 
-    if (s->is_awaiting_answer &&
+    if (s->is_awaiting_response &&
         bb_digest_equal(&s->proposed, &s->candidate) &&
         now_us - s->proposed_at_us < BB_SOURCE_RESEND_INTERVAL_US) {
         return a;
     }
-    s->is_awaiting_answer = true;
+    s->is_awaiting_response = true;
     s->proposed = s->candidate;
     s->proposed_at_us = now_us;
     a.kind = BB_SOURCE_ACTION_PROPOSE;
@@ -257,7 +257,7 @@
         return a;
     }
     if (!s->saved.has_settled && s->in_force_revision > 0) {
-        s->is_awaiting_answer = false;
+        s->is_awaiting_response = false;
         s->conflict = BB_SOURCE_CONFLICT_UNKNOWN_BASE;
         a.must_save = set_settled(s, &s->candidate, 0);
         return a;
@@ -284,8 +284,8 @@
         must_save = update_in_force(s, e->as.in_force.revision,
                                     &e->as.in_force.digest);
         break;
-    case BB_SOURCE_EVENT_ANSWERED:
-        must_save = record_answer(s, e);
+    case BB_SOURCE_EVENT_RESPONSE:
+        must_save = record_result(s, e);
         break;
     }
     a = decide_action(s, e->now_us);
--- a/decide/swim.c
+++ b/decide/swim.c
@@ -172,7 +172,7 @@
  * is ended only by the peer's refutation, a record with a higher sequence
  * number. */
 void
-bb_swim_record_answer(struct bb_swim *s, uint64_t id, uint64_t now_us)
+bb_swim_record_ack(struct bb_swim *s, uint64_t id, uint64_t now_us)
 {
     struct bb_swim_peer *p = find_peer(s, id);
 
--- a/fleet/core_peers.c
+++ b/fleet/core_peers.c
@@ -469,7 +469,7 @@
     fleet_message out = {.kind = FLEET_QUORUM};
 
     out.fleet_message_u.quorum =
-        (fleet_quorum_message){.kind = BB_QUORUM_APPEND_ANSWER,
+        (fleet_quorum_message){.kind = BB_QUORUM_APPEND_RESPONSE,
                                .needs_full_content = TRUE,
                                .from = l->core->quorum.durable.disk_id,
                                .to = q->from,
@@ -521,7 +521,7 @@
     }
     bb_quorum_receive(&c->quorum, &m, bb_clock_now_us(),
                       bb_random_global_u64(), &out);
-    if (q->kind == BB_QUORUM_APPEND_ANSWER && m.is_ok &&
+    if (q->kind == BB_QUORUM_APPEND_RESPONSE && m.is_ok &&
         m.entry.term == c->quorum.durable.entry.term &&
         m.entry.index == c->quorum.durable.entry.index) {
         p->acked_content_id = c->quorum.durable.entry.content_id;
--- a/fleet/core_requests.c
+++ b/fleet/core_requests.c
@@ -10,7 +10,7 @@
 
 BB_COUNTER(accepted_total, "baobab_core_orders_accepted_total",
            "Configurations accepted by this host as leader");
-BB_COUNTER(repeated_total, "baobab_core_orders_repeated_total",
+BB_COUNTER(already_accepted_total, "baobab_core_orders_repeated_total",
            "Orders that had been accepted before");
 BB_COUNTER(stale_total, "baobab_core_orders_stale_total",
            "Orders refused because another version is in force");
@@ -113,7 +113,7 @@
     struct core_proposal *p = g_queue_pop_head(&c->proposals);
 
     if (was_accepted(c, p)) {
-        bb_counter_add(&repeated_total, 1);
+        bb_counter_add(&already_accepted_total, 1);
         finish_proposal(c, p, BB_PROPOSAL_ACCEPTED);
         return;
     }
--- a/include/config/config.h
+++ b/include/config/config.h
@@ -92,7 +92,7 @@
     uint32_t hedge_budget_percent;
     /* Gatekeepers of a service that may be ejected as outliers at the same
      * time, in percent of all of them; 0: none. */
-    uint32_t ejection_percent;
+    uint32_t max_ejected_percent;
     /* For calls to the other region; 0: no call may go there. */
     uint64_t link_bytes_per_s;
 };
--- a/include/control/replicate.h
+++ b/include/control/replicate.h
@@ -32,7 +32,7 @@
 enum bb_replicate_error {
     BB_REPLICATE_ERROR_SETTINGS = 1, /* too many, duplicate or unknown hosts */
     BB_REPLICATE_ERROR_STORE,        /* the data folder cannot be used */
-    BB_REPLICATE_ERROR_NO_ANSWER,    /* a peer did not answer a call */
+    BB_REPLICATE_ERROR_NO_RESPONSE,  /* a peer did not answer a call */
     BB_REPLICATE_ERROR_INTERNAL      /* a thread cannot be started */
 };
 
@@ -81,11 +81,11 @@
     void (*role_changed)(void *context, enum bb_agree_role role,
                          uint64_t term);
     /* Processes the membership records of another control host and answers
-     * with the own ones; *answer is freed with g_free. May be NULL. Runs in
+     * with the own ones; *response is freed with g_free. May be NULL. Runs in
      * the RPC server's thread. */
     void (*exchange_members)(void *context, const char *from_id,
                              const void *records, size_t size_bytes,
-                             void **answer, size_t *answer_bytes);
+                             void **response, size_t *response_bytes);
 };
 
 enum bb_replicate_outcome {
@@ -144,7 +144,7 @@
                          struct bb_replicate_status *status);
 bool bb_replicate_exchange_members(struct bb_replicate *r, const char *peer_id,
                                    const void *records, size_t size_bytes,
-                                   void **answer, size_t *answer_bytes,
+                                   void **response, size_t *response_bytes,
                                    uint32_t timeout_ms, struct bb_error *e);
 bool bb_replicate_dispatch(struct bb_replicate *r, uint32_t procedure,
                            void *argument, void *result);
--- a/include/control/source_watch.h
+++ b/include/control/source_watch.h
@@ -4,7 +4,7 @@
  * One thread scans the folder, decides with decide/source.h, validates the
  * content and calls the propose callback. It holds no lock during the
  * callback, which may call bb_source_watch_set_in_force,
- * bb_source_watch_report_answer and bb_source_watch_status_json. These may be
+ * bb_source_watch_report_result and bb_source_watch_status_json. These may be
  * called from any thread. */
 #ifndef BB_CONTROL_SOURCE_WATCH_H
 #define BB_CONTROL_SOURCE_WATCH_H
@@ -31,7 +31,7 @@
 
 /* Proposes a folder against the revision it is based on. Runs in the watcher's
  * thread; blocking delays the next scan. The outcome must be passed to
- * bb_source_watch_report_answer, during the call or later. The folder is valid
+ * bb_source_watch_report_result, during the call or later. The folder is valid
  * during the call only; version is the one set in its files. */
 typedef void (*bb_source_propose_callback)(void *context,
                                            const struct bb_folder *folder,
@@ -52,10 +52,10 @@
 bool bb_source_watch_start(struct bb_source_watch *w, struct bb_error *e);
 void bb_source_watch_set_in_force(struct bb_source_watch *w, uint64_t revision,
                                   const struct bb_digest *digest);
-void bb_source_watch_report_answer(struct bb_source_watch *w,
+void bb_source_watch_report_result(struct bb_source_watch *w,
                                    const struct bb_digest *digest,
                                    uint64_t base_revision,
-                                   enum bb_source_answer answer,
+                                   enum bb_source_result result,
                                    uint64_t revision);
 json_t *bb_source_watch_status_json(struct bb_source_watch *w);
 void bb_source_watch_destroy(struct bb_source_watch *w);
--- a/include/decide/agree.h
+++ b/include/decide/agree.h
@@ -46,7 +46,7 @@
     BB_AGREE_MESSAGES_MAX = 24,
     /* A step answers at most all pending requests and the one that it was
      * called with; one more is spare. */
-    BB_AGREE_ANSWERS_MAX =
+    BB_AGREE_RESPONSES_MAX =
         BB_AGREE_PENDING_PROPOSALS_MAX + BB_AGREE_PENDING_READS_MAX + 2,
     BB_AGREE_NO_HOST = UINT8_MAX, /* also stands for no slot */
     BB_AGREE_HEARTBEAT_INTERVAL_US = 100 * 1000,
@@ -129,14 +129,14 @@
 /* The kinds up to BB_AGREE_FORM are accepted from any formation. */
 enum bb_agree_message_kind {
     BB_AGREE_IDENTITY, /* asks for the formation and incarnation of a host */
-    BB_AGREE_IDENTITY_ANSWER,
+    BB_AGREE_IDENTITY_RESPONSE,
     BB_AGREE_FORM, /* carries the formation to an empty disk it lists */
     BB_AGREE_PRE_VOTE,
-    BB_AGREE_PRE_VOTE_ANSWER,
+    BB_AGREE_PRE_VOTE_RESPONSE,
     BB_AGREE_VOTE,
-    BB_AGREE_VOTE_ANSWER,
+    BB_AGREE_VOTE_RESPONSE,
     BB_AGREE_APPEND,
-    BB_AGREE_APPEND_ANSWER,
+    BB_AGREE_APPEND_RESPONSE,
     BB_AGREE_SNAPSHOT,
     BB_AGREE_MESSAGE_KINDS
 };
@@ -194,7 +194,7 @@
     BB_AGREE_UNKNOWN /* leadership lost; may yet be accepted */
 };
 
-struct bb_agree_answer {
+struct bb_agree_response {
     uint64_t ticket;
     /* Accepted: of the proposal. Confirmed: in force. Stale base, conflict:
      * of the last configuration in the log. Without meaning otherwise. */
@@ -237,9 +237,9 @@
         apply_first_index; /* range of log indices; none if first > last */
     uint64_t apply_last_index;
     uint32_t message_count;
-    uint32_t answer_count;
+    uint32_t response_count;
     struct bb_agree_message messages[BB_AGREE_MESSAGES_MAX];
-    struct bb_agree_answer answers[BB_AGREE_ANSWERS_MAX];
+    struct bb_agree_response responses[BB_AGREE_RESPONSES_MAX];
 };
 
 /* A leader's view of the log on one disk. */
@@ -247,8 +247,8 @@
     uint64_t incarnation; /* 0: the slot is not in use */
     uint64_t
         match_index; /* last index synced there that equals the leader's log */
-    uint64_t next_index;     /* first index to send */
-    uint64_t answered_round; /* highest heartbeat round answered */
+    uint64_t next_index;         /* first index to send */
+    uint64_t acknowledged_round; /* highest heartbeat round answered */
 };
 
 /* A proposal that is answered once its entry is applied. */
@@ -265,7 +265,7 @@
 
 /* Bugs that tests switch on to show that the state explorer finds them. */
 struct bb_agree_faults {
-    uint8_t answers_before_sync;
+    uint8_t responds_before_sync;
     uint8_t votes_with_empty_disk;
     uint8_t unused[6];
 };
@@ -284,8 +284,8 @@
      * wait for the sync of the own vote. BB_AGREE_NO_HOST: none. */
     uint8_t pending_vote_to;
     uint8_t
-        has_pending_append_answer; /* an append answer waits for the sync */
-    uint8_t append_is_ok;          /* not used */
+        has_pending_append_response; /* an append answer waits for the sync */
+    uint8_t append_is_ok;            /* not used */
     uint8_t pending_proposal_count;
     uint8_t pending_read_count;
     uint8_t unused[3];
@@ -301,7 +301,7 @@
     uint64_t confirmed_round;    /* highest round that a quorum answered */
     uint64_t nonce;              /* of identity requests; new at each start */
     /* Incarnation of each empty disk, by host, from identity answers. */
-    uint64_t answered_incarnations[BB_AGREE_HOSTS_MAX];
+    uint64_t reported_incarnations[BB_AGREE_HOSTS_MAX];
     struct bb_agree_progress progress[BB_AGREE_SLOTS];
     struct bb_agree_pending_proposal
         pending_proposals[BB_AGREE_PENDING_PROPOSALS_MAX];
--- a/include/decide/claim.h
+++ b/include/decide/claim.h
@@ -76,7 +76,7 @@
     BB_WITNESS_UNREACHABLE   /* no answer; set by the requester */
 };
 
-struct bb_witness_answer {
+struct bb_witness_response {
     enum bb_witness_result result;
     uint64_t epoch;       /* of the witness */
     struct bb_claim held; /* of BB_WITNESS_GRANTED and BB_WITNESS_HELD */
@@ -99,9 +99,9 @@
     uint64_t witnesses[BB_CLAIM_WITNESSES_MAX];
     bool is_current[BB_CLAIM_WITNESSES_MAX];  /* by the current roster */
     bool is_previous[BB_CLAIM_WITNESSES_MAX]; /* by the previous roster */
-    bool has_answered[BB_CLAIM_WITNESSES_MAX];
+    bool has_responded[BB_CLAIM_WITNESSES_MAX];
     bool needs_both_rosters; /* needs a quorum in both rosters */
-    struct bb_witness_answer answers[BB_CLAIM_WITNESSES_MAX];
+    struct bb_witness_response responses[BB_CLAIM_WITNESSES_MAX];
 };
 
 uint32_t bb_claim_select_witnesses(const struct bb_request_id *key,
@@ -116,17 +116,17 @@
                      struct bb_claim_entry *entries, uint32_t entry_count,
                      uint64_t now_us);
 void bb_witness_set_epoch(struct bb_witness *w, uint64_t epoch);
-struct bb_witness_answer bb_witness_claim(struct bb_witness *w,
-                                          const struct bb_request_id *key,
-                                          const struct bb_claim *c,
-                                          uint64_t epoch, uint64_t now_us);
+struct bb_witness_response bb_witness_claim(struct bb_witness *w,
+                                            const struct bb_request_id *key,
+                                            const struct bb_claim *c,
+                                            uint64_t epoch, uint64_t now_us);
 bool bb_witness_expire(struct bb_witness *w, uint64_t now_us);
 
 void bb_claim_start(struct bb_claim_requester *q, const struct bb_roster *r,
                     const struct bb_request_id *key,
                     const struct bb_claim *wanted);
-bool bb_claim_add_answer(struct bb_claim_requester *q, uint64_t witness,
-                         const struct bb_witness_answer *a);
+bool bb_claim_add_response(struct bb_claim_requester *q, uint64_t witness,
+                           const struct bb_witness_response *a);
 enum bb_claim_step bb_claim_step(const struct bb_claim_requester *q,
                                  struct bb_claim *held,
                                  enum bb_reason *reason);
--- a/include/decide/probe.h
+++ b/include/decide/probe.h
@@ -19,11 +19,11 @@
 enum { BB_PROBE_CHECK_INTERVAL_US = 1000000 };
 
 enum bb_probe_step {
-    BB_PROBE_WAIT,        /* until bb_probe_next_wakeup_us or an event */
-    BB_PROBE_QUERY,       /* send QUERY on a new connection */
-    BB_PROBE_TAKE_ANSWER, /* fetch the stored answer */
-    BB_PROBE_RETRY,       /* did not run or is idempotent: retry elsewhere */
-    BB_PROBE_UNKNOWN      /* tell the caller that the outcome is unknown */
+    BB_PROBE_WAIT,           /* until bb_probe_next_wakeup_us or an event */
+    BB_PROBE_QUERY,          /* send QUERY on a new connection */
+    BB_PROBE_FETCH_RESPONSE, /* fetch the stored answer */
+    BB_PROBE_RETRY,  /* did not run or is idempotent: retry elsewhere */
+    BB_PROBE_UNKNOWN /* tell the caller that the outcome is unknown */
 };
 
 /* Faults injected by tests; the explorer must detect each. */
@@ -54,11 +54,11 @@
                    uint64_t now_us);
 void bb_probe_bytes_received(struct bb_probe *p, uint64_t now_us);
 void bb_probe_connection_broken(struct bb_probe *p, uint64_t now_us);
-void bb_probe_begin_answered(struct bb_probe *p, enum bb_begin_result result,
-                             uint64_t now_us);
+void bb_probe_begin_completed(struct bb_probe *p, enum bb_begin_result result,
+                              uint64_t now_us);
 void bb_probe_request_refused(struct bb_probe *p, enum bb_reason reason);
-void bb_probe_query_answered(struct bb_probe *p, enum bb_query_result result,
-                             uint64_t now_us);
+void bb_probe_query_completed(struct bb_probe *p, enum bb_query_result result,
+                              uint64_t now_us);
 void bb_probe_query_failed(struct bb_probe *p, uint64_t now_us);
 enum bb_probe_step bb_probe_step(struct bb_probe *p, uint64_t now_us,
                                  enum bb_reason *reason);
--- a/include/decide/quorum.h
+++ b/include/decide/quorum.h
@@ -76,11 +76,11 @@
 
 enum bb_quorum_message_kind {
     BB_QUORUM_PRE_VOTE,
-    BB_QUORUM_PRE_VOTE_ANSWER,
+    BB_QUORUM_PRE_VOTE_RESPONSE,
     BB_QUORUM_VOTE,
-    BB_QUORUM_VOTE_ANSWER,
+    BB_QUORUM_VOTE_RESPONSE,
     BB_QUORUM_APPEND,
-    BB_QUORUM_APPEND_ANSWER,
+    BB_QUORUM_APPEND_RESPONSE,
     BB_QUORUM_MESSAGE_KINDS
 };
 
@@ -106,8 +106,8 @@
 struct bb_quorum_peer {
     uint64_t disk_id;
     uint64_t match_index; /* last index synced there, of the leader's term */
-    uint64_t answered_round; /* highest heartbeat round answered */
-    uint64_t last_heard_us;  /* last append answer, 0: none */
+    uint64_t acknowledged_round; /* highest heartbeat round answered */
+    uint64_t last_heard_us;      /* last append answer, 0: none */
 };
 
 /* What the caller has to do. Zero it before the first call that uses it. */
@@ -122,7 +122,7 @@
 
 /* Bugs that tests switch on to show that the random simulation finds them. */
 struct bb_quorum_faults {
-    bool answers_before_sync;
+    bool responds_before_sync;
     bool votes_for_older_entry;
     bool changes_voters_before_commit; /* no test switches it on */
 };
@@ -144,8 +144,8 @@
     /* Disk whose vote answer waits for a sync. The own disk: vote requests
      * wait for the sync of the own vote. 0: none. */
     uint64_t pending_vote_to;
-    uint64_t pending_vote_sequence; /* of the write that is waited for */
-    bool has_pending_append_answer; /* an append answer waits for a sync */
+    uint64_t pending_vote_sequence;   /* of the write that is waited for */
+    bool has_pending_append_response; /* an append answer waits for a sync */
     uint64_t pending_append_sequence;
     uint64_t append_round; /* heartbeat round of the leader's last append */
     uint64_t round;        /* last heartbeat round sent as a leader */
--- a/include/decide/record.h
+++ b/include/decide/record.h
@@ -27,7 +27,7 @@
 struct bb_record_entry {
     struct bb_id_slot slot;
     enum bb_record_state state;
-    uint64_t answer_handle; /* handle of the stored answer; 0: none stored */
+    uint64_t response_handle; /* handle of the stored answer; 0: none stored */
 };
 
 /* Faults injected by tests; the explorer must detect each. */
@@ -69,17 +69,19 @@
 enum bb_begin_result bb_record_begin(struct bb_record *r,
                                      const struct bb_request_id *id,
                                      uint64_t incarnation,
-                                     uint64_t *answer_handle, uint64_t now_us);
+                                     uint64_t *response_handle,
+                                     uint64_t now_us);
 bool bb_record_finish(struct bb_record *r, const struct bb_request_id *id,
-                      enum bb_record_state state, uint64_t answer_handle,
+                      enum bb_record_state state, uint64_t response_handle,
                       uint64_t now_us);
 bool bb_record_remove_running(struct bb_record *r,
                               const struct bb_request_id *id, uint64_t now_us);
 enum bb_query_result bb_record_query(struct bb_record *r,
                                      const struct bb_request_id *id,
                                      uint64_t incarnation,
-                                     uint64_t *answer_handle, uint64_t now_us);
+                                     uint64_t *response_handle,
+                                     uint64_t now_us);
 bool bb_record_expire(struct bb_record *r, uint64_t now_us,
-                      uint64_t *answer_handle);
+                      uint64_t *response_handle);
 
 #endif
--- a/include/decide/retry.h
+++ b/include/decide/retry.h
@@ -42,7 +42,7 @@
 };
 
 /* A request whose first attempt has no answer yet. */
-struct bb_unanswered_request {
+struct bb_pending_request {
     bool is_idempotent;
     enum bb_admission_class work_class;
     uint32_t hedges;         /* sent so far */
@@ -60,9 +60,9 @@
 struct bb_retry_decision bb_retry_decide(const struct bb_failed_request *q,
                                          struct bb_retry_budget *b);
 uint64_t bb_retry_backoff_us(uint32_t attempts, uint64_t random_bits);
-uint64_t bb_hedge_delay_us(const struct bb_unanswered_request *q,
+uint64_t bb_hedge_delay_us(const struct bb_pending_request *q,
                            const struct bb_duration_stats *latency);
-bool bb_hedge_decide(const struct bb_unanswered_request *q,
+bool bb_hedge_decide(const struct bb_pending_request *q,
                      const struct bb_duration_stats *latency,
                      struct bb_retry_budget *b);
 bool bb_call_depth_next(uint32_t depth, uint32_t limit, uint32_t *next);
--- a/include/decide/source.h
+++ b/include/decide/source.h
@@ -64,7 +64,7 @@
     bool is_stable;
     struct bb_digest candidate; /* content found by the last scan */
     uint64_t candidate_since_us;
-    bool is_awaiting_answer;   /* for the answer to the last proposal */
+    bool is_awaiting_response; /* for the answer to the last proposal */
     struct bb_digest proposed; /* content of the last proposal */
     uint64_t proposed_at_us;
     bool is_in_outage;        /* outage: the folder has no stable content */
@@ -77,15 +77,15 @@
     BB_SOURCE_EVENT_SCANNED,  /* the folder was scanned */
     BB_SOURCE_EVENT_IN_FORCE, /* the configuration in force is known or changed
                                */
-    BB_SOURCE_EVENT_ANSWERED  /* an answer to a proposal arrived */
+    BB_SOURCE_EVENT_RESPONSE  /* an answer to a proposal arrived */
 };
 
-enum bb_source_answer {
-    BB_SOURCE_ANSWER_ACCEPTED,
-    BB_SOURCE_ANSWER_INVALID,
-    BB_SOURCE_ANSWER_STALE_BASE,
-    BB_SOURCE_ANSWER_VERSION_CONFLICT,
-    BB_SOURCE_ANSWER_UNKNOWN /* the outcome is unknown; the proposal is
+enum bb_source_result {
+    BB_SOURCE_RESULT_ACCEPTED,
+    BB_SOURCE_RESULT_INVALID,
+    BB_SOURCE_RESULT_STALE_BASE,
+    BB_SOURCE_RESULT_VERSION_CONFLICT,
+    BB_SOURCE_RESULT_UNKNOWN /* the outcome is unknown; the proposal is
                               * repeated
                               */
 };
@@ -97,7 +97,7 @@
         struct {
             bool is_usable; /* false: no usable content, digest is not set */
             struct bb_digest digest;
-        } observed;
+        } scanned;
         struct {
             uint64_t revision; /* 0: nothing is in force yet */
             struct bb_digest digest;
@@ -105,9 +105,9 @@
         struct {
             struct bb_digest digest;
             uint64_t base_revision;
-            enum bb_source_answer answer;
+            enum bb_source_result result;
             uint64_t revision; /* if accepted */
-        } answered;
+        } response;
     } as;
 };
 
--- a/include/decide/swim.h
+++ b/include/decide/swim.h
@@ -102,7 +102,7 @@
 void bb_swim_remove_peer(struct bb_swim *s, uint64_t id);
 const struct bb_swim_peer *bb_swim_find_peer(const struct bb_swim *s,
                                              uint64_t id);
-void bb_swim_record_answer(struct bb_swim *s, uint64_t id, uint64_t now_us);
+void bb_swim_record_ack(struct bb_swim *s, uint64_t id, uint64_t now_us);
 void bb_swim_tick(struct bb_swim *s, uint64_t now_us, uint64_t random_bits,
                   struct bb_swim_actions *out);
 
--- a/include/load/workload.h
+++ b/include/load/workload.h
@@ -17,13 +17,13 @@
     char path[BB_LOAD_NAME_BYTES];
     char call_path[BB_LOAD_NAME_BYTES]; /* X-Call-Path of nested calls, or
                                            empty */
-    uint64_t weight;       /* share of the calls, relative to the others */
-    uint64_t work_us;      /* service time; 0: the upstream draws it */
-    uint64_t body_bytes;   /* of the request */
-    uint64_t answer_bytes; /* of the response; 0: a short text */
-    uint64_t deadline_ms;  /* 0: none */
-    bool is_long;          /* always reported as long work */
-    bool is_keyed;         /* sent with an Idempotency-Key */
+    uint64_t weight;         /* share of the calls, relative to the others */
+    uint64_t work_us;        /* service time; 0: the upstream draws it */
+    uint64_t body_bytes;     /* of the request */
+    uint64_t response_bytes; /* of the response; 0: a short text */
+    uint64_t deadline_ms;    /* 0: none */
+    bool is_long;            /* always reported as long work */
+    bool is_keyed;           /* sent with an Idempotency-Key */
 };
 
 /* From at_ms on, the rate is the nominal rate times the factor. */
--- a/include/mesh/mesh.h
+++ b/include/mesh/mesh.h
@@ -50,8 +50,8 @@
      * for none). Returns false if there is nothing newer. The mesh frees
      * out->data with free. Called on several threads, but calls do not
      * overlap. NULL if this process serves no revisions. */
-    bool (*payload)(void *context, uint64_t have_revision,
-                    struct bb_mesh_payload *out);
+    bool (*encode_payload)(void *context, uint64_t have_revision,
+                           struct bb_mesh_payload *out);
     /* Validates and applies a payload, whole or not at all, and sets
      * *held_revision to the revision held afterwards; the mesh does not use
      * it, but takes the payload's revision as held after BB_MESH_APPLIED.
--- a/include/path/entry.h
+++ b/include/path/entry.h
@@ -57,9 +57,9 @@
         retry_limits; /* host_count is ignored: the entry sets it to the number
                          of gates in its directory */
     /* Returns whether the request with this id runs at the upstream of this
-     * host. Sets is_repeat to whether an earlier attempt may have reached an
+     * host. Sets is_retry to whether an earlier attempt may have reached an
      * upstream. */
-    bool (*is_running)(void *context, const char *id, bool *is_repeat);
+    bool (*is_running)(void *context, const char *id, bool *is_retry);
     /* Writes the current load of the gate on this host into its view. */
     void (*update_local_view)(void *context, struct bb_gate_view *v,
                               uint64_t now_us);
--- a/include/path/gate.h
+++ b/include/path/gate.h
@@ -53,7 +53,7 @@
     /* Longest wait in the call field: wait until the deadline. */
     BB_GATE_WAIT_UNLIMITED_MS = 1000000,
     /* An earlier attempt may have reached an upstream. */
-    BB_GATE_FLAG_REPEAT = 'r'
+    BB_GATE_FLAG_RETRY = 'r'
 };
 
 struct bb_gate;
@@ -81,7 +81,7 @@
 void bb_gate_refuse_requests(struct bb_gate *g);
 uint32_t bb_gate_pending_count(const struct bb_gate *g);
 bool bb_gate_is_running(const struct bb_gate *g, const char *id,
-                        bool *is_repeat);
+                        bool *is_retry);
 void bb_gate_update_view(const struct bb_gate *g, struct bb_gate_view *v,
                          uint64_t now_us);
 void bb_gate_destroy(struct bb_gate *g);
--- a/include/proxy/claims.h
+++ b/include/proxy/claims.h
@@ -23,7 +23,7 @@
                          const struct bb_request_id *key,
                          const struct bb_claim *wanted,
                          struct bb_claim_requester *q);
-struct bb_witness_answer
+struct bb_witness_response
 bb_claims_process_claim(struct bb_claims *c, const struct bb_request_id *key,
                         const struct bb_claim *claim, uint64_t epoch);
 
--- a/include/proxy/gatekeeper.h
+++ b/include/proxy/gatekeeper.h
@@ -96,7 +96,7 @@
 
 /* How a request ended at the upstream. */
 enum bb_slot_result {
-    BB_SLOT_ANSWERED,
+    BB_SLOT_COMPLETED,
     BB_SLOT_NOT_SENT, /* the connection could not be opened */
     BB_SLOT_REFUSED,  /* not executed: refused, or no free worker */
     BB_SLOT_LOST
--- a/include/proxy/http_client.h
+++ b/include/proxy/http_client.h
@@ -77,7 +77,7 @@
  * rest is fixed once the state is BB_HTTP_CALL_HEAD_RECEIVED. */
 struct bb_http_call {
     atomic_bool is_response_arriving; /* a short response is being read */
-    atomic_bool is_finished;          /* state is final, the body may go on */
+    atomic_bool is_state_final;       /* state is final, the body may go on */
     enum bb_http_call_state state;
     bool is_body_consumed; /* part of a streamed body is gone */
     uint32_t status;
--- a/include/proxy/internal.h
+++ b/include/proxy/internal.h
@@ -65,7 +65,7 @@
     bool may_go_elsewhere;        /* may be refused if the upstream is slow */
     bool is_refused_by_record;
     bool has_spun_for_response; /* spun once for the end of a short response */
-    bool is_query_repeated;     /* before giving the connection up */
+    bool is_query_retried;      /* before giving the connection up */
     uint64_t start_us;
     struct bb_probe probe;
 };
@@ -202,7 +202,7 @@
 bool bb_rpc_claim(struct bb_proxy *p, const struct bb_address *to,
                   const struct bb_request_id *key,
                   const struct bb_claim *claim, uint64_t epoch,
-                  struct bb_witness_answer *out);
+                  struct bb_witness_response *out);
 
 /* claim_key.c: claims keys before requests are sent */
 struct bb_outcome bb_exchange_claim_key(struct bb_exchange *x,
--- a/include/proxy/picker.h
+++ b/include/proxy/picker.h
@@ -15,11 +15,11 @@
 
 enum { BB_PICK_EXCLUDED_MAX = 16 };
 
-/* A usable gatekeeper. host_key is bb_hash_host of its host, nearness a
- * value of enum bb_nearness. */
+/* A usable gatekeeper. host_key is bb_hash_host of its host, distance a
+ * value of enum bb_endpoint_distance. */
 struct bb_pick_target {
     uint64_t host_key;
-    uint32_t nearness;
+    uint32_t distance;
     uint32_t slots;
 };
 
@@ -45,7 +45,7 @@
 
 /* The result of an attempt as seen by the entry node. */
 enum bb_attempt_result {
-    BB_ATTEMPT_ANSWERED,
+    BB_ATTEMPT_COMPLETED,
     BB_ATTEMPT_FAILED,       /* the connection or the upstream failed */
     BB_ATTEMPT_REFUSED,      /* by the gatekeeper; says nothing about speed */
     BB_ATTEMPT_REFUSED_SLOW, /* refused because the upstream is slow */
--- a/include/proxy/proxy.h
+++ b/include/proxy/proxy.h
@@ -18,7 +18,7 @@
 #include "proxy/table.h"
 #include "proxy/workers.h"
 
-enum bb_proxy_error { BB_PROXY_ERROR_LISTEN = 1 };
+enum bb_proxy_error { BB_PROXY_ERROR_START = 1 };
 
 /* Settings of a proxy. Numbers that are 0 get the default in brackets. */
 struct bb_proxy_settings {
--- a/include/proxy/table.h
+++ b/include/proxy/table.h
@@ -13,10 +13,10 @@
 #include "config/config.h"
 #include "mesh/member.h"
 
-enum bb_nearness {
-    BB_NEARNESS_SAME_ZONE,
-    BB_NEARNESS_SAME_REGION,
-    BB_NEARNESS_OTHER_REGION
+enum bb_endpoint_distance {
+    BB_ENDPOINT_SAME_ZONE,
+    BB_ENDPOINT_SAME_REGION,
+    BB_ENDPOINT_OTHER_REGION
 };
 
 /* A gatekeeper of a service. */
@@ -26,7 +26,7 @@
     struct bb_address rpc_address;
     uint64_t incarnation;
     uint32_t slots;
-    enum bb_nearness nearness;
+    enum bb_endpoint_distance distance;
     bool is_local;
 };
 
--- a/include/upstream/server.h
+++ b/include/upstream/server.h
@@ -15,7 +15,7 @@
 /* Headers with which a caller controls and verifies a request. */
 #define BB_CALL_ID "X-Call-Id"
 #define BB_CALL_WORK_US "X-Work-Us"
-#define BB_CALL_ANSWER_BYTES "X-Answer-Bytes"
+#define BB_CALL_RESPONSE_BYTES "X-Answer-Bytes"
 #define BB_CALL_PATH "X-Call-Path"
 #define BB_CALL_BODY_DIGEST "X-Body-Digest"
 #define BB_CALL_BODY_BYTES "X-Body-Bytes"
@@ -24,7 +24,7 @@
 #define BB_UPSTREAM_REFUSED "X-Upstream-Refused"
 
 /* Settings and state of the simulated upstream. */
-struct bb_upstream {
+struct bb_upstream_sim {
     const char *host; /* name in responses */
     const char *service;
     struct bb_address listen;
@@ -37,11 +37,12 @@
     atomic_uint state; /* enum bb_upstream_state */
 };
 
-struct MHD_Daemon *bb_upstream_start_server(struct bb_upstream *u,
-                                            struct bb_error *e);
-bool bb_upstream_make_nested_call(const struct bb_upstream *u,
-                                  const char *paths, const char *const *fields,
-                                  size_t field_count, uint64_t end_us);
-void bb_upstream_send_announcement(struct bb_upstream *u);
+struct MHD_Daemon *bb_upstream_sim_start_server(struct bb_upstream_sim *u,
+                                                struct bb_error *e);
+bool bb_upstream_sim_make_nested_call(const struct bb_upstream_sim *u,
+                                      const char *paths,
+                                      const char *const *fields,
+                                      size_t field_count, uint64_t end_us);
+void bb_upstream_sim_send_announcement(struct bb_upstream_sim *u);
 
 #endif
--- a/load/engine.c
+++ b/load/engine.c
@@ -45,7 +45,7 @@
     char id[BB_LOAD_ID_BYTES];
     uint64_t seed; /* of the pattern in request and response body */
     uint64_t sent_bytes;
-    uint64_t answer_bytes;
+    uint64_t response_bytes;
     bool is_pattern_wrong;
     enum bb_reason reason;
     bool is_not_run; /* the refusal says that the request did not run */
@@ -98,19 +98,19 @@
 {
     uint8_t expected[BLOCK_BYTES];
 
-    if (c->plan->route->answer_bytes == 0) {
+    if (c->plan->route->response_bytes == 0) {
         size_t max_length = sizeof(c->text) - 1;
 
-        if (c->answer_bytes < max_length) {
-            memcpy(c->text + c->answer_bytes, block,
-                   MIN(size, max_length - c->answer_bytes));
+        if (c->response_bytes < max_length) {
+            memcpy(c->text + c->response_bytes, block,
+                   MIN(size, max_length - c->response_bytes));
         }
     }
     else {
-        bb_pattern_fill(c->seed, c->answer_bytes, expected, size);
+        bb_pattern_fill(c->seed, c->response_bytes, expected, size);
         c->is_pattern_wrong |= memcmp(expected, block, size) != 0;
     }
-    c->answer_bytes += size;
+    c->response_bytes += size;
 }
 
 /* Creates the request of a call. The caller destroys it. */
@@ -124,9 +124,9 @@
     if (c->plan->work_us > 0) {
         ne_print_request_header(q, "X-Work-Us", "%" PRIu64, c->plan->work_us);
     }
-    if (r->answer_bytes > 0) {
+    if (r->response_bytes > 0) {
         ne_print_request_header(q, "X-Answer-Bytes", "%" PRIu64,
-                                r->answer_bytes);
+                                r->response_bytes);
     }
     if (r->deadline_ms > 0) {
         ne_print_request_header(q, "Baobab-Deadline-Ms", "%" PRIu64,
@@ -152,7 +152,7 @@
 {
     const char *id = ne_get_response_header(q, "X-Call-Id");
     const char *digest = ne_get_response_header(q, "X-Body-Digest");
-    uint64_t wanted = c->plan->route->answer_bytes;
+    uint64_t wanted = c->plan->route->response_bytes;
     char expected[DIGEST_TEXT_BYTES];
 
     compute_expected_digest(c, expected);
@@ -161,7 +161,7 @@
         return false;
     }
     if (wanted > 0) {
-        return c->answer_bytes == wanted && !c->is_pattern_wrong;
+        return c->response_bytes == wanted && !c->is_pattern_wrong;
     }
     return strstr(c->text, c->id) != NULL;
 }
@@ -317,7 +317,7 @@
     if (end != BB_LOAD_OK) {
         return;
     }
-    s->stats->response_bytes += c->answer_bytes;
+    s->stats->response_bytes += c->response_bytes;
     if (c->plan->is_direct) {
         bb_load_stats_add_latency(s->stats, BB_LOAD_DIRECT, latency_us);
         return;
--- a/load/workload.c
+++ b/load/workload.c
@@ -52,7 +52,7 @@
         r->weight = get_number(item, "weight");
         r->work_us = get_number(item, "work_us");
         r->body_bytes = get_number(item, "body_bytes");
-        r->answer_bytes = get_number(item, "answer_bytes");
+        r->response_bytes = get_number(item, "answer_bytes");
         r->deadline_ms = get_number(item, "deadline_ms");
         r->is_keyed = json_is_true(json_object_get(item, "keyed"));
         r->is_long = json_is_true(json_object_get(item, "long"));
--- a/mesh/gossip.c
+++ b/mesh/gossip.c
@@ -393,10 +393,10 @@
         break;
     case MESH_ACK:
         refresh_peers(g, now_us);
-        bb_swim_record_answer(&g->swim, bb_relay_id_from_name(sender->host),
-                              now_us);
-        bb_swim_record_answer(&g->swim, bb_relay_id_from_name(d->target_host),
-                              now_us);
+        bb_swim_record_ack(&g->swim, bb_relay_id_from_name(sender->host),
+                           now_us);
+        bb_swim_record_ack(&g->swim, bb_relay_id_from_name(d->target_host),
+                           now_us);
         forward_ack(g, d, now_us);
         break;
     }
--- a/mesh/push.c
+++ b/mesh/push.c
@@ -56,7 +56,7 @@
     struct cached_payload *slot = NULL;
     bool is_found = false;
 
-    if (c->payload == NULL) {
+    if (c->encode_payload == NULL) {
         return false;
     }
     (void)pthread_mutex_lock(&mesh->cache_lock);
@@ -69,7 +69,7 @@
     if (slot == NULL) {
         struct bb_mesh_payload fresh = {0};
 
-        if (!c->payload(c->context, have_revision, &fresh) ||
+        if (!c->encode_payload(c->context, have_revision, &fresh) ||
             fresh.size_bytes > MESH_PAYLOAD_MAX_BYTES) {
             free(fresh.data);
             goto out;
--- a/node/endpoints.c
+++ b/node/endpoints.c
@@ -7,7 +7,7 @@
  * its zone that hold the same one. */
 static void
 get_in_force(void *context, const struct bb_admin_request *request,
-             struct bb_admin_response *answer)
+             struct bb_admin_response *response)
 {
     struct bb_node *n = context;
     struct bb_bundle *b = bb_node_config_newest(n->config);
@@ -18,15 +18,15 @@
         bb_bundle_unref(b);
         b = NULL;
     }
-    answer->json = bb_admin_in_force_with_holders_json(b, false, n->mesh,
-                                                       n->settings.zone);
+    response->json = bb_admin_in_force_with_holders_json(b, false, n->mesh,
+                                                         n->settings.zone);
     bb_bundle_unref(b);
 }
 
 /* GET /v1/status: the state of this node. */
 static void
 get_status(void *context, const struct bb_admin_request *request,
-           struct bb_admin_response *answer)
+           struct bb_admin_response *response)
 {
     struct bb_node *n = context;
     struct bb_bundle *b = bb_node_config_newest(n->config);
@@ -44,7 +44,7 @@
         (void)json_array_append_new(
             problems, json_string("a later revision is known to the mesh"));
     }
-    answer->json = json_pack(
+    response->json = json_pack(
         "{s:s,s:s,s:s,s:s,s:I,s:I,s:s,s:b,s:n,s:n,s:o,s:I,s:I}", "host",
         n->settings.host, "zone", n->settings.zone, "region",
         n->settings.region, "role", "node", "revision", (json_int_t)served,
@@ -59,12 +59,12 @@
 /* GET /v1/members: the member records known to this node. */
 static void
 get_members(void *context, const struct bb_admin_request *request,
-            struct bb_admin_response *answer)
+            struct bb_admin_response *response)
 {
     struct bb_node *n = context;
 
     (void)request;
-    answer->json = bb_admin_members_json(n->mesh);
+    response->json = bb_admin_members_json(n->mesh);
 }
 
 static const struct bb_admin_endpoint in_force_endpoint = {
--- a/node/main.c
+++ b/node/main.c
@@ -44,7 +44,7 @@
         .gossip_bind_address = s->gossip_address,
         .seed = s->seed,
         .callbacks = {.context = n->config,
-                      .payload = bb_node_config_encode_payload,
+                      .encode_payload = bb_node_config_encode_payload,
                       .apply_payload = bb_node_config_receive_payload,
                       .members_changed = bb_node_config_members_changed},
     };
--- a/path/attempt.c
+++ b/path/attempt.c
@@ -10,7 +10,7 @@
 #include "path/gate.h"
 
 BB_COUNTER(tries_total, "baobab_entry_tries_total", "Sends to gates");
-BB_COUNTER(repeats_total, "baobab_entry_repeats_total",
+BB_COUNTER(retries_total, "baobab_entry_repeats_total",
            "Requests sent again after they may have reached an upstream");
 BB_COUNTER(no_budget_total, "baobab_entry_no_budget_total",
            "Repeats left out because the retry budget was spent");
@@ -193,7 +193,7 @@
         g_string_append_c(head, BB_GATE_FLAG_NOT_IDEMPOTENT);
     }
     if (rq->upstreams_reached > 0 || a != &rq->attempts[0]) {
-        g_string_append_c(head, BB_GATE_FLAG_REPEAT);
+        g_string_append_c(head, BB_GATE_FLAG_RETRY);
     }
     g_string_append(head, "-\r\n"); /* keeps the flags from being empty */
     bb_forward_framing(rq->exchange, head);
@@ -255,7 +255,7 @@
  * (Misdirected Request) of an upstream means that it did not run the request.
  * Always returns true: a gate sends no answer to another request. */
 static bool
-on_answer_head(void *context, const struct bb_http_head *h)
+on_response_head(void *context, const struct bb_http_head *h)
 {
     struct attempt *a = context;
     const struct bb_dialect_fields *names =
@@ -263,11 +263,11 @@
 
     update_gate_load(a, h);
     a->is_refused = bb_http_head_get(h, BB_FIELD_REFUSED) != NULL;
-    a->is_answer_lost = bb_http_head_get(h, BB_FIELD_FAILED) != NULL;
+    a->is_response_lost = bb_http_head_get(h, BB_FIELD_FAILED) != NULL;
     a->is_not_run = bb_http_head_get(h, names->not_run) != NULL ||
                     (h->status == 421 && !a->is_refused);
     a->is_sealed = bb_http_head_get(h, names->seal) != NULL;
-    if (a->is_refused || a->is_answer_lost) {
+    if (a->is_refused || a->is_response_lost) {
         record_gate_error(a, h);
     }
     bb_response_relay_set_head(&a->relay, h,
@@ -278,7 +278,7 @@
 /* Collects or streams a part of the answer. Once it is streamed the other
  * attempt is of no use. */
 static void
-on_answer_body(void *context, const char *data, size_t size_bytes)
+on_response_body(void *context, const char *data, size_t size_bytes)
 {
     struct attempt *a = context;
     struct bb_http_exchange *x = a->request->exchange;
@@ -317,10 +317,10 @@
     if (a->is_not_run) {
         return ATTEMPT_NOT_RUN;
     }
-    if (a->is_answer_lost || (is_success && !a->is_sealed)) {
+    if (a->is_response_lost || (is_success && !a->is_sealed)) {
         return ATTEMPT_UNKNOWN;
     }
-    return ATTEMPT_ANSWERED;
+    return ATTEMPT_COMPLETED;
 }
 
 /* Returns the name of an outcome in the log. */
@@ -368,37 +368,37 @@
 /* Moves a 5xx answer from the attempt to the request, until another attempt
  * brings a better one or none is left. */
 static void
-hold_answer(struct attempt *a)
+hold_response(struct attempt *a)
 {
     struct entry_request *rq = a->request;
 
-    if (rq->has_held_answer) {
-        bb_response_relay_clear(&rq->held_answer);
+    if (rq->has_held_response) {
+        bb_response_relay_clear(&rq->held_response);
     }
-    rq->held_answer = a->relay;
-    rq->has_held_answer = true;
+    rq->held_response = a->relay;
+    rq->has_held_response = true;
     bb_response_relay_init(&a->relay);
 }
 
 /* Passes the held answer on to the caller and destroys the request. */
 void
-request_forward_held_answer(struct entry_request *rq)
+request_forward_held_response(struct entry_request *rq)
 {
-    request_forward_answer(rq, &rq->held_answer);
+    request_forward_response(rq, &rq->held_response);
 }
 
 /* Answers a request that gets no further attempt, and destroys it. */
 static void
 give_up(struct entry_request *rq, const char *reason)
 {
-    if (rq->has_held_answer) {
-        request_forward_held_answer(rq);
+    if (rq->has_held_response) {
+        request_forward_held_response(rq);
     }
     else if (rq->may_have_run) {
-        request_answer_locally(rq, 502, reason, 0);
+        request_respond_locally(rq, 502, reason, 0);
     }
     else {
-        request_answer_locally(rq, 503, reason, choose_retry_after_ms(rq));
+        request_respond_locally(rq, 503, reason, choose_retry_after_ms(rq));
     }
 }
 
@@ -407,7 +407,7 @@
  * the retry budget. The route decides whether a request may run twice and how
  * many attempts may reach an upstream. */
 static bool
-reserve_repeat(struct entry_request *rq, bool may_have_run)
+reserve_retry(struct entry_request *rq, bool may_have_run)
 {
     struct bb_retry_window_limits limits = rq->entry->settings.retry_limits;
 
@@ -424,7 +424,7 @@
                                  "\"service\":\"%s\"", rq->service->name);
         return false;
     }
-    bb_counter_add(&repeats_total, 1);
+    bb_counter_add(&retries_total, 1);
     return true;
 }
 
@@ -450,7 +450,7 @@
     struct bb_gate_record *g = find_attempt_gate(a);
     uint64_t took_us = bb_clock_now_us() - a->started_us;
 
-    if (r == ATTEMPT_ANSWERED && a->relay.status < 500) {
+    if (r == ATTEMPT_COMPLETED && a->relay.status < 500) {
         request_update_p95(rq, took_us);
         if (g != NULL) {
             bb_gate_view_add_latency(&g->view, rq->route->class_index,
@@ -481,7 +481,7 @@
     struct entry_request *rq = a->request;
 
     if (result == BB_FETCH_COMPLETE) {
-        request_forward_answer(rq, &a->relay);
+        request_forward_response(rq, &a->relay);
         return;
     }
     bb_event_log_format_line(rq->log_lines, "entry.broken_off", rq->id,
@@ -499,26 +499,26 @@
     struct entry_request *rq = a->request;
 
     switch (r) {
-    case ATTEMPT_ANSWERED:
-        if (reserve_repeat(rq, true)) {
+    case ATTEMPT_COMPLETED:
+        if (reserve_retry(rq, true)) {
             request_try_next_gate(rq);
             return;
         }
-        request_forward_held_answer(rq);
+        request_forward_held_response(rq);
         return;
     case ATTEMPT_REFUSED:
     case ATTEMPT_UNREACHABLE:
         try_other_gate(rq);
         return;
     case ATTEMPT_NOT_RUN:
-        if (reserve_repeat(rq, rq->may_have_run)) {
+        if (reserve_retry(rq, rq->may_have_run)) {
             request_try_next_gate(rq);
             return;
         }
         give_up(rq, "upstream_refused");
         return;
     case ATTEMPT_UNKNOWN:
-        if (reserve_repeat(rq, true)) {
+        if (reserve_retry(rq, true)) {
             request_try_next_gate(rq);
             return;
         }
@@ -543,16 +543,16 @@
         return;
     }
     rq->may_have_run =
-        rq->may_have_run || r == ATTEMPT_ANSWERED || r == ATTEMPT_UNKNOWN;
+        rq->may_have_run || r == ATTEMPT_COMPLETED || r == ATTEMPT_UNKNOWN;
     rq->upstreams_reached +=
-        r == ATTEMPT_ANSWERED || r == ATTEMPT_UNKNOWN || r == ATTEMPT_NOT_RUN;
-    if (r == ATTEMPT_ANSWERED && a->relay.status < 500) {
+        r == ATTEMPT_COMPLETED || r == ATTEMPT_UNKNOWN || r == ATTEMPT_NOT_RUN;
+    if (r == ATTEMPT_COMPLETED && a->relay.status < 500) {
         attempt_cancel(other_attempt(a));
-        request_forward_answer(rq, &a->relay);
+        request_forward_response(rq, &a->relay);
         return;
     }
-    if (r == ATTEMPT_ANSWERED) {
-        hold_answer(a);
+    if (r == ATTEMPT_COMPLETED) {
+        hold_response(a);
     }
     if (other_attempt(a)->fetch == NULL) {
         continue_request(a, r);
@@ -577,8 +577,8 @@
     bb_http_exchange_resume(a->request->exchange);
 }
 
-static const struct bb_fetch_events fetch_events = {.head = on_answer_head,
-                                                    .body = on_answer_body,
+static const struct bb_fetch_events fetch_events = {.head = on_response_head,
+                                                    .body = on_response_body,
                                                     .done = on_attempt_done,
                                                     .output_drained =
                                                         on_gate_writable};
@@ -704,7 +704,7 @@
     add_gate(rq->excluded_gates, &rq->excluded_count, first->gate_address);
     g = choose_gate(rq, &wait_max_us, now_us);
     if (g == NULL || !bb_balance_can_hedge(&g->view, now_us) ||
-        !reserve_repeat(rq, true)) {
+        !reserve_retry(rq, true)) {
         return;
     }
     bb_counter_add(&hedges_total, 1);
--- a/path/daemon.c
+++ b/path/daemon.c
@@ -100,7 +100,7 @@
 
 /* Answers any request on the metrics address with all metrics. */
 static void
-answer_metrics(void *context, struct bb_http_exchange *x)
+serve_metrics(void *context, struct bb_http_exchange *x)
 {
     GString *text = g_string_new(NULL);
     GString *fields =
@@ -115,7 +115,7 @@
 }
 
 static const struct bb_http_server_handler metrics_handler = {
-    .request = answer_metrics};
+    .request = serve_metrics};
 
 /* Serves the metrics over HTTP. Returns false and sets the error if it cannot
  * listen on the address. */
--- a/path/entry.c
+++ b/path/entry.c
@@ -30,7 +30,7 @@
     HEDGE_MIN_PERCENT = 35
 };
 
-BB_HISTOGRAM(answered_time, "baobab_entry_seconds", "outcome=\"answered\"",
+BB_HISTOGRAM(forwarded_time, "baobab_entry_seconds", "outcome=\"answered\"",
              "From the arrival of a request to its answer");
 BB_HISTOGRAM(not_run_time, "baobab_entry_seconds", "outcome=\"not_run\"",
              "From the arrival of a request to its answer");
@@ -42,7 +42,7 @@
              "Time of an answered request outside of its upstream");
 
 /* Answers that the entry gives by itself, counted by reason. */
-#define LOCAL_ANSWER(reason_)                                                 \
+#define LOCAL_RESPONSE(reason_)                                               \
     {                                                                         \
         .reason = reason_, .counter = {                                       \
             .name = "baobab_entry_own_answers_total",                         \
@@ -54,20 +54,20 @@
 static struct {
     const char *reason;
     struct bb_counter counter;
-} local_answers[] = {
-    LOCAL_ANSWER("deadline"),         LOCAL_ANSWER("late"),
-    LOCAL_ANSWER("long_body"),        LOCAL_ANSWER("lost"),
-    LOCAL_ANSWER("no_configuration"), LOCAL_ANSWER("no_gate_left"),
-    LOCAL_ANSWER("no_request_id"),    LOCAL_ANSWER("no_route"),
-    LOCAL_ANSWER("no_upstream"),      LOCAL_ANSWER("stopping"),
-    LOCAL_ANSWER("upstream_refused"),
+} local_responses[] = {
+    LOCAL_RESPONSE("deadline"),         LOCAL_RESPONSE("late"),
+    LOCAL_RESPONSE("long_body"),        LOCAL_RESPONSE("lost"),
+    LOCAL_RESPONSE("no_configuration"), LOCAL_RESPONSE("no_gate_left"),
+    LOCAL_RESPONSE("no_request_id"),    LOCAL_RESPONSE("no_route"),
+    LOCAL_RESPONSE("no_upstream"),      LOCAL_RESPONSE("stopping"),
+    LOCAL_RESPONSE("upstream_refused"),
 };
 
 __attribute__((constructor)) static void
-register_local_answers(void)
+register_local_responses(void)
 {
-    for (size_t i = 0; i < G_N_ELEMENTS(local_answers); i++) {
-        bb_counter_register(&local_answers[i].counter);
+    for (size_t i = 0; i < G_N_ELEMENTS(local_responses); i++) {
+        bb_counter_register(&local_responses[i].counter);
     }
 }
 
@@ -75,7 +75,7 @@
            "Requests of callers on this host");
 BB_COUNTER(nested_total, "baobab_entry_calls_total",
            "Requests that the upstream of this host made for one it runs");
-BB_COUNTER(answered_total, "baobab_entry_answered_total",
+BB_COUNTER(forwarded_total, "baobab_entry_answered_total",
            "Answers of upstreams passed on");
 BB_COUNTER(caller_left_total, "baobab_entry_gone_total",
            "Requests whose caller left before the answer");
@@ -90,8 +90,8 @@
 
 /* Counts an answer of the entry itself, by status and by reason. */
 static void
-count_local_answer(const struct entry_request *rq, uint32_t status,
-                   const char *reason)
+count_local_response(const struct entry_request *rq, uint32_t status,
+                     const char *reason)
 {
     uint64_t took_us = bb_clock_now_us() - rq->exchange->received_us;
 
@@ -111,18 +111,18 @@
     default:
         break;
     }
-    for (size_t i = 0; i < G_N_ELEMENTS(local_answers); i++) {
-        if (strcmp(local_answers[i].reason, reason) == 0) {
-            bb_counter_add(&local_answers[i].counter, 1);
+    for (size_t i = 0; i < G_N_ELEMENTS(local_responses); i++) {
+        if (strcmp(local_responses[i].reason, reason) == 0) {
+            bb_counter_add(&local_responses[i].counter, 1);
         }
     }
 }
 
 /* Answers a request by the entry itself and destroys it. `reason` is one of
- * local_answers; retry_ms is sent as Retry-After unless it is 0. */
+ * local_responses; retry_ms is sent as Retry-After unless it is 0. */
 void
-request_answer_locally(struct entry_request *rq, uint32_t status,
-                       const char *reason, uint32_t retry_ms)
+request_respond_locally(struct entry_request *rq, uint32_t status,
+                        const char *reason, uint32_t retry_ms)
 {
     GString *fields = g_string_new(NULL);
 
@@ -131,7 +131,7 @@
         g_string_append_printf(fields, "Retry-After: %u.%03u\r\n",
                                retry_ms / 1000, retry_ms % 1000);
     }
-    count_local_answer(rq, status, reason);
+    count_local_response(rq, status, reason);
     bb_event_log_format_line(
         rq->log_lines, "entry.answered", rq->id,
         "\"status\":%u,\"reason\":\"%s\",\"attempts\":%u,"
@@ -149,16 +149,16 @@
  * not spent at its upstream. That part is not known for a held answer, which
  * belongs to no attempt any more. */
 static void
-record_answer_time(const struct entry_request *rq,
-                   const struct bb_response_relay *answer)
+record_response_time(const struct entry_request *rq,
+                     const struct bb_response_relay *response)
 {
     uint64_t took_us = bb_clock_now_us() - rq->exchange->received_us;
 
-    bb_histogram_observe(&answered_time, took_us);
+    bb_histogram_observe(&forwarded_time, took_us);
     for (size_t i = 0; i < G_N_ELEMENTS(rq->attempts); i++) {
         const struct attempt *a = &rq->attempts[i];
 
-        if (answer == &a->relay && took_us >= a->upstream_us) {
+        if (response == &a->relay && took_us >= a->upstream_us) {
             bb_histogram_observe(&added_time, took_us - a->upstream_us);
         }
     }
@@ -168,27 +168,27 @@
  * request. Events are logged unless the first attempt brought an answer below
  * 500. */
 void
-request_forward_answer(struct entry_request *rq,
-                       struct bb_response_relay *answer)
+request_forward_response(struct entry_request *rq,
+                         struct bb_response_relay *response)
 {
-    bool is_ordinary = answer->status < 500 && rq->attempt_count == 1;
+    bool is_ordinary = response->status < 500 && rq->attempt_count == 1;
 
-    bb_counter_add(&answered_total, 1);
-    record_answer_time(rq, answer);
+    bb_counter_add(&forwarded_total, 1);
+    record_response_time(rq, response);
     if (!is_ordinary) {
         bb_event_log_format_line(
             rq->log_lines, "entry.answered", rq->id,
             "\"status\":%u,\"reason\":\"upstream\",\"attempts\":%u,"
             "\"tries\":%u,\"took_us\":%" G_GUINT64_FORMAT,
-            answer->status, rq->upstreams_reached, rq->attempt_count,
+            response->status, rq->upstreams_reached, rq->attempt_count,
             bb_clock_now_us() - rq->exchange->received_us);
     }
     else {
         g_string_truncate(rq->log_lines, 0);
     }
-    bb_response_relay_finish(answer, rq->exchange);
-    request_destroy(rq, answer->status >= 500 ? BB_EVENT_FAILURE
-                                              : BB_EVENT_ORDINARY);
+    bb_response_relay_finish(response, rq->exchange);
+    request_destroy(rq, response->status >= 500 ? BB_EVENT_FAILURE
+                                                : BB_EVENT_ORDINARY);
 }
 
 /* Updates the estimated 95th percentile of the request's class with the time
@@ -218,8 +218,8 @@
 
     bb_response_relay_clear(&rq->attempts[0].relay);
     bb_response_relay_clear(&rq->attempts[1].relay);
-    if (rq->has_held_answer) {
-        bb_response_relay_clear(&rq->held_answer);
+    if (rq->has_held_response) {
+        bb_response_relay_clear(&rq->held_response);
     }
     g_string_free(rq->log_lines, TRUE);
     bb_rules_unref(rq->rules);
@@ -257,15 +257,15 @@
         request_destroy(rq, BB_EVENT_FAILURE);
         return;
     }
-    if (rq->has_held_answer) {
-        request_forward_held_answer(rq);
+    if (rq->has_held_response) {
+        request_forward_held_response(rq);
         return;
     }
     if (!has_active_attempt(rq) && !rq->may_have_run) {
-        request_answer_locally(rq, 503, "late", 0);
+        request_respond_locally(rq, 503, "late", 0);
         return;
     }
-    request_answer_locally(rq, 504, "deadline", 0);
+    request_respond_locally(rq, 504, "deadline", 0);
 }
 
 /* Sends a hedge, or ends the request once it is due to be answered. */
@@ -275,9 +275,9 @@
     struct entry_request *rq = t->data;
     uint64_t now_us = bb_clock_now_us();
 
-    if (now_us < rq->answer_by_us) {
+    if (now_us < rq->respond_by_us) {
         (void)uv_timer_start(&rq->timer, on_timer,
-                             (rq->answer_by_us - now_us) / BB_US_PER_MS + 1,
+                             (rq->respond_by_us - now_us) / BB_US_PER_MS + 1,
                              0);
         request_hedge(rq);
         return;
@@ -286,14 +286,14 @@
 }
 
 /* Starts the timer: for a hedge if the request may be repeated and answer
- * times of its class are known, else for answer_by_us. */
+ * times of its class are known, else for respond_by_us. */
 static void
 start_timer(struct entry_request *rq, uint64_t now_us)
 {
     uint64_t p95_us = rq->entry->p95_us[rq->route->class_index];
     uint64_t hedge_min_us = (uint64_t)rq->route->target_latency_ms *
                             BB_US_PER_MS * HEDGE_MIN_PERCENT / PERCENT;
-    uint64_t due_us = rq->answer_by_us;
+    uint64_t due_us = rq->respond_by_us;
 
     if (rq->route->is_idempotent && rq->route->upstreams_max > 1 &&
         p95_us != 0) {
@@ -345,8 +345,8 @@
     const char *host = bb_http_head_get(&rq->exchange->head, "Host");
 
     if (n->rules == NULL) {
-        request_answer_locally(rq, 503, "no_configuration",
-                               BB_ENTRY_RETRY_AFTER_MIN_MS);
+        request_respond_locally(rq, 503, "no_configuration",
+                                BB_ENTRY_RETRY_AFTER_MIN_MS);
         return false;
     }
     rq->rules = bb_rules_ref(n->rules);
@@ -354,7 +354,7 @@
                                bb_http_head_target(&rq->exchange->head));
     if (rq->route == NULL) {
         bb_counter_add(&no_route_total, 1);
-        request_answer_locally(rq, 404, "no_route", 0);
+        request_respond_locally(rq, 404, "no_route", 0);
         return false;
     }
     rq->service = bb_directory_get_service(n->settings.directory,
@@ -397,7 +397,7 @@
         rq->target_end_us += (rq->deadline_us - rq->target_end_us) / 2;
     }
     /* Leaves the gate time to state that the request did not run. */
-    rq->answer_by_us = MIN(
+    rq->respond_by_us = MIN(
         from_us + left_us,
         rq->deadline_us + (uint64_t)BB_ENTRY_REFUSAL_GRACE_MS * BB_US_PER_MS);
 }
@@ -412,7 +412,7 @@
     char parent[BB_DIALECT_ID_BYTES];
 
     rq->is_nested = s->dialect->parse_parent_id(rq->id, parent) &&
-                    s->is_running(s->context, parent, &rq->is_parent_repeat);
+                    s->is_running(s->context, parent, &rq->is_parent_retry);
     bb_counter_add(&nested_total, rq->is_nested);
 }
 
@@ -438,13 +438,13 @@
     }
     id = bb_http_head_get(&x->head, n->settings.dialect->fields.request_id);
     if (id == NULL || strlen(id) >= sizeof(rq->id)) {
-        request_answer_locally(rq, 400, "no_request_id", 0);
+        request_respond_locally(rq, 400, "no_request_id", 0);
         return;
     }
     g_strlcpy(rq->id, id, sizeof(rq->id));
     if (n->is_stopping) {
-        request_answer_locally(rq, 503, "stopping",
-                               BB_ENTRY_RETRY_AFTER_MIN_MS);
+        request_respond_locally(rq, 503, "stopping",
+                                BB_ENTRY_RETRY_AFTER_MIN_MS);
         return;
     }
     if (!find_route(n, rq)) {
@@ -460,14 +460,14 @@
         rq->is_nested ? "true" : "false",
         (int)(((int64_t)rq->deadline_us - (int64_t)now_us) / BB_US_PER_MS));
     if (rq->deadline_us <= now_us) {
-        request_answer_locally(rq, 503, "late", 0);
+        request_respond_locally(rq, 503, "late", 0);
         return;
     }
     start_timer(rq, now_us);
     /* A request nested in a repeat counts as a repeat itself. */
     bb_retry_window_count_first_send(
         &rq->service->retry_window, &n->settings.retry_limits,
-        rq->is_parent_repeat ? PERMILLE : 0, now_us);
+        rq->is_parent_retry ? PERMILLE : 0, now_us);
     request_try_next_gate(rq);
 }
 
--- a/path/entry_internal.h
+++ b/path/entry_internal.h
@@ -35,7 +35,7 @@
 
 /* Outcome of one attempt at a gate. */
 enum attempt_result {
-    ATTEMPT_ANSWERED,    /* complete answer of the upstream, of any status */
+    ATTEMPT_COMPLETED,   /* complete answer of the upstream, of any status */
     ATTEMPT_REFUSED,     /* by the gate, which did not send it on */
     ATTEMPT_NOT_RUN,     /* the upstream states that it did not run it */
     ATTEMPT_UNREACHABLE, /* no connection to the gate; nothing was sent */
@@ -55,16 +55,16 @@
     uint64_t wait_max_us; /* longest time in the gate's queue; UINT64_MAX:
                              until its deadline */
     bool is_refused; /* the gate states that it did not send the request on */
-    bool is_answer_lost; /* the gate states that the answer was lost */
-    bool is_not_run;     /* the upstream states that it did not run it */
-    bool is_sealed;      /* carries the mark of an upstream's own answer */
+    bool is_response_lost; /* the gate states that the answer was lost */
+    bool is_not_run;       /* the upstream states that it did not run it */
+    bool is_sealed;        /* carries the mark of an upstream's own answer */
 };
 
 /* One request of a caller. */
 struct entry_request {
     struct bb_entry *entry;
     struct bb_http_exchange *exchange;
-    uv_timer_t timer; /* hedge time first, then answer_by_us */
+    uv_timer_t timer; /* hedge time first, then respond_by_us */
     struct bb_rules *rules;
     const struct bb_rules_route *route;
     struct bb_service_record *service;
@@ -73,7 +73,7 @@
     char id[BB_DIALECT_ID_BYTES];
     uint64_t
         deadline_us; /* the caller's or the route's, whichever is earlier */
-    uint64_t answer_by_us;  /* the entry answers by itself then */
+    uint64_t respond_by_us; /* the entry answers by itself then */
     uint64_t target_end_us; /* end of the target latency */
     /* Gates that are not used again for this request. */
     char excluded_gates[BB_ENTRY_ATTEMPTS_MAX][BB_ADDRESS_TEXT_BYTES];
@@ -83,24 +83,24 @@
     uint32_t full_count;
     uint32_t upstreams_reached; /* attempts that reached an upstream */
     uint32_t attempt_count;     /* attempts sent to gates */
-    bool is_parent_repeat; /* the request that it is nested in is a repeat */
-    bool is_nested;        /* sent by the upstream of this host while it runs
-                          another request, which holds a slot there */
-    bool is_refused_late;  /* refused by a gate as late; no other is tried */
-    bool is_body_streamed; /* body incomplete at the first attempt, which
-                          therefore cannot be repeated */
-    bool is_chunked;       /* framing of the body towards the gate */
-    bool may_have_run;     /* an attempt may have run at an upstream */
-    bool has_held_answer;  /* held_answer is a 5xx answer, passed on if no
-                              further attempt brings a better one */
-    struct bb_response_relay held_answer;
+    bool is_parent_retry;   /* the request that it is nested in is a repeat */
+    bool is_nested;         /* sent by the upstream of this host while it runs
+                           another request, which holds a slot there */
+    bool is_refused_late;   /* refused by a gate as late; no other is tried */
+    bool is_body_streamed;  /* body incomplete at the first attempt, which
+                           therefore cannot be repeated */
+    bool is_chunked;        /* framing of the body towards the gate */
+    bool may_have_run;      /* an attempt may have run at an upstream */
+    bool has_held_response; /* held_response is a 5xx answer, passed on if no
+                             further attempt brings a better one */
+    struct bb_response_relay held_response;
 };
 
 /* entry.c */
-void request_answer_locally(struct entry_request *rq, uint32_t status,
-                            const char *reason, uint32_t retry_ms);
-void request_forward_answer(struct entry_request *rq,
-                            struct bb_response_relay *answer);
+void request_respond_locally(struct entry_request *rq, uint32_t status,
+                             const char *reason, uint32_t retry_ms);
+void request_forward_response(struct entry_request *rq,
+                              struct bb_response_relay *response);
 void request_update_p95(struct entry_request *rq, uint64_t took_us);
 void request_destroy(struct entry_request *rq,
                      enum bb_event_class event_class);
@@ -110,6 +110,6 @@
 void request_send_body(struct entry_request *rq);
 void request_hedge(struct entry_request *rq);
 void attempt_cancel(struct attempt *a);
-void request_forward_held_answer(struct entry_request *rq);
+void request_forward_held_response(struct entry_request *rq);
 
 #endif
--- a/path/gate.c
+++ b/path/gate.c
@@ -89,7 +89,7 @@
     char service[SERVICE_TEXT_BYTES]; /* that the entry expects here */
     bool is_chunked;
     bool is_not_idempotent; /* by its route; must not run twice */
-    bool is_repeat;  /* an earlier attempt may have reached an upstream */
+    bool is_retry;   /* an earlier attempt may have reached an upstream */
     bool is_error;   /* the answer has a status of 500 or above */
     bool is_not_run; /* the upstream states that it did not run it */
 };
@@ -204,7 +204,7 @@
 
 /* Answers with 502 that the request may have run: its answer was lost. */
 static void
-answer_unknown(struct gate_request *rq, const char *reason)
+respond_outcome_unknown(struct gate_request *rq, const char *reason)
 {
     struct bb_gate *g = rq->gate;
     GString *fields = g_string_new(NULL);
@@ -229,7 +229,7 @@
  * accepted with any id or none: an upstream that refuses a request need not
  * return its id. */
 static bool
-on_answer_head(void *context, const struct bb_http_head *h)
+on_response_head(void *context, const struct bb_http_head *h)
 {
     struct gate_request *rq = context;
     const struct bb_dialect_fields *names =
@@ -252,7 +252,7 @@
 
 /* Collects or streams a part of the answer. */
 static void
-on_answer_body(void *context, const char *data, size_t size_bytes)
+on_response_body(void *context, const char *data, size_t size_bytes)
 {
     struct gate_request *rq = context;
 
@@ -301,7 +301,7 @@
             bb_http_exchange_abort(rq->exchange);
         }
         else {
-            answer_unknown(rq, bb_fetch_result_name(result));
+            respond_outcome_unknown(rq, bb_fetch_result_name(result));
         }
     }
     free_request(rq);
@@ -318,8 +318,8 @@
     bb_http_exchange_resume(rq->exchange);
 }
 
-static const struct bb_fetch_events fetch_events = {.head = on_answer_head,
-                                                    .body = on_answer_body,
+static const struct bb_fetch_events fetch_events = {.head = on_response_head,
+                                                    .body = on_response_body,
                                                     .done = on_fetch_done,
                                                     .output_drained =
                                                         on_upstream_writable};
@@ -359,7 +359,7 @@
         .head = head,
         .is_body_complete = x->is_body_complete,
         .is_head_method = x->head.method == HTTP_HEAD,
-        .idle_max_ms = rq->is_not_idempotent || rq->is_repeat
+        .idle_max_ms = rq->is_not_idempotent || rq->is_retry
                            ? (uint32_t)BB_GATE_NO_LOSS_IDLE_MAX_MS
                            : 0,
     };
@@ -456,7 +456,7 @@
     *wait_max_us = wait_ms >= BB_GATE_WAIT_UNLIMITED_MS
                        ? UINT64_MAX
                        : (uint64_t)wait_ms * BB_US_PER_MS;
-    rq->is_repeat = strchr(flags, BB_GATE_FLAG_REPEAT) != NULL;
+    rq->is_retry = strchr(flags, BB_GATE_FLAG_RETRY) != NULL;
     rq->is_not_idempotent = strchr(flags, BB_GATE_FLAG_NOT_IDEMPOTENT) != NULL;
     rq->queue_item = (struct bb_gate_queue_item){
         .id = ++g->next_id,
@@ -718,14 +718,14 @@
     return bb_http_server_pending_count(g->server);
 }
 
-/* Returns whether a request with this id is at the upstream. Sets is_repeat to
+/* Returns whether a request with this id is at the upstream. Sets is_retry to
  * whether an earlier attempt may have reached an upstream. */
 bool
-bb_gate_is_running(const struct bb_gate *g, const char *id, bool *is_repeat)
+bb_gate_is_running(const struct bb_gate *g, const char *id, bool *is_retry)
 {
     const struct gate_request *rq = g_hash_table_lookup(g->running, id);
 
-    *is_repeat = rq != NULL && rq->is_repeat;
+    *is_retry = rq != NULL && rq->is_retry;
     return rq != NULL;
 }
 
--- a/proxy/attempt.c
+++ b/proxy/attempt.c
@@ -156,9 +156,11 @@
     }
     else if (is_whole) {
         reason = bb_http_call_upstream_refusal(call);
-        result = reason != BB_REASON_NONE ? BB_SLOT_REFUSED : BB_SLOT_ANSWERED;
+        result =
+            reason != BB_REASON_NONE ? BB_SLOT_REFUSED : BB_SLOT_COMPLETED;
     }
-    if (result == BB_SLOT_ANSWERED && slot->is_recorded && body_copy != NULL) {
+    if (result == BB_SLOT_COMPLETED && slot->is_recorded &&
+        body_copy != NULL) {
         response = create_stored_response(call, body_copy);
     }
     bb_gatekeeper_release_slot(slot, result, response);
@@ -273,7 +275,7 @@
     request.peer_address = attempt->endpoint->http_address;
     request.use_new_connection = attempt->fetches_stored_response;
     request.crosses_link =
-        attempt->endpoint->nearness == BB_NEARNESS_OTHER_REGION;
+        attempt->endpoint->distance == BB_ENDPOINT_OTHER_REGION;
     request.expect_continue =
         x->is_streaming &&
         (x->length_bytes < 0 || x->length_bytes > EXPECT_CONTINUE_MIN_BYTES);
--- a/proxy/claim_key.c
+++ b/proxy/claim_key.c
@@ -19,11 +19,11 @@
 }
 
 /* Sends the claim to one witness, by RPC unless it is this node's. */
-static struct bb_witness_answer
+static struct bb_witness_response
 ask_witness(struct bb_exchange *x, const struct bb_claim_requester *q,
             uint64_t witness)
 {
-    struct bb_witness_answer a = {.result = BB_WITNESS_UNREACHABLE};
+    struct bb_witness_response a = {.result = BB_WITNESS_UNREACHABLE};
     const struct bb_endpoint *e;
 
     if (witness == bb_hash_host(x->proxy->host)) {
@@ -64,9 +64,9 @@
     }
     step = bb_claim_step(&q, &held, &o.reason);
     for (uint32_t i = 0; i < q.witness_count && step == BB_CLAIM_WAIT; i++) {
-        struct bb_witness_answer a = ask_witness(x, &q, q.witnesses[i]);
+        struct bb_witness_response a = ask_witness(x, &q, q.witnesses[i]);
 
-        (void)bb_claim_add_answer(&q, q.witnesses[i], &a);
+        (void)bb_claim_add_response(&q, q.witnesses[i], &a);
         step = bb_claim_step(&q, &held, &o.reason);
     }
     if (step != BB_CLAIM_RUN && step != BB_CLAIM_JOIN) {
--- a/proxy/claims.c
+++ b/proxy/claims.c
@@ -134,11 +134,11 @@
 }
 
 /* Processes a claim at this node's witness and returns its answer. */
-struct bb_witness_answer
+struct bb_witness_response
 bb_claims_process_claim(struct bb_claims *c, const struct bb_request_id *key,
                         const struct bb_claim *claim, uint64_t epoch)
 {
-    struct bb_witness_answer a;
+    struct bb_witness_response a;
     uint64_t now_us = bb_clock_now_us();
 
     (void)pthread_mutex_lock(&c->lock);
--- a/proxy/entry.c
+++ b/proxy/entry.c
@@ -82,7 +82,7 @@
         bb_picker_finish_attempt(x->proxy->picker, x->service_name,
                                  attempt->host_key, x->work_class,
                                  attempt->start_us, result, bb_clock_now_us());
-        if (result == BB_ATTEMPT_ANSWERED || result == BB_ATTEMPT_REFUSED ||
+        if (result == BB_ATTEMPT_COMPLETED || result == BB_ATTEMPT_REFUSED ||
             result == BB_ATTEMPT_REFUSED_SLOW) {
             update_picker_load(x, attempt);
         }
@@ -158,7 +158,7 @@
         uint64_t host_key = bb_hash_host(e->host);
 
         targets[q.target_count++] = (struct bb_pick_target){
-            .host_key = host_key, .nearness = e->nearness, .slots = e->slots};
+            .host_key = host_key, .distance = e->distance, .slots = e->slots};
         if (e->is_local) {
             update_local_load(x, host_key);
         }
@@ -356,7 +356,7 @@
         attempt->has_spun_for_response = true;
         end_us = bb_clock_now_us() + RESPONSE_SPIN_US;
         bb_notifier_unlock(x->notifier);
-        while (!atomic_load(&attempt->call->is_finished) &&
+        while (!atomic_load(&attempt->call->is_state_final) &&
                bb_clock_now_us() < end_us) {
         }
         bb_notifier_lock(x->notifier);
@@ -414,7 +414,7 @@
     }
     x->outcome = (struct bb_outcome){.kind = BB_OUTCOME_RESPONSE,
                                      .call = attempt->call};
-    bb_entry_finish_attempt(x, attempt, BB_ATTEMPT_ANSWERED);
+    bb_entry_finish_attempt(x, attempt, BB_ATTEMPT_COMPLETED);
     cancel_attempts(x);
 }
 
--- a/proxy/gatekeeper.c
+++ b/proxy/gatekeeper.c
@@ -62,7 +62,7 @@
     for (uint32_t i = 0; i < g->settings.record_entries; i++) {
         bb_stored_response_unref(
             (struct bb_stored_response *)(uintptr_t)g->record_entries[i]
-                .answer_handle);
+                .response_handle);
     }
     (void)g_ptr_array_free(g->waiters, TRUE);
     (void)g_ptr_array_free(g->busy_slots, TRUE);
@@ -426,7 +426,7 @@
 finish_record(struct bb_gatekeeper *g, const struct bb_slot *slot,
               enum bb_slot_result result, struct bb_stored_response *response)
 {
-    bool has_run = result == BB_SLOT_ANSWERED || result == BB_SLOT_LOST;
+    bool has_run = result == BB_SLOT_COMPLETED || result == BB_SLOT_LOST;
     uint64_t handle = 0;
 
     if (has_run && response != NULL &&
@@ -460,7 +460,7 @@
     (void)pthread_mutex_lock(&g->lock);
     (void)bb_admission_finish(&g->admission, slot->admission_id,
                               now_us - slot->start_us,
-                              result == BB_SLOT_ANSWERED, now_us);
+                              result == BB_SLOT_COMPLETED, now_us);
     if (slot->is_recorded) {
         finish_record(g, slot, result, response);
     }
--- a/proxy/http_client.c
+++ b/proxy/http_client.c
@@ -72,7 +72,7 @@
     bb_notifier_lock(call->notifier);
     call->public.state = state;
     bb_notifier_unlock(call->notifier);
-    atomic_store(&call->public.is_finished,
+    atomic_store(&call->public.is_state_final,
                  state != BB_HTTP_CALL_SENDING_BODY);
     /* After the unlock, so that the woken thread need not wait for the lock.
      */
--- a/proxy/picker.c
+++ b/proxy/picker.c
@@ -34,7 +34,7 @@
     TICK_US = 10 * BB_US_PER_MS,
     DEFAULT_RETRY_PERCENT = 20,
     DEFAULT_HEDGE_PERCENT = 5,
-    DEFAULT_EJECTION_PERCENT = 34
+    DEFAULT_MAX_EJECTED_PERCENT = 34
 };
 
 /* Frees the state of a service. */
@@ -58,7 +58,7 @@
     p->services = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
                                         destroy_service);
     p->policy = bb_plugin_find(BB_PLUGIN_ROUTING_POLICY, policy);
-    p->max_ejected_percent = DEFAULT_EJECTION_PERCENT;
+    p->max_ejected_percent = DEFAULT_MAX_EJECTED_PERCENT;
     bb_retry_budget_configure(&p->retry_budget, DEFAULT_RETRY_PERCENT);
     bb_retry_budget_configure(&p->hedge_budget, DEFAULT_HEDGE_PERCENT);
     return p;
@@ -159,7 +159,7 @@
         if (c == NULL) {
             c = g_new0(struct bb_candidate, 1);
             bb_candidate_init(c, t->host_key,
-                              (enum bb_route_distance)t->nearness, t->slots);
+                              (enum bb_route_distance)t->distance, t->slots);
             (void)bb_outliers_add(&s->outliers, t->host_key);
             g_hash_table_insert(s->candidates, &c->key, c);
         }
@@ -226,7 +226,7 @@
                     enum bb_attempt_result result, uint64_t now_us)
 {
     switch (result) {
-    case BB_ATTEMPT_ANSWERED:
+    case BB_ATTEMPT_COMPLETED:
     case BB_ATTEMPT_FAILED:
         bb_outlier_finish(&s->outliers, host_key, work_class, start_us,
                           result == BB_ATTEMPT_FAILED, now_us);
@@ -257,7 +257,7 @@
     (void)pthread_mutex_lock(&p->lock);
     s = get_service(p, service);
     c = find_candidate(s, host_key);
-    if (result == BB_ATTEMPT_ANSWERED) {
+    if (result == BB_ATTEMPT_COMPLETED) {
         bb_duration_stats_add(&s->latency[work_class], latency_us);
     }
     finish_outlier_call(s, host_key, work_class, start_us, result, now_us);
@@ -266,8 +266,8 @@
     }
     else if (c != NULL) {
         bb_candidate_finish(c, work_class,
-                            result == BB_ATTEMPT_ANSWERED ? latency_us : 0,
-                            result == BB_ATTEMPT_ANSWERED);
+                            result == BB_ATTEMPT_COMPLETED ? latency_us : 0,
+                            result == BB_ATTEMPT_COMPLETED);
     }
     (void)pthread_mutex_unlock(&p->lock);
 }
@@ -343,10 +343,10 @@
 }
 
 /* Converts a hedge request to that of the decision module. */
-static struct bb_unanswered_request
+static struct bb_pending_request
 to_hedge_attempt(const struct bb_hedge_request *q)
 {
-    return (struct bb_unanswered_request){
+    return (struct bb_pending_request){
         .is_idempotent = q->is_idempotent,
         .work_class = q->work_class,
         .hedges = q->hedge_count,
@@ -362,7 +362,7 @@
 uint64_t
 bb_picker_hedge_delay_us(struct bb_picker *p, const struct bb_hedge_request *q)
 {
-    struct bb_unanswered_request h = to_hedge_attempt(q);
+    struct bb_pending_request h = to_hedge_attempt(q);
     uint64_t delay_us;
 
     (void)pthread_mutex_lock(&p->lock);
@@ -377,7 +377,7 @@
 bool
 bb_picker_try_hedge(struct bb_picker *p, const struct bb_hedge_request *q)
 {
-    struct bb_unanswered_request h = to_hedge_attempt(q);
+    struct bb_pending_request h = to_hedge_attempt(q);
     bool is_allowed;
 
     (void)pthread_mutex_lock(&p->lock);
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -142,7 +142,7 @@
 }
 
 /* Starts an HTTP server and sets *bound to its address with the actual port.
- * Returns NULL with BB_PROXY_ERROR_LISTEN on failure. */
+ * Returns NULL with BB_PROXY_ERROR_START on failure. */
 static struct MHD_Daemon *
 start_daemon(struct bb_proxy *p, const struct bb_address *listen,
              const struct MHD_OptionItem *options,
@@ -174,7 +174,7 @@
         (p->settings.idle_timeout_ms + MS_PER_S - 1) / MS_PER_S,
         MHD_OPTION_ARRAY, options, MHD_OPTION_END);
     if (d == NULL) {
-        bb_error_set(e, BB_PROXY_ERROR_LISTEN, "cannot listen on %s",
+        bb_error_set(e, BB_PROXY_ERROR_START, "cannot listen on %s",
                      bb_address_format(listen, text));
         return NULL;
     }
@@ -229,7 +229,7 @@
 }
 
 /* Creates the proxy and starts its HTTP servers. Requests are refused until a
- * table is set. Returns NULL with BB_PROXY_ERROR_LISTEN if an address cannot
+ * table is set. Returns NULL with BB_PROXY_ERROR_START if an address cannot
  * be bound or a thread cannot be started. */
 struct bb_proxy *
 bb_proxy_create(const struct bb_proxy_settings *s, struct bb_error *e)
@@ -269,8 +269,7 @@
         goto fail;
     }
     if (pthread_create(&p->tick_thread, NULL, run_ticks, p) != 0) {
-        bb_error_set(e, BB_PROXY_ERROR_LISTEN,
-                     "cannot start the timer thread");
+        bb_error_set(e, BB_PROXY_ERROR_START, "cannot start the timer thread");
         goto fail;
     }
     p->has_tick_thread = true;
@@ -324,7 +323,7 @@
     const struct bb_picker_limits limits = {
         .retry_percent = t->limits.retry_budget_percent,
         .hedge_percent = t->limits.hedge_budget_percent,
-        .max_ejected_percent = t->limits.ejection_percent,
+        .max_ejected_percent = t->limits.max_ejected_percent,
         .link_bytes_per_s = t->limits.link_bytes_per_s,
     };
 
--- a/proxy/recovery.c
+++ b/proxy/recovery.c
@@ -77,12 +77,12 @@
     }
     is_over = result == BB_QUERY_DONE ||
               (result == BB_QUERY_NEVER_SEEN && x->is_idempotent);
-    if (is_over && attempt->call != NULL && !attempt->is_query_repeated) {
-        attempt->is_query_repeated = true;
+    if (is_over && attempt->call != NULL && !attempt->is_query_retried) {
+        attempt->is_query_retried = true;
         bb_probe_query_failed(&attempt->probe, bb_clock_now_us());
         return;
     }
-    bb_probe_query_answered(&attempt->probe, result, bb_clock_now_us());
+    bb_probe_query_completed(&attempt->probe, result, bb_clock_now_us());
 }
 
 /* Performs the next step of the attempt's probe: wait, query, fetch the stored
@@ -104,7 +104,7 @@
     case BB_PROBE_QUERY:
         query_gatekeeper(x, attempt);
         break;
-    case BB_PROBE_TAKE_ANSWER:
+    case BB_PROBE_FETCH_RESPONSE:
         if (!attempt->fetches_stored_response) {
             fetch_stored_response(x, attempt);
         }
--- a/proxy/refusal.c
+++ b/proxy/refusal.c
@@ -68,7 +68,7 @@
 apply_record_refusal(struct bb_exchange *x, struct bb_attempt *attempt,
                      enum bb_begin_result result)
 {
-    bb_probe_begin_answered(&attempt->probe, result, bb_clock_now_us());
+    bb_probe_begin_completed(&attempt->probe, result, bb_clock_now_us());
     attempt->is_refused_by_record = true;
     bb_entry_check_probe(x, attempt);
     if (attempt->is_active && !attempt->fetches_stored_response) {
--- a/proxy/response.c
+++ b/proxy/response.c
@@ -10,7 +10,7 @@
 
 enum { BLOCK_BYTES = 64 * 1024, BUFFERED_MAX_BYTES = 16 * 1024 };
 
-BB_COUNTER(answers_total, "baobab_answers_total", "Answers passed on");
+BB_COUNTER(forwarded_total, "baobab_answers_total", "Answers passed on");
 BB_COUNTER(broken_total, "baobab_answers_broken_total",
            "Answers that broke off after their head was sent");
 
@@ -180,7 +180,7 @@
         return MHD_NO;
     }
     add_own_headers(x, r);
-    bb_counter_add(&answers_total, 1);
+    bb_counter_add(&forwarded_total, 1);
     result = MHD_queue_response(x->connection, status, r);
     MHD_destroy_response(r);
     return result;
--- a/proxy/rpc.c
+++ b/proxy/rpc.c
@@ -52,7 +52,7 @@
 {
     bb_xdr_claim c = {0};
     bb_xdr_claim_response out = {0};
-    struct bb_witness_answer a;
+    struct bb_witness_response a;
     struct bb_request_id key;
     struct bb_claim claim;
 
@@ -165,7 +165,7 @@
 bool
 bb_rpc_claim(struct bb_proxy *p, const struct bb_address *to,
              const struct bb_request_id *key, const struct bb_claim *claim,
-             uint64_t epoch, struct bb_witness_answer *out)
+             uint64_t epoch, struct bb_witness_response *out)
 {
     bb_xdr_claim c = {
         .attempt = claim->attempt,
@@ -192,7 +192,7 @@
         a.result >= BB_WITNESS_UNREACHABLE) {
         return false;
     }
-    *out = (struct bb_witness_answer){
+    *out = (struct bb_witness_response){
         .result = (enum bb_witness_result)a.result,
         .epoch = a.epoch,
         .held = {.attempt = a.attempt,
--- a/proxy/table.c
+++ b/proxy/table.c
@@ -43,7 +43,7 @@
     return true;
 }
 
-/* Creates the endpoint of a member, with its nearness to this node. */
+/* Creates the endpoint of a member, with its distance to this node. */
 static struct bb_endpoint
 make_endpoint(const struct bb_member *m,
               const struct bb_node_location *location)
@@ -53,10 +53,10 @@
         .rpc_address = m->rpc_address,
         .incarnation = m->incarnation,
         .slots = m->slots,
-        .nearness =
-            strcmp(m->region, location->region) != 0 ? BB_NEARNESS_OTHER_REGION
-            : strcmp(m->zone, location->zone) != 0   ? BB_NEARNESS_SAME_REGION
-                                                     : BB_NEARNESS_SAME_ZONE,
+        .distance =
+            strcmp(m->region, location->region) != 0 ? BB_ENDPOINT_OTHER_REGION
+            : strcmp(m->zone, location->zone) != 0   ? BB_ENDPOINT_SAME_REGION
+                                                     : BB_ENDPOINT_SAME_ZONE,
         .is_local = strcmp(m->host, location->host) == 0,
     };
 
--- a/proxyd/main.c
+++ b/proxyd/main.c
@@ -293,11 +293,11 @@
 
 /* Returns whether a request runs at the upstream of this host. */
 static bool
-is_running(void *context, const char *id, bool *is_repeat)
+is_running(void *context, const char *id, bool *is_retry)
 {
     const struct proxy *p = context;
 
-    return bb_gate_is_running(p->gate, id, is_repeat);
+    return bb_gate_is_running(p->gate, id, is_retry);
 }
 
 /* Writes the load of the gate on this host into the entry's view of it. */
--- a/replay/module_claim.c
+++ b/replay/module_claim.c
@@ -102,13 +102,13 @@
     bb_claim_start(&q, &s->roster, &key, &wanted);
     for (uint32_t i = 0; i < q.witness_count; i++) {
         struct witness *w = &s->witnesses[q.witnesses[i]];
-        struct bb_witness_answer a = {.result = BB_WITNESS_UNREACHABLE};
+        struct bb_witness_response a = {.result = BB_WITNESS_UNREACHABLE};
 
         if (!w->is_unreachable) {
             a = bb_witness_claim(&w->witness, &key, &wanted, q.epoch,
                                  l->now_us);
         }
-        (void)bb_claim_add_answer(&q, q.witnesses[i], &a);
+        (void)bb_claim_add_response(&q, q.witnesses[i], &a);
     }
     step = bb_claim_step(&q, &held, &reason);
     bb_replay_set_string(result, "step", step_names[step]);
--- a/replay/module_record.c
+++ b/replay/module_record.c
@@ -88,27 +88,27 @@
     struct gatekeeper *g = find_gatekeeper(s, l);
     struct bb_request_id id;
     uint64_t incarnation;
-    uint64_t answer;
+    uint64_t response;
 
     if (g == NULL || !read_id(l, &id, &incarnation)) {
         return false;
     }
     for (int i = 0; i < ENTRIES; i++) {
-        (void)bb_record_expire(&g->record, l->now_us, &answer);
+        (void)bb_record_expire(&g->record, l->now_us, &response);
     }
     if (is_query) {
         bb_replay_set_string(
             result, "result",
-            query_names[bb_record_query(&g->record, &id, incarnation, &answer,
-                                        l->now_us)]);
+            query_names[bb_record_query(&g->record, &id, incarnation,
+                                        &response, l->now_us)]);
     }
     else {
         bb_replay_set_string(
             result, "result",
-            begin_names[bb_record_begin(&g->record, &id, incarnation, &answer,
-                                        l->now_us)]);
+            begin_names[bb_record_begin(&g->record, &id, incarnation,
+                                        &response, l->now_us)]);
     }
-    bb_replay_set_number(result, "answer", answer);
+    bb_replay_set_number(result, "answer", response);
     return true;
 }
 
@@ -118,14 +118,14 @@
 {
     struct gatekeeper *g = find_gatekeeper(s, l);
     const char *text;
-    uint64_t answer;
+    uint64_t response;
     uint32_t outcome;
     struct bb_request_id id;
 
     if (g == NULL || !bb_replay_read_string(l, "id", &text) ||
         !bb_replay_read_enum(l, "outcome", outcome_names, 2, 0, &outcome) ||
         !bb_replay_read_number_or(l, "answer", BB_REPLAY_NUMBER_MAX, 0,
-                                  &answer)) {
+                                  &response)) {
         return false;
     }
     id = bb_request_id_from_key("trace", text);
@@ -133,7 +133,7 @@
         result, "known",
         json_boolean(bb_record_finish(
             &g->record, &id, outcome == 0 ? BB_RECORD_DONE : BB_RECORD_REFUSED,
-            answer, l->now_us)));
+            response, l->now_us)));
     return true;
 }
 
@@ -158,7 +158,7 @@
 
 /* Passes the answer to a query to the probe. */
 static bool
-answer_query(struct state *s, struct bb_replay_line *l)
+apply_query_result(struct state *s, struct bb_replay_line *l)
 {
     uint32_t result_index;
 
@@ -166,8 +166,8 @@
                              QUERY_NAMES, &result_index)) {
         return false;
     }
-    bb_probe_query_answered(&s->probe, (enum bb_query_result)result_index,
-                            l->now_us);
+    bb_probe_query_completed(&s->probe, (enum bb_query_result)result_index,
+                             l->now_us);
     return true;
 }
 
@@ -201,7 +201,7 @@
         bb_probe_connection_broken(&s->probe, l->now_us);
     }
     else if (strcmp(event, "answered") == 0) {
-        ok = answer_query(s, l);
+        ok = apply_query_result(s, l);
     }
     else if (strcmp(event, "query_failed") == 0) {
         bb_probe_query_failed(&s->probe, l->now_us);
--- a/replay/module_retry.c
+++ b/replay/module_retry.c
@@ -104,7 +104,7 @@
 static bool
 request_hedges(struct state *s, struct bb_replay_line *l, json_t *result)
 {
-    struct bb_unanswered_request q = {.hedge_limit = 1};
+    struct bb_pending_request q = {.hedge_limit = 1};
     uint64_t times;
     uint64_t allowed = 0;
     bool is_long;
--- a/tests/admin/test_admin.c
+++ b/tests/admin/test_admin.c
@@ -99,7 +99,7 @@
 #define COMMON_HEADERS " HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
 
 static void
-test_endpoints_answer(void)
+test_endpoints_respond(void)
 {
     start_server();
     check_response("GET /v1/health" COMMON_HEADERS "\r\n", " 200 ",
@@ -257,7 +257,7 @@
 }
 
 static const struct bb_unit_test tests[] = {
-    {"endpoints answer", test_endpoints_answer},
+    {"endpoints answer", test_endpoints_respond},
     {"methods that change need the token",
      test_methods_that_change_need_the_token},
     {"sizes are limited", test_sizes_are_limited},
--- a/tests/config/test_compile.c
+++ b/tests/config/test_compile.c
@@ -227,7 +227,7 @@
 
     fixture_require_not_null(c);
     CU_ASSERT_EQUAL(c->limits.max_depth, 5);
-    CU_ASSERT_EQUAL(c->limits.ejection_percent, 20);
+    CU_ASSERT_EQUAL(c->limits.max_ejected_percent, 20);
     CU_ASSERT_EQUAL(c->limits.retry_budget_percent, 20);
     CU_ASSERT_STRING_EQUAL(text, "[limits]\n# from 20.conf\nmax-depth=5\n"
                                  "# from 10.conf\nejection-percent=20\n"
--- a/tests/control/test_proposal.c
+++ b/tests/control/test_proposal.c
@@ -14,7 +14,7 @@
     uint32_t propose_calls;
     const char *competing_text; /* content of the competing folder, or NULL */
     uint64_t competing_epoch;
-    bool loses_answer; /* the next accepted proposal returns NO_QUORUM */
+    bool loses_response; /* the next accepted proposal returns NO_QUORUM */
 };
 
 static struct bb_folder *
@@ -87,8 +87,8 @@
                  b->version);
     a->highest_version = version;
     bb_bundle_unref(b);
-    if (a->loses_answer) {
-        a->loses_answer = false;
+    if (a->loses_response) {
+        a->loses_response = false;
         return (struct bb_replicate_result){BB_REPLICATE_NO_QUORUM, 0};
     }
     return (struct bb_replicate_result){BB_REPLICATE_ACCEPTED, a->revision};
@@ -179,13 +179,13 @@
 /* Guards against a resend that conflicts with its own accepted proposal
  * because the roster, and with it the payload, changed in between. */
 static void
-test_resend_after_a_lost_answer_is_accepted(void)
+test_resend_after_a_lost_response_is_accepted(void)
 {
     struct fake_agreement a;
     struct bb_replicate_result r;
 
     start_with_revision_1(&a);
-    a.loses_answer = true;
+    a.loses_response = true;
     r = submit(&a, "new\n", 2, 1);
     CU_ASSERT_EQUAL(r.outcome, BB_REPLICATE_NO_QUORUM);
     put_in_force(&a, make_folder("new\n"), make_rosters(3), 2);
@@ -222,7 +222,7 @@
     {"operators' changes still conflict",
      test_operators_changes_still_conflict},
     {"a resend after a lost answer is accepted",
-     test_resend_after_a_lost_answer_is_accepted},
+     test_resend_after_a_lost_response_is_accepted},
     {"a base that is not held is not proposed against",
      test_a_base_that_is_not_held_is_not_proposed_against},
 };
--- a/tests/control/test_replicate.c
+++ b/tests/control/test_replicate.c
@@ -58,20 +58,20 @@
     struct host *from = context;
     struct host *target = find_host(to->id);
     bool crosses_regions = strcmp(to->region, peers[from - hosts].region) != 0;
-    bool is_answered = false;
+    bool has_response = false;
 
     (void)timeout_ms;
     (void)pthread_rwlock_rdlock(&lock);
     if (!from->is_disconnected && !target->is_disconnected &&
         target->r != NULL) {
-        is_answered =
+        has_response =
             bb_replicate_dispatch(target->r, procedure, argument, result);
     }
-    if (is_answered && crosses_regions && procedure == AGREE_APPEND) {
+    if (has_response && crosses_regions && procedure == AGREE_APPEND) {
         cross_region_bytes +=
             ((agree_envelope *)argument)->payload.payload_len;
     }
-    if (is_answered && crosses_regions && procedure == AGREE_PROPOSE) {
+    if (has_response && crosses_regions && procedure == AGREE_PROPOSE) {
         const agree_propose_body *body =
             &((agree_propose_message *)argument)->body;
 
@@ -80,12 +80,12 @@
                 body->agree_propose_body_u.proposal.payload.payload_len;
         }
     }
-    if (is_answered && crosses_regions && procedure == AGREE_FETCH_PAYLOAD) {
+    if (has_response && crosses_regions && procedure == AGREE_FETCH_PAYLOAD) {
         cross_region_bytes +=
             ((agree_fetch_response *)result)->payload.payload_len;
     }
     (void)pthread_rwlock_unlock(&lock);
-    return is_answered;
+    return has_response;
 }
 
 /* Checks that revisions ascend and that the payload matches its digest. */
--- a/tests/control/test_source_watch.c
+++ b/tests/control/test_source_watch.c
@@ -119,8 +119,8 @@
     CU_ASSERT_TRUE(wait_for_proposals(1));
     CU_ASSERT_EQUAL(proposal_base, 0);
     CU_ASSERT_EQUAL(proposal_version, 4);
-    bb_source_watch_report_answer(w, &proposal_digest, 0,
-                                  BB_SOURCE_ANSWER_ACCEPTED, 1);
+    bb_source_watch_report_result(w, &proposal_digest, 0,
+                                  BB_SOURCE_RESULT_ACCEPTED, 1);
     CU_ASSERT_TRUE(wait_for_status(w, "base_revision", "1"));
     return w;
 }
@@ -139,8 +139,8 @@
     fixture_write_file(folder, "20.conf", "[region r]\n", -1);
     CU_ASSERT_TRUE(wait_for_proposals(2));
     CU_ASSERT_EQUAL(proposal_base, 1);
-    bb_source_watch_report_answer(w, &proposal_digest, 1,
-                                  BB_SOURCE_ANSWER_STALE_BASE, 0);
+    bb_source_watch_report_result(w, &proposal_digest, 1,
+                                  BB_SOURCE_RESULT_STALE_BASE, 0);
     CU_ASSERT_TRUE(wait_for_status(w, "conflict", "stale-base"));
     CU_ASSERT_TRUE(wait_for_status(w, "history", "changed elsewhere"));
     bb_source_watch_destroy(w);
--- a/tests/decide/agree_cluster.c
+++ b/tests/decide/agree_cluster.c
@@ -57,9 +57,9 @@
         for (uint32_t i = 0; i < out->message_count; i++) {
             c->queue[c->tail++ % CLUSTER_QUEUE_SIZE] = out->messages[i];
         }
-        for (uint32_t i = 0; i < out->answer_count; i++) {
-            c->answers[c->answer_count++ % CLUSTER_ANSWERS_SIZE] =
-                out->answers[i];
+        for (uint32_t i = 0; i < out->response_count; i++) {
+            c->responses[c->response_count++ % CLUSTER_RESPONSES_SIZE] =
+                out->responses[i];
         }
         e.kind = BB_AGREE_EVENT_SYNCED;
         e.as.sync_sequence = out->sync_sequence;
@@ -107,11 +107,11 @@
 
 /* Proposes a content at the leader, which must exist, and returns the answer;
  * its ticket is 0 if none arrived within a second. */
-struct bb_agree_answer
+struct bb_agree_response
 cluster_propose(struct cluster *c, uint64_t base, uint64_t version,
                 uint8_t content)
 {
-    uint32_t before = c->answer_count;
+    uint32_t before = c->response_count;
     struct bb_agree_event e = {.kind = BB_AGREE_EVENT_PROPOSAL};
 
     e.as.proposal = (struct bb_agree_proposal){.ticket = before + 1,
@@ -119,10 +119,10 @@
                                                .version = version,
                                                .digest.bytes = {content}};
     cluster_feed_event(c, cluster_find_leader(c), e);
-    for (int i = 0; i < 10 && c->answer_count == before; i++) {
+    for (int i = 0; i < 10 && c->response_count == before; i++) {
         cluster_run(c, 100000);
     }
-    return c->answer_count == before
-               ? (struct bb_agree_answer){.ticket = 0}
-               : c->answers[before % CLUSTER_ANSWERS_SIZE];
+    return c->response_count == before
+               ? (struct bb_agree_response){.ticket = 0}
+               : c->responses[before % CLUSTER_RESPONSES_SIZE];
 }
--- a/tests/decide/agree_cluster.h
+++ b/tests/decide/agree_cluster.h
@@ -6,7 +6,7 @@
 
 #include "decide/agree.h"
 
-enum { CLUSTER_QUEUE_SIZE = 4096, CLUSTER_ANSWERS_SIZE = 1024 };
+enum { CLUSTER_QUEUE_SIZE = 4096, CLUSTER_RESPONSES_SIZE = 1024 };
 
 struct cluster {
     uint8_t count;
@@ -19,8 +19,8 @@
     uint32_t head;                  /* messages delivered or lost so far */
     uint32_t tail;                  /* messages sent so far */
     /* Ring of the answers of all hosts, in order of arrival. */
-    struct bb_agree_answer answers[CLUSTER_ANSWERS_SIZE];
-    uint32_t answer_count; /* so far */
+    struct bb_agree_response responses[CLUSTER_RESPONSES_SIZE];
+    uint32_t response_count; /* so far */
     struct bb_agree_output out;
 };
 
@@ -32,7 +32,7 @@
 void cluster_feed_event(struct cluster *c, uint8_t host,
                         struct bb_agree_event e);
 uint8_t cluster_find_leader(const struct cluster *c);
-struct bb_agree_answer cluster_propose(struct cluster *c, uint64_t base,
-                                       uint64_t version, uint8_t content);
+struct bb_agree_response cluster_propose(struct cluster *c, uint64_t base,
+                                         uint64_t version, uint8_t content);
 
 #endif
--- a/tests/decide/agree_model.c
+++ b/tests/decide/agree_model.c
@@ -164,7 +164,7 @@
 /* Checks an answer to a read or a proposal, which its ticket tells apart. A
  * confirmed read must see all revisions that were accepted before it. */
 static void
-check_answer(struct model_state *s, const struct bb_agree_answer *r)
+check_response(struct model_state *s, const struct bb_agree_response *r)
 {
     struct model_folder *f;
     uint8_t content = r->ticket % PROPOSAL_TICKETS_PER_HOST;
@@ -199,7 +199,7 @@
         uint32_t n = number_message(m);
         uint32_t k = 0;
 
-        if (m->kind == BB_AGREE_VOTE_ANSWER && m->is_ok &&
+        if (m->kind == BB_AGREE_VOTE_RESPONSE && m->is_ok &&
             !bb_agree_is_voter(&s->hosts[host])) {
             report_violation(s, "a disk that is not admitted voted");
         }
@@ -265,8 +265,8 @@
     collect_messages(s, host);
     check_applied(s, host);
     check_leader(s, host);
-    for (uint32_t i = 0; i < output.answer_count; i++) {
-        check_answer(s, &output.answers[i]);
+    for (uint32_t i = 0; i < output.response_count; i++) {
+        check_response(s, &output.responses[i]);
     }
     normalize_host(s, host);
 }
--- a/tests/decide/test_agree.c
+++ b/tests/decide/test_agree.c
@@ -21,8 +21,8 @@
 
 /* Checks the result of an answer and, if accepted, its revision. */
 static void
-expect_answer(struct bb_agree_answer a, enum bb_agree_result result,
-              uint64_t revision)
+expect_response(struct bb_agree_response a, enum bb_agree_result result,
+                uint64_t revision)
 {
     CU_ASSERT_NOT_EQUAL(a.ticket, 0);
     CU_ASSERT_STRING_EQUAL(bb_agree_result_name(a.result),
@@ -42,7 +42,7 @@
     for (size_t i = 0; i < sizeof(counts); i++) {
         struct cluster *c = start_group(counts[i], 1);
 
-        expect_answer(cluster_propose(c, 0, 0, 1), BB_AGREE_ACCEPTED, 1);
+        expect_response(cluster_propose(c, 0, 0, 1), BB_AGREE_ACCEPTED, 1);
         cluster_run(c, SECOND_US);
         for (uint8_t h = 0; h < c->count; h++) {
             CU_ASSERT_EQUAL(bb_agree_config_in_force(&c->hosts[h]).revision,
@@ -76,19 +76,19 @@
 {
     struct cluster *c = start_group(3, 1000);
 
-    expect_answer(cluster_propose(c, 999, 5, 1), BB_AGREE_ACCEPTED, 1000);
-    expect_answer(cluster_propose(c, 999, 5, 1), BB_AGREE_ACCEPTED, 1000);
-    expect_answer(cluster_propose(c, 990, 5, 1), BB_AGREE_ACCEPTED, 1000);
-    expect_answer(cluster_propose(c, 1000, 5, 2), BB_AGREE_VERSION_CONFLICT,
-                  0);
-    expect_answer(cluster_propose(c, 1000, 4, 3), BB_AGREE_VERSION_CONFLICT,
-                  0);
-    expect_answer(cluster_propose(c, 999, 0, 4), BB_AGREE_STALE_BASE, 0);
-    expect_answer(cluster_propose(c, 1000, 0, 5), BB_AGREE_ACCEPTED, 1001);
-    expect_answer(cluster_propose(c, 1001, 5, 1), BB_AGREE_VERSION_CONFLICT,
-                  0);
-    expect_answer(cluster_propose(c, 1001, 6, 6), BB_AGREE_ACCEPTED, 1002);
-    expect_answer(cluster_propose(c, 999, 5, 1), BB_AGREE_ACCEPTED, 1000);
+    expect_response(cluster_propose(c, 999, 5, 1), BB_AGREE_ACCEPTED, 1000);
+    expect_response(cluster_propose(c, 999, 5, 1), BB_AGREE_ACCEPTED, 1000);
+    expect_response(cluster_propose(c, 990, 5, 1), BB_AGREE_ACCEPTED, 1000);
+    expect_response(cluster_propose(c, 1000, 5, 2), BB_AGREE_VERSION_CONFLICT,
+                    0);
+    expect_response(cluster_propose(c, 1000, 4, 3), BB_AGREE_VERSION_CONFLICT,
+                    0);
+    expect_response(cluster_propose(c, 999, 0, 4), BB_AGREE_STALE_BASE, 0);
+    expect_response(cluster_propose(c, 1000, 0, 5), BB_AGREE_ACCEPTED, 1001);
+    expect_response(cluster_propose(c, 1001, 5, 1), BB_AGREE_VERSION_CONFLICT,
+                    0);
+    expect_response(cluster_propose(c, 1001, 6, 6), BB_AGREE_ACCEPTED, 1002);
+    expect_response(cluster_propose(c, 999, 5, 1), BB_AGREE_ACCEPTED, 1000);
     cluster_destroy(c);
 }
 
@@ -103,20 +103,20 @@
 
     cluster_feed_event(c, old, e);
     cluster_run(c, SECOND_US / 2);
-    CU_ASSERT_EQUAL(c->answer_count, 1);
-    CU_ASSERT_EQUAL(c->answers[0].result, BB_AGREE_CONFIRMED);
+    CU_ASSERT_EQUAL(c->response_count, 1);
+    CU_ASSERT_EQUAL(c->responses[0].result, BB_AGREE_CONFIRMED);
     c->is_isolated[old] = true;
     cluster_feed_event(c, old, e);
     e.kind = BB_AGREE_EVENT_PROPOSAL;
     e.as.proposal = (struct bb_agree_proposal){
         .ticket = 78, .base_revision = 0, .digest.bytes = {1}};
     cluster_feed_event(c, old, e);
-    CU_ASSERT_EQUAL(c->answer_count, 1);
+    CU_ASSERT_EQUAL(c->response_count, 1);
     cluster_run(c, 2 * SECOND_US);
     CU_ASSERT_NOT_EQUAL(c->hosts[old].role, BB_AGREE_LEADER);
-    CU_ASSERT_EQUAL(c->answers[1].result, BB_AGREE_UNKNOWN);
-    CU_ASSERT_EQUAL(c->answers[2].result, BB_AGREE_NOT_LEADER);
-    expect_answer(cluster_propose(c, 0, 0, 2), BB_AGREE_ACCEPTED, 1);
+    CU_ASSERT_EQUAL(c->responses[1].result, BB_AGREE_UNKNOWN);
+    CU_ASSERT_EQUAL(c->responses[2].result, BB_AGREE_NOT_LEADER);
+    expect_response(cluster_propose(c, 0, 0, 2), BB_AGREE_ACCEPTED, 1);
     c->is_isolated[old] = false;
     cluster_run(c, 2 * SECOND_US);
     CU_ASSERT_EQUAL(bb_agree_config_in_force(&c->hosts[old]).digest.bytes[0],
@@ -134,8 +134,8 @@
 
     c->is_isolated[late] = true;
     for (uint64_t i = 0; i < CHANGES; i++) {
-        expect_answer(cluster_propose(c, i, 0, (uint8_t)(i % 250 + 1)),
-                      BB_AGREE_ACCEPTED, i + 1);
+        expect_response(cluster_propose(c, i, 0, (uint8_t)(i % 250 + 1)),
+                        BB_AGREE_ACCEPTED, i + 1);
     }
     c->is_isolated[late] = false;
     cluster_run(c, 2 * SECOND_US);
@@ -154,16 +154,16 @@
     uint8_t leader = cluster_find_leader(c);
     uint8_t lost = (uint8_t)((leader + 1) % 3);
 
-    expect_answer(cluster_propose(c, 0, 0, 1), BB_AGREE_ACCEPTED, 1);
+    expect_response(cluster_propose(c, 0, 0, 1), BB_AGREE_ACCEPTED, 1);
     cluster_replace_disk(c, lost, 500);
     CU_ASSERT_FALSE(bb_agree_is_voter(&c->hosts[lost]));
     cluster_run(c, 2 * SECOND_US);
     CU_ASSERT_TRUE(bb_agree_is_voter(&c->hosts[lost]));
-    expect_answer(cluster_propose(c, 1, 0, 2), BB_AGREE_ACCEPTED, 2);
+    expect_response(cluster_propose(c, 1, 0, 2), BB_AGREE_ACCEPTED, 2);
     c->is_isolated[leader] = true;
     cluster_run(c, 3 * SECOND_US);
     CU_ASSERT_NOT_EQUAL_FATAL(cluster_find_leader(c), BB_AGREE_NO_HOST);
-    expect_answer(cluster_propose(c, 2, 0, 3), BB_AGREE_ACCEPTED, 3);
+    expect_response(cluster_propose(c, 2, 0, 3), BB_AGREE_ACCEPTED, 3);
     cluster_destroy(c);
 }
 
@@ -174,7 +174,7 @@
 {
     struct cluster *c = start_group(3, 1);
 
-    expect_answer(cluster_propose(c, 0, 0, 1), BB_AGREE_ACCEPTED, 1);
+    expect_response(cluster_propose(c, 0, 0, 1), BB_AGREE_ACCEPTED, 1);
     cluster_replace_disk(c, 0, 500);
     cluster_replace_disk(c, 1, 501);
     /* If host 2 was the leader, it must not stay it. */
@@ -200,7 +200,7 @@
     cluster_run(c, 3 * SECOND_US);
     CU_ASSERT_NOT_EQUAL(cluster_find_leader(c), leader);
     CU_ASSERT_NOT_EQUAL(cluster_find_leader(c), BB_AGREE_NO_HOST);
-    expect_answer(cluster_propose(c, 0, 0, 1), BB_AGREE_ACCEPTED, 1);
+    expect_response(cluster_propose(c, 0, 0, 1), BB_AGREE_ACCEPTED, 1);
     cluster_destroy(c);
 }
 
--- a/tests/decide/test_agree_explorer.c
+++ b/tests/decide/test_agree_explorer.c
@@ -316,7 +316,7 @@
     expect_safe(x, "replacement");
 }
 
-/* Control run of test_bug_answer_before_sync: with the same budget, but
+/* Control run of test_bug_response_before_sync: with the same budget, but
  * without that bug, no invariant is violated. */
 static void
 test_one_crash(void)
@@ -452,12 +452,12 @@
 /* Seeded bug: a follower answers an append before its entries are synced, and
  * loses them in a crash. */
 static void
-test_bug_answer_before_sync(void)
+test_bug_response_before_sync(void)
 {
     struct search *x = prepare_group();
 
     model_set_faults(&x->root,
-                     (struct bb_agree_faults){.answers_before_sync = 1});
+                     (struct bb_agree_faults){.responds_before_sync = 1});
     x->root.budget.edits = 1;
     model_step(&x->root, (struct model_action){.kind = MODEL_EDIT, .host = 0});
     x->root.budget = (struct model_budget){.timeouts = 1, .crashes = 1};
@@ -499,7 +499,7 @@
     {"formation", test_formation},
     {"random walks", test_random_walks},
     {"random walks of a replacement", test_random_walks_of_replacement},
-    {"bug: answer before the sync", test_bug_answer_before_sync},
+    {"bug: answer before the sync", test_bug_response_before_sync},
     {"bug: vote with an empty disk", test_bug_vote_with_empty_disk},
     {"bug: propose a difference", test_bug_propose_difference},
 };
--- a/tests/decide/test_explore_calls.c
+++ b/tests/decide/test_explore_calls.c
@@ -44,8 +44,8 @@
 #define IS_SANITIZED 0
 #endif
 
-enum phase { IDLE, CLAIMING, READY_TO_SEND, WAITING_FOR_ANSWER, ENDED };
-enum outcome { OPEN, ANSWERED, NOT_RUN, UNKNOWN_RESTART, UNKNOWN_DEADLINE };
+enum phase { IDLE, CLAIMING, READY_TO_SEND, WAITING_FOR_RESPONSE, ENDED };
+enum outcome { OPEN, COMPLETED, NOT_RUN, UNKNOWN_RESTART, UNKNOWN_DEADLINE };
 enum message_kind { NO_MESSAGE, REQUEST, CLAIM, QUERY };
 
 struct message {
@@ -54,7 +54,7 @@
     uint8_t host;
     uint8_t reached_incarnation; /* of the process that got the connection */
     uint8_t deliveries_left;     /* times it is still to be delivered */
-    bool expects_reply;          /* the sender still waits for the reply */
+    bool expects_response;       /* the sender still waits for the reply */
     struct bb_claim claim;
     uint64_t epoch;
 };
@@ -248,11 +248,12 @@
         pack_byte(p, q->epoch);
         pack_claim(p, &q->wanted);
         for (uint32_t i = 0; i < q->witness_count; i++) {
-            pack_byte(p, q->has_answered[i] ? q->answers[i].result + 1U : 0);
-            pack_claim(p, &q->answers[i].held);
+            pack_byte(p,
+                      q->has_responded[i] ? q->responses[i].result + 1U : 0);
+            pack_claim(p, &q->responses[i].held);
         }
     }
-    if (e->phase == WAITING_FOR_ANSWER) {
+    if (e->phase == WAITING_FOR_RESPONSE) {
         pack_byte(p, e->probe.is_query_pending << 2 | e->probe.is_broken << 1 |
                          e->probe.is_silent);
     }
@@ -277,7 +278,7 @@
 
         if (m->kind != NO_MESSAGE) {
             pack_byte(&parts[i],
-                      m->kind << 4 | m->entry << 3 | m->expects_reply);
+                      m->kind << 4 | m->entry << 3 | m->expects_response);
             pack_byte(&parts[i], m->host << 4 | m->reached_incarnation << 2 |
                                      m->deliveries_left);
             pack_byte(&parts[i], m->epoch);
@@ -380,11 +381,11 @@
 
 /* Stops waiting for the replies to all messages of an entry node. */
 static void
-drop_replies(struct state *s, int i)
+drop_responses(struct state *s, int i)
 {
     for (int m = 0; m < MESSAGES_MAX; m++) {
         if (s->messages[m].entry == i) {
-            s->messages[m].expects_reply = false;
+            s->messages[m].expects_response = false;
         }
     }
 }
@@ -396,7 +397,7 @@
 {
     struct entry_node *e = &s->entries[i];
 
-    drop_replies(s, i);
+    drop_responses(s, i);
     if (e->claim.attempt == ATTEMPTS_MAX) {
         end_request(s, i, NOT_RUN);
         return;
@@ -413,15 +414,15 @@
 {
     enum bb_reason reason;
 
-    if (s->entries[i].phase != WAITING_FOR_ANSWER) {
+    if (s->entries[i].phase != WAITING_FOR_RESPONSE) {
         return;
     }
     switch (bb_probe_step(&s->entries[i].probe, now_us, &reason)) {
     case BB_PROBE_WAIT:
     case BB_PROBE_QUERY:
         break;
-    case BB_PROBE_TAKE_ANSWER:
-        end_request(s, i, ANSWERED);
+    case BB_PROBE_FETCH_RESPONSE:
+        end_request(s, i, COMPLETED);
         break;
     case BB_PROBE_RETRY:
         retry_next_gatekeeper(s, i);
@@ -440,15 +441,15 @@
  * request before it runs. */
 static void
 deliver_request(struct state *s, const struct message *m, bool is_refused,
-                bool is_reply_lost)
+                bool is_response_lost)
 {
     struct host *host = &s->hosts[m->host];
     struct entry_node *e = &s->entries[m->entry];
     int request_index = m->claim.request.bytes[0] - 1;
-    uint64_t answer;
+    uint64_t response;
     enum bb_begin_result r =
         bb_record_begin(&host->record, &m->claim.request, m->claim.incarnation,
-                        &answer, NOW_US);
+                        &response, NOW_US);
 
     if (r == BB_BEGIN_RUN && is_refused) {
         (void)bb_record_finish(&host->record, &m->claim.request,
@@ -460,8 +461,9 @@
         e->caused_runs++;
         s->runs++;
     }
-    if (m->expects_reply && !is_reply_lost && e->phase == WAITING_FOR_ANSWER) {
-        bb_probe_begin_answered(&e->probe, r, NOW_US);
+    if (m->expects_response && !is_response_lost &&
+        e->phase == WAITING_FOR_RESPONSE) {
+        bb_probe_begin_completed(&e->probe, r, NOW_US);
         apply_probe_step(s, m->entry, 0);
     }
 }
@@ -497,11 +499,11 @@
 deliver_claim(struct state *s, const struct message *m)
 {
     struct entry_node *e = &s->entries[m->entry];
-    struct bb_witness_answer a = bb_witness_claim(
+    struct bb_witness_response a = bb_witness_claim(
         &s->hosts[m->host].witness, &key, &m->claim, m->epoch, NOW_US);
 
-    if (m->expects_reply) {
-        (void)bb_claim_add_answer(&e->requester, m->host, &a);
+    if (m->expects_response) {
+        (void)bb_claim_add_response(&e->requester, m->host, &a);
         apply_claim_step(s, m->entry);
     }
 }
@@ -510,13 +512,13 @@
 deliver_query(struct state *s, const struct message *m)
 {
     struct entry_node *e = &s->entries[m->entry];
-    uint64_t answer;
+    uint64_t response;
     enum bb_query_result r =
         bb_record_query(&s->hosts[m->host].record, &m->claim.request,
-                        m->claim.incarnation, &answer, NOW_US);
+                        m->claim.incarnation, &response, NOW_US);
 
-    if (m->expects_reply) {
-        bb_probe_query_answered(&e->probe, r, NOW_US);
+    if (m->expects_response) {
+        bb_probe_query_completed(&e->probe, r, NOW_US);
         apply_probe_step(s, m->entry, 0);
     }
 }
@@ -543,11 +545,11 @@
 static void
 time_out_rpc(struct state *s, const struct message *m)
 {
-    const struct bb_witness_answer none = {.result = BB_WITNESS_UNREACHABLE};
+    const struct bb_witness_response none = {.result = BB_WITNESS_UNREACHABLE};
     struct entry_node *e = &s->entries[m->entry];
 
     if (m->kind == CLAIM) {
-        (void)bb_claim_add_answer(&e->requester, m->host, &none);
+        (void)bb_claim_add_response(&e->requester, m->host, &none);
         apply_claim_step(s, m->entry);
     }
     else {
@@ -561,9 +563,9 @@
 explore_rpc(uint32_t depth, const struct message *m)
 {
     struct state *s = push_state(depth);
-    struct message unanswered = *m;
+    struct message without_response = *m;
 
-    unanswered.expects_reply = false;
+    without_response.expects_response = false;
     deliver(s, m);
     explore(depth + 1);
     if (explorer.stack[depth].used.losses < explorer.scenario->limits.losses) {
@@ -573,7 +575,7 @@
         explore(depth + 1);
         s = push_state(depth);
         s->used.losses++;
-        deliver(s, &unanswered);
+        deliver(s, &without_response);
         time_out_rpc(s, m);
         explore(depth + 1);
     }
@@ -582,7 +584,7 @@
         s->used.delays++;
         time_out_rpc(s, m);
         send_message(s, *m);
-        drop_replies(s, m->entry);
+        drop_responses(s, m->entry);
         explore(depth + 1);
     }
 }
@@ -596,13 +598,13 @@
         &explorer.stack[depth].entries[i].requester;
     uint32_t w = 0;
 
-    while (q->has_answered[w]) {
+    while (q->has_responded[w]) {
         w++;
     }
     explore_rpc(depth, &(struct message){.kind = CLAIM,
                                          .entry = (uint8_t)i,
                                          .host = (uint8_t)q->witnesses[w],
-                                         .expects_reply = true,
+                                         .expects_response = true,
                                          .claim = q->wanted,
                                          .epoch = q->epoch});
 }
@@ -621,7 +623,7 @@
                             .reached_incarnation =
                                 s->hosts[e->claim.gatekeeper].incarnation,
                             .deliveries_left = deliveries,
-                            .expects_reply = true,
+                            .expects_response = true,
                             .claim = e->claim};
 
         s->used.copies += deliveries - 1;
@@ -631,7 +633,7 @@
         bb_probe_init(&e->probe, false, is_keyed(), CHECK_US, DEADLINE_US,
                       NOW_US);
         e->probe.fault = explorer.scenario->probe_fault;
-        e->phase = WAITING_FOR_ANSWER;
+        e->phase = WAITING_FOR_RESPONSE;
         send_message(s, m);
         explore(depth + 1);
     }
@@ -650,7 +652,7 @@
                     &(struct message){.kind = QUERY,
                                       .entry = (uint8_t)i,
                                       .host = (uint8_t)e->claim.gatekeeper,
-                                      .expects_reply = true,
+                                      .expects_response = true,
                                       .claim = e->claim});
     }
     else {
@@ -660,7 +662,7 @@
     }
     if (!e->probe.is_broken) {
         s = push_state(depth);
-        drop_replies(s, i);
+        drop_responses(s, i);
         bb_probe_connection_broken(&s->entries[i].probe, NOW_US);
         apply_probe_step(s, i, 0);
         explore(depth + 1);
@@ -689,7 +691,7 @@
     case READY_TO_SEND:
         explore_ready(depth, i);
         break;
-    case WAITING_FOR_ANSWER:
+    case WAITING_FOR_RESPONSE:
         explore_waiting(depth, i);
         break;
     case ENDED:
@@ -705,7 +707,7 @@
 
     if (m.deliveries_left > 1) {
         s->messages[i].deliveries_left--;
-        s->messages[i].expects_reply = false;
+        s->messages[i].expects_response = false;
     }
     else {
         s->messages[i] = (struct message){0};
@@ -720,7 +722,7 @@
     struct message m = remove_message_copy(s, i);
 
     if (m.kind != REQUEST) {
-        m.expects_reply = false;
+        m.expects_response = false;
         deliver(s, &m);
         explore(depth + 1);
         return;
@@ -731,7 +733,7 @@
     }
     for (int variant = 0; variant < 4; variant++) {
         bool is_refused = variant >= 2;
-        bool is_reply_lost = variant % 2 == 1;
+        bool is_response_lost = variant % 2 == 1;
 
         s = push_state(depth);
         m = remove_message_copy(s, i);
@@ -739,11 +741,11 @@
             s->used.refusals++ >= explorer.scenario->limits.refusals) {
             return;
         }
-        if (is_reply_lost &&
+        if (is_response_lost &&
             s->used.losses++ >= explorer.scenario->limits.losses) {
             continue;
         }
-        deliver_request(s, &m, is_refused, is_reply_lost);
+        deliver_request(s, &m, is_refused, is_response_lost);
         explore(depth + 1);
     }
 }
@@ -763,9 +765,9 @@
         for (int i = 0; is_lost == 0 && i < ENTRY_NODES; i++) {
             struct entry_node *e = &s->entries[i];
 
-            if (e->phase == WAITING_FOR_ANSWER && !e->probe.is_broken &&
+            if (e->phase == WAITING_FOR_RESPONSE && !e->probe.is_broken &&
                 e->caused_runs > 0 && e->claim.gatekeeper == (uint64_t)h) {
-                end_request(s, i, ANSWERED);
+                end_request(s, i, COMPLETED);
             }
         }
         explore(depth + 1);
@@ -855,7 +857,7 @@
     printf("\n    %s: %llu states, %.1f s; ends: answered %llu, not run %llu, "
            "unknown after restart %llu, unknown at deadline %llu%s%s\n",
            c->name, (unsigned long long)explorer.state_count, cpu_time_s,
-           (unsigned long long)explorer.outcomes[ANSWERED],
+           (unsigned long long)explorer.outcomes[COMPLETED],
            (unsigned long long)explorer.outcomes[NOT_RUN],
            (unsigned long long)explorer.outcomes[UNKNOWN_RESTART],
            (unsigned long long)explorer.outcomes[UNKNOWN_DEADLINE],
--- a/tests/decide/test_once.c
+++ b/tests/decide/test_once.c
@@ -26,29 +26,29 @@
     struct bb_record_entry entries[SLOTS];
     struct bb_record r;
     struct bb_request_id id;
-    uint64_t answer;
+    uint64_t response;
     uint64_t begun_count = 0;
 
     bb_record_init(&r, 5, RETENTION_US, entries, SLOTS);
     do {
         id = id_of(begun_count++);
-    } while (bb_record_begin(&r, &id, 5, &answer, 1) == BB_BEGIN_RUN);
+    } while (bb_record_begin(&r, &id, 5, &response, 1) == BB_BEGIN_RUN);
     CU_ASSERT_EQUAL(begun_count, SLOTS * 3 / 4 + 1);
-    CU_ASSERT_EQUAL(bb_record_begin(&r, &id, 5, &answer, 1), BB_BEGIN_FULL);
-    CU_ASSERT_EQUAL(bb_record_query(&r, &id, 5, &answer, 1), BB_QUERY_FULL);
+    CU_ASSERT_EQUAL(bb_record_begin(&r, &id, 5, &response, 1), BB_BEGIN_FULL);
+    CU_ASSERT_EQUAL(bb_record_query(&r, &id, 5, &response, 1), BB_QUERY_FULL);
     for (uint64_t i = 0; i < SLOTS * 3 / 4; i++) {
         id = id_of(i);
         CU_ASSERT_TRUE(bb_record_finish(&r, &id, BB_RECORD_DONE, i + 1, 10));
         CU_ASSERT_FALSE(bb_record_finish(&r, &id, BB_RECORD_DONE, 99, 10));
     }
-    CU_ASSERT_FALSE(bb_record_expire(&r, RETENTION_US, &answer));
+    CU_ASSERT_FALSE(bb_record_expire(&r, RETENTION_US, &response));
     id = id_of(3);
-    CU_ASSERT_EQUAL(bb_record_begin(&r, &id, 5, &answer, RETENTION_US),
+    CU_ASSERT_EQUAL(bb_record_begin(&r, &id, 5, &response, RETENTION_US),
                     BB_BEGIN_DUPLICATE_DONE);
-    CU_ASSERT_EQUAL(answer, 4);
+    CU_ASSERT_EQUAL(response, 4);
     begun_count = 0;
-    while (bb_record_expire(&r, RETENTION_US + 200 * MS, &answer)) {
-        CU_ASSERT_NOT_EQUAL(answer, 0);
+    while (bb_record_expire(&r, RETENTION_US + 200 * MS, &response)) {
+        CU_ASSERT_NOT_EQUAL(response, 0);
         begun_count++;
     }
     CU_ASSERT_EQUAL(begun_count, SLOTS * 3 / 4);
@@ -63,7 +63,7 @@
     struct bb_record_entry entries[64];
     struct bb_record r;
     bool is_recorded[200] = {false};
-    uint64_t answer;
+    uint64_t response;
     uint32_t count = 0;
 
     srand(20261204);
@@ -79,7 +79,7 @@
         }
         else {
             bool is_begun =
-                bb_record_begin(&r, &id, 1, &answer, 1) == BB_BEGIN_RUN;
+                bb_record_begin(&r, &id, 1, &response, 1) == BB_BEGIN_RUN;
 
             CU_ASSERT_EQUAL_FATAL(is_begun, count < 48);
             is_recorded[n] = is_begun;
@@ -179,13 +179,13 @@
     CU_ASSERT_EQUAL(bb_probe_next_wakeup_us(&p), 1600 * MS);
     CU_ASSERT_EQUAL(bb_probe_step(&p, 1600 * MS, &reason), BB_PROBE_QUERY);
     CU_ASSERT_EQUAL(bb_probe_step(&p, 1700 * MS, &reason), BB_PROBE_WAIT);
-    bb_probe_query_answered(&p, BB_QUERY_RUNNING, 1700 * MS);
+    bb_probe_query_completed(&p, BB_QUERY_RUNNING, 1700 * MS);
     CU_ASSERT_EQUAL(bb_probe_step(&p, 2700 * MS, &reason), BB_PROBE_QUERY);
     bb_probe_query_failed(&p, 2800 * MS);
     CU_ASSERT_EQUAL(bb_probe_next_wakeup_us(&p), 3050 * MS);
     CU_ASSERT_EQUAL(bb_probe_step(&p, 9000 * MS, &reason), BB_PROBE_UNKNOWN);
     CU_ASSERT_EQUAL(reason, BB_REASON_CONNECTION_SILENT);
-    bb_probe_query_answered(&p, BB_QUERY_DONE, 9001 * MS); /* too late */
+    bb_probe_query_completed(&p, BB_QUERY_DONE, 9001 * MS); /* too late */
     CU_ASSERT_EQUAL(bb_probe_step(&p, 9001 * MS, &reason), BB_PROBE_UNKNOWN);
 }
 
@@ -235,10 +235,10 @@
 {
     struct bb_retry_budget b = {0};
     struct bb_duration_stats latency = {0};
-    struct bb_unanswered_request q = {.is_idempotent = true,
-                                      .hedge_limit = 1,
-                                      .elapsed_us = 1 * MS,
-                                      .remaining_us = 900 * MS};
+    struct bb_pending_request q = {.is_idempotent = true,
+                                   .hedge_limit = 1,
+                                   .elapsed_us = 1 * MS,
+                                   .remaining_us = 900 * MS};
 
     bb_retry_budget_configure(&b, 5);
     for (int i = 0; i < 100; i++) {
--- a/tests/decide/test_quorum.c
+++ b/tests/decide/test_quorum.c
@@ -449,7 +449,7 @@
 test_seeded_bugs(void)
 {
     CU_ASSERT_TRUE(
-        is_bug_found((struct bb_quorum_faults){.answers_before_sync = true}));
+        is_bug_found((struct bb_quorum_faults){.responds_before_sync = true}));
     CU_ASSERT_TRUE(is_bug_found(
         (struct bb_quorum_faults){.votes_for_older_entry = true}));
 }
--- a/tests/decide/test_source.c
+++ b/tests/decide/test_source.c
@@ -89,8 +89,8 @@
     now_us += SCAN_US;
     feed_event(h, (struct bb_source_event){
                       .kind = BB_SOURCE_EVENT_SCANNED,
-                      .as.observed = {.is_usable = h->folder != 0,
-                                      .digest = digest_of(h->folder)}});
+                      .as.scanned = {.is_usable = h->folder != 0,
+                                     .digest = digest_of(h->folder)}});
 }
 
 static void
@@ -114,14 +114,14 @@
 }
 
 static void
-feed_answer(struct host *h, uint64_t content, uint64_t base,
-            enum bb_source_answer result, uint64_t revision)
+feed_result(struct host *h, uint64_t content, uint64_t base,
+            enum bb_source_result result, uint64_t revision)
 {
     feed_event(h, (struct bb_source_event){
-                      .kind = BB_SOURCE_EVENT_ANSWERED,
-                      .as.answered = {.digest = digest_of(content),
+                      .kind = BB_SOURCE_EVENT_RESPONSE,
+                      .as.response = {.digest = digest_of(content),
                                       .base_revision = base,
-                                      .answer = result,
+                                      .result = result,
                                       .revision = revision}});
 }
 
@@ -136,7 +136,7 @@
     scan_folder_until_stable(&h);
     CU_ASSERT_EQUAL(h.last_action, BB_SOURCE_ACTION_PROPOSE);
     CU_ASSERT_EQUAL(h.last_base_revision, 0);
-    feed_answer(&h, content, 0, BB_SOURCE_ANSWER_ACCEPTED, 1);
+    feed_result(&h, content, 0, BB_SOURCE_RESULT_ACCEPTED, 1);
     report_in_force(&h, 1, content);
     h.proposal_count = 0;
     return h;
@@ -179,7 +179,7 @@
     scan_folder_until_stable(&h);
     CU_ASSERT_EQUAL(h.last_action, BB_SOURCE_ACTION_PROPOSE);
     CU_ASSERT_EQUAL(h.last_base_revision, 1);
-    feed_answer(&h, 11, 1, BB_SOURCE_ANSWER_STALE_BASE, 0);
+    feed_result(&h, 11, 1, BB_SOURCE_RESULT_STALE_BASE, 0);
     CU_ASSERT_EQUAL(h.source.conflict, BB_SOURCE_CONFLICT_STALE_BASE);
     for (int i = 0; i < 100; i++) {
         scan_folder(&h);
@@ -263,7 +263,7 @@
 
     h.folder = 11;
     scan_folder_until_stable(&h);
-    feed_answer(&h, 11, 1, BB_SOURCE_ANSWER_INVALID, 0);
+    feed_result(&h, 11, 1, BB_SOURCE_RESULT_INVALID, 0);
     CU_ASSERT_TRUE(h.source.is_invalid);
     bb_source_init(&h.source, &h.stored);
     report_in_force(&h, 1, 10);
@@ -280,13 +280,13 @@
 /* Guards against an edit that conflicts with the edit before it, because the
  * answer that accepted that one was lost. */
 static void
-test_lost_answer_does_not_make_next_edit_stale(void)
+test_lost_response_does_not_make_next_edit_stale(void)
 {
     struct host h = make_settled_host(10);
 
     h.folder = 11;
     scan_folder_until_stable(&h);
-    feed_answer(&h, 11, 1, BB_SOURCE_ANSWER_UNKNOWN, 0);
+    feed_result(&h, 11, 1, BB_SOURCE_RESULT_UNKNOWN, 0);
     for (int i = 0; i < 19; i++) {
         scan_folder(&h);
     }
@@ -299,7 +299,7 @@
     CU_ASSERT_EQUAL(h.last_base_revision, 1);
     /* The host restarts and then learns that the first edit was accepted. */
     bb_source_init(&h.source, &h.stored);
-    feed_answer(&h, 12, 1, BB_SOURCE_ANSWER_STALE_BASE, 0);
+    feed_result(&h, 12, 1, BB_SOURCE_RESULT_STALE_BASE, 0);
     report_in_force(&h, 2, 11);
     scan_folder_until_stable(&h);
     CU_ASSERT_EQUAL(h.last_action, BB_SOURCE_ACTION_PROPOSE);
@@ -309,7 +309,7 @@
 
 /* Decides on the last proposal of a host as decide/agree.h does, and stores
  * the revision if it is accepted. */
-static enum bb_source_answer
+static enum bb_source_result
 submit_proposal(struct revision_log *log, const struct host *h,
                 uint64_t *revision)
 {
@@ -320,18 +320,18 @@
         if (log->accepted[r].base == base &&
             log->accepted[r].content == content) {
             *revision = r;
-            return BB_SOURCE_ANSWER_ACCEPTED;
+            return BB_SOURCE_RESULT_ACCEPTED;
         }
     }
     if (content % INVALID_CONTENT_DIVISOR == 0) {
-        return BB_SOURCE_ANSWER_INVALID;
+        return BB_SOURCE_RESULT_INVALID;
     }
     if (base != log->revision || log->revision + 1 == REVISIONS_MAX) {
-        return BB_SOURCE_ANSWER_STALE_BASE;
+        return BB_SOURCE_RESULT_STALE_BASE;
     }
     log->accepted[++log->revision] = (struct accepted){base, content, h};
     *revision = log->revision;
-    return BB_SOURCE_ANSWER_ACCEPTED;
+    return BB_SOURCE_RESULT_ACCEPTED;
 }
 
 /* Simulates one random event at a host: an edit, a copy of the configuration
@@ -342,7 +342,7 @@
              uint64_t *next_content)
 {
     uint64_t revision = 0;
-    enum bb_source_answer result;
+    enum bb_source_result result;
 
     switch (bb_random_below(r, 40)) {
     case 0: /* the operator edits; content is never reused */
@@ -371,7 +371,7 @@
         bb_random_below(r, 4) != 0) {
         result = submit_proposal(log, h, &revision);
         if (bb_random_below(r, 4) != 0) {
-            feed_answer(h, h->last_content, h->last_base_revision, result,
+            feed_result(h, h->last_content, h->last_base_revision, result,
                         revision);
         }
     }
@@ -434,7 +434,7 @@
     {"invalid content is proposed once",
      test_invalid_content_is_proposed_once},
     {"a lost answer does not make the next edit stale",
-     test_lost_answer_does_not_make_next_edit_stale},
+     test_lost_response_does_not_make_next_edit_stale},
     {"random races revert nothing", test_random_races_revert_nothing},
 };
 
--- a/tests/decide/test_swim.c
+++ b/tests/decide/test_swim.c
@@ -32,7 +32,7 @@
     enum {
         DATAGRAM_FREE,
         DATAGRAM_PING,
-        DATAGRAM_ANSWER,
+        DATAGRAM_ACK,
         DATAGRAM_PING_REQUEST
     } kind;
     struct view views[MEMBERS_MAX];
@@ -116,15 +116,15 @@
     }
     switch (d.kind) {
     case DATAGRAM_PING:
-        send_datagram(d.to, d.from, DATAGRAM_ANSWER, d.to, d.requester);
+        send_datagram(d.to, d.from, DATAGRAM_ACK, d.to, d.requester);
         break;
     case DATAGRAM_PING_REQUEST:
         send_datagram(d.to, d.target, DATAGRAM_PING, d.target, d.from);
         break;
-    case DATAGRAM_ANSWER:
-        bb_swim_record_answer(&net.swim[d.to], d.target + 1, net.now_us);
+    case DATAGRAM_ACK:
+        bb_swim_record_ack(&net.swim[d.to], d.target + 1, net.now_us);
         if (d.requester != d.to) {
-            send_datagram(d.to, d.requester, DATAGRAM_ANSWER, d.target,
+            send_datagram(d.to, d.requester, DATAGRAM_ACK, d.target,
                           d.requester);
         }
         break;
--- a/tests/fleet/test_fleet.c
+++ b/tests/fleet/test_fleet.c
@@ -28,7 +28,7 @@
 };
 
 /* Result of a proposal or a read. */
-struct answer {
+struct operation_result {
     bool is_done;
     enum bb_proposal_outcome outcome;
     uint64_t newest;
@@ -185,7 +185,7 @@
 on_proposal_done(void *context, enum bb_proposal_outcome outcome,
                  uint64_t newest)
 {
-    struct answer *a = context;
+    struct operation_result *a = context;
 
     a->is_done = true;
     a->outcome = outcome;
@@ -198,13 +198,13 @@
 propose_until_decided(struct cluster *c, uint64_t base, uint64_t version,
                       const char *text)
 {
-    struct answer a = {0};
+    struct operation_result a = {0};
 
     for (uint32_t i = 0; i < 20; i++) {
         int32_t leader = find_leader(c, 5000);
         GBytes *raw = g_bytes_new(text, strlen(text));
 
-        a = (struct answer){0};
+        a = (struct operation_result){0};
         if (leader >= 0) {
             bb_core_propose(c->cores[leader], base, version, raw,
                             on_proposal_done, &a);
@@ -226,7 +226,7 @@
 static void
 on_read_done(void *context, bool is_sure, GBytes *raw)
 {
-    struct answer *a = context;
+    struct operation_result *a = context;
     gsize size = 0;
     const char *text = raw != NULL ? g_bytes_get_data(raw, &size) : "";
 
@@ -237,12 +237,12 @@
 
 /* Reads from the leader, up to 20 times, until a majority confirms it. */
 static void
-read_until_sure(struct cluster *c, struct answer *a)
+read_until_sure(struct cluster *c, struct operation_result *a)
 {
     for (uint32_t i = 0; i < 20; i++) {
         int32_t leader = find_leader(c, 5000);
 
-        *a = (struct answer){0};
+        *a = (struct operation_result){0};
         if (leader >= 0) {
             bb_core_read_config(c->cores[leader], on_read_done, a);
             (void)run_loop(c, &a->is_done, 2000);
@@ -261,7 +261,7 @@
 test_proposals(void)
 {
     struct cluster c;
-    struct answer a;
+    struct operation_result a;
 
     create_cluster(&c, HOSTS);
     CU_ASSERT_EQUAL(propose_until_decided(&c, 0, 5, "first"),
@@ -290,7 +290,7 @@
 test_concurrent_proposals(void)
 {
     struct cluster c;
-    struct answer a[2] = {{0}, {0}};
+    struct operation_result a[2] = {{0}, {0}};
     GBytes *raw[2] = {g_bytes_new("left", 4), g_bytes_new("right", 5)};
     int32_t leader;
 
@@ -317,7 +317,7 @@
 test_restarts(void)
 {
     struct cluster c;
-    struct answer a;
+    struct operation_result a;
     int32_t leader;
 
     create_cluster(&c, HOSTS);
@@ -347,7 +347,7 @@
 test_lost_disks(void)
 {
     struct cluster c;
-    struct answer a;
+    struct operation_result a;
     char text[16];
 
     create_cluster(&c, HOSTS);
@@ -373,7 +373,7 @@
 test_minority(void)
 {
     struct cluster c;
-    struct answer a = {0};
+    struct operation_result a = {0};
     int32_t leader;
     GBytes *raw = g_bytes_new("lone", 4);
 
@@ -392,7 +392,7 @@
     CU_ASSERT_TRUE(run_loop(&c, &a.is_done, 5000));
     CU_ASSERT_NOT_EQUAL(a.outcome, BB_PROPOSAL_ACCEPTED);
     CU_ASSERT_NOT_EQUAL(a.outcome, BB_PROPOSAL_STALE);
-    a = (struct answer){0};
+    a = (struct operation_result){0};
     bb_core_read_config(c.cores[leader], on_read_done, &a);
     CU_ASSERT_TRUE(run_loop(&c, &a.is_done, 3000));
     CU_ASSERT_FALSE(a.is_sure);
