--- a/tests/mesh/fake_mesh.h
+++ b/tests/mesh/fake_mesh.h
@@ -138,7 +138,7 @@
         .gossip_bind_address = {.ip = "127.0.0.1"},
         .seed = i + 1,
         .callbacks = {.context = f,
-                      .payload = fake_encode_payload,
+                      .encode_payload = fake_encode_payload,
                       .apply_payload =
                           role == BB_ROLE_NODE ? fake_apply_payload : NULL},
         .transport = {.context = f, .call = fake_call},
--- a/tests/mesh/test_mesh_rpc.c
+++ b/tests/mesh/test_mesh_rpc.c
@@ -26,7 +26,7 @@
         .gossip_bind_address = {.ip = "127.0.0.1"},
         .seed = i + 1,
         .callbacks = {.context = f,
-                      .payload = fake_encode_payload,
+                      .encode_payload = fake_encode_payload,
                       .apply_payload = i == NODE ? fake_apply_payload : NULL},
     };
 
--- a/tests/mesh/test_rpc.c
+++ b/tests/mesh/test_rpc.c
@@ -75,7 +75,7 @@
 }
 
 static void
-test_calls_are_answered(void)
+test_calls_get_responses(void)
 {
     struct bb_rpc_pool *p = bb_rpc_pool_create();
     struct bb_error e = {0};
@@ -181,7 +181,7 @@
 }
 
 static const struct bb_unit_test tests[] = {
-    {"calls are answered", test_calls_are_answered},
+    {"calls are answered", test_calls_get_responses},
     {"a refused connection is reported as not sent",
      test_refused_connection_is_reported_as_not_sent},
     {"an unresponsive peer times out", test_unresponsive_peer_times_out},
--- a/tests/path/bench.c
+++ b/tests/path/bench.c
@@ -9,8 +9,8 @@
  */
 enum { SLOTS = 2 };
 
-const char ok_answer[] = "HTTP/1.1 200 OK\r\nT-Id: {id}\r\nT-Seal: s\r\n"
-                         "Content-Length: 4\r\n\r\nbody";
+const char ok_response[] = "HTTP/1.1 200 OK\r\nT-Id: {id}\r\nT-Seal: s\r\n"
+                           "Content-Length: 4\r\n\r\nbody";
 
 static bool
 parse_parent_id(const char *id, char parent[BB_DIALECT_ID_BYTES])
@@ -40,20 +40,20 @@
     struct bb_stream *stream;
     struct bb_http_reader reader;
     uv_timer_t timer;
-    struct scripted_answer answer;
+    struct scripted_response response;
     char id[64];
-    uint64_t answered_us; /* 0: never */
-    bool is_waiting;      /* the answer is delayed */
+    uint64_t responded_us; /* 0: never */
+    bool is_waiting;       /* the answer is delayed */
     bool is_closed;
 };
 
-struct scripted_answer
-answer_ok(struct upstream *u, uint32_t number, const struct bb_http_head *h)
+struct scripted_response
+respond_ok(struct upstream *u, uint32_t number, const struct bb_http_head *h)
 {
     (void)u;
     (void)number;
     (void)h;
-    return (struct scripted_answer){.text = ok_answer};
+    return (struct scripted_response){.text = ok_response};
 }
 
 static void
@@ -80,20 +80,20 @@
 
 /* Sends the scripted answer and does the action after it. */
 static void
-send_answer(struct connection *c)
+send_response(struct connection *c)
 {
     GString *text;
 
     c->is_waiting = false;
-    if (c->answer.text != NULL) {
-        text = g_string_new(c->answer.text);
+    if (c->response.text != NULL) {
+        text = g_string_new(c->response.text);
         (void)g_string_replace(text, "{id}", c->id, 0);
         bb_stream_write(c->stream, text->str, text->len);
         g_string_free(text, TRUE);
     }
-    switch (c->answer.action) {
+    switch (c->response.action) {
     case ACTION_KEEP_OPEN:
-        c->answered_us = bb_clock_now_us();
+        c->responded_us = bb_clock_now_us();
         bb_http_reader_start_next(&c->reader);
         break;
     case ACTION_CLOSE:
@@ -110,7 +110,7 @@
 static void
 on_delay_end(uv_timer_t *t)
 {
-    send_answer(t->data);
+    send_response(t->data);
 }
 
 /* Records the head of a request and chooses its answer. */
@@ -132,7 +132,7 @@
                                h->text->str + h->fields[i].name_offset,
                                h->text->str + h->fields[i].value_offset);
     }
-    c->answer = u->script(u, u->requests, h);
+    c->response = u->script(u, u->requests, h);
     return true;
 }
 
@@ -154,8 +154,8 @@
     struct connection *c = context;
     size_t used = 0;
 
-    if (c->upstream->idle_reset_ms != 0 && c->answered_us != 0 &&
-        bb_clock_now_us() - c->answered_us >
+    if (c->upstream->idle_reset_ms != 0 && c->responded_us != 0 &&
+        bb_clock_now_us() - c->responded_us >
             (uint64_t)c->upstream->idle_reset_ms * BB_US_PER_MS) {
         c->upstream->idle_resets++;
         close_connection(c, bb_stream_reset);
@@ -170,12 +170,12 @@
             return;
         }
         c->is_waiting = true;
-        if (c->answer.delay_ms != 0) {
-            (void)uv_timer_start(&c->timer, on_delay_end, c->answer.delay_ms,
+        if (c->response.delay_ms != 0) {
+            (void)uv_timer_start(&c->timer, on_delay_end, c->response.delay_ms,
                                  0);
         }
         else {
-            send_answer(c);
+            send_response(c);
         }
     }
 }
@@ -187,7 +187,7 @@
     struct connection *c = context;
 
     (void)status;
-    c->upstream->aborted_answers += c->is_waiting;
+    c->upstream->aborted_requests += c->is_waiting;
     close_connection(c, bb_stream_close);
 }
 
@@ -250,11 +250,11 @@
 }
 
 static bool
-is_running(void *context, const char *id, bool *is_repeat)
+is_running(void *context, const char *id, bool *is_retry)
 {
     const struct bench *b = context;
 
-    return bb_gate_is_running(b->gates[0], id, is_repeat);
+    return bb_gate_is_running(b->gates[0], id, is_retry);
 }
 
 /* Creates a gate on the port above its upstream's. */
@@ -287,7 +287,7 @@
     open_gate(b, gate_index);
 }
 
-/* Creates all parts; both upstreams are ready and use answer_ok. */
+/* Creates all parts; both upstreams are ready and use respond_ok. */
 void
 bench_open(struct bench *b)
 {
@@ -300,7 +300,7 @@
         struct upstream *u = &b->upstreams[i];
 
         u->loop = &b->loop;
-        u->script = answer_ok;
+        u->script = respond_ok;
         u->last_head = g_string_new(NULL);
         u->last_body = g_string_new(NULL);
         g_strlcpy(u->address.ip, "127.0.0.1", sizeof(u->address.ip));
--- a/tests/path/bench.h
+++ b/tests/path/bench.h
@@ -35,7 +35,7 @@
 
 /* Answer of an upstream to one request. "{id}" in the text is replaced by the
  * id of the request. */
-struct scripted_answer {
+struct scripted_response {
     const char *text; /* NULL: no answer */
     uint32_t delay_ms;
     enum connection_action action; /* after the answer */
@@ -44,17 +44,16 @@
 struct upstream;
 
 /* Returns the answer to the request `number`, counted from 1. */
-typedef struct scripted_answer (*answer_script)(struct upstream *u,
-                                                uint32_t number,
-                                                const struct bb_http_head *h);
+typedef struct scripted_response (*response_script)(
+    struct upstream *u, uint32_t number, const struct bb_http_head *h);
 
 struct upstream {
     uv_loop_t *loop;
     struct bb_address address;
     struct bb_listener *listener;
-    answer_script script;
+    response_script script;
     uint32_t requests;
-    uint32_t aborted_answers; /* closed by the gate before the answer */
+    uint32_t aborted_requests; /* closed by the gate before the answer */
     uint32_t open_connections;
     /* A connection that was idle for longer is reset when more data arrives on
      * it, as if the upstream had dropped it unnoticed; 0: never. */
@@ -83,9 +82,9 @@
 };
 
 /* A complete answer of status 200. */
-extern const char ok_answer[];
-struct scripted_answer answer_ok(struct upstream *u, uint32_t number,
-                                 const struct bb_http_head *h);
+extern const char ok_response[];
+struct scripted_response respond_ok(struct upstream *u, uint32_t number,
+                                    const struct bb_http_head *h);
 
 void bench_open(struct bench *b);
 void bench_close(struct bench *b);
--- a/tests/path/test_path.c
+++ b/tests/path/test_path.c
@@ -20,7 +20,7 @@
 
 /* Sets the answers of both upstreams. */
 static void
-set_scripts(struct bench *b, answer_script script)
+set_scripts(struct bench *b, response_script script)
 {
     b->upstreams[0].script = script;
     b->upstreams[1].script = script;
@@ -106,13 +106,14 @@
     }
 }
 
-static struct scripted_answer
-answer_reset(struct upstream *u, uint32_t number, const struct bb_http_head *h)
+static struct scripted_response
+respond_reset(struct upstream *u, uint32_t number,
+              const struct bb_http_head *h)
 {
     (void)u;
     (void)number;
     (void)h;
-    return (struct scripted_answer){
+    return (struct scripted_response){
         .text = "HTTP/1.1 200 OK\r\nT-Id: {id}\r\nT-Seal: s\r\n\r\nhalf",
         .action = ACTION_RESET};
 }
@@ -120,14 +121,14 @@
 /* Guards against: an answer without a length that is cut off by a reset but
  * passed on as complete (libuv reports the reset as an end of the data). */
 static void
-test_reset_answer(void)
+test_reset_response(void)
 {
     struct bench b;
     struct client *c;
 
     bench_open(&b);
     bench_set_rules(&b, 1000, 2);
-    set_scripts(&b, answer_reset);
+    set_scripts(&b, respond_reset);
     c = client_open(&b);
     client_send(c, UNSAFE("a1") "\r\nhi");
     CU_ASSERT_TRUE(bench_wait_text(&b, c, "HTTP/1.1 502", 1000));
@@ -137,14 +138,14 @@
     bench_close(&b);
 }
 
-static struct scripted_answer
-answer_unframed(struct upstream *u, uint32_t number,
-                const struct bb_http_head *h)
+static struct scripted_response
+respond_unframed(struct upstream *u, uint32_t number,
+                 const struct bb_http_head *h)
 {
     (void)u;
     (void)number;
     (void)h;
-    return (struct scripted_answer){
+    return (struct scripted_response){
         .text = "HTTP/1.1 200 OK\r\nT-Id: {id}\r\nT-Seal: s\r\n\r\nwhole",
         .action = ACTION_CLOSE};
 }
@@ -152,14 +153,14 @@
 /* Guards against: a complete answer without a length taken for an incomplete
  * one. */
 static void
-test_unframed_answer(void)
+test_unframed_response(void)
 {
     struct bench b;
     struct client *c;
 
     bench_open(&b);
     bench_set_rules(&b, 1000, 2);
-    set_scripts(&b, answer_unframed);
+    set_scripts(&b, respond_unframed);
     c = client_open(&b);
     client_send(c, SAFE("a1") "\r\n");
     CU_ASSERT_TRUE(bench_wait_text(&b, c, "Content-Length: 5", 1000));
@@ -168,52 +169,52 @@
     bench_close(&b);
 }
 
-static struct scripted_answer
-answer_after_foreign(struct upstream *u, uint32_t number,
-                     const struct bb_http_head *h)
+static struct scripted_response
+respond_after_foreign(struct upstream *u, uint32_t number,
+                      const struct bb_http_head *h)
 {
     (void)u;
     (void)number;
     (void)h;
-    return (struct scripted_answer){
+    return (struct scripted_response){
         .text = "HTTP/1.1 200 OK\r\nT-Id: another\r\nT-Seal: s\r\n"
                 "Content-Length: 5\r\n\r\nwrong"
                 "HTTP/1.1 200 OK\r\nT-Id: {id}\r\nT-Seal: s\r\n"
                 "Content-Length: 5\r\n\r\nright"};
 }
 
-static struct scripted_answer
-answer_with_extra(struct upstream *u, uint32_t number,
-                  const struct bb_http_head *h)
+static struct scripted_response
+respond_with_extra(struct upstream *u, uint32_t number,
+                   const struct bb_http_head *h)
 {
     (void)u;
     (void)h;
-    return (struct scripted_answer){
+    return (struct scripted_response){
         .text = number == 1 ? "HTTP/1.1 200 OK\r\nT-Id: {id}\r\nT-Seal: s\r\n"
                               "Content-Length: 4\r\n\r\nbody"
                               "HTTP/1.1 200 OK\r\nT-Id: {id}\r\nT-Seal: s\r\n"
                               "Content-Length: 5\r\n\r\nextra"
-                            : ok_answer};
+                            : ok_response};
 }
 
 /* Guards against: an answer to another request passed on, and bytes that
  * follow a complete answer taken for the answer to the next request. */
 static void
-test_foreign_answers(void)
+test_foreign_responses(void)
 {
     struct bench b;
     struct client *c;
 
     bench_open(&b);
     bench_set_rules(&b, 1000, 2);
-    set_scripts(&b, answer_after_foreign);
+    set_scripts(&b, respond_after_foreign);
     c = client_open(&b);
     client_send(c, SAFE("a1") "\r\n");
     CU_ASSERT_TRUE(bench_wait_text(&b, c, "right", 1000));
     CU_ASSERT_PTR_NULL(strstr(c->received->str, "wrong"));
     b.upstreams[0].requests = 0;
     b.upstreams[1].requests = 0;
-    set_scripts(&b, answer_with_extra);
+    set_scripts(&b, respond_with_extra);
     for (uint32_t i = 0; i < 3; i++) {
         client_send(c, SAFE("a2") "\r\n");
         bench_run(&b, 60);
@@ -224,28 +225,29 @@
     bench_close(&b);
 }
 
-static struct scripted_answer
-answer_unsealed(struct upstream *u, uint32_t number,
-                const struct bb_http_head *h)
+static struct scripted_response
+respond_unsealed(struct upstream *u, uint32_t number,
+                 const struct bb_http_head *h)
 {
     (void)u;
     (void)number;
     (void)h;
-    return (struct scripted_answer){.text = "HTTP/1.1 200 OK\r\nT-Id: {id}\r\n"
-                                            "Content-Length: 4\r\n\r\nfake"};
+    return (struct scripted_response){.text =
+                                          "HTTP/1.1 200 OK\r\nT-Id: {id}\r\n"
+                                          "Content-Length: 4\r\n\r\nfake"};
 }
 
 /* Guards against: a success without a seal, so not the upstream's own answer,
  * that is passed on. */
 static void
-test_unsealed_answer(void)
+test_unsealed_response(void)
 {
     struct bench b;
     struct client *c;
 
     bench_open(&b);
     bench_set_rules(&b, 1000, 2);
-    set_scripts(&b, answer_unsealed);
+    set_scripts(&b, respond_unsealed);
     c = client_open(&b);
     client_send(c, UNSAFE("a1") "\r\nhi");
     CU_ASSERT_TRUE(bench_wait_text(&b, c, "HTTP/1.1 502", 1000));
@@ -254,27 +256,28 @@
     bench_close(&b);
 }
 
-static struct scripted_answer
-answer_none(struct upstream *u, uint32_t number, const struct bb_http_head *h)
+static struct scripted_response
+reset_without_response(struct upstream *u, uint32_t number,
+                       const struct bb_http_head *h)
 {
     (void)u;
     (void)number;
     (void)h;
-    return (struct scripted_answer){.action = ACTION_RESET};
+    return (struct scripted_response){.action = ACTION_RESET};
 }
 
 /* Guards against: a request that must not run twice but is sent again, or
  * answered as not run, after its answer was lost; and an idempotent one that
  * is sent to more upstreams than its route allows. */
 static void
-test_lost_answer(void)
+test_lost_response(void)
 {
     struct bench b;
     struct client *c;
 
     bench_open(&b);
     bench_set_rules(&b, 1000, 2);
-    set_scripts(&b, answer_none);
+    set_scripts(&b, reset_without_response);
     c = client_open(&b);
     client_send(c, UNSAFE("a1") "\r\nhi");
     CU_ASSERT_TRUE(bench_wait_text(&b, c, "HTTP/1.1 502", 1000));
@@ -287,14 +290,14 @@
     bench_close(&b);
 }
 
-static struct scripted_answer
-answer_not_run(struct upstream *u, uint32_t number,
-               const struct bb_http_head *h)
+static struct scripted_response
+respond_not_run(struct upstream *u, uint32_t number,
+                const struct bb_http_head *h)
 {
     (void)u;
     (void)number;
     (void)h;
-    return (struct scripted_answer){
+    return (struct scripted_response){
         .text = "HTTP/1.1 503 Service Unavailable\r\n"
                 "T-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"};
 }
@@ -309,11 +312,11 @@
 
     bench_open(&b);
     bench_set_rules(&b, 1000, 2);
-    b.upstreams[0].script = answer_not_run;
+    b.upstreams[0].script = respond_not_run;
     c = client_open(&b);
     client_send(c, UNSAFE("a1") "\r\nhi");
     CU_ASSERT_TRUE(bench_wait_text(&b, c, "body", 1000));
-    b.upstreams[1].script = answer_not_run;
+    b.upstreams[1].script = respond_not_run;
     client_send(c, UNSAFE("a2") "\r\nhi");
     CU_ASSERT_TRUE(bench_wait_text(&b, c, "HTTP/1.1 503", 1000));
     CU_ASSERT_PTR_NOT_NULL(strstr(c->received->str, "Retry-After: "));
@@ -321,14 +324,14 @@
     bench_close(&b);
 }
 
-static struct scripted_answer
-answer_after_3_s(struct upstream *u, uint32_t number,
-                 const struct bb_http_head *h)
+static struct scripted_response
+respond_after_3_s(struct upstream *u, uint32_t number,
+                  const struct bb_http_head *h)
 {
     (void)u;
     (void)number;
     (void)h;
-    return (struct scripted_answer){.text = ok_answer, .delay_ms = 3000};
+    return (struct scripted_response){.text = ok_response, .delay_ms = 3000};
 }
 
 /* Guards against: work at the upstream and in the gate that is not cancelled
@@ -341,7 +344,7 @@
 
     bench_open(&b);
     bench_set_rules(&b, 5000, 2);
-    set_scripts(&b, answer_after_3_s);
+    set_scripts(&b, respond_after_3_s);
     c = client_open(&b);
     client_send(c, SAFE("a1") "\r\n");
     bench_run(&b, 100);
@@ -349,7 +352,7 @@
     client_disconnect(c);
     bench_run(&b, 300);
     CU_ASSERT_EQUAL(
-        b.upstreams[0].aborted_answers + b.upstreams[1].aborted_answers, 1);
+        b.upstreams[0].aborted_requests + b.upstreams[1].aborted_requests, 1);
     CU_ASSERT_EQUAL(bb_gate_pending_count(b.gates[0]) +
                         bb_gate_pending_count(b.gates[1]),
                     0);
@@ -369,7 +372,7 @@
 
     bench_open(&b);
     bench_set_rules(&b, 300, 1);
-    set_scripts(&b, answer_after_3_s);
+    set_scripts(&b, respond_after_3_s);
     c = client_open(&b);
     client_send(c, UNSAFE("a1") "T-Deadline: 5000\r\n\r\nhi");
     CU_ASSERT_TRUE(bench_wait_text(&b, c, "HTTP/1.1 504", 700));
@@ -379,7 +382,7 @@
     CU_ASSERT_TRUE(atoi(deadline + strlen("T-Deadline: ")) <= 300);
     bench_run(&b, 100);
     CU_ASSERT_EQUAL(
-        b.upstreams[0].aborted_answers + b.upstreams[1].aborted_answers, 1);
+        b.upstreams[0].aborted_requests + b.upstreams[1].aborted_requests, 1);
     client_free(c);
     bench_close(&b);
 }
@@ -413,14 +416,14 @@
     bench_close(&b);
 }
 
-static struct scripted_answer
-answer_after_150_ms(struct upstream *u, uint32_t number,
-                    const struct bb_http_head *h)
+static struct scripted_response
+respond_after_150_ms(struct upstream *u, uint32_t number,
+                     const struct bb_http_head *h)
 {
     (void)u;
     (void)number;
     (void)h;
-    return (struct scripted_answer){.text = ok_answer, .delay_ms = 150};
+    return (struct scripted_response){.text = ok_response, .delay_ms = 150};
 }
 
 /* Guards against: requests of callers taken for nested ones of the upstream,
@@ -435,25 +438,25 @@
     struct bench b;
     struct client *c;
     struct client *upstream;
-    bool is_repeat = true;
+    bool is_retry = true;
 
     bench_open(&b);
     bench_set_rules(&b, 1000, 2);
     bench_announce(&b, 1, true); /* leaves only the first gate */
-    set_scripts(&b, answer_after_3_s);
+    set_scripts(&b, respond_after_3_s);
     c = client_open(&b);
     upstream = client_open(&b);
     client_send(c, UNSAFE("a1") "\r\nhi");
     bench_run(&b, 100);
     CU_ASSERT_EQUAL(bb_counter_get(calls), before);
-    CU_ASSERT_TRUE(bb_gate_is_running(b.gates[0], "a1", &is_repeat));
-    CU_ASSERT_FALSE(is_repeat);
+    CU_ASSERT_TRUE(bb_gate_is_running(b.gates[0], "a1", &is_retry));
+    CU_ASSERT_FALSE(is_retry);
     client_send(upstream, UNSAFE("a1/x") "\r\nhi");
     bench_run(&b, 50);
     CU_ASSERT_EQUAL(bb_counter_get(calls), before + 1);
     client_disconnect(c);
     bench_run(&b, 100);
-    CU_ASSERT_FALSE(bb_gate_is_running(b.gates[0], "a1", &is_repeat));
+    CU_ASSERT_FALSE(bb_gate_is_running(b.gates[0], "a1", &is_retry));
     client_free(c);
     c = client_open(&b);
     client_send(c, UNSAFE("a1/y") "\r\nhi");
@@ -484,7 +487,7 @@
     }
     CU_ASSERT_EQUAL(client_count(c, "body"), 30);
     client_free(c);
-    set_scripts(&b, answer_after_150_ms);
+    set_scripts(&b, respond_after_150_ms);
     c = client_open(&b);
     for (uint32_t i = 0; i < 4; i++) {
         client_send(c, SAFE("q") "T-Deadline: 900\r\n\r\n");
@@ -589,14 +592,14 @@
     bench_close(&b);
 }
 
-static struct scripted_answer
-answer_first_slower(struct upstream *u, uint32_t number,
-                    const struct bb_http_head *h)
+static struct scripted_response
+respond_first_slower(struct upstream *u, uint32_t number,
+                     const struct bb_http_head *h)
 {
     (void)u;
     (void)h;
-    return (struct scripted_answer){.text = ok_answer,
-                                    .delay_ms = number == 1 ? 120 : 60};
+    return (struct scripted_response){.text = ok_response,
+                                      .delay_ms = number == 1 ? 120 : 60};
 }
 
 /* Guards against: pipelined answers out of order, and pipelined requests that
@@ -612,7 +615,7 @@
 
     bench_open(&b);
     bench_set_rules(&b, 1000, 1);
-    set_scripts(&b, answer_first_slower);
+    set_scripts(&b, respond_first_slower);
     c = client_open(&b);
     client_send(c, SAFE("a1") "\r\n" SAFE("a2") "\r\n" SAFE("a3") "\r\n");
     bench_run(&b, 30);
@@ -640,7 +643,7 @@
 
     bench_open(&b);
     bench_set_rules(&b, 400, 1);
-    set_scripts(&b, answer_first_slower);
+    set_scripts(&b, respond_first_slower);
     for (uint32_t i = 0; i < 8; i++) {
         clients[i] = client_open(&b);
         client_send(clients[i], UNSAFE("a1") "\r\nhi");
@@ -713,11 +716,11 @@
     {"forwarding", test_forwarding},
     {"without rules", test_without_rules},
     {"smuggled and malformed requests", test_malformed_requests},
-    {"answer that is reset", test_reset_answer},
-    {"answer without a length", test_unframed_answer},
-    {"answers to other requests", test_foreign_answers},
-    {"answer without a seal", test_unsealed_answer},
-    {"lost answer", test_lost_answer},
+    {"answer that is reset", test_reset_response},
+    {"answer without a length", test_unframed_response},
+    {"answers to other requests", test_foreign_responses},
+    {"answer without a seal", test_unsealed_response},
+    {"lost answer", test_lost_response},
     {"not run", test_not_run},
     {"caller disconnects", test_caller_disconnects},
     {"timeout of the route", test_timeout},
--- a/tests/proxy/fixture.c
+++ b/tests/proxy/fixture.c
@@ -24,7 +24,7 @@
     bb_behaviour_init(&u->upstream.behaviour, v, 7);
     u->upstream.runs = bb_runs_create(&u->upstream.behaviour);
     atomic_store(&u->upstream.state, BB_UPSTREAM_READY);
-    u->daemon = bb_upstream_start_server(&u->upstream, &e);
+    u->daemon = bb_upstream_sim_start_server(&u->upstream, &e);
     CU_ASSERT_PTR_NOT_NULL_FATAL(u->daemon);
 }
 
@@ -57,7 +57,7 @@
                                        .limits = {.max_depth = 16,
                                                   .retry_budget_percent = 20,
                                                   .hedge_budget_percent = 5,
-                                                  .ejection_percent = 34}}};
+                                                  .max_ejected_percent = 34}}};
     s.host = host;
     s.zone = "z1";
     s.region = "r";
--- a/tests/proxy/fixture.h
+++ b/tests/proxy/fixture.h
@@ -11,7 +11,7 @@
 enum { FIXTURE_MEMBERS = 4, RESPONSE_TEXT_BYTES = 64 * 1024 };
 
 struct test_upstream {
-    struct bb_upstream upstream;
+    struct bb_upstream_sim upstream;
     struct MHD_Daemon *daemon;
 };
 
--- a/tests/proxy/proxy_node.c
+++ b/tests/proxy/proxy_node.c
@@ -57,7 +57,7 @@
                    .max_body_bytes = UINT64_C(1) << 31,
                    .retry_budget_percent = 20,
                    .hedge_budget_percent = 5,
-                   .ejection_percent = 34},
+                   .max_ejected_percent = 34},
         .services = &service,
         .service_count = 1,
         .routes = &route,
--- a/tests/proxy/test_claims.c
+++ b/tests/proxy/test_claims.c
@@ -5,7 +5,7 @@
 
 enum { OWN = 7, ENTRIES = 64 };
 
-static struct bb_witness_answer
+static struct bb_witness_response
 claim(struct bb_claims *c, uint64_t key, uint64_t epoch)
 {
     struct bb_request_id id = bb_request_id_from_bits(key, 1);
--- a/tests/proxy/test_nested.c
+++ b/tests/proxy/test_nested.c
@@ -28,7 +28,7 @@
 static struct bb_route routes[SERVICES];
 static struct bb_member members[SERVICES];
 static char hosts[SERVICES][BB_NAME_BYTES];
-static atomic_uint answered_count;
+static atomic_uint completed_count;
 static atomic_uint refused_count;
 static atomic_uint other_count;
 
@@ -68,7 +68,7 @@
                                      .limits = {.max_depth = 16,
                                                 .retry_budget_percent = 20,
                                                 .hedge_budget_percent = 5,
-                                                .ejection_percent = 34},
+                                                .max_ejected_percent = 34},
                                      .services = services,
                                      .service_count = SERVICES,
                                      .routes = routes,
@@ -112,7 +112,7 @@
         r = send_request(bb_proxy_caller_address(nodes[0].proxy),
                          request->str);
         (void)atomic_fetch_add(r->status == 200 && r->is_complete
-                                   ? &answered_count
+                                   ? &completed_count
                                : contains(r, "Baobab-Ran: no") ? &refused_count
                                                                : &other_count,
                                1);
@@ -137,7 +137,7 @@
         (void)pthread_join(threads[i], NULL);
     }
     (void)printf("%u done, %u refused, %u other in %u ms ... ",
-                 atomic_load(&answered_count), atomic_load(&refused_count),
+                 atomic_load(&completed_count), atomic_load(&refused_count),
                  atomic_load(&other_count),
                  (unsigned)((bb_clock_now_us() - start_us) / BB_US_PER_MS));
     CU_ASSERT_TRUE(bb_clock_now_us() - start_us < 20 * (uint64_t)BB_US_PER_S);
@@ -173,14 +173,14 @@
     start_all();
     /* Eight times the slots of a service. */
     run_callers(CALLERS);
-    CU_ASSERT_TRUE(atomic_load(&answered_count) >= SLOTS);
+    CU_ASSERT_TRUE(atomic_load(&completed_count) >= SLOTS);
     CU_ASSERT_EQUAL(atomic_load(&other_count), 0);
-    CU_ASSERT_TRUE(have_all_run(atomic_load(&answered_count)));
+    CU_ASSERT_TRUE(have_all_run(atomic_load(&completed_count)));
     /* As many as the slots: none may be refused. */
-    atomic_store(&answered_count, 0);
+    atomic_store(&completed_count, 0);
     atomic_store(&refused_count, 0);
     run_callers(SLOTS);
-    CU_ASSERT_EQUAL(atomic_load(&answered_count), SLOTS * CALLS_EACH);
+    CU_ASSERT_EQUAL(atomic_load(&completed_count), SLOTS * CALLS_EACH);
     for (int i = 0; i < SERVICES; i++) {
         CU_ASSERT_EQUAL(bb_runs_active_count(upstreams[i].upstream.runs), 0);
         stop_node(&nodes[i]);
--- a/tests/proxy/test_slow.c
+++ b/tests/proxy/test_slow.c
@@ -35,7 +35,7 @@
     struct bb_address no_rpc = {.ip = "127.0.0.1", .port = 1};
 
     start_node(&entry, "entry", (struct bb_proxy_settings){0});
-    entry.config.limits.ejection_percent = 50;
+    entry.config.limits.max_ejected_percent = 50;
     for (int i = 0; i < 2; i++) {
         start_upstream(&upstreams[i], &quick);
         upstreams[i].upstream.host = names[i];
--- a/upstream/announce.c
+++ b/upstream/announce.c
@@ -49,7 +49,7 @@
 /* Announces the current state to the node once. Logs the first failure after a
  * success and the first success after a failure. */
 void
-bb_upstream_send_announcement(struct bb_upstream *u)
+bb_upstream_sim_send_announcement(struct bb_upstream_sim *u)
 {
     static bool has_failed;
     struct bb_behaviour_values v = bb_behaviour_get_values(&u->behaviour);
@@ -89,9 +89,9 @@
  * value. Returns true if a complete response with status 2xx arrived before
  * end_us. */
 bool
-bb_upstream_make_nested_call(const struct bb_upstream *u, const char *paths,
-                             const char *const *fields, size_t field_count,
-                             uint64_t end_us)
+bb_upstream_sim_make_nested_call(const struct bb_upstream_sim *u,
+                                 const char *paths, const char *const *fields,
+                                 size_t field_count, uint64_t end_us)
 {
     const char *rest = strchr(paths, ';');
     char *path = rest != NULL ? g_strndup(paths, (gsize)(rest - paths))
--- a/upstream/main.c
+++ b/upstream/main.c
@@ -12,7 +12,7 @@
 enum { MS_MAX = 3600 * 1000, STATE_CHECK_MS = 20, NUMBER_MAX = 1000000000 };
 
 struct upstream_settings {
-    struct bb_upstream upstream;
+    struct bb_upstream_sim upstream;
     struct bb_behaviour_values values;
     bool is_exponential;
     bool log_json;
@@ -32,7 +32,7 @@
 read_settings(struct upstream_settings *s, int argc, char **argv,
               struct bb_error *e)
 {
-    struct bb_upstream *u = &s->upstream;
+    struct bb_upstream_sim *u = &s->upstream;
     struct bb_behaviour_values *v = &s->values;
     const struct bb_setting table[] = {
         {.name = "listen",
@@ -126,14 +126,14 @@
 
 /* Announces the upstream three times per lifetime until a signal arrives. */
 static void
-serve_until_signal(struct bb_upstream *u, const sigset_t *signals)
+serve_until_signal(struct bb_upstream_sim *u, const sigset_t *signals)
 {
     struct timespec interval =
         bb_clock_to_timespec(u->lifetime_ms * BB_US_PER_MS / 3);
 
     do {
         if (u->announce.port != 0) {
-            bb_upstream_send_announcement(u);
+            bb_upstream_sim_send_announcement(u);
         }
     } while (sigtimedwait(signals, NULL, &interval) < 0);
 }
@@ -141,7 +141,7 @@
 /* Refuses new requests, waits up to drain_ms for those in flight, then
  * announces that the upstream is leaving. */
 static void
-drain(struct bb_upstream *u, uint64_t drain_ms)
+drain(struct bb_upstream_sim *u, uint64_t drain_ms)
 {
     uint64_t end_us = bb_clock_now_us() + drain_ms * BB_US_PER_MS;
 
@@ -149,14 +149,14 @@
                 bb_runs_active_count(u->runs));
     atomic_store(&u->state, BB_UPSTREAM_DRAINING);
     if (u->announce.port != 0) {
-        bb_upstream_send_announcement(u);
+        bb_upstream_sim_send_announcement(u);
     }
     while (bb_runs_active_count(u->runs) > 0 && bb_clock_now_us() < end_us) {
         bb_clock_sleep_us((uint64_t)STATE_CHECK_MS * BB_US_PER_MS);
     }
     atomic_store(&u->state, BB_UPSTREAM_LEAVING);
     if (u->announce.port != 0) {
-        bb_upstream_send_announcement(u);
+        bb_upstream_sim_send_announcement(u);
     }
 }
 
@@ -164,7 +164,7 @@
 main(int argc, char **argv)
 {
     struct upstream_settings s = {0};
-    struct bb_upstream *u = &s.upstream;
+    struct bb_upstream_sim *u = &s.upstream;
     struct bb_error e = {0};
     struct MHD_Daemon *daemon;
     char text[BB_ADDRESS_TEXT_BYTES];
@@ -188,7 +188,7 @@
     bb_behaviour_init(&u->behaviour, &s.values, s.seed);
     u->runs = bb_runs_create(&u->behaviour);
     atomic_store(&u->state, BB_UPSTREAM_READY);
-    daemon = bb_upstream_start_server(u, &e);
+    daemon = bb_upstream_sim_start_server(u, &e);
     if (daemon == NULL) {
         (void)fprintf(stderr, "baobab-upstream: %s\n", e.message);
         return BB_EXIT_INTERNAL;
--- a/upstream/server.c
+++ b/upstream/server.c
@@ -21,7 +21,7 @@
 
 /* A request in progress. */
 struct call {
-    struct bb_upstream *upstream;
+    struct bb_upstream_sim *upstream;
     struct MHD_Connection *connection;
     XXH64_state_t *hash; /* of the request body; NULL for admin requests */
     uint64_t body_bytes;
@@ -104,8 +104,8 @@
 static struct MHD_Response *
 create_response(struct call *c, const char *id, const char *digest)
 {
-    struct bb_upstream *u = c->upstream;
-    uint64_t size_bytes = get_number_header(c, BB_CALL_ANSWER_BYTES, 0);
+    struct bb_upstream_sim *u = c->upstream;
+    uint64_t size_bytes = get_number_header(c, BB_CALL_RESPONSE_BYTES, 0);
     struct response_body *a;
     GString *text;
     size_t length;
@@ -175,7 +175,7 @@
             fields[count++] = value;
         }
     }
-    c->has_nested_call_failed = !bb_upstream_make_nested_call(
+    c->has_nested_call_failed = !bb_upstream_sim_make_nested_call(
         c->upstream, get_header(c, BB_CALL_PATH), fields, count / 2, end_us);
 }
 
@@ -196,7 +196,7 @@
 static enum MHD_Result
 run_work(struct call *c)
 {
-    struct bb_upstream *u = c->upstream;
+    struct bb_upstream_sim *u = c->upstream;
     const char *id = get_header(c, BB_CALL_ID);
     uint64_t deadline_ms = get_number_header(c, "Baobab-Deadline-Ms", 0);
     uint64_t end_us =
@@ -262,7 +262,7 @@
 static enum MHD_Result
 respond_to_admin(struct call *c, const char *url, const char *method)
 {
-    struct bb_upstream *u = c->upstream;
+    struct bb_upstream_sim *u = c->upstream;
     GString *text = g_string_new(NULL);
     uint32_t busy;
     uint32_t waiting;
@@ -308,7 +308,7 @@
 
 /* Creates the state of a request whose headers have arrived. */
 static struct call *
-create_call(struct bb_upstream *u, struct MHD_Connection *connection,
+create_call(struct bb_upstream_sim *u, struct MHD_Connection *connection,
             const char *url)
 {
     struct call *c = g_new0(struct call, 1);
@@ -383,7 +383,7 @@
  * caller stops it with MHD_stop_daemon. Returns NULL with an error if it
  * cannot listen on the address. */
 struct MHD_Daemon *
-bb_upstream_start_server(struct bb_upstream *u, struct bb_error *e)
+bb_upstream_sim_start_server(struct bb_upstream_sim *u, struct bb_error *e)
 {
     struct sockaddr_storage address;
     const union MHD_DaemonInfo *info;
