--- a/bench/members.c
+++ b/bench/members.c
@@ -85,7 +85,7 @@
         for (uint32_t i = 0; i < per_zone; i++) {
             struct bb_member r = create_record(z, i);
 
-            (void)bb_member_table_merge(m, &r, BB_ORIGIN_ZONE, 0);
+            (void)bb_member_table_merge(m, &r, BB_ORIGIN_SAME_REGION, 0);
         }
     }
     return m;
@@ -106,7 +106,8 @@
     for (int round = 0; round < ROUNDS; round++) {
         start_ns = cpu_ns();
         for (size_t i = 0; i < list.count; i++) {
-            (void)bb_member_table_merge(m, &list.items[i], BB_ORIGIN_ZONE, 0);
+            (void)bb_member_table_merge(m, &list.items[i],
+                                        BB_ORIGIN_SAME_REGION, 0);
         }
         same_ns += cpu_ns() - start_ns;
         for (size_t i = 0; i < list.count; i++) {
@@ -114,7 +115,8 @@
         }
         start_ns = cpu_ns();
         for (size_t i = 0; i < list.count; i++) {
-            (void)bb_member_table_merge(m, &list.items[i], BB_ORIGIN_ZONE, 0);
+            (void)bb_member_table_merge(m, &list.items[i],
+                                        BB_ORIGIN_SAME_REGION, 0);
         }
         changed_ns += cpu_ns() - start_ns;
     }
@@ -144,7 +146,7 @@
         bb_member_list_clear(&list);
     }
     times_ns[1] = cpu_ns();
-    q.since_version = bb_member_table_version(m) - 1;
+    q.since_version = bb_member_table_get_version(m) - 1;
     for (int round = 0; round < ROUNDS; round++) {
         (void)bb_member_table_select(m, &q, &list);
         bb_member_list_clear(&list);
@@ -173,12 +175,12 @@
 measure_sizes(struct bb_member_table *m, json_t *out)
 {
     struct bb_member_list list;
-    struct bb_zone_floor floors[BB_MEMBER_TABLE_ZONES_MAX];
-    size_t zones = bb_member_table_compute_zone_floors(
+    struct bb_zone_summary floors[BB_MEMBER_TABLE_ZONES_MAX];
+    size_t zones = bb_member_table_compute_zone_summaries(
         m, NULL, floors, BB_MEMBER_TABLE_ZONES_MAX);
     mesh_report_request report = {.from_host =
                                       bb_wire_text_to_xdr("control-0")};
-    mesh_zone_floor floor = {.zone = floors[0].zone};
+    mesh_zone_summary floor = {.zone = floors[0].zone};
     char *data = g_malloc(MESH_PAYLOAD_MAX_BYTES);
     uint64_t start_ns = cpu_ns();
     size_t size_bytes;
@@ -194,7 +196,7 @@
                         json_integer((json_int_t)size_bytes));
     json_object_set_new(out, "record_bytes",
                         json_integer((json_int_t)(size_bytes / list.count)));
-    size_bytes = zones * xdr_sizeof((xdrproc_t)xdr_mesh_zone_floor, &floor);
+    size_bytes = zones * xdr_sizeof((xdrproc_t)xdr_mesh_zone_summary, &floor);
     json_object_set_new(out, "zone_floors_bytes",
                         json_integer((json_int_t)size_bytes));
     report.from_host = NULL;
--- a/include/mesh/control_list.h
+++ b/include/mesh/control_list.h
@@ -12,6 +12,8 @@
 
 enum { BB_CONTROL_HOSTS_MAX = 7 };
 
+enum bb_control_list_error { BB_CONTROL_LIST_ERROR_FORMAT = 1 };
+
 struct bb_control_host {
     char host[BB_NAME_BYTES];
     char zone[BB_NAME_BYTES];
--- a/include/mesh/member.h
+++ b/include/mesh/member.h
@@ -48,7 +48,8 @@
     enum bb_upstream_state upstream_state;
     uint32_t slots;       /* max running requests of the upstream */
     uint32_t connections; /* max connections to the upstream */
-    bool is_reachable;    /* whether its zone is; local, never sent */
+    /* Whether the member's zone is reachable from here; never sent. */
+    bool is_reachable;
 };
 
 #endif
--- a/include/mesh/members.h
+++ b/include/mesh/members.h
@@ -14,20 +14,23 @@
 #include "mesh/member.h"
 
 enum {
-    BB_MEMBER_TABLE_CAPACITY = 2048,  /* entries; further hosts are refused */
-    BB_HELD_REVISIONS_MAX = 65536,    /* hosts whose held revision is kept */
+    BB_MEMBER_TABLE_ENTRIES_MAX = 2048, /* further hosts are refused */
+    /* Hosts whose held revision is kept, with or without an entry. */
+    BB_RETAINED_HOSTS_MAX = 65536,
     BB_MEMBER_TABLE_BUCKET_COUNT = 8, /* hash buckets of a zone's digests */
-    /* Further zones get no digest, no lowest applied revision and no contact
-     * time. */
+    /* Further zones get no digest, no summary and no contact time. */
     BB_MEMBER_TABLE_ZONES_MAX = 32
 };
 
 /* Where the newest change of an entry came from. Control hosts use it to
  * decide to whom they forward the change. */
 enum bb_member_origin {
-    BB_ORIGIN_ZONE = 1 << 0,         /* gossip, a relay or JOIN */
-    BB_ORIGIN_CONTROL_HOST = 1 << 1, /* a control host of the same region */
-    BB_ORIGIN_OTHER_REGION = 1 << 2, /* a control host of another region */
+    /* Gossip within the region, a relay, or JOIN. */
+    BB_ORIGIN_SAME_REGION = 1 << 0,
+    /* A control host of the same region. */
+    BB_ORIGIN_CONTROL_HOST = 1 << 1,
+    /* Gossip from another region, or a control host there. */
+    BB_ORIGIN_OTHER_REGION = 1 << 2,
     BB_ORIGIN_ANY = 7
 };
 
@@ -44,7 +47,7 @@
     uint64_t revision;
 };
 
-/* Selects entries. Zero and NULL members select everything. */
+/* Selects entries. A field that is 0, false or NULL selects all entries. */
 struct bb_member_query {
     const char *zone;
     const char *except_zone;
@@ -55,24 +58,24 @@
     uint32_t bucket_mask;      /* bit n selects bucket n; 0 for all */
 };
 
-/* Digests of one zone: of its records (host, incarnation, sequence and state,
- * where SUSPECT counts as ALIVE), and of the held and applied revisions. Each
- * also for every hash bucket of hosts. */
+/* Digests of one zone: one of its records (host, incarnation, sequence and
+ * state, where SUSPECT counts as ALIVE), one of their held and applied
+ * revisions, and both for each hash bucket of hosts. */
 struct bb_zone_digest {
     char zone[BB_NAME_BYTES];
     uint64_t records_digest;
-    uint64_t held_digest;
+    uint64_t revisions_digest;
     uint64_t record_bucket_digests[BB_MEMBER_TABLE_BUCKET_COUNT];
-    uint64_t held_bucket_digests[BB_MEMBER_TABLE_BUCKET_COUNT];
+    uint64_t revision_bucket_digests[BB_MEMBER_TABLE_BUCKET_COUNT];
 };
 
-/* The lowest revision in force on the live members of a zone, with their
- * number and a digest of their (host, incarnation). */
-struct bb_zone_floor {
+/* Summary of the live members of a zone: their number, a digest of their
+ * (host, incarnation), and the lowest of their applied revisions. */
+struct bb_zone_summary {
     char zone[BB_NAME_BYTES];
     uint32_t member_count;
     uint64_t live_members_digest;
-    uint64_t lowest_applied_revision;
+    uint64_t min_applied_revision;
 };
 
 struct bb_member_table *bb_member_table_create(void);
@@ -83,8 +86,8 @@
                            enum bb_member_origin origin, uint64_t now_us);
 bool bb_member_table_get(struct bb_member_table *m, const char *host,
                          struct bb_member *out);
-uint64_t bb_member_table_version(struct bb_member_table *m);
-uint64_t bb_member_table_routing_version(struct bb_member_table *m);
+uint64_t bb_member_table_get_version(struct bb_member_table *m);
+uint64_t bb_member_table_get_routing_version(struct bb_member_table *m);
 uint64_t bb_member_table_select(struct bb_member_table *m,
                                 const struct bb_member_query *q,
                                 struct bb_member_list *out);
@@ -93,8 +96,10 @@
                               uint64_t retention_us);
 void bb_member_table_set_zone_reachable(struct bb_member_table *m,
                                         const char *zone, bool is_reachable);
-bool bb_member_table_find_holder(struct bb_member_table *m, uint64_t revision,
-                                 const char *region, struct bb_member *out);
+bool bb_member_table_find_member_with_revision(struct bb_member_table *m,
+                                               uint64_t revision,
+                                               const char *region,
+                                               struct bb_member *out);
 bool bb_member_table_find_zone_region(struct bb_member_table *m,
                                       const char *zone,
                                       char region[BB_NAME_BYTES]);
@@ -115,16 +120,16 @@
                                             struct bb_zone_digest *out,
                                             size_t max);
 uint64_t bb_member_table_compute_digest(struct bb_member_table *m);
-uint64_t bb_member_table_compute_held_digest(struct bb_member_table *m,
-                                             const char *zone);
+uint64_t bb_member_table_compute_revisions_digest(struct bb_member_table *m,
+                                                  const char *zone);
 uint32_t bb_member_table_hash_bucket(const char *host);
-size_t bb_member_table_compute_zone_floors(struct bb_member_table *m,
-                                           const char *region,
-                                           struct bb_zone_floor *out,
-                                           size_t max);
-size_t bb_member_table_apply_zone_floor(struct bb_member_table *m,
-                                        const struct bb_zone_floor *f,
-                                        uint64_t now_us);
+size_t bb_member_table_compute_zone_summaries(struct bb_member_table *m,
+                                              const char *region,
+                                              struct bb_zone_summary *out,
+                                              size_t max);
+size_t bb_member_table_apply_zone_summary(struct bb_member_table *m,
+                                          const struct bb_zone_summary *s,
+                                          uint64_t now_us);
 
 int bb_member_compare(const struct bb_member *a, const struct bb_member *b);
 
--- a/include/mesh/mesh.h
+++ b/include/mesh/mesh.h
@@ -1,15 +1,18 @@
 /* Membership and configuration distribution in a node or control host.
  *
- * Each control host pushes a new revision to the two relays of the zones it is
- * responsible for, and the relays push it to the members of their zone. A
- * member that learns by gossip of a newer revision pulls it. Member records
- * are reported by the relays to the control hosts, exchanged among these, and
- * reported back to the relays and members of other zones.
+ * Each control host pushes (RPC OFFER) a new revision to the two relays of the
+ * zones it is responsible for, and the relays push it to the members of their
+ * zone. A member that learns by gossip of a newer revision pulls it (RPC
+ * FETCH). Member records are reported by the relays to the control hosts,
+ * exchanged among these, and reported back to the relays and members of other
+ * zones.
  *
  * All functions are thread-safe. Callbacks run on the threads of the mesh or
  * of the RPC server and may call bb_mesh functions other than bb_mesh_stop,
- * bb_mesh_destroy and bb_mesh_find_min_revision. Lock order: a lock of the
- * mesh, the gossip lock, the table's lock. */
+ * bb_mesh_destroy and bb_mesh_find_min_revision. The payload callback must not
+ * call bb_mesh_announce_revision either, which takes a lock that is held
+ * during the callback. Lock order: a lock of the mesh, the gossip lock, the
+ * table's lock. */
 #ifndef BB_MESH_MESH_H
 #define BB_MESH_MESH_H
 
@@ -73,10 +76,10 @@
 };
 
 struct bb_mesh_settings {
-    /* The own record. The incarnation must be higher than that of any earlier
-     * run of this host, such as the wall clock in microseconds. A gossip port
-     * of 0 is replaced by the port that the socket is bound to; the ports for
-     * RPC and HTTP must be the real ones. */
+    /* This process's record. The incarnation must be higher than that of any
+     * earlier run of this host, such as the wall clock in microseconds. A
+     * gossip port of 0 is replaced by the port that the socket is bound to;
+     * the ports for RPC and HTTP must be the real ones. */
     struct bb_member self;
     struct bb_control_list control_hosts;
     struct bb_address gossip_bind_address;
@@ -102,7 +105,7 @@
 void bb_mesh_copy_members(struct bb_mesh *mesh, struct bb_member_list *out);
 bool bb_mesh_find_min_revision(struct bb_mesh *mesh, uint32_t timeout_ms,
                                uint64_t *revision);
-uint64_t bb_mesh_highest_revision(struct bb_mesh *mesh);
+uint64_t bb_mesh_get_highest_revision(struct bb_mesh *mesh);
 
 bool bb_mesh_dispatch(struct bb_mesh *mesh, uint32_t procedure, void *argument,
                       void *result);
--- a/include/mesh/rpc.h
+++ b/include/mesh/rpc.h
@@ -13,23 +13,28 @@
 #include "common/address.h"
 #include "common/error.h"
 
+/* Limit of an encoded argument; results are not limited by it. */
+enum { BB_RPC_ARGUMENT_MAX_BYTES = 252 * 1024 };
+
 enum bb_rpc_error {
     BB_RPC_ERROR_LISTEN = 1, /* the server cannot start */
-    BB_RPC_ERROR_CONNECT,    /* no connection; not sent, unless an idle one
-                                was tried first */
-    BB_RPC_ERROR_TIMEOUT,    /* no reply; the call may have run */
+    BB_RPC_ERROR_CONNECT,    /* could not connect; the call was not sent,
+                                unless an idle connection was tried first */
+    BB_RPC_ERROR_TIMEOUT,    /* no response; the call may have run */
     BB_RPC_ERROR_CALL        /* any other failure; the call may have run,
-                                unless the argument exceeds 252 KiB: then
-                                it was not sent */
+                                unless the argument exceeds
+                                BB_RPC_ARGUMENT_MAX_BYTES: then it was not
+                                sent */
 };
 
-/* Decodes the arguments of a call, runs it and sends the reply. */
+/* Decodes the arguments of a call, runs it and sends the response. */
 typedef void (*bb_rpc_dispatch)(struct svc_req *request, SVCXPRT *transport);
 
 struct bb_rpc_server;
 
-struct bb_rpc_server *bb_rpc_server_create(const struct bb_address *listen,
-                                           struct bb_error *e);
+struct bb_rpc_server *
+bb_rpc_server_create(const struct bb_address *listen_address,
+                     struct bb_error *e);
 bool bb_rpc_server_register_program(struct bb_rpc_server *s, uint32_t program,
                                     uint32_t version, bb_rpc_dispatch dispatch,
                                     struct bb_error *e);
@@ -45,7 +50,7 @@
     void *argument;
     xdrproc_t result_codec;
     void *result;
-    uint32_t timeout_ms;     /* of connecting and of the call, each */
+    uint32_t timeout_ms;     /* for connecting and for the call, each */
     bool use_new_connection; /* do not use an idle one of the pool */
 };
 
--- a/include/mesh/wire.h
+++ b/include/mesh/wire.h
@@ -8,15 +8,13 @@
 
 #include "mesh/member.h"
 #include "mesh/members.h"
-#include <mesh.h> /* generated from mesh/mesh.x */
-
-enum { BB_WIRE_IP_BYTES = MESH_IP_MAX_BYTES };
+#include <mesh_protocol.h> /* generated from mesh/mesh_protocol.x */
 
 /* Buffers for the binary addresses of one record's XDR struct. */
 struct bb_wire_address_buffers {
-    char http[BB_WIRE_IP_BYTES];
-    char rpc[BB_WIRE_IP_BYTES];
-    char gossip[BB_WIRE_IP_BYTES];
+    char http[MESH_IP_MAX_BYTES];
+    char rpc[MESH_IP_MAX_BYTES];
+    char gossip[MESH_IP_MAX_BYTES];
 };
 
 void bb_wire_member_to_xdr(const struct bb_member *r, struct mesh_record *out,
--- a/mesh/control_list.c
+++ b/mesh/control_list.c
@@ -3,7 +3,7 @@
 #include <glib.h>
 #include <string.h>
 
-enum { FIELDS_PER_HOST = 4, ERROR_FORMAT = 1 };
+enum { FIELDS_PER_HOST = 4 };
 
 /* Copies a name. Returns false if it is empty or too long. */
 static bool
@@ -29,8 +29,9 @@
 }
 
 /* Parses the --control setting. The number of hosts must be 1, 3, 5 or 7, with
- * different names. Returns false on any mistake, with an error that names the
- * entry and what is allowed, and leaves the list unchanged. */
+ * different names. Returns false with BB_CONTROL_LIST_ERROR_FORMAT on any
+ * mistake, with a message that names the entry and what is allowed, and leaves
+ * the list unchanged. */
 bool
 bb_control_list_parse(const char *text, struct bb_control_list *list,
                       struct bb_error *e)
@@ -43,18 +44,18 @@
         struct bb_control_host *h = &parsed.items[parsed.count];
 
         if (parsed.count == BB_CONTROL_HOSTS_MAX) {
-            ok = bb_error_set(e, ERROR_FORMAT,
+            ok = bb_error_set(e, BB_CONTROL_LIST_ERROR_FORMAT,
                               "setting control: more than %d control hosts",
                               BB_CONTROL_HOSTS_MAX);
         }
         else if (!parse_host(entries[i], h)) {
-            ok = bb_error_set(e, ERROR_FORMAT,
+            ok = bb_error_set(e, BB_CONTROL_LIST_ERROR_FORMAT,
                               "setting control: value '%s' is not allowed; "
                               "use HOST/ZONE/REGION/IP:PORT",
                               entries[i]);
         }
         else if (bb_control_list_find(&parsed, h->host) != NULL) {
-            ok = bb_error_set(e, ERROR_FORMAT,
+            ok = bb_error_set(e, BB_CONTROL_LIST_ERROR_FORMAT,
                               "setting control: host '%s' is listed twice",
                               h->host);
         }
@@ -64,7 +65,7 @@
     }
     g_strfreev(entries);
     if (ok && parsed.count % 2 == 0) {
-        ok = bb_error_set(e, ERROR_FORMAT,
+        ok = bb_error_set(e, BB_CONTROL_LIST_ERROR_FORMAT,
                           "setting control: %u control hosts are not "
                           "allowed; use 1, 3, 5 or 7",
                           parsed.count);
--- a/mesh/gossip.c
+++ b/mesh/gossip.c
@@ -1,5 +1,5 @@
-/* The gossip core: executes the decisions of the SWIM failure detector in
- * decide/swim.c and processes received datagrams. */
+/* The gossip state machine: executes the decisions of the SWIM failure
+ * detector in decide/swim.c and processes received datagrams. */
 #include "mesh/gossip.h"
 
 #include <string.h>
@@ -13,9 +13,9 @@
 
 enum {
     FORWARD_TIMEOUT_US = BB_US_PER_S,
-    /* Pings to other zones carry the highest known revision. A zone whose
-     * control hosts are isolated learns of a new one from them, so this also
-     * bounds that delay. */
+    /* Pings to other zones carry the highest known revision, so this interval
+     * also limits how late a zone with isolated control hosts learns of a new
+     * revision. */
     ZONE_PING_INTERVAL_US = BB_US_PER_S / 2
 };
 
@@ -39,15 +39,15 @@
     return z ^ (z >> 31);
 }
 
-/* Merges the own record into the table. */
+/* Merges this member's record into the table. */
 static void
 merge_self(struct bb_gossip *g, uint64_t now_us)
 {
-    (void)bb_member_table_merge(g->settings.members, &g->self, BB_ORIGIN_ZONE,
-                                now_us);
+    (void)bb_member_table_merge(g->settings.members, &g->self,
+                                BB_ORIGIN_SAME_REGION, now_us);
 }
 
-/* Creates the core and merges the own record into the table. */
+/* Creates the state machine and merges this member's record into the table. */
 struct bb_gossip *
 bb_gossip_create(const struct bb_gossip_settings *settings, uint64_t now_us)
 {
@@ -68,7 +68,7 @@
     return g;
 }
 
-/* Frees the core; NULL is allowed. */
+/* Frees the state machine; NULL is allowed. */
 void
 bb_gossip_destroy(struct bb_gossip *g)
 {
@@ -80,8 +80,9 @@
     g_free(g);
 }
 
-/* Refutes another process's copy of the own record by raising the own
- * incarnation or sequence, if the copy is newer or says suspect or dead. */
+/* Refutes another process's copy of this member's record by raising this
+ * member's incarnation or sequence, if the copy is newer or says suspect or
+ * dead. Always takes over a higher held revision from the copy. */
 static void
 refute_if_needed(struct bb_gossip *g, const struct bb_member *seen,
                  uint64_t now_us)
@@ -110,7 +111,7 @@
 merge_record(struct bb_gossip *g, const struct bb_member *r, uint64_t now_us)
 {
     enum bb_member_origin origin = strcmp(r->region, g->self.region) == 0
-                                       ? BB_ORIGIN_ZONE
+                                       ? BB_ORIGIN_SAME_REGION
                                        : BB_ORIGIN_OTHER_REGION;
 
     if (strcmp(r->host, g->self.host) == 0) {
@@ -120,7 +121,7 @@
     (void)bb_member_table_merge(g->settings.members, r, origin, now_us);
 }
 
-/* Copies one member of the own zone to the failure detector. */
+/* Copies one peer to the failure detector. */
 static void
 copy_peer(struct bb_gossip *g, const struct bb_member *r, uint64_t now_us)
 {
@@ -139,14 +140,14 @@
     g_hash_table_insert(g->peer_by_id, key, copy);
 }
 
-/* Copies the members of the own zone from the table to the failure detector,
- * if the table has changed. */
+/* Copies the peers from the table to the failure detector, if the table has
+ * changed. */
 static void
 refresh_peers(struct bb_gossip *g, uint64_t now_us)
 {
     struct bb_member_table *m = g->settings.members;
     struct bb_member_list list;
-    uint64_t version = bb_member_table_version(m);
+    uint64_t version = bb_member_table_get_version(m);
 
     if (version == g->peers_version) {
         return;
@@ -188,17 +189,18 @@
     }
 }
 
-/* Changes the state of a member in the table. */
+/* Changes the state of a peer in the table. */
 static void
 set_peer_state(struct bb_gossip *g, struct bb_member *peer,
                enum bb_member_state state, uint64_t now_us)
 {
     peer->state = state;
-    (void)bb_member_table_merge(g->settings.members, peer, BB_ORIGIN_ZONE,
-                                now_us);
+    (void)bb_member_table_merge(g->settings.members, peer,
+                                BB_ORIGIN_SAME_REGION, now_us);
 }
 
-/* Sends a record to all live members of the zone at once. */
+/* Sends a record to all live peers at once, except the peer that it
+ * describes. */
 static void
 broadcast_record(struct bb_gossip *g, const struct bb_member *about,
                  uint64_t now_us)
@@ -340,8 +342,8 @@
     }
 }
 
-/* Compares the digests of a zone peer with the own ones, to find peers whose
- * tables stay different. */
+/* Compares the digests of a datagram from a peer with this member's, to find
+ * peers whose tables stay different. Ignores senders of other zones. */
 static void
 compare_digests(struct bb_gossip *g, const struct bb_member *sender,
                 const mesh_datagram *d, uint64_t now_us)
@@ -350,7 +352,7 @@
         return;
     }
     if (d->table_digest == g->table_digest &&
-        d->held_digest == g->held_digest) {
+        d->revisions_digest == g->revisions_digest) {
         g->differs_since_us = 0;
         return;
     }
@@ -371,7 +373,7 @@
         .kind = MESH_ACK,
         .ping_number = d->ping_number,
         .target = g->self.host,
-        .omits_other_records = strcmp(sender->zone, g->self.zone) != 0,
+        .is_minimal = strcmp(sender->zone, g->self.zone) != 0,
     };
 
     g->highest_revision = MAX(g->highest_revision, d->highest_revision);
@@ -438,9 +440,9 @@
     return is_valid;
 }
 
-/* Replaces the content of the own record. The core keeps its own incarnation,
+/* Replaces the content of this member's record, except its incarnation,
  * sequence, state and applied revision; the held revision never falls. All
- * other members are copied, so the record must be complete. The sequence rises
+ * other fields are copied, so the record must be complete. The sequence rises
  * if the content has changed. */
 void
 bb_gossip_update_self(struct bb_gossip *g, const struct bb_member *record,
@@ -462,8 +464,8 @@
     (void)pthread_mutex_unlock(&g->lock);
 }
 
-/* Raises the own held and applied revision. This needs no new sequence number,
- * since revisions are merged as maxima. */
+/* Raises the held and applied revision of this member. This needs no new
+ * sequence number, since revisions are merged as maxima. */
 void
 bb_gossip_raise_own_revision(struct bb_gossip *g, uint64_t revision,
                              uint64_t now_us)
@@ -476,7 +478,7 @@
     (void)pthread_mutex_unlock(&g->lock);
 }
 
-/* Refutes a record about the own host that arrived by RPC, if it is not
+/* Refutes a copy of this member's record that arrived by RPC, if it is not
  * current. */
 void
 bb_gossip_refute_if_needed(struct bb_gossip *g, const struct bb_member *seen,
@@ -487,7 +489,7 @@
     (void)pthread_mutex_unlock(&g->lock);
 }
 
-/* Marks the own record as left and sends it to the zone's live members. */
+/* Marks this member as left and sends its record to its live peers. */
 void
 bb_gossip_leave(struct bb_gossip *g, uint64_t now_us)
 {
@@ -499,8 +501,8 @@
     (void)pthread_mutex_unlock(&g->lock);
 }
 
-/* Pings a member at once, so that it learns of a change of the own record
- * before the next regular ping. Does nothing if the host is unknown. */
+/* Pings a member at once, so that it learns of a change of this member's
+ * record before the next regular ping. Does nothing if the host is unknown. */
 void
 bb_gossip_ping_now(struct bb_gossip *g, const char *host, uint64_t now_us)
 {
--- a/mesh/gossip_codec.c
+++ b/mesh/gossip_codec.c
@@ -6,25 +6,33 @@
 #include "mesh/wire.h"
 #include "traffic.h"
 
-enum { GOSSIPED_RECORDS_MAX = 8 };
+enum {
+    GOSSIPED_RECORDS_MAX = 8,
+    /* Also the sender's record, the extra one, and that of a member with the
+     * highest revision. */
+    RECORDS_PER_DATAGRAM_MAX = GOSSIPED_RECORDS_MAX + 3
+};
 
-/* Recomputes the own digests if the table has changed. */
+_Static_assert(RECORDS_PER_DATAGRAM_MAX <= MESH_DATAGRAM_RECORDS_MAX,
+               "a datagram may hold all chosen records");
+
+/* Recomputes the digests of this member's table if it has changed. */
 void
 gossip_refresh_digests(struct bb_gossip *g)
 {
-    uint64_t version = bb_member_table_version(g->settings.members);
+    uint64_t version = bb_member_table_get_version(g->settings.members);
 
     if (version == g->digests_version) {
         return;
     }
     g->digests_version = version;
     g->table_digest = bb_member_table_compute_digest(g->settings.members);
-    g->held_digest =
-        bb_member_table_compute_held_digest(g->settings.members, g->self.zone);
+    g->revisions_digest = bb_member_table_compute_revisions_digest(
+        g->settings.members, g->self.zone);
 }
 
-/* Fills in the time since the own zone last heard from each other zone.
- * Returns the number of zones. */
+/* Fills in the time since this member's zone last heard from each of the other
+ * zones. Returns the number of zones. */
 static uint32_t
 fill_ages(struct bb_gossip *g, mesh_zone_age *out, uint64_t now_us)
 {
@@ -36,9 +44,10 @@
     return g->zone_count;
 }
 
-/* Chooses the records of a datagram: the own one, the extra one, that of a
- * member that has the highest revision if this process does not, then those
- * with most gossip sends left. Returns their number. */
+/* Chooses the records of a datagram: this member's, the extra one, and, unless
+ * is_minimal, that of a member with the highest revision if this process does
+ * not have it, and those with the most gossip sends left. Returns their
+ * number. */
 static size_t
 choose_records(struct bb_gossip *g, const struct gossip_message *m,
                struct bb_member *out)
@@ -50,14 +59,14 @@
         strcmp(m->extra_record->host, g->self.host) != 0) {
         out[count++] = *m->extra_record;
     }
-    if (!m->omits_other_records &&
-        g->highest_revision > g->self.applied_revision &&
-        bb_member_table_find_holder(g->settings.members, g->highest_revision,
-                                    g->self.region, &out[count])) {
+    if (!m->is_minimal && g->highest_revision > g->self.applied_revision &&
+        bb_member_table_find_member_with_revision(
+            g->settings.members, g->highest_revision, g->self.region,
+            &out[count])) {
         /* The receiver learns of the revision and also where to pull it. */
         count++;
     }
-    if (!m->omits_other_records) {
+    if (!m->is_minimal) {
         count += bb_member_table_take_for_gossip(
             g->settings.members, g->self.zone, g->self.host, out + count,
             GOSSIPED_RECORDS_MAX);
@@ -65,16 +74,16 @@
     return count;
 }
 
-/* Sends a datagram with as many records as fit. If not even the own one fits,
- * sends nothing. */
+/* Sends a datagram with as many records as fit. If not even the first one,
+ * that of this member, fits, sends nothing. */
 void
 gossip_send(struct bb_gossip *g, const struct bb_address *to,
             const char *to_region, const struct gossip_message *m,
             uint64_t now_us)
 {
-    struct bb_member members[GOSSIPED_RECORDS_MAX + 3];
-    mesh_record records[GOSSIPED_RECORDS_MAX + 3];
-    struct bb_wire_address_buffers storage[GOSSIPED_RECORDS_MAX + 3];
+    struct bb_member members[RECORDS_PER_DATAGRAM_MAX];
+    mesh_record records[RECORDS_PER_DATAGRAM_MAX];
+    struct bb_wire_address_buffers storage[RECORDS_PER_DATAGRAM_MAX];
     mesh_zone_age ages[BB_MEMBER_TABLE_ZONES_MAX];
     char data[BB_GOSSIP_DATAGRAM_MAX_BYTES];
     size_t count = choose_records(g, m, members);
@@ -85,10 +94,9 @@
         .target_host = bb_wire_text_to_xdr(m->target),
         .highest_revision = g->highest_revision,
         .table_digest = g->table_digest,
-        .held_digest = g->held_digest,
+        .revisions_digest = g->revisions_digest,
         .ages = {.ages_val = ages,
-                 .ages_len =
-                     m->omits_other_records ? 0 : fill_ages(g, ages, now_us)},
+                 .ages_len = m->is_minimal ? 0 : fill_ages(g, ages, now_us)},
         .records = {.records_val = records},
     };
 
--- a/mesh/gossip_internal.h
+++ b/mesh/gossip_internal.h
@@ -1,4 +1,4 @@
-/* Declarations shared by the source files of the gossip core. */
+/* Declarations shared by the source files of struct bb_gossip. */
 #ifndef BB_MESH_GOSSIP_INTERNAL_H
 #define BB_MESH_GOSSIP_INTERNAL_H
 
@@ -7,7 +7,7 @@
 
 #include "decide/swim.h"
 #include "mesh/gossip.h"
-#include <mesh.h> /* generated from mesh/mesh.x */
+#include <mesh_protocol.h> /* generated from mesh/mesh_protocol.x */
 
 enum { FORWARDED_PINGS_MAX = 64 };
 
@@ -20,8 +20,8 @@
     uint64_t expires_us;
 };
 
-/* When any process of the own zone last received a datagram from another
- * zone. */
+/* When any process of this process's zone last received a datagram from
+ * another zone. */
 struct zone_contact {
     char zone[BB_NAME_BYTES];
     char region[BB_NAME_BYTES]; /* empty until a member of it is known */
@@ -34,7 +34,7 @@
     struct bb_member self;
     struct bb_swim swim;
     struct bb_swim_actions actions;
-    GHashTable *peer_by_id; /* uint64 -> struct bb_member, own zone */
+    GHashTable *peer_by_id; /* uint64 -> struct bb_member */
     uint64_t peers_version; /* of the table when peers were copied */
     uint64_t random_state;  /* state of a SplitMix64 sequence */
     uint32_t last_ping_number;
@@ -47,8 +47,8 @@
     uint32_t zone_ping_round;
     uint64_t digests_version; /* of the table when digests were computed */
     uint64_t table_digest;
-    uint64_t held_digest;
-    uint64_t differs_since_us; /* 0 if the last zone peer agreed */
+    uint64_t revisions_digest;
+    uint64_t differs_since_us; /* 0 if the last peer's digests were equal */
     char differing_peer[BB_NAME_BYTES];
 };
 
@@ -57,7 +57,8 @@
     uint32_t ping_number;
     const char *target;
     const struct bb_member *extra_record; /* included if it is not NULL */
-    bool omits_other_records;             /* but the own one */
+    /* Only the sender's record and extra_record, and no zone ages. */
+    bool is_minimal;
 };
 
 void gossip_refresh_digests(struct bb_gossip *g);
--- a/mesh/gossip_socket.c
+++ b/mesh/gossip_socket.c
@@ -1,4 +1,4 @@
-/* Runs the gossip core on a UDP socket with one thread. */
+/* Runs the gossip state machine on a UDP socket with one thread. */
 #include <errno.h>
 #include <glib.h>
 #include <poll.h>
@@ -10,7 +10,6 @@
 #include "mesh/gossip.h"
 
 enum {
-    ERROR_SOCKET = 1,
     /* Datagrams received in a row before the next tick, so that a flood does
      * not stop the failure detector. */
     RECEIVE_BATCH_MAX = 256
@@ -19,14 +18,14 @@
 struct bb_gossip_socket {
     int fd;
     uint16_t port;
-    struct bb_gossip *core;
+    struct bb_gossip *gossip;
     pthread_t thread;
     bool is_started;
     atomic_bool is_stopping;
 };
 
-/* Opens the socket; with port 0, on any free port. Returns NULL with an error
- * if the address cannot be used. */
+/* Opens the socket; with port 0, on any free port. Returns NULL with
+ * BB_GOSSIP_ERROR_START if the address cannot be used. */
 struct bb_gossip_socket *
 bb_gossip_socket_create(const struct bb_address *bind_address,
                         struct bb_error *e)
@@ -40,9 +39,9 @@
     s->fd = socket(address.ss_family,
                    SOCK_DGRAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
     if (s->fd < 0 || bind(s->fd, (struct sockaddr *)&address, length) != 0) {
-        (void)bb_error_set(e, ERROR_SOCKET, "cannot use %s for gossip: %s",
-                           bb_address_format(bind_address, text),
-                           g_strerror(errno));
+        (void)bb_error_set(
+            e, BB_GOSSIP_ERROR_START, "cannot use %s for gossip: %s",
+            bb_address_format(bind_address, text), g_strerror(errno));
         bb_gossip_socket_destroy(s);
         return NULL;
     }
@@ -60,13 +59,13 @@
     return s->port;
 }
 
-/* Sends a datagram; to be used as the send callback of the core. Errors are
- * ignored: the datagram counts as lost. */
+/* Sends a datagram; to be used as the send callback of the state machine.
+ * Errors are ignored: the datagram counts as lost. */
 void
-bb_gossip_socket_send(void *socket_pointer, const struct bb_address *to,
+bb_gossip_socket_send(void *gossip_socket, const struct bb_address *to,
                       const void *data, size_t size_bytes)
 {
-    const struct bb_gossip_socket *s = socket_pointer;
+    const struct bb_gossip_socket *s = gossip_socket;
     struct sockaddr_storage address;
     socklen_t length = bb_address_to_sockaddr(to, &address);
 
@@ -90,7 +89,7 @@
         return false;
     }
     if (bb_address_from_sockaddr(&address, &from)) {
-        (void)bb_gossip_receive(s->core, &from, data, (size_t)size_bytes,
+        (void)bb_gossip_receive(s->gossip, &from, data, (size_t)size_bytes,
                                 bb_clock_now_us());
     }
     return true;
@@ -110,7 +109,7 @@
 
         if (now_us >= next_tick_us) {
             next_tick_us = now_us + BB_GOSSIP_TICK_INTERVAL_MS * BB_US_PER_MS;
-            bb_gossip_tick(s->core, now_us);
+            bb_gossip_tick(s->gossip, now_us);
         }
         else {
             wait_ms = (int)((next_tick_us - now_us) / BB_US_PER_MS) + 1;
@@ -123,18 +122,18 @@
     return NULL;
 }
 
-/* Starts the thread, which runs the core until the socket is stopped. Returns
- * false with an error if it cannot be started. */
+/* Starts the thread, which runs the state machine until the socket is stopped.
+ * Returns false with BB_GOSSIP_ERROR_START if it cannot be started. */
 bool
 bb_gossip_socket_start(struct bb_gossip_socket *s, struct bb_gossip *g,
                        struct bb_error *e)
 {
     int result;
 
-    s->core = g;
+    s->gossip = g;
     result = pthread_create(&s->thread, NULL, run_socket_thread, s);
     if (result != 0) {
-        return bb_error_set(e, ERROR_SOCKET,
+        return bb_error_set(e, BB_GOSSIP_ERROR_START,
                             "cannot start the gossip thread: %s",
                             g_strerror(result));
     }
--- a/mesh/gossip_state.c
+++ b/mesh/gossip_state.c
@@ -1,4 +1,4 @@
-/* Accessors of the gossip core. */
+/* Accessors of the gossip state machine. */
 #include <string.h>
 
 #include "common/clock.h"
@@ -10,7 +10,7 @@
     DIFFERENCE_MIN_US = 2 * BB_US_PER_S
 };
 
-/* Copies the own record. */
+/* Copies this member's record. */
 void
 bb_gossip_get_self(struct bb_gossip *g, struct bb_member *out)
 {
@@ -40,7 +40,7 @@
 
 /* Returns the highest known revision, held or not. */
 uint64_t
-bb_gossip_highest_revision(struct bb_gossip *g)
+bb_gossip_get_highest_revision(struct bb_gossip *g)
 {
     uint64_t revision;
 
@@ -50,9 +50,9 @@
     return revision;
 }
 
-/* Copies the name of a zone peer whose digests differ, if no zone peer's
- * digests have agreed for DIFFERENCE_MIN_US, and restarts that time. Returns
- * false otherwise. */
+/* Copies the host name of a peer whose digests differ, if no peer's digests
+ * have been equal to this member's for DIFFERENCE_MIN_US, and restarts that
+ * time. Returns false otherwise. */
 bool
 bb_gossip_take_differing_peer(struct bb_gossip *g, uint64_t now_us,
                               char host[BB_NAME_BYTES])
--- a/mesh/gossip_zones.c
+++ b/mesh/gossip_zones.c
@@ -1,5 +1,5 @@
 /* Reachability of other zones: pings to them, and the time since any process
- * of the own zone last heard from each. */
+ * of this member's zone last heard from each. */
 #include <string.h>
 
 #include "common/clock.h"
@@ -28,7 +28,7 @@
 }
 
 /* Updates the time that another zone was last heard from, by this process or
- * by a zone peer. Times in the future are ignored. */
+ * by a peer. Times in the future are ignored. */
 void
 gossip_update_zone_contact(struct bb_gossip *g, const char *zone,
                            uint64_t heard_us, uint64_t now_us)
@@ -53,7 +53,7 @@
         .kind = MESH_PING,
         .ping_number = ++g->last_ping_number,
         .target = "",
-        .omits_other_records = true,
+        .is_minimal = true,
     };
     const struct bb_member *picked = NULL;
     uint32_t seen = 0; /* candidates so far, for reservoir sampling */
@@ -72,16 +72,17 @@
     }
 }
 
-/* Returns true if a zone is in another region. */
+/* Returns true if a zone is in another region, or its region is not known
+ * yet. */
 static bool
 is_other_region_zone(const struct bb_gossip *g, const struct zone_contact *z)
 {
     return strcmp(z->region, g->self.region) != 0;
 }
 
-/* Pings the other zones: all of the own region in every round, and one of
- * another region in every second round, because traffic between regions is
- * billed by volume. */
+/* Pings the other zones: all of this region in every round, and one of another
+ * region in every second round, because traffic between regions is billed by
+ * volume. */
 static void
 ping_zones(struct bb_gossip *g, uint64_t now_us)
 {
--- a/mesh/members.c
+++ b/mesh/members.c
@@ -113,7 +113,7 @@
         g_hash_table_lookup(m->retained_by_host, host);
 
     if (retained == NULL &&
-        g_hash_table_size(m->retained_by_host) < BB_HELD_REVISIONS_MAX) {
+        g_hash_table_size(m->retained_by_host) < BB_RETAINED_HOSTS_MAX) {
         retained = g_new0(struct retained_host, 1);
         g_hash_table_insert(m->retained_by_host, g_strdup(host), retained);
     }
@@ -132,17 +132,17 @@
     }
 }
 
-/* Gives an entry a new version and queues it for gossip. is_routing: the
- * change can affect a route; a suspicion does not, since only its zone acts on
- * it. */
+/* Gives an entry a new version and queues it for gossip. A suspicion does not
+ * affect routes, since only the member's zone acts on it. */
 static void
-mark_changed(struct bb_member_table *m, struct entry *entry, bool is_routing)
+mark_changed(struct bb_member_table *m, struct entry *entry,
+             bool affects_routes)
 {
     uint32_t size = g_hash_table_size(m->entry_by_host);
 
     m->version++;
     entry->version = m->version;
-    if (is_routing) {
+    if (affects_routes) {
         m->routing_version = m->version;
         entry->routing_version = m->version;
     }
@@ -177,7 +177,7 @@
     if (was_removed(m, r)) {
         return false;
     }
-    if (g_hash_table_size(m->entry_by_host) >= BB_MEMBER_TABLE_CAPACITY) {
+    if (g_hash_table_size(m->entry_by_host) >= BB_MEMBER_TABLE_ENTRIES_MAX) {
         bb_counter_add(&refused_total, 1);
         return false;
     }
@@ -185,7 +185,7 @@
     entry->record = *r;
     entry->record.is_reachable = true;
     entry->origin = origin;
-    entry->dead_since_us = is_live(r) ? 0 : now_us;
+    entry->not_live_since_us = is_live(r) ? 0 : now_us;
     retained = find_or_add_retained(m, r->host);
     if (retained != NULL) {
         entry->record.held_revision = retained->held_revision;
@@ -195,8 +195,8 @@
     return true;
 }
 
-/* Returns the applied revision of the newer incarnation of two records, or the
- * higher one if the incarnations are equal. */
+/* Returns the applied revision of the record with the newer incarnation, or
+ * the higher one if the incarnations are equal. */
 static uint64_t
 merge_applied(const struct bb_member *a, const struct bb_member *b)
 {
@@ -215,8 +215,8 @@
 {
     uint64_t held = MAX(entry->record.held_revision, r->held_revision);
     uint64_t applied = merge_applied(&entry->record, r);
-    bool is_held_changed = held != entry->record.held_revision ||
-                           applied != entry->record.applied_revision;
+    bool is_revision_changed = held != entry->record.held_revision ||
+                               applied != entry->record.applied_revision;
     bool is_newer = bb_member_compare(r, &entry->record) > 0;
     bool is_suspicion = is_newer && r->state == BB_MEMBER_SUSPECT &&
                         entry->record.state == BB_MEMBER_ALIVE &&
@@ -229,15 +229,15 @@
         entry->record = *r;
         entry->record.is_reachable = was_reachable;
         if (is_live(r)) {
-            entry->dead_since_us = 0;
+            entry->not_live_since_us = 0;
         }
-        else if (entry->dead_since_us == 0) {
-            entry->dead_since_us = now_us;
+        else if (entry->not_live_since_us == 0) {
+            entry->not_live_since_us = now_us;
         }
     }
     entry->record.held_revision = held;
     entry->record.applied_revision = applied;
-    if (!is_newer && !is_held_changed) {
+    if (!is_newer && !is_revision_changed) {
         return false;
     }
     entry->origin = origin;
@@ -282,7 +282,7 @@
 
 /* Returns the table version, which rises with every change. */
 uint64_t
-bb_member_table_version(struct bb_member_table *m)
+bb_member_table_get_version(struct bb_member_table *m)
 {
     uint64_t version;
 
@@ -294,7 +294,7 @@
 
 /* Returns the table version of the last change that can affect a route. */
 uint64_t
-bb_member_table_routing_version(struct bb_member_table *m)
+bb_member_table_get_routing_version(struct bb_member_table *m)
 {
     uint64_t version;
 
@@ -304,7 +304,7 @@
     return version;
 }
 
-/* Removes entries that have been dead or gone for the retention time, and
+/* Removes entries that have been dead or left for the retention time, and
  * returns their number. The hosts' held revisions are retained. Entries of an
  * unreachable zone stay, since a refutation could not arrive from there. */
 size_t
@@ -321,8 +321,8 @@
         const struct entry *entry = value;
         struct retained_host *retained;
 
-        if (entry->dead_since_us == 0 || !entry->record.is_reachable ||
-            now_us - entry->dead_since_us < retention_us) {
+        if (entry->not_live_since_us == 0 || !entry->record.is_reachable ||
+            now_us - entry->not_live_since_us < retention_us) {
             continue;
         }
         retained = find_or_add_retained(m, entry->record.host);
--- a/mesh/members_digest.c
+++ b/mesh/members_digest.c
@@ -1,15 +1,21 @@
 /* Digests of the member table for anti-entropy, the retained held revisions,
- * and the zone floors. */
+ * and the zone summaries. */
 #include <string.h>
 
 #include "common/digest.h"
 #include "members_internal.h"
 
-enum { SEED_RECORD = 1, SEED_HELD = 2, SEED_ROSTER = 3, SEED_BUCKET = 4 };
+enum {
+    SEED_RECORD = 1,
+    SEED_REVISIONS = 2,
+    SEED_LIVE_MEMBERS = 3,
+    SEED_BUCKET = 4
+};
 
 /* Returns the hash of a host name and three numbers. */
 static uint64_t
-hash_entry(const char *host, uint64_t a, uint64_t b, uint64_t c, uint64_t seed)
+hash_host_and_numbers(const char *host, uint64_t a, uint64_t b, uint64_t c,
+                      uint64_t seed)
 {
     const uint64_t numbers[] = {bb_hash64(host, strlen(host), seed), a, b, c};
 
@@ -23,16 +29,16 @@
 {
     uint64_t state = is_live(r) ? BB_MEMBER_ALIVE : r->state;
 
-    return hash_entry(r->host, r->incarnation, r->sequence, state,
-                      SEED_RECORD);
+    return hash_host_and_numbers(r->host, r->incarnation, r->sequence, state,
+                                 SEED_RECORD);
 }
 
 /* Returns the hash of a host's held and applied revisions. */
 static uint64_t
 hash_revisions(const struct bb_member *r)
 {
-    return hash_entry(r->host, r->held_revision, r->applied_revision, 0,
-                      SEED_HELD);
+    return hash_host_and_numbers(r->host, r->held_revision,
+                                 r->applied_revision, 0, SEED_REVISIONS);
 }
 
 /* Returns the bucket of a host, from 0 to BB_MEMBER_TABLE_BUCKET_COUNT - 1. */
@@ -44,7 +50,7 @@
 }
 
 /* Returns the digest of a zone, which is added if it is new; NULL if there are
- * more than max. */
+ * max zones already. */
 static struct bb_zone_digest *
 find_or_add_digest(struct bb_zone_digest *all, size_t *count, size_t max,
                    const char *zone)
@@ -82,9 +88,9 @@
 
         if (d != NULL) {
             d->records_digest ^= hash_record(r);
-            d->held_digest ^= hash_revisions(r);
+            d->revisions_digest ^= hash_revisions(r);
             d->record_bucket_digests[bucket] ^= hash_record(r);
-            d->held_bucket_digests[bucket] ^= hash_revisions(r);
+            d->revision_bucket_digests[bucket] ^= hash_revisions(r);
         }
     }
     (void)pthread_mutex_unlock(&m->lock);
@@ -112,8 +118,8 @@
 
 /* Returns the digest of the held and applied revisions of a zone. */
 uint64_t
-bb_member_table_compute_held_digest(struct bb_member_table *m,
-                                    const char *zone)
+bb_member_table_compute_revisions_digest(struct bb_member_table *m,
+                                         const char *zone)
 {
     GHashTableIter i;
     gpointer value;
@@ -163,7 +169,7 @@
     (void)pthread_mutex_lock(&m->lock);
     retained = g_hash_table_lookup(m->retained_by_host, host);
     if (retained == NULL &&
-        g_hash_table_size(m->retained_by_host) < BB_HELD_REVISIONS_MAX) {
+        g_hash_table_size(m->retained_by_host) < BB_RETAINED_HOSTS_MAX) {
         retained = g_new0(struct retained_host, 1);
         g_hash_table_insert(m->retained_by_host, g_strdup(host), retained);
     }
@@ -205,37 +211,38 @@
     return count;
 }
 
-/* Adds a live member to the floor of its zone. */
+/* Adds a live member to the summary of its zone, or does nothing if the zone
+ * is new and there are max zones already. */
 static void
-add_to_zone_floor(struct bb_zone_floor *all, size_t *count, size_t max,
-                  const struct bb_member *r)
+add_to_zone_summary(struct bb_zone_summary *all, size_t *count, size_t max,
+                    const struct bb_member *r)
 {
-    struct bb_zone_floor *f = NULL;
+    struct bb_zone_summary *s = NULL;
 
-    for (size_t i = 0; i < *count && f == NULL; i++) {
-        f = strcmp(all[i].zone, r->zone) == 0 ? &all[i] : NULL;
+    for (size_t i = 0; i < *count && s == NULL; i++) {
+        s = strcmp(all[i].zone, r->zone) == 0 ? &all[i] : NULL;
     }
-    if (f == NULL) {
+    if (s == NULL) {
         if (*count == max) {
             return;
         }
-        f = &all[(*count)++];
-        *f = (struct bb_zone_floor){.lowest_applied_revision = UINT64_MAX};
-        (void)g_strlcpy(f->zone, r->zone, sizeof(f->zone));
+        s = &all[(*count)++];
+        *s = (struct bb_zone_summary){.min_applied_revision = UINT64_MAX};
+        (void)g_strlcpy(s->zone, r->zone, sizeof(s->zone));
     }
-    f->member_count++;
-    f->live_members_digest ^=
-        hash_entry(r->host, r->incarnation, 0, 0, SEED_ROSTER);
-    f->lowest_applied_revision =
-        MIN(f->lowest_applied_revision, r->applied_revision);
+    s->member_count++;
+    s->live_members_digest ^= hash_host_and_numbers(r->host, r->incarnation, 0,
+                                                    0, SEED_LIVE_MEMBERS);
+    s->min_applied_revision =
+        MIN(s->min_applied_revision, r->applied_revision);
 }
 
-/* Computes the floors of the zones of a region, or of all regions if NULL, at
- * most max. Returns their number. */
+/* Computes the summaries of the zones of a region, or of all regions if NULL,
+ * at most max. Returns their number. */
 size_t
-bb_member_table_compute_zone_floors(struct bb_member_table *m,
-                                    const char *region,
-                                    struct bb_zone_floor *out, size_t max)
+bb_member_table_compute_zone_summaries(struct bb_member_table *m,
+                                       const char *region,
+                                       struct bb_zone_summary *out, size_t max)
 {
     GHashTableIter i;
     gpointer value;
@@ -248,46 +255,47 @@
         const struct bb_member *r = &entry->record;
 
         if (is_live(r) && (region == NULL || strcmp(r->region, region) == 0)) {
-            add_to_zone_floor(out, &count, max, r);
+            add_to_zone_summary(out, &count, max, r);
         }
     }
     (void)pthread_mutex_unlock(&m->lock);
     return count;
 }
 
-/* Raises the revisions of the live members of a zone to the zone's floor, if
- * this table has exactly the live members that the floor was computed from.
- * Returns the number of entries raised. */
+/* Raises the held and applied revisions of the live members of a zone to the
+ * lowest applied revision of the summary, if this table has exactly the live
+ * members that the summary was computed from. Returns the number of entries
+ * raised. */
 size_t
-bb_member_table_apply_zone_floor(struct bb_member_table *m,
-                                 const struct bb_zone_floor *f,
-                                 uint64_t now_us)
+bb_member_table_apply_zone_summary(struct bb_member_table *m,
+                                   const struct bb_zone_summary *s,
+                                   uint64_t now_us)
 {
-    struct bb_zone_floor own[BB_MEMBER_TABLE_ZONES_MAX];
-    size_t zones = bb_member_table_compute_zone_floors(
-        m, NULL, own, BB_MEMBER_TABLE_ZONES_MAX);
+    struct bb_zone_summary local[BB_MEMBER_TABLE_ZONES_MAX];
+    size_t zones = bb_member_table_compute_zone_summaries(
+        m, NULL, local, BB_MEMBER_TABLE_ZONES_MAX);
     struct bb_member_list list;
     size_t raised = 0;
-    bool is_same = false;
+    bool is_applicable = false;
 
     for (size_t i = 0; i < zones; i++) {
-        is_same |= strcmp(own[i].zone, f->zone) == 0 &&
-                   own[i].member_count == f->member_count &&
-                   own[i].live_members_digest == f->live_members_digest &&
-                   own[i].lowest_applied_revision < f->lowest_applied_revision;
+        is_applicable |=
+            strcmp(local[i].zone, s->zone) == 0 &&
+            local[i].member_count == s->member_count &&
+            local[i].live_members_digest == s->live_members_digest &&
+            local[i].min_applied_revision < s->min_applied_revision;
     }
-    if (!is_same) {
+    if (!is_applicable) {
         return 0;
     }
-    (void)bb_member_table_select(m, &(struct bb_member_query){.zone = f->zone},
+    (void)bb_member_table_select(m, &(struct bb_member_query){.zone = s->zone},
                                  &list);
     for (size_t i = 0; i < list.count; i++) {
         struct bb_member *r = &list.items[i];
 
-        if (is_live(r) && r->applied_revision < f->lowest_applied_revision) {
-            r->applied_revision = f->lowest_applied_revision;
-            r->held_revision =
-                MAX(r->held_revision, f->lowest_applied_revision);
+        if (is_live(r) && r->applied_revision < s->min_applied_revision) {
+            r->applied_revision = s->min_applied_revision;
+            r->held_revision = MAX(r->held_revision, s->min_applied_revision);
             raised +=
                 bb_member_table_merge(m, r, BB_ORIGIN_OTHER_REGION, now_us);
         }
--- a/mesh/members_internal.h
+++ b/mesh/members_internal.h
@@ -12,7 +12,7 @@
     enum bb_member_origin origin;
     uint64_t version;           /* of the last change */
     uint64_t routing_version;   /* of the last change that affects routes */
-    uint64_t dead_since_us;     /* 0 while alive or suspect */
+    uint64_t not_live_since_us; /* when it died or left; 0 while it is live */
     uint32_t gossip_sends_left; /* datagrams that are still to include it */
 };
 
@@ -28,13 +28,13 @@
 
 struct bb_member_table {
     pthread_mutex_t lock;
-    GHashTable *entry_by_host;    /* text -> struct entry */
-    GHashTable *retained_by_host; /* text -> struct retained_host */
+    GHashTable *entry_by_host;    /* char * -> struct entry */
+    GHashTable *retained_by_host; /* char * -> struct retained_host */
     uint64_t version;
     uint64_t routing_version;
 };
 
-/* Returns true if a member is alive or only suspected. */
+/* Returns true if a member is live: alive or suspect. */
 static inline bool
 is_live(const struct bb_member *r)
 {
--- a/mesh/members_query.c
+++ b/mesh/members_query.c
@@ -33,7 +33,8 @@
 }
 
 /* Copies the selected records, sorted by host, and returns the table version
- * that they are of. The caller frees the list with bb_member_list_clear. */
+ * at the time of the copy. The caller frees the list with
+ * bb_member_list_clear. */
 uint64_t
 bb_member_table_select(struct bb_member_table *m,
                        const struct bb_member_query *q,
@@ -73,8 +74,8 @@
     *list = (struct bb_member_list){0};
 }
 
-/* Inserts an entry into a list of at most max entries, sorted by falling
- * number of gossip sends left. */
+/* Inserts an entry into a list of at most max entries in descending order of
+ * gossip_sends_left. */
 static void
 insert_by_sends_left(struct entry **picked, size_t *count, size_t max,
                      struct entry *entry)
@@ -100,8 +101,8 @@
 }
 
 /* Copies at most max records of a zone that have gossip sends left, except
- * that of one host, those with most left first, and takes one send off each.
- * Returns their number. */
+ * that of one host, those with the most left first, and decrements
+ * gossip_sends_left of each. Returns their number. */
 size_t
 bb_member_table_take_for_gossip(struct bb_member_table *m, const char *zone,
                                 const char *except_host, struct bb_member *out,
@@ -132,11 +133,13 @@
     return count;
 }
 
-/* Finds a live member that has a revision in force, if possible in the given
- * region. Returns false if there is none. */
+/* Finds a member in state ALIVE that has the revision, or a newer one, in
+ * force, if possible in the given region. Returns false if there is none. */
 bool
-bb_member_table_find_holder(struct bb_member_table *m, uint64_t revision,
-                            const char *region, struct bb_member *out)
+bb_member_table_find_member_with_revision(struct bb_member_table *m,
+                                          uint64_t revision,
+                                          const char *region,
+                                          struct bb_member *out)
 {
     const struct bb_member *found = NULL;
     GHashTableIter i;
--- a/mesh/mesh.c
+++ b/mesh/mesh.c
@@ -10,9 +10,9 @@
 #include "mesh_internal.h"
 
 enum {
-    /* Rate and burst of the FETCH requests that this process serves. */
-    PULL_RATE_PER_S = 100,
-    PULL_BURST = 32,
+    /* Rate and burst of the FETCH calls that this process serves. */
+    FETCH_RATE_PER_S = 100,
+    FETCH_BURST = 32,
     DEAD_RETENTION_US = 600 * BB_US_PER_S,
     EXPIRY_INTERVAL_US = BB_US_PER_S,
     MIN_REVISION_RETRY_MS = 200,
@@ -36,7 +36,8 @@
     (void)pthread_condattr_destroy(&a);
 }
 
-/* Opens the gossip socket and creates the gossip core that uses it. */
+/* Opens the gossip socket and creates the gossip state machine that uses it.
+ * Returns false with BB_MESH_ERROR_SOCKET if the socket cannot be opened. */
 static bool
 create_gossip(struct bb_mesh *mesh, struct bb_error *e)
 {
@@ -71,7 +72,7 @@
     struct bb_mesh *mesh = g_new0(struct bb_mesh, 1);
 
     mesh->settings = *settings;
-    mesh->is_control = settings->self.role == BB_ROLE_CONTROL;
+    mesh->is_control_host = settings->self.role == BB_ROLE_CONTROL;
     mesh->created_us = bb_clock_now_us();
     mesh->members = bb_member_table_create();
     mesh->pool = bb_rpc_pool_create();
@@ -83,9 +84,9 @@
     init_condition(&mesh->task_queued);
     init_condition(&mesh->join_ended);
     g_queue_init(&mesh->tasks);
-    mesh->peer_by_host =
+    mesh->call_state_by_host =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-    bb_pull_bucket_init(&mesh->pull_bucket, PULL_RATE_PER_S, PULL_BURST,
+    bb_pull_bucket_init(&mesh->pull_bucket, FETCH_RATE_PER_S, FETCH_BURST,
                         mesh->created_us);
     if (!create_gossip(mesh, e)) {
         bb_mesh_destroy(mesh);
@@ -113,16 +114,16 @@
         (void)bb_member_table_expire(mesh->members, now_us, DEAD_RETENTION_US);
         bb_counter_set(&members_gauge, mesh->view.members.count);
         bb_counter_set(&highest_gauge,
-                       bb_gossip_highest_revision(mesh->gossip));
+                       bb_gossip_get_highest_revision(mesh->gossip));
     }
-    routing_version = bb_member_table_routing_version(mesh->members);
+    routing_version = bb_member_table_get_routing_version(mesh->members);
     is_changed = routing_version != mesh->routing_version;
     mesh->routing_version = routing_version;
     return is_changed;
 }
 
-/* Thread function of the scheduler: queues the tasks that are due every tick,
- * or when woken up. */
+/* Thread function of the scheduler: on every tick, and when woken up, queues
+ * the tasks that are due. */
 static void *
 run_scheduler(void *argument)
 {
@@ -139,7 +140,7 @@
             c->members_changed(c->context);
         }
         until = bb_clock_to_timespec(bb_clock_now_us() +
-                                     MESH_TICK_INTERVAL_MS * BB_US_PER_MS);
+                                     TICK_INTERVAL_MS * BB_US_PER_MS);
         (void)pthread_mutex_lock(&mesh->lock);
         bb_counter_set(&held_gauge, mesh->held_revision);
         while (!mesh->is_stopping && !mesh->is_wakeup_pending &&
@@ -152,8 +153,9 @@
     return NULL;
 }
 
-/* Starts the threads. Returns false and sets the error if one cannot be
- * started; those started before run until bb_mesh_stop. */
+/* Starts the threads. Returns false with BB_MESH_ERROR_THREAD, or with
+ * BB_GOSSIP_ERROR_START for the gossip thread, if one cannot be started; those
+ * started before run until bb_mesh_stop. */
 bool
 bb_mesh_start(struct bb_mesh *mesh, struct bb_error *e)
 {
@@ -163,7 +165,7 @@
         goto fail;
     }
     mesh->thread_count = 1;
-    for (int i = 0; i < MESH_WORKER_COUNT; i++) {
+    for (int i = 0; i < WORKER_COUNT; i++) {
         result =
             pthread_create(&mesh->workers[i], NULL, mesh_run_worker, mesh);
         if (result != 0) {
@@ -173,12 +175,13 @@
     }
     return bb_gossip_socket_start(mesh->socket, mesh->gossip, e);
 fail:
-    return bb_error_set(e, BB_MESH_ERROR_THREAD, "cannot start a thread: %s",
-                        g_strerror(result));
+    return bb_error_set(e, BB_MESH_ERROR_THREAD,
+                        "cannot start a mesh thread: %s", g_strerror(result));
 }
 
 /* Stops the threads after the running calls have ended. With is_leaving, first
- * tells the zone that this process leaves. May be called again. */
+ * tells the zone's members that this process is leaving. May be called
+ * again. */
 void
 bb_mesh_stop(struct bb_mesh *mesh, bool is_leaving)
 {
@@ -204,15 +207,15 @@
     while ((task = g_queue_pop_head(&mesh->tasks)) != NULL) {
         mesh_free_task(task);
     }
-    /* Only the thread stops: other threads of the process may still change the
-     * own record, which sends datagrams. */
+    /* Only the thread stops: other threads of the process may still change
+     * this process's record, which sends datagrams. */
     if (mesh->socket != NULL) {
         bb_gossip_socket_stop(mesh->socket);
     }
 }
 
 /* Stops and frees the mesh. The RPC server that it is registered with must be
- * destroyed before. NULL is allowed. */
+ * destroyed first. NULL is allowed. */
 void
 bb_mesh_destroy(struct bb_mesh *mesh)
 {
@@ -227,7 +230,7 @@
     bb_rpc_pool_destroy(mesh->pool);
     bb_member_table_destroy(mesh->members);
     bb_random_destroy(mesh->random);
-    g_hash_table_destroy(mesh->peer_by_host);
+    g_hash_table_destroy(mesh->call_state_by_host);
     (void)pthread_cond_destroy(&mesh->scheduler_wakeup);
     (void)pthread_cond_destroy(&mesh->task_queued);
     (void)pthread_cond_destroy(&mesh->join_ended);
@@ -237,10 +240,10 @@
     g_free(mesh);
 }
 
-/* Announces that this process holds a revision: a control host when it is
- * committed, a node when it starts with one from its data folder. From then on
- * the payload callback must be able to encode it. A revision that is not newer
- * than the held one changes nothing. */
+/* Announces that this process holds a revision. Called by a control host when
+ * the revision is committed, and by a node that loads a revision from its data
+ * folder at start. From then on the payload callback must be able to encode
+ * it. A revision that is not newer than the held one changes nothing. */
 void
 bb_mesh_announce_revision(struct bb_mesh *mesh, uint64_t revision,
                           const struct bb_digest *digest)
@@ -248,10 +251,10 @@
     mesh_set_held_revision(mesh, revision, digest);
 }
 
-/* Replaces the own record and pings the relays at once so that they learn of
- * it. The mesh keeps its own incarnation, sequence, state and applied
- * revision; the held revision never falls. All other members are taken from
- * the given record, so it must be complete. */
+/* Replaces this process's record, except its incarnation, sequence, state and
+ * applied revision, and pings the relays at once so that they learn of it. The
+ * held revision never falls. All other fields are taken from the given record,
+ * so it must be complete. */
 void
 bb_mesh_update_self(struct bb_mesh *mesh, const struct bb_member *record)
 {
@@ -273,7 +276,7 @@
     }
 }
 
-/* Copies the own record. */
+/* Copies this process's record. */
 void
 bb_mesh_get_self(struct bb_mesh *mesh, struct bb_member *out)
 {
@@ -291,26 +294,26 @@
 
 /* Returns the highest revision known to this process, held or not. */
 uint64_t
-bb_mesh_highest_revision(struct bb_mesh *mesh)
+bb_mesh_get_highest_revision(struct bb_mesh *mesh)
 {
-    return bb_gossip_highest_revision(mesh->gossip);
+    return bb_gossip_get_highest_revision(mesh->gossip);
 }
 
 /* Queues a JOIN to all control hosts and to at most MIN_REVISION_PEERS_MAX
- * zone peers, whose responses name the revision that this host held. Call with
- * the lock held. */
+ * other members of the zone, whose responses name the revision that this host
+ * held. Call with the lock held. */
 static void
 request_min_revision(struct bb_mesh *mesh)
 {
     const struct bb_member *self = &mesh->settings.self;
     const struct bb_member_query q = {.zone = self->zone};
-    struct target controls[BB_CONTROL_HOSTS_MAX];
-    size_t count = mesh_list_control_hosts_to_call(mesh, NULL, controls);
+    struct target control_hosts[BB_CONTROL_HOSTS_MAX];
+    size_t count = mesh_list_control_hosts_to_call(mesh, NULL, control_hosts);
     struct bb_member_list peers;
 
     for (size_t i = 0; i < count; i++) {
-        if (strcmp(controls[i].host, self->host) != 0) {
-            (void)mesh_enqueue_join(mesh, &controls[i]);
+        if (strcmp(control_hosts[i].host, self->host) != 0) {
+            (void)mesh_enqueue_join(mesh, &control_hosts[i]);
         }
     }
     (void)bb_member_table_select(mesh->members, &q, &peers);
@@ -339,12 +342,13 @@
     }
 }
 
-/* Finds the highest revision that this host is known to have held, by calling
- * zone peers and control hosts until an authoritative response arrives. The
- * node must not serve an older revision. Returns false if there was no such
- * response within timeout_ms (milliseconds for the whole wait) or before the
- * mesh was stopped: the node must not serve yet, and the caller retries.
- * *revision is then the highest one known so far. Call after bb_mesh_start. */
+/* Finds the lowest revision that this node may serve, which is the highest one
+ * that its host is known to have held, by calling other members of the zone
+ * and control hosts until an authoritative response arrives. Returns false if
+ * there was no such response within timeout_ms (milliseconds for the whole
+ * wait) or before the mesh was stopped: the node must not serve yet, and the
+ * caller retries. *revision is then the highest one known so far. Call after
+ * bb_mesh_start. */
 bool
 bb_mesh_find_min_revision(struct bb_mesh *mesh, uint32_t timeout_ms,
                           uint64_t *revision)
--- a/mesh/mesh.x
+++ b/mesh/mesh_protocol.x
@@ -2,16 +2,15 @@
  * program between nodes and control hosts. Decoders refuse messages that
  * exceed the limits below. */
 
-const MESH_NAME_MAX_BYTES = 63;
+const MESH_NAME_MAX_BYTES = 63; /* BB_NAME_BYTES without the final zero byte */
 const MESH_IP_MAX_BYTES = 16;
-const MESH_DIGEST_BYTES = 32;
-const MESH_DATAGRAM_MAX_BYTES = 1400;
+const MESH_DIGEST_BYTES = 32; /* BB_DIGEST_BYTES */
 const MESH_DATAGRAM_RECORDS_MAX = 16;
 const MESH_PAYLOAD_MAX_BYTES = 1048576;
-const MESH_RECORDS_MAX = 2048;
-const MESH_ZONES_MAX = 32;
-const MESH_BUCKETS_MAX = 16;
-const MESH_HELD_REVISIONS_MAX = 1024;
+const MESH_RECORDS_MAX = 2048; /* BB_MEMBER_TABLE_ENTRIES_MAX */
+const MESH_ZONES_MAX = 32; /* BB_MEMBER_TABLE_ZONES_MAX */
+const MESH_ZONE_BUCKETS_MAX = 16; /* 2 * BB_MEMBER_TABLE_BUCKET_COUNT */
+const MESH_MESSAGE_HELD_REVISIONS_MAX = 1024;
 
 /* The codecs of these two types are written by hand in mesh/wire.c: libtirpc
  * decodes the padding of a string or opaque value into a static buffer, which
@@ -28,9 +27,9 @@
 %extern bool_t xdr_mesh_bytes(XDR *, mesh_bytes *);
 #endif
 
-/* An address: 4 bytes for IPv4, 16 for IPv6; no bytes and port 0 if the member
- * has no such endpoint. */
-struct mesh_endpoint {
+/* An IP address of 4 bytes for IPv4 or 16 for IPv6, and a port. No bytes and
+ * port 0 if the member has no such address. */
+struct mesh_address {
     opaque ip<MESH_IP_MAX_BYTES>;
     unsigned int port;
 };
@@ -42,9 +41,9 @@
     mesh_name zone;
     mesh_name region;
     unsigned int role;
-    mesh_endpoint http_address;
-    mesh_endpoint rpc_address;
-    mesh_endpoint gossip_address;
+    mesh_address http_address;
+    mesh_address rpc_address;
+    mesh_address gossip_address;
     unsigned hyper incarnation;
     unsigned hyper sequence;
     unsigned int state;
@@ -69,22 +68,25 @@
     MESH_ACK = 3
 };
 
-/* A gossip datagram. The first record is the sender's own. An ACK repeats the
- * number of the ping that it acknowledges. The target of a PING_REQ is the
- * host to ping for the sender; that of an ACK is the host that is alive. The
- * digests cover the sender's table and the held revisions of its zone. */
+/* A gossip datagram of at most BB_GOSSIP_DATAGRAM_MAX_BYTES. The first record
+ * is the sender's own. An ACK carries the number of the ping that it
+ * acknowledges. The target of a PING_REQ is the host to ping for the sender;
+ * that of an ACK is the host that is alive. table_digest covers the records of
+ * the sender's table, revisions_digest the held and applied revisions of its
+ * zone. */
 struct mesh_datagram {
     mesh_datagram_kind kind;
     unsigned int ping_number;
     mesh_name target_host;
     unsigned hyper highest_revision;
     unsigned hyper table_digest;
-    unsigned hyper held_digest;
+    unsigned hyper revisions_digest;
     mesh_zone_age ages<MESH_ZONES_MAX>;
     mesh_record records<MESH_DATAGRAM_RECORDS_MAX>;
 };
 
-/* Result of OFFER: OK, STALE or NEED_SNAPSHOT; of FETCH: OK, BUSY or NONE. */
+/* OFFER returns MESH_OK, MESH_STALE or MESH_NEED_SNAPSHOT; FETCH returns
+ * MESH_OK, MESH_BUSY or MESH_NOTHING_NEWER. */
 enum mesh_result {
     /* OFFER: the payload is queued, but not applied yet. FETCH: the response
      * contains the payload. */
@@ -100,8 +102,9 @@
 };
 
 /* A full bundle (snapshot), or a delta against the base revision. The digest
- * is that of the resulting configuration. As an OFFER argument it may be at
- * most 252 KiB (see mesh/rpc_client.c); larger ones can only be fetched. */
+ * is that of the resulting configuration. As an OFFER argument the encoded
+ * struct has at most BB_RPC_ARGUMENT_MAX_BYTES (mesh/rpc.h); larger ones can
+ * only be fetched. */
 struct mesh_offer {
     mesh_name from_host;
     unsigned hyper revision;
@@ -116,14 +119,15 @@
     unsigned hyper held_revision;
 };
 
-/* have_revision is 0 to request a snapshot. */
+/* have_revision is the revision that the requester holds, or 0 to request a
+ * snapshot. */
 struct mesh_fetch_request {
     mesh_name from_host;
     unsigned hyper have_revision;
 };
 
-/* The offer is set only with MESH_OK (but its from_host always),
- * retry_after_ms only with MESH_BUSY. */
+/* offer is set only with MESH_OK, except offer.from_host, which is always set;
+ * retry_after_ms is set only with MESH_BUSY. */
 struct mesh_fetch_response {
     mesh_result result;
     unsigned int retry_after_ms;
@@ -131,14 +135,14 @@
     mesh_offer offer;
 };
 
-/* The lowest revision in force on the live members of a zone, with their
- * number and a digest of their names and incarnations. Sent to other regions
- * in place of one record a node, to save traffic between regions. */
-struct mesh_zone_floor {
+/* Summary of the live members of a zone: their number, a digest of their names
+ * and incarnations, and the lowest of their applied revisions. Sent to other
+ * regions instead of one record per node, to save traffic between regions. */
+struct mesh_zone_summary {
     mesh_name zone;
     unsigned int member_count;
     unsigned hyper live_members_digest;
-    unsigned hyper lowest_applied_revision;
+    unsigned hyper min_applied_revision;
 };
 
 /* The highest revision that a host is known to have held. Kept after the
@@ -154,8 +158,8 @@
 struct mesh_report_request {
     mesh_name from_host;
     unsigned hyper highest_revision;
-    mesh_zone_floor floors<MESH_ZONES_MAX>;
-    mesh_held_revision held<MESH_HELD_REVISIONS_MAX>;
+    mesh_zone_summary summaries<MESH_ZONES_MAX>;
+    mesh_held_revision held<MESH_MESSAGE_HELD_REVISIONS_MAX>;
     mesh_record records<MESH_RECORDS_MAX>;
 };
 
@@ -163,20 +167,21 @@
     unsigned hyper highest_revision;
 };
 
-/* Digests of the records and of the held revisions of one zone. Buckets are
- * sent in the second round only: those of the records, then those of the held
- * revisions. */
+/* Digests of the records of one zone and of their held and applied revisions.
+ * Buckets are sent in the second round only: first the digests of the records,
+ * then those of the revisions. */
 struct mesh_zone_digest {
     mesh_name zone;
     unsigned hyper records_digest;
-    unsigned hyper held_digest;
-    unsigned hyper buckets<MESH_BUCKETS_MAX>;
+    unsigned hyper revisions_digest;
+    unsigned hyper buckets<MESH_ZONE_BUCKETS_MAX>;
 };
 
-/* One round of anti-entropy; see mesh/sync.c. */
+/* One round of anti-entropy; see mesh/sync.c. compare_revisions: whether the
+ * digests of the revisions are compared too. */
 struct mesh_sync_request {
     mesh_name from_host;
-    bool compare_held_revisions;
+    bool compare_revisions;
     unsigned hyper highest_revision;
     mesh_zone_digest zones<MESH_ZONES_MAX>;
 };
@@ -189,18 +194,19 @@
     bool is_authoritative;
     unsigned hyper highest_revision;
     mesh_zone_digest zones<MESH_ZONES_MAX>;
-    mesh_held_revision held<MESH_HELD_REVISIONS_MAX>;
+    mesh_held_revision held<MESH_MESSAGE_HELD_REVISIONS_MAX>;
     mesh_record records<MESH_RECORDS_MAX>;
 };
 
-/* The own record of the requester. */
+/* The record of the requester. */
 struct mesh_join_request {
     mesh_record record;
 };
 
-/* held_revision is the highest one that the responder knows the requester to
- * have held. is_authoritative is true if the responder, a node or a control
- * host, knew the requester before, or if it is as in mesh_sync_response. */
+/* held_revision is the highest revision that the responder knows the requester
+ * to have held. is_authoritative is true if the responder, a node or a control
+ * host, knew the requester before the call, or if it is an authoritative
+ * control host (see mesh_sync_response). */
 struct mesh_join_response {
     bool is_authoritative;
     unsigned hyper held_revision;
--- a/mesh/pull.c
+++ b/mesh/pull.c
@@ -21,12 +21,12 @@
 BB_COUNTER(invalid_total, "baobab_mesh_revisions_invalid_total",
            "Revisions received and found invalid");
 
-/* Picks a random live member that holds a revision: in the own zone if there
- * is one, else in the own region, else, if allowed, in another region. Returns
- * false if there is none. */
+/* Picks a random other member in state ALIVE that has the revision, or a newer
+ * one, in force: in this zone if there is one, else in this region, else, if
+ * allowed, in another region. Returns false if there is none. */
 static bool
-pick_holder(struct bb_mesh *mesh, uint64_t revision,
-            bool is_other_region_allowed, struct target *out)
+pick_member_with_revision(struct bb_mesh *mesh, uint64_t revision,
+                          bool is_other_region_allowed, struct target *out)
 {
     const struct bb_member *self = &mesh->settings.self;
     const struct bb_member *picked = NULL;
@@ -57,8 +57,8 @@
     return picked != NULL;
 }
 
-/* Picks a relay of the own zone other than this host, starting with a
- * different one at each attempt. Returns false if there is none. */
+/* Picks a relay of this zone other than this host, starting with a different
+ * one at each attempt. Returns false if there is none. */
 static bool
 pick_relay(struct bb_mesh *mesh, uint32_t attempt, struct target *out)
 {
@@ -73,11 +73,11 @@
     return false;
 }
 
-/* Picks a control host, alternating between the own region and, if allowed,
- * the others. Returns false if there is none. */
+/* Picks a control host, alternating between this region and, if allowed, the
+ * others. Returns false if there is none. */
 static bool
-pick_control(struct bb_mesh *mesh, uint32_t attempt,
-             bool is_other_region_allowed, struct target *out)
+pick_control_host(struct bb_mesh *mesh, uint32_t attempt,
+                  bool is_other_region_allowed, struct target *out)
 {
     const char *region = mesh->settings.self.region;
     struct target all[BB_CONTROL_HOSTS_MAX];
@@ -86,7 +86,8 @@
     size_t same_region_count = 0;
     size_t other_region_count = 0;
     uint32_t round = attempt / BB_PULL_SOURCES;
-    uint64_t own = bb_relay_id_from_name(mesh->settings.self.host) + round / 2;
+    uint64_t offset =
+        bb_relay_id_from_name(mesh->settings.self.host) + round / 2;
 
     for (size_t i = 0; i < all_count; i++) {
         if (strcmp(all[i].region, region) == 0) {
@@ -100,12 +101,12 @@
     }
     if (same_region_count > 0 && (round % 2 == 0 || !is_other_region_allowed ||
                                   other_region_count == 0)) {
-        *out = sorted[(own + (is_other_region_allowed ? 0 : round)) %
+        *out = sorted[(offset + (is_other_region_allowed ? 0 : round)) %
                       same_region_count];
         return true;
     }
     if (other_region_count > 0) {
-        *out = sorted[same_region_count + own % other_region_count];
+        *out = sorted[same_region_count + offset % other_region_count];
     }
     return other_region_count > 0;
 }
@@ -127,15 +128,15 @@
 
         switch ((enum bb_pull_source)((kind + i) % BB_PULL_SOURCES)) {
         case BB_PULL_PEER:
-            is_found =
-                pick_holder(mesh, revision, is_other_region_allowed, out);
+            is_found = pick_member_with_revision(mesh, revision,
+                                                 is_other_region_allowed, out);
             break;
         case BB_PULL_RELAY:
             is_found = pick_relay(mesh, attempt, out);
             break;
         case BB_PULL_CONTROL:
             is_found =
-                pick_control(mesh, attempt, is_other_region_allowed, out);
+                pick_control_host(mesh, attempt, is_other_region_allowed, out);
             break;
         case BB_PULL_SOURCES:
             break;
@@ -151,7 +152,7 @@
 void
 mesh_schedule_pull(struct bb_mesh *mesh, uint64_t now_us)
 {
-    uint64_t newest_known = bb_gossip_highest_revision(mesh->gossip);
+    uint64_t newest_known = bb_gossip_get_highest_revision(mesh->gossip);
     struct task task = {.kind = TASK_FETCH};
     enum bb_pull_source kind;
 
@@ -200,8 +201,8 @@
     }
 }
 
-/* Records that a payload was invalid or lacked its base, to delay the next
- * pull or to pull a snapshot. */
+/* Records that a payload was invalid, so that the next pull is delayed, or
+ * that its base is not held, so that the next pull requests a snapshot. */
 static void
 record_failed_apply(struct bb_mesh *mesh, enum bb_mesh_apply_result result,
                     uint64_t revision)
--- a/mesh/reports.c
+++ b/mesh/reports.c
@@ -9,7 +9,7 @@
 enum {
     JOIN_RETRY_MS = 500,
     JOIN_JITTER_MS = 500,
-    FLOOR_REPORT_INTERVAL_MS = 500
+    SUMMARY_REPORT_INTERVAL_MS = 500
 };
 
 BB_COUNTER(records_reported_total, "baobab_mesh_records_reported_total",
@@ -23,7 +23,7 @@
         bb_control_list_find(&mesh->settings.control_hosts, from);
 
     if (c == NULL) {
-        return BB_ORIGIN_ZONE;
+        return BB_ORIGIN_SAME_REGION;
     }
     return strcmp(c->region, mesh->settings.self.region) == 0
                ? BB_ORIGIN_CONTROL_HOST
@@ -52,64 +52,67 @@
     }
 }
 
-/* Queues a report of the records that changed since the last one to this peer,
- * unless one is pending or was sent within the report interval. `first` is the
- * table version at which a new or restarted peer starts: 0 to send it the
- * whole table. */
+/* Queues a report of the records that changed since the last one to this
+ * process, unless one is pending or was sent within the report interval.
+ * start_version is the table version after which changes are reported to a new
+ * or restarted process; 0 for the whole table. */
 static void
 queue_report(struct bb_mesh *mesh, const struct target *to,
-             struct bb_member_query *q, uint64_t first, uint64_t now_us)
+             struct bb_member_query *q, uint64_t start_version,
+             uint64_t now_us)
 {
     struct task task = {.kind = TASK_REPORT, .to = *to};
     struct bb_member r;
-    struct peer *peer;
+    struct call_state *state;
 
     (void)pthread_mutex_lock(&mesh->lock);
-    peer = mesh_find_or_add_peer(mesh, to->host);
-    if (!peer->has_reported_version) {
-        peer->has_reported_version = true;
-        peer->reported_version = first;
+    state = mesh_find_or_add_call_state(mesh, to->host);
+    if (!state->has_reported_version) {
+        state->has_reported_version = true;
+        state->reported_version = start_version;
     }
-    if (peer->is_report_pending || now_us < peer->next_report_us) {
+    if (state->is_report_pending || now_us < state->next_report_us) {
         goto out;
     }
     if (bb_member_table_get(mesh->members, to->host, &r) &&
-        r.incarnation != peer->reported_incarnation) {
-        /* The peer has restarted and lost the earlier reports. */
-        peer->reported_version =
-            peer->reported_incarnation == 0 ? peer->reported_version : first;
-        peer->reported_incarnation = r.incarnation;
+        r.incarnation != state->reported_incarnation) {
+        /* The process has restarted and lost the earlier reports. */
+        state->reported_version = state->reported_incarnation == 0
+                                      ? state->reported_version
+                                      : start_version;
+        state->reported_incarnation = r.incarnation;
     }
-    peer->next_report_us = now_us + MESH_REPORT_INTERVAL_MS * BB_US_PER_MS;
-    q->since_version = peer->reported_version;
+    state->next_report_us = now_us + REPORT_INTERVAL_MS * BB_US_PER_MS;
+    q->since_version = state->reported_version;
     task.table_version =
         bb_member_table_select(mesh->members, q, &task.records);
     if (task.records.count == 0) {
-        peer->reported_version = task.table_version;
+        state->reported_version = task.table_version;
         bb_member_list_clear(&task.records);
         goto out;
     }
-    peer->is_report_pending = mesh_enqueue_task(mesh, &task, false);
+    state->is_report_pending = mesh_enqueue_task(mesh, &task, false);
 out:
     (void)pthread_mutex_unlock(&mesh->lock);
 }
 
-/* Queues the reports of a relay: the records of its zone to the responsible
- * control host, and changes that affect routes to the members it serves. */
+/* Queues the reports of a relay: to the responsible control host the records
+ * of its zone, and to each member that it serves the changes that affect
+ * routes. */
 static void
 report_from_relay(struct bb_mesh *mesh, uint64_t now_us)
 {
     const struct bb_member *self = &mesh->settings.self;
     const struct view *v = &mesh->view;
-    uint64_t own = bb_relay_id_from_name(self->host);
+    uint64_t own_id = bb_relay_id_from_name(self->host);
     uint64_t ids[BB_RELAYS_PER_ZONE];
-    struct target control;
+    struct target control_host;
 
     if (mesh_choose_control_host_for_zone(mesh, self->zone, self->region,
-                                          &control)) {
+                                          &control_host)) {
         struct bb_member_query query = {.zone = self->zone};
 
-        queue_report(mesh, &control, &query, 0, now_us);
+        queue_report(mesh, &control_host, &query, 0, now_us);
     }
     for (size_t i = 0; i < v->relay_count; i++) {
         ids[i] = bb_relay_id_from_name(v->relays[i].host);
@@ -122,8 +125,9 @@
         if (r->role == BB_ROLE_NODE && r->state == BB_MEMBER_ALIVE &&
             strcmp(r->zone, self->zone) == 0 &&
             strcmp(r->host, self->host) != 0 &&
-            bb_relay_choose_for_member(
-                ids, v->relay_count, bb_relay_id_from_name(r->host)) == own) {
+            bb_relay_choose_for_member(ids, v->relay_count,
+                                       bb_relay_id_from_name(r->host)) ==
+                own_id) {
             queue_report(mesh, &to, &query, mesh->view_version, now_us);
         }
     }
@@ -160,44 +164,47 @@
     g_hash_table_destroy(seen);
 }
 
-/* Queues a report of the zone floors of the own region to another region if
- * they have changed. Only one control host of the own region does this. */
+/* Queues a report of the zone summaries of this region to another region if
+ * they have changed. Only one control host of this region does this. */
 static void
-report_floors(struct bb_mesh *mesh, const struct target *to, uint64_t now_us)
+report_zone_summaries(struct bb_mesh *mesh, const struct target *to,
+                      uint64_t now_us)
 {
     const struct bb_member *self = &mesh->settings.self;
     struct task task = {.kind = TASK_REPORT, .to = *to};
-    struct bb_zone_floor floors[BB_MEMBER_TABLE_ZONES_MAX] = {0};
+    struct bb_zone_summary summaries[BB_MEMBER_TABLE_ZONES_MAX] = {0};
     struct target sender;
     uint64_t digest;
 
-    if (now_us < mesh->next_floor_report_us ||
+    if (now_us < mesh->next_summary_report_us ||
         !mesh_choose_control_host_in_region(mesh, self->region, self->region,
                                             &sender) ||
         strcmp(sender.host, self->host) != 0) {
         return;
     }
-    mesh->next_floor_report_us =
-        now_us + FLOOR_REPORT_INTERVAL_MS * BB_US_PER_MS;
-    task.floor_count = bb_member_table_compute_zone_floors(
-        mesh->members, self->region, floors, BB_MEMBER_TABLE_ZONES_MAX);
-    digest = bb_hash64(floors, task.floor_count * sizeof(*floors), 0);
+    mesh->next_summary_report_us =
+        now_us + SUMMARY_REPORT_INTERVAL_MS * BB_US_PER_MS;
+    task.summary_count = bb_member_table_compute_zone_summaries(
+        mesh->members, self->region, summaries, BB_MEMBER_TABLE_ZONES_MAX);
+    digest = bb_hash64(summaries, task.summary_count * sizeof(*summaries), 0);
     (void)pthread_mutex_lock(&mesh->lock);
-    if (digest != mesh->reported_floors_digest &&
-        !mesh_find_or_add_peer(mesh, to->host)->is_report_pending) {
-        task.floors = g_memdup2(floors, task.floor_count * sizeof(*floors));
+    if (digest != mesh->reported_summaries_digest &&
+        !mesh_find_or_add_call_state(mesh, to->host)->is_report_pending) {
+        task.summaries =
+            g_memdup2(summaries, task.summary_count * sizeof(*summaries));
         if (mesh_enqueue_task(mesh, &task, false)) {
-            mesh_find_or_add_peer(mesh, to->host)->is_report_pending = true;
-            mesh->reported_floors_digest = digest;
+            mesh_find_or_add_call_state(mesh, to->host)->is_report_pending =
+                true;
+            mesh->reported_summaries_digest = digest;
         }
     }
     (void)pthread_mutex_unlock(&mesh->lock);
 }
 
-/* Queues the reports between control hosts. Those of the own region get every
- * change except what came from one of them. One of each other region gets the
- * own region's changes that affect routes, if they did not come from another
- * control host. */
+/* Queues the reports between control hosts. Control hosts of this region get
+ * every change except those received from a control host of this region. One
+ * control host in each of the other regions gets this region's changes that
+ * affect routes, unless they came from another control host. */
 static void
 report_to_control_hosts(struct bb_mesh *mesh, uint64_t now_us)
 {
@@ -206,11 +213,11 @@
 
     for (uint32_t i = 0; i < list->count; i++) {
         const struct bb_control_host *c = &list->items[i];
-        struct target to = {.rpc = c->rpc_address};
+        struct target to = {.rpc_address = c->rpc_address};
         struct bb_member_query same_region_query = {
-            .origin_mask = BB_ORIGIN_ZONE | BB_ORIGIN_OTHER_REGION};
+            .origin_mask = BB_ORIGIN_SAME_REGION | BB_ORIGIN_OTHER_REGION};
         struct bb_member_query other_region_query = {
-            .origin_mask = BB_ORIGIN_ZONE,
+            .origin_mask = BB_ORIGIN_SAME_REGION,
             .region = self->region,
             .only_routing_changes = true};
 
@@ -227,7 +234,7 @@
                                                &to) &&
             strcmp(to.host, c->host) == 0) {
             queue_report(mesh, &to, &other_region_query, 0, now_us);
-            report_floors(mesh, &to, now_us);
+            report_zone_summaries(mesh, &to, now_us);
         }
     }
 }
@@ -236,7 +243,7 @@
 void
 mesh_schedule_reports(struct bb_mesh *mesh, uint64_t now_us)
 {
-    if (mesh->is_control) {
+    if (mesh->is_control_host) {
         report_to_relays(mesh, now_us);
         report_to_control_hosts(mesh, now_us);
     }
@@ -245,30 +252,30 @@
     }
 }
 
-/* Runs TASK_REPORT. Only when the peer has responded are the changes counted
- * as reported; otherwise they are sent again. */
+/* Runs TASK_REPORT. The changes count as reported only when the other process
+ * has responded; otherwise they are sent again. */
 void
 mesh_run_report(struct bb_mesh *mesh, struct task *task)
 {
-    mesh_zone_floor floors[BB_MEMBER_TABLE_ZONES_MAX];
+    mesh_zone_summary summaries[BB_MEMBER_TABLE_ZONES_MAX];
     mesh_report_request request = {
         .from_host = mesh->settings.self.host,
-        .highest_revision = bb_gossip_highest_revision(mesh->gossip),
-        .floors = {.floors_val = floors,
-                   .floors_len = (u_int)task->floor_count},
+        .highest_revision = bb_gossip_get_highest_revision(mesh->gossip),
+        .summaries = {.summaries_val = summaries,
+                      .summaries_len = (u_int)task->summary_count},
     };
     mesh_report_response response = {0};
-    struct peer *peer;
+    struct call_state *state;
     bool is_done;
 
-    for (size_t i = 0; i < task->floor_count; i++) {
-        const struct bb_zone_floor *f = &task->floors[i];
+    for (size_t i = 0; i < task->summary_count; i++) {
+        const struct bb_zone_summary *s = &task->summaries[i];
 
-        floors[i] = (mesh_zone_floor){
-            .zone = bb_wire_text_to_xdr(f->zone),
-            .member_count = f->member_count,
-            .live_members_digest = f->live_members_digest,
-            .lowest_applied_revision = f->lowest_applied_revision};
+        summaries[i] = (mesh_zone_summary){
+            .zone = bb_wire_text_to_xdr(s->zone),
+            .member_count = s->member_count,
+            .live_members_digest = s->live_members_digest,
+            .min_applied_revision = s->min_applied_revision};
     }
     request.records.records_val = bb_wire_members_to_xdr(&task->records);
     request.records.records_len = (u_int)task->records.count;
@@ -279,18 +286,18 @@
                                          response.highest_revision);
     }
     (void)pthread_mutex_lock(&mesh->lock);
-    peer = mesh_find_or_add_peer(mesh, task->to.host);
-    peer->is_report_pending = false;
+    state = mesh_find_or_add_call_state(mesh, task->to.host);
+    state->is_report_pending = false;
     if (is_done) {
-        peer->reported_version =
-            MAX(peer->reported_version, task->table_version);
+        state->reported_version =
+            MAX(state->reported_version, task->table_version);
     }
-    else if (task->floor_count > 0) {
-        mesh->reported_floors_digest = 0;
+    else if (task->summary_count > 0) {
+        mesh->reported_summaries_digest = 0;
     }
     (void)pthread_mutex_unlock(&mesh->lock);
-    request.floors.floors_len = 0;
-    request.floors.floors_val = NULL;
+    request.summaries.summaries_len = 0;
+    request.summaries.summaries_val = NULL;
     request.from_host = NULL;
     xdr_free((xdrproc_t)xdr_mesh_report_request, (char *)&request);
 }
@@ -301,25 +308,25 @@
 mesh_enqueue_join(struct bb_mesh *mesh, const struct target *to)
 {
     struct task task = {.kind = TASK_JOIN, .to = *to};
-    struct peer *peer = mesh_find_or_add_peer(mesh, to->host);
+    struct call_state *state = mesh_find_or_add_call_state(mesh, to->host);
 
-    if (peer->is_join_pending || !mesh_enqueue_task(mesh, &task, true)) {
+    if (state->is_join_pending || !mesh_enqueue_task(mesh, &task, true)) {
         return false;
     }
-    peer->is_join_pending = true;
+    state->is_join_pending = true;
     mesh->pending_join_count++;
     return true;
 }
 
 /* Queues a JOIN to a control host if one is due, until one has responded.
- * Alternates between the control hosts of the own region and all of them,
- * each in turn, starting at one that depends on this host's name. */
+ * Alternates between the control hosts of this region and all of them, each in
+ * turn, starting at one that depends on this host's name. */
 void
 mesh_schedule_join(struct bb_mesh *mesh, uint64_t now_us)
 {
-    struct target controls[BB_CONTROL_HOSTS_MAX];
+    struct target control_hosts[BB_CONTROL_HOSTS_MAX];
     const char *region = mesh->settings.self.region;
-    uint64_t own = bb_relay_id_from_name(mesh->settings.self.host);
+    uint64_t own_id = bb_relay_id_from_name(mesh->settings.self.host);
     size_t count;
 
     (void)pthread_mutex_lock(&mesh->lock);
@@ -331,10 +338,10 @@
         (JOIN_RETRY_MS + bb_random_below(mesh->random, JOIN_JITTER_MS)) *
             BB_US_PER_MS;
     count = mesh_list_control_hosts_to_call(
-        mesh, mesh->join_round % 2 == 0 ? region : NULL, controls);
+        mesh, mesh->join_round % 2 == 0 ? region : NULL, control_hosts);
     if (count > 0) {
         const struct target *to =
-            &controls[(own + mesh->join_round / 2) % count];
+            &control_hosts[(own_id + mesh->join_round / 2) % count];
 
         if (strcmp(to->host, mesh->settings.self.host) != 0) {
             (void)mesh_enqueue_join(mesh, to);
@@ -366,7 +373,7 @@
                                          response.highest_revision);
     }
     (void)pthread_mutex_lock(&mesh->lock);
-    mesh_find_or_add_peer(mesh, task->to.host)->is_join_pending = false;
+    mesh_find_or_add_call_state(mesh, task->to.host)->is_join_pending = false;
     mesh->pending_join_count--;
     if (is_done) {
         mesh->min_revision = MAX(mesh->min_revision, response.held_revision);
--- a/mesh/rpc_client.c
+++ b/mesh/rpc_client.c
@@ -15,18 +15,21 @@
 
 enum {
     IDLE_CONNECTIONS_MAX = 4,
-    KEY_BYTES = 128,
+    POOL_KEY_BYTES = 128, /* text of address, program, version, buffer size */
     MS_PER_S = 1000,
+    CALL_HEADER_BYTES = 4096, /* reserved for the call header */
+    SMALL_ARGUMENT_MAX_BYTES = 8 * 1024,
+    SMALL_BUFFER_BYTES = SMALL_ARGUMENT_MAX_BYTES + CALL_HEADER_BYTES,
     /* libtirpc's non-blocking server loses arguments that arrive in several
      * fragments. Its client writes a fragment whenever its buffer is full, and
-     * the buffer is at most 256 KiB, so arguments are limited to that. Results
-     * are not limited by it. 4 KiB are reserved for the call header. */
-    SMALL_ARGUMENT_BYTES = 8 * 1024,
-    SMALL_BUFFER_BYTES = SMALL_ARGUMENT_BYTES + 4096,
-    LARGE_BUFFER_BYTES = 256 * 1024,
-    ARGUMENT_MAX_BYTES = LARGE_BUFFER_BYTES - 4096
+     * the buffer is at most 256 KiB. So an argument and the call header must
+     * fit in one buffer, which limits arguments to BB_RPC_ARGUMENT_MAX_BYTES.
+     * Results are not limited by it. */
+    LARGE_BUFFER_BYTES = BB_RPC_ARGUMENT_MAX_BYTES + CALL_HEADER_BYTES
 };
 
+_Static_assert(LARGE_BUFFER_BYTES == 256 * 1024, "libtirpc's largest buffer");
+
 BB_COUNTER(calls_total, "baobab_rpc_calls_total", "RPC calls made");
 BB_COUNTER(failures_total, "baobab_rpc_failures_total", "RPC calls failed");
 BB_COUNTER(sent_bytes, "baobab_rpc_sent_bytes_total",
@@ -36,7 +39,7 @@
 
 struct bb_rpc_pool {
     pthread_mutex_t lock;
-    GHashTable *idle_by_key; /* text -> GQueue of CLIENT */
+    GHashTable *idle_by_key; /* char * -> GQueue of CLIENT */
 };
 
 /* Closes the idle connections of one key and frees their queue. */
@@ -160,7 +163,8 @@
                             SMALL_BUFFER_BYTES);
     if (client == NULL) {
         (void)close(fd);
-        bb_error_set(e, BB_RPC_ERROR_CONNECT, "cannot use connection to %s",
+        bb_error_set(e, BB_RPC_ERROR_CONNECT,
+                     "cannot create an RPC client for %s",
                      bb_address_format(to, text));
         return NULL;
     }
@@ -184,7 +188,8 @@
     return client;
 }
 
-/* Returns a connection to the pool, or closes it if enough are idle. */
+/* Returns a connection to the pool, or closes it if IDLE_CONNECTIONS_MAX are
+ * idle already. */
 static void
 return_idle_client(struct bb_rpc_pool *p, const char *key, CLIENT *client)
 {
@@ -230,35 +235,35 @@
                    xdr_sizeof(call->result_codec, call->result));
 }
 
-/* Calls a procedure and decodes the result. The caller zeroes the result
- * before and frees it with xdr_free. Procedures must be idempotent: a call
- * over an idle connection that the peer has closed is repeated once on a new
- * one. Returns false with BB_RPC_ERROR_CONNECT if no connection could be
- * opened; the call was not sent then, unless an idle connection was tried
- * first. Returns false with BB_RPC_ERROR_TIMEOUT or BB_RPC_ERROR_CALL if the
- * call may have run. An argument above 252 KiB (ARGUMENT_MAX_BYTES) also
- * fails with BB_RPC_ERROR_CALL, but is never sent. */
+/* Calls a procedure and decodes the result. The caller must zero the result
+ * first and free it with xdr_free. Procedures must be idempotent: a call over
+ * an idle connection that the peer has closed is retried once on a new one.
+ * Returns false with BB_RPC_ERROR_CONNECT if no connection could be opened;
+ * the call was not sent then, unless an idle connection was tried first.
+ * Returns false with BB_RPC_ERROR_TIMEOUT or BB_RPC_ERROR_CALL if the call may
+ * have run. An argument above BB_RPC_ARGUMENT_MAX_BYTES also fails with
+ * BB_RPC_ERROR_CALL, but is never sent. */
 bool
 bb_rpc_pool_call(struct bb_rpc_pool *p, const struct bb_address *to,
                  const struct bb_rpc_call *call, struct bb_error *e)
 {
     char text[BB_ADDRESS_TEXT_BYTES];
-    char key[KEY_BYTES];
+    char key[POOL_KEY_BYTES];
     enum clnt_stat status = RPC_CANTSEND;
     CLIENT *client = NULL;
     unsigned long size = xdr_sizeof(call->argument_codec, call->argument);
-    bool is_large = size > SMALL_ARGUMENT_BYTES;
+    bool is_large = size > SMALL_ARGUMENT_MAX_BYTES;
 
     (void)g_snprintf(key, sizeof(key), "%s/%x/%x/%d",
                      bb_address_format(to, text), call->program, call->version,
                      is_large);
     bb_counter_add(&calls_total, 1);
-    if (size > ARGUMENT_MAX_BYTES) {
+    if (size > BB_RPC_ARGUMENT_MAX_BYTES) {
         bb_counter_add(&failures_total, 1);
         return bb_error_set(
             e, BB_RPC_ERROR_CALL,
             "RPC argument of %lu bytes exceeds the limit of %d", size,
-            ARGUMENT_MAX_BYTES);
+            BB_RPC_ARGUMENT_MAX_BYTES);
     }
     if (!call->use_new_connection) {
         client = take_idle_client(p, key);
--- a/mesh/rpc_handlers.c
+++ b/mesh/rpc_handlers.c
@@ -7,16 +7,17 @@
 #include "mesh_internal.h"
 
 enum {
-    /* After this time a control host that has no other one to synchronise with
-     * has the records of the relays of its zones: they report and synchronise
-     * at least every 2 s. */
+    /* A control host that has run this long has received the records of its
+     * zones, even without another control host to synchronise with: relays
+     * report and synchronise at least every 2 s. */
     AUTHORITATIVE_AFTER_US = 5 * BB_US_PER_S
 };
 
 /* The mesh of this process; libtirpc passes no context to the dispatcher. */
 static _Atomic(struct bb_mesh *) registered_mesh;
 
-/* Queues a copy of an offered payload for apply. Call with the lock held. */
+/* Queues a copy of an offered payload to be applied. Call with the lock
+ * held. */
 static void
 queue_apply(struct bb_mesh *mesh, const mesh_offer *o)
 {
@@ -41,8 +42,8 @@
 }
 
 /* OFFER: queues the payload if it is newer than the held revision and its base
- * is held. The response does not wait until it is applied; the sender learns
- * that from the applied revision in this node's record. */
+ * is held. The response is sent before the payload is applied; the sender
+ * learns of that from the applied revision in this node's record. */
 static void
 handle_offer(struct bb_mesh *mesh, const mesh_offer *o,
              mesh_offer_response *response)
@@ -103,7 +104,7 @@
     o->payload.len = (u_int)payload.size_bytes;
 }
 
-/* REPORT: merges the records, zone floors and held revisions. */
+/* REPORT: merges the records, zone summaries and held revisions. */
 static void
 handle_report(struct bb_mesh *mesh, const mesh_report_request *request,
               mesh_report_response *response)
@@ -118,22 +119,22 @@
             mesh->members, request->held.held_val[i].host,
             request->held.held_val[i].revision);
     }
-    for (u_int i = 0; i < request->floors.floors_len; i++) {
-        const mesh_zone_floor *w = &request->floors.floors_val[i];
-        struct bb_zone_floor f = {
+    for (u_int i = 0; i < request->summaries.summaries_len; i++) {
+        const mesh_zone_summary *w = &request->summaries.summaries_val[i];
+        struct bb_zone_summary s = {
             .member_count = w->member_count,
             .live_members_digest = w->live_members_digest,
-            .lowest_applied_revision = w->lowest_applied_revision};
+            .min_applied_revision = w->min_applied_revision};
 
-        (void)g_strlcpy(f.zone, w->zone, sizeof(f.zone));
-        (void)bb_member_table_apply_zone_floor(mesh->members, &f, now_us);
+        (void)g_strlcpy(s.zone, w->zone, sizeof(s.zone));
+        (void)bb_member_table_apply_zone_summary(mesh->members, &s, now_us);
     }
-    response->highest_revision = bb_gossip_highest_revision(mesh->gossip);
+    response->highest_revision = bb_gossip_get_highest_revision(mesh->gossip);
 }
 
 /* Returns true if this is a control host that can be relied on to know the
- * held revision of each host: it has synchronised with such a control host, or
- * has run for AUTHORITATIVE_AFTER_US. */
+ * held revision of each host: it has synchronised with such a control host of
+ * its region, or has run for AUTHORITATIVE_AFTER_US. */
 bool
 mesh_is_authoritative(struct bb_mesh *mesh)
 {
@@ -141,7 +142,7 @@
 
     (void)pthread_mutex_lock(&mesh->lock);
     is_authoritative =
-        mesh->is_control &&
+        mesh->is_control_host &&
         (mesh->has_authoritative_sync ||
          bb_clock_now_us() - mesh->created_us >= AUTHORITATIVE_AFTER_US);
     (void)pthread_mutex_unlock(&mesh->lock);
@@ -162,7 +163,7 @@
 
     response->held_revision = bb_member_table_get_held_revision(
         mesh->members, request->record.host, &is_known);
-    response->highest_revision = bb_gossip_highest_revision(mesh->gossip);
+    response->highest_revision = bb_gossip_get_highest_revision(mesh->gossip);
     response->is_authoritative = is_known || mesh_is_authoritative(mesh);
     (void)bb_member_table_select(mesh->members, &(struct bb_member_query){0},
                                  &list);
@@ -171,7 +172,8 @@
     bb_member_list_clear(&list);
     if (bb_wire_member_from_xdr(&request->record, &r) &&
         strcmp(r.host, mesh->settings.self.host) != 0) {
-        (void)bb_member_table_merge(mesh->members, &r, BB_ORIGIN_ZONE, now_us);
+        (void)bb_member_table_merge(mesh->members, &r, BB_ORIGIN_SAME_REGION,
+                                    now_us);
     }
 }
 
@@ -205,9 +207,9 @@
            strcmp(r.region, mesh->settings.self.region) != 0;
 }
 
-/* Runs the handler of a procedure on a decoded argument. The caller zeroes the
- * result before and frees it with xdr_free. Returns false if the procedure is
- * unknown. */
+/* Runs the handler of a procedure on a decoded argument. The caller must zero
+ * the result first and free it with xdr_free. Returns false if the procedure
+ * is unknown. */
 bool
 bb_mesh_dispatch(struct bb_mesh *mesh, uint32_t procedure, void *argument,
                  void *result)
@@ -250,7 +252,7 @@
     return true;
 }
 
-/* Decodes a call, runs its handler and sends the reply. */
+/* Decodes a call, runs its handler and sends the response. */
 static void
 run_procedure(struct svc_req *request, SVCXPRT *transport)
 {
--- a/mesh/rpc_server.c
+++ b/mesh/rpc_server.c
@@ -12,12 +12,14 @@
 #include <unistd.h>
 
 #include "mesh/rpc.h"
+#include <mesh_protocol.h> /* generated from mesh/mesh_protocol.x */
 
 /* After rpc.h, on which it depends. */
 #include <rpc/rpc_com.h>
 
 enum {
-    RECORD_MAX_BYTES = 1024 * 1024 + 4096,
+    /* The largest payload, and 4 KiB for the headers. */
+    RPC_RECORD_MAX_BYTES = MESH_PAYLOAD_MAX_BYTES + 4096,
     LISTEN_BACKLOG = 512,
     POLL_INTERVAL_MS = 500
 };
@@ -66,7 +68,7 @@
                      struct bb_error *e)
 {
     struct bb_rpc_server *s = g_new0(struct bb_rpc_server, 1);
-    int record_max_bytes = RECORD_MAX_BYTES;
+    int record_max_bytes = RPC_RECORD_MAX_BYTES;
 
     s->listen_fd = -1;
     s->wake_fds[0] = -1;
--- a/mesh/sync.c
+++ b/mesh/sync.c
@@ -7,7 +7,8 @@
 #include "common/counters.h"
 #include "mesh_internal.h"
 
-enum { ENCODED_BUCKET_COUNT = 2 * BB_MEMBER_TABLE_BUCKET_COUNT };
+_Static_assert(MESH_ZONE_BUCKETS_MAX == 2 * BB_MEMBER_TABLE_BUCKET_COUNT,
+               "a zone has a records and a revisions digest per bucket");
 
 BB_COUNTER(differences_total, "baobab_mesh_sync_differences_total",
            "Comparisons of tables that found a difference");
@@ -17,22 +18,22 @@
 enqueue_sync(struct bb_mesh *mesh, const struct target *to)
 {
     struct task task = {.kind = TASK_SYNC, .to = *to};
-    struct peer *peer;
+    struct call_state *state;
 
     if (strcmp(to->host, mesh->settings.self.host) == 0) {
         return;
     }
     (void)pthread_mutex_lock(&mesh->lock);
-    peer = mesh_find_or_add_peer(mesh, to->host);
-    if (!peer->is_sync_pending) {
-        peer->is_sync_pending = mesh_enqueue_task(mesh, &task, false);
+    state = mesh_find_or_add_call_state(mesh, to->host);
+    if (!state->is_sync_pending) {
+        state->is_sync_pending = mesh_enqueue_task(mesh, &task, false);
     }
     (void)pthread_mutex_unlock(&mesh->lock);
 }
 
-/* Queues synchronisations with a random control host of the own region and, if
- * this control host is the one chosen in its region, with one of each other
- * region. */
+/* Queues synchronisations with a random control host of this region and, if
+ * this control host is the one chosen in its region, with one of each of the
+ * other regions. */
 static void
 sync_control_hosts(struct bb_mesh *mesh)
 {
@@ -61,8 +62,8 @@
 }
 
 /* Queues the synchronisations that are due: relays with their control host,
- * control hosts with each other, and any process with a zone peer if the
- * digests in gossip datagrams have differed for too long. */
+ * control hosts with each other, and any process with another member of its
+ * zone if the digests in gossip datagrams have differed for too long. */
 void
 mesh_schedule_sync(struct bb_mesh *mesh, uint64_t now_us)
 {
@@ -79,8 +80,8 @@
     if (now_us < mesh->next_sync_us) {
         return;
     }
-    mesh->next_sync_us = now_us + MESH_SYNC_INTERVAL_MS * BB_US_PER_MS;
-    if (mesh->is_control) {
+    mesh->next_sync_us = now_us + SYNC_INTERVAL_MS * BB_US_PER_MS;
+    if (mesh->is_control_host) {
         sync_control_hosts(mesh);
     }
     else if (mesh->view.is_relay && mesh_choose_control_host_for_zone(
@@ -97,42 +98,45 @@
 {
     *out = (mesh_zone_digest){.zone = bb_wire_text_to_xdr(d->zone),
                               .records_digest = d->records_digest,
-                              .held_digest = d->held_digest};
+                              .revisions_digest = d->revisions_digest};
     if (!has_buckets) {
         return;
     }
     for (uint32_t i = 0; i < BB_MEMBER_TABLE_BUCKET_COUNT; i++) {
         buckets[i] = d->record_bucket_digests[i];
-        buckets[BB_MEMBER_TABLE_BUCKET_COUNT + i] = d->held_bucket_digests[i];
+        buckets[BB_MEMBER_TABLE_BUCKET_COUNT + i] =
+            d->revision_bucket_digests[i];
     }
     out->buckets.buckets_val = buckets;
-    out->buckets.buckets_len = ENCODED_BUCKET_COUNT;
+    out->buckets.buckets_len = MESH_ZONE_BUCKETS_MAX;
 }
 
 /* Returns a mask with the bit of each bucket that differs, or 0 if the other
  * side sent no buckets. */
 static uint32_t
 differing_bucket_mask(const struct bb_zone_digest *own,
-                      const mesh_zone_digest *other, bool compare_held)
+                      const mesh_zone_digest *other, bool compare_revisions)
 {
     uint32_t bits = 0;
 
-    if (other->buckets.buckets_len != ENCODED_BUCKET_COUNT) {
+    if (other->buckets.buckets_len != MESH_ZONE_BUCKETS_MAX) {
         return 0;
     }
     for (uint32_t i = 0; i < BB_MEMBER_TABLE_BUCKET_COUNT; i++) {
         const u_quad_t *theirs = other->buckets.buckets_val;
 
         if (own->record_bucket_digests[i] != theirs[i] ||
-            (compare_held && own->held_bucket_digests[i] !=
-                                 theirs[BB_MEMBER_TABLE_BUCKET_COUNT + i])) {
+            (compare_revisions &&
+             own->revision_bucket_digests[i] !=
+                 theirs[BB_MEMBER_TABLE_BUCKET_COUNT + i])) {
             bits |= 1U << i;
         }
     }
     return bits;
 }
 
-/* Returns the own digest of a zone, all zero if it has no records here. */
+/* Returns this process's digests of a zone, all zero if its table has no
+ * records of the zone. */
 static struct bb_zone_digest
 find_own_digest(const struct bb_zone_digest *all, size_t count,
                 const char *zone)
@@ -149,8 +153,8 @@
 }
 
 /* Appends the records of some buckets of a zone to a list. Appends nothing if
- * the list would exceed the limit of one message; the zone's digests differ
- * then in the next synchronisation too. */
+ * the list would exceed the limit of one message; the zone's digests will
+ * still differ in the next synchronisation. */
 static void
 append_records(struct bb_mesh *mesh, const char *zone, uint32_t buckets,
                struct bb_member_list *list)
@@ -169,11 +173,12 @@
     bb_member_list_clear(&more);
 }
 
-/* Returns a digest whose memory xdr_free of the enclosing message frees. */
+/* Returns the XDR struct of a digest, allocated on the heap; it is freed by
+ * xdr_free of the message that contains it. */
 static mesh_zone_digest
 copy_digest(const struct bb_zone_digest *d, bool has_buckets)
 {
-    u_quad_t *buckets = calloc(ENCODED_BUCKET_COUNT, sizeof(*buckets));
+    u_quad_t *buckets = calloc(MESH_ZONE_BUCKETS_MAX, sizeof(*buckets));
     mesh_zone_digest out;
 
     encode_digest(d, has_buckets && buckets != NULL, &out, buckets);
@@ -185,14 +190,15 @@
 }
 
 /* Adds the held revisions of hosts whose records have expired, at most
- * MESH_HELD_REVISIONS_MAX in no particular order; the others are left out. */
+ * MESH_MESSAGE_HELD_REVISIONS_MAX in no particular order; the others are left
+ * out. */
 static void
 add_removed_hosts(struct bb_mesh *mesh, mesh_sync_response *response)
 {
     struct bb_held_revision *held =
-        g_new(struct bb_held_revision, MESH_HELD_REVISIONS_MAX);
-    size_t count = bb_member_table_list_removed_hosts(mesh->members, held,
-                                                      MESH_HELD_REVISIONS_MAX);
+        g_new(struct bb_held_revision, MESH_MESSAGE_HELD_REVISIONS_MAX);
+    size_t count = bb_member_table_list_removed_hosts(
+        mesh->members, held, MESH_MESSAGE_HELD_REVISIONS_MAX);
 
     response->held.held_val = calloc(count + 1, sizeof(mesh_held_revision));
     for (size_t i = 0; response->held.held_val != NULL && i < count; i++) {
@@ -227,9 +233,9 @@
     return false;
 }
 
-/* SYNC: responds with the own digests of the zones that differ and the records
- * of the buckets that differ. In the first round, where the request has no
- * buckets, zones that are missing in it count as different. */
+/* SYNC: responds with this process's digests of the zones that differ and its
+ * records of the buckets that differ. In the first round, where the request
+ * has no buckets, zones missing from it count as different. */
 void
 mesh_handle_sync(struct bb_mesh *mesh, const mesh_sync_request *request,
                  mesh_sync_response *response)
@@ -242,18 +248,18 @@
                        request->zones.zones_val[0].buckets.buckets_len > 0;
 
     response->is_authoritative = mesh_is_authoritative(mesh);
-    response->highest_revision = bb_gossip_highest_revision(mesh->gossip);
+    response->highest_revision = bb_gossip_get_highest_revision(mesh->gossip);
     response->zones.zones_val =
         calloc(MESH_ZONES_MAX, sizeof(mesh_zone_digest));
     for (u_int i = 0; i < request->zones.zones_len; i++) {
         const mesh_zone_digest *z = &request->zones.zones_val[i];
         struct bb_zone_digest d = find_own_digest(own, count, z->zone);
         uint32_t bits =
-            differing_bucket_mask(&d, z, request->compare_held_revisions);
+            differing_bucket_mask(&d, z, request->compare_revisions);
 
         if (d.records_digest != z->records_digest ||
-            (request->compare_held_revisions &&
-             d.held_digest != z->held_digest)) {
+            (request->compare_revisions &&
+             d.revisions_digest != z->revisions_digest)) {
             add_digest(response, &d, has_buckets);
         }
         if (bits != 0) {
@@ -268,15 +274,16 @@
     response->records.records_val = bb_wire_members_to_xdr(&list);
     response->records.records_len = (u_int)list.count;
     bb_member_list_clear(&list);
-    if (request->compare_held_revisions && has_buckets) {
+    if (request->compare_revisions && has_buckets) {
         add_removed_hosts(mesh, response);
     }
 }
 
-/* Calls the first round, with all zones, without buckets. */
+/* Sends the SYNC call of the first round, with the digests of all zones and no
+ * buckets. Returns false if the call fails. */
 static bool
 request_zone_digests(struct bb_mesh *mesh, const struct target *to,
-                     bool compare_held, mesh_sync_response *response)
+                     bool compare_revisions, mesh_sync_response *response)
 {
     struct bb_zone_digest own[BB_MEMBER_TABLE_ZONES_MAX];
     mesh_zone_digest zones[BB_MEMBER_TABLE_ZONES_MAX];
@@ -284,8 +291,8 @@
         mesh->members, own, BB_MEMBER_TABLE_ZONES_MAX);
     mesh_sync_request request = {
         .from_host = mesh->settings.self.host,
-        .compare_held_revisions = compare_held,
-        .highest_revision = bb_gossip_highest_revision(mesh->gossip),
+        .compare_revisions = compare_revisions,
+        .highest_revision = bb_gossip_get_highest_revision(mesh->gossip),
         .zones = {.zones_val = zones, .zones_len = (u_int)count},
     };
 
@@ -295,22 +302,23 @@
     return mesh_call(mesh, to, MESH_SYNC, &request, response);
 }
 
-/* Calls the second round, with the buckets of the zones that differ. */
+/* Sends the SYNC call of the second round, with the digests and buckets of the
+ * zones that differ. Returns false if the call fails. */
 static bool
 request_bucket_digests(struct bb_mesh *mesh, const struct target *to,
-                       bool compare_held, const mesh_sync_response *first,
+                       bool compare_revisions, const mesh_sync_response *first,
                        mesh_sync_response *response)
 {
     struct bb_zone_digest own[BB_MEMBER_TABLE_ZONES_MAX];
     struct bb_zone_digest digests[BB_MEMBER_TABLE_ZONES_MAX];
     mesh_zone_digest zones[BB_MEMBER_TABLE_ZONES_MAX];
-    u_quad_t buckets[BB_MEMBER_TABLE_ZONES_MAX][ENCODED_BUCKET_COUNT];
+    u_quad_t buckets[BB_MEMBER_TABLE_ZONES_MAX][MESH_ZONE_BUCKETS_MAX];
     size_t count = bb_member_table_compute_zone_digests(
         mesh->members, own, BB_MEMBER_TABLE_ZONES_MAX);
     mesh_sync_request request = {
         .from_host = mesh->settings.self.host,
-        .compare_held_revisions = compare_held,
-        .highest_revision = bb_gossip_highest_revision(mesh->gossip),
+        .compare_revisions = compare_revisions,
+        .highest_revision = bb_gossip_get_highest_revision(mesh->gossip),
         .zones = {.zones_val = zones},
     };
 
@@ -324,10 +332,12 @@
     return mesh_call(mesh, to, MESH_SYNC, &request, response);
 }
 
-/* Reports the own records of the buckets that differ to the other process. */
+/* Reports this process's records of the buckets that differ to the other
+ * process. */
 static void
 send_differing_records(struct bb_mesh *mesh, const struct target *to,
-                       bool compare_held, const mesh_sync_response *response)
+                       bool compare_revisions,
+                       const mesh_sync_response *response)
 {
     struct bb_zone_digest own[BB_MEMBER_TABLE_ZONES_MAX];
     size_t count = bb_member_table_compute_zone_digests(
@@ -339,14 +349,15 @@
     for (u_int i = 0; i < response->zones.zones_len; i++) {
         const mesh_zone_digest *z = &response->zones.zones_val[i];
         struct bb_zone_digest d = find_own_digest(own, count, z->zone);
-        uint32_t bits = differing_bucket_mask(&d, z, compare_held);
+        uint32_t bits = differing_bucket_mask(&d, z, compare_revisions);
 
         if (bits != 0) {
             append_records(mesh, z->zone, bits, &list);
         }
     }
     if (list.count > 0) {
-        request.highest_revision = bb_gossip_highest_revision(mesh->gossip);
+        request.highest_revision =
+            bb_gossip_get_highest_revision(mesh->gossip);
         request.records.records_val = bb_wire_members_to_xdr(&list);
         request.records.records_len = (u_int)list.count;
         (void)mesh_call(mesh, to, MESH_REPORT, &request, &done);
@@ -356,24 +367,26 @@
     bb_member_list_clear(&list);
 }
 
-/* Runs TASK_SYNC: synchronises with a process. Held revisions are compared
- * only within a region; between regions the zone floors carry them. */
+/* Runs TASK_SYNC: synchronises with a process. The held and applied revisions
+ * are compared only within a region; between regions the zone summaries carry
+ * them. */
 void
 mesh_run_sync(struct bb_mesh *mesh, struct task *task)
 {
     mesh_sync_response first = {0};
     mesh_sync_response second = {0};
-    bool compare_held =
+    bool compare_revisions =
         strcmp(task->to.region, mesh->settings.self.region) == 0;
-    bool is_done = request_zone_digests(mesh, &task->to, compare_held, &first);
+    bool is_done =
+        request_zone_digests(mesh, &task->to, compare_revisions, &first);
 
     if (is_done) {
         bb_gossip_raise_highest_revision(mesh->gossip, first.highest_revision);
     }
     if (is_done && first.zones.zones_len > 0) {
         bb_counter_add(&differences_total, 1);
-        is_done = request_bucket_digests(mesh, &task->to, compare_held, &first,
-                                         &second);
+        is_done = request_bucket_digests(mesh, &task->to, compare_revisions,
+                                         &first, &second);
         if (is_done) {
             mesh_merge_records(mesh, second.records.records_val,
                                second.records.records_len, task->to.host);
@@ -382,13 +395,14 @@
                     mesh->members, second.held.held_val[i].host,
                     second.held.held_val[i].revision);
             }
-            send_differing_records(mesh, &task->to, compare_held, &second);
+            send_differing_records(mesh, &task->to, compare_revisions,
+                                   &second);
         }
     }
     (void)pthread_mutex_lock(&mesh->lock);
-    mesh_find_or_add_peer(mesh, task->to.host)->is_sync_pending = false;
+    mesh_find_or_add_call_state(mesh, task->to.host)->is_sync_pending = false;
     mesh->has_authoritative_sync |=
-        is_done && first.is_authoritative && compare_held;
+        is_done && first.is_authoritative && compare_revisions;
     (void)pthread_mutex_unlock(&mesh->lock);
     xdr_free((xdrproc_t)xdr_mesh_sync_response, (char *)&first);
     xdr_free((xdrproc_t)xdr_mesh_sync_response, (char *)&second);
--- a/mesh/tasks.c
+++ b/mesh/tasks.c
@@ -38,7 +38,7 @@
 {
     free(task->payload.data);
     bb_member_list_clear(&task->records);
-    g_free(task->floors);
+    g_free(task->summaries);
     g_free(task);
 }
 
@@ -52,7 +52,7 @@
 
     *copy = *task;
     if (mesh->is_stopping ||
-        g_queue_get_length(&mesh->tasks) >= MESH_QUEUE_MAX) {
+        g_queue_get_length(&mesh->tasks) >= TASK_QUEUE_MAX) {
         bb_counter_add(&dropped_total, 1);
         mesh_free_task(copy);
         return false;
@@ -67,18 +67,19 @@
     return true;
 }
 
-/* Returns the state of a peer, which is added if it is new. Call with the lock
- * held. */
-struct peer *
-mesh_find_or_add_peer(struct bb_mesh *mesh, const char *host)
+/* Returns the state of the calls to a host, which is added if it is new. Call
+ * with the lock held. */
+struct call_state *
+mesh_find_or_add_call_state(struct bb_mesh *mesh, const char *host)
 {
-    struct peer *peer = g_hash_table_lookup(mesh->peer_by_host, host);
+    struct call_state *state =
+        g_hash_table_lookup(mesh->call_state_by_host, host);
 
-    if (peer == NULL) {
-        peer = g_new0(struct peer, 1);
-        g_hash_table_insert(mesh->peer_by_host, g_strdup(host), peer);
+    if (state == NULL) {
+        state = g_new0(struct call_state, 1);
+        g_hash_table_insert(mesh->call_state_by_host, g_strdup(host), state);
     }
-    return peer;
+    return state;
 }
 
 /* Returns the timeout of a call in milliseconds. */
@@ -86,15 +87,15 @@
 call_timeout_ms(uint32_t procedure, bool is_other_region)
 {
     if (is_other_region) {
-        return MESH_OTHER_REGION_TIMEOUT_MS;
+        return OTHER_REGION_TIMEOUT_MS;
     }
-    return procedure == MESH_FETCH ? MESH_SAME_REGION_FETCH_TIMEOUT_MS
-                                   : MESH_CALL_TIMEOUT_MS;
+    return procedure == MESH_FETCH ? SAME_REGION_FETCH_TIMEOUT_MS
+                                   : CALL_TIMEOUT_MS;
 }
 
-/* Calls a procedure of another process and counts the traffic. The caller
- * zeroes the result before and frees it with xdr_free. Returns false if the
- * call fails; the error is not logged. */
+/* Calls a procedure of another process and counts the traffic. The caller must
+ * zero the result first and free it with xdr_free. Returns false if the call
+ * fails; the error is not logged. */
 bool
 mesh_call(struct bb_mesh *mesh, const struct target *to, uint32_t procedure,
           void *argument, void *result)
@@ -119,10 +120,10 @@
                            is_other_region);
     if (mesh->settings.transport.call != NULL) {
         is_done = mesh->settings.transport.call(
-            mesh->settings.transport.context, &to->rpc, &call, &e);
+            mesh->settings.transport.context, &to->rpc_address, &call, &e);
     }
     else {
-        is_done = bb_rpc_pool_call(mesh->pool, &to->rpc, &call, &e);
+        is_done = bb_rpc_pool_call(mesh->pool, &to->rpc_address, &call, &e);
     }
     if (is_done) {
         bb_traffic_add_message(p->kind, BB_TRAFFIC_IN,
--- a/mesh/traffic.c
+++ b/mesh/traffic.c
@@ -1,10 +1,10 @@
-/* Counters of the mesh's own traffic. */
+/* Counters of the traffic of the mesh. */
 #include "traffic.h"
 
 #include "common/counters.h"
 
 enum {
-    IP_UDP_HEADER_BYTES = 28,
+    IPV4_UDP_HEADER_BYTES = 28, /* IPv6 headers are counted as IPv4 ones */
     /* TCP and IP headers with timestamps, the record mark and the RPC header,
      * for each direction of a call. */
     RPC_HEADER_BYTES = 96
@@ -70,7 +70,7 @@
 {
     size_t total_bytes =
         size_bytes +
-        (kind <= BB_TRAFFIC_ACK ? IP_UDP_HEADER_BYTES : RPC_HEADER_BYTES);
+        (kind <= BB_TRAFFIC_ACK ? IPV4_UDP_HEADER_BYTES : RPC_HEADER_BYTES);
 
     bb_counter_add(&messages[kind][direction], 1);
     bb_counter_add(&bytes[kind][direction], total_bytes);
--- a/mesh/traffic.h
+++ b/mesh/traffic.h
@@ -8,6 +8,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
+/* The first three are in the order of enum mesh_datagram_kind, from which they
+ * are converted. */
 enum bb_traffic_kind {
     BB_TRAFFIC_PING,
     BB_TRAFFIC_PING_REQ,
--- a/mesh/view.c
+++ b/mesh/view.c
@@ -8,7 +8,7 @@
 struct target
 mesh_target_from_member(const struct bb_member *r)
 {
-    struct target t = {.rpc = r->rpc_address};
+    struct target t = {.rpc_address = r->rpc_address};
 
     (void)g_strlcpy(t.host, r->host, sizeof(t.host));
     (void)g_strlcpy(t.region, r->region, sizeof(t.region));
@@ -50,8 +50,8 @@
     return count;
 }
 
-/* Returns true unless the control host is known to be dead, gone or
- * unreachable. One without a record counts as live. */
+/* Returns true unless the control host is known to be dead, to have left, or
+ * to be unreachable. One without a record counts as live. */
 static bool
 is_control_host_live(struct bb_mesh *mesh, const struct bb_control_host *c)
 {
@@ -81,7 +81,7 @@
             (only_live && !is_control_host_live(mesh, c))) {
             continue;
         }
-        out[count] = (struct target){.rpc = c->rpc_address};
+        out[count] = (struct target){.rpc_address = c->rpc_address};
         (void)g_strlcpy(out[count].host, c->host, sizeof(out[count].host));
         (void)g_strlcpy(out[count].region, c->region,
                         sizeof(out[count].region));
@@ -172,14 +172,15 @@
     return false;
 }
 
-/* Returns true if this process pings the other zones for its own one: if it is
- * a relay, or the first live control host by name of a zone without nodes. */
+/* Returns true if this process pings the other zones on behalf of its zone: if
+ * it is a relay, or the first live control host by name of a zone without
+ * nodes. */
 static bool
 should_ping_zones(struct bb_mesh *mesh, const struct view *v)
 {
     const char *first = mesh->settings.self.host;
 
-    if (v->is_relay || !mesh->is_control || v->relay_count > 0) {
+    if (v->is_relay || !mesh->is_control_host || v->relay_count > 0) {
         return v->is_relay;
     }
     for (size_t i = 0; i < v->members.count; i++) {
@@ -194,8 +195,8 @@
     return strcmp(first, mesh->settings.self.host) == 0;
 }
 
-/* Copies the member table into the view and updates the own roles, if the
- * table has changed. */
+/* If the member table has changed, copies it into the view and updates the
+ * roles of this process. */
 void
 mesh_refresh_view(struct bb_mesh *mesh)
 {
@@ -203,7 +204,7 @@
     struct view *v = &mesh->view;
     struct bb_member relays[BB_RELAYS_PER_ZONE];
 
-    if (bb_member_table_version(mesh->members) == mesh->view_version) {
+    if (bb_member_table_get_version(mesh->members) == mesh->view_version) {
         return;
     }
     bb_member_list_clear(&v->members);
--- a/mesh/wire.c
+++ b/mesh/wire.c
@@ -7,7 +7,14 @@
 #include <stdlib.h>
 #include <string.h>
 
-enum { IPV4_BYTES = 4, IPV6_BYTES = 16, PORT_MAX = 65535 };
+enum { IPV4_BYTES = 4, IPV6_BYTES = MESH_IP_MAX_BYTES, PORT_MAX = 65535 };
+
+_Static_assert(MESH_NAME_MAX_BYTES == BB_NAME_BYTES - 1, "size of a name");
+_Static_assert(MESH_DIGEST_BYTES == BB_DIGEST_BYTES, "size of a digest");
+_Static_assert(MESH_ZONES_MAX == BB_MEMBER_TABLE_ZONES_MAX,
+               "one message holds all zones of a table");
+_Static_assert(MESH_RECORDS_MAX == BB_MEMBER_TABLE_ENTRIES_MAX,
+               "one message holds all records of a table");
 
 /* Encodes or decodes the bytes of a string or opaque value and the zero bytes
  * that pad it to a multiple of 4. */
@@ -72,10 +79,10 @@
 }
 
 /* Returns the XDR struct of an address, which points into the storage. */
-static mesh_endpoint
-encode_endpoint(const struct bb_address *a, char *storage)
+static mesh_address
+encode_address(const struct bb_address *a, char *storage)
 {
-    mesh_endpoint out = {.ip.ip_val = storage, .port = a->port};
+    mesh_address out = {.ip.ip_val = storage, .port = a->port};
 
     if (inet_pton(AF_INET, a->ip, storage) == 1) {
         out.ip.ip_len = IPV4_BYTES;
@@ -86,9 +93,9 @@
     return out;
 }
 
-/* Decodes an endpoint. Returns false if it is malformed. */
+/* Decodes an address. Returns false if it is malformed. */
 static bool
-decode_endpoint(const mesh_endpoint *w, struct bb_address *out)
+decode_address(const mesh_address *w, struct bb_address *out)
 {
     int family = w->ip.ip_len == IPV4_BYTES ? AF_INET : AF_INET6;
 
@@ -106,7 +113,7 @@
     return inet_ntop(family, w->ip.ip_val, out->ip, sizeof(out->ip)) != NULL;
 }
 
-/* Casts a text to an XDR name, which is not const although encoding does not
+/* Casts a string to an XDR name, which is not const although encoding does not
  * write to it. */
 mesh_name
 bb_wire_text_to_xdr(const char *text)
@@ -125,9 +132,9 @@
         .zone = bb_wire_text_to_xdr(r->zone),
         .region = bb_wire_text_to_xdr(r->region),
         .role = r->role,
-        .http_address = encode_endpoint(&r->http_address, storage->http),
-        .rpc_address = encode_endpoint(&r->rpc_address, storage->rpc),
-        .gossip_address = encode_endpoint(&r->gossip_address, storage->gossip),
+        .http_address = encode_address(&r->http_address, storage->http),
+        .rpc_address = encode_address(&r->rpc_address, storage->rpc),
+        .gossip_address = encode_address(&r->gossip_address, storage->gossip),
         .incarnation = r->incarnation,
         .sequence = r->sequence,
         .state = r->state,
@@ -151,9 +158,9 @@
         w->zone[0] == '\0' || w->region[0] == '\0') {
         return false;
     }
-    if (!decode_endpoint(&w->http_address, &out->http_address) ||
-        !decode_endpoint(&w->rpc_address, &out->rpc_address) ||
-        !decode_endpoint(&w->gossip_address, &out->gossip_address)) {
+    if (!decode_address(&w->http_address, &out->http_address) ||
+        !decode_address(&w->rpc_address, &out->rpc_address) ||
+        !decode_address(&w->gossip_address, &out->gossip_address)) {
         return false;
     }
     (void)g_strlcpy(out->host, w->host, sizeof(out->host));
@@ -175,7 +182,7 @@
 
 /* Replaces the address bytes by a copy on the heap. */
 static void
-copy_endpoint(mesh_endpoint *w)
+copy_address(mesh_address *w)
 {
     char *copy = malloc(w->ip.ip_len + 1U);
 
@@ -188,8 +195,9 @@
     w->ip.ip_val = copy;
 }
 
-/* Returns a heap array of the XDR structs of a list, which xdr_free of the
- * enclosing message frees. Returns NULL if there is no memory. */
+/* Returns the XDR structs of a list, allocated on the heap; they are freed by
+ * xdr_free of the message that contains them. Returns NULL if memory
+ * allocation fails. */
 mesh_record *
 bb_wire_members_to_xdr(const struct bb_member_list *list)
 {
@@ -203,9 +211,9 @@
         out[i].zone = strdup(out[i].zone);
         out[i].region = strdup(out[i].region);
         out[i].service = strdup(out[i].service);
-        copy_endpoint(&out[i].http_address);
-        copy_endpoint(&out[i].rpc_address);
-        copy_endpoint(&out[i].gossip_address);
+        copy_address(&out[i].http_address);
+        copy_address(&out[i].rpc_address);
+        copy_address(&out[i].gossip_address);
     }
     return out;
 }
@@ -226,8 +234,9 @@
     return size_bytes;
 }
 
-/* Decodes a value, which must take up the data exactly; false otherwise. The
- * caller zeroes the value before and frees it with xdr_free in either case. */
+/* Decodes a value. Returns false unless it is valid and takes up the data
+ * exactly. The caller must zero the value first, and free it with xdr_free in
+ * either case. */
 bool
 bb_wire_decode(xdrproc_t codec, void *value, const char *data,
                size_t size_bytes)
--- a/node/endpoints.c
+++ b/node/endpoints.c
@@ -31,7 +31,7 @@
     struct bb_node *n = context;
     struct bb_bundle *b = bb_node_config_newest(n->config);
     uint64_t served = bb_node_config_served_revision(n->config);
-    uint64_t highest = bb_mesh_highest_revision(n->mesh);
+    uint64_t highest = bb_mesh_get_highest_revision(n->mesh);
     char digest[BB_DIGEST_TEXT_BYTES] = "";
     json_t *problems = json_array();
 
--- a/proxy/rpc.c
+++ b/proxy/rpc.c
@@ -1,10 +1,10 @@
-/* RPC program of mesh/exchange.x: QUERY, CANCEL and CLAIM between nodes.
+/* RPC program of mesh/peer_protocol.x: QUERY, CANCEL and CLAIM between nodes.
  * libtirpc passes no context to handlers, so the registered proxy is global; a
  * process has one RPC server. */
 #include <string.h>
 
 #include "common/clock.h"
-#include "exchange.h"
+#include "peer_protocol.h"
 #include "proxy/internal.h"
 
 enum { QUERY_TIMEOUT_MS = 400, CANCEL_TIMEOUT_MS = 500 };
@@ -15,17 +15,17 @@
 static void
 serve_query(struct bb_proxy *p, SVCXPRT *transport)
 {
-    bb_xdr_query q = {0};
-    bb_xdr_query_response a = {0};
+    bb_peer_query q = {0};
+    bb_peer_query_response a = {0};
     struct bb_request_id id;
 
-    if (!svc_getargs(transport, (xdrproc_t)xdr_bb_xdr_query, (char *)&q)) {
+    if (!svc_getargs(transport, (xdrproc_t)xdr_bb_peer_query, (char *)&q)) {
         svcerr_decode(transport);
         return;
     }
     memcpy(id.bytes, q.id, sizeof(id.bytes));
     a.result = (u_int)bb_gatekeeper_query(p->gatekeeper, &id, q.incarnation);
-    (void)svc_sendreply(transport, (xdrproc_t)xdr_bb_xdr_query_response,
+    (void)svc_sendreply(transport, (xdrproc_t)xdr_bb_peer_query_response,
                         (char *)&a);
 }
 
@@ -33,11 +33,11 @@
 static void
 serve_cancel(struct bb_proxy *p, SVCXPRT *transport)
 {
-    bb_xdr_id raw = {0};
+    bb_peer_id raw = {0};
     struct bb_request_id id;
     bool_t is_taken = TRUE;
 
-    if (!svc_getargs(transport, (xdrproc_t)xdr_bb_xdr_id, (char *)raw)) {
+    if (!svc_getargs(transport, (xdrproc_t)xdr_bb_peer_id, (char *)raw)) {
         svcerr_decode(transport);
         return;
     }
@@ -50,13 +50,13 @@
 static void
 serve_claim(struct bb_proxy *p, SVCXPRT *transport)
 {
-    bb_xdr_claim c = {0};
-    bb_xdr_claim_response out = {0};
+    bb_peer_claim c = {0};
+    bb_peer_claim_response out = {0};
     struct bb_witness_answer a;
     struct bb_request_id key;
     struct bb_claim claim;
 
-    if (!svc_getargs(transport, (xdrproc_t)xdr_bb_xdr_claim, (char *)&c)) {
+    if (!svc_getargs(transport, (xdrproc_t)xdr_bb_peer_claim, (char *)&c)) {
         svcerr_decode(transport);
         return;
     }
@@ -72,7 +72,7 @@
     out.gatekeeper = a.held.gatekeeper;
     out.incarnation = a.held.incarnation;
     memcpy(out.id, a.held.request.bytes, sizeof(out.id));
-    (void)svc_sendreply(transport, (xdrproc_t)xdr_bb_xdr_claim_response,
+    (void)svc_sendreply(transport, (xdrproc_t)xdr_bb_peer_claim_response,
                         (char *)&out);
 }
 
@@ -133,16 +133,16 @@
 bb_rpc_query(struct bb_exchange *x, const struct bb_attempt *attempt,
              enum bb_query_result *result)
 {
-    bb_xdr_query q = {.incarnation = x->is_idempotent ? BB_INCARNATION_ANY
-                                                      : attempt->incarnation};
-    bb_xdr_query_response a = {0};
+    bb_peer_query q = {.incarnation = x->is_idempotent ? BB_INCARNATION_ANY
+                                                       : attempt->incarnation};
+    bb_peer_query_response a = {0};
     const struct bb_rpc_call call = {
         .program = BB_PEER_PROGRAM,
         .version = BB_PEER_VERSION,
         .procedure = BB_PEER_QUERY,
-        .argument_codec = (xdrproc_t)xdr_bb_xdr_query,
+        .argument_codec = (xdrproc_t)xdr_bb_peer_query,
         .argument = &q,
-        .result_codec = (xdrproc_t)xdr_bb_xdr_query_response,
+        .result_codec = (xdrproc_t)xdr_bb_peer_query_response,
         .result = &a,
         .timeout_ms = QUERY_TIMEOUT_MS,
         .use_new_connection = true,
@@ -167,20 +167,20 @@
              const struct bb_request_id *key, const struct bb_claim *claim,
              uint64_t epoch, struct bb_witness_answer *out)
 {
-    bb_xdr_claim c = {
+    bb_peer_claim c = {
         .attempt = claim->attempt,
         .gatekeeper = claim->gatekeeper,
         .incarnation = claim->incarnation,
         .epoch = epoch,
     };
-    bb_xdr_claim_response a = {0};
+    bb_peer_claim_response a = {0};
     const struct bb_rpc_call call = {
         .program = BB_PEER_PROGRAM,
         .version = BB_PEER_VERSION,
         .procedure = BB_PEER_CLAIM,
-        .argument_codec = (xdrproc_t)xdr_bb_xdr_claim,
+        .argument_codec = (xdrproc_t)xdr_bb_peer_claim,
         .argument = &c,
-        .result_codec = (xdrproc_t)xdr_bb_xdr_claim_response,
+        .result_codec = (xdrproc_t)xdr_bb_peer_claim_response,
         .result = &a,
         .timeout_ms = QUERY_TIMEOUT_MS,
     };
@@ -208,7 +208,7 @@
     struct bb_work work;
     struct bb_proxy *proxy;
     struct bb_address rpc_address;
-    bb_xdr_id id;
+    bb_peer_id id;
 };
 
 /* Sends a CANCEL. Failures are ignored, since a lost one only wastes work. */
@@ -221,7 +221,7 @@
         .program = BB_PEER_PROGRAM,
         .version = BB_PEER_VERSION,
         .procedure = BB_PEER_CANCEL,
-        .argument_codec = (xdrproc_t)xdr_bb_xdr_id,
+        .argument_codec = (xdrproc_t)xdr_bb_peer_id,
         .argument = c->id,
         .result_codec = (xdrproc_t)xdr_bool,
         .result = &is_taken,
--- a/tests/mesh/test_gossip.c
+++ b/tests/mesh/test_gossip.c
@@ -104,7 +104,8 @@
         const struct bb_member first = make_record(0, 1, "zone");
 
         start_core(i, 1, "zone");
-        (void)bb_member_table_merge(net.members[i], &first, BB_ORIGIN_ZONE, 0);
+        (void)bb_member_table_merge(net.members[i], &first,
+                                    BB_ORIGIN_SAME_REGION, 0);
     }
 }
 
@@ -182,7 +183,7 @@
         CU_ASSERT_TRUE(bb_member_table_get(net.members[i], "host-5", &self));
         CU_ASSERT_EQUAL(self.upstream_state, BB_UPSTREAM_DRAINING);
         CU_ASSERT_EQUAL(self.held_revision, 42);
-        CU_ASSERT_EQUAL(bb_gossip_highest_revision(net.cores[i]), 42);
+        CU_ASSERT_EQUAL(bb_gossip_get_highest_revision(net.cores[i]), 42);
     }
     stop_network();
 }
@@ -248,7 +249,8 @@
     for (uint32_t i = 0; i < 4; i++) {
         for (uint32_t n = 0; n < 4; n++) {
             r = make_record(n, 2, n < 2 ? "zone" : "other");
-            (void)bb_member_table_merge(net.members[i], &r, BB_ORIGIN_ZONE, 0);
+            (void)bb_member_table_merge(net.members[i], &r,
+                                        BB_ORIGIN_SAME_REGION, 0);
         }
     }
     bb_gossip_enable_zone_pings(net.cores[0], true);
--- a/tests/mesh/test_members.c
+++ b/tests/mesh/test_members.c
@@ -79,7 +79,8 @@
 
         for (int i = 0; i < RECORD_COUNT; i++) {
             records[i] = random_record(random);
-            (void)bb_member_table_merge(a, &records[i], BB_ORIGIN_ZONE, 1);
+            (void)bb_member_table_merge(a, &records[i], BB_ORIGIN_SAME_REGION,
+                                        1);
         }
         for (int i = RECORD_COUNT - 1; i > 0; i--) {
             size_t j = bb_random_below(random, (uint64_t)i + 1);
@@ -90,12 +91,12 @@
         }
         for (int i = 0; i < 2 * RECORD_COUNT; i++) {
             (void)bb_member_table_merge(b, &records[i % RECORD_COUNT],
-                                        BB_ORIGIN_ZONE, 1);
+                                        BB_ORIGIN_SAME_REGION, 1);
         }
         assert_same_tables(a, b);
         for (int i = 0; i < RECORD_COUNT; i++) {
-            CU_ASSERT_FALSE(
-                bb_member_table_merge(a, &records[i], BB_ORIGIN_ZONE, 1));
+            CU_ASSERT_FALSE(bb_member_table_merge(a, &records[i],
+                                                  BB_ORIGIN_SAME_REGION, 1));
         }
         bb_member_table_destroy(a);
         bb_member_table_destroy(b);
@@ -115,10 +116,10 @@
     bool is_known = false;
 
     r.held_revision = 300;
-    (void)bb_member_table_merge(m, &r, BB_ORIGIN_ZONE, 1);
+    (void)bb_member_table_merge(m, &r, BB_ORIGIN_SAME_REGION, 1);
     r.state = BB_MEMBER_DEAD;
     r.held_revision = 0;
-    (void)bb_member_table_merge(m, &r, BB_ORIGIN_ZONE, 1);
+    (void)bb_member_table_merge(m, &r, BB_ORIGIN_SAME_REGION, 1);
     CU_ASSERT_EQUAL(bb_member_table_expire(m, RETENTION_US, RETENTION_US), 0);
     CU_ASSERT_EQUAL(bb_member_table_expire(m, RETENTION_US + 1, RETENTION_US),
                     1);
@@ -126,8 +127,9 @@
                     300);
     CU_ASSERT_TRUE(is_known);
     r.state = BB_MEMBER_ALIVE;
-    CU_ASSERT_FALSE(bb_member_table_merge(m, &r, BB_ORIGIN_ZONE, 2));
-    CU_ASSERT_TRUE(bb_member_table_merge(m, &restarted, BB_ORIGIN_ZONE, 2));
+    CU_ASSERT_FALSE(bb_member_table_merge(m, &r, BB_ORIGIN_SAME_REGION, 2));
+    CU_ASSERT_TRUE(
+        bb_member_table_merge(m, &restarted, BB_ORIGIN_SAME_REGION, 2));
     CU_ASSERT_TRUE_FATAL(bb_member_table_get(m, "host-1", &r));
     CU_ASSERT_EQUAL(r.held_revision, 300);
     (void)bb_member_table_get_held_revision(m, "host-2", &is_known);
@@ -143,7 +145,7 @@
     struct bb_member r = make_record(1, 1, 1);
 
     r.state = BB_MEMBER_DEAD;
-    (void)bb_member_table_merge(m, &r, BB_ORIGIN_ZONE, 1);
+    (void)bb_member_table_merge(m, &r, BB_ORIGIN_SAME_REGION, 1);
     bb_member_table_set_zone_reachable(m, "zone-1", false);
     CU_ASSERT_EQUAL(bb_member_table_expire(m, 10 * RETENTION_US, RETENTION_US),
                     0);
@@ -165,12 +167,12 @@
     struct bb_member_list list;
     struct bb_member r = make_record(1, 1, 1);
 
-    (void)bb_member_table_merge(m, &r, BB_ORIGIN_ZONE, 1);
+    (void)bb_member_table_merge(m, &r, BB_ORIGIN_SAME_REGION, 1);
     q.since_version = bb_member_table_select(m, &q, &list);
     CU_ASSERT_EQUAL(list.count, 1);
     bb_member_list_clear(&list);
     r.held_revision = 5;
-    (void)bb_member_table_merge(m, &r, BB_ORIGIN_ZONE, 1);
+    (void)bb_member_table_merge(m, &r, BB_ORIGIN_SAME_REGION, 1);
     (void)bb_member_table_select(m, &q, &list);
     CU_ASSERT_EQUAL(list.count, 0);
     bb_member_list_clear(&list);
@@ -188,23 +190,27 @@
 {
     struct bb_member_table *near = bb_member_table_create();
     struct bb_member_table *far = bb_member_table_create();
-    struct bb_zone_floor floors[4];
+    struct bb_zone_summary summaries[4];
     struct bb_member a = make_record(0, 1, 1);
     struct bb_member b = make_record(3, 1, 1);
     bool is_known;
 
-    (void)bb_member_table_merge(far, &a, BB_ORIGIN_ZONE, 1);
-    (void)bb_member_table_merge(far, &b, BB_ORIGIN_ZONE, 1);
+    (void)bb_member_table_merge(far, &a, BB_ORIGIN_SAME_REGION, 1);
+    (void)bb_member_table_merge(far, &b, BB_ORIGIN_SAME_REGION, 1);
     a.applied_revision = 9;
-    (void)bb_member_table_merge(near, &a, BB_ORIGIN_ZONE, 1);
+    (void)bb_member_table_merge(near, &a, BB_ORIGIN_SAME_REGION, 1);
     CU_ASSERT_EQUAL(
-        bb_member_table_compute_zone_floors(near, "region-0", floors, 4), 1);
-    CU_ASSERT_EQUAL(bb_member_table_apply_zone_floor(far, &floors[0], 1), 0);
+        bb_member_table_compute_zone_summaries(near, "region-0", summaries, 4),
+        1);
+    CU_ASSERT_EQUAL(bb_member_table_apply_zone_summary(far, &summaries[0], 1),
+                    0);
     b.applied_revision = 8;
-    (void)bb_member_table_merge(near, &b, BB_ORIGIN_ZONE, 1);
+    (void)bb_member_table_merge(near, &b, BB_ORIGIN_SAME_REGION, 1);
     CU_ASSERT_EQUAL(
-        bb_member_table_compute_zone_floors(near, "region-0", floors, 4), 1);
-    CU_ASSERT_EQUAL(bb_member_table_apply_zone_floor(far, &floors[0], 1), 2);
+        bb_member_table_compute_zone_summaries(near, "region-0", summaries, 4),
+        1);
+    CU_ASSERT_EQUAL(bb_member_table_apply_zone_summary(far, &summaries[0], 1),
+                    2);
     CU_ASSERT_EQUAL(
         bb_member_table_get_held_revision(far, "host-0", &is_known), 8);
     bb_member_table_destroy(near);
