tests/mesh: named constants, plainer names and comments

A newcomer had to derive what durations, revisions and indices in the tests mean, and some names and heads contradicted the code.

- test_gossip speaks of instances and datagrams, starts as many instances as it then checks, and passes the present time of its clock with malformed datagrams instead of one before its start.
- fake_mesh.h says how calls find a member and what makes a delta.
- Test names and heads say which failure they guard against.

Same number of tests and asserts.

--- a/tests/mesh/fake_mesh.h
+++ b/tests/mesh/fake_mesh.h
@@ -14,9 +14,12 @@
 #include "common/clock.h"
 #include "mesh/mesh.h"
 #include "unit.h"
+#include <mesh_protocol.h> /* generated from mesh/mesh_protocol.x */
 
 enum {
     FAKE_MEMBERS_MAX = 40,
+    /* The RPC port of member i is FAKE_PORT_BASE + i. It is never opened:
+     * fake_call finds the called member by it. */
     FAKE_PORT_BASE = 40000,
     FAKE_DELTA_REVISIONS_MAX = 64,
     FAKE_POLL_MS = 5
@@ -25,21 +28,25 @@
 struct fake_member {
     struct bb_mesh *mesh;
     struct bb_mesh_settings settings;
-    pthread_mutex_t rpc_server_lock; /* stands for the single server thread */
+    /* Held by the running handler, so that only one runs at a time, as on the
+     * thread of an RPC server. */
+    pthread_mutex_t rpc_server_lock;
     atomic_uint_fast64_t held;
     atomic_uint deltas_applied;
     atomic_uint snapshots_applied;
     atomic_uint fetches_served;      /* FETCH calls received */
     atomic_bool incoming_calls_fail; /* calls to it time out */
     atomic_bool outgoing_calls_fail; /* calls from it time out */
-    atomic_bool finds_invalid;       /* it rejects every payload */
+    atomic_bool rejects_payloads;    /* it rejects every payload */
     atomic_uint_fast64_t applied_us;
 };
 
 static struct fake_member fakes[FAKE_MEMBERS_MAX];
-static struct bb_control_list fake_controls;
+static struct bb_control_list fake_control_hosts;
 static uint64_t fake_incarnation = 1;
 
+/* Encodes the held revision: as a delta against revisions that are less than
+ * FAKE_DELTA_REVISIONS_MAX older, else as a snapshot. */
 static inline bool
 fake_encode_payload(void *context, uint64_t have, struct bb_mesh_payload *out)
 {
@@ -62,6 +69,7 @@
     return true;
 }
 
+/* Applies a payload by making its revision the held one. */
 static enum bb_mesh_apply_result
 fake_apply_payload(void *context, const struct bb_mesh_payload *p,
                    uint64_t *held)
@@ -70,7 +78,7 @@
     struct bb_digest digest = bb_digest_compute(p->data, p->size_bytes);
 
     *held = atomic_load(&f->held);
-    if (atomic_load(&f->finds_invalid) ||
+    if (atomic_load(&f->rejects_payloads) ||
         !bb_digest_equal(&digest, &p->digest)) {
         return BB_MESH_INVALID;
     }
@@ -88,6 +96,8 @@
     return BB_MESH_APPLIED;
 }
 
+/* Runs the handler of the called member. Fails if the member is not running,
+ * and after the timeout if calls to or from a member are set to fail. */
 static inline bool
 fake_call(void *context, const struct bb_address *to,
           const struct bb_rpc_call *call, struct bb_error *e)
@@ -99,11 +109,11 @@
     if (atomic_load(&f->incoming_calls_fail) ||
         atomic_load(&from->outgoing_calls_fail)) {
         bb_clock_sleep_us(call->timeout_ms * BB_US_PER_MS);
-        return bb_error_set(e, BB_RPC_ERROR_TIMEOUT, "no answer");
+        return bb_error_set(e, BB_RPC_ERROR_TIMEOUT, "no response");
     }
     (void)pthread_mutex_lock(&f->rpc_server_lock);
     if (f->mesh != NULL) {
-        atomic_fetch_add(&f->fetches_served, call->procedure == 2);
+        atomic_fetch_add(&f->fetches_served, call->procedure == MESH_FETCH);
         is_done = bb_mesh_dispatch(f->mesh, call->procedure, call->argument,
                                    call->result);
     }
@@ -134,7 +144,7 @@
     atomic_store(&f->snapshots_applied, 0);
     f->settings = (struct bb_mesh_settings){
         .self = self,
-        .control_hosts = fake_controls,
+        .control_hosts = fake_control_hosts,
         .gossip_bind_address = {.ip = "127.0.0.1"},
         .seed = i + 1,
         .callbacks = {.context = f,
@@ -167,7 +177,8 @@
 static inline void
 fake_add_control_host(uint32_t i, const char *zone, const char *region)
 {
-    struct bb_control_host *c = &fake_controls.items[fake_controls.count++];
+    struct bb_control_host *c =
+        &fake_control_hosts.items[fake_control_hosts.count++];
 
     (void)snprintf(c->host, sizeof(c->host), "host-%u", i);
     (void)snprintf(c->zone, sizeof(c->zone), "%s", zone);
@@ -185,10 +196,10 @@
     bb_mesh_announce_revision(fakes[i].mesh, revision, &none);
 }
 
-/* Waits until members first to last - 1 hold a revision. Returns the time
+/* Waits until members first to end - 1 hold a revision. Returns the time
  * taken in milliseconds, or UINT64_MAX if it exceeds limit_ms. */
 static inline uint64_t
-fake_wait_held(uint32_t first, uint32_t last, uint64_t revision,
+fake_wait_held(uint32_t first, uint32_t end, uint64_t revision,
                uint32_t limit_ms)
 {
     uint64_t start_us = bb_clock_now_us();
@@ -197,7 +208,7 @@
         uint64_t took_ms = (bb_clock_now_us() - start_us) / BB_US_PER_MS;
         uint32_t behind = 0;
 
-        for (uint32_t i = first; i < last; i++) {
+        for (uint32_t i = first; i < end; i++) {
             behind += atomic_load(&fakes[i].held) < revision;
         }
         if (behind == 0) {
--- a/tests/mesh/test_gossip.c
+++ b/tests/mesh/test_gossip.c
@@ -1,6 +1,6 @@
-/* Tests of the gossip core on a simulated network with a virtual clock:
- * changes reach all members, a restarted member is rediscovered without a
- * control host, lost datagrams do not make a member look dead, and malformed
+/* Tests of the gossip state machine on a simulated network with a virtual
+ * clock: changes reach all members, a restarted member is rediscovered without
+ * a control host, lost datagrams do not make a member look dead, and malformed
  * datagrams are refused. */
 #include <stdio.h>
 #include <string.h>
@@ -11,9 +11,19 @@
 #include "mesh/gossip.h"
 #include "unit.h"
 
-enum { SEED = 3, CORE_COUNT_MAX = 24, QUEUE_MAX = 8192, PORT_BASE = 1000 };
+enum {
+    SEED = 3,
+    INSTANCES_MAX = 24,
+    QUEUE_MAX = 8192,
+    PORT_BASE = 1000,
+    /* Delay of each datagram and interval of ticks, which may be shorter than
+     * BB_GOSSIP_TICK_INTERVAL_MS. */
+    NETWORK_STEP_US = 5 * BB_US_PER_MS,
+    /* Longer than a probe and the suspicion timeout together. */
+    DEATH_DETECTION_US = 4 * BB_US_PER_S
+};
 
-struct packet {
+struct datagram {
     uint16_t from;
     uint16_t to;
     size_t size_bytes;
@@ -22,23 +32,23 @@
 
 static struct {
     struct bb_random *random;
-    struct bb_member_table *members[CORE_COUNT_MAX];
-    struct bb_gossip *cores[CORE_COUNT_MAX];
+    struct bb_member_table *members[INSTANCES_MAX];
+    struct bb_gossip *instances[INSTANCES_MAX];
     uint32_t count;
     uint32_t loss_percent;
-    uint32_t
-        partition_start; /* cores from this index on reach only each other */
+    /* Instances from this index on reach only each other. */
+    uint32_t partition_start;
     uint64_t now_us;
-    struct packet queue[QUEUE_MAX];
+    struct datagram queue[QUEUE_MAX];
     uint32_t queued;
 } net;
 
 static void
-queue_packet(void *context, const struct bb_address *to, const void *data,
-             size_t size_bytes)
+queue_datagram(void *context, const struct bb_address *to, const void *data,
+               size_t size_bytes)
 {
     uint16_t from = *(uint16_t *)context;
-    struct packet *p = &net.queue[net.queued];
+    struct datagram *p = &net.queue[net.queued];
 
     CU_ASSERT_FATAL(size_bytes <= BB_GOSSIP_DATAGRAM_MAX_BYTES);
     if (bb_random_below(net.random, 100) < net.loss_percent ||
@@ -68,27 +78,27 @@
 }
 
 static void
-start_core(uint32_t i, uint64_t incarnation, const char *zone)
+start_instance(uint32_t i, uint64_t incarnation, const char *zone)
 {
-    static uint16_t indices[CORE_COUNT_MAX];
+    static uint16_t indices[INSTANCES_MAX];
     const struct bb_gossip_settings settings = {
         .members = net.members[i] = bb_member_table_create(),
         .self = make_record(i, incarnation, zone),
         .seed = SEED + i,
-        .send = queue_packet,
+        .send = queue_datagram,
         .context = &indices[i],
     };
 
     indices[i] = (uint16_t)i;
-    net.cores[i] = bb_gossip_create(&settings, net.now_us);
+    net.instances[i] = bb_gossip_create(&settings, net.now_us);
 }
 
 static void
-stop_core(uint32_t i)
+stop_instance(uint32_t i)
 {
-    bb_gossip_destroy(net.cores[i]);
+    bb_gossip_destroy(net.instances[i]);
     bb_member_table_destroy(net.members[i]);
-    net.cores[i] = NULL;
+    net.instances[i] = NULL;
     net.members[i] = NULL;
 }
 
@@ -103,7 +113,7 @@
     for (uint32_t i = 0; i < count; i++) {
         const struct bb_member first = make_record(0, 1, "zone");
 
-        start_core(i, 1, "zone");
+        start_instance(i, 1, "zone");
         (void)bb_member_table_merge(net.members[i], &first,
                                     BB_ORIGIN_SAME_REGION, 0);
     }
@@ -113,34 +123,38 @@
 stop_network(void)
 {
     for (uint32_t i = 0; i < net.count; i++) {
-        if (net.cores[i] != NULL) {
-            stop_core(i);
+        if (net.instances[i] != NULL) {
+            stop_instance(i);
         }
     }
     bb_random_destroy(net.random);
 }
 
+/* Advances the clock and delivers the datagrams. Between the steps of a test
+ * this gives the instances time to learn of a change. */
 static void
 run_for(uint64_t duration_us)
 {
     uint64_t end_us = net.now_us + duration_us;
 
-    for (; net.now_us < end_us; net.now_us += 5 * BB_US_PER_MS) {
+    for (; net.now_us < end_us; net.now_us += NETWORK_STEP_US) {
         for (uint32_t i = 0; i < net.queued; i++) {
-            struct packet p = net.queue[i];
+            struct datagram p = net.queue[i];
             struct bb_address from = {.ip = "127.0.0.1",
                                       .port = (uint16_t)(PORT_BASE + p.from)};
 
-            if (net.cores[p.to] != NULL && (p.from >= net.partition_start) ==
-                                               (p.to >= net.partition_start)) {
-                CU_ASSERT_TRUE(bb_gossip_receive(
-                    net.cores[p.to], &from, p.data, p.size_bytes, net.now_us));
+            if (net.instances[p.to] != NULL &&
+                (p.from >= net.partition_start) ==
+                    (p.to >= net.partition_start)) {
+                CU_ASSERT_TRUE(bb_gossip_receive(net.instances[p.to], &from,
+                                                 p.data, p.size_bytes,
+                                                 net.now_us));
             }
         }
         net.queued = 0;
         for (uint32_t i = 0; i < net.count; i++) {
-            if (net.cores[i] != NULL) {
-                bb_gossip_tick(net.cores[i], net.now_us);
+            if (net.instances[i] != NULL) {
+                bb_gossip_tick(net.instances[i], net.now_us);
             }
         }
     }
@@ -168,22 +182,21 @@
 {
     struct bb_member self;
 
-    start_network(CORE_COUNT_MAX, 0);
+    start_network(INSTANCES_MAX, 0);
     run_for(10 * BB_US_PER_S);
-    for (uint32_t i = 0; i < CORE_COUNT_MAX; i++) {
-        CU_ASSERT_EQUAL(count_members_in_state(i, BB_MEMBER_ALIVE),
-                        CORE_COUNT_MAX);
+    for (uint32_t i = 0; i < net.count; i++) {
+        CU_ASSERT_EQUAL(count_members_in_state(i, BB_MEMBER_ALIVE), net.count);
     }
-    bb_gossip_get_self(net.cores[5], &self);
+    bb_gossip_get_self(net.instances[5], &self);
     self.upstream_state = BB_UPSTREAM_DRAINING;
-    bb_gossip_update_self(net.cores[5], &self, net.now_us);
-    bb_gossip_raise_own_revision(net.cores[5], 42, net.now_us);
+    bb_gossip_update_self(net.instances[5], &self, net.now_us);
+    bb_gossip_raise_own_revision(net.instances[5], 42, net.now_us);
     run_for(2 * BB_US_PER_S);
-    for (uint32_t i = 0; i < CORE_COUNT_MAX; i++) {
+    for (uint32_t i = 0; i < net.count; i++) {
         CU_ASSERT_TRUE(bb_member_table_get(net.members[i], "host-5", &self));
         CU_ASSERT_EQUAL(self.upstream_state, BB_UPSTREAM_DRAINING);
         CU_ASSERT_EQUAL(self.held_revision, 42);
-        CU_ASSERT_EQUAL(bb_gossip_get_highest_revision(net.cores[i]), 42);
+        CU_ASSERT_EQUAL(bb_gossip_get_highest_revision(net.instances[i]), 42);
     }
     stop_network();
 }
@@ -198,12 +211,12 @@
 
     start_network(8, 0);
     run_for(5 * BB_US_PER_S);
-    bb_gossip_raise_own_revision(net.cores[3], 300, net.now_us);
+    bb_gossip_raise_own_revision(net.instances[3], 300, net.now_us);
     run_for(3 * BB_US_PER_S);
-    stop_core(3);
-    run_for(4 * BB_US_PER_S);
+    stop_instance(3);
+    run_for(DEATH_DETECTION_US);
     CU_ASSERT_EQUAL(count_members_in_state(0, BB_MEMBER_DEAD), 1);
-    start_core(3, 2, "zone");
+    start_instance(3, 2, "zone");
     run_for(4 * BB_US_PER_S);
     CU_ASSERT_EQUAL(count_members_in_state(0, BB_MEMBER_ALIVE), 8);
     CU_ASSERT_EQUAL(count_members_in_state(3, BB_MEMBER_ALIVE), 8);
@@ -243,21 +256,24 @@
 
     start_network(4, 0);
     for (uint32_t i = 2; i < 4; i++) {
-        stop_core(i);
-        start_core(i, 2, "other");
+        stop_instance(i);
+        start_instance(i, 2, "other");
     }
     for (uint32_t i = 0; i < 4; i++) {
         for (uint32_t n = 0; n < 4; n++) {
+            /* Instances 0 and 1 run with incarnation 1 and refute these
+             * records of them. */
             r = make_record(n, 2, n < 2 ? "zone" : "other");
             (void)bb_member_table_merge(net.members[i], &r,
                                         BB_ORIGIN_SAME_REGION, 0);
         }
     }
-    bb_gossip_enable_zone_pings(net.cores[0], true);
-    bb_gossip_enable_zone_pings(net.cores[2], true);
+    bb_gossip_enable_zone_pings(net.instances[0], true);
+    bb_gossip_enable_zone_pings(net.instances[2], true);
     run_for(4 * BB_US_PER_S);
     net.partition_start = 2;
-    run_for(8 * BB_US_PER_S);
+    /* Long enough for the zones to be marked unreachable on both sides. */
+    run_for(BB_GOSSIP_UNREACHABLE_AFTER_MS * BB_US_PER_MS + 3 * BB_US_PER_S);
     for (uint32_t i = 0; i < 4; i++) {
         const char *far = i < 2 ? "host-3" : "host-1";
 
@@ -265,6 +281,7 @@
         CU_ASSERT_FALSE(r.is_reachable);
         CU_ASSERT_EQUAL(r.state, BB_MEMBER_ALIVE);
     }
+    /* Longer than the interval of pings between zones. */
     net.partition_start = 0;
     run_for(3 * BB_US_PER_S);
     CU_ASSERT_TRUE(bb_member_table_get(net.members[1], "host-3", &r));
@@ -272,9 +289,8 @@
     stop_network();
 }
 
-/* Guards against malformed datagrams being accepted or causing a crash: random
- * bytes, valid datagrams with changed bytes or truncated, and one that is too
- * long. */
+/* Guards against truncated or oversized datagrams being accepted, and against
+ * changed or trailing bytes causing a crash. */
 static void
 test_malformed_datagrams_are_refused(void)
 {
@@ -282,19 +298,19 @@
         bb_counter_find("baobab_gossip_invalid_total", NULL);
     struct bb_address from = {.ip = "127.0.0.1", .port = PORT_BASE};
     char data[BB_GOSSIP_DATAGRAM_MAX_BYTES + 1] = {0};
-    struct packet sample;
+    struct datagram sample;
     uint64_t before = bb_counter_get(invalid);
 
     start_network(2, 0);
-    bb_gossip_ping_now(net.cores[1], "host-0", net.now_us);
+    bb_gossip_ping_now(net.instances[1], "host-0", net.now_us);
     CU_ASSERT_FATAL(net.queued > 0);
     sample = net.queue[0];
     for (size_t i = 0; i < sample.size_bytes; i++) {
-        CU_ASSERT_FALSE(
-            bb_gossip_receive(net.cores[0], &from, sample.data, i, 1));
+        CU_ASSERT_FALSE(bb_gossip_receive(net.instances[0], &from, sample.data,
+                                          i, net.now_us));
     }
-    CU_ASSERT_FALSE(
-        bb_gossip_receive(net.cores[0], &from, data, sizeof(data), 1));
+    CU_ASSERT_FALSE(bb_gossip_receive(net.instances[0], &from, data,
+                                      sizeof(data), net.now_us));
     CU_ASSERT_EQUAL(bb_counter_get(invalid) - before, sample.size_bytes + 1);
     for (int round = 0; round < 20000; round++) {
         size_t size_bytes = bb_random_below(net.random, sizeof(data));
@@ -304,8 +320,9 @@
             data[bb_random_below(net.random, sample.size_bytes)] =
                 (char)bb_random_u64(net.random);
         }
-        (void)bb_gossip_receive(net.cores[0], &from, data,
-                                round % 2 ? sample.size_bytes : size_bytes, 1);
+        (void)bb_gossip_receive(net.instances[0], &from, data,
+                                round % 2 ? sample.size_bytes : size_bytes,
+                                net.now_us);
         net.queued = 0;
     }
     stop_network();
--- a/tests/mesh/test_members.c
+++ b/tests/mesh/test_members.c
@@ -12,6 +12,8 @@
 
 enum { SEED = 7, RECORD_COUNT = 400, HOST_COUNT = 12, RETENTION_US = 1000 };
 
+/* Returns a record of a host: host n is in zone n % 3; zones 0 and 1 are in
+ * region-0, zone 2 is in region-1. */
 static struct bb_member
 make_record(uint32_t host, uint64_t incarnation, uint64_t sequence)
 {
@@ -183,44 +185,45 @@
     bb_member_table_destroy(m);
 }
 
-/* Guards against applying a zone floor to a member that the sender of the
- * floor did not include. */
+/* Guards against applying a zone summary to a member that the sender of the
+ * summary did not include. */
 static void
-test_zone_floor_needs_the_same_members(void)
+test_zone_summary_needs_the_same_members(void)
 {
-    struct bb_member_table *near = bb_member_table_create();
-    struct bb_member_table *far = bb_member_table_create();
+    struct bb_member_table *sender = bb_member_table_create();
+    struct bb_member_table *receiver = bb_member_table_create();
     struct bb_zone_summary summaries[4];
+    /* Two hosts of zone-0. */
     struct bb_member a = make_record(0, 1, 1);
     struct bb_member b = make_record(3, 1, 1);
     bool is_known;
 
-    (void)bb_member_table_merge(far, &a, BB_ORIGIN_SAME_REGION, 1);
-    (void)bb_member_table_merge(far, &b, BB_ORIGIN_SAME_REGION, 1);
+    (void)bb_member_table_merge(receiver, &a, BB_ORIGIN_SAME_REGION, 1);
+    (void)bb_member_table_merge(receiver, &b, BB_ORIGIN_SAME_REGION, 1);
     a.applied_revision = 9;
-    (void)bb_member_table_merge(near, &a, BB_ORIGIN_SAME_REGION, 1);
+    (void)bb_member_table_merge(sender, &a, BB_ORIGIN_SAME_REGION, 1);
+    CU_ASSERT_EQUAL(bb_member_table_compute_zone_summaries(sender, "region-0",
+                                                           summaries, 4),
+                    1);
     CU_ASSERT_EQUAL(
-        bb_member_table_compute_zone_summaries(near, "region-0", summaries, 4),
-        1);
-    CU_ASSERT_EQUAL(bb_member_table_apply_zone_summary(far, &summaries[0], 1),
-                    0);
+        bb_member_table_apply_zone_summary(receiver, &summaries[0], 1), 0);
     b.applied_revision = 8;
-    (void)bb_member_table_merge(near, &b, BB_ORIGIN_SAME_REGION, 1);
+    (void)bb_member_table_merge(sender, &b, BB_ORIGIN_SAME_REGION, 1);
+    CU_ASSERT_EQUAL(bb_member_table_compute_zone_summaries(sender, "region-0",
+                                                           summaries, 4),
+                    1);
     CU_ASSERT_EQUAL(
-        bb_member_table_compute_zone_summaries(near, "region-0", summaries, 4),
-        1);
-    CU_ASSERT_EQUAL(bb_member_table_apply_zone_summary(far, &summaries[0], 1),
-                    2);
+        bb_member_table_apply_zone_summary(receiver, &summaries[0], 1), 2);
     CU_ASSERT_EQUAL(
-        bb_member_table_get_held_revision(far, "host-0", &is_known), 8);
-    bb_member_table_destroy(near);
-    bb_member_table_destroy(far);
+        bb_member_table_get_held_revision(receiver, "host-0", &is_known), 8);
+    bb_member_table_destroy(sender);
+    bb_member_table_destroy(receiver);
 }
 
 /* Guards against records that change when they are encoded and decoded, and
  * against accepting values that are out of range. */
 static void
-test_wire_round_trip_and_refusal(void)
+test_records_survive_encoding(void)
 {
     struct bb_member r = make_record(5, 77, 1ULL << 40);
     struct bb_wire_address_buffers storage;
@@ -246,9 +249,10 @@
      test_held_revision_outlives_the_record},
     {"an unreachable zone is kept", test_unreachable_zone_is_kept},
     {"a query selects changes since a version", test_changes_since_a_version},
-    {"a zone floor needs the same members",
-     test_zone_floor_needs_the_same_members},
-    {"wire round trip and refusal", test_wire_round_trip_and_refusal},
+    {"a zone summary needs the same members",
+     test_zone_summary_needs_the_same_members},
+    {"records survive encoding, and invalid ones are refused",
+     test_records_survive_encoding},
 };
 
 BB_UNIT_MAIN("members", tests)
--- a/tests/mesh/test_mesh_rpc.c
+++ b/tests/mesh/test_mesh_rpc.c
@@ -8,26 +8,29 @@
 
 #include "fake_mesh.h"
 
-enum { NODE = 1, LIMIT_MS = 10000 };
+/* Indices of fakes, and the limit of the wait for one push. */
+enum { CONTROL_HOST_INDEX = 0, NODE_INDEX = 1, PUSH_TIMEOUT_MS = 10000 };
 
+/* Starts the mesh of this process with RPC over TCP; exits on failure. */
 static struct bb_mesh *
-start_process(uint32_t i, struct bb_rpc_server *server)
+start_mesh(uint32_t i, struct bb_rpc_server *server)
 {
     struct fake_member *f = &fakes[i];
     struct bb_error e = {0};
     struct bb_mesh_settings s = {
         .self = {.zone = "a1",
                  .region = "a",
-                 .role = i == NODE ? BB_ROLE_NODE : BB_ROLE_CONTROL,
+                 .role = i == NODE_INDEX ? BB_ROLE_NODE : BB_ROLE_CONTROL,
                  .rpc_address = {.ip = "127.0.0.1",
                                  .port = bb_rpc_server_get_port(server)},
                  .incarnation = 1},
-        .control_hosts = fake_controls,
+        .control_hosts = fake_control_hosts,
         .gossip_bind_address = {.ip = "127.0.0.1"},
         .seed = i + 1,
         .callbacks = {.context = f,
                       .payload = fake_encode_payload,
-                      .apply_payload = i == NODE ? fake_apply_payload : NULL},
+                      .apply_payload =
+                          i == NODE_INDEX ? fake_apply_payload : NULL},
     };
 
     (void)snprintf(s.self.host, sizeof(s.self.host), "host-%u", i);
@@ -54,8 +57,8 @@
     if (read(port_fd, &port, sizeof(port)) != sizeof(port)) {
         _exit(EXIT_FAILURE);
     }
-    fake_controls.items[0].rpc_address.port = port;
-    (void)start_process(NODE, server);
+    fake_control_hosts.items[CONTROL_HOST_INDEX].rpc_address.port = port;
+    (void)start_mesh(NODE_INDEX, server);
     bb_clock_sleep_us(60ULL * BB_US_PER_S);
     _exit(EXIT_SUCCESS);
 }
@@ -86,10 +89,10 @@
     int port_fds[2];
     pid_t node;
 
-    fake_add_control_host(0, "a1", "a");
+    fake_add_control_host(CONTROL_HOST_INDEX, "a1", "a");
     CU_ASSERT_EQUAL_FATAL(pipe(port_fds), 0);
-    /* Fork before this process has threads or an RPC server: the child would
-     * accept calls on an inherited listening socket. */
+    /* Fork before this process has threads or an RPC server: otherwise the
+     * child could accept calls on the inherited listening socket. */
     node = fork();
     if (node == 0) {
         run_node(port_fds[0]);
@@ -97,13 +100,13 @@
     server = bb_rpc_server_create(&any, &e);
     CU_ASSERT_PTR_NOT_NULL_FATAL(server);
     port = bb_rpc_server_get_port(server);
-    fake_controls.items[0].rpc_address.port = port;
+    fake_control_hosts.items[CONTROL_HOST_INDEX].rpc_address.port = port;
     CU_ASSERT_EQUAL(write(port_fds[1], &port, sizeof(port)), sizeof(port));
-    mesh = start_process(0, server);
+    mesh = start_mesh(CONTROL_HOST_INDEX, server);
     for (uint64_t revision = 1; revision <= 3; revision++) {
-        uint64_t end_us = bb_clock_now_us() + LIMIT_MS * BB_US_PER_MS;
+        uint64_t end_us = bb_clock_now_us() + PUSH_TIMEOUT_MS * BB_US_PER_MS;
 
-        fake_announce_revision(0, revision);
+        fake_announce_revision(CONTROL_HOST_INDEX, revision);
         while (!is_in_force_on_node(mesh, revision) &&
                bb_clock_now_us() < end_us) {
             bb_clock_sleep_us(10 * BB_US_PER_MS);
--- a/tests/mesh/test_rpc.c
+++ b/tests/mesh/test_rpc.c
@@ -1,6 +1,7 @@
 /* Tests of the RPC client pool and server. They guard against wrong results, a
- * refused connection that is not reported as such, a peer that never replies
- * and blocks the caller, and malformed bytes that stop the server. */
+ * refused connection that is not reported as such, a peer that never responds
+ * and blocks the caller, and malformed bytes that stop the server. The tests
+ * share one server, which the last one destroys. */
 #include <netinet/tcp.h>
 #include <string.h>
 #include <unistd.h>
@@ -19,7 +20,7 @@
 static struct bb_rpc_server *server;
 static struct bb_address server_address;
 
-/* The test program: replies with twice the argument. */
+/* The test program: responds with twice the argument. */
 static void
 dispatch(struct svc_req *request, SVCXPRT *transport)
 {
@@ -75,7 +76,7 @@
 }
 
 static void
-test_calls_are_answered(void)
+test_calls_get_their_results(void)
 {
     struct bb_rpc_pool *p = bb_rpc_pool_create();
     struct bb_error e = {0};
@@ -95,6 +96,7 @@
 test_refused_connection_is_reported_as_not_sent(void)
 {
     struct bb_rpc_pool *p = bb_rpc_pool_create();
+    /* Nothing listens on port 1. */
     struct bb_address closed = {.ip = "127.0.0.1", .port = 1};
     struct bb_error e = {0};
     uint32_t result = 0;
@@ -181,7 +183,7 @@
 }
 
 static const struct bb_unit_test tests[] = {
-    {"calls are answered", test_calls_are_answered},
+    {"calls get their results", test_calls_get_their_results},
     {"a refused connection is reported as not sent",
      test_refused_connection_is_reported_as_not_sent},
     {"an unresponsive peer times out", test_unresponsive_peer_times_out},
