--- a/decide/agree.c
+++ b/decide/agree.c
@@ -8,8 +8,8 @@
 /* Initialises a host from its durable state, after every start of the process.
  * For an empty disk, all of *d but the incarnation is zero. Assumes nothing
  * that is not in *d, such as unsynced writes of an earlier run. The random
- * bits must differ between starts: identity answers of an earlier run are told
- * apart by them. */
+ * bits must differ between starts: they tell identity responses to an earlier
+ * run apart. */
 void
 bb_agree_init(struct bb_agree *a, const struct bb_agree_settings *s,
               const struct bb_agree_durable *d, uint64_t now_us,
@@ -124,7 +124,7 @@
 }
 
 /* Sends what is due: identity requests, heartbeats, or the start of an
- * election. A leader steps down if no quorum answered it for
+ * election. A leader steps down if no quorum has responded to it for
  * BB_AGREE_ELECTION_TIMEOUT_MAX_US. */
 static void
 on_tick(struct agree_step *st)
@@ -155,8 +155,8 @@
     }
 }
 
-/* Emits the votes, append answers, entries to apply and answers that wait for
- * a sync, once all requested writes are synced. */
+/* Emits the votes, append responses, entries to apply and responses to callers
+ * that wait for a sync, once all requested writes are synced. */
 static void
 finish_step(struct agree_step *st)
 {
@@ -174,8 +174,8 @@
         agree_advance_commit(st);
         if (a->write_sequence != a->synced_sequence) {
             /* The new commit index is applied only after its own sync. A read
-             * answered before that could miss entries that followers have
-             * applied already. */
+             * that completes before that could miss entries that followers
+             * have applied already. */
             return;
         }
     }
--- a/decide/agree_append.c
+++ b/decide/agree_append.c
@@ -1,6 +1,6 @@
-/* Log replication. The leader sends entries, a follower answers up to which
- * index its synced log equals the leader's, and the leader commits what a
- * quorum holds. */
+/* Log replication. The leader sends entries, a follower responds with the
+ * index up to which its synced log equals the leader's, and the leader commits
+ * what a quorum holds. */
 #include "agree_internal.h"
 
 /* Sends the snapshot to a follower that needs entries which the log no longer
@@ -63,8 +63,8 @@
 }
 
 /* Becomes the leader and appends a no-op entry: entries of earlier terms are
- * committed only by committing one of the own term. Steps down again if the
- * log is full. */
+ * committed only by committing one of the leader's own term. Steps down again
+ * if the log is full. */
 void
 agree_become_leader(struct agree_step *st)
 {
@@ -119,9 +119,9 @@
     return slots;
 }
 
-/* Commits up to the last entry of the own term that a quorum has synced, which
- * commits all entries before it. A pending member entry must also be synced by
- * the joining disk itself. */
+/* Commits up to the last entry of this leader's term that a quorum has synced,
+ * which commits all entries before it. A pending member entry must also be
+ * synced by the joining disk itself. */
 void
 agree_advance_commit(struct agree_step *st)
 {
@@ -144,8 +144,8 @@
     }
 }
 
-/* Answers the leader with the last index up to which the log equals the
- * leader's; all of it must be synced. */
+/* Responds to the leader with the last index up to which this host's log
+ * equals the leader's; all of it must be synced. */
 void
 agree_send_append_response(struct agree_step *st)
 {
@@ -163,7 +163,7 @@
 }
 
 /* Refuses an append. The leader continues with the entry after the index in
- * the answer. */
+ * the response. */
 static void
 refuse_append(struct agree_step *st, const struct bb_agree_message *m)
 {
@@ -173,13 +173,14 @@
     uint64_t last = bb_agree_last_index(a);
 
     r->index = m->index > 0 && m->index - 1 < last ? m->index - 1 : last;
-    /* The answer carries the own term, so it may confirm only a round of that
-     * term. */
+    /* The response carries this host's term, so it may confirm only a round of
+     * that term. */
     r->round = m->term == a->durable.term ? m->round : 0;
 }
 
 /* Follows the sender of an append or a snapshot. Returns false, after refusing
- * it, if its term is older than the own one or the own storage has failed. */
+ * it, if its term is older than this host's or the storage of this host has
+ * failed. */
 static bool
 accept_leader(struct agree_step *st, const struct bb_agree_message *m)
 {
@@ -238,8 +239,8 @@
     return matched;
 }
 
-/* Processes entries or a heartbeat of the leader. The answer is sent once the
- * entries are synced. */
+/* Processes entries or a heartbeat of the leader. The response is sent once
+ * the entries are synced. */
 void
 agree_on_append(struct agree_step *st, const struct bb_agree_message *m)
 {
@@ -304,7 +305,7 @@
 }
 
 /* Raises the confirmed round to the last heartbeat round that a quorum has
- * answered. */
+ * responded to. */
 static void
 advance_confirmed_round(struct agree_step *st)
 {
@@ -327,7 +328,7 @@
     }
 }
 
-/* Processes a follower's answer to an append or a snapshot: updates its
+/* Processes a follower's response to an append or a snapshot: updates its
  * progress, sends more entries, commits, and admits a joining disk. */
 void
 agree_on_append_response(struct agree_step *st,
--- a/decide/agree_log.c
+++ b/decide/agree_log.c
@@ -194,9 +194,8 @@
 }
 
 /* Finds the newest configuration with a base revision and digest, by which a
- * repeated proposal is recognised. Stores its revision and log index; the
- * index is 0 if it is compacted, hence committed. Returns whether there is
- * one. */
+ * retried proposal is recognised. Stores its revision and log index; the index
+ * is 0 if it is compacted, hence committed. Returns whether there is one. */
 bool
 agree_find_proposal(const struct bb_agree *a, uint64_t base,
                     const struct bb_digest *digest, uint64_t *revision,
--- a/decide/agree_member.c
+++ b/decide/agree_member.c
@@ -76,7 +76,7 @@
 }
 
 /* Returns the slot of a disk, or BB_AGREE_NO_HOST, which stands for no slot
- * here, if it is neither a member nor joining, so that its answers do not
+ * here, if it is neither a member nor joining, so that its responses do not
  * count. */
 uint8_t
 agree_find_slot(const struct bb_agree *a, uint8_t host, uint64_t incarnation)
@@ -193,11 +193,10 @@
         st->a->durable.formation;
 }
 
-/* Answers an identity request. An empty disk that the formation lists also
- * receives the formation. At a leader, any other disk that is not a
- * member becomes the joining disk, which is brought up to date. There is one
- * at a time: a later request takes its place, until its member entry is
- * appended. */
+/* Responds to an identity request. An empty disk that the formation lists also
+ * receives the formation. At a leader, any other disk that is not a member
+ * becomes the joining disk, which is brought up to date. There is one at a
+ * time: a later request takes its place until the member entry is appended. */
 void
 agree_on_identity(struct agree_step *st, const struct bb_agree_message *m)
 {
@@ -205,7 +204,7 @@
     uint64_t members[BB_AGREE_HOSTS_MAX];
 
     if (a->write_sequence != a->synced_sequence) {
-        return; /* the own incarnation may not be synced yet */
+        return; /* this disk's incarnation may not be synced yet */
     }
     agree_add_message(st, BB_AGREE_IDENTITY_RESPONSE, m->from)->nonce =
         m->nonce;
@@ -230,8 +229,8 @@
                                    .next_index = a->durable.snapshot.index};
 }
 
-/* Records which hosts have empty disks. Only answers to requests of this run
- * of the process count, because an older answer may predate a formation. */
+/* Records which hosts have empty disks. Only responses to requests of this run
+ * of the process count, because an older response may predate a formation. */
 void
 agree_on_identity_response(struct agree_step *st,
                            const struct bb_agree_message *m)
@@ -250,7 +249,7 @@
     form_if_all_empty(st);
 }
 
-/* Adopts a received formation if the own disk is empty and listed in it. */
+/* Adopts a received formation if the disk is empty and listed in it. */
 void
 agree_on_formation(struct agree_step *st, const struct bb_agree_message *m)
 {
@@ -265,8 +264,8 @@
 }
 
 /* Appends the member entry for the joining disk, if this host leads, the disk
- * has synced the whole log, an entry of the own term is committed and no other
- * member entry is pending. */
+ * has synced the whole log, an entry of the current term is committed and no
+ * other member entry is pending. */
 void
 agree_admit_if_caught_up(struct agree_step *st)
 {
--- a/decide/agree_propose.c
+++ b/decide/agree_propose.c
@@ -9,8 +9,8 @@
     LOG_RESERVED_ENTRIES = BB_AGREE_LOG_MAX / 4
 };
 
-/* Adds an answer to the output, which is never full: a step answers at most
- * all pending requests and the one that it was called with. */
+/* Adds a response to the output, which is never full: a step responds at most
+ * to all pending requests and the one that it was called with. */
 void
 agree_add_response(struct agree_step *st, uint64_t ticket,
                    enum bb_agree_result result, uint64_t revision)
@@ -24,8 +24,8 @@
     }
 }
 
-/* Answers a proposal as accepted, now or once the entry at the log index is
- * applied. Index 0 stands for a compacted entry, which is applied already. */
+/* Responds to a proposal as accepted, now or once the entry at the log index
+ * is applied. Index 0 stands for a compacted, hence applied entry. */
 static void
 respond_when_applied(struct agree_step *st, uint64_t ticket, uint64_t index,
                      uint64_t revision)
@@ -59,9 +59,9 @@
     return BB_AGREE_ACCEPTED;
 }
 
-/* Processes a proposal. One that repeats an earlier one, by base and digest,
- * or whose content equals the last configuration, gets the answer of that one
- * and appends nothing. */
+/* Processes a proposal. A retry of an earlier one, recognised by base and
+ * digest, or one whose content equals the last configuration, gets the
+ * response of that one and appends nothing. */
 void
 agree_on_proposal(struct agree_step *st, const struct bb_agree_proposal *p)
 {
@@ -104,8 +104,8 @@
     agree_send_appends(st);
 }
 
-/* Starts a read: sends a heartbeat round that a quorum must answer, to confirm
- * that this host still leads. */
+/* Starts a read: sends a heartbeat round that a quorum must respond to, to
+ * confirm that this host still leads. */
 void
 agree_on_read(struct agree_step *st, uint64_t ticket)
 {
@@ -129,7 +129,7 @@
     }
 }
 
-/* Answers the pending proposals whose entries are applied. */
+/* Completes the pending proposals whose entries are applied. */
 void
 agree_complete_proposals(struct agree_step *st)
 {
@@ -155,9 +155,9 @@
     a->pending_proposal_count = kept;
 }
 
-/* Answers the pending reads whose round a quorum has answered, once an entry
- * of the own term is applied: before that, the commit index may lack entries
- * committed by earlier leaders. */
+/* Completes the pending reads whose round a quorum has responded to, once an
+ * entry of the leader's own term is applied: before that, the commit index may
+ * lack entries committed by earlier leaders. */
 void
 agree_complete_reads(struct agree_step *st)
 {
@@ -184,7 +184,7 @@
     a->pending_read_count = kept;
 }
 
-/* Answers all pending proposals and reads when the leadership ends. Proposals
+/* Fails all pending proposals and reads when the leadership ends. Proposals
  * get BB_AGREE_UNKNOWN: the next leader may still commit their entries. */
 void
 agree_fail_pending(struct agree_step *st)
--- a/decide/agree_vote.c
+++ b/decide/agree_vote.c
@@ -1,6 +1,6 @@
 /* Leader election. A round of pre-votes, which changes no durable state, finds
- * out whether an election can succeed. Votes are synced before they are
- * answered. */
+ * out first whether an election can succeed. Votes are synced before they are
+ * sent. */
 #include "agree_internal.h"
 
 /* Restarts the election timeout with a random duration, so that hosts seldom
@@ -16,7 +16,7 @@
 
 /* Becomes a follower of a leader (BB_AGREE_NO_HOST: unknown) in a term. A term
  * above the current one is adopted and clears the vote. Proposals and reads
- * that a leader has not answered yet are answered as failed. */
+ * that are still pending at a leader are failed. */
 void
 agree_become_follower(struct agree_step *st, uint64_t term, uint8_t leader)
 {
@@ -97,8 +97,8 @@
     send_vote_requests(st, BB_AGREE_PRE_VOTE, a->durable.term + 1);
 }
 
-/* Counts the own vote, which must be synced, and requests the others'. Becomes
- * the leader at once in a group of one host. */
+/* Counts this host's own vote, which must be synced, and requests those of the
+ * others. Becomes the leader at once in a group of one host. */
 void
 agree_request_votes(struct agree_step *st)
 {
@@ -113,8 +113,8 @@
     send_vote_requests(st, BB_AGREE_VOTE, a->durable.term);
 }
 
-/* Answers a vote or pre-vote request. The answer repeats the term of the
- * request and carries the own term in index_term. */
+/* Responds to a vote or pre-vote request. The response carries the term of the
+ * request in term and this host's term in index_term. */
 static void
 send_vote_response(struct agree_step *st, const struct bb_agree_message *m,
                    bool is_ok)
@@ -172,7 +172,7 @@
            (m->index_term == term && m->index >= bb_agree_last_index(a));
 }
 
-/* Answers a pre-vote request. It is refused while this host hears from a
+/* Responds to a pre-vote request. It is refused while this host hears from a
  * leader, so that a host that rejoins does not disturb it. */
 static void
 respond_to_pre_vote(struct agree_step *st, const struct bb_agree_message *m)
@@ -189,7 +189,7 @@
 }
 
 /* Processes a vote or pre-vote request. A disk that is not a member does not
- * answer, nor is a candidate answered whose disk was replaced. */
+ * respond, and a candidate whose disk was replaced gets no response. */
 void
 agree_on_vote_request(struct agree_step *st, const struct bb_agree_message *m)
 {
@@ -221,9 +221,9 @@
     agree_reset_election_timer(st);
 }
 
-/* Counts an answer to the own vote or pre-vote request, and wins the round
- * with a quorum. Only answers of member disks, or of the one that a pending
- * entry admits, count. */
+/* Counts a response to this host's vote or pre-vote request, and wins the
+ * round with a quorum. Only responses of member disks, or of the one that a
+ * pending entry admits, count. */
 void
 agree_on_vote_response(struct agree_step *st, const struct bb_agree_message *m)
 {
--- a/decide/balance.c
+++ b/decide/balance.c
@@ -178,8 +178,8 @@
     return v->is_ready && v->slots > 0 && now_us >= v->suspended_until_us;
 }
 
-/* Returns whether a gate can be expected to answer before the target with some
- * margin: it is not cold, and few of its requests fail. */
+/* Returns whether a gate can be expected to respond before the target with
+ * some margin: it is not cold, and few of its requests fail. */
 static bool
 has_headroom(const struct bb_gate_view *v, const struct bb_balance_request *r,
              uint64_t now_us)
@@ -251,12 +251,12 @@
     return best;
 }
 
-/* Returns how long a request may wait at its next gate after a number of
- * refusals by others, in microseconds. */
+/* Returns how long a request may wait at its next gate, in microseconds, after
+ * a number of other gates were full. */
 static uint64_t
-max_wait_at_next_gate_us(uint32_t refusals, uint64_t target_left_us)
+max_wait_at_next_gate_us(uint32_t full_count, uint64_t target_left_us)
 {
-    switch (refusals) {
+    switch (full_count) {
     case 0:
         return target_left_us * BB_BALANCE_FIRST_WAIT_PERCENT / PERCENT;
     case 1:
@@ -270,9 +270,9 @@
  * nodes, each has few reports of each gate: the limit makes a gate whose queue
  * is longer than expected refuse at once, while a short wait is cheaper than a
  * search for a free slot. There is no limit if no other gate is worth an
- * attempt, if the chosen gate has refused this request before, or after two
- * refusals. was_full[i] is true if gate i has refused this request. The gate
- * is -1 if none is available. */
+ * attempt, if the chosen gate was full at an earlier attempt of this request,
+ * or after two gates were full. was_full[i] is true if gate i refused an
+ * attempt of this request as full. The gate is -1 if none is available. */
 struct bb_balance_choice
 bb_balance_choose(const struct bb_gate_view *const *views,
                   const bool *was_full, uint32_t count,
@@ -283,7 +283,7 @@
         .gate = bb_balance_pick(views, count, r, random_bits, now_us),
         .max_wait_us = UINT64_MAX};
     const struct bb_gate_view *best;
-    uint32_t refusals = 0;
+    uint32_t full_count = 0;
     bool has_alternative = false;
 
     if (target.gate < 0 || was_full[target.gate]) {
@@ -293,7 +293,7 @@
     for (uint32_t i = 0; i < count; i++) {
         const struct bb_gate_view *v = views[i];
 
-        refusals += was_full[i];
+        full_count += was_full[i];
         has_alternative =
             has_alternative ||
             (v != best && !was_full[i] && v->is_ready &&
@@ -304,7 +304,7 @@
     }
     if (has_alternative) {
         target.max_wait_us =
-            max_wait_at_next_gate_us(refusals, r->target_left_us);
+            max_wait_at_next_gate_us(full_count, r->target_left_us);
     }
     return target;
 }
@@ -342,7 +342,7 @@
     v->suspended_until_us = now_us + v->last_suspension_us;
 }
 
-/* Ends the suspension of a gate that has answered. */
+/* Ends the suspension of a gate that has responded. */
 void
 bb_gate_view_resume(struct bb_gate_view *v)
 {
--- a/decide/claim.c
+++ b/decide/claim.c
@@ -93,10 +93,10 @@
            c->attempt > held->attempt;
 }
 
-/* Answers a claim of a key made in a roster epoch. A granted claim is kept for
- * the retention time after it was last granted. A witness that cannot grant
- * still reports another claim that it holds, unless the new one is a later
- * attempt of the same request. */
+/* Responds to a claim of a key made in a roster epoch. A granted claim is kept
+ * for the retention time after it was last granted. A witness that cannot
+ * grant still reports another claim that it holds, unless the new one is a
+ * later attempt of the same request. */
 struct bb_witness_response
 bb_witness_claim(struct bb_witness *w, const struct bb_request_id *key,
                  const struct bb_claim *c, uint64_t epoch, uint64_t now_us)
@@ -177,7 +177,7 @@
 }
 
 /* Starts a claim of a key. The caller sends it to every host in witnesses[]
- * and passes each answer to bb_claim_add_response. */
+ * and passes each response to bb_claim_add_response. */
 void
 bb_claim_start(struct bb_claim_requester *q, const struct bb_roster *r,
                const struct bb_request_id *key, const struct bb_claim *wanted)
@@ -191,8 +191,8 @@
     }
 }
 
-/* Adds the answer of one witness, BB_WITNESS_UNREACHABLE if it gave none. A
- * later answer replaces an earlier one. Returns false if the host is not a
+/* Adds the response of one witness, BB_WITNESS_UNREACHABLE if it gave none. A
+ * later response replaces an earlier one. Returns false if the host is not a
  * witness of this claim. */
 bool
 bb_claim_add_response(struct bb_claim_requester *q, uint64_t witness,
@@ -254,10 +254,10 @@
     return BB_REASON_KEY_OWNER_UNAVAILABLE;
 }
 
-/* Returns what to do after the answers so far. BB_CLAIM_RUN: this claim has
+/* Returns what to do after the responses so far. BB_CLAIM_RUN: this claim has
  * a quorum. BB_CLAIM_JOIN: another claim has one; its request id may be sent
  * to its gatekeeper, which runs it at most once. Both set *held to the claim
- * with the quorum. BB_CLAIM_REFUSED: all witnesses have answered and no claim
+ * with the quorum. BB_CLAIM_REFUSED: all witnesses have responded and no claim
  * has a quorum; sets *reason, and the request did not run. */
 enum bb_claim_step
 bb_claim_step(const struct bb_claim_requester *q, struct bb_claim *held,
--- a/decide/outlier.c
+++ b/decide/outlier.c
@@ -344,7 +344,7 @@
     return false;
 }
 
-/* Records the end of a call: an answer, or a failure of the connection or the
+/* Records the end of a call: a response, or a failure of the connection or the
  * upstream. start_us is the now_us given to bb_outlier_start. A refusal by the
  * gatekeeper is neither; report it with bb_outlier_cancel. */
 void
@@ -448,9 +448,9 @@
 }
 
 /* Starts probing members whose ejection time has passed, and counts
- * outstanding calls that are already slow, without waiting for their answers.
- * To be called every few milliseconds while calls are outstanding, or before
- * each pick. */
+ * outstanding calls that are already slow, without waiting for their
+ * responses. To be called every few milliseconds while calls are outstanding,
+ * or before each pick. */
 void
 bb_outliers_tick(struct bb_outliers *o, uint64_t now_us)
 {
--- a/decide/probe.c
+++ b/decide/probe.c
@@ -30,7 +30,7 @@
     }
 }
 
-/* To be called when bytes of the answer arrive on the call's connection. */
+/* To be called when bytes of the response arrive on the call's connection. */
 void
 bb_probe_bytes_received(struct bb_probe *p, uint64_t now_us)
 {
@@ -63,7 +63,7 @@
     }
 }
 
-/* To be called with the answer to a query. */
+/* To be called with the response to a query. */
 void
 bb_probe_query_completed(struct bb_probe *p, enum bb_query_result result,
                          uint64_t now_us)
@@ -134,7 +134,7 @@
     set_final_step(p, BB_PROBE_RETRY, reason);
 }
 
-/* To be called when a query gets no answer. The next one is due after a
+/* To be called when a query gets no response. The next one is due after a
  * quarter of the check interval. */
 void
 bb_probe_query_failed(struct bb_probe *p, uint64_t now_us)
--- a/decide/quorum.c
+++ b/decide/quorum.c
@@ -80,7 +80,7 @@
     return ++q->write_sequence;
 }
 
-/* Returns whether the current entry is synced on the own disk. */
+/* Returns whether the current entry is synced on this host's disk. */
 static bool
 is_entry_synced(const struct bb_quorum *q)
 {
@@ -134,9 +134,9 @@
                          random_bits % BB_QUORUM_EARLY_ELECTION_MAX_US;
 }
 
-/* Sets the disks of all hosts that can be reached, voters or not; the own one
- * is ignored. Those known before keep their state. Beyond BB_QUORUM_PEERS_MAX,
- * disks are ignored. */
+/* Sets the disks of all hosts that can be reached, voters or not; this host's
+ * own disk is ignored. Those known before keep their state. Beyond
+ * BB_QUORUM_PEERS_MAX, disks are ignored. */
 void
 bb_quorum_set_peers(struct bb_quorum *q, const uint64_t *disks, uint32_t count)
 {
@@ -215,7 +215,7 @@
     advance_commit(q, now_us, out);
 }
 
-/* Becomes the leader and writes the current entry again in the own term. */
+/* Becomes the leader and writes the current entry again in the new term. */
 static void
 become_leader(struct bb_quorum *q, uint64_t now_us,
               struct bb_quorum_output *out)
@@ -232,8 +232,8 @@
     replace_entry(q, now_us, out);
 }
 
-/* Counts the own vote and sends vote requests to the other voters; pre-vote
- * requests are for the next term. */
+/* Counts this host's own vote and sends vote requests to the other voters;
+ * pre-vote requests are for the next term. */
 static void
 request_votes(struct bb_quorum *q, enum bb_quorum_message_kind kind,
               struct bb_quorum_output *out)
@@ -291,10 +291,10 @@
 }
 
 /* Creates the first entry, with empty content and up to BB_QUORUM_VOTERS_MAX
- * voters, and starts an election. The voters must include the own disk, which
- * is not checked although its own vote is counted. Must be called on one host
- * only, the one that all empty hosts agree on. Returns false if this host has
- * an entry already or the count is out of range. */
+ * voters, and starts an election. The voters must include this host's disk,
+ * which is not checked although its vote is counted. Must be called on one
+ * host only, the one that all empty hosts agree on. Returns false if this host
+ * has an entry already or the count is out of range. */
 bool
 bb_quorum_bootstrap(struct bb_quorum *q, const uint64_t *voters,
                     uint32_t count, uint64_t now_us,
@@ -313,8 +313,9 @@
     return true;
 }
 
-/* Sends a due heartbeat, starts a due election, or steps down as a leader that
- * no majority answers. See bb_quorum_next_tick_us for when to call it. */
+/* Sends a due heartbeat, starts a due election, or steps down as a leader to
+ * which no majority responds. See bb_quorum_next_tick_us for when to call it.
+ */
 void
 bb_quorum_tick(struct bb_quorum *q, uint64_t now_us, uint64_t random_bits,
                struct bb_quorum_output *out)
@@ -373,7 +374,7 @@
            compare_entries(&m->entry, &q->durable.entry) >= 0;
 }
 
-/* Answers a pre-vote request. It is refused while this host leads or hears
+/* Responds to a pre-vote request. It is refused while this host leads or hears
  * from a leader, so that a host that rejoins does not disturb the leader. */
 static void
 respond_to_pre_vote(struct bb_quorum *q, const struct bb_quorum_message *m,
@@ -388,13 +389,13 @@
 
     a->is_ok =
         !has_leader && m->term > q->durable.term && is_entry_up_to_date(q, m);
-    /* A refusal carries the own term. A candidate with a lower term cannot win
-     * before it adopts this term, and may be the only one that has the newest
-     * entry. */
+    /* A refusal carries this host's term. A candidate with a lower term cannot
+     * win before it adopts this term, and may be the only one that has the
+     * newest entry. */
     a->term = a->is_ok ? m->term : q->durable.term;
 }
 
-/* Answers a vote request; a granted vote is sent once it is synced. */
+/* Responds to a vote request; a granted vote is sent once it is synced. */
 static void
 respond_to_vote(struct bb_quorum *q, const struct bb_quorum_message *m,
                 uint64_t now_us, uint64_t random_bits,
@@ -431,7 +432,7 @@
     return q->vote_count >= majority_size(q);
 }
 
-/* Answers the leader with the term and index of the synced entry. */
+/* Responds to the leader with the term and index of the synced entry. */
 static void
 send_append_response(struct bb_quorum *q, uint64_t to,
                      struct bb_quorum_output *out)
@@ -447,7 +448,7 @@
                                                     : q->synced_index;
 }
 
-/* Processes an append or heartbeat of a leader. Answers at once with what is
+/* Processes an append or heartbeat of a leader. Responds at once with what is
  * synced, and again when a newer entry is. */
 static void
 on_append(struct bb_quorum *q, const struct bb_quorum_message *m,
@@ -479,8 +480,8 @@
     send_append_response(q, m->from, out);
 }
 
-/* Updates the time of the last quorum, if a majority of the voters (with the
- * own disk) answered within two heartbeat intervals. */
+/* Updates the time of the last quorum, if a majority of the voters (with this
+ * host's disk) responded within two heartbeat intervals. */
 static void
 update_last_quorum(struct bb_quorum *q, uint64_t now_us)
 {
@@ -497,7 +498,7 @@
     }
 }
 
-/* Processes a follower's answer: updates its progress and commits. */
+/* Processes a follower's response: updates its progress and commits. */
 static void
 on_append_response(struct bb_quorum *q, const struct bb_quorum_message *m,
                    uint64_t now_us, struct bb_quorum_output *out)
@@ -687,8 +688,8 @@
     return q->round;
 }
 
-/* Returns whether a majority has answered a heartbeat round, so that the read
- * that started it may be served. */
+/* Returns whether a majority has responded to a heartbeat round, so that the
+ * read that started it may be served. */
 bool
 bb_quorum_is_round_confirmed(const struct bb_quorum *q, uint64_t round)
 {
@@ -704,9 +705,9 @@
     return count >= majority_size(q);
 }
 
-/* Returns whether this host leads and a majority answered it, or it heard from
- * a leader that a majority answered, within BB_QUORUM_ELECTION_TIMEOUT_MIN_US.
- */
+/* Returns whether this host leads and a majority responded to it, or it heard
+ * from a leader to which a majority responded, within
+ * BB_QUORUM_ELECTION_TIMEOUT_MIN_US. */
 bool
 bb_quorum_has_recent_quorum(const struct bb_quorum *q, uint64_t now_us)
 {
--- a/decide/reason.c
+++ b/decide/reason.c
@@ -126,7 +126,7 @@
     return false;
 }
 
-/* Returns the HTTP status with which a refusal is answered. */
+/* Returns the HTTP status of the response to a refused request. */
 uint32_t
 bb_reason_http_status(enum bb_reason r)
 {
--- a/decide/record.c
+++ b/decide/record.c
@@ -21,7 +21,7 @@
 }
 
 /* Returns the entry of an id or NULL. Also finds expired entries, which stay
- * until bb_record_expire has returned the handle of their answer. */
+ * until bb_record_expire has returned the handle of their response. */
 static struct bb_record_entry *
 find_entry(const struct bb_record *r, const struct bb_request_id *id)
 {
@@ -31,8 +31,8 @@
 /* Records a request as running unless its id was seen before. A request that
  * names an incarnation other than BB_INCARNATION_ANY is accepted by that one
  * only; a request that may run elsewhere or has been sent before must name it.
- * Sets *response_handle to the stored answer for BB_BEGIN_DUPLICATE_DONE, else
- * to 0. */
+ * Sets *response_handle to the stored response for BB_BEGIN_DUPLICATE_DONE,
+ * else to 0. */
 enum bb_begin_result
 bb_record_begin(struct bb_record *r, const struct bb_request_id *id,
                 uint64_t incarnation, uint64_t *response_handle,
@@ -66,7 +66,7 @@
 }
 
 /* Records the end of a running request: BB_RECORD_DONE with the handle of its
- * stored answer (0: none), or BB_RECORD_REFUSED if it was refused before it
+ * stored response (0: none), or BB_RECORD_REFUSED if it was refused before it
  * ran. Returns false if the id is not recorded as running. */
 bool
 bb_record_finish(struct bb_record *r, const struct bb_request_id *id,
@@ -141,9 +141,9 @@
     return BB_QUERY_NEVER_SEEN;
 }
 
-/* Removes one expired entry and sets *response_handle to its answer, for
- * the caller to release (0: none). Returns false if this scan of part of the
- * table found none. Call it a few times for each bb_record_begin. */
+/* Removes one expired entry and sets *response_handle to its response, for the
+ * caller to release (0: none). Returns false if this scan of part of the table
+ * found none. Call it a few times for each bb_record_begin. */
 bool
 bb_record_expire(struct bb_record *r, uint64_t now_us,
                  uint64_t *response_handle)
--- a/decide/retry.c
+++ b/decide/retry.c
@@ -18,7 +18,7 @@
     HEDGE_DELAY_MIN_US = 2000,
     HEDGE_OBSERVATIONS_MIN = 20,
     HEDGE_DELAY_DEFAULT_US = 50000,
-    /* The deadline of a nested call is this much earlier, so that its answer
+    /* The deadline of a nested call is this much earlier, so that its response
      * can still be passed on. */
     NESTED_MARGIN_MAX_US = 1000,
     NESTED_MARGIN_DIVISOR = 20
@@ -141,7 +141,7 @@
     return a;
 }
 
-/* Returns after how many microseconds without an answer a hedge is sent: the
+/* Returns after how many microseconds without a response a hedge is sent: the
  * configured delay, or the observed p95 plus a margin, and at least
  * HEDGE_DELAY_MIN_US. */
 uint64_t
@@ -215,7 +215,7 @@
 }
 
 /* Returns the time that a nested call may take: the time left, less one
- * twentieth but at most 1 ms, in which its answer is passed on. */
+ * twentieth but at most 1 ms, in which its response is passed on. */
 uint64_t
 bb_deadline_nested_remaining_us(uint64_t deadline_us, uint64_t now_us)
 {
--- a/decide/route_pick.c
+++ b/decide/route_pick.c
@@ -40,7 +40,7 @@
 }
 
 /* Updates a candidate with the load that its gatekeeper reported at now_us
- * with an answer. */
+ * with a response. */
 void
 bb_candidate_update_load(struct bb_candidate *c, uint32_t running,
                          uint32_t queued, uint32_t slots, uint64_t now_us)
@@ -146,7 +146,7 @@
 /* Returns the expected duration of one more call, in microseconds: the usual
  * latency times the number of requests per slot, with this call. If a short
  * call in flight is already older than the usual latency, its age is used, so
- * that a slow gatekeeper is noticed before it answers. */
+ * that a slow gatekeeper is noticed before it responds. */
 double
 bb_candidate_expected_us(const struct bb_candidate *c,
                          enum bb_admission_class work_class, uint64_t now_us)
--- a/decide/source.c
+++ b/decide/source.c
@@ -188,7 +188,7 @@
     return true;
 }
 
-/* Records the answer to an open proposal; ignores late answers to others.
+/* Records the response to an open proposal; ignores late responses to others.
  * Returns whether the saved state changed. */
 static bool
 record_result(struct bb_source *s, const struct bb_source_event *e)
@@ -219,7 +219,7 @@
 }
 
 /* Proposes the stable content, unless it was proposed less than
- * BB_SOURCE_RESEND_INTERVAL_US ago and no answer has arrived. */
+ * BB_SOURCE_RESEND_INTERVAL_US ago and no response has arrived. */
 static struct bb_source_action
 propose(struct bb_source *s, uint64_t now_us)
 {
--- a/decide/swim.c
+++ b/decide/swim.c
@@ -117,8 +117,8 @@
 
 /* Adds a peer or updates it from its merged record. The caller merges, so a
  * record is never older than the one before. The suspicion timeout starts with
- * each new suspicion. The own id and id 0 are ignored. Returns false if the
- * peer is new and there are BB_SWIM_PEERS_MAX already. */
+ * each new suspicion. This member's own id and id 0 are ignored. Returns false
+ * if the peer is new and there are BB_SWIM_PEERS_MAX already. */
 bool
 bb_swim_set_peer(struct bb_swim *s, uint64_t id, uint64_t incarnation,
                  uint64_t sequence, enum bb_swim_state state, uint64_t now_us)
@@ -167,7 +167,7 @@
     end_probe(s, id);
 }
 
-/* Records that a peer answered a ping, directly or through another member.
+/* Records that a peer responded to a ping, directly or through another member.
  * This ends the probe and restarts the suspicion timeout. The suspicion itself
  * is ended only by the peer's refutation, a record with a higher sequence
  * number. */
@@ -215,8 +215,9 @@
     return picked;
 }
 
-/* Returns the next peer after the own id that is alive, or NULL if none is.
- * Suspected peers are skipped: members that suspect a peer ping it anyway. */
+/* Returns the next peer after this member's own id that is alive, or NULL if
+ * none is. Suspected peers are skipped: members that suspect a peer ping it
+ * anyway. */
 static struct bb_swim_peer *
 find_successor(struct bb_swim *s)
 {
@@ -276,8 +277,8 @@
     }
 }
 
-/* Starts an own suspicion of a peer, or turns one received from others into an
- * own one, with a new suspicion timeout. */
+/* Starts this member's own suspicion of a peer, or turns one received from
+ * others into its own, with a new suspicion timeout. */
 static void
 start_suspicion(struct bb_swim *s, struct bb_swim_peer *p, uint64_t now_us,
                 struct bb_swim_actions *out)
@@ -319,15 +320,15 @@
     (void)add_action(out, BB_SWIM_PING, probe->id, 0);
     probe->pings_sent++;
     probe->next_ping_us = now_us + s->settings.ping_interval_us;
-    /* Indirect pings only start once a direct one was not answered. */
+    /* Indirect pings only start once a direct one got no response. */
     if (probe->pings_sent == 2) {
         request_pings(s, probe->id, s->settings.indirect_ping_count, out);
     }
 }
 
-/* Pings a peer under an own suspicion, and declares it dead after the
- * suspicion timeout. A suspicion received from others becomes an own one when
- * its timeout has passed. */
+/* Pings a peer that this member suspects itself, and declares it dead after
+ * the suspicion timeout. A suspicion received from others becomes this
+ * member's own when its timeout has passed. */
 static void
 advance_suspicion(struct bb_swim *s, struct bb_swim_peer *p, uint64_t now_us,
                   struct bb_swim_actions *out)
@@ -388,9 +389,9 @@
 }
 
 /* Advances probes and suspicions to now and fills in the actions to carry out.
- * Beyond BB_SWIM_ACTIONS_MAX, actions are dropped and not repeated, also
- * BB_SWIM_MARK_DEAD. Must be called at least every 25 ms: the constants above
- * leave 0.1 s for ticks and gossip. */
+ * Actions beyond BB_SWIM_ACTIONS_MAX, including BB_SWIM_MARK_DEAD, are dropped
+ * for good. Must be called at least every 25 ms: the constants above leave 0.1
+ * s for ticks and gossip. */
 void
 bb_swim_tick(struct bb_swim *s, uint64_t now_us, uint64_t random_bits,
              struct bb_swim_actions *out)
--- a/decide/voters.c
+++ b/decide/voters.c
@@ -77,8 +77,8 @@
 }
 
 /* Returns the position of the voter to remove: one that is lost, otherwise one
- * of the zone with the most voters; never the own disk. -1 if there is none.
- */
+ * of the zone with the most voters; never this host's own disk. -1 if there is
+ * none. */
 static int32_t
 find_voter_to_remove(const struct bb_voter_candidate *hosts, uint32_t count,
                      const struct bb_voters *v, uint64_t self)
@@ -124,8 +124,8 @@
 
 /* Plans the next change of the voters, which adds or removes one disk. A disk
  * is added before the voter that it replaces is removed, so the number of
- * synced copies never falls. The own disk, self, is never removed. Returns
- * whether there is a change; *next is set in any case. */
+ * synced copies never falls. This host's own disk, self, is never removed.
+ * Returns whether there is a change; *next is set in any case. */
 bool
 bb_voters_plan_change(const struct bb_voter_candidate *hosts,
                       uint32_t host_count, const struct bb_voters *current,
--- a/include/decide/admission.h
+++ b/include/decide/admission.h
@@ -115,7 +115,7 @@
     struct bb_admission_queued queue[BB_ADMISSION_QUEUE_MAX]; /* by deadline */
 };
 
-/* Load of one gatekeeper, reported to entry nodes with every answer. */
+/* Load of one gatekeeper, reported to entry nodes with every response. */
 struct bb_admission_load {
     uint32_t running;
     uint32_t queued;
--- a/include/decide/agree.h
+++ b/include/decide/agree.h
@@ -1,16 +1,16 @@
 /* Consensus of the control hosts on the sequence of configurations: Raft with
  * pre-votes, log compaction and replacement of one disk at a time. The state
  * is a plain struct that can be copied. The module does no I/O: each event
- * returns what to write, send, apply and answer.
+ * returns what to write, send and apply, and the responses to callers.
  *
  * A host is a fixed position, 0 to host_count - 1. A disk is known by its
  * incarnation, a random number that an empty disk gets; only disks that the
  * log lists as members vote. Times are microseconds of one clock that never
  * goes back.
  *
- * After each step the caller, in this order: writes what the persist fields
- * of the output describe (one record, all or nothing); sends the messages;
- * applies the entries; passes on the answers. Once the write is synced, it
+ * After each step the caller, in this order: writes what the persist fields of
+ * the output describe (one record, all or nothing); sends the messages;
+ * applies the entries; passes on the responses. Once the write is synced, it
  * feeds BB_AGREE_EVENT_SYNCED with the sequence number. Whatever depends on a
  * write is returned only by the step for that event or a later one. An append
  * message must be fed only after the payloads that its entries name by digest
@@ -44,7 +44,7 @@
     BB_AGREE_PENDING_PROPOSALS_MAX = 16,
     BB_AGREE_PENDING_READS_MAX = 8,
     BB_AGREE_MESSAGES_MAX = 24,
-    /* A step answers at most all pending requests and the one that it was
+    /* A step responds at most to all pending requests and the one that it was
      * called with; one more is spare. */
     BB_AGREE_RESPONSES_MAX =
         BB_AGREE_PENDING_PROPOSALS_MAX + BB_AGREE_PENDING_READS_MAX + 2,
@@ -115,7 +115,7 @@
 
 /* The state that must survive a restart. */
 struct bb_agree_durable {
-    uint64_t incarnation; /* of the own disk */
+    uint64_t incarnation; /* of this host's disk */
     struct bb_agree_formation formation;
     uint64_t term;
     uint64_t voted_for;    /* incarnation, 0 if none in this term */
@@ -146,8 +146,8 @@
     uint8_t kind;  /* enum bb_agree_message_kind */
     uint8_t from;  /* host */
     uint8_t to;    /* host */
-    uint8_t is_ok; /* answers: vote granted, or log matched */
-    /* Append: a quorum answered the leader within the last
+    uint8_t is_ok; /* responses: vote granted, or log matched */
+    /* Append: a quorum responded to the leader within the last
      * BB_AGREE_ELECTION_TIMEOUT_MIN_US. */
     uint8_t has_recent_quorum;
     uint8_t count; /* append: entries */
@@ -155,19 +155,19 @@
     uint64_t incarnation; /* of the sender's disk */
     uint64_t formation;   /* id of the sender's formation, 0 if none */
     /* The sender's term. Pre-vote: the term after it. Vote and pre-vote
-     * answers: as in the request. */
+     * responses: as in the request. */
     uint64_t term;
-    uint64_t nonce; /* identity: copied from the request to its answer */
+    uint64_t nonce; /* identity: copied from the request to its response */
     /* Vote, pre-vote: of the sender's last entry. Append: of the entry before
-     * the first one sent. Snapshot: of its last entry. Answer to an append or
-     * a snapshot: of the last entry that equals the leader's; if refused, the
-     * leader continues after it. */
+     * the first one sent. Snapshot: of its last entry. Response to an append
+     * or a snapshot: of the last entry that equals the leader's; if refused,
+     * the leader continues after it. */
     uint64_t index;
     /* Vote, pre-vote, append, snapshot: of the entry at index. Vote and
-     * pre-vote answers: the sender's own term. */
+     * pre-vote responses: the sender's own term. */
     uint64_t index_term;
     uint64_t commit_index; /* append, snapshot: the leader's commit index */
-    uint64_t round; /* append, snapshot and their answer: heartbeat round */
+    uint64_t round; /* append, snapshot and their responses: heartbeat round */
     union {
         struct bb_agree_entry entries[BB_AGREE_BATCH_MAX];
         struct bb_agree_formation formation;
@@ -176,7 +176,7 @@
 };
 
 struct bb_agree_proposal {
-    uint64_t ticket; /* chosen by the caller, returned with the answer */
+    uint64_t ticket; /* chosen by the caller, returned with the response */
     /* Revision that the content was made from; for the first configuration of
      * the group, the first revision - 1. */
     uint64_t base_revision;
@@ -248,16 +248,16 @@
     uint64_t
         match_index; /* last index synced there that equals the leader's log */
     uint64_t next_index;         /* first index to send */
-    uint64_t acknowledged_round; /* highest heartbeat round answered */
+    uint64_t acknowledged_round; /* highest heartbeat round responded to */
 };
 
-/* A proposal that is answered once its entry is applied. */
+/* A proposal that gets its response once its entry is applied. */
 struct bb_agree_pending_proposal {
     uint64_t ticket;
     uint64_t index; /* of the entry */
 };
 
-/* A read that is answered once a quorum has answered a heartbeat round. */
+/* A read that is confirmed once a quorum has responded to its round. */
 struct bb_agree_pending_read {
     uint64_t ticket;
     uint64_t round;
@@ -280,12 +280,11 @@
     uint8_t joining_host; /* host of the joining disk, or BB_AGREE_NO_HOST */
     uint8_t is_storage_failed;
     uint8_t empty_hosts; /* bit by host that reported an empty disk */
-    /* Host whose vote answer waits for the sync. The own host: vote requests
-     * wait for the sync of the own vote. BB_AGREE_NO_HOST: none. */
+    /* Host whose vote response waits for the sync. This host itself: vote
+     * requests wait for the sync of its own vote. BB_AGREE_NO_HOST: none. */
     uint8_t pending_vote_to;
-    uint8_t
-        has_pending_append_response; /* an append answer waits for the sync */
-    uint8_t append_is_ok;            /* not used */
+    uint8_t has_pending_append_response; /* one waits for the sync */
+    uint8_t append_is_ok;                /* not used */
     uint8_t pending_proposal_count;
     uint8_t pending_read_count;
     uint8_t unused[3];
@@ -298,9 +297,9 @@
     uint64_t append_match_index; /* last index that equals the leader's log */
     uint64_t append_round;       /* highest heartbeat round received */
     uint64_t round;              /* last heartbeat round sent as a leader */
-    uint64_t confirmed_round;    /* highest round that a quorum answered */
+    uint64_t confirmed_round;    /* highest round that a quorum responded to */
     uint64_t nonce;              /* of identity requests; new at each start */
-    /* Incarnation of each empty disk, by host, from identity answers. */
+    /* Incarnation of each empty disk, by host, from identity responses. */
     uint64_t reported_incarnations[BB_AGREE_HOSTS_MAX];
     struct bb_agree_progress progress[BB_AGREE_SLOTS];
     struct bb_agree_pending_proposal
@@ -311,8 +310,8 @@
     uint64_t heartbeat_due_us;
     uint64_t identity_due_us;
     uint64_t leader_last_heard_us; /* last append of the leader */
-    uint64_t last_quorum_us;       /* a quorum last answered this leader */
-    /* Last time at which a quorum is known to have answered the group's
+    uint64_t last_quorum_us;       /* a quorum last responded to this leader */
+    /* Last time at which a quorum is known to have responded to the group's
      * leader, this host or another. */
     uint64_t group_quorum_us;
     uint64_t last_heard_us[BB_AGREE_HOSTS_MAX]; /* last message, by host */
--- a/include/decide/balance.h
+++ b/include/decide/balance.h
@@ -80,11 +80,11 @@
     uint32_t mean_duration_us;    /* reported mean duration; 0: unknown */
     uint32_t failure_permille;    /* reported failure rate */
     uint64_t reported_us;         /* time of the last report; 0: none yet */
-    uint32_t in_flight;           /* this node's attempts without an answer */
+    uint32_t in_flight;           /* this node's attempts without a response */
     uint32_t in_flight_at_report; /* in_flight at reported_us */
     uint64_t warm_at_us;          /* the upstream runs slower until then */
     uint64_t suspended_until_us;
-    uint64_t last_suspension_us; /* its duration; 0: none since an answer */
+    uint64_t last_suspension_us; /* its duration; 0: none since a response */
     /* Moving average of the response time by class index; 0: none yet. */
     uint32_t class_latency_us[BB_BALANCE_CLASSES];
 };
--- a/include/decide/claim.h
+++ b/include/decide/claim.h
@@ -36,8 +36,8 @@
 
 /* The one place where a request may run: attempt, gatekeeper, and incarnation
  * (process lifetime) of the gatekeeper. The next attempt may be claimed only
- * after that incarnation has permanently refused the request id; the answer of
- * a later incarnation does not count. */
+ * after that incarnation has permanently refused the request id; the response
+ * of a later incarnation does not count. */
 struct bb_claim {
     struct bb_request_id request;
     uint32_t attempt; /* from 1 */
@@ -73,7 +73,7 @@
     BB_WITNESS_OTHER_EPOCH,  /* requester and witness differ in roster */
     BB_WITNESS_CANNOT_GRANT, /* restarted, its old claims may be missing */
     BB_WITNESS_FULL,         /* no space for another claim */
-    BB_WITNESS_UNREACHABLE   /* no answer; set by the requester */
+    BB_WITNESS_UNREACHABLE   /* no response; set by the requester */
 };
 
 struct bb_witness_response {
@@ -83,13 +83,13 @@
 };
 
 enum bb_claim_step {
-    BB_CLAIM_WAIT,   /* wait for witnesses that have not answered */
+    BB_CLAIM_WAIT,   /* wait for witnesses that have not responded */
     BB_CLAIM_RUN,    /* send the request to the claimed gatekeeper */
     BB_CLAIM_JOIN,   /* send it by the claim held: its id and gatekeeper */
     BB_CLAIM_REFUSED /* did not run; refuse it with the reason */
 };
 
-/* One entry node's claim of one key, and the answers of the witnesses. */
+/* One entry node's claim of one key, and the responses of the witnesses. */
 struct bb_claim_requester {
     enum bb_claim_fault fault;
     struct bb_request_id key;
--- a/include/decide/gate_queue.h
+++ b/include/decide/gate_queue.h
@@ -1,9 +1,8 @@
 /* Admission queue of a gate, the part of baobab-proxy in front of one
  * upstream. The gatekeeper of baobab-node uses decide/admission.h instead. If
- * more
- * requests arrive than the upstream has slots, a request runs at once on a
- * free slot, waits if it can be expected to be answered in time, or is refused
- * at once.
+ * more requests arrive than the upstream has slots, a request runs at once on
+ * a free slot, waits if its response can be expected in time, or is refused at
+ * once.
  *
  * Requests leave the queue by priority; within a priority, those that can
  * still meet their target time go first, in order of target time, then the
@@ -48,7 +47,7 @@
      * BB_GATE_CLASSES. */
     uint32_t class_index;
     bool is_nested;         /* sent by an upstream that runs a request */
-    uint64_t target_end_us; /* target: an answer after it is late */
+    uint64_t target_end_us; /* target: a response after it is late */
     uint64_t deadline_us;   /* the caller stops waiting */
 };
 
--- a/include/decide/probe.h
+++ b/include/decide/probe.h
@@ -1,5 +1,5 @@
 /* Finds out the outcome of a call whose connection broke or is silent: queries
- * the gatekeeper on a new connection, then waits, fetches the stored answer,
+ * the gatekeeper on a new connection, then waits, fetches the stored response,
  * retries elsewhere, or reports the outcome as unknown. Not to be confused
  * with the probes of decide/admission.h and decide/outlier.h, which are
  * ordinary calls sent to a slow or ejected upstream to see whether it has
@@ -21,7 +21,7 @@
 enum bb_probe_step {
     BB_PROBE_WAIT,           /* until bb_probe_next_wakeup_us or an event */
     BB_PROBE_QUERY,          /* send QUERY on a new connection */
-    BB_PROBE_FETCH_RESPONSE, /* fetch the stored answer */
+    BB_PROBE_FETCH_RESPONSE, /* fetch the stored response */
     BB_PROBE_RETRY,  /* did not run or is idempotent: retry elsewhere */
     BB_PROBE_UNKNOWN /* tell the caller that the outcome is unknown */
 };
@@ -37,10 +37,10 @@
     enum bb_probe_fault fault;
     bool is_idempotent;
     bool is_keyed;  /* another entry node may send the same id */
-    bool is_broken; /* the call's connection: no answer can arrive on it */
-    bool is_query_pending;      /* a query has been sent and not answered */
-    bool is_silent;             /* a query was due since the last byte */
-    uint32_t queries;           /* number sent */
+    bool is_broken; /* the call's connection: no response can arrive on it */
+    bool is_query_pending; /* a query has been sent and has no response yet */
+    bool is_silent;        /* a query was due since the last byte */
+    uint32_t queries;      /* number sent */
     uint64_t check_interval_us; /* max silence, and time between queries */
     uint64_t deadline_us;
     uint64_t last_byte_us;
--- a/include/decide/quorum.h
+++ b/include/decide/quorum.h
@@ -45,7 +45,8 @@
     /* A candidate waits for votes for a random time of 0.5 to 1.5 times this,
      * a pre-candidate for pre-votes of 1 to 2 times this. */
     BB_QUORUM_VOTE_TIMEOUT_US = 400 * 1000,
-    /* A leader that no majority answered for longer than this steps down. */
+    /* A leader steps down after a longer time than this without responses from
+     * a majority. */
     BB_QUORUM_STEP_DOWN_TIMEOUT_US = 1400 * 1000
 };
 
@@ -68,7 +69,7 @@
 
 /* The state that must survive a restart. */
 struct bb_quorum_durable {
-    uint64_t disk_id; /* id of the own disk; never 0 */
+    uint64_t disk_id; /* id of this host's disk; never 0 */
     uint64_t term;
     uint64_t voted_for; /* disk, 0: none in this term */
     struct bb_quorum_entry entry;
@@ -86,19 +87,19 @@
 
 struct bb_quorum_message {
     uint32_t kind; /* enum bb_quorum_message_kind */
-    bool is_ok;    /* answers: vote granted, or append accepted */
-    /* Append: a majority answered the leader within the last
+    bool is_ok;    /* responses: vote granted, or append accepted */
+    /* Append: a majority responded to the leader within the last
      * BB_QUORUM_ELECTION_TIMEOUT_MIN_US. */
     bool has_recent_quorum;
     uint64_t from; /* disk */
     uint64_t to;   /* disk */
     uint64_t term;
-    uint64_t round; /* append and its answer: heartbeat round, for reads */
+    uint64_t round; /* append and its response: heartbeat round, for reads */
     /* Append: last index committed in the leader's term, 0: none yet. */
     uint64_t commit_index;
     /* Append: the leader's entry. Vote and pre-vote: only term and index, of
-     * the candidate's entry. Append answer: only term and index, of the entry
-     * that is synced. */
+     * the candidate's entry. Append response: only term and index, of the
+     * entry that is synced. */
     struct bb_quorum_entry entry;
 };
 
@@ -106,8 +107,8 @@
 struct bb_quorum_peer {
     uint64_t disk_id;
     uint64_t match_index; /* last index synced there, of the leader's term */
-    uint64_t acknowledged_round; /* highest heartbeat round answered */
-    uint64_t last_heard_us;      /* last append answer, 0: none */
+    uint64_t acknowledged_round; /* highest heartbeat round responded to */
+    uint64_t last_heard_us;      /* last append response, 0: none */
 };
 
 /* What the caller has to do. Zero it before the first call that uses it. */
@@ -141,11 +142,11 @@
     uint64_t synced_term;     /* of the synced entry */
     uint64_t synced_index;
     uint64_t synced_vote_term; /* not used */
-    /* Disk whose vote answer waits for a sync. The own disk: vote requests
-     * wait for the sync of the own vote. 0: none. */
+    /* Disk whose vote response waits for a sync. This host's own disk: vote
+     * requests wait for the sync of its own vote. 0: none. */
     uint64_t pending_vote_to;
     uint64_t pending_vote_sequence;   /* of the write that is waited for */
-    bool has_pending_append_response; /* an append answer waits for a sync */
+    bool has_pending_append_response; /* an append response waits for a sync */
     uint64_t pending_append_sequence;
     uint64_t append_round; /* heartbeat round of the leader's last append */
     uint64_t round;        /* last heartbeat round sent as a leader */
@@ -157,7 +158,7 @@
     uint32_t vote_count;
     uint32_t peer_count;
     struct bb_quorum_peer peers[BB_QUORUM_PEERS_MAX];
-    uint64_t last_quorum_us; /* a majority last answered this leader */
+    uint64_t last_quorum_us; /* a majority last responded to this leader */
     struct bb_quorum_faults faults;
 };
 
--- a/include/decide/record.h
+++ b/include/decide/record.h
@@ -27,7 +27,7 @@
 struct bb_record_entry {
     struct bb_id_slot slot;
     enum bb_record_state state;
-    uint64_t response_handle; /* handle of the stored answer; 0: none stored */
+    uint64_t response_handle; /* of the stored response; 0: none stored */
 };
 
 /* Faults injected by tests; the explorer must detect each. */
--- a/include/decide/retry.h
+++ b/include/decide/retry.h
@@ -1,5 +1,5 @@
 /* Decides whether a request is retried or hedged (sent a second time while the
- * first attempt has no answer) and after which delay; computes the depth and
+ * first attempt has no response) and after which delay; computes the depth and
  * the deadline of nested calls. Used by the entry nodes of baobab-node;
  * baobab-proxy limits its retries by decide/retry_window.h. Times are
  * microseconds. */
@@ -41,7 +41,7 @@
     enum bb_reason reason; /* of the refusal if it is not allowed */
 };
 
-/* A request whose first attempt has no answer yet. */
+/* A request whose first attempt has no response yet. */
 struct bb_pending_request {
     bool is_idempotent;
     enum bb_admission_class work_class;
--- a/include/decide/route_pick.h
+++ b/include/decide/route_pick.h
@@ -38,7 +38,7 @@
     uint32_t running;         /* reported */
     uint32_t queued;          /* reported */
     uint64_t reported_us;     /* when the report arrived; 0: never */
-    uint32_t in_flight;       /* this node's calls without an answer */
+    uint32_t in_flight;       /* this node's calls without a response */
     /* Age of this node's oldest outstanding short call; 0: none. */
     uint64_t oldest_short_call_age_us;
     uint32_t in_flight_at_report;     /* in_flight at reported_us */
@@ -49,8 +49,8 @@
 };
 
 /* Byte budget for calls to the other region over the paid link: a token bucket
- * that may become negative, as the size of an answer is known only afterwards.
- */
+ * that may become negative, as the size of a response is known only
+ * afterwards. */
 struct bb_link_budget {
     uint64_t bytes_per_s; /* 0: no calls to the other region */
     int64_t tokens_bytes;
@@ -71,7 +71,7 @@
     enum bb_admission_class work_class;
     bool is_hedge;       /* needs a free slot in the local region */
     bool can_probe;      /* may probe a gatekeeper after its ejection */
-    uint64_t link_bytes; /* expected size of call and answer together */
+    uint64_t link_bytes; /* expected size of call and response together */
     uint64_t excluded[BB_ROUTE_EXCLUDED_MAX]; /* keys tried before */
     uint32_t excluded_count;
 };
--- a/include/decide/source.h
+++ b/include/decide/source.h
@@ -20,11 +20,11 @@
     /* Changed content must stay the same for this long before it is proposed.
      * With a scan every 100 ms, that takes three equal scans. */
     BB_SOURCE_STABLE_US = 150 * 1000,
-    /* A proposal without an answer is sent again after this time. Repeating it
-     * is safe, because it is recognised by base and digest. */
+    /* A proposal without a response is sent again after this time. That is
+     * safe, because it is recognised by base and digest. */
     BB_SOURCE_RESEND_INTERVAL_US = 2 * 1000 * 1000,
     /* Proposals with one base whose outcome is not known. More than two need
-     * several edits while no control host answers. */
+     * several edits while no control host responds. */
     BB_SOURCE_OPEN_PROPOSALS_MAX = 4
 };
 
@@ -32,14 +32,14 @@
  * sent. */
 struct bb_source_saved {
     bool has_settled;
-    /* Content that needs no proposal: it was in force, it was proposed and
-     * answered, or it was found without a record of an earlier run. */
+    /* Content that needs no proposal: it was in force, it was proposed and got
+     * a response, or it was found without a record of an earlier run. */
     struct bb_digest settled;
     /* Revision that changes of the settled content are based on; 0: unknown or
      * none is in force yet. */
     uint64_t base_revision;
     /* Open proposals: content proposed with this base, oldest first, that may
-     * have been accepted although no answer arrived. */
+     * have been accepted although no response arrived. */
     struct bb_digest open_proposals[BB_SOURCE_OPEN_PROPOSALS_MAX];
     uint32_t open_proposal_count;
 };
@@ -64,7 +64,7 @@
     bool is_stable;
     struct bb_digest candidate; /* content found by the last scan */
     uint64_t candidate_since_us;
-    bool is_awaiting_response; /* for the answer to the last proposal */
+    bool is_awaiting_response; /* for the response to the last proposal */
     struct bb_digest proposed; /* content of the last proposal */
     uint64_t proposed_at_us;
     bool is_in_outage;        /* outage: the folder has no stable content */
@@ -77,7 +77,7 @@
     BB_SOURCE_EVENT_SCANNED,  /* the folder was scanned */
     BB_SOURCE_EVENT_IN_FORCE, /* the configuration in force is known or changed
                                */
-    BB_SOURCE_EVENT_RESPONSE  /* an answer to a proposal arrived */
+    BB_SOURCE_EVENT_RESPONSE  /* a response to a proposal arrived */
 };
 
 enum bb_source_result {
@@ -85,9 +85,8 @@
     BB_SOURCE_RESULT_INVALID,
     BB_SOURCE_RESULT_STALE_BASE,
     BB_SOURCE_RESULT_VERSION_CONFLICT,
-    BB_SOURCE_RESULT_UNKNOWN /* the outcome is unknown; the proposal is
-                              * repeated
-                              */
+    /* The outcome is unknown; the proposal is sent again. */
+    BB_SOURCE_RESULT_UNKNOWN
 };
 
 struct bb_source_event {
--- a/include/decide/swim.h
+++ b/include/decide/swim.h
@@ -8,10 +8,10 @@
  * each peer is probed by someone in every period, and one random peer, or
  * several while it suspects any peer. A probe pings up to three times and asks
  * other members to ping too. A member suspects a peer when its own probe
- * fails, and declares it dead when no ping is answered for the whole suspicion
- * timeout. A suspicion received from others must first last for the suspicion
- * timeout and is then checked in the same way, so no member declares a peer
- * dead that it has not tried to reach itself.
+ * fails, and declares it dead when no ping gets a response for the whole
+ * suspicion timeout. A suspicion received from others must first last for the
+ * suspicion timeout and is then checked in the same way, so no member declares
+ * a peer dead that it has not tried to reach itself.
  *
  * Times are microseconds of one clock that never goes back. Each call needs
  * fresh random bits, all 64 of them. */
@@ -48,11 +48,11 @@
     uint64_t incarnation; /* of the process; grows with each start */
     uint64_t sequence;    /* of the record, within the incarnation */
     enum bb_swim_state state;
-    bool is_own_suspicion; /* an own probe failed */
-    /* When the peer is declared dead, or the suspicion of others becomes an
-     * own one. */
+    bool is_own_suspicion; /* a probe by this member failed */
+    /* When the peer is declared dead, or the suspicion of others becomes this
+     * member's own. */
     uint64_t suspicion_deadline_us;
-    uint64_t next_ping_us; /* for an own suspicion */
+    uint64_t next_ping_us; /* for this member's own suspicion */
 };
 
 /* A running probe of one peer. */
@@ -106,7 +106,7 @@
 void bb_swim_tick(struct bb_swim *s, uint64_t now_us, uint64_t random_bits,
                   struct bb_swim_actions *out);
 
-/* The incarnation and sequence to give the own record. */
+/* The incarnation and sequence to set in this member's own record. */
 struct bb_swim_refutation {
     bool is_needed; /* false: the record stays as it is */
     uint64_t incarnation;
--- a/tests/decide/agree_cluster.h
+++ b/tests/decide/agree_cluster.h
@@ -18,7 +18,7 @@
     struct bb_agree_message *queue; /* ring of messages on their way */
     uint32_t head;                  /* messages delivered or lost so far */
     uint32_t tail;                  /* messages sent so far */
-    /* Ring of the answers of all hosts, in order of arrival. */
+    /* Ring of the responses of all hosts, in order of arrival. */
     struct bb_agree_response responses[CLUSTER_RESPONSES_SIZE];
     uint32_t response_count; /* so far */
     struct bb_agree_output out;
--- a/tests/decide/agree_model.c
+++ b/tests/decide/agree_model.c
@@ -161,7 +161,7 @@
     }
 }
 
-/* Checks an answer to a read or a proposal, which its ticket tells apart. A
+/* Checks a response to a read or a proposal, which its ticket tells apart. A
  * confirmed read must see all revisions that were accepted before it. */
 static void
 check_response(struct model_state *s, const struct bb_agree_response *r)
@@ -624,11 +624,16 @@
                                         "heartbeat",   "identify",  "crash",
                                         "crash, kept", "lose disk", "edit",
                                         "propose",     "read"};
-    static const char *const names[] = {
-        "identity",    "identity answer", "form",
-        "pre-vote",    "pre-vote answer", "vote",
-        "vote answer", "append",          "append answer",
-        "snapshot"};
+    static const char *const names[] = {"identity",
+                                        "identity response",
+                                        "form",
+                                        "pre-vote",
+                                        "pre-vote response",
+                                        "vote",
+                                        "vote response",
+                                        "append",
+                                        "append response",
+                                        "snapshot"};
 
     (void)printf("  host %u: %s", a.host, kinds[a.kind]);
     if (a.kind == MODEL_DELIVER) {
--- a/tests/decide/agree_model.h
+++ b/tests/decide/agree_model.h
@@ -58,7 +58,7 @@
 /* The folder of a host, and what decide/source.h would save about it. */
 struct model_folder {
     uint8_t content; /* present one */
-    uint8_t settled; /* last one that was proposed and answered */
+    uint8_t settled; /* last one that was proposed and got a response */
     uint8_t base;    /* revision that changes are based on */
     uint8_t unused;
 };
--- a/tests/decide/test_agree.c
+++ b/tests/decide/test_agree.c
@@ -19,7 +19,7 @@
     return c;
 }
 
-/* Checks the result of an answer and, if accepted, its revision. */
+/* Checks the result of a response and, if accepted, its revision. */
 static void
 expect_response(struct bb_agree_response a, enum bb_agree_result result,
                 uint64_t revision)
@@ -54,7 +54,7 @@
     }
 }
 
-/* Guards against a formation that leaves out a host which did not answer. */
+/* Guards against a formation that leaves out a host which did not respond. */
 static void
 test_formation_waits_for_every_host(void)
 {
@@ -69,7 +69,7 @@
     cluster_destroy(c);
 }
 
-/* Guards against a repeated proposal that is refused, two contents with the
+/* Guards against a retried proposal that is refused, two contents with the
  * same version, and a change with an old base that reverts a newer one. */
 static void
 test_proposal_rules(void)
--- a/tests/decide/test_agree_explorer.c
+++ b/tests/decide/test_agree_explorer.c
@@ -449,8 +449,8 @@
     run_walks(x, "random walks of a replacement");
 }
 
-/* Seeded bug: a follower answers an append before its entries are synced, and
- * loses them in a crash. */
+/* Seeded bug: a follower responds to an append before its entries are synced,
+ * and loses them in a crash. */
 static void
 test_bug_response_before_sync(void)
 {
@@ -461,7 +461,7 @@
     x->root.budget.edits = 1;
     model_step(&x->root, (struct model_action){.kind = MODEL_EDIT, .host = 0});
     x->root.budget = (struct model_budget){.timeouts = 1, .crashes = 1};
-    expect_bug(x, "bug: answer before the sync");
+    expect_bug(x, "bug: response before the sync");
 }
 
 /* Seeded bug: a disk that was lost votes, although its host no longer has the
@@ -499,7 +499,7 @@
     {"formation", test_formation},
     {"random walks", test_random_walks},
     {"random walks of a replacement", test_random_walks_of_replacement},
-    {"bug: answer before the sync", test_bug_response_before_sync},
+    {"bug: response before the sync", test_bug_response_before_sync},
     {"bug: vote with an empty disk", test_bug_vote_with_empty_disk},
     {"bug: propose a difference", test_bug_propose_difference},
 };
--- a/tests/decide/test_explore_calls.c
+++ b/tests/decide/test_explore_calls.c
@@ -3,7 +3,7 @@
  * and three gatekeepers that are also witnesses (a fourth after a roster
  * change), with lost, delayed and duplicated messages and one restart.
  *
- * Guards against a request that runs twice, a request that is answered as not
+ * Guards against a request that runs twice, a request that is reported as not
  * run but ran, and an outcome that is unknown without a restart or a passed
  * deadline. Injected faults show that the explorer detects violations. */
 #include <setjmp.h>
@@ -54,7 +54,7 @@
     uint8_t host;
     uint8_t reached_incarnation; /* of the process that got the connection */
     uint8_t deliveries_left;     /* times it is still to be delivered */
-    bool expects_response;       /* the sender still waits for the reply */
+    bool expects_response;       /* the sender still waits for the response */
     struct bb_claim claim;
     uint64_t epoch;
 };
@@ -85,7 +85,7 @@
     uint8_t delays;
     uint8_t copies; /* requests sent twice */
     uint8_t refusals;
-    uint8_t reclaims; /* claims repeated after one without quorum */
+    uint8_t reclaims; /* claims retried after one without quorum */
 };
 
 struct state {
@@ -343,7 +343,7 @@
         const struct entry_node *e = &s->entries[i];
 
         if (e->outcome == NOT_RUN && e->caused_runs > 0) {
-            stop_exploration("a request answered as not run has run");
+            stop_exploration("a request reported as not run has run");
         }
         if (e->outcome == UNKNOWN_RESTART &&
             s->hosts[e->claim.gatekeeper].incarnation == 1) {
@@ -379,7 +379,7 @@
     e->requester.fault = explorer.scenario->claim_fault;
 }
 
-/* Stops waiting for the replies to all messages of an entry node. */
+/* Stops waiting for the responses to all messages of an entry node. */
 static void
 drop_responses(struct state *s, int i)
 {
@@ -391,7 +391,8 @@
 }
 
 /* Retries the request at the next gatekeeper, or ends it as not run after
- * ATTEMPTS_MAX. The old connection is closed, so late replies are ignored. */
+ * ATTEMPTS_MAX. The old connection is closed, so late responses are ignored.
+ */
 static void
 retry_next_gatekeeper(struct state *s, int i)
 {
@@ -468,7 +469,7 @@
     }
 }
 
-/* Does what the claim of an entry node asks for after an answer. */
+/* Does what the claim of an entry node asks for after a response. */
 static void
 apply_claim_step(struct state *s, int i)
 {
@@ -557,8 +558,8 @@
     }
 }
 
-/* Explores the outcomes of an RPC: answered, request lost, reply lost, and
- * delivered after the sender gave up. */
+/* Explores the outcomes of an RPC: completed, request lost, response lost, and
+ * request delivered after the sender gave up. */
 static void
 explore_rpc(uint32_t depth, const struct message *m)
 {
@@ -750,7 +751,7 @@
     }
 }
 
-/* Explores the end of a run: its answer reaches every entry node that waits
+/* Explores the end of a run: its response reaches every entry node that waits
  * for it, or none. */
 static void
 explore_finish(uint32_t depth, int h, int request_index)
@@ -886,12 +887,12 @@
          {.restarts = 1, .delays = 1},
          false,
          false},
-        {"same key, loss, repeated claim",
+        {"same key, loss, retried claim",
          2,
          {.losses = 1, .reclaims = 1},
          false,
          false},
-        {"same key, restart, repeated claim",
+        {"same key, restart, retried claim",
          2,
          {.restarts = 1, .reclaims = 1},
          false,
--- a/tests/decide/test_load_decisions.c
+++ b/tests/decide/test_load_decisions.c
@@ -178,8 +178,8 @@
     return p;
 }
 
-/* Load: twice the capacity for ten seconds. Guards against late answers, idle
- * slots, and requests that are refused only after a long wait. */
+/* Load: twice the capacity for ten seconds. Guards against late responses,
+ * idle slots, and requests that are refused only after a long wait. */
 static void
 test_overload_at_twice_capacity(void)
 {
@@ -397,7 +397,7 @@
 /* Load: 85% of the capacity of 24 gates, from 87 entry nodes, so that each
  * node gets a report of a gate only every few seconds. Guards against a search
  * for free slots by trial, which fills the links with refused requests, and
- * against queues so long that answers are late. */
+ * against queues so long that responses are late. */
 static void
 test_many_entry_nodes(void)
 {
@@ -512,7 +512,7 @@
 }
 
 /* Load: an upstream joins. Each entry node near it must send it one request at
- * once, and no second one before the first answer. */
+ * once, and no second one before the first response. */
 static void
 test_new_upstream_explored_once(void)
 {
--- a/tests/decide/test_once.c
+++ b/tests/decide/test_once.c
@@ -255,7 +255,7 @@
 }
 
 /* Guards against endless recursion of nested calls, nested deadlines that
- * leave no time to pass on the answer, and arithmetic overflow. */
+ * leave no time to pass on the response, and arithmetic overflow. */
 static void
 test_depth_and_deadline_of_nested_calls(void)
 {
--- a/tests/decide/test_quorum.c
+++ b/tests/decide/test_quorum.c
@@ -1,4 +1,4 @@
-/* Simulates the replicated register with lost, late and repeated messages,
+/* Simulates the replicated register with lost, late and duplicated messages,
  * crashes, lost disks, partitions and changes of voters, at random by seed.
  *
  * Guards against: a committed content that a later one does not build on, two
@@ -278,7 +278,7 @@
 }
 
 /* Injects random faults: a host that goes down, all hosts at once, a lost
- * disk, a partition or its end, a lost or repeated message. At most one disk
+ * disk, a partition or its end, a lost or duplicated message. At most one disk
  * is lost until the others have caught up, which is what the register
  * tolerates. */
 static void
--- a/tests/decide/test_relay.c
+++ b/tests/decide/test_relay.c
@@ -80,7 +80,7 @@
 }
 
 /* Guards against pulls without a random delay, and against pulls that always
- * use the same source although it does not answer. */
+ * use the same source although it does not respond. */
 static void
 test_pulls_try_other_sources(void)
 {
--- a/tests/decide/test_routing.c
+++ b/tests/decide/test_routing.c
@@ -156,7 +156,7 @@
 }
 
 /* Guards against a stalled upstream that is not ejected because its calls have
- * no answers yet. */
+ * no responses yet. */
 static void
 test_outstanding_slow_calls_eject(void)
 {
--- a/tests/decide/test_source.c
+++ b/tests/decide/test_source.c
@@ -278,7 +278,7 @@
 }
 
 /* Guards against an edit that conflicts with the edit before it, because the
- * answer that accepted that one was lost. */
+ * response that accepted that one was lost. */
 static void
 test_lost_response_does_not_make_next_edit_stale(void)
 {
@@ -291,7 +291,7 @@
         scan_folder(&h);
     }
     CU_ASSERT_EQUAL(h.proposal_count, 1);
-    scan_folder_until_stable(&h); /* repeated after 2 s with the same base */
+    scan_folder_until_stable(&h); /* sent again after 2 s with the same base */
     CU_ASSERT_EQUAL(h.proposal_count, 2);
     CU_ASSERT_EQUAL(h.last_base_revision, 1);
     h.folder = 12;
@@ -336,7 +336,7 @@
 
 /* Simulates one random event at a host: an edit, a copy of the configuration
  * in force, an outage, a restart, a report of what is in force, or a scan. A
- * proposal that results may be lost, and so may its answer. */
+ * proposal that results may be lost, and so may its response. */
 static void
 random_event(struct bb_random *r, struct revision_log *log, struct host *h,
              uint64_t *next_content)
@@ -395,7 +395,7 @@
     }
 }
 
-/* Guards against a race of edits, outages, restarts and lost answers on
+/* Guards against a race of edits, outages, restarts and lost responses on
  * several hosts in which an accepted change is reverted. */
 static void
 test_random_races_revert_nothing(void)
@@ -433,7 +433,7 @@
      test_outage_proposes_nothing_and_keeps_its_start},
     {"invalid content is proposed once",
      test_invalid_content_is_proposed_once},
-    {"a lost answer does not make the next edit stale",
+    {"a lost response does not make the next edit stale",
      test_lost_response_does_not_make_next_edit_stale},
     {"random races revert nothing", test_random_races_revert_nothing},
 };
--- a/tests/decide/test_swim.c
+++ b/tests/decide/test_swim.c
@@ -22,12 +22,12 @@
     enum bb_swim_state state;
 };
 
-/* A datagram on its way: a ping, its answer, or a ping request. */
+/* A datagram on its way: a ping, its acknowledgement, or a ping request. */
 struct datagram {
     uint64_t arrival_us;
     uint32_t from;
     uint32_t to;
-    uint32_t target; /* member that is to be pinged or has answered */
+    uint32_t target; /* member that is to be pinged or has responded */
     uint32_t requester;
     enum {
         DATAGRAM_FREE,
@@ -101,7 +101,7 @@
                                     v.state, net.now_us));
 }
 
-/* Delivers a datagram: merges its records and answers or forwards it. */
+/* Delivers a datagram: merges its records, then responds or forwards it. */
 static void
 deliver(struct datagram *f)
 {
@@ -239,7 +239,7 @@
     }
 }
 
-/* Guards against a member that is declared dead because it answers late. A
+/* Guards against a member that is declared dead because it responds late. A
  * delay of 300 ms is within the probe timeout; with 900 ms it is suspected and
  * refutes that each time. */
 static void
