control, config, ctl, common: say response and retry in comments

The comments still used the words from before the rename of identifiers, and a few sentences said "the own X". Two bounds were wrong or lost: the proposal's blocking time can exceed its timeout, as the last call to the leader and the pause after it are not cut short, and the target behind the event log's rate limit was missing.

Comments, one error text and two test titles follow the identifiers. The comments in proposal.c and replicate.c say what can exceed the timeouts. event_log.h states the target (2 MB per host in a minute) and, separately, what the constants allow (2.6 MB per process). Response bodies, printed texts, metric names and event names stay.

--- a/common/settings.c
+++ b/common/settings.c
@@ -204,7 +204,7 @@
 
 /* Reads all settings of the table from flags, environment and defaults.
  * Operands (arguments that are no flags), at most 16, are stored in
- * `operands`, or are an error if it is NULL. Prints the answers to --help and
+ * `operands`, or are an error if it is NULL. Prints the texts of --help and
  * --version. */
 enum bb_settings_result
 bb_settings_read(const char *program, const char *purpose,
--- a/config/delta.c
+++ b/config/delta.c
@@ -148,7 +148,7 @@
 }
 
 /* Reads the names of removed files into a set. Returns false if one is
- * damaged, repeated or not in the base. */
+ * damaged, listed twice or not in the base. */
 static bool
 read_removed_files(XDR *x, const struct delta_header *header,
                    const struct bb_folder *base, GHashTable *removed)
@@ -227,7 +227,7 @@
 }
 
 /* Reads the services of removed rosters into a set. Returns false if one is
- * damaged, repeated or not in the base. */
+ * damaged, listed twice or not in the base. */
 static bool
 read_removed_rosters(XDR *x, const struct delta_header *header,
                      const struct bb_rosters *base, GHashTable *removed)
--- a/config/section_service.c
+++ b/config/section_service.c
@@ -31,7 +31,7 @@
     (void)bb_section_append_item(c, s, c->services, &v);
 }
 
-/* Resolves the services that this one calls. A repeated name is a fault. */
+/* Resolves the services that this one calls. A duplicate name is a fault. */
 static void
 read_calls(struct bb_compilation *c, struct bb_section *s,
            struct bb_service *v)
--- a/control/agree.x
+++ b/control/agree.x
@@ -124,7 +124,7 @@
 };
 
 /* A proposal that a host forwards to the leader. `origin_host` is that host
- * and `ticket` its number for the proposal, which the answer repeats. */
+ * and `ticket` its number for the proposal, which the response carries too. */
 struct agree_proposal {
     unsigned int origin_host;
     unsigned hyper ticket;
@@ -135,14 +135,14 @@
     opaque payload<AGREE_INLINE_PAYLOAD_MAX_BYTES>;
 };
 
-/* The leader's answer; `result` is an enum bb_agree_result. */
+/* The leader's response; `result` is an enum bb_agree_result. */
 struct agree_proposal_response {
     unsigned hyper ticket;
     unsigned int result;
     unsigned hyper revision;
 };
 
-/* Carries a proposal to the leader, or the answer back to its origin. */
+/* Carries a proposal to the leader, or the response back to its origin. */
 enum agree_propose_kind {
     AGREE_PROPOSE_REQUEST = 0,
     AGREE_PROPOSE_RESPONSE = 1
--- a/control/daemon.c
+++ b/control/daemon.c
@@ -65,7 +65,7 @@
                                 payload, size_bytes, timeout_ms);
 }
 
-/* Counts and logs the outcome of a proposal and converts it to the answer for
+/* Counts and logs the outcome of a proposal and converts it to the result for
  * the source watch. */
 static enum bb_source_result
 record_outcome(const struct queued_proposal *p,
--- a/control/proposal.c
+++ b/control/proposal.c
@@ -7,7 +7,8 @@
 enum { CATCH_UP_POLL_MS = 10 };
 
 /* Encodes a folder and rosters as one bundle and proposes it against a base
- * revision, blocking for at most BB_PROPOSAL_TIMEOUT_MS. bundle_version is the
+ * revision, blocking for up to about BB_PROPOSAL_TIMEOUT_MS (see
+ * bb_replicate_propose for what can make it longer). bundle_version is the
  * operators' version stored in the bundle; version is the one that the quorum
  * protocol requires to increase, 0 for a change of rosters only. Equal content
  * is encoded to equal bytes, so a resend has the same digest and is recognised
@@ -81,8 +82,8 @@
 
 /* Returns the revision in which the folder was already accepted, or 0. Looks
  * at the first revision after the base whose files differ from the base's, and
- * at the newest one. With this, a resend gets the same answer even if a roster
- * changed in between. */
+ * at the newest one. With this, a resend gets the same response even if a
+ * roster changed in between. */
 static uint64_t
 find_accepted_revision(struct bb_bundle_history *h,
                        const struct bb_folder *folder, uint64_t base_revision,
@@ -157,12 +158,12 @@
     return r;
 }
 
-/* Proposes the operators' folder and blocks until it is answered.
+/* Proposes the operators' folder and blocks until there is a result.
  * base_revision is the revision that the content is based on. Makes up to
- * BB_PROPOSAL_ATTEMPTS_MAX attempts, each of which blocks for at most
- * BB_PROPOSAL_TIMEOUT_MS + BB_PROPOSAL_CATCH_UP_TIMEOUT_MS; the latter also
- * passes at most once before the first. A conflict is returned if no revision
- * is found in which the folder was accepted already; a stale base, if also the
+ * BB_PROPOSAL_ATTEMPTS_MAX attempts, each of which blocks for up to about
+ * BB_PROPOSAL_TIMEOUT_MS + BB_PROPOSAL_CATCH_UP_TIMEOUT_MS; the latter can
+ * also pass once before the first. A conflict is returned if no revision is
+ * found in which the folder was accepted already; a stale base, if also the
  * operators' files changed since the base. Both are also returned if the last
  * attempt gave them. After BB_REPLICATE_NO_QUORUM the folder may have been
  * accepted; the caller can submit it again. */
--- a/control/replicate.c
+++ b/control/replicate.c
@@ -19,8 +19,8 @@
     return strcmp(x->id, y->id);
 }
 
-/* Fills in the hosts, the own slot and the cluster id. Returns false if there
- * are too many hosts or one is listed twice. */
+/* Fills in the hosts, this host's slot and the cluster id. Returns false if
+ * there are too many hosts or one is listed twice. */
 static bool
 load_hosts(struct bb_replicate *r, const struct bb_replicate_settings *s,
            struct bb_error *e)
@@ -214,7 +214,7 @@
            ack.is_accepted;
 }
 
-/* Waits for the answer until a time; false if none came. */
+/* Waits for the response until a time; false if none came. */
 static bool
 wait_for_completion(struct bb_replicate *r, struct replicate_waiter *w,
                     uint64_t until_us)
@@ -258,8 +258,8 @@
     }
 }
 
-/* Sends the proposal once to the leader known now and waits for the answer.
- * Returns whether the answer is final. */
+/* Sends the proposal once to the leader known now and waits for the response.
+ * Returns whether the response is final. */
 static bool
 propose_once(struct bb_replicate *r, struct replicate_waiter *w,
              struct bb_agree_proposal *p, const void *payload,
@@ -285,14 +285,16 @@
     return false;
 }
 
-/* Proposes a payload against a base revision and blocks for the answer; works
- * on every host, not just the leader. The proposal is sent again while there
- * is no answer, which is safe, as base and digest identify it. After
- * BB_REPLICATE_NO_QUORUM it may still be accepted later; proposing the same
- * again returns the outcome. A version other than 0 must be above all versions
- * accepted so far. An empty or too large payload, or one with another digest,
- * returns BB_REPLICATE_BAD_PAYLOAD at once. May be called from any thread
- * except those of callbacks. */
+/* Proposes a payload against a base revision and blocks for the response;
+ * works on every host, not just the leader. The proposal is sent again while
+ * there is no response, which is safe, as base and digest identify it. No
+ * attempt starts after timeout_ms, but the last one can end later, after a
+ * call to the leader with a timeout of REPLICATE_BULK_TIMEOUT_MS and a pause
+ * of RETRY_INTERVAL_US. After BB_REPLICATE_NO_QUORUM it may still be accepted
+ * later; proposing the same again returns the outcome. A version other than 0
+ * must be above all versions accepted so far. An empty or too large payload,
+ * or one with another digest, returns BB_REPLICATE_BAD_PAYLOAD at once. May be
+ * called from any thread except those of callbacks. */
 struct bb_replicate_result
 bb_replicate_propose(struct bb_replicate *r, uint64_t base_revision,
                      uint64_t version, const struct bb_digest *digest,
@@ -359,10 +361,10 @@
     (void)pthread_mutex_unlock(&r->lock);
 }
 
-/* Sends membership records to another control host and returns those it
- * answers with in *answer, which the caller frees with g_free. Blocks for at
- * most timeout_ms, so callbacks must not call it. Returns false if the host is
- * unknown, is this host, or does not answer. */
+/* Sends membership records to another control host and returns those of its
+ * response in *response, which the caller frees with g_free. Blocks until the
+ * call, whose timeout is timeout_ms, ends, so callbacks must not call it.
+ * Returns false if the host is unknown, is this host, or does not respond. */
 bool
 bb_replicate_exchange_members(struct bb_replicate *r, const char *peer_id,
                               const void *records, size_t size_bytes,
@@ -387,7 +389,7 @@
         }
         xdr_free((xdrproc_t)xdr_agree_members, (char *)&result);
         return bb_error_set(e, BB_REPLICATE_ERROR_NO_RESPONSE,
-                            "%s does not answer", peer_id);
+                            "%s does not respond", peer_id);
     }
     return bb_error_set(e, BB_REPLICATE_ERROR_SETTINGS,
                         "%s is not one of the other control hosts", peer_id);
--- a/control/replicate_engine.c
+++ b/control/replicate_engine.c
@@ -177,7 +177,7 @@
 }
 
 /* Passes a job to the fetcher. If too many are queued it is freed instead:
- * peers repeat messages, and callers repeat proposals. */
+ * peers send messages again, and callers retry proposals. */
 static void
 queue_fetch(struct bb_replicate *r, struct replicate_job *job)
 {
@@ -245,7 +245,7 @@
 }
 
 /* Processes a proposal after its payload is stored, and remembers where its
- * answer has to be sent. */
+ * response has to be sent. */
 static void
 process_proposal(struct bb_replicate *r, struct replicate_job *job)
 {
--- a/control/replicate_internal.h
+++ b/control/replicate_internal.h
@@ -82,7 +82,7 @@
     bool has_thread;
 };
 
-/* Where the answer to a proposal is sent. */
+/* Where the response to a proposal is sent. */
 struct replicate_response_route {
     uint64_t agree_ticket;  /* in the state machine; 0: unused */
     uint64_t origin_ticket; /* of the host that proposed */
@@ -95,7 +95,7 @@
     uint8_t payload_host; /* slot */
 };
 
-/* A call of bb_replicate_propose that waits for its answer. */
+/* A call of bb_replicate_propose that waits for its response. */
 struct replicate_waiter {
     uint64_t ticket;
     bool is_complete;
--- a/control/replicate_output.c
+++ b/control/replicate_output.c
@@ -1,5 +1,5 @@
 /* Carries out the output of the quorum protocol: sends messages and their
- * payloads, delivers revisions that come into force, answers proposals. */
+ * payloads, delivers revisions that come into force, responds to proposals. */
 #include <string.h>
 
 #include "common/clock.h"
@@ -126,10 +126,10 @@
 }
 
 /* Chooses how the receiver of an append gets the payload, so that only one
- * copy crosses the paid link between regions. In the own region hosts fetch it
- * from the leader. In another region they fetch it from the host that proposed
- * it, or else one host gets it inline and the others fetch it from that
- * one. */
+ * copy crosses the paid link between regions. Hosts of the leader's region
+ * fetch it from the leader. Those of another region fetch it from the host
+ * that proposed it, or else one host gets it inline and the others fetch it
+ * from that one. */
 static void
 choose_payload_source(struct bb_replicate *r, const struct bb_agree_message *m,
                       agree_envelope *envelope)
@@ -258,7 +258,7 @@
     (void)pthread_mutex_unlock(&r->lock);
 }
 
-/* Sends the protocol's answer to the host that made the proposal. */
+/* Sends the protocol's response to the host that made the proposal. */
 void
 replicate_send_response(struct bb_replicate *r,
                         const struct bb_agree_response *a)
--- a/control/replicate_peer.c
+++ b/control/replicate_peer.c
@@ -12,7 +12,7 @@
     FETCH_ATTEMPTS_MAX = 20,
     FETCH_RETRY_INTERVAL_US = 30 * 1000,
     FETCH_TIMEOUT_MS = 1000,
-    /* A host that did not answer is not asked again for this time, so that a
+    /* A host that did not respond is not asked again for this time, so that a
      * stopped host does not delay all fetches. */
     SKIP_UNRESPONSIVE_US = 5 * 1000 * 1000
 };
@@ -51,7 +51,7 @@
 }
 
 /* Queues a call for a sender of a peer and takes ownership of it. If too many
- * are queued, the oldest is dropped: the protocol repeats what is still
+ * are queued, the oldest is dropped: the protocol sends again what is still
  * needed. */
 void
 replicate_queue_call(struct bb_replicate *r, uint8_t slot, uint32_t sender,
@@ -100,7 +100,7 @@
 }
 
 /* Fetches a payload from one host and stores it; false if the host does not
- * have it, does not answer or is skipped. */
+ * have it, does not respond or is skipped. */
 static bool
 fetch_payload_from(struct bb_replicate *r, uint8_t slot,
                    const struct bb_digest *d)
--- a/control/replicate_rpc.c
+++ b/control/replicate_rpc.c
@@ -159,7 +159,7 @@
     return true;
 }
 
-/* Answers a fetch with a stored payload. */
+/* Responds to a fetch with a stored payload. */
 static void
 read_payload(struct bb_replicate *r, const agree_fetch_request *f,
              agree_fetch_response *result)
@@ -183,7 +183,7 @@
 }
 
 /* Queues a proposal for the engine, or completes a waiting one with the
- * leader's answer. Returns false if the message is refused. */
+ * leader's response. Returns false if the message is refused. */
 static bool
 accept_proposal_message(struct bb_replicate *r, const agree_propose_message *p)
 {
@@ -223,8 +223,8 @@
     return true;
 }
 
-/* Passes membership records to the callback and fills in its answer; empty if
- * the sender is not a host of this cluster. */
+/* Passes membership records to the callback and fills in its response; empty
+ * if the sender is not a host of this cluster. */
 static void
 exchange_members(struct bb_replicate *r, const agree_members *m,
                  agree_members *result)
--- a/control/source_watch.c
+++ b/control/source_watch.c
@@ -121,7 +121,7 @@
     return true;
 }
 
-/* Records and logs a conflict that began or was reported again by an answer,
+/* Records and logs a conflict that began or was reported again by a response,
  * and logs one that was resolved. The caller holds the lock. */
 static void
 record_conflict(struct bb_source_watch *w, enum bb_source_conflict before,
--- a/ctl/command_trace.c
+++ b/ctl/command_trace.c
@@ -115,8 +115,8 @@
     return try != NULL ? bb_ctl_get_text(try, "gate") : "none";
 }
 
-/* Prints why the request ended as it did: the caller left, the answer broke
- * off, or the upstream or this system answered. Returns false if the lines do
+/* Prints why the request ended as it did: the caller left, the response broke
+ * off, or the upstream or this system responded. Returns false if the lines do
  * not contain the end of the request. */
 static bool
 print_cause(const struct bb_ctl_context *c, const GPtrArray *lines)
--- a/decide/agree_vote.c
+++ b/decide/agree_vote.c
@@ -161,7 +161,7 @@
            m->index == bb_agree_last_index(a);
 }
 
-/* Returns whether the candidate's log is at least as up to date as the own
+/* Returns whether the candidate's log is at least as up to date as this host's
  * log, by the term and index of the last entries. */
 static bool
 is_log_up_to_date(const struct bb_agree *a, const struct bb_agree_message *m)
--- a/decide/quorum.c
+++ b/decide/quorum.c
@@ -364,8 +364,8 @@
     }
 }
 
-/* Returns whether a candidate's entry is at least as up to date as the own
- * one. */
+/* Returns whether a candidate's entry is at least as up to date as this host's
+ * own. */
 static bool
 is_entry_up_to_date(const struct bb_quorum *q,
                     const struct bb_quorum_message *m)
--- a/include/common/event_log.h
+++ b/include/common/event_log.h
@@ -12,8 +12,10 @@
 
 enum {
     BB_EVENT_LOG_RING_BYTES = 128 * 1024,
-    /* Rate limit, as a token bucket that holds BB_EVENT_LOG_BURST_S seconds: a
-     * process logs at most 2.6 MB in a minute, burst included. */
+    /* Rate limit, as a token bucket that holds BB_EVENT_LOG_BURST_S seconds.
+     * The target is at most 2 MB of log per host in a minute under full load.
+     * These constants allow each process 64 s (a minute and the burst) * 40
+     * KiB/s = 2.6 MB in a minute; log.dropped lines are not counted. */
     BB_EVENT_LOG_BYTES_PER_S = 40 * 1024,
     BB_EVENT_LOG_BURST_S = 4,
     /* Part of the ring and of the token bucket that only failures may use. */
--- a/include/control/proposal.h
+++ b/include/control/proposal.h
@@ -2,8 +2,8 @@
  * rosters in force.
  *
  * A revision can also change only rosters, without any change by an operator.
- * The base revision that the source watch knows is older then, and the
- * proposal is repeated against the newest revision. */
+ * In this case the base revision that the source watch knows is older, and the
+ * proposal is retried against the newest revision. */
 #ifndef BB_CONTROL_PROPOSAL_H
 #define BB_CONTROL_PROPOSAL_H
 
--- a/include/control/replicate.h
+++ b/include/control/replicate.h
@@ -32,7 +32,7 @@
 enum bb_replicate_error {
     BB_REPLICATE_ERROR_SETTINGS = 1, /* too many, duplicate or unknown hosts */
     BB_REPLICATE_ERROR_STORE,        /* the data folder cannot be used */
-    BB_REPLICATE_ERROR_NO_RESPONSE,  /* a peer did not answer a call */
+    BB_REPLICATE_ERROR_NO_RESPONSE,  /* a peer did not respond to a call */
     BB_REPLICATE_ERROR_INTERNAL      /* a thread cannot be started */
 };
 
@@ -80,9 +80,9 @@
      * protocol changed the role. May be NULL. */
     void (*role_changed)(void *context, enum bb_agree_role role,
                          uint64_t term);
-    /* Processes the membership records of another control host and answers
-     * with the own ones; *response is freed with g_free. May be NULL. Runs in
-     * the RPC server's thread. */
+    /* Processes the membership records of another control host and responds
+     * with those of this host; *response is freed with g_free. May be NULL.
+     * Runs in the RPC server's thread. */
     void (*exchange_members)(void *context, const char *from_id,
                              const void *records, size_t size_bytes,
                              void **response, size_t *response_bytes);
@@ -92,7 +92,7 @@
     BB_REPLICATE_ACCEPTED,
     BB_REPLICATE_STALE_BASE, /* the base is not the leader's last revision */
     BB_REPLICATE_CONFLICT,   /* the version is not above the highest one */
-    /* No answer in time, or this host is behind or cannot store the payload;
+    /* No response in time, or this host is behind or cannot store the payload;
      * may be proposed again. */
     BB_REPLICATE_NO_QUORUM,
     BB_REPLICATE_BAD_PAYLOAD /* empty, too large, or another digest */
--- a/tests/admin/test_admin.c
+++ b/tests/admin/test_admin.c
@@ -257,7 +257,7 @@
 }
 
 static const struct bb_unit_test tests[] = {
-    {"endpoints answer", test_endpoints_respond},
+    {"endpoints respond", test_endpoints_respond},
     {"methods that change need the token",
      test_methods_that_change_need_the_token},
     {"sizes are limited", test_sizes_are_limited},
--- a/tests/control/test_proposal.c
+++ b/tests/control/test_proposal.c
@@ -221,7 +221,7 @@
      test_roster_change_does_not_refuse_an_operators_change},
     {"operators' changes still conflict",
      test_operators_changes_still_conflict},
-    {"a resend after a lost answer is accepted",
+    {"a resend after a lost response is accepted",
      test_resend_after_a_lost_response_is_accepted},
     {"a base that is not held is not proposed against",
      test_a_base_that_is_not_held_is_not_proposed_against},
