decide: keep the lines of test_explore_calls

A longer comment had moved the line numbers that the assertions of test_explore_calls compile in. The comment is shorter again; one phrase in route_pick.c is plainer. Comments only: the token streams are equal.

--- a/decide/route_pick.c
+++ b/decide/route_pick.c
@@ -144,9 +144,9 @@
 }
 
 /* Returns the expected duration of one more call, in microseconds: the usual
- * latency times the number of requests per slot, with this call. If a short
- * call in flight is already older than the usual latency, its age is used, so
- * that a slow gatekeeper is noticed before it responds. */
+ * latency times the number of requests per slot, including this call. If a
+ * short call in flight is already older than the usual latency, its age is
+ * used, so that a slow gatekeeper is noticed before it responds. */
 double
 bb_candidate_expected_us(const struct bb_candidate *c,
                          enum bb_admission_class work_class, uint64_t now_us)
--- a/tests/decide/test_explore_calls.c
+++ b/tests/decide/test_explore_calls.c
@@ -391,8 +391,7 @@
 }
 
 /* Retries the request at the next gatekeeper, or ends it as not run after
- * ATTEMPTS_MAX. The old connection is closed, so late responses are ignored.
- */
+ * ATTEMPTS_MAX. The old connection is closed: late responses are ignored. */
 static void
 retry_next_gatekeeper(struct state *s, int i)
 {
