node: name the minimum revision and document units and ownership

A newcomer could not tell from the comments that the copy on disk sets the minimum revision, why payloads wait for it, or what the settings' numbers mean; bb_node_config_receive_payload was the callback apply_payload. Renames it to bb_node_config_apply_payload, names the error codes, completes the doc comments, and words three log lines anew; event names are unchanged.

--- a/node/endpoints.c
+++ b/node/endpoints.c
@@ -13,6 +13,7 @@
     struct bb_bundle *b = bb_node_config_newest(n->config);
 
     (void)request;
+    /* A bundle is not in force until a table has been built from it. */
     if (b != NULL &&
         b->revision != bb_node_config_served_revision(n->config)) {
         bb_bundle_unref(b);
--- a/node/main.c
+++ b/node/main.c
@@ -45,7 +45,7 @@
         .seed = s->seed,
         .callbacks = {.context = n->config,
                       .encode_payload = bb_node_config_encode_payload,
-                      .apply_payload = bb_node_config_receive_payload,
+                      .apply_payload = bb_node_config_apply_payload,
                       .members_changed = bb_node_config_members_changed},
     };
     struct bb_bundle *saved = bb_node_config_newest(n->config);
@@ -79,8 +79,8 @@
         .workers = {.depth_zero_max = (uint32_t)s->workers},
         .routing_policy = s->routing_policy,
         .ignores_slots = s->ignores_slots,
-        /* Until the other members report that this host never held a revision.
-         */
+        /* Assumed until the other members report that this host never held a
+         * revision; claims are not kept on disk. */
         .restarted_without_data = true,
         .rpc = n->rpc_pool,
         .upstream_changed = publish_upstream,
@@ -109,7 +109,7 @@
 start(struct bb_node *n, struct bb_error *e)
 {
     const struct bb_node_settings *s = &n->settings;
-    const struct bb_node_config_settings h = {.host = s->host,
+    const struct bb_node_config_settings c = {.host = s->host,
                                               .zone = s->zone,
                                               .region = s->region,
                                               .data_folder = s->data_folder};
@@ -117,7 +117,7 @@
 
     n->rpc_pool = bb_rpc_pool_create();
     n->rpc_server = bb_rpc_server_create(&s->rpc_address, e);
-    n->config = bb_node_config_create(&h);
+    n->config = bb_node_config_create(&c);
     return n->rpc_server != NULL && create_mesh(n, incarnation, e) &&
            create_proxy(n, incarnation, e) &&
            bb_mesh_register_rpc(n->mesh, n->rpc_server, e) &&
@@ -128,7 +128,8 @@
 }
 
 /* Announces that the upstream is leaving, so that other nodes stop sending
- * requests, and waits for those in flight. */
+ * requests, waits up to shutdown_ms for those in flight, and leaves the mesh.
+ */
 static void
 drain(struct bb_node *n)
 {
@@ -141,7 +142,7 @@
     }
     if (!bb_proxy_drain(n->proxy, (uint32_t)n->settings.shutdown_ms)) {
         bb_log_warning("node.shutdown_timeout",
-                       "%u requests were still in flight",
+                       "timed out with %u requests still in flight",
                        bb_proxy_in_flight(n->proxy));
     }
     bb_mesh_stop(n->mesh, true);
--- a/node/node_config.c
+++ b/node/node_config.c
@@ -14,7 +14,8 @@
     /* Announcements and restarts come in bursts; one table covers a burst. */
     REBUILD_INTERVAL_MS = 10,
     MIN_REVISION_TIMEOUT_MS = 1000,
-    MIN_REVISION_RETRY_MS = 200
+    MIN_REVISION_RETRY_MS = 200,
+    ERROR_THREAD = 1
 };
 
 BB_COUNTER(applied_total, "baobab_configuration_applied_total",
@@ -55,7 +56,7 @@
 };
 
 /* Loads the copy on disk. Its revision is the last one this host held, so the
- * minimum revision is known without asking other members. */
+ * minimum revision is known without a query to other members. */
 static void
 load_saved(struct bb_node_config *n)
 {
@@ -75,7 +76,8 @@
     bb_bundle_unref(b);
 }
 
-/* Creates the configuration, empty or from the copy in the data folder. */
+/* Creates the configuration, empty or from the copy in the data folder. A copy
+ * that cannot be used is logged and ignored. The settings are copied. */
 struct bb_node_config *
 bb_node_config_create(const struct bb_node_config_settings *s)
 {
@@ -104,21 +106,24 @@
     (void)pthread_mutex_unlock(&n->lock);
 }
 
-/* Mesh callback for changed member records that routes depend on. */
+/* Requests a new table after a change of member records that routes depend on.
+ * Mesh callback, also called when the local upstream changes. */
 void
 bb_node_config_members_changed(void *context)
 {
     request_rebuild(context);
 }
 
-/* Returns a new reference to the newest bundle, or NULL. */
+/* Returns a new reference to the newest bundle held, or NULL if there is none.
+ * It may be newer than the one served. */
 struct bb_bundle *
 bb_node_config_newest(struct bb_node_config *n)
 {
     return bb_bundle_history_newest(n->history);
 }
 
-/* Returns the revision of the table in use, or 0 if there is none. */
+/* Returns the revision that this node serves, which is that of the table in
+ * use, or 0 if there is none. */
 uint64_t
 bb_node_config_served_revision(struct bb_node_config *n)
 {
@@ -131,8 +136,8 @@
 }
 
 /* Mesh callback: encodes the newest revision for a member that holds
- * have_revision. The caller frees out->data. Returns false if there is nothing
- * newer. */
+ * have_revision. The caller frees out->data with free. Returns false if there
+ * is nothing newer. */
 bool
 bb_node_config_encode_payload(void *context, uint64_t have_revision,
                               struct bb_mesh_payload *out)
@@ -178,8 +183,9 @@
     return b;
 }
 
-/* Returns whether a bundle compiles without faults. Control hosts accept no
- * other, so a fault here means that the programs have different versions. */
+/* Returns whether a bundle compiles without faults. Control hosts accept only
+ * such bundles, so a fault here means that this node and the control hosts run
+ * different software versions. */
 static bool
 is_bundle_valid(const struct bb_bundle *b)
 {
@@ -190,8 +196,8 @@
     if (!ok) {
         bb_log_warning("configuration.refused",
                        "revision %" G_GUINT64_FORMAT
-                       " does not compile on this node; its version may "
-                       "differ from that of the control hosts",
+                       " does not compile on this node; the node may run a "
+                       "different software version than the control hosts",
                        b->revision);
         bb_counter_add(&invalid_total, 1);
     }
@@ -213,9 +219,10 @@
     }
 }
 
-/* Returns whether payloads are accepted. They are not until the minimum
- * revision is known: other members derive it from what this host holds, and
- * could not tell that from what it held before a restart. */
+/* Returns whether payloads are accepted, which is the case once the minimum
+ * revision is known. The other members derive that revision from the one that
+ * this host reports as held: if it accepted a payload earlier, they could
+ * report this new revision in place of the one it held before the restart. */
 static bool
 can_accept_payloads(struct bb_node_config *n)
 {
@@ -229,11 +236,13 @@
 
 /* Mesh callback: applies a payload completely or not at all, and sets
  * *held_revision to the newest revision held. A revision below the minimum
- * serves as a base for deltas, but no table is built from it. */
+ * serves as a base for deltas, but no table is built from it. Returns
+ * BB_MESH_STALE also while the minimum revision is unknown, and
+ * BB_MESH_NEED_SNAPSHOT if a delta cannot be applied. */
 enum bb_mesh_apply_result
-bb_node_config_receive_payload(void *context,
-                               const struct bb_mesh_payload *payload,
-                               uint64_t *held_revision)
+bb_node_config_apply_payload(void *context,
+                             const struct bb_mesh_payload *payload,
+                             uint64_t *held_revision)
 {
     struct bb_node_config *n = context;
     enum bb_mesh_apply_result result = BB_MESH_STALE;
@@ -268,7 +277,8 @@
     return result;
 }
 
-/* Sets the served revision and its metrics, and logs a change of it. */
+/* Sets the served revision, updates the metrics of the table, and logs the
+ * revision if it changed. */
 static void
 set_served_revision(struct bb_node_config *n, const struct bb_bundle *b,
                     uint32_t table_routes)
@@ -407,8 +417,9 @@
         n->min_revision = revision;
         (void)pthread_mutex_unlock(&n->lock);
         bb_log_info("configuration.floor",
-                    "this host last held revision %" G_GUINT64_FORMAT
-                    " (0: none); older revisions will not be served",
+                    "minimum revision %" G_GUINT64_FORMAT
+                    " (0: this host never held one); older revisions are not "
+                    "served",
                     revision);
         request_rebuild(n);
     }
@@ -429,7 +440,8 @@
         pthread_create(&n->query_thread, NULL, run_min_revision_query, n) == 0;
     if (!n->has_rebuild_thread || !n->has_query_thread) {
         return bb_error_set(
-            e, 1, "cannot start the threads of the node configuration");
+            e, ERROR_THREAD,
+            "cannot start the threads of the node configuration");
     }
     return true;
 }
--- a/node/node_settings.c
+++ b/node/node_settings.c
@@ -8,8 +8,8 @@
     SHUTDOWN_MAX_MS = 10 * 60 * 1000,
     FOLDER_MAX_BYTES = 4000,
     TOKEN_MAX_BYTES = 256,
-    LIST_MAX_BYTES = 4096,
-    ERROR_POLICY = 1
+    CONTROL_LIST_MAX_BYTES = 4096,
+    ERROR_UNKNOWN_POLICY = 1
 };
 
 /* Reads the settings from flags, environment and defaults, and validates them.
@@ -27,7 +27,7 @@
         {"region", "NAME", "region of this host", BB_SETTING_TEXT, true, NULL,
          1, BB_NAME_BYTES - 1, .to.text = &out->region},
         {"control", "HOST/ZONE/REGION/IP:PORT,...", "the control hosts",
-         BB_SETTING_TEXT, true, NULL, 1, LIST_MAX_BYTES,
+         BB_SETTING_TEXT, true, NULL, 1, CONTROL_LIST_MAX_BYTES,
          .to.text = &out->control_text},
         {"listen", "IP:PORT", "address for callers and other nodes",
          BB_SETTING_ADDRESS, false, "127.0.0.1:8080",
@@ -75,7 +75,7 @@
     if (result == BB_SETTINGS_RUN &&
         bb_plugin_find(BB_PLUGIN_ROUTING_POLICY, out->routing_policy) ==
             NULL) {
-        bb_error_set(e, ERROR_POLICY,
+        bb_error_set(e, ERROR_UNKNOWN_POLICY,
                      "setting routing-policy: value '%s' is not allowed; use "
                      "least_wait or round_robin",
                      out->routing_policy);
--- a/node/node_settings.h
+++ b/node/node_settings.h
@@ -9,7 +9,7 @@
     const char *host;
     const char *zone;
     const char *region;
-    const char *control_text;
+    const char *control_text; /* as given; parsed into control_hosts */
     struct bb_control_list control_hosts;
     struct bb_address listen_address;
     struct bb_address local_address;
@@ -18,11 +18,11 @@
     struct bb_address admin_address;
     const char *admin_token; /* NULL: requests that change state are refused */
     const char *data_folder; /* NULL: no copy is kept on disk */
-    uint64_t workers;
-    uint64_t shutdown_ms;
+    uint64_t workers;        /* concurrent calls at depth 0 */
+    uint64_t shutdown_ms;    /* longest wait for requests in flight */
     const char *routing_policy;
-    bool ignores_slots;
-    uint64_t seed;
+    bool ignores_slots; /* for measurements: slots do not limit requests */
+    uint64_t seed;      /* 0: taken from the system */
     bool log_json;
 };
 
