--- a/tests/node/test_bundle_file.c
+++ b/tests/node/test_bundle_file.c
@@ -7,6 +7,8 @@
 #include "node/bundle_file.h"
 #include "unit.h"
 
+enum { VERSION = 7, FLIPPED_BIT = 0x20 };
+
 static struct bb_bundle *
 make_bundle(uint64_t revision)
 {
@@ -19,13 +21,13 @@
     folder = bb_folder_builder_finish(builder, &e);
     bb_folder_builder_destroy(builder);
     CU_ASSERT_PTR_NOT_NULL_FATAL(folder);
-    return bb_bundle_create(revision, 7, folder);
+    return bb_bundle_create(revision, VERSION, folder);
 }
 
 static char *
 make_folder(void)
 {
-    char *folder = g_dir_make_tmp("baobab-kept-XXXXXX", NULL);
+    char *folder = g_dir_make_tmp("baobab-bundle-file-XXXXXX", NULL);
 
     CU_ASSERT_PTR_NOT_NULL_FATAL(folder);
     return folder;
@@ -39,8 +41,10 @@
     g_free(folder);
 }
 
+/* Guards against a copy that differs from what was saved last, and against an
+ * error when there is none yet. */
 static void
-test_copy_comes_back_and_is_replaced(void)
+test_saved_copy_is_loaded_and_replaced(void)
 {
     char *folder = make_folder();
     char *file = g_build_filename(folder, "configuration.bundle", NULL);
@@ -50,15 +54,15 @@
     CU_ASSERT_EQUAL(e.code, 0);
     for (uint64_t r = 3; r < 5; r++) {
         struct bb_bundle *b = make_bundle(r);
-        struct bb_bundle *back;
+        struct bb_bundle *loaded;
 
         CU_ASSERT_TRUE(bb_bundle_file_save(folder, b, &e));
-        back = bb_bundle_file_load(folder, &e);
-        CU_ASSERT_PTR_NOT_NULL_FATAL(back);
-        CU_ASSERT_EQUAL(back->revision, r);
-        CU_ASSERT_EQUAL(back->version, 7);
-        CU_ASSERT_TRUE(bb_digest_equal(&back->digest, &b->digest));
-        bb_bundle_unref(back);
+        loaded = bb_bundle_file_load(folder, &e);
+        CU_ASSERT_PTR_NOT_NULL_FATAL(loaded);
+        CU_ASSERT_EQUAL(loaded->revision, r);
+        CU_ASSERT_EQUAL(loaded->version, VERSION);
+        CU_ASSERT_TRUE(bb_digest_equal(&loaded->digest, &b->digest));
+        bb_bundle_unref(loaded);
         bb_bundle_unref(b);
     }
     remove_folder(folder, file);
@@ -77,6 +81,8 @@
     CU_ASSERT_EQUAL(e.code, BB_BUNDLE_FILE_ERROR_DAMAGED);
 }
 
+/* Guards against loading a truncated or modified copy: tries every shorter
+ * length, and a flipped bit in each byte. */
 static void
 test_damaged_copy_is_refused(void)
 {
@@ -91,9 +97,9 @@
     CU_ASSERT_TRUE_FATAL(g_file_get_contents(file, &bytes, &size, NULL));
     for (gsize i = 0; i < size; i++) {
         check_refused(folder, file, bytes, i);
-        bytes[i] = (char)(bytes[i] ^ 0x20);
+        bytes[i] = (char)(bytes[i] ^ FLIPPED_BIT);
         check_refused(folder, file, bytes, size);
-        bytes[i] = (char)(bytes[i] ^ 0x20);
+        bytes[i] = (char)(bytes[i] ^ FLIPPED_BIT);
     }
     g_free(bytes);
     bb_bundle_unref(b);
@@ -101,6 +107,7 @@
     g_free(file);
 }
 
+/* Guards against a failed save that is reported as a success. */
 static void
 test_missing_folder_is_reported(void)
 {
@@ -113,10 +120,10 @@
 }
 
 static const struct bb_unit_test tests[] = {
-    {"the copy comes back and is replaced",
-     test_copy_comes_back_and_is_replaced},
+    {"a saved copy is loaded and replaced",
+     test_saved_copy_is_loaded_and_replaced},
     {"a damaged copy is refused", test_damaged_copy_is_refused},
     {"a missing folder is reported", test_missing_folder_is_reported},
 };
 
-BB_UNIT_MAIN("kept bundle", tests)
+BB_UNIT_MAIN("bundle_file", tests)
--- a/tests/proxy/fixture.c
+++ b/tests/proxy/fixture.c
@@ -36,8 +36,9 @@
     bb_behaviour_clear(&u->upstream.behaviour);
 }
 
-/* Starts a node with one route, "/" to service "s". To change the route,
- * modify it and call apply_table. */
+/* Starts a proxy and prepares a configuration with one route, "/" to service
+ * "s", which takes effect with apply_table. Host, zone, region, addresses,
+ * seed and record_entries of the settings are overwritten. */
 void
 start_node(struct test_node *n, const char *host, struct bb_proxy_settings s)
 {
@@ -63,13 +64,15 @@
     s.region = "r";
     s.caller_listen = any;
     s.local_listen = any;
-    s.incarnation = s.incarnation != 0 ? s.incarnation : 5;
+    s.incarnation = s.incarnation != 0 ? s.incarnation : FIXTURE_INCARNATION;
     s.seed = 11;
     s.record_entries = 1024;
     n->proxy = bb_proxy_create(&s, &e);
     CU_ASSERT_PTR_NOT_NULL_FATAL(n->proxy);
 }
 
+/* Adds a reachable member with a ready upstream of service "s"; takes effect
+ * with apply_table. */
 void
 add_member(struct test_node *n, const char *host, const char *zone,
            struct bb_address http, struct bb_address rpc)
@@ -82,16 +85,18 @@
     (void)g_strlcpy(m->service, "s", sizeof(m->service));
     m->http_address = http;
     m->rpc_address = rpc;
-    m->incarnation = 5;
+    m->incarnation = FIXTURE_INCARNATION;
     m->upstream_state = BB_UPSTREAM_READY;
     m->slots = 4;
     m->is_reachable = true;
 }
 
+/* Builds a table from the node's configuration and members, as seen from host
+ * "entry" in zone z1 whichever node it is, and sets it. */
 void
 apply_table(struct test_node *n)
 {
-    const struct bb_node_location own = {
+    const struct bb_node_location location = {
         .host = "entry", .zone = "z1", .region = "r"};
 
     n->config.services = &n->service;
@@ -99,17 +104,17 @@
     n->config.routes = &n->route;
     n->config.route_count = 1;
     bb_proxy_set_table(n->proxy, bb_table_build(&n->config, n->members,
-                                                n->member_count, &own));
+                                                n->member_count, &location));
 }
 
-/* Sets a roster with the hosts "gate" and "entry" as witnesses. */
+/* Sets a roster with the hosts "gatekeeper" and "entry" as witnesses. */
 void
 apply_roster(struct test_node *n)
 {
     const struct bb_roster r = {
         .epoch = 1,
         .host_count = 2,
-        .hosts = {bb_hash64("gate", 4, 0), bb_hash64("entry", 5, 0)}};
+        .hosts = {bb_hash64("gatekeeper", 10, 0), bb_hash64("entry", 5, 0)}};
 
     bb_proxy_set_roster(n->proxy, "s", &r);
 }
@@ -120,6 +125,7 @@
     bb_proxy_destroy(n->proxy);
 }
 
+/* Announces an upstream of service "s" and checks that the node accepts it. */
 void
 announce_upstream(struct test_node *n, const struct bb_address *a,
                   enum bb_upstream_state state, uint32_t slots)
@@ -127,6 +133,7 @@
     announce_service(n, "s", a, state, slots);
 }
 
+/* Announces an upstream and checks that the node accepts it. */
 void
 announce_service(struct test_node *n, const char *service,
                  const struct bb_address *a, enum bb_upstream_state state,
@@ -163,6 +170,8 @@
     return fd;
 }
 
+/* Sends a text; stops without an error if the peer has closed the connection.
+ */
 void
 send_text(int fd, const char *text)
 {
@@ -179,9 +188,10 @@
     }
 }
 
-/* Returns whether a response is complete when the connection closes. */
+/* Returns whether a response has a complete body, according to its
+ * Content-Length or its final chunk. */
 static bool
-is_whole(const struct test_response *r)
+has_complete_body(const struct test_response *r)
 {
     const char *body = strstr(r->text, "\r\n\r\n");
     const char *length = strcasestr(r->text, "content-length:");
@@ -197,7 +207,8 @@
     return r->size >= 5 && memcmp(r->text + r->size - 5, "0\r\n\r\n", 5) == 0;
 }
 
-/* Reads a response until the peer closes the connection or the timeout. */
+/* Reads a response until the peer closes the connection or the timeout
+ * expires. */
 void
 read_response(int fd, struct test_response *r, uint32_t timeout_ms)
 {
@@ -220,9 +231,12 @@
     if (strncmp(r->text, "HTTP/1.1 ", 9) == 0) {
         r->status = atoi(r->text + 9);
     }
-    r->is_complete = is_whole(r);
+    r->is_complete = has_complete_body(r);
 }
 
+/* Sends a request on a new connection and returns what arrives until the peer
+ * closes it, at most for RESPONSE_TIMEOUT_MS. Requests therefore carry
+ * "Connection: close". The caller frees the result with g_free. */
 struct test_response *
 send_request(struct bb_address address, const char *request)
 {
@@ -230,20 +244,23 @@
     int fd = connect_to_address(address);
 
     send_text(fd, request);
-    read_response(fd, r, 8000);
+    read_response(fd, r, RESPONSE_TIMEOUT_MS);
     (void)close(fd);
     return r;
 }
 
+/* Returns whether the head or body of a response contains a text, ignoring
+ * case. */
 bool
 contains(const struct test_response *r, const char *text)
 {
     return strcasestr(r->text, text) != NULL;
 }
 
-/* Opens a listener whose connections are never accepted. */
+/* Opens a listener on a free port and sets *a to its address. Nothing accepts
+ * its connections unless the caller does. */
 int
-listen_without_accepting(struct bb_address *a)
+open_listener(struct bb_address *a)
 {
     struct sockaddr_storage s;
     socklen_t length = bb_address_to_sockaddr(&any, &s);
@@ -256,6 +273,8 @@
     return fd;
 }
 
+/* Returns the resident memory of this process, in which all nodes and
+ * upstreams of a test run. */
 uint64_t
 resident_bytes(void)
 {
--- a/tests/proxy/fixture.h
+++ b/tests/proxy/fixture.h
@@ -8,7 +8,13 @@
 #include "unit.h"
 #include "upstream/server.h"
 
-enum { FIXTURE_MEMBERS = 4, RESPONSE_TEXT_BYTES = 64 * 1024 };
+enum {
+    FIXTURE_MEMBERS_MAX = 4,
+    /* of members, and of nodes whose settings leave it 0 */
+    FIXTURE_INCARNATION = 5,
+    RESPONSE_TIMEOUT_MS = 8000,
+    RESPONSE_TEXT_BYTES = 64 * 1024
+};
 
 struct test_upstream {
     struct bb_upstream_sim upstream;
@@ -17,7 +23,7 @@
 
 struct test_node {
     struct bb_proxy *proxy;
-    struct bb_member members[FIXTURE_MEMBERS];
+    struct bb_member members[FIXTURE_MEMBERS_MAX];
     size_t member_count;
     struct bb_config config;
     struct bb_service service;
@@ -52,7 +58,7 @@
 void read_response(int fd, struct test_response *r, uint32_t timeout_ms);
 struct test_response *send_request(struct bb_address a, const char *request);
 bool contains(const struct test_response *r, const char *text);
-int listen_without_accepting(struct bb_address *a);
+int open_listener(struct bb_address *a);
 uint64_t resident_bytes(void);
 
 #endif
--- a/tests/proxy/proxy_node.c
+++ b/tests/proxy/proxy_node.c
@@ -12,15 +12,18 @@
 
 enum {
     PEERS_MAX = BB_SETTINGS_LIST_MAX,
-    MS_MAX = 600000,
-    RPC_PORT_OFFSET = 1
+    TIMEOUT_MAX_MS = 600000,
+    RPC_PORT_OFFSET = 1,
+    PEER_SLOTS = 6
 };
 
+static const uint64_t body_max_bytes = UINT64_C(1) << 31;
+
 struct node {
     struct bb_proxy_settings settings;
     const char *service;
-    struct bb_address_list
-        peers; /* addresses for callers; RPC is on the next port */
+    /* Caller addresses of the gatekeepers; their RPC ports are one higher. */
+    struct bb_address_list peers;
     struct bb_address rpc_listen;
     uint64_t timeout_ms;
     uint64_t retry_limit;
@@ -34,10 +37,12 @@
     uint64_t extra_per_depth;
     uint64_t max_depth;
     struct bb_proxy *proxy;
-    struct bb_member own;
+    struct bb_member self; /* without a service: no upstream was announced */
     pthread_mutex_t lock;
 };
 
+/* Builds a table and a roster from the peers and the local upstream and sets
+ * them. Call with the lock held. */
 static void
 set_table(struct node *n)
 {
@@ -54,7 +59,7 @@
     const struct bb_config config = {
         .revision = 1,
         .limits = {.max_depth = (uint32_t)n->max_depth,
-                   .max_body_bytes = UINT64_C(1) << 31,
+                   .max_body_bytes = body_max_bytes,
                    .retry_budget_percent = 20,
                    .hedge_budget_percent = 5,
                    .max_ejected_percent = 34},
@@ -63,7 +68,7 @@
         .routes = &route,
         .route_count = 1,
     };
-    const struct bb_node_location place = {
+    const struct bb_node_location location = {
         .host = n->settings.host, .zone = "z", .region = "r"};
     struct bb_member members[PEERS_MAX + 1] = {0};
     struct bb_roster roster = {.epoch = 1};
@@ -83,11 +88,11 @@
             (uint16_t)(m->rpc_address.port + RPC_PORT_OFFSET);
         m->incarnation = n->incarnation;
         m->upstream_state = BB_UPSTREAM_READY;
-        m->slots = 6;
+        m->slots = PEER_SLOTS;
         m->is_reachable = true;
     }
-    if (n->own.service[0] != '\0') {
-        members[count++] = n->own;
+    if (n->self.service[0] != '\0') {
+        members[count++] = n->self;
     }
     for (size_t i = 0; i < count; i++) {
         roster.hosts[roster.host_count++] =
@@ -95,9 +100,10 @@
     }
     bb_proxy_set_roster(n->proxy, n->service, &roster);
     bb_proxy_set_table(n->proxy,
-                       bb_table_build(&config, members, count, &place));
+                       bb_table_build(&config, members, count, &location));
 }
 
+/* Called by the proxy, possibly before bb_proxy_create has returned. */
 static void
 upstream_changed(void *context, const char *service, uint32_t slots,
                  uint32_t connections, enum bb_upstream_state state)
@@ -105,15 +111,15 @@
     struct node *n = context;
 
     (void)pthread_mutex_lock(&n->lock);
-    (void)strncpy(n->own.host, n->settings.host, sizeof(n->own.host) - 1);
-    (void)strncpy(n->own.service, service, sizeof(n->own.service) - 1);
-    (void)strcpy(n->own.zone, "z");
-    (void)strcpy(n->own.region, "r");
-    n->own.slots = slots;
-    n->own.connections = connections;
-    n->own.upstream_state = state;
-    n->own.is_reachable = true;
-    n->own.incarnation = n->incarnation;
+    (void)strncpy(n->self.host, n->settings.host, sizeof(n->self.host) - 1);
+    (void)strncpy(n->self.service, service, sizeof(n->self.service) - 1);
+    (void)strcpy(n->self.zone, "z");
+    (void)strcpy(n->self.region, "r");
+    n->self.slots = slots;
+    n->self.connections = connections;
+    n->self.upstream_state = state;
+    n->self.is_reachable = true;
+    n->self.incarnation = n->incarnation;
     if (n->proxy != NULL) {
         set_table(n);
     }
@@ -162,12 +168,13 @@
          .kind = BB_SETTING_ADDRESS_LIST,
          .default_value = "",
          .to.addresses = &n->peers},
-        NUMBER_ROW("timeout-ms", "5000", MS_MAX, &n->timeout_ms),
+        NUMBER_ROW("timeout-ms", "5000", TIMEOUT_MAX_MS, &n->timeout_ms),
         NUMBER_ROW("retry-limit", "2", 10, &n->retry_limit),
         NUMBER_ROW("hedge-limit", "0", 1, &n->hedge_limit),
         NUMBER_ROW("queue-length", "64", 1024, &n->queue_length),
-        NUMBER_ROW("idle-timeout-ms", "10000", MS_MAX, &n->idle_timeout_ms),
-        NUMBER_ROW("drain-ms", "5000", MS_MAX, &n->drain_ms),
+        NUMBER_ROW("idle-timeout-ms", "10000", TIMEOUT_MAX_MS,
+                   &n->idle_timeout_ms),
+        NUMBER_ROW("drain-ms", "5000", TIMEOUT_MAX_MS, &n->drain_ms),
         NUMBER_ROW("seed", "1", UINT64_MAX, &n->seed),
         NUMBER_ROW("incarnation", "1", UINT64_MAX, &n->incarnation),
         NUMBER_ROW("worker-base", "0", 10000, &n->depth_zero_max),
@@ -204,11 +211,11 @@
     char own_name[BB_ADDRESS_TEXT_BYTES];
     sigset_t signals;
     int signal_number = 0;
-    int code = 1;
+    int code = BB_EXIT_FAILED;
 
     if (read_settings(&n, argc, argv, &e) != BB_SETTINGS_RUN) {
         (void)fprintf(stderr, "%s\n", e.message);
-        return 2;
+        return BB_EXIT_USAGE;
     }
     (void)sigemptyset(&signals);
     (void)sigaddset(&signals, SIGTERM);
@@ -233,13 +240,14 @@
     server = n.proxy != NULL ? start_rpc(&n, &e) : NULL;
     if (server == NULL) {
         (void)fprintf(stderr, "%s\n", e.message);
-        return 4;
+        return BB_EXIT_INTERNAL;
     }
     (void)pthread_mutex_lock(&n.lock);
     set_table(&n);
     (void)pthread_mutex_unlock(&n.lock);
     (void)sigwait(&signals, &signal_number);
-    code = bb_proxy_drain(n.proxy, (uint32_t)n.drain_ms) ? 0 : 1;
+    code = bb_proxy_drain(n.proxy, (uint32_t)n.drain_ms) ? BB_EXIT_OK
+                                                         : BB_EXIT_FAILED;
     bb_rpc_server_destroy(server);
     bb_proxy_destroy(n.proxy);
     bb_rpc_pool_destroy(n.settings.rpc);
--- a/tests/proxy/test_claim_restart.c
+++ b/tests/proxy/test_claim_restart.c
@@ -7,7 +7,7 @@
 #include "common/digest.h"
 #include "fixture.h"
 
-enum { SLOTS = 4, INCARNATION_AFTER = 6 };
+enum { SLOTS = 4, INCARNATION_AFTER_RESTART = FIXTURE_INCARNATION + 1 };
 
 static const struct bb_behaviour_values quick = {.slots = SLOTS,
                                                  .connections = 64,
@@ -21,8 +21,8 @@
     "POST /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
     "Idempotency-Key: k\r\nContent-Length: 1\r\n\r\nx";
 
-static struct test_upstream upstream; /* of the gatekeeper */
-static struct test_upstream second;   /* of the entry node */
+static struct test_upstream gatekeeper_upstream;
+static struct test_upstream entry_upstream;
 static struct test_node gatekeeper;
 static struct test_node entry;
 static struct test_node witness;
@@ -39,26 +39,28 @@
         .host_count = 2,
         .hosts = {bb_hash64("entry", 5, 0), bb_hash64("third", 5, 0)}};
 
-    start_upstream(&upstream, &quick);
-    start_upstream(&second, &quick);
+    start_upstream(&gatekeeper_upstream, &quick);
+    start_upstream(&entry_upstream, &quick);
     pool = bb_rpc_pool_create();
     server = bb_rpc_server_create(&rpc, &e);
     CU_ASSERT_PTR_NOT_NULL_FATAL(server);
-    start_node(&gatekeeper, "gate", (struct bb_proxy_settings){0});
-    start_node(&witness, "third",
-               (struct bb_proxy_settings){.incarnation = INCARNATION_AFTER});
+    start_node(&gatekeeper, "gatekeeper", (struct bb_proxy_settings){0});
+    start_node(
+        &witness, "third",
+        (struct bb_proxy_settings){.incarnation = INCARNATION_AFTER_RESTART});
     start_node(&entry, "entry", (struct bb_proxy_settings){.rpc = pool});
     CU_ASSERT_TRUE(bb_proxy_register(witness.proxy, server, &e));
     CU_ASSERT_TRUE(bb_rpc_server_start(server, &e));
     rpc.port = bb_rpc_server_get_port(server);
-    announce_upstream(&gatekeeper, &upstream.upstream.listen,
+    announce_upstream(&gatekeeper, &gatekeeper_upstream.upstream.listen,
                       BB_UPSTREAM_READY, SLOTS);
-    announce_upstream(&entry, &second.upstream.listen, BB_UPSTREAM_READY,
-                      SLOTS);
-    add_member(&entry, "gate", "z1", bb_proxy_caller_address(gatekeeper.proxy),
-               rpc);
+    announce_upstream(&entry, &entry_upstream.upstream.listen,
+                      BB_UPSTREAM_READY, SLOTS);
+    add_member(&entry, "gatekeeper", "z1",
+               bb_proxy_caller_address(gatekeeper.proxy), rpc);
     add_member(&entry, "third", "z1", bb_proxy_caller_address(witness.proxy),
                rpc);
+    /* So that no request is routed to the witness. */
     entry.members[1].upstream_state = BB_UPSTREAM_DRAINING;
     apply_table(&entry);
     bb_proxy_set_roster(witness.proxy, "s", &r);
@@ -66,27 +68,29 @@
 }
 
 /* Simulates a new process on the gatekeeper's host, where no upstream is
- * announced yet. The entry node's upstream is an alternative. */
+ * announced yet. The entry node's own upstream could run the request instead.
+ */
 static void
 restart_gatekeeper(void)
 {
     entry.members[0].http_address = bb_proxy_caller_address(witness.proxy);
-    entry.members[0].incarnation = INCARNATION_AFTER;
+    entry.members[0].incarnation = INCARNATION_AFTER_RESTART;
     add_member(&entry, "entry", "z2", bb_proxy_caller_address(entry.proxy),
                entry.members[0].rpc_address);
     apply_table(&entry);
 }
 
+/* Returns whether the history of an upstream's runs contains a text. */
 static bool
-has_run(struct test_upstream *u, const char *runs)
+history_contains(struct test_upstream *u, const char *text)
 {
-    GString *ran = g_string_new(NULL);
-    bool is_equal;
+    GString *history = g_string_new(NULL);
+    bool is_found;
 
-    bb_runs_write_history(u->upstream.runs, ran);
-    is_equal = strstr(ran->str, runs) != NULL;
-    (void)g_string_free(ran, TRUE);
-    return is_equal;
+    bb_runs_write_history(u->upstream.runs, history);
+    is_found = strstr(history->str, text) != NULL;
+    (void)g_string_free(history, TRUE);
+    return is_found;
 }
 
 /* Guards against a keyed request that runs twice because the restarted
@@ -100,20 +104,20 @@
     r = send_request(bb_proxy_caller_address(entry.proxy), request);
     CU_ASSERT_EQUAL(r->status, 200);
     g_free(r);
-    CU_ASSERT_TRUE(has_run(&upstream, "\"runs\":1,"));
+    CU_ASSERT_TRUE(history_contains(&gatekeeper_upstream, "\"runs\":1,"));
     restart_gatekeeper();
     r = send_request(bb_proxy_caller_address(entry.proxy), request);
     CU_ASSERT_TRUE(contains(r, "Baobab-Refused: gatekeeper_restarted"));
     CU_ASSERT_TRUE(contains(r, "Baobab-Ran: unknown"));
-    CU_ASSERT_TRUE(has_run(&second, "\"runs\":0,"));
+    CU_ASSERT_TRUE(history_contains(&entry_upstream, "\"runs\":0,"));
     g_free(r);
     stop_node(&entry);
     stop_node(&witness);
     stop_node(&gatekeeper);
     bb_rpc_server_destroy(server);
     bb_rpc_pool_destroy(pool);
-    stop_upstream(&upstream);
-    stop_upstream(&second);
+    stop_upstream(&gatekeeper_upstream);
+    stop_upstream(&entry_upstream);
 }
 
 static const struct bb_unit_test tests[] = {
--- a/tests/proxy/test_claims.c
+++ b/tests/proxy/test_claims.c
@@ -1,9 +1,10 @@
-/* The witness of a node. If it grants a key too early a request can run twice;
- * if too late, requests are refused needlessly. */
+/* The witness of a node, which grants claims for keys. If it grants one too
+ * early, a request can run twice; if too late, requests are refused
+ * needlessly. */
 #include "proxy/claims.h"
 #include "unit.h"
 
-enum { OWN = 7, ENTRIES = 64 };
+enum { OWN_HOST_KEY = 7, ENTRIES = 64, RETENTION_S = 600 };
 
 static struct bb_witness_response
 claim(struct bb_claims *c, uint64_t key, uint64_t epoch)
@@ -14,27 +15,30 @@
     return bb_claims_process_claim(c, &id, &wanted, epoch);
 }
 
-/* Guards against a host that is being removed and stays in the old epoch:
- * claims still need its vote until the change is settled. */
+/* Guards against a host under removal that stays in the old epoch and so
+ * grants no claims, although its vote still counts until the change is
+ * settled. */
 static void
 test_removed_host_adopts_the_epoch(void)
 {
-    struct bb_claims *c = bb_claims_create(OWN, ENTRIES, 600, false);
-    struct bb_roster r = {.epoch = 3, .host_count = 2, .hosts = {OWN, 8}};
+    struct bb_claims *c = bb_claims_create(OWN_HOST_KEY, ENTRIES, RETENTION_S,
+                                           false /* restarted_without_data */);
+    struct bb_roster r = {
+        .epoch = 3, .host_count = 2, .hosts = {OWN_HOST_KEY, 8}};
 
-    bb_claims_set_roster(c, "s", &r, 600);
+    bb_claims_set_roster(c, "s", &r, RETENTION_S);
     CU_ASSERT_EQUAL(claim(c, 1, 3).result, BB_WITNESS_GRANTED);
     r = (struct bb_roster){.epoch = 4,
                            .host_count = 2,
                            .hosts = {8, 9},
                            .previous_count = 2,
-                           .previous = {OWN, 8}};
-    bb_claims_set_roster(c, "s", &r, 600);
+                           .previous = {OWN_HOST_KEY, 8}};
+    bb_claims_set_roster(c, "s", &r, RETENTION_S);
     CU_ASSERT_EQUAL(claim(c, 2, 4).result, BB_WITNESS_GRANTED);
     CU_ASSERT_EQUAL(claim(c, 3, 3).result, BB_WITNESS_OTHER_EPOCH);
     /* Settled: the host is removed and ignores further epochs. */
     r = (struct bb_roster){.epoch = 5, .host_count = 2, .hosts = {8, 9}};
-    bb_claims_set_roster(c, "s", &r, 600);
+    bb_claims_set_roster(c, "s", &r, RETENTION_S);
     CU_ASSERT_EQUAL(claim(c, 4, 5).result, BB_WITNESS_OTHER_EPOCH);
     bb_claims_destroy(c);
 }
@@ -44,10 +48,12 @@
 static void
 test_restarted_witness_grants_nothing(void)
 {
-    struct bb_claims *c = bb_claims_create(OWN, ENTRIES, 0, true);
-    struct bb_roster r = {.epoch = 3, .host_count = 1, .hosts = {OWN}};
+    struct bb_claims *c = bb_claims_create(OWN_HOST_KEY, ENTRIES, 0,
+                                           true /* restarted_without_data */);
+    struct bb_roster r = {
+        .epoch = 3, .host_count = 1, .hosts = {OWN_HOST_KEY}};
 
-    bb_claims_set_roster(c, "s", &r, 600);
+    bb_claims_set_roster(c, "s", &r, RETENTION_S);
     CU_ASSERT_EQUAL(claim(c, 1, 3).result, BB_WITNESS_CANNOT_GRANT);
     bb_claims_destroy(c);
 }
@@ -58,17 +64,20 @@
 static void
 test_new_host_grants_at_once(void)
 {
-    struct bb_roster r = {.epoch = 3, .host_count = 1, .hosts = {OWN}};
+    struct bb_roster r = {
+        .epoch = 3, .host_count = 1, .hosts = {OWN_HOST_KEY}};
 
     for (int is_roster_first = 0; is_roster_first < 2; is_roster_first++) {
-        struct bb_claims *c = bb_claims_create(OWN, ENTRIES, 600, true);
+        struct bb_claims *c =
+            bb_claims_create(OWN_HOST_KEY, ENTRIES, RETENTION_S,
+                             true /* restarted_without_data */);
 
         if (is_roster_first) {
-            bb_claims_set_roster(c, "s", &r, 600);
+            bb_claims_set_roster(c, "s", &r, RETENTION_S);
             CU_ASSERT_EQUAL(claim(c, 1, 3).result, BB_WITNESS_CANNOT_GRANT);
         }
         bb_claims_set_first_start(c);
-        bb_claims_set_roster(c, "s", &r, 600);
+        bb_claims_set_roster(c, "s", &r, RETENTION_S);
         CU_ASSERT_EQUAL(claim(c, 1, 3).result, BB_WITNESS_GRANTED);
         bb_claims_destroy(c);
     }
--- a/tests/proxy/test_exchange.c
+++ b/tests/proxy/test_exchange.c
@@ -8,7 +8,18 @@
 
 #include "fixture.h"
 
-enum { LARGE_BYTES = 64 * 1024 * 1024, BLOCK_BYTES = 64 * 1024, SLOTS = 4 };
+enum {
+    LARGE_BYTES = 64 * 1024 * 1024,
+    BLOCK_BYTES = 64 * 1024,
+    MEMORY_GROWTH_MAX_BYTES = 24 * 1024 * 1024,
+    SLOTS = 4,
+    /* Bounds for the response to a request with a deadline of 150 ms. */
+    EARLIEST_RESPONSE_US = 100 * BB_US_PER_MS,
+    LATEST_RESPONSE_US = 600 * BB_US_PER_MS
+};
+
+/* Of the body "hello". */
+static const char hello_digest[] = "\"digest\":\"26c7827d889f6da3\"";
 
 static const struct bb_behaviour_values quick = {.slots = SLOTS,
                                                  .connections = 64,
@@ -19,8 +30,8 @@
                                                  .long_factor = 1};
 
 static struct test_upstream upstream;
-static struct test_node gate;  /* has the upstream */
-static struct test_node entry; /* has no upstream */
+static struct test_node gatekeeper; /* has the upstream */
+static struct test_node entry;      /* has no upstream */
 static struct bb_rpc_server *server;
 static struct bb_rpc_pool *pool;
 
@@ -32,28 +43,30 @@
     struct bb_address rpc = any;
 
     start_upstream(&upstream, &quick);
-    start_node(&gate, "gate", s);
+    start_node(&gatekeeper, "gatekeeper", s);
     pool = bb_rpc_pool_create();
     server = bb_rpc_server_create(&any, &e);
     CU_ASSERT_PTR_NOT_NULL_FATAL(server);
-    CU_ASSERT_TRUE(bb_proxy_register(gate.proxy, server, &e));
+    CU_ASSERT_TRUE(bb_proxy_register(gatekeeper.proxy, server, &e));
     CU_ASSERT_TRUE(bb_rpc_server_start(server, &e));
     rpc.port = bb_rpc_server_get_port(server);
     s.rpc = pool;
     start_node(&entry, "entry", s);
-    announce_upstream(&gate, &upstream.upstream.listen, BB_UPSTREAM_READY,
-                      SLOTS);
-    add_member(&entry, "gate", "z2", bb_proxy_caller_address(gate.proxy), rpc);
-    add_member(&gate, "gate", "z2", bb_proxy_caller_address(gate.proxy), rpc);
+    announce_upstream(&gatekeeper, &upstream.upstream.listen,
+                      BB_UPSTREAM_READY, SLOTS);
+    add_member(&entry, "gatekeeper", "z2",
+               bb_proxy_caller_address(gatekeeper.proxy), rpc);
+    add_member(&gatekeeper, "gatekeeper", "z2",
+               bb_proxy_caller_address(gatekeeper.proxy), rpc);
     apply_table(&entry);
-    apply_table(&gate);
+    apply_table(&gatekeeper);
 }
 
 static void
 stop(void)
 {
     stop_node(&entry);
-    stop_node(&gate);
+    stop_node(&gatekeeper);
     bb_rpc_server_destroy(server);
     bb_rpc_pool_destroy(pool);
     stop_upstream(&upstream);
@@ -92,21 +105,21 @@
                      "POST /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
                      "X-Call-Id: two\r\nContent-Length: 5\r\n\r\nhello");
     CU_ASSERT_EQUAL(r->status, 200);
-    CU_ASSERT_TRUE(contains(r, "\"digest\":\"26c7827d889f6da3\""));
+    CU_ASSERT_TRUE(contains(r, hello_digest));
     g_free(r);
     r = send_request(bb_proxy_caller_address(entry.proxy),
                      "POST /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
                      "X-Call-Id: three\r\nTransfer-Encoding: chunked\r\n\r\n"
                      "2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n");
     CU_ASSERT_EQUAL(r->status, 200);
-    CU_ASSERT_TRUE(contains(r, "\"digest\":\"26c7827d889f6da3\""));
+    CU_ASSERT_TRUE(contains(r, hello_digest));
     g_free(r);
     stop();
 }
 
 /* Guards against bodies that are buffered completely. */
 static void
-test_large_bodies_stay_bounded(void)
+test_large_bodies_use_bounded_memory(void)
 {
     static char block[BLOCK_BYTES];
     struct test_response *r = g_new0(struct test_response, 1);
@@ -116,11 +129,12 @@
     int fd;
 
     start((struct bb_proxy_settings){0});
+    /* The baseline is measured after a first request. */
     g_free(get(""));
     before = resident_bytes();
     fd = connect_to_address(bb_proxy_caller_address(entry.proxy));
     send_text(fd, "PUT /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
-                  "Content-Length: 67108864\r\n\r\n");
+                  "Content-Length: 67108864\r\n\r\n"); /* LARGE_BYTES */
     for (int i = 0; i < LARGE_BYTES / BLOCK_BYTES; i++) {
         memset(block, 'a' + i % 26, sizeof(block));
         for (size_t sent = 0; sent < sizeof(block);) {
@@ -129,20 +143,20 @@
             sent += (size_t)n;
         }
     }
-    read_response(fd, r, 8000);
+    read_response(fd, r, RESPONSE_TIMEOUT_MS);
     CU_ASSERT_EQUAL(r->status, 200);
-    CU_ASSERT_TRUE(contains(r, "\"bytes\":67108864"));
+    CU_ASSERT_TRUE(contains(r, "\"bytes\":67108864")); /* LARGE_BYTES */
     (void)close(fd);
     fd = connect_to_address(bb_proxy_caller_address(entry.proxy));
     send_text(fd, "GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
-                  "X-Answer-Bytes: 67108864\r\n\r\n");
+                  "X-Answer-Bytes: 67108864\r\n\r\n"); /* LARGE_BYTES */
     while ((n = recv(fd, block, sizeof(block), 0)) > 0) {
         received += (uint64_t)n;
     }
     CU_ASSERT_TRUE(received > LARGE_BYTES);
     (void)close(fd);
     /* Both nodes and the upstream share this process. */
-    CU_ASSERT_TRUE(resident_bytes() < before + 24 * 1024 * 1024);
+    CU_ASSERT_TRUE(resident_bytes() < before + MEMORY_GROWTH_MAX_BYTES);
     g_free(r);
     stop();
 }
@@ -184,7 +198,7 @@
                       "Content-Length: 1000000\r\n\r\nabc");
     reader = connect_to_address(bb_proxy_caller_address(entry.proxy));
     send_text(reader, "GET /a HTTP/1.1\r\nHost: h\r\n"
-                      "X-Answer-Bytes: 67108864\r\n\r\n");
+                      "X-Answer-Bytes: 67108864\r\n\r\n"); /* LARGE_BYTES */
     read_response(sender, r, 6000);
     CU_ASSERT_NOT_EQUAL(r->status, 200);
     CU_ASSERT_TRUE(bb_clock_now_us() - start_us < 4 * (uint64_t)BB_US_PER_S);
@@ -238,13 +252,15 @@
     stop();
 }
 
-/* Guards against hop-by-hop fields that are forwarded. */
+/* Guards against forwarding fields that Connection lists, and against internal
+ * fields set by a caller. */
 static void
 test_hop_by_hop_fields_are_not_forwarded(void)
 {
     struct test_response *r;
 
     start((struct bb_proxy_settings){0});
+    /* If X-Work-Us were forwarded, the request would exceed its deadline. */
     r = send_request(
         bb_proxy_caller_address(entry.proxy),
         "GET /a HTTP/1.1\r\nHost: h\r\nConnection: close, X-Work-Us\r\n"
@@ -267,23 +283,23 @@
     r = get("X-Work-Us: 3000000\r\nBaobab-Deadline-Ms: 150\r\n");
     took_us = bb_clock_now_us() - start_us;
     CU_ASSERT_EQUAL(r->status, 504);
-    CU_ASSERT_TRUE(took_us >= 100 * BB_US_PER_MS);
-    CU_ASSERT_TRUE(took_us < 600 * BB_US_PER_MS);
+    CU_ASSERT_TRUE(took_us >= EARLIEST_RESPONSE_US);
+    CU_ASSERT_TRUE(took_us < LATEST_RESPONSE_US);
     g_free(r);
     stop();
 }
 
 /* Guards against a hung upstream that blocks the caller past the deadline. */
 static void
-test_silent_upstream_ends_at_the_deadline(void)
+test_request_to_silent_upstream_ends_at_deadline(void)
 {
     struct bb_address silent;
-    int listener = listen_without_accepting(&silent);
+    int listener = open_listener(&silent);
     uint64_t start_us;
     struct test_response *r;
 
     start((struct bb_proxy_settings){0});
-    announce_upstream(&gate, &silent, BB_UPSTREAM_READY, SLOTS);
+    announce_upstream(&gatekeeper, &silent, BB_UPSTREAM_READY, SLOTS);
     start_us = bb_clock_now_us();
     r = send_request(bb_proxy_caller_address(entry.proxy),
                      "POST /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
@@ -299,11 +315,11 @@
 /* Guards against a request that is lost or runs twice because the connection
  * to its gatekeeper goes silent. */
 static void
-test_silent_connection_is_queried(void)
+test_gatekeeper_is_queried_after_silence(void)
 {
     struct bb_address silent;
-    int listener = listen_without_accepting(&silent);
-    GString *ran = g_string_new(NULL);
+    int listener = open_listener(&silent);
+    GString *history = g_string_new(NULL);
     struct test_response *r;
 
     start((struct bb_proxy_settings){.silence_check_ms = 100});
@@ -317,9 +333,9 @@
     /* The RPC query reaches the real gatekeeper, which records the unknown id
      * as refused. The request must then not run anywhere. */
     CU_ASSERT_TRUE(contains(r, "Baobab-Ran: no"));
-    bb_runs_write_history(upstream.upstream.runs, ran);
-    CU_ASSERT_PTR_NOT_NULL(strstr(ran->str, "\"runs\":0,"));
-    (void)g_string_free(ran, TRUE);
+    bb_runs_write_history(upstream.upstream.runs, history);
+    CU_ASSERT_PTR_NOT_NULL(strstr(history->str, "\"runs\":0,"));
+    (void)g_string_free(history, TRUE);
     g_free(r);
     r = get("X-Call-Id: r\r\n");
     CU_ASSERT_EQUAL(r->status, 200);
@@ -344,8 +360,10 @@
     return NULL;
 }
 
+/* Starts callers that each send the request once. The test joins their threads
+ * and frees the responses. */
 static void
-run_callers(struct caller *callers, size_t count, const char *request)
+start_callers(struct caller *callers, size_t count, const char *request)
 {
     for (size_t i = 0; i < count; i++) {
         callers[i].request = request;
@@ -366,9 +384,9 @@
     uint32_t busiest = 0;
 
     start((struct bb_proxy_settings){0});
-    run_callers(callers, G_N_ELEMENTS(callers),
-                "GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
-                "X-Work-Us: 50000\r\n\r\n");
+    start_callers(callers, G_N_ELEMENTS(callers),
+                  "GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+                  "X-Work-Us: 50000\r\n\r\n");
     for (int i = 0; i < 20; i++) {
         bb_runs_get_reported_load(upstream.upstream.runs, &busy, &waiting);
         busiest = MAX(busiest, busy + waiting);
@@ -394,19 +412,19 @@
     start((struct bb_proxy_settings){0});
     entry.route.retry_limit = 0; /* so that the refusal is not retried */
     apply_table(&entry);
-    run_callers(callers, G_N_ELEMENTS(callers),
-                "GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
-                "X-Work-Us: 2000000\r\n\r\n");
+    start_callers(callers, G_N_ELEMENTS(callers),
+                  "GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+                  "X-Work-Us: 2000000\r\n\r\n");
     while (bb_runs_active_count(upstream.upstream.runs) < SLOTS) {
         bb_clock_sleep_us(5 * BB_US_PER_MS);
     }
-    CU_ASSERT_FALSE(bb_proxy_drain(gate.proxy, 10));
+    CU_ASSERT_FALSE(bb_proxy_drain(gatekeeper.proxy, 10));
     r = get("");
     CU_ASSERT_TRUE(contains(r, "Baobab-Refused: shutting_down"));
     CU_ASSERT_TRUE(contains(r, "Baobab-Ran: no"));
     g_free(r);
     CU_ASSERT_TRUE(bb_proxy_drain(entry.proxy, 8000));
-    CU_ASSERT_TRUE(bb_proxy_drain(gate.proxy, 8000));
+    CU_ASSERT_TRUE(bb_proxy_drain(gatekeeper.proxy, 8000));
     for (size_t i = 0; i < G_N_ELEMENTS(callers); i++) {
         (void)pthread_join(callers[i].thread, NULL);
         CU_ASSERT_EQUAL(callers[i].response->status, 200);
@@ -416,9 +434,11 @@
     stop();
 }
 
-/* Guards against running a non-idempotent request with one key twice. */
+/* Guards against a second run of a request that is sent again with the same
+ * Idempotency-Key, including when there is no roster or the entry node reaches
+ * only one of two witnesses. */
 static void
-test_duplicate_gets_the_first_response(void)
+test_keyed_request_runs_once(void)
 {
     static const char request[] =
         "POST /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
@@ -426,16 +446,17 @@
         "Content-Length: 1\r\n\r\nx";
     struct test_response *first;
     struct test_response *second;
-    GString *ran = g_string_new(NULL);
+    GString *history = g_string_new(NULL);
     struct test_node other;
 
     start((struct bb_proxy_settings){0});
-    /* Without a roster nothing could prevent the key from being used twice. */
+    /* Without a roster no witness can prevent a second run, so the request is
+     * refused. */
     first = send_request(bb_proxy_caller_address(entry.proxy), request);
     CU_ASSERT_TRUE(contains(first, "Baobab-Refused: key_owner_unavailable"));
     CU_ASSERT_TRUE(contains(first, "Baobab-Ran: no"));
     g_free(first);
-    apply_roster(&gate);
+    apply_roster(&gatekeeper);
     apply_roster(&entry);
     first = send_request(bb_proxy_caller_address(entry.proxy), request);
     second = send_request(bb_proxy_caller_address(entry.proxy), request);
@@ -443,7 +464,8 @@
     CU_ASSERT_EQUAL(second->status, 200);
     CU_ASSERT_TRUE(contains(second, "\"id\":\"same\""));
     g_free(second);
-    /* Another entry node reaches only one of the two witnesses. */
+    /* Another entry node reaches only one of the two witnesses, so it cannot
+     * claim the key. */
     start_node(&other, "other", (struct bb_proxy_settings){.rpc = pool});
     memcpy(other.members, entry.members, sizeof(other.members));
     other.member_count = entry.member_count;
@@ -451,9 +473,9 @@
     apply_roster(&other);
     second = send_request(bb_proxy_caller_address(other.proxy), request);
     CU_ASSERT_TRUE(contains(second, "Baobab-Refused: key_owner_unavailable"));
-    bb_runs_write_history(upstream.upstream.runs, ran);
-    CU_ASSERT_PTR_NOT_NULL(strstr(ran->str, "\"runs\":1,"));
-    (void)g_string_free(ran, TRUE);
+    bb_runs_write_history(upstream.upstream.runs, history);
+    CU_ASSERT_PTR_NOT_NULL(strstr(history->str, "\"runs\":1,"));
+    (void)g_string_free(history, TRUE);
     g_free(first);
     g_free(second);
     stop_node(&other);
@@ -489,8 +511,8 @@
     start((struct bb_proxy_settings){0});
     entry.route.retry_limit = 0; /* so that the refusal is not retried */
     apply_table(&entry);
-    announce_upstream(&gate, &upstream.upstream.listen, BB_UPSTREAM_DRAINING,
-                      SLOTS);
+    announce_upstream(&gatekeeper, &upstream.upstream.listen,
+                      BB_UPSTREAM_DRAINING, SLOTS);
     r = get("");
     CU_ASSERT_TRUE(contains(r, "Baobab-Refused: upstream_draining"));
     g_free(r);
@@ -508,7 +530,7 @@
 
 static const struct bb_unit_test tests[] = {
     {"small requests pass", test_small_requests_pass},
-    {"large bodies stay bounded", test_large_bodies_stay_bounded},
+    {"large bodies use bounded memory", test_large_bodies_use_bounded_memory},
     {"truncated responses are detected",
      test_truncated_responses_are_detected},
     {"idle peers are disconnected", test_idle_peers_are_disconnected},
@@ -517,13 +539,13 @@
      test_hop_by_hop_fields_are_not_forwarded},
     {"deadline is kept in milliseconds",
      test_deadline_is_kept_in_milliseconds},
-    {"silent upstream ends at the deadline",
-     test_silent_upstream_ends_at_the_deadline},
-    {"silent connection is queried", test_silent_connection_is_queried},
+    {"a request to a silent upstream ends at the deadline",
+     test_request_to_silent_upstream_ends_at_deadline},
+    {"the gatekeeper is queried after silence",
+     test_gatekeeper_is_queried_after_silence},
     {"queue respects the slots", test_queue_respects_the_slots},
     {"drain aborts nothing", test_drain_aborts_nothing},
-    {"duplicate gets the first response",
-     test_duplicate_gets_the_first_response},
+    {"a keyed request runs once", test_keyed_request_runs_once},
     {"shedding is a refusal", test_shedding_is_a_refusal},
     {"refusals carry their reason", test_refusals_carry_their_reason},
 };
--- a/tests/proxy/test_link.c
+++ b/tests/proxy/test_link.c
@@ -1,4 +1,5 @@
-/* Guards against wrong counts of bytes sent between regions (billed). */
+/* The billed link between regions: its bytes are counted correctly, and hedges
+ * do not use it. */
 #include <glib.h>
 #include <string.h>
 
@@ -6,7 +7,7 @@
 #include "fixture.h"
 #include "proxy/picker.h"
 
-enum { SLOTS = 4, BODY_BYTES = 40000 };
+enum { SLOTS = 4, BODY_BYTES = 40000, HEADERS_MAX_BYTES = 2000 };
 
 static const struct bb_behaviour_values quick = {.slots = SLOTS,
                                                  .connections = 64,
@@ -50,35 +51,38 @@
 static void
 test_only_other_regions_count(void)
 {
+    /* Nothing listens there. */
     struct bb_address no_rpc = {.ip = "127.0.0.1", .port = 1};
     struct test_upstream upstream;
-    struct test_node gate;
+    struct test_node gatekeeper;
     struct test_node entry;
 
     start_upstream(&upstream, &quick);
-    start_node(&gate, "gate", (struct bb_proxy_settings){0});
+    start_node(&gatekeeper, "gatekeeper", (struct bb_proxy_settings){0});
     start_node(&entry, "entry", (struct bb_proxy_settings){0});
-    announce_upstream(&gate, &upstream.upstream.listen, BB_UPSTREAM_READY,
-                      SLOTS);
-    add_member(&entry, "gate", "z2", bb_proxy_caller_address(gate.proxy),
-               no_rpc);
+    announce_upstream(&gatekeeper, &upstream.upstream.listen,
+                      BB_UPSTREAM_READY, SLOTS);
+    add_member(&entry, "gatekeeper", "z2",
+               bb_proxy_caller_address(gatekeeper.proxy), no_rpc);
     entry.config.limits.link_bytes_per_s = 1000000;
     apply_table(&entry);
     send_large_call(&entry);
     CU_ASSERT_EQUAL(link_bytes(), 0);
+    /* The same gatekeeper in another region, under a new name because the
+     * entry node keeps the distance of a known host. */
     (void)g_strlcpy(entry.members[0].region, "far", BB_NAME_BYTES);
-    (void)g_strlcpy(entry.members[0].host, "gate-2", BB_NAME_BYTES);
+    (void)g_strlcpy(entry.members[0].host, "gatekeeper-2", BB_NAME_BYTES);
     apply_table(&entry);
     send_large_call(&entry);
     CU_ASSERT_TRUE(link_bytes() > 2 * BODY_BYTES);
-    CU_ASSERT_TRUE(link_bytes() < 2 * BODY_BYTES + 2000);
+    CU_ASSERT_TRUE(link_bytes() < 2 * BODY_BYTES + HEADERS_MAX_BYTES);
     stop_node(&entry);
-    stop_node(&gate);
+    stop_node(&gatekeeper);
     stop_upstream(&upstream);
 }
 
-/* Guards against a hedge that is sent to another region because the
- * gatekeepers of this region are excluded. */
+/* Guards against a hedge that is sent to another region when no gatekeeper of
+ * this region is available. */
 static void
 test_hedges_stay_in_the_region(void)
 {
--- a/tests/proxy/test_load.c
+++ b/tests/proxy/test_load.c
@@ -1,5 +1,6 @@
 /* The load generator must report correctly: plans are reproducible by seed,
- * percentiles are accurate, and wrong responses are detected. */
+ * percentiles are accurate, and truncated responses do not count as successes.
+ */
 #include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -51,26 +52,26 @@
     struct bb_load_call *first;
     struct bb_load_call *second;
     uint32_t count = 0;
-    uint32_t again = 0;
-    uint32_t quiet = 0;
-    uint32_t longs = 0;
+    uint32_t second_count = 0;
+    uint32_t count_at_low_rate = 0;
+    uint32_t long_count = 0;
 
     CU_ASSERT_TRUE_FATAL(read_workload(&w, swinging));
     first = bb_workload_plan(&w, 5, w.rate, 8000, false, &count);
-    second = bb_workload_plan(&w, 5, w.rate, 8000, false, &again);
-    CU_ASSERT_EQUAL_FATAL(count, again);
+    second = bb_workload_plan(&w, 5, w.rate, 8000, false, &second_count);
+    CU_ASSERT_EQUAL_FATAL(count, second_count);
     for (uint32_t i = 0; i < count; i++) {
         CU_ASSERT_TRUE(first[i].planned_us == second[i].planned_us &&
                        first[i].route == second[i].route);
         CU_ASSERT_TRUE(i == 0 ||
                        first[i].planned_us >= first[i - 1].planned_us);
-        quiet += first[i].planned_us / 1000 % 2000 < 1000;
-        longs += first[i].is_long;
+        count_at_low_rate += first[i].planned_us / 1000 % 2000 < 1000;
+        long_count += first[i].is_long;
     }
     /* 4 s at 500 and 4 s at 2000 calls a second, a tenth of them long. */
-    CU_ASSERT_TRUE(abs((int)quiet - 2000) < 200);
-    CU_ASSERT_TRUE(abs((int)(count - quiet) - 8000) < 400);
-    CU_ASSERT_TRUE(abs((int)longs - 1000) < 150);
+    CU_ASSERT_TRUE(abs((int)count_at_low_rate - 2000) < 200);
+    CU_ASSERT_TRUE(abs((int)(count - count_at_low_rate) - 8000) < 400);
+    CU_ASSERT_TRUE(abs((int)long_count - 1000) < 150);
     g_free(first);
     g_free(second);
     bb_workload_clear(&w);
@@ -108,10 +109,9 @@
     bb_load_stats_destroy(s);
 }
 
-/* Guards against truncated responses and refusals that are counted as
- * successes. */
+/* Guards against truncated responses that are counted as successes. */
 static void
-test_results_are_distinguished(void)
+test_truncated_responses_are_not_successes(void)
 {
     const struct bb_behaviour_values v = {.slots = 4,
                                           .connections = 64,
@@ -156,7 +156,8 @@
      test_plans_are_reproducible_and_swing},
     {"bad workloads are refused", test_bad_workloads_are_refused},
     {"percentiles are right", test_percentiles_are_right},
-    {"results are distinguished", test_results_are_distinguished},
+    {"truncated responses are not successes",
+     test_truncated_responses_are_not_successes},
 };
 
 BB_UNIT_MAIN("load", tests)
--- a/tests/proxy/test_nested.c
+++ b/tests/proxy/test_nested.c
@@ -1,5 +1,5 @@
-/* Nested calls through 14 services with few workers and slots: under full load
- * they must not wait for each other. */
+/* Nested calls through 14 services with few workers and slots: they must not
+ * deadlock under full load. */
 #include <glib.h>
 #include <stdio.h>
 #include <string.h>
@@ -11,6 +11,7 @@
     CALLERS = 24,
     CALLS_EACH = 6,
     DEADLINE_MS = 15000, /* only reached by deadlocked calls */
+    RUN_MAX_US = 20 * BB_US_PER_S,
     SLOTS = 3
 };
 
@@ -88,10 +89,11 @@
                          SLOTS);
     }
     for (int i = 0; i < SERVICES; i++) {
-        const struct bb_node_location own = {hosts[i], "z1", "r"};
+        const struct bb_node_location location = {hosts[i], "z1", "r"};
 
-        bb_proxy_set_table(nodes[i].proxy,
-                           bb_table_build(&config, members, SERVICES, &own));
+        bb_proxy_set_table(
+            nodes[i].proxy,
+            bb_table_build(&config, members, SERVICES, &location));
     }
 }
 
@@ -140,7 +142,7 @@
                  atomic_load(&completed_count), atomic_load(&refused_count),
                  atomic_load(&other_count),
                  (unsigned)((bb_clock_now_us() - start_us) / BB_US_PER_MS));
-    CU_ASSERT_TRUE(bb_clock_now_us() - start_us < 20 * (uint64_t)BB_US_PER_S);
+    CU_ASSERT_TRUE(bb_clock_now_us() - start_us < RUN_MAX_US);
 }
 
 /* Returns whether the upstream of every service has run this number of calls
@@ -149,24 +151,24 @@
 have_all_run(unsigned count)
 {
     char *wanted = g_strdup_printf("\"runs\":%u,", count);
-    bool is_equal = true;
+    bool have_run = true;
 
     for (int i = 0; i < SERVICES; i++) {
-        GString *ran = g_string_new(NULL);
+        GString *history = g_string_new(NULL);
 
-        bb_runs_write_history(upstreams[i].upstream.runs, ran);
-        is_equal = is_equal && strstr(ran->str, wanted) != NULL &&
+        bb_runs_write_history(upstreams[i].upstream.runs, history);
+        have_run = have_run && strstr(history->str, wanted) != NULL &&
                    bb_runs_active_count(upstreams[i].upstream.runs) == 0;
-        (void)g_string_free(ran, TRUE);
+        (void)g_string_free(history, TRUE);
     }
     g_free(wanted);
-    return is_equal;
+    return have_run;
 }
 
 /* Guards against nested calls that hold each other's workers or slots until
  * their deadlines. How many calls the first gatekeeper's queue refuses depends
  * on the machine's speed. A call that it admits always finds slots further
- * down, so each one is answered and runs once at every service. */
+ * down, so each one gets a response and runs once at every service. */
 static void
 test_deep_calls_do_not_deadlock(void)
 {
--- a/tests/proxy/test_retry.c
+++ b/tests/proxy/test_outcome.c
@@ -38,9 +38,9 @@
     struct test_node entry;
     struct test_response *r;
 
-    g.listener = listen_without_accepting(&http);
+    g.listener = open_listener(&http);
     start_node(&entry, "entry", (struct bb_proxy_settings){0});
-    add_member(&entry, "gate", "z2", http, http);
+    add_member(&entry, "gatekeeper", "z2", http, http);
     apply_table(&entry);
     CU_ASSERT_EQUAL_FATAL(
         pthread_create(&g.thread, NULL, accept_and_respond, &g), 0);
@@ -90,4 +90,4 @@
      test_refusal_of_the_only_gatekeeper_is_reported},
 };
 
-BB_UNIT_MAIN("retry", tests)
+BB_UNIT_MAIN("outcome", tests)
--- a/tests/proxy/test_slow.c
+++ b/tests/proxy/test_slow.c
@@ -12,7 +12,7 @@
     SLOW_CALLS = 2,
     CALLS = 16,
     SLOW_US = 2 * BB_US_PER_S,
-    SLOW_PROBE_INTERVAL_US = 300 * BB_US_PER_MS
+    SLOW_PROBE_INTERVAL_US = 300 * BB_US_PER_MS /* as in decide/admission.c */
 };
 
 static const struct bb_behaviour_values quick = {.slots = SLOTS,
@@ -24,26 +24,28 @@
                                                  .long_factor = 1};
 
 static struct test_upstream upstreams[2];
-static struct test_node gates[2];
+static struct test_node gatekeepers[2];
 static struct test_node entry;
 
 static void
 start(void)
 {
-    static const char *const hosts[] = {"gate-0", "gate-1"};
+    static const char *const hosts[] = {"gatekeeper-0", "gatekeeper-1"};
     static const char *const names[] = {"up-0", "up-1"};
+    /* Nothing listens there. */
     struct bb_address no_rpc = {.ip = "127.0.0.1", .port = 1};
 
     start_node(&entry, "entry", (struct bb_proxy_settings){0});
+    /* Allows one of the two gatekeepers to be ejected. */
     entry.config.limits.max_ejected_percent = 50;
     for (int i = 0; i < 2; i++) {
         start_upstream(&upstreams[i], &quick);
         upstreams[i].upstream.host = names[i];
-        start_node(&gates[i], hosts[i], (struct bb_proxy_settings){0});
-        announce_upstream(&gates[i], &upstreams[i].upstream.listen,
+        start_node(&gatekeepers[i], hosts[i], (struct bb_proxy_settings){0});
+        announce_upstream(&gatekeepers[i], &upstreams[i].upstream.listen,
                           BB_UPSTREAM_READY, SLOTS);
         add_member(&entry, hosts[i], "z1",
-                   bb_proxy_caller_address(gates[i].proxy), no_rpc);
+                   bb_proxy_caller_address(gatekeepers[i].proxy), no_rpc);
     }
     apply_table(&entry);
 }
@@ -53,7 +55,7 @@
 {
     stop_node(&entry);
     for (int i = 0; i < 2; i++) {
-        stop_node(&gates[i]);
+        stop_node(&gatekeepers[i]);
         stop_upstream(&upstreams[i]);
     }
 }
@@ -79,7 +81,7 @@
         "Baobab-Deadline-Ms: 5000\r\nBaobab-Request-Id: %032x\r\n%s\r\n",
         atomic_fetch_add(&number, 1) + 1, extra_fields);
     struct test_response *r =
-        send_request(bb_proxy_caller_address(gates[0].proxy), text);
+        send_request(bb_proxy_caller_address(gatekeepers[0].proxy), text);
 
     g_free(text);
     return r;
@@ -120,13 +122,14 @@
 /* Guards against requests that wait at a slow upstream although they can be
  * retried elsewhere, and against refusing those that cannot. */
 static void
-test_only_marked_requests_are_refused(void)
+test_only_retryable_requests_are_refused(void)
 {
     pthread_t threads[SLOW_CALLS];
     struct test_response *r;
 
     start();
     start_slow_calls(threads);
+    /* Baobab-Elsewhere: the entry node can retry at another gatekeeper. */
     r = forward("Baobab-Elsewhere: 1\r\n");
     CU_ASSERT_TRUE(contains(r, "Baobab-Refused: upstream_slow"));
     CU_ASSERT_TRUE(contains(r, "Baobab-Ran: no"));
@@ -173,8 +176,8 @@
 }
 
 static const struct bb_unit_test tests[] = {
-    {"only marked requests are refused",
-     test_only_marked_requests_are_refused},
+    {"only retryable requests are refused",
+     test_only_retryable_requests_are_refused},
     {"the entry node retries elsewhere", test_entry_retries_elsewhere},
 };
 
--- a/tests/proxy/test_table.c
+++ b/tests/proxy/test_table.c
@@ -1,6 +1,6 @@
 /* The routing table: routes without a usable upstream are left out, and a
- * table lives as long as the requests that use it. Also covers hop-by-hop
- * header fields. */
+ * table lives as long as the requests that use it. Also covers which header
+ * fields are forwarded. */
 #include <string.h>
 
 #include "proxy/headers.h"
@@ -24,7 +24,7 @@
                                         .route_count = 3,
                                         .drains = drains,
                                         .drain_count = 1};
-static const struct bb_node_location own = {"h", "z", "r"};
+static const struct bb_node_location location = {"h", "z", "r"};
 
 static struct bb_member
 member(const char *host, const char *service, enum bb_upstream_state state)
@@ -47,16 +47,17 @@
     return r != NULL ? r->name : "none";
 }
 
-/* Guards against routes to services without a usable upstream. */
+/* Guards against routes to services without a usable upstream, and against
+ * matching a request to the wrong route by path, method or query. */
 static void
-test_routes_need_an_upstream(void)
+test_requests_match_usable_routes(void)
 {
     struct bb_member members[] = {
         member("h", "a", BB_UPSTREAM_READY),
         member("s", "b", BB_UPSTREAM_STARTING),
         member("d", "b", BB_UPSTREAM_READY), /* drained by the configuration */
     };
-    struct bb_table *t = bb_table_build(&config, members, 3, &own);
+    struct bb_table *t = bb_table_build(&config, members, 3, &location);
 
     CU_ASSERT_EQUAL(t->route_count, 2);
     CU_ASSERT_STRING_EQUAL(route_of(t, "/b", BB_METHOD_GET), "none");
@@ -67,7 +68,7 @@
     CU_ASSERT_TRUE(t->services[0].usable_endpoints[0].is_local);
     bb_table_unref(t);
     members[1].upstream_state = BB_UPSTREAM_READY;
-    t = bb_table_build(&config, members, 3, &own);
+    t = bb_table_build(&config, members, 3, &location);
     CU_ASSERT_STRING_EQUAL(route_of(t, "/b/c", BB_METHOD_GET), "other");
     CU_ASSERT_EQUAL(t->services[1].usable_count, 1);
     bb_table_unref(t);
@@ -75,25 +76,26 @@
 
 /* Guards against a table that is freed while a request uses it. */
 static void
-test_table_outlives_its_replacement(void)
+test_replaced_table_lives_while_in_use(void)
 {
     struct bb_member m = member("h", "a", BB_UPSTREAM_READY);
-    struct bb_current_table *h = bb_current_table_create();
+    struct bb_current_table *current = bb_current_table_create();
     struct bb_table *held;
 
-    CU_ASSERT_PTR_NULL(bb_current_table_get(h));
-    bb_current_table_set(h, bb_table_build(&config, &m, 1, &own));
-    held = bb_current_table_get(h);
-    bb_current_table_set(h, bb_table_build(&config, &m, 0, &own));
+    CU_ASSERT_PTR_NULL(bb_current_table_get(current));
+    bb_current_table_set(current, bb_table_build(&config, &m, 1, &location));
+    held = bb_current_table_get(current);
+    bb_current_table_set(current, bb_table_build(&config, &m, 0, &location));
     CU_ASSERT_STRING_EQUAL(route_of(held, "/a", BB_METHOD_GET), "flat");
     bb_table_unref(held);
-    held = bb_current_table_get(h);
+    held = bb_current_table_get(current);
     CU_ASSERT_STRING_EQUAL(route_of(held, "/a", BB_METHOD_GET), "none");
     bb_table_unref(held);
-    bb_current_table_destroy(h);
+    bb_current_table_destroy(current);
 }
 
-/* Guards against hop-by-hop fields that are forwarded. */
+/* Guards against forwarding hop-by-hop fields, those that Connection lists,
+ * and internal fields. */
 static void
 test_hop_by_hop_fields_are_removed(void)
 {
@@ -114,8 +116,9 @@
 }
 
 static const struct bb_unit_test tests[] = {
-    {"routes need an upstream", test_routes_need_an_upstream},
-    {"a table outlives its replacement", test_table_outlives_its_replacement},
+    {"requests match usable routes", test_requests_match_usable_routes},
+    {"a replaced table lives while in use",
+     test_replaced_table_lives_while_in_use},
     {"hop-by-hop fields are removed", test_hop_by_hop_fields_are_removed},
 };
 
