proxy: name things by the terms of the field

Cause: several names in proxy/ and include/proxy/ hid what they stand for, or one thing had two names. Header fields, the replay field and metrics keep their names.

--- a/include/proxy/claims.h
+++ b/include/proxy/claims.h
@@ -19,10 +19,10 @@
 void bb_claims_destroy(struct bb_claims *c);
 void bb_claims_set_roster(struct bb_claims *c, const char *service,
                           const struct bb_roster *r, uint32_t retention_s);
-bool bb_claims_try_start(struct bb_claims *c, const char *service,
-                         const struct bb_request_id *key,
-                         const struct bb_claim *wanted,
-                         struct bb_claim_requester *q);
+bool bb_claims_prepare(struct bb_claims *c, const char *service,
+                       const struct bb_request_id *key,
+                       const struct bb_claim *wanted,
+                       struct bb_claim_requester *q);
 struct bb_witness_response
 bb_claims_process_claim(struct bb_claims *c, const struct bb_request_id *key,
                         const struct bb_claim *claim, uint64_t epoch);
--- a/include/proxy/gatekeeper.h
+++ b/include/proxy/gatekeeper.h
@@ -66,7 +66,7 @@
     uint64_t incarnation; /* expected; or BB_INCARNATION_ANY */
     enum bb_admission_class work_class;
     uint64_t deadline_us;
-    bool may_go_elsewhere; /* may be refused while the upstream is slow */
+    bool may_refuse_as_slow; /* may be refused while the upstream is slow */
 };
 
 /* An occupied slot of the upstream. Must be passed to
@@ -97,8 +97,8 @@
 /* How a request ended at the upstream. */
 enum bb_slot_result {
     BB_SLOT_COMPLETED,
-    BB_SLOT_NOT_SENT, /* the connection could not be opened */
-    BB_SLOT_REFUSED,  /* not executed: refused, or no free worker */
+    BB_SLOT_NOT_CONNECTED, /* the connection could not be opened */
+    BB_SLOT_REFUSED,       /* not executed: refused, or no free worker */
     BB_SLOT_LOST
 };
 
--- a/include/proxy/http_client.h
+++ b/include/proxy/http_client.h
@@ -35,7 +35,7 @@
     BB_HTTP_CALL_STARTED,
     BB_HTTP_CALL_SENDING_BODY,  /* the peer accepts the body */
     BB_HTTP_CALL_HEAD_RECEIVED, /* status and fields are set */
-    BB_HTTP_CALL_NOT_SENT,      /* no connection could be opened */
+    BB_HTTP_CALL_NOT_CONNECTED, /* no connection could be opened */
     BB_HTTP_CALL_LOST           /* sent, but there will be no response */
 };
 
@@ -43,13 +43,14 @@
 
 /* Called exactly once, on the thread that runs the call, when the peer is done
  * with the request: before a short response or a failure is reported, and
- * after the last byte of a long response. is_sent is false if no connection
- * could be opened, is_whole true if the response is complete. body_copy is a
- * copy of its body, or NULL if it is too long or incomplete; the callback may
- * take over its contents. */
+ * after the last byte of a long response. is_connected is false if no
+ * connection could be opened, is_complete true if the response is complete.
+ * body_copy is a copy of its body, or NULL if it is too long or incomplete;
+ * the callback may take over its contents. */
 typedef void (*bb_http_call_finished_callback)(void *context,
                                                const struct bb_http_call *call,
-                                               bool is_sent, bool is_whole,
+                                               bool is_connected,
+                                               bool is_complete,
                                                GByteArray *body_copy);
 
 struct bb_http_call_params {
--- a/include/proxy/internal.h
+++ b/include/proxy/internal.h
@@ -24,7 +24,7 @@
     BB_HOST_TEXT_BYTES = 64
 };
 
-#define BB_UPSTREAM_REFUSED_FIELD "X-Upstream-Refused"
+#define BB_HEADER_UPSTREAM_REFUSED "X-Upstream-Refused"
 
 struct bb_proxy {
     struct bb_proxy_settings settings;
@@ -62,7 +62,7 @@
     uint64_t incarnation;         /* expected incarnation of the gatekeeper */
     bool is_local;                /* sent to this node's upstream */
     bool fetches_stored_response; /* only asks for the stored response */
-    bool may_go_elsewhere;        /* may be refused if the upstream is slow */
+    bool may_refuse_as_slow;      /* may be refused if the upstream is slow */
     bool is_refused_by_record;
     bool has_spun_for_response; /* spun once for the end of a short response */
     bool is_query_retried;      /* before giving the connection up */
@@ -105,7 +105,7 @@
     bool is_idempotent;
     bool is_keyed; /* the caller sent an idempotency key */
     bool wants_stored_response;
-    bool may_go_elsewhere; /* set by the entry node of a forwarded request */
+    bool may_refuse_as_slow; /* set by the entry node of a forwarded request */
     struct bb_request_id idempotency_key; /* of this service */
     uint32_t claim_attempt;               /* of the claim that holds the key */
     const struct bb_endpoint *last_gatekeeper; /* of the last attempt */
@@ -122,7 +122,7 @@
     struct bb_attempt attempts[BB_ATTEMPTS_ACTIVE_MAX];
     uint32_t attempt_count; /* started so far, hedges included */
     uint32_t hedge_count;
-    uint64_t excluded[BB_PICK_EXCLUDED_MAX]; /* keys of gatekeepers */
+    uint64_t excluded[BB_ROUTE_EXCLUDED_MAX]; /* keys of gatekeepers */
     uint32_t excluded_count;
     /* Why the last retried attempt failed, and whether any failed attempt may
      * have run. */
@@ -145,7 +145,7 @@
 void bb_request_parse_head(struct bb_exchange *x, const char *method);
 const char *bb_id_format(const struct bb_request_id *id,
                          char text[BB_ID_TEXT_BYTES]);
-uint64_t bb_hash_host(const char *host);
+uint64_t bb_host_key(const char *host);
 bool bb_id_parse(const char *text, struct bb_request_id *id);
 
 /* entry.c */
@@ -197,7 +197,7 @@
 void bb_rpc_cancel(struct bb_proxy *p, const struct bb_address *to,
                    const struct bb_request_id *id);
 void bb_rpc_unregister(const struct bb_proxy *p);
-void bb_rpc_cancel_local(struct bb_proxy *p, const struct bb_request_id *id);
+void bb_proxy_cancel_local(struct bb_proxy *p, const struct bb_request_id *id);
 
 bool bb_rpc_claim(struct bb_proxy *p, const struct bb_address *to,
                   const struct bb_request_id *key,
@@ -207,9 +207,10 @@
 /* claim_key.c: claims keys before requests are sent */
 struct bb_outcome bb_exchange_claim_key(struct bb_exchange *x,
                                         struct bb_attempt *attempt);
-bool bb_exchange_query_claim(struct bb_exchange *x,
-                             const struct bb_endpoint *e, uint64_t incarnation,
-                             enum bb_query_result *result);
+bool bb_exchange_query_gatekeeper(struct bb_exchange *x,
+                                  const struct bb_endpoint *e,
+                                  uint64_t incarnation,
+                                  enum bb_query_result *result);
 
 /* response.c */
 enum MHD_Result bb_exchange_respond(struct bb_exchange *x);
--- a/include/proxy/picker.h
+++ b/include/proxy/picker.h
@@ -12,10 +12,9 @@
 
 #include "decide/admission.h"
 #include "decide/reason.h"
+#include "decide/route_pick.h"
 
-enum { BB_PICK_EXCLUDED_MAX = 16 };
-
-/* A usable gatekeeper. host_key is bb_hash_host of its host, distance a
+/* A usable gatekeeper. host_key is bb_host_key of its host, distance a
  * value of enum bb_endpoint_distance. */
 struct bb_pick_target {
     uint64_t host_key;
@@ -32,7 +31,7 @@
     bool can_retry;      /* this is the first attempt and may be retried */
     uint64_t link_bytes; /* expected size, for the link budget */
     bool is_hedge;
-    uint64_t excluded[BB_PICK_EXCLUDED_MAX];
+    uint64_t excluded[BB_ROUTE_EXCLUDED_MAX];
     uint32_t excluded_count;
     uint64_t random_bits;
 };
@@ -40,7 +39,7 @@
 struct bb_pick_result {
     int32_t index; /* of the chosen target, or -1 with reason set */
     enum bb_reason reason;
-    bool may_go_elsewhere; /* may be refused if the upstream is slow */
+    bool may_refuse_as_slow; /* may be refused if the upstream is slow */
 };
 
 /* The result of an attempt as seen by the entry node. */
@@ -54,8 +53,8 @@
 };
 
 struct bb_picker_limits {
-    uint32_t retry_percent;
-    uint32_t hedge_percent;
+    uint32_t retry_budget_percent;
+    uint32_t hedge_budget_percent;
     uint32_t max_ejected_percent;
     uint64_t link_bytes_per_s;
 };
--- a/include/proxy/table.h
+++ b/include/proxy/table.h
@@ -34,8 +34,8 @@
     struct bb_service settings; /* without the list of called services */
     char team[BB_NAME_BYTES];
     uint32_t team_max_in_flight;
-    struct bb_endpoint *usable_endpoints; /* with a usable upstream */
-    uint32_t usable_count;
+    struct bb_endpoint *usable_gatekeepers; /* with a usable upstream */
+    uint32_t usable_gatekeeper_count;
     struct bb_endpoint *gatekeepers; /* all, since any can be a witness */
     uint32_t gatekeeper_count;
 };
@@ -65,7 +65,8 @@
 const struct bb_table_service *bb_table_find_service(const struct bb_table *t,
                                                      const char *name);
 const struct bb_endpoint *
-bb_table_find_endpoint(const struct bb_table_service *s, const char *host);
+bb_table_find_usable_gatekeeper(const struct bb_table_service *s,
+                                const char *host);
 void bb_table_unref(struct bb_table *t);
 
 struct bb_current_table;
--- a/include/proxy/workers.h
+++ b/include/proxy/workers.h
@@ -14,7 +14,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-enum { BB_DEPTH_MAX = 16 };
+#include "decide/retry.h"
 
 struct bb_workers_limits {
     uint32_t depth_zero_max;  /* workers for calls of depth 0 */
--- a/proxy/announce.c
+++ b/proxy/announce.c
@@ -8,7 +8,7 @@
 enum {
     BODY_MAX_BYTES = 4096,
     LIFETIME_MAX_MS = 600 * 1000,
-    NUMBER_MAX = 1000000
+    COUNT_MAX = 1000000
 };
 
 /* A request at the local address. */
@@ -70,8 +70,8 @@
             sizeof(a->service) &&
         address != NULL && bb_address_parse(address, &a->address) &&
         parse_state(state, &a->state) &&
-        parse_number(object, "slots", NUMBER_MAX, &a->slots) &&
-        parse_number(object, "connections", NUMBER_MAX, &a->connections) &&
+        parse_number(object, "slots", COUNT_MAX, &a->slots) &&
+        parse_number(object, "connections", COUNT_MAX, &a->connections) &&
         parse_number(object, "lifetime_ms", LIFETIME_MAX_MS, &a->lifetime_ms);
 
     json_decref(object);
--- a/proxy/attempt.c
+++ b/proxy/attempt.c
@@ -112,7 +112,7 @@
 bb_http_call_upstream_refusal(const struct bb_http_call *call)
 {
     const char *text =
-        bb_headers_get(call->headers, BB_UPSTREAM_REFUSED_FIELD);
+        bb_headers_get(call->headers, BB_HEADER_UPSTREAM_REFUSED);
 
     if (call->status != HTTP_UNAVAILABLE || text == NULL) {
         return BB_REASON_NONE;
@@ -142,8 +142,8 @@
 /* Releases the slot when the upstream is done with the request, even if nobody
  * waits for the response any more. */
 static void
-on_call_finished(void *context, const struct bb_http_call *call, bool is_sent,
-                 bool is_whole, GByteArray *body_copy)
+on_call_finished(void *context, const struct bb_http_call *call,
+                 bool is_connected, bool is_complete, GByteArray *body_copy)
 {
     struct bb_slot *slot = context;
     struct bb_gatekeeper *g = slot->gatekeeper;
@@ -151,10 +151,10 @@
     enum bb_slot_result result = BB_SLOT_LOST;
     enum bb_reason reason = BB_REASON_NONE;
 
-    if (!is_sent) {
-        result = BB_SLOT_NOT_SENT;
+    if (!is_connected) {
+        result = BB_SLOT_NOT_CONNECTED;
     }
-    else if (is_whole) {
+    else if (is_complete) {
         reason = bb_http_call_upstream_refusal(call);
         result =
             reason != BB_REASON_NONE ? BB_SLOT_REFUSED : BB_SLOT_COMPLETED;
@@ -189,15 +189,15 @@
 bb_attempt_start_local(struct bb_exchange *x, struct bb_attempt *attempt)
 {
     struct bb_proxy *p = x->proxy;
-    const struct bb_gatekeeper_request gate = {
+    const struct bb_gatekeeper_request gatekeeper_request = {
         .service = x->service_name,
         .id = x->id,
         .is_idempotent = x->is_idempotent,
         .incarnation = x->is_forwarded ? x->incarnation : attempt->incarnation,
         .work_class = x->work_class,
         .deadline_us = x->deadline_us,
-        .may_go_elsewhere =
-            x->is_forwarded ? x->may_go_elsewhere : attempt->may_go_elsewhere,
+        .may_refuse_as_slow = x->is_forwarded ? x->may_refuse_as_slow
+                                              : attempt->may_refuse_as_slow,
     };
     struct bb_http_call_params request;
     struct bb_gatekeeper_result g;
@@ -207,7 +207,7 @@
         return outcome_from_stored(
             bb_gatekeeper_get_stored_response(p->gatekeeper, &x->id));
     }
-    g = bb_gatekeeper_admit(p->gatekeeper, &gate);
+    g = bb_gatekeeper_admit(p->gatekeeper, &gatekeeper_request);
     switch (g.decision) {
     case BB_GATEKEEPER_RUN:
         break;
@@ -265,7 +265,7 @@
     else {
         bb_headers_addf(h, BB_HEADER_ATTEMPT, "%u", x->attempt_count);
     }
-    if (attempt->may_go_elsewhere) {
+    if (attempt->may_refuse_as_slow) {
         bb_headers_add(h, BB_HEADER_ELSEWHERE, "1");
     }
     if (!x->is_idempotent) {
@@ -296,7 +296,7 @@
         return;
     }
     if (attempt->is_local) {
-        bb_rpc_cancel_local(x->proxy, &x->id);
+        bb_proxy_cancel_local(x->proxy, &x->id);
     }
     else {
         bb_rpc_cancel(x->proxy, &attempt->endpoint->rpc_address, &x->id);
--- a/proxy/claim_key.c
+++ b/proxy/claim_key.c
@@ -11,7 +11,7 @@
 find_gatekeeper(const struct bb_exchange *x, uint64_t key)
 {
     for (uint32_t i = 0; i < x->service->gatekeeper_count; i++) {
-        if (bb_hash_host(x->service->gatekeepers[i].host) == key) {
+        if (bb_host_key(x->service->gatekeepers[i].host) == key) {
             return &x->service->gatekeepers[i];
         }
     }
@@ -20,13 +20,13 @@
 
 /* Sends the claim to one witness, by RPC unless it is this node's. */
 static struct bb_witness_response
-ask_witness(struct bb_exchange *x, const struct bb_claim_requester *q,
-            uint64_t witness)
+send_claim(struct bb_exchange *x, const struct bb_claim_requester *q,
+           uint64_t witness)
 {
     struct bb_witness_response a = {.result = BB_WITNESS_UNREACHABLE};
     const struct bb_endpoint *e;
 
-    if (witness == bb_hash_host(x->proxy->host)) {
+    if (witness == bb_host_key(x->proxy->host)) {
         return bb_claims_process_claim(x->proxy->claims, &q->key, &q->wanted,
                                        q->epoch);
     }
@@ -58,13 +58,13 @@
     struct bb_claim held = {0};
     enum bb_claim_step step;
 
-    if (!bb_claims_try_start(x->proxy->claims, x->service_name,
-                             &x->idempotency_key, &wanted, &q)) {
+    if (!bb_claims_prepare(x->proxy->claims, x->service_name,
+                           &x->idempotency_key, &wanted, &q)) {
         return o;
     }
     step = bb_claim_step(&q, &held, &o.reason);
     for (uint32_t i = 0; i < q.witness_count && step == BB_CLAIM_WAIT; i++) {
-        struct bb_witness_response a = ask_witness(x, &q, q.witnesses[i]);
+        struct bb_witness_response a = send_claim(x, &q, q.witnesses[i]);
 
         (void)bb_claim_add_response(&q, q.witnesses[i], &a);
         step = bb_claim_step(&q, &held, &o.reason);
@@ -94,8 +94,9 @@
  * earlier one ran. A gatekeeper that never saw the id refuses it from then on.
  * Returns false if there was no answer. */
 bool
-bb_exchange_query_claim(struct bb_exchange *x, const struct bb_endpoint *e,
-                        uint64_t incarnation, enum bb_query_result *result)
+bb_exchange_query_gatekeeper(struct bb_exchange *x,
+                             const struct bb_endpoint *e, uint64_t incarnation,
+                             enum bb_query_result *result)
 {
     const struct bb_attempt attempt = {.endpoint = e,
                                        .incarnation = incarnation};
--- a/proxy/claims.c
+++ b/proxy/claims.c
@@ -117,10 +117,9 @@
 
 /* Prepares a claim of a key. Returns false if the service has no roster. */
 bool
-bb_claims_try_start(struct bb_claims *c, const char *service,
-                    const struct bb_request_id *key,
-                    const struct bb_claim *wanted,
-                    struct bb_claim_requester *q)
+bb_claims_prepare(struct bb_claims *c, const char *service,
+                  const struct bb_request_id *key,
+                  const struct bb_claim *wanted, struct bb_claim_requester *q)
 {
     const struct bb_roster *r;
 
--- a/proxy/entry.c
+++ b/proxy/entry.c
@@ -123,7 +123,7 @@
 void
 bb_entry_exclude_gatekeeper(struct bb_exchange *x, uint64_t host_key)
 {
-    if (x->excluded_count < BB_PICK_EXCLUDED_MAX) {
+    if (x->excluded_count < BB_ROUTE_EXCLUDED_MAX) {
         x->excluded[x->excluded_count++] = host_key;
     }
 }
@@ -136,7 +136,7 @@
 {
     const struct bb_table_service *s = x->service;
     struct bb_pick_target *targets =
-        g_new(struct bb_pick_target, s->usable_count);
+        g_new(struct bb_pick_target, s->usable_gatekeeper_count);
     struct bb_pick_request q = {
         .service = x->service_name,
         .targets = targets,
@@ -153,9 +153,9 @@
     struct bb_pick_result a;
 
     memcpy(q.excluded, x->excluded, sizeof(q.excluded));
-    for (uint32_t i = 0; i < s->usable_count; i++) {
-        const struct bb_endpoint *e = &s->usable_endpoints[i];
-        uint64_t host_key = bb_hash_host(e->host);
+    for (uint32_t i = 0; i < s->usable_gatekeeper_count; i++) {
+        const struct bb_endpoint *e = &s->usable_gatekeepers[i];
+        uint64_t host_key = bb_host_key(e->host);
 
         targets[q.target_count++] = (struct bb_pick_target){
             .host_key = host_key, .distance = e->distance, .slots = e->slots};
@@ -164,7 +164,7 @@
         }
         /* A hedge must not wait in this node's queue. */
         if (is_hedge && e->is_local &&
-            q.excluded_count < BB_PICK_EXCLUDED_MAX) {
+            q.excluded_count < BB_ROUTE_EXCLUDED_MAX) {
             q.excluded[q.excluded_count++] = host_key;
         }
     }
@@ -172,9 +172,9 @@
     a = bb_picker_pick(x->proxy->picker, &q, attempt->start_us);
     *reason = a.reason;
     if (a.index >= 0) {
-        chosen = &s->usable_endpoints[a.index];
+        chosen = &s->usable_gatekeepers[a.index];
         attempt->host_key = targets[a.index].host_key;
-        attempt->may_go_elsewhere = a.may_go_elsewhere;
+        attempt->may_refuse_as_slow = a.may_refuse_as_slow;
     }
     g_free(targets);
     return chosen;
@@ -195,8 +195,8 @@
         return true;
     }
     if (x->last_gatekeeper == NULL ||
-        !bb_exchange_query_claim(x, x->last_gatekeeper, x->last_incarnation,
-                                 &result)) {
+        !bb_exchange_query_gatekeeper(x, x->last_gatekeeper,
+                                      x->last_incarnation, &result)) {
         return false;
     }
     if (result == BB_QUERY_OTHER_INCARNATION) {
@@ -431,7 +431,7 @@
     case BB_HTTP_CALL_LOST:
         bb_entry_on_connection_lost(x, attempt);
         break;
-    case BB_HTTP_CALL_NOT_SENT:
+    case BB_HTTP_CALL_NOT_CONNECTED:
         bb_entry_finish_attempt(x, attempt, BB_ATTEMPT_NOT_CONNECTED);
         bb_entry_retry_or_refuse(x, host_key, BB_REASON_CONNECT_FAILED,
                                  BB_RAN_NO, false);
--- a/proxy/gatekeeper.c
+++ b/proxy/gatekeeper.c
@@ -367,7 +367,7 @@
         .team = g->limits.team_count > 0 ? 0 : BB_ADMISSION_NO_TEAM,
         .deadline_us = r->deadline_us,
         .may_refuse_as_slow =
-            r->may_go_elsewhere && !g->settings.ignores_slots,
+            r->may_refuse_as_slow && !g->settings.ignores_slots,
     };
     struct bb_admission_decision d =
         bb_admission_arrive(&g->admission, &request, bb_clock_now_us());
@@ -465,7 +465,8 @@
         finish_record(g, slot, result, response);
     }
     (void)g_ptr_array_remove_fast(g->busy_slots, slot);
-    if (result == BB_SLOT_NOT_SENT && g->upstream.state != BB_UPSTREAM_NONE &&
+    if (result == BB_SLOT_NOT_CONNECTED &&
+        g->upstream.state != BB_UPSTREAM_NONE &&
         bb_address_equal(&g->upstream.address, &slot->upstream_address)) {
         g->upstream.state = BB_UPSTREAM_NONE;
         apply_upstream(g);
--- a/proxy/hedge.c
+++ b/proxy/hedge.c
@@ -16,7 +16,7 @@
     if (x->is_forwarded || !x->is_idempotent || x->body != NULL ||
         bb_entry_active_attempts(x) != 1 ||
         x->hedge_count >= x->route->hedge_limit ||
-        x->service->usable_count < 2) {
+        x->service->usable_gatekeeper_count < 2) {
         return false;
     }
     *q = (struct bb_hedge_request){
--- a/proxy/http_client.c
+++ b/proxy/http_client.c
@@ -12,7 +12,7 @@
     BLOCK_BYTES = 16 * 1024,
     /* A response whose Content-Length is not above this is read before its
      * head is reported, which saves a wake-up and a write to the caller. */
-    SHORT_RESPONSE_BYTES = 16 * 1024
+    SHORT_RESPONSE_MAX_BYTES = 16 * 1024
 };
 
 BB_COUNTER(discarded_total, "baobab_late_answers_total",
@@ -38,7 +38,7 @@
     uint64_t body_position;
     struct bb_session *session;
     ne_request *neon_request;
-    bool is_whole;
+    bool is_complete;
     GByteArray *body_copy; /* NULL once the body is too long */
     atomic_uint references;
     atomic_bool is_released;
@@ -219,9 +219,9 @@
 
 /* Marks the response body as complete or broken. */
 static void
-end_response_body(struct call *call, bool is_whole)
+end_response_body(struct call *call, bool is_complete)
 {
-    if (is_whole) {
+    if (is_complete) {
         bb_body_finish(call->public.response_body);
     }
     else {
@@ -231,12 +231,12 @@
 
 /* Calls on_finished. */
 static void
-report_finished(struct call *call, bool is_sent, bool is_whole)
+report_finished(struct call *call, bool is_connected, bool is_complete)
 {
     if (call->params.on_finished != NULL) {
         call->params.on_finished(call->params.finished_context, &call->public,
-                                 is_sent, is_whole,
-                                 is_whole ? call->body_copy : NULL);
+                                 is_connected, is_complete,
+                                 is_complete ? call->body_copy : NULL);
     }
 }
 
@@ -246,24 +246,25 @@
 send_request(struct call *call)
 {
     bool is_begun;
-    bool is_sent;
+    bool is_connected;
 
     call->session = bb_session_acquire(call->client, &call->params);
     if (call->session == NULL) {
         report_finished(call, false, false);
-        set_state(call, BB_HTTP_CALL_NOT_SENT);
+        set_state(call, BB_HTTP_CALL_NOT_CONNECTED);
         return false;
     }
     call->neon_request = build_request(call, call->session);
     is_begun = ne_begin_request(call->neon_request) == NE_OK;
-    is_sent = call->session->is_connected;
-    if (is_sent) {
+    is_connected = call->session->is_connected;
+    if (is_connected) {
         count_link_bytes(call, strlen(call->method) + strlen(call->url) +
                                    fields_size_bytes(call->params.headers));
     }
     if (!is_begun) {
-        report_finished(call, is_sent, false);
-        set_state(call, is_sent ? BB_HTTP_CALL_LOST : BB_HTTP_CALL_NOT_SENT);
+        report_finished(call, is_connected, false);
+        set_state(call, is_connected ? BB_HTTP_CALL_LOST
+                                     : BB_HTTP_CALL_NOT_CONNECTED);
         return false;
     }
     read_response_head(call, call->neon_request);
@@ -277,7 +278,7 @@
 is_response_short(const struct call *call)
 {
     return call->public.response_length_bytes >= 0 &&
-           call->public.response_length_bytes <= SHORT_RESPONSE_BYTES;
+           call->public.response_length_bytes <= SHORT_RESPONSE_MAX_BYTES;
 }
 
 /* Reads the response body and reports the final state. */
@@ -292,16 +293,16 @@
         atomic_store(&call->public.is_response_arriving, true);
         bb_notifier_signal(call->notifier);
     }
-    call->is_whole = read_response_body(call, call->neon_request) &&
-                     ne_end_request(call->neon_request) == NE_OK;
+    call->is_complete = read_response_body(call, call->neon_request) &&
+                        ne_end_request(call->neon_request) == NE_OK;
     if (!is_response_short(call)) {
-        report_finished(call, true, call->is_whole);
+        report_finished(call, true, call->is_complete);
     }
-    end_response_body(call, call->is_whole);
+    end_response_body(call, call->is_complete);
     if (is_response_short(call)) {
-        report_finished(call, true, call->is_whole);
-        set_state(call, call->is_whole ? BB_HTTP_CALL_HEAD_RECEIVED
-                                       : BB_HTTP_CALL_LOST);
+        report_finished(call, true, call->is_complete);
+        set_state(call, call->is_complete ? BB_HTTP_CALL_HEAD_RECEIVED
+                                          : BB_HTTP_CALL_LOST);
     }
 }
 
@@ -314,13 +315,13 @@
     if (call->neon_request != NULL) {
         ne_request_destroy(call->neon_request);
     }
-    if (call->is_whole) {
+    if (call->is_complete) {
         bb_session_release(c, call->session);
     }
     else if (call->session != NULL) {
         bb_session_destroy(call->session);
     }
-    if (!call->is_whole && atomic_load(&call->is_released)) {
+    if (!call->is_complete && atomic_load(&call->is_released)) {
         bb_counter_add(&discarded_total, 1);
     }
     /* Nobody reads the rest of the request's body. */
--- a/proxy/picker.c
+++ b/proxy/picker.c
@@ -31,7 +31,7 @@
 };
 
 enum {
-    TICK_US = 10 * BB_US_PER_MS,
+    OUTLIER_TICK_INTERVAL_US = 10 * BB_US_PER_MS,
     DEFAULT_RETRY_PERCENT = 20,
     DEFAULT_HEDGE_PERCENT = 5,
     DEFAULT_MAX_EJECTED_PERCENT = 34
@@ -84,8 +84,8 @@
     void *value;
 
     (void)pthread_mutex_lock(&p->lock);
-    bb_retry_budget_configure(&p->retry_budget, l->retry_percent);
-    bb_retry_budget_configure(&p->hedge_budget, l->hedge_percent);
+    bb_retry_budget_configure(&p->retry_budget, l->retry_budget_percent);
+    bb_retry_budget_configure(&p->hedge_budget, l->hedge_budget_percent);
     bb_link_budget_configure(&p->link_budget, l->link_bytes_per_s,
                              bb_clock_now_us());
     p->max_ejected_percent = l->max_ejected_percent;
@@ -148,7 +148,7 @@
 sync_candidates(struct service *s, const struct bb_pick_request *q,
                 const struct bb_candidate **out, uint64_t now_us)
 {
-    if (now_us - s->last_tick_us > TICK_US) {
+    if (now_us - s->last_tick_us > OUTLIER_TICK_INTERVAL_US) {
         bb_outliers_tick(&s->outliers, now_us);
         s->last_tick_us = now_us;
     }
@@ -207,7 +207,7 @@
 
         bb_candidate_start(find_candidate(s, host_key));
         bb_outlier_start(&s->outliers, host_key, q->work_class, now_us);
-        result.may_go_elsewhere =
+        result.may_refuse_as_slow =
             q->can_retry && limited.target_count > 1 &&
             bb_retry_budget_has_token(&p->retry_budget) &&
             bb_outlier_may_refuse_as_slow(&s->outliers, host_key);
@@ -344,7 +344,7 @@
 
 /* Converts a hedge request to that of the decision module. */
 static struct bb_pending_request
-to_hedge_attempt(const struct bb_hedge_request *q)
+to_pending_request(const struct bb_hedge_request *q)
 {
     return (struct bb_pending_request){
         .is_idempotent = q->is_idempotent,
@@ -362,7 +362,7 @@
 uint64_t
 bb_picker_hedge_delay_us(struct bb_picker *p, const struct bb_hedge_request *q)
 {
-    struct bb_pending_request h = to_hedge_attempt(q);
+    struct bb_pending_request h = to_pending_request(q);
     uint64_t delay_us;
 
     (void)pthread_mutex_lock(&p->lock);
@@ -377,7 +377,7 @@
 bool
 bb_picker_try_hedge(struct bb_picker *p, const struct bb_hedge_request *q)
 {
-    struct bb_pending_request h = to_hedge_attempt(q);
+    struct bb_pending_request h = to_pending_request(q);
     bool is_allowed;
 
     (void)pthread_mutex_lock(&p->lock);
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -235,14 +235,14 @@
 bb_proxy_create(const struct bb_proxy_settings *s, struct bb_error *e)
 {
     struct bb_proxy *p = g_new0(struct bb_proxy, 1);
-    struct bb_gatekeeper_settings gate;
+    struct bb_gatekeeper_settings gatekeeper_settings;
 
     p->settings = *s;
     set_defaults(&p->settings);
     (void)g_strlcpy(p->host, s->host, sizeof(p->host));
     (void)g_strlcpy(p->zone, s->zone, sizeof(p->zone));
     (void)g_strlcpy(p->region, s->region, sizeof(p->region));
-    gate = (struct bb_gatekeeper_settings){
+    gatekeeper_settings = (struct bb_gatekeeper_settings){
         .incarnation = s->incarnation,
         .record_entries = p->settings.record_entries,
         .retention_s = p->settings.retention_s,
@@ -262,9 +262,9 @@
     p->picker = bb_picker_create(s->routing_policy != NULL ? s->routing_policy
                                                            : "least_wait");
     p->claims =
-        bb_claims_create(bb_hash_host(p->host), p->settings.record_entries,
+        bb_claims_create(bb_host_key(p->host), p->settings.record_entries,
                          p->settings.retention_s, s->restarted_without_data);
-    p->gatekeeper = bb_gatekeeper_create(&gate);
+    p->gatekeeper = bb_gatekeeper_create(&gatekeeper_settings);
     if (!start_daemons(p, e)) {
         goto fail;
     }
@@ -297,19 +297,19 @@
  * host that has left would neither respond on them nor answer queries about a
  * request. */
 static void
-close_removed_peers(struct bb_proxy *p, const struct bb_table *old,
-                    const struct bb_table *t)
+close_unusable_peers(struct bb_proxy *p, const struct bb_table *old,
+                     const struct bb_table *t)
 {
     for (uint16_t i = 0; i < old->service_count; i++) {
         const struct bb_table_service *s = &old->services[i];
         const struct bb_table_service *n =
             bb_table_find_service(t, s->settings.name);
 
-        for (uint32_t k = 0; k < s->usable_count; k++) {
-            if (n == NULL || bb_table_find_endpoint(
-                                 n, s->usable_endpoints[k].host) == NULL) {
+        for (uint32_t k = 0; k < s->usable_gatekeeper_count; k++) {
+            if (n == NULL || bb_table_find_usable_gatekeeper(
+                                 n, s->usable_gatekeepers[k].host) == NULL) {
                 bb_http_client_close_idle(
-                    p->client, &s->usable_endpoints[k].http_address);
+                    p->client, &s->usable_gatekeepers[k].http_address);
             }
         }
     }
@@ -321,8 +321,8 @@
 bb_proxy_set_table(struct bb_proxy *p, struct bb_table *t)
 {
     const struct bb_picker_limits limits = {
-        .retry_percent = t->limits.retry_budget_percent,
-        .hedge_percent = t->limits.hedge_budget_percent,
+        .retry_budget_percent = t->limits.retry_budget_percent,
+        .hedge_budget_percent = t->limits.hedge_budget_percent,
         .max_ejected_percent = t->limits.max_ejected_percent,
         .link_bytes_per_s = t->limits.link_bytes_per_s,
     };
@@ -332,7 +332,7 @@
     bb_picker_configure(p->picker, &limits);
     bb_gatekeeper_configure(p->gatekeeper, t);
     if (old != NULL) {
-        close_removed_peers(p, old, t);
+        close_unusable_peers(p, old, t);
         bb_table_unref(old);
     }
     bb_current_table_set(p->current_table, t);
@@ -401,7 +401,7 @@
 void
 bb_proxy_destroy(struct bb_proxy *p)
 {
-    bool is_free;
+    bool have_workers_ended;
 
     if (p == NULL) {
         return;
@@ -418,12 +418,14 @@
     if (p->caller_daemon != NULL) {
         MHD_stop_daemon(p->caller_daemon);
     }
-    is_free = bb_workers_destroy(p->workers, WORKER_EXIT_TIMEOUT_MS);
-    is_free &= bb_workers_destroy(p->upstream_workers, WORKER_EXIT_TIMEOUT_MS);
+    have_workers_ended =
+        bb_workers_destroy(p->workers, WORKER_EXIT_TIMEOUT_MS);
+    have_workers_ended &=
+        bb_workers_destroy(p->upstream_workers, WORKER_EXIT_TIMEOUT_MS);
     bb_current_table_destroy(p->current_table);
     bb_picker_destroy(p->picker);
     bb_random_destroy(p->random);
-    if (is_free) {
+    if (have_workers_ended) {
         bb_http_client_destroy(p->client);
         bb_http_client_destroy(p->upstream_client);
         bb_gatekeeper_destroy(p->gatekeeper);
--- a/proxy/recovery.c
+++ b/proxy/recovery.c
@@ -69,15 +69,15 @@
 query_gatekeeper(struct bb_exchange *x, struct bb_attempt *attempt)
 {
     enum bb_query_result result;
-    bool is_over;
+    bool has_ended;
 
     if (!bb_rpc_query(x, attempt, &result)) {
         bb_probe_query_failed(&attempt->probe, bb_clock_now_us());
         return;
     }
-    is_over = result == BB_QUERY_DONE ||
-              (result == BB_QUERY_NEVER_SEEN && x->is_idempotent);
-    if (is_over && attempt->call != NULL && !attempt->is_query_retried) {
+    has_ended = result == BB_QUERY_DONE ||
+                (result == BB_QUERY_NEVER_SEEN && x->is_idempotent);
+    if (has_ended && attempt->call != NULL && !attempt->is_query_retried) {
         attempt->is_query_retried = true;
         bb_probe_query_failed(&attempt->probe, bb_clock_now_us());
         return;
--- a/proxy/refusal.c
+++ b/proxy/refusal.c
@@ -44,7 +44,7 @@
 /* Maps a refusal reason to the result of the gatekeeper's record. Returns
  * false if the record did not cause the refusal. */
 static bool
-parse_record_refusal(enum bb_reason reason, enum bb_begin_result *result)
+record_result_from_reason(enum bb_reason reason, enum bb_begin_result *result)
 {
     switch (reason) {
     case BB_REASON_ALREADY_REFUSED:
@@ -96,7 +96,7 @@
     }
     if (!x->is_idempotent && !attempt->is_local &&
         !attempt->fetches_stored_response &&
-        parse_record_refusal(reason, &result)) {
+        record_result_from_reason(reason, &result)) {
         apply_record_refusal(x, attempt, result);
         return true;
     }
--- a/proxy/request.c
+++ b/proxy/request.c
@@ -21,7 +21,7 @@
 /* Methods that RFC 9110 calls safe are idempotent on every route. */
 enum {
     SAFE_METHODS = BB_METHOD_GET | BB_METHOD_HEAD | BB_METHOD_OPTIONS,
-    DEFAULT_FORWARDED_DEADLINE_MS =
+    FORWARDED_DEADLINE_MAX_MS =
         60000 /* for forwarded requests without Baobab-Deadline-Ms */
 };
 
@@ -40,7 +40,7 @@
 /* Returns the hash that identifies a host in routing and claims. Must be the
  * same as bb_roster_hash_host, by which rosters name hosts. */
 uint64_t
-bb_hash_host(const char *host)
+bb_host_key(const char *host)
 {
     return bb_hash64(host, strlen(host), 0);
 }
@@ -131,7 +131,7 @@
     x->is_idempotent = !bb_headers_get_u64(x->headers, BB_HEADER_INCARNATION,
                                            &x->incarnation);
     x->wants_stored_response = g_strcmp0(attempt, "stored") == 0;
-    x->may_go_elsewhere =
+    x->may_refuse_as_slow =
         bb_headers_get(x->headers, BB_HEADER_ELSEWHERE) != NULL;
     x->service_name = bb_headers_get(x->headers, BB_HEADER_FORWARDED);
     return true;
@@ -188,9 +188,8 @@
 set_deadline(struct bb_exchange *x)
 {
     uint64_t remaining_ms = 0;
-    uint64_t limit_ms = x->route != NULL
-                            ? x->route->timeout_ms
-                            : (uint64_t)DEFAULT_FORWARDED_DEADLINE_MS;
+    uint64_t limit_ms = x->route != NULL ? x->route->timeout_ms
+                                         : (uint64_t)FORWARDED_DEADLINE_MAX_MS;
 
     (void)bb_headers_get_u64(x->headers, BB_HEADER_DEADLINE, &remaining_ms);
     x->deadline_us =
--- a/proxy/response.c
+++ b/proxy/response.c
@@ -79,11 +79,11 @@
                         ? (uint64_t)call->response_length_bytes
                         : MHD_SIZE_UNKNOWN;
     struct body_stream *s;
-    size_t whole;
+    size_t body_bytes;
 
-    if (!is_head && bb_body_is_complete(call->response_body, &whole) &&
-        whole <= BUFFERED_MAX_BYTES) {
-        return create_buffered_response(call->response_body, whole);
+    if (!is_head && bb_body_is_complete(call->response_body, &body_bytes) &&
+        body_bytes <= BUFFERED_MAX_BYTES) {
+        return create_buffered_response(call->response_body, body_bytes);
     }
     s = g_new0(struct body_stream, 1);
     *s = (struct body_stream){
--- a/proxy/rpc.c
+++ b/proxy/rpc.c
@@ -7,7 +7,7 @@
 #include "exchange.h"
 #include "proxy/internal.h"
 
-enum { QUERY_TIMEOUT_MS = 400, CANCEL_TIMEOUT_MS = 500 };
+enum { CALL_TIMEOUT_MS = 400, CANCEL_TIMEOUT_MS = 500 };
 
 static _Atomic(struct bb_proxy *) registered_proxy;
 
@@ -35,15 +35,15 @@
 {
     bb_xdr_id raw = {0};
     struct bb_request_id id;
-    bool_t is_taken = TRUE;
+    bool_t is_received = TRUE;
 
     if (!svc_getargs(transport, (xdrproc_t)xdr_bb_xdr_id, (char *)raw)) {
         svcerr_decode(transport);
         return;
     }
     memcpy(id.bytes, raw, sizeof(id.bytes));
-    bb_rpc_cancel_local(p, &id);
-    (void)svc_sendreply(transport, (xdrproc_t)xdr_bool, (char *)&is_taken);
+    bb_proxy_cancel_local(p, &id);
+    (void)svc_sendreply(transport, (xdrproc_t)xdr_bool, (char *)&is_received);
 }
 
 /* Serves CLAIM. */
@@ -144,7 +144,7 @@
         .argument = &q,
         .result_codec = (xdrproc_t)xdr_bb_xdr_query_response,
         .result = &a,
-        .timeout_ms = QUERY_TIMEOUT_MS,
+        .timeout_ms = CALL_TIMEOUT_MS,
         .use_new_connection = true,
     };
     struct bb_error e = {0};
@@ -182,7 +182,7 @@
         .argument = &c,
         .result_codec = (xdrproc_t)xdr_bb_xdr_claim_response,
         .result = &a,
-        .timeout_ms = QUERY_TIMEOUT_MS,
+        .timeout_ms = CALL_TIMEOUT_MS,
     };
 
     memcpy(c.key, key->bytes, sizeof(c.key));
@@ -216,7 +216,7 @@
 run_cancel(void *context)
 {
     struct cancellation *c = context;
-    bool_t is_taken = FALSE;
+    bool_t is_received = FALSE;
     const struct bb_rpc_call call = {
         .program = BB_PEER_PROGRAM,
         .version = BB_PEER_VERSION,
@@ -224,7 +224,7 @@
         .argument_codec = (xdrproc_t)xdr_bb_xdr_id,
         .argument = c->id,
         .result_codec = (xdrproc_t)xdr_bool,
-        .result = &is_taken,
+        .result = &is_received,
         .timeout_ms = CANCEL_TIMEOUT_MS,
     };
 
@@ -250,7 +250,7 @@
     c->rpc_address = *to;
     memcpy(c->id, id->bytes, sizeof(c->id));
     c->work = (struct bb_work){
-        .run = run_cancel, .context = c, .depth = BB_DEPTH_MAX};
+        .run = run_cancel, .context = c, .depth = BB_CALL_DEPTH_MAX};
     if (!bb_workers_submit(p->workers, &c->work, bb_clock_now_us())) {
         g_free(c);
     }
@@ -259,7 +259,7 @@
 /* Cancels a request at this node's gatekeeper: in its queue, or at the
  * upstream without waiting for the result. */
 void
-bb_rpc_cancel_local(struct bb_proxy *p, const struct bb_request_id *id)
+bb_proxy_cancel_local(struct bb_proxy *p, const struct bb_request_id *id)
 {
     struct bb_address upstream;
     struct bb_http_call_params request;
@@ -283,7 +283,7 @@
         .read_timeout_s = 1,
         .idle_timeout_ms = CANCEL_TIMEOUT_MS,
         .use_new_connection = true,
-        .depth = BB_DEPTH_MAX,
+        .depth = BB_CALL_DEPTH_MAX,
     };
     bb_http_call_release(
         bb_http_call_start(p->client, &request, n, bb_clock_now_us()));
--- a/proxy/table.c
+++ b/proxy/table.c
@@ -79,7 +79,7 @@
         (void)g_strlcpy(out->team, c->teams[s->team].name, sizeof(out->team));
         out->team_max_in_flight = c->teams[s->team].max_in_flight;
     }
-    out->usable_endpoints = g_new0(struct bb_endpoint, count);
+    out->usable_gatekeepers = g_new0(struct bb_endpoint, count);
     out->gatekeepers = g_new0(struct bb_endpoint, count);
     for (size_t i = 0; i < count; i++) {
         if (strcmp(members[i].service, s->name) != 0 ||
@@ -89,7 +89,7 @@
         out->gatekeepers[out->gatekeeper_count++] =
             make_endpoint(&members[i], location);
         if (is_usable_member(c, &members[i])) {
-            out->usable_endpoints[out->usable_count++] =
+            out->usable_gatekeepers[out->usable_gatekeeper_count++] =
                 make_endpoint(&members[i], location);
         }
     }
@@ -117,7 +117,7 @@
 
         t->longest_timeout_ms = MAX(t->longest_timeout_ms, r->timeout_ms);
         if (r->service < t->service_count &&
-            t->services[r->service].usable_count > 0) {
+            t->services[r->service].usable_gatekeeper_count > 0) {
             t->routes[t->route_count++] = *r;
         }
     }
@@ -166,11 +166,12 @@
 
 /* Returns the endpoint of a host, or NULL. */
 const struct bb_endpoint *
-bb_table_find_endpoint(const struct bb_table_service *s, const char *host)
+bb_table_find_usable_gatekeeper(const struct bb_table_service *s,
+                                const char *host)
 {
-    for (uint32_t i = 0; i < s->usable_count; i++) {
-        if (strcmp(s->usable_endpoints[i].host, host) == 0) {
-            return &s->usable_endpoints[i];
+    for (uint32_t i = 0; i < s->usable_gatekeeper_count; i++) {
+        if (strcmp(s->usable_gatekeepers[i].host, host) == 0) {
+            return &s->usable_gatekeepers[i];
         }
     }
     return NULL;
@@ -190,7 +191,7 @@
         return;
     }
     for (uint16_t i = 0; i < t->service_count; i++) {
-        g_free(t->services[i].usable_endpoints);
+        g_free(t->services[i].usable_gatekeepers);
         g_free(t->services[i].gatekeepers);
     }
     g_free(t->services);
--- a/proxy/workers.c
+++ b/proxy/workers.c
@@ -34,7 +34,7 @@
     pthread_mutex_t lock;
     pthread_cond_t capacity_freed;
     struct bb_workers_limits limits;
-    uint32_t busy_count[BB_DEPTH_MAX + 1]; /* by depth, not detached */
+    uint32_t busy_count[BB_CALL_DEPTH_MAX + 1]; /* by depth, not detached */
     uint32_t detached_count;
     uint32_t thread_count;
     uint32_t waiting_count;
@@ -78,7 +78,7 @@
                          : 0;
     uint32_t sum = extra;
 
-    for (uint32_t d = 0; d <= BB_DEPTH_MAX; d++) {
+    for (uint32_t d = 0; d <= BB_CALL_DEPTH_MAX; d++) {
         sum += p->busy_count[d];
         if (d >= depth &&
             sum >= p->limits.depth_zero_max + p->limits.extra_per_depth * d) {
@@ -94,7 +94,7 @@
 {
     uint64_t sum = 0;
 
-    for (uint32_t d = 0; d <= BB_DEPTH_MAX; d++) {
+    for (uint32_t d = 0; d <= BB_CALL_DEPTH_MAX; d++) {
         sum += p->busy_count[d];
     }
     bb_counter_set(&busy_gauge, sum);
@@ -258,7 +258,7 @@
 {
     struct timespec end = bb_clock_to_timespec(end_us);
 
-    w->depth = MIN(w->depth, (uint32_t)BB_DEPTH_MAX);
+    w->depth = MIN(w->depth, (uint32_t)BB_CALL_DEPTH_MAX);
     while (!p->is_stopping && !has_capacity(p, w->depth)) {
         int result;
 
--- a/tests/proxy/test_table.c
+++ b/tests/proxy/test_table.c
@@ -64,12 +64,12 @@
     CU_ASSERT_STRING_EQUAL(route_of(t, "/a/deep/x", BB_METHOD_POST), "flat");
     CU_ASSERT_STRING_EQUAL(route_of(t, "/a?q", BB_METHOD_GET), "flat");
     CU_ASSERT_STRING_EQUAL(route_of(t, "/ab", BB_METHOD_GET), "none");
-    CU_ASSERT_TRUE(t->services[0].usable_endpoints[0].is_local);
+    CU_ASSERT_TRUE(t->services[0].usable_gatekeepers[0].is_local);
     bb_table_unref(t);
     members[1].upstream_state = BB_UPSTREAM_READY;
     t = bb_table_build(&config, members, 3, &own);
     CU_ASSERT_STRING_EQUAL(route_of(t, "/b/c", BB_METHOD_GET), "other");
-    CU_ASSERT_EQUAL(t->services[1].usable_count, 1);
+    CU_ASSERT_EQUAL(t->services[1].usable_gatekeeper_count, 1);
     bb_table_unref(t);
 }
 
--- a/tests/proxy/test_workers.c
+++ b/tests/proxy/test_workers.c
@@ -49,7 +49,7 @@
     CU_ASSERT_TRUE(submit(&jobs[count++], p, &may_finish, 0));
     CU_ASSERT_TRUE(submit(&jobs[count++], p, &may_finish, 0));
     CU_ASSERT_FALSE(submit(&jobs[count], p, &may_finish, 0));
-    for (uint32_t depth = 1; depth <= BB_DEPTH_MAX; depth++) {
+    for (uint32_t depth = 1; depth <= BB_CALL_DEPTH_MAX; depth++) {
         CU_ASSERT_TRUE(submit(&jobs[count++], p, &may_finish, depth));
         CU_ASSERT_FALSE(submit(&jobs[count], p, &may_finish, depth));
     }
