--- a/include/proxy/gatekeeper.h
+++ b/include/proxy/gatekeeper.h
@@ -1,9 +1,9 @@
 /* Admission control for this node's upstream: running and queued requests, and
  * the record of non-idempotent requests. All requests to the upstream pass
- * through its gatekeeper, so the slot limits are exact.
+ * through its gatekeeper, so the slot limits are exact. Times ending in _us
+ * are those of bb_clock_now_us.
  *
- * Lock order: the gatekeeper's lock comes before those of bodies; a notifier's
- * lock is never taken inside it. */
+ * Lock order: the gatekeeper's lock is a leaf. */
 #ifndef BB_PROXY_GATEKEEPER_H
 #define BB_PROXY_GATEKEEPER_H
 
@@ -24,8 +24,8 @@
     BB_LOAD_TEXT_BYTES = 64
 };
 
-/* The response to a completed request, replayed to duplicates of it. Reference
- * counted. */
+/* The response to a completed request, replayed to duplicates of it.
+ * Reference-counted. */
 struct bb_stored_response {
     gint references;
     uint32_t status;
@@ -33,16 +33,21 @@
     GByteArray *body;
 };
 
-/* The state that an upstream last announced to its node. */
+/* The last announcement of an upstream to its node. The gatekeeper sets the
+ * state of its copy to NONE or DRAINING when it detects that state itself. */
 struct bb_upstream_announcement {
     char service[BB_NAME_BYTES];
     struct bb_address address;
-    uint32_t slots;
-    uint32_t connections;
+    uint32_t slots;       /* max running requests, from 1 */
+    uint32_t connections; /* max connections to the upstream, from 1 */
     enum bb_upstream_state state;
-    uint32_t lifetime_ms;
+    uint32_t lifetime_ms; /* from the arrival until the expiry */
 };
 
+/* Called without the gatekeeper's lock, on any thread, when an announcement
+ * differs from the previous one, or when the state of the upstream changes
+ * because its announcement expired, a connection to it failed, or it refused a
+ * request as draining. service is valid during the call only. */
 typedef void (*bb_upstream_changed_callback)(void *context,
                                              const char *service,
                                              uint32_t slots,
@@ -66,7 +71,9 @@
     uint64_t incarnation; /* expected; or BB_INCARNATION_ANY */
     enum bb_admission_class work_class;
     uint64_t deadline_us;
-    bool may_refuse_as_slow; /* may be refused while the upstream is slow */
+    /* May be refused because the upstream is slow; the entry node can then
+     * retry at another gatekeeper. */
+    bool may_refuse_as_slow;
 };
 
 /* An occupied slot of the upstream. Must be passed to
@@ -96,10 +103,10 @@
 
 /* How a request ended at the upstream. */
 enum bb_slot_result {
-    BB_SLOT_COMPLETED,
+    BB_SLOT_COMPLETED,     /* with a complete response */
     BB_SLOT_NOT_CONNECTED, /* the connection could not be opened */
-    BB_SLOT_REFUSED,       /* not executed: refused, or no free worker */
-    BB_SLOT_LOST
+    BB_SLOT_REFUSED,       /* not run: refused, or no free worker */
+    BB_SLOT_LOST           /* connected, but without a complete response */
 };
 
 struct bb_gatekeeper;
--- a/include/proxy/headers.h
+++ b/include/proxy/headers.h
@@ -13,19 +13,35 @@
     BB_LENGTH_CHUNKED = -1
 };
 
-#define BB_HEADER_ID "Baobab-Request-Id"
-#define BB_HEADER_DEADLINE "Baobab-Deadline-Ms"
-#define BB_HEADER_DEPTH "Baobab-Depth"
-#define BB_HEADER_CLASS "Baobab-Class"
+/* Fields of requests. The entry node sends them to a gatekeeper, and the
+ * gatekeeper sends ID, DEADLINE and DEPTH to the upstream. Callers may send
+ * DEADLINE and DEPTH, and KEY, which is forwarded like their other fields. */
+#define BB_HEADER_ID "Baobab-Request-Id"        /* 32 hexadecimal digits */
+#define BB_HEADER_DEADLINE "Baobab-Deadline-Ms" /* remaining time in ms */
+#define BB_HEADER_DEPTH "Baobab-Depth"          /* nesting depth, from 0 */
+#define BB_HEADER_KEY "Idempotency-Key"
+#define BB_HEADER_CLASS "Baobab-Class" /* short or long */
+/* Number of the attempt from 1, or `stored` to fetch the stored response. */
 #define BB_HEADER_ATTEMPT "Baobab-Attempt"
+/* Present if the request may be refused because the upstream is slow. */
 #define BB_HEADER_ELSEWHERE "Baobab-Elsewhere"
+/* Revision of the entry node's configuration. */
 #define BB_HEADER_REVISION "Baobab-Revision"
-#define BB_HEADER_FORWARDED "Baobab-Forwarded"
-#define BB_HEADER_LOAD "Baobab-Load"
+#define BB_HEADER_FORWARDED "Baobab-Forwarded" /* name of the service */
+
+/* In a forwarded request that must not run twice, the expected incarnation of
+ * the gatekeeper; in the response to a forwarded request, its incarnation. */
 #define BB_HEADER_INCARNATION "Baobab-Incarnation"
-#define BB_HEADER_REFUSED "Baobab-Refused"
-#define BB_HEADER_RAN "Baobab-Ran"
-#define BB_HEADER_KEY "Idempotency-Key"
+
+/* Fields of responses. ID is sent too; LOAD only to other nodes, REFUSED and
+ * RAN only with refusals. */
+#define BB_HEADER_LOAD "Baobab-Load"       /* running, queued, usable slots */
+#define BB_HEADER_REFUSED "Baobab-Refused" /* name of enum bb_reason */
+#define BB_HEADER_RAN "Baobab-Ran"         /* no or unknown */
+
+/* In responses of the upstream with status 503: why it refused the request;
+ * see bb_http_call_upstream_refusal. */
+#define BB_HEADER_UPSTREAM_REFUSED "X-Upstream-Refused"
 
 /* A field. The texts belong to the list and are valid until it changes. */
 struct bb_header {
@@ -33,8 +49,8 @@
     const char *value;
 };
 
-/* An ordered list of fields. All texts share one buffer, because small
- * allocations would dominate the time of a call through the node. */
+/* An ordered list of fields. All texts share one buffer, because an allocation
+ * for each would take most of the time of a call through the node. */
 struct bb_headers {
     char *text;
     uint32_t text_bytes;
--- a/include/proxy/internal.h
+++ b/include/proxy/internal.h
@@ -24,8 +24,6 @@
     BB_HOST_TEXT_BYTES = 64
 };
 
-#define BB_HEADER_UPSTREAM_REFUSED "X-Upstream-Refused"
-
 struct bb_proxy {
     struct bb_proxy_settings settings;
     char host[BB_NAME_BYTES];
@@ -61,8 +59,9 @@
     uint64_t host_key;
     uint64_t incarnation;         /* expected incarnation of the gatekeeper */
     bool is_local;                /* sent to this node's upstream */
-    bool fetches_stored_response; /* only asks for the stored response */
-    bool may_refuse_as_slow;      /* may be refused if the upstream is slow */
+    bool fetches_stored_response; /* instead of running the request */
+    bool may_refuse_as_slow;      /* see struct bb_pick_result */
+    /* The last response was a refusal by the gatekeeper's record. */
     bool is_refused_by_record;
     bool has_spun_for_response; /* spun once for the end of a short response */
     bool is_query_retried;      /* before giving the connection up */
@@ -95,16 +94,17 @@
     struct bb_headers *headers;
     char *method;
     char *url;
-    int64_t length_bytes;
+    int64_t length_bytes; /* of the body, or BB_LENGTH_CHUNKED */
     struct bb_body *body;
+    /* Of the body. Restarts from 0 when is_discarding is set by a write. */
     uint64_t received_bytes;
     bool is_streaming;  /* the body is forwarded while it arrives */
     bool is_discarding; /* the rest of the body is ignored */
     bool is_counted_in_flight;
-    bool is_forwarded;
+    bool is_forwarded; /* by the entry node; this node is the gatekeeper */
     bool is_idempotent;
-    bool is_keyed; /* the caller sent an idempotency key */
-    bool wants_stored_response;
+    bool is_keyed;              /* the caller sent an idempotency key */
+    bool wants_stored_response; /* fetches it instead of running the request */
     bool may_refuse_as_slow; /* set by the entry node of a forwarded request */
     struct bb_request_id idempotency_key; /* of this service */
     uint32_t claim_attempt;               /* of the claim that holds the key */
@@ -121,8 +121,8 @@
     struct bb_notifier *notifier;
     struct bb_attempt attempts[BB_ATTEMPTS_ACTIVE_MAX];
     uint32_t attempt_count; /* started so far, hedges included */
-    uint32_t hedge_count;
-    uint64_t excluded[BB_ROUTE_EXCLUDED_MAX]; /* keys of gatekeepers */
+    uint32_t hedge_count;   /* tried, including those without budget */
+    uint64_t excluded[BB_ROUTE_EXCLUDED_MAX]; /* host keys of gatekeepers */
     uint32_t excluded_count;
     /* Why the last retried attempt failed, and whether any failed attempt may
      * have run. */
@@ -191,14 +191,15 @@
 void bb_attempt_cancel(struct bb_exchange *x,
                        const struct bb_attempt *attempt);
 
-/* rpc.c: the QUERY, CANCEL and CLAIM procedures */
+/* rpc.c: the QUERY, CANCEL and CLAIM procedures. bb_rpc_query, bb_rpc_cancel
+ * and bb_rpc_claim call another node. bb_exchange_query_gatekeeper and
+ * bb_attempt_cancel also handle the gatekeeper of this node. */
 bool bb_rpc_query(struct bb_exchange *x, const struct bb_attempt *attempt,
                   enum bb_query_result *result);
 void bb_rpc_cancel(struct bb_proxy *p, const struct bb_address *to,
                    const struct bb_request_id *id);
 void bb_rpc_unregister(const struct bb_proxy *p);
 void bb_proxy_cancel_local(struct bb_proxy *p, const struct bb_request_id *id);
-
 bool bb_rpc_claim(struct bb_proxy *p, const struct bb_address *to,
                   const struct bb_request_id *key,
                   const struct bb_claim *claim, uint64_t epoch,
--- a/include/proxy/proxy.h
+++ b/include/proxy/proxy.h
@@ -2,6 +2,13 @@
  * server for announcements of the local upstream, the upstream's gatekeeper,
  * and the HTTP client.
  *
+ * The entry node of a request is the node that receives it from the caller. It
+ * sends the request to a gatekeeper of the service, which is the admission
+ * control in front of an upstream, at this or another node. Before a request
+ * with an idempotency key is sent, its key is claimed at witnesses: nodes that
+ * record which gatekeeper runs the request with that key. The incarnation of a
+ * node identifies one lifetime of its process.
+ *
  * Lock order: every lock of the proxy is a leaf unless a header says
  * otherwise; the routing table is read under RCU. */
 #ifndef BB_PROXY_PROXY_H
@@ -18,26 +25,39 @@
 #include "proxy/table.h"
 #include "proxy/workers.h"
 
-enum bb_proxy_error { BB_PROXY_ERROR_START = 1 };
+enum bb_proxy_error {
+    BB_PROXY_ERROR_START = 1 /* an address cannot be bound, or a thread cannot
+                                be started */
+};
 
-/* Settings of a proxy. Numbers that are 0 get the default in brackets. */
+/* Settings of a proxy. A number with a default in brackets can be 0, which
+ * selects the default. */
 struct bb_proxy_settings {
+    /* Location of this node; copied. */
     const char *host;
     const char *zone;
     const char *region;
-    struct bb_address caller_listen; /* port 0: any free port */
+    /* Port 0 is any free port. */
+    struct bb_address caller_listen; /* for callers and other nodes */
     struct bb_address local_listen;  /* for the local upstream only */
-    uint64_t incarnation;
-    uint64_t seed;
+    uint64_t incarnation; /* of this process; higher after each restart */
+    uint64_t seed; /* of the random generator, with host and incarnation */
     struct bb_workers_limits workers; /* [256, 16 per depth, 64 detached] */
     struct bb_rpc_pool *rpc;          /* not owned, must outlive the proxy */
-    uint32_t connection_limit;        /* [4096] */
-    uint32_t idle_timeout_ms;   /* [10000] for slow readers and senders */
-    uint32_t silence_check_ms;  /* [1000] before a silent attempt is queried */
-    uint32_t record_entries;    /* [131072], a power of two */
+    uint32_t connection_limit;        /* [4096] to caller_listen */
+    /* [10000] for slow readers and senders; rounded up to seconds for
+     * connections to the HTTP servers */
+    uint32_t idle_timeout_ms;
+    /* [1000] silence of an attempt after which its gatekeeper is queried */
+    uint32_t silence_check_ms;
+    /* [131072], a power of two: size of the gatekeeper's record, and of the
+     * witness's table of claims */
+    uint32_t record_entries;
     uint32_t retention_s;       /* [600] until a configuration sets it */
-    const char *routing_policy; /* NULL: least_wait */
-    bool ignores_slots;         /* for measurements: limit by connections */
+    const char *routing_policy; /* a registered one; NULL: least_wait */
+    /* For measurements: running requests are limited by the connections that
+     * the upstream announces, not by its slots. */
+    bool ignores_slots;
     /* This host may have granted claims that it has lost: its witness grants
      * none until retention_s has passed, or bb_proxy_set_first_start. */
     bool restarted_without_data;
--- a/include/proxy/session.h
+++ b/include/proxy/session.h
@@ -26,6 +26,7 @@
     struct bb_workers *workers;
     GHashTable *
         idle_by_peer; /* peer address as text -> GQueue of struct bb_session */
+    /* Local address of pooled sessions, so that neon cannot reconnect. */
     ne_inet_addr *unusable_address;
 };
 
--- a/include/proxy/table.h
+++ b/include/proxy/table.h
@@ -13,6 +13,8 @@
 #include "config/config.h"
 #include "mesh/member.h"
 
+/* Distance of a gatekeeper from this node. The values are those of enum
+ * bb_route_distance in decide/route_pick.h. */
 enum bb_endpoint_distance {
     BB_ENDPOINT_SAME_ZONE,
     BB_ENDPOINT_SAME_REGION,
@@ -25,18 +27,21 @@
     struct bb_address http_address;
     struct bb_address rpc_address;
     uint64_t incarnation;
-    uint32_t slots;
+    uint32_t slots; /* announced by the upstream */
     enum bb_endpoint_distance distance;
-    bool is_local;
+    bool is_local; /* at this node */
 };
 
+/* A service. New attempts are sent to usable_gatekeepers only; any of
+ * gatekeepers can hold or witness the claim of a key. */
 struct bb_table_service {
     struct bb_service settings; /* without the list of called services */
-    char team[BB_NAME_BYTES];
+    char team[BB_NAME_BYTES];   /* empty if the service has none */
     uint32_t team_max_in_flight;
     struct bb_endpoint *usable_gatekeepers; /* with a usable upstream */
     uint32_t usable_gatekeeper_count;
-    struct bb_endpoint *gatekeepers; /* all, since any can be a witness */
+    /* Of all members of the service that are not dead and have not left. */
+    struct bb_endpoint *gatekeepers;
     uint32_t gatekeeper_count;
 };
 
@@ -47,7 +52,7 @@
     uint16_t service_count;
     struct bb_route *routes; /* longest path prefix first */
     uint16_t route_count;
-    uint32_t longest_timeout_ms;
+    uint32_t longest_timeout_ms; /* of all routes, also those left out */
 };
 
 /* The node for which a table is built. */
--- a/include/proxy/workers.h
+++ b/include/proxy/workers.h
@@ -3,9 +3,11 @@
  * call at depth d + 1 thus always finds workers that shallower calls can't
  * occupy, and nested calls cannot deadlock.
  *
- * A worker whose caller has gone is detached, because only the library's
- * timeout can end its wait. Up to detached_max such workers don't count
- * against the limit.
+ * A worker whose caller no longer waits for it is detached, because only the
+ * library's timeout can end its call. Up to detached_max such workers don't
+ * count against the limit.
+ *
+ * Times ending in _us are those of bb_clock_now_us.
  *
  * Lock order: the pool's lock is a leaf. */
 #ifndef BB_PROXY_WORKERS_H
@@ -19,19 +21,21 @@
 struct bb_workers_limits {
     uint32_t depth_zero_max;  /* workers for calls of depth 0 */
     uint32_t extra_per_depth; /* additional workers for each level */
-    uint32_t detached_max;    /* more detached workers count as busy */
+    uint32_t detached_max;    /* detached workers beyond this count as busy */
 };
 
 struct bb_workers;
 
 /* A unit of work. Initialised to zero by the caller. Must stay valid until
  * bb_workers_finish, and longer if bb_workers_detach can still be called with
- * it. bb_workers_finish must be the last call of run. */
+ * it. run must call bb_workers_finish exactly once; the pool does not use the
+ * work afterwards, so run may then free it. */
 struct bb_work {
     void (*run)(void *context);
     void *context;
-    uint32_t depth;
-    bool is_detached; /* guarded by the pool's lock */
+    uint32_t depth; /* of the call; above BB_CALL_DEPTH_MAX counts as that */
+    /* Both are guarded by the pool's lock. */
+    bool is_detached;
     bool is_done;
     struct bb_work *next;
 };
--- a/proxy/announce.c
+++ b/proxy/announce.c
@@ -8,7 +8,7 @@
 enum {
     BODY_MAX_BYTES = 4096,
     LIFETIME_MAX_MS = 600 * 1000,
-    COUNT_MAX = 1000000
+    COUNT_MAX = 1000000 /* of slots and of connections */
 };
 
 /* A request at the local address. */
@@ -113,7 +113,8 @@
 }
 
 /* Processes one callback of the HTTP library for a request at the local
- * address. */
+ * address. Returns MHD_NO to close the connection, which is done if the body
+ * exceeds BODY_MAX_BYTES. */
 enum MHD_Result
 bb_local_process(struct bb_proxy *p, struct MHD_Connection *connection,
                  const char *url, const char *method, const char *data,
--- a/proxy/attempt.c
+++ b/proxy/attempt.c
@@ -9,7 +9,7 @@
 
 enum {
     HTTP_UNAVAILABLE = 503,
-    /* neon's timeout, in whole seconds, must end after the deadline. */
+    /* Makes neon's timeout, in whole seconds, end after the deadline. */
     EXTRA_TIMEOUT_S = 2,
     EXPECT_CONTINUE_MIN_BYTES = 64 * 1024,
     WORKER_WAIT_DIVISOR = 4
@@ -31,13 +31,13 @@
 create_forwarded_headers(const struct bb_exchange *x)
 {
     struct bb_headers *h = bb_headers_create();
-    uint64_t left_us =
+    uint64_t remaining_us =
         bb_deadline_nested_remaining_us(x->deadline_us, bb_clock_now_us());
 
     bb_headers_copy_end_to_end(x->headers, h);
     bb_headers_add(h, BB_HEADER_ID, x->id_text);
     bb_headers_addf(h, BB_HEADER_DEADLINE, "%" PRIu64,
-                    MAX(left_us / BB_US_PER_MS, (uint64_t)1));
+                    MAX(remaining_us / BB_US_PER_MS, (uint64_t)1));
     bb_headers_addf(h, BB_HEADER_DEPTH, "%u", x->depth);
     bb_headers_add(h, "Via", "1.1 baobab");
     return h;
@@ -83,7 +83,8 @@
 common_params(const struct bb_exchange *x, struct bb_headers *h)
 {
     uint64_t now_us = bb_clock_now_us();
-    uint64_t left_us = x->deadline_us > now_us ? x->deadline_us - now_us : 0;
+    uint64_t remaining_us =
+        x->deadline_us > now_us ? x->deadline_us - now_us : 0;
     uint64_t longest_us =
         x->table != NULL
             ? (uint64_t)x->table->longest_timeout_ms * BB_US_PER_MS
@@ -98,8 +99,9 @@
         .is_replayable = !x->is_streaming,
         /* A pooled session keeps its timeout, so the timeout must suit every
          * later call on it. */
-        .read_timeout_s = (uint32_t)(MAX(left_us, longest_us) / BB_US_PER_S) +
-                          EXTRA_TIMEOUT_S,
+        .read_timeout_s =
+            (uint32_t)(MAX(remaining_us, longest_us) / BB_US_PER_S) +
+            EXTRA_TIMEOUT_S,
         .idle_timeout_ms = x->idle_timeout_ms,
         .depth = x->depth,
     };
@@ -225,9 +227,10 @@
     request.copy_max_bytes =
         x->is_idempotent ? 0 : BB_STORED_RESPONSE_MAX_BYTES;
     request.must_read_to_end = !x->is_idempotent;
-    /* The entry node enforces the deadline in milliseconds, so this thread can
-     * wait for the upstream itself. Handing the call to a worker and back
-     * would cost two wake-ups. */
+    /* This thread can wait for the upstream itself, although neon's timeout
+     * has whole seconds only, because the entry node enforces the deadline in
+     * milliseconds. Handing the call to a worker and back would cost two
+     * wake-ups. */
     request.is_inline = x->is_forwarded && !x->is_streaming;
     request.on_finished = on_call_finished;
     request.finished_context = g.slot;
@@ -287,8 +290,8 @@
 }
 
 /* Tells the gatekeeper of an attempt that the response is not needed. Only
- * idempotent requests are cancelled: a duplicate of another may still need its
- * response. */
+ * idempotent requests are cancelled: a duplicate of a non-idempotent request
+ * may still need the response. */
 void
 bb_attempt_cancel(struct bb_exchange *x, const struct bb_attempt *attempt)
 {
--- a/proxy/body.c
+++ b/proxy/body.c
@@ -115,8 +115,10 @@
     return pthread_cond_timedwait(&b->changed, &b->lock, &end) != ETIMEDOUT;
 }
 
-/* Appends bytes, waiting while the buffer is full. The timeout restarts
- * whenever the reader makes progress. */
+/* Appends bytes, waiting while the buffer is full. Returns BB_BODY_WRITTEN
+ * once all bytes are in the buffer, BB_BODY_WRITE_TIMEOUT if the reader makes
+ * no progress for timeout_ms, or BB_BODY_ABANDONED. In the last two cases some
+ * of the bytes may have been written. */
 enum bb_body_write_result
 bb_body_write(struct bb_body *b, const void *data, size_t size_bytes,
               uint32_t timeout_ms)
@@ -161,21 +163,25 @@
     (void)pthread_mutex_unlock(&b->lock);
 }
 
-/* Marks the body as complete. Called by the writer after the last byte. */
+/* Marks the body as complete. Called by the writer after the last byte. Does
+ * nothing if the body is already complete or broken. */
 void
 bb_body_finish(struct bb_body *b)
 {
     set_end(b, BODY_COMPLETE);
 }
 
-/* Marks the body as broken: the reader learns that bytes are missing. */
+/* Marks the body as broken. Called by a writer that gives up: the reader gets
+ * BB_BODY_BROKEN after the bytes written so far. Does nothing if the body is
+ * already complete or broken. */
 void
 bb_body_break(struct bb_body *b)
 {
     set_end(b, BODY_BROKEN);
 }
 
-/* Tells the writer that nobody reads any more. */
+/* Called by a reader that gives up: the writer gets BB_BODY_ABANDONED from now
+ * on. */
 void
 bb_body_abandon(struct bb_body *b)
 {
--- a/proxy/claim_key.c
+++ b/proxy/claim_key.c
@@ -5,13 +5,13 @@
 #include "common/clock.h"
 #include "proxy/internal.h"
 
-/* Returns the gatekeeper of the service with this host key, even if its
+/* Returns the gatekeeper of the service at the host with this key, even if its
  * upstream is unusable, or NULL. */
 static const struct bb_endpoint *
-find_gatekeeper(const struct bb_exchange *x, uint64_t key)
+find_gatekeeper(const struct bb_exchange *x, uint64_t host_key)
 {
     for (uint32_t i = 0; i < x->service->gatekeeper_count; i++) {
-        if (bb_host_key(x->service->gatekeepers[i].host) == key) {
+        if (bb_host_key(x->service->gatekeepers[i].host) == host_key) {
             return &x->service->gatekeepers[i];
         }
     }
@@ -21,21 +21,21 @@
 /* Sends the claim to one witness, by RPC unless it is this node's. */
 static struct bb_witness_response
 send_claim(struct bb_exchange *x, const struct bb_claim_requester *q,
-           uint64_t witness)
+           uint64_t witness_host_key)
 {
-    struct bb_witness_response a = {.result = BB_WITNESS_UNREACHABLE};
+    struct bb_witness_response response = {.result = BB_WITNESS_UNREACHABLE};
     const struct bb_endpoint *e;
 
-    if (witness == bb_host_key(x->proxy->host)) {
+    if (witness_host_key == bb_host_key(x->proxy->host)) {
         return bb_claims_process_claim(x->proxy->claims, &q->key, &q->wanted,
                                        q->epoch);
     }
-    e = find_gatekeeper(x, witness);
+    e = find_gatekeeper(x, witness_host_key);
     if (e == NULL || !bb_rpc_claim(x->proxy, &e->rpc_address, &q->key,
-                                   &q->wanted, q->epoch, &a)) {
-        a.result = BB_WITNESS_UNREACHABLE;
+                                   &q->wanted, q->epoch, &response)) {
+        response.result = BB_WITNESS_UNREACHABLE;
     }
-    return a;
+    return response;
 }
 
 /* Claims the key of an exchange for the gatekeeper of an attempt. On success
@@ -64,9 +64,10 @@
     }
     step = bb_claim_step(&q, &held, &o.reason);
     for (uint32_t i = 0; i < q.witness_count && step == BB_CLAIM_WAIT; i++) {
-        struct bb_witness_response a = send_claim(x, &q, q.witnesses[i]);
+        struct bb_witness_response response =
+            send_claim(x, &q, q.witnesses[i]);
 
-        (void)bb_claim_add_response(&q, q.witnesses[i], &a);
+        (void)bb_claim_add_response(&q, q.witnesses[i], &response);
         step = bb_claim_step(&q, &held, &o.reason);
     }
     if (step != BB_CLAIM_RUN && step != BB_CLAIM_JOIN) {
@@ -89,10 +90,10 @@
     return o;
 }
 
-/* Asks a gatekeeper for the state of the claimed request. The query names the
- * incarnation of the claim, because a restarted process does not know what an
- * earlier one ran. A gatekeeper that never saw the id refuses it from then on.
- * Returns false if there was no answer. */
+/* Queries a gatekeeper, at this node or another, for the state of the claimed
+ * request. The query names the incarnation of the claim, because a restarted
+ * process does not know what an earlier one ran. A gatekeeper that never saw
+ * the id refuses it from then on. Returns false if there was no response. */
 bool
 bb_exchange_query_gatekeeper(struct bb_exchange *x,
                              const struct bb_endpoint *e, uint64_t incarnation,
--- a/proxy/claims.c
+++ b/proxy/claims.c
@@ -17,9 +17,10 @@
     bool may_have_lost_claims; /* those granted before this start */
 };
 
-/* Creates the claims of a node. entries is the capacity of the witness. A
- * witness that restarted without its data may have granted claims before, so
- * it grants none until retention_s has passed. */
+/* Creates the witness of a node and its table of rosters. entries, a power of
+ * two, is the size of the witness's table of claims. A witness that restarted
+ * without its data may have granted claims before, so it grants none until
+ * retention_s has passed. */
 struct bb_claims *
 bb_claims_create(uint64_t own_host_key, uint32_t entries, uint32_t retention_s,
                  bool restarted_without_data)
@@ -38,7 +39,7 @@
     return c;
 }
 
-/* Frees the claims; NULL is allowed. */
+/* Frees the witness and the rosters; NULL is allowed. */
 void
 bb_claims_destroy(struct bb_claims *c)
 {
@@ -52,7 +53,7 @@
 }
 
 /* Returns whether a roster lists this host. Hosts in the previous list count
- * too: a removed host is still asked until the change is settled. */
+ * too: a removed host still gets claims until the change is settled. */
 static bool
 is_own_host_listed(const struct bb_claims *c, const struct bb_roster *r)
 {
@@ -115,7 +116,9 @@
     (void)pthread_mutex_unlock(&c->lock);
 }
 
-/* Prepares a claim of a key. Returns false if the service has no roster. */
+/* For an entry node: sets *q to a claim of a key at the witnesses that the
+ * roster of the service determines. Returns false if the service has no
+ * roster. */
 bool
 bb_claims_prepare(struct bb_claims *c, const char *service,
                   const struct bb_request_id *key,
@@ -132,12 +135,13 @@
     return r != NULL;
 }
 
-/* Processes a claim at this node's witness and returns its answer. */
+/* For a witness: processes a claim of an entry node at this node's witness and
+ * returns its response. */
 struct bb_witness_response
 bb_claims_process_claim(struct bb_claims *c, const struct bb_request_id *key,
                         const struct bb_claim *claim, uint64_t epoch)
 {
-    struct bb_witness_response a;
+    struct bb_witness_response response;
     uint64_t now_us = bb_clock_now_us();
 
     (void)pthread_mutex_lock(&c->lock);
@@ -146,7 +150,7 @@
             break;
         }
     }
-    a = bb_witness_claim(&c->witness, key, claim, epoch, now_us);
+    response = bb_witness_claim(&c->witness, key, claim, epoch, now_us);
     (void)pthread_mutex_unlock(&c->lock);
-    return a;
+    return response;
 }
--- a/proxy/entry.c
+++ b/proxy/entry.c
@@ -13,7 +13,9 @@
      * sleeping. Short responses are complete within this time. */
     RESPONSE_SPIN_US = 60,
     CALLER_CHECK_INTERVAL_US = 50 * BB_US_PER_MS,
-    LINK_OVERHEAD_BYTES = 4096 /* header fields and a typical response */
+    /* For the budget of the paid link: header fields and a typical response.
+     * The request's body is added to it. */
+    LINK_OVERHEAD_BYTES = 4096
 };
 
 BB_COUNTER(callers_gone_total, "baobab_callers_gone_total",
@@ -21,8 +23,9 @@
 
 enum event { EVENT_TIMER, EVENT_SENDING, EVENT_ATTEMPT };
 
-/* Sets the outcome to a refusal. It reports "not run" only if no earlier
- * attempt may have run. */
+/* Sets the outcome to a refusal once attempts may have started; see
+ * bb_exchange_refuse. It reports "not run" only if no earlier attempt may have
+ * run. */
 void
 bb_entry_refuse(struct bb_exchange *x, enum bb_reason reason, enum bb_ran ran)
 {
@@ -119,7 +122,8 @@
     x->outcome.stored = NULL;
 }
 
-/* Excludes a gatekeeper from later picks of this request. */
+/* Excludes a gatekeeper from later picks of this request. Does nothing if
+ * BB_ROUTE_EXCLUDED_MAX are excluded already. */
 void
 bb_entry_exclude_gatekeeper(struct bb_exchange *x, uint64_t host_key)
 {
@@ -150,7 +154,7 @@
         .random_bits = bb_random_u64(x->proxy->random),
     };
     const struct bb_endpoint *chosen = NULL;
-    struct bb_pick_result a;
+    struct bb_pick_result result;
 
     memcpy(q.excluded, x->excluded, sizeof(q.excluded));
     for (uint32_t i = 0; i < s->usable_gatekeeper_count; i++) {
@@ -169,19 +173,19 @@
         }
     }
     attempt->start_us = bb_clock_now_us();
-    a = bb_picker_pick(x->proxy->picker, &q, attempt->start_us);
-    *reason = a.reason;
-    if (a.index >= 0) {
-        chosen = &s->usable_gatekeepers[a.index];
-        attempt->host_key = targets[a.index].host_key;
-        attempt->may_refuse_as_slow = a.may_refuse_as_slow;
+    result = bb_picker_pick(x->proxy->picker, &q, attempt->start_us);
+    *reason = result.reason;
+    if (result.index >= 0) {
+        chosen = &s->usable_gatekeepers[result.index];
+        attempt->host_key = targets[result.index].host_key;
+        attempt->may_refuse_as_slow = result.may_refuse_as_slow;
     }
     g_free(targets);
     return chosen;
 }
 
 /* Returns whether a keyed request may be retried at another gatekeeper. A
- * claim that was not granted can be repeated. A granted one can only move once
+ * claim that was not granted can be retried. A granted one can only move once
  * its gatekeeper has refused the request permanently. If that gatekeeper
  * restarted, it is unknown whether the request ran, and *reason and *ran are
  * set to say so. */
--- a/proxy/exchange.c
+++ b/proxy/exchange.c
@@ -47,8 +47,8 @@
     g_free(x);
 }
 
-/* Sets the outcome to a refusal. Only before the first attempt; afterwards use
- * bb_entry_refuse. */
+/* Sets the outcome to a refusal. Once an attempt may have run, ran must be
+ * BB_RAN_UNKNOWN, which bb_entry_refuse takes care of. */
 void
 bb_exchange_refuse(struct bb_exchange *x, enum bb_reason reason,
                    enum bb_ran ran)
@@ -79,8 +79,9 @@
     set_idle_timeout(x, true);
 }
 
-/* Responds before the body was read. A short body is read and discarded first.
- */
+/* Responds to a request that is refused or completed before its body was read.
+ * A body of unknown length or of up to DISCARD_MAX_BYTES is discarded first,
+ * unless the request is malformed. */
 static enum MHD_Result
 respond_early(struct bb_exchange *x)
 {
@@ -164,7 +165,7 @@
 }
 
 /* Processes one callback of the HTTP library: the head, part of the body, or
- * its end. */
+ * its end. Returns MHD_NO to close the connection. */
 enum MHD_Result
 bb_exchange_process(struct bb_exchange *x, struct MHD_Connection *connection,
                     const char *method, const char *data, size_t *size)
--- a/proxy/gatekeeper.c
+++ b/proxy/gatekeeper.c
@@ -126,7 +126,8 @@
 }
 
 /* Applies an announcement of the upstream, which expires after its
- * lifetime_ms. */
+ * lifetime_ms. Afterwards call bb_gatekeeper_configure, as the limits depend
+ * on the announced service. */
 void
 bb_gatekeeper_set_announcement(struct bb_gatekeeper *g,
                                const struct bb_upstream_announcement *a)
@@ -153,8 +154,9 @@
     }
 }
 
-/* Removes the upstream once its announcement has expired, and processes the
- * queue. Must be called at least every 100 ms. */
+/* Removes the upstream once its announcement has expired, and delivers pending
+ * admission decisions. Must be called at least every 100 ms; an expired
+ * announcement is noticed by this call only. */
 void
 bb_gatekeeper_tick(struct bb_gatekeeper *g)
 {
@@ -179,8 +181,9 @@
     }
 }
 
-/* Applies the limits of the upstream's service from a routing table. Does
- * nothing if the table has no such service. */
+/* Applies the limits of the upstream's service from a routing table. To be
+ * called for each new table and each announcement. Does nothing if the table
+ * has no such service. */
 void
 bb_gatekeeper_configure(struct bb_gatekeeper *g, const struct bb_table *t)
 {
@@ -254,15 +257,15 @@
     uint64_t handle;
 
     for (int i = 0; i < EXPIRED_PER_REQUEST_MAX; i++) {
-        struct bb_stored_response *a;
+        struct bb_stored_response *response;
 
         if (!bb_record_expire(&g->record, now_us, &handle)) {
             return;
         }
-        a = (struct bb_stored_response *)(uintptr_t)handle;
-        if (a != NULL) {
-            g->stored_bytes -= a->body->len;
-            bb_stored_response_unref(a);
+        response = (struct bb_stored_response *)(uintptr_t)handle;
+        if (response != NULL) {
+            g->stored_bytes -= response->body->len;
+            bb_stored_response_unref(response);
         }
     }
 }
--- a/proxy/gatekeeper_query.c
+++ b/proxy/gatekeeper_query.c
@@ -64,9 +64,12 @@
     return false;
 }
 
-/* Returns the state of a request. An unknown id is recorded as refused, so
- * that it can't run here later. Idempotent requests are not in the record and
- * are only found while queued or running. */
+/* Returns the state of a request. incarnation is that which the request was
+ * sent to, or BB_INCARNATION_ANY. For another one than this process's the
+ * result is BB_QUERY_OTHER_INCARNATION, unless the id is queued or running
+ * here. An unknown id is recorded as refused, so that a non-idempotent request
+ * can't run here later. Idempotent requests are not in the record and are only
+ * found while queued or running. */
 enum bb_query_result
 bb_gatekeeper_query(struct bb_gatekeeper *g, const struct bb_request_id *id,
                     uint64_t incarnation)
@@ -84,7 +87,8 @@
 }
 
 /* Returns a new reference to the stored response of a completed request, or
- * NULL. */
+ * NULL if there is none. Like bb_gatekeeper_query, records an unknown id as
+ * refused. */
 struct bb_stored_response *
 bb_gatekeeper_get_stored_response(struct bb_gatekeeper *g,
                                   const struct bb_request_id *id)
@@ -137,7 +141,8 @@
     return is_found;
 }
 
-/* Copies the last announcement. Returns false if there is no upstream. */
+/* Copies the last announcement, with the current state. Returns false if there
+ * is no upstream. */
 bool
 bb_gatekeeper_get_upstream(struct bb_gatekeeper *g,
                            struct bb_upstream_announcement *a)
--- a/proxy/headers.c
+++ b/proxy/headers.c
@@ -72,7 +72,7 @@
     h->field_count++;
 }
 
-/* Returns the field at an index below count. */
+/* Returns the field at an index below field_count. */
 struct bb_header
 bb_headers_at(const struct bb_headers *h, uint32_t index)
 {
@@ -111,8 +111,9 @@
     return NULL;
 }
 
-/* Parses a field that consists of decimal digits only. Returns false if it is
- * absent or malformed. */
+/* Parses a field that consists of decimal digits only. Returns false and
+ * leaves *value unchanged if the field is absent or malformed or exceeds 64
+ * bits. */
 bool
 bb_headers_get_u64(const struct bb_headers *h, const char *name,
                    uint64_t *value)
@@ -199,14 +200,14 @@
             codings++;
             f.fault = g_ascii_strcasecmp(item.value, "chunked") == 0
                           ? NULL
-                          : "transfer coding is not chunked alone";
+                          : "transfer coding other than chunked";
         }
         else if (g_ascii_strcasecmp(item.name, "Host") == 0) {
             hosts++;
         }
     }
     if (f.fault == NULL && lengths + codings > 1) {
-        f.fault = "more than one field delimits the body";
+        f.fault = "more than one Content-Length or Transfer-Encoding";
     }
     if (f.fault == NULL && hosts > 1) {
         f.fault = "more than one Host field";
--- a/proxy/hedge.c
+++ b/proxy/hedge.c
@@ -47,7 +47,7 @@
     if (!bb_entry_can_hedge(x, &q, &at_us) || bb_clock_now_us() < at_us) {
         return;
     }
-    x->hedge_count++; /* tried once, even if the budget refuses it */
+    x->hedge_count++; /* counts even if the budget refuses it */
     if (!bb_picker_try_hedge(x->proxy->picker, &q)) {
         return;
     }
--- a/proxy/http_client.c
+++ b/proxy/http_client.c
@@ -24,7 +24,8 @@
 
 enum {
     FIELD_SEPARATOR_BYTES = 4, /* colon, space and CRLF of a field line */
-    TERMINATOR_BYTES = 2       /* of a field in struct bb_headers */
+    TERMINATOR_BYTES = 2       /* NULs after name and value of a field in
+                                  struct bb_headers */
 };
 
 struct call {
@@ -79,7 +80,7 @@
     bb_notifier_signal(call->notifier);
 }
 
-/* Counts bytes that cross the billed link between regions, if the peer is in
+/* Counts bytes that cross the paid link between regions, if the peer is in
  * another region. */
 static void
 count_link_bytes(const struct call *call, size_t size_bytes)
@@ -191,7 +192,7 @@
 
 /* Copies the response body into its ring buffer. Returns whether the peer sent
  * it completely; with must_read_to_end that can be true although the reader of
- * the ring buffer has gone. */
+ * the ring buffer has given up. */
 static bool
 read_response_body(struct call *call, ne_request *request)
 {
@@ -356,9 +357,10 @@
     finish_call(call);
 }
 
-/* Runs a call that was started with is_inline in the calling thread, which
- * would only wait for it. A long response is handed to a worker, because the
- * caller must pass it on at the same time. */
+/* Runs a call that was started with is_inline, on the calling thread, which
+ * saves two thread switches. Returns when a short response is complete or the
+ * call has failed. A long response is handed to a worker, because the caller
+ * must forward it while it arrives. */
 void
 bb_http_call_run_inline(struct bb_http_call *public)
 {
@@ -380,10 +382,12 @@
     finish_call(call);
 }
 
-/* Starts a call, on a worker unless is_inline is set. Progress is signalled to
- * the notifier. The headers are taken over and the body is referenced. Waits
- * for a free worker until end_us; returns NULL, with nothing sent, if there is
- * none. Must be released with bb_http_call_release. */
+/* Starts a call on a worker; with is_inline, the caller must run it with
+ * bb_http_call_run_inline instead. Progress is signalled to the notifier.
+ * method and url are copied, the body is referenced, and the headers are taken
+ * over, even on failure. Waits for a free worker until end_us; returns NULL,
+ * with nothing sent, if there is none. The call must be released with
+ * bb_http_call_release. */
 struct bb_http_call *
 bb_http_call_start(struct bb_http_client *c,
                    const struct bb_http_call_params *params,
--- a/proxy/notifier.c
+++ b/proxy/notifier.c
@@ -63,7 +63,7 @@
     (void)pthread_mutex_unlock(&n->lock);
 }
 
-/* Wakes the waiting side. */
+/* Wakes all threads in bb_notifier_wait. Can be called without the lock. */
 void
 bb_notifier_signal(struct bb_notifier *n)
 {
--- a/proxy/picker.c
+++ b/proxy/picker.c
@@ -47,8 +47,8 @@
     g_free(s);
 }
 
-/* Creates a picker with a registered routing policy and the default budgets.
- * policy must name a registered plugin. */
+/* Creates a picker with the default budgets. policy must name a registered
+ * routing policy. No calls go to another region until bb_picker_configure. */
 struct bb_picker *
 bb_picker_create(const char *policy)
 {
@@ -243,7 +243,9 @@
     }
 }
 
-/* Records the result of an attempt that bb_picker_pick started. */
+/* Records the result of an attempt that bb_picker_pick started. start_us must
+ * be the now_us passed to bb_picker_pick, by which outlier detection finds the
+ * attempt. */
 void
 bb_picker_finish_attempt(struct bb_picker *p, const char *service,
                          uint64_t host_key, enum bb_admission_class work_class,
@@ -314,9 +316,9 @@
     (void)pthread_mutex_unlock(&p->lock);
 }
 
-/* Returns whether a refused or failed attempt is retried, which takes a token
- * from the retry budget. Sets *delay_us to the delay before the retry, and
- * *reason to the reason to report if there is none. */
+/* Returns whether a refused or failed attempt is retried, and if so takes a
+ * token from the retry budget. Sets *delay_us to the delay before the retry,
+ * and *reason to the reason to report if there is none. */
 bool
 bb_picker_try_retry(struct bb_picker *p, const struct bb_retry_request *q,
                     uint64_t *delay_us, enum bb_reason *reason)
@@ -330,19 +332,19 @@
         .remaining_us = q->remaining_us,
         .random_bits = q->random_bits,
     };
-    struct bb_retry_decision a;
+    struct bb_retry_decision decision;
 
     (void)pthread_mutex_lock(&p->lock);
     r.expected_us = bb_duration_stats_median_us(
         &get_service(p, q->service)->latency[q->work_class], 0);
-    a = bb_retry_decide(&r, &p->retry_budget);
+    decision = bb_retry_decide(&r, &p->retry_budget);
     (void)pthread_mutex_unlock(&p->lock);
-    *delay_us = a.delay_us;
-    *reason = a.reason;
-    return a.is_allowed;
+    *delay_us = decision.delay_us;
+    *reason = decision.reason;
+    return decision.is_allowed;
 }
 
-/* Converts a hedge request to that of the decision module. */
+/* Converts a hedge request to struct bb_pending_request. */
 static struct bb_pending_request
 to_pending_request(const struct bb_hedge_request *q)
 {
@@ -372,8 +374,9 @@
     return delay_us;
 }
 
-/* Returns whether a second attempt is sent now, which takes a token from the
- * hedge budget. */
+/* Returns whether a second attempt may be sent now, and if so takes a token
+ * from the hedge budget. To be called once the delay of
+ * bb_picker_hedge_delay_us has passed. */
 bool
 bb_picker_try_hedge(struct bb_picker *p, const struct bb_hedge_request *q)
 {
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -10,9 +10,9 @@
 #include "proxy/internal.h"
 
 enum {
-    /* Far more than the slots a node can use: under overload, gatekeepers must
-     * decide by deadline, rather than workers by the order in which they
-     * become free. */
+    /* More than the slots of a typical upstream: under overload, requests must
+     * queue at gatekeepers, which decide by deadline, and not wait for workers
+     * in the order in which these become free. */
     DEFAULT_DEPTH_ZERO_MAX = 256,
     DEFAULT_EXTRA_PER_DEPTH = 16,
     DEFAULT_DETACHED_MAX = 64,
@@ -186,7 +186,8 @@
     return d;
 }
 
-/* Starts both HTTP servers. */
+/* Starts both HTTP servers. Returns false with BB_PROXY_ERROR_START if one
+ * cannot listen. */
 static bool
 start_daemons(struct bb_proxy *p, struct bb_error *e)
 {
@@ -269,7 +270,7 @@
         goto fail;
     }
     if (pthread_create(&p->tick_thread, NULL, run_ticks, p) != 0) {
-        bb_error_set(e, BB_PROXY_ERROR_START, "cannot start the timer thread");
+        bb_error_set(e, BB_PROXY_ERROR_START, "cannot start the tick thread");
         goto fail;
     }
     p->has_tick_thread = true;
@@ -293,9 +294,9 @@
     return p->local_address;
 }
 
-/* Closes idle connections to gatekeepers that are missing in the new table. A
- * host that has left would neither respond on them nor answer queries about a
- * request. */
+/* Closes idle connections to gatekeepers that are no longer usable in the new
+ * table. A host that has left would neither respond on them nor to queries
+ * about a request. */
 static void
 close_unusable_peers(struct bb_proxy *p, const struct bb_table *old,
                      const struct bb_table *t)
@@ -338,9 +339,10 @@
     bb_current_table_set(p->current_table, t);
 }
 
-/* Sets the agreed roster of a service. Must be called after the table of the
- * same revision is set. The roster lists hosts as bb_hash64 of their names
- * with seed 0. Without a roster, requests with an idempotency key are refused,
+/* Sets the agreed roster of a service, which lists hosts by host key
+ * (bb_roster_hash_host of their names). Must be called after the table of the
+ * same revision is set, from which it takes the retention time of the service.
+ * Without a roster, requests with an idempotency key are refused,
  * because nothing could prevent them from running twice. */
 void
 bb_proxy_set_roster(struct bb_proxy *p, const char *service,
@@ -370,9 +372,10 @@
     return atomic_load(&p->in_flight);
 }
 
-/* Refuses new requests and waits up to timeout_ms for those in flight. Returns
- * false if some are left. Otherwise closes all connections of callers, keeps
- * answering queries of other nodes for a second, and returns true. */
+/* Refuses new requests, except nested calls, and waits up to timeout_ms for
+ * those in flight. Returns false if some are left; it may then be called
+ * again. Otherwise closes all connections of callers, keeps responding to
+ * queries of other nodes for a second, and returns true. */
 bool
 bb_proxy_drain(struct bb_proxy *p, uint32_t timeout_ms)
 {
--- a/proxy/recovery.c
+++ b/proxy/recovery.c
@@ -3,8 +3,9 @@
 #include "common/clock.h"
 #include "proxy/internal.h"
 
-/* Returns whether part of a streamed body was already consumed, so that no
- * other attempt can send it. */
+/* Returns whether sending of a streamed body has begun, so that no other
+ * attempt can send it. If the attempt has no HTTP call any more, the body
+ * counts as consumed. */
 bool
 bb_entry_is_body_consumed(const struct bb_exchange *x,
                           const struct bb_attempt *attempt)
@@ -62,9 +63,9 @@
     }
 }
 
-/* Queries the gatekeeper of a silent attempt. If the request is over there,
+/* Queries the gatekeeper of a silent attempt. If the request has ended there,
  * its response may still be in transit on the first connection, so the query
- * is repeated once before that connection is given up. */
+ * is retried once before that connection is given up. */
 static void
 query_gatekeeper(struct bb_exchange *x, struct bb_attempt *attempt)
 {
@@ -79,6 +80,7 @@
                 (result == BB_QUERY_NEVER_SEEN && x->is_idempotent);
     if (has_ended && attempt->call != NULL && !attempt->is_query_retried) {
         attempt->is_query_retried = true;
+        /* Not a failure, but schedules the second query. */
         bb_probe_query_failed(&attempt->probe, bb_clock_now_us());
         return;
     }
--- a/proxy/refusal.c
+++ b/proxy/refusal.c
@@ -41,7 +41,7 @@
                                              : BB_ATTEMPT_REFUSED;
 }
 
-/* Maps a refusal reason to the result of the gatekeeper's record. Returns
+/* Converts a refusal reason to the result of the gatekeeper's record. Returns
  * false if the record did not cause the refusal. */
 static bool
 record_result_from_reason(enum bb_reason reason, enum bb_begin_result *result)
--- a/proxy/request.c
+++ b/proxy/request.c
@@ -18,11 +18,12 @@
     {"OPTIONS", BB_METHOD_OPTIONS},
 };
 
-/* Methods that RFC 9110 calls safe are idempotent on every route. */
 enum {
+    /* Methods that RFC 9110 calls safe are idempotent on every route. */
     SAFE_METHODS = BB_METHOD_GET | BB_METHOD_HEAD | BB_METHOD_OPTIONS,
-    FORWARDED_DEADLINE_MAX_MS =
-        60000 /* for forwarded requests without Baobab-Deadline-Ms */
+    /* Limit for forwarded requests, whose route is unknown here. Also used if
+     * they have no Baobab-Deadline-Ms. */
+    FORWARDED_DEADLINE_MAX_MS = 60000
 };
 
 /* Returns the bb_method bit of a method, or 0 if it is not supported. */
@@ -37,8 +38,9 @@
     return 0;
 }
 
-/* Returns the hash that identifies a host in routing and claims. Must be the
- * same as bb_roster_hash_host, by which rosters name hosts. */
+/* Returns the host key, a hash that identifies a host in routing and claims.
+ * Must be the same as bb_roster_hash_host, which returns the host keys in
+ * rosters. */
 uint64_t
 bb_host_key(const char *host)
 {
@@ -182,8 +184,10 @@
     return true;
 }
 
-/* Sets the deadline to the earlier of the route's timeout and the request's
- * Baobab-Deadline-Ms. */
+/* Sets the deadline to the earlier of the route's timeout, or
+ * FORWARDED_DEADLINE_MAX_MS for a forwarded request, and the request's
+ * Baobab-Deadline-Ms. If that field is 0, absent or malformed, it sets no
+ * limit. */
 static void
 set_deadline(struct bb_exchange *x)
 {
@@ -198,8 +202,9 @@
 }
 
 /* Parses and checks the head. Afterwards the outcome is a refusal or the
- * request can be run. A draining node refuses new requests but accepts nested
- * calls of requests in flight. */
+ * request can be run. A draining node refuses new requests of callers and
+ * forwarded ones, but accepts nested calls, which requests in flight need, and
+ * fetches of stored responses. */
 void
 bb_request_parse_head(struct bb_exchange *x, const char *method)
 {
--- a/proxy/response.c
+++ b/proxy/response.c
@@ -39,7 +39,7 @@
     return MHD_CONTENT_READER_END_WITH_ERROR;
 }
 
-/* Frees a stream and tells the writer that nobody reads any more. */
+/* Frees a stream and abandons its body, so that the writer stops. */
 static void
 free_stream(void *context)
 {
@@ -131,9 +131,8 @@
 create_refusal(const struct bb_exchange *x)
 {
     const char *name = bb_reason_name(x->outcome.reason);
-    bool is_not_run = x->outcome.ran == BB_RAN_NO;
-    char *text = g_strdup_printf("refused: %s, ran: %s\n", name,
-                                 is_not_run ? "no" : "unknown");
+    const char *ran = x->outcome.ran == BB_RAN_NO ? "no" : "unknown";
+    char *text = g_strdup_printf("refused: %s, ran: %s\n", name, ran);
     struct MHD_Response *r =
         MHD_create_response_from_buffer_with_free_callback(strlen(text), text,
                                                            g_free);
@@ -141,15 +140,15 @@
     bb_reason_count_refusal(x->outcome.reason, x->outcome.ran);
     (void)MHD_add_response_header(r, "Content-Type", "text/plain");
     (void)MHD_add_response_header(r, BB_HEADER_REFUSED, name);
-    (void)MHD_add_response_header(r, BB_HEADER_RAN,
-                                  is_not_run ? "no" : "unknown");
+    (void)MHD_add_response_header(r, BB_HEADER_RAN, ran);
     if (x->outcome.reason == BB_REASON_BAD_REQUEST) {
         (void)MHD_add_response_header(r, "Connection", "close");
     }
     return r;
 }
 
-/* Queues the response for the outcome of an exchange. */
+/* Queues the response for the outcome of an exchange. Returns MHD_NO to close
+ * the connection. */
 enum MHD_Result
 bb_exchange_respond(struct bb_exchange *x)
 {
--- a/proxy/rpc.c
+++ b/proxy/rpc.c
@@ -7,16 +7,19 @@
 #include "exchange.h"
 #include "proxy/internal.h"
 
-enum { CALL_TIMEOUT_MS = 400, CANCEL_TIMEOUT_MS = 500 };
+enum {
+    CALL_TIMEOUT_MS = 400, /* of QUERY and CLAIM */
+    CANCEL_TIMEOUT_MS = 500
+};
 
 static _Atomic(struct bb_proxy *) registered_proxy;
 
-/* Serves QUERY. */
+/* Serves QUERY: returns the state of a request at this node's gatekeeper. */
 static void
 serve_query(struct bb_proxy *p, SVCXPRT *transport)
 {
     bb_xdr_query q = {0};
-    bb_xdr_query_response a = {0};
+    bb_xdr_query_response response = {0};
     struct bb_request_id id;
 
     if (!svc_getargs(transport, (xdrproc_t)xdr_bb_xdr_query, (char *)&q)) {
@@ -24,12 +27,14 @@
         return;
     }
     memcpy(id.bytes, q.id, sizeof(id.bytes));
-    a.result = (u_int)bb_gatekeeper_query(p->gatekeeper, &id, q.incarnation);
+    response.result =
+        (u_int)bb_gatekeeper_query(p->gatekeeper, &id, q.incarnation);
     (void)svc_sendreply(transport, (xdrproc_t)xdr_bb_xdr_query_response,
-                        (char *)&a);
+                        (char *)&response);
 }
 
-/* Serves CANCEL. */
+/* Serves CANCEL: cancels a request at this node's gatekeeper. The reply only
+ * says that the call was received. */
 static void
 serve_cancel(struct bb_proxy *p, SVCXPRT *transport)
 {
@@ -46,13 +51,13 @@
     (void)svc_sendreply(transport, (xdrproc_t)xdr_bool, (char *)&is_received);
 }
 
-/* Serves CLAIM. */
+/* Serves CLAIM: processes a claim at this node's witness. */
 static void
 serve_claim(struct bb_proxy *p, SVCXPRT *transport)
 {
     bb_xdr_claim c = {0};
-    bb_xdr_claim_response out = {0};
-    struct bb_witness_response a;
+    bb_xdr_claim_response reply = {0};
+    struct bb_witness_response response;
     struct bb_request_id key;
     struct bb_claim claim;
 
@@ -65,15 +70,15 @@
                               .gatekeeper = c.gatekeeper,
                               .incarnation = c.incarnation};
     memcpy(claim.request.bytes, c.id, sizeof(c.id));
-    a = bb_claims_process_claim(p->claims, &key, &claim, c.epoch);
-    out.result = (u_int)a.result;
-    out.epoch = a.epoch;
-    out.attempt = a.held.attempt;
-    out.gatekeeper = a.held.gatekeeper;
-    out.incarnation = a.held.incarnation;
-    memcpy(out.id, a.held.request.bytes, sizeof(out.id));
+    response = bb_claims_process_claim(p->claims, &key, &claim, c.epoch);
+    reply.result = (u_int)response.result;
+    reply.epoch = response.epoch;
+    reply.attempt = response.held.attempt;
+    reply.gatekeeper = response.held.gatekeeper;
+    reply.incarnation = response.held.incarnation;
+    memcpy(reply.id, response.held.request.bytes, sizeof(reply.id));
     (void)svc_sendreply(transport, (xdrproc_t)xdr_bb_xdr_claim_response,
-                        (char *)&out);
+                        (char *)&reply);
 }
 
 /* Dispatches a call to its procedure. */
@@ -127,15 +132,16 @@
     (void)atomic_compare_exchange_strong(&registered_proxy, &expected, NULL);
 }
 
-/* Queries the gatekeeper of an attempt for the state of the request, on a new
- * connection. Returns false if there was no valid answer. */
+/* Queries the gatekeeper of an attempt at another node for the state of the
+ * request. Uses a new connection. Returns false if there was no valid
+ * response. */
 bool
 bb_rpc_query(struct bb_exchange *x, const struct bb_attempt *attempt,
              enum bb_query_result *result)
 {
     bb_xdr_query q = {.incarnation = x->is_idempotent ? BB_INCARNATION_ANY
                                                       : attempt->incarnation};
-    bb_xdr_query_response a = {0};
+    bb_xdr_query_response response = {0};
     const struct bb_rpc_call call = {
         .program = BB_PEER_PROGRAM,
         .version = BB_PEER_VERSION,
@@ -143,7 +149,7 @@
         .argument_codec = (xdrproc_t)xdr_bb_xdr_query,
         .argument = &q,
         .result_codec = (xdrproc_t)xdr_bb_xdr_query_response,
-        .result = &a,
+        .result = &response,
         .timeout_ms = CALL_TIMEOUT_MS,
         .use_new_connection = true,
     };
@@ -153,15 +159,15 @@
     if (x->proxy->settings.rpc == NULL ||
         !bb_rpc_pool_call(x->proxy->settings.rpc,
                           &attempt->endpoint->rpc_address, &call, &e) ||
-        a.result > BB_QUERY_FULL) {
+        response.result > BB_QUERY_FULL) {
         return false;
     }
-    *result = (enum bb_query_result)a.result;
+    *result = (enum bb_query_result)response.result;
     return true;
 }
 
 /* Sends a claim to the witness at another node. Returns false if there was no
- * valid answer. */
+ * valid response. */
 bool
 bb_rpc_claim(struct bb_proxy *p, const struct bb_address *to,
              const struct bb_request_id *key, const struct bb_claim *claim,
@@ -173,7 +179,7 @@
         .incarnation = claim->incarnation,
         .epoch = epoch,
     };
-    bb_xdr_claim_response a = {0};
+    bb_xdr_claim_response reply = {0};
     const struct bb_rpc_call call = {
         .program = BB_PEER_PROGRAM,
         .version = BB_PEER_VERSION,
@@ -181,7 +187,7 @@
         .argument_codec = (xdrproc_t)xdr_bb_xdr_claim,
         .argument = &c,
         .result_codec = (xdrproc_t)xdr_bb_xdr_claim_response,
-        .result = &a,
+        .result = &reply,
         .timeout_ms = CALL_TIMEOUT_MS,
     };
 
@@ -189,17 +195,17 @@
     memcpy(c.id, claim->request.bytes, sizeof(c.id));
     if (p->settings.rpc == NULL ||
         !bb_rpc_pool_call(p->settings.rpc, to, &call, NULL) ||
-        a.result >= BB_WITNESS_UNREACHABLE) {
+        reply.result >= BB_WITNESS_UNREACHABLE) {
         return false;
     }
     *out = (struct bb_witness_response){
-        .result = (enum bb_witness_result)a.result,
-        .epoch = a.epoch,
-        .held = {.attempt = a.attempt,
-                 .gatekeeper = a.gatekeeper,
-                 .incarnation = a.incarnation},
+        .result = (enum bb_witness_result)reply.result,
+        .epoch = reply.epoch,
+        .held = {.attempt = reply.attempt,
+                 .gatekeeper = reply.gatekeeper,
+                 .incarnation = reply.incarnation},
     };
-    memcpy(out->held.request.bytes, a.id, sizeof(a.id));
+    memcpy(out->held.request.bytes, reply.id, sizeof(reply.id));
     return true;
 }
 
--- a/proxy/session.c
+++ b/proxy/session.c
@@ -103,9 +103,10 @@
     return s;
 }
 
-/* Returns the most recently used idle session of the peer, or a new one.
- * Closes sessions that were idle for more than IDLE_MAX_US. Returns NULL if
- * the peer's address is invalid. */
+/* Returns the most recently used idle session of the peer, or a new one if
+ * there is none or use_new_connection is set. Closes sessions that were idle
+ * for more than IDLE_MAX_US. Returns NULL if the peer's address is invalid.
+ * The session must be passed to bb_session_release or bb_session_destroy. */
 struct bb_session *
 bb_session_acquire(struct bb_http_client *c,
                    const struct bb_http_call_params *r)
@@ -129,9 +130,10 @@
     return s != NULL ? s : create_session(r);
 }
 
-/* Returns a session to the pool. If the peer closed the connection after its
- * response, it is shutting down: all its idle sessions are closed, because a
- * request sent on one of them could be lost. */
+/* Returns a session to the pool, which is allowed only after its response was
+ * read completely; otherwise call bb_session_destroy. If the peer closed the
+ * connection after its response, it is shutting down: all its idle sessions
+ * are closed, because a request sent on one of them could be lost. */
 void
 bb_session_release(struct bb_http_client *c, struct bb_session *s)
 {
--- a/proxy/table.c
+++ b/proxy/table.c
@@ -43,7 +43,7 @@
     return true;
 }
 
-/* Creates the endpoint of a member, with its distance to this node. */
+/* Creates the endpoint of a member, with its distance from this node. */
 static struct bb_endpoint
 make_endpoint(const struct bb_member *m,
               const struct bb_node_location *location)
@@ -64,7 +64,7 @@
     return e;
 }
 
-/* Initialises a service with its gatekeepers and usable endpoints. */
+/* Initialises a service with its gatekeepers. */
 static void
 build_service(struct bb_table_service *out, const struct bb_config *c,
               uint16_t index, const struct bb_member *members, size_t count,
@@ -95,7 +95,8 @@
     }
 }
 
-/* Builds a table with one reference. The arguments are copied. */
+/* Builds a table with one reference from a configuration and `count` members,
+ * none of which it refers to afterwards. */
 struct bb_table *
 bb_table_build(const struct bb_config *c, const struct bb_member *members,
                size_t count, const struct bb_node_location *location)
@@ -164,7 +165,7 @@
     return NULL;
 }
 
-/* Returns the endpoint of a host, or NULL. */
+/* Returns the usable gatekeeper at a host, or NULL if there is none. */
 const struct bb_endpoint *
 bb_table_find_usable_gatekeeper(const struct bb_table_service *s,
                                 const char *host)
@@ -236,8 +237,9 @@
     return c;
 }
 
-/* Makes a table the current one and takes over the caller's reference. Blocks
- * until no reader can still be taking a reference to the previous table. */
+/* Makes a table the current one and takes over the caller's reference. NULL is
+ * allowed. Blocks until no reader can still be taking a reference to the
+ * previous table. */
 void
 bb_current_table_set(struct bb_current_table *c, struct bb_table *t)
 {
@@ -250,7 +252,8 @@
     bb_table_unref(old);
 }
 
-/* Returns a new reference to the current table, or NULL. */
+/* Returns a new reference to the current table, or NULL. Can be called by any
+ * thread, which it registers as an RCU reader. */
 struct bb_table *
 bb_current_table_get(struct bb_current_table *c)
 {
--- a/proxy/workers.c
+++ b/proxy/workers.c
@@ -21,8 +21,9 @@
 BB_GAUGE(detached_gauge, "baobab_workers_detached",
          "Workers whose caller has gone");
 
-/* An idle thread. Reused for later threads instead of freed, because wake is
- * signalled without the lock. */
+/* What a worker thread needs to wait for work. It is not freed when the thread
+ * ends but kept for a later one, because another thread may still signal wake,
+ * which is done without the lock. */
 struct idle_worker {
     pthread_cond_t wake;
     _Atomic(struct bb_work *) work;
@@ -32,7 +33,7 @@
 
 struct bb_workers {
     pthread_mutex_t lock;
-    pthread_cond_t capacity_freed;
+    pthread_cond_t capacity_freed; /* also signalled when a thread ends */
     struct bb_workers_limits limits;
     uint32_t busy_count[BB_CALL_DEPTH_MAX + 1]; /* by depth, not detached */
     uint32_t detached_count;
@@ -293,9 +294,8 @@
 }
 
 /* Submits work to a worker, waiting for capacity until end_us. run must call
- * bb_workers_finish as its last use of the work. Returns false, without
- * running the work, on timeout, when the pool stops, or if no thread can be
- * started. */
+ * bb_workers_finish exactly once. Returns false, without running the work, on
+ * timeout, when the pool stops, or if no thread can be started. */
 bool
 bb_workers_submit(struct bb_workers *p, struct bb_work *w, uint64_t end_us)
 {
@@ -357,15 +357,15 @@
 bb_workers_hand_over(struct bb_workers *p, struct bb_work *w)
 {
     struct idle_worker *idle = NULL;
-    bool is_given;
+    bool is_assigned;
 
     (void)pthread_mutex_lock(&p->lock);
-    is_given = !p->is_stopping && assign_work(p, w, &idle);
+    is_assigned = !p->is_stopping && assign_work(p, w, &idle);
     (void)pthread_mutex_unlock(&p->lock);
     if (idle != NULL) {
         (void)pthread_cond_signal(&idle->wake);
     }
-    return is_given;
+    return is_assigned;
 }
 
 /* Marks a unit of work as finished. Called from its run function, or by the
