proxy: describe the results of bodies and outcomes

Cause: fields and constants in headers of proxy/ had no word on their meaning. Change: comments only.

--- a/include/proxy/body.h
+++ b/include/proxy/body.h
@@ -13,8 +13,9 @@
 
 enum {
     BB_BODY_CAPACITY_BYTES = 256 * 1024,
-    BB_BODY_BROKEN = -1, /* the writer gave up before the end of the body */
-    BB_BODY_TIMEOUT = -2
+    /* Results of bb_body_read and bb_body_read_at. */
+    BB_BODY_BROKEN = -1, /* the rest of the body cannot be read */
+    BB_BODY_TIMEOUT = -2 /* the writer was idle for the timeout */
 };
 
 enum bb_body_write_result {
--- a/include/proxy/gatekeeper.h
+++ b/include/proxy/gatekeeper.h
@@ -56,8 +56,8 @@
 
 struct bb_gatekeeper_settings {
     uint64_t incarnation;
-    uint32_t record_entries; /* a power of two */
-    uint32_t retention_s;
+    uint32_t record_entries;   /* a power of two */
+    uint32_t retention_s;      /* until bb_gatekeeper_configure sets it */
     uint64_t stored_max_bytes; /* of all stored responses together */
     bool ignores_slots;        /* limit by connections instead */
     bb_upstream_changed_callback upstream_changed;
@@ -82,7 +82,7 @@
     struct bb_gatekeeper *gatekeeper;
     uint64_t admission_id;
     struct bb_request_id id;
-    bool is_recorded;
+    bool is_recorded; /* the gatekeeper's record has the id */
     uint64_t start_us;
     struct bb_address upstream_address;
 };
--- a/include/proxy/internal.h
+++ b/include/proxy/internal.h
@@ -1,6 +1,6 @@
 /* Internal declarations shared by the modules of the proxy: the proxy itself,
  * and an exchange, which is a request from its first byte to the last byte of
- * its response. */
+ * its response. Times ending in _us are those of bb_clock_now_us. */
 #ifndef BB_PROXY_INTERNAL_H
 #define BB_PROXY_INTERNAL_H
 
@@ -78,8 +78,9 @@
 
 struct bb_outcome {
     enum bb_outcome_kind kind;
-    struct bb_http_call *call;
-    struct bb_stored_response *stored;
+    struct bb_http_call *call;         /* of BB_OUTCOME_RESPONSE */
+    struct bb_stored_response *stored; /* of BB_OUTCOME_STORED */
+    /* Of BB_OUTCOME_REFUSED. */
     enum bb_reason reason;
     enum bb_ran ran;
 };
--- a/proxy/picker.c
+++ b/proxy/picker.c
@@ -11,7 +11,7 @@
 #include "decide/retry.h"
 #include "decide/route_pick.h"
 
-/* State of one service. Candidates follow the targets of the last pick. */
+/* State of one service, with a candidate for each target of the last pick. */
 struct service {
     struct bb_route_state route;
     struct bb_outliers outliers;
