--- a/include/proxy/internal.h
+++ b/include/proxy/internal.h
@@ -1,6 +1,6 @@
 /* Internal declarations shared by the modules of the proxy: the proxy itself,
  * and an exchange, which is a request from its first byte to the last byte of
- * its response. */
+ * its response. Times ending in _us are those of bb_clock_now_us. */
 #ifndef BB_PROXY_INTERNAL_H
 #define BB_PROXY_INTERNAL_H
 
@@ -24,8 +24,6 @@
     BB_HOST_TEXT_BYTES = 64
 };
 
-#define BB_UPSTREAM_REFUSED_FIELD "X-Upstream-Refused"
-
 struct bb_proxy {
     struct bb_proxy_settings settings;
     char host[BB_NAME_BYTES];
@@ -61,8 +59,9 @@
     uint64_t host_key;
     uint64_t incarnation;         /* expected incarnation of the gatekeeper */
     bool is_local;                /* sent to this node's upstream */
-    bool fetches_stored_response; /* only asks for the stored response */
-    bool may_go_elsewhere;        /* may be refused if the upstream is slow */
+    bool fetches_stored_response; /* instead of running the request */
+    bool may_refuse_as_slow;      /* see struct bb_pick_result */
+    /* The last response was a refusal by the gatekeeper's record. */
     bool is_refused_by_record;
     bool has_spun_for_response; /* spun once for the end of a short response */
     bool is_query_retried;      /* before giving the connection up */
@@ -79,8 +78,9 @@
 
 struct bb_outcome {
     enum bb_outcome_kind kind;
-    struct bb_http_call *call;
-    struct bb_stored_response *stored;
+    struct bb_http_call *call;         /* of BB_OUTCOME_RESPONSE */
+    struct bb_stored_response *stored; /* of BB_OUTCOME_STORED */
+    /* Of BB_OUTCOME_REFUSED. */
     enum bb_reason reason;
     enum bb_ran ran;
 };
@@ -95,17 +95,18 @@
     struct bb_headers *headers;
     char *method;
     char *url;
-    int64_t length_bytes;
+    int64_t length_bytes; /* of the body, or BB_LENGTH_CHUNKED */
     struct bb_body *body;
+    /* Of the body. Restarts from 0 when is_discarding is set by a write. */
     uint64_t received_bytes;
     bool is_streaming;  /* the body is forwarded while it arrives */
     bool is_discarding; /* the rest of the body is ignored */
     bool is_counted_in_flight;
-    bool is_forwarded;
+    bool is_forwarded; /* by the entry node; this node is the gatekeeper */
     bool is_idempotent;
-    bool is_keyed; /* the caller sent an idempotency key */
-    bool wants_stored_response;
-    bool may_go_elsewhere; /* set by the entry node of a forwarded request */
+    bool is_keyed;              /* the caller sent an idempotency key */
+    bool wants_stored_response; /* fetches it instead of running the request */
+    bool may_refuse_as_slow; /* set by the entry node of a forwarded request */
     struct bb_request_id idempotency_key; /* of this service */
     uint32_t claim_attempt;               /* of the claim that holds the key */
     const struct bb_endpoint *last_gatekeeper; /* of the last attempt */
@@ -121,8 +122,8 @@
     struct bb_notifier *notifier;
     struct bb_attempt attempts[BB_ATTEMPTS_ACTIVE_MAX];
     uint32_t attempt_count; /* started so far, hedges included */
-    uint32_t hedge_count;
-    uint64_t excluded[BB_PICK_EXCLUDED_MAX]; /* keys of gatekeepers */
+    uint32_t hedge_count;   /* tried, including those without budget */
+    uint64_t excluded[BB_ROUTE_EXCLUDED_MAX]; /* host keys of gatekeepers */
     uint32_t excluded_count;
     /* Why the last retried attempt failed, and whether any failed attempt may
      * have run. */
@@ -145,7 +146,7 @@
 void bb_request_parse_head(struct bb_exchange *x, const char *method);
 const char *bb_id_format(const struct bb_request_id *id,
                          char text[BB_ID_TEXT_BYTES]);
-uint64_t bb_hash_host(const char *host);
+uint64_t bb_host_key(const char *host);
 bool bb_id_parse(const char *text, struct bb_request_id *id);
 
 /* entry.c */
@@ -191,14 +192,15 @@
 void bb_attempt_cancel(struct bb_exchange *x,
                        const struct bb_attempt *attempt);
 
-/* rpc.c: the QUERY, CANCEL and CLAIM procedures */
+/* rpc.c: the QUERY, CANCEL and CLAIM procedures. bb_rpc_query, bb_rpc_cancel
+ * and bb_rpc_claim call another node. bb_exchange_query_gatekeeper and
+ * bb_attempt_cancel also handle the gatekeeper of this node. */
 bool bb_rpc_query(struct bb_exchange *x, const struct bb_attempt *attempt,
                   enum bb_query_result *result);
 void bb_rpc_cancel(struct bb_proxy *p, const struct bb_address *to,
                    const struct bb_request_id *id);
 void bb_rpc_unregister(const struct bb_proxy *p);
-void bb_rpc_cancel_local(struct bb_proxy *p, const struct bb_request_id *id);
-
+void bb_proxy_cancel_local(struct bb_proxy *p, const struct bb_request_id *id);
 bool bb_rpc_claim(struct bb_proxy *p, const struct bb_address *to,
                   const struct bb_request_id *key,
                   const struct bb_claim *claim, uint64_t epoch,
@@ -207,9 +209,10 @@
 /* claim_key.c: claims keys before requests are sent */
 struct bb_outcome bb_exchange_claim_key(struct bb_exchange *x,
                                         struct bb_attempt *attempt);
-bool bb_exchange_query_claim(struct bb_exchange *x,
-                             const struct bb_endpoint *e, uint64_t incarnation,
-                             enum bb_query_result *result);
+bool bb_exchange_query_gatekeeper(struct bb_exchange *x,
+                                  const struct bb_endpoint *e,
+                                  uint64_t incarnation,
+                                  enum bb_query_result *result);
 
 /* response.c */
 enum MHD_Result bb_exchange_respond(struct bb_exchange *x);
--- a/proxy/attempt.c
+++ b/proxy/attempt.c
@@ -9,7 +9,7 @@
 
 enum {
     HTTP_UNAVAILABLE = 503,
-    /* neon's timeout, in whole seconds, must end after the deadline. */
+    /* Makes neon's timeout, in whole seconds, end after the deadline. */
     EXTRA_TIMEOUT_S = 2,
     EXPECT_CONTINUE_MIN_BYTES = 64 * 1024,
     WORKER_WAIT_DIVISOR = 4
@@ -31,13 +31,13 @@
 create_forwarded_headers(const struct bb_exchange *x)
 {
     struct bb_headers *h = bb_headers_create();
-    uint64_t left_us =
+    uint64_t remaining_us =
         bb_deadline_nested_remaining_us(x->deadline_us, bb_clock_now_us());
 
     bb_headers_copy_end_to_end(x->headers, h);
     bb_headers_add(h, BB_HEADER_ID, x->id_text);
     bb_headers_addf(h, BB_HEADER_DEADLINE, "%" PRIu64,
-                    MAX(left_us / BB_US_PER_MS, (uint64_t)1));
+                    MAX(remaining_us / BB_US_PER_MS, (uint64_t)1));
     bb_headers_addf(h, BB_HEADER_DEPTH, "%u", x->depth);
     bb_headers_add(h, "Via", "1.1 baobab");
     return h;
@@ -83,7 +83,8 @@
 common_params(const struct bb_exchange *x, struct bb_headers *h)
 {
     uint64_t now_us = bb_clock_now_us();
-    uint64_t left_us = x->deadline_us > now_us ? x->deadline_us - now_us : 0;
+    uint64_t remaining_us =
+        x->deadline_us > now_us ? x->deadline_us - now_us : 0;
     uint64_t longest_us =
         x->table != NULL
             ? (uint64_t)x->table->longest_timeout_ms * BB_US_PER_MS
@@ -98,8 +99,9 @@
         .is_replayable = !x->is_streaming,
         /* A pooled session keeps its timeout, so the timeout must suit every
          * later call on it. */
-        .read_timeout_s = (uint32_t)(MAX(left_us, longest_us) / BB_US_PER_S) +
-                          EXTRA_TIMEOUT_S,
+        .read_timeout_s =
+            (uint32_t)(MAX(remaining_us, longest_us) / BB_US_PER_S) +
+            EXTRA_TIMEOUT_S,
         .idle_timeout_ms = x->idle_timeout_ms,
         .depth = x->depth,
     };
@@ -112,7 +114,7 @@
 bb_http_call_upstream_refusal(const struct bb_http_call *call)
 {
     const char *text =
-        bb_headers_get(call->headers, BB_UPSTREAM_REFUSED_FIELD);
+        bb_headers_get(call->headers, BB_HEADER_UPSTREAM_REFUSED);
 
     if (call->status != HTTP_UNAVAILABLE || text == NULL) {
         return BB_REASON_NONE;
@@ -142,8 +144,8 @@
 /* Releases the slot when the upstream is done with the request, even if nobody
  * waits for the response any more. */
 static void
-on_call_finished(void *context, const struct bb_http_call *call, bool is_sent,
-                 bool is_whole, GByteArray *body_copy)
+on_call_finished(void *context, const struct bb_http_call *call,
+                 bool is_connected, bool is_complete, GByteArray *body_copy)
 {
     struct bb_slot *slot = context;
     struct bb_gatekeeper *g = slot->gatekeeper;
@@ -151,10 +153,10 @@
     enum bb_slot_result result = BB_SLOT_LOST;
     enum bb_reason reason = BB_REASON_NONE;
 
-    if (!is_sent) {
-        result = BB_SLOT_NOT_SENT;
+    if (!is_connected) {
+        result = BB_SLOT_NOT_CONNECTED;
     }
-    else if (is_whole) {
+    else if (is_complete) {
         reason = bb_http_call_upstream_refusal(call);
         result =
             reason != BB_REASON_NONE ? BB_SLOT_REFUSED : BB_SLOT_COMPLETED;
@@ -189,15 +191,15 @@
 bb_attempt_start_local(struct bb_exchange *x, struct bb_attempt *attempt)
 {
     struct bb_proxy *p = x->proxy;
-    const struct bb_gatekeeper_request gate = {
+    const struct bb_gatekeeper_request gatekeeper_request = {
         .service = x->service_name,
         .id = x->id,
         .is_idempotent = x->is_idempotent,
         .incarnation = x->is_forwarded ? x->incarnation : attempt->incarnation,
         .work_class = x->work_class,
         .deadline_us = x->deadline_us,
-        .may_go_elsewhere =
-            x->is_forwarded ? x->may_go_elsewhere : attempt->may_go_elsewhere,
+        .may_refuse_as_slow = x->is_forwarded ? x->may_refuse_as_slow
+                                              : attempt->may_refuse_as_slow,
     };
     struct bb_http_call_params request;
     struct bb_gatekeeper_result g;
@@ -207,7 +209,7 @@
         return outcome_from_stored(
             bb_gatekeeper_get_stored_response(p->gatekeeper, &x->id));
     }
-    g = bb_gatekeeper_admit(p->gatekeeper, &gate);
+    g = bb_gatekeeper_admit(p->gatekeeper, &gatekeeper_request);
     switch (g.decision) {
     case BB_GATEKEEPER_RUN:
         break;
@@ -225,9 +227,10 @@
     request.copy_max_bytes =
         x->is_idempotent ? 0 : BB_STORED_RESPONSE_MAX_BYTES;
     request.must_read_to_end = !x->is_idempotent;
-    /* The entry node enforces the deadline in milliseconds, so this thread can
-     * wait for the upstream itself. Handing the call to a worker and back
-     * would cost two wake-ups. */
+    /* This thread can wait for the upstream itself, although neon's timeout
+     * has whole seconds only, because the entry node enforces the deadline in
+     * milliseconds. Handing the call to a worker and back would cost two
+     * wake-ups. */
     request.is_inline = x->is_forwarded && !x->is_streaming;
     request.on_finished = on_call_finished;
     request.finished_context = g.slot;
@@ -265,7 +268,7 @@
     else {
         bb_headers_addf(h, BB_HEADER_ATTEMPT, "%u", x->attempt_count);
     }
-    if (attempt->may_go_elsewhere) {
+    if (attempt->may_refuse_as_slow) {
         bb_headers_add(h, BB_HEADER_ELSEWHERE, "1");
     }
     if (!x->is_idempotent) {
@@ -287,8 +290,8 @@
 }
 
 /* Tells the gatekeeper of an attempt that the response is not needed. Only
- * idempotent requests are cancelled: a duplicate of another may still need its
- * response. */
+ * idempotent requests are cancelled: a duplicate of a non-idempotent request
+ * may still need the response. */
 void
 bb_attempt_cancel(struct bb_exchange *x, const struct bb_attempt *attempt)
 {
@@ -296,7 +299,7 @@
         return;
     }
     if (attempt->is_local) {
-        bb_rpc_cancel_local(x->proxy, &x->id);
+        bb_proxy_cancel_local(x->proxy, &x->id);
     }
     else {
         bb_rpc_cancel(x->proxy, &attempt->endpoint->rpc_address, &x->id);
--- a/proxy/entry.c
+++ b/proxy/entry.c
@@ -13,7 +13,9 @@
      * sleeping. Short responses are complete within this time. */
     RESPONSE_SPIN_US = 60,
     CALLER_CHECK_INTERVAL_US = 50 * BB_US_PER_MS,
-    LINK_OVERHEAD_BYTES = 4096 /* header fields and a typical response */
+    /* For the budget of the paid link: header fields and a typical response.
+     * The request's body is added to it. */
+    LINK_OVERHEAD_BYTES = 4096
 };
 
 BB_COUNTER(callers_gone_total, "baobab_callers_gone_total",
@@ -21,8 +23,9 @@
 
 enum event { EVENT_TIMER, EVENT_SENDING, EVENT_ATTEMPT };
 
-/* Sets the outcome to a refusal. It reports "not run" only if no earlier
- * attempt may have run. */
+/* Sets the outcome to a refusal once attempts may have started; see
+ * bb_exchange_refuse. It reports "not run" only if no earlier attempt may have
+ * run. */
 void
 bb_entry_refuse(struct bb_exchange *x, enum bb_reason reason, enum bb_ran ran)
 {
@@ -119,11 +122,12 @@
     x->outcome.stored = NULL;
 }
 
-/* Excludes a gatekeeper from later picks of this request. */
+/* Excludes a gatekeeper from later picks of this request. Does nothing if
+ * BB_ROUTE_EXCLUDED_MAX are excluded already. */
 void
 bb_entry_exclude_gatekeeper(struct bb_exchange *x, uint64_t host_key)
 {
-    if (x->excluded_count < BB_PICK_EXCLUDED_MAX) {
+    if (x->excluded_count < BB_ROUTE_EXCLUDED_MAX) {
         x->excluded[x->excluded_count++] = host_key;
     }
 }
@@ -136,7 +140,7 @@
 {
     const struct bb_table_service *s = x->service;
     struct bb_pick_target *targets =
-        g_new(struct bb_pick_target, s->usable_count);
+        g_new(struct bb_pick_target, s->usable_gatekeeper_count);
     struct bb_pick_request q = {
         .service = x->service_name,
         .targets = targets,
@@ -150,12 +154,12 @@
         .random_bits = bb_random_u64(x->proxy->random),
     };
     const struct bb_endpoint *chosen = NULL;
-    struct bb_pick_result a;
+    struct bb_pick_result result;
 
     memcpy(q.excluded, x->excluded, sizeof(q.excluded));
-    for (uint32_t i = 0; i < s->usable_count; i++) {
-        const struct bb_endpoint *e = &s->usable_endpoints[i];
-        uint64_t host_key = bb_hash_host(e->host);
+    for (uint32_t i = 0; i < s->usable_gatekeeper_count; i++) {
+        const struct bb_endpoint *e = &s->usable_gatekeepers[i];
+        uint64_t host_key = bb_host_key(e->host);
 
         targets[q.target_count++] = (struct bb_pick_target){
             .host_key = host_key, .distance = e->distance, .slots = e->slots};
@@ -164,24 +168,24 @@
         }
         /* A hedge must not wait in this node's queue. */
         if (is_hedge && e->is_local &&
-            q.excluded_count < BB_PICK_EXCLUDED_MAX) {
+            q.excluded_count < BB_ROUTE_EXCLUDED_MAX) {
             q.excluded[q.excluded_count++] = host_key;
         }
     }
     attempt->start_us = bb_clock_now_us();
-    a = bb_picker_pick(x->proxy->picker, &q, attempt->start_us);
-    *reason = a.reason;
-    if (a.index >= 0) {
-        chosen = &s->usable_endpoints[a.index];
-        attempt->host_key = targets[a.index].host_key;
-        attempt->may_go_elsewhere = a.may_go_elsewhere;
+    result = bb_picker_pick(x->proxy->picker, &q, attempt->start_us);
+    *reason = result.reason;
+    if (result.index >= 0) {
+        chosen = &s->usable_gatekeepers[result.index];
+        attempt->host_key = targets[result.index].host_key;
+        attempt->may_refuse_as_slow = result.may_refuse_as_slow;
     }
     g_free(targets);
     return chosen;
 }
 
 /* Returns whether a keyed request may be retried at another gatekeeper. A
- * claim that was not granted can be repeated. A granted one can only move once
+ * claim that was not granted can be retried. A granted one can only move once
  * its gatekeeper has refused the request permanently. If that gatekeeper
  * restarted, it is unknown whether the request ran, and *reason and *ran are
  * set to say so. */
@@ -195,8 +199,8 @@
         return true;
     }
     if (x->last_gatekeeper == NULL ||
-        !bb_exchange_query_claim(x, x->last_gatekeeper, x->last_incarnation,
-                                 &result)) {
+        !bb_exchange_query_gatekeeper(x, x->last_gatekeeper,
+                                      x->last_incarnation, &result)) {
         return false;
     }
     if (result == BB_QUERY_OTHER_INCARNATION) {
@@ -431,7 +435,7 @@
     case BB_HTTP_CALL_LOST:
         bb_entry_on_connection_lost(x, attempt);
         break;
-    case BB_HTTP_CALL_NOT_SENT:
+    case BB_HTTP_CALL_NOT_CONNECTED:
         bb_entry_finish_attempt(x, attempt, BB_ATTEMPT_NOT_CONNECTED);
         bb_entry_retry_or_refuse(x, host_key, BB_REASON_CONNECT_FAILED,
                                  BB_RAN_NO, false);
--- a/proxy/hedge.c
+++ b/proxy/hedge.c
@@ -16,7 +16,7 @@
     if (x->is_forwarded || !x->is_idempotent || x->body != NULL ||
         bb_entry_active_attempts(x) != 1 ||
         x->hedge_count >= x->route->hedge_limit ||
-        x->service->usable_count < 2) {
+        x->service->usable_gatekeeper_count < 2) {
         return false;
     }
     *q = (struct bb_hedge_request){
@@ -47,7 +47,7 @@
     if (!bb_entry_can_hedge(x, &q, &at_us) || bb_clock_now_us() < at_us) {
         return;
     }
-    x->hedge_count++; /* tried once, even if the budget refuses it */
+    x->hedge_count++; /* counts even if the budget refuses it */
     if (!bb_picker_try_hedge(x->proxy->picker, &q)) {
         return;
     }
--- a/proxy/picker.c
+++ b/proxy/picker.c
@@ -11,7 +11,7 @@
 #include "decide/retry.h"
 #include "decide/route_pick.h"
 
-/* State of one service. Candidates follow the targets of the last pick. */
+/* State of one service, with a candidate for each target of the last pick. */
 struct service {
     struct bb_route_state route;
     struct bb_outliers outliers;
@@ -31,7 +31,7 @@
 };
 
 enum {
-    TICK_US = 10 * BB_US_PER_MS,
+    OUTLIER_TICK_INTERVAL_US = 10 * BB_US_PER_MS,
     DEFAULT_RETRY_PERCENT = 20,
     DEFAULT_HEDGE_PERCENT = 5,
     DEFAULT_MAX_EJECTED_PERCENT = 34
@@ -47,8 +47,8 @@
     g_free(s);
 }
 
-/* Creates a picker with a registered routing policy and the default budgets.
- * policy must name a registered plugin. */
+/* Creates a picker with the default budgets. policy must name a registered
+ * routing policy. No calls go to another region until bb_picker_configure. */
 struct bb_picker *
 bb_picker_create(const char *policy)
 {
@@ -84,8 +84,8 @@
     void *value;
 
     (void)pthread_mutex_lock(&p->lock);
-    bb_retry_budget_configure(&p->retry_budget, l->retry_percent);
-    bb_retry_budget_configure(&p->hedge_budget, l->hedge_percent);
+    bb_retry_budget_configure(&p->retry_budget, l->retry_budget_percent);
+    bb_retry_budget_configure(&p->hedge_budget, l->hedge_budget_percent);
     bb_link_budget_configure(&p->link_budget, l->link_bytes_per_s,
                              bb_clock_now_us());
     p->max_ejected_percent = l->max_ejected_percent;
@@ -148,7 +148,7 @@
 sync_candidates(struct service *s, const struct bb_pick_request *q,
                 const struct bb_candidate **out, uint64_t now_us)
 {
-    if (now_us - s->last_tick_us > TICK_US) {
+    if (now_us - s->last_tick_us > OUTLIER_TICK_INTERVAL_US) {
         bb_outliers_tick(&s->outliers, now_us);
         s->last_tick_us = now_us;
     }
@@ -207,7 +207,7 @@
 
         bb_candidate_start(find_candidate(s, host_key));
         bb_outlier_start(&s->outliers, host_key, q->work_class, now_us);
-        result.may_go_elsewhere =
+        result.may_refuse_as_slow =
             q->can_retry && limited.target_count > 1 &&
             bb_retry_budget_has_token(&p->retry_budget) &&
             bb_outlier_may_refuse_as_slow(&s->outliers, host_key);
@@ -243,7 +243,9 @@
     }
 }
 
-/* Records the result of an attempt that bb_picker_pick started. */
+/* Records the result of an attempt that bb_picker_pick started. start_us must
+ * be the now_us passed to bb_picker_pick, by which outlier detection finds the
+ * attempt. */
 void
 bb_picker_finish_attempt(struct bb_picker *p, const char *service,
                          uint64_t host_key, enum bb_admission_class work_class,
@@ -314,9 +316,9 @@
     (void)pthread_mutex_unlock(&p->lock);
 }
 
-/* Returns whether a refused or failed attempt is retried, which takes a token
- * from the retry budget. Sets *delay_us to the delay before the retry, and
- * *reason to the reason to report if there is none. */
+/* Returns whether a refused or failed attempt is retried, and if so takes a
+ * token from the retry budget. Sets *delay_us to the delay before the retry,
+ * and *reason to the reason to report if there is none. */
 bool
 bb_picker_try_retry(struct bb_picker *p, const struct bb_retry_request *q,
                     uint64_t *delay_us, enum bb_reason *reason)
@@ -330,21 +332,21 @@
         .remaining_us = q->remaining_us,
         .random_bits = q->random_bits,
     };
-    struct bb_retry_decision a;
+    struct bb_retry_decision decision;
 
     (void)pthread_mutex_lock(&p->lock);
     r.expected_us = bb_duration_stats_median_us(
         &get_service(p, q->service)->latency[q->work_class], 0);
-    a = bb_retry_decide(&r, &p->retry_budget);
+    decision = bb_retry_decide(&r, &p->retry_budget);
     (void)pthread_mutex_unlock(&p->lock);
-    *delay_us = a.delay_us;
-    *reason = a.reason;
-    return a.is_allowed;
+    *delay_us = decision.delay_us;
+    *reason = decision.reason;
+    return decision.is_allowed;
 }
 
-/* Converts a hedge request to that of the decision module. */
+/* Converts a hedge request to struct bb_pending_request. */
 static struct bb_pending_request
-to_hedge_attempt(const struct bb_hedge_request *q)
+to_pending_request(const struct bb_hedge_request *q)
 {
     return (struct bb_pending_request){
         .is_idempotent = q->is_idempotent,
@@ -362,7 +364,7 @@
 uint64_t
 bb_picker_hedge_delay_us(struct bb_picker *p, const struct bb_hedge_request *q)
 {
-    struct bb_pending_request h = to_hedge_attempt(q);
+    struct bb_pending_request h = to_pending_request(q);
     uint64_t delay_us;
 
     (void)pthread_mutex_lock(&p->lock);
@@ -372,12 +374,13 @@
     return delay_us;
 }
 
-/* Returns whether a second attempt is sent now, which takes a token from the
- * hedge budget. */
+/* Returns whether a second attempt may be sent now, and if so takes a token
+ * from the hedge budget. To be called once the delay of
+ * bb_picker_hedge_delay_us has passed. */
 bool
 bb_picker_try_hedge(struct bb_picker *p, const struct bb_hedge_request *q)
 {
-    struct bb_pending_request h = to_hedge_attempt(q);
+    struct bb_pending_request h = to_pending_request(q);
     bool is_allowed;
 
     (void)pthread_mutex_lock(&p->lock);
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -10,9 +10,9 @@
 #include "proxy/internal.h"
 
 enum {
-    /* Far more than the slots a node can use: under overload, gatekeepers must
-     * decide by deadline, rather than workers by the order in which they
-     * become free. */
+    /* More than the slots of a typical upstream: under overload, requests must
+     * queue at gatekeepers, which decide by deadline, and not wait for workers
+     * in the order in which these become free. */
     DEFAULT_DEPTH_ZERO_MAX = 256,
     DEFAULT_EXTRA_PER_DEPTH = 16,
     DEFAULT_DETACHED_MAX = 64,
@@ -186,7 +186,8 @@
     return d;
 }
 
-/* Starts both HTTP servers. */
+/* Starts both HTTP servers. Returns false with BB_PROXY_ERROR_START if one
+ * cannot listen. */
 static bool
 start_daemons(struct bb_proxy *p, struct bb_error *e)
 {
@@ -235,14 +236,14 @@
 bb_proxy_create(const struct bb_proxy_settings *s, struct bb_error *e)
 {
     struct bb_proxy *p = g_new0(struct bb_proxy, 1);
-    struct bb_gatekeeper_settings gate;
+    struct bb_gatekeeper_settings gatekeeper_settings;
 
     p->settings = *s;
     set_defaults(&p->settings);
     (void)g_strlcpy(p->host, s->host, sizeof(p->host));
     (void)g_strlcpy(p->zone, s->zone, sizeof(p->zone));
     (void)g_strlcpy(p->region, s->region, sizeof(p->region));
-    gate = (struct bb_gatekeeper_settings){
+    gatekeeper_settings = (struct bb_gatekeeper_settings){
         .incarnation = s->incarnation,
         .record_entries = p->settings.record_entries,
         .retention_s = p->settings.retention_s,
@@ -262,14 +263,14 @@
     p->picker = bb_picker_create(s->routing_policy != NULL ? s->routing_policy
                                                            : "least_wait");
     p->claims =
-        bb_claims_create(bb_hash_host(p->host), p->settings.record_entries,
+        bb_claims_create(bb_host_key(p->host), p->settings.record_entries,
                          p->settings.retention_s, s->restarted_without_data);
-    p->gatekeeper = bb_gatekeeper_create(&gate);
+    p->gatekeeper = bb_gatekeeper_create(&gatekeeper_settings);
     if (!start_daemons(p, e)) {
         goto fail;
     }
     if (pthread_create(&p->tick_thread, NULL, run_ticks, p) != 0) {
-        bb_error_set(e, BB_PROXY_ERROR_START, "cannot start the timer thread");
+        bb_error_set(e, BB_PROXY_ERROR_START, "cannot start the tick thread");
         goto fail;
     }
     p->has_tick_thread = true;
@@ -293,23 +294,23 @@
     return p->local_address;
 }
 
-/* Closes idle connections to gatekeepers that are missing in the new table. A
- * host that has left would neither respond on them nor answer queries about a
- * request. */
+/* Closes idle connections to gatekeepers that are no longer usable in the new
+ * table. A host that has left would neither respond on them nor to queries
+ * about a request. */
 static void
-close_removed_peers(struct bb_proxy *p, const struct bb_table *old,
-                    const struct bb_table *t)
+close_unusable_peers(struct bb_proxy *p, const struct bb_table *old,
+                     const struct bb_table *t)
 {
     for (uint16_t i = 0; i < old->service_count; i++) {
         const struct bb_table_service *s = &old->services[i];
         const struct bb_table_service *n =
             bb_table_find_service(t, s->settings.name);
 
-        for (uint32_t k = 0; k < s->usable_count; k++) {
-            if (n == NULL || bb_table_find_endpoint(
-                                 n, s->usable_endpoints[k].host) == NULL) {
+        for (uint32_t k = 0; k < s->usable_gatekeeper_count; k++) {
+            if (n == NULL || bb_table_find_usable_gatekeeper(
+                                 n, s->usable_gatekeepers[k].host) == NULL) {
                 bb_http_client_close_idle(
-                    p->client, &s->usable_endpoints[k].http_address);
+                    p->client, &s->usable_gatekeepers[k].http_address);
             }
         }
     }
@@ -321,8 +322,8 @@
 bb_proxy_set_table(struct bb_proxy *p, struct bb_table *t)
 {
     const struct bb_picker_limits limits = {
-        .retry_percent = t->limits.retry_budget_percent,
-        .hedge_percent = t->limits.hedge_budget_percent,
+        .retry_budget_percent = t->limits.retry_budget_percent,
+        .hedge_budget_percent = t->limits.hedge_budget_percent,
         .max_ejected_percent = t->limits.max_ejected_percent,
         .link_bytes_per_s = t->limits.link_bytes_per_s,
     };
@@ -332,15 +333,16 @@
     bb_picker_configure(p->picker, &limits);
     bb_gatekeeper_configure(p->gatekeeper, t);
     if (old != NULL) {
-        close_removed_peers(p, old, t);
+        close_unusable_peers(p, old, t);
         bb_table_unref(old);
     }
     bb_current_table_set(p->current_table, t);
 }
 
-/* Sets the agreed roster of a service. Must be called after the table of the
- * same revision is set. The roster lists hosts as bb_hash64 of their names
- * with seed 0. Without a roster, requests with an idempotency key are refused,
+/* Sets the agreed roster of a service, which lists hosts by host key
+ * (bb_roster_hash_host of their names). Must be called after the table of the
+ * same revision is set, from which it takes the retention time of the service.
+ * Without a roster, requests with an idempotency key are refused,
  * because nothing could prevent them from running twice. */
 void
 bb_proxy_set_roster(struct bb_proxy *p, const char *service,
@@ -370,9 +372,10 @@
     return atomic_load(&p->in_flight);
 }
 
-/* Refuses new requests and waits up to timeout_ms for those in flight. Returns
- * false if some are left. Otherwise closes all connections of callers, keeps
- * answering queries of other nodes for a second, and returns true. */
+/* Refuses new requests, except nested calls, and waits up to timeout_ms for
+ * those in flight. Returns false if some are left; it may then be called
+ * again. Otherwise closes all connections of callers, keeps responding to
+ * queries of other nodes for a second, and returns true. */
 bool
 bb_proxy_drain(struct bb_proxy *p, uint32_t timeout_ms)
 {
@@ -401,7 +404,7 @@
 void
 bb_proxy_destroy(struct bb_proxy *p)
 {
-    bool is_free;
+    bool have_workers_ended;
 
     if (p == NULL) {
         return;
@@ -418,12 +421,14 @@
     if (p->caller_daemon != NULL) {
         MHD_stop_daemon(p->caller_daemon);
     }
-    is_free = bb_workers_destroy(p->workers, WORKER_EXIT_TIMEOUT_MS);
-    is_free &= bb_workers_destroy(p->upstream_workers, WORKER_EXIT_TIMEOUT_MS);
+    have_workers_ended =
+        bb_workers_destroy(p->workers, WORKER_EXIT_TIMEOUT_MS);
+    have_workers_ended &=
+        bb_workers_destroy(p->upstream_workers, WORKER_EXIT_TIMEOUT_MS);
     bb_current_table_destroy(p->current_table);
     bb_picker_destroy(p->picker);
     bb_random_destroy(p->random);
-    if (is_free) {
+    if (have_workers_ended) {
         bb_http_client_destroy(p->client);
         bb_http_client_destroy(p->upstream_client);
         bb_gatekeeper_destroy(p->gatekeeper);
--- a/proxy/rpc.c
+++ b/proxy/rpc.c
@@ -7,16 +7,19 @@
 #include "peer_protocol.h"
 #include "proxy/internal.h"
 
-enum { QUERY_TIMEOUT_MS = 400, CANCEL_TIMEOUT_MS = 500 };
+enum {
+    CALL_TIMEOUT_MS = 400, /* of QUERY and CLAIM */
+    CANCEL_TIMEOUT_MS = 500
+};
 
 static _Atomic(struct bb_proxy *) registered_proxy;
 
-/* Serves QUERY. */
+/* Serves QUERY: returns the state of a request at this node's gatekeeper. */
 static void
 serve_query(struct bb_proxy *p, SVCXPRT *transport)
 {
     bb_peer_query q = {0};
-    bb_peer_query_response a = {0};
+    bb_peer_query_response response = {0};
     struct bb_request_id id;
 
     if (!svc_getargs(transport, (xdrproc_t)xdr_bb_peer_query, (char *)&q)) {
@@ -24,35 +27,37 @@
         return;
     }
     memcpy(id.bytes, q.id, sizeof(id.bytes));
-    a.result = (u_int)bb_gatekeeper_query(p->gatekeeper, &id, q.incarnation);
+    response.result =
+        (u_int)bb_gatekeeper_query(p->gatekeeper, &id, q.incarnation);
     (void)svc_sendreply(transport, (xdrproc_t)xdr_bb_peer_query_response,
-                        (char *)&a);
+                        (char *)&response);
 }
 
-/* Serves CANCEL. */
+/* Serves CANCEL: cancels a request at this node's gatekeeper. The reply only
+ * says that the call was received. */
 static void
 serve_cancel(struct bb_proxy *p, SVCXPRT *transport)
 {
     bb_peer_id raw = {0};
     struct bb_request_id id;
-    bool_t is_taken = TRUE;
+    bool_t is_received = TRUE;
 
     if (!svc_getargs(transport, (xdrproc_t)xdr_bb_peer_id, (char *)raw)) {
         svcerr_decode(transport);
         return;
     }
     memcpy(id.bytes, raw, sizeof(id.bytes));
-    bb_rpc_cancel_local(p, &id);
-    (void)svc_sendreply(transport, (xdrproc_t)xdr_bool, (char *)&is_taken);
+    bb_proxy_cancel_local(p, &id);
+    (void)svc_sendreply(transport, (xdrproc_t)xdr_bool, (char *)&is_received);
 }
 
-/* Serves CLAIM. */
+/* Serves CLAIM: processes a claim at this node's witness. */
 static void
 serve_claim(struct bb_proxy *p, SVCXPRT *transport)
 {
     bb_peer_claim c = {0};
-    bb_peer_claim_response out = {0};
-    struct bb_witness_response a;
+    bb_peer_claim_response reply = {0};
+    struct bb_witness_response response;
     struct bb_request_id key;
     struct bb_claim claim;
 
@@ -65,15 +70,15 @@
                               .gatekeeper = c.gatekeeper,
                               .incarnation = c.incarnation};
     memcpy(claim.request.bytes, c.id, sizeof(c.id));
-    a = bb_claims_process_claim(p->claims, &key, &claim, c.epoch);
-    out.result = (u_int)a.result;
-    out.epoch = a.epoch;
-    out.attempt = a.held.attempt;
-    out.gatekeeper = a.held.gatekeeper;
-    out.incarnation = a.held.incarnation;
-    memcpy(out.id, a.held.request.bytes, sizeof(out.id));
+    response = bb_claims_process_claim(p->claims, &key, &claim, c.epoch);
+    reply.result = (u_int)response.result;
+    reply.epoch = response.epoch;
+    reply.attempt = response.held.attempt;
+    reply.gatekeeper = response.held.gatekeeper;
+    reply.incarnation = response.held.incarnation;
+    memcpy(reply.id, response.held.request.bytes, sizeof(reply.id));
     (void)svc_sendreply(transport, (xdrproc_t)xdr_bb_peer_claim_response,
-                        (char *)&out);
+                        (char *)&reply);
 }
 
 /* Dispatches a call to its procedure. */
@@ -127,15 +132,16 @@
     (void)atomic_compare_exchange_strong(&registered_proxy, &expected, NULL);
 }
 
-/* Queries the gatekeeper of an attempt for the state of the request, on a new
- * connection. Returns false if there was no valid answer. */
+/* Queries the gatekeeper of an attempt at another node for the state of the
+ * request. Uses a new connection. Returns false if there was no valid
+ * response. */
 bool
 bb_rpc_query(struct bb_exchange *x, const struct bb_attempt *attempt,
              enum bb_query_result *result)
 {
     bb_peer_query q = {.incarnation = x->is_idempotent ? BB_INCARNATION_ANY
                                                        : attempt->incarnation};
-    bb_peer_query_response a = {0};
+    bb_peer_query_response response = {0};
     const struct bb_rpc_call call = {
         .program = BB_PEER_PROGRAM,
         .version = BB_PEER_VERSION,
@@ -143,8 +149,8 @@
         .argument_codec = (xdrproc_t)xdr_bb_peer_query,
         .argument = &q,
         .result_codec = (xdrproc_t)xdr_bb_peer_query_response,
-        .result = &a,
-        .timeout_ms = QUERY_TIMEOUT_MS,
+        .result = &response,
+        .timeout_ms = CALL_TIMEOUT_MS,
         .use_new_connection = true,
     };
     struct bb_error e = {0};
@@ -153,15 +159,15 @@
     if (x->proxy->settings.rpc == NULL ||
         !bb_rpc_pool_call(x->proxy->settings.rpc,
                           &attempt->endpoint->rpc_address, &call, &e) ||
-        a.result > BB_QUERY_FULL) {
+        response.result > BB_QUERY_FULL) {
         return false;
     }
-    *result = (enum bb_query_result)a.result;
+    *result = (enum bb_query_result)response.result;
     return true;
 }
 
 /* Sends a claim to the witness at another node. Returns false if there was no
- * valid answer. */
+ * valid response. */
 bool
 bb_rpc_claim(struct bb_proxy *p, const struct bb_address *to,
              const struct bb_request_id *key, const struct bb_claim *claim,
@@ -173,7 +179,7 @@
         .incarnation = claim->incarnation,
         .epoch = epoch,
     };
-    bb_peer_claim_response a = {0};
+    bb_peer_claim_response reply = {0};
     const struct bb_rpc_call call = {
         .program = BB_PEER_PROGRAM,
         .version = BB_PEER_VERSION,
@@ -181,25 +187,25 @@
         .argument_codec = (xdrproc_t)xdr_bb_peer_claim,
         .argument = &c,
         .result_codec = (xdrproc_t)xdr_bb_peer_claim_response,
-        .result = &a,
-        .timeout_ms = QUERY_TIMEOUT_MS,
+        .result = &reply,
+        .timeout_ms = CALL_TIMEOUT_MS,
     };
 
     memcpy(c.key, key->bytes, sizeof(c.key));
     memcpy(c.id, claim->request.bytes, sizeof(c.id));
     if (p->settings.rpc == NULL ||
         !bb_rpc_pool_call(p->settings.rpc, to, &call, NULL) ||
-        a.result >= BB_WITNESS_UNREACHABLE) {
+        reply.result >= BB_WITNESS_UNREACHABLE) {
         return false;
     }
     *out = (struct bb_witness_response){
-        .result = (enum bb_witness_result)a.result,
-        .epoch = a.epoch,
-        .held = {.attempt = a.attempt,
-                 .gatekeeper = a.gatekeeper,
-                 .incarnation = a.incarnation},
+        .result = (enum bb_witness_result)reply.result,
+        .epoch = reply.epoch,
+        .held = {.attempt = reply.attempt,
+                 .gatekeeper = reply.gatekeeper,
+                 .incarnation = reply.incarnation},
     };
-    memcpy(out->held.request.bytes, a.id, sizeof(a.id));
+    memcpy(out->held.request.bytes, reply.id, sizeof(reply.id));
     return true;
 }
 
@@ -216,7 +222,7 @@
 run_cancel(void *context)
 {
     struct cancellation *c = context;
-    bool_t is_taken = FALSE;
+    bool_t is_received = FALSE;
     const struct bb_rpc_call call = {
         .program = BB_PEER_PROGRAM,
         .version = BB_PEER_VERSION,
@@ -224,7 +230,7 @@
         .argument_codec = (xdrproc_t)xdr_bb_peer_id,
         .argument = c->id,
         .result_codec = (xdrproc_t)xdr_bool,
-        .result = &is_taken,
+        .result = &is_received,
         .timeout_ms = CANCEL_TIMEOUT_MS,
     };
 
@@ -250,7 +256,7 @@
     c->rpc_address = *to;
     memcpy(c->id, id->bytes, sizeof(c->id));
     c->work = (struct bb_work){
-        .run = run_cancel, .context = c, .depth = BB_DEPTH_MAX};
+        .run = run_cancel, .context = c, .depth = BB_CALL_DEPTH_MAX};
     if (!bb_workers_submit(p->workers, &c->work, bb_clock_now_us())) {
         g_free(c);
     }
@@ -259,7 +265,7 @@
 /* Cancels a request at this node's gatekeeper: in its queue, or at the
  * upstream without waiting for the result. */
 void
-bb_rpc_cancel_local(struct bb_proxy *p, const struct bb_request_id *id)
+bb_proxy_cancel_local(struct bb_proxy *p, const struct bb_request_id *id)
 {
     struct bb_address upstream;
     struct bb_http_call_params request;
@@ -283,7 +289,7 @@
         .read_timeout_s = 1,
         .idle_timeout_ms = CANCEL_TIMEOUT_MS,
         .use_new_connection = true,
-        .depth = BB_DEPTH_MAX,
+        .depth = BB_CALL_DEPTH_MAX,
     };
     bb_http_call_release(
         bb_http_call_start(p->client, &request, n, bb_clock_now_us()));
--- a/proxy/table.c
+++ b/proxy/table.c
@@ -43,7 +43,7 @@
     return true;
 }
 
-/* Creates the endpoint of a member, with its distance to this node. */
+/* Creates the endpoint of a member, with its distance from this node. */
 static struct bb_endpoint
 make_endpoint(const struct bb_member *m,
               const struct bb_node_location *location)
@@ -64,7 +64,7 @@
     return e;
 }
 
-/* Initialises a service with its gatekeepers and usable endpoints. */
+/* Initialises a service with its gatekeepers. */
 static void
 build_service(struct bb_table_service *out, const struct bb_config *c,
               uint16_t index, const struct bb_member *members, size_t count,
@@ -79,7 +79,7 @@
         (void)g_strlcpy(out->team, c->teams[s->team].name, sizeof(out->team));
         out->team_max_in_flight = c->teams[s->team].max_in_flight;
     }
-    out->usable_endpoints = g_new0(struct bb_endpoint, count);
+    out->usable_gatekeepers = g_new0(struct bb_endpoint, count);
     out->gatekeepers = g_new0(struct bb_endpoint, count);
     for (size_t i = 0; i < count; i++) {
         if (strcmp(members[i].service, s->name) != 0 ||
@@ -89,13 +89,14 @@
         out->gatekeepers[out->gatekeeper_count++] =
             make_endpoint(&members[i], location);
         if (is_usable_member(c, &members[i])) {
-            out->usable_endpoints[out->usable_count++] =
+            out->usable_gatekeepers[out->usable_gatekeeper_count++] =
                 make_endpoint(&members[i], location);
         }
     }
 }
 
-/* Builds a table with one reference. The arguments are copied. */
+/* Builds a table with one reference from a configuration and `count` members,
+ * none of which it refers to afterwards. */
 struct bb_table *
 bb_table_build(const struct bb_config *c, const struct bb_member *members,
                size_t count, const struct bb_node_location *location)
@@ -117,7 +118,7 @@
 
         t->longest_timeout_ms = MAX(t->longest_timeout_ms, r->timeout_ms);
         if (r->service < t->service_count &&
-            t->services[r->service].usable_count > 0) {
+            t->services[r->service].usable_gatekeeper_count > 0) {
             t->routes[t->route_count++] = *r;
         }
     }
@@ -164,13 +165,14 @@
     return NULL;
 }
 
-/* Returns the endpoint of a host, or NULL. */
+/* Returns the usable gatekeeper at a host, or NULL if there is none. */
 const struct bb_endpoint *
-bb_table_find_endpoint(const struct bb_table_service *s, const char *host)
+bb_table_find_usable_gatekeeper(const struct bb_table_service *s,
+                                const char *host)
 {
-    for (uint32_t i = 0; i < s->usable_count; i++) {
-        if (strcmp(s->usable_endpoints[i].host, host) == 0) {
-            return &s->usable_endpoints[i];
+    for (uint32_t i = 0; i < s->usable_gatekeeper_count; i++) {
+        if (strcmp(s->usable_gatekeepers[i].host, host) == 0) {
+            return &s->usable_gatekeepers[i];
         }
     }
     return NULL;
@@ -190,7 +192,7 @@
         return;
     }
     for (uint16_t i = 0; i < t->service_count; i++) {
-        g_free(t->services[i].usable_endpoints);
+        g_free(t->services[i].usable_gatekeepers);
         g_free(t->services[i].gatekeepers);
     }
     g_free(t->services);
@@ -235,8 +237,9 @@
     return c;
 }
 
-/* Makes a table the current one and takes over the caller's reference. Blocks
- * until no reader can still be taking a reference to the previous table. */
+/* Makes a table the current one and takes over the caller's reference. NULL is
+ * allowed. Blocks until no reader can still be taking a reference to the
+ * previous table. */
 void
 bb_current_table_set(struct bb_current_table *c, struct bb_table *t)
 {
@@ -249,7 +252,8 @@
     bb_table_unref(old);
 }
 
-/* Returns a new reference to the current table, or NULL. */
+/* Returns a new reference to the current table, or NULL. Can be called by any
+ * thread, which it registers as an RCU reader. */
 struct bb_table *
 bb_current_table_get(struct bb_current_table *c)
 {
