path: say response and retry throughout

Two comments on constants (BB_ENTRY_REFUSAL_GRACE_MS, BB_GATE_CONNECT_TIMEOUT_MS) gave derived reasons; these are gone. Comments and test titles only.

--- a/include/path/dialect.h
+++ b/include/path/dialect.h
@@ -21,16 +21,16 @@
                               has an unknown value */
 };
 
-/* Names of the header fields of requests and answers. */
+/* Names of the header fields of requests and responses. */
 struct bb_dialect_fields {
     const char *request_id;
-    const char *deadline_ms;       /* time left to answer, not a date */
-    const char *seal;              /* marks an answer as the upstream's own */
+    const char *deadline_ms; /* time left for the response, not a date */
+    const char *seal;        /* marks a response that the upstream made */
     const char *expected_upstream; /* only this upstream may run the request */
     const char *not_run;           /* the upstream did not run the request */
     const char *base_version;   /* version that a new configuration replaces */
     const char *caller_service; /* service of the caller's host */
-    const char *upstream_id;    /* id of the upstream that answers */
+    const char *upstream_id;    /* id of the upstream that responds */
 };
 
 /* HTTP requests that the platform sends to Baobab itself. */
@@ -79,9 +79,9 @@
      * gives back, or NULL and sets the error. */
     struct bb_rules *(*decode_rules)(const char *body, size_t size_bytes,
                                      struct bb_error *e);
-    const char *content_type;         /* of bodies in answers */
-    const char *acknowledgement_body; /* answer to accepted announcements,
-                                         withdrawals */
+    const char *content_type;         /* of bodies in responses */
+    const char *acknowledgement_body; /* response to accepted announcements
+                                         and withdrawals */
 };
 
 #endif
--- a/include/path/directory.h
+++ b/include/path/directory.h
@@ -31,7 +31,7 @@
 struct bb_service_record {
     char *name;
     GPtrArray *gates; /* struct bb_gate_record, owned by the directory */
-    struct bb_retry_window retry_window; /* repeats against the retry budget */
+    struct bb_retry_window retry_window; /* retries against the retry budget */
 };
 
 struct bb_directory *bb_directory_create(const char *gate, const char *zone,
--- a/include/path/entry.h
+++ b/include/path/entry.h
@@ -1,5 +1,5 @@
-/* The entry: a proxy for the callers on its host. Finds route, service and
- * gate of each request and answers it exactly once. */
+/* The entry: a proxy for the callers on its host. Finds the route, the service
+ * and the gate of each request and responds to it exactly once. */
 #ifndef BB_PATH_ENTRY_H
 #define BB_PATH_ENTRY_H
 
@@ -16,7 +16,7 @@
 
 enum {
     /* Allows for several round trips between regions. Needed since a host
-     * without power does not refuse a connection, but never answers. */
+     * without power does not refuse a connection, but never responds. */
     BB_ENTRY_CONNECT_TIMEOUT_MS = 200,
     /* Idle time after which a connection to a gate is not used again; gates
      * close idle ones after a minute. */
@@ -27,17 +27,15 @@
     BB_ENTRY_ATTEMPTS_MAX = 8,
     /* Deadline of a request that states none, and upper bound of others. */
     BB_ENTRY_DEADLINE_MAX_MS = 30000,
-    /* Time reserved for the answer's way back from the gate, by distance. */
+    /* Time reserved for the response's way back from the gate, by distance. */
     BB_ENTRY_RETURN_SAME_ZONE_MS = 2,
     BB_ENTRY_RETURN_SAME_REGION_MS = 5,
     BB_ENTRY_RETURN_OTHER_REGION_MS = 30,
     /* How long after a route's timeout the entry still waits for the gate to
-     * state that the request did not run. Longer than twice
-     * BB_ENTRY_RETURN_OTHER_REGION_MS, so that this also arrives from another
-     * region. */
+     * state that the request did not run. */
     BB_ENTRY_REFUSAL_GRACE_MS = 80,
     /* No further attempt with less time left than this: it would take a slot
-     * but seldom be answered in time. */
+     * but seldom get a response in time. */
     BB_ENTRY_ATTEMPT_MIN_MS = 20,
     /* Bounds of the expected wait that a refused caller gets as Retry-After,
      * before up to half of it is added at random. */
--- a/include/path/gate.h
+++ b/include/path/gate.h
@@ -29,21 +29,20 @@
 #define BB_FIELD_FAILED "Baobab-Failed"
 
 enum {
-    /* The upstream is on the same host and accepts at once if it works; until
-     * the timeout the request holds a slot. */
+    /* For connecting to the upstream, which is on the same host. The request
+     * holds a slot meanwhile. */
     BB_GATE_CONNECT_TIMEOUT_MS = 250,
     /* Idle time after which a connection is not used again if the upstream
-     * does not state its own timeout. Must be shorter than its
-     * timeout: requests sent while it closes the connection are
-     * lost. */
+     * does not state its own timeout. Must be shorter than its timeout:
+     * requests sent while it closes the connection are lost. */
     BB_GATE_IDLE_MAX_MS = 4000,
     /* How long a new gate waits for bb_gate_restore before it admits requests;
-     * longer than a node takes to find a control host that answers. */
+     * longer than a node takes to find a control host that responds. */
     BB_GATE_RESTORE_TIMEOUT_MS = 1500,
-    /* Weight of the newest answer in the moving share of failures, which so
-     * follows about the last 12 answers. */
+    /* Weight of the newest response in the moving average of the share of
+     * failures, which thus follows about the last 12 responses. */
     BB_GATE_FAILURE_WEIGHT_PERMILLE = 80,
-    /* A request that must not be lost, as it is not idempotent or is a repeat,
+    /* A request that must not be lost, as it is not idempotent or is a retry,
      * uses no connection that was idle for longer: the upstream may have
      * dropped it unnoticed. */
     BB_GATE_NO_LOSS_IDLE_MAX_MS = 100,
--- a/include/path/relay.h
+++ b/include/path/relay.h
@@ -1,7 +1,7 @@
-/* Passes an answer from a fetch on to an exchange. An answer up to
+/* Passes a response from a fetch on to an exchange. A response up to
  * BB_RESPONSE_RELAY_BUFFER_BYTES is buffered until it is complete, so that an
  * incomplete one can still be replaced; a longer one is streamed. Functions
- * bb_forward_ copy parts of requests and answers. */
+ * bb_forward_ copy parts of requests and responses. */
 #ifndef BB_PATH_RELAY_H
 #define BB_PATH_RELAY_H
 
@@ -12,11 +12,11 @@
 
 struct bb_response_relay {
     uint32_t status;       /* 0: no head yet */
-    GString *fields;       /* of the answer, each ended by CRLF */
+    GString *fields;       /* of the response, each ended by CRLF */
     GString *body;         /* buffered part */
-    int64_t length_bytes;  /* Content-Length of the answer, or -1 */
-    bool is_head_response; /* answer to a HEAD request: has no body */
-    bool is_streaming;     /* the exchange has the head of the answer */
+    int64_t length_bytes;  /* Content-Length of the response, or -1 */
+    bool is_head_response; /* response to a HEAD request: has no body */
+    bool is_streaming;     /* the exchange has the head of the response */
 };
 
 void bb_response_relay_init(struct bb_response_relay *r);
--- a/include/path/rules.h
+++ b/include/path/rules.h
@@ -32,7 +32,7 @@
     char *prefix;       /* of the path; begins and ends with a slash */
     bool is_idempotent; /* a request may run more than once */
     uint32_t timeout_ms;
-    uint32_t target_latency_ms; /* an answer is worth less after this time */
+    uint32_t target_latency_ms; /* a response is worth less after this time */
     uint32_t priority;          /* 0: most urgent */
     uint32_t upstreams_max;     /* attempts of one request that may reach an
                                    upstream, the same one or others */
--- a/path/attempt.c
+++ b/path/attempt.c
@@ -1,4 +1,4 @@
-/* Attempts of one request at gates: chooses the gate, classifies the answer
+/* Attempts of one request at gates: chooses the gate, classifies the response
  * and decides whether another attempt follows. */
 #include <stdio.h>
 #include <string.h>
@@ -138,7 +138,7 @@
     return a == &rq->attempts[0] ? &rq->attempts[1] : &rq->attempts[0];
 }
 
-/* Returns the time reserved for the answer's way back from a gate. */
+/* Returns the time reserved for the response's way back from a gate. */
 static uint64_t
 reserved_return_us(const struct bb_gate_record *g)
 {
@@ -201,7 +201,8 @@
     return head;
 }
 
-/* Updates what is known of the gate with the load that its answer reports. */
+/* Updates what is known of the gate with the load that its response
+ * reports. */
 static void
 update_gate_load(struct attempt *a, const struct bb_http_head *h)
 {
@@ -226,8 +227,8 @@
     bb_gate_view_resume(&g->view);
 }
 
-/* Records an answer of the gate itself: it refused the request, or lost the
- * upstream's answer. A full gate may be asked again, others are excluded. */
+/* Records a response of the gate itself: it refused the request, or lost the
+ * upstream's response. A full gate may be tried again, others are excluded. */
 static void
 record_gate_error(struct attempt *a, const struct bb_http_head *h)
 {
@@ -251,9 +252,9 @@
     }
 }
 
-/* Reads the gate's and the upstream's fields of an answer. Status 421
+/* Reads the gate's and the upstream's fields of a response. Status 421
  * (Misdirected Request) of an upstream means that it did not run the request.
- * Always returns true: a gate sends no answer to another request. */
+ * Always returns true: a gate sends no response to another request. */
 static bool
 on_response_head(void *context, const struct bb_http_head *h)
 {
@@ -275,7 +276,7 @@
     return true;
 }
 
-/* Collects or streams a part of the answer. Once it is streamed the other
+/* Collects or streams a part of the response. Once it is streamed the other
  * attempt is of no use. */
 static void
 on_response_body(void *context, const char *data, size_t size_bytes)
@@ -294,8 +295,8 @@
     }
 }
 
-/* Returns the outcome of a finished attempt. A success without the seal is not
- * the upstream's own answer. */
+/* Returns the outcome of a finished attempt. A success without the seal does
+ * not come from the upstream itself. */
 static enum attempt_result
 classify_result(const struct attempt *a, enum bb_fetch_result result)
 {
@@ -365,8 +366,8 @@
     return (uint32_t)(ms + bb_random_global_u64() % (ms / 2 + 1));
 }
 
-/* Moves a 5xx answer from the attempt to the request, until another attempt
- * brings a better one or none is left. */
+/* Moves a 5xx response from the attempt to the request, which holds it until
+ * another attempt brings a better one or none is left. */
 static void
 hold_response(struct attempt *a)
 {
@@ -380,14 +381,14 @@
     bb_response_relay_init(&a->relay);
 }
 
-/* Passes the held answer on to the caller and destroys the request. */
+/* Passes the held response on to the caller and destroys the request. */
 void
 request_forward_held_response(struct entry_request *rq)
 {
     request_forward_response(rq, &rq->held_response);
 }
 
-/* Answers a request that gets no further attempt, and destroys it. */
+/* Responds to a request that gets no further attempt, and destroys it. */
 static void
 give_up(struct entry_request *rq, const char *reason)
 {
@@ -403,7 +404,7 @@
 }
 
 /* Returns whether a request that reached an upstream, which may have run it or
- * states that it did not, may be sent again, and if so takes one repeat from
+ * states that it did not, may be sent again, and if so takes one retry from
  * the retry budget. The route decides whether a request may run twice and how
  * many attempts may reach an upstream. */
 static bool
@@ -473,8 +474,8 @@
     add_gate(rq->excluded_gates, &rq->excluded_count, a->gate_address);
 }
 
-/* Ends a request whose answer is being streamed; an incomplete answer aborts
- * the caller's connection. */
+/* Ends a request whose response is being streamed; if it is incomplete, the
+ * caller's connection is aborted. */
 static void
 finish_stream(struct attempt *a, enum bb_fetch_result result)
 {
@@ -491,8 +492,8 @@
     request_destroy(rq, BB_EVENT_FAILURE);
 }
 
-/* Repeats or answers a request after an attempt without an answer below 500,
- * while no other attempt is in progress. */
+/* Continues after an attempt that brought no response below 500, while no
+ * other attempt is in progress: retries the request or responds to it. */
 static void
 continue_request(struct attempt *a, enum attempt_result r)
 {
@@ -527,7 +528,8 @@
     }
 }
 
-/* Classifies a finished attempt, and answers or repeats the request. */
+/* Classifies a finished attempt, then responds to the request, retries it, or
+ * waits for its other attempt. */
 static void
 on_attempt_done(void *context, enum bb_fetch_result result)
 {
@@ -651,9 +653,10 @@
     return true;
 }
 
-/* Sends the request to the best remaining gate. Answers and destroys it if
- * there is none, BB_ENTRY_ATTEMPTS_MAX are used up, no time is left, or no
- * connection could be created; the last two are given up as "late". */
+/* Sends the request to the best remaining gate. Responds to the request and
+ * destroys it if there is none, BB_ENTRY_ATTEMPTS_MAX are used up, no time is
+ * left, or no connection could be created; the last two are given up as
+ * "late". */
 void
 request_try_next_gate(struct entry_request *rq)
 {
@@ -684,7 +687,7 @@
 }
 
 /* Sends a slow request to a second gate as well (a hedge), if the route allows
- * a repeat and bb_balance_can_hedge allows the gate. The first answer below
+ * a retry and bb_balance_can_hedge allows the gate. The first response below
  * 500 is passed on. */
 void
 request_hedge(struct entry_request *rq)
--- a/path/daemon.c
+++ b/path/daemon.c
@@ -98,7 +98,7 @@
     return &d->loop;
 }
 
-/* Answers any request on the metrics address with all metrics. */
+/* Responds to any request on the metrics address with all metrics. */
 static void
 serve_metrics(void *context, struct bb_http_exchange *x)
 {
--- a/path/entry.c
+++ b/path/entry.c
@@ -1,5 +1,5 @@
 /* Entry: routes the requests of the callers on one host, sets their deadlines
- * and answers them; attempt.c chooses gates and sends. */
+ * and responds to them; attempt.c chooses gates and sends. */
 #include "path/entry.h"
 
 #include <stdio.h>
@@ -16,17 +16,17 @@
 enum {
     PERCENT = 100,
     PERMILLE = 1000,
-    /* Each answer moves the estimated 95th percentile in steps of 1/100: one
+    /* Each response moves the estimated 95th percentile in steps of 1/100: one
      * down if it was faster, 19 up if it was slower, so that the estimate
-     * settles where one answer in 20 is slower. */
+     * settles where one response in 20 is slower. */
     P95_STEP_PARTS = 100,
     P95_ONE_IN = 20,
-    /* Least part of the target latency that remains for a caller that seems
-     * to retry: it may also be one that always waits less long than others on
-     * its route. */
+    /* Least part of the target latency that remains for a caller that seems to
+     * retry: it may also be one whose deadline is always shorter than that of
+     * others on its route. */
     TARGET_MIN_PERCENT = 25,
     /* No hedge before this part of the target latency: until then the first
-     * answer is expected in time. */
+     * response is expected in time. */
     HEDGE_MIN_PERCENT = 35
 };
 
@@ -41,7 +41,7 @@
 BB_HISTOGRAM(added_time, "baobab_entry_added_seconds", NULL,
              "Time of an answered request outside of its upstream");
 
-/* Answers that the entry gives by itself, counted by reason. */
+/* Responses of the entry itself, counted by reason. */
 #define LOCAL_RESPONSE(reason_)                                               \
     {                                                                         \
         .reason = reason_, .counter = {                                       \
@@ -88,7 +88,7 @@
 BB_COUNTER(no_route_total, "baobab_entry_no_route_total",
            "Requests without a route");
 
-/* Counts an answer of the entry itself, by status and by reason. */
+/* Counts a response of the entry itself, by status and by reason. */
 static void
 count_local_response(const struct entry_request *rq, uint32_t status,
                      const char *reason)
@@ -118,8 +118,8 @@
     }
 }
 
-/* Answers a request by the entry itself and destroys it. `reason` is one of
- * local_responses; retry_ms is sent as Retry-After unless it is 0. */
+/* Sends a response of the entry itself and destroys the request. `reason` is
+ * one of local_responses; retry_ms is sent as Retry-After unless it is 0. */
 void
 request_respond_locally(struct entry_request *rq, uint32_t status,
                         const char *reason, uint32_t retry_ms)
@@ -145,9 +145,9 @@
     request_destroy(rq, BB_EVENT_FAILURE);
 }
 
-/* Records the total time of an answered request, and the part of it that was
- * not spent at its upstream. That part is not known for a held answer, which
- * belongs to no attempt any more. */
+/* Records the total time of a request with a response, and the part of it that
+ * was not spent at its upstream. That part is not known for a held response,
+ * which belongs to no attempt any more. */
 static void
 record_response_time(const struct entry_request *rq,
                      const struct bb_response_relay *response)
@@ -164,8 +164,8 @@
     }
 }
 
-/* Passes the rest of an upstream's answer on to the caller and destroys the
- * request. Events are logged unless the first attempt brought an answer below
+/* Passes the rest of an upstream's response on to the caller and destroys the
+ * request. Events are logged unless the first attempt brought a response below
  * 500. */
 void
 request_forward_response(struct entry_request *rq,
@@ -192,7 +192,7 @@
 }
 
 /* Updates the estimated 95th percentile of the request's class with the time
- * from a send to its answer. */
+ * from a send to its response. */
 void
 request_update_p95(struct entry_request *rq, uint64_t took_us)
 {
@@ -226,7 +226,7 @@
     g_free(rq);
 }
 
-/* Destroys a request whose exchange is answered or gone: writes its events to
+/* Destroys a request whose exchange has ended or is gone: writes its events to
  * the log under the given class and cancels its attempts. */
 void
 request_destroy(struct entry_request *rq, enum bb_event_class event_class)
@@ -244,8 +244,8 @@
     return rq->attempts[0].fetch != NULL || rq->attempts[1].fetch != NULL;
 }
 
-/* Ends a request at its deadline: breaks off an answer that is being streamed,
- * or passes on a held answer, or answers by itself. */
+/* Ends a request at its deadline: breaks off a response that is being
+ * streamed, passes on a held one, or sends one of the entry itself. */
 static void
 finish_at_deadline(struct entry_request *rq)
 {
@@ -268,7 +268,7 @@
     request_respond_locally(rq, 504, "deadline", 0);
 }
 
-/* Sends a hedge, or ends the request once it is due to be answered. */
+/* Sends a hedge, or ends the request once respond_by_us is reached. */
 static void
 on_timer(uv_timer_t *t)
 {
@@ -285,7 +285,7 @@
     finish_at_deadline(rq);
 }
 
-/* Starts the timer: for a hedge if the request may be repeated and answer
+/* Starts the timer: for a hedge if the request may be retried and response
  * times of its class are known, else for respond_by_us. */
 static void
 start_timer(struct entry_request *rq, uint64_t now_us)
@@ -337,8 +337,8 @@
     return route->services[best].service;
 }
 
-/* Finds the route and the service of a request. Returns false if it answered
- * and destroyed the request because there is none. */
+/* Finds the route and the service of a request. If there is none, responds to
+ * the request, destroys it and returns false. */
 static bool
 find_route(struct bb_entry *n, struct entry_request *rq)
 {
@@ -364,9 +364,9 @@
 
 /* Sets the deadline, the caller's or the route's, whichever is earlier, and
  * the end of the target latency. That counts from the caller's first attempt:
- * a deadline shorter than the longest one seen on the route is taken for a
- * retry, whose target latency is shorter by the difference. For a nested
- * request it is moved halfway to the deadline instead. */
+ * a deadline shorter than the longest one seen on the route is taken for that
+ * of a caller that retries, whose target latency is shorter by the difference.
+ * For a nested request it is moved halfway to the deadline instead. */
 static void
 set_deadlines(struct entry_request *rq)
 {
@@ -393,7 +393,7 @@
         from_us + MIN(left_us, (uint64_t)rq->route->timeout_ms * BB_US_PER_MS);
     rq->target_end_us = from_us + target_latency_us;
     if (rq->is_nested && rq->target_end_us < rq->deadline_us) {
-        /* Also a late answer saves the work done for the parent request. */
+        /* Even a late response saves the work done for the parent request. */
         rq->target_end_us += (rq->deadline_us - rq->target_end_us) / 2;
     }
     /* Leaves the gate time to state that the request did not run. */
@@ -464,7 +464,7 @@
         return;
     }
     start_timer(rq, now_us);
-    /* A request nested in a repeat counts as a repeat itself. */
+    /* A request nested in a retry counts as a retry itself. */
     bb_retry_window_count_first_send(
         &rq->service->retry_window, &n->settings.retry_limits,
         rq->is_parent_retry ? PERMILLE : 0, now_us);
@@ -483,7 +483,7 @@
     }
 }
 
-/* Resumes reading answers once the caller has read what was queued. */
+/* Resumes reading responses once the caller has read what was queued. */
 static void
 on_caller_writable(void *context, struct bb_http_exchange *x)
 {
@@ -516,8 +516,8 @@
     request_destroy(rq, BB_EVENT_FAILURE);
 }
 
-/* Returns whether a request may run before earlier ones of its connection are
- * answered: if its route is idempotent. */
+/* Returns whether a request may run before the responses to earlier ones of
+ * its connection are complete: if its route is idempotent. */
 static bool
 can_overlap(void *context, const struct bb_http_head *h)
 {
@@ -538,8 +538,8 @@
     .output_drained = on_caller_writable,
     .disconnected = on_caller_left};
 
-/* Creates the entry, which answers 503 until bb_entry_set_rules. Keeps a copy
- * of the settings, but not of the texts and objects that they point to.
+/* Creates the entry, which responds with 503 until bb_entry_set_rules. Keeps a
+ * copy of the settings, but not of the texts and objects that they point to.
  * Returns NULL and sets the error if it cannot listen on the address. */
 struct bb_entry *
 bb_entry_create(uv_loop_t *loop, const struct bb_entry_settings *s,
@@ -575,21 +575,22 @@
 }
 
 /* Closes connections of callers: sends `Connection: close` with each further
- * answer. */
+ * response. */
 void
 bb_entry_disable_keep_alive(struct bb_entry *n)
 {
     bb_http_server_disable_keep_alive(n->server);
 }
 
-/* Answers each further request with 503; requests in progress are finished. */
+/* Responds to each further request with 503; requests in progress are
+ * finished. */
 void
 bb_entry_refuse_requests(struct bb_entry *n)
 {
     n->is_stopping = true;
 }
 
-/* Returns how many requests are not answered yet. */
+/* Returns how many requests have no complete response yet. */
 uint32_t
 bb_entry_pending_count(const struct bb_entry *n)
 {
--- a/path/entry_internal.h
+++ b/path/entry_internal.h
@@ -1,8 +1,8 @@
 /* State and functions shared by entry.c and attempt.c.
  *
- * A repeat is an attempt that the entry makes after an earlier one reached, or
- * may have reached, an upstream; it counts against the retry budget. A retry
- * is a new request of the caller, with another id. */
+ * A retry is an attempt that the entry makes after an earlier one reached, or
+ * may have reached, an upstream; it counts against the retry budget. A caller
+ * that retries sends a new request, with another id. */
 #ifndef BB_PATH_ENTRY_INTERNAL_H
 #define BB_PATH_ENTRY_INTERNAL_H
 
@@ -11,7 +11,7 @@
 #include "path/entry.h"
 #include "path/relay.h"
 
-/* Answer field with the reason why the entry answered by itself. */
+/* Response field with the reason why the entry itself responded. */
 #define BB_FIELD_REASON "Baobab-Reason"
 
 struct bb_entry {
@@ -24,7 +24,7 @@
      * service */
     GHashTable *service_credits;
     /* By class_index: estimated 95th percentile of the time from a send to the
-     * answer; 0: no answer yet. */
+     * response; 0: no response yet. */
     uint64_t p95_us[BB_RULES_CLASS_COUNT];
     /* By route_group: the longest deadline that a request has stated, or
      * BB_ENTRY_DEADLINE_MAX_MS if one stated none; taken as the deadline of a
@@ -35,11 +35,11 @@
 
 /* Outcome of one attempt at a gate. */
 enum attempt_result {
-    ATTEMPT_COMPLETED,   /* complete answer of the upstream, of any status */
+    ATTEMPT_COMPLETED,   /* complete response of the upstream, of any status */
     ATTEMPT_REFUSED,     /* by the gate, which did not send it on */
     ATTEMPT_NOT_RUN,     /* the upstream states that it did not run it */
     ATTEMPT_UNREACHABLE, /* no connection to the gate; nothing was sent */
-    ATTEMPT_UNKNOWN      /* answer lost or unsealed; it may have run */
+    ATTEMPT_UNKNOWN      /* response lost or unsealed; it may have run */
 };
 
 struct entry_request;
@@ -55,9 +55,9 @@
     uint64_t wait_max_us; /* longest time in the gate's queue; UINT64_MAX:
                              until its deadline */
     bool is_refused; /* the gate states that it did not send the request on */
-    bool is_response_lost; /* the gate states that the answer was lost */
+    bool is_response_lost; /* the gate states that the response was lost */
     bool is_not_run;       /* the upstream states that it did not run it */
-    bool is_sealed;        /* carries the mark of an upstream's own answer */
+    bool is_sealed;        /* has the seal of a response made by an upstream */
 };
 
 /* One request of a caller. */
@@ -73,7 +73,7 @@
     char id[BB_DIALECT_ID_BYTES];
     uint64_t
         deadline_us; /* the caller's or the route's, whichever is earlier */
-    uint64_t respond_by_us; /* the entry answers by itself then */
+    uint64_t respond_by_us; /* the entry itself responds then */
     uint64_t target_end_us; /* end of the target latency */
     /* Gates that are not used again for this request. */
     char excluded_gates[BB_ENTRY_ATTEMPTS_MAX][BB_ADDRESS_TEXT_BYTES];
@@ -83,15 +83,15 @@
     uint32_t full_count;
     uint32_t upstreams_reached; /* attempts that reached an upstream */
     uint32_t attempt_count;     /* attempts sent to gates */
-    bool is_parent_retry;   /* the request that it is nested in is a repeat */
+    bool is_parent_retry;   /* the request that it is nested in is a retry */
     bool is_nested;         /* sent by the upstream of this host while it runs
                            another request, which holds a slot there */
     bool is_refused_late;   /* refused by a gate as late; no other is tried */
-    bool is_body_streamed;  /* body incomplete at the first attempt, which
-                           therefore cannot be repeated */
+    bool is_body_streamed;  /* body incomplete at the first attempt, so that
+                           no retry is possible */
     bool is_chunked;        /* framing of the body towards the gate */
     bool may_have_run;      /* an attempt may have run at an upstream */
-    bool has_held_response; /* held_response is a 5xx answer, passed on if no
+    bool has_held_response; /* held_response is a 5xx response, passed on if no
                              further attempt brings a better one */
     struct bb_response_relay held_response;
 };
--- a/path/gate.c
+++ b/path/gate.c
@@ -90,7 +90,7 @@
     bool is_chunked;
     bool is_not_idempotent; /* by its route; must not run twice */
     bool is_retry;   /* an earlier attempt may have reached an upstream */
-    bool is_error;   /* the answer has a status of 500 or above */
+    bool is_error;   /* the response has a status of 500 or above */
     bool is_not_run; /* the upstream states that it did not run it */
 };
 
@@ -128,7 +128,7 @@
     }
 }
 
-/* Answers with 503 and the reason that the request was not sent to the
+/* Responds with 503 and the reason why the request was not sent to the
  * upstream. id may be NULL. */
 static void
 refuse_request(struct bb_gate *g, struct bb_http_exchange *x, const char *id,
@@ -202,7 +202,7 @@
         PERMILLE;
 }
 
-/* Answers with 502 that the request may have run: its answer was lost. */
+/* Responds with 502: the request may have run, but its response was lost. */
 static void
 respond_outcome_unknown(struct gate_request *rq, const char *reason)
 {
@@ -223,11 +223,11 @@
     g_string_free(fields, TRUE);
 }
 
-/* Reads the head of an answer. Status 421 (Misdirected Request) means that the
- * upstream did not run the request. Returns false for an answer to another
- * request, which is skipped. One that states that the request did not run is
- * accepted with any id or none: an upstream that refuses a request need not
- * return its id. */
+/* Reads the head of a response. Status 421 (Misdirected Request) means that
+ * the upstream did not run the request. Returns false for a response to
+ * another request, which is skipped. One that states that the request did not
+ * run is accepted with any id or none: an upstream that refuses a request need
+ * not return its id. */
 static bool
 on_response_head(void *context, const struct bb_http_head *h)
 {
@@ -239,7 +239,7 @@
         bb_http_head_get(h, names->not_run) != NULL || h->status == 421;
 
     if (!is_not_run && (id == NULL || strcmp(id, rq->request_id) != 0)) {
-        return false; /* an answer to another request */
+        return false; /* a response to another request */
     }
     rq->is_not_run = is_not_run;
     rq->is_error = h->status >= 500;
@@ -250,7 +250,7 @@
     return true;
 }
 
-/* Collects or streams a part of the answer. */
+/* Collects or streams a part of the response. */
 static void
 on_response_body(void *context, const char *data, size_t size_bytes)
 {
@@ -274,7 +274,7 @@
     }
 }
 
-/* Passes a complete answer on, or answers with the error; then frees the
+/* Passes a complete response on, or responds with the error; then frees the
  * request and its slot. */
 static void
 on_fetch_done(void *context, enum bb_fetch_result result)
@@ -555,7 +555,8 @@
     }
 }
 
-/* Resumes reading the answer once the entry node has read what was queued. */
+/* Resumes reading the response once the entry node has read what was
+ * queued. */
 static void
 on_entry_writable(void *context, struct bb_http_exchange *x)
 {
@@ -700,7 +701,7 @@
 }
 
 /* Refuses queued and further requests and sends `Connection: close` with each
- * further answer; requests at the upstream are finished. */
+ * further response; requests at the upstream are finished. */
 void
 bb_gate_refuse_requests(struct bb_gate *g)
 {
@@ -711,7 +712,8 @@
     process_queue(g);
 }
 
-/* Returns how many requests are queued, sent or not fully answered. */
+/* Returns how many requests are queued, sent or without a complete
+ * response. */
 uint32_t
 bb_gate_pending_count(const struct bb_gate *g)
 {
--- a/path/relay.c
+++ b/path/relay.c
@@ -1,4 +1,4 @@
-/* Passes requests and answers on between two connections. */
+/* Passes requests and responses on between two connections. */
 #include "path/relay.h"
 
 #include <string.h>
@@ -27,7 +27,7 @@
     }
 }
 
-/* Drops a buffered answer, so that another one can replace it. Not for one
+/* Drops a buffered response, so that another one can replace it. Not for one
  * that is being streamed: is_streaming and length_bytes stay. */
 void
 bb_response_relay_reset(struct bb_response_relay *r)
@@ -144,8 +144,8 @@
     }
 }
 
-/* Starts a new answer with its head. is_head_response: the request was HEAD.
- */
+/* Starts a new response with its head. is_head_response: the request was
+ * HEAD. */
 void
 bb_response_relay_set_head(struct bb_response_relay *r,
                            const struct bb_http_head *h, bool is_head_response)
@@ -157,7 +157,7 @@
     bb_forward_fields(h, NULL, r->fields);
 }
 
-/* Sends a part of a streamed answer, as a chunk if its length is unknown. */
+/* Sends a part of a streamed response, as a chunk if its length is unknown. */
 static void
 send_body_part(struct bb_response_relay *r, struct bb_http_exchange *x,
                const char *data, size_t size_bytes)
@@ -174,7 +174,7 @@
     g_string_free(chunk, TRUE);
 }
 
-/* Buffers or sends a part of the body. Returns whether the answer is being
+/* Buffers or sends a part of the body. Returns whether the response is being
  * streamed, after which it can no longer be replaced. */
 bool
 bb_response_relay_append_body(struct bb_response_relay *r,
@@ -197,7 +197,7 @@
     return true;
 }
 
-/* Sends the rest of a complete answer; the exchange must not be used
+/* Sends the rest of a complete response; the exchange must not be used
  * afterwards. */
 void
 bb_response_relay_finish(struct bb_response_relay *r,
--- a/tests/path/bench.c
+++ b/tests/path/bench.c
@@ -43,7 +43,7 @@
     struct scripted_response response;
     char id[64];
     uint64_t responded_us; /* 0: never */
-    bool is_waiting;       /* the answer is delayed */
+    bool is_waiting;       /* the response is delayed */
     bool is_closed;
 };
 
@@ -78,7 +78,7 @@
     }
 }
 
-/* Sends the scripted answer and does the action after it. */
+/* Sends the scripted response and does the action after it. */
 static void
 send_response(struct connection *c)
 {
@@ -113,7 +113,7 @@
     send_response(t->data);
 }
 
-/* Records the head of a request and chooses its answer. */
+/* Records the head of a request and chooses its response. */
 static bool
 on_request_head(void *context)
 {
@@ -147,7 +147,7 @@
 static const struct bb_http_reader_events reader_events = {
     .head = on_request_head, .body = on_request_body};
 
-/* Reads requests, and answers each at once or after its delay. */
+/* Reads requests, and responds to each at once or after its delay. */
 static void
 on_connection_data(void *context, const char *data, size_t n)
 {
--- a/tests/path/bench.h
+++ b/tests/path/bench.h
@@ -24,7 +24,7 @@
 #define T_NOT_RUN "T-Not-Run"
 #define T_CALLER "T-Caller"
 
-/* What the upstream does with the connection after an answer. STALL: it keeps
+/* What the upstream does with the connection after a response. STALL: it keeps
  * it open and reads no further request. */
 enum connection_action {
     ACTION_KEEP_OPEN,
@@ -33,17 +33,17 @@
     ACTION_STALL
 };
 
-/* Answer of an upstream to one request. "{id}" in the text is replaced by the
- * id of the request. */
+/* Response of an upstream to one request. "{id}" in the text is replaced by
+ * the id of the request. */
 struct scripted_response {
-    const char *text; /* NULL: no answer */
+    const char *text; /* NULL: no response */
     uint32_t delay_ms;
-    enum connection_action action; /* after the answer */
+    enum connection_action action; /* after the response */
 };
 
 struct upstream;
 
-/* Returns the answer to the request `number`, counted from 1. */
+/* Returns the response to the request `number`, counted from 1. */
 typedef struct scripted_response (*response_script)(
     struct upstream *u, uint32_t number, const struct bb_http_head *h);
 
@@ -53,7 +53,7 @@
     struct bb_listener *listener;
     response_script script;
     uint32_t requests;
-    uint32_t aborted_requests; /* closed by the gate before the answer */
+    uint32_t aborted_requests; /* closed by the gate before the response */
     uint32_t open_connections;
     /* A connection that was idle for longer is reset when more data arrives on
      * it, as if the upstream had dropped it unnoticed; 0: never. */
@@ -81,7 +81,7 @@
     struct bb_rules *rules;
 };
 
-/* A complete answer of status 200. */
+/* A complete response of status 200. */
 extern const char ok_response[];
 struct scripted_response respond_ok(struct upstream *u, uint32_t number,
                                     const struct bb_http_head *h);
--- a/tests/path/test_path.c
+++ b/tests/path/test_path.c
@@ -18,7 +18,7 @@
     return b->upstreams[0].requests + b->upstreams[1].requests;
 }
 
-/* Sets the answers of both upstreams. */
+/* Sets the responses of both upstreams. */
 static void
 set_scripts(struct bench *b, response_script script)
 {
@@ -54,7 +54,7 @@
     bench_close(&b);
 }
 
-/* Guards against: an answer other than 503 before there is a configuration or
+/* Guards against: a response other than 503 before there is a configuration or
  * an upstream, and one other than 404 if no route matches. */
 static void
 test_without_rules(void)
@@ -118,7 +118,7 @@
         .action = ACTION_RESET};
 }
 
-/* Guards against: an answer without a length that is cut off by a reset but
+/* Guards against: a response without a length that is cut off by a reset but
  * passed on as complete (libuv reports the reset as an end of the data). */
 static void
 test_reset_response(void)
@@ -150,7 +150,7 @@
         .action = ACTION_CLOSE};
 }
 
-/* Guards against: a complete answer without a length taken for an incomplete
+/* Guards against: a complete response without a length taken for an incomplete
  * one. */
 static void
 test_unframed_response(void)
@@ -197,8 +197,8 @@
                             : ok_response};
 }
 
-/* Guards against: an answer to another request passed on, and bytes that
- * follow a complete answer taken for the answer to the next request. */
+/* Guards against: a response to another request passed on, and bytes that
+ * follow a complete response taken for the response to the next request. */
 static void
 test_foreign_responses(void)
 {
@@ -237,7 +237,7 @@
                                           "Content-Length: 4\r\n\r\nfake"};
 }
 
-/* Guards against: a success without a seal, so not the upstream's own answer,
+/* Guards against: a success without a seal, so not from the upstream itself,
  * that is passed on. */
 static void
 test_unsealed_response(void)
@@ -266,9 +266,9 @@
     return (struct scripted_response){.action = ACTION_RESET};
 }
 
-/* Guards against: a request that must not run twice but is sent again, or
- * answered as not run, after its answer was lost; and an idempotent one that
- * is sent to more upstreams than its route allows. */
+/* Guards against: a request that must not run twice but is sent again, or gets
+ * a response that it did not run, after its response was lost; and an
+ * idempotent one that is sent to more upstreams than its route allows. */
 static void
 test_lost_response(void)
 {
@@ -303,7 +303,8 @@
 }
 
 /* Guards against: a request that an upstream did not run and that is not sent
- * to the other one, or not answered as not run if no upstream can run it. */
+ * to the other one, or gets no response that it did not run if no upstream can
+ * run it. */
 static void
 test_not_run(void)
 {
@@ -360,8 +361,8 @@
     bench_close(&b);
 }
 
-/* Guards against: no answer at the route's timeout, and an upstream that gets
- * a longer deadline than that. */
+/* Guards against: no response at the route's timeout, and an upstream that
+ * gets a longer deadline than that. */
 static void
 test_timeout(void)
 {
@@ -602,9 +603,9 @@
                                       .delay_ms = number == 1 ? 120 : 60};
 }
 
-/* Guards against: pipelined answers out of order, and pipelined requests that
- * are cut off because an earlier answer closes the connection once keep-alive
- * is disabled. */
+/* Guards against: pipelined responses out of order, and pipelined requests
+ * that are cut off because an earlier response closes the connection once
+ * keep-alive is disabled. */
 static void
 test_pipeline(void)
 {
@@ -631,7 +632,7 @@
     bench_close(&b);
 }
 
-/* Guards against: queued requests that get no answer, a queue that refuses
+/* Guards against: queued requests that get no response, a queue that refuses
  * requests which it could serve in time, and refused ones that run. */
 static void
 test_queue(void)
@@ -716,11 +717,11 @@
     {"forwarding", test_forwarding},
     {"without rules", test_without_rules},
     {"smuggled and malformed requests", test_malformed_requests},
-    {"answer that is reset", test_reset_response},
-    {"answer without a length", test_unframed_response},
-    {"answers to other requests", test_foreign_responses},
-    {"answer without a seal", test_unsealed_response},
-    {"lost answer", test_lost_response},
+    {"response that is reset", test_reset_response},
+    {"response without a length", test_unframed_response},
+    {"responses to other requests", test_foreign_responses},
+    {"response without a seal", test_unsealed_response},
+    {"lost response", test_lost_response},
     {"not run", test_not_run},
     {"caller disconnects", test_caller_disconnects},
     {"timeout of the route", test_timeout},
