net, proxyd, fleet: say response and retry throughout

Comments, doc comments and log texts follow the renamed identifiers. The comment on SHUTDOWN_NOTICE_MS had a derived figure of 600 ms; it now gives the reason alone. The log texts of a control host are plain sentences where nothing matches them; event names and the order of the values stay.

--- a/fleet/agent.c
+++ b/fleet/agent.c
@@ -18,7 +18,7 @@
 /* A control host to connect to. */
 struct control_host {
     struct bb_address address;
-    uint32_t distance;  /* 0: own zone, 1: own region, 2: elsewhere */
+    uint32_t distance;  /* 0: same zone, 1: same region, 2: elsewhere */
     uint64_t failed_us; /* last failure, 0: none */
 };
 
@@ -44,8 +44,8 @@
     uint64_t commit_index; /* of the newest configuration */
     uint64_t version;      /* the operators' version of it */
     fleet_instance *own_instance;
-    uint64_t epoch;    /* of the own record */
-    uint64_t sequence; /* of the own record */
+    uint64_t epoch;    /* of own_instance */
+    uint64_t sequence; /* of own_instance */
 };
 
 static void on_timer(uv_timer_t *t);
@@ -244,7 +244,7 @@
 }
 
 /* Sends the record of this node's upstream, once there is one and the host has
- * answered the hello. */
+ * responded to the hello. */
 static void
 send_own_instance(struct bb_agent *a)
 {
@@ -367,8 +367,8 @@
 
 /* If the instance record that the control host holds for this node's own gate
  * is newer than the node's own numbers, it is from an earlier run and the wall
- * clock has gone back since. Raises the epoch above it and announces the own
- * record again. */
+ * clock has gone back since. Raises the epoch above it and announces the
+ * node's record again. */
 static void
 supersede_earlier_run(struct bb_agent *a, const fleet_instance *r)
 {
--- a/fleet/core.c
+++ b/fleet/core.c
@@ -134,8 +134,9 @@
     }
     c->published_content_id = content_id;
     bb_log_info("core.in_force",
-                "version %" G_GUINT64_FORMAT " index %" G_GUINT64_FORMAT
-                " term %" G_GUINT64_FORMAT,
+                "configuration version %" G_GUINT64_FORMAT
+                " is in force, index %" G_GUINT64_FORMAT
+                ", term %" G_GUINT64_FORMAT,
                 (guint64)c->committed_state.config_version, c->commit_index,
                 c->quorum.durable.term);
     for (guint i = 0; i < c->links->len; i++) {
@@ -157,7 +158,7 @@
         c->leader_since_us = now_us;
         bb_counter_add(&elections_total, 1);
         bb_log_info("core.leader",
-                    "this host leads in term %" G_GUINT64_FORMAT,
+                    "this host became the leader in term %" G_GUINT64_FORMAT,
                     c->quorum.durable.term);
     }
     bb_counter_set(&leader_gauge, c->quorum.role == BB_QUORUM_LEADER);
@@ -167,7 +168,9 @@
         core_send_quorum_message(c, &out->messages[i]);
     }
     if (out->lost_leadership) {
-        bb_log_info("core.not_leader", "term %" G_GUINT64_FORMAT,
+        bb_log_info("core.not_leader",
+                    "this host is no longer the leader, the term is "
+                    "%" G_GUINT64_FORMAT,
                     c->quorum.durable.term);
         core_fail_requests(c);
     }
@@ -210,15 +213,16 @@
         }
         disk_ids[count++] = p->host->disk_id;
     }
-    bb_log_info("core.forming", "bootstrapping with %u voters", count);
+    bb_log_info("core.forming", "bootstrapping the cluster with %u voters",
+                count);
     if (bb_quorum_bootstrap(&c->quorum, disk_ids, count, now_us, &out)) {
         core_apply_output(c, &out);
     }
 }
 
 /* On the leader, adds or removes one voter if a voter is lost or their number
- * is not the target. A voter that is no known peer counts as absent since this
- * host became the leader. */
+ * is not the target. A voter that is not a known peer counts as absent since
+ * this host became the leader. */
 static void
 update_voters(struct bb_core *c, uint64_t now_us)
 {
@@ -279,7 +283,7 @@
                               c->settings.target_voter_count, &next) &&
         bb_quorum_set_voters(&c->quorum, next.disk_ids, next.count, now_us,
                              &out)) {
-        bb_log_info("core.voters", "%u voters, were %u", next.count,
+        bb_log_info("core.voters", "%u voters instead of %u", next.count,
                     current.count);
         core_apply_output(c, &out);
     }
@@ -389,8 +393,8 @@
         c->is_write_pending = true;
     }
     bb_log_info("core.start",
-                "disk %016" G_GINT64_MODIFIER "x term %" G_GUINT64_FORMAT
-                " index %" G_GUINT64_FORMAT "%s",
+                "disk %016" G_GINT64_MODIFIER "x, term %" G_GUINT64_FORMAT
+                ", index %" G_GUINT64_FORMAT "%s",
                 d.disk_id, d.term, d.entry.index,
                 has_state ? "" : ", no stored state");
 }
--- a/fleet/core_internal.h
+++ b/fleet/core_internal.h
@@ -47,7 +47,7 @@
     uint64_t base_version; /* version that it replaces, 0: none */
     uint64_t version;
     GBytes *config;
-    bb_proposal_done done; /* NULL: answered or cancelled */
+    bb_proposal_done done; /* NULL: completed or cancelled */
     void *context;
     uint64_t deadline_us;
     /* Round of the quorum that confirms a refusal as stale; 0 if none could be
--- a/fleet/core_peers.c
+++ b/fleet/core_peers.c
@@ -110,7 +110,7 @@
 }
 
 /* Returns the connection on which to send to a peer, or NULL: the outgoing one
- * if the peer has answered its hello, else the incoming one. */
+ * if the peer's hello has arrived on it, else the incoming one. */
 static struct core_link *
 active_link(const struct core_peer *p)
 {
@@ -461,8 +461,8 @@
     bb_compressed_content_clear(&content);
 }
 
-/* Answers an append whose content cannot be rebuilt here, as its base is
- * missing, so that the sender repeats it without a base. */
+/* Responds to an append whose content cannot be rebuilt here, as its base is
+ * missing, so that the sender sends it again without a base. */
 static void
 request_full_content(struct core_link *l, const fleet_quorum_message *q)
 {
--- a/fleet/core_requests.c
+++ b/fleet/core_requests.c
@@ -1,5 +1,5 @@
 /* Proposals of operators ("orders" in their interface) and reads of the
- * committed configuration. Only the leader answers, and only with what a
+ * committed configuration. Only the leader serves them, and only with what a
  * majority has confirmed. */
 #include "core_internal.h"
 
@@ -104,8 +104,8 @@
     (void)bb_quorum_propose(&c->quorum, c->active_content_id, now_us, out);
 }
 
-/* Answers the first waiting proposal if it was accepted before, queues it for
- * refusal if it is stale, or else makes it the active one. */
+/* Ends the first waiting proposal as accepted if it was accepted before,
+ * queues it for refusal if it is stale, or else makes it the active one. */
 static void
 process_next_proposal(struct bb_core *c, uint64_t now_us,
                       struct bb_quorum_output *out)
@@ -152,7 +152,7 @@
     }
 }
 
-/* Answers the reads whose round is confirmed or whose deadline has passed. */
+/* Ends the reads whose round is confirmed or whose deadline has passed. */
 static void
 process_reads(struct bb_core *c, uint64_t now_us)
 {
@@ -174,7 +174,7 @@
     }
 }
 
-/* Answers the proposals and reads that are decided or overdue, and starts the
+/* Ends the proposals and reads that are decided or overdue, and starts the
  * next proposal if none is active. */
 void
 core_process_requests(struct bb_core *c, uint64_t now_us)
--- a/fleet/fleet.x
+++ b/fleet/fleet.x
@@ -30,8 +30,8 @@
     bool is_empty; /* its disk holds no entry yet */
 };
 
-/* First message of a connection, sent by the side that opened it and answered
- * by the other side's hello. */
+/* First message of a connection, sent by the side that opened it; the other
+ * side responds with its own hello. */
 struct fleet_hello {
     bool is_control; /* false: a node */
     fleet_host host;
--- a/fleet/frame.c
+++ b/fleet/frame.c
@@ -105,8 +105,8 @@
         bb_log_warning(
             "fleet.malformed",
             "closing a control connection after a malformed message: "
-            "the peer has another software version, or is no node "
-            "or control host");
+            "the peer has another software version, or is neither a node "
+            "nor a control host");
         f->events->ended(f->context, f);
     }
 }
--- a/fleet/store.c
+++ b/fleet/store.c
@@ -203,7 +203,7 @@
     if (s->write_errno != 0) {
         bb_log_warning("store.failed",
                        "cannot write state.%u in the data folder, will be "
-                       "repeated: %s",
+                       "retried: %s",
                        s->next_file, g_strerror(s->write_errno));
     }
     else {
--- a/include/fleet/agent.h
+++ b/include/fleet/agent.h
@@ -59,7 +59,7 @@
     const char *ip;
     const char *zone;
     const char *region;
-    const char *gate_address; /* address of the own gate, as announced */
+    const char *gate_address; /* address of this node's gate, as announced */
     uint16_t control_port;    /* on which control hosts accept connections */
     /* Wall clock at the start of the process, used as the first epoch of its
      * announcements so that they supersede those of earlier runs. If the clock
--- a/include/fleet/content.h
+++ b/include/fleet/content.h
@@ -17,9 +17,9 @@
     /* Largest uncompressed content that is accepted; FLEET_DATA_MAX_BYTES in
      * fleet.x has the same value. */
     BB_CONTENT_MAX_BYTES = 16 * 1024 * 1024,
-    /* Accepted configurations that are remembered, so that a repeated proposal
-     * of one is acknowledged again. fleet.x repeats the number as the bound of
-     * fleet_replicated_state.history. */
+    /* Accepted configurations that are remembered, so that a retried proposal
+     * of one is acknowledged again. fleet.x has the same number as the bound
+     * of fleet_replicated_state.history. */
     BB_STATE_HISTORY_MAX = 256
 };
 
--- a/include/fleet/core.h
+++ b/include/fleet/core.h
@@ -22,10 +22,11 @@
     /* Delay before connecting to a peer again; doubles up to the maximum. */
     BB_CORE_RECONNECT_MIN_MS = 300,
     BB_CORE_RECONNECT_MAX_MS = 2000,
-    /* Callers try another host after one second, so a read ends before. */
+    /* Callers try another host after one second, so a read ends before
+     * that. */
     BB_CORE_READ_TIMEOUT_MS = 900,
     BB_CORE_PROPOSAL_TIMEOUT_MS = 3000,
-    /* Delay before a failed write of the state is repeated. */
+    /* Delay before a failed write of the state is retried. */
     BB_CORE_STORE_RETRY_MS = 500,
     /* Interval at which the leader checks the set of voters, and at which a
      * host that may bootstrap the cluster checks whether it can. */
--- a/include/net/http_server.h
+++ b/include/net/http_server.h
@@ -1,4 +1,5 @@
-/* HTTP/1.1 server. Pipelined requests are answered in their order.
+/* HTTP/1.1 server. Responses to pipelined requests are sent in the order of
+ * the requests.
  *
  * A handler receives each request as a bb_http_exchange. It responds with
  * bb_http_exchange_start_response, bb_http_exchange_send_body and
@@ -13,7 +14,8 @@
 #include "net/stream.h"
 
 enum {
-    /* Requests of one connection that may be unanswered at a time. */
+    /* Requests of one connection that may be without a complete response at a
+     * time. */
     BB_HTTP_SERVER_PIPELINE_MAX = 32,
     /* A body of up to this size is buffered as a whole before the handler is
      * called, so that the request can be sent again elsewhere. */
@@ -55,11 +57,11 @@
 };
 
 /* Callbacks for requests. Only the one that starts a request is required.
- * Without may_overlap a request starts only after earlier ones of its
- * connection are answered. */
+ * Without may_overlap a request starts only after the responses to earlier
+ * ones of its connection are complete. */
 struct bb_http_server_handler {
-    /* Returns whether the request may start before earlier ones of its
-     * connection are answered. */
+    /* Returns whether the request may start before the responses to earlier
+     * ones of its connection are complete. */
     bool (*may_overlap)(void *context, const struct bb_http_head *h);
     /* Starts a request whose body is complete or not shorter than
      * BB_HTTP_SERVER_BODY_BUFFER_BYTES. */
--- a/include/net/stream.h
+++ b/include/net/stream.h
@@ -22,7 +22,8 @@
     BB_STREAM_KEEPALIVE_PROBES = 2,
     /* Connections of a listener that may wait to be accepted. */
     BB_STREAM_BACKLOG = 512,
-    /* A writer with more queued bytes waits for bb_stream_events.drained. */
+    /* A writer with more queued bytes waits for
+     * bb_stream_events.output_drained. */
     BB_STREAM_HIGH_WATER_BYTES = 256 * 1024
 };
 
--- a/include/path/dialect.h
+++ b/include/path/dialect.h
@@ -76,7 +76,7 @@
      * from the body of a withdrawal, 0 if it has none. */
     uint64_t (*decode_start_ms)(const char *body, size_t size_bytes);
     /* Returns rules after bb_rules_finalize, with a reference that the caller
-     * gives back, or NULL and sets the error. */
+     * releases, or NULL and sets the error. */
     struct bb_rules *(*decode_rules)(const char *body, size_t size_bytes,
                                      struct bb_error *e);
     const char *content_type;         /* of bodies in responses */
--- a/include/path/entry.h
+++ b/include/path/entry.h
@@ -27,7 +27,7 @@
     BB_ENTRY_ATTEMPTS_MAX = 8,
     /* Deadline of a request that states none, and upper bound of others. */
     BB_ENTRY_DEADLINE_MAX_MS = 30000,
-    /* Time reserved for the response's way back from the gate, by distance. */
+    /* Time reserved for the response to return from the gate, by distance. */
     BB_ENTRY_RETURN_SAME_ZONE_MS = 2,
     BB_ENTRY_RETURN_SAME_REGION_MS = 5,
     BB_ENTRY_RETURN_OTHER_REGION_MS = 30,
--- a/net/http.c
+++ b/net/http.c
@@ -288,8 +288,8 @@
 }
 
 /* Parses the value of a field as a decimal number. Returns false if there is
- * no such field, or its value is no number of 64 bits; *value may be changed
- * then, too. */
+ * no such field or its value is not a 64-bit number; *value may have been
+ * changed even then. */
 bool
 bb_http_head_get_u64(const struct bb_http_head *h, const char *name,
                      uint64_t *value)
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -30,7 +30,7 @@
     void *context;
     struct bb_http_server_limits limits;
     struct bb_http_server_connection *connections;
-    uint32_t pending_count; /* dispatched and not yet answered */
+    uint32_t pending_count; /* dispatched, without a complete response */
     bool is_keep_alive_disabled;
 };
 
@@ -77,8 +77,8 @@
     g_free(c);
 }
 
-/* Frees all exchanges of a connection. The handler is told of those that it
- * has not answered. */
+/* Frees all exchanges of a connection. The handler is told of those whose
+ * response it has not completed. */
 static void
 discard_exchanges(struct bb_http_server_connection *c)
 {
@@ -147,8 +147,8 @@
         (void)uv_timer_start(&c->timer, on_timeout, l->idle_timeout_ms, 0);
     }
     else if (!g_queue_is_empty(&c->exchanges)) {
-        /* Earlier requests are being answered, even if the head of the next
-         * one is incomplete. */
+        /* Earlier requests are in progress, even if the head of the next one
+         * is incomplete. */
         (void)uv_timer_stop(&c->timer);
     }
     else if (c->reader.state == BB_HTTP_READER_HEAD && c->reader.has_started) {
@@ -183,7 +183,7 @@
         }
         (void)g_queue_pop_head(&c->exchanges);
         if (x->closes_connection || !x->is_body_complete) {
-            /* Later requests of the connection are not answered. */
+            /* Later requests of the connection get no response. */
             bool is_request_complete = x->is_body_complete;
 
             c->is_closing = true;
@@ -279,7 +279,7 @@
     struct bb_http_exchange *x = c->receiving;
 
     if (x == NULL || x->is_response_ended) {
-        return; /* answered before its end; the rest is dropped */
+        return; /* the response has ended; the rest is dropped */
     }
     x->body_bytes += size_bytes;
     if (x->body_bytes > c->server->limits.request_body_max_bytes) {
@@ -327,7 +327,8 @@
     bool is_done = c->reader.state == BB_HTTP_READER_DONE;
 
     if (x == NULL) {
-        /* Answered before its body was complete; the connection closes. */
+        /* The response ended before the body was complete; the connection
+         * closes. */
         return false;
     }
     if (x->body_bytes > s->limits.request_body_max_bytes) {
@@ -541,8 +542,8 @@
     s->is_keep_alive_disabled = true;
 }
 
-/* Returns how many requests were passed to the handler and not yet answered.
- */
+/* Returns how many requests were passed to the handler and have no complete
+ * response yet. */
 uint32_t
 bb_http_server_pending_count(const struct bb_http_server *s)
 {
@@ -550,7 +551,7 @@
 }
 
 /* Closes all connections and the listener, and frees the server. The handler
- * is told of unanswered requests. NULL is allowed. */
+ * is told of requests without a complete response. NULL is allowed. */
 void
 bb_http_server_destroy(struct bb_http_server *s)
 {
--- a/path/attempt.c
+++ b/path/attempt.c
@@ -138,7 +138,7 @@
     return a == &rq->attempts[0] ? &rq->attempts[1] : &rq->attempts[0];
 }
 
-/* Returns the time reserved for the response's way back from a gate. */
+/* Returns the time reserved for the response to return from a gate. */
 static uint64_t
 reserved_return_us(const struct bb_gate_record *g)
 {
--- a/path/entry.c
+++ b/path/entry.c
@@ -145,9 +145,9 @@
     request_destroy(rq, BB_EVENT_FAILURE);
 }
 
-/* Records the total time of a request with a response, and the part of it that
- * was not spent at its upstream. That part is not known for a held response,
- * which belongs to no attempt any more. */
+/* Records the total time of a request that got an upstream's response, and the
+ * part of it that was not spent at the upstream. That part is not known for a
+ * held response, which no longer belongs to an attempt. */
 static void
 record_response_time(const struct entry_request *rq,
                      const struct bb_response_relay *response)
--- a/proxyd/main.c
+++ b/proxyd/main.c
@@ -14,9 +14,9 @@
 
 enum {
     /* Time from the start of the shutdown until the entry refuses requests.
-     * The ready check reports 503 from the start; callers notice after two
-     * failed checks, one a second, and the second answer may take up to
-     * 600 ms to reach them. */
+     * The ready check responds with 503 from the start. Callers need two
+     * missed checks, one a second, and the time of the response on its way, to
+     * learn that this host stops. */
     SHUTDOWN_NOTICE_MS = 2600,
     /* Time until the gate refuses requests. If only the proxy restarts, its
      * upstream still works; refusing from SIGTERM on took it out of service
@@ -148,7 +148,7 @@
     }
 }
 
-/* Answers the ready check: 200 once there are rules, 503 before that and
+/* Responds to the ready check: 200 once there are rules, 503 before that and
  * during the shutdown, 404 for other requests. */
 static void
 on_ready_request(void *context, struct bb_http_exchange *x)
@@ -165,7 +165,7 @@
     bb_http_exchange_respond(x, status, NULL, NULL, 0);
 }
 
-/* Answers an accepted call of the upstream. */
+/* Responds to an accepted call of the upstream. */
 static void
 acknowledge(const struct proxy *p, struct bb_http_exchange *x)
 {
@@ -178,7 +178,7 @@
     g_string_free(fields, TRUE);
 }
 
-/* Answers a call of an upstream with an error and logs it. */
+/* Responds to a call of an upstream with an error and logs it. */
 static void
 refuse_call(struct bb_http_exchange *x, uint32_t status, const char *reason)
 {
@@ -273,8 +273,8 @@
     }
 }
 
-/* Begins the shutdown: the ready check fails, and answers of the entry close
- * their connections; those of the gate do after SHUTDOWN_GATE_OPEN_MS.
+/* Begins the shutdown: the ready check fails, and responses of the entry close
+ * their connections; those of the gate do so after SHUTDOWN_GATE_OPEN_MS.
  * Requests in progress are finished. */
 static void
 begin_shutdown(void *context)
--- a/proxyd/settings.h
+++ b/proxyd/settings.h
@@ -15,8 +15,8 @@
     struct bb_address listen_announce;
     uint64_t grace_s; /* from SIGTERM to the end of the process */
     uint64_t retry_window_s;
-    uint64_t retry_allowance; /* repeats of all hosts in a window */
-    const char *retry_ratio;  /* repeats per request, as text */
+    uint64_t retry_allowance; /* retries of all hosts in a window */
+    const char *retry_ratio;  /* retries per request, as text */
     uint32_t retry_ratio_permille;
 };
 
--- a/tests/fleet/test_fleet.c
+++ b/tests/fleet/test_fleet.c
@@ -254,9 +254,9 @@
     }
 }
 
-/* Guards against: a repeated proposal that is refused although it was
- * accepted, two proposals with one base version that are both accepted, a read
- * that returns another configuration than the accepted one. */
+/* Guards against: a retried proposal that is refused although it was accepted,
+ * two proposals with one base version that are both accepted, a read that
+ * returns another configuration than the accepted one. */
 static void
 test_proposals(void)
 {
@@ -312,7 +312,7 @@
 }
 
 /* Guards against: an accepted configuration that is lost when all hosts
- * restart at once, or when the leader stops right after it answered. */
+ * restart at once, or when the leader stops right after it responded. */
 static void
 test_restarts(void)
 {
@@ -368,7 +368,7 @@
 }
 
 /* Guards against: a leader without a majority that accepts or refuses a
- * proposal, or answers a read. */
+ * proposal, or responds to a read. */
 static void
 test_minority(void)
 {
