--- a/tests/path/test_path.c
+++ b/tests/path/test_path.c
@@ -266,9 +266,9 @@
     return (struct scripted_response){.action = ACTION_RESET};
 }
 
-/* Guards against: a request that must not run twice but is sent again, or gets
- * a response that it did not run, after its response was lost; and an
- * idempotent one that is sent to more upstreams than its route allows. */
+/* Guards against: a request that must not run twice but is sent again, or
+ * reported as not run, after its response was lost; and an idempotent one that
+ * is sent to more upstreams than its route allows. */
 static void
 test_lost_response(void)
 {
@@ -303,8 +303,7 @@
 }
 
 /* Guards against: a request that an upstream did not run and that is not sent
- * to the other one, or gets no response that it did not run if no upstream can
- * run it. */
+ * to the other one, or gets no 503 if no upstream can run it. */
 static void
 test_not_run(void)
 {
