Reword the comments and names of the trace replay

A newcomer met names such as t, tier and FIRST_HOSTS, literals without a name and lists of events without a meaning.

Constants and variables have names of the field, the adapters explain their events, and three messages name what is wrong. Messages that test_replay matches stay.

--- a/include/replay/replay.h
+++ b/include/replay/replay.h
@@ -29,18 +29,19 @@
     BB_REPLAY_ERROR_MISMATCH /* a result other than the expected one */
 };
 
-/* One event while its fields are read. A field that nothing reads is an error,
+/* One event while its fields are read. A field that nothing uses is an error,
  * so that a misspelt optional field isn't silently ignored. */
 struct bb_replay_line {
     const json_t *object;
-    uint32_t fields_read; /* number of fields read so far */
+    uint32_t fields_read; /* number of fields that were used so far */
     uint64_t now_us;
     struct bb_error *error;
 };
 
 /* Adapter of a decision module. */
 struct bb_replay_module {
-    void *(*create)(void); /* returns the initial state; NULL: no memory */
+    void *(*create)(void); /* returns the initial state; NULL if out of
+                               memory */
     void (*destroy)(void *state);
     /* Applies one event to the state and adds its outcome to result. Returns
      * false with l->error set if the event is invalid. */
@@ -49,8 +50,8 @@
 };
 
 struct bb_replay_summary {
-    uint32_t events;
-    uint32_t expectations; /* expected fields that were compared */
+    uint32_t event_count;
+    uint32_t expectation_count; /* expected fields that were compared */
 };
 
 bool bb_replay_run_trace(FILE *in, bool is_verbose,
--- a/replay/fields.c
+++ b/replay/fields.c
@@ -4,7 +4,7 @@
 
 #include "replay/replay.h"
 
-/* Returns a field and counts it as read; NULL if it is missing. */
+/* Returns a field and counts it as used; NULL if it is missing. */
 static const json_t *
 read_field(struct bb_replay_line *l, const char *key)
 {
--- a/replay/main.c
+++ b/replay/main.c
@@ -7,7 +7,7 @@
 #include "common/settings.h"
 #include "replay/replay.h"
 
-enum { TRACES_MAX = 16 };
+enum { TRACES_MAX = 16 /* most operands that bb_settings_read stores */ };
 
 /* Replays one file. Prints a summary to stdout, or the first error to stderr.
  */
@@ -32,7 +32,7 @@
                                               : BB_EXIT_FAILED;
     }
     printf("%s: %" PRIu32 " events, %" PRIu32 " expectations met\n", path,
-           s.events, s.expectations);
+           s.event_count, s.expectation_count);
     return BB_EXIT_OK;
 }
 
--- a/replay/module_admission.c
+++ b/replay/module_admission.c
@@ -1,6 +1,8 @@
-/* Adapter of the admission module. Events: configure, state, shed, stop,
- * arrive, finish, cancel, tick, and offer, which generates load for up to ten
- * minutes of virtual time. */
+/* Adapter of the admission module. Events: configure (new limits), state
+ * (announced state of the upstream), shed (the upstream sheds load), stop (the
+ * gatekeeper stops), arrive, finish and cancel (of one request), tick (only
+ * advances the time) and offer, which generates load for up to ten minutes of
+ * virtual time. */
 #include <stdlib.h>
 #include <string.h>
 
@@ -12,7 +14,7 @@
 
 enum {
     SLOTS_MAX = 100000,
-    PERCENT = 100,
+    PERCENT_MAX = 100,
     RATE_MAX = 100000,
     MS_MAX = 86400000,
     OFFER_MS_MAX = 600000
@@ -84,7 +86,8 @@
         !bb_replay_read_number_or(l, "connections", SLOTS_MAX, 0,
                                   &connections) ||
         !bb_replay_read_number(l, "queue_length", SLOTS_MAX, &queue) ||
-        !bb_replay_read_number(l, "long_work_percent", PERCENT, &percent) ||
+        !bb_replay_read_number(l, "long_work_percent", PERCENT_MAX,
+                               &percent) ||
         !bb_replay_read_number_or(l, "slow_start_ms", MS_MAX, 0,
                                   &slow_start_ms) ||
         !bb_replay_read_number_or(l, "queue_wait_ms", MS_MAX, 0, &wait_ms) ||
@@ -128,7 +131,8 @@
     return true;
 }
 
-/* Ends a request and reports whether the module knew it. */
+/* Finishes a request, or cancels it if is_cancel, and reports whether the
+ * module knew it. */
 static bool
 finish_or_cancel(struct state *s, struct bb_replay_line *l, bool is_cancel,
                  json_t *result)
--- a/replay/module_claim.c
+++ b/replay/module_claim.c
@@ -12,21 +12,21 @@
 #include "replay/replay.h"
 
 enum {
-    WITNESSES = 8,
-    ENTRIES = 64,
+    WITNESS_COUNT = 8,
+    ENTRIES_MAX = 64,
     RETENTION_S = 600,
     ATTEMPTS_MAX = 1000,
-    FIRST_HOSTS = 3
+    INITIAL_HOST_COUNT = 3
 };
 
 struct witness {
     struct bb_witness witness;
-    struct bb_claim_entry entries[ENTRIES];
+    struct bb_claim_entry entries[ENTRIES_MAX];
     bool is_unreachable;
 };
 
 struct state {
-    struct witness witnesses[WITNESSES];
+    struct witness witnesses[WITNESS_COUNT];
     struct bb_roster roster;
 };
 
@@ -38,7 +38,7 @@
               uint64_t now_us)
 {
     bb_witness_init(&w->witness, epoch, (uint64_t)RETENTION_S * BB_US_PER_S,
-                    is_restart, w->entries, ENTRIES, now_us);
+                    is_restart, w->entries, ENTRIES_MAX, now_us);
     w->is_unreachable = false;
 }
 
@@ -51,10 +51,10 @@
         return NULL;
     }
     s->roster.epoch = 1;
-    s->roster.host_count = FIRST_HOSTS;
-    for (uint64_t i = 0; i < WITNESSES; i++) {
+    s->roster.host_count = INITIAL_HOST_COUNT;
+    for (uint64_t i = 0; i < WITNESS_COUNT; i++) {
         start_witness(&s->witnesses[i], 1, false, 0);
-        if (i < FIRST_HOSTS) {
+        if (i < INITIAL_HOST_COUNT) {
             s->roster.hosts[i] = i;
         }
     }
@@ -67,7 +67,7 @@
 {
     uint64_t i;
 
-    return bb_replay_read_number(l, "witness", WITNESSES - 1, &i)
+    return bb_replay_read_number(l, "witness", WITNESS_COUNT - 1, &i)
                ? &s->witnesses[i]
                : NULL;
 }
@@ -118,15 +118,15 @@
     return true;
 }
 
-/* Replaces one host of the roster by another, in a new epoch. */
+/* Replaces one host of the roster with another, in a new epoch. */
 static bool
 change_roster(struct state *s, struct bb_replay_line *l)
 {
     uint64_t from;
     uint64_t to;
 
-    if (!bb_replay_read_number(l, "from", WITNESSES - 1, &from) ||
-        !bb_replay_read_number(l, "to", WITNESSES - 1, &to)) {
+    if (!bb_replay_read_number(l, "from", WITNESS_COUNT - 1, &from) ||
+        !bb_replay_read_number(l, "to", WITNESS_COUNT - 1, &to)) {
         return false;
     }
     memcpy(s->roster.previous, s->roster.hosts, sizeof(s->roster.previous));
--- a/replay/module_record.c
+++ b/replay/module_record.c
@@ -1,7 +1,10 @@
 /* Adapter of the record and probe modules, with gatekeepers 0 to 3 and one
- * probe. Events for a gatekeeper: begin, finish, query and restart. Events for
- * the probe, which watches one call: send, bytes, broken, answered,
- * query_failed and step. */
+ * probe. Events for a gatekeeper: begin, finish and query (of a request) and
+ * restart (in a new incarnation with an empty record). Events for the probe,
+ * which watches one call: send (the call is sent), bytes (a part of the
+ * response arrives), broken (the connection is lost), answered and
+ * query_failed (result of a query to the gatekeeper) and step (only advances
+ * the time). */
 #include <stdlib.h>
 #include <string.h>
 
@@ -11,15 +14,20 @@
 #include "decide/record.h"
 #include "replay/replay.h"
 
-enum { GATEKEEPERS = 4, ENTRIES = 64, RETENTION_S = 600, MS_MAX = 86400000 };
+enum {
+    GATEKEEPER_COUNT = 4,
+    ENTRIES_MAX = 64,
+    RETENTION_S = 600,
+    MS_MAX = 86400000
+};
 
 struct gatekeeper {
     struct bb_record record;
-    struct bb_record_entry entries[ENTRIES];
+    struct bb_record_entry entries[ENTRIES_MAX];
 };
 
 struct state {
-    struct gatekeeper gatekeepers[GATEKEEPERS];
+    struct gatekeeper gatekeepers[GATEKEEPER_COUNT];
     struct bb_probe probe;
 };
 
@@ -32,14 +40,15 @@
                                          "retry", "unknown"};
 static const char *const outcome_names[] = {"done", "refused"};
 
-enum { QUERY_NAMES = sizeof(query_names) / sizeof(query_names[0]) };
+enum { QUERY_NAME_COUNT = sizeof(query_names) / sizeof(query_names[0]) };
 
 /* Starts a gatekeeper with an empty record. */
 static void
 start_gatekeeper(struct gatekeeper *g, uint64_t incarnation)
 {
     bb_record_init(&g->record, incarnation,
-                   (uint64_t)RETENTION_S * BB_US_PER_S, g->entries, ENTRIES);
+                   (uint64_t)RETENTION_S * BB_US_PER_S, g->entries,
+                   ENTRIES_MAX);
 }
 
 static void *
@@ -47,7 +56,7 @@
 {
     struct state *s = calloc(1, sizeof(*s));
 
-    for (uint64_t i = 0; s != NULL && i < GATEKEEPERS; i++) {
+    for (uint64_t i = 0; s != NULL && i < GATEKEEPER_COUNT; i++) {
         start_gatekeeper(&s->gatekeepers[i], 1);
     }
     return s;
@@ -59,7 +68,7 @@
 {
     uint64_t i;
 
-    return bb_replay_read_number(l, "gatekeeper", GATEKEEPERS - 1, &i)
+    return bb_replay_read_number(l, "gatekeeper", GATEKEEPER_COUNT - 1, &i)
                ? &s->gatekeepers[i]
                : NULL;
 }
@@ -80,7 +89,8 @@
     return true;
 }
 
-/* Begins or queries a request, after expiring all due entries. */
+/* Begins a request, or queries it if is_query, after removing expired entries.
+ */
 static bool
 begin_or_query(struct state *s, struct bb_replay_line *l, bool is_query,
                json_t *result)
@@ -93,7 +103,7 @@
     if (g == NULL || !read_id(l, &id, &incarnation)) {
         return false;
     }
-    for (int i = 0; i < ENTRIES; i++) {
+    for (int i = 0; i < ENTRIES_MAX; i++) {
         (void)bb_record_expire(&g->record, l->now_us, &answer);
     }
     if (is_query) {
@@ -156,14 +166,14 @@
     return true;
 }
 
-/* Passes the answer to a query to the probe. */
+/* Passes the response to a query to the probe. */
 static bool
 answer_query(struct state *s, struct bb_replay_line *l)
 {
     uint32_t result_index;
 
-    if (!bb_replay_read_enum(l, "result", query_names, QUERY_NAMES,
-                             QUERY_NAMES, &result_index)) {
+    if (!bb_replay_read_enum(l, "result", query_names, QUERY_NAME_COUNT,
+                             QUERY_NAME_COUNT, &result_index)) {
         return false;
     }
     bb_probe_query_answered(&s->probe, (enum bb_query_result)result_index,
--- a/replay/module_retry.c
+++ b/replay/module_retry.c
@@ -1,4 +1,5 @@
-/* Adapter of the retry module. Events: configure, call, retry and hedge. */
+/* Adapter of the retry module. Events: configure (retry and hedge budgets),
+ * call (first attempts), retry and hedge (request a number of them). */
 #include <stdlib.h>
 #include <string.h>
 
@@ -7,7 +8,7 @@
 #include "decide/retry.h"
 #include "replay/replay.h"
 
-enum { PERCENT = 100, ATTEMPTS_MAX = 1000, TIMES_MAX = 1000000 };
+enum { PERCENT_MAX = 100, ATTEMPTS_MAX = 1000, TIMES_MAX = 1000000 };
 
 struct state {
     struct bb_retry_budget retries;
@@ -30,8 +31,8 @@
     uint64_t retries;
     uint64_t hedges;
 
-    if (!bb_replay_read_number(l, "retry_percent", PERCENT, &retries) ||
-        !bb_replay_read_number(l, "hedge_percent", PERCENT, &hedges)) {
+    if (!bb_replay_read_number(l, "retry_percent", PERCENT_MAX, &retries) ||
+        !bb_replay_read_number(l, "hedge_percent", PERCENT_MAX, &hedges)) {
         return false;
     }
     bb_retry_budget_configure(&s->retries, (uint32_t)retries);
--- a/replay/module_routing.c
+++ b/replay/module_routing.c
@@ -1,6 +1,9 @@
 /* Adapter of the route_pick and outlier modules, combined as in an entry node.
- * Events: add, report, drain, refused_slow, link, call, start, pick and tick.
- */
+ * Events: add (a gatekeeper becomes a candidate), report (load of a
+ * gatekeeper), drain (a gatekeeper gets no more calls), refused_slow (a
+ * gatekeeper refused a call because it is slow), link (byte budget of the link
+ * between the regions), start (a call begins), call (a call has ended), pick
+ * (choose gatekeepers) and tick (only advances the time). */
 #include <stdlib.h>
 #include <string.h>
 
@@ -9,7 +12,12 @@
 #include "decide/route_pick.h"
 #include "replay/replay.h"
 
-enum { GATEKEEPERS_MAX = 64, LOAD_MAX = 100000, CALLS_MAX = 100000 };
+enum {
+    GATEKEEPERS_MAX = 64,
+    LOAD_MAX = 100000,
+    CALLS_MAX = 100000,
+    EJECTED_MAX_PERCENT = 33 /* one third */
+};
 
 struct state {
     struct bb_candidate candidates[GATEKEEPERS_MAX];
@@ -19,7 +27,7 @@
     struct bb_outliers outliers;
 };
 
-static const char *const tier_names[] = {"zone", "region", "remote"};
+static const char *const distance_names[] = {"zone", "region", "remote"};
 static const char *const policy_names[] = {"least_wait", "round_robin"};
 
 static void *
@@ -28,7 +36,7 @@
     struct state *s = calloc(1, sizeof(*s));
 
     if (s != NULL) {
-        bb_outliers_init(&s->outliers, 33);
+        bb_outliers_init(&s->outliers, EJECTED_MAX_PERCENT);
     }
     return s;
 }
@@ -48,7 +56,7 @@
         }
     }
     (void)bb_error_set(l->error, BB_REPLAY_ERROR_FIELD,
-                       "the gatekeeper was not added");
+                       "no gatekeeper with this number was added");
     return NULL;
 }
 
@@ -58,22 +66,22 @@
 {
     uint64_t id;
     uint64_t slots;
-    uint32_t tier;
+    uint32_t distance;
 
     if (!bb_replay_read_number(l, "gatekeeper", BB_REPLAY_NUMBER_MAX, &id) ||
         !bb_replay_read_number(l, "slots", LOAD_MAX, &slots) ||
-        !bb_replay_read_enum(l, "tier", tier_names, BB_ROUTE_DISTANCES,
-                             BB_ROUTE_SAME_ZONE, &tier)) {
+        !bb_replay_read_enum(l, "tier", distance_names, BB_ROUTE_DISTANCES,
+                             BB_ROUTE_SAME_ZONE, &distance)) {
         return false;
     }
     if (s->count == GATEKEEPERS_MAX || !bb_outliers_add(&s->outliers, id)) {
         return bb_error_set(l->error, BB_REPLAY_ERROR_FIELD,
-                            "the gatekeeper was already added, or there are "
-                            "more than %d",
+                            "the gatekeeper was added before, or there are "
+                            "already %d",
                             GATEKEEPERS_MAX);
     }
     bb_candidate_init(&s->candidates[s->count++], id,
-                      (enum bb_route_distance)tier, (uint32_t)slots);
+                      (enum bb_route_distance)distance, (uint32_t)slots);
     return true;
 }
 
@@ -124,6 +132,13 @@
     return true;
 }
 
+/* Returns the next state of a 64-bit linear congruential generator. */
+static uint64_t
+advance_generator(uint64_t state)
+{
+    return state * 6364136223846793005U + 1442695040888963407U;
+}
+
 /* Picks a number of times at the same virtual time and reports how often each
  * gatekeeper was chosen; key "0" counts picks without a choice. */
 static bool
@@ -154,7 +169,7 @@
     for (uint64_t i = 0; i < times; i++) {
         char key[32];
 
-        seed = seed * 6364136223846793005U + 1442695040888963407U;
+        seed = advance_generator(seed);
         c = bb_route_pick(
             bb_plugin_find(BB_PLUGIN_ROUTING_POLICY, policy_names[policy]),
             &s->route, all, s->count, &r, &s->link, seed >> 32 | seed << 32,
--- a/replay/offered_load.c
+++ b/replay/offered_load.c
@@ -8,49 +8,59 @@
 #include "decide/admission_capacity.h"
 #include "replay/replay.h"
 
-enum { PERCENT = 100, PERMILLE = 1000, P50 = 500, P99 = 990 };
+enum {
+    PERCENT = 100,
+    PERMILLE = 1000,
+    P50_PERMILLE = 500,
+    P99_PERMILLE = 990,
+    UNIT_STEPS = 1 << 30 /* values of a random number above 0 up to 1 */
+};
+
+/* Interval that never passes, but can still be added to a time. */
+static const uint64_t never_us = UINT64_MAX / 4;
 
-/* Statistics of one load. */
+/* Statistics of one run. */
 struct load_stats {
     uint64_t arrived;
     uint64_t refused;
-    uint64_t refused_beside_slot; /* refused while a slot was free */
-    uint64_t late;                /* finished after their deadline */
-    uint64_t good;                /* finished by their deadline */
+    uint64_t refused_with_free_slot; /* refused while a slot was free */
+    uint64_t late;                   /* finished after their deadline */
+    uint64_t good;                   /* finished by their deadline */
     uint64_t good_us; /* service time of calls that met their deadline */
     uint64_t latency_count[BB_ADMISSION_CLASSES];
-    uint64_t *latency_us[BB_ADMISSION_CLASSES];
+    uint64_t *latency_us[BB_ADMISSION_CLASSES]; /* of finished calls */
     uint64_t latency_capacity; /* allocated entries of each latency_us */
 };
 
-/* One load while it runs. */
-struct run {
+/* State of bb_offered_load_run. */
+struct load_run {
     struct bb_offered_load_state *s;
     struct bb_admission *a;
     const struct bb_offered_load *load;
     struct bb_random *random;
-    struct load_stats t;
+    struct load_stats stats;
     uint64_t now_us;
     uint64_t next_us[BB_ADMISSION_CLASSES]; /* time of the next arrival */
 };
 
-/* Draws the time to the next arrival of a class; practically never if its rate
- * is 0. */
+/* Draws the time to the next arrival of a class; never_us if its rate is 0. */
 static uint64_t
-draw_interarrival_us(struct run *r, int k)
+draw_interarrival_us(struct load_run *r, int class_index)
 {
-    double u = (double)(bb_random_below(r->random, 1U << 30) + 1) / (1U << 30);
+    double u =
+        (double)(bb_random_below(r->random, UNIT_STEPS) + 1) / UNIT_STEPS;
 
-    if (r->load->rate_per_s[k] == 0) {
-        return UINT64_MAX / 4;
+    if (r->load->rate_per_s[class_index] == 0) {
+        return never_us;
     }
-    return (uint64_t)(-log(u) * BB_US_PER_S / (double)r->load->rate_per_s[k]) +
+    return (uint64_t)(-log(u) * BB_US_PER_S /
+                      (double)r->load->rate_per_s[class_index]) +
            1;
 }
 
 /* Returns the running or queued call with an id, or NULL. */
 static struct bb_offered_load_call *
-find_call(struct run *r, uint64_t id)
+find_call(struct load_run *r, uint64_t id)
 {
     for (uint32_t i = 0; i < r->s->active_count; i++) {
         if (r->s->active_calls[i].id == id) {
@@ -62,7 +72,7 @@
 
 /* Starts or drops queued calls as the admission module decides. */
 static void
-apply_actions(struct run *r)
+apply_actions(struct load_run *r)
 {
     struct bb_admission_action action;
 
@@ -76,7 +86,7 @@
             c->finish_us = r->now_us + c->duration_us;
         }
         else {
-            r->t.refused++;
+            r->stats.refused++;
             *c = r->s->active_calls[--r->s->active_count];
         }
     }
@@ -84,13 +94,13 @@
 
 /* Submits a new call to the admission module. */
 static void
-submit_call(struct run *r, enum bb_admission_class k)
+submit_call(struct load_run *r, enum bb_admission_class work_class)
 {
-    uint64_t mean_us = r->load->service_us[k];
+    uint64_t mean_us = r->load->service_us[work_class];
     uint64_t spread_us = mean_us * 2 / 3;
     const struct bb_admission_request q = {
         .id = ++r->s->next_id,
-        .work_class = k,
+        .work_class = work_class,
         .team = BB_ADMISSION_NO_TEAM,
         .deadline_us = r->now_us + r->load->deadline_us,
     };
@@ -102,19 +112,19 @@
         .duration_us = 1 + mean_us - mean_us / 3 +
                        bb_random_below(r->random, spread_us + 1),
         .deadline_us = q.deadline_us,
-        .work_class = k,
+        .work_class = work_class,
     };
     struct bb_admission_decision d;
 
-    r->t.arrived++;
-    if (r->s->active_count == BB_OFFERED_ACTIVE_CALLS_MAX) {
-        r->t.refused++;
+    r->stats.arrived++;
+    if (r->s->active_count == BB_OFFERED_LOAD_ACTIVE_MAX) {
+        r->stats.refused++;
         return;
     }
     d = bb_admission_arrive(r->a, &q, r->now_us);
     if (d.kind == BB_ADMISSION_REFUSE) {
-        r->t.refused++;
-        r->t.refused_beside_slot += has_slot;
+        r->stats.refused++;
+        r->stats.refused_with_free_slot += has_slot;
         return;
     }
     if (d.kind == BB_ADMISSION_RUN) {
@@ -125,27 +135,28 @@
 
 /* Finishes a running call and adds it to the statistics. */
 static void
-finish_call(struct run *r, struct bb_offered_load_call *c)
+finish_call(struct load_run *r, struct bb_offered_load_call *c)
 {
-    uint64_t *count = &r->t.latency_count[c->work_class];
+    uint64_t *count = &r->stats.latency_count[c->work_class];
 
     (void)bb_admission_finish(r->a, c->id, c->duration_us, true, r->now_us);
     if (r->now_us <= c->deadline_us) {
-        r->t.good++;
-        r->t.good_us += c->duration_us;
+        r->stats.good++;
+        r->stats.good_us += c->duration_us;
     }
     else {
-        r->t.late++;
+        r->stats.late++;
     }
-    if (*count < r->t.latency_capacity) {
-        r->t.latency_us[c->work_class][(*count)++] = r->now_us - c->arrive_us;
+    if (*count < r->stats.latency_capacity) {
+        r->stats.latency_us[c->work_class][(*count)++] =
+            r->now_us - c->arrive_us;
     }
     *c = r->s->active_calls[--r->s->active_count];
 }
 
 /* Returns the running call that ends first, or NULL. */
 static struct bb_offered_load_call *
-find_first_to_finish(struct run *r)
+find_first_to_finish(struct load_run *r)
 {
     struct bb_offered_load_call *first = NULL;
 
@@ -161,28 +172,30 @@
 }
 
 /* Advances to the next event and processes it. Returns false without a change
- * if that is at end_us or later, or after BB_OFFERED_CALLS_MAX arrivals. */
+ * if that is at end_us or later, or after BB_OFFERED_LOAD_CALLS_MAX arrivals.
+ */
 static bool
-process_next_event(struct run *r, uint64_t end_us)
+process_next_event(struct load_run *r, uint64_t end_us)
 {
     struct bb_offered_load_call *c = find_first_to_finish(r);
     uint64_t at_us = bb_admission_next_wakeup_us(r->a, r->now_us + 1);
-    int k = r->next_us[BB_ADMISSION_SHORT] <= r->next_us[BB_ADMISSION_LONG]
-                ? BB_ADMISSION_SHORT
-                : BB_ADMISSION_LONG;
+    int class_index =
+        r->next_us[BB_ADMISSION_SHORT] <= r->next_us[BB_ADMISSION_LONG]
+            ? BB_ADMISSION_SHORT
+            : BB_ADMISSION_LONG;
 
-    at_us = r->next_us[k] < at_us ? r->next_us[k] : at_us;
+    at_us = r->next_us[class_index] < at_us ? r->next_us[class_index] : at_us;
     at_us = c != NULL && c->finish_us < at_us ? c->finish_us : at_us;
-    if (at_us >= end_us || r->t.arrived >= BB_OFFERED_CALLS_MAX) {
+    if (at_us >= end_us || r->stats.arrived >= BB_OFFERED_LOAD_CALLS_MAX) {
         return false;
     }
     r->now_us = at_us;
     if (c != NULL && c->finish_us == at_us) {
         finish_call(r, c);
     }
-    else if (r->next_us[k] == at_us) {
-        r->next_us[k] += draw_interarrival_us(r, k);
-        submit_call(r, (enum bb_admission_class)k);
+    else if (r->next_us[class_index] == at_us) {
+        r->next_us[class_index] += draw_interarrival_us(r, class_index);
+        submit_call(r, (enum bb_admission_class)class_index);
     }
     apply_actions(r);
     return true;
@@ -197,77 +210,85 @@
     return (x > y) - (x < y);
 }
 
-/* Adds a quantile of the latencies of class k, which must be sorted, to the
+/* Adds a quantile of the latencies of a class, which must be sorted, to the
  * result; 0 if there are none. */
 static void
-add_quantile(json_t *result, const char *key, const struct load_stats *t,
-             int k, uint32_t permille)
+add_quantile(json_t *result, const char *key, const struct load_stats *stats,
+             int class_index, uint32_t permille)
 {
-    uint64_t n = t->latency_count[k];
+    uint64_t count = stats->latency_count[class_index];
 
     bb_replay_set_number(
         result, key,
-        n == 0 ? 0 : t->latency_us[k][(n - 1) * permille / PERMILLE]);
+        count == 0 ? 0
+                   : stats->latency_us[class_index]
+                                      [(count - 1) * permille / PERMILLE]);
 }
 
 /* Adds the statistics to the result of the trace line. */
 static void
-add_stats(struct run *r, json_t *result)
+add_stats(struct load_run *r, json_t *result)
 {
-    struct load_stats *t = &r->t;
+    struct load_stats *stats = &r->stats;
     uint64_t capacity_us =
         r->load->duration_us * bb_admission_configured_slots(r->a);
 
-    for (int k = 0; k < BB_ADMISSION_CLASSES; k++) {
-        qsort(t->latency_us[k], t->latency_count[k], sizeof(uint64_t),
+    for (int i = 0; i < BB_ADMISSION_CLASSES; i++) {
+        qsort(stats->latency_us[i], stats->latency_count[i], sizeof(uint64_t),
               compare_times);
     }
-    bb_replay_set_number(result, "arrived", t->arrived);
-    bb_replay_set_number(result, "refused", t->refused);
+    bb_replay_set_number(result, "arrived", stats->arrived);
+    bb_replay_set_number(result, "refused", stats->refused);
     bb_replay_set_number(result, "refused_beside_slot",
-                         t->refused_beside_slot);
-    bb_replay_set_number(result, "late", t->late);
-    bb_replay_set_number(result, "good", t->good);
+                         stats->refused_with_free_slot);
+    bb_replay_set_number(result, "late", stats->late);
+    bb_replay_set_number(result, "good", stats->good);
     bb_replay_set_number(
         result, "goodput_percent",
-        capacity_us == 0 ? 0 : t->good_us * PERCENT / capacity_us);
-    add_quantile(result, "short_p50_us", t, BB_ADMISSION_SHORT, P50);
-    add_quantile(result, "short_p99_us", t, BB_ADMISSION_SHORT, P99);
-    add_quantile(result, "long_p99_us", t, BB_ADMISSION_LONG, P99);
+        capacity_us == 0 ? 0 : stats->good_us * PERCENT / capacity_us);
+    add_quantile(result, "short_p50_us", stats, BB_ADMISSION_SHORT,
+                 P50_PERMILLE);
+    add_quantile(result, "short_p99_us", stats, BB_ADMISSION_SHORT,
+                 P99_PERMILLE);
+    add_quantile(result, "long_p99_us", stats, BB_ADMISSION_LONG,
+                 P99_PERMILLE);
 }
 
-/* Returns the number of latencies to allocate for a class: twice the expected
- * calls, plus the calls that the previous load may have left active. */
+/* Returns the number of latency entries to allocate for a class: twice the
+ * expected calls, plus the calls that the previous run may have left active.
+ */
 static uint64_t
 max_latency_count(const struct bb_offered_load *l)
 {
     uint64_t rate =
         l->rate_per_s[BB_ADMISSION_SHORT] + l->rate_per_s[BB_ADMISSION_LONG];
     uint64_t count =
-        2 * rate * l->duration_us / BB_US_PER_S + BB_OFFERED_ACTIVE_CALLS_MAX;
+        2 * rate * l->duration_us / BB_US_PER_S + BB_OFFERED_LOAD_ACTIVE_MAX;
 
-    return count < BB_OFFERED_CALLS_MAX ? count : BB_OFFERED_CALLS_MAX;
+    return count < BB_OFFERED_LOAD_CALLS_MAX ? count
+                                             : BB_OFFERED_LOAD_CALLS_MAX;
 }
 
 /* Generates load from now_us on for its duration and adds its statistics to
  * result. Calls that are running or queued at the end continue in the next
- * load. Without memory, result stays as it is. */
+ * run. If out of memory, leaves result unchanged. */
 void
 bb_offered_load_run(struct bb_offered_load_state *s, struct bb_admission *a,
                     const struct bb_offered_load *l, uint64_t now_us,
                     json_t *result)
 {
-    struct run r = {.s = s,
-                    .a = a,
-                    .load = l,
-                    .random = bb_random_create(l->seed),
-                    .now_us = now_us};
+    struct load_run r = {.s = s,
+                         .a = a,
+                         .load = l,
+                         .random = bb_random_create(l->seed),
+                         .now_us = now_us};
 
-    r.t.latency_capacity = max_latency_count(l);
-    for (int k = 0; k < BB_ADMISSION_CLASSES; k++) {
-        r.t.latency_us[k] = calloc(r.t.latency_capacity, sizeof(uint64_t));
-        r.next_us[k] = now_us + draw_interarrival_us(&r, k);
-        if (r.t.latency_us[k] == NULL) {
+    r.stats.latency_capacity = max_latency_count(l);
+    for (int i = 0; i < BB_ADMISSION_CLASSES; i++) {
+        r.stats.latency_us[i] =
+            calloc(r.stats.latency_capacity, sizeof(uint64_t));
+        r.next_us[i] = now_us + draw_interarrival_us(&r, i);
+        if (r.stats.latency_us[i] == NULL) {
             goto out;
         }
     }
@@ -276,8 +297,8 @@
     s->end_us = now_us + l->duration_us;
     add_stats(&r, result);
 out:
-    for (int k = 0; k < BB_ADMISSION_CLASSES; k++) {
-        free(r.t.latency_us[k]);
+    for (int i = 0; i < BB_ADMISSION_CLASSES; i++) {
+        free(r.stats.latency_us[i]);
     }
     bb_random_destroy(r.random);
 }
--- a/replay/offered_load.h
+++ b/replay/offered_load.h
@@ -8,8 +8,9 @@
 
 #include "decide/admission.h"
 
-/* Parameters of a load. Arrivals are a Poisson process with the given seed;
- * service times are uniform within a third of their mean. */
+/* Parameters of one run. Arrivals are a Poisson process with the given seed;
+ * service times are uniformly distributed between 2/3 and 4/3 of their mean.
+ */
 struct bb_offered_load {
     uint64_t rate_per_s[BB_ADMISSION_CLASSES]; /* calls per second */
     uint64_t service_us[BB_ADMISSION_CLASSES]; /* mean service time */
@@ -18,7 +19,10 @@
     uint64_t seed;
 };
 
-enum { BB_OFFERED_ACTIVE_CALLS_MAX = 2048, BB_OFFERED_CALLS_MAX = 1000000 };
+enum {
+    BB_OFFERED_LOAD_ACTIVE_MAX = 2048,  /* calls that run or are queued */
+    BB_OFFERED_LOAD_CALLS_MAX = 1000000 /* calls of one run */
+};
 
 /* A call that runs or is queued. */
 struct bb_offered_load_call {
@@ -30,12 +34,12 @@
     enum bb_admission_class work_class;
 };
 
-/* State that one load passes on to the next. */
+/* State that is carried over from one run to the next. */
 struct bb_offered_load_state {
-    uint64_t end_us; /* end of the last load */
+    uint64_t end_us; /* end of the previous run */
     uint64_t next_id;
     uint32_t active_count;
-    struct bb_offered_load_call active_calls[BB_OFFERED_ACTIVE_CALLS_MAX];
+    struct bb_offered_load_call active_calls[BB_OFFERED_LOAD_ACTIVE_MAX];
 };
 
 void bb_offered_load_run(struct bb_offered_load_state *s,
--- a/replay/trace.c
+++ b/replay/trace.c
@@ -7,7 +7,7 @@
 #include "common/registry.h"
 #include "replay/replay.h"
 
-enum { SHOWN_BYTES = 200 };
+enum { SHOWN_VALUE_MAX_BYTES = 200 };
 
 /* The state of one decision module in a replay. */
 struct module_state {
@@ -15,10 +15,12 @@
     void *state;
 };
 
+/* State of one replay. */
 struct replay {
-    uint64_t now_us;
+    uint64_t now_us; /* virtual time of the last event */
     uint32_t line_number;
-    const char *default_module; /* a name of the registry */
+    const char *default_module; /* name of a registered module; NULL before the
+                                   header */
     struct module_state modules[BB_REPLAY_MODULES_MAX];
     uint32_t module_count;
     bool is_verbose;
@@ -54,8 +56,8 @@
     return LINE_READ;
 }
 
-/* Returns the state of a module, which its first use creates. NULL with an
- * error if there is no such module, too many are in use or memory is out. */
+/* Returns the state of a module; creates it on first use. Returns NULL with an
+ * error if the module is unknown, too many are in use, or out of memory. */
 static struct module_state *
 get_module(struct replay *r, const char *name, struct bb_error *e)
 {
@@ -72,7 +74,8 @@
         }
     }
     if (r->module_count == BB_REPLAY_MODULES_MAX) {
-        bb_error_set(e, BB_REPLAY_ERROR_FIELD, "more than %d modules",
+        bb_error_set(e, BB_REPLAY_ERROR_FIELD,
+                     "the trace uses more than %d modules",
                      BB_REPLAY_MODULES_MAX);
         return NULL;
     }
@@ -113,13 +116,13 @@
 
     if (expect != NULL && !json_is_object(expect)) {
         return bb_error_set(e, BB_REPLAY_ERROR_FIELD,
-                            "field \"expect\" is no object");
+                            "field \"expect\" is not an object");
     }
     json_object_foreach((json_t *)expect, key, expected)
     {
         const json_t *value = json_object_get(result, key);
 
-        s->expectations++;
+        s->expectation_count++;
         if (!is_expected(expected, value)) {
             char *want = json_dumps(expected, JSON_ENCODE_ANY | JSON_COMPACT);
             char *got =
@@ -128,9 +131,10 @@
                     : json_dumps(value, JSON_ENCODE_ANY | JSON_COMPACT);
 
             bb_error_set(e, BB_REPLAY_ERROR_MISMATCH,
-                         "\"%.64s\" is %.*s, expected %.*s", key, SHOWN_BYTES,
-                         got != NULL ? got : "not in the result", SHOWN_BYTES,
-                         want);
+                         "\"%.64s\" is %.*s, expected %.*s", key,
+                         SHOWN_VALUE_MAX_BYTES,
+                         got != NULL ? got : "not in the result",
+                         SHOWN_VALUE_MAX_BYTES, want);
             free(want);
             free(got);
             return false;
@@ -139,8 +143,8 @@
     return true;
 }
 
-/* Reads the header line, which describes the trace and names its default
- * module. */
+/* Reads the header line, which names the default module of the trace. Its
+ * description ("trace" and "outcome") must be present but is not used. */
 static bool
 apply_header(struct replay *r, struct bb_replay_line *l)
 {
@@ -190,10 +194,10 @@
         return false;
     }
     l->fields_read += expect != NULL;
-    s->events++;
+    s->event_count++;
     if (l->fields_read != json_object_size(l->object)) {
         return bb_error_set(l->error, BB_REPLAY_ERROR_FIELD,
-                            "the line has fields that \"%.64s\" does not know",
+                            "the line has fields that \"%.64s\" does not use",
                             event);
     }
     return check_expectations(expect, result, s, l->error);
@@ -214,7 +218,7 @@
 apply_line(struct replay *r, const char *text, size_t length,
            struct bb_replay_summary *s, struct bb_error *e)
 {
-    json_error_t fault;
+    json_error_t json_error;
     json_t *result = json_object();
     json_t *object = NULL;
     struct bb_replay_line l = {.error = e};
@@ -223,10 +227,10 @@
     if (length == 0) {
         goto out;
     }
-    object = json_loadb(text, length, JSON_REJECT_DUPLICATES, &fault);
+    object = json_loadb(text, length, JSON_REJECT_DUPLICATES, &json_error);
     if (!json_is_object(object)) {
         ok = bb_error_set(e, BB_REPLAY_ERROR_SYNTAX, "no JSON object: %s",
-                          object == NULL ? fault.text : "another value");
+                          object == NULL ? json_error.text : "another value");
         goto out;
     }
     l.object = object;
