--- a/include/load/workload.h
+++ b/include/load/workload.h
@@ -11,25 +11,26 @@
 
 enum { BB_LOAD_NAME_BYTES = 128, BB_LOAD_ID_BYTES = 48 };
 
-/* A kind of request. */
+/* A type of request in the workload. */
 struct bb_load_route {
     char method[16];
     char path[BB_LOAD_NAME_BYTES];
     char call_path[BB_LOAD_NAME_BYTES]; /* X-Call-Path of nested calls, or
                                            empty */
-    uint64_t weight;       /* share of the calls, relative to the others */
-    uint64_t work_us;      /* service time; 0: the upstream draws it */
-    uint64_t body_bytes;   /* of the request */
+    uint64_t weight;     /* share of the calls, relative to the others */
+    uint64_t work_us;    /* service time; 0: random, chosen by the upstream */
+    uint64_t body_bytes; /* of the request */
     uint64_t answer_bytes; /* of the response; 0: a short text */
     uint64_t deadline_ms;  /* 0: none */
     bool is_long;          /* always reported as long work */
     bool is_keyed;         /* sent with an Idempotency-Key */
 };
 
-/* From at_ms on, the rate is the nominal rate times the factor. */
+/* From at_ms after the start of the period on, the rate is the nominal rate
+ * times the factor. */
 struct bb_load_rate_change {
-    uint64_t at_ms;
-    double factor;
+    uint64_t at_ms; /* strictly ascending in a list of changes */
+    double factor;  /* above 0 */
 };
 
 struct bb_workload {
@@ -37,7 +38,9 @@
     uint64_t rate;          /* calls per second, all targets together */
     uint64_t long_permille; /* share of calls with long work */
     uint64_t long_factor;   /* long work takes this many times longer */
-    uint64_t rate_change_period_ms; /* the changes repeat with it; 0: never */
+    /* Period after which the rate changes apply again; 0: they apply once, and
+     * their times count from the start of the run. */
+    uint64_t rate_change_period_ms;
     struct bb_load_route *routes;
     uint32_t route_count;
     uint64_t total_weight;
--- a/include/upstream/behaviour.h
+++ b/include/upstream/behaviour.h
@@ -13,15 +13,16 @@
 
 /* Distribution of service times. */
 enum bb_upstream_distribution {
-    BB_DISTRIBUTION_FIXED,
-    BB_DISTRIBUTION_EXPONENTIAL
+    BB_UPSTREAM_DISTRIBUTION_FIXED,
+    BB_UPSTREAM_DISTRIBUTION_EXPONENTIAL
 };
 
-/* The member names of numbers are also the keys of the JSON form. A permille
- * is the probability for one request. */
+/* The names of the numeric members are also their keys in JSON. Members in
+ * permille are probabilities per request. */
 struct bb_behaviour_values {
     uint64_t slots;       /* requests that run at the same time */
-    uint64_t connections; /* maximum, read at the start */
+    uint64_t connections; /* announced maximum; the HTTP server reads it only
+                             when it starts */
     uint64_t service_us;  /* mean of the service time */
     enum bb_upstream_distribution distribution;
     uint64_t long_permille;   /* requests with long work */
@@ -34,7 +35,7 @@
     uint64_t load_lag_ms;     /* age of the reported load */
     uint64_t load_percent;    /* reported load, in percent of the true load */
     uint64_t silent_permille; /* requests whose response is delayed by 30 s */
-    uint64_t truncate_permille; /* streamed responses cut in the middle */
+    uint64_t truncate_permille; /* streamed responses that end halfway */
     bool is_shedding;           /* refuse all requests */
 };
 
--- a/include/upstream/pattern.h
+++ b/include/upstream/pattern.h
@@ -7,9 +7,13 @@
 #include <stdint.h>
 #include <string.h>
 
-enum { BB_PATTERN_WORD_BYTES = 8 };
+enum {
+    BB_PATTERN_WORD_BYTES = 8,
+    /* Buffer for the digest of a body as 16 hexadecimal digits. */
+    BB_BODY_DIGEST_TEXT_BYTES = 20
+};
 
-/* Returns a word of the body: splitmix64 of its index and the seed. */
+/* Returns 8 bytes of the body: splitmix64 of their index and the seed. */
 static inline uint64_t
 bb_pattern_word(uint64_t seed, uint64_t index)
 {
--- a/include/upstream/server.h
+++ b/include/upstream/server.h
@@ -27,10 +27,12 @@
 struct bb_upstream {
     const char *host; /* name in responses */
     const char *service;
-    struct bb_address listen;
-    struct bb_address announce; /* where to announce; port 0: nowhere */
-    struct bb_address node;     /* for nested calls; port 0: none */
-    uint64_t lifetime_ms;       /* of an announcement */
+    struct bb_address listen_address; /* of its HTTP server */
+    /* Where the node accepts announcements; port 0: none are sent. */
+    struct bb_address announce_address;
+    /* Where the node accepts calls; port 0: nested calls fail. */
+    struct bb_address node_address;
+    uint64_t lifetime_ms; /* of an announcement */
     uint64_t idle_timeout_s;
     struct bb_behaviour behaviour;
     struct bb_runs *runs;
--- a/include/upstream/work.h
+++ b/include/upstream/work.h
@@ -9,7 +9,7 @@
 
 #include "upstream/behaviour.h"
 
-enum { BB_RUN_ID_BYTES = 160 };
+enum { BB_RUN_ID_BYTES = 160 /* of an id, with its zero byte */ };
 
 /* How a request ended. Only the first three values are in the history. */
 enum bb_run_outcome {
@@ -23,9 +23,8 @@
 
 struct bb_runs;
 
-/* Work that a request does after its service time, in its slot: its nested
- * calls. */
-struct bb_run_nested_calls {
+/* What a request does after its service time, still in its slot. */
+struct bb_run_nested_call {
     void (*run)(void *context, uint64_t end_us);
     void *context;
 };
@@ -35,7 +34,7 @@
 enum bb_run_outcome
 bb_runs_execute(struct bb_runs *r, const char *id, const char *call,
                 uint64_t wanted_us, uint64_t end_us,
-                const struct bb_run_nested_calls *nested_calls);
+                const struct bb_run_nested_call *nested_call);
 bool bb_runs_cancel(struct bb_runs *r, const char *id);
 uint32_t bb_runs_active_count(struct bb_runs *r);
 void bb_runs_get_reported_load(struct bb_runs *r, uint32_t *busy,
--- a/load/engine.c
+++ b/load/engine.c
@@ -11,31 +11,33 @@
 #include "upstream/pattern.h"
 
 enum {
-    BLOCK_BYTES = 16 * 1024,
-    LATE_US = BB_US_PER_MS,
+    READ_BLOCK_BYTES = 16 * 1024,
+    LATE_THRESHOLD_US = BB_US_PER_MS,
     HTTP_OK = 200,
     CONNECT_TIMEOUT_S = 2,
     /* Half the time after which a node closes an idle connection, as a request
      * that is sent while the node closes it is lost. */
     IDLE_MAX_US = 5 * BB_US_PER_S,
     STACK_BYTES = 256 * 1024,
-    DIGEST_TEXT_BYTES = 20
+    /* Time for all threads to start before the first call is due. */
+    START_DELAY_US = 250 * BB_US_PER_MS
 };
 
-/* A session that makes a single connection. When an idle connection turns out
- * to be closed, neon would silently send the request again on a new one, which
- * would look like a request that ran twice. */
-struct link {
+/* A neon session that makes a single connection. When an idle connection turns
+ * out to be closed, neon would silently send the request again on a new one,
+ * which would look like a request that ran twice. */
+struct target_connection {
     ne_session *session;
     bool is_closed;
     uint64_t used_us; /* time at which its last call ended */
 };
 
-/* A sending thread with a session for each target. */
+/* A sending thread with a connection to each target. */
 struct sender {
     struct bb_load_run *run;
     struct bb_load_stats *stats;
-    struct link links[BB_SETTINGS_LIST_MAX + 1]; /* the last: direct */
+    /* One per target; the last one is for direct calls. */
+    struct target_connection connections[BB_SETTINGS_LIST_MAX + 1];
     pthread_t thread;
 };
 
@@ -48,8 +50,8 @@
     uint64_t answer_bytes;
     bool is_pattern_wrong;
     enum bb_reason reason;
-    bool is_not_run; /* the refusal says that the request did not run */
-    char text[512];  /* start of a short response body */
+    bool has_not_run; /* the refusal says that the request did not run */
+    char text[512];   /* start of a short response body */
 };
 
 /* Body provider for neon: writes the next part of the request body and returns
@@ -73,20 +75,22 @@
 
 /* Computes the digest that the upstream must report for the request body. */
 static void
-compute_expected_digest(const struct call *c, char text[DIGEST_TEXT_BYTES])
+compute_expected_digest(const struct call *c,
+                        char text[BB_BODY_DIGEST_TEXT_BYTES])
 {
     XXH64_state_t *hash = XXH64_createState();
-    uint8_t block[BLOCK_BYTES];
-    uint64_t size = c->plan->route->body_bytes;
+    uint8_t block[READ_BLOCK_BYTES];
+    uint64_t size_bytes = c->plan->route->body_bytes;
 
     (void)XXH64_reset(hash, 0);
-    for (uint64_t at = 0; at < size; at += sizeof(block)) {
-        size_t count = MIN(sizeof(block), size - at);
+    for (uint64_t position = 0; position < size_bytes;
+         position += sizeof(block)) {
+        size_t count = MIN(sizeof(block), size_bytes - position);
 
-        bb_pattern_fill(c->seed, at, block, count);
+        bb_pattern_fill(c->seed, position, block, count);
         (void)XXH64_update(hash, block, count);
     }
-    (void)g_snprintf(text, DIGEST_TEXT_BYTES, "%016" PRIx64,
+    (void)g_snprintf(text, BB_BODY_DIGEST_TEXT_BYTES, "%016" PRIx64,
                      (uint64_t)XXH64_digest(hash));
     (void)XXH64_freeState(hash);
 }
@@ -94,23 +98,23 @@
 /* Compares a part of the response body with the pattern of this call, or keeps
  * the start of a short text. */
 static void
-check_response_block(struct call *c, const char *block, size_t size)
+check_response_block(struct call *c, const char *block, size_t size_bytes)
 {
-    uint8_t expected[BLOCK_BYTES];
+    uint8_t expected[READ_BLOCK_BYTES];
 
     if (c->plan->route->answer_bytes == 0) {
         size_t max_length = sizeof(c->text) - 1;
 
         if (c->answer_bytes < max_length) {
             memcpy(c->text + c->answer_bytes, block,
-                   MIN(size, max_length - c->answer_bytes));
+                   MIN(size_bytes, max_length - c->answer_bytes));
         }
     }
     else {
-        bb_pattern_fill(c->seed, c->answer_bytes, expected, size);
-        c->is_pattern_wrong |= memcmp(expected, block, size) != 0;
+        bb_pattern_fill(c->seed, c->answer_bytes, expected, size_bytes);
+        c->is_pattern_wrong |= memcmp(expected, block, size_bytes) != 0;
     }
-    c->answer_bytes += size;
+    c->answer_bytes += size_bytes;
 }
 
 /* Creates the request of a call. The caller destroys it. */
@@ -153,7 +157,7 @@
     const char *id = ne_get_response_header(q, "X-Call-Id");
     const char *digest = ne_get_response_header(q, "X-Body-Digest");
     uint64_t wanted = c->plan->route->answer_bytes;
-    char expected[DIGEST_TEXT_BYTES];
+    char expected[BB_BODY_DIGEST_TEXT_BYTES];
 
     compute_expected_digest(c, expected);
     if (id == NULL || strcmp(id, c->id) != 0 || digest == NULL ||
@@ -174,7 +178,7 @@
     const char *reason = ne_get_response_header(q, "Baobab-Refused");
     const char *ran = ne_get_response_header(q, "Baobab-Ran");
 
-    c->is_not_run = ran != NULL && strcmp(ran, "no") == 0;
+    c->has_not_run = ran != NULL && strcmp(ran, "no") == 0;
     return reason != NULL && bb_reason_parse(reason, &c->reason);
 }
 
@@ -183,8 +187,8 @@
 send_request(struct call *c, ne_session *session)
 {
     ne_request *q = build_request(c, session);
-    enum bb_load_result end = BB_LOAD_BROKEN;
-    char block[BLOCK_BYTES];
+    enum bb_load_result result = BB_LOAD_BROKEN;
+    char block[READ_BLOCK_BYTES];
     ssize_t count;
 
     if (ne_begin_request(q) != NE_OK) {
@@ -197,89 +201,88 @@
         goto out;
     }
     if (read_refusal(c, q)) {
-        end = BB_LOAD_REFUSED;
+        result = BB_LOAD_REFUSED;
     }
     else if (ne_get_status(q)->code != HTTP_OK) {
-        end = BB_LOAD_UNEXPECTED_STATUS;
+        result = BB_LOAD_UNEXPECTED_STATUS;
     }
     else {
-        end = is_response_valid(c, q) ? BB_LOAD_OK : BB_LOAD_WRONG_RESPONSE;
+        result = is_response_valid(c, q) ? BB_LOAD_OK : BB_LOAD_WRONG_RESPONSE;
     }
 out:
     ne_request_destroy(q);
-    return end;
+    return result;
 }
 
 /* Called by neon when it closes the connection. */
 static void
 on_connection_closed(void *data)
 {
-    ((struct link *)data)->is_closed = true;
+    ((struct target_connection *)data)->is_closed = true;
 }
 
-/* Closes a link. The next call on it opens it again. */
+/* Closes a connection. The next call on it opens it again. */
 static void
-close_link(struct link *l)
+close_connection(struct target_connection *t)
 {
-    if (l->session != NULL) {
-        ne_session_destroy(l->session);
-        l->session = NULL;
+    if (t->session != NULL) {
+        ne_session_destroy(t->session);
+        t->session = NULL;
     }
-    l->is_closed = false;
+    t->is_closed = false;
 }
 
-/* Returns the sender's link for a call. Opens it if it is closed, and again if
- * it was idle for too long. */
-static struct link *
-get_link(struct sender *s, const struct bb_load_call *plan)
+/* Returns the sender's connection for a call. Opens it if it is closed, and
+ * again if it was idle for longer than IDLE_MAX_US. */
+static struct target_connection *
+get_connection(struct sender *s, const struct bb_load_call *plan)
 {
     struct bb_load_run *run = s->run;
     /* The two calls of a pair have consecutive indices. */
     uint32_t turn = run->direct.port != 0 ? plan->index / 2 : plan->index;
-    uint32_t at =
+    uint32_t index =
         plan->is_direct ? BB_SETTINGS_LIST_MAX : turn % run->targets.count;
     const struct bb_address *a =
-        plan->is_direct ? &run->direct : &run->targets.items[at];
-    struct link *l = &s->links[at];
+        plan->is_direct ? &run->direct : &run->targets.items[index];
+    struct target_connection *t = &s->connections[index];
 
-    if (l->is_closed || bb_clock_now_us() - l->used_us > IDLE_MAX_US) {
-        close_link(l);
+    if (t->is_closed || bb_clock_now_us() - t->used_us > IDLE_MAX_US) {
+        close_connection(t);
     }
-    if (l->session == NULL) {
-        l->session = ne_session_create("http", a->ip, a->port);
-        ne_set_read_timeout(l->session, (int)run->timeout_s);
-        ne_set_connect_timeout(l->session, CONNECT_TIMEOUT_S);
-        ne_hook_close_conn(l->session, on_connection_closed, l);
+    if (t->session == NULL) {
+        t->session = ne_session_create("http", a->ip, a->port);
+        ne_set_read_timeout(t->session, (int)run->timeout_s);
+        ne_set_connect_timeout(t->session, CONNECT_TIMEOUT_S);
+        ne_hook_close_conn(t->session, on_connection_closed, t);
     }
-    return l;
+    return t;
 }
 
-/* Makes a call on its link, which stays open only after a complete response.
- */
+/* Makes a call on its connection, which stays open only after a complete
+ * response. */
 static enum bb_load_result
 make_call(struct sender *s, struct call *c)
 {
-    struct link *l = get_link(s, c->plan);
-    enum bb_load_result end = send_request(c, l->session);
+    struct target_connection *t = get_connection(s, c->plan);
+    enum bb_load_result result = send_request(c, t->session);
 
-    l->used_us = bb_clock_now_us();
-    if (end == BB_LOAD_BROKEN) {
-        close_link(l);
+    t->used_us = bb_clock_now_us();
+    if (result == BB_LOAD_BROKEN) {
+        close_connection(t);
     }
     else {
-        ne_set_localaddr(l->session, s->run->unusable_address);
+        /* From now on neon cannot open a second connection in this session: no
+         * interface has this address. */
+        ne_set_localaddr(t->session, s->run->unusable_address);
     }
-    return end;
+    return result;
 }
 
 /* Writes one line about a call to the record file, if there is one. */
 static void
 write_record_line(struct bb_load_run *run, const struct call *c,
-                  enum bb_load_result end, uint64_t latency_us)
+                  enum bb_load_result result, uint64_t latency_us)
 {
-    static const char *const names[BB_LOAD_RESULT_COUNT] = {
-        "ok", "refused", "status", "broken", "wrong"};
-
     if (run->record_file == NULL) {
         return;
     }
@@ -288,18 +291,18 @@
                   "{\"id\":\"%s\",\"method\":\"%s\",\"end\":\"%s\","
                   "\"reason\":\"%s\",\"ran\":\"%s\",\"at_us\":%" PRIu64
                   ",\"latency_us\":%" PRIu64 "}\n",
-                  c->id, c->plan->route->method, names[end],
+                  c->id, c->plan->route->method, bb_load_result_names[result],
                   bb_reason_name(c->reason),
-                  end == BB_LOAD_OK ? "yes"
-                  : c->is_not_run   ? "no"
-                                    : "unknown",
+                  result == BB_LOAD_OK ? "yes"
+                  : c->has_not_run     ? "no"
+                                       : "unknown",
                   c->plan->planned_us, latency_us);
     (void)pthread_mutex_unlock(&run->record_lock);
 }
 
 /* Adds a finished call to the record file and the statistics. */
 static void
-add_result(struct sender *s, const struct call *c, enum bb_load_result end,
+add_result(struct sender *s, const struct call *c, enum bb_load_result result,
            uint64_t now_us)
 {
     struct bb_load_run *run = s->run;
@@ -308,13 +311,13 @@
     uint64_t interval =
         (now_us - run->start_us) / (BB_LOAD_INTERVAL_MS * BB_US_PER_MS);
 
-    write_record_line(run, c, end, latency_us);
-    s->stats->result_counts[end]++;
-    if (end == BB_LOAD_REFUSED) {
+    write_record_line(run, c, result, latency_us);
+    s->stats->result_counts[result]++;
+    if (result == BB_LOAD_REFUSED) {
         s->stats->refusals_by_reason[c->reason]++;
-        s->stats->maybe_ran_count += !c->is_not_run;
+        s->stats->unknown_count += !c->has_not_run;
     }
-    if (end != BB_LOAD_OK) {
+    if (result != BB_LOAD_OK) {
         return;
     }
     s->stats->response_bytes += c->answer_bytes;
@@ -341,7 +344,7 @@
         struct call c = {.plan = plan};
         uint64_t due_us = run->start_us + plan->planned_us;
         struct timespec due = bb_clock_to_timespec(due_us);
-        enum bb_load_result end;
+        enum bb_load_result result;
 
         (void)g_snprintf(c.id, sizeof(c.id), "%" PRIu64 "-%u", run->seed,
                          plan->index);
@@ -349,9 +352,9 @@
         while (bb_clock_now_us() < due_us) {
             (void)clock_nanosleep(CLOCK_MONOTONIC, TIMER_ABSTIME, &due, NULL);
         }
-        s->stats->late_count += bb_clock_now_us() > due_us + LATE_US;
-        end = make_call(s, &c);
-        add_result(s, &c, end, bb_clock_now_us());
+        s->stats->late_count += bb_clock_now_us() > due_us + LATE_THRESHOLD_US;
+        result = make_call(s, &c);
+        add_result(s, &c, result, bb_clock_now_us());
     }
     return NULL;
 }
@@ -362,9 +365,7 @@
 bb_load_run_execute(struct bb_load_run *run)
 {
     struct sender *senders = g_new0(struct sender, run->threads);
-    /* After its first call, a session gets a local address of TEST-NET-1. No
-     * interface has it, so neon cannot open a second connection. */
-    static const unsigned char unusable[] = {192, 0, 2, 1};
+    static const unsigned char unusable[] = {192, 0, 2, 1}; /* TEST-NET-1 */
     struct bb_load_stats *total;
     pthread_attr_t attributes;
 
@@ -373,8 +374,7 @@
     total = bb_load_stats_create(run->interval_count);
     (void)pthread_attr_init(&attributes);
     (void)pthread_attr_setstacksize(&attributes, STACK_BYTES);
-    /* All threads must be waiting before the first call is due. */
-    run->start_us = bb_clock_now_us() + BB_US_PER_S / 4;
+    run->start_us = bb_clock_now_us() + START_DELAY_US;
     for (uint64_t i = 0; i < run->threads; i++) {
         senders[i].run = run;
         senders[i].stats = bb_load_stats_create(run->interval_count);
@@ -389,7 +389,7 @@
         bb_load_stats_merge(total, senders[i].stats, run->interval_count);
         bb_load_stats_destroy(senders[i].stats);
         for (int n = 0; n <= BB_SETTINGS_LIST_MAX; n++) {
-            close_link(&senders[i].links[n]);
+            close_connection(&senders[i].connections[n]);
         }
     }
     (void)pthread_attr_destroy(&attributes);
--- a/load/main.c
+++ b/load/main.c
@@ -119,7 +119,9 @@
     }
     s->rate = s->rate > 0 ? s->rate : workload.rate;
     if (s->rate == 0 || run->targets.count == 0) {
-        bb_error_set(e, 1, "a rate above 0 and a target are required");
+        bb_error_set(e, 1,
+                     "the rate is 0 (set --rate or the rate of the workload) "
+                     "or --targets is empty");
         code = BB_EXIT_USAGE;
         goto out;
     }
--- a/load/report.c
+++ b/load/report.c
@@ -6,11 +6,9 @@
 
 static const char *const kind_names[BB_LOAD_KIND_COUNT] = {"proxied", "short",
                                                            "long", "direct"};
-static const char *const result_names[BB_LOAD_RESULT_COUNT] = {
-    "ok", "refused", "status", "broken", "wrong"};
-static const double percents[] = {50, 90, 99, 99.9};
-static const char *const percent_names[] = {"p50_us", "p90_us", "p99_us",
-                                            "p999_us"};
+static const double percentiles[] = {50, 90, 99, 99.9};
+static const char *const percentile_names[] = {"p50_us", "p90_us", "p99_us",
+                                               "p999_us"};
 
 /* Returns the latency statistics of one kind of call. The caller frees it. */
 static json_t *
@@ -20,10 +18,10 @@
 
     json_object_set_new(out, "count",
                         json_integer((json_int_t)s->counts[kind]));
-    for (size_t i = 0; i < G_N_ELEMENTS(percents); i++) {
+    for (size_t i = 0; i < G_N_ELEMENTS(percentiles); i++) {
         json_object_set_new(
-            out, percent_names[i],
-            json_real(bb_load_percentile(s, kind, percents[i])));
+            out, percentile_names[i],
+            json_real(bb_load_percentile(s, kind, percentiles[i])));
     }
     json_object_set_new(out, "max_us",
                         json_integer((json_int_t)s->max_us[kind]));
@@ -42,16 +40,17 @@
 {
     json_t *out = json_object();
 
-    for (size_t i = 0; i < G_N_ELEMENTS(percents); i++) {
+    for (size_t i = 0; i < G_N_ELEMENTS(percentiles); i++) {
         json_object_set_new(
-            out, percent_names[i],
-            json_real(bb_load_percentile(s, BB_LOAD_PROXIED, percents[i]) -
-                      bb_load_percentile(s, BB_LOAD_DIRECT, percents[i])));
+            out, percentile_names[i],
+            json_real(bb_load_percentile(s, BB_LOAD_PROXIED, percentiles[i]) -
+                      bb_load_percentile(s, BB_LOAD_DIRECT, percentiles[i])));
     }
     return out;
 }
 
-/* Returns the number of refusals by reason, without reasons that have none. */
+/* Returns the number of refusals by reason, without reasons that did not
+ * occur. */
 static json_t *
 refusals_to_json(const struct bb_load_stats *s)
 {
@@ -73,7 +72,7 @@
            FILE *out)
 {
     json_t *root = json_object();
-    json_t *ends = json_object();
+    json_t *results = json_object();
     json_t *intervals = json_array();
 
     json_object_set_new(root, "workload", json_string(run->workload->name));
@@ -82,13 +81,13 @@
     json_object_set_new(root, "duration_ms",
                         json_integer((json_int_t)run->duration_ms));
     for (int i = 0; i < BB_LOAD_RESULT_COUNT; i++) {
-        json_object_set_new(ends, result_names[i],
+        json_object_set_new(results, bb_load_result_names[i],
                             json_integer((json_int_t)s->result_counts[i]));
     }
-    json_object_set_new(root, "ends", ends);
+    json_object_set_new(root, "ends", results);
     json_object_set_new(root, "refusals", refusals_to_json(s));
     json_object_set_new(root, "unknown",
-                        json_integer((json_int_t)s->maybe_ran_count));
+                        json_integer((json_int_t)s->unknown_count));
     json_object_set_new(root, "late", json_integer((json_int_t)s->late_count));
     json_object_set_new(root, "answer_bytes",
                         json_integer((json_int_t)s->response_bytes));
@@ -120,7 +119,7 @@
         out, "workload %s, seed %" PRIu64 ", %u calls in %" PRIu64 " ms\n",
         run->workload->name, run->seed, run->call_count, run->duration_ms);
     for (int i = 0; i < BB_LOAD_RESULT_COUNT; i++) {
-        (void)fprintf(out, "%-8s %" PRIu64 "\n", result_names[i],
+        (void)fprintf(out, "%-8s %" PRIu64 "\n", bb_load_result_names[i],
                       s->result_counts[i]);
     }
     for (int i = 0; i < BB_REASONS; i++) {
@@ -131,7 +130,7 @@
         }
     }
     (void)fprintf(out, "unknown  %" PRIu64 "\nlate     %" PRIu64 "\n",
-                  s->maybe_ran_count, s->late_count);
+                  s->unknown_count, s->late_count);
     (void)fprintf(out, "%-8s %9s %9s %9s %9s %9s %9s\n", "us", "count", "p50",
                   "p90", "p99", "p99.9", "max");
     for (int k = 0; k < BB_LOAD_KIND_COUNT; k++) {
@@ -141,19 +140,19 @@
             continue;
         }
         (void)fprintf(out, "%-8s %9" PRIu64, kind_names[k], s->counts[k]);
-        for (size_t i = 0; i < G_N_ELEMENTS(percents); i++) {
+        for (size_t i = 0; i < G_N_ELEMENTS(percentiles); i++) {
             (void)fprintf(out, " %9.0f",
-                          bb_load_percentile(s, kind, percents[i]));
+                          bb_load_percentile(s, kind, percentiles[i]));
         }
         (void)fprintf(out, " %9" PRIu64 "\n", s->max_us[k]);
     }
     if (s->counts[BB_LOAD_DIRECT] > 0) {
         (void)fprintf(out, "%-8s %9s", "added", "");
-        for (size_t i = 0; i < G_N_ELEMENTS(percents); i++) {
+        for (size_t i = 0; i < G_N_ELEMENTS(percentiles); i++) {
             (void)fprintf(
                 out, " %9.0f",
-                bb_load_percentile(s, BB_LOAD_PROXIED, percents[i]) -
-                    bb_load_percentile(s, BB_LOAD_DIRECT, percents[i]));
+                bb_load_percentile(s, BB_LOAD_PROXIED, percentiles[i]) -
+                    bb_load_percentile(s, BB_LOAD_DIRECT, percentiles[i]));
         }
         (void)fputc('\n', out);
     }
--- a/load/stats.c
+++ b/load/stats.c
@@ -22,7 +22,7 @@
     return h;
 }
 
-/* Creates empty statistics of interval_count intervals of the run. The caller
+/* Creates empty statistics for a run of interval_count intervals. The caller
  * frees them with bb_load_stats_destroy. */
 struct bb_load_stats *
 bb_load_stats_create(uint32_t interval_count)
@@ -47,7 +47,8 @@
     g_free(s);
 }
 
-/* Adds the latency of a successful call. */
+/* Adds the latency of a successful call. A latency above 100 s counts in the
+ * maximum and the mean but not in the percentiles. */
 void
 bb_load_stats_add_latency(struct bb_load_stats *s, enum bb_load_kind kind,
                           uint64_t latency_us)
@@ -60,40 +61,39 @@
     s->counts[kind]++;
 }
 
-/* Adds the statistics from to those in to. Both must have interval_count
- * intervals. */
+/* Adds part to total. Both must have interval_count intervals. */
 void
-bb_load_stats_merge(struct bb_load_stats *to, const struct bb_load_stats *from,
-                    uint32_t interval_count)
+bb_load_stats_merge(struct bb_load_stats *total,
+                    const struct bb_load_stats *part, uint32_t interval_count)
 {
     for (int k = 0; k < BB_LOAD_KIND_COUNT; k++) {
-        (void)gsl_histogram_add(to->latency[k], from->latency[k]);
-        to->max_us[k] = MAX(to->max_us[k], from->max_us[k]);
-        to->sum_us[k] += from->sum_us[k];
-        to->counts[k] += from->counts[k];
+        (void)gsl_histogram_add(total->latency[k], part->latency[k]);
+        total->max_us[k] = MAX(total->max_us[k], part->max_us[k]);
+        total->sum_us[k] += part->sum_us[k];
+        total->counts[k] += part->counts[k];
     }
     for (int i = 0; i < BB_LOAD_RESULT_COUNT; i++) {
-        to->result_counts[i] += from->result_counts[i];
+        total->result_counts[i] += part->result_counts[i];
     }
     for (int i = 0; i < BB_REASONS; i++) {
-        to->refusals_by_reason[i] += from->refusals_by_reason[i];
+        total->refusals_by_reason[i] += part->refusals_by_reason[i];
     }
     for (uint32_t i = 0; i <= interval_count; i++) {
-        to->ok_by_interval[i] += from->ok_by_interval[i];
+        total->ok_by_interval[i] += part->ok_by_interval[i];
     }
-    to->maybe_ran_count += from->maybe_ran_count;
-    to->late_count += from->late_count;
-    to->response_bytes += from->response_bytes;
+    total->unknown_count += part->unknown_count;
+    total->late_count += part->late_count;
+    total->response_bytes += part->response_bytes;
 }
 
 /* Returns a percentile (0 to 100) of the latency in microseconds, interpolated
  * within its bin; 0 if there are no values. */
 double
 bb_load_percentile(const struct bb_load_stats *s, enum bb_load_kind kind,
-                   double percent)
+                   double percentile)
 {
     const gsl_histogram *h = s->latency[kind];
-    double wanted = gsl_histogram_sum(h) * percent / 100;
+    double wanted = gsl_histogram_sum(h) * percentile / 100;
     double sum = 0;
 
     for (size_t i = 0; i < BINS; i++) {
--- a/load/workload.c
+++ b/load/workload.c
@@ -15,7 +15,7 @@
     DEFAULT_LONG_FACTOR = 50
 };
 
-/* Returns a member that is a positive whole number, else 0. */
+/* Returns the value of a member if it is a positive whole number, else 0. */
 static uint64_t
 get_number(const json_t *object, const char *key)
 {
@@ -24,14 +24,15 @@
     return value > 0 ? (uint64_t)value : 0;
 }
 
-/* Copies a member that is a string, else the default; truncates it to size. */
+/* Copies the value of a member if it is a string, else fallback, truncated to
+ * size_bytes with the terminating zero byte. */
 static void
 copy_string(const json_t *object, const char *key, const char *fallback,
-            char *out, size_t size)
+            char *out, size_t size_bytes)
 {
     const char *value = json_string_value(json_object_get(object, key));
 
-    (void)g_strlcpy(out, value != NULL ? value : fallback, size);
+    (void)g_strlcpy(out, value != NULL ? value : fallback, size_bytes);
 }
 
 /* Reads the list of routes. Returns false with an error if it is invalid. */
@@ -69,7 +70,7 @@
     return true;
 }
 
-/* Reads the list of rate changes, which must be ordered by time. */
+/* Reads the list of rate changes, whose times must be strictly ascending. */
 static bool
 read_rate_changes(struct bb_workload *w, const json_t *root,
                   struct bb_error *e)
@@ -157,20 +158,30 @@
 static const struct bb_load_route *
 draw_route(const struct bb_workload *w, struct bb_random *random)
 {
-    uint64_t at = bb_random_below(random, w->total_weight);
+    uint64_t point = bb_random_below(random, w->total_weight);
     uint32_t i = 0;
 
-    while (at >= w->routes[i].weight) {
-        at -= w->routes[i].weight;
+    while (point >= w->routes[i].weight) {
+        point -= w->routes[i].weight;
         i++;
     }
     return &w->routes[i];
 }
 
-/* Plans all calls of a run, with exponential intervals at the current rate in
- * calls per second. If is_paired, each proxied call has a direct call with the
- * same parameters half a mean interval later, so that both meet the same
- * conditions. Sets count; the caller frees the result with g_free. */
+/* Returns a random number from 0 to below 1. */
+static double
+draw_unit_interval(struct bb_random *random)
+{
+    /* 53 random bits, the precision of a double. */
+    return (double)(bb_random_u64(random) >> 11) / 0x1p53;
+}
+
+/* Plans all calls of a run, at most CALLS_MAX. The intervals between calls are
+ * exponentially distributed; rate is the nominal rate in calls per second, to
+ * which the rate changes apply. If is_paired, each proxied call is followed by
+ * a direct call with the same parameters, half a nominal interval later, so
+ * that both meet the same conditions. Sets count; the caller frees the result
+ * with g_free. */
 struct bb_load_call *
 bb_workload_plan(const struct bb_workload *w, uint64_t seed, uint64_t rate,
                  uint64_t duration_ms, bool is_paired, uint32_t *count)
@@ -181,7 +192,7 @@
     double mean_us = (double)BB_US_PER_S / (double)rate;
 
     while (calls->len < CALLS_MAX) {
-        double u = (double)(bb_random_u64(random) >> 11) / 9007199254740992.0;
+        double u = draw_unit_interval(random);
         struct bb_load_call c = {0};
 
         at_us += -log1p(-u) * mean_us / rate_factor_at(w, (uint64_t)at_us);
--- a/tests/proxy/fixture.c
+++ b/tests/proxy/fixture.c
@@ -19,7 +19,7 @@
 
     *u = (struct test_upstream){.upstream = {.host = "up",
                                              .service = "s",
-                                             .listen = any,
+                                             .listen_address = any,
                                              .idle_timeout_s = 60}};
     bb_behaviour_init(&u->upstream.behaviour, v, 7);
     u->upstream.runs = bb_runs_create(&u->upstream.behaviour);
--- a/tests/proxy/test_claim_restart.c
+++ b/tests/proxy/test_claim_restart.c
@@ -51,10 +51,10 @@
     CU_ASSERT_TRUE(bb_proxy_register(witness.proxy, server, &e));
     CU_ASSERT_TRUE(bb_rpc_server_start(server, &e));
     rpc.port = bb_rpc_server_get_port(server);
-    announce_upstream(&gatekeeper, &upstream.upstream.listen,
+    announce_upstream(&gatekeeper, &upstream.upstream.listen_address,
+                      BB_UPSTREAM_READY, SLOTS);
+    announce_upstream(&entry, &second.upstream.listen_address,
                       BB_UPSTREAM_READY, SLOTS);
-    announce_upstream(&entry, &second.upstream.listen, BB_UPSTREAM_READY,
-                      SLOTS);
     add_member(&entry, "gate", "z1", bb_proxy_caller_address(gatekeeper.proxy),
                rpc);
     add_member(&entry, "third", "z1", bb_proxy_caller_address(witness.proxy),
--- a/tests/proxy/test_exchange.c
+++ b/tests/proxy/test_exchange.c
@@ -41,8 +41,8 @@
     rpc.port = bb_rpc_server_get_port(server);
     s.rpc = pool;
     start_node(&entry, "entry", s);
-    announce_upstream(&gate, &upstream.upstream.listen, BB_UPSTREAM_READY,
-                      SLOTS);
+    announce_upstream(&gate, &upstream.upstream.listen_address,
+                      BB_UPSTREAM_READY, SLOTS);
     add_member(&entry, "gate", "z2", bb_proxy_caller_address(gate.proxy), rpc);
     add_member(&gate, "gate", "z2", bb_proxy_caller_address(gate.proxy), rpc);
     apply_table(&entry);
@@ -489,8 +489,8 @@
     start((struct bb_proxy_settings){0});
     entry.route.retry_limit = 0; /* so that the refusal is not retried */
     apply_table(&entry);
-    announce_upstream(&gate, &upstream.upstream.listen, BB_UPSTREAM_DRAINING,
-                      SLOTS);
+    announce_upstream(&gate, &upstream.upstream.listen_address,
+                      BB_UPSTREAM_DRAINING, SLOTS);
     r = get("");
     CU_ASSERT_TRUE(contains(r, "Baobab-Refused: upstream_draining"));
     g_free(r);
--- a/tests/proxy/test_link.c
+++ b/tests/proxy/test_link.c
@@ -58,8 +58,8 @@
     start_upstream(&upstream, &quick);
     start_node(&gate, "gate", (struct bb_proxy_settings){0});
     start_node(&entry, "entry", (struct bb_proxy_settings){0});
-    announce_upstream(&gate, &upstream.upstream.listen, BB_UPSTREAM_READY,
-                      SLOTS);
+    announce_upstream(&gate, &upstream.upstream.listen_address,
+                      BB_UPSTREAM_READY, SLOTS);
     add_member(&entry, "gate", "z2", bb_proxy_caller_address(gate.proxy),
                no_rpc);
     entry.config.limits.link_bytes_per_s = 1000000;
--- a/tests/proxy/test_load.c
+++ b/tests/proxy/test_load.c
@@ -134,7 +134,7 @@
     CU_ASSERT_TRUE_FATAL(read_workload(
         &w, "{\"routes\":[{\"path\":\"/a\",\"weight\":1,\"method\":\"POST\","
             "\"body_bytes\":70000,\"answer_bytes\":50000,\"work_us\":1}]}"));
-    run.targets.items[run.targets.count++] = u.upstream.listen;
+    run.targets.items[run.targets.count++] = u.upstream.listen_address;
     calls = bb_workload_plan(&w, run.seed, 200, run.duration_ms, false,
                              &run.call_count);
     run.calls = calls;
--- a/tests/proxy/test_nested.c
+++ b/tests/proxy/test_nested.c
@@ -82,10 +82,10 @@
         start_node(&nodes[i], name, settings);
         init_service(i);
         /* The nested calls of service i enter at the node beside it. */
-        upstreams[i].upstream.node = members[i].http_address;
+        upstreams[i].upstream.node_address = members[i].http_address;
         announce_service(&nodes[i], services[i].name,
-                         &upstreams[i].upstream.listen, BB_UPSTREAM_READY,
-                         SLOTS);
+                         &upstreams[i].upstream.listen_address,
+                         BB_UPSTREAM_READY, SLOTS);
     }
     for (int i = 0; i < SERVICES; i++) {
         const struct bb_node_location own = {hosts[i], "z1", "r"};
--- a/tests/proxy/test_slow.c
+++ b/tests/proxy/test_slow.c
@@ -40,7 +40,7 @@
         start_upstream(&upstreams[i], &quick);
         upstreams[i].upstream.host = names[i];
         start_node(&gates[i], hosts[i], (struct bb_proxy_settings){0});
-        announce_upstream(&gates[i], &upstreams[i].upstream.listen,
+        announce_upstream(&gates[i], &upstreams[i].upstream.listen_address,
                           BB_UPSTREAM_READY, SLOTS);
         add_member(&entry, hosts[i], "z1",
                    bb_proxy_caller_address(gates[i].proxy), no_rpc);
--- a/upstream/announce.c
+++ b/upstream/announce.c
@@ -56,12 +56,12 @@
     char text[BB_ADDRESS_TEXT_BYTES];
     json_t *body = json_pack(
         "{s:s,s:s,s:I,s:I,s:s,s:I}", "service", u->service, "address",
-        bb_address_format(&u->listen, text), "slots", (json_int_t)v.slots,
-        "connections", (json_int_t)v.connections, "state",
+        bb_address_format(&u->listen_address, text), "slots",
+        (json_int_t)v.slots, "connections", (json_int_t)v.connections, "state",
         state_name(atomic_load(&u->state)), "lifetime_ms",
         (json_int_t)u->lifetime_ms);
     char *dump = json_dumps(body, JSON_COMPACT);
-    ne_session *s = create_session(&u->announce, READ_TIMEOUT_S);
+    ne_session *s = create_session(&u->announce_address, READ_TIMEOUT_S);
     ne_request *r = ne_request_create(s, "PUT", "/v1/upstream");
     bool is_ok;
 
@@ -75,7 +75,7 @@
     }
     else if (is_ok && has_failed) {
         bb_log_info("upstream.announce",
-                    "announcing to the node succeeded again");
+                    "announcements to the node succeed again");
     }
     has_failed = !is_ok;
     ne_request_destroy(r);
@@ -86,8 +86,9 @@
 
 /* Calls the first path of a list "/a;/b;/c" through the node, with the rest of
  * the list in X-Call-Path. fields holds field_count pairs of header name and
- * value. Returns true if a complete response with status 2xx arrived before
- * end_us. */
+ * value. The deadline of the call is end_us. Returns true on a complete
+ * response with status 2xx. The timeout of each read is the time that is left
+ * at the start of the call, rounded up to whole seconds. */
 bool
 bb_upstream_make_nested_call(const struct bb_upstream *u, const char *paths,
                              const char *const *fields, size_t field_count,
@@ -99,8 +100,9 @@
     uint64_t now_us = bb_clock_now_us();
     uint64_t remaining_ms =
         end_us > now_us ? (end_us - now_us) / BB_US_PER_MS : 0;
-    ne_session *s = create_session(
-        &u->node, (int)(remaining_ms * BB_US_PER_MS / BB_US_PER_S) + 1);
+    ne_session *s =
+        create_session(&u->node_address,
+                       (int)(remaining_ms * BB_US_PER_MS / BB_US_PER_S) + 1);
     ne_request *r = ne_request_create(s, "GET", path);
     bool is_ok;
 
@@ -111,7 +113,7 @@
         ne_add_request_header(r, BB_CALL_PATH, rest + 1);
     }
     ne_print_request_header(r, "Baobab-Deadline-Ms", "%" PRIu64, remaining_ms);
-    is_ok = u->node.port != 0 && remaining_ms > 0 &&
+    is_ok = u->node_address.port != 0 && remaining_ms > 0 &&
             ne_request_dispatch(r) == NE_OK &&
             ne_get_status(r)->klass == STATUS_CLASS_OK;
     ne_request_destroy(r);
--- a/upstream/behaviour.c
+++ b/upstream/behaviour.c
@@ -6,7 +6,10 @@
 
 #include "common/clock.h"
 
-enum { PERMILLE = 1000 };
+enum {
+    PERMILLE = 1000,
+    UNIT_STEPS = 1 << 30 /* values of a random number from 0 to below 1 */
+};
 
 enum behaviour_error { BEHAVIOUR_ERROR_KEY = 1, BEHAVIOUR_ERROR_VALUE };
 
@@ -88,8 +91,8 @@
     }
     if (strcmp(key, "distribution") == 0 && json_is_string(value)) {
         v->distribution = strcmp(json_string_value(value), "exponential") == 0
-                              ? BB_DISTRIBUTION_EXPONENTIAL
-                              : BB_DISTRIBUTION_FIXED;
+                              ? BB_UPSTREAM_DISTRIBUTION_EXPONENTIAL
+                              : BB_UPSTREAM_DISTRIBUTION_FIXED;
         return true;
     }
     return bb_error_set(e, BEHAVIOUR_ERROR_KEY, "%s: unknown", key);
@@ -158,9 +161,9 @@
 
     if (wanted_us == 0) {
         time_us = v.service_us;
-        if (v.distribution == BB_DISTRIBUTION_EXPONENTIAL) {
-            double u = (double)bb_random_below(b->random, 1U << 30) /
-                       (double)(1U << 30);
+        if (v.distribution == BB_UPSTREAM_DISTRIBUTION_EXPONENTIAL) {
+            double u = (double)bb_random_below(b->random, UNIT_STEPS) /
+                       (double)UNIT_STEPS;
 
             time_us = (uint64_t)(-log1p(-u) * (double)v.service_us);
         }
--- a/upstream/main.c
+++ b/upstream/main.c
@@ -9,7 +9,12 @@
 #include "common/settings.h"
 #include "upstream/server.h"
 
-enum { MS_MAX = 3600 * 1000, STATE_CHECK_MS = 20, NUMBER_MAX = 1000000000 };
+enum {
+    MS_MAX = 3600 * 1000,
+    IDLE_TIMEOUT_MAX_S = 3600 * 1000,
+    SERVICE_MAX_US = 1000000000,
+    DRAIN_CHECK_INTERVAL_MS = 20
+};
 
 struct upstream_settings {
     struct bb_upstream upstream;
@@ -40,7 +45,7 @@
          .help = "address to serve on",
          .kind = BB_SETTING_ADDRESS,
          .is_required = true,
-         .to.address = &u->listen},
+         .to.address = &u->listen_address},
         {.name = "host",
          .value_name = "NAME",
          .help = "host name in responses",
@@ -58,13 +63,13 @@
          .help = "local address of its node, for announcements; port 0: none",
          .kind = BB_SETTING_ADDRESS,
          .default_value = "127.0.0.1:0",
-         .to.address = &u->announce},
+         .to.address = &u->announce_address},
         {.name = "node",
          .value_name = "IP:PORT",
          .help = "caller address of its node, for nested calls",
          .kind = BB_SETTING_ADDRESS,
          .default_value = "127.0.0.1:0",
-         .to.address = &u->node},
+         .to.address = &u->node_address},
         {.name = "exponential",
          .help = "exponential service times",
          .kind = BB_SETTING_FLAG,
@@ -81,13 +86,13 @@
                    30, MS_MAX, &u->lifetime_ms),
         NUMBER_ROW("idle-timeout-s", "S",
                    "idle time after which connections are closed", "60", 1,
-                   MS_MAX, &u->idle_timeout_s),
+                   IDLE_TIMEOUT_MAX_S, &u->idle_timeout_s),
         NUMBER_ROW("slots", "N", "maximum concurrent requests", "6", 1, 100000,
                    &v->slots),
         NUMBER_ROW("connections", "N", "maximum connections", "130", 1, 100000,
                    &v->connections),
         NUMBER_ROW("service-us", "US", "mean service time", "1000", 0,
-                   NUMBER_MAX, &v->service_us),
+                   SERVICE_MAX_US, &v->service_us),
         NUMBER_ROW("long-permille", "N",
                    "requests with long work, in permille", "0", 0, 1000,
                    &v->long_permille),
@@ -119,20 +124,21 @@
         "baobab-upstream", "Simulated upstream for tests and the demo.", table,
         sizeof(table) / sizeof(table[0]), argc, argv, NULL, NULL, e);
 
-    v->distribution = s->is_exponential ? BB_DISTRIBUTION_EXPONENTIAL
-                                        : BB_DISTRIBUTION_FIXED;
+    v->distribution = s->is_exponential ? BB_UPSTREAM_DISTRIBUTION_EXPONENTIAL
+                                        : BB_UPSTREAM_DISTRIBUTION_FIXED;
     return result;
 }
 
-/* Announces the upstream three times per lifetime until a signal arrives. */
+/* Announces the upstream three times per lifetime of an announcement until
+ * SIGTERM or SIGINT arrives. */
 static void
-serve_until_signal(struct bb_upstream *u, const sigset_t *signals)
+announce_until_signal(struct bb_upstream *u, const sigset_t *signals)
 {
     struct timespec interval =
         bb_clock_to_timespec(u->lifetime_ms * BB_US_PER_MS / 3);
 
     do {
-        if (u->announce.port != 0) {
+        if (u->announce_address.port != 0) {
             bb_upstream_send_announcement(u);
         }
     } while (sigtimedwait(signals, NULL, &interval) < 0);
@@ -145,17 +151,17 @@
 {
     uint64_t end_us = bb_clock_now_us() + drain_ms * BB_US_PER_MS;
 
-    bb_log_info("upstream.drain", "%u requests in flight",
+    bb_log_info("upstream.drain", "draining, %u requests in flight",
                 bb_runs_active_count(u->runs));
     atomic_store(&u->state, BB_UPSTREAM_DRAINING);
-    if (u->announce.port != 0) {
+    if (u->announce_address.port != 0) {
         bb_upstream_send_announcement(u);
     }
     while (bb_runs_active_count(u->runs) > 0 && bb_clock_now_us() < end_us) {
-        bb_clock_sleep_us((uint64_t)STATE_CHECK_MS * BB_US_PER_MS);
+        bb_clock_sleep_us((uint64_t)DRAIN_CHECK_INTERVAL_MS * BB_US_PER_MS);
     }
     atomic_store(&u->state, BB_UPSTREAM_LEAVING);
-    if (u->announce.port != 0) {
+    if (u->announce_address.port != 0) {
         bb_upstream_send_announcement(u);
     }
 }
@@ -194,8 +200,8 @@
         return BB_EXIT_INTERNAL;
     }
     bb_log_info("upstream.start", "service %s on %s", u->service,
-                bb_address_format(&u->listen, text));
-    serve_until_signal(u, &signals);
+                bb_address_format(&u->listen_address, text));
+    announce_until_signal(u, &signals);
     drain(u, s.drain_ms);
     MHD_stop_daemon(daemon);
     bb_runs_destroy(u->runs);
--- a/upstream/server.c
+++ b/upstream/server.c
@@ -16,7 +16,7 @@
     STACK_BYTES = 256 * 1024,
     DEFAULT_DEADLINE_US = 60 * BB_US_PER_S,
     SILENT_DELAY_US = 30 * BB_US_PER_S,
-    NUMBER_TEXT_BYTES = 20
+    UINT64_TEXT_BYTES = 24
 };
 
 /* A request in progress. */
@@ -26,7 +26,7 @@
     XXH64_state_t *hash; /* of the request body; NULL for admin requests */
     uint64_t body_bytes;
     uint64_t start_us;
-    GString *admin_body; /* body of an admin request; NULL for work */
+    GString *admin_body; /* body of an admin request, else NULL */
     bool has_nested_call_failed;
 };
 
@@ -63,9 +63,9 @@
 respond_with_text(struct call *c, unsigned status, const char *type,
                   GString *text, const char *refused)
 {
-    size_t size = text->len;
+    size_t size_bytes = text->len;
     struct MHD_Response *response = MHD_create_response_from_buffer(
-        size, g_string_free(text, FALSE), MHD_RESPMEM_MUST_FREE);
+        size_bytes, g_string_free(text, FALSE), MHD_RESPMEM_MUST_FREE);
     enum MHD_Result result;
 
     (void)MHD_add_response_header(response, "Content-Type", type);
@@ -80,23 +80,24 @@
 /* Content reader of libmicrohttpd: writes the next part of a streamed response
  * and returns its size. */
 static ssize_t
-read_response_body(void *context, uint64_t position, char *out, size_t size)
+read_response_body(void *context, uint64_t position, char *out,
+                   size_t size_bytes)
 {
-    struct response_body *a = context;
-    uint64_t remaining = a->size_bytes - position;
+    struct response_body *body = context;
+    uint64_t remaining = body->size_bytes - position;
 
-    if (a->cut_at_bytes > 0 && position >= a->cut_at_bytes) {
+    if (body->cut_at_bytes > 0 && position >= body->cut_at_bytes) {
         return MHD_CONTENT_READER_END_WITH_ERROR;
     }
     if (remaining == 0) {
         return MHD_CONTENT_READER_END_OF_STREAM;
     }
-    size = MIN(size, remaining);
-    if (a->cut_at_bytes > 0) {
-        size = MIN(size, a->cut_at_bytes - position);
+    size_bytes = MIN(size_bytes, remaining);
+    if (body->cut_at_bytes > 0) {
+        size_bytes = MIN(size_bytes, body->cut_at_bytes - position);
     }
-    bb_pattern_fill(a->seed, position, (uint8_t *)out, size);
-    return (ssize_t)size;
+    bb_pattern_fill(body->seed, position, (uint8_t *)out, size_bytes);
+    return (ssize_t)size_bytes;
 }
 
 /* Creates the response of a successful request: the requested number of bytes
@@ -106,7 +107,7 @@
 {
     struct bb_upstream *u = c->upstream;
     uint64_t size_bytes = get_number_header(c, BB_CALL_ANSWER_BYTES, 0);
-    struct response_body *a;
+    struct response_body *body;
     GString *text;
     size_t length;
 
@@ -115,14 +116,15 @@
             &u->behaviour,
             bb_behaviour_get_values(&u->behaviour).truncate_permille);
 
-        a = g_new0(struct response_body, 1);
-        *a = (struct response_body){
+        body = g_new0(struct response_body, 1);
+        *body = (struct response_body){
             .seed = bb_hash64(id, strlen(id), 0),
             .size_bytes = size_bytes,
             .cut_at_bytes = is_cut ? MAX(size_bytes / 2, 1) : 0,
         };
         return MHD_create_response_from_callback(
-            size_bytes, RESPONSE_BLOCK_BYTES, read_response_body, a, g_free);
+            size_bytes, RESPONSE_BLOCK_BYTES, read_response_body, body,
+            g_free);
     }
     text = g_string_new(NULL);
     g_string_printf(text,
@@ -137,10 +139,10 @@
 /* Queues the response of a successful request, with its id and the digest of
  * the request body in the headers. */
 static enum MHD_Result
-respond_to_work(struct call *c, const char *id)
+respond_with_result(struct call *c, const char *id)
 {
-    char digest[NUMBER_TEXT_BYTES];
-    char bytes[NUMBER_TEXT_BYTES + 4];
+    char digest[BB_BODY_DIGEST_TEXT_BYTES];
+    char bytes[UINT64_TEXT_BYTES];
     struct MHD_Response *response;
     enum MHD_Result result;
 
@@ -157,9 +159,10 @@
     return result;
 }
 
-/* Makes the nested calls of a request while it holds its slot. */
+/* Makes the nested call of a request while it holds its slot. The called
+ * upstream makes the next one. */
 static void
-make_nested_calls(void *context, uint64_t end_us)
+make_nested_call(void *context, uint64_t end_us)
 {
     static const char *const names[] = {BB_CALL_ID, "Baobab-Depth",
                                         "Baobab-Request-Id", BB_CALL_WORK_US};
@@ -170,6 +173,7 @@
     for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
         const char *value = get_header(c, names[i]);
 
+        /* Baobab-Request-Id is not passed on: the node assigns a new one. */
         if (value != NULL && strcmp(names[i], "Baobab-Request-Id") != 0) {
             fields[count++] = names[i];
             fields[count++] = value;
@@ -192,9 +196,9 @@
                : "-";
 }
 
-/* Runs a request and responds to it. */
+/* Runs a request in a slot and responds to it. */
 static enum MHD_Result
-run_work(struct call *c)
+run_request(struct call *c)
 {
     struct bb_upstream *u = c->upstream;
     const char *id = get_header(c, BB_CALL_ID);
@@ -202,8 +206,8 @@
     uint64_t end_us =
         c->start_us + (deadline_ms > 0 ? deadline_ms * BB_US_PER_MS
                                        : (uint64_t)DEFAULT_DEADLINE_US);
-    struct bb_run_nested_calls nested_calls = {.run = make_nested_calls,
-                                               .context = c};
+    struct bb_run_nested_call nested_call = {.run = make_nested_call,
+                                             .context = c};
     bool is_nested = get_header(c, BB_CALL_PATH) != NULL;
     enum bb_run_outcome outcome;
 
@@ -214,7 +218,7 @@
     outcome = bb_runs_execute(u->runs, get_id_header(c, "Baobab-Request-Id"),
                               get_id_header(c, BB_CALL_ID),
                               get_number_header(c, BB_CALL_WORK_US, 0), end_us,
-                              is_nested ? &nested_calls : NULL);
+                              is_nested ? &nested_call : NULL);
     if (bb_behaviour_draw_bool(
             &u->behaviour,
             bb_behaviour_get_values(&u->behaviour).silent_permille)) {
@@ -238,7 +242,7 @@
         return respond_with_text(c, MHD_HTTP_BAD_GATEWAY, "text/plain",
                                  g_string_new("nested call failed\n"), NULL);
     }
-    return respond_to_work(c, id != NULL ? id : "");
+    return respond_with_result(c, id != NULL ? id : "");
 }
 
 /* Responds to POST /v1/behaviour: applies the changes in the body. */
@@ -355,7 +359,7 @@
         return MHD_YES;
     }
     return c->admin_body != NULL ? respond_to_admin(c, url, method)
-                                 : run_work(c);
+                                 : run_request(c);
 }
 
 /* Callback of libmicrohttpd at the end of a request: frees its state. */
@@ -379,8 +383,8 @@
     *state = NULL;
 }
 
-/* Starts the HTTP server. Replaces a listen port of 0 by the assigned one. The
- * caller stops it with MHD_stop_daemon. Returns NULL with an error if it
+/* Starts the HTTP server. Replaces a listen port of 0 with the assigned one.
+ * The caller stops it with MHD_stop_daemon. Returns NULL with an error if it
  * cannot listen on the address. */
 struct MHD_Daemon *
 bb_upstream_start_server(struct bb_upstream *u, struct bb_error *e)
@@ -392,14 +396,14 @@
                      MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL |
                      MHD_USE_ITC;
 
-    (void)bb_address_to_sockaddr(&u->listen, &address);
+    (void)bb_address_to_sockaddr(&u->listen_address, &address);
     if (address.ss_family == AF_INET6) {
         flags |= MHD_USE_IPv6;
     }
     d = MHD_start_daemon(
-        flags, u->listen.port, NULL, NULL, on_request, u, MHD_OPTION_SOCK_ADDR,
-        &address, MHD_OPTION_NOTIFY_COMPLETED, on_completed, NULL,
-        MHD_OPTION_CONNECTION_LIMIT,
+        flags, u->listen_address.port, NULL, NULL, on_request, u,
+        MHD_OPTION_SOCK_ADDR, &address, MHD_OPTION_NOTIFY_COMPLETED,
+        on_completed, NULL, MHD_OPTION_CONNECTION_LIMIT,
         (unsigned)bb_behaviour_get_values(&u->behaviour).connections,
         MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_POOL_BYTES,
         MHD_OPTION_THREAD_STACK_SIZE, (size_t)STACK_BYTES,
@@ -409,12 +413,12 @@
         char text[BB_ADDRESS_TEXT_BYTES];
 
         bb_error_set(e, 1, "cannot listen on %s",
-                     bb_address_format(&u->listen, text));
+                     bb_address_format(&u->listen_address, text));
         return NULL;
     }
     info = MHD_get_daemon_info(d, MHD_DAEMON_INFO_BIND_PORT);
-    if (info != NULL && u->listen.port == 0) {
-        u->listen.port = info->port;
+    if (info != NULL && u->listen_address.port == 0) {
+        u->listen_address.port = info->port;
     }
     return d;
 }
--- a/upstream/work.c
+++ b/upstream/work.c
@@ -6,10 +6,7 @@
 
 #include "common/clock.h"
 
-enum {
-    HISTORY_MAX = 400000, /* when it is full, the older half is dropped */
-    LOAD_SAMPLES = 4096
-};
+enum { HISTORY_MAX_ENTRIES = 400000, LOAD_SAMPLES_MAX = 4096 };
 
 /* A request that waits for a slot or runs. Lives on the stack of its thread.
  */
@@ -18,8 +15,8 @@
     bool is_cancelled;
 };
 
-/* A request that ran, in the history. */
-struct record {
+/* A request that ran. */
+struct history_entry {
     char *id;
     char *call; /* X-Call-Id of the caller */
     uint64_t start_us;
@@ -39,26 +36,26 @@
     pthread_mutex_t lock;
     pthread_cond_t changed; /* a slot is free or a request is cancelled */
     GPtrArray *active;      /* of struct run */
-    GArray *history;        /* of struct record */
-    uint64_t dropped;       /* records removed from the full history */
+    GArray *history;        /* of struct history_entry */
+    uint64_t dropped;       /* entries removed from the full history */
     uint32_t busy;
     uint32_t waiting;
-    struct load_sample samples[LOAD_SAMPLES]; /* ring buffer */
+    struct load_sample samples[LOAD_SAMPLES_MAX]; /* ring buffer */
     uint64_t sample_count;
 };
 
-/* Frees the strings of a record. */
+/* Frees the strings of a history entry. */
 static void
-clear_record(void *data)
+clear_history_entry(void *data)
 {
-    struct record *item = data;
+    struct history_entry *entry = data;
 
-    g_free(item->id);
-    g_free(item->call);
+    g_free(entry->id);
+    g_free(entry->call);
 }
 
-/* Creates an empty set of runs. The caller frees it with bb_runs_destroy and
- * keeps behaviour alive until then. */
+/* Creates an empty set of requests. The caller frees it with bb_runs_destroy
+ * and keeps behaviour alive until then. */
 struct bb_runs *
 bb_runs_create(struct bb_behaviour *behaviour)
 {
@@ -72,12 +69,12 @@
     (void)pthread_cond_init(&r->changed, &attributes);
     (void)pthread_condattr_destroy(&attributes);
     r->active = g_ptr_array_new();
-    r->history = g_array_new(FALSE, FALSE, sizeof(struct record));
-    g_array_set_clear_func(r->history, clear_record);
+    r->history = g_array_new(FALSE, FALSE, sizeof(struct history_entry));
+    g_array_set_clear_func(r->history, clear_history_entry);
     return r;
 }
 
-/* Frees the runs; none may be active. */
+/* Frees the set; no request may be active. */
 void
 bb_runs_destroy(struct bb_runs *r)
 {
@@ -93,19 +90,20 @@
 static void
 sample_load(struct bb_runs *r)
 {
-    r->samples[r->sample_count++ % LOAD_SAMPLES] = (struct load_sample){
+    r->samples[r->sample_count++ % LOAD_SAMPLES_MAX] = (struct load_sample){
         .time_us = bb_clock_now_us(),
         .busy = r->busy,
         .waiting = r->waiting,
     };
 }
 
-/* Appends a request that ends now to the history. */
+/* Appends a request that ends now to the history. Drops the older half of a
+ * full history. */
 static void
-add_record(struct bb_runs *r, const char *id, const char *call,
-           uint64_t start_us, enum bb_run_outcome outcome)
+add_to_history(struct bb_runs *r, const char *id, const char *call,
+               uint64_t start_us, enum bb_run_outcome outcome)
 {
-    struct record item = {
+    struct history_entry entry = {
         .id = g_strdup(id),
         .call = g_strdup(call),
         .start_us = start_us,
@@ -113,15 +111,15 @@
         .outcome = outcome,
     };
 
-    if (r->history->len >= HISTORY_MAX) {
-        (void)g_array_remove_range(r->history, 0, HISTORY_MAX / 2);
-        r->dropped += HISTORY_MAX / 2;
+    if (r->history->len >= HISTORY_MAX_ENTRIES) {
+        (void)g_array_remove_range(r->history, 0, HISTORY_MAX_ENTRIES / 2);
+        r->dropped += HISTORY_MAX_ENTRIES / 2;
     }
-    g_array_append_val(r->history, item);
+    g_array_append_val(r->history, entry);
 }
 
-/* Waits until until_us or the cancellation of the run. The lock must be held;
- * the wait releases it. */
+/* Waits until until_us or the cancellation of the request. The lock must be
+ * held; the wait releases it. */
 static void
 wait_until(struct bb_runs *r, const struct run *run, uint64_t until_us)
 {
@@ -132,8 +130,8 @@
     }
 }
 
-/* Waits for a free slot and takes it. Returns false if the run is cancelled or
- * end_us passes first. */
+/* Waits for a free slot and takes it. Returns false if the request is
+ * cancelled or end_us passes first. */
 static bool
 acquire_slot(struct bb_runs *r, const struct run *run, uint64_t end_us)
 {
@@ -157,19 +155,18 @@
 }
 
 /* Runs a request: waits for a slot, holds it for the service time (wanted_us;
- * 0: random), then makes the nested calls unless they are NULL. A cancellation
- * or end_us ends both waits early. The nested calls must themselves end by
- * end_us.
- */
+ * 0: random), then makes the nested call unless it is NULL. A cancellation or
+ * end_us ends the wait for a slot and the service time early; the nested call
+ * must itself end by end_us. Returns how the request ended. */
 enum bb_run_outcome
 bb_runs_execute(struct bb_runs *r, const char *id, const char *call,
                 uint64_t wanted_us, uint64_t end_us,
-                const struct bb_run_nested_calls *nested_calls)
+                const struct bb_run_nested_call *nested_call)
 {
     struct run run = {.id = id};
     enum bb_run_outcome outcome = BB_RUN_NOT_STARTED;
     uint64_t start_us;
-    uint64_t until_us;
+    uint64_t service_end_us;
 
     if (bb_behaviour_get_values(r->behaviour).is_shedding) {
         return BB_RUN_REFUSED;
@@ -180,18 +177,18 @@
         goto out;
     }
     start_us = bb_clock_now_us();
-    until_us = start_us +
-               bb_behaviour_draw_service_us(r->behaviour, start_us, wanted_us);
-    wait_until(r, &run, MIN(until_us, end_us));
-    outcome = run.is_cancelled    ? BB_RUN_CANCELLED
-              : until_us > end_us ? BB_RUN_DEADLINE
-                                  : BB_RUN_DONE;
-    if (outcome == BB_RUN_DONE && nested_calls != NULL) {
+    service_end_us = start_us + bb_behaviour_draw_service_us(
+                                    r->behaviour, start_us, wanted_us);
+    wait_until(r, &run, MIN(service_end_us, end_us));
+    outcome = run.is_cancelled          ? BB_RUN_CANCELLED
+              : service_end_us > end_us ? BB_RUN_DEADLINE
+                                        : BB_RUN_DONE;
+    if (outcome == BB_RUN_DONE && nested_call != NULL) {
         (void)pthread_mutex_unlock(&r->lock);
-        nested_calls->run(nested_calls->context, end_us);
+        nested_call->run(nested_call->context, end_us);
         (void)pthread_mutex_lock(&r->lock);
     }
-    add_record(r, id, call, start_us, outcome);
+    add_to_history(r, id, call, start_us, outcome);
     r->busy--;
     sample_load(r);
     (void)pthread_cond_broadcast(&r->changed);
@@ -244,9 +241,9 @@
     struct load_sample s = {0};
 
     (void)pthread_mutex_lock(&r->lock);
-    for (uint64_t i = 0; i < MIN(r->sample_count, (uint64_t)LOAD_SAMPLES);
+    for (uint64_t i = 0; i < MIN(r->sample_count, (uint64_t)LOAD_SAMPLES_MAX);
          i++) {
-        s = r->samples[(r->sample_count - 1 - i) % LOAD_SAMPLES];
+        s = r->samples[(r->sample_count - 1 - i) % LOAD_SAMPLES_MAX];
         if (s.time_us <= at_us) {
             break;
         }
@@ -257,9 +254,8 @@
 }
 
 /* Appends the history to out as JSON Lines: a line of totals, then one line
- * per run. Ids aren't escaped: the server only accepts ids that need no
- * escaping.
- */
+ * per request that ran. Ids aren't escaped: the server only accepts ids that
+ * need no escaping. */
 void
 bb_runs_write_history(struct bb_runs *r, GString *out)
 {
@@ -272,15 +268,15 @@
                            r->history->len + r->dropped, r->dropped, r->busy,
                            r->waiting);
     for (guint i = 0; i < r->history->len; i++) {
-        const struct record *item =
-            &g_array_index(r->history, struct record, i);
+        const struct history_entry *entry =
+            &g_array_index(r->history, struct history_entry, i);
 
         g_string_append_printf(
             out,
             "{\"id\":\"%s\",\"call\":\"%s\",\"start_us\":%" PRIu64
             ",\"end_us\":%" PRIu64 ",\"outcome\":\"%s\"}\n",
-            item->id, item->call, item->start_us, item->end_us,
-            names[item->outcome]);
+            entry->id, entry->call, entry->start_us, entry->end_us,
+            names[entry->outcome]);
     }
     (void)pthread_mutex_unlock(&r->lock);
 }
