--- a/include/load/workload.h
+++ b/include/load/workload.h
@@ -20,10 +20,10 @@
     uint64_t weight;     /* share of the calls, relative to the others */
     uint64_t work_us;    /* service time; 0: random, chosen by the upstream */
     uint64_t body_bytes; /* of the request */
-    uint64_t answer_bytes; /* of the response; 0: a short text */
-    uint64_t deadline_ms;  /* 0: none */
-    bool is_long;          /* always reported as long work */
-    bool is_keyed;         /* sent with an Idempotency-Key */
+    uint64_t response_bytes; /* of the response; 0: a short text */
+    uint64_t deadline_ms;    /* 0: none */
+    bool is_long;            /* always reported as long work */
+    bool is_keyed;           /* sent with an Idempotency-Key */
 };
 
 /* From at_ms after the start of the period on, the rate is the nominal rate
