Keep the names of call results in one initialiser

A table in the header moved the tables of load/report.c. The names are a macro that both tables use, so that the objects stay as they were.

--- a/include/load/engine.h
+++ b/include/load/engine.h
@@ -28,9 +28,12 @@
     BB_LOAD_RESULT_COUNT
 };
 
-/* Names of enum bb_load_result in reports and record files. */
-static const char *const bb_load_result_names[BB_LOAD_RESULT_COUNT] = {
-    "ok", "refused", "status", "broken", "wrong"};
+/* Names of enum bb_load_result in reports and record files, as the initialiser
+ * of a table. */
+#define BB_LOAD_RESULT_NAMES                                                  \
+    {                                                                         \
+        "ok", "refused", "status", "broken", "wrong"                          \
+    }
 
 /* Kinds of calls whose latency is reported separately. A proxied call counts
  * in BB_LOAD_PROXIED and also in BB_LOAD_SHORT or BB_LOAD_LONG. */
--- a/load/engine.c
+++ b/load/engine.c
@@ -19,7 +19,8 @@
      * that is sent while the node closes it is lost. */
     IDLE_MAX_US = 5 * BB_US_PER_S,
     STACK_BYTES = 256 * 1024,
-    /* Time for all threads to start before the first call is due. */
+    /* Time for all threads to start before the first call is due; also in
+     * bench/mesh-lib.sh. */
     START_DELAY_US = 250 * BB_US_PER_MS
 };
 
@@ -283,6 +284,9 @@
 write_record_line(struct bb_load_run *run, const struct call *c,
                   enum bb_load_result result, uint64_t latency_us)
 {
+    static const char *const result_names[BB_LOAD_RESULT_COUNT] =
+        BB_LOAD_RESULT_NAMES;
+
     if (run->record_file == NULL) {
         return;
     }
@@ -291,7 +295,7 @@
                   "{\"id\":\"%s\",\"method\":\"%s\",\"end\":\"%s\","
                   "\"reason\":\"%s\",\"ran\":\"%s\",\"at_us\":%" PRIu64
                   ",\"latency_us\":%" PRIu64 "}\n",
-                  c->id, c->plan->route->method, bb_load_result_names[result],
+                  c->id, c->plan->route->method, result_names[result],
                   bb_reason_name(c->reason),
                   result == BB_LOAD_OK ? "yes"
                   : c->has_not_run     ? "no"
--- a/load/report.c
+++ b/load/report.c
@@ -6,6 +6,8 @@
 
 static const char *const kind_names[BB_LOAD_KIND_COUNT] = {"proxied", "short",
                                                            "long", "direct"};
+static const char *const result_names[BB_LOAD_RESULT_COUNT] =
+    BB_LOAD_RESULT_NAMES;
 static const double percentiles[] = {50, 90, 99, 99.9};
 static const char *const percentile_names[] = {"p50_us", "p90_us", "p99_us",
                                                "p999_us"};
@@ -81,7 +83,7 @@
     json_object_set_new(root, "duration_ms",
                         json_integer((json_int_t)run->duration_ms));
     for (int i = 0; i < BB_LOAD_RESULT_COUNT; i++) {
-        json_object_set_new(results, bb_load_result_names[i],
+        json_object_set_new(results, result_names[i],
                             json_integer((json_int_t)s->result_counts[i]));
     }
     json_object_set_new(root, "ends", results);
@@ -119,7 +121,7 @@
         out, "workload %s, seed %" PRIu64 ", %u calls in %" PRIu64 " ms\n",
         run->workload->name, run->seed, run->call_count, run->duration_ms);
     for (int i = 0; i < BB_LOAD_RESULT_COUNT; i++) {
-        (void)fprintf(out, "%-8s %" PRIu64 "\n", bb_load_result_names[i],
+        (void)fprintf(out, "%-8s %" PRIu64 "\n", result_names[i],
                       s->result_counts[i]);
     }
     for (int i = 0; i < BB_REASONS; i++) {
