--- a/tests/proxy/test_claim_restart.c
+++ b/tests/proxy/test_claim_restart.c
@@ -52,9 +52,10 @@
     CU_ASSERT_TRUE(bb_proxy_register(witness.proxy, server, &e));
     CU_ASSERT_TRUE(bb_rpc_server_start(server, &e));
     rpc.port = bb_rpc_server_get_port(server);
-    announce_upstream(&gatekeeper, &gatekeeper_upstream.upstream.listen,
+    announce_upstream(&gatekeeper,
+                      &gatekeeper_upstream.upstream.listen_address,
                       BB_UPSTREAM_READY, SLOTS);
-    announce_upstream(&entry, &entry_upstream.upstream.listen,
+    announce_upstream(&entry, &entry_upstream.upstream.listen_address,
                       BB_UPSTREAM_READY, SLOTS);
     add_member(&entry, "gatekeeper", "z1",
                bb_proxy_caller_address(gatekeeper.proxy), rpc);
--- a/tests/proxy/test_exchange.c
+++ b/tests/proxy/test_exchange.c
@@ -52,7 +52,7 @@
     rpc.port = bb_rpc_server_get_port(server);
     s.rpc = pool;
     start_node(&entry, "entry", s);
-    announce_upstream(&gatekeeper, &upstream.upstream.listen,
+    announce_upstream(&gatekeeper, &upstream.upstream.listen_address,
                       BB_UPSTREAM_READY, SLOTS);
     add_member(&entry, "gatekeeper", "z2",
                bb_proxy_caller_address(gatekeeper.proxy), rpc);
@@ -511,7 +511,7 @@
     start((struct bb_proxy_settings){0});
     entry.route.retry_limit = 0; /* so that the refusal is not retried */
     apply_table(&entry);
-    announce_upstream(&gatekeeper, &upstream.upstream.listen,
+    announce_upstream(&gatekeeper, &upstream.upstream.listen_address,
                       BB_UPSTREAM_DRAINING, SLOTS);
     r = get("");
     CU_ASSERT_TRUE(contains(r, "Baobab-Refused: upstream_draining"));
--- a/tests/proxy/test_link.c
+++ b/tests/proxy/test_link.c
@@ -60,7 +60,7 @@
     start_upstream(&upstream, &quick);
     start_node(&gatekeeper, "gatekeeper", (struct bb_proxy_settings){0});
     start_node(&entry, "entry", (struct bb_proxy_settings){0});
-    announce_upstream(&gatekeeper, &upstream.upstream.listen,
+    announce_upstream(&gatekeeper, &upstream.upstream.listen_address,
                       BB_UPSTREAM_READY, SLOTS);
     add_member(&entry, "gatekeeper", "z2",
                bb_proxy_caller_address(gatekeeper.proxy), no_rpc);
--- a/tests/proxy/test_slow.c
+++ b/tests/proxy/test_slow.c
@@ -42,7 +42,8 @@
         start_upstream(&upstreams[i], &quick);
         upstreams[i].upstream.host = names[i];
         start_node(&gatekeepers[i], hosts[i], (struct bb_proxy_settings){0});
-        announce_upstream(&gatekeepers[i], &upstreams[i].upstream.listen,
+        announce_upstream(&gatekeepers[i],
+                          &upstreams[i].upstream.listen_address,
                           BB_UPSTREAM_READY, SLOTS);
         add_member(&entry, hosts[i], "z1",
                    bb_proxy_caller_address(gatekeepers[i].proxy), no_rpc);
