--- a/common/clock.c
+++ b/common/clock.c
@@ -22,7 +22,7 @@
 
 /* Returns the wall-clock time in microseconds since 1970. It can jump, so it
  * is used only for display, for numbers that tell the runs of a process apart
- * (incarnation, epoch), and as a seed if the kernel gives none. */
+ * (incarnations), and as a seed if the kernel gives none. */
 uint64_t
 bb_clock_wall_now_us(void)
 {
--- a/control/agree.x
+++ b/control/agree.x
@@ -1,6 +1,6 @@
 /* RPC messages between control hosts, and the records that a control host
- * stores. Host numbers are slots: positions in the list of control hosts,
- * ordered by name. The members are explained at the structs of
+ * stores. A host number is a position in the list of control hosts,
+ * ordered by name. The fields are explained at the structs of
  * decide/agree.h that the comments name. config_version is `version` there,
  * which is a keyword of the RPC language. */
 
@@ -25,7 +25,7 @@
     unsigned hyper revision;
     unsigned hyper base_revision;
     unsigned hyper config_version;
-    unsigned hyper incarnation;
+    unsigned hyper disk_id;
     agree_digest digest;
     unsigned int kind;
     unsigned int host;
@@ -44,7 +44,7 @@
     unsigned hyper index;
     unsigned hyper term;
     unsigned hyper highest_version;
-    unsigned hyper members[AGREE_HOSTS_MAX];
+    unsigned hyper voters[AGREE_HOSTS_MAX];
     agree_config in_force;
     agree_config history<AGREE_HISTORY_MAX>;
 };
@@ -53,7 +53,7 @@
 struct agree_formation {
     unsigned hyper id;
     unsigned hyper first_revision;
-    unsigned hyper members[AGREE_HOSTS_MAX];
+    unsigned hyper voters[AGREE_HOSTS_MAX];
 };
 
 /* The variable part of a message. */
@@ -75,14 +75,14 @@
     void;
 };
 
-/* A message of the quorum protocol: struct bb_agree_message. */
+/* A message of the consensus protocol: struct bb_agree_message. */
 struct agree_message {
     unsigned int kind;
     unsigned int from;
     unsigned int to;
     bool is_ok;
     bool has_recent_quorum;
-    unsigned hyper incarnation;
+    unsigned hyper disk_id;
     unsigned hyper formation;
     unsigned hyper term;
     unsigned hyper nonce;
@@ -99,7 +99,8 @@
  * `payload_host` is the host to fetch payloads from. `payload` is the payload
  * of the last entry, or empty. */
 struct agree_envelope {
-    unsigned hyper cluster_id; /* hash of the names of all control hosts */
+    /* Hash of the names of all control hosts. */
+    unsigned hyper control_hosts_hash;
     agree_message message;
     agree_digest in_force_digest;
     unsigned int payload_host;
@@ -113,7 +114,8 @@
 
 /* Requests a payload by its digest. */
 struct agree_fetch_request {
-    unsigned hyper cluster_id; /* hash of the names of all control hosts */
+    /* Hash of the names of all control hosts. */
+    unsigned hyper control_hosts_hash;
     agree_digest digest;
 };
 
@@ -156,13 +158,13 @@
 };
 
 struct agree_propose_message {
-    unsigned hyper cluster_id;
+    unsigned hyper control_hosts_hash;
     agree_propose_body body;
 };
 
 /* Membership records, in the encoding of mesh/. */
 struct agree_members {
-    unsigned hyper cluster_id;
+    unsigned hyper control_hosts_hash;
     unsigned int from_host;
     opaque records<AGREE_MEMBER_RECORDS_MAX_BYTES>;
 };
@@ -178,7 +180,7 @@
 };
 
 /* The payload of the snapshot file: all of struct bb_agree_durable except the
- * incarnation of the disk. */
+ * disk ID. */
 struct agree_state_record {
     agree_formation formation;
     unsigned hyper term;
--- a/control/agree_codec.c
+++ b/control/agree_codec.c
@@ -11,7 +11,7 @@
     out->revision = e->revision;
     out->base_revision = e->base_revision;
     out->config_version = e->version;
-    out->incarnation = e->incarnation;
+    out->disk_id = e->disk_id;
     memcpy(out->digest, e->digest.bytes, sizeof(out->digest));
     out->kind = e->kind;
     out->host = e->host;
@@ -22,7 +22,7 @@
 static bool
 decode_entry(const agree_entry *in, struct bb_agree_entry *e)
 {
-    if (in->kind > BB_AGREE_MEMBER || in->host >= BB_AGREE_HOSTS_MAX) {
+    if (in->kind > BB_AGREE_VOTER || in->host >= BB_AGREE_HOSTS_MAX) {
         return false;
     }
     memset(e, 0, sizeof(*e));
@@ -30,7 +30,7 @@
     e->revision = in->revision;
     e->base_revision = in->base_revision;
     e->version = in->config_version;
-    e->incarnation = in->incarnation;
+    e->disk_id = in->disk_id;
     memcpy(e->digest.bytes, in->digest, sizeof(e->digest.bytes));
     e->kind = (uint8_t)in->kind;
     e->host = (uint8_t)in->host;
@@ -92,7 +92,7 @@
     out->term = s->term;
     out->highest_version = s->highest_version;
     for (uint32_t h = 0; h < BB_AGREE_HOSTS_MAX; h++) {
-        out->members[h] = s->members[h];
+        out->voters[h] = s->voters[h];
     }
     encode_config(&s->in_force, &out->in_force);
     out->history.history_len = (u_int)s->history_count;
@@ -113,7 +113,7 @@
     s->term = in->term;
     s->highest_version = in->highest_version;
     for (uint32_t h = 0; h < BB_AGREE_HOSTS_MAX; h++) {
-        s->members[h] = in->members[h];
+        s->voters[h] = in->voters[h];
     }
     decode_config(&in->in_force, &s->in_force);
     s->history_count = in->history.history_len;
@@ -129,7 +129,7 @@
     out->id = f->id;
     out->first_revision = f->first_revision;
     for (uint32_t h = 0; h < BB_AGREE_HOSTS_MAX; h++) {
-        out->members[h] = f->members[h];
+        out->voters[h] = f->voters[h];
     }
 }
 
@@ -139,7 +139,7 @@
     f->id = in->id;
     f->first_revision = in->first_revision;
     for (uint32_t h = 0; h < BB_AGREE_HOSTS_MAX; h++) {
-        f->members[h] = in->members[h];
+        f->voters[h] = in->voters[h];
     }
 }
 
@@ -155,7 +155,7 @@
     out->to = m->to;
     out->is_ok = m->is_ok;
     out->has_recent_quorum = m->has_recent_quorum;
-    out->incarnation = m->incarnation;
+    out->disk_id = m->disk_id;
     out->formation = m->formation;
     out->term = m->term;
     out->nonce = m->nonce;
@@ -221,7 +221,7 @@
     m->to = (uint8_t)in->to;
     m->is_ok = in->is_ok != 0;
     m->has_recent_quorum = in->has_recent_quorum != 0;
-    m->incarnation = in->incarnation;
+    m->disk_id = in->disk_id;
     m->formation = in->formation;
     m->term = in->term;
     m->nonce = in->nonce;
@@ -281,7 +281,7 @@
            d->commit_index <= d->snapshot.index + d->log_count;
 }
 
-/* Fills in a record of the whole durable state except the incarnation; freed
+/* Fills in a record of the whole durable state except the disk ID; freed
  * with xdr_free. */
 void
 bb_agree_encode_state_record(const struct bb_agree_durable *d,
@@ -297,16 +297,16 @@
     out->entries.entries_val = encode_entries(d->log, d->log_count);
 }
 
-/* Replaces the durable state by that of a record; the incarnation of the disk
- * stays. Returns false if the record is malformed. */
+/* Replaces the durable state by that of a record; the disk ID stays.
+ * Returns false if the record is malformed. */
 bool
 bb_agree_decode_state_record(const agree_state_record *in,
                              struct bb_agree_durable *d)
 {
-    uint64_t incarnation = d->incarnation;
+    uint64_t disk_id = d->disk_id;
 
     memset(d, 0, sizeof(*d));
-    d->incarnation = incarnation;
+    d->disk_id = disk_id;
     decode_formation(&in->formation, &d->formation);
     d->term = in->term;
     d->voted_for = in->voted_for;
--- a/control/endpoints.c
+++ b/control/endpoints.c
@@ -78,7 +78,7 @@
     return peers;
 }
 
-/* GET /v1/status: the state of the quorum protocol and of the folder. */
+/* GET /v1/status: the state of the consensus protocol and of the folder. */
 static void
 get_status(void *context, const struct bb_admin_request *request,
            struct bb_admin_response *response)
--- a/control/replicate.c
+++ b/control/replicate.c
@@ -9,7 +9,7 @@
 
 enum { RESEND_INTERVAL_US = 500 * 1000, RETRY_INTERVAL_US = 50 * 1000 };
 
-/* Orders hosts by id for qsort, so that all hosts assign the same slots. */
+/* Orders hosts by id for qsort, so that all hosts assign the same numbers. */
 static int
 compare_hosts(const void *a, const void *b)
 {
@@ -19,8 +19,8 @@
     return strcmp(x->id, y->id);
 }
 
-/* Fills in the hosts, this host's slot and the cluster id. Returns false if
- * there are too many hosts or one is listed twice. */
+/* Fills in the hosts, this host's number and the hash of all names. Returns
+ * false if there are too many hosts or one is listed twice. */
 static bool
 load_hosts(struct bb_replicate *r, const struct bb_replicate_settings *s,
            struct bb_error *e)
@@ -50,10 +50,10 @@
                                 r->hosts[h].id);
         }
         if (strcmp(r->hosts[h].id, s->id) == 0) {
-            r->own_slot = h;
+            r->own_host = h;
         }
-        r->cluster_id = bb_hash64(r->hosts[h].id, strlen(r->hosts[h].id) + 1,
-                                  r->cluster_id);
+        r->control_hosts_hash = bb_hash64(
+            r->hosts[h].id, strlen(r->hosts[h].id) + 1, r->control_hosts_hash);
     }
     return true;
 }
@@ -62,16 +62,16 @@
 static bool
 open_store(struct bb_replicate *r, struct bb_error *e)
 {
-    const struct bb_agree_settings s = {.self = r->own_slot,
+    const struct bb_agree_settings s = {.self = r->own_host,
                                         .host_count = r->host_count,
                                         .first_revision =
                                             r->settings.first_revision};
     struct bb_agree_durable *d = g_new0(struct bb_agree_durable, 1);
     struct bb_error cause = {0};
 
-    /* The incarnation must not depend on the seed: an emptied disk would get
-     * its old one again and be counted as a member that still has its log and
-     * its vote. */
+    /* The disk ID must not depend on the seed: an emptied disk would get its
+     * old one again and be counted as a voter that still has its log and its
+     * vote. */
     r->store = bb_store_open(r->data_folder, r->settings.file_operations,
                              bb_random_system_seed() | 1, d, &cause);
     if (r->store == NULL) {
@@ -186,12 +186,13 @@
               const struct bb_agree_proposal *p, const void *payload,
               size_t size_bytes)
 {
-    agree_propose_message argument = {.cluster_id = r->cluster_id};
+    agree_propose_message argument = {.control_hosts_hash =
+                                          r->control_hosts_hash};
     agree_proposal *request = &argument.body.agree_propose_body_u.proposal;
     agree_ack ack = {0};
 
     argument.body.kind = AGREE_PROPOSE_REQUEST;
-    request->origin_host = r->own_slot;
+    request->origin_host = r->own_host;
     request->ticket = p->ticket;
     request->base_revision = p->base_revision;
     request->config_version = p->version;
@@ -205,7 +206,7 @@
                               NULL)) {
         return false;
     }
-    if (leader == r->own_slot) {
+    if (leader == r->own_host) {
         return bb_replicate_dispatch(r, AGREE_PROPOSE, &argument, &ack) &&
                ack.is_accepted;
     }
@@ -350,7 +351,7 @@
         struct bb_replicate_peer_status *p =
             &status->peers[status->peer_count];
 
-        if (h != r->own_slot) {
+        if (h != r->own_host) {
             (void)g_strlcpy(p->id, r->hosts[h].id, sizeof(p->id));
             p->is_alive =
                 r->last_heard_us[h] != 0 &&
@@ -371,14 +372,14 @@
                               void **response, size_t *response_bytes,
                               uint32_t timeout_ms, struct bb_error *e)
 {
-    agree_members argument = {.cluster_id = r->cluster_id,
-                              .from_host = r->own_slot};
+    agree_members argument = {.control_hosts_hash = r->control_hosts_hash,
+                              .from_host = r->own_host};
     agree_members result = {0};
 
     argument.records.records_val = (char *)records;
     argument.records.records_len = (u_int)size_bytes;
     for (uint8_t h = 0; h < r->host_count; h++) {
-        if (h == r->own_slot || strcmp(r->hosts[h].id, peer_id) != 0) {
+        if (h == r->own_host || strcmp(r->hosts[h].id, peer_id) != 0) {
             continue;
         }
         if (replicate_call_peer(r, h, AGREE_EXCHANGE_MEMBERS, &argument,
--- a/control/replicate_engine.c
+++ b/control/replicate_engine.c
@@ -1,5 +1,5 @@
-/* The engine: the thread that passes events to the quorum protocol and writes
- * its state to the store. */
+/* The engine: the thread that passes events to the consensus protocol and
+ * writes its state to the store. */
 #include <string.h>
 
 #include "common/clock.h"
@@ -40,7 +40,7 @@
     s->version = c.version;
     s->payload_digest = c.digest;
     s->formation_id = a->durable.formation.id;
-    s->incarnation = a->durable.incarnation;
+    s->disk_id = a->durable.disk_id;
     s->can_vote = bb_agree_is_voter(a);
     (void)g_strlcpy(s->no_vote_reason, why, sizeof(s->no_vote_reason));
     s->leader_id[0] = '\0';
@@ -54,7 +54,7 @@
         (void)g_strlcpy(s->joining_host, r->hosts[a->joining_host].id,
                         sizeof(s->joining_host));
     }
-    r->quorum_known_us = s->can_vote ? a->group_quorum_us : 0;
+    r->quorum_known_us = s->can_vote ? a->cluster_quorum_us : 0;
     memcpy(r->last_heard_us, a->last_heard_us, sizeof(r->last_heard_us));
     (void)pthread_mutex_unlock(&r->lock);
 }
@@ -121,15 +121,14 @@
         e.now_us = bb_clock_now_us();
         /* Formation ids and nonces must differ between disks even if the seeds
          * are equal. */
-        e.random_bits =
-            bb_random_u64(r->random) ^ r->agree.durable.incarnation;
+        e.random_bits = bb_random_u64(r->random) ^ r->agree.durable.disk_id;
         bb_agree_step(&r->agree, &e, out);
         for (uint32_t i = 0; i < out->message_count; i++) {
             replicate_send_message(r, &out->messages[i]);
         }
         must_persist = out->must_persist;
         e.kind = BB_AGREE_EVENT_SYNCED;
-        e.as.sync_sequence = out->sync_sequence;
+        e.as.write_sequence = out->write_sequence;
         if (must_persist && !persist(r)) {
             e.kind = BB_AGREE_EVENT_SYNC_FAILED;
         }
--- a/control/replicate_internal.h
+++ b/control/replicate_internal.h
@@ -1,8 +1,9 @@
 /* Internal to the replicate_*.c files.
  *
- * Threads: the engine runs the quorum protocol and processes jobs; the fetcher
- * fetches payloads that a job needs; two senders for each peer make calls. RPC
- * server threads add jobs, complete waiting proposals and read payloads. */
+ * Threads: the engine runs the consensus protocol and processes jobs; the
+ * fetcher fetches payloads that a job needs; two senders for each peer make
+ * calls. RPC server threads add jobs, complete waiting proposals and read
+ * payloads. */
 #ifndef BB_CONTROL_REPLICATE_INTERNAL_H
 #define BB_CONTROL_REPLICATE_INTERNAL_H
 
@@ -41,8 +42,8 @@
     enum replicate_job_kind kind;
     struct bb_agree_message message;
     struct bb_digest in_force_digest; /* payload that must be stored first */
-    uint8_t payload_host;             /* slot of the host to fetch from */
-    uint8_t origin_host; /* proposal: slot of the host that proposed */
+    uint8_t payload_host;             /* to fetch from */
+    uint8_t origin_host;              /* proposal: host that proposed */
     struct bb_agree_proposal proposal;
     struct bb_digest missing_digest; /* what the fetcher has to fetch */
     void *payload; /* that came with it, or NULL; freed with the job */
@@ -75,7 +76,7 @@
 
 struct replicate_sender {
     struct bb_replicate *r;
-    uint8_t slot; /* of the peer */
+    uint8_t host; /* the peer */
     struct replicate_queue queue;
     pthread_t thread;
     bool has_queue; /* the queue is initialised */
@@ -86,13 +87,13 @@
 struct replicate_response_route {
     uint64_t agree_ticket;  /* in the state machine; 0: unused */
     uint64_t origin_ticket; /* of the host that proposed */
-    uint8_t origin_host;    /* its slot */
+    uint8_t origin_host;    /* number of that host */
 };
 
 /* A host that proposed a payload and therefore has it stored. */
 struct replicate_payload_origin {
     struct bb_digest digest;
-    uint8_t payload_host; /* slot */
+    uint8_t payload_host; /* number of that host */
 };
 
 /* A call of bb_replicate_propose that waits for its response. */
@@ -109,8 +110,9 @@
     struct bb_replicate_transport transport;
     struct bb_replicate_host hosts[BB_AGREE_HOSTS_MAX]; /* sorted by id */
     uint8_t host_count;
-    uint8_t own_slot;    /* index of this host in hosts */
-    uint64_t cluster_id; /* hash of all host names; others are refused */
+    uint8_t own_host; /* index of this host in hosts */
+    uint64_t
+        control_hosts_hash; /* hash of all host names; others are refused */
     char region[BB_NAME_BYTES];
     char *data_folder;
     struct bb_store *store;
@@ -156,7 +158,7 @@
     struct bb_replicate_status status;
     uint64_t quorum_known_us;
     uint64_t last_heard_us[BB_AGREE_HOSTS_MAX];
-    uint8_t leader; /* slot or BB_AGREE_NO_HOST */
+    uint8_t leader; /* host or BB_AGREE_NO_HOST */
 };
 
 /* replicate_engine.c */
@@ -180,7 +182,7 @@
 /* replicate_peer.c */
 bool replicate_peers_start(struct bb_replicate *r);
 void replicate_peers_stop(struct bb_replicate *r);
-void replicate_queue_call(struct bb_replicate *r, uint8_t slot,
+void replicate_queue_call(struct bb_replicate *r, uint8_t host,
                           uint32_t sender,
                           struct replicate_outgoing_call *call);
 void replicate_free_job(void *job);
@@ -196,7 +198,7 @@
 
 /* replicate_rpc.c */
 void replicate_unregister(const struct bb_replicate *r);
-bool replicate_call_peer(struct bb_replicate *r, uint8_t slot,
+bool replicate_call_peer(struct bb_replicate *r, uint8_t host,
                          uint32_t procedure, void *argument, void *result,
                          uint32_t timeout_ms);
 bool replicate_rpc_call(void *context, const struct bb_replicate_host *to,
--- a/control/replicate_output.c
+++ b/control/replicate_output.c
@@ -1,4 +1,4 @@
-/* Carries out the output of the quorum protocol: sends messages and their
+/* Carries out the output of the consensus protocol: sends messages and their
  * payloads, delivers revisions that come into force, responds to proposals. */
 #include <string.h>
 
@@ -56,7 +56,7 @@
     }
 }
 
-/* Returns the slot of a host in a region that has an entry's payload because
+/* Returns the number of a host in a region that has an entry's payload because
  * it proposed it, or BB_AGREE_NO_HOST. e may be NULL. */
 static uint8_t
 find_origin_in_region(const struct bb_replicate *r, const char *region,
@@ -73,7 +73,7 @@
     return BB_AGREE_NO_HOST;
 }
 
-/* Returns the slot of the host of a region that is sent payloads inline: the
+/* Returns the number of the host of a region that is sent payloads inline: the
  * first one from which a message arrived lately, or else the first one. */
 static uint8_t
 choose_inline_host(const struct bb_replicate *r, const char *region)
@@ -95,11 +95,11 @@
 
 /* Tells whether a payload was sent inline to a host recently. */
 static bool
-was_inlined(const struct bb_replicate *r, uint8_t slot,
+was_inlined(const struct bb_replicate *r, uint8_t host,
             const struct bb_digest *d)
 {
     for (uint32_t i = 0; i < REPLICATE_INLINED_DIGESTS_MAX; i++) {
-        if (bb_digest_equal(&r->inlined_digests[slot][i], d)) {
+        if (bb_digest_equal(&r->inlined_digests[host][i], d)) {
             return true;
         }
     }
@@ -108,7 +108,7 @@
 
 /* Adds the payload of an entry to a message, unless it is too large. */
 static void
-attach_payload(struct bb_replicate *r, uint8_t slot,
+attach_payload(struct bb_replicate *r, uint8_t host,
                const struct bb_agree_entry *e, agree_envelope *envelope)
 {
     size_t size = 0;
@@ -118,7 +118,7 @@
         g_free(data); /* the receiver fetches it */
         return;
     }
-    r->inlined_digests[slot][r->inlined_next[slot]++ %
+    r->inlined_digests[host][r->inlined_next[host]++ %
                              REPLICATE_INLINED_DIGESTS_MAX] = e->digest;
     envelope->payload.payload_val = data;
     envelope->payload.payload_len = (u_int)size;
@@ -176,8 +176,8 @@
     agree_envelope *envelope = &call->envelope;
 
     call->procedure = procedure_for_kind(m->kind);
-    envelope->cluster_id = r->cluster_id;
-    envelope->payload_host = r->own_slot;
+    envelope->control_hosts_hash = r->control_hosts_hash;
+    envelope->payload_host = r->own_host;
     bb_agree_encode_message(m, &envelope->message);
     if (m->kind == BB_AGREE_APPEND || m->kind == BB_AGREE_SNAPSHOT) {
         memcpy(envelope->in_force_digest, committed.digest.bytes,
@@ -272,14 +272,14 @@
         return; /* reused by a later proposal; the caller resends */
     }
     route->agree_ticket = 0;
-    if (route->origin_host == r->own_slot) {
+    if (route->origin_host == r->own_host) {
         replicate_complete_proposal(r, route->origin_ticket, a->result,
                                     a->revision);
         return;
     }
     call = g_new0(struct replicate_outgoing_call, 1);
     call->procedure = AGREE_PROPOSE;
-    call->propose.cluster_id = r->cluster_id;
+    call->propose.control_hosts_hash = r->control_hosts_hash;
     call->propose.body.kind = AGREE_PROPOSE_RESPONSE;
     response = &call->propose.body.agree_propose_body_u.response;
     response->ticket = route->origin_ticket;
--- a/control/replicate_peer.c
+++ b/control/replicate_peer.c
@@ -54,13 +54,13 @@
  * are queued, the oldest is dropped: the protocol sends again what is still
  * needed. */
 void
-replicate_queue_call(struct bb_replicate *r, uint8_t slot, uint32_t sender,
+replicate_queue_call(struct bb_replicate *r, uint8_t host, uint32_t sender,
                      struct replicate_outgoing_call *call)
 {
     struct replicate_outgoing_call *oldest = call;
 
-    if (slot < r->host_count && slot != r->own_slot) {
-        oldest = replicate_queue_push(&r->senders[slot][sender].queue, call,
+    if (host < r->host_count && host != r->own_host) {
+        oldest = replicate_queue_push(&r->senders[host][sender].queue, call,
                                       CALLS_QUEUED_MAX);
         bb_counter_add(&unsent_total, oldest != NULL);
     }
@@ -89,7 +89,7 @@
 
         is_running = call->procedure != 0 && !atomic_load(&r->is_stopping);
         if (is_running) {
-            bool is_sent = replicate_call_peer(r, s->slot, call->procedure,
+            bool is_sent = replicate_call_peer(r, s->host, call->procedure,
                                                body, &ack, timeout_ms);
 
             bb_counter_add(is_sent ? &sent_total : &unsent_total, 1);
@@ -102,21 +102,22 @@
 /* Fetches a payload from one host and stores it; false if the host does not
  * have it, does not respond or is skipped. */
 static bool
-fetch_payload_from(struct bb_replicate *r, uint8_t slot,
+fetch_payload_from(struct bb_replicate *r, uint8_t host,
                    const struct bb_digest *d)
 {
-    agree_fetch_request argument = {.cluster_id = r->cluster_id};
+    agree_fetch_request argument = {.control_hosts_hash =
+                                        r->control_hosts_hash};
     agree_fetch_response result = {0};
     bool is_stored = false;
 
-    if (slot == r->own_slot || slot >= r->host_count ||
-        bb_clock_now_us() < r->skip_until_us[slot]) {
+    if (host == r->own_host || host >= r->host_count ||
+        bb_clock_now_us() < r->skip_until_us[host]) {
         return false;
     }
     memcpy(argument.digest, d->bytes, BB_DIGEST_BYTES);
-    if (!replicate_call_peer(r, slot, AGREE_FETCH_PAYLOAD, &argument, &result,
+    if (!replicate_call_peer(r, host, AGREE_FETCH_PAYLOAD, &argument, &result,
                              FETCH_TIMEOUT_MS)) {
-        r->skip_until_us[slot] = bb_clock_now_us() + SKIP_UNRESPONSIVE_US;
+        r->skip_until_us[host] = bb_clock_now_us() + SKIP_UNRESPONSIVE_US;
     }
     else if (result.is_found) {
         is_stored =
@@ -195,12 +196,12 @@
 {
     for (uint8_t h = 0; h < r->host_count; h++) {
         for (uint32_t sender = 0;
-             sender < REPLICATE_SENDERS_PER_PEER && h != r->own_slot;
+             sender < REPLICATE_SENDERS_PER_PEER && h != r->own_host;
              sender++) {
             struct replicate_sender *s = &r->senders[h][sender];
 
             s->r = r;
-            s->slot = h;
+            s->host = h;
             replicate_queue_init(&s->queue);
             s->has_queue = true;
             if (pthread_create(&s->thread, NULL, run_sender, s) != 0) {
--- a/control/replicate_rpc.c
+++ b/control/replicate_rpc.c
@@ -98,12 +98,12 @@
 /* Counts the bytes of a call in both directions if the peer is in another
  * region. */
 static void
-count_region_bytes(const struct bb_replicate *r, uint8_t slot,
+count_region_bytes(const struct bb_replicate *r, uint8_t host,
                    uint32_t procedure, void *argument, void *result)
 {
     struct procedure_codecs p;
 
-    if (strcmp(r->hosts[slot].region, r->hosts[r->own_slot].region) != 0 &&
+    if (strcmp(r->hosts[host].region, r->hosts[r->own_host].region) != 0 &&
         find_procedure_codecs(procedure, &p)) {
         bb_counter_add(&other_region_bytes,
                        xdr_sizeof(p.argument_codec, argument) +
@@ -112,17 +112,17 @@
     }
 }
 
-/* Calls a procedure of the control host with a slot; false if there is no
+/* Calls a procedure of the control host with this number; false if there is no
  * result in time. The caller frees the result with xdr_free. */
 bool
-replicate_call_peer(struct bb_replicate *r, uint8_t slot, uint32_t procedure,
+replicate_call_peer(struct bb_replicate *r, uint8_t host, uint32_t procedure,
                     void *argument, void *result, uint32_t timeout_ms)
 {
-    bool ok = r->transport.call(r->transport.context, &r->hosts[slot],
+    bool ok = r->transport.call(r->transport.context, &r->hosts[host],
                                 procedure, argument, result, timeout_ms);
 
     if (ok) {
-        count_region_bytes(r, slot, procedure, argument, result);
+        count_region_bytes(r, host, procedure, argument, result);
     }
     return ok;
 }
@@ -134,7 +134,7 @@
 {
     struct replicate_job *job;
 
-    if (envelope->cluster_id != r->cluster_id ||
+    if (envelope->control_hosts_hash != r->control_hosts_hash ||
         replicate_queue_length(&r->job_queue) >= REPLICATE_JOBS_MAX) {
         bb_counter_add(&dropped_total, 1);
         return false;
@@ -169,7 +169,7 @@
     void *data = NULL;
 
     memcpy(digest.bytes, f->digest, BB_DIGEST_BYTES);
-    if (f->cluster_id == r->cluster_id) {
+    if (f->control_hosts_hash == r->control_hosts_hash) {
         data = bb_store_get_payload(r->store, &digest, &size, NULL);
     }
     result->is_found = data != NULL && size <= BB_REPLICATE_PAYLOAD_MAX_BYTES;
@@ -192,7 +192,7 @@
         &p->body.agree_propose_body_u.response;
     struct replicate_job *job;
 
-    if (p->cluster_id != r->cluster_id) {
+    if (p->control_hosts_hash != r->control_hosts_hash) {
         return false;
     }
     if (p->body.kind == AGREE_PROPOSE_RESPONSE) {
@@ -232,9 +232,10 @@
     void *response = NULL;
     size_t size = 0;
 
-    result->cluster_id = r->cluster_id;
-    result->from_host = r->own_slot;
-    if (m->cluster_id != r->cluster_id || m->from_host >= r->host_count ||
+    result->control_hosts_hash = r->control_hosts_hash;
+    result->from_host = r->own_host;
+    if (m->control_hosts_hash != r->control_hosts_hash ||
+        m->from_host >= r->host_count ||
         r->settings.exchange_members == NULL) {
         return;
     }
--- a/control/store.c
+++ b/control/store.c
@@ -1,4 +1,4 @@
-/* The data folder: incarnation of the disk, log, snapshot. */
+/* The data folder: disk ID, log, snapshot. */
 #include "control/store.h"
 
 #include <errno.h>
@@ -13,7 +13,7 @@
 #include "control/agree_codec.h"
 #include "store_internal.h"
 
-enum { FILE_MODE = 0640, FOLDER_MODE = 0750, INCARNATION_TEXT_BYTES = 32 };
+enum { FILE_MODE = 0640, FOLDER_MODE = 0750, DISK_ID_TEXT_BYTES = 32 };
 
 BB_COUNTER(syncs_total, "baobab_store_syncs_total",
            "Syncs of the data folder's files");
@@ -174,10 +174,10 @@
 /* Opens the log; at first use, creates the log and then the incarnation file.
  * As that file is created last, its presence means that the log existed. */
 static bool
-open_files(struct bb_store *s, uint64_t incarnation, struct bb_error *e)
+open_files(struct bb_store *s, uint64_t disk_id, struct bb_error *e)
 {
     char path[STORE_PATH_BYTES];
-    char text[INCARNATION_TEXT_BYTES];
+    char text[DISK_ID_TEXT_BYTES];
     bool is_first = !has_file(s, "incarnation");
 
     if (is_first && has_file(s, "snapshot")) {
@@ -203,25 +203,25 @@
         return store_set_first_failure(s, BB_STORE_ERROR_WRITE, "log", e);
     }
     (void)g_snprintf(text, sizeof(text), "%016" G_GINT64_MODIFIER "x\n",
-                     incarnation);
+                     disk_id);
     return store_replace_file(s, "incarnation", text, strlen(text), e);
 }
 
-/* Reads the incarnation of the disk. A damaged file yields another incarnation
- * or 0, neither of which is in a member list, so the host cannot vote. */
+/* Reads the disk ID. A damaged file yields another ID or 0, neither of which
+ * is in a list of voters, so the host cannot vote. */
 static bool
-read_incarnation(struct bb_store *s, struct bb_agree_durable *d,
-                 struct bb_error *e)
+read_disk_id(struct bb_store *s, struct bb_agree_durable *d,
+             struct bb_error *e)
 {
     char path[STORE_PATH_BYTES];
     char *text = NULL;
 
     store_build_path(s, "incarnation", path);
     if (g_file_get_contents(path, &text, NULL, NULL)) {
-        d->incarnation = g_ascii_strtoull(text, NULL, 16);
+        d->disk_id = g_ascii_strtoull(text, NULL, 16);
     }
     g_free(text);
-    if (d->incarnation == 0) {
+    if (d->disk_id == 0) {
         return bb_error_set(e, BB_STORE_ERROR_DAMAGED,
                             "the incarnation file is damaged");
     }
@@ -229,15 +229,14 @@
 }
 
 /* Opens a data folder and fills in the durable state. At first use, creates it
- * with the given random incarnation, which must not be 0. files is copied;
+ * with the given random disk ID, which must not be 0. files is copied;
  * NULL means the system calls. Returns NULL if the folder cannot be used or is
  * in use. A damaged store is returned, with the state as far as it could be
  * read and *e set: bb_store_is_intact then returns false. Freed with
  * bb_store_close. */
 struct bb_store *
 bb_store_open(const char *folder, const struct bb_store_file_operations *files,
-              uint64_t incarnation, struct bb_agree_durable *d,
-              struct bb_error *e)
+              uint64_t disk_id, struct bb_agree_durable *d, struct bb_error *e)
 {
     static const struct bb_store_file_operations system_operations = {
         .write = write,
@@ -260,8 +259,8 @@
         bb_store_close(s);
         return NULL;
     }
-    if (!open_files(s, incarnation, &problem) ||
-        !read_incarnation(s, d, &problem) || !store_recover(s, d, &problem)) {
+    if (!open_files(s, disk_id, &problem) || !read_disk_id(s, d, &problem) ||
+        !store_recover(s, d, &problem)) {
         s->first_failure = problem;
         if (e != NULL) {
             *e = problem;
--- a/control/store_recover.c
+++ b/control/store_recover.c
@@ -53,7 +53,7 @@
         g_free(next);
         return e->code == 0;
     }
-    next->incarnation = d->incarnation;
+    next->disk_id = d->disk_id;
     if (store_record_parse(data, size, &r) == STORE_RECORD_VALID &&
         r.kind == STORE_SNAPSHOT_RECORD && r.record_bytes == size) {
         is_valid = store_record_decode_payload(
--- a/decide/agree.c
+++ b/decide/agree.c
@@ -6,7 +6,7 @@
 #include "agree_internal.h"
 
 /* Initialises a host from its durable state, after every start of the process.
- * For an empty disk, all of *d but the incarnation is zero. Assumes nothing
+ * For an empty disk, all of *d but the disk ID is zero. Assumes nothing
  * that is not in *d, such as unsynced writes of an earlier run. The random
  * bits must differ between starts: they tell identity responses to an earlier
  * run apart. */
@@ -51,7 +51,7 @@
     m->kind = (uint8_t)kind;
     m->from = st->a->self;
     m->to = to;
-    m->incarnation = st->a->durable.incarnation;
+    m->disk_id = st->a->durable.disk_id;
     m->formation = st->a->durable.formation.id;
     m->term = st->a->durable.term;
     return m;
@@ -144,7 +144,7 @@
             if (a->host_count == 1) {
                 a->confirmed_round = a->round;
                 a->last_quorum_us = st->now_us;
-                a->group_quorum_us = st->now_us;
+                a->cluster_quorum_us = st->now_us;
             }
             agree_send_appends(st);
         }
@@ -217,7 +217,7 @@
     out->must_persist = false;
     out->must_persist_snapshot = false;
     out->persist_from_index = 0;
-    out->sync_sequence = 0;
+    out->write_sequence = 0;
     out->must_apply_snapshot = false;
     out->apply_first_index = 1;
     out->apply_last_index = 0;
@@ -238,8 +238,8 @@
         agree_on_read(&st, event->as.ticket);
         break;
     case BB_AGREE_EVENT_SYNCED:
-        if (event->as.sync_sequence > a->synced_sequence) {
-            a->synced_sequence = event->as.sync_sequence;
+        if (event->as.write_sequence > a->synced_sequence) {
+            a->synced_sequence = event->as.write_sequence;
         }
         break;
     case BB_AGREE_EVENT_SYNC_FAILED:
--- a/decide/agree_append.c
+++ b/decide/agree_append.c
@@ -111,7 +111,7 @@
     uint32_t slots = 0;
 
     for (uint32_t slot = 0; slot < BB_AGREE_SLOTS; slot++) {
-        if (a->progress[slot].incarnation != 0 &&
+        if (a->progress[slot].disk_id != 0 &&
             a->progress[slot].match_index >= index) {
             slots |= 1u << slot;
         }
@@ -120,7 +120,7 @@
 }
 
 /* Commits up to the last entry of this leader's term that a quorum has synced,
- * which commits all entries before it. A pending member entry must also be
+ * which commits all entries before it. A pending voter entry must also be
  * synced by the joining disk itself. */
 void
 agree_advance_commit(struct agree_step *st)
@@ -194,7 +194,7 @@
     agree_reset_election_timer(st);
     a->leader_last_heard_us = st->now_us;
     if (m->has_recent_quorum) {
-        a->group_quorum_us = st->now_us;
+        a->cluster_quorum_us = st->now_us;
     }
     if (m->round > a->append_round) {
         a->append_round = m->round;
@@ -281,7 +281,7 @@
         return;
     }
     if (a->durable.formation.id == 0) {
-        /* The first revision and the first members are not in the message;
+        /* The first revision and the first voters are not in the message;
          * 1 only serves to be other than 0. */
         a->durable.formation.id = m->formation;
         a->durable.formation.first_revision = 1;
@@ -324,7 +324,7 @@
         }
         a->confirmed_round++;
         a->last_quorum_us = st->now_us;
-        a->group_quorum_us = st->now_us;
+        a->cluster_quorum_us = st->now_us;
     }
 }
 
@@ -335,7 +335,7 @@
                          const struct bb_agree_message *m)
 {
     struct bb_agree *a = st->a;
-    uint8_t slot = agree_find_slot(a, m->from, m->incarnation);
+    uint8_t slot = agree_find_slot(a, m->from, m->disk_id);
     struct bb_agree_progress *p;
 
     if (slot == BB_AGREE_NO_HOST) {
@@ -351,7 +351,7 @@
     }
     if (slot != BB_AGREE_JOINING_SLOT && slot == a->joining_host &&
         agree_pending_member_index(a) == 0) {
-        /* The member disk is back, so the joining one is not needed. */
+        /* The voting disk is back, so the joining one is not needed. */
         a->joining_host = BB_AGREE_NO_HOST;
         a->progress[BB_AGREE_JOINING_SLOT] = (struct bb_agree_progress){0};
     }
--- a/decide/agree_internal.h
+++ b/decide/agree_internal.h
@@ -27,13 +27,13 @@
                          const struct bb_digest *digest, uint64_t *revision,
                          uint64_t *index);
 
-/* agree_member.c */
+/* agree_voters.c */
 uint64_t agree_pending_member_index(const struct bb_agree *a);
-void agree_get_members(const struct bb_agree *a, uint64_t index,
-                       uint64_t members[BB_AGREE_HOSTS_MAX]);
+void agree_get_voters(const struct bb_agree *a, uint64_t index,
+                      uint64_t voters[BB_AGREE_HOSTS_MAX]);
 bool agree_has_quorum(const struct bb_agree *a, uint32_t slots);
 uint8_t agree_find_slot(const struct bb_agree *a, uint8_t host,
-                        uint64_t incarnation);
+                        uint64_t disk_id);
 void agree_refresh_progress(struct bb_agree *a);
 void agree_request_identities(struct agree_step *st);
 void agree_on_identity(struct agree_step *st,
--- a/decide/agree_log.c
+++ b/decide/agree_log.c
@@ -65,7 +65,7 @@
         out->must_persist = true;
         out->persist_from_index = 0;
         st->a->write_sequence++;
-        out->sync_sequence = st->a->write_sequence;
+        out->write_sequence = st->a->write_sequence;
     }
     if (from != 0 &&
         (out->persist_from_index == 0 || from < out->persist_from_index)) {
@@ -145,8 +145,8 @@
         if (e->kind == BB_AGREE_CONFIG) {
             add_config_to_snapshot(&d->snapshot, &c);
         }
-        if (e->kind == BB_AGREE_MEMBER) {
-            d->snapshot.members[e->host] = e->incarnation;
+        if (e->kind == BB_AGREE_VOTER) {
+            d->snapshot.voters[e->host] = e->disk_id;
         }
         d->snapshot.index++;
         d->snapshot.term = e->term;
@@ -246,7 +246,7 @@
 /* Returns the configuration in force: the last one committed and applied. One
  * from a received snapshot counts only once the snapshot is synced. Before the
  * first one, the digest is zero, and the revision is the first revision - 1
- * once the group is formed and 0 before. */
+ * once the cluster is formed and 0 before. */
 struct bb_agree_config
 bb_agree_config_in_force(const struct bb_agree *a)
 {
--- a/decide/agree_propose.c
+++ b/decide/agree_propose.c
@@ -4,7 +4,7 @@
 #include "agree_internal.h"
 
 enum {
-    /* Kept free for the no-op entries of new leaders and for member entries,
+    /* Kept free for the no-op entries of new leaders and for voter entries,
      * which are appended without asking whether the leader is busy. */
     LOG_RESERVED_ENTRIES = BB_AGREE_LOG_MAX / 4
 };
--- a/decide/agree_vote.c
+++ b/decide/agree_vote.c
@@ -73,7 +73,7 @@
 
     agree_become_follower(st, a->durable.term + 1, BB_AGREE_NO_HOST);
     a->role = BB_AGREE_CANDIDATE;
-    a->durable.voted_for = a->durable.incarnation;
+    a->durable.voted_for = a->durable.disk_id;
     a->pending_vote_to = a->self;
     agree_reset_election_timer(st);
 }
@@ -98,7 +98,7 @@
 }
 
 /* Counts this host's own vote, which must be synced, and requests those of the
- * others. Becomes the leader at once in a group of one host. */
+ * others. Becomes the leader at once in a cluster of one host. */
 void
 agree_request_votes(struct agree_step *st)
 {
@@ -143,20 +143,20 @@
     a->pending_vote_to = BB_AGREE_NO_HOST;
 }
 
-/* Returns whether the log shows that the candidate's disk is not a member. A
+/* Returns whether the log shows that the candidate's disk is not a voter. A
  * candidate whose log is ahead may know of a replacement that this host does
  * not, so this is decided only if both logs end with the same entry. */
 static bool
 is_disk_replaced(const struct bb_agree *a, const struct bb_agree_message *m)
 {
-    uint64_t members[BB_AGREE_HOSTS_MAX];
+    uint64_t voters[BB_AGREE_HOSTS_MAX];
 
-    agree_get_members(a, a->durable.commit_index, members);
-    if (members[m->from] == m->incarnation) {
+    agree_get_voters(a, a->durable.commit_index, voters);
+    if (voters[m->from] == m->disk_id) {
         return false;
     }
-    agree_get_members(a, bb_agree_last_index(a), members);
-    return members[m->from] != m->incarnation &&
+    agree_get_voters(a, bb_agree_last_index(a), voters);
+    return voters[m->from] != m->disk_id &&
            m->index_term == agree_last_term(a) &&
            m->index == bb_agree_last_index(a);
 }
@@ -188,7 +188,7 @@
                            !has_leader);
 }
 
-/* Processes a vote or pre-vote request. A disk that is not a member does not
+/* Processes a vote or pre-vote request. A disk that is not a voter does not
  * respond, and a candidate whose disk was replaced gets no response. */
 void
 agree_on_vote_request(struct agree_step *st, const struct bb_agree_message *m)
@@ -208,13 +208,12 @@
         agree_become_follower(st, m->term, BB_AGREE_NO_HOST);
     }
     if (m->term < a->durable.term || !is_log_up_to_date(a, m) ||
-        (a->durable.voted_for != 0 &&
-         a->durable.voted_for != m->incarnation)) {
+        (a->durable.voted_for != 0 && a->durable.voted_for != m->disk_id)) {
         send_vote_response(st, m, false);
         return;
     }
     if (a->durable.voted_for == 0) {
-        a->durable.voted_for = m->incarnation;
+        a->durable.voted_for = m->disk_id;
         agree_request_write(st, 0);
     }
     a->pending_vote_to = m->from;
@@ -222,7 +221,7 @@
 }
 
 /* Counts a response to this host's vote or pre-vote request, and wins the
- * round with a quorum. Only responses of member disks, or of the one that a
+ * round with a quorum. Only responses of voting disks, or of the one that a
  * pending entry admits, count. */
 void
 agree_on_vote_response(struct agree_step *st, const struct bb_agree_message *m)
@@ -230,7 +229,7 @@
     struct bb_agree *a = st->a;
     bool is_pre = m->kind == BB_AGREE_PRE_VOTE_RESPONSE;
     uint8_t role = is_pre ? BB_AGREE_PRE_CANDIDATE : BB_AGREE_CANDIDATE;
-    uint8_t slot = agree_find_slot(a, m->from, m->incarnation);
+    uint8_t slot = agree_find_slot(a, m->from, m->disk_id);
 
     if (slot == BB_AGREE_NO_HOST) {
         return;
--- a/fleet/agent.c
+++ b/fleet/agent.c
@@ -44,8 +44,8 @@
     uint64_t commit_index; /* of the newest configuration */
     uint64_t version;      /* the operators' version of it */
     fleet_instance *own_instance;
-    uint64_t epoch;    /* of own_instance */
-    uint64_t sequence; /* of own_instance */
+    uint64_t incarnation; /* of own_instance */
+    uint64_t sequence;    /* of own_instance */
 };
 
 static void on_timer(uv_timer_t *t);
@@ -265,7 +265,7 @@
 assign_next_sequence(struct bb_agent *a)
 {
     if (a->own_instance != NULL) {
-        a->own_instance->epoch = a->epoch;
+        a->own_instance->incarnation = a->incarnation;
         a->own_instance->sequence = ++a->sequence;
     }
 }
@@ -367,13 +367,13 @@
 
 /* If the instance record that the control host holds for this node's own gate
  * is newer than the node's own numbers, it is from an earlier run and the wall
- * clock has gone back since. Raises the epoch above it and announces the
+ * clock has gone back since. Raises the incarnation above it and announces the
  * node's record again. */
 static void
 supersede_earlier_run(struct bb_agent *a, const fleet_instance *r)
 {
-    if (bb_instance_is_newer(r, a->epoch, a->sequence)) {
-        a->epoch = r->epoch + 1;
+    if (bb_instance_is_newer(r, a->incarnation, a->sequence)) {
+        a->incarnation = r->incarnation + 1;
         assign_next_sequence(a);
         send_own_instance(a);
     }
@@ -481,7 +481,7 @@
     a->hosts = g_array_new(FALSE, TRUE, sizeof(struct control_host));
     a->instances = bb_instance_table_create();
     a->contents = bb_content_store_create();
-    a->epoch = s->start_wall_ms;
+    a->incarnation = s->start_wall_ms;
     (void)uv_timer_init(loop, &a->timer);
     a->timer.data = a;
     bb_agent_set_seeds(a, &s->seeds);
@@ -506,7 +506,7 @@
 }
 
 /* Announces the node's local upstream, now and after each reconnection. Copies
- * `own`, whose epoch and sequence are ignored. */
+ * `own`, whose incarnation and sequence are ignored. */
 void
 bb_agent_announce(struct bb_agent *a, const fleet_instance *own)
 {
--- a/fleet/core.c
+++ b/fleet/core.c
@@ -1,4 +1,5 @@
-/* A control host: runs the quorum protocol on its durable state and timer. */
+/* A control host: runs the quorum protocol (decide/quorum.h) on its durable
+ * state and timer. */
 #include "core_internal.h"
 
 #include <string.h>
--- a/fleet/fleet.x
+++ b/fleet/fleet.x
@@ -41,7 +41,7 @@
 
 /* Instance record: an upstream and its gate (the node's proxy in front of it),
  * as announced by the node. Of two records of a gate the one with the higher
- * epoch, then the higher sequence, wins. */
+ * incarnation, then the higher sequence, wins. */
 struct fleet_instance {
     string gate_address<FLEET_TEXT_MAX_BYTES>; /* "IP:PORT", key of the record */
     string zone<FLEET_TEXT_MAX_BYTES>;
@@ -51,7 +51,7 @@
     unsigned hyper started_ms; /* wall clock at the upstream's start */
     /* Number of the run of the node process: its start in milliseconds since
      * 1970, raised above that of an earlier run if the clock went back. */
-    unsigned hyper epoch;
+    unsigned hyper incarnation;
     unsigned hyper sequence; /* counts the announcements of the process */
     unsigned int state;   /* enum bb_instance_state */
     unsigned int slots;   /* requests that it runs at a time */
@@ -78,8 +78,7 @@
     unsigned hyper commit_index;
 };
 
-/* Entry of the quorum protocol, see struct bb_quorum_entry. */
-
+/* Entry of the quorum protocol (decide/quorum.h): struct bb_quorum_entry. */
 struct fleet_entry {
     unsigned hyper term;
     unsigned hyper index;
@@ -87,7 +86,8 @@
     unsigned hyper voters<FLEET_VOTERS_MAX>; /* disk IDs */
 };
 
-/* Message of the quorum protocol, see struct bb_quorum_message. */
+/* Message of the quorum protocol (decide/quorum.h): struct
+ * bb_quorum_message. */
 struct fleet_quorum_message {
     unsigned int kind; /* enum bb_quorum_message_kind */
     bool is_ok;
--- a/fleet/instances.c
+++ b/fleet/instances.c
@@ -61,12 +61,14 @@
     }
 }
 
-/* Returns whether a record is newer than one with this epoch and sequence. */
+/* Returns whether a record is newer than one with this incarnation and
+ * sequence. */
 bool
-bb_instance_is_newer(const fleet_instance *i, uint64_t epoch,
+bb_instance_is_newer(const fleet_instance *i, uint64_t incarnation,
                      uint64_t sequence)
 {
-    return i->epoch > epoch || (i->epoch == epoch && i->sequence > sequence);
+    return i->incarnation > incarnation ||
+           (i->incarnation == incarnation && i->sequence > sequence);
 }
 
 /* Stores a copy of a record unless the table has the same or a newer one of
@@ -78,7 +80,8 @@
         g_hash_table_lookup(t->by_gate, i->gate_address);
     fleet_instance *copy;
 
-    if (old != NULL && !bb_instance_is_newer(i, old->epoch, old->sequence)) {
+    if (old != NULL &&
+        !bb_instance_is_newer(i, old->incarnation, old->sequence)) {
         return false;
     }
     copy = bb_instance_copy(i);
--- a/include/control/agree_codec.h
+++ b/include/control/agree_codec.h
@@ -1,4 +1,4 @@
-/* Converts the structs of the quorum protocol (decide/agree.h) to and from
+/* Converts the structs of the consensus protocol (decide/agree.h) to and from
  * their XDR form (control/agree.x). What an encode function fills in is freed
  * with xdr_free. The decode functions return false for malformed input, after
  * which the output must not be used. */
--- a/include/control/replicate.h
+++ b/include/control/replicate.h
@@ -1,7 +1,7 @@
 /* Replicates the sequence of accepted configurations between control hosts.
- * Runs the quorum protocol (decide/agree.h) in one thread, called the engine,
- * with a job queue; persists its state; and has threads that call the other
- * control hosts.
+ * Runs the consensus protocol (decide/agree.h) in one thread, called the
+ * engine, with a job queue; persists its state; and has threads that call the
+ * other control hosts.
  *
  * A payload is an encoded bundle, identified by its digest. A revision is the
  * number of an accepted payload; the revision in force is the highest one.
@@ -117,8 +117,8 @@
     uint64_t revision;             /* in force on this host; 0: none */
     uint64_t version; /* of that revision; 0: changed rosters only */
     struct bb_digest payload_digest; /* of its payload */
-    uint64_t formation_id; /* random id of the cluster; 0: not formed */
-    uint64_t incarnation;  /* random id of this host's disk */
+    uint64_t formation_id; /* random id of the formation; 0: not formed */
+    uint64_t disk_id;      /* random id of this host's disk */
     /* A quorum was known to be reachable within the last second. */
     bool has_recent_quorum;
     bool can_vote;
--- a/include/control/store.h
+++ b/include/control/store.h
@@ -1,7 +1,7 @@
-/* Durable storage of the quorum protocol of a control host, in one data
- * folder:
+/* Durable storage of the consensus protocol (decide/agree.h) of a control
+ * host, in one data folder:
  *   lock          locked while a process uses the folder
- *   incarnation   random id of the disk, written at first use
+ *   incarnation   the disk ID, a random number, written at first use
  *   log           records {magic, length, sequence, checksums, payload}
  *   snapshot      one such record with the whole state, replaced by rename
  *   payloads/     encoded bundles, each in a file named after its digest
@@ -41,8 +41,8 @@
 
 struct bb_store *bb_store_open(const char *folder,
                                const struct bb_store_file_operations *files,
-                               uint64_t incarnation,
-                               struct bb_agree_durable *d, struct bb_error *e);
+                               uint64_t disk_id, struct bb_agree_durable *d,
+                               struct bb_error *e);
 void bb_store_close(struct bb_store *s);
 bool bb_store_is_intact(struct bb_store *s, char *why, size_t size_bytes);
 bool bb_store_append_record(struct bb_store *s,
--- a/include/decide/agree.h
+++ b/include/decide/agree.h
@@ -4,8 +4,8 @@
  * returns what to write, send and apply, and the responses to callers.
  *
  * A host is a fixed position, 0 to host_count - 1. A disk is known by its
- * incarnation, a random number that an empty disk gets; only disks that the
- * log lists as members vote. Times are microseconds of one clock that never
+ * disk ID, a random number that an empty disk gets; only disks that the
+ * log lists as voters may vote. Times are microseconds of one clock that never
  * goes back.
  *
  * After each step the caller, in this order: writes what the persist fields of
@@ -34,8 +34,8 @@
 
 enum {
     BB_AGREE_HOSTS_MAX = 7,
-    /* Progress is tracked in one slot for each host's member disk, and one
-     * for a disk that is about to replace a member. */
+    /* Progress is tracked in one slot for each host's voting disk, and one
+     * for a disk that is about to replace a voter. */
     BB_AGREE_JOINING_SLOT = BB_AGREE_HOSTS_MAX,
     BB_AGREE_SLOTS,
     BB_AGREE_LOG_MAX = BB_AGREE_WINDOW,        /* entries */
@@ -53,7 +53,7 @@
     /* The election timeout is chosen at random between these bounds. */
     BB_AGREE_ELECTION_TIMEOUT_MIN_US = 400 * 1000,
     BB_AGREE_ELECTION_TIMEOUT_MAX_US = 800 * 1000,
-    /* Between the identity requests of a disk that is not a member. */
+    /* Between the identity requests of a disk that is not a voter. */
     BB_AGREE_IDENTITY_INTERVAL_US = 250 * 1000
 };
 
@@ -67,7 +67,7 @@
 enum bb_agree_entry_kind {
     BB_AGREE_NOOP,   /* first entry of a leader's term */
     BB_AGREE_CONFIG, /* a new configuration */
-    BB_AGREE_MEMBER  /* replaces the member disk of a host */
+    BB_AGREE_VOTER   /* replaces the voting disk of a host */
 };
 
 /* A log entry; fields without use in a kind are 0. */
@@ -76,10 +76,10 @@
     uint64_t revision;       /* config: of this configuration */
     uint64_t base_revision;  /* config: revision it was made from */
     uint64_t version;        /* config: set by the operator, 0 if none */
-    uint64_t incarnation;    /* member: of the new disk */
+    uint64_t disk_id;        /* voter: of the new disk */
     struct bb_digest digest; /* config: of the content */
     uint8_t kind;            /* enum bb_agree_entry_kind */
-    uint8_t host;            /* member: whose disk is replaced */
+    uint8_t host;            /* voter: whose disk is replaced */
     uint8_t unused[6];
 };
 
@@ -97,28 +97,28 @@
     uint64_t term;
     uint64_t
         highest_version; /* highest version of all configurations so far */
-    uint64_t members[BB_AGREE_HOSTS_MAX]; /* incarnation by host */
-    struct bb_agree_config in_force;      /* last configuration */
+    uint64_t voters[BB_AGREE_HOSTS_MAX]; /* disk ID by host */
+    struct bb_agree_config in_force;     /* last configuration */
     uint64_t history_count;
     struct bb_agree_config history[BB_AGREE_HISTORY_MAX]; /* oldest first */
 };
 
-/* The first members of the group. Host 0 creates it once all configured hosts
+/* The first voters of the cluster. Host 0 creates it once all configured hosts
  * have reported an empty disk. A disk that joined by a snapshot knows only the
- * id: its first_revision is 1, whatever the group was formed with, and its
- * members are all 0. */
+ * id: its first_revision is 1, whatever the cluster was formed with, and its
+ * voters are all 0. */
 struct bb_agree_formation {
-    uint64_t id;             /* random; 0: the group is not formed yet */
-    uint64_t first_revision; /* not 0 once the group is formed */
-    uint64_t members[BB_AGREE_HOSTS_MAX]; /* incarnation by host */
+    uint64_t id;             /* random; 0: the cluster is not formed yet */
+    uint64_t first_revision; /* not 0 once the cluster is formed */
+    uint64_t voters[BB_AGREE_HOSTS_MAX]; /* disk ID by host */
 };
 
 /* The state that must survive a restart. */
 struct bb_agree_durable {
-    uint64_t incarnation; /* of this host's disk */
+    uint64_t disk_id; /* of this host's disk */
     struct bb_agree_formation formation;
     uint64_t term;
-    uint64_t voted_for;    /* incarnation, 0 if none in this term */
+    uint64_t voted_for;    /* disk ID, 0 if none in this term */
     uint64_t commit_index; /* index of the last entry known to be committed */
     struct bb_agree_snapshot snapshot;
     uint64_t log_count;
@@ -128,7 +128,7 @@
 
 /* The kinds up to BB_AGREE_FORM are accepted from any formation. */
 enum bb_agree_message_kind {
-    BB_AGREE_IDENTITY, /* asks for the formation and incarnation of a host */
+    BB_AGREE_IDENTITY, /* asks for the formation and disk ID of a host */
     BB_AGREE_IDENTITY_RESPONSE,
     BB_AGREE_FORM, /* carries the formation to an empty disk it lists */
     BB_AGREE_PRE_VOTE,
@@ -152,8 +152,8 @@
     uint8_t has_recent_quorum;
     uint8_t count; /* append: entries */
     uint8_t unused[2];
-    uint64_t incarnation; /* of the sender's disk */
-    uint64_t formation;   /* id of the sender's formation, 0 if none */
+    uint64_t disk_id;   /* of the sender's disk */
+    uint64_t formation; /* id of the sender's formation, 0 if none */
     /* The sender's term. Pre-vote: the term after it. Vote and pre-vote
      * responses: as in the request. */
     uint64_t term;
@@ -178,7 +178,7 @@
 struct bb_agree_proposal {
     uint64_t ticket; /* chosen by the caller, returned with the response */
     /* Revision that the content was made from; for the first configuration of
-     * the group, the first revision - 1. */
+     * the cluster, the first revision - 1. */
     uint64_t base_revision;
     uint64_t version;        /* set by the operator, 0 if none */
     struct bb_digest digest; /* of the content */
@@ -218,8 +218,8 @@
     union {
         const struct bb_agree_message *message;
         struct bb_agree_proposal proposal;
-        uint64_t ticket;        /* read */
-        uint64_t sync_sequence; /* synced */
+        uint64_t ticket;         /* read */
+        uint64_t write_sequence; /* synced */
     } as;
 };
 
@@ -229,8 +229,8 @@
     bool must_persist_snapshot; /* write all of it, not only the changed
                                    entries */
     uint64_t
-        persist_from_index; /* first log index that changed, 0: no entry */
-    uint64_t sync_sequence; /* of this write */
+        persist_from_index;  /* first log index that changed, 0: no entry */
+    uint64_t write_sequence; /* of this write */
     /* Apply the configuration of the snapshot before the range below. */
     bool must_apply_snapshot;
     uint64_t
@@ -244,7 +244,7 @@
 
 /* A leader's view of the log on one disk. */
 struct bb_agree_progress {
-    uint64_t incarnation; /* 0: the slot is not in use */
+    uint64_t disk_id; /* 0: the slot is not in use */
     uint64_t
         match_index; /* last index synced there that equals the leader's log */
     uint64_t next_index;         /* first index to send */
@@ -299,8 +299,8 @@
     uint64_t round;              /* last heartbeat round sent as a leader */
     uint64_t confirmed_round;    /* highest round that a quorum responded to */
     uint64_t nonce;              /* of identity requests; new at each start */
-    /* Incarnation of each empty disk, by host, from identity responses. */
-    uint64_t reported_incarnations[BB_AGREE_HOSTS_MAX];
+    /* ID of each empty disk, by host, from identity responses. */
+    uint64_t reported_disk_ids[BB_AGREE_HOSTS_MAX];
     struct bb_agree_progress progress[BB_AGREE_SLOTS];
     struct bb_agree_pending_proposal
         pending_proposals[BB_AGREE_PENDING_PROPOSALS_MAX];
@@ -311,9 +311,9 @@
     uint64_t identity_due_us;
     uint64_t leader_last_heard_us; /* last append of the leader */
     uint64_t last_quorum_us;       /* a quorum last responded to this leader */
-    /* Last time at which a quorum is known to have responded to the group's
+    /* Last time at which a quorum is known to have responded to the cluster's
      * leader, this host or another. */
-    uint64_t group_quorum_us;
+    uint64_t cluster_quorum_us;
     uint64_t last_heard_us[BB_AGREE_HOSTS_MAX]; /* last message, by host */
     struct bb_agree_durable durable;
 };
--- a/include/fleet/agent.h
+++ b/include/fleet/agent.h
@@ -61,9 +61,9 @@
     const char *region;
     const char *gate_address; /* address of this node's gate, as announced */
     uint16_t control_port;    /* on which control hosts accept connections */
-    /* Wall clock at the start of the process, used as the first epoch of its
-     * announcements so that they supersede those of earlier runs. If the clock
-     * went back in between, the agent raises the epoch itself. */
+    /* Wall clock at the start of the process, used as the first incarnation of
+     * its announcements so that they supersede those of earlier runs. If the
+     * clock went back in between, the agent raises the incarnation itself. */
     uint64_t start_wall_ms;
     struct bb_address_list seeds;
 };
--- a/include/fleet/instances.h
+++ b/include/fleet/instances.h
@@ -1,8 +1,9 @@
 /* Table of instance records. An instance record (fleet_instance) describes one
  * upstream and its gate, the node's proxy in front of it. The node announces
  * it to a control host, which sends it to all others. Nodes and control hosts
- * keep a table each. Of two records of a gate the one with the higher epoch,
- * then the higher sequence, wins, so merging is commutative and idempotent. */
+ * keep a table each. Of two records of a gate the one with the higher
+ * incarnation, then the higher sequence, wins, so merging is commutative and
+ * idempotent. */
 #ifndef BB_FLEET_INSTANCES_H
 #define BB_FLEET_INSTANCES_H
 
@@ -26,7 +27,7 @@
 
 struct bb_instance_table *bb_instance_table_create(void);
 void bb_instance_table_destroy(struct bb_instance_table *t);
-bool bb_instance_is_newer(const fleet_instance *i, uint64_t epoch,
+bool bb_instance_is_newer(const fleet_instance *i, uint64_t incarnation,
                           uint64_t sequence);
 bool bb_instance_table_merge(struct bb_instance_table *t,
                              const fleet_instance *i);
--- a/include/path/dialect.h
+++ b/include/path/dialect.h
@@ -53,8 +53,8 @@
     uint32_t slots;      /* requests that it runs at a time */
     uint32_t warmup_ms;  /* remaining time until it is warm after its start; 0:
                             warm */
-    uint64_t sequence;   /* orders the announcements of one incarnation */
-    uint64_t started_ms; /* wall clock at its start, which orders incarnations;
+    uint64_t sequence;   /* orders the announcements of one run */
+    uint64_t started_ms; /* wall clock at its start, which orders its runs;
                             0: not stated */
 };
 
@@ -72,8 +72,8 @@
     bool (*decode_announcement)(const char *body, size_t size_bytes,
                                 struct bb_announcement *out,
                                 struct bb_error *e);
-    /* Returns the start of the incarnation (milliseconds on the wall clock)
-     * from the body of a withdrawal, 0 if it has none. */
+    /* Returns the start of the run of the upstream (milliseconds on the wall
+     * clock) from the body of a withdrawal, 0 if it has none. */
     uint64_t (*decode_start_ms)(const char *body, size_t size_bytes);
     /* Returns rules after bb_rules_finalize, with a reference that the caller
      * releases, or NULL and sets the error. */
--- a/include/path/directory.h
+++ b/include/path/directory.h
@@ -23,7 +23,7 @@
     struct bb_address address;
     char *service;            /* of the upstream; empty: none */
     char *upstream_id;        /* id of the upstream; empty: none */
-    uint64_t epoch;           /* identifies the run of the gate's node */
+    uint64_t incarnation;     /* identifies the run of the gate's node */
     struct bb_gate_view view; /* state on which the choice is based */
 };
 
--- a/path/directory.c
+++ b/path/directory.c
@@ -151,13 +151,14 @@
         g_free(g->service);
         g->service = g_strdup(i->service);
     }
-    if (strcmp(g->upstream_id, i->id) != 0 || g->epoch != i->epoch) {
+    if (strcmp(g->upstream_id, i->id) != 0 ||
+        g->incarnation != i->incarnation) {
         uint32_t in_flight = g->view.in_flight;
 
         g->view = (struct bb_gate_view){.in_flight = in_flight};
         g_free(g->upstream_id);
         g->upstream_id = g_strdup(i->id);
-        g->epoch = i->epoch;
+        g->incarnation = i->incarnation;
     }
     g->view.distance = distance_to(d, i);
     g->view.is_ready = i->state == BB_INSTANCE_READY;
--- a/path/upstream.c
+++ b/path/upstream.c
@@ -3,10 +3,10 @@
 
 #include <string.h>
 
-/* Returns whether an announcement is older than the known state: of an
- * incarnation that started earlier, or earlier in the same one. Nothing orders
- * two ids with the same start: the one that is announced last replaces the
- * other. */
+/* Returns whether an announcement is older than the known state: of a
+ * run of the upstream that started earlier, or earlier in the same one.
+ * Nothing orders two ids with the same start: the one that is announced last
+ * replaces the other. */
 static bool
 is_stale(const struct bb_upstream *u, const char *id,
          const struct bb_announcement *a)
@@ -23,7 +23,7 @@
 }
 
 /* Applies an announcement to the state of the upstream at `address`. An
- * upstream that drains keeps this state until another incarnation starts. */
+ * upstream that drains keeps this state until another run of it starts. */
 enum bb_announce_result
 bb_upstream_announce(struct bb_upstream *u, const char *id,
                      const struct bb_announcement *a, const char *address,
@@ -57,10 +57,10 @@
     return BB_ANNOUNCE_ACCEPTED;
 }
 
-/* Applies the withdrawal of an incarnation; started_ms is its start, 0
+/* Applies the withdrawal of a run of the upstream; started_ms is its start, 0
  * if not stated. Returns whether it was applied, also if the upstream was
- * draining before; false if it is of an older incarnation or of another id
- * with the same start, or does not state which incarnation it is of. One that
+ * draining before; false if it is of an older run or of another id
+ * with the same start, or does not state which run it is of. One that
  * was not known, as after a restart of this node, is recorded as draining, so
  * that a delayed announcement does not make it ready again. */
 bool
@@ -71,7 +71,7 @@
     bool is_same_id = is_known && strcmp(u->id, id) == 0;
 
     if (started_ms == 0 && !is_same_id) {
-        return false; /* does not state which incarnation it is of */
+        return false; /* does not state which run it is of */
     }
     if (is_known && started_ms != 0 && started_ms < u->started_ms) {
         return false;
--- a/proxyd/main.c
+++ b/proxyd/main.c
@@ -90,7 +90,7 @@
                 "%s %s service %s id %s epoch %" G_GUINT64_FORMAT
                 " sequence %" G_GUINT64_FORMAT,
                 i->gate_address, bb_instance_state_name(i->state), i->service,
-                i->id, (guint64)i->epoch, (guint64)i->sequence);
+                i->id, (guint64)i->incarnation, (guint64)i->sequence);
     bb_directory_update(p->directory, i, bb_clock_now_us());
 }
 
--- a/tests/control/test_store.c
+++ b/tests/control/test_store.c
@@ -9,7 +9,7 @@
 #include "control/store.h"
 #include "unit.h"
 
-enum { WRITE_COUNT = 8, SNAPSHOT_WRITE = 3, INCARNATION = 0x1234 };
+enum { WRITE_COUNT = 8, SNAPSHOT_WRITE = 3, DISK_ID = 0x1234 };
 
 static char *folder;
 static struct bb_agree_durable states[WRITE_COUNT + 1];
@@ -82,7 +82,7 @@
 {
     struct bb_error e = {0};
     struct bb_store *s =
-        bb_store_open(folder, &fake_operations, INCARNATION, d, &e);
+        bb_store_open(folder, &fake_operations, DISK_ID, d, &e);
 
     CU_ASSERT_PTR_NOT_NULL_FATAL(s);
     return s;
@@ -99,7 +99,7 @@
     e->digest.bytes[0] = (uint8_t)i;
     d->log_count++;
     d->term = i;
-    d->voted_for = i % 2 == 0 ? INCARNATION : 0;
+    d->voted_for = i % 2 == 0 ? DISK_ID : 0;
     d->commit_index = d->log_count - 1;
 }
 
@@ -114,7 +114,7 @@
     folder = g_dir_make_tmp("baobab-store-XXXXXX", NULL);
     CU_ASSERT_PTR_NOT_NULL_FATAL(folder);
     s = open_store(d);
-    CU_ASSERT_EQUAL(d->incarnation, INCARNATION);
+    CU_ASSERT_EQUAL(d->disk_id, DISK_ID);
     for (uint64_t i = 1; i <= WRITE_COUNT; i++) {
         gsize size = 0;
 
@@ -180,10 +180,10 @@
 }
 
 /* Changes each byte of one file in turn and checks that the host cannot vote:
- * the store is not intact or, if changes_incarnation, the incarnation is
+ * the store is not intact or, if changes_disk_id, the disk ID is
  * another one (the last byte, a newline, does not matter). */
 static void
-check_flipped_bytes(const char *name, bool changes_incarnation)
+check_flipped_bytes(const char *name, bool changes_disk_id)
 {
     struct bb_agree_durable d;
     gsize size = 0;
@@ -197,9 +197,9 @@
         data[i] ^= 0x41;
         write_file(name, data, size);
         s = open_store(&d);
-        if (changes_incarnation) {
+        if (changes_disk_id) {
             CU_ASSERT_TRUE(!bb_store_is_intact(s, NULL, 0) ||
-                           d.incarnation != INCARNATION || i + 1 == size);
+                           d.disk_id != DISK_ID || i + 1 == size);
         }
         else {
             CU_ASSERT_FALSE(bb_store_is_intact(s, NULL, 0));
--- a/tests/decide/agree_cluster.c
+++ b/tests/decide/agree_cluster.c
@@ -4,21 +4,21 @@
 
 enum { STEP_US = 10 * 1000 };
 
-/* Starts a host with a new, empty disk of the given incarnation. */
+/* Starts a host with a new, empty disk of the given ID. */
 void
-cluster_replace_disk(struct cluster *c, uint8_t host, uint64_t incarnation)
+cluster_replace_disk(struct cluster *c, uint8_t host, uint64_t disk_id)
 {
     struct bb_agree_durable *d = g_new0(struct bb_agree_durable, 1);
     const struct bb_agree_settings s = {.self = host,
                                         .host_count = c->count,
                                         .first_revision = c->first_revision};
 
-    d->incarnation = incarnation;
-    bb_agree_init(&c->hosts[host], &s, d, c->now_us, incarnation);
+    d->disk_id = disk_id;
+    bb_agree_init(&c->hosts[host], &s, d, c->now_us, disk_id);
     g_free(d);
 }
 
-/* Creates hosts with empty disks, of incarnations from 100. The result is
+/* Creates hosts with empty disks, of IDs from 100. The result is
  * freed with cluster_destroy. */
 struct cluster *
 cluster_create(uint8_t count, uint64_t first_revision)
@@ -62,7 +62,7 @@
                 out->responses[i];
         }
         e.kind = BB_AGREE_EVENT_SYNCED;
-        e.as.sync_sequence = out->sync_sequence;
+        e.as.write_sequence = out->write_sequence;
     } while (out->must_persist);
 }
 
--- a/tests/decide/agree_cluster.h
+++ b/tests/decide/agree_cluster.h
@@ -1,4 +1,4 @@
-/* A group of hosts that run decide/agree.h over a simulated network, for
+/* A cluster of hosts that run decide/agree.h over a simulated network, for
  * tests. Time is virtual, messages are delivered in order and lost only to or
  * from isolated hosts, and each write is synced at once. */
 #ifndef BB_TESTS_AGREE_CLUSTER_H
@@ -26,8 +26,7 @@
 
 struct cluster *cluster_create(uint8_t count, uint64_t first_revision);
 void cluster_destroy(struct cluster *c);
-void cluster_replace_disk(struct cluster *c, uint8_t host,
-                          uint64_t incarnation);
+void cluster_replace_disk(struct cluster *c, uint8_t host, uint64_t disk_id);
 void cluster_run(struct cluster *c, uint64_t duration_us);
 void cluster_feed_event(struct cluster *c, uint8_t host,
                         struct bb_agree_event e);
--- a/tests/decide/agree_model.c
+++ b/tests/decide/agree_model.c
@@ -189,7 +189,7 @@
     }
 }
 
-/* Adds the messages of a step to the network. Checks that only member disks
+/* Adds the messages of a step to the network. Checks that only voting disks
  * vote. */
 static void
 collect_messages(struct model_state *s, uint8_t host)
@@ -282,7 +282,7 @@
     struct bb_agree_durable copy = *d;
 
     write_disk(s, host, &copy);
-    bb_agree_init(&s->hosts[host], &settings, &copy, 0, copy.incarnation);
+    bb_agree_init(&s->hosts[host], &settings, &copy, 0, copy.disk_id);
     s->hosts[host].faults = faults;
     if (bb_agree_config_in_force(&s->hosts[host]).revision <
         s->applied[host]) {
@@ -299,7 +299,7 @@
 
     memset(&empty, 0, sizeof(empty));
     s->disks_used++;
-    empty.incarnation = s->disks_used;
+    empty.disk_id = s->disks_used;
     s->applied[host] = 0;
     restart_host(s, host, &empty);
 }
@@ -389,7 +389,7 @@
     case MODEL_SYNC:
         write_disk(s, a.host, &s->hosts[a.host].durable);
         e.kind = BB_AGREE_EVENT_SYNCED;
-        e.as.sync_sequence = s->hosts[a.host].write_sequence;
+        e.as.write_sequence = s->hosts[a.host].write_sequence;
         break;
     case MODEL_TIMEOUT:
         s->budget.timeouts--;
@@ -428,16 +428,16 @@
     feed_event(s, a.host, e);
 }
 
-/* Returns whether any host knows that a host's present disk is a member. */
+/* Returns whether any host knows that a host's present disk is a voter. */
 static bool
 is_admitted(const struct model_state *s, uint32_t host)
 {
     for (uint32_t h = 0; h < MODEL_HOSTS; h++) {
-        uint64_t members[BB_AGREE_HOSTS_MAX];
+        uint64_t voters[BB_AGREE_HOSTS_MAX];
 
-        agree_get_members(&s->hosts[h], s->hosts[h].durable.commit_index,
-                          members);
-        if (members[host] == s->hosts[host].durable.incarnation) {
+        agree_get_voters(&s->hosts[h], s->hosts[h].durable.commit_index,
+                         voters);
+        if (voters[host] == s->hosts[host].durable.disk_id) {
             return true;
         }
     }
@@ -551,12 +551,12 @@
     s->network_hash = 0;
 }
 
-/* Returns whether a disk that replaced a lost one was admitted as a member. */
+/* Returns whether a disk that replaced a lost one was admitted as a voter. */
 bool
 model_has_admitted_replacement(const struct model_state *s)
 {
     for (uint32_t h = 0; h < MODEL_HOSTS; h++) {
-        if (s->hosts[h].durable.incarnation > MODEL_HOSTS &&
+        if (s->hosts[h].durable.disk_id > MODEL_HOSTS &&
             bb_agree_is_voter(&s->hosts[h])) {
             return true;
         }
@@ -593,8 +593,8 @@
     model_drop_messages(s);
 }
 
-/* Forms the group if needed and lets a host start an election. Returns whether
- * the host became the leader. */
+/* Forms the cluster if needed and lets a host start an election. Returns
+ * whether the host became the leader. */
 bool
 model_elect(struct model_state *s, uint8_t host)
 {
--- a/tests/decide/agree_model.h
+++ b/tests/decide/agree_model.h
@@ -77,7 +77,7 @@
     uint8_t applied[MODEL_HOSTS]; /* highest revision that its disk applied */
     uint8_t leaders[MODEL_TERMS_MAX]; /* host + 1 by term, 0: none */
     uint8_t contents_used;            /* contents 1 to this number exist */
-    uint8_t disks_used;               /* incarnations 1 to this number exist */
+    uint8_t disks_used;               /* disk IDs 1 to this number exist */
     bool is_truncated;                /* an array of the model was too small */
     const char *violation; /* of the first violated invariant, or NULL */
 };
--- a/tests/decide/test_agree.c
+++ b/tests/decide/test_agree.c
@@ -8,7 +8,7 @@
     CHANGES = 300 /* more than BB_AGREE_LOG_MAX */
 };
 
-/* Creates a group and waits for its leader. */
+/* Creates a cluster and waits for its leader. */
 static struct cluster *
 start_group(uint8_t count, uint64_t first_revision)
 {
@@ -32,7 +32,7 @@
     }
 }
 
-/* Guards against a group size with which no leader is elected or an accepted
+/* Guards against a cluster size with which no leader is elected or an accepted
  * revision is not applied on all hosts. */
 static void
 test_groups_form_and_accept(void)
--- a/tests/decide/test_agree_explorer.c
+++ b/tests/decide/test_agree_explorer.c
@@ -207,8 +207,8 @@
     model_sync_and_deliver_all(s);
 }
 
-/* Creates a search whose root is a group with host 0 as leader and revision 1
- * in force, with the same content in all folders. Freed by expect_safe,
+/* Creates a search whose root is a cluster with host 0 as leader and revision
+ * 1 in force, with the same content in all folders. Freed by expect_safe,
  * expect_bug or run_walks. */
 static struct search *
 prepare_group(void)
--- a/tests/path/bench.c
+++ b/tests/path/bench.c
@@ -239,7 +239,7 @@
                         .region = (char *)"r",
                         .service = (char *)u->service,
                         .id = (char *)u->id,
-                        .epoch = 1,
+                        .incarnation = 1,
                         .sequence = ++sequence,
                         .state = u->state,
                         .slots = u->slots};
