--- a/admin/dispatch.c
+++ b/admin/dispatch.c
@@ -77,7 +77,7 @@
  * with an error response if the token is missing or wrong, or the server has
  * none. */
 bool
-bb_admin_authorize(const struct bb_admin_request_options *o,
+bb_admin_authorize(const struct bb_admin_request_settings *o,
                    const char *method, const char *authorization,
                    struct bb_admin_response *response)
 {
@@ -146,12 +146,12 @@
 }
 
 /* GET /v1/health: the status "ok", the software version, the uptime and the
- * members of add_health. The context is struct bb_admin_request_options. */
+ * members of add_health. The context is struct bb_admin_request_settings. */
 static void
 respond_with_health(void *context, const struct bb_admin_request *request,
                     struct bb_admin_response *response)
 {
-    const struct bb_admin_request_options *o = context;
+    const struct bb_admin_request_settings *o = context;
 
     (void)request;
     response->json = json_pack(
@@ -181,7 +181,7 @@
 /* Runs the endpoint of an authorised request, or fills in an error response if
  * there is none. */
 void
-bb_admin_dispatch(const struct bb_admin_request_options *o,
+bb_admin_dispatch(const struct bb_admin_request_settings *o,
                   const struct bb_admin_request *request,
                   struct bb_admin_response *response)
 {
@@ -199,7 +199,7 @@
                            "there is no %.200s", request->path);
         return;
     }
-    /* /v1/health needs add_health from the options of the server. */
+    /* /v1/health needs add_health from the settings of the server. */
     endpoint->respond(endpoint == &health_endpoint ? (void *)(uintptr_t)o
                                                    : o->context,
                       request, response);
--- a/admin/server.c
+++ b/admin/server.c
@@ -14,7 +14,7 @@
 
 struct bb_admin_server {
     struct MHD_Daemon *daemon;
-    struct bb_admin_request_options request_options;
+    struct bb_admin_request_settings request_settings;
     uint16_t port;
 };
 
@@ -120,7 +120,7 @@
         return false;
     }
     if (!bb_admin_authorize(
-            &a->request_options, method,
+            &a->request_settings, method,
             find_header(connection, MHD_HTTP_HEADER_AUTHORIZATION),
             response)) {
         return false;
@@ -180,7 +180,7 @@
                                            .body_bytes = p->body->len,
                                            .connection = connection};
 
-        bb_admin_dispatch(&a->request_options, &request, &response);
+        bb_admin_dispatch(&a->request_settings, &request, &response);
         result = queue_response(connection, &response);
     }
     g_string_free(response.text, TRUE);
@@ -235,28 +235,28 @@
 /* Starts the server. The token is copied; the context must outlive the server.
  * Returns NULL with BB_ADMIN_ERROR_LISTEN if the address cannot be used. */
 struct bb_admin_server *
-bb_admin_server_create(const struct bb_admin_server_options *options,
+bb_admin_server_create(const struct bb_admin_server_settings *settings,
                        struct bb_error *e)
 {
     struct bb_admin_server *a = g_new0(struct bb_admin_server, 1);
     const union MHD_DaemonInfo *info;
     char text[BB_ADDRESS_TEXT_BYTES];
 
-    if (options->token != NULL && options->token[0] != '\0') {
-        a->request_options.token = g_strdup(options->token);
+    if (settings->token != NULL && settings->token[0] != '\0') {
+        a->request_settings.token = g_strdup(settings->token);
     }
-    a->request_options.context = options->context;
-    a->request_options.add_health = options->add_health;
-    a->daemon = start_daemon(a, &options->listen);
+    a->request_settings.context = settings->context;
+    a->request_settings.add_health = settings->add_health;
+    a->daemon = start_daemon(a, &settings->listen);
     if (a->daemon == NULL) {
         bb_error_set(e, BB_ADMIN_ERROR_LISTEN,
                      "cannot listen for administration on %s",
-                     bb_address_format(&options->listen, text));
+                     bb_address_format(&settings->listen, text));
         bb_admin_server_destroy(a);
         return NULL;
     }
     info = MHD_get_daemon_info(a->daemon, MHD_DAEMON_INFO_BIND_PORT);
-    a->port = info != NULL ? info->port : options->listen.port;
+    a->port = info != NULL ? info->port : settings->listen.port;
     return a;
 }
 
@@ -278,6 +278,6 @@
     if (a->daemon != NULL) {
         MHD_stop_daemon(a->daemon);
     }
-    g_free(a->request_options.token);
+    g_free(a->request_settings.token);
     g_free(a);
 }
--- a/config/bundle.c
+++ b/config/bundle.c
@@ -111,7 +111,7 @@
 report_format_error(struct bb_error *e)
 {
     return bb_error_set(
-        e, BB_CONFIG_ERROR_FORMAT,
+        e, BB_CONFIG_ERROR_DAMAGED,
         "the encoded configuration is truncated, has counts over "
         "a limit or bytes left over");
 }
@@ -123,7 +123,7 @@
     uint32_t count = 0;
     bool ok = true;
 
-    if (!xdr_uint32_t(x, &count) || count > BB_FOLDER_MAX_FILES) {
+    if (!xdr_uint32_t(x, &count) || count > BB_FOLDER_FILES_MAX) {
         return report_format_error(e);
     }
     for (uint32_t i = 0; ok && i < count; i++) {
--- a/config/bundle_codec.c
+++ b/config/bundle_codec.c
@@ -53,7 +53,7 @@
            xdr_bytes(x, &data, &size, BB_FOLDER_FILE_MAX_BYTES);
 }
 
-/* Reads one file into a builder. Returns false with BB_CONFIG_ERROR_FORMAT or
+/* Reads one file into a builder. Returns false with BB_CONFIG_ERROR_DAMAGED or
  * an error of bb_folder_builder_add. */
 bool
 bb_codec_get_file(XDR *x, struct bb_folder_builder *b, struct bb_error *e)
@@ -66,7 +66,7 @@
     if (!bb_codec_get_file_name(x, name) ||
         !xdr_bytes(x, &data, &size, BB_FOLDER_FILE_MAX_BYTES)) {
         free(data);
-        return bb_error_set(e, BB_CONFIG_ERROR_FORMAT,
+        return bb_error_set(e, BB_CONFIG_ERROR_DAMAGED,
                             "a file in the encoded configuration is damaged");
     }
     ok = bb_folder_builder_add(b, name, data, size, e);
@@ -112,9 +112,9 @@
 }
 
 /* Checks magic, size and hash and returns the decompressed body, which the
- * caller frees with g_free. Returns NULL with BB_CONFIG_ERROR_FORMAT if a byte
- * is damaged, the magic is that of another kind or version, or the size is
- * over the limit. */
+ * caller frees with g_free. Returns NULL with BB_CONFIG_ERROR_DAMAGED if a
+ * byte is damaged, the magic is that of another kind or version, or the size
+ * is over the limit. */
 uint8_t *
 bb_codec_unpack(uint32_t magic, const uint8_t *packed,
                 size_t packed_size_bytes, size_t *size_bytes,
@@ -128,7 +128,7 @@
     XDR x;
 
     if (packed_size_bytes <= HEADER_BYTES) {
-        bb_error_set(e, BB_CONFIG_ERROR_FORMAT,
+        bb_error_set(e, BB_CONFIG_ERROR_DAMAGED,
                      "the encoded configuration is truncated");
         return NULL;
     }
@@ -139,7 +139,7 @@
     XDR_DESTROY(&x);
     if (found_magic != magic || size > BB_UNCOMPRESSED_MAX_BYTES ||
         hash != compute_packed_hash(packed, packed_size_bytes)) {
-        bb_error_set(e, BB_CONFIG_ERROR_FORMAT,
+        bb_error_set(e, BB_CONFIG_ERROR_DAMAGED,
                      "the encoded configuration has a wrong magic, size or "
                      "hash");
         return NULL;
@@ -148,7 +148,7 @@
     length = ZSTD_decompress(uncompressed, size, packed + HEADER_BYTES,
                              packed_size_bytes - HEADER_BYTES);
     if (ZSTD_isError(length) || length != size) {
-        bb_error_set(e, BB_CONFIG_ERROR_FORMAT,
+        bb_error_set(e, BB_CONFIG_ERROR_DAMAGED,
                      "the encoded configuration does not decompress to %u "
                      "bytes",
                      size);
--- a/config/bundle_codec.h
+++ b/config/bundle_codec.h
@@ -27,12 +27,12 @@
         BB_ROSTERS_MAX * (2 * BB_NAME_ENCODED_MAX_BYTES + 16) +
         BB_ROSTERS_HOST_NAMES_MAX * BB_NAME_ENCODED_MAX_BYTES,
     /* Largest body. Two longest names for each file, as a delta can remove
-     * BB_FOLDER_MAX_FILES files and add as many, each with up to 16 bytes of
+     * BB_FOLDER_FILES_MAX files and add as many, each with up to 16 bytes of
      * XDR lengths and padding; 1024 bytes are more than the digests, numbers
      * and counts of the body take. */
     BB_UNCOMPRESSED_MAX_BYTES =
         BB_FOLDER_MAX_BYTES +
-        2 * BB_FOLDER_MAX_FILES * (BB_FOLDER_FILE_NAME_MAX_BYTES + 16) +
+        2 * BB_FOLDER_FILES_MAX * (BB_FOLDER_FILE_NAME_MAX_BYTES + 16) +
         BB_ROSTERS_UNCOMPRESSED_MAX_BYTES + 1024
 };
 
--- a/config/delta.c
+++ b/config/delta.c
@@ -197,7 +197,7 @@
     struct bb_folder *result = NULL;
 
     if (!read_removed_files(x, header, base, removed)) {
-        bb_error_set(e, BB_CONFIG_ERROR_FORMAT,
+        bb_error_set(e, BB_CONFIG_ERROR_DAMAGED,
                      "the delta has a wrong list of removed files");
         goto out;
     }
@@ -256,7 +256,7 @@
     bool ok = read_removed_rosters(x, header, base, removed);
 
     if (!ok) {
-        bb_error_set(e, BB_CONFIG_ERROR_FORMAT,
+        bb_error_set(e, BB_CONFIG_ERROR_DAMAGED,
                      "the delta has a wrong list of removed rosters");
     }
     /* Rosters of the base that have changed are replaced below. */
@@ -280,8 +280,8 @@
 static bool
 is_header_valid(const struct delta_header *f)
 {
-    return f->removed_file_count <= BB_FOLDER_MAX_FILES &&
-           f->changed_file_count <= BB_FOLDER_MAX_FILES &&
+    return f->removed_file_count <= BB_FOLDER_FILES_MAX &&
+           f->changed_file_count <= BB_FOLDER_FILES_MAX &&
            f->removed_roster_count <= BB_ROSTERS_MAX &&
            f->changed_roster_count <= BB_ROSTERS_MAX;
 }
@@ -309,7 +309,7 @@
     xdrmem_create(&x, (char *)body, (u_int)size, XDR_DECODE);
     if (!xdr_delta_header(&x, &header) || !is_header_valid(&header)) {
         bb_error_set(
-            e, BB_CONFIG_ERROR_FORMAT,
+            e, BB_CONFIG_ERROR_DAMAGED,
             "the delta has a truncated header or counts over a limit");
         goto out;
     }
@@ -329,7 +329,7 @@
         goto out;
     }
     if (xdr_getpos(&x) != size) {
-        bb_error_set(e, BB_CONFIG_ERROR_FORMAT,
+        bb_error_set(e, BB_CONFIG_ERROR_DAMAGED,
                      "the delta has bytes left over");
         bb_folder_destroy(folder);
         bb_rosters_destroy(rosters);
--- a/config/folder.c
+++ b/config/folder.c
@@ -98,9 +98,9 @@
                             "file %s has more than %d bytes", name,
                             BB_FOLDER_FILE_MAX_BYTES);
     }
-    if (b->files->len == BB_FOLDER_MAX_FILES) {
+    if (b->files->len == BB_FOLDER_FILES_MAX) {
         return bb_error_set(e, BB_CONFIG_ERROR_LIMIT, "more than %d files",
-                            BB_FOLDER_MAX_FILES);
+                            BB_FOLDER_FILES_MAX);
     }
     if (size_bytes > BB_FOLDER_MAX_BYTES - b->size_bytes) {
         return bb_error_set(e, BB_CONFIG_ERROR_LIMIT,
--- a/config/rosters.c
+++ b/config/rosters.c
@@ -122,7 +122,7 @@
 }
 
 /* Adds a copy of a roster, or replaces the one of the same service. Returns
- * false and leaves the set unchanged with BB_CONFIG_ERROR_FORMAT for a roster
+ * false and leaves the set unchanged with BB_CONFIG_ERROR_DAMAGED for a roster
  * without a service, an epoch or hosts, or whose lists are too long or not
  * sorted, and with BB_CONFIG_ERROR_LIMIT if the set would have too many
  * rosters or host names. */
@@ -138,7 +138,7 @@
         item->hosts.count == 0 || !is_valid_host_list(&item->hosts) ||
         !is_valid_host_list(&item->previous_hosts)) {
         return bb_error_set(
-            e, BB_CONFIG_ERROR_FORMAT,
+            e, BB_CONFIG_ERROR_DAMAGED,
             "a roster of witnesses lacks a service, an epoch or "
             "hosts, or its hosts are unsorted or too many");
     }
--- a/config/rosters_codec.c
+++ b/config/rosters_codec.c
@@ -67,7 +67,7 @@
 }
 
 /* Reads the roster of one service into a set, where it replaces one of the
- * same service. Returns false with BB_CONFIG_ERROR_FORMAT or an error of
+ * same service. Returns false with BB_CONFIG_ERROR_DAMAGED or an error of
  * bb_rosters_put. */
 bool
 bb_codec_get_roster(XDR *x, struct bb_rosters *rosters, struct bb_error *e)
@@ -81,7 +81,7 @@
         ok = bb_rosters_put(rosters, &r, e);
     }
     else {
-        bb_error_set(e, BB_CONFIG_ERROR_FORMAT,
+        bb_error_set(e, BB_CONFIG_ERROR_DAMAGED,
                      "an encoded roster of witnesses is truncated, has a name "
                      "that is not allowed or too many hosts");
     }
--- a/control/daemon.c
+++ b/control/daemon.c
@@ -84,7 +84,7 @@
                        ", but revision %" G_GUINT64_FORMAT " is the newest",
                        p->base_revision, r->revision);
         return BB_SOURCE_RESULT_STALE_BASE;
-    case BB_REPLICATE_CONFLICT:
+    case BB_REPLICATE_VERSION_CONFLICT:
         bb_counter_add(&refused_total, 1);
         bb_log_warning("proposal.conflict",
                        "version %" G_GUINT64_FORMAT
@@ -249,7 +249,7 @@
     const struct bb_control_settings *s = &c->settings;
     struct bb_replicate_host peers[BB_CONTROL_HOSTS_MAX] = {0};
     struct bb_replicate_settings r = {
-        .id = s->host,
+        .host = s->host,
         .zone = s->zone,
         .region = s->region,
         .peers = peers,
@@ -265,7 +265,7 @@
     for (uint32_t i = 0; i < s->control_hosts.count; i++) {
         const struct bb_control_host *h = &s->control_hosts.items[i];
 
-        (void)g_strlcpy(peers[i].id, h->host, sizeof(peers[i].id));
+        (void)g_strlcpy(peers[i].host, h->host, sizeof(peers[i].host));
         (void)g_strlcpy(peers[i].region, h->region, sizeof(peers[i].region));
         peers[i].rpc_address = h->rpc_address;
     }
@@ -277,7 +277,7 @@
 static bool
 create_source_watch(struct bb_control *c, struct bb_error *e)
 {
-    const struct bb_source_watch_options w = {
+    const struct bb_source_watch_settings w = {
         .folder = c->settings.config_folder,
         .data_folder = c->settings.data_folder,
         .propose = queue_proposal,
@@ -316,10 +316,10 @@
 static bool
 create_admin(struct bb_control *c, struct bb_error *e)
 {
-    const struct bb_admin_server_options o = {.listen =
-                                                  c->settings.admin_address,
-                                              .token = c->settings.admin_token,
-                                              .context = c};
+    const struct bb_admin_server_settings o = {
+        .listen = c->settings.admin_address,
+        .token = c->settings.admin_token,
+        .context = c};
 
     c->admin = bb_admin_server_create(&o, e);
     return c->admin != NULL;
--- a/control/endpoints.c
+++ b/control/endpoints.c
@@ -58,7 +58,7 @@
         if (!s->peers[i].is_alive) {
             (void)json_array_append_new(
                 problems, json_sprintf("control host %s does not answer",
-                                       s->peers[i].id));
+                                       s->peers[i].host));
         }
     }
     return problems;
@@ -72,7 +72,7 @@
 
     for (uint32_t i = 0; i < s->peer_count; i++) {
         (void)json_array_append_new(peers, json_pack("{s:s,s:b}", "host",
-                                                     s->peers[i].id, "alive",
+                                                     s->peers[i].host, "alive",
                                                      s->peers[i].is_alive));
     }
     return peers;
@@ -106,7 +106,7 @@
         (json_int_t)(b != NULL ? b->version : 0), "digest",
         b != NULL ? bb_digest_format(&b->folder->digest, digest) : "",
         "confirmed", s.has_recent_quorum, "leader",
-        s.leader_id[0] != '\0' ? s.leader_id : NULL, "term",
+        s.leader_host[0] != '\0' ? s.leader_host : NULL, "term",
         (json_int_t)s.term, "quorum", s.has_recent_quorum, "agreement_role",
         roles[s.role], "can_vote", s.can_vote, "why_not", s.no_vote_reason,
         "control_hosts", list_peers(&s), "problems", list_problems(&s, source),
--- a/control/proposal.c
+++ b/control/proposal.c
@@ -180,7 +180,7 @@
 
         r = propose_once(t, folder, version, base_revision);
         if (r.outcome != BB_REPLICATE_STALE_BASE &&
-            r.outcome != BB_REPLICATE_CONFLICT) {
+            r.outcome != BB_REPLICATE_VERSION_CONFLICT) {
             break;
         }
         if (!wait_for_revision(t->history, r.revision)) {
@@ -192,7 +192,7 @@
         newest = newest_revision(t->history);
         if (find_accepted_revision(t->history, folder, base_revision,
                                    newest) == 0 &&
-            (r.outcome == BB_REPLICATE_CONFLICT ||
+            (r.outcome == BB_REPLICATE_VERSION_CONFLICT ||
              !have_same_folder(t->history, base_revision, newest))) {
             break;
         }
--- a/control/replicate.c
+++ b/control/replicate.c
@@ -9,14 +9,15 @@
 
 enum { RESEND_INTERVAL_US = 500 * 1000, RETRY_INTERVAL_US = 50 * 1000 };
 
-/* Orders hosts by id for qsort, so that all hosts assign the same numbers. */
+/* Orders hosts by name for qsort, so that all hosts assign the same numbers.
+ */
 static int
 compare_hosts(const void *a, const void *b)
 {
     const struct bb_replicate_host *x = a;
     const struct bb_replicate_host *y = b;
 
-    return strcmp(x->id, y->id);
+    return strcmp(x->host, y->host);
 }
 
 /* Fills in the hosts, this host's number and the hash of all names. Returns
@@ -27,11 +28,11 @@
 {
     struct bb_replicate_host *own = &r->hosts[0];
 
-    (void)g_strlcpy(own->id, s->id, sizeof(own->id));
+    (void)g_strlcpy(own->host, s->host, sizeof(own->host));
     (void)g_strlcpy(own->region, s->region, sizeof(own->region));
     r->host_count = 1;
     for (uint32_t i = 0; i < s->peer_count; i++) {
-        if (strcmp(s->peers[i].id, s->id) == 0) {
+        if (strcmp(s->peers[i].host, s->host) == 0) {
             own->rpc_address = s->peers[i].rpc_address;
             continue;
         }
@@ -44,16 +45,17 @@
     }
     qsort(r->hosts, r->host_count, sizeof(r->hosts[0]), compare_hosts);
     for (uint8_t h = 0; h < r->host_count; h++) {
-        if (h > 0 && strcmp(r->hosts[h].id, r->hosts[h - 1].id) == 0) {
+        if (h > 0 && strcmp(r->hosts[h].host, r->hosts[h - 1].host) == 0) {
             return bb_error_set(e, BB_REPLICATE_ERROR_SETTINGS,
                                 "control host %s is listed twice",
-                                r->hosts[h].id);
+                                r->hosts[h].host);
         }
-        if (strcmp(r->hosts[h].id, s->id) == 0) {
+        if (strcmp(r->hosts[h].host, s->host) == 0) {
             r->own_host = h;
         }
-        r->control_hosts_hash = bb_hash64(
-            r->hosts[h].id, strlen(r->hosts[h].id) + 1, r->control_hosts_hash);
+        r->control_hosts_hash =
+            bb_hash64(r->hosts[h].host, strlen(r->hosts[h].host) + 1,
+                      r->control_hosts_hash);
     }
     return true;
 }
@@ -136,7 +138,7 @@
     if (!replicate_peers_start(r) ||
         pthread_create(&r->engine_thread, NULL, replicate_engine_run, r) !=
             0) {
-        (void)bb_error_set(e, BB_REPLICATE_ERROR_INTERNAL,
+        (void)bb_error_set(e, BB_REPLICATE_ERROR_THREAD,
                            "cannot start a replication thread");
         goto fail;
     }
@@ -248,7 +250,7 @@
         result->outcome = BB_REPLICATE_STALE_BASE;
         return true;
     case BB_AGREE_VERSION_CONFLICT:
-        result->outcome = BB_REPLICATE_CONFLICT;
+        result->outcome = BB_REPLICATE_VERSION_CONFLICT;
         return true;
     case BB_AGREE_CONFIRMED:
     case BB_AGREE_NOT_LEADER:
@@ -352,7 +354,7 @@
             &status->peers[status->peer_count];
 
         if (h != r->own_host) {
-            (void)g_strlcpy(p->id, r->hosts[h].id, sizeof(p->id));
+            (void)g_strlcpy(p->host, r->hosts[h].host, sizeof(p->host));
             p->is_alive =
                 r->last_heard_us[h] != 0 &&
                 now_us < r->last_heard_us[h] + REPLICATE_ALIVE_TIMEOUT_US;
@@ -367,7 +369,7 @@
  * call, whose timeout is timeout_ms, ends, so callbacks must not call it.
  * Returns false if the host is unknown, is this host, or does not respond. */
 bool
-bb_replicate_exchange_members(struct bb_replicate *r, const char *peer_id,
+bb_replicate_exchange_members(struct bb_replicate *r, const char *peer_host,
                               const void *records, size_t size_bytes,
                               void **response, size_t *response_bytes,
                               uint32_t timeout_ms, struct bb_error *e)
@@ -379,7 +381,7 @@
     argument.records.records_val = (char *)records;
     argument.records.records_len = (u_int)size_bytes;
     for (uint8_t h = 0; h < r->host_count; h++) {
-        if (h == r->own_host || strcmp(r->hosts[h].id, peer_id) != 0) {
+        if (h == r->own_host || strcmp(r->hosts[h].host, peer_host) != 0) {
             continue;
         }
         if (replicate_call_peer(r, h, AGREE_EXCHANGE_MEMBERS, &argument,
@@ -390,10 +392,10 @@
         }
         xdr_free((xdrproc_t)xdr_agree_members, (char *)&result);
         return bb_error_set(e, BB_REPLICATE_ERROR_NO_RESPONSE,
-                            "%s does not respond", peer_id);
+                            "%s does not respond", peer_host);
     }
     return bb_error_set(e, BB_REPLICATE_ERROR_SETTINGS,
-                        "%s is not one of the other control hosts", peer_id);
+                        "%s is not one of the other control hosts", peer_host);
 }
 
 /* Returns the name of an outcome, such as "no_quorum". */
--- a/control/replicate_engine.c
+++ b/control/replicate_engine.c
@@ -43,15 +43,15 @@
     s->disk_id = a->durable.disk_id;
     s->can_vote = bb_agree_is_voter(a);
     (void)g_strlcpy(s->no_vote_reason, why, sizeof(s->no_vote_reason));
-    s->leader_id[0] = '\0';
+    s->leader_host[0] = '\0';
     r->leader = a->leader;
     if (a->leader < r->host_count) {
-        (void)g_strlcpy(s->leader_id, r->hosts[a->leader].id,
-                        sizeof(s->leader_id));
+        (void)g_strlcpy(s->leader_host, r->hosts[a->leader].host,
+                        sizeof(s->leader_host));
     }
     s->joining_host[0] = '\0';
     if (a->role == BB_AGREE_LEADER && a->joining_host < r->host_count) {
-        (void)g_strlcpy(s->joining_host, r->hosts[a->joining_host].id,
+        (void)g_strlcpy(s->joining_host, r->hosts[a->joining_host].host,
                         sizeof(s->joining_host));
     }
     r->quorum_known_us = s->can_vote ? a->cluster_quorum_us : 0;
--- a/control/replicate_internal.h
+++ b/control/replicate_internal.h
@@ -108,7 +108,7 @@
 struct bb_replicate {
     struct bb_replicate_settings settings;
     struct bb_replicate_transport transport;
-    struct bb_replicate_host hosts[BB_AGREE_HOSTS_MAX]; /* sorted by id */
+    struct bb_replicate_host hosts[BB_AGREE_HOSTS_MAX]; /* sorted by name */
     uint8_t host_count;
     uint8_t own_host; /* index of this host in hosts */
     uint64_t
--- a/control/replicate_rpc.c
+++ b/control/replicate_rpc.c
@@ -240,8 +240,8 @@
         return;
     }
     r->settings.exchange_members(
-        r->settings.context, r->hosts[m->from_host].id, m->records.records_val,
-        m->records.records_len, &response, &size);
+        r->settings.context, r->hosts[m->from_host].host,
+        m->records.records_val, m->records.records_len, &response, &size);
     if (size <= AGREE_MEMBER_RECORDS_MAX_BYTES) {
         result->records.records_val = response;
         result->records.records_len = (u_int)size;
--- a/control/roster_plan.c
+++ b/control/roster_plan.c
@@ -15,7 +15,7 @@
     uint64_t epoch_revision;
 };
 
-struct bb_roster_planning {
+struct bb_roster_planner_set {
     GHashTable *service_plans; /* service name -> struct service_plan */
     /* Scratch space of a call; too large for the stack. */
     struct bb_roster current;
@@ -23,21 +23,21 @@
     struct bb_roster_host hosts[BB_ROSTER_KNOWN_HOSTS_MAX];
 };
 
-/* Creates the planning state, without any services; freed with
- * bb_roster_plan_destroy. */
-struct bb_roster_planning *
-bb_roster_plan_create(void)
+/* Creates a set of planners, without any services; freed with
+ * bb_roster_planner_set_destroy. */
+struct bb_roster_planner_set *
+bb_roster_planner_set_create(void)
 {
-    struct bb_roster_planning *p = g_new0(struct bb_roster_planning, 1);
+    struct bb_roster_planner_set *p = g_new0(struct bb_roster_planner_set, 1);
 
     p->service_plans =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     return p;
 }
 
-/* Frees the planning state; NULL is allowed. */
+/* Frees a set of planners; NULL is allowed. */
 void
-bb_roster_plan_destroy(struct bb_roster_planning *p)
+bb_roster_planner_set_destroy(struct bb_roster_planner_set *p)
 {
     if (p != NULL) {
         g_hash_table_destroy(p->service_plans);
@@ -45,9 +45,9 @@
     }
 }
 
-/* Returns the planning state of a service, which is created at first use. */
+/* Returns the planner state of a service, which is created at first use. */
 static struct service_plan *
-get_service_plan(struct bb_roster_planning *p, const char *service)
+get_service_plan(struct bb_roster_planner_set *p, const char *service)
 {
     struct service_plan *s = g_hash_table_lookup(p->service_plans, service);
 
@@ -110,7 +110,7 @@
  * roster; r may be NULL. Returns their number, at most
  * BB_ROSTER_KNOWN_HOSTS_MAX. */
 static uint32_t
-list_hosts(struct bb_roster_planning *p, const char *service,
+list_hosts(struct bb_roster_planner_set *p, const char *service,
            const struct bb_service_roster *r, const struct bb_config *c,
            const struct bb_member_list *members, uint64_t epoch_revision)
 {
@@ -200,7 +200,7 @@
 
 /* Plans the roster of one service. Returns whether it changed the set. */
 static bool
-plan_service(struct bb_roster_planning *p, const struct bb_bundle *in_force,
+plan_service(struct bb_roster_planner_set *p, const struct bb_bundle *in_force,
              const struct bb_config *config, uint16_t service,
              const struct bb_member_list *members, uint64_t now_us,
              struct bb_rosters *rosters)
@@ -240,10 +240,11 @@
  * service that is no longer configured stays unchanged, in case the service is
  * configured again. */
 struct bb_rosters *
-bb_roster_plan_update(struct bb_roster_planning *p,
-                      const struct bb_bundle *in_force,
-                      const struct bb_config *config,
-                      const struct bb_member_list *members, uint64_t now_us)
+bb_roster_planner_set_update(struct bb_roster_planner_set *p,
+                             const struct bb_bundle *in_force,
+                             const struct bb_config *config,
+                             const struct bb_member_list *members,
+                             uint64_t now_us)
 {
     struct bb_rosters *rosters = bb_rosters_copy(in_force->rosters);
     bool is_changed = false;
--- a/control/source_files.c
+++ b/control/source_files.c
@@ -106,7 +106,7 @@
 }
 
 /* Replaces the saved state atomically: temporary file, fsync, rename, fsync of
- * the directory. Returns false with BB_SOURCE_WATCH_ERROR_SAVE on failure;
+ * the directory. Returns false with BB_SOURCE_WATCH_ERROR_WRITE on failure;
  * until the rename, the earlier state stays. */
 bool
 bb_source_state_save(const char *data_folder, const char *folder,
@@ -120,7 +120,7 @@
         renameat(fd, STATE_NAME ".tmp", fd, STATE_NAME) == 0 && fsync(fd) == 0;
 
     if (!ok) {
-        bb_error_set(e, BB_SOURCE_WATCH_ERROR_SAVE,
+        bb_error_set(e, BB_SOURCE_WATCH_ERROR_WRITE,
                      "cannot save the state of the source in %s: %s",
                      data_folder, g_strerror(errno));
     }
@@ -165,7 +165,7 @@
 
 /* Loads the saved state of a folder. Returns false without an error if there
  * is none or it is of another folder, and false with
- * BB_SOURCE_WATCH_ERROR_STATE if it is damaged. */
+ * BB_SOURCE_WATCH_ERROR_DAMAGED if it is damaged. */
 bool
 bb_source_state_load(const char *data_folder, const char *folder,
                      struct bb_source_saved *saved, struct bb_error *e)
@@ -184,7 +184,7 @@
         j = json_load_file(path, JSON_REJECT_DUPLICATES, &error);
     }
     if (j == NULL || !parse_state(j, &v)) {
-        bb_error_set(e, BB_SOURCE_WATCH_ERROR_STATE,
+        bb_error_set(e, BB_SOURCE_WATCH_ERROR_DAMAGED,
                      "the saved state %s is damaged", path);
         goto out;
     }
@@ -214,7 +214,7 @@
 }
 
 /* Returns a signature of the names, sizes and times of a folder's files,
- * without reading them. Stops after BB_FOLDER_MAX_FILES files, as a folder
+ * without reading them. Stops after BB_FOLDER_FILES_MAX files, as a folder
  * with more is not usable. *is_recent is set if a file changed so recently
  * that an equal signature does not prove equal content. */
 uint64_t
@@ -234,7 +234,7 @@
     /* The directory's own times change when entries are added or removed. */
     (void)fstat(dirfd(directory), &s);
     sum = add_entry_hash(1, "", &s);
-    while (count <= BB_FOLDER_MAX_FILES &&
+    while (count <= BB_FOLDER_FILES_MAX &&
            (entry = readdir(directory)) != NULL) {
         s = (struct stat){0};
         if (bb_folder_is_ignored_name(entry->d_name)) {
--- a/control/source_watch.c
+++ b/control/source_watch.c
@@ -61,11 +61,11 @@
 };
 
 /* Creates a watcher and loads its saved state; it scans once it is started.
- * The options' texts are copied. A damaged state is treated as missing, which
- * is safe: a folder that differs from the configuration in force is not
+ * The texts of the settings are copied. A damaged state is treated as missing,
+ * which is safe: a folder that differs from the configuration in force is not
  * proposed then. Freed with bb_source_watch_destroy. */
 struct bb_source_watch *
-bb_source_watch_create(const struct bb_source_watch_options *options)
+bb_source_watch_create(const struct bb_source_watch_settings *settings)
 {
     struct bb_source_watch *w = g_new0(struct bb_source_watch, 1);
     struct bb_source_saved saved = {0};
@@ -73,11 +73,11 @@
     pthread_condattr_t attributes;
     bool has_saved;
 
-    w->folder = g_strdup(options->folder);
-    w->folder_name = g_utf8_make_valid(options->folder, -1);
-    w->data_folder = g_strdup(options->data_folder);
-    w->propose = options->propose;
-    w->context = options->context;
+    w->folder = g_strdup(settings->folder);
+    w->folder_name = g_utf8_make_valid(settings->folder, -1);
+    w->data_folder = g_strdup(settings->data_folder);
+    w->propose = settings->propose;
+    w->context = settings->context;
     (void)pthread_mutex_init(&w->lock, NULL);
     (void)pthread_condattr_init(&attributes);
     (void)pthread_condattr_setclock(&attributes, CLOCK_MONOTONIC);
--- a/cored/main.c
+++ b/cored/main.c
@@ -76,24 +76,24 @@
 
 /* Responds to a proposal of a configuration with its outcome. */
 static void
-on_proposal_done(void *context, enum bb_proposal_outcome outcome,
+on_proposal_done(void *context, enum bb_core_proposal_outcome outcome,
                  uint64_t newest)
 {
     struct bb_http_exchange *x = context;
     char text[96];
 
     switch (outcome) {
-    case BB_PROPOSAL_ACCEPTED:
+    case BB_CORE_PROPOSAL_ACCEPTED:
         respond_with_text(x, 200, "{}");
         break;
-    case BB_PROPOSAL_STALE:
+    case BB_CORE_PROPOSAL_STALE:
         (void)snprintf(text, sizeof(text),
                        "{\"error\":\"version %llu is in force\"}",
                        (unsigned long long)newest);
         respond_with_text(x, 412, text);
         break;
-    case BB_PROPOSAL_UNKNOWN:
-    case BB_PROPOSAL_NOT_LEADER:
+    case BB_CORE_PROPOSAL_UNKNOWN:
+    case BB_CORE_PROPOSAL_NOT_LEADER:
         respond_unavailable(x, "no majority confirmed the order in time\n");
         break;
     }
--- a/fleet/core.c
+++ b/fleet/core.c
@@ -485,8 +485,8 @@
     g_free(c);
 }
 
-/* Stops a control host. Pending proposals end as BB_PROPOSAL_UNKNOWN and reads
- * as not sure, unless they were cancelled. NULL is allowed. */
+/* Stops a control host. Pending proposals end as BB_CORE_PROPOSAL_UNKNOWN and
+ * reads as not sure, unless they were cancelled. NULL is allowed. */
 void
 bb_core_destroy(struct bb_core *c)
 {
--- a/fleet/core_internal.h
+++ b/fleet/core_internal.h
@@ -47,7 +47,7 @@
     uint64_t base_version; /* version that it replaces, 0: none */
     uint64_t version;
     GBytes *config;
-    bb_proposal_done done; /* NULL: completed or cancelled */
+    bb_core_proposal_callback done; /* NULL: completed or cancelled */
     void *context;
     uint64_t deadline_us;
     /* Round of the quorum that confirms a refusal as stale; 0 if none could be
@@ -57,7 +57,7 @@
 
 /* A read of the committed configuration. */
 struct core_config_read {
-    bb_config_read_done done; /* NULL: cancelled */
+    bb_core_read_callback done; /* NULL: cancelled */
     void *context;
     uint64_t deadline_us;
     uint64_t confirmation_round; /* round of the quorum that confirms it */
--- a/fleet/core_requests.c
+++ b/fleet/core_requests.c
@@ -22,7 +22,7 @@
 /* Reports the outcome to the caller and frees the proposal. */
 static void
 finish_proposal(struct bb_core *c, struct core_proposal *p,
-                enum bb_proposal_outcome outcome)
+                enum bb_core_proposal_outcome outcome)
 {
     bb_log_info("order.answered",
                 "base %" G_GUINT64_FORMAT " version %" G_GUINT64_FORMAT
@@ -114,7 +114,7 @@
 
     if (was_accepted(c, p)) {
         bb_counter_add(&already_accepted_total, 1);
-        finish_proposal(c, p, BB_PROPOSAL_ACCEPTED);
+        finish_proposal(c, p, BB_CORE_PROPOSAL_ACCEPTED);
         return;
     }
     if (p->base_version != c->committed_state.config_version ||
@@ -140,11 +140,11 @@
 
         if (bb_quorum_is_round_confirmed(&c->quorum, p->confirmation_round)) {
             bb_counter_add(&stale_total, 1);
-            finish_proposal(c, p, BB_PROPOSAL_STALE);
+            finish_proposal(c, p, BB_CORE_PROPOSAL_STALE);
         }
         else if (now_us >= p->deadline_us || p->confirmation_round == 0) {
             bb_counter_add(&unknown_total, 1);
-            finish_proposal(c, p, BB_PROPOSAL_UNKNOWN);
+            finish_proposal(c, p, BB_CORE_PROPOSAL_UNKNOWN);
         }
         else {
             g_queue_push_tail(&c->stale_proposals, p);
@@ -196,13 +196,13 @@
                          ->deadline_us) {
         bb_counter_add(&unknown_total, 1);
         finish_proposal(c, g_queue_pop_head(&c->proposals),
-                        BB_PROPOSAL_UNKNOWN);
+                        BB_CORE_PROPOSAL_UNKNOWN);
     }
     if (c->active_proposal != NULL && c->active_proposal->done != NULL &&
         now_us >= c->active_proposal->deadline_us) {
         bb_counter_add(&unknown_total, 1);
         c->active_proposal->done(c->active_proposal->context,
-                                 BB_PROPOSAL_UNKNOWN,
+                                 BB_CORE_PROPOSAL_UNKNOWN,
                                  c->committed_state.config_version);
         c->active_proposal->done = NULL;
     }
@@ -219,11 +219,11 @@
     }
     c->active_proposal = NULL;
     bb_counter_add(&accepted_total, 1);
-    finish_proposal(c, p, BB_PROPOSAL_ACCEPTED);
+    finish_proposal(c, p, BB_CORE_PROPOSAL_ACCEPTED);
 }
 
-/* Ends all proposals as BB_PROPOSAL_UNKNOWN and all reads as not sure, as when
- * leadership is lost. */
+/* Ends all proposals as BB_CORE_PROPOSAL_UNKNOWN and all reads as not sure, as
+ * when leadership is lost. */
 void
 core_fail_requests(struct bb_core *c)
 {
@@ -233,12 +233,12 @@
     c->active_proposal = NULL;
     if (p != NULL) {
         bb_counter_add(&unknown_total, 1);
-        finish_proposal(c, p, BB_PROPOSAL_UNKNOWN);
+        finish_proposal(c, p, BB_CORE_PROPOSAL_UNKNOWN);
     }
     while ((p = g_queue_pop_head(&c->proposals)) != NULL ||
            (p = g_queue_pop_head(&c->stale_proposals)) != NULL) {
         bb_counter_add(&unknown_total, 1);
-        finish_proposal(c, p, BB_PROPOSAL_UNKNOWN);
+        finish_proposal(c, p, BB_CORE_PROPOSAL_UNKNOWN);
     }
     while ((r = g_queue_pop_head(&c->reads)) != NULL) {
         finish_read(c, r, false);
@@ -275,7 +275,7 @@
  * called once, possibly before this returns. */
 void
 bb_core_propose(struct bb_core *c, uint64_t base_version, uint64_t version,
-                GBytes *config, bb_proposal_done done, void *context)
+                GBytes *config, bb_core_proposal_callback done, void *context)
 {
     struct core_proposal *p;
     gsize size = 0;
@@ -283,7 +283,7 @@
     uint64_t now_us = bb_clock_now_us();
 
     if (c->quorum.role != BB_QUORUM_LEADER) {
-        done(context, BB_PROPOSAL_NOT_LEADER,
+        done(context, BB_CORE_PROPOSAL_NOT_LEADER,
              c->committed_state.config_version);
         return;
     }
@@ -306,7 +306,8 @@
 /* Reads the committed configuration. `done` is called once, possibly before
  * this returns; at once with is_sure false if this host is not the leader. */
 void
-bb_core_read_config(struct bb_core *c, bb_config_read_done done, void *context)
+bb_core_read_config(struct bb_core *c, bb_core_read_callback done,
+                    void *context)
 {
     struct bb_quorum_output out = {0};
     uint64_t now_us = bb_clock_now_us();
--- a/include/admin/admin.h
+++ b/include/admin/admin.h
@@ -70,7 +70,7 @@
                     struct bb_admin_response *response);
 };
 
-struct bb_admin_server_options {
+struct bb_admin_server_settings {
     struct bb_address listen; /* port 0 takes any free port */
     const char *token;        /* NULL or empty: only GET and HEAD */
     void *context;            /* passed to every endpoint */
@@ -81,7 +81,7 @@
 struct bb_admin_server;
 
 struct bb_admin_server *
-bb_admin_server_create(const struct bb_admin_server_options *options,
+bb_admin_server_create(const struct bb_admin_server_settings *settings,
                        struct bb_error *e);
 uint16_t bb_admin_server_get_port(const struct bb_admin_server *a);
 void bb_admin_server_destroy(struct bb_admin_server *a);
--- a/include/config/folder.h
+++ b/include/config/folder.h
@@ -14,7 +14,7 @@
     /* Bound the memory for a folder before it is parsed. The encoded folder
      * must also fit into BB_BUNDLE_FOLDER_MAX_BYTES, which is below 1 MiB:
      * 4 MiB do if they compress to less than a quarter. */
-    BB_FOLDER_MAX_FILES = 4096,
+    BB_FOLDER_FILES_MAX = 4096,
     BB_FOLDER_MAX_BYTES = 4 * 1024 * 1024,
     BB_FOLDER_FILE_MAX_BYTES = 256 * 1024,
     BB_FOLDER_FILE_NAME_MAX_BYTES = 255
@@ -25,7 +25,7 @@
     BB_CONFIG_ERROR_SOURCE = 1, /* the folder on disk cannot be used */
     BB_CONFIG_ERROR_LIMIT,      /* too many files, bytes or rosters */
     BB_CONFIG_ERROR_NAME,       /* a file name that is not allowed */
-    BB_CONFIG_ERROR_FORMAT,     /* encoded bytes are damaged */
+    BB_CONFIG_ERROR_DAMAGED,    /* encoded bytes are damaged */
     BB_CONFIG_ERROR_BASE,       /* a delta from another base revision */
     BB_CONFIG_ERROR_DIGEST      /* content does not match its digest */
 };
--- a/include/control/replicate.h
+++ b/include/control/replicate.h
@@ -33,14 +33,14 @@
     BB_REPLICATE_ERROR_SETTINGS = 1, /* too many, duplicate or unknown hosts */
     BB_REPLICATE_ERROR_STORE,        /* the data folder cannot be used */
     BB_REPLICATE_ERROR_NO_RESPONSE,  /* a peer did not respond to a call */
-    BB_REPLICATE_ERROR_INTERNAL      /* a thread cannot be started */
+    BB_REPLICATE_ERROR_THREAD        /* a thread cannot be started */
 };
 
 struct bb_replicate;
 
 /* A control host. */
 struct bb_replicate_host {
-    char id[BB_NAME_BYTES]; /* host name */
+    char host[BB_NAME_BYTES]; /* its name */
     char region[BB_NAME_BYTES];
     struct bb_address rpc_address;
 };
@@ -56,7 +56,7 @@
 };
 
 struct bb_replicate_settings {
-    const char *id;   /* name of this host */
+    const char *host; /* name of this host */
     const char *zone; /* unused */
     const char *region;
     const struct bb_replicate_host *peers; /* may include this host */
@@ -83,7 +83,7 @@
     /* Processes the membership records of another control host and responds
      * with those of this host; *response is freed with g_free. May be NULL.
      * Runs in the RPC server's thread. */
-    void (*exchange_members)(void *context, const char *from_id,
+    void (*exchange_members)(void *context, const char *from_host,
                              const void *records, size_t size_bytes,
                              void **response, size_t *response_bytes);
 };
@@ -91,7 +91,8 @@
 enum bb_replicate_outcome {
     BB_REPLICATE_ACCEPTED,
     BB_REPLICATE_STALE_BASE, /* the base is not the leader's last revision */
-    BB_REPLICATE_CONFLICT,   /* the version is not above the highest one */
+    BB_REPLICATE_VERSION_CONFLICT, /* the version is not above the highest one
+                                    */
     /* No response in time, or this host is behind or cannot store the payload;
      * may be proposed again. */
     BB_REPLICATE_NO_QUORUM,
@@ -106,15 +107,15 @@
 };
 
 struct bb_replicate_peer_status {
-    char id[BB_NAME_BYTES];
+    char host[BB_NAME_BYTES];
     bool is_alive; /* a message arrived within the last second */
 };
 
 struct bb_replicate_status {
     enum bb_agree_role role;
     uint64_t term;
-    char leader_id[BB_NAME_BYTES]; /* empty if unknown */
-    uint64_t revision;             /* in force on this host; 0: none */
+    char leader_host[BB_NAME_BYTES]; /* empty if unknown */
+    uint64_t revision;               /* in force on this host; 0: none */
     uint64_t version; /* of that revision; 0: changed rosters only */
     struct bb_digest payload_digest; /* of its payload */
     uint64_t formation_id; /* random id of the formation; 0: not formed */
@@ -142,10 +143,11 @@
                      uint32_t timeout_ms);
 void bb_replicate_status(struct bb_replicate *r,
                          struct bb_replicate_status *status);
-bool bb_replicate_exchange_members(struct bb_replicate *r, const char *peer_id,
-                                   const void *records, size_t size_bytes,
-                                   void **response, size_t *response_bytes,
-                                   uint32_t timeout_ms, struct bb_error *e);
+bool bb_replicate_exchange_members(struct bb_replicate *r,
+                                   const char *peer_host, const void *records,
+                                   size_t size_bytes, void **response,
+                                   size_t *response_bytes, uint32_t timeout_ms,
+                                   struct bb_error *e);
 bool bb_replicate_dispatch(struct bb_replicate *r, uint32_t procedure,
                            void *argument, void *result);
 const char *bb_replicate_outcome_name(enum bb_replicate_outcome outcome);
--- a/include/control/roster_plan.h
+++ b/include/control/roster_plan.h
@@ -10,15 +10,14 @@
 #include "config/config.h"
 #include "mesh/members.h"
 
-/* What is remembered between calls, for each service. */
-struct bb_roster_planning;
+/* The planners of all services, with what they keep between calls. */
+struct bb_roster_planner_set;
 
-struct bb_roster_planning *bb_roster_plan_create(void);
-void bb_roster_plan_destroy(struct bb_roster_planning *p);
-struct bb_rosters *bb_roster_plan_update(struct bb_roster_planning *p,
-                                         const struct bb_bundle *in_force,
-                                         const struct bb_config *config,
-                                         const struct bb_member_list *members,
-                                         uint64_t now_us);
+struct bb_roster_planner_set *bb_roster_planner_set_create(void);
+void bb_roster_planner_set_destroy(struct bb_roster_planner_set *p);
+struct bb_rosters *bb_roster_planner_set_update(
+    struct bb_roster_planner_set *p, const struct bb_bundle *in_force,
+    const struct bb_config *config, const struct bb_member_list *members,
+    uint64_t now_us);
 
 #endif
--- a/include/control/source_watch.h
+++ b/include/control/source_watch.h
@@ -24,9 +24,9 @@
 };
 
 enum bb_source_watch_error {
-    BB_SOURCE_WATCH_ERROR_SAVE = 1, /* the state cannot be saved */
-    BB_SOURCE_WATCH_ERROR_STATE,    /* the saved state is damaged */
-    BB_SOURCE_WATCH_ERROR_THREAD    /* the thread cannot be started */
+    BB_SOURCE_WATCH_ERROR_WRITE = 1, /* the state cannot be saved */
+    BB_SOURCE_WATCH_ERROR_DAMAGED,   /* the saved state is damaged */
+    BB_SOURCE_WATCH_ERROR_THREAD     /* the thread cannot be started */
 };
 
 /* Proposes a folder against the revision it is based on. Runs in the watcher's
@@ -38,7 +38,7 @@
                                            uint64_t version,
                                            uint64_t base_revision);
 
-struct bb_source_watch_options {
+struct bb_source_watch_settings {
     const char *folder;      /* the configuration folder */
     const char *data_folder; /* for the saved state */
     bb_source_propose_callback propose;
@@ -48,7 +48,7 @@
 struct bb_source_watch;
 
 struct bb_source_watch *
-bb_source_watch_create(const struct bb_source_watch_options *options);
+bb_source_watch_create(const struct bb_source_watch_settings *settings);
 bool bb_source_watch_start(struct bb_source_watch *w, struct bb_error *e);
 void bb_source_watch_set_in_force(struct bb_source_watch *w, uint64_t revision,
                                   const struct bb_digest *digest);
--- a/include/decide/agree.h
+++ b/include/decide/agree.h
@@ -263,7 +263,7 @@
     uint64_t round;
 };
 
-/* Bugs that tests switch on to show that the state explorer finds them. */
+/* Faults injected by tests, which the explorer must detect. */
 struct bb_agree_faults {
     uint8_t responds_before_sync;
     uint8_t votes_with_empty_disk;
--- a/include/decide/claim.h
+++ b/include/decide/claim.h
@@ -50,7 +50,7 @@
     struct bb_claim claim;
 };
 
-/* Faults injected by tests; the explorer must detect each. */
+/* Faults injected by tests, which the explorer must detect. */
 enum bb_claim_fault {
     BB_CLAIM_FAULT_NONE,
     BB_CLAIM_FAULT_GRANTS_AFTER_RESTART, /* grants without its old claims */
--- a/include/decide/probe.h
+++ b/include/decide/probe.h
@@ -26,7 +26,7 @@
     BB_PROBE_UNKNOWN /* tell the caller that the outcome is unknown */
 };
 
-/* Faults injected by tests; the explorer must detect each. */
+/* Faults injected by tests, which the explorer must detect. */
 enum bb_probe_fault {
     BB_PROBE_FAULT_NONE,
     BB_PROBE_FAULT_NO_QUERY,     /* retries without a query */
--- a/include/decide/quorum.h
+++ b/include/decide/quorum.h
@@ -121,7 +121,7 @@
     struct bb_quorum_message messages[BB_QUORUM_MESSAGES_MAX];
 };
 
-/* Bugs that tests switch on to show that the random simulation finds them. */
+/* Faults injected by tests, which the random simulation must detect. */
 struct bb_quorum_faults {
     bool responds_before_sync;
     bool votes_for_older_entry;
--- a/include/decide/record.h
+++ b/include/decide/record.h
@@ -30,7 +30,7 @@
     uint64_t response_handle; /* of the stored response; 0: none stored */
 };
 
-/* Faults injected by tests; the explorer must detect each. */
+/* Faults injected by tests, which the explorer must detect. */
 enum bb_record_fault {
     BB_RECORD_FAULT_NONE,
     BB_RECORD_FAULT_QUERY_NOT_RECORDED, /* a query does not record its refusal
--- a/include/fleet/core.h
+++ b/include/fleet/core.h
@@ -55,23 +55,23 @@
         target_voter_count; /* number of voters that the leader aims for */
 };
 
-enum bb_proposal_outcome {
-    BB_PROPOSAL_ACCEPTED,
+enum bb_core_proposal_outcome {
+    BB_CORE_PROPOSAL_ACCEPTED,
     /* Its base is not the newest version, or its own version is not higher
      * than the newest. */
-    BB_PROPOSAL_STALE,
-    BB_PROPOSAL_UNKNOWN,   /* no majority in time; may still be committed */
-    BB_PROPOSAL_NOT_LEADER /* this host is not the leader */
+    BB_CORE_PROPOSAL_STALE,
+    BB_CORE_PROPOSAL_UNKNOWN, /* no majority in time; may still be committed */
+    BB_CORE_PROPOSAL_NOT_LEADER /* this host is not the leader */
 };
 
-typedef void (*bb_proposal_done)(void *context,
-                                 enum bb_proposal_outcome outcome,
-                                 uint64_t newest_version);
+typedef void (*bb_core_proposal_callback)(
+    void *context, enum bb_core_proposal_outcome outcome,
+    uint64_t newest_version);
 /* Result of a read. is_sure is true if a majority confirmed it; config is then
  * the committed configuration, or NULL if there is none yet. config is NULL if
  * is_sure is false, and is unreferenced after the call. */
-typedef void (*bb_config_read_done)(void *context, bool is_sure,
-                                    GBytes *config);
+typedef void (*bb_core_read_callback)(void *context, bool is_sure,
+                                      GBytes *config);
 
 struct bb_core *bb_core_create(uv_loop_t *loop,
                                const struct bb_core_settings *s,
@@ -81,9 +81,9 @@
 bool bb_core_find_leader(struct bb_core *c, struct bb_address *operators,
                          bool *is_self);
 void bb_core_propose(struct bb_core *c, uint64_t base_version,
-                     uint64_t version, GBytes *config, bb_proposal_done done,
-                     void *context);
-void bb_core_read_config(struct bb_core *c, bb_config_read_done done,
+                     uint64_t version, GBytes *config,
+                     bb_core_proposal_callback done, void *context);
+void bb_core_read_config(struct bb_core *c, bb_core_read_callback done,
                          void *context);
 void bb_core_cancel_requests(struct bb_core *c, void *context);
 
--- a/include/mesh/rpc.h
+++ b/include/mesh/rpc.h
@@ -17,14 +17,14 @@
 enum { BB_RPC_ARGUMENT_MAX_BYTES = 252 * 1024 };
 
 enum bb_rpc_error {
-    BB_RPC_ERROR_LISTEN = 1, /* the server cannot start */
-    BB_RPC_ERROR_CONNECT,    /* could not connect; the call was not sent,
-                                unless an idle connection was tried first */
-    BB_RPC_ERROR_TIMEOUT,    /* no response; the call may have run */
-    BB_RPC_ERROR_CALL        /* any other failure; the call may have run,
-                                unless the argument exceeds
-                                BB_RPC_ARGUMENT_MAX_BYTES: then it was not
-                                sent */
+    BB_RPC_ERROR_START = 1, /* the server cannot start */
+    BB_RPC_ERROR_CONNECT,   /* could not connect; the call was not sent,
+                               unless an idle connection was tried first */
+    BB_RPC_ERROR_TIMEOUT,   /* no response; the call may have run */
+    BB_RPC_ERROR_CALL       /* any other failure; the call may have run,
+                               unless the argument exceeds
+                               BB_RPC_ARGUMENT_MAX_BYTES: then it was not
+                               sent */
 };
 
 /* Decodes the arguments of a call, runs it and sends the response. */
--- a/mesh/rpc_server.c
+++ b/mesh/rpc_server.c
@@ -51,7 +51,7 @@
         bind(s->listen_fd, (struct sockaddr *)&address, length) ||
         listen(s->listen_fd, LISTEN_BACKLOG)) {
         return bb_error_set(
-            e, BB_RPC_ERROR_LISTEN, "cannot listen for RPC on %s: %s",
+            e, BB_RPC_ERROR_START, "cannot listen for RPC on %s: %s",
             bb_address_format(listen_address, text), g_strerror(errno));
     }
     length = sizeof(address);
@@ -62,7 +62,7 @@
 }
 
 /* Creates the server and opens its socket; with port 0, on any free port.
- * Returns NULL with BB_RPC_ERROR_LISTEN on failure. */
+ * Returns NULL with BB_RPC_ERROR_START on failure. */
 struct bb_rpc_server *
 bb_rpc_server_create(const struct bb_address *listen_address,
                      struct bb_error *e)
@@ -77,7 +77,7 @@
         goto fail;
     }
     if (pipe2(s->wake_fds, O_CLOEXEC | O_NONBLOCK) != 0) {
-        bb_error_set(e, BB_RPC_ERROR_LISTEN, "cannot create a pipe: %s",
+        bb_error_set(e, BB_RPC_ERROR_START, "cannot create a pipe: %s",
                      g_strerror(errno));
         goto fail;
     }
@@ -86,7 +86,7 @@
     (void)rpc_control(RPC_SVC_CONNMAXREC_SET, &record_max_bytes);
     s->transport = svc_vc_create(s->listen_fd, 0, 0);
     if (s->transport == NULL) {
-        bb_error_set(e, BB_RPC_ERROR_LISTEN, "cannot create RPC transport");
+        bb_error_set(e, BB_RPC_ERROR_START, "cannot create RPC transport");
         goto fail;
     }
     return s;
@@ -96,14 +96,14 @@
 }
 
 /* Registers a program. Call before the server starts. Returns false with
- * BB_RPC_ERROR_LISTEN if libtirpc refuses. */
+ * BB_RPC_ERROR_START if libtirpc refuses. */
 bool
 bb_rpc_server_register_program(struct bb_rpc_server *s, uint32_t program,
                                uint32_t version, bb_rpc_dispatch dispatch,
                                struct bb_error *e)
 {
     if (!svc_reg(s->transport, program, version, dispatch, NULL)) {
-        return bb_error_set(e, BB_RPC_ERROR_LISTEN,
+        return bb_error_set(e, BB_RPC_ERROR_START,
                             "cannot register RPC program %#x version %u",
                             program, version);
     }
@@ -144,14 +144,14 @@
 }
 
 /* Starts the thread that runs the handlers. Returns false with
- * BB_RPC_ERROR_LISTEN on failure. */
+ * BB_RPC_ERROR_START on failure. */
 bool
 bb_rpc_server_start(struct bb_rpc_server *s, struct bb_error *e)
 {
     int result = pthread_create(&s->thread, NULL, run_server, s);
 
     if (result != 0) {
-        return bb_error_set(e, BB_RPC_ERROR_LISTEN,
+        return bb_error_set(e, BB_RPC_ERROR_START,
                             "cannot start the RPC thread: %s",
                             g_strerror(result));
     }
--- a/node/main.c
+++ b/node/main.c
@@ -95,10 +95,10 @@
 static bool
 create_admin(struct bb_node *n, struct bb_error *e)
 {
-    const struct bb_admin_server_options o = {.listen =
-                                                  n->settings.admin_address,
-                                              .token = n->settings.admin_token,
-                                              .context = n};
+    const struct bb_admin_server_settings o = {
+        .listen = n->settings.admin_address,
+        .token = n->settings.admin_token,
+        .context = n};
 
     n->admin = bb_admin_server_create(&o, e);
     return n->admin != NULL;
--- a/tests/admin/test_admin.c
+++ b/tests/admin/test_admin.c
@@ -44,13 +44,14 @@
 static void
 start_server(void)
 {
-    struct bb_admin_server_options options = {
+    struct bb_admin_server_settings settings = {
         .token = TOKEN, .context = &handler_context, .add_health = add_health};
     struct bb_error e = {0};
 
     if (server == NULL) {
-        CU_ASSERT_TRUE_FATAL(bb_address_parse("127.0.0.1:0", &options.listen));
-        server = bb_admin_server_create(&options, &e);
+        CU_ASSERT_TRUE_FATAL(
+            bb_address_parse("127.0.0.1:0", &settings.listen));
+        server = bb_admin_server_create(&settings, &e);
         CU_ASSERT_PTR_NOT_NULL_FATAL(server);
     }
 }
@@ -238,18 +239,18 @@
 static void
 test_server_without_token_is_read_only_and_port_in_use_is_refused(void)
 {
-    struct bb_admin_server_options options = {.context = &handler_context};
+    struct bb_admin_server_settings settings = {.context = &handler_context};
     struct bb_admin_server *main_server = server;
     struct bb_error e = {0};
 
-    CU_ASSERT_TRUE_FATAL(bb_address_parse("127.0.0.1:0", &options.listen));
-    server = bb_admin_server_create(&options, &e);
+    CU_ASSERT_TRUE_FATAL(bb_address_parse("127.0.0.1:0", &settings.listen));
+    server = bb_admin_server_create(&settings, &e);
     CU_ASSERT_PTR_NOT_NULL_FATAL(server);
     check_response("PUT /v1/echo" COMMON_HEADERS "Authorization: Bearer \r\n"
                    "Content-Length: 0\r\n\r\n",
                    " 403 ", "read-only");
-    options.listen.port = bb_admin_server_get_port(server);
-    CU_ASSERT_PTR_NULL(bb_admin_server_create(&options, &e));
+    settings.listen.port = bb_admin_server_get_port(server);
+    CU_ASSERT_PTR_NULL(bb_admin_server_create(&settings, &e));
     CU_ASSERT_EQUAL(e.code, BB_ADMIN_ERROR_LISTEN);
     bb_admin_server_destroy(server);
     bb_admin_server_destroy(main_server);
--- a/tests/config/test_bundle.c
+++ b/tests/config/test_bundle.c
@@ -121,7 +121,7 @@
     CU_ASSERT_FALSE(add_roster(r, "s", 1, 0, 0, 3, &e));
     bad.hosts = (struct bb_host_list){names, 2};
     CU_ASSERT_FALSE(bb_rosters_put(r, &bad, &e));
-    CU_ASSERT_EQUAL(e.code, BB_CONFIG_ERROR_FORMAT);
+    CU_ASSERT_EQUAL(e.code, BB_CONFIG_ERROR_DAMAGED);
     CU_ASSERT_EQUAL(r->count, 0);
     for (int i = 0; i < BB_ROSTERS_MAX; i++) {
         (void)g_snprintf(service, sizeof(service), "%03d", i);
@@ -296,13 +296,13 @@
     struct bb_bundle *bundle;
     struct bb_bundle *copy;
     struct bb_error e = {0};
-    char data[BB_FOLDER_MAX_BYTES / BB_FOLDER_MAX_FILES];
+    char data[BB_FOLDER_MAX_BYTES / BB_FOLDER_FILES_MAX];
     char name[BB_FOLDER_FILE_NAME_MAX_BYTES + 1];
     uint8_t *bytes;
     size_t size;
 
     memset(data, '\n', sizeof(data));
-    for (int i = 0; i < BB_FOLDER_MAX_FILES; i++) {
+    for (int i = 0; i < BB_FOLDER_FILES_MAX; i++) {
         (void)g_snprintf(name, sizeof(name), "%0255d", i);
         CU_ASSERT_TRUE_FATAL(
             bb_folder_builder_add(b, name, data, sizeof(data), &e));
--- a/tests/config/test_folder.c
+++ b/tests/config/test_folder.c
@@ -125,7 +125,7 @@
     struct bb_error e = {0};
     char name[32];
 
-    for (int i = 0; i < BB_FOLDER_MAX_FILES; i++) {
+    for (int i = 0; i < BB_FOLDER_FILES_MAX; i++) {
         (void)g_snprintf(name, sizeof(name), "f%d", i);
         CU_ASSERT_TRUE_FATAL(bb_folder_builder_add(b, name, "\n", 1, &e));
     }
--- a/tests/control/test_proposal.c
+++ b/tests/control/test_proposal.c
@@ -74,7 +74,7 @@
         a->competing_text = NULL;
     }
     if (version != 0 && version <= a->highest_version) {
-        return (struct bb_replicate_result){BB_REPLICATE_CONFLICT,
+        return (struct bb_replicate_result){BB_REPLICATE_VERSION_CONFLICT,
                                             a->revision};
     }
     if (base != a->revision) {
@@ -170,7 +170,7 @@
     CU_ASSERT_EQUAL(r.outcome, BB_REPLICATE_STALE_BASE);
     CU_ASSERT_EQUAL(r.revision, 2);
     r = submit(&a, "new\n", 1, 1);
-    CU_ASSERT_EQUAL(r.outcome, BB_REPLICATE_CONFLICT);
+    CU_ASSERT_EQUAL(r.outcome, BB_REPLICATE_VERSION_CONFLICT);
     CU_ASSERT_EQUAL(a.revision, 2);
     CU_ASSERT_EQUAL(epoch_in_force(&a), 2);
     bb_bundle_history_destroy(a.history);
--- a/tests/control/test_replicate.c
+++ b/tests/control/test_replicate.c
@@ -56,7 +56,7 @@
           uint32_t timeout_ms)
 {
     struct host *from = context;
-    struct host *target = find_host(to->id);
+    struct host *target = find_host(to->host);
     bool crosses_regions = strcmp(to->region, peers[from - hosts].region) != 0;
     bool has_response = false;
 
@@ -131,7 +131,7 @@
     const struct bb_replicate_transport transport = {.context = h,
                                                      .call = call_host};
     const struct bb_replicate_settings s = {
-        .id = peers[i].id,
+        .host = peers[i].host,
         .zone = "z",
         .region = peers[i].region,
         .peers = peers,
@@ -259,7 +259,7 @@
         char *folder = g_dir_make_tmp("baobab-replicate-XXXXXX", NULL);
 
         memset(&hosts[i], 0, sizeof(hosts[i]));
-        (void)g_snprintf(peers[i].id, sizeof(peers[i].id), "h%u", i);
+        (void)g_snprintf(peers[i].host, sizeof(peers[i].host), "h%u", i);
         (void)g_strlcpy(peers[i].region, i < near_count ? "near" : "far",
                         sizeof(peers[i].region));
         (void)g_strlcpy(hosts[i].folder, folder, sizeof(hosts[i].folder));
@@ -337,8 +337,8 @@
     }
     check_result(propose(0, 2, 3, 3, 1000, PROPOSE_MS), BB_REPLICATE_ACCEPTED,
                  3);
-    check_result(propose(1, 3, 3, 9, 1000, PROPOSE_MS), BB_REPLICATE_CONFLICT,
-                 3);
+    check_result(propose(1, 3, 3, 9, 1000, PROPOSE_MS),
+                 BB_REPLICATE_VERSION_CONFLICT, 3);
     check_result(propose(2, 1, 0, 9, 1000, PROPOSE_MS),
                  BB_REPLICATE_STALE_BASE, 3);
     CU_ASSERT_TRUE(wait_for_revision(3));
@@ -385,7 +385,8 @@
         (void)pthread_join(proposers[i].thread, NULL);
         accepted += proposers[i].result.outcome == BB_REPLICATE_ACCEPTED;
         CU_ASSERT_TRUE(proposers[i].result.outcome == BB_REPLICATE_ACCEPTED ||
-                       proposers[i].result.outcome == BB_REPLICATE_CONFLICT);
+                       proposers[i].result.outcome ==
+                           BB_REPLICATE_VERSION_CONFLICT);
     }
     CU_ASSERT_EQUAL(accepted, 1);
     stop_hosts();
--- a/tests/control/test_roster_plan.c
+++ b/tests/control/test_roster_plan.c
@@ -13,7 +13,7 @@
                            "[drain n5]\n[region r]\n[zone z]\nregion=r\n";
 
 static struct bb_member nodes[NODES];
-static struct bb_roster_planning *plan;
+static struct bb_roster_planner_set *plan;
 static struct bb_bundle *in_force;
 static struct bb_config *config;
 static uint64_t now_us;
@@ -53,8 +53,8 @@
     uint32_t count = 0;
 
     for (uint32_t i = 0; i < seconds; i++) {
-        struct bb_rosters *next =
-            bb_roster_plan_update(plan, in_force, config, &members, now_us);
+        struct bb_rosters *next = bb_roster_planner_set_update(
+            plan, in_force, config, &members, now_us);
 
         if (next != NULL) {
             set_in_force(next);
@@ -82,7 +82,7 @@
         m->upstream_state = BB_UPSTREAM_READY;
     }
     now_us = 10 * (uint64_t)SECOND_US;
-    plan = bb_roster_plan_create();
+    plan = bb_roster_planner_set_create();
     in_force = NULL;
     config = NULL;
     set_in_force(bb_rosters_create());
@@ -91,7 +91,7 @@
 static void
 free_all(void)
 {
-    bb_roster_plan_destroy(plan);
+    bb_roster_planner_set_destroy(plan);
     bb_bundle_unref(in_force);
     bb_config_destroy(config);
 }
--- a/tests/control/test_source_watch.c
+++ b/tests/control/test_source_watch.c
@@ -81,9 +81,9 @@
 static struct bb_source_watch *
 start_watch(void)
 {
-    struct bb_source_watch_options options = {
+    struct bb_source_watch_settings settings = {
         .folder = folder, .data_folder = data_folder, .propose = on_propose};
-    struct bb_source_watch *w = bb_source_watch_create(&options);
+    struct bb_source_watch *w = bb_source_watch_create(&settings);
     struct bb_error e = {0};
 
     CU_ASSERT_TRUE_FATAL(bb_source_watch_start(w, &e));
--- a/tests/ctl/test_ctl.c
+++ b/tests/ctl/test_ctl.c
@@ -78,7 +78,7 @@
 static void
 start_server(void)
 {
-    struct bb_admin_server_options options = {0};
+    struct bb_admin_server_settings settings = {0};
     struct bb_folder *folder = NULL;
     struct bb_error e = {0};
 
@@ -90,8 +90,8 @@
     CU_ASSERT_EQUAL_FATAL(bb_folder_read(EXAMPLES "adinkra", &folder, &e),
                           BB_FOLDER_OUTAGE_NONE);
     in_force = bb_bundle_create(5, 1, folder);
-    CU_ASSERT_TRUE_FATAL(bb_address_parse("127.0.0.1:0", &options.listen));
-    server = bb_admin_server_create(&options, &e);
+    CU_ASSERT_TRUE_FATAL(bb_address_parse("127.0.0.1:0", &settings.listen));
+    server = bb_admin_server_create(&settings, &e);
     fixture_require_not_null(server);
     (void)g_snprintf(admin_flag, sizeof(admin_flag), "--admin=127.0.0.1:%u",
                      bb_admin_server_get_port(server));
--- a/tests/fleet/test_fleet.c
+++ b/tests/fleet/test_fleet.c
@@ -30,7 +30,7 @@
 /* Result of a proposal or a read. */
 struct operation_result {
     bool is_done;
-    enum bb_proposal_outcome outcome;
+    enum bb_core_proposal_outcome outcome;
     uint64_t newest;
     bool is_sure;
     char text[256];
@@ -182,7 +182,7 @@
 }
 
 static void
-on_proposal_done(void *context, enum bb_proposal_outcome outcome,
+on_proposal_done(void *context, enum bb_core_proposal_outcome outcome,
                  uint64_t newest)
 {
     struct operation_result *a = context;
@@ -193,8 +193,8 @@
 }
 
 /* Proposes a configuration to the leader, up to 20 times, until it is accepted
- * or refused as stale. Returns the outcome, or BB_PROPOSAL_UNKNOWN. */
-static enum bb_proposal_outcome
+ * or refused as stale. Returns the outcome, or BB_CORE_PROPOSAL_UNKNOWN. */
+static enum bb_core_proposal_outcome
 propose_until_decided(struct cluster *c, uint64_t base, uint64_t version,
                       const char *text)
 {
@@ -214,13 +214,13 @@
             }
         }
         g_bytes_unref(raw);
-        if (a.is_done && (a.outcome == BB_PROPOSAL_ACCEPTED ||
-                          a.outcome == BB_PROPOSAL_STALE)) {
+        if (a.is_done && (a.outcome == BB_CORE_PROPOSAL_ACCEPTED ||
+                          a.outcome == BB_CORE_PROPOSAL_STALE)) {
             return a.outcome;
         }
         run_loop(c, NULL, 100);
     }
-    return BB_PROPOSAL_UNKNOWN;
+    return BB_CORE_PROPOSAL_UNKNOWN;
 }
 
 static void
@@ -265,19 +265,19 @@
 
     create_cluster(&c, HOSTS);
     CU_ASSERT_EQUAL(propose_until_decided(&c, 0, 5, "first"),
-                    BB_PROPOSAL_ACCEPTED);
+                    BB_CORE_PROPOSAL_ACCEPTED);
     CU_ASSERT_EQUAL(propose_until_decided(&c, 0, 5, "first"),
-                    BB_PROPOSAL_ACCEPTED);
+                    BB_CORE_PROPOSAL_ACCEPTED);
     CU_ASSERT_EQUAL(propose_until_decided(&c, 0, 6, "other"),
-                    BB_PROPOSAL_STALE);
+                    BB_CORE_PROPOSAL_STALE);
     CU_ASSERT_EQUAL(propose_until_decided(&c, 5, 5, "same number"),
-                    BB_PROPOSAL_STALE);
+                    BB_CORE_PROPOSAL_STALE);
     CU_ASSERT_EQUAL(propose_until_decided(&c, 5, 9, "second"),
-                    BB_PROPOSAL_ACCEPTED);
+                    BB_CORE_PROPOSAL_ACCEPTED);
     CU_ASSERT_EQUAL(propose_until_decided(&c, 5, 9, "rival"),
-                    BB_PROPOSAL_STALE);
+                    BB_CORE_PROPOSAL_STALE);
     CU_ASSERT_EQUAL(propose_until_decided(&c, 0, 5, "first"),
-                    BB_PROPOSAL_ACCEPTED);
+                    BB_CORE_PROPOSAL_ACCEPTED);
     read_until_sure(&c, &a);
     CU_ASSERT_TRUE(a.is_sure);
     CU_ASSERT_STRING_EQUAL(a.text, "second");
@@ -296,7 +296,7 @@
 
     create_cluster(&c, HOSTS);
     CU_ASSERT_EQUAL(propose_until_decided(&c, 0, 1, "first"),
-                    BB_PROPOSAL_ACCEPTED);
+                    BB_CORE_PROPOSAL_ACCEPTED);
     leader = find_leader(&c, 5000);
     CU_ASSERT_TRUE_FATAL(leader >= 0);
     for (uint32_t i = 0; i < 2; i++) {
@@ -306,8 +306,8 @@
     }
     (void)run_loop(&c, &a[0].is_done, 3000);
     (void)run_loop(&c, &a[1].is_done, 3000);
-    CU_ASSERT_EQUAL(a[0].outcome, BB_PROPOSAL_ACCEPTED);
-    CU_ASSERT_EQUAL(a[1].outcome, BB_PROPOSAL_STALE);
+    CU_ASSERT_EQUAL(a[0].outcome, BB_CORE_PROPOSAL_ACCEPTED);
+    CU_ASSERT_EQUAL(a[1].outcome, BB_CORE_PROPOSAL_STALE);
     destroy_cluster(&c);
 }
 
@@ -322,7 +322,7 @@
 
     create_cluster(&c, HOSTS);
     CU_ASSERT_EQUAL(propose_until_decided(&c, 0, 1, "first"),
-                    BB_PROPOSAL_ACCEPTED);
+                    BB_CORE_PROPOSAL_ACCEPTED);
     for (uint32_t i = 0; i < HOSTS; i++) {
         stop_core(&c, i);
     }
@@ -332,7 +332,7 @@
     read_until_sure(&c, &a);
     CU_ASSERT_STRING_EQUAL(a.text, "first");
     CU_ASSERT_EQUAL(propose_until_decided(&c, 1, 2, "second"),
-                    BB_PROPOSAL_ACCEPTED);
+                    BB_CORE_PROPOSAL_ACCEPTED);
     leader = find_leader(&c, 5000);
     CU_ASSERT_TRUE_FATAL(leader >= 0);
     stop_core(&c, (uint32_t)leader);
@@ -352,14 +352,14 @@
 
     create_cluster(&c, HOSTS);
     CU_ASSERT_EQUAL(propose_until_decided(&c, 0, 1, "v1"),
-                    BB_PROPOSAL_ACCEPTED);
+                    BB_CORE_PROPOSAL_ACCEPTED);
     for (uint64_t i = 0; i < 3; i++) {
         replace_disk(&c, (uint32_t)i);
         start_core(&c, (uint32_t)i, false);
         run_loop(&c, NULL, 1500);
         (void)g_snprintf(text, sizeof(text), "v%u", (unsigned)i + 2);
         CU_ASSERT_EQUAL(propose_until_decided(&c, i + 1, i + 2, text),
-                        BB_PROPOSAL_ACCEPTED);
+                        BB_CORE_PROPOSAL_ACCEPTED);
         run_loop(&c, NULL, 1500);
     }
     read_until_sure(&c, &a);
@@ -379,7 +379,7 @@
 
     create_cluster(&c, SEEDS);
     CU_ASSERT_EQUAL(propose_until_decided(&c, 0, 1, "first"),
-                    BB_PROPOSAL_ACCEPTED);
+                    BB_CORE_PROPOSAL_ACCEPTED);
     leader = find_leader(&c, 5000);
     CU_ASSERT_TRUE_FATAL(leader >= 0);
     for (uint32_t i = 0; i < SEEDS; i++) {
@@ -390,8 +390,8 @@
     bb_core_propose(c.cores[leader], 1, 2, raw, on_proposal_done, &a);
     g_bytes_unref(raw);
     CU_ASSERT_TRUE(run_loop(&c, &a.is_done, 5000));
-    CU_ASSERT_NOT_EQUAL(a.outcome, BB_PROPOSAL_ACCEPTED);
-    CU_ASSERT_NOT_EQUAL(a.outcome, BB_PROPOSAL_STALE);
+    CU_ASSERT_NOT_EQUAL(a.outcome, BB_CORE_PROPOSAL_ACCEPTED);
+    CU_ASSERT_NOT_EQUAL(a.outcome, BB_CORE_PROPOSAL_STALE);
     a = (struct operation_result){0};
     bb_core_read_config(c.cores[leader], on_read_done, &a);
     CU_ASSERT_TRUE(run_loop(&c, &a.is_done, 3000));
@@ -496,7 +496,7 @@
         agents[i] = bb_agent_create(&c.loop, &s, &agent_events, &nodes[i]);
     }
     CU_ASSERT_EQUAL(propose_until_decided(&c, 0, 1, "first"),
-                    BB_PROPOSAL_ACCEPTED);
+                    BB_CORE_PROPOSAL_ACCEPTED);
     CU_ASSERT_TRUE(wait_version(&c, &nodes[0], 1, 3000));
     CU_ASSERT_TRUE(wait_version(&c, &nodes[1], 1, 3000));
     bb_agent_announce(agents[0], &own);
@@ -504,13 +504,13 @@
     CU_ASSERT_EQUAL(nodes[1].instances, 1);
     stop_core(&c, 0); /* in the zone of the first node */
     CU_ASSERT_EQUAL(propose_until_decided(&c, 1, 2, "second"),
-                    BB_PROPOSAL_ACCEPTED);
+                    BB_CORE_PROPOSAL_ACCEPTED);
     CU_ASSERT_TRUE(wait_version(&c, &nodes[0], 2, 4000));
     CU_ASSERT_STRING_EQUAL(nodes[0].text, "second");
     start_core(&c, 0, false);
     run_loop(&c, NULL, 1000);
     CU_ASSERT_EQUAL(propose_until_decided(&c, 2, 3, "third"),
-                    BB_PROPOSAL_ACCEPTED);
+                    BB_CORE_PROPOSAL_ACCEPTED);
     CU_ASSERT_TRUE(wait_version(&c, &nodes[0], 3, 4000));
     CU_ASSERT_FALSE(nodes[0].has_gone_back);
     bb_agent_destroy(agents[0]);
@@ -707,7 +707,7 @@
 
     create_cluster(&c, HOSTS);
     CU_ASSERT_EQUAL(propose_until_decided(&c, 0, 1, "first"),
-                    BB_PROPOSAL_ACCEPTED);
+                    BB_CORE_PROPOSAL_ACCEPTED);
     for (size_t i = 0; i < sizeof(garbage) / sizeof(garbage[0]); i++) {
         struct bb_address at = {.port = c.port};
         bool is_ended = false;
@@ -721,7 +721,7 @@
         bb_stream_close(s);
     }
     CU_ASSERT_EQUAL(propose_until_decided(&c, 1, 2, "second"),
-                    BB_PROPOSAL_ACCEPTED);
+                    BB_CORE_PROPOSAL_ACCEPTED);
     destroy_cluster(&c);
 }
 
