Call the lifetime of an upstream a run in the remaining comments

Incarnation is the lifetime of a node or control host process; comments on announcements used it for that of the upstream as well. Two comments on disk IDs are reworded too.

--- a/decide/agree_voters.c
+++ b/decide/agree_voters.c
@@ -1,4 +1,5 @@
-/* Membership: formation of the cluster, replacement of disks, and quorums. */
+/* The voting disks: formation of the cluster, replacement of disks, and
+ * quorums. */
 #include <string.h>
 
 #include "agree_internal.h"
--- a/include/decide/agree.h
+++ b/include/decide/agree.h
@@ -3,9 +3,9 @@
  * is a plain struct that can be copied. The module does no I/O: each event
  * returns what to write, send and apply, and the responses to callers.
  *
- * A host is a fixed position, 0 to host_count - 1. A disk is known by its
- * disk ID, a random number that an empty disk gets; only disks that the
- * log lists as voters may vote. Times are microseconds of one clock that never
+ * A host is a fixed position, 0 to host_count - 1. A disk is identified by its
+ * disk ID, a random number that an empty disk gets; only disks that the log
+ * lists as voters may vote. Times are microseconds of one clock that never
  * goes back.
  *
  * After each step the caller, in this order: writes what the persist fields of
--- a/tests/platform/test_dialect.c
+++ b/tests/platform/test_dialect.c
@@ -165,10 +165,10 @@
                                              .sequence = 10,
                                              .started_ms = 100};
 
-/* Guards against: a delayed call of an earlier incarnation, or an older call
+/* Guards against: a delayed call of an earlier run, or an older call
  * of the same one, that makes an upstream ready again. */
 static void
-test_incarnations(void)
+test_runs_of_an_upstream(void)
 {
     struct bb_upstream u = {0};
     struct bb_announcement a = ready;
@@ -222,7 +222,7 @@
     CU_ASSERT_EQUAL(bb_upstream_announce(&u, "i", &a, "x:1", 1),
                     BB_ANNOUNCE_ACCEPTED);
     CU_ASSERT_EQUAL(u.state, BB_INSTANCE_DRAINING);
-    /* The same for an incarnation that is newer than the known one. */
+    /* The same for a run that is newer than the known one. */
     CU_ASSERT_TRUE(bb_upstream_withdraw(&u, "j", 200));
     a.started_ms = 200;
     (void)bb_upstream_announce(&u, "j", &a, "x:1", 1);
@@ -282,7 +282,7 @@
     {"configuration", test_configuration},
     {"invalid configurations", test_invalid_configurations},
     {"heartbeats", test_heartbeats},
-    {"incarnations", test_incarnations},
+    {"incarnations", test_runs_of_an_upstream},
     {"withdrawn while unknown", test_withdrawn_unknown},
     {"ids of parent requests", test_parent_ids},
     {"request classification", test_classification},
