--- a/control/replicate.c
+++ b/control/replicate.c
@@ -9,29 +9,30 @@
 
 enum { RESEND_INTERVAL_US = 500 * 1000, RETRY_INTERVAL_US = 50 * 1000 };
 
-/* Orders hosts by id for qsort, so that all hosts assign the same slots. */
+/* Orders hosts by name for qsort, so that all hosts assign the same numbers.
+ */
 static int
 compare_hosts(const void *a, const void *b)
 {
     const struct bb_replicate_host *x = a;
     const struct bb_replicate_host *y = b;
 
-    return strcmp(x->id, y->id);
+    return strcmp(x->host, y->host);
 }
 
-/* Fills in the hosts, this host's slot and the cluster id. Returns false if
- * there are too many hosts or one is listed twice. */
+/* Fills in the hosts, this host's number and the hash of all names. Returns
+ * false if there are too many hosts or one is listed twice. */
 static bool
 load_hosts(struct bb_replicate *r, const struct bb_replicate_settings *s,
            struct bb_error *e)
 {
     struct bb_replicate_host *own = &r->hosts[0];
 
-    (void)g_strlcpy(own->id, s->id, sizeof(own->id));
+    (void)g_strlcpy(own->host, s->host, sizeof(own->host));
     (void)g_strlcpy(own->region, s->region, sizeof(own->region));
     r->host_count = 1;
     for (uint32_t i = 0; i < s->peer_count; i++) {
-        if (strcmp(s->peers[i].id, s->id) == 0) {
+        if (strcmp(s->peers[i].host, s->host) == 0) {
             own->rpc_address = s->peers[i].rpc_address;
             continue;
         }
@@ -44,16 +45,17 @@
     }
     qsort(r->hosts, r->host_count, sizeof(r->hosts[0]), compare_hosts);
     for (uint8_t h = 0; h < r->host_count; h++) {
-        if (h > 0 && strcmp(r->hosts[h].id, r->hosts[h - 1].id) == 0) {
+        if (h > 0 && strcmp(r->hosts[h].host, r->hosts[h - 1].host) == 0) {
             return bb_error_set(e, BB_REPLICATE_ERROR_SETTINGS,
                                 "control host %s is listed twice",
-                                r->hosts[h].id);
+                                r->hosts[h].host);
         }
-        if (strcmp(r->hosts[h].id, s->id) == 0) {
-            r->own_slot = h;
+        if (strcmp(r->hosts[h].host, s->host) == 0) {
+            r->own_host = h;
         }
-        r->cluster_id = bb_hash64(r->hosts[h].id, strlen(r->hosts[h].id) + 1,
-                                  r->cluster_id);
+        r->control_hosts_hash =
+            bb_hash64(r->hosts[h].host, strlen(r->hosts[h].host) + 1,
+                      r->control_hosts_hash);
     }
     return true;
 }
@@ -62,16 +64,16 @@
 static bool
 open_store(struct bb_replicate *r, struct bb_error *e)
 {
-    const struct bb_agree_settings s = {.self = r->own_slot,
+    const struct bb_agree_settings s = {.self = r->own_host,
                                         .host_count = r->host_count,
                                         .first_revision =
                                             r->settings.first_revision};
     struct bb_agree_durable *d = g_new0(struct bb_agree_durable, 1);
     struct bb_error cause = {0};
 
-    /* The incarnation must not depend on the seed: an emptied disk would get
-     * its old one again and be counted as a member that still has its log and
-     * its vote. */
+    /* The disk ID must not depend on the seed: an emptied disk would get its
+     * old one again and be counted as a voter that still has its log and its
+     * vote. */
     r->store = bb_store_open(r->data_folder, r->settings.file_operations,
                              bb_random_system_seed() | 1, d, &cause);
     if (r->store == NULL) {
@@ -136,7 +138,7 @@
     if (!replicate_peers_start(r) ||
         pthread_create(&r->engine_thread, NULL, replicate_engine_run, r) !=
             0) {
-        (void)bb_error_set(e, BB_REPLICATE_ERROR_INTERNAL,
+        (void)bb_error_set(e, BB_REPLICATE_ERROR_THREAD,
                            "cannot start a replication thread");
         goto fail;
     }
@@ -186,12 +188,13 @@
               const struct bb_agree_proposal *p, const void *payload,
               size_t size_bytes)
 {
-    agree_propose_message argument = {.cluster_id = r->cluster_id};
+    agree_propose_message argument = {.control_hosts_hash =
+                                          r->control_hosts_hash};
     agree_proposal *request = &argument.body.agree_propose_body_u.proposal;
     agree_ack ack = {0};
 
     argument.body.kind = AGREE_PROPOSE_REQUEST;
-    request->origin_host = r->own_slot;
+    request->origin_host = r->own_host;
     request->ticket = p->ticket;
     request->base_revision = p->base_revision;
     request->config_version = p->version;
@@ -205,7 +208,7 @@
                               NULL)) {
         return false;
     }
-    if (leader == r->own_slot) {
+    if (leader == r->own_host) {
         return bb_replicate_dispatch(r, AGREE_PROPOSE, &argument, &ack) &&
                ack.is_accepted;
     }
@@ -247,7 +250,7 @@
         result->outcome = BB_REPLICATE_STALE_BASE;
         return true;
     case BB_AGREE_VERSION_CONFLICT:
-        result->outcome = BB_REPLICATE_CONFLICT;
+        result->outcome = BB_REPLICATE_VERSION_CONFLICT;
         return true;
     case BB_AGREE_CONFIRMED:
     case BB_AGREE_NOT_LEADER:
@@ -350,8 +353,8 @@
         struct bb_replicate_peer_status *p =
             &status->peers[status->peer_count];
 
-        if (h != r->own_slot) {
-            (void)g_strlcpy(p->id, r->hosts[h].id, sizeof(p->id));
+        if (h != r->own_host) {
+            (void)g_strlcpy(p->host, r->hosts[h].host, sizeof(p->host));
             p->is_alive =
                 r->last_heard_us[h] != 0 &&
                 now_us < r->last_heard_us[h] + REPLICATE_ALIVE_TIMEOUT_US;
@@ -366,19 +369,19 @@
  * call, whose timeout is timeout_ms, ends, so callbacks must not call it.
  * Returns false if the host is unknown, is this host, or does not respond. */
 bool
-bb_replicate_exchange_members(struct bb_replicate *r, const char *peer_id,
+bb_replicate_exchange_members(struct bb_replicate *r, const char *peer_host,
                               const void *records, size_t size_bytes,
                               void **response, size_t *response_bytes,
                               uint32_t timeout_ms, struct bb_error *e)
 {
-    agree_members argument = {.cluster_id = r->cluster_id,
-                              .from_host = r->own_slot};
+    agree_members argument = {.control_hosts_hash = r->control_hosts_hash,
+                              .from_host = r->own_host};
     agree_members result = {0};
 
     argument.records.records_val = (char *)records;
     argument.records.records_len = (u_int)size_bytes;
     for (uint8_t h = 0; h < r->host_count; h++) {
-        if (h == r->own_slot || strcmp(r->hosts[h].id, peer_id) != 0) {
+        if (h == r->own_host || strcmp(r->hosts[h].host, peer_host) != 0) {
             continue;
         }
         if (replicate_call_peer(r, h, AGREE_EXCHANGE_MEMBERS, &argument,
@@ -389,10 +392,10 @@
         }
         xdr_free((xdrproc_t)xdr_agree_members, (char *)&result);
         return bb_error_set(e, BB_REPLICATE_ERROR_NO_RESPONSE,
-                            "%s does not respond", peer_id);
+                            "%s does not respond", peer_host);
     }
     return bb_error_set(e, BB_REPLICATE_ERROR_SETTINGS,
-                        "%s is not one of the other control hosts", peer_id);
+                        "%s is not one of the other control hosts", peer_host);
 }
 
 /* Returns the name of an outcome, such as "no_quorum". */
--- a/fleet/core.c
+++ b/fleet/core.c
@@ -1,4 +1,5 @@
-/* A control host: runs the quorum protocol on its durable state and timer. */
+/* A control host: runs the quorum protocol (decide/quorum.h) on its durable
+ * state and timer. */
 #include "core_internal.h"
 
 #include <string.h>
@@ -484,8 +485,8 @@
     g_free(c);
 }
 
-/* Stops a control host. Pending proposals end as BB_PROPOSAL_UNKNOWN and reads
- * as not sure, unless they were cancelled. NULL is allowed. */
+/* Stops a control host. Pending proposals end as BB_CORE_PROPOSAL_UNKNOWN and
+ * reads as not sure, unless they were cancelled. NULL is allowed. */
 void
 bb_core_destroy(struct bb_core *c)
 {
