--- a/bench/members.c
+++ b/bench/members.c
@@ -146,7 +146,7 @@
         bb_member_list_clear(&list);
     }
     times_ns[1] = cpu_ns();
-    q.since_version = bb_member_table_get_version(m) - 1;
+    q.since_change = bb_member_table_get_change_number(m) - 1;
     for (int round = 0; round < ROUNDS; round++) {
         (void)bb_member_table_select(m, &q, &list);
         bb_member_list_clear(&list);
--- a/config/rosters.c
+++ b/config/rosters.c
@@ -229,15 +229,15 @@
     return d;
 }
 
-/* Returns the hash of a host name that stands for the host in struct
- * bb_roster. */
+/* Returns the host key, a hash of the host name that identifies a host in
+ * struct bb_roster. */
 uint64_t
-bb_roster_hash_host(const char *host)
+bb_roster_host_key(const char *host)
 {
     return bb_hash64(host, strlen(host), 0);
 }
 
-/* Converts a roster to struct bb_roster, in which hosts are hashes. */
+/* Converts a roster to struct bb_roster, in which hosts are host keys. */
 void
 bb_service_roster_to_hashes(const struct bb_service_roster *s,
                             struct bb_roster *out)
@@ -246,9 +246,9 @@
                               .host_count = s->hosts.count,
                               .previous_count = s->previous_hosts.count};
     for (uint32_t i = 0; i < s->hosts.count; i++) {
-        out->hosts[i] = bb_roster_hash_host(s->hosts.names[i]);
+        out->hosts[i] = bb_roster_host_key(s->hosts.names[i]);
     }
     for (uint32_t i = 0; i < s->previous_hosts.count; i++) {
-        out->previous[i] = bb_roster_hash_host(s->previous_hosts.names[i]);
+        out->previous[i] = bb_roster_host_key(s->previous_hosts.names[i]);
     }
 }
--- a/control/daemon.c
+++ b/control/daemon.c
@@ -208,14 +208,15 @@
 }
 
 /* The payload callback of the mesh: encodes the newest revision for a relay
- * (mesh/mesh.h) that has have_revision; false if there is nothing newer. */
+ * (mesh/mesh.h) that has receiver_revision; false if there is nothing newer.
+ */
 static bool
-encode_payload(void *context, uint64_t have_revision,
+encode_payload(void *context, uint64_t receiver_revision,
                struct bb_mesh_payload *out)
 {
     const struct bb_control *c = context;
 
-    return bb_mesh_payload_encode(c->history, have_revision, out);
+    return bb_mesh_payload_encode(c->history, receiver_revision, out);
 }
 
 /* Creates the mesh member of this control host. */
--- a/control/roster_plan.c
+++ b/control/roster_plan.c
@@ -85,7 +85,7 @@
     bool is_out = is_drained(c, m->host);
 
     return (struct bb_roster_host){
-        .host = bb_roster_hash_host(m->host),
+        .host = bb_roster_host_key(m->host),
         .is_ready = is_serving && !is_out && m->state == BB_MEMBER_ALIVE &&
                     m->is_reachable && m->upstream_state == BB_UPSTREAM_READY,
         .is_present = is_serving,
@@ -145,12 +145,12 @@
                const struct bb_service_roster *r, uint64_t key)
 {
     for (uint32_t i = 0; r != NULL && i < r->hosts.count; i++) {
-        if (bb_roster_hash_host(r->hosts.names[i]) == key) {
+        if (bb_roster_host_key(r->hosts.names[i]) == key) {
             return r->hosts.names[i];
         }
     }
     for (size_t i = 0; i < members->count; i++) {
-        if (bb_roster_hash_host(members->items[i].host) == key) {
+        if (bb_roster_host_key(members->items[i].host) == key) {
             return members->items[i].host;
         }
     }
--- a/decide/balance.c
+++ b/decide/balance.c
@@ -2,8 +2,9 @@
 
 enum {
     PERCENT = 100,
-    /* Last rank of preference; the others are values of enum bb_distance. */
-    RANK_NO_HEADROOM = BB_OTHER_REGION + 1,
+    /* Last rank of preference; the others are values of enum bb_gate_distance.
+     */
+    RANK_NO_HEADROOM = BB_GATE_OTHER_REGION + 1,
     /* Assumed until the gate reports a duration. */
     DEFAULT_DURATION_US = 100 * 1000,
     /* Range of the random cost that spreads attempts over equal gates. */
@@ -34,13 +35,14 @@
     return reported > v->in_flight ? reported : v->in_flight;
 }
 
-/* Returns the usual response time of a class at a gate: as observed or, before
- * the first observation, the reported mean duration of all requests. */
+/* Returns the usual response time of a request class at a gate: as observed
+ * or, before the first observation, the reported mean duration of all
+ * requests. */
 static uint64_t
 usual_latency_us(const struct bb_gate_view *v, uint32_t class_index)
 {
     uint32_t observed_us =
-        v->class_latency_us[class_index % BB_BALANCE_CLASSES];
+        v->class_latency_us[class_index % BB_REQUEST_CLASS_COUNT];
 
     if (observed_us != 0) {
         return observed_us;
@@ -49,13 +51,14 @@
                                     : DEFAULT_DURATION_US;
 }
 
-/* Adds the response time of one attempt to the moving average of its class. */
+/* Adds the response time of one attempt to the moving average of its request
+ * class. */
 void
 bb_gate_view_add_latency(struct bb_gate_view *v, uint32_t class_index,
                          uint64_t latency_us)
 {
     uint32_t *observed_us =
-        &v->class_latency_us[class_index % BB_BALANCE_CLASSES];
+        &v->class_latency_us[class_index % BB_REQUEST_CLASS_COUNT];
     uint64_t sum;
 
     if (latency_us > UINT32_MAX) {
@@ -86,11 +89,11 @@
 
 /* Returns whether a gate may get a hedge, the second send of a slow request:
  * it must be in the local region and have slots to spare, so that the hedge
- * takes no slot from first sends. */
+ * takes no slot from first attempts. */
 bool
 bb_balance_can_hedge(const struct bb_gate_view *v, uint64_t now_us)
 {
-    return v->distance <= BB_SAME_REGION &&
+    return v->distance <= BB_GATE_SAME_REGION &&
            estimate_load(v, now_us) * PERCENT <=
                v->slots * (uint32_t)BB_BALANCE_HEDGE_MAX_LOAD_PERCENT;
 }
@@ -114,22 +117,24 @@
 }
 
 /* Returns the distance up to which gates without a report are explored. */
-static enum bb_distance
+static enum bb_gate_distance
 exploration_distance(const struct bb_gate_view *const *views, uint32_t count)
 {
     uint32_t zone_gates = 0;
 
     for (uint32_t i = 0; i < count; i++) {
-        zone_gates += views[i]->is_ready && views[i]->distance <= BB_SAME_ZONE;
+        zone_gates +=
+            views[i]->is_ready && views[i]->distance <= BB_GATE_SAME_ZONE;
     }
-    return zone_gates >= BB_BALANCE_ENOUGH_ZONE_GATES ? BB_SAME_ZONE
-                                                      : BB_SAME_REGION;
+    return zone_gates >= BB_BALANCE_ENOUGH_ZONE_GATES ? BB_GATE_SAME_ZONE
+                                                      : BB_GATE_SAME_REGION;
 }
 
 /* Returns whether a request should be sent to a gate to get its first report:
  * it is near enough and no attempt is on its way. */
 static bool
-should_explore(const struct bb_gate_view *v, enum bb_distance explore_within)
+should_explore(const struct bb_gate_view *v,
+               enum bb_gate_distance explore_within)
 {
     return v->reported_us == 0 && v->in_flight == 0 &&
            v->distance <= explore_within;
@@ -139,7 +144,7 @@
  * response time, and the costs of distance and of the risk of failure. */
 static uint64_t
 estimate_cost_us(const struct bb_gate_view *v, uint32_t class_index,
-                 enum bb_distance explore_within, uint64_t now_us)
+                 enum bb_gate_distance explore_within, uint64_t now_us)
 {
     uint64_t latency_us = usual_latency_us(v, class_index);
     uint64_t cost_us = bb_balance_wait_us(v, now_us) + latency_us;
@@ -158,13 +163,13 @@
     cost_us += (uint64_t)BB_BALANCE_FAILURE_COST_US *
                decayed_failure_permille(v, now_us) / BB_BALANCE_PERMILLE;
     switch (v->distance) {
-    case BB_SAME_HOST:
-    case BB_SAME_ZONE:
+    case BB_GATE_SAME_HOST:
+    case BB_GATE_SAME_ZONE:
         break;
-    case BB_SAME_REGION:
+    case BB_GATE_SAME_REGION:
         cost_us += BB_BALANCE_CROSS_ZONE_COST_US;
         break;
-    case BB_OTHER_REGION:
+    case BB_GATE_OTHER_REGION:
         cost_us += BB_BALANCE_CROSS_REGION_COST_US;
         break;
     }
@@ -202,18 +207,18 @@
 static uint32_t
 preference_rank(const struct bb_gate_view *v,
                 const struct bb_balance_request *r,
-                enum bb_distance explore_within, uint64_t now_us)
+                enum bb_gate_distance explore_within, uint64_t now_us)
 {
     if (should_explore(v, explore_within)) {
-        return BB_SAME_HOST;
+        return BB_GATE_SAME_HOST;
     }
-    if (v->distance == BB_OTHER_REGION || !has_headroom(v, r, now_us)) {
+    if (v->distance == BB_GATE_OTHER_REGION || !has_headroom(v, r, now_us)) {
         return RANK_NO_HEADROOM;
     }
-    return v->distance == BB_SAME_HOST &&
+    return v->distance == BB_GATE_SAME_HOST &&
                    bb_balance_wait_us(v, now_us) * PERCENT >
                        r->target_left_us * BB_BALANCE_LOCAL_WAIT_PERCENT
-               ? BB_SAME_ZONE
+               ? BB_GATE_SAME_ZONE
                : v->distance;
 }
 
@@ -228,7 +233,7 @@
     int32_t best = -1;
     uint64_t best_us = 0;
     uint32_t best_rank = 0;
-    enum bb_distance explore_within = exploration_distance(views, count);
+    enum bb_gate_distance explore_within = exploration_distance(views, count);
 
     for (uint32_t i = 0; i < count; i++) {
         uint64_t cost_us;
@@ -299,7 +304,7 @@
             (v != best && !was_full[i] && v->is_ready &&
              now_us >= v->suspended_until_us &&
              (v->distance <= best->distance ||
-              v->distance <= BB_SAME_REGION) &&
+              v->distance <= BB_GATE_SAME_REGION) &&
              bb_balance_wait_us(v, now_us) < BB_BALANCE_ALTERNATIVE_WAIT_US);
     }
     if (has_alternative) {
--- a/decide/gate_queue.c
+++ b/decide/gate_queue.c
@@ -10,7 +10,7 @@
 {
     memset(q, 0, sizeof(*q));
     q->slots = slots;
-    q->overall_mean_us = BB_GATE_DEFAULT_DURATION_US;
+    q->overall_mean_us = BB_GATE_QUEUE_DEFAULT_DURATION_US;
 }
 
 /* Sets how many requests may run at once. Running requests continue, also
@@ -21,12 +21,13 @@
     q->slots = slots;
 }
 
-/* Returns the mean duration of a class of requests, or of all requests until
+/* Returns the mean duration of a request class, or of all requests until
  * the class has one. */
 static uint64_t
 mean_duration_us(const struct bb_gate_queue *q, uint32_t class_index)
 {
-    uint64_t class_us = q->class_duration_us[class_index % BB_GATE_CLASSES];
+    uint64_t class_us =
+        q->class_duration_us[class_index % BB_REQUEST_CLASS_COUNT];
 
     return class_us != 0 ? class_us : q->overall_mean_us;
 }
@@ -38,8 +39,8 @@
 min_time_us(const struct bb_gate_queue *q, const struct bb_gate_queue_item *r)
 {
     return mean_duration_us(q, r->class_index) *
-           (r->is_nested ? BB_GATE_MIN_NESTED_TIME_PERCENT
-                         : BB_GATE_MIN_TIME_PERCENT) /
+           (r->is_nested ? BB_GATE_QUEUE_MIN_NESTED_TIME_PERCENT
+                         : BB_GATE_QUEUE_MIN_TIME_PERCENT) /
            PERCENT;
 }
 
@@ -101,17 +102,17 @@
     }
     if (now_us + wait_us + mean_us <= r->target_end_us) {
         return wait_us * PERCENT <=
-               (r->target_end_us - now_us) * BB_GATE_WAIT_PERCENT;
+               (r->target_end_us - now_us) * BB_GATE_QUEUE_WAIT_PERCENT;
     }
-    return q->queued == 0 &&
-           (wait_us + mean_us) * PERCENT <= left_us * BB_GATE_LATE_PERCENT;
+    return q->queued == 0 && (wait_us + mean_us) * PERCENT <=
+                                 left_us * BB_GATE_QUEUE_LATE_PERCENT;
 }
 
-/* Decides on an arriving request. BB_GATE_RUN takes a free slot,
- * BB_GATE_WAIT queues the request. It is refused if its deadline has passed,
- * its expected wait exceeds max_wait_us or is not worth waiting for, or the
- * queue is full. */
-enum bb_gate_verdict
+/* Decides on an arriving request. BB_GATE_QUEUE_RUN takes a free slot,
+ * BB_GATE_QUEUE_WAIT queues the request. It is refused if its deadline has
+ * passed, its expected wait exceeds max_wait_us or is not worth waiting for,
+ * or the queue is full. */
+enum bb_gate_queue_decision
 bb_gate_queue_arrive(struct bb_gate_queue *q,
                      const struct bb_gate_queue_item *r, uint64_t max_wait_us,
                      uint64_t now_us)
@@ -119,19 +120,19 @@
     uint64_t wait_us;
 
     if (r->deadline_us <= now_us || q->slots == 0) {
-        return BB_GATE_REFUSE;
+        return BB_GATE_QUEUE_REFUSE;
     }
     if (q->running < q->slots) {
         q->running++;
-        return BB_GATE_RUN;
+        return BB_GATE_QUEUE_RUN;
     }
     wait_us = expected_wait_us(q, r, now_us);
     if (wait_us > max_wait_us || q->queued == BB_GATE_QUEUE_MAX ||
         !should_queue(q, r, wait_us, now_us)) {
-        return BB_GATE_REFUSE;
+        return BB_GATE_QUEUE_REFUSE;
     }
     q->queue[q->queued++] = *r;
-    return BB_GATE_WAIT;
+    return BB_GATE_QUEUE_WAIT;
 }
 
 /* Removes the queued request at an index; the array is not ordered. */
@@ -157,12 +158,12 @@
 }
 
 /* Removes the next queued request that is to run or to be refused, and sets
- * its id and verdict; one to run takes a slot. Returns false if there is none.
- * Call it after each event and at bb_gate_queue_next_refusal_us, until it
- * returns false. */
+ * its id and decision; one to run takes a slot. Returns false if there is
+ * none. Call it after each event and at bb_gate_queue_next_refusal_us, until
+ * it returns false. */
 bool
 bb_gate_queue_take_next(struct bb_gate_queue *q, uint64_t now_us, uint64_t *id,
-                        enum bb_gate_verdict *verdict)
+                        enum bb_gate_queue_decision *decision)
 {
     uint32_t best = 0;
     uint32_t meeting_target = 0;
@@ -176,7 +177,7 @@
         if (q->slots == 0 ||
             should_refuse_queued(q, r, meeting_target, now_us)) {
             *id = r->id;
-            *verdict = BB_GATE_REFUSE;
+            *decision = BB_GATE_QUEUE_REFUSE;
             remove_queued(q, i);
             return true;
         }
@@ -188,7 +189,7 @@
         return false;
     }
     *id = q->queue[best].id;
-    *verdict = BB_GATE_RUN;
+    *decision = BB_GATE_QUEUE_RUN;
     remove_queued(q, best);
     q->running++;
     return true;
@@ -212,8 +213,8 @@
 update_average(uint64_t old_us, uint64_t new_us)
 {
     return old_us == 0 ? new_us
-                       : (old_us * (PERCENT - BB_GATE_EWMA_PERCENT) +
-                          new_us * BB_GATE_EWMA_PERCENT) /
+                       : (old_us * (PERCENT - BB_GATE_QUEUE_EWMA_PERCENT) +
+                          new_us * BB_GATE_QUEUE_EWMA_PERCENT) /
                              PERCENT;
 }
 
@@ -223,7 +224,8 @@
 bb_gate_queue_finish(struct bb_gate_queue *q, uint32_t class_index,
                      uint64_t duration_us, bool is_success)
 {
-    uint64_t *class_us = &q->class_duration_us[class_index % BB_GATE_CLASSES];
+    uint64_t *class_us =
+        &q->class_duration_us[class_index % BB_REQUEST_CLASS_COUNT];
 
     q->running -= q->running > 0;
     if (is_success) {
--- a/decide/outlier.c
+++ b/decide/outlier.c
@@ -16,9 +16,9 @@
     /* Shorter calls are never slow: such differences come from scheduling and
      * do no harm. */
     SLOW_FLOOR_US = 3000,
-    /* A member is ejected at this score; a slow call adds one point, so four
-     * slow calls in a row eject. If 5% of the calls are slow by nature but not
-     * classed as long, four in a row are rarer than one in 100,000. */
+    /* A gatekeeper is ejected at this score; a slow call adds one point, so
+     * four slow calls in a row eject. If 5% of the calls are slow by nature
+     * but not classed as long, four in a row are rarer than one in 100,000. */
     EJECT_POINTS = 4,
     FAILURE_POINTS = 2,
     GOOD_POINTS = 2,
@@ -40,7 +40,7 @@
 static const double usual_ewma_weight = 0.05;
 static const double recent_ewma_weight = 0.3;
 
-/* Initialises an empty set that ejects at most a share of its members at a
+/* Initialises an empty set that ejects at most a share of its gatekeepers at a
  * time, in percent, rounded down. 33 means exactly one third. */
 void
 bb_outliers_init(struct bb_outliers *o, uint32_t max_ejected_percent)
@@ -49,12 +49,12 @@
     o->max_ejected_percent = max_ejected_percent;
 }
 
-static struct bb_outlier_member *
-find_member(struct bb_outliers *o, uint64_t key)
+static struct bb_outlier_gatekeeper *
+find_gatekeeper(struct bb_outliers *o, uint64_t key)
 {
     for (uint32_t i = 0; i < o->count; i++) {
-        if (o->members[i].key == key) {
-            return &o->members[i];
+        if (o->gatekeepers[i].key == key) {
+            return &o->gatekeepers[i];
         }
     }
     return NULL;
@@ -64,10 +64,11 @@
 bool
 bb_outliers_add(struct bb_outliers *o, uint64_t key)
 {
-    if (o->count == BB_OUTLIER_MEMBERS_MAX || find_member(o, key) != NULL) {
+    if (o->count == BB_OUTLIER_GATEKEEPERS_MAX ||
+        find_gatekeeper(o, key) != NULL) {
         return false;
     }
-    o->members[o->count++] = (struct bb_outlier_member){.key = key};
+    o->gatekeepers[o->count++] = (struct bb_outlier_gatekeeper){.key = key};
     return true;
 }
 
@@ -75,23 +76,23 @@
 void
 bb_outliers_remove(struct bb_outliers *o, uint64_t key)
 {
-    struct bb_outlier_member *m = find_member(o, key);
+    struct bb_outlier_gatekeeper *g = find_gatekeeper(o, key);
 
-    if (m != NULL) {
-        *m = o->members[--o->count];
+    if (g != NULL) {
+        *g = o->gatekeepers[--o->count];
     }
 }
 
-/* Returns the number of members that count as ejected: those that get no calls
- * or only probes. */
+/* Returns the number of gatekeepers that count as ejected: those that get no
+ * calls or only probes. */
 uint32_t
 bb_outliers_count_ejected(const struct bb_outliers *o)
 {
     uint32_t count = 0;
 
     for (uint32_t i = 0; i < o->count; i++) {
-        count += o->members[i].stage == BB_OUTLIER_EJECTED ||
-                 o->members[i].stage == BB_OUTLIER_PROBING;
+        count += o->gatekeepers[i].stage == BB_OUTLIER_EJECTED ||
+                 o->gatekeepers[i].stage == BB_OUTLIER_PROBING;
     }
     return count;
 }
@@ -106,24 +107,24 @@
 }
 
 /* Computes by how much the service as a whole is slower than usual for a
- * class: the lower median over its members, never below 0. Each member is
- * compared with its own usual latency, so that distant members can be compared
- * with near ones. */
+ * class: the lower median over its gatekeepers, never below 0. Each gatekeeper
+ * is compared with its own usual latency, so that distant gatekeepers can be
+ * compared with near ones. */
 static void
 update_class_baseline(struct bb_outliers *o, int work_class)
 {
-    double slowdowns[BB_OUTLIER_MEMBERS_MAX];
+    double slowdowns[BB_OUTLIER_GATEKEEPERS_MAX];
     double highest = 0;
     uint32_t n = 0;
 
     for (uint32_t i = 0; i < o->count; i++) {
-        const struct bb_outlier_member *m = &o->members[i];
+        const struct bb_outlier_gatekeeper *g = &o->gatekeepers[i];
 
-        if (m->observations[work_class] >= OBSERVATIONS_MIN) {
+        if (g->observations[work_class] >= OBSERVATIONS_MIN) {
             slowdowns[n++] =
-                m->recent_log_us[work_class] - m->usual_log_us[work_class];
-            highest = m->usual_log_us[work_class] > highest
-                          ? m->usual_log_us[work_class]
+                g->recent_log_us[work_class] - g->usual_log_us[work_class];
+            highest = g->usual_log_us[work_class] > highest
+                          ? g->usual_log_us[work_class]
                           : highest;
         }
     }
@@ -151,17 +152,17 @@
     }
 }
 
-/* Returns whether a duration in microseconds is slow for a member: at least
- * SLOW_FACTOR times its usual latency, scaled by the slowdown of the whole
- * service. A member with few observations is compared with the highest usual
- * latency of the others. */
+/* Returns whether a duration in microseconds is slow for a gatekeeper: at
+ * least SLOW_FACTOR times its usual latency, scaled by the slowdown of the
+ * whole service. A gatekeeper with few observations is compared with the
+ * highest usual latency of the others. */
 static bool
-is_slow(const struct bb_outliers *o, const struct bb_outlier_member *m,
+is_slow(const struct bb_outliers *o, const struct bb_outlier_gatekeeper *g,
         enum bb_admission_class work_class, uint64_t latency_us)
 {
     double usual_us =
-        m->observations[work_class] >= OBSERVATIONS_MIN
-            ? exp(m->usual_log_us[work_class] + o->slowdown_log[work_class])
+        g->observations[work_class] >= OBSERVATIONS_MIN
+            ? exp(g->usual_log_us[work_class] + o->slowdown_log[work_class])
             : (double)o->highest_usual_us[work_class] *
                   exp(o->slowdown_log[work_class]);
 
@@ -169,7 +170,7 @@
            (double)latency_us >= SLOW_FACTOR * usual_us;
 }
 
-/* Returns how many members may be ejected at a time. */
+/* Returns how many gatekeepers may be ejected at a time. */
 static uint32_t
 max_ejected(const struct bb_outliers *o)
 {
@@ -179,98 +180,98 @@
     return (uint32_t)((uint64_t)o->count * o->max_ejected_percent / PERCENT);
 }
 
-/* Returns whether another member may be ejected. */
+/* Returns whether another gatekeeper may be ejected. */
 static bool
 can_eject_more(const struct bb_outliers *o)
 {
     return bb_outliers_count_ejected(o) < max_ejected(o);
 }
 
-/* Moves a member to a stage, and resets its score and its good calls. */
+/* Moves a gatekeeper to a stage, and resets its score and its good calls. */
 static void
-set_stage(struct bb_outlier_member *m, enum bb_outlier_stage stage,
+set_stage(struct bb_outlier_gatekeeper *g, enum bb_outlier_stage stage,
           uint64_t now_us)
 {
-    m->stage = stage;
-    m->stage_since_us = now_us;
-    m->good_streak = 0;
-    m->score = 0;
+    g->stage = stage;
+    g->stage_since_us = now_us;
+    g->good_streak = 0;
+    g->score = 0;
 }
 
-/* Ejects a member, for twice as long as the last time in a row, up to
+/* Ejects a gatekeeper, for twice as long as the last time in a row, up to
  * EJECT_DOUBLINGS_MAX doublings. */
 static void
-eject(struct bb_outlier_member *m, uint64_t now_us)
+eject(struct bb_outlier_gatekeeper *g, uint64_t now_us)
 {
-    uint32_t doublings = m->ejections < EJECT_DOUBLINGS_MAX
-                             ? m->ejections
+    uint32_t doublings = g->ejections < EJECT_DOUBLINGS_MAX
+                             ? g->ejections
                              : (uint32_t)EJECT_DOUBLINGS_MAX;
 
-    set_stage(m, BB_OUTLIER_EJECTED, now_us);
-    m->eject_until_us = now_us + ((uint64_t)EJECT_BASE_US << doublings);
-    m->ejections++;
+    set_stage(g, BB_OUTLIER_EJECTED, now_us);
+    g->eject_until_us = now_us + ((uint64_t)EJECT_BASE_US << doublings);
+    g->ejections++;
 }
 
-/* Starts probing a member whose ejection time has passed. */
+/* Starts probing a gatekeeper whose ejection time has passed. */
 static void
-begin_probing_if_due(struct bb_outlier_member *m, uint64_t now_us)
+begin_probing_if_due(struct bb_outlier_gatekeeper *g, uint64_t now_us)
 {
-    if (m->stage == BB_OUTLIER_EJECTED && now_us >= m->eject_until_us) {
-        set_stage(m, BB_OUTLIER_PROBING, now_us);
+    if (g->stage == BB_OUTLIER_EJECTED && now_us >= g->eject_until_us) {
+        set_stage(g, BB_OUTLIER_PROBING, now_us);
     }
 }
 
 /* Records a slow or failed call that was sent in the current stage, worth some
  * points of the score. While probing or returning, one such call ejects the
- * member again. */
+ * gatekeeper again. */
 static void
-record_bad_call(struct bb_outliers *o, struct bb_outlier_member *m,
+record_bad_call(struct bb_outliers *o, struct bb_outlier_gatekeeper *g,
                 uint32_t points, uint64_t now_us)
 {
-    m->good_streak = 0;
-    switch (m->stage) {
+    g->good_streak = 0;
+    switch (g->stage) {
     case BB_OUTLIER_EJECTED:
         break;
     case BB_OUTLIER_PROBING:
-        eject(m, now_us);
+        eject(g, now_us);
         break;
     case BB_OUTLIER_RETURNING:
         if (can_eject_more(o)) {
-            eject(m, now_us);
+            eject(g, now_us);
         }
         break;
     case BB_OUTLIER_NORMAL:
-        m->score = m->score + points < EJECT_POINTS ? m->score + points
+        g->score = g->score + points < EJECT_POINTS ? g->score + points
                                                     : (uint32_t)EJECT_POINTS;
-        if (m->score == EJECT_POINTS && can_eject_more(o)) {
-            eject(m, now_us);
+        if (g->score == EJECT_POINTS && can_eject_more(o)) {
+            eject(g, now_us);
         }
         break;
     }
 }
 
 /* Records a good call that was sent in the current stage, which may advance
- * the member to the next stage of its return. */
+ * the gatekeeper to the next stage of its return. */
 static void
-record_good_call(struct bb_outlier_member *m, uint64_t now_us)
+record_good_call(struct bb_outlier_gatekeeper *g, uint64_t now_us)
 {
-    m->score = m->score > GOOD_POINTS ? m->score - GOOD_POINTS : 0;
-    m->good_streak++;
-    switch (m->stage) {
-    case BB_OUTLIER_EJECTED: /* was sent because all other members were full */
+    g->score = g->score > GOOD_POINTS ? g->score - GOOD_POINTS : 0;
+    g->good_streak++;
+    switch (g->stage) {
+    case BB_OUTLIER_EJECTED: /* got the call because all others were full */
     case BB_OUTLIER_PROBING:
-        if (m->good_streak >= GOOD_PROBES_TO_RETURN) {
-            set_stage(m, BB_OUTLIER_RETURNING, now_us);
+        if (g->good_streak >= GOOD_PROBES_TO_RETURN) {
+            set_stage(g, BB_OUTLIER_RETURNING, now_us);
         }
         break;
     case BB_OUTLIER_RETURNING:
-        if (m->good_streak >= GOOD_CALLS_TO_NORMAL) {
-            set_stage(m, BB_OUTLIER_NORMAL, now_us);
+        if (g->good_streak >= GOOD_CALLS_TO_NORMAL) {
+            set_stage(g, BB_OUTLIER_NORMAL, now_us);
         }
         break;
     case BB_OUTLIER_NORMAL:
-        if (now_us >= m->stage_since_us + EJECTIONS_RESET_US) {
-            m->ejections = 0;
+        if (now_us >= g->stage_since_us + EJECTIONS_RESET_US) {
+            g->ejections = 0;
         }
         break;
     }
@@ -280,43 +281,43 @@
  * in limited steps, so that it does not adapt to a slow period before that is
  * detected. */
 static void
-update_latency(struct bb_outlier_member *m, enum bb_admission_class work_class,
-               uint64_t latency_us)
+update_latency(struct bb_outlier_gatekeeper *g,
+               enum bb_admission_class work_class, uint64_t latency_us)
 {
     double value = log((double)latency_us);
-    double limit = m->usual_log_us[work_class] + log(SLOW_FACTOR);
+    double limit = g->usual_log_us[work_class] + log(SLOW_FACTOR);
 
-    if (m->observations[work_class] == 0) {
-        m->usual_log_us[work_class] = value;
-        m->recent_log_us[work_class] = value;
+    if (g->observations[work_class] == 0) {
+        g->usual_log_us[work_class] = value;
+        g->recent_log_us[work_class] = value;
     }
-    m->recent_log_us[work_class] +=
-        (value - m->recent_log_us[work_class]) * recent_ewma_weight;
-    m->usual_log_us[work_class] +=
-        ((value < limit ? value : limit) - m->usual_log_us[work_class]) *
-        (m->observations[work_class] < OBSERVATIONS_MIN ? recent_ewma_weight
+    g->recent_log_us[work_class] +=
+        (value - g->recent_log_us[work_class]) * recent_ewma_weight;
+    g->usual_log_us[work_class] +=
+        ((value < limit ? value : limit) - g->usual_log_us[work_class]) *
+        (g->observations[work_class] < OBSERVATIONS_MIN ? recent_ewma_weight
                                                         : usual_ewma_weight);
-    if (m->observations[work_class] < UINT32_MAX) {
-        m->observations[work_class]++;
+    if (g->observations[work_class] < UINT32_MAX) {
+        g->observations[work_class]++;
     }
 }
 
-/* Records a call that is sent to a member at now_us. bb_outlier_finish and
+/* Records a call that is sent to a gatekeeper at now_us. bb_outlier_finish and
  * bb_outlier_cancel find it by that time. */
 void
 bb_outlier_start(struct bb_outliers *o, uint64_t key,
                  enum bb_admission_class work_class, uint64_t now_us)
 {
-    struct bb_outlier_member *m = find_member(o, key);
+    struct bb_outlier_gatekeeper *g = find_gatekeeper(o, key);
 
-    if (m == NULL) {
+    if (g == NULL) {
         return;
     }
-    begin_probing_if_due(m, now_us);
-    m->outstanding++;
+    begin_probing_if_due(g, now_us);
+    g->outstanding++;
     for (uint32_t i = 0; i < BB_OUTLIER_TRACKED_CALLS_MAX; i++) {
-        if (m->calls[i].start_us == 0) {
-            m->calls[i] = (struct bb_outlier_call){
+        if (g->calls[i].start_us == 0) {
+            g->calls[i] = (struct bb_outlier_call){
                 .start_us = now_us > 0 ? now_us : 1,
                 .work_class = work_class,
             };
@@ -328,16 +329,16 @@
 /* Removes a call from the outstanding ones. Returns true if it was already
  * counted as slow. */
 static bool
-remove_call(struct bb_outlier_member *m, uint64_t start_us)
+remove_call(struct bb_outlier_gatekeeper *g, uint64_t start_us)
 {
-    if (m->outstanding > 0) {
-        m->outstanding--;
+    if (g->outstanding > 0) {
+        g->outstanding--;
     }
     for (uint32_t i = 0; i < BB_OUTLIER_TRACKED_CALLS_MAX; i++) {
-        if (m->calls[i].start_us == (start_us > 0 ? start_us : 1)) {
-            bool was_counted_slow = m->calls[i].is_counted_slow;
+        if (g->calls[i].start_us == (start_us > 0 ? start_us : 1)) {
+            bool was_counted_slow = g->calls[i].is_counted_slow;
 
-            m->calls[i] = (struct bb_outlier_call){0};
+            g->calls[i] = (struct bb_outlier_call){0};
             return was_counted_slow;
         }
     }
@@ -352,63 +353,63 @@
                   enum bb_admission_class work_class, uint64_t start_us,
                   bool is_failure, uint64_t now_us)
 {
-    struct bb_outlier_member *m = find_member(o, key);
+    struct bb_outlier_gatekeeper *g = find_gatekeeper(o, key);
     uint64_t latency_us = now_us > start_us ? now_us - start_us : 1;
     bool was_counted_slow;
     bool was_slow;
 
-    if (m == NULL) {
+    if (g == NULL) {
         return;
     }
     update_baselines(o, now_us);
-    was_counted_slow = remove_call(m, start_us);
-    was_slow = is_slow(o, m, work_class, latency_us);
+    was_counted_slow = remove_call(g, start_us);
+    was_slow = is_slow(o, g, work_class, latency_us);
     if (!is_failure) {
-        update_latency(m, work_class, latency_us);
+        update_latency(g, work_class, latency_us);
     }
-    if (start_us < m->stage_since_us || was_counted_slow) {
+    if (start_us < g->stage_since_us || was_counted_slow) {
         return;
     }
     if (is_failure) {
-        record_bad_call(o, m, FAILURE_POINTS, now_us);
+        record_bad_call(o, g, FAILURE_POINTS, now_us);
     }
     else if (was_slow) {
-        record_bad_call(o, m, 1, now_us);
+        record_bad_call(o, g, 1, now_us);
     }
     else {
-        record_good_call(m, now_us);
+        record_good_call(g, now_us);
     }
 }
 
-/* Ejects a member whose gatekeeper refused a call because its upstream is
- * slow: the gatekeeper sees all calls to the upstream and detects this sooner
- * than one entry node. Returns false if it is not ejected now: it is ejected
- * already, unknown, or no more members may be ejected. */
+/* Ejects a gatekeeper that refused a call because its upstream is slow: it
+ * sees all calls to the upstream and detects this sooner than one entry node.
+ * Returns false if it is not ejected now: it is ejected
+ * already, unknown, or no more gatekeepers may be ejected. */
 bool
 bb_outlier_report_slow(struct bb_outliers *o, uint64_t key, uint64_t now_us)
 {
-    struct bb_outlier_member *m = find_member(o, key);
+    struct bb_outlier_gatekeeper *g = find_gatekeeper(o, key);
 
-    if (m == NULL || m->stage == BB_OUTLIER_EJECTED ||
-        (m->stage != BB_OUTLIER_PROBING && !can_eject_more(o))) {
+    if (g == NULL || g->stage == BB_OUTLIER_EJECTED ||
+        (g->stage != BB_OUTLIER_PROBING && !can_eject_more(o))) {
         return false;
     }
-    set_stage(m, BB_OUTLIER_EJECTED, now_us);
-    m->eject_until_us = now_us + EJECT_REPORTED_SLOW_US;
+    set_stage(g, BB_OUTLIER_EJECTED, now_us);
+    g->eject_until_us = now_us + EJECT_REPORTED_SLOW_US;
     return true;
 }
 
 /* Returns whether a gatekeeper may refuse a first attempt because its upstream
- * is slow. It may not if the ejected members reach the limit without it: if
- * the whole service is slow, a refusal would only cost a round trip. */
+ * is slow. It may not if the ejected gatekeepers reach the limit without it:
+ * if the whole service is slow, a refusal would only cost a round trip. */
 bool
 bb_outlier_may_refuse_as_slow(const struct bb_outliers *o, uint64_t key)
 {
     for (uint32_t i = 0; i < o->count; i++) {
-        const struct bb_outlier_member *m = &o->members[i];
+        const struct bb_outlier_gatekeeper *g = &o->gatekeepers[i];
 
-        if (m->key == key && (m->stage == BB_OUTLIER_EJECTED ||
-                              m->stage == BB_OUTLIER_PROBING)) {
+        if (g->key == key && (g->stage == BB_OUTLIER_EJECTED ||
+                              g->stage == BB_OUTLIER_PROBING)) {
             return true;
         }
     }
@@ -421,33 +422,33 @@
 void
 bb_outlier_cancel(struct bb_outliers *o, uint64_t key, uint64_t start_us)
 {
-    struct bb_outlier_member *m = find_member(o, key);
+    struct bb_outlier_gatekeeper *g = find_gatekeeper(o, key);
 
-    if (m != NULL) {
-        (void)remove_call(m, start_us);
+    if (g != NULL) {
+        (void)remove_call(g, start_us);
     }
 }
 
-/* Counts outstanding calls of a member that are already slow as bad ones, each
- * of them once. */
+/* Counts outstanding calls of a gatekeeper that are already slow as bad ones,
+ * each of them once. */
 static void
-count_slow_outstanding(struct bb_outliers *o, struct bb_outlier_member *m,
+count_slow_outstanding(struct bb_outliers *o, struct bb_outlier_gatekeeper *g,
                        uint64_t now_us)
 {
     for (uint32_t j = 0; j < BB_OUTLIER_TRACKED_CALLS_MAX; j++) {
-        struct bb_outlier_call *c = &m->calls[j];
+        struct bb_outlier_call *c = &g->calls[j];
 
         if (c->start_us != 0 && !c->is_counted_slow && now_us > c->start_us &&
-            is_slow(o, m, c->work_class, now_us - c->start_us)) {
+            is_slow(o, g, c->work_class, now_us - c->start_us)) {
             c->is_counted_slow = true;
-            if (c->start_us >= m->stage_since_us) {
-                record_bad_call(o, m, 1, now_us);
+            if (c->start_us >= g->stage_since_us) {
+                record_bad_call(o, g, 1, now_us);
             }
         }
     }
 }
 
-/* Starts probing members whose ejection time has passed, and counts
+/* Starts probing gatekeepers whose ejection time has passed, and counts
  * outstanding calls that are already slow, without waiting for their
  * responses. To be called every few milliseconds while calls are outstanding,
  * or before each pick. */
@@ -456,47 +457,47 @@
 {
     update_baselines(o, now_us);
     for (uint32_t i = 0; i < o->count; i++) {
-        struct bb_outlier_member *m = &o->members[i];
+        struct bb_outlier_gatekeeper *g = &o->gatekeepers[i];
 
-        begin_probing_if_due(m, now_us);
-        if (m->outstanding > 0) {
-            count_slow_outstanding(o, m, now_us);
+        begin_probing_if_due(g, now_us);
+        if (g->outstanding > 0) {
+            count_slow_outstanding(o, g, now_us);
         }
     }
 }
 
 /* Returns whether a call sent in the current stage is outstanding. */
 static bool
-has_outstanding_probe(const struct bb_outlier_member *m)
+has_outstanding_probe(const struct bb_outlier_gatekeeper *g)
 {
     for (uint32_t j = 0; j < BB_OUTLIER_TRACKED_CALLS_MAX; j++) {
-        if (m->calls[j].start_us != 0 &&
-            m->calls[j].start_us >= m->stage_since_us) {
+        if (g->calls[j].start_us != 0 &&
+            g->calls[j].start_us >= g->stage_since_us) {
             return true;
         }
     }
     return false;
 }
 
-/* Returns the weight of a member in permille for struct bb_candidate: 0 until
- * its ejection time has passed, and while a probe of it is outstanding; the
- * full weight if the key is unknown. */
+/* Returns the weight of a gatekeeper in permille for struct
+ * bb_route_candidate: 0 until its ejection time has passed, and while a probe
+ * of it is outstanding; the full weight if the key is unknown. */
 uint32_t
 bb_outlier_weight(const struct bb_outliers *o, uint64_t key, uint64_t now_us)
 {
     for (uint32_t i = 0; i < o->count; i++) {
-        const struct bb_outlier_member *m = &o->members[i];
+        const struct bb_outlier_gatekeeper *g = &o->gatekeepers[i];
 
-        if (m->key != key) {
+        if (g->key != key) {
             continue;
         }
-        switch (m->stage) {
+        switch (g->stage) {
         case BB_OUTLIER_NORMAL:
             return BB_ROUTE_WEIGHT_FULL;
         case BB_OUTLIER_EJECTED:
-            return now_us >= m->eject_until_us ? BB_ROUTE_WEIGHT_PROBE : 0;
+            return now_us >= g->eject_until_us ? BB_ROUTE_WEIGHT_PROBE : 0;
         case BB_OUTLIER_PROBING:
-            return has_outstanding_probe(m) ? 0 : BB_ROUTE_WEIGHT_PROBE;
+            return has_outstanding_probe(g) ? 0 : BB_ROUTE_WEIGHT_PROBE;
         case BB_OUTLIER_RETURNING:
             return WEIGHT_RETURNING;
         }
@@ -508,16 +509,16 @@
  * To be called before each pick. */
 void
 bb_outlier_update_candidate(const struct bb_outliers *o,
-                            struct bb_candidate *c, uint64_t now_us)
+                            struct bb_route_candidate *c, uint64_t now_us)
 {
     c->weight_permille = bb_outlier_weight(o, c->key, now_us);
     c->oldest_short_call_age_us = 0;
     for (uint32_t i = 0; i < o->count; i++) {
-        const struct bb_outlier_member *m = &o->members[i];
+        const struct bb_outlier_gatekeeper *g = &o->gatekeepers[i];
 
         for (uint32_t j = 0;
-             m->key == c->key && j < BB_OUTLIER_TRACKED_CALLS_MAX; j++) {
-            const struct bb_outlier_call *call = &m->calls[j];
+             g->key == c->key && j < BB_OUTLIER_TRACKED_CALLS_MAX; j++) {
+            const struct bb_outlier_call *call = &g->calls[j];
 
             if (call->start_us != 0 &&
                 call->work_class == BB_ADMISSION_SHORT &&
--- a/decide/policy_least_wait.c
+++ b/decide/policy_least_wait.c
@@ -8,7 +8,7 @@
 /* Returns the weight of a candidate. An ejected one has weight 0 and is
  * offered only when all others are full; it gets the weight of a probe. */
 static uint32_t
-weight_of(const struct bb_candidate *c)
+weight_of(const struct bb_route_candidate *c)
 {
     return c->weight_permille > 0 ? c->weight_permille
                                   : (uint32_t)BB_ROUTE_WEIGHT_PROBE;
@@ -16,7 +16,7 @@
 
 /* Returns a random position in usable[], in proportion to the weights. */
 static uint32_t
-draw_by_weight(const struct bb_candidate *const *candidates,
+draw_by_weight(const struct bb_route_candidate *const *candidates,
                const uint32_t *usable, uint32_t usable_count,
                uint32_t random_bits)
 {
@@ -48,7 +48,8 @@
  * two has a reduced weight after an ejection, the first draw is taken without
  * a comparison: the old latency of that candidate would always lose. */
 static uint32_t
-choose(struct bb_route_state *s, const struct bb_candidate *const *candidates,
+choose(struct bb_route_state *s,
+       const struct bb_route_candidate *const *candidates,
        const uint32_t *usable, uint32_t usable_count,
        const struct bb_route_request *r, uint64_t random_bits, uint64_t now_us)
 {
@@ -56,8 +57,8 @@
                                     (uint32_t)random_bits);
     uint32_t second = draw_by_weight(candidates, usable, usable_count,
                                      (uint32_t)(random_bits >> HALF_BITS));
-    const struct bb_candidate *a = candidates[usable[first]];
-    const struct bb_candidate *b;
+    const struct bb_route_candidate *a = candidates[usable[first]];
+    const struct bb_route_candidate *b;
 
     (void)s;
     if (first == second) {
@@ -70,8 +71,8 @@
     if (b->weight_permille < BB_ROUTE_WEIGHT_FULL) {
         return first;
     }
-    return bb_candidate_expected_us(b, r->work_class, now_us) <
-                   bb_candidate_expected_us(a, r->work_class, now_us)
+    return bb_route_candidate_expected_us(b, r->work_class, now_us) <
+                   bb_route_candidate_expected_us(a, r->work_class, now_us)
                ? second
                : first;
 }
--- a/decide/policy_round_robin.c
+++ b/decide/policy_round_robin.c
@@ -4,7 +4,8 @@
 #include "decide/route_pick.h"
 
 static uint32_t
-choose(struct bb_route_state *s, const struct bb_candidate *const *candidates,
+choose(struct bb_route_state *s,
+       const struct bb_route_candidate *const *candidates,
        const uint32_t *usable, uint32_t usable_count,
        const struct bb_route_request *r, uint64_t random_bits, uint64_t now_us)
 {
--- a/decide/retry.c
+++ b/decide/retry.c
@@ -97,12 +97,12 @@
  * attempts: 0 before the first retry, then exponential backoff with full
  * jitter. */
 uint64_t
-bb_retry_backoff_us(uint32_t attempts, uint64_t random_bits)
+bb_retry_backoff_us(uint32_t attempt_count, uint64_t random_bits)
 {
-    uint32_t doublings = attempts < 2 ? 0 : attempts - 2;
+    uint32_t doublings = attempt_count < 2 ? 0 : attempt_count - 2;
     uint64_t limit_us;
 
-    if (attempts < 2) {
+    if (attempt_count < 2) {
         return 0;
     }
     if (doublings > BACKOFF_DOUBLINGS_MAX) {
@@ -126,10 +126,10 @@
     bool is_safe = q->ran == BB_RAN_NO || q->is_idempotent;
 
     if (!is_safe || !bb_retry_reason_is_transient(q->reason) ||
-        q->attempts > q->retry_limit) {
+        q->attempt_count > q->retry_limit) {
         return a;
     }
-    a.delay_us = bb_retry_backoff_us(q->attempts, q->random_bits);
+    a.delay_us = bb_retry_backoff_us(q->attempt_count, q->random_bits);
     if (a.delay_us + q->expected_us >= q->remaining_us) {
         return a;
     }
@@ -169,7 +169,7 @@
                 struct bb_retry_budget *b)
 {
     if (!q->is_idempotent || q->work_class != BB_ADMISSION_SHORT ||
-        q->hedges >= q->hedge_limit) {
+        q->hedge_count >= q->hedge_limit) {
         return false;
     }
     if (q->elapsed_us < bb_hedge_delay_us(q, latency) ||
--- a/decide/retry_window.c
+++ b/decide/retry_window.c
@@ -9,9 +9,10 @@
      * retried requests come on top at other hosts, where they are not limited,
      * and a host learns late how many others share the allowance. */
     USABLE_PERMILLE = 500,
-    /* First sends are counted over the window, retries over two more buckets,
-     * as the budget must hold in every interval of the window's length. */
-    FIRST_SEND_BUCKETS = BB_RETRY_WINDOW_BUCKETS - 2
+    /* First attempts are counted over the window, retries over two more
+     * buckets, as the budget must hold in every interval of the window's
+     * length. */
+    FIRST_ATTEMPT_BUCKETS = BB_RETRY_WINDOW_BUCKETS - 2
 };
 
 /* Moves the window to now_us and clears the buckets that have left it. */
@@ -20,7 +21,7 @@
                  const struct bb_retry_window_limits *l, uint64_t now_us)
 {
     uint64_t length_us =
-        (uint64_t)l->window_ms * US_PER_MS / FIRST_SEND_BUCKETS;
+        (uint64_t)l->window_ms * US_PER_MS / FIRST_ATTEMPT_BUCKETS;
     uint64_t bucket = now_us / (length_us != 0 ? length_us : 1);
 
     if (bucket - w->bucket >= BB_RETRY_WINDOW_BUCKETS) {
@@ -30,24 +31,24 @@
     }
     while (w->bucket < bucket) {
         w->bucket++;
-        w->first_sends[w->bucket % BB_RETRY_WINDOW_BUCKETS] = 0;
+        w->first_attempts[w->bucket % BB_RETRY_WINDOW_BUCKETS] = 0;
         w->retries_milli[w->bucket % BB_RETRY_WINDOW_BUCKETS] = 0;
     }
 }
 
-/* Counts the first send of a request. retry_permille is the probability that
- * the request was sent by an upstream that runs a retried request; to that
- * extent it counts as a retry too. */
+/* Counts the first attempt of a request. retry_permille is the probability
+ * that the request was sent by an upstream that runs a retried request; to
+ * that extent it counts as a retry too. */
 void
-bb_retry_window_count_first_send(struct bb_retry_window *w,
-                                 const struct bb_retry_window_limits *l,
-                                 uint32_t retry_permille, uint64_t now_us)
+bb_retry_window_count_first_attempt(struct bb_retry_window *w,
+                                    const struct bb_retry_window_limits *l,
+                                    uint32_t retry_permille, uint64_t now_us)
 {
     uint32_t current;
 
     drop_old_buckets(w, l, now_us);
     current = w->bucket % BB_RETRY_WINDOW_BUCKETS;
-    w->first_sends[current]++;
+    w->first_attempts[current]++;
     w->retries_milli[current] += retry_permille;
 }
 
@@ -56,7 +57,7 @@
 bb_retry_window_take(struct bb_retry_window *w,
                      const struct bb_retry_window_limits *l, uint64_t now_us)
 {
-    uint64_t firsts = 0;
+    uint64_t first_attempts = 0;
     uint64_t retries_milli = 0;
     uint64_t budget_milli;
 
@@ -65,10 +66,11 @@
         uint32_t slot = (uint32_t)((w->bucket + BB_RETRY_WINDOW_BUCKETS - i) %
                                    BB_RETRY_WINDOW_BUCKETS);
 
-        firsts += i < FIRST_SEND_BUCKETS ? w->first_sends[slot] : 0;
+        first_attempts +=
+            i < FIRST_ATTEMPT_BUCKETS ? w->first_attempts[slot] : 0;
         retries_milli += w->retries_milli[slot];
     }
-    budget_milli = firsts * l->ratio_permille +
+    budget_milli = first_attempts * l->ratio_permille +
                    (uint64_t)l->allowance * PERMILLE /
                        (l->host_count != 0 ? l->host_count : 1);
     if (retries_milli + PERMILLE > budget_milli * USABLE_PERMILLE / PERMILLE) {
--- a/decide/route_pick.c
+++ b/decide/route_pick.c
@@ -30,20 +30,21 @@
 
 /* Initialises a candidate at full weight, without load or observations. */
 void
-bb_candidate_init(struct bb_candidate *c, uint64_t key,
-                  enum bb_route_distance distance, uint32_t slots)
+bb_route_candidate_init(struct bb_route_candidate *c, uint64_t key,
+                        enum bb_route_distance distance, uint32_t slots)
 {
-    *c = (struct bb_candidate){.key = key,
-                               .distance = distance,
-                               .slots = slots,
-                               .weight_permille = BB_ROUTE_WEIGHT_FULL};
+    *c = (struct bb_route_candidate){.key = key,
+                                     .distance = distance,
+                                     .slots = slots,
+                                     .weight_permille = BB_ROUTE_WEIGHT_FULL};
 }
 
 /* Updates a candidate with the load that its gatekeeper reported at now_us
  * with a response. */
 void
-bb_candidate_update_load(struct bb_candidate *c, uint32_t running,
-                         uint32_t queued, uint32_t slots, uint64_t now_us)
+bb_route_candidate_update_load(struct bb_route_candidate *c, uint32_t running,
+                               uint32_t queued, uint32_t slots,
+                               uint64_t now_us)
 {
     c->running = running;
     c->queued = queued;
@@ -54,7 +55,7 @@
 
 /* Counts a call that is sent to a candidate. */
 void
-bb_candidate_start(struct bb_candidate *c)
+bb_route_candidate_start(struct bb_route_candidate *c)
 {
     c->in_flight++;
 }
@@ -62,8 +63,9 @@
 /* Counts the end of a call. The latency (0: not measured) of a successful call
  * enters a moving average of its logarithm that rises faster than it falls. */
 void
-bb_candidate_finish(struct bb_candidate *c, enum bb_admission_class work_class,
-                    uint64_t latency_us, bool is_success)
+bb_route_candidate_finish(struct bb_route_candidate *c,
+                          enum bb_admission_class work_class,
+                          uint64_t latency_us, bool is_success)
 {
     double *mean = &c->log_latency[work_class];
     double value = latency_us > 0 ? log((double)latency_us) : 0;
@@ -94,7 +96,8 @@
  * candidate gets no calls for a time that doubles with each failure in a row.
  */
 void
-bb_candidate_connect_failed(struct bb_candidate *c, uint64_t now_us)
+bb_route_candidate_connect_failed(struct bb_route_candidate *c,
+                                  uint64_t now_us)
 {
     if (c->in_flight > 0) {
         c->in_flight--;
@@ -110,7 +113,7 @@
 
 /* Returns whether the backoff after a failed connect is over. */
 static bool
-is_past_connect_backoff(const struct bb_candidate *c, uint64_t now_us)
+is_past_connect_backoff(const struct bb_route_candidate *c, uint64_t now_us)
 {
     uint32_t doublings = c->connect_failures;
 
@@ -128,7 +131,8 @@
  * load, which decays with age, plus this node's calls since the report; at
  * least this node's calls in flight. */
 uint32_t
-bb_candidate_occupied_slots(const struct bb_candidate *c, uint64_t now_us)
+bb_route_candidate_occupied_slots(const struct bb_route_candidate *c,
+                                  uint64_t now_us)
 {
     uint64_t age_us = now_us > c->reported_us ? now_us - c->reported_us : 0;
     uint64_t halvings = age_us / REPORT_HALF_LIFE_US;
@@ -148,14 +152,15 @@
  * short call in flight is already older than the usual latency, its age is
  * used, so that a slow gatekeeper is noticed before it responds. */
 double
-bb_candidate_expected_us(const struct bb_candidate *c,
-                         enum bb_admission_class work_class, uint64_t now_us)
+bb_route_candidate_expected_us(const struct bb_route_candidate *c,
+                               enum bb_admission_class work_class,
+                               uint64_t now_us)
 {
     double latency_us = c->observations[work_class] > 0
                             ? exp(c->log_latency[work_class])
                             : LATENCY_DEFAULT_US;
     double slots = c->slots > 0 ? c->slots : 1;
-    double requests = bb_candidate_occupied_slots(c, now_us) + 1.0;
+    double requests = bb_route_candidate_occupied_slots(c, now_us) + 1.0;
 
     if (work_class == BB_ADMISSION_SHORT &&
         (double)c->oldest_short_call_age_us > latency_us) {
@@ -166,9 +171,10 @@
 
 /* Returns whether the requests at a gatekeeper reach a share of its slots. */
 static bool
-is_saturated(const struct bb_candidate *c, uint32_t percent, uint64_t now_us)
+is_saturated(const struct bb_route_candidate *c, uint32_t percent,
+             uint64_t now_us)
 {
-    return (uint64_t)bb_candidate_occupied_slots(c, now_us) * PERCENT >=
+    return (uint64_t)bb_route_candidate_occupied_slots(c, now_us) * PERCENT >=
            (uint64_t)c->slots * percent;
 }
 
@@ -242,8 +248,8 @@
  * report of no slots (starting, shedding or draining) is believed until its
  * age reaches REPORT_HALF_LIFE_US. */
 static bool
-is_available(const struct bb_candidate *c, const struct bb_route_request *r,
-             uint64_t now_us)
+is_available(const struct bb_route_candidate *c,
+             const struct bb_route_request *r, uint64_t now_us)
 {
     bool has_no_slots = c->slots == 0 && c->reported_us > 0 &&
                         now_us < c->reported_us + REPORT_HALF_LIFE_US;
@@ -255,7 +261,7 @@
 /* Returns whether a candidate is available and its weight admits this call: a
  * call that may probe needs any weight, others more than that of a probe. */
 static bool
-is_usable(const struct bb_candidate *c, const struct bb_route_request *r,
+is_usable(const struct bb_route_candidate *c, const struct bb_route_request *r,
           uint64_t now_us)
 {
     uint32_t weight_floor = r->can_probe ? 0 : BB_ROUTE_WEIGHT_PROBE;
@@ -265,13 +271,13 @@
 
 /* Returns whether every usable gatekeeper up to a distance is saturated. */
 static bool
-is_saturated_within(const struct bb_candidate *const *candidates,
+is_saturated_within(const struct bb_route_candidate *const *candidates,
                     uint32_t count, const struct bb_route_request *r,
                     enum bb_route_distance distance, uint32_t percent,
                     uint64_t now_us)
 {
     for (uint32_t i = 0; i < count; i++) {
-        const struct bb_candidate *c = candidates[i];
+        const struct bb_route_candidate *c = candidates[i];
 
         if (c->distance <= distance && is_usable(c, r, now_us) &&
             !is_saturated(c, percent, now_us)) {
@@ -285,12 +291,12 @@
  * unavailable. Ejected ones count as available: they are slow, but cost no
  * link bytes. */
 static bool
-is_region_saturated(const struct bb_candidate *const *candidates,
+is_region_saturated(const struct bb_route_candidate *const *candidates,
                     uint32_t count, const struct bb_route_request *r,
                     uint32_t percent, uint64_t now_us)
 {
     for (uint32_t i = 0; i < count; i++) {
-        const struct bb_candidate *c = candidates[i];
+        const struct bb_route_candidate *c = candidates[i];
 
         if (c->distance != BB_ROUTE_OTHER_REGION &&
             is_available(c, r, now_us) && !is_saturated(c, percent, now_us)) {
@@ -304,8 +310,9 @@
  * lower threshold for the return (hysteresis). */
 static void
 update_overflow(struct bb_route_state *s,
-                const struct bb_candidate *const *candidates, uint32_t count,
-                const struct bb_route_request *r, uint64_t now_us)
+                const struct bb_route_candidate *const *candidates,
+                uint32_t count, const struct bb_route_request *r,
+                uint64_t now_us)
 {
     uint32_t zone =
         s->is_zone_overflowing ? ZONE_RETURN_PERCENT : ZONE_OVERFLOW_PERCENT;
@@ -330,7 +337,7 @@
 /* Collects the indexes of the candidates up to a distance that are usable or,
  * with only_usable false, at least available. Returns how many. */
 static uint32_t
-collect_candidates(const struct bb_candidate *const *candidates,
+collect_candidates(const struct bb_route_candidate *const *candidates,
                    uint32_t count, const struct bb_route_request *r,
                    enum bb_route_distance distance, bool only_usable,
                    uint64_t now_us, uint32_t *indexes)
@@ -338,12 +345,12 @@
     uint32_t n = 0;
 
     for (uint32_t i = 0; i < count && n < BB_ROUTE_CANDIDATES_MAX; i++) {
-        const struct bb_candidate *c = candidates[i];
+        const struct bb_route_candidate *c = candidates[i];
 
         /* A hedge that waits in a queue does not speed up its request, and
          * takes a slot later. */
         if (r->is_hedge &&
-            bb_candidate_occupied_slots(c, now_us) >= c->slots) {
+            bb_route_candidate_occupied_slots(c, now_us) >= c->slots) {
             continue;
         }
         if (c->distance <= distance &&
@@ -361,9 +368,9 @@
  * Returns how many. */
 static uint32_t
 collect_region(const struct bb_route_state *s,
-               const struct bb_candidate *const *candidates, uint32_t count,
-               const struct bb_route_request *r, uint64_t now_us,
-               uint32_t *indexes)
+               const struct bb_route_candidate *const *candidates,
+               uint32_t count, const struct bb_route_request *r,
+               uint64_t now_us, uint32_t *indexes)
 {
     enum bb_route_distance distance =
         s->is_zone_overflowing ? BB_ROUTE_SAME_REGION : BB_ROUTE_SAME_ZONE;
@@ -387,16 +394,17 @@
 
 /* Chooses a gatekeeper for a call, and charges r->link_bytes to the link
  * budget if it is in the other region. The caller then counts the call with
- * bb_candidate_start. At most BB_ROUTE_CANDIDATES_MAX candidates are
+ * bb_route_candidate_start. At most BB_ROUTE_CANDIDATES_MAX candidates are
  * considered. If no gatekeeper of the local region is available, the call goes
  * to the other region at once; if all are saturated, only after
  * REGION_OVERFLOW_DELAY_US. Without a choice the index is -1 and the reason is
  * BB_REASON_NO_UPSTREAM or BB_REASON_LINK_BUDGET. */
 struct bb_route_choice
 bb_route_pick(const struct bb_routing_policy *policy, struct bb_route_state *s,
-              const struct bb_candidate *const *candidates, uint32_t count,
-              const struct bb_route_request *r, struct bb_link_budget *link,
-              uint64_t random_bits, uint64_t now_us)
+              const struct bb_route_candidate *const *candidates,
+              uint32_t count, const struct bb_route_request *r,
+              struct bb_link_budget *link, uint64_t random_bits,
+              uint64_t now_us)
 {
     struct bb_route_choice choice = {.index = -1,
                                      .reason = BB_REASON_NO_UPSTREAM};
--- a/include/config/rosters.h
+++ b/include/config/rosters.h
@@ -52,7 +52,7 @@
                              const struct bb_service_roster *b);
 struct bb_digest bb_rosters_digest(const struct bb_rosters *r,
                                    const struct bb_digest *folder);
-uint64_t bb_roster_hash_host(const char *host);
+uint64_t bb_roster_host_key(const char *host);
 void bb_service_roster_to_hashes(const struct bb_service_roster *s,
                                  struct bb_roster *out);
 
--- a/include/decide/balance.h
+++ b/include/decide/balance.h
@@ -42,9 +42,9 @@
     /* First and longest suspension of an unreachable gate. */
     BB_BALANCE_SUSPEND_MIN_US = 500 * 1000,
     BB_BALANCE_SUSPEND_MAX_US = 4000 * 1000,
-    /* Number of latency averages of a gate; class indexes are taken modulo
-     * this. Equal to BB_GATE_CLASSES. */
-    BB_BALANCE_CLASSES = 64,
+    /* Number of request classes: groups of requests that take about as long,
+     * for which durations and latencies are averaged. */
+    BB_REQUEST_CLASS_COUNT = 64,
     /* A hedge is sent only to a gate that uses at most this share of its
      * slots. */
     BB_BALANCE_HEDGE_MAX_LOAD_PERCENT = 75,
@@ -62,17 +62,17 @@
     BB_BALANCE_FAILURE_EWMA_PERMILLE = 120
 };
 
-enum bb_distance {
-    BB_SAME_HOST,
-    BB_SAME_ZONE,
-    BB_SAME_REGION,
-    BB_OTHER_REGION
+enum bb_gate_distance {
+    BB_GATE_SAME_HOST,
+    BB_GATE_SAME_ZONE,
+    BB_GATE_SAME_REGION,
+    BB_GATE_OTHER_REGION
 };
 
 /* What one entry node knows of one gate: the load that the gate reported, and
  * the node's own observations. */
 struct bb_gate_view {
-    enum bb_distance distance;
+    enum bb_gate_distance distance;
     bool is_ready;                /* as the gate announced */
     uint32_t slots;               /* announced or reported */
     uint32_t running;             /* reported */
@@ -86,12 +86,12 @@
     uint64_t suspended_until_us;
     uint64_t last_suspension_us; /* its duration; 0: none since a response */
     /* Moving average of the response time by class index; 0: none yet. */
-    uint32_t class_latency_us[BB_BALANCE_CLASSES];
+    uint32_t class_latency_us[BB_REQUEST_CLASS_COUNT];
 };
 
 struct bb_balance_request {
     /* By route; groups requests of like duration. Any value, taken modulo
-     * BB_BALANCE_CLASSES. */
+     * BB_REQUEST_CLASS_COUNT. */
     uint32_t class_index;
     uint64_t target_left_us; /* time left until the target response time */
 };
--- a/include/decide/gate_queue.h
+++ b/include/decide/gate_queue.h
@@ -15,36 +15,39 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "decide/balance.h"
+
 enum {
     BB_GATE_QUEUE_MAX = 512,
-    /* Number of duration averages; class indexes are taken modulo this. Equal
-     * to BB_BALANCE_CLASSES. */
-    BB_GATE_CLASSES = 64,
     /* Weight of the newest duration in the moving averages. */
-    BB_GATE_EWMA_PERCENT = 10,
+    BB_GATE_QUEUE_EWMA_PERCENT = 10,
     /* Share of the time left until the target that the expected wait may take:
      * durations vary, and a longer queue serves no more requests. */
-    BB_GATE_WAIT_PERCENT = 35,
+    BB_GATE_QUEUE_WAIT_PERCENT = 35,
     /* Share of the time left until the deadline that wait and run together may
      * take if the target will be missed. */
-    BB_GATE_LATE_PERCENT = 35,
+    BB_GATE_QUEUE_LATE_PERCENT = 35,
     /* Share of the mean duration that must be left until the deadline when a
      * request starts. */
-    BB_GATE_MIN_TIME_PERCENT = 75,
+    BB_GATE_QUEUE_MIN_TIME_PERCENT = 75,
     /* The same for nested requests. It is lower, as refusing one wastes the
      * work of its parent. */
-    BB_GATE_MIN_NESTED_TIME_PERCENT = 25,
+    BB_GATE_QUEUE_MIN_NESTED_TIME_PERCENT = 25,
     /* Assumed until the first request has finished. */
-    BB_GATE_DEFAULT_DURATION_US = 100 * 1000
+    BB_GATE_QUEUE_DEFAULT_DURATION_US = 100 * 1000
 };
 
-enum bb_gate_verdict { BB_GATE_RUN, BB_GATE_WAIT, BB_GATE_REFUSE };
+enum bb_gate_queue_decision {
+    BB_GATE_QUEUE_RUN,
+    BB_GATE_QUEUE_WAIT,
+    BB_GATE_QUEUE_REFUSE
+};
 
 struct bb_gate_queue_item {
     uint64_t id;       /* unique among the queued requests */
     uint32_t priority; /* 0: most urgent */
     /* By route; groups requests of like duration. Any value, taken modulo
-     * BB_GATE_CLASSES. */
+     * BB_REQUEST_CLASS_COUNT. */
     uint32_t class_index;
     bool is_nested;         /* sent by an upstream that runs a request */
     uint64_t target_end_us; /* target: a response after it is late */
@@ -55,21 +58,23 @@
     uint32_t slots; /* max running; 0: all requests are refused */
     uint32_t running;
     uint32_t queued;
-    uint64_t class_duration_us[BB_GATE_CLASSES]; /* average; 0: none yet */
-    /* Moving average over all classes; BB_GATE_DEFAULT_DURATION_US at first.
-     */
+    /* Moving average by request class; 0: none yet. */
+    uint64_t class_duration_us[BB_REQUEST_CLASS_COUNT];
+    /* Moving average over all request classes. At first it is
+     * BB_GATE_QUEUE_DEFAULT_DURATION_US. */
     uint64_t overall_mean_us;
     struct bb_gate_queue_item queue[BB_GATE_QUEUE_MAX];
 };
 
 void bb_gate_queue_init(struct bb_gate_queue *q, uint32_t slots);
 void bb_gate_queue_set_slots(struct bb_gate_queue *q, uint32_t slots);
-enum bb_gate_verdict bb_gate_queue_arrive(struct bb_gate_queue *q,
-                                          const struct bb_gate_queue_item *r,
-                                          uint64_t max_wait_us,
-                                          uint64_t now_us);
+enum bb_gate_queue_decision
+bb_gate_queue_arrive(struct bb_gate_queue *q,
+                     const struct bb_gate_queue_item *r, uint64_t max_wait_us,
+                     uint64_t now_us);
 bool bb_gate_queue_take_next(struct bb_gate_queue *q, uint64_t now_us,
-                             uint64_t *id, enum bb_gate_verdict *verdict);
+                             uint64_t *id,
+                             enum bb_gate_queue_decision *decision);
 bool bb_gate_queue_cancel(struct bb_gate_queue *q, uint64_t id);
 void bb_gate_queue_finish(struct bb_gate_queue *q, uint32_t class_index,
                           uint64_t duration_us, bool is_success);
--- a/include/decide/outlier.h
+++ b/include/decide/outlier.h
@@ -3,8 +3,9 @@
  * gradually. An entry node has one struct bb_outliers for each service; the
  * caller serialises the calls on it.
  *
- * Members are identified by the key of their struct bb_candidate; calls with
- * an unknown key do nothing. Times are microseconds of one clock. */
+ * Gatekeepers are identified by the key of their struct bb_route_candidate;
+ * calls with an unknown key do nothing. Times are microseconds of one
+ * clock. */
 #ifndef BB_DECIDE_OUTLIER_H
 #define BB_DECIDE_OUTLIER_H
 
@@ -14,7 +15,7 @@
 #include "decide/admission.h"
 #include "decide/route_pick.h"
 
-enum { BB_OUTLIER_MEMBERS_MAX = 512, BB_OUTLIER_TRACKED_CALLS_MAX = 16 };
+enum { BB_OUTLIER_GATEKEEPERS_MAX = 512, BB_OUTLIER_TRACKED_CALLS_MAX = 16 };
 
 enum bb_outlier_stage {
     BB_OUTLIER_NORMAL,
@@ -30,7 +31,7 @@
     bool is_counted_slow; /* already counted as slow */
 };
 
-struct bb_outlier_member {
+struct bb_outlier_gatekeeper {
     uint64_t key;
     enum bb_outlier_stage stage;
     uint32_t score; /* raised by slow and failed calls, lowered by good */
@@ -49,14 +50,14 @@
 };
 
 struct bb_outliers {
-    uint32_t max_ejected_percent; /* max share of members ejected at a time */
+    uint32_t max_ejected_percent; /* max share that is ejected at a time */
     uint32_t count;
     uint64_t baselines_updated_us; /* when the next two were computed */
     /* By how much the service as a whole is slower than usual, as the natural
-     * log of the factor, and the highest usual latency of any member. */
+     * log of the factor, and the highest usual latency of any gatekeeper. */
     double slowdown_log[BB_ADMISSION_CLASSES];
     uint64_t highest_usual_us[BB_ADMISSION_CLASSES];
-    struct bb_outlier_member members[BB_OUTLIER_MEMBERS_MAX];
+    struct bb_outlier_gatekeeper gatekeepers[BB_OUTLIER_GATEKEEPERS_MAX];
 };
 
 void bb_outliers_init(struct bb_outliers *o, uint32_t max_ejected_percent);
@@ -75,7 +76,8 @@
 uint32_t bb_outlier_weight(const struct bb_outliers *o, uint64_t key,
                            uint64_t now_us);
 void bb_outlier_update_candidate(const struct bb_outliers *o,
-                                 struct bb_candidate *c, uint64_t now_us);
+                                 struct bb_route_candidate *c,
+                                 uint64_t now_us);
 uint32_t bb_outliers_count_ejected(const struct bb_outliers *o);
 
 #endif
--- a/include/decide/retry.h
+++ b/include/decide/retry.h
@@ -28,11 +28,11 @@
     enum bb_reason reason; /* of the failure */
     enum bb_ran ran;
     bool is_idempotent;
-    uint32_t attempts;     /* made so far, 1 or more */
-    uint32_t retry_limit;  /* max retries of a request */
-    uint64_t remaining_us; /* until the deadline */
-    uint64_t expected_us;  /* usual duration of the call; 0: unknown */
-    uint64_t random_bits;  /* for the jitter of the delay */
+    uint32_t attempt_count; /* made so far, 1 or more */
+    uint32_t retry_limit;   /* max retries of a request */
+    uint64_t remaining_us;  /* until the deadline */
+    uint64_t expected_us;   /* usual duration of the call; 0: unknown */
+    uint64_t random_bits;   /* for the jitter of the delay */
 };
 
 struct bb_retry_decision {
@@ -45,7 +45,7 @@
 struct bb_pending_request {
     bool is_idempotent;
     enum bb_admission_class work_class;
-    uint32_t hedges;         /* sent so far */
+    uint32_t hedge_count;    /* sent so far */
     uint32_t hedge_limit;    /* max hedges of a request */
     uint64_t elapsed_us;     /* since the first attempt */
     uint64_t remaining_us;   /* until the deadline */
@@ -59,7 +59,7 @@
 bool bb_retry_reason_is_transient(enum bb_reason r);
 struct bb_retry_decision bb_retry_decide(const struct bb_failed_request *q,
                                          struct bb_retry_budget *b);
-uint64_t bb_retry_backoff_us(uint32_t attempts, uint64_t random_bits);
+uint64_t bb_retry_backoff_us(uint32_t attempt_count, uint64_t random_bits);
 uint64_t bb_hedge_delay_us(const struct bb_pending_request *q,
                            const struct bb_duration_stats *latency);
 bool bb_hedge_decide(const struct bb_pending_request *q,
--- a/include/decide/route_pick.h
+++ b/include/decide/route_pick.h
@@ -1,9 +1,10 @@
 /* Choice of a gatekeeper for one call: near ones first, those of the other
  * region only when the local region is saturated and the byte budget of the
  * paid link between the regions allows it. The caller keeps one struct
- * bb_candidate for each gatekeeper of a service that it knows, one struct
- * bb_route_state for the service and one struct bb_link_budget for the node,
- * and serialises the calls on each. Times are microseconds of one clock. */
+ * bb_route_candidate for each gatekeeper of a service that it knows, one
+ * struct bb_route_state for the service and one struct bb_link_budget for the
+ * node, and serialises the calls on each. Times are microseconds of one clock.
+ */
 #ifndef BB_DECIDE_ROUTE_PICK_H
 #define BB_DECIDE_ROUTE_PICK_H
 
@@ -29,7 +30,7 @@
 };
 
 /* What an entry node knows of one gatekeeper of a service. */
-struct bb_candidate {
+struct bb_route_candidate {
     uint64_t key; /* identifies the gatekeeper, such as a hash of its host */
     enum bb_route_distance distance;
     bool is_draining;
@@ -85,27 +86,28 @@
  * indexes are in usable[], and returns its position in usable[]. */
 struct bb_routing_policy {
     uint32_t (*choose)(struct bb_route_state *s,
-                       const struct bb_candidate *const *candidates,
+                       const struct bb_route_candidate *const *candidates,
                        const uint32_t *usable, uint32_t usable_count,
                        const struct bb_route_request *r, uint64_t random_bits,
                        uint64_t now_us);
 };
 
-void bb_candidate_init(struct bb_candidate *c, uint64_t key,
-                       enum bb_route_distance distance, uint32_t slots);
-void bb_candidate_update_load(struct bb_candidate *c, uint32_t running,
-                              uint32_t queued, uint32_t slots,
-                              uint64_t now_us);
-void bb_candidate_start(struct bb_candidate *c);
-void bb_candidate_finish(struct bb_candidate *c,
-                         enum bb_admission_class work_class,
-                         uint64_t latency_us, bool is_success);
-void bb_candidate_connect_failed(struct bb_candidate *c, uint64_t now_us);
-uint32_t bb_candidate_occupied_slots(const struct bb_candidate *c,
-                                     uint64_t now_us);
-double bb_candidate_expected_us(const struct bb_candidate *c,
-                                enum bb_admission_class work_class,
-                                uint64_t now_us);
+void bb_route_candidate_init(struct bb_route_candidate *c, uint64_t key,
+                             enum bb_route_distance distance, uint32_t slots);
+void bb_route_candidate_update_load(struct bb_route_candidate *c,
+                                    uint32_t running, uint32_t queued,
+                                    uint32_t slots, uint64_t now_us);
+void bb_route_candidate_start(struct bb_route_candidate *c);
+void bb_route_candidate_finish(struct bb_route_candidate *c,
+                               enum bb_admission_class work_class,
+                               uint64_t latency_us, bool is_success);
+void bb_route_candidate_connect_failed(struct bb_route_candidate *c,
+                                       uint64_t now_us);
+uint32_t bb_route_candidate_occupied_slots(const struct bb_route_candidate *c,
+                                           uint64_t now_us);
+double bb_route_candidate_expected_us(const struct bb_route_candidate *c,
+                                      enum bb_admission_class work_class,
+                                      uint64_t now_us);
 
 void bb_link_budget_configure(struct bb_link_budget *b, uint64_t bytes_per_s,
                               uint64_t now_us);
@@ -115,8 +117,9 @@
 
 struct bb_route_choice
 bb_route_pick(const struct bb_routing_policy *policy, struct bb_route_state *s,
-              const struct bb_candidate *const *candidates, uint32_t count,
-              const struct bb_route_request *r, struct bb_link_budget *link,
-              uint64_t random_bits, uint64_t now_us);
+              const struct bb_route_candidate *const *candidates,
+              uint32_t count, const struct bb_route_request *r,
+              struct bb_link_budget *link, uint64_t random_bits,
+              uint64_t now_us);
 
 #endif
--- a/include/mesh/members.h
+++ b/include/mesh/members.h
@@ -52,8 +52,8 @@
     const char *zone;
     const char *except_zone;
     const char *region;
-    uint32_t origin_mask;      /* bits of enum bb_member_origin; 0 for any */
-    uint64_t since_version;    /* only entries changed after this version */
+    uint32_t origin_mask;  /* bits of enum bb_member_origin; 0 for any */
+    uint64_t since_change; /* only entries changed after this change number */
     bool only_routing_changes; /* ignore changes that affect no route */
     uint32_t bucket_mask;      /* bit n selects bucket n; 0 for all */
 };
@@ -86,8 +86,8 @@
                            enum bb_member_origin origin, uint64_t now_us);
 bool bb_member_table_get(struct bb_member_table *m, const char *host,
                          struct bb_member *out);
-uint64_t bb_member_table_get_version(struct bb_member_table *m);
-uint64_t bb_member_table_get_routing_version(struct bb_member_table *m);
+uint64_t bb_member_table_get_change_number(struct bb_member_table *m);
+uint64_t bb_member_table_get_routing_change_number(struct bb_member_table *m);
 uint64_t bb_member_table_select(struct bb_member_table *m,
                                 const struct bb_member_query *q,
                                 struct bb_member_list *out);
--- a/include/mesh/mesh.h
+++ b/include/mesh/mesh.h
@@ -49,11 +49,11 @@
 
 struct bb_mesh_callbacks {
     void *context;
-    /* Encodes the newest revision for a receiver that holds have_revision (0
-     * for none). Returns false if there is nothing newer. The mesh frees
+    /* Encodes the newest revision for a receiver that holds receiver_revision
+     * (0 for none). Returns false if there is nothing newer. The mesh frees
      * out->data with free. Called on several threads, but calls do not
      * overlap. NULL if this process serves no revisions. */
-    bool (*encode_payload)(void *context, uint64_t have_revision,
+    bool (*encode_payload)(void *context, uint64_t receiver_revision,
                            struct bb_mesh_payload *out);
     /* Validates and applies a payload, whole or not at all, and sets
      * *held_revision to the revision held afterwards; the mesh does not use
--- a/include/mesh/payload.h
+++ b/include/mesh/payload.h
@@ -6,7 +6,7 @@
 #include "mesh/mesh.h"
 
 bool bb_mesh_payload_encode(struct bb_bundle_history *h,
-                            uint64_t have_revision,
+                            uint64_t receiver_revision,
                             struct bb_mesh_payload *out);
 
 #endif
--- a/include/node/node_config.h
+++ b/include/node/node_config.h
@@ -37,7 +37,7 @@
 void bb_node_config_stop(struct bb_node_config *n);
 void bb_node_config_destroy(struct bb_node_config *n);
 
-bool bb_node_config_encode_payload(void *context, uint64_t have_revision,
+bool bb_node_config_encode_payload(void *context, uint64_t receiver_revision,
                                    struct bb_mesh_payload *out);
 enum bb_mesh_apply_result
 bb_node_config_apply_payload(void *context,
--- a/include/path/entry.h
+++ b/include/path/entry.h
@@ -23,7 +23,7 @@
     BB_ENTRY_IDLE_MAX_MS = 20000,
     /* Attempts for one request, including those that gates refuse; also the
      * size of its lists of excluded and full gates. Those that may reach an
-     * upstream are limited by bb_rules_route.upstreams_max. */
+     * upstream are limited by bb_rules_route.upstream_attempts_max. */
     BB_ENTRY_ATTEMPTS_MAX = 8,
     /* Deadline of a request that states none, and upper bound of others. */
     BB_ENTRY_DEADLINE_MAX_MS = 30000,
--- a/include/path/gate.h
+++ b/include/path/gate.h
@@ -15,18 +15,18 @@
 #include "path/upstream.h"
 
 /* Header fields between entry nodes and gates, besides those of the dialect.
- * Call: service, priority, class, time until the end of the target latency,
- * longest wait in the queue, flags. Load: requests at the upstream and in the
- * queue, slots, mean duration, share of failures, time of this request at the
- * upstream. Refused: reason; the request did not run. Failed: reason; it may
- * have run. */
-#define BB_FIELD_CALL                                                         \
+ * Call: service, priority, request class, time until the end of the target
+ * latency, longest wait in the queue, flags. Load: requests at the upstream
+ * and in the queue, slots, mean duration, share of failures, time of this
+ * request at the upstream. Refused: reason; the request did not run. Failed:
+ * reason; it may have run. */
+#define BB_GATE_HEADER_CALL                                                   \
     "Baobab-Call" /* service priority class target_ms wait_ms flags */
-#define BB_FIELD_LOAD                                                         \
+#define BB_GATE_HEADER_LOAD                                                   \
     "Baobab-Load" /* running queued slots mean_duration_us failure_permille   \
                      upstream_us */
-#define BB_FIELD_REFUSED "Baobab-Refused"
-#define BB_FIELD_FAILED "Baobab-Failed"
+#define BB_GATE_HEADER_REFUSED "Baobab-Refused"
+#define BB_GATE_HEADER_FAILED "Baobab-Failed"
 
 enum {
     /* For connecting to the upstream, which is on the same host. The request
--- a/include/path/rules.h
+++ b/include/path/rules.h
@@ -8,10 +8,11 @@
 #include <stdint.h>
 
 #include "common/error.h"
+#include "decide/balance.h"
 #include "net/http_server.h"
 
-/* Numbers of classes of requests, and of groups of routes. */
-enum { BB_RULES_CLASS_COUNT = 64, BB_RULES_GROUP_COUNT = 64 };
+/* Number of groups of routes. */
+enum { BB_RULES_GROUP_COUNT = 64 };
 
 enum bb_rules_error {
     BB_RULES_ERROR_SYNTAX = 1, /* cannot be parsed */
@@ -34,9 +35,10 @@
     uint32_t timeout_ms;
     uint32_t target_latency_ms; /* a response is worth less after this time */
     uint32_t priority;          /* 0: most urgent */
-    uint32_t upstreams_max;     /* attempts of one request that may reach an
-                                   upstream, the same one or others */
-    uint32_t class_index;       /* requests of one class take about as long */
+    /* Attempts of one request that may reach an upstream, the same one or
+     * others. */
+    uint32_t upstream_attempts_max;
+    uint32_t class_index; /* requests of one class take about as long */
     /* Hash of the name, below BB_RULES_GROUP_COUNT. Callers of one route are
      * taken to wait for equally long. */
     uint32_t route_group;
@@ -53,7 +55,7 @@
 };
 
 struct bb_rules {
-    gatomicrefcount references;
+    gatomicrefcount reference_count;
     uint64_t version;
     struct bb_http_server_limits limits;
     GPtrArray *routes;              /* struct bb_rules_route */
--- a/include/proxy/gatekeeper.h
+++ b/include/proxy/gatekeeper.h
@@ -21,13 +21,13 @@
 
 enum {
     BB_STORED_RESPONSE_MAX_BYTES = 64 * 1024, /* of the body */
-    BB_LOAD_TEXT_BYTES = 64
+    BB_GATEKEEPER_LOAD_TEXT_BYTES = 64
 };
 
 /* The response to a completed request, replayed to duplicates of it.
  * Reference-counted. */
 struct bb_stored_response {
-    gint references;
+    gint reference_count;
     uint32_t status;
     struct bb_headers *headers;
     GByteArray *body;
@@ -140,8 +140,9 @@
 bool bb_gatekeeper_get_upstream(struct bb_gatekeeper *g,
                                 struct bb_upstream_announcement *a);
 uint32_t bb_gatekeeper_running_count(struct bb_gatekeeper *g);
-const char *bb_gatekeeper_format_load(struct bb_gatekeeper *g,
-                                      char text[BB_LOAD_TEXT_BYTES]);
+const char *
+bb_gatekeeper_format_load(struct bb_gatekeeper *g,
+                          char text[BB_GATEKEEPER_LOAD_TEXT_BYTES]);
 struct bb_stored_response *bb_stored_response_create(void);
 void bb_stored_response_unref(struct bb_stored_response *response);
 
--- a/include/proxy/http_client.h
+++ b/include/proxy/http_client.h
@@ -30,7 +30,7 @@
 void bb_notifier_lock(struct bb_notifier *n);
 void bb_notifier_unlock(struct bb_notifier *n);
 void bb_notifier_signal(struct bb_notifier *n);
-bool bb_notifier_wait(struct bb_notifier *n, uint64_t end_us);
+bool bb_notifier_wait(struct bb_notifier *n, uint64_t deadline_us);
 
 enum bb_http_call_state {
     BB_HTTP_CALL_STARTED,
@@ -101,7 +101,7 @@
 struct bb_http_call *
 bb_http_call_start(struct bb_http_client *c,
                    const struct bb_http_call_params *params,
-                   struct bb_notifier *notifier, uint64_t end_us);
+                   struct bb_notifier *notifier, uint64_t deadline_us);
 void bb_http_call_run_inline(struct bb_http_call *call);
 void bb_http_call_release(struct bb_http_call *call);
 
--- a/include/proxy/internal.h
+++ b/include/proxy/internal.h
@@ -8,7 +8,7 @@
 #include <stdatomic.h>
 
 #include "common/random.h"
-#include "decide/probe.h"
+#include "decide/call_recovery.h"
 #include "proxy/body.h"
 #include "proxy/claims.h"
 #include "proxy/gatekeeper.h"
@@ -55,7 +55,7 @@
 struct bb_attempt {
     bool is_active;
     struct bb_http_call *call; /* NULL after its connection broke */
-    const struct bb_endpoint *endpoint;
+    const struct bb_table_gatekeeper *gatekeeper;
     uint64_t host_key;
     uint64_t incarnation;         /* expected incarnation of the gatekeeper */
     bool is_local;                /* sent to this node's upstream */
@@ -66,7 +66,7 @@
     bool has_spun_for_response; /* spun once for the end of a short response */
     bool is_query_retried;      /* before giving the connection up */
     uint64_t start_us;
-    struct bb_probe probe;
+    struct bb_call_recovery recovery;
 };
 
 enum bb_outcome_kind {
@@ -109,7 +109,8 @@
     bool may_refuse_as_slow; /* set by the entry node of a forwarded request */
     struct bb_request_id idempotency_key; /* of this service */
     uint32_t claim_attempt;               /* of the claim that holds the key */
-    const struct bb_endpoint *last_gatekeeper; /* of the last attempt */
+    /* Of the last attempt. */
+    const struct bb_table_gatekeeper *last_gatekeeper;
     uint64_t last_incarnation; /* expected by the last attempt */
     struct bb_request_id id;
     char id_text[BB_ID_TEXT_BYTES];
@@ -150,38 +151,40 @@
 bool bb_id_parse(const char *text, struct bb_request_id *id);
 
 /* entry.c */
-void bb_entry_run_attempts(struct bb_exchange *x, bool until_sending);
-void bb_entry_release(struct bb_exchange *x);
+void bb_exchange_run_attempts(struct bb_exchange *x, bool until_sending);
+void bb_exchange_release_attempts(struct bb_exchange *x);
 
 /* entry.c, for hedge.c, refusal.c and recovery.c */
-void bb_entry_refuse(struct bb_exchange *x, enum bb_reason reason,
-                     enum bb_ran ran);
-uint32_t bb_entry_active_attempts(const struct bb_exchange *x);
-void bb_entry_finish_attempt(struct bb_exchange *x, struct bb_attempt *attempt,
-                             enum bb_attempt_result result);
-void bb_entry_exclude_gatekeeper(struct bb_exchange *x, uint64_t host_key);
-void bb_entry_retry_or_refuse(struct bb_exchange *x, uint64_t host_key,
-                              enum bb_reason reason, enum bb_ran ran,
-                              bool is_body_consumed);
-void bb_entry_start_attempt(struct bb_exchange *x, struct bb_attempt *attempt,
-                            bool is_hedge);
+void bb_exchange_refuse_as_entry(struct bb_exchange *x, enum bb_reason reason,
+                                 enum bb_ran ran);
+uint32_t bb_exchange_active_attempts(const struct bb_exchange *x);
+void bb_exchange_finish_attempt(struct bb_exchange *x,
+                                struct bb_attempt *attempt,
+                                enum bb_attempt_result result);
+void bb_exchange_exclude_gatekeeper(struct bb_exchange *x, uint64_t host_key);
+void bb_exchange_retry_or_refuse(struct bb_exchange *x, uint64_t host_key,
+                                 enum bb_reason reason, enum bb_ran ran,
+                                 bool is_body_consumed);
+void bb_exchange_start_attempt(struct bb_exchange *x,
+                               struct bb_attempt *attempt, bool is_hedge);
 
 /* refusal.c */
-bool bb_entry_process_refusal(struct bb_exchange *x,
-                              struct bb_attempt *attempt);
+bool bb_exchange_process_refusal(struct bb_exchange *x,
+                                 struct bb_attempt *attempt);
 enum bb_attempt_result bb_attempt_result_from_reason(enum bb_reason reason);
 
 /* hedge.c */
-bool bb_entry_can_hedge(const struct bb_exchange *x,
-                        struct bb_hedge_request *q, uint64_t *at_us);
-void bb_entry_try_hedge(struct bb_exchange *x);
+bool bb_exchange_can_hedge(const struct bb_exchange *x,
+                           struct bb_hedge_request *q, uint64_t *at_us);
+void bb_exchange_try_hedge(struct bb_exchange *x);
 
 /* recovery.c */
-bool bb_entry_is_body_consumed(const struct bb_exchange *x,
-                               const struct bb_attempt *attempt);
-void bb_entry_on_connection_lost(struct bb_exchange *x,
-                                 struct bb_attempt *attempt);
-void bb_entry_check_probe(struct bb_exchange *x, struct bb_attempt *attempt);
+bool bb_exchange_is_body_consumed(const struct bb_exchange *x,
+                                  const struct bb_attempt *attempt);
+void bb_exchange_on_connection_lost(struct bb_exchange *x,
+                                    struct bb_attempt *attempt);
+void bb_exchange_check_recovery(struct bb_exchange *x,
+                                struct bb_attempt *attempt);
 
 /* attempt.c: a single attempt at the local upstream or another node */
 struct bb_outcome bb_attempt_start_local(struct bb_exchange *x,
@@ -192,25 +195,26 @@
 void bb_attempt_cancel(struct bb_exchange *x,
                        const struct bb_attempt *attempt);
 
-/* rpc.c: the QUERY, CANCEL and CLAIM procedures. bb_rpc_query, bb_rpc_cancel
- * and bb_rpc_claim call another node. bb_exchange_query_gatekeeper and
- * bb_attempt_cancel also handle the gatekeeper of this node. */
-bool bb_rpc_query(struct bb_exchange *x, const struct bb_attempt *attempt,
-                  enum bb_query_result *result);
-void bb_rpc_cancel(struct bb_proxy *p, const struct bb_address *to,
-                   const struct bb_request_id *id);
-void bb_rpc_unregister(const struct bb_proxy *p);
+/* rpc.c: the QUERY, CANCEL and CLAIM procedures. bb_peer_rpc_query,
+ * bb_peer_rpc_cancel and bb_peer_rpc_claim call another node.
+ * bb_exchange_query_gatekeeper and bb_attempt_cancel also handle the
+ * gatekeeper of this node. */
+bool bb_peer_rpc_query(struct bb_exchange *x, const struct bb_attempt *attempt,
+                       enum bb_query_result *result);
+void bb_peer_rpc_cancel(struct bb_proxy *p, const struct bb_address *to,
+                        const struct bb_request_id *id);
+void bb_peer_rpc_unregister(const struct bb_proxy *p);
 void bb_proxy_cancel_local(struct bb_proxy *p, const struct bb_request_id *id);
-bool bb_rpc_claim(struct bb_proxy *p, const struct bb_address *to,
-                  const struct bb_request_id *key,
-                  const struct bb_claim *claim, uint64_t epoch,
-                  struct bb_witness_response *out);
+bool bb_peer_rpc_claim(struct bb_proxy *p, const struct bb_address *to,
+                       const struct bb_request_id *key,
+                       const struct bb_claim *claim, uint64_t epoch,
+                       struct bb_witness_response *out);
 
 /* claim_key.c: claims keys before requests are sent */
 struct bb_outcome bb_exchange_claim_key(struct bb_exchange *x,
                                         struct bb_attempt *attempt);
 bool bb_exchange_query_gatekeeper(struct bb_exchange *x,
-                                  const struct bb_endpoint *e,
+                                  const struct bb_table_gatekeeper *e,
                                   uint64_t incarnation,
                                   enum bb_query_result *result);
 
--- a/include/proxy/picker.h
+++ b/include/proxy/picker.h
@@ -17,7 +17,7 @@
 /* A usable gatekeeper, as passed to the picker. */
 struct bb_pick_target {
     uint64_t host_key; /* bb_host_key of its host */
-    enum bb_endpoint_distance distance;
+    enum bb_route_distance distance;
     uint32_t slots; /* announced by the upstream */
 };
 
--- a/include/proxy/proxy.h
+++ b/include/proxy/proxy.h
@@ -49,7 +49,7 @@
      * connections to the HTTP servers */
     uint32_t idle_timeout_ms;
     /* [1000] silence of an attempt after which its gatekeeper is queried */
-    uint32_t silence_check_ms;
+    uint32_t check_interval_ms;
     /* [131072], a power of two: size of the gatekeeper's record, and of the
      * witness's table of claims */
     uint32_t record_entries;
@@ -75,8 +75,8 @@
 void bb_proxy_set_roster(struct bb_proxy *p, const char *service,
                          const struct bb_roster *r);
 void bb_proxy_set_first_start(struct bb_proxy *p);
-bool bb_proxy_register(struct bb_proxy *p, struct bb_rpc_server *server,
-                       struct bb_error *e);
+bool bb_proxy_register_rpc(struct bb_proxy *p, struct bb_rpc_server *server,
+                           struct bb_error *e);
 uint32_t bb_proxy_in_flight(const struct bb_proxy *p);
 bool bb_proxy_drain(struct bb_proxy *p, uint32_t timeout_ms);
 void bb_proxy_destroy(struct bb_proxy *p);
--- a/include/proxy/table.h
+++ b/include/proxy/table.h
@@ -11,24 +11,17 @@
 #include <stdint.h>
 
 #include "config/config.h"
+#include "decide/route_pick.h"
 #include "mesh/member.h"
 
-/* Distance of a gatekeeper from this node. The values are those of enum
- * bb_route_distance in decide/route_pick.h. */
-enum bb_endpoint_distance {
-    BB_ENDPOINT_SAME_ZONE,
-    BB_ENDPOINT_SAME_REGION,
-    BB_ENDPOINT_OTHER_REGION
-};
-
 /* A gatekeeper of a service. */
-struct bb_endpoint {
+struct bb_table_gatekeeper {
     char host[BB_NAME_BYTES];
     struct bb_address http_address;
     struct bb_address rpc_address;
     uint64_t incarnation;
     uint32_t slots; /* announced by the upstream */
-    enum bb_endpoint_distance distance;
+    enum bb_route_distance distance;
     bool is_local; /* at this node */
 };
 
@@ -38,10 +31,11 @@
     struct bb_service settings; /* without the list of called services */
     char team[BB_NAME_BYTES];   /* empty if the service has none */
     uint32_t team_max_in_flight;
-    struct bb_endpoint *usable_gatekeepers; /* with a usable upstream */
+    /* With a usable upstream. */
+    struct bb_table_gatekeeper *usable_gatekeepers;
     uint32_t usable_gatekeeper_count;
     /* Of all members of the service that are not dead and have not left. */
-    struct bb_endpoint *gatekeepers;
+    struct bb_table_gatekeeper *gatekeepers;
     uint32_t gatekeeper_count;
 };
 
@@ -69,7 +63,7 @@
                                            const char *url, uint32_t method);
 const struct bb_table_service *bb_table_find_service(const struct bb_table *t,
                                                      const char *name);
-const struct bb_endpoint *
+const struct bb_table_gatekeeper *
 bb_table_find_usable_gatekeeper(const struct bb_table_service *s,
                                 const char *host);
 void bb_table_unref(struct bb_table *t);
--- a/include/proxy/workers.h
+++ b/include/proxy/workers.h
@@ -42,10 +42,10 @@
 
 struct bb_workers *bb_workers_create(const struct bb_workers_limits *limits);
 bool bb_workers_submit(struct bb_workers *p, struct bb_work *w,
-                       uint64_t end_us);
+                       uint64_t deadline_us);
 void bb_workers_wake_early(struct bb_workers *p);
 bool bb_workers_begin_inline(struct bb_workers *p, struct bb_work *w,
-                             uint64_t end_us);
+                             uint64_t deadline_us);
 bool bb_workers_hand_over(struct bb_workers *p, struct bb_work *w);
 void bb_workers_finish(struct bb_workers *p, struct bb_work *w);
 void bb_workers_detach(struct bb_workers *p, struct bb_work *w);
--- a/include/upstream/server.h
+++ b/include/upstream/server.h
@@ -13,15 +13,15 @@
 #include "upstream/work.h"
 
 /* Headers with which a caller controls and verifies a request. */
-#define BB_CALL_ID "X-Call-Id"
-#define BB_CALL_WORK_US "X-Work-Us"
-#define BB_CALL_RESPONSE_BYTES "X-Answer-Bytes"
-#define BB_CALL_PATH "X-Call-Path"
-#define BB_CALL_BODY_DIGEST "X-Body-Digest"
-#define BB_CALL_BODY_BYTES "X-Body-Bytes"
-#define BB_CALL_HOST "X-Upstream-Host"
+#define BB_HEADER_CALL_ID "X-Call-Id"
+#define BB_HEADER_WORK_US "X-Work-Us"
+#define BB_HEADER_RESPONSE_BYTES "X-Answer-Bytes"
+#define BB_HEADER_CALL_PATH "X-Call-Path"
+#define BB_HEADER_BODY_DIGEST "X-Body-Digest"
+#define BB_HEADER_BODY_BYTES "X-Body-Bytes"
+#define BB_HEADER_UPSTREAM_HOST "X-Upstream-Host"
 /* On a 503: the request did not run, for this reason. */
-#define BB_UPSTREAM_REFUSED "X-Upstream-Refused"
+#define BB_HEADER_UPSTREAM_REFUSED "X-Upstream-Refused"
 
 /* Settings and state of the simulated upstream. */
 struct bb_upstream_sim {
@@ -42,7 +42,8 @@
 bool bb_upstream_sim_make_nested_call(const struct bb_upstream_sim *u,
                                       const char *paths,
                                       const char *const *fields,
-                                      size_t field_count, uint64_t end_us);
+                                      size_t field_count,
+                                      uint64_t deadline_us);
 void bb_upstream_sim_send_announcement(struct bb_upstream_sim *u);
 
 #endif
--- a/include/upstream/work.h
+++ b/include/upstream/work.h
@@ -26,7 +26,7 @@
 /* Work that a request does after its service time, in its slot: its nested
  * calls. */
 struct bb_run_nested_calls {
-    void (*run)(void *context, uint64_t end_us);
+    void (*run)(void *context, uint64_t deadline_us);
     void *context;
 };
 
@@ -34,7 +34,7 @@
 void bb_runs_destroy(struct bb_runs *r);
 enum bb_run_outcome
 bb_runs_execute(struct bb_runs *r, const char *id, const char *call,
-                uint64_t wanted_us, uint64_t end_us,
+                uint64_t wanted_us, uint64_t deadline_us,
                 const struct bb_run_nested_calls *nested_calls);
 bool bb_runs_cancel(struct bb_runs *r, const char *id);
 uint32_t bb_runs_active_count(struct bb_runs *r);
--- a/mesh/gossip.c
+++ b/mesh/gossip.c
@@ -147,12 +147,12 @@
 {
     struct bb_member_table *m = g->settings.members;
     struct bb_member_list list;
-    uint64_t version = bb_member_table_get_version(m);
+    uint64_t change = bb_member_table_get_change_number(m);
 
-    if (version == g->peers_version) {
+    if (change == g->peers_change) {
         return;
     }
-    g->peers_version = bb_member_table_select(
+    g->peers_change = bb_member_table_select(
         m, &(struct bb_member_query){.zone = g->self.zone}, &list);
     g_hash_table_destroy(g->peer_by_id);
     g->peer_by_id =
@@ -232,7 +232,7 @@
 {
     struct bb_member *peer = g_hash_table_lookup(g->peer_by_id, &a->id);
     const struct bb_member *via;
-    struct gossip_message request = {.kind = MESH_PING_REQ};
+    struct gossip_message request = {.kind = MESH_PING_REQUEST};
 
     if (peer == NULL) {
         return;
@@ -282,8 +282,8 @@
     (void)pthread_mutex_unlock(&g->lock);
 }
 
-/* Pings the target of a PING_REQ for its sender. Does nothing if the target is
- * unknown or too many such pings are pending. */
+/* Pings the target of a PING_REQUEST for its sender. Does nothing if the
+ * target is unknown or too many such pings are pending. */
 static void
 forward_ping(struct bb_gossip *g, const struct bb_address *from,
              const mesh_datagram *d, uint64_t now_us)
@@ -390,7 +390,7 @@
     case MESH_PING:
         gossip_send(g, from, sender->region, &ack, now_us);
         break;
-    case MESH_PING_REQ:
+    case MESH_PING_REQUEST:
         forward_ping(g, from, d, now_us);
         break;
     case MESH_ACK:
--- a/mesh/gossip_codec.c
+++ b/mesh/gossip_codec.c
@@ -20,12 +20,12 @@
 void
 gossip_refresh_digests(struct bb_gossip *g)
 {
-    uint64_t version = bb_member_table_get_version(g->settings.members);
+    uint64_t change = bb_member_table_get_change_number(g->settings.members);
 
-    if (version == g->digests_version) {
+    if (change == g->digests_change) {
         return;
     }
-    g->digests_version = version;
+    g->digests_change = change;
     g->table_digest = bb_member_table_compute_digest(g->settings.members);
     g->revisions_digest = bb_member_table_compute_revisions_digest(
         g->settings.members, g->self.zone);
--- a/mesh/gossip_internal.h
+++ b/mesh/gossip_internal.h
@@ -11,7 +11,8 @@
 
 enum { FORWARDED_PINGS_MAX = 64 };
 
-/* A ping sent for another member's PING_REQ; the ACK is forwarded to it. */
+/* A ping sent for another member's PING_REQUEST; the ACK is forwarded to it.
+ */
 struct forwarded_ping {
     uint32_t ping_number; /* 0 if unused */
     uint32_t requester_ping_number;
@@ -35,7 +36,7 @@
     struct bb_swim swim;
     struct bb_swim_actions actions;
     GHashTable *peer_by_id; /* uint64 -> struct bb_member */
-    uint64_t peers_version; /* of the table when peers were copied */
+    uint64_t peers_change;  /* change number when peers were copied */
     uint64_t random_state;  /* state of a SplitMix64 sequence */
     uint32_t last_ping_number;
     uint64_t highest_revision;
@@ -45,7 +46,7 @@
     bool pings_zones;
     uint64_t next_zone_ping_us;
     uint32_t zone_ping_round;
-    uint64_t digests_version; /* of the table when digests were computed */
+    uint64_t digests_change; /* change number when digests were computed */
     uint64_t table_digest;
     uint64_t revisions_digest;
     uint64_t differs_since_us; /* 0 if the last peer's digests were equal */
--- a/mesh/members.c
+++ b/mesh/members.c
@@ -132,27 +132,27 @@
     }
 }
 
-/* Gives an entry a new version and queues it for gossip. A suspicion does not
- * affect routes, since only the member's zone acts on it. */
+/* Gives an entry a new change number and queues it for gossip. A suspicion
+ * does not affect routes, since only the member's zone acts on it. */
 static void
 mark_changed(struct bb_member_table *m, struct entry *entry,
              bool affects_routes)
 {
     uint32_t size = g_hash_table_size(m->entry_by_host);
 
-    m->version++;
-    entry->version = m->version;
+    m->last_change++;
+    entry->last_change = m->last_change;
     if (affects_routes) {
-        m->routing_version = m->version;
-        entry->routing_version = m->version;
+        m->routing_change = m->last_change;
+        entry->routing_change = m->last_change;
     }
     entry->gossip_sends_left =
         GOSSIP_SENDS_PER_DOUBLING * (g_bit_storage(size) + 1);
     bb_counter_add(&changes_total, 1);
 }
 
-/* Returns true if the table has already removed this or a newer version of a
- * record. */
+/* Returns true if the table has already removed a record with this or a higher
+ * (incarnation, sequence). */
 static bool
 was_removed(struct bb_member_table *m, const struct bb_member *r)
 {
@@ -280,28 +280,28 @@
     return entry != NULL;
 }
 
-/* Returns the table version, which rises with every change. */
+/* Returns the change number of the table, which rises with every change. */
 uint64_t
-bb_member_table_get_version(struct bb_member_table *m)
+bb_member_table_get_change_number(struct bb_member_table *m)
 {
-    uint64_t version;
+    uint64_t number;
 
     (void)pthread_mutex_lock(&m->lock);
-    version = m->version;
+    number = m->last_change;
     (void)pthread_mutex_unlock(&m->lock);
-    return version;
+    return number;
 }
 
-/* Returns the table version of the last change that can affect a route. */
+/* Returns the change number of the last change that can affect a route. */
 uint64_t
-bb_member_table_get_routing_version(struct bb_member_table *m)
+bb_member_table_get_routing_change_number(struct bb_member_table *m)
 {
-    uint64_t version;
+    uint64_t number;
 
     (void)pthread_mutex_lock(&m->lock);
-    version = m->routing_version;
+    number = m->routing_change;
     (void)pthread_mutex_unlock(&m->lock);
-    return version;
+    return number;
 }
 
 /* Removes entries that have been dead or left for the retention time, and
@@ -335,8 +335,8 @@
         count++;
     }
     if (count > 0) {
-        m->version++;
-        m->routing_version = m->version;
+        m->last_change++;
+        m->routing_change = m->last_change;
     }
     (void)pthread_mutex_unlock(&m->lock);
     return count;
@@ -359,8 +359,8 @@
         if (strcmp(entry->record.zone, zone) == 0 &&
             entry->record.is_reachable != is_reachable) {
             entry->record.is_reachable = is_reachable;
-            m->version++;
-            m->routing_version = m->version;
+            m->last_change++;
+            m->routing_change = m->last_change;
         }
     }
     (void)pthread_mutex_unlock(&m->lock);
--- a/mesh/members_digest.c
+++ b/mesh/members_digest.c
@@ -22,8 +22,9 @@
     return bb_hash64(numbers, sizeof(numbers), seed);
 }
 
-/* Returns the hash of a record's version. SUSPECT counts as ALIVE, since a
- * suspicion is short and not sent to other zones. */
+/* Returns the hash of a record's host, incarnation, sequence and state.
+ * SUSPECT counts as ALIVE, since a suspicion is short and not sent to other
+ * zones. */
 static uint64_t
 hash_record(const struct bb_member *r)
 {
@@ -179,7 +180,7 @@
     entry = g_hash_table_lookup(m->entry_by_host, host);
     if (entry != NULL && entry->record.held_revision < revision) {
         entry->record.held_revision = revision;
-        entry->version = ++m->version;
+        entry->last_change = ++m->last_change;
     }
     (void)pthread_mutex_unlock(&m->lock);
 }
--- a/mesh/members_internal.h
+++ b/mesh/members_internal.h
@@ -10,8 +10,10 @@
 struct entry {
     struct bb_member record;
     enum bb_member_origin origin;
-    uint64_t version;           /* of the last change */
-    uint64_t routing_version;   /* of the last change that affects routes */
+    /* Change numbers of the last change and of the last that affects routes.
+     */
+    uint64_t last_change;
+    uint64_t routing_change;
     uint64_t not_live_since_us; /* when it died or left; 0 while it is live */
     uint32_t gossip_sends_left; /* datagrams that are still to include it */
 };
@@ -30,8 +32,10 @@
     pthread_mutex_t lock;
     GHashTable *entry_by_host;    /* char * -> struct entry */
     GHashTable *retained_by_host; /* char * -> struct retained_host */
-    uint64_t version;
-    uint64_t routing_version;
+    /* Change numbers of the last change and of the last that affects routes.
+     */
+    uint64_t last_change;
+    uint64_t routing_change;
 };
 
 /* Returns true if a member is live: alive or suspect. */
--- a/mesh/members_query.c
+++ b/mesh/members_query.c
@@ -9,10 +9,10 @@
 is_selected(const struct entry *entry, const struct bb_member_query *q)
 {
     const struct bb_member *r = &entry->record;
-    uint64_t version =
-        q->only_routing_changes ? entry->routing_version : entry->version;
+    uint64_t number =
+        q->only_routing_changes ? entry->routing_change : entry->last_change;
 
-    return version > q->since_version &&
+    return number > q->since_change &&
            (q->zone == NULL || strcmp(q->zone, r->zone) == 0) &&
            (q->except_zone == NULL || strcmp(q->except_zone, r->zone) != 0) &&
            (q->region == NULL || strcmp(q->region, r->region) == 0) &&
@@ -32,7 +32,7 @@
     return strcmp(left->host, right->host);
 }
 
-/* Copies the selected records, sorted by host, and returns the table version
+/* Copies the selected records, sorted by host, and returns the change number
  * at the time of the copy. The caller frees the list with
  * bb_member_list_clear. */
 uint64_t
@@ -42,12 +42,12 @@
 {
     GHashTableIter i;
     gpointer value;
-    uint64_t version;
+    uint64_t number;
 
     *out = (struct bb_member_list){0};
     (void)pthread_mutex_lock(&m->lock);
-    version = m->version;
-    if (version > q->since_version) {
+    number = m->last_change;
+    if (number > q->since_change) {
         out->items =
             g_new(struct bb_member, g_hash_table_size(m->entry_by_host) + 1);
         g_hash_table_iter_init(&i, m->entry_by_host);
@@ -63,7 +63,7 @@
     if (out->count > 1) {
         qsort(out->items, out->count, sizeof(*out->items), compare_hosts);
     }
-    return version;
+    return number;
 }
 
 /* Frees the items of a list. */
--- a/mesh/mesh.c
+++ b/mesh/mesh.c
@@ -100,7 +100,7 @@
 static bool
 schedule_due_tasks(struct bb_mesh *mesh, uint64_t now_us)
 {
-    uint64_t routing_version;
+    uint64_t routing_change;
     bool is_changed;
 
     mesh_refresh_view(mesh);
@@ -116,9 +116,9 @@
         bb_counter_set(&highest_gauge,
                        bb_gossip_get_highest_revision(mesh->gossip));
     }
-    routing_version = bb_member_table_get_routing_version(mesh->members);
-    is_changed = routing_version != mesh->routing_version;
-    mesh->routing_version = routing_version;
+    routing_change = bb_member_table_get_routing_change_number(mesh->members);
+    is_changed = routing_change != mesh->routing_change;
+    mesh->routing_change = routing_change;
     return is_changed;
 }
 
--- a/mesh/mesh_internal.h
+++ b/mesh/mesh_internal.h
@@ -61,16 +61,16 @@
     struct bb_member_list records;     /* TASK_REPORT */
     struct bb_zone_summary *summaries; /* TASK_REPORT */
     size_t summary_count;
-    uint64_t table_version; /* TASK_REPORT: of `records` */
+    uint64_t table_change; /* TASK_REPORT: of `records` */
 };
 
 /* State of the calls from this process to another one. */
 struct call_state {
-    /* Table version up to which changes were reported to the other process;
-     * set only if has_reported_version, and valid only for its incarnation
+    /* Change number up to which changes were reported to the other process;
+     * set only if has_reported_change, and valid only for its incarnation
      * reported_incarnation (0: not known yet). */
-    bool has_reported_version;
-    uint64_t reported_version;
+    bool has_reported_change;
+    uint64_t reported_change;
     uint64_t reported_incarnation;
     bool is_report_pending;
     uint64_t next_report_us;
@@ -96,10 +96,10 @@
     bool pings_zones; /* whether it pings other zones for its zone */
 };
 
-/* An encoded payload for receivers that hold have_revision. */
+/* An encoded payload for receivers that hold receiver_revision. */
 struct cached_payload {
     bool is_used;
-    uint64_t have_revision;
+    uint64_t receiver_revision;
     struct bb_mesh_payload payload;
 };
 
@@ -142,8 +142,8 @@
 
     /* Used by the scheduler only, but see struct view. */
     struct view view;
-    uint64_t view_version; /* of the table that the view was copied from */
-    uint64_t routing_version;
+    uint64_t view_change; /* change number of the table that view shows */
+    uint64_t routing_change;
     uint64_t next_join_us;
     uint64_t next_sync_us;
     uint64_t next_expiry_us;
@@ -196,7 +196,7 @@
 /* push.c */
 void mesh_schedule_push(struct bb_mesh *mesh, uint64_t now_us);
 void mesh_run_offer(struct bb_mesh *mesh, struct task *task);
-bool mesh_get_payload(struct bb_mesh *mesh, uint64_t have_revision,
+bool mesh_get_payload(struct bb_mesh *mesh, uint64_t receiver_revision,
                       struct bb_mesh_payload *out);
 void mesh_clear_payload_cache(struct bb_mesh *mesh);
 void mesh_set_held_revision(struct bb_mesh *mesh, uint64_t revision,
--- a/mesh/mesh_protocol.x
+++ b/mesh/mesh_protocol.x
@@ -64,16 +64,16 @@
 
 enum mesh_datagram_kind {
     MESH_PING = 1,
-    MESH_PING_REQ = 2,
+    MESH_PING_REQUEST = 2,
     MESH_ACK = 3
 };
 
 /* A gossip datagram of at most BB_GOSSIP_DATAGRAM_MAX_BYTES. The first record
  * is the sender's own. An ACK carries the number of the ping that it
- * acknowledges. The target of a PING_REQ is the host to ping for the sender;
- * that of an ACK is the host that is alive. table_digest covers the records of
- * the sender's table, revisions_digest the held and applied revisions of its
- * zone. */
+ * acknowledges. The target of a PING_REQUEST is the host to ping for the
+ * sender; that of an ACK is the host that is alive. table_digest covers the
+ * records of the sender's table, revisions_digest the held and applied
+ * revisions of its zone. */
 struct mesh_datagram {
     mesh_datagram_kind kind;
     unsigned int ping_number;
@@ -119,11 +119,11 @@
     unsigned hyper held_revision;
 };
 
-/* have_revision is the revision that the requester holds, or 0 to request a
+/* held_revision is the revision that the requester holds, or 0 to request a
  * snapshot. */
 struct mesh_fetch_request {
     mesh_name from_host;
-    unsigned hyper have_revision;
+    unsigned hyper held_revision;
 };
 
 /* offer is set only with MESH_OK, except offer.from_host, which is always set;
--- a/mesh/payload.c
+++ b/mesh/payload.c
@@ -1,15 +1,15 @@
 #include "mesh/payload.h"
 
 /* Encodes the newest revision of a history for a member that holds
- * have_revision (0 for none), for use in the payload callback of the mesh. The
- * caller frees out->data. Returns false if there is nothing newer. */
+ * receiver_revision (0 for none), for use in the payload callback of the mesh.
+ * The caller frees out->data. Returns false if there is nothing newer. */
 bool
-bb_mesh_payload_encode(struct bb_bundle_history *h, uint64_t have_revision,
+bb_mesh_payload_encode(struct bb_bundle_history *h, uint64_t receiver_revision,
                        struct bb_mesh_payload *out)
 {
     struct bb_bundle_history_update p;
 
-    if (!bb_bundle_history_encode_update(h, have_revision, &p)) {
+    if (!bb_bundle_history_encode_update(h, receiver_revision, &p)) {
         return false;
     }
     *out = (struct bb_mesh_payload){
--- a/mesh/pull.c
+++ b/mesh/pull.c
@@ -293,7 +293,7 @@
     bool is_refused = false;
 
     (void)pthread_mutex_lock(&mesh->lock);
-    request.have_revision = mesh->needs_snapshot ? 0 : mesh->held_revision;
+    request.held_revision = mesh->needs_snapshot ? 0 : mesh->held_revision;
     (void)pthread_mutex_unlock(&mesh->lock);
     if (mesh_call(mesh, &task->to, MESH_FETCH, &request, &response)) {
         is_refused = response.result == MESH_BUSY;
--- a/mesh/push.c
+++ b/mesh/push.c
@@ -45,12 +45,12 @@
 }
 
 /* Sets *out to the newest revision, encoded for a receiver that holds
- * have_revision. Encodings are cached by that revision, since most receivers
- * hold the same one. The caller frees out->data. Returns false if this process
- * serves no revisions, there is nothing newer, the payload exceeds
- * MESH_PAYLOAD_MAX_BYTES, or memory allocation fails. */
+ * receiver_revision. Encodings are cached by that revision, since most
+ * receivers hold the same one. The caller frees out->data. Returns false if
+ * this process serves no revisions, there is nothing newer, the payload
+ * exceeds MESH_PAYLOAD_MAX_BYTES, or memory allocation fails. */
 bool
-mesh_get_payload(struct bb_mesh *mesh, uint64_t have_revision,
+mesh_get_payload(struct bb_mesh *mesh, uint64_t receiver_revision,
                  struct bb_mesh_payload *out)
 {
     const struct bb_mesh_callbacks *c = &mesh->settings.callbacks;
@@ -63,14 +63,14 @@
     (void)pthread_mutex_lock(&mesh->cache_lock);
     for (uint32_t i = 0; i < PAYLOAD_CACHE_SIZE && slot == NULL; i++) {
         if (mesh->payload_cache[i].is_used &&
-            mesh->payload_cache[i].have_revision == have_revision) {
+            mesh->payload_cache[i].receiver_revision == receiver_revision) {
             slot = &mesh->payload_cache[i];
         }
     }
     if (slot == NULL) {
         struct bb_mesh_payload fresh = {0};
 
-        if (!c->encode_payload(c->context, have_revision, &fresh) ||
+        if (!c->encode_payload(c->context, receiver_revision, &fresh) ||
             fresh.size_bytes > MESH_PAYLOAD_MAX_BYTES) {
             free(fresh.data);
             goto out;
@@ -79,8 +79,9 @@
         slot =
             &mesh->payload_cache[mesh->next_cache_slot++ % PAYLOAD_CACHE_SIZE];
         free(slot->payload.data);
-        *slot = (struct cached_payload){
-            .is_used = true, .have_revision = have_revision, .payload = fresh};
+        *slot = (struct cached_payload){.is_used = true,
+                                        .receiver_revision = receiver_revision,
+                                        .payload = fresh};
     }
     is_found = copy_payload(&slot->payload, out);
 out:
--- a/mesh/reports.c
+++ b/mesh/reports.c
@@ -54,12 +54,11 @@
 
 /* Queues a report of the records that changed since the last one to this
  * process, unless one is pending or was sent within the report interval.
- * start_version is the table version after which changes are reported to a new
+ * start_change is the change number after which changes are reported to a new
  * or restarted process; 0 for the whole table. */
 static void
 queue_report(struct bb_mesh *mesh, const struct target *to,
-             struct bb_member_query *q, uint64_t start_version,
-             uint64_t now_us)
+             struct bb_member_query *q, uint64_t start_change, uint64_t now_us)
 {
     struct task task = {.kind = TASK_REPORT, .to = *to};
     struct bb_member r;
@@ -67,9 +66,9 @@
 
     (void)pthread_mutex_lock(&mesh->lock);
     state = mesh_find_or_add_call_state(mesh, to->host);
-    if (!state->has_reported_version) {
-        state->has_reported_version = true;
-        state->reported_version = start_version;
+    if (!state->has_reported_change) {
+        state->has_reported_change = true;
+        state->reported_change = start_change;
     }
     if (state->is_report_pending || now_us < state->next_report_us) {
         goto out;
@@ -77,17 +76,17 @@
     if (bb_member_table_get(mesh->members, to->host, &r) &&
         r.incarnation != state->reported_incarnation) {
         /* The process has restarted and lost the earlier reports. */
-        state->reported_version = state->reported_incarnation == 0
-                                      ? state->reported_version
-                                      : start_version;
+        state->reported_change = state->reported_incarnation == 0
+                                     ? state->reported_change
+                                     : start_change;
         state->reported_incarnation = r.incarnation;
     }
     state->next_report_us = now_us + REPORT_INTERVAL_MS * BB_US_PER_MS;
-    q->since_version = state->reported_version;
-    task.table_version =
+    q->since_change = state->reported_change;
+    task.table_change =
         bb_member_table_select(mesh->members, q, &task.records);
     if (task.records.count == 0) {
-        state->reported_version = task.table_version;
+        state->reported_change = task.table_change;
         bb_member_list_clear(&task.records);
         goto out;
     }
@@ -128,7 +127,7 @@
             bb_relay_choose_for_member(ids, v->relay_count,
                                        bb_relay_id_from_name(r->host)) ==
                 own_id) {
-            queue_report(mesh, &to, &query, mesh->view_version, now_us);
+            queue_report(mesh, &to, &query, mesh->view_change, now_us);
         }
     }
 }
@@ -289,8 +288,8 @@
     state = mesh_find_or_add_call_state(mesh, task->to.host);
     state->is_report_pending = false;
     if (is_done) {
-        state->reported_version =
-            MAX(state->reported_version, task->table_version);
+        state->reported_change =
+            MAX(state->reported_change, task->table_change);
     }
     else if (task->summary_count > 0) {
         mesh->reported_summaries_digest = 0;
--- a/mesh/rpc_handlers.c
+++ b/mesh/rpc_handlers.c
@@ -81,7 +81,7 @@
     response->result = MESH_NOTHING_NEWER;
     (void)pthread_mutex_lock(&mesh->lock);
     response->held_revision = mesh->held_revision;
-    if (mesh->held_revision > request->have_revision) {
+    if (mesh->held_revision > request->held_revision) {
         response->result =
             bb_pull_bucket_try_take(&mesh->pull_bucket, bb_clock_now_us(),
                                     random_bits, &response->retry_after_ms)
@@ -92,7 +92,7 @@
     if (response->result != MESH_OK) {
         return;
     }
-    if (!mesh_get_payload(mesh, request->have_revision, &payload)) {
+    if (!mesh_get_payload(mesh, request->held_revision, &payload)) {
         response->result = MESH_NOTHING_NEWER;
         return;
     }
--- a/mesh/traffic.h
+++ b/mesh/traffic.h
@@ -12,7 +12,7 @@
  * are converted. */
 enum bb_traffic_kind {
     BB_TRAFFIC_PING,
-    BB_TRAFFIC_PING_REQ,
+    BB_TRAFFIC_PING_REQUEST,
     BB_TRAFFIC_ACK,
     BB_TRAFFIC_OFFER,
     BB_TRAFFIC_FETCH,
--- a/mesh/view.c
+++ b/mesh/view.c
@@ -204,11 +204,12 @@
     struct view *v = &mesh->view;
     struct bb_member relays[BB_RELAYS_PER_ZONE];
 
-    if (bb_member_table_get_version(mesh->members) == mesh->view_version) {
+    if (bb_member_table_get_change_number(mesh->members) ==
+        mesh->view_change) {
         return;
     }
     bb_member_list_clear(&v->members);
-    mesh->view_version = bb_member_table_select(
+    mesh->view_change = bb_member_table_select(
         mesh->members, &(struct bb_member_query){0}, &v->members);
     (void)pthread_mutex_lock(&mesh->lock);
     v->relay_count = mesh_choose_relays(&v->members, self->zone, relays);
--- a/node/main.c
+++ b/node/main.c
@@ -121,7 +121,7 @@
     return n->rpc_server != NULL && create_mesh(n, incarnation, e) &&
            create_proxy(n, incarnation, e) &&
            bb_mesh_register_rpc(n->mesh, n->rpc_server, e) &&
-           bb_proxy_register(n->proxy, n->rpc_server, e) &&
+           bb_proxy_register_rpc(n->proxy, n->rpc_server, e) &&
            bb_rpc_server_start(n->rpc_server, e) &&
            bb_node_config_start(n->config, n->mesh, n->proxy, e) &&
            bb_mesh_start(n->mesh, e) && create_admin(n, e);
--- a/node/node_config.c
+++ b/node/node_config.c
@@ -136,15 +136,15 @@
 }
 
 /* Mesh callback: encodes the newest revision for a member that holds
- * have_revision. The caller frees out->data with free. Returns false if there
- * is nothing newer. */
+ * receiver_revision. The caller frees out->data with free. Returns false if
+ * there is nothing newer. */
 bool
-bb_node_config_encode_payload(void *context, uint64_t have_revision,
+bb_node_config_encode_payload(void *context, uint64_t receiver_revision,
                               struct bb_mesh_payload *out)
 {
     const struct bb_node_config *n = context;
 
-    return bb_mesh_payload_encode(n->history, have_revision, out);
+    return bb_mesh_payload_encode(n->history, receiver_revision, out);
 }
 
 /* Decodes a payload. Returns NULL and sets *result if it cannot be applied. */
--- a/path/attempt.c
+++ b/path/attempt.c
@@ -66,7 +66,7 @@
 
         if (!is_gate_listed(rq->excluded_gates, rq->excluded_count,
                             g->address_text)) {
-            if (g->view.distance == BB_SAME_HOST) {
+            if (g->view.distance == BB_GATE_SAME_HOST) {
                 s->update_local_view(s->context, &g->view, now_us);
             }
             l->gates[l->count] = g;
@@ -143,12 +143,12 @@
 reserved_return_us(const struct bb_gate_record *g)
 {
     switch (g->view.distance) {
-    case BB_SAME_HOST:
-    case BB_SAME_ZONE:
+    case BB_GATE_SAME_HOST:
+    case BB_GATE_SAME_ZONE:
         return (uint64_t)BB_ENTRY_RETURN_SAME_ZONE_MS * BB_US_PER_MS;
-    case BB_SAME_REGION:
+    case BB_GATE_SAME_REGION:
         return (uint64_t)BB_ENTRY_RETURN_SAME_REGION_MS * BB_US_PER_MS;
-    case BB_OTHER_REGION:
+    case BB_GATE_OTHER_REGION:
         break;
     }
     return (uint64_t)BB_ENTRY_RETURN_OTHER_REGION_MS * BB_US_PER_MS;
@@ -180,7 +180,7 @@
     bb_forward_fields(&rq->exchange->head, excluded, head);
     g_string_append_printf(
         head,
-        "%s: %" G_GUINT64_FORMAT "\r\n%s: %s\r\n" BB_FIELD_CALL
+        "%s: %" G_GUINT64_FORMAT "\r\n%s: %s\r\n" BB_GATE_HEADER_CALL
         ": %s %u %u %u %u ",
         names->deadline_ms, left_us / BB_US_PER_MS, names->caller_service,
         s->caller_service, rq->service->name, rq->route->priority,
@@ -192,7 +192,7 @@
     if (!rq->route->is_idempotent) {
         g_string_append_c(head, BB_GATE_FLAG_NOT_IDEMPOTENT);
     }
-    if (rq->upstreams_reached > 0 || a != &rq->attempts[0]) {
+    if (rq->upstream_attempts > 0 || a != &rq->attempts[0]) {
         g_string_append_c(head, BB_GATE_FLAG_RETRY);
     }
     g_string_append(head, "-\r\n"); /* keeps the flags from being empty */
@@ -207,7 +207,7 @@
 update_gate_load(struct attempt *a, const struct bb_http_head *h)
 {
     struct bb_gate_record *g = find_attempt_gate(a);
-    const char *text = bb_http_head_get(h, BB_FIELD_LOAD);
+    const char *text = bb_http_head_get(h, BB_GATE_HEADER_LOAD);
     unsigned running = 0;
     unsigned queued = 0;
     unsigned slots = 0;
@@ -233,9 +233,9 @@
 record_gate_error(struct attempt *a, const struct bb_http_head *h)
 {
     struct entry_request *rq = a->request;
-    const char *reason = bb_http_head_get(h, a->is_refused ? BB_FIELD_REFUSED
-                                                           : BB_FIELD_FAILED);
-    const char *load = bb_http_head_get(h, BB_FIELD_LOAD);
+    const char *reason = bb_http_head_get(
+        h, a->is_refused ? BB_GATE_HEADER_REFUSED : BB_GATE_HEADER_FAILED);
+    const char *load = bb_http_head_get(h, BB_GATE_HEADER_LOAD);
 
     bb_event_log_format_line(rq->log_lines, "entry.gate_said", rq->id,
                              "\"gate\":\"%s\",\"%s\":\"%s\",\"load\":\"%s\"",
@@ -263,8 +263,8 @@
         &a->request->entry->settings.dialect->fields;
 
     update_gate_load(a, h);
-    a->is_refused = bb_http_head_get(h, BB_FIELD_REFUSED) != NULL;
-    a->is_response_lost = bb_http_head_get(h, BB_FIELD_FAILED) != NULL;
+    a->is_refused = bb_http_head_get(h, BB_GATE_HEADER_REFUSED) != NULL;
+    a->is_response_lost = bb_http_head_get(h, BB_GATE_HEADER_FAILED) != NULL;
     a->is_not_run = bb_http_head_get(h, names->not_run) != NULL ||
                     (h->status == 421 && !a->is_refused);
     a->is_sealed = bb_http_head_get(h, names->seal) != NULL;
@@ -413,7 +413,7 @@
     struct bb_retry_window_limits limits = rq->entry->settings.retry_limits;
 
     if ((may_have_run && !rq->route->is_idempotent) ||
-        rq->upstreams_reached >= rq->route->upstreams_max ||
+        rq->upstream_attempts >= rq->route->upstream_attempts_max ||
         rq->is_body_streamed || !has_time_left(rq)) {
         return false;
     }
@@ -546,7 +546,7 @@
     }
     rq->may_have_run =
         rq->may_have_run || r == ATTEMPT_COMPLETED || r == ATTEMPT_UNKNOWN;
-    rq->upstreams_reached +=
+    rq->upstream_attempts +=
         r == ATTEMPT_COMPLETED || r == ATTEMPT_UNKNOWN || r == ATTEMPT_NOT_RUN;
     if (r == ATTEMPT_COMPLETED && a->relay.status < 500) {
         attempt_cancel(other_attempt(a));
@@ -640,7 +640,7 @@
         r.body_bytes = x->body->len;
     }
     bb_counter_add(&tries_total, 1);
-    if (g->view.distance == BB_OTHER_REGION) {
+    if (g->view.distance == BB_GATE_OTHER_REGION) {
         bb_counter_add(&other_region_total, 1);
     }
     a->fetch = bb_fetch_start(rq->entry->pool, &r, &fetch_events, a);
@@ -701,7 +701,7 @@
     if (first->fetch == NULL || second->fetch != NULL ||
         first->relay.is_streaming ||
         rq->attempt_count >= BB_ENTRY_ATTEMPTS_MAX ||
-        rq->upstreams_reached + 1 >= rq->route->upstreams_max) {
+        rq->upstream_attempts + 1 >= rq->route->upstream_attempts_max) {
         return;
     }
     add_gate(rq->excluded_gates, &rq->excluded_count, first->gate_address);
--- a/path/directory.c
+++ b/path/directory.c
@@ -95,17 +95,17 @@
 }
 
 /* Returns the distance to the gate of an upstream. */
-static enum bb_distance
+static enum bb_gate_distance
 distance_to(const struct bb_directory *d, const fleet_instance *i)
 {
     if (strcmp(d->own_gate, i->gate_address) == 0) {
-        return BB_SAME_HOST;
+        return BB_GATE_SAME_HOST;
     }
     if (strcmp(d->zone, i->zone) == 0) {
-        return BB_SAME_ZONE;
+        return BB_GATE_SAME_ZONE;
     }
-    return strcmp(d->region, i->region) == 0 ? BB_SAME_REGION
-                                             : BB_OTHER_REGION;
+    return strcmp(d->region, i->region) == 0 ? BB_GATE_SAME_REGION
+                                             : BB_GATE_OTHER_REGION;
 }
 
 /* Adds a gate without a service; returns NULL if its address is invalid. */
--- a/path/entry.c
+++ b/path/entry.c
@@ -126,7 +126,7 @@
 {
     GString *fields = g_string_new(NULL);
 
-    g_string_append_printf(fields, BB_FIELD_REASON ": %s\r\n", reason);
+    g_string_append_printf(fields, BB_ENTRY_HEADER_REASON ": %s\r\n", reason);
     if (retry_ms != 0) {
         g_string_append_printf(fields, "Retry-After: %u.%03u\r\n",
                                retry_ms / 1000, retry_ms % 1000);
@@ -137,7 +137,7 @@
         "\"status\":%u,\"reason\":\"%s\",\"attempts\":%u,"
         "\"tries\":%u,\"may_have_run\":%s,\"took_us\":%" G_GUINT64_FORMAT
         ",\"retry_ms\":%u",
-        status, reason, rq->upstreams_reached, rq->attempt_count,
+        status, reason, rq->upstream_attempts, rq->attempt_count,
         rq->may_have_run ? "true" : "false",
         bb_clock_now_us() - rq->exchange->received_us, retry_ms);
     bb_http_exchange_respond(rq->exchange, status, fields, NULL, 0);
@@ -180,7 +180,7 @@
             rq->log_lines, "entry.answered", rq->id,
             "\"status\":%u,\"reason\":\"upstream\",\"attempts\":%u,"
             "\"tries\":%u,\"took_us\":%" G_GUINT64_FORMAT,
-            response->status, rq->upstreams_reached, rq->attempt_count,
+            response->status, rq->upstream_attempts, rq->attempt_count,
             bb_clock_now_us() - rq->exchange->received_us);
     }
     else {
@@ -295,7 +295,7 @@
                             BB_US_PER_MS * HEDGE_MIN_PERCENT / PERCENT;
     uint64_t due_us = rq->respond_by_us;
 
-    if (rq->route->is_idempotent && rq->route->upstreams_max > 1 &&
+    if (rq->route->is_idempotent && rq->route->upstream_attempts_max > 1 &&
         p95_us != 0) {
         due_us = MIN(due_us, now_us + MAX(p95_us, hedge_min_us));
     }
@@ -465,7 +465,7 @@
     }
     start_timer(rq, now_us);
     /* A request nested in a retry counts as a retry itself. */
-    bb_retry_window_count_first_send(
+    bb_retry_window_count_first_attempt(
         &rq->service->retry_window, &n->settings.retry_limits,
         rq->is_parent_retry ? PERMILLE : 0, now_us);
     request_try_next_gate(rq);
--- a/path/entry_internal.h
+++ b/path/entry_internal.h
@@ -12,7 +12,7 @@
 #include "path/relay.h"
 
 /* Response field with the reason why the entry itself responded. */
-#define BB_FIELD_REASON "Baobab-Reason"
+#define BB_ENTRY_HEADER_REASON "Baobab-Reason"
 
 struct bb_entry {
     uv_loop_t *loop;
@@ -25,7 +25,7 @@
     GHashTable *service_credits;
     /* By class_index: estimated 95th percentile of the time from a send to the
      * response; 0: no response yet. */
-    uint64_t p95_us[BB_RULES_CLASS_COUNT];
+    uint64_t p95_us[BB_REQUEST_CLASS_COUNT];
     /* By route_group: the longest deadline that a request has stated, or
      * BB_ENTRY_DEADLINE_MAX_MS if one stated none; taken as the deadline of a
      * caller's first attempt. */
@@ -81,7 +81,7 @@
     /* Gates that refused it because their queue was full. */
     char full_gates[BB_ENTRY_ATTEMPTS_MAX][BB_ADDRESS_TEXT_BYTES];
     uint32_t full_count;
-    uint32_t upstreams_reached; /* attempts that reached an upstream */
+    uint32_t upstream_attempts; /* attempts that reached an upstream */
     uint32_t attempt_count;     /* attempts sent to gates */
     bool is_parent_retry;   /* the request that it is nested in is a retry */
     bool is_nested;         /* sent by the upstream of this host while it runs
--- a/path/gate.c
+++ b/path/gate.c
@@ -108,7 +108,8 @@
                    !g->is_unreachable;
 
     g_string_append_printf(
-        fields, BB_FIELD_LOAD ": %u %u %u %u %u %" G_GUINT64_FORMAT "\r\n",
+        fields,
+        BB_GATE_HEADER_LOAD ": %u %u %u %u %u %" G_GUINT64_FORMAT "\r\n",
         g->queue.running, g->queue.queued, is_open ? g->queue.slots : 0,
         (unsigned)MIN(g->queue.overall_mean_us, (uint64_t)UINT32_MAX),
         g->failure_permille, upstream_us);
@@ -134,7 +135,7 @@
 refuse_request(struct bb_gate *g, struct bb_http_exchange *x, const char *id,
                struct bb_counter *counter, const char *reason)
 {
-    GString *fields = g_string_new(BB_FIELD_REFUSED ": ");
+    GString *fields = g_string_new(BB_GATE_HEADER_REFUSED ": ");
     GString *line = g_string_new(NULL);
 
     bb_counter_add(counter, 1);
@@ -217,7 +218,7 @@
                              bb_clock_now_us() - rq->sent_us);
     bb_event_log_write(BB_EVENT_FAILURE, line->str, line->len);
     g_string_free(line, TRUE);
-    g_string_append_printf(fields, BB_FIELD_FAILED ": %s\r\n", reason);
+    g_string_append_printf(fields, BB_GATE_HEADER_FAILED ": %s\r\n", reason);
     append_load_field(g, 0, fields);
     bb_http_exchange_respond(rq->exchange, 502, fields, NULL, 0);
     g_string_free(fields, TRUE);
@@ -402,15 +403,15 @@
 process_queue(struct bb_gate *g)
 {
     uint64_t now_us = bb_clock_now_us();
-    enum bb_gate_verdict verdict;
+    enum bb_gate_queue_decision decision;
     uint64_t id = 0;
     uint64_t due_us;
 
-    while (bb_gate_queue_take_next(&g->queue, now_us, &id, &verdict)) {
+    while (bb_gate_queue_take_next(&g->queue, now_us, &id, &decision)) {
         struct gate_request *rq = g_hash_table_lookup(g->queued, &id);
 
         (void)g_hash_table_remove(g->queued, &id);
-        if (verdict == BB_GATE_RUN) {
+        if (decision == BB_GATE_QUEUE_RUN) {
             send_to_upstream(rq);
         }
         else {
@@ -436,7 +437,7 @@
                   struct gate_request *rq, uint64_t *wait_max_us)
 {
     const struct bb_dialect_fields *names = &g->settings.dialect->fields;
-    const char *call = bb_http_head_get(&x->head, BB_FIELD_CALL);
+    const char *call = bb_http_head_get(&x->head, BB_GATE_HEADER_CALL);
     const char *id = bb_http_head_get(&x->head, names->request_id);
     uint64_t now_us = bb_clock_now_us();
     uint64_t deadline_ms = DEFAULT_DEADLINE_MS;
@@ -526,14 +527,14 @@
     x->user_data = rq;
     switch (bb_gate_queue_arrive(&g->queue, &rq->queue_item, wait_max_us,
                                  bb_clock_now_us())) {
-    case BB_GATE_RUN:
+    case BB_GATE_QUEUE_RUN:
         send_to_upstream(rq);
         break;
-    case BB_GATE_WAIT:
+    case BB_GATE_QUEUE_WAIT:
         g_hash_table_insert(g->queued, &rq->queue_item.id, rq);
         process_queue(g);
         break;
-    case BB_GATE_REFUSE:
+    case BB_GATE_QUEUE_REFUSE:
         is_late = wait_max_us == UINT64_MAX;
         refuse_request(g, x, rq->request_id,
                        is_late ? &refused_late : &refused_full,
--- a/path/rules.c
+++ b/path/rules.c
@@ -39,7 +39,7 @@
 {
     struct bb_rules *r = g_new0(struct bb_rules, 1);
 
-    g_atomic_ref_count_init(&r->references);
+    g_atomic_ref_count_init(&r->reference_count);
     r->routes = g_ptr_array_new_with_free_func(free_route);
     r->services = g_ptr_array_new_with_free_func(free_service);
     r->by_host_and_prefix =
@@ -58,7 +58,7 @@
     route->name = g_strdup(name);
     route->host = g_ascii_strdown(host, -1);
     route->prefix = g_strdup(prefix);
-    route->upstreams_max = 1;
+    route->upstream_attempts_max = 1;
     /* By route, not by class: callers of two routes with the same policy may
      * wait for different times. */
     route->route_group =
@@ -158,9 +158,9 @@
     return key;
 }
 
-/* Returns the class of a route. Routes with the same services and policy share
- * one, as their requests take about as long. The result is the same on all
- * nodes. */
+/* Returns the request class of a route. Routes with the same services and
+ * policy share one, as their requests take about as long. The result is the
+ * same on all nodes. */
 static uint32_t
 compute_class(const struct bb_rules_route *route)
 {
@@ -173,7 +173,7 @@
 
         hash = bb_hash64(service, strlen(service), hash);
     }
-    return (uint32_t)(hash % BB_RULES_CLASS_COUNT);
+    return (uint32_t)(hash % BB_REQUEST_CLASS_COUNT);
 }
 
 /* Validates complete rules and builds their index. Returns true if they are
@@ -239,7 +239,7 @@
 struct bb_rules *
 bb_rules_ref(struct bb_rules *r)
 {
-    g_atomic_ref_count_inc(&r->references);
+    g_atomic_ref_count_inc(&r->reference_count);
     return r;
 }
 
@@ -247,7 +247,7 @@
 void
 bb_rules_unref(struct bb_rules *r)
 {
-    if (r != NULL && g_atomic_ref_count_dec(&r->references)) {
+    if (r != NULL && g_atomic_ref_count_dec(&r->reference_count)) {
         g_hash_table_destroy(r->by_host_and_prefix);
         g_ptr_array_free(r->routes, TRUE);
         g_ptr_array_free(r->services, TRUE);
--- a/proxy/attempt.c
+++ b/proxy/attempt.c
@@ -275,10 +275,10 @@
         bb_headers_addf(h, BB_HEADER_INCARNATION, "%" PRIu64,
                         attempt->incarnation);
     }
-    request.peer_address = attempt->endpoint->http_address;
+    request.peer_address = attempt->gatekeeper->http_address;
     request.use_new_connection = attempt->fetches_stored_response;
     request.crosses_link =
-        attempt->endpoint->distance == BB_ENDPOINT_OTHER_REGION;
+        attempt->gatekeeper->distance == BB_ROUTE_OTHER_REGION;
     request.expect_continue =
         x->is_streaming &&
         (x->length_bytes < 0 || x->length_bytes > EXPECT_CONTINUE_MIN_BYTES);
@@ -302,6 +302,7 @@
         bb_proxy_cancel_local(x->proxy, &x->id);
     }
     else {
-        bb_rpc_cancel(x->proxy, &attempt->endpoint->rpc_address, &x->id);
+        bb_peer_rpc_cancel(x->proxy, &attempt->gatekeeper->rpc_address,
+                           &x->id);
     }
 }
--- a/proxy/body.c
+++ b/proxy/body.c
@@ -18,7 +18,7 @@
 struct bb_body {
     pthread_mutex_t lock;
     pthread_cond_t changed;
-    atomic_uint references;
+    atomic_uint reference_count;
     uint8_t *data;
     size_t capacity_bytes;
     uint64_t written_bytes; /* since the start of the body */
@@ -39,7 +39,7 @@
     (void)pthread_condattr_setclock(&attributes, CLOCK_MONOTONIC);
     (void)pthread_cond_init(&b->changed, &attributes);
     (void)pthread_condattr_destroy(&attributes);
-    atomic_init(&b->references, 1);
+    atomic_init(&b->reference_count, 1);
     b->capacity_bytes = INITIAL_CAPACITY_BYTES;
     b->data = g_malloc(b->capacity_bytes);
     return b;
@@ -50,7 +50,7 @@
 bb_body_ref(struct bb_body *b)
 {
     if (b != NULL) {
-        (void)atomic_fetch_add(&b->references, 1);
+        (void)atomic_fetch_add(&b->reference_count, 1);
     }
     return b;
 }
@@ -59,7 +59,7 @@
 void
 bb_body_unref(struct bb_body *b)
 {
-    if (b == NULL || atomic_fetch_sub(&b->references, 1) != 1) {
+    if (b == NULL || atomic_fetch_sub(&b->reference_count, 1) != 1) {
         return;
     }
     (void)pthread_cond_destroy(&b->changed);
@@ -105,14 +105,15 @@
     return size_bytes;
 }
 
-/* Waits for a change until end_us. Returns false on timeout. Called with the
- * lock held. */
+/* Waits for a change until deadline_us. Returns false on timeout. Called with
+ * the lock held. */
 static bool
-wait_until(struct bb_body *b, uint64_t end_us)
+wait_until(struct bb_body *b, uint64_t deadline_us)
 {
-    struct timespec end = bb_clock_to_timespec(end_us);
+    struct timespec deadline = bb_clock_to_timespec(deadline_us);
 
-    return pthread_cond_timedwait(&b->changed, &b->lock, &end) != ETIMEDOUT;
+    return pthread_cond_timedwait(&b->changed, &b->lock, &deadline) !=
+           ETIMEDOUT;
 }
 
 /* Appends bytes, waiting while the buffer is full. Returns BB_BODY_WRITTEN
@@ -125,7 +126,7 @@
 {
     const uint8_t *next = data;
     uint64_t timeout_us = (uint64_t)timeout_ms * BB_US_PER_MS;
-    uint64_t end_us = bb_clock_now_us() + timeout_us;
+    uint64_t deadline_us = bb_clock_now_us() + timeout_us;
     enum bb_body_write_result result = BB_BODY_WRITTEN;
 
     (void)pthread_mutex_lock(&b->lock);
@@ -140,10 +141,10 @@
         if (count > 0) {
             next += count;
             size_bytes -= count;
-            end_us = bb_clock_now_us() + timeout_us;
+            deadline_us = bb_clock_now_us() + timeout_us;
             (void)pthread_cond_broadcast(&b->changed);
         }
-        else if (!wait_until(b, end_us)) {
+        else if (!wait_until(b, deadline_us)) {
             result = BB_BODY_WRITE_TIMEOUT;
         }
     }
@@ -214,7 +215,8 @@
 bb_body_read(struct bb_body *b, void *data, size_t size_bytes,
              uint32_t timeout_ms)
 {
-    uint64_t end_us = bb_clock_now_us() + (uint64_t)timeout_ms * BB_US_PER_MS;
+    uint64_t deadline_us =
+        bb_clock_now_us() + (uint64_t)timeout_ms * BB_US_PER_MS;
     ssize_t result = 0;
 
     (void)pthread_mutex_lock(&b->lock);
@@ -232,7 +234,7 @@
             result = BB_BODY_BROKEN;
             break;
         }
-        if (!wait_until(b, end_us)) {
+        if (!wait_until(b, deadline_us)) {
             result = BB_BODY_TIMEOUT;
             break;
         }
--- a/proxy/claim_key.c
+++ b/proxy/claim_key.c
@@ -7,7 +7,7 @@
 
 /* Returns the gatekeeper of the service at the host with this key, even if its
  * upstream is unusable, or NULL. */
-static const struct bb_endpoint *
+static const struct bb_table_gatekeeper *
 find_gatekeeper(const struct bb_exchange *x, uint64_t host_key)
 {
     for (uint32_t i = 0; i < x->service->gatekeeper_count; i++) {
@@ -24,15 +24,15 @@
            uint64_t witness_host_key)
 {
     struct bb_witness_response response = {.result = BB_WITNESS_UNREACHABLE};
-    const struct bb_endpoint *e;
+    const struct bb_table_gatekeeper *e;
 
     if (witness_host_key == bb_host_key(x->proxy->host)) {
         return bb_claims_process_claim(x->proxy->claims, &q->key, &q->wanted,
                                        q->epoch);
     }
     e = find_gatekeeper(x, witness_host_key);
-    if (e == NULL || !bb_rpc_claim(x->proxy, &e->rpc_address, &q->key,
-                                   &q->wanted, q->epoch, &response)) {
+    if (e == NULL || !bb_peer_rpc_claim(x->proxy, &e->rpc_address, &q->key,
+                                        &q->wanted, q->epoch, &response)) {
         response.result = BB_WITNESS_UNREACHABLE;
     }
     return response;
@@ -52,7 +52,7 @@
         .request = x->id,
         .attempt = x->claim_attempt + 1,
         .gatekeeper = attempt->host_key,
-        .incarnation = attempt->endpoint->incarnation,
+        .incarnation = attempt->gatekeeper->incarnation,
     };
     struct bb_claim_requester q;
     struct bb_claim held = {0};
@@ -74,13 +74,13 @@
         return o;
     }
     if (step == BB_CLAIM_JOIN) {
-        attempt->endpoint = find_gatekeeper(x, held.gatekeeper);
-        if (attempt->endpoint == NULL) {
+        attempt->gatekeeper = find_gatekeeper(x, held.gatekeeper);
+        if (attempt->gatekeeper == NULL) {
             o.reason = BB_REASON_CONNECTION_LOST;
             o.ran = BB_RAN_UNKNOWN;
             return o;
         }
-        attempt->is_local = attempt->endpoint->is_local;
+        attempt->is_local = attempt->gatekeeper->is_local;
         x->id = held.request;
         (void)bb_id_format(&x->id, x->id_text);
     }
@@ -96,10 +96,11 @@
  * the id refuses it from then on. Returns false if there was no response. */
 bool
 bb_exchange_query_gatekeeper(struct bb_exchange *x,
-                             const struct bb_endpoint *e, uint64_t incarnation,
+                             const struct bb_table_gatekeeper *e,
+                             uint64_t incarnation,
                              enum bb_query_result *result)
 {
-    const struct bb_attempt attempt = {.endpoint = e,
+    const struct bb_attempt attempt = {.gatekeeper = e,
                                        .incarnation = incarnation};
 
     if (e->is_local) {
@@ -107,5 +108,5 @@
             bb_gatekeeper_query(x->proxy->gatekeeper, &x->id, incarnation);
         return true;
     }
-    return bb_rpc_query(x, &attempt, result);
+    return bb_peer_rpc_query(x, &attempt, result);
 }
--- a/proxy/entry.c
+++ b/proxy/entry.c
@@ -27,7 +27,8 @@
  * bb_exchange_refuse. It reports "not run" only if no earlier attempt may have
  * run. */
 void
-bb_entry_refuse(struct bb_exchange *x, enum bb_reason reason, enum bb_ran ran)
+bb_exchange_refuse_as_entry(struct bb_exchange *x, enum bb_reason reason,
+                            enum bb_ran ran)
 {
     if (x->may_have_run) {
         ran = BB_RAN_UNKNOWN;
@@ -38,7 +39,7 @@
 
 /* Returns the number of active attempts. */
 uint32_t
-bb_entry_active_attempts(const struct bb_exchange *x)
+bb_exchange_active_attempts(const struct bb_exchange *x)
 {
     uint32_t count = 0;
 
@@ -67,7 +68,7 @@
 static void
 update_local_load(const struct bb_exchange *x, uint64_t host_key)
 {
-    char text[BB_LOAD_TEXT_BYTES];
+    char text[BB_GATEKEEPER_LOAD_TEXT_BYTES];
 
     bb_picker_update_load(
         x->proxy->picker, x->service_name, host_key,
@@ -78,8 +79,8 @@
 /* Ends an attempt: reports its result to the picker, and releases its HTTP
  * call unless the outcome holds it. */
 void
-bb_entry_finish_attempt(struct bb_exchange *x, struct bb_attempt *attempt,
-                        enum bb_attempt_result result)
+bb_exchange_finish_attempt(struct bb_exchange *x, struct bb_attempt *attempt,
+                           enum bb_attempt_result result)
 {
     if (!x->is_forwarded) {
         bb_picker_finish_attempt(x->proxy->picker, x->service_name,
@@ -90,7 +91,7 @@
             update_picker_load(x, attempt);
         }
     }
-    x->last_gatekeeper = attempt->endpoint;
+    x->last_gatekeeper = attempt->gatekeeper;
     x->last_incarnation = attempt->incarnation;
     if (attempt->call != x->outcome.call) {
         bb_http_call_release(attempt->call);
@@ -105,7 +106,8 @@
     for (int i = 0; i < BB_ATTEMPTS_ACTIVE_MAX; i++) {
         if (x->attempts[i].is_active) {
             bb_attempt_cancel(x, &x->attempts[i]);
-            bb_entry_finish_attempt(x, &x->attempts[i], BB_ATTEMPT_CANCELLED);
+            bb_exchange_finish_attempt(x, &x->attempts[i],
+                                       BB_ATTEMPT_CANCELLED);
         }
     }
 }
@@ -113,7 +115,7 @@
 /* Cancels all active attempts and releases the outcome's HTTP call and stored
  * response. */
 void
-bb_entry_release(struct bb_exchange *x)
+bb_exchange_release_attempts(struct bb_exchange *x)
 {
     cancel_attempts(x);
     bb_http_call_release(x->outcome.call);
@@ -125,7 +127,7 @@
 /* Excludes a gatekeeper from later picks of this request. Does nothing if
  * BB_ROUTE_EXCLUDED_MAX are excluded already. */
 void
-bb_entry_exclude_gatekeeper(struct bb_exchange *x, uint64_t host_key)
+bb_exchange_exclude_gatekeeper(struct bb_exchange *x, uint64_t host_key)
 {
     if (x->excluded_count < BB_ROUTE_EXCLUDED_MAX) {
         x->excluded[x->excluded_count++] = host_key;
@@ -134,7 +136,7 @@
 
 /* Picks a gatekeeper for an attempt and counts the attempt as started. Returns
  * NULL and sets *reason if none can be used. */
-static const struct bb_endpoint *
+static const struct bb_table_gatekeeper *
 pick_gatekeeper(struct bb_exchange *x, struct bb_attempt *attempt,
                 bool is_hedge, enum bb_reason *reason)
 {
@@ -153,12 +155,12 @@
         .excluded_count = x->excluded_count,
         .random_bits = bb_random_u64(x->proxy->random),
     };
-    const struct bb_endpoint *chosen = NULL;
+    const struct bb_table_gatekeeper *chosen = NULL;
     struct bb_pick_result result;
 
     memcpy(q.excluded, x->excluded, sizeof(q.excluded));
     for (uint32_t i = 0; i < s->usable_gatekeeper_count; i++) {
-        const struct bb_endpoint *e = &s->usable_gatekeepers[i];
+        const struct bb_table_gatekeeper *e = &s->usable_gatekeepers[i];
         uint64_t host_key = bb_host_key(e->host);
 
         targets[q.target_count++] = (struct bb_pick_target){
@@ -211,13 +213,13 @@
 }
 
 /* Prepares the retry of a refused or failed attempt: excludes its gatekeeper
- * and sleeps for the retry delay, after which bb_entry_run_attempts starts the
- * next attempt. If no retry is allowed, sets a refusal as the outcome. Does
- * nothing while another attempt is active. */
+ * and sleeps for the retry delay, after which bb_exchange_run_attempts starts
+ * the next attempt. If no retry is allowed, sets a refusal as the outcome.
+ * Does nothing while another attempt is active. */
 void
-bb_entry_retry_or_refuse(struct bb_exchange *x, uint64_t host_key,
-                         enum bb_reason reason, enum bb_ran ran,
-                         bool is_body_consumed)
+bb_exchange_retry_or_refuse(struct bb_exchange *x, uint64_t host_key,
+                            enum bb_reason reason, enum bb_ran ran,
+                            bool is_body_consumed)
 {
     uint64_t now_us = bb_clock_now_us();
     struct bb_retry_request q = {
@@ -234,19 +236,19 @@
     uint64_t delay_us = 0;
 
     x->may_have_run |= ran == BB_RAN_UNKNOWN;
-    if (bb_entry_active_attempts(x) > 0) {
+    if (bb_exchange_active_attempts(x) > 0) {
         return;
     }
     q.retry_limit = x->is_forwarded ? 0 : x->route->retry_limit;
     if (x->is_forwarded || is_body_consumed ||
         (x->is_keyed && !can_move_claim(x, &final, &ran)) ||
         !bb_picker_try_retry(x->proxy->picker, &q, &delay_us, &final)) {
-        bb_entry_refuse(x, final, ran);
+        bb_exchange_refuse_as_entry(x, final, ran);
         return;
     }
     bb_reason_count_retry(reason);
     x->last_retry_reason = reason;
-    bb_entry_exclude_gatekeeper(x, host_key);
+    bb_exchange_exclude_gatekeeper(x, host_key);
     bb_clock_sleep_us(delay_us);
 }
 
@@ -271,19 +273,19 @@
  * can be picked, sets a refusal as the outcome, or does nothing for a hedge.
  */
 void
-bb_entry_start_attempt(struct bb_exchange *x, struct bb_attempt *attempt,
-                       bool is_hedge)
+bb_exchange_start_attempt(struct bb_exchange *x, struct bb_attempt *attempt,
+                          bool is_hedge)
 {
     uint64_t check_us =
-        (uint64_t)x->proxy->settings.silence_check_ms * BB_US_PER_MS;
+        (uint64_t)x->proxy->settings.check_interval_ms * BB_US_PER_MS;
     enum bb_reason reason = BB_REASON_NONE;
     struct bb_outcome o;
     uint64_t host_key;
 
     *attempt = (struct bb_attempt){.is_local = x->is_forwarded};
     if (!x->is_forwarded) {
-        attempt->endpoint = pick_gatekeeper(x, attempt, is_hedge, &reason);
-        if (attempt->endpoint == NULL) {
+        attempt->gatekeeper = pick_gatekeeper(x, attempt, is_hedge, &reason);
+        if (attempt->gatekeeper == NULL) {
             if (!is_hedge) {
                 /* Gatekeepers that refused are excluded, so their reason
                  * explains the failure better than no_upstream. */
@@ -291,30 +293,31 @@
                     x->last_retry_reason != BB_REASON_NONE) {
                     reason = x->last_retry_reason;
                 }
-                bb_entry_refuse(x, reason, BB_RAN_NO);
+                bb_exchange_refuse_as_entry(x, reason, BB_RAN_NO);
             }
             return;
         }
-        attempt->is_local = attempt->endpoint->is_local;
-        attempt->incarnation = attempt->endpoint->incarnation;
+        attempt->is_local = attempt->gatekeeper->is_local;
+        attempt->incarnation = attempt->gatekeeper->incarnation;
     }
     x->attempt_count++;
     attempt->is_active = true;
     o = send_attempt(x, attempt);
     switch (o.kind) {
     case BB_OUTCOME_NONE:
-        bb_probe_init(&attempt->probe, x->is_idempotent, x->is_keyed, check_us,
-                      x->deadline_us, bb_clock_now_us());
+        bb_call_recovery_init(&attempt->recovery, x->is_idempotent,
+                              x->is_keyed, check_us, x->deadline_us,
+                              bb_clock_now_us());
         break;
     case BB_OUTCOME_REFUSED:
         host_key = attempt->host_key;
-        bb_entry_finish_attempt(x, attempt,
-                                bb_attempt_result_from_reason(o.reason));
-        bb_entry_retry_or_refuse(x, host_key, o.reason, o.ran, false);
+        bb_exchange_finish_attempt(x, attempt,
+                                   bb_attempt_result_from_reason(o.reason));
+        bb_exchange_retry_or_refuse(x, host_key, o.reason, o.ran, false);
         break;
     case BB_OUTCOME_RESPONSE:
     case BB_OUTCOME_STORED:
-        bb_entry_finish_attempt(x, attempt, BB_ATTEMPT_CANCELLED);
+        bb_exchange_finish_attempt(x, attempt, BB_ATTEMPT_CANCELLED);
         x->outcome = o;
         break;
     }
@@ -329,14 +332,15 @@
     struct bb_hedge_request q;
     uint64_t hedge_us;
 
-    if (bb_entry_can_hedge(x, &q, &hedge_us)) {
+    if (bb_exchange_can_hedge(x, &q, &hedge_us)) {
         wake_us = MIN(wake_us, hedge_us);
     }
     for (int i = 0; i < BB_ATTEMPTS_ACTIVE_MAX; i++) {
         const struct bb_attempt *attempt = &x->attempts[i];
 
         if (attempt->is_active && !attempt->is_local) {
-            wake_us = MIN(wake_us, bb_probe_next_wakeup_us(&attempt->probe));
+            wake_us = MIN(wake_us,
+                          bb_call_recovery_next_wakeup_us(&attempt->recovery));
         }
     }
     return wake_us;
@@ -413,12 +417,12 @@
 static void
 on_response_head(struct bb_exchange *x, struct bb_attempt *attempt)
 {
-    if (bb_entry_process_refusal(x, attempt)) {
+    if (bb_exchange_process_refusal(x, attempt)) {
         return;
     }
     x->outcome = (struct bb_outcome){.kind = BB_OUTCOME_RESPONSE,
                                      .call = attempt->call};
-    bb_entry_finish_attempt(x, attempt, BB_ATTEMPT_COMPLETED);
+    bb_exchange_finish_attempt(x, attempt, BB_ATTEMPT_COMPLETED);
     cancel_attempts(x);
 }
 
@@ -433,12 +437,12 @@
         on_response_head(x, attempt);
         break;
     case BB_HTTP_CALL_LOST:
-        bb_entry_on_connection_lost(x, attempt);
+        bb_exchange_on_connection_lost(x, attempt);
         break;
     case BB_HTTP_CALL_NOT_CONNECTED:
-        bb_entry_finish_attempt(x, attempt, BB_ATTEMPT_NOT_CONNECTED);
-        bb_entry_retry_or_refuse(x, host_key, BB_REASON_CONNECT_FAILED,
-                                 BB_RAN_NO, false);
+        bb_exchange_finish_attempt(x, attempt, BB_ATTEMPT_NOT_CONNECTED);
+        bb_exchange_retry_or_refuse(x, host_key, BB_REASON_CONNECT_FAILED,
+                                    BB_RAN_NO, false);
         break;
     case BB_HTTP_CALL_STARTED:
     case BB_HTTP_CALL_SENDING_BODY:
@@ -464,23 +468,24 @@
            (p.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
-/* Runs the timers: closed callers, hedges and probes of silent attempts. */
+/* Runs the timers: closed callers, hedges and the recovery of silent attempts.
+ */
 static void
 on_timer(struct bb_exchange *x)
 {
     if (is_caller_gone(x)) {
         bb_counter_add(&callers_gone_total, 1);
         cancel_attempts(x);
-        bb_entry_refuse(x, BB_REASON_CANCELLED, BB_RAN_UNKNOWN);
+        bb_exchange_refuse_as_entry(x, BB_REASON_CANCELLED, BB_RAN_UNKNOWN);
         return;
     }
-    bb_entry_try_hedge(x);
+    bb_exchange_try_hedge(x);
     for (int i = 0; i < BB_ATTEMPTS_ACTIVE_MAX; i++) {
         struct bb_attempt *attempt = &x->attempts[i];
 
         if (x->outcome.kind == BB_OUTCOME_NONE && attempt->is_active &&
             !attempt->is_local) {
-            bb_entry_check_probe(x, attempt);
+            bb_exchange_check_recovery(x, attempt);
         }
     }
 }
@@ -490,19 +495,19 @@
 static void
 on_deadline(struct bb_exchange *x)
 {
-    bool was_sent = bb_entry_active_attempts(x) > 0;
+    bool was_sent = bb_exchange_active_attempts(x) > 0;
 
     cancel_attempts(x);
-    bb_entry_refuse(x,
-                    was_sent ? BB_REASON_DEADLINE_RUNNING
-                             : BB_REASON_DEADLINE_BEFORE_RUN,
-                    was_sent ? BB_RAN_UNKNOWN : BB_RAN_NO);
+    bb_exchange_refuse_as_entry(x,
+                                was_sent ? BB_REASON_DEADLINE_RUNNING
+                                         : BB_REASON_DEADLINE_BEFORE_RUN,
+                                was_sent ? BB_RAN_UNKNOWN : BB_RAN_NO);
 }
 
 /* Runs attempts until the outcome is known. With until_sending, also returns
  * once a peer accepts the body. */
 void
-bb_entry_run_attempts(struct bb_exchange *x, bool until_sending)
+bb_exchange_run_attempts(struct bb_exchange *x, bool until_sending)
 {
     struct bb_attempt *attempt = NULL;
 
@@ -514,8 +519,8 @@
             on_deadline(x);
             break;
         }
-        if (bb_entry_active_attempts(x) == 0) {
-            bb_entry_start_attempt(x, &x->attempts[0], false);
+        if (bb_exchange_active_attempts(x) == 0) {
+            bb_exchange_start_attempt(x, &x->attempts[0], false);
             continue;
         }
         switch (wait_for_event(x, until_sending, &attempt)) {
--- a/proxy/exchange.c
+++ b/proxy/exchange.c
@@ -34,7 +34,7 @@
     if (x->body != NULL) {
         bb_body_break(x->body); /* no effect on a complete body */
     }
-    bb_entry_release(x);
+    bb_exchange_release_attempts(x);
     bb_body_unref(x->body);
     bb_notifier_unref(x->notifier);
     bb_headers_destroy(x->headers);
@@ -48,7 +48,7 @@
 }
 
 /* Sets the outcome to a refusal. Once an attempt may have run, ran must be
- * BB_RAN_UNKNOWN, which bb_entry_refuse takes care of. */
+ * BB_RAN_UNKNOWN, which bb_exchange_refuse_as_entry takes care of. */
 void
 bb_exchange_refuse(struct bb_exchange *x, enum bb_reason reason,
                    enum bb_ran ran)
@@ -75,7 +75,7 @@
 run_attempts(struct bb_exchange *x, bool until_sending)
 {
     set_idle_timeout(x, false);
-    bb_entry_run_attempts(x, until_sending);
+    bb_exchange_run_attempts(x, until_sending);
     set_idle_timeout(x, true);
 }
 
@@ -144,7 +144,7 @@
     }
     if (is_body_too_large(x)) {
         bb_body_break(x->body);
-        bb_entry_release(x);
+        bb_exchange_release_attempts(x);
         bb_exchange_refuse(x, BB_REASON_TOO_LARGE, BB_RAN_UNKNOWN);
         return MHD_NO;
     }
--- a/proxy/gatekeeper.c
+++ b/proxy/gatekeeper.c
@@ -435,7 +435,7 @@
     if (has_run && response != NULL &&
         g->stored_bytes + response->body->len <=
             g->settings.stored_max_bytes) {
-        g_atomic_int_inc(&response->references);
+        g_atomic_int_inc(&response->reference_count);
         handle = (uintptr_t)response;
     }
     if (bb_record_finish(&g->record, &slot->id,
--- a/proxy/gatekeeper_query.c
+++ b/proxy/gatekeeper_query.c
@@ -9,7 +9,7 @@
 {
     struct bb_stored_response *response = g_new0(struct bb_stored_response, 1);
 
-    response->references = 1;
+    response->reference_count = 1;
     response->headers = bb_headers_create();
     response->body = g_byte_array_new();
     return response;
@@ -19,7 +19,8 @@
 void
 bb_stored_response_unref(struct bb_stored_response *response)
 {
-    if (response != NULL && g_atomic_int_dec_and_test(&response->references)) {
+    if (response != NULL &&
+        g_atomic_int_dec_and_test(&response->reference_count)) {
         bb_headers_destroy(response->headers);
         (void)g_byte_array_free(response->body, TRUE);
         g_free(response);
@@ -35,7 +36,7 @@
         (struct bb_stored_response *)(uintptr_t)handle;
 
     if (response != NULL) {
-        g_atomic_int_inc(&response->references);
+        g_atomic_int_inc(&response->reference_count);
     }
     return response;
 }
@@ -169,14 +170,14 @@
  * requests and usable slots. Returns text. */
 const char *
 bb_gatekeeper_format_load(struct bb_gatekeeper *g,
-                          char text[BB_LOAD_TEXT_BYTES])
+                          char text[BB_GATEKEEPER_LOAD_TEXT_BYTES])
 {
     struct bb_admission_load l;
 
     (void)pthread_mutex_lock(&g->lock);
     l = bb_admission_load(&g->admission, bb_clock_now_us());
     (void)pthread_mutex_unlock(&g->lock);
-    (void)g_snprintf(text, BB_LOAD_TEXT_BYTES, "%u %u %u", l.running, l.queued,
-                     l.slots);
+    (void)g_snprintf(text, BB_GATEKEEPER_LOAD_TEXT_BYTES, "%u %u %u",
+                     l.running, l.queued, l.slots);
     return text;
 }
--- a/proxy/hedge.c
+++ b/proxy/hedge.c
@@ -8,13 +8,13 @@
 /* Returns whether a second attempt may be started; if so, sets *q and the time
  * at which to start it. */
 bool
-bb_entry_can_hedge(const struct bb_exchange *x, struct bb_hedge_request *q,
-                   uint64_t *at_us)
+bb_exchange_can_hedge(const struct bb_exchange *x, struct bb_hedge_request *q,
+                      uint64_t *at_us)
 {
     uint64_t now_us = bb_clock_now_us();
 
     if (x->is_forwarded || !x->is_idempotent || x->body != NULL ||
-        bb_entry_active_attempts(x) != 1 ||
+        bb_exchange_active_attempts(x) != 1 ||
         x->hedge_count >= x->route->hedge_limit ||
         x->service->usable_gatekeeper_count < 2) {
         return false;
@@ -36,7 +36,7 @@
 /* Starts a second attempt if its time has come and the hedge budget allows it.
  */
 void
-bb_entry_try_hedge(struct bb_exchange *x)
+bb_exchange_try_hedge(struct bb_exchange *x)
 {
     struct bb_hedge_request q;
     uint64_t at_us;
@@ -44,18 +44,18 @@
     struct bb_attempt *second = &x->attempts[x->attempts[0].is_active ? 1 : 0];
     uint32_t excluded_count = x->excluded_count;
 
-    if (!bb_entry_can_hedge(x, &q, &at_us) || bb_clock_now_us() < at_us) {
+    if (!bb_exchange_can_hedge(x, &q, &at_us) || bb_clock_now_us() < at_us) {
         return;
     }
     x->hedge_count++; /* counts even if the budget refuses it */
     if (!bb_picker_try_hedge(x->proxy->picker, &q)) {
         return;
     }
-    bb_entry_exclude_gatekeeper(x, first->host_key);
-    bb_entry_start_attempt(x, second, true);
+    bb_exchange_exclude_gatekeeper(x, first->host_key);
+    bb_exchange_start_attempt(x, second, true);
     x->excluded_count = excluded_count;
     if (second->is_active && second->host_key == first->host_key) {
-        bb_entry_finish_attempt(x, second, BB_ATTEMPT_CANCELLED);
+        bb_exchange_finish_attempt(x, second, BB_ATTEMPT_CANCELLED);
         return;
     }
     bb_counter_add(&hedges_total, second->is_active);
--- a/proxy/http_client.c
+++ b/proxy/http_client.c
@@ -41,7 +41,7 @@
     ne_request *neon_request;
     bool is_complete;
     GByteArray *body_copy; /* NULL once the body is too long */
-    atomic_uint references;
+    atomic_uint reference_count;
     atomic_bool is_released;
 };
 
@@ -50,7 +50,7 @@
 static void
 unref_call(struct call *call)
 {
-    if (atomic_fetch_sub(&call->references, 1) != 1) {
+    if (atomic_fetch_sub(&call->reference_count, 1) != 1) {
         return;
     }
     bb_body_unref(call->params.body);
@@ -385,13 +385,13 @@
 /* Starts a call on a worker; with is_inline, the caller must run it with
  * bb_http_call_run_inline instead. Progress is signalled to the notifier.
  * method and url are copied, the body is referenced, and the headers are taken
- * over, even on failure. Waits for a free worker until end_us; returns NULL,
- * with nothing sent, if there is none. The call must be released with
+ * over, even on failure. Waits for a free worker until deadline_us; returns
+ * NULL, with nothing sent, if there is none. The call must be released with
  * bb_http_call_release. */
 struct bb_http_call *
 bb_http_call_start(struct bb_http_client *c,
                    const struct bb_http_call_params *params,
-                   struct bb_notifier *notifier, uint64_t end_us)
+                   struct bb_notifier *notifier, uint64_t deadline_us)
 {
     struct call *call = g_new0(struct call, 1);
     bool is_accepted;
@@ -405,7 +405,7 @@
     call->public.headers = bb_headers_create();
     call->body_copy = params->copy_max_bytes > 0 ? g_byte_array_new() : NULL;
     call->public.response_body = bb_body_create();
-    atomic_init(&call->references, 2);
+    atomic_init(&call->reference_count, 2);
     call->work = (struct bb_work){
         .run = run_call,
         .context = call,
@@ -413,10 +413,10 @@
     };
     is_accepted =
         params->is_inline
-            ? bb_workers_begin_inline(c->workers, &call->work, end_us)
-            : bb_workers_submit(c->workers, &call->work, end_us);
+            ? bb_workers_begin_inline(c->workers, &call->work, deadline_us)
+            : bb_workers_submit(c->workers, &call->work, deadline_us);
     if (!is_accepted) {
-        atomic_store(&call->references, 1);
+        atomic_store(&call->reference_count, 1);
         unref_call(call);
         return NULL;
     }
--- a/proxy/notifier.c
+++ b/proxy/notifier.c
@@ -10,7 +10,7 @@
 struct bb_notifier {
     pthread_mutex_t lock;
     pthread_cond_t changed;
-    atomic_uint references;
+    atomic_uint reference_count;
 };
 
 /* Creates a notifier with one reference. */
@@ -25,7 +25,7 @@
     (void)pthread_condattr_setclock(&attributes, CLOCK_MONOTONIC);
     (void)pthread_cond_init(&n->changed, &attributes);
     (void)pthread_condattr_destroy(&attributes);
-    atomic_init(&n->references, 1);
+    atomic_init(&n->reference_count, 1);
     return n;
 }
 
@@ -33,7 +33,7 @@
 struct bb_notifier *
 bb_notifier_ref(struct bb_notifier *n)
 {
-    (void)atomic_fetch_add(&n->references, 1);
+    (void)atomic_fetch_add(&n->reference_count, 1);
     return n;
 }
 
@@ -41,7 +41,7 @@
 void
 bb_notifier_unref(struct bb_notifier *n)
 {
-    if (n == NULL || atomic_fetch_sub(&n->references, 1) != 1) {
+    if (n == NULL || atomic_fetch_sub(&n->reference_count, 1) != 1) {
         return;
     }
     (void)pthread_cond_destroy(&n->changed);
@@ -70,12 +70,13 @@
     (void)pthread_cond_broadcast(&n->changed);
 }
 
-/* Waits for a signal until end_us. Returns false on timeout. Called with the
- * lock held. */
+/* Waits for a signal until deadline_us. Returns false on timeout. Called with
+ * the lock held. */
 bool
-bb_notifier_wait(struct bb_notifier *n, uint64_t end_us)
+bb_notifier_wait(struct bb_notifier *n, uint64_t deadline_us)
 {
-    struct timespec end = bb_clock_to_timespec(end_us);
+    struct timespec deadline = bb_clock_to_timespec(deadline_us);
 
-    return pthread_cond_timedwait(&n->changed, &n->lock, &end) != ETIMEDOUT;
+    return pthread_cond_timedwait(&n->changed, &n->lock, &deadline) !=
+           ETIMEDOUT;
 }
--- a/proxy/picker.c
+++ b/proxy/picker.c
@@ -16,7 +16,7 @@
     struct bb_route_state route;
     struct bb_outliers outliers;
     struct bb_duration_stats latency[BB_ADMISSION_CLASSES];
-    GHashTable *candidates; /* host key -> struct bb_candidate */
+    GHashTable *candidates; /* host key -> struct bb_route_candidate */
     uint64_t last_tick_us;
 };
 
@@ -114,7 +114,7 @@
 }
 
 /* Returns a candidate by host key, or NULL. */
-static struct bb_candidate *
+static struct bb_route_candidate *
 find_candidate(struct service *s, uint64_t host_key)
 {
     return g_hash_table_lookup(s->candidates, &host_key);
@@ -129,7 +129,7 @@
 
     g_hash_table_iter_init(&i, s->candidates);
     while (g_hash_table_iter_next(&i, NULL, &value)) {
-        uint64_t host_key = ((struct bb_candidate *)value)->key;
+        uint64_t host_key = ((struct bb_route_candidate *)value)->key;
         bool is_target = false;
 
         for (uint32_t n = 0; n < q->target_count && !is_target; n++) {
@@ -146,7 +146,7 @@
  * array in the order of the targets. */
 static void
 sync_candidates(struct service *s, const struct bb_pick_request *q,
-                const struct bb_candidate **out, uint64_t now_us)
+                const struct bb_route_candidate **out, uint64_t now_us)
 {
     if (now_us - s->last_tick_us > OUTLIER_TICK_INTERVAL_US) {
         bb_outliers_tick(&s->outliers, now_us);
@@ -154,12 +154,11 @@
     }
     for (uint32_t i = 0; i < q->target_count; i++) {
         const struct bb_pick_target *t = &q->targets[i];
-        struct bb_candidate *c = find_candidate(s, t->host_key);
+        struct bb_route_candidate *c = find_candidate(s, t->host_key);
 
         if (c == NULL) {
-            c = g_new0(struct bb_candidate, 1);
-            bb_candidate_init(c, t->host_key,
-                              (enum bb_route_distance)t->distance, t->slots);
+            c = g_new0(struct bb_route_candidate, 1);
+            bb_route_candidate_init(c, t->host_key, t->distance, t->slots);
             (void)bb_outliers_add(&s->outliers, t->host_key);
             g_hash_table_insert(s->candidates, &c->key, c);
         }
@@ -178,7 +177,7 @@
 bb_picker_pick(struct bb_picker *p, const struct bb_pick_request *q,
                uint64_t now_us)
 {
-    const struct bb_candidate *candidates[BB_ROUTE_CANDIDATES_MAX];
+    const struct bb_route_candidate *candidates[BB_ROUTE_CANDIDATES_MAX];
     struct bb_pick_request limited = *q;
     struct bb_route_request r = {
         .work_class = q->work_class,
@@ -205,7 +204,7 @@
     if (choice.index >= 0) {
         uint64_t host_key = candidates[choice.index]->key;
 
-        bb_candidate_start(find_candidate(s, host_key));
+        bb_route_candidate_start(find_candidate(s, host_key));
         bb_outlier_start(&s->outliers, host_key, q->work_class, now_us);
         result.may_refuse_as_slow =
             q->can_retry && limited.target_count > 1 &&
@@ -253,7 +252,7 @@
                          uint64_t now_us)
 {
     uint64_t latency_us = now_us - start_us;
-    struct bb_candidate *c;
+    struct bb_route_candidate *c;
     struct service *s;
 
     (void)pthread_mutex_lock(&p->lock);
@@ -264,12 +263,12 @@
     }
     finish_outlier_call(s, host_key, work_class, start_us, result, now_us);
     if (c != NULL && result == BB_ATTEMPT_NOT_CONNECTED) {
-        bb_candidate_connect_failed(c, now_us);
+        bb_route_candidate_connect_failed(c, now_us);
     }
     else if (c != NULL) {
-        bb_candidate_finish(c, work_class,
-                            result == BB_ATTEMPT_COMPLETED ? latency_us : 0,
-                            result == BB_ATTEMPT_COMPLETED);
+        bb_route_candidate_finish(
+            c, work_class, result == BB_ATTEMPT_COMPLETED ? latency_us : 0,
+            result == BB_ATTEMPT_COMPLETED);
     }
     (void)pthread_mutex_unlock(&p->lock);
 }
@@ -282,7 +281,7 @@
 {
     char **parts = load != NULL ? g_strsplit(load, " ", 3) : NULL;
     uint64_t numbers[3] = {0};
-    struct bb_candidate *c;
+    struct bb_route_candidate *c;
 
     if (parts == NULL) {
         return;
@@ -297,8 +296,9 @@
     (void)pthread_mutex_lock(&p->lock);
     c = find_candidate(get_service(p, service), host_key);
     if (c != NULL) {
-        bb_candidate_update_load(c, (uint32_t)numbers[0], (uint32_t)numbers[1],
-                                 (uint32_t)numbers[2], now_us);
+        bb_route_candidate_update_load(c, (uint32_t)numbers[0],
+                                       (uint32_t)numbers[1],
+                                       (uint32_t)numbers[2], now_us);
     }
     (void)pthread_mutex_unlock(&p->lock);
 out:
@@ -327,7 +327,7 @@
         .reason = q->reason,
         .ran = q->ran,
         .is_idempotent = q->is_idempotent,
-        .attempts = q->attempt_count,
+        .attempt_count = q->attempt_count,
         .retry_limit = q->retry_limit,
         .remaining_us = q->remaining_us,
         .random_bits = q->random_bits,
@@ -351,7 +351,7 @@
     return (struct bb_pending_request){
         .is_idempotent = q->is_idempotent,
         .work_class = q->work_class,
-        .hedges = q->hedge_count,
+        .hedge_count = q->hedge_count,
         .hedge_limit = q->hedge_limit,
         .elapsed_us = q->elapsed_us,
         .remaining_us = q->remaining_us,
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -55,7 +55,7 @@
     uint32_t *numbers[] = {
         &s->workers.depth_zero_max, &s->workers.extra_per_depth,
         &s->workers.detached_max,   &s->connection_limit,
-        &s->idle_timeout_ms,        &s->silence_check_ms,
+        &s->idle_timeout_ms,        &s->check_interval_ms,
         &s->record_entries,         &s->retention_s,
     };
     static const uint32_t defaults[] = {
@@ -340,7 +340,7 @@
 }
 
 /* Sets the agreed roster of a service, which lists hosts by host key
- * (bb_roster_hash_host of their names). Must be called after the table of the
+ * (bb_roster_host_key of their names). Must be called after the table of the
  * same revision is set, from which it takes the retention time of the service.
  * Without a roster, requests with an idempotency key are refused,
  * because nothing could prevent them from running twice. */
@@ -409,7 +409,7 @@
     if (p == NULL) {
         return;
     }
-    bb_rpc_unregister(p);
+    bb_peer_rpc_unregister(p);
     atomic_store(&p->is_stopping, true);
     if (p->has_tick_thread) {
         (void)pthread_join(p->tick_thread, NULL);
--- a/proxy/recovery.c
+++ b/proxy/recovery.c
@@ -7,8 +7,8 @@
  * attempt can send it. If the attempt has no HTTP call any more, the body
  * counts as consumed. */
 bool
-bb_entry_is_body_consumed(const struct bb_exchange *x,
-                          const struct bb_attempt *attempt)
+bb_exchange_is_body_consumed(const struct bb_exchange *x,
+                             const struct bb_attempt *attempt)
 {
     bool is_consumed;
 
@@ -23,28 +23,31 @@
 
 /* Called when a connection breaks after the request was sent. */
 void
-bb_entry_on_connection_lost(struct bb_exchange *x, struct bb_attempt *attempt)
+bb_exchange_on_connection_lost(struct bb_exchange *x,
+                               struct bb_attempt *attempt)
 {
-    bool is_body_consumed = bb_entry_is_body_consumed(x, attempt);
+    bool is_body_consumed = bb_exchange_is_body_consumed(x, attempt);
     uint64_t host_key = attempt->host_key;
     bool is_local = attempt->is_local;
 
     if (attempt->fetches_stored_response) {
-        bb_entry_finish_attempt(x, attempt, BB_ATTEMPT_FAILED);
-        bb_entry_refuse(x, BB_REASON_CONNECTION_LOST, BB_RAN_UNKNOWN);
+        bb_exchange_finish_attempt(x, attempt, BB_ATTEMPT_FAILED);
+        bb_exchange_refuse_as_entry(x, BB_REASON_CONNECTION_LOST,
+                                    BB_RAN_UNKNOWN);
         return;
     }
     if (!is_local && !x->is_idempotent) {
-        bb_probe_connection_broken(&attempt->probe, bb_clock_now_us());
+        bb_call_recovery_connection_broken(&attempt->recovery,
+                                           bb_clock_now_us());
         bb_http_call_release(attempt->call);
         attempt->call = NULL;
         return;
     }
-    bb_entry_finish_attempt(x, attempt, BB_ATTEMPT_FAILED);
-    bb_entry_retry_or_refuse(x, host_key,
-                             is_local ? BB_REASON_UPSTREAM_BROKEN
-                                      : BB_REASON_CONNECTION_LOST,
-                             BB_RAN_UNKNOWN, is_body_consumed);
+    bb_exchange_finish_attempt(x, attempt, BB_ATTEMPT_FAILED);
+    bb_exchange_retry_or_refuse(x, host_key,
+                                is_local ? BB_REASON_UPSTREAM_BROKEN
+                                         : BB_REASON_CONNECTION_LOST,
+                                BB_RAN_UNKNOWN, is_body_consumed);
 }
 
 /* Fetches the response stored by the gatekeeper, on a new connection. */
@@ -58,8 +61,8 @@
     attempt->fetches_stored_response = true;
     o = bb_attempt_start_peer(x, attempt);
     if (o.kind == BB_OUTCOME_REFUSED) {
-        bb_entry_finish_attempt(x, attempt, BB_ATTEMPT_FAILED);
-        bb_entry_refuse(x, o.reason, BB_RAN_UNKNOWN);
+        bb_exchange_finish_attempt(x, attempt, BB_ATTEMPT_FAILED);
+        bb_exchange_refuse_as_entry(x, o.reason, BB_RAN_UNKNOWN);
     }
 }
 
@@ -72,8 +75,8 @@
     enum bb_query_result result;
     bool has_ended;
 
-    if (!bb_rpc_query(x, attempt, &result)) {
-        bb_probe_query_failed(&attempt->probe, bb_clock_now_us());
+    if (!bb_peer_rpc_query(x, attempt, &result)) {
+        bb_call_recovery_query_failed(&attempt->recovery, bb_clock_now_us());
         return;
     }
     has_ended = result == BB_QUERY_DONE ||
@@ -81,49 +84,51 @@
     if (has_ended && attempt->call != NULL && !attempt->is_query_retried) {
         attempt->is_query_retried = true;
         /* Not a failure, but schedules the second query. */
-        bb_probe_query_failed(&attempt->probe, bb_clock_now_us());
+        bb_call_recovery_query_failed(&attempt->recovery, bb_clock_now_us());
         return;
     }
-    bb_probe_query_completed(&attempt->probe, result, bb_clock_now_us());
+    bb_call_recovery_query_completed(&attempt->recovery, result,
+                                     bb_clock_now_us());
 }
 
-/* Performs the next step of the attempt's probe: wait, query, fetch the stored
- * response, retry, or give up with an unknown outcome. */
+/* Performs the next step of the attempt's recovery: wait, query, fetch the
+ * stored response, retry, or give up with an unknown outcome. */
 void
-bb_entry_check_probe(struct bb_exchange *x, struct bb_attempt *attempt)
+bb_exchange_check_recovery(struct bb_exchange *x, struct bb_attempt *attempt)
 {
     enum bb_reason reason;
     uint64_t host_key = attempt->host_key;
-    bool is_body_consumed = bb_entry_is_body_consumed(x, attempt);
+    bool is_body_consumed = bb_exchange_is_body_consumed(x, attempt);
     /* A refusal is evidence neither of a broken connection nor of slowness. */
     bool is_refused = attempt->is_refused_by_record;
     enum bb_attempt_result result =
         is_refused ? BB_ATTEMPT_REFUSED : BB_ATTEMPT_FAILED;
 
-    switch (bb_probe_step(&attempt->probe, bb_clock_now_us(), &reason)) {
-    case BB_PROBE_WAIT:
+    switch (bb_call_recovery_step(&attempt->recovery, bb_clock_now_us(),
+                                  &reason)) {
+    case BB_CALL_RECOVERY_WAIT:
         break;
-    case BB_PROBE_QUERY:
+    case BB_CALL_RECOVERY_QUERY:
         query_gatekeeper(x, attempt);
         break;
-    case BB_PROBE_FETCH_RESPONSE:
+    case BB_CALL_RECOVERY_FETCH_RESPONSE:
         if (!attempt->fetches_stored_response) {
             fetch_stored_response(x, attempt);
         }
         break;
-    case BB_PROBE_RETRY:
+    case BB_CALL_RECOVERY_RETRY:
         if (!is_refused) {
             bb_http_client_close_idle(x->proxy->client,
-                                      &attempt->endpoint->http_address);
+                                      &attempt->gatekeeper->http_address);
         }
-        bb_entry_finish_attempt(x, attempt, result);
-        bb_entry_retry_or_refuse(x, host_key, reason,
-                                 x->is_idempotent ? BB_RAN_UNKNOWN : BB_RAN_NO,
-                                 is_body_consumed);
+        bb_exchange_finish_attempt(x, attempt, result);
+        bb_exchange_retry_or_refuse(
+            x, host_key, reason, x->is_idempotent ? BB_RAN_UNKNOWN : BB_RAN_NO,
+            is_body_consumed);
         break;
-    case BB_PROBE_UNKNOWN:
-        bb_entry_finish_attempt(x, attempt, result);
-        bb_entry_refuse(x, reason, BB_RAN_UNKNOWN);
+    case BB_CALL_RECOVERY_UNKNOWN:
+        bb_exchange_finish_attempt(x, attempt, result);
+        bb_exchange_refuse_as_entry(x, reason, BB_RAN_UNKNOWN);
         break;
     }
 }
--- a/proxy/refusal.c
+++ b/proxy/refusal.c
@@ -61,16 +61,17 @@
     }
 }
 
-/* Passes the record's result to the attempt's probe, which decides the next
+/* Passes the record's result to the attempt's recovery, which decides the next
  * step. If that is another query, the attempt goes on without its finished
  * HTTP call. */
 static void
 apply_record_refusal(struct bb_exchange *x, struct bb_attempt *attempt,
                      enum bb_begin_result result)
 {
-    bb_probe_begin_completed(&attempt->probe, result, bb_clock_now_us());
+    bb_call_recovery_begin_completed(&attempt->recovery, result,
+                                     bb_clock_now_us());
     attempt->is_refused_by_record = true;
-    bb_entry_check_probe(x, attempt);
+    bb_exchange_check_recovery(x, attempt);
     if (attempt->is_active && !attempt->fetches_stored_response) {
         bb_http_call_release(attempt->call);
         attempt->call = NULL;
@@ -79,9 +80,9 @@
 
 /* Processes a response that is a refusal. Returns false if it is not one. */
 bool
-bb_entry_process_refusal(struct bb_exchange *x, struct bb_attempt *attempt)
+bb_exchange_process_refusal(struct bb_exchange *x, struct bb_attempt *attempt)
 {
-    bool is_body_consumed = bb_entry_is_body_consumed(x, attempt);
+    bool is_body_consumed = bb_exchange_is_body_consumed(x, attempt);
     uint64_t host_key = attempt->host_key;
     enum bb_begin_result result;
     enum bb_reason reason;
@@ -92,7 +93,7 @@
     }
     if (reason == BB_REASON_SHUTTING_DOWN && !attempt->is_local) {
         bb_http_client_close_idle(x->proxy->client,
-                                  &attempt->endpoint->http_address);
+                                  &attempt->gatekeeper->http_address);
     }
     if (!x->is_idempotent && !attempt->is_local &&
         !attempt->fetches_stored_response &&
@@ -100,7 +101,8 @@
         apply_record_refusal(x, attempt, result);
         return true;
     }
-    bb_entry_finish_attempt(x, attempt, bb_attempt_result_from_reason(reason));
-    bb_entry_retry_or_refuse(x, host_key, reason, ran, is_body_consumed);
+    bb_exchange_finish_attempt(x, attempt,
+                               bb_attempt_result_from_reason(reason));
+    bb_exchange_retry_or_refuse(x, host_key, reason, ran, is_body_consumed);
     return true;
 }
--- a/proxy/request.c
+++ b/proxy/request.c
@@ -39,7 +39,7 @@
 }
 
 /* Returns the host key, a hash that identifies a host in routing and claims.
- * Must be the same as bb_roster_hash_host, which returns the host keys in
+ * Must be the same as bb_roster_host_key, which returns the host keys in
  * rosters. */
 uint64_t
 bb_host_key(const char *host)
--- a/proxy/response.c
+++ b/proxy/response.c
@@ -106,7 +106,7 @@
 static void
 add_own_headers(const struct bb_exchange *x, struct MHD_Response *r)
 {
-    char text[BB_LOAD_TEXT_BYTES];
+    char text[BB_GATEKEEPER_LOAD_TEXT_BYTES];
 
     if (x->id_text[0] != '\0') {
         (void)MHD_add_response_header(r, BB_HEADER_ID, x->id_text);
--- a/proxy/rpc.c
+++ b/proxy/rpc.c
@@ -115,8 +115,8 @@
  * before the server starts. Returns false with the server's error on failure.
  */
 bool
-bb_proxy_register(struct bb_proxy *p, struct bb_rpc_server *server,
-                  struct bb_error *e)
+bb_proxy_register_rpc(struct bb_proxy *p, struct bb_rpc_server *server,
+                      struct bb_error *e)
 {
     atomic_store(&registered_proxy, p);
     return bb_rpc_server_register_program(server, BB_PEER_PROGRAM,
@@ -125,7 +125,7 @@
 
 /* Stops serving calls for a proxy that is being destroyed. */
 void
-bb_rpc_unregister(const struct bb_proxy *p)
+bb_peer_rpc_unregister(const struct bb_proxy *p)
 {
     struct bb_proxy *expected = (struct bb_proxy *)p;
 
@@ -136,8 +136,8 @@
  * request. Uses a new connection. Returns false if there was no valid
  * response. */
 bool
-bb_rpc_query(struct bb_exchange *x, const struct bb_attempt *attempt,
-             enum bb_query_result *result)
+bb_peer_rpc_query(struct bb_exchange *x, const struct bb_attempt *attempt,
+                  enum bb_query_result *result)
 {
     bb_peer_query q = {.incarnation = x->is_idempotent ? BB_INCARNATION_ANY
                                                        : attempt->incarnation};
@@ -158,7 +158,7 @@
     memcpy(q.id, x->id.bytes, sizeof(q.id));
     if (x->proxy->settings.rpc == NULL ||
         !bb_rpc_pool_call(x->proxy->settings.rpc,
-                          &attempt->endpoint->rpc_address, &call, &e) ||
+                          &attempt->gatekeeper->rpc_address, &call, &e) ||
         response.result > BB_QUERY_FULL) {
         return false;
     }
@@ -169,9 +169,10 @@
 /* Sends a claim to the witness at another node. Returns false if there was no
  * valid response. */
 bool
-bb_rpc_claim(struct bb_proxy *p, const struct bb_address *to,
-             const struct bb_request_id *key, const struct bb_claim *claim,
-             uint64_t epoch, struct bb_witness_response *out)
+bb_peer_rpc_claim(struct bb_proxy *p, const struct bb_address *to,
+                  const struct bb_request_id *key,
+                  const struct bb_claim *claim, uint64_t epoch,
+                  struct bb_witness_response *out)
 {
     bb_peer_claim c = {
         .attempt = claim->attempt,
@@ -243,8 +244,8 @@
 /* Cancels a request at another node without waiting. Does nothing if no worker
  * is free. */
 void
-bb_rpc_cancel(struct bb_proxy *p, const struct bb_address *to,
-              const struct bb_request_id *id)
+bb_peer_rpc_cancel(struct bb_proxy *p, const struct bb_address *to,
+                   const struct bb_request_id *id)
 {
     struct cancellation *c;
 
--- a/proxy/table.c
+++ b/proxy/table.c
@@ -8,7 +8,7 @@
 
 /* Allocation of a table: the reference count precedes the public part. */
 struct table {
-    atomic_uint references;
+    atomic_uint reference_count;
     struct bb_table public;
 };
 
@@ -43,20 +43,20 @@
     return true;
 }
 
-/* Creates the endpoint of a member, with its distance from this node. */
-static struct bb_endpoint
+/* Creates the gatekeeper of a member, with its distance from this node. */
+static struct bb_table_gatekeeper
 make_endpoint(const struct bb_member *m,
               const struct bb_node_location *location)
 {
-    struct bb_endpoint e = {
+    struct bb_table_gatekeeper e = {
         .http_address = m->http_address,
         .rpc_address = m->rpc_address,
         .incarnation = m->incarnation,
         .slots = m->slots,
         .distance =
-            strcmp(m->region, location->region) != 0 ? BB_ENDPOINT_OTHER_REGION
-            : strcmp(m->zone, location->zone) != 0   ? BB_ENDPOINT_SAME_REGION
-                                                     : BB_ENDPOINT_SAME_ZONE,
+            strcmp(m->region, location->region) != 0 ? BB_ROUTE_OTHER_REGION
+            : strcmp(m->zone, location->zone) != 0   ? BB_ROUTE_SAME_REGION
+                                                     : BB_ROUTE_SAME_ZONE,
         .is_local = strcmp(m->host, location->host) == 0,
     };
 
@@ -79,8 +79,8 @@
         (void)g_strlcpy(out->team, c->teams[s->team].name, sizeof(out->team));
         out->team_max_in_flight = c->teams[s->team].max_in_flight;
     }
-    out->usable_gatekeepers = g_new0(struct bb_endpoint, count);
-    out->gatekeepers = g_new0(struct bb_endpoint, count);
+    out->usable_gatekeepers = g_new0(struct bb_table_gatekeeper, count);
+    out->gatekeepers = g_new0(struct bb_table_gatekeeper, count);
     for (size_t i = 0; i < count; i++) {
         if (strcmp(members[i].service, s->name) != 0 ||
             members[i].state >= BB_MEMBER_DEAD) {
@@ -104,7 +104,7 @@
     struct table *allocation = g_new0(struct table, 1);
     struct bb_table *t = &allocation->public;
 
-    atomic_init(&allocation->references, 1);
+    atomic_init(&allocation->reference_count, 1);
     t->revision = c->revision;
     t->limits = c->limits;
     t->service_count = c->service_count;
@@ -166,7 +166,7 @@
 }
 
 /* Returns the usable gatekeeper at a host, or NULL if there is none. */
-const struct bb_endpoint *
+const struct bb_table_gatekeeper *
 bb_table_find_usable_gatekeeper(const struct bb_table_service *s,
                                 const char *host)
 {
@@ -188,7 +188,7 @@
         return;
     }
     allocation = get_allocation(t);
-    if (atomic_fetch_sub(&allocation->references, 1) != 1) {
+    if (atomic_fetch_sub(&allocation->reference_count, 1) != 1) {
         return;
     }
     for (uint16_t i = 0; i < t->service_count; i++) {
@@ -263,7 +263,7 @@
     urcu_memb_read_lock();
     t = atomic_load(&c->current);
     if (t != NULL) {
-        (void)atomic_fetch_add(&get_allocation(t)->references, 1);
+        (void)atomic_fetch_add(&get_allocation(t)->reference_count, 1);
     }
     urcu_memb_read_unlock();
     return t;
--- a/proxy/workers.c
+++ b/proxy/workers.c
@@ -252,19 +252,20 @@
     return true;
 }
 
-/* Waits for capacity until end_us and counts the work as running. Returns
+/* Waits for capacity until deadline_us and counts the work as running. Returns
  * false on timeout or when the pool stops. Called with the lock held. */
 static bool
-acquire_capacity(struct bb_workers *p, struct bb_work *w, uint64_t end_us)
+acquire_capacity(struct bb_workers *p, struct bb_work *w, uint64_t deadline_us)
 {
-    struct timespec end = bb_clock_to_timespec(end_us);
+    struct timespec deadline = bb_clock_to_timespec(deadline_us);
 
     w->depth = MIN(w->depth, (uint32_t)BB_CALL_DEPTH_MAX);
     while (!p->is_stopping && !has_capacity(p, w->depth)) {
         int result;
 
         p->waiting_count++;
-        result = pthread_cond_timedwait(&p->capacity_freed, &p->lock, &end);
+        result =
+            pthread_cond_timedwait(&p->capacity_freed, &p->lock, &deadline);
         p->waiting_count--;
         if (result == ETIMEDOUT && !has_capacity(p, w->depth)) {
             return false;
@@ -293,17 +294,18 @@
     return true;
 }
 
-/* Submits work to a worker, waiting for capacity until end_us. run must call
- * bb_workers_finish exactly once. Returns false, without running the work, on
- * timeout, when the pool stops, or if no thread can be started. */
+/* Submits work to a worker, waiting for capacity until deadline_us. run must
+ * call bb_workers_finish exactly once. Returns false, without running the
+ * work, on timeout, when the pool stops, or if no thread can be started. */
 bool
-bb_workers_submit(struct bb_workers *p, struct bb_work *w, uint64_t end_us)
+bb_workers_submit(struct bb_workers *p, struct bb_work *w,
+                  uint64_t deadline_us)
 {
     struct idle_worker *idle = NULL;
     bool is_accepted;
 
     (void)pthread_mutex_lock(&p->lock);
-    is_accepted = acquire_capacity(p, w, end_us);
+    is_accepted = acquire_capacity(p, w, deadline_us);
     if (is_accepted && !assign_work(p, w, &idle)) {
         p->busy_count[w->depth]--;
         is_accepted = false;
@@ -337,16 +339,17 @@
 }
 
 /* Counts work that the calling thread runs itself, waiting for capacity until
- * end_us. Returns false on timeout or when the pool stops. The work ends with
- * bb_workers_finish, in this thread or in the worker it is handed over to. */
+ * deadline_us. Returns false on timeout or when the pool stops. The work ends
+ * with bb_workers_finish, in this thread or in the worker it is handed over
+ * to. */
 bool
 bb_workers_begin_inline(struct bb_workers *p, struct bb_work *w,
-                        uint64_t end_us)
+                        uint64_t deadline_us)
 {
     bool is_accepted;
 
     (void)pthread_mutex_lock(&p->lock);
-    is_accepted = acquire_capacity(p, w, end_us);
+    is_accepted = acquire_capacity(p, w, deadline_us);
     (void)pthread_mutex_unlock(&p->lock);
     return is_accepted;
 }
--- a/replay/module_record.c
+++ b/replay/module_record.c
@@ -7,7 +7,7 @@
 
 #include "common/clock.h"
 #include "common/registry.h"
-#include "decide/probe.h"
+#include "decide/call_recovery.h"
 #include "decide/record.h"
 #include "replay/replay.h"
 
@@ -20,7 +20,7 @@
 
 struct state {
     struct gatekeeper gatekeepers[GATEKEEPERS];
-    struct bb_probe probe;
+    struct bb_call_recovery recovery;
 };
 
 static const char *const begin_names[] = {
@@ -150,9 +150,9 @@
         !bb_replay_read_number(l, "deadline_ms", MS_MAX, &deadline_ms)) {
         return false;
     }
-    bb_probe_init(&s->probe, is_idempotent, is_keyed,
-                  BB_PROBE_CHECK_INTERVAL_US,
-                  l->now_us + deadline_ms * BB_US_PER_MS, l->now_us);
+    bb_call_recovery_init(&s->recovery, is_idempotent, is_keyed,
+                          BB_CALL_RECOVERY_CHECK_INTERVAL_US,
+                          l->now_us + deadline_ms * BB_US_PER_MS, l->now_us);
     return true;
 }
 
@@ -166,8 +166,8 @@
                              QUERY_NAMES, &result_index)) {
         return false;
     }
-    bb_probe_query_completed(&s->probe, (enum bb_query_result)result_index,
-                             l->now_us);
+    bb_call_recovery_query_completed(
+        &s->recovery, (enum bb_query_result)result_index, l->now_us);
     return true;
 }
 
@@ -185,8 +185,8 @@
 
 /* Applies an event to the probe and reports its next step. */
 static bool
-apply_to_probe(struct state *s, const char *event, struct bb_replay_line *l,
-               json_t *result)
+apply_to_recovery(struct state *s, const char *event, struct bb_replay_line *l,
+                  json_t *result)
 {
     enum bb_reason reason;
     bool ok = true;
@@ -195,24 +195,24 @@
         ok = send_call(s, l);
     }
     else if (strcmp(event, "bytes") == 0) {
-        bb_probe_bytes_received(&s->probe, l->now_us);
+        bb_call_recovery_bytes_received(&s->recovery, l->now_us);
     }
     else if (strcmp(event, "broken") == 0) {
-        bb_probe_connection_broken(&s->probe, l->now_us);
+        bb_call_recovery_connection_broken(&s->recovery, l->now_us);
     }
     else if (strcmp(event, "answered") == 0) {
         ok = apply_query_result(s, l);
     }
     else if (strcmp(event, "query_failed") == 0) {
-        bb_probe_query_failed(&s->probe, l->now_us);
+        bb_call_recovery_query_failed(&s->recovery, l->now_us);
     }
     else if (strcmp(event, "step") != 0) {
         return bb_replay_reject_event(l, event);
     }
     if (ok) {
-        bb_replay_set_string(
-            result, "step",
-            step_names[bb_probe_step(&s->probe, l->now_us, &reason)]);
+        bb_replay_set_string(result, "step",
+                             step_names[bb_call_recovery_step(
+                                 &s->recovery, l->now_us, &reason)]);
         bb_replay_set_string(result, "reason", bb_reason_name(reason));
     }
     return ok;
@@ -233,7 +233,7 @@
     if (strcmp(event, "restart") == 0) {
         return restart(state, l);
     }
-    return apply_to_probe(state, event, l, result);
+    return apply_to_recovery(state, event, l, result);
 }
 
 static const struct bb_replay_module record = {
--- a/replay/module_retry.c
+++ b/replay/module_retry.c
@@ -89,7 +89,7 @@
                             "unknown reason \"%.64s\"", reason);
     }
     q.ran = (enum bb_ran)ran;
-    q.attempts = (uint32_t)attempts;
+    q.attempt_count = (uint32_t)attempts;
     q.retry_limit = (uint32_t)limit;
     for (uint64_t i = 0; i < times; i++) {
         a = bb_retry_decide(&q, &s->retries);
--- a/replay/module_routing.c
+++ b/replay/module_routing.c
@@ -12,7 +12,7 @@
 enum { GATEKEEPERS_MAX = 64, LOAD_MAX = 100000, CALLS_MAX = 100000 };
 
 struct state {
-    struct bb_candidate candidates[GATEKEEPERS_MAX];
+    struct bb_route_candidate candidates[GATEKEEPERS_MAX];
     uint32_t count;
     struct bb_route_state route;
     struct bb_link_budget link;
@@ -34,7 +34,7 @@
 }
 
 /* Returns the candidate that an event names; NULL with an error set. */
-static struct bb_candidate *
+static struct bb_route_candidate *
 find_candidate(struct state *s, struct bb_replay_line *l)
 {
     uint64_t id;
@@ -72,8 +72,8 @@
                             "more than %d",
                             GATEKEEPERS_MAX);
     }
-    bb_candidate_init(&s->candidates[s->count++], id,
-                      (enum bb_route_distance)tier, (uint32_t)slots);
+    bb_route_candidate_init(&s->candidates[s->count++], id,
+                            (enum bb_route_distance)tier, (uint32_t)slots);
     return true;
 }
 
@@ -81,7 +81,7 @@
 static bool
 update_load(struct state *s, struct bb_replay_line *l)
 {
-    struct bb_candidate *c = find_candidate(s, l);
+    struct bb_route_candidate *c = find_candidate(s, l);
     uint64_t running;
     uint64_t queued;
     uint64_t slots;
@@ -92,8 +92,8 @@
         !bb_replay_read_number(l, "slots", LOAD_MAX, &slots)) {
         return false;
     }
-    bb_candidate_update_load(c, (uint32_t)running, (uint32_t)queued,
-                             (uint32_t)slots, l->now_us);
+    bb_route_candidate_update_load(c, (uint32_t)running, (uint32_t)queued,
+                                   (uint32_t)slots, l->now_us);
     return true;
 }
 
@@ -102,7 +102,7 @@
 static bool
 add_call(struct state *s, struct bb_replay_line *l, bool is_finished)
 {
-    struct bb_candidate *c = find_candidate(s, l);
+    struct bb_route_candidate *c = find_candidate(s, l);
     uint64_t latency_us = 0;
     bool is_failure = false;
     uint64_t start_us;
@@ -114,10 +114,11 @@
         return false;
     }
     start_us = l->now_us - latency_us;
-    bb_candidate_start(c);
+    bb_route_candidate_start(c);
     bb_outlier_start(&s->outliers, c->key, BB_ADMISSION_SHORT, start_us);
     if (is_finished) {
-        bb_candidate_finish(c, BB_ADMISSION_SHORT, latency_us, !is_failure);
+        bb_route_candidate_finish(c, BB_ADMISSION_SHORT, latency_us,
+                                  !is_failure);
         bb_outlier_finish(&s->outliers, c->key, BB_ADMISSION_SHORT, start_us,
                           is_failure, l->now_us);
     }
@@ -129,7 +130,7 @@
 static bool
 pick_candidates(struct state *s, struct bb_replay_line *l, json_t *result)
 {
-    const struct bb_candidate *all[GATEKEEPERS_MAX];
+    const struct bb_route_candidate *all[GATEKEEPERS_MAX];
     struct bb_route_request r = {0};
     struct bb_route_choice c = {0};
     json_t *counts = json_object();
@@ -191,7 +192,7 @@
 apply(void *state, const char *event, struct bb_replay_line *l, json_t *result)
 {
     struct state *s = state;
-    struct bb_candidate *c;
+    struct bb_route_candidate *c;
     uint64_t bytes_per_s;
     bool ok = true;
 
