--- a/tests/decide/test_explore_calls.c
+++ b/tests/decide/test_explore_calls.c
@@ -1,7 +1,8 @@
-/* Model checker for record, claim and probe: explores every interleaving of
- * events in a small system of two entry nodes with the same idempotency key
- * and three gatekeepers that are also witnesses (a fourth after a roster
- * change), with lost, delayed and duplicated messages and one restart.
+/* Model checker for record, claim and call recovery: explores every
+ * interleaving of events in a small system of two entry nodes with the same
+ * idempotency key and three gatekeepers that are also witnesses (a fourth
+ * after a roster change), with lost, delayed and duplicated messages and one
+ * restart.
  *
  * Guards against a request that runs twice, a request that is reported as not
  * run but ran, and an outcome that is unknown without a restart or a passed
@@ -13,8 +14,8 @@
 #include <time.h>
 
 #include "common/digest.h"
+#include "decide/call_recovery.h"
 #include "decide/claim.h"
-#include "decide/probe.h"
 #include "decide/record.h"
 #include "unit.h"
 
@@ -75,7 +76,7 @@
     uint8_t caused_runs; /* runs started by messages of this node */
     struct bb_claim claim;
     struct bb_claim_requester requester;
-    struct bb_probe probe;
+    struct bb_call_recovery recovery;
 };
 
 /* How often each kind of event happens in an exploration. */
@@ -104,7 +105,7 @@
     bool has_deadline;
     enum bb_record_fault record_fault;
     enum bb_claim_fault claim_fault;
-    enum bb_probe_fault probe_fault;
+    enum bb_call_recovery_fault recovery_fault;
 };
 
 static struct {
@@ -254,8 +255,8 @@
         }
     }
     if (e->phase == WAITING_FOR_RESPONSE) {
-        pack_byte(p, e->probe.is_query_pending << 2 | e->probe.is_broken << 1 |
-                         e->probe.is_silent);
+        pack_byte(p, e->recovery.is_query_pending << 2 |
+                         e->recovery.is_broken << 1 | e->recovery.is_silent);
     }
 }
 
@@ -408,26 +409,26 @@
     start_claim(s, i);
 }
 
-/* Does what the probe of an entry node asks for after an event. */
+/* Does what the call recovery of an entry node asks for after an event. */
 static void
-apply_probe_step(struct state *s, int i, uint64_t now_us)
+apply_recovery_step(struct state *s, int i, uint64_t now_us)
 {
     enum bb_reason reason;
 
     if (s->entries[i].phase != WAITING_FOR_RESPONSE) {
         return;
     }
-    switch (bb_probe_step(&s->entries[i].probe, now_us, &reason)) {
-    case BB_PROBE_WAIT:
-    case BB_PROBE_QUERY:
+    switch (bb_call_recovery_step(&s->entries[i].recovery, now_us, &reason)) {
+    case BB_CALL_RECOVERY_WAIT:
+    case BB_CALL_RECOVERY_QUERY:
         break;
-    case BB_PROBE_FETCH_RESPONSE:
+    case BB_CALL_RECOVERY_FETCH_RESPONSE:
         end_request(s, i, COMPLETED);
         break;
-    case BB_PROBE_RETRY:
+    case BB_CALL_RECOVERY_RETRY:
         retry_next_gatekeeper(s, i);
         break;
-    case BB_PROBE_UNKNOWN:
+    case BB_CALL_RECOVERY_UNKNOWN:
         end_request(s, i,
                     reason == BB_REASON_GATEKEEPER_RESTARTED
                         ? UNKNOWN_RESTART
@@ -463,8 +464,8 @@
     }
     if (m->expects_response && !is_response_lost &&
         e->phase == WAITING_FOR_RESPONSE) {
-        bb_probe_begin_completed(&e->probe, r, NOW_US);
-        apply_probe_step(s, m->entry, 0);
+        bb_call_recovery_begin_completed(&e->recovery, r, NOW_US);
+        apply_recovery_step(s, m->entry, 0);
     }
 }
 
@@ -518,8 +519,8 @@
                         m->claim.incarnation, &response, NOW_US);
 
     if (m->expects_response) {
-        bb_probe_query_completed(&e->probe, r, NOW_US);
-        apply_probe_step(s, m->entry, 0);
+        bb_call_recovery_query_completed(&e->recovery, r, NOW_US);
+        apply_recovery_step(s, m->entry, 0);
     }
 }
 
@@ -541,7 +542,7 @@
     }
 }
 
-/* Lets the requester or the probe give up waiting for an RPC. */
+/* Lets the requester or the call recovery give up waiting for an RPC. */
 static void
 time_out_rpc(struct state *s, const struct message *m)
 {
@@ -553,7 +554,7 @@
         apply_claim_step(s, m->entry);
     }
     else {
-        bb_probe_query_failed(&e->probe, NOW_US);
+        bb_call_recovery_query_failed(&e->recovery, NOW_US);
     }
 }
 
@@ -630,9 +631,9 @@
         if (s->used.copies > explorer.scenario->limits.copies) {
             return;
         }
-        bb_probe_init(&e->probe, false, is_keyed(), CHECK_US, DEADLINE_US,
-                      NOW_US);
-        e->probe.fault = explorer.scenario->probe_fault;
+        bb_call_recovery_init(&e->recovery, false, is_keyed(), CHECK_US,
+                              DEADLINE_US, NOW_US);
+        e->recovery.fault = explorer.scenario->recovery_fault;
         e->phase = WAITING_FOR_RESPONSE;
         send_message(s, m);
         explore(depth + 1);
@@ -647,7 +648,7 @@
     const struct entry_node *e = &explorer.stack[depth].entries[i];
     struct state *s;
 
-    if (e->probe.is_query_pending) {
+    if (e->recovery.is_query_pending) {
         explore_rpc(depth,
                     &(struct message){.kind = QUERY,
                                       .entry = (uint8_t)i,
@@ -657,19 +658,19 @@
     }
     else {
         s = push_state(depth);
-        apply_probe_step(s, i, s->entries[i].probe.next_query_us);
+        apply_recovery_step(s, i, s->entries[i].recovery.next_query_us);
         explore(depth + 1);
     }
-    if (!e->probe.is_broken) {
+    if (!e->recovery.is_broken) {
         s = push_state(depth);
         drop_responses(s, i);
-        bb_probe_connection_broken(&s->entries[i].probe, NOW_US);
-        apply_probe_step(s, i, 0);
+        bb_call_recovery_connection_broken(&s->entries[i].recovery, NOW_US);
+        apply_recovery_step(s, i, 0);
         explore(depth + 1);
     }
     if (explorer.scenario->has_deadline) {
         s = push_state(depth);
-        apply_probe_step(s, i, DEADLINE_US);
+        apply_recovery_step(s, i, DEADLINE_US);
         explore(depth + 1);
     }
 }
@@ -765,7 +766,7 @@
         for (int i = 0; is_lost == 0 && i < ENTRY_NODES; i++) {
             struct entry_node *e = &s->entries[i];
 
-            if (e->phase == WAITING_FOR_RESPONSE && !e->probe.is_broken &&
+            if (e->phase == WAITING_FOR_RESPONSE && !e->recovery.is_broken &&
                 e->caused_runs > 0 && e->claim.gatekeeper == (uint64_t)h) {
                 end_request(s, i, COMPLETED);
             }
@@ -927,11 +928,11 @@
         {"fault: retry without query",
          1,
          {.losses = 1},
-         .probe_fault = BB_PROBE_FAULT_NO_QUERY},
+         .recovery_fault = BB_CALL_RECOVERY_FAULT_NO_QUERY},
         {"fault: retries a keyed request after a restart",
          2,
          {.restarts = 1, .losses = 1},
-         .probe_fault = BB_PROBE_FAULT_RETRIES_KEYED},
+         .recovery_fault = BB_CALL_RECOVERY_FAULT_RETRIES_KEYED},
         {"fault: query does not record its refusal",
          1,
          {.losses = 1},
--- a/tests/decide/test_load_decisions.c
+++ b/tests/decide/test_load_decisions.c
@@ -84,14 +84,14 @@
 static void
 drain_queue(struct simulation *p, uint64_t now_us)
 {
-    enum bb_gate_verdict v;
+    enum bb_gate_queue_decision v;
     uint64_t id = 0;
 
     while (bb_gate_queue_take_next(&p->queue, now_us, &id, &v)) {
         struct request *r = &p->requests[id];
 
-        r->state = v == BB_GATE_RUN ? RUNNING : REFUSED;
-        r->end_us = v == BB_GATE_RUN ? now_us + r->duration_us : now_us;
+        r->state = v == BB_GATE_QUEUE_RUN ? RUNNING : REFUSED;
+        r->end_us = v == BB_GATE_QUEUE_RUN ? now_us + r->duration_us : now_us;
     }
 }
 
@@ -118,14 +118,14 @@
             }
             switch (
                 bb_gate_queue_arrive(&p->queue, &r->r, UINT64_MAX, now_us)) {
-            case BB_GATE_RUN:
+            case BB_GATE_QUEUE_RUN:
                 r->state = RUNNING;
                 r->end_us = now_us + r->duration_us;
                 break;
-            case BB_GATE_WAIT:
+            case BB_GATE_QUEUE_WAIT:
                 r->state = QUEUED;
                 break;
-            case BB_GATE_REFUSE:
+            case BB_GATE_QUEUE_REFUSE:
                 r->state = REFUSED;
                 r->end_us = now_us;
                 break;
@@ -269,7 +269,7 @@
 }
 
 static struct bb_gate_view
-create_view(enum bb_distance distance)
+create_view(enum bb_gate_distance distance)
 {
     return (struct bb_gate_view){.distance = distance,
                                  .is_ready = true,
@@ -346,16 +346,16 @@
     r->attempts++;
     switch (bb_gate_queue_arrive(&f->queues[r->gate], &r->r, o.max_wait_us,
                                  now_us)) {
-    case BB_GATE_RUN:
+    case BB_GATE_QUEUE_RUN:
         r->state = RUNNING;
         r->next_us = now_us + r->duration_us;
         f->views[r->entry][r->gate].in_flight++;
         break;
-    case BB_GATE_WAIT:
+    case BB_GATE_QUEUE_WAIT:
         r->state = QUEUED;
         f->views[r->entry][r->gate].in_flight++;
         break;
-    case BB_GATE_REFUSE:
+    case BB_GATE_QUEUE_REFUSE:
         r->was_full[r->gate] = true;
         r->next_us = now_us + ATTEMPT_US;
         r->state = o.max_wait_us == UINT64_MAX ? REFUSED : NOT_SENT;
@@ -368,7 +368,7 @@
 static void
 advance_gates(struct mesh *f, uint64_t now_us)
 {
-    enum bb_gate_verdict v;
+    enum bb_gate_queue_decision v;
     uint64_t id = 0;
 
     for (uint32_t i = 0; i < MESH_REQUESTS; i++) {
@@ -385,9 +385,9 @@
         while (bb_gate_queue_take_next(&f->queues[i], now_us, &id, &v)) {
             struct mesh_request *r = &f->requests[id];
 
-            r->state = v == BB_GATE_RUN ? RUNNING : REFUSED;
+            r->state = v == BB_GATE_QUEUE_RUN ? RUNNING : REFUSED;
             r->next_us = now_us + r->duration_us;
-            if (v != BB_GATE_RUN) {
+            if (v != BB_GATE_QUEUE_RUN) {
                 f->views[r->entry][i].in_flight--;
             }
         }
@@ -412,7 +412,7 @@
         bb_gate_queue_init(&f->queues[i], SLOTS);
         f->queues[i].overall_mean_us = DURATION_US;
         for (uint32_t k = 0; k < ENTRY_NODES; k++) {
-            f->views[k][i] = create_view(BB_SAME_ZONE);
+            f->views[k][i] = create_view(BB_GATE_SAME_ZONE);
         }
     }
     for (uint32_t i = 0; i < MESH_REQUESTS; i++) {
@@ -454,9 +454,9 @@
 static void
 test_nearest_gate_preferred(void)
 {
-    struct bb_gate_view v[] = {create_view(BB_OTHER_REGION),
-                               create_view(BB_SAME_REGION),
-                               create_view(BB_SAME_ZONE)};
+    struct bb_gate_view v[] = {create_view(BB_GATE_OTHER_REGION),
+                               create_view(BB_GATE_SAME_REGION),
+                               create_view(BB_GATE_SAME_ZONE)};
 
     random_state = 5;
     v[0].mean_duration_us = DURATION_US / 2;
@@ -465,12 +465,12 @@
         CU_ASSERT_EQUAL(pick_gate(v, 3, S), 2);
     }
     /* The gate of the same host comes first, unless its queue is long. */
-    v[1].distance = BB_SAME_HOST;
+    v[1].distance = BB_GATE_SAME_HOST;
     bb_gate_view_update_load(&v[1], SLOTS, 1, SLOTS, DURATION_US, 0, S);
     CU_ASSERT_EQUAL(pick_gate(v, 3, S), 1);
     bb_gate_view_update_load(&v[1], SLOTS, 5, SLOTS, DURATION_US, 0, S);
     CU_ASSERT_EQUAL(pick_gate(v, 3, S), 2);
-    v[1] = create_view(BB_SAME_REGION);
+    v[1] = create_view(BB_GATE_SAME_REGION);
     v[1].mean_duration_us = DURATION_US / 2;
     /* The gate of the zone is full: one of the same region comes before one of
      * another region. */
@@ -489,9 +489,9 @@
 static void
 test_far_queue_must_be_much_shorter(void)
 {
-    struct bb_gate_view v[] = {create_view(BB_SAME_ZONE),
-                               create_view(BB_SAME_REGION),
-                               create_view(BB_OTHER_REGION)};
+    struct bb_gate_view v[] = {create_view(BB_GATE_SAME_ZONE),
+                               create_view(BB_GATE_SAME_REGION),
+                               create_view(BB_GATE_OTHER_REGION)};
 
     random_state = 12;
     bb_gate_view_update_load(&v[0], SLOTS, 6 * SLOTS, SLOTS, DURATION_US, 0,
@@ -516,8 +516,8 @@
 static void
 test_new_upstream_explored_once(void)
 {
-    struct bb_gate_view v[] = {create_view(BB_SAME_ZONE),
-                               create_view(BB_SAME_REGION)};
+    struct bb_gate_view v[] = {create_view(BB_GATE_SAME_ZONE),
+                               create_view(BB_GATE_SAME_REGION)};
 
     random_state = 6;
     v[1].reported_us = 0;
@@ -536,7 +536,7 @@
 
     random_state = 13;
     for (uint32_t i = 0; i < 6; i++) {
-        v[i] = create_view(i < 3 ? BB_SAME_ZONE : BB_SAME_REGION);
+        v[i] = create_view(i < 3 ? BB_GATE_SAME_ZONE : BB_GATE_SAME_REGION);
         v[i].reported_us = 0;
     }
     for (uint32_t i = 0; i < 3; i++) {
@@ -554,12 +554,12 @@
 
 /* Load: light with one slow upstream, then near capacity. Guards against a
  * region with one gate per zone that sends no hedges, and against hedges that
- * take slots from first sends or go to another region. */
+ * take slots from first attempts or go to another region. */
 static void
 test_hedge_needs_near_free_slots(void)
 {
-    struct bb_gate_view near = create_view(BB_SAME_REGION);
-    struct bb_gate_view far = create_view(BB_OTHER_REGION);
+    struct bb_gate_view near = create_view(BB_GATE_SAME_REGION);
+    struct bb_gate_view far = create_view(BB_GATE_OTHER_REGION);
 
     bb_gate_view_update_load(&near, SLOTS / 2, 0, SLOTS, DURATION_US, 0, S);
     bb_gate_view_update_load(&far, 0, 0, SLOTS, DURATION_US, 0, S);
@@ -574,8 +574,8 @@
 static void
 test_failing_upstream_left_out(void)
 {
-    struct bb_gate_view v[] = {create_view(BB_SAME_ZONE),
-                               create_view(BB_SAME_REGION)};
+    struct bb_gate_view v[] = {create_view(BB_GATE_SAME_ZONE),
+                               create_view(BB_GATE_SAME_REGION)};
 
     random_state = 7;
     bb_gate_view_update_load(&v[0], 1, 0, SLOTS, DURATION_US, 600, 10 * S);
@@ -610,7 +610,7 @@
         for (uint32_t i = 0; i < n; i++) {
             struct bb_retry_window *w = &windows[next_random() % HOSTS];
 
-            bb_retry_window_count_first_send(w, &limits, 0, now_us);
+            bb_retry_window_count_first_attempt(w, &limits, 0, now_us);
             firsts[t]++;
             if (next_random() % 2 == 0) {
                 retries[t] += bb_retry_window_take(w, &limits, now_us);
@@ -627,7 +627,7 @@
             r += retries[t];
         }
         /* The interval half a window earlier counts instead if it has more
-         * first sends. */
+         * first attempts. */
         for (uint32_t t = start >= 500 ? start - 500 : 0;
              start >= 500 && t < start + 500; t++) {
             before += firsts[t];
@@ -651,7 +651,7 @@
 
     memset(&w, 0, sizeof(w));
     for (uint32_t i = 0; i < 200; i++) {
-        bb_retry_window_count_first_send(&w, &limits, 500, 50 * S + i * MS);
+        bb_retry_window_count_first_attempt(&w, &limits, 500, 50 * S + i * MS);
         taken += bb_retry_window_take(&w, &limits, 50 * S + i * MS);
     }
     CU_ASSERT_EQUAL(taken, 0);
@@ -661,7 +661,7 @@
 
 /* Requests that one service gets, by tick. */
 struct arrivals {
-    uint32_t firsts[TICKS];      /* first sends outside of retried requests */
+    uint32_t firsts[TICKS]; /* first attempts outside of retried requests */
     uint32_t extra_sends[TICKS]; /* retries, and nested calls of retries */
 };
 
@@ -674,7 +674,7 @@
 {
     uint64_t now_us = 100 * (uint64_t)S + (uint64_t)tick * TICK_US;
 
-    bb_retry_window_count_first_send(w, l, is_of_retry ? 1000 : 0, now_us);
+    bb_retry_window_count_first_attempt(w, l, is_of_retry ? 1000 : 0, now_us);
     a->firsts[tick] += !is_of_retry;
     a->extra_sends[tick] += is_of_retry;
     if (next_random() % 100 >= 55) {
@@ -728,7 +728,7 @@
         for (uint32_t i = 0; i < 3; i++) {
             struct bb_retry_window *w = &caller_windows[next_random() % HOSTS];
 
-            bb_retry_window_count_first_send(w, &limits, 0, now_us);
+            bb_retry_window_count_first_attempt(w, &limits, 0, now_us);
             if (next_random() % 10 < 7 &&
                 !run_with_nested_calls(callee_windows, &limits, &a, t,
                                        false) &&
--- a/tests/decide/test_once.c
+++ b/tests/decide/test_once.c
@@ -4,8 +4,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "decide/call_recovery.h"
 #include "decide/claim.h"
-#include "decide/probe.h"
 #include "decide/record.h"
 #include "decide/retry.h"
 #include "unit.h"
@@ -168,25 +168,33 @@
 /* Guards against a silent connection that keeps a call waiting without a
  * query, and an outcome that changes after the deadline. */
 static void
-test_probe_queries_after_silence(void)
+test_recovery_queries_after_silence(void)
 {
     enum bb_reason reason;
-    struct bb_probe p;
+    struct bb_call_recovery r;
 
-    bb_probe_init(&p, false, false, BB_PROBE_CHECK_INTERVAL_US, 9000 * MS, 0);
-    bb_probe_bytes_received(&p, 600 * MS);
-    CU_ASSERT_EQUAL(bb_probe_step(&p, 1500 * MS, &reason), BB_PROBE_WAIT);
-    CU_ASSERT_EQUAL(bb_probe_next_wakeup_us(&p), 1600 * MS);
-    CU_ASSERT_EQUAL(bb_probe_step(&p, 1600 * MS, &reason), BB_PROBE_QUERY);
-    CU_ASSERT_EQUAL(bb_probe_step(&p, 1700 * MS, &reason), BB_PROBE_WAIT);
-    bb_probe_query_completed(&p, BB_QUERY_RUNNING, 1700 * MS);
-    CU_ASSERT_EQUAL(bb_probe_step(&p, 2700 * MS, &reason), BB_PROBE_QUERY);
-    bb_probe_query_failed(&p, 2800 * MS);
-    CU_ASSERT_EQUAL(bb_probe_next_wakeup_us(&p), 3050 * MS);
-    CU_ASSERT_EQUAL(bb_probe_step(&p, 9000 * MS, &reason), BB_PROBE_UNKNOWN);
+    bb_call_recovery_init(&r, false, false, BB_CALL_RECOVERY_CHECK_INTERVAL_US,
+                          9000 * MS, 0);
+    bb_call_recovery_bytes_received(&r, 600 * MS);
+    CU_ASSERT_EQUAL(bb_call_recovery_step(&r, 1500 * MS, &reason),
+                    BB_CALL_RECOVERY_WAIT);
+    CU_ASSERT_EQUAL(bb_call_recovery_next_wakeup_us(&r), 1600 * MS);
+    CU_ASSERT_EQUAL(bb_call_recovery_step(&r, 1600 * MS, &reason),
+                    BB_CALL_RECOVERY_QUERY);
+    CU_ASSERT_EQUAL(bb_call_recovery_step(&r, 1700 * MS, &reason),
+                    BB_CALL_RECOVERY_WAIT);
+    bb_call_recovery_query_completed(&r, BB_QUERY_RUNNING, 1700 * MS);
+    CU_ASSERT_EQUAL(bb_call_recovery_step(&r, 2700 * MS, &reason),
+                    BB_CALL_RECOVERY_QUERY);
+    bb_call_recovery_query_failed(&r, 2800 * MS);
+    CU_ASSERT_EQUAL(bb_call_recovery_next_wakeup_us(&r), 3050 * MS);
+    CU_ASSERT_EQUAL(bb_call_recovery_step(&r, 9000 * MS, &reason),
+                    BB_CALL_RECOVERY_UNKNOWN);
     CU_ASSERT_EQUAL(reason, BB_REASON_CONNECTION_SILENT);
-    bb_probe_query_completed(&p, BB_QUERY_DONE, 9001 * MS); /* too late */
-    CU_ASSERT_EQUAL(bb_probe_step(&p, 9001 * MS, &reason), BB_PROBE_UNKNOWN);
+    bb_call_recovery_query_completed(&r, BB_QUERY_DONE,
+                                     9001 * MS); /* too late */
+    CU_ASSERT_EQUAL(bb_call_recovery_step(&r, 9001 * MS, &reason),
+                    BB_CALL_RECOVERY_UNKNOWN);
 }
 
 /* Guards against retries of requests that may have run, hopeless retries, and
@@ -197,7 +205,7 @@
     struct bb_retry_budget b = {0};
     struct bb_failed_request q = {.reason = BB_REASON_QUEUE_FULL,
                                   .ran = BB_RAN_NO,
-                                  .attempts = 1,
+                                  .attempt_count = 1,
                                   .retry_limit = 3,
                                   .remaining_us = 100 * MS};
     uint32_t allowed = 0;
@@ -208,9 +216,9 @@
     CU_ASSERT_FALSE(bb_retry_decide(&q, &b).is_allowed);
     q.is_idempotent = true;
     CU_ASSERT_TRUE(bb_retry_decide(&q, &b).is_allowed);
-    q.attempts = 4;
+    q.attempt_count = 4;
     CU_ASSERT_FALSE(bb_retry_decide(&q, &b).is_allowed);
-    q.attempts = 1;
+    q.attempt_count = 1;
     q.reason = BB_REASON_BAD_REQUEST;
     CU_ASSERT_FALSE(bb_retry_decide(&q, &b).is_allowed);
     q.reason = BB_REASON_QUEUE_FULL;
@@ -284,7 +292,7 @@
     {"witness sets agree and overlap", test_witness_sets_agree_and_overlap},
     {"grants of a witness expire, and a roster is not dropped too early",
      test_witness_grants_expire},
-    {"a probe queries after silence", test_probe_queries_after_silence},
+    {"a probe queries after silence", test_recovery_queries_after_silence},
     {"retries only when safe and within budget",
      test_retries_only_when_safe_and_within_budget},
     {"hedges follow p95 and budget", test_hedges_follow_p95_and_budget},
--- a/tests/decide/test_routing.c
+++ b/tests/decide/test_routing.c
@@ -12,8 +12,8 @@
 
 enum { SEED = 20261204, COUNT = 4, MS = 1000, SLOTS = 6, PICKS = 4000 };
 
-static struct bb_candidate candidates[COUNT];
-static const struct bb_candidate *candidate_list[COUNT];
+static struct bb_route_candidate candidates[COUNT];
+static const struct bb_route_candidate *candidate_list[COUNT];
 static struct bb_route_state route;
 static struct bb_link_budget link_budget;
 static struct bb_outliers outliers;
@@ -26,7 +26,7 @@
     memset(&link_budget, 0, sizeof(link_budget));
     bb_link_budget_configure(&link_budget, link_bytes_per_s, 1);
     for (uint64_t i = 0; i < COUNT; i++) {
-        bb_candidate_init(&candidates[i], i + 1, distances[i], SLOTS);
+        bb_route_candidate_init(&candidates[i], i + 1, distances[i], SLOTS);
         candidate_list[i] = &candidates[i];
     }
 }
@@ -53,16 +53,16 @@
     uint32_t lowest = UINT32_MAX;
 
     set_up(same_zone, 0);
-    bb_candidate_update_load(&candidates[0], 0, 0, SLOTS, 1);
+    bb_route_candidate_update_load(&candidates[0], 0, 0, SLOTS, 1);
     for (int i = 1; i < COUNT; i++) {
-        bb_candidate_update_load(&candidates[i], 2, 0, SLOTS, 1);
+        bb_route_candidate_update_load(&candidates[i], 2, 0, SLOTS, 1);
     }
     for (int i = 0; i < 40; i++) {
         struct bb_route_choice c =
             pick("least_wait", bb_random_u64(random), 2);
 
         CU_ASSERT_TRUE_FATAL(c.index >= 0);
-        bb_candidate_start(&candidates[c.index]);
+        bb_route_candidate_start(&candidates[c.index]);
     }
     for (int i = 0; i < COUNT; i++) {
         uint32_t n = candidates[i].in_flight;
@@ -84,8 +84,8 @@
     set_up(same_zone, 0);
     for (int i = 0; i < COUNT; i++) {
         for (int n = 0; n < 20; n++) {
-            bb_candidate_finish(&candidates[i], BB_ADMISSION_SHORT,
-                                i == 0 ? 40 * MS : 10 * MS, true);
+            bb_route_candidate_finish(&candidates[i], BB_ADMISSION_SHORT,
+                                      i == 0 ? 40 * MS : 10 * MS, true);
         }
     }
     for (int i = 0; i < PICKS; i++) {
@@ -110,8 +110,8 @@
 test_no_calls_after_failed_connect(void)
 {
     set_up(same_zone, 0);
-    bb_candidate_start(&candidates[2]);
-    bb_candidate_connect_failed(&candidates[2], 10);
+    bb_route_candidate_start(&candidates[2]);
+    bb_route_candidate_connect_failed(&candidates[2], 10);
     for (uint64_t i = 0; i < 100; i++) {
         CU_ASSERT_NOT_EQUAL(pick("round_robin", i, 20).index, 2);
     }
@@ -121,11 +121,11 @@
     CU_ASSERT_EQUAL(pick("least_wait", 0, 20).reason, BB_REASON_NO_UPSTREAM);
 }
 
-/* Makes one call of a member, from *now_us, and advances *now_us by its
+/* Makes one call of a gatekeeper, from *now_us, and advances *now_us by its
  * duration. */
 static void
-call_member(uint64_t id, uint64_t duration_us, bool is_failure,
-            uint64_t *now_us)
+call_gatekeeper(uint64_t id, uint64_t duration_us, bool is_failure,
+                uint64_t *now_us)
 {
     uint64_t start_us = *now_us;
 
@@ -148,7 +148,8 @@
     for (int n = 0; n < 20; n++) {
         for (uint64_t id = 1; id <= COUNT; id++) {
             /* Member 4 is far away. */
-            call_member(id, id == COUNT ? 50 * MS : 10 * MS, false, &now_us);
+            call_gatekeeper(id, id == COUNT ? 50 * MS : 10 * MS, false,
+                            &now_us);
         }
     }
     CU_ASSERT_EQUAL(bb_outliers_count_ejected(&outliers), 0);
@@ -168,26 +169,27 @@
     bb_outliers_tick(&outliers, t + 30 * MS);
     CU_ASSERT_EQUAL(bb_outliers_count_ejected(&outliers), 0);
     bb_outliers_tick(&outliers, t + 60 * MS);
-    CU_ASSERT_EQUAL(outliers.members[1].stage, BB_OUTLIER_EJECTED);
+    CU_ASSERT_EQUAL(outliers.gatekeepers[1].stage, BB_OUTLIER_EJECTED);
 }
 
-/* Guards against ejecting more than the configured share of the members when
- * several fail at once. */
+/* Guards against ejecting more than the configured share of the gatekeepers
+ * when several fail at once. */
 static void
 test_max_ejected_is_never_exceeded(void)
 {
     uint64_t t = set_up_outliers(33);
 
     for (int n = 0; n < 20; n++) {
-        call_member(1, 10 * MS, true, &t);
-        call_member(2, 10 * MS, true, &t);
-        call_member(3, 10 * MS, true, &t);
+        call_gatekeeper(1, 10 * MS, true, &t);
+        call_gatekeeper(2, 10 * MS, true, &t);
+        call_gatekeeper(3, 10 * MS, true, &t);
         CU_ASSERT_TRUE(bb_outliers_count_ejected(&outliers) <= 1);
     }
     CU_ASSERT_EQUAL(bb_outliers_count_ejected(&outliers), 1);
 }
 
-/* Guards against ejecting healthy members when the whole service is slower. */
+/* Guards against ejecting healthy gatekeepers when the whole service is
+ * slower. */
 static void
 test_slow_service_ejects_nobody(void)
 {
@@ -195,7 +197,7 @@
 
     for (int n = 0; n < 30; n++) {
         for (uint64_t id = 1; id <= COUNT; id++) {
-            call_member(id, (id == COUNT ? 250 : 50) * MS, false, &t);
+            call_gatekeeper(id, (id == COUNT ? 250 : 50) * MS, false, &t);
         }
         CU_ASSERT_EQUAL(bb_outliers_count_ejected(&outliers), 0);
     }
@@ -244,12 +246,12 @@
 
     set_up(same_zone, 0);
     for (int i = 0; i < COUNT; i++) {
-        bb_candidate_update_load(&candidates[i], SLOTS, 3, SLOTS, 1);
+        bb_route_candidate_update_load(&candidates[i], SLOTS, 3, SLOTS, 1);
     }
     c = bb_route_pick(policy, &route, candidate_list, COUNT, &r, &link_budget,
                       0, 2);
     CU_ASSERT_EQUAL(c.index, -1);
-    bb_candidate_update_load(&candidates[2], SLOTS - 1, 0, SLOTS, 1);
+    bb_route_candidate_update_load(&candidates[2], SLOTS - 1, 0, SLOTS, 1);
     c = bb_route_pick(policy, &route, candidate_list, COUNT, &r, &link_budget,
                       0, 2);
     CU_ASSERT_EQUAL(c.index, 2);
--- a/tests/mesh/test_members.c
+++ b/tests/mesh/test_members.c
@@ -162,7 +162,7 @@
 /* Guards against reports that repeat or omit changes, and against reporting a
  * change of the held revision alone as one that affects routes. */
 static void
-test_changes_since_a_version(void)
+test_changes_since_a_change_number(void)
 {
     struct bb_member_table *m = bb_member_table_create();
     struct bb_member_query q = {.only_routing_changes = true};
@@ -170,7 +170,7 @@
     struct bb_member r = make_record(1, 1, 1);
 
     (void)bb_member_table_merge(m, &r, BB_ORIGIN_SAME_REGION, 1);
-    q.since_version = bb_member_table_select(m, &q, &list);
+    q.since_change = bb_member_table_select(m, &q, &list);
     CU_ASSERT_EQUAL(list.count, 1);
     bb_member_list_clear(&list);
     r.held_revision = 5;
@@ -248,7 +248,8 @@
     {"a held revision outlives the record",
      test_held_revision_outlives_the_record},
     {"an unreachable zone is kept", test_unreachable_zone_is_kept},
-    {"a query selects changes since a version", test_changes_since_a_version},
+    {"a query selects changes since a version",
+     test_changes_since_a_change_number},
     {"a zone summary needs the same members",
      test_zone_summary_needs_the_same_members},
     {"records survive encoding, and invalid ones are refused",
--- a/tests/path/bench.c
+++ b/tests/path/bench.c
@@ -366,9 +366,11 @@
 /* Sets the rules of the entry: requests below /safe/ are idempotent, those
  * below /unsafe/ are not, both go to the service `s`; /other/ goes to a
  * service without upstreams. timeout_ms is the timeout and the target latency
- * of all three, upstreams_max the attempts that may reach an upstream. */
+ * of all three, upstream_attempts_max the attempts that may reach an upstream.
+ */
 void
-bench_set_rules(struct bench *b, uint32_t timeout_ms, uint32_t upstreams_max)
+bench_set_rules(struct bench *b, uint32_t timeout_ms,
+                uint32_t upstream_attempts_max)
 {
     static const char *const prefixes[] = {"/safe/", "/unsafe/", "/other/"};
     struct bb_error e = {0};
@@ -390,7 +392,7 @@
         r->is_idempotent = i != 1;
         r->timeout_ms = timeout_ms;
         r->target_latency_ms = timeout_ms;
-        r->upstreams_max = upstreams_max;
+        r->upstream_attempts_max = upstream_attempts_max;
         bb_rules_route_add_service(r, i == 2 ? "other" : "s", 1);
     }
     (void)bb_rules_finalize(b->rules, &e);
--- a/tests/path/bench.h
+++ b/tests/path/bench.h
@@ -89,7 +89,7 @@
 void bench_open(struct bench *b);
 void bench_close(struct bench *b);
 void bench_set_rules(struct bench *b, uint32_t timeout_ms,
-                     uint32_t upstreams_max);
+                     uint32_t upstream_attempts_max);
 /* Destroys a gate and creates it again; it then knows no upstream. */
 void bench_restart_gate(struct bench *b, uint32_t gate_index);
 void bench_announce(struct bench *b, uint32_t gate_index, bool is_draining);
--- a/tests/path/test_path.c
+++ b/tests/path/test_path.c
@@ -582,11 +582,13 @@
     b.entry_address = entry;
     /* Service s, priority 1, class 1, target in 500 ms, wait without limit
      * (BB_GATE_WAIT_UNLIMITED_MS), no flags. */
-    client_send(c, SAFE("a1") BB_FIELD_CALL ": s 1 1 500 1000000 -\r\n\r\n");
+    client_send(c, SAFE("a1") BB_GATE_HEADER_CALL
+                ": s 1 1 500 1000000 -\r\n\r\n");
     CU_ASSERT_TRUE(bench_wait_text(&b, c, "body", 500));
     bench_announce(&b, 0, true);
-    client_send(c, SAFE("a2") BB_FIELD_CALL ": s 1 1 500 1000000 -\r\n\r\n");
-    CU_ASSERT_TRUE(bench_wait_text(&b, c, BB_FIELD_REFUSED, 500));
+    client_send(c, SAFE("a2") BB_GATE_HEADER_CALL
+                ": s 1 1 500 1000000 -\r\n\r\n");
+    CU_ASSERT_TRUE(bench_wait_text(&b, c, BB_GATE_HEADER_REFUSED, 500));
     CU_ASSERT_EQUAL(count_requests(&b), 1);
     client_free(c);
     bench_close(&b);
--- a/tests/proxy/proxy_node.c
+++ b/tests/proxy/proxy_node.c
@@ -195,7 +195,7 @@
     n->rpc_listen = n->settings.caller_listen;
     n->rpc_listen.port = (uint16_t)(n->rpc_listen.port + RPC_PORT_OFFSET);
     server = bb_rpc_server_create(&n->rpc_listen, e);
-    if (server == NULL || !bb_proxy_register(n->proxy, server, e) ||
+    if (server == NULL || !bb_proxy_register_rpc(n->proxy, server, e) ||
         !bb_rpc_server_start(server, e)) {
         return NULL;
     }
--- a/tests/proxy/test_claim_restart.c
+++ b/tests/proxy/test_claim_restart.c
@@ -49,7 +49,7 @@
         &witness, "third",
         (struct bb_proxy_settings){.incarnation = INCARNATION_AFTER_RESTART});
     start_node(&entry, "entry", (struct bb_proxy_settings){.rpc = pool});
-    CU_ASSERT_TRUE(bb_proxy_register(witness.proxy, server, &e));
+    CU_ASSERT_TRUE(bb_proxy_register_rpc(witness.proxy, server, &e));
     CU_ASSERT_TRUE(bb_rpc_server_start(server, &e));
     rpc.port = bb_rpc_server_get_port(server);
     announce_upstream(&gatekeeper, &gatekeeper_upstream.upstream.listen,
--- a/tests/proxy/test_exchange.c
+++ b/tests/proxy/test_exchange.c
@@ -47,7 +47,7 @@
     pool = bb_rpc_pool_create();
     server = bb_rpc_server_create(&any, &e);
     CU_ASSERT_PTR_NOT_NULL_FATAL(server);
-    CU_ASSERT_TRUE(bb_proxy_register(gatekeeper.proxy, server, &e));
+    CU_ASSERT_TRUE(bb_proxy_register_rpc(gatekeeper.proxy, server, &e));
     CU_ASSERT_TRUE(bb_rpc_server_start(server, &e));
     rpc.port = bb_rpc_server_get_port(server);
     s.rpc = pool;
@@ -322,7 +322,7 @@
     GString *history = g_string_new(NULL);
     struct test_response *r;
 
-    start((struct bb_proxy_settings){.silence_check_ms = 100});
+    start((struct bb_proxy_settings){.check_interval_ms = 100});
     /* In the entry node's zone, so it is picked first; its RPC address is that
      * of the gatekeeper. */
     add_member(&entry, "silent", "z1", silent, entry.members[0].rpc_address);
--- a/tests/proxy/test_link.c
+++ b/tests/proxy/test_link.c
@@ -87,7 +87,7 @@
 test_hedges_stay_in_the_region(void)
 {
     const struct bb_pick_target far = {
-        .host_key = 1, .distance = BB_ENDPOINT_OTHER_REGION, .slots = SLOTS};
+        .host_key = 1, .distance = BB_ROUTE_OTHER_REGION, .slots = SLOTS};
     const struct bb_picker_limits limits = {.max_ejected_percent = 34,
                                             .link_bytes_per_s = 1000000};
     struct bb_pick_request q = {
--- a/upstream/announce.c
+++ b/upstream/announce.c
@@ -87,18 +87,18 @@
 /* Calls the first path of a list "/a;/b;/c" through the node, with the rest of
  * the list in X-Call-Path. fields holds field_count pairs of header name and
  * value. Returns true if a complete response with status 2xx arrived before
- * end_us. */
+ * deadline_us. */
 bool
 bb_upstream_sim_make_nested_call(const struct bb_upstream_sim *u,
                                  const char *paths, const char *const *fields,
-                                 size_t field_count, uint64_t end_us)
+                                 size_t field_count, uint64_t deadline_us)
 {
     const char *rest = strchr(paths, ';');
     char *path = rest != NULL ? g_strndup(paths, (gsize)(rest - paths))
                               : g_strdup(paths);
     uint64_t now_us = bb_clock_now_us();
     uint64_t remaining_ms =
-        end_us > now_us ? (end_us - now_us) / BB_US_PER_MS : 0;
+        deadline_us > now_us ? (deadline_us - now_us) / BB_US_PER_MS : 0;
     ne_session *s = create_session(
         &u->node, (int)(remaining_ms * BB_US_PER_MS / BB_US_PER_S) + 1);
     ne_request *r = ne_request_create(s, "GET", path);
@@ -108,7 +108,7 @@
         ne_add_request_header(r, fields[2 * i], fields[2 * i + 1]);
     }
     if (rest != NULL && rest[1] != '\0') {
-        ne_add_request_header(r, BB_CALL_PATH, rest + 1);
+        ne_add_request_header(r, BB_HEADER_CALL_PATH, rest + 1);
     }
     ne_print_request_header(r, "Baobab-Deadline-Ms", "%" PRIu64, remaining_ms);
     is_ok = u->node.port != 0 && remaining_ms > 0 &&
--- a/upstream/server.c
+++ b/upstream/server.c
@@ -70,7 +70,8 @@
 
     (void)MHD_add_response_header(response, "Content-Type", type);
     if (refused != NULL) {
-        (void)MHD_add_response_header(response, BB_UPSTREAM_REFUSED, refused);
+        (void)MHD_add_response_header(response, BB_HEADER_UPSTREAM_REFUSED,
+                                      refused);
     }
     result = MHD_queue_response(c->connection, status, response);
     MHD_destroy_response(response);
@@ -105,7 +106,7 @@
 create_response(struct call *c, const char *id, const char *digest)
 {
     struct bb_upstream_sim *u = c->upstream;
-    uint64_t size_bytes = get_number_header(c, BB_CALL_RESPONSE_BYTES, 0);
+    uint64_t size_bytes = get_number_header(c, BB_HEADER_RESPONSE_BYTES, 0);
     struct response_body *a;
     GString *text;
     size_t length;
@@ -148,10 +149,11 @@
                      (uint64_t)XXH64_digest(c->hash));
     (void)g_snprintf(bytes, sizeof(bytes), "%" PRIu64, c->body_bytes);
     response = create_response(c, id, digest);
-    (void)MHD_add_response_header(response, BB_CALL_ID, id);
-    (void)MHD_add_response_header(response, BB_CALL_BODY_DIGEST, digest);
-    (void)MHD_add_response_header(response, BB_CALL_BODY_BYTES, bytes);
-    (void)MHD_add_response_header(response, BB_CALL_HOST, c->upstream->host);
+    (void)MHD_add_response_header(response, BB_HEADER_CALL_ID, id);
+    (void)MHD_add_response_header(response, BB_HEADER_BODY_DIGEST, digest);
+    (void)MHD_add_response_header(response, BB_HEADER_BODY_BYTES, bytes);
+    (void)MHD_add_response_header(response, BB_HEADER_UPSTREAM_HOST,
+                                  c->upstream->host);
     result = MHD_queue_response(c->connection, MHD_HTTP_OK, response);
     MHD_destroy_response(response);
     return result;
@@ -159,10 +161,11 @@
 
 /* Makes the nested calls of a request while it holds its slot. */
 static void
-make_nested_calls(void *context, uint64_t end_us)
+make_nested_calls(void *context, uint64_t deadline_us)
 {
-    static const char *const names[] = {BB_CALL_ID, "Baobab-Depth",
-                                        "Baobab-Request-Id", BB_CALL_WORK_US};
+    static const char *const names[] = {BB_HEADER_CALL_ID, "Baobab-Depth",
+                                        "Baobab-Request-Id",
+                                        BB_HEADER_WORK_US};
     struct call *c = context;
     const char *fields[2 * G_N_ELEMENTS(names)];
     size_t count = 0;
@@ -176,7 +179,8 @@
         }
     }
     c->has_nested_call_failed = !bb_upstream_sim_make_nested_call(
-        c->upstream, get_header(c, BB_CALL_PATH), fields, count / 2, end_us);
+        c->upstream, get_header(c, BB_HEADER_CALL_PATH), fields, count / 2,
+        deadline_us);
 }
 
 /* Returns the value of an id header, or "-" if it is missing, too long or
@@ -197,14 +201,14 @@
 run_work(struct call *c)
 {
     struct bb_upstream_sim *u = c->upstream;
-    const char *id = get_header(c, BB_CALL_ID);
+    const char *id = get_header(c, BB_HEADER_CALL_ID);
     uint64_t deadline_ms = get_number_header(c, "Baobab-Deadline-Ms", 0);
-    uint64_t end_us =
+    uint64_t deadline_us =
         c->start_us + (deadline_ms > 0 ? deadline_ms * BB_US_PER_MS
                                        : (uint64_t)DEFAULT_DEADLINE_US);
     struct bb_run_nested_calls nested_calls = {.run = make_nested_calls,
                                                .context = c};
-    bool is_nested = get_header(c, BB_CALL_PATH) != NULL;
+    bool is_nested = get_header(c, BB_HEADER_CALL_PATH) != NULL;
     enum bb_run_outcome outcome;
 
     if (atomic_load(&u->state) >= BB_UPSTREAM_DRAINING) {
@@ -212,9 +216,9 @@
                                  g_string_new("draining\n"), "draining");
     }
     outcome = bb_runs_execute(u->runs, get_id_header(c, "Baobab-Request-Id"),
-                              get_id_header(c, BB_CALL_ID),
-                              get_number_header(c, BB_CALL_WORK_US, 0), end_us,
-                              is_nested ? &nested_calls : NULL);
+                              get_id_header(c, BB_HEADER_CALL_ID),
+                              get_number_header(c, BB_HEADER_WORK_US, 0),
+                              deadline_us, is_nested ? &nested_calls : NULL);
     if (bb_behaviour_draw_bool(
             &u->behaviour,
             bb_behaviour_get_values(&u->behaviour).silent_permille)) {
--- a/upstream/work.c
+++ b/upstream/work.c
@@ -133,19 +133,19 @@
 }
 
 /* Waits for a free slot and takes it. Returns false if the run is cancelled or
- * end_us passes first. */
+ * deadline_us passes first. */
 static bool
-acquire_slot(struct bb_runs *r, const struct run *run, uint64_t end_us)
+acquire_slot(struct bb_runs *r, const struct run *run, uint64_t deadline_us)
 {
-    struct timespec end = bb_clock_to_timespec(end_us);
+    struct timespec deadline = bb_clock_to_timespec(deadline_us);
     bool has_time = true;
 
     r->waiting++;
     sample_load(r);
     while (has_time && !run->is_cancelled &&
            r->busy >= bb_behaviour_get_values(r->behaviour).slots) {
-        has_time =
-            pthread_cond_timedwait(&r->changed, &r->lock, &end) != ETIMEDOUT;
+        has_time = pthread_cond_timedwait(&r->changed, &r->lock, &deadline) !=
+                   ETIMEDOUT;
     }
     r->waiting--;
     if (!has_time || run->is_cancelled) {
@@ -158,12 +158,12 @@
 
 /* Runs a request: waits for a slot, holds it for the service time (wanted_us;
  * 0: random), then makes the nested calls unless they are NULL. A cancellation
- * or end_us ends both waits early. The nested calls must themselves end by
- * end_us.
+ * or deadline_us ends both waits early. The nested calls must themselves end
+ * by deadline_us.
  */
 enum bb_run_outcome
 bb_runs_execute(struct bb_runs *r, const char *id, const char *call,
-                uint64_t wanted_us, uint64_t end_us,
+                uint64_t wanted_us, uint64_t deadline_us,
                 const struct bb_run_nested_calls *nested_calls)
 {
     struct run run = {.id = id};
@@ -176,19 +176,19 @@
     }
     (void)pthread_mutex_lock(&r->lock);
     g_ptr_array_add(r->active, &run);
-    if (!acquire_slot(r, &run, end_us)) {
+    if (!acquire_slot(r, &run, deadline_us)) {
         goto out;
     }
     start_us = bb_clock_now_us();
     until_us = start_us +
                bb_behaviour_draw_service_us(r->behaviour, start_us, wanted_us);
-    wait_until(r, &run, MIN(until_us, end_us));
-    outcome = run.is_cancelled    ? BB_RUN_CANCELLED
-              : until_us > end_us ? BB_RUN_DEADLINE
-                                  : BB_RUN_DONE;
+    wait_until(r, &run, MIN(until_us, deadline_us));
+    outcome = run.is_cancelled         ? BB_RUN_CANCELLED
+              : until_us > deadline_us ? BB_RUN_DEADLINE
+                                       : BB_RUN_DONE;
     if (outcome == BB_RUN_DONE && nested_calls != NULL) {
         (void)pthread_mutex_unlock(&r->lock);
-        nested_calls->run(nested_calls->context, end_us);
+        nested_calls->run(nested_calls->context, deadline_us);
         (void)pthread_mutex_lock(&r->lock);
     }
     add_record(r, id, call, start_us, outcome);
