End numbers of enum values and elements in _COUNT

Cause: BB_REASONS, BB_HISTOGRAM_BUCKETS and others ended in a plural, while BB_LOAD_RESULT_COUNT, BB_TRAFFIC_KIND_COUNT and others ended in _COUNT. Change: _COUNT for all ten public ones; values unchanged.

--- a/common/histogram.c
+++ b/common/histogram.c
@@ -7,7 +7,7 @@
 
 /* Upper bounds of the buckets. They start at the latency that two hops may add
  * to a request. */
-static const uint64_t bounds_us[BB_HISTOGRAM_BUCKETS] = {
+static const uint64_t bounds_us[BB_HISTOGRAM_BUCKET_COUNT] = {
     100,   340,    1000,   2500,   5000,    10000,   25000,
     50000, 100000, 250000, 500000, 1000000, 2500000, 5000000};
 
@@ -32,7 +32,7 @@
 {
     uint32_t i = 0;
 
-    while (i < BB_HISTOGRAM_BUCKETS && duration_us > bounds_us[i]) {
+    while (i < BB_HISTOGRAM_BUCKET_COUNT && duration_us > bounds_us[i]) {
         i++;
     }
     h->counts[i]++;
@@ -45,7 +45,7 @@
 {
     uint64_t count = 0;
 
-    for (uint32_t i = 0; i <= BB_HISTOGRAM_BUCKETS; i++) {
+    for (uint32_t i = 0; i <= BB_HISTOGRAM_BUCKET_COUNT; i++) {
         count += h->counts[i];
     }
     return count;
@@ -88,7 +88,7 @@
                                    h->name, h->help, h->name);
             previous = h->name;
         }
-        for (uint32_t i = 0; i < BB_HISTOGRAM_BUCKETS; i++) {
+        for (uint32_t i = 0; i < BB_HISTOGRAM_BUCKET_COUNT; i++) {
             char bound[G_ASCII_DTOSTR_BUF_SIZE];
 
             sum += h->counts[i];
--- a/common/registry.c
+++ b/common/registry.c
@@ -2,7 +2,7 @@
 
 #include <string.h>
 
-static struct bb_plugin *first_by_kind[BB_PLUGIN_KINDS];
+static struct bb_plugin *first_by_kind[BB_PLUGIN_KIND_COUNT];
 
 /* Adds a plug-in, sorted by name, so that listings do not depend on the link
  * order. */
--- a/control/agree_codec.c
+++ b/control/agree_codec.c
@@ -211,8 +211,8 @@
 bool
 bb_agree_decode_message(const agree_message *in, struct bb_agree_message *m)
 {
-    if (in->kind >= BB_AGREE_MESSAGE_KINDS || in->from >= BB_AGREE_HOSTS_MAX ||
-        in->to >= BB_AGREE_HOSTS_MAX) {
+    if (in->kind >= BB_AGREE_MESSAGE_KIND_COUNT ||
+        in->from >= BB_AGREE_HOSTS_MAX || in->to >= BB_AGREE_HOSTS_MAX) {
         return false;
     }
     memset(m, 0, sizeof(*m));
--- a/control/replicate_output.c
+++ b/control/replicate_output.c
@@ -50,7 +50,7 @@
     case BB_AGREE_PRE_VOTE_RESPONSE:
     case BB_AGREE_VOTE:
     case BB_AGREE_VOTE_RESPONSE:
-    case BB_AGREE_MESSAGE_KINDS:
+    case BB_AGREE_MESSAGE_KIND_COUNT:
     default:
         return AGREE_VOTE;
     }
--- a/decide/admission_queue.c
+++ b/decide/admission_queue.c
@@ -78,7 +78,7 @@
                               const struct bb_admission_capacity *c,
                               bool only_long, uint64_t now_us)
 {
-    uint32_t ahead[BB_ADMISSION_CLASSES] = {0};
+    uint32_t ahead[BB_ADMISSION_CLASS_COUNT] = {0};
 
     for (uint32_t i = 0; i < a->queued_count; i++) {
         struct bb_admission_queued *q = &a->queue[i];
--- a/decide/agree.c
+++ b/decide/agree.c
@@ -117,7 +117,7 @@
     case BB_AGREE_SNAPSHOT:
         agree_on_snapshot(st, m);
         break;
-    case BB_AGREE_MESSAGE_KINDS:
+    case BB_AGREE_MESSAGE_KIND_COUNT:
     default:
         break;
     }
--- a/decide/estimate.c
+++ b/decide/estimate.c
@@ -25,9 +25,9 @@
     }
     position =
         log2((double)duration_us) * BB_DURATION_STATS_BUCKETS_PER_DOUBLING;
-    return position < BB_DURATION_STATS_BUCKETS - 1
+    return position < BB_DURATION_STATS_BUCKET_COUNT - 1
                ? (uint32_t)position
-               : BB_DURATION_STATS_BUCKETS - 1;
+               : BB_DURATION_STATS_BUCKET_COUNT - 1;
 }
 
 /* Returns the middle of a bucket on the logarithmic scale, in microseconds. */
@@ -46,7 +46,7 @@
     uint64_t limit_us = median_us * CLIP_MEDIAN_FACTOR;
     uint64_t sum_us = 0;
 
-    for (uint32_t i = 0; i < BB_DURATION_STATS_BUCKETS; i++) {
+    for (uint32_t i = 0; i < BB_DURATION_STATS_BUCKET_COUNT; i++) {
         if (e->counts[i] > 0) {
             uint64_t us = bucket_middle_us(i);
 
@@ -61,7 +61,7 @@
 halve_counts(struct bb_duration_stats *e)
 {
     e->total = 0;
-    for (uint32_t i = 0; i < BB_DURATION_STATS_BUCKETS; i++) {
+    for (uint32_t i = 0; i < BB_DURATION_STATS_BUCKET_COUNT; i++) {
         e->counts[i] /= 2;
         e->total += e->counts[i];
     }
@@ -89,7 +89,8 @@
     uint64_t rank = ((uint64_t)e->total * permille + PERMILLE - 1) / PERMILLE;
     uint64_t seen = 0;
 
-    for (uint32_t i = 0; e->total > 0 && i < BB_DURATION_STATS_BUCKETS; i++) {
+    for (uint32_t i = 0; e->total > 0 && i < BB_DURATION_STATS_BUCKET_COUNT;
+         i++) {
         seen += e->counts[i];
         if (seen > 0 && seen >= rank) {
             return bucket_middle_us(i);
--- a/decide/outlier.c
+++ b/decide/outlier.c
@@ -147,7 +147,8 @@
         return;
     }
     o->baselines_updated_us = now_us;
-    for (int work_class = 0; work_class < BB_ADMISSION_CLASSES; work_class++) {
+    for (int work_class = 0; work_class < BB_ADMISSION_CLASS_COUNT;
+         work_class++) {
         update_class_baseline(o, work_class);
     }
 }
--- a/decide/quorum.c
+++ b/decide/quorum.c
@@ -564,7 +564,7 @@
     case BB_QUORUM_APPEND_RESPONSE:
         on_append_response(q, m, now_us, out);
         break;
-    case BB_QUORUM_MESSAGE_KINDS:
+    case BB_QUORUM_MESSAGE_KIND_COUNT:
         break;
     }
 }
--- a/decide/reason.c
+++ b/decide/reason.c
@@ -22,7 +22,7 @@
     uint32_t http_status;
 };
 
-static const struct reason_info reason_infos[BB_REASONS] = {
+static const struct reason_info reason_infos[BB_REASON_COUNT] = {
     [BB_REASON_NONE] = {"none", HTTP_UNAVAILABLE},
     [BB_REASON_NO_ROUTE] = {"no_route", HTTP_NOT_FOUND},
     [BB_REASON_NO_CONFIGURATION] = {"no_configuration", HTTP_UNAVAILABLE},
@@ -62,9 +62,9 @@
     [BB_REASON_UPSTREAM_SLOW] = {"upstream_slow", HTTP_UNAVAILABLE},
 };
 
-static struct bb_counter not_run_refusals[BB_REASONS];
-static struct bb_counter unknown_refusals[BB_REASONS];
-static struct bb_counter retries[BB_REASONS];
+static struct bb_counter not_run_refusals[BB_REASON_COUNT];
+static struct bb_counter unknown_refusals[BB_REASON_COUNT];
+static struct bb_counter retries[BB_REASON_COUNT];
 
 /* Registers one counter. name, help and label must live as long as the
  * program. */
@@ -82,9 +82,9 @@
 __attribute__((constructor)) static void
 register_reason_counters(void)
 {
-    static char labels[BB_REASONS][3][64];
+    static char labels[BB_REASON_COUNT][3][64];
 
-    for (int r = BB_REASON_NONE + 1; r < BB_REASONS; r++) {
+    for (int r = BB_REASON_NONE + 1; r < BB_REASON_COUNT; r++) {
         (void)g_snprintf(labels[r][0], sizeof(labels[r][0]),
                          "reason=\"%s\",ran=\"no\"", reason_infos[r].name);
         (void)g_snprintf(labels[r][1], sizeof(labels[r][1]),
@@ -109,7 +109,7 @@
 const char *
 bb_reason_name(enum bb_reason r)
 {
-    return r < BB_REASONS ? reason_infos[r].name : "none";
+    return r < BB_REASON_COUNT ? reason_infos[r].name : "none";
 }
 
 /* Sets *r to the reason of a name. Returns false, and leaves *r, if no reason
@@ -117,7 +117,7 @@
 bool
 bb_reason_parse(const char *name, enum bb_reason *r)
 {
-    for (int i = 0; i < BB_REASONS; i++) {
+    for (int i = 0; i < BB_REASON_COUNT; i++) {
         if (strcmp(reason_infos[i].name, name) == 0) {
             *r = (enum bb_reason)i;
             return true;
@@ -130,7 +130,8 @@
 uint32_t
 bb_reason_http_status(enum bb_reason r)
 {
-    return r < BB_REASONS ? reason_infos[r].http_status : HTTP_UNAVAILABLE;
+    return r < BB_REASON_COUNT ? reason_infos[r].http_status
+                               : HTTP_UNAVAILABLE;
 }
 
 /* Counts one refused request. */
--- a/decide/relay.c
+++ b/decide/relay.c
@@ -21,12 +21,12 @@
     /* The first attempts at other sources follow after a shorter delay: the
      * pulls of a zone are spread already, and an isolated control host must
      * not delay a pull by 2 s. */
-    SHORT_DELAY_ATTEMPTS = BB_PULL_SOURCES,
+    SHORT_DELAY_ATTEMPTS = BB_PULL_SOURCE_COUNT,
     SHORT_DELAY_MIN_MS = 20,
     SHORT_DELAY_MAX_MS = 100,
     /* The delay doubles with every so many attempts, up to eight times the
      * usual one: a revision that no host can send must not cost much. */
-    ATTEMPTS_PER_DOUBLING = 4 * BB_PULL_SOURCES,
+    ATTEMPTS_PER_DOUBLING = 4 * BB_PULL_SOURCE_COUNT,
     DOUBLINGS_MAX = 3,
     /* Random addition to the time at which a refused caller asks again. */
     RETRY_JITTER_MS = 100,
@@ -173,7 +173,8 @@
     if (!p->is_behind || p->is_pulling || now_us < p->next_pull_us) {
         return false;
     }
-    *source = (enum bb_pull_source)((first + p->attempt) % BB_PULL_SOURCES);
+    *source =
+        (enum bb_pull_source)((first + p->attempt) % BB_PULL_SOURCE_COUNT);
     p->is_pulling = true;
     return true;
 }
--- a/decide/retry_window.c
+++ b/decide/retry_window.c
@@ -12,7 +12,7 @@
     /* First attempts are counted over the window, retries over two more
      * buckets, as the budget must hold in every interval of the window's
      * length. */
-    FIRST_ATTEMPT_BUCKETS = BB_RETRY_WINDOW_BUCKETS - 2
+    FIRST_ATTEMPT_BUCKETS = BB_RETRY_WINDOW_BUCKET_COUNT - 2
 };
 
 /* Moves the window to now_us and clears the buckets that have left it. */
@@ -24,15 +24,15 @@
         (uint64_t)l->window_ms * US_PER_MS / FIRST_ATTEMPT_BUCKETS;
     uint64_t bucket = now_us / (length_us != 0 ? length_us : 1);
 
-    if (bucket - w->bucket >= BB_RETRY_WINDOW_BUCKETS) {
+    if (bucket - w->bucket >= BB_RETRY_WINDOW_BUCKET_COUNT) {
         memset(w, 0, sizeof(*w));
         w->bucket = bucket;
         return;
     }
     while (w->bucket < bucket) {
         w->bucket++;
-        w->first_attempts[w->bucket % BB_RETRY_WINDOW_BUCKETS] = 0;
-        w->retries_milli[w->bucket % BB_RETRY_WINDOW_BUCKETS] = 0;
+        w->first_attempts[w->bucket % BB_RETRY_WINDOW_BUCKET_COUNT] = 0;
+        w->retries_milli[w->bucket % BB_RETRY_WINDOW_BUCKET_COUNT] = 0;
     }
 }
 
@@ -47,7 +47,7 @@
     uint32_t current;
 
     drop_old_buckets(w, l, now_us);
-    current = w->bucket % BB_RETRY_WINDOW_BUCKETS;
+    current = w->bucket % BB_RETRY_WINDOW_BUCKET_COUNT;
     w->first_attempts[current]++;
     w->retries_milli[current] += retry_permille;
 }
@@ -62,9 +62,10 @@
     uint64_t budget_milli;
 
     drop_old_buckets(w, l, now_us);
-    for (uint32_t i = 0; i < BB_RETRY_WINDOW_BUCKETS; i++) {
-        uint32_t slot = (uint32_t)((w->bucket + BB_RETRY_WINDOW_BUCKETS - i) %
-                                   BB_RETRY_WINDOW_BUCKETS);
+    for (uint32_t i = 0; i < BB_RETRY_WINDOW_BUCKET_COUNT; i++) {
+        uint32_t slot =
+            (uint32_t)((w->bucket + BB_RETRY_WINDOW_BUCKET_COUNT - i) %
+                       BB_RETRY_WINDOW_BUCKET_COUNT);
 
         first_attempts +=
             i < FIRST_ATTEMPT_BUCKETS ? w->first_attempts[slot] : 0;
@@ -76,6 +77,6 @@
     if (retries_milli + PERMILLE > budget_milli * USABLE_PERMILLE / PERMILLE) {
         return false;
     }
-    w->retries_milli[w->bucket % BB_RETRY_WINDOW_BUCKETS] += PERMILLE;
+    w->retries_milli[w->bucket % BB_RETRY_WINDOW_BUCKET_COUNT] += PERMILLE;
     return true;
 }
--- a/fleet/core_peers.c
+++ b/fleet/core_peers.c
@@ -494,7 +494,7 @@
                                   .commit_index = q->commit_index};
     struct bb_quorum_output out = {0};
 
-    if (p == NULL || q->kind >= BB_QUORUM_MESSAGE_KINDS) {
+    if (p == NULL || q->kind >= BB_QUORUM_MESSAGE_KIND_COUNT) {
         return;
     }
     m.entry.term = q->entry.term;
--- a/include/common/histogram.h
+++ b/include/common/histogram.h
@@ -6,7 +6,7 @@
 #include <glib.h>
 #include <stdint.h>
 
-enum { BB_HISTOGRAM_BUCKETS = 14 };
+enum { BB_HISTOGRAM_BUCKET_COUNT = 14 };
 
 struct bb_histogram {
     const char *name;
@@ -14,7 +14,7 @@
     const char *label; /* label pairs, such as outcome="answered", or NULL */
     /* Durations in each bucket, not cumulative; the last one has no upper
      * bound. */
-    uint64_t counts[BB_HISTOGRAM_BUCKETS + 1];
+    uint64_t counts[BB_HISTOGRAM_BUCKET_COUNT + 1];
     uint64_t sum_us;
     struct bb_histogram *next;
 };
--- a/include/common/registry.h
+++ b/include/common/registry.h
@@ -12,7 +12,7 @@
     BB_PLUGIN_CTL_COMMAND,
     BB_PLUGIN_REPLAY_MODULE,
     BB_PLUGIN_DIALECT, /* HTTP interface of a platform, see path/dialect.h */
-    BB_PLUGIN_KINDS
+    BB_PLUGIN_KIND_COUNT
 };
 
 struct bb_plugin {
--- a/include/decide/admission.h
+++ b/include/decide/admission.h
@@ -28,7 +28,7 @@
 enum bb_admission_class {
     BB_ADMISSION_SHORT,
     BB_ADMISSION_LONG,
-    BB_ADMISSION_CLASSES
+    BB_ADMISSION_CLASS_COUNT
 };
 
 /* State announced by the upstream. The values are those of enum
@@ -110,7 +110,7 @@
     uint32_t queued_count;  /* includes the evicted ones */
     uint32_t evicted_count; /* still in the queue, to be refused */
     uint32_t team_running[BB_ADMISSION_TEAMS_MAX];
-    struct bb_duration_stats durations[BB_ADMISSION_CLASSES];
+    struct bb_duration_stats durations[BB_ADMISSION_CLASS_COUNT];
     struct bb_admission_running running[BB_ADMISSION_SLOTS_MAX];
     struct bb_admission_queued queue[BB_ADMISSION_QUEUE_MAX]; /* by deadline */
 };
--- a/include/decide/agree.h
+++ b/include/decide/agree.h
@@ -138,7 +138,7 @@
     BB_AGREE_APPEND,
     BB_AGREE_APPEND_RESPONSE,
     BB_AGREE_SNAPSHOT,
-    BB_AGREE_MESSAGE_KINDS
+    BB_AGREE_MESSAGE_KIND_COUNT
 };
 
 /* A message between hosts; fields without use in a kind are 0. */
--- a/include/decide/estimate.h
+++ b/include/decide/estimate.h
@@ -10,11 +10,11 @@
     BB_DURATION_STATS_BUCKETS_PER_DOUBLING =
         4, /* buckets per doubling of the duration */
     /* 26 doublings: up to 67 s. Longer durations go into the last bucket. */
-    BB_DURATION_STATS_BUCKETS = 104
+    BB_DURATION_STATS_BUCKET_COUNT = 104
 };
 
 struct bb_duration_stats {
-    uint16_t counts[BB_DURATION_STATS_BUCKETS];
+    uint16_t counts[BB_DURATION_STATS_BUCKET_COUNT];
     uint32_t total;     /* sum of counts */
     uint64_t mean_us;   /* clipped; updated by bb_duration_stats_add */
     uint64_t median_us; /* updated by bb_duration_stats_add */
--- a/include/decide/outlier.h
+++ b/include/decide/outlier.h
@@ -40,11 +40,11 @@
     uint32_t outstanding;
     uint64_t stage_since_us;
     uint64_t eject_until_us;
-    double usual_log_us[BB_ADMISSION_CLASSES];  /* ln of latency in us, slow
-                                                   EWMA */
-    double recent_log_us[BB_ADMISSION_CLASSES]; /* ln of latency in us, fast
-                                                   EWMA */
-    uint32_t observations[BB_ADMISSION_CLASSES];
+    /* Natural log of the latency in us, as a slow and as a fast moving
+     * average. */
+    double usual_log_us[BB_ADMISSION_CLASS_COUNT];
+    double recent_log_us[BB_ADMISSION_CLASS_COUNT];
+    uint32_t observations[BB_ADMISSION_CLASS_COUNT];
     /* The first calls that found a free entry; others are not tracked. */
     struct bb_outlier_call calls[BB_OUTLIER_TRACKED_CALLS_MAX];
 };
@@ -55,8 +55,8 @@
     uint64_t baselines_updated_us; /* when the next two were computed */
     /* By how much the service as a whole is slower than usual, as the natural
      * log of the factor, and the highest usual latency of any gatekeeper. */
-    double slowdown_log[BB_ADMISSION_CLASSES];
-    uint64_t highest_usual_us[BB_ADMISSION_CLASSES];
+    double slowdown_log[BB_ADMISSION_CLASS_COUNT];
+    uint64_t highest_usual_us[BB_ADMISSION_CLASS_COUNT];
     struct bb_outlier_gatekeeper gatekeepers[BB_OUTLIER_GATEKEEPERS_MAX];
 };
 
--- a/include/decide/quorum.h
+++ b/include/decide/quorum.h
@@ -82,7 +82,7 @@
     BB_QUORUM_VOTE_RESPONSE,
     BB_QUORUM_APPEND,
     BB_QUORUM_APPEND_RESPONSE,
-    BB_QUORUM_MESSAGE_KINDS
+    BB_QUORUM_MESSAGE_KIND_COUNT
 };
 
 struct bb_quorum_message {
--- a/include/decide/reason.h
+++ b/include/decide/reason.h
@@ -41,7 +41,7 @@
     BB_REASON_CANCELLED,             /* the caller or the entry node gave up */
     BB_REASON_UPSTREAM_BROKEN,       /* its connection broke */
     BB_REASON_UPSTREAM_SLOW,
-    BB_REASONS
+    BB_REASON_COUNT
 };
 
 /* Whether a refused request may have run: certainly not, or unknown. */
--- a/include/decide/relay.h
+++ b/include/decide/relay.h
@@ -33,7 +33,7 @@
     BB_PULL_PEER,    /* a member of the zone that holds the revision */
     BB_PULL_RELAY,   /* a relay of the zone */
     BB_PULL_CONTROL, /* a control host of the region, then of any region */
-    BB_PULL_SOURCES
+    BB_PULL_SOURCE_COUNT
 };
 
 /* Decides when a member pulls and from which kind of source. Must be zeroed
--- a/include/decide/retry_window.h
+++ b/include/decide/retry_window.h
@@ -11,7 +11,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-enum { BB_RETRY_WINDOW_BUCKETS = 12 };
+enum { BB_RETRY_WINDOW_BUCKET_COUNT = 12 };
 
 struct bb_retry_window_limits {
     uint32_t window_ms;
@@ -23,8 +23,8 @@
 /* Counts by time bucket. A zeroed struct is an empty one. */
 struct bb_retry_window {
     uint64_t bucket; /* number of the newest bucket */
-    uint32_t first_attempts[BB_RETRY_WINDOW_BUCKETS];
-    uint32_t retries_milli[BB_RETRY_WINDOW_BUCKETS]; /* in thousandths */
+    uint32_t first_attempts[BB_RETRY_WINDOW_BUCKET_COUNT];
+    uint32_t retries_milli[BB_RETRY_WINDOW_BUCKET_COUNT]; /* in thousandths */
 };
 
 void
--- a/include/decide/route_pick.h
+++ b/include/decide/route_pick.h
@@ -26,7 +26,7 @@
     BB_ROUTE_SAME_ZONE,
     BB_ROUTE_SAME_REGION,
     BB_ROUTE_OTHER_REGION,
-    BB_ROUTE_DISTANCES
+    BB_ROUTE_DISTANCE_COUNT
 };
 
 /* What an entry node knows of one gatekeeper of a service. */
@@ -45,8 +45,9 @@
     uint32_t in_flight_at_report;     /* in_flight at reported_us */
     uint32_t connect_failures;        /* since the last success */
     uint64_t last_connect_failure_us; /* time of the last failed connect */
-    double log_latency[BB_ADMISSION_CLASSES]; /* ln of us, moving average */
-    uint32_t observations[BB_ADMISSION_CLASSES];
+    /* Moving average of the natural log of the latency in us. */
+    double log_latency[BB_ADMISSION_CLASS_COUNT];
+    uint32_t observations[BB_ADMISSION_CLASS_COUNT];
 };
 
 /* Byte budget for calls to the other region over the paid link: a token bucket
--- a/include/load/engine.h
+++ b/include/load/engine.h
@@ -45,7 +45,7 @@
     uint64_t sum_us[BB_LOAD_KIND_COUNT];
     uint64_t counts[BB_LOAD_KIND_COUNT];
     uint64_t result_counts[BB_LOAD_RESULT_COUNT];
-    uint64_t refusals_by_reason[BB_REASONS];
+    uint64_t refusals_by_reason[BB_REASON_COUNT];
     uint64_t maybe_ran_count; /* refused calls that may have run */
     uint64_t late_count;      /* sent more than 1 ms after the planned time */
     uint64_t response_bytes;  /* in the bodies of BB_LOAD_OK calls */
--- a/load/report.c
+++ b/load/report.c
@@ -57,7 +57,7 @@
 {
     json_t *out = json_object();
 
-    for (int i = 0; i < BB_REASONS; i++) {
+    for (int i = 0; i < BB_REASON_COUNT; i++) {
         if (s->refusals_by_reason[i] > 0) {
             json_object_set_new(
                 out, bb_reason_name((enum bb_reason)i),
@@ -123,7 +123,7 @@
         (void)fprintf(out, "%-8s %" PRIu64 "\n", result_names[i],
                       s->result_counts[i]);
     }
-    for (int i = 0; i < BB_REASONS; i++) {
+    for (int i = 0; i < BB_REASON_COUNT; i++) {
         if (s->refusals_by_reason[i] > 0) {
             (void)fprintf(out, "  %s %" PRIu64 "\n",
                           bb_reason_name((enum bb_reason)i),
--- a/load/stats.c
+++ b/load/stats.c
@@ -75,7 +75,7 @@
     for (int i = 0; i < BB_LOAD_RESULT_COUNT; i++) {
         to->result_counts[i] += from->result_counts[i];
     }
-    for (int i = 0; i < BB_REASONS; i++) {
+    for (int i = 0; i < BB_REASON_COUNT; i++) {
         to->refusals_by_reason[i] += from->refusals_by_reason[i];
     }
     for (uint32_t i = 0; i <= interval_count; i++) {
--- a/mesh/pull.c
+++ b/mesh/pull.c
@@ -10,7 +10,7 @@
     /* An invalid revision is pulled again after this time, in case it was
      * damaged in transit. */
     INVALID_RETRY_US = 10 * BB_US_PER_S,
-    OTHER_REGION_AFTER_ATTEMPTS = 2 * BB_PULL_SOURCES
+    OTHER_REGION_AFTER_ATTEMPTS = 2 * BB_PULL_SOURCE_COUNT
 };
 
 BB_COUNTER(pulls_total, "baobab_mesh_pulls_total", "Pulls started");
@@ -85,7 +85,7 @@
     size_t all_count = mesh_list_control_hosts_to_call(mesh, NULL, all);
     size_t same_region_count = 0;
     size_t other_region_count = 0;
-    uint32_t round = attempt / BB_PULL_SOURCES;
+    uint32_t round = attempt / BB_PULL_SOURCE_COUNT;
     uint64_t offset =
         bb_relay_id_from_name(mesh->settings.self.host) + round / 2;
 
@@ -123,10 +123,10 @@
     bool is_other_region_allowed =
         mesh->view.is_relay || attempt >= OTHER_REGION_AFTER_ATTEMPTS;
 
-    for (uint32_t i = 0; i < BB_PULL_SOURCES; i++) {
+    for (uint32_t i = 0; i < BB_PULL_SOURCE_COUNT; i++) {
         bool is_found = false;
 
-        switch ((enum bb_pull_source)((kind + i) % BB_PULL_SOURCES)) {
+        switch ((enum bb_pull_source)((kind + i) % BB_PULL_SOURCE_COUNT)) {
         case BB_PULL_PEER:
             is_found = pick_member_with_revision(mesh, revision,
                                                  is_other_region_allowed, out);
@@ -138,7 +138,7 @@
             is_found =
                 pick_control_host(mesh, attempt, is_other_region_allowed, out);
             break;
-        case BB_PULL_SOURCES:
+        case BB_PULL_SOURCE_COUNT:
             break;
         }
         if (is_found) {
--- a/proxy/picker.c
+++ b/proxy/picker.c
@@ -15,7 +15,7 @@
 struct service {
     struct bb_route_state route;
     struct bb_outliers outliers;
-    struct bb_duration_stats latency[BB_ADMISSION_CLASSES];
+    struct bb_duration_stats latency[BB_ADMISSION_CLASS_COUNT];
     GHashTable *candidates; /* host key -> struct bb_route_candidate */
     uint64_t last_tick_us;
 };
--- a/replay/module_admission.c
+++ b/replay/module_admission.c
@@ -113,7 +113,7 @@
     uint64_t deadline_ms;
 
     if (!bb_replay_read_number(l, "id", BB_REPLAY_NUMBER_MAX, &r.id) ||
-        !bb_replay_read_enum(l, "class", class_names, BB_ADMISSION_CLASSES,
+        !bb_replay_read_enum(l, "class", class_names, BB_ADMISSION_CLASS_COUNT,
                              BB_ADMISSION_SHORT, &class_index) ||
         !bb_replay_read_bool_or(l, "may_go_elsewhere", false,
                                 &r.may_refuse_as_slow) ||
--- a/replay/module_routing.c
+++ b/replay/module_routing.c
@@ -62,7 +62,7 @@
 
     if (!bb_replay_read_number(l, "gatekeeper", BB_REPLAY_NUMBER_MAX, &id) ||
         !bb_replay_read_number(l, "slots", LOAD_MAX, &slots) ||
-        !bb_replay_read_enum(l, "tier", tier_names, BB_ROUTE_DISTANCES,
+        !bb_replay_read_enum(l, "tier", tier_names, BB_ROUTE_DISTANCE_COUNT,
                              BB_ROUTE_SAME_ZONE, &tier)) {
         return false;
     }
--- a/replay/offered_load.c
+++ b/replay/offered_load.c
@@ -18,8 +18,8 @@
     uint64_t late;                /* finished after their deadline */
     uint64_t good;                /* finished by their deadline */
     uint64_t good_us; /* service time of calls that met their deadline */
-    uint64_t latency_count[BB_ADMISSION_CLASSES];
-    uint64_t *latency_us[BB_ADMISSION_CLASSES];
+    uint64_t latency_count[BB_ADMISSION_CLASS_COUNT];
+    uint64_t *latency_us[BB_ADMISSION_CLASS_COUNT];
     uint64_t latency_capacity; /* allocated entries of each latency_us */
 };
 
@@ -31,7 +31,7 @@
     struct bb_random *random;
     struct load_stats t;
     uint64_t now_us;
-    uint64_t next_us[BB_ADMISSION_CLASSES]; /* time of the next arrival */
+    uint64_t next_us[BB_ADMISSION_CLASS_COUNT]; /* time of the next arrival */
 };
 
 /* Draws the time to the next arrival of a class; practically never if its rate
@@ -218,7 +218,7 @@
     uint64_t capacity_us =
         r->load->duration_us * bb_admission_configured_slots(r->a);
 
-    for (int k = 0; k < BB_ADMISSION_CLASSES; k++) {
+    for (int k = 0; k < BB_ADMISSION_CLASS_COUNT; k++) {
         qsort(t->latency_us[k], t->latency_count[k], sizeof(uint64_t),
               compare_times);
     }
@@ -264,7 +264,7 @@
                     .now_us = now_us};
 
     r.t.latency_capacity = max_latency_count(l);
-    for (int k = 0; k < BB_ADMISSION_CLASSES; k++) {
+    for (int k = 0; k < BB_ADMISSION_CLASS_COUNT; k++) {
         r.t.latency_us[k] = calloc(r.t.latency_capacity, sizeof(uint64_t));
         r.next_us[k] = now_us + draw_interarrival_us(&r, k);
         if (r.t.latency_us[k] == NULL) {
@@ -276,7 +276,7 @@
     s->end_us = now_us + l->duration_us;
     add_stats(&r, result);
 out:
-    for (int k = 0; k < BB_ADMISSION_CLASSES; k++) {
+    for (int k = 0; k < BB_ADMISSION_CLASS_COUNT; k++) {
         free(r.t.latency_us[k]);
     }
     bb_random_destroy(r.random);
--- a/replay/offered_load.h
+++ b/replay/offered_load.h
@@ -11,8 +11,8 @@
 /* Parameters of a load. Arrivals are a Poisson process with the given seed;
  * service times are uniform within a third of their mean. */
 struct bb_offered_load {
-    uint64_t rate_per_s[BB_ADMISSION_CLASSES]; /* calls per second */
-    uint64_t service_us[BB_ADMISSION_CLASSES]; /* mean service time */
+    uint64_t rate_per_s[BB_ADMISSION_CLASS_COUNT]; /* calls per second */
+    uint64_t service_us[BB_ADMISSION_CLASS_COUNT]; /* mean service time */
     uint64_t deadline_us; /* from the arrival of each call */
     uint64_t duration_us;
     uint64_t seed;
--- a/tests/control/test_replicate.c
+++ b/tests/control/test_replicate.c
@@ -579,7 +579,7 @@
     CU_ASSERT_TRUE(bb_replicate_register_rpc(hosts[0].r, server, &e));
     CU_ASSERT_TRUE_FATAL(bb_rpc_server_start(server, &e));
     address.port = bb_rpc_server_get_port(server);
-    envelope.message.kind = BB_AGREE_MESSAGE_KINDS;
+    envelope.message.kind = BB_AGREE_MESSAGE_KIND_COUNT;
     CU_ASSERT_TRUE(call_rpc(pool, &address, AGREE_APPEND,
                             (xdrproc_t)xdr_agree_envelope, &envelope,
                             (xdrproc_t)xdr_agree_ack, &ack));
--- a/tests/decide/test_relay.c
+++ b/tests/decide/test_relay.c
@@ -95,7 +95,7 @@
         bb_puller_update(&p, 1, 2, round % 2, 0, bb_random_u64(random));
         CU_ASSERT_FALSE(
             bb_puller_try_start(&p, 100 * BB_US_PER_MS - 1, &source));
-        for (int i = 0; i < BB_PULL_SOURCES; i++) {
+        for (int i = 0; i < BB_PULL_SOURCE_COUNT; i++) {
             now_us += 400 * BB_US_PER_MS;
             CU_ASSERT_TRUE(bb_puller_try_start(&p, now_us, &source));
             seen |= 1U << source;
