Merge one name for one thing in decide/, proxy/, path/ and mesh/

Conflicts with the reworded replay/, load/ and upstream/ were combined by applying the same renames to their new text.

--- a/load/stats.c
+++ b/load/stats.c
@@ -75,7 +75,7 @@
     for (int i = 0; i < BB_LOAD_RESULT_COUNT; i++) {
         total->result_counts[i] += part->result_counts[i];
     }
-    for (int i = 0; i < BB_REASONS; i++) {
+    for (int i = 0; i < BB_REASON_COUNT; i++) {
         total->refusals_by_reason[i] += part->refusals_by_reason[i];
     }
     for (uint32_t i = 0; i <= interval_count; i++) {
--- a/replay/offered_load.c
+++ b/replay/offered_load.c
@@ -27,8 +27,8 @@
     uint64_t late;                   /* finished after their deadline */
     uint64_t good;                   /* finished by their deadline */
     uint64_t good_us; /* service time of calls that met their deadline */
-    uint64_t latency_count[BB_ADMISSION_CLASSES];
-    uint64_t *latency_us[BB_ADMISSION_CLASSES]; /* of finished calls */
+    uint64_t latency_count[BB_ADMISSION_CLASS_COUNT];
+    uint64_t *latency_us[BB_ADMISSION_CLASS_COUNT]; /* of finished calls */
     uint64_t latency_capacity; /* allocated entries of each latency_us */
 };
 
@@ -40,7 +40,7 @@
     struct bb_random *random;
     struct load_stats stats;
     uint64_t now_us;
-    uint64_t next_us[BB_ADMISSION_CLASSES]; /* time of the next arrival */
+    uint64_t next_us[BB_ADMISSION_CLASS_COUNT]; /* time of the next arrival */
 };
 
 /* Draws the time to the next arrival of a class; never_us if its rate is 0. */
@@ -233,7 +233,7 @@
     uint64_t capacity_us =
         r->load->duration_us * bb_admission_configured_slots(r->a);
 
-    for (int i = 0; i < BB_ADMISSION_CLASSES; i++) {
+    for (int i = 0; i < BB_ADMISSION_CLASS_COUNT; i++) {
         qsort(stats->latency_us[i], stats->latency_count[i], sizeof(uint64_t),
               compare_times);
     }
@@ -284,7 +284,7 @@
                          .now_us = now_us};
 
     r.stats.latency_capacity = max_latency_count(l);
-    for (int i = 0; i < BB_ADMISSION_CLASSES; i++) {
+    for (int i = 0; i < BB_ADMISSION_CLASS_COUNT; i++) {
         r.stats.latency_us[i] =
             calloc(r.stats.latency_capacity, sizeof(uint64_t));
         r.next_us[i] = now_us + draw_interarrival_us(&r, i);
@@ -297,7 +297,7 @@
     s->end_us = now_us + l->duration_us;
     add_stats(&r, result);
 out:
-    for (int i = 0; i < BB_ADMISSION_CLASSES; i++) {
+    for (int i = 0; i < BB_ADMISSION_CLASS_COUNT; i++) {
         free(r.stats.latency_us[i]);
     }
     bb_random_destroy(r.random);
--- a/replay/offered_load.h
+++ b/replay/offered_load.h
@@ -12,8 +12,8 @@
  * service times are uniformly distributed between 2/3 and 4/3 of their mean.
  */
 struct bb_offered_load {
-    uint64_t rate_per_s[BB_ADMISSION_CLASSES]; /* calls per second */
-    uint64_t service_us[BB_ADMISSION_CLASSES]; /* mean service time */
+    uint64_t rate_per_s[BB_ADMISSION_CLASS_COUNT]; /* calls per second */
+    uint64_t service_us[BB_ADMISSION_CLASS_COUNT]; /* mean service time */
     uint64_t deadline_us; /* from the arrival of each call */
     uint64_t duration_us;
     uint64_t seed;
--- a/upstream/announce.c
+++ b/upstream/announce.c
@@ -86,20 +86,20 @@
 
 /* Calls the first path of a list "/a;/b;/c" through the node, with the rest of
  * the list in X-Call-Path. fields holds field_count pairs of header name and
- * value. The deadline of the call is end_us. Returns true on a complete
+ * value. The deadline of the call is deadline_us. Returns true on a complete
  * response with status 2xx. The timeout of each read is the time that is left
  * at the start of the call, rounded up to whole seconds. */
 bool
 bb_upstream_sim_make_nested_call(const struct bb_upstream_sim *u,
                                  const char *paths, const char *const *fields,
-                                 size_t field_count, uint64_t end_us)
+                                 size_t field_count, uint64_t deadline_us)
 {
     const char *rest = strchr(paths, ';');
     char *path = rest != NULL ? g_strndup(paths, (gsize)(rest - paths))
                               : g_strdup(paths);
     uint64_t now_us = bb_clock_now_us();
     uint64_t remaining_ms =
-        end_us > now_us ? (end_us - now_us) / BB_US_PER_MS : 0;
+        deadline_us > now_us ? (deadline_us - now_us) / BB_US_PER_MS : 0;
     ne_session *s =
         create_session(&u->node_address,
                        (int)(remaining_ms * BB_US_PER_MS / BB_US_PER_S) + 1);
@@ -110,7 +110,7 @@
         ne_add_request_header(r, fields[2 * i], fields[2 * i + 1]);
     }
     if (rest != NULL && rest[1] != '\0') {
-        ne_add_request_header(r, BB_CALL_PATH, rest + 1);
+        ne_add_request_header(r, BB_HEADER_CALL_PATH, rest + 1);
     }
     ne_print_request_header(r, "Baobab-Deadline-Ms", "%" PRIu64, remaining_ms);
     is_ok = u->node_address.port != 0 && remaining_ms > 0 &&
--- a/upstream/work.c
+++ b/upstream/work.c
@@ -131,11 +131,11 @@
 }
 
 /* Waits for a free slot and takes it. Returns false if the request is
- * cancelled or end_us passes first. */
+ * cancelled or deadline_us passes first. */
 static bool
-acquire_slot(struct bb_runs *r, const struct run *run, uint64_t end_us)
+acquire_slot(struct bb_runs *r, const struct run *run, uint64_t deadline_us)
 {
-    struct timespec end = bb_clock_to_timespec(end_us);
+    struct timespec end = bb_clock_to_timespec(deadline_us);
     bool has_time = true;
 
     r->waiting++;
@@ -156,11 +156,11 @@
 
 /* Runs a request: waits for a slot, holds it for the service time (wanted_us;
  * 0: random), then makes the nested call unless it is NULL. A cancellation or
- * end_us ends the wait for a slot and the service time early; the nested call
- * must itself end by end_us. Returns how the request ended. */
+ * deadline_us ends the wait for a slot and the service time early; the nested
+ * call must itself end by deadline_us. Returns how the request ended. */
 enum bb_run_outcome
 bb_runs_execute(struct bb_runs *r, const char *id, const char *call,
-                uint64_t wanted_us, uint64_t end_us,
+                uint64_t wanted_us, uint64_t deadline_us,
                 const struct bb_run_nested_call *nested_call)
 {
     struct run run = {.id = id};
@@ -173,19 +173,19 @@
     }
     (void)pthread_mutex_lock(&r->lock);
     g_ptr_array_add(r->active, &run);
-    if (!acquire_slot(r, &run, end_us)) {
+    if (!acquire_slot(r, &run, deadline_us)) {
         goto out;
     }
     start_us = bb_clock_now_us();
     service_end_us = start_us + bb_behaviour_draw_service_us(
                                     r->behaviour, start_us, wanted_us);
-    wait_until(r, &run, MIN(service_end_us, end_us));
-    outcome = run.is_cancelled          ? BB_RUN_CANCELLED
-              : service_end_us > end_us ? BB_RUN_DEADLINE
-                                        : BB_RUN_DONE;
+    wait_until(r, &run, MIN(service_end_us, deadline_us));
+    outcome = run.is_cancelled               ? BB_RUN_CANCELLED
+              : service_end_us > deadline_us ? BB_RUN_DEADLINE
+                                             : BB_RUN_DONE;
     if (outcome == BB_RUN_DONE && nested_call != NULL) {
         (void)pthread_mutex_unlock(&r->lock);
-        nested_call->run(nested_call->context, end_us);
+        nested_call->run(nested_call->context, deadline_us);
         (void)pthread_mutex_lock(&r->lock);
     }
     add_to_history(r, id, call, start_us, outcome);
