net: state ranges, defaults and failure cases in the doc comments

Some comments contradicted the code: when a body is passed to the handler, which results a skipped response leads to, when a fetch is freed, and what the head timeout measures (received bytes restart it). They now follow the code. The chunked length, the Keep-Alive parameter and the percentage have names; find_idle_list, which also creates the list, is get_idle_list.

--- a/include/net/fetch.h
+++ b/include/net/fetch.h
@@ -9,10 +9,12 @@
 enum bb_fetch_result {
     BB_FETCH_COMPLETE,
     BB_FETCH_NOT_CONNECTED, /* nothing was sent */
-    BB_FETCH_LOST,          /* the connection ended before a response head */
+    BB_FETCH_LOST,          /* the connection ended or became unusable before
+                               the response head */
     BB_FETCH_TRUNCATED,     /* the connection ended or the bytes became
                                malformed within the response body */
-    BB_FETCH_MALFORMED_HEAD /* the response head is malformed */
+    BB_FETCH_MALFORMED_HEAD /* malformed bytes before the response head was
+                               complete, also in a skipped response */
 };
 
 /* A request in progress. */
@@ -21,7 +23,8 @@
 
 struct bb_fetch_events {
     /* The head of a response. Returns false if the response belongs to another
-     * request; it is skipped, and the next one is read. */
+     * request; it is skipped, and the next one is read. If the connection
+     * does not persist after it, the fetch ends with BB_FETCH_LOST. */
     bool (*head)(void *context, const struct bb_http_head *h);
     void (*body)(void *context, const char *data, size_t size_bytes);
     /* The last event. The fetch is already freed. */
--- a/include/net/http.h
+++ b/include/net/http.h
@@ -10,8 +10,7 @@
 #include <stdint.h>
 
 enum {
-    /* Size of the array of fields. A head with this many is refused, so the
-     * most is one less. */
+    /* Size of the array of fields; a head may have at most one field less. */
     BB_HTTP_FIELDS_MAX = 128,
     BB_HTTP_HEAD_MAX_BYTES = 64 * 1024
 };
@@ -58,11 +57,11 @@
     struct bb_http_head head;
     const struct bb_http_reader_events *events;
     void *context;
-    size_t head_bytes;       /* texts of the current head */
+    size_t head_bytes;       /* of the current head's texts so far */
     size_t head_limit_bytes; /* 0: BB_HTTP_HEAD_MAX_BYTES */
-    uint32_t name_offset;    /* offset, of the field being read */
-    uint32_t value_offset;   /* offset, of the field being read */
-    uint32_t text_used;      /* not used */
+    uint32_t name_offset;    /* of the name of the field being read */
+    uint32_t value_offset;   /* of its value */
+    uint32_t text_used;      /* unused */
     bool has_started;        /* a byte of the message has arrived */
     bool is_in_value;        /* inside a field's value */
     bool is_oversized;       /* the head is too long or has too many fields */
--- a/include/net/http_server.h
+++ b/include/net/http_server.h
@@ -6,7 +6,9 @@
  * bb_http_exchange_end, or with bb_http_exchange_respond. After
  * bb_http_exchange_end, bb_http_exchange_abort or bb_http_exchange_respond, or
  * after the last callback of bb_http_server_handler, the exchange belongs to
- * the server again and must not be used. */
+ * the server again and must not be used.
+ *
+ * Times in microseconds are on the monotonic clock (bb_clock_now_us). */
 #ifndef BB_NET_HTTP_SERVER_H
 #define BB_NET_HTTP_SERVER_H
 
@@ -17,8 +19,9 @@
     /* Requests of one connection that may be without a complete response at a
      * time. */
     BB_HTTP_SERVER_PIPELINE_MAX = 32,
-    /* A body of up to this size is buffered as a whole before the handler is
-     * called, so that the request can be sent again elsewhere. */
+    /* Bytes of a body that are buffered before the handler is called, unless
+     * the body is complete earlier. A request with a shorter body can be sent
+     * again elsewhere. */
     BB_HTTP_SERVER_BODY_BUFFER_BYTES = 256 * 1024,
     /* After a response to a request that was not read in full, received bytes
      * are dropped for this long before the close. An immediate close would
@@ -26,13 +29,23 @@
     BB_HTTP_SERVER_LINGER_MS = 1000
 };
 
+/* Length of a body that is sent in chunks. */
+enum { BB_HTTP_LENGTH_CHUNKED = -1 };
+
+/* Limits of requests, all above 0. Received bytes restart both timeouts.
+ * Neither runs while the handler works on a request of the connection, except
+ * that idle_timeout_ms does while the body of a later one is received. */
 struct bb_http_server_limits {
-    uint32_t request_head_max_bytes; /* longest head; a longer one: 431 */
-    uint32_t head_timeout_ms; /* from the first byte of a head to its end */
-    /* Between requests, and while the part of a body is read that must arrive
-     * before the handler is called. */
+    /* Longest head; a longer one gets status 431. Default: 32 KiB. */
+    uint32_t request_head_max_bytes;
+    /* While a head is received. Default: 10 s. */
+    uint32_t head_timeout_ms;
+    /* Between requests, and between a head and the call of the handler.
+     * Default: 60 s. */
     uint32_t idle_timeout_ms;
-    uint64_t request_body_max_bytes; /* longest body; a longer one: 413 */
+    /* Longest body; a longer one gets status 413, or a closed connection if
+     * the handler was called before. Default: 64 MiB. */
+    uint64_t request_body_max_bytes;
 };
 
 struct bb_http_server;
@@ -63,16 +76,16 @@
     /* Returns whether the request may start before the responses to earlier
      * ones of its connection are complete. */
     bool (*may_overlap)(void *context, const struct bb_http_head *h);
-    /* Starts a request whose body is complete or not shorter than
-     * BB_HTTP_SERVER_BODY_BUFFER_BYTES. */
+    /* Starts a request once its body is complete or
+     * BB_HTTP_SERVER_BODY_BUFFER_BYTES of it have arrived. */
     void (*request)(void *context, struct bb_http_exchange *x);
     /* More of the body of a started request was appended to x->body, or it is
      * now complete. */
     void (*body_received)(void *context, struct bb_http_exchange *x);
     /* All queued bytes of the response were written. */
     void (*output_drained)(void *context, struct bb_http_exchange *x);
-    /* The connection ended before the response of a started request. This is
-     * the last callback for it. */
+    /* The connection was closed, by either side, before the response to a
+     * started request was complete. This is the last callback for it. */
     void (*disconnected)(void *context, struct bb_http_exchange *x);
 };
 
@@ -86,9 +99,9 @@
 uint32_t bb_http_server_pending_count(const struct bb_http_server *s);
 void bb_http_server_destroy(struct bb_http_server *s);
 
-/* length_bytes is that of the body, or -1 for a body in chunks. The caller
- * then frames the chunks, and sends the last one before bb_http_exchange_end.
- */
+/* length_bytes is that of the body, or BB_HTTP_LENGTH_CHUNKED. In the latter
+ * case the caller frames the chunks, and sends the last one before
+ * bb_http_exchange_end. */
 void bb_http_exchange_start_response(struct bb_http_exchange *x,
                                      uint32_t status, const GString *fields,
                                      int64_t length_bytes);
--- a/include/net/stream.h
+++ b/include/net/stream.h
@@ -13,7 +13,7 @@
 
 enum {
     /* A connection ends if sent data is not acknowledged for this long (Linux
-     * TCP_USER_TIMEOUT). Well below the shortest deadline of a request. */
+     * TCP_USER_TIMEOUT). Well below the usual deadlines of requests. */
     BB_STREAM_UNACKED_TIMEOUT_MS = 1000,
     /* TCP keep-alive probes detect a peer that vanished while a response is
      * awaited. */
@@ -29,8 +29,8 @@
 
 enum bb_net_error {
     BB_NET_ERROR_LISTEN = 1, /* the address cannot be bound */
-    BB_NET_ERROR_CONNECT,    /* not used */
-    BB_NET_ERROR_SYSTEM      /* not used */
+    BB_NET_ERROR_CONNECT,    /* unused */
+    BB_NET_ERROR_SYSTEM      /* unused */
 };
 
 struct bb_stream;
--- a/net/fetch.c
+++ b/net/fetch.c
@@ -21,9 +21,14 @@
      * for at most this long are used. */
     SHORT_IDLE_MAX_MS = 50,
     SHORT_IDLE_HOLD_MS = 10000,
+    PERCENT = 100,
     MS_PER_S = 1000
 };
 
+/* Parameter of the Keep-Alive field with the peer's idle timeout in seconds.
+ */
+#define KEEP_ALIVE_TIMEOUT "timeout="
+
 BB_COUNTER(opened_total, "baobab_fetch_connections_total",
            "Connections opened to other nodes and upstreams");
 BB_COUNTER(reused_total, "baobab_fetch_reused_total",
@@ -104,11 +109,11 @@
 
 /* Closes all connections of an idle list. */
 static void
-close_idle_connections(struct idle_list *e)
+close_idle_connections(struct idle_list *l)
 {
-    struct pooled_connection *c = e->idle;
+    struct pooled_connection *c = l->idle;
 
-    e->idle = NULL;
+    l->idle = NULL;
     while (c != NULL) {
         struct pooled_connection *next = c->next;
 
@@ -137,13 +142,15 @@
 idle_limit_ms(const struct pooled_connection *c)
 {
     const char *value = bb_http_head_get(&c->reader.head, "Keep-Alive");
-    const char *timeout = value != NULL ? strstr(value, "timeout=") : NULL;
+    const char *timeout =
+        value != NULL ? strstr(value, KEEP_ALIVE_TIMEOUT) : NULL;
     uint32_t limit_ms = c->pool->settings.idle_max_ms;
 
     if (timeout != NULL) {
-        unsigned long stated_s = strtoul(timeout + 8, NULL, 10);
+        unsigned long stated_s =
+            strtoul(timeout + strlen(KEEP_ALIVE_TIMEOUT), NULL, 10);
         uint64_t stated_ms =
-            (uint64_t)stated_s * MS_PER_S * KEEP_ALIVE_PERCENT / 100;
+            (uint64_t)stated_s * MS_PER_S * KEEP_ALIVE_PERCENT / PERCENT;
 
         limit_ms = stated_ms < limit_ms ? (uint32_t)stated_ms : limit_ms;
     }
@@ -381,18 +388,18 @@
 
 /* Returns the idle list of an address, which is created if it is missing. */
 static struct idle_list *
-find_idle_list(struct bb_connection_pool *p, const struct bb_address *to)
+get_idle_list(struct bb_connection_pool *p, const struct bb_address *to)
 {
     char text[BB_ADDRESS_TEXT_BYTES];
-    struct idle_list *e;
+    struct idle_list *l;
 
     (void)bb_address_format(to, text);
-    e = g_hash_table_lookup(p->idle_lists, text);
-    if (e == NULL) {
-        e = g_new0(struct idle_list, 1);
-        g_hash_table_insert(p->idle_lists, g_strdup(text), e);
+    l = g_hash_table_lookup(p->idle_lists, text);
+    if (l == NULL) {
+        l = g_new0(struct idle_list, 1);
+        g_hash_table_insert(p->idle_lists, g_strdup(text), l);
     }
-    return e;
+    return l;
 }
 
 /* Closes the idle connections to an address, for use after a failure of the
@@ -401,41 +408,42 @@
 bb_connection_pool_close_idle(struct bb_connection_pool *p,
                               const struct bb_address *to)
 {
-    close_idle_connections(find_idle_list(p, to));
+    close_idle_connections(get_idle_list(p, to));
 }
 
 /* Returns how long a connection may have been idle to be used for a request.
  */
 static uint64_t
-idle_max_us(const struct idle_list *e, const struct bb_fetch_request *r,
+idle_max_us(const struct idle_list *l, const struct bb_fetch_request *r,
             uint64_t now_us)
 {
     uint64_t max_us = r->idle_max_ms != 0
                           ? (uint64_t)r->idle_max_ms * BB_US_PER_MS
                           : UINT64_MAX;
 
-    return now_us < e->short_idle_until_us
+    return now_us < l->short_idle_until_us
                ? MIN(max_us, (uint64_t)SHORT_IDLE_MAX_MS * BB_US_PER_MS)
                : max_us;
 }
 
-/* Removes and returns the idle connection that was used last, or NULL if there
- * is none that may still be used. */
+/* Removes and returns the idle connection that was used last, or NULL if it
+ * has been idle for too long or there is none. Closes all of them if this one
+ * has exceeded the pool's limit or the peer's. */
 static struct pooled_connection *
-pop_idle_connection(struct idle_list *e, const struct bb_fetch_request *r)
+pop_idle_connection(struct idle_list *l, const struct bb_fetch_request *r)
 {
     uint64_t now_us = bb_clock_now_us();
-    struct pooled_connection *c = e->idle;
+    struct pooled_connection *c = l->idle;
 
     if (c == NULL) {
         return NULL;
     }
-    if (now_us - c->idle_since_us > idle_max_us(e, r, now_us)) {
+    if (now_us - c->idle_since_us > idle_max_us(l, r, now_us)) {
         return NULL;
     }
     /* The others in the list have been idle for longer. */
     if (c->usable_until_us <= now_us) {
-        close_idle_connections(e);
+        close_idle_connections(l);
         return NULL;
     }
     remove_idle(c);
@@ -444,13 +452,14 @@
 
 /* Sends a request on a pooled or a new connection. `events` must outlive the
  * fetch; none is called before this returns. Returns NULL if no connection can
- * be opened. The fetch is freed by its `done` event or bb_fetch_cancel. */
+ * be opened. The fetch is freed just before its `done` event is called, or by
+ * bb_fetch_cancel. */
 struct bb_fetch *
 bb_fetch_start(struct bb_connection_pool *p, const struct bb_fetch_request *r,
                const struct bb_fetch_events *events, void *context)
 {
-    struct idle_list *e = find_idle_list(p, &r->address);
-    struct pooled_connection *c = pop_idle_connection(e, r);
+    struct idle_list *l = get_idle_list(p, &r->address);
+    struct pooled_connection *c = pop_idle_connection(l, r);
     struct bb_fetch *f = g_new0(struct bb_fetch, 1);
 
     f->events = events;
@@ -459,6 +468,7 @@
     f->is_body_sent = r->is_body_complete;
     if (c != NULL) {
         f->is_connected = true;
+        /* + 1: 0 stands for a new connection */
         c->idle_before_us = bb_clock_now_us() - c->idle_since_us + 1;
         bb_http_reader_start_next(&c->reader);
         bb_counter_add(&reused_total, 1);
@@ -466,7 +476,7 @@
     else {
         c = g_new0(struct pooled_connection, 1);
         c->pool = p;
-        c->idle_list = e;
+        c->idle_list = l;
         bb_http_reader_init(&c->reader, HTTP_RESPONSE, &reader_events, c);
         c->stream = bb_stream_connect(p->loop, &r->address,
                                       p->settings.connect_timeout_ms,
--- a/net/http.c
+++ b/net/http.c
@@ -232,7 +232,8 @@
 }
 
 /* Parses bytes up to the end of one message and returns how many were used.
- * Uses none in the states DONE and FAILED. */
+ * Uses none in the states DONE and FAILED. Sets the state to FAILED if the
+ * message is malformed, too large or refused by the head event. */
 size_t
 bb_http_reader_feed(struct bb_http_reader *r, const char *data,
                     size_t size_bytes)
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -10,8 +10,7 @@
 enum {
     DEFAULT_HEAD_BYTES = 32 * 1024,
     DEFAULT_HEAD_TIMEOUT_MS = 10000,
-    DEFAULT_IDLE_TIMEOUT_MS = 60000,
-    LENGTH_CHUNKED = -1 /* length_bytes of a body that is sent in chunks */
+    DEFAULT_IDLE_TIMEOUT_MS = 60000
 };
 
 #define DEFAULT_BODY_BYTES (64ULL * 1024 * 1024)
@@ -211,7 +210,7 @@
  * after the response. */
 static void
 reject_request(struct bb_http_server_connection *c, uint32_t status,
-               const char *why)
+               const char *reason)
 {
     struct bb_http_exchange *x = c->receiving;
 
@@ -221,14 +220,14 @@
         x->body = g_string_new(NULL);
         g_queue_push_tail(&c->exchanges, x);
     }
-    bb_log_info("server.refused", "status %u: %s", status, why);
+    bb_log_info("server.refused", "status %u: %s", status, reason);
     x->closes_connection = true;
     x->is_body_complete = false;
     if (!x->is_dispatched) {
         x->is_dispatched = true;
         c->server->pending_count++;
     }
-    bb_http_exchange_respond(x, status, NULL, why, strlen(why));
+    bb_http_exchange_respond(x, status, NULL, reason, strlen(reason));
 }
 
 /* Passes a request to the handler. */
@@ -316,9 +315,12 @@
     reject_request(c, 400, "the request cannot be read\n");
 }
 
-/* Passes the request being received to the handler once enough of it is there,
- * or reports more of its body. Pauses parsing if the request has to wait for
- * earlier responses. Returns whether the next request may be parsed. */
+/* Passes the request being received to the handler once its body is complete
+ * or BB_HTTP_SERVER_BODY_BUFFER_BYTES of it are buffered, or reports more of
+ * its body. Pauses parsing if the request has to wait for earlier responses.
+ * Returns whether the request is complete and was passed to the handler;
+ * unused, as the caller checks is_parsing_paused and the state of the reader.
+ */
 static bool
 advance_request(struct bb_http_server_connection *c)
 {
@@ -534,8 +536,9 @@
     s->limits = *limits;
 }
 
-/* Makes every further response close its connection. Idle connections stay
- * open, for requests that the peer may have sent already. */
+/* Makes each further response close its connection, unless later requests of
+ * the connection already wait behind it. Idle connections stay open, for
+ * requests that the peer may have sent already. */
 void
 bb_http_server_disable_keep_alive(struct bb_http_server *s)
 {
@@ -576,8 +579,9 @@
 }
 
 /* Queues the head of a response. Each of the `fields` (NULL: none) ends with
- * CRLF; length and connection fields are added here. With a length of -1 the
- * body is sent in chunks, which the caller frames, including the last one. */
+ * CRLF; length and connection fields are added here. With
+ * BB_HTTP_LENGTH_CHUNKED the body is sent in chunks, which the caller frames,
+ * including the last one. */
 void
 bb_http_exchange_start_response(struct bb_http_exchange *x, uint32_t status,
                                 const GString *fields, int64_t length_bytes)
@@ -601,7 +605,7 @@
     if (x->closes_connection || !x->is_body_complete) {
         g_string_append(x->pending_output, "Connection: close\r\n");
     }
-    if (length_bytes == LENGTH_CHUNKED) {
+    if (length_bytes == BB_HTTP_LENGTH_CHUNKED) {
         g_string_append(x->pending_output, "Transfer-Encoding: chunked\r\n");
     }
     else if (has_body) {
--- a/net/stream.c
+++ b/net/stream.c
@@ -43,7 +43,7 @@
     g_free(h->data);
 }
 
-/* Frees a timer that was allocated by itself. */
+/* Frees a timer that was allocated separately from its stream. */
 static void
 free_timer(uv_handle_t *h)
 {
@@ -288,8 +288,8 @@
     return s->queued_bytes;
 }
 
-/* Switches TCP keep-alive probes on or off. They are on while a response is
- * awaited only: an idle connection needs none, and each probe is traffic. */
+/* Switches TCP keep-alive probes on or off. They are on only while a response
+ * is awaited, as probes of an idle connection would be needless traffic. */
 void
 bb_stream_set_keepalive(struct bb_stream *s, bool is_enabled)
 {
