path, platform: one name for one thing, and comments that follow the code

"call" meant both the header field between entry and gate and a request of the platform: enum bb_api_call is bb_api_request. wait_max_us is max_wait_us, as in decide/; log and wire keys stay. gate.h defines "entry node" and lists the parts of its header fields with their ranges; the comments of withdrawals, live settings, pausing and target latency now state what the code does.

--- a/include/path/daemon.h
+++ b/include/path/daemon.h
@@ -25,8 +25,8 @@
 
 enum { BB_PORT_MAX = 65535 };
 
-/* Rows of these settings for a program's table of settings. The two texts
- * complete the help of the dialect and of the control port. */
+/* Rows of these settings for a program's table of settings. dialect_help_
+ * and port_help_ are the help texts of the dialect and of the control port. */
 #define BB_DAEMON_SETTING_ROWS(settings_, dialect_help_, port_help_)          \
     BB_SETTING_REQUIRED_TEXT("host", "NAME", "name of this host",             \
                              &(settings_)->host),                             \
@@ -63,7 +63,7 @@
         .max = BB_PORT_MAX, .to.number = &(settings_)->control_port           \
     }
 
-/* A running program; one for each process. */
+/* Event loop, signal handling, log and metrics; one for each process. */
 struct bb_daemon;
 
 struct bb_daemon_events {
--- a/include/path/dialect.h
+++ b/include/path/dialect.h
@@ -34,9 +34,10 @@
 };
 
 /* HTTP requests that the platform sends to Baobab itself. */
-enum bb_api_call {
+enum bb_api_request {
     BB_API_UNKNOWN,
-    BB_API_READY,    /* may callers send requests? */
+    BB_API_READY,    /* asks whether callers may send requests to this
+                        host */
     BB_API_ANNOUNCE, /* an upstream sends its state */
     BB_API_WITHDRAW, /* an upstream says that it takes no more requests */
     BB_API_REPLACE_CONFIGURATION, /* an operator replaces the configuration */
@@ -65,15 +66,16 @@
     bool (*parse_parent_id)(const char *id, char parent[BB_DIALECT_ID_BYTES]);
     /* Returns which request this is; id is set to that of the upstream for
      * BB_API_ANNOUNCE and BB_API_WITHDRAW. */
-    enum bb_api_call (*classify_request)(enum http_method method,
-                                         const char *target,
-                                         char id[BB_DIALECT_ID_BYTES]);
+    enum bb_api_request (*classify_request)(enum http_method method,
+                                            const char *target,
+                                            char id[BB_DIALECT_ID_BYTES]);
     /* Returns false and sets the error if the body is invalid. */
     bool (*decode_announcement)(const char *body, size_t size_bytes,
                                 struct bb_announcement *out,
                                 struct bb_error *e);
     /* Returns the start of the run of the upstream (milliseconds on the wall
-     * clock) from the body of a withdrawal, 0 if it has none. */
+     * clock) from the body of a withdrawal, 0 if the body is empty, invalid or
+     * states none. */
     uint64_t (*decode_start_ms)(const char *body, size_t size_bytes);
     /* Returns rules after bb_rules_finalize, with a reference that the caller
      * releases, or NULL and sets the error. */
--- a/include/path/directory.h
+++ b/include/path/directory.h
@@ -1,5 +1,6 @@
 /* Directory of gates by service, as kept by an entry node: announced state
- * together with load and errors that the node has observed itself. */
+ * together with load and errors that the node has observed itself. Times in
+ * microseconds are on the monotonic clock (bb_clock_now_us). */
 #ifndef BB_PATH_DIRECTORY_H
 #define BB_PATH_DIRECTORY_H
 
@@ -34,8 +35,8 @@
     struct bb_retry_window retry_window; /* retries against the retry budget */
 };
 
-struct bb_directory *bb_directory_create(const char *gate, const char *zone,
-                                         const char *region);
+struct bb_directory *bb_directory_create(const char *gate_address,
+                                         const char *zone, const char *region);
 void bb_directory_destroy(struct bb_directory *d);
 void bb_directory_update(struct bb_directory *d, const fleet_instance *i,
                          uint64_t now_us);
--- a/include/path/entry.h
+++ b/include/path/entry.h
@@ -1,5 +1,6 @@
 /* The entry: a proxy for the callers on its host. Finds the route, the service
- * and the gate of each request and responds to it exactly once. */
+ * and the gate of each request and responds to it exactly once. Times in
+ * microseconds are on the monotonic clock (bb_clock_now_us). */
 #ifndef BB_PATH_ENTRY_H
 #define BB_PATH_ENTRY_H
 
--- a/include/path/gate.h
+++ b/include/path/gate.h
@@ -1,6 +1,9 @@
 /* The gate: the proxy in front of the upstream on its host. Admits, queues or
  * refuses the requests of entry nodes, and alone decides when the upstream
- * gets no new one. */
+ * gets no new one. The entry node of a request is the node whose entry sends
+ * it to the gate.
+ *
+ * Times in microseconds are on the monotonic clock (bb_clock_now_us). */
 #ifndef BB_PATH_GATE_H
 #define BB_PATH_GATE_H
 
@@ -15,11 +18,26 @@
 #include "path/upstream.h"
 
 /* Header fields between entry nodes and gates, besides those of the dialect.
- * Call: service, priority, request class, time until the end of the target
- * latency, longest wait in the queue, flags. Load: requests at the upstream
- * and in the queue, slots, mean duration, share of failures, time of this
- * request at the upstream. Refused: reason; the request did not run. Failed:
- * reason; it may have run. */
+ *
+ * Call (of a request):
+ * - service that the entry node expects at the gate
+ * - priority; 0: most urgent
+ * - request class; any number, taken modulo BB_REQUEST_CLASS_COUNT
+ * - time until the end of the target latency
+ * - longest wait in the queue; no limit from BB_GATE_WAIT_UNLIMITED_MS on
+ * - flags: letters BB_GATE_FLAG_ and a '-' after them, so that the text is
+ *   never empty
+ *
+ * Load (of a response):
+ * - requests at the upstream
+ * - requests in the queue
+ * - slots; 0: the gate admits no requests
+ * - mean duration; 0: unknown
+ * - share of failures, 0 to 1000
+ * - time of this request at the upstream; 0 if the gate itself responded
+ *
+ * Refused: reason; the request did not run. Failed: reason; it may have run.
+ */
 #define BB_GATE_HEADER_CALL                                                   \
     "Baobab-Call" /* service priority class target_ms wait_ms flags */
 #define BB_GATE_HEADER_LOAD                                                   \
@@ -32,9 +50,11 @@
     /* For connecting to the upstream, which is on the same host. The request
      * holds a slot meanwhile. */
     BB_GATE_CONNECT_TIMEOUT_MS = 250,
-    /* Idle time after which a connection is not used again if the upstream
-     * does not state its own timeout. Must be shorter than its timeout:
-     * requests sent while it closes the connection are lost. */
+    /* Longest idle time after which a connection to the upstream is used
+     * again, less if the upstream states a shorter timeout
+     * (bb_connection_pool_settings.idle_max_ms). Must be shorter than the
+     * upstream's timeout: requests sent while it closes the connection are
+     * lost. */
     BB_GATE_IDLE_MAX_MS = 4000,
     /* How long a new gate waits for bb_gate_restore before it admits requests;
      * longer than a node takes to find a control host that responds. */
@@ -49,10 +69,10 @@
     /* Flags of the call field. */
     BB_GATE_FLAG_NESTED = 'n', /* sent by an upstream for a request it runs */
     BB_GATE_FLAG_NOT_IDEMPOTENT = 'o', /* must not run twice */
-    /* Longest wait in the call field: wait until the deadline. */
-    BB_GATE_WAIT_UNLIMITED_MS = 1000000,
-    /* An earlier attempt may have reached an upstream. */
-    BB_GATE_FLAG_RETRY = 'r'
+    BB_GATE_FLAG_RETRY = 'r', /* an earlier attempt may have reached an
+                                 upstream */
+    /* Longest wait in the call field without a limit but the deadline. */
+    BB_GATE_WAIT_UNLIMITED_MS = 1000000
 };
 
 struct bb_gate;
--- a/include/path/relay.h
+++ b/include/path/relay.h
@@ -14,7 +14,8 @@
     uint32_t status;       /* 0: no head yet */
     GString *fields;       /* of the response, each ended by CRLF */
     GString *body;         /* buffered part */
-    int64_t length_bytes;  /* Content-Length of the response, or -1 */
+    int64_t length_bytes;  /* Content-Length of the response, or
+                              BB_HTTP_LENGTH_CHUNKED */
     bool is_head_response; /* response to a HEAD request: has no body */
     bool is_streaming;     /* the exchange has the head of the response */
 };
--- a/include/path/rules.h
+++ b/include/path/rules.h
@@ -11,7 +11,8 @@
 #include "decide/balance.h"
 #include "net/http_server.h"
 
-/* Number of groups of routes. */
+/* Number of groups of routes, for each of which the longest deadline is kept.
+ */
 enum { BB_RULES_GROUP_COUNT = 64 };
 
 enum bb_rules_error {
@@ -29,21 +30,22 @@
 /* A route. */
 struct bb_rules_route {
     char *name;
-    char *host;         /* in lower case */
-    char *prefix;       /* of the path; begins and ends with a slash */
-    bool is_idempotent; /* a request may run more than once */
-    uint32_t timeout_ms;
-    uint32_t target_latency_ms; /* a response is worth less after this time */
-    uint32_t priority;          /* 0: most urgent */
+    char *host;          /* in lower case */
+    char *prefix;        /* of the path; begins and ends with a slash */
+    bool is_idempotent;  /* a request may run more than once */
+    uint32_t timeout_ms; /* above 0 */
+    /* A response is worth less after this time. 0 is not treated as unset. */
+    uint32_t target_latency_ms;
+    uint32_t priority; /* 0: most urgent */
     /* Attempts of one request that may reach an upstream, the same one or
-     * others. */
+     * others; 1 if not set. */
     uint32_t upstream_attempts_max;
     uint32_t class_index; /* requests of one class take about as long */
-    /* Hash of the name, below BB_RULES_GROUP_COUNT. Callers of one route are
-     * taken to wait for equally long. */
+    /* Hash of the name, below BB_RULES_GROUP_COUNT. All callers of a route
+     * are assumed to wait equally long. */
     uint32_t route_group;
     uint32_t service_count;
-    uint64_t weight_sum;
+    uint64_t weight_sum; /* above 0 */
     struct bb_weighted_service *services;
 };
 
--- a/include/path/upstream.h
+++ b/include/path/upstream.h
@@ -1,5 +1,6 @@
 /* State of the upstream on this host, from its announcements and withdrawals.
- * Without I/O. */
+ * Without I/O. Times in microseconds are on the monotonic clock
+ * (bb_clock_now_us). */
 #ifndef BB_PATH_UPSTREAM_H
 #define BB_PATH_UPSTREAM_H
 
@@ -12,8 +13,8 @@
 enum bb_announce_result {
     BB_ANNOUNCE_ACCEPTED,     /* applied */
     BB_ANNOUNCE_STALE,        /* older than the known state; ignored */
-    BB_ANNOUNCE_WRONG_ADDRESS /* not of this host's upstream address; ignored
-                               */
+    BB_ANNOUNCE_WRONG_ADDRESS /* the address is not that of this host's
+                                 upstream; ignored */
 };
 
 struct bb_upstream {
--- a/path/attempt.c
+++ b/path/attempt.c
@@ -81,7 +81,7 @@
 /* Chooses the next gate and sets how long the request may wait in its queue.
  * Returns NULL if no candidate is usable. */
 static struct bb_gate_record *
-choose_gate(struct entry_request *rq, uint64_t *wait_max_us, uint64_t now_us)
+choose_gate(struct entry_request *rq, uint64_t *max_wait_us, uint64_t now_us)
 {
     struct candidates l;
     struct bb_balance_request r = {
@@ -93,7 +93,7 @@
     list_candidates(rq, &l, now_us);
     chosen = bb_balance_choose(l.views, l.was_full, l.count, &r,
                                bb_random_global_u64(), now_us);
-    *wait_max_us = chosen.max_wait_us;
+    *max_wait_us = chosen.max_wait_us;
     return chosen.gate >= 0 ? l.gates[chosen.gate] : NULL;
 }
 
@@ -154,12 +154,12 @@
     return (uint64_t)BB_ENTRY_RETURN_OTHER_REGION_MS * BB_US_PER_MS;
 }
 
-/* Returns wait_max_us as sent to the gate: in milliseconds, with
+/* Returns max_wait_us as sent to the gate: in milliseconds, with
  * BB_GATE_WAIT_UNLIMITED_MS for no limit. */
 static unsigned
-wait_max_ms(const struct attempt *a)
+max_wait_ms(const struct attempt *a)
 {
-    return (unsigned)MIN(a->wait_max_us / BB_US_PER_MS,
+    return (unsigned)MIN(a->max_wait_us / BB_US_PER_MS,
                          (uint64_t)BB_GATE_WAIT_UNLIMITED_MS);
 }
 
@@ -185,7 +185,7 @@
         names->deadline_ms, left_us / BB_US_PER_MS, names->caller_service,
         s->caller_service, rq->service->name, rq->route->priority,
         rq->route->class_index, (unsigned)(target_left_us / BB_US_PER_MS),
-        wait_max_ms(a));
+        max_wait_ms(a));
     if (rq->is_nested) {
         g_string_append_c(head, BB_GATE_FLAG_NESTED);
     }
@@ -296,7 +296,7 @@
 }
 
 /* Returns the outcome of a finished attempt. A success without the seal does
- * not come from the upstream itself. */
+ * not come from the upstream itself, so the outcome is unknown. */
 static enum attempt_result
 classify_result(const struct attempt *a, enum bb_fetch_result result)
 {
@@ -561,7 +561,7 @@
     }
 }
 
-/* Sends on what has arrived of a streamed request body. */
+/* Sends the received part of a streamed request body to the gate. */
 void
 request_send_body(struct entry_request *rq)
 {
@@ -598,7 +598,7 @@
         "\"gate\":\"%s\",\"instance\":\"%s\",\"distance\":%u,"
         "\"wait_max_ms\":%u,\"running\":%u,\"queued\":%u,\"slots\":%u,"
         "\"in_flight\":%u,\"failing\":%u,\"report_age_ms\":%d",
-        g->address_text, g->upstream_id, g->view.distance, wait_max_ms(a),
+        g->address_text, g->upstream_id, g->view.distance, max_wait_ms(a),
         g->view.running, g->view.queued, g->view.slots, g->view.in_flight,
         g->view.failure_permille,
         g->view.reported_us != 0
@@ -610,7 +610,7 @@
  * left or no connection could be created. */
 static bool
 start_attempt(struct attempt *a, struct bb_gate_record *g,
-              uint64_t wait_max_us, uint64_t now_us)
+              uint64_t max_wait_us, uint64_t now_us)
 {
     struct entry_request *rq = a->request;
     struct bb_http_exchange *x = rq->exchange;
@@ -622,7 +622,7 @@
     if (left_us < BB_US_PER_MS) {
         return false;
     }
-    a->wait_max_us = wait_max_us;
+    a->max_wait_us = max_wait_us;
     log_attempt(a, g, now_us);
     rq->attempt_count++;
     bb_response_relay_reset(&a->relay);
@@ -661,9 +661,9 @@
 request_try_next_gate(struct entry_request *rq)
 {
     uint64_t now_us = bb_clock_now_us();
-    uint64_t wait_max_us = 0;
+    uint64_t max_wait_us = 0;
     struct bb_gate_record *g = rq->attempt_count < BB_ENTRY_ATTEMPTS_MAX
-                                   ? choose_gate(rq, &wait_max_us, now_us)
+                                   ? choose_gate(rq, &max_wait_us, now_us)
                                    : NULL;
     struct bb_http_exchange *x = rq->exchange;
 
@@ -674,7 +674,7 @@
     }
     rq->is_body_streamed = rq->is_body_streamed || !x->is_body_complete;
     rq->is_chunked = bb_forward_is_chunked(x);
-    if (!start_attempt(&rq->attempts[0], g, wait_max_us, now_us)) {
+    if (!start_attempt(&rq->attempts[0], g, max_wait_us, now_us)) {
         give_up(rq, "late");
         return;
     }
@@ -696,8 +696,9 @@
     struct attempt *first = &rq->attempts[0];
     struct attempt *second = &rq->attempts[1];
     struct bb_gate_record *g;
-    uint64_t wait_max_us = 0;
+    uint64_t max_wait_us = 0;
 
+    /* + 1: the first attempt, still in progress, may reach an upstream too */
     if (first->fetch == NULL || second->fetch != NULL ||
         first->relay.is_streaming ||
         rq->attempt_count >= BB_ENTRY_ATTEMPTS_MAX ||
@@ -705,7 +706,7 @@
         return;
     }
     add_gate(rq->excluded_gates, &rq->excluded_count, first->gate_address);
-    g = choose_gate(rq, &wait_max_us, now_us);
+    g = choose_gate(rq, &max_wait_us, now_us);
     if (g == NULL || !bb_balance_can_hedge(&g->view, now_us) ||
         !reserve_retry(rq, true)) {
         return;
--- a/path/daemon.c
+++ b/path/daemon.c
@@ -42,8 +42,7 @@
 }
 
 /* Writes log lines; tries again after BB_EVENT_LOG_FLUSH_INTERVAL_MS while
- * some are left.
- */
+ * some are left. */
 static void
 on_flush_timer(uv_timer_t *t)
 {
@@ -65,9 +64,9 @@
     }
 }
 
-/* Starts loop, signal handling and log of a program. `program` names it in the
- * log, `host_name` its host; the texts, events and context must stay
- * valid until bb_daemon_destroy. SIGPIPE is ignored. */
+/* Creates the event loop and starts signal handling and log. `program` and
+ * `host_name` name the program and its host in the log; the texts, events and
+ * context must stay valid until bb_daemon_destroy. SIGPIPE is ignored. */
 struct bb_daemon *
 bb_daemon_create(const char *program, const char *host_name,
                  const struct bb_daemon_events *events, void *context)
@@ -91,7 +90,7 @@
     return d;
 }
 
-/* Returns the event loop, owned by the program. */
+/* Returns the event loop, which the daemon owns. */
 uv_loop_t *
 bb_daemon_loop(struct bb_daemon *d)
 {
@@ -134,7 +133,7 @@
     (void)uv_run(&d->loop, UV_RUN_DEFAULT);
 }
 
-/* Makes bb_daemon_run return, after log lines were written. */
+/* Writes the buffered log lines and makes bb_daemon_run return. */
 void
 bb_daemon_stop(struct bb_daemon *d)
 {
@@ -153,15 +152,15 @@
     }
 }
 
-/* Closes the loop and frees the program; everything else that uses the loop
- * must be destroyed before. */
+/* Closes the loop and frees the daemon; everything else that uses the loop
+ * must be destroyed first. */
 void
 bb_daemon_destroy(struct bb_daemon *d)
 {
     bb_http_server_destroy(d->metrics);
     uv_walk(&d->loop, close_handle, NULL);
-    /* Not until all handles are closed: a write to a stalled disk may never
-     * end. */
+    /* A limited number of iterations rather than until all handles are closed,
+     * as a write to a stalled disk may never end. */
     for (int i = 0; i < CLOSE_ITERATIONS; i++) {
         (void)uv_run(&d->loop, UV_RUN_NOWAIT);
     }
@@ -172,11 +171,11 @@
 }
 
 /* Reads the seed addresses from the file of live settings, a key file with
- * the key `seeds` in the group `live`; invalid addresses are skipped. Returns
- * true if `seeds` then holds at least one address; of more than
- * BB_SETTINGS_LIST_MAX the further ones are dropped silently. Returns false,
- * and logs a warning unless the file name is empty, if the file cannot be read
- * or holds no valid address; `seeds` may then be empty. */
+ * the key `seeds` in the group `live`. Skips invalid addresses, and ignores
+ * all after the first BB_SETTINGS_LIST_MAX valid ones. Returns true if at
+ * least one was read. Otherwise returns false, and logs a warning unless the
+ * file name is empty; `seeds` is unchanged if the file cannot be read, else
+ * empty. */
 bool
 bb_daemon_read_seeds(const char *file, struct bb_address_list *seeds)
 {
--- a/path/directory.c
+++ b/path/directory.c
@@ -3,8 +3,10 @@
 
 #include <string.h>
 
+#include "common/clock.h"
+
 struct bb_directory {
-    char *own_gate; /* address of the gate on this host */
+    char *own_gate_address; /* IP:PORT of the gate on this host */
     char *zone;
     char *region;
     GHashTable *gates;    /* address text to struct bb_gate_record */
@@ -32,14 +34,16 @@
     g_free(s);
 }
 
-/* Creates an empty directory for the node with the gate at this address. The
- * three texts, copied, determine the distance to other gates. */
+/* Creates an empty directory for the node whose gate has this address
+ * (IP:PORT). The three texts, which are copied, determine the distance to
+ * other gates. */
 struct bb_directory *
-bb_directory_create(const char *gate, const char *zone, const char *region)
+bb_directory_create(const char *gate_address, const char *zone,
+                    const char *region)
 {
     struct bb_directory *d = g_new0(struct bb_directory, 1);
 
-    d->own_gate = g_strdup(gate);
+    d->own_gate_address = g_strdup(gate_address);
     d->zone = g_strdup(zone);
     d->region = g_strdup(region);
     d->gates = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_gate);
@@ -55,7 +59,7 @@
     if (d != NULL) {
         g_hash_table_destroy(d->services);
         g_hash_table_destroy(d->gates);
-        g_free(d->own_gate);
+        g_free(d->own_gate_address);
         g_free(d->zone);
         g_free(d->region);
         g_free(d);
@@ -98,7 +102,7 @@
 static enum bb_gate_distance
 distance_to(const struct bb_directory *d, const fleet_instance *i)
 {
-    if (strcmp(d->own_gate, i->gate_address) == 0) {
+    if (strcmp(d->own_gate_address, i->gate_address) == 0) {
         return BB_GATE_SAME_HOST;
     }
     if (strcmp(d->zone, i->zone) == 0) {
@@ -164,7 +168,7 @@
     g->view.is_ready = i->state == BB_INSTANCE_READY;
     g->view.slots = i->slots;
     g->view.warm_at_us =
-        i->warmup_ms != 0 ? now_us + (uint64_t)i->warmup_ms * 1000 : 0;
+        i->warmup_ms != 0 ? now_us + (uint64_t)i->warmup_ms * BB_US_PER_MS : 0;
     if (g->view.is_ready) {
         bb_gate_view_resume(&g->view);
     }
--- a/path/entry.c
+++ b/path/entry.c
@@ -16,6 +16,7 @@
 enum {
     PERCENT = 100,
     PERMILLE = 1000,
+    MS_PER_S = 1000,
     /* Each response moves the estimated 95th percentile in steps of 1/100: one
      * down if it was faster, 19 up if it was slower, so that the estimate
      * settles where one response in 20 is slower. */
@@ -77,7 +78,7 @@
            "Requests that the upstream of this host made for one it runs");
 BB_COUNTER(forwarded_total, "baobab_entry_answered_total",
            "Answers of upstreams passed on");
-BB_COUNTER(caller_left_total, "baobab_entry_gone_total",
+BB_COUNTER(caller_disconnected_total, "baobab_entry_gone_total",
            "Requests whose caller left before the answer");
 BB_COUNTER(not_run_total, "baobab_entry_refused_total",
            "Requests answered as not run");
@@ -129,7 +130,7 @@
     g_string_append_printf(fields, BB_ENTRY_HEADER_REASON ": %s\r\n", reason);
     if (retry_ms != 0) {
         g_string_append_printf(fields, "Retry-After: %u.%03u\r\n",
-                               retry_ms / 1000, retry_ms % 1000);
+                               retry_ms / MS_PER_S, retry_ms % MS_PER_S);
     }
     count_local_response(rq, status, reason);
     bb_event_log_format_line(
@@ -303,8 +304,8 @@
                          (due_us - now_us) / BB_US_PER_MS + 1, 0);
 }
 
-/* Chooses a service of a route by smooth weighted round-robin: also a short
- * series of requests is divided by weight. */
+/* Chooses a service of a route by smooth weighted round-robin, so that even a
+ * short series of requests is divided by weight. */
 static const char *
 choose_service(struct bb_entry *n, const struct bb_rules_route *route)
 {
@@ -362,11 +363,12 @@
     return true;
 }
 
-/* Sets the deadline, the caller's or the route's, whichever is earlier, and
- * the end of the target latency. That counts from the caller's first attempt:
- * a deadline shorter than the longest one seen on the route is taken for that
- * of a caller that retries, whose target latency is shorter by the difference.
- * For a nested request it is moved halfway to the deadline instead. */
+/* Sets deadline_us, the earlier of the caller's deadline and the route's
+ * timeout, and target_end_us. The target latency counts from the caller's
+ * first request: a deadline shorter than the longest one seen on the route is
+ * taken as a sign that the caller retries, and the target latency is shortened
+ * by the difference, down to TARGET_MIN_PERCENT of it. For a nested request,
+ * target_end_us is instead moved halfway to the deadline. */
 static void
 set_deadlines(struct entry_request *rq)
 {
@@ -499,7 +501,7 @@
 
 /* Cancels the request of a caller that closed its connection. */
 static void
-on_caller_left(void *context, struct bb_http_exchange *x)
+on_caller_disconnected(void *context, struct bb_http_exchange *x)
 {
     struct entry_request *rq = x->user_data;
 
@@ -507,7 +509,7 @@
     if (rq == NULL) {
         return;
     }
-    bb_counter_add(&caller_left_total, 1);
+    bb_counter_add(&caller_disconnected_total, 1);
     bb_event_log_format_line(rq->log_lines, "entry.caller_left", rq->id,
                              "\"took_us\":%" G_GUINT64_FORMAT
                              ",\"running\":%s",
@@ -536,7 +538,7 @@
     .request = on_request,
     .body_received = on_request_body,
     .output_drained = on_caller_writable,
-    .disconnected = on_caller_left};
+    .disconnected = on_caller_disconnected};
 
 /* Creates the entry, which responds with 503 until bb_entry_set_rules. Keeps a
  * copy of the settings, but not of the texts and objects that they point to.
@@ -575,7 +577,7 @@
 }
 
 /* Closes connections of callers: sends `Connection: close` with each further
- * response. */
+ * response, unless later requests of the connection already wait behind it. */
 void
 bb_entry_disable_keep_alive(struct bb_entry *n)
 {
--- a/path/entry_internal.h
+++ b/path/entry_internal.h
@@ -2,7 +2,9 @@
  *
  * A retry is an attempt that the entry makes after an earlier one reached, or
  * may have reached, an upstream; it counts against the retry budget. A caller
- * that retries sends a new request, with another id. */
+ * that retries sends a new request, with another id.
+ *
+ * Times in microseconds are on the monotonic clock (bb_clock_now_us). */
 #ifndef BB_PATH_ENTRY_INTERNAL_H
 #define BB_PATH_ENTRY_INTERNAL_H
 
@@ -28,7 +30,7 @@
     uint64_t p95_us[BB_REQUEST_CLASS_COUNT];
     /* By route_group: the longest deadline that a request has stated, or
      * BB_ENTRY_DEADLINE_MAX_MS if one stated none; taken as the deadline of a
-     * caller's first attempt. */
+     * caller's first request. */
     uint64_t longest_deadline_us[BB_RULES_GROUP_COUNT];
     bool is_stopping;
 };
@@ -52,7 +54,7 @@
     char gate_address[BB_ADDRESS_TEXT_BYTES];
     uint64_t started_us;
     uint64_t upstream_us; /* time at the upstream as reported by the gate */
-    uint64_t wait_max_us; /* longest time in the gate's queue; UINT64_MAX:
+    uint64_t max_wait_us; /* longest time in the gate's queue; UINT64_MAX:
                              until its deadline */
     bool is_refused; /* the gate states that it did not send the request on */
     bool is_response_lost; /* the gate states that the response was lost */
--- a/path/gate.c
+++ b/path/gate.c
@@ -84,7 +84,7 @@
     struct bb_fetch *fetch; /* NULL: not sent yet */
     struct bb_response_relay relay;
     uint64_t sent_us;
-    size_t sent_bytes; /* unused */
+    size_t sent_bytes; /* unused; always 0 */
     char request_id[BB_DIALECT_ID_BYTES];
     char service[SERVICE_TEXT_BYTES]; /* that the entry expects here */
     bool is_chunked;
@@ -430,14 +430,15 @@
         due_us > now_us ? (due_us - now_us) / BB_US_PER_MS + 1 : 1, 0);
 }
 
-/* Reads the fields that an entry node adds into rq and wait_max_us. Returns
- * false if they are missing or malformed. */
+/* Reads the header fields that the entry added to the request, and stores them
+ * in rq and max_wait_us. Returns false if the call field or the id is missing
+ * or malformed; the deadline is optional. */
 static bool
 read_entry_fields(struct bb_gate *g, struct bb_http_exchange *x,
-                  struct gate_request *rq, uint64_t *wait_max_us)
+                  struct gate_request *rq, uint64_t *max_wait_us)
 {
     const struct bb_dialect_fields *names = &g->settings.dialect->fields;
-    const char *call = bb_http_head_get(&x->head, BB_GATE_HEADER_CALL);
+    const char *call_field = bb_http_head_get(&x->head, BB_GATE_HEADER_CALL);
     const char *id = bb_http_head_get(&x->head, names->request_id);
     uint64_t now_us = bb_clock_now_us();
     uint64_t deadline_ms = DEFAULT_DEADLINE_MS;
@@ -447,14 +448,15 @@
     unsigned target_ms = 0;
     unsigned wait_ms = 0;
 
-    if (call == NULL || id == NULL || strlen(id) >= sizeof(rq->request_id) ||
-        sscanf(call, "%127s %u %u %u %u %7s", rq->service, &priority,
+    if (call_field == NULL || id == NULL ||
+        strlen(id) >= sizeof(rq->request_id) ||
+        sscanf(call_field, "%127s %u %u %u %u %7s", rq->service, &priority,
                &class_index, &target_ms, &wait_ms, flags) < 5) {
         return false;
     }
     (void)bb_http_head_get_u64(&x->head, names->deadline_ms, &deadline_ms);
     g_strlcpy(rq->request_id, id, sizeof(rq->request_id));
-    *wait_max_us = wait_ms >= BB_GATE_WAIT_UNLIMITED_MS
+    *max_wait_us = wait_ms >= BB_GATE_WAIT_UNLIMITED_MS
                        ? UINT64_MAX
                        : (uint64_t)wait_ms * BB_US_PER_MS;
     rq->is_retry = strchr(flags, BB_GATE_FLAG_RETRY) != NULL;
@@ -469,10 +471,10 @@
     return true;
 }
 
-/* Returns the reason why the gate does not admit this request, and sets its
- * counter, or NULL. "other_service" concerns this request only, the others any
- * request. While the upstream is not ready the reason is its state, not the
- * label of the counter. */
+/* Returns NULL if the gate admits the request. Otherwise returns the reason
+ * and sets `counter` to its counter. All reasons but "other_service" apply to
+ * every request at that time. If the upstream is not ready, the reason is the
+ * name of its state, whereas the counter is always refused_not_ready. */
 static const char *
 refusal_reason(struct bb_gate *g, const struct gate_request *rq,
                struct bb_counter **counter)
@@ -508,12 +510,12 @@
     struct bb_counter *counter = &refused_malformed;
     const char *reason = NULL;
     bool is_late;
-    uint64_t wait_max_us = 0;
+    uint64_t max_wait_us = 0;
 
     rq->gate = g;
     rq->exchange = x;
     bb_response_relay_init(&rq->relay);
-    if (!read_entry_fields(g, x, rq, &wait_max_us)) {
+    if (!read_entry_fields(g, x, rq, &max_wait_us)) {
         refuse_request(g, x, NULL, counter, "malformed");
         free_request(rq);
         return;
@@ -525,7 +527,7 @@
         return;
     }
     x->user_data = rq;
-    switch (bb_gate_queue_arrive(&g->queue, &rq->queue_item, wait_max_us,
+    switch (bb_gate_queue_arrive(&g->queue, &rq->queue_item, max_wait_us,
                                  bb_clock_now_us())) {
     case BB_GATE_QUEUE_RUN:
         send_to_upstream(rq);
@@ -535,7 +537,10 @@
         process_queue(g);
         break;
     case BB_GATE_QUEUE_REFUSE:
-        is_late = wait_max_us == UINT64_MAX;
+        /* After "full" the entry tries another gate, after "late" it does not.
+         * Without a limit on the wait, the request is not expected to be
+         * served in time, or the queue has BB_GATE_QUEUE_MAX requests. */
+        is_late = max_wait_us == UINT64_MAX;
         refuse_request(g, x, rq->request_id,
                        is_late ? &refused_late : &refused_full,
                        is_late ? "late" : "full");
@@ -569,9 +574,9 @@
     }
 }
 
-/* Cancels a request whose entry node closed the connection. */
+/* Cancels a request whose connection to the entry node was closed. */
 static void
-on_entry_left(void *context, struct bb_http_exchange *x)
+on_entry_disconnected(void *context, struct bb_http_exchange *x)
 {
     struct bb_gate *g = context;
     struct gate_request *rq = x->user_data;
@@ -596,7 +601,7 @@
     .request = on_request,
     .body_received = on_request_body,
     .output_drained = on_entry_writable,
-    .disconnected = on_entry_left};
+    .disconnected = on_entry_disconnected};
 
 /* Creates the gate, which admits nothing until the upstream has announced
  * itself. Keeps a copy of the settings, but not of the texts and objects that
@@ -684,8 +689,9 @@
 
 /* Restores the state of the upstream that this node had announced before it
  * was restarted; NULL if the control hosts hold none. Until this call, or for
- * BB_GATE_RESTORE_TIMEOUT_MS, no request is admitted: a delayed announcement
- * of an upstream that drains looks the same as that of a ready one. */
+ * BB_GATE_RESTORE_TIMEOUT_MS, no request is admitted: an announcement that
+ * the upstream sent before it began to drain, and that arrives late, would
+ * make it look ready. */
 void
 bb_gate_restore(struct bb_gate *g, const fleet_instance *earlier)
 {
@@ -702,7 +708,8 @@
 }
 
 /* Refuses queued and further requests and sends `Connection: close` with each
- * further response; requests at the upstream are finished. */
+ * further response, unless later requests of the connection already wait
+ * behind it. Requests at the upstream are finished. */
 void
 bb_gate_refuse_requests(struct bb_gate *g)
 {
@@ -713,8 +720,8 @@
     process_queue(g);
 }
 
-/* Returns how many requests are queued, sent or without a complete
- * response. */
+/* Returns the number of requests without a complete response, including queued
+ * ones. */
 uint32_t
 bb_gate_pending_count(const struct bb_gate *g)
 {
--- a/path/relay.c
+++ b/path/relay.c
@@ -6,7 +6,7 @@
 
 static const char baobab_prefix[] = "Baobab-";
 
-/* Initializes an empty relay; bb_response_relay_clear frees its buffers. */
+/* Initialises an empty relay; bb_response_relay_clear frees its buffers. */
 void
 bb_response_relay_init(struct bb_response_relay *r)
 {
@@ -115,8 +115,10 @@
     g_string_append(out, "\r\n");
 }
 
-/* Sends on and drops what has arrived of a streamed request body. Pauses the
- * exchange while more than BB_STREAM_HIGH_WATER_BYTES are queued. */
+/* Sends the received part of a streamed request body to the fetch and drops it
+ * from the exchange. Pauses the exchange if more than
+ * BB_STREAM_HIGH_WATER_BYTES are then queued; the caller resumes it when the
+ * fetch reports output_drained. */
 void
 bb_forward_body(struct bb_http_exchange *x, struct bb_fetch *f,
                 bool is_chunked)
@@ -153,7 +155,8 @@
     bb_response_relay_reset(r);
     r->status = h->status;
     r->is_head_response = is_head_response;
-    r->length_bytes = h->has_content_length ? (int64_t)h->content_length : -1;
+    r->length_bytes = h->has_content_length ? (int64_t)h->content_length
+                                            : BB_HTTP_LENGTH_CHUNKED;
     bb_forward_fields(h, NULL, r->fields);
 }
 
--- a/path/rules.c
+++ b/path/rules.c
@@ -5,8 +5,6 @@
 
 #include "common/digest.h"
 
-enum { LIMITS_MIN = 1 };
-
 static void
 free_route(void *data)
 {
@@ -60,7 +58,7 @@
     route->prefix = g_strdup(prefix);
     route->upstream_attempts_max = 1;
     /* By route, not by class: callers of two routes with the same policy may
-     * wait for different times. */
+     * wait for different lengths of time. */
     route->route_group =
         (uint32_t)(bb_hash64(name, strlen(name), 0) % BB_RULES_GROUP_COUNT);
     g_ptr_array_add(r->routes, route);
@@ -181,10 +179,9 @@
 bool
 bb_rules_finalize(struct bb_rules *r, struct bb_error *e)
 {
-    if (r->limits.request_head_max_bytes < LIMITS_MIN ||
-        r->limits.request_body_max_bytes < LIMITS_MIN ||
-        r->limits.head_timeout_ms < LIMITS_MIN ||
-        r->limits.idle_timeout_ms < LIMITS_MIN) {
+    if (r->limits.request_head_max_bytes == 0 ||
+        r->limits.request_body_max_bytes == 0 ||
+        r->limits.head_timeout_ms == 0 || r->limits.idle_timeout_ms == 0) {
         return bb_error_set(e, BB_RULES_ERROR_VALUE,
                             "a limit is missing or 0");
     }
--- a/path/upstream.c
+++ b/path/upstream.c
@@ -3,10 +3,12 @@
 
 #include <string.h>
 
-/* Returns whether an announcement is older than the known state: of a
- * run of the upstream that started earlier, or earlier in the same one.
- * Nothing orders two ids with the same start: the one that is announced last
- * replaces the other. */
+#include "common/clock.h"
+
+/* Returns whether an announcement is older than the known state: its run of
+ * the upstream started earlier, or is the same one and its sequence is not
+ * higher. Two ids with the same start cannot be ordered; the one announced
+ * last replaces the other. */
 static bool
 is_stale(const struct bb_upstream *u, const char *id,
          const struct bb_announcement *a)
@@ -47,7 +49,7 @@
     u->slots = a->slots;
     u->last_heard_us = now_us;
     u->warm_at_us =
-        a->warmup_ms != 0 ? now_us + (uint64_t)a->warmup_ms * 1000 : 0;
+        a->warmup_ms != 0 ? now_us + (uint64_t)a->warmup_ms * BB_US_PER_MS : 0;
     if (a->is_draining || u->state == BB_INSTANCE_DRAINING) {
         u->state = BB_INSTANCE_DRAINING;
     }
@@ -59,8 +61,8 @@
 
 /* Applies the withdrawal of a run of the upstream; started_ms is its start, 0
  * if not stated. Returns whether it was applied, also if the upstream was
- * draining before; false if it is of an older run or of another id
- * with the same start, or does not state which run it is of. One that
+ * draining before; false if it is of an older run or of another id with the
+ * same start, or states no start and its id is not the known one. A run that
  * was not known, as after a restart of this node, is recorded as draining, so
  * that a delayed announcement does not make it ready again. */
 bool
@@ -71,7 +73,7 @@
     bool is_same_id = is_known && strcmp(u->id, id) == 0;
 
     if (started_ms == 0 && !is_same_id) {
-        return false; /* does not state which run it is of */
+        return false; /* no start stated, and the id is not the known one */
     }
     if (is_known && started_ms != 0 && started_ms < u->started_ms) {
         return false;
