--- a/proxyd/config_throttle.c
+++ b/proxyd/config_throttle.c
@@ -1,6 +1,7 @@
 /* Limits how often new configurations are applied: after each one there is a
- * pause, and only the newest of those that arrive meanwhile is applied. During
- * many quick changes a small processor would otherwise only decode. */
+ * pause, and only the newest of those that arrive meanwhile is applied.
+ * Without the pause, a host with few cores would do nothing but decode during
+ * a burst of changes. */
 #include "config_throttle.h"
 
 #include "common/clock.h"
@@ -67,9 +68,9 @@
     return t;
 }
 
-/* Submits a configuration that is newer than all before. It is applied within
- * this call, or at the end of the pause unless a newer one replaces it. Keeps
- * a reference to `raw` until then. */
+/* Submits a configuration that is newer than all earlier ones. It is applied
+ * within this call, or at the end of the pause unless a newer one replaces it.
+ * Keeps a reference to `raw` until then. */
 void
 config_throttle_submit(struct config_throttle *t, uint64_t version,
                        GBytes *raw)
@@ -102,7 +103,8 @@
     g_free(t);
 }
 
-/* Destroys a throttle without applying what is pending; NULL is allowed. */
+/* Destroys a throttle without applying a pending configuration. NULL is
+ * allowed. */
 void
 config_throttle_destroy(struct config_throttle *t)
 {
--- a/proxyd/main.c
+++ b/proxyd/main.c
@@ -15,13 +15,13 @@
 enum {
     /* Time from the start of the shutdown until the entry refuses requests.
      * The ready check responds with 503 from the start. Callers need two
-     * missed checks, one a second, and the time of the response on its way, to
-     * learn that this host stops. */
+     * missed checks, one a second, and the transit time of the response, to
+     * detect that this host stops. */
     SHUTDOWN_NOTICE_MS = 2600,
-    /* Time until the gate refuses requests. If only the proxy restarts, its
-     * upstream still works; refusing from SIGTERM on took it out of service
-     * for 3.2 s. With the default --grace of 6 s a request admitted last has
-     * 3.7 s to end. */
+    /* Time from the start of the shutdown until the gate refuses requests. If
+     * only the proxy restarts, its upstream still works: refusing from SIGTERM
+     * on took the upstream out of service for 3.2 s. With the default --grace
+     * of 6 s, the last admitted request has 3.7 s left to complete. */
     SHUTDOWN_GATE_OPEN_MS = 1600,
     SHUTDOWN_POLL_MS = 100,
     /* Part of --grace reserved for closing connections, writing the log and
@@ -29,6 +29,8 @@
     SHUTDOWN_MARGIN_MS = 700
 };
 
+enum { MS_PER_S = 1000 };
+
 struct proxy {
     struct proxy_settings settings;
     struct bb_daemon *daemon;
@@ -49,7 +51,7 @@
 };
 
 /* Decodes a configuration and passes its rules to the entry. Logs a warning
- * and keeps the former rules if it is invalid. */
+ * and keeps the previous rules if it is invalid. */
 static void
 apply_configuration(void *context, uint64_t version, GBytes *raw)
 {
@@ -61,7 +63,8 @@
 
     if (r == NULL) {
         bb_log_warning("proxy.configuration",
-                       "version %" G_GUINT64_FORMAT " is invalid, the former "
+                       "version %" G_GUINT64_FORMAT
+                       " is invalid, the previous "
                        "configuration stays in force: %s",
                        version, e.message);
         return;
@@ -80,7 +83,7 @@
     config_throttle_submit(p->throttle, version, raw);
 }
 
-/* Applies what another node announced of its upstream. */
+/* Applies the state of an upstream that another node announced. */
 static void
 on_upstream_state(void *context, const fleet_instance *i)
 {
@@ -106,8 +109,8 @@
     }
 }
 
-/* Passes what an earlier run of this node had announced, or NULL, to the
- * gate. */
+/* Passes the state that an earlier run of this node announced to the gate;
+ * NULL: none. */
 static void
 restore_gate(void *context, const fleet_instance *earlier)
 {
@@ -139,7 +142,7 @@
         .state = u->state,
         .slots = u->slots,
         .warmup_ms = u->warm_at_us > now_us
-                         ? (u_int)((u->warm_at_us - now_us) / BB_US_PER_MS)
+                         ? (uint32_t)((u->warm_at_us - now_us) / BB_US_PER_MS)
                          : 0};
 
     bb_directory_update(p->directory, &i, now_us);
@@ -155,17 +158,17 @@
 {
     struct proxy *p = context;
     char id[BB_DIALECT_ID_BYTES];
-    bool is_ready_call =
+    bool is_ready_request =
         p->dialect->classify_request(
             x->head.method, bb_http_head_target(&x->head), id) == BB_API_READY;
-    uint32_t status = !is_ready_call                    ? 404
+    uint32_t status = !is_ready_request                 ? 404
                       : p->has_rules && !p->is_stopping ? 200
                                                         : 503;
 
     bb_http_exchange_respond(x, status, NULL, NULL, 0);
 }
 
-/* Responds to an accepted call of the upstream. */
+/* Responds to an accepted announcement or withdrawal of the upstream. */
 static void
 acknowledge(const struct proxy *p, struct bb_http_exchange *x)
 {
@@ -178,9 +181,11 @@
     g_string_free(fields, TRUE);
 }
 
-/* Responds to a call of an upstream with an error and logs it. */
+/* Responds to a request on the announcement address with an error, and logs
+ * it. */
 static void
-refuse_call(struct bb_http_exchange *x, uint32_t status, const char *reason)
+refuse_api_request(struct bb_http_exchange *x, uint32_t status,
+                   const char *reason)
 {
     bb_log_warning("announce.refused", "%s: %s", bb_http_head_target(&x->head),
                    reason);
@@ -196,7 +201,7 @@
     struct bb_error e = {0};
 
     if (!p->dialect->decode_announcement(x->body->str, x->body->len, &a, &e)) {
-        refuse_call(x, 400, e.message);
+        refuse_api_request(x, 400, e.message);
         return;
     }
     switch (bb_gate_announce(p->gate, id, &a)) {
@@ -205,15 +210,15 @@
         acknowledge(p, x);
         break;
     case BB_ANNOUNCE_WRONG_ADDRESS:
-        refuse_call(x, 400, "the upstream is not on this host");
+        refuse_api_request(x, 400, "the upstream is not on this host");
         break;
     }
 }
 
-/* Serves a call of the upstream on this host: announcement, withdrawal or
- * ready check. */
+/* Handles a request on the announcement address: an announcement or a
+ * withdrawal of the upstream on this host, or a ready check. */
 static void
-on_upstream_call(void *context, struct bb_http_exchange *x)
+on_announce_request(void *context, struct bb_http_exchange *x)
 {
     struct proxy *p = context;
     char id[BB_DIALECT_ID_BYTES] = "";
@@ -235,7 +240,7 @@
     case BB_API_UNKNOWN:
     case BB_API_REPLACE_CONFIGURATION:
     case BB_API_READ_CONFIGURATION:
-        refuse_call(x, 404, "no such call here");
+        refuse_api_request(x, 404, "no such call here");
         break;
     }
 }
@@ -244,7 +249,7 @@
     .request = on_ready_request};
 
 static const struct bb_http_server_handler announce_handler = {
-    .request = on_upstream_call};
+    .request = on_announce_request};
 
 /* Refuses new requests, first at the gate, then at the entry. Ends the process
  * after SHUTDOWN_NOTICE_MS once no request is in progress, or
@@ -265,10 +270,9 @@
     if (waited_ms >= SHUTDOWN_NOTICE_MS) {
         bb_entry_refuse_requests(p->entry);
     }
-    if (waited_ms + SHUTDOWN_MARGIN_MS >= p->settings.grace_s * 1000 ||
+    if (waited_ms + SHUTDOWN_MARGIN_MS >= p->settings.grace_s * MS_PER_S ||
         (waited_ms >= SHUTDOWN_NOTICE_MS && busy == 0)) {
-        bb_log_info("proxy.stopped",
-                    "%u requests cut off at the end of --grace", busy);
+        bb_log_info("proxy.stopped", "%u requests unfinished", busy);
         bb_daemon_stop(p->daemon);
     }
 }
@@ -321,7 +325,7 @@
         .caller_service = s->service,
         .dialect = p->dialect,
         .directory = p->directory,
-        .retry_limits = {.window_ms = (uint32_t)s->retry_window_s * 1000,
+        .retry_limits = {.window_ms = (uint32_t)s->retry_window_s * MS_PER_S,
                          .ratio_permille = s->retry_ratio_permille,
                          .allowance = (uint32_t)s->retry_allowance},
         .is_running = is_running,
--- a/tests/path/bench.c
+++ b/tests/path/bench.c
@@ -1,3 +1,5 @@
+/* Implementation of the test bench: scripted upstreams, raw clients and an
+ * event loop. */
 #include "bench.h"
 
 #include <stdlib.h>
@@ -9,6 +11,9 @@
  */
 enum { SLOTS = 2 };
 
+/* Range of the ports to listen on, and number of tries to find a free one. */
+enum { PORT_FIRST = 20000, PORT_COUNT = 40000, LISTEN_TRIES_MAX = 200 };
+
 const char ok_response[] = "HTTP/1.1 200 OK\r\nT-Id: {id}\r\nT-Seal: s\r\n"
                            "Content-Length: 4\r\n\r\nbody";
 
@@ -210,7 +215,7 @@
 }
 
 /* Listens on a random free port of the address, and sets it. Returns NULL if
- * 200 ports were in use. */
+ * LISTEN_TRIES_MAX ports were in use. */
 static struct bb_listener *
 listen_on_free_port(uv_loop_t *loop, struct bb_address *at,
                     bb_accept_callback accept, void *context)
@@ -218,8 +223,8 @@
     struct bb_error e = {0};
     struct bb_listener *l = NULL;
 
-    for (uint32_t i = 0; i < 200 && l == NULL; i++) {
-        at->port = (uint16_t)(20000 + g_random_int_range(0, 40000));
+    for (uint32_t i = 0; i < LISTEN_TRIES_MAX && l == NULL; i++) {
+        at->port = (uint16_t)(PORT_FIRST + g_random_int_range(0, PORT_COUNT));
         l = bb_listener_create(loop, at, accept, context, &e);
     }
     return l;
@@ -323,7 +328,7 @@
                                       .context = b};
 
         b->entry_address.port =
-            (uint16_t)(20000 + g_random_int_range(0, 40000));
+            (uint16_t)(PORT_FIRST + g_random_int_range(0, PORT_COUNT));
         s.listen_address = b->entry_address;
         b->entry = bb_entry_create(&b->loop, &s, &e);
     }
@@ -423,8 +428,8 @@
     *(bool *)t->data = true;
 }
 
-/* Runs the loop until the flag is set, at most `ms`. Returns whether it was
- * set. A flag of NULL is never set. */
+/* Runs the loop until the flag is set, for at most `ms` milliseconds. Returns
+ * whether it was set. A flag of NULL is never set. */
 bool
 bench_wait_flag(struct bench *b, const bool *flag, uint32_t ms)
 {
@@ -441,15 +446,15 @@
     return flag != NULL && *flag;
 }
 
-/* Runs the loop for `ms`. */
+/* Runs the loop for `ms` milliseconds. */
 void
 bench_run(struct bench *b, uint32_t ms)
 {
     (void)bench_wait_flag(b, NULL, ms);
 }
 
-/* Runs the loop until a client has received a text, at most `ms`. Returns
- * whether it has. */
+/* Runs the loop until a client has received a text, for at most `ms`
+ * milliseconds. Returns whether it has. */
 bool
 bench_wait_text(struct bench *b, struct client *c, const char *text,
                 uint32_t ms)
@@ -519,7 +524,8 @@
     g_free(c);
 }
 
-/* Returns how often a client has received a text. */
+/* Returns how many times a text occurs in the bytes that a client has
+ * received. */
 uint32_t
 client_count(const struct client *c, const char *text)
 {
--- a/tests/path/bench.h
+++ b/tests/path/bench.h
@@ -24,13 +24,12 @@
 #define T_NOT_RUN "T-Not-Run"
 #define T_CALLER "T-Caller"
 
-/* What the upstream does with the connection after a response. STALL: it keeps
- * it open and reads no further request. */
+/* What the upstream does with the connection after a response. */
 enum connection_action {
     ACTION_KEEP_OPEN,
     ACTION_CLOSE,
     ACTION_RESET,
-    ACTION_STALL
+    ACTION_STALL /* unused: keeps it open and reads no further request */
 };
 
 /* Response of an upstream to one request. "{id}" in the text is replaced by
@@ -54,12 +53,12 @@
     response_script script;
     uint32_t requests;
     uint32_t aborted_requests; /* closed by the gate before the response */
-    uint32_t open_connections;
+    uint32_t open_connections; /* counted, but not checked by a test */
     /* A connection that was idle for longer is reset when more data arrives on
      * it, as if the upstream had dropped it unnoticed; 0: never. */
     uint32_t idle_reset_ms;
     uint32_t idle_resets;
-    char last_id[64];
+    char last_id[64];   /* set, but not checked by a test */
     GString *last_head; /* fields of the last request, "name: value\n" */
     GString *last_body;
 };
@@ -67,7 +66,7 @@
 struct client {
     struct bb_stream *stream;
     GString *received;
-    bool is_ended;
+    bool is_ended; /* set, but not checked by a test */
 };
 
 /* Two gates, each with its own upstream, and one entry. */
--- a/tests/path/test_path.c
+++ b/tests/path/test_path.c
@@ -432,9 +432,9 @@
 static void
 test_nested_requests(void)
 {
-    const struct bb_counter *calls =
+    const struct bb_counter *nested_total =
         bb_counter_find("baobab_entry_calls_total", NULL);
-    uint64_t before = bb_counter_get(calls);
+    uint64_t before = bb_counter_get(nested_total);
     struct bench b;
     struct client *c;
     struct client *upstream;
@@ -448,12 +448,12 @@
     upstream = client_open(&b);
     client_send(c, UNSAFE("a1") "\r\nhi");
     bench_run(&b, 100);
-    CU_ASSERT_EQUAL(bb_counter_get(calls), before);
+    CU_ASSERT_EQUAL(bb_counter_get(nested_total), before);
     CU_ASSERT_TRUE(bb_gate_is_running(b.gates[0], "a1", &is_retry));
     CU_ASSERT_FALSE(is_retry);
     client_send(upstream, UNSAFE("a1/x") "\r\nhi");
     bench_run(&b, 50);
-    CU_ASSERT_EQUAL(bb_counter_get(calls), before + 1);
+    CU_ASSERT_EQUAL(bb_counter_get(nested_total), before + 1);
     client_disconnect(c);
     bench_run(&b, 100);
     CU_ASSERT_FALSE(bb_gate_is_running(b.gates[0], "a1", &is_retry));
@@ -461,7 +461,7 @@
     c = client_open(&b);
     client_send(c, UNSAFE("a1/y") "\r\nhi");
     bench_run(&b, 50);
-    CU_ASSERT_EQUAL(bb_counter_get(calls), before + 1);
+    CU_ASSERT_EQUAL(bb_counter_get(nested_total), before + 1);
     client_free(c);
     client_free(upstream);
     bench_close(&b);
@@ -469,8 +469,7 @@
 
 /* Guards against: a caller with a shorter deadline than others on its route
  * that is taken for one that retries with little time left, and is refused
- * although a short wait suffices. Seen in a run of the system adinkra-proofs
- * (scale-1, seed 957733797976). */
+ * although a short wait suffices. */
 static void
 test_short_deadlines(void)
 {
@@ -662,6 +661,10 @@
     bench_close(&b);
 }
 
+/* Longer than BB_HTTP_SERVER_BODY_BUFFER_BYTES, so that the body is streamed.
+ */
+#define LONG_BODY_BYTES 600000
+
 /* Guards against: a request body longer than the buffer that arrives changed.
  */
 static void
@@ -669,12 +672,12 @@
 {
     struct bench b;
     struct client *c;
-    GString *request =
-        g_string_new("POST /unsafe/x HTTP/1.1\r\nHost: h\r\nT-Id: a1\r\n"
-                     "Content-Length: 600000\r\n\r\n");
+    GString *request = g_string_new(
+        "POST /unsafe/x HTTP/1.1\r\nHost: h\r\nT-Id: a1\r\n"
+        "Content-Length: " G_STRINGIFY(LONG_BODY_BYTES) "\r\n\r\n");
     const struct upstream *u;
 
-    for (uint32_t i = 0; i < 600000; i++) {
+    for (uint32_t i = 0; i < LONG_BODY_BYTES; i++) {
         g_string_append_c(request, (gchar)('a' + i % 23));
     }
     bench_open(&b);
@@ -683,7 +686,7 @@
     client_send(c, request->str);
     CU_ASSERT_TRUE(bench_wait_text(&b, c, "body", 3000));
     u = b.upstreams[0].requests != 0 ? &b.upstreams[0] : &b.upstreams[1];
-    CU_ASSERT_EQUAL(u->last_body->len, 600000);
+    CU_ASSERT_EQUAL(u->last_body->len, LONG_BODY_BYTES);
     CU_ASSERT_EQUAL(
         strcmp(u->last_body->str, strstr(request->str, "\r\n\r\n") + 4), 0);
     client_free(c);
--- a/tests/platform/test_dialect.c
+++ b/tests/platform/test_dialect.c
@@ -1,5 +1,6 @@
-/* Tests of the platform dialect, also with invalid input, and of the state
- * that announcements and withdrawals lead to. */
+/* Tests of the platform dialect, also with invalid input, and of the upstream
+ * state after announcements, which the platform calls heartbeats, and
+ * withdrawals. */
 #include <string.h>
 
 #include "common/registry.h"
@@ -165,8 +166,8 @@
                                              .sequence = 10,
                                              .started_ms = 100};
 
-/* Guards against: a delayed call of an earlier run, or an older call
- * of the same one, that makes an upstream ready again. */
+/* Guards against: a delayed announcement of an earlier run, or an
+ * older one of the same run, that makes an upstream ready again. */
 static void
 test_runs_of_an_upstream(void)
 {
@@ -208,8 +209,7 @@
 
 /* Guards against: a restarted node that acknowledges a withdrawal but does not
  * record it, as it knows no upstream yet, so that a delayed announcement makes
- * the upstream ready again. Seen in a run of the system adinkra-proofs
- * (hunt-1770-31). */
+ * the upstream ready again. */
 static void
 test_withdrawn_unknown(void)
 {
@@ -249,7 +249,8 @@
     CU_ASSERT_STRING_EQUAL(parent, "39af.4adf");
 }
 
-/* Guards against: a request to Baobab itself taken for another one. */
+/* Guards against: a request to Baobab itself that is classified as another
+ * kind. */
 static void
 test_classification(void)
 {
--- a/tests/proxyd/test_config_throttle.c
+++ b/tests/proxyd/test_config_throttle.c
@@ -16,8 +16,8 @@
     bool has_gone_back; /* an older version followed a newer one */
 };
 
-/* Takes DECODE_MS of processor time, as a large configuration on a small
- * processor does. */
+/* Takes DECODE_MS of processor time, as a large configuration does on a slow
+ * processor. */
 static void
 apply_slowly(void *context, uint64_t version, GBytes *raw)
 {
@@ -51,7 +51,7 @@
     (void)uv_run(loop, UV_RUN_NOWAIT);
 }
 
-/* Guards against: a node that spends its time on decoding during many quick
+/* Guards against: a node that spends its time on decoding during a burst of
  * changes, a first configuration that is delayed, and a last one that is
  * skipped or late. */
 static void
