--- a/common/settings.c
+++ b/common/settings.c
@@ -9,7 +9,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-enum { ERRORS_SHOWN_MAX = 8, OPERANDS_MAX = 16, VARIABLE_BYTES = 96 };
+enum { ERRORS_SHOWN_MAX = 8, VARIABLE_BYTES = 96 };
 
 enum settings_error {
     SETTINGS_ERROR_VALUE = 1,
@@ -203,9 +203,10 @@
 }
 
 /* Reads all settings of the table from flags, environment and defaults.
- * Operands (arguments that are no flags), at most 16, are stored in
- * `operands`, or are an error if it is NULL. Prints the texts of --help and
- * --version. */
+ * Operands (arguments that are not flags), at most BB_SETTINGS_OPERANDS_MAX,
+ * are stored in `operands`, or are an error if it is NULL. Prints the texts of
+ * --help and --version, and then returns BB_SETTINGS_EXIT. Returns
+ * BB_SETTINGS_RUN on success; *e is set for BB_SETTINGS_INVALID. */
 enum bb_settings_result
 bb_settings_read(const char *program, const char *purpose,
                  const struct bb_setting *table, size_t count, int argc,
@@ -213,11 +214,11 @@
                  struct bb_error *e)
 {
     enum bb_settings_result result = BB_SETTINGS_INVALID;
-    int operands_max = operands != NULL ? OPERANDS_MAX : 0;
+    int operands_max = operands != NULL ? BB_SETTINGS_OPERANDS_MAX : 0;
     void **options = g_new0(void *, count + 4);
     struct arg_lit *help = arg_lit0("h", "help", "show this text");
     struct arg_lit *version = arg_lit0(NULL, "version", "show the version");
-    struct arg_str *words =
+    struct arg_str *operand_entry =
         arg_strn(NULL, NULL, operands_max > 0 ? "COMMAND" : NULL, 0,
                  operands_max > 0 ? operands_max : 1, NULL);
     struct arg_end *end = arg_end(ERRORS_SHOWN_MAX);
@@ -227,7 +228,7 @@
     }
     options[count] = help;
     options[count + 1] = version;
-    options[count + 2] = words;
+    options[count + 2] = operand_entry;
     options[count + 3] = end;
     int errors = arg_parse(argc, argv, options);
 
@@ -252,19 +253,19 @@
         free(text);
         goto out;
     }
-    if (words->count > operands_max) {
+    if (operand_entry->count > operands_max) {
         bb_error_set(e, SETTINGS_ERROR_USAGE, "unexpected argument '%s'",
-                     words->sval[0]);
+                     operand_entry->sval[0]);
         goto out;
     }
     if (!apply_all(table, count, options, e)) {
         goto out;
     }
-    for (int i = 0; i < words->count; i++) {
-        operands[i] = words->sval[i];
+    for (int i = 0; i < operand_entry->count; i++) {
+        operands[i] = operand_entry->sval[i];
     }
     if (operand_count != NULL) {
-        *operand_count = (size_t)words->count;
+        *operand_count = (size_t)operand_entry->count;
     }
     result = BB_SETTINGS_RUN;
 out:
--- a/control/agree_codec.c
+++ b/control/agree_codec.c
@@ -252,7 +252,7 @@
 
 /* Applies a log record to the durable state, replacing the entries from its
  * first index on. Returns false if the indices are outside the log window or
- * an entry is malformed; the state may be changed in part then. */
+ * an entry is malformed; in this case the state may be partly changed. */
 bool
 bb_agree_apply_log_record(const agree_log_record *in,
                           struct bb_agree_durable *d)
--- a/control/daemon.c
+++ b/control/daemon.c
@@ -108,9 +108,10 @@
 }
 
 /* Tells the source watch that no revision is in force, if a quorum confirms
- * that. It must know this before it proposes the first configuration. Returns
- * false if it has to be called again; true also if a revision is in force,
- * which add_committed_revision reports. */
+ * that. The watch must know this before it can propose the first
+ * configuration. Returns false if no quorum was heard and the call must be
+ * retried; true if one was, or if a revision is in force, which
+ * add_committed_revision reports. */
 static bool
 report_nothing_in_force(struct bb_control *c)
 {
@@ -129,7 +130,7 @@
 run_proposer(void *argument)
 {
     struct bb_control *c = argument;
-    bool is_settled = false;
+    bool is_in_force_reported = false;
 
     for (;;) {
         struct queued_proposal *p = g_async_queue_timeout_pop(
@@ -137,7 +138,8 @@
             (guint64)NOTHING_IN_FORCE_CHECK_INTERVAL_MS * BB_US_PER_MS);
         struct bb_replicate_result r;
 
-        is_settled = is_settled || report_nothing_in_force(c);
+        is_in_force_reported =
+            is_in_force_reported || report_nothing_in_force(c);
         if (p == NULL) {
             continue;
         }
@@ -156,8 +158,8 @@
     return NULL;
 }
 
-/* The committed callback of the replication: adds a revision to the history,
- * and tells the source watch and the mesh. */
+/* The revision_committed callback of bb_replicate: adds a revision to the
+ * history, and tells the source watch and the mesh. */
 static void
 add_committed_revision(void *context, uint64_t revision, uint64_t version,
                        const struct bb_digest *digest, const void *payload,
@@ -194,7 +196,7 @@
     bb_bundle_unref(b);
 }
 
-/* The role_changed callback of the replication. */
+/* The role_changed callback of bb_replicate. */
 static void
 record_role(void *context, enum bb_agree_role role, uint64_t term)
 {
@@ -207,8 +209,9 @@
     }
 }
 
-/* The payload callback of the mesh: encodes the newest revision for a relay
- * (mesh/mesh.h) that has receiver_revision; false if there is nothing newer.
+/* The encode_payload callback of the mesh: encodes the newest revision for a
+ * relay (mesh/mesh.h) that has receiver_revision; false if there is nothing
+ * newer.
  */
 static bool
 encode_payload(void *context, uint64_t receiver_revision,
@@ -242,7 +245,7 @@
     return c->mesh != NULL;
 }
 
-/* Creates the replication, which recovers its state; its callbacks may run
+/* Creates the bb_replicate, which recovers its state; its callbacks may run
  * before this returns. */
 static bool
 create_replicate(struct bb_control *c, struct bb_error *e)
@@ -287,7 +290,8 @@
 
     c->source_watch = bb_source_watch_create(&w);
     if (c->source_watch == NULL) {
-        return bb_error_set(e, 1, "cannot create the source watch");
+        return bb_error_set(e, BB_CONTROL_ERROR_START,
+                            "cannot create the source watch");
     }
     return true;
 }
@@ -299,7 +303,8 @@
     c->has_proposer_thread =
         pthread_create(&c->proposer_thread, NULL, run_proposer, c) == 0;
     if (!c->has_proposer_thread) {
-        return bb_error_set(e, 1, "cannot start the proposer thread");
+        return bb_error_set(e, BB_CONTROL_ERROR_START,
+                            "cannot start the proposer thread");
     }
     return true;
 }
@@ -346,7 +351,7 @@
            start_roster_keeper(c, e) && create_admin(c, e);
 }
 
-/* Stops and frees all components, also after a failed start. */
+/* Stops and frees all components, even after a failed start. */
 void
 bb_control_stop(struct bb_control *c)
 {
--- a/control/proposal.c
+++ b/control/proposal.c
@@ -67,8 +67,8 @@
     return true;
 }
 
-/* Tells whether a revision has the folder digest given; false if the revision
- * is not in the history. */
+/* Returns whether a revision has the given folder digest; false if the
+ * revision is not in the history. */
 static bool
 revision_has_folder(struct bb_bundle_history *h, uint64_t revision,
                     const struct bb_digest *digest)
@@ -108,7 +108,7 @@
     return found;
 }
 
-/* Tells whether two revisions have the same operators' files; false if the
+/* Returns whether two revisions have the same operators' files; false if the
  * base is not in the history. Content that was changed and restored counts as
  * unchanged: the operators based their proposal on what is in force. */
 static bool
@@ -159,14 +159,17 @@
 }
 
 /* Proposes the operators' folder and blocks until there is a result.
- * base_revision is the revision that the content is based on. Makes up to
+ * base_revision is the revision that the content is based on. Waits up to
+ * BB_PROPOSAL_CATCH_UP_TIMEOUT_MS for it, then makes up to
  * BB_PROPOSAL_ATTEMPTS_MAX attempts, each of which blocks for up to about
- * BB_PROPOSAL_TIMEOUT_MS + BB_PROPOSAL_CATCH_UP_TIMEOUT_MS; the latter can
- * also pass once before the first. A conflict is returned if no revision is
- * found in which the folder was accepted already; a stale base, if also the
- * operators' files changed since the base. Both are also returned if the last
- * attempt gave them. After BB_REPLICATE_NO_QUORUM the folder may have been
- * accepted; the caller can submit it again. */
+ * BB_PROPOSAL_TIMEOUT_MS + BB_PROPOSAL_CATCH_UP_TIMEOUT_MS.
+ *
+ * A version conflict ends the attempts only if no revision is found in which
+ * the folder was accepted already. A stale base ends them only if, in
+ * addition, the operators' files have changed since the base. Either is also
+ * returned if it is the result of the last attempt. After
+ * BB_REPLICATE_NO_QUORUM the folder may have been accepted; the caller can
+ * submit it again. */
 struct bb_replicate_result
 bb_proposal_submit_folder(const struct bb_proposal_target *t,
                           const struct bb_folder *folder, uint64_t version,
--- a/control/replicate.c
+++ b/control/replicate.c
@@ -1,4 +1,4 @@
-/* Creation, proposals and status of the replication. */
+/* Creation, proposals and status of a bb_replicate. */
 #include "control/replicate.h"
 
 #include <errno.h>
@@ -112,12 +112,12 @@
     }
 }
 
-/* Starts the replication of one control host. id, region, peers, data_folder,
- * transport and file_operations are copied; contexts and callbacks must stay
- * valid. Returns NULL with a bb_replicate_error if the settings or the data
- * folder cannot be used or a thread cannot be started. With a damaged data
- * folder the host takes part without voting. Freed with bb_replicate_destroy.
- */
+/* Starts a bb_replicate: the replication on one control host. host, region,
+ * peers, data_folder, transport and file_operations are copied; contexts and
+ * callbacks must stay valid. Returns NULL with a bb_replicate_error if the
+ * settings or the data folder cannot be used or a thread cannot be started.
+ * With a damaged data folder the host takes part without voting. Freed with
+ * bb_replicate_destroy. */
 struct bb_replicate *
 bb_replicate_create(const struct bb_replicate_settings *settings,
                     struct bb_error *e)
@@ -149,7 +149,7 @@
     return NULL;
 }
 
-/* Stops the threads and frees the replication. The RPC server must have been
+/* Stops the threads and frees a bb_replicate. The RPC server must have been
  * destroyed, and no call of bb_replicate_propose may be running. r may be
  * NULL. */
 void
@@ -337,7 +337,7 @@
     return result;
 }
 
-/* Fills in the present status. May be called from any thread. */
+/* Fills in the current status. May be called from any thread. */
 void
 bb_replicate_status(struct bb_replicate *r, struct bb_replicate_status *status)
 {
--- a/control/replicate_engine.c
+++ b/control/replicate_engine.c
@@ -221,7 +221,7 @@
 }
 
 /* Makes sure that the payload of a proposal is stored. Returns false if it is
- * not; *must_fetch tells whether it has to be fetched from the origin, after
+ * not; *must_fetch is true if it has to be fetched from the origin, after
  * which the job is processed again. */
 static bool
 store_proposal_payload(struct bb_replicate *r, const struct replicate_job *job,
@@ -292,10 +292,10 @@
     struct replicate_job *job;
 
     if (c.revision <= r->delivered_revision || bb_digest_is_zero(&c.digest) ||
-        now_us < r->next_fetch_us) {
+        now_us < r->next_delivery_retry_us) {
         return;
     }
-    r->next_fetch_us = now_us + FETCH_INTERVAL_US;
+    r->next_delivery_retry_us = now_us + FETCH_INTERVAL_US;
     replicate_deliver_revision(r, &c);
     if (c.revision <= r->delivered_revision) {
         return;
@@ -321,7 +321,7 @@
         process_proposal(r, job);
         return true;
     case REPLICATE_JOB_FETCH:
-        r->next_fetch_us = 0;
+        r->next_delivery_retry_us = 0;
         replicate_free_job(job);
         return true;
     case REPLICATE_JOB_STOP:
--- a/control/replicate_internal.h
+++ b/control/replicate_internal.h
@@ -20,16 +20,20 @@
     REPLICATE_ALIVE_TIMEOUT_US = 1000 * 1000,
     REPLICATE_URGENT_TIMEOUT_MS = 500, /* of a call without payload */
     REPLICATE_BULK_TIMEOUT_MS = 3000,  /* of a call with a payload */
-    /* Entries of the caches in struct bb_replicate. */
+    /* Sizes of the ring buffers in struct bb_replicate. */
     REPLICATE_INLINED_DIGESTS_MAX = 16,
     REPLICATE_STORED_DIGESTS_MAX = 16,
     REPLICATE_ORIGINS_MAX = 8,
     REPLICATE_RESPONSE_ROUTES_MAX = 64,
-    /* Lengths of the queues. */
+    /* Maximum lengths of the queues. */
     REPLICATE_JOBS_MAX = 256,
     REPLICATE_FETCHES_MAX = 16
 };
 
+/* A time for replicate_queue_pop that is never reached; with it, the result is
+ * never NULL. */
+#define REPLICATE_WAIT_FOREVER_US (UINT64_MAX / 2)
+
 /* Work for the engine, or for the fetcher if a payload is missing. */
 enum replicate_job_kind {
     REPLICATE_JOB_MESSAGE,
@@ -126,7 +130,8 @@
         response_routes[REPLICATE_RESPONSE_ROUTES_MAX];
     uint64_t last_agree_ticket;
     uint64_t delivered_revision; /* last one passed to the callback */
-    uint64_t next_fetch_us;      /* of a lost payload in force */
+    /* When to try again to deliver or fetch the revision in force. */
+    uint64_t next_delivery_retry_us;
     enum bb_agree_role reported_role;
     uint64_t role_term;
     /* Ring buffers of the last payloads sent inline to each host, found in the
--- a/control/replicate_output.c
+++ b/control/replicate_output.c
@@ -11,8 +11,8 @@
 BB_COUNTER(delivered_total, "baobab_agree_revisions_total",
            "Revisions that came into force here");
 
-/* Tells whether a payload is stored; true for the zero digest, which means no
- * payload. Caches the last ones found, as each look-up reads and hashes the
+/* Returns whether a payload is stored; true for the zero digest, which means
+ * no payload. Caches the last ones found, as each look-up reads and hashes the
  * file. */
 bool
 replicate_is_payload_stored(struct bb_replicate *r, const struct bb_digest *d)
@@ -74,7 +74,7 @@
 }
 
 /* Returns the number of the host of a region that is sent payloads inline: the
- * first one from which a message arrived lately, or else the first one. */
+ * first one from which a message arrived recently, or else the first one. */
 static uint8_t
 choose_inline_host(const struct bb_replicate *r, const char *region)
 {
@@ -93,7 +93,7 @@
     return first;
 }
 
-/* Tells whether a payload was sent inline to a host recently. */
+/* Returns whether a payload was sent inline to a host recently. */
 static bool
 was_inlined(const struct bb_replicate *r, uint8_t host,
             const struct bb_digest *d)
@@ -126,7 +126,7 @@
 }
 
 /* Chooses how the receiver of an append gets the payload, so that only one
- * copy crosses the paid link between regions. Hosts of the leader's region
+ * copy crosses the metered link between regions. Hosts of the leader's region
  * fetch it from the leader. Those of another region fetch it from the host
  * that proposed it, or else one host gets it inline and the others fetch it
  * from that one. */
--- a/control/replicate_peer.c
+++ b/control/replicate_peer.c
@@ -8,7 +8,8 @@
 
 enum {
     CALLS_QUEUED_MAX = 32, /* for each sender */
-    /* At payload_host of a job, before the sender of its message is asked. */
+    /* Attempts to fetch from the payload_host of a job, before the sender of
+     * its message is asked. */
     FETCH_ATTEMPTS_MAX = 20,
     FETCH_RETRY_INTERVAL_US = 30 * 1000,
     FETCH_TIMEOUT_MS = 1000,
@@ -77,8 +78,7 @@
 
     while (is_running) {
         struct replicate_outgoing_call *call =
-            /* This time never comes, so the result is not NULL. */
-            replicate_queue_pop(&s->queue, UINT64_MAX / 2);
+            replicate_queue_pop(&s->queue, REPLICATE_WAIT_FOREVER_US);
         agree_ack ack = {0};
         uint32_t timeout_ms = call->envelope.payload.payload_len > 0
                                   ? REPLICATE_BULK_TIMEOUT_MS
@@ -174,8 +174,7 @@
 
     while (is_running) {
         struct replicate_job *job =
-            /* This time never comes, so the result is not NULL. */
-            replicate_queue_pop(&r->fetch_queue, UINT64_MAX / 2);
+            replicate_queue_pop(&r->fetch_queue, REPLICATE_WAIT_FOREVER_US);
 
         is_running = job->kind != REPLICATE_JOB_STOP;
         if (is_running && fetch_payload(r, job)) {
--- a/control/replicate_queue.c
+++ b/control/replicate_queue.c
@@ -19,7 +19,7 @@
     g_queue_init(&q->items);
 }
 
-/* Frees the items and what the queue allocated; no thread may use it then. */
+/* Frees the items and what the queue allocated; no thread may be using it. */
 void
 replicate_queue_clear(struct replicate_queue *q, void (*free_item)(void *))
 {
--- a/control/replicate_rpc.c
+++ b/control/replicate_rpc.c
@@ -112,7 +112,7 @@
     }
 }
 
-/* Calls a procedure of the control host with this number; false if there is no
+/* Calls a procedure of the control host with this index; false if there is no
  * result in time. The caller frees the result with xdr_free. */
 bool
 replicate_call_peer(struct bb_replicate *r, uint8_t host, uint32_t procedure,
@@ -313,8 +313,8 @@
 }
 
 /* Adds the program of agree.x to an RPC server that is not started yet. The
- * server must be destroyed before the replication. Only one replication of a
- * process is served: the last one registered. Returns false and sets *e if the
+ * server must be destroyed before r. A process can serve only one
+ * bb_replicate, the last one registered. Returns false and sets *e if the
  * server refuses the program. */
 bool
 bb_replicate_register_rpc(struct bb_replicate *r, struct bb_rpc_server *s,
@@ -325,7 +325,7 @@
                                           dispatch_rpc_request, e);
 }
 
-/* Stops serving RPC for a replication that is about to be freed. */
+/* Stops serving RPC for a bb_replicate that is about to be freed. */
 void
 replicate_unregister(const struct bb_replicate *r)
 {
--- a/control/roster_keeper.c
+++ b/control/roster_keeper.c
@@ -22,7 +22,8 @@
     struct bb_replicate *replicate;
     struct bb_mesh *mesh;
     pthread_t thread;
-    pthread_mutex_t lock; /* of is_stopping; no other is taken under it */
+    /* Guards is_stopping; no other lock is taken while it is held. */
+    pthread_mutex_t lock;
     pthread_cond_t stop_requested;
     bool is_stopping;
     /* Used by the thread only. */
@@ -30,8 +31,9 @@
     struct bb_config *in_force_config; /* of the newest revision, or NULL */
 };
 
-/* Tells whether this host is the leader and knows a quorum. Only the leader
- * proposes; a second proposal from another host would only be refused. */
+/* Returns whether this host is the leader and has heard a quorum recently.
+ * Only the leader proposes; a second proposal from another host would only be
+ * refused. */
 static bool
 is_leader_with_quorum(struct bb_roster_keeper *k)
 {
@@ -88,7 +90,7 @@
     return k->in_force_config != NULL;
 }
 
-/* Plans the rosters from the present members and, on the leader, proposes them
+/* Plans the rosters from the current members and, on the leader, proposes them
  * if they changed. */
 static void
 plan_and_propose(struct bb_roster_keeper *k)
@@ -140,8 +142,8 @@
     return NULL;
 }
 
-/* Creates a keeper and starts its thread. target is copied; its history, the
- * replication and the mesh must outlive the keeper. Returns NULL if the thread
+/* Creates a keeper and starts its thread. target is copied; its history,
+ * replicate and mesh must outlive the keeper. Returns NULL if the thread
  * cannot be started. */
 struct bb_roster_keeper *
 bb_roster_keeper_create(const struct bb_proposal_target *target,
@@ -161,7 +163,8 @@
     (void)pthread_cond_init(&k->stop_requested, &attributes);
     (void)pthread_condattr_destroy(&attributes);
     if (pthread_create(&k->thread, NULL, run, k) != 0) {
-        bb_error_set(e, 1, "cannot start the roster thread");
+        bb_error_set(e, BB_CONTROL_ERROR_START,
+                     "cannot start the roster thread");
         k->is_stopping = true;
         bb_roster_keeper_destroy(k);
         k = NULL;
--- a/control/roster_keeper.h
+++ b/control/roster_keeper.h
@@ -8,6 +8,10 @@
 #include "control/proposal.h"
 #include "mesh/mesh.h"
 
+enum bb_control_error {
+    BB_CONTROL_ERROR_START = 1 /* a component or thread cannot be started */
+};
+
 struct bb_roster_keeper;
 
 struct bb_roster_keeper *
--- a/control/roster_plan.c
+++ b/control/roster_plan.c
@@ -58,7 +58,7 @@
     return s;
 }
 
-/* Tells whether the configuration drains a host. */
+/* Returns whether the configuration drains a host. */
 static bool
 is_drained(const struct bb_config *c, const char *host)
 {
@@ -72,9 +72,9 @@
 
 /* Describes a member as a possible witness of a service; see decide/roster.h
  * for witnesses, epochs and claims. A host adopts an epoch when it applies the
- * revision that introduces it. A host that left orderly grants no more claims,
- * nor does one that is dead and drained by the operators; a dead one that is
- * not drained may only be unreachable. */
+ * revision that introduces it. A host that left the mesh in an orderly way
+ * grants no more claims, nor does one that is dead and drained by the
+ * operators; a dead one that is not drained may only be unreachable. */
 static struct bb_roster_host
 describe_host(const struct bb_member *m, const char *service,
               const struct bb_config *c, uint64_t epoch_revision)
@@ -82,19 +82,21 @@
     bool is_running =
         m->state == BB_MEMBER_ALIVE || m->state == BB_MEMBER_SUSPECT;
     bool is_serving = is_running && strcmp(m->service, service) == 0;
-    bool is_out = is_drained(c, m->host);
+    bool is_drained_host = is_drained(c, m->host);
 
     return (struct bb_roster_host){
         .host = bb_roster_host_key(m->host),
-        .is_ready = is_serving && !is_out && m->state == BB_MEMBER_ALIVE &&
-                    m->is_reachable && m->upstream_state == BB_UPSTREAM_READY,
+        .is_ready = is_serving && !is_drained_host &&
+                    m->state == BB_MEMBER_ALIVE && m->is_reachable &&
+                    m->upstream_state == BB_UPSTREAM_READY,
         .is_present = is_serving,
         .has_adopted = m->applied_revision >= epoch_revision ||
-                       m->state == BB_MEMBER_LEFT || (!is_running && is_out),
+                       m->state == BB_MEMBER_LEFT ||
+                       (!is_running && is_drained_host),
     };
 }
 
-/* Tells whether a list contains a host name. */
+/* Returns whether a list contains a host name. */
 static bool
 list_has_host(const struct bb_host_list *l, const char *host)
 {
@@ -138,19 +140,20 @@
     return strcmp(a, b);
 }
 
-/* Returns the name of the host with a key, looked up in the present roster and
- * the members, or NULL. r may be NULL. */
+/* Returns the name of the host with a key (see bb_roster_host_key), looked up
+ * in the current roster r, which may be NULL, and the members. Returns NULL if
+ * there is none. */
 static const char *
 find_host_name(const struct bb_member_list *members,
-               const struct bb_service_roster *r, uint64_t key)
+               const struct bb_service_roster *r, uint64_t host_key)
 {
     for (uint32_t i = 0; r != NULL && i < r->hosts.count; i++) {
-        if (bb_roster_host_key(r->hosts.names[i]) == key) {
+        if (bb_roster_host_key(r->hosts.names[i]) == host_key) {
             return r->hosts.names[i];
         }
     }
     for (size_t i = 0; i < members->count; i++) {
-        if (bb_roster_host_key(members->items[i].host) == key) {
+        if (bb_roster_host_key(members->items[i].host) == host_key) {
             return members->items[i].host;
         }
     }
@@ -158,10 +161,10 @@
 }
 
 /* Puts the planned roster of a service into a set of rosters. Returns false,
- * and logs why, if that is not possible. present may be NULL. */
+ * and logs why, if that is not possible. current may be NULL. */
 static bool
 put_planned_roster(const struct bb_roster *next, const char *service,
-                   const struct bb_service_roster *present,
+                   const struct bb_service_roster *current,
                    const struct bb_member_list *members,
                    struct bb_rosters *rosters)
 {
@@ -174,7 +177,7 @@
 
     (void)g_strlcpy(item.service, service, sizeof(item.service));
     for (uint32_t i = 0; ok && i < next->host_count; i++) {
-        const char *name = find_host_name(members, present, next->hosts[i]);
+        const char *name = find_host_name(members, current, next->hosts[i]);
 
         ok = name != NULL;
         if (ok) {
@@ -182,8 +185,8 @@
         }
     }
     qsort(names, next->host_count, sizeof(names[0]), compare_names);
-    if (next->previous_count > 0 && present != NULL) {
-        item.previous_hosts = present->hosts;
+    if (next->previous_count > 0 && current != NULL) {
+        item.previous_hosts = current->hosts;
     }
     ok = ok && bb_rosters_put(rosters, &item, &e);
     if (!ok) {
--- a/control/source_files.c
+++ b/control/source_files.c
@@ -31,7 +31,7 @@
     return json_string(bb_digest_format(d, text));
 }
 
-/* Parses a digest from a JSON string; false if it is no digest. */
+/* Parses a digest from a JSON string; false if it is not a digest. */
 static bool
 digest_from_json(const json_t *j, struct bb_digest *d)
 {
--- a/control/source_files.h
+++ b/control/source_files.h
@@ -1,4 +1,4 @@
-/* Internal to control/: saves and loads the state of the source watcher, and
+/* Internal to control/: saves and loads the state of the source watch, and
  * computes a signature of the watched folder without reading its files. */
 #ifndef BB_CONTROL_SOURCE_FILES_H
 #define BB_CONTROL_SOURCE_FILES_H
--- a/control/source_incidents.c
+++ b/control/source_incidents.c
@@ -25,7 +25,7 @@
     return "";
 }
 
-/* Records an incident with the present time; the oldest is dropped if there
+/* Records an incident with the current time; the oldest is dropped if there
  * are BB_SOURCE_INCIDENTS_MAX. digest may be NULL; texts are copied. */
 void
 bb_source_incidents_add(struct bb_source_incidents *n, const char *kind,
--- a/control/source_watch.c
+++ b/control/source_watch.c
@@ -60,10 +60,10 @@
     char *status_outage_message;
 };
 
-/* Creates a watcher and loads its saved state; it scans once it is started.
- * The texts of the settings are copied. A damaged state is treated as missing,
- * which is safe: a folder that differs from the configuration in force is not
- * proposed then. Freed with bb_source_watch_destroy. */
+/* Creates a source watch and loads its saved state; it scans once it is
+ * started. The texts of the settings are copied. A damaged state is treated as
+ * missing, which is safe: a folder that differs from the configuration in
+ * force is not proposed in this case. Freed with bb_source_watch_destroy. */
 struct bb_source_watch *
 bb_source_watch_create(const struct bb_source_watch_settings *settings)
 {
@@ -296,8 +296,8 @@
 }
 
 /* Waits for a queued event until the time of the next scan. Returns whether
- * one was removed from the queue into *e; *is_stopping tells whether the
- * thread has to stop. */
+ * one was removed from the queue into *e; *is_stopping is true if the thread
+ * has to stop. */
 static bool
 wait_for_event(struct bb_source_watch *w, uint64_t next_scan_us,
                struct bb_source_event *e, bool *is_stopping)
@@ -322,7 +322,7 @@
     return true;
 }
 
-/* The watcher's thread: scans the folder and processes events. */
+/* The watch's thread: scans the folder and processes events. */
 static void *
 run(void *argument)
 {
@@ -373,8 +373,8 @@
     (void)pthread_mutex_unlock(&w->lock);
 }
 
-/* Tells the watcher which configuration is in force; revision 0 means none,
- * and digest is that of its folder, not of its payload or bundle.
+/* Tells the source watch which configuration is in force; revision 0 means
+ * none, and digest is that of its folder, not of its payload or bundle.
  * Nothing is proposed before the first call. */
 void
 bb_source_watch_set_in_force(struct bb_source_watch *w, uint64_t revision,
@@ -443,8 +443,8 @@
     return j;
 }
 
-/* Stops the thread after its current event or scan and frees the watcher; NULL
- * is allowed. */
+/* Stops the thread after its current event or scan and frees the source watch;
+ * NULL is allowed. */
 void
 bb_source_watch_destroy(struct bb_source_watch *w)
 {
--- a/control/store.c
+++ b/control/store.c
@@ -53,8 +53,8 @@
     return false;
 }
 
-/* Tells whether an earlier operation failed; then *e (may be NULL) receives
- * the first failure. */
+/* Returns whether an earlier operation failed; if so, *e (may be NULL)
+ * receives the first failure. */
 bool
 store_has_failed(struct bb_store *s, struct bb_error *e)
 {
@@ -161,7 +161,7 @@
     return true;
 }
 
-/* Tells whether the data folder contains a file. */
+/* Returns whether the data folder contains a file. */
 static bool
 has_file(const struct bb_store *s, const char *name)
 {
@@ -290,8 +290,9 @@
     g_free(s);
 }
 
-/* Tells whether everything was read intact and every write succeeded. If not,
- * the host must not vote, and why receives the reason; why may be NULL. */
+/* Returns whether everything was read intact and every write succeeded. If
+ * not, the host must not vote, and why receives the reason; why may be NULL.
+ */
 bool
 bb_store_is_intact(struct bb_store *s, char *why, size_t size_bytes)
 {
@@ -306,7 +307,8 @@
 
 /* Appends one log record with the term, the vote, the commit index and the
  * entries from first_index on (0: no entries), and syncs it. Returns false and
- * sets *e on failure, after which nothing is written; e may be NULL. */
+ * sets *e on failure, after which the store writes no file any more; e may be
+ * NULL. */
 bool
 bb_store_append_record(struct bb_store *s, const struct bb_agree_durable *d,
                        uint64_t first_index, struct bb_error *e)
@@ -338,7 +340,7 @@
 /* Replaces the snapshot by the whole state and empties the log. A crash in
  * between leaves log records that the snapshot includes already; recovery
  * skips them by their sequence number. Returns false and sets *e on failure,
- * after which nothing is written; e may be NULL. */
+ * after which the store writes no file any more; e may be NULL. */
 bool
 bb_store_write_snapshot(struct bb_store *s, const struct bb_agree_durable *d,
                         struct bb_error *e)
--- a/control/store_internal.h
+++ b/control/store_internal.h
@@ -9,7 +9,7 @@
 
 enum {
     STORE_PATH_BYTES = 4096,
-    STORE_RECORD_MAX_BYTES = 64 * 1024 /* of a record's payload */
+    STORE_RECORD_MAX_BYTES = 64 * 1024 /* of a record's body */
 };
 
 enum store_record_kind { STORE_LOG_RECORD = 1, STORE_SNAPSHOT_RECORD = 2 };
@@ -18,7 +18,9 @@
     char folder[STORE_PATH_BYTES - 256]; /* leaves room for a file name */
     struct bb_store_file_operations operations;
     pthread_mutex_t payload_lock; /* held while a payload is written */
-    pthread_mutex_t lock; /* of first_failure; taken after payload_lock */
+    /* Guards first_failure; if both locks are needed, taken after
+     * payload_lock. */
+    pthread_mutex_t lock;
     struct bb_error first_failure;
     int folder_fd;
     int lock_fd;
@@ -37,9 +39,9 @@
 struct store_record {
     enum store_record_kind kind;
     uint64_t sequence;
-    const uint8_t *payload; /* within the block that was parsed */
-    uint32_t payload_bytes;
-    size_t record_bytes; /* header and payload */
+    const uint8_t *body; /* within the block that was parsed */
+    uint32_t body_bytes;
+    size_t record_bytes; /* header and body */
 };
 
 /* store_record.c */
@@ -48,8 +50,8 @@
 enum store_record_status store_record_parse(const uint8_t *data,
                                             size_t size_bytes,
                                             struct store_record *r);
-bool store_record_decode_payload(const struct store_record *r, xdrproc_t codec,
-                                 void *value);
+bool store_record_decode_body(const struct store_record *r, xdrproc_t codec,
+                              void *value);
 
 /* store_recover.c */
 bool store_recover(struct bb_store *s, struct bb_agree_durable *d,
--- a/control/store_payload.c
+++ b/control/store_payload.c
@@ -52,7 +52,7 @@
     return is_written;
 }
 
-/* Tells whether an intact copy of a payload is stored; reads the file. */
+/* Returns whether an intact copy of a payload is stored; reads the file. */
 bool
 bb_store_has_payload(struct bb_store *s, const struct bb_digest *digest)
 {
@@ -63,8 +63,8 @@
     return data != NULL;
 }
 
-/* Returns a payload, which the caller frees with g_free, or NULL if it is
- * missing or its content does not match the digest. */
+/* Returns a payload, which the caller frees with g_free, or NULL if it cannot
+ * be read or its content does not match the digest. */
 void *
 bb_store_get_payload(struct bb_store *s, const struct bb_digest *digest,
                      size_t *size_bytes, struct bb_error *e)
@@ -92,7 +92,7 @@
     return data;
 }
 
-/* Tells whether the durable state refers to a payload. */
+/* Returns whether the durable state refers to a payload. */
 static bool
 is_referenced(const struct bb_agree_durable *d, const char *name)
 {
--- a/control/store_record.c
+++ b/control/store_record.c
@@ -1,5 +1,5 @@
 /* Encoding of records. The header has a checksum of its own, so that a damaged
- * length is not mistaken for a torn record; the payload has another one. */
+ * length is not mistaken for a torn record; the body has another one. */
 #include <glib.h>
 #include <string.h>
 
@@ -11,13 +11,14 @@
     CHECKSUM_SEED = 0x6c6f67   /* "log" */
 };
 
+/* In host byte order, followed by the body. */
 struct record_header {
     uint32_t magic;
     uint32_t kind;
     uint32_t size_bytes;
     uint32_t unused;
     uint64_t sequence;
-    uint64_t payload_checksum;
+    uint64_t body_checksum;
     uint64_t header_checksum; /* of the fields before */
 };
 
@@ -35,30 +36,28 @@
 store_record_encode(enum store_record_kind kind, uint64_t sequence,
                     xdrproc_t codec, void *value, size_t *size_bytes)
 {
-    size_t payload_bytes = xdr_sizeof(codec, value);
-    uint8_t *data = g_malloc0(sizeof(struct record_header) + payload_bytes);
+    size_t body_bytes = xdr_sizeof(codec, value);
+    uint8_t *data = g_malloc0(sizeof(struct record_header) + body_bytes);
     struct record_header h = {.magic = RECORD_MAGIC,
                               .kind = kind,
-                              .size_bytes = (uint32_t)payload_bytes,
+                              .size_bytes = (uint32_t)body_bytes,
                               .sequence = sequence};
     XDR x;
 
-    xdrmem_create(&x, (char *)data + sizeof(h), (u_int)payload_bytes,
-                  XDR_ENCODE);
+    xdrmem_create(&x, (char *)data + sizeof(h), (u_int)body_bytes, XDR_ENCODE);
     if (!codec(&x, value)) {
         g_free(data);
         return NULL;
     }
-    h.payload_checksum =
-        bb_hash64(data + sizeof(h), payload_bytes, CHECKSUM_SEED);
+    h.body_checksum = bb_hash64(data + sizeof(h), body_bytes, CHECKSUM_SEED);
     h.header_checksum = header_checksum(&h);
     memcpy(data, &h, sizeof(h));
-    *size_bytes = sizeof(h) + payload_bytes;
+    *size_bytes = sizeof(h) + body_bytes;
     return data;
 }
 
-/* Tells whether a block consists of zeros only. So does the end of a file that
- * had been extended but not filled before a crash. */
+/* Returns whether a block consists of zeros only, as the end of a file does
+ * that was extended but not filled before a crash. */
 static bool
 is_all_zeros(const uint8_t *data, size_t size_bytes)
 {
@@ -93,25 +92,25 @@
         return STORE_RECORD_TORN;
     }
     if (bb_hash64(data + sizeof(h), h.size_bytes, CHECKSUM_SEED) !=
-        h.payload_checksum) {
+        h.body_checksum) {
         return STORE_RECORD_DAMAGED;
     }
     *r = (struct store_record){.kind = h.kind,
                                .sequence = h.sequence,
-                               .payload = data + sizeof(h),
-                               .payload_bytes = h.size_bytes,
+                               .body = data + sizeof(h),
+                               .body_bytes = h.size_bytes,
                                .record_bytes = sizeof(h) + h.size_bytes};
     return STORE_RECORD_VALID;
 }
 
-/* Decodes the payload of a record; false if it is malformed. The caller frees
- * the value with xdr_free in both cases. */
+/* Decodes the body of a record; false if it is malformed. The caller frees the
+ * value with xdr_free in both cases. */
 bool
-store_record_decode_payload(const struct store_record *r, xdrproc_t codec,
-                            void *value)
+store_record_decode_body(const struct store_record *r, xdrproc_t codec,
+                         void *value)
 {
     XDR x;
 
-    xdrmem_create(&x, (char *)r->payload, r->payload_bytes, XDR_DECODE);
+    xdrmem_create(&x, (char *)r->body, r->body_bytes, XDR_DECODE);
     return codec(&x, value) != 0;
 }
--- a/control/store_recover.c
+++ b/control/store_recover.c
@@ -56,7 +56,7 @@
     next->disk_id = d->disk_id;
     if (store_record_parse(data, size, &r) == STORE_RECORD_VALID &&
         r.kind == STORE_SNAPSHOT_RECORD && r.record_bytes == size) {
-        is_valid = store_record_decode_payload(
+        is_valid = store_record_decode_body(
                        &r, (xdrproc_t)xdr_agree_state_record, &value) &&
                    bb_agree_decode_state_record(&value, next);
         xdr_free((xdrproc_t)xdr_agree_state_record, (char *)&value);
@@ -91,9 +91,9 @@
     }
     next = g_new(struct bb_agree_durable, 1);
     *next = *d;
-    is_valid = store_record_decode_payload(r, (xdrproc_t)xdr_agree_log_record,
-                                           &value) &&
-               bb_agree_apply_log_record(&value, next);
+    is_valid =
+        store_record_decode_body(r, (xdrproc_t)xdr_agree_log_record, &value) &&
+        bb_agree_apply_log_record(&value, next);
     if (is_valid) {
         *d = *next;
         s->sequence = r->sequence;
--- a/cored/main.c
+++ b/cored/main.c
@@ -11,7 +11,8 @@
 #include "settings.h"
 
 enum {
-    /* Retry-After of responses 503. */
+    /* Retry-After of 503 responses; below 1000, as it is sent as a fraction of
+     * a second. */
     RETRY_AFTER_MS = 200,
     /* From the stop signal to the end of the loop. */
     SHUTDOWN_DELAY_MS = 50
@@ -134,16 +135,17 @@
 
 /* Responds with the committed configuration. */
 static void
-on_read_done(void *context, bool is_sure, GBytes *config)
+on_read_done(void *context, bool is_confirmed, GBytes *config)
 {
     struct bb_http_exchange *x = context;
     gsize size = 0;
     const char *text;
     GString *fields;
 
-    if (!is_sure || config == NULL) {
-        respond_unavailable(x, is_sure ? "there is no configuration yet\n"
-                                       : "no majority confirmed the read\n");
+    if (!is_confirmed || config == NULL) {
+        respond_unavailable(x, is_confirmed
+                                   ? "there is no configuration yet\n"
+                                   : "no majority confirmed the read\n");
         return;
     }
     text = g_bytes_get_data(config, &size);
@@ -240,14 +242,15 @@
     uv_loop_t *loop = bb_daemon_loop(d->daemon);
     struct bb_core_settings core = {
         .ip = s->common.ip,
-        .operator_address = s->operators,
+        .operator_address = s->operator_address,
         .zone = s->common.zone,
         .region = s->common.region,
         .data_folder = s->data_folder,
         .seeds = s->common.seeds,
         .may_bootstrap = strcmp(s->first_start, "true") == 0,
-        .target_voter_count = bb_voters_target_count((uint32_t)s->lost_hosts,
-                                                     (uint32_t)s->lost_zones)};
+        .target_voter_count =
+            bb_voters_target_count((uint32_t)s->tolerated_host_losses,
+                                   (uint32_t)s->tolerated_zone_losses)};
 
     g_strlcpy(core.peer_address.ip, s->common.ip,
               sizeof(core.peer_address.ip));
@@ -257,7 +260,7 @@
         return false;
     }
     d->operator_server =
-        bb_http_server_create(loop, &s->operators, &handler, d, e);
+        bb_http_server_create(loop, &s->operator_address, &handler, d, e);
     return d->operator_server != NULL &&
            bb_daemon_serve_metrics(d->daemon, &s->common.metrics, e);
 }
--- a/cored/settings.h
+++ b/cored/settings.h
@@ -7,10 +7,12 @@
 struct cored_settings {
     struct bb_daemon_settings common;
     const char *data_folder;
-    const char *first_start;     /* "true" means true, any other text false */
-    struct bb_address operators; /* where operators connect */
-    uint64_t lost_hosts;         /* that may be lost at the same time */
-    uint64_t lost_zones;         /* that may be lost at the same time */
+    const char *first_start; /* "true" means true, any other text false */
+    struct bb_address operator_address; /* where operators connect */
+    /* Control hosts, and availability zones, that may be lost at the same
+     * time; 0 to 3. */
+    uint64_t tolerated_host_losses;
+    uint64_t tolerated_zone_losses;
 };
 
 enum bb_settings_result cored_settings_read(struct cored_settings *s, int argc,
--- a/ctl/run.c
+++ b/ctl/run.c
@@ -5,7 +5,7 @@
 #include "common/registry.h"
 #include "ctl.h"
 
-enum { METHOD_MAX_BYTES = 16, PATH_MAX_BYTES = 4096, OPERANDS_MAX = 16 };
+enum { METHOD_MAX_BYTES = 16, PATH_MAX_BYTES = 4096 };
 
 /* Prints the commands with their operands and help texts. */
 static void
@@ -25,8 +25,8 @@
 }
 
 /* Returns the command that the operands name and stores its own operand in c.
- * Returns NULL after printing an error if there is no such command, or its
- * operand is missing or one too many. */
+ * Returns NULL after printing an error if there is no such command, its
+ * operand is missing, or there is one too many. */
 static const struct bb_ctl_command *
 find_command(struct bb_ctl_context *c, const char **operands, size_t count)
 {
@@ -93,7 +93,7 @@
          .kind = BB_SETTING_FLAG,
          .to.flag = &c.is_json},
     };
-    const char *operands[OPERANDS_MAX] = {0};
+    const char *operands[BB_SETTINGS_OPERANDS_MAX] = {0};
     const struct bb_ctl_command *command;
     struct bb_error e = {0};
     size_t count = 0;
--- a/fleet/agent.c
+++ b/fleet/agent.c
@@ -15,10 +15,17 @@
 BB_GAUGE(version_gauge, "baobab_agent_version",
          "Operators' version of the configuration in force here");
 
+/* How far a control host is from this node; a lower value is nearer. */
+enum control_host_distance {
+    DISTANCE_SAME_ZONE,
+    DISTANCE_SAME_REGION,
+    DISTANCE_ELSEWHERE /* or unknown */
+};
+
 /* A control host to connect to. */
 struct control_host {
     struct bb_address address;
-    uint32_t distance;  /* 0: same zone, 1: same region, 2: elsewhere */
+    uint32_t distance;  /* enum control_host_distance */
     uint64_t failed_us; /* last failure, 0: none */
 };
 
@@ -39,7 +46,7 @@
     uint32_t retry_delay_ms;
     uint32_t consecutive_failures;
     struct bb_instance_table *instances; /* of other nodes */
-    struct bb_content_store *contents;
+    struct bb_content_store *content_store;
     uint64_t content_id;   /* of the newest configuration, 0: none */
     uint64_t commit_index; /* of the newest configuration */
     uint64_t version;      /* the operators' version of it */
@@ -119,8 +126,9 @@
                (uint64_t)BB_AGENT_AVOID_FAILED_MS * BB_US_PER_MS;
 }
 
-/* Returns the nearest host that has not failed recently, a random one of
- * several, or else the one that failed longest ago. NULL if none is known. */
+/* Returns the nearest host that has not failed recently (a random one if
+ * several are equally near), or else the one that failed longest ago. Returns
+ * NULL if none is known. */
 static struct control_host *
 choose_host(struct bb_agent *a, uint64_t now_us)
 {
@@ -299,9 +307,10 @@
     for (u_int i = 0; i < m->fleet_message_u.hosts.hosts_len; i++) {
         const fleet_host *h = &m->fleet_message_u.hosts.hosts_val[i];
         struct bb_address at = {.port = (uint16_t)h->peer_port};
-        uint32_t distance = strcmp(h->zone, a->settings.zone) == 0       ? 0
-                            : strcmp(h->region, a->settings.region) == 0 ? 1
-                                                                         : 2;
+        uint32_t distance =
+            strcmp(h->zone, a->settings.zone) == 0       ? DISTANCE_SAME_ZONE
+            : strcmp(h->region, a->settings.region) == 0 ? DISTANCE_SAME_REGION
+                                                         : DISTANCE_ELSEWHERE;
 
         g_strlcpy(at.ip, h->ip, sizeof(at.ip));
         add_host(a, &at, distance);
@@ -319,9 +328,9 @@
 }
 
 /* Decompresses and reports a configuration that is newer than the current one.
- * If it cannot be decompressed, for example as its base is missing, the
- * connection is closed, and the next hello asks for the content without a
- * base. */
+ * If it cannot be decompressed, for example because its base is missing, the
+ * connection is closed, and the next hello requests the state without a base.
+ */
 static void
 receive_update(struct bb_agent *a, const fleet_update *u)
 {
@@ -331,7 +340,7 @@
     if (u->commit_index <= a->commit_index) {
         return;
     }
-    if (!bb_content_store_add_compressed(a->contents, &u->content)) {
+    if (!bb_content_store_add_compressed(a->content_store, &u->content)) {
         bb_log_warning("agent.update",
                        "cannot use an update: its base is missing, it is too "
                        "large, or its hash is wrong; reconnecting to request "
@@ -341,7 +350,8 @@
         return;
     }
     if (!bb_replicated_state_decode(
-            bb_content_store_get(a->contents, u->content.content_id), &s)) {
+            bb_content_store_get(a->content_store, u->content.content_id),
+            &s)) {
         bb_log_warning("agent.update",
                        "cannot decode an update; the previous configuration "
                        "stays in use");
@@ -384,14 +394,14 @@
 static void
 receive_instances(struct bb_agent *a, const fleet_message *m)
 {
-    const fleet_instance *earlier = NULL;
+    const fleet_instance *own = NULL;
 
     for (u_int i = 0; i < m->fleet_message_u.instances.instances_len; i++) {
         const fleet_instance *r =
             &m->fleet_message_u.instances.instances_val[i];
 
         if (strcmp(r->gate_address, a->settings.gate_address) == 0) {
-            earlier = r;
+            own = r;
             supersede_earlier_run(a, r);
         }
         else if (bb_instance_table_merge(a->instances, r)) {
@@ -400,7 +410,7 @@
     }
     if (!a->has_received_instances) {
         a->has_received_instances = true;
-        a->events->own_instance_received(a->context, earlier);
+        a->events->own_instance_received(a->context, own);
     }
 }
 
@@ -480,7 +490,7 @@
     a->context = context;
     a->hosts = g_array_new(FALSE, TRUE, sizeof(struct control_host));
     a->instances = bb_instance_table_create();
-    a->contents = bb_content_store_create();
+    a->content_store = bb_content_store_create();
     a->incarnation = s->start_wall_ms;
     (void)uv_timer_init(loop, &a->timer);
     a->timer.data = a;
@@ -500,7 +510,7 @@
 
         at.port = a->settings.control_port;
         if (find_host(a, &at) == NULL) {
-            add_host(a, &at, 2);
+            add_host(a, &at, DISTANCE_ELSEWHERE);
         }
     }
 }
@@ -523,7 +533,7 @@
 
     bb_instance_destroy(a->own_instance);
     bb_instance_table_destroy(a->instances);
-    bb_content_store_destroy(a->contents);
+    bb_content_store_destroy(a->content_store);
     g_array_free(a->hosts, TRUE);
     g_free(a);
 }
--- a/fleet/content.c
+++ b/fleet/content.c
@@ -1,4 +1,4 @@
-/* Content-addressed store and encoding of replicated states. */
+/* Store and encoding of replicated states. */
 #include "fleet/content.h"
 
 #include <string.h>
@@ -9,8 +9,8 @@
 
 enum {
     COMPRESSION_LEVEL = 3,
-    /* Largest zstd window that is decoded. It covers a content of
-     * BB_CONTENT_MAX_BYTES and its base. */
+    /* Base-2 logarithm of the largest zstd window, in bytes, that is accepted.
+     * It covers an encoded state of BB_CONTENT_MAX_BYTES and its base. */
     WINDOW_LOG_MAX = 27
 };
 
@@ -57,8 +57,8 @@
     return NULL;
 }
 
-/* Adds a content and returns its ID. If the store is full, the oldest one is
- * removed. */
+/* Adds an encoded state and returns its content ID. If the store is full, the
+ * oldest state is removed. */
 uint64_t
 bb_content_store_add(struct bb_content_store *c, GBytes *content)
 {
@@ -79,8 +79,8 @@
     return content_id;
 }
 
-/* Compresses a content, against the one with `base_id` if the store has
- * that. Returns false if the store does not have the content or compression
+/* Compresses an encoded state, against the one with `base_id` if the store has
+ * that. Returns false if the store does not have the state or compression
  * fails. The caller frees the result with bb_compressed_content_clear. */
 bool
 bb_content_store_compress(const struct bb_content_store *c,
@@ -126,7 +126,7 @@
     return true;
 }
 
-/* Frees the data of a compressed content. */
+/* Frees the data of a compressed state. */
 void
 bb_compressed_content_clear(fleet_compressed_content *c)
 {
@@ -135,8 +135,8 @@
     c->data.data_len = 0;
 }
 
-/* Decompresses a received content and adds it. Returns false if its base is
- * missing, it is too large, or its hash does not match its ID. */
+/* Decompresses a received state and adds it. Returns false if its base is
+ * missing, it is too large, or its hash does not match its content ID. */
 bool
 bb_content_store_add_compressed(struct bb_content_store *c,
                                 const fleet_compressed_content *in)
--- a/fleet/core.c
+++ b/fleet/core.c
@@ -53,7 +53,7 @@
         bb_compressed_content_clear(&c->compressed_content);
         memset(&c->compressed_content, 0, sizeof(c->compressed_content));
         if (content_id != 0) {
-            (void)bb_content_store_compress(c->contents, content_id, 0,
+            (void)bb_content_store_compress(c->content_store, content_id, 0,
                                             &c->compressed_content);
         }
     }
@@ -124,7 +124,7 @@
     }
     bb_replicated_state_clear(&c->committed_state);
     if (!bb_replicated_state_decode(
-            bb_content_store_get(c->contents, content_id),
+            bb_content_store_get(c->content_store, content_id),
             &c->committed_state)) {
         bb_log_warning("core.unreadable",
                        "cannot decode the committed configuration, content "
@@ -147,7 +147,7 @@
 
 /* Carries out the output of a step of the quorum: starts the write, then sends
  * the messages. The write is delayed if another one is in progress or failed
- * shortly before; the messages are sent all the same. That is safe, as the
+ * shortly before; the messages are sent anyway. This is safe, as the
  * quorum outputs votes and vote requests only once the write they depend on is
  * synced, and acknowledges only the synced entry. */
 void
@@ -221,9 +221,9 @@
     }
 }
 
-/* On the leader, adds or removes one voter if a voter is lost or their number
- * is not the target. A voter that is not a known peer counts as absent since
- * this host became the leader. */
+/* On the leader, adds or removes one voter if a voter is lost or the number of
+ * voters is not the target. A voter that is not a known peer counts as absent
+ * since this host became the leader. */
 static void
 update_voters(struct bb_core *c, uint64_t now_us)
 {
@@ -352,8 +352,8 @@
     core_schedule_timer(c);
 }
 
-/* Initialises the quorum, the contents and the peers from the stored state, or
- * chooses a new disk ID if there is none. */
+/* Initialises the quorum, the content store and the peers from the stored
+ * state, or chooses a new disk ID if there is none. */
 static void
 restore_state(struct bb_core *c, const fleet_stored_state *s, bool has_state)
 {
@@ -373,7 +373,8 @@
             d.entry.voters[i] = s->entry.voters.voters_val[i];
         }
         if (s->content.content_id != 0) {
-            (void)bb_content_store_add_compressed(c->contents, &s->content);
+            (void)bb_content_store_add_compressed(c->content_store,
+                                                  &s->content);
         }
         for (u_int i = 0; i < s->known.known_len; i++) {
             const fleet_host *h = &s->known.known_val[i];
@@ -414,7 +415,7 @@
 
     c->loop = loop;
     c->settings = *s;
-    c->contents = bb_content_store_create();
+    c->content_store = bb_content_store_create();
     c->instances = bb_instance_table_create();
     c->links = g_ptr_array_new();
     c->peers = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
@@ -452,8 +453,9 @@
     return NULL;
 }
 
-/* Replaces the seed addresses and connects to those that are new. Hosts that
- * are known already stay known. */
+/* Replaces the seed addresses and connects to those that are new. Their ports
+ * are replaced by that of peer_address in the settings. Hosts that are known
+ * already stay known. */
 void
 bb_core_set_seeds(struct bb_core *c, const struct bb_address_list *seeds)
 {
@@ -475,7 +477,7 @@
     g_hash_table_destroy(c->peers);
     g_hash_table_destroy(c->disk_addresses);
     g_ptr_array_free(c->links, TRUE);
-    bb_content_store_destroy(c->contents);
+    bb_content_store_destroy(c->content_store);
     bb_instance_table_destroy(c->instances);
     bb_replicated_state_clear(&c->committed_state);
     bb_compressed_content_clear(&c->compressed_content);
@@ -486,7 +488,7 @@
 }
 
 /* Stops a control host. Pending proposals end as BB_CORE_PROPOSAL_UNKNOWN and
- * reads as not sure, unless they were cancelled. NULL is allowed. */
+ * reads as unconfirmed, unless they were cancelled. NULL is allowed. */
 void
 bb_core_destroy(struct bb_core *c)
 {
@@ -501,18 +503,18 @@
     uv_close((uv_handle_t *)&c->timer, free_core);
 }
 
-/* Stores the operator address of the leader, and whether it is this host.
- * Returns false, with the address unchanged, if no leader with a majority has
- * been heard recently. */
+/* Stores the operator address of the leader, and in *is_self whether this host
+ * is the leader. Returns false, with the address unchanged, if no leader with
+ * a majority has been heard recently. */
 bool
-bb_core_find_leader(struct bb_core *c, struct bb_address *operators,
+bb_core_find_leader(struct bb_core *c, struct bb_address *operator_address,
                     bool *is_self)
 {
     const struct core_peer *p;
 
     *is_self = c->quorum.role == BB_QUORUM_LEADER;
     if (*is_self) {
-        *operators = c->settings.operator_address;
+        *operator_address = c->settings.operator_address;
         return true;
     }
     if (!bb_quorum_has_recent_quorum(&c->quorum, bb_clock_now_us())) {
@@ -522,7 +524,7 @@
     if (p == NULL || p->host == NULL) {
         return false;
     }
-    g_strlcpy(operators->ip, p->host->ip, sizeof(operators->ip));
-    operators->port = (uint16_t)p->host->operator_port;
+    g_strlcpy(operator_address->ip, p->host->ip, sizeof(operator_address->ip));
+    operator_address->port = (uint16_t)p->host->operator_port;
     return true;
 }
--- a/fleet/core_internal.h
+++ b/fleet/core_internal.h
@@ -9,6 +9,12 @@
 #include "fleet/instances.h"
 #include "fleet/store.h"
 
+enum {
+    /* Seed of the hashes of configurations. The history of the replicated
+     * state stores these hashes, so the seed must not change. */
+    CONFIG_HASH_SEED = 1
+};
+
 struct core_link;
 
 /* Another control host, known by its address. Each of the two hosts opens one
@@ -43,7 +49,7 @@
 
 /* A configuration that an operator proposed. */
 struct core_proposal {
-    uint64_t config_hash;  /* bb_hash64 of the configuration, seed 1 */
+    uint64_t config_hash;  /* bb_hash64 of it with CONFIG_HASH_SEED */
     uint64_t base_version; /* version that it replaces, 0: none */
     uint64_t version;
     GBytes *config;
@@ -71,10 +77,10 @@
     fleet_host self;
     struct bb_quorum quorum;
     struct bb_fleet_store *store;
-    struct bb_content_store *contents;
+    struct bb_content_store *content_store;
     struct bb_instance_table *instances;
     GHashTable *peers; /* address text to struct core_peer */
-    /* Disk ID to address text, also of disks that are gone. */
+    /* Disk ID to address text, including disks that are gone. */
     GHashTable *disk_addresses;
     GPtrArray *links; /* struct core_link */
     fleet_replicated_state committed_state;
--- a/fleet/core_peers.c
+++ b/fleet/core_peers.c
@@ -173,7 +173,7 @@
     g_ptr_array_remove_fast(c->links, l);
     bb_fleet_connection_close(l->connection);
     if (p != NULL) {
-        bool was_reachable = active_link(p) != NULL;
+        bool was_connected = active_link(p) != NULL;
 
         if (p->outgoing == l) {
             p->outgoing = NULL;
@@ -184,7 +184,7 @@
             p->incoming = NULL;
         }
         p->sent_content_id = 0;
-        if (was_reachable && active_link(p) == NULL && p->host != NULL) {
+        if (was_connected && active_link(p) == NULL && p->host != NULL) {
             p->disconnected_since_us = now_us;
             p->connect_due_us = now_us;
             bb_log_info("core.host_lost", "%s", p->address.ip);
@@ -341,8 +341,8 @@
     }
 }
 
-/* Sends the known records of upstreams, at most FLEET_INSTANCES_MAX. Sent also
- * if there are none, as a node waits for the first such message. */
+/* Sends the known instance records, at most FLEET_INSTANCES_MAX. Sent even if
+ * there are none, as a node waits for the first such message. */
 static void
 send_instances(struct core_link *l)
 {
@@ -369,7 +369,7 @@
         return;
     }
     u->commit_index = c->commit_index;
-    if (bb_content_store_compress(c->contents, c->published_content_id,
+    if (bb_content_store_compress(c->content_store, c->published_content_id,
                                   l->node_content_id, &u->content)) {
         if (bb_fleet_connection_send(l->connection, &m)) {
             l->node_content_id = c->published_content_id;
@@ -404,7 +404,7 @@
     }
 }
 
-/* Compresses a content for an append, against the content that the peer is
+/* Compresses an encoded state for an append, against the one that the peer is
  * known to have. Returns false if the append should carry none: the peer has
  * it, or it was sent less than CONTENT_RESEND_MS ago. */
 static bool
@@ -421,7 +421,7 @@
     }
     p->sent_content_id = content_id;
     p->content_sent_us = now_us;
-    return bb_content_store_compress(c->contents, content_id,
+    return bb_content_store_compress(c->content_store, content_id,
                                      p->acked_content_id, out);
 }
 
@@ -511,10 +511,11 @@
     }
     if (q->kind == BB_QUORUM_APPEND && q->entry.content_id != 0) {
         if (q->content.content_len == 1) {
-            (void)bb_content_store_add_compressed(c->contents,
+            (void)bb_content_store_add_compressed(c->content_store,
                                                   q->content.content_val);
         }
-        if (bb_content_store_get(c->contents, q->entry.content_id) == NULL) {
+        if (bb_content_store_get(c->content_store, q->entry.content_id) ==
+            NULL) {
             request_full_content(l, q);
             return;
         }
@@ -638,8 +639,8 @@
     core_schedule_timer(l->core);
 }
 
-/* Merges received records of upstreams and forwards those that are newer to
- * all nodes and other control hosts. */
+/* Merges received instance records and forwards those that are newer to all
+ * nodes and other control hosts. */
 static void
 receive_instances(struct core_link *from, fleet_message *m)
 {
--- a/fleet/core_requests.c
+++ b/fleet/core_requests.c
@@ -16,7 +16,7 @@
            "Orders refused because another version is in force");
 BB_COUNTER(unknown_total, "baobab_core_orders_unknown_total",
            "Orders without a majority in time");
-BB_COUNTER(unsure_total, "baobab_core_reads_unsure_total",
+BB_COUNTER(unconfirmed_reads_total, "baobab_core_reads_unsure_total",
            "Reads that no majority confirmed in time");
 
 /* Reports the outcome to the caller and frees the proposal. */
@@ -36,22 +36,22 @@
     g_free(p);
 }
 
-/* Reports the committed configuration, or with is_sure false that no majority
- * confirmed the read, and frees the read. */
+/* Reports the committed configuration, or with is_confirmed false that no
+ * majority confirmed the read, and frees the read. */
 static void
-finish_read(struct bb_core *c, struct core_config_read *r, bool is_sure)
+finish_read(struct bb_core *c, struct core_config_read *r, bool is_confirmed)
 {
     GBytes *config = NULL;
 
-    if (is_sure && c->committed_state.config_version != 0) {
+    if (is_confirmed && c->committed_state.config_version != 0) {
         config = g_bytes_new(c->committed_state.config.config_val,
                              c->committed_state.config.config_len);
     }
-    if (!is_sure) {
-        bb_counter_add(&unsure_total, 1);
+    if (!is_confirmed) {
+        bb_counter_add(&unconfirmed_reads_total, 1);
     }
     if (r->done != NULL) {
-        r->done(r->context, is_sure, config);
+        r->done(r->context, is_confirmed, config);
     }
     if (config != NULL) {
         g_bytes_unref(config);
@@ -97,7 +97,8 @@
     next.history.history_val = history;
     next.history.history_len = kept + 1;
     encoded_state = bb_replicated_state_encode(&next);
-    c->active_content_id = bb_content_store_add(c->contents, encoded_state);
+    c->active_content_id =
+        bb_content_store_add(c->content_store, encoded_state);
     g_bytes_unref(encoded_state);
     g_free(history);
     c->active_proposal = p;
@@ -222,8 +223,8 @@
     finish_proposal(c, p, BB_CORE_PROPOSAL_ACCEPTED);
 }
 
-/* Ends all proposals as BB_CORE_PROPOSAL_UNKNOWN and all reads as not sure, as
- * when leadership is lost. */
+/* Ends all proposals as BB_CORE_PROPOSAL_UNKNOWN and all reads as unconfirmed,
+ * for example because leadership is lost. */
 void
 core_fail_requests(struct bb_core *c)
 {
@@ -291,9 +292,7 @@
     p->base_version = base_version;
     p->version = version;
     p->config = g_bytes_ref(config);
-    /* The history of the replicated state stores these hashes, so the seed
-     * must not change. */
-    p->config_hash = bb_hash64(data, size, 1);
+    p->config_hash = bb_hash64(data, size, CONFIG_HASH_SEED);
     p->done = done;
     p->context = context;
     p->deadline_us =
@@ -304,7 +303,8 @@
 }
 
 /* Reads the committed configuration. `done` is called once, possibly before
- * this returns; at once with is_sure false if this host is not the leader. */
+ * this returns; at once with is_confirmed false if this host is not the
+ * leader. */
 void
 bb_core_read_config(struct bb_core *c, bb_core_read_callback done,
                     void *context)
@@ -319,8 +319,8 @@
         return;
     }
     if (round == 0) {
-        /* An entry is not yet committed, so no round was started. The next one
-         * confirms the read. */
+        /* The newest entry is not committed yet, so no round was started; the
+         * next round confirms the read. */
         round = c->quorum.round + 1;
     }
     r = g_new0(struct core_config_read, 1);
--- a/fleet/fleet.x
+++ b/fleet/fleet.x
@@ -1,8 +1,8 @@
 /* Messages between control hosts, and between nodes and control hosts. Each is
  * sent as a length of four bytes in network byte order and one fleet_message.
  *
- * A content is one encoded fleet_replicated_state; a content ID is a 64-bit hash of its
- * bytes, 0 for none. A disk ID is a random identity that a control host stores
+ * The content of an entry is one encoded fleet_replicated_state; a content ID is a 64-bit
+ * hash of its bytes, 0 for none. A disk ID is a random identity that a control host stores
  * on its disk; a lost disk is replaced by one with another ID. */
 const FLEET_TEXT_MAX_BYTES = 255;
 const FLEET_HOSTS_MAX = 64;
--- a/fleet/frame.c
+++ b/fleet/frame.c
@@ -22,7 +22,9 @@
     const struct bb_fleet_connection_events *events;
     void *context;
     GByteArray *received; /* bytes not yet decoded */
-    bool is_in_callback;  /* a close frees this only after the callback */
+    /* Set during a callback; a close then leaves it to the code after the
+     * callback to free this. */
+    bool is_in_callback;
     bool is_closed;
 };
 
@@ -161,8 +163,8 @@
     return f;
 }
 
-/* Receives and sends messages on an accepted stream, which it owns from now
- * on. */
+/* Creates a connection on an accepted stream and takes ownership of the
+ * stream. Never returns NULL. */
 struct bb_fleet_connection *
 bb_fleet_connection_accept(struct bb_stream *s,
                            const struct bb_fleet_connection_events *events,
--- a/fleet/store.c
+++ b/fleet/store.c
@@ -17,7 +17,7 @@
     FOLDER_MODE = 0700
 };
 
-#define STORE_MAGIC 0x62623173746f7265ULL
+#define STORE_MAGIC 0x62623173746f7265ULL /* "bb1store" */
 
 /* Header of a file, in host byte order, followed by the XDR form. */
 struct file_header {
@@ -49,9 +49,8 @@
     return g_strdup_printf("%s/state.%u", s->folder, file);
 }
 
-/* Reads one file. Returns false if it is corrupt, or, without a log line, if
- * it is missing, cannot be read, is shorter than its header, or holds no valid
- * XDR form. */
+/* Reads one file. Returns false if it is missing, cannot be read, or is
+ * invalid; only a wrong header or hash is logged. */
 static bool
 read_file(const struct bb_fleet_store *s, uint32_t file,
           fleet_stored_state *out)
--- a/include/common/settings.h
+++ b/include/common/settings.h
@@ -70,6 +70,8 @@
     BB_SETTINGS_INVALID /* the error is set */
 };
 
+enum { BB_SETTINGS_OPERANDS_MAX = 16 /* that bb_settings_read accepts */ };
+
 /* Exit codes of every binary. */
 enum bb_exit {
     BB_EXIT_OK = 0,
@@ -81,6 +83,7 @@
                             folder that cannot be used */
 };
 
+/* operands must have space for BB_SETTINGS_OPERANDS_MAX texts, or be NULL. */
 enum bb_settings_result
 bb_settings_read(const char *program, const char *purpose,
                  const struct bb_setting *table, size_t count, int argc,
--- a/include/config/bundle.h
+++ b/include/config/bundle.h
@@ -21,8 +21,8 @@
      * many files and rosters, can exceed it. */
     BB_BUNDLE_MAX_BYTES = 1024 * 1024 - 16 * 1024,
     /* Largest encoded folder without rosters; bb_config_compile reports a
-     * fault above it. The other 32 KiB are for rosters: 450 hosts with names
-     * of 20 bytes, in two lists, are 22 KB before compression. */
+     * fault above it. The other 32 KiB are for rosters, for example 450 hosts
+     * with names of 20 bytes in two lists, 22 KB before compression. */
     BB_BUNDLE_FOLDER_MAX_BYTES = BB_BUNDLE_MAX_BYTES - 32 * 1024
 };
 
--- a/include/config/config.h
+++ b/include/config/config.h
@@ -42,8 +42,8 @@
      */
     uint32_t max_in_flight;
     uint32_t queue_length; /* requests, per gatekeeper */
-    /* Most of a gatekeeper's usable slots that long work may hold, in percent;
-     * one slot at least. */
+    /* Maximum share of a gatekeeper's usable slots that long work may hold, in
+     * percent, but always at least one slot. */
     uint32_t long_work_percent;
     /* Once the upstream of a gatekeeper is ready, the number of its usable
      * slots grows from 1 to all of them during this time; 0: no slow start. */
@@ -93,7 +93,7 @@
     /* Gatekeepers of a service that may be ejected as outliers at the same
      * time, in percent of all of them; 0: none. */
     uint32_t max_ejected_percent;
-    /* For calls to the other region; 0: no call may go there. */
+    /* Byte rate for calls to other regions; 0: none may go there. */
     uint64_t link_bytes_per_s;
 };
 
--- a/include/control/proposal.h
+++ b/include/control/proposal.h
@@ -15,8 +15,8 @@
 
 enum {
     BB_PROPOSAL_TIMEOUT_MS = 3000, /* of one attempt */
-    /* How long a refused proposal waits until this host has the revision that
-     * the refusal names. */
+    /* How long to wait until this host has a revision: the base of a proposal,
+     * or the one that a refusal names. */
     BB_PROPOSAL_CATCH_UP_TIMEOUT_MS = 1000,
     /* A service's roster changes at most once in its retention time, but the
      * first rosters of many services can follow each other directly. */
--- a/include/control/replicate.h
+++ b/include/control/replicate.h
@@ -16,13 +16,14 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "config/bundle.h"
 #include "config/config.h"
 #include "control/store.h"
 #include "decide/agree.h"
 #include "mesh/rpc.h"
 
 enum {
-    BB_REPLICATE_PAYLOAD_MAX_BYTES = 1032192, /* 1 MiB less 16 KiB */
+    BB_REPLICATE_PAYLOAD_MAX_BYTES = BB_BUNDLE_MAX_BYTES,
     /* Larger payloads are fetched by the receiver instead of sent along: an
      * RPC argument holds 252 KiB. */
     BB_REPLICATE_INLINE_PAYLOAD_MAX_BYTES = 240 * 1024,
@@ -69,14 +70,14 @@
         *file_operations; /* NULL: system calls */
     void *context;        /* passed to the callbacks */
     /* Called for each revision that comes into force, in ascending order and
-     * at most once for each; after the start, also for the one recovered from
-     * disk. A host that was behind may skip all but the last one. The payload
-     * is valid during the call only. May be NULL. */
+     * at most once for each. After the start it is also called for the
+     * revision recovered from disk. A host that was behind may skip all but
+     * the last one. The payload is valid during the call only. May be NULL. */
     void (*revision_committed)(void *context, uint64_t revision,
                                uint64_t version,
                                const struct bb_digest *digest,
                                const void *payload, size_t size_bytes);
-    /* Called with the new role and the present term after a step of the
+    /* Called with the new role and the current term after a step of the
      * protocol changed the role. May be NULL. */
     void (*role_changed)(void *context, enum bb_agree_role role,
                          uint64_t term);
--- a/include/control/source_watch.h
+++ b/include/control/source_watch.h
@@ -29,7 +29,7 @@
     BB_SOURCE_WATCH_ERROR_THREAD     /* the thread cannot be started */
 };
 
-/* Proposes a folder against the revision it is based on. Runs in the watcher's
+/* Proposes a folder against the revision it is based on. Runs in the watch's
  * thread; blocking delays the next scan. The outcome must be passed to
  * bb_source_watch_report_result, during the call or later. The folder is valid
  * during the call only; version is the one set in its files. */
--- a/include/control/store.h
+++ b/include/control/store.h
@@ -2,7 +2,8 @@
  * host, in one data folder:
  *   lock          locked while a process uses the folder
  *   incarnation   the disk ID, a random number, written at first use
- *   log           records {magic, length, sequence, checksums, payload}
+ *   log           records: a header {magic, kind, size, sequence, checksums}
+ *                 in host byte order, then the body in XDR
  *   snapshot      one such record with the whole state, replaced by rename
  *   payloads/     encoded bundles, each in a file named after its digest
  *
--- a/include/fleet/agent.h
+++ b/include/fleet/agent.h
@@ -45,10 +45,9 @@
     void (*instance_updated)(void *context, const fleet_instance *i);
     /* Called once for each connection, with the instance record that the
      * control host already holds for this node's own gate, or NULL if it holds
-     * none. The record may be one of this run. It is valid during the call
-     * only. */
-    void (*own_instance_received)(void *context,
-                                  const fleet_instance *earlier);
+     * none. The record may date from this run or an earlier one. It is valid
+     * during the call only. */
+    void (*own_instance_received)(void *context, const fleet_instance *own);
     /* All known hosts failed in a row, or none is known: the seed addresses
      * should be read again. */
     void (*no_host_reachable)(void *context);
--- a/include/fleet/content.h
+++ b/include/fleet/content.h
@@ -1,7 +1,7 @@
-/* Content-addressed store of the newest replicated states, and their encoding.
- * A content is one encoded fleet_replicated_state; its ID is a 64-bit hash of
- * its bytes, never 0. Contents are sent compressed, against an earlier one
- * (the base) that the receiver also has. */
+/* Store of the newest encoded replicated states, and their encoding. The
+ * content of an entry is one encoded fleet_replicated_state. It is found by
+ * its content ID, a 64-bit hash of its bytes that is never 0. States are sent
+ * compressed, against an earlier one (the base) that the receiver also has. */
 #ifndef BB_FLEET_CONTENT_H
 #define BB_FLEET_CONTENT_H
 
@@ -12,10 +12,10 @@
 #include "fleet.h"
 
 enum {
-    /* The store keeps this many contents, the newest ones. */
+    /* The store keeps this many encoded states, the newest ones. */
     BB_CONTENT_STORE_CAPACITY = 4,
-    /* Largest uncompressed content that is accepted; FLEET_DATA_MAX_BYTES in
-     * fleet.x has the same value. */
+    /* Largest encoded state, uncompressed, that is accepted;
+     * FLEET_DATA_MAX_BYTES in fleet.x has the same value. */
     BB_CONTENT_MAX_BYTES = 16 * 1024 * 1024,
     /* Accepted configurations that are remembered, so that a retried proposal
      * of one is acknowledged again. fleet.x has the same number as the bound
--- a/include/fleet/core.h
+++ b/include/fleet/core.h
@@ -46,13 +46,15 @@
     const char *zone;
     const char *region;
     const char *data_folder;
-    struct bb_address_list seeds; /* operator addresses of control hosts */
+    /* Operator addresses of control hosts; see bb_core_set_seeds. */
+    struct bb_address_list seeds;
     /* The cluster does not exist yet: the first seed host bootstraps it, with
      * the seed hosts as voters, once all of them are connected and have empty
      * disks. */
     bool may_bootstrap;
-    uint32_t
-        target_voter_count; /* number of voters that the leader aims for */
+    /* Number of voters that the leader aims for, as bb_voters_target_count
+     * returns it: from 3 to BB_QUORUM_VOTERS_MAX - 1. */
+    uint32_t target_voter_count;
 };
 
 enum bb_core_proposal_outcome {
@@ -67,10 +69,10 @@
 typedef void (*bb_core_proposal_callback)(
     void *context, enum bb_core_proposal_outcome outcome,
     uint64_t newest_version);
-/* Result of a read. is_sure is true if a majority confirmed it; config is then
- * the committed configuration, or NULL if there is none yet. config is NULL if
- * is_sure is false, and is unreferenced after the call. */
-typedef void (*bb_core_read_callback)(void *context, bool is_sure,
+/* Result of a read. If is_confirmed is true, a majority confirmed the read and
+ * config is the committed configuration, or NULL if there is none yet. config
+ * is NULL if is_confirmed is false. It is unreferenced after the call. */
+typedef void (*bb_core_read_callback)(void *context, bool is_confirmed,
                                       GBytes *config);
 
 struct bb_core *bb_core_create(uv_loop_t *loop,
@@ -78,8 +80,8 @@
                                struct bb_error *e);
 void bb_core_destroy(struct bb_core *c);
 void bb_core_set_seeds(struct bb_core *c, const struct bb_address_list *seeds);
-bool bb_core_find_leader(struct bb_core *c, struct bb_address *operators,
-                         bool *is_self);
+bool bb_core_find_leader(struct bb_core *c,
+                         struct bb_address *operator_address, bool *is_self);
 void bb_core_propose(struct bb_core *c, uint64_t base_version,
                      uint64_t version, GBytes *config,
                      bb_core_proposal_callback done, void *context);
--- a/include/fleet/instances.h
+++ b/include/fleet/instances.h
@@ -1,9 +1,9 @@
 /* Table of instance records. An instance record (fleet_instance) describes one
  * upstream and its gate, the node's proxy in front of it. The node announces
- * it to a control host, which sends it to all others. Nodes and control hosts
- * keep a table each. Of two records of a gate the one with the higher
- * incarnation, then the higher sequence, wins, so merging is commutative and
- * idempotent. */
+ * it to a control host, which sends it to all others. Each node and each
+ * control host has such a table. Of two records of a gate the one with the
+ * higher incarnation, then the higher sequence, wins, so merging is
+ * commutative and idempotent. */
 #ifndef BB_FLEET_INSTANCES_H
 #define BB_FLEET_INSTANCES_H
 
--- a/include/fleet/store.h
+++ b/include/fleet/store.h
@@ -1,5 +1,6 @@
 /* Durable state of a control host. Two files are overwritten in turn, so that
- * at least one is intact after any interruption; the newest intact one counts.
+ * at least one is intact after any interruption; the newest intact one is
+ * used.
  *
  * A write runs in a thread of libuv's pool; its callback runs in the loop's
  * thread. At most one write is in progress. */
--- a/tests/fleet/test_fleet.c
+++ b/tests/fleet/test_fleet.c
@@ -32,7 +32,7 @@
     bool is_done;
     enum bb_core_proposal_outcome outcome;
     uint64_t newest;
-    bool is_sure;
+    bool is_confirmed;
     char text[256];
 };
 
@@ -224,20 +224,20 @@
 }
 
 static void
-on_read_done(void *context, bool is_sure, GBytes *raw)
+on_read_done(void *context, bool is_confirmed, GBytes *raw)
 {
     struct operation_result *a = context;
     gsize size = 0;
     const char *text = raw != NULL ? g_bytes_get_data(raw, &size) : "";
 
     a->is_done = true;
-    a->is_sure = is_sure;
+    a->is_confirmed = is_confirmed;
     (void)g_snprintf(a->text, sizeof(a->text), "%.*s", (int)size, text);
 }
 
 /* Reads from the leader, up to 20 times, until a majority confirms it. */
 static void
-read_until_sure(struct cluster *c, struct operation_result *a)
+read_until_confirmed(struct cluster *c, struct operation_result *a)
 {
     for (uint32_t i = 0; i < 20; i++) {
         int32_t leader = find_leader(c, 5000);
@@ -247,7 +247,7 @@
             bb_core_read_config(c->cores[leader], on_read_done, a);
             (void)run_loop(c, &a->is_done, 2000);
         }
-        if (a->is_sure) {
+        if (a->is_confirmed) {
             return;
         }
         run_loop(c, NULL, 100);
@@ -278,8 +278,8 @@
                     BB_CORE_PROPOSAL_STALE);
     CU_ASSERT_EQUAL(propose_until_decided(&c, 0, 5, "first"),
                     BB_CORE_PROPOSAL_ACCEPTED);
-    read_until_sure(&c, &a);
-    CU_ASSERT_TRUE(a.is_sure);
+    read_until_confirmed(&c, &a);
+    CU_ASSERT_TRUE(a.is_confirmed);
     CU_ASSERT_STRING_EQUAL(a.text, "second");
     destroy_cluster(&c);
 }
@@ -329,14 +329,14 @@
     for (uint32_t i = 0; i < HOSTS; i++) {
         start_core(&c, i, false);
     }
-    read_until_sure(&c, &a);
+    read_until_confirmed(&c, &a);
     CU_ASSERT_STRING_EQUAL(a.text, "first");
     CU_ASSERT_EQUAL(propose_until_decided(&c, 1, 2, "second"),
                     BB_CORE_PROPOSAL_ACCEPTED);
     leader = find_leader(&c, 5000);
     CU_ASSERT_TRUE_FATAL(leader >= 0);
     stop_core(&c, (uint32_t)leader);
-    read_until_sure(&c, &a);
+    read_until_confirmed(&c, &a);
     CU_ASSERT_STRING_EQUAL(a.text, "second");
     destroy_cluster(&c);
 }
@@ -362,7 +362,7 @@
                         BB_CORE_PROPOSAL_ACCEPTED);
         run_loop(&c, NULL, 1500);
     }
-    read_until_sure(&c, &a);
+    read_until_confirmed(&c, &a);
     CU_ASSERT_STRING_EQUAL(a.text, "v4");
     destroy_cluster(&c);
 }
@@ -395,7 +395,7 @@
     a = (struct operation_result){0};
     bb_core_read_config(c.cores[leader], on_read_done, &a);
     CU_ASSERT_TRUE(run_loop(&c, &a.is_done, 3000));
-    CU_ASSERT_FALSE(a.is_sure);
+    CU_ASSERT_FALSE(a.is_confirmed);
     destroy_cluster(&c);
 }
 
@@ -405,9 +405,9 @@
     bool has_gone_back; /* a version was not higher than the one before */
     char text[64];
     uint32_t instances;
-    uint32_t received_count;
-    uint32_t received_state;
-    uint64_t received_started_ms;
+    uint32_t own_instance_count;
+    uint32_t own_instance_state;
+    uint64_t own_instance_started_ms;
 };
 
 static void
@@ -432,13 +432,13 @@
 }
 
 static void
-on_own_instance_received(void *context, const fleet_instance *earlier)
+on_own_instance_received(void *context, const fleet_instance *own)
 {
     struct node *n = context;
 
-    n->received_started_ms = earlier != NULL ? earlier->started_ms : 0;
-    n->received_state = earlier != NULL ? earlier->state : BB_INSTANCE_NONE;
-    n->received_count++;
+    n->own_instance_started_ms = own != NULL ? own->started_ms : 0;
+    n->own_instance_state = own != NULL ? own->state : BB_INSTANCE_NONE;
+    n->own_instance_count++;
 }
 
 static void
@@ -455,8 +455,8 @@
 
 /* Waits up to `ms` until a node has a version. Returns whether it has. */
 static bool
-wait_version(struct cluster *c, const struct node *n, uint64_t version,
-             uint32_t ms)
+wait_for_version(struct cluster *c, const struct node *n, uint64_t version,
+                 uint32_t ms)
 {
     uint64_t end_us = bb_clock_now_us() + (uint64_t)ms * BB_US_PER_MS;
 
@@ -497,21 +497,21 @@
     }
     CU_ASSERT_EQUAL(propose_until_decided(&c, 0, 1, "first"),
                     BB_CORE_PROPOSAL_ACCEPTED);
-    CU_ASSERT_TRUE(wait_version(&c, &nodes[0], 1, 3000));
-    CU_ASSERT_TRUE(wait_version(&c, &nodes[1], 1, 3000));
+    CU_ASSERT_TRUE(wait_for_version(&c, &nodes[0], 1, 3000));
+    CU_ASSERT_TRUE(wait_for_version(&c, &nodes[1], 1, 3000));
     bb_agent_announce(agents[0], &own);
     run_loop(&c, NULL, 500);
     CU_ASSERT_EQUAL(nodes[1].instances, 1);
     stop_core(&c, 0); /* in the zone of the first node */
     CU_ASSERT_EQUAL(propose_until_decided(&c, 1, 2, "second"),
                     BB_CORE_PROPOSAL_ACCEPTED);
-    CU_ASSERT_TRUE(wait_version(&c, &nodes[0], 2, 4000));
+    CU_ASSERT_TRUE(wait_for_version(&c, &nodes[0], 2, 4000));
     CU_ASSERT_STRING_EQUAL(nodes[0].text, "second");
     start_core(&c, 0, false);
     run_loop(&c, NULL, 1000);
     CU_ASSERT_EQUAL(propose_until_decided(&c, 2, 3, "third"),
                     BB_CORE_PROPOSAL_ACCEPTED);
-    CU_ASSERT_TRUE(wait_version(&c, &nodes[0], 3, 4000));
+    CU_ASSERT_TRUE(wait_for_version(&c, &nodes[0], 3, 4000));
     CU_ASSERT_FALSE(nodes[0].has_gone_back);
     bb_agent_destroy(agents[0]);
     bb_agent_destroy(agents[1]);
@@ -556,9 +556,9 @@
     a = bb_agent_create(&c.loop, &s, &agent_events, &first);
     a_other = bb_agent_create(&c.loop, &s_other, &agent_events, &other);
     run_loop(&c, NULL, 1000);
-    /* Called also without a record. */
-    CU_ASSERT_TRUE(first.received_count > 0);
-    CU_ASSERT_EQUAL(first.received_state, BB_INSTANCE_NONE);
+    /* Called even if there is no record. */
+    CU_ASSERT_TRUE(first.own_instance_count > 0);
+    CU_ASSERT_EQUAL(first.own_instance_state, BB_INSTANCE_NONE);
     bb_agent_announce(a, &own);
     run_loop(&c, NULL, 300);
     bb_agent_destroy(a);
@@ -566,8 +566,8 @@
     s.start_wall_ms = 1000;
     a = bb_agent_create(&c.loop, &s, &agent_events, &second);
     run_loop(&c, NULL, 1000);
-    CU_ASSERT_EQUAL(second.received_state, BB_INSTANCE_DRAINING);
-    CU_ASSERT_EQUAL(second.received_started_ms, 77);
+    CU_ASSERT_EQUAL(second.own_instance_state, BB_INSTANCE_DRAINING);
+    CU_ASSERT_EQUAL(second.own_instance_started_ms, 77);
     other.instances = 0;
     own.started_ms = 78;
     own.state = BB_INSTANCE_READY;
@@ -589,21 +589,21 @@
 send_state(struct bb_fleet_connection *f, uint64_t commit_index,
            uint64_t version, const char *text)
 {
-    struct bb_content_store *contents = bb_content_store_create();
+    struct bb_content_store *content_store = bb_content_store_create();
     fleet_replicated_state s = {.config_version = version,
                                 .config = {.config_len = (u_int)strlen(text),
                                            .config_val = (char *)text}};
     GBytes *encoded_state = bb_replicated_state_encode(&s);
-    uint64_t content_id = bb_content_store_add(contents, encoded_state);
+    uint64_t content_id = bb_content_store_add(content_store, encoded_state);
     fleet_message m = {.kind = FLEET_UPDATE};
 
     m.fleet_message_u.update.commit_index = commit_index;
     CU_ASSERT_TRUE(bb_content_store_compress(
-        contents, content_id, 0, &m.fleet_message_u.update.content));
+        content_store, content_id, 0, &m.fleet_message_u.update.content));
     CU_ASSERT_TRUE(bb_fleet_connection_send(f, &m));
     bb_compressed_content_clear(&m.fleet_message_u.update.content);
     g_bytes_unref(encoded_state);
-    bb_content_store_destroy(contents);
+    bb_content_store_destroy(content_store);
 }
 
 static void
@@ -666,7 +666,7 @@
     l = bb_listener_create(&c.loop, &at, on_accept, &o, &e);
     CU_ASSERT_PTR_NOT_NULL_FATAL(l);
     a = bb_agent_create(&c.loop, &s, &agent_events, &n);
-    CU_ASSERT_TRUE(wait_version(&c, &n, 2, 2000));
+    CU_ASSERT_TRUE(wait_for_version(&c, &n, 2, 2000));
     run_loop(&c, NULL, 100);
     CU_ASSERT_EQUAL(n.version, 2);
     CU_ASSERT_STRING_EQUAL(n.text, "newer");
