config, ctl, admin, common and tests: plain wording

Comments had foreign genitives, trailing "then" and "also" for "even", some numbers stood twice as literals, and test heads did not name a failure.

Reworded them, added BB_FILE_ENCODED_OVERHEAD_BYTES and CYCLE_CALLS_SHOWN_MAX, and renamed local names of ctl, admin and the tests. Error texts say witness roster(s), as in control/, and "cannot be read" for a payload that may exist.

--- a/admin/dispatch.c
+++ b/admin/dispatch.c
@@ -103,7 +103,7 @@
     return true;
 }
 
-/* Returns the endpoint of a method and path, or NULL. HEAD uses that of GET.
+/* Returns the endpoint for a method and path, or NULL. HEAD uses that of GET.
  */
 static const struct bb_admin_endpoint *
 find_endpoint(const char *method, const char *path)
--- a/admin/response_parts.c
+++ b/admin/response_parts.c
@@ -61,7 +61,7 @@
     return hosts;
 }
 
-/* Returns the rosters of witnesses as a list of {"service", "epoch", "hosts",
+/* Returns the witness rosters as a list of {"service", "epoch", "hosts",
  * "previous"}. */
 static json_t *
 rosters_json(const struct bb_rosters *r)
@@ -80,11 +80,11 @@
     return rosters;
 }
 
-/* Returns the start of a response of /v1/in-force for a bundle, with empty
- * lists of holders and missing members, which bb_admin_in_force_add_node
- * fills; for NULL that of revision 0. is_confirmed tells whether a quorum of
- * control hosts confirms the revision. The digest is that of the folder alone.
- * The caller frees the object with json_decref. */
+/* Returns the response of /v1/in-force for a bundle, with empty lists of
+ * holders and missing members, which bb_admin_in_force_add_node fills. For a
+ * NULL bundle, returns the response for revision 0. is_confirmed is true if a
+ * quorum of control hosts confirms the revision. The digest is that of the
+ * folder alone. The caller frees the object with json_decref. */
 json_t *
 bb_admin_in_force_json(const struct bb_bundle *b, bool is_confirmed)
 {
@@ -114,14 +114,14 @@
  * revision that it only holds, without having applied it, does not count. */
 void
 bb_admin_in_force_add_node(json_t *in_force, const struct bb_member *m,
-                           uint64_t revision)
+                           uint64_t applied_revision)
 {
-    json_int_t wanted =
+    json_int_t in_force_revision =
         json_integer_value(json_object_get(in_force, "revision"));
-    bool is_holder = revision == (uint64_t)wanted;
-    json_t *item =
-        json_pack("{s:s, s:s, s:s, s:I}", "host", m->host, "zone", m->zone,
-                  "region", m->region, "revision", (json_int_t)revision);
+    bool is_holder = applied_revision == (uint64_t)in_force_revision;
+    json_t *item = json_pack("{s:s, s:s, s:s, s:I}", "host", m->host, "zone",
+                             m->zone, "region", m->region, "revision",
+                             (json_int_t)applied_revision);
 
     if (!is_holder) {
         (void)json_object_set_new(
--- a/admin/responses.c
+++ b/admin/responses.c
@@ -23,8 +23,8 @@
 
 /* Returns the response of /v1/in-force: a bundle, which may be NULL, and the
  * nodes that have applied its revision (holders) or another one (missing).
- * is_confirmed tells whether a quorum of control hosts confirms the revision.
- * Only nodes of the zone are listed, of all zones for NULL, and none that has
+ * is_confirmed is true if a quorum of control hosts confirms the revision.
+ * Lists only nodes of the zone (NULL: of all zones), without those that have
  * left the mesh. A node that cannot be reached counts as missing, with
  * revision 0. The caller frees the object with json_decref. */
 json_t *
--- a/common/clock.c
+++ b/common/clock.c
@@ -39,7 +39,7 @@
     };
 }
 
-/* Sleeps for a duration in microseconds, also if signals arrive. */
+/* Sleeps for a duration in microseconds, even if signals arrive. */
 void
 bb_clock_sleep_us(uint64_t duration_us)
 {
--- a/common/event_log.c
+++ b/common/event_log.c
@@ -106,11 +106,12 @@
 refill_budget(void)
 {
     uint64_t now_us = bb_clock_now_us();
-    uint64_t most = (uint64_t)BB_EVENT_LOG_BYTES_PER_S * BB_EVENT_LOG_BURST_S;
+    uint64_t capacity_bytes =
+        (uint64_t)BB_EVENT_LOG_BYTES_PER_S * BB_EVENT_LOG_BURST_S;
 
     event_log.tokens_bytes += (now_us - event_log.updated_us) *
                               BB_EVENT_LOG_BYTES_PER_S / BB_US_PER_S;
-    event_log.tokens_bytes = MIN(event_log.tokens_bytes, most);
+    event_log.tokens_bytes = MIN(event_log.tokens_bytes, capacity_bytes);
     event_log.updated_us = now_us;
 }
 
@@ -187,7 +188,8 @@
 }
 
 /* Writes as much of the ring as the descriptor accepts without blocking.
- * Returns whether lines are left. */
+ * Returns whether lines are left. After a write error the log discards all
+ * lines and this returns false. */
 bool
 bb_event_log_flush(void)
 {
--- a/config/bundle_codec.h
+++ b/config/bundle_codec.h
@@ -13,11 +13,12 @@
 #include "config/bundle.h"
 
 enum {
-    /* The 2 is the version of the format, since bundles carry rosters. It must
-     * rise when the encoding changes. */
+    /* The last character is the version of the format: 2 since bundles carry
+     * rosters. It must rise when the encoding changes. */
     BB_MAGIC_BUNDLE = 0x42424232, /* "BBB2" */
     BB_MAGIC_DELTA = 0x42424432,  /* "BBD2" */
-    /* A name with its padding, after the XDR length of 4 bytes. */
+    /* Largest XDR encoding of a name: a length of 4 bytes, then the padded
+     * text. */
     BB_NAME_ENCODED_MAX_BYTES = BB_NAME_BYTES + 4,
     /* Largest encoding of all rosters, in a bundle or delta. Two names for
      * each service, as a delta can remove BB_ROSTERS_MAX rosters and add as
@@ -26,13 +27,15 @@
     BB_ROSTERS_UNCOMPRESSED_MAX_BYTES =
         BB_ROSTERS_MAX * (2 * BB_NAME_ENCODED_MAX_BYTES + 16) +
         BB_ROSTERS_HOST_NAMES_MAX * BB_NAME_ENCODED_MAX_BYTES,
+    /* XDR lengths and padding of one file, at most. */
+    BB_FILE_ENCODED_OVERHEAD_BYTES = 16,
     /* Largest body. Two longest names for each file, as a delta can remove
-     * BB_FOLDER_FILES_MAX files and add as many, each with up to 16 bytes of
-     * XDR lengths and padding; 1024 bytes are more than the digests, numbers
-     * and counts of the body take. */
+     * BB_FOLDER_FILES_MAX files and add as many; 1024 bytes are more than the
+     * digests, numbers and counts of the body take. */
     BB_UNCOMPRESSED_MAX_BYTES =
         BB_FOLDER_MAX_BYTES +
-        2 * BB_FOLDER_FILES_MAX * (BB_FOLDER_FILE_NAME_MAX_BYTES + 16) +
+        2 * BB_FOLDER_FILES_MAX *
+            (BB_FOLDER_FILE_NAME_MAX_BYTES + BB_FILE_ENCODED_OVERHEAD_BYTES) +
         BB_ROSTERS_UNCOMPRESSED_MAX_BYTES + 1024
 };
 
--- a/config/compile.c
+++ b/config/compile.c
@@ -4,6 +4,7 @@
 
 #include <string.h>
 
+#include "bundle_codec.h"
 #include "common/registry.h"
 #include "config/bundle.h"
 #include "merge.h"
@@ -19,7 +20,7 @@
     {"DELETE", BB_METHOD_DELETE},  {"PATCH", BB_METHOD_PATCH},
     {"OPTIONS", BB_METHOD_OPTIONS}};
 
-/* Returns the method of a name, which must be in upper case, or
+/* Returns the method with a name, which must be in upper case, or
  * BB_METHOD_NONE for an unknown one. */
 enum bb_method
 bb_method_parse(const char *name)
@@ -196,8 +197,8 @@
 }
 
 /* Sets the limits to their defaults if the folder has no [limits] section, by
- * reading an empty one. limits is a zeroed section that the caller lends; it
- * is not used after the call. */
+ * reading an empty one. limits is zeroed memory for that section; it must stay
+ * valid only during the call. */
 static void
 read_default_limits(struct bb_compilation *c, struct bb_section *limits)
 {
@@ -221,7 +222,8 @@
 check_encoded_size(const struct bb_folder *f, struct bb_config_faults *faults)
 {
     /* Encoded name, lengths and padding of one file. */
-    const size_t file_overhead_bytes = BB_FOLDER_FILE_NAME_MAX_BYTES + 16;
+    const size_t file_overhead_bytes =
+        BB_FOLDER_FILE_NAME_MAX_BYTES + BB_FILE_ENCODED_OVERHEAD_BYTES;
     struct bb_rosters none = {0};
     struct bb_bundle b = {.digest = f->digest,
                           .folder = (struct bb_folder *)(uintptr_t)f,
--- a/config/folder.c
+++ b/config/folder.c
@@ -193,7 +193,7 @@
     }
 }
 
-/* Returns the file of a name, or NULL. */
+/* Returns the file with a name, or NULL. */
 const struct bb_folder_file *
 bb_folder_find_file(const struct bb_folder *f, const char *name)
 {
--- a/config/merge.h
+++ b/config/merge.h
@@ -12,8 +12,8 @@
 #include "config/fault.h"
 #include "config/folder.h"
 
-/* Most sections of one kind. Bounds the work of checks whose cost grows with
- * the square of the number of sections. */
+/* Maximum number of sections of one kind. Bounds the work of checks whose cost
+ * grows with the square of the number of sections. */
 enum { BB_SECTIONS_MAX = 4096 };
 
 struct bb_merged_value {
@@ -77,7 +77,7 @@
  * under the kind of its sections. First add is called for every section, so
  * that references can be resolved, then read for every section, then check
  * once for each handler, for faults that concern several sections. read and
- * check may be NULL. add may be NULL only without names; it calls
+ * check may be NULL. add may be NULL only if has_name is false; it calls
  * bb_section_append_item. */
 struct bb_section_operations {
     bool has_name; /* the title is "KIND NAME", not "KIND" */
--- a/config/rosters.c
+++ b/config/rosters.c
@@ -137,10 +137,9 @@
     if (!is_valid_name(item->service) || item->epoch == 0 ||
         item->hosts.count == 0 || !is_valid_host_list(&item->hosts) ||
         !is_valid_host_list(&item->previous_hosts)) {
-        return bb_error_set(
-            e, BB_CONFIG_ERROR_DAMAGED,
-            "a roster of witnesses lacks a service, an epoch or "
-            "hosts, or its hosts are unsorted or too many");
+        return bb_error_set(e, BB_CONFIG_ERROR_DAMAGED,
+                            "a witness roster lacks a service, an epoch or "
+                            "hosts, or its hosts are unsorted or too many");
     }
     at = find_position(r, item->service);
     is_replaced =
@@ -150,10 +149,9 @@
     }
     if (names > BB_ROSTERS_HOST_NAMES_MAX ||
         (!is_replaced && r->count == BB_ROSTERS_MAX)) {
-        return bb_error_set(
-            e, BB_CONFIG_ERROR_LIMIT,
-            "the rosters of witnesses have too many services or "
-            "host names");
+        return bb_error_set(e, BB_CONFIG_ERROR_LIMIT,
+                            "the witness rosters have too many services or "
+                            "host names");
     }
     if (is_replaced) {
         clear_service_roster(&r->items[at]);
--- a/config/rosters_codec.c
+++ b/config/rosters_codec.c
@@ -1,4 +1,4 @@
-/* Encodes and decodes rosters of witnesses in XDR. */
+/* Encodes and decodes witness rosters in XDR. */
 #include <string.h>
 
 #include "bundle_codec.h"
@@ -36,7 +36,7 @@
     return ok;
 }
 
-/* Reads a list of hosts. The caller frees its names with g_free, also after a
+/* Reads a list of hosts. The caller frees its names with g_free, even after a
  * failure. */
 static bool
 get_hosts(XDR *x, struct bb_host_list *l)
@@ -82,7 +82,7 @@
     }
     else {
         bb_error_set(e, BB_CONFIG_ERROR_DAMAGED,
-                     "an encoded roster of witnesses is truncated, has a name "
+                     "an encoded witness roster is truncated, has a name "
                      "that is not allowed or too many hosts");
     }
     g_free(r.hosts.names);
--- a/config/section.c
+++ b/config/section.c
@@ -76,9 +76,9 @@
     return k->default_text;
 }
 
-/* Returns a whole number from min to max of the key. Any other text is a fault
- * and counts as min; so does a missing key without a default, which is no
- * fault unless the key is required. */
+/* Returns a whole number from min to max of the key. Any other text is a
+ * fault, and min is returned. If the key is missing and has no default, min is
+ * returned too; this is a fault only if the key is required. */
 uint64_t
 bb_section_get_number(struct bb_compilation *c, const struct bb_section *s,
                       const char *key)
@@ -135,7 +135,7 @@
     return bb_split_list(text != NULL ? text : "");
 }
 
-/* Returns the section of a kind and name, or NULL. */
+/* Returns the section with a kind and name, or NULL. */
 struct bb_section *
 bb_section_find(const struct bb_compilation *c, const char *kind,
                 const char *name)
@@ -150,8 +150,8 @@
 /* Stores the index of the item of section [kind name], to which a key of s
  * refers, and returns true. Otherwise stores BB_INDEX_NONE and returns false.
  * A missing section is a fault, unless a file could not be parsed, which may
- * contain it. A section that was not added, as with a bad name, has a fault
- * already. */
+ * contain it. A section that was not added, for example because of a bad name,
+ * has a fault already. */
 bool
 bb_section_resolve_reference(struct bb_compilation *c,
                              const struct bb_section *s, const char *key,
--- a/config/section_configuration.c
+++ b/config/section_configuration.c
@@ -11,7 +11,7 @@
 
 static const struct bb_key_spec limits_keys[] = {
     {.name = "max-depth", .default_text = "16", .min = 1, .max = 64},
-    /* 4 GiB: the largest known transfer, of a photo archive, is 1 GB. */
+    /* 4 GiB; the largest transfers are photo archives of 1 GB. */
     {.name = "max-body-bytes",
      .default_text = "4294967296",
      .min = 1024,
@@ -19,7 +19,7 @@
     {.name = "retry-budget-percent", .default_text = "20", .max = 100},
     {.name = "hedge-budget-percent", .default_text = "5", .max = 100},
     {.name = "ejection-percent", .default_text = "33", .max = 100},
-    /* Bytes: about a quarter of the 30 Mbit/s between regions. */
+    /* Bytes per second; about a quarter of the 30 Mbit/s between regions. */
     {.name = "link-bytes-per-s", .default_text = "1000000", .max = 1ULL << 40},
 };
 
--- a/config/section_service.c
+++ b/config/section_service.c
@@ -5,6 +5,8 @@
 #include "common/registry.h"
 #include "merge.h"
 
+enum { CYCLE_CALLS_SHOWN_MAX = 32 };
+
 /* 600000 ms are 10 minutes, 86400 s are one day. */
 static const struct bb_key_spec keys[] = {
     {.name = "team", .is_exclusive = true},
@@ -115,9 +117,9 @@
     return BB_INDEX_NONE;
 }
 
-/* Adds a fault for the cycle that contains a service. Only the first 32 calls
- * are named, without a mark where the list is cut; operators' tools match the
- * word loop. */
+/* Adds a fault for the cycle that contains a service. Only the first
+ * CYCLE_CALLS_SHOWN_MAX calls are named, with no sign that the list is cut.
+ * The word "loop" must stay: operators' tools match it. */
 static void
 report_cycle(struct bb_compilation *c, uint16_t start, const bool *is_acyclic)
 {
@@ -127,7 +129,7 @@
 
     do {
         at = find_cyclic_callee(get_service(c, at), is_acyclic);
-        if (++shown <= 32) {
+        if (++shown <= CYCLE_CALLS_SHOWN_MAX) {
             g_string_append_printf(text, " -> %s", get_service(c, at)->name);
         }
     } while (at != start);
--- a/control/store_payload.c
+++ b/control/store_payload.c
@@ -78,7 +78,8 @@
     build_payload_name(digest, name);
     store_build_path(s, name, path);
     if (!g_file_get_contents(path, &data, &size, NULL)) {
-        (void)bb_error_set(e, BB_STORE_ERROR_PAYLOAD, "%s is missing", name);
+        (void)bb_error_set(e, BB_STORE_ERROR_PAYLOAD, "%s cannot be read",
+                           name);
         return NULL;
     }
     found = bb_digest_compute(data, size);
--- a/ctl/command_check.c
+++ b/ctl/command_check.c
@@ -1,13 +1,13 @@
-/* baobabctl check FOLDER: reports all faults of a folder, with the same code
- * by which a control host validates it. */
+/* baobabctl check FOLDER: reports all faults of a folder, with the code that
+ * control hosts use to validate it. */
 #include <glib.h>
 #include <inttypes.h>
 
 #include "common/registry.h"
 #include "ctl.h"
 
-/* Prints the result as JSON; config is NULL if there are faults. Returns
- * BB_EXIT_FAILED then. */
+/* Prints the result as JSON. config is NULL if there are faults; if so,
+ * returns BB_EXIT_FAILED. */
 static enum bb_exit
 print_json(const struct bb_ctl_context *c, const struct bb_folder *f,
            const struct bb_config *config,
@@ -26,8 +26,8 @@
     return result;
 }
 
-/* Prints the result as text; config is NULL if there are faults. Returns
- * BB_EXIT_FAILED then. */
+/* Prints the result as text. config is NULL if there are faults; if so,
+ * returns BB_EXIT_FAILED. */
 static enum bb_exit
 print_text(const struct bb_ctl_context *c, const struct bb_folder *f,
            const struct bb_config *config,
--- a/ctl/command_diff.c
+++ b/ctl/command_diff.c
@@ -7,15 +7,15 @@
 #include "ctl.h"
 
 /* A value of a merged configuration and the file it comes from. */
-struct place_value {
+struct merged_entry {
     char *raw; /* as written, escapes are not resolved */
     char *file;
 };
 
 static void
-free_place_value(void *item)
+free_merged_entry(void *item)
 {
-    struct place_value *v = item;
+    struct merged_entry *v = item;
 
     g_free(v->raw);
     g_free(v->file);
@@ -27,7 +27,7 @@
 add_value(void *context, const char *section_title, const char *key,
           const char *value, const char *file)
 {
-    struct place_value *v = g_new0(struct place_value, 1);
+    struct merged_entry *v = g_new0(struct merged_entry, 1);
 
     v->raw = g_strdup(value);
     v->file = g_strdup(file);
@@ -41,7 +41,7 @@
 collect_values(const struct bb_folder *f)
 {
     GHashTable *table = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-                                              free_place_value);
+                                              free_merged_entry);
 
     bb_config_visit_merged_values(f, add_value, table);
     return table;
@@ -65,9 +65,9 @@
     }
     keys = g_list_sort(keys, (GCompareFunc)strcmp);
     for (const GList *p = keys; p != NULL; p = p->next) {
-        const struct place_value *a = g_hash_table_lookup(in_force, p->data);
-        const struct place_value *b = g_hash_table_lookup(folder, p->data);
-        const struct place_value *shown = b != NULL ? b : a;
+        const struct merged_entry *a = g_hash_table_lookup(in_force, p->data);
+        const struct merged_entry *b = g_hash_table_lookup(folder, p->data);
+        const struct merged_entry *shown = b != NULL ? b : a;
 
         if (a == NULL || b == NULL || strcmp(a->raw, b->raw) != 0) {
             (void)json_array_append_new(
--- a/ctl/command_in_force.c
+++ b/ctl/command_in_force.c
@@ -1,6 +1,6 @@
 /* baobabctl in-force: shows the configuration in force, the file of each
  * value, the nodes that have applied it (holders) or not (missing), and the
- * rosters of witnesses. */
+ * witness rosters. */
 #include <inttypes.h>
 
 #include "common/registry.h"
@@ -8,8 +8,8 @@
 
 /* Prints one list of nodes, "holders" or "missing". */
 static void
-print_members(const struct bb_ctl_context *c, const json_t *response,
-              const char *list)
+print_nodes(const struct bb_ctl_context *c, const json_t *response,
+            const char *list)
 {
     const json_t *members = json_object_get(response, list);
 
@@ -41,7 +41,7 @@
     }
 }
 
-/* Prints the rosters of witnesses. */
+/* Prints the witness rosters. */
 static void
 print_rosters(const struct bb_ctl_context *c, const json_t *response)
 {
@@ -89,8 +89,8 @@
                       revision, bb_ctl_get_number(response, "version"),
                       is_confirmed ? "confirmed by a quorum" : "unconfirmed",
                       bb_ctl_get_text(response, "digest"));
-        print_members(c, response, "holders");
-        print_members(c, response, "missing");
+        print_nodes(c, response, "holders");
+        print_nodes(c, response, "missing");
         print_rosters(c, response);
         (void)fprintf(c->out, "\n%s", bb_ctl_get_text(response, "text"));
     }
--- a/ctl/command_trace.c
+++ b/ctl/command_trace.c
@@ -102,7 +102,7 @@
 
 /* Returns the gate that the last hedged copy of the request was sent to; else
  * that of the last attempt; "none" if it was not sent. The hedged copy is
- * preferred to any other attempt, also to a later retry. */
+ * preferred to any other attempt, even to a later retry. */
 static const char *
 find_last_gate(const GPtrArray *lines)
 {
--- a/ctl/ctl.h
+++ b/ctl/ctl.h
@@ -51,6 +51,8 @@
 void bb_ctl_print_error(const struct bb_ctl_context *c, const char *format,
                         ...) __attribute__((format(printf, 2, 3)));
 json_t *bb_ctl_faults_json(const struct bb_config_faults *faults);
+
+/* Folders on disk. */
 enum bb_exit bb_ctl_read_folder(const struct bb_ctl_context *c,
                                 const char *path, struct bb_folder **folder);
 
--- a/fleet/core_internal.h
+++ b/fleet/core_internal.h
@@ -49,7 +49,7 @@
 
 /* A configuration that an operator proposed. */
 struct core_proposal {
-    uint64_t config_hash;  /* bb_hash64 of it with CONFIG_HASH_SEED */
+    uint64_t config_hash;  /* bb_hash64 with CONFIG_HASH_SEED */
     uint64_t base_version; /* version that it replaces, 0: none */
     uint64_t version;
     GBytes *config;
--- a/fleet/fleet.x
+++ b/fleet/fleet.x
@@ -1,9 +1,10 @@
 /* Messages between control hosts, and between nodes and control hosts. Each is
  * sent as a length of four bytes in network byte order and one fleet_message.
  *
- * The content of an entry is one encoded fleet_replicated_state; a content ID is a 64-bit
- * hash of its bytes, 0 for none. A disk ID is a random identity that a control host stores
- * on its disk; a lost disk is replaced by one with another ID. */
+ * The content of an entry is one encoded fleet_replicated_state; a content ID
+ * is a 64-bit hash of its bytes, 0 for none. A disk ID is a random identity
+ * that a control host stores on its disk; a lost disk is replaced by one with
+ * another ID. */
 const FLEET_TEXT_MAX_BYTES = 255;
 const FLEET_HOSTS_MAX = 64;
 const FLEET_INSTANCES_MAX = 2048;
@@ -35,8 +36,8 @@
 struct fleet_hello {
     bool is_control; /* false: a node */
     fleet_host host;
-    unsigned hyper content_id;  /* ID of the content a node has, 0: none */
-    unsigned hyper commit_index; /* commit index of that content, 0: none */
+    unsigned hyper content_id;   /* of the state that a node has, 0: none */
+    unsigned hyper commit_index; /* commit index of that state, 0: none */
 };
 
 /* Instance record: an upstream and its gate (the node's proxy in front of it),
@@ -58,15 +59,15 @@
     unsigned int warmup_ms; /* remaining time until it is warm, 0: it is */
 };
 
-/* A content, compressed with zstd, possibly against another one. */
+/* An encoded state, compressed with zstd, possibly against another one. */
 struct fleet_compressed_content {
     unsigned hyper content_id;
-    unsigned hyper base_id; /* ID of the content it builds on, 0: none */
+    unsigned hyper base_id; /* content ID of the base, 0: none */
     unsigned int uncompressed_bytes;
     opaque data<FLEET_DATA_MAX_BYTES>;
 };
 
-/* The committed content, sent to a node. */
+/* The committed state, sent to a node. */
 struct fleet_update {
     unsigned hyper commit_index; /* of the entry that holds the content */
     fleet_compressed_content content;
--- a/include/admin/response_parts.h
+++ b/include/admin/response_parts.h
@@ -13,7 +13,7 @@
 
 json_t *bb_admin_in_force_json(const struct bb_bundle *b, bool is_confirmed);
 void bb_admin_in_force_add_node(json_t *in_force, const struct bb_member *m,
-                                uint64_t revision);
+                                uint64_t applied_revision);
 json_t *bb_admin_member_json(const struct bb_member *m);
 
 #endif
--- a/include/common/address.h
+++ b/include/common/address.h
@@ -8,7 +8,7 @@
 #include <stdint.h>
 #include <sys/socket.h>
 
-enum { BB_ADDRESS_TEXT_BYTES = 64 };
+enum { BB_ADDRESS_TEXT_BYTES = 64 /* with the terminating zero byte */ };
 
 struct bb_address {
     char ip[INET6_ADDRSTRLEN];
--- a/include/common/digest.h
+++ b/include/common/digest.h
@@ -6,7 +6,11 @@
 #include <stddef.h>
 #include <stdint.h>
 
-enum { BB_DIGEST_BYTES = 32, BB_DIGEST_TEXT_BYTES = 2 * BB_DIGEST_BYTES + 1 };
+enum {
+    BB_DIGEST_BYTES = 32,
+    /* In hexadecimal, with the terminating zero byte. */
+    BB_DIGEST_TEXT_BYTES = 2 * BB_DIGEST_BYTES + 1
+};
 
 struct bb_digest {
     uint8_t bytes[BB_DIGEST_BYTES];
--- a/include/common/error.h
+++ b/include/common/error.h
@@ -6,7 +6,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
-enum { BB_ERROR_MESSAGE_BYTES = 512 };
+enum { BB_ERROR_MESSAGE_BYTES = 512 /* with the terminating zero byte */ };
 
 /* Code 0 means no error. Each source folder has its own enum of codes from 1,
  * such as enum bb_net_error; codes of different enums may be equal. */
--- a/include/common/settings.h
+++ b/include/common/settings.h
@@ -12,7 +12,7 @@
 #include "common/address.h"
 #include "common/error.h"
 
-enum { BB_SETTINGS_LIST_MAX = 64 };
+enum { BB_SETTINGS_LIST_MAX = 64 /* addresses in a list */ };
 
 struct bb_address_list {
     struct bb_address items[BB_SETTINGS_LIST_MAX];
--- a/include/config/history.h
+++ b/include/config/history.h
@@ -21,8 +21,8 @@
     struct bb_digest digest; /* of the bundle that results */
     bool is_delta;
     uint64_t base_revision; /* of a delta; else 0 */
-    /* Memory of malloc, as the mesh needs it; the caller frees it with free.
-     */
+    /* Allocated with malloc, as the mesh requires; the caller frees it with
+     * free. */
     uint8_t *bytes;
     size_t size_bytes;
 };
--- a/include/config/rosters.h
+++ b/include/config/rosters.h
@@ -1,7 +1,7 @@
-/* The rosters of a revision: for each service, the hosts whose gatekeepers may
- * be witnesses, which record the claims of its idempotency keys. They are the
- * part of a bundle that the control hosts write; the folder is the operators'
- * part. */
+/* The witness rosters of a revision: for each service, the hosts whose
+ * gatekeepers may be witnesses, which record the claims of its idempotency
+ * keys. They are the part of a bundle that the control hosts write; the folder
+ * is the operators' part. */
 #ifndef BB_CONFIG_ROSTERS_H
 #define BB_CONFIG_ROSTERS_H
 
--- a/tests/common/test_event_log.c
+++ b/tests/common/test_event_log.c
@@ -1,4 +1,5 @@
-/* The event log when its reader is slow, stalled or gone; and histograms. */
+/* Guards against a process that is blocked by a slow, stalled or closed reader
+ * of the event log, and against wrong histograms. */
 #include <fcntl.h>
 #include <string.h>
 #include <unistd.h>
--- a/tests/control/test_proposal.c
+++ b/tests/control/test_proposal.c
@@ -5,9 +5,9 @@
 #include "control/proposal.h"
 #include "unit.h"
 
-/* A fake of the replication: accepts proposals against the newest revision,
- * and can accept a competing one just before. */
-struct fake_agreement {
+/* A fake bb_replicate: accepts proposals against the newest revision, and can
+ * accept a competing one just before. */
+struct fake_replication {
     struct bb_bundle_history *history;
     uint64_t revision; /* newest one accepted */
     uint64_t highest_version;
@@ -44,15 +44,16 @@
     return r;
 }
 
-/* Adds the next revision to the history; takes folder and rosters over. */
+/* Adds the next revision to the history; takes ownership of folder and
+ * rosters. */
 static void
-put_in_force(struct fake_agreement *a, struct bb_folder *folder,
+put_in_force(struct fake_replication *fake, struct bb_folder *folder,
              struct bb_rosters *rosters, uint64_t version)
 {
-    struct bb_bundle *b =
-        bb_bundle_create_with_rosters(++a->revision, version, folder, rosters);
+    struct bb_bundle *b = bb_bundle_create_with_rosters(
+        ++fake->revision, version, folder, rosters);
 
-    CU_ASSERT_TRUE(bb_bundle_history_add(a->history, b));
+    CU_ASSERT_TRUE(bb_bundle_history_add(fake->history, b));
     bb_bundle_unref(b);
 }
 
@@ -61,46 +62,46 @@
              const struct bb_digest *digest, const void *payload,
              size_t size_bytes, uint32_t timeout_ms)
 {
-    struct fake_agreement *a = context;
+    struct fake_replication *fake = context;
     struct bb_error e = {0};
     struct bb_bundle *b;
 
     (void)digest;
     (void)timeout_ms;
-    a->propose_calls++;
-    if (a->competing_text != NULL) {
-        put_in_force(a, make_folder(a->competing_text),
-                     make_rosters(a->competing_epoch), 0);
-        a->competing_text = NULL;
+    fake->propose_calls++;
+    if (fake->competing_text != NULL) {
+        put_in_force(fake, make_folder(fake->competing_text),
+                     make_rosters(fake->competing_epoch), 0);
+        fake->competing_text = NULL;
     }
-    if (version != 0 && version <= a->highest_version) {
+    if (version != 0 && version <= fake->highest_version) {
         return (struct bb_replicate_result){BB_REPLICATE_VERSION_CONFLICT,
-                                            a->revision};
+                                            fake->revision};
     }
-    if (base != a->revision) {
+    if (base != fake->revision) {
         return (struct bb_replicate_result){BB_REPLICATE_STALE_BASE,
-                                            a->revision};
+                                            fake->revision};
     }
     b = bb_bundle_decode(payload, size_bytes, &e);
     CU_ASSERT_PTR_NOT_NULL_FATAL(b);
-    put_in_force(a, bb_folder_copy(b->folder), bb_rosters_copy(b->rosters),
+    put_in_force(fake, bb_folder_copy(b->folder), bb_rosters_copy(b->rosters),
                  b->version);
-    a->highest_version = version;
+    fake->highest_version = version;
     bb_bundle_unref(b);
-    if (a->loses_response) {
-        a->loses_response = false;
+    if (fake->loses_response) {
+        fake->loses_response = false;
         return (struct bb_replicate_result){BB_REPLICATE_NO_QUORUM, 0};
     }
-    return (struct bb_replicate_result){BB_REPLICATE_ACCEPTED, a->revision};
+    return (struct bb_replicate_result){BB_REPLICATE_ACCEPTED, fake->revision};
 }
 
 /* Submits a folder with one file. */
 static struct bb_replicate_result
-submit(struct fake_agreement *a, const char *text, uint64_t version,
+submit(struct fake_replication *fake, const char *text, uint64_t version,
        uint64_t base)
 {
     const struct bb_proposal_target t = {
-        .history = a->history, .context = a, .propose = fake_propose};
+        .history = fake->history, .context = fake, .propose = fake_propose};
     struct bb_folder *f = make_folder(text);
     struct bb_replicate_result r =
         bb_proposal_submit_folder(&t, f, version, base);
@@ -111,9 +112,9 @@
 
 /* Returns the epoch of the roster in force, 0 without one. */
 static uint64_t
-epoch_in_force(struct fake_agreement *a)
+epoch_in_force(struct fake_replication *fake)
 {
-    struct bb_bundle *b = bb_bundle_history_newest(a->history);
+    struct bb_bundle *b = bb_bundle_history_newest(fake->history);
     const struct bb_service_roster *r = bb_rosters_find(b->rosters, "s");
     uint64_t epoch = r == NULL ? 0 : r->epoch;
 
@@ -123,11 +124,11 @@
 
 /* Sets up revision 1: folder "old", version 1, no roster. */
 static void
-start_with_revision_1(struct fake_agreement *a)
+start_with_revision_1(struct fake_replication *fake)
 {
-    *a = (struct fake_agreement){.history = bb_bundle_history_create(),
-                                 .highest_version = 1};
-    put_in_force(a, make_folder("old\n"), make_rosters(0), 1);
+    *fake = (struct fake_replication){.history = bb_bundle_history_create(),
+                                      .highest_version = 1};
+    put_in_force(fake, make_folder("old\n"), make_rosters(0), 1);
 }
 
 /* Guards against an operators' change that is refused because the base is
@@ -135,24 +136,24 @@
 static void
 test_roster_change_does_not_refuse_an_operators_change(void)
 {
-    struct fake_agreement a;
+    struct fake_replication fake;
     struct bb_replicate_result r;
 
-    start_with_revision_1(&a);
-    a.competing_text = "old\n";
-    a.competing_epoch = 2;
-    r = submit(&a, "new\n", 2, 1);
+    start_with_revision_1(&fake);
+    fake.competing_text = "old\n";
+    fake.competing_epoch = 2;
+    r = submit(&fake, "new\n", 2, 1);
     CU_ASSERT_EQUAL(r.outcome, BB_REPLICATE_ACCEPTED);
     CU_ASSERT_EQUAL(r.revision, 3);
-    CU_ASSERT_EQUAL(a.propose_calls, 2);
-    CU_ASSERT_EQUAL(epoch_in_force(&a), 2);
+    CU_ASSERT_EQUAL(fake.propose_calls, 2);
+    CU_ASSERT_EQUAL(epoch_in_force(&fake), 2);
     /* The roster change is known before: the first attempt succeeds. */
-    put_in_force(&a, make_folder("new\n"), make_rosters(4), 2);
-    r = submit(&a, "newer\n", 3, 3);
+    put_in_force(&fake, make_folder("new\n"), make_rosters(4), 2);
+    r = submit(&fake, "newer\n", 3, 3);
     CU_ASSERT_EQUAL(r.outcome, BB_REPLICATE_ACCEPTED);
-    CU_ASSERT_EQUAL(a.propose_calls, 3);
-    CU_ASSERT_EQUAL(epoch_in_force(&a), 4);
-    bb_bundle_history_destroy(a.history);
+    CU_ASSERT_EQUAL(fake.propose_calls, 3);
+    CU_ASSERT_EQUAL(epoch_in_force(&fake), 4);
+    bb_bundle_history_destroy(fake.history);
 }
 
 /* Guards against operators' files that are overwritten by a proposal based on
@@ -160,20 +161,20 @@
 static void
 test_operators_changes_still_conflict(void)
 {
-    struct fake_agreement a;
+    struct fake_replication fake;
     struct bb_replicate_result r;
 
-    start_with_revision_1(&a);
-    a.competing_text = "other\n";
-    a.competing_epoch = 2;
-    r = submit(&a, "new\n", 2, 1);
+    start_with_revision_1(&fake);
+    fake.competing_text = "other\n";
+    fake.competing_epoch = 2;
+    r = submit(&fake, "new\n", 2, 1);
     CU_ASSERT_EQUAL(r.outcome, BB_REPLICATE_STALE_BASE);
     CU_ASSERT_EQUAL(r.revision, 2);
-    r = submit(&a, "new\n", 1, 1);
+    r = submit(&fake, "new\n", 1, 1);
     CU_ASSERT_EQUAL(r.outcome, BB_REPLICATE_VERSION_CONFLICT);
-    CU_ASSERT_EQUAL(a.revision, 2);
-    CU_ASSERT_EQUAL(epoch_in_force(&a), 2);
-    bb_bundle_history_destroy(a.history);
+    CU_ASSERT_EQUAL(fake.revision, 2);
+    CU_ASSERT_EQUAL(epoch_in_force(&fake), 2);
+    bb_bundle_history_destroy(fake.history);
 }
 
 /* Guards against a resend that conflicts with its own accepted proposal
@@ -181,24 +182,24 @@
 static void
 test_resend_after_a_lost_response_is_accepted(void)
 {
-    struct fake_agreement a;
+    struct fake_replication fake;
     struct bb_replicate_result r;
 
-    start_with_revision_1(&a);
-    a.loses_response = true;
-    r = submit(&a, "new\n", 2, 1);
+    start_with_revision_1(&fake);
+    fake.loses_response = true;
+    r = submit(&fake, "new\n", 2, 1);
     CU_ASSERT_EQUAL(r.outcome, BB_REPLICATE_NO_QUORUM);
-    put_in_force(&a, make_folder("new\n"), make_rosters(3), 2);
-    r = submit(&a, "new\n", 2, 1);
+    put_in_force(&fake, make_folder("new\n"), make_rosters(3), 2);
+    r = submit(&fake, "new\n", 2, 1);
     CU_ASSERT_EQUAL(r.outcome, BB_REPLICATE_ACCEPTED);
     CU_ASSERT_EQUAL(r.revision, 2);
-    CU_ASSERT_EQUAL(a.revision, 3);
-    put_in_force(&a, make_folder("later\n"), make_rosters(3), 3);
-    r = submit(&a, "new\n", 2, 1);
+    CU_ASSERT_EQUAL(fake.revision, 3);
+    put_in_force(&fake, make_folder("later\n"), make_rosters(3), 3);
+    r = submit(&fake, "new\n", 2, 1);
     CU_ASSERT_EQUAL(r.outcome, BB_REPLICATE_ACCEPTED);
     CU_ASSERT_EQUAL(r.revision, 2);
-    CU_ASSERT_EQUAL(a.propose_calls, 1);
-    bb_bundle_history_destroy(a.history);
+    CU_ASSERT_EQUAL(fake.propose_calls, 1);
+    bb_bundle_history_destroy(fake.history);
 }
 
 /* Guards against a host that is behind and would remove the rosters of a base
@@ -206,14 +207,14 @@
 static void
 test_a_base_that_is_not_held_is_not_proposed_against(void)
 {
-    struct fake_agreement a;
+    struct fake_replication fake;
     struct bb_replicate_result r;
 
-    start_with_revision_1(&a);
-    r = submit(&a, "new\n", 2, 5);
+    start_with_revision_1(&fake);
+    r = submit(&fake, "new\n", 2, 5);
     CU_ASSERT_EQUAL(r.outcome, BB_REPLICATE_NO_QUORUM);
-    CU_ASSERT_EQUAL(a.propose_calls, 0);
-    bb_bundle_history_destroy(a.history);
+    CU_ASSERT_EQUAL(fake.propose_calls, 0);
+    bb_bundle_history_destroy(fake.history);
 }
 
 static const struct bb_unit_test tests[] = {
--- a/tests/control/test_replicate.c
+++ b/tests/control/test_replicate.c
@@ -1,6 +1,7 @@
-/* Tests the replication with several control hosts in one process. A fake
- * transport calls the other instances directly and can disconnect hosts; the
- * last test uses a real RPC server. */
+/* Guards against losing or reordering accepted revisions when control hosts
+ * stop, are isolated or lose their disks. Several hosts run in one process. A
+ * fake transport calls the other instances directly and can disconnect hosts;
+ * the last test uses a real RPC server. */
 #include <errno.h>
 #include <glib.h>
 #include <glib/gstdio.h>
@@ -29,8 +30,8 @@
     atomic_bool is_disconnected;
     bool uses_full_disk_files;
     atomic_uint delivered_revision; /* last revision passed to the callback */
-    atomic_uint count;              /* calls of the callback since the start */
-    atomic_bool has_order_error;
+    atomic_uint delivery_count;     /* calls of the callback since the start */
+    atomic_bool has_delivery_error; /* wrong order or digest */
 };
 
 static struct bb_replicate_host peers[HOSTS];
@@ -100,10 +101,10 @@
     (void)version;
     if (revision <= h->delivered_revision ||
         !bb_digest_equal(&found, digest)) {
-        h->has_order_error = true;
+        h->has_delivery_error = true;
     }
     h->delivered_revision = (unsigned)revision;
-    h->count++;
+    h->delivery_count++;
 }
 
 static ssize_t
@@ -162,7 +163,7 @@
     (void)pthread_rwlock_unlock(&lock);
     bb_replicate_destroy(r);
     hosts[i].delivered_revision = 0;
-    hosts[i].count = 0;
+    hosts[i].delivery_count = 0;
 }
 
 /* Removes a host's data folder with its content. */
@@ -275,7 +276,7 @@
 stop_hosts(void)
 {
     for (uint32_t i = 0; i < host_count; i++) {
-        CU_ASSERT_FALSE(hosts[i].has_order_error);
+        CU_ASSERT_FALSE(hosts[i].has_delivery_error);
         stop_host(i);
         remove_folder(hosts[i].folder);
     }
@@ -346,8 +347,9 @@
      * none twice. */
     for (uint32_t i = 0; i < 3; i++) {
         CU_ASSERT_EQUAL(hosts[i].delivered_revision, 3);
-        CU_ASSERT_TRUE(hosts[i].count >= 1 && hosts[i].count <= 3);
-        CU_ASSERT_FALSE(hosts[i].has_order_error);
+        CU_ASSERT_TRUE(hosts[i].delivery_count >= 1 &&
+                       hosts[i].delivery_count <= 3);
+        CU_ASSERT_FALSE(hosts[i].has_delivery_error);
     }
     stop_hosts();
 }
@@ -392,7 +394,7 @@
     stop_hosts();
 }
 
-/* Guards against more than one copy of a payload on the paid link between
+/* Guards against more than one copy of a payload on the metered link between
  * regions. */
 static void
 test_one_copy_between_regions(void)
@@ -423,22 +425,23 @@
 test_isolated_leader(void)
 {
     struct bb_replicate_status s;
-    uint32_t old;
+    uint32_t old_leader;
 
     start_hosts(3, 3);
-    old = (uint32_t)find_leader();
-    hosts[old].is_disconnected = true;
-    check_result(propose(old, 0, 0, 1, 1000, 1500), BB_REPLICATE_NO_QUORUM, 0);
+    old_leader = (uint32_t)find_leader();
+    hosts[old_leader].is_disconnected = true;
+    check_result(propose(old_leader, 0, 0, 1, 1000, 1500),
+                 BB_REPLICATE_NO_QUORUM, 0);
     bb_clock_sleep_us(500 * BB_US_PER_MS);
-    bb_replicate_status(hosts[old].r, &s);
+    bb_replicate_status(hosts[old_leader].r, &s);
     CU_ASSERT_FALSE(s.has_recent_quorum);
     CU_ASSERT_NOT_EQUAL(s.role, BB_AGREE_LEADER);
     check_result(
         propose((uint32_t)wait_for_leader(), 0, 0, 2, 1000, PROPOSE_MS),
         BB_REPLICATE_ACCEPTED, 1);
-    hosts[old].is_disconnected = false;
+    hosts[old_leader].is_disconnected = false;
     CU_ASSERT_TRUE(wait_for_revision(1));
-    check_result(propose(old, 0, 0, 1, 1000, PROPOSE_MS),
+    check_result(propose(old_leader, 0, 0, 1, 1000, PROPOSE_MS),
                  BB_REPLICATE_STALE_BASE, 1);
     stop_hosts();
 }
--- a/tests/control/test_roster_plan.c
+++ b/tests/control/test_roster_plan.c
@@ -19,7 +19,7 @@
 static uint64_t now_us;
 
 /* Creates the next revision from the folder above and rosters, which it takes
- * over, and applies it on all reachable nodes. */
+ * ownership of, and applies it on all reachable nodes. */
 static void
 set_in_force(struct bb_rosters *rosters)
 {
@@ -121,7 +121,7 @@
 
 /* Guards against removing the previous list while two unreachable or dead
  * hosts may still use it, and against keeping it after one of the two has left
- * orderly. */
+ * the mesh in an orderly way. */
 static void
 test_change_settles_once_the_hosts_have_adopted_it(void)
 {
--- a/tests/control/test_source_watch.c
+++ b/tests/control/test_source_watch.c
@@ -9,7 +9,7 @@
 #include "common/clock.h"
 #include "control/source_watch.h"
 
-/* A header of the control layer's sources. */
+/* Internal header of control/, for bb_source_state_load. */
 #include "../../control/source_files.h"
 
 enum { WAIT_MS = 5000, POLL_MS = 10, NO_PROPOSAL_WAIT_MS = 1000 };
--- a/tests/control/test_store.c
+++ b/tests/control/test_store.c
@@ -1,5 +1,5 @@
-/* Tests the store with torn logs, damaged bytes, full disks and failing
- * syncs. */
+/* Guards against a host that votes on state that a crash or a failing disk has
+ * damaged: torn logs, damaged bytes, full disks and failing syncs. */
 #include <errno.h>
 #include <glib.h>
 #include <glib/gstdio.h>
@@ -18,7 +18,7 @@
 /* Faults of the fake file operations. */
 static int write_errno;
 static int sync_errno;
-static size_t write_limit; /* most bytes that one write accepts; 0: all */
+static size_t write_limit; /* maximum bytes of one write; 0: no limit */
 static uint32_t write_and_sync_calls;
 
 static ssize_t
--- a/tests/fleet/test_fleet.c
+++ b/tests/fleet/test_fleet.c
@@ -1,5 +1,6 @@
-/* Control hosts and agents of nodes in one process, on loopback addresses and
- * with files in a temporary folder. */
+/* Guards against accepted configurations that are lost, and nodes that miss
+ * one, when control hosts fail. Control hosts and agents of nodes run in one
+ * process, on loopback addresses and with files in a temporary folder. */
 #include <fcntl.h>
 #include <signal.h>
 #include <stdio.h>
@@ -185,11 +186,11 @@
 on_proposal_done(void *context, enum bb_core_proposal_outcome outcome,
                  uint64_t newest)
 {
-    struct operation_result *a = context;
+    struct operation_result *result = context;
 
-    a->is_done = true;
-    a->outcome = outcome;
-    a->newest = newest;
+    result->is_done = true;
+    result->outcome = outcome;
+    result->newest = newest;
 }
 
 /* Proposes a configuration to the leader, up to 20 times, until it is accepted
@@ -198,25 +199,25 @@
 propose_until_decided(struct cluster *c, uint64_t base, uint64_t version,
                       const char *text)
 {
-    struct operation_result a = {0};
+    struct operation_result result = {0};
 
     for (uint32_t i = 0; i < 20; i++) {
         int32_t leader = find_leader(c, 5000);
         GBytes *raw = g_bytes_new(text, strlen(text));
 
-        a = (struct operation_result){0};
+        result = (struct operation_result){0};
         if (leader >= 0) {
             bb_core_propose(c->cores[leader], base, version, raw,
-                            on_proposal_done, &a);
-            (void)run_loop(c, &a.is_done, 4000);
-            if (!a.is_done) {
-                bb_core_cancel_requests(c->cores[leader], &a);
+                            on_proposal_done, &result);
+            (void)run_loop(c, &result.is_done, 4000);
+            if (!result.is_done) {
+                bb_core_cancel_requests(c->cores[leader], &result);
             }
         }
         g_bytes_unref(raw);
-        if (a.is_done && (a.outcome == BB_CORE_PROPOSAL_ACCEPTED ||
-                          a.outcome == BB_CORE_PROPOSAL_STALE)) {
-            return a.outcome;
+        if (result.is_done && (result.outcome == BB_CORE_PROPOSAL_ACCEPTED ||
+                               result.outcome == BB_CORE_PROPOSAL_STALE)) {
+            return result.outcome;
         }
         run_loop(c, NULL, 100);
     }
@@ -226,28 +227,29 @@
 static void
 on_read_done(void *context, bool is_confirmed, GBytes *raw)
 {
-    struct operation_result *a = context;
+    struct operation_result *result = context;
     gsize size = 0;
     const char *text = raw != NULL ? g_bytes_get_data(raw, &size) : "";
 
-    a->is_done = true;
-    a->is_confirmed = is_confirmed;
-    (void)g_snprintf(a->text, sizeof(a->text), "%.*s", (int)size, text);
+    result->is_done = true;
+    result->is_confirmed = is_confirmed;
+    (void)g_snprintf(result->text, sizeof(result->text), "%.*s", (int)size,
+                     text);
 }
 
 /* Reads from the leader, up to 20 times, until a majority confirms it. */
 static void
-read_until_confirmed(struct cluster *c, struct operation_result *a)
+read_until_confirmed(struct cluster *c, struct operation_result *result)
 {
     for (uint32_t i = 0; i < 20; i++) {
         int32_t leader = find_leader(c, 5000);
 
-        *a = (struct operation_result){0};
+        *result = (struct operation_result){0};
         if (leader >= 0) {
-            bb_core_read_config(c->cores[leader], on_read_done, a);
-            (void)run_loop(c, &a->is_done, 2000);
+            bb_core_read_config(c->cores[leader], on_read_done, result);
+            (void)run_loop(c, &result->is_done, 2000);
         }
-        if (a->is_confirmed) {
+        if (result->is_confirmed) {
             return;
         }
         run_loop(c, NULL, 100);
@@ -261,7 +263,7 @@
 test_proposals(void)
 {
     struct cluster c;
-    struct operation_result a;
+    struct operation_result result;
 
     create_cluster(&c, HOSTS);
     CU_ASSERT_EQUAL(propose_until_decided(&c, 0, 5, "first"),
@@ -278,9 +280,9 @@
                     BB_CORE_PROPOSAL_STALE);
     CU_ASSERT_EQUAL(propose_until_decided(&c, 0, 5, "first"),
                     BB_CORE_PROPOSAL_ACCEPTED);
-    read_until_confirmed(&c, &a);
-    CU_ASSERT_TRUE(a.is_confirmed);
-    CU_ASSERT_STRING_EQUAL(a.text, "second");
+    read_until_confirmed(&c, &result);
+    CU_ASSERT_TRUE(result.is_confirmed);
+    CU_ASSERT_STRING_EQUAL(result.text, "second");
     destroy_cluster(&c);
 }
 
@@ -290,7 +292,7 @@
 test_concurrent_proposals(void)
 {
     struct cluster c;
-    struct operation_result a[2] = {{0}, {0}};
+    struct operation_result results[2] = {{0}, {0}};
     GBytes *raw[2] = {g_bytes_new("left", 4), g_bytes_new("right", 5)};
     int32_t leader;
 
@@ -301,13 +303,13 @@
     CU_ASSERT_TRUE_FATAL(leader >= 0);
     for (uint32_t i = 0; i < 2; i++) {
         bb_core_propose(c.cores[leader], 1, 2, raw[i], on_proposal_done,
-                        &a[i]);
+                        &results[i]);
         g_bytes_unref(raw[i]);
     }
-    (void)run_loop(&c, &a[0].is_done, 3000);
-    (void)run_loop(&c, &a[1].is_done, 3000);
-    CU_ASSERT_EQUAL(a[0].outcome, BB_CORE_PROPOSAL_ACCEPTED);
-    CU_ASSERT_EQUAL(a[1].outcome, BB_CORE_PROPOSAL_STALE);
+    (void)run_loop(&c, &results[0].is_done, 3000);
+    (void)run_loop(&c, &results[1].is_done, 3000);
+    CU_ASSERT_EQUAL(results[0].outcome, BB_CORE_PROPOSAL_ACCEPTED);
+    CU_ASSERT_EQUAL(results[1].outcome, BB_CORE_PROPOSAL_STALE);
     destroy_cluster(&c);
 }
 
@@ -317,7 +319,7 @@
 test_restarts(void)
 {
     struct cluster c;
-    struct operation_result a;
+    struct operation_result result;
     int32_t leader;
 
     create_cluster(&c, HOSTS);
@@ -329,15 +331,15 @@
     for (uint32_t i = 0; i < HOSTS; i++) {
         start_core(&c, i, false);
     }
-    read_until_confirmed(&c, &a);
-    CU_ASSERT_STRING_EQUAL(a.text, "first");
+    read_until_confirmed(&c, &result);
+    CU_ASSERT_STRING_EQUAL(result.text, "first");
     CU_ASSERT_EQUAL(propose_until_decided(&c, 1, 2, "second"),
                     BB_CORE_PROPOSAL_ACCEPTED);
     leader = find_leader(&c, 5000);
     CU_ASSERT_TRUE_FATAL(leader >= 0);
     stop_core(&c, (uint32_t)leader);
-    read_until_confirmed(&c, &a);
-    CU_ASSERT_STRING_EQUAL(a.text, "second");
+    read_until_confirmed(&c, &result);
+    CU_ASSERT_STRING_EQUAL(result.text, "second");
     destroy_cluster(&c);
 }
 
@@ -347,7 +349,7 @@
 test_lost_disks(void)
 {
     struct cluster c;
-    struct operation_result a;
+    struct operation_result result;
     char text[16];
 
     create_cluster(&c, HOSTS);
@@ -362,8 +364,8 @@
                         BB_CORE_PROPOSAL_ACCEPTED);
         run_loop(&c, NULL, 1500);
     }
-    read_until_confirmed(&c, &a);
-    CU_ASSERT_STRING_EQUAL(a.text, "v4");
+    read_until_confirmed(&c, &result);
+    CU_ASSERT_STRING_EQUAL(result.text, "v4");
     destroy_cluster(&c);
 }
 
@@ -373,7 +375,7 @@
 test_minority(void)
 {
     struct cluster c;
-    struct operation_result a = {0};
+    struct operation_result result = {0};
     int32_t leader;
     GBytes *raw = g_bytes_new("lone", 4);
 
@@ -387,15 +389,15 @@
             stop_core(&c, i);
         }
     }
-    bb_core_propose(c.cores[leader], 1, 2, raw, on_proposal_done, &a);
+    bb_core_propose(c.cores[leader], 1, 2, raw, on_proposal_done, &result);
     g_bytes_unref(raw);
-    CU_ASSERT_TRUE(run_loop(&c, &a.is_done, 5000));
-    CU_ASSERT_NOT_EQUAL(a.outcome, BB_CORE_PROPOSAL_ACCEPTED);
-    CU_ASSERT_NOT_EQUAL(a.outcome, BB_CORE_PROPOSAL_STALE);
-    a = (struct operation_result){0};
-    bb_core_read_config(c.cores[leader], on_read_done, &a);
-    CU_ASSERT_TRUE(run_loop(&c, &a.is_done, 3000));
-    CU_ASSERT_FALSE(a.is_confirmed);
+    CU_ASSERT_TRUE(run_loop(&c, &result.is_done, 5000));
+    CU_ASSERT_NOT_EQUAL(result.outcome, BB_CORE_PROPOSAL_ACCEPTED);
+    CU_ASSERT_NOT_EQUAL(result.outcome, BB_CORE_PROPOSAL_STALE);
+    result = (struct operation_result){0};
+    bb_core_read_config(c.cores[leader], on_read_done, &result);
+    CU_ASSERT_TRUE(run_loop(&c, &result.is_done, 3000));
+    CU_ASSERT_FALSE(result.is_confirmed);
     destroy_cluster(&c);
 }
 
