control, config, ctl and tests: a few more comments in plain wording

Some comments were left with a content, an id for a host name, asked for and repeated; config/rosters.c had no comment at its head.

--- a/config/rosters.c
+++ b/config/rosters.c
@@ -1,3 +1,5 @@
+/* Sets of witness rosters in memory: their limits, look-up, comparison and
+ * digest. */
 #include "config/rosters.h"
 
 #include <glib.h>
--- a/ctl/command_explain.c
+++ b/ctl/command_explain.c
@@ -45,7 +45,7 @@
 }
 
 /* Returns the routes of a path for all methods that have one, as a list of
- * {"method", "route"}: a hint if the method asked for has none. */
+ * {"method", "route"}: a hint if the requested method has none. */
 static json_t *
 list_routes_by_method(const struct bb_config *config, const char *path)
 {
--- a/ctl/command_in_force.c
+++ b/ctl/command_in_force.c
@@ -24,9 +24,8 @@
     }
 }
 
-/* Prints the names of a list of hosts after a label; nothing for an empty
- * list.
- */
+/* Prints the names of a list of hosts after a label; nothing if it is
+ * empty. */
 static void
 print_hosts(const struct bb_ctl_context *c, const char *label,
             const json_t *hosts)
--- a/fleet/core_peers.c
+++ b/fleet/core_peers.c
@@ -12,7 +12,7 @@
 BB_GAUGE(hosts_gauge, "baobab_core_hosts",
          "Other control hosts that are connected");
 
-/* A content that is not acknowledged within this time is sent again. */
+/* An encoded state that is not acknowledged within this time is sent again. */
 enum { CONTENT_RESEND_MS = 1500 };
 
 static void on_message(void *context, struct bb_fleet_connection *f,
--- a/include/common/event_log.h
+++ b/include/common/event_log.h
@@ -13,9 +13,9 @@
 enum {
     BB_EVENT_LOG_RING_BYTES = 128 * 1024,
     /* Rate limit, as a token bucket that holds BB_EVENT_LOG_BURST_S seconds;
-     * log.dropped lines are not counted. The limit allows a process up to 2.6
-     * MB in a minute: 64 s (a minute and the burst) at 40 KiB/s. The target is
-     * 2 MB per host and minute under full load, so it can be exceeded. */
+     * log.dropped lines do not count. The target is at most 2 MB of log per
+     * host in a minute under full load; these constants allow each process 2.6
+     * MB: 64 s (a minute and the burst) at 40 KiB/s. */
     BB_EVENT_LOG_BYTES_PER_S = 40 * 1024,
     BB_EVENT_LOG_BURST_S = 4,
     /* Part of the ring and of the token bucket that only failures may use. */
--- a/include/config/config.h
+++ b/include/config/config.h
@@ -93,7 +93,7 @@
     /* Gatekeepers of a service that may be ejected as outliers at the same
      * time, in percent of all of them; 0: none. */
     uint32_t max_ejected_percent;
-    /* Byte rate for calls to other regions; 0: none may go there. */
+    /* Byte rate for calls to other regions; 0: no such calls. */
     uint64_t link_bytes_per_s;
 };
 
--- a/include/fleet/frame.h
+++ b/include/fleet/frame.h
@@ -7,7 +7,7 @@
 #include "fleet.h"
 #include "net/stream.h"
 
-/* Longest encoded message, in bytes: more than one with a content of
+/* Longest encoded message, in bytes: more than one with an encoded state of
  * FLEET_DATA_MAX_BYTES. A longer one is not sent; receiving its length closes
  * the connection. */
 enum { BB_FLEET_MESSAGE_MAX_BYTES = 24 * 1024 * 1024 };
--- a/tests/config/test_bundle.c
+++ b/tests/config/test_bundle.c
@@ -213,8 +213,8 @@
 }
 
 /* Writes a matching hash, so that the checks after that of the hash run. The
- * format is repeated here on purpose: a header of 16 bytes, of which the last
- * 8 are the hash, and HASH_SEED of bundle_codec.c. */
+ * format is duplicated here on purpose: a header of 16 bytes, of which the
+ * last 8 are the hash, and HASH_SEED of bundle_codec.c. */
 static void
 repair_hash(uint8_t *bytes, size_t size)
 {
--- a/tests/control/test_replicate.c
+++ b/tests/control/test_replicate.c
@@ -42,11 +42,11 @@
                                             from another region */
 static atomic_bool disk_is_full;
 
-/* Returns the host with an id, which is "h" and its index. */
+/* Returns the host with a name, which is "h" and its index. */
 static struct host *
-find_host(const char *id)
+find_host(const char *name)
 {
-    return &hosts[id[1] - '0'];
+    return &hosts[name[1] - '0'];
 }
 
 /* Calls the other instance and counts payload bytes; the context is the
