--- a/config/section_configuration.c
+++ b/config/section_configuration.c
@@ -11,7 +11,7 @@
 
 static const struct bb_key_spec limits_keys[] = {
     {.name = "max-depth", .default_text = "16", .min = 1, .max = 64},
-    /* 4 GiB; the largest transfers are photo archives of 1 GB. */
+    /* 4 GiB; the largest known transfer is a photo archive of 1 GB. */
     {.name = "max-body-bytes",
      .default_text = "4294967296",
      .min = 1024,
