decide: name identifiers by what they are

Three enums of admission shared one prefix, the two sizes of the consensus module were called window and revisions, and an estimated load was called occupied slots.

States, classes and decisions of admission get prefixes of their own; BB_AGREE_LOG_ENTRIES, BB_AGREE_HISTORY_CONFIGS, bb_route_candidate_estimate_load, BB_VOTERS_CANDIDATES_MAX, BB_ROUTE_WEIGHT_*_PERMILLE, latency_log_us and needs_both_lists replace the old names; estimate.h and .c become duration_stats.h and .c, after the only type they hold. Tests say fault for what they inject.

--- a/decide/admission.c
+++ b/decide/admission.c
@@ -19,7 +19,7 @@
 }
 
 /* Initialises an empty state. Nothing is admitted until limits are configured
- * and the state is BB_ADMISSION_READY. */
+ * and the state is BB_ADMISSION_STATE_READY. */
 void
 bb_admission_init(struct bb_admission *a)
 {
@@ -45,13 +45,15 @@
 }
 
 /* Sets the state that the upstream announced. Slow start begins when it
- * becomes ready after BB_ADMISSION_NONE or BB_ADMISSION_STARTING. */
+ * becomes ready after BB_ADMISSION_STATE_NONE or BB_ADMISSION_STATE_STARTING.
+ */
 void
 bb_admission_set_state(struct bb_admission *a, enum bb_admission_state state,
                        uint64_t now_us)
 {
-    if (state == BB_ADMISSION_READY &&
-        (a->state == BB_ADMISSION_NONE || a->state == BB_ADMISSION_STARTING)) {
+    if (state == BB_ADMISSION_STATE_READY &&
+        (a->state == BB_ADMISSION_STATE_NONE ||
+         a->state == BB_ADMISSION_STATE_STARTING)) {
         a->ready_since_us = now_us;
     }
     a->state = state;
@@ -83,14 +85,14 @@
         return BB_REASON_SHUTTING_DOWN;
     }
     switch (a->state) {
-    case BB_ADMISSION_NONE:
+    case BB_ADMISSION_STATE_NONE:
         return BB_REASON_NO_UPSTREAM;
-    case BB_ADMISSION_STARTING:
+    case BB_ADMISSION_STATE_STARTING:
         return BB_REASON_UPSTREAM_STARTING;
-    case BB_ADMISSION_DRAINING:
-    case BB_ADMISSION_LEAVING:
+    case BB_ADMISSION_STATE_DRAINING:
+    case BB_ADMISSION_STATE_LEAVING:
         return BB_REASON_UPSTREAM_DRAINING;
-    case BB_ADMISSION_READY:
+    case BB_ADMISSION_STATE_READY:
         break;
     }
     return now_us < a->shed_until_us ? BB_REASON_UPSTREAM_SHEDDING
@@ -148,8 +150,8 @@
     if (wait_us > max_wait_us && ahead > 0 &&
         bb_admission_expected_wait_us(a, c, work_class, ahead - 1) <=
             max_wait_us &&
-        bb_admission_evict_infeasible(a, c, work_class == BB_ADMISSION_LONG,
-                                      now_us)) {
+        bb_admission_evict_infeasible(
+            a, c, work_class == BB_ADMISSION_CLASS_LONG, now_us)) {
         wait_us = bb_admission_request_wait_us(a, c, r);
     }
     return wait_us;
@@ -162,7 +164,7 @@
                   const struct bb_admission_capacity *c,
                   const struct bb_admission_request *r, uint64_t now_us)
 {
-    struct bb_admission_decision d = {.kind = BB_ADMISSION_REFUSE};
+    struct bb_admission_decision d = {.kind = BB_ADMISSION_DECISION_REFUSE};
     uint64_t max_wait_us = bb_admission_max_wait_us(a, r->work_class);
     uint64_t max_feasible_us = bb_admission_max_feasible_wait_us(a, r, now_us);
     uint64_t wait_us = estimate_wait_after_eviction_us(
@@ -180,7 +182,7 @@
         return d;
     }
     bb_admission_enqueue(a, r);
-    d.kind = BB_ADMISSION_QUEUE;
+    d.kind = BB_ADMISSION_DECISION_QUEUE;
     return d;
 }
 
@@ -233,7 +235,7 @@
 bb_admission_arrive(struct bb_admission *a,
                     const struct bb_admission_request *r, uint64_t now_us)
 {
-    struct bb_admission_decision d = {.kind = BB_ADMISSION_REFUSE};
+    struct bb_admission_decision d = {.kind = BB_ADMISSION_DECISION_REFUSE};
     struct bb_admission_capacity c = bb_admission_capacity(a, now_us);
 
     d.reason = closed_reason(a, now_us);
@@ -256,11 +258,11 @@
         a->queued_count - a->evicted_count < a->limits.queue_length &&
         a->queued_count < BB_ADMISSION_QUEUE_MAX) {
         bb_admission_enqueue(a, r);
-        d.kind = BB_ADMISSION_QUEUE;
+        d.kind = BB_ADMISSION_DECISION_QUEUE;
         return d;
     }
     add_running(a, r, now_us);
-    d.kind = BB_ADMISSION_RUN;
+    d.kind = BB_ADMISSION_DECISION_RUN;
     return d;
 }
 
@@ -310,7 +312,7 @@
     if (r.team < BB_ADMISSION_TEAMS_MAX) {
         a->team_running[r.team]--;
     }
-    if (is_success && r.work_class == BB_ADMISSION_SHORT &&
+    if (is_success && r.work_class == BB_ADMISSION_CLASS_SHORT &&
         duration_us < bb_admission_slow_threshold_us(a)) {
         a->last_normal_us = now_us;
         a->is_slow = a->is_slow && r.start_us < a->slow_since_us;
@@ -342,7 +344,7 @@
 {
     *out = (struct bb_admission_action){
         .id = a->queue[position].request.id,
-        .decision = {.kind = BB_ADMISSION_REFUSE, .reason = reason}};
+        .decision = {.kind = BB_ADMISSION_DECISION_REFUSE, .reason = reason}};
     bb_admission_remove_queued(a, position);
 }
 
@@ -455,7 +457,7 @@
     if (position < a->queued_count) {
         *out = (struct bb_admission_action){
             .id = a->queue[position].request.id,
-            .decision = {.kind = BB_ADMISSION_RUN}};
+            .decision = {.kind = BB_ADMISSION_DECISION_RUN}};
         add_running(a, &a->queue[position].request, now_us);
         bb_admission_remove_queued(a, position);
         return true;
@@ -505,8 +507,8 @@
 
     if (l.running >= l.slots) {
         l.wait_us = bb_admission_expected_wait_us(
-            a, &c, BB_ADMISSION_SHORT,
-            bb_admission_count_ahead(a, BB_ADMISSION_SHORT, UINT64_MAX));
+            a, &c, BB_ADMISSION_CLASS_SHORT,
+            bb_admission_count_ahead(a, BB_ADMISSION_CLASS_SHORT, UINT64_MAX));
     }
     return l;
 }
--- a/decide/admission_capacity.c
+++ b/decide/admission_capacity.c
@@ -49,7 +49,7 @@
 static bool
 is_accepting_work(const struct bb_admission *a, uint64_t now_us)
 {
-    return a->state == BB_ADMISSION_READY && !a->is_stopping &&
+    return a->state == BB_ADMISSION_STATE_READY && !a->is_stopping &&
            now_us >= a->shed_until_us;
 }
 
@@ -97,7 +97,8 @@
 uint64_t
 bb_admission_overlong_threshold_us(const struct bb_admission *a)
 {
-    const struct bb_duration_stats *e = &a->durations[BB_ADMISSION_SHORT];
+    const struct bb_duration_stats *e =
+        &a->durations[BB_ADMISSION_CLASS_SHORT];
     uint64_t us = OVERLONG_FACTOR * bb_duration_stats_median_us(e, 0);
 
     if (e->total == 0) {
@@ -111,7 +112,8 @@
 uint64_t
 bb_admission_slow_threshold_us(const struct bb_admission *a)
 {
-    const struct bb_duration_stats *e = &a->durations[BB_ADMISSION_SHORT];
+    const struct bb_duration_stats *e =
+        &a->durations[BB_ADMISSION_CLASS_SHORT];
     uint64_t us = SLOW_FACTOR * bb_duration_stats_median_us(e, 0);
 
     if (e->total == 0) {
@@ -133,7 +135,7 @@
     for (uint32_t i = 0; i < a->running_count; i++) {
         const struct bb_admission_running *r = &a->running[i];
 
-        if (r->work_class == BB_ADMISSION_SHORT) {
+        if (r->work_class == BB_ADMISSION_CLASS_SHORT) {
             running++;
             slow += now_us > r->start_us && now_us - r->start_us >= slow_us;
         }
@@ -153,7 +155,7 @@
     for (uint32_t i = 0; i < a->running_count; i++) {
         const struct bb_admission_running *r = &a->running[i];
 
-        if (r->work_class == BB_ADMISSION_LONG || r->is_overlong ||
+        if (r->work_class == BB_ADMISSION_CLASS_LONG || r->is_overlong ||
             (now_us > r->start_us && now_us - r->start_us >= overlong_us)) {
             count++;
         }
@@ -195,7 +197,7 @@
         !bb_admission_is_below_team_limit(a, r->team)) {
         return false;
     }
-    return r->work_class == BB_ADMISSION_SHORT ||
+    return r->work_class == BB_ADMISSION_CLASS_SHORT ||
            c->long_running < c->long_limit;
 }
 
@@ -219,7 +221,7 @@
                               enum bb_admission_class work_class,
                               uint32_t ahead)
 {
-    uint64_t slots = work_class == BB_ADMISSION_LONG ? c->long_limit
+    uint64_t slots = work_class == BB_ADMISSION_CLASS_LONG ? c->long_limit
                      : c->usable > c->long_running
                          ? c->usable - c->long_running
                          : 1;
--- a/decide/admission_queue.c
+++ b/decide/admission_queue.c
@@ -87,7 +87,7 @@
         if (q->is_evicted) {
             continue;
         }
-        if ((!only_long || work_class == BB_ADMISSION_LONG) &&
+        if ((!only_long || work_class == BB_ADMISSION_CLASS_LONG) &&
             !bb_admission_can_run(a, c, &q->request) &&
             !bb_admission_can_meet_deadline(
                 a, &q->request,
@@ -128,7 +128,7 @@
     uint64_t max_wait_us = max_wait_ms * US_PER_MS;
     uint64_t duration_us = bb_admission_mean_duration_us(a, work_class);
 
-    if (work_class == BB_ADMISSION_LONG) {
+    if (work_class == BB_ADMISSION_CLASS_LONG) {
         duration_us *= LONG_WAIT_DURATIONS;
     }
     return duration_us > max_wait_us ? duration_us : max_wait_us;
@@ -156,8 +156,8 @@
 {
     uint32_t queued = a->queued_count - a->evicted_count;
     bool is_long_full =
-        r->work_class == BB_ADMISSION_LONG &&
-        bb_admission_count_ahead(a, BB_ADMISSION_LONG, UINT64_MAX) >=
+        r->work_class == BB_ADMISSION_CLASS_LONG &&
+        bb_admission_count_ahead(a, BB_ADMISSION_CLASS_LONG, UINT64_MAX) >=
             max_queued_long(a);
 
     if (a->queued_count >= BB_ADMISSION_QUEUE_MAX) {
--- a/decide/claim.c
+++ b/decide/claim.c
@@ -186,7 +186,7 @@
         .key = *key, .epoch = r->epoch, .wanted = *wanted};
     add_witnesses(q, r->hosts, r->host_count, false);
     if (r->previous_count > 0) {
-        q->needs_both_rosters = true;
+        q->needs_both_lists = true;
         add_witnesses(q, r->previous, r->previous_count, true);
     }
 }
@@ -236,7 +236,7 @@
         q->fault == BB_CLAIM_FAULT_ONE_GRANT ? 1 : (uint32_t)BB_CLAIM_QUORUM;
 
     return count_holders(q, q->is_current, c) >= required &&
-           (!q->needs_both_rosters ||
+           (!q->needs_both_lists ||
             q->fault == BB_CLAIM_FAULT_IGNORES_PREVIOUS ||
             count_holders(q, q->is_previous, c) >= required);
 }
--- a/decide/estimate.c
+++ b/decide/duration_stats.c
@@ -1,4 +1,4 @@
-#include "decide/estimate.h"
+#include "decide/duration_stats.h"
 
 #include <math.h>
 #include <stdbool.h>
--- a/decide/outlier.c
+++ b/decide/outlier.c
@@ -8,7 +8,7 @@
     PERCENT = 100,
     /* Shares are whole percentages; this one means exactly one third. */
     ONE_THIRD_PERCENT = 33,
-    WEIGHT_RETURNING = 500,
+    WEIGHT_RETURNING_PERMILLE = 500,
     /* A call is slow from this multiple of the usual latency. It must lie
      * between 1 and 10, the slowdown in the trace one_in_four_slowed, which
      * must be detected. */
@@ -494,16 +494,18 @@
         }
         switch (g->stage) {
         case BB_OUTLIER_NORMAL:
-            return BB_ROUTE_WEIGHT_FULL;
+            return BB_ROUTE_WEIGHT_FULL_PERMILLE;
         case BB_OUTLIER_EJECTED:
-            return now_us >= g->eject_until_us ? BB_ROUTE_WEIGHT_PROBE : 0;
+            return now_us >= g->eject_until_us ? BB_ROUTE_WEIGHT_PROBE_PERMILLE
+                                               : 0;
         case BB_OUTLIER_PROBING:
-            return has_outstanding_probe(g) ? 0 : BB_ROUTE_WEIGHT_PROBE;
+            return has_outstanding_probe(g) ? 0
+                                            : BB_ROUTE_WEIGHT_PROBE_PERMILLE;
         case BB_OUTLIER_RETURNING:
-            return WEIGHT_RETURNING;
+            return WEIGHT_RETURNING_PERMILLE;
         }
     }
-    return BB_ROUTE_WEIGHT_FULL;
+    return BB_ROUTE_WEIGHT_FULL_PERMILLE;
 }
 
 /* Sets a candidate's weight and the age of its oldest outstanding short call.
@@ -522,7 +524,7 @@
             const struct bb_outlier_call *call = &g->calls[j];
 
             if (call->start_us != 0 &&
-                call->work_class == BB_ADMISSION_SHORT &&
+                call->work_class == BB_ADMISSION_CLASS_SHORT &&
                 now_us > call->start_us &&
                 now_us - call->start_us > c->oldest_short_call_age_us) {
                 c->oldest_short_call_age_us = now_us - call->start_us;
--- a/decide/policy_least_wait.c
+++ b/decide/policy_least_wait.c
@@ -11,7 +11,7 @@
 weight_of(const struct bb_route_candidate *c)
 {
     return c->weight_permille > 0 ? c->weight_permille
-                                  : (uint32_t)BB_ROUTE_WEIGHT_PROBE;
+                                  : (uint32_t)BB_ROUTE_WEIGHT_PROBE_PERMILLE;
 }
 
 /* Returns a random position in usable[], in proportion to the weights. */
@@ -65,10 +65,10 @@
         second = (second + 1) % usable_count;
     }
     b = candidates[usable[second]];
-    if (a->weight_permille < BB_ROUTE_WEIGHT_FULL) {
+    if (a->weight_permille < BB_ROUTE_WEIGHT_FULL_PERMILLE) {
         return first;
     }
-    if (b->weight_permille < BB_ROUTE_WEIGHT_FULL) {
+    if (b->weight_permille < BB_ROUTE_WEIGHT_FULL_PERMILLE) {
         return first;
     }
     return bb_route_candidate_expected_us(b, r->work_class, now_us) <
--- a/decide/retry.c
+++ b/decide/retry.c
@@ -168,7 +168,7 @@
                 const struct bb_duration_stats *latency,
                 struct bb_retry_budget *b)
 {
-    if (!q->is_idempotent || q->work_class != BB_ADMISSION_SHORT ||
+    if (!q->is_idempotent || q->work_class != BB_ADMISSION_CLASS_SHORT ||
         q->hedge_count >= q->hedge_limit) {
         return false;
     }
--- a/decide/route_pick.c
+++ b/decide/route_pick.c
@@ -36,7 +36,8 @@
     *c = (struct bb_route_candidate){.key = key,
                                      .distance = distance,
                                      .slots = slots,
-                                     .weight_permille = BB_ROUTE_WEIGHT_FULL};
+                                     .weight_permille =
+                                         BB_ROUTE_WEIGHT_FULL_PERMILLE};
 }
 
 /* Updates a candidate with the load that its gatekeeper reported at now_us
@@ -67,7 +68,7 @@
                           enum bb_admission_class work_class,
                           uint64_t latency_us, bool is_success)
 {
-    double *mean = &c->log_latency[work_class];
+    double *mean = &c->latency_log_us[work_class];
     double value = latency_us > 0 ? log((double)latency_us) : 0;
 
     if (c->in_flight > 0) {
@@ -131,8 +132,8 @@
  * load, which decays with age, plus this node's calls since the report; at
  * least this node's calls in flight. */
 uint32_t
-bb_route_candidate_occupied_slots(const struct bb_route_candidate *c,
-                                  uint64_t now_us)
+bb_route_candidate_estimate_load(const struct bb_route_candidate *c,
+                                 uint64_t now_us)
 {
     uint64_t age_us = now_us > c->reported_us ? now_us - c->reported_us : 0;
     uint64_t halvings = age_us / REPORT_HALF_LIFE_US;
@@ -157,12 +158,12 @@
                                uint64_t now_us)
 {
     double latency_us = c->observations[work_class] > 0
-                            ? exp(c->log_latency[work_class])
+                            ? exp(c->latency_log_us[work_class])
                             : LATENCY_DEFAULT_US;
     double slots = c->slots > 0 ? c->slots : 1;
-    double requests = bb_route_candidate_occupied_slots(c, now_us) + 1.0;
+    double requests = bb_route_candidate_estimate_load(c, now_us) + 1.0;
 
-    if (work_class == BB_ADMISSION_SHORT &&
+    if (work_class == BB_ADMISSION_CLASS_SHORT &&
         (double)c->oldest_short_call_age_us > latency_us) {
         latency_us = (double)c->oldest_short_call_age_us;
     }
@@ -174,7 +175,7 @@
 is_saturated(const struct bb_route_candidate *c, uint32_t percent,
              uint64_t now_us)
 {
-    return (uint64_t)bb_route_candidate_occupied_slots(c, now_us) * PERCENT >=
+    return (uint64_t)bb_route_candidate_estimate_load(c, now_us) * PERCENT >=
            (uint64_t)c->slots * percent;
 }
 
@@ -264,7 +265,7 @@
 is_usable(const struct bb_route_candidate *c, const struct bb_route_request *r,
           uint64_t now_us)
 {
-    uint32_t weight_floor = r->can_probe ? 0 : BB_ROUTE_WEIGHT_PROBE;
+    uint32_t weight_floor = r->can_probe ? 0 : BB_ROUTE_WEIGHT_PROBE_PERMILLE;
 
     return is_available(c, r, now_us) && c->weight_permille > weight_floor;
 }
@@ -350,7 +351,7 @@
         /* A hedge that waits in a queue does not speed up its request, and
          * takes a slot later. */
         if (r->is_hedge &&
-            bb_route_candidate_occupied_slots(c, now_us) >= c->slots) {
+            bb_route_candidate_estimate_load(c, now_us) >= c->slots) {
             continue;
         }
         if (c->distance <= distance &&
--- a/fleet/core.c
+++ b/fleet/core.c
@@ -228,7 +228,7 @@
 update_voters(struct bb_core *c, uint64_t now_us)
 {
     const struct bb_quorum_entry *e = &c->quorum.durable.entry;
-    struct bb_voter_candidate hosts[BB_VOTERS_HOSTS_MAX];
+    struct bb_voter_candidate hosts[BB_VOTERS_CANDIDATES_MAX];
     uint32_t count = 0;
     struct bb_voters current = {.count = (uint32_t)e->voter_count};
     struct bb_voters next;
@@ -244,7 +244,7 @@
         .zone = bb_hash64(c->self.zone, strlen(c->self.zone), 0)};
     g_hash_table_iter_init(&it, c->peers);
     while (g_hash_table_iter_next(&it, NULL, &value) &&
-           count < BB_VOTERS_HOSTS_MAX - BB_QUORUM_VOTERS_MAX) {
+           count < BB_VOTERS_CANDIDATES_MAX - BB_QUORUM_VOTERS_MAX) {
         const struct core_peer *p = value;
 
         if (p->host != NULL) {
--- a/include/decide/admission.h
+++ b/include/decide/admission.h
@@ -13,7 +13,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#include "decide/estimate.h"
+#include "decide/duration_stats.h"
 #include "decide/reason.h"
 
 enum {
@@ -26,19 +26,20 @@
 /* Short or long request, as configured for its route. The values are those of
  * enum bb_work_class in config/config.h. */
 enum bb_admission_class {
-    BB_ADMISSION_SHORT,
-    BB_ADMISSION_LONG,
+    BB_ADMISSION_CLASS_SHORT,
+    BB_ADMISSION_CLASS_LONG,
     BB_ADMISSION_CLASS_COUNT
 };
 
 /* State announced by the upstream. The values are those of enum
  * bb_upstream_state in mesh/member.h. */
 enum bb_admission_state {
-    BB_ADMISSION_NONE,     /* no upstream is announced */
-    BB_ADMISSION_STARTING, /* accepts no requests yet */
-    BB_ADMISSION_READY,    /* accepts requests */
-    BB_ADMISSION_DRAINING, /* gets no new requests, finishes running ones */
-    BB_ADMISSION_LEAVING   /* treated as draining */
+    BB_ADMISSION_STATE_NONE,     /* no upstream is announced */
+    BB_ADMISSION_STATE_STARTING, /* accepts no requests yet */
+    BB_ADMISSION_STATE_READY,    /* accepts requests */
+    BB_ADMISSION_STATE_DRAINING, /* gets no new requests, finishes running ones
+                                  */
+    BB_ADMISSION_STATE_LEAVING   /* treated as draining */
 };
 
 struct bb_admission_limits {
@@ -66,18 +67,20 @@
     bool may_refuse_as_slow;
 };
 
-enum bb_admission_kind {
-    BB_ADMISSION_RUN,
-    BB_ADMISSION_QUEUE,
-    BB_ADMISSION_REFUSE
+enum bb_admission_decision_kind {
+    BB_ADMISSION_DECISION_RUN,
+    BB_ADMISSION_DECISION_QUEUE,
+    BB_ADMISSION_DECISION_REFUSE
 };
 
 struct bb_admission_decision {
-    enum bb_admission_kind kind;
-    enum bb_reason reason; /* of BB_ADMISSION_REFUSE; it did not run */
+    enum bb_admission_decision_kind kind;
+    enum bb_reason
+        reason; /* of BB_ADMISSION_DECISION_REFUSE; it did not run */
 };
 
-/* Run or refuse a queued request; the decision is never BB_ADMISSION_QUEUE. */
+/* Run or refuse a queued request; the decision is never
+ * BB_ADMISSION_DECISION_QUEUE. */
 struct bb_admission_action {
     uint64_t id;
     struct bb_admission_decision decision;
--- a/include/decide/agree.h
+++ b/include/decide/agree.h
@@ -27,9 +27,9 @@
  * (BB_AGREE_HISTORY_MAX). The state explorer of the tests builds the module
  * with smaller values, always for both, so that fewer steps reach compaction.
  */
-#ifndef BB_AGREE_WINDOW
-#define BB_AGREE_WINDOW 128
-#define BB_AGREE_REVISIONS 64
+#ifndef BB_AGREE_LOG_ENTRIES
+#define BB_AGREE_LOG_ENTRIES 128
+#define BB_AGREE_HISTORY_CONFIGS 64
 #endif
 
 enum {
@@ -38,9 +38,9 @@
      * for a disk that is about to replace a voter. */
     BB_AGREE_JOINING_SLOT = BB_AGREE_HOSTS_MAX,
     BB_AGREE_SLOTS,
-    BB_AGREE_LOG_MAX = BB_AGREE_WINDOW,        /* entries */
-    BB_AGREE_HISTORY_MAX = BB_AGREE_REVISIONS, /* configurations */
-    BB_AGREE_BATCH_MAX = 8,                    /* entries of a message */
+    BB_AGREE_LOG_MAX = BB_AGREE_LOG_ENTRIES,         /* entries */
+    BB_AGREE_HISTORY_MAX = BB_AGREE_HISTORY_CONFIGS, /* configurations */
+    BB_AGREE_BATCH_MAX = 8,                          /* entries of a message */
     BB_AGREE_PENDING_PROPOSALS_MAX = 16,
     BB_AGREE_PENDING_READS_MAX = 8,
     BB_AGREE_MESSAGES_MAX = 24,
--- a/include/decide/claim.h
+++ b/include/decide/claim.h
@@ -100,7 +100,7 @@
     bool is_current[BB_CLAIM_WITNESSES_MAX];  /* by the current roster */
     bool is_previous[BB_CLAIM_WITNESSES_MAX]; /* by the previous roster */
     bool has_responded[BB_CLAIM_WITNESSES_MAX];
-    bool needs_both_rosters; /* needs a quorum in both rosters */
+    bool needs_both_lists; /* needs a quorum in both rosters */
     struct bb_witness_response responses[BB_CLAIM_WITNESSES_MAX];
 };
 
--- a/include/decide/estimate.h
+++ b/include/decide/duration_stats.h
@@ -1,8 +1,8 @@
 /* Statistics of the durations of finished calls: a logarithmic histogram in
  * which old calls lose weight. Gives quantiles, and a mean that a few outliers
  * cannot distort. A zeroed struct is an empty one. */
-#ifndef BB_DECIDE_ESTIMATE_H
-#define BB_DECIDE_ESTIMATE_H
+#ifndef BB_DECIDE_DURATION_STATS_H
+#define BB_DECIDE_DURATION_STATS_H
 
 #include <stdint.h>
 
--- a/include/decide/retry.h
+++ b/include/decide/retry.h
@@ -10,7 +10,7 @@
 #include <stdint.h>
 
 #include "decide/admission.h"
-#include "decide/estimate.h"
+#include "decide/duration_stats.h"
 #include "decide/reason.h"
 
 /* Max nesting depth of calls. */
--- a/include/decide/route_pick.h
+++ b/include/decide/route_pick.h
@@ -17,8 +17,9 @@
 enum {
     BB_ROUTE_CANDIDATES_MAX = 512,
     BB_ROUTE_EXCLUDED_MAX = 16,
-    BB_ROUTE_WEIGHT_FULL = 1000,
-    BB_ROUTE_WEIGHT_PROBE = 250 /* up to this weight: for probes only */
+    BB_ROUTE_WEIGHT_FULL_PERMILLE = 1000,
+    BB_ROUTE_WEIGHT_PROBE_PERMILLE =
+        250 /* up to this weight: for probes only */
 };
 
 /* Distance of a gatekeeper: same zone, same region, other region. */
@@ -46,7 +47,7 @@
     uint32_t connect_failures;        /* since the last success */
     uint64_t last_connect_failure_us; /* time of the last failed connect */
     /* Moving average of the natural log of the latency in us. */
-    double log_latency[BB_ADMISSION_CLASS_COUNT];
+    double latency_log_us[BB_ADMISSION_CLASS_COUNT];
     uint32_t observations[BB_ADMISSION_CLASS_COUNT];
 };
 
@@ -104,8 +105,8 @@
                                uint64_t latency_us, bool is_success);
 void bb_route_candidate_connect_failed(struct bb_route_candidate *c,
                                        uint64_t now_us);
-uint32_t bb_route_candidate_occupied_slots(const struct bb_route_candidate *c,
-                                           uint64_t now_us);
+uint32_t bb_route_candidate_estimate_load(const struct bb_route_candidate *c,
+                                          uint64_t now_us);
 double bb_route_candidate_expected_us(const struct bb_route_candidate *c,
                                       enum bb_admission_class work_class,
                                       uint64_t now_us);
--- a/include/decide/voters.h
+++ b/include/decide/voters.h
@@ -14,7 +14,7 @@
      * another host; longer than a restart takes, shorter than a typical
      * outage. */
     BB_VOTERS_REPLACE_AFTER_US = 3000 * 1000,
-    BB_VOTERS_HOSTS_MAX = BB_QUORUM_PEERS_MAX + 1
+    BB_VOTERS_CANDIDATES_MAX = BB_QUORUM_PEERS_MAX + 1
 };
 
 /* A disk that may be made a voter, or is one, and its host. */
--- a/proxy/attempt.c
+++ b/proxy/attempt.c
@@ -259,7 +259,8 @@
     add_forwarded_for(x, h);
     bb_headers_add(h, BB_HEADER_FORWARDED, x->service_name);
     bb_headers_add(h, BB_HEADER_CLASS,
-                   x->work_class == BB_ADMISSION_LONG ? "long" : "short");
+                   x->work_class == BB_ADMISSION_CLASS_LONG ? "long"
+                                                            : "short");
     bb_headers_addf(h, BB_HEADER_REVISION, "%" PRIu64, x->table->revision);
     if (attempt->fetches_stored_response) {
         bb_headers_add(h, BB_HEADER_ATTEMPT, "stored");
--- a/proxy/gatekeeper.c
+++ b/proxy/gatekeeper.c
@@ -375,7 +375,7 @@
     struct bb_admission_decision d =
         bb_admission_arrive(&g->admission, &request, bb_clock_now_us());
 
-    return d.kind == BB_ADMISSION_QUEUE
+    return d.kind == BB_ADMISSION_DECISION_QUEUE
                ? wait_in_queue(g, admission_id, &r->id)
                : d;
 }
@@ -407,7 +407,7 @@
     }
     admission_id = g->next_admission_id++;
     d = request_slot(g, r, admission_id);
-    if (d.kind == BB_ADMISSION_RUN) {
+    if (d.kind == BB_ADMISSION_DECISION_RUN) {
         result.slot = create_slot(g, r, admission_id);
         goto out;
     }
--- a/proxy/gatekeeper_query.c
+++ b/proxy/gatekeeper_query.c
@@ -125,7 +125,8 @@
             bb_admission_cancel(&g->admission, w->admission_id)) {
             w->is_decided = true;
             w->decision = (struct bb_admission_decision){
-                .kind = BB_ADMISSION_REFUSE, .reason = BB_REASON_CANCELLED};
+                .kind = BB_ADMISSION_DECISION_REFUSE,
+                .reason = BB_REASON_CANCELLED};
             (void)pthread_cond_signal(&w->decided);
             is_found = true;
         }
--- a/proxy/picker.c
+++ b/proxy/picker.c
@@ -6,7 +6,7 @@
 
 #include "common/clock.h"
 #include "common/registry.h"
-#include "decide/estimate.h"
+#include "decide/duration_stats.h"
 #include "decide/outlier.h"
 #include "decide/retry.h"
 #include "decide/route_pick.h"
--- a/proxy/request.c
+++ b/proxy/request.c
@@ -127,8 +127,9 @@
         return false;
     }
     x->depth = (uint32_t)depth;
-    x->work_class = g_strcmp0(work_class, "long") == 0 ? BB_ADMISSION_LONG
-                                                       : BB_ADMISSION_SHORT;
+    x->work_class = g_strcmp0(work_class, "long") == 0
+                        ? BB_ADMISSION_CLASS_LONG
+                        : BB_ADMISSION_CLASS_SHORT;
     /* Only requests that must not run twice carry an incarnation. */
     x->is_idempotent = !bb_headers_get_u64(x->headers, BB_HEADER_INCARNATION,
                                            &x->incarnation);
--- a/replay/module_admission.c
+++ b/replay/module_admission.c
@@ -56,7 +56,7 @@
         bb_replay_set_number(one, "id", action.id);
         bb_replay_set_string(one, "decision",
                              decision_names[action.decision.kind]);
-        if (action.decision.kind == BB_ADMISSION_REFUSE) {
+        if (action.decision.kind == BB_ADMISSION_DECISION_REFUSE) {
             bb_replay_set_string(one, "reason",
                                  bb_reason_name(action.decision.reason));
         }
@@ -117,7 +117,7 @@
 
     if (!bb_replay_read_number(l, "id", BB_REPLAY_NUMBER_MAX, &r.id) ||
         !bb_replay_read_enum(l, "class", class_names, BB_ADMISSION_CLASS_COUNT,
-                             BB_ADMISSION_SHORT, &class_index) ||
+                             BB_ADMISSION_CLASS_SHORT, &class_index) ||
         !bb_replay_read_bool_or(l, "may_go_elsewhere", false,
                                 &r.may_refuse_as_slow) ||
         !bb_replay_read_number(l, "deadline_ms", MS_MAX, &deadline_ms)) {
@@ -165,13 +165,13 @@
     if (!bb_replay_read_number(l, "for_ms", OFFER_MS_MAX, &for_ms) ||
         !bb_replay_read_number(l, "deadline_ms", MS_MAX, &deadline_ms) ||
         !bb_replay_read_number_or(l, "short_per_s", RATE_MAX, 0,
-                                  &o.rate_per_s[BB_ADMISSION_SHORT]) ||
+                                  &o.rate_per_s[BB_ADMISSION_CLASS_SHORT]) ||
         !bb_replay_read_number_or(l, "long_per_s", RATE_MAX, 0,
-                                  &o.rate_per_s[BB_ADMISSION_LONG]) ||
+                                  &o.rate_per_s[BB_ADMISSION_CLASS_LONG]) ||
         !bb_replay_read_number_or(l, "short_us", BB_REPLAY_NUMBER_MAX, 0,
-                                  &o.service_us[BB_ADMISSION_SHORT]) ||
+                                  &o.service_us[BB_ADMISSION_CLASS_SHORT]) ||
         !bb_replay_read_number_or(l, "long_us", BB_REPLAY_NUMBER_MAX, 0,
-                                  &o.service_us[BB_ADMISSION_LONG]) ||
+                                  &o.service_us[BB_ADMISSION_CLASS_LONG]) ||
         !bb_replay_read_number_or(l, "seed", BB_REPLAY_NUMBER_MAX, 1,
                                   &o.seed)) {
         return false;
@@ -188,8 +188,9 @@
 {
     uint32_t state_index;
 
-    if (!bb_replay_read_enum(l, "state", state_names, BB_ADMISSION_LEAVING + 1,
-                             BB_ADMISSION_LEAVING + 1, &state_index)) {
+    if (!bb_replay_read_enum(l, "state", state_names,
+                             BB_ADMISSION_STATE_LEAVING + 1,
+                             BB_ADMISSION_STATE_LEAVING + 1, &state_index)) {
         return false;
     }
     bb_admission_set_state(&s->admission, (enum bb_admission_state)state_index,
--- a/replay/module_retry.c
+++ b/replay/module_retry.c
@@ -119,7 +119,8 @@
                                   BB_US_PER_S, &q.remaining_us)) {
         return false;
     }
-    q.work_class = is_long ? BB_ADMISSION_LONG : BB_ADMISSION_SHORT;
+    q.work_class =
+        is_long ? BB_ADMISSION_CLASS_LONG : BB_ADMISSION_CLASS_SHORT;
     for (uint64_t i = 0; i < times; i++) {
         allowed += bb_hedge_decide(&q, &s->latency, &s->hedges);
     }
--- a/replay/module_routing.c
+++ b/replay/module_routing.c
@@ -124,12 +124,12 @@
     }
     start_us = l->now_us - latency_us;
     bb_route_candidate_start(c);
-    bb_outlier_start(&s->outliers, c->key, BB_ADMISSION_SHORT, start_us);
+    bb_outlier_start(&s->outliers, c->key, BB_ADMISSION_CLASS_SHORT, start_us);
     if (is_finished) {
-        bb_route_candidate_finish(c, BB_ADMISSION_SHORT, latency_us,
+        bb_route_candidate_finish(c, BB_ADMISSION_CLASS_SHORT, latency_us,
                                   !is_failure);
-        bb_outlier_finish(&s->outliers, c->key, BB_ADMISSION_SHORT, start_us,
-                          is_failure, l->now_us);
+        bb_outlier_finish(&s->outliers, c->key, BB_ADMISSION_CLASS_SHORT,
+                          start_us, is_failure, l->now_us);
     }
     return true;
 }
--- a/replay/offered_load.c
+++ b/replay/offered_load.c
@@ -82,7 +82,7 @@
         if (c == NULL) {
             continue;
         }
-        if (action.decision.kind == BB_ADMISSION_RUN) {
+        if (action.decision.kind == BB_ADMISSION_DECISION_RUN) {
             c->finish_us = r->now_us + c->duration_us;
         }
         else {
@@ -122,12 +122,12 @@
         return;
     }
     d = bb_admission_arrive(r->a, &q, r->now_us);
-    if (d.kind == BB_ADMISSION_REFUSE) {
+    if (d.kind == BB_ADMISSION_DECISION_REFUSE) {
         r->stats.refused++;
         r->stats.refused_with_free_slot += has_slot;
         return;
     }
-    if (d.kind == BB_ADMISSION_RUN) {
+    if (d.kind == BB_ADMISSION_DECISION_RUN) {
         call.finish_us = r->now_us + call.duration_us;
     }
     r->s->active_calls[r->s->active_count++] = call;
@@ -179,10 +179,10 @@
 {
     struct bb_offered_load_call *c = find_first_to_finish(r);
     uint64_t at_us = bb_admission_next_wakeup_us(r->a, r->now_us + 1);
-    int class_index =
-        r->next_us[BB_ADMISSION_SHORT] <= r->next_us[BB_ADMISSION_LONG]
-            ? BB_ADMISSION_SHORT
-            : BB_ADMISSION_LONG;
+    int class_index = r->next_us[BB_ADMISSION_CLASS_SHORT] <=
+                              r->next_us[BB_ADMISSION_CLASS_LONG]
+                          ? BB_ADMISSION_CLASS_SHORT
+                          : BB_ADMISSION_CLASS_LONG;
 
     at_us = r->next_us[class_index] < at_us ? r->next_us[class_index] : at_us;
     at_us = c != NULL && c->finish_us < at_us ? c->finish_us : at_us;
@@ -246,11 +246,11 @@
     bb_replay_set_number(
         result, "goodput_percent",
         capacity_us == 0 ? 0 : stats->good_us * PERCENT / capacity_us);
-    add_quantile(result, "short_p50_us", stats, BB_ADMISSION_SHORT,
+    add_quantile(result, "short_p50_us", stats, BB_ADMISSION_CLASS_SHORT,
                  P50_PERMILLE);
-    add_quantile(result, "short_p99_us", stats, BB_ADMISSION_SHORT,
+    add_quantile(result, "short_p99_us", stats, BB_ADMISSION_CLASS_SHORT,
                  P99_PERMILLE);
-    add_quantile(result, "long_p99_us", stats, BB_ADMISSION_LONG,
+    add_quantile(result, "long_p99_us", stats, BB_ADMISSION_CLASS_LONG,
                  P99_PERMILLE);
 }
 
@@ -260,8 +260,8 @@
 static uint64_t
 max_latency_count(const struct bb_offered_load *l)
 {
-    uint64_t rate =
-        l->rate_per_s[BB_ADMISSION_SHORT] + l->rate_per_s[BB_ADMISSION_LONG];
+    uint64_t rate = l->rate_per_s[BB_ADMISSION_CLASS_SHORT] +
+                    l->rate_per_s[BB_ADMISSION_CLASS_LONG];
     uint64_t count =
         2 * rate * l->duration_us / BB_US_PER_S + BB_OFFERED_LOAD_ACTIVE_MAX;
 
--- a/tests/decide/test_admission.c
+++ b/tests/decide/test_admission.c
@@ -32,7 +32,7 @@
 {
     bb_admission_init(&admission);
     bb_admission_configure(&admission, l, 1);
-    bb_admission_set_state(&admission, BB_ADMISSION_READY, 1);
+    bb_admission_set_state(&admission, BB_ADMISSION_STATE_READY, 1);
 }
 
 static struct bb_admission_decision
@@ -89,7 +89,7 @@
         const struct tracked_request *l = &tracked.items[i];
 
         n += l->is_running &&
-             (!only_long || l->work_class == BB_ADMISSION_LONG) &&
+             (!only_long || l->work_class == BB_ADMISSION_CLASS_LONG) &&
              (team == BB_ADMISSION_NO_TEAM || l->team == team);
     }
     return n;
@@ -101,7 +101,7 @@
 {
     CU_ASSERT_FATAL(count_running(false, BB_ADMISSION_NO_TEAM) <=
                     bb_admission_usable_slots(&admission, now_us));
-    if (l->work_class == BB_ADMISSION_LONG) {
+    if (l->work_class == BB_ADMISSION_CLASS_LONG) {
         CU_ASSERT_FATAL(count_running(true, BB_ADMISSION_NO_TEAM) <=
                         bb_admission_long_slot_limit(&admission, now_us));
     }
@@ -125,7 +125,7 @@
             return;
         }
         CU_ASSERT_FALSE_FATAL(l->is_running);
-        if (action.decision.kind == BB_ADMISSION_RUN) {
+        if (action.decision.kind == BB_ADMISSION_DECISION_RUN) {
             l->is_running = true;
             check_limits_after_start(l, now_us);
         }
@@ -151,8 +151,9 @@
 {
     const struct bb_admission_request r = {
         .id = ++tracked.next_id,
-        .work_class = bb_random_below(random, 5) == 0 ? BB_ADMISSION_LONG
-                                                      : BB_ADMISSION_SHORT,
+        .work_class = bb_random_below(random, 5) == 0
+                          ? BB_ADMISSION_CLASS_LONG
+                          : BB_ADMISSION_CLASS_SHORT,
         .team = (uint16_t)bb_random_below(random, TEAMS + 1),
         .deadline_us = now_us + 1 + bb_random_below(random, 400 * MS),
         .may_refuse_as_slow = bb_random_below(random, 3) == 0,
@@ -162,7 +163,7 @@
     struct bb_admission_decision d =
         bb_admission_arrive(&admission, &r, now_us);
 
-    if (d.kind == BB_ADMISSION_REFUSE) {
+    if (d.kind == BB_ADMISSION_DECISION_REFUSE) {
         /* A request that could run is refused only if the upstream is slow and
          * the request can be retried elsewhere. */
         CU_ASSERT_FATAL(!may_run || (d.reason == BB_REASON_UPSTREAM_SLOW &&
@@ -170,12 +171,12 @@
         return;
     }
     CU_ASSERT_FATAL(tracked.count < TRACKED_MAX);
-    tracked.items[tracked.count++] =
-        (struct tracked_request){.id = r.id,
-                                 .work_class = r.work_class,
-                                 .team = r.team,
-                                 .is_running = d.kind == BB_ADMISSION_RUN};
-    if (d.kind == BB_ADMISSION_RUN) {
+    tracked.items[tracked.count++] = (struct tracked_request){
+        .id = r.id,
+        .work_class = r.work_class,
+        .team = r.team,
+        .is_running = d.kind == BB_ADMISSION_DECISION_RUN};
+    if (d.kind == BB_ADMISSION_DECISION_RUN) {
         check_limits_after_start(&tracked.items[tracked.count - 1], now_us);
     }
 }
@@ -215,7 +216,7 @@
     case 1:
         bb_admission_set_state(&admission,
                                (enum bb_admission_state)bb_random_below(
-                                   random, BB_ADMISSION_LEAVING + 1),
+                                   random, BB_ADMISSION_STATE_LEAVING + 1),
                                now_us);
         break;
     case 2:
@@ -228,7 +229,7 @@
         bb_admission_configure(&admission, &l, now_us);
         break;
     default:
-        bb_admission_set_state(&admission, BB_ADMISSION_READY, now_us);
+        bb_admission_set_state(&admission, BB_ADMISSION_STATE_READY, now_us);
         break;
     }
 }
@@ -271,8 +272,8 @@
 {
     for (uint64_t id = 1; id <= SLOTS; id++) {
         CU_ASSERT_EQUAL(
-            arrive(id, BB_ADMISSION_SHORT, UINT64_MAX, now_us).kind,
-            BB_ADMISSION_RUN);
+            arrive(id, BB_ADMISSION_CLASS_SHORT, UINT64_MAX, now_us).kind,
+            BB_ADMISSION_DECISION_RUN);
     }
 }
 
@@ -291,18 +292,19 @@
     CU_ASSERT_EQUAL(bb_admission_usable_slots(&admission, 600 * MS + 1),
                     SLOTS);
     fill_slots(700 * MS);
-    (void)arrive(10, BB_ADMISSION_SHORT, 9000 * MS, 700 * MS);
+    (void)arrive(10, BB_ADMISSION_CLASS_SHORT, 9000 * MS, 700 * MS);
     bb_admission_shed(&admission, 50 * MS, 700 * MS);
-    CU_ASSERT_EQUAL(arrive(11, BB_ADMISSION_SHORT, 9000 * MS, 700 * MS).reason,
-                    BB_REASON_UPSTREAM_SHEDDING);
+    CU_ASSERT_EQUAL(
+        arrive(11, BB_ADMISSION_CLASS_SHORT, 9000 * MS, 700 * MS).reason,
+        BB_REASON_UPSTREAM_SHEDDING);
     CU_ASSERT_TRUE(bb_admission_finish(&admission, 1, 0, true, 710 * MS));
     CU_ASSERT_FALSE(bb_admission_next_action(&admission, 710 * MS, &action));
     CU_ASSERT_EQUAL(bb_admission_next_wakeup_us(&admission, 710 * MS),
                     750 * MS);
     CU_ASSERT_TRUE(bb_admission_next_action(&admission, 750 * MS, &action));
-    CU_ASSERT_EQUAL(action.decision.kind, BB_ADMISSION_RUN);
-    (void)arrive(12, BB_ADMISSION_SHORT, 9000 * MS, 751 * MS);
-    bb_admission_set_state(&admission, BB_ADMISSION_DRAINING, 751 * MS);
+    CU_ASSERT_EQUAL(action.decision.kind, BB_ADMISSION_DECISION_RUN);
+    (void)arrive(12, BB_ADMISSION_CLASS_SHORT, 9000 * MS, 751 * MS);
+    bb_admission_set_state(&admission, BB_ADMISSION_STATE_DRAINING, 751 * MS);
     CU_ASSERT_TRUE(bb_admission_next_action(&admission, 751 * MS, &action));
     CU_ASSERT_EQUAL(action.decision.reason, BB_REASON_UPSTREAM_DRAINING);
     CU_ASSERT_EQUAL(admission.running_count, SLOTS);
--- a/tests/decide/test_agree_explorer.c
+++ b/tests/decide/test_agree_explorer.c
@@ -31,7 +31,7 @@
 
 enum {
     DEFAULT_STATES = IS_SANITIZED ? 50000 : 300000,
-    BUG_STATES_MAX = 3000000, /* states visited to find a seeded bug */
+    FAULT_STATES_MAX = 3000000, /* states visited to find a seeded bug */
     DEFAULT_WALKS = IS_SANITIZED ? 1000 : 10000,
     WALK_STEPS = 250,  /* actions of a walk */
     WALK_ATTEMPTS = 4, /* to choose an action that makes progress */
@@ -209,7 +209,7 @@
 
 /* Creates a search whose root is a cluster with host 0 as leader and revision
  * 1 in force, with the same content in all folders. Freed by expect_safe,
- * expect_bug or run_walks. */
+ * expect_fault_found or run_walks. */
 static struct search *
 prepare_group(void)
 {
@@ -243,9 +243,9 @@
 
 /* Searches a scenario with a seeded bug, which must be found. */
 static void
-expect_bug(struct search *x, const char *name)
+expect_fault_found(struct search *x, const char *name)
 {
-    CU_ASSERT_PTR_NOT_NULL(run_search(x, name, BUG_STATES_MAX));
+    CU_ASSERT_PTR_NOT_NULL(run_search(x, name, FAULT_STATES_MAX));
     g_free(x);
 }
 
@@ -316,7 +316,7 @@
     expect_safe(x, "replacement");
 }
 
-/* Control run of test_bug_response_before_sync: with the same budget, but
+/* Control run of test_fault_response_before_sync: with the same budget, but
  * without that bug, no invariant is violated. */
 static void
 test_one_crash(void)
@@ -452,7 +452,7 @@
 /* Seeded bug: a follower responds to an append before its entries are synced,
  * and loses them in a crash. */
 static void
-test_bug_response_before_sync(void)
+test_fault_response_before_sync(void)
 {
     struct search *x = prepare_group();
 
@@ -461,13 +461,13 @@
     x->root.budget.edits = 1;
     model_step(&x->root, (struct model_action){.kind = MODEL_EDIT, .host = 0});
     x->root.budget = (struct model_budget){.timeouts = 1, .crashes = 1};
-    expect_bug(x, "bug: response before the sync");
+    expect_fault_found(x, "bug: response before the sync");
 }
 
 /* Seeded bug: a disk that was lost votes, although its host no longer has the
  * accepted revisions. */
 static void
-test_bug_vote_with_empty_disk(void)
+test_fault_vote_with_empty_disk(void)
 {
     struct search *x = prepare_group();
 
@@ -475,19 +475,19 @@
                      (struct bb_agree_faults){.votes_with_empty_disk = 1});
     x->root.budget =
         (struct model_budget){.timeouts = 1, .edits = 1, .lost_disks = 1};
-    expect_bug(x, "bug: vote with an empty disk");
+    expect_fault_found(x, "bug: vote with an empty disk");
 }
 
 /* Seeded bug: a host proposes its folder because it differs from the
  * configuration in force, which reverts the change of another host. */
 static void
-test_bug_propose_difference(void)
+test_fault_propose_difference(void)
 {
     struct search *x = prepare_group();
 
     x->root.budget =
         (struct model_budget){.edits = 1, .proposes_difference = 1};
-    expect_bug(x, "bug: propose a difference");
+    expect_fault_found(x, "bug: propose a difference");
 }
 
 static const struct bb_unit_test tests[] = {
@@ -499,9 +499,9 @@
     {"formation", test_formation},
     {"random walks", test_random_walks},
     {"random walks of a replacement", test_random_walks_of_replacement},
-    {"bug: response before the sync", test_bug_response_before_sync},
-    {"bug: vote with an empty disk", test_bug_vote_with_empty_disk},
-    {"bug: propose a difference", test_bug_propose_difference},
+    {"bug: response before the sync", test_fault_response_before_sync},
+    {"bug: vote with an empty disk", test_fault_vote_with_empty_disk},
+    {"bug: propose a difference", test_fault_propose_difference},
 };
 
 BB_UNIT_MAIN("agree explorer", tests)
--- a/tests/decide/test_once.c
+++ b/tests/decide/test_once.c
@@ -239,7 +239,7 @@
 
 /* Guards against hedges of calls that are no slower than usual or are long. */
 static void
-test_hedges_follow_p95_and_budget(void)
+test_only_slow_short_calls_are_hedged(void)
 {
     struct bb_retry_budget b = {0};
     struct bb_duration_stats latency = {0};
@@ -256,7 +256,7 @@
     CU_ASSERT_FALSE(bb_hedge_decide(&q, &latency, &b));
     q.elapsed_us = 40 * MS;
     CU_ASSERT_TRUE(bb_hedge_decide(&q, &latency, &b));
-    q.work_class = BB_ADMISSION_LONG;
+    q.work_class = BB_ADMISSION_CLASS_LONG;
     CU_ASSERT_FALSE(bb_hedge_decide(&q, &latency, &b));
     q.hedge_after_us = 1;
     CU_ASSERT_EQUAL(bb_hedge_delay_us(&q, &latency), 2 * MS); /* floor */
@@ -295,7 +295,7 @@
     {"a probe queries after silence", test_recovery_queries_after_silence},
     {"retries only when safe and within budget",
      test_retries_only_when_safe_and_within_budget},
-    {"hedges follow p95 and budget", test_hedges_follow_p95_and_budget},
+    {"hedges follow p95 and budget", test_only_slow_short_calls_are_hedged},
     {"depth and deadline of nested calls",
      test_depth_and_deadline_of_nested_calls},
 };
--- a/tests/decide/test_quorum.c
+++ b/tests/decide/test_quorum.c
@@ -431,7 +431,7 @@
 
 /* Returns whether a seeded bug violates an invariant with some seed. */
 static bool
-is_bug_found(struct bb_quorum_faults faults)
+is_fault_found(struct bb_quorum_faults faults)
 {
     for (uint64_t seed = 1; seed <= 300; seed++) {
         bool is_live = false;
@@ -446,11 +446,11 @@
 /* Guards against a simulation that does not find two kinds of seeded bugs. The
  * third, changes_voters_before_commit, is not tried. */
 static void
-test_seeded_bugs(void)
+test_injected_faults(void)
 {
-    CU_ASSERT_TRUE(
-        is_bug_found((struct bb_quorum_faults){.responds_before_sync = true}));
-    CU_ASSERT_TRUE(is_bug_found(
+    CU_ASSERT_TRUE(is_fault_found(
+        (struct bb_quorum_faults){.responds_before_sync = true}));
+    CU_ASSERT_TRUE(is_fault_found(
         (struct bb_quorum_faults){.votes_for_older_entry = true}));
 }
 
@@ -615,7 +615,7 @@
 
 static const struct bb_unit_test tests[] = {
     {"random faults", test_random_faults},
-    {"seeded bugs", test_seeded_bugs},
+    {"seeded bugs", test_injected_faults},
     {"newer entry, lower term", test_newer_entry_lower_term},
     {"repeated split votes", test_repeated_split_votes},
     {"replacement order", test_replacement_order},
--- a/tests/decide/test_routing.c
+++ b/tests/decide/test_routing.c
@@ -84,7 +84,7 @@
     set_up(same_zone, 0);
     for (int i = 0; i < COUNT; i++) {
         for (int n = 0; n < 20; n++) {
-            bb_route_candidate_finish(&candidates[i], BB_ADMISSION_SHORT,
+            bb_route_candidate_finish(&candidates[i], BB_ADMISSION_CLASS_SHORT,
                                       i == 0 ? 40 * MS : 10 * MS, true);
         }
     }
@@ -129,10 +129,10 @@
 {
     uint64_t start_us = *now_us;
 
-    bb_outlier_start(&outliers, id, BB_ADMISSION_SHORT, start_us);
+    bb_outlier_start(&outliers, id, BB_ADMISSION_CLASS_SHORT, start_us);
     *now_us += duration_us;
-    bb_outlier_finish(&outliers, id, BB_ADMISSION_SHORT, start_us, is_failure,
-                      *now_us);
+    bb_outlier_finish(&outliers, id, BB_ADMISSION_CLASS_SHORT, start_us,
+                      is_failure, *now_us);
 }
 
 static uint64_t
@@ -164,7 +164,7 @@
     uint64_t t = set_up_outliers(33);
 
     for (uint64_t i = 0; i < 4; i++) {
-        bb_outlier_start(&outliers, 2, BB_ADMISSION_SHORT, t + i);
+        bb_outlier_start(&outliers, 2, BB_ADMISSION_CLASS_SHORT, t + i);
     }
     bb_outliers_tick(&outliers, t + 30 * MS);
     CU_ASSERT_EQUAL(bb_outliers_count_ejected(&outliers), 0);
