--- a/decide/admission.c
+++ b/decide/admission.c
@@ -2,10 +2,12 @@
 
 #include <string.h>
 
+#include "common/clock.h"
 #include "decide/admission_capacity.h"
 
 enum {
-    US_PER_MS = 1000,
+    /* Wakeups during the ramp of slow start, to use the slots added since the
+     * last one. */
     SLOW_START_STEPS = 20,
     /* While the upstream is slow, one request in this interval is let through
      * as a probe: recovery is noticed soon, at the cost of few slow calls. */
@@ -323,8 +325,8 @@
     return true;
 }
 
-/* Removes a queued request. Returns true if it was queued, so will not run. A
- * running request keeps its slot until bb_admission_finish. */
+/* Removes a queued request. Returns true if it was queued, and so will not
+ * run. A running request keeps its slot until bb_admission_finish. */
 bool
 bb_admission_cancel(struct bb_admission *a, uint64_t id)
 {
@@ -432,10 +434,11 @@
 }
 
 /* Sets *out to the next action on a queued request and removes it from the
- * queue. Refuses requests that are evicted, expired or shut out first, then
- * runs one if a slot is free, else refuses one that can no longer meet its
- * deadline. Returns false if nothing is due. Call it after each event and at
- * the time that bb_admission_next_wakeup_us returns. */
+ * queue. First refuses a request that is evicted, has expired or cannot be
+ * served in the current state; otherwise runs one if it may use a free slot;
+ * otherwise refuses one that can no longer meet its deadline. Returns false if
+ * nothing is due. Call it after each event and at the time that
+ * bb_admission_next_wakeup_us returns. */
 bool
 bb_admission_next_action(struct bb_admission *a, uint64_t now_us,
                          struct bb_admission_action *out)
@@ -471,13 +474,13 @@
 }
 
 /* Returns the time at which bb_admission_next_action must be called even if no
- * event occurs: the earliest queued deadline, the end of shedding or the next
- * step of slow start, but not before now_us. UINT64_MAX if the queue is empty.
- */
+ * event occurs: the earliest queued deadline, the end of shedding or, during
+ * slow start, a part of the ramp from now (see SLOW_START_STEPS), but not
+ * before now_us. UINT64_MAX if the queue is empty. */
 uint64_t
 bb_admission_next_wakeup_us(const struct bb_admission *a, uint64_t now_us)
 {
-    uint64_t ramp_us = (uint64_t)a->limits.slow_start_ms * US_PER_MS;
+    uint64_t ramp_us = (uint64_t)a->limits.slow_start_ms * BB_US_PER_MS;
     uint64_t wake_us = UINT64_MAX;
 
     if (a->queued_count == 0) {
--- a/decide/admission_capacity.c
+++ b/decide/admission_capacity.c
@@ -1,8 +1,9 @@
 #include "decide/admission_capacity.h"
 
+#include "common/clock.h"
+
 enum {
     PERCENT = 100,
-    US_PER_MS = 1000,
     /* A short request that runs this many times the median of its class counts
      * as long. Below the floor, longer durations do no harm. */
     OVERLONG_FACTOR = 8,
@@ -58,7 +59,7 @@
 static uint32_t
 slow_start_slots(const struct bb_admission *a, uint32_t slots, uint64_t now_us)
 {
-    uint64_t ramp_us = (uint64_t)a->limits.slow_start_ms * US_PER_MS;
+    uint64_t ramp_us = (uint64_t)a->limits.slow_start_ms * BB_US_PER_MS;
     uint64_t since_us =
         now_us > a->ready_since_us ? now_us - a->ready_since_us : 0;
     uint64_t allowed;
@@ -122,9 +123,10 @@
     return us < SLOW_FLOOR_US ? SLOW_FLOOR_US : us;
 }
 
-/* Returns whether the running short requests show that the upstream is slow.
- * A few long requests that are wrongly classed as short are not enough, as
- * they do not make up half of the running ones. */
+/* Returns whether the running short requests show that the upstream is slow
+ * (see SLOW_FACTOR). A few long requests that are wrongly classed as short are
+ * not enough while they are less than half of the running ones and short
+ * requests still finish in normal time. */
 bool
 bb_admission_is_upstream_slow(const struct bb_admission *a, uint64_t now_us)
 {
--- a/decide/admission_queue.c
+++ b/decide/admission_queue.c
@@ -1,10 +1,10 @@
 #include <string.h>
 
+#include "common/clock.h"
 #include "decide/admission_capacity.h"
 
 enum {
     PERCENT = 100,
-    US_PER_MS = 1000,
     /* A standing queue with a longer wait takes more than a second to drain
      * after a burst at 80% load, and serves callers no better. */
     MAX_WAIT_MS_DEFAULT = 200,
@@ -125,7 +125,7 @@
     uint64_t max_wait_ms = a->limits.queue_wait_ms > 0
                                ? a->limits.queue_wait_ms
                                : MAX_WAIT_MS_DEFAULT;
-    uint64_t max_wait_us = max_wait_ms * US_PER_MS;
+    uint64_t max_wait_us = max_wait_ms * BB_US_PER_MS;
     uint64_t duration_us = bb_admission_mean_duration_us(a, work_class);
 
     if (work_class == BB_ADMISSION_CLASS_LONG) {
--- a/decide/agree.c
+++ b/decide/agree.c
@@ -60,7 +60,7 @@
 /* Returns whether a message is well-formed, for this host, and of the same
  * formation. Identity and formation messages (the kinds up to BB_AGREE_FORM)
  * are accepted from any formation; an empty disk also accepts a snapshot, by
- * which a leader brings it up to date. With the seeded bug
+ * which a leader brings it up to date. With the injected fault
  * votes_with_empty_disk, any message from or to an empty disk is accepted. */
 static bool
 should_accept_message(const struct bb_agree *a,
--- a/decide/agree_internal.h
+++ b/decide/agree_internal.h
@@ -68,7 +68,7 @@
 void agree_on_snapshot(struct agree_step *st,
                        const struct bb_agree_message *m);
 
-/* agree_propose_message.c */
+/* agree_propose.c */
 void agree_on_proposal(struct agree_step *st,
                        const struct bb_agree_proposal *p);
 void agree_on_read(struct agree_step *st, uint64_t ticket);
--- a/decide/agree_propose.c
+++ b/decide/agree_propose.c
@@ -5,7 +5,7 @@
 
 enum {
     /* Kept free for the no-op entries of new leaders and for voter entries,
-     * which are appended without asking whether the leader is busy. */
+     * which are appended without a check whether the leader is busy. */
     LOG_RESERVED_ENTRIES = BB_AGREE_LOG_MAX / 4
 };
 
--- a/decide/agree_voters.c
+++ b/decide/agree_voters.c
@@ -4,9 +4,9 @@
 
 #include "agree_internal.h"
 
-/* Returns the index of the voter entry that is not known to be committed, or
- * 0 if there is none. There is never more than one: a leader appends the next
- * only after the one before is committed. */
+/* Returns the index of the voter entry that is not known to be committed, or 0
+ * if there is none. There is never more than one: a leader appends the next
+ * one only after the previous one is committed. */
 uint64_t
 agree_pending_member_index(const struct bb_agree *a)
 {
@@ -195,8 +195,9 @@
 
 /* Responds to an identity request. An empty disk that the formation lists also
  * receives the formation. At a leader, any other disk that is not a voter
- * becomes the joining disk, which is brought up to date. There is one at a
- * time: a later request takes its place until the voter entry is appended. */
+ * becomes the joining disk, which is brought up to date. Only one disk joins
+ * at a time: until its voter entry is appended, a request of another such disk
+ * replaces it. */
 void
 agree_on_identity(struct agree_step *st, const struct bb_agree_message *m)
 {
@@ -263,8 +264,8 @@
 }
 
 /* Appends the voter entry for the joining disk, if this host leads, the disk
- * has synced the whole log, an entry of the current term is committed and no
- * other voter entry is pending. */
+ * has synced the whole log, an entry of the current term is committed, no
+ * other voter entry is pending and the log is not full. */
 void
 agree_admit_if_caught_up(struct agree_step *st)
 {
--- a/decide/balance.c
+++ b/decide/balance.c
@@ -5,10 +5,19 @@
     /* Last rank of preference; the others are values of enum bb_gate_distance.
      */
     RANK_NO_HEADROOM = BB_GATE_OTHER_REGION + 1,
+    /* Upstreams get slower with load: at full load, an attempt costs 1/4 of
+     * the usual latency more. */
+    LOAD_COST_DIVISOR = 4,
+    /* Part of the usual latency that headroom requires as a margin. */
+    HEADROOM_MARGIN_DIVISOR = 8,
     /* Assumed until the gate reports a duration. */
     DEFAULT_DURATION_US = 100 * 1000,
     /* Range of the random cost that spreads attempts over equal gates. */
-    JITTER_US = 4000
+    JITTER_US = 4000,
+    /* The jitter of each gate uses other bits of the random number: it is
+     * shifted by this many bits times one of JITTER_SHIFTS factors. */
+    JITTER_SHIFT_BITS = 8,
+    JITTER_SHIFTS = 7
 };
 
 /* Estimates how many requests a gate runs and queues: the reported load plus
@@ -108,7 +117,7 @@
     return halvings < 31 ? permille >> halvings : 0;
 }
 
-/* Returns the failure rate to be expected of a gate now. */
+/* Returns the failure rate to be expected of a gate now, in permille. */
 static uint32_t
 decayed_failure_permille(const struct bb_gate_view *v, uint64_t now_us)
 {
@@ -150,9 +159,8 @@
     uint64_t cost_us = bb_balance_wait_us(v, now_us) + latency_us;
 
     if (v->slots > 0) {
-        /* Upstreams get slower with load. */
-        cost_us +=
-            latency_us * estimate_load(v, now_us) / (4 * (uint64_t)v->slots);
+        cost_us += latency_us * estimate_load(v, now_us) /
+                   (LOAD_COST_DIVISOR * (uint64_t)v->slots);
     }
     if (now_us < v->warm_at_us) {
         cost_us += latency_us;
@@ -190,8 +198,8 @@
              uint64_t now_us)
 {
     uint64_t latency_us = usual_latency_us(v, r->class_index);
-    uint64_t required_us =
-        bb_balance_wait_us(v, now_us) + latency_us + latency_us / 8;
+    uint64_t required_us = bb_balance_wait_us(v, now_us) + latency_us +
+                           latency_us / HEADROOM_MARGIN_DIVISOR;
 
     return decayed_failure_permille(v, now_us) <
                BB_BALANCE_HEADROOM_FAILURE_PERMILLE &&
@@ -202,8 +210,8 @@
 
 /* Returns the rank of preference of a gate, lowest first: gates to be
  * explored, then gates with headroom by distance, then all others. The gate of
- * the same host precedes the rest of the zone only while its wait is short, as
- * it uses no network. */
+ * the same host uses no network, so it precedes the rest of the zone while its
+ * wait is short. */
 static uint32_t
 preference_rank(const struct bb_gate_view *v,
                 const struct bb_balance_request *r,
@@ -222,9 +230,9 @@
                : v->distance;
 }
 
-/* Returns the index of the gate with the lowest cost in the best rank, or -1
- * if no gate is available: of the nearest gates with headroom or, if there is
- * none, of all. random_bits spreads attempts over gates of like cost. */
+/* Returns the index of the gate with the lowest cost among those of the best
+ * rank (see preference_rank), or -1 if no gate is available. random_bits
+ * spreads attempts over gates of like cost. */
 int32_t
 bb_balance_pick(const struct bb_gate_view *const *views, uint32_t count,
                 const struct bb_balance_request *r, uint64_t random_bits,
@@ -245,7 +253,8 @@
         rank = preference_rank(views[i], r, explore_within, now_us);
         cost_us = estimate_cost_us(views[i], r->class_index, explore_within,
                                    now_us) +
-                  (random_bits >> (8 * (i % 7))) % JITTER_US;
+                  (random_bits >> (JITTER_SHIFT_BITS * (i % JITTER_SHIFTS))) %
+                      JITTER_US;
         if (best < 0 || rank < best_rank ||
             (rank == best_rank && cost_us < best_us)) {
             best = (int32_t)i;
@@ -284,17 +293,17 @@
                   const struct bb_balance_request *r, uint64_t random_bits,
                   uint64_t now_us)
 {
-    struct bb_balance_choice target = {
+    struct bb_balance_choice choice = {
         .gate = bb_balance_pick(views, count, r, random_bits, now_us),
         .max_wait_us = UINT64_MAX};
     const struct bb_gate_view *best;
     uint32_t full_count = 0;
     bool has_alternative = false;
 
-    if (target.gate < 0 || was_full[target.gate]) {
-        return target;
+    if (choice.gate < 0 || was_full[choice.gate]) {
+        return choice;
     }
-    best = views[target.gate];
+    best = views[choice.gate];
     for (uint32_t i = 0; i < count; i++) {
         const struct bb_gate_view *v = views[i];
 
@@ -308,10 +317,10 @@
              bb_balance_wait_us(v, now_us) < BB_BALANCE_ALTERNATIVE_WAIT_US);
     }
     if (has_alternative) {
-        target.max_wait_us =
+        choice.max_wait_us =
             max_wait_at_next_gate_us(full_count, r->target_left_us);
     }
-    return target;
+    return choice;
 }
 
 /* Updates a view with the load that a gate reported at now_us; slots 0 leaves
--- a/decide/call_recovery.c
+++ b/decide/call_recovery.c
@@ -30,7 +30,7 @@
     }
 }
 
-/* To be called when bytes of the response arrive on the call's connection. */
+/* Records that bytes of the response arrived on the call's connection. */
 void
 bb_call_recovery_bytes_received(struct bb_call_recovery *r, uint64_t now_us)
 {
--- a/decide/claim.c
+++ b/decide/claim.c
@@ -37,11 +37,11 @@
     return count;
 }
 
-/* Returns whether the previous roster may be dropped: all but at most one of
- * its hosts have adopted the current epoch, so that no quorum of witnesses is
- * left in the old one, and the retention time has passed since the last of
- * them did (adopted_us). Time alone is not enough, as two partitioned hosts
- * could continue to grant claims in the old epoch. */
+/* Returns whether the previous list may be dropped: all but at most one of its
+ * hosts have adopted the current epoch, so that no quorum of witnesses is left
+ * in an earlier one, and the retention time has passed since the last of them
+ * did (adopted_us). Time alone is not enough, as two partitioned hosts could
+ * continue to grant claims in an earlier epoch. */
 bool
 bb_roster_can_drop_previous(uint32_t previous_hosts, uint32_t adopted_hosts,
                             uint64_t adopted_us, uint64_t retention_us,
@@ -101,37 +101,37 @@
 bb_witness_claim(struct bb_witness *w, const struct bb_request_id *key,
                  const struct bb_claim *c, uint64_t epoch, uint64_t now_us)
 {
-    struct bb_witness_response a = {.epoch = w->epoch};
+    struct bb_witness_response response = {.epoch = w->epoch};
     struct bb_claim_entry *e;
 
     if (epoch != w->epoch) {
-        a.result = BB_WITNESS_OTHER_EPOCH;
-        return a;
+        response.result = BB_WITNESS_OTHER_EPOCH;
+        return response;
     }
     e = bb_id_table_find(&w->table, key, now_us);
     if (e != NULL && !is_same_claim(&e->claim, c) &&
         !is_next_attempt(&e->claim, c)) {
-        a.result = BB_WITNESS_HELD;
-        a.held = e->claim;
-        return a;
+        response.result = BB_WITNESS_HELD;
+        response.held = e->claim;
+        return response;
     }
     if (now_us < w->grants_from_us &&
         w->fault != BB_CLAIM_FAULT_GRANTS_AFTER_RESTART) {
-        a.result = BB_WITNESS_CANNOT_GRANT;
-        return a;
+        response.result = BB_WITNESS_CANNOT_GRANT;
+        return response;
     }
     if (e == NULL) {
         e = bb_id_table_insert(&w->table, key, now_us);
     }
     if (e == NULL) {
-        a.result = BB_WITNESS_FULL;
-        return a;
+        response.result = BB_WITNESS_FULL;
+        return response;
     }
     e->claim = *c;
     e->slot.keep_until_us = now_us + w->retention_us;
-    a.result = BB_WITNESS_GRANTED;
-    a.held = *c;
-    return a;
+    response.result = BB_WITNESS_GRANTED;
+    response.held = *c;
+    return response;
 }
 
 /* Removes one expired claim. Returns false if this scan of part of the table
@@ -196,11 +196,11 @@
  * witness of this claim. */
 bool
 bb_claim_add_response(struct bb_claim_requester *q, uint64_t witness,
-                      const struct bb_witness_response *a)
+                      const struct bb_witness_response *response)
 {
     for (uint32_t i = 0; i < q->witness_count; i++) {
         if (q->witnesses[i] == witness) {
-            q->responses[i] = *a;
+            q->responses[i] = *response;
             q->has_responded[i] = true;
             return true;
         }
@@ -208,9 +208,9 @@
     return false;
 }
 
-/* Counts the witnesses of one roster (in_set) that hold a claim. */
+/* Counts the witnesses of one list (is_in_list) that hold a claim. */
 static uint32_t
-count_holders(const struct bb_claim_requester *q, const bool *in_set,
+count_holders(const struct bb_claim_requester *q, const bool *is_in_list,
               const struct bb_claim *c)
 {
     uint32_t count = 0;
@@ -218,7 +218,7 @@
     for (uint32_t i = 0; i < q->witness_count; i++) {
         enum bb_witness_result r = q->responses[i].result;
 
-        if (in_set[i] && q->has_responded[i] &&
+        if (is_in_list[i] && q->has_responded[i] &&
             (r == BB_WITNESS_GRANTED || r == BB_WITNESS_HELD) &&
             is_same_claim(&q->responses[i].held, c)) {
             count++;
@@ -227,8 +227,8 @@
     return count;
 }
 
-/* Returns whether a quorum of witnesses holds a claim, in each roster that
- * counts. */
+/* Returns whether a quorum of witnesses holds a claim, in the current list
+ * and, if it counts, in the previous one. */
 static bool
 has_quorum(const struct bb_claim_requester *q, const struct bb_claim *c)
 {
--- a/decide/duration_stats.c
+++ b/decide/duration_stats.c
@@ -41,57 +41,57 @@
 /* Returns the mean duration in microseconds, with each one clipped at
  * CLIP_MEDIAN_FACTOR medians. The histogram must not be empty. */
 static uint64_t
-clipped_mean_us(const struct bb_duration_stats *e, uint64_t median_us)
+clipped_mean_us(const struct bb_duration_stats *s, uint64_t median_us)
 {
     uint64_t limit_us = median_us * CLIP_MEDIAN_FACTOR;
     uint64_t sum_us = 0;
 
     for (uint32_t i = 0; i < BB_DURATION_STATS_BUCKET_COUNT; i++) {
-        if (e->counts[i] > 0) {
+        if (s->counts[i] > 0) {
             uint64_t us = bucket_middle_us(i);
 
-            sum_us += e->counts[i] * (us < limit_us ? us : limit_us);
+            sum_us += s->counts[i] * (us < limit_us ? us : limit_us);
         }
     }
-    return sum_us / e->total;
+    return sum_us / s->total;
 }
 
 /* Halves all counts, so that old durations lose weight. */
 static void
-halve_counts(struct bb_duration_stats *e)
+halve_counts(struct bb_duration_stats *s)
 {
-    e->total = 0;
+    s->total = 0;
     for (uint32_t i = 0; i < BB_DURATION_STATS_BUCKET_COUNT; i++) {
-        e->counts[i] /= 2;
-        e->total += e->counts[i];
+        s->counts[i] /= 2;
+        s->total += s->counts[i];
     }
 }
 
 /* Adds the duration of one finished call in microseconds. */
 void
-bb_duration_stats_add(struct bb_duration_stats *e, uint64_t duration_us)
+bb_duration_stats_add(struct bb_duration_stats *s, uint64_t duration_us)
 {
-    if (e->total >= MAX_TOTAL) {
-        halve_counts(e);
+    if (s->total >= MAX_TOTAL) {
+        halve_counts(s);
     }
-    e->counts[bucket_index(duration_us)]++;
-    e->total++;
-    e->median_us = bb_duration_stats_quantile_us(e, MEDIAN_PERMILLE);
-    e->mean_us = clipped_mean_us(e, e->median_us);
+    s->counts[bucket_index(duration_us)]++;
+    s->total++;
+    s->median_us = bb_duration_stats_quantile_us(s, MEDIAN_PERMILLE);
+    s->mean_us = clipped_mean_us(s, s->median_us);
 }
 
 /* Returns a quantile of the durations in microseconds, as the middle of its
  * bucket; 0 if there are none. permille 500 is the median. */
 uint64_t
-bb_duration_stats_quantile_us(const struct bb_duration_stats *e,
+bb_duration_stats_quantile_us(const struct bb_duration_stats *s,
                               uint32_t permille)
 {
-    uint64_t rank = ((uint64_t)e->total * permille + PERMILLE - 1) / PERMILLE;
+    uint64_t rank = ((uint64_t)s->total * permille + PERMILLE - 1) / PERMILLE;
     uint64_t seen = 0;
 
-    for (uint32_t i = 0; e->total > 0 && i < BB_DURATION_STATS_BUCKET_COUNT;
+    for (uint32_t i = 0; s->total > 0 && i < BB_DURATION_STATS_BUCKET_COUNT;
          i++) {
-        seen += e->counts[i];
+        seen += s->counts[i];
         if (seen > 0 && seen >= rank) {
             return bucket_middle_us(i);
         }
@@ -102,17 +102,17 @@
 /* Returns the clipped mean in microseconds, or default_us if there are no
  * durations yet. */
 uint64_t
-bb_duration_stats_mean_us(const struct bb_duration_stats *e,
+bb_duration_stats_mean_us(const struct bb_duration_stats *s,
                           uint64_t default_us)
 {
-    return e->total == 0 ? default_us : e->mean_us;
+    return s->total == 0 ? default_us : s->mean_us;
 }
 
 /* Returns the median in microseconds, or default_us if there are no durations
  * yet. */
 uint64_t
-bb_duration_stats_median_us(const struct bb_duration_stats *e,
+bb_duration_stats_median_us(const struct bb_duration_stats *s,
                             uint64_t default_us)
 {
-    return e->total == 0 ? default_us : e->median_us;
+    return s->total == 0 ? default_us : s->median_us;
 }
--- a/decide/gate_queue.c
+++ b/decide/gate_queue.c
@@ -2,7 +2,12 @@
 
 #include <string.h>
 
-enum { PERCENT = 100 };
+enum {
+    PERCENT = 100,
+    /* A nested request is queued if this part of its mean duration is left
+     * after the wait: 1/NESTED_MIN_RUN_DIVISOR. */
+    NESTED_MIN_RUN_DIVISOR = 2
+};
 
 /* Initialises an empty queue with the slots of its upstream. */
 void
@@ -13,7 +18,7 @@
     q->overall_mean_us = BB_GATE_QUEUE_DEFAULT_DURATION_US;
 }
 
-/* Sets how many requests may run at once. Running requests continue, also
+/* Sets how many requests may run at once. Running requests continue, even
  * above a lowered limit. */
 void
 bb_gate_queue_set_slots(struct bb_gate_queue *q, uint32_t slots)
@@ -88,8 +93,9 @@
 
 /* Returns whether a request with an expected wait should be queued. One that
  * would miss its target is queued only if the queue is empty, as it would take
- * a slot from requests that can meet theirs. A nested request waits as long as
- * its deadline allows, as refusing it wastes the work of its parent. */
+ * a slot from requests that can meet theirs. A nested request is queued if
+ * half of its mean duration is left until its deadline after the wait, as
+ * refusing it wastes the work of its parent. */
 static bool
 should_queue(const struct bb_gate_queue *q, const struct bb_gate_queue_item *r,
              uint64_t wait_us, uint64_t now_us)
@@ -98,7 +104,7 @@
     uint64_t left_us = r->deadline_us - now_us;
 
     if (r->is_nested) {
-        return wait_us + mean_us / 2 <= left_us;
+        return wait_us + mean_us / NESTED_MIN_RUN_DIVISOR <= left_us;
     }
     if (now_us + wait_us + mean_us <= r->target_end_us) {
         return wait_us * PERCENT <=
--- a/decide/outlier.c
+++ b/decide/outlier.c
@@ -9,9 +9,9 @@
     /* Shares are whole percentages; this one means exactly one third. */
     ONE_THIRD_PERCENT = 33,
     WEIGHT_RETURNING_PERMILLE = 500,
-    /* A call is slow from this multiple of the usual latency. It must lie
-     * between 1 and 10, the slowdown in the trace one_in_four_slowed, which
-     * must be detected. */
+    /* A call is slow from this multiple of the usual latency. The multiple
+     * must be between 1 and 10, as a slowdown by a factor of 10 must be
+     * detected. */
     SLOW_FACTOR = 4,
     /* Shorter calls are never slow: such differences come from scheduling and
      * do no harm. */
@@ -22,13 +22,17 @@
     EJECT_POINTS = 4,
     FAILURE_POINTS = 2,
     GOOD_POINTS = 2,
+    /* Latencies needed before the usual latency of a gatekeeper is used. */
     OBSERVATIONS_MIN = 4,
+    /* First ejection time, and how many times it doubles at most. */
     EJECT_BASE_US = 300000,
     EJECT_DOUBLINGS_MAX = 2,
     /* Ejection time after the gatekeeper refused a call because its upstream
      * is slow. It does not grow, as a probe that is refused again costs only a
      * round trip. */
     EJECT_REPORTED_SLOW_US = 250000,
+    /* Good calls in a row that end the probing stage and the returning
+     * stage. */
     GOOD_PROBES_TO_RETURN = 1,
     GOOD_CALLS_TO_NORMAL = 4,
     /* After this time in the normal stage, the next ejection lasts
@@ -199,8 +203,8 @@
     g->score = 0;
 }
 
-/* Ejects a gatekeeper, for twice as long as the last time in a row, up to
- * EJECT_DOUBLINGS_MAX doublings. */
+/* Ejects a gatekeeper. Each ejection in a row lasts twice as long as the one
+ * before, with at most EJECT_DOUBLINGS_MAX doublings. */
 static void
 eject(struct bb_outlier_gatekeeper *g, uint64_t now_us)
 {
@@ -223,8 +227,8 @@
 }
 
 /* Records a slow or failed call that was sent in the current stage, worth some
- * points of the score. While probing or returning, one such call ejects the
- * gatekeeper again. */
+ * points of the score. One such call ejects a probed gatekeeper again, and a
+ * returning one if the limit of ejected gatekeepers allows it. */
 static void
 record_bad_call(struct bb_outliers *o, struct bb_outlier_gatekeeper *g,
                 uint32_t points, uint64_t now_us)
@@ -382,10 +386,10 @@
     }
 }
 
-/* Ejects a gatekeeper that refused a call because its upstream is slow: it
- * sees all calls to the upstream and detects this sooner than one entry node.
- * Returns false if it is not ejected now: it is ejected
- * already, unknown, or no more gatekeepers may be ejected. */
+/* Ejects a gatekeeper that refused a call because its upstream is slow: the
+ * gatekeeper sees all calls to the upstream and detects this sooner than one
+ * entry node. Returns false if it is not ejected now: it is ejected already,
+ * unknown, or no more gatekeepers may be ejected. */
 bool
 bb_outlier_report_slow(struct bb_outliers *o, uint64_t key, uint64_t now_us)
 {
@@ -481,8 +485,10 @@
 }
 
 /* Returns the weight of a gatekeeper in permille for struct
- * bb_route_candidate: 0 until its ejection time has passed, and while a probe
- * of it is outstanding; the full weight if the key is unknown. */
+ * bb_route_candidate: full in the normal stage or if the key is unknown,
+ * WEIGHT_RETURNING_PERMILLE while it returns, BB_ROUTE_WEIGHT_PROBE_PERMILLE
+ * once its ejection time has passed and no probe of it is outstanding,
+ * otherwise 0. */
 uint32_t
 bb_outlier_weight(const struct bb_outliers *o, uint64_t key, uint64_t now_us)
 {
--- a/decide/policy_least_wait.c
+++ b/decide/policy_least_wait.c
@@ -44,9 +44,10 @@
     return usable_count - 1;
 }
 
-/* Returns the position in usable[] of the better of two draws. If one of the
- * two has a reduced weight after an ejection, the first draw is taken without
- * a comparison: the old latency of that candidate would always lose. */
+/* Returns the position in usable[] of the better of two draws; usable_count is
+ * 1 or more. If one of the two has a reduced weight after an ejection, the
+ * first draw is taken without a comparison: the old latency of that candidate
+ * would always lose. */
 static uint32_t
 choose(struct bb_route_state *s,
        const struct bb_route_candidate *const *candidates,
--- a/decide/quorum.c
+++ b/decide/quorum.c
@@ -129,7 +129,8 @@
     q->durable = *d;
     q->synced_term = d->entry.term;
     q->synced_index = d->entry.index;
-    /* Soon is safe: while there is a leader, the pre-vote is refused. */
+    /* An early election is safe: while there is a leader, other hosts refuse
+     * the pre-vote. */
     q->election_due_us = now_us + BB_QUORUM_STARTUP_DELAY_US +
                          random_bits % BB_QUORUM_EARLY_ELECTION_MAX_US;
 }
@@ -313,9 +314,9 @@
     return true;
 }
 
-/* Sends a due heartbeat, starts a due election, or steps down as a leader to
- * which no majority responds. See bb_quorum_next_tick_us for when to call it.
- */
+/* Sends a due heartbeat, starts a due election, or steps down if this host
+ * leads and no majority responds. See bb_quorum_next_tick_us for when to call
+ * it. */
 void
 bb_quorum_tick(struct bb_quorum *q, uint64_t now_us, uint64_t random_bits,
                struct bb_quorum_output *out)
@@ -384,15 +385,15 @@
         q->role == BB_QUORUM_LEADER ||
         (q->leader != 0 &&
          now_us - q->leader_last_heard_us < BB_QUORUM_ELECTION_TIMEOUT_MIN_US);
-    struct bb_quorum_message *a =
+    struct bb_quorum_message *response =
         add_message(q, out, m->from, BB_QUORUM_PRE_VOTE_RESPONSE);
 
-    a->is_ok =
+    response->is_ok =
         !has_leader && m->term > q->durable.term && is_entry_up_to_date(q, m);
     /* A refusal carries this host's term. A candidate with a lower term cannot
      * win before it adopts this term, and may be the only one that has the
      * newest entry. */
-    a->term = a->is_ok ? m->term : q->durable.term;
+    response->term = response->is_ok ? m->term : q->durable.term;
 }
 
 /* Responds to a vote request; a granted vote is sent once it is synced. */
@@ -415,8 +416,9 @@
     q->pending_vote_sequence = request_write(q, out);
 }
 
-/* Counts a vote, once for each disk. Returns whether this vote completes a
- * majority, or is one more after that. */
+/* Counts the vote of a disk if it is a voter, and once only. Returns false if
+ * it has been counted before, otherwise whether the votes counted so far are a
+ * majority. */
 static bool
 count_vote(struct bb_quorum *q, uint64_t from)
 {
@@ -437,15 +439,17 @@
 send_append_response(struct bb_quorum *q, uint64_t to,
                      struct bb_quorum_output *out)
 {
-    struct bb_quorum_message *a =
+    struct bb_quorum_message *response =
         add_message(q, out, to, BB_QUORUM_APPEND_RESPONSE);
 
-    a->is_ok = true;
-    a->round = q->append_round;
-    a->entry.term = q->faults.responds_before_sync ? q->durable.entry.term
-                                                   : q->synced_term;
-    a->entry.index = q->faults.responds_before_sync ? q->durable.entry.index
-                                                    : q->synced_index;
+    response->is_ok = true;
+    response->round = q->append_round;
+    response->entry.term = q->faults.responds_before_sync
+                               ? q->durable.entry.term
+                               : q->synced_term;
+    response->entry.index = q->faults.responds_before_sync
+                                ? q->durable.entry.index
+                                : q->synced_index;
 }
 
 /* Processes an append or heartbeat of a leader. Responds at once with what is
@@ -580,7 +584,7 @@
         return;
     }
     q->synced_sequence = sequence;
-    /* Only of the newest write is it known what it contained. */
+    /* Only the content of the newest write is known: the current state. */
     if (sequence == q->write_sequence) {
         q->synced_term = q->durable.entry.term;
         q->synced_index = q->durable.entry.index;
@@ -616,9 +620,9 @@
            (q->is_committed || q->faults.changes_voters_before_commit);
 }
 
-/* Proposes an entry with another content and the same voters. Returns whether
- * it was proposed: false unless bb_quorum_can_propose. The output of a later
- * call tells once it is committed; with a single voter, it may be this one. */
+/* Proposes an entry with other content and the same voters. Returns whether it
+ * was proposed: false unless bb_quorum_can_propose. The output of a later call
+ * tells once it is committed; with a single voter, it may be this one. */
 bool
 bb_quorum_propose(struct bb_quorum *q, uint64_t content, uint64_t now_us,
                   struct bb_quorum_output *out)
--- a/decide/reason.c
+++ b/decide/reason.c
@@ -142,7 +142,7 @@
         ran == BB_RAN_NO ? &not_run_refusals[r] : &unknown_refusals[r], 1);
 }
 
-/* Counts one retry, by the reason for which the attempt before failed. */
+/* Counts one retry, by the reason for which the previous attempt failed. */
 void
 bb_reason_count_retry(enum bb_reason r)
 {
--- a/decide/relay.c
+++ b/decide/relay.c
@@ -4,31 +4,31 @@
 
 #include <string.h>
 
+#include "common/clock.h"
 #include "common/digest.h"
 
 enum {
-    US_PER_MS = 1000,
-    US_PER_S = 1000000,
     /* Seeds of the hashes, in ASCII. They must be equal on all hosts, which
      * otherwise compute different ids and choose different relays. */
     SEED_NAME = 0x6e616d65,
     SEED_WEIGHT = 0x72656e64,
     /* Bounds of the random delay of a pull. It spreads the pulls of a zone
-     * whose relay is lost; the upper bound keeps two attempts within the 2 s
-     * by which a relay that gets no calls through may delay a change. */
+     * whose relay is lost; the upper bound keeps two attempts within 2 s, the
+     * most by which a relay that gets no calls through may delay a change. */
     DELAY_MIN_MS = 100,
     DELAY_MAX_MS = 400,
     /* The first attempts at other sources follow after a shorter delay: the
      * pulls of a zone are spread already, and an isolated control host must
-     * not delay a pull by 2 s. */
+     * not use up the 2 s that DELAY_MAX_MS allows for. */
     SHORT_DELAY_ATTEMPTS = BB_PULL_SOURCE_COUNT,
     SHORT_DELAY_MIN_MS = 20,
     SHORT_DELAY_MAX_MS = 100,
-    /* The delay doubles with every so many attempts, up to eight times the
-     * usual one: a revision that no host can send must not cost much. */
+    /* The delay doubles every ATTEMPTS_PER_DOUBLING attempts, up to eight
+     * times the usual one: a revision that no host can send must not cost
+     * much. */
     ATTEMPTS_PER_DOUBLING = 4 * BB_PULL_SOURCE_COUNT,
     DOUBLINGS_MAX = 3,
-    /* Random addition to the time at which a refused caller asks again. */
+    /* Random addition to the time at which a refused caller retries. */
     RETRY_JITTER_MS = 100,
     /* Refused callers are never told to wait longer, so that the longest wait
      * does not depend on how many nodes return at once. */
@@ -135,7 +135,8 @@
 static uint64_t
 random_delay_us(uint64_t min_ms, uint64_t max_ms, uint64_t random_bits)
 {
-    return min_ms * US_PER_MS + random_bits % ((max_ms - min_ms) * US_PER_MS);
+    return min_ms * BB_US_PER_MS +
+           random_bits % ((max_ms - min_ms) * BB_US_PER_MS);
 }
 
 /* Updates whether the member is behind, from the revision it holds and the
@@ -191,7 +192,7 @@
 
     p->is_pulling = false;
     if (is_refused) {
-        p->next_pull_us = now_us + (uint64_t)retry_after_ms * US_PER_MS;
+        p->next_pull_us = now_us + (uint64_t)retry_after_ms * BB_US_PER_MS;
         return;
     }
     p->attempt++;
@@ -216,7 +217,7 @@
     *b = (struct bb_pull_bucket){
         .rate_per_s = rate_per_s,
         .burst = burst,
-        .micro_tokens = (uint64_t)burst * US_PER_S,
+        .micro_tokens = (uint64_t)burst * BB_US_PER_S,
         .refilled_us = now_us,
         .next_slot_us = now_us,
     };
@@ -226,12 +227,12 @@
 static void
 refill(struct bb_pull_bucket *b, uint64_t now_us)
 {
-    uint64_t full_micro_tokens = (uint64_t)b->burst * US_PER_S;
+    uint64_t full_micro_tokens = (uint64_t)b->burst * BB_US_PER_S;
     uint64_t elapsed_us = now_us - b->refilled_us;
 
     /* That long fills the bucket even at the lowest rate, one pull a second.
      * The check also keeps the product below from overflowing. */
-    if (elapsed_us > US_PER_S * (uint64_t)b->burst) {
+    if (elapsed_us > BB_US_PER_S * (uint64_t)b->burst) {
         b->micro_tokens = full_micro_tokens;
     }
     else {
@@ -244,8 +245,8 @@
 }
 
 /* Takes a token. Returns true if the pull is admitted, otherwise stores after
- * how many milliseconds to ask again, at most 2000. Refused callers are
- * assigned times one after the other at the admitted rate, with jitter, so
+ * how many milliseconds to retry, at most RETRY_AFTER_MAX_MS. Refused callers
+ * are assigned times one after the other at the admitted rate, with jitter, so
  * that they do not all return at once. */
 bool
 bb_pull_bucket_try_take(struct bb_pull_bucket *b, uint64_t now_us,
@@ -254,16 +255,16 @@
     uint64_t wait_ms;
 
     refill(b, now_us);
-    if (b->micro_tokens >= US_PER_S) {
-        b->micro_tokens -= US_PER_S;
+    if (b->micro_tokens >= BB_US_PER_S) {
+        b->micro_tokens -= BB_US_PER_S;
         *retry_after_ms = 0;
         return true;
     }
     if (b->next_slot_us < now_us) {
         b->next_slot_us = now_us;
     }
-    b->next_slot_us += US_PER_S / b->rate_per_s;
-    wait_ms = (b->next_slot_us - now_us) / US_PER_MS;
+    b->next_slot_us += BB_US_PER_S / b->rate_per_s;
+    wait_ms = (b->next_slot_us - now_us) / BB_US_PER_MS;
     wait_ms += random_bits % RETRY_JITTER_MS;
     if (wait_ms > RETRY_AFTER_MAX_MS) {
         wait_ms = RETRY_AFTER_MAX_MS - random_bits % RETRY_AFTER_MAX_JITTER_MS;
--- a/decide/retry.c
+++ b/decide/retry.c
@@ -16,6 +16,7 @@
      * would always be hedged, which leaves no budget for a slow period. */
     HEDGE_MARGIN_PERCENT = 125,
     HEDGE_DELAY_MIN_US = 2000,
+    /* Below this number of observed latencies, the default delay is used. */
     HEDGE_OBSERVATIONS_MIN = 20,
     HEDGE_DELAY_DEFAULT_US = 50000,
     /* The deadline of a nested call is this much earlier, so that its response
@@ -24,8 +25,8 @@
     NESTED_MARGIN_DIVISOR = 20
 };
 
-/* Sets the share of first attempts that may be retried, in percent, and resets
- * the tokens to their start value. */
+/* Sets the share of first attempts that may be retried or hedged, in percent,
+ * and resets the tokens to their start value. */
 void
 bb_retry_budget_configure(struct bb_retry_budget *b, uint32_t percent)
 {
@@ -116,29 +117,30 @@
 }
 
 /* Decides whether a request is retried: if the failed attempt did not run or
- * the request is idempotent, the reason is transient, the limit is not reached
- * and time is left. Takes a token if the retry is allowed; if there is none,
- * the reason becomes BB_REASON_RETRY_BUDGET. */
+ * the request is idempotent, the reason is transient, the limit is not
+ * reached, and the delay plus the expected duration is less than the remaining
+ * time. Takes a token if the retry is allowed; if there is none, the reason
+ * becomes BB_REASON_RETRY_BUDGET. */
 struct bb_retry_decision
 bb_retry_decide(const struct bb_failed_request *q, struct bb_retry_budget *b)
 {
-    struct bb_retry_decision a = {.reason = q->reason};
+    struct bb_retry_decision d = {.reason = q->reason};
     bool is_safe = q->ran == BB_RAN_NO || q->is_idempotent;
 
     if (!is_safe || !bb_retry_reason_is_transient(q->reason) ||
         q->attempt_count > q->retry_limit) {
-        return a;
+        return d;
     }
-    a.delay_us = bb_retry_backoff_us(q->attempt_count, q->random_bits);
-    if (a.delay_us + q->expected_us >= q->remaining_us) {
-        return a;
+    d.delay_us = bb_retry_backoff_us(q->attempt_count, q->random_bits);
+    if (d.delay_us + q->expected_us >= q->remaining_us) {
+        return d;
     }
     if (!bb_retry_budget_take(b)) {
-        a.reason = BB_REASON_RETRY_BUDGET;
-        return a;
+        d.reason = BB_REASON_RETRY_BUDGET;
+        return d;
     }
-    a.is_allowed = true;
-    return a;
+    d.is_allowed = true;
+    return d;
 }
 
 /* Returns after how many microseconds without a response a hedge is sent: the
@@ -214,8 +216,9 @@
     return deadline_us > now_us ? deadline_us - now_us : 0;
 }
 
-/* Returns the time that a nested call may take: the time left, less one
- * twentieth but at most 1 ms, in which its response is passed on. */
+/* Returns the time that a nested call may take: the time left, less a margin
+ * for passing on its response: 1/NESTED_MARGIN_DIVISOR of that time, at most
+ * NESTED_MARGIN_MAX_US. */
 uint64_t
 bb_deadline_nested_remaining_us(uint64_t deadline_us, uint64_t now_us)
 {
--- a/decide/retry_window.c
+++ b/decide/retry_window.c
@@ -2,8 +2,9 @@
 
 #include <string.h>
 
+#include "common/clock.h"
+
 enum {
-    US_PER_MS = 1000,
     PERMILLE = 1000,
     /* Share of the budget that is used. The rest is a reserve: nested calls of
      * retried requests come on top at other hosts, where they are not limited,
@@ -21,7 +22,7 @@
                  const struct bb_retry_window_limits *l, uint64_t now_us)
 {
     uint64_t length_us =
-        (uint64_t)l->window_ms * US_PER_MS / FIRST_ATTEMPT_BUCKETS;
+        (uint64_t)l->window_ms * BB_US_PER_MS / FIRST_ATTEMPT_BUCKETS;
     uint64_t bucket = now_us / (length_us != 0 ? length_us : 1);
 
     if (bucket - w->bucket >= BB_RETRY_WINDOW_BUCKET_COUNT) {
--- a/decide/route_pick.c
+++ b/decide/route_pick.c
@@ -3,10 +3,11 @@
 #include <math.h>
 #include <string.h>
 
+#include "common/clock.h"
+
 enum {
     PERCENT = 100,
-    US_PER_S = 1000000,
-    /* The load of a report halves with each such period of its age. */
+    /* Half-life of a reported load. */
     REPORT_HALF_LIFE_US = 500000,
     REPORT_HALVINGS_MAX = 20,
     /* Zone or region are saturated while the requests that run or wait at each
@@ -201,11 +202,11 @@
     uint64_t elapsed_us = now_us > b->updated_us ? now_us - b->updated_us : 0;
     int64_t limit = (int64_t)b->bytes_per_s;
 
-    if (elapsed_us > (uint64_t)US_PER_S * US_PER_S) {
-        elapsed_us = (uint64_t)US_PER_S * US_PER_S;
+    if (elapsed_us > (uint64_t)BB_US_PER_S * BB_US_PER_S) {
+        elapsed_us = (uint64_t)BB_US_PER_S * BB_US_PER_S;
     }
     b->tokens_bytes +=
-        (int64_t)((double)elapsed_us * (double)b->bytes_per_s / US_PER_S);
+        (int64_t)((double)elapsed_us * (double)b->bytes_per_s / BB_US_PER_S);
     if (b->tokens_bytes > limit) {
         b->tokens_bytes = limit;
     }
@@ -363,10 +364,12 @@
     return n;
 }
 
-/* Collects the candidates of the local zone, or of the region if the zone is
- * saturated: usable ones and, if those are all full, ejected ones too, as a
- * slow one with a free slot is better than a queue, and may have recovered.
- * Returns how many. */
+/* Collects the usable candidates of the local zone or, if the zone overflows,
+ * of the region. If the zone overflows and all usable ones of the region are
+ * full, ejected ones are added: a slow one with a free slot is better than a
+ * queue, and may have recovered. If there is none, collects the usable ones of
+ * the region, and if there is none of these either, all available ones of the
+ * region. Returns how many. */
 static uint32_t
 collect_region(const struct bb_route_state *s,
                const struct bb_route_candidate *const *candidates,
@@ -398,8 +401,10 @@
  * bb_route_candidate_start. At most BB_ROUTE_CANDIDATES_MAX candidates are
  * considered. If no gatekeeper of the local region is available, the call goes
  * to the other region at once; if all are saturated, only after
- * REGION_OVERFLOW_DELAY_US. Without a choice the index is -1 and the reason is
- * BB_REASON_NO_UPSTREAM or BB_REASON_LINK_BUDGET. */
+ * REGION_OVERFLOW_DELAY_US. A call that has already tried every available
+ * gatekeeper of the local region gets no choice, unless the region overflows.
+ * A hedge never uses the link. Without a choice the index is -1 and the reason
+ * is BB_REASON_NO_UPSTREAM or BB_REASON_LINK_BUDGET. */
 struct bb_route_choice
 bb_route_pick(const struct bb_routing_policy *policy, struct bb_route_state *s,
               const struct bb_route_candidate *const *candidates,
--- a/decide/source.c
+++ b/decide/source.c
@@ -26,7 +26,7 @@
     }
 }
 
-/* Returns the index of the open proposal with a content, or
+/* Returns the index of the open proposal with the content, or
  * open_proposal_count if there is none. */
 static uint32_t
 find_open_proposal(const struct bb_source_saved *v,
@@ -51,7 +51,7 @@
     v->open_proposal_count--;
 }
 
-/* Adds a content to the open proposals; drops the oldest one if there is no
+/* Adds content to the open proposals; drops the oldest one if there is no
  * room, which can lead to a conflict but never to a reverted change. Returns
  * whether the saved state changed. */
 static bool
@@ -86,7 +86,7 @@
     return !is_same;
 }
 
-/* Returns whether a content is the one in force. False while the known
+/* Returns whether the content is the one in force. False while the known
  * revision in force is older than the saved base, which is possible after a
  * restart. */
 static bool
@@ -97,7 +97,7 @@
            bb_digest_equal(&s->in_force_digest, digest);
 }
 
-/* Settles a content that equals the configuration in force, with that revision
+/* Settles content that equals the configuration in force, with that revision
  * as its base. Returns whether the saved state changed. */
 static bool
 adopt_in_force(struct bb_source *s, const struct bb_digest *digest)
@@ -138,7 +138,7 @@
 
 /* Records the configuration in force; a revision that is not newer is ignored.
  * If its content is the settled one or an open proposal, it becomes the
- * settled content with this revision as its base, also if the folder has
+ * settled content with this revision as its base, even if the folder has
  * changed since: that change was made from it. Any other content removes the
  * open proposals, as their base is stale. Returns whether the saved state
  * changed. */
--- a/decide/swim.c
+++ b/decide/swim.c
@@ -3,8 +3,9 @@
 
 #include <string.h>
 
+#include "common/clock.h"
+
 enum {
-    US_PER_MS = 1000,
     PERIOD_MS = 500,
     /* A dead peer must be marked dead within 3 s. With a period of 500 ms and
      * a probe of three pings, 100 ms apart and 400 ms in all, it is suspected
@@ -28,11 +29,11 @@
 bb_swim_default_settings(void)
 {
     return (struct bb_swim_settings){
-        .period_us = PERIOD_MS * US_PER_MS,
-        .ping_interval_us = PING_INTERVAL_MS * US_PER_MS,
-        .probe_timeout_us = PROBE_TIMEOUT_MS * US_PER_MS,
-        .suspicion_timeout_us = SUSPICION_TIMEOUT_MS * US_PER_MS,
-        .dead_ping_interval_us = DEAD_PING_INTERVAL_MS * US_PER_MS,
+        .period_us = PERIOD_MS * BB_US_PER_MS,
+        .ping_interval_us = PING_INTERVAL_MS * BB_US_PER_MS,
+        .probe_timeout_us = PROBE_TIMEOUT_MS * BB_US_PER_MS,
+        .suspicion_timeout_us = SUSPICION_TIMEOUT_MS * BB_US_PER_MS,
+        .dead_ping_interval_us = DEAD_PING_INTERVAL_MS * BB_US_PER_MS,
         .indirect_ping_count = INDIRECT_PING_COUNT,
         .pings_per_probe = PINGS_PER_PROBE,
     };
@@ -390,8 +391,8 @@
 
 /* Advances probes and suspicions to now and fills in the actions to carry out.
  * Actions beyond BB_SWIM_ACTIONS_MAX, including BB_SWIM_MARK_DEAD, are dropped
- * for good. Must be called at least every 25 ms: the constants above leave 0.1
- * s for ticks and gossip. */
+ * for good. Must be called at least every 25 ms: SUSPICION_TIMEOUT_MS leaves
+ * 0.1 s for ticks and gossip. */
 void
 bb_swim_tick(struct bb_swim *s, uint64_t now_us, uint64_t random_bits,
              struct bb_swim_actions *out)
--- a/decide/voters.c
+++ b/decide/voters.c
@@ -4,24 +4,24 @@
 #include <stddef.h>
 
 static const struct bb_voter_candidate *
-find_host(const struct bb_voter_candidate *hosts, uint32_t count,
-          uint64_t disk)
+find_candidate(const struct bb_voter_candidate *candidates, uint32_t count,
+               uint64_t disk)
 {
     for (uint32_t i = 0; i < count; i++) {
-        if (hosts[i].disk_id == disk) {
-            return &hosts[i];
+        if (candidates[i].disk_id == disk) {
+            return &candidates[i];
         }
     }
     return NULL;
 }
 
-/* Returns whether a voter counts as lost, so that it should be replaced. A
- * host that is not known (NULL) does. */
+/* Returns whether a voter counts as lost, so that it should be replaced. An
+ * unknown disk (NULL) does. */
 static bool
-is_lost(const struct bb_voter_candidate *h)
+is_lost(const struct bb_voter_candidate *c)
 {
-    return h == NULL || h->is_disk_replaced ||
-           h->absent_us >= BB_VOTERS_REPLACE_AFTER_US;
+    return c == NULL || c->is_disk_replaced ||
+           c->absent_us >= BB_VOTERS_REPLACE_AFTER_US;
 }
 
 static bool
@@ -37,39 +37,39 @@
 
 /* Counts the voters of a zone that are not lost. */
 static uint32_t
-count_live_voters(const struct bb_voter_candidate *hosts, uint32_t count,
+count_live_voters(const struct bb_voter_candidate *candidates, uint32_t count,
                   const struct bb_voters *v, uint64_t zone)
 {
     uint32_t n = 0;
 
     for (uint32_t i = 0; i < v->count; i++) {
-        const struct bb_voter_candidate *h =
-            find_host(hosts, count, v->disk_ids[i]);
+        const struct bb_voter_candidate *c =
+            find_candidate(candidates, count, v->disk_ids[i]);
 
-        n += !is_lost(h) && h->zone == zone;
+        n += !is_lost(c) && c->zone == zone;
     }
     return n;
 }
 
-/* Returns the connected host without a vote whose zone has the fewest voters,
- * or NULL if there is none. */
+/* Returns the connected candidate without a vote whose zone has the fewest
+ * voters, or NULL if there is none. */
 static const struct bb_voter_candidate *
-find_host_to_add(const struct bb_voter_candidate *hosts, uint32_t count,
-                 const struct bb_voters *v)
+find_candidate_to_add(const struct bb_voter_candidate *candidates,
+                      uint32_t count, const struct bb_voters *v)
 {
     const struct bb_voter_candidate *best = NULL;
     uint32_t best_zone_voters = 0;
 
     for (uint32_t i = 0; i < count; i++) {
         uint32_t zone_voters =
-            count_live_voters(hosts, count, v, hosts[i].zone);
+            count_live_voters(candidates, count, v, candidates[i].zone);
 
-        if (hosts[i].absent_us != 0 || hosts[i].is_disk_replaced ||
-            is_voter(v, hosts[i].disk_id)) {
+        if (candidates[i].absent_us != 0 || candidates[i].is_disk_replaced ||
+            is_voter(v, candidates[i].disk_id)) {
             continue;
         }
         if (best == NULL || zone_voters < best_zone_voters) {
-            best = &hosts[i];
+            best = &candidates[i];
             best_zone_voters = zone_voters;
         }
     }
@@ -80,24 +80,24 @@
  * of the zone with the most voters; never this host's own disk. -1 if there is
  * none. */
 static int32_t
-find_voter_to_remove(const struct bb_voter_candidate *hosts, uint32_t count,
-                     const struct bb_voters *v, uint64_t self)
+find_voter_to_remove(const struct bb_voter_candidate *candidates,
+                     uint32_t count, const struct bb_voters *v, uint64_t self)
 {
     int32_t best = -1;
     uint32_t best_zone_voters = 0;
 
     for (uint32_t i = 0; i < v->count; i++) {
-        const struct bb_voter_candidate *h =
-            find_host(hosts, count, v->disk_ids[i]);
+        const struct bb_voter_candidate *c =
+            find_candidate(candidates, count, v->disk_ids[i]);
         uint32_t zone_voters;
 
         if (v->disk_ids[i] == self) {
             continue;
         }
-        if (is_lost(h)) {
+        if (is_lost(c)) {
             return (int32_t)i;
         }
-        zone_voters = count_live_voters(hosts, count, v, h->zone);
+        zone_voters = count_live_voters(candidates, count, v, c->zone);
         if (best < 0 || zone_voters > best_zone_voters) {
             best = (int32_t)i;
             best_zone_voters = zone_voters;
@@ -106,11 +106,11 @@
     return best;
 }
 
-/* Returns how many voters are needed to keep a majority when that many hosts
- * or zones are lost, whichever number is larger: at least 3, at most
- * BB_QUORUM_VOTERS_MAX - 1, so that one more can be added before a lost one is
- * removed. So at most 3 lost ones are tolerated, also if more are asked for.
- */
+/* Returns how many voters are needed to keep a majority after the loss of
+ * tolerated_hosts hosts or of tolerated_zones zones, whichever number is
+ * larger: at least 3, and at most BB_QUORUM_VOTERS_MAX - 1, so that one more
+ * can be added before a lost one is removed. At most 3 losses are tolerated,
+ * even if more are asked for. */
 uint32_t
 bb_voters_target_count(uint32_t tolerated_hosts, uint32_t tolerated_zones)
 {
@@ -127,24 +127,25 @@
  * synced copies never falls. This host's own disk, self, is never removed.
  * Returns whether there is a change; *next is set in any case. */
 bool
-bb_voters_plan_change(const struct bb_voter_candidate *hosts,
-                      uint32_t host_count, const struct bb_voters *current,
-                      uint64_t self, uint32_t target, struct bb_voters *next)
+bb_voters_plan_change(const struct bb_voter_candidate *candidates,
+                      uint32_t candidate_count,
+                      const struct bb_voters *current, uint64_t self,
+                      uint32_t target, struct bb_voters *next)
 {
     const struct bb_voter_candidate *added =
-        find_host_to_add(hosts, host_count, current);
+        find_candidate_to_add(candidates, candidate_count, current);
     bool has_lost_voter = false;
 
     *next = *current;
     for (uint32_t i = 0; i < current->count; i++) {
-        has_lost_voter =
-            has_lost_voter ||
-            (current->disk_ids[i] != self &&
-             is_lost(find_host(hosts, host_count, current->disk_ids[i])));
+        has_lost_voter = has_lost_voter ||
+                         (current->disk_ids[i] != self &&
+                          is_lost(find_candidate(candidates, candidate_count,
+                                                 current->disk_ids[i])));
     }
     if (current->count > target) {
         int32_t removed =
-            find_voter_to_remove(hosts, host_count, current, self);
+            find_voter_to_remove(candidates, candidate_count, current, self);
 
         if (removed < 0) {
             return false;
--- a/include/decide/admission.h
+++ b/include/decide/admission.h
@@ -37,15 +37,14 @@
     BB_ADMISSION_STATE_NONE,     /* no upstream is announced */
     BB_ADMISSION_STATE_STARTING, /* accepts no requests yet */
     BB_ADMISSION_STATE_READY,    /* accepts requests */
-    BB_ADMISSION_STATE_DRAINING, /* gets no new requests, finishes running ones
-                                  */
+    BB_ADMISSION_STATE_DRAINING, /* only finishes running requests */
     BB_ADMISSION_STATE_LEAVING   /* treated as draining */
 };
 
 struct bb_admission_limits {
-    uint32_t slots;             /* max running; BB_ADMISSION_SLOTS_MAX caps */
-    uint32_t connections;       /* max connections; 0: as many as slots */
-    uint32_t queue_length;      /* max queued, below BB_ADMISSION_QUEUE_MAX */
+    uint32_t slots;        /* max running; BB_ADMISSION_SLOTS_MAX caps */
+    uint32_t connections;  /* max connections; 0: as many as slots */
+    uint32_t queue_length; /* max queued; BB_ADMISSION_QUEUE_MAX - 1 caps */
     uint32_t long_work_percent; /* max share of slots for long requests */
     uint32_t slow_start_ms;     /* ramp-up time; 0: none */
     /* Max expected wait; 0: 200 ms. bb_admission_max_wait_us raises it for
@@ -122,8 +121,9 @@
 struct bb_admission_load {
     uint32_t running;
     uint32_t queued;
-    uint32_t slots;   /* usable now; 0 while draining or shedding */
-    uint64_t wait_us; /* expected queue wait of one more short request */
+    uint32_t slots; /* usable now; 0 while no request may start */
+    /* Expected queue wait of one more short request; 0 if a slot is free. */
+    uint64_t wait_us;
 };
 
 void bb_admission_init(struct bb_admission *a);
--- a/include/decide/agree.h
+++ b/include/decide/agree.h
@@ -1,6 +1,6 @@
 /* Consensus of the control hosts on the sequence of configurations: Raft with
  * pre-votes, log compaction and replacement of one disk at a time. The state
- * is a plain struct that can be copied. The module does no I/O: each event
+ * is a plain struct that can be copied. The module does no I/O: each step
  * returns what to write, send and apply, and the responses to callers.
  *
  * A host is a fixed position, 0 to host_count - 1. A disk is identified by its
@@ -13,8 +13,8 @@
  * applies the entries; passes on the responses. Once the write is synced, it
  * feeds BB_AGREE_EVENT_SYNCED with the sequence number. Whatever depends on a
  * write is returned only by the step for that event or a later one. An append
- * message must be fed only after the payloads that its entries name by digest
- * are synced. */
+ * message must be fed to bb_agree_step only after the payloads that its
+ * entries name by digest are synced. */
 #ifndef BB_DECIDE_AGREE_H
 #define BB_DECIDE_AGREE_H
 
@@ -23,10 +23,10 @@
 
 #include "common/digest.h"
 
-/* The sizes of the log (BB_AGREE_LOG_MAX) and of the history of configurations
- * (BB_AGREE_HISTORY_MAX). The state explorer of the tests builds the module
- * with smaller values, always for both, so that fewer steps reach compaction.
- */
+/* The sizes of the log (BB_AGREE_LOG_MAX) in entries and of the history
+ * (BB_AGREE_HISTORY_MAX) in configurations. The state explorer of the tests
+ * builds the module with smaller values, always for both, so that fewer steps
+ * reach compaction. */
 #ifndef BB_AGREE_LOG_ENTRIES
 #define BB_AGREE_LOG_ENTRIES 128
 #define BB_AGREE_HISTORY_CONFIGS 64
@@ -310,7 +310,8 @@
     uint64_t heartbeat_due_us;
     uint64_t identity_due_us;
     uint64_t leader_last_heard_us; /* last append of the leader */
-    uint64_t last_quorum_us;       /* a quorum last responded to this leader */
+    /* When a quorum last responded to this leader. */
+    uint64_t last_quorum_us;
     /* Last time at which a quorum is known to have responded to the cluster's
      * leader, this host or another. */
     uint64_t cluster_quorum_us;
--- a/include/decide/balance.h
+++ b/include/decide/balance.h
@@ -26,8 +26,8 @@
     /* Age from which a load report counts half. From twice this age on, it
      * counts in full again, but as at most half the slots. */
     BB_BALANCE_REPORT_STALE_US = 400 * 1000,
-    /* With so many ready gates in the zone, no request is sent to a gate of
-     * another zone just to get its first report: with many hosts, such
+    /* From this number of ready gates in the zone on, no request is sent to a
+     * gate of another zone just to get its first report: with many hosts, such
      * requests alone are much traffic. */
     BB_BALANCE_ENOUGH_ZONE_GATES = 3,
     /* The gate of the same host is preferred while its expected wait stays
@@ -55,7 +55,7 @@
     /* Another gate is worth a further attempt only if its expected wait is
      * shorter than this. */
     BB_BALANCE_ALTERNATIVE_WAIT_US = 10 * 1000,
-    /* The newest latency enters its moving average as one part in so many. */
+    /* Divisor of the newest latency's weight in its moving average. */
     BB_BALANCE_LATENCY_EWMA_DIVISOR = 8,
     /* Unused: a gate computes the failure_permille that it reports with
      * BB_GATE_FAILURE_WEIGHT_PERMILLE of path/gate.h. */
--- a/include/decide/claim.h
+++ b/include/decide/claim.h
@@ -17,19 +17,19 @@
 
 enum {
     BB_ROSTER_HOSTS_MAX = 512,
-    BB_CLAIM_SET_SIZE = 3, /* witnesses of a key in one roster */
+    BB_CLAIM_SET_SIZE = 3, /* witnesses of a key in one list */
     BB_CLAIM_QUORUM = 2,
-    BB_CLAIM_WITNESSES_MAX = 2 * BB_CLAIM_SET_SIZE /* of two rosters */
+    BB_CLAIM_WITNESSES_MAX = 2 * BB_CLAIM_SET_SIZE /* of two lists */
 };
 
 /* The gatekeepers of one service that may be witnesses, by a 64-bit hash of
  * their host names. While hosts still use the previous list, a claim needs a
- * quorum of witnesses in both lists. This header uses a roster;
- * decide/roster.h plans its changes. */
+ * quorum of witnesses in both the current and the previous list. This header
+ * uses a roster; decide/roster.h plans its changes. */
 struct bb_roster {
     uint64_t epoch; /* raised with each change of the roster */
     uint32_t host_count;
-    uint64_t hosts[BB_ROSTER_HOSTS_MAX];
+    uint64_t hosts[BB_ROSTER_HOSTS_MAX]; /* current list */
     uint32_t previous_count; /* 0: no host uses the previous list */
     uint64_t previous[BB_ROSTER_HOSTS_MAX];
 };
@@ -55,7 +55,7 @@
     BB_CLAIM_FAULT_NONE,
     BB_CLAIM_FAULT_GRANTS_AFTER_RESTART, /* grants without its old claims */
     BB_CLAIM_FAULT_ONE_GRANT,            /* one grant counts as a quorum */
-    BB_CLAIM_FAULT_IGNORES_PREVIOUS      /* no quorum in the previous roster */
+    BB_CLAIM_FAULT_IGNORES_PREVIOUS      /* no quorum in the previous list */
 };
 
 /* Grants the claims of keys at one gatekeeper. */
@@ -63,7 +63,8 @@
     enum bb_claim_fault fault;
     uint64_t epoch; /* of the roster it has adopted */
     uint64_t retention_us;
-    uint64_t grants_from_us; /* after a restart without its claims */
+    /* Grants nothing before this time; 0 unless restarted without claims. */
+    uint64_t grants_from_us;
     struct bb_id_table table;
 };
 
@@ -83,9 +84,11 @@
 };
 
 enum bb_claim_step {
-    BB_CLAIM_WAIT,   /* wait for witnesses that have not responded */
-    BB_CLAIM_RUN,    /* send the request to the claimed gatekeeper */
-    BB_CLAIM_JOIN,   /* send it by the claim held: its id and gatekeeper */
+    BB_CLAIM_WAIT, /* wait for witnesses that have not responded */
+    BB_CLAIM_RUN,  /* send the request to the claimed gatekeeper */
+    /* Send the request to the gatekeeper of the held claim, under the request
+     * id of that claim. */
+    BB_CLAIM_JOIN,
     BB_CLAIM_REFUSED /* did not run; refuse it with the reason */
 };
 
@@ -97,10 +100,10 @@
     struct bb_claim wanted;
     uint32_t witness_count;
     uint64_t witnesses[BB_CLAIM_WITNESSES_MAX];
-    bool is_current[BB_CLAIM_WITNESSES_MAX];  /* by the current roster */
-    bool is_previous[BB_CLAIM_WITNESSES_MAX]; /* by the previous roster */
+    bool is_current[BB_CLAIM_WITNESSES_MAX];  /* by the current list */
+    bool is_previous[BB_CLAIM_WITNESSES_MAX]; /* by the previous list */
     bool has_responded[BB_CLAIM_WITNESSES_MAX];
-    bool needs_both_lists; /* needs a quorum in both rosters */
+    bool needs_both_lists; /* the roster has a previous list */
     struct bb_witness_response responses[BB_CLAIM_WITNESSES_MAX];
 };
 
@@ -126,7 +129,7 @@
                     const struct bb_request_id *key,
                     const struct bb_claim *wanted);
 bool bb_claim_add_response(struct bb_claim_requester *q, uint64_t witness,
-                           const struct bb_witness_response *a);
+                           const struct bb_witness_response *response);
 enum bb_claim_step bb_claim_step(const struct bb_claim_requester *q,
                                  struct bb_claim *held,
                                  enum bb_reason *reason);
--- a/include/decide/duration_stats.h
+++ b/include/decide/duration_stats.h
@@ -20,12 +20,12 @@
     uint64_t median_us; /* updated by bb_duration_stats_add */
 };
 
-void bb_duration_stats_add(struct bb_duration_stats *e, uint64_t duration_us);
-uint64_t bb_duration_stats_quantile_us(const struct bb_duration_stats *e,
+void bb_duration_stats_add(struct bb_duration_stats *s, uint64_t duration_us);
+uint64_t bb_duration_stats_quantile_us(const struct bb_duration_stats *s,
                                        uint32_t permille);
-uint64_t bb_duration_stats_mean_us(const struct bb_duration_stats *e,
+uint64_t bb_duration_stats_mean_us(const struct bb_duration_stats *s,
                                    uint64_t default_us);
-uint64_t bb_duration_stats_median_us(const struct bb_duration_stats *e,
+uint64_t bb_duration_stats_median_us(const struct bb_duration_stats *s,
                                      uint64_t default_us);
 
 #endif
--- a/include/decide/gate_queue.h
+++ b/include/decide/gate_queue.h
@@ -1,8 +1,7 @@
 /* Admission queue of a gate, the part of baobab-proxy in front of one
- * upstream. The gatekeeper of baobab-node uses decide/admission.h instead. If
- * more requests arrive than the upstream has slots, a request runs at once on
- * a free slot, waits if its response can be expected in time, or is refused at
- * once.
+ * upstream. The gatekeeper of baobab-node uses decide/admission.h instead. A
+ * request runs at once if a slot is free. Otherwise it waits if its response
+ * can be expected in time, or is refused at once.
  *
  * Requests leave the queue by priority; within a priority, those that can
  * still meet their target time go first, in order of target time, then the
--- a/include/decide/outlier.h
+++ b/include/decide/outlier.h
@@ -40,8 +40,7 @@
     uint32_t outstanding;
     uint64_t stage_since_us;
     uint64_t eject_until_us;
-    /* Natural log of the latency in us, as a slow and as a fast moving
-     * average. */
+    /* Natural log of the latency in us: a slow and a fast moving average. */
     double usual_log_us[BB_ADMISSION_CLASS_COUNT];
     double recent_log_us[BB_ADMISSION_CLASS_COUNT];
     uint32_t observations[BB_ADMISSION_CLASS_COUNT];
@@ -52,10 +51,12 @@
 struct bb_outliers {
     uint32_t max_ejected_percent; /* max share that is ejected at a time */
     uint32_t count;
-    uint64_t baselines_updated_us; /* when the next two were computed */
+    /* When slowdown_log and highest_usual_us were computed. */
+    uint64_t baselines_updated_us;
     /* By how much the service as a whole is slower than usual, as the natural
-     * log of the factor, and the highest usual latency of any gatekeeper. */
+     * log of the factor. */
     double slowdown_log[BB_ADMISSION_CLASS_COUNT];
+    /* Highest usual latency of any gatekeeper. */
     uint64_t highest_usual_us[BB_ADMISSION_CLASS_COUNT];
     struct bb_outlier_gatekeeper gatekeepers[BB_OUTLIER_GATEKEEPERS_MAX];
 };
--- a/include/decide/quorum.h
+++ b/include/decide/quorum.h
@@ -1,13 +1,13 @@
-/* A replicated register for hosts that no settings list: Raft whose log is a
- * single entry, which each new entry replaces. The entry itself lists the
- * disks that vote on it. The state is a plain struct that can be copied; calls
- * report events and return messages and writes.
+/* A replicated register for hosts that are not listed in any settings: Raft
+ * whose log is a single entry, which each new entry replaces. The entry itself
+ * lists the disks that vote on it. The state is a plain struct that can be
+ * copied; calls report events and return messages and writes.
  *
  * Disks are known by random ids. A host whose disk was lost returns with
  * another id, so it has no vote until a leader has brought it up to date and
  * added it to the voters.
  *
- * Voters change by one at a time, and only after the entry before has been
+ * Voters change by one at a time, and only after the previous entry has been
  * committed in the leader's own term: any majority of one set then shares a
  * disk with any majority of the next.
  *
@@ -15,8 +15,8 @@
  * durable state if the output asks for one, then sends the messages. It reads
  * the sequence number of the write from write_sequence and passes it to
  * bb_quorum_on_write_synced once the write is synced. An append message must
- * be passed on only once the content that its entry names can be written
- * together with the entry.
+ * be passed to bb_quorum_receive only once the content that its entry names
+ * can be written together with the entry.
  *
  * Times are microseconds of one clock that never goes back and is never 0.
  * Each call needs fresh random bits, all 64 of them. */
@@ -30,8 +30,8 @@
     BB_QUORUM_VOTERS_MAX = 8,
     BB_QUORUM_PEERS_MAX = 24,
     BB_QUORUM_MESSAGES_MAX = 2 * BB_QUORUM_PEERS_MAX + 8,
-    /* Between the appends of a leader. Two to four missed ones, by the random
-     * election timeout, start an election. */
+    /* Between the appends of a leader. Two to four missed appends start an
+     * election, depending on the random election timeout. */
     BB_QUORUM_HEARTBEAT_INTERVAL_US = 350 * 1000,
     /* The election timeout is chosen at random between these bounds. */
     BB_QUORUM_ELECTION_TIMEOUT_MIN_US = 900 * 1000,
@@ -45,8 +45,8 @@
     /* A candidate waits for votes for a random time of 0.5 to 1.5 times this,
      * a pre-candidate for pre-votes of 1 to 2 times this. */
     BB_QUORUM_VOTE_TIMEOUT_US = 400 * 1000,
-    /* A leader steps down after a longer time than this without responses from
-     * a majority. */
+    /* A leader steps down when a majority has not responded for longer than
+     * this. */
     BB_QUORUM_STEP_DOWN_TIMEOUT_US = 1400 * 1000
 };
 
@@ -111,7 +111,8 @@
     uint64_t last_heard_us;      /* last append response, 0: none */
 };
 
-/* What the caller has to do. Zero it before the first call that uses it. */
+/* What the caller has to do. Calls only add to it: it must be zeroed before
+ * the first call, and again once it has been carried out. */
 struct bb_quorum_output {
     bool must_persist; /* write the durable state */
     bool became_leader;
@@ -121,11 +122,12 @@
     struct bb_quorum_message messages[BB_QUORUM_MESSAGES_MAX];
 };
 
-/* Faults injected by tests, which the random simulation must detect. */
+/* Faults injected by tests. The random simulation must detect the first
+ * two. */
 struct bb_quorum_faults {
     bool responds_before_sync;
     bool votes_for_older_entry;
-    bool changes_voters_before_commit; /* no test switches it on */
+    bool changes_voters_before_commit; /* no test injects it */
 };
 
 /* The state of one host. */
@@ -158,7 +160,8 @@
     uint32_t vote_count;
     uint32_t peer_count;
     struct bb_quorum_peer peers[BB_QUORUM_PEERS_MAX];
-    uint64_t last_quorum_us; /* a majority last responded to this leader */
+    /* When a majority last responded to this leader. */
+    uint64_t last_quorum_us;
     struct bb_quorum_faults faults;
 };
 
--- a/include/decide/record.h
+++ b/include/decide/record.h
@@ -1,7 +1,7 @@
 /* A gatekeeper's record of request ids, for at-most-once execution: a request
  * id that was seen or permanently refused does not run again in this
- * incarnation (process lifetime) of the gatekeeper while it is recorded: until
- * the retention time after its end or refusal.
+ * incarnation (process lifetime) of the gatekeeper until the retention time
+ * after its end or refusal has passed.
  *
  * Idempotent requests are recorded too while they run, so that a query can
  * tell a long-running request from a lost one. They are forgotten when they
@@ -16,6 +16,7 @@
 
 #include "decide/id_table.h"
 
+/* Of a request that may run in any incarnation. */
 enum { BB_INCARNATION_ANY = 0 };
 
 enum bb_record_state {
--- a/include/decide/relay.h
+++ b/include/decide/relay.h
@@ -1,11 +1,11 @@
 /* Distribution of configurations: which members push to which, when a member
- * with an old revision pulls a newer one, and at which rate pulls are
- * admitted. Control hosts push to the relays of a zone, these to its other
- * members. Members and zones are known by 64-bit ids, the hashes of their
- * names. Choices are made by rendezvous hashing, so all members with the same
- * view make the same choice without an election. Times are microseconds of one
- * clock that never goes back, unless a name ends in _ms. Each call needs fresh
- * random bits, all 64 of them. */
+ * with an old revision pulls a newer one, and the rate at which pulls are
+ * admitted. Control hosts push to the relays of a zone, and these push to its
+ * other members. Members and zones are known by 64-bit ids, the hashes of
+ * their names. Choices are made by rendezvous hashing, so all members with the
+ * same view make the same choice without an election. Times are microseconds
+ * of one clock that never goes back, unless a name ends in _ms. Each call
+ * needs fresh random bits, all 64 of them. */
 #ifndef BB_DECIDE_RELAY_H
 #define BB_DECIDE_RELAY_H
 
@@ -44,7 +44,8 @@
     bool is_relay;
     uint64_t next_pull_us; /* time of the next pull, if behind */
     uint64_t behind_since_us;
-    uint32_t attempt; /* pulls ended since then, refused ones not counted */
+    /* Pulls ended since behind_since_us; refused ones are not counted. */
+    uint32_t attempt;
 };
 
 void bb_puller_update(struct bb_puller *p, uint64_t held_revision,
--- a/include/decide/retry.h
+++ b/include/decide/retry.h
@@ -37,8 +37,10 @@
 
 struct bb_retry_decision {
     bool is_allowed;
-    uint64_t delay_us;     /* before the retry */
-    enum bb_reason reason; /* of the refusal if it is not allowed */
+    uint64_t delay_us; /* before the retry */
+    /* If not allowed: that of the failed attempt, or BB_REASON_RETRY_BUDGET.
+     */
+    enum bb_reason reason;
 };
 
 /* A request whose first attempt has no response yet. */
--- a/include/decide/retry_window.h
+++ b/include/decide/retry_window.h
@@ -4,7 +4,10 @@
  * host is a share of its own first attempts, plus its part of a fixed
  * allowance. Half of the budget is kept as a reserve, for nested calls of
  * retried requests, which other hosts send without a limit, and because a host
- * learns late how many others share the allowance. */
+ * learns late how many others share the allowance.
+ *
+ * Times are microseconds of one clock that never goes back. The caller
+ * serialises the calls on each struct. */
 #ifndef BB_DECIDE_RETRY_WINDOW_H
 #define BB_DECIDE_RETRY_WINDOW_H
 
@@ -14,17 +17,18 @@
 enum { BB_RETRY_WINDOW_BUCKET_COUNT = 12 };
 
 struct bb_retry_window_limits {
-    uint32_t window_ms;
+    uint32_t window_ms;      /* above 0 */
     uint32_t ratio_permille; /* retries per first attempt in the window */
     uint32_t allowance;      /* retries in the window, of all hosts together */
-    uint32_t host_count;     /* number that share the allowance */
+    uint32_t host_count;     /* hosts that share the allowance; 0: 1 */
 };
 
 /* Counts by time bucket. A zeroed struct is an empty one. */
 struct bb_retry_window {
     uint64_t bucket; /* number of the newest bucket */
     uint32_t first_attempts[BB_RETRY_WINDOW_BUCKET_COUNT];
-    uint32_t retries_milli[BB_RETRY_WINDOW_BUCKET_COUNT]; /* in thousandths */
+    /* Thousandths of a retry. */
+    uint32_t retries_milli[BB_RETRY_WINDOW_BUCKET_COUNT];
 };
 
 void
--- a/include/decide/roster.h
+++ b/include/decide/roster.h
@@ -1,12 +1,12 @@
 /* Plans changes to the roster of a service: the hosts whose gatekeepers may be
- * witnesses of claims (decide/claim.h). Input are the current roster and the
- * gatekeepers that run.
+ * witnesses of claims (decide/claim.h). Its input is the current roster and
+ * the running gatekeepers.
  *
  * Two claims of one key must share a witness as long as the first is kept. So
  * a roster changes by one host at a time, at most once in the retention time,
  * and keeps the previous list until bb_roster_can_drop_previous. The state of
- * a planner holds only what this process has observed. It may be lost: then
- * changes only come later. Times are microseconds of one clock that never goes
+ * a planner holds only what this process has observed. If it is lost, changes
+ * are only delayed. Times are microseconds of one clock that never goes
  * back. */
 #ifndef BB_DECIDE_ROSTER_H
 #define BB_DECIDE_ROSTER_H
--- a/include/decide/route_pick.h
+++ b/include/decide/route_pick.h
@@ -18,11 +18,10 @@
     BB_ROUTE_CANDIDATES_MAX = 512,
     BB_ROUTE_EXCLUDED_MAX = 16,
     BB_ROUTE_WEIGHT_FULL_PERMILLE = 1000,
-    BB_ROUTE_WEIGHT_PROBE_PERMILLE =
-        250 /* up to this weight: for probes only */
+    /* A gatekeeper gets only probes up to this weight. */
+    BB_ROUTE_WEIGHT_PROBE_PERMILLE = 250
 };
 
-/* Distance of a gatekeeper: same zone, same region, other region. */
 enum bb_route_distance {
     BB_ROUTE_SAME_ZONE,
     BB_ROUTE_SAME_REGION,
@@ -43,10 +42,11 @@
     uint32_t in_flight;       /* this node's calls without a response */
     /* Age of this node's oldest outstanding short call; 0: none. */
     uint64_t oldest_short_call_age_us;
-    uint32_t in_flight_at_report;     /* in_flight at reported_us */
-    uint32_t connect_failures;        /* since the last success */
+    uint32_t in_flight_at_report; /* in_flight at reported_us */
+    /* In a row; reset by a successful call with a measured latency. */
+    uint32_t connect_failures;
     uint64_t last_connect_failure_us; /* time of the last failed connect */
-    /* Moving average of the natural log of the latency in us. */
+    /* Natural log of the latency in us, as a moving average. */
     double latency_log_us[BB_ADMISSION_CLASS_COUNT];
     uint32_t observations[BB_ADMISSION_CLASS_COUNT];
 };
--- a/include/decide/swim.h
+++ b/include/decide/swim.h
@@ -6,12 +6,12 @@
  *
  * In every period a member probes its successor in the order of ids, so that
  * each peer is probed by someone in every period, and one random peer, or
- * several while it suspects any peer. A probe pings up to three times and asks
- * other members to ping too. A member suspects a peer when its own probe
- * fails, and declares it dead when no ping gets a response for the whole
- * suspicion timeout. A suspicion received from others must first last for the
- * suspicion timeout and is then checked in the same way, so no member declares
- * a peer dead that it has not tried to reach itself.
+ * several while it suspects any peer. A probe pings up to pings_per_probe
+ * times and asks other members to ping too. A member suspects a peer when its
+ * own probe fails, and declares it dead when no ping gets a response for the
+ * whole suspicion timeout. A suspicion received from others must first last
+ * for the suspicion timeout and is then checked in the same way, so no member
+ * declares a peer dead that it has not tried to reach itself.
  *
  * Times are microseconds of one clock that never goes back. Each call needs
  * fresh random bits, all 64 of them. */
@@ -72,7 +72,8 @@
     struct bb_swim_probe probes[BB_SWIM_PROBES_MAX];
     uint64_t next_period_us;
     uint64_t next_dead_ping_us; /* time of the next ping to a dead peer */
-    uint64_t random_state;      /* generator state; the caller's bits go in */
+    /* Of the random generator; mixed with the random bits of each call. */
+    uint64_t random_state;
 };
 
 enum bb_swim_action_kind {
--- a/include/decide/voters.h
+++ b/include/decide/voters.h
@@ -14,10 +14,11 @@
      * another host; longer than a restart takes, shorter than a typical
      * outage. */
     BB_VOTERS_REPLACE_AFTER_US = 3000 * 1000,
+    /* The disks of all peers and this host's own. */
     BB_VOTERS_CANDIDATES_MAX = BB_QUORUM_PEERS_MAX + 1
 };
 
-/* A disk that may be made a voter, or is one, and its host. */
+/* A disk that is a voter or may become one. */
 struct bb_voter_candidate {
     uint64_t disk_id;
     uint64_t zone;         /* any number that differs between zones */
@@ -33,8 +34,8 @@
 
 uint32_t bb_voters_target_count(uint32_t tolerated_hosts,
                                 uint32_t tolerated_zones);
-bool bb_voters_plan_change(const struct bb_voter_candidate *hosts,
-                           uint32_t host_count,
+bool bb_voters_plan_change(const struct bb_voter_candidate *candidates,
+                           uint32_t candidate_count,
                            const struct bb_voters *current, uint64_t self,
                            uint32_t target, struct bb_voters *next);
 
