decide: say why the retry window has 12 buckets

The number of buckets was bare. Its comment names the ten of the window and the two in which retries still count.

Built; the 14 tests of decide and replay pass.

--- a/include/decide/retry_window.h
+++ b/include/decide/retry_window.h
@@ -14,6 +14,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+/* Ten buckets for the window, and two more in which retries still count. */
 enum { BB_RETRY_WINDOW_BUCKET_COUNT = 12 };
 
 struct bb_retry_window_limits {
--- a/tests/decide/test_agree.c
+++ b/tests/decide/test_agree.c
@@ -4,9 +4,7 @@
 #include "common/clock.h"
 #include "unit.h"
 
-enum {
-    CHANGES = 300 /* more than BB_AGREE_LOG_MAX */
-};
+enum { CHANGES = 300 }; /* more than BB_AGREE_LOG_MAX */
 
 /* Creates a cluster and waits for its leader. */
 static struct cluster *
