--- a/decide/policy_least_wait.c
+++ b/decide/policy_least_wait.c
@@ -11,7 +11,7 @@
 weight_of(const struct bb_route_candidate *c)
 {
     return c->weight_permille > 0 ? c->weight_permille
-                                  : (uint32_t)BB_ROUTE_WEIGHT_PROBE;
+                                  : (uint32_t)BB_ROUTE_WEIGHT_PROBE_PERMILLE;
 }
 
 /* Returns a random position in usable[], in proportion to the weights. */
@@ -44,9 +44,10 @@
     return usable_count - 1;
 }
 
-/* Returns the position in usable[] of the better of two draws. If one of the
- * two has a reduced weight after an ejection, the first draw is taken without
- * a comparison: the old latency of that candidate would always lose. */
+/* Returns the position in usable[] of the better of two draws; usable_count is
+ * 1 or more. If one of the two has a reduced weight after an ejection, the
+ * first draw is taken without a comparison: the old latency of that candidate
+ * would always lose. */
 static uint32_t
 choose(struct bb_route_state *s,
        const struct bb_route_candidate *const *candidates,
@@ -65,10 +66,10 @@
         second = (second + 1) % usable_count;
     }
     b = candidates[usable[second]];
-    if (a->weight_permille < BB_ROUTE_WEIGHT_FULL) {
+    if (a->weight_permille < BB_ROUTE_WEIGHT_FULL_PERMILLE) {
         return first;
     }
-    if (b->weight_permille < BB_ROUTE_WEIGHT_FULL) {
+    if (b->weight_permille < BB_ROUTE_WEIGHT_FULL_PERMILLE) {
         return first;
     }
     return bb_route_candidate_expected_us(b, r->work_class, now_us) <
--- a/decide/route_pick.c
+++ b/decide/route_pick.c
@@ -3,10 +3,11 @@
 #include <math.h>
 #include <string.h>
 
+#include "common/clock.h"
+
 enum {
     PERCENT = 100,
-    US_PER_S = 1000000,
-    /* The load of a report halves with each such period of its age. */
+    /* Half-life of a reported load. */
     REPORT_HALF_LIFE_US = 500000,
     REPORT_HALVINGS_MAX = 20,
     /* Zone or region are saturated while the requests that run or wait at each
@@ -36,7 +37,8 @@
     *c = (struct bb_route_candidate){.key = key,
                                      .distance = distance,
                                      .slots = slots,
-                                     .weight_permille = BB_ROUTE_WEIGHT_FULL};
+                                     .weight_permille =
+                                         BB_ROUTE_WEIGHT_FULL_PERMILLE};
 }
 
 /* Updates a candidate with the load that its gatekeeper reported at now_us
@@ -67,7 +69,7 @@
                           enum bb_admission_class work_class,
                           uint64_t latency_us, bool is_success)
 {
-    double *mean = &c->log_latency[work_class];
+    double *mean = &c->latency_log_us[work_class];
     double value = latency_us > 0 ? log((double)latency_us) : 0;
 
     if (c->in_flight > 0) {
@@ -131,8 +133,8 @@
  * load, which decays with age, plus this node's calls since the report; at
  * least this node's calls in flight. */
 uint32_t
-bb_route_candidate_occupied_slots(const struct bb_route_candidate *c,
-                                  uint64_t now_us)
+bb_route_candidate_estimate_load(const struct bb_route_candidate *c,
+                                 uint64_t now_us)
 {
     uint64_t age_us = now_us > c->reported_us ? now_us - c->reported_us : 0;
     uint64_t halvings = age_us / REPORT_HALF_LIFE_US;
@@ -157,12 +159,12 @@
                                uint64_t now_us)
 {
     double latency_us = c->observations[work_class] > 0
-                            ? exp(c->log_latency[work_class])
+                            ? exp(c->latency_log_us[work_class])
                             : LATENCY_DEFAULT_US;
     double slots = c->slots > 0 ? c->slots : 1;
-    double requests = bb_route_candidate_occupied_slots(c, now_us) + 1.0;
+    double requests = bb_route_candidate_estimate_load(c, now_us) + 1.0;
 
-    if (work_class == BB_ADMISSION_SHORT &&
+    if (work_class == BB_ADMISSION_CLASS_SHORT &&
         (double)c->oldest_short_call_age_us > latency_us) {
         latency_us = (double)c->oldest_short_call_age_us;
     }
@@ -174,7 +176,7 @@
 is_saturated(const struct bb_route_candidate *c, uint32_t percent,
              uint64_t now_us)
 {
-    return (uint64_t)bb_route_candidate_occupied_slots(c, now_us) * PERCENT >=
+    return (uint64_t)bb_route_candidate_estimate_load(c, now_us) * PERCENT >=
            (uint64_t)c->slots * percent;
 }
 
@@ -200,11 +202,11 @@
     uint64_t elapsed_us = now_us > b->updated_us ? now_us - b->updated_us : 0;
     int64_t limit = (int64_t)b->bytes_per_s;
 
-    if (elapsed_us > (uint64_t)US_PER_S * US_PER_S) {
-        elapsed_us = (uint64_t)US_PER_S * US_PER_S;
+    if (elapsed_us > (uint64_t)BB_US_PER_S * BB_US_PER_S) {
+        elapsed_us = (uint64_t)BB_US_PER_S * BB_US_PER_S;
     }
     b->tokens_bytes +=
-        (int64_t)((double)elapsed_us * (double)b->bytes_per_s / US_PER_S);
+        (int64_t)((double)elapsed_us * (double)b->bytes_per_s / BB_US_PER_S);
     if (b->tokens_bytes > limit) {
         b->tokens_bytes = limit;
     }
@@ -264,7 +266,7 @@
 is_usable(const struct bb_route_candidate *c, const struct bb_route_request *r,
           uint64_t now_us)
 {
-    uint32_t weight_floor = r->can_probe ? 0 : BB_ROUTE_WEIGHT_PROBE;
+    uint32_t weight_floor = r->can_probe ? 0 : BB_ROUTE_WEIGHT_PROBE_PERMILLE;
 
     return is_available(c, r, now_us) && c->weight_permille > weight_floor;
 }
@@ -350,7 +352,7 @@
         /* A hedge that waits in a queue does not speed up its request, and
          * takes a slot later. */
         if (r->is_hedge &&
-            bb_route_candidate_occupied_slots(c, now_us) >= c->slots) {
+            bb_route_candidate_estimate_load(c, now_us) >= c->slots) {
             continue;
         }
         if (c->distance <= distance &&
@@ -362,10 +364,12 @@
     return n;
 }
 
-/* Collects the candidates of the local zone, or of the region if the zone is
- * saturated: usable ones and, if those are all full, ejected ones too, as a
- * slow one with a free slot is better than a queue, and may have recovered.
- * Returns how many. */
+/* Collects the usable candidates of the local zone or, if the zone overflows,
+ * of the region. If the zone overflows and all usable ones of the region are
+ * full, ejected ones are added: a slow one with a free slot is better than a
+ * queue, and may have recovered. If there is none, collects the usable ones of
+ * the region, and if there is none of these either, all available ones of the
+ * region. Returns how many. */
 static uint32_t
 collect_region(const struct bb_route_state *s,
                const struct bb_route_candidate *const *candidates,
@@ -397,8 +401,10 @@
  * bb_route_candidate_start. At most BB_ROUTE_CANDIDATES_MAX candidates are
  * considered. If no gatekeeper of the local region is available, the call goes
  * to the other region at once; if all are saturated, only after
- * REGION_OVERFLOW_DELAY_US. Without a choice the index is -1 and the reason is
- * BB_REASON_NO_UPSTREAM or BB_REASON_LINK_BUDGET. */
+ * REGION_OVERFLOW_DELAY_US. A call that has already tried every available
+ * gatekeeper of the local region gets no choice, unless the region overflows.
+ * A hedge never uses the link. Without a choice the index is -1 and the reason
+ * is BB_REASON_NO_UPSTREAM or BB_REASON_LINK_BUDGET. */
 struct bb_route_choice
 bb_route_pick(const struct bb_routing_policy *policy, struct bb_route_state *s,
               const struct bb_route_candidate *const *candidates,
--- a/include/decide/admission.h
+++ b/include/decide/admission.h
@@ -13,7 +13,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#include "decide/estimate.h"
+#include "decide/duration_stats.h"
 #include "decide/reason.h"
 
 enum {
@@ -26,25 +26,25 @@
 /* Short or long request, as configured for its route. The values are those of
  * enum bb_work_class in config/config.h. */
 enum bb_admission_class {
-    BB_ADMISSION_SHORT,
-    BB_ADMISSION_LONG,
+    BB_ADMISSION_CLASS_SHORT,
+    BB_ADMISSION_CLASS_LONG,
     BB_ADMISSION_CLASS_COUNT
 };
 
 /* State announced by the upstream. The values are those of enum
  * bb_upstream_state in mesh/member.h. */
 enum bb_admission_state {
-    BB_ADMISSION_NONE,     /* no upstream is announced */
-    BB_ADMISSION_STARTING, /* accepts no requests yet */
-    BB_ADMISSION_READY,    /* accepts requests */
-    BB_ADMISSION_DRAINING, /* gets no new requests, finishes running ones */
-    BB_ADMISSION_LEAVING   /* treated as draining */
+    BB_ADMISSION_STATE_NONE,     /* no upstream is announced */
+    BB_ADMISSION_STATE_STARTING, /* accepts no requests yet */
+    BB_ADMISSION_STATE_READY,    /* accepts requests */
+    BB_ADMISSION_STATE_DRAINING, /* only finishes running requests */
+    BB_ADMISSION_STATE_LEAVING   /* treated as draining */
 };
 
 struct bb_admission_limits {
-    uint32_t slots;             /* max running; BB_ADMISSION_SLOTS_MAX caps */
-    uint32_t connections;       /* max connections; 0: as many as slots */
-    uint32_t queue_length;      /* max queued, below BB_ADMISSION_QUEUE_MAX */
+    uint32_t slots;        /* max running; BB_ADMISSION_SLOTS_MAX caps */
+    uint32_t connections;  /* max connections; 0: as many as slots */
+    uint32_t queue_length; /* max queued; BB_ADMISSION_QUEUE_MAX - 1 caps */
     uint32_t long_work_percent; /* max share of slots for long requests */
     uint32_t slow_start_ms;     /* ramp-up time; 0: none */
     /* Max expected wait; 0: 200 ms. bb_admission_max_wait_us raises it for
@@ -66,18 +66,20 @@
     bool may_refuse_as_slow;
 };
 
-enum bb_admission_kind {
-    BB_ADMISSION_RUN,
-    BB_ADMISSION_QUEUE,
-    BB_ADMISSION_REFUSE
+enum bb_admission_decision_kind {
+    BB_ADMISSION_DECISION_RUN,
+    BB_ADMISSION_DECISION_QUEUE,
+    BB_ADMISSION_DECISION_REFUSE
 };
 
 struct bb_admission_decision {
-    enum bb_admission_kind kind;
-    enum bb_reason reason; /* of BB_ADMISSION_REFUSE; it did not run */
+    enum bb_admission_decision_kind kind;
+    enum bb_reason
+        reason; /* of BB_ADMISSION_DECISION_REFUSE; it did not run */
 };
 
-/* Run or refuse a queued request; the decision is never BB_ADMISSION_QUEUE. */
+/* Run or refuse a queued request; the decision is never
+ * BB_ADMISSION_DECISION_QUEUE. */
 struct bb_admission_action {
     uint64_t id;
     struct bb_admission_decision decision;
@@ -119,8 +121,9 @@
 struct bb_admission_load {
     uint32_t running;
     uint32_t queued;
-    uint32_t slots;   /* usable now; 0 while draining or shedding */
-    uint64_t wait_us; /* expected queue wait of one more short request */
+    uint32_t slots; /* usable now; 0 while no request may start */
+    /* Expected queue wait of one more short request; 0 if a slot is free. */
+    uint64_t wait_us;
 };
 
 void bb_admission_init(struct bb_admission *a);
--- a/include/decide/route_pick.h
+++ b/include/decide/route_pick.h
@@ -17,11 +17,11 @@
 enum {
     BB_ROUTE_CANDIDATES_MAX = 512,
     BB_ROUTE_EXCLUDED_MAX = 16,
-    BB_ROUTE_WEIGHT_FULL = 1000,
-    BB_ROUTE_WEIGHT_PROBE = 250 /* up to this weight: for probes only */
+    BB_ROUTE_WEIGHT_FULL_PERMILLE = 1000,
+    /* A gatekeeper gets only probes up to this weight. */
+    BB_ROUTE_WEIGHT_PROBE_PERMILLE = 250
 };
 
-/* Distance of a gatekeeper: same zone, same region, other region. */
 enum bb_route_distance {
     BB_ROUTE_SAME_ZONE,
     BB_ROUTE_SAME_REGION,
@@ -42,11 +42,12 @@
     uint32_t in_flight;       /* this node's calls without a response */
     /* Age of this node's oldest outstanding short call; 0: none. */
     uint64_t oldest_short_call_age_us;
-    uint32_t in_flight_at_report;     /* in_flight at reported_us */
-    uint32_t connect_failures;        /* since the last success */
+    uint32_t in_flight_at_report; /* in_flight at reported_us */
+    /* In a row; reset by a successful call with a measured latency. */
+    uint32_t connect_failures;
     uint64_t last_connect_failure_us; /* time of the last failed connect */
-    /* Moving average of the natural log of the latency in us. */
-    double log_latency[BB_ADMISSION_CLASS_COUNT];
+    /* Natural log of the latency in us, as a moving average. */
+    double latency_log_us[BB_ADMISSION_CLASS_COUNT];
     uint32_t observations[BB_ADMISSION_CLASS_COUNT];
 };
 
@@ -104,8 +105,8 @@
                                uint64_t latency_us, bool is_success);
 void bb_route_candidate_connect_failed(struct bb_route_candidate *c,
                                        uint64_t now_us);
-uint32_t bb_route_candidate_occupied_slots(const struct bb_route_candidate *c,
-                                           uint64_t now_us);
+uint32_t bb_route_candidate_estimate_load(const struct bb_route_candidate *c,
+                                          uint64_t now_us);
 double bb_route_candidate_expected_us(const struct bb_route_candidate *c,
                                       enum bb_admission_class work_class,
                                       uint64_t now_us);
