tests: pin the limits and numbers that the tests were written for

A rewording of the tests replaced literal sizes, waits and numbers by constants of the product. These tests no longer noticed that such a constant changes.

Each of these places keeps its expression and gets a _Static_assert of the former value: BB_ADMIN_BODY_MAX_BYTES (64 KiB), BB_SECTIONS_MAX (4096), BB_FOLDER_MAX_BYTES / BB_FOLDER_FILE_MAX_BYTES (16, for the former 17 files), BB_GOSSIP_UNREACHABLE_AFTER_MS (5000, for the former wait of 8 s), MESH_FETCH (2) and the exit codes of proxy-node (0, 1, 2 and 4). tests/decide is not part of this change.

On a scratch copy with one changed value for each assertion, each of the six fails to compile. The other tests were not run.

--- a/tests/admin/test_admin.c
+++ b/tests/admin/test_admin.c
@@ -15,6 +15,9 @@
     CHUNK_BYTES = 2 * BB_ADMIN_BODY_MAX_BYTES
 };
 
+_Static_assert(BB_ADMIN_BODY_MAX_BYTES == 64 * 1024,
+               "limit of a body that the tests were written for");
+
 #define TOKEN "correct-horse"
 
 static struct bb_admin_server *server;
--- a/tests/config/test_compile.c
+++ b/tests/config/test_compile.c
@@ -14,6 +14,9 @@
     PRINTABLE_CHARACTERS = 94 /* from '!' to '~' */
 };
 
+_Static_assert(BB_SECTIONS_MAX == 4096,
+               "limit of sections that the tests were written for");
+
 static const char base[] = "[team press]\nmax-in-flight=9\n"
                            "[region accra]\n[zone accra-1]\nregion=accra\n"
                            "[service proofdesk]\nteam=press\n"
--- a/tests/config/test_folder.c
+++ b/tests/config/test_folder.c
@@ -96,6 +96,9 @@
     fixture_remove_directory(d);
 }
 
+_Static_assert(BB_FOLDER_MAX_BYTES / BB_FOLDER_FILE_MAX_BYTES == 16,
+               "number of largest files that fill a folder");
+
 /* Guards against a file or folder over its limit of bytes, or a file name that
  * is not UTF-8, that is read. */
 static void
--- a/tests/mesh/fake_mesh.h
+++ b/tests/mesh/fake_mesh.h
@@ -25,6 +25,8 @@
     FAKE_POLL_MS = 5
 };
 
+_Static_assert(MESH_FETCH == 2, "procedure number that peers call");
+
 struct fake_member {
     struct bb_mesh *mesh;
     struct bb_mesh_settings settings;
--- a/tests/mesh/test_gossip.c
+++ b/tests/mesh/test_gossip.c
@@ -23,6 +23,9 @@
     DEATH_DETECTION_US = 4 * BB_US_PER_S
 };
 
+_Static_assert(BB_GOSSIP_UNREACHABLE_AFTER_MS == 5000,
+               "timeout that the tests were written for");
+
 struct datagram {
     uint16_t from;
     uint16_t to;
--- a/tests/proxy/proxy_node.c
+++ b/tests/proxy/proxy_node.c
@@ -17,6 +17,10 @@
     PEER_SLOTS = 6
 };
 
+_Static_assert(BB_EXIT_OK == 0 && BB_EXIT_FAILED == 1 && BB_EXIT_USAGE == 2 &&
+                   BB_EXIT_INTERNAL == 4,
+               "exit codes of this program");
+
 static const uint64_t body_max_bytes = UINT64_C(1) << 31;
 
 struct node {
