tests/decide: name the numbers and terms of the consensus tests

Cause: delays, probabilities, rounds and seeds were bare numbers, clusters were called groups, and some heads did not say which failure is meant. Change: constants with the same values, clusters instead of groups, is_invariant_violated, with_faults (calls turned round), plainer heads.

--- a/tests/decide/agree_model.c
+++ b/tests/decide/agree_model.c
@@ -9,12 +9,16 @@
 
 enum {
     MESSAGES_MAX = 400000,
-    LONG_AFTER_US = 1000000000, /* later than any timeout */
+    AFTER_ALL_TIMEOUTS_US = 1000000000,
     /* Tickets: of a proposal, PROPOSAL_TICKETS_PER_HOST * host + content; of a
      * read, FIRST_READ_TICKET + the highest revision that was accepted before.
      */
     PROPOSAL_TICKETS_PER_HOST = 16,
-    FIRST_READ_TICKET = 256
+    FIRST_READ_TICKET = 256,
+    /* For the hashes of messages, disks and states. */
+    MESSAGE_HASH_SEED = 1,
+    DISK_HASH_FACTOR = 3,
+    HOSTS_HASH_SEED = 7
 };
 
 /* All messages that were ever sent; states refer to them by number. */
@@ -33,12 +37,12 @@
                       : offsetof(struct bb_agree_message, body) +
                             m->count * sizeof(m->body.entries[0]);
 
-    return bb_hash64(m, size, 1);
+    return bb_hash64(m, size, MESSAGE_HASH_SEED);
 }
 
 /* Returns the number of a message; assigns one to a new message. */
 static uint32_t
-number_message(const struct bb_agree_message *m)
+get_message_number(const struct bb_agree_message *m)
 {
     uint64_t hash = hash_message(m);
     gpointer found;
@@ -161,8 +165,9 @@
     }
 }
 
-/* Checks a response to a read or a proposal, which its ticket tells apart. A
- * confirmed read must see all revisions that were accepted before it. */
+/* Checks the response to a read or a proposal; the ticket shows which of the
+ * two it is. A confirmed read must see all revisions that were accepted before
+ * it. */
 static void
 check_response(struct model_state *s, const struct bb_agree_response *r)
 {
@@ -196,7 +201,7 @@
 {
     for (uint32_t i = 0; i < output.message_count; i++) {
         const struct bb_agree_message *m = &output.messages[i];
-        uint32_t n = number_message(m);
+        uint32_t n = get_message_number(m);
         uint32_t k = 0;
 
         if (m->kind == BB_AGREE_VOTE_RESPONSE && m->is_ok &&
@@ -251,7 +256,8 @@
            const struct bb_agree_durable *d)
 {
     s->disks[host] = *d;
-    s->disk_hashes[host] = 3 * bb_hash64(d, durable_size(d), host);
+    s->disk_hashes[host] =
+        DISK_HASH_FACTOR * bb_hash64(d, durable_size(d), host);
 }
 
 /* Feeds an event to a host and checks the invariants on the output. */
@@ -347,7 +353,7 @@
     const struct model_folder *f = &s->folders[host];
     uint64_t in_force = bb_agree_config_in_force(&s->hosts[host]).revision;
     struct bb_agree_event e = {.kind = BB_AGREE_EVENT_PROPOSAL,
-                               .now_us = LONG_AFTER_US};
+                               .now_us = AFTER_ALL_TIMEOUTS_US};
 
     e.as.proposal = (struct bb_agree_proposal){
         .ticket = (unsigned)PROPOSAL_TICKETS_PER_HOST * host + f->content,
@@ -364,7 +370,7 @@
 start_read(struct model_state *s, uint8_t host)
 {
     struct bb_agree_event e = {.kind = BB_AGREE_EVENT_READ,
-                               .now_us = LONG_AFTER_US,
+                               .now_us = AFTER_ALL_TIMEOUTS_US,
                                .as.ticket = FIRST_READ_TICKET};
 
     for (uint32_t r = 0; r < MODEL_REVISIONS_MAX; r++) {
@@ -379,7 +385,7 @@
 model_step(struct model_state *s, struct model_action a)
 {
     struct bb_agree_event e = {.kind = BB_AGREE_EVENT_TICK,
-                               .now_us = LONG_AFTER_US};
+                               .now_us = AFTER_ALL_TIMEOUTS_US};
 
     switch ((enum model_action_kind)a.kind) {
     case MODEL_DELIVER:
@@ -504,7 +510,7 @@
 {
     uint32_t n = 0;
 
-    g_assert(max >= MODEL_NETWORK_MAX + MODEL_HOSTS * 16);
+    g_assert(max >= MODEL_NETWORK_MAX + MODEL_HOSTS * MODEL_HOST_ACTIONS_MAX);
     for (uint32_t h = 0; h < MODEL_HOSTS; h++) {
         n += list_host_actions(s, h, &actions[n]);
     }
@@ -526,7 +532,7 @@
     return bb_hash64((const char *)s + start,
                      offsetof(struct model_state, is_truncated) - start,
                      s->network_hash) +
-           bb_hash64(s->host_hashes, sizeof(s->host_hashes), 7);
+           bb_hash64(s->host_hashes, sizeof(s->host_hashes), HOSTS_HASH_SEED);
 }
 
 /* Frees the message numbers of earlier walks once half of them are used. The
--- a/tests/decide/agree_model.h
+++ b/tests/decide/agree_model.h
@@ -13,6 +13,7 @@
 
 enum {
     MODEL_HOSTS = 3,
+    MODEL_HOST_ACTIONS_MAX = 16, /* except deliveries */
     MODEL_NETWORK_MAX = 96,
     MODEL_REVISIONS_MAX = 8,
     MODEL_TERMS_MAX = 10,
--- a/tests/decide/test_agree.c
+++ b/tests/decide/test_agree.c
@@ -4,11 +4,15 @@
 #include "common/clock.h"
 #include "unit.h"
 
-enum { CHANGES = 300 }; /* more than BB_AGREE_LOG_MAX */
+enum {
+    CHANGES = 300,  /* more than BB_AGREE_LOG_MAX */
+    NEW_DISK = 500, /* IDs of disks that replace others */
+    SECOND_NEW_DISK = 501
+};
 
 /* Creates a cluster and waits for its leader. */
 static struct cluster *
-start_group(uint8_t count, uint64_t first_revision)
+start_cluster(uint8_t count, uint64_t first_revision)
 {
     struct cluster *c = cluster_create(count, first_revision);
 
@@ -33,12 +37,12 @@
 /* Guards against a cluster size with which no leader is elected or an accepted
  * revision is not applied on all hosts. */
 static void
-test_groups_form_and_accept(void)
+test_clusters_form_and_accept(void)
 {
     static const uint8_t counts[] = {1, 3, 5, 7};
 
     for (size_t i = 0; i < sizeof(counts); i++) {
-        struct cluster *c = start_group(counts[i], 1);
+        struct cluster *c = start_cluster(counts[i], 1);
 
         expect_response(cluster_propose(c, 0, 0, 1), BB_AGREE_ACCEPTED, 1);
         cluster_run(c, BB_US_PER_S);
@@ -72,7 +76,7 @@
 static void
 test_proposal_rules(void)
 {
-    struct cluster *c = start_group(3, 1000);
+    struct cluster *c = start_cluster(3, 1000);
 
     expect_response(cluster_propose(c, 999, 5, 1), BB_AGREE_ACCEPTED, 1000);
     expect_response(cluster_propose(c, 999, 5, 1), BB_AGREE_ACCEPTED, 1000);
@@ -95,7 +99,7 @@
 static void
 test_isolated_leader_steps_down(void)
 {
-    struct cluster *c = start_group(3, 1);
+    struct cluster *c = start_cluster(3, 1);
     uint8_t old = cluster_find_leader(c);
     struct bb_agree_event e = {.kind = BB_AGREE_EVENT_READ, .as.ticket = 77};
 
@@ -127,7 +131,7 @@
 static void
 test_catch_up_by_snapshot(void)
 {
-    struct cluster *c = start_group(3, 1);
+    struct cluster *c = start_cluster(3, 1);
     uint8_t late = (uint8_t)((cluster_find_leader(c) + 1) % 3);
 
     c->is_isolated[late] = true;
@@ -148,12 +152,12 @@
 static void
 test_replacement_then_second_loss(void)
 {
-    struct cluster *c = start_group(3, 1);
+    struct cluster *c = start_cluster(3, 1);
     uint8_t leader = cluster_find_leader(c);
     uint8_t lost = (uint8_t)((leader + 1) % 3);
 
     expect_response(cluster_propose(c, 0, 0, 1), BB_AGREE_ACCEPTED, 1);
-    cluster_replace_disk(c, lost, 500);
+    cluster_replace_disk(c, lost, NEW_DISK);
     CU_ASSERT_FALSE(bb_agree_is_voter(&c->hosts[lost]));
     cluster_run(c, 2 * BB_US_PER_S);
     CU_ASSERT_TRUE(bb_agree_is_voter(&c->hosts[lost]));
@@ -170,12 +174,12 @@
 static void
 test_two_empty_disks_do_not_vote(void)
 {
-    struct cluster *c = start_group(3, 1);
+    struct cluster *c = start_cluster(3, 1);
 
     expect_response(cluster_propose(c, 0, 0, 1), BB_AGREE_ACCEPTED, 1);
-    cluster_replace_disk(c, 0, 500);
-    cluster_replace_disk(c, 1, 501);
-    /* If host 2 was the leader, it must not remain the leader. */
+    cluster_replace_disk(c, 0, NEW_DISK);
+    cluster_replace_disk(c, 1, SECOND_NEW_DISK);
+    /* Host 2 may be the leader: in a new term it needs votes to lead. */
     c->hosts[2].durable.term += 1;
     c->hosts[2].role = BB_AGREE_FOLLOWER;
     cluster_run(c, 5 * BB_US_PER_S);
@@ -188,7 +192,7 @@
 static void
 test_failed_sync_ends_voting(void)
 {
-    struct cluster *c = start_group(3, 1);
+    struct cluster *c = start_cluster(3, 1);
     uint8_t leader = cluster_find_leader(c);
 
     cluster_feed_event(
@@ -203,7 +207,7 @@
 }
 
 static const struct bb_unit_test tests[] = {
-    {"groups of any size form and accept", test_groups_form_and_accept},
+    {"clusters of any size form and accept", test_clusters_form_and_accept},
     {"formation waits for every host", test_formation_waits_for_every_host},
     {"which proposals are accepted", test_proposal_rules},
     {"isolated leader steps down", test_isolated_leader_steps_down},
--- a/tests/decide/test_agree_explorer.c
+++ b/tests/decide/test_agree_explorer.c
@@ -36,8 +36,9 @@
     WALK_STEPS = 250,  /* actions of a walk */
     WALK_ATTEMPTS = 4, /* to choose an action that makes progress */
     ACTIONS_MAX = 160, /* possible in one state */
-    DEPTH_MAX = 200,   /* actions from the root to a state */
-    TABLE_FACTOR = 2   /* elements of the hash table for each state */
+    WALK_SEED = 20260101,
+    DEPTH_MAX = 200, /* actions from the root to a state */
+    TABLE_FACTOR = 2 /* elements of the hash table for each state */
 };
 
 /* A visited state, stored as the action that led to it from another one. The
@@ -211,7 +212,7 @@
  * 1 in force, with the same content in all folders. Freed by expect_safe,
  * expect_fault_found or run_walks. */
 static struct search *
-prepare_group(void)
+prepare_cluster(void)
 {
     struct search *x = g_new0(struct search, 1);
     struct model_state *s = &x->root;
@@ -254,7 +255,7 @@
 static void
 test_racing_proposals(void)
 {
-    struct search *x = prepare_group();
+    struct search *x = prepare_cluster();
 
     x->root.budget =
         (struct model_budget){.timeouts = 1, .edits = 2, .reads = 1};
@@ -266,7 +267,7 @@
 static void
 test_crashes(void)
 {
-    struct search *x = prepare_group();
+    struct search *x = prepare_cluster();
 
     x->root.budget =
         (struct model_budget){.timeouts = 2, .edits = 1, .crashes = 2};
@@ -278,7 +279,7 @@
 static void
 test_lost_disk(void)
 {
-    struct search *x = prepare_group();
+    struct search *x = prepare_cluster();
 
     x->root.budget = (struct model_budget){.timeouts = 1,
                                            .heartbeats = 1,
@@ -288,12 +289,12 @@
     expect_safe(x, "lost disk");
 }
 
-/* As prepare_group, with an empty disk on host 2 that the leader knows of and
- * brings up to date. */
+/* As prepare_cluster, with an empty disk on host 2 that the leader knows of
+ * and brings up to date. */
 static struct search *
 prepare_replacement(void)
 {
-    struct search *x = prepare_group();
+    struct search *x = prepare_cluster();
     struct model_state *s = &x->root;
 
     s->budget.lost_disks = 1;
@@ -323,7 +324,7 @@
 static void
 test_one_crash(void)
 {
-    struct search *x = prepare_group();
+    struct search *x = prepare_cluster();
 
     x->root.budget =
         (struct model_budget){.timeouts = 1, .edits = 1, .crashes = 1};
@@ -397,7 +398,7 @@
 static void
 run_walks(struct search *x, const char *name)
 {
-    GRand *random = g_rand_new_with_seed(20260101);
+    GRand *random = g_rand_new_with_seed(WALK_SEED);
     uint32_t walks = read_bound("BAOBAB_EXPLORER_WALKS", DEFAULT_WALKS);
     uint32_t replaced = 0;
     uint32_t changed = 0;
@@ -417,7 +418,8 @@
                  "%u replaced a disk ",
                  name, walks, (unsigned long long)x->transitions, changed,
                  replaced);
-    /* Walks that change and replace nothing would test nothing. */
+    /* Walks that accept no change and replace no disk would test nothing. A
+     * run with fewer walks than the default may have none that do. */
     CU_ASSERT_TRUE(walks < DEFAULT_WALKS || (changed > 0 && replaced > 0));
     g_rand_free(random);
     g_free(x);
@@ -435,7 +437,7 @@
 static void
 test_random_walks(void)
 {
-    struct search *x = prepare_group();
+    struct search *x = prepare_cluster();
 
     x->root.budget = walk_budget;
     run_walks(x, "random walks");
@@ -457,7 +459,7 @@
 static void
 test_fault_response_before_sync(void)
 {
-    struct search *x = prepare_group();
+    struct search *x = prepare_cluster();
 
     model_set_faults(&x->root,
                      (struct bb_agree_faults){.responds_before_sync = 1});
@@ -472,7 +474,7 @@
 static void
 test_fault_vote_with_empty_disk(void)
 {
-    struct search *x = prepare_group();
+    struct search *x = prepare_cluster();
 
     model_set_faults(&x->root,
                      (struct bb_agree_faults){.votes_with_empty_disk = 1});
@@ -486,7 +488,7 @@
 static void
 test_fault_propose_difference(void)
 {
-    struct search *x = prepare_group();
+    struct search *x = prepare_cluster();
 
     x->root.budget =
         (struct model_budget){.edits = 1, .proposes_difference = 1};
--- a/tests/decide/test_quorum.c
+++ b/tests/decide/test_quorum.c
@@ -19,8 +19,14 @@
     CONTENTS_MAX = 4096,
     TERMS_MAX = 4096,
     STEP_US = 5000,
-    DELAY_MAX_US = 60000,
+    START_US = 1000 * 1000, /* time at which the hosts start */
+    DELAY_MIN_US = 500,     /* of a message */
+    DELAY_RANGE_US = 60000, /* added at random to DELAY_MIN_US */
+    DUPLICATE_DELAY_US = 100000,
     SYNC_MAX_US = 80000,
+    DOWNTIME_MAX_US = 3000000,
+    ALL_DOWNTIME_MAX_US = 1000000,
+    LOST_DISK_DOWNTIME_MAX_US = 2000000,
     /* After all hosts were up and connected for this long, a lost disk has
      * been replaced, so that another one may be lost. */
     CATCH_UP_US = 4 * 1000 * 1000,
@@ -32,6 +38,19 @@
     FAULT_SEEDS = 300                /* with an injected fault */
 };
 
+/* Probabilities of events in a step. */
+enum {
+    HOST_DOWN_PERMILLE = 4,
+    ALL_DOWN_PERMILLE = 1,
+    LOST_DISK_PERMILLE = 5,
+    PARTITION_PERMILLE = 3,
+    PARTITIONED_HOST_PERMILLE = 300, /* of each host in a partition */
+    HEAL_PERMILLE = 6,               /* end of a partition */
+    LOST_MESSAGE_PERMILLE = 30,
+    DUPLICATE_PERMILLE = 30,
+    PROPOSE_PERMILLE = 40 /* of each host that is up */
+};
+
 /* A message on its way. */
 struct in_flight {
     struct bb_quorum_message message;
@@ -58,7 +77,7 @@
     uint64_t now_us;
     uint64_t random;
     uint64_t disks_used;
-    uint32_t partition[HOSTS];      /* hosts in different ones are cut off */
+    uint32_t partition[HOSTS];      /* number of each host's partition */
     uint64_t last_unhealthy_us;     /* when not all were up and connected */
     uint64_t parents[CONTENTS_MAX]; /* what each content builds on */
     uint64_t contents_used;
@@ -66,7 +85,7 @@
     uint64_t commits;
     uint64_t leaders[TERMS_MAX]; /* disk by term */
     uint64_t base;               /* not used: proposals use the entry's */
-    bool is_violated;            /* an invariant */
+    bool is_invariant_violated;
     struct bb_quorum_faults faults;
 };
 
@@ -107,7 +126,7 @@
         return;
     }
     if (!builds_on(sim, content, sim->committed)) {
-        sim->is_violated = true;
+        sim->is_invariant_violated = true;
     }
     sim->committed = content;
     sim->commits++;
@@ -126,7 +145,7 @@
         uint64_t *leader = &sim->leaders[h->q.durable.term % TERMS_MAX];
 
         if (*leader != 0 && *leader != h->q.durable.disk_id) {
-            sim->is_violated = true;
+            sim->is_invariant_violated = true;
         }
         *leader = h->q.durable.disk_id;
         h->leader_since_us = sim->now_us;
@@ -135,7 +154,8 @@
         if (sim->in_flight_count < IN_FLIGHT_MAX) {
             sim->in_flight[sim->in_flight_count++] = (struct in_flight){
                 .message = out->messages[i],
-                .due_us = sim->now_us + 500 + next_random(sim) % DELAY_MAX_US};
+                .due_us = sim->now_us + DELAY_MIN_US +
+                          next_random(sim) % DELAY_RANGE_US};
         }
     }
     if (out->has_committed) {
@@ -291,46 +311,47 @@
     uint32_t i = (uint32_t)(next_random(sim) % HOSTS);
     struct host *h = &sim->hosts[i];
 
-    if (random_bool(sim, 4) && !h->is_down) {
+    if (random_bool(sim, HOST_DOWN_PERMILLE) && !h->is_down) {
         h->is_down = true;
-        h->up_us = sim->now_us + next_random(sim) % 3000000;
+        h->up_us = sim->now_us + next_random(sim) % DOWNTIME_MAX_US;
     }
-    if (random_bool(sim, 1)) {
+    if (random_bool(sim, ALL_DOWN_PERMILLE)) {
         for (uint32_t j = 0; j < HOSTS; j++) {
             sim->hosts[j].is_down = true;
-            sim->hosts[j].up_us = sim->now_us + next_random(sim) % 1000000;
+            sim->hosts[j].up_us =
+                sim->now_us + next_random(sim) % ALL_DOWNTIME_MAX_US;
         }
     }
-    if (random_bool(sim, 5) && !h->is_down &&
+    if (random_bool(sim, LOST_DISK_PERMILLE) && !h->is_down &&
         sim->now_us - sim->last_unhealthy_us > CATCH_UP_US) {
         h->is_down = true;
-        h->up_us = sim->now_us + next_random(sim) % 2000000;
+        h->up_us = sim->now_us + next_random(sim) % LOST_DISK_DOWNTIME_MAX_US;
         memset(&h->synced, 0, sizeof(h->synced));
     }
-    if (random_bool(sim, 3)) {
+    if (random_bool(sim, PARTITION_PERMILLE)) {
         for (uint32_t j = 0; j < HOSTS; j++) {
-            sim->partition[j] = random_bool(sim, 300);
+            sim->partition[j] = random_bool(sim, PARTITIONED_HOST_PERMILLE);
         }
     }
-    if (random_bool(sim, 6)) {
+    if (random_bool(sim, HEAL_PERMILLE)) {
         memset(sim->partition, 0, sizeof(sim->partition));
     }
-    if (random_bool(sim, 30) && sim->in_flight_count > 1) {
+    if (random_bool(sim, LOST_MESSAGE_PERMILLE) && sim->in_flight_count > 1) {
         uint32_t lost = (uint32_t)(next_random(sim) % sim->in_flight_count);
 
         sim->in_flight_count--;
         sim->in_flight[lost] = sim->in_flight[sim->in_flight_count];
     }
-    if (random_bool(sim, 30) && sim->in_flight_count > 0 &&
+    if (random_bool(sim, DUPLICATE_PERMILLE) && sim->in_flight_count > 0 &&
         sim->in_flight_count < IN_FLIGHT_MAX) {
         sim->in_flight[sim->in_flight_count] =
             sim->in_flight[next_random(sim) % sim->in_flight_count];
-        sim->in_flight[sim->in_flight_count++].due_us += 100000;
+        sim->in_flight[sim->in_flight_count++].due_us += DUPLICATE_DELAY_US;
     }
 }
 
 static void
-run_step(struct simulation *sim, bool without_faults)
+run_step(struct simulation *sim, bool with_faults)
 {
     sim->now_us += STEP_US;
     for (uint32_t i = 0; i < HOSTS; i++) {
@@ -338,7 +359,7 @@
             sim->last_unhealthy_us = sim->now_us;
         }
     }
-    if (!without_faults) {
+    if (with_faults) {
         inject_faults(sim);
     }
     deliver_messages(sim);
@@ -358,14 +379,15 @@
             apply_output(sim, i, &out);
         }
         advance_disk(sim, i);
-        if (random_bool(sim, 40)) {
+        if (random_bool(sim, PROPOSE_PERMILLE)) {
             propose(sim, i);
         }
     }
 }
 
+/* Lets host 0 bootstrap the register with the first VOTERS hosts as voters. */
 static void
-form_group(struct simulation *sim)
+bootstrap_voters(struct simulation *sim)
 {
     uint64_t disks[VOTERS];
     struct bb_quorum_output out = {0};
@@ -378,40 +400,42 @@
     apply_output(sim, 0, &out);
 }
 
-/* Runs the simulation with one seed: 2 s without faults, then with faults,
- * then without. Returns whether an invariant was violated; *is_live tells
- * whether contents were committed again after the faults. */
+/* Runs the simulation with one seed: for FAULT_FREE_US without faults, then
+ * with faults, then without. Returns whether an invariant was violated;
+ * *is_live tells whether contents were committed again after the faults. */
 static bool
 run_seed(uint64_t seed, const struct bb_quorum_faults *faults, bool *is_live)
 {
     struct simulation *sim = calloc(1, sizeof(*sim));
     uint64_t commits;
-    bool is_violated;
+    bool is_invariant_violated;
 
     sim->random = seed * 0x9e3779b97f4a7c15ULL + 1;
-    sim->now_us = 1000000;
+    sim->now_us = START_US;
     if (faults != NULL) {
         sim->faults = *faults;
     }
     for (uint32_t i = 0; i < HOSTS; i++) {
         start_host(sim, i);
     }
-    form_group(sim);
+    bootstrap_voters(sim);
     for (uint64_t t = 0; t < FAULT_FREE_US; t += STEP_US) {
-        run_step(sim, true);
-    }
-    for (uint64_t t = 0; t < FAULTS_US && !sim->is_violated; t += STEP_US) {
         run_step(sim, false);
     }
+    for (uint64_t t = 0; t < FAULTS_US && !sim->is_invariant_violated;
+         t += STEP_US) {
+        run_step(sim, true);
+    }
     memset(sim->partition, 0, sizeof(sim->partition));
     commits = sim->commits;
-    for (uint64_t t = 0; t < RECOVERY_US && !sim->is_violated; t += STEP_US) {
-        run_step(sim, true);
+    for (uint64_t t = 0; t < RECOVERY_US && !sim->is_invariant_violated;
+         t += STEP_US) {
+        run_step(sim, false);
     }
     *is_live = sim->commits > commits + COMMITS_MIN;
-    is_violated = sim->is_violated;
+    is_invariant_violated = sim->is_invariant_violated;
     free(sim);
-    return is_violated;
+    return is_invariant_violated;
 }
 
 /* Guards against committed content that is lost, and against a register that
@@ -421,14 +445,15 @@
 {
     for (uint64_t seed = 1; seed <= SEEDS; seed++) {
         bool is_live = false;
-        bool is_violated = run_seed(seed, NULL, &is_live);
+        bool is_invariant_violated = run_seed(seed, NULL, &is_live);
 
-        if (is_violated || !is_live) {
+        if (is_invariant_violated || !is_live) {
             (void)printf("seed %llu: %s\n", (unsigned long long)seed,
-                         is_violated ? "invariant violated"
-                                     : "no commits after the faults");
+                         is_invariant_violated
+                             ? "invariant violated"
+                             : "no commits after the faults");
         }
-        CU_ASSERT_FALSE(is_violated);
+        CU_ASSERT_FALSE(is_invariant_violated);
         CU_ASSERT_TRUE(is_live);
     }
 }
@@ -458,15 +483,18 @@
         (struct bb_quorum_faults){.votes_for_older_entry = true}));
 }
 
-/* Delivers messages between two hosts, and syncs their writes, until there are
- * no more messages. */
+/* Delivers the messages of *initial between two hosts, and those that result
+ * from them, and syncs the hosts' writes, until there are no more messages,
+ * but for at most ROUNDS_MAX rounds. */
 static void
 exchange_messages(struct bb_quorum *a, struct bb_quorum *b,
-                  struct bb_quorum_output *first, uint64_t now_us)
+                  struct bb_quorum_output *initial, uint64_t now_us)
 {
-    struct bb_quorum_output now = *first;
+    enum { ROUNDS_MAX = 20 };
+    struct bb_quorum_output now = *initial;
 
-    for (uint32_t round = 0; round < 20 && now.message_count > 0; round++) {
+    for (uint32_t round = 0; round < ROUNDS_MAX && now.message_count > 0;
+         round++) {
         struct bb_quorum_output next = {0};
 
         for (uint32_t i = 0; i < now.message_count; i++) {
@@ -488,6 +516,7 @@
 static void
 test_newer_entry_lower_term(void)
 {
+    enum { ROUNDS = 100, ROUND_US = 100000 };
     struct bb_quorum_durable d = {.disk_id = 1,
                                   .term = 7,
                                   .entry = {.term = 7,
@@ -497,7 +526,7 @@
                                             .voters = {1, 2, 3}}};
     struct bb_quorum newer;
     struct bb_quorum older;
-    uint64_t now_us = 1000000;
+    uint64_t now_us = START_US;
 
     bb_quorum_init(&newer, &d, now_us, 1);
     d.disk_id = 2;
@@ -506,10 +535,10 @@
     bb_quorum_init(&older, &d, now_us, 2);
     bb_quorum_set_peers(&newer, (const uint64_t[]){2}, 1);
     bb_quorum_set_peers(&older, (const uint64_t[]){1}, 1);
-    for (uint32_t i = 0; i < 100 && newer.role != BB_QUORUM_LEADER; i++) {
+    for (uint32_t i = 0; i < ROUNDS && newer.role != BB_QUORUM_LEADER; i++) {
         struct bb_quorum_output out = {0};
 
-        now_us += 100000;
+        now_us += ROUND_US;
         if (now_us >= bb_quorum_next_tick_us(&newer)) {
             bb_quorum_tick(&newer, now_us, i * 77, &out);
         }
@@ -522,9 +551,10 @@
     CU_ASSERT_TRUE(newer.durable.term > 11);
 }
 
-/* Guards against two hosts that become candidates at the same time, split the
- * vote, and do so again and again, because both wait equally long and messages
- * between them always take equally long. */
+/* Guards against two of three voters, the third being down, that become
+ * candidates at the same time, split the vote, and do so again and again,
+ * because both wait equally long and messages between them always take equally
+ * long. */
 static void
 test_repeated_split_votes(void)
 {
@@ -532,7 +562,8 @@
         DELAY_US = 20 * 1000,
         SYNC_US = 2 * 1000,
         TICK_US = 1000,
-        WITHIN_MS = 4000 /* changes must be possible again within 4 s */
+        MESSAGES_MAX = 64, /* on their way */
+        WITHIN_MS = 4000   /* changes must be possible again within 4 s */
     };
     struct bb_quorum_durable d = {.term = 7,
                                   .entry = {.term = 7,
@@ -540,12 +571,12 @@
                                             .content_id = 9,
                                             .voter_count = 3,
                                             .voters = {1, 2, 3}}};
-    static struct in_flight in_flight[64];
+    static struct in_flight in_flight[MESSAGES_MAX];
     struct bb_quorum q[2];
     uint64_t sync_us[2] = {0, 0};
     uint64_t sequence[2] = {0, 0};
     uint32_t count = 0;
-    uint64_t now_us = 1000000;
+    uint64_t now_us = START_US;
     uint64_t random = 12345;
 
     for (uint32_t i = 0; i < 2; i++) {
@@ -579,7 +610,8 @@
                 sequence[i] = q[i].write_sequence;
                 sync_us[i] = now_us + SYNC_US;
             }
-            for (uint32_t m = 0; m < out.message_count && count < 64; m++) {
+            for (uint32_t m = 0; m < out.message_count && count < MESSAGES_MAX;
+                 m++) {
                 in_flight[count++] = (struct in_flight){
                     .message = out.messages[m], .due_us = now_us + DELAY_US};
             }
@@ -592,8 +624,9 @@
                    q[1].role == BB_QUORUM_LEADER);
 }
 
-/* Guards against a voter that is removed before the disk that replaces it, at
- * the same address, is added. */
+/* Guards against a replaced disk that is removed from the voters before the
+ * new disk, at the same address, is added: there would be one voter fewer
+ * until then. */
 static void
 test_replacement_order(void)
 {
@@ -620,7 +653,7 @@
 
 static const struct bb_unit_test tests[] = {
     {"random faults", test_random_faults},
-    {"seeded bugs", test_injected_faults},
+    {"injected faults are found", test_injected_faults},
     {"newer entry, lower term", test_newer_entry_lower_term},
     {"repeated split votes", test_repeated_split_votes},
     {"replacement order", test_replacement_order},
