tests/decide: name the numbers and terms of the call and load tests

Cause: scenarios were positional, percentages and times bare numbers, and some names (mesh, copies, reclaims, violation) misled. Change: designated initialisers, constants with the same values, names by what they hold; heads state what the checks accept.

--- a/tests/decide/test_explore_calls.c
+++ b/tests/decide/test_explore_calls.c
@@ -28,13 +28,16 @@
     MESSAGES_MAX = 6,
     MESSAGE_BYTES = 6,
     ATTEMPTS_MAX = 2,
+    /* Time does not pass by itself: each step gets one of these times, or that
+     * of the next query. */
+    BEFORE_ANY_QUERY_US = 0, /* no query is due yet */
     NOW_US = 1,
-    CHECK_US = 1,
+    CHECK_US = 1, /* max silence, and time between queries */
     DEADLINE_US = 1 << 30,
     RETENTION_US = 1 << 20,
     VISITED_TABLE_BITS = 24,
     DEPTH_MAX = 200,
-    TIME_LIMIT_S = 30 /* for all scenarios together, without sanitizer */
+    CPU_TIME_LIMIT_S = 30 /* for all scenarios together, without sanitizer */
 };
 
 /* The explorer is several times slower with a sanitizer. */
@@ -79,14 +82,15 @@
     struct bb_call_recovery recovery;
 };
 
-/* How often each kind of event happens in an exploration. */
+/* Number of events of each kind: those that a scenario allows, or those that
+ * have happened. */
 struct event_counts {
     uint8_t restarts;
     uint8_t losses;
     uint8_t delays;
-    uint8_t copies; /* requests sent twice */
+    uint8_t duplicates; /* requests sent twice */
     uint8_t refusals;
-    uint8_t reclaims; /* claims retried after one without quorum */
+    uint8_t claim_retries; /* claims retried after one without quorum */
 };
 
 struct state {
@@ -99,7 +103,7 @@
 
 struct scenario {
     const char *name;
-    uint8_t entries; /* entry nodes; 1: without key, 2: with the same key */
+    uint8_t entry_node_count; /* 1: without key, 2: with the same key */
     struct event_counts limits;
     bool has_roster_change; /* known to the second entry node only */
     bool has_deadline;
@@ -114,8 +118,8 @@
     uint64_t state_count;
     uint64_t outcomes[UNKNOWN_DEADLINE + 1];
     double cpu_time_s;             /* processor time of all scenarios */
-    const char *violation;         /* or exceeded limit; NULL: none */
-    jmp_buf violation_exit;        /* taken by stop_exploration */
+    const char *stop_reason;       /* violation or exceeded limit, or NULL */
+    jmp_buf stop_exit;             /* taken by stop_exploration */
     struct state stack[DEPTH_MAX]; /* by depth of the exploration */
 } explorer;
 
@@ -126,16 +130,16 @@
 /* Ends the scenario with a violation, or with an exceeded limit of the
  * explorer. */
 static void
-stop_exploration(const char *what)
+stop_exploration(const char *reason)
 {
-    explorer.violation = what;
-    longjmp(explorer.violation_exit, 1);
+    explorer.stop_reason = reason;
+    longjmp(explorer.stop_exit, 1);
 }
 
 static bool
 is_keyed(void)
 {
-    return explorer.scenario->entries > 1;
+    return explorer.scenario->entry_node_count > 1;
 }
 
 /* Makes the tables of a copied state use the memory of the copy. */
@@ -309,8 +313,8 @@
     pack_messages(&p, s);
     pack_byte(&p, s->runs << 4 | s->used.restarts);
     pack_byte(&p, s->used.losses << 4 | s->used.delays);
-    pack_byte(&p, s->used.copies << 4 | s->used.refusals);
-    pack_byte(&p, s->used.reclaims);
+    pack_byte(&p, s->used.duplicates << 4 | s->used.refusals);
+    pack_byte(&p, s->used.claim_retries);
     hash = bb_hash64(p.bytes, p.count, 1) | 1;
     slot_index = hash >> (64 - VISITED_TABLE_BITS);
     while (explorer.visited[slot_index] != 0) {
@@ -465,7 +469,7 @@
     if (m->expects_response && !is_response_lost &&
         e->phase == WAITING_FOR_RESPONSE) {
         bb_call_recovery_begin_completed(&e->recovery, r, NOW_US);
-        apply_recovery_step(s, m->entry, 0);
+        apply_recovery_step(s, m->entry, BEFORE_ANY_QUERY_US);
     }
 }
 
@@ -484,11 +488,11 @@
         e->phase = READY_TO_SEND;
         break;
     case BB_CLAIM_REFUSED:
-        if (s->used.reclaims == explorer.scenario->limits.reclaims) {
+        if (s->used.claim_retries == explorer.scenario->limits.claim_retries) {
             end_request(s, i, NOT_RUN);
             break;
         }
-        s->used.reclaims++;
+        s->used.claim_retries++;
         e->claim.gatekeeper = (e->claim.gatekeeper + 1) % FIRST_ROSTER_HOSTS;
         e->claim.incarnation = s->hosts[e->claim.gatekeeper].incarnation;
         start_claim(s, i);
@@ -500,11 +504,11 @@
 deliver_claim(struct state *s, const struct message *m)
 {
     struct entry_node *e = &s->entries[m->entry];
-    struct bb_witness_response a = bb_witness_claim(
+    struct bb_witness_response response = bb_witness_claim(
         &s->hosts[m->host].witness, &key, &m->claim, m->epoch, NOW_US);
 
     if (m->expects_response) {
-        (void)bb_claim_add_response(&e->requester, m->host, &a);
+        (void)bb_claim_add_response(&e->requester, m->host, &response);
         apply_claim_step(s, m->entry);
     }
 }
@@ -520,7 +524,7 @@
 
     if (m->expects_response) {
         bb_call_recovery_query_completed(&e->recovery, r, NOW_US);
-        apply_recovery_step(s, m->entry, 0);
+        apply_recovery_step(s, m->entry, BEFORE_ANY_QUERY_US);
     }
 }
 
@@ -590,8 +594,8 @@
     }
 }
 
-/* Asks the next witness. One order of the witnesses is enough, as events of
- * the other entry node are explored between the questions. */
+/* Sends the claim to the next witness. One order of the witnesses is enough,
+ * as events of the other entry node are explored between the claims. */
 static void
 explore_claiming(uint32_t depth, int i)
 {
@@ -627,8 +631,8 @@
                             .expects_response = true,
                             .claim = e->claim};
 
-        s->used.copies += deliveries - 1;
-        if (s->used.copies > explorer.scenario->limits.copies) {
+        s->used.duplicates += deliveries - 1;
+        if (s->used.duplicates > explorer.scenario->limits.duplicates) {
             return;
         }
         bb_call_recovery_init(&e->recovery, false, is_keyed(), CHECK_US,
@@ -665,7 +669,7 @@
         s = push_state(depth);
         drop_responses(s, i);
         bb_call_recovery_connection_broken(&s->entries[i].recovery, NOW_US);
-        apply_recovery_step(s, i, 0);
+        apply_recovery_step(s, i, BEFORE_ANY_QUERY_US);
         explore(depth + 1);
     }
     if (explorer.scenario->has_deadline) {
@@ -732,6 +736,7 @@
         explore(depth + 1); /* lost with the process */
         return;
     }
+    /* The request runs or is refused; its response is received or lost. */
     for (int variant = 0; variant < 4; variant++) {
         bool is_refused = variant >= 2;
         bool is_response_lost = variant % 2 == 1;
@@ -756,14 +761,15 @@
 static void
 explore_finish(uint32_t depth, int h, int request_index)
 {
-    for (int is_lost = 0; is_lost < 2; is_lost++) {
+    for (int variant = 0; variant < 2; variant++) {
+        bool is_response_lost = variant == 1;
         struct state *s = push_state(depth);
         struct bb_request_id id = {.bytes = {(uint8_t)(request_index + 1)}};
 
         s->hosts[h].is_running[request_index] = false;
         (void)bb_record_finish(&s->hosts[h].record, &id, BB_RECORD_DONE, 1,
                                NOW_US);
-        for (int i = 0; is_lost == 0 && i < ENTRY_NODES; i++) {
+        for (int i = 0; !is_response_lost && i < ENTRY_NODES; i++) {
             struct entry_node *e = &s->entries[i];
 
             if (e->phase == WAITING_FOR_RESPONSE && !e->recovery.is_broken &&
@@ -809,7 +815,7 @@
     if (!mark_visited(&explorer.stack[depth])) {
         return;
     }
-    for (int i = 0; i < explorer.scenario->entries; i++) {
+    for (int i = 0; i < explorer.scenario->entry_node_count; i++) {
         explore_entry_node(depth, i);
     }
     for (int i = 0; i < MESSAGES_MAX; i++) {
@@ -822,7 +828,8 @@
     }
 }
 
-/* Explores a scenario. Returns the violation that was found, or NULL. */
+/* Explores a scenario. Returns the violation or exceeded limit that ended it,
+ * or NULL. */
 static const char *
 run_scenario(const struct scenario *c)
 {
@@ -833,7 +840,7 @@
     memset(explorer.outcomes, 0, sizeof(explorer.outcomes));
     explorer.scenario = c;
     explorer.state_count = 0;
-    explorer.violation = NULL;
+    explorer.stop_reason = NULL;
     explorer.visited =
         calloc(1U << VISITED_TABLE_BITS, sizeof(*explorer.visited));
     CU_ASSERT_PTR_NOT_NULL_FATAL(explorer.visited);
@@ -849,7 +856,7 @@
                                      .gatekeeper = (uint64_t)i,
                                      .incarnation = 1};
     }
-    if (setjmp(explorer.violation_exit) == 0) {
+    if (setjmp(explorer.stop_exit) == 0) {
         explore(0);
     }
     free(explorer.visited);
@@ -862,10 +869,10 @@
            (unsigned long long)explorer.outcomes[NOT_RUN],
            (unsigned long long)explorer.outcomes[UNKNOWN_RESTART],
            (unsigned long long)explorer.outcomes[UNKNOWN_DEADLINE],
-           explorer.violation != NULL ? "; found: " : "",
-           explorer.violation != NULL ? explorer.violation : "");
-    CU_ASSERT_TRUE(IS_SANITIZED || explorer.cpu_time_s < TIME_LIMIT_S);
-    return explorer.violation;
+           explorer.stop_reason != NULL ? "; found: " : "",
+           explorer.stop_reason != NULL ? explorer.stop_reason : "");
+    CU_ASSERT_TRUE(IS_SANITIZED || explorer.cpu_time_s < CPU_TIME_LIMIT_S);
+    return explorer.stop_reason;
 }
 
 /* Guards against an order of messages, losses, restarts and retries in which a
@@ -874,33 +881,34 @@
 test_no_interleaving_violates_the_invariants(void)
 {
     static const struct scenario correct[] = {
-        {"no key",
-         1,
-         {.restarts = 1, .losses = 3, .delays = 2, .copies = 1, .refusals = 1},
-         false,
-         true},
-        {"same key, restart, loss",
-         2,
-         {.restarts = 1, .losses = 1},
-         false,
-         false},
-        {"same key, restart, delay",
-         2,
-         {.restarts = 1, .delays = 1},
-         false,
-         false},
-        {"same key, loss, retried claim",
-         2,
-         {.losses = 1, .reclaims = 1},
-         false,
-         false},
-        {"same key, restart, retried claim",
-         2,
-         {.restarts = 1, .reclaims = 1},
-         false,
-         false},
-        {"same key, restart, roster change", 2, {.restarts = 1}, true, false},
-        {"same key, loss, roster change", 2, {.losses = 1}, true, false},
+        {.name = "no key",
+         .entry_node_count = 1,
+         .limits = {.restarts = 1,
+                    .losses = 3,
+                    .delays = 2,
+                    .duplicates = 1,
+                    .refusals = 1},
+         .has_deadline = true},
+        {.name = "same key, restart, loss",
+         .entry_node_count = 2,
+         .limits = {.restarts = 1, .losses = 1}},
+        {.name = "same key, restart, delay",
+         .entry_node_count = 2,
+         .limits = {.restarts = 1, .delays = 1}},
+        {.name = "same key, loss, retried claim",
+         .entry_node_count = 2,
+         .limits = {.losses = 1, .claim_retries = 1}},
+        {.name = "same key, restart, retried claim",
+         .entry_node_count = 2,
+         .limits = {.restarts = 1, .claim_retries = 1}},
+        {.name = "same key, restart, roster change",
+         .entry_node_count = 2,
+         .limits = {.restarts = 1},
+         .has_roster_change = true},
+        {.name = "same key, loss, roster change",
+         .entry_node_count = 2,
+         .limits = {.losses = 1},
+         .has_roster_change = true},
     };
 
     for (size_t i = 0; i < sizeof(correct) / sizeof(correct[0]); i++) {
@@ -914,11 +922,9 @@
 test_unknown_only_after_restart_or_deadline(void)
 {
     static const struct scenario c = {
-        "same key, loss, duplicate, refusal",
-        2,
-        {.losses = 1, .copies = 1, .refusals = 1},
-        false,
-        false};
+        .name = "same key, loss, duplicate, refusal",
+        .entry_node_count = 2,
+        .limits = {.losses = 1, .duplicates = 1, .refusals = 1}};
 
     CU_ASSERT_PTR_NULL(run_scenario(&c));
     CU_ASSERT_EQUAL(explorer.outcomes[UNKNOWN_RESTART], 0);
@@ -930,34 +936,34 @@
 test_injected_faults_are_detected(void)
 {
     static const struct scenario faults[] = {
-        {"fault: retry without query",
-         1,
-         {.losses = 1},
+        {.name = "fault: retry without query",
+         .entry_node_count = 1,
+         .limits = {.losses = 1},
          .recovery_fault = BB_CALL_RECOVERY_FAULT_NO_QUERY},
-        {"fault: retries a keyed request after a restart",
-         2,
-         {.restarts = 1, .losses = 1},
+        {.name = "fault: retries a keyed request after a restart",
+         .entry_node_count = 2,
+         .limits = {.restarts = 1, .losses = 1},
          .recovery_fault = BB_CALL_RECOVERY_FAULT_RETRIES_KEYED},
-        {"fault: query does not record its refusal",
-         1,
-         {.losses = 1},
+        {.name = "fault: query does not record its refusal",
+         .entry_node_count = 1,
+         .limits = {.losses = 1},
          .record_fault = BB_RECORD_FAULT_QUERY_NOT_RECORDED},
-        {"fault: incarnations are not compared",
-         2,
-         {.restarts = 1, .losses = 1},
+        {.name = "fault: incarnations are not compared",
+         .entry_node_count = 2,
+         .limits = {.restarts = 1, .losses = 1},
          .record_fault = BB_RECORD_FAULT_ANY_INCARNATION},
-        {"fault: witness grants after a restart",
-         2,
-         {.restarts = 1, .losses = 1},
+        {.name = "fault: witness grants after a restart",
+         .entry_node_count = 2,
+         .limits = {.restarts = 1, .losses = 1},
          .claim_fault = BB_CLAIM_FAULT_GRANTS_AFTER_RESTART},
-        {"fault: one grant counts as a quorum",
-         2,
-         {.losses = 2},
+        {.name = "fault: one grant counts as a quorum",
+         .entry_node_count = 2,
+         .limits = {.losses = 2},
          .claim_fault = BB_CLAIM_FAULT_ONE_GRANT},
-        {"fault: previous roster is ignored",
-         2,
-         {.losses = 2},
-         true,
+        {.name = "fault: previous roster is ignored",
+         .entry_node_count = 2,
+         .limits = {.losses = 2},
+         .has_roster_change = true,
          .claim_fault = BB_CLAIM_FAULT_IGNORES_PREVIOUS},
     };
 
--- a/tests/decide/test_load_decisions.c
+++ b/tests/decide/test_load_decisions.c
@@ -17,6 +17,10 @@
     DURATION_US = 200 * BB_US_PER_MS,
     TARGET_US = 800 * BB_US_PER_MS,
     DEADLINE_US = 2000 * BB_US_PER_MS,
+    REFUSAL_LATE_US = TARGET_US / 8,
+    RETRIED_CLASS = 9,
+    RETRIED_TARGET_US = 10 * BB_US_PER_MS,
+    RETRIED_DEADLINE_US = 900 * BB_US_PER_MS,
     REQUESTS_MAX = 4000,
     HOSTS = 16
 };
@@ -44,7 +48,7 @@
 enum request_state { NOT_SENT, QUEUED, RUNNING, SERVED, REFUSED };
 
 struct request {
-    struct bb_gate_queue_item r;
+    struct bb_gate_queue_item item;
     uint64_t arrive_us;
     uint64_t end_us; /* end of the run, or time of the refusal */
     uint64_t duration_us;
@@ -69,11 +73,11 @@
 
     while (at_us < to_us && s->count < REQUESTS_MAX) {
         s->requests[s->count] = (struct request){
-            .r = {.id = s->count,
-                  .priority = priority,
-                  .class_index = priority,
-                  .target_end_us = at_us + target_us,
-                  .deadline_us = at_us + deadline_us},
+            .item = {.id = s->count,
+                     .priority = priority,
+                     .class_index = priority,
+                     .target_end_us = at_us + target_us,
+                     .deadline_us = at_us + deadline_us},
             .arrive_us = at_us,
             .duration_us = DURATION_US / 2 + exponential(DURATION_US / 2)};
         s->count++;
@@ -84,14 +88,15 @@
 static void
 drain_queue(struct simulation *s, uint64_t now_us)
 {
-    enum bb_gate_queue_decision v;
+    enum bb_gate_queue_decision decision;
     uint64_t id = 0;
 
-    while (bb_gate_queue_take_next(&s->queue, now_us, &id, &v)) {
+    while (bb_gate_queue_take_next(&s->queue, now_us, &id, &decision)) {
         struct request *r = &s->requests[id];
 
-        r->state = v == BB_GATE_QUEUE_RUN ? RUNNING : REFUSED;
-        r->end_us = v == BB_GATE_QUEUE_RUN ? now_us + r->duration_us : now_us;
+        r->state = decision == BB_GATE_QUEUE_RUN ? RUNNING : REFUSED;
+        r->end_us =
+            decision == BB_GATE_QUEUE_RUN ? now_us + r->duration_us : now_us;
     }
 }
 
@@ -106,7 +111,7 @@
 
             if (r->state == RUNNING && now_us >= r->end_us) {
                 r->state = SERVED;
-                bb_gate_queue_finish(&s->queue, r->r.class_index,
+                bb_gate_queue_finish(&s->queue, r->item.class_index,
                                      r->duration_us, true);
             }
         }
@@ -117,8 +122,8 @@
             if (r->state != NOT_SENT || now_us < r->arrive_us) {
                 continue;
             }
-            switch (
-                bb_gate_queue_arrive(&s->queue, &r->r, UINT64_MAX, now_us)) {
+            switch (bb_gate_queue_arrive(&s->queue, &r->item, UINT64_MAX,
+                                         now_us)) {
             case BB_GATE_QUEUE_RUN:
                 r->state = RUNNING;
                 r->end_us = now_us + r->duration_us;
@@ -140,7 +145,7 @@
     uint32_t on_time;
     uint32_t late;
     uint32_t refused;
-    uint32_t refused_late; /* after more than 1/8 of the target time */
+    uint32_t refused_late; /* after more than REFUSAL_LATE_US */
 };
 
 /* Counts the outcomes of the requests of one priority that arrived from
@@ -154,16 +159,16 @@
     for (uint32_t i = 0; i < s->count; i++) {
         const struct request *r = &s->requests[i];
 
-        if (r->r.priority != priority || r->arrive_us < from_us ||
+        if (r->item.priority != priority || r->arrive_us < from_us ||
             r->arrive_us >= to_us) {
             continue;
         }
         c.total++;
-        c.on_time += r->state == SERVED && r->end_us <= r->r.target_end_us;
-        c.late += r->state == SERVED && r->end_us > r->r.target_end_us;
+        c.on_time += r->state == SERVED && r->end_us <= r->item.target_end_us;
+        c.late += r->state == SERVED && r->end_us > r->item.target_end_us;
         c.refused += r->state == REFUSED;
         c.refused_late +=
-            r->state == REFUSED && r->end_us - r->arrive_us > TARGET_US / 8;
+            r->state == REFUSED && r->end_us - r->arrive_us > REFUSAL_LATE_US;
     }
     return c;
 }
@@ -194,8 +199,11 @@
                      TARGET_US, DEADLINE_US);
         run_simulation(s);
         c = count_requests(s, 1, 0, 10 * (uint64_t)BB_US_PER_S);
+        /* No request is left over, and few slots are idle. */
         CU_ASSERT_EQUAL(c.on_time + c.late + c.refused, c.total);
         CU_ASSERT_TRUE(c.on_time + c.late >= 0.95 * 10 * capacity);
+        /* At most a fifth of the responses and a quarter of the refusals is
+         * late. */
         CU_ASSERT_TRUE(c.on_time >= 4 * c.late);
         CU_ASSERT_TRUE(c.refused_late * 4 <= c.refused);
         free(s);
@@ -222,10 +230,10 @@
                 struct request *r = &s->requests[s->count];
 
                 *r = s->requests[i - 1];
-                r->r.id = s->count++;
-                r->r.class_index = 9;
-                r->r.target_end_us = r->arrive_us + 10 * BB_US_PER_MS;
-                r->r.deadline_us = r->arrive_us + 900 * BB_US_PER_MS;
+                r->item.id = s->count++;
+                r->item.class_index = RETRIED_CLASS;
+                r->item.target_end_us = r->arrive_us + RETRIED_TARGET_US;
+                r->item.deadline_us = r->arrive_us + RETRIED_DEADLINE_US;
             }
         }
         run_simulation(s);
@@ -233,10 +241,10 @@
         for (uint32_t i = 0; i < s->count; i++) {
             const struct request *r = &s->requests[i];
 
-            new_requests.total += r->r.class_index == 1;
-            new_requests.on_time += r->r.class_index == 1 &&
+            new_requests.total += r->item.class_index == 1;
+            new_requests.on_time += r->item.class_index == 1 &&
                                     r->state == SERVED &&
-                                    r->end_us <= r->r.target_end_us;
+                                    r->end_us <= r->item.target_end_us;
         }
         /* Without the retried requests, two thirds could be served. */
         CU_ASSERT_TRUE(new_requests.on_time * 2 >= new_requests.total);
@@ -295,17 +303,17 @@
 enum {
     ENTRY_NODES = 87,
     GATES = 24,
-    MESH_REQUESTS = 12000,
+    ROUTED_REQUESTS = 12000,
     ATTEMPTS_MAX = 8,
     ATTEMPT_US = 10 * BB_US_PER_MS /* round trip to a slow, distant host */
 };
 
 /* Many entry nodes, each with its own views of many gates. */
-struct mesh {
+struct gate_simulation {
     struct bb_gate_queue queues[GATES];
     struct bb_gate_view views[ENTRY_NODES][GATES];
-    struct mesh_request {
-        struct bb_gate_queue_item r;
+    struct routed_request {
+        struct bb_gate_queue_item item;
         uint64_t next_us; /* time of the next attempt, or end of the run */
         uint64_t duration_us;
         enum request_state state;
@@ -313,31 +321,34 @@
         int32_t gate;
         uint32_t attempts;
         bool was_full[GATES];
-    } requests[MESH_REQUESTS];
+    } requests[ROUTED_REQUESTS];
 };
 
 static void
-report_load(struct mesh *m, const struct mesh_request *r, uint64_t now_us)
+report_load(struct gate_simulation *s, const struct routed_request *r,
+            uint64_t now_us)
 {
-    const struct bb_gate_queue *q = &m->queues[r->gate];
+    const struct bb_gate_queue *q = &s->queues[r->gate];
 
-    bb_gate_view_update_load(&m->views[r->entry][r->gate], q->running,
+    bb_gate_view_update_load(&s->views[r->entry][r->gate], q->running,
                              q->queued, q->slots, (uint32_t)q->overall_mean_us,
                              0, now_us);
 }
 
 /* Sends a request to the gate that its entry node chooses. */
 static void
-send_attempt(struct mesh *m, struct mesh_request *r, uint64_t now_us)
+send_attempt(struct gate_simulation *s, struct routed_request *r,
+             uint64_t now_us)
 {
     const struct bb_gate_view *list[GATES];
-    struct bb_balance_request b = {
-        .target_left_us =
-            r->r.target_end_us > now_us ? r->r.target_end_us - now_us : 0};
+    struct bb_balance_request b = {.target_left_us =
+                                       r->item.target_end_us > now_us
+                                           ? r->item.target_end_us - now_us
+                                           : 0};
     struct bb_balance_choice choice;
 
     for (uint32_t i = 0; i < GATES; i++) {
-        list[i] = &m->views[r->entry][i];
+        list[i] = &s->views[r->entry][i];
     }
     choice =
         bb_balance_choose(list, r->was_full, GATES, &b, next_random(), now_us);
@@ -347,51 +358,52 @@
         return;
     }
     r->attempts++;
-    switch (bb_gate_queue_arrive(&m->queues[r->gate], &r->r,
+    switch (bb_gate_queue_arrive(&s->queues[r->gate], &r->item,
                                  choice.max_wait_us, now_us)) {
     case BB_GATE_QUEUE_RUN:
         r->state = RUNNING;
         r->next_us = now_us + r->duration_us;
-        m->views[r->entry][r->gate].in_flight++;
+        s->views[r->entry][r->gate].in_flight++;
         break;
     case BB_GATE_QUEUE_WAIT:
         r->state = QUEUED;
-        m->views[r->entry][r->gate].in_flight++;
+        s->views[r->entry][r->gate].in_flight++;
         break;
     case BB_GATE_QUEUE_REFUSE:
         r->was_full[r->gate] = true;
         r->next_us = now_us + ATTEMPT_US;
         r->state = choice.max_wait_us == UINT64_MAX ? REFUSED : NOT_SENT;
-        report_load(m, r, now_us);
+        report_load(s, r, now_us);
         break;
     }
 }
 
 /* Finishes the requests whose run is over, and starts queued ones. */
 static void
-advance_gates(struct mesh *m, uint64_t now_us)
+advance_gates(struct gate_simulation *s, uint64_t now_us)
 {
-    enum bb_gate_queue_decision v;
+    enum bb_gate_queue_decision decision;
     uint64_t id = 0;
 
-    for (uint32_t i = 0; i < MESH_REQUESTS; i++) {
-        struct mesh_request *r = &m->requests[i];
+    for (uint32_t i = 0; i < ROUTED_REQUESTS; i++) {
+        struct routed_request *r = &s->requests[i];
 
         if (r->state == RUNNING && now_us >= r->next_us) {
             r->state = SERVED;
-            m->views[r->entry][r->gate].in_flight--;
-            bb_gate_queue_finish(&m->queues[r->gate], 1, r->duration_us, true);
-            report_load(m, r, now_us);
+            s->views[r->entry][r->gate].in_flight--;
+            bb_gate_queue_finish(&s->queues[r->gate], 1, r->duration_us, true);
+            report_load(s, r, now_us);
         }
     }
     for (uint32_t i = 0; i < GATES; i++) {
-        while (bb_gate_queue_take_next(&m->queues[i], now_us, &id, &v)) {
-            struct mesh_request *r = &m->requests[id];
+        while (
+            bb_gate_queue_take_next(&s->queues[i], now_us, &id, &decision)) {
+            struct routed_request *r = &s->requests[id];
 
-            r->state = v == BB_GATE_QUEUE_RUN ? RUNNING : REFUSED;
+            r->state = decision == BB_GATE_QUEUE_RUN ? RUNNING : REFUSED;
             r->next_us = now_us + r->duration_us;
-            if (v != BB_GATE_QUEUE_RUN) {
-                m->views[r->entry][i].in_flight--;
+            if (decision != BB_GATE_QUEUE_RUN) {
+                s->views[r->entry][i].in_flight--;
             }
         }
     }
@@ -405,57 +417,58 @@
 test_many_entry_nodes(void)
 {
     const double capacity = (double)GATES * SLOTS * BB_US_PER_S / DURATION_US;
-    struct mesh *m = calloc(1, sizeof(*m));
+    struct gate_simulation *s = calloc(1, sizeof(*s));
     uint64_t at_us = BB_US_PER_S;
     uint32_t attempts = 0;
     uint32_t on_time = 0;
 
     random_state = 9;
     for (uint32_t i = 0; i < GATES; i++) {
-        bb_gate_queue_init(&m->queues[i], SLOTS);
-        m->queues[i].overall_mean_us = DURATION_US;
+        bb_gate_queue_init(&s->queues[i], SLOTS);
+        s->queues[i].overall_mean_us = DURATION_US;
         for (uint32_t k = 0; k < ENTRY_NODES; k++) {
-            m->views[k][i] = create_view(BB_GATE_SAME_ZONE);
+            s->views[k][i] = create_view(BB_GATE_SAME_ZONE);
         }
     }
-    for (uint32_t i = 0; i < MESH_REQUESTS; i++) {
+    for (uint32_t i = 0; i < ROUTED_REQUESTS; i++) {
         at_us += exponential((uint64_t)(BB_US_PER_S / (0.85 * capacity)));
-        m->requests[i] = (struct mesh_request){
-            .r = {.id = i,
-                  .priority = 1,
-                  .class_index = 1,
-                  .target_end_us = at_us + TARGET_US,
-                  .deadline_us = at_us + DEADLINE_US},
+        s->requests[i] = (struct routed_request){
+            .item = {.id = i,
+                     .priority = 1,
+                     .class_index = 1,
+                     .target_end_us = at_us + TARGET_US,
+                     .deadline_us = at_us + DEADLINE_US},
             .next_us = at_us,
             .duration_us = DURATION_US / 2 + exponential(DURATION_US / 2),
             .entry = (uint32_t)(next_random() % ENTRY_NODES)};
     }
     for (uint64_t now_us = BB_US_PER_S;
          now_us < at_us + 3 * (uint64_t)BB_US_PER_S; now_us += BB_US_PER_MS) {
-        advance_gates(m, now_us);
-        for (uint32_t i = 0; i < MESH_REQUESTS; i++) {
-            struct mesh_request *r = &m->requests[i];
+        advance_gates(s, now_us);
+        for (uint32_t i = 0; i < ROUTED_REQUESTS; i++) {
+            struct routed_request *r = &s->requests[i];
 
             if (r->state == NOT_SENT && now_us >= r->next_us) {
-                send_attempt(m, r, now_us);
+                send_attempt(s, r, now_us);
             }
         }
     }
-    for (uint32_t i = 0; i < MESH_REQUESTS; i++) {
-        const struct mesh_request *r = &m->requests[i];
+    for (uint32_t i = 0; i < ROUTED_REQUESTS; i++) {
+        const struct routed_request *r = &s->requests[i];
 
         attempts += r->attempts;
-        on_time += r->state == SERVED && r->next_us <= r->r.target_end_us;
+        on_time += r->state == SERVED && r->next_us <= r->item.target_end_us;
     }
-    CU_ASSERT_TRUE(attempts * 2 <= MESH_REQUESTS * 3);
-    CU_ASSERT_TRUE(on_time * 20 >= MESH_REQUESTS * 19);
+    CU_ASSERT_TRUE(attempts * 2 <= ROUTED_REQUESTS * 3);
+    CU_ASSERT_TRUE(on_time * 20 >= ROUTED_REQUESTS * 19);
     printf("(%.2f attempts per request, %.3f on time) ",
-           (double)attempts / MESH_REQUESTS, (double)on_time / MESH_REQUESTS);
-    free(m);
+           (double)attempts / ROUTED_REQUESTS,
+           (double)on_time / ROUTED_REQUESTS);
+    free(s);
 }
 
 /* Load: light. Guards against calls that leave their zone although it has free
- * slots, as links between zones cost. */
+ * slots: calls between zones are slower, and their bytes are paid for. */
 static void
 test_nearest_gate_preferred(void)
 {
@@ -492,7 +505,8 @@
 }
 
 /* Load: more than all gates can serve. Guards against calls that leave their
- * zone or region, which costs, for a queue that is hardly shorter. */
+ * zone or region, which is slower and has to be paid for, for a queue that is
+ * hardly shorter. */
 static void
 test_far_queue_must_be_much_shorter(void)
 {
@@ -559,7 +573,7 @@
     CU_ASSERT_TRUE(pick_gate(v, 6, BB_US_PER_S) >= 3);
 }
 
-/* Load: light with one slow upstream, then near capacity. Guards against a
+/* Load: half of the slots of a gate in use, then all but one. Guards against a
  * region with one gate per zone that sends no hedges, and against hedges that
  * take slots from first attempts or go to another region. */
 static void
@@ -612,14 +626,31 @@
     STORM_ALLOWANCE = 64, /* retries in the window */
     HIGH_LOAD_TICKS = 500,
     LOW_LOAD_END_TICK = 1500,
-    BUDGET_USED_FROM_TICK = 1700
+    BUDGET_USED_FROM_TICK = 1700,
+    HIGH_LOAD_REQUESTS = 8, /* per tick */
+    LOW_LOAD_REQUESTS = 1,
+    STEADY_LOAD_REQUESTS = 5,
+    /* Nested calls of retries: an overloaded service and one that calls it. */
+    REFUSED_PERCENT = 55,
+    CALLER_REQUESTS = 3,  /* per tick */
+    CALLING_TENTHS = 7,   /* tenths of the runs that make nested calls */
+    NESTED_ALLOWANCE = 60 /* retries in the window */
 };
 
 static const double retry_ratio = 0.2; /* RETRY_RATIO_PERMILLE */
 
+/* Returns how many retries are allowed in a window with this many first
+ * attempts. */
+static double
+retry_budget(uint32_t first_count, uint32_t allowance)
+{
+    return first_count * retry_ratio + allowance;
+}
+
 /* Load: every second request fails on all hosts for half a minute. Guards
- * against a retry storm: in no interval of the window's length may all hosts
- * together send more retries than the budget of that interval. */
+ * against a retry storm: in any interval of the window's length, all hosts
+ * together may send at most as many retries as the budget of that interval, or
+ * of the interval half a window earlier if that budget is larger. */
 static void
 test_retry_storm(void)
 {
@@ -636,7 +667,9 @@
     memset(windows, 0, sizeof(windows));
     for (uint32_t t = 0; t < TICKS; t++) {
         uint64_t now_us = (uint64_t)t * TICK_US + START_US;
-        uint32_t n = t < HIGH_LOAD_TICKS ? 8 : t < LOW_LOAD_END_TICK ? 1 : 5;
+        uint32_t n = t < HIGH_LOAD_TICKS     ? HIGH_LOAD_REQUESTS
+                     : t < LOW_LOAD_END_TICK ? LOW_LOAD_REQUESTS
+                                             : STEADY_LOAD_REQUESTS;
 
         for (uint32_t i = 0; i < n; i++) {
             struct bb_retry_window *w = &windows[next_random() % HOSTS];
@@ -667,7 +700,7 @@
         }
         first_count = first_count > before ? first_count : before;
         CU_ASSERT_TRUE(retry_count <=
-                       first_count * retry_ratio + STORM_ALLOWANCE);
+                       retry_budget(first_count, STORM_ALLOWANCE));
         /* Under a steady load the budget must not stay unused. */
         CU_ASSERT_TRUE(start < BUDGET_USED_FROM_TICK ||
                        retry_count * 4 >= first_count * retry_ratio);
@@ -703,8 +736,8 @@
     uint32_t extra_sends[TICKS]; /* retries, and nested calls of retries */
 };
 
-/* Sends a request to a service that refuses 55% of all requests, with one
- * retry if the budget allows it. Returns whether the request ran. */
+/* Sends a request to a service that refuses REFUSED_PERCENT of all requests,
+ * with one retry if the budget allows it. Returns whether the request ran. */
 static bool
 send_to_overloaded(struct bb_retry_window *w,
                    const struct bb_retry_window_limits *l, struct arrivals *a,
@@ -715,14 +748,14 @@
     bb_retry_window_count_first_attempt(w, l, is_of_retry ? 1000 : 0, now_us);
     a->firsts[tick] += !is_of_retry;
     a->extra_sends[tick] += is_of_retry;
-    if (next_random() % 100 >= 55) {
+    if (next_random() % 100 >= REFUSED_PERCENT) {
         return true;
     }
     if (!bb_retry_window_take(w, l, now_us)) {
         return false;
     }
     a->extra_sends[tick]++;
-    return next_random() % 100 >= 55;
+    return next_random() % 100 >= REFUSED_PERCENT;
 }
 
 /* Runs a request that makes two nested calls. Returns whether both ran. */
@@ -747,11 +780,11 @@
 static void
 test_nested_calls_of_retries_elsewhere(void)
 {
-    const struct bb_retry_window_limits limits = {.window_ms = WINDOW_MS,
-                                                  .ratio_permille =
-                                                      RETRY_RATIO_PERMILLE,
-                                                  .allowance = 60,
-                                                  .host_count = HOSTS};
+    const struct bb_retry_window_limits limits = {
+        .window_ms = WINDOW_MS,
+        .ratio_permille = RETRY_RATIO_PERMILLE,
+        .allowance = NESTED_ALLOWANCE,
+        .host_count = HOSTS};
     static struct bb_retry_window caller_windows[HOSTS];
     static struct bb_retry_window callee_windows[HOSTS];
     static struct arrivals a;
@@ -763,11 +796,11 @@
     for (uint32_t t = 0; t < TICKS; t++) {
         uint64_t now_us = START_US + (uint64_t)t * TICK_US;
 
-        for (uint32_t i = 0; i < 3; i++) {
+        for (uint32_t i = 0; i < CALLER_REQUESTS; i++) {
             struct bb_retry_window *w = &caller_windows[next_random() % HOSTS];
 
             bb_retry_window_count_first_attempt(w, &limits, 0, now_us);
-            if (next_random() % 10 < 7 &&
+            if (next_random() % 10 < CALLING_TENTHS &&
                 !run_with_nested_calls(callee_windows, &limits, &a, t,
                                        false) &&
                 bb_retry_window_take(w, &limits, now_us)) {
@@ -787,7 +820,8 @@
             firsts += a.firsts[t];
             extra_sends += a.extra_sends[t];
         }
-        CU_ASSERT_TRUE(extra_sends * 10 <= (firsts * retry_ratio + 60) * 9);
+        CU_ASSERT_TRUE(extra_sends * 10 <=
+                       retry_budget(firsts, NESTED_ALLOWANCE) * 9);
     }
 }
 
