mesh: comments name the callback and results that the code has

"The payload callback" named neither of the two callbacks for payloads; it is encode_payload. MESH_STALE and the results of applying a payload left out cases that the code has: a queued revision, a process that applies no payloads, a damaged delta. The claimed key is the idempotency key, as in proxy/.

The title of one unit test says change number, which is what the query takes.

--- a/include/mesh/mesh.h
+++ b/include/mesh/mesh.h
@@ -9,10 +9,10 @@
  *
  * All functions are thread-safe. Callbacks run on the threads of the mesh or
  * of the RPC server and may call bb_mesh functions other than bb_mesh_stop,
- * bb_mesh_destroy and bb_mesh_find_min_revision. The payload callback must not
- * call bb_mesh_announce_revision either, which takes a lock that is held
- * during the callback. Lock order: a lock of the mesh, the gossip lock, the
- * table's lock. */
+ * bb_mesh_destroy and bb_mesh_find_min_revision. The encode_payload callback
+ * must not call bb_mesh_announce_revision either, which takes a lock that is
+ * held during the callback. Lock order: a lock of the mesh, the gossip lock,
+ * the table's lock. */
 #ifndef BB_MESH_MESH_H
 #define BB_MESH_MESH_H
 
@@ -42,9 +42,13 @@
 /* Result of applying a payload. */
 enum bb_mesh_apply_result {
     BB_MESH_APPLIED,
-    BB_MESH_STALE,        /* the node holds this revision or a later one */
-    BB_MESH_INVALID,      /* damaged, or a configuration with faults */
-    BB_MESH_NEED_SNAPSHOT /* the node does not hold the delta's base */
+    /* The node holds this revision or a newer one, or accepts no payloads
+     * yet. */
+    BB_MESH_STALE,
+    /* A damaged snapshot, a wrong digest, or a configuration with faults. */
+    BB_MESH_INVALID,
+    /* The delta is damaged, or the node does not hold its base. */
+    BB_MESH_NEED_SNAPSHOT
 };
 
 struct bb_mesh_callbacks {
--- a/mesh/mesh.c
+++ b/mesh/mesh.c
@@ -242,8 +242,9 @@
 
 /* Announces that this process holds a revision. Called by a control host when
  * the revision is committed, and by a node that loads a revision from its data
- * folder at start. From then on the payload callback must be able to encode
- * it. A revision that is not newer than the held one changes nothing. */
+ * folder at start. From then on the encode_payload callback must be able to
+ * encode it. A revision that is not newer than the held one changes nothing.
+ */
 void
 bb_mesh_announce_revision(struct bb_mesh *mesh, uint64_t revision,
                           const struct bb_digest *digest)
--- a/mesh/mesh_internal.h
+++ b/mesh/mesh_internal.h
@@ -7,8 +7,8 @@
  *
  * Lock order: apply_lock, lock, cache_lock, then the gossip lock and the
  * table's lock. None is held during an RPC call. Only apply_lock is held
- * during the apply_payload callback, and only cache_lock during the payload
- * callback. */
+ * during the apply_payload callback, and only cache_lock during the
+ * encode_payload callback. */
 #ifndef BB_MESH_MESH_INTERNAL_H
 #define BB_MESH_MESH_INTERNAL_H
 
@@ -151,7 +151,8 @@
     uint64_t reported_summaries_digest;
 
     pthread_mutex_t apply_lock; /* serialises the apply_payload callback */
-    /* Protects the payload cache and serialises the payload callback. */
+    /* Protects the payload cache and serialises the encode_payload
+     * callback. */
     pthread_mutex_t cache_lock;
     struct cached_payload payload_cache[PAYLOAD_CACHE_SIZE];
     uint32_t next_cache_slot;
--- a/mesh/mesh_protocol.x
+++ b/mesh/mesh_protocol.x
@@ -91,7 +91,8 @@
     /* OFFER: the payload is queued, but not applied yet. FETCH: the response
      * contains the payload. */
     MESH_OK = 0,
-    /* The receiver holds the offered revision or a newer one. */
+    /* The receiver holds the offered revision or a newer one, has one queued
+     * to be applied, or applies no payloads (a control host). */
     MESH_STALE = 1,
     /* The receiver does not hold the base of the delta. */
     MESH_NEED_SNAPSHOT = 2,
--- a/mesh/payload.c
+++ b/mesh/payload.c
@@ -1,8 +1,9 @@
 #include "mesh/payload.h"
 
 /* Encodes the newest revision of a history for a member that holds
- * receiver_revision (0 for none), for use in the payload callback of the mesh.
- * The caller frees out->data. Returns false if there is nothing newer. */
+ * receiver_revision (0 for none), for use in the encode_payload callback of
+ * the mesh. The caller frees out->data. Returns false if there is nothing
+ * newer. */
 bool
 bb_mesh_payload_encode(struct bb_bundle_history *h, uint64_t receiver_revision,
                        struct bb_mesh_payload *out)
--- a/mesh/peer_protocol.x
+++ b/mesh/peer_protocol.x
@@ -1,6 +1,6 @@
 /* RPC between the proxies of two nodes about single requests: whether a
- * request has run (QUERY), its cancellation (CANCEL), and the claim of a
- * request key at a witness (CLAIM). */
+ * request has run (QUERY), its cancellation (CANCEL), and the claim of an
+ * idempotency key at a witness (CLAIM). */
 
 const BB_PEER_ID_BYTES = 16;
 
@@ -19,7 +19,7 @@
 
 /* A struct bb_claim (decide/claim.h) for a key. */
 struct bb_peer_claim {
-    bb_peer_id key;             /* the claimed request key */
+    bb_peer_id key;             /* the claimed idempotency key */
     bb_peer_id id;              /* of the request */
     unsigned int attempt;       /* from 1 */
     unsigned hyper gatekeeper;  /* hash of the name of the host that is to
--- a/tests/mesh/test_members.c
+++ b/tests/mesh/test_members.c
@@ -248,7 +248,7 @@
     {"a held revision outlives the record",
      test_held_revision_outlives_the_record},
     {"an unreachable zone is kept", test_unreachable_zone_is_kept},
-    {"a query selects changes since a version",
+    {"a query selects changes since a change number",
      test_changes_since_a_change_number},
     {"a zone summary needs the same members",
      test_zone_summary_needs_the_same_members},
