control, node: one name for the control hosts, their list and the planners

A peer is another control host, but the setting of the replication listed all of them: peers, peer_count are hosts, host_count. A set of planners is no plan, and the state of one service is a planner. The part of a record in agree.x is its body; a payload is an encoded bundle.

Comments say host number for an index in hosts, and why a proposal may need several attempts. Run: the unit tests of tests/control and tests/node, all pass.

--- a/control/agree.x
+++ b/control/agree.x
@@ -169,7 +169,7 @@
     opaque records<AGREE_MEMBER_RECORDS_MAX_BYTES>;
 };
 
-/* The payload of a record in the log file: the part of struct bb_agree_durable
+/* The body of a record in the log file: the part of struct bb_agree_durable
  * that changes with each write. */
 struct agree_log_record {
     unsigned hyper term;
@@ -179,8 +179,8 @@
     agree_entry entries<AGREE_LOG_MAX>;
 };
 
-/* The payload of the snapshot file: all of struct bb_agree_durable except the
- * disk ID. */
+/* The body of the record in the snapshot file: all of struct bb_agree_durable
+ * except the disk ID. */
 struct agree_state_record {
     agree_formation formation;
     unsigned hyper term;
--- a/control/control_settings.h
+++ b/control/control_settings.h
@@ -9,16 +9,16 @@
     const char *host; /* name of this host */
     const char *zone;
     const char *region;
-    const char *control_hosts_text; /* unparsed control_hosts */
+    const char *control_hosts_text; /* as given; parsed into control_hosts */
     struct bb_control_list control_hosts;
     const char *config_folder;
     const char *data_folder;
     struct bb_address rpc_address; /* default: from control_hosts */
     struct bb_address gossip_address;
     struct bb_address admin_address;
-    const char *admin_token; /* NULL: write requests are refused */
+    const char *admin_token; /* NULL: requests that change state are refused */
     uint64_t first_revision; /* of a new cluster */
-    uint64_t seed;           /* 0: chosen at random */
+    uint64_t seed;           /* 0: taken from the system */
     bool log_json;
 };
 
--- a/control/daemon.c
+++ b/control/daemon.c
@@ -210,9 +210,7 @@
 }
 
 /* The encode_payload callback of the mesh: encodes the newest revision for a
- * relay (mesh/mesh.h) that has receiver_revision; false if there is nothing
- * newer.
- */
+ * member that holds receiver_revision; false if there is nothing newer. */
 static bool
 encode_payload(void *context, uint64_t receiver_revision,
                struct bb_mesh_payload *out)
@@ -251,13 +249,13 @@
 create_replicate(struct bb_control *c, struct bb_error *e)
 {
     const struct bb_control_settings *s = &c->settings;
-    struct bb_replicate_host peers[BB_CONTROL_HOSTS_MAX] = {0};
+    struct bb_replicate_host hosts[BB_CONTROL_HOSTS_MAX] = {0};
     struct bb_replicate_settings r = {
         .host = s->host,
         .zone = s->zone,
         .region = s->region,
-        .peers = peers,
-        .peer_count = s->control_hosts.count,
+        .hosts = hosts,
+        .host_count = s->control_hosts.count,
         .data_folder = s->data_folder,
         .first_revision = s->first_revision,
         .seed = s->seed,
@@ -269,9 +267,9 @@
     for (uint32_t i = 0; i < s->control_hosts.count; i++) {
         const struct bb_control_host *h = &s->control_hosts.items[i];
 
-        (void)g_strlcpy(peers[i].host, h->host, sizeof(peers[i].host));
-        (void)g_strlcpy(peers[i].region, h->region, sizeof(peers[i].region));
-        peers[i].rpc_address = h->rpc_address;
+        (void)g_strlcpy(hosts[i].host, h->host, sizeof(hosts[i].host));
+        (void)g_strlcpy(hosts[i].region, h->region, sizeof(hosts[i].region));
+        hosts[i].rpc_address = h->rpc_address;
     }
     c->replicate = bb_replicate_create(&r, e);
     return c->replicate != NULL;
--- a/control/replicate.c
+++ b/control/replicate.c
@@ -31,9 +31,9 @@
     (void)g_strlcpy(own->host, s->host, sizeof(own->host));
     (void)g_strlcpy(own->region, s->region, sizeof(own->region));
     r->host_count = 1;
-    for (uint32_t i = 0; i < s->peer_count; i++) {
-        if (strcmp(s->peers[i].host, s->host) == 0) {
-            own->rpc_address = s->peers[i].rpc_address;
+    for (uint32_t i = 0; i < s->host_count; i++) {
+        if (strcmp(s->hosts[i].host, s->host) == 0) {
+            own->rpc_address = s->hosts[i].rpc_address;
             continue;
         }
         if (r->host_count == BB_AGREE_HOSTS_MAX) {
@@ -41,7 +41,7 @@
                                 "more than %d control hosts",
                                 BB_AGREE_HOSTS_MAX);
         }
-        r->hosts[r->host_count++] = s->peers[i];
+        r->hosts[r->host_count++] = s->hosts[i];
     }
     qsort(r->hosts, r->host_count, sizeof(r->hosts[0]), compare_hosts);
     for (uint8_t h = 0; h < r->host_count; h++) {
@@ -113,7 +113,7 @@
 }
 
 /* Starts a bb_replicate: the replication on one control host. host, region,
- * peers, data_folder, transport and file_operations are copied; contexts and
+ * hosts, data_folder, transport and file_operations are copied; contexts and
  * callbacks must stay valid. Returns NULL with a bb_replicate_error if the
  * settings or the data folder cannot be used or a thread cannot be started.
  * With a damaged data folder the host takes part without voting. Freed with
@@ -132,7 +132,7 @@
     if (!load_hosts(r, settings, e) || !open_store(r, e)) {
         goto fail;
     }
-    r->settings.peers = NULL;
+    r->settings.hosts = NULL;
     r->settings.data_folder = r->data_folder;
     replicate_update_status(r);
     if (!replicate_peers_start(r) ||
--- a/control/replicate_internal.h
+++ b/control/replicate_internal.h
@@ -50,7 +50,9 @@
     uint8_t origin_host;              /* proposal: host that proposed */
     struct bb_agree_proposal proposal;
     struct bb_digest missing_digest; /* what the fetcher has to fetch */
-    void *payload; /* that came with it, or NULL; freed with the job */
+    /* Payload that came with the message or proposal, or NULL; freed with the
+     * job. */
+    void *payload;
     size_t payload_bytes;
 };
 
@@ -114,9 +116,9 @@
     struct bb_replicate_transport transport;
     struct bb_replicate_host hosts[BB_AGREE_HOSTS_MAX]; /* sorted by name */
     uint8_t host_count;
-    uint8_t own_host; /* index of this host in hosts */
-    uint64_t
-        control_hosts_hash; /* hash of all host names; others are refused */
+    uint8_t own_host; /* number of this host: its index in hosts */
+    /* Hash of all host names; messages with another hash are refused. */
+    uint64_t control_hosts_hash;
     char region[BB_NAME_BYTES];
     char *data_folder;
     struct bb_store *store;
--- a/control/replicate_output.c
+++ b/control/replicate_output.c
@@ -126,7 +126,7 @@
 }
 
 /* Chooses how the receiver of an append gets the payload, so that only one
- * copy crosses the metered link between regions. Hosts of the leader's region
+ * copy crosses the paid link between regions. Hosts of the leader's region
  * fetch it from the leader. Those of another region fetch it from the host
  * that proposed it, or else one host gets it inline and the others fetch it
  * from that one. */
--- a/control/replicate_rpc.c
+++ b/control/replicate_rpc.c
@@ -112,7 +112,7 @@
     }
 }
 
-/* Calls a procedure of the control host with this index; false if there is no
+/* Calls a procedure of the control host with this number; false if there is no
  * result in time. The caller frees the result with xdr_free. */
 bool
 replicate_call_peer(struct bb_replicate *r, uint8_t host, uint32_t procedure,
--- a/control/roster_keeper.c
+++ b/control/roster_keeper.c
@@ -27,7 +27,7 @@
     pthread_cond_t stop_requested;
     bool is_stopping;
     /* Used by the thread only. */
-    struct bb_roster_planner_set *plan;
+    struct bb_roster_planner_set *planners;
     struct bb_config *in_force_config; /* of the newest revision, or NULL */
 };
 
@@ -101,8 +101,8 @@
 
     if (b != NULL && compile_config(k, b)) {
         bb_mesh_copy_members(k->mesh, &members);
-        rosters = bb_roster_planner_set_update(k->plan, b, k->in_force_config,
-                                               &members, bb_clock_now_us());
+        rosters = bb_roster_planner_set_update(
+            k->planners, b, k->in_force_config, &members, bb_clock_now_us());
         bb_member_list_clear(&members);
     }
     if (rosters != NULL && is_leader_with_quorum(k)) {
@@ -156,7 +156,7 @@
     k->target = *target;
     k->replicate = replicate;
     k->mesh = mesh;
-    k->plan = bb_roster_planner_set_create();
+    k->planners = bb_roster_planner_set_create();
     (void)pthread_mutex_init(&k->lock, NULL);
     (void)pthread_condattr_init(&attributes);
     (void)pthread_condattr_setclock(&attributes, CLOCK_MONOTONIC);
@@ -191,7 +191,7 @@
         (void)pthread_join(k->thread, NULL);
     }
     bb_config_destroy(k->in_force_config);
-    bb_roster_planner_set_destroy(k->plan);
+    bb_roster_planner_set_destroy(k->planners);
     (void)pthread_cond_destroy(&k->stop_requested);
     (void)pthread_mutex_destroy(&k->lock);
     g_free(k);
--- a/control/roster_plan.c
+++ b/control/roster_plan.c
@@ -6,8 +6,8 @@
 #include "common/log.h"
 #include "decide/roster.h"
 
-/* The state of planning the roster of one service. */
-struct service_plan {
+/* The planner state of one service. */
+struct service_planner {
     struct bb_roster_planner planner;
     uint64_t epoch; /* of the roster in force */
     /* Revision in which the epoch came into force, or a later one if this
@@ -16,7 +16,7 @@
 };
 
 struct bb_roster_planner_set {
-    GHashTable *service_plans; /* service name -> struct service_plan */
+    GHashTable *service_planners; /* service name -> struct service_planner */
     /* Scratch space of a call; too large for the stack. */
     struct bb_roster current;
     struct bb_roster next;
@@ -30,7 +30,7 @@
 {
     struct bb_roster_planner_set *p = g_new0(struct bb_roster_planner_set, 1);
 
-    p->service_plans =
+    p->service_planners =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     return p;
 }
@@ -40,20 +40,21 @@
 bb_roster_planner_set_destroy(struct bb_roster_planner_set *p)
 {
     if (p != NULL) {
-        g_hash_table_destroy(p->service_plans);
+        g_hash_table_destroy(p->service_planners);
         g_free(p);
     }
 }
 
 /* Returns the planner state of a service, which is created at first use. */
-static struct service_plan *
-get_service_plan(struct bb_roster_planner_set *p, const char *service)
+static struct service_planner *
+get_service_planner(struct bb_roster_planner_set *p, const char *service)
 {
-    struct service_plan *s = g_hash_table_lookup(p->service_plans, service);
+    struct service_planner *s =
+        g_hash_table_lookup(p->service_planners, service);
 
     if (s == NULL) {
-        s = g_new0(struct service_plan, 1);
-        (void)g_hash_table_insert(p->service_plans, g_strdup(service), s);
+        s = g_new0(struct service_planner, 1);
+        (void)g_hash_table_insert(p->service_planners, g_strdup(service), s);
     }
     return s;
 }
@@ -211,7 +212,7 @@
     const struct bb_service *c = &config->services[service];
     const struct bb_service_roster *r =
         bb_rosters_find(in_force->rosters, c->name);
-    struct service_plan *s = get_service_plan(p, c->name);
+    struct service_planner *s = get_service_planner(p, c->name);
     struct bb_roster_input in = {
         .now_us = now_us,
         .retention_us = (uint64_t)c->retention_s * BB_US_PER_S,
--- a/include/control/proposal.h
+++ b/include/control/proposal.h
@@ -18,7 +18,8 @@
     /* How long to wait until this host has a revision: the base of a proposal,
      * or the one that a refusal names. */
     BB_PROPOSAL_CATCH_UP_TIMEOUT_MS = 1000,
-    /* A service's roster changes at most once in its retention time, but the
+    /* An attempt fails if a roster change is accepted just before it. A
+     * service's roster changes at most once in its retention time, but the
      * first rosters of many services can follow each other directly. */
     BB_PROPOSAL_ATTEMPTS_MAX = 16
 };
--- a/include/control/replicate.h
+++ b/include/control/replicate.h
@@ -60,8 +60,9 @@
     const char *host; /* name of this host */
     const char *zone; /* unused */
     const char *region;
-    const struct bb_replicate_host *peers; /* may include this host */
-    uint32_t peer_count;
+    /* All control hosts; this host may be left out. */
+    const struct bb_replicate_host *hosts;
+    uint32_t host_count;
     const char *data_folder;
     uint64_t first_revision; /* of a new cluster; 0 means 1 */
     uint64_t seed;           /* of random election timeouts */
--- a/node/node_settings.c
+++ b/node/node_settings.c
@@ -28,7 +28,7 @@
          1, BB_NAME_BYTES - 1, .to.text = &out->region},
         {"control", "HOST/ZONE/REGION/IP:PORT,...", "the control hosts",
          BB_SETTING_TEXT, true, NULL, 1, CONTROL_LIST_MAX_BYTES,
-         .to.text = &out->control_text},
+         .to.text = &out->control_hosts_text},
         {"listen", "IP:PORT", "address for callers and other nodes",
          BB_SETTING_ADDRESS, false, "127.0.0.1:8080",
          .to.address = &out->listen_address},
@@ -69,7 +69,8 @@
         table, sizeof(table) / sizeof(table[0]), argc, argv, NULL, NULL, e);
 
     if (result == BB_SETTINGS_RUN &&
-        !bb_control_list_parse(out->control_text, &out->control_hosts, e)) {
+        !bb_control_list_parse(out->control_hosts_text, &out->control_hosts,
+                               e)) {
         result = BB_SETTINGS_INVALID;
     }
     if (result == BB_SETTINGS_RUN &&
--- a/node/node_settings.h
+++ b/node/node_settings.h
@@ -9,7 +9,7 @@
     const char *host;
     const char *zone;
     const char *region;
-    const char *control_text; /* as given; parsed into control_hosts */
+    const char *control_hosts_text; /* as given; parsed into control_hosts */
     struct bb_control_list control_hosts;
     struct bb_address listen_address;
     struct bb_address local_address;
--- a/tests/control/test_replicate.c
+++ b/tests/control/test_replicate.c
@@ -34,7 +34,7 @@
     atomic_bool has_delivery_error; /* wrong order or digest */
 };
 
-static struct bb_replicate_host peers[HOSTS];
+static struct bb_replicate_host control_hosts[HOSTS];
 static struct host hosts[HOSTS];
 static uint32_t host_count;
 static pthread_rwlock_t lock = PTHREAD_RWLOCK_INITIALIZER;
@@ -58,7 +58,8 @@
 {
     struct host *from = context;
     struct host *target = find_host(to->host);
-    bool crosses_regions = strcmp(to->region, peers[from - hosts].region) != 0;
+    bool crosses_regions =
+        strcmp(to->region, control_hosts[from - hosts].region) != 0;
     bool has_response = false;
 
     (void)timeout_ms;
@@ -132,11 +133,11 @@
     const struct bb_replicate_transport transport = {.context = h,
                                                      .call = call_host};
     const struct bb_replicate_settings s = {
-        .host = peers[i].host,
+        .host = control_hosts[i].host,
         .zone = "z",
-        .region = peers[i].region,
-        .peers = peers,
-        .peer_count = host_count,
+        .region = control_hosts[i].region,
+        .hosts = control_hosts,
+        .host_count = host_count,
         .data_folder = h->folder,
         .seed = 100 + i,
         .transport = &transport,
@@ -260,9 +261,11 @@
         char *folder = g_dir_make_tmp("baobab-replicate-XXXXXX", NULL);
 
         memset(&hosts[i], 0, sizeof(hosts[i]));
-        (void)g_snprintf(peers[i].host, sizeof(peers[i].host), "h%u", i);
-        (void)g_strlcpy(peers[i].region, i < near_count ? "near" : "far",
-                        sizeof(peers[i].region));
+        (void)g_snprintf(control_hosts[i].host, sizeof(control_hosts[i].host),
+                         "h%u", i);
+        (void)g_strlcpy(control_hosts[i].region,
+                        i < near_count ? "near" : "far",
+                        sizeof(control_hosts[i].region));
         (void)g_strlcpy(hosts[i].folder, folder, sizeof(hosts[i].folder));
         g_free(folder);
     }
@@ -394,7 +397,7 @@
     stop_hosts();
 }
 
-/* Guards against more than one copy of a payload on the metered link between
+/* Guards against more than one copy of a payload on the paid link between
  * regions. */
 static void
 test_one_copy_between_regions(void)
