proxy, config, ctl: one word for hedge, keyed request and paid link

A hedge may follow a retry, so it is not always the second attempt, and config/ and ctl/ called it a hedged copy. A keyed request is a non-idempotent request with an idempotency key; the comments left out the first condition. The link between regions is the paid link in all comments. A gatekeeper is g, since e is an error elsewhere; the default of check_interval_ms bears its name.

--- a/config/bundle_codec.c
+++ b/config/bundle_codec.c
@@ -7,7 +7,7 @@
     HEADER_BYTES = 4 + 4 + 8, /* magic, size and hash, before the frame */
     HASH_SEED = 0x6262,       /* arbitrary, but part of the format */
     /* Above the default of 3: a bundle is compressed once per change but sent
-     * over the link between regions, which is billed by the byte. */
+     * over the paid link between regions, which is billed by the byte. */
     COMPRESSION_LEVEL = 9
 };
 
--- a/ctl/command_trace.c
+++ b/ctl/command_trace.c
@@ -100,9 +100,9 @@
     return found;
 }
 
-/* Returns the gate that the last hedged copy of the request was sent to; else
- * that of the last attempt; "none" if it was not sent. The hedged copy is
- * preferred to any other attempt, even to a later retry. */
+/* Returns the gate that the last hedge of the request was sent to; else that
+ * of the last attempt; "none" if it was not sent. The hedge is preferred to
+ * any other attempt, even to a later retry. */
 static const char *
 find_last_gate(const GPtrArray *lines)
 {
--- a/include/config/config.h
+++ b/include/config/config.h
@@ -62,8 +62,8 @@
     bool is_idempotent;
     uint32_t timeout_ms;
     uint32_t retry_limit; /* retries of one request */
-    uint32_t hedge_limit; /* hedged copies of one request */
-    /* Time without a response after which a hedged copy is sent; 0: derived
+    uint32_t hedge_limit; /* hedges of one request */
+    /* Time without a response after which a hedge is sent; 0: derived
      * from the observed 95th percentile of the latency (bb_hedge_delay_us). */
     uint32_t hedge_after_ms;
 };
@@ -85,7 +85,7 @@
 struct bb_limits {
     uint32_t max_depth; /* of nested calls between services */
     uint64_t max_body_bytes;
-    /* Retries, and hedged copies, that a proxy may send in percent of its
+    /* Retries, and hedges, that a proxy may send in percent of its
      * first attempts; 0: none. The budgets are token buckets (struct
      * bb_retry_budget), so the share holds in the long run. */
     uint32_t retry_budget_percent;
--- a/include/config/folder.h
+++ b/include/config/folder.h
@@ -12,8 +12,9 @@
 
 enum {
     /* Bound the memory for a folder before it is parsed. The encoded folder
-     * must also fit into BB_BUNDLE_FOLDER_MAX_BYTES, which is below 1 MiB:
-     * 4 MiB do if they compress to less than a quarter. */
+     * must also fit into BB_BUNDLE_FOLDER_MAX_BYTES, which is below 1 MiB,
+     * so a folder of 4 MiB is accepted only if it compresses to less than a
+     * quarter. */
     BB_FOLDER_FILES_MAX = 4096,
     BB_FOLDER_MAX_BYTES = 4 * 1024 * 1024,
     BB_FOLDER_FILE_MAX_BYTES = 256 * 1024,
--- a/include/proxy/gatekeeper.h
+++ b/include/proxy/gatekeeper.h
@@ -46,8 +46,9 @@
 
 /* Called without the gatekeeper's lock, on any thread, when an announcement
  * differs from the previous one, or when the state of the upstream changes
- * because its announcement expired, a connection to it failed, or it refused a
- * request as draining. service is valid during the call only. */
+ * because its announcement expired, a connection to it failed, or the upstream
+ * refused a request because it is draining. service is valid during the call
+ * only. */
 typedef void (*bb_upstream_changed_callback)(void *context,
                                              const char *service,
                                              uint32_t slots,
--- a/include/proxy/internal.h
+++ b/include/proxy/internal.h
@@ -104,11 +104,13 @@
     bool is_counted_in_flight;
     bool is_forwarded; /* by the entry node; this node is the gatekeeper */
     bool is_idempotent;
-    bool is_keyed;              /* the caller sent an idempotency key */
+    bool is_keyed; /* a non-idempotent request with an idempotency key */
     bool wants_stored_response; /* fetches it instead of running the request */
     bool may_refuse_as_slow; /* set by the entry node of a forwarded request */
-    struct bb_request_id idempotency_key; /* of this service */
-    uint32_t claim_attempt;               /* of the claim that holds the key */
+    /* Hash of the service name and the key that the caller sent
+     * (bb_request_id_from_key). */
+    struct bb_request_id idempotency_key;
+    uint32_t claim_attempt; /* of the claim that holds the key */
     /* Of the last attempt. */
     const struct bb_table_gatekeeper *last_gatekeeper;
     uint64_t last_incarnation; /* expected by the last attempt */
@@ -214,7 +216,7 @@
 struct bb_outcome bb_exchange_claim_key(struct bb_exchange *x,
                                         struct bb_attempt *attempt);
 bool bb_exchange_query_gatekeeper(struct bb_exchange *x,
-                                  const struct bb_table_gatekeeper *e,
+                                  const struct bb_table_gatekeeper *g,
                                   uint64_t incarnation,
                                   enum bb_query_result *result);
 
--- a/include/proxy/picker.h
+++ b/include/proxy/picker.h
@@ -74,7 +74,7 @@
     uint64_t random_bits;   /* for the jitter of the delay */
 };
 
-/* A request whose first attempt has no response yet. */
+/* A request with one active attempt that has no response yet. */
 struct bb_hedge_request {
     const char *service;
     bool is_idempotent;
--- a/include/proxy/proxy.h
+++ b/include/proxy/proxy.h
@@ -4,10 +4,11 @@
  *
  * The entry node of a request is the node that receives it from the caller. It
  * sends the request to a gatekeeper of the service, which is the admission
- * control in front of an upstream, at this or another node. Before a request
- * with an idempotency key is sent, its key is claimed at witnesses: nodes that
- * record which gatekeeper runs the request with that key. The incarnation of a
- * node identifies one lifetime of its process.
+ * control in front of an upstream, at this or another node. Before a keyed
+ * request (a non-idempotent request with an idempotency key) is sent, its key
+ * is claimed at witnesses: nodes that record which gatekeeper runs the request
+ * with that key. The incarnation of a node identifies one lifetime of its
+ * process.
  *
  * Lock order: every lock of the proxy is a leaf unless a header says
  * otherwise; the routing table is read under RCU. */
--- a/proxy/claim_key.c
+++ b/proxy/claim_key.c
@@ -24,14 +24,14 @@
            uint64_t witness_host_key)
 {
     struct bb_witness_response response = {.result = BB_WITNESS_UNREACHABLE};
-    const struct bb_table_gatekeeper *e;
+    const struct bb_table_gatekeeper *g;
 
     if (witness_host_key == bb_host_key(x->proxy->host)) {
         return bb_claims_process_claim(x->proxy->claims, &q->key, &q->wanted,
                                        q->epoch);
     }
-    e = find_gatekeeper(x, witness_host_key);
-    if (e == NULL || !bb_peer_rpc_claim(x->proxy, &e->rpc_address, &q->key,
+    g = find_gatekeeper(x, witness_host_key);
+    if (g == NULL || !bb_peer_rpc_claim(x->proxy, &g->rpc_address, &q->key,
                                         &q->wanted, q->epoch, &response)) {
         response.result = BB_WITNESS_UNREACHABLE;
     }
@@ -96,14 +96,14 @@
  * the id refuses it from then on. Returns false if there was no response. */
 bool
 bb_exchange_query_gatekeeper(struct bb_exchange *x,
-                             const struct bb_table_gatekeeper *e,
+                             const struct bb_table_gatekeeper *g,
                              uint64_t incarnation,
                              enum bb_query_result *result)
 {
-    const struct bb_attempt attempt = {.gatekeeper = e,
+    const struct bb_attempt attempt = {.gatekeeper = g,
                                        .incarnation = incarnation};
 
-    if (e->is_local) {
+    if (g->is_local) {
         *result =
             bb_gatekeeper_query(x->proxy->gatekeeper, &x->id, incarnation);
         return true;
--- a/proxy/entry.c
+++ b/proxy/entry.c
@@ -160,16 +160,16 @@
 
     memcpy(q.excluded, x->excluded, sizeof(q.excluded));
     for (uint32_t i = 0; i < s->usable_gatekeeper_count; i++) {
-        const struct bb_table_gatekeeper *e = &s->usable_gatekeepers[i];
-        uint64_t host_key = bb_host_key(e->host);
+        const struct bb_table_gatekeeper *g = &s->usable_gatekeepers[i];
+        uint64_t host_key = bb_host_key(g->host);
 
         targets[q.target_count++] = (struct bb_pick_target){
-            .host_key = host_key, .distance = e->distance, .slots = e->slots};
-        if (e->is_local) {
+            .host_key = host_key, .distance = g->distance, .slots = g->slots};
+        if (g->is_local) {
             update_local_load(x, host_key);
         }
         /* A hedge must not wait in this node's queue. */
-        if (is_hedge && e->is_local &&
+        if (is_hedge && g->is_local &&
             q.excluded_count < BB_ROUTE_EXCLUDED_MAX) {
             q.excluded[q.excluded_count++] = host_key;
         }
--- a/proxy/exchange.c
+++ b/proxy/exchange.c
@@ -101,7 +101,8 @@
 static enum MHD_Result
 start_request(struct bb_exchange *x, const char *method)
 {
-    /* Forwarded requests are not handed to a worker. */
+    /* A forwarded request usually runs on this thread (is_inline), so no
+     * worker is woken for it. */
     if (MHD_lookup_connection_value(x->connection, MHD_HEADER_KIND,
                                     BB_HEADER_FORWARDED) == NULL) {
         bb_workers_wake_early(x->proxy->workers);
--- a/proxy/hedge.c
+++ b/proxy/hedge.c
@@ -1,12 +1,12 @@
-/* Hedged requests: a second attempt in parallel to a slow first one. */
+/* Hedges: an additional attempt in parallel to a slow one. */
 #include "common/clock.h"
 #include "common/counters.h"
 #include "proxy/internal.h"
 
 BB_COUNTER(hedges_total, "baobab_hedges_total", "Second attempts sent");
 
-/* Returns whether a second attempt may be started; if so, sets *q and the time
- * at which to start it. */
+/* Returns whether a hedge may be started; if so, sets *q and the time at which
+ * to start it. */
 bool
 bb_exchange_can_hedge(const struct bb_exchange *x, struct bb_hedge_request *q,
                       uint64_t *at_us)
@@ -33,15 +33,14 @@
     return true;
 }
 
-/* Starts a second attempt if its time has come and the hedge budget allows it.
- */
+/* Starts a hedge if its time has come and the hedge budget allows it. */
 void
 bb_exchange_try_hedge(struct bb_exchange *x)
 {
     struct bb_hedge_request q;
     uint64_t at_us;
-    struct bb_attempt *first = &x->attempts[x->attempts[0].is_active ? 0 : 1];
-    struct bb_attempt *second = &x->attempts[x->attempts[0].is_active ? 1 : 0];
+    struct bb_attempt *active = &x->attempts[x->attempts[0].is_active ? 0 : 1];
+    struct bb_attempt *hedge = &x->attempts[x->attempts[0].is_active ? 1 : 0];
     uint32_t excluded_count = x->excluded_count;
 
     if (!bb_exchange_can_hedge(x, &q, &at_us) || bb_clock_now_us() < at_us) {
@@ -51,12 +50,12 @@
     if (!bb_picker_try_hedge(x->proxy->picker, &q)) {
         return;
     }
-    bb_exchange_exclude_gatekeeper(x, first->host_key);
-    bb_exchange_start_attempt(x, second, true);
+    bb_exchange_exclude_gatekeeper(x, active->host_key);
+    bb_exchange_start_attempt(x, hedge, true);
     x->excluded_count = excluded_count;
-    if (second->is_active && second->host_key == first->host_key) {
-        bb_exchange_finish_attempt(x, second, BB_ATTEMPT_CANCELLED);
+    if (hedge->is_active && hedge->host_key == active->host_key) {
+        bb_exchange_finish_attempt(x, hedge, BB_ATTEMPT_CANCELLED);
         return;
     }
-    bb_counter_add(&hedges_total, second->is_active);
+    bb_counter_add(&hedges_total, hedge->is_active);
 }
--- a/proxy/picker.c
+++ b/proxy/picker.c
@@ -374,9 +374,9 @@
     return delay_us;
 }
 
-/* Returns whether a second attempt may be sent now, and if so takes a token
- * from the hedge budget. To be called once the delay of
- * bb_picker_hedge_delay_us has passed. */
+/* Returns whether a hedge may be sent now, and if so takes a token from the
+ * hedge budget. To be called once the delay of bb_picker_hedge_delay_us has
+ * passed. */
 bool
 bb_picker_try_hedge(struct bb_picker *p, const struct bb_hedge_request *q)
 {
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -18,7 +18,7 @@
     DEFAULT_DETACHED_MAX = 64,
     DEFAULT_CONNECTION_LIMIT = 4096,
     DEFAULT_IDLE_TIMEOUT_MS = 10000,
-    DEFAULT_SILENCE_CHECK_MS = 1000,
+    DEFAULT_CHECK_INTERVAL_MS = 1000,
     DEFAULT_RECORD_ENTRIES = 131072,
     DEFAULT_RETENTION_S = 600,
     STORED_RESPONSES_MAX_BYTES = 16 * 1024 * 1024,
@@ -61,7 +61,7 @@
     static const uint32_t defaults[] = {
         DEFAULT_DEPTH_ZERO_MAX,  DEFAULT_EXTRA_PER_DEPTH,
         DEFAULT_DETACHED_MAX,    DEFAULT_CONNECTION_LIMIT,
-        DEFAULT_IDLE_TIMEOUT_MS, DEFAULT_SILENCE_CHECK_MS,
+        DEFAULT_IDLE_TIMEOUT_MS, DEFAULT_CHECK_INTERVAL_MS,
         DEFAULT_RECORD_ENTRIES,  DEFAULT_RETENTION_S,
     };
 
@@ -342,8 +342,8 @@
 /* Sets the agreed roster of a service, which lists hosts by host key
  * (bb_roster_host_key of their names). Must be called after the table of the
  * same revision is set, from which it takes the retention time of the service.
- * Without a roster, requests with an idempotency key are refused,
- * because nothing could prevent them from running twice. */
+ * Without a roster, keyed requests are refused, because nothing could prevent
+ * them from running twice. */
 void
 bb_proxy_set_roster(struct bb_proxy *p, const char *service,
                     const struct bb_roster *r)
--- a/proxy/request.c
+++ b/proxy/request.c
@@ -140,7 +140,8 @@
     return true;
 }
 
-/* Sets the request id, and the key if the caller sent one. */
+/* Sets the request id, and the idempotency key if the caller sent one and the
+ * request is not idempotent. */
 static void
 assign_id(struct bb_exchange *x)
 {
--- a/proxy/rpc.c
+++ b/proxy/rpc.c
@@ -33,8 +33,8 @@
                         (char *)&response);
 }
 
-/* Serves CANCEL: cancels a request at this node's gatekeeper. The reply only
- * says that the call was received. */
+/* Serves CANCEL: cancels a request at this node's gatekeeper. The response
+ * only says that the call was received. */
 static void
 serve_cancel(struct bb_proxy *p, SVCXPRT *transport)
 {
@@ -56,7 +56,7 @@
 serve_claim(struct bb_proxy *p, SVCXPRT *transport)
 {
     bb_peer_claim c = {0};
-    bb_peer_claim_response reply = {0};
+    bb_peer_claim_response encoded = {0};
     struct bb_witness_response response;
     struct bb_request_id key;
     struct bb_claim claim;
@@ -71,14 +71,14 @@
                               .incarnation = c.incarnation};
     memcpy(claim.request.bytes, c.id, sizeof(c.id));
     response = bb_claims_process_claim(p->claims, &key, &claim, c.epoch);
-    reply.result = (u_int)response.result;
-    reply.epoch = response.epoch;
-    reply.attempt = response.held.attempt;
-    reply.gatekeeper = response.held.gatekeeper;
-    reply.incarnation = response.held.incarnation;
-    memcpy(reply.id, response.held.request.bytes, sizeof(reply.id));
+    encoded.result = (u_int)response.result;
+    encoded.epoch = response.epoch;
+    encoded.attempt = response.held.attempt;
+    encoded.gatekeeper = response.held.gatekeeper;
+    encoded.incarnation = response.held.incarnation;
+    memcpy(encoded.id, response.held.request.bytes, sizeof(encoded.id));
     (void)svc_sendreply(transport, (xdrproc_t)xdr_bb_peer_claim_response,
-                        (char *)&reply);
+                        (char *)&encoded);
 }
 
 /* Dispatches a call to its procedure. */
@@ -180,7 +180,7 @@
         .incarnation = claim->incarnation,
         .epoch = epoch,
     };
-    bb_peer_claim_response reply = {0};
+    bb_peer_claim_response encoded = {0};
     const struct bb_rpc_call call = {
         .program = BB_PEER_PROGRAM,
         .version = BB_PEER_VERSION,
@@ -188,7 +188,7 @@
         .argument_codec = (xdrproc_t)xdr_bb_peer_claim,
         .argument = &c,
         .result_codec = (xdrproc_t)xdr_bb_peer_claim_response,
-        .result = &reply,
+        .result = &encoded,
         .timeout_ms = CALL_TIMEOUT_MS,
     };
 
@@ -196,17 +196,17 @@
     memcpy(c.id, claim->request.bytes, sizeof(c.id));
     if (p->settings.rpc == NULL ||
         !bb_rpc_pool_call(p->settings.rpc, to, &call, NULL) ||
-        reply.result >= BB_WITNESS_UNREACHABLE) {
+        encoded.result >= BB_WITNESS_UNREACHABLE) {
         return false;
     }
     *out = (struct bb_witness_response){
-        .result = (enum bb_witness_result)reply.result,
-        .epoch = reply.epoch,
-        .held = {.attempt = reply.attempt,
-                 .gatekeeper = reply.gatekeeper,
-                 .incarnation = reply.incarnation},
+        .result = (enum bb_witness_result)encoded.result,
+        .epoch = encoded.epoch,
+        .held = {.attempt = encoded.attempt,
+                 .gatekeeper = encoded.gatekeeper,
+                 .incarnation = encoded.incarnation},
     };
-    memcpy(out->held.request.bytes, reply.id, sizeof(reply.id));
+    memcpy(out->held.request.bytes, encoded.id, sizeof(encoded.id));
     return true;
 }
 
--- a/tests/proxy/test_link.c
+++ b/tests/proxy/test_link.c
@@ -1,4 +1,4 @@
-/* The billed link between regions: its bytes are counted correctly, and hedges
+/* The paid link between regions: its bytes are counted correctly, and hedges
  * do not use it. */
 #include <glib.h>
 #include <string.h>
