Name the decide modules' values by one term each

A reader met several words for one thing: voter and member entry, value and content of the register, target time and target end, expected_us without its noun. The voter entry, content ID, target end and expected duration now have one name each, and comments name the constants whose values they repeated.

No change of behaviour.

--- a/decide/admission_queue.c
+++ b/decide/admission_queue.c
@@ -116,8 +116,8 @@
 
 /* Returns the longest expected wait, in microseconds, with which a request of
  * a class is queued. It is at least the configured wait. Long requests may
- * wait four times their mean duration, as they would hardly ever be queued
- * otherwise, short ones at least one mean duration. */
+ * wait LONG_WAIT_DURATIONS times their mean duration, as they would hardly
+ * ever be queued otherwise, short ones at least one mean duration. */
 uint64_t
 bb_admission_max_wait_us(const struct bb_admission *a,
                          enum bb_admission_class work_class)
--- a/decide/agree_append.c
+++ b/decide/agree_append.c
@@ -126,7 +126,7 @@
 agree_advance_commit(struct agree_step *st)
 {
     struct bb_agree *a = st->a;
-    uint64_t pending = agree_pending_member_index(a);
+    uint64_t pending = agree_pending_voter_index(a);
     uint64_t joined = a->progress[BB_AGREE_JOINING_SLOT].match_index;
     uint64_t term = 0;
 
@@ -350,7 +350,7 @@
         return;
     }
     if (slot != BB_AGREE_JOINING_SLOT && slot == a->joining_host &&
-        agree_pending_member_index(a) == 0) {
+        agree_pending_voter_index(a) == 0) {
         /* The voting disk is back, so the joining one is not needed. */
         a->joining_host = BB_AGREE_NO_HOST;
         a->progress[BB_AGREE_JOINING_SLOT] = (struct bb_agree_progress){0};
--- a/decide/agree_internal.h
+++ b/decide/agree_internal.h
@@ -28,7 +28,7 @@
                          uint64_t *index);
 
 /* agree_voters.c */
-uint64_t agree_pending_member_index(const struct bb_agree *a);
+uint64_t agree_pending_voter_index(const struct bb_agree *a);
 void agree_get_voters(const struct bb_agree *a, uint64_t index,
                       uint64_t voters[BB_AGREE_HOSTS_MAX]);
 bool agree_has_quorum(const struct bb_agree *a, uint32_t slots);
--- a/decide/agree_voters.c
+++ b/decide/agree_voters.c
@@ -8,7 +8,7 @@
  * if there is none. There is never more than one: a leader appends the next
  * one only after the previous one is committed. */
 uint64_t
-agree_pending_member_index(const struct bb_agree *a)
+agree_pending_voter_index(const struct bb_agree *a)
 {
     for (uint64_t i = bb_agree_last_index(a); i > a->durable.commit_index;
          i--) {
@@ -59,7 +59,7 @@
 bool
 agree_has_quorum(const struct bb_agree *a, uint32_t slots)
 {
-    uint64_t pending = agree_pending_member_index(a);
+    uint64_t pending = agree_pending_voter_index(a);
     const struct bb_agree_entry *e = bb_agree_get_entry(a, pending);
     uint32_t before = 0;
     uint32_t after = 0;
@@ -104,7 +104,7 @@
     uint64_t voters[BB_AGREE_HOSTS_MAX];
     struct bb_agree_progress *joining = &a->progress[BB_AGREE_JOINING_SLOT];
     const struct bb_agree_entry *e =
-        bb_agree_get_entry(a, agree_pending_member_index(a));
+        bb_agree_get_entry(a, agree_pending_voter_index(a));
 
     agree_get_voters(a, a->durable.commit_index, voters);
     for (uint8_t h = 0; h < a->host_count; h++) {
@@ -219,7 +219,7 @@
     }
     agree_get_voters(a, a->durable.commit_index, voters);
     if (a->role != BB_AGREE_LEADER || voters[m->from] == m->disk_id ||
-        agree_pending_member_index(a) != 0 ||
+        agree_pending_voter_index(a) != 0 ||
         a->progress[BB_AGREE_JOINING_SLOT].disk_id == m->disk_id) {
         return;
     }
@@ -282,7 +282,7 @@
         p->match_index < a->durable.commit_index ||
         commit_term != a->durable.term ||
         p->match_index != bb_agree_last_index(a) ||
-        agree_pending_member_index(a) != 0 ||
+        agree_pending_voter_index(a) != 0 ||
         a->durable.log_count == BB_AGREE_LOG_MAX) {
         return;
     }
--- a/decide/gate_queue.c
+++ b/decide/gate_queue.c
@@ -94,8 +94,8 @@
 /* Returns whether a request with an expected wait should be queued. One that
  * would miss its target is queued only if the queue is empty, as it would take
  * a slot from requests that can meet theirs. A nested request is queued if
- * half of its mean duration is left until its deadline after the wait, as
- * refusing it wastes the work of its parent. */
+ * 1/NESTED_MIN_RUN_DIVISOR of its mean duration is left until its deadline
+ * after the wait, as refusing it wastes the work of its parent. */
 static bool
 should_queue(const struct bb_gate_queue *q, const struct bb_gate_queue_item *r,
              uint64_t wait_us, uint64_t now_us)
@@ -141,7 +141,7 @@
     return BB_GATE_QUEUE_WAIT;
 }
 
-/* Removes the queued request at an index; the array is not ordered. */
+/* Removes the queued request at a position; the array is not ordered. */
 static void
 remove_queued(struct bb_gate_queue *q, uint32_t position)
 {
--- a/decide/policy_least_wait.c
+++ b/decide/policy_least_wait.c
@@ -72,8 +72,9 @@
     if (b->weight_permille < BB_ROUTE_WEIGHT_FULL_PERMILLE) {
         return first;
     }
-    return bb_route_candidate_expected_us(b, r->work_class, now_us) <
-                   bb_route_candidate_expected_us(a, r->work_class, now_us)
+    return bb_route_candidate_expected_duration_us(b, r->work_class, now_us) <
+                   bb_route_candidate_expected_duration_us(a, r->work_class,
+                                                           now_us)
                ? second
                : first;
 }
--- a/decide/quorum.c
+++ b/decide/quorum.c
@@ -624,13 +624,13 @@
  * was proposed: false unless bb_quorum_can_propose. The output of a later call
  * tells once it is committed; with a single voter, it may be this one. */
 bool
-bb_quorum_propose(struct bb_quorum *q, uint64_t content, uint64_t now_us,
+bb_quorum_propose(struct bb_quorum *q, uint64_t content_id, uint64_t now_us,
                   struct bb_quorum_output *out)
 {
     if (!bb_quorum_can_propose(q)) {
         return false;
     }
-    q->durable.entry.content_id = content;
+    q->durable.entry.content_id = content_id;
     replace_entry(q, now_us, out);
     return true;
 }
--- a/decide/relay.c
+++ b/decide/relay.c
@@ -141,7 +141,7 @@
 
 /* Updates whether the member is behind, from the revision it holds and the
  * highest known one. When it falls behind, the first pull is due after a
- * random delay of 100 to 400 ms. */
+ * random delay of DELAY_MIN_MS to DELAY_MAX_MS. */
 void
 bb_puller_update(struct bb_puller *p, uint64_t held_revision,
                  uint64_t known_revision, bool is_relay, uint64_t now_us,
--- a/decide/retry.c
+++ b/decide/retry.c
@@ -7,7 +7,8 @@
      * share for a short series of refusals, but not for a long one. */
     BUDGET_START_TOKENS = 5,
     BUDGET_MAX_TOKENS = 50,
-    /* The first retry goes elsewhere at once; the second waits up to 2 ms. */
+    /* The first retry goes elsewhere at once; the second waits up to
+     * BACKOFF_BASE_US. */
     BACKOFF_BASE_US = 2000,
     BACKOFF_MAX_US = 250000,
     BACKOFF_DOUBLINGS_MAX = 7,
@@ -132,7 +133,7 @@
         return d;
     }
     d.delay_us = bb_retry_backoff_us(q->attempt_count, q->random_bits);
-    if (d.delay_us + q->expected_us >= q->remaining_us) {
+    if (d.delay_us + q->expected_duration_us >= q->remaining_us) {
         return d;
     }
     if (!bb_retry_budget_take(b)) {
--- a/decide/route_pick.c
+++ b/decide/route_pick.c
@@ -154,9 +154,9 @@
  * short call in flight is already older than the usual latency, its age is
  * used, so that a slow gatekeeper is noticed before it responds. */
 double
-bb_route_candidate_expected_us(const struct bb_route_candidate *c,
-                               enum bb_admission_class work_class,
-                               uint64_t now_us)
+bb_route_candidate_expected_duration_us(const struct bb_route_candidate *c,
+                                        enum bb_admission_class work_class,
+                                        uint64_t now_us)
 {
     double latency_us = c->observations[work_class] > 0
                             ? exp(c->latency_log_us[work_class])
--- a/decide/swim.c
+++ b/decide/swim.c
@@ -19,8 +19,8 @@
     PINGS_PER_PROBE = 3,
     /* Random probes in a period while any peer is suspected. A suspicion can
      * be the first sign of a lost rack, and more probes find the other lost
-     * members sooner: with one random probe a period, 6 of 31 lost members out
-     * of 40 were not yet marked dead after 5 s. */
+     * members sooner. With one random probe a period, 6 of 31 lost members out
+     * of 40 are not yet marked dead after 5 s. */
     SUSPICION_RANDOM_PROBES = 6
 };
 
--- a/include/decide/admission.h
+++ b/include/decide/admission.h
@@ -42,9 +42,10 @@
 };
 
 struct bb_admission_limits {
-    uint32_t slots;        /* max running; BB_ADMISSION_SLOTS_MAX caps */
-    uint32_t connections;  /* max connections; 0: as many as slots */
-    uint32_t queue_length; /* max queued; BB_ADMISSION_QUEUE_MAX - 1 caps */
+    uint32_t slots;       /* max running; capped at BB_ADMISSION_SLOTS_MAX */
+    uint32_t connections; /* max connections; 0: as many as slots */
+    /* max queued; capped at BB_ADMISSION_QUEUE_MAX - 1 */
+    uint32_t queue_length;
     uint32_t long_work_percent; /* max share of slots for long requests */
     uint32_t slow_start_ms;     /* ramp-up time; 0: none */
     /* Max expected wait; 0: 200 ms. bb_admission_max_wait_us raises it for
--- a/include/decide/balance.h
+++ b/include/decide/balance.h
@@ -93,7 +93,7 @@
     /* By route; groups requests of like duration. Any value, taken modulo
      * BB_REQUEST_CLASS_COUNT. */
     uint32_t class_index;
-    uint64_t target_left_us; /* time left until the target response time */
+    uint64_t target_left_us; /* time left until the target end */
 };
 
 /* Where a request is sent next. */
--- a/include/decide/claim.h
+++ b/include/decide/claim.h
@@ -24,8 +24,8 @@
 
 /* The gatekeepers of one service that may be witnesses, by a 64-bit hash of
  * their host names. While hosts still use the previous list, a claim needs a
- * quorum of witnesses in both the current and the previous list. This header
- * uses a roster; decide/roster.h plans its changes. */
+ * quorum of witnesses in both the current and the previous list. Used by
+ * claims; decide/roster.h plans its changes. */
 struct bb_roster {
     uint64_t epoch; /* raised with each change of the roster */
     uint32_t host_count;
--- a/include/decide/gate_queue.h
+++ b/include/decide/gate_queue.h
@@ -4,7 +4,7 @@
  * can be expected in time, or is refused at once.
  *
  * Requests leave the queue by priority; within a priority, those that can
- * still meet their target time go first, in order of target time, then the
+ * still finish by their target end go first, in order of target end, then the
  * others in order of deadline.
  *
  * Times are microseconds of one clock. The caller serialises the calls. */
--- a/include/decide/quorum.h
+++ b/include/decide/quorum.h
@@ -57,12 +57,11 @@
     BB_QUORUM_LEADER
 };
 
-/* The value of the register and its voters. */
+/* The content ID of the register and its voters. */
 struct bb_quorum_entry {
     uint64_t term;
-    uint64_t index; /* 0: there is no entry yet */
-    uint64_t
-        content_id; /* id of the value; 0: the empty one at the beginning */
+    uint64_t index;      /* 0: there is no entry yet */
+    uint64_t content_id; /* 0: the empty content of the first entry */
     uint64_t voter_count;
     uint64_t voters[BB_QUORUM_VOTERS_MAX]; /* disks */
 };
@@ -181,8 +180,8 @@
                                uint64_t now_us, struct bb_quorum_output *out);
 void bb_quorum_on_connection_lost(struct bb_quorum *q, uint64_t disk,
                                   uint64_t now_us, uint64_t random_bits);
-bool bb_quorum_propose(struct bb_quorum *q, uint64_t content, uint64_t now_us,
-                       struct bb_quorum_output *out);
+bool bb_quorum_propose(struct bb_quorum *q, uint64_t content_id,
+                       uint64_t now_us, struct bb_quorum_output *out);
 bool bb_quorum_set_voters(struct bb_quorum *q, const uint64_t *voters,
                           uint32_t count, uint64_t now_us,
                           struct bb_quorum_output *out);
--- a/include/decide/retry.h
+++ b/include/decide/retry.h
@@ -28,11 +28,11 @@
     enum bb_reason reason; /* of the failure */
     enum bb_ran ran;
     bool is_idempotent;
-    uint32_t attempt_count; /* made so far, 1 or more */
-    uint32_t retry_limit;   /* max retries of a request */
-    uint64_t remaining_us;  /* until the deadline */
-    uint64_t expected_us;   /* usual duration of the call; 0: unknown */
-    uint64_t random_bits;   /* for the jitter of the delay */
+    uint32_t attempt_count;        /* made so far, 1 or more */
+    uint32_t retry_limit;          /* max retries of a request */
+    uint64_t remaining_us;         /* until the deadline */
+    uint64_t expected_duration_us; /* usual duration of the call; 0: unknown */
+    uint64_t random_bits;          /* for the jitter of the delay */
 };
 
 struct bb_retry_decision {
--- a/include/decide/route_pick.h
+++ b/include/decide/route_pick.h
@@ -107,9 +107,10 @@
                                        uint64_t now_us);
 uint32_t bb_route_candidate_estimate_load(const struct bb_route_candidate *c,
                                           uint64_t now_us);
-double bb_route_candidate_expected_us(const struct bb_route_candidate *c,
-                                      enum bb_admission_class work_class,
-                                      uint64_t now_us);
+double
+bb_route_candidate_expected_duration_us(const struct bb_route_candidate *c,
+                                        enum bb_admission_class work_class,
+                                        uint64_t now_us);
 
 void bb_link_budget_configure(struct bb_link_budget *b, uint64_t bytes_per_s,
                               uint64_t now_us);
--- a/proxy/picker.c
+++ b/proxy/picker.c
@@ -335,7 +335,7 @@
     struct bb_retry_decision decision;
 
     (void)pthread_mutex_lock(&p->lock);
-    r.expected_us = bb_duration_stats_median_us(
+    r.expected_duration_us = bb_duration_stats_median_us(
         &get_service(p, q->service)->latency[q->work_class], 0);
     decision = bb_retry_decide(&r, &p->retry_budget);
     (void)pthread_mutex_unlock(&p->lock);
--- a/tests/decide/test_once.c
+++ b/tests/decide/test_once.c
@@ -226,9 +226,9 @@
     q.reason = BB_REASON_BAD_REQUEST;
     CU_ASSERT_FALSE(bb_retry_decide(&q, &b).is_allowed);
     q.reason = BB_REASON_QUEUE_FULL;
-    q.expected_us = 100 * BB_US_PER_MS;
+    q.expected_duration_us = 100 * BB_US_PER_MS;
     CU_ASSERT_FALSE(bb_retry_decide(&q, &b).is_allowed);
-    q.expected_us = 0;
+    q.expected_duration_us = 0;
     for (int i = 0; i < 1000; i++) { /* every call is refused once */
         bb_retry_budget_deposit(&b);
         allowed += bb_retry_decide(&q, &b).is_allowed;
--- a/tests/decide/test_routing.c
+++ b/tests/decide/test_routing.c
@@ -149,7 +149,7 @@
     CU_ASSERT_FALSE(bb_outliers_add(&outliers, 1));
     for (int n = 0; n < 20; n++) {
         for (uint64_t id = 1; id <= COUNT; id++) {
-            /* Member 4 is far away. */
+            /* The last gatekeeper is far away. */
             call_gatekeeper(
                 id, id == COUNT ? 50 * BB_US_PER_MS : 10 * BB_US_PER_MS, false,
                 &now_us);
