Call the fixture of the path tests a fixture

tests/path/bench.{h,c} was a test fixture under the name of a benchmark, and bench/path_hop.c uses both.

No test or assert is changed.

--- a/bench/path_hop.c
+++ b/bench/path_hop.c
@@ -10,8 +10,8 @@
 #include <string.h>
 #include <sys/resource.h>
 
-#include "bench.h"
 #include "common/clock.h"
+#include "fixture.h"
 
 enum {
     WARM_UP_CALLS = 200, /* of each kind */
@@ -47,7 +47,7 @@
 /* Makes a call and returns its latency in microseconds. Exits if there is
  * no response within CALL_TIMEOUT_US. */
 static uint64_t
-make_call(struct bench *b, struct client *c)
+make_call(struct path_fixture *b, struct client *c)
 {
     uint64_t start_us = bb_clock_now_us();
 
@@ -66,8 +66,8 @@
 /* Makes count calls at a rate and stores their latencies in latencies_us.
  * Returns the processor time per call in microseconds. */
 static double
-measure(struct bench *b, struct client *c, uint32_t per_s, uint32_t count,
-        uint64_t *latencies_us)
+measure(struct path_fixture *b, struct client *c, uint32_t per_s,
+        uint32_t count, uint64_t *latencies_us)
 {
     uint64_t interval_us = BB_US_PER_S / per_s;
     uint64_t before_us = cpu_time_us();
@@ -93,7 +93,7 @@
     uint32_t count = argc > 2 ? (uint32_t)atoi(argv[2]) : DEFAULT_CALLS;
     uint64_t *direct_us;
     uint64_t *proxied_us;
-    struct bench b;
+    struct path_fixture b;
     struct client *proxied;
     struct client *direct;
     struct bb_address entry;
@@ -106,8 +106,8 @@
     }
     direct_us = calloc(count, sizeof(*direct_us));
     proxied_us = calloc(count, sizeof(*proxied_us));
-    bench_open(&b);
-    bench_set_rules(&b, 1000, 2);
+    fixture_open(&b);
+    fixture_set_rules(&b, 1000, 2);
     proxied = client_open(&b);
     /* client_open connects to entry_address: point it at the upstream for the
      * direct client. */
@@ -141,7 +141,7 @@
                  proxied_cpu_us - direct_cpu_us);
     client_free(proxied);
     client_free(direct);
-    bench_close(&b);
+    fixture_close(&b);
     free(direct_us);
     free(proxied_us);
     return 0;
--- a/tests/path/bench.c
+++ b/tests/path/fixture.c
@@ -1,6 +1,6 @@
-/* Implementation of the test bench: scripted upstreams, raw clients and an
+/* Implementation of the test fixture: scripted upstreams, raw clients and an
  * event loop. */
-#include "bench.h"
+#include "fixture.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -235,7 +235,7 @@
 static void
 update_directory(void *context, const struct bb_upstream *u)
 {
-    struct bench *b = ((void **)context)[0];
+    struct path_fixture *b = ((void **)context)[0];
     uint32_t gate_index = (uint32_t)(uintptr_t)((void **)context)[1];
     char gate[BB_ADDRESS_TEXT_BYTES];
     static uint64_t sequence;
@@ -257,14 +257,14 @@
 static bool
 is_running(void *context, const char *id, bool *is_retry)
 {
-    const struct bench *b = context;
+    const struct path_fixture *b = context;
 
     return bb_gate_is_running(b->gates[0], id, is_retry);
 }
 
 /* Creates a gate on the port above its upstream's. */
 static void
-open_gate(struct bench *b, uint32_t gate_index)
+open_gate(struct path_fixture *b, uint32_t gate_index)
 {
     static void *contexts[2][2];
     static char texts[2][BB_ADDRESS_TEXT_BYTES];
@@ -285,16 +285,16 @@
 }
 
 void
-bench_restart_gate(struct bench *b, uint32_t gate_index)
+fixture_restart_gate(struct path_fixture *b, uint32_t gate_index)
 {
     bb_gate_destroy(b->gates[gate_index]);
-    bench_run(b, 20);
+    fixture_run(b, 20);
     open_gate(b, gate_index);
 }
 
 /* Creates all parts; both upstreams are ready and use respond_ok. */
 void
-bench_open(struct bench *b)
+fixture_open(struct path_fixture *b)
 {
     struct bb_error e = {0};
 
@@ -332,8 +332,8 @@
         s.listen_address = b->entry_address;
         b->entry = bb_entry_create(&b->loop, &s, &e);
     }
-    bench_announce(b, 0, false);
-    bench_announce(b, 1, false);
+    fixture_announce(b, 0, false);
+    fixture_announce(b, 1, false);
     bb_gate_restore(b->gates[0], NULL);
     bb_gate_restore(b->gates[1], NULL);
 }
@@ -349,14 +349,14 @@
 
 /* Destroys all parts. */
 void
-bench_close(struct bench *b)
+fixture_close(struct path_fixture *b)
 {
     bb_entry_destroy(b->entry);
     for (uint32_t i = 0; i < 2; i++) {
         bb_gate_destroy(b->gates[i]);
         bb_listener_destroy(b->upstreams[i].listener);
     }
-    bench_run(b, 50);
+    fixture_run(b, 50);
     uv_walk(&b->loop, close_handle, NULL);
     (void)uv_run(&b->loop, UV_RUN_DEFAULT);
     (void)uv_loop_close(&b->loop);
@@ -374,8 +374,8 @@
  * of all three, upstream_attempts_max the attempts that may reach an upstream.
  */
 void
-bench_set_rules(struct bench *b, uint32_t timeout_ms,
-                uint32_t upstream_attempts_max)
+fixture_set_rules(struct path_fixture *b, uint32_t timeout_ms,
+                  uint32_t upstream_attempts_max)
 {
     static const char *const prefixes[] = {"/safe/", "/unsafe/", "/other/"};
     struct bb_error e = {0};
@@ -406,7 +406,7 @@
 
 /* Announces an upstream to its gate, each time with a higher sequence. */
 void
-bench_announce(struct bench *b, uint32_t gate_index, bool is_draining)
+fixture_announce(struct path_fixture *b, uint32_t gate_index, bool is_draining)
 {
     static uint64_t sequence;
     struct bb_announcement a = {.service = "s",
@@ -431,7 +431,7 @@
 /* Runs the loop until the flag is set, for at most `ms` milliseconds. Returns
  * whether it was set. A flag of NULL is never set. */
 bool
-bench_wait_flag(struct bench *b, const bool *flag, uint32_t ms)
+fixture_wait_flag(struct path_fixture *b, const bool *flag, uint32_t ms)
 {
     uv_timer_t *t = g_new0(uv_timer_t, 1);
     bool is_over = false;
@@ -448,22 +448,22 @@
 
 /* Runs the loop for `ms` milliseconds. */
 void
-bench_run(struct bench *b, uint32_t ms)
+fixture_run(struct path_fixture *b, uint32_t ms)
 {
-    (void)bench_wait_flag(b, NULL, ms);
+    (void)fixture_wait_flag(b, NULL, ms);
 }
 
 /* Runs the loop until a client has received a text, for at most `ms`
  * milliseconds. Returns whether it has. */
 bool
-bench_wait_text(struct bench *b, struct client *c, const char *text,
-                uint32_t ms)
+fixture_wait_text(struct path_fixture *b, struct client *c, const char *text,
+                  uint32_t ms)
 {
     uint64_t end_us = bb_clock_now_us() + (uint64_t)ms * BB_US_PER_MS;
 
     while (strstr(c->received->str, text) == NULL &&
            bb_clock_now_us() < end_us) {
-        bench_run(b, 2);
+        fixture_run(b, 2);
     }
     return strstr(c->received->str, text) != NULL;
 }
@@ -490,7 +490,7 @@
 
 /* Connects a client to the entry; client_free frees it. */
 struct client *
-client_open(struct bench *b)
+client_open(struct path_fixture *b)
 {
     struct client *c = g_new0(struct client, 1);
 
--- a/tests/path/bench.h
+++ b/tests/path/fixture.h
@@ -1,7 +1,7 @@
-/* Test bench for entry and gate: an event loop with raw HTTP clients and
+/* Test fixture for entry and gate: an event loop with raw HTTP clients and
  * scripted upstreams on loopback addresses. */
-#ifndef BB_TESTS_PATH_BENCH_H
-#define BB_TESTS_PATH_BENCH_H
+#ifndef BB_TESTS_PATH_FIXTURE_H
+#define BB_TESTS_PATH_FIXTURE_H
 
 #include <glib.h>
 #include <stdbool.h>
@@ -66,11 +66,11 @@
 struct client {
     struct bb_stream *stream;
     GString *received;
-    bool is_ended; /* set, but not checked by a test */
+    bool is_ended; /* the connection has ended; checked by bench/path_hop.c */
 };
 
 /* Two gates, each with its own upstream, and one entry. */
-struct bench {
+struct path_fixture {
     uv_loop_t loop;
     struct bb_directory *directory;
     struct bb_entry *entry;
@@ -85,19 +85,20 @@
 struct scripted_response respond_ok(struct upstream *u, uint32_t number,
                                     const struct bb_http_head *h);
 
-void bench_open(struct bench *b);
-void bench_close(struct bench *b);
-void bench_set_rules(struct bench *b, uint32_t timeout_ms,
-                     uint32_t upstream_attempts_max);
+void fixture_open(struct path_fixture *b);
+void fixture_close(struct path_fixture *b);
+void fixture_set_rules(struct path_fixture *b, uint32_t timeout_ms,
+                       uint32_t upstream_attempts_max);
 /* Destroys a gate and creates it again; it then knows no upstream. */
-void bench_restart_gate(struct bench *b, uint32_t gate_index);
-void bench_announce(struct bench *b, uint32_t gate_index, bool is_draining);
-void bench_run(struct bench *b, uint32_t ms);
-bool bench_wait_flag(struct bench *b, const bool *flag, uint32_t ms);
-bool bench_wait_text(struct bench *b, struct client *c, const char *text,
-                     uint32_t ms);
+void fixture_restart_gate(struct path_fixture *b, uint32_t gate_index);
+void fixture_announce(struct path_fixture *b, uint32_t gate_index,
+                      bool is_draining);
+void fixture_run(struct path_fixture *b, uint32_t ms);
+bool fixture_wait_flag(struct path_fixture *b, const bool *flag, uint32_t ms);
+bool fixture_wait_text(struct path_fixture *b, struct client *c,
+                       const char *text, uint32_t ms);
 
-struct client *client_open(struct bench *b);
+struct client *client_open(struct path_fixture *b);
 void client_send(struct client *c, const char *text);
 void client_disconnect(struct client *c);
 void client_free(struct client *c);
--- a/tests/path/test_path.c
+++ b/tests/path/test_path.c
@@ -2,8 +2,8 @@
  * names the failure that a test guards against. */
 #include <string.h>
 
-#include "bench.h"
 #include "common/counters.h"
+#include "fixture.h"
 #include "unit.h"
 
 #define SAFE(id) "GET /safe/x HTTP/1.1\r\nHost: h\r\nT-Id: " id "\r\n"
@@ -13,14 +13,14 @@
 
 /* Returns how many requests both upstreams have received. */
 static uint32_t
-count_requests(const struct bench *b)
+count_requests(const struct path_fixture *b)
 {
     return b->upstreams[0].requests + b->upstreams[1].requests;
 }
 
 /* Sets the responses of both upstreams. */
 static void
-set_scripts(struct bench *b, response_script script)
+set_scripts(struct path_fixture *b, response_script script)
 {
     b->upstreams[0].script = script;
     b->upstreams[1].script = script;
@@ -31,16 +31,16 @@
 static void
 test_forwarding(void)
 {
-    struct bench b;
+    struct path_fixture b;
     struct client *c;
     const struct upstream *u;
 
-    bench_open(&b);
-    bench_set_rules(&b, 1000, 2);
+    fixture_open(&b);
+    fixture_set_rules(&b, 1000, 2);
     c = client_open(&b);
     client_send(c, UNSAFE("a1") T_CALLER ": liar\r\nT-Deadline: 800\r\n"
                                          "X-Kept: yes\r\n\r\nhi");
-    CU_ASSERT_TRUE(bench_wait_text(&b, c, "body", 1000));
+    CU_ASSERT_TRUE(fixture_wait_text(&b, c, "body", 1000));
     u = b.upstreams[0].requests != 0 ? &b.upstreams[0] : &b.upstreams[1];
     CU_ASSERT_EQUAL(count_requests(&b), 1);
     CU_ASSERT_STRING_EQUAL(u->last_body->str, "hi");
@@ -51,7 +51,7 @@
     CU_ASSERT_PTR_NULL(strstr(u->last_head->str, "Baobab-"));
     CU_ASSERT_PTR_NOT_NULL(strstr(c->received->str, "T-Seal: s\r\n"));
     client_free(c);
-    bench_close(&b);
+    fixture_close(&b);
 }
 
 /* Guards against: a response other than 503 before there is a configuration or
@@ -59,21 +59,21 @@
 static void
 test_without_rules(void)
 {
-    struct bench b;
+    struct path_fixture b;
     struct client *c;
 
-    bench_open(&b);
+    fixture_open(&b);
     c = client_open(&b);
     client_send(c, SAFE("a1") "\r\n");
-    CU_ASSERT_TRUE(bench_wait_text(&b, c, "HTTP/1.1 503", 500));
-    bench_set_rules(&b, 1000, 2);
+    CU_ASSERT_TRUE(fixture_wait_text(&b, c, "HTTP/1.1 503", 500));
+    fixture_set_rules(&b, 1000, 2);
     client_send(c, "GET /none/ HTTP/1.1\r\nHost: h\r\nT-Id: a2\r\n\r\n");
-    CU_ASSERT_TRUE(bench_wait_text(&b, c, "HTTP/1.1 404", 500));
+    CU_ASSERT_TRUE(fixture_wait_text(&b, c, "HTTP/1.1 404", 500));
     client_send(c, "GET /other/ HTTP/1.1\r\nHost: h\r\nT-Id: a3\r\n\r\n");
-    CU_ASSERT_TRUE(bench_wait_text(&b, c, "no_upstream", 500));
+    CU_ASSERT_TRUE(fixture_wait_text(&b, c, "no_upstream", 500));
     CU_ASSERT_EQUAL(count_requests(&b), 0);
     client_free(c);
-    bench_close(&b);
+    fixture_close(&b);
 }
 
 /* Guards against: request smuggling by ambiguous framing or hosts, and
@@ -91,18 +91,18 @@
         "GET /safe/x HTTP/1.1\r\nHost h\r\n\r\n", "\r\n\x01garbage\r\n\r\n"};
 
     for (size_t i = 0; i < sizeof(bad) / sizeof(bad[0]); i++) {
-        struct bench b;
+        struct path_fixture b;
         struct client *c;
 
-        bench_open(&b);
-        bench_set_rules(&b, 1000, 2);
+        fixture_open(&b);
+        fixture_set_rules(&b, 1000, 2);
         c = client_open(&b);
         client_send(c, bad[i]);
-        CU_ASSERT_TRUE(bench_wait_text(&b, c, "HTTP/1.1 400", 500));
-        bench_run(&b, 30);
+        CU_ASSERT_TRUE(fixture_wait_text(&b, c, "HTTP/1.1 400", 500));
+        fixture_run(&b, 30);
         CU_ASSERT_EQUAL(count_requests(&b), 0);
         client_free(c);
-        bench_close(&b);
+        fixture_close(&b);
     }
 }
 
@@ -123,19 +123,19 @@
 static void
 test_reset_response(void)
 {
-    struct bench b;
+    struct path_fixture b;
     struct client *c;
 
-    bench_open(&b);
-    bench_set_rules(&b, 1000, 2);
+    fixture_open(&b);
+    fixture_set_rules(&b, 1000, 2);
     set_scripts(&b, respond_reset);
     c = client_open(&b);
     client_send(c, UNSAFE("a1") "\r\nhi");
-    CU_ASSERT_TRUE(bench_wait_text(&b, c, "HTTP/1.1 502", 1000));
+    CU_ASSERT_TRUE(fixture_wait_text(&b, c, "HTTP/1.1 502", 1000));
     CU_ASSERT_PTR_NULL(strstr(c->received->str, "half"));
     CU_ASSERT_EQUAL(count_requests(&b), 1);
     client_free(c);
-    bench_close(&b);
+    fixture_close(&b);
 }
 
 static struct scripted_response
@@ -155,18 +155,18 @@
 static void
 test_unframed_response(void)
 {
-    struct bench b;
+    struct path_fixture b;
     struct client *c;
 
-    bench_open(&b);
-    bench_set_rules(&b, 1000, 2);
+    fixture_open(&b);
+    fixture_set_rules(&b, 1000, 2);
     set_scripts(&b, respond_unframed);
     c = client_open(&b);
     client_send(c, SAFE("a1") "\r\n");
-    CU_ASSERT_TRUE(bench_wait_text(&b, c, "Content-Length: 5", 1000));
-    CU_ASSERT_TRUE(bench_wait_text(&b, c, "whole", 1000));
+    CU_ASSERT_TRUE(fixture_wait_text(&b, c, "Content-Length: 5", 1000));
+    CU_ASSERT_TRUE(fixture_wait_text(&b, c, "whole", 1000));
     client_free(c);
-    bench_close(&b);
+    fixture_close(&b);
 }
 
 static struct scripted_response
@@ -202,27 +202,27 @@
 static void
 test_foreign_responses(void)
 {
-    struct bench b;
+    struct path_fixture b;
     struct client *c;
 
-    bench_open(&b);
-    bench_set_rules(&b, 1000, 2);
+    fixture_open(&b);
+    fixture_set_rules(&b, 1000, 2);
     set_scripts(&b, respond_after_foreign);
     c = client_open(&b);
     client_send(c, SAFE("a1") "\r\n");
-    CU_ASSERT_TRUE(bench_wait_text(&b, c, "right", 1000));
+    CU_ASSERT_TRUE(fixture_wait_text(&b, c, "right", 1000));
     CU_ASSERT_PTR_NULL(strstr(c->received->str, "wrong"));
     b.upstreams[0].requests = 0;
     b.upstreams[1].requests = 0;
     set_scripts(&b, respond_with_extra);
     for (uint32_t i = 0; i < 3; i++) {
         client_send(c, SAFE("a2") "\r\n");
-        bench_run(&b, 60);
+        fixture_run(&b, 60);
     }
     CU_ASSERT_EQUAL(client_count(c, "body"), 3);
     CU_ASSERT_PTR_NULL(strstr(c->received->str, "extra"));
     client_free(c);
-    bench_close(&b);
+    fixture_close(&b);
 }
 
 static struct scripted_response
@@ -242,18 +242,18 @@
 static void
 test_unsealed_response(void)
 {
-    struct bench b;
+    struct path_fixture b;
     struct client *c;
 
-    bench_open(&b);
-    bench_set_rules(&b, 1000, 2);
+    fixture_open(&b);
+    fixture_set_rules(&b, 1000, 2);
     set_scripts(&b, respond_unsealed);
     c = client_open(&b);
     client_send(c, UNSAFE("a1") "\r\nhi");
-    CU_ASSERT_TRUE(bench_wait_text(&b, c, "HTTP/1.1 502", 1000));
+    CU_ASSERT_TRUE(fixture_wait_text(&b, c, "HTTP/1.1 502", 1000));
     CU_ASSERT_EQUAL(count_requests(&b), 1);
     client_free(c);
-    bench_close(&b);
+    fixture_close(&b);
 }
 
 static struct scripted_response
@@ -272,22 +272,22 @@
 static void
 test_lost_response(void)
 {
-    struct bench b;
+    struct path_fixture b;
     struct client *c;
 
-    bench_open(&b);
-    bench_set_rules(&b, 1000, 2);
+    fixture_open(&b);
+    fixture_set_rules(&b, 1000, 2);
     set_scripts(&b, reset_without_response);
     c = client_open(&b);
     client_send(c, UNSAFE("a1") "\r\nhi");
-    CU_ASSERT_TRUE(bench_wait_text(&b, c, "HTTP/1.1 502", 1000));
+    CU_ASSERT_TRUE(fixture_wait_text(&b, c, "HTTP/1.1 502", 1000));
     CU_ASSERT_EQUAL(count_requests(&b), 1);
     client_send(c, SAFE("a2") "\r\n");
-    bench_run(&b, 300);
+    fixture_run(&b, 300);
     CU_ASSERT_EQUAL(client_count(c, "HTTP/1.1 502"), 2);
     CU_ASSERT_TRUE(count_requests(&b) <= 3);
     client_free(c);
-    bench_close(&b);
+    fixture_close(&b);
 }
 
 static struct scripted_response
@@ -307,21 +307,21 @@
 static void
 test_not_run(void)
 {
-    struct bench b;
+    struct path_fixture b;
     struct client *c;
 
-    bench_open(&b);
-    bench_set_rules(&b, 1000, 2);
+    fixture_open(&b);
+    fixture_set_rules(&b, 1000, 2);
     b.upstreams[0].script = respond_not_run;
     c = client_open(&b);
     client_send(c, UNSAFE("a1") "\r\nhi");
-    CU_ASSERT_TRUE(bench_wait_text(&b, c, "body", 1000));
+    CU_ASSERT_TRUE(fixture_wait_text(&b, c, "body", 1000));
     b.upstreams[1].script = respond_not_run;
     client_send(c, UNSAFE("a2") "\r\nhi");
-    CU_ASSERT_TRUE(bench_wait_text(&b, c, "HTTP/1.1 503", 1000));
+    CU_ASSERT_TRUE(fixture_wait_text(&b, c, "HTTP/1.1 503", 1000));
     CU_ASSERT_PTR_NOT_NULL(strstr(c->received->str, "Retry-After: "));
     client_free(c);
-    bench_close(&b);
+    fixture_close(&b);
 }
 
 static struct scripted_response
@@ -339,25 +339,25 @@
 static void
 test_caller_disconnects(void)
 {
-    struct bench b;
+    struct path_fixture b;
     struct client *c;
 
-    bench_open(&b);
-    bench_set_rules(&b, 5000, 2);
+    fixture_open(&b);
+    fixture_set_rules(&b, 5000, 2);
     set_scripts(&b, respond_after_3_s);
     c = client_open(&b);
     client_send(c, SAFE("a1") "\r\n");
-    bench_run(&b, 100);
+    fixture_run(&b, 100);
     CU_ASSERT_EQUAL(count_requests(&b), 1);
     client_disconnect(c);
-    bench_run(&b, 300);
+    fixture_run(&b, 300);
     CU_ASSERT_EQUAL(
         b.upstreams[0].aborted_requests + b.upstreams[1].aborted_requests, 1);
     CU_ASSERT_EQUAL(bb_gate_pending_count(b.gates[0]) +
                         bb_gate_pending_count(b.gates[1]),
                     0);
     client_free(c);
-    bench_close(&b);
+    fixture_close(&b);
 }
 
 /* Guards against: no response at the route's timeout, and an upstream that
@@ -365,26 +365,26 @@
 static void
 test_timeout(void)
 {
-    struct bench b;
+    struct path_fixture b;
     struct client *c;
     const struct upstream *u;
     const char *deadline;
 
-    bench_open(&b);
-    bench_set_rules(&b, 300, 1);
+    fixture_open(&b);
+    fixture_set_rules(&b, 300, 1);
     set_scripts(&b, respond_after_3_s);
     c = client_open(&b);
     client_send(c, UNSAFE("a1") "T-Deadline: 5000\r\n\r\nhi");
-    CU_ASSERT_TRUE(bench_wait_text(&b, c, "HTTP/1.1 504", 700));
+    CU_ASSERT_TRUE(fixture_wait_text(&b, c, "HTTP/1.1 504", 700));
     u = b.upstreams[0].requests != 0 ? &b.upstreams[0] : &b.upstreams[1];
     deadline = strstr(u->last_head->str, "T-Deadline: ");
     CU_ASSERT_PTR_NOT_NULL_FATAL(deadline);
     CU_ASSERT_TRUE(atoi(deadline + strlen("T-Deadline: ")) <= 300);
-    bench_run(&b, 100);
+    fixture_run(&b, 100);
     CU_ASSERT_EQUAL(
         b.upstreams[0].aborted_requests + b.upstreams[1].aborted_requests, 1);
     client_free(c);
-    bench_close(&b);
+    fixture_close(&b);
 }
 
 /* Guards against: requests sent to an upstream that drains, and one that has
@@ -392,28 +392,28 @@
 static void
 test_draining(void)
 {
-    struct bench b;
+    struct path_fixture b;
     struct client *c;
 
-    bench_open(&b);
-    bench_set_rules(&b, 1000, 2);
-    bench_announce(&b, 0, true);
+    fixture_open(&b);
+    fixture_set_rules(&b, 1000, 2);
+    fixture_announce(&b, 0, true);
     c = client_open(&b);
     for (uint32_t i = 0; i < 6; i++) {
         client_send(c, UNSAFE("a1") "\r\nhi");
-        bench_run(&b, 30);
+        fixture_run(&b, 30);
     }
     CU_ASSERT_EQUAL(client_count(c, "body"), 6);
     CU_ASSERT_EQUAL(b.upstreams[0].requests, 0);
     /* A delayed announcement must not make it ready again. */
     CU_ASSERT_TRUE(
         bb_gate_withdraw(b.gates[1], "i-1", BENCH_UPSTREAM_STARTED_MS));
-    bench_announce(&b, 1, false);
+    fixture_announce(&b, 1, false);
     client_send(c, UNSAFE("a2") "\r\nhi");
-    CU_ASSERT_TRUE(bench_wait_text(&b, c, "HTTP/1.1 503", 500));
+    CU_ASSERT_TRUE(fixture_wait_text(&b, c, "HTTP/1.1 503", 500));
     CU_ASSERT_EQUAL(b.upstreams[1].requests, 6);
     client_free(c);
-    bench_close(&b);
+    fixture_close(&b);
 }
 
 static struct scripted_response
@@ -435,36 +435,36 @@
     const struct bb_counter *nested_total =
         bb_counter_find("baobab_entry_calls_total", NULL);
     uint64_t before = bb_counter_get(nested_total);
-    struct bench b;
+    struct path_fixture b;
     struct client *c;
     struct client *upstream;
     bool is_retry = true;
 
-    bench_open(&b);
-    bench_set_rules(&b, 1000, 2);
-    bench_announce(&b, 1, true); /* leaves only the first gate */
+    fixture_open(&b);
+    fixture_set_rules(&b, 1000, 2);
+    fixture_announce(&b, 1, true); /* leaves only the first gate */
     set_scripts(&b, respond_after_3_s);
     c = client_open(&b);
     upstream = client_open(&b);
     client_send(c, UNSAFE("a1") "\r\nhi");
-    bench_run(&b, 100);
+    fixture_run(&b, 100);
     CU_ASSERT_EQUAL(bb_counter_get(nested_total), before);
     CU_ASSERT_TRUE(bb_gate_is_running(b.gates[0], "a1", &is_retry));
     CU_ASSERT_FALSE(is_retry);
     client_send(upstream, UNSAFE("a1/x") "\r\nhi");
-    bench_run(&b, 50);
+    fixture_run(&b, 50);
     CU_ASSERT_EQUAL(bb_counter_get(nested_total), before + 1);
     client_disconnect(c);
-    bench_run(&b, 100);
+    fixture_run(&b, 100);
     CU_ASSERT_FALSE(bb_gate_is_running(b.gates[0], "a1", &is_retry));
     client_free(c);
     c = client_open(&b);
     client_send(c, UNSAFE("a1/y") "\r\nhi");
-    bench_run(&b, 50);
+    fixture_run(&b, 50);
     CU_ASSERT_EQUAL(bb_counter_get(nested_total), before + 1);
     client_free(c);
     client_free(upstream);
-    bench_close(&b);
+    fixture_close(&b);
 }
 
 /* Guards against: a caller with a shorter deadline than others on its route
@@ -473,16 +473,16 @@
 static void
 test_short_deadlines(void)
 {
-    struct bench b;
+    struct path_fixture b;
     struct client *c;
 
-    bench_open(&b);
-    bench_set_rules(&b, 1000, 2);
-    bench_announce(&b, 1, true); /* leaves the first gate, with two slots */
+    fixture_open(&b);
+    fixture_set_rules(&b, 1000, 2);
+    fixture_announce(&b, 1, true); /* leaves the first gate, with two slots */
     c = client_open(&b);
     for (uint32_t i = 0; i < 30; i++) {
         client_send(c, SAFE("p") "T-Deadline: 9000\r\n\r\n");
-        bench_run(&b, 5);
+        fixture_run(&b, 5);
     }
     CU_ASSERT_EQUAL(client_count(c, "body"), 30);
     client_free(c);
@@ -491,10 +491,10 @@
     for (uint32_t i = 0; i < 4; i++) {
         client_send(c, SAFE("q") "T-Deadline: 900\r\n\r\n");
     }
-    bench_run(&b, 600);
+    fixture_run(&b, 600);
     CU_ASSERT_EQUAL(client_count(c, "body"), 4);
     client_free(c);
-    bench_close(&b);
+    fixture_close(&b);
 }
 
 /* Guards against: a restarted gate that admits requests after a delayed
@@ -502,33 +502,33 @@
 static void
 test_restarted_gate(void)
 {
-    struct bench b;
+    struct path_fixture b;
     struct client *c;
     const fleet_instance earlier = {.id = (char *)"i-0",
                                     .started_ms = BENCH_UPSTREAM_STARTED_MS,
                                     .state = BB_INSTANCE_DRAINING};
 
-    bench_open(&b);
-    bench_set_rules(&b, 1000, 2);
-    bench_announce(&b, 1, true); /* leaves only the first gate */
-    bench_restart_gate(&b, 0);
-    bench_announce(&b, 0, false);
+    fixture_open(&b);
+    fixture_set_rules(&b, 1000, 2);
+    fixture_announce(&b, 1, true); /* leaves only the first gate */
+    fixture_restart_gate(&b, 0);
+    fixture_announce(&b, 0, false);
     c = client_open(&b);
     client_send(c, UNSAFE("a1") "\r\nhi");
-    CU_ASSERT_TRUE(bench_wait_text(&b, c, "HTTP/1.1 503", 500));
+    CU_ASSERT_TRUE(fixture_wait_text(&b, c, "HTTP/1.1 503", 500));
     bb_gate_restore(b.gates[0], &earlier);
     client_send(c, UNSAFE("a2") "\r\nhi");
-    bench_run(&b, 100);
+    fixture_run(&b, 100);
     CU_ASSERT_EQUAL(client_count(c, "HTTP/1.1 503"), 2);
     CU_ASSERT_EQUAL(count_requests(&b), 0);
     /* If nothing is known of an earlier run it admits requests at once. */
-    bench_restart_gate(&b, 0);
+    fixture_restart_gate(&b, 0);
     bb_gate_restore(b.gates[0], NULL);
-    bench_announce(&b, 0, false);
+    fixture_announce(&b, 0, false);
     client_send(c, UNSAFE("a3") "\r\nhi");
-    CU_ASSERT_TRUE(bench_wait_text(&b, c, "body", 500));
+    CU_ASSERT_TRUE(fixture_wait_text(&b, c, "body", 500));
     client_free(c);
-    bench_close(&b);
+    fixture_close(&b);
 }
 
 /* Guards against: requests that are lost on idle connections that the upstream
@@ -537,30 +537,30 @@
 static void
 test_dropped_connections(void)
 {
-    struct bench b;
+    struct path_fixture b;
     struct client *c;
 
-    bench_open(&b);
-    bench_set_rules(&b, 1000, 2);
+    fixture_open(&b);
+    fixture_set_rules(&b, 1000, 2);
     b.upstreams[0].idle_reset_ms = 120;
     b.upstreams[1].idle_reset_ms = 120;
     c = client_open(&b);
     for (uint32_t i = 0; i < 6; i++) {
         client_send(c, UNSAFE("a1") "\r\nhi");
-        bench_run(&b, 180);
+        fixture_run(&b, 180);
     }
     CU_ASSERT_EQUAL(client_count(c, "body"), 6);
     CU_ASSERT_EQUAL(b.upstreams[0].idle_resets + b.upstreams[1].idle_resets,
                     0);
     for (uint32_t i = 0; i < 10; i++) {
         client_send(c, SAFE("a1") "\r\n");
-        bench_run(&b, 180);
+        fixture_run(&b, 180);
     }
     CU_ASSERT_EQUAL(client_count(c, "body"), 16);
     CU_ASSERT_TRUE(b.upstreams[0].idle_resets <= 1);
     CU_ASSERT_TRUE(b.upstreams[1].idle_resets <= 1);
     client_free(c);
-    bench_close(&b);
+    fixture_close(&b);
 }
 
 /* Guards against: a gate that admits requests for a draining upstream, from
@@ -568,11 +568,11 @@
 static void
 test_draining_gate(void)
 {
-    struct bench b;
+    struct path_fixture b;
     struct client *c;
     struct bb_address entry;
 
-    bench_open(&b);
+    fixture_open(&b);
     entry = b.entry_address;
     /* Connects to the gate directly, as an entry node does. */
     b.entry_address = b.upstreams[0].address;
@@ -583,14 +583,14 @@
      * (BB_GATE_WAIT_UNLIMITED_MS), no flags. */
     client_send(c, SAFE("a1") BB_GATE_HEADER_CALL
                 ": s 1 1 500 1000000 -\r\n\r\n");
-    CU_ASSERT_TRUE(bench_wait_text(&b, c, "body", 500));
-    bench_announce(&b, 0, true);
+    CU_ASSERT_TRUE(fixture_wait_text(&b, c, "body", 500));
+    fixture_announce(&b, 0, true);
     client_send(c, SAFE("a2") BB_GATE_HEADER_CALL
                 ": s 1 1 500 1000000 -\r\n\r\n");
-    CU_ASSERT_TRUE(bench_wait_text(&b, c, BB_GATE_HEADER_REFUSED, 500));
+    CU_ASSERT_TRUE(fixture_wait_text(&b, c, BB_GATE_HEADER_REFUSED, 500));
     CU_ASSERT_EQUAL(count_requests(&b), 1);
     client_free(c);
-    bench_close(&b);
+    fixture_close(&b);
 }
 
 static struct scripted_response
@@ -609,19 +609,19 @@
 static void
 test_pipeline(void)
 {
-    struct bench b;
+    struct path_fixture b;
     struct client *c;
     const char *first;
     const char *second;
 
-    bench_open(&b);
-    bench_set_rules(&b, 1000, 1);
+    fixture_open(&b);
+    fixture_set_rules(&b, 1000, 1);
     set_scripts(&b, respond_first_slower);
     c = client_open(&b);
     client_send(c, SAFE("a1") "\r\n" SAFE("a2") "\r\n" SAFE("a3") "\r\n");
-    bench_run(&b, 30);
+    fixture_run(&b, 30);
     bb_entry_disable_keep_alive(b.entry);
-    bench_run(&b, 400);
+    fixture_run(&b, 400);
     CU_ASSERT_EQUAL(client_count(c, "body"), 3);
     first = strstr(c->received->str, "T-Id: a1");
     second = strstr(c->received->str, "T-Id: a2");
@@ -629,7 +629,7 @@
     CU_ASSERT_TRUE(second > first);
     CU_ASSERT_EQUAL(client_count(c, "Connection: close"), 1);
     client_free(c);
-    bench_close(&b);
+    fixture_close(&b);
 }
 
 /* Guards against: queued requests that get no response, a queue that refuses
@@ -637,19 +637,19 @@
 static void
 test_queue(void)
 {
-    struct bench b;
+    struct path_fixture b;
     struct client *clients[8];
     uint32_t served = 0;
     uint32_t refused = 0;
 
-    bench_open(&b);
-    bench_set_rules(&b, 400, 1);
+    fixture_open(&b);
+    fixture_set_rules(&b, 400, 1);
     set_scripts(&b, respond_first_slower);
     for (uint32_t i = 0; i < 8; i++) {
         clients[i] = client_open(&b);
         client_send(clients[i], UNSAFE("a1") "\r\nhi");
     }
-    bench_run(&b, 800);
+    fixture_run(&b, 800);
     for (uint32_t i = 0; i < 8; i++) {
         served += client_count(clients[i], "body");
         refused += client_count(clients[i], "HTTP/1.1 503");
@@ -658,7 +658,7 @@
     CU_ASSERT_EQUAL(served + refused, 8);
     CU_ASSERT_TRUE(served >= 4);
     CU_ASSERT_EQUAL(count_requests(&b), served);
-    bench_close(&b);
+    fixture_close(&b);
 }
 
 /* Longer than BB_HTTP_SERVER_BODY_BUFFER_BYTES, so that the body is streamed.
@@ -670,7 +670,7 @@
 static void
 test_long_body(void)
 {
-    struct bench b;
+    struct path_fixture b;
     struct client *c;
     GString *request = g_string_new(
         "POST /unsafe/x HTTP/1.1\r\nHost: h\r\nT-Id: a1\r\n"
@@ -680,18 +680,18 @@
     for (uint32_t i = 0; i < LONG_BODY_BYTES; i++) {
         g_string_append_c(request, (gchar)('a' + i % 23));
     }
-    bench_open(&b);
-    bench_set_rules(&b, 3000, 2);
+    fixture_open(&b);
+    fixture_set_rules(&b, 3000, 2);
     c = client_open(&b);
     client_send(c, request->str);
-    CU_ASSERT_TRUE(bench_wait_text(&b, c, "body", 3000));
+    CU_ASSERT_TRUE(fixture_wait_text(&b, c, "body", 3000));
     u = b.upstreams[0].requests != 0 ? &b.upstreams[0] : &b.upstreams[1];
     CU_ASSERT_EQUAL(u->last_body->len, LONG_BODY_BYTES);
     CU_ASSERT_EQUAL(
         strcmp(u->last_body->str, strstr(request->str, "\r\n\r\n") + 4), 0);
     client_free(c);
     g_string_free(request, TRUE);
-    bench_close(&b);
+    fixture_close(&b);
 }
 
 /* Guards against: requests that fail because one upstream does not accept
@@ -699,22 +699,22 @@
 static void
 test_upstream_unreachable(void)
 {
-    struct bench b;
+    struct path_fixture b;
     struct client *c;
 
-    bench_open(&b);
-    bench_set_rules(&b, 1000, 2);
+    fixture_open(&b);
+    fixture_set_rules(&b, 1000, 2);
     bb_listener_destroy(b.upstreams[0].listener);
     b.upstreams[0].listener = NULL;
-    bench_run(&b, 10);
+    fixture_run(&b, 10);
     c = client_open(&b);
     for (uint32_t i = 0; i < 6; i++) {
         client_send(c, UNSAFE("a1") "\r\nhi");
-        bench_run(&b, 40);
+        fixture_run(&b, 40);
     }
     CU_ASSERT_EQUAL(client_count(c, "body"), 6);
     client_free(c);
-    bench_close(&b);
+    fixture_close(&b);
 }
 
 static const struct bb_unit_test tests[] = {
