Name the upstream's set of runs after its type

upstream/work.{h,c} holds struct bb_runs, and work means service time elsewhere: runs.{h,c}. Its busy and waiting requests are running and queued, as in the other folders; the JSON keys stay.

--- a/include/upstream/work.h
+++ b/include/upstream/runs.h
@@ -1,7 +1,7 @@
 /* Runs requests of the simulated upstream in slots, cancels them, and keeps a
  * history of the requests that ran. Thread-safe. */
-#ifndef BB_UPSTREAM_WORK_H
-#define BB_UPSTREAM_WORK_H
+#ifndef BB_UPSTREAM_RUNS_H
+#define BB_UPSTREAM_RUNS_H
 
 #include <glib.h>
 #include <stdbool.h>
@@ -37,8 +37,8 @@
                 const struct bb_run_nested_call *nested_call);
 bool bb_runs_cancel(struct bb_runs *r, const char *id);
 uint32_t bb_runs_active_count(struct bb_runs *r);
-void bb_runs_get_reported_load(struct bb_runs *r, uint32_t *busy,
-                               uint32_t *waiting);
+void bb_runs_get_reported_load(struct bb_runs *r, uint32_t *running,
+                               uint32_t *queued);
 void bb_runs_write_history(struct bb_runs *r, GString *out);
 void bb_runs_clear_history(struct bb_runs *r);
 
--- a/include/upstream/server.h
+++ b/include/upstream/server.h
@@ -10,7 +10,7 @@
 #include "common/error.h"
 #include "mesh/member.h"
 #include "upstream/behaviour.h"
-#include "upstream/work.h"
+#include "upstream/runs.h"
 
 /* Headers with which a caller controls and verifies a request. */
 #define BB_HEADER_CALL_ID "X-Call-Id"
--- a/upstream/work.c
+++ b/upstream/runs.c
@@ -1,4 +1,4 @@
-#include "upstream/work.h"
+#include "upstream/runs.h"
 
 #include <errno.h>
 #include <inttypes.h>
@@ -27,8 +27,8 @@
 /* The load after a change. */
 struct load_sample {
     uint64_t time_us;
-    uint32_t busy;
-    uint32_t waiting;
+    uint32_t running;
+    uint32_t queued;
 };
 
 struct bb_runs {
@@ -38,8 +38,8 @@
     GPtrArray *active;      /* of struct run */
     GArray *history;        /* of struct history_entry */
     uint64_t dropped;       /* entries removed from the full history */
-    uint32_t busy;
-    uint32_t waiting;
+    uint32_t running;
+    uint32_t queued;
     struct load_sample samples[LOAD_SAMPLES_MAX]; /* ring buffer */
     uint64_t sample_count;
 };
@@ -92,8 +92,8 @@
 {
     r->samples[r->sample_count++ % LOAD_SAMPLES_MAX] = (struct load_sample){
         .time_us = bb_clock_now_us(),
-        .busy = r->busy,
-        .waiting = r->waiting,
+        .running = r->running,
+        .queued = r->queued,
     };
 }
 
@@ -138,18 +138,18 @@
     struct timespec end = bb_clock_to_timespec(deadline_us);
     bool has_time = true;
 
-    r->waiting++;
+    r->queued++;
     sample_load(r);
     while (has_time && !run->is_cancelled &&
-           r->busy >= bb_behaviour_get_values(r->behaviour).slots) {
+           r->running >= bb_behaviour_get_values(r->behaviour).slots) {
         has_time =
             pthread_cond_timedwait(&r->changed, &r->lock, &end) != ETIMEDOUT;
     }
-    r->waiting--;
+    r->queued--;
     if (!has_time || run->is_cancelled) {
         return false;
     }
-    r->busy++;
+    r->running++;
     sample_load(r);
     return true;
 }
@@ -189,7 +189,7 @@
         (void)pthread_mutex_lock(&r->lock);
     }
     add_to_history(r, id, call, start_us, outcome);
-    r->busy--;
+    r->running--;
     sample_load(r);
     (void)pthread_cond_broadcast(&r->changed);
 out:
@@ -233,7 +233,8 @@
 /* Returns the load as the upstream reports it: delayed by load_lag_ms and
  * scaled by load_percent. */
 void
-bb_runs_get_reported_load(struct bb_runs *r, uint32_t *busy, uint32_t *waiting)
+bb_runs_get_reported_load(struct bb_runs *r, uint32_t *running,
+                          uint32_t *queued)
 {
     struct bb_behaviour_values v = bb_behaviour_get_values(r->behaviour);
     uint64_t lag_us = v.load_lag_ms * BB_US_PER_MS;
@@ -249,8 +250,8 @@
         }
     }
     (void)pthread_mutex_unlock(&r->lock);
-    *busy = (uint32_t)(s.busy * v.load_percent / 100);
-    *waiting = (uint32_t)(s.waiting * v.load_percent / 100);
+    *running = (uint32_t)(s.running * v.load_percent / 100);
+    *queued = (uint32_t)(s.queued * v.load_percent / 100);
 }
 
 /* Appends the history to out as JSON Lines: a line of totals, then one line
@@ -265,8 +266,8 @@
     g_string_append_printf(out,
                            "{\"runs\":%" PRIu64 ",\"dropped\":%" PRIu64
                            ",\"busy\":%u,\"waiting\":%u}\n",
-                           r->history->len + r->dropped, r->dropped, r->busy,
-                           r->waiting);
+                           r->history->len + r->dropped, r->dropped,
+                           r->running, r->queued);
     for (guint i = 0; i < r->history->len; i++) {
         const struct history_entry *entry =
             &g_array_index(r->history, struct history_entry, i);
--- a/upstream/server.c
+++ b/upstream/server.c
@@ -272,12 +272,13 @@
 {
     struct bb_upstream_sim *u = c->upstream;
     GString *text = g_string_new(NULL);
-    uint32_t busy;
-    uint32_t waiting;
+    uint32_t running;
+    uint32_t queued;
 
     if (strcmp(url, "/v1/load") == 0) {
-        bb_runs_get_reported_load(u->runs, &busy, &waiting);
-        g_string_printf(text, "{\"busy\":%u,\"waiting\":%u}\n", busy, waiting);
+        bb_runs_get_reported_load(u->runs, &running, &queued);
+        g_string_printf(text, "{\"busy\":%u,\"waiting\":%u}\n", running,
+                        queued);
     }
     else if (strcmp(url, "/v1/ran") == 0 && strcmp(method, "DELETE") == 0) {
         bb_runs_clear_history(u->runs);
