--- a/bench/convergence.sh
+++ b/bench/convergence.sh
@@ -99,8 +99,8 @@
 
 # cpu_ticks PID: prints the user and system time of a process in clock ticks.
 cpu_ticks() { awk '{ print $14 + $15 }' "/proc/$1/stat"; }
-# rss_kb PID: prints the resident memory of a process in KiB.
-rss_kb() { awk '/VmRSS/ { print $2 }' "/proc/$1/status"; }
+# rss_kib PID: prints the resident memory of a process in KiB.
+rss_kib() { awk '/VmRSS/ { print $2 }' "/proc/$1/status"; }
 # control_bytes PORT: prints the control bytes in and out of one process.
 control_bytes() {
     mesh_http_get "$1" /metrics |
@@ -154,7 +154,7 @@
         t=$(($(cpu_ticks "${MESH_PID_OF[node-$i]}") - before[i]))
         sum=$((sum + t))
         [ $t -gt $max ] && max=$t
-        t=$(rss_kb "${MESH_PID_OF[node-$i]}")
+        t=$(rss_kib "${MESH_PID_OF[node-$i]}")
         [ "$t" -gt $rss ] && rss=$t
     done
     for ((i = 0; i < SAMPLE_NODES; i++)); do
@@ -165,7 +165,7 @@
     c1=$(cpu_ticks "${MESH_PID_OF[control-0]}")
     awk -v l="$1" -v n="$NODES" -v s="$2" -v sum=$sum -v max=$max -v rss=$rss \
         -v bytes=$bytes -v mb=$max_b -v sample=$SAMPLE_NODES -v c=$((c1 - c0)) \
-        -v hz="$(getconf CLK_TCK)" -v crss="$(rss_kb "${MESH_PID_OF[control-0]}")" \
+        -v hz="$(getconf CLK_TCK)" -v crss="$(rss_kib "${MESH_PID_OF[control-0]}")" \
         'BEGIN { printf "{\"measure\":\"%s\",\"nodes\":%d,\"seconds\":%d," \
         "\"node_core_percent_mean\":%.2f,\"node_core_percent_max\":%.2f," \
         "\"node_rss_max_mb\":%.1f,\"node_bytes_per_s_mean\":%.0f," \
--- a/bench/shutdown.sh
+++ b/bench/shutdown.sh
@@ -18,6 +18,9 @@
 
 SEED=${1:-1}
 RATE=10
+# The load generator starts up to CLOCK_SLACK_MS later than the time that this
+# script records.
+CLOCK_SLACK_MS=100
 CONTROL_ZONES=(w1)
 CONTROL_REGIONS=(west)
 
@@ -94,11 +97,11 @@
     term_ms=$(($(mesh_now_ms) - begin_ms - MESH_LOAD_START_DELAY_MS))
     wait "$pid" || exit_code=$?
     wait $load_pid || case_failed=1
-    # Planned times count from the start of the load generator, which is up to
-    # 100 ms later than begin_ms. Columns of the record file: 6 result, 10 ran,
-    # 12 at_us.
+    # Planned times count from MESH_LOAD_START_DELAY_MS after the start of the
+    # load generator, which starts up to CLOCK_SLACK_MS after begin_ms. Columns
+    # of the record file: 6 result, 10 ran, 12 at_us.
     line=$(sed 's/[{}"]//g' "$MESH_DIR/calls.jsonl" | awk -F '[,:]' \
-        -v term=$((term_ms - 100)) '
+        -v term=$((term_ms - CLOCK_SLACK_MS)) '
         { calls++ }
         $6 == "ok" { ok++; next }
         $6 == "refused" && $10 == "no" && $12 / 1000 >= term {
--- a/bench/transfer.sh
+++ b/bench/transfer.sh
@@ -17,7 +17,7 @@
 
 GET_BYTES=${1:-1073741824}
 POST_BYTES=${2:-268435456}
-RESIDENT_MAX_KB=125000 # 128 * 10^6 bytes; /proc counts in KiB
+RESIDENT_MAX_KIB=125000 # 128 * 10^6 bytes; /proc counts in KiB
 CONTROL_ZONES=(w1)
 CONTROL_REGIONS=(west)
 
@@ -85,8 +85,8 @@
     calls=$(sed 's/.*"calls":\([0-9]*\).*/\1/' "$MESH_DIR/$1.json")
     read -r entry gatekeeper samples <"$MESH_DIR/$1.resident"
     [ "$ok" = 1 ] && [ "$calls" = 1 ] && [ $case_failed = 0 ] &&
-        [ "$entry" -lt $RESIDENT_MAX_KB ] &&
-        [ "$gatekeeper" -lt $RESIDENT_MAX_KB ] || case_failed=1
+        [ "$entry" -lt $RESIDENT_MAX_KIB ] &&
+        [ "$gatekeeper" -lt $RESIDENT_MAX_KIB ] || case_failed=1
     printf '{"bench":"transfer","kind":"%s","bytes":%d,"calls":%d,' \
         "$1" "$3" "$calls"
     printf '"whole_and_right":%d,"ms":%d,"entry_max_kb":%d,' \
--- a/fleet/agent.c
+++ b/fleet/agent.c
@@ -41,7 +41,8 @@
     bool has_received_hello;        /* on this connection */
     bool has_received_instances;    /* on this connection */
     uint64_t last_message_us;
-    uint64_t no_quorum_since_us; /* the host reports none; 0: it has one */
+    uint64_t no_quorum_since_us; /* since when the host reports no quorum; 0:
+                                    it reports one */
     uint64_t connect_due_us;     /* while there is no connection */
     uint32_t retry_delay_ms;
     uint32_t consecutive_failures;
--- a/fleet/core_peers.c
+++ b/fleet/core_peers.c
@@ -161,10 +161,11 @@
     return l;
 }
 
-/* Closes and frees a connection. If it was the last one to a peer, the peer
- * counts as disconnected and, if it leads, an election starts early. */
+/* Removes and frees a link and closes its connection. If it was the last link
+ * to a peer, the peer counts as disconnected and, if it leads, an election
+ * starts early. */
 static void
-remove_link(struct core_link *l)
+destroy_link(struct core_link *l)
 {
     struct bb_core *c = l->core;
     struct core_peer *p = l->peer;
@@ -266,7 +267,7 @@
     l->connection = bb_fleet_connection_accept(s, &connection_events, l);
 }
 
-/* Closes and frees all connections. */
+/* Closes the connections of all links and frees the links. */
 void
 core_close_links(struct bb_core *c)
 {
@@ -712,5 +713,5 @@
 on_ended(void *context, struct bb_fleet_connection *f)
 {
     (void)f;
-    remove_link(context);
+    destroy_link(context);
 }
--- a/fleet/fleet.x
+++ b/fleet/fleet.x
@@ -56,7 +56,7 @@
     unsigned hyper sequence; /* counts the announcements of the process */
     unsigned int state;   /* enum bb_instance_state */
     unsigned int slots;   /* requests that it runs at a time */
-    unsigned int warmup_ms; /* remaining time until it is warm, 0: it is */
+    unsigned int warmup_ms; /* remaining warm-up time; 0: warm */
 };
 
 /* An encoded state, compressed with zstd, possibly against another one. */
--- a/include/path/gate.h
+++ b/include/path/gate.h
@@ -23,7 +23,7 @@
  * - service that the entry node expects at the gate
  * - priority; 0: most urgent
  * - request class; any number, taken modulo BB_REQUEST_CLASS_COUNT
- * - time until the end of the target latency
+ * - time until the target end, the end of the target latency
  * - longest wait in the queue; no limit from BB_GATE_WAIT_UNLIMITED_MS on
  * - flags: letters BB_GATE_FLAG_ and a '-' after them, so that the text is
  *   never empty
@@ -33,7 +33,7 @@
  * - requests in the queue
  * - slots; 0: the gate admits no requests
  * - mean duration; 0: unknown
- * - share of failures, 0 to 1000
+ * - failure rate in permille, 0 to 1000
  * - time of this request at the upstream; 0 if the gate itself responded
  *
  * Refused: reason; the request did not run. Failed: reason; it may have run.
--- a/include/path/rules.h
+++ b/include/path/rules.h
@@ -34,11 +34,12 @@
     char *prefix;        /* of the path; begins and ends with a slash */
     bool is_idempotent;  /* a request may run more than once */
     uint32_t timeout_ms; /* above 0 */
-    /* A response is worth less after this time. 0 is not treated as unset. */
+    /* A response is worth less after this time. Set by the caller: 0 is not
+     * replaced by a default. */
     uint32_t target_latency_ms;
     uint32_t priority; /* 0: most urgent */
     /* Attempts of one request that may reach an upstream, the same one or
-     * others; 1 if not set. */
+     * others; set to 1 by bb_rules_add_route. */
     uint32_t upstream_attempts_max;
     uint32_t class_index; /* requests of one class take about as long */
     /* Hash of the name, below BB_RULES_GROUP_COUNT. All callers of a route
--- a/path/entry_internal.h
+++ b/path/entry_internal.h
@@ -55,7 +55,7 @@
     uint64_t started_us;
     uint64_t upstream_us; /* time at the upstream as reported by the gate */
     uint64_t max_wait_us; /* longest time in the gate's queue; UINT64_MAX:
-                             until its deadline */
+                             until the deadline of the request */
     bool is_refused; /* the gate states that it did not send the request on */
     bool is_response_lost; /* the gate states that the response was lost */
     bool is_not_run;       /* the upstream states that it did not run it */
--- a/path/gate.c
+++ b/path/gate.c
@@ -66,7 +66,7 @@
     struct bb_gate_queue queue;
     GHashTable *queued; /* queue_item.id to struct gate_request */
     uint64_t next_id;
-    uint32_t failure_permille; /* share of failures at failure_updated_us */
+    uint32_t failure_permille; /* failure rate at failure_updated_us */
     uint64_t failure_updated_us;
     /* request_id to struct gate_request, of those sent to the upstream */
     GHashTable *running;
@@ -187,9 +187,9 @@
     g->settings.upstream_changed(g->settings.context, &announced);
 }
 
-/* Updates the moving average of the share of failures with one outcome. */
+/* Updates the moving average of the failure rate with one outcome. */
 static void
-update_failure_share(struct bb_gate *g, bool is_failure)
+update_failure_rate(struct bb_gate *g, bool is_failure)
 {
     uint32_t newest = is_failure ? PERMILLE : 0;
     uint64_t now_us = bb_clock_now_us();
@@ -287,7 +287,7 @@
 
     release_slot(rq, took_us, is_complete && !rq->is_error && !rq->is_not_run);
     bb_histogram_observe(is_complete ? &upstream_time : &lost_time, took_us);
-    update_failure_share(g, !is_complete || rq->is_error || rq->is_not_run);
+    update_failure_rate(g, !is_complete || rq->is_error || rq->is_not_run);
     if (is_complete) {
         bb_response_relay_finish(&rq->relay, rq->exchange);
     }
@@ -701,8 +701,8 @@
         bb_gate_withdraw(g, earlier->id, earlier->started_ms)) {
         bb_log_info("gate.recalled",
                     "%s is draining, as this node announced before its "
-                    "restart; requests are refused until a new incarnation "
-                    "starts",
+                    "restart; requests are refused until the upstream "
+                    "starts again",
                     earlier->id);
     }
 }
--- a/proxyd/main.c
+++ b/proxyd/main.c
@@ -19,9 +19,10 @@
      * detect that this host stops. */
     SHUTDOWN_NOTICE_MS = 2600,
     /* Time from the start of the shutdown until the gate refuses requests. If
-     * only the proxy restarts, its upstream still works: refusing from SIGTERM
-     * on took the upstream out of service for 3.2 s. With the default --grace
-     * of 6 s, the last admitted request has 3.7 s left to complete. */
+     * only the proxy restarts, its upstream still works, so the gate keeps
+     * admitting requests at first: refusing from SIGTERM on would take the
+     * upstream out of service for about 3.2 s. With the default --grace of
+     * 6 s, the last admitted request has 3.7 s left to complete. */
     SHUTDOWN_GATE_OPEN_MS = 1600,
     SHUTDOWN_POLL_MS = 100,
     /* Part of --grace reserved for closing connections, writing the log and
@@ -32,7 +33,7 @@
 enum { MS_PER_S = 1000 };
 
 struct proxy {
-    struct proxy_settings settings;
+    struct proxyd_settings settings;
     struct bb_daemon *daemon;
     const struct bb_dialect *dialect;
     struct bb_directory *directory;
@@ -318,7 +319,7 @@
 static bool
 open_listeners(struct proxy *p, struct bb_error *e)
 {
-    const struct proxy_settings *s = &p->settings;
+    const struct proxyd_settings *s = &p->settings;
     uv_loop_t *loop = bb_daemon_loop(p->daemon);
     const struct bb_entry_settings entry = {
         .listen_address = s->listen_entry,
@@ -372,7 +373,7 @@
     struct bb_error e = {0};
     int code = BB_EXIT_INTERNAL;
 
-    switch (proxy_settings_read(&p.settings, argc, argv, &e)) {
+    switch (proxyd_settings_read(&p.settings, argc, argv, &e)) {
     case BB_SETTINGS_EXIT:
         return BB_EXIT_OK;
     case BB_SETTINGS_INVALID:
--- a/proxyd/settings.c
+++ b/proxyd/settings.c
@@ -5,14 +5,14 @@
 
 enum { PERMILLE = 1000 };
 
-/* Codes of errors that proxy_settings_read sets itself. */
-enum proxy_settings_error { PROXY_SETTINGS_ERROR_VALUE = 1 };
+/* Codes of errors that proxyd_settings_read sets itself. */
+enum proxyd_settings_error { PROXYD_SETTINGS_ERROR_VALUE = 1 };
 
 /* Reads flags and environment variables. Returns whether the program is to run
  * or to exit, or BB_SETTINGS_INVALID and sets the error. */
 enum bb_settings_result
-proxy_settings_read(struct proxy_settings *s, int argc, char **argv,
-                    struct bb_error *e)
+proxyd_settings_read(struct proxyd_settings *s, int argc, char **argv,
+                     struct bb_error *e)
 {
     const struct bb_setting table[] = {
         BB_DAEMON_SETTING_ROWS(
@@ -76,14 +76,14 @@
     }
     ratio = strtod(s->retry_ratio, &end);
     if (*end != '\0' || ratio < 0 || ratio > 1) {
-        (void)bb_error_set(e, PROXY_SETTINGS_ERROR_VALUE,
+        (void)bb_error_set(e, PROXYD_SETTINGS_ERROR_VALUE,
                            "retry-ratio: %s is not a number from 0 to 1",
                            s->retry_ratio);
         return BB_SETTINGS_INVALID;
     }
     s->retry_ratio_permille = (uint32_t)(ratio * PERMILLE);
     if (!bb_address_parse(s->upstream_address_text, &s->upstream_address)) {
-        (void)bb_error_set(e, PROXY_SETTINGS_ERROR_VALUE,
+        (void)bb_error_set(e, PROXYD_SETTINGS_ERROR_VALUE,
                            "upstream: %s is not of the form IP:PORT",
                            s->upstream_address_text);
         return BB_SETTINGS_INVALID;
--- a/proxyd/settings.h
+++ b/proxyd/settings.h
@@ -4,7 +4,7 @@
 
 #include "path/daemon.h"
 
-struct proxy_settings {
+struct proxyd_settings {
     struct bb_daemon_settings common;
     const char *service;
     const char *upstream_address_text;
@@ -20,7 +20,8 @@
     uint32_t retry_ratio_permille;
 };
 
-enum bb_settings_result proxy_settings_read(struct proxy_settings *s, int argc,
-                                            char **argv, struct bb_error *e);
+enum bb_settings_result proxyd_settings_read(struct proxyd_settings *s,
+                                             int argc, char **argv,
+                                             struct bb_error *e);
 
 #endif
--- a/replay/fields.c
+++ b/replay/fields.c
@@ -109,8 +109,8 @@
         }
     }
     return bb_error_set(l->error, BB_REPLAY_ERROR_FIELD,
-                        "field \"%s\" must be one of the %" PRIu32
-                        " names from \"%s\" to \"%s\"",
+                        "field \"%s\" must be one of %" PRIu32
+                        " names, such as \"%s\" and \"%s\"",
                         key, count, names[0], names[count - 1]);
 }
 
