Add missing doc comments and fix the last private terms

A reading of the merged code found functions without a doc comment whose name alone does not say what they do or when they fail, and a few terms that differ from those used elsewhere.

Add one plain comment to each of these functions. In bench/members.c, "floors" becomes zone summaries and "packet" becomes datagram; the JSON field zone_floors_bytes stays. Comments on minimum durations name their constant or say minimum. The parameter `why` of disconnect in fleet/agent.c becomes `reason`, as in net/.

--- a/bench/members.c
+++ b/bench/members.c
@@ -27,14 +27,14 @@
 };
 
 /* A datagram in transit. from and to are indices of members. */
-struct packet {
+struct datagram {
     uint16_t from;
     uint16_t to;
     uint16_t size_bytes;
     char data[BB_GOSSIP_DATAGRAM_MAX_BYTES];
 };
 
-static struct packet *queue; /* of QUEUE_MAX packets, plus a spare one */
+static struct datagram *queue; /* of QUEUE_MAX datagrams, plus a spare one */
 static size_t queue_length;
 static uint64_t sent_bytes; /* with IP and UDP headers */
 static uint64_t sent_count;
@@ -168,18 +168,18 @@
     }
 }
 
-/* Measures the encoded size of a record, a table and the zone floors, and the
- * time to encode a table. */
+/* Measures the encoded size of a record, a table and the zone summaries, and
+ * the time to encode a table. */
 static void
 measure_sizes(struct bb_member_table *m, json_t *out)
 {
     struct bb_member_list list;
-    struct bb_zone_summary floors[BB_MEMBER_TABLE_ZONES_MAX];
+    struct bb_zone_summary summaries[BB_MEMBER_TABLE_ZONES_MAX];
     size_t zones = bb_member_table_compute_zone_summaries(
-        m, NULL, floors, BB_MEMBER_TABLE_ZONES_MAX);
+        m, NULL, summaries, BB_MEMBER_TABLE_ZONES_MAX);
     mesh_report_request report = {.from_host =
                                       bb_wire_text_to_xdr("control-0")};
-    mesh_zone_summary floor = {.zone = floors[0].zone};
+    mesh_zone_summary summary = {.zone = summaries[0].zone};
     char *data = g_malloc(MESH_PAYLOAD_MAX_BYTES);
     uint64_t start_ns = cpu_ns();
     size_t size_bytes;
@@ -195,7 +195,8 @@
                         json_integer((json_int_t)size_bytes));
     json_object_set_new(out, "record_bytes",
                         json_integer((json_int_t)(size_bytes / list.count)));
-    size_bytes = zones * xdr_sizeof((xdrproc_t)xdr_mesh_zone_summary, &floor);
+    size_bytes =
+        zones * xdr_sizeof((xdrproc_t)xdr_mesh_zone_summary, &summary);
     json_object_set_new(out, "zone_floors_bytes",
                         json_integer((json_int_t)size_bytes));
     report.from_host = NULL;
@@ -223,10 +224,10 @@
 /* Send callback of a gossip instance: counts a datagram and queues it. Drops
  * it if the queue is full. */
 static void
-queue_packet(void *context, const struct bb_address *to, const void *data,
-             size_t size_bytes)
+queue_datagram(void *context, const struct bb_address *to, const void *data,
+               size_t size_bytes)
 {
-    struct packet *p = &queue[queue_length];
+    struct datagram *d = &queue[queue_length];
 
     sent_bytes += size_bytes + IP_UDP_HEADER_BYTES;
     sent_count++;
@@ -234,10 +235,10 @@
         return;
     }
     queue_length++;
-    p->from = *(const uint16_t *)context;
-    p->to = (uint16_t)(to->port - PORT_BASE);
-    p->size_bytes = (uint16_t)size_bytes;
-    memcpy(p->data, data, size_bytes);
+    d->from = *(const uint16_t *)context;
+    d->to = (uint16_t)(to->port - PORT_BASE);
+    d->size_bytes = (uint16_t)size_bytes;
+    memcpy(d->data, data, size_bytes);
 }
 
 /* Runs the gossip between the members of one zone for duration_s of virtual
@@ -248,7 +249,7 @@
 {
     uint64_t end_us = *now_us + (uint64_t)duration_s * BB_US_PER_S;
     uint64_t revision = 1000000;
-    struct packet *batch = g_new(struct packet, QUEUE_MAX);
+    struct datagram *batch = g_new(struct datagram, QUEUE_MAX);
 
     for (; *now_us < end_us; *now_us += GOSSIP_STEP_US) {
         size_t count = queue_length;
@@ -298,7 +299,7 @@
             .members = tables[i] = create_table(zones, per_zone),
             .self = create_record(0, i),
             .seed = SEED + i,
-            .send = queue_packet,
+            .send = queue_datagram,
             .context = &indices[i],
         };
 
@@ -338,7 +339,7 @@
     json_t *tables = json_array();
     json_t *gossip = json_array();
 
-    queue = g_new(struct packet, QUEUE_MAX + 1);
+    queue = g_new(struct datagram, QUEUE_MAX + 1);
     for (size_t i = 0; i < G_N_ELEMENTS(zone_counts); i++) {
         json_array_append_new(
             tables, measure_mesh_size(zone_counts[i], ZONE_MEMBERS_MAX));
--- a/config/rosters.c
+++ b/config/rosters.c
@@ -14,6 +14,7 @@
     return g_new0(struct bb_rosters, 1);
 }
 
+/* Returns a copy with names of its own, which the caller frees with g_free. */
 static struct bb_host_list
 copy_hosts(const struct bb_host_list *l)
 {
@@ -22,6 +23,7 @@
         .count = l->count};
 }
 
+/* Returns a copy that shares no host list with the original. */
 static struct bb_service_roster
 copy_service_roster(const struct bb_service_roster *item)
 {
--- a/config/rosters_codec.c
+++ b/config/rosters_codec.c
@@ -24,6 +24,8 @@
            xdr_opaque(x, name, length) && strlen(name) == length;
 }
 
+/* Writes the number of hosts and their names. Returns false if the stream is
+ * full or a name is too long. */
 static bool
 put_hosts(XDR *x, const struct bb_host_list *l)
 {
--- a/config/section_configuration.c
+++ b/config/section_configuration.c
@@ -31,6 +31,7 @@
     c->config->version = bb_section_get_number(c, s, "version");
 }
 
+/* Stores the limits of the section in the configuration. */
 static void
 read_limits(struct bb_compilation *c, struct bb_section *s)
 {
--- a/config/section_route.c
+++ b/config/section_route.c
@@ -24,6 +24,7 @@
     {.name = "hedge-after-ms", .default_text = "0", .max = 3600000},
 };
 
+/* Appends a route that has only its name so far. */
 static void
 add_route(struct bb_compilation *c, struct bb_section *s)
 {
@@ -141,6 +142,7 @@
     }
 }
 
+/* Fills in the route from the keys of its section. */
 static void
 read_route(struct bb_compilation *c, struct bb_section *s)
 {
--- a/config/section_service.c
+++ b/config/section_service.c
@@ -18,12 +18,15 @@
     {.name = "calls"},
 };
 
+/* Returns the service at index. The pointer is valid until a service is
+ * added. */
 static struct bb_service *
 get_service(struct bb_compilation *c, uint16_t index)
 {
     return &g_array_index(c->services, struct bb_service, index);
 }
 
+/* Appends a service that has only its name so far. */
 static void
 add_service(struct bb_compilation *c, struct bb_section *s)
 {
@@ -60,6 +63,7 @@
     g_strfreev(names);
 }
 
+/* Fills in the service from the keys of its section. */
 static void
 read_service(struct bb_compilation *c, struct bb_section *s)
 {
--- a/config/section_topology.c
+++ b/config/section_topology.c
@@ -13,6 +13,7 @@
     {.name = "max-in-flight", .default_text = "0", .max = 1000000},
 };
 
+/* Appends a region, which consists of its name only. */
 static void
 add_region(struct bb_compilation *c, struct bb_section *s)
 {
@@ -22,6 +23,7 @@
     (void)bb_section_append_item(c, s, c->regions, &r);
 }
 
+/* Appends a zone that has only its name so far. */
 static void
 add_zone(struct bb_compilation *c, struct bb_section *s)
 {
@@ -54,6 +56,7 @@
     (void)bb_section_append_item(c, s, c->drains, &d);
 }
 
+/* Appends a team that has only its name so far. */
 static void
 add_team(struct bb_compilation *c, struct bb_section *s)
 {
@@ -63,6 +66,7 @@
     (void)bb_section_append_item(c, s, c->teams, &t);
 }
 
+/* Fills in the team from the keys of its section. */
 static void
 read_team(struct bb_compilation *c, struct bb_section *s)
 {
--- a/control/agree_codec.c
+++ b/control/agree_codec.c
@@ -67,6 +67,7 @@
     return true;
 }
 
+/* Converts a configuration of the log to its XDR form. */
 static void
 encode_config(const struct bb_agree_config *c, agree_config *out)
 {
@@ -76,6 +77,7 @@
     memcpy(out->digest, c->digest.bytes, sizeof(out->digest));
 }
 
+/* Converts a configuration of the log from its XDR form. */
 static void
 decode_config(const agree_config *in, struct bb_agree_config *c)
 {
@@ -85,6 +87,7 @@
     memcpy(c->digest.bytes, in->digest, sizeof(c->digest.bytes));
 }
 
+/* Converts a snapshot to its XDR form, with a newly allocated history. */
 static void
 encode_snapshot(const struct bb_agree_snapshot *s, agree_snapshot *out)
 {
@@ -102,6 +105,8 @@
     }
 }
 
+/* Converts a snapshot from its XDR form. Returns false if the history has more
+ * than BB_AGREE_HISTORY_MAX entries. */
 static bool
 decode_snapshot(const agree_snapshot *in, struct bb_agree_snapshot *s)
 {
@@ -123,6 +128,7 @@
     return true;
 }
 
+/* Converts a formation to its XDR form. */
 static void
 encode_formation(const struct bb_agree_formation *f, agree_formation *out)
 {
@@ -133,6 +139,7 @@
     }
 }
 
+/* Converts a formation from its XDR form. */
 static void
 decode_formation(const agree_formation *in, struct bb_agree_formation *f)
 {
--- a/cored/main.c
+++ b/cored/main.c
@@ -201,6 +201,7 @@
     .body_received = on_request,
     .disconnected = on_disconnected};
 
+/* Ends the event loop, SHUTDOWN_DELAY_MS after the stop signal. */
 static void
 on_shutdown_timer(uv_timer_t *t)
 {
@@ -209,6 +210,8 @@
     bb_daemon_stop(d->daemon);
 }
 
+/* Handles the stop signal: delays the end of the event loop by
+ * SHUTDOWN_DELAY_MS. */
 static void
 on_stop(void *context)
 {
--- a/ctl/command_members.c
+++ b/ctl/command_members.c
@@ -18,6 +18,7 @@
                 c->out);
 }
 
+/* Runs `baobabctl members`. Returns the result of the fetch or of printing. */
 static enum bb_exit
 run_members(const struct bb_ctl_context *c)
 {
--- a/decide/admission_capacity.c
+++ b/decide/admission_capacity.c
@@ -5,11 +5,11 @@
 enum {
     PERCENT = 100,
     /* A short request that runs this many times the median of its class counts
-     * as long. Below the floor, longer durations do no harm. */
+     * as long. Below OVERLONG_FLOOR_US, longer durations do no harm. */
     OVERLONG_FACTOR = 8,
     OVERLONG_FLOOR_US = 5000,
     /* A short request is slow if it runs this many times the median, and at
-     * least the floor. The upstream is slow if at least SLOW_COUNT_MIN and
+     * least SLOW_FLOOR_US. The upstream is slow if at least SLOW_COUNT_MIN and
      * half of the running short requests are slow; or if one is slow, at least
      * SLOW_RUNNING_MIN run, and no short request has finished in normal time
      * for as long as the slow threshold. */
--- a/decide/claim.c
+++ b/decide/claim.c
@@ -76,6 +76,8 @@
     }
 }
 
+/* Returns whether both claims are for the same attempt of a request, by the
+ * same incarnation of the same gatekeeper. */
 static bool
 is_same_claim(const struct bb_claim *a, const struct bb_claim *b)
 {
--- a/decide/id_table.c
+++ b/decide/id_table.c
@@ -47,12 +47,14 @@
     return memcmp(a->bytes, b->bytes, sizeof(a->bytes)) == 0;
 }
 
+/* Returns slot i. Slots are slot_bytes apart, the size of the entry type. */
 static struct bb_id_slot *
 slot_at(const struct bb_id_table *t, uint32_t i)
 {
     return (struct bb_id_slot *)((char *)t->slots + i * t->slot_bytes);
 }
 
+/* Returns the index of the slot where the search for an id begins. */
 static uint32_t
 home_slot(const struct bb_id_table *t, const struct bb_request_id *id)
 {
@@ -60,6 +62,8 @@
            (t->slot_count - 1);
 }
 
+/* Returns whether the expiry time of a slot has come; never for
+ * BB_KEEP_FOREVER. */
 static bool
 is_expired(const struct bb_id_slot *s, uint64_t now_us)
 {
--- a/decide/outlier.c
+++ b/decide/outlier.c
@@ -53,6 +53,7 @@
     o->max_ejected_percent = max_ejected_percent;
 }
 
+/* Returns the gatekeeper with a key, or NULL if it is unknown. */
 static struct bb_outlier_gatekeeper *
 find_gatekeeper(struct bb_outliers *o, uint64_t key)
 {
--- a/decide/policy_round_robin.c
+++ b/decide/policy_round_robin.c
@@ -3,6 +3,7 @@
 #include "common/registry.h"
 #include "decide/route_pick.h"
 
+/* Returns the next position in usable[] in turn; usable_count is 1 or more. */
 static uint32_t
 choose(struct bb_route_state *s,
        const struct bb_route_candidate *const *candidates,
--- a/decide/quorum.c
+++ b/decide/quorum.c
@@ -43,6 +43,7 @@
     return q->durable.entry.voter_count / 2 + 1;
 }
 
+/* Returns the peer with a disk id, or NULL if there is none. */
 static struct bb_quorum_peer *
 find_peer(struct bb_quorum *q, uint64_t disk)
 {
--- a/decide/record.c
+++ b/decide/record.c
@@ -12,6 +12,9 @@
     bb_id_table_init(&r->table, entries, sizeof(*entries), entry_count);
 }
 
+/* Returns whether a request was meant for another incarnation than that of the
+ * record. False for BB_INCARNATION_ANY, and always under the fault
+ * BB_RECORD_FAULT_ANY_INCARNATION. */
 static bool
 is_other_incarnation(const struct bb_record *r, uint64_t incarnation)
 {
--- a/decide/voters.c
+++ b/decide/voters.c
@@ -3,6 +3,7 @@
 
 #include <stddef.h>
 
+/* Returns the candidate with a disk id, or NULL if there is none. */
 static const struct bb_voter_candidate *
 find_candidate(const struct bb_voter_candidate *candidates, uint32_t count,
                uint64_t disk)
--- a/fleet/agent.c
+++ b/fleet/agent.c
@@ -166,15 +166,15 @@
 }
 
 /* Closes the failed connection and schedules the next attempt after a random
- * delay. `why` is for the log. */
+ * delay. `reason` is for the log. */
 static void
-disconnect(struct bb_agent *a, const char *why)
+disconnect(struct bb_agent *a, const char *reason)
 {
     uint64_t now_us = bb_clock_now_us();
     struct control_host *host = find_host(a, &a->host_address);
 
     if (a->has_received_hello) {
-        bb_log_info("agent.lost", "%s: %s", a->host_address.ip, why);
+        bb_log_info("agent.lost", "%s: %s", a->host_address.ip, reason);
     }
     bb_fleet_connection_close(a->connection);
     a->connection = NULL;
@@ -428,6 +428,8 @@
     }
 }
 
+/* Handles a message of the control host. Ignores one from a connection that is
+ * no longer the current one. */
 static void
 on_message(void *context, struct bb_fleet_connection *f, fleet_message *m)
 {
@@ -467,6 +469,7 @@
     }
 }
 
+/* Handles the end of the current connection; ignores that of another one. */
 static void
 on_ended(void *context, struct bb_fleet_connection *f)
 {
--- a/fleet/core_peers.c
+++ b/fleet/core_peers.c
@@ -23,6 +23,7 @@
 static const struct bb_fleet_connection_events connection_events = {
     .connected = on_opened, .message = on_message, .ended = on_ended};
 
+/* Returns a deep copy, to be freed with destroy_host. */
 static fleet_host *
 copy_host(const fleet_host *h)
 {
@@ -281,6 +282,8 @@
     }
 }
 
+/* Sends the hello of this control host, with whether its durable state is
+ * empty. */
 static void
 send_hello(struct core_link *l)
 {
@@ -379,6 +382,7 @@
     }
 }
 
+/* Sends the commit index and whether a quorum was recent. */
 static void
 send_status(struct core_link *l)
 {
@@ -672,6 +676,8 @@
     g_free(changed);
 }
 
+/* Handles a message of a control host or a node. Ignores the kinds that only
+ * control hosts send to nodes. */
 static void
 on_message(void *context, struct bb_fleet_connection *f, fleet_message *m)
 {
@@ -702,6 +708,7 @@
     }
 }
 
+/* Sends the hello as soon as a link that this host opened is connected. */
 static void
 on_opened(void *context, struct bb_fleet_connection *f)
 {
@@ -709,6 +716,7 @@
     send_hello(context);
 }
 
+/* Destroys the link whose connection ended. */
 static void
 on_ended(void *context, struct bb_fleet_connection *f)
 {
--- a/fleet/frame.c
+++ b/fleet/frame.c
@@ -113,6 +113,8 @@
     }
 }
 
+/* Reports the end of the stream to the owner of the connection, without its
+ * status. */
 static void
 on_ended(void *context, int status)
 {
@@ -122,6 +124,7 @@
     f->events->ended(f->context, f);
 }
 
+/* Reports to the owner that the connection is established. */
 static void
 on_connected(void *context)
 {
@@ -133,6 +136,7 @@
 static const struct bb_stream_events stream_events = {
     .connected = on_connected, .data = on_data, .ended = on_ended};
 
+/* Creates a connection that has no stream yet. */
 static struct bb_fleet_connection *
 create_connection(const struct bb_fleet_connection_events *events,
                   void *context)
--- a/fleet/store.c
+++ b/fleet/store.c
@@ -43,6 +43,8 @@
     void *context;
 };
 
+/* Returns the path of the file state.0 or state.1. The caller frees it with
+ * g_free. */
 static char *
 file_path(const struct bb_fleet_store *s, uint32_t file)
 {
--- a/net/fetch.c
+++ b/net/fetch.c
@@ -231,6 +231,7 @@
     return true;
 }
 
+/* Passes body data to the caller, except that of a skipped response. */
 static void
 on_body(void *context, const char *data, size_t size_bytes)
 {
@@ -329,6 +330,8 @@
     fail_connection(c, f->has_response ? BB_FETCH_TRUNCATED : BB_FETCH_LOST);
 }
 
+/* Notes that the connection is established; an end before that is reported as
+ * BB_FETCH_NOT_CONNECTED. */
 static void
 on_connected(void *context)
 {
@@ -337,6 +340,8 @@
     c->fetch->is_connected = true;
 }
 
+/* Tells the caller that all queued bytes were written. Does nothing on an idle
+ * connection. */
 static void
 on_output_drained(void *context)
 {
--- a/net/http.c
+++ b/net/http.c
@@ -38,6 +38,7 @@
     return (uint32_t)r->head.text->len;
 }
 
+/* Resets the head for the next message. */
 static int
 on_message_start(http_parser *p)
 {
@@ -53,6 +54,7 @@
     return 0;
 }
 
+/* Appends a part of the request target. Returns 1 if the head is too large. */
 static int
 on_url(http_parser *p, const char *data, size_t n)
 {
@@ -80,6 +82,8 @@
     return 0;
 }
 
+/* Appends a part of a field name, and first stores the previous field if this
+ * is a new one. Returns 1 if the head is too large or has too many fields. */
 static int
 on_field_name(http_parser *p, const char *data, size_t n)
 {
@@ -95,6 +99,7 @@
     return r->is_oversized ? 1 : 0;
 }
 
+/* Appends a part of a field value. Returns 1 if the head is too large. */
 static int
 on_field_value(http_parser *p, const char *data, size_t n)
 {
@@ -165,6 +170,7 @@
     return r->is_head_response ? 1 : 0;
 }
 
+/* Passes body data on as it arrives. */
 static int
 on_body(http_parser *p, const char *data, size_t n)
 {
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -271,6 +271,7 @@
     return true;
 }
 
+/* Appends data to the body of the request that is being received. */
 static void
 on_body(void *context, const char *data, size_t size_bytes)
 {
@@ -443,6 +444,8 @@
     g_string_free(unparsed, TRUE);
 }
 
+/* Parses received data, or keeps it while parsing is paused. Drops it if the
+ * connection is closing or its parser has failed. */
 static void
 on_data(void *context, const char *data, size_t size_bytes)
 {
@@ -458,6 +461,7 @@
     parse_input(c, data, size_bytes);
 }
 
+/* Closes a connection that the peer closed or that failed. */
 static void
 on_ended(void *context, int status)
 {
@@ -465,6 +469,8 @@
     close_connection(context, bb_stream_close);
 }
 
+/* Tells the handler that all queued bytes were written, if the oldest exchange
+ * was dispatched and its response is incomplete. */
 static void
 on_output_drained(void *context)
 {
@@ -480,6 +486,7 @@
 static const struct bb_stream_events stream_events = {
     .data = on_data, .ended = on_ended, .output_drained = on_output_drained};
 
+/* Sets up the reader and the timer of a new connection. */
 static void
 accept_connection(void *context, struct bb_stream *stream)
 {
--- a/net/stream.c
+++ b/net/stream.c
@@ -99,6 +99,7 @@
     (void)setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
 }
 
+/* Gives libuv the read buffer, which all streams share. */
 static void
 provide_buffer(uv_handle_t *h, size_t suggested, uv_buf_t *out)
 {
@@ -152,6 +153,8 @@
     (void)uv_read_start((uv_stream_t *)&s->tcp, provide_buffer, on_read);
 }
 
+/* Starts reading if the connection is established, or reports the libuv
+ * error. */
 static void
 on_connect_done(uv_connect_t *request, int status)
 {
@@ -171,6 +174,7 @@
     }
 }
 
+/* Reports UV_ETIMEDOUT: the connection was not established in time. */
 static void
 on_connect_timeout(uv_timer_t *t)
 {
--- a/path/daemon.c
+++ b/path/daemon.c
@@ -25,6 +25,7 @@
     bool is_stopping;
 };
 
+/* Reloads on SIGHUP. Stops on the first other signal, ignores later ones. */
 static void
 on_signal(uv_signal_t *s, int number)
 {
@@ -143,6 +144,7 @@
     uv_stop(&d->loop);
 }
 
+/* Callback of uv_walk: closes a handle unless it is closing already. */
 static void
 close_handle(uv_handle_t *handle, void *context)
 {
--- a/path/entry.c
+++ b/path/entry.c
@@ -64,6 +64,7 @@
     LOCAL_RESPONSE("upstream_refused"),
 };
 
+/* Registers the counters, which are in a table, before main runs. */
 __attribute__((constructor)) static void
 register_local_responses(void)
 {
--- a/path/gate.c
+++ b/path/gate.c
@@ -391,6 +391,7 @@
     }
 }
 
+/* Processes the queue when its next refusal is due. */
 static void
 on_timer(uv_timer_t *t)
 {
--- a/path/relay.c
+++ b/path/relay.c
@@ -50,6 +50,8 @@
     return false;
 }
 
+/* Appends the end-to-end fields of a message to `out`, except the internal
+ * ones (Baobab-) and those in `excluded`. */
 void
 bb_forward_fields(const struct bb_http_head *h, const char *const *excluded,
                   GString *out)
--- a/replay/module_admission.c
+++ b/replay/module_admission.c
@@ -30,6 +30,7 @@
                                           "draining", "leaving"};
 static const char *const decision_names[] = {"run", "queue", "refuse"};
 
+/* Returns an initial admission state, or NULL if out of memory. */
 static void *
 create(void)
 {
@@ -211,6 +212,8 @@
     return true;
 }
 
+/* Applies one event. Returns false with l->error set if it is unknown or
+ * invalid. */
 static bool
 apply(void *state, const char *event, struct bb_replay_line *l, json_t *result)
 {
--- a/replay/module_claim.c
+++ b/replay/module_claim.c
@@ -42,6 +42,8 @@
     w->is_unreachable = false;
 }
 
+/* Returns witnesses without claims, the first INITIAL_HOST_COUNT of them in
+ * the roster, or NULL if out of memory. */
 static void *
 create(void)
 {
@@ -140,6 +142,8 @@
     return true;
 }
 
+/* Applies one event. Returns false with l->error set if it is unknown or
+ * invalid. */
 static bool
 apply(void *state, const char *event, struct bb_replay_line *l, json_t *result)
 {
--- a/replay/module_record.c
+++ b/replay/module_record.c
@@ -51,6 +51,7 @@
                    ENTRIES_MAX);
 }
 
+/* Returns gatekeepers in their first incarnation, or NULL if out of memory. */
 static void *
 create(void)
 {
@@ -228,6 +229,8 @@
     return ok;
 }
 
+/* Applies one event. Returns false with l->error set if it is unknown or
+ * invalid. */
 static bool
 apply(void *state, const char *event, struct bb_replay_line *l, json_t *result)
 {
--- a/replay/module_retry.c
+++ b/replay/module_retry.c
@@ -18,6 +18,7 @@
 
 static const char *const ran_names[] = {"no", "unknown"};
 
+/* Returns a zeroed state, or NULL if out of memory. */
 static void *
 create(void)
 {
@@ -130,6 +131,8 @@
     return true;
 }
 
+/* Applies one event. Returns false with l->error set if it is unknown or
+ * invalid. */
 static bool
 apply(void *state, const char *event, struct bb_replay_line *l, json_t *result)
 {
--- a/replay/module_routing.c
+++ b/replay/module_routing.c
@@ -30,6 +30,7 @@
 static const char *const distance_names[] = {"zone", "region", "remote"};
 static const char *const policy_names[] = {"least_wait", "round_robin"};
 
+/* Returns a state without candidates, or NULL if out of memory. */
 static void *
 create(void)
 {
@@ -204,6 +205,8 @@
                          bb_outliers_count_ejected(&s->outliers));
 }
 
+/* Applies one event. Returns false with l->error set if it is unknown or
+ * invalid. */
 static bool
 apply(void *state, const char *event, struct bb_replay_line *l, json_t *result)
 {
--- a/tests/decide/test_once.c
+++ b/tests/decide/test_once.c
@@ -265,7 +265,7 @@
     CU_ASSERT_FALSE(bb_hedge_decide(&q, &latency, &b));
     q.hedge_after_us = 1;
     CU_ASSERT_EQUAL(bb_hedge_delay_us(&q, &latency),
-                    2 * BB_US_PER_MS); /* floor */
+                    2 * BB_US_PER_MS); /* the minimum */
 }
 
 /* Guards against endless recursion of nested calls, nested deadlines that
