--- a/decide/admission_capacity.c
+++ b/decide/admission_capacity.c
@@ -5,16 +5,16 @@
 enum {
     PERCENT = 100,
     /* A short request that runs this many times the median of its class counts
-     * as long. Below OVERLONG_FLOOR_US, longer durations do no harm. */
+     * as long. Below OVERLONG_MIN_US, longer durations do no harm. */
     OVERLONG_FACTOR = 8,
-    OVERLONG_FLOOR_US = 5000,
+    OVERLONG_MIN_US = 5000,
     /* A short request is slow if it runs this many times the median, and at
-     * least SLOW_FLOOR_US. The upstream is slow if at least SLOW_COUNT_MIN and
+     * least SLOW_MIN_US. The upstream is slow if at least SLOW_COUNT_MIN and
      * half of the running short requests are slow; or if one is slow, at least
      * SLOW_RUNNING_MIN run, and no short request has finished in normal time
      * for as long as the slow threshold. */
     SLOW_FACTOR = 3,
-    SLOW_FLOOR_US = 3000,
+    SLOW_MIN_US = 3000,
     SLOW_COUNT_MIN = 2,
     SLOW_RUNNING_MIN = 3,
     /* Assumed until durations are observed; small, so that no request is
@@ -105,7 +105,7 @@
     if (e->total == 0) {
         return UINT64_MAX;
     }
-    return us < OVERLONG_FLOOR_US ? OVERLONG_FLOOR_US : us;
+    return us < OVERLONG_MIN_US ? OVERLONG_MIN_US : us;
 }
 
 /* Returns the duration in microseconds from which a short request is slow;
@@ -120,7 +120,7 @@
     if (e->total == 0) {
         return UINT64_MAX;
     }
-    return us < SLOW_FLOOR_US ? SLOW_FLOOR_US : us;
+    return us < SLOW_MIN_US ? SLOW_MIN_US : us;
 }
 
 /* Returns whether the running short requests show that the upstream is slow
--- a/decide/outlier.c
+++ b/decide/outlier.c
@@ -15,7 +15,7 @@
     SLOW_FACTOR = 4,
     /* Shorter calls are never slow: such differences come from scheduling and
      * do no harm. */
-    SLOW_FLOOR_US = 3000,
+    SLOW_MIN_US = 3000,
     /* A gatekeeper is ejected at this score; a slow call adds one point, so
      * four slow calls in a row eject. If 5% of the calls are slow by nature
      * but not classed as long, four in a row are rarer than one in 100,000. */
@@ -172,7 +172,7 @@
             : (double)o->highest_usual_us[work_class] *
                   exp(o->slowdown_log[work_class]);
 
-    return latency_us >= SLOW_FLOOR_US && usual_us > 1 &&
+    return latency_us >= SLOW_MIN_US && usual_us > 1 &&
            (double)latency_us >= SLOW_FACTOR * usual_us;
 }
 
