tests: say what each of 15 tests guards against

Cause: 15 tests had no comment that says which failure they guard against.

Change: a comment "Guards against ..." above each of them, in the tests of addresses, counters, settings, the source watch, the store, the control list, the mesh over RPC and RPC.

Comments only; not built.

--- a/tests/common/test_address.c
+++ b/tests/common/test_address.c
@@ -5,6 +5,8 @@
 
 #include <string.h>
 
+/* Guards against an IPv4 or IPv6 address or a port that changes when it is
+ * parsed and formatted, or converted to a socket address and back. */
 static void
 test_valid_addresses_survive_a_round_trip(void)
 {
@@ -24,6 +26,8 @@
     }
 }
 
+/* Guards against a malformed address that is accepted, and against a refused
+ * one that changes the port in the result. */
 static void
 test_malformed_addresses_are_refused(void)
 {
--- a/tests/common/test_counters.c
+++ b/tests/common/test_counters.c
@@ -8,6 +8,8 @@
 BB_COUNTER(hits, "test_hits_total", "Hits");
 BB_GAUGE(level, "test_level", "Level");
 
+/* Guards against a page with a wrong type or value, and against a lookup that
+ * misses a gauge or ignores the labels. */
 static void
 test_page_lists_counters_with_type_and_value(void)
 {
--- a/tests/common/test_settings.c
+++ b/tests/common/test_settings.c
@@ -47,6 +47,8 @@
                             NULL, e);
 }
 
+/* Guards against an environment variable that overrides a flag or is ignored,
+ * and against a default that is not used when neither is set. */
 static void
 test_flag_takes_precedence_over_environment_and_default(void)
 {
@@ -68,6 +70,8 @@
     CU_ASSERT_EQUAL(port_number, 80);
 }
 
+/* Guards against an error for a number out of range that does not name the
+ * setting, the value or the range. */
 static void
 test_error_names_setting_value_and_allowed_range(void)
 {
@@ -80,6 +84,8 @@
     CU_ASSERT_PTR_NOT_NULL(strstr(e.message, "1 to 65535"));
 }
 
+/* Guards against an invalid value, an unknown flag or an operand that is
+ * accepted, or refused without a message. */
 static void
 test_bad_values_are_refused(void)
 {
@@ -103,6 +109,8 @@
     }
 }
 
+/* Guards against a start without a required setting, and against an error that
+ * does not name its environment variable. */
 static void
 test_missing_required_setting_is_named(void)
 {
--- a/tests/control/test_source_watch.c
+++ b/tests/control/test_source_watch.c
@@ -217,6 +217,8 @@
     }
 }
 
+/* Guards against loading a different state from a truncated file or one with a
+ * flipped bit, and against using the state of another folder. */
 static void
 test_damaged_state_is_never_loaded(void)
 {
--- a/tests/control/test_store.c
+++ b/tests/control/test_store.c
@@ -212,6 +212,8 @@
     remove_folder();
 }
 
+/* Guards against a host that can still vote with the same disk ID after a byte
+ * of its log, snapshot or incarnation file has changed. */
 static void
 test_flipped_bytes(void)
 {
--- a/tests/mesh/test_control_list.c
+++ b/tests/mesh/test_control_list.c
@@ -6,6 +6,8 @@
 #include "mesh/control_list.h"
 #include "unit.h"
 
+/* Guards against a valid list that is refused or loses a host or its region,
+ * and against finding a host that is not listed. */
 static void
 test_valid_list_is_parsed(void)
 {
--- a/tests/mesh/test_mesh_rpc.c
+++ b/tests/mesh/test_mesh_rpc.c
@@ -78,6 +78,8 @@
     return is_found;
 }
 
+/* Guards against a revision pushed over TCP that does not come into force on
+ * the node, or whose use the control host does not learn of in time. */
 static void
 test_push_over_rpc(void)
 {
--- a/tests/mesh/test_rpc.c
+++ b/tests/mesh/test_rpc.c
@@ -75,6 +75,8 @@
     return bb_rpc_pool_call(p, to, &call, e);
 }
 
+/* Guards against a call that fails or gets the result of another call when
+ * many calls in turn use one pool. */
 static void
 test_calls_get_their_results(void)
 {
@@ -92,6 +94,8 @@
     bb_rpc_pool_destroy(p);
 }
 
+/* Guards against a refused connection that is reported as a success or as an
+ * error after which the call may have been sent. */
 static void
 test_refused_connection_is_reported_as_not_sent(void)
 {
@@ -123,6 +127,8 @@
     return fd;
 }
 
+/* Guards against a peer that never responds and blocks the caller far longer
+ * than the timeout, or is reported as another error. */
 static void
 test_unresponsive_peer_times_out(void)
 {
@@ -154,6 +160,8 @@
     return fd;
 }
 
+/* Guards against an incomplete record, an oversized one or an HTTP request
+ * that stops the server from responding to other clients. */
 static void
 test_malformed_bytes_do_not_stop_the_server(void)
 {
