--- a/bench/demo.sh
+++ b/bench/demo.sh
@@ -37,7 +37,7 @@
 for i in 0 1 2 3 4 5 6 7; do
     mesh_start_node "$i" "${zones[$((i % 4))]}" "${regions[$((i % 4))]}"
 done
-sleep 0.3
+mesh_wait_listening
 # Two upstreams of each service, one in each region.
 for i in 0 1 2 3 4 5 6 7; do
     mesh_start_upstream "$i" "${services[$(((i + i / 4) % 4))]}"
