sanitize: let the sanitizers see each of GLib's allocations

Cause: GLib 2.74 is not instrumented. Its slice allocator hands blocks of one page to several threads under locks that the sanitizer does not see.

Change: G_SLICE=always-malloc, so that each block is an allocation of its own that the sanitizers track, also for leaks and overruns.

--- a/bench/sanitize.sh
+++ b/bench/sanitize.sh
@@ -14,4 +14,7 @@
 ninja -C "$build" >/dev/null
 export ASAN_OPTIONS=detect_leaks=1
 export TSAN_OPTIONS=halt_on_error=1
+# GLib is not instrumented: the sanitizers see neither the single blocks of its
+# slice allocator nor the locks that pass a block from one thread to another.
+export G_SLICE=always-malloc
 meson test -C "$build" --no-suite system --print-errorlogs
