Log what is open when a process stops, and requests whose connection is closed

The logs could not tell why: a proxy that ended said only how many requests it counted as pending, and an entry that closed a connection itself logged that the caller had left.

Change, logs only: a server that closes a connection with a request on it writes server.request_dropped with the request's id, the reason and the state of the request. A proxy that stops writes why (idle or the end of the grace time) and, for entry and gate, the connections, the requests by state and the unsent bytes, counted from the connections themselves, beside the pending count on which the decision rests. baobab-core writes the same for operators. host.stop tells the connections and unsent bytes of the whole process, which include those that no server owns any more.

--- a/cored/main.c
+++ b/cored/main.c
@@ -189,10 +189,12 @@
 
 /* Cancels the proposal or read of a caller that left. */
 static void
-on_disconnected(void *context, struct bb_http_exchange *x)
+on_disconnected(void *context, struct bb_http_exchange *x,
+                enum bb_http_server_close_reason reason)
 {
     struct cored *d = context;
 
+    (void)reason;
     bb_core_cancel_requests(d->core, x);
 }
 
@@ -206,7 +208,14 @@
 on_shutdown_timer(uv_timer_t *t)
 {
     struct cored *d = t->data;
+    struct bb_http_server_open open =
+        bb_http_server_count_open(d->operator_server);
 
+    bb_log_info("core.stopped",
+                "%u connections of operators, requests: %u receiving, "
+                "%u waiting, %u running; %zu bytes unsent",
+                open.connections, open.receiving, open.waiting, open.running,
+                open.unsent_bytes);
     bb_daemon_stop(d->daemon);
 }
 
@@ -264,6 +273,9 @@
     }
     d->operator_server =
         bb_http_server_create(loop, &s->operator_address, &handler, d, e);
+    if (d->operator_server != NULL) {
+        bb_http_server_set_log_names(d->operator_server, "operators", NULL);
+    }
     return d->operator_server != NULL &&
            bb_daemon_serve_metrics(d->daemon, &s->common.metrics, e);
 }
--- a/include/net/http_server.h
+++ b/include/net/http_server.h
@@ -48,6 +48,28 @@
     uint64_t request_body_max_bytes;
 };
 
+/* Why a connection ends. */
+enum bb_http_server_close_reason {
+    BB_HTTP_SERVER_PEER_CLOSED, /* or the connection failed */
+    BB_HTTP_SERVER_IDLE_TIMEOUT,
+    BB_HTTP_SERVER_HEAD_TIMEOUT,
+    BB_HTTP_SERVER_LINGER_TIMEOUT,   /* BB_HTTP_SERVER_LINGER_MS */
+    BB_HTTP_SERVER_CLOSING_RESPONSE, /* an earlier response said so */
+    BB_HTTP_SERVER_ABORTED_RESPONSE, /* an earlier response broke off */
+    BB_HTTP_SERVER_UNREADABLE_BODY,  /* malformed or too long */
+    BB_HTTP_SERVER_STOPPED           /* the server is destroyed */
+};
+
+/* What is open at a server. */
+struct bb_http_server_open {
+    uint32_t connections;
+    uint32_t receiving;  /* requests whose head or body is incomplete */
+    uint32_t waiting;    /* received, but not yet passed to the handler */
+    uint32_t running;    /* passed to the handler, without a response */
+    uint32_t answered;   /* response complete, behind an earlier one */
+    size_t unsent_bytes; /* of responses, queued for the sockets */
+};
+
 struct bb_http_server;
 struct bb_http_server_connection;
 
@@ -86,17 +108,22 @@
     void (*output_drained)(void *context, struct bb_http_exchange *x);
     /* The connection was closed, by either side, before the response to a
      * started request was complete. This is the last callback for it. */
-    void (*disconnected)(void *context, struct bb_http_exchange *x);
+    void (*disconnected)(void *context, struct bb_http_exchange *x,
+                         enum bb_http_server_close_reason reason);
 };
 
 struct bb_http_server *
 bb_http_server_create(uv_loop_t *loop, const struct bb_address *at,
                       const struct bb_http_server_handler *handler,
                       void *context, struct bb_error *e);
+void bb_http_server_set_log_names(struct bb_http_server *s, const char *name,
+                                  const char *request_id_field);
 void bb_http_server_set_limits(struct bb_http_server *s,
                                const struct bb_http_server_limits *limits);
 void bb_http_server_disable_keep_alive(struct bb_http_server *s);
 uint32_t bb_http_server_pending_count(const struct bb_http_server *s);
+struct bb_http_server_open
+bb_http_server_count_open(const struct bb_http_server *s);
 void bb_http_server_destroy(struct bb_http_server *s);
 
 /* length_bytes is that of the body, or BB_HTTP_LENGTH_CHUNKED. In the latter
--- a/include/path/entry.h
+++ b/include/path/entry.h
@@ -11,6 +11,7 @@
 #include "common/address.h"
 #include "common/error.h"
 #include "decide/retry_window.h"
+#include "net/http_server.h"
 #include "path/dialect.h"
 #include "path/directory.h"
 #include "path/rules.h"
@@ -72,6 +73,7 @@
 void bb_entry_disable_keep_alive(struct bb_entry *n);
 void bb_entry_refuse_requests(struct bb_entry *n);
 uint32_t bb_entry_pending_count(const struct bb_entry *n);
+struct bb_http_server_open bb_entry_count_open(const struct bb_entry *n);
 void bb_entry_destroy(struct bb_entry *n);
 
 #endif
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -5,6 +5,7 @@
 
 #include "common/clock.h"
 #include "common/counters.h"
+#include "common/event_log.h"
 #include "common/log.h"
 
 enum {
@@ -27,6 +28,8 @@
     struct bb_listener *listener;
     const struct bb_http_server_handler *handler;
     void *context;
+    const char *name;             /* in the log */
+    const char *request_id_field; /* NULL: requests have no id in the log */
     struct bb_http_server_limits limits;
     struct bb_http_server_connection *connections;
     uint32_t pending_count; /* dispatched, without a complete response */
@@ -76,18 +79,70 @@
     g_free(c);
 }
 
+/* Returns the name of a reason in the log. */
+static const char *
+close_reason_name(enum bb_http_server_close_reason r)
+{
+    static const char *const names[] = {"peer_closed",      "idle_timeout",
+                                        "head_timeout",     "linger_timeout",
+                                        "closing_response", "aborted_response",
+                                        "unreadable_body",  "server_stopped"};
+
+    return names[r];
+}
+
+/* Returns how far an exchange has come, for the log. */
+static const char *
+exchange_state_name(const struct bb_http_exchange *x)
+{
+    if (x->is_response_ended) {
+        return "answered";
+    }
+    if (x->is_dispatched) {
+        return "running";
+    }
+    return x->is_body_complete ? "waiting" : "receiving";
+}
+
+/* Logs a request whose connection this server closes before its response was
+ * written. */
+static void
+log_dropped_request(const struct bb_http_exchange *x,
+                    enum bb_http_server_close_reason reason)
+{
+    const struct bb_http_server *s = x->connection->server;
+    const char *id = s->request_id_field != NULL && x->head.text != NULL
+                         ? bb_http_head_get(&x->head, s->request_id_field)
+                         : NULL;
+    GString *line = g_string_new(NULL);
+
+    bb_event_log_format_line(
+        line, "server.request_dropped", id,
+        "\"server\":\"%s\",\"reason\":\"%s\",\"state\":\"%s\","
+        "\"age_us\":%" G_GUINT64_FORMAT,
+        s->name, close_reason_name(reason), exchange_state_name(x),
+        bb_clock_now_us() - x->received_us);
+    bb_event_log_write(BB_EVENT_FAILURE, line->str, line->len);
+    g_string_free(line, TRUE);
+}
+
 /* Frees all exchanges of a connection. The handler is told of those whose
  * response it has not completed. */
 static void
-discard_exchanges(struct bb_http_server_connection *c)
+discard_exchanges(struct bb_http_server_connection *c,
+                  enum bb_http_server_close_reason reason)
 {
     struct bb_http_exchange *x;
 
     while ((x = g_queue_pop_head(&c->exchanges)) != NULL) {
+        if (reason != BB_HTTP_SERVER_PEER_CLOSED && !x->is_aborted) {
+            log_dropped_request(x, reason);
+        }
         if (x->is_dispatched && !x->is_response_ended) {
             c->server->pending_count--;
             if (c->server->handler->disconnected != NULL) {
-                c->server->handler->disconnected(c->server->context, x);
+                c->server->handler->disconnected(c->server->context, x,
+                                                 reason);
             }
         }
         free_exchange(x);
@@ -98,14 +153,15 @@
 /* Closes and frees a connection; its stream is closed by `close_stream`. */
 static void
 close_connection(struct bb_http_server_connection *c,
-                 void (*close_stream)(struct bb_stream *))
+                 void (*close_stream)(struct bb_stream *),
+                 enum bb_http_server_close_reason reason)
 {
     if (c->is_closed) {
         return;
     }
     c->is_closed = true;
     close_stream(c->stream);
-    discard_exchanges(c);
+    discard_exchanges(c, reason);
     if (c->previous != NULL) {
         c->previous->next = c->next;
     }
@@ -123,11 +179,16 @@
 on_timeout(uv_timer_t *t)
 {
     struct bb_http_server_connection *c = t->data;
+    enum bb_http_server_close_reason reason = BB_HTTP_SERVER_IDLE_TIMEOUT;
 
-    if (c->reader.has_started && c->reader.state == BB_HTTP_READER_HEAD) {
+    if (c->is_closing) {
+        reason = BB_HTTP_SERVER_LINGER_TIMEOUT;
+    }
+    else if (c->reader.has_started && c->reader.state == BB_HTTP_READER_HEAD) {
         bb_counter_add(&slow_head_total, 1);
+        reason = BB_HTTP_SERVER_HEAD_TIMEOUT;
     }
-    close_connection(c, bb_stream_close);
+    close_connection(c, bb_stream_close, reason);
 }
 
 /* Starts the timer with the timeout of the connection's state, or stops it
@@ -177,7 +238,8 @@
             return;
         }
         if (x->is_aborted) {
-            close_connection(c, bb_stream_reset);
+            close_connection(c, bb_stream_reset,
+                             BB_HTTP_SERVER_ABORTED_RESPONSE);
             return;
         }
         (void)g_queue_pop_head(&c->exchanges);
@@ -190,9 +252,10 @@
                 c->receiving = NULL;
             }
             free_exchange(x);
-            discard_exchanges(c);
+            discard_exchanges(c, BB_HTTP_SERVER_CLOSING_RESPONSE);
             if (is_request_complete) {
-                close_connection(c, bb_stream_close_after_writes);
+                close_connection(c, bb_stream_close_after_writes,
+                                 BB_HTTP_SERVER_CLOSING_RESPONSE);
             }
             else {
                 update_timer(c); /* closes after BB_HTTP_SERVER_LINGER_MS */
@@ -303,7 +366,7 @@
                              c->server->limits.request_body_max_bytes;
 
     if (c->receiving != NULL && c->receiving->is_dispatched) {
-        close_connection(c, bb_stream_close);
+        close_connection(c, bb_stream_close, BB_HTTP_SERVER_UNREADABLE_BODY);
         return;
     }
     if (is_large_head || is_large_body) {
@@ -337,7 +400,8 @@
     if (x->body_bytes > s->limits.request_body_max_bytes) {
         bb_counter_add(&oversized_total, 1);
         if (x->is_dispatched) {
-            close_connection(c, bb_stream_close);
+            close_connection(c, bb_stream_close,
+                             BB_HTTP_SERVER_UNREADABLE_BODY);
         }
         else {
             reject_request(c, 413, "the body is too large\n");
@@ -466,7 +530,7 @@
 on_ended(void *context, int status)
 {
     (void)status;
-    close_connection(context, bb_stream_close);
+    close_connection(context, bb_stream_close, BB_HTTP_SERVER_PEER_CLOSED);
 }
 
 /* Tells the handler that all queued bytes were written, if the oldest exchange
@@ -521,6 +585,7 @@
     s->loop = loop;
     s->handler = handler;
     s->context = context;
+    s->name = "http";
     s->limits = (struct bb_http_server_limits){
         .request_head_max_bytes = DEFAULT_HEAD_BYTES,
         .head_timeout_ms = DEFAULT_HEAD_TIMEOUT_MS,
@@ -535,6 +600,16 @@
     return s;
 }
 
+/* Sets how the server and its requests are named in the log. The texts must
+ * outlive the server; `request_id_field` may be NULL. */
+void
+bb_http_server_set_log_names(struct bb_http_server *s, const char *name,
+                             const char *request_id_field)
+{
+    s->name = name;
+    s->request_id_field = request_id_field;
+}
+
 /* Replaces the limits. They apply to connections already open, too. */
 void
 bb_http_server_set_limits(struct bb_http_server *s,
@@ -560,6 +635,38 @@
     return s->pending_count;
 }
 
+/* Counts what is open, from the connections themselves. */
+struct bb_http_server_open
+bb_http_server_count_open(const struct bb_http_server *s)
+{
+    struct bb_http_server_open open = {0};
+
+    for (const struct bb_http_server_connection *c = s->connections; c != NULL;
+         c = c->next) {
+        open.connections++;
+        open.unsent_bytes += bb_stream_queued_bytes(c->stream);
+        open.receiving += c->reader.state == BB_HTTP_READER_HEAD &&
+                          c->reader.has_started && !c->is_closing;
+        for (const GList *l = c->exchanges.head; l != NULL; l = l->next) {
+            const struct bb_http_exchange *x = l->data;
+
+            if (x->is_response_ended) {
+                open.answered++;
+            }
+            else if (x->is_dispatched) {
+                open.running++;
+            }
+            else if (x->is_body_complete) {
+                open.waiting++;
+            }
+            else {
+                open.receiving++;
+            }
+        }
+    }
+    return open;
+}
+
 /* Closes all connections and the listener, and frees the server. The handler
  * is told of requests without a complete response. NULL is allowed. */
 void
@@ -569,7 +676,8 @@
         return;
     }
     while (s->connections != NULL) {
-        close_connection(s->connections, bb_stream_close);
+        close_connection(s->connections, bb_stream_close,
+                         BB_HTTP_SERVER_STOPPED);
     }
     bb_listener_destroy(s->listener);
     g_free(s);
--- a/path/daemon.c
+++ b/path/daemon.c
@@ -134,12 +134,37 @@
     (void)uv_run(&d->loop, UV_RUN_DEFAULT);
 }
 
+/* TCP connections and the bytes queued for them. */
+struct open_sockets {
+    uint32_t connections;
+    size_t unsent_bytes;
+};
+
+/* Callback of uv_walk: counts a TCP connection. Unlike the servers' own counts
+ * these include connections that close once their bytes are written. */
+static void
+count_socket(uv_handle_t *handle, void *context)
+{
+    struct open_sockets *open = context;
+
+    if (handle->type == UV_TCP && !uv_is_closing(handle) &&
+        uv_is_readable((uv_stream_t *)handle)) {
+        open->connections++;
+        open->unsent_bytes +=
+            uv_stream_get_write_queue_size((uv_stream_t *)handle);
+    }
+}
+
 /* Writes the buffered log lines and makes bb_daemon_run return. */
 void
 bb_daemon_stop(struct bb_daemon *d)
 {
-    bb_log_info("host.stop", "%s",
-                d->is_stopping ? "after a signal" : "without a signal");
+    struct open_sockets open = {0};
+
+    uv_walk(&d->loop, count_socket, &open);
+    bb_log_info("host.stop", "%s; %u connections, %zu bytes unsent",
+                d->is_stopping ? "after a signal" : "without a signal",
+                open.connections, open.unsent_bytes);
     (void)bb_event_log_flush();
     uv_stop(&d->loop);
 }
--- a/path/entry.c
+++ b/path/entry.c
@@ -500,9 +500,11 @@
     }
 }
 
-/* Cancels the request of a caller that closed its connection. */
+/* Cancels a request whose connection was closed; the server has logged why if
+ * it was not the caller that left. */
 static void
-on_caller_disconnected(void *context, struct bb_http_exchange *x)
+on_caller_disconnected(void *context, struct bb_http_exchange *x,
+                       enum bb_http_server_close_reason reason)
 {
     struct entry_request *rq = x->user_data;
 
@@ -510,12 +512,14 @@
     if (rq == NULL) {
         return;
     }
-    bb_counter_add(&caller_disconnected_total, 1);
-    bb_event_log_format_line(rq->log_lines, "entry.caller_left", rq->id,
-                             "\"took_us\":%" G_GUINT64_FORMAT
-                             ",\"running\":%s",
-                             bb_clock_now_us() - x->received_us,
-                             has_active_attempt(rq) ? "true" : "false");
+    if (reason == BB_HTTP_SERVER_PEER_CLOSED) {
+        bb_counter_add(&caller_disconnected_total, 1);
+        bb_event_log_format_line(rq->log_lines, "entry.caller_left", rq->id,
+                                 "\"took_us\":%" G_GUINT64_FORMAT
+                                 ",\"running\":%s",
+                                 bb_clock_now_us() - x->received_us,
+                                 has_active_attempt(rq) ? "true" : "false");
+    }
     request_destroy(rq, BB_EVENT_FAILURE);
 }
 
@@ -563,6 +567,8 @@
         bb_entry_destroy(n);
         return NULL;
     }
+    bb_http_server_set_log_names(n->server, "entry",
+                                 s->dialect->fields.request_id);
     return n;
 }
 
@@ -600,6 +606,13 @@
     return bb_http_server_pending_count(n->server);
 }
 
+/* Returns what callers have open. */
+struct bb_http_server_open
+bb_entry_count_open(const struct bb_entry *n)
+{
+    return bb_http_server_count_open(n->server);
+}
+
 /* Destroys the entry and its connections; NULL is allowed. */
 void
 bb_entry_destroy(struct bb_entry *n)
--- a/path/gate.c
+++ b/path/gate.c
@@ -577,11 +577,13 @@
 
 /* Cancels a request whose connection to the entry node was closed. */
 static void
-on_entry_disconnected(void *context, struct bb_http_exchange *x)
+on_entry_disconnected(void *context, struct bb_http_exchange *x,
+                      enum bb_http_server_close_reason reason)
 {
     struct bb_gate *g = context;
     struct gate_request *rq = x->user_data;
 
+    (void)reason;
     if (rq == NULL) {
         return;
     }
@@ -632,6 +634,8 @@
         bb_gate_destroy(g);
         return NULL;
     }
+    bb_http_server_set_log_names(g->server, "gate",
+                                 s->dialect->fields.request_id);
     return g;
 }
 
@@ -729,6 +733,13 @@
     return bb_http_server_pending_count(g->server);
 }
 
+/* Returns what entry nodes have open. */
+struct bb_http_server_open
+bb_gate_count_open(const struct bb_gate *g)
+{
+    return bb_http_server_count_open(g->server);
+}
+
 /* Returns whether a request with this id is at the upstream. Sets is_retry to
  * whether an earlier attempt may have reached an upstream. */
 bool
--- a/proxyd/main.c
+++ b/proxyd/main.c
@@ -252,6 +252,34 @@
 static const struct bb_http_server_handler announce_handler = {
     .request = on_announce_request};
 
+/* Logs what is open at one of the two servers when the process stops.
+ * `pending` is what the decision to stop is based on. */
+static void
+log_open_requests(const char *server, const struct bb_http_server_open *open,
+                  uint32_t pending)
+{
+    bb_log_info("proxy.open",
+                "%s: %u connections, requests: %u receiving, %u waiting, "
+                "%u running, %u answered; %zu bytes unsent; %u pending",
+                server, open->connections, open->receiving, open->waiting,
+                open->running, open->answered, open->unsent_bytes, pending);
+}
+
+/* Logs why the process stops and what is open. */
+static void
+log_stop(const struct proxy *p, const char *reason, uint64_t waited_ms)
+{
+    const struct bb_http_server_open entry = bb_entry_count_open(p->entry);
+    const struct bb_http_server_open gate = bb_gate_count_open(p->gate);
+
+    log_open_requests("entry", &entry, bb_entry_pending_count(p->entry));
+    log_open_requests("gate", &gate, bb_gate_pending_count(p->gate));
+    bb_log_info("proxy.stopped",
+                "%s, %" G_GUINT64_FORMAT " ms after the signal: "
+                "%u requests unfinished",
+                reason, waited_ms, entry.running + gate.running);
+}
+
 /* Refuses new requests, first at the gate, then at the entry. Ends the process
  * after SHUTDOWN_NOTICE_MS once no request is in progress, or
  * SHUTDOWN_MARGIN_MS before the end of --grace. */
@@ -271,9 +299,13 @@
     if (waited_ms >= SHUTDOWN_NOTICE_MS) {
         bb_entry_refuse_requests(p->entry);
     }
-    if (waited_ms + SHUTDOWN_MARGIN_MS >= p->settings.grace_s * MS_PER_S ||
-        (waited_ms >= SHUTDOWN_NOTICE_MS && busy == 0)) {
-        bb_log_info("proxy.stopped", "%u requests unfinished", busy);
+    if (waited_ms >= SHUTDOWN_NOTICE_MS && busy == 0) {
+        log_stop(p, "idle", waited_ms);
+        bb_daemon_stop(p->daemon);
+    }
+    else if (waited_ms + SHUTDOWN_MARGIN_MS >=
+             p->settings.grace_s * MS_PER_S) {
+        log_stop(p, "end of the grace time", waited_ms);
         bb_daemon_stop(p->daemon);
     }
 }
