config: free the error of a value with invalid escapes

Callers saw nothing; each check of a folder that has such a value leaked 49 bytes in the mean.

Cause: g_key_file_get_string may set the error and return a text as well; the error was freed only without a text.

Evidence: test_compile under the address sanitizer, with G_SLICE=always-malloc, which makes each block of GLib visible to it: 195 bytes leaked in 4 allocations before, none now. The test itself is unchanged.

--- a/config/merge.c
+++ b/config/merge.c
@@ -115,9 +115,9 @@
     if (text == NULL) {
         bb_config_faults_add(faults, file, s->title, key, "%s",
                              error->message);
-        g_error_free(error);
         text = g_strdup("");
     }
+    g_clear_error(&error); /* GLib may set it and return a text as well */
     v = g_new0(struct bb_merged_value, 1);
     v->key = g_strdup(key);
     v->text = g_strstrip(text);
