http_server: decide on the close of a connection when its response is written

Cause: from SIGTERM on, the last response of a connection announces its close. This was decided when the response was complete, but the response may wait for earlier ones; requests that arrived meanwhile were passed to the handler and discarded when the response was written. The same behind a response being streamed, and behind a request with Connection: close.

Change: the connection field is added when the head is written, when it is known whether later requests have arrived. Once the close is announced, or asked for by a request, nothing behind it is parsed, so no request can be passed on and then be dropped.

--- a/include/net/http_server.h
+++ b/include/net/http_server.h
@@ -87,7 +87,9 @@
     bool is_response_ended;   /* the response is complete or aborted */
     bool closes_connection;   /* the connection closes after the response */
     bool is_aborted; /* the connection is reset without a complete response */
-    GString *pending_output; /* queued until earlier responses are written */
+    GString *pending_head;   /* queued until earlier responses are written;
+                                lacks the connection field and the end */
+    GString *pending_output; /* likewise, of the body */
     void *user_data;         /* for the handler */
 };
 
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -47,9 +47,10 @@
     GQueue exchanges;  /* in the order of their requests */
     GString *unparsed; /* received while parsing is paused */
     uv_timer_t timer;
-    bool is_closing;        /* no further response is written */
-    bool is_parsing_paused; /* until an exchange ends */
-    bool is_parsing;        /* inside parse_input */
+    bool is_last_request_read; /* nothing behind it is parsed */
+    bool is_closing;           /* no further response is written */
+    bool is_parsing_paused;    /* until an exchange ends */
+    bool is_parsing;           /* inside parse_input */
     bool is_closed;
 };
 
@@ -63,6 +64,9 @@
         g_string_free(x->head.text, TRUE);
     }
     g_string_free(x->body, TRUE);
+    if (x->pending_head != NULL) {
+        g_string_free(x->pending_head, TRUE);
+    }
     if (x->pending_output != NULL) {
         g_string_free(x->pending_output, TRUE);
     }
@@ -219,6 +223,50 @@
     }
 }
 
+/* Decides whether the first exchange closes its connection, and completes the
+ * head of its response accordingly. This is decided only when the head is
+ * written, as requests that arrive while the response waits for earlier ones
+ * are passed to the handler. Once the close is announced none is. */
+static void
+complete_head(struct bb_http_exchange *x)
+{
+    struct bb_http_server_connection *c = x->connection;
+
+    if (!x->is_body_complete ||
+        (c->server->is_keep_alive_disabled &&
+         g_queue_get_length(&c->exchanges) == 1 && c->unparsed->len == 0)) {
+        x->closes_connection = true;
+    }
+    if (x->closes_connection) {
+        c->is_last_request_read = true;
+        g_string_append(x->pending_head, "Connection: close\r\n");
+    }
+    g_string_append(x->pending_head, "\r\n");
+}
+
+/* Writes what is queued of the response of the first exchange. */
+static void
+write_output(struct bb_http_exchange *x)
+{
+    struct bb_stream *stream = x->connection->stream;
+    GString *body = x->pending_output;
+
+    if (x->pending_head != NULL) {
+        complete_head(x);
+        if (body != NULL) {
+            g_string_append_len(x->pending_head, body->str, (gssize)body->len);
+            g_string_truncate(body, 0);
+        }
+        bb_stream_write(stream, x->pending_head->str, x->pending_head->len);
+        g_string_free(x->pending_head, TRUE);
+        x->pending_head = NULL;
+    }
+    else if (body != NULL && body->len > 0) {
+        bb_stream_write(stream, body->str, body->len);
+        g_string_truncate(body, 0);
+    }
+}
+
 /* Writes the queued output of the first exchanges, in order, up to the first
  * one that has not ended. Closes the connection or resumes parsing as
  * needed. */
@@ -229,11 +277,7 @@
 
     while (!c->is_closed && !c->is_closing &&
            (x = g_queue_peek_head(&c->exchanges)) != NULL) {
-        if (x->pending_output != NULL && x->pending_output->len > 0) {
-            bb_stream_write(c->stream, x->pending_output->str,
-                            x->pending_output->len);
-            g_string_truncate(x->pending_output, 0);
-        }
+        write_output(x);
         if (!x->is_response_ended) {
             return;
         }
@@ -243,8 +287,7 @@
             return;
         }
         (void)g_queue_pop_head(&c->exchanges);
-        if (x->closes_connection || !x->is_body_complete) {
-            /* Later requests of the connection get no response. */
+        if (x->closes_connection) {
             bool is_request_complete = x->is_body_complete;
 
             c->is_closing = true;
@@ -319,6 +362,7 @@
     x->body = g_string_new(NULL);
     x->head = *h;
     x->closes_connection = !h->is_keep_alive;
+    c->is_last_request_read = !h->is_keep_alive;
     h->text = g_string_sized_new(512);
     c->receiving = x;
     g_queue_push_tail(&c->exchanges, x);
@@ -442,6 +486,9 @@
     c->is_parsing = true;
     while (used < size_bytes && !c->is_closing && !c->is_closed &&
            !c->is_parsing_paused) {
+        if (c->is_last_request_read && c->receiving == NULL) {
+            break;
+        }
         if (c->reader.state == BB_HTTP_READER_DONE) {
             if (g_queue_get_length(&c->exchanges) >=
                 BB_HTTP_SERVER_PIPELINE_MAX) {
@@ -619,8 +666,8 @@
 }
 
 /* Makes each further response close its connection, unless later requests of
- * the connection already wait behind it. Idle connections stay open, for
- * requests that the peer may have sent already. */
+ * the connection have arrived when it is written. Idle connections stay open,
+ * for requests that the peer may have sent already. */
 void
 bb_http_server_disable_keep_alive(struct bb_http_server *s)
 {
@@ -683,18 +730,18 @@
     g_free(s);
 }
 
-/* Queues response bytes in the exchange. */
+/* Queues bytes of the response body in the exchange. */
 static void
 append_output(struct bb_http_exchange *x, const char *data, size_t size_bytes)
 {
     if (x->pending_output == NULL) {
-        x->pending_output = g_string_sized_new(size_bytes + 256);
+        x->pending_output = g_string_sized_new(size_bytes);
     }
     g_string_append_len(x->pending_output, data, (gssize)size_bytes);
 }
 
 /* Queues the head of a response. Each of the `fields` (NULL: none) ends with
- * CRLF; length and connection fields are added here. With
+ * CRLF; length and connection fields are added. With
  * BB_HTTP_LENGTH_CHUNKED the body is sent in chunks, which the caller frames,
  * including the last one. */
 void
@@ -704,31 +751,20 @@
     bool has_body = status != 204 && status != 304;
 
     x->is_response_started = true;
-    if (x->connection->server->is_keep_alive_disabled &&
-        g_queue_peek_tail(&x->connection->exchanges) == x) {
-        x->closes_connection = true; /* unless later requests wait behind it */
-    }
-    if (x->pending_output == NULL) {
-        x->pending_output = g_string_sized_new(512);
-    }
-    g_string_append_printf(x->pending_output, "HTTP/1.1 %u %s\r\n", status,
+    x->pending_head = g_string_sized_new(512);
+    g_string_append_printf(x->pending_head, "HTTP/1.1 %u %s\r\n", status,
                            bb_http_reason_phrase(status));
     if (fields != NULL) {
-        g_string_append_len(x->pending_output, fields->str,
-                            (gssize)fields->len);
-    }
-    if (x->closes_connection || !x->is_body_complete) {
-        g_string_append(x->pending_output, "Connection: close\r\n");
+        g_string_append_len(x->pending_head, fields->str, (gssize)fields->len);
     }
     if (length_bytes == BB_HTTP_LENGTH_CHUNKED) {
-        g_string_append(x->pending_output, "Transfer-Encoding: chunked\r\n");
+        g_string_append(x->pending_head, "Transfer-Encoding: chunked\r\n");
     }
     else if (has_body) {
-        g_string_append_printf(x->pending_output,
+        g_string_append_printf(x->pending_head,
                                "Content-Length: %" G_GINT64_FORMAT "\r\n",
                                length_bytes);
     }
-    g_string_append(x->pending_output, "\r\n");
 }
 
 /* Sends a piece of the body, with chunks already framed. It is queued until
@@ -739,9 +775,7 @@
 {
     append_output(x, data, size_bytes);
     if (g_queue_peek_head(&x->connection->exchanges) == x) {
-        bb_stream_write(x->connection->stream, x->pending_output->str,
-                        x->pending_output->len);
-        g_string_truncate(x->pending_output, 0);
+        write_output(x);
     }
 }
 
--- /dev/null
+++ b/tests/net/test_http_server.c
@@ -0,0 +1,326 @@
+/* Tests the end of connections of the HTTP server. */
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "net/http_server.h"
+#include "unit.h"
+
+enum { PORT_FIRST = 20000, PORT_COUNT = 40000, LISTEN_TRIES_MAX = 200 };
+
+/* A server whose handler responds as the target asks: /MS/BYTES has a body of
+ * BYTES, sent after MS milliseconds; with /MS/BYTES/early the head and half of
+ * the body are sent at once. GET requests may overlap. */
+struct fixture {
+    uv_loop_t loop;
+    struct bb_address address;
+    struct bb_http_server *server;
+    struct bb_http_server_limits limits;
+    uint32_t requests;     /* passed to the handler */
+    uint32_t disconnected; /* reported to the handler */
+    enum bb_http_server_close_reason close_reason; /* of the last of them */
+};
+
+/* A request of which the handler has not completed the response. */
+struct pending {
+    struct fixture *fixture;
+    struct bb_http_exchange *exchange;
+    uv_timer_t timer;
+    size_t left_bytes; /* of the response body */
+    bool is_started;
+};
+
+struct client {
+    struct bb_stream *stream;
+    GString *received;
+    bool is_ended;
+    int status; /* of the end; 0: closed by the server */
+};
+
+static void
+free_pending(uv_handle_t *h)
+{
+    g_free(h->data);
+}
+
+/* Sends a part of the response body. */
+static void
+send_body(struct pending *p, size_t size_bytes)
+{
+    char *body = g_malloc(size_bytes);
+
+    memset(body, 'b', size_bytes);
+    bb_http_exchange_send_body(p->exchange, body, size_bytes);
+    p->left_bytes -= size_bytes;
+    g_free(body);
+}
+
+/* Completes the response. */
+static void
+on_delay_end(uv_timer_t *t)
+{
+    struct pending *p = t->data;
+
+    if (!p->is_started) {
+        bb_http_exchange_start_response(p->exchange, 200, NULL,
+                                        (int64_t)p->left_bytes);
+    }
+    if (p->left_bytes > 0) {
+        send_body(p, p->left_bytes);
+    }
+    bb_http_exchange_end(p->exchange);
+    uv_close((uv_handle_t *)t, free_pending);
+}
+
+static void
+on_request(void *context, struct bb_http_exchange *x)
+{
+    struct fixture *f = context;
+    struct pending *p = g_new0(struct pending, 1);
+    unsigned delay_ms = 0;
+    size_t size_bytes = 0;
+    char early[8] = "";
+
+    f->requests++;
+    (void)sscanf(bb_http_head_target(&x->head), "/%u/%zu/%7s", &delay_ms,
+                 &size_bytes, early);
+    p->fixture = f;
+    p->exchange = x;
+    p->left_bytes = size_bytes;
+    x->user_data = p;
+    (void)uv_timer_init(&f->loop, &p->timer);
+    p->timer.data = p;
+    if (early[0] != '\0') {
+        p->is_started = true;
+        bb_http_exchange_start_response(x, 200, NULL, (int64_t)size_bytes);
+        send_body(p, size_bytes / 2);
+    }
+    (void)uv_timer_start(&p->timer, on_delay_end, delay_ms, 0);
+}
+
+static void
+on_disconnected(void *context, struct bb_http_exchange *x,
+                enum bb_http_server_close_reason reason)
+{
+    struct fixture *f = context;
+    struct pending *p = x->user_data;
+
+    f->disconnected++;
+    f->close_reason = reason;
+    uv_close((uv_handle_t *)&p->timer, free_pending);
+}
+
+static bool
+may_overlap(void *context, const struct bb_http_head *h)
+{
+    (void)context;
+    return h->method == HTTP_GET;
+}
+
+static const struct bb_http_server_handler handler = {
+    .may_overlap = may_overlap,
+    .request = on_request,
+    .disconnected = on_disconnected};
+
+static void
+fixture_open(struct fixture *f)
+{
+    struct bb_error e = {0};
+
+    memset(f, 0, sizeof(*f));
+    (void)signal(SIGPIPE, SIG_IGN);
+    (void)uv_loop_init(&f->loop);
+    g_strlcpy(f->address.ip, "127.0.0.1", sizeof(f->address.ip));
+    for (uint32_t i = 0; i < LISTEN_TRIES_MAX && f->server == NULL; i++) {
+        f->address.port =
+            (uint16_t)(PORT_FIRST + g_random_int_range(0, PORT_COUNT));
+        f->server =
+            bb_http_server_create(&f->loop, &f->address, &handler, f, &e);
+    }
+    f->limits =
+        (struct bb_http_server_limits){.request_head_max_bytes = 4096,
+                                       .head_timeout_ms = 1000,
+                                       .idle_timeout_ms = 5000,
+                                       .request_body_max_bytes = 1024 * 1024};
+    bb_http_server_set_limits(f->server, &f->limits);
+}
+
+static void
+on_wait_end(uv_timer_t *t)
+{
+    *(bool *)t->data = true;
+}
+
+/* Runs the loop for `ms` milliseconds. */
+static void
+fixture_run(struct fixture *f, uint32_t ms)
+{
+    uv_timer_t *t = g_new0(uv_timer_t, 1);
+    bool is_over = false;
+
+    (void)uv_timer_init(&f->loop, t);
+    t->data = &is_over;
+    (void)uv_timer_start(t, on_wait_end, ms, 0);
+    while (!is_over) {
+        (void)uv_run(&f->loop, UV_RUN_ONCE);
+    }
+    uv_close((uv_handle_t *)t, (uv_close_cb)g_free);
+}
+
+static void
+close_handle(uv_handle_t *h, void *context)
+{
+    (void)context;
+    if (!uv_is_closing(h)) {
+        uv_close(h, NULL);
+    }
+}
+
+static void
+fixture_close(struct fixture *f)
+{
+    bb_http_server_destroy(f->server);
+    fixture_run(f, 20);
+    uv_walk(&f->loop, close_handle, NULL);
+    (void)uv_run(&f->loop, UV_RUN_DEFAULT);
+    (void)uv_loop_close(&f->loop);
+}
+
+static void
+on_client_data(void *context, const char *data, size_t n)
+{
+    struct client *c = context;
+
+    g_string_append_len(c->received, data, (gssize)n);
+}
+
+static void
+on_client_end(void *context, int status)
+{
+    struct client *c = context;
+
+    c->is_ended = true;
+    c->status = status;
+}
+
+static const struct bb_stream_events client_events = {.data = on_client_data,
+                                                      .ended = on_client_end};
+
+/* Connects a client; client_free frees it. */
+static struct client *
+client_open(struct fixture *f)
+{
+    struct client *c = g_new0(struct client, 1);
+
+    c->received = g_string_new(NULL);
+    c->stream =
+        bb_stream_connect(&f->loop, &f->address, 1000, &client_events, c);
+    fixture_run(f, 20);
+    return c;
+}
+
+static void
+client_send(struct client *c, const char *text)
+{
+    bb_stream_write(c->stream, text, strlen(text));
+}
+
+static void
+client_free(struct client *c)
+{
+    bb_stream_close(c->stream);
+    g_string_free(c->received, TRUE);
+    g_free(c);
+}
+
+/* Returns how often a text occurs in what a client has received. */
+static uint32_t
+client_count(const struct client *c, const char *text)
+{
+    uint32_t n = 0;
+
+    for (const char *at = c->received->str; (at = strstr(at, text)) != NULL;
+         at += strlen(text)) {
+        n++;
+    }
+    return n;
+}
+
+/* A closing response that waits for an earlier one must not drop a request
+ * that arrives meanwhile. */
+static void
+test_request_behind_queued_closing_response(void)
+{
+    struct fixture f;
+    struct client *c;
+
+    fixture_open(&f);
+    c = client_open(&f);
+    client_send(c, "GET /500/1 HTTP/1.1\r\n\r\nGET /50/2 HTTP/1.1\r\n\r\n");
+    fixture_run(&f, 20);
+    bb_http_server_disable_keep_alive(f.server);
+    fixture_run(&f, 100);
+    client_send(c, "GET /700/3 HTTP/1.1\r\n\r\n");
+    fixture_run(&f, 1000);
+    CU_ASSERT_EQUAL(f.requests, 3);
+    CU_ASSERT_EQUAL(f.disconnected, 0);
+    CU_ASSERT_EQUAL(client_count(c, "HTTP/1.1 200"), 3);
+    CU_ASSERT_EQUAL(client_count(c, "Connection: close"), 1);
+    CU_ASSERT_TRUE(c->is_ended);
+    client_free(c);
+    fixture_close(&f);
+}
+
+/* A request that arrives while a closing response is sent is not passed on. */
+static void
+test_request_behind_closing_response_being_sent(void)
+{
+    struct fixture f;
+    struct client *c;
+
+    fixture_open(&f);
+    bb_http_server_disable_keep_alive(f.server);
+    c = client_open(&f);
+    client_send(c, "GET /300/10/early HTTP/1.1\r\n\r\n");
+    fixture_run(&f, 50);
+    client_send(c, "GET /50/2 HTTP/1.1\r\n\r\n");
+    fixture_run(&f, 500);
+    CU_ASSERT_EQUAL(f.requests, 1);
+    CU_ASSERT_EQUAL(f.disconnected, 0);
+    CU_ASSERT_EQUAL(client_count(c, "bbbbbbbbbb"), 1);
+    CU_ASSERT_TRUE(c->is_ended);
+    client_free(c);
+    fixture_close(&f);
+}
+
+/* A request behind one that asks for the close is not passed on. */
+static void
+test_request_behind_connection_close(void)
+{
+    struct fixture f;
+    struct client *c;
+
+    fixture_open(&f);
+    c = client_open(&f);
+    client_send(c, "GET /100/1 HTTP/1.1\r\nConnection: close\r\n\r\n"
+                   "GET /50/2 HTTP/1.1\r\n\r\n");
+    fixture_run(&f, 300);
+    CU_ASSERT_EQUAL(f.requests, 1);
+    CU_ASSERT_EQUAL(f.disconnected, 0);
+    CU_ASSERT_EQUAL(client_count(c, "HTTP/1.1 200"), 1);
+    CU_ASSERT_TRUE(c->is_ended);
+    client_free(c);
+    fixture_close(&f);
+}
+
+static const struct bb_unit_test tests[] = {
+    {"request behind a queued closing response",
+     test_request_behind_queued_closing_response},
+    {"request behind a closing response being sent",
+     test_request_behind_closing_response_being_sent},
+    {"request behind one with Connection: close",
+     test_request_behind_connection_close},
+};
+
+BB_UNIT_MAIN("http_server", tests)
