http_server: no idle timeout while an earlier request is in progress

Callers saw: a caller that had a request in progress and had sent a part of the body of the next one got no response: the connection was closed at the idle timeout.

Cause: the timer looked at the request being received before those in front of it, whose responses are due first.

Change: the timer runs only if the request being received is the first of its connection.

Evidence: test_http_server, idle timeout during an earlier request, failed before (no response of two, the handler told of a disconnect).

--- a/include/net/http_server.h
+++ b/include/net/http_server.h
@@ -33,8 +33,7 @@
 enum { BB_HTTP_LENGTH_CHUNKED = -1 };
 
 /* Limits of requests, all above 0. Received bytes restart both timeouts.
- * Neither runs while the handler works on a request of the connection, except
- * that idle_timeout_ms does while the body of a later one is received. */
+ * Neither runs while the handler works on a request of the connection. */
 struct bb_http_server_limits {
     /* Longest head; a longer one gets status 431. Default: 32 KiB. */
     uint32_t request_head_max_bytes;
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -196,26 +196,23 @@
 }
 
 /* Starts the timer with the timeout of the connection's state, or stops it
- * while the handler works on requests. */
+ * while an earlier request than the one being received is in progress. */
 static void
 update_timer(struct bb_http_server_connection *c)
 {
     const struct bb_http_server_limits *l = &c->server->limits;
+    const struct bb_http_exchange *first = g_queue_peek_head(&c->exchanges);
 
     if (c->is_closing) {
         (void)uv_timer_start(&c->timer, on_timeout, BB_HTTP_SERVER_LINGER_MS,
                              0);
     }
-    else if (c->receiving != NULL && !c->receiving->is_dispatched) {
-        /* Waiting for the rest of a request body. */
-        (void)uv_timer_start(&c->timer, on_timeout, l->idle_timeout_ms, 0);
-    }
-    else if (!g_queue_is_empty(&c->exchanges)) {
-        /* Earlier requests are in progress, even if the head of the next one
-         * is incomplete. */
+    else if (first != NULL &&
+             (first != c->receiving || first->is_dispatched)) {
         (void)uv_timer_stop(&c->timer);
     }
-    else if (c->reader.state == BB_HTTP_READER_HEAD && c->reader.has_started) {
+    else if (first == NULL && c->reader.state == BB_HTTP_READER_HEAD &&
+             c->reader.has_started) {
         (void)uv_timer_start(&c->timer, on_timeout, l->head_timeout_ms, 0);
     }
     else {
--- a/tests/net/test_http_server.c
+++ b/tests/net/test_http_server.c
@@ -314,6 +314,30 @@
     fixture_close(&f);
 }
 
+/* The idle timeout must not close a connection whose first request is in
+ * progress while the body of a later one is incomplete. */
+static void
+test_idle_timeout_during_earlier_request(void)
+{
+    struct fixture f;
+    struct client *c;
+
+    fixture_open(&f);
+    f.limits.idle_timeout_ms = 200;
+    bb_http_server_set_limits(f.server, &f.limits);
+    c = client_open(&f);
+    client_send(c, "GET /600/1 HTTP/1.1\r\n\r\n"
+                   "POST /0/2 HTTP/1.1\r\nContent-Length: 2\r\n\r\nx");
+    fixture_run(&f, 650);
+    CU_ASSERT_EQUAL(f.disconnected, 0);
+    CU_ASSERT_EQUAL(client_count(c, "HTTP/1.1 200"), 1);
+    client_send(c, "y");
+    fixture_run(&f, 100);
+    CU_ASSERT_EQUAL(client_count(c, "HTTP/1.1 200"), 2);
+    client_free(c);
+    fixture_close(&f);
+}
+
 static const struct bb_unit_test tests[] = {
     {"request behind a queued closing response",
      test_request_behind_queued_closing_response},
@@ -321,6 +345,8 @@
      test_request_behind_closing_response_being_sent},
     {"request behind one with Connection: close",
      test_request_behind_connection_close},
+    {"idle timeout during an earlier request",
+     test_idle_timeout_during_earlier_request},
 };
 
 BB_UNIT_MAIN("http_server", tests)
