http_server: keep a connection until its last response is written and taken

Callers saw: a response was cut off after the server had counted the request as done: at the idle timeout if the caller read slowly, at once if the caller had sent more bytes behind a closing response, and when the process ended.

Cause: the server forgot a response once its bytes were queued. The idle timer ran while they were being sent. A closing connection was closed as soon as the queue was empty, and unread bytes turn that into a reset that drops what the kernel still holds (RFC 9112, 9.6). A connection that closed after its writes belonged to no server, so that a stop could not wait for it.

Change: while bytes are queued the timer waits for the peer to take some (write timeout, 10 s without any). After the last response the server ends its side of the connection, reads and drops what comes, and closes when the peer does or after BB_HTTP_SERVER_LINGER_MS. The exchange whose bytes are queued is kept for the log and counted as answered; bb_http_server_count_open tells closing connections too. bb_stream_close_after_writes is gone.

--- a/include/net/http_server.h
+++ b/include/net/http_server.h
@@ -23,23 +23,26 @@
      * the body is complete earlier. A request with a shorter body can be sent
      * again elsewhere. */
     BB_HTTP_SERVER_BODY_BUFFER_BYTES = 256 * 1024,
-    /* After a response to a request that was not read in full, received bytes
-     * are dropped for this long before the close. An immediate close would
-     * become a reset that can overtake the response. */
-    BB_HTTP_SERVER_LINGER_MS = 1000
+    /* Longest wait for the peer to close after the last response of a
+     * connection was written. */
+    BB_HTTP_SERVER_LINGER_MS = 1000,
+    /* Longest time in which the peer takes no byte of a complete response,
+     * before its rest is dropped. */
+    BB_HTTP_SERVER_WRITE_TIMEOUT_MS = 10000
 };
 
 /* Length of a body that is sent in chunks. */
 enum { BB_HTTP_LENGTH_CHUNKED = -1 };
 
 /* Limits of requests, all above 0. Received bytes restart both timeouts.
- * Neither runs while the handler works on a request of the connection. */
+ * Neither runs while a request of the connection is in progress or its
+ * response is being sent. */
 struct bb_http_server_limits {
     /* Longest head; a longer one gets status 431. Default: 32 KiB. */
     uint32_t request_head_max_bytes;
     /* While a head is received. Default: 10 s. */
     uint32_t head_timeout_ms;
-    /* Between requests, and between a head and the call of the handler.
+    /* Between requests, and while a request body is received.
      * Default: 60 s. */
     uint32_t idle_timeout_ms;
     /* Longest body; a longer one gets status 413, or a closed connection if
@@ -52,6 +55,7 @@
     BB_HTTP_SERVER_PEER_CLOSED, /* or the connection failed */
     BB_HTTP_SERVER_IDLE_TIMEOUT,
     BB_HTTP_SERVER_HEAD_TIMEOUT,
+    BB_HTTP_SERVER_WRITE_TIMEOUT,    /* BB_HTTP_SERVER_WRITE_TIMEOUT_MS */
     BB_HTTP_SERVER_LINGER_TIMEOUT,   /* BB_HTTP_SERVER_LINGER_MS */
     BB_HTTP_SERVER_CLOSING_RESPONSE, /* an earlier response said so */
     BB_HTTP_SERVER_ABORTED_RESPONSE, /* an earlier response broke off */
@@ -62,6 +66,7 @@
 /* What is open at a server. */
 struct bb_http_server_open {
     uint32_t connections;
+    uint32_t closing;    /* of these, after their last response */
     uint32_t receiving;  /* requests whose head or body is incomplete */
     uint32_t waiting;    /* received, but not yet passed to the handler */
     uint32_t running;    /* passed to the handler, without a response */
--- a/include/net/stream.h
+++ b/include/net/stream.h
@@ -65,7 +65,7 @@
 void bb_stream_set_keepalive(struct bb_stream *s, bool is_enabled);
 void bb_stream_pause(struct bb_stream *s);
 void bb_stream_resume(struct bb_stream *s);
-void bb_stream_close_after_writes(struct bb_stream *s);
+void bb_stream_end_output(struct bb_stream *s);
 void bb_stream_close(struct bb_stream *s);
 void bb_stream_reset(struct bb_stream *s);
 
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -23,6 +23,15 @@
 BB_COUNTER(slow_head_total, "baobab_server_slow_head_total",
            "Connections closed because a head took too long");
 
+/* What the timer of a connection waits for. */
+enum timer_kind {
+    TIMER_NONE,  /* stopped: a request is in progress */
+    TIMER_IDLE,  /* bytes of the peer */
+    TIMER_HEAD,  /* the end of a head */
+    TIMER_WRITE, /* the peer to take bytes of a response */
+    TIMER_LINGER /* the peer to close */
+};
+
 struct bb_http_server {
     uv_loop_t *loop;
     struct bb_listener *listener;
@@ -46,7 +55,12 @@
         *receiving;    /* its request is incomplete, or NULL */
     GQueue exchanges;  /* in the order of their requests */
     GString *unparsed; /* received while parsing is paused */
+    /* The last exchange that ended, while bytes of its response are queued for
+     * the socket, else NULL; named in the log if they are dropped. */
+    struct bb_http_exchange *unsent;
     uv_timer_t timer;
+    enum timer_kind timer_kind;
+    size_t timer_queued_bytes; /* when TIMER_WRITE was started */
     bool is_last_request_read; /* nothing behind it is parsed */
     bool is_closing;           /* no further response is written */
     bool is_parsing_paused;    /* until an exchange ends */
@@ -55,6 +69,7 @@
 };
 
 static void resume_parsing(struct bb_http_server_connection *c);
+static void update_timer(struct bb_http_server_connection *c);
 
 /* Frees an exchange. */
 static void
@@ -130,6 +145,31 @@
     g_string_free(line, TRUE);
 }
 
+/* Frees the exchange whose response was being sent. */
+static void
+forget_unsent(struct bb_http_server_connection *c)
+{
+    if (c->unsent != NULL) {
+        free_exchange(c->unsent);
+        c->unsent = NULL;
+    }
+}
+
+/* Frees an exchange that has ended, but keeps it while bytes of its response
+ * are queued. */
+static void
+free_ended_exchange(struct bb_http_exchange *x)
+{
+    struct bb_http_server_connection *c = x->connection;
+
+    if (bb_stream_queued_bytes(c->stream) == 0) {
+        free_exchange(x);
+        return;
+    }
+    forget_unsent(c);
+    c->unsent = x;
+}
+
 /* Frees all exchanges of a connection. The handler is told of those whose
  * response it has not completed. */
 static void
@@ -165,6 +205,10 @@
     }
     c->is_closed = true;
     close_stream(c->stream);
+    if (c->unsent != NULL && reason != BB_HTTP_SERVER_PEER_CLOSED) {
+        log_dropped_request(c->unsent, reason);
+    }
+    forget_unsent(c);
     discard_exchanges(c, reason);
     if (c->previous != NULL) {
         c->previous->next = c->next;
@@ -178,46 +222,94 @@
     uv_close((uv_handle_t *)&c->timer, free_connection);
 }
 
-/* Closes a connection that has been idle, slow or closing for too long. */
+/* Closes a connection whose timeout has passed. One that is sending is closed
+ * only if the peer has taken nothing meanwhile. */
 static void
 on_timeout(uv_timer_t *t)
 {
     struct bb_http_server_connection *c = t->data;
-    enum bb_http_server_close_reason reason = BB_HTTP_SERVER_IDLE_TIMEOUT;
+    enum timer_kind kind = c->timer_kind;
 
+    c->timer_kind = TIMER_NONE;
+    switch (kind) {
+    case TIMER_WRITE:
+        if (bb_stream_queued_bytes(c->stream) < c->timer_queued_bytes) {
+            update_timer(c);
+            break;
+        }
+        close_connection(c, bb_stream_close, BB_HTTP_SERVER_WRITE_TIMEOUT);
+        break;
+    case TIMER_HEAD:
+        bb_counter_add(&slow_head_total, 1);
+        close_connection(c, bb_stream_close, BB_HTTP_SERVER_HEAD_TIMEOUT);
+        break;
+    case TIMER_LINGER:
+        close_connection(c, bb_stream_close, BB_HTTP_SERVER_LINGER_TIMEOUT);
+        break;
+    case TIMER_IDLE:
+    case TIMER_NONE:
+        close_connection(c, bb_stream_close, BB_HTTP_SERVER_IDLE_TIMEOUT);
+        break;
+    }
+}
+
+/* Returns what a connection waits for. No timer runs while an earlier request
+ * than the one being received is in progress. */
+static enum timer_kind
+choose_timer(const struct bb_http_server_connection *c)
+{
+    const struct bb_http_exchange *first =
+        g_queue_peek_head((GQueue *)&c->exchanges);
+
+    if (first != NULL && (first != c->receiving || first->is_dispatched)) {
+        return TIMER_NONE;
+    }
+    if (bb_stream_queued_bytes(c->stream) > 0) {
+        return TIMER_WRITE;
+    }
     if (c->is_closing) {
-        reason = BB_HTTP_SERVER_LINGER_TIMEOUT;
+        return TIMER_LINGER;
     }
-    else if (c->reader.has_started && c->reader.state == BB_HTTP_READER_HEAD) {
-        bb_counter_add(&slow_head_total, 1);
-        reason = BB_HTTP_SERVER_HEAD_TIMEOUT;
+    if (first == NULL && c->reader.state == BB_HTTP_READER_HEAD &&
+        c->reader.has_started) {
+        return TIMER_HEAD;
     }
-    close_connection(c, bb_stream_close, reason);
+    return TIMER_IDLE;
 }
 
-/* Starts the timer with the timeout of the connection's state, or stops it
- * while an earlier request than the one being received is in progress. */
+/* Returns the timeout of a kind of timer. */
+static uint32_t
+timeout_ms(const struct bb_http_server_connection *c, enum timer_kind kind)
+{
+    switch (kind) {
+    case TIMER_IDLE:
+        return c->server->limits.idle_timeout_ms;
+    case TIMER_HEAD:
+        return c->server->limits.head_timeout_ms;
+    case TIMER_WRITE:
+        return BB_HTTP_SERVER_WRITE_TIMEOUT_MS;
+    case TIMER_LINGER:
+        return BB_HTTP_SERVER_LINGER_MS;
+    case TIMER_NONE:
+        break;
+    }
+    return 0;
+}
+
+/* Starts or stops the timer as the state of the connection requires. */
 static void
 update_timer(struct bb_http_server_connection *c)
 {
-    const struct bb_http_server_limits *l = &c->server->limits;
-    const struct bb_http_exchange *first = g_queue_peek_head(&c->exchanges);
+    enum timer_kind kind = choose_timer(c);
 
-    if (c->is_closing) {
-        (void)uv_timer_start(&c->timer, on_timeout, BB_HTTP_SERVER_LINGER_MS,
-                             0);
-    }
-    else if (first != NULL &&
-             (first != c->receiving || first->is_dispatched)) {
+    if (kind == TIMER_NONE) {
         (void)uv_timer_stop(&c->timer);
     }
-    else if (first == NULL && c->reader.state == BB_HTTP_READER_HEAD &&
-             c->reader.has_started) {
-        (void)uv_timer_start(&c->timer, on_timeout, l->head_timeout_ms, 0);
-    }
     else {
-        (void)uv_timer_start(&c->timer, on_timeout, l->idle_timeout_ms, 0);
+        c->timer_queued_bytes = bb_stream_queued_bytes(c->stream);
+        (void)uv_timer_start(&c->timer, on_timeout, timeout_ms(c, kind), 0);
     }
+    c->timer_kind = kind;
 }
 
 /* Decides whether the first exchange closes its connection, and completes the
@@ -264,6 +356,26 @@
     }
 }
 
+/* Ends a connection after its last response. Received bytes are read and
+ * dropped until the peer closes too, for at most BB_HTTP_SERVER_LINGER_MS
+ * after the last byte was written: unread ones would turn the close into a
+ * reset, which can overtake the response (RFC 9112, 9.6). */
+static void
+finish_connection(struct bb_http_exchange *x)
+{
+    struct bb_http_server_connection *c = x->connection;
+
+    c->is_closing = true;
+    if (c->receiving == x) {
+        c->receiving = NULL;
+    }
+    free_ended_exchange(x);
+    discard_exchanges(c, BB_HTTP_SERVER_CLOSING_RESPONSE);
+    bb_stream_end_output(c->stream);
+    bb_stream_resume(c->stream);
+    update_timer(c);
+}
+
 /* Writes the queued output of the first exchanges, in order, up to the first
  * one that has not ended. Closes the connection or resumes parsing as
  * needed. */
@@ -285,24 +397,10 @@
         }
         (void)g_queue_pop_head(&c->exchanges);
         if (x->closes_connection) {
-            bool is_request_complete = x->is_body_complete;
-
-            c->is_closing = true;
-            if (c->receiving == x) {
-                c->receiving = NULL;
-            }
-            free_exchange(x);
-            discard_exchanges(c, BB_HTTP_SERVER_CLOSING_RESPONSE);
-            if (is_request_complete) {
-                close_connection(c, bb_stream_close_after_writes,
-                                 BB_HTTP_SERVER_CLOSING_RESPONSE);
-            }
-            else {
-                update_timer(c); /* closes after BB_HTTP_SERVER_LINGER_MS */
-            }
+            finish_connection(x);
             return;
         }
-        free_exchange(x);
+        free_ended_exchange(x);
     }
     if (!c->is_closed) {
         resume_parsing(c);
@@ -585,6 +683,8 @@
     struct bb_http_server_connection *c = context;
     struct bb_http_exchange *x = g_queue_peek_head(&c->exchanges);
 
+    forget_unsent(c);
+    update_timer(c);
     if (x != NULL && x->is_dispatched && !x->is_response_ended &&
         c->server->handler->output_drained != NULL) {
         c->server->handler->output_drained(c->server->context, x);
@@ -688,7 +788,9 @@
     for (const struct bb_http_server_connection *c = s->connections; c != NULL;
          c = c->next) {
         open.connections++;
+        open.closing += c->is_closing;
         open.unsent_bytes += bb_stream_queued_bytes(c->stream);
+        open.answered += c->unsent != NULL;
         open.receiving += c->reader.state == BB_HTTP_READER_HEAD &&
                           c->reader.has_started && !c->is_closing;
         for (const GList *l = c->exchanges.head; l != NULL; l = l->next) {
--- a/net/stream.c
+++ b/net/stream.c
@@ -10,13 +10,14 @@
 struct bb_stream {
     uv_tcp_t tcp;
     uv_connect_t connect;
+    uv_shutdown_t shutdown;
     uv_timer_t *connect_timer;
     const struct bb_stream_events *events;
     void *context;
     size_t queued_bytes;
     bool is_connected;
     bool is_paused;
-    bool is_finishing; /* closed once all queued bytes are written */
+    bool is_output_ended; /* bb_stream_end_output was called */
     bool is_closed;
 };
 
@@ -68,7 +69,7 @@
     if (s->is_closed) {
         return;
     }
-    if (s->is_finishing || s->events == NULL) {
+    if (s->events == NULL) {
         bb_stream_close(s);
         return;
     }
@@ -139,7 +140,7 @@
         report_ended(s, n == UV_EOF ? end_status(h) : (int)n);
         return;
     }
-    if (s->events != NULL && !s->is_finishing) {
+    if (s->events != NULL) {
         s->events->data(s->context, buffer->base, (size_t)n);
     }
 }
@@ -229,8 +230,8 @@
     s->context = context;
 }
 
-/* Ends a queued write: reports a failure or, once the queue is empty, closes a
- * stream that is finishing or tells the owner. */
+/* Ends a queued write: reports a failure or, once the queue is empty, tells
+ * the owner. */
 static void
 on_write_done(uv_write_t *request, int status)
 {
@@ -242,9 +243,6 @@
         if (status != 0) {
             report_ended(s, status);
         }
-        else if (s->queued_bytes == 0 && s->is_finishing) {
-            bb_stream_close(s);
-        }
         else if (s->queued_bytes == 0 && s->events != NULL &&
                  s->events->output_drained != NULL) {
             s->events->output_drained(s->context);
@@ -326,20 +324,23 @@
     }
 }
 
-/* Closes the connection once all queued bytes are written. The owner must not
- * use the stream afterwards. Received bytes are read and dropped until then,
- * as unread ones would turn the close into a reset that can overtake the last
- * response. */
+/* Callback of uv_shutdown; a failure also ends the reading. */
+static void
+on_output_ended(uv_shutdown_t *request, int status)
+{
+    (void)request;
+    (void)status;
+}
+
+/* Tells the peer that no more bytes follow those queued. Reading goes on. */
 void
-bb_stream_close_after_writes(struct bb_stream *s)
+bb_stream_end_output(struct bb_stream *s)
 {
-    s->events = NULL;
-    s->is_finishing = true;
-    if (s->queued_bytes == 0) {
-        bb_stream_close(s);
-        return;
+    if (!s->is_closed && !s->is_output_ended) {
+        s->is_output_ended = true;
+        (void)uv_shutdown(&s->shutdown, (uv_stream_t *)&s->tcp,
+                          on_output_ended);
     }
-    bb_stream_resume(s);
 }
 
 /* Closes and frees the connection. Queued bytes are dropped. */
--- a/tests/net/test_http_server.c
+++ b/tests/net/test_http_server.c
@@ -7,7 +7,15 @@
 #include "net/http_server.h"
 #include "unit.h"
 
-enum { PORT_FIRST = 20000, PORT_COUNT = 40000, LISTEN_TRIES_MAX = 200 };
+enum {
+    PORT_FIRST = 20000,
+    PORT_COUNT = 40000,
+    LISTEN_TRIES_MAX = 200,
+    /* More than the socket buffers of both sides hold. */
+    LONG_BODY_BYTES = 24000000
+};
+
+#define LONG_BODY "24000000"
 
 /* A server whose handler responds as the target asks: /MS/BYTES has a body of
  * BYTES, sent after MS milliseconds; with /MS/BYTES/early the head and half of
@@ -247,6 +255,19 @@
     return n;
 }
 
+/* Runs the loop until a client has received `size_bytes`, or for `ms`. Returns
+ * whether it has. */
+static bool
+client_wait_bytes(struct fixture *f, const struct client *c, size_t size_bytes,
+                  uint32_t ms)
+{
+    for (uint32_t waited_ms = 0;
+         c->received->len < size_bytes && waited_ms < ms; waited_ms += 10) {
+        fixture_run(f, 10);
+    }
+    return c->received->len >= size_bytes;
+}
+
 /* A closing response that waits for an earlier one must not drop a request
  * that arrives meanwhile. */
 static void
@@ -338,6 +359,50 @@
     fixture_close(&f);
 }
 
+/* The idle timeout must not cut off a response that is still being sent. */
+static void
+test_idle_timeout_during_response(void)
+{
+    struct fixture f;
+    struct client *c;
+
+    fixture_open(&f);
+    f.limits.idle_timeout_ms = 200;
+    bb_http_server_set_limits(f.server, &f.limits);
+    c = client_open(&f);
+    bb_stream_pause(c->stream);
+    client_send(c, "GET /0/" LONG_BODY " HTTP/1.1\r\n\r\n");
+    fixture_run(&f, 600);
+    bb_stream_resume(c->stream);
+    CU_ASSERT_TRUE(client_wait_bytes(&f, c, LONG_BODY_BYTES, 4000));
+    client_free(c);
+    fixture_close(&f);
+}
+
+/* Bytes that a caller sends behind a closing response must not cut it off. */
+static void
+test_bytes_behind_closing_response(void)
+{
+    struct fixture f;
+    struct client *c;
+
+    fixture_open(&f);
+    c = client_open(&f);
+    bb_stream_pause(c->stream);
+    client_send(c, "GET /0/200000 HTTP/1.1\r\nConnection: close\r\n\r\n");
+    fixture_run(&f, 50);
+    client_send(c, "GET /0/2 HTTP/1.1\r\n\r\n");
+    fixture_run(&f, 50);
+    client_send(c, "GET /0/2 HTTP/1.1\r\n\r\n");
+    bb_stream_resume(c->stream);
+    CU_ASSERT_TRUE(client_wait_bytes(&f, c, 200000, 1000));
+    fixture_run(&f, 50);
+    CU_ASSERT_TRUE(c->is_ended);
+    CU_ASSERT_EQUAL(c->status, 0);
+    client_free(c);
+    fixture_close(&f);
+}
+
 static const struct bb_unit_test tests[] = {
     {"request behind a queued closing response",
      test_request_behind_queued_closing_response},
@@ -347,6 +412,8 @@
      test_request_behind_connection_close},
     {"idle timeout during an earlier request",
      test_idle_timeout_during_earlier_request},
+    {"idle timeout during a response", test_idle_timeout_during_response},
+    {"bytes behind a closing response", test_bytes_behind_closing_response},
 };
 
 BB_UNIT_MAIN("http_server", tests)
