http_server: let a caller pause reading for longer than a second

Callers saw: a connection was reset in the middle of a response if the caller read nothing for more than a second.

Cause: TCP_USER_TIMEOUT, set to 1 s on every connection to detect a vanished peer, also counts while the peer's window is closed.

Change: accepted HTTP connections use the write timeout, 10 s. A vanished caller costs no more than the bytes queued for it until then, and a request in progress ends at its deadline.

Evidence: test_http_server, early response to a slow reader, paused for 1.4 s, failed before.

--- a/include/net/stream.h
+++ b/include/net/stream.h
@@ -12,8 +12,9 @@
 #include "common/error.h"
 
 enum {
-    /* A connection ends if sent data is not acknowledged for this long (Linux
-     * TCP_USER_TIMEOUT). Well below the usual deadlines of requests. */
+    /* A connection ends if sent data is not acknowledged, or the peer's window
+     * is closed, for this long (Linux TCP_USER_TIMEOUT). Well below the usual
+     * deadlines of requests. */
     BB_STREAM_UNACKED_TIMEOUT_MS = 1000,
     /* TCP keep-alive probes detect a peer that vanished while a response is
      * awaited. */
@@ -60,6 +61,7 @@
 void bb_stream_set_events(struct bb_stream *s,
                           const struct bb_stream_events *events,
                           void *context);
+void bb_stream_set_unacked_timeout(struct bb_stream *s, uint32_t ms);
 void bb_stream_write(struct bb_stream *s, const void *data, size_t size_bytes);
 size_t bb_stream_queued_bytes(const struct bb_stream *s);
 void bb_stream_set_keepalive(struct bb_stream *s, bool is_enabled);
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -714,6 +714,8 @@
     }
     s->connections = c;
     bb_stream_set_events(stream, &stream_events, c);
+    /* A caller that does not read for a while is not gone. */
+    bb_stream_set_unacked_timeout(stream, BB_HTTP_SERVER_WRITE_TIMEOUT_MS);
     update_timer(c);
 }
 
--- a/net/stream.c
+++ b/net/stream.c
@@ -15,6 +15,7 @@
     const struct bb_stream_events *events;
     void *context;
     size_t queued_bytes;
+    uint32_t unacked_timeout_ms;
     bool is_connected;
     bool is_paused;
     bool is_output_ended; /* bb_stream_end_output was called */
@@ -82,7 +83,7 @@
 set_options(struct bb_stream *s)
 {
     int fd = -1;
-    unsigned unacked_ms = BB_STREAM_UNACKED_TIMEOUT_MS;
+    unsigned unacked_ms = s->unacked_timeout_ms;
     int idle_s = BB_STREAM_KEEPALIVE_IDLE_S;
     int interval_s = BB_STREAM_KEEPALIVE_INTERVAL_S;
     int probes = BB_STREAM_KEEPALIVE_PROBES;
@@ -193,6 +194,7 @@
 
     (void)uv_tcp_init(loop, &s->tcp);
     s->tcp.data = s;
+    s->unacked_timeout_ms = BB_STREAM_UNACKED_TIMEOUT_MS;
     return s;
 }
 
@@ -230,6 +232,14 @@
     s->context = context;
 }
 
+/* Replaces BB_STREAM_UNACKED_TIMEOUT_MS for an accepted connection; for use in
+ * bb_accept_callback. */
+void
+bb_stream_set_unacked_timeout(struct bb_stream *s, uint32_t ms)
+{
+    s->unacked_timeout_ms = ms;
+}
+
 /* Ends a queued write: reports a failure or, once the queue is empty, tells
  * the owner. */
 static void
--- a/tests/net/test_http_server.c
+++ b/tests/net/test_http_server.c
@@ -234,6 +234,17 @@
     bb_stream_write(c->stream, text, strlen(text));
 }
 
+/* Sends a part of a request body. */
+static void
+client_send_body(struct client *c, size_t size_bytes)
+{
+    char *body = g_malloc(size_bytes);
+
+    memset(body, 'x', size_bytes);
+    bb_stream_write(c->stream, body, size_bytes);
+    g_free(body);
+}
+
 static void
 client_free(struct client *c)
 {
@@ -403,6 +414,30 @@
     fixture_close(&f);
 }
 
+/* A response to a request whose body is not read in full reaches a caller that
+ * reads it late. */
+static void
+test_early_response_to_slow_reader(void)
+{
+    struct fixture f;
+    struct client *c;
+
+    fixture_open(&f);
+    f.limits.request_body_max_bytes = UINT64_MAX;
+    bb_http_server_set_limits(f.server, &f.limits);
+    c = client_open(&f);
+    bb_stream_pause(c->stream);
+    client_send(c, "POST /0/" LONG_BODY " HTTP/1.1\r\n"
+                   "Content-Length: 900000\r\n\r\n");
+    client_send_body(c, 400000);
+    fixture_run(&f, BB_HTTP_SERVER_LINGER_MS + 400);
+    CU_ASSERT_EQUAL(f.requests, 1);
+    bb_stream_resume(c->stream);
+    CU_ASSERT_TRUE(client_wait_bytes(&f, c, LONG_BODY_BYTES, 4000));
+    client_free(c);
+    fixture_close(&f);
+}
+
 static const struct bb_unit_test tests[] = {
     {"request behind a queued closing response",
      test_request_behind_queued_closing_response},
@@ -414,6 +449,7 @@
      test_idle_timeout_during_earlier_request},
     {"idle timeout during a response", test_idle_timeout_during_response},
     {"bytes behind a closing response", test_bytes_behind_closing_response},
+    {"early response to a slow reader", test_early_response_to_slow_reader},
 };
 
 BB_UNIT_MAIN("http_server", tests)
