http_server: read what has arrived before a timeout closes a connection

Callers saw: a request sent within the idle timeout ended with a closed connection if the host was short of processor time.

Cause: the loop runs due timers before it reads. When it is late, a timeout closes a connection whose next bytes arrived in time.

Change: a timeout that passes gives the loop one turn to read before the connection is closed.

Evidence: test_http_server, idle timeout of a late loop (300 ms late), failed before with one response of two.

--- a/net/http_server.c
+++ b/net/http_server.c
@@ -61,6 +61,7 @@
     uv_timer_t timer;
     enum timer_kind timer_kind;
     size_t timer_queued_bytes; /* when TIMER_WRITE was started */
+    bool has_timed_out;        /* closes after one more turn of the loop */
     bool is_last_request_read; /* nothing behind it is parsed */
     bool is_closing;           /* no further response is written */
     bool is_parsing_paused;    /* until an exchange ends */
@@ -230,6 +231,12 @@
     struct bb_http_server_connection *c = t->data;
     enum timer_kind kind = c->timer_kind;
 
+    if (!c->has_timed_out) {
+        /* A loop that is late has not read yet what arrived in time. */
+        c->has_timed_out = true;
+        (void)uv_timer_start(t, on_timeout, 1, 0);
+        return;
+    }
     c->timer_kind = TIMER_NONE;
     switch (kind) {
     case TIMER_WRITE:
@@ -302,6 +309,7 @@
 {
     enum timer_kind kind = choose_timer(c);
 
+    c->has_timed_out = false;
     if (kind == TIMER_NONE) {
         (void)uv_timer_stop(&c->timer);
     }
--- a/tests/net/test_http_server.c
+++ b/tests/net/test_http_server.c
@@ -167,6 +167,7 @@
     uv_timer_t *t = g_new0(uv_timer_t, 1);
     bool is_over = false;
 
+    uv_update_time(&f->loop);
     (void)uv_timer_init(&f->loop, t);
     t->data = &is_over;
     (void)uv_timer_start(t, on_wait_end, ms, 0);
@@ -438,6 +439,28 @@
     fixture_close(&f);
 }
 
+/* A request that arrives within the idle timeout is served even if the loop is
+ * late. */
+static void
+test_idle_timeout_of_late_loop(void)
+{
+    struct fixture f;
+    struct client *c;
+
+    fixture_open(&f);
+    f.limits.idle_timeout_ms = 200;
+    bb_http_server_set_limits(f.server, &f.limits);
+    c = client_open(&f);
+    client_send(c, "GET /0/1 HTTP/1.1\r\n\r\n");
+    fixture_run(&f, 100);
+    client_send(c, "GET /0/1 HTTP/1.1\r\n\r\n");
+    g_usleep(300 * 1000);
+    fixture_run(&f, 100);
+    CU_ASSERT_EQUAL(client_count(c, "HTTP/1.1 200"), 2);
+    client_free(c);
+    fixture_close(&f);
+}
+
 static const struct bb_unit_test tests[] = {
     {"request behind a queued closing response",
      test_request_behind_queued_closing_response},
@@ -448,6 +471,7 @@
     {"idle timeout during an earlier request",
      test_idle_timeout_during_earlier_request},
     {"idle timeout during a response", test_idle_timeout_during_response},
+    {"idle timeout of a late loop", test_idle_timeout_of_late_loop},
     {"bytes behind a closing response", test_bytes_behind_closing_response},
     {"early response to a slow reader", test_early_response_to_slow_reader},
 };
