http_server: keep the limits with which a request began

Callers saw: a request with a long body, allowed when it was sent, ended with a closed connection when an operator lowered max_body_bytes while the body was being passed on.

Cause: each piece of a body, and of a head, was checked against the limits in force at that moment.

Change: a request keeps the limits that were in force when its first bytes, or its head, had arrived.

Evidence: test_http_server, lowered body limit, failed before (the handler told of a disconnect, no response).

--- a/include/net/http_server.h
+++ b/include/net/http_server.h
@@ -81,9 +81,10 @@
 struct bb_http_exchange {
     struct bb_http_server_connection *connection;
     struct bb_http_head head;
-    GString *body;        /* received bytes that the handler has not removed */
-    uint64_t body_bytes;  /* received so far */
-    uint64_t received_us; /* when the head was complete */
+    GString *body;       /* received bytes that the handler has not removed */
+    uint64_t body_bytes; /* received so far */
+    uint64_t body_max_bytes; /* request_body_max_bytes when it began */
+    uint64_t received_us;    /* when the head was complete */
     bool is_body_complete;
     bool is_dispatched;       /* the handler was called */
     bool is_response_started; /* the head of the response was written or queued
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -463,6 +463,7 @@
     x->connection = c;
     x->received_us = bb_clock_now_us();
     x->body = g_string_new(NULL);
+    x->body_max_bytes = c->server->limits.request_body_max_bytes;
     x->head = *h;
     x->closes_connection = !h->is_keep_alive;
     c->is_last_request_read = !h->is_keep_alive;
@@ -470,7 +471,7 @@
     c->receiving = x;
     g_queue_push_tail(&c->exchanges, x);
     if (x->head.has_content_length &&
-        x->head.content_length > c->server->limits.request_body_max_bytes) {
+        x->head.content_length > x->body_max_bytes) {
         return false;
     }
     if (bb_http_head_get(&x->head, "Expect") != NULL &&
@@ -492,7 +493,7 @@
         return; /* the response has ended; the rest is dropped */
     }
     x->body_bytes += size_bytes;
-    if (x->body_bytes > c->server->limits.request_body_max_bytes) {
+    if (x->body_bytes > x->body_max_bytes) {
         return; /* advance_request rejects it */
     }
     g_string_append_len(x->body, data, (gssize)size_bytes);
@@ -507,10 +508,9 @@
 reject_unreadable(struct bb_http_server_connection *c)
 {
     bool is_large_head = c->reader.is_oversized;
-    bool is_large_body = c->receiving != NULL &&
-                         c->receiving->head.has_content_length &&
-                         c->receiving->head.content_length >
-                             c->server->limits.request_body_max_bytes;
+    bool is_large_body =
+        c->receiving != NULL && c->receiving->head.has_content_length &&
+        c->receiving->head.content_length > c->receiving->body_max_bytes;
 
     if (c->receiving != NULL && c->receiving->is_dispatched) {
         close_connection(c, bb_stream_close, BB_HTTP_SERVER_UNREADABLE_BODY);
@@ -544,7 +544,7 @@
          * closes. */
         return false;
     }
-    if (x->body_bytes > s->limits.request_body_max_bytes) {
+    if (x->body_bytes > x->body_max_bytes) {
         bb_counter_add(&oversized_total, 1);
         if (x->is_dispatched) {
             close_connection(c, bb_stream_close,
@@ -600,7 +600,10 @@
             }
             bb_http_reader_start_next(&c->reader);
         }
-        c->reader.head_limit_bytes = c->server->limits.request_head_max_bytes;
+        if (!c->reader.has_started) {
+            c->reader.head_limit_bytes =
+                c->server->limits.request_head_max_bytes;
+        }
         used +=
             bb_http_reader_feed(&c->reader, data + used, size_bytes - used);
         if (c->reader.state == BB_HTTP_READER_FAILED) {
@@ -764,7 +767,8 @@
     s->request_id_field = request_id_field;
 }
 
-/* Replaces the limits. They apply to connections already open, too. */
+/* Replaces the limits, also for open connections, but not for requests that
+ * have begun to arrive. */
 void
 bb_http_server_set_limits(struct bb_http_server *s,
                           const struct bb_http_server_limits *limits)
--- a/tests/net/test_http_server.c
+++ b/tests/net/test_http_server.c
@@ -461,6 +461,30 @@
     fixture_close(&f);
 }
 
+/* A lowered limit must not end a request whose body was allowed when it
+ * began. */
+static void
+test_lowered_body_limit(void)
+{
+    struct fixture f;
+    struct client *c;
+
+    fixture_open(&f);
+    c = client_open(&f);
+    client_send(c, "POST /300/1 HTTP/1.1\r\nContent-Length: 600000\r\n\r\n");
+    client_send_body(c, 400000);
+    fixture_run(&f, 50);
+    CU_ASSERT_EQUAL(f.requests, 1);
+    f.limits.request_body_max_bytes = 1000;
+    bb_http_server_set_limits(f.server, &f.limits);
+    client_send_body(c, 200000);
+    fixture_run(&f, 500);
+    CU_ASSERT_EQUAL(f.disconnected, 0);
+    CU_ASSERT_EQUAL(client_count(c, "HTTP/1.1 200"), 1);
+    client_free(c);
+    fixture_close(&f);
+}
+
 static const struct bb_unit_test tests[] = {
     {"request behind a queued closing response",
      test_request_behind_queued_closing_response},
@@ -474,6 +498,7 @@
     {"idle timeout of a late loop", test_idle_timeout_of_late_loop},
     {"bytes behind a closing response", test_bytes_behind_closing_response},
     {"early response to a slow reader", test_early_response_to_slow_reader},
+    {"lowered body limit", test_lowered_body_limit},
 };
 
 BB_UNIT_MAIN("http_server", tests)
