http_server: start a request that waited for earlier responses

Callers saw: a request that is not idempotent, sent behind another on the same connection, got no response at all; the connection stayed open until the caller gave up or the process ended.

Cause: once the responses before it were written, flush_responses found the waiting request first in the queue and returned before the parsing, which starts it, was resumed.

Change: parsing is resumed whenever the queue has moved on.

Evidence: test_http_server, waiting request is started, failed before (one request of three passed on, one response).

--- a/net/http_server.c
+++ b/net/http_server.c
@@ -396,7 +396,7 @@
            (x = g_queue_peek_head(&c->exchanges)) != NULL) {
         write_output(x);
         if (!x->is_response_ended) {
-            return;
+            break;
         }
         if (x->is_aborted) {
             close_connection(c, bb_stream_reset,
--- a/tests/net/test_http_server.c
+++ b/tests/net/test_http_server.c
@@ -347,6 +347,25 @@
     fixture_close(&f);
 }
 
+/* A request that may not overlap is started after the earlier one. */
+static void
+test_waiting_request_is_started(void)
+{
+    struct fixture f;
+    struct client *c;
+
+    fixture_open(&f);
+    c = client_open(&f);
+    client_send(c, "GET /100/1 HTTP/1.1\r\n\r\n"
+                   "POST /0/2 HTTP/1.1\r\nContent-Length: 2\r\n\r\nxy"
+                   "GET /0/3 HTTP/1.1\r\n\r\n");
+    fixture_run(&f, 300);
+    CU_ASSERT_EQUAL(f.requests, 3);
+    CU_ASSERT_EQUAL(client_count(c, "HTTP/1.1 200"), 3);
+    client_free(c);
+    fixture_close(&f);
+}
+
 /* The idle timeout must not close a connection whose first request is in
  * progress while the body of a later one is incomplete. */
 static void
@@ -492,6 +511,7 @@
      test_request_behind_closing_response_being_sent},
     {"request behind one with Connection: close",
      test_request_behind_connection_close},
+    {"waiting request is started", test_waiting_request_is_started},
     {"idle timeout during an earlier request",
      test_idle_timeout_during_earlier_request},
     {"idle timeout during a response", test_idle_timeout_during_response},
