http_server: resume a response that had to wait for an earlier one

Callers saw: a response of more than about 320 KB behind another one on its connection stopped until its deadline; then the connection was reset, and the requests behind it were lost.

Cause: a response that waits is paused once 256 KB are queued, and resumed when the stream reports that its queue is empty. When its turn came and the socket took all at once, the stream queued nothing and reported nothing.

Change: the server tells the handler when it writes queued output and nothing stays queued.

Evidence: test_path, long pipelined response, failed before (no end within 2 s).

--- a/net/http_server.c
+++ b/net/http_server.c
@@ -364,6 +364,20 @@
     }
 }
 
+/* Tells the handler that nothing is queued for the socket, if the first
+ * exchange was dispatched and its response is incomplete. */
+static void
+report_output_drained(struct bb_http_server_connection *c)
+{
+    struct bb_http_exchange *x = g_queue_peek_head(&c->exchanges);
+
+    if (x != NULL && x->is_dispatched && !x->is_response_ended &&
+        bb_stream_queued_bytes(c->stream) == 0 &&
+        c->server->handler->output_drained != NULL) {
+        c->server->handler->output_drained(c->server->context, x);
+    }
+}
+
 /* Ends a connection after its last response. Received bytes are read and
  * dropped until the peer closes too, for at most BB_HTTP_SERVER_LINGER_MS
  * after the last byte was written: unread ones would turn the close into a
@@ -396,6 +410,7 @@
            (x = g_queue_peek_head(&c->exchanges)) != NULL) {
         write_output(x);
         if (!x->is_response_ended) {
+            report_output_drained(c); /* the stream reports what it queued */
             break;
         }
         if (x->is_aborted) {
@@ -686,20 +701,15 @@
     close_connection(context, bb_stream_close, BB_HTTP_SERVER_PEER_CLOSED);
 }
 
-/* Tells the handler that all queued bytes were written, if the oldest exchange
- * was dispatched and its response is incomplete. */
+/* Notes that all queued bytes were written. */
 static void
 on_output_drained(void *context)
 {
     struct bb_http_server_connection *c = context;
-    struct bb_http_exchange *x = g_queue_peek_head(&c->exchanges);
 
     forget_unsent(c);
     update_timer(c);
-    if (x != NULL && x->is_dispatched && !x->is_response_ended &&
-        c->server->handler->output_drained != NULL) {
-        c->server->handler->output_drained(c->server->context, x);
-    }
+    report_output_drained(c);
 }
 
 static const struct bb_stream_events stream_events = {
--- a/tests/path/test_path.c
+++ b/tests/path/test_path.c
@@ -632,6 +632,51 @@
     fixture_close(&b);
 }
 
+/* More than the entry queues for a response that waits for an earlier one. */
+#define LONG_RESPONSE_BYTES 1000000
+
+static struct scripted_response
+respond_second_long(struct upstream *u, uint32_t number,
+                    const struct bb_http_head *h)
+{
+    static char *text;
+
+    (void)u;
+    (void)number;
+    if (strcmp(bb_http_head_get(h, T_ID), "a1") == 0) {
+        return (struct scripted_response){.text = ok_response,
+                                          .delay_ms = 300};
+    }
+    if (text == NULL) {
+        char *body = g_strnfill(LONG_RESPONSE_BYTES - 3, 'b');
+
+        text = g_strdup_printf("HTTP/1.1 200 OK\r\nT-Id: {id}\r\n"
+                               "T-Seal: s\r\nContent-Length: %d\r\n\r\n"
+                               "%send",
+                               LONG_RESPONSE_BYTES, body);
+        g_free(body);
+    }
+    return (struct scripted_response){.text = text};
+}
+
+/* Guards against: a long response that stops because it had to wait for an
+ * earlier one of its connection. */
+static void
+test_long_pipelined_response(void)
+{
+    struct path_fixture b;
+    struct client *c;
+
+    fixture_open(&b);
+    fixture_set_rules(&b, 3000, 1);
+    set_scripts(&b, respond_second_long);
+    c = client_open(&b);
+    client_send(c, SAFE("a1") "\r\n" SAFE("a2") "\r\n");
+    CU_ASSERT_TRUE(fixture_wait_text(&b, c, "bend", 2000));
+    client_free(c);
+    fixture_close(&b);
+}
+
 /* Guards against: queued requests that get no response, a queue that refuses
  * requests which it could serve in time, and refused ones that run. */
 static void
@@ -736,6 +781,7 @@
     {"short deadlines", test_short_deadlines},
     {"restarted gate", test_restarted_gate},
     {"pipelined requests", test_pipeline},
+    {"long pipelined response", test_long_pipelined_response},
     {"queue", test_queue},
     {"long body", test_long_body},
     {"unreachable upstream", test_upstream_unreachable},
