http_server: ignore the rest of a body whose response is complete

Callers saw: a pipelined request that was refused before its body had arrived got several responses, so that later ones were taken for responses to other requests.

Cause: a response that is complete while an earlier one is pending did not end its request: advance_request passed it to the handler again as its body arrived.

--- a/net/http_server.c
+++ b/net/http_server.c
@@ -559,6 +559,14 @@
          * closes. */
         return false;
     }
+    if (x->is_response_ended) {
+        /* It waits for earlier ones; the body is dropped. */
+        if (is_done) {
+            x->is_body_complete = true;
+            c->receiving = NULL;
+        }
+        return is_done;
+    }
     if (x->body_bytes > x->body_max_bytes) {
         bb_counter_add(&oversized_total, 1);
         if (x->is_dispatched) {
@@ -574,7 +582,7 @@
         x->is_body_complete = true;
         c->receiving = NULL;
     }
-    if (x->is_dispatched && !x->is_response_ended) {
+    if (x->is_dispatched) {
         if (s->handler->body_received != NULL) {
             s->handler->body_received(s->context, x);
         }
--- a/tests/net/test_http_server.c
+++ b/tests/net/test_http_server.c
@@ -504,6 +504,30 @@
     fixture_close(&f);
 }
 
+/* A request whose response is complete before its body gets no second one. */
+static void
+test_early_response_behind_another(void)
+{
+    struct fixture f;
+    struct client *c;
+
+    fixture_open(&f);
+    c = client_open(&f);
+    client_send(c, "GET /400/1 HTTP/1.1\r\n\r\n"
+                   "GET /0/2 HTTP/1.1\r\nContent-Length: 900000\r\n\r\n");
+    client_send_body(c, 300000);
+    fixture_run(&f, 100);
+    client_send_body(c, 300000);
+    fixture_run(&f, 100);
+    client_send_body(c, 300000);
+    fixture_run(&f, 400);
+    CU_ASSERT_EQUAL(f.requests, 2);
+    CU_ASSERT_EQUAL(client_count(c, "HTTP/1.1 200"), 2);
+    CU_ASSERT_EQUAL(client_count(c, "HTTP/1.1 "), 2);
+    client_free(c);
+    fixture_close(&f);
+}
+
 static const struct bb_unit_test tests[] = {
     {"request behind a queued closing response",
      test_request_behind_queued_closing_response},
@@ -519,6 +543,7 @@
     {"bytes behind a closing response", test_bytes_behind_closing_response},
     {"early response to a slow reader", test_early_response_to_slow_reader},
     {"lowered body limit", test_lowered_body_limit},
+    {"early response behind another", test_early_response_behind_another},
 };
 
 BB_UNIT_MAIN("http_server", tests)
