http_server: count the time limit of a head from its first byte

Callers saw nothing; a client could hold a connection without end by sending a byte of a head now and then.

Cause: each received piece started the limit anew.

Change: the timer is started again only when the state of the connection changes, except the idle timeout. Each head has a time limit of its own.

Evidence: test_http_server, head timeout of a trickling head (a byte each 100 ms, limit 500 ms), failed before: still open after 800 ms.

--- a/include/net/http_server.h
+++ b/include/net/http_server.h
@@ -34,13 +34,13 @@
 /* Length of a body that is sent in chunks. */
 enum { BB_HTTP_LENGTH_CHUNKED = -1 };
 
-/* Limits of requests, all above 0. Received bytes restart both timeouts.
- * Neither runs while a request of the connection is in progress or its
- * response is being sent. */
+/* Limits of requests, all above 0. Received bytes restart idle_timeout_ms
+ * only. Neither timeout runs while a request of the connection is in progress
+ * or its response is being sent. */
 struct bb_http_server_limits {
     /* Longest head; a longer one gets status 431. Default: 32 KiB. */
     uint32_t request_head_max_bytes;
-    /* While a head is received. Default: 10 s. */
+    /* From the first byte of a head to its end. Default: 10 s. */
     uint32_t head_timeout_ms;
     /* Between requests, and while a request body is received.
      * Default: 60 s. */
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -303,12 +303,16 @@
     return 0;
 }
 
-/* Starts or stops the timer as the state of the connection requires. */
+/* Starts or stops the timer as the state of the connection requires. Only the
+ * idle timeout starts anew while the state is the same. */
 static void
 update_timer(struct bb_http_server_connection *c)
 {
     enum timer_kind kind = choose_timer(c);
 
+    if (kind == c->timer_kind && kind != TIMER_IDLE) {
+        return;
+    }
     c->has_timed_out = false;
     if (kind == TIMER_NONE) {
         (void)uv_timer_stop(&c->timer);
@@ -475,6 +479,9 @@
     struct bb_http_head *h = &c->reader.head;
     struct bb_http_exchange *x = g_new0(struct bb_http_exchange, 1);
 
+    /* The next head has a time limit of its own. */
+    (void)uv_timer_stop(&c->timer);
+    c->timer_kind = TIMER_NONE;
     x->connection = c;
     x->received_us = bb_clock_now_us();
     x->body = g_string_new(NULL);
--- a/tests/net/test_http_server.c
+++ b/tests/net/test_http_server.c
@@ -504,6 +504,28 @@
     fixture_close(&f);
 }
 
+/* Bytes that trickle in must not extend the time limit of a head. */
+static void
+test_head_timeout_of_trickling_head(void)
+{
+    struct fixture f;
+    struct client *c;
+
+    fixture_open(&f);
+    f.limits.head_timeout_ms = 500;
+    bb_http_server_set_limits(f.server, &f.limits);
+    c = client_open(&f);
+    client_send(c, "GET /0/1 HTTP/1.1\r\nA: ");
+    for (uint32_t i = 0; i < 8; i++) {
+        fixture_run(&f, 100);
+        client_send(c, "x");
+    }
+    CU_ASSERT_TRUE(c->is_ended);
+    CU_ASSERT_EQUAL(f.requests, 0);
+    client_free(c);
+    fixture_close(&f);
+}
+
 /* A request whose response is complete before its body gets no second one. */
 static void
 test_early_response_behind_another(void)
@@ -543,6 +565,7 @@
     {"bytes behind a closing response", test_bytes_behind_closing_response},
     {"early response to a slow reader", test_early_response_to_slow_reader},
     {"lowered body limit", test_lowered_body_limit},
+    {"head timeout of a trickling head", test_head_timeout_of_trickling_head},
     {"early response behind another", test_early_response_behind_another},
 };
 
