http_server: answer a request whose body is wrong after it was passed on

Callers saw: a request with a long body was ended by a closed connection without a response if its body exceeded the limit, or was malformed, after the first 256 KB.

Cause: the server could reject a request only before the handler had it.

Change: the handler is told that the request has ended, as for a caller that left, and the server responds with 413, 431 or 400. A response that was written in part is broken off by a reset, so that it does not look complete.

Evidence: test_http_server, error in the body of a started request, failed before (no response).

--- a/include/net/http_server.h
+++ b/include/net/http_server.h
@@ -45,8 +45,7 @@
     /* Between requests, and while a request body is received.
      * Default: 60 s. */
     uint32_t idle_timeout_ms;
-    /* Longest body; a longer one gets status 413, or a closed connection if
-     * the handler was called before. Default: 64 MiB. */
+    /* Longest body; a longer one gets status 413. Default: 64 MiB. */
     uint64_t request_body_max_bytes;
 };
 
@@ -114,7 +113,8 @@
     /* All queued bytes of the response were written. */
     void (*output_drained)(void *context, struct bb_http_exchange *x);
     /* The connection was closed, by either side, before the response to a
-     * started request was complete. This is the last callback for it. */
+     * started request was complete, or the server has rejected the request
+     * because of its body. This is the last callback for it. */
     void (*disconnected)(void *context, struct bb_http_exchange *x,
                          enum bb_http_server_close_reason reason);
 };
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -524,28 +524,55 @@
 static const struct bb_http_reader_events reader_events = {.head = on_head,
                                                            .body = on_body};
 
-/* Rejects a request that the reader refused, or closes the connection if the
- * request was already passed to the handler. */
+/* Rejects the request being received because of its body. The handler is told
+ * if it has the request. A response that was written in part is broken off;
+ * one that is complete stands. */
 static void
-reject_unreadable(struct bb_http_server_connection *c)
+reject_body(struct bb_http_server_connection *c, uint32_t status,
+            const char *reason)
 {
-    bool is_large_head = c->reader.is_oversized;
-    bool is_large_body =
-        c->receiving != NULL && c->receiving->head.has_content_length &&
-        c->receiving->head.content_length > c->receiving->body_max_bytes;
+    struct bb_http_exchange *x = c->receiving;
 
-    if (c->receiving != NULL && c->receiving->is_dispatched) {
-        close_connection(c, bb_stream_close, BB_HTTP_SERVER_UNREADABLE_BODY);
+    if (x->is_response_ended) {
         return;
     }
-    if (is_large_head || is_large_body) {
-        bb_counter_add(&oversized_total, 1);
-        reject_request(c, is_large_head ? 431 : 413,
-                       "the request is too large\n");
+    if (x->is_dispatched && c->server->handler->disconnected != NULL) {
+        c->server->handler->disconnected(c->server->context, x,
+                                         BB_HTTP_SERVER_UNREADABLE_BODY);
+    }
+    if (x->is_response_started && x->pending_head == NULL) {
+        bb_http_exchange_abort(x);
         return;
     }
-    bb_counter_add(&malformed_total, 1);
-    reject_request(c, 400, "the request cannot be read\n");
+    if (x->pending_head != NULL) {
+        g_string_free(x->pending_head, TRUE);
+        x->pending_head = NULL;
+    }
+    if (x->pending_output != NULL) {
+        g_string_truncate(x->pending_output, 0);
+    }
+    reject_request(c, status, reason);
+}
+
+/* Rejects a request that the reader refused. */
+static void
+reject_unreadable(struct bb_http_server_connection *c)
+{
+    const struct bb_http_exchange *x = c->receiving;
+    bool is_long_body = x != NULL && x->head.has_content_length &&
+                        x->head.content_length > x->body_max_bytes;
+    bool is_oversized = c->reader.is_oversized || is_long_body;
+    uint32_t status = c->reader.is_oversized ? 431 : is_long_body ? 413 : 400;
+    const char *reason = is_oversized ? "the request is too large\n"
+                                      : "the request cannot be read\n";
+
+    bb_counter_add(is_oversized ? &oversized_total : &malformed_total, 1);
+    if (x != NULL) {
+        reject_body(c, status, reason);
+    }
+    else {
+        reject_request(c, status, reason);
+    }
 }
 
 /* Passes the request being received to the handler once its body is complete
@@ -576,13 +603,7 @@
     }
     if (x->body_bytes > x->body_max_bytes) {
         bb_counter_add(&oversized_total, 1);
-        if (x->is_dispatched) {
-            close_connection(c, bb_stream_close,
-                             BB_HTTP_SERVER_UNREADABLE_BODY);
-        }
-        else {
-            reject_request(c, 413, "the body is too large\n");
-        }
+        reject_body(c, 413, "the body is too large\n");
         return false;
     }
     if (is_done) {
--- a/tests/net/test_http_server.c
+++ b/tests/net/test_http_server.c
@@ -504,6 +504,39 @@
     fixture_close(&f);
 }
 
+/* A body that exceeds the limit, or is malformed, after its request was passed
+ * on gets an error response rather than a closed connection. */
+static void
+test_error_in_body_of_started_request(void)
+{
+    static const char *const ends[][2] = {{"FFFFFFFF\r\n", "HTTP/1.1 413"},
+                                          {"zz\r\n", "HTTP/1.1 400"}};
+    struct fixture f;
+    struct client *c;
+
+    for (size_t i = 0; i < G_N_ELEMENTS(ends); i++) {
+        fixture_open(&f);
+        f.limits.request_body_max_bytes = 500000;
+        bb_http_server_set_limits(f.server, &f.limits);
+        c = client_open(&f);
+        client_send(c, "POST /900/1 HTTP/1.1\r\n"
+                       "Transfer-Encoding: chunked\r\n\r\n"
+                       "61A80\r\n");
+        client_send_body(c, 400000);
+        client_send(c, "\r\n");
+        fixture_run(&f, 50);
+        CU_ASSERT_EQUAL(f.requests, 1);
+        client_send(c, ends[i][0]);
+        client_send_body(c, 200000);
+        fixture_run(&f, 300);
+        CU_ASSERT_EQUAL(f.disconnected, 1);
+        CU_ASSERT_EQUAL(client_count(c, ends[i][1]), 1);
+        CU_ASSERT_EQUAL(client_count(c, "HTTP/1.1 "), 1);
+        client_free(c);
+        fixture_close(&f);
+    }
+}
+
 /* Bytes that trickle in must not extend the time limit of a head. */
 static void
 test_head_timeout_of_trickling_head(void)
@@ -565,6 +598,8 @@
     {"bytes behind a closing response", test_bytes_behind_closing_response},
     {"early response to a slow reader", test_early_response_to_slow_reader},
     {"lowered body limit", test_lowered_body_limit},
+    {"error in the body of a started request",
+     test_error_in_body_of_started_request},
     {"head timeout of a trickling head", test_head_timeout_of_trickling_head},
     {"early response behind another", test_early_response_behind_another},
 };
