http_server: respond with 408 to a request that does not arrive in time

Callers saw: a request whose head or body came too slowly ended with a closed connection without a response.

Change: such a request gets 408, which says truthfully that it did not run, and the connection closes after it. A connection without a begun request is closed as before. The table of reasons in the log names each entry by its reason; since the write timeout was added they were off by one.

Evidence: test_http_server, request body that stalls, failed before (no response).

--- a/include/net/http_server.h
+++ b/include/net/http_server.h
@@ -40,10 +40,11 @@
 struct bb_http_server_limits {
     /* Longest head; a longer one gets status 431. Default: 32 KiB. */
     uint32_t request_head_max_bytes;
-    /* From the first byte of a head to its end. Default: 10 s. */
+    /* From the first byte of a head to its end; a slower one gets status 408.
+     * Default: 10 s. */
     uint32_t head_timeout_ms;
-    /* Between requests, and while a request body is received.
-     * Default: 60 s. */
+    /* Between requests, and between the pieces of a request body, which gets
+     * status 408 then. Default: 60 s. */
     uint32_t idle_timeout_ms;
     /* Longest body; a longer one gets status 413. Default: 64 MiB. */
     uint64_t request_body_max_bytes;
@@ -53,7 +54,6 @@
 enum bb_http_server_close_reason {
     BB_HTTP_SERVER_PEER_CLOSED, /* or the connection failed */
     BB_HTTP_SERVER_IDLE_TIMEOUT,
-    BB_HTTP_SERVER_HEAD_TIMEOUT,
     BB_HTTP_SERVER_WRITE_TIMEOUT,    /* BB_HTTP_SERVER_WRITE_TIMEOUT_MS */
     BB_HTTP_SERVER_LINGER_TIMEOUT,   /* BB_HTTP_SERVER_LINGER_MS */
     BB_HTTP_SERVER_CLOSING_RESPONSE, /* an earlier response said so */
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -21,7 +21,7 @@
 BB_COUNTER(oversized_total, "baobab_server_oversized_total",
            "Requests refused because their head or body is too large");
 BB_COUNTER(slow_head_total, "baobab_server_slow_head_total",
-           "Connections closed because a head took too long");
+           "Requests refused because their head took too long");
 
 /* What the timer of a connection waits for. */
 enum timer_kind {
@@ -71,6 +71,8 @@
 
 static void resume_parsing(struct bb_http_server_connection *c);
 static void update_timer(struct bb_http_server_connection *c);
+static void reject_request(struct bb_http_server_connection *c,
+                           uint32_t status, const char *reason);
 
 /* Frees an exchange. */
 static void
@@ -103,10 +105,15 @@
 static const char *
 close_reason_name(enum bb_http_server_close_reason r)
 {
-    static const char *const names[] = {"peer_closed",      "idle_timeout",
-                                        "head_timeout",     "linger_timeout",
-                                        "closing_response", "aborted_response",
-                                        "unreadable_body",  "server_stopped"};
+    static const char *const names[] = {
+        [BB_HTTP_SERVER_PEER_CLOSED] = "peer_closed",
+        [BB_HTTP_SERVER_IDLE_TIMEOUT] = "idle_timeout",
+        [BB_HTTP_SERVER_WRITE_TIMEOUT] = "write_timeout",
+        [BB_HTTP_SERVER_LINGER_TIMEOUT] = "linger_timeout",
+        [BB_HTTP_SERVER_CLOSING_RESPONSE] = "closing_response",
+        [BB_HTTP_SERVER_ABORTED_RESPONSE] = "aborted_response",
+        [BB_HTTP_SERVER_UNREADABLE_BODY] = "unreadable_body",
+        [BB_HTTP_SERVER_STOPPED] = "server_stopped"};
 
     return names[r];
 }
@@ -223,8 +230,9 @@
     uv_close((uv_handle_t *)&c->timer, free_connection);
 }
 
-/* Closes a connection whose timeout has passed. One that is sending is closed
- * only if the peer has taken nothing meanwhile. */
+/* Closes a connection whose timeout has passed, with a response if a request
+ * has begun to arrive. One that is sending is closed only if the peer has
+ * taken nothing meanwhile. */
 static void
 on_timeout(uv_timer_t *t)
 {
@@ -248,14 +256,20 @@
         break;
     case TIMER_HEAD:
         bb_counter_add(&slow_head_total, 1);
-        close_connection(c, bb_stream_close, BB_HTTP_SERVER_HEAD_TIMEOUT);
+        reject_request(c, 408, "the request did not arrive in time\n");
         break;
     case TIMER_LINGER:
         close_connection(c, bb_stream_close, BB_HTTP_SERVER_LINGER_TIMEOUT);
         break;
     case TIMER_IDLE:
+        if (c->receiving != NULL) {
+            reject_request(c, 408, "the request did not arrive in time\n");
+        }
+        else {
+            close_connection(c, bb_stream_close, BB_HTTP_SERVER_IDLE_TIMEOUT);
+        }
+        break;
     case TIMER_NONE:
-        close_connection(c, bb_stream_close, BB_HTTP_SERVER_IDLE_TIMEOUT);
         break;
     }
 }
--- a/tests/net/test_http_server.c
+++ b/tests/net/test_http_server.c
@@ -583,6 +583,27 @@
     fixture_close(&f);
 }
 
+/* A request body that does not arrive gets 408 rather than a closed
+ * connection. */
+static void
+test_request_body_that_stalls(void)
+{
+    struct fixture f;
+    struct client *c;
+
+    fixture_open(&f);
+    f.limits.idle_timeout_ms = 200;
+    bb_http_server_set_limits(f.server, &f.limits);
+    c = client_open(&f);
+    client_send(c, "POST /0/1 HTTP/1.1\r\nContent-Length: 2\r\n\r\nx");
+    fixture_run(&f, 400);
+    CU_ASSERT_EQUAL(f.requests, 0);
+    CU_ASSERT_EQUAL(client_count(c, "HTTP/1.1 408"), 1);
+    CU_ASSERT_TRUE(c->is_ended);
+    client_free(c);
+    fixture_close(&f);
+}
+
 static const struct bb_unit_test tests[] = {
     {"request behind a queued closing response",
      test_request_behind_queued_closing_response},
@@ -602,6 +623,7 @@
      test_error_in_body_of_started_request},
     {"head timeout of a trickling head", test_head_timeout_of_trickling_head},
     {"early response behind another", test_early_response_behind_another},
+    {"request body that stalls", test_request_body_that_stalls},
 };
 
 BB_UNIT_MAIN("http_server", tests)
