--- a/common/settings.c
+++ b/common/settings.c
@@ -102,12 +102,13 @@
         *s->to.flag = value[0] == '1';
         return true;
     case BB_SETTING_TEXT:
-        if (value[0] == '\0' || (s->max > 0 && strlen(value) > s->max)) {
+        if ((value[0] == '\0' && !s->may_be_empty) ||
+            (s->max > 0 && strlen(value) > s->max)) {
             return bb_error_set(
                 e, SETTINGS_ERROR_VALUE,
                 "setting %s: value '%s' is not allowed; use at "
-                "least 1 byte and at most %" PRIu64 " (0: no limit)",
-                s->name, value, s->max);
+                "least %d byte and at most %" PRIu64 " (0: no limit)",
+                s->name, value, s->may_be_empty ? 0 : 1, s->max);
         }
         *s->to.text = value;
         return true;
--- a/include/common/settings.h
+++ b/include/common/settings.h
@@ -40,9 +40,9 @@
      * given value is. */
     const char *default_value;
     uint64_t min; /* of a number */
-    /* Of a number, or of the bytes of a text (0: no limit). An empty text is
-     * always refused. */
+    /* Of a number, or of the bytes of a text (0: no limit). */
     uint64_t max;
+    bool may_be_empty; /* of a text */
     union {
         bool *flag;
         const char **text;
--- a/include/path/daemon.h
+++ b/include/path/daemon.h
@@ -47,6 +47,7 @@
          .help = "file with settings that may change, read again on SIGHUP",  \
          .kind = BB_SETTING_TEXT,                                             \
          .default_value = "",                                                 \
+         .may_be_empty = true,                                                \
          .to.text = &(settings_)->live_settings_file},                        \
         BB_SETTING_REQUIRED_ADDRESS("listen-metrics",                         \
                                     "metrics in the Prometheus text format",  \
--- a/tests/common/test_settings.c
+++ b/tests/common/test_settings.c
@@ -9,6 +9,7 @@
 
 static uint64_t port_number;
 static const char *zone_name;
+static const char *file_name;
 static bool is_verbose;
 static struct bb_address_list peer_list;
 
@@ -28,6 +29,13 @@
      .is_required = true,
      .max = 8,
      .to.text = &zone_name},
+    {.name = "test-file",
+     .value_name = "FILE",
+     .help = "file",
+     .kind = BB_SETTING_TEXT,
+     .default_value = "",
+     .may_be_empty = true,
+     .to.text = &file_name},
     {.name = "test-verbose",
      .help = "more",
      .kind = BB_SETTING_FLAG,
@@ -121,6 +129,29 @@
     CU_ASSERT_PTR_NOT_NULL(strstr(e.message, "BAOBAB_TEST_ZONE"));
 }
 
+/* Guards against a program that does not start because the empty default of an
+ * optional text fails the check of the text. */
+static void
+test_optional_text_may_be_empty(void)
+{
+    char *argv[] = {"test", "--test-zone=a1", "--test-file=f", NULL};
+    struct bb_error e = {0};
+
+    CU_ASSERT_EQUAL(read_settings(3, argv, &e), BB_SETTINGS_RUN);
+    CU_ASSERT_STRING_EQUAL(file_name, "f");
+    CU_ASSERT_EQUAL(read_settings(2, argv, &e), BB_SETTINGS_RUN);
+    CU_ASSERT_STRING_EQUAL(file_name, "");
+    (void)setenv("BAOBAB_TEST_FILE", "", 1);
+    file_name = NULL;
+    CU_ASSERT_EQUAL(read_settings(2, argv, &e), BB_SETTINGS_RUN);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(file_name);
+    CU_ASSERT_STRING_EQUAL(file_name, "");
+    (void)unsetenv("BAOBAB_TEST_FILE");
+    (void)setenv("BAOBAB_TEST_ZONE", "", 1);
+    CU_ASSERT_EQUAL(read_settings(1, argv, &e), BB_SETTINGS_INVALID);
+    (void)unsetenv("BAOBAB_TEST_ZONE");
+}
+
 static const struct bb_unit_test tests[] = {
     {"a flag takes precedence over environment and default",
      test_flag_takes_precedence_over_environment_and_default},
@@ -129,6 +160,7 @@
     {"bad values are refused", test_bad_values_are_refused},
     {"a missing required setting is named",
      test_missing_required_setting_is_named},
+    {"an optional text may be empty", test_optional_text_may_be_empty},
 };
 
 BB_UNIT_MAIN("settings", tests)
