Close the gate's kept connections before the loop's handles are closed

baobab-proxy ended by SIGABRT after a graceful stop whenever its gate had a kept connection to its upstream; all requests had been answered.

Cause: bb_gate_destroy left the connection pool to the close callback of the gate's timer. bb_daemon_destroy closes all handles of the loop before that callback runs, so the pool closed its connections a second time ("uv_close: Assertion `!uv__is_closing(handle)' failed", under free_gate, bb_connection_pool_destroy and bb_stream_close).

Change: bb_gate_destroy destroys the pool itself, as the entry does. Agent, control host, entry and metrics server already close their connections at once; their close callbacks only free memory.

Test: test_stop runs baobab-core and baobab-proxy and plays operator, caller and upstream.

--- a/path/gate.c
+++ b/path/gate.c
@@ -769,7 +769,6 @@
 {
     struct bb_gate *g = h->data;
 
-    bb_connection_pool_destroy(g->pool);
     g_hash_table_destroy(g->queued);
     g_hash_table_destroy(g->running);
     g_free(g);
@@ -781,6 +780,7 @@
 {
     if (g != NULL) {
         bb_http_server_destroy(g->server);
+        bb_connection_pool_destroy(g->pool);
         uv_close((uv_handle_t *)&g->timer, free_gate);
     }
 }
--- /dev/null
+++ b/tests/proxyd/fixture.c
@@ -0,0 +1,722 @@
+/* Implementation of the test fixture: processes and raw connections, driven by
+ * one poll loop. */
+#include "fixture.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <glib/gstdio.h>
+#include <poll.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/prctl.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "common/clock.h"
+#include "unit.h"
+
+enum {
+    READ_BYTES = 64 * 1024,
+    POLL_MS = 5,
+    START_TIMEOUT_MS = 20000,
+    CALL_TIMEOUT_MS = 2000,
+    RETRY_MS = 50,
+    ARGUMENTS_MAX = 32,
+    /* Of the random part of loopback addresses. */
+    OCTET_MAX = 254
+};
+
+/* Environment variables with the paths of the programs. */
+#define PROXY_PROGRAM "TEST_PROXY_PROGRAM"
+#define CORE_PROGRAM "TEST_CORE_PROGRAM"
+
+/* Opens a socket that listens on a free port of the address's IP, and sets the
+ * port. */
+static int
+listen_on_free_port(struct bb_address *a)
+{
+    struct sockaddr_storage s;
+    socklen_t length;
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+
+    a->port = 0;
+    length = bb_address_to_sockaddr(a, &s);
+    CU_ASSERT_EQUAL_FATAL(bind(fd, (struct sockaddr *)&s, length), 0);
+    CU_ASSERT_EQUAL_FATAL(listen(fd, SOMAXCONN), 0);
+    CU_ASSERT_EQUAL_FATAL(getsockname(fd, (struct sockaddr *)&s, &length), 0);
+    (void)bb_address_from_sockaddr(&s, a);
+    return fd;
+}
+
+/* Returns an address with a free port. */
+static struct bb_address
+free_address(const char *ip)
+{
+    struct bb_address a = {0};
+
+    g_strlcpy(a.ip, ip, sizeof(a.ip));
+    (void)close(listen_on_free_port(&a));
+    return a;
+}
+
+/* Returns the path of a file in the fixture's folder; the caller frees it. */
+static char *
+log_path(const struct fixture *f, const struct process *p)
+{
+    char *name = g_strconcat(p->name, ".log", NULL);
+    char *path = g_build_filename(f->folder, name, NULL);
+
+    g_free(name);
+    return path;
+}
+
+/* Runs a program whose path is in an environment variable. Its output goes to
+ * a file. It is killed if the test ends before it. `arguments` is freed. */
+static void
+start_process(const struct fixture *f, struct process *p, const char *name,
+              const char *path_variable, GPtrArray *arguments)
+{
+    const char *path = getenv(path_variable);
+    pid_t parent = getpid();
+    char *log;
+    int fd;
+
+    CU_ASSERT_PTR_NOT_NULL_FATAL(path);
+    p->name = g_strdup(name);
+    log = log_path(f, p);
+    fd = open(log, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+    CU_ASSERT_TRUE_FATAL(fd >= 0);
+    g_ptr_array_insert(arguments, 0, g_strdup(path));
+    g_ptr_array_add(arguments, NULL);
+    p->pid = fork();
+    CU_ASSERT_TRUE_FATAL(p->pid >= 0);
+    if (p->pid == 0) {
+        (void)prctl(PR_SET_PDEATHSIG, SIGKILL);
+        if (getppid() == parent && dup2(fd, STDOUT_FILENO) >= 0 &&
+            dup2(fd, STDERR_FILENO) >= 0) {
+            (void)execv(path, (char **)arguments->pdata);
+        }
+        _exit(EXIT_FAILURE);
+    }
+    (void)close(fd);
+    g_free(log);
+    g_ptr_array_free(arguments, TRUE);
+}
+
+void
+process_signal(const struct process *p, int number)
+{
+    if (p->pid != 0) {
+        (void)kill(p->pid, number);
+    }
+}
+
+/* Serves the connections until a process has ended, for at most `ms`
+ * milliseconds. Returns whether it has, and sets wait_status. */
+bool
+process_wait(struct fixture *f, struct process *p, uint32_t ms)
+{
+    uint64_t end_us = bb_clock_now_us() + (uint64_t)ms * BB_US_PER_MS;
+
+    while (p->pid != 0) {
+        if (waitpid(p->pid, &p->wait_status, WNOHANG) == p->pid) {
+            p->pid = 0;
+        }
+        else if (bb_clock_now_us() >= end_us) {
+            return false;
+        }
+        else {
+            fixture_run(f, POLL_MS);
+        }
+    }
+    return true;
+}
+
+/* Kills a process that has not ended. */
+static void
+kill_process(struct process *p)
+{
+    if (p->pid != 0) {
+        (void)kill(p->pid, SIGKILL);
+        (void)waitpid(p->pid, &p->wait_status, 0);
+        p->pid = 0;
+    }
+}
+
+/* Adds the test's end of a connection. */
+static struct peer *
+add_peer(struct fixture *f, int fd)
+{
+    struct peer *c = g_new0(struct peer, 1);
+
+    c->fd = fd;
+    c->received = g_string_new(NULL);
+    c->unsent = g_string_new(NULL);
+    g_ptr_array_add(f->peers, c);
+    return c;
+}
+
+static void
+free_peer(void *data)
+{
+    struct peer *c = data;
+
+    (void)close(c->fd);
+    g_string_free(c->received, TRUE);
+    g_string_free(c->unsent, TRUE);
+    g_free(c);
+}
+
+/* Connects to an address; the fixture frees the peer. receive_buffer_bytes
+ * limits the socket's buffer, 0: the system's default. */
+struct peer *
+peer_connect(struct fixture *f, const struct bb_address *to,
+             uint32_t receive_buffer_bytes)
+{
+    struct sockaddr_storage s;
+    socklen_t length = bb_address_to_sockaddr(to, &s);
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    struct peer *c = add_peer(f, fd);
+    int bytes = (int)receive_buffer_bytes;
+
+    if (bytes != 0) {
+        (void)setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
+    }
+    c->is_ended = connect(fd, (struct sockaddr *)&s, length) != 0;
+    (void)fcntl(fd, F_SETFL, O_NONBLOCK);
+    return c;
+}
+
+/* Sends what the socket accepts. */
+static void
+send_queued(struct peer *c)
+{
+    while (c->unsent->len > 0) {
+        ssize_t n = send(c->fd, c->unsent->str, c->unsent->len, MSG_NOSIGNAL);
+
+        if (n <= 0) {
+            return;
+        }
+        (void)g_string_erase(c->unsent, 0, n);
+    }
+}
+
+/* Sends a text, the rest of it while the fixture runs. */
+void
+peer_send(struct peer *c, const char *text)
+{
+    g_string_append(c->unsent, text);
+    send_queued(c);
+}
+
+/* Receives at most size_bytes. Returns how many were received. */
+size_t
+peer_read(struct peer *c, size_t size_bytes)
+{
+    static char buffer[READ_BYTES];
+    size_t total = 0;
+
+    while (total < size_bytes && !c->is_ended) {
+        ssize_t n =
+            recv(c->fd, buffer, MIN(sizeof(buffer), size_bytes - total), 0);
+
+        if (n > 0) {
+            g_string_append_len(c->received, buffer, n);
+            total += (size_t)n;
+        }
+        else if (n < 0 && (errno == EAGAIN || errno == EINTR)) {
+            break;
+        }
+        else {
+            c->is_ended = true;
+        }
+    }
+    return total;
+}
+
+/* Accepts connections to the upstream, and sends and receives on all. */
+static void
+serve_connections(struct fixture *f, int timeout_ms)
+{
+    struct pollfd *fds = g_new0(struct pollfd, f->peers->len + 1);
+    guint count = f->peers->len;
+
+    for (guint i = 0; i < count; i++) {
+        const struct peer *c = g_ptr_array_index(f->peers, i);
+
+        fds[i].fd = c->is_ended ? -1 : c->fd;
+        fds[i].events = (short)((c->is_paused ? 0 : POLLIN) |
+                                (c->unsent->len > 0 ? POLLOUT : 0));
+    }
+    fds[count].fd = f->upstream_listener;
+    fds[count].events = POLLIN;
+    (void)poll(fds, count + 1, timeout_ms);
+    for (guint i = 0; i < count; i++) {
+        struct peer *c = g_ptr_array_index(f->peers, i);
+
+        if ((fds[i].revents & POLLOUT) != 0) {
+            send_queued(c);
+        }
+        if ((fds[i].revents & ~POLLOUT) != 0 && !c->is_paused) {
+            (void)peer_read(c, READ_BYTES);
+        }
+    }
+    if ((fds[count].revents & POLLIN) != 0) {
+        int fd = accept4(f->upstream_listener, NULL, NULL,
+                         SOCK_CLOEXEC | SOCK_NONBLOCK);
+
+        if (fd >= 0) {
+            (void)add_peer(f, fd);
+        }
+    }
+    g_free(fds);
+}
+
+/* Serves the connections for `ms` milliseconds. */
+void
+fixture_run(struct fixture *f, uint32_t ms)
+{
+    uint64_t end_us = bb_clock_now_us() + (uint64_t)ms * BB_US_PER_MS;
+    uint64_t now_us;
+
+    while ((now_us = bb_clock_now_us()) < end_us) {
+        serve_connections(f, (int)((end_us - now_us) / BB_US_PER_MS) + 1);
+    }
+}
+
+/* Waits until a text was received. Returns whether it was. */
+bool
+peer_wait_text(struct fixture *f, const struct peer *c, const char *text,
+               uint32_t ms)
+{
+    uint64_t end_us = bb_clock_now_us() + (uint64_t)ms * BB_US_PER_MS;
+
+    while (strstr(c->received->str, text) == NULL &&
+           bb_clock_now_us() < end_us && !c->is_ended) {
+        serve_connections(f, POLL_MS);
+    }
+    return strstr(c->received->str, text) != NULL;
+}
+
+/* Waits until as many bytes were received. Returns whether they were. */
+bool
+peer_wait_bytes(struct fixture *f, const struct peer *c, size_t size_bytes,
+                uint32_t ms)
+{
+    uint64_t end_us = bb_clock_now_us() + (uint64_t)ms * BB_US_PER_MS;
+
+    while (c->received->len < size_bytes && bb_clock_now_us() < end_us &&
+           !c->is_ended) {
+        serve_connections(f, POLL_MS);
+    }
+    return c->received->len >= size_bytes;
+}
+
+/* Waits until the other end has closed the connection. Returns whether it
+ * has. */
+bool
+peer_wait_end(struct fixture *f, const struct peer *c, uint32_t ms)
+{
+    uint64_t end_us = bb_clock_now_us() + (uint64_t)ms * BB_US_PER_MS;
+
+    while (!c->is_ended && bb_clock_now_us() < end_us) {
+        serve_connections(f, POLL_MS);
+    }
+    return c->is_ended;
+}
+
+/* Returns how many times a text occurs in the received bytes. */
+uint32_t
+peer_count(const struct peer *c, const char *text)
+{
+    uint32_t n = 0;
+
+    for (const char *at = c->received->str; (at = strstr(at, text)) != NULL;
+         at += strlen(text)) {
+        n++;
+    }
+    return n;
+}
+
+/* Waits until the head of a request with this id has arrived at the upstream.
+ * Returns its connection, or NULL. */
+struct peer *
+upstream_wait_request(struct fixture *f, const char *id, uint32_t ms)
+{
+    char *field = g_strconcat("X-Baobabshed-Request-Id: ", id, "\r\n", NULL);
+    uint64_t end_us = bb_clock_now_us() + (uint64_t)ms * BB_US_PER_MS;
+    struct peer *found = NULL;
+
+    do {
+        serve_connections(f, POLL_MS);
+        for (guint i = 0; i < f->peers->len && found == NULL; i++) {
+            struct peer *c = g_ptr_array_index(f->peers, i);
+            const char *at = strstr(c->received->str, field);
+
+            /* Only the gate names the instance that it expects. */
+            if (at != NULL && strstr(at, "\r\n\r\n") != NULL &&
+                strstr(c->received->str, "X-Baobabshed-Expect-Instance") !=
+                    NULL) {
+                found = c;
+            }
+        }
+    } while (found == NULL && bb_clock_now_us() < end_us);
+    g_free(field);
+    return found;
+}
+
+/* Responds to a request with status 200. NULL is ignored. */
+void
+upstream_respond(struct peer *c, const char *id, const char *body)
+{
+    char *head;
+
+    if (c == NULL) {
+        return;
+    }
+    head = g_strdup_printf("HTTP/1.1 200 OK\r\n"
+                           "X-Baobabshed-Request-Id: %s\r\n"
+                           "X-Baobabshed-Response-Seal: s\r\n"
+                           "Content-Length: %zu\r\n\r\n",
+                           id, strlen(body));
+    peer_send(c, head);
+    peer_send(c, body);
+    g_free(head);
+}
+
+/* Sends a request on a new connection and waits for the response. Returns its
+ * status, or 0. */
+static int
+call(struct fixture *f, const struct bb_address *to, const char *request)
+{
+    struct peer *c = peer_connect(f, to, 0);
+    int status = 0;
+
+    peer_send(c, request);
+    if (peer_wait_text(f, c, "\r\n\r\n", CALL_TIMEOUT_MS)) {
+        status = atoi(c->received->str + strlen("HTTP/1.1 "));
+    }
+    (void)g_ptr_array_remove(f->peers, c);
+    return status;
+}
+
+/* Builds an operator's request with the next configuration; the caller frees
+ * it. */
+GString *
+fixture_build_proposal(const struct fixture *f, uint32_t idle_timeout_ms,
+                       uint32_t body_max_bytes)
+{
+    static const char path[] =
+        "{\"name\":\"%s\",\"path_prefix\":\"/%s/\",\"route_type\":\"%s\","
+        "\"timeout_ms\":20000,\"target_latency_ms\":20000,\"priority\":1,"
+        "\"service\":\"s\",\"attempts\":1}";
+    GString *body = g_string_new(NULL);
+    GString *request = g_string_new(NULL);
+
+    g_string_append_printf(
+        body,
+        "{\"version\":%" G_GUINT64_FORMAT ",\"services\":[{\"name\":\"s\","
+        "\"health_path\":\"/health\",\"max_connections\":100}],\"limits\":"
+        "{\"max_header_bytes\":16384,\"max_body_bytes\":%u,"
+        "\"header_timeout_ms\":3000,\"idle_timeout_ms\":%u},"
+        "\"virtual_hosts\":[{\"host\":\"h.example\",\"paths\":[",
+        f->version + 1, body_max_bytes, idle_timeout_ms);
+    g_string_append_printf(body, path, "safe", "safe", "safe");
+    g_string_append_c(body, ',');
+    g_string_append_printf(body, path, "unsafe", "unsafe", "unsafe");
+    g_string_append(body, "]}]}");
+    g_string_append_printf(request,
+                           "POST /config/replace HTTP/1.1\r\nHost: o\r\n"
+                           "X-Baobabshed-Base-Version: %" G_GUINT64_FORMAT
+                           "\r\nContent-Length: %zu\r\n\r\n%s",
+                           f->version, body->len, body->str);
+    g_string_free(body, TRUE);
+    return request;
+}
+
+/* Proposes a configuration to each control host until the leader accepts it,
+ * and waits until the proxy has it. Returns whether it was accepted. */
+bool
+fixture_configure(struct fixture *f, uint32_t idle_timeout_ms,
+                  uint32_t body_max_bytes)
+{
+    GString *request =
+        fixture_build_proposal(f, idle_timeout_ms, body_max_bytes);
+    uint64_t end_us =
+        bb_clock_now_us() + (uint64_t)START_TIMEOUT_MS * BB_US_PER_MS;
+    bool is_accepted = false;
+    char *text;
+
+    for (uint32_t i = 0; !is_accepted && bb_clock_now_us() < end_us;
+         i = (i + 1) % f->core_count) {
+        is_accepted = call(f, &f->operator_addresses[i], request->str) == 200;
+        if (is_accepted) {
+            f->leader = i;
+            f->version++;
+        }
+        else {
+            fixture_run(f, RETRY_MS);
+        }
+    }
+    g_string_free(request, TRUE);
+    if (is_accepted && f->proxy.pid != 0) {
+        text =
+            g_strdup_printf("version %" G_GUINT64_FORMAT " index", f->version);
+        is_accepted = fixture_wait_log(f, &f->proxy, text, START_TIMEOUT_MS);
+        g_free(text);
+    }
+    return is_accepted;
+}
+
+/* Waits until a process has logged a text. Returns whether it has. */
+bool
+fixture_wait_log(struct fixture *f, const struct process *p, const char *text,
+                 uint32_t ms)
+{
+    uint64_t end_us = bb_clock_now_us() + (uint64_t)ms * BB_US_PER_MS;
+    char *path = log_path(f, p);
+    bool is_found = false;
+
+    while (!is_found && bb_clock_now_us() < end_us) {
+        char *log = NULL;
+
+        fixture_run(f, POLL_MS);
+        is_found = g_file_get_contents(path, &log, NULL, NULL) &&
+                   strstr(log, text) != NULL;
+        g_free(log);
+    }
+    g_free(path);
+    return is_found;
+}
+
+/* Adds a setting to the arguments of a program. */
+static void
+add_setting(GPtrArray *arguments, const char *name, const char *value)
+{
+    g_ptr_array_add(arguments, g_strdup_printf("--%s=%s", name, value));
+}
+
+/* Adds an address with a free port as a setting, and returns it. */
+static struct bb_address
+add_listener(GPtrArray *arguments, const char *name, const char *ip)
+{
+    struct bb_address a = free_address(ip);
+    char text[BB_ADDRESS_TEXT_BYTES];
+
+    add_setting(arguments, name, bb_address_format(&a, text));
+    return a;
+}
+
+/* Returns the settings that both programs have. */
+static GPtrArray *
+common_arguments(const char *name, const char *ip, const char *seeds,
+                 uint16_t control_port)
+{
+    GPtrArray *arguments = g_ptr_array_new_full(ARGUMENTS_MAX, g_free);
+    char port[8];
+
+    (void)snprintf(port, sizeof(port), "%u", control_port);
+    add_setting(arguments, "host", name);
+    add_setting(arguments, "ip", ip);
+    add_setting(arguments, "zone", "z");
+    add_setting(arguments, "region", "r");
+    add_setting(arguments, "seeds", seeds);
+    add_setting(arguments, "control-port", port);
+    (void)add_listener(arguments, "listen-metrics", ip);
+    return arguments;
+}
+
+/* Starts the control hosts on `network`.1 and following. Returns the seeds
+ * setting, which the caller frees. */
+static char *
+start_cores(struct fixture *f, const char *network, uint16_t control_port)
+{
+    GString *seeds = g_string_new(NULL);
+    char text[BB_ADDRESS_TEXT_BYTES];
+
+    for (uint32_t i = 0; i < f->core_count; i++) {
+        char *ip = g_strdup_printf("%s.%u", network, i + 1);
+
+        f->operator_addresses[i] = free_address(ip);
+        g_string_append_printf(
+            seeds, "%s%s", i > 0 ? "," : "",
+            bb_address_format(&f->operator_addresses[i], text));
+        g_free(ip);
+    }
+    for (uint32_t i = 0; i < f->core_count; i++) {
+        const struct bb_address *a = &f->operator_addresses[i];
+        char *name = g_strdup_printf("core%u", i);
+        char *data = g_build_filename(f->folder, name, NULL);
+        GPtrArray *arguments =
+            common_arguments(name, a->ip, seeds->str, control_port);
+
+        CU_ASSERT_EQUAL_FATAL(g_mkdir(data, 0700), 0);
+        add_setting(arguments, "data", data);
+        add_setting(arguments, "listen-operators", bb_address_format(a, text));
+        add_setting(arguments, "first-start", "true");
+        add_setting(arguments, "lost-hosts", f->core_count > 1 ? "1" : "0");
+        add_setting(arguments, "lost-zones", "0");
+        start_process(f, &f->cores[i], name, CORE_PROGRAM, arguments);
+        g_free(data);
+        g_free(name);
+    }
+    return g_string_free(seeds, FALSE);
+}
+
+/* Starts the proxy. */
+static void
+start_proxy(struct fixture *f, const char *ip, const char *seeds,
+            uint16_t control_port, uint32_t grace_s)
+{
+    GPtrArray *arguments = common_arguments("proxy", ip, seeds, control_port);
+    char text[BB_ADDRESS_TEXT_BYTES];
+    char grace[16];
+
+    (void)snprintf(grace, sizeof(grace), "%u", grace_s);
+    add_setting(arguments, "service", "s");
+    add_setting(arguments, "upstream",
+                bb_address_format(&f->upstream_address, text));
+    f->entry_address = add_listener(arguments, "listen-entry", ip);
+    (void)add_listener(arguments, "listen-gate", ip);
+    f->ready_address = add_listener(arguments, "listen-ready", ip);
+    f->announce_address = add_listener(arguments, "listen-announce", ip);
+    add_setting(arguments, "grace", grace);
+    start_process(f, &f->proxy, "proxy", PROXY_PROGRAM, arguments);
+}
+
+/* Calls until the status is 200. Returns whether it was in time. */
+static bool
+call_until_ok(struct fixture *f, const struct bb_address *to,
+              const char *request)
+{
+    uint64_t end_us =
+        bb_clock_now_us() + (uint64_t)START_TIMEOUT_MS * BB_US_PER_MS;
+
+    while (call(f, to, request) != 200) {
+        if (bb_clock_now_us() >= end_us) {
+            return false;
+        }
+        fixture_run(f, RETRY_MS);
+    }
+    return true;
+}
+
+/* Announces that the upstream is ready. */
+static bool
+announce_upstream(struct fixture *f)
+{
+    char text[BB_ADDRESS_TEXT_BYTES];
+    char *body = g_strdup_printf(
+        "{\"address\":\"%s\",\"info\":{\"service\":\"s\",\"version\":\"v1\","
+        "\"zone\":\"z\",\"max_concurrency\":16},\"status\":"
+        "{\"state\":\"ready\",\"seq\":1,\"warmup_left_ms\":0}}",
+        bb_address_format(&f->upstream_address, text));
+    char *request = g_strdup_printf("POST /instances/i-1/heartbeat HTTP/1.1"
+                                    "\r\nHost: n\r\nContent-Length: %zu"
+                                    "\r\n\r\n%s",
+                                    strlen(body), body);
+    bool is_accepted = call_until_ok(f, &f->announce_address, request);
+
+    g_free(request);
+    g_free(body);
+    return is_accepted;
+}
+
+/* Starts control hosts and a proxy, whose upstream is ready. Requests below
+ * /safe/ are idempotent, those below /unsafe/ are not. */
+void
+fixture_open(struct fixture *f, uint32_t core_count, uint32_t grace_s)
+{
+    char *network =
+        g_strdup_printf("127.%d.%d", g_random_int_range(1, OCTET_MAX),
+                        g_random_int_range(1, OCTET_MAX));
+    char *ip = g_strdup_printf("%s.10", network);
+    char *first_core_ip = g_strdup_printf("%s.1", network);
+    uint16_t control_port = free_address(first_core_ip).port;
+    char *seeds;
+
+    *f = (struct fixture){.core_count = core_count, .upstream_listener = -1};
+    f->failure_count = CU_get_number_of_failure_records();
+    f->folder = g_dir_make_tmp("baobab-stop-XXXXXX", NULL);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(f->folder);
+    f->peers = g_ptr_array_new_with_free_func(free_peer);
+    g_strlcpy(f->upstream_address.ip, ip, sizeof(f->upstream_address.ip));
+    f->upstream_listener = listen_on_free_port(&f->upstream_address);
+    seeds = start_cores(f, network, control_port);
+    CU_ASSERT_TRUE(
+        fixture_configure(f, FIXTURE_IDLE_TIMEOUT_MS, FIXTURE_BODY_MAX_BYTES));
+    start_proxy(f, ip, seeds, control_port, grace_s);
+    CU_ASSERT_TRUE(call_until_ok(f, &f->ready_address,
+                                 "GET /ready HTTP/1.1\r\nHost: n\r\n\r\n"));
+    CU_ASSERT_TRUE(announce_upstream(f));
+    g_free(seeds);
+    g_free(first_core_ip);
+    g_free(ip);
+    g_free(network);
+}
+
+/* Prints the log of a process. */
+static void
+print_log(const struct fixture *f, const struct process *p)
+{
+    char *path = log_path(f, p);
+    char *log = NULL;
+
+    if (g_file_get_contents(path, &log, NULL, NULL)) {
+        printf("\n%s", log);
+    }
+    g_free(log);
+    g_free(path);
+}
+
+/* Removes a folder and its files. */
+static void
+remove_folder(const char *path)
+{
+    GDir *folder = g_dir_open(path, 0, NULL);
+    const char *name;
+
+    while (folder != NULL && (name = g_dir_read_name(folder)) != NULL) {
+        char *file = g_build_filename(path, name, NULL);
+
+        if (g_file_test(file, G_FILE_TEST_IS_DIR)) {
+            remove_folder(file);
+        }
+        else {
+            (void)g_unlink(file);
+        }
+        g_free(file);
+    }
+    if (folder != NULL) {
+        g_dir_close(folder);
+    }
+    (void)g_rmdir(path);
+}
+
+/* Kills the processes that have not ended, and prints all logs if a check
+ * failed since fixture_open. */
+void
+fixture_close(struct fixture *f)
+{
+    bool has_failed = CU_get_number_of_failure_records() > f->failure_count;
+
+    kill_process(&f->proxy);
+    for (uint32_t i = 0; i < f->core_count; i++) {
+        kill_process(&f->cores[i]);
+        if (has_failed) {
+            print_log(f, &f->cores[i]);
+        }
+        g_free(f->cores[i].name);
+    }
+    if (has_failed) {
+        print_log(f, &f->proxy);
+    }
+    g_free(f->proxy.name);
+    g_ptr_array_free(f->peers, TRUE);
+    (void)close(f->upstream_listener);
+    remove_folder(f->folder);
+    g_free(f->folder);
+}
