--- a/net/http_server.c
+++ b/net/http_server.c
@@ -23,6 +23,15 @@
 BB_COUNTER(slow_head_total, "baobab_server_slow_head_total",
            "Connections closed because a head took too long");
 
+/* What the timer of a connection waits for. */
+enum timer_kind {
+    TIMER_NONE,  /* stopped: a request is in progress */
+    TIMER_IDLE,  /* bytes of the peer */
+    TIMER_HEAD,  /* the end of a head */
+    TIMER_WRITE, /* the peer to take bytes of a response */
+    TIMER_LINGER /* the peer to close */
+};
+
 struct bb_http_server {
     uv_loop_t *loop;
     struct bb_listener *listener;
@@ -46,14 +55,22 @@
         *receiving;    /* its request is incomplete, or NULL */
     GQueue exchanges;  /* in the order of their requests */
     GString *unparsed; /* received while parsing is paused */
+    /* The last exchange that ended, while bytes of its response are queued for
+     * the socket, else NULL; named in the log if they are dropped. */
+    struct bb_http_exchange *unsent;
     uv_timer_t timer;
-    bool is_closing;        /* no further response is written */
-    bool is_parsing_paused; /* until an exchange ends */
-    bool is_parsing;        /* inside parse_input */
+    enum timer_kind timer_kind;
+    size_t timer_queued_bytes; /* when TIMER_WRITE was started */
+    bool has_timed_out;        /* closes after one more turn of the loop */
+    bool is_last_request_read; /* nothing behind it is parsed */
+    bool is_closing;           /* no further response is written */
+    bool is_parsing_paused;    /* until an exchange ends */
+    bool is_parsing;           /* inside parse_input */
     bool is_closed;
 };
 
 static void resume_parsing(struct bb_http_server_connection *c);
+static void update_timer(struct bb_http_server_connection *c);
 
 /* Frees an exchange. */
 static void
@@ -63,6 +80,9 @@
         g_string_free(x->head.text, TRUE);
     }
     g_string_free(x->body, TRUE);
+    if (x->pending_head != NULL) {
+        g_string_free(x->pending_head, TRUE);
+    }
     if (x->pending_output != NULL) {
         g_string_free(x->pending_output, TRUE);
     }
@@ -126,6 +146,31 @@
     g_string_free(line, TRUE);
 }
 
+/* Frees the exchange whose response was being sent. */
+static void
+forget_unsent(struct bb_http_server_connection *c)
+{
+    if (c->unsent != NULL) {
+        free_exchange(c->unsent);
+        c->unsent = NULL;
+    }
+}
+
+/* Frees an exchange that has ended, but keeps it while bytes of its response
+ * are queued. */
+static void
+free_ended_exchange(struct bb_http_exchange *x)
+{
+    struct bb_http_server_connection *c = x->connection;
+
+    if (bb_stream_queued_bytes(c->stream) == 0) {
+        free_exchange(x);
+        return;
+    }
+    forget_unsent(c);
+    c->unsent = x;
+}
+
 /* Frees all exchanges of a connection. The handler is told of those whose
  * response it has not completed. */
 static void
@@ -161,6 +206,10 @@
     }
     c->is_closed = true;
     close_stream(c->stream);
+    if (c->unsent != NULL && reason != BB_HTTP_SERVER_PEER_CLOSED) {
+        log_dropped_request(c->unsent, reason);
+    }
+    forget_unsent(c);
     discard_exchanges(c, reason);
     if (c->previous != NULL) {
         c->previous->next = c->next;
@@ -174,49 +223,165 @@
     uv_close((uv_handle_t *)&c->timer, free_connection);
 }
 
-/* Closes a connection that has been idle, slow or closing for too long. */
+/* Closes a connection whose timeout has passed. One that is sending is closed
+ * only if the peer has taken nothing meanwhile. */
 static void
 on_timeout(uv_timer_t *t)
 {
     struct bb_http_server_connection *c = t->data;
-    enum bb_http_server_close_reason reason = BB_HTTP_SERVER_IDLE_TIMEOUT;
+    enum timer_kind kind = c->timer_kind;
 
-    if (c->is_closing) {
-        reason = BB_HTTP_SERVER_LINGER_TIMEOUT;
+    if (!c->has_timed_out) {
+        /* A loop that is late has not read yet what arrived in time. */
+        c->has_timed_out = true;
+        (void)uv_timer_start(t, on_timeout, 1, 0);
+        return;
     }
-    else if (c->reader.has_started && c->reader.state == BB_HTTP_READER_HEAD) {
+    c->timer_kind = TIMER_NONE;
+    switch (kind) {
+    case TIMER_WRITE:
+        if (bb_stream_queued_bytes(c->stream) < c->timer_queued_bytes) {
+            update_timer(c);
+            break;
+        }
+        close_connection(c, bb_stream_close, BB_HTTP_SERVER_WRITE_TIMEOUT);
+        break;
+    case TIMER_HEAD:
         bb_counter_add(&slow_head_total, 1);
-        reason = BB_HTTP_SERVER_HEAD_TIMEOUT;
+        close_connection(c, bb_stream_close, BB_HTTP_SERVER_HEAD_TIMEOUT);
+        break;
+    case TIMER_LINGER:
+        close_connection(c, bb_stream_close, BB_HTTP_SERVER_LINGER_TIMEOUT);
+        break;
+    case TIMER_IDLE:
+    case TIMER_NONE:
+        close_connection(c, bb_stream_close, BB_HTTP_SERVER_IDLE_TIMEOUT);
+        break;
     }
-    close_connection(c, bb_stream_close, reason);
 }
 
-/* Starts the timer with the timeout of the connection's state, or stops it
- * while the handler works on requests. */
-static void
-update_timer(struct bb_http_server_connection *c)
+/* Returns what a connection waits for. No timer runs while an earlier request
+ * than the one being received is in progress. */
+static enum timer_kind
+choose_timer(const struct bb_http_server_connection *c)
 {
-    const struct bb_http_server_limits *l = &c->server->limits;
+    const struct bb_http_exchange *first =
+        g_queue_peek_head((GQueue *)&c->exchanges);
 
+    if (first != NULL && (first != c->receiving || first->is_dispatched)) {
+        return TIMER_NONE;
+    }
+    if (bb_stream_queued_bytes(c->stream) > 0) {
+        return TIMER_WRITE;
+    }
     if (c->is_closing) {
-        (void)uv_timer_start(&c->timer, on_timeout, BB_HTTP_SERVER_LINGER_MS,
-                             0);
+        return TIMER_LINGER;
     }
-    else if (c->receiving != NULL && !c->receiving->is_dispatched) {
-        /* Waiting for the rest of a request body. */
-        (void)uv_timer_start(&c->timer, on_timeout, l->idle_timeout_ms, 0);
+    if (first == NULL && c->reader.state == BB_HTTP_READER_HEAD &&
+        c->reader.has_started) {
+        return TIMER_HEAD;
     }
-    else if (!g_queue_is_empty(&c->exchanges)) {
-        /* Earlier requests are in progress, even if the head of the next one
-         * is incomplete. */
-        (void)uv_timer_stop(&c->timer);
+    return TIMER_IDLE;
+}
+
+/* Returns the timeout of a kind of timer. */
+static uint32_t
+timeout_ms(const struct bb_http_server_connection *c, enum timer_kind kind)
+{
+    switch (kind) {
+    case TIMER_IDLE:
+        return c->server->limits.idle_timeout_ms;
+    case TIMER_HEAD:
+        return c->server->limits.head_timeout_ms;
+    case TIMER_WRITE:
+        return BB_HTTP_SERVER_WRITE_TIMEOUT_MS;
+    case TIMER_LINGER:
+        return BB_HTTP_SERVER_LINGER_MS;
+    case TIMER_NONE:
+        break;
     }
-    else if (c->reader.state == BB_HTTP_READER_HEAD && c->reader.has_started) {
-        (void)uv_timer_start(&c->timer, on_timeout, l->head_timeout_ms, 0);
+    return 0;
+}
+
+/* Starts or stops the timer as the state of the connection requires. */
+static void
+update_timer(struct bb_http_server_connection *c)
+{
+    enum timer_kind kind = choose_timer(c);
+
+    c->has_timed_out = false;
+    if (kind == TIMER_NONE) {
+        (void)uv_timer_stop(&c->timer);
     }
     else {
-        (void)uv_timer_start(&c->timer, on_timeout, l->idle_timeout_ms, 0);
+        c->timer_queued_bytes = bb_stream_queued_bytes(c->stream);
+        (void)uv_timer_start(&c->timer, on_timeout, timeout_ms(c, kind), 0);
     }
+    c->timer_kind = kind;
+}
+
+/* Decides whether the first exchange closes its connection, and completes the
+ * head of its response accordingly. This is decided only when the head is
+ * written, as requests that arrive while the response waits for earlier ones
+ * are passed to the handler. Once the close is announced none is. */
+static void
+complete_head(struct bb_http_exchange *x)
+{
+    struct bb_http_server_connection *c = x->connection;
+
+    if (!x->is_body_complete ||
+        (c->server->is_keep_alive_disabled &&
+         g_queue_get_length(&c->exchanges) == 1 && c->unparsed->len == 0)) {
+        x->closes_connection = true;
+    }
+    if (x->closes_connection) {
+        c->is_last_request_read = true;
+        g_string_append(x->pending_head, "Connection: close\r\n");
+    }
+    g_string_append(x->pending_head, "\r\n");
+}
+
+/* Writes what is queued of the response of the first exchange. */
+static void
+write_output(struct bb_http_exchange *x)
+{
+    struct bb_stream *stream = x->connection->stream;
+    GString *body = x->pending_output;
+
+    if (x->pending_head != NULL) {
+        complete_head(x);
+        if (body != NULL) {
+            g_string_append_len(x->pending_head, body->str, (gssize)body->len);
+            g_string_truncate(body, 0);
+        }
+        bb_stream_write(stream, x->pending_head->str, x->pending_head->len);
+        g_string_free(x->pending_head, TRUE);
+        x->pending_head = NULL;
+    }
+    else if (body != NULL && body->len > 0) {
+        bb_stream_write(stream, body->str, body->len);
+        g_string_truncate(body, 0);
+    }
+}
+
+/* Ends a connection after its last response. Received bytes are read and
+ * dropped until the peer closes too, for at most BB_HTTP_SERVER_LINGER_MS
+ * after the last byte was written: unread ones would turn the close into a
+ * reset, which can overtake the response (RFC 9112, 9.6). */
+static void
+finish_connection(struct bb_http_exchange *x)
+{
+    struct bb_http_server_connection *c = x->connection;
+
+    c->is_closing = true;
+    if (c->receiving == x) {
+        c->receiving = NULL;
+    }
+    free_ended_exchange(x);
+    discard_exchanges(c, BB_HTTP_SERVER_CLOSING_RESPONSE);
+    bb_stream_end_output(c->stream);
+    bb_stream_resume(c->stream);
+    update_timer(c);
 }
 
 /* Writes the queued output of the first exchanges, in order, up to the first
@@ -229,13 +394,9 @@
 
     while (!c->is_closed && !c->is_closing &&
            (x = g_queue_peek_head(&c->exchanges)) != NULL) {
-        if (x->pending_output != NULL && x->pending_output->len > 0) {
-            bb_stream_write(c->stream, x->pending_output->str,
-                            x->pending_output->len);
-            g_string_truncate(x->pending_output, 0);
-        }
+        write_output(x);
         if (!x->is_response_ended) {
-            return;
+            break;
         }
         if (x->is_aborted) {
             close_connection(c, bb_stream_reset,
@@ -243,26 +404,11 @@
             return;
         }
         (void)g_queue_pop_head(&c->exchanges);
-        if (x->closes_connection || !x->is_body_complete) {
-            /* Later requests of the connection get no response. */
-            bool is_request_complete = x->is_body_complete;
-
-            c->is_closing = true;
-            if (c->receiving == x) {
-                c->receiving = NULL;
-            }
-            free_exchange(x);
-            discard_exchanges(c, BB_HTTP_SERVER_CLOSING_RESPONSE);
-            if (is_request_complete) {
-                close_connection(c, bb_stream_close_after_writes,
-                                 BB_HTTP_SERVER_CLOSING_RESPONSE);
-            }
-            else {
-                update_timer(c); /* closes after BB_HTTP_SERVER_LINGER_MS */
-            }
+        if (x->closes_connection) {
+            finish_connection(x);
             return;
         }
-        free_exchange(x);
+        free_ended_exchange(x);
     }
     if (!c->is_closed) {
         resume_parsing(c);
@@ -317,13 +463,15 @@
     x->connection = c;
     x->received_us = bb_clock_now_us();
     x->body = g_string_new(NULL);
+    x->body_max_bytes = c->server->limits.request_body_max_bytes;
     x->head = *h;
     x->closes_connection = !h->is_keep_alive;
+    c->is_last_request_read = !h->is_keep_alive;
     h->text = g_string_sized_new(512);
     c->receiving = x;
     g_queue_push_tail(&c->exchanges, x);
     if (x->head.has_content_length &&
-        x->head.content_length > c->server->limits.request_body_max_bytes) {
+        x->head.content_length > x->body_max_bytes) {
         return false;
     }
     if (bb_http_head_get(&x->head, "Expect") != NULL &&
@@ -345,7 +493,7 @@
         return; /* the response has ended; the rest is dropped */
     }
     x->body_bytes += size_bytes;
-    if (x->body_bytes > c->server->limits.request_body_max_bytes) {
+    if (x->body_bytes > x->body_max_bytes) {
         return; /* advance_request rejects it */
     }
     g_string_append_len(x->body, data, (gssize)size_bytes);
@@ -360,10 +508,9 @@
 reject_unreadable(struct bb_http_server_connection *c)
 {
     bool is_large_head = c->reader.is_oversized;
-    bool is_large_body = c->receiving != NULL &&
-                         c->receiving->head.has_content_length &&
-                         c->receiving->head.content_length >
-                             c->server->limits.request_body_max_bytes;
+    bool is_large_body =
+        c->receiving != NULL && c->receiving->head.has_content_length &&
+        c->receiving->head.content_length > c->receiving->body_max_bytes;
 
     if (c->receiving != NULL && c->receiving->is_dispatched) {
         close_connection(c, bb_stream_close, BB_HTTP_SERVER_UNREADABLE_BODY);
@@ -397,7 +544,7 @@
          * closes. */
         return false;
     }
-    if (x->body_bytes > s->limits.request_body_max_bytes) {
+    if (x->body_bytes > x->body_max_bytes) {
         bb_counter_add(&oversized_total, 1);
         if (x->is_dispatched) {
             close_connection(c, bb_stream_close,
@@ -442,6 +589,9 @@
     c->is_parsing = true;
     while (used < size_bytes && !c->is_closing && !c->is_closed &&
            !c->is_parsing_paused) {
+        if (c->is_last_request_read && c->receiving == NULL) {
+            break;
+        }
         if (c->reader.state == BB_HTTP_READER_DONE) {
             if (g_queue_get_length(&c->exchanges) >=
                 BB_HTTP_SERVER_PIPELINE_MAX) {
@@ -450,7 +600,10 @@
             }
             bb_http_reader_start_next(&c->reader);
         }
-        c->reader.head_limit_bytes = c->server->limits.request_head_max_bytes;
+        if (!c->reader.has_started) {
+            c->reader.head_limit_bytes =
+                c->server->limits.request_head_max_bytes;
+        }
         used +=
             bb_http_reader_feed(&c->reader, data + used, size_bytes - used);
         if (c->reader.state == BB_HTTP_READER_FAILED) {
@@ -541,6 +694,8 @@
     struct bb_http_server_connection *c = context;
     struct bb_http_exchange *x = g_queue_peek_head(&c->exchanges);
 
+    forget_unsent(c);
+    update_timer(c);
     if (x != NULL && x->is_dispatched && !x->is_response_ended &&
         c->server->handler->output_drained != NULL) {
         c->server->handler->output_drained(c->server->context, x);
@@ -570,6 +725,8 @@
     }
     s->connections = c;
     bb_stream_set_events(stream, &stream_events, c);
+    /* A caller that does not read for a while is not gone. */
+    bb_stream_set_unacked_timeout(stream, BB_HTTP_SERVER_WRITE_TIMEOUT_MS);
     update_timer(c);
 }
 
@@ -610,7 +767,8 @@
     s->request_id_field = request_id_field;
 }
 
-/* Replaces the limits. They apply to connections already open, too. */
+/* Replaces the limits, also for open connections, but not for requests that
+ * have begun to arrive. */
 void
 bb_http_server_set_limits(struct bb_http_server *s,
                           const struct bb_http_server_limits *limits)
@@ -619,8 +777,8 @@
 }
 
 /* Makes each further response close its connection, unless later requests of
- * the connection already wait behind it. Idle connections stay open, for
- * requests that the peer may have sent already. */
+ * the connection have arrived when it is written. Idle connections stay open,
+ * for requests that the peer may have sent already. */
 void
 bb_http_server_disable_keep_alive(struct bb_http_server *s)
 {
@@ -644,7 +802,9 @@
     for (const struct bb_http_server_connection *c = s->connections; c != NULL;
          c = c->next) {
         open.connections++;
+        open.closing += c->is_closing;
         open.unsent_bytes += bb_stream_queued_bytes(c->stream);
+        open.answered += c->unsent != NULL;
         open.receiving += c->reader.state == BB_HTTP_READER_HEAD &&
                           c->reader.has_started && !c->is_closing;
         for (const GList *l = c->exchanges.head; l != NULL; l = l->next) {
@@ -683,18 +843,18 @@
     g_free(s);
 }
 
-/* Queues response bytes in the exchange. */
+/* Queues bytes of the response body in the exchange. */
 static void
 append_output(struct bb_http_exchange *x, const char *data, size_t size_bytes)
 {
     if (x->pending_output == NULL) {
-        x->pending_output = g_string_sized_new(size_bytes + 256);
+        x->pending_output = g_string_sized_new(size_bytes);
     }
     g_string_append_len(x->pending_output, data, (gssize)size_bytes);
 }
 
 /* Queues the head of a response. Each of the `fields` (NULL: none) ends with
- * CRLF; length and connection fields are added here. With
+ * CRLF; length and connection fields are added. With
  * BB_HTTP_LENGTH_CHUNKED the body is sent in chunks, which the caller frames,
  * including the last one. */
 void
@@ -704,31 +864,20 @@
     bool has_body = status != 204 && status != 304;
 
     x->is_response_started = true;
-    if (x->connection->server->is_keep_alive_disabled &&
-        g_queue_peek_tail(&x->connection->exchanges) == x) {
-        x->closes_connection = true; /* unless later requests wait behind it */
-    }
-    if (x->pending_output == NULL) {
-        x->pending_output = g_string_sized_new(512);
-    }
-    g_string_append_printf(x->pending_output, "HTTP/1.1 %u %s\r\n", status,
+    x->pending_head = g_string_sized_new(512);
+    g_string_append_printf(x->pending_head, "HTTP/1.1 %u %s\r\n", status,
                            bb_http_reason_phrase(status));
     if (fields != NULL) {
-        g_string_append_len(x->pending_output, fields->str,
-                            (gssize)fields->len);
-    }
-    if (x->closes_connection || !x->is_body_complete) {
-        g_string_append(x->pending_output, "Connection: close\r\n");
+        g_string_append_len(x->pending_head, fields->str, (gssize)fields->len);
     }
     if (length_bytes == BB_HTTP_LENGTH_CHUNKED) {
-        g_string_append(x->pending_output, "Transfer-Encoding: chunked\r\n");
+        g_string_append(x->pending_head, "Transfer-Encoding: chunked\r\n");
     }
     else if (has_body) {
-        g_string_append_printf(x->pending_output,
+        g_string_append_printf(x->pending_head,
                                "Content-Length: %" G_GINT64_FORMAT "\r\n",
                                length_bytes);
     }
-    g_string_append(x->pending_output, "\r\n");
 }
 
 /* Sends a piece of the body, with chunks already framed. It is queued until
@@ -739,9 +888,7 @@
 {
     append_output(x, data, size_bytes);
     if (g_queue_peek_head(&x->connection->exchanges) == x) {
-        bb_stream_write(x->connection->stream, x->pending_output->str,
-                        x->pending_output->len);
-        g_string_truncate(x->pending_output, 0);
+        write_output(x);
     }
 }
 
