test_stop: requests that are open at a stop, a reload or a change of limits

Each test runs the programs and leaves a request open: in progress at SIGTERM, while a second SIGTERM and a SIGINT arrive, at SIGHUP, while a new configuration lowers the idle timeout or the body limit, and waiting behind another request at SIGTERM (served, or refused once the notice time is over).

--- a/tests/proxyd/test_stop.c
+++ b/tests/proxyd/test_stop.c
@@ -8,10 +8,19 @@
 enum {
     GRACE_S = 6,
     MS_PER_S = 1000,
+    /* From SIGTERM until the proxy refuses requests, and ends if it is idle,
+     * with some margin. */
+    AFTER_NOTICE_MS = 3000,
+    SHORT_IDLE_TIMEOUT_MS = 200,
     /* Longest time in which something that is not delayed happens. */
     SOON_MS = 2000
 };
 
+/* More than the server buffers before it passes a request on. */
+#define UPLOAD_BYTES 800000
+
+#define CLOSE_FIELD "Connection: close\r\n"
+
 /* Sends a request through the proxy, and responds to it as the upstream. */
 static void
 exchange(struct fixture *f, struct peer *caller, const char *id)
@@ -26,6 +35,14 @@
     g_free(request);
 }
 
+/* Checks that the proxy ends by itself within the grace time. */
+static void
+check_clean_exit(struct fixture *f)
+{
+    CU_ASSERT_TRUE(process_wait(f, &f->proxy, GRACE_S * MS_PER_S));
+    CU_ASSERT_EQUAL(f->proxy.wait_status, 0);
+}
+
 /* Guards against: a process that ends by a signal, or late, after SIGTERM
  * because the handles of kept connections to its upstream are closed twice. */
 static void
@@ -36,16 +53,223 @@
     fixture_open(&f, 1, GRACE_S);
     exchange(&f, peer_connect(&f, &f.entry_address, 0), "a1");
     process_signal(&f.proxy, SIGTERM);
-    CU_ASSERT_TRUE(process_wait(&f, &f.proxy, GRACE_S * MS_PER_S));
-    CU_ASSERT_EQUAL(f.proxy.wait_status, 0);
+    check_clean_exit(&f);
     process_signal(&f.cores[0], SIGTERM);
     CU_ASSERT_TRUE(process_wait(&f, &f.cores[0], GRACE_S * MS_PER_S));
     CU_ASSERT_EQUAL(f.cores[0].wait_status, 0);
     fixture_close(&f);
 }
 
+/* Guards against: a request in progress at SIGTERM that gets no response, or
+ * one without `Connection: close`. */
+static void
+test_request_in_progress(void)
+{
+    struct fixture f;
+    struct peer *caller;
+    struct peer *upstream;
+
+    fixture_open(&f, 1, GRACE_S);
+    caller = peer_connect(&f, &f.entry_address, 0);
+    exchange(&f, caller, "a1");
+    CU_ASSERT_EQUAL(peer_count(caller, CLOSE_FIELD), 0);
+    peer_send(caller, SAFE("a2") "\r\n");
+    upstream = upstream_wait_request(&f, "a2", SOON_MS);
+    process_signal(&f.proxy, SIGTERM);
+    fixture_run(&f, AFTER_NOTICE_MS);
+    upstream_respond(upstream, "a2", "body of a2");
+    CU_ASSERT_TRUE(peer_wait_text(&f, caller, "body of a2", SOON_MS));
+    CU_ASSERT_EQUAL(peer_count(caller, CLOSE_FIELD), 1);
+    check_clean_exit(&f);
+    fixture_close(&f);
+}
+
+/* Guards against: a second SIGTERM or a SIGINT that cuts the stop short. */
+static void
+test_repeated_signals(void)
+{
+    struct fixture f;
+    struct peer *caller;
+    struct peer *upstream;
+
+    fixture_open(&f, 1, GRACE_S);
+    caller = peer_connect(&f, &f.entry_address, 0);
+    peer_send(caller, SAFE("a1") "\r\n");
+    upstream = upstream_wait_request(&f, "a1", SOON_MS);
+    process_signal(&f.proxy, SIGTERM);
+    fixture_run(&f, 100);
+    process_signal(&f.proxy, SIGTERM);
+    fixture_run(&f, 100);
+    process_signal(&f.proxy, SIGINT);
+    fixture_run(&f, AFTER_NOTICE_MS);
+    upstream_respond(upstream, "a1", "body of a1");
+    CU_ASSERT_TRUE(peer_wait_text(&f, caller, "body of a1", SOON_MS));
+    check_clean_exit(&f);
+    fixture_close(&f);
+}
+
+/* Guards against: SIGHUP that closes connections or loses requests, running or
+ * pipelined. */
+static void
+test_reload(void)
+{
+    struct fixture f;
+    struct peer *idle;
+    struct peer *caller;
+    struct peer *first;
+    struct peer *second;
+
+    fixture_open(&f, 1, GRACE_S);
+    idle = peer_connect(&f, &f.entry_address, 0);
+    caller = peer_connect(&f, &f.entry_address, 0);
+    exchange(&f, idle, "b1");
+    peer_send(caller, SAFE("a1") "\r\n" SAFE("a2") "\r\n" UNSAFE(
+                          "a3") "Content-Length: 2\r\n\r\nhi");
+    first = upstream_wait_request(&f, "a1", SOON_MS);
+    second = upstream_wait_request(&f, "a2", SOON_MS);
+    process_signal(&f.proxy, SIGHUP);
+    CU_ASSERT_TRUE(fixture_wait_log(&f, &f.proxy, "host.reload", SOON_MS));
+    fixture_run(&f, 300);
+    upstream_respond(second, "a2", "body of a2");
+    upstream_respond(first, "a1", "body of a1");
+    upstream_respond(upstream_wait_request(&f, "a3", SOON_MS), "a3",
+                     "body of a3");
+    CU_ASSERT_TRUE(peer_wait_text(&f, caller, "body of a1", SOON_MS));
+    CU_ASSERT_TRUE(peer_wait_text(&f, caller, "body of a2", SOON_MS));
+    CU_ASSERT_TRUE(peer_wait_text(&f, caller, "body of a3", SOON_MS));
+    exchange(&f, caller, "a4");
+    exchange(&f, idle, "b2");
+    CU_ASSERT_EQUAL(peer_count(caller, CLOSE_FIELD), 0);
+    CU_ASSERT_EQUAL(peer_count(idle, CLOSE_FIELD), 0);
+    fixture_close(&f);
+}
+
+/* Guards against: a shorter idle timeout of a new configuration that closes
+ * connections with requests in progress. */
+static void
+test_shorter_idle_timeout(void)
+{
+    struct fixture f;
+    struct peer *caller;
+    struct peer *first;
+    struct peer *second;
+
+    fixture_open(&f, 1, GRACE_S);
+    caller = peer_connect(&f, &f.entry_address, 0);
+    peer_send(caller, SAFE("a1") "\r\n" SAFE("a2") "\r\n" UNSAFE(
+                          "a3") "Content-Length: 2\r\n\r\nhi");
+    first = upstream_wait_request(&f, "a1", SOON_MS);
+    second = upstream_wait_request(&f, "a2", SOON_MS);
+    CU_ASSERT_TRUE(
+        fixture_configure(&f, SHORT_IDLE_TIMEOUT_MS, FIXTURE_BODY_MAX_BYTES));
+    fixture_run(&f, 4 * SHORT_IDLE_TIMEOUT_MS);
+    upstream_respond(second, "a2", "body of a2");
+    fixture_run(&f, 4 * SHORT_IDLE_TIMEOUT_MS);
+    upstream_respond(first, "a1", "body of a1");
+    upstream_respond(upstream_wait_request(&f, "a3", SOON_MS), "a3",
+                     "body of a3");
+    CU_ASSERT_TRUE(peer_wait_text(&f, caller, "body of a1", SOON_MS));
+    CU_ASSERT_TRUE(peer_wait_text(&f, caller, "body of a2", SOON_MS));
+    CU_ASSERT_TRUE(peer_wait_text(&f, caller, "body of a3", SOON_MS));
+    fixture_close(&f);
+}
+
+/* Returns a text of this length, which the caller frees. */
+static char *
+long_text(size_t size_bytes)
+{
+    char *text = g_malloc(size_bytes + 1);
+
+    memset(text, 'x', size_bytes);
+    text[size_bytes] = '\0';
+    return text;
+}
+
+/* Guards against: a lower body limit of a new configuration that closes the
+ * connection of a request whose body was allowed and is being passed on. */
+static void
+test_lower_body_limit(void)
+{
+    struct fixture f;
+    struct peer *caller;
+    struct peer *upstream;
+    char *part = long_text(UPLOAD_BYTES / 2);
+
+    fixture_open(&f, 1, GRACE_S);
+    caller = peer_connect(&f, &f.entry_address, 0);
+    peer_send(caller, UNSAFE("a1") "Content-Length: " G_STRINGIFY(
+                          UPLOAD_BYTES) "\r\n\r\n");
+    peer_send(caller, part);
+    upstream = upstream_wait_request(&f, "a1", SOON_MS);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(upstream);
+    CU_ASSERT_TRUE(
+        fixture_configure(&f, FIXTURE_IDLE_TIMEOUT_MS, UPLOAD_BYTES / 4));
+    peer_send(caller, part);
+    CU_ASSERT_TRUE(peer_wait_bytes(&f, upstream, UPLOAD_BYTES, SOON_MS));
+    upstream_respond(upstream, "a1", "body of a1");
+    CU_ASSERT_TRUE(peer_wait_text(&f, caller, "body of a1", SOON_MS));
+    g_free(part);
+    fixture_close(&f);
+}
+
+/* Guards against: a request that waited behind another one at SIGTERM and is
+ * dropped, when the other one is answered in time for both. */
+static void
+test_waiting_request_served(void)
+{
+    struct fixture f;
+    struct peer *caller;
+    struct peer *upstream;
+
+    fixture_open(&f, 1, GRACE_S);
+    caller = peer_connect(&f, &f.entry_address, 0);
+    peer_send(caller,
+              SAFE("a1") "\r\n" UNSAFE("a2") "Content-Length: 2\r\n\r\nhi");
+    upstream = upstream_wait_request(&f, "a1", SOON_MS);
+    process_signal(&f.proxy, SIGTERM);
+    fixture_run(&f, 500);
+    upstream_respond(upstream, "a1", "body of a1");
+    upstream = upstream_wait_request(&f, "a2", SOON_MS);
+    fixture_run(&f, AFTER_NOTICE_MS);
+    upstream_respond(upstream, "a2", "body of a2");
+    CU_ASSERT_TRUE(peer_wait_text(&f, caller, "body of a2", SOON_MS));
+    CU_ASSERT_EQUAL(peer_count(caller, "HTTP/1.1 200"), 2);
+    check_clean_exit(&f);
+    fixture_close(&f);
+}
+
+/* Guards against: a request that waited behind another one at SIGTERM and gets
+ * no response because new requests are refused by then. */
+static void
+test_waiting_request_refused(void)
+{
+    struct fixture f;
+    struct peer *caller;
+    struct peer *upstream;
+
+    fixture_open(&f, 1, GRACE_S);
+    caller = peer_connect(&f, &f.entry_address, 0);
+    peer_send(caller,
+              SAFE("a1") "\r\n" UNSAFE("a2") "Content-Length: 2\r\n\r\nhi");
+    upstream = upstream_wait_request(&f, "a1", SOON_MS);
+    process_signal(&f.proxy, SIGTERM);
+    fixture_run(&f, AFTER_NOTICE_MS);
+    upstream_respond(upstream, "a1", "body of a1");
+    CU_ASSERT_TRUE(peer_wait_text(&f, caller, "HTTP/1.1 503", SOON_MS));
+    CU_ASSERT_EQUAL(peer_count(caller, "body of a1"), 1);
+    check_clean_exit(&f);
+    fixture_close(&f);
+}
+
 static const struct bb_unit_test tests[] = {
     {"exit status with a kept connection",
-     test_exit_status_with_kept_connection}};
+     test_exit_status_with_kept_connection},
+    {"request in progress", test_request_in_progress},
+    {"repeated signals", test_repeated_signals},
+    {"reload", test_reload},
+    {"shorter idle timeout", test_shorter_idle_timeout},
+    {"lower body limit", test_lower_body_limit},
+    {"waiting request served", test_waiting_request_served},
+    {"waiting request refused", test_waiting_request_refused}};
 
 BB_UNIT_MAIN("stop", tests)
