test_stop: a request that is pipelined after SIGTERM, behind a slow one

Three idempotent requests on one connection: the first takes long, the second is answered by its upstream after SIGTERM, then the third is sent and answered. All three responses have to arrive.

--- a/tests/proxyd/test_stop.c
+++ b/tests/proxyd/test_stop.c
@@ -108,6 +108,38 @@
     fixture_close(&f);
 }
 
+/* Guards against: a pipelined request that reaches its upstream after an
+ * earlier one was answered, and is dropped with the connection. */
+static void
+test_pipeline(void)
+{
+    struct fixture f;
+    struct peer *caller;
+    struct peer *first;
+    struct peer *second;
+
+    fixture_open(&f, 1, GRACE_S);
+    caller = peer_connect(&f, &f.entry_address, 0);
+    peer_send(caller, SAFE("a1") "\r\n" SAFE("a2") "\r\n");
+    first = upstream_wait_request(&f, "a1", SOON_MS);
+    second = upstream_wait_request(&f, "a2", SOON_MS);
+    process_signal(&f.proxy, SIGTERM);
+    CU_ASSERT_TRUE(fixture_wait_log(&f, &f.proxy, "host.stopping", SOON_MS));
+    upstream_respond(second, "a2", "body of a2");
+    fixture_run(&f, 200);
+    peer_send(caller, SAFE("a3") "\r\n");
+    upstream_respond(upstream_wait_request(&f, "a3", SOON_MS), "a3",
+                     "body of a3");
+    fixture_run(&f, AFTER_NOTICE_MS);
+    upstream_respond(first, "a1", "body of a1");
+    CU_ASSERT_TRUE(peer_wait_text(&f, caller, "body of a1", SOON_MS));
+    CU_ASSERT_TRUE(peer_wait_text(&f, caller, "body of a2", SOON_MS));
+    CU_ASSERT_TRUE(peer_wait_text(&f, caller, "body of a3", SOON_MS));
+    CU_ASSERT_EQUAL(peer_count(caller, "HTTP/1.1 "), 3);
+    check_clean_exit(&f);
+    fixture_close(&f);
+}
+
 /* Guards against: SIGHUP that closes connections or loses requests, running or
  * pipelined. */
 static void
@@ -265,6 +297,7 @@
     {"exit status with a kept connection",
      test_exit_status_with_kept_connection},
     {"request in progress", test_request_in_progress},
+    {"pipeline", test_pipeline},
     {"repeated signals", test_repeated_signals},
     {"reload", test_reload},
     {"shorter idle timeout", test_shorter_idle_timeout},
