proxyd: end only when all requests are answered and the responses sent

Callers saw incomplete responses, or none, when a host stopped although its grace time was not over.

Cause: the process ended as soon as no request was running, after the notice time. That looked away from responses whose bytes were not at the socket yet, requests that waited behind others, and requests that were still arriving.

It waits for requests that are still being received, too, but for at most 1 s after the notice time: callers are on the same host, so such a request has stalled and must not use up the grace time.

--- a/proxyd/main.c
+++ b/proxyd/main.c
@@ -24,6 +24,10 @@
      * upstream out of service for about 3.2 s. With the default --grace of
      * 6 s, the last admitted request has 3.7 s left to complete. */
     SHUTDOWN_GATE_OPEN_MS = 1600,
+    /* Longest time after SHUTDOWN_NOTICE_MS that the process waits for the
+     * rest of a request. Callers are on this host: a request that is still
+     * incomplete by then has stalled, and must not use up --grace. */
+    SHUTDOWN_RECEIVE_MS = 1000,
     SHUTDOWN_POLL_MS = 100,
     /* Part of --grace reserved for closing connections, writing the log and
      * exiting. */
@@ -253,7 +257,7 @@
     .request = on_announce_request};
 
 /* Logs what is open at one of the two servers when the process stops.
- * `pending` is what the decision to stop is based on. */
+ * `pending` is the server's own count of the running requests. */
 static void
 log_open_requests(const char *server, const struct bb_http_server_open *open,
                   uint32_t pending)
@@ -267,30 +271,41 @@
 
 /* Logs why the process stops and what is open. */
 static void
-log_stop(const struct proxy *p, const char *reason, uint64_t waited_ms)
+log_stop(const struct proxy *p, const char *reason, uint64_t waited_ms,
+         const struct bb_http_server_open *entry,
+         const struct bb_http_server_open *gate)
 {
-    const struct bb_http_server_open entry = bb_entry_count_open(p->entry);
-    const struct bb_http_server_open gate = bb_gate_count_open(p->gate);
-
-    log_open_requests("entry", &entry, bb_entry_pending_count(p->entry));
-    log_open_requests("gate", &gate, bb_gate_pending_count(p->gate));
+    log_open_requests("entry", entry, bb_entry_pending_count(p->entry));
+    log_open_requests("gate", gate, bb_gate_pending_count(p->gate));
     bb_log_info("proxy.stopped",
                 "%s, %" G_GUINT64_FORMAT " ms after the signal: "
                 "%u requests unfinished",
-                reason, waited_ms, entry.running + gate.running);
+                reason, waited_ms, entry->running + gate->running);
+}
+
+/* Returns whether a server has requests to finish or bytes to send. Requests
+ * that are being received count only until SHUTDOWN_RECEIVE_MS after
+ * SHUTDOWN_NOTICE_MS. */
+static bool
+is_busy(const struct bb_http_server_open *open, uint64_t waited_ms)
+{
+    return open->running > 0 || open->waiting > 0 || open->answered > 0 ||
+           open->unsent_bytes > 0 ||
+           (open->receiving > 0 &&
+            waited_ms < SHUTDOWN_NOTICE_MS + SHUTDOWN_RECEIVE_MS);
 }
 
 /* Refuses new requests, first at the gate, then at the entry. Ends the process
- * after SHUTDOWN_NOTICE_MS once no request is in progress, or
- * SHUTDOWN_MARGIN_MS before the end of --grace. */
+ * after SHUTDOWN_NOTICE_MS once neither is busy, or SHUTDOWN_MARGIN_MS before
+ * the end of --grace. */
 static void
 on_shutdown_timer(uv_timer_t *t)
 {
     struct proxy *p = t->data;
     uint64_t waited_ms =
         (bb_clock_now_us() - p->shutdown_started_us) / BB_US_PER_MS;
-    uint32_t busy =
-        bb_entry_pending_count(p->entry) + bb_gate_pending_count(p->gate);
+    struct bb_http_server_open entry;
+    struct bb_http_server_open gate;
 
     if (waited_ms >= SHUTDOWN_GATE_OPEN_MS && !p->is_gate_stopped) {
         p->is_gate_stopped = true;
@@ -299,13 +314,16 @@
     if (waited_ms >= SHUTDOWN_NOTICE_MS) {
         bb_entry_refuse_requests(p->entry);
     }
-    if (waited_ms >= SHUTDOWN_NOTICE_MS && busy == 0) {
-        log_stop(p, "idle", waited_ms);
+    entry = bb_entry_count_open(p->entry);
+    gate = bb_gate_count_open(p->gate);
+    if (waited_ms >= SHUTDOWN_NOTICE_MS && !is_busy(&entry, waited_ms) &&
+        !is_busy(&gate, waited_ms)) {
+        log_stop(p, "idle", waited_ms, &entry, &gate);
         bb_daemon_stop(p->daemon);
     }
     else if (waited_ms + SHUTDOWN_MARGIN_MS >=
              p->settings.grace_s * MS_PER_S) {
-        log_stop(p, "end of the grace time", waited_ms);
+        log_stop(p, "end of the grace time", waited_ms, &entry, &gate);
         bb_daemon_stop(p->daemon);
     }
 }
--- a/tests/proxyd/test_stop.c
+++ b/tests/proxyd/test_stop.c
@@ -7,11 +7,20 @@
 
 enum {
     GRACE_S = 6,
+    LONG_GRACE_S = 20, /* for callers that read slowly */
     MS_PER_S = 1000,
     /* From SIGTERM until the proxy refuses requests, and ends if it is idle,
      * with some margin. */
     AFTER_NOTICE_MS = 3000,
     SHORT_IDLE_TIMEOUT_MS = 200,
+    /* Together more than sockets buffer and a slow caller reads until the
+     * proxy ends if it is idle. */
+    RESPONSES = 120,
+    RESPONSE_BYTES = 64000,
+    SMALL_BUFFER_BYTES = 64 * 1024,
+    READ_PART_BYTES = 16 * 1024,
+    READ_PAUSE_MS = 20,
+    READS_MAX = 2000,
     /* Longest time in which something that is not delayed happens. */
     SOON_MS = 2000
 };
@@ -244,6 +253,84 @@
     fixture_close(&f);
 }
 
+/* Responds to a request with a long body. */
+static void
+respond_long(struct fixture *f, uint32_t number)
+{
+    char *id = g_strdup_printf("a%u.", number);
+    char *body = long_text(RESPONSE_BYTES);
+
+    upstream_respond(upstream_wait_request(f, id, SOON_MS), id, body);
+    g_free(body);
+    g_free(id);
+}
+
+/* Pipelines requests whose responses exceed what the sockets buffer, and reads
+ * slowly. Checks that all responses arrive whole although the proxy is
+ * stopped, before or after the last of them. */
+static void
+check_slow_reader(bool is_last_after_signal)
+{
+    struct fixture f;
+    struct peer *caller;
+    uint32_t reads = 0;
+
+    fixture_open(&f, 1, LONG_GRACE_S);
+    caller = peer_connect(&f, &f.entry_address, SMALL_BUFFER_BYTES);
+    caller->is_paused = true;
+    for (uint32_t i = 1; i <= RESPONSES; i++) {
+        char *request = g_strdup_printf(SAFE("a%u.") "\r\n", i);
+
+        peer_send(caller, request);
+        g_free(request);
+    }
+    for (uint32_t i = 1; i < RESPONSES; i++) {
+        respond_long(&f, i);
+        (void)peer_read(caller, READ_PART_BYTES / 4);
+    }
+    if (!is_last_after_signal) {
+        respond_long(&f, RESPONSES);
+        fixture_run(&f, 100);
+    }
+    process_signal(&f.proxy, SIGTERM);
+    if (is_last_after_signal) {
+        CU_ASSERT_TRUE(
+            fixture_wait_log(&f, &f.proxy, "host.stopping", SOON_MS));
+        respond_long(&f, RESPONSES);
+    }
+    while (!caller->is_ended &&
+           caller->received->len < RESPONSES * RESPONSE_BYTES &&
+           reads++ < READS_MAX) {
+        (void)peer_read(caller, READ_PART_BYTES);
+        fixture_run(&f, READ_PAUSE_MS);
+    }
+    caller->is_paused = false;
+    (void)peer_wait_end(&f, caller, SOON_MS);
+    CU_ASSERT_EQUAL(peer_count(caller, "HTTP/1.1 200"), RESPONSES);
+    CU_ASSERT_TRUE(caller->received->len > RESPONSES * RESPONSE_BYTES);
+    CU_ASSERT_EQUAL(peer_count(caller, CLOSE_FIELD),
+                    is_last_after_signal ? 1 : 0);
+    CU_ASSERT_TRUE(process_wait(&f, &f.proxy, LONG_GRACE_S * MS_PER_S));
+    CU_ASSERT_EQUAL(f.proxy.wait_status, 0);
+    fixture_close(&f);
+}
+
+/* Guards against: a process that ends although bytes of a response are unsent,
+ * on a connection that stays open after it. */
+static void
+test_slow_reader_of_earlier_response(void)
+{
+    check_slow_reader(false);
+}
+
+/* Guards against: a process that ends although bytes of a response are unsent,
+ * on a connection that is to be closed after it. */
+static void
+test_slow_reader_of_last_response(void)
+{
+    check_slow_reader(true);
+}
+
 /* Guards against: a request that waited behind another one at SIGTERM and is
  * dropped, when the other one is answered in time for both. */
 static void
@@ -293,6 +380,44 @@
     fixture_close(&f);
 }
 
+/* Guards against: a request whose body is still arriving when requests are
+ * refused, and that gets no response because the process ends. */
+static void
+test_request_being_received(void)
+{
+    struct fixture f;
+    struct peer *caller;
+
+    fixture_open(&f, 1, GRACE_S);
+    caller = peer_connect(&f, &f.entry_address, 0);
+    peer_send(caller, UNSAFE("a1") "Content-Length: 2\r\n\r\nh");
+    fixture_run(&f, 100);
+    process_signal(&f.proxy, SIGTERM);
+    fixture_run(&f, AFTER_NOTICE_MS);
+    peer_send(caller, "i");
+    CU_ASSERT_TRUE(peer_wait_text(&f, caller, "HTTP/1.1 503", SOON_MS));
+    check_clean_exit(&f);
+    fixture_close(&f);
+}
+
+/* Guards against: a process that does not end before its grace time is over
+ * because a caller never completes its request. */
+static void
+test_request_never_complete(void)
+{
+    struct fixture f;
+    struct peer *caller;
+
+    fixture_open(&f, 1, LONG_GRACE_S);
+    caller = peer_connect(&f, &f.entry_address, 0);
+    peer_send(caller, UNSAFE("a1") "Content-Length: 2\r\n\r\nh");
+    fixture_run(&f, 100);
+    process_signal(&f.proxy, SIGTERM);
+    CU_ASSERT_TRUE(process_wait(&f, &f.proxy, LONG_GRACE_S * MS_PER_S / 2));
+    CU_ASSERT_EQUAL(f.proxy.wait_status, 0);
+    fixture_close(&f);
+}
+
 static const struct bb_unit_test tests[] = {
     {"exit status with a kept connection",
      test_exit_status_with_kept_connection},
@@ -302,7 +427,12 @@
     {"reload", test_reload},
     {"shorter idle timeout", test_shorter_idle_timeout},
     {"lower body limit", test_lower_body_limit},
+    {"slow reader of an earlier response",
+     test_slow_reader_of_earlier_response},
+    {"slow reader of the last response", test_slow_reader_of_last_response},
     {"waiting request served", test_waiting_request_served},
-    {"waiting request refused", test_waiting_request_refused}};
+    {"waiting request refused", test_waiting_request_refused},
+    {"request being received", test_request_being_received},
+    {"request that is never complete", test_request_never_complete}};
 
 BB_UNIT_MAIN("stop", tests)
