--- a/include/net/http_server.h
+++ b/include/net/http_server.h
@@ -34,19 +34,19 @@
 /* Length of a body that is sent in chunks. */
 enum { BB_HTTP_LENGTH_CHUNKED = -1 };
 
-/* Limits of requests, all above 0. Received bytes restart both timeouts.
- * Neither runs while a request of the connection is in progress or its
- * response is being sent. */
+/* Limits of requests, all above 0. Received bytes restart idle_timeout_ms
+ * only. Neither timeout runs while a request of the connection is in progress
+ * or its response is being sent. */
 struct bb_http_server_limits {
     /* Longest head; a longer one gets status 431. Default: 32 KiB. */
     uint32_t request_head_max_bytes;
-    /* While a head is received. Default: 10 s. */
+    /* From the first byte of a head to its end; a slower one gets status 408.
+     * Default: 10 s. */
     uint32_t head_timeout_ms;
-    /* Between requests, and while a request body is received.
-     * Default: 60 s. */
+    /* Between requests, and between the pieces of a request body, which gets
+     * status 408 then. Default: 60 s. */
     uint32_t idle_timeout_ms;
-    /* Longest body; a longer one gets status 413, or a closed connection if
-     * the handler was called before. Default: 64 MiB. */
+    /* Longest body; a longer one gets status 413. Default: 64 MiB. */
     uint64_t request_body_max_bytes;
 };
 
@@ -54,7 +54,6 @@
 enum bb_http_server_close_reason {
     BB_HTTP_SERVER_PEER_CLOSED, /* or the connection failed */
     BB_HTTP_SERVER_IDLE_TIMEOUT,
-    BB_HTTP_SERVER_HEAD_TIMEOUT,
     BB_HTTP_SERVER_WRITE_TIMEOUT,    /* BB_HTTP_SERVER_WRITE_TIMEOUT_MS */
     BB_HTTP_SERVER_LINGER_TIMEOUT,   /* BB_HTTP_SERVER_LINGER_MS */
     BB_HTTP_SERVER_CLOSING_RESPONSE, /* an earlier response said so */
@@ -114,7 +113,8 @@
     /* All queued bytes of the response were written. */
     void (*output_drained)(void *context, struct bb_http_exchange *x);
     /* The connection was closed, by either side, before the response to a
-     * started request was complete. This is the last callback for it. */
+     * started request was complete, or the server has rejected the request
+     * because of its body. This is the last callback for it. */
     void (*disconnected)(void *context, struct bb_http_exchange *x,
                          enum bb_http_server_close_reason reason);
 };
--- a/tests/net/test_http_server.c
+++ b/tests/net/test_http_server.c
@@ -504,6 +504,106 @@
     fixture_close(&f);
 }
 
+/* A body that exceeds the limit, or is malformed, after its request was passed
+ * on gets an error response rather than a closed connection. */
+static void
+test_error_in_body_of_started_request(void)
+{
+    static const char *const ends[][2] = {{"FFFFFFFF\r\n", "HTTP/1.1 413"},
+                                          {"zz\r\n", "HTTP/1.1 400"}};
+    struct fixture f;
+    struct client *c;
+
+    for (size_t i = 0; i < G_N_ELEMENTS(ends); i++) {
+        fixture_open(&f);
+        f.limits.request_body_max_bytes = 500000;
+        bb_http_server_set_limits(f.server, &f.limits);
+        c = client_open(&f);
+        client_send(c, "POST /900/1 HTTP/1.1\r\n"
+                       "Transfer-Encoding: chunked\r\n\r\n"
+                       "61A80\r\n");
+        client_send_body(c, 400000);
+        client_send(c, "\r\n");
+        fixture_run(&f, 50);
+        CU_ASSERT_EQUAL(f.requests, 1);
+        client_send(c, ends[i][0]);
+        client_send_body(c, 200000);
+        fixture_run(&f, 300);
+        CU_ASSERT_EQUAL(f.disconnected, 1);
+        CU_ASSERT_EQUAL(client_count(c, ends[i][1]), 1);
+        CU_ASSERT_EQUAL(client_count(c, "HTTP/1.1 "), 1);
+        client_free(c);
+        fixture_close(&f);
+    }
+}
+
+/* Bytes that trickle in must not extend the time limit of a head. */
+static void
+test_head_timeout_of_trickling_head(void)
+{
+    struct fixture f;
+    struct client *c;
+
+    fixture_open(&f);
+    f.limits.head_timeout_ms = 500;
+    bb_http_server_set_limits(f.server, &f.limits);
+    c = client_open(&f);
+    client_send(c, "GET /0/1 HTTP/1.1\r\nA: ");
+    for (uint32_t i = 0; i < 8; i++) {
+        fixture_run(&f, 100);
+        client_send(c, "x");
+    }
+    CU_ASSERT_TRUE(c->is_ended);
+    CU_ASSERT_EQUAL(f.requests, 0);
+    client_free(c);
+    fixture_close(&f);
+}
+
+/* A request whose response is complete before its body gets no second one. */
+static void
+test_early_response_behind_another(void)
+{
+    struct fixture f;
+    struct client *c;
+
+    fixture_open(&f);
+    c = client_open(&f);
+    client_send(c, "GET /400/1 HTTP/1.1\r\n\r\n"
+                   "GET /0/2 HTTP/1.1\r\nContent-Length: 900000\r\n\r\n");
+    client_send_body(c, 300000);
+    fixture_run(&f, 100);
+    client_send_body(c, 300000);
+    fixture_run(&f, 100);
+    client_send_body(c, 300000);
+    fixture_run(&f, 400);
+    CU_ASSERT_EQUAL(f.requests, 2);
+    CU_ASSERT_EQUAL(client_count(c, "HTTP/1.1 200"), 2);
+    CU_ASSERT_EQUAL(client_count(c, "HTTP/1.1 "), 2);
+    client_free(c);
+    fixture_close(&f);
+}
+
+/* A request body that does not arrive gets 408 rather than a closed
+ * connection. */
+static void
+test_request_body_that_stalls(void)
+{
+    struct fixture f;
+    struct client *c;
+
+    fixture_open(&f);
+    f.limits.idle_timeout_ms = 200;
+    bb_http_server_set_limits(f.server, &f.limits);
+    c = client_open(&f);
+    client_send(c, "POST /0/1 HTTP/1.1\r\nContent-Length: 2\r\n\r\nx");
+    fixture_run(&f, 400);
+    CU_ASSERT_EQUAL(f.requests, 0);
+    CU_ASSERT_EQUAL(client_count(c, "HTTP/1.1 408"), 1);
+    CU_ASSERT_TRUE(c->is_ended);
+    client_free(c);
+    fixture_close(&f);
+}
+
 static const struct bb_unit_test tests[] = {
     {"request behind a queued closing response",
      test_request_behind_queued_closing_response},
@@ -519,6 +619,11 @@
     {"bytes behind a closing response", test_bytes_behind_closing_response},
     {"early response to a slow reader", test_early_response_to_slow_reader},
     {"lowered body limit", test_lowered_body_limit},
+    {"error in the body of a started request",
+     test_error_in_body_of_started_request},
+    {"head timeout of a trickling head", test_head_timeout_of_trickling_head},
+    {"early response behind another", test_early_response_behind_another},
+    {"request body that stalls", test_request_body_that_stalls},
 };
 
 BB_UNIT_MAIN("http_server", tests)
