cored: answer the operators before the process ends

An operator whose change was being agreed on when the leader got SIGTERM saw its connection closed without a response, and could not tell whether the change was accepted.

Cause: the process ended 50 ms after the signal, whatever was in progress, and closed the operators' connections before the control host ended its requests.

Change: the process waits until no request of an operator is in progress, for at most 1 s, the time for which operators wait for a response. Until then it takes part in the quorum and answers further requests with 503, so that they go to another control host. What is in progress after 1 s gets 503, as after any change whose outcome is unknown: the control host, which does that when it is destroyed, is destroyed before the operators' server.

Evidence: two new tests in test_stop freeze the other two control hosts and stop the leader with a proposal in progress. Both failed before (core.stopped: 1 running; no response): proposal with a late majority and proposal without a majority. They pass now, also with the address and undefined behaviour sanitizers.

--- a/cored/main.c
+++ b/cored/main.c
@@ -2,6 +2,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "common/clock.h"
 #include "common/log.h"
 #include "common/registry.h"
 #include "decide/voters.h"
@@ -14,8 +15,10 @@
     /* Retry-After of 503 responses; below 1000, as it is sent as a fraction of
      * a second. */
     RETRY_AFTER_MS = 200,
-    /* From the stop signal to the end of the loop. */
-    SHUTDOWN_DELAY_MS = 50
+    SHUTDOWN_POLL_MS = 50,
+    /* Longest time from the stop signal until the loop ends. Operators wait a
+     * second for a response. */
+    SHUTDOWN_MAX_MS = 1000
 };
 
 struct cored {
@@ -24,7 +27,9 @@
     const struct bb_dialect *dialect;
     struct bb_core *core;
     struct bb_http_server *operator_server;
-    uv_timer_t stop_timer;
+    uv_timer_t shutdown_timer;
+    uint64_t shutdown_started_us;
+    bool is_stopping;
 };
 
 /* Responds with a text. */
@@ -165,6 +170,10 @@
     if (!x->is_body_complete) {
         return; /* called again with more of the body */
     }
+    if (d->is_stopping) {
+        respond_unavailable(x, "this control host stops\n");
+        return;
+    }
     switch (d->dialect->classify_request(x->head.method,
                                          bb_http_head_target(&x->head), id)) {
     case BB_API_REPLACE_CONFIGURATION:
@@ -203,14 +212,22 @@
     .body_received = on_request,
     .disconnected = on_disconnected};
 
-/* Ends the event loop, SHUTDOWN_DELAY_MS after the stop signal. */
+/* Ends the event loop once no request of an operator is in progress, or
+ * SHUTDOWN_MAX_MS after the stop signal. */
 static void
 on_shutdown_timer(uv_timer_t *t)
 {
     struct cored *d = t->data;
     struct bb_http_server_open open =
         bb_http_server_count_open(d->operator_server);
+    uint64_t waited_ms =
+        (bb_clock_now_us() - d->shutdown_started_us) / BB_US_PER_MS;
 
+    if (waited_ms < SHUTDOWN_MAX_MS &&
+        (open.receiving > 0 || open.waiting > 0 || open.running > 0 ||
+         open.unsent_bytes > 0)) {
+        return;
+    }
     bb_log_info("core.stopped",
                 "%u connections of operators, requests: %u receiving, "
                 "%u waiting, %u running; %zu bytes unsent",
@@ -219,15 +236,18 @@
     bb_daemon_stop(d->daemon);
 }
 
-/* Handles the stop signal: delays the end of the event loop by
- * SHUTDOWN_DELAY_MS. */
+/* Handles the stop signal: refuses further requests of operators. This host
+ * still takes part in the quorum until those in progress are answered. */
 static void
 on_stop(void *context)
 {
     struct cored *d = context;
 
-    (void)uv_timer_start(&d->stop_timer, on_shutdown_timer, SHUTDOWN_DELAY_MS,
-                         0);
+    d->is_stopping = true;
+    d->shutdown_started_us = bb_clock_now_us();
+    bb_http_server_disable_keep_alive(d->operator_server);
+    (void)uv_timer_start(&d->shutdown_timer, on_shutdown_timer,
+                         SHUTDOWN_POLL_MS, SHUTDOWN_POLL_MS);
 }
 
 /* Reads the seed addresses again. */
@@ -308,8 +328,8 @@
     (void)g_setenv("UV_THREADPOOL_SIZE", "1", TRUE);
     d.daemon = bb_daemon_create("baobab-core", d.settings.common.host,
                                 &daemon_events, &d);
-    (void)uv_timer_init(bb_daemon_loop(d.daemon), &d.stop_timer);
-    d.stop_timer.data = &d;
+    (void)uv_timer_init(bb_daemon_loop(d.daemon), &d.shutdown_timer);
+    d.shutdown_timer.data = &d;
     if (!open_core_and_servers(&d, &e)) {
         (void)fprintf(stderr, "baobab-core: %s\n", e.message);
         goto done;
@@ -317,8 +337,9 @@
     bb_daemon_run(d.daemon);
     code = BB_EXIT_OK;
 done:
-    bb_http_server_destroy(d.operator_server);
+    /* First, as it responds to the requests that are left. */
     bb_core_destroy(d.core);
+    bb_http_server_destroy(d.operator_server);
     bb_daemon_destroy(d.daemon);
     return code;
 }
--- a/tests/proxyd/test_stop.c
+++ b/tests/proxyd/test_stop.c
@@ -52,6 +52,17 @@
     CU_ASSERT_EQUAL(f->proxy.wait_status, 0);
 }
 
+/* Sends a signal to the control hosts that do not lead. */
+static void
+signal_followers(struct fixture *f, int number)
+{
+    for (uint32_t i = 0; i < f->core_count; i++) {
+        if (i != f->leader) {
+            process_signal(&f->cores[i], number);
+        }
+    }
+}
+
 /* Guards against: a process that ends by a signal, or late, after SIGTERM
  * because the handles of kept connections to its upstream are closed twice. */
 static void
@@ -418,6 +429,54 @@
     fixture_close(&f);
 }
 
+/* Sends a proposal to the leader while the other control hosts are frozen, and
+ * stops the leader. The others continue after `frozen_ms`. Checks that the
+ * operator gets a response. */
+static void
+check_proposal_at_stop(uint32_t frozen_ms)
+{
+    struct fixture f;
+    struct process *leader;
+    struct peer *operator;
+    GString *proposal;
+
+    fixture_open(&f, FIXTURE_CORES_MAX, GRACE_S);
+    leader = &f.cores[f.leader];
+    operator= peer_connect(&f, &f.operator_addresses[f.leader], 0);
+    proposal = fixture_build_proposal(&f, FIXTURE_IDLE_TIMEOUT_MS,
+                                      FIXTURE_BODY_MAX_BYTES);
+    signal_followers(&f, SIGSTOP);
+    peer_send(operator, proposal->str);
+    fixture_run(&f, 50);
+    process_signal(leader, SIGTERM);
+    fixture_run(&f, frozen_ms);
+    signal_followers(&f, SIGCONT);
+    CU_ASSERT_TRUE(peer_wait_text(&f, operator, "\r\n\r\n", SOON_MS));
+    CU_ASSERT_EQUAL(peer_count(operator, "HTTP/1.1 200") +
+                        peer_count(operator, "HTTP/1.1 503"),
+                    1);
+    CU_ASSERT_TRUE(process_wait(&f, leader, SOON_MS));
+    CU_ASSERT_EQUAL(leader->wait_status, 0);
+    g_string_free(proposal, TRUE);
+    fixture_close(&f);
+}
+
+/* Guards against: an operator whose change is being agreed on when the leader
+ * is stopped, and who gets no response although a majority responds. */
+static void
+test_proposal_with_late_majority(void)
+{
+    check_proposal_at_stop(500);
+}
+
+/* Guards against: an operator whose change is being agreed on when the leader
+ * is stopped, and who gets no response as no majority responds. */
+static void
+test_proposal_without_majority(void)
+{
+    check_proposal_at_stop(SOON_MS);
+}
+
 static const struct bb_unit_test tests[] = {
     {"exit status with a kept connection",
      test_exit_status_with_kept_connection},
@@ -433,6 +492,8 @@
     {"waiting request served", test_waiting_request_served},
     {"waiting request refused", test_waiting_request_refused},
     {"request being received", test_request_being_received},
-    {"request that is never complete", test_request_never_complete}};
+    {"request that is never complete", test_request_never_complete},
+    {"proposal with a late majority", test_proposal_with_late_majority},
+    {"proposal without a majority", test_proposal_without_majority}};
 
 BB_UNIT_MAIN("stop", tests)
