proxyd: respond to what is in progress before the grace time ends

Callers saw: a response that was complete was lost when their host stopped: it waited behind a request of the same connection that was still running at the end of the grace time. A request that waited to be started got no response either.

Cause: at the end of the grace time the process closed all connections.

The responses behind them follow.

--- a/path/entry.c
+++ b/path/entry.c
@@ -234,6 +234,7 @@
 request_destroy(struct entry_request *rq, enum bb_event_class event_class)
 {
     bb_event_log_write(event_class, rq->log_lines->str, rq->log_lines->len);
+    g_queue_unlink(&rq->entry->requests, &rq->link);
     attempt_cancel(&rq->attempts[0]);
     attempt_cancel(&rq->attempts[1]);
     uv_close((uv_handle_t *)&rq->timer, free_request);
@@ -246,13 +247,20 @@
     return rq->attempts[0].fetch != NULL || rq->attempts[1].fetch != NULL;
 }
 
+/* Returns whether a part of an upstream's response was sent. */
+static bool
+is_streaming(const struct entry_request *rq)
+{
+    return rq->attempts[0].relay.is_streaming ||
+           rq->attempts[1].relay.is_streaming;
+}
+
 /* Ends a request at its deadline: breaks off a response that is being
  * streamed, passes on a held one, or sends one of the entry itself. */
 static void
 finish_at_deadline(struct entry_request *rq)
 {
-    if (rq->attempts[0].relay.is_streaming ||
-        rq->attempts[1].relay.is_streaming) {
+    if (is_streaming(rq)) {
         bb_event_log_format_line(rq->log_lines, "entry.broken_off", rq->id,
                                  "\"reason\":\"deadline\"");
         bb_http_exchange_abort(rq->exchange);
@@ -432,6 +440,8 @@
     rq->entry = n;
     rq->exchange = x;
     x->user_data = rq;
+    rq->link.data = rq;
+    g_queue_push_tail_link(&n->requests, &rq->link);
     rq->log_lines = g_string_new(NULL);
     (void)uv_timer_init(n->loop, &rq->timer);
     rq->timer.data = rq;
@@ -561,6 +571,7 @@
     n->settings = *s;
     n->pool = bb_connection_pool_create(loop, &pool);
     n->service_credits = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+    g_queue_init(&n->requests);
     n->server =
         bb_http_server_create(loop, &s->listen_address, &handler, n, e);
     if (n->server == NULL) {
@@ -599,6 +610,41 @@
     n->is_stopping = true;
 }
 
+/* Returns a request whose response has not begun, or NULL. */
+static struct entry_request *
+find_unanswered(const struct bb_entry *n)
+{
+    for (const GList *l = n->requests.head; l != NULL; l = l->next) {
+        if (!is_streaming(l->data)) {
+            return l->data;
+        }
+    }
+    return NULL;
+}
+
+/* Responds to the requests in progress, except those whose response has begun,
+ * so that complete responses that wait behind theirs are sent. For use after
+ * bb_entry_refuse_requests. */
+void
+bb_entry_end_requests(struct bb_entry *n)
+{
+    struct entry_request *rq;
+
+    /* From the first one again, as a response may end other requests. */
+    while ((rq = find_unanswered(n)) != NULL) {
+        if (rq->has_held_response) {
+            request_forward_held_response(rq);
+        }
+        else if (has_active_attempt(rq) || rq->may_have_run) {
+            request_respond_locally(rq, 502, "stopping", 0);
+        }
+        else {
+            request_respond_locally(rq, 503, "stopping",
+                                    BB_ENTRY_RETRY_AFTER_MIN_MS);
+        }
+    }
+}
+
 /* Returns how many requests have no complete response yet. */
 uint32_t
 bb_entry_pending_count(const struct bb_entry *n)
--- a/path/entry_internal.h
+++ b/path/entry_internal.h
@@ -25,6 +25,7 @@
     /* struct bb_rules_route to int64_t[]: weighted round-robin credit by
      * service */
     GHashTable *service_credits;
+    GQueue requests; /* struct entry_request, by their `link` */
     /* By class_index: estimated 95th percentile of the time from a send to the
      * response; 0: no response yet. */
     uint64_t p95_us[BB_REQUEST_CLASS_COUNT];
@@ -66,6 +67,7 @@
 struct entry_request {
     struct bb_entry *entry;
     struct bb_http_exchange *exchange;
+    GList link;       /* in the entry's requests */
     uv_timer_t timer; /* hedge time first, then respond_by_us */
     struct bb_rules *rules;
     const struct bb_rules_route *route;
--- a/proxyd/main.c
+++ b/proxyd/main.c
@@ -29,6 +29,9 @@
      * incomplete by then has stalled, and must not use up --grace. */
     SHUTDOWN_RECEIVE_MS = 1000,
     SHUTDOWN_POLL_MS = 100,
+    /* Before the end of --grace: the entry responds to the requests that are
+     * still in progress. */
+    SHUTDOWN_END_MARGIN_MS = 800,
     /* Part of --grace reserved for closing connections, writing the log and
      * exiting. */
     SHUTDOWN_MARGIN_MS = 700
@@ -297,13 +300,15 @@
 
 /* Refuses new requests, first at the gate, then at the entry. Ends the process
  * after SHUTDOWN_NOTICE_MS once neither is busy, or SHUTDOWN_MARGIN_MS before
- * the end of --grace. */
+ * the end of --grace. The entry responds to what is in progress before that.
+ */
 static void
 on_shutdown_timer(uv_timer_t *t)
 {
     struct proxy *p = t->data;
     uint64_t waited_ms =
         (bb_clock_now_us() - p->shutdown_started_us) / BB_US_PER_MS;
+    uint64_t grace_ms = p->settings.grace_s * MS_PER_S;
     struct bb_http_server_open entry;
     struct bb_http_server_open gate;
 
@@ -314,6 +319,10 @@
     if (waited_ms >= SHUTDOWN_NOTICE_MS) {
         bb_entry_refuse_requests(p->entry);
     }
+    if (waited_ms + SHUTDOWN_END_MARGIN_MS >= grace_ms) {
+        bb_entry_refuse_requests(p->entry);
+        bb_entry_end_requests(p->entry);
+    }
     entry = bb_entry_count_open(p->entry);
     gate = bb_gate_count_open(p->gate);
     if (waited_ms >= SHUTDOWN_NOTICE_MS && !is_busy(&entry, waited_ms) &&
@@ -321,8 +330,7 @@
         log_stop(p, "idle", waited_ms, &entry, &gate);
         bb_daemon_stop(p->daemon);
     }
-    else if (waited_ms + SHUTDOWN_MARGIN_MS >=
-             p->settings.grace_s * MS_PER_S) {
+    else if (waited_ms + SHUTDOWN_MARGIN_MS >= grace_ms) {
         log_stop(p, "end of the grace time", waited_ms, &entry, &gate);
         bb_daemon_stop(p->daemon);
     }
--- a/tests/proxyd/test_stop.c
+++ b/tests/proxyd/test_stop.c
@@ -391,6 +391,32 @@
     fixture_close(&f);
 }
 
+/* Guards against: complete responses, and requests that wait, dropped at the
+ * end of the grace time because an earlier request of their connection is
+ * still in progress. */
+static void
+test_request_beyond_grace_time(void)
+{
+    struct fixture f;
+    struct peer *caller;
+
+    fixture_open(&f, 1, GRACE_S);
+    caller = peer_connect(&f, &f.entry_address, 0);
+    peer_send(caller, SAFE("a1") "\r\n" SAFE("a2") "\r\n" UNSAFE(
+                          "a3") "Content-Length: 2\r\n\r\nhi");
+    CU_ASSERT_PTR_NOT_NULL(upstream_wait_request(&f, "a1", SOON_MS));
+    upstream_respond(upstream_wait_request(&f, "a2", SOON_MS), "a2",
+                     "body of a2");
+    process_signal(&f.proxy, SIGTERM);
+    CU_ASSERT_TRUE(process_wait(&f, &f.proxy, GRACE_S * MS_PER_S));
+    CU_ASSERT_EQUAL(f.proxy.wait_status, 0);
+    CU_ASSERT_TRUE(peer_wait_end(&f, caller, SOON_MS));
+    CU_ASSERT_EQUAL(peer_count(caller, "HTTP/1.1 502"), 1);
+    CU_ASSERT_EQUAL(peer_count(caller, "body of a2"), 1);
+    CU_ASSERT_EQUAL(peer_count(caller, "HTTP/1.1 503"), 1);
+    fixture_close(&f);
+}
+
 /* Guards against: a request whose body is still arriving when requests are
  * refused, and that gets no response because the process ends. */
 static void
@@ -491,6 +517,7 @@
     {"slow reader of the last response", test_slow_reader_of_last_response},
     {"waiting request served", test_waiting_request_served},
     {"waiting request refused", test_waiting_request_refused},
+    {"request beyond the grace time", test_request_beyond_grace_time},
     {"request being received", test_request_being_received},
     {"request that is never complete", test_request_never_complete},
     {"proposal with a late majority", test_proposal_with_late_majority},
