--- a/path/daemon.c
+++ b/path/daemon.c
@@ -40,6 +40,9 @@
         bb_log_info("host.stopping", "signal %d", number);
         d->events->stop(d->context);
     }
+    else {
+        bb_log_info("host.stopping", "signal %d again", number);
+    }
 }
 
 /* Writes log lines; tries again after BB_EVENT_LOG_FLUSH_INTERVAL_MS while
