proxyd: give upstreams no more time than the process has itself

Cause: a stopping process admitted requests with their whole deadline, which may lie beyond its own end: 5 s of a route's timeout against 2.7 s that were left.

The gate refuses at once what it cannot serve by then, the upstream ends its work and responds itself, and the response reaches the caller. Requests received before SIGTERM keep their deadlines.

Evidence: test_stop, deadline during the stop, failed before: the upstream was given more than the grace time, and the caller got no 504.

--- a/include/path/entry.h
+++ b/include/path/entry.h
@@ -71,6 +71,7 @@
                                  struct bb_error *e);
 void bb_entry_set_rules(struct bb_entry *n, struct bb_rules *r);
 void bb_entry_disable_keep_alive(struct bb_entry *n);
+void bb_entry_limit_deadlines(struct bb_entry *n, uint64_t end_us);
 void bb_entry_refuse_requests(struct bb_entry *n);
 void bb_entry_end_requests(struct bb_entry *n);
 uint32_t bb_entry_pending_count(const struct bb_entry *n);
--- a/path/entry.c
+++ b/path/entry.c
@@ -372,12 +372,13 @@
     return true;
 }
 
-/* Sets deadline_us, the earlier of the caller's deadline and the route's
- * timeout, and target_end_us. The target latency counts from the caller's
- * first request: a deadline shorter than the longest one seen on the route is
- * taken as a sign that the caller retries, and the target latency is shortened
- * by the difference, down to TARGET_MIN_PERCENT of it. For a nested request,
- * target_end_us is instead moved halfway to the deadline. */
+/* Sets deadline_us, the earliest of the caller's deadline, the route's timeout
+ * and the end of this process, and target_end_us. The target latency counts
+ * from the caller's first request: a deadline shorter than the longest one
+ * seen on the route is taken as a sign that the caller retries, and the target
+ * latency is shortened by the difference, down to TARGET_MIN_PERCENT of it.
+ * For a nested request, target_end_us is instead moved halfway to the
+ * deadline. */
 static void
 set_deadlines(struct entry_request *rq)
 {
@@ -402,6 +403,9 @@
     }
     rq->deadline_us =
         from_us + MIN(left_us, (uint64_t)rq->route->timeout_ms * BB_US_PER_MS);
+    if (rq->entry->end_us != 0) {
+        rq->deadline_us = MIN(rq->deadline_us, rq->entry->end_us);
+    }
     rq->target_end_us = from_us + target_latency_us;
     if (rq->is_nested && rq->target_end_us < rq->deadline_us) {
         /* Even a late response saves the work done for the parent request. */
@@ -610,6 +614,15 @@
     n->is_stopping = true;
 }
 
+/* Sets the latest deadline of further requests, on the monotonic clock: a
+ * process that stops must not give an upstream more time than it has itself.
+ */
+void
+bb_entry_limit_deadlines(struct bb_entry *n, uint64_t end_us)
+{
+    n->end_us = end_us;
+}
+
 /* Returns a request whose response has not begun, or NULL. */
 static struct entry_request *
 find_unanswered(const struct bb_entry *n)
--- a/path/entry_internal.h
+++ b/path/entry_internal.h
@@ -33,6 +33,7 @@
      * BB_ENTRY_DEADLINE_MAX_MS if one stated none; taken as the deadline of a
      * caller's first request. */
     uint64_t longest_deadline_us[BB_RULES_GROUP_COUNT];
+    uint64_t end_us; /* latest deadline; 0: no limit */
     bool is_stopping;
 };
 
--- a/path/gate.c
+++ b/path/gate.c
@@ -70,6 +70,7 @@
     uint64_t failure_updated_us;
     /* request_id to struct gate_request, of those sent to the upstream */
     GHashTable *running;
+    uint64_t end_us; /* latest deadline; 0: no limit */
     uint64_t created_us;
     bool is_restored; /* bb_gate_restore was called */
     bool is_stopping;
@@ -469,6 +470,10 @@
         .is_nested = strchr(flags, BB_GATE_FLAG_NESTED) != NULL,
         .target_end_us = now_us + (uint64_t)target_ms * BB_US_PER_MS,
         .deadline_us = now_us + deadline_ms * BB_US_PER_MS};
+    if (g->end_us != 0) {
+        rq->queue_item.deadline_us =
+            MIN(rq->queue_item.deadline_us, g->end_us);
+    }
     return true;
 }
 
@@ -712,6 +717,15 @@
     }
 }
 
+/* Sets the latest deadline of further requests, on the monotonic clock: a
+ * process that stops must not give the upstream more time than it has itself.
+ */
+void
+bb_gate_limit_deadlines(struct bb_gate *g, uint64_t end_us)
+{
+    g->end_us = end_us;
+}
+
 /* Refuses queued and further requests and sends `Connection: close` with each
  * further response, unless later requests of the connection already wait
  * behind it. Requests at the upstream are finished. */
--- a/proxyd/main.c
+++ b/proxyd/main.c
@@ -29,6 +29,9 @@
      * incomplete by then has stalled, and must not use up --grace. */
     SHUTDOWN_RECEIVE_MS = 1000,
     SHUTDOWN_POLL_MS = 100,
+    /* Before the end of --grace: the latest deadline of requests received
+     * since the start of the shutdown. */
+    SHUTDOWN_DEADLINE_MARGIN_MS = 900,
     /* Before the end of --grace: the entry responds to the requests that are
      * still in progress. */
     SHUTDOWN_END_MARGIN_MS = 800,
@@ -343,9 +346,17 @@
 begin_shutdown(void *context)
 {
     struct proxy *p = context;
+    uint64_t grace_ms = p->settings.grace_s * MS_PER_S;
+    uint64_t end_us;
 
     p->is_stopping = true;
     p->shutdown_started_us = bb_clock_now_us();
+    end_us =
+        p->shutdown_started_us +
+        (grace_ms - MIN(grace_ms, (uint64_t)SHUTDOWN_DEADLINE_MARGIN_MS)) *
+            BB_US_PER_MS;
+    bb_entry_limit_deadlines(p->entry, end_us);
+    bb_gate_limit_deadlines(p->gate, end_us);
     bb_entry_disable_keep_alive(p->entry);
     (void)uv_timer_start(&p->shutdown_timer, on_shutdown_timer,
                          SHUTDOWN_POLL_MS, SHUTDOWN_POLL_MS);
--- a/tests/proxyd/test_stop.c
+++ b/tests/proxyd/test_stop.c
@@ -1,5 +1,6 @@
 /* Tests that no request is lost when a process stops, with real processes. */
 #include <signal.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "fixture.h"
@@ -417,6 +418,38 @@
     fixture_close(&f);
 }
 
+/* Guards against: a process that stops and gives an upstream more time than it
+ * has itself, so that its end cuts off the request. */
+static void
+test_deadline_during_stop(void)
+{
+    static const char field[] = "X-Baobabshed-Deadline-Ms: ";
+    struct fixture f;
+    struct peer *caller;
+    const struct peer *upstream;
+    const char *head;
+    const char *deadline;
+
+    fixture_open(&f, 1, GRACE_S);
+    caller = peer_connect(&f, &f.entry_address, 0);
+    exchange(&f, caller, "a1");
+    process_signal(&f.proxy, SIGTERM);
+    CU_ASSERT_TRUE(fixture_wait_log(&f, &f.proxy, "host.stopping", SOON_MS));
+    peer_send(caller, SAFE("a2") "\r\n");
+    upstream = upstream_wait_request(&f, "a2", SOON_MS);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(upstream);
+    head = strstr(upstream->received->str, "Id: a2");
+    CU_ASSERT_PTR_NOT_NULL_FATAL(head);
+    deadline = strstr(head, field);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(deadline);
+    CU_ASSERT_TRUE(strtol(deadline + strlen(field), NULL, 10) <
+                   GRACE_S * MS_PER_S);
+    CU_ASSERT_TRUE(
+        peer_wait_text(&f, caller, "HTTP/1.1 504", GRACE_S * MS_PER_S));
+    check_clean_exit(&f);
+    fixture_close(&f);
+}
+
 /* Guards against: a request whose body is still arriving when requests are
  * refused, and that gets no response because the process ends. */
 static void
@@ -518,6 +551,7 @@
     {"waiting request served", test_waiting_request_served},
     {"waiting request refused", test_waiting_request_refused},
     {"request beyond the grace time", test_request_beyond_grace_time},
+    {"deadline during the stop", test_deadline_during_stop},
     {"request being received", test_request_being_received},
     {"request that is never complete", test_request_never_complete},
     {"proposal with a late majority", test_proposal_with_late_majority},
