net/fetch: bound the responses that are skipped

A peer that sends informational responses, responses to another request, or one of those with a body without end kept a request until its deadline, and its bytes were read all the while. Also a response to another request after which the connection closes was read to its end, which may never come, though no other can follow.

A fetch now counts the bytes before the head of its response and ends as lost after BB_FETCH_SKIPPED_MAX_BYTES (1 MiB), and at once if no response can follow the skipped one: the connection does not persist after it, or its Content-Length exceeds the limit.

A response behind one of 1 MiB less 1 KiB is still found.

--- a/include/net/fetch.h
+++ b/include/net/fetch.h
@@ -6,11 +6,19 @@
 #include "net/http.h"
 #include "net/stream.h"
 
+enum {
+    /* Bytes of skipped responses before the connection is given up: room for
+     * the responses that a peer confuses, and few enough to be read within
+     * milliseconds, whatever the deadline of the request. */
+    BB_FETCH_SKIPPED_MAX_BYTES = 1024 * 1024
+};
+
 enum bb_fetch_result {
     BB_FETCH_COMPLETE,
     BB_FETCH_NOT_CONNECTED, /* nothing was sent */
     BB_FETCH_LOST,          /* the connection ended or became unusable before
-                               the response head */
+                               the response head, or skipped responses exceed
+                               BB_FETCH_SKIPPED_MAX_BYTES */
     BB_FETCH_TRUNCATED,     /* the connection ended or the bytes became
                                malformed within the response body */
     BB_FETCH_MALFORMED_HEAD /* malformed bytes before the response head was
@@ -24,7 +32,9 @@
 struct bb_fetch_events {
     /* The head of a response. Returns false if the response belongs to another
      * request; it is skipped, and the next one is read. If the connection
-     * does not persist after it, the fetch ends with BB_FETCH_LOST. */
+     * does not persist after it, or its length exceeds
+     * BB_FETCH_SKIPPED_MAX_BYTES, the fetch ends at once with
+     * BB_FETCH_LOST. */
     bool (*head)(void *context, const struct bb_http_head *h);
     void (*body)(void *context, const char *data, size_t size_bytes);
     /* The last event. The fetch is already freed. */
--- a/net/fetch.c
+++ b/net/fetch.c
@@ -69,6 +69,7 @@
     struct pooled_connection *connection;
     const struct bb_fetch_events *events;
     void *context;
+    size_t skipped_bytes; /* received before the head of the response */
     bool is_body_sent;
     bool is_connected;
     bool is_skipping_response; /* informational, or of another request */
@@ -245,6 +246,36 @@
 static const struct bb_http_reader_events reader_events = {.head = on_head,
                                                            .body = on_body};
 
+/* Returns whether a response can follow the one that is being skipped, within
+ * BB_FETCH_SKIPPED_MAX_BYTES. Informational responses have no body. */
+static bool
+can_follow_skipped(const struct pooled_connection *c)
+{
+    const struct bb_http_head *h = &c->reader.head;
+
+    if (h->status < 200) {
+        return true;
+    }
+    return h->is_keep_alive && !c->reader.is_eof_framed &&
+           (c->reader.is_head_response || !h->has_content_length ||
+            h->content_length <= (uint64_t)BB_FETCH_SKIPPED_MAX_BYTES);
+}
+
+/* Counts bytes that were parsed. Returns false if the connection is of no more
+ * use to its fetch: it cannot bring the response, or too much came before. */
+static bool
+count_parsed_bytes(struct pooled_connection *c, size_t size_bytes)
+{
+    struct bb_fetch *f = c->fetch;
+
+    if (f->has_response) {
+        return true;
+    }
+    f->skipped_bytes += size_bytes;
+    return f->skipped_bytes <= BB_FETCH_SKIPPED_MAX_BYTES &&
+           (!f->is_skipping_response || can_follow_skipped(c));
+}
+
 /* Ends the fetch of a complete response, or prepares for the next one if this
  * one was skipped. Returns whether the fetch continues on this connection. */
 static bool
@@ -253,15 +284,7 @@
     struct bb_fetch *f = c->fetch;
 
     if (f->is_skipping_response) {
-        bool can_continue =
-            c->reader.head.status < 200 ||
-            (c->reader.head.is_keep_alive && !c->reader.is_eof_framed);
-
         f->is_skipping_response = false;
-        if (!can_continue) {
-            fail_connection(c, BB_FETCH_LOST);
-            return false;
-        }
         bb_http_reader_start_next(&c->reader);
         c->reader.is_head_response = f->is_head_method;
         return true;
@@ -271,8 +294,8 @@
     return false;
 }
 
-/* Parses received bytes and ends the fetch when its response is complete or
- * malformed. */
+/* Parses received bytes and ends the fetch when its response is complete,
+ * malformed or no longer to be expected. */
 static void
 on_data(void *context, const char *data, size_t size_bytes)
 {
@@ -287,14 +310,20 @@
     }
     c->fetch->has_received_bytes = true;
     while (used < size_bytes) {
-        used +=
+        size_t parsed_bytes =
             bb_http_reader_feed(&c->reader, data + used, size_bytes - used);
+
+        used += parsed_bytes;
         if (c->reader.state == BB_HTTP_READER_FAILED) {
             fail_connection(c, c->fetch->has_response
                                    ? BB_FETCH_TRUNCATED
                                    : BB_FETCH_MALFORMED_HEAD);
             return;
         }
+        if (!count_parsed_bytes(c, parsed_bytes)) {
+            fail_connection(c, BB_FETCH_LOST);
+            return;
+        }
         if (c->reader.state != BB_HTTP_READER_DONE) {
             return;
         }
