path: pass on no long response that a short one would not be

A success without the seal of an upstream is not passed on, and a refusal or a response that states that the request did not run leads to another attempt. But a response longer than 64 KiB was streamed to the caller before any of this was looked at: the caller got 200 with bytes that no upstream sealed, or the 503 of an upstream that had refused, until the deadline broke it off.

The entry now looks at the head before it starts to stream, and declines the rest of a body that is not to be passed on: bb_fetch_events.body returns whether more is wanted, and BB_FETCH_DECLINED ends the fetch. What the head states counts, as it does for a short response, and the gate is not suspended.

meson test: test_endless and test_path passed, test_endless twice, both also with the sanitizers.

--- a/include/net/fetch.h
+++ b/include/net/fetch.h
@@ -15,14 +15,15 @@
 
 enum bb_fetch_result {
     BB_FETCH_COMPLETE,
-    BB_FETCH_NOT_CONNECTED, /* nothing was sent */
-    BB_FETCH_LOST,          /* the connection ended or became unusable before
-                               the response head, or skipped responses exceed
-                               BB_FETCH_SKIPPED_MAX_BYTES */
-    BB_FETCH_TRUNCATED,     /* the connection ended or the bytes became
-                               malformed within the response body */
-    BB_FETCH_MALFORMED_HEAD /* malformed bytes before the response head was
+    BB_FETCH_NOT_CONNECTED,  /* nothing was sent */
+    BB_FETCH_LOST,           /* the connection ended or became unusable before
+                                the response head, or skipped responses exceed
+                                BB_FETCH_SKIPPED_MAX_BYTES */
+    BB_FETCH_TRUNCATED,      /* the connection ended or the bytes became
+                                malformed within the response body */
+    BB_FETCH_MALFORMED_HEAD, /* malformed bytes before the response head was
                                complete, also in a skipped response */
+    BB_FETCH_DECLINED        /* bb_fetch_events.body declined the rest */
 };
 
 /* A request in progress. */
@@ -36,7 +37,9 @@
      * BB_FETCH_SKIPPED_MAX_BYTES, the fetch ends at once with
      * BB_FETCH_LOST. */
     bool (*head)(void *context, const struct bb_http_head *h);
-    void (*body)(void *context, const char *data, size_t size_bytes);
+    /* A part of the body. Returns false to decline it and the rest: the
+     * connection is closed, and the fetch ends with BB_FETCH_DECLINED. */
+    bool (*body)(void *context, const char *data, size_t size_bytes);
     /* The last event. The fetch is already freed. */
     void (*done)(void *context, enum bb_fetch_result result);
     /* All queued bytes of the request were written; may be NULL. */
--- a/net/fetch.c
+++ b/net/fetch.c
@@ -74,6 +74,7 @@
     bool is_connected;
     bool is_skipping_response; /* informational, or of another request */
     bool has_response;         /* its head was accepted */
+    bool is_declined;          /* the rest of its body is not wanted */
     bool is_head_method;
     bool has_received_bytes;
 };
@@ -232,14 +233,16 @@
     return true;
 }
 
-/* Passes body data to the caller, except that of a skipped response. */
+/* Passes body data to the caller, except that of a skipped response, or after
+ * the caller declined it. */
 static void
 on_body(void *context, const char *data, size_t size_bytes)
 {
     struct pooled_connection *c = context;
+    struct bb_fetch *f = c->fetch;
 
-    if (!c->fetch->is_skipping_response) {
-        c->fetch->events->body(c->fetch->context, data, size_bytes);
+    if (!f->is_skipping_response && !f->is_declined) {
+        f->is_declined = !f->events->body(f->context, data, size_bytes);
     }
 }
 
@@ -314,6 +317,10 @@
             bb_http_reader_feed(&c->reader, data + used, size_bytes - used);
 
         used += parsed_bytes;
+        if (c->fetch->is_declined) {
+            fail_connection(c, BB_FETCH_DECLINED);
+            return;
+        }
         if (c->reader.state == BB_HTTP_READER_FAILED) {
             fail_connection(c, c->fetch->has_response
                                    ? BB_FETCH_TRUNCATED
@@ -600,6 +607,8 @@
         return "truncated";
     case BB_FETCH_MALFORMED_HEAD:
         return "garbled";
+    case BB_FETCH_DECLINED:
+        return "declined";
     }
     return "unknown";
 }
--- a/path/attempt.c
+++ b/path/attempt.c
@@ -276,16 +276,42 @@
     return true;
 }
 
+/* Returns the outcome that the head of a response states. A success without
+ * the seal does not come from the upstream itself, so the outcome is unknown.
+ */
+static enum attempt_result
+classify_head(const struct attempt *a)
+{
+    bool is_success = a->relay.status >= 200 && a->relay.status < 300;
+
+    if (a->is_refused) {
+        return ATTEMPT_REFUSED;
+    }
+    if (a->is_not_run) {
+        return ATTEMPT_NOT_RUN;
+    }
+    if (a->is_response_lost || (is_success && !a->is_sealed)) {
+        return ATTEMPT_UNKNOWN;
+    }
+    return ATTEMPT_COMPLETED;
+}
+
 /* Collects or streams a part of the response. Once it is streamed the other
- * attempt is of no use. */
-static void
+ * attempt is of no use. Declines the rest of one that is not passed on and
+ * exceeds BB_RESPONSE_RELAY_BUFFER_BYTES. */
+static bool
 on_response_body(void *context, const char *data, size_t size_bytes)
 {
     struct attempt *a = context;
     struct bb_http_exchange *x = a->request->exchange;
-    bool is_streaming =
-        bb_response_relay_append_body(&a->relay, x, data, size_bytes);
+    bool is_streaming;
 
+    if (!a->relay.is_streaming && classify_head(a) != ATTEMPT_COMPLETED &&
+        a->relay.body->len + size_bytes > BB_RESPONSE_RELAY_BUFFER_BYTES) {
+        return false;
+    }
+    is_streaming =
+        bb_response_relay_append_body(&a->relay, x, data, size_bytes);
     if (is_streaming) {
         attempt_cancel(other_attempt(a));
     }
@@ -293,15 +319,13 @@
         bb_http_exchange_queued_bytes(x) > BB_STREAM_HIGH_WATER_BYTES) {
         bb_fetch_pause(a->fetch);
     }
+    return true;
 }
 
-/* Returns the outcome of a finished attempt. A success without the seal does
- * not come from the upstream itself, so the outcome is unknown. */
+/* Returns the outcome of a finished attempt. */
 static enum attempt_result
 classify_result(const struct attempt *a, enum bb_fetch_result result)
 {
-    bool is_success = a->relay.status >= 200 && a->relay.status < 300;
-
     switch (result) {
     case BB_FETCH_NOT_CONNECTED:
         return ATTEMPT_UNREACHABLE;
@@ -310,18 +334,10 @@
     case BB_FETCH_MALFORMED_HEAD:
         return ATTEMPT_UNKNOWN;
     case BB_FETCH_COMPLETE:
+    case BB_FETCH_DECLINED:
         break;
     }
-    if (a->is_refused) {
-        return ATTEMPT_REFUSED;
-    }
-    if (a->is_not_run) {
-        return ATTEMPT_NOT_RUN;
-    }
-    if (a->is_response_lost || (is_success && !a->is_sealed)) {
-        return ATTEMPT_UNKNOWN;
-    }
-    return ATTEMPT_COMPLETED;
+    return classify_head(a);
 }
 
 /* Returns the name of an outcome in the log. */
@@ -468,7 +484,8 @@
         "\"status\":%u,\"took_us\":%" G_GUINT64_FORMAT,
         a->gate_address, attempt_result_name(r), bb_fetch_result_name(result),
         a->relay.status, took_us);
-    if (g != NULL && result != BB_FETCH_COMPLETE) {
+    if (g != NULL && result != BB_FETCH_COMPLETE &&
+        result != BB_FETCH_DECLINED) {
         bb_gate_view_suspend(&g->view, bb_clock_now_us());
     }
     add_gate(rq->excluded_gates, &rq->excluded_count, a->gate_address);
--- a/path/gate.c
+++ b/path/gate.c
@@ -251,8 +251,9 @@
     return true;
 }
 
-/* Collects or streams a part of the response. */
-static void
+/* Collects or streams a part of the response. Always returns true: whether the
+ * response is of use is for the entry node to decide. */
+static bool
 on_response_body(void *context, const char *data, size_t size_bytes)
 {
     struct gate_request *rq = context;
@@ -263,6 +264,7 @@
             BB_STREAM_HIGH_WATER_BYTES) {
         bb_fetch_pause(rq->fetch);
     }
+    return true;
 }
 
 /* Marks the upstream as unreachable until its next announcement. */
