net/http: refuse a response whose length int64_t cannot hold

A Content-Length from 2^63 on became negative in the relay: the gate sent "Content-Length: -" and a chunked body. The entry could not read that and took it for a fault of the gate, which it then left out for 500 ms. One such response at each gate made other requests fail (503).

The reader now refuses such a response, so the gate reports it as lost.

--- a/include/net/http.h
+++ b/include/net/http.h
@@ -31,7 +31,8 @@
     bool has_content_length;
     bool is_chunked;
     bool is_keep_alive;      /* the connection persists after the message */
-    uint64_t content_length; /* Content-Length, if has_content_length */
+    uint64_t content_length; /* Content-Length, if has_content_length; of a
+                                response at most INT64_MAX */
     struct bb_http_field fields[BB_HTTP_FIELDS_MAX];
 };
 
--- a/net/http.c
+++ b/net/http.c
@@ -113,6 +113,16 @@
     return r->is_oversized ? 1 : 0;
 }
 
+/* Returns whether a response has a length that int64_t cannot hold, the type
+ * of the lengths that are sent on. Limits of the server refuse such requests.
+ */
+static bool
+is_length_too_large(const http_parser *p, const struct bb_http_head *h)
+{
+    return p->type == HTTP_RESPONSE && h->has_content_length &&
+           h->content_length > (uint64_t)INT64_MAX;
+}
+
 /* Returns whether another parser could read the message differently, which
  * would allow request smuggling. */
 static bool
@@ -160,7 +170,7 @@
                        !h->is_chunked && !r->is_head_response &&
                        h->status >= 200 && h->status != 204 &&
                        h->status != 304;
-    if (is_ambiguous(h) || p->upgrade != 0) {
+    if (is_ambiguous(h) || is_length_too_large(p, h) || p->upgrade != 0) {
         return -1;
     }
     r->state = BB_HTTP_READER_BODY;
--- a/tests/path/test_endless.c
+++ b/tests/path/test_endless.c
@@ -701,6 +701,20 @@
     run_floods(floods, G_N_ELEMENTS(floods), false);
 }
 
+/* Guards against: a length that no message can have, passed on as another one.
+ */
+static void
+test_impossible_length(void)
+{
+    static const struct flood f = {
+        .name = "body by length of 2^63",
+        .start = OWN_HEAD "Content-Length: 9223372036854775808\r\n\r\n",
+        .repeated = "x",
+        .is_closed_early = true};
+
+    run_flood(&f, false);
+}
+
 /* Guards against: bytes after a complete response taken for more of it, or
  * their connection used again. */
 static void
@@ -956,6 +970,7 @@
     {"long_skipped_response", test_long_skipped_response},
     {"chunk_framing", test_chunk_framing},
     {"body", test_body},
+    {"impossible_length", test_impossible_length},
     {"after_response", test_after_response},
     {"unusable_body", test_unusable_body},
     {"trickle", test_trickle},
