test_stop: leave no folder behind when started without the programs

Run by hand without TEST_PROXY_PROGRAM, each of its tests failed as intended but left its temporary folder, as the check came after the folder was made. Now it comes first; no folder was left in such a run.

--- a/tests/proxyd/fixture.c
+++ b/tests/proxyd/fixture.c
@@ -84,7 +84,6 @@
     char *log;
     int fd;
 
-    CU_ASSERT_PTR_NOT_NULL_FATAL(path);
     p->name = g_strdup(name);
     log = log_path(f, p);
     fd = open(log, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
@@ -638,6 +637,9 @@
     uint16_t control_port = free_address(first_core_ip).port;
     char *seeds;
 
+    /* Before anything is created that only fixture_close removes. */
+    CU_ASSERT_PTR_NOT_NULL_FATAL(getenv(PROXY_PROGRAM));
+    CU_ASSERT_PTR_NOT_NULL_FATAL(getenv(CORE_PROGRAM));
     *f = (struct fixture){.core_count = core_count, .upstream_listener = -1};
     f->failure_count = CU_get_number_of_failure_records();
     f->folder = g_dir_make_tmp("baobab-stop-XXXXXX", NULL);
