Count open requests in one way only

The servers kept a count of pending requests beside bb_http_server_count_open, which counts them from the connections. Nothing decides by it any more, so it goes; test_path checks the same with the count that is left.

The stop also waits for connections that close: until the peer has closed too, a reset could overtake the last response.

--- a/include/net/http_server.h
+++ b/include/net/http_server.h
@@ -128,7 +128,6 @@
 void bb_http_server_set_limits(struct bb_http_server *s,
                                const struct bb_http_server_limits *limits);
 void bb_http_server_disable_keep_alive(struct bb_http_server *s);
-uint32_t bb_http_server_pending_count(const struct bb_http_server *s);
 struct bb_http_server_open
 bb_http_server_count_open(const struct bb_http_server *s);
 void bb_http_server_destroy(struct bb_http_server *s);
--- a/include/path/entry.h
+++ b/include/path/entry.h
@@ -74,7 +74,6 @@
 void bb_entry_limit_deadlines(struct bb_entry *n, uint64_t end_us);
 void bb_entry_refuse_requests(struct bb_entry *n);
 void bb_entry_end_requests(struct bb_entry *n);
-uint32_t bb_entry_pending_count(const struct bb_entry *n);
 struct bb_http_server_open bb_entry_count_open(const struct bb_entry *n);
 void bb_entry_destroy(struct bb_entry *n);
 
--- a/include/path/gate.h
+++ b/include/path/gate.h
@@ -100,7 +100,6 @@
 void bb_gate_restore(struct bb_gate *g, const fleet_instance *earlier);
 void bb_gate_limit_deadlines(struct bb_gate *g, uint64_t end_us);
 void bb_gate_refuse_requests(struct bb_gate *g);
-uint32_t bb_gate_pending_count(const struct bb_gate *g);
 struct bb_http_server_open bb_gate_count_open(const struct bb_gate *g);
 bool bb_gate_is_running(const struct bb_gate *g, const char *id,
                         bool *is_retry);
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -41,7 +41,6 @@
     const char *request_id_field; /* NULL: requests have no id in the log */
     struct bb_http_server_limits limits;
     struct bb_http_server_connection *connections;
-    uint32_t pending_count; /* dispatched, without a complete response */
     bool is_keep_alive_disabled;
 };
 
@@ -190,12 +189,9 @@
         if (reason != BB_HTTP_SERVER_PEER_CLOSED && !x->is_aborted) {
             log_dropped_request(x, reason);
         }
-        if (x->is_dispatched && !x->is_response_ended) {
-            c->server->pending_count--;
-            if (c->server->handler->disconnected != NULL) {
-                c->server->handler->disconnected(c->server->context, x,
-                                                 reason);
-            }
+        if (x->is_dispatched && !x->is_response_ended &&
+            c->server->handler->disconnected != NULL) {
+            c->server->handler->disconnected(c->server->context, x, reason);
         }
         free_exchange(x);
     }
@@ -465,10 +461,7 @@
     bb_log_info("server.refused", "status %u: %s", status, reason);
     x->closes_connection = true;
     x->is_body_complete = false;
-    if (!x->is_dispatched) {
-        x->is_dispatched = true;
-        c->server->pending_count++;
-    }
+    x->is_dispatched = true;
     bb_http_exchange_respond(x, status, NULL, reason, strlen(reason));
 }
 
@@ -479,7 +472,6 @@
     struct bb_http_server *s = x->connection->server;
 
     x->is_dispatched = true;
-    s->pending_count++;
     s->handler->request(s->context, x);
 }
 
@@ -845,14 +837,6 @@
     s->is_keep_alive_disabled = true;
 }
 
-/* Returns how many requests were passed to the handler and have no complete
- * response yet. */
-uint32_t
-bb_http_server_pending_count(const struct bb_http_server *s)
-{
-    return s->pending_count;
-}
-
 /* Counts what is open, from the connections themselves. */
 struct bb_http_server_open
 bb_http_server_count_open(const struct bb_http_server *s)
@@ -959,7 +943,6 @@
     struct bb_http_server_connection *c = x->connection;
 
     x->is_response_ended = true;
-    c->server->pending_count--;
     if (g_queue_peek_head(&c->exchanges) == x) {
         flush_responses(c);
     }
--- a/path/entry.c
+++ b/path/entry.c
@@ -658,13 +658,6 @@
     }
 }
 
-/* Returns how many requests have no complete response yet. */
-uint32_t
-bb_entry_pending_count(const struct bb_entry *n)
-{
-    return bb_http_server_pending_count(n->server);
-}
-
 /* Returns what callers have open. */
 struct bb_http_server_open
 bb_entry_count_open(const struct bb_entry *n)
--- a/path/gate.c
+++ b/path/gate.c
@@ -741,14 +741,6 @@
     process_queue(g);
 }
 
-/* Returns the number of requests without a complete response, including queued
- * ones. */
-uint32_t
-bb_gate_pending_count(const struct bb_gate *g)
-{
-    return bb_http_server_pending_count(g->server);
-}
-
 /* Returns what entry nodes have open. */
 struct bb_http_server_open
 bb_gate_count_open(const struct bb_gate *g)
--- a/proxyd/main.c
+++ b/proxyd/main.c
@@ -262,17 +262,17 @@
 static const struct bb_http_server_handler announce_handler = {
     .request = on_announce_request};
 
-/* Logs what is open at one of the two servers when the process stops.
- * `pending` is the server's own count of the running requests. */
+/* Logs what is open at one of the two servers when the process stops. */
 static void
-log_open_requests(const char *server, const struct bb_http_server_open *open,
-                  uint32_t pending)
+log_open_requests(const char *server, const struct bb_http_server_open *open)
 {
     bb_log_info("proxy.open",
-                "%s: %u connections, requests: %u receiving, %u waiting, "
-                "%u running, %u answered; %zu bytes unsent; %u pending",
-                server, open->connections, open->receiving, open->waiting,
-                open->running, open->answered, open->unsent_bytes, pending);
+                "%s: %u connections, %u of them closing; requests: "
+                "%u receiving, %u waiting, %u running, %u answered; "
+                "%zu bytes unsent",
+                server, open->connections, open->closing, open->receiving,
+                open->waiting, open->running, open->answered,
+                open->unsent_bytes);
 }
 
 /* Logs why the process stops and what is open. */
@@ -281,22 +281,22 @@
          const struct bb_http_server_open *entry,
          const struct bb_http_server_open *gate)
 {
-    log_open_requests("entry", entry, bb_entry_pending_count(p->entry));
-    log_open_requests("gate", gate, bb_gate_pending_count(p->gate));
+    log_open_requests("entry", entry);
+    log_open_requests("gate", gate);
     bb_log_info("proxy.stopped",
                 "%s, %" G_GUINT64_FORMAT " ms after the signal: "
                 "%u requests unfinished",
                 reason, waited_ms, entry->running + gate->running);
 }
 
-/* Returns whether a server has requests to finish or bytes to send. Requests
- * that are being received count only until SHUTDOWN_RECEIVE_MS after
- * SHUTDOWN_NOTICE_MS. */
+/* Returns whether a server has requests to finish, bytes to send or
+ * connections that close. Requests that are being received count only until
+ * SHUTDOWN_RECEIVE_MS after SHUTDOWN_NOTICE_MS. */
 static bool
 is_busy(const struct bb_http_server_open *open, uint64_t waited_ms)
 {
     return open->running > 0 || open->waiting > 0 || open->answered > 0 ||
-           open->unsent_bytes > 0 ||
+           open->unsent_bytes > 0 || open->closing > 0 ||
            (open->receiving > 0 &&
             waited_ms < SHUTDOWN_NOTICE_MS + SHUTDOWN_RECEIVE_MS);
 }
--- a/tests/path/test_path.c
+++ b/tests/path/test_path.c
@@ -353,8 +353,8 @@
     fixture_run(&b, 300);
     CU_ASSERT_EQUAL(
         b.upstreams[0].aborted_requests + b.upstreams[1].aborted_requests, 1);
-    CU_ASSERT_EQUAL(bb_gate_pending_count(b.gates[0]) +
-                        bb_gate_pending_count(b.gates[1]),
+    CU_ASSERT_EQUAL(bb_gate_count_open(b.gates[0]).running +
+                        bb_gate_count_open(b.gates[1]).running,
                     0);
     client_free(c);
     fixture_close(&b);
