--- a/proxyd/main.c
+++ b/proxyd/main.c
@@ -277,7 +277,7 @@
 
 /* Logs why the process stops and what is open. */
 static void
-log_stop(const struct proxy *p, const char *reason, uint64_t waited_ms,
+log_stop(const char *reason, uint64_t waited_ms,
          const struct bb_http_server_open *entry,
          const struct bb_http_server_open *gate)
 {
@@ -330,11 +330,11 @@
     gate = bb_gate_count_open(p->gate);
     if (waited_ms >= SHUTDOWN_NOTICE_MS && !is_busy(&entry, waited_ms) &&
         !is_busy(&gate, waited_ms)) {
-        log_stop(p, "idle", waited_ms, &entry, &gate);
+        log_stop("idle", waited_ms, &entry, &gate);
         bb_daemon_stop(p->daemon);
     }
     else if (waited_ms + SHUTDOWN_MARGIN_MS >= grace_ms) {
-        log_stop(p, "end of the grace time", waited_ms, &entry, &gate);
+        log_stop("end of the grace time", waited_ms, &entry, &gate);
         bb_daemon_stop(p->daemon);
     }
 }
