http_server: read on after a paused body whose request was answered

Callers saw: after an early response to a request with a body of more than 256 KB, which was complete, the next request on the connection got no response until the idle timeout closed it.

Cause: the body was paused while it was being sent on, and only the fetch, which was gone by then, would have resumed it.

Change: a pause belongs to the request whose body is being received, and the server reads on whenever that is complete or answered.

Evidence: test_http_server, request behind a paused body, failed before (no second response within 2 s).

--- a/net/http_server.c
+++ b/net/http_server.c
@@ -392,6 +392,23 @@
     }
 }
 
+/* Stops reading while parsing is paused or the handler has paused the body
+ * being received, so that the peer has to wait; else continues. */
+static void
+update_reading(struct bb_http_server_connection *c)
+{
+    const struct bb_http_exchange *x = c->receiving;
+
+    if (!c->is_closing &&
+        (c->is_parsing_paused ||
+         (x != NULL && x->is_paused && !x->is_response_ended))) {
+        bb_stream_pause(c->stream);
+    }
+    else {
+        bb_stream_resume(c->stream);
+    }
+}
+
 /* Ends a connection after its last response. Received bytes are read and
  * dropped until the peer closes too, for at most BB_HTTP_SERVER_LINGER_MS
  * after the last byte was written: unread ones would turn the close into a
@@ -408,7 +425,7 @@
     free_ended_exchange(x);
     discard_exchanges(c, BB_HTTP_SERVER_CLOSING_RESPONSE);
     bb_stream_end_output(c->stream);
-    bb_stream_resume(c->stream);
+    update_reading(c);
     update_timer(c);
 }
 
@@ -678,9 +695,7 @@
             g_string_append_len(c->unparsed, data + used,
                                 (gssize)(size_bytes - used));
         }
-        if (c->is_parsing_paused) {
-            bb_stream_pause(c->stream);
-        }
+        update_reading(c);
         update_timer(c);
     }
 }
@@ -704,14 +719,13 @@
             return;
         }
         c->is_parsing_paused = false;
-        bb_stream_resume(c->stream);
+        update_reading(c);
         dispatch_request(x);
         if (c->is_closed) {
             return;
         }
     }
     c->is_parsing_paused = false;
-    bb_stream_resume(c->stream);
     unparsed = c->unparsed;
     c->unparsed = g_string_new(NULL);
     parse_input(c, unparsed->str, unparsed->len);
@@ -985,14 +999,14 @@
 void
 bb_http_exchange_pause(struct bb_http_exchange *x)
 {
-    bb_stream_pause(x->connection->stream);
+    x->is_paused = true;
+    update_reading(x->connection);
 }
 
 /* Continues reading a long request body. */
 void
 bb_http_exchange_resume(struct bb_http_exchange *x)
 {
-    if (!x->connection->is_parsing_paused) {
-        bb_stream_resume(x->connection->stream);
-    }
+    x->is_paused = false;
+    update_reading(x->connection);
 }
--- a/tests/net/test_http_server.c
+++ b/tests/net/test_http_server.c
@@ -21,7 +21,8 @@
 
 /* A server whose handler responds as the target asks: /MS/BYTES has a body of
  * BYTES, sent after MS milliseconds; with /MS/BYTES/early the head and half of
- * the body are sent at once. GET requests may overlap. */
+ * the body are sent at once; with /MS/BYTES/pause it pauses the request body.
+ * GET requests may overlap. */
 struct fixture {
     uv_loop_t loop;
     struct bb_address address;
@@ -90,18 +91,21 @@
     struct pending *p = g_new0(struct pending, 1);
     unsigned delay_ms = 0;
     size_t size_bytes = 0;
-    char early[8] = "";
+    char option[8] = "";
 
     f->requests++;
     (void)sscanf(bb_http_head_target(&x->head), "/%u/%zu/%7s", &delay_ms,
-                 &size_bytes, early);
+                 &size_bytes, option);
     p->fixture = f;
     p->exchange = x;
     p->left_bytes = size_bytes;
     x->user_data = p;
     (void)uv_timer_init(&f->loop, &p->timer);
     p->timer.data = p;
-    if (early[0] != '\0') {
+    if (strcmp(option, "pause") == 0) {
+        bb_http_exchange_pause(x);
+    }
+    if (strcmp(option, "early") == 0) {
         p->is_started = true;
         bb_http_exchange_start_response(x, 200, NULL, (int64_t)size_bytes);
         send_body(p, size_bytes / 2);
@@ -611,6 +615,24 @@
     fixture_close(&f);
 }
 
+/* A body that the handler paused must not keep later requests from being
+ * read. */
+static void
+test_request_behind_paused_body(void)
+{
+    struct fixture f;
+    struct client *c;
+
+    fixture_open(&f);
+    c = client_open(&f);
+    client_send(c, "POST /10/1/pause HTTP/1.1\r\nContent-Length: 2\r\n\r\nxy");
+    CU_ASSERT_TRUE(client_wait_count(&f, c, "HTTP/1.1 200", 1, WAIT_MS));
+    client_send(c, "GET /0/2 HTTP/1.1\r\n\r\n");
+    CU_ASSERT_TRUE(client_wait_count(&f, c, "HTTP/1.1 200", 2, 2000));
+    client_free(c);
+    fixture_close(&f);
+}
+
 /* A request body that does not arrive gets 408 rather than a closed
  * connection. */
 static void
@@ -650,6 +672,7 @@
      test_error_in_body_of_started_request},
     {"head timeout of a trickling head", test_head_timeout_of_trickling_head},
     {"early response behind another", test_early_response_behind_another},
+    {"request behind a paused body", test_request_behind_paused_body},
     {"request body that stalls", test_request_body_that_stalls},
 };
 
