http_server: count idle and linger time from when the peer took the response

Callers saw: a caller that paused for more than a second in a response lost the rest of it, and the next response, if the server closed the connection meanwhile: the idle timeout or the linger time had run out.

Cause: both times ran from when the kernel had taken the last byte. The bytes were still in its send buffer when the connection was closed, and what the caller sent next was answered by a reset, which drops them (RFC 9112, 9.6).

Change: when one of these timeouts passes, the server asks the kernel for the bytes that are not acknowledged (SIOCOUTQ), and waits on while the peer takes some, for at most the write timeout without any. A stop counts them as unsent. A platform that does not tell them is treated as before.

Evidence: test_http_server, late reader of a closing response (500 kB, read after 1.65 s), failed before.

--- a/include/net/http_server.h
+++ b/include/net/http_server.h
@@ -23,8 +23,8 @@
      * the body is complete earlier. A request with a shorter body can be sent
      * again elsewhere. */
     BB_HTTP_SERVER_BODY_BUFFER_BYTES = 256 * 1024,
-    /* Longest wait for the peer to close after the last response of a
-     * connection was written. */
+    /* Longest wait for the peer to close after it has taken the last response
+     * of a connection. */
     BB_HTTP_SERVER_LINGER_MS = 1000,
     /* Longest time in which the peer takes no byte of a complete response,
      * before its rest is dropped. */
@@ -70,7 +70,7 @@
     uint32_t waiting;    /* received, but not yet passed to the handler */
     uint32_t running;    /* passed to the handler, without a response */
     uint32_t answered;   /* response complete, behind an earlier one */
-    size_t unsent_bytes; /* of responses, queued for the sockets */
+    size_t unsent_bytes; /* of responses, not yet taken by the peers */
 };
 
 struct bb_http_server;
--- a/include/net/stream.h
+++ b/include/net/stream.h
@@ -64,6 +64,7 @@
 void bb_stream_set_unacked_timeout(struct bb_stream *s, uint32_t ms);
 void bb_stream_write(struct bb_stream *s, const void *data, size_t size_bytes);
 size_t bb_stream_queued_bytes(const struct bb_stream *s);
+size_t bb_stream_unacked_bytes(const struct bb_stream *s);
 void bb_stream_set_keepalive(struct bb_stream *s, bool is_enabled);
 void bb_stream_pause(struct bb_stream *s);
 void bb_stream_resume(struct bb_stream *s);
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -20,15 +20,15 @@
            "Requests refused because they could not be read");
 BB_COUNTER(oversized_total, "baobab_server_oversized_total",
            "Requests refused because their head or body is too large");
-BB_COUNTER(slow_head_total, "baobab_server_slow_head_total",
-           "Requests refused because their head took too long");
+BB_COUNTER(slow_request_total, "baobab_server_slow_head_total",
+           "Requests refused because they did not arrive in time");
 
 /* What the timer of a connection waits for. */
 enum timer_kind {
     TIMER_NONE,  /* stopped: a request is in progress */
     TIMER_IDLE,  /* bytes of the peer */
     TIMER_HEAD,  /* the end of a head */
-    TIMER_WRITE, /* the peer to take bytes of a response */
+    TIMER_WRITE, /* the peer to take bytes that are queued here */
     TIMER_LINGER /* the peer to close */
 };
 
@@ -59,7 +59,9 @@
     struct bb_http_exchange *unsent;
     uv_timer_t timer;
     enum timer_kind timer_kind;
-    size_t timer_queued_bytes; /* when TIMER_WRITE was started */
+    size_t unacked_bytes;      /* at the last timeout; 0: none since the
+                                  timer was started */
+    uint64_t unacked_since_us; /* since when unacked_bytes is the same */
     bool has_timed_out;        /* closes after one more turn of the loop */
     bool is_last_request_read; /* nothing behind it is parsed */
     bool is_closing;           /* no further response is written */
@@ -226,14 +228,50 @@
     uv_close((uv_handle_t *)&c->timer, free_connection);
 }
 
+/* Returns the timeout of a kind of timer. */
+static uint32_t
+timeout_ms(const struct bb_http_server_connection *c, enum timer_kind kind)
+{
+    switch (kind) {
+    case TIMER_IDLE:
+        return c->server->limits.idle_timeout_ms;
+    case TIMER_HEAD:
+        return c->server->limits.head_timeout_ms;
+    case TIMER_WRITE:
+    case TIMER_LINGER:
+        return BB_HTTP_SERVER_LINGER_MS;
+    case TIMER_NONE:
+        break;
+    }
+    return 0;
+}
+
+/* Returns whether the peer has yet to take bytes of a response, and has taken
+ * some within BB_HTTP_SERVER_WRITE_TIMEOUT_MS. */
+static bool
+is_sending(struct bb_http_server_connection *c)
+{
+    size_t unacked_bytes = bb_stream_unacked_bytes(c->stream);
+    uint64_t now_us = bb_clock_now_us();
+
+    if (unacked_bytes != c->unacked_bytes) {
+        c->unacked_bytes = unacked_bytes;
+        c->unacked_since_us = now_us;
+    }
+    return unacked_bytes > 0 &&
+           now_us - c->unacked_since_us <
+               (uint64_t)BB_HTTP_SERVER_WRITE_TIMEOUT_MS * BB_US_PER_MS;
+}
+
 /* Closes a connection whose timeout has passed, with a response if a request
- * has begun to arrive. One that is sending is closed only if the peer has
- * taken nothing meanwhile. */
+ * has begun to arrive; not while the peer takes bytes of a response. */
 static void
 on_timeout(uv_timer_t *t)
 {
     struct bb_http_server_connection *c = t->data;
     enum timer_kind kind = c->timer_kind;
+    bool awaits_request =
+        kind == TIMER_HEAD || (kind == TIMER_IDLE && c->receiving != NULL);
 
     if (!c->has_timed_out) {
         /* A loop that is late has not read yet what arrived in time. */
@@ -241,33 +279,21 @@
         (void)uv_timer_start(t, on_timeout, 1, 0);
         return;
     }
+    if (!awaits_request && is_sending(c)) {
+        c->has_timed_out = false;
+        (void)uv_timer_start(t, on_timeout, timeout_ms(c, kind), 0);
+        return;
+    }
     c->timer_kind = TIMER_NONE;
-    switch (kind) {
-    case TIMER_WRITE:
-        if (bb_stream_queued_bytes(c->stream) < c->timer_queued_bytes) {
-            update_timer(c);
-            break;
-        }
-        close_connection(c, bb_stream_close, BB_HTTP_SERVER_WRITE_TIMEOUT);
-        break;
-    case TIMER_HEAD:
-        bb_counter_add(&slow_head_total, 1);
+    if (awaits_request) {
+        bb_counter_add(&slow_request_total, 1);
         reject_request(c, 408, "the request did not arrive in time\n");
-        break;
-    case TIMER_LINGER:
-        close_connection(c, bb_stream_close, BB_HTTP_SERVER_LINGER_TIMEOUT);
-        break;
-    case TIMER_IDLE:
-        if (c->receiving != NULL) {
-            reject_request(c, 408, "the request did not arrive in time\n");
-        }
-        else {
-            close_connection(c, bb_stream_close, BB_HTTP_SERVER_IDLE_TIMEOUT);
-        }
-        break;
-    case TIMER_NONE:
-        break;
+        return;
     }
+    close_connection(c, bb_stream_close,
+                     kind == TIMER_WRITE    ? BB_HTTP_SERVER_WRITE_TIMEOUT
+                     : kind == TIMER_LINGER ? BB_HTTP_SERVER_LINGER_TIMEOUT
+                                            : BB_HTTP_SERVER_IDLE_TIMEOUT);
 }
 
 /* Returns what a connection waits for. No timer runs while an earlier request
@@ -294,25 +320,6 @@
     return TIMER_IDLE;
 }
 
-/* Returns the timeout of a kind of timer. */
-static uint32_t
-timeout_ms(const struct bb_http_server_connection *c, enum timer_kind kind)
-{
-    switch (kind) {
-    case TIMER_IDLE:
-        return c->server->limits.idle_timeout_ms;
-    case TIMER_HEAD:
-        return c->server->limits.head_timeout_ms;
-    case TIMER_WRITE:
-        return BB_HTTP_SERVER_WRITE_TIMEOUT_MS;
-    case TIMER_LINGER:
-        return BB_HTTP_SERVER_LINGER_MS;
-    case TIMER_NONE:
-        break;
-    }
-    return 0;
-}
-
 /* Starts or stops the timer as the state of the connection requires. Only the
  * idle timeout starts anew while the state is the same. */
 static void
@@ -324,11 +331,11 @@
         return;
     }
     c->has_timed_out = false;
+    c->unacked_bytes = 0;
     if (kind == TIMER_NONE) {
         (void)uv_timer_stop(&c->timer);
     }
     else {
-        c->timer_queued_bytes = bb_stream_queued_bytes(c->stream);
         (void)uv_timer_start(&c->timer, on_timeout, timeout_ms(c, kind), 0);
     }
     c->timer_kind = kind;
@@ -861,7 +868,7 @@
          c = c->next) {
         open.connections++;
         open.closing += c->is_closing;
-        open.unsent_bytes += bb_stream_queued_bytes(c->stream);
+        open.unsent_bytes += bb_stream_unacked_bytes(c->stream);
         open.answered += c->unsent != NULL;
         open.receiving += c->reader.state == BB_HTTP_READER_HEAD &&
                           c->reader.has_started && !c->is_closing;
--- a/net/stream.c
+++ b/net/stream.c
@@ -2,8 +2,10 @@
 #include "net/stream.h"
 
 #include <glib.h>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <string.h>
+#include <sys/ioctl.h>
 
 enum { READ_BUFFER_BYTES = 64 * 1024 };
 
@@ -300,6 +302,21 @@
     return s->queued_bytes;
 }
 
+/* Returns how many written bytes the peer has not acknowledged: those queued
+ * here and, where the platform tells them, those in the kernel. */
+size_t
+bb_stream_unacked_bytes(const struct bb_stream *s)
+{
+    int fd = -1;
+    int unacked_bytes = 0;
+
+    if (uv_fileno((const uv_handle_t *)&s->tcp, &fd) != 0 ||
+        ioctl(fd, SIOCOUTQ, &unacked_bytes) != 0) {
+        return s->queued_bytes;
+    }
+    return s->queued_bytes + (size_t)unacked_bytes;
+}
+
 /* Switches TCP keep-alive probes on or off. They are on only while a response
  * is awaited, as probes of an idle connection would be needless traffic. */
 void
--- a/tests/net/test_http_server.c
+++ b/tests/net/test_http_server.c
@@ -470,6 +470,26 @@
     fixture_close(&f);
 }
 
+/* A caller that reads a closing response late gets all of it. */
+static void
+test_late_reader_of_closing_response(void)
+{
+    struct fixture f;
+    struct client *c;
+
+    fixture_open(&f);
+    c = client_open(&f);
+    bb_stream_pause(c->stream);
+    client_send(c, "GET /0/500000 HTTP/1.1\r\nConnection: close\r\n\r\n");
+    fixture_run(&f, BB_HTTP_SERVER_LINGER_MS + 600);
+    client_send(c, "GET /0/2 HTTP/1.1\r\n\r\n");
+    fixture_run(&f, 50);
+    bb_stream_resume(c->stream);
+    CU_ASSERT_TRUE(client_wait_bytes(&f, c, 500000, WAIT_MS));
+    client_free(c);
+    fixture_close(&f);
+}
+
 /* A response to a request whose body is not read in full reaches a caller that
  * reads it late. */
 static void
@@ -666,6 +686,8 @@
     {"idle timeout during a response", test_idle_timeout_during_response},
     {"idle timeout of a late loop", test_idle_timeout_of_late_loop},
     {"bytes behind a closing response", test_bytes_behind_closing_response},
+    {"late reader of a closing response",
+     test_late_reader_of_closing_response},
     {"early response to a slow reader", test_early_response_to_slow_reader},
     {"lowered body limit", test_lowered_body_limit},
     {"error in the body of a started request",
