net/http: await no body where the status allows none

A 304 with a Content-Length is allowed (RFC 9110, 8.6) and has no body, but the reader waited for one: the caller got 504 at its deadline, and the upstream's slot was taken until then. An informational response with a length swallowed the start of the response behind it.

The reader now ends a response of status 1xx, 204 or 304 with its head, as it did for responses to HEAD.

It now also checks that a body broken off at the deadline does not end with the last chunk.

--- a/net/http.c
+++ b/net/http.c
@@ -146,6 +146,18 @@
            (lengths == 1 && h->is_chunked);
 }
 
+/* Returns whether a response ends with its head, whatever length it states: by
+ * its status (RFC 9112, 6.3) or as the response to HEAD. */
+static bool
+is_without_body(const struct bb_http_reader *r)
+{
+    uint16_t status = r->head.status;
+
+    return r->parser.type == HTTP_RESPONSE &&
+           (r->is_head_response || status < 200 || status == 204 ||
+            status == 304);
+}
+
 /* Completes the head and passes it to the receiver. Returns -1 to fail, or 1
  * to tell http_parser that no body follows. */
 static int
@@ -167,9 +179,7 @@
         bb_http_head_get_u64(h, "Content-Length", &h->content_length);
     h->is_keep_alive = http_should_keep_alive(p) != 0;
     r->is_eof_framed = p->type == HTTP_RESPONSE && !h->has_content_length &&
-                       !h->is_chunked && !r->is_head_response &&
-                       h->status >= 200 && h->status != 204 &&
-                       h->status != 304;
+                       !h->is_chunked && !is_without_body(r);
     if (is_ambiguous(h) || is_length_too_large(p, h) || p->upgrade != 0) {
         return -1;
     }
@@ -177,7 +187,7 @@
     if (!r->events->head(r->context)) {
         return -1;
     }
-    return r->is_head_response ? 1 : 0;
+    return is_without_body(r) ? 1 : 0;
 }
 
 /* Passes body data on as it arrives. */
--- a/tests/path/test_endless.c
+++ b/tests/path/test_endless.c
@@ -399,7 +399,7 @@
         size_t used_bytes;
 
         fixture_run(&x->path, 2);
-        if (c->received->len > RECEIVED_MAX_BYTES) {
+        if (c->received->len > RECEIVED_MAX_BYTES && !c->is_ended) {
             (void)g_string_truncate(c->received, RECEIVED_MAX_BYTES);
         }
         used_bytes = allocated_bytes();
@@ -461,6 +461,9 @@
     CU_ASSERT_TRUE(m->memory_bytes <= MEMORY_MAX_BYTES);
     CU_ASSERT_TRUE(m->probe_us <= (uint64_t)PROBE_MAX_MS * BB_US_PER_MS);
     CU_ASSERT_TRUE(client_count(c, "HTTP/1.1 ") == 1);
+    if (f->outcome == OUTCOME_BROKEN) {
+        CU_ASSERT_FALSE(g_str_has_suffix(c->received->str, "\r\n0\r\n\r\n"));
+    }
     if (f->is_closed_early) {
         CU_ASSERT_TRUE(m->close_us <= (uint64_t)CLOSE_MAX_MS * BB_US_PER_MS);
         CU_ASSERT_TRUE(m->taken_bytes <= TAKEN_MAX_BYTES);
@@ -715,6 +718,57 @@
     run_flood(&f, false);
 }
 
+static struct scripted_response
+respond_not_modified(struct upstream *u, uint32_t number,
+                     const struct bb_http_head *h)
+{
+    (void)u;
+    (void)number;
+    (void)h;
+    return (struct scripted_response){
+        .text = "HTTP/1.1 304 Not Modified\r\nT-Id: {id}\r\n"
+                "Content-Length: 4\r\n\r\n"};
+}
+
+static struct scripted_response
+respond_after_early_hints(struct upstream *u, uint32_t number,
+                          const struct bb_http_head *h)
+{
+    (void)u;
+    (void)number;
+    (void)h;
+    return (struct scripted_response){
+        .text = "HTTP/1.1 103 Early Hints\r\nContent-Length: 100\r\n\r\n"
+                "HTTP/1.1 304 Not Modified\r\nT-Id: {id}\r\n\r\n"};
+}
+
+/* Guards against: waiting for the body of a response that has none by its
+ * status, though its head states a length. */
+static void
+test_status_without_body(void)
+{
+    static const response_script scripts[] = {respond_not_modified,
+                                              respond_after_early_hints};
+
+    for (uint32_t i = 0; i < G_N_ELEMENTS(scripts); i++) {
+        struct path_fixture b;
+        struct client *c;
+
+        fixture_open(&b);
+        fixture_set_rules(&b, TIMEOUT_MS, 2);
+        b.upstreams[0].script = scripts[i];
+        b.upstreams[1].script = scripts[i];
+        c = client_open(&b);
+        client_send(c, "GET /safe/x HTTP/1.1\r\nHost: h\r\nT-Id: a1\r\n\r\n"
+                       "GET /safe/x HTTP/1.1\r\nHost: h\r\nT-Id: a2\r\n\r\n");
+        (void)fixture_wait_text(&b, c, "T-Id: a2", TIMEOUT_MS);
+        CU_ASSERT_EQUAL(client_count(c, "HTTP/1.1 304 "), 2);
+        CU_ASSERT_EQUAL(b.upstreams[0].requests + b.upstreams[1].requests, 2);
+        client_free(c);
+        fixture_close(&b);
+    }
+}
+
 /* Guards against: bytes after a complete response taken for more of it, or
  * their connection used again. */
 static void
@@ -971,6 +1025,7 @@
     {"chunk_framing", test_chunk_framing},
     {"body", test_body},
     {"impossible_length", test_impossible_length},
+    {"status_without_body", test_status_without_body},
     {"after_response", test_after_response},
     {"unusable_body", test_unusable_body},
     {"trickle", test_trickle},
