path tests: a body after the response to HEAD, trickled skips and extensions

Three more floods that hold with the code as it is: a body without end after the response to HEAD closes the connection at once, the response stands; informational responses and a chunk extension that trickle end at the deadline with 504 (581 to 583 ms at a timeout of 500 ms) and their connection with them.

--- a/tests/path/test_endless.c
+++ b/tests/path/test_endless.c
@@ -49,12 +49,13 @@
     OUTCOME_NOT_RUN,  /* 503 */
     OUTCOME_DEADLINE, /* 504 */
     OUTCOME_COMPLETE, /* 200 with the body "body" */
+    OUTCOME_HEAD,     /* 200 without a body */
     OUTCOME_BROKEN    /* a head, part of the body and the end of the
                          connection */
 };
 
-static const char *const outcome_names[] = {"502", "503", "504", "200",
-                                            "broken off"};
+static const char *const outcome_names[] = {"502", "503", "504",
+                                            "200", "200", "broken off"};
 
 /* Bytes without end. "{id}" in `start` is replaced by the id of the request.
  */
@@ -349,6 +350,8 @@
         return strstr(c->received->str, "HTTP/1.1 504 ") != NULL;
     case OUTCOME_COMPLETE:
         return strstr(c->received->str, "\r\n\r\nbody") != NULL;
+    case OUTCOME_HEAD:
+        return strstr(c->received->str, "HTTP/1.1 200 ") != NULL;
     case OUTCOME_BROKEN:
         return c->is_ended;
     }
@@ -797,6 +800,32 @@
     run_floods(floods, G_N_ELEMENTS(floods), false);
 }
 
+/* Guards against: a body after the response to HEAD, passed on or awaited. */
+static void
+test_body_after_head(void)
+{
+    static const struct flood f = {.name = "body of a response to HEAD",
+                                   .start = OWN_HEAD
+                                   "Content-Length: 9000000000000\r\n\r\n",
+                                   .repeated = "x",
+                                   .is_closed_early = true,
+                                   .outcome = OUTCOME_HEAD};
+    struct flood_fixture x;
+    struct measurement m;
+    struct client *c;
+
+    flood_open(&x, &f, false);
+    c = client_open(&x.path);
+    client_send(c, "HEAD /safe/flood HTTP/1.1\r\nHost: h\r\nT-Id: a1\r\n\r\n");
+    m = measure(&x, c, "\r\n\r\nbody");
+    print_measurement(&f, "HEAD", &m);
+    check_flood(&x, false, c, &m);
+    CU_ASSERT_EQUAL(m.requests, 1);
+    CU_ASSERT_TRUE(g_str_has_suffix(c->received->str, "\r\n\r\n"));
+    client_free(c);
+    flood_close(&x);
+}
+
 /* Guards against: a response that is no success of an upstream, but is passed
  * on because it is too long to be buffered. */
 static void
@@ -838,6 +867,16 @@
          .repeated = "y",
          .is_trickle = true,
          .outcome = OUTCOME_DEADLINE},
+        {.name = "trickled informational responses",
+         .start = "",
+         .repeated = "HTTP/1.1 102 Processing\r\n\r\n",
+         .is_trickle = true,
+         .outcome = OUTCOME_DEADLINE},
+        {.name = "trickled chunk extension",
+         .start = OWN_HEAD CHUNKED "4;x=",
+         .repeated = "x",
+         .is_trickle = true,
+         .outcome = OUTCOME_DEADLINE},
         {.name = "trickled body of another response, until close",
          .start = FOREIGN_HEAD "\r\n",
          .repeated = "x",
@@ -1027,6 +1066,7 @@
     {"impossible_length", test_impossible_length},
     {"status_without_body", test_status_without_body},
     {"after_response", test_after_response},
+    {"body_after_head", test_body_after_head},
     {"unusable_body", test_unusable_body},
     {"trickle", test_trickle},
     {"broken_gate", test_broken_gate},
