--- a/tests/path/test_endless.c
+++ b/tests/path/test_endless.c
@@ -49,12 +49,13 @@
     OUTCOME_NOT_RUN,  /* 503 */
     OUTCOME_DEADLINE, /* 504 */
     OUTCOME_COMPLETE, /* 200 with the body "body" */
+    OUTCOME_HEAD,     /* 200 without a body */
     OUTCOME_BROKEN    /* a head, part of the body and the end of the
                          connection */
 };
 
-static const char *const outcome_names[] = {"502", "503", "504", "200",
-                                            "broken off"};
+static const char *const outcome_names[] = {"502", "503", "504",
+                                            "200", "200", "broken off"};
 
 /* Bytes without end. "{id}" in `start` is replaced by the id of the request.
  */
@@ -349,6 +350,8 @@
         return strstr(c->received->str, "HTTP/1.1 504 ") != NULL;
     case OUTCOME_COMPLETE:
         return strstr(c->received->str, "\r\n\r\nbody") != NULL;
+    case OUTCOME_HEAD:
+        return strstr(c->received->str, "HTTP/1.1 200 ") != NULL;
     case OUTCOME_BROKEN:
         return c->is_ended;
     }
@@ -399,7 +402,7 @@
         size_t used_bytes;
 
         fixture_run(&x->path, 2);
-        if (c->received->len > RECEIVED_MAX_BYTES) {
+        if (c->received->len > RECEIVED_MAX_BYTES && !c->is_ended) {
             (void)g_string_truncate(c->received, RECEIVED_MAX_BYTES);
         }
         used_bytes = allocated_bytes();
@@ -461,6 +464,9 @@
     CU_ASSERT_TRUE(m->memory_bytes <= MEMORY_MAX_BYTES);
     CU_ASSERT_TRUE(m->probe_us <= (uint64_t)PROBE_MAX_MS * BB_US_PER_MS);
     CU_ASSERT_TRUE(client_count(c, "HTTP/1.1 ") == 1);
+    if (f->outcome == OUTCOME_BROKEN) {
+        CU_ASSERT_FALSE(g_str_has_suffix(c->received->str, "\r\n0\r\n\r\n"));
+    }
     if (f->is_closed_early) {
         CU_ASSERT_TRUE(m->close_us <= (uint64_t)CLOSE_MAX_MS * BB_US_PER_MS);
         CU_ASSERT_TRUE(m->taken_bytes <= TAKEN_MAX_BYTES);
@@ -715,6 +721,57 @@
     run_flood(&f, false);
 }
 
+static struct scripted_response
+respond_not_modified(struct upstream *u, uint32_t number,
+                     const struct bb_http_head *h)
+{
+    (void)u;
+    (void)number;
+    (void)h;
+    return (struct scripted_response){
+        .text = "HTTP/1.1 304 Not Modified\r\nT-Id: {id}\r\n"
+                "Content-Length: 4\r\n\r\n"};
+}
+
+static struct scripted_response
+respond_after_early_hints(struct upstream *u, uint32_t number,
+                          const struct bb_http_head *h)
+{
+    (void)u;
+    (void)number;
+    (void)h;
+    return (struct scripted_response){
+        .text = "HTTP/1.1 103 Early Hints\r\nContent-Length: 100\r\n\r\n"
+                "HTTP/1.1 304 Not Modified\r\nT-Id: {id}\r\n\r\n"};
+}
+
+/* Guards against: waiting for the body of a response that has none by its
+ * status, though its head states a length. */
+static void
+test_status_without_body(void)
+{
+    static const response_script scripts[] = {respond_not_modified,
+                                              respond_after_early_hints};
+
+    for (uint32_t i = 0; i < G_N_ELEMENTS(scripts); i++) {
+        struct path_fixture b;
+        struct client *c;
+
+        fixture_open(&b);
+        fixture_set_rules(&b, TIMEOUT_MS, 2);
+        b.upstreams[0].script = scripts[i];
+        b.upstreams[1].script = scripts[i];
+        c = client_open(&b);
+        client_send(c, "GET /safe/x HTTP/1.1\r\nHost: h\r\nT-Id: a1\r\n\r\n"
+                       "GET /safe/x HTTP/1.1\r\nHost: h\r\nT-Id: a2\r\n\r\n");
+        (void)fixture_wait_text(&b, c, "T-Id: a2", TIMEOUT_MS);
+        CU_ASSERT_EQUAL(client_count(c, "HTTP/1.1 304 "), 2);
+        CU_ASSERT_EQUAL(b.upstreams[0].requests + b.upstreams[1].requests, 2);
+        client_free(c);
+        fixture_close(&b);
+    }
+}
+
 /* Guards against: bytes after a complete response taken for more of it, or
  * their connection used again. */
 static void
@@ -743,6 +800,32 @@
     run_floods(floods, G_N_ELEMENTS(floods), false);
 }
 
+/* Guards against: a body after the response to HEAD, passed on or awaited. */
+static void
+test_body_after_head(void)
+{
+    static const struct flood f = {.name = "body of a response to HEAD",
+                                   .start = OWN_HEAD
+                                   "Content-Length: 9000000000000\r\n\r\n",
+                                   .repeated = "x",
+                                   .is_closed_early = true,
+                                   .outcome = OUTCOME_HEAD};
+    struct flood_fixture x;
+    struct measurement m;
+    struct client *c;
+
+    flood_open(&x, &f, false);
+    c = client_open(&x.path);
+    client_send(c, "HEAD /safe/flood HTTP/1.1\r\nHost: h\r\nT-Id: a1\r\n\r\n");
+    m = measure(&x, c, "\r\n\r\nbody");
+    print_measurement(&f, "HEAD", &m);
+    check_flood(&x, false, c, &m);
+    CU_ASSERT_EQUAL(m.requests, 1);
+    CU_ASSERT_TRUE(g_str_has_suffix(c->received->str, "\r\n\r\n"));
+    client_free(c);
+    flood_close(&x);
+}
+
 /* Guards against: a response that is no success of an upstream, but is passed
  * on because it is too long to be buffered. */
 static void
@@ -784,6 +867,16 @@
          .repeated = "y",
          .is_trickle = true,
          .outcome = OUTCOME_DEADLINE},
+        {.name = "trickled informational responses",
+         .start = "",
+         .repeated = "HTTP/1.1 102 Processing\r\n\r\n",
+         .is_trickle = true,
+         .outcome = OUTCOME_DEADLINE},
+        {.name = "trickled chunk extension",
+         .start = OWN_HEAD CHUNKED "4;x=",
+         .repeated = "x",
+         .is_trickle = true,
+         .outcome = OUTCOME_DEADLINE},
         {.name = "trickled body of another response, until close",
          .start = FOREIGN_HEAD "\r\n",
          .repeated = "x",
@@ -971,7 +1064,9 @@
     {"chunk_framing", test_chunk_framing},
     {"body", test_body},
     {"impossible_length", test_impossible_length},
+    {"status_without_body", test_status_without_body},
     {"after_response", test_after_response},
+    {"body_after_head", test_body_after_head},
     {"unusable_body", test_unusable_body},
     {"trickle", test_trickle},
     {"broken_gate", test_broken_gate},
