http_server: break off one response without harm to those beside it

Callers saw: when a long response broke off, a complete response before it on the same connection was cut off too if the caller had yet to read it, and the requests behind it got no response, even if nothing of the broken response had been written yet.

Cause: a broken response always ended its connection by a reset, which drops all that the stream and the kernel still hold.

Change: the reset is kept where only bytes of the broken response are unread; otherwise the connection ends as after a last response, in the middle of the broken one, which has a length or chunks and so is seen to be incomplete. A response of which nothing was written is replaced by 502, and the connection goes on.

--- a/include/net/http_server.h
+++ b/include/net/http_server.h
@@ -95,6 +95,7 @@
     GString *pending_head;   /* queued until earlier responses are written;
                                 lacks the connection field and the end */
     GString *pending_output; /* likewise, of the body */
+    uint64_t output_offset;  /* of the response in the connection's output */
     void *user_data;         /* for the handler */
 };
 
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -57,6 +57,7 @@
     /* The last exchange that ended, while bytes of its response are queued for
      * the socket, else NULL; named in the log if they are dropped. */
     struct bb_http_exchange *unsent;
+    uint64_t output_bytes; /* written so far */
     uv_timer_t timer;
     enum timer_kind timer_kind;
     size_t unacked_bytes;      /* at the last timeout; 0: none since the
@@ -362,11 +363,20 @@
     g_string_append(x->pending_head, "\r\n");
 }
 
+/* Writes bytes to a connection. */
+static void
+write_bytes(struct bb_http_server_connection *c, const char *data,
+            size_t size_bytes)
+{
+    c->output_bytes += size_bytes;
+    bb_stream_write(c->stream, data, size_bytes);
+}
+
 /* Writes what is queued of the response of the first exchange. */
 static void
 write_output(struct bb_http_exchange *x)
 {
-    struct bb_stream *stream = x->connection->stream;
+    struct bb_http_server_connection *c = x->connection;
     GString *body = x->pending_output;
 
     if (x->pending_head != NULL) {
@@ -375,16 +385,30 @@
             g_string_append_len(x->pending_head, body->str, (gssize)body->len);
             g_string_truncate(body, 0);
         }
-        bb_stream_write(stream, x->pending_head->str, x->pending_head->len);
+        x->output_offset = c->output_bytes;
+        write_bytes(c, x->pending_head->str, x->pending_head->len);
         g_string_free(x->pending_head, TRUE);
         x->pending_head = NULL;
     }
     else if (body != NULL && body->len > 0) {
-        bb_stream_write(stream, body->str, body->len);
+        write_bytes(c, body->str, body->len);
         g_string_truncate(body, 0);
     }
 }
 
+/* Drops what is queued of a response of which nothing was written. */
+static void
+drop_output(struct bb_http_exchange *x)
+{
+    if (x->pending_head != NULL) {
+        g_string_free(x->pending_head, TRUE);
+        x->pending_head = NULL;
+    }
+    if (x->pending_output != NULL) {
+        g_string_truncate(x->pending_output, 0);
+    }
+}
+
 /* Tells the handler that nothing is queued for the socket, if the first
  * exchange was dispatched and its response is incomplete. */
 static void
@@ -421,7 +445,8 @@
  * after the last byte was written: unread ones would turn the close into a
  * reset, which can overtake the response (RFC 9112, 9.6). */
 static void
-finish_connection(struct bb_http_exchange *x)
+finish_connection(struct bb_http_exchange *x,
+                  enum bb_http_server_close_reason reason)
 {
     struct bb_http_server_connection *c = x->connection;
 
@@ -430,12 +455,29 @@
         c->receiving = NULL;
     }
     free_ended_exchange(x);
-    discard_exchanges(c, BB_HTTP_SERVER_CLOSING_RESPONSE);
+    discard_exchanges(c, reason);
     bb_stream_end_output(c->stream);
     update_reading(c);
     update_timer(c);
 }
 
+/* Ends a connection whose first response has broken off: by a reset, which
+ * also reaches a peer that does not read, unless that would drop bytes of the
+ * responses before it. */
+static void
+abort_connection(struct bb_http_exchange *x)
+{
+    struct bb_http_server_connection *c = x->connection;
+
+    if (bb_stream_unacked_bytes(c->stream) >
+        c->output_bytes - x->output_offset) {
+        (void)g_queue_pop_head(&c->exchanges);
+        finish_connection(x, BB_HTTP_SERVER_ABORTED_RESPONSE);
+        return;
+    }
+    close_connection(c, bb_stream_reset, BB_HTTP_SERVER_ABORTED_RESPONSE);
+}
+
 /* Writes the queued output of the first exchanges, in order, up to the first
  * one that has not ended. Closes the connection or resumes parsing as
  * needed. */
@@ -452,13 +494,12 @@
             break;
         }
         if (x->is_aborted) {
-            close_connection(c, bb_stream_reset,
-                             BB_HTTP_SERVER_ABORTED_RESPONSE);
+            abort_connection(x);
             return;
         }
         (void)g_queue_pop_head(&c->exchanges);
         if (x->closes_connection) {
-            finish_connection(x);
+            finish_connection(x, BB_HTTP_SERVER_CLOSING_RESPONSE);
             return;
         }
         free_ended_exchange(x);
@@ -528,8 +569,7 @@
     }
     if (bb_http_head_get(&x->head, "Expect") != NULL &&
         g_queue_get_length(&c->exchanges) == 1) {
-        bb_stream_write(c->stream, continue_response,
-                        sizeof(continue_response) - 1);
+        write_bytes(c, continue_response, sizeof(continue_response) - 1);
     }
     return true;
 }
@@ -574,13 +614,7 @@
         bb_http_exchange_abort(x);
         return;
     }
-    if (x->pending_head != NULL) {
-        g_string_free(x->pending_head, TRUE);
-        x->pending_head = NULL;
-    }
-    if (x->pending_output != NULL) {
-        g_string_truncate(x->pending_output, 0);
-    }
+    drop_output(x);
     reject_request(c, status, reason);
 }
 
@@ -969,12 +1003,17 @@
     }
 }
 
-/* Ends a response that cannot be completed: the connection is reset, so that
- * the response does not look complete. The exchange must not be used
- * afterwards. */
+/* Ends a response that cannot be completed: the connection ends in the middle
+ * of it or, if nothing of it was written yet, 502 takes its place. The
+ * exchange must not be used afterwards. */
 void
 bb_http_exchange_abort(struct bb_http_exchange *x)
 {
+    if (x->pending_head != NULL) {
+        drop_output(x);
+        bb_http_exchange_respond(x, 502, NULL, NULL, 0);
+        return;
+    }
     x->is_aborted = true;
     bb_http_exchange_end(x);
 }
--- a/tests/net/test_http_server.c
+++ b/tests/net/test_http_server.c
@@ -21,7 +21,8 @@
 
 /* A server whose handler responds as the target asks: /MS/BYTES has a body of
  * BYTES, sent after MS milliseconds; with /MS/BYTES/early the head and half of
- * the body are sent at once; with /MS/BYTES/pause it pauses the request body.
+ * the body are sent at once; with /MS/BYTES/pause it pauses the request body;
+ * with /MS/BYTES/abort half of the body is sent at once, and never the rest.
  * GET requests may overlap. */
 struct fixture {
     uv_loop_t loop;
@@ -40,6 +41,7 @@
     uv_timer_t timer;
     size_t left_bytes; /* of the response body */
     bool is_started;
+    bool is_broken_off;
 };
 
 struct client {
@@ -73,6 +75,11 @@
 {
     struct pending *p = t->data;
 
+    if (p->is_broken_off) {
+        bb_http_exchange_abort(p->exchange);
+        uv_close((uv_handle_t *)t, free_pending);
+        return;
+    }
     if (!p->is_started) {
         bb_http_exchange_start_response(p->exchange, 200, NULL,
                                         (int64_t)p->left_bytes);
@@ -105,7 +112,8 @@
     if (strcmp(option, "pause") == 0) {
         bb_http_exchange_pause(x);
     }
-    if (strcmp(option, "early") == 0) {
+    p->is_broken_off = strcmp(option, "abort") == 0;
+    if (strcmp(option, "early") == 0 || p->is_broken_off) {
         p->is_started = true;
         bb_http_exchange_start_response(x, 200, NULL, (int64_t)size_bytes);
         send_body(p, size_bytes / 2);
@@ -470,6 +478,48 @@
     fixture_close(&f);
 }
 
+/* A response that breaks off must not cut off an earlier one that the caller
+ * has yet to read. */
+static void
+test_response_before_one_that_breaks_off(void)
+{
+    struct fixture f;
+    struct client *c;
+
+    fixture_open(&f);
+    c = client_open(&f);
+    bb_stream_pause(c->stream);
+    client_send(c, "GET /0/1500000 HTTP/1.1\r\n\r\n"
+                   "GET /100/1000/abort HTTP/1.1\r\n\r\n");
+    fixture_run(&f, 400);
+    bb_stream_resume(c->stream);
+    CU_ASSERT_TRUE(client_wait_bytes(&f, c, 1500000, WAIT_MS));
+    CU_ASSERT_TRUE(client_wait_end(&f, c, WAIT_MS));
+    CU_ASSERT_EQUAL(client_count(c, "HTTP/1.1 200"), 2);
+    client_free(c);
+    fixture_close(&f);
+}
+
+/* A response that breaks off before anything of it was written must not drop
+ * the requests behind it. */
+static void
+test_request_behind_one_that_breaks_off(void)
+{
+    struct fixture f;
+    struct client *c;
+
+    fixture_open(&f);
+    c = client_open(&f);
+    client_send(c, "GET /1500/1 HTTP/1.1\r\n\r\n"
+                   "GET /100/1000/abort HTTP/1.1\r\n\r\n"
+                   "GET /100/2 HTTP/1.1\r\n\r\n");
+    CU_ASSERT_TRUE(client_wait_count(&f, c, "HTTP/1.1 200", 2, WAIT_MS));
+    CU_ASSERT_EQUAL(client_count(c, "HTTP/1.1 502"), 1);
+    CU_ASSERT_EQUAL(f.disconnected, 0);
+    client_free(c);
+    fixture_close(&f);
+}
+
 /* A caller that reads a closing response late gets all of it. */
 static void
 test_late_reader_of_closing_response(void)
@@ -686,6 +736,10 @@
     {"idle timeout during a response", test_idle_timeout_during_response},
     {"idle timeout of a late loop", test_idle_timeout_of_late_loop},
     {"bytes behind a closing response", test_bytes_behind_closing_response},
+    {"response before one that breaks off",
+     test_response_before_one_that_breaks_off},
+    {"request behind one that breaks off",
+     test_request_behind_one_that_breaks_off},
     {"late reader of a closing response",
      test_late_reader_of_closing_response},
     {"early response to a slow reader", test_early_response_to_slow_reader},
