http_server: pass on nothing behind a request that is rejected

Callers saw: a request behind one that was rejected, which itself waited for an earlier response, was run by its upstream and dropped with the connection.

Cause: the rejected request closes the connection, but that nothing behind it is parsed held only from when its response was written.

Evidence: test_http_server, request behind a rejected one, failed before (two requests passed on in place of one).

--- a/net/http_server.c
+++ b/net/http_server.c
@@ -527,6 +527,8 @@
     x->closes_connection = true;
     x->is_body_complete = false;
     x->is_dispatched = true;
+    c->receiving = NULL;
+    c->is_last_request_read = true;
     bb_http_exchange_respond(x, status, NULL, reason, strlen(reason));
 }
 
--- a/tests/net/test_http_server.c
+++ b/tests/net/test_http_server.c
@@ -395,6 +395,29 @@
     fixture_close(&f);
 }
 
+/* A request behind one that is rejected is not passed on. */
+static void
+test_request_behind_rejected_one(void)
+{
+    struct fixture f;
+    struct client *c;
+
+    fixture_open(&f);
+    f.limits.request_body_max_bytes = 3;
+    bb_http_server_set_limits(f.server, &f.limits);
+    c = client_open(&f);
+    client_send(c, "GET /1000/1 HTTP/1.1\r\n\r\n"
+                   "POST /0/2 HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                   "4\r\nbody\r\n0\r\n\r\n"
+                   "GET /0/3 HTTP/1.1\r\n\r\n");
+    CU_ASSERT_TRUE(client_wait_end(&f, c, WAIT_MS));
+    CU_ASSERT_EQUAL(f.requests, 1);
+    CU_ASSERT_EQUAL(f.disconnected, 0);
+    CU_ASSERT_EQUAL(client_count(c, "HTTP/1.1 413"), 1);
+    client_free(c);
+    fixture_close(&f);
+}
+
 /* A request that may not overlap is started after the earlier one. */
 static void
 test_waiting_request_is_started(void)
@@ -730,6 +753,7 @@
      test_request_behind_closing_response_being_sent},
     {"request behind one with Connection: close",
      test_request_behind_connection_close},
+    {"request behind a rejected one", test_request_behind_rejected_one},
     {"waiting request is started", test_waiting_request_is_started},
     {"idle timeout during an earlier request",
      test_idle_timeout_during_earlier_request},
