http_server: count requests of the same read before announcing the close

Callers saw: of several requests sent at once to an entry that had stopped to accept them, only the first got its 503; the others were left unread with the closed connection.

Cause: whether later requests have arrived was looked up among those that are parsed, and in what was kept while parsing was paused, but not in the bytes being parsed.

Evidence: test_http_server, requests behind a response at once, failed before (one response of three).

--- a/net/http_server.c
+++ b/net/http_server.c
@@ -51,9 +51,10 @@
     struct bb_http_server_connection *previous;
     struct bb_http_reader reader;
     struct bb_http_exchange
-        *receiving;    /* its request is incomplete, or NULL */
-    GQueue exchanges;  /* in the order of their requests */
-    GString *unparsed; /* received while parsing is paused */
+        *receiving;     /* its request is incomplete, or NULL */
+    GQueue exchanges;   /* in the order of their requests */
+    GString *unparsed;  /* received while parsing is paused */
+    size_t input_bytes; /* left of those being parsed */
     /* The last exchange that ended, while bytes of its response are queued for
      * the socket, else NULL; named in the log if they are dropped. */
     struct bb_http_exchange *unsent;
@@ -353,7 +354,8 @@
 
     if (!x->is_body_complete ||
         (c->server->is_keep_alive_disabled &&
-         g_queue_get_length(&c->exchanges) == 1 && c->unparsed->len == 0)) {
+         g_queue_get_length(&c->exchanges) == 1 && c->unparsed->len == 0 &&
+         c->input_bytes == 0)) {
         x->closes_connection = true;
     }
     if (x->closes_connection) {
@@ -723,6 +725,7 @@
         }
         used +=
             bb_http_reader_feed(&c->reader, data + used, size_bytes - used);
+        c->input_bytes = size_bytes - used;
         if (c->reader.state == BB_HTTP_READER_FAILED) {
             reject_unreadable(c);
             break;
@@ -734,6 +737,7 @@
     }
     if (!c->is_closed) {
         c->is_parsing = false;
+        c->input_bytes = 0;
         if (used < size_bytes && c->is_parsing_paused) {
             g_string_append_len(c->unparsed, data + used,
                                 (gssize)(size_bytes - used));
--- a/tests/net/test_http_server.c
+++ b/tests/net/test_http_server.c
@@ -23,7 +23,7 @@
  * BYTES, sent after MS milliseconds; with /MS/BYTES/early the head and half of
  * the body are sent at once; with /MS/BYTES/pause it pauses the request body;
  * with /MS/BYTES/abort half of the body is sent at once, and never the rest.
- * GET requests may overlap. */
+ * Any other target gets 503 within the callback. GET requests may overlap. */
 struct fixture {
     uv_loop_t loop;
     struct bb_address address;
@@ -101,8 +101,12 @@
     char option[8] = "";
 
     f->requests++;
-    (void)sscanf(bb_http_head_target(&x->head), "/%u/%zu/%7s", &delay_ms,
-                 &size_bytes, option);
+    if (sscanf(bb_http_head_target(&x->head), "/%u/%zu/%7s", &delay_ms,
+               &size_bytes, option) == 0) {
+        g_free(p);
+        bb_http_exchange_respond(x, 503, NULL, NULL, 0);
+        return;
+    }
     p->fixture = f;
     p->exchange = x;
     p->left_bytes = size_bytes;
@@ -418,6 +422,25 @@
     fixture_close(&f);
 }
 
+/* A closing response must not drop requests that came with its own. */
+static void
+test_requests_behind_response_at_once(void)
+{
+    struct fixture f;
+    struct client *c;
+
+    fixture_open(&f);
+    bb_http_server_disable_keep_alive(f.server);
+    c = client_open(&f);
+    client_send(c, "GET /none HTTP/1.1\r\n\r\nGET /none HTTP/1.1\r\n\r\n"
+                   "GET /none HTTP/1.1\r\n\r\n");
+    CU_ASSERT_TRUE(client_wait_end(&f, c, WAIT_MS));
+    CU_ASSERT_EQUAL(client_count(c, "HTTP/1.1 503"), 3);
+    CU_ASSERT_EQUAL(client_count(c, "Connection: close"), 1);
+    client_free(c);
+    fixture_close(&f);
+}
+
 /* A request that may not overlap is started after the earlier one. */
 static void
 test_waiting_request_is_started(void)
@@ -754,6 +777,8 @@
     {"request behind one with Connection: close",
      test_request_behind_connection_close},
     {"request behind a rejected one", test_request_behind_rejected_one},
+    {"requests behind a response at once",
+     test_requests_behind_response_at_once},
     {"waiting request is started", test_waiting_request_is_started},
     {"idle timeout during an earlier request",
      test_idle_timeout_during_earlier_request},
