http_server: send 100 (Continue) to a request that had to wait

Callers saw: a request with Expect: 100-continue, sent behind another on the same connection, was never told to send its body, and timed out.

Cause: the server sent 100 only if the request was the first of its connection when its head arrived.

Evidence: test_http_server, continue behind another request, failed before (none within 2 s).

--- a/include/net/http_server.h
+++ b/include/net/http_server.h
@@ -90,6 +90,7 @@
                                */
     bool is_response_ended;   /* the response is complete or aborted */
     bool closes_connection;   /* the connection closes after the response */
+    bool awaits_continue;     /* the peer sends the body after status 100 */
     bool is_paused;           /* the handler wants no more of the body yet */
     bool is_aborted; /* the connection is reset without a complete response */
     GString *pending_head;   /* queued until earlier responses are written;
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -374,6 +374,21 @@
     bb_stream_write(c->stream, data, size_bytes);
 }
 
+/* Tells the peer to send the body of the first exchange if it waits for
+ * that. */
+static void
+write_continue(struct bb_http_exchange *x)
+{
+    static const char continue_response[] = "HTTP/1.1 100 Continue\r\n\r\n";
+
+    if (x->awaits_continue && !x->is_response_started && x->body_bytes == 0 &&
+        !x->is_body_complete) {
+        write_bytes(x->connection, continue_response,
+                    sizeof(continue_response) - 1);
+    }
+    x->awaits_continue = false;
+}
+
 /* Writes what is queued of the response of the first exchange. */
 static void
 write_output(struct bb_http_exchange *x)
@@ -490,6 +505,7 @@
 
     while (!c->is_closed && !c->is_closing &&
            (x = g_queue_peek_head(&c->exchanges)) != NULL) {
+        write_continue(x);
         write_output(x);
         if (!x->is_response_ended) {
             report_output_drained(c); /* the stream reports what it queued */
@@ -549,7 +565,6 @@
 static bool
 on_head(void *context)
 {
-    static const char continue_response[] = "HTTP/1.1 100 Continue\r\n\r\n";
     struct bb_http_server_connection *c = context;
     struct bb_http_head *h = &c->reader.head;
     struct bb_http_exchange *x = g_new0(struct bb_http_exchange, 1);
@@ -571,9 +586,9 @@
         x->head.content_length > x->body_max_bytes) {
         return false;
     }
-    if (bb_http_head_get(&x->head, "Expect") != NULL &&
-        g_queue_get_length(&c->exchanges) == 1) {
-        write_bytes(c, continue_response, sizeof(continue_response) - 1);
+    x->awaits_continue = bb_http_head_get(&x->head, "Expect") != NULL;
+    if (g_queue_get_length(&c->exchanges) == 1) {
+        write_continue(x);
     }
     return true;
 }
--- a/tests/net/test_http_server.c
+++ b/tests/net/test_http_server.c
@@ -441,6 +441,26 @@
     fixture_close(&f);
 }
 
+/* A caller that awaits 100 (Continue) behind another request gets it. */
+static void
+test_continue_behind_another_request(void)
+{
+    struct fixture f;
+    struct client *c;
+
+    fixture_open(&f);
+    c = client_open(&f);
+    client_send(c, "GET /200/1 HTTP/1.1\r\n\r\n"
+                   "POST /0/2 HTTP/1.1\r\nExpect: 100-continue\r\n"
+                   "Content-Length: 2\r\n\r\n");
+    CU_ASSERT_TRUE(client_wait_count(&f, c, "HTTP/1.1 100", 1, 2000));
+    CU_ASSERT_EQUAL(client_count(c, "HTTP/1.1 200"), 1);
+    client_send(c, "xy");
+    CU_ASSERT_TRUE(client_wait_count(&f, c, "HTTP/1.1 200", 2, WAIT_MS));
+    client_free(c);
+    fixture_close(&f);
+}
+
 /* A request that may not overlap is started after the earlier one. */
 static void
 test_waiting_request_is_started(void)
@@ -779,6 +799,7 @@
     {"request behind a rejected one", test_request_behind_rejected_one},
     {"requests behind a response at once",
      test_requests_behind_response_at_once},
+    {"continue behind another request", test_continue_behind_another_request},
     {"waiting request is started", test_waiting_request_is_started},
     {"idle timeout during an earlier request",
      test_idle_timeout_during_earlier_request},
