proxyd: end only when two polls in a row find nothing open

Callers saw: a request on a new connection to a stopping host was dropped if the host was short of processor time when the process ended.

Cause: a loop that is late accepts the connection and then sees itself idle, before it has read from it.

Evidence: test_stop, late loop (the process is stopped by SIGSTOP from 2.3 to 2.9 s after SIGTERM), failed before: no response.

--- a/proxyd/main.c
+++ b/proxyd/main.c
@@ -59,6 +59,7 @@
     bool has_rules;
     bool is_stopping;
     bool is_gate_stopped;
+    bool was_idle; /* at the last poll of the shutdown */
 };
 
 /* Decodes a configuration and passes its rules to the entry. Logs a warning
@@ -302,8 +303,9 @@
 }
 
 /* Refuses new requests, first at the gate, then at the entry. Ends the process
- * after SHUTDOWN_NOTICE_MS once neither is busy, or SHUTDOWN_MARGIN_MS before
- * the end of --grace. The entry responds to what is in progress before that.
+ * after SHUTDOWN_NOTICE_MS once neither is busy at two polls, or
+ * SHUTDOWN_MARGIN_MS before the end of --grace. The entry responds to what is
+ * in progress before that.
  */
 static void
 on_shutdown_timer(uv_timer_t *t)
@@ -314,6 +316,7 @@
     uint64_t grace_ms = p->settings.grace_s * MS_PER_S;
     struct bb_http_server_open entry;
     struct bb_http_server_open gate;
+    bool is_idle;
 
     if (waited_ms >= SHUTDOWN_GATE_OPEN_MS && !p->is_gate_stopped) {
         p->is_gate_stopped = true;
@@ -328,8 +331,10 @@
     }
     entry = bb_entry_count_open(p->entry);
     gate = bb_gate_count_open(p->gate);
-    if (waited_ms >= SHUTDOWN_NOTICE_MS && !is_busy(&entry, waited_ms) &&
-        !is_busy(&gate, waited_ms)) {
+    is_idle = waited_ms >= SHUTDOWN_NOTICE_MS && !is_busy(&entry, waited_ms) &&
+              !is_busy(&gate, waited_ms);
+    /* Twice, as a loop that is late has not read yet what has arrived. */
+    if (is_idle && p->was_idle) {
         log_stop("idle", waited_ms, &entry, &gate);
         bb_daemon_stop(p->daemon);
     }
@@ -337,6 +342,7 @@
         log_stop("end of the grace time", waited_ms, &entry, &gate);
         bb_daemon_stop(p->daemon);
     }
+    p->was_idle = is_idle;
 }
 
 /* Begins the shutdown: the ready check fails, and responses of the entry close
--- a/tests/proxyd/test_stop.c
+++ b/tests/proxyd/test_stop.c
@@ -450,6 +450,33 @@
     fixture_close(&f);
 }
 
+/* Guards against: a request on a new connection that is dropped because the
+ * process, whose loop is late, ends before it reads it. */
+static void
+test_late_loop(void)
+{
+    struct fixture f;
+    struct peer *kept;
+    struct peer *caller;
+
+    fixture_open(&f, 1, GRACE_S);
+    kept = peer_connect(&f, &f.entry_address, 0);
+    exchange(&f, kept, "a1");
+    process_signal(&f.proxy, SIGTERM);
+    fixture_run(&f, 2300);
+    process_signal(&f.proxy, SIGSTOP);
+    fixture_run(&f, 100);
+    peer_send(kept, SAFE("a2") "\r\n");
+    caller = peer_connect(&f, &f.entry_address, 0);
+    peer_send(caller, SAFE("a3") "\r\n");
+    fixture_run(&f, 500);
+    process_signal(&f.proxy, SIGCONT);
+    CU_ASSERT_TRUE(peer_wait_text(&f, kept, "HTTP/1.1 503", SOON_MS));
+    CU_ASSERT_TRUE(peer_wait_text(&f, caller, "HTTP/1.1 503", SOON_MS));
+    check_clean_exit(&f);
+    fixture_close(&f);
+}
+
 /* Guards against: a request whose body is still arriving when requests are
  * refused, and that gets no response because the process ends. */
 static void
@@ -551,6 +578,7 @@
     {"waiting request served", test_waiting_request_served},
     {"waiting request refused", test_waiting_request_refused},
     {"request beyond the grace time", test_request_beyond_grace_time},
+    {"late loop", test_late_loop},
     {"deadline during the stop", test_deadline_during_stop},
     {"request being received", test_request_being_received},
     {"request that is never complete", test_request_never_complete},
