tests/soak: run the real programs through planned work

Starts three control hosts and several proxies as processes and plays their upstreams, callers, operator and planned work. Checks from what callers and upstreams see that no request is lost, responses match, nothing runs twice, bodies are unchanged, processes end cleanly, and the configuration holds.

--- /dev/null
+++ b/tests/soak/disturber.c
@@ -0,0 +1,203 @@
+/* Planned work at random times, in series and overlapping, and now and then a
+ * SIGKILL. */
+#include "soak.h"
+
+enum {
+    PAUSE_MIN_MS = 200,
+    PAUSE_MAX_MS = 2500,
+    RESTART_MAX_MS = 600,
+    BURST_MAX = 10, /* of SIGHUP */
+    /* Reloads, and a second SIGTERM, follow within this time. */
+    FOLLOW_UP_MAX_MS = 1500,
+    PERCENT = 100
+};
+
+enum disturbance {
+    DISTURBANCE_TERM_PROXY,
+    DISTURBANCE_TERM_PROXIES, /* several, up to half of them */
+    DISTURBANCE_TERM_TWICE,
+    DISTURBANCE_TERM_CORE,
+    DISTURBANCE_CHANGE,
+    DISTURBANCE_TERM_AND_CHANGE,
+    DISTURBANCE_RELOAD,
+    DISTURBANCE_DRAIN,
+    DISTURBANCE_KILL
+};
+
+/* How often each is chosen, in percent. */
+static const uint32_t shares[] = {
+    [DISTURBANCE_TERM_PROXY] = 20, [DISTURBANCE_TERM_PROXIES] = 10,
+    [DISTURBANCE_TERM_TWICE] = 7,  [DISTURBANCE_TERM_CORE] = 12,
+    [DISTURBANCE_CHANGE] = 18,     [DISTURBANCE_TERM_AND_CHANGE] = 10,
+    [DISTURBANCE_RELOAD] = 12,     [DISTURBANCE_DRAIN] = 8,
+    [DISTURBANCE_KILL] = 3};
+
+struct disturber {
+    struct soak *soak;
+    struct bb_random *random;
+    uv_timer_t timer;
+    uv_timer_t follow_up_timer;
+    struct process *follow_up; /* gets a second SIGTERM */
+};
+
+static uint32_t
+between(struct disturber *d, uint32_t min, uint32_t max)
+{
+    return min + (uint32_t)bb_random_below(d->random, max - min + 1);
+}
+
+/* Returns any process of a kind. */
+static struct process *
+choose_process(struct disturber *d, bool is_core)
+{
+    struct soak *s = d->soak;
+
+    return is_core ? &s->processes[between(d, 0, SOAK_CORES - 1)]
+                   : soak_proxy(s, between(d, 0, s->proxy_count - 1));
+}
+
+/* Sends SIGTERM if enough others run: half of the proxies, and a majority of
+ * the control hosts. */
+static void
+terminate(struct disturber *d, struct process *p)
+{
+    uint32_t min = p->is_core ? SOAK_CORES - 1 : d->soak->proxy_count / 2;
+
+    if (p->state == PROCESS_RUNNING &&
+        processes_running(d->soak, p->is_core) > min) {
+        process_terminate(p, between(d, 0, RESTART_MAX_MS));
+    }
+}
+
+static void
+on_follow_up(uv_timer_t *t)
+{
+    struct disturber *d = t->data;
+
+    if (d->follow_up->state == PROCESS_STOPPING) {
+        process_terminate(d->follow_up, 0);
+    }
+}
+
+/* Sends SIGTERM, and once more before the process ends. */
+static void
+terminate_twice(struct disturber *d)
+{
+    struct process *p = choose_process(d, false);
+
+    terminate(d, p);
+    d->follow_up = p;
+    (void)uv_timer_start(&d->follow_up_timer, on_follow_up,
+                         between(d, 0, FOLLOW_UP_MAX_MS), 0);
+}
+
+/* Sends SIGTERM to several proxies at once. */
+static void
+terminate_several(struct disturber *d)
+{
+    uint32_t n = between(d, 2, MAX(2U, d->soak->proxy_count / 2));
+
+    while (n-- > 0) {
+        terminate(d, choose_process(d, false));
+    }
+}
+
+/* Sends SIGHUP, once or many times, to any process. */
+static void
+reload(struct disturber *d)
+{
+    struct process *p = choose_process(d, between(d, 0, SOAK_CORES) == 0);
+    uint32_t n = between(d, 0, 1) == 0 ? 1 : between(d, 2, BURST_MAX);
+
+    while (n-- > 0) {
+        process_reload(p);
+    }
+}
+
+/* Kills a process, unless only planned work was asked for. */
+static void
+kill_one(struct disturber *d)
+{
+    struct process *p = choose_process(d, between(d, 0, 2) == 0);
+    uint32_t min = p->is_core ? SOAK_CORES - 1 : 1;
+
+    if (!d->soak->is_planned_only && p->state != PROCESS_DOWN &&
+        processes_running(d->soak, p->is_core) > min) {
+        process_kill(p, between(d, 0, RESTART_MAX_MS));
+    }
+}
+
+/* Returns what comes next. */
+static enum disturbance
+choose_disturbance(struct disturber *d)
+{
+    uint32_t number = between(d, 0, PERCENT - 1);
+    uint32_t kind = 0;
+
+    while (number >= shares[kind]) {
+        number -= shares[kind++];
+    }
+    return (enum disturbance)kind;
+}
+
+static void
+on_timer(uv_timer_t *t)
+{
+    struct disturber *d = t->data;
+
+    switch (choose_disturbance(d)) {
+    case DISTURBANCE_TERM_PROXY:
+        terminate(d, choose_process(d, false));
+        break;
+    case DISTURBANCE_TERM_PROXIES:
+        terminate_several(d);
+        break;
+    case DISTURBANCE_TERM_TWICE:
+        terminate_twice(d);
+        break;
+    case DISTURBANCE_TERM_CORE:
+        terminate(d, choose_process(d, true));
+        break;
+    case DISTURBANCE_CHANGE:
+        operator_change(d->soak);
+        break;
+    case DISTURBANCE_TERM_AND_CHANGE:
+        terminate(d, choose_process(d, between(d, 0, 1) == 0));
+        operator_change(d->soak);
+        break;
+    case DISTURBANCE_RELOAD:
+        reload(d);
+        break;
+    case DISTURBANCE_DRAIN:
+        (void)upstream_drain(
+            d->soak->upstreams[between(d, 0, d->soak->proxy_count - 1)]);
+        break;
+    case DISTURBANCE_KILL:
+        kill_one(d);
+        break;
+    }
+    (void)uv_timer_start(t, on_timer, between(d, PAUSE_MIN_MS, PAUSE_MAX_MS),
+                         0);
+}
+
+void
+disturber_create(struct soak *s)
+{
+    struct disturber *d = g_new0(struct disturber, 1);
+
+    d->soak = s;
+    d->random = bb_random_create(s->seed * 1000 + 999);
+    (void)uv_timer_init(&s->loop, &d->timer);
+    (void)uv_timer_init(&s->loop, &d->follow_up_timer);
+    d->timer.data = d;
+    d->follow_up_timer.data = d;
+    (void)uv_timer_start(&d->timer, on_timer, PAUSE_MIN_MS, 0);
+    s->disturber = d;
+}
+
+/* Plans nothing more. */
+void
+disturber_stop(struct soak *s)
+{
+    (void)uv_timer_stop(&s->disturber->timer);
+}
--- /dev/null
+++ b/tests/soak/upstreams.c
@@ -0,0 +1,480 @@
+/* The upstreams, one on the host of each proxy: they announce themselves, run
+ * requests as their callers planned, drain, and start again. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "net/http.h"
+#include "net/stream.h"
+#include "platform/names.h"
+#include "soak.h"
+
+enum {
+    HEARTBEAT_MS = 1000,
+    SLOTS = 16,
+    /* After the acknowledgement of a drain; then it is deregistered. */
+    DRAIN_MS = 3500,
+    RESTART_MS = 700,
+    PIECE_PAUSE_MS = 120,
+    /* One response in so many closes its connection. */
+    CLOSING_ONE_IN = 40
+};
+
+enum upstream_state { UPSTREAM_READY, UPSTREAM_DRAINING, UPSTREAM_LEFT };
+
+struct upstream {
+    struct soak *soak;
+    uint32_t host;
+    char id[SOAK_ID_BYTES]; /* of this incarnation */
+    uint64_t born_ms;
+    uint64_t sequence;
+    uint32_t incarnation;
+    enum upstream_state state;
+    bool is_acknowledged; /* in this state */
+    bool is_call_pending;
+    struct bb_listener *listener;
+    struct bb_random *random;
+    uv_timer_t heartbeat;
+    uv_timer_t drain;
+};
+
+/* A connection from a gate, and the request on it. */
+struct upstream_connection {
+    struct upstream *upstream;
+    struct bb_stream *stream;
+    struct bb_http_reader reader;
+    uv_timer_t timer;
+    struct request *request; /* NULL: none runs */
+    uint64_t received_bytes; /* of the request's body */
+    uint32_t pieces_left;
+    size_t sent_bytes;
+    bool is_body_changed;
+    bool is_closing;
+};
+
+/* Returns the service of the upstream on a host. */
+const char *
+upstream_service(uint32_t host)
+{
+    return host % 2 == 0 ? "alpha" : "beta";
+}
+
+static void
+free_connection(uv_handle_t *h)
+{
+    struct upstream_connection *c = h->data;
+
+    bb_http_reader_clear(&c->reader);
+    g_free(c);
+}
+
+static void
+close_connection(struct upstream_connection *c,
+                 void (*close_stream)(struct bb_stream *))
+{
+    close_stream(c->stream);
+    uv_close((uv_handle_t *)&c->timer, free_connection);
+}
+
+/* Sends a response without a run. */
+static void
+respond_not_run(struct upstream_connection *c, uint32_t status)
+{
+    char head[160];
+    int n = snprintf(head, sizeof(head),
+                     "HTTP/1.1 %u Refused\r\n" FIELD_NOT_EXECUTED
+                     ": 1\r\nContent-Length: 0\r\n\r\n",
+                     status);
+
+    bb_stream_write(c->stream, head, (size_t)n);
+    bb_http_reader_start_next(&c->reader);
+}
+
+/* Sends the head of a response. The seal states id, status and length. */
+static void
+send_head(struct upstream_connection *c, uint32_t status)
+{
+    struct request *rq = c->request;
+    GString *head = g_string_new(NULL);
+
+    c->is_closing = bb_random_below(c->upstream->random, CLOSING_ONE_IN) == 0;
+    g_string_printf(head,
+                    "HTTP/1.1 %u Status\r\n" FIELD_REQUEST_ID
+                    ": %s\r\n" FIELD_SEAL ": %s.%u.%u\r\n%s",
+                    status, rq->id, rq->id, status, rq->response_bytes,
+                    c->is_closing ? "Connection: close\r\n" : "");
+    if (rq->key % 2 == 0) {
+        g_string_append(head, "Transfer-Encoding: chunked\r\n\r\n");
+    }
+    else {
+        g_string_append_printf(head, "Content-Length: %u\r\n\r\n",
+                               rq->response_bytes);
+    }
+    bb_stream_write(c->stream, head->str, head->len);
+    g_string_free(head, TRUE);
+}
+
+/* Sends a piece of the body. */
+static void
+send_body(struct upstream_connection *c, size_t size_bytes)
+{
+    struct request *rq = c->request;
+    bool is_chunked = rq->key % 2 == 0;
+    GString *out = g_string_sized_new(size_bytes + 32);
+
+    if (is_chunked && size_bytes > 0) {
+        g_string_printf(out, "%zx\r\n", size_bytes);
+    }
+    for (size_t i = 0; i < size_bytes; i++) {
+        g_string_append_c(out, soak_body_byte(rq->key, c->sent_bytes + i));
+    }
+    c->sent_bytes += size_bytes;
+    if (is_chunked && size_bytes > 0) {
+        g_string_append(out, "\r\n");
+    }
+    if (is_chunked && c->sent_bytes == rq->response_bytes) {
+        g_string_append(out, "0\r\n\r\n");
+    }
+    bb_stream_write(c->stream, out->str, out->len);
+    g_string_free(out, TRUE);
+}
+
+/* Ends a response; the connection takes the next request. */
+static void
+finish_response(struct upstream_connection *c)
+{
+    if (c->request->responded_us == 0) {
+        c->request->responded_us = bb_clock_now_us();
+    }
+    c->request = NULL;
+    if (c->is_closing) {
+        close_connection(c, bb_stream_close_after_writes);
+        return;
+    }
+    bb_http_reader_start_next(&c->reader);
+}
+
+/* Fails the first run of a request as planned. Returns false if none is
+ * planned, or if this is not the first run. */
+static bool
+fail_run(struct upstream_connection *c)
+{
+    struct request *rq = c->request;
+    enum upstream_failure failure =
+        rq->has_failed ? UPSTREAM_FAILURE_NONE : rq->failure;
+
+    rq->has_failed = rq->has_failed || failure != UPSTREAM_FAILURE_NONE;
+    switch (failure) {
+    case UPSTREAM_FAILURE_RESET:
+        close_connection(c, bb_stream_reset);
+        return true;
+    case UPSTREAM_FAILURE_TRUNCATED:
+        send_head(c, 200);
+        send_body(c, rq->response_bytes / 2);
+        close_connection(c, bb_stream_close_after_writes);
+        return true;
+    case UPSTREAM_FAILURE_STATUS:
+        send_head(c, 500);
+        send_body(c, rq->response_bytes);
+        finish_response(c);
+        return true;
+    case UPSTREAM_FAILURE_REFUSED: /* handled before the run */
+    case UPSTREAM_FAILURE_NONE:
+        break;
+    }
+    return false;
+}
+
+/* Sends the response of a run, or its next piece. */
+static void
+on_run_timer(uv_timer_t *t)
+{
+    struct upstream_connection *c = t->data;
+    struct request *rq = c->request;
+
+    if (c->sent_bytes == 0) {
+        if (fail_run(c)) {
+            return;
+        }
+        send_head(c, 200);
+    }
+    c->pieces_left--;
+    send_body(c, c->pieces_left > 0 ? rq->response_bytes / rq->pieces
+                                    : rq->response_bytes - c->sent_bytes);
+    if (c->pieces_left > 0) {
+        (void)uv_timer_start(&c->timer, on_run_timer, PIECE_PAUSE_MS, 0);
+        return;
+    }
+    finish_response(c);
+}
+
+/* Checks that a request came as its caller sent it. */
+static void
+check_unchanged(struct upstream_connection *c, const struct request *rq)
+{
+    const struct bb_http_head *h = &c->reader.head;
+    char path[64];
+
+    (void)snprintf(path, sizeof(path), "%s%s", soak_path(rq->route), rq->id);
+    if (strcmp(bb_http_head_target(h), path) != 0 ||
+        h->method != (rq->request_bytes > 0 ? HTTP_POST : HTTP_GET) ||
+        c->received_bytes != rq->request_bytes || c->is_body_changed) {
+        check_break(c->upstream->soak, PROMISE_BODY_UNCHANGED, rq->id,
+                    "upstream on proxy-%u got another request: %s, %u bytes",
+                    c->upstream->host, bb_http_head_target(h),
+                    (unsigned)c->received_bytes);
+    }
+}
+
+/* Runs a whole request, or refuses it. */
+static void
+run_request(struct upstream_connection *c)
+{
+    struct upstream *u = c->upstream;
+    const struct bb_http_head *h = &c->reader.head;
+    const char *expected = bb_http_head_get(h, FIELD_EXPECT_INSTANCE);
+    const char *id = bb_http_head_get(h, FIELD_REQUEST_ID);
+    struct request *rq = check_find_request(u->soak, id);
+
+    if (rq == NULL) {
+        check_break(u->soak, PROMISE_RESPONSES_MATCH, id,
+                    "upstream on proxy-%u got a request that nobody sent: %s",
+                    u->host, bb_http_head_target(h));
+        respond_not_run(c, 503);
+        return;
+    }
+    if (expected != NULL && strcmp(expected, u->id) != 0) {
+        respond_not_run(c, 421);
+        return;
+    }
+    check_unchanged(c, rq);
+    if (rq->failure == UPSTREAM_FAILURE_REFUSED && !rq->has_failed) {
+        rq->has_failed = true;
+        respond_not_run(c, 503);
+        return;
+    }
+    check_run(u->soak, rq, u->host);
+    c->request = rq;
+    c->pieces_left = rq->pieces;
+    c->sent_bytes = 0;
+    (void)uv_timer_start(&c->timer, on_run_timer, rq->run_ms, 0);
+}
+
+static bool
+on_head(void *context)
+{
+    struct upstream_connection *c = context;
+
+    c->received_bytes = 0;
+    c->is_body_changed = false;
+    return true;
+}
+
+/* Compares a piece of a request's body with what its caller sent. */
+static void
+on_body(void *context, const char *data, size_t size_bytes)
+{
+    struct upstream_connection *c = context;
+    const struct request *rq = check_find_request(
+        c->upstream->soak,
+        bb_http_head_get(&c->reader.head, FIELD_REQUEST_ID));
+
+    for (size_t i = 0; rq != NULL && i < size_bytes; i++) {
+        c->is_body_changed =
+            c->is_body_changed ||
+            data[i] != soak_body_byte(rq->key, c->received_bytes + i);
+    }
+    c->received_bytes += size_bytes;
+}
+
+static const struct bb_http_reader_events reader_events = {.head = on_head,
+                                                           .body = on_body};
+
+static void
+on_data(void *context, const char *data, size_t size_bytes)
+{
+    struct upstream_connection *c = context;
+    size_t used = 0;
+
+    if (c->reader.state == BB_HTTP_READER_DONE) {
+        check_break(c->upstream->soak, PROMISE_RESPONSES_MATCH, c->request->id,
+                    "upstream on proxy-%u got bytes behind this request",
+                    c->upstream->host);
+        return;
+    }
+    while (used < size_bytes) {
+        used +=
+            bb_http_reader_feed(&c->reader, data + used, size_bytes - used);
+        if (c->reader.state == BB_HTTP_READER_FAILED) {
+            check_break(c->upstream->soak, PROMISE_RESPONSES_MATCH, NULL,
+                        "upstream on proxy-%u got bytes that are no request",
+                        c->upstream->host);
+            close_connection(c, bb_stream_reset);
+            return;
+        }
+        if (c->reader.state == BB_HTTP_READER_DONE) {
+            run_request(c);
+        }
+    }
+}
+
+/* The gate closed the connection; a run on it is dropped. */
+static void
+on_ended(void *context, int status)
+{
+    (void)status;
+    close_connection(context, bb_stream_close);
+}
+
+static const struct bb_stream_events stream_events = {.data = on_data,
+                                                      .ended = on_ended};
+
+static void
+on_accept(void *context, struct bb_stream *stream)
+{
+    struct upstream *u = context;
+    struct upstream_connection *c = g_new0(struct upstream_connection, 1);
+
+    c->upstream = u;
+    c->stream = stream;
+    bb_http_reader_init(&c->reader, HTTP_REQUEST, &reader_events, c);
+    (void)uv_timer_init(&u->soak->loop, &c->timer);
+    c->timer.data = c;
+    bb_stream_set_events(stream, &stream_events, c);
+}
+
+/* Begins a new incarnation, which has a new id. */
+static void
+begin_incarnation(struct upstream *u)
+{
+    u->incarnation++;
+    (void)snprintf(u->id, sizeof(u->id), "i-%u-%u", u->host, u->incarnation);
+    u->born_ms = bb_clock_wall_now_us() / BB_US_PER_MS;
+    u->sequence = 0;
+    u->state = UPSTREAM_READY;
+    u->is_acknowledged = false;
+}
+
+static void send_heartbeat(struct upstream *u);
+
+static void
+on_heartbeat_timer(uv_timer_t *t)
+{
+    send_heartbeat(t->data);
+}
+
+/* Goes on to the next step of a drain: deregisters, then starts again. */
+static void
+on_drain_timer(uv_timer_t *t)
+{
+    struct upstream *u = t->data;
+
+    switch (u->state) {
+    case UPSTREAM_READY:
+        break;
+    case UPSTREAM_DRAINING:
+        u->state = UPSTREAM_LEFT;
+        u->is_acknowledged = false;
+        send_heartbeat(u);
+        (void)uv_timer_start(&u->drain, on_drain_timer, RESTART_MS, 0);
+        break;
+    case UPSTREAM_LEFT:
+        begin_incarnation(u);
+        send_heartbeat(u);
+        break;
+    }
+}
+
+/* Notes the acknowledgement of an announcement. */
+static void
+on_announced(void *context, uint32_t status, const struct bb_http_head *head,
+             const GString *body)
+{
+    struct upstream *u = context;
+
+    (void)head;
+    (void)body;
+    u->is_call_pending = false;
+    if (status < 200 || status >= 300) {
+        return;
+    }
+    if (u->state == UPSTREAM_DRAINING && !u->is_acknowledged) {
+        (void)uv_timer_start(&u->drain, on_drain_timer, DRAIN_MS, 0);
+    }
+    u->is_acknowledged = true;
+}
+
+/* Announces the state of an upstream, unless a call is in progress. */
+static void
+send_heartbeat(struct upstream *u)
+{
+    struct bb_address to =
+        soak_address(soak_proxy(u->soak, u->host), SOAK_PORT_ANNOUNCE);
+    char target[96];
+    char *body;
+
+    if (u->is_call_pending) {
+        return;
+    }
+    u->is_call_pending = true;
+    (void)snprintf(target, sizeof(target), PATH_INSTANCES "%s%s", u->id,
+                   u->state == UPSTREAM_LEFT ? PATH_DEREGISTER
+                                             : PATH_HEARTBEAT);
+    body = g_strdup_printf(
+        "{\"address\":\"%s:%d\",\"born\":%" G_GUINT64_FORMAT
+        ",\"info\":{\"service\":\"%s\",\"version\":\"v1\","
+        "\"zone\":\"zone-0\",\"max_concurrency\":%d},"
+        "\"status\":{\"state\":\"%s\",\"seq\":%" G_GUINT64_FORMAT
+        ",\"warmup_left_ms\":0}}",
+        to.ip, SOAK_PORT_UPSTREAM, u->born_ms, upstream_service(u->host),
+        SLOTS, u->state == UPSTREAM_READY ? VALUE_READY : VALUE_DRAINING,
+        ++u->sequence);
+    call_start(u->soak, &to, "POST", target, "", body, on_announced, u);
+    g_free(body);
+}
+
+/* Returns whether the proxy knows the state of its upstream. */
+bool
+upstream_is_acknowledged(const struct upstream *u)
+{
+    return u->is_acknowledged;
+}
+
+/* Begins to drain an upstream. Returns false if it is not ready. */
+bool
+upstream_drain(struct upstream *u)
+{
+    if (u->state != UPSTREAM_READY) {
+        return false;
+    }
+    u->state = UPSTREAM_DRAINING;
+    u->is_acknowledged = false;
+    u->soak->counts.drains++;
+    send_heartbeat(u);
+    return true;
+}
+
+void
+upstream_create(struct soak *s, uint32_t host)
+{
+    struct upstream *u = g_new0(struct upstream, 1);
+    struct bb_address at =
+        soak_address(soak_proxy(s, host), SOAK_PORT_UPSTREAM);
+    struct bb_error e = {0};
+
+    u->soak = s;
+    u->host = host;
+    u->random = bb_random_create(s->seed * 1000 + host);
+    u->listener = bb_listener_create(&s->loop, &at, on_accept, u, &e);
+    if (u->listener == NULL) {
+        (void)fprintf(stderr, "soak: %s\n", e.message);
+        exit(EXIT_FAILURE);
+    }
+    begin_incarnation(u);
+    (void)uv_timer_init(&s->loop, &u->drain);
+    (void)uv_timer_init(&s->loop, &u->heartbeat);
+    u->drain.data = u;
+    u->heartbeat.data = u;
+    (void)uv_timer_start(&u->heartbeat, on_heartbeat_timer, 1, HEARTBEAT_MS);
+    s->upstreams[host] = u;
+}
