--- a/tests/soak/processes.c
+++ b/tests/soak/processes.c
@@ -106,6 +106,7 @@
         return;
     }
     if (p->state == PROCESS_RUNNING) {
+        p->terminated_before_us = p->terminated_us;
         p->terminated_us = bb_clock_now_us();
         p->restart_delay_ms = restart_delay_ms;
         p->state = PROCESS_STOPPING;
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -107,7 +107,8 @@
     bool is_killed; /* by SIGKILL of this tool */
     uint32_t restart_delay_ms;
     uint32_t rss_max_kb;
-    uint64_t terminated_us; /* time of the latest SIGTERM; 0: none */
+    uint64_t terminated_us;        /* time of the latest SIGTERM; 0: none */
+    uint64_t terminated_before_us; /* of the one before */
     uint64_t killed_us;
     uint64_t restart_at_us; /* 0: not planned */
 };
