--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -19,7 +19,11 @@
     PIPELINE_MAX = 4,
     PERCENT = 100,
     THINK_MS = 250,
-    LONG_THINK_MS = 4000
+    LONG_THINK_MS = 4000,
+    /* A caller now and then stops reading a response at its head. */
+    READ_PAUSE_MAX_MS = 2500,
+    /* From the end of a request's time to a response of the proxy itself. */
+    LATE_MAX_MS = 1500
 };
 
 struct caller {
@@ -33,7 +37,8 @@
     struct request *partial; /* sent only in part */
     GString *rest;           /* of the partial request */
     uv_timer_t timer;
-    uint32_t to_send; /* requests before the next pause */
+    uv_timer_t read_timer; /* runs while the caller does not read */
+    uint32_t to_send;      /* requests before the next pause */
     uint64_t body_bytes;
     bool is_connected;
     bool is_one_write; /* the requests of this series go in one write */
@@ -99,6 +104,32 @@
     }
 }
 
+/* Appends a request's body, with its framing: a length, or two chunks. */
+static void
+append_body(const struct request *rq, GString *out)
+{
+    uint32_t chunk_bytes = rq->key % 4 == 0 ? rq->request_bytes / 2 : 0;
+
+    if (chunk_bytes > 0) {
+        g_string_append_printf(out, "Transfer-Encoding: chunked\r\n\r\n%x\r\n",
+                               chunk_bytes);
+    }
+    else {
+        g_string_append_printf(out, "Content-Length: %u\r\n\r\n",
+                               rq->request_bytes);
+    }
+    for (uint32_t i = 0; i < rq->request_bytes; i++) {
+        if (chunk_bytes > 0 && i == chunk_bytes) {
+            g_string_append_printf(out, "\r\n%x\r\n",
+                                   rq->request_bytes - chunk_bytes);
+        }
+        g_string_append_c(out, soak_body_byte(rq->key, i));
+    }
+    if (chunk_bytes > 0) {
+        g_string_append(out, "\r\n0\r\n\r\n");
+    }
+}
+
 /* Creates a request and appends its bytes. */
 static struct request *
 append_request(struct caller *c, GString *out)
@@ -122,12 +153,10 @@
         has_body ? "POST" : "GET", soak_path(route), rq->id, rq->id,
         rq->limit_ms);
     if (has_body) {
-        g_string_append_printf(out, "Content-Length: %u\r\n",
-                               rq->request_bytes);
+        append_body(rq, out);
     }
-    g_string_append(out, "\r\n");
-    for (uint32_t i = 0; i < rq->request_bytes; i++) {
-        g_string_append_c(out, soak_body_byte(rq->key, i));
+    else {
+        g_string_append(out, "\r\n");
     }
     check_limit_time(c->soak, rq);
     rq->started_us = bb_clock_now_us();
@@ -206,6 +235,7 @@
         c->rest = NULL;
         c->partial = NULL;
     }
+    (void)uv_timer_stop(&c->read_timer);
     bb_stream_close(c->stream);
     bb_http_reader_clear(&c->reader);
     c->stream = NULL;
@@ -214,6 +244,17 @@
     schedule(c, between(c, 0, RECONNECT_MS));
 }
 
+/* Reads on after a pause; the response is due from now on. */
+static void
+on_read_timer(uv_timer_t *t)
+{
+    struct caller *c = t->data;
+    struct request *rq = g_queue_peek_head(&c->outstanding);
+
+    rq->due_us = bb_clock_now_us();
+    bb_stream_resume(c->stream);
+}
+
 /* Checks the id of a response against the oldest request. */
 static bool
 on_head(void *context)
@@ -236,6 +277,11 @@
                     "status %u of request %s in its place", h->status, id);
         return false;
     }
+    if (is_chosen(c, 3)) {
+        bb_stream_pause(c->stream);
+        (void)uv_timer_start(&c->read_timer, on_read_timer,
+                             between(c, 1, READ_PAUSE_MAX_MS), 0);
+    }
     return true;
 }
 
@@ -269,6 +315,8 @@
     struct request *next = g_queue_peek_head(&c->outstanding);
     char expected[96];
 
+    (void)uv_timer_stop(&c->read_timer);
+    bb_stream_resume(c->stream);
     if (next != NULL) {
         next->due_us = bb_clock_now_us();
     }
@@ -369,7 +417,7 @@
     }
 }
 
-/* Does what is due: connects, or sends. */
+/* Does what is due: connects, or sends, but not while it does not read. */
 static void
 on_timer(uv_timer_t *t)
 {
@@ -387,6 +435,9 @@
             connect_to_entry(c);
         }
     }
+    else if (uv_is_active((uv_handle_t *)&c->read_timer)) {
+        schedule(c, 1 + (uint32_t)uv_timer_get_due_in(&c->read_timer));
+    }
     else if (c->rest != NULL) {
         send_rest(c);
     }
@@ -402,6 +453,28 @@
     return c->outstanding.length == 0;
 }
 
+/* Checks that the oldest request of a caller is not left without a response
+ * when its time is up. */
+void
+caller_check_time(struct caller *c)
+{
+    const struct request *rq = g_queue_peek_head(&c->outstanding);
+    uint64_t end_us;
+
+    if (rq == NULL || !rq->is_sent) {
+        return;
+    }
+    end_us =
+        MAX(rq->sent_us + (uint64_t)rq->limit_ms * BB_US_PER_MS, rq->due_us);
+    if (!uv_is_active((uv_handle_t *)&c->read_timer) &&
+        bb_clock_now_us() > end_us + (uint64_t)LATE_MAX_MS * BB_US_PER_MS) {
+        check_break(c->soak, PROMISE_NO_LOSS, rq->id,
+                    "no response from proxy-%u %d ms after its time, %u runs",
+                    c->host, LATE_MAX_MS, rq->runs);
+        disconnect(c, 0);
+    }
+}
+
 /* Creates the caller `index` of a proxy's host. */
 void
 caller_create(struct soak *s, uint32_t host, uint32_t index)
@@ -415,7 +488,9 @@
         bb_random_create(s->seed * 1000 + 500 + host * SOAK_CALLERS + index);
     g_queue_init(&c->outstanding);
     (void)uv_timer_init(&s->loop, &c->timer);
+    (void)uv_timer_init(&s->loop, &c->read_timer);
     c->timer.data = c;
+    c->read_timer.data = c;
     schedule(c, 0);
     s->callers[host * SOAK_CALLERS + index] = c;
 }
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -131,6 +131,11 @@
 on_timer(uv_timer_t *t)
 {
     (void)t;
+    for (uint32_t i = 0; i < G_N_ELEMENTS(soak.callers); i++) {
+        if (soak.callers[i] != NULL) {
+            caller_check_time(soak.callers[i]);
+        }
+    }
     switch (phase) {
     case PHASE_START:
         if (has_passed(START_MAX_S)) {
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -203,6 +203,7 @@
 
 /* callers.c */
 void caller_create(struct soak *s, uint32_t host, uint32_t index);
+void caller_check_time(struct caller *c);
 bool caller_is_idle(const struct caller *c);
 
 /* operator.c */
