--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -130,7 +130,18 @@
 static void
 on_timer(uv_timer_t *t)
 {
+    static uint64_t previous_us;
+    uint64_t now_us = bb_clock_now_us();
+    uint32_t passed_ms =
+        previous_us != 0 ? (uint32_t)((now_us - previous_us) / BB_US_PER_MS)
+                         : 0;
+
     (void)t;
+    previous_us = now_us;
+    if (passed_ms > TICK_MS) {
+        soak.counts.lag_max_ms =
+            MAX(soak.counts.lag_max_ms, passed_ms - TICK_MS);
+    }
     for (uint32_t i = 0; i < G_N_ELEMENTS(soak.callers); i++) {
         if (soak.callers[i] != NULL) {
             caller_check_time(soak.callers[i]);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -107,6 +107,7 @@
     bool is_killed; /* by SIGKILL of this tool */
     uint32_t restart_delay_ms;
     uint32_t rss_max_kb;
+    uint64_t started_us;
     uint64_t terminated_us;        /* time of the latest SIGTERM; 0: none */
     uint64_t terminated_before_us; /* of the one before */
     uint64_t killed_us;
@@ -129,6 +130,7 @@
     uint32_t changes;
     uint32_t drains;
     uint32_t broken;
+    uint32_t lag_max_ms; /* of this tool's own timer */
 };
 
 struct soak {
