--- a/tests/soak/disturber.c
+++ b/tests/soak/disturber.c
@@ -22,6 +22,7 @@
     DISTURBANCE_TERM_PROXIES, /* several, up to half of them */
     DISTURBANCE_TERM_TWICE,
     DISTURBANCE_TERM_CORE,
+    DISTURBANCE_STOP_CORES, /* all at once, by either signal */
     DISTURBANCE_CHANGE,
     DISTURBANCE_TERM_AND_CHANGE,
     DISTURBANCE_RELOAD,
@@ -140,6 +141,31 @@
     }
 }
 
+/* Stops all control hosts at the same moment, while a change is sent. */
+static void
+stop_cores(struct disturber *d)
+{
+    bool is_kill = !d->soak->is_planned_only && between(d, 0, 1) == 0;
+
+    for (uint32_t i = 0; i < SOAK_CORES; i++) {
+        if (!is_up(&d->soak->processes[i])) {
+            return;
+        }
+    }
+    operator_change(d->soak);
+    for (uint32_t i = 0; i < SOAK_CORES; i++) {
+        struct process *p = &d->soak->processes[i];
+        uint32_t delay_ms = between(d, 0, RESTART_MAX_MS);
+
+        if (is_kill) {
+            process_kill(p, delay_ms);
+        }
+        else {
+            process_terminate(p, delay_ms);
+        }
+    }
+}
+
 /* Returns what comes next. */
 static enum disturbance
 choose_disturbance(struct disturber *d)
@@ -171,6 +197,9 @@
     case DISTURBANCE_TERM_CORE:
         terminate(d, choose_process(d, true));
         break;
+    case DISTURBANCE_STOP_CORES:
+        stop_cores(d);
+        break;
     case DISTURBANCE_CHANGE:
         operator_change(d->soak);
         break;
