--- a/include/net/fetch.h
+++ b/include/net/fetch.h
@@ -6,15 +6,24 @@
 #include "net/http.h"
 #include "net/stream.h"
 
+enum {
+    /* Bytes of skipped responses before the connection is given up: room for
+     * the responses that a peer confuses, and few enough to be read within
+     * milliseconds, whatever the deadline of the request. */
+    BB_FETCH_SKIPPED_MAX_BYTES = 1024 * 1024
+};
+
 enum bb_fetch_result {
     BB_FETCH_COMPLETE,
-    BB_FETCH_NOT_CONNECTED, /* nothing was sent */
-    BB_FETCH_LOST,          /* the connection ended or became unusable before
-                               the response head */
-    BB_FETCH_TRUNCATED,     /* the connection ended or the bytes became
-                               malformed within the response body */
-    BB_FETCH_MALFORMED_HEAD /* malformed bytes before the response head was
+    BB_FETCH_NOT_CONNECTED,  /* nothing was sent */
+    BB_FETCH_LOST,           /* the connection ended or became unusable before
+                                the response head, or skipped responses exceed
+                                BB_FETCH_SKIPPED_MAX_BYTES */
+    BB_FETCH_TRUNCATED,      /* the connection ended or the bytes became
+                                malformed within the response body */
+    BB_FETCH_MALFORMED_HEAD, /* malformed bytes before the response head was
                                complete, also in a skipped response */
+    BB_FETCH_DECLINED        /* bb_fetch_events.body declined the rest */
 };
 
 /* A request in progress. */
@@ -24,9 +33,14 @@
 struct bb_fetch_events {
     /* The head of a response. Returns false if the response belongs to another
      * request; it is skipped, and the next one is read. If the connection
-     * does not persist after it, the fetch ends with BB_FETCH_LOST. */
+     * does not persist after it, or its length exceeds
+     * BB_FETCH_SKIPPED_MAX_BYTES, the fetch ends at once with
+     * BB_FETCH_LOST. */
     bool (*head)(void *context, const struct bb_http_head *h);
-    void (*body)(void *context, const char *data, size_t size_bytes);
+    /* A part of the body: what was received at once, with chunked coding
+     * removed. Returns false to decline it and the rest: the connection is
+     * closed, and the fetch ends with BB_FETCH_DECLINED. */
+    bool (*body)(void *context, const char *data, size_t size_bytes);
     /* The last event. The fetch is already freed. */
     void (*done)(void *context, enum bb_fetch_result result);
     /* All queued bytes of the request were written; may be NULL. */
--- a/path/entry_internal.h
+++ b/path/entry_internal.h
@@ -25,6 +25,7 @@
     /* struct bb_rules_route to int64_t[]: weighted round-robin credit by
      * service */
     GHashTable *service_credits;
+    GQueue requests; /* struct entry_request, by their `link` */
     /* By class_index: estimated 95th percentile of the time from a send to the
      * response; 0: no response yet. */
     uint64_t p95_us[BB_REQUEST_CLASS_COUNT];
@@ -32,6 +33,7 @@
      * BB_ENTRY_DEADLINE_MAX_MS if one stated none; taken as the deadline of a
      * caller's first request. */
     uint64_t longest_deadline_us[BB_RULES_GROUP_COUNT];
+    uint64_t end_us; /* latest deadline; 0: no limit */
     bool is_stopping;
 };
 
@@ -66,6 +68,7 @@
 struct entry_request {
     struct bb_entry *entry;
     struct bb_http_exchange *exchange;
+    GList link;       /* in the entry's requests */
     uv_timer_t timer; /* hedge time first, then respond_by_us */
     struct bb_rules *rules;
     const struct bb_rules_route *route;
