--- a/tests/soak/calls.c
+++ b/tests/soak/calls.c
@@ -47,12 +47,13 @@
     return true;
 }
 
-static void
+static bool
 on_body(void *context, const char *data, size_t size_bytes)
 {
     struct call *c = context;
 
     g_string_append_len(c->body, data, (gssize)size_bytes);
+    return true;
 }
 
 static void
