--- a/net/http_server.c
+++ b/net/http_server.c
@@ -20,15 +20,15 @@
            "Requests refused because they could not be read");
 BB_COUNTER(oversized_total, "baobab_server_oversized_total",
            "Requests refused because their head or body is too large");
-BB_COUNTER(slow_head_total, "baobab_server_slow_head_total",
-           "Requests refused because their head took too long");
+BB_COUNTER(slow_request_total, "baobab_server_slow_head_total",
+           "Requests refused because they did not arrive in time");
 
 /* What the timer of a connection waits for. */
 enum timer_kind {
     TIMER_NONE,  /* stopped: a request is in progress */
     TIMER_IDLE,  /* bytes of the peer */
     TIMER_HEAD,  /* the end of a head */
-    TIMER_WRITE, /* the peer to take bytes of a response */
+    TIMER_WRITE, /* the peer to take bytes that are queued here */
     TIMER_LINGER /* the peer to close */
 };
 
@@ -57,9 +57,12 @@
     /* The last exchange that ended, while bytes of its response are queued for
      * the socket, else NULL; named in the log if they are dropped. */
     struct bb_http_exchange *unsent;
+    uint64_t output_bytes; /* written so far */
     uv_timer_t timer;
     enum timer_kind timer_kind;
-    size_t timer_queued_bytes; /* when TIMER_WRITE was started */
+    size_t unacked_bytes;      /* at the last timeout; 0: none since the
+                                  timer was started */
+    uint64_t unacked_since_us; /* since when unacked_bytes is the same */
     bool has_timed_out;        /* closes after one more turn of the loop */
     bool is_last_request_read; /* nothing behind it is parsed */
     bool is_closing;           /* no further response is written */
@@ -226,14 +229,50 @@
     uv_close((uv_handle_t *)&c->timer, free_connection);
 }
 
+/* Returns the timeout of a kind of timer. */
+static uint32_t
+timeout_ms(const struct bb_http_server_connection *c, enum timer_kind kind)
+{
+    switch (kind) {
+    case TIMER_IDLE:
+        return c->server->limits.idle_timeout_ms;
+    case TIMER_HEAD:
+        return c->server->limits.head_timeout_ms;
+    case TIMER_WRITE:
+    case TIMER_LINGER:
+        return BB_HTTP_SERVER_LINGER_MS;
+    case TIMER_NONE:
+        break;
+    }
+    return 0;
+}
+
+/* Returns whether the peer has yet to take bytes of a response, and has taken
+ * some within BB_HTTP_SERVER_WRITE_TIMEOUT_MS. */
+static bool
+is_sending(struct bb_http_server_connection *c)
+{
+    size_t unacked_bytes = bb_stream_unacked_bytes(c->stream);
+    uint64_t now_us = bb_clock_now_us();
+
+    if (unacked_bytes != c->unacked_bytes) {
+        c->unacked_bytes = unacked_bytes;
+        c->unacked_since_us = now_us;
+    }
+    return unacked_bytes > 0 &&
+           now_us - c->unacked_since_us <
+               (uint64_t)BB_HTTP_SERVER_WRITE_TIMEOUT_MS * BB_US_PER_MS;
+}
+
 /* Closes a connection whose timeout has passed, with a response if a request
- * has begun to arrive. One that is sending is closed only if the peer has
- * taken nothing meanwhile. */
+ * has begun to arrive; not while the peer takes bytes of a response. */
 static void
 on_timeout(uv_timer_t *t)
 {
     struct bb_http_server_connection *c = t->data;
     enum timer_kind kind = c->timer_kind;
+    bool awaits_request =
+        kind == TIMER_HEAD || (kind == TIMER_IDLE && c->receiving != NULL);
 
     if (!c->has_timed_out) {
         /* A loop that is late has not read yet what arrived in time. */
@@ -241,33 +280,21 @@
         (void)uv_timer_start(t, on_timeout, 1, 0);
         return;
     }
+    if (!awaits_request && is_sending(c)) {
+        c->has_timed_out = false;
+        (void)uv_timer_start(t, on_timeout, timeout_ms(c, kind), 0);
+        return;
+    }
     c->timer_kind = TIMER_NONE;
-    switch (kind) {
-    case TIMER_WRITE:
-        if (bb_stream_queued_bytes(c->stream) < c->timer_queued_bytes) {
-            update_timer(c);
-            break;
-        }
-        close_connection(c, bb_stream_close, BB_HTTP_SERVER_WRITE_TIMEOUT);
-        break;
-    case TIMER_HEAD:
-        bb_counter_add(&slow_head_total, 1);
+    if (awaits_request) {
+        bb_counter_add(&slow_request_total, 1);
         reject_request(c, 408, "the request did not arrive in time\n");
-        break;
-    case TIMER_LINGER:
-        close_connection(c, bb_stream_close, BB_HTTP_SERVER_LINGER_TIMEOUT);
-        break;
-    case TIMER_IDLE:
-        if (c->receiving != NULL) {
-            reject_request(c, 408, "the request did not arrive in time\n");
-        }
-        else {
-            close_connection(c, bb_stream_close, BB_HTTP_SERVER_IDLE_TIMEOUT);
-        }
-        break;
-    case TIMER_NONE:
-        break;
+        return;
     }
+    close_connection(c, bb_stream_close,
+                     kind == TIMER_WRITE    ? BB_HTTP_SERVER_WRITE_TIMEOUT
+                     : kind == TIMER_LINGER ? BB_HTTP_SERVER_LINGER_TIMEOUT
+                                            : BB_HTTP_SERVER_IDLE_TIMEOUT);
 }
 
 /* Returns what a connection waits for. No timer runs while an earlier request
@@ -294,25 +321,6 @@
     return TIMER_IDLE;
 }
 
-/* Returns the timeout of a kind of timer. */
-static uint32_t
-timeout_ms(const struct bb_http_server_connection *c, enum timer_kind kind)
-{
-    switch (kind) {
-    case TIMER_IDLE:
-        return c->server->limits.idle_timeout_ms;
-    case TIMER_HEAD:
-        return c->server->limits.head_timeout_ms;
-    case TIMER_WRITE:
-        return BB_HTTP_SERVER_WRITE_TIMEOUT_MS;
-    case TIMER_LINGER:
-        return BB_HTTP_SERVER_LINGER_MS;
-    case TIMER_NONE:
-        break;
-    }
-    return 0;
-}
-
 /* Starts or stops the timer as the state of the connection requires. Only the
  * idle timeout starts anew while the state is the same. */
 static void
@@ -324,11 +332,11 @@
         return;
     }
     c->has_timed_out = false;
+    c->unacked_bytes = 0;
     if (kind == TIMER_NONE) {
         (void)uv_timer_stop(&c->timer);
     }
     else {
-        c->timer_queued_bytes = bb_stream_queued_bytes(c->stream);
         (void)uv_timer_start(&c->timer, on_timeout, timeout_ms(c, kind), 0);
     }
     c->timer_kind = kind;
@@ -355,11 +363,20 @@
     g_string_append(x->pending_head, "\r\n");
 }
 
+/* Writes bytes to a connection. */
+static void
+write_bytes(struct bb_http_server_connection *c, const char *data,
+            size_t size_bytes)
+{
+    c->output_bytes += size_bytes;
+    bb_stream_write(c->stream, data, size_bytes);
+}
+
 /* Writes what is queued of the response of the first exchange. */
 static void
 write_output(struct bb_http_exchange *x)
 {
-    struct bb_stream *stream = x->connection->stream;
+    struct bb_http_server_connection *c = x->connection;
     GString *body = x->pending_output;
 
     if (x->pending_head != NULL) {
@@ -368,16 +385,30 @@
             g_string_append_len(x->pending_head, body->str, (gssize)body->len);
             g_string_truncate(body, 0);
         }
-        bb_stream_write(stream, x->pending_head->str, x->pending_head->len);
+        x->output_offset = c->output_bytes;
+        write_bytes(c, x->pending_head->str, x->pending_head->len);
         g_string_free(x->pending_head, TRUE);
         x->pending_head = NULL;
     }
     else if (body != NULL && body->len > 0) {
-        bb_stream_write(stream, body->str, body->len);
+        write_bytes(c, body->str, body->len);
         g_string_truncate(body, 0);
     }
 }
 
+/* Drops what is queued of a response of which nothing was written. */
+static void
+drop_output(struct bb_http_exchange *x)
+{
+    if (x->pending_head != NULL) {
+        g_string_free(x->pending_head, TRUE);
+        x->pending_head = NULL;
+    }
+    if (x->pending_output != NULL) {
+        g_string_truncate(x->pending_output, 0);
+    }
+}
+
 /* Tells the handler that nothing is queued for the socket, if the first
  * exchange was dispatched and its response is incomplete. */
 static void
@@ -414,7 +445,8 @@
  * after the last byte was written: unread ones would turn the close into a
  * reset, which can overtake the response (RFC 9112, 9.6). */
 static void
-finish_connection(struct bb_http_exchange *x)
+finish_connection(struct bb_http_exchange *x,
+                  enum bb_http_server_close_reason reason)
 {
     struct bb_http_server_connection *c = x->connection;
 
@@ -423,12 +455,29 @@
         c->receiving = NULL;
     }
     free_ended_exchange(x);
-    discard_exchanges(c, BB_HTTP_SERVER_CLOSING_RESPONSE);
+    discard_exchanges(c, reason);
     bb_stream_end_output(c->stream);
     update_reading(c);
     update_timer(c);
 }
 
+/* Ends a connection whose first response has broken off: by a reset, which
+ * also reaches a peer that does not read, unless that would drop bytes of the
+ * responses before it. */
+static void
+abort_connection(struct bb_http_exchange *x)
+{
+    struct bb_http_server_connection *c = x->connection;
+
+    if (bb_stream_unacked_bytes(c->stream) >
+        c->output_bytes - x->output_offset) {
+        (void)g_queue_pop_head(&c->exchanges);
+        finish_connection(x, BB_HTTP_SERVER_ABORTED_RESPONSE);
+        return;
+    }
+    close_connection(c, bb_stream_reset, BB_HTTP_SERVER_ABORTED_RESPONSE);
+}
+
 /* Writes the queued output of the first exchanges, in order, up to the first
  * one that has not ended. Closes the connection or resumes parsing as
  * needed. */
@@ -445,13 +494,12 @@
             break;
         }
         if (x->is_aborted) {
-            close_connection(c, bb_stream_reset,
-                             BB_HTTP_SERVER_ABORTED_RESPONSE);
+            abort_connection(x);
             return;
         }
         (void)g_queue_pop_head(&c->exchanges);
         if (x->closes_connection) {
-            finish_connection(x);
+            finish_connection(x, BB_HTTP_SERVER_CLOSING_RESPONSE);
             return;
         }
         free_ended_exchange(x);
@@ -521,8 +569,7 @@
     }
     if (bb_http_head_get(&x->head, "Expect") != NULL &&
         g_queue_get_length(&c->exchanges) == 1) {
-        bb_stream_write(c->stream, continue_response,
-                        sizeof(continue_response) - 1);
+        write_bytes(c, continue_response, sizeof(continue_response) - 1);
     }
     return true;
 }
@@ -567,13 +614,7 @@
         bb_http_exchange_abort(x);
         return;
     }
-    if (x->pending_head != NULL) {
-        g_string_free(x->pending_head, TRUE);
-        x->pending_head = NULL;
-    }
-    if (x->pending_output != NULL) {
-        g_string_truncate(x->pending_output, 0);
-    }
+    drop_output(x);
     reject_request(c, status, reason);
 }
 
@@ -861,7 +902,7 @@
          c = c->next) {
         open.connections++;
         open.closing += c->is_closing;
-        open.unsent_bytes += bb_stream_queued_bytes(c->stream);
+        open.unsent_bytes += bb_stream_unacked_bytes(c->stream);
         open.answered += c->unsent != NULL;
         open.receiving += c->reader.state == BB_HTTP_READER_HEAD &&
                           c->reader.has_started && !c->is_closing;
@@ -962,12 +1003,17 @@
     }
 }
 
-/* Ends a response that cannot be completed: the connection is reset, so that
- * the response does not look complete. The exchange must not be used
- * afterwards. */
+/* Ends a response that cannot be completed: the connection ends in the middle
+ * of it or, if nothing of it was written yet, 502 takes its place. The
+ * exchange must not be used afterwards. */
 void
 bb_http_exchange_abort(struct bb_http_exchange *x)
 {
+    if (x->pending_head != NULL) {
+        drop_output(x);
+        bb_http_exchange_respond(x, 502, NULL, NULL, 0);
+        return;
+    }
     x->is_aborted = true;
     bb_http_exchange_end(x);
 }
