--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -20,6 +20,8 @@
     PERCENT = 100,
     THINK_MS = 250,
     LONG_THINK_MS = 4000,
+    /* A caller now and then stops reading a response at its head. */
+    READ_PAUSE_MAX_MS = 2500,
     RESPONSE_MAX_MS = SOAK_TIMEOUT_MAX_MS + 1500
 };
 
@@ -275,7 +277,7 @@
         return false;
     }
     if (is_chosen(c, 3)) {
-        rq->read_pause_ms = between(c, 1, c->soak->read_pause_max_ms);
+        rq->read_pause_ms = between(c, 1, READ_PAUSE_MAX_MS);
         bb_stream_pause(c->stream);
         (void)uv_timer_start(&c->read_timer, on_read_timer, rq->read_pause_ms,
                              0);
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -232,7 +232,6 @@
 {
     static uint64_t seconds;
     static uint64_t proxies;
-    static uint64_t read_pause_max;
     static const char *planned_only;
     const struct bb_setting table[] = {
         {.name = "seed",
@@ -258,14 +257,6 @@
          .min = 2,
          .max = SOAK_PROXIES_MAX,
          .to.number = &proxies},
-        {.name = "read-pause-max",
-         .value_name = "MILLISECONDS",
-         .help = "longest time for which a caller stops reading a response",
-         .kind = BB_SETTING_NUMBER,
-         .default_value = "600",
-         .min = 1,
-         .max = 5000,
-         .to.number = &read_pause_max},
         {.name = "planned-only",
          .value_name = "true|false",
          .help = "no SIGKILL",
@@ -285,7 +276,6 @@
 
     soak.seconds = (uint32_t)seconds;
     soak.proxy_count = (uint32_t)proxies;
-    soak.read_pause_max_ms = (uint32_t)read_pause_max;
     soak.process_count = soak.proxy_count + SOAK_CORES;
     soak.is_planned_only =
         planned_only != NULL && strcmp(planned_only, "true") == 0;
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -140,10 +140,9 @@
     uint64_t seed;
     uint32_t seconds;
     uint32_t proxy_count;
-    uint32_t read_pause_max_ms; /* of callers, now and then */
-    uint32_t process_count;     /* the control hosts come first */
-    const char *programs;       /* build folder */
-    char *folder;               /* logs and data */
+    uint32_t process_count; /* the control hosts come first */
+    const char *programs;   /* build folder */
+    char *folder;           /* logs and data */
     int lock_socket;
     uint32_t network; /* second byte of all addresses */
     bool is_planned_only;
