--- a/net/http_server.c
+++ b/net/http_server.c
@@ -51,9 +51,10 @@
     struct bb_http_server_connection *previous;
     struct bb_http_reader reader;
     struct bb_http_exchange
-        *receiving;    /* its request is incomplete, or NULL */
-    GQueue exchanges;  /* in the order of their requests */
-    GString *unparsed; /* received while parsing is paused */
+        *receiving;     /* its request is incomplete, or NULL */
+    GQueue exchanges;   /* in the order of their requests */
+    GString *unparsed;  /* received while parsing is paused */
+    size_t input_bytes; /* left of those being parsed */
     /* The last exchange that ended, while bytes of its response are queued for
      * the socket, else NULL; named in the log if they are dropped. */
     struct bb_http_exchange *unsent;
@@ -353,7 +354,8 @@
 
     if (!x->is_body_complete ||
         (c->server->is_keep_alive_disabled &&
-         g_queue_get_length(&c->exchanges) == 1 && c->unparsed->len == 0)) {
+         g_queue_get_length(&c->exchanges) == 1 && c->unparsed->len == 0 &&
+         c->input_bytes == 0)) {
         x->closes_connection = true;
     }
     if (x->closes_connection) {
@@ -372,6 +374,21 @@
     bb_stream_write(c->stream, data, size_bytes);
 }
 
+/* Tells the peer to send the body of the first exchange if it waits for
+ * that. */
+static void
+write_continue(struct bb_http_exchange *x)
+{
+    static const char continue_response[] = "HTTP/1.1 100 Continue\r\n\r\n";
+
+    if (x->awaits_continue && !x->is_response_started && x->body_bytes == 0 &&
+        !x->is_body_complete) {
+        write_bytes(x->connection, continue_response,
+                    sizeof(continue_response) - 1);
+    }
+    x->awaits_continue = false;
+}
+
 /* Writes what is queued of the response of the first exchange. */
 static void
 write_output(struct bb_http_exchange *x)
@@ -488,6 +505,7 @@
 
     while (!c->is_closed && !c->is_closing &&
            (x = g_queue_peek_head(&c->exchanges)) != NULL) {
+        write_continue(x);
         write_output(x);
         if (!x->is_response_ended) {
             report_output_drained(c); /* the stream reports what it queued */
@@ -527,6 +545,8 @@
     x->closes_connection = true;
     x->is_body_complete = false;
     x->is_dispatched = true;
+    c->receiving = NULL;
+    c->is_last_request_read = true;
     bb_http_exchange_respond(x, status, NULL, reason, strlen(reason));
 }
 
@@ -545,7 +565,6 @@
 static bool
 on_head(void *context)
 {
-    static const char continue_response[] = "HTTP/1.1 100 Continue\r\n\r\n";
     struct bb_http_server_connection *c = context;
     struct bb_http_head *h = &c->reader.head;
     struct bb_http_exchange *x = g_new0(struct bb_http_exchange, 1);
@@ -567,9 +586,9 @@
         x->head.content_length > x->body_max_bytes) {
         return false;
     }
-    if (bb_http_head_get(&x->head, "Expect") != NULL &&
-        g_queue_get_length(&c->exchanges) == 1) {
-        write_bytes(c, continue_response, sizeof(continue_response) - 1);
+    x->awaits_continue = bb_http_head_get(&x->head, "Expect") != NULL;
+    if (g_queue_get_length(&c->exchanges) == 1) {
+        write_continue(x);
     }
     return true;
 }
@@ -721,6 +740,7 @@
         }
         used +=
             bb_http_reader_feed(&c->reader, data + used, size_bytes - used);
+        c->input_bytes = size_bytes - used;
         if (c->reader.state == BB_HTTP_READER_FAILED) {
             reject_unreadable(c);
             break;
@@ -732,6 +752,7 @@
     }
     if (!c->is_closed) {
         c->is_parsing = false;
+        c->input_bytes = 0;
         if (used < size_bytes && c->is_parsing_paused) {
             g_string_append_len(c->unparsed, data + used,
                                 (gssize)(size_bytes - used));
--- a/tests/net/test_http_server.c
+++ b/tests/net/test_http_server.c
@@ -23,7 +23,7 @@
  * BYTES, sent after MS milliseconds; with /MS/BYTES/early the head and half of
  * the body are sent at once; with /MS/BYTES/pause it pauses the request body;
  * with /MS/BYTES/abort half of the body is sent at once, and never the rest.
- * GET requests may overlap. */
+ * Any other target gets 503 within the callback. GET requests may overlap. */
 struct fixture {
     uv_loop_t loop;
     struct bb_address address;
@@ -101,8 +101,12 @@
     char option[8] = "";
 
     f->requests++;
-    (void)sscanf(bb_http_head_target(&x->head), "/%u/%zu/%7s", &delay_ms,
-                 &size_bytes, option);
+    if (sscanf(bb_http_head_target(&x->head), "/%u/%zu/%7s", &delay_ms,
+               &size_bytes, option) == 0) {
+        g_free(p);
+        bb_http_exchange_respond(x, 503, NULL, NULL, 0);
+        return;
+    }
     p->fixture = f;
     p->exchange = x;
     p->left_bytes = size_bytes;
@@ -395,6 +399,68 @@
     fixture_close(&f);
 }
 
+/* A request behind one that is rejected is not passed on. */
+static void
+test_request_behind_rejected_one(void)
+{
+    struct fixture f;
+    struct client *c;
+
+    fixture_open(&f);
+    f.limits.request_body_max_bytes = 3;
+    bb_http_server_set_limits(f.server, &f.limits);
+    c = client_open(&f);
+    client_send(c, "GET /1000/1 HTTP/1.1\r\n\r\n"
+                   "POST /0/2 HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                   "4\r\nbody\r\n0\r\n\r\n"
+                   "GET /0/3 HTTP/1.1\r\n\r\n");
+    CU_ASSERT_TRUE(client_wait_end(&f, c, WAIT_MS));
+    CU_ASSERT_EQUAL(f.requests, 1);
+    CU_ASSERT_EQUAL(f.disconnected, 0);
+    CU_ASSERT_EQUAL(client_count(c, "HTTP/1.1 413"), 1);
+    client_free(c);
+    fixture_close(&f);
+}
+
+/* A closing response must not drop requests that came with its own. */
+static void
+test_requests_behind_response_at_once(void)
+{
+    struct fixture f;
+    struct client *c;
+
+    fixture_open(&f);
+    bb_http_server_disable_keep_alive(f.server);
+    c = client_open(&f);
+    client_send(c, "GET /none HTTP/1.1\r\n\r\nGET /none HTTP/1.1\r\n\r\n"
+                   "GET /none HTTP/1.1\r\n\r\n");
+    CU_ASSERT_TRUE(client_wait_end(&f, c, WAIT_MS));
+    CU_ASSERT_EQUAL(client_count(c, "HTTP/1.1 503"), 3);
+    CU_ASSERT_EQUAL(client_count(c, "Connection: close"), 1);
+    client_free(c);
+    fixture_close(&f);
+}
+
+/* A caller that awaits 100 (Continue) behind another request gets it. */
+static void
+test_continue_behind_another_request(void)
+{
+    struct fixture f;
+    struct client *c;
+
+    fixture_open(&f);
+    c = client_open(&f);
+    client_send(c, "GET /200/1 HTTP/1.1\r\n\r\n"
+                   "POST /0/2 HTTP/1.1\r\nExpect: 100-continue\r\n"
+                   "Content-Length: 2\r\n\r\n");
+    CU_ASSERT_TRUE(client_wait_count(&f, c, "HTTP/1.1 100", 1, 2000));
+    CU_ASSERT_EQUAL(client_count(c, "HTTP/1.1 200"), 1);
+    client_send(c, "xy");
+    CU_ASSERT_TRUE(client_wait_count(&f, c, "HTTP/1.1 200", 2, WAIT_MS));
+    client_free(c);
+    fixture_close(&f);
+}
+
 /* A request that may not overlap is started after the earlier one. */
 static void
 test_waiting_request_is_started(void)
@@ -730,6 +796,10 @@
      test_request_behind_closing_response_being_sent},
     {"request behind one with Connection: close",
      test_request_behind_connection_close},
+    {"request behind a rejected one", test_request_behind_rejected_one},
+    {"requests behind a response at once",
+     test_requests_behind_response_at_once},
+    {"continue behind another request", test_continue_behind_another_request},
     {"waiting request is started", test_waiting_request_is_started},
     {"idle timeout during an earlier request",
      test_idle_timeout_during_earlier_request},
