Follow the review: texts, names and two fixed waits

Two tests of test_http_server wait for their event in place of a fixed time; the trickling head must end within 1.5 s at a limit of 0.5 s, before after 0.8 s.

--- a/include/net/http_server.h
+++ b/include/net/http_server.h
@@ -43,8 +43,9 @@
     /* From the first byte of a head to its end; a slower one gets status 408.
      * Default: 10 s. */
     uint32_t head_timeout_ms;
-    /* Between requests, and between the pieces of a request body, which gets
-     * status 408 then. Default: 60 s. */
+    /* Between requests, and between the pieces of the body of a request that
+     * the handler has not got yet, which gets status 408 then. Default: 60 s.
+     */
     uint32_t idle_timeout_ms;
     /* Longest body; a longer one gets status 413. Default: 64 MiB. */
     uint64_t request_body_max_bytes;
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -661,10 +661,8 @@
 /* Passes the request being received to the handler once its body is complete
  * or BB_HTTP_SERVER_BODY_BUFFER_BYTES of it are buffered, or reports more of
  * its body. Pauses parsing if the request has to wait for earlier responses.
- * Returns whether the request is complete and was passed to the handler;
- * unused, as the caller checks is_parsing_paused and the state of the reader.
  */
-static bool
+static void
 advance_request(struct bb_http_server_connection *c)
 {
     struct bb_http_exchange *x = c->receiving;
@@ -674,7 +672,7 @@
     if (x == NULL) {
         /* The response ended before the body was complete; the connection
          * closes. */
-        return false;
+        return;
     }
     if (x->is_response_ended) {
         /* It waits for earlier ones; the body is dropped. */
@@ -682,12 +680,12 @@
             x->is_body_complete = true;
             c->receiving = NULL;
         }
-        return is_done;
+        return;
     }
     if (x->body_bytes > x->body_max_bytes) {
         bb_counter_add(&oversized_total, 1);
         reject_body(c, 413, "the body is too large\n");
-        return false;
+        return;
     }
     if (is_done) {
         x->is_body_complete = true;
@@ -697,19 +695,18 @@
         if (s->handler->body_received != NULL) {
             s->handler->body_received(s->context, x);
         }
-        return is_done;
+        return;
     }
     if (!is_done && x->body->len < BB_HTTP_SERVER_BODY_BUFFER_BYTES) {
-        return false;
+        return;
     }
     if (g_queue_peek_head(&c->exchanges) != x &&
         (s->handler->may_overlap == NULL ||
          !s->handler->may_overlap(s->context, &x->head))) {
         c->is_parsing_paused = true;
-        return false;
+        return;
     }
     dispatch_request(x);
-    return is_done;
 }
 
 /* Parses received bytes until they end, or until an earlier exchange must
@@ -748,7 +745,7 @@
         if (c->reader.state == BB_HTTP_READER_HEAD) {
             break; /* needs more bytes */
         }
-        (void)advance_request(c);
+        advance_request(c);
     }
     if (!c->is_closed) {
         c->is_parsing = false;
--- a/path/daemon.c
+++ b/path/daemon.c
@@ -143,8 +143,8 @@
     size_t unsent_bytes;
 };
 
-/* Callback of uv_walk: counts a TCP connection. Unlike the servers' own counts
- * these include connections that close once their bytes are written. */
+/* Callback of uv_walk: counts a TCP connection, those to other hosts
+ * included. */
 static void
 count_socket(uv_handle_t *handle, void *context)
 {
--- a/proxyd/main.c
+++ b/proxyd/main.c
@@ -22,7 +22,7 @@
      * only the proxy restarts, its upstream still works, so the gate keeps
      * admitting requests at first: refusing from SIGTERM on would take the
      * upstream out of service for about 3.2 s. With the default --grace of
-     * 6 s, the last admitted request has 3.7 s left to complete. */
+     * 6 s, the last admitted request has 3.5 s left to complete. */
     SHUTDOWN_GATE_OPEN_MS = 1600,
     /* Longest time after SHUTDOWN_NOTICE_MS that the process waits for the
      * rest of a request. Callers are on this host: a request that is still
--- a/tests/net/test_http_server.c
+++ b/tests/net/test_http_server.c
@@ -370,7 +370,7 @@
     bb_http_server_disable_keep_alive(f.server);
     c = client_open(&f);
     client_send(c, "GET /1500/10/early HTTP/1.1\r\n\r\n");
-    fixture_run(&f, 50);
+    CU_ASSERT_TRUE(fixture_wait_requests(&f, 1, WAIT_MS));
     client_send(c, "GET /50/2 HTTP/1.1\r\n\r\n");
     CU_ASSERT_TRUE(client_wait_end(&f, c, WAIT_MS));
     CU_ASSERT_EQUAL(f.requests, 1);
@@ -717,7 +717,7 @@
     bb_http_server_set_limits(f.server, &f.limits);
     c = client_open(&f);
     client_send(c, "GET /0/1 HTTP/1.1\r\nA: ");
-    for (uint32_t i = 0; i < 8; i++) {
+    for (uint32_t i = 0; i < 15 && !c->is_ended; i++) {
         fixture_run(&f, 100);
         client_send(c, "x");
     }
--- a/tests/proxyd/test_stop.c
+++ b/tests/proxyd/test_stop.c
@@ -523,23 +523,23 @@
 {
     struct fixture f;
     struct process *leader;
-    struct peer *operator;
+    struct peer *caller;
     GString *proposal;
 
     fixture_open(&f, FIXTURE_CORES_MAX, GRACE_S);
     leader = &f.cores[f.leader];
-    operator= peer_connect(&f, &f.operator_addresses[f.leader], 0);
+    caller = peer_connect(&f, &f.operator_addresses[f.leader], 0);
     proposal = fixture_build_proposal(&f, FIXTURE_IDLE_TIMEOUT_MS,
                                       FIXTURE_BODY_MAX_BYTES);
     signal_followers(&f, SIGSTOP);
-    peer_send(operator, proposal->str);
+    peer_send(caller, proposal->str);
     fixture_run(&f, 50);
     process_signal(leader, SIGTERM);
     fixture_run(&f, frozen_ms);
     signal_followers(&f, SIGCONT);
-    CU_ASSERT_TRUE(peer_wait_text(&f, operator, "\r\n\r\n", SOON_MS));
-    CU_ASSERT_EQUAL(peer_count(operator, "HTTP/1.1 200") +
-                        peer_count(operator, "HTTP/1.1 503"),
+    CU_ASSERT_TRUE(peer_wait_text(&f, caller, "\r\n\r\n", SOON_MS));
+    CU_ASSERT_EQUAL(peer_count(caller, "HTTP/1.1 200") +
+                        peer_count(caller, "HTTP/1.1 503"),
                     1);
     CU_ASSERT_TRUE(process_wait(&f, leader, SOON_MS));
     CU_ASSERT_EQUAL(leader->wait_status, 0);
--- a/tests/soak/operator.c
+++ b/tests/soak/operator.c
@@ -23,8 +23,7 @@
     uint32_t timeouts_ms[ROUTE_COUNT];
 };
 
-struct operator
-{
+struct soak_operator {
     struct soak *soak;
     struct bb_random *random;
     struct configuration acknowledged;           /* version 0: none */
@@ -48,11 +47,11 @@
     uv_timer_t timer;
 };
 
-static void send_order(struct operator* o, const struct bb_address *to);
+static void send_order(struct soak_operator *o, const struct bb_address *to);
 static void send_read(struct read *r, const struct bb_address *to);
 
 static uint32_t
-between(struct operator* o, uint32_t min, uint32_t max)
+between(struct soak_operator *o, uint32_t min, uint32_t max)
 {
     return min + (uint32_t)bb_random_below(o->random, max - min + 1);
 }
@@ -61,7 +60,7 @@
 uint32_t
 operator_timeout_ms(const struct soak *s, enum route r)
 {
-    const struct operator* o = s->operator;
+    const struct soak_operator *o = s->soak_operator;
     uint32_t ms = o->acknowledged.timeouts_ms[r];
 
     if (o->sent.version != 0) {
@@ -77,7 +76,7 @@
 
 /* Appends a route; some are split between the services. */
 static void
-append_route(struct operator* o, struct configuration *c, enum route r,
+append_route(struct soak_operator *o, struct configuration *c, enum route r,
              GString *out)
 {
     c->timeouts_ms[r] = between(o, TIMEOUT_MIN_MS, SOAK_TIMEOUT_MAX_MS);
@@ -98,7 +97,8 @@
 
 /* Creates the next configuration. All limits allow what the callers send,
  * except that a pause may be longer than the idle timeout. */
-static void create_configuration(struct operator* o)
+static void
+create_configuration(struct soak_operator *o)
 {
     struct configuration *c = &o->sent;
     GString *out = g_string_new(NULL);
@@ -142,7 +142,7 @@
 static void
 on_order_timer(uv_timer_t *t)
 {
-    struct operator* o = t->data;
+    struct soak_operator *o = t->data;
     struct bb_address to =
         soak_address(&o->soak->processes[between(o, 0, SOAK_CORES - 1)],
                      SOAK_PORT_OPERATORS);
@@ -156,7 +156,7 @@
 on_order_answered(void *context, uint32_t status,
                   const struct bb_http_head *head, const GString *body)
 {
-    struct operator* o = context;
+    struct soak_operator *o = context;
     struct bb_address to;
 
     if (follow_redirect(status, head, &o->redirects, &to)) {
@@ -184,7 +184,7 @@
 }
 
 static void
-send_order(struct operator* o, const struct bb_address *to)
+send_order(struct soak_operator *o, const struct bb_address *to)
 {
     char fields[80];
 
@@ -199,7 +199,7 @@
 void
 operator_change(struct soak *s)
 {
-    struct operator* o = s->operator;
+    struct soak_operator *o = s->soak_operator;
 
     if (o->sent.version == 0) {
         create_configuration(o);
@@ -212,8 +212,8 @@
 bool
 operator_is_idle(const struct soak *s)
 {
-    return s->operator->sent.version == 0 && s->operator->acknowledged
-        .version != 0;
+    return s->soak_operator->sent.version == 0 &&
+           s->soak_operator->acknowledged.version != 0;
 }
 
 static void
@@ -236,7 +236,7 @@
 static void
 check_read(const struct read *r, const char *text)
 {
-    struct operator* o = r->soak->operator;
+    struct soak_operator *o = r->soak->soak_operator;
     unsigned long long version = 0;
     const struct configuration *candidates[] = {&o->acknowledged, &o->sent,
                                                 &o->previous[0]};
@@ -282,7 +282,7 @@
                     "%s cannot read the configuration: status %u",
                     r->core->name, status);
     }
-    r->soak->operator->reads--;
+    r->soak->soak_operator->reads--;
     uv_close((uv_handle_t *)&r->timer, free_read);
 }
 
@@ -296,7 +296,7 @@
 static void
 start_read(struct soak *s, struct process *core, bool is_last)
 {
-    struct operator* o = s->operator;
+    struct soak_operator *o = s->soak_operator;
     struct read *r = g_new0(struct read, 1);
 
     r->soak = s;
@@ -313,7 +313,7 @@
 static void
 on_regular_read(uv_timer_t *t)
 {
-    struct operator* o = t->data;
+    struct soak_operator *o = t->data;
 
     start_read(o->soak, &o->soak->processes[between(o, 0, SOAK_CORES - 1)],
                false);
@@ -323,7 +323,7 @@
 void
 operator_read_back(struct soak *s)
 {
-    uv_timer_stop(&s->operator->read_timer);
+    uv_timer_stop(&s->soak_operator->read_timer);
     for (uint32_t i = 0; i < SOAK_CORES; i++) {
         start_read(s, &s->processes[i], true);
     }
@@ -333,16 +333,16 @@
 bool
 operator_is_reading(const struct soak *s)
 {
-    return s->operator->reads> 0;
+    return s->soak_operator->reads > 0;
 }
 
 /* Sends the first configuration. */
 void
 operator_create(struct soak *s)
 {
-    struct operator* o = g_new0(struct operator, 1);
+    struct soak_operator *o = g_new0(struct soak_operator, 1);
 
-    s->operator= o;
+    s->soak_operator = o;
     o->soak = s;
     o->random = bb_random_create(s->seed * 1000 + 998);
     (void)uv_timer_init(&s->loop, &o->order_timer);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -152,7 +152,7 @@
     struct process processes[SOAK_CORES + SOAK_PROXIES_MAX];
     struct upstream *upstreams[SOAK_PROXIES_MAX];
     struct caller *callers[SOAK_PROXIES_MAX * SOAK_CALLERS];
-    struct operator* operator;
+    struct soak_operator *soak_operator;
     struct disturber *disturber;
     struct check *check;
     struct counts counts;
