proxyd: look twice more, at once, before the process ends

The two polls of a stop that must find nothing open were 0.1 s apart: a process that was late in between could still drop a request on a new connection. Three polls in turns of the loop that follow each other leave 2 ms, and the stop no longer takes 0.1 s longer.

test_stop passes as before, late loop included; that the remaining window is smaller follows from the code, no run shows it.

--- a/proxyd/main.c
+++ b/proxyd/main.c
@@ -29,6 +29,9 @@
      * incomplete by then has stalled, and must not use up --grace. */
     SHUTDOWN_RECEIVE_MS = 1000,
     SHUTDOWN_POLL_MS = 100,
+    /* Polls in turns of the loop one after the other that must find nothing
+     * open: a loop that is late has not read yet what has arrived. */
+    SHUTDOWN_IDLE_POLLS = 3,
     /* Before the end of --grace: the latest deadline of requests received
      * since the start of the shutdown. */
     SHUTDOWN_DEADLINE_MARGIN_MS = 900,
@@ -59,7 +62,7 @@
     bool has_rules;
     bool is_stopping;
     bool is_gate_stopped;
-    bool was_idle; /* at the last poll of the shutdown */
+    uint32_t idle_polls; /* of the shutdown, the last ones */
 };
 
 /* Decodes a configuration and passes its rules to the entry. Logs a warning
@@ -303,7 +306,7 @@
 }
 
 /* Refuses new requests, first at the gate, then at the entry. Ends the process
- * after SHUTDOWN_NOTICE_MS once neither is busy at two polls, or
+ * after SHUTDOWN_NOTICE_MS once SHUTDOWN_IDLE_POLLS find neither busy, or
  * SHUTDOWN_MARGIN_MS before the end of --grace. The entry responds to what is
  * in progress before that.
  */
@@ -333,8 +336,8 @@
     gate = bb_gate_count_open(p->gate);
     is_idle = waited_ms >= SHUTDOWN_NOTICE_MS && !is_busy(&entry, waited_ms) &&
               !is_busy(&gate, waited_ms);
-    /* Twice, as a loop that is late has not read yet what has arrived. */
-    if (is_idle && p->was_idle) {
+    p->idle_polls = is_idle ? p->idle_polls + 1 : 0;
+    if (p->idle_polls == SHUTDOWN_IDLE_POLLS) {
         log_stop("idle", waited_ms, &entry, &gate);
         bb_daemon_stop(p->daemon);
     }
@@ -342,7 +345,9 @@
         log_stop("end of the grace time", waited_ms, &entry, &gate);
         bb_daemon_stop(p->daemon);
     }
-    p->was_idle = is_idle;
+    else if (is_idle) {
+        (void)uv_timer_start(t, on_shutdown_timer, 1, SHUTDOWN_POLL_MS);
+    }
 }
 
 /* Begins the shutdown: the ready check fails, and responses of the entry close
