--- a/net/http_server.c
+++ b/net/http_server.c
@@ -239,7 +239,7 @@
         return c->server->limits.idle_timeout_ms;
     case TIMER_HEAD:
         return c->server->limits.head_timeout_ms;
-    case TIMER_WRITE:
+    case TIMER_WRITE: /* then looks whether the peer has taken some */
     case TIMER_LINGER:
         return BB_HTTP_SERVER_LINGER_MS;
     case TIMER_NONE:
