stream: read what was established before a connect times out

Callers saw: 503 (no_gate_left) for all requests of a moment if the host was short of processor time: its entry took a gate for unreachable and left it out.

Cause: the loop runs due timers before it polls. When it was late by more than the connect timeout, 200 ms, the timeout came before the connection was seen, although the kernel had established it long before.

Change: a connect timeout that passes gives the loop one turn to poll.

--- a/net/stream.c
+++ b/net/stream.c
@@ -18,6 +18,7 @@
     void *context;
     size_t queued_bytes;
     uint32_t unacked_timeout_ms;
+    bool has_timed_out; /* ends after one more turn of the loop */
     bool is_connected;
     bool is_paused;
     bool is_output_ended; /* bb_stream_end_output was called */
@@ -184,6 +185,12 @@
 {
     struct bb_stream *s = t->data;
 
+    if (!s->has_timed_out) {
+        /* A loop that is late has not seen yet what was established. */
+        s->has_timed_out = true;
+        (void)uv_timer_start(t, on_connect_timeout, 1, 0);
+        return;
+    }
     stop_connect_timer(s);
     report_ended(s, UV_ETIMEDOUT);
 }
--- a/tests/path/test_path.c
+++ b/tests/path/test_path.c
@@ -739,6 +739,51 @@
     fixture_close(&b);
 }
 
+/* Blocks the loop once a request is in progress. */
+struct stall {
+    uv_check_t check;
+    const struct path_fixture *fixture;
+    uint32_t ms;
+};
+
+static void
+on_stall_check(uv_check_t *check)
+{
+    struct stall *stall = check->data;
+
+    if (stall->ms > 0 &&
+        bb_entry_count_open(stall->fixture->entry).running > 0) {
+        g_usleep((gulong)stall->ms * 1000);
+        stall->ms = 0;
+    }
+}
+
+/* Guards against: a gate taken for unreachable because the loop is late and
+ * has not seen that the connection is established. */
+static void
+test_late_loop_while_connecting(void)
+{
+    struct path_fixture b;
+    struct stall stall = {.fixture = &b,
+                          .ms = BB_ENTRY_CONNECT_TIMEOUT_MS + 100};
+    struct client *c;
+
+    fixture_open(&b);
+    fixture_set_rules(&b, 5000, 2);
+    fixture_announce(&b, 1, true); /* leaves only the first gate */
+    (void)uv_check_init(&b.loop, &stall.check);
+    stall.check.data = &stall;
+    (void)uv_check_start(&stall.check, on_stall_check);
+    c = client_open(&b);
+    client_send(c, UNSAFE("a1") "\r\nhi");
+    CU_ASSERT_TRUE(fixture_wait_text(&b, c, "HTTP/1.1 ", 3000));
+    CU_ASSERT_EQUAL(client_count(c, "body"), 1);
+    CU_ASSERT_EQUAL(stall.ms, 0);
+    client_free(c);
+    uv_close((uv_handle_t *)&stall.check, NULL);
+    fixture_close(&b);
+}
+
 /* Guards against: requests that fail because one upstream does not accept
  * connections. */
 static void
@@ -784,6 +829,7 @@
     {"long pipelined response", test_long_pipelined_response},
     {"queue", test_queue},
     {"long body", test_long_body},
+    {"late loop while connecting", test_late_loop_while_connecting},
     {"unreachable upstream", test_upstream_unreachable},
 };
 
