gate: log what became of an upstream's drain

announce.drain names the outcome, upstream.state start and sequence of the announcement and the requests in progress. No change of logic.

--- a/path/gate.c
+++ b/path/gate.c
@@ -181,10 +181,13 @@
     else if (g->is_unreachable && announced.state == BB_INSTANCE_READY) {
         announced.state = BB_INSTANCE_DOWN;
     }
-    bb_log_info("upstream.state", "%s %s service %s slots %u",
+    bb_log_info("upstream.state",
+                "%s %s service %s slots %u started %" G_GUINT64_FORMAT
+                " sequence %" G_GUINT64_FORMAT "; running %u queued %u",
                 announced.id[0] != '\0' ? announced.id : "-",
                 bb_instance_state_name(announced.state), announced.service,
-                announced.slots);
+                announced.slots, announced.started_ms, announced.sequence,
+                g->queue.running, g->queue.queued);
     g->settings.upstream_changed(g->settings.context, &announced);
 }
 
--- a/proxyd/main.c
+++ b/proxyd/main.c
@@ -207,6 +207,15 @@
     bb_http_exchange_respond(x, status, NULL, reason, strlen(reason));
 }
 
+/* Logs that the upstream said that it leaves, and what became of it. */
+static void
+log_drain(const char *id, uint64_t started_ms, const char *outcome)
+{
+    bb_log_info("announce.drain",
+                "%s started %" G_GUINT64_FORMAT " leaves: %s", id, started_ms,
+                outcome);
+}
+
 /* Decodes an announcement of an upstream and passes it to the gate. A stale
  * one is acknowledged too. */
 static void
@@ -221,7 +230,15 @@
     }
     switch (bb_gate_announce(p->gate, id, &a)) {
     case BB_ANNOUNCE_ACCEPTED:
+        if (a.is_draining) {
+            log_drain(id, a.started_ms, "applied");
+        }
+        acknowledge(p, x);
+        break;
     case BB_ANNOUNCE_STALE:
+        if (a.is_draining) {
+            log_drain(id, a.started_ms, "stale");
+        }
         acknowledge(p, x);
         break;
     case BB_ANNOUNCE_WRONG_ADDRESS:
@@ -237,6 +254,7 @@
 {
     struct proxy *p = context;
     char id[BB_DIALECT_ID_BYTES] = "";
+    uint64_t started_ms;
 
     switch (p->dialect->classify_request(x->head.method,
                                          bb_http_head_target(&x->head), id)) {
@@ -244,9 +262,10 @@
         apply_announcement(p, x, id);
         break;
     case BB_API_WITHDRAW:
-        (void)bb_gate_withdraw(
-            p->gate, id,
-            p->dialect->decode_start_ms(x->body->str, x->body->len));
+        started_ms = p->dialect->decode_start_ms(x->body->str, x->body->len);
+        log_drain(id, started_ms,
+                  bb_gate_withdraw(p->gate, id, started_ms) ? "withdrawn"
+                                                            : "not applied");
         acknowledge(p, x);
         break;
     case BB_API_READY:
