gate: do not acknowledge a drain that was not applied

A draining announcement of the known run was acknowledged as stale, and not applied, if a later announcement of the run had arrived before it.

A drain is final for its run, so it is applied in any order. A withdrawal without a start for a gate that knows no upstream yet, as after a restart, is recorded. What cannot be ordered gets 503, so that the upstream tries again.

--- a/include/path/gate.h
+++ b/include/path/gate.h
@@ -96,7 +96,8 @@
                                struct bb_error *e);
 enum bb_announce_result bb_gate_announce(struct bb_gate *g, const char *id,
                                          const struct bb_announcement *a);
-bool bb_gate_withdraw(struct bb_gate *g, const char *id, uint64_t started_ms);
+enum bb_withdraw_result bb_gate_withdraw(struct bb_gate *g, const char *id,
+                                         uint64_t started_ms);
 void bb_gate_restore(struct bb_gate *g, const fleet_instance *earlier);
 void bb_gate_limit_deadlines(struct bb_gate *g, uint64_t end_us);
 void bb_gate_refuse_requests(struct bb_gate *g);
--- a/include/path/upstream.h
+++ b/include/path/upstream.h
@@ -13,10 +13,19 @@
 enum bb_announce_result {
     BB_ANNOUNCE_ACCEPTED,     /* applied */
     BB_ANNOUNCE_STALE,        /* older than the known state; ignored */
+    BB_ANNOUNCE_UNORDERED,    /* a drain of another upstream that cannot be
+                                 ordered before or after it; ignored */
     BB_ANNOUNCE_WRONG_ADDRESS /* the address is not that of this host's
                                  upstream; ignored */
 };
 
+enum bb_withdraw_result {
+    BB_WITHDRAW_APPLIED,   /* also if the upstream was draining before */
+    BB_WITHDRAW_STALE,     /* of an earlier run, which gets no requests */
+    BB_WITHDRAW_UNORDERED, /* of another upstream that cannot be ordered before
+                              or after the known one; ignored */
+};
+
 struct bb_upstream {
     char id[BB_DIALECT_ID_BYTES];
     char service[BB_DIALECT_TEXT_BYTES];
@@ -26,6 +35,8 @@
     uint32_t slots;         /* requests that it runs at a time */
     uint64_t warm_at_us;    /* runs slower until then; 0: warm */
     uint64_t last_heard_us; /* time of the latest announcement */
+    /* The run has announced a drain or was withdrawn, which is final. */
+    bool has_drained;
 };
 
 enum bb_announce_result bb_upstream_announce(struct bb_upstream *u,
@@ -33,7 +44,8 @@
                                              const struct bb_announcement *a,
                                              const char *address,
                                              uint64_t now_us);
-bool bb_upstream_withdraw(struct bb_upstream *u, const char *id,
-                          uint64_t started_ms);
+enum bb_withdraw_result bb_upstream_withdraw(struct bb_upstream *u,
+                                             const char *id,
+                                             uint64_t started_ms);
 
 #endif
--- a/path/gate.c
+++ b/path/gate.c
@@ -687,19 +687,19 @@
 }
 
 /* Applies a withdrawal of the upstream `id`: it counts as draining. started_ms
- * is its start on the wall clock, 0 if not stated. Returns whether the
- * withdrawal was applied, also if the upstream was draining before; false in
- * the cases that bb_upstream_withdraw names. */
-bool
+ * is its start on the wall clock, 0 if not stated. */
+enum bb_withdraw_result
 bb_gate_withdraw(struct bb_gate *g, const char *id, uint64_t started_ms)
 {
-    if (!bb_upstream_withdraw(&g->upstream, id, started_ms)) {
-        return false;
+    enum bb_withdraw_result r =
+        bb_upstream_withdraw(&g->upstream, id, started_ms);
+
+    if (r == BB_WITHDRAW_APPLIED) {
+        bb_gate_queue_set_slots(&g->queue, 0);
+        publish_state(g);
+        process_queue(g);
     }
-    bb_gate_queue_set_slots(&g->queue, 0);
-    publish_state(g);
-    process_queue(g);
-    return true;
+    return r;
 }
 
 /* Restores the state of the upstream that this node had announced before it
@@ -713,7 +713,8 @@
     g->is_restored = true;
     if (earlier != NULL && earlier->state == BB_INSTANCE_DRAINING &&
         g->upstream.state != BB_INSTANCE_DRAINING &&
-        bb_gate_withdraw(g, earlier->id, earlier->started_ms)) {
+        bb_gate_withdraw(g, earlier->id, earlier->started_ms) ==
+            BB_WITHDRAW_APPLIED) {
         bb_log_info("gate.recalled",
                     "%s is draining, as this node announced before its "
                     "restart; requests are refused until the upstream "
--- a/proxyd/main.c
+++ b/proxyd/main.c
@@ -217,7 +217,7 @@
 }
 
 /* Decodes an announcement of an upstream and passes it to the gate. A stale
- * one is acknowledged too. */
+ * one is acknowledged too: an earlier run of the upstream gets no requests. */
 static void
 apply_announcement(struct proxy *p, struct bb_http_exchange *x, const char *id)
 {
@@ -241,12 +241,40 @@
         }
         acknowledge(p, x);
         break;
+    case BB_ANNOUNCE_UNORDERED:
+        log_drain(id, a.started_ms, "not applied");
+        refuse_api_request(x, 503, "another upstream is known here");
+        break;
     case BB_ANNOUNCE_WRONG_ADDRESS:
         refuse_api_request(x, 400, "the upstream is not on this host");
         break;
     }
 }
 
+/* Applies a withdrawal of the upstream. One that cannot be applied is not
+ * acknowledged. */
+static void
+apply_withdrawal(struct proxy *p, struct bb_http_exchange *x, const char *id)
+{
+    uint64_t started_ms =
+        p->dialect->decode_start_ms(x->body->str, x->body->len);
+
+    switch (bb_gate_withdraw(p->gate, id, started_ms)) {
+    case BB_WITHDRAW_APPLIED:
+        log_drain(id, started_ms, "withdrawn");
+        acknowledge(p, x);
+        break;
+    case BB_WITHDRAW_STALE:
+        log_drain(id, started_ms, "stale");
+        acknowledge(p, x);
+        break;
+    case BB_WITHDRAW_UNORDERED:
+        log_drain(id, started_ms, "not applied");
+        refuse_api_request(x, 503, "another upstream is known here");
+        break;
+    }
+}
+
 /* Handles a request on the announcement address: an announcement or a
  * withdrawal of the upstream on this host, or a ready check. */
 static void
@@ -254,7 +282,6 @@
 {
     struct proxy *p = context;
     char id[BB_DIALECT_ID_BYTES] = "";
-    uint64_t started_ms;
 
     switch (p->dialect->classify_request(x->head.method,
                                          bb_http_head_target(&x->head), id)) {
@@ -262,11 +289,7 @@
         apply_announcement(p, x, id);
         break;
     case BB_API_WITHDRAW:
-        started_ms = p->dialect->decode_start_ms(x->body->str, x->body->len);
-        log_drain(id, started_ms,
-                  bb_gate_withdraw(p->gate, id, started_ms) ? "withdrawn"
-                                                            : "not applied");
-        acknowledge(p, x);
+        apply_withdrawal(p, x, id);
         break;
     case BB_API_READY:
         on_ready_request(p, x);
--- a/tests/path/test_path.c
+++ b/tests/path/test_path.c
@@ -406,8 +406,9 @@
     CU_ASSERT_EQUAL(client_count(c, "body"), 6);
     CU_ASSERT_EQUAL(b.upstreams[0].requests, 0);
     /* A delayed announcement must not make it ready again. */
-    CU_ASSERT_TRUE(
-        bb_gate_withdraw(b.gates[1], "i-1", BENCH_UPSTREAM_STARTED_MS));
+    CU_ASSERT_EQUAL(
+        bb_gate_withdraw(b.gates[1], "i-1", BENCH_UPSTREAM_STARTED_MS),
+        BB_WITHDRAW_APPLIED);
     fixture_announce(&b, 1, false);
     client_send(c, UNSAFE("a2") "\r\nhi");
     CU_ASSERT_TRUE(fixture_wait_text(&b, c, "HTTP/1.1 503", 500));
--- a/tests/platform/test_dialect.c
+++ b/tests/platform/test_dialect.c
@@ -203,8 +203,30 @@
     a.sequence = 99;
     CU_ASSERT_EQUAL(bb_upstream_announce(&u, "old", &a, "x:1", 1),
                     BB_ANNOUNCE_STALE);
-    CU_ASSERT_FALSE(bb_upstream_withdraw(&u, "old", 200));
-    CU_ASSERT_TRUE(bb_upstream_withdraw(&u, "new", 300));
+    CU_ASSERT_EQUAL(bb_upstream_withdraw(&u, "old", 200), BB_WITHDRAW_STALE);
+    CU_ASSERT_EQUAL(bb_upstream_withdraw(&u, "new", 300), BB_WITHDRAW_APPLIED);
+}
+
+/* Guards against: a drain that is acknowledged but not applied, because later
+ * announcements of the run came first or another upstream is known. */
+static void
+test_unordered_drains(void)
+{
+    struct bb_upstream u = {0};
+    struct bb_announcement a = ready;
+
+    (void)bb_upstream_announce(&u, "i", &a, "x:1", 1);
+    CU_ASSERT_EQUAL(bb_upstream_withdraw(&u, "j", 0), BB_WITHDRAW_UNORDERED);
+    CU_ASSERT_EQUAL(bb_upstream_withdraw(&u, "j", 100), BB_WITHDRAW_UNORDERED);
+    a.is_draining = true;
+    a.started_ms = 0;
+    CU_ASSERT_EQUAL(bb_upstream_announce(&u, "j", &a, "x:1", 1),
+                    BB_ANNOUNCE_UNORDERED);
+    CU_ASSERT_EQUAL(u.state, BB_INSTANCE_READY);
+    a.sequence = 3;
+    CU_ASSERT_EQUAL(bb_upstream_announce(&u, "i", &a, "x:1", 1),
+                    BB_ANNOUNCE_ACCEPTED);
+    CU_ASSERT_EQUAL(u.state, BB_INSTANCE_DRAINING);
 }
 
 /* Guards against: a restarted node that acknowledges a withdrawal but does not
@@ -216,14 +238,16 @@
     struct bb_upstream u = {0};
     struct bb_announcement a = ready;
 
-    CU_ASSERT_FALSE(bb_upstream_withdraw(&u, "i", 0));
-    CU_ASSERT_TRUE(bb_upstream_withdraw(&u, "i", 100));
+    CU_ASSERT_EQUAL(bb_upstream_withdraw(&u, "i", 0), BB_WITHDRAW_APPLIED);
+    CU_ASSERT_EQUAL(u.state, BB_INSTANCE_DRAINING);
+    u = (struct bb_upstream){0};
+    CU_ASSERT_EQUAL(bb_upstream_withdraw(&u, "i", 100), BB_WITHDRAW_APPLIED);
     CU_ASSERT_EQUAL(u.state, BB_INSTANCE_DRAINING);
     CU_ASSERT_EQUAL(bb_upstream_announce(&u, "i", &a, "x:1", 1),
                     BB_ANNOUNCE_ACCEPTED);
     CU_ASSERT_EQUAL(u.state, BB_INSTANCE_DRAINING);
     /* The same for a run that is newer than the known one. */
-    CU_ASSERT_TRUE(bb_upstream_withdraw(&u, "j", 200));
+    CU_ASSERT_EQUAL(bb_upstream_withdraw(&u, "j", 200), BB_WITHDRAW_APPLIED);
     a.started_ms = 200;
     (void)bb_upstream_announce(&u, "j", &a, "x:1", 1);
     CU_ASSERT_EQUAL(u.state, BB_INSTANCE_DRAINING);
@@ -231,7 +255,7 @@
     a.started_ms = 300;
     (void)bb_upstream_announce(&u, "j", &a, "x:1", 1);
     CU_ASSERT_EQUAL(u.state, BB_INSTANCE_READY);
-    CU_ASSERT_FALSE(bb_upstream_withdraw(&u, "j", 200));
+    CU_ASSERT_EQUAL(bb_upstream_withdraw(&u, "j", 200), BB_WITHDRAW_STALE);
     CU_ASSERT_EQUAL(u.state, BB_INSTANCE_READY);
 }
 
@@ -284,6 +308,7 @@
     {"invalid configurations", test_invalid_configurations},
     {"heartbeats", test_heartbeats},
     {"incarnations", test_runs_of_an_upstream},
+    {"unordered drains", test_unordered_drains},
     {"withdrawn while unknown", test_withdrawn_unknown},
     {"ids of parent requests", test_parent_ids},
     {"request classification", test_classification},
--- a/tests/proxyd/fixture.c
+++ b/tests/proxyd/fixture.c
@@ -73,23 +73,18 @@
     return path;
 }
 
-/* Runs a program whose path is in an environment variable. Its output goes to
- * a file. It is killed if the test ends before it. `arguments` is freed. */
+/* Runs a program; the first argument is its path, the last one NULL. Its
+ * output goes to a file. It is killed if the test ends before it. */
 static void
-start_process(const struct fixture *f, struct process *p, const char *name,
-              const char *path_variable, GPtrArray *arguments)
+run_process(const struct fixture *f, struct process *p,
+            const GPtrArray *arguments)
 {
-    const char *path = getenv(path_variable);
+    const char *path = g_ptr_array_index(arguments, 0);
     pid_t parent = getpid();
-    char *log;
-    int fd;
+    char *log = log_path(f, p);
+    int fd = open(log, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
 
-    p->name = g_strdup(name);
-    log = log_path(f, p);
-    fd = open(log, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
     CU_ASSERT_TRUE_FATAL(fd >= 0);
-    g_ptr_array_insert(arguments, 0, g_strdup(path));
-    g_ptr_array_add(arguments, NULL);
     p->pid = fork();
     CU_ASSERT_TRUE_FATAL(p->pid >= 0);
     if (p->pid == 0) {
@@ -102,7 +97,18 @@
     }
     (void)close(fd);
     g_free(log);
-    g_ptr_array_free(arguments, TRUE);
+}
+
+/* Runs a program whose path is in an environment variable, and adds the path
+ * and the final NULL to its arguments. */
+static void
+start_process(const struct fixture *f, struct process *p, const char *name,
+              const char *path_variable, GPtrArray *arguments)
+{
+    p->name = g_strdup(name);
+    g_ptr_array_insert(arguments, 0, g_strdup(getenv(path_variable)));
+    g_ptr_array_add(arguments, NULL);
+    run_process(f, p, arguments);
 }
 
 void
@@ -236,6 +242,29 @@
     return total;
 }
 
+/* Answers a request that no caller sent, as it has no id: the upstream does
+ * not run it, but states how it is. */
+static void
+answer_state_request(struct fixture *f, struct peer *c)
+{
+    const char *head = g_strrstr(c->received->str, " HTTP/1.1\r\n");
+    char *response;
+
+    if (!c->is_upstream || head == NULL ||
+        !g_str_has_suffix(head, "\r\n\r\n") ||
+        strstr(head, "X-Baobabshed-Request-Id") != NULL) {
+        return;
+    }
+    f->state_requests++;
+    g_string_truncate(c->received, (gsize)(head - c->received->str));
+    response = g_strdup_printf("HTTP/1.1 400 No Id\r\n%s"
+                               "X-Baobabshed-Not-Executed: 1\r\n"
+                               "Content-Length: 0\r\n\r\n",
+                               f->upstream_field);
+    peer_send(c, response);
+    g_free(response);
+}
+
 /* Accepts connections to the upstream, and sends and receives on all. */
 static void
 serve_connections(struct fixture *f, int timeout_ms)
@@ -261,6 +290,7 @@
         }
         if ((fds[i].revents & ~POLLOUT) != 0 && !c->is_paused) {
             (void)peer_read(c, READ_BYTES);
+            answer_state_request(f, c);
         }
     }
     if ((fds[count].revents & POLLIN) != 0) {
@@ -268,7 +298,7 @@
                          SOCK_CLOEXEC | SOCK_NONBLOCK);
 
         if (fd >= 0) {
-            (void)add_peer(f, fd);
+            add_peer(f, fd)->is_upstream = true;
         }
     }
     g_free(fds);
@@ -369,18 +399,19 @@
 
 /* Responds to a request with status 200. NULL is ignored. */
 void
-upstream_respond(struct peer *c, const char *id, const char *body)
+upstream_respond(const struct fixture *f, struct peer *c, const char *id,
+                 const char *body)
 {
     char *head;
 
     if (c == NULL) {
         return;
     }
-    head = g_strdup_printf("HTTP/1.1 200 OK\r\n"
+    head = g_strdup_printf("HTTP/1.1 200 OK\r\n%s"
                            "X-Baobabshed-Request-Id: %s\r\n"
                            "X-Baobabshed-Response-Seal: s\r\n"
                            "Content-Length: %zu\r\n\r\n",
-                           id, strlen(body));
+                           f->upstream_field, id, strlen(body));
     peer_send(c, head);
     peer_send(c, body);
     g_free(head);
@@ -559,6 +590,7 @@
         add_setting(arguments, "lost-hosts", f->core_count > 1 ? "1" : "0");
         add_setting(arguments, "lost-zones", "0");
         start_process(f, &f->cores[i], name, CORE_PROGRAM, arguments);
+        g_ptr_array_free(arguments, TRUE);
         g_free(data);
         g_free(name);
     }
@@ -579,11 +611,29 @@
     add_setting(arguments, "upstream",
                 bb_address_format(&f->upstream_address, text));
     f->entry_address = add_listener(arguments, "listen-entry", ip);
-    (void)add_listener(arguments, "listen-gate", ip);
+    f->gate_address = add_listener(arguments, "listen-gate", ip);
     f->ready_address = add_listener(arguments, "listen-ready", ip);
     f->announce_address = add_listener(arguments, "listen-announce", ip);
     add_setting(arguments, "grace", grace);
     start_process(f, &f->proxy, "proxy", PROXY_PROGRAM, arguments);
+    f->proxy_arguments = arguments;
+}
+
+/* Kills the proxy and starts it again with the same settings. */
+void
+fixture_restart_proxy(struct fixture *f)
+{
+    kill_process(&f->proxy);
+    run_process(f, &f->proxy, f->proxy_arguments);
+}
+
+/* Kills all control hosts. */
+void
+fixture_kill_cores(struct fixture *f)
+{
+    for (uint32_t i = 0; i < f->core_count; i++) {
+        kill_process(&f->cores[i]);
+    }
 }
 
 /* Calls until the status is 200. Returns whether it was in time. */
@@ -603,25 +653,126 @@
     return true;
 }
 
-/* Announces that the upstream is ready. */
-static bool
-announce_upstream(struct fixture *f)
+/* Builds a request that an upstream sends about itself; the caller frees it.
+ */
+static char *
+build_upstream_request(const struct fixture *f, const char *target,
+                       const struct announced_state *a)
 {
     char text[BB_ADDRESS_TEXT_BYTES];
-    char *body = g_strdup_printf(
-        "{\"address\":\"%s\",\"info\":{\"service\":\"s\",\"version\":\"v1\","
-        "\"zone\":\"z\",\"max_concurrency\":16},\"status\":"
-        "{\"state\":\"ready\",\"seq\":1,\"warmup_left_ms\":0}}",
-        bb_address_format(&f->upstream_address, text));
-    char *request = g_strdup_printf("POST /instances/i-1/heartbeat HTTP/1.1"
-                                    "\r\nHost: n\r\nContent-Length: %zu"
-                                    "\r\n\r\n%s",
-                                    strlen(body), body);
-    bool is_accepted = call_until_ok(f, &f->announce_address, request);
+    GString *body = g_string_new(NULL);
+    char *request;
+
+    g_string_append_printf(body, "{\"address\":\"%s\",",
+                           bb_address_format(&f->upstream_address, text));
+    if (a->started_ms != 0) {
+        g_string_append_printf(body, "\"born\":%" G_GUINT64_FORMAT ",",
+                               a->started_ms);
+    }
+    g_string_append_printf(body,
+                           "\"info\":{\"service\":\"s\",\"version\":\"v1\","
+                           "\"zone\":\"z\",\"max_concurrency\":16},\"status\":"
+                           "{\"state\":\"%s\",\"seq\":%" G_GUINT64_FORMAT
+                           ",\"warmup_left_ms\":0}}",
+                           a->state, a->sequence);
+    request = g_strdup_printf("POST /instances/%s HTTP/1.1\r\nHost: n\r\n"
+                              "Content-Length: %zu\r\n\r\n%s",
+                              target, body->len, body->str);
+    g_string_free(body, TRUE);
+    return request;
+}
+
+/* Sends a request about the upstream `id` to the proxy, until it listens.
+ * Returns the status of the response, or 0. */
+static int
+call_proxy(struct fixture *f, const char *id, const char *action,
+           const struct announced_state *a)
+{
+    char *target = g_strconcat(id, action, NULL);
+    char *request = build_upstream_request(f, target, a);
+    uint64_t end_us =
+        bb_clock_now_us() + (uint64_t)START_TIMEOUT_MS * BB_US_PER_MS;
+    int status = 0;
 
+    while (status == 0 && bb_clock_now_us() < end_us) {
+        status = call(f, &f->announce_address, request);
+        if (status == 0) {
+            fixture_run(f, RETRY_MS);
+        }
+    }
     g_free(request);
-    g_free(body);
-    return is_accepted;
+    g_free(target);
+    return status;
+}
+
+/* Announces the state of the upstream `id`. Returns the status of the
+ * response, or 0. */
+int
+fixture_announce(struct fixture *f, const char *id,
+                 const struct announced_state *a)
+{
+    return call_proxy(f, id, "/heartbeat", a);
+}
+
+/* Withdraws the upstream `id`; started_ms 0 leaves out its start. Returns the
+ * status of the response, or 0. */
+int
+fixture_withdraw(struct fixture *f, const char *id, uint64_t started_ms)
+{
+    const struct announced_state a = {.state = "draining",
+                                      .started_ms = started_ms};
+
+    return call_proxy(f, id, "/deregister", &a);
+}
+
+/* Sends a request to the gate as an entry node does, and responds to it if it
+ * reaches the upstream. Returns the status of the response, or 0. */
+int
+fixture_call_gate(struct fixture *f, const char *id)
+{
+    char *request = g_strdup_printf(
+        UNSAFE("%s") "Content-Length: 0\r\n"
+                     "Baobab-Call: s 1 0 1000 1000000 o-\r\n\r\n",
+        id);
+    struct peer *c = peer_connect(f, &f->gate_address, 0);
+    uint64_t end_us =
+        bb_clock_now_us() + (uint64_t)CALL_TIMEOUT_MS * BB_US_PER_MS;
+    bool has_run = false;
+    int status = 0;
+
+    peer_send(c, request);
+    while (bb_clock_now_us() < end_us && !c->is_ended &&
+           strstr(c->received->str, "\r\n\r\n") == NULL) {
+        if (!has_run) {
+            struct peer *u = upstream_wait_request(f, id, POLL_MS);
+
+            has_run = u != NULL;
+            upstream_respond(f, u, id, "body");
+        }
+        serve_connections(f, POLL_MS);
+    }
+    if (g_str_has_prefix(c->received->str, "HTTP/1.1 ")) {
+        status = atoi(c->received->str + strlen("HTTP/1.1 "));
+    }
+    (void)g_ptr_array_remove(f->peers, c);
+    g_free(request);
+    return status;
+}
+
+/* Waits until the gate admits requests. Returns whether it does. */
+static bool
+wait_gate_ready(struct fixture *f)
+{
+    uint64_t end_us =
+        bb_clock_now_us() + (uint64_t)START_TIMEOUT_MS * BB_US_PER_MS;
+
+    while (fixture_call_gate(f, "first") != 200) {
+        if (bb_clock_now_us() >= end_us) {
+            return false;
+        }
+        fixture_run(f, RETRY_MS);
+    }
+    return true;
 }
 
 /* Starts control hosts and a proxy, whose upstream is ready. Requests below
@@ -635,12 +786,16 @@
     char *ip = g_strdup_printf("%s.10", network);
     char *first_core_ip = g_strdup_printf("%s.1", network);
     uint16_t control_port = free_address(first_core_ip).port;
+    static const struct announced_state first = {
+        .state = "ready", .started_ms = FIXTURE_STARTED_MS, .sequence = 1};
     char *seeds;
 
     /* Before anything is created that only fixture_close removes. */
     CU_ASSERT_PTR_NOT_NULL_FATAL(getenv(PROXY_PROGRAM));
     CU_ASSERT_PTR_NOT_NULL_FATAL(getenv(CORE_PROGRAM));
-    *f = (struct fixture){.core_count = core_count, .upstream_listener = -1};
+    *f = (struct fixture){.core_count = core_count,
+                          .upstream_listener = -1,
+                          .upstream_field = ""};
     f->failure_count = CU_get_number_of_failure_records();
     f->folder = g_dir_make_tmp("baobab-stop-XXXXXX", NULL);
     CU_ASSERT_PTR_NOT_NULL_FATAL(f->folder);
@@ -653,7 +808,8 @@
     start_proxy(f, ip, seeds, control_port, grace_s);
     CU_ASSERT_TRUE(call_until_ok(f, &f->ready_address,
                                  "GET /ready HTTP/1.1\r\nHost: n\r\n\r\n"));
-    CU_ASSERT_TRUE(announce_upstream(f));
+    CU_ASSERT_EQUAL(fixture_announce(f, "i-1", &first), 200);
+    CU_ASSERT_TRUE(wait_gate_ready(f));
     g_free(seeds);
     g_free(first_core_ip);
     g_free(ip);
@@ -717,6 +873,7 @@
         print_log(f, &f->proxy);
     }
     g_free(f->proxy.name);
+    g_ptr_array_free(f->proxy_arguments, TRUE);
     g_ptr_array_free(f->peers, TRUE);
     (void)close(f->upstream_listener);
     remove_folder(f->folder);
--- a/tests/proxyd/fixture.h
+++ b/tests/proxyd/fixture.h
@@ -13,7 +13,8 @@
 enum {
     FIXTURE_CORES_MAX = 3,
     FIXTURE_IDLE_TIMEOUT_MS = 15000,
-    FIXTURE_BODY_MAX_BYTES = 64 * 1024 * 1024
+    FIXTURE_BODY_MAX_BYTES = 64 * 1024 * 1024,
+    FIXTURE_STARTED_MS = 1000 /* of the upstream, on the wall clock */
 };
 
 /* Request line and fields of a request, without the empty line at the end. */
@@ -24,6 +25,13 @@
     "POST /unsafe/x HTTP/1.1\r\nHost: h.example\r\n"                          \
     "X-Baobabshed-Request-Id: " id_ "\r\n"
 
+/* What an upstream announces of itself. */
+struct announced_state {
+    const char *state;
+    uint64_t started_ms; /* 0: not stated */
+    uint64_t sequence;
+};
+
 /* A program under test. */
 struct process {
     char *name;
@@ -36,7 +44,8 @@
     int fd;
     GString *received;
     GString *unsent;
-    bool is_paused; /* received bytes stay in the socket */
+    bool is_paused;   /* received bytes stay in the socket */
+    bool is_upstream; /* accepted by the upstream */
     bool is_ended;
 };
 
@@ -47,12 +56,18 @@
     uint32_t core_count;
     uint32_t leader;
     struct process proxy;
+    GPtrArray *proxy_arguments; /* char *, of start_process */
     struct bb_address entry_address;
+    struct bb_address gate_address;
     struct bb_address ready_address;
     struct bb_address announce_address;
     struct bb_address upstream_address;
     int upstream_listener;
-    GPtrArray *peers; /* struct peer, those of the upstream included */
+    /* Field of all responses of the upstream, with its line end; empty: none.
+     */
+    const char *upstream_field;
+    uint32_t state_requests; /* without an id, answered by the fixture */
+    GPtrArray *peers;        /* struct peer, those of the upstream included */
     unsigned failure_count;
     uint64_t version; /* of the newest configuration */
 };
@@ -68,6 +83,13 @@
 bool fixture_wait_log(struct fixture *f, const struct process *p,
                       const char *text, uint32_t ms);
 
+void fixture_restart_proxy(struct fixture *f);
+void fixture_kill_cores(struct fixture *f);
+int fixture_announce(struct fixture *f, const char *id,
+                     const struct announced_state *a);
+int fixture_withdraw(struct fixture *f, const char *id, uint64_t started_ms);
+int fixture_call_gate(struct fixture *f, const char *id);
+
 void process_signal(const struct process *p, int number);
 bool process_wait(struct fixture *f, struct process *p, uint32_t ms);
 
@@ -84,6 +106,7 @@
 
 struct peer *upstream_wait_request(struct fixture *f, const char *id,
                                    uint32_t ms);
-void upstream_respond(struct peer *c, const char *id, const char *body);
+void upstream_respond(const struct fixture *f, struct peer *c, const char *id,
+                      const char *body);
 
 #endif
--- a/tests/proxyd/test_stop.c
+++ b/tests/proxyd/test_stop.c
@@ -39,7 +39,7 @@
     char *body = g_strdup_printf("body of %s", id);
 
     peer_send(caller, request);
-    upstream_respond(upstream_wait_request(f, id, SOON_MS), id, body);
+    upstream_respond(f, upstream_wait_request(f, id, SOON_MS), id, body);
     CU_ASSERT_TRUE(peer_wait_text(f, caller, body, SOON_MS));
     g_free(body);
     g_free(request);
@@ -98,7 +98,7 @@
     upstream = upstream_wait_request(&f, "a2", SOON_MS);
     process_signal(&f.proxy, SIGTERM);
     fixture_run(&f, AFTER_NOTICE_MS);
-    upstream_respond(upstream, "a2", "body of a2");
+    upstream_respond(&f, upstream, "a2", "body of a2");
     CU_ASSERT_TRUE(peer_wait_text(&f, caller, "body of a2", SOON_MS));
     CU_ASSERT_EQUAL(peer_count(caller, CLOSE_FIELD), 1);
     check_clean_exit(&f);
@@ -123,7 +123,7 @@
     fixture_run(&f, 100);
     process_signal(&f.proxy, SIGINT);
     fixture_run(&f, AFTER_NOTICE_MS);
-    upstream_respond(upstream, "a1", "body of a1");
+    upstream_respond(&f, upstream, "a1", "body of a1");
     CU_ASSERT_TRUE(peer_wait_text(&f, caller, "body of a1", SOON_MS));
     check_clean_exit(&f);
     fixture_close(&f);
@@ -146,13 +146,13 @@
     second = upstream_wait_request(&f, "a2", SOON_MS);
     process_signal(&f.proxy, SIGTERM);
     CU_ASSERT_TRUE(fixture_wait_log(&f, &f.proxy, "host.stopping", SOON_MS));
-    upstream_respond(second, "a2", "body of a2");
+    upstream_respond(&f, second, "a2", "body of a2");
     fixture_run(&f, 200);
     peer_send(caller, SAFE("a3") "\r\n");
-    upstream_respond(upstream_wait_request(&f, "a3", SOON_MS), "a3",
+    upstream_respond(&f, upstream_wait_request(&f, "a3", SOON_MS), "a3",
                      "body of a3");
     fixture_run(&f, AFTER_NOTICE_MS);
-    upstream_respond(first, "a1", "body of a1");
+    upstream_respond(&f, first, "a1", "body of a1");
     CU_ASSERT_TRUE(peer_wait_text(&f, caller, "body of a1", SOON_MS));
     CU_ASSERT_TRUE(peer_wait_text(&f, caller, "body of a2", SOON_MS));
     CU_ASSERT_TRUE(peer_wait_text(&f, caller, "body of a3", SOON_MS));
@@ -183,9 +183,9 @@
     process_signal(&f.proxy, SIGHUP);
     CU_ASSERT_TRUE(fixture_wait_log(&f, &f.proxy, "host.reload", SOON_MS));
     fixture_run(&f, 300);
-    upstream_respond(second, "a2", "body of a2");
-    upstream_respond(first, "a1", "body of a1");
-    upstream_respond(upstream_wait_request(&f, "a3", SOON_MS), "a3",
+    upstream_respond(&f, second, "a2", "body of a2");
+    upstream_respond(&f, first, "a1", "body of a1");
+    upstream_respond(&f, upstream_wait_request(&f, "a3", SOON_MS), "a3",
                      "body of a3");
     CU_ASSERT_TRUE(peer_wait_text(&f, caller, "body of a1", SOON_MS));
     CU_ASSERT_TRUE(peer_wait_text(&f, caller, "body of a2", SOON_MS));
@@ -216,10 +216,10 @@
     CU_ASSERT_TRUE(
         fixture_configure(&f, SHORT_IDLE_TIMEOUT_MS, FIXTURE_BODY_MAX_BYTES));
     fixture_run(&f, 4 * SHORT_IDLE_TIMEOUT_MS);
-    upstream_respond(second, "a2", "body of a2");
+    upstream_respond(&f, second, "a2", "body of a2");
     fixture_run(&f, 4 * SHORT_IDLE_TIMEOUT_MS);
-    upstream_respond(first, "a1", "body of a1");
-    upstream_respond(upstream_wait_request(&f, "a3", SOON_MS), "a3",
+    upstream_respond(&f, first, "a1", "body of a1");
+    upstream_respond(&f, upstream_wait_request(&f, "a3", SOON_MS), "a3",
                      "body of a3");
     CU_ASSERT_TRUE(peer_wait_text(&f, caller, "body of a1", SOON_MS));
     CU_ASSERT_TRUE(peer_wait_text(&f, caller, "body of a2", SOON_MS));
@@ -259,7 +259,7 @@
         fixture_configure(&f, FIXTURE_IDLE_TIMEOUT_MS, UPLOAD_BYTES / 4));
     peer_send(caller, part);
     CU_ASSERT_TRUE(peer_wait_bytes(&f, upstream, UPLOAD_BYTES, SOON_MS));
-    upstream_respond(upstream, "a1", "body of a1");
+    upstream_respond(&f, upstream, "a1", "body of a1");
     CU_ASSERT_TRUE(peer_wait_text(&f, caller, "body of a1", SOON_MS));
     g_free(part);
     fixture_close(&f);
@@ -272,7 +272,7 @@
     char *id = g_strdup_printf("a%u.", number);
     char *body = long_text(RESPONSE_BYTES);
 
-    upstream_respond(upstream_wait_request(f, id, SOON_MS), id, body);
+    upstream_respond(f, upstream_wait_request(f, id, SOON_MS), id, body);
     g_free(body);
     g_free(id);
 }
@@ -359,10 +359,10 @@
     upstream = upstream_wait_request(&f, "a1", SOON_MS);
     process_signal(&f.proxy, SIGTERM);
     fixture_run(&f, 500);
-    upstream_respond(upstream, "a1", "body of a1");
+    upstream_respond(&f, upstream, "a1", "body of a1");
     upstream = upstream_wait_request(&f, "a2", SOON_MS);
     fixture_run(&f, AFTER_NOTICE_MS);
-    upstream_respond(upstream, "a2", "body of a2");
+    upstream_respond(&f, upstream, "a2", "body of a2");
     CU_ASSERT_TRUE(peer_wait_text(&f, caller, "body of a2", SOON_MS));
     CU_ASSERT_EQUAL(peer_count(caller, "HTTP/1.1 200"), 2);
     check_clean_exit(&f);
@@ -385,7 +385,7 @@
     upstream = upstream_wait_request(&f, "a1", SOON_MS);
     process_signal(&f.proxy, SIGTERM);
     fixture_run(&f, AFTER_NOTICE_MS);
-    upstream_respond(upstream, "a1", "body of a1");
+    upstream_respond(&f, upstream, "a1", "body of a1");
     CU_ASSERT_TRUE(peer_wait_text(&f, caller, "HTTP/1.1 503", SOON_MS));
     CU_ASSERT_EQUAL(peer_count(caller, "body of a1"), 1);
     check_clean_exit(&f);
@@ -406,7 +406,7 @@
     peer_send(caller, SAFE("a1") "\r\n" SAFE("a2") "\r\n" UNSAFE(
                           "a3") "Content-Length: 2\r\n\r\nhi");
     CU_ASSERT_PTR_NOT_NULL(upstream_wait_request(&f, "a1", SOON_MS));
-    upstream_respond(upstream_wait_request(&f, "a2", SOON_MS), "a2",
+    upstream_respond(&f, upstream_wait_request(&f, "a2", SOON_MS), "a2",
                      "body of a2");
     process_signal(&f.proxy, SIGTERM);
     CU_ASSERT_TRUE(process_wait(&f, &f.proxy, GRACE_S * MS_PER_S));
