tests/proxyd: do not hand out a port twice

test_drain failed once in ten tests: baobab-proxy could not listen, as the kernel had given its port, which free_address had closed again, to another listener of the same program or to an outgoing connection. The ports now come from a series below those of outgoing connections. The failed run's log: "cannot listen on 127.16.159.10:55593: address already in use".

--- a/tests/proxyd/fixture.c
+++ b/tests/proxyd/fixture.c
@@ -25,6 +25,9 @@
     CALL_TIMEOUT_MS = 2000,
     RETRY_MS = 50,
     ARGUMENTS_MAX = 32,
+    /* Below the ports that the kernel gives to outgoing connections. */
+    PORT_FIRST = 20000,
+    PORT_LAST = 32000,
     /* Of the random part of loopback addresses. */
     OCTET_MAX = 254
 };
@@ -34,20 +37,25 @@
 #define CORE_PROGRAM "TEST_CORE_PROGRAM"
 
 /* Opens a socket that listens on a free port of the address's IP, and sets the
- * port. */
+ * port. No port is used twice by one test program, as programs under test bind
+ * theirs only later. */
 static int
 listen_on_free_port(struct bb_address *a)
 {
+    static uint16_t port = PORT_FIRST;
     struct sockaddr_storage s;
-    socklen_t length;
     int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+    int result = -1;
 
-    a->port = 0;
-    length = bb_address_to_sockaddr(a, &s);
-    CU_ASSERT_EQUAL_FATAL(bind(fd, (struct sockaddr *)&s, length), 0);
+    while (result != 0 && port < PORT_LAST) {
+        socklen_t length;
+
+        a->port = port++;
+        length = bb_address_to_sockaddr(a, &s);
+        result = bind(fd, (struct sockaddr *)&s, length);
+    }
+    CU_ASSERT_EQUAL_FATAL(result, 0);
     CU_ASSERT_EQUAL_FATAL(listen(fd, SOMAXCONN), 0);
-    CU_ASSERT_EQUAL_FATAL(getsockname(fd, (struct sockaddr *)&s, &length), 0);
-    (void)bb_address_from_sockaddr(&s, a);
     return fd;
 }
 
