gate: admit requests only after the upstream itself has confirmed them

What an acknowledgement promises was in the memory of one process until the control hosts had it. A restarted gate waited 1.5 s for them and then believed the next announcement, also one that had been sent before the drain and arrived late; so it did with control hosts in reach whose record was older than the drain.

The class is: a promise that rests on what one process remembers. The upstream is the one party that can't forget that it leaves, and it is on the same host. A gate now sends a health check to each run of the upstream that it hears of for the first time, and admits requests once that is answered with success by the instance that announced itself. Where the health path is not known, as no control host has been reached since the start, the announcements have to go on for 5 s. Weighed: waiting for control hosts (a cut-off zone would lose the upstream), a file (nodes have no disk), the entries' memory (each knows only what passed through it), the announcements alone (late ones come in a row).

--- a/include/path/gate.h
+++ b/include/path/gate.h
@@ -86,8 +86,11 @@
     /* Called when the state of the upstream, as other nodes are to see it, has
      * changed. u is valid during the call only. u->state may be
      * BB_INSTANCE_GONE (the gate stops) or BB_INSTANCE_DOWN (it cannot
-     * connect) though the upstream announced that it is ready. */
+     * connect, or has not confirmed it) though the upstream
+     * announced that it is ready. */
     void (*upstream_changed)(void *context, const struct bb_upstream *u);
+    /* Returns the path of health checks of a service, NULL: not known. */
+    const char *(*find_health_path)(void *context, const char *service);
     void *context;
 };
 
@@ -99,6 +102,7 @@
 enum bb_withdraw_result bb_gate_withdraw(struct bb_gate *g, const char *id,
                                          uint64_t started_ms);
 void bb_gate_restore(struct bb_gate *g, const fleet_instance *earlier);
+void bb_gate_rules_updated(struct bb_gate *g);
 void bb_gate_limit_deadlines(struct bb_gate *g, uint64_t end_us);
 void bb_gate_refuse_requests(struct bb_gate *g);
 struct bb_http_server_open bb_gate_count_open(const struct bb_gate *g);
--- a/include/path/rules.h
+++ b/include/path/rules.h
@@ -75,6 +75,8 @@
                                 uint32_t weight);
 void bb_rules_add_service(struct bb_rules *r, const char *name,
                           const char *health_path, uint32_t connections_max);
+const struct bb_rules_service *bb_rules_find_service(const struct bb_rules *r,
+                                                     const char *name);
 bool bb_rules_finalize(struct bb_rules *r, struct bb_error *e);
 const struct bb_rules_route *
 bb_rules_match(const struct bb_rules *r, const char *host, const char *target);
--- a/include/path/upstream.h
+++ b/include/path/upstream.h
@@ -10,6 +10,9 @@
 #include "fleet/instances.h"
 #include "path/dialect.h"
 
+/* Longer than an announcement is late. */
+enum { BB_UPSTREAM_TRUST_MS = 5000 };
+
 enum bb_announce_result {
     BB_ANNOUNCE_ACCEPTED,     /* applied */
     BB_ANNOUNCE_STALE,        /* older than the known state; ignored */
@@ -32,11 +35,15 @@
     uint64_t started_ms; /* wall clock at its start; 0: not stated */
     uint64_t sequence;   /* of the latest announcement */
     enum bb_instance_state state;
-    uint32_t slots;         /* requests that it runs at a time */
-    uint64_t warm_at_us;    /* runs slower until then; 0: warm */
-    uint64_t last_heard_us; /* time of the latest announcement */
+    uint32_t slots;          /* requests that it runs at a time */
+    uint64_t warm_at_us;     /* runs slower until then; 0: warm */
+    uint64_t first_heard_us; /* time of the first announcement of the run */
+    uint64_t last_heard_us;  /* time of the latest announcement */
     /* The run has announced a drain or was withdrawn, which is final. */
     bool has_drained;
+    /* The run takes requests: it said so in a response, or its announcements
+     * went on for BB_UPSTREAM_TRUST_MS. A single one may be late. */
+    bool is_confirmed;
 };
 
 enum bb_announce_result bb_upstream_announce(struct bb_upstream *u,
@@ -47,5 +54,6 @@
 enum bb_withdraw_result bb_upstream_withdraw(struct bb_upstream *u,
                                              const char *id,
                                              uint64_t started_ms);
+void bb_upstream_confirm(struct bb_upstream *u);
 
 #endif
--- a/path/gate.c
+++ b/path/gate.c
@@ -13,6 +13,7 @@
 #include "decide/gate_queue.h"
 #include "net/fetch.h"
 #include "path/relay.h"
+#include "path/upstream_check.h"
 
 enum {
     PERMILLE = 1000,
@@ -63,6 +64,7 @@
     struct bb_http_server *server;
     struct bb_connection_pool *pool;
     struct bb_upstream upstream;
+    struct bb_upstream_check *check;
     struct bb_gate_queue queue;
     GHashTable *queued; /* queue_item.id to struct gate_request */
     uint64_t next_id;
@@ -97,6 +99,25 @@
 
 static void process_queue(struct bb_gate *g);
 
+/* Returns whether the upstream may get requests. An announcement alone does
+ * not open the gate: it may have been sent before a drain that an earlier
+ * process of this node acknowledged. */
+static bool
+is_upstream_ready(const struct bb_gate *g)
+{
+    return g->upstream.state == BB_INSTANCE_READY &&
+           g->upstream.is_confirmed && !g->is_unreachable;
+}
+
+/* Returns whether the upstream has announced that it is ready, but this is not
+ * confirmed yet. */
+static bool
+is_awaiting_check(const struct bb_gate *g)
+{
+    return g->upstream.state == BB_INSTANCE_READY &&
+           !g->upstream.is_confirmed && !g->is_unreachable;
+}
+
 /* Appends the load field, which entry nodes use to choose gates. Reports 0
  * slots while the upstream is not ready or unreachable, or the gate stops; not
  * while the gate waits for bb_gate_restore. upstream_us is the time of the
@@ -105,8 +126,7 @@
 append_load_field(const struct bb_gate *g, uint64_t upstream_us,
                   GString *fields)
 {
-    bool is_open = g->upstream.state == BB_INSTANCE_READY && !g->is_stopping &&
-                   !g->is_unreachable;
+    bool is_open = is_upstream_ready(g) && !g->is_stopping;
 
     g_string_append_printf(
         fields,
@@ -178,7 +198,7 @@
     if (g->is_stopping && announced.state != BB_INSTANCE_DRAINING) {
         announced.state = BB_INSTANCE_GONE;
     }
-    else if (g->is_unreachable && announced.state == BB_INSTANCE_READY) {
+    else if (announced.state == BB_INSTANCE_READY && !is_upstream_ready(g)) {
         announced.state = BB_INSTANCE_DOWN;
     }
     bb_log_info("upstream.state",
@@ -228,6 +248,20 @@
     g_string_free(fields, TRUE);
 }
 
+/* Adapts the gate to a change of the upstream's state. It is published once
+ * the check has a result. */
+static void
+apply_upstream_state(struct bb_gate *g)
+{
+    bb_gate_queue_set_slots(&g->queue, is_upstream_ready(g) && !g->is_stopping
+                                           ? g->upstream.slots
+                                           : 0);
+    if (!is_awaiting_check(g)) {
+        publish_state(g);
+    }
+    process_queue(g);
+}
+
 /* Reads the head of a response. Status 421 (Misdirected Request) means that
  * the upstream did not run the request. Returns false for a response to
  * another request, which is skipped. One that states that the request did not
@@ -500,7 +534,11 @@
         *counter = &refused_starting;
         return "starting";
     }
-    if (g->upstream.state != BB_INSTANCE_READY || g->is_unreachable) {
+    if (is_awaiting_check(g)) {
+        *counter = &refused_starting;
+        return "starting";
+    }
+    if (!is_upstream_ready(g)) {
         *counter = &refused_not_ready;
         return bb_instance_state_name(g->is_unreachable ? BB_INSTANCE_DOWN
                                                         : g->upstream.state);
@@ -616,6 +654,56 @@
     .output_drained = on_entry_writable,
     .disconnected = on_entry_disconnected};
 
+/* Handles a result of the health check. */
+static void
+on_check_done(void *context, enum bb_upstream_check_result result)
+{
+    struct bb_gate *g = context;
+    bool was_ready = is_upstream_ready(g);
+
+    switch (result) {
+    case BB_UPSTREAM_CHECK_HEALTHY:
+        bb_upstream_confirm(&g->upstream);
+        g->is_unreachable = false;
+        if (!was_ready && is_upstream_ready(g)) {
+            apply_upstream_state(g);
+        }
+        break;
+    case BB_UPSTREAM_CHECK_REFUSED:
+        break;
+    case BB_UPSTREAM_CHECK_UNREACHABLE:
+        mark_unreachable(g);
+        break;
+    }
+}
+
+/* Starts a health check if the upstream has announced that it is ready, but
+ * this is not confirmed. */
+static void
+check_upstream(struct bb_gate *g)
+{
+    const struct bb_upstream *u = &g->upstream;
+    const char *path =
+        g->settings.find_health_path(g->settings.context, u->service);
+
+    if (u->state != BB_INSTANCE_NONE && !u->has_drained && !u->is_confirmed &&
+        path != NULL) {
+        bb_upstream_check_start(g->check, u->id, path);
+    }
+    else {
+        bb_upstream_check_stop(g->check);
+    }
+}
+
+/* Prepares for another run of the upstream. */
+static void
+begin_upstream_run(struct bb_gate *g)
+{
+    bb_upstream_check_stop(g->check);
+    bb_connection_pool_close_idle(g->pool, &g->settings.upstream_address);
+    g->failure_permille = 0;
+}
+
 /* Creates the gate, which admits nothing until the upstream has announced
  * itself. Keeps a copy of the settings, but not of the texts and objects that
  * they point to. Returns NULL and sets the error if it cannot listen on the
@@ -628,6 +716,11 @@
         .connect_timeout_ms = BB_GATE_CONNECT_TIMEOUT_MS,
         .idle_max_ms = BB_GATE_IDLE_MAX_MS};
     struct bb_gate *g = g_new0(struct bb_gate, 1);
+    const struct bb_upstream_check_settings check = {.upstream_address =
+                                                         s->upstream_address,
+                                                     .dialect = s->dialect,
+                                                     .done = on_check_done,
+                                                     .context = g};
 
     g->loop = loop;
     g->settings = *s;
@@ -635,6 +728,7 @@
     g->queued = g_hash_table_new(g_int64_hash, g_int64_equal);
     g->running = g_hash_table_new(g_str_hash, g_str_equal);
     g->pool = bb_connection_pool_create(loop, &pool);
+    g->check = bb_upstream_check_create(loop, &check);
     bb_gate_queue_init(&g->queue, 0);
     (void)uv_timer_init(loop, &g->timer);
     g->timer.data = g;
@@ -660,28 +754,22 @@
     enum bb_announce_result r = bb_upstream_announce(
         &g->upstream, id, a, g->settings.upstream_address_text,
         bb_clock_now_us());
-    bool is_changed;
+    const struct bb_upstream *u = &g->upstream;
+    bool is_new_run =
+        strcmp(before.id, u->id) != 0 || before.started_ms != u->started_ms;
 
     if (r != BB_ANNOUNCE_ACCEPTED) {
         return r;
     }
     g->is_unreachable = false;
-    is_changed = was_unreachable || strcmp(before.id, id) != 0 ||
-                 before.state != g->upstream.state ||
-                 before.started_ms != g->upstream.started_ms ||
-                 before.slots != g->upstream.slots ||
-                 strcmp(before.service, g->upstream.service) != 0;
-    if (before.started_ms != g->upstream.started_ms ||
-        strcmp(before.id, id) != 0) {
-        bb_connection_pool_close_idle(g->pool, &g->settings.upstream_address);
-        g->failure_permille = 0;
-    }
-    bb_gate_queue_set_slots(&g->queue, g->upstream.state == BB_INSTANCE_READY
-                                           ? g->upstream.slots
-                                           : 0);
-    if (is_changed) {
-        publish_state(g);
-        process_queue(g);
+    if (is_new_run) {
+        begin_upstream_run(g);
+    }
+    check_upstream(g);
+    if (is_new_run || was_unreachable || before.state != u->state ||
+        before.is_confirmed != u->is_confirmed || before.slots != u->slots ||
+        strcmp(before.service, u->service) != 0) {
+        apply_upstream_state(g);
     }
     return r;
 }
@@ -691,17 +779,29 @@
 enum bb_withdraw_result
 bb_gate_withdraw(struct bb_gate *g, const char *id, uint64_t started_ms)
 {
+    struct bb_upstream before = g->upstream;
     enum bb_withdraw_result r =
         bb_upstream_withdraw(&g->upstream, id, started_ms);
+    const struct bb_upstream *u = &g->upstream;
 
-    if (r == BB_WITHDRAW_APPLIED) {
-        bb_gate_queue_set_slots(&g->queue, 0);
-        publish_state(g);
-        process_queue(g);
+    if (r != BB_WITHDRAW_APPLIED) {
+        return r;
     }
+    if (strcmp(before.id, u->id) != 0 || before.started_ms != u->started_ms) {
+        begin_upstream_run(g);
+    }
+    check_upstream(g);
+    apply_upstream_state(g);
     return r;
 }
 
+/* Starts a health check that has waited for the configuration. */
+void
+bb_gate_rules_updated(struct bb_gate *g)
+{
+    check_upstream(g);
+}
+
 /* Restores the state of the upstream that this node had announced before it
  * was restarted; NULL if the control hosts hold none. Until this call, or for
  * BB_GATE_RESTORE_TIMEOUT_MS, no request is admitted: an announcement that
@@ -792,6 +892,7 @@
 {
     if (g != NULL) {
         bb_http_server_destroy(g->server);
+        bb_upstream_check_destroy(g->check);
         bb_connection_pool_destroy(g->pool);
         uv_close((uv_handle_t *)&g->timer, free_gate);
     }
--- a/path/rules.c
+++ b/path/rules.c
@@ -92,8 +92,8 @@
 }
 
 /* Returns a service by its name, or NULL. */
-static const struct bb_rules_service *
-find_service(const struct bb_rules *r, const char *name)
+const struct bb_rules_service *
+bb_rules_find_service(const struct bb_rules *r, const char *name)
 {
     for (guint i = 0; i < r->services->len; i++) {
         const struct bb_rules_service *s = g_ptr_array_index(r->services, i);
@@ -132,7 +132,7 @@
                             "route %s: the weights add up to 0", route->name);
     }
     for (uint32_t i = 0; i < route->service_count; i++) {
-        if (find_service(r, route->services[i].service) == NULL) {
+        if (bb_rules_find_service(r, route->services[i].service) == NULL) {
             return bb_error_set(e, BB_RULES_ERROR_REFERENCE,
                                 "route %s: there is no service %s",
                                 route->name, route->services[i].service);
--- a/path/upstream.c
+++ b/path/upstream.c
@@ -73,12 +73,16 @@
     }
     if (!is_known_run) {
         begin_run(u, id, a->started_ms);
+        u->first_heard_us = now_us;
         u->has_drained = a->is_draining;
     }
     g_strlcpy(u->service, a->service, sizeof(u->service));
     u->sequence = a->sequence;
     u->slots = a->slots;
     u->last_heard_us = now_us;
+    u->is_confirmed =
+        u->is_confirmed || now_us - u->first_heard_us >=
+                               (uint64_t)BB_UPSTREAM_TRUST_MS * BB_US_PER_MS;
     u->warm_at_us =
         a->warmup_ms != 0 ? now_us + (uint64_t)a->warmup_ms * BB_US_PER_MS : 0;
     update_state(u);
@@ -110,3 +114,10 @@
     update_state(u);
     return BB_WITHDRAW_APPLIED;
 }
+
+/* Records that the known run takes requests. */
+void
+bb_upstream_confirm(struct bb_upstream *u)
+{
+    u->is_confirmed = true;
+}
--- a/proxyd/main.c
+++ b/proxyd/main.c
@@ -53,13 +53,13 @@
     struct config_throttle *throttle;
     struct bb_entry *entry;
     struct bb_gate *gate;
+    struct bb_rules *rules; /* in force; NULL: none */
     char gate_address_text[BB_ADDRESS_TEXT_BYTES];
     struct bb_agent *agent;
     struct bb_http_server *ready_server;
     struct bb_http_server *announce_server;
     uv_timer_t shutdown_timer;
     uint64_t shutdown_started_us;
-    bool has_rules;
     bool is_stopping;
     bool is_gate_stopped;
     uint32_t idle_polls; /* of the shutdown, the last ones */
@@ -85,8 +85,9 @@
         return;
     }
     bb_entry_set_rules(p->entry, r);
-    bb_rules_unref(r);
-    p->has_rules = true;
+    bb_rules_unref(p->rules);
+    p->rules = r;
+    bb_gate_rules_updated(p->gate);
 }
 
 /* Submits a configuration that came into force. */
@@ -166,6 +167,17 @@
     }
 }
 
+/* Returns the path of health checks of a service, NULL: not known. */
+static const char *
+find_health_path(void *context, const char *service)
+{
+    const struct proxy *p = context;
+    const struct bb_rules_service *s =
+        p->rules != NULL ? bb_rules_find_service(p->rules, service) : NULL;
+
+    return s != NULL && s->health_path[0] != '\0' ? s->health_path : NULL;
+}
+
 /* Responds to the ready check: 200 once there are rules, 503 before that and
  * during the shutdown, 404 for other requests. */
 static void
@@ -176,9 +188,9 @@
     bool is_ready_request =
         p->dialect->classify_request(
             x->head.method, bb_http_head_target(&x->head), id) == BB_API_READY;
-    uint32_t status = !is_ready_request                 ? 404
-                      : p->has_rules && !p->is_stopping ? 200
-                                                        : 503;
+    uint32_t status = !is_ready_request                     ? 404
+                      : p->rules != NULL && !p->is_stopping ? 200
+                                                            : 503;
 
     bb_http_exchange_respond(x, status, NULL, NULL, 0);
 }
@@ -460,6 +472,7 @@
         .upstream_address_text = s->upstream_address_text,
         .dialect = p->dialect,
         .upstream_changed = announce_upstream,
+        .find_health_path = find_health_path,
         .context = p};
     const struct bb_agent_settings agent = {
         .ip = s->common.ip,
@@ -532,6 +545,7 @@
     bb_http_server_destroy(p.ready_server);
     bb_gate_destroy(p.gate);
     bb_entry_destroy(p.entry);
+    bb_rules_unref(p.rules);
     bb_daemon_destroy(p.daemon);
     bb_directory_destroy(p.directory);
     return code;
--- a/tests/path/fixture.c
+++ b/tests/path/fixture.c
@@ -11,6 +11,11 @@
  */
 enum { SLOTS = 2 };
 
+#define HEALTH_PATH "/health"
+
+/* Time until a gate has the response to its check. */
+enum { CHECK_MS = 30 };
+
 /* Range of the ports to listen on, and number of tries to find a free one. */
 enum { PORT_FIRST = 20000, PORT_COUNT = 40000, LISTEN_TRIES_MAX = 200 };
 
@@ -118,6 +123,11 @@
     send_response(t->data);
 }
 
+/* Responses to health checks. */
+static const char healthy[] = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+static const char leaving[] = "HTTP/1.1 503 Leaving\r\n"
+                              "Content-Length: 0\r\n\r\n";
+
 /* Records the head of a request and chooses its response. */
 static bool
 on_request_head(void *context)
@@ -127,6 +137,12 @@
     const struct bb_http_head *h = &c->reader.head;
     const char *id = bb_http_head_get(h, T_ID);
 
+    if (strcmp(bb_http_head_target(h), HEALTH_PATH) == 0) {
+        u->health_checks++;
+        c->response = (struct scripted_response){
+            .text = u->is_leaving ? leaving : healthy};
+        return true;
+    }
     u->requests++;
     g_strlcpy(c->id, id != NULL ? id : "", sizeof(c->id));
     g_strlcpy(u->last_id, c->id, sizeof(u->last_id));
@@ -254,6 +270,14 @@
     bb_directory_update(b->directory, &i, bb_clock_now_us());
 }
 
+static const char *
+find_health_path(void *context, const char *service)
+{
+    (void)context;
+    (void)service;
+    return HEALTH_PATH;
+}
+
 static bool
 is_running(void *context, const char *id, bool *is_retry)
 {
@@ -272,6 +296,7 @@
     struct bb_gate_settings s = {.upstream_address = u->address,
                                  .dialect = &dialect,
                                  .upstream_changed = update_directory,
+                                 .find_health_path = find_health_path,
                                  .context = contexts[gate_index]};
     struct bb_error e = {0};
 
@@ -336,6 +361,12 @@
     fixture_announce(b, 1, false);
     bb_gate_restore(b->gates[0], NULL);
     bb_gate_restore(b->gates[1], NULL);
+    for (uint32_t i = 0; i < 2; i++) {
+        while (b->upstreams[i].health_checks == 0) {
+            fixture_run(b, 2);
+        }
+    }
+    fixture_run(b, CHECK_MS);
 }
 
 static void
@@ -388,8 +419,8 @@
                                        .head_timeout_ms = 1000,
                                        .idle_timeout_ms = 5000,
                                        .request_body_max_bytes = 1024 * 1024};
-    bb_rules_add_service(b->rules, "s", "/health", 100);
-    bb_rules_add_service(b->rules, "other", "/health", 100);
+    bb_rules_add_service(b->rules, "s", HEALTH_PATH, 100);
+    bb_rules_add_service(b->rules, "other", HEALTH_PATH, 100);
     for (uint32_t i = 0; i < 3; i++) {
         struct bb_rules_route *r =
             bb_rules_add_route(b->rules, prefixes[i], "h", prefixes[i]);
--- a/tests/path/fixture.h
+++ b/tests/path/fixture.h
@@ -52,6 +52,8 @@
     struct bb_listener *listener;
     response_script script;
     uint32_t requests;
+    uint32_t health_checks;    /* not passed to the script */
+    bool is_leaving;           /* says so in its responses to these */
     uint32_t aborted_requests; /* closed by the gate before the response */
     uint32_t open_connections; /* counted, but not checked by a test */
     /* A connection that was idle for longer is reset when more data arrives on
--- a/tests/path/test_path.c
+++ b/tests/path/test_path.c
@@ -6,6 +6,9 @@
 #include "fixture.h"
 #include "unit.h"
 
+/* Longest time until a gate has the response to its check. */
+enum { CHECK_MS = 30 };
+
 #define SAFE(id) "GET /safe/x HTTP/1.1\r\nHost: h\r\nT-Id: " id "\r\n"
 #define UNSAFE(id)                                                            \
     "POST /unsafe/x HTTP/1.1\r\nHost: h\r\nT-Id: " id "\r\n"                  \
@@ -522,16 +525,44 @@
     fixture_run(&b, 100);
     CU_ASSERT_EQUAL(client_count(c, "HTTP/1.1 503"), 2);
     CU_ASSERT_EQUAL(count_requests(&b), 0);
-    /* If nothing is known of an earlier run it admits requests at once. */
+    /* If nothing is known of an earlier run it admits requests as soon as the
+     * upstream has responded. */
     fixture_restart_gate(&b, 0);
     bb_gate_restore(b.gates[0], NULL);
     fixture_announce(&b, 0, false);
+    fixture_run(&b, CHECK_MS);
     client_send(c, UNSAFE("a3") "\r\nhi");
     CU_ASSERT_TRUE(fixture_wait_text(&b, c, "body", 500));
     client_free(c);
     fixture_close(&b);
 }
 
+/* Guards against: a restarted gate that believes an announcement from before
+ * an acknowledged drain, as the control hosts have not heard of the drain. */
+static void
+test_restarted_gate_of_leaving_upstream(void)
+{
+    struct path_fixture b;
+    struct client *c;
+
+    fixture_open(&b);
+    fixture_set_rules(&b, 1000, 2);
+    fixture_announce(&b, 1, true); /* leaves only the first gate */
+    fixture_restart_gate(&b, 0);
+    b.upstreams[0].is_leaving = true;
+    bb_gate_restore(b.gates[0], NULL);
+    fixture_announce(&b, 0, false);
+    c = client_open(&b);
+    client_send(c, UNSAFE("a1") "\r\nhi");
+    fixture_run(&b, CHECK_MS);
+    client_send(c, UNSAFE("a2") "\r\nhi");
+    fixture_run(&b, 100);
+    CU_ASSERT_EQUAL(client_count(c, "HTTP/1.1 503"), 2);
+    CU_ASSERT_EQUAL(count_requests(&b), 0);
+    client_free(c);
+    fixture_close(&b);
+}
+
 /* Guards against: requests that are lost on idle connections that the upstream
  * has dropped unnoticed. None that must not run twice may be lost, and of
  * idempotent ones at most one for each upstream. */
@@ -826,6 +857,8 @@
     {"nested requests", test_nested_requests},
     {"short deadlines", test_short_deadlines},
     {"restarted gate", test_restarted_gate},
+    {"restarted gate of a leaving upstream",
+     test_restarted_gate_of_leaving_upstream},
     {"pipelined requests", test_pipeline},
     {"long pipelined response", test_long_pipelined_response},
     {"queue", test_queue},
--- a/tests/platform/test_dialect.c
+++ b/tests/platform/test_dialect.c
@@ -229,6 +229,31 @@
     CU_ASSERT_EQUAL(u.state, BB_INSTANCE_DRAINING);
 }
 
+/* Guards against: a late announcement that makes an upstream ready, and one
+ * that cannot be checked and never gets requests. */
+static void
+test_trust_in_announcements(void)
+{
+    const uint64_t trust_us = (uint64_t)BB_UPSTREAM_TRUST_MS * 1000;
+    struct bb_upstream u = {0};
+    struct bb_announcement a = ready;
+
+    (void)bb_upstream_announce(&u, "i", &a, "x:1", 1);
+    CU_ASSERT_FALSE(u.is_confirmed);
+    CU_ASSERT_EQUAL(bb_upstream_announce(&u, "i", &a, "x:1", trust_us + 1),
+                    BB_ANNOUNCE_STALE);
+    CU_ASSERT_FALSE(u.is_confirmed);
+    a.sequence++;
+    (void)bb_upstream_announce(&u, "i", &a, "x:1", trust_us);
+    CU_ASSERT_FALSE(u.is_confirmed);
+    a.sequence++;
+    (void)bb_upstream_announce(&u, "i", &a, "x:1", trust_us + 1);
+    CU_ASSERT_TRUE(u.is_confirmed);
+    a.started_ms++;
+    (void)bb_upstream_announce(&u, "i", &a, "x:1", trust_us + 2);
+    CU_ASSERT_FALSE(u.is_confirmed);
+}
+
 /* Guards against: a restarted node that acknowledges a withdrawal but does not
  * record it, as it knows no upstream yet, so that a delayed announcement makes
  * the upstream ready again. */
@@ -240,6 +265,8 @@
 
     CU_ASSERT_EQUAL(bb_upstream_withdraw(&u, "i", 0), BB_WITHDRAW_APPLIED);
     CU_ASSERT_EQUAL(u.state, BB_INSTANCE_DRAINING);
+    (void)bb_upstream_announce(&u, "i", &a, "x:1", 1);
+    CU_ASSERT_FALSE(u.is_confirmed);
     u = (struct bb_upstream){0};
     CU_ASSERT_EQUAL(bb_upstream_withdraw(&u, "i", 100), BB_WITHDRAW_APPLIED);
     CU_ASSERT_EQUAL(u.state, BB_INSTANCE_DRAINING);
@@ -309,6 +336,7 @@
     {"heartbeats", test_heartbeats},
     {"incarnations", test_runs_of_an_upstream},
     {"unordered drains", test_unordered_drains},
+    {"trust in announcements", test_trust_in_announcements},
     {"withdrawn while unknown", test_withdrawn_unknown},
     {"ids of parent requests", test_parent_ids},
     {"request classification", test_classification},
--- a/tests/proxyd/fixture.c
+++ b/tests/proxyd/fixture.c
@@ -250,25 +250,21 @@
     return total;
 }
 
-/* Answers a request that no caller sent, as it has no id: the upstream does
- * not run it, but states how it is. */
+/* Responds to a health check. */
 static void
-answer_state_request(struct fixture *f, struct peer *c)
+answer_health_check(const struct fixture *f, struct peer *c)
 {
-    const char *head = g_strrstr(c->received->str, " HTTP/1.1\r\n");
+    const char *check = strstr(c->received->str, "GET /health ");
     char *response;
 
-    if (!c->is_upstream || head == NULL ||
-        !g_str_has_suffix(head, "\r\n\r\n") ||
-        strstr(head, "X-Baobabshed-Request-Id") != NULL) {
+    if (!c->is_upstream || check == NULL ||
+        !g_str_has_suffix(check, "\r\n\r\n")) {
         return;
     }
-    f->state_requests++;
-    g_string_truncate(c->received, (gsize)(head - c->received->str));
-    response = g_strdup_printf("HTTP/1.1 400 No Id\r\n%s"
-                               "X-Baobabshed-Not-Executed: 1\r\n"
-                               "Content-Length: 0\r\n\r\n",
-                               f->upstream_field);
+    g_string_truncate(c->received, (gsize)(check - c->received->str));
+    response = g_strdup_printf(
+        "HTTP/1.1 %s\r\n%sContent-Length: 0\r\n\r\n",
+        f->is_upstream_leaving ? "503 Leaving" : "200 OK", f->upstream_field);
     peer_send(c, response);
     g_free(response);
 }
@@ -298,7 +294,7 @@
         }
         if ((fds[i].revents & ~POLLOUT) != 0 && !c->is_paused) {
             (void)peer_read(c, READ_BYTES);
-            answer_state_request(f, c);
+            answer_health_check(f, c);
         }
     }
     if ((fds[count].revents & POLLIN) != 0) {
--- a/tests/proxyd/fixture.h
+++ b/tests/proxyd/fixture.h
@@ -66,8 +66,8 @@
     /* Field of all responses of the upstream, with its line end; empty: none.
      */
     const char *upstream_field;
-    uint32_t state_requests; /* without an id, answered by the fixture */
-    GPtrArray *peers;        /* struct peer, those of the upstream included */
+    bool is_upstream_leaving; /* fails its health checks */
+    GPtrArray *peers;         /* struct peer, those of the upstream included */
     unsigned failure_count;
     uint64_t version; /* of the newest configuration */
 };
--- a/tests/soak/operator.c
+++ b/tests/soak/operator.c
@@ -106,10 +106,10 @@
     c->version = o->acknowledged.version + between(o, 1, 3);
     g_string_printf(
         out,
-        "{\"version\":%" G_GUINT64_FORMAT
-        ",\"services\":[{\"name\":\"alpha\",\"health_path\":\"/health\","
+        "{\"version\":%" G_GUINT64_FORMAT ",\"services\":[{\"name\":\"alpha\","
+        "\"health_path\":\"" SOAK_HEALTH_PATH "\","
         "\"max_connections\":%u},{\"name\":\"beta\",\"health_path\":"
-        "\"/health\",\"max_connections\":%u}],"
+        "\"" SOAK_HEALTH_PATH "\",\"max_connections\":%u}],"
         "\"limits\":{\"max_header_bytes\":%u,\"max_body_bytes\":%u,"
         "\"header_timeout_ms\":%u,\"idle_timeout_ms\":%u},"
         "\"virtual_hosts\":[{\"host\":\"soak.example\",\"paths\":[",
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -37,6 +37,8 @@
     SOAK_PORT_END
 };
 
+#define SOAK_HEALTH_PATH "/health"
+
 /* What a run checks; numbers as printed. */
 enum promise {
     PROMISE_NO_LOSS = 1,
--- a/tests/soak/upstreams.c
+++ b/tests/soak/upstreams.c
@@ -80,13 +80,36 @@
 static void
 respond_not_run(struct upstream_connection *c, uint32_t status)
 {
-    char head[160];
-    int n = snprintf(head, sizeof(head),
-                     "HTTP/1.1 %u Refused\r\n" FIELD_NOT_EXECUTED
-                     ": 1\r\nContent-Length: 0\r\n\r\n",
-                     status);
+    const char *id = bb_http_head_get(&c->reader.head, FIELD_REQUEST_ID);
+    GString *head = g_string_new(NULL);
 
-    bb_stream_write(c->stream, head, (size_t)n);
+    g_string_append_printf(head,
+                           "HTTP/1.1 %u Refused\r\n" FIELD_NOT_EXECUTED
+                           ": 1\r\nContent-Length: 0\r\n",
+                           status);
+    if (id != NULL) {
+        g_string_append_printf(head, FIELD_REQUEST_ID ": %s\r\n", id);
+    }
+    g_string_append(head, "\r\n");
+    bb_stream_write(c->stream, head->str, head->len);
+    g_string_free(head, TRUE);
+    bb_http_reader_start_next(&c->reader);
+}
+
+/* Responds to a health check. */
+static void
+respond_health(struct upstream_connection *c)
+{
+    const struct upstream *u = c->upstream;
+    GString *head = g_string_new(NULL);
+
+    g_string_printf(
+        head,
+        "HTTP/1.1 %s\r\n" FIELD_INSTANCE_ID ": %s\r\nContent-Length: 0\r\n",
+        u->state == UPSTREAM_READY ? "200 OK" : "503 Leaving", u->id);
+    g_string_append(head, "\r\n");
+    bb_stream_write(c->stream, head->str, head->len);
+    g_string_free(head, TRUE);
     bb_http_reader_start_next(&c->reader);
 }
 
@@ -234,8 +257,12 @@
     const struct bb_http_head *h = &c->reader.head;
     const char *expected = bb_http_head_get(h, FIELD_EXPECT_INSTANCE);
     const char *id = bb_http_head_get(h, FIELD_REQUEST_ID);
-    struct request *rq = check_find_request(u->soak, id);
+    struct request *rq = id != NULL ? check_find_request(u->soak, id) : NULL;
 
+    if (id == NULL && strcmp(bb_http_head_target(h), SOAK_HEALTH_PATH) == 0) {
+        respond_health(c);
+        return;
+    }
     if (rq == NULL) {
         check_break(u->soak, PROMISE_RESPONSES_MATCH, id,
                     "upstream on proxy-%u got a request that nobody sent: %s",
