gate: send nothing more to an upstream that says in a response that it leaves

An upstream that leaves says so in all its responses.

The platform's field is decoded in platform/ into a report of the upstream; other values than 1 say nothing, of several fields one is enough. The gate, which all requests for an upstream pass, closes with the response itself. The nodes hear of it as "down": a drain is final for its run only if it was announced, so that one odd response can't stop an upstream for good. As long as it goes on announcing that it is ready, it is asked by health checks and opened again if it answers one with success and without the field.

Evidence: test_drain (leaving field) fails on: two requests after the response reach the upstream.

--- a/include/path/dialect.h
+++ b/include/path/dialect.h
@@ -59,8 +59,17 @@
                             0: not stated */
 };
 
+/* What an upstream says of itself in each of its responses. */
+struct bb_upstream_report {
+    bool is_leaving; /* it takes no new requests */
+};
+
 struct bb_dialect {
     struct bb_dialect_fields fields;
+    /* Reads the report in the head of a response. Fields that are missing or
+     * invalid say nothing. */
+    void (*read_report)(const struct bb_http_head *h,
+                        struct bb_upstream_report *out);
     /* Parses the id of the parent request out of that of a nested one. Returns
      * false if the id does not have the form of a nested request's. */
     bool (*parse_parent_id)(const char *id, char parent[BB_DIALECT_ID_BYTES]);
--- a/include/path/upstream.h
+++ b/include/path/upstream.h
@@ -41,6 +41,8 @@
     uint64_t last_heard_us;  /* time of the latest announcement */
     /* The run has announced a drain or was withdrawn, which is final. */
     bool has_drained;
+    /* The run said last in a response that it leaves. */
+    bool is_leaving;
     /* The run takes requests: it said so in a response, or its announcements
      * went on for BB_UPSTREAM_TRUST_MS. A single one may be late. */
     bool is_confirmed;
@@ -55,5 +57,7 @@
                                              const char *id,
                                              uint64_t started_ms);
 void bb_upstream_confirm(struct bb_upstream *u);
+void bb_upstream_apply_report(struct bb_upstream *u,
+                              const struct bb_upstream_report *r);
 
 #endif
--- a/include/path/upstream_check.h
+++ b/include/path/upstream_check.h
@@ -24,6 +24,8 @@
 
 enum bb_upstream_check_result {
     BB_UPSTREAM_CHECK_HEALTHY,
+    /* It says that it leaves. */
+    BB_UPSTREAM_CHECK_LEAVING,
     /* It leaves, is unhealthy or full; the check goes on. */
     BB_UPSTREAM_CHECK_REFUSED,
     /* No connection, no response, or one of another upstream; the check goes
@@ -34,8 +36,10 @@
 struct bb_upstream_check_settings {
     struct bb_address upstream_address;
     const struct bb_dialect *dialect;
-    /* Called after each response or failure. */
-    void (*done)(void *context, enum bb_upstream_check_result result);
+    /* Called after each response or failure. The report is that of the
+     * response, and empty if there is none. */
+    void (*done)(void *context, enum bb_upstream_check_result result,
+                 const struct bb_upstream_report *report);
     void *context;
 };
 
--- a/path/gate.c
+++ b/path/gate.c
@@ -65,6 +65,7 @@
     struct bb_connection_pool *pool;
     struct bb_upstream upstream;
     struct bb_upstream_check *check;
+    uint32_t upstream_run; /* counts the runs of the upstream */
     struct bb_gate_queue queue;
     GHashTable *queued; /* queue_item.id to struct gate_request */
     uint64_t next_id;
@@ -87,7 +88,8 @@
     struct bb_fetch *fetch; /* NULL: not sent yet */
     struct bb_response_relay relay;
     uint64_t sent_us;
-    size_t sent_bytes; /* unused; always 0 */
+    uint32_t upstream_run; /* of the gate when it was sent */
+    size_t sent_bytes;     /* unused; always 0 */
     char request_id[BB_DIALECT_ID_BYTES];
     char service[SERVICE_TEXT_BYTES]; /* that the entry expects here */
     bool is_chunked;
@@ -193,8 +195,12 @@
 {
     struct bb_upstream announced = g->upstream;
 
-    /* DRAINING is kept while stopping: after a restart the gate must learn
-     * from it that the upstream drains. */
+    /* DRAINING, which is final, only if the upstream has announced it. It is
+     * kept while stopping: after a restart the gate must learn from it that
+     * the upstream drains. */
+    if (announced.is_leaving && !announced.has_drained) {
+        announced.state = BB_INSTANCE_DOWN;
+    }
     if (g->is_stopping && announced.state != BB_INSTANCE_DRAINING) {
         announced.state = BB_INSTANCE_GONE;
     }
@@ -262,6 +268,23 @@
     process_queue(g);
 }
 
+/* Applies what the upstream says of itself in a response. */
+static void
+apply_report(struct bb_gate *g, const struct bb_upstream_report *r)
+{
+    bool was_ready = is_upstream_ready(g);
+    bool was_leaving = g->upstream.is_leaving;
+
+    bb_upstream_apply_report(&g->upstream, r);
+    if (was_leaving != g->upstream.is_leaving) {
+        bb_log_info("upstream.report", "%s %s", g->upstream.id,
+                    g->upstream.is_leaving ? "leaves" : "no longer leaves");
+    }
+    if (was_ready != is_upstream_ready(g)) {
+        apply_upstream_state(g);
+    }
+}
+
 /* Reads the head of a response. Status 421 (Misdirected Request) means that
  * the upstream did not run the request. Returns false for a response to
  * another request, which is skipped. One that states that the request did not
@@ -276,6 +299,7 @@
     const char *id = bb_http_head_get(h, names->request_id);
     bool is_not_run =
         bb_http_head_get(h, names->not_run) != NULL || h->status == 421;
+    struct bb_upstream_report report;
 
     if (!is_not_run && (id == NULL || strcmp(id, rq->request_id) != 0)) {
         return false; /* a response to another request */
@@ -284,6 +308,10 @@
     rq->is_error = h->status >= 500;
     bb_response_relay_set_head(&rq->relay, h,
                                rq->exchange->head.method == HTTP_HEAD);
+    if (rq->upstream_run == rq->gate->upstream_run && h->status != 421) {
+        rq->gate->settings.dialect->read_report(h, &report);
+        apply_report(rq->gate, &report);
+    }
     append_load_field(rq->gate, bb_clock_now_us() - rq->sent_us,
                       rq->relay.fields);
     return true;
@@ -406,6 +434,7 @@
     };
 
     rq->sent_us = now_us;
+    rq->upstream_run = g->upstream_run;
     bb_histogram_observe(&wait_time, now_us - rq->exchange->received_us);
     g_hash_table_replace(g->running, rq->request_id, rq);
     rq->is_chunked = bb_forward_is_chunked(x);
@@ -656,7 +685,8 @@
 
 /* Handles a result of the health check. */
 static void
-on_check_done(void *context, enum bb_upstream_check_result result)
+on_check_done(void *context, enum bb_upstream_check_result result,
+              const struct bb_upstream_report *report)
 {
     struct bb_gate *g = context;
     bool was_ready = is_upstream_ready(g);
@@ -669,16 +699,19 @@
             apply_upstream_state(g);
         }
         break;
+    case BB_UPSTREAM_CHECK_LEAVING:
     case BB_UPSTREAM_CHECK_REFUSED:
         break;
     case BB_UPSTREAM_CHECK_UNREACHABLE:
         mark_unreachable(g);
-        break;
+        return;
     }
+    apply_report(g, report);
 }
 
-/* Starts a health check if the upstream has announced that it is ready, but
- * this is not confirmed. */
+/* Starts a health check if the upstream itself has to say whether it takes
+ * requests: it has announced that it is ready, but this is not confirmed, or
+ * it said in its last response that it leaves. */
 static void
 check_upstream(struct bb_gate *g)
 {
@@ -686,8 +719,8 @@
     const char *path =
         g->settings.find_health_path(g->settings.context, u->service);
 
-    if (u->state != BB_INSTANCE_NONE && !u->has_drained && !u->is_confirmed &&
-        path != NULL) {
+    if (u->state != BB_INSTANCE_NONE && !u->has_drained &&
+        (!u->is_confirmed || u->is_leaving) && path != NULL) {
         bb_upstream_check_start(g->check, u->id, path);
     }
     else {
@@ -699,6 +732,7 @@
 static void
 begin_upstream_run(struct bb_gate *g)
 {
+    g->upstream_run++;
     bb_upstream_check_stop(g->check);
     bb_connection_pool_close_idle(g->pool, &g->settings.upstream_address);
     g->failure_permille = 0;
--- a/path/upstream.c
+++ b/path/upstream.c
@@ -34,7 +34,8 @@
 static void
 update_state(struct bb_upstream *u)
 {
-    u->state = u->has_drained ? BB_INSTANCE_DRAINING : BB_INSTANCE_READY;
+    u->state = u->has_drained || u->is_leaving ? BB_INSTANCE_DRAINING
+                                               : BB_INSTANCE_READY;
 }
 
 /* Begins a run of which nothing is known yet. */
@@ -121,3 +122,12 @@
 {
     u->is_confirmed = true;
 }
+
+/* Applies what the known run says of itself in a response. */
+void
+bb_upstream_apply_report(struct bb_upstream *u,
+                         const struct bb_upstream_report *r)
+{
+    u->is_leaving = r->is_leaving;
+    update_state(u);
+}
--- a/path/upstream_check.c
+++ b/path/upstream_check.c
@@ -18,6 +18,7 @@
     char *health_path;
     bool is_running;
     uint32_t retry_ms;
+    struct bb_upstream_report report;
     enum bb_upstream_check_result result; /* of the attempt */
 };
 
@@ -35,7 +36,8 @@
 static void
 finish_attempt(struct bb_upstream_check *c)
 {
-    if (c->result == BB_UPSTREAM_CHECK_HEALTHY) {
+    if (c->result == BB_UPSTREAM_CHECK_HEALTHY ||
+        c->result == BB_UPSTREAM_CHECK_LEAVING) {
         bb_upstream_check_stop(c);
     }
     else {
@@ -43,7 +45,7 @@
         c->retry_ms =
             MIN(2 * c->retry_ms, (uint32_t)BB_UPSTREAM_CHECK_RETRY_MAX_MS);
     }
-    c->settings.done(c->settings.context, c->result);
+    c->settings.done(c->settings.context, c->result, &c->report);
 }
 
 /* Gives up an attempt without a response. */
@@ -67,6 +69,9 @@
     if (id != NULL && strcmp(id, c->upstream_id) != 0) {
         return BB_UPSTREAM_CHECK_UNREACHABLE;
     }
+    if (c->report.is_leaving) {
+        return BB_UPSTREAM_CHECK_LEAVING;
+    }
     return h->status >= 200 && h->status < 300 ? BB_UPSTREAM_CHECK_HEALTHY
                                                : BB_UPSTREAM_CHECK_REFUSED;
 }
@@ -76,6 +81,7 @@
 {
     struct bb_upstream_check *c = context;
 
+    c->settings.dialect->read_report(h, &c->report);
     c->result = classify_head(c, h);
     return true;
 }
@@ -114,6 +120,7 @@
                                        .is_body_complete = true};
 
     c->result = BB_UPSTREAM_CHECK_UNREACHABLE;
+    c->report = (struct bb_upstream_report){0};
     bb_counter_add(&checks_total, 1);
     g_string_append_printf(
         head, "GET %s HTTP/1.1\r\nHost: %s\r\nConnection: close\r\n\r\n",
--- a/tests/path/fixture.c
+++ b/tests/path/fixture.c
@@ -33,7 +33,15 @@
     return end != NULL;
 }
 
+static void
+read_report(const struct bb_http_head *h, struct bb_upstream_report *out)
+{
+    *out = (struct bb_upstream_report){
+        .is_leaving = bb_http_head_get(h, T_LEAVING) != NULL};
+}
+
 static const struct bb_dialect dialect = {
+    .read_report = read_report,
     .parse_parent_id = parse_parent_id,
     .fields = {.request_id = T_ID,
                .deadline_ms = T_DEADLINE,
@@ -125,8 +133,8 @@
 
 /* Responses to health checks. */
 static const char healthy[] = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
-static const char leaving[] = "HTTP/1.1 503 Leaving\r\n"
-                              "Content-Length: 0\r\n\r\n";
+static const char leaving[] =
+    "HTTP/1.1 503 Leaving\r\n" T_LEAVING ": 1\r\nContent-Length: 0\r\n\r\n";
 
 /* Records the head of a request and chooses its response. */
 static bool
--- a/tests/path/test_path.c
+++ b/tests/path/test_path.c
@@ -563,6 +563,50 @@
     fixture_close(&b);
 }
 
+static struct scripted_response
+respond_leaving(struct upstream *u, uint32_t number,
+                const struct bb_http_head *h)
+{
+    (void)u;
+    (void)number;
+    (void)h;
+    return (struct scripted_response){
+        .text = "HTTP/1.1 200 OK\r\nT-Id: {id}\r\nT-Seal: s\r\n" T_LEAVING
+                ": 1\r\nContent-Length: 4\r\n\r\nbody"};
+}
+
+/* Guards against: requests to an upstream that said in a response that it
+ * leaves, and one odd response that closes it for good. */
+static void
+test_leaving_response(void)
+{
+    struct path_fixture b;
+    struct client *c;
+
+    fixture_open(&b);
+    fixture_set_rules(&b, 1000, 2);
+    fixture_announce(&b, 1, true); /* leaves only the first gate */
+    b.upstreams[0].script = respond_leaving;
+    b.upstreams[0].is_leaving = true;
+    c = client_open(&b);
+    client_send(c, UNSAFE("a1") "\r\nhi");
+    CU_ASSERT_TRUE(fixture_wait_text(&b, c, "body", 500));
+    fixture_announce(&b, 0, false); /* late, or it was an odd response */
+    fixture_run(&b, CHECK_MS);
+    client_send(c, UNSAFE("a2") "\r\nhi");
+    CU_ASSERT_TRUE(fixture_wait_text(&b, c, "HTTP/1.1 503", 500));
+    b.upstreams[0].script = respond_ok;
+    b.upstreams[0].is_leaving = false;
+    fixture_announce(&b, 0, false);
+    fixture_run(&b, CHECK_MS);
+    client_send(c, UNSAFE("a3") "\r\nhi");
+    fixture_run(&b, 50);
+    CU_ASSERT_EQUAL(client_count(c, "body"), 2);
+    CU_ASSERT_EQUAL(count_requests(&b), 2);
+    client_free(c);
+    fixture_close(&b);
+}
+
 /* Guards against: requests that are lost on idle connections that the upstream
  * has dropped unnoticed. None that must not run twice may be lost, and of
  * idempotent ones at most one for each upstream. */
@@ -859,6 +903,7 @@
     {"restarted gate", test_restarted_gate},
     {"restarted gate of a leaving upstream",
      test_restarted_gate_of_leaving_upstream},
+    {"leaving response", test_leaving_response},
     {"pipelined requests", test_pipeline},
     {"long pipelined response", test_long_pipelined_response},
     {"queue", test_queue},
--- a/tests/platform/test_dialect.c
+++ b/tests/platform/test_dialect.c
@@ -229,6 +229,29 @@
     CU_ASSERT_EQUAL(u.state, BB_INSTANCE_DRAINING);
 }
 
+/* Guards against: an upstream that is taken for ready although it says in its
+ * responses that it leaves, and one odd response that closes it for good. */
+static void
+test_reports_of_an_upstream(void)
+{
+    static const struct bb_upstream_report leaving = {.is_leaving = true};
+    static const struct bb_upstream_report staying = {0};
+    struct bb_upstream u = {0};
+    struct bb_announcement a = ready;
+
+    (void)bb_upstream_announce(&u, "i", &a, "x:1", 1);
+    bb_upstream_apply_report(&u, &leaving);
+    CU_ASSERT_EQUAL(u.state, BB_INSTANCE_DRAINING);
+    a.sequence++;
+    (void)bb_upstream_announce(&u, "i", &a, "x:1", 1);
+    CU_ASSERT_EQUAL(u.state, BB_INSTANCE_DRAINING);
+    bb_upstream_apply_report(&u, &staying);
+    CU_ASSERT_EQUAL(u.state, BB_INSTANCE_READY);
+    CU_ASSERT_EQUAL(bb_upstream_withdraw(&u, "i", 0), BB_WITHDRAW_APPLIED);
+    bb_upstream_apply_report(&u, &staying);
+    CU_ASSERT_EQUAL(u.state, BB_INSTANCE_DRAINING);
+}
+
 /* Guards against: a late announcement that makes an upstream ready, and one
  * that cannot be checked and never gets requests. */
 static void
@@ -286,6 +309,57 @@
     CU_ASSERT_EQUAL(u.state, BB_INSTANCE_READY);
 }
 
+static bool
+ignore_head(void *context)
+{
+    (void)context;
+    return true;
+}
+
+static void
+ignore_body(void *context, const char *data, size_t size_bytes)
+{
+    (void)context;
+    (void)data;
+    (void)size_bytes;
+}
+
+static const struct bb_http_reader_events ignore_message = {
+    .head = ignore_head, .body = ignore_body};
+
+/* Reads the head of a response with these fields. */
+static struct bb_upstream_report
+read_report(const char *fields)
+{
+    struct bb_upstream_report report;
+    struct bb_http_reader r;
+    char *text = g_strdup_printf(
+        "HTTP/1.1 200 OK\r\n%sContent-Length: 0\r\n\r\n", fields);
+
+    bb_http_reader_init(&r, HTTP_RESPONSE, &ignore_message, NULL);
+    (void)bb_http_reader_feed(&r, text, strlen(text));
+    CU_ASSERT_EQUAL(r.state, BB_HTTP_READER_DONE);
+    platform()->read_report(&r.head, &report);
+    bb_http_reader_clear(&r);
+    g_free(text);
+    return report;
+}
+
+/* Guards against: a leaving upstream taken for one that stays, or the other
+ * way round, because of an odd value of the field. */
+static void
+test_leaving_field(void)
+{
+    CU_ASSERT_FALSE(read_report("").is_leaving);
+    CU_ASSERT_TRUE(read_report("Server-Leaving: 1\r\n").is_leaving);
+    CU_ASSERT_TRUE(read_report("server-leaving:  1 \r\n").is_leaving);
+    CU_ASSERT_FALSE(read_report("Server-Leaving: 0\r\n").is_leaving);
+    CU_ASSERT_FALSE(read_report("Server-Leaving: 11\r\n").is_leaving);
+    CU_ASSERT_FALSE(read_report("Server-Leaving:\r\n").is_leaving);
+    CU_ASSERT_TRUE(
+        read_report("Server-Leaving: 0\r\nServer-Leaving: 1\r\n").is_leaving);
+}
+
 /* Guards against: the request of a client taken for a nested one. */
 static void
 test_parent_ids(void)
@@ -337,7 +411,9 @@
     {"incarnations", test_runs_of_an_upstream},
     {"unordered drains", test_unordered_drains},
     {"trust in announcements", test_trust_in_announcements},
+    {"reports of an upstream", test_reports_of_an_upstream},
     {"withdrawn while unknown", test_withdrawn_unknown},
+    {"leaving field", test_leaving_field},
     {"ids of parent requests", test_parent_ids},
     {"request classification", test_classification},
 };
--- a/tests/proxyd/test_drain.c
+++ b/tests/proxyd/test_drain.c
@@ -14,6 +14,8 @@
     HEARTBEATS_MAX = 10
 };
 
+#define LEAVING_FIELD "Server-Leaving: 1\r\n"
+
 static const struct announced_state ready = {
     .state = "ready", .started_ms = STARTED_MS, .sequence = 5};
 static const struct announced_state late_ready = {
@@ -119,6 +121,24 @@
     fixture_close(&f);
 }
 
+/* Guards against: requests to an upstream that said in a response that it
+ * leaves, before its announcement arrives. */
+static void
+test_leaving_field(void)
+{
+    struct fixture f;
+
+    fixture_open(&f, 1, GRACE_S);
+    CU_ASSERT_EQUAL(fixture_call_gate(&f, "a1"), 200);
+    f.upstream_field = LEAVING_FIELD;
+    CU_ASSERT_EQUAL(fixture_call_gate(&f, "a2"), 200);
+    CU_ASSERT_EQUAL(fixture_call_gate(&f, "a3"), 503);
+    CU_ASSERT_EQUAL(fixture_announce(&f, "i-1", &ready), 200);
+    fixture_run(&f, HEARTBEAT_MS);
+    CU_ASSERT_EQUAL(fixture_call_gate(&f, "a4"), 503);
+    fixture_close(&f);
+}
+
 static const struct bb_unit_test tests[] = {
     {"late announcement after a restart",
      test_late_announcement_after_restart},
@@ -126,6 +146,7 @@
      test_late_announcement_with_old_record},
     {"withdrawal of an unknown upstream", test_withdrawal_of_unknown_upstream},
     {"withdrawal of another upstream", test_withdrawal_of_another_upstream},
-    {"ready upstream after a restart", test_ready_upstream_after_restart}};
+    {"ready upstream after a restart", test_ready_upstream_after_restart},
+    {"leaving field", test_leaving_field}};
 
 BB_UNIT_MAIN("drain", tests)
--- a/tests/soak/upstreams.c
+++ b/tests/soak/upstreams.c
@@ -76,6 +76,15 @@
     uv_close((uv_handle_t *)&c->timer, free_connection);
 }
 
+/* Appends what an upstream says of itself in all responses. */
+static void
+append_report(const struct upstream *u, GString *head)
+{
+    if (u->state != UPSTREAM_READY) {
+        g_string_append(head, FIELD_LEAVING ": " VALUE_LEAVING "\r\n");
+    }
+}
+
 /* Sends a response without a run. */
 static void
 respond_not_run(struct upstream_connection *c, uint32_t status)
@@ -90,6 +99,7 @@
     if (id != NULL) {
         g_string_append_printf(head, FIELD_REQUEST_ID ": %s\r\n", id);
     }
+    append_report(c->upstream, head);
     g_string_append(head, "\r\n");
     bb_stream_write(c->stream, head->str, head->len);
     g_string_free(head, TRUE);
@@ -107,6 +117,7 @@
         head,
         "HTTP/1.1 %s\r\n" FIELD_INSTANCE_ID ": %s\r\nContent-Length: 0\r\n",
         u->state == UPSTREAM_READY ? "200 OK" : "503 Leaving", u->id);
+    append_report(u, head);
     g_string_append(head, "\r\n");
     bb_stream_write(c->stream, head->str, head->len);
     g_string_free(head, TRUE);
@@ -126,6 +137,7 @@
                     ": %s\r\n" FIELD_SEAL ": %s.%u.%u\r\n%s",
                     status, rq->id, rq->id, status, rq->response_bytes,
                     c->is_closing ? "Connection: close\r\n" : "");
+    append_report(c->upstream, head);
     if (rq->key % 2 == 0) {
         g_string_append(head, "Transfer-Encoding: chunked\r\n\r\n");
     }
