gate: log and measure the limit that an upstream states

No log or metric showed the limit, so the hypotheses could not be told apart.

platform/ decodes the field into thousandths of a request a second, with a defined reading of each odd value; decide/upstream_limit decides which statement holds. upstream.limit logs each change, baobab_gate_upstream_limited and baobab_gate_limit_mrps show it, baobab_gate_upstream_leaving a leaving upstream. Nothing is limited yet.

--- a/include/path/dialect.h
+++ b/include/path/dialect.h
@@ -9,6 +9,7 @@
 #include <stdint.h>
 
 #include "common/error.h"
+#include "decide/upstream_limit.h"
 #include "net/http.h"
 #include "path/rules.h"
 
@@ -62,6 +63,7 @@
 /* What an upstream says of itself in each of its responses. */
 struct bb_upstream_report {
     bool is_leaving; /* it takes no new requests */
+    struct bb_limit_report limit;
 };
 
 struct bb_dialect {
--- a/include/path/upstream_check.h
+++ b/include/path/upstream_check.h
@@ -37,9 +37,10 @@
     struct bb_address upstream_address;
     const struct bb_dialect *dialect;
     /* Called after each response or failure. The report is that of the
-     * response, and empty if there is none. */
+     * response, and empty if there is none; sent_us is the time of the
+     * request. */
     void (*done)(void *context, enum bb_upstream_check_result result,
-                 const struct bb_upstream_report *report);
+                 const struct bb_upstream_report *report, uint64_t sent_us);
     void *context;
 };
 
--- a/path/gate.c
+++ b/path/gate.c
@@ -17,6 +17,7 @@
 
 enum {
     PERMILLE = 1000,
+    MRPS_PER_RPS = 1000,
     SERVICE_TEXT_BYTES = BB_DIALECT_TEXT_BYTES,
     /* For requests without a deadline field; the same as
      * BB_ENTRY_DEADLINE_MAX_MS. */
@@ -57,6 +58,13 @@
 BB_COUNTER(cancelled_total, "baobab_gate_cancelled_total",
            "Requests given up because the caller left");
 
+BB_GAUGE(limited_gauge, "baobab_gate_upstream_limited",
+         "1 while the upstream states a limit");
+BB_GAUGE(limit_gauge, "baobab_gate_limit_mrps",
+         "Limit of the upstream in thousandths of a request a second");
+BB_GAUGE(leaving_gauge, "baobab_gate_upstream_leaving",
+         "1 while the upstream leaves");
+
 struct bb_gate {
     uv_loop_t *loop;
     uv_timer_t timer;
@@ -65,6 +73,7 @@
     struct bb_connection_pool *pool;
     struct bb_upstream upstream;
     struct bb_upstream_check *check;
+    struct bb_upstream_limit limit;
     uint32_t upstream_run; /* counts the runs of the upstream */
     struct bb_gate_queue queue;
     GHashTable *queued; /* queue_item.id to struct gate_request */
@@ -207,6 +216,7 @@
     else if (announced.state == BB_INSTANCE_READY && !is_upstream_ready(g)) {
         announced.state = BB_INSTANCE_DOWN;
     }
+    bb_counter_set(&leaving_gauge, g->upstream.state == BB_INSTANCE_DRAINING);
     bb_log_info("upstream.state",
                 "%s %s service %s slots %u started %" G_GUINT64_FORMAT
                 " sequence %" G_GUINT64_FORMAT "; running %u queued %u",
@@ -268,13 +278,37 @@
     process_queue(g);
 }
 
-/* Applies what the upstream says of itself in a response. */
+/* Logs a change of the limit. */
+static void
+log_limit(const struct bb_gate *g)
+{
+    const struct bb_upstream_limit *l = &g->limit;
+
+    bb_counter_set(&limited_gauge, l->is_limited);
+    bb_counter_set(&limit_gauge, l->rate_mrps);
+    if (l->is_limited) {
+        bb_log_info("upstream.limit", "%s %u.%03u requests a second",
+                    g->upstream.id, l->rate_mrps / MRPS_PER_RPS,
+                    l->rate_mrps % MRPS_PER_RPS);
+    }
+    else {
+        bb_log_info("upstream.limit", "%s none", g->upstream.id);
+    }
+}
+
+/* Applies what the upstream says of itself in the response to a request that
+ * was sent at sent_us. */
 static void
-apply_report(struct bb_gate *g, const struct bb_upstream_report *r)
+apply_report(struct bb_gate *g, const struct bb_upstream_report *r,
+             uint64_t sent_us)
 {
     bool was_ready = is_upstream_ready(g);
     bool was_leaving = g->upstream.is_leaving;
 
+    if (bb_upstream_limit_update(&g->limit, &r->limit, sent_us,
+                                 bb_clock_now_us())) {
+        log_limit(g);
+    }
     bb_upstream_apply_report(&g->upstream, r);
     if (was_leaving != g->upstream.is_leaving) {
         bb_log_info("upstream.report", "%s %s", g->upstream.id,
@@ -310,7 +344,7 @@
                                rq->exchange->head.method == HTTP_HEAD);
     if (rq->upstream_run == rq->gate->upstream_run && h->status != 421) {
         rq->gate->settings.dialect->read_report(h, &report);
-        apply_report(rq->gate, &report);
+        apply_report(rq->gate, &report, rq->sent_us);
     }
     append_load_field(rq->gate, bb_clock_now_us() - rq->sent_us,
                       rq->relay.fields);
@@ -686,7 +720,7 @@
 /* Handles a result of the health check. */
 static void
 on_check_done(void *context, enum bb_upstream_check_result result,
-              const struct bb_upstream_report *report)
+              const struct bb_upstream_report *report, uint64_t sent_us)
 {
     struct bb_gate *g = context;
     bool was_ready = is_upstream_ready(g);
@@ -706,7 +740,7 @@
         mark_unreachable(g);
         return;
     }
-    apply_report(g, report);
+    apply_report(g, report, sent_us);
 }
 
 /* Starts a health check if the upstream itself has to say whether it takes
@@ -736,6 +770,10 @@
     bb_upstream_check_stop(g->check);
     bb_connection_pool_close_idle(g->pool, &g->settings.upstream_address);
     g->failure_permille = 0;
+    if (g->limit.is_limited) {
+        g->limit = (struct bb_upstream_limit){0};
+        log_limit(g);
+    }
 }
 
 /* Creates the gate, which admits nothing until the upstream has announced
--- a/path/upstream_check.c
+++ b/path/upstream_check.c
@@ -3,6 +3,7 @@
 
 #include <string.h>
 
+#include "common/clock.h"
 #include "common/counters.h"
 #include "net/fetch.h"
 
@@ -18,6 +19,7 @@
     char *health_path;
     bool is_running;
     uint32_t retry_ms;
+    uint64_t sent_us; /* start of the attempt */
     struct bb_upstream_report report;
     enum bb_upstream_check_result result; /* of the attempt */
 };
@@ -45,7 +47,7 @@
         c->retry_ms =
             MIN(2 * c->retry_ms, (uint32_t)BB_UPSTREAM_CHECK_RETRY_MAX_MS);
     }
-    c->settings.done(c->settings.context, c->result, &c->report);
+    c->settings.done(c->settings.context, c->result, &c->report, c->sent_us);
 }
 
 /* Gives up an attempt without a response. */
@@ -121,6 +123,7 @@
 
     c->result = BB_UPSTREAM_CHECK_UNREACHABLE;
     c->report = (struct bb_upstream_report){0};
+    c->sent_us = bb_clock_now_us();
     bb_counter_add(&checks_total, 1);
     g_string_append_printf(
         head, "GET %s HTTP/1.1\r\nHost: %s\r\nConnection: close\r\n\r\n",
--- a/tests/platform/test_dialect.c
+++ b/tests/platform/test_dialect.c
@@ -360,6 +360,47 @@
         read_report("Server-Leaving: 0\r\nServer-Leaving: 1\r\n").is_leaving);
 }
 
+/* Guards against: a limit that is read wrongly, and an odd value that is taken
+ * for a limit or for the end of one. */
+static void
+test_limit_field(void)
+{
+    static const struct {
+        const char *fields;
+        enum bb_limit_statement statement;
+        uint32_t rate_mrps;
+    } cases[] = {
+        {"", BB_LIMIT_NONE, 0},
+        {"Server-Limit: 8.6\r\n", BB_LIMIT_NAMED, 8600},
+        {"server-limit:  12 \r\n", BB_LIMIT_NAMED, 12000},
+        {"Server-Limit: 0.25\r\n", BB_LIMIT_NAMED, 250},
+        {"Server-Limit: 0.00001\r\n", BB_LIMIT_NAMED, 1},
+        {"Server-Limit: 0\r\n", BB_LIMIT_NAMED, 0},
+        {"Server-Limit: 99999999999999999999999\r\n", BB_LIMIT_NAMED,
+         UINT32_MAX},
+        {"Server-Limit:\r\n", BB_LIMIT_INVALID, 0},
+        {"Server-Limit: -3\r\n", BB_LIMIT_INVALID, 0},
+        {"Server-Limit: +3\r\n", BB_LIMIT_INVALID, 0},
+        {"Server-Limit: .5\r\n", BB_LIMIT_INVALID, 0},
+        {"Server-Limit: 1.2.3\r\n", BB_LIMIT_INVALID, 0},
+        {"Server-Limit: 1e3\r\n", BB_LIMIT_INVALID, 0},
+        {"Server-Limit: 0x10\r\n", BB_LIMIT_INVALID, 0},
+        {"Server-Limit: 3 a second\r\n", BB_LIMIT_INVALID, 0},
+        {"Server-Limit: nan\r\n", BB_LIMIT_INVALID, 0},
+        {"Server-Limit: inf\r\n", BB_LIMIT_INVALID, 0},
+        {"Server-Limit: 7\r\nServer-Limit: 5\r\n", BB_LIMIT_NAMED, 5000},
+        {"Server-Limit: 5\r\nServer-Limit: 7\r\n", BB_LIMIT_NAMED, 5000},
+        {"Server-Limit: none\r\nServer-Limit: 7\r\n", BB_LIMIT_NAMED, 7000},
+        {"Server-Limit: 7\r\nServer-Limit: none\r\n", BB_LIMIT_NAMED, 7000}};
+
+    for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        struct bb_limit_report limit = read_report(cases[i].fields).limit;
+
+        CU_ASSERT_EQUAL(limit.statement, cases[i].statement);
+        CU_ASSERT_EQUAL(limit.rate_mrps, cases[i].rate_mrps);
+    }
+}
+
 /* Guards against: the request of a client taken for a nested one. */
 static void
 test_parent_ids(void)
@@ -414,6 +455,7 @@
     {"reports of an upstream", test_reports_of_an_upstream},
     {"withdrawn while unknown", test_withdrawn_unknown},
     {"leaving field", test_leaving_field},
+    {"limit field", test_limit_field},
     {"ids of parent requests", test_parent_ids},
     {"request classification", test_classification},
 };
--- a/tests/soak/operator.c
+++ b/tests/soak/operator.c
@@ -107,8 +107,7 @@
     g_string_printf(
         out,
         "{\"version\":%" G_GUINT64_FORMAT ",\"services\":[{\"name\":\"alpha\","
-                                          "\"health_path\":\"" SOAK_HEALTH_PATH
-        "\","
+        "\"health_path\":\"" SOAK_HEALTH_PATH "\","
         "\"max_connections\":%u},{\"name\":\"beta\",\"health_path\":"
         "\"" SOAK_HEALTH_PATH "\",\"max_connections\":%u}],"
         "\"limits\":{\"max_header_bytes\":%u,\"max_body_bytes\":%u,"
