gate: keep the limit that an upstream states

Cause: the field was passed on to callers, and the gates admitted by slots alone.

All requests for an upstream pass its gate, health checks included, so the gate alone keeps the limit, as a rate with a burst of 250 ms. The queue starts the most urgent first; a priority that was passed over eight times goes before it, so that none starves. What can't be served in time is refused at once as not run with the reason "limit". The gate reports limit and wait with its load: entries leave out a gate where the request would wait for too long, do not hedge there, and, if a whole service is limited, give refused callers a Retry-After at which they return one after the other at the rate. A restarted gate learns the limit with the health check before it admits a request. A limit that no response has confirmed for 2 s is checked, so that limit 0 can end.

--- a/ctl/command_trace.c
+++ b/ctl/command_trace.c
@@ -171,13 +171,14 @@
                   "%" PRIu64 " ms, service %s, last gate %s",
                   status, reason, took_ms, service, find_last_gate(lines));
     if (gate_report != NULL) {
-        (void)fprintf(c->out,
-                      "; gate %s said %s%s (running queued slots us failing: "
-                      "%s)",
-                      bb_ctl_get_text(gate_report, "gate"),
-                      bb_ctl_get_text(gate_report, "refused"),
-                      bb_ctl_get_text(gate_report, "failed"),
-                      bb_ctl_get_text(gate_report, "load"));
+        (void)fprintf(
+            c->out,
+            "; gate %s said %s%s (running queued slots us failing ran "
+            "and, if limited, mrps wait_us: %s)",
+            bb_ctl_get_text(gate_report, "gate"),
+            bb_ctl_get_text(gate_report, "refused"),
+            bb_ctl_get_text(gate_report, "failed"),
+            bb_ctl_get_text(gate_report, "load"));
     }
     /* 504 is sent at the deadline only if the request may have run or an
      * attempt is still under way, which may_have_run does not count yet. */
--- a/decide/balance.c
+++ b/decide/balance.c
@@ -1,5 +1,8 @@
 #include "decide/balance.h"
 
+#include "decide/gate_queue.h"
+#include "decide/upstream_limit.h"
+
 enum {
     PERCENT = 100,
     /* Last rank of preference; the others are values of enum bb_gate_distance.
@@ -20,6 +23,15 @@
     JITTER_SHIFTS = 7
 };
 
+/* Returns the attempts of this node at a gate since its last report. */
+static uint32_t
+sent_since_report(const struct bb_gate_view *v)
+{
+    return v->in_flight > v->in_flight_at_report
+               ? v->in_flight - v->in_flight_at_report
+               : 0;
+}
+
 /* Estimates how many requests a gate runs and queues: the reported load plus
  * this node's attempts since the report, and at least this node's attempts in
  * flight. A report older than BB_BALANCE_REPORT_STALE_US counts half. One
@@ -29,9 +41,6 @@
 estimate_load(const struct bb_gate_view *v, uint64_t now_us)
 {
     uint32_t reported = v->running + v->queued;
-    uint32_t sent_since_report = v->in_flight > v->in_flight_at_report
-                                     ? v->in_flight - v->in_flight_at_report
-                                     : 0;
 
     if (v->reported_us == 0 ||
         now_us - v->reported_us > 2 * BB_BALANCE_REPORT_STALE_US) {
@@ -40,7 +49,7 @@
     else if (now_us - v->reported_us > BB_BALANCE_REPORT_STALE_US) {
         reported /= 2;
     }
-    reported += sent_since_report;
+    reported += sent_since_report(v);
     return reported > v->in_flight ? reported : v->in_flight;
 }
 
@@ -80,29 +89,52 @@
     *observed_us = (uint32_t)(sum / BB_BALANCE_LATENCY_EWMA_DIVISOR);
 }
 
-/* Estimates the wait for a slot at a gate in microseconds; UINT32_MAX if the
- * gate has no slots. */
+/* Estimates how long a request waits for its turn at a gate whose upstream is
+ * limited: the reported wait and the turns of this node's attempts since then,
+ * less the time that has passed. Other nodes' attempts since the report are
+ * not known. */
+uint64_t
+bb_balance_limit_wait_us(const struct bb_gate_view *v, uint64_t now_us)
+{
+    uint64_t wait_us;
+    uint64_t age_us = now_us - v->reported_us;
+
+    if (!v->is_limited) {
+        return 0;
+    }
+    wait_us =
+        v->limit_wait_us +
+        sent_since_report(v) * bb_upstream_limit_interval_us(v->limit_mrps);
+    return wait_us > age_us ? wait_us - age_us : 0;
+}
+
+/* Estimates the wait for a slot at a gate, and for a turn if its upstream is
+ * limited, in microseconds; UINT32_MAX if the gate has no slots. */
 uint64_t
 bb_balance_wait_us(const struct bb_gate_view *v, uint64_t now_us)
 {
     uint32_t load = estimate_load(v, now_us);
     uint64_t duration_us =
         v->mean_duration_us != 0 ? v->mean_duration_us : DEFAULT_DURATION_US;
+    uint64_t slot_wait_us;
+    uint64_t limit_wait_us;
 
     if (v->slots == 0) {
         return UINT32_MAX;
     }
-    return load < v->slots ? 0
-                           : (load - v->slots + 1) * duration_us / v->slots;
+    slot_wait_us =
+        load < v->slots ? 0 : (load - v->slots + 1) * duration_us / v->slots;
+    limit_wait_us = bb_balance_limit_wait_us(v, now_us);
+    return slot_wait_us > limit_wait_us ? slot_wait_us : limit_wait_us;
 }
 
 /* Returns whether a gate may get a hedge, the second send of a slow request:
- * it must be in the local region and have slots to spare, so that the hedge
- * takes no slot from first attempts. */
+ * it must be in the local region, have slots to spare and no limit, so that
+ * the hedge takes nothing from first attempts. */
 bool
 bb_balance_can_hedge(const struct bb_gate_view *v, uint64_t now_us)
 {
-    return v->distance <= BB_GATE_SAME_REGION &&
+    return v->distance <= BB_GATE_SAME_REGION && !v->is_limited &&
            estimate_load(v, now_us) * PERCENT <=
                v->slots * (uint32_t)BB_BALANCE_HEDGE_MAX_LOAD_PERCENT;
 }
@@ -184,11 +216,15 @@
     return cost_us;
 }
 
-/* Returns whether a gate can be chosen at all. */
+/* Returns whether a gate can be chosen at all. One whose upstream is limited
+ * would refuse a request that had to wait for too long. */
 static bool
-is_available(const struct bb_gate_view *v, uint64_t now_us)
+is_available(const struct bb_gate_view *v, const struct bb_balance_request *r,
+             uint64_t now_us)
 {
-    return v->is_ready && v->slots > 0 && now_us >= v->suspended_until_us;
+    return v->is_ready && v->slots > 0 && now_us >= v->suspended_until_us &&
+           bb_balance_limit_wait_us(v, now_us) * PERCENT <=
+               r->target_left_us * BB_GATE_QUEUE_WAIT_PERCENT;
 }
 
 /* Returns whether a gate can be expected to respond before the target with
@@ -247,7 +283,7 @@
         uint64_t cost_us;
         uint32_t rank;
 
-        if (!is_available(views[i], now_us)) {
+        if (!is_available(views[i], r, now_us)) {
             continue;
         }
         rank = preference_rank(views[i], r, explore_within, now_us);
@@ -342,6 +378,17 @@
     v->in_flight_at_report = v->in_flight;
 }
 
+/* Updates a view with the limit that a gate reported together with its load.
+ */
+void
+bb_gate_view_update_limit(struct bb_gate_view *v, bool is_limited,
+                          uint32_t limit_mrps, uint64_t limit_wait_us)
+{
+    v->is_limited = is_limited;
+    v->limit_mrps = limit_mrps;
+    v->limit_wait_us = limit_wait_us;
+}
+
 /* Suspends a gate that could not be reached, for a time that doubles with each
  * failure in a row up to BB_BALANCE_SUSPEND_MAX_US. */
 void
--- a/decide/gate_queue.c
+++ b/decide/gate_queue.c
@@ -58,6 +58,34 @@
     return r->target_end_us >= now_us + mean_duration_us(q, r->class_index);
 }
 
+/* Returns the index of a request's priority. */
+static uint32_t
+priority_index(const struct bb_gate_queue_item *r)
+{
+    return r->priority < BB_GATE_QUEUE_PRIORITIES
+               ? r->priority
+               : BB_GATE_QUEUE_PRIORITIES - 1;
+}
+
+/* Returns whether requests of this priority were passed over for so long that
+ * the next one goes first. Without a limit none is. */
+static bool
+is_starved(const struct bb_gate_queue *q, const struct bb_gate_queue_item *r,
+           uint64_t now_us)
+{
+    uint64_t since_us = q->started_us[priority_index(r)];
+
+    if (!q->limit.is_limited) {
+        return false;
+    }
+    if (since_us < q->limit.began_us) {
+        since_us = q->limit.began_us;
+    }
+    return now_us - since_us >=
+           BB_GATE_QUEUE_STARVED_REQUESTS *
+               bb_upstream_limit_interval_us(q->limit.rate_mrps);
+}
+
 /* Returns whether a leaves the queue before b. */
 static bool
 has_precedence(const struct bb_gate_queue *q,
@@ -66,7 +94,11 @@
 {
     bool a_meets_target = can_meet_target(q, a, now_us);
     bool b_meets_target = can_meet_target(q, b, now_us);
+    bool a_is_starved = is_starved(q, a, now_us);
 
+    if (a_is_starved != is_starved(q, b, now_us)) {
+        return a_is_starved;
+    }
     if (a->priority != b->priority) {
         return a->priority < b->priority;
     }
@@ -77,18 +109,26 @@
                           : a->deadline_us < b->deadline_us;
 }
 
-/* Estimates how long a request would wait, in microseconds, while all slots
- * are in use: the time until the requests before it and itself have a slot. */
+/* Estimates how long a request would wait, in microseconds: the time until the
+ * requests before it and itself have a slot and, if the upstream is limited,
+ * their turn. */
 static uint64_t
 expected_wait_us(const struct bb_gate_queue *q,
                  const struct bb_gate_queue_item *r, uint64_t now_us)
 {
     uint64_t ahead = 0;
+    uint64_t slot_wait_us = 0;
+    uint64_t limit_wait_us;
 
     for (uint32_t i = 0; i < q->queued; i++) {
         ahead += !has_precedence(q, r, &q->queue[i], now_us);
     }
-    return (ahead + 1) * q->overall_mean_us / q->slots;
+    if (q->running >= q->slots) {
+        slot_wait_us = (ahead + 1) * q->overall_mean_us / q->slots;
+    }
+    limit_wait_us =
+        bb_upstream_limit_wait_us(&q->limit, (uint32_t)ahead, now_us);
+    return slot_wait_us > limit_wait_us ? slot_wait_us : limit_wait_us;
 }
 
 /* Returns whether a request with an expected wait should be queued. One that
@@ -114,6 +154,23 @@
                                  left_us * BB_GATE_QUEUE_LATE_PERCENT;
 }
 
+/* Returns whether the limit allows another request now. */
+static bool
+is_within_limit(const struct bb_gate_queue *q, uint64_t now_us)
+{
+    return bb_upstream_limit_wait_us(&q->limit, 0, now_us) == 0;
+}
+
+/* Takes a slot for a request that starts. */
+static void
+start_request(struct bb_gate_queue *q, const struct bb_gate_queue_item *r,
+              uint64_t now_us)
+{
+    q->running++;
+    q->started_us[priority_index(r)] = now_us;
+    bb_upstream_limit_count(&q->limit, now_us);
+}
+
 /* Decides on an arriving request. BB_GATE_QUEUE_RUN takes a free slot,
  * BB_GATE_QUEUE_WAIT queues the request. It is refused if its deadline has
  * passed, its expected wait exceeds max_wait_us or is not worth waiting for,
@@ -128,8 +185,10 @@
     if (r->deadline_us <= now_us || q->slots == 0) {
         return BB_GATE_QUEUE_REFUSE;
     }
-    if (q->running < q->slots) {
-        q->running++;
+    if (q->running < q->slots &&
+        (!q->limit.is_limited ||
+         (q->queued == 0 && is_within_limit(q, now_us)))) {
+        start_request(q, r, now_us);
         return BB_GATE_QUEUE_RUN;
     }
     wait_us = expected_wait_us(q, r, now_us);
@@ -150,7 +209,8 @@
 
 /* Returns whether a queued request should be refused now: too little time is
  * left until its deadline, or it will miss its target while the queue holds
- * enough requests that can meet theirs (meeting_target) for all slots. */
+ * enough requests that can meet theirs (meeting_target) for all slots or, if
+ * the upstream is limited, for its next turn. */
 static bool
 should_refuse_queued(const struct bb_gate_queue *q,
                      const struct bb_gate_queue_item *r,
@@ -159,14 +219,15 @@
     if (now_us + min_time_us(q, r) >= r->deadline_us) {
         return true;
     }
-    return !r->is_nested && meeting_target >= q->slots &&
+    return !r->is_nested &&
+           meeting_target >= (q->limit.is_limited ? 1 : q->slots) &&
            !can_meet_target(q, r, now_us);
 }
 
 /* Removes the next queued request that is to run or to be refused, and sets
  * its id and decision; one to run takes a slot. Returns false if there is
- * none. Call it after each event and at bb_gate_queue_next_refusal_us, until
- * it returns false. */
+ * none. Call it after each event and at bb_gate_queue_next_due_us, until it
+ * returns false. */
 bool
 bb_gate_queue_take_next(struct bb_gate_queue *q, uint64_t now_us, uint64_t *id,
                         enum bb_gate_queue_decision *decision)
@@ -191,13 +252,14 @@
             best = i;
         }
     }
-    if (q->queued == 0 || q->running >= q->slots) {
+    if (q->queued == 0 || q->running >= q->slots ||
+        !is_within_limit(q, now_us)) {
         return false;
     }
     *id = q->queue[best].id;
     *decision = BB_GATE_QUEUE_RUN;
+    start_request(q, &q->queue[best], now_us);
     remove_queued(q, best);
-    q->running++;
     return true;
 }
 
@@ -241,9 +303,10 @@
 }
 
 /* Returns the earliest time at which a queued request may have to be refused
- * because its deadline is too near, or 0 if the queue is empty. */
+ * because its deadline is too near, or may start because the limit allows it;
+ * 0 if the queue is empty. */
 uint64_t
-bb_gate_queue_next_refusal_us(const struct bb_gate_queue *q)
+bb_gate_queue_next_due_us(const struct bb_gate_queue *q, uint64_t now_us)
 {
     uint64_t due_us = 0;
 
@@ -256,5 +319,19 @@
             due_us = at_us;
         }
     }
+    if (q->queued > 0 && q->running < q->slots) {
+        uint64_t turn_us =
+            now_us + bb_upstream_limit_wait_us(&q->limit, 0, now_us);
+
+        due_us = turn_us < due_us ? turn_us : due_us;
+    }
     return due_us;
 }
+
+/* Returns how long an arriving request would wait for its turn under the
+ * limit, behind all that are queued; 0 without a limit. */
+uint64_t
+bb_gate_queue_limit_wait_us(const struct bb_gate_queue *q, uint64_t now_us)
+{
+    return bb_upstream_limit_wait_us(&q->limit, q->queued, now_us);
+}
--- a/include/decide/balance.h
+++ b/include/decide/balance.h
@@ -82,7 +82,10 @@
     uint64_t reported_us;         /* time of the last report; 0: none yet */
     uint32_t in_flight;           /* this node's attempts without a response */
     uint32_t in_flight_at_report; /* in_flight at reported_us */
-    uint64_t warm_at_us;          /* the upstream runs slower until then */
+    bool is_limited;              /* the upstream states a limit */
+    uint32_t limit_mrps;    /* reported, thousandths of a request a second */
+    uint64_t limit_wait_us; /* for a request that arrived at the report */
+    uint64_t warm_at_us;    /* the upstream runs slower until then */
     uint64_t suspended_until_us;
     uint64_t last_suspension_us; /* its duration; 0: none since a response */
     /* Moving average of the response time by class index; 0: none yet. */
@@ -117,6 +120,10 @@
                               uint32_t queued, uint32_t slots,
                               uint32_t mean_duration_us,
                               uint32_t failure_permille, uint64_t now_us);
+void bb_gate_view_update_limit(struct bb_gate_view *v, bool is_limited,
+                               uint32_t limit_mrps, uint64_t limit_wait_us);
+uint64_t bb_balance_limit_wait_us(const struct bb_gate_view *v,
+                                  uint64_t now_us);
 void bb_gate_view_add_latency(struct bb_gate_view *v, uint32_t class_index,
                               uint64_t latency_us);
 void bb_gate_view_suspend(struct bb_gate_view *v, uint64_t now_us);
--- a/include/decide/gate_queue.h
+++ b/include/decide/gate_queue.h
@@ -3,6 +3,10 @@
  * request runs at once if a slot is free. Otherwise it waits if its response
  * can be expected in time, or is refused at once.
  *
+ * An upstream that states a limit gets no more requests a second than that,
+ * whatever its slots. The most urgent go first, but the other priorities with
+ * requests in the queue get a share of the rate, so that none starves.
+ *
  * Requests leave the queue by priority; within a priority, those that can
  * still finish by their target end go first, in order of target end, then the
  * others in order of deadline.
@@ -15,9 +19,15 @@
 #include <stdint.h>
 
 #include "decide/balance.h"
+#include "decide/upstream_limit.h"
 
 enum {
     BB_GATE_QUEUE_MAX = 512,
+    /* Priorities that are told apart; the last stands for all after it. */
+    BB_GATE_QUEUE_PRIORITIES = 8,
+    /* A priority that was passed over for so many requests of a limited
+     * upstream goes first. */
+    BB_GATE_QUEUE_STARVED_REQUESTS = 8,
     /* Weight of the newest duration in the moving averages. */
     BB_GATE_QUEUE_EWMA_PERCENT = 10,
     /* Share of the time left until the target that the expected wait may take:
@@ -62,6 +72,9 @@
     /* Moving average over all request classes. At first it is
      * BB_GATE_QUEUE_DEFAULT_DURATION_US. */
     uint64_t overall_mean_us;
+    struct bb_upstream_limit limit;
+    /* Time of the latest start by priority. */
+    uint64_t started_us[BB_GATE_QUEUE_PRIORITIES];
     struct bb_gate_queue_item queue[BB_GATE_QUEUE_MAX];
 };
 
@@ -77,6 +90,9 @@
 bool bb_gate_queue_cancel(struct bb_gate_queue *q, uint64_t id);
 void bb_gate_queue_finish(struct bb_gate_queue *q, uint32_t class_index,
                           uint64_t duration_us, bool is_success);
-uint64_t bb_gate_queue_next_refusal_us(const struct bb_gate_queue *q);
+uint64_t bb_gate_queue_next_due_us(const struct bb_gate_queue *q,
+                                   uint64_t now_us);
+uint64_t bb_gate_queue_limit_wait_us(const struct bb_gate_queue *q,
+                                     uint64_t now_us);
 
 #endif
--- a/include/path/directory.h
+++ b/include/path/directory.h
@@ -10,6 +10,7 @@
 #include "common/address.h"
 #include "decide/balance.h"
 #include "decide/retry_window.h"
+#include "decide/upstream_limit.h"
 #include "fleet/instances.h"
 
 /* Gates considered for one request; further ones of a service are ignored.
@@ -33,6 +34,7 @@
     char *name;
     GPtrArray *gates; /* struct bb_gate_record, owned by the directory */
     struct bb_retry_window retry_window; /* retries against the retry budget */
+    struct bb_return_schedule returns;   /* of callers refused by a limit */
 };
 
 struct bb_directory *bb_directory_create(const char *gate_address,
--- a/include/path/gate.h
+++ b/include/path/gate.h
@@ -36,6 +36,8 @@
  * - mean duration; 0: unknown
  * - failure rate in permille, 0 to 1000
  * - time of this request at the upstream; 0 if the gate itself responded
+ * - only if the upstream states a limit: the limit in thousandths of a request
+ *   a second, and how long an arriving request would wait for its turn
  *
  * Refused: reason; the request did not run. Failed: reason; it may have run.
  */
@@ -43,7 +45,7 @@
     "Baobab-Call" /* service priority class target_ms wait_ms flags */
 #define BB_GATE_HEADER_LOAD                                                   \
     "Baobab-Load" /* running queued slots mean_duration_us failure_permille   \
-                     upstream_us */
+                     upstream_us [limit_mrps limit_wait_us] */
 #define BB_GATE_HEADER_REFUSED "Baobab-Refused"
 #define BB_GATE_HEADER_FAILED "Baobab-Failed"
 
@@ -60,6 +62,9 @@
     /* How long a new gate waits for bb_gate_restore before it admits requests;
      * longer than a node takes to find a control host that responds. */
     BB_GATE_RESTORE_TIMEOUT_MS = 1500,
+    /* A limit that the upstream stated longer ago is checked at its next
+     * announcement. */
+    BB_GATE_LIMIT_CHECK_MS = 2000,
     /* Weight of the newest response in the moving average of the share of
      * failures, which thus follows about the last 12 responses. */
     BB_GATE_FAILURE_WEIGHT_PERMILLE = 80,
--- a/path/attempt.c
+++ b/path/attempt.c
@@ -9,6 +9,9 @@
 #include "entry_internal.h"
 #include "path/gate.h"
 
+/* Numbers in the load field of a gate, without and with a limit. */
+enum { LOAD_FIELDS = 6, LOAD_FIELDS_LIMITED = 8 };
+
 BB_COUNTER(tries_total, "baobab_entry_tries_total", "Sends to gates");
 BB_COUNTER(retries_total, "baobab_entry_repeats_total",
            "Requests sent again after they may have reached an upstream");
@@ -214,15 +217,24 @@
     unsigned mean_duration_us = 0;
     unsigned failure_permille = 0;
     unsigned long long upstream_us = 0;
+    unsigned limit_mrps = 0;
+    unsigned long long limit_wait_us = 0;
+    int count;
 
-    if (g == NULL || text == NULL ||
-        sscanf(text, "%u %u %u %u %u %llu", &running, &queued, &slots,
-               &mean_duration_us, &failure_permille, &upstream_us) != 6) {
+    if (g == NULL || text == NULL) {
+        return;
+    }
+    count = sscanf(text, "%u %u %u %u %u %llu %u %llu", &running, &queued,
+                   &slots, &mean_duration_us, &failure_permille, &upstream_us,
+                   &limit_mrps, &limit_wait_us);
+    if (count < LOAD_FIELDS) {
         return;
     }
     bb_gate_view_update_load(&g->view, running, queued, slots,
                              mean_duration_us, failure_permille,
                              bb_clock_now_us());
+    bb_gate_view_update_limit(&g->view, count == LOAD_FIELDS_LIMITED,
+                              limit_mrps, limit_wait_us);
     a->upstream_us = upstream_us;
     bb_gate_view_resume(&g->view);
 }
@@ -244,7 +256,9 @@
                              load != NULL ? load : "");
     rq->is_refused_late =
         rq->is_refused_late || (a->is_refused && strcmp(reason, "late") == 0);
-    if (a->is_refused && strcmp(reason, "full") == 0) {
+    if (a->is_refused &&
+        (strcmp(reason, "full") == 0 ||
+         (strcmp(reason, "limit") == 0 && a->max_wait_us != UINT64_MAX))) {
         add_gate(rq->full_gates, &rq->full_count, a->gate_address);
     }
     else {
@@ -359,9 +373,46 @@
            rq->deadline_us;
 }
 
+/* Sums the limits of a service's ready gates. Returns 0 if one of them has
+ * none, or if no gate is ready. */
+static uint64_t
+sum_limits_mrps(const struct bb_service_record *service)
+{
+    uint64_t sum_mrps = 0;
+
+    for (guint i = 0; i < service->gates->len; i++) {
+        const struct bb_gate_record *g = g_ptr_array_index(service->gates, i);
+
+        if (g->view.is_ready && !g->view.is_limited) {
+            return 0;
+        }
+        sum_mrps += g->view.is_ready ? g->view.limit_mrps : 0;
+    }
+    return sum_mrps;
+}
+
+/* Returns the time until a refused caller should come back if the service is
+ * limited as a whole: callers return one after the other at the part of the
+ * rate that falls to this node. */
+static uint64_t
+take_return_us(struct entry_request *rq, uint64_t wait_us, uint64_t now_us)
+{
+    uint64_t sum_mrps = sum_limits_mrps(rq->service);
+    uint32_t hosts = bb_directory_gate_count(rq->entry->settings.directory);
+
+    if (sum_mrps == 0 || hosts == 0) {
+        return wait_us;
+    }
+    return bb_return_schedule_take(
+        &rq->service->returns,
+        (uint32_t)CLAMP(sum_mrps / hosts, (uint64_t)1, (uint64_t)UINT32_MAX),
+        wait_us, now_us);
+}
+
 /* Returns the Retry-After for a refused caller: the shortest expected wait at
  * a ready gate, plus up to half of it at random, so that callers do not return
- * at the same time. */
+ * at the same time. It is longer if the rate of a limited service requires it.
+ */
 static uint32_t
 choose_retry_after_ms(struct entry_request *rq)
 {
@@ -379,7 +430,9 @@
     }
     ms = CLAMP(best_us / BB_US_PER_MS, (uint64_t)BB_ENTRY_RETRY_AFTER_MIN_MS,
                (uint64_t)BB_ENTRY_RETRY_AFTER_MAX_MS);
-    return (uint32_t)(ms + bb_random_global_u64() % (ms / 2 + 1));
+    ms += bb_random_global_u64() % (ms / 2 + 1);
+    return (uint32_t)(take_return_us(rq, ms * BB_US_PER_MS, now_us) /
+                      BB_US_PER_MS);
 }
 
 /* Moves a 5xx response from the attempt to the request, which holds it until
@@ -614,13 +667,16 @@
         rq->id,
         "\"gate\":\"%s\",\"instance\":\"%s\",\"distance\":%u,"
         "\"wait_max_ms\":%u,\"running\":%u,\"queued\":%u,\"slots\":%u,"
-        "\"in_flight\":%u,\"failing\":%u,\"report_age_ms\":%d",
+        "\"in_flight\":%u,\"failing\":%u,\"report_age_ms\":%d,"
+        "\"limit_mrps\":%d",
         g->address_text, g->upstream_id, g->view.distance, max_wait_ms(a),
         g->view.running, g->view.queued, g->view.slots, g->view.in_flight,
         g->view.failure_permille,
         g->view.reported_us != 0
             ? (int)((now_us - g->view.reported_us) / BB_US_PER_MS)
-            : -1);
+            : -1,
+        g->view.is_limited ? (int)MIN(g->view.limit_mrps, (uint32_t)INT32_MAX)
+                           : -1);
 }
 
 /* Sends the request to a gate. Returns false if less than a millisecond is
@@ -670,6 +726,16 @@
     return true;
 }
 
+/* Returns why no gate of a service can be chosen. */
+static const char *
+no_gate_reason(const struct bb_service_record *service)
+{
+    if (service->gates->len == 0) {
+        return "no_upstream";
+    }
+    return sum_limits_mrps(service) != 0 ? "limit" : "no_gate_left";
+}
+
 /* Sends the request to the best remaining gate. Responds to the request and
  * destroys it if there is none, BB_ENTRY_ATTEMPTS_MAX are used up, no time is
  * left, or no connection could be created; the last two are given up as
@@ -685,8 +751,7 @@
     struct bb_http_exchange *x = rq->exchange;
 
     if (g == NULL) {
-        give_up(rq,
-                rq->service->gates->len == 0 ? "no_upstream" : "no_gate_left");
+        give_up(rq, no_gate_reason(rq->service));
         return;
     }
     rq->is_body_streamed = rq->is_body_streamed || !x->is_body_complete;
--- a/path/entry.c
+++ b/path/entry.c
@@ -56,12 +56,12 @@
     const char *reason;
     struct bb_counter counter;
 } local_responses[] = {
-    LOCAL_RESPONSE("deadline"),         LOCAL_RESPONSE("late"),
-    LOCAL_RESPONSE("long_body"),        LOCAL_RESPONSE("lost"),
-    LOCAL_RESPONSE("no_configuration"), LOCAL_RESPONSE("no_gate_left"),
-    LOCAL_RESPONSE("no_request_id"),    LOCAL_RESPONSE("no_route"),
-    LOCAL_RESPONSE("no_upstream"),      LOCAL_RESPONSE("stopping"),
-    LOCAL_RESPONSE("upstream_refused"),
+    LOCAL_RESPONSE("limit"),        LOCAL_RESPONSE("deadline"),
+    LOCAL_RESPONSE("late"),         LOCAL_RESPONSE("long_body"),
+    LOCAL_RESPONSE("lost"),         LOCAL_RESPONSE("no_configuration"),
+    LOCAL_RESPONSE("no_gate_left"), LOCAL_RESPONSE("no_request_id"),
+    LOCAL_RESPONSE("no_route"),     LOCAL_RESPONSE("no_upstream"),
+    LOCAL_RESPONSE("stopping"),     LOCAL_RESPONSE("upstream_refused"),
 };
 
 /* Registers the counters, which are in a table, before main runs. */
--- a/path/gate.c
+++ b/path/gate.c
@@ -37,6 +37,7 @@
     struct bb_counter
 
 REFUSED_COUNTER(refused_full, "full");
+REFUSED_COUNTER(refused_limit, "limit");
 REFUSED_COUNTER(refused_late, "late");
 REFUSED_COUNTER(refused_not_ready, "not_ready");
 REFUSED_COUNTER(refused_other_service, "other_service");
@@ -73,7 +74,6 @@
     struct bb_connection_pool *pool;
     struct bb_upstream upstream;
     struct bb_upstream_check *check;
-    struct bb_upstream_limit limit;
     uint32_t upstream_run; /* counts the runs of the upstream */
     struct bb_gate_queue queue;
     GHashTable *queued; /* queue_item.id to struct gate_request */
@@ -140,11 +140,16 @@
     bool is_open = is_upstream_ready(g) && !g->is_stopping;
 
     g_string_append_printf(
-        fields,
-        BB_GATE_HEADER_LOAD ": %u %u %u %u %u %" G_GUINT64_FORMAT "\r\n",
+        fields, BB_GATE_HEADER_LOAD ": %u %u %u %u %u %" G_GUINT64_FORMAT,
         g->queue.running, g->queue.queued, is_open ? g->queue.slots : 0,
         (unsigned)MIN(g->queue.overall_mean_us, (uint64_t)UINT32_MAX),
         g->failure_permille, upstream_us);
+    if (g->queue.limit.is_limited) {
+        g_string_append_printf(
+            fields, " %u %" G_GUINT64_FORMAT, g->queue.limit.rate_mrps,
+            bb_gate_queue_limit_wait_us(&g->queue, bb_clock_now_us()));
+    }
+    g_string_append(fields, "\r\n");
 }
 
 /* Frees the slot of a request that was sent to the upstream. took_us updates
@@ -173,17 +178,22 @@
     bb_counter_add(counter, 1);
     g_string_append_printf(fields, "%s\r\n", reason);
     append_load_field(g, 0, fields);
-    bb_event_log_format_line(line, "gate.refused", id,
-                             "\"reason\":\"%s\",\"running\":%u,\"queued\":%u,"
-                             "\"slots\":%u,\"state\":\"%s\",\"mean_us\":%u",
-                             reason, g->queue.running, g->queue.queued,
-                             g->queue.slots,
-                             bb_instance_state_name(g->upstream.state),
-                             (unsigned)g->queue.overall_mean_us);
-    /* "full" is ordinary: the entry node logs it too and tries another gate.
-     */
-    bb_event_log_write(counter == &refused_full ? BB_EVENT_ORDINARY
-                                                : BB_EVENT_FAILURE,
+    bb_event_log_format_line(
+        line, "gate.refused", id,
+        "\"reason\":\"%s\",\"running\":%u,\"queued\":%u,"
+        "\"slots\":%u,\"state\":\"%s\",\"mean_us\":%u,"
+        "\"limit_mrps\":%d",
+        reason, g->queue.running, g->queue.queued, g->queue.slots,
+        bb_instance_state_name(g->upstream.state),
+        (unsigned)g->queue.overall_mean_us,
+        g->queue.limit.is_limited
+            ? (int)MIN(g->queue.limit.rate_mrps, (uint32_t)INT32_MAX)
+            : -1);
+    /* "full" and "limit" are ordinary: the entry node logs them too and tries
+     * another gate. */
+    bb_event_log_write(counter == &refused_full || counter == &refused_limit
+                           ? BB_EVENT_ORDINARY
+                           : BB_EVENT_FAILURE,
                        line->str, line->len);
     g_string_free(line, TRUE);
     bb_http_exchange_respond(x, 503, fields, NULL, 0);
@@ -282,7 +292,7 @@
 static void
 log_limit(const struct bb_gate *g)
 {
-    const struct bb_upstream_limit *l = &g->limit;
+    const struct bb_upstream_limit *l = &g->queue.limit;
 
     bb_counter_set(&limited_gauge, l->is_limited);
     bb_counter_set(&limit_gauge, l->rate_mrps);
@@ -305,9 +315,10 @@
     bool was_ready = is_upstream_ready(g);
     bool was_leaving = g->upstream.is_leaving;
 
-    if (bb_upstream_limit_update(&g->limit, &r->limit, sent_us,
+    if (bb_upstream_limit_update(&g->queue.limit, &r->limit, sent_us,
                                  bb_clock_now_us())) {
         log_limit(g);
+        process_queue(g);
     }
     bb_upstream_apply_report(&g->upstream, r);
     if (was_leaving != g->upstream.is_leaving) {
@@ -501,6 +512,28 @@
     process_queue(t->data);
 }
 
+/* Refuses a request that cannot be served in time, at this gate or, with a
+ * limit on its wait, soon enough. After "full" and "limit" the entry tries
+ * another gate, after "late" it does not. */
+static void
+refuse_late_request(struct gate_request *rq, uint64_t max_wait_us)
+{
+    struct bb_gate *g = rq->gate;
+    bool is_limit =
+        g->queue.limit.is_limited && g->queue.running < g->queue.slots;
+
+    if (is_limit) {
+        refuse_request(g, rq->exchange, rq->request_id, &refused_limit,
+                       "limit");
+    }
+    else if (max_wait_us == UINT64_MAX) {
+        refuse_request(g, rq->exchange, rq->request_id, &refused_late, "late");
+    }
+    else {
+        refuse_request(g, rq->exchange, rq->request_id, &refused_full, "full");
+    }
+}
+
 /* Sends or refuses the queued requests that are due, and sets the timer for
  * those that stay queued. */
 static void
@@ -519,12 +552,11 @@
             send_to_upstream(rq);
         }
         else {
-            refuse_request(g, rq->exchange, rq->request_id, &refused_late,
-                           "late");
+            refuse_late_request(rq, UINT64_MAX);
             free_request(rq);
         }
     }
-    due_us = bb_gate_queue_next_refusal_us(&g->queue);
+    due_us = bb_gate_queue_next_due_us(&g->queue, now_us);
     if (due_us == 0) {
         (void)uv_timer_stop(&g->timer);
         return;
@@ -621,7 +653,6 @@
     struct gate_request *rq = g_new0(struct gate_request, 1);
     struct bb_counter *counter = &refused_malformed;
     const char *reason = NULL;
-    bool is_late;
     uint64_t max_wait_us = 0;
 
     rq->gate = g;
@@ -649,13 +680,7 @@
         process_queue(g);
         break;
     case BB_GATE_QUEUE_REFUSE:
-        /* After "full" the entry tries another gate, after "late" it does not.
-         * Without a limit on the wait, the request is not expected to be
-         * served in time, or the queue has BB_GATE_QUEUE_MAX requests. */
-        is_late = max_wait_us == UINT64_MAX;
-        refuse_request(g, x, rq->request_id,
-                       is_late ? &refused_late : &refused_full,
-                       is_late ? "late" : "full");
+        refuse_late_request(rq, max_wait_us);
         free_request(rq);
         break;
     }
@@ -717,35 +742,21 @@
     .output_drained = on_entry_writable,
     .disconnected = on_entry_disconnected};
 
-/* Handles a result of the health check. */
-static void
-on_check_done(void *context, enum bb_upstream_check_result result,
-              const struct bb_upstream_report *report, uint64_t sent_us)
+/* Returns whether the upstream stated its limit so long ago, as it has got no
+ * request since, that it is to be asked again. */
+static bool
+is_limit_old(const struct bb_gate *g)
 {
-    struct bb_gate *g = context;
-    bool was_ready = is_upstream_ready(g);
+    const struct bb_upstream_limit *l = &g->queue.limit;
 
-    switch (result) {
-    case BB_UPSTREAM_CHECK_HEALTHY:
-        bb_upstream_confirm(&g->upstream);
-        g->is_unreachable = false;
-        if (!was_ready && is_upstream_ready(g)) {
-            apply_upstream_state(g);
-        }
-        break;
-    case BB_UPSTREAM_CHECK_LEAVING:
-    case BB_UPSTREAM_CHECK_REFUSED:
-        break;
-    case BB_UPSTREAM_CHECK_UNREACHABLE:
-        mark_unreachable(g);
-        return;
-    }
-    apply_report(g, report, sent_us);
+    return l->is_limited &&
+           bb_clock_now_us() - l->named_us >=
+               (uint64_t)BB_GATE_LIMIT_CHECK_MS * BB_US_PER_MS;
 }
 
 /* Starts a health check if the upstream itself has to say whether it takes
  * requests: it has announced that it is ready, but this is not confirmed, or
- * it said in its last response that it leaves. */
+ * it said in its last response that it leaves, or its limit is old. */
 static void
 check_upstream(struct bb_gate *g)
 {
@@ -754,7 +765,8 @@
         g->settings.find_health_path(g->settings.context, u->service);
 
     if (u->state != BB_INSTANCE_NONE && !u->has_drained &&
-        (!u->is_confirmed || u->is_leaving) && path != NULL) {
+        (!u->is_confirmed || u->is_leaving || is_limit_old(g)) &&
+        path != NULL) {
         bb_upstream_check_start(g->check, u->id, path);
     }
     else {
@@ -762,6 +774,33 @@
     }
 }
 
+/* Handles a result of the health check, which counts against the limit like
+ * any request. */
+static void
+on_check_done(void *context, enum bb_upstream_check_result result,
+              const struct bb_upstream_report *report, uint64_t sent_us)
+{
+    struct bb_gate *g = context;
+    bool was_ready = is_upstream_ready(g);
+
+    if (result == BB_UPSTREAM_CHECK_UNREACHABLE) {
+        mark_unreachable(g);
+        return;
+    }
+    if (result == BB_UPSTREAM_CHECK_HEALTHY) {
+        bb_upstream_confirm(&g->upstream);
+        g->is_unreachable = false;
+        if (!was_ready && is_upstream_ready(g)) {
+            apply_upstream_state(g);
+        }
+    }
+    bb_upstream_limit_count(&g->queue.limit, bb_clock_now_us());
+    apply_report(g, report, sent_us);
+    if (result == BB_UPSTREAM_CHECK_REFUSED) {
+        check_upstream(g); /* it may have said enough */
+    }
+}
+
 /* Prepares for another run of the upstream. */
 static void
 begin_upstream_run(struct bb_gate *g)
@@ -770,8 +809,8 @@
     bb_upstream_check_stop(g->check);
     bb_connection_pool_close_idle(g->pool, &g->settings.upstream_address);
     g->failure_permille = 0;
-    if (g->limit.is_limited) {
-        g->limit = (struct bb_upstream_limit){0};
+    if (g->queue.limit.is_limited) {
+        g->queue.limit = (struct bb_upstream_limit){0};
         log_limit(g);
     }
 }
@@ -945,6 +984,9 @@
         v, g->queue.running, g->queue.queued, g->queue.slots,
         (uint32_t)MIN(g->queue.overall_mean_us, (uint64_t)UINT32_MAX),
         g->failure_permille, now_us);
+    bb_gate_view_update_limit(v, g->queue.limit.is_limited,
+                              g->queue.limit.rate_mrps,
+                              bb_gate_queue_limit_wait_us(&g->queue, now_us));
 }
 
 /* Frees the gate once libuv has closed its timer. */
--- a/tests/decide/test_upstream_limit.c
+++ b/tests/decide/test_upstream_limit.c
@@ -1,4 +1,10 @@
-/* Tests which limit of an upstream holds and what it allows. */
+/* Tests which limit of an upstream holds and what it allows: load on an
+ * upstream that is degraded and states how many requests a second it takes,
+ * while callers go on sending at the usual rate. */
+#include <glib.h>
+
+#include "decide/balance.h"
+#include "decide/gate_queue.h"
 #include "decide/upstream_limit.h"
 #include "unit.h"
 
@@ -140,10 +146,146 @@
     }
 }
 
+enum {
+    CLASSES = 2, /* a more and a less urgent one */
+    ARRIVAL_US = 50 * 1000,
+    TARGET_US = 800 * 1000,
+    DEADLINE_US = 2000 * 1000,
+    RUN_US = 20 * 1000,
+    QUEUE_SLOTS = 16
+};
+
+/* What became of the requests of a class. */
+struct outcome {
+    uint32_t started;
+    uint32_t refused;
+    uint64_t wait_max_us; /* of a refused or started one */
+};
+
+/* Plays 40 s in which each class sends 20 requests a second to a queue whose
+ * upstream takes 10, and runs each for 20 ms. Class 0 sends only from
+ * urgent_from_us on. */
+static void
+play_overload(uint64_t urgent_from_us, struct outcome outcomes[CLASSES])
+{
+    struct bb_gate_queue *q = g_new(struct bb_gate_queue, 1);
+    uint64_t arrived_us[64] = {0};
+    uint64_t ends_us[QUEUE_SLOTS] = {0};
+    uint64_t id = 0;
+
+    bb_gate_queue_init(q, QUEUE_SLOTS);
+    name_limit(&q->limit, 10000, 1, 1);
+    for (uint64_t now_us = 1000; now_us < 40 * SECOND_US; now_us += 1000) {
+        enum bb_gate_queue_decision decision;
+        uint64_t next = 0;
+
+        for (uint32_t i = 0; i < QUEUE_SLOTS; i++) {
+            if (ends_us[i] != 0 && ends_us[i] <= now_us) {
+                ends_us[i] = 0;
+                bb_gate_queue_finish(q, 0, RUN_US, true);
+            }
+        }
+        for (uint32_t c = 0; now_us % ARRIVAL_US == 0 && c < CLASSES; c++) {
+            const struct bb_gate_queue_item r = {
+                .id = ++id * CLASSES + c,
+                .priority = c,
+                .target_end_us = now_us + TARGET_US,
+                .deadline_us = now_us + DEADLINE_US};
+
+            if (c == 0 && now_us < urgent_from_us) {
+                continue;
+            }
+            arrived_us[id % 64] = now_us;
+            decision = bb_gate_queue_arrive(q, &r, UINT64_MAX, now_us);
+            outcomes[c].refused += decision == BB_GATE_QUEUE_REFUSE;
+            outcomes[c].started += decision == BB_GATE_QUEUE_RUN;
+            if (decision == BB_GATE_QUEUE_RUN) {
+                ends_us[id % QUEUE_SLOTS] = now_us + RUN_US;
+            }
+        }
+        while (bb_gate_queue_take_next(q, now_us, &next, &decision)) {
+            struct outcome *o = &outcomes[next % CLASSES];
+            uint64_t wait_us = now_us - arrived_us[next / CLASSES % 64];
+
+            o->started += decision == BB_GATE_QUEUE_RUN;
+            o->refused += decision == BB_GATE_QUEUE_REFUSE;
+            o->wait_max_us = MAX(o->wait_max_us, wait_us);
+            if (decision == BB_GATE_QUEUE_RUN) {
+                ends_us[next / CLASSES % QUEUE_SLOTS] = now_us + RUN_US;
+            }
+        }
+    }
+    g_free(q);
+}
+
+/* Guards against: a limit that is exceeded or not used, urgent requests behind
+ * less urgent ones, a class that starves, and requests that are kept waiting
+ * only to be refused. */
+static void
+test_overload(void)
+{
+    struct outcome o[CLASSES] = {0};
+
+    play_overload(0, o);
+    CU_ASSERT_TRUE(o[0].started + o[1].started <= 404);
+    CU_ASSERT_TRUE(o[0].started + o[1].started >= 395);
+    CU_ASSERT_TRUE(o[0].started >= 3 * o[1].started);
+    CU_ASSERT_TRUE(o[1].started >= 400 / 10);
+    CU_ASSERT_TRUE(o[0].wait_max_us <= TARGET_US);
+    CU_ASSERT_TRUE(o[1].wait_max_us <= TARGET_US);
+    CU_ASSERT_TRUE(o[0].refused + o[1].refused > 1000);
+}
+
+/* Guards against: the whole rate for a class that has it to itself being
+ * withheld. */
+static void
+test_single_class(void)
+{
+    struct outcome o[CLASSES] = {0};
+
+    play_overload(UINT64_MAX, o);
+    CU_ASSERT_TRUE(o[1].started <= 404);
+    CU_ASSERT_TRUE(o[1].started >= 395);
+}
+
+/* Guards against: entries that send requests to a limited upstream where they
+ * would be refused, that never come back to it, or that hedge there. */
+static void
+test_choice_of_gate(void)
+{
+    struct bb_gate_view limited = {.is_ready = true, .slots = 8};
+    struct bb_gate_view far = {
+        .distance = BB_GATE_SAME_REGION, .is_ready = true, .slots = 8};
+    const struct bb_gate_view *views[] = {&limited, &far};
+    const struct bb_balance_request r = {.target_left_us = TARGET_US};
+
+    bb_gate_view_update_load(&limited, 0, 0, 8, 1000, 0, SECOND_US);
+    bb_gate_view_update_load(&far, 0, 0, 8, 1000, 0, SECOND_US);
+    CU_ASSERT_EQUAL(bb_balance_pick(views, 2, &r, 0, SECOND_US), 0);
+    CU_ASSERT_TRUE(bb_balance_can_hedge(&limited, SECOND_US));
+    bb_gate_view_update_limit(&limited, true, 2000, 0);
+    CU_ASSERT_EQUAL(bb_balance_pick(views, 2, &r, 0, SECOND_US), 0);
+    CU_ASSERT_FALSE(bb_balance_can_hedge(&limited, SECOND_US));
+    bb_gate_view_update_limit(&limited, true, 2000, TARGET_US);
+    CU_ASSERT_EQUAL(bb_balance_pick(views, 2, &r, 0, SECOND_US), 1);
+    CU_ASSERT_EQUAL(bb_balance_pick(views, 1, &r, 0, SECOND_US), -1);
+    CU_ASSERT_TRUE(bb_balance_wait_us(&limited, SECOND_US) == TARGET_US);
+    CU_ASSERT_EQUAL(bb_balance_pick(views, 2, &r, 0, SECOND_US + TARGET_US),
+                    0);
+    limited.in_flight = 3; /* turns that are taken since the report */
+    CU_ASSERT_EQUAL(bb_balance_pick(views, 2, &r, 0, SECOND_US + TARGET_US),
+                    1);
+}
+
 static const struct bb_unit_test tests[] = {
-    {"rate", test_rate},       {"wait", test_wait},
-    {"changes", test_changes}, {"limit 0", test_limit_zero},
+    {"rate", test_rate},
+    {"wait", test_wait},
+    {"changes", test_changes},
+    {"limit 0", test_limit_zero},
     {"returns", test_returns},
+    {"overload", test_overload},
+    {"single class", test_single_class},
+    {"choice of a gate", test_choice_of_gate},
 };
 
 BB_UNIT_MAIN("upstream_limit", tests)
--- a/tests/path/fixture.c
+++ b/tests/path/fixture.c
@@ -36,8 +36,15 @@
 static void
 read_report(const struct bb_http_head *h, struct bb_upstream_report *out)
 {
+    const char *limit = bb_http_head_get(h, T_LIMIT);
+
     *out = (struct bb_upstream_report){
         .is_leaving = bb_http_head_get(h, T_LEAVING) != NULL};
+    if (limit != NULL) {
+        out->limit = (struct bb_limit_report){
+            .statement = BB_LIMIT_NAMED,
+            .rate_mrps = (uint32_t)atoi(limit) * 1000};
+    }
 }
 
 static const struct bb_dialect dialect = {
--- a/tests/path/fixture.h
+++ b/tests/path/fixture.h
@@ -24,6 +24,7 @@
 #define T_NOT_RUN "T-Not-Run"
 #define T_CALLER "T-Caller"
 #define T_LEAVING "T-Leaving"
+#define T_LIMIT "T-Limit" /* requests a second */
 
 /* What the upstream does with the connection after a response. */
 enum connection_action {
--- a/tests/path/test_path.c
+++ b/tests/path/test_path.c
@@ -2,6 +2,7 @@
  * names the failure that a test guards against. */
 #include <string.h>
 
+#include "common/clock.h"
 #include "common/counters.h"
 #include "fixture.h"
 #include "unit.h"
@@ -607,6 +608,55 @@
     fixture_close(&b);
 }
 
+static struct scripted_response
+respond_limited(struct upstream *u, uint32_t number,
+                const struct bb_http_head *h)
+{
+    (void)u;
+    (void)number;
+    (void)h;
+    return (struct scripted_response){
+        .text = "HTTP/1.1 200 OK\r\nT-Id: {id}\r\nT-Seal: s\r\n" T_LIMIT
+                ": 2\r\nContent-Length: 4\r\n\r\nbody"};
+}
+
+/* Guards against: requests beyond the limit of an upstream while another one
+ * is sound, and callers that are kept waiting once both are limited, or that
+ * are not told when to come back. */
+static void
+test_limited_upstreams(void)
+{
+    struct path_fixture b;
+    struct client *c;
+    uint64_t start_us;
+
+    fixture_open(&b);
+    fixture_set_rules(&b, 400, 2);
+    b.upstreams[0].script = respond_limited;
+    c = client_open(&b);
+    for (uint32_t i = 0; i < 40; i++) {
+        client_send(c, SAFE("a1") "\r\n");
+        fixture_run(&b, 20);
+    }
+    CU_ASSERT_EQUAL(client_count(c, "body"), 40);
+    CU_ASSERT_TRUE(b.upstreams[0].requests <= 4);
+    b.upstreams[1].script = respond_limited;
+    for (uint32_t i = 0; i < 20; i++) {
+        client_send(c, SAFE("a2") "\r\n");
+        fixture_run(&b, 20);
+    }
+    CU_ASSERT_TRUE(b.upstreams[0].requests + b.upstreams[1].requests <= 52);
+    g_string_truncate(c->received, 0);
+    start_us = bb_clock_now_us();
+    client_send(c, SAFE("a3") "\r\n" SAFE("a4") "\r\n" SAFE("a5") "\r\n");
+    CU_ASSERT_TRUE(fixture_wait_text(&b, c, "HTTP/1.1 503", 200));
+    CU_ASSERT_TRUE(bb_clock_now_us() - start_us < 200 * BB_US_PER_MS);
+    CU_ASSERT_PTR_NOT_NULL(strstr(c->received->str, "Retry-After: "));
+    CU_ASSERT_PTR_NOT_NULL(strstr(c->received->str, "limit"));
+    client_free(c);
+    fixture_close(&b);
+}
+
 /* Guards against: requests that are lost on idle connections that the upstream
  * has dropped unnoticed. None that must not run twice may be lost, and of
  * idempotent ones at most one for each upstream. */
@@ -904,6 +954,7 @@
     {"restarted gate of a leaving upstream",
      test_restarted_gate_of_leaving_upstream},
     {"leaving response", test_leaving_response},
+    {"limited upstreams", test_limited_upstreams},
     {"pipelined requests", test_pipeline},
     {"long pipelined response", test_long_pipelined_response},
     {"queue", test_queue},
