gate: take a refusal only if it is that of the request

The gate accepted any response that states "not run", with any id.

A refusal with another id is now skipped like every response to another request. One without an id counts on a connection that carried no request before; elsewhere it proves nothing, and the outcome is unknown (502, unproven). The stand-in of the test "not run" now returns the id, as the platform says that upstreams do; what it checks is unchanged.

--- a/include/net/fetch.h
+++ b/include/net/fetch.h
@@ -81,6 +81,7 @@
 size_t bb_fetch_queued_bytes(const struct bb_fetch *f);
 void bb_fetch_pause(struct bb_fetch *f);
 void bb_fetch_resume(struct bb_fetch *f);
+bool bb_fetch_is_reused(const struct bb_fetch *f);
 void bb_fetch_cancel(struct bb_fetch *f);
 const char *bb_fetch_result_name(enum bb_fetch_result result);
 
--- a/net/fetch.c
+++ b/net/fetch.c
@@ -597,6 +597,13 @@
     bb_stream_resume(f->connection->stream);
 }
 
+/* Returns whether the connection has carried another request before. */
+bool
+bb_fetch_is_reused(const struct bb_fetch *f)
+{
+    return f->connection->idle_before_us != 0;
+}
+
 /* Cancels a request and frees it; no event follows. The connection is reset,
  * which tells the peer to stop. */
 void
--- a/path/gate.c
+++ b/path/gate.c
@@ -103,9 +103,10 @@
     char service[SERVICE_TEXT_BYTES]; /* that the entry expects here */
     bool is_chunked;
     bool is_not_idempotent; /* by its route; must not run twice */
-    bool is_retry;   /* an earlier attempt may have reached an upstream */
-    bool is_error;   /* the response has a status of 500 or above */
-    bool is_not_run; /* the upstream states that it did not run it */
+    bool is_retry;    /* an earlier attempt may have reached an upstream */
+    bool is_error;    /* the response has a status of 500 or above */
+    bool is_not_run;  /* the upstream states that it did not run it */
+    bool is_unproven; /* it may have stated that of an earlier request */
 };
 
 static void process_queue(struct bb_gate *g);
@@ -332,9 +333,10 @@
 
 /* Reads the head of a response. Status 421 (Misdirected Request) means that
  * the upstream did not run the request. Returns false for a response to
- * another request, which is skipped. One that states that the request did not
- * run is accepted with any id or none: an upstream that refuses a request need
- * not return its id. */
+ * another request, which is skipped: that has another id, or none and does not
+ * refuse the request. An upstream that refuses a request need not return its
+ * id; but on a connection that carried other requests, a refusal without an id
+ * may be that of one of them once more, and then proves nothing. */
 static bool
 on_response_head(void *context, const struct bb_http_head *h)
 {
@@ -346,9 +348,10 @@
         bb_http_head_get(h, names->not_run) != NULL || h->status == 421;
     struct bb_upstream_report report;
 
-    if (!is_not_run && (id == NULL || strcmp(id, rq->request_id) != 0)) {
-        return false; /* a response to another request */
+    if (id == NULL ? !is_not_run : strcmp(id, rq->request_id) != 0) {
+        return false;
     }
+    rq->is_unproven = id == NULL && bb_fetch_is_reused(rq->fetch);
     rq->is_not_run = is_not_run;
     rq->is_error = h->status >= 500;
     bb_response_relay_set_head(&rq->relay, h,
@@ -362,13 +365,16 @@
     return true;
 }
 
-/* Collects or streams a part of the response. Always returns true: whether the
- * response is of use is for the entry node to decide. */
+/* Collects or streams a part of the response. Declines one that is not passed
+ * on; whether others are of use is for the entry node to decide. */
 static bool
 on_response_body(void *context, const char *data, size_t size_bytes)
 {
     struct gate_request *rq = context;
 
+    if (rq->is_unproven) {
+        return false;
+    }
     if (bb_response_relay_append_body(&rq->relay, rq->exchange, data,
                                       size_bytes) &&
         bb_http_exchange_queued_bytes(rq->exchange) >
@@ -396,7 +402,7 @@
     struct gate_request *rq = context;
     struct bb_gate *g = rq->gate;
     uint64_t took_us = bb_clock_now_us() - rq->sent_us;
-    bool is_complete = result == BB_FETCH_COMPLETE;
+    bool is_complete = result == BB_FETCH_COMPLETE && !rq->is_unproven;
 
     release_slot(rq, took_us, is_complete && !rq->is_error && !rq->is_not_run);
     bb_histogram_observe(is_complete ? &upstream_time : &lost_time, took_us);
@@ -415,7 +421,9 @@
             bb_http_exchange_abort(rq->exchange);
         }
         else {
-            respond_outcome_unknown(rq, bb_fetch_result_name(result));
+            respond_outcome_unknown(rq, rq->is_unproven
+                                            ? "unproven"
+                                            : bb_fetch_result_name(result));
         }
     }
     free_request(rq);
--- a/tests/path/test_path.c
+++ b/tests/path/test_path.c
@@ -302,7 +302,7 @@
     (void)number;
     (void)h;
     return (struct scripted_response){
-        .text = "HTTP/1.1 503 Service Unavailable\r\n"
+        .text = "HTTP/1.1 503 Service Unavailable\r\nT-Id: {id}\r\n"
                 "T-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"};
 }
 
@@ -328,6 +328,70 @@
     fixture_close(&b);
 }
 
+/* Refuses the first request. Sends that refusal once more before the response
+ * to the second, which it runs. */
+static struct scripted_response
+respond_with_stale_refusal(struct upstream *u, uint32_t number,
+                           const struct bb_http_head *h)
+{
+    (void)u;
+    (void)h;
+    return (struct scripted_response){
+        .text = number == 1 ? "HTTP/1.1 503 Refused\r\nT-Id: {id}\r\n"
+                              "T-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+                            : "HTTP/1.1 503 Refused\r\nT-Id: a1\r\n"
+                              "T-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+                              "HTTP/1.1 200 OK\r\nT-Id: {id}\r\nT-Seal: s\r\n"
+                              "Content-Length: 4\r\n\r\nbody"};
+}
+
+/* As respond_with_stale_refusal, but refuses without an id. */
+static struct scripted_response
+respond_with_stale_anonymous_refusal(struct upstream *u, uint32_t number,
+                                     const struct bb_http_head *h)
+{
+    (void)u;
+    (void)h;
+    return (struct scripted_response){
+        .text = number == 1 ? "HTTP/1.1 503 Refused\r\n"
+                              "T-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+                            : "HTTP/1.1 503 Refused\r\n"
+                              "T-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+                              "HTTP/1.1 200 OK\r\nT-Id: {id}\r\nT-Seal: s\r\n"
+                              "Content-Length: 4\r\n\r\nbody"};
+}
+
+/* Guards against: "not run" for a request that ran, as the upstream sent the
+ * refusal of an earlier one once more on a kept connection. */
+static void
+test_stale_refusal(void)
+{
+    static const struct {
+        response_script script;
+        const char *second; /* status of the second response */
+    } cases[] = {{respond_with_stale_refusal, "HTTP/1.1 200"},
+                 {respond_with_stale_anonymous_refusal, "HTTP/1.1 502"}};
+
+    for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        struct path_fixture b;
+        struct client *c;
+
+        fixture_open(&b);
+        fixture_set_rules(&b, 1000, 1);
+        fixture_announce(&b, 1, true); /* leaves only the first gate */
+        b.upstreams[0].script = cases[i].script;
+        c = client_open(&b);
+        client_send(c, UNSAFE("a1") "\r\nhi");
+        CU_ASSERT_TRUE(fixture_wait_text(&b, c, "HTTP/1.1 503", 1000));
+        client_send(c, UNSAFE("a2") "\r\nhi");
+        CU_ASSERT_TRUE(fixture_wait_text(&b, c, cases[i].second, 1000));
+        CU_ASSERT_EQUAL(client_count(c, "HTTP/1.1 503"), 1);
+        CU_ASSERT_EQUAL(b.upstreams[0].requests, 2);
+        client_free(c);
+        fixture_close(&b);
+    }
+}
+
 static struct scripted_response
 respond_after_3_s(struct upstream *u, uint32_t number,
                   const struct bb_http_head *h)
@@ -943,6 +1007,7 @@
     {"response without a seal", test_unsealed_response},
     {"lost response", test_lost_response},
     {"not run", test_not_run},
+    {"stale refusal", test_stale_refusal},
     {"caller disconnects", test_caller_disconnects},
     {"timeout of the route", test_timeout},
     {"draining", test_draining},
--- a/tests/proxyd/fixture.c
+++ b/tests/proxyd/fixture.c
@@ -225,6 +225,15 @@
     send_queued(c);
 }
 
+/* Sends what is queued and closes the connection. */
+void
+peer_end(struct peer *c)
+{
+    send_queued(c);
+    (void)shutdown(c->fd, SHUT_RDWR);
+    c->is_ended = true;
+}
+
 /* Receives at most size_bytes. Returns how many were received. */
 size_t
 peer_read(struct peer *c, size_t size_bytes)
--- a/tests/proxyd/fixture.h
+++ b/tests/proxyd/fixture.h
@@ -96,6 +96,7 @@
 struct peer *peer_connect(struct fixture *f, const struct bb_address *to,
                           uint32_t receive_buffer_bytes);
 void peer_send(struct peer *c, const char *text);
+void peer_end(struct peer *c);
 bool peer_wait_text(struct fixture *f, const struct peer *c, const char *text,
                     uint32_t ms);
 bool peer_wait_bytes(struct fixture *f, const struct peer *c,
