--- a/tests/fleet/test_fleet.c
+++ b/tests/fleet/test_fleet.c
@@ -727,6 +727,62 @@
     destroy_cluster(&c);
 }
 
+static void
+close_garbled(void *context, int status)
+{
+    (void)status;
+    bb_stream_close(context);
+}
+
+static const struct bb_stream_events garbled_events = {.data = ignore_data,
+                                                       .ended = close_garbled};
+
+/* A control host that sends text in place of messages. */
+static void
+on_accept_and_garble(void *context, struct bb_stream *s)
+{
+    uint32_t *count = context;
+
+    bb_stream_set_events(s, &garbled_events, s);
+    bb_stream_write(s, "\xff\xff\xff\xff garbage", 12);
+    (*count)++;
+}
+
+/* Guards against: a node that ends, or no longer connects, as a control host
+ * sends it malformed messages. */
+static void
+test_malformed_message_to_node(void)
+{
+    struct cluster c;
+    struct node n = {0};
+    uint32_t count = 0;
+    struct bb_error e = {0};
+    struct bb_address at = {0};
+    struct bb_listener *l;
+    struct bb_agent_settings s = {.ip = "127.0.7.50",
+                                  .zone = "z0",
+                                  .region = "r",
+                                  .gate_address = "g:1"};
+    struct bb_agent *a;
+
+    create_cluster(&c, 0);
+    s.control_port = c.port;
+    s.seeds = seed_addresses(&c);
+    s.seeds.count = 1;
+    at.port = c.port;
+    g_strlcpy(at.ip, c.ips[0], sizeof(at.ip));
+    l = bb_listener_create(&c.loop, &at, on_accept_and_garble, &count, &e);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(l);
+    a = bb_agent_create(&c.loop, &s, &agent_events, &n);
+    run_loop(&c, NULL, 1500);
+    CU_ASSERT_TRUE(count >= 2);
+    CU_ASSERT_EQUAL(n.version, 0);
+    bb_agent_destroy(a);
+    run_loop(&c, NULL, 100);
+    bb_listener_destroy(l);
+    destroy_cluster(&c);
+}
+
 static void
 on_written(void *context, bool is_written)
 {
@@ -794,6 +850,7 @@
     {"agent", test_agent},
     {"restarted node", test_restarted_node},
     {"malformed input", test_malformed_input},
+    {"malformed message to a node", test_malformed_message_to_node},
     {"torn file", test_torn_file},
     {"older update", test_older_update},
 };
--- a/tests/path/test_path.c
+++ b/tests/path/test_path.c
@@ -721,6 +721,42 @@
     fixture_close(&b);
 }
 
+/* Guards against: an odd record of another node's gate that ends the process
+ * or keeps requests from the other gates. */
+static void
+test_odd_gate_records(void)
+{
+    static const char *const addresses[] = {
+        "127.0.0.1:99999", "", ":", "x:1", "127.0.0.1:-1", "1e999"};
+    struct path_fixture b;
+    struct client *c;
+
+    fixture_open(&b);
+    fixture_set_rules(&b, 1000, 2);
+    for (size_t i = 0; i < sizeof(addresses) / sizeof(addresses[0]); i++) {
+        const fleet_instance odd = {.gate_address = (char *)addresses[i],
+                                    .zone = (char *)"",
+                                    .region = (char *)"",
+                                    .service = (char *)"s",
+                                    .id = (char *)"",
+                                    .state = i % 2 == 0 ? BB_INSTANCE_READY
+                                                        : UINT32_MAX,
+                                    .slots = UINT32_MAX,
+                                    .warmup_ms = UINT32_MAX,
+                                    .sequence = UINT64_MAX};
+
+        bb_directory_update(b.directory, &odd, bb_clock_now_us());
+    }
+    c = client_open(&b);
+    for (uint32_t i = 0; i < 6; i++) {
+        client_send(c, UNSAFE("a1") "\r\nhi");
+        fixture_run(&b, 20);
+    }
+    CU_ASSERT_EQUAL(client_count(c, "body"), 6);
+    client_free(c);
+    fixture_close(&b);
+}
+
 /* Guards against: requests that are lost on idle connections that the upstream
  * has dropped unnoticed. None that must not run twice may be lost, and of
  * idempotent ones at most one for each upstream. */
@@ -1020,6 +1056,7 @@
      test_restarted_gate_of_leaving_upstream},
     {"leaving response", test_leaving_response},
     {"limited upstreams", test_limited_upstreams},
+    {"odd gate records", test_odd_gate_records},
     {"pipelined requests", test_pipeline},
     {"long pipelined response", test_long_pipelined_response},
     {"queue", test_queue},
