Makefile: install the packages before the build is configured

make -j8 on a fresh machine failed: "packages" and build/build.ninja were made side by side, and meson was not there yet. build.ninja now waits for the packages (order only, so that it is not made again).

Evidence: with stand-ins for dpkg, apt-get, meson and ninja, make -j8 fails before (meson: no such file) and passes after; a fresh clone builds with it.

--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 		apt-get install -q -y --no-install-recommends $(PACKAGES) \
 			>/dev/null; }
 
-$(BUILD)/build.ninja:
+$(BUILD)/build.ninja: | packages
 	meson setup $(BUILD) --buildtype=debugoptimized
 
 build: packages $(BUILD)/build.ninja
