soak: upstreams that leave, state limits and repeat refusals

The soak's upstreams now drain and state limits on a schedule of their own, say both in their responses, answer health checks, send an announcement from before a drain after its acknowledgement, and write an earlier refusal once more on a kept connection; a third of the proxies that acknowledge a drain are killed.

--- a/tests/soak/disturber.c
+++ b/tests/soak/disturber.c
@@ -14,6 +14,9 @@
     BURST_MAX = 10, /* of SIGHUP */
     /* Reloads, and a second SIGTERM, follow within this time. */
     FOLLOW_UP_MAX_MS = 1500,
+    LIMIT_MAX_PER_S = 12,
+    LIMIT_MIN_MS = 1000,
+    LIMIT_MAX_MS = 12000,
     PERCENT = 100
 };
 
@@ -43,6 +46,7 @@
     struct bb_random *random;
     uv_timer_t timer;
     uv_timer_t follow_up_timer;
+    uv_timer_t upstream_timer;
     struct process *follow_up; /* gets a second SIGTERM */
 };
 
@@ -224,6 +228,28 @@
                          0);
 }
 
+/* Lets an upstream leave or state a limit. */
+static void
+on_upstream_timer(uv_timer_t *t)
+{
+    struct disturber *d = t->data;
+    struct upstream *u =
+        d->soak->upstreams[between(d, 0, d->soak->proxy_count - 1)];
+
+    if (between(d, 0, 1) == 0) {
+        (void)upstream_drain(u);
+    }
+    else {
+        upstream_limit(u, between(d, 1, LIMIT_MAX_PER_S),
+                       between(d, LIMIT_MIN_MS, LIMIT_MAX_MS));
+    }
+    (void)uv_timer_start(t, on_upstream_timer,
+                         between(d, PAUSE_MIN_MS, PAUSE_MAX_MS) *
+                             PAUSE_PROXIES /
+                             MAX(d->soak->proxy_count, PAUSE_PROXIES),
+                         0);
+}
+
 void
 disturber_create(struct soak *s)
 {
@@ -233,6 +259,10 @@
     d->random = bb_random_create(s->seed * 1000 + 999);
     (void)uv_timer_init(&s->loop, &d->timer);
     (void)uv_timer_init(&s->loop, &d->follow_up_timer);
+    (void)uv_timer_init(&s->loop, &d->upstream_timer);
+    d->upstream_timer.data = d;
+    (void)uv_timer_start(&d->upstream_timer, on_upstream_timer, PAUSE_MAX_MS,
+                         0);
     d->timer.data = d;
     d->follow_up_timer.data = d;
     (void)uv_timer_start(&d->timer, on_timer, PAUSE_MIN_MS, 0);
@@ -246,4 +276,5 @@
 {
     stop_cores(s->disturber);
     (void)uv_timer_stop(&s->disturber->timer);
+    (void)uv_timer_stop(&s->disturber->upstream_timer);
 }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -47,7 +47,9 @@
     PROMISE_BODY_UNCHANGED,
     PROMISE_CLEAN_EXIT,
     PROMISE_CONFIGURATION,
-    PROMISE_MEMORY
+    PROMISE_MEMORY,
+    PROMISE_DRAIN,
+    PROMISE_LIMIT
 };
 
 /* How the upstream that gets a request first fails. */
@@ -59,6 +61,18 @@
     UPSTREAM_FAILURE_REFUSED    /* 503, not run */
 };
 
+/* Above what a window may hold, so that the ring shows each excess. */
+enum { SOAK_ARRIVALS_MAX = 256 };
+
+/* The limit that an upstream states, and the requests that it got since all
+ * should know it. */
+struct limit {
+    uint32_t per_s;     /* requests a second; 0: none */
+    uint64_t stated_us; /* when a response stated it first; 0: not yet */
+    uint32_t count;
+    uint64_t arrivals_us[SOAK_ARRIVALS_MAX];
+};
+
 /* The routes of all configurations. */
 enum route {
     ROUTE_READ, /* idempotent */
@@ -133,6 +147,9 @@
     uint32_t reloads;
     uint32_t changes;
     uint32_t drains;
+    uint32_t limits;
+    uint32_t late_announcements;
+    uint32_t stale_refusals;
     uint32_t broken;
     uint32_t lag_max_ms; /* of this tool's own timer */
 };
@@ -205,8 +222,14 @@
 void upstream_create(struct soak *s, uint32_t host);
 bool upstream_is_acknowledged(const struct upstream *u);
 bool upstream_drain(struct upstream *u);
+void upstream_limit(struct upstream *u, uint32_t per_s, uint32_t duration_ms);
 const char *upstream_service(uint32_t host);
 
+/* limit.c */
+void limit_begin(struct limit *l, uint32_t per_s);
+void limit_state(struct limit *l);
+bool limit_count(struct limit *l);
+
 /* callers.c */
 void caller_create(struct soak *s, uint32_t host, uint32_t index);
 void caller_check_time(struct caller *c);
--- a/tests/soak/upstreams.c
+++ b/tests/soak/upstreams.c
@@ -17,7 +17,16 @@
     RESTART_MS = 700,
     PIECE_PAUSE_MS = 120,
     /* One response in so many closes its connection. */
-    CLOSING_ONE_IN = 40
+    CLOSING_ONE_IN = 40,
+    /* After a refusal, one response in so many is preceded by it once more. */
+    STALE_ONE_IN = 2,
+    /* An announcement from before a drain arrives after it, within this time.
+     */
+    LATE_MAX_MS = 4000,
+    /* One proxy in so many is killed after it has acknowledged a drain. */
+    KILL_ONE_IN = 3,
+    /* The rules: no request later than this after the acknowledgement. */
+    DRAIN_MAX_MS = 2500
 };
 
 enum upstream_state { UPSTREAM_READY, UPSTREAM_DRAINING, UPSTREAM_LEFT };
@@ -28,6 +37,7 @@
     char id[SOAK_ID_BYTES]; /* of this incarnation */
     uint64_t born_ms;
     uint64_t sequence;
+    uint64_t ready_sequence; /* of the last announcement before the drain */
     uint32_t incarnation;
     enum upstream_state state;
     bool is_acknowledged; /* in this state */
@@ -36,6 +46,10 @@
     struct bb_random *random;
     uv_timer_t heartbeat;
     uv_timer_t drain;
+    uv_timer_t late;          /* sends an announcement from before a drain */
+    uv_timer_t limit_timer;   /* ends the limit */
+    struct limit limit;       /* that it states */
+    uint64_t acknowledged_us; /* of the drain; 0: not yet */
 };
 
 /* A connection from a gate, and the request on it. */
@@ -45,6 +59,7 @@
     struct bb_http_reader reader;
     uv_timer_t timer;
     struct request *request; /* NULL: none runs */
+    GString *refusal;        /* the last one on this connection, or NULL */
     uint64_t received_bytes; /* of the request's body */
     uint32_t pieces_left;
     size_t sent_bytes;
@@ -65,6 +80,9 @@
     struct upstream_connection *c = h->data;
 
     bb_http_reader_clear(&c->reader);
+    if (c->refusal != NULL) {
+        g_string_free(c->refusal, TRUE);
+    }
     g_free(c);
 }
 
@@ -78,8 +96,12 @@
 
 /* Appends what an upstream says of itself in all responses. */
 static void
-append_report(const struct upstream *u, GString *head)
+append_report(struct upstream *u, GString *head)
 {
+    if (u->limit.per_s != 0) {
+        g_string_append_printf(head, FIELD_LIMIT ": %u.0\r\n", u->limit.per_s);
+        limit_state(&u->limit);
+    }
     if (u->state != UPSTREAM_READY) {
         g_string_append(head, FIELD_LEAVING ": " VALUE_LEAVING "\r\n");
     }
@@ -102,15 +124,29 @@
     append_report(c->upstream, head);
     g_string_append(head, "\r\n");
     bb_stream_write(c->stream, head->str, head->len);
-    g_string_free(head, TRUE);
+    if (c->refusal != NULL) {
+        g_string_free(c->refusal, TRUE);
+    }
+    c->refusal = head;
     bb_http_reader_start_next(&c->reader);
 }
 
+/* Sends the refusal of an earlier request once more, now and then. */
+static void
+repeat_refusal(struct upstream_connection *c)
+{
+    if (c->refusal != NULL &&
+        bb_random_below(c->upstream->random, STALE_ONE_IN) == 0) {
+        bb_stream_write(c->stream, c->refusal->str, c->refusal->len);
+        c->upstream->soak->counts.stale_refusals++;
+    }
+}
+
 /* Responds to a health check. */
 static void
 respond_health(struct upstream_connection *c)
 {
-    const struct upstream *u = c->upstream;
+    struct upstream *u = c->upstream;
     GString *head = g_string_new(NULL);
 
     g_string_printf(
@@ -261,6 +297,22 @@
     }
 }
 
+/* Checks that a request does not come long after an acknowledged drain. */
+static void
+check_drain(const struct upstream *u, const struct request *rq)
+{
+    uint64_t now_us = bb_clock_now_us();
+
+    if (u->acknowledged_us != 0 &&
+        now_us > u->acknowledged_us + (uint64_t)DRAIN_MAX_MS * BB_US_PER_MS) {
+        check_break(u->soak, PROMISE_DRAIN, rq->id,
+                    "upstream on proxy-%u got it %u ms after the "
+                    "acknowledgement of its drain",
+                    u->host,
+                    (unsigned)((now_us - u->acknowledged_us) / BB_US_PER_MS));
+    }
+}
+
 /* Runs a whole request, or refuses it. */
 static void
 run_request(struct upstream_connection *c)
@@ -271,6 +323,11 @@
     const char *id = bb_http_head_get(h, FIELD_REQUEST_ID);
     struct request *rq = id != NULL ? check_find_request(u->soak, id) : NULL;
 
+    if (limit_count(&u->limit)) {
+        check_break(u->soak, PROMISE_LIMIT, id,
+                    "upstream on proxy-%u got more than its limit of %u/s",
+                    u->host, u->limit.per_s);
+    }
     if (id == NULL && strcmp(bb_http_head_target(h), SOAK_HEALTH_PATH) == 0) {
         respond_health(c);
         return;
@@ -287,12 +344,14 @@
         return;
     }
     check_unchanged(c, rq);
+    check_drain(u, rq);
     if (rq->failure == UPSTREAM_FAILURE_REFUSED && !rq->has_failed) {
         rq->has_failed = true;
         respond_not_run(c, 503);
         return;
     }
     check_run(u->soak, rq, u->host);
+    repeat_refusal(c);
     c->request = rq;
     c->pieces_left = rq->pieces;
     c->sent_bytes = 0;
@@ -392,9 +451,13 @@
     u->sequence = 0;
     u->state = UPSTREAM_READY;
     u->is_acknowledged = false;
+    u->acknowledged_us = 0;
+    (void)uv_timer_stop(&u->late);
+    limit_begin(&u->limit, 0);
 }
 
 static void send_heartbeat(struct upstream *u);
+static void on_late_timer(uv_timer_t *t);
 
 static void
 on_heartbeat_timer(uv_timer_t *t)
@@ -424,6 +487,18 @@
     }
 }
 
+/* Kills the proxy that has just acknowledged a drain, now and then. */
+static void
+kill_proxy(struct upstream *u)
+{
+    struct process *p = soak_proxy(u->soak, u->host);
+
+    if (!u->soak->is_planned_only && p->state == PROCESS_RUNNING &&
+        bb_random_below(u->random, KILL_ONE_IN) == 0) {
+        process_kill(p, (uint32_t)bb_random_below(u->random, RESTART_MS));
+    }
+}
+
 /* Notes the acknowledgement of an announcement. */
 static void
 on_announced(void *context, uint32_t status, const struct bb_http_head *head,
@@ -438,27 +513,27 @@
         return;
     }
     if (u->state == UPSTREAM_DRAINING && !u->is_acknowledged) {
+        u->acknowledged_us = bb_clock_now_us();
         (void)uv_timer_start(&u->drain, on_drain_timer, DRAIN_MS, 0);
+        (void)uv_timer_start(&u->late, on_late_timer,
+                             bb_random_below(u->random, LATE_MAX_MS), 0);
+        kill_proxy(u);
     }
     u->is_acknowledged = true;
 }
 
-/* Announces the state of an upstream, unless a call is in progress. */
+/* Sends an announcement or a withdrawal. */
 static void
-send_heartbeat(struct upstream *u)
+send_state(struct upstream *u, const char *action, const char *state,
+           uint64_t sequence, call_done done)
 {
     struct bb_address to =
         soak_address(soak_proxy(u->soak, u->host), SOAK_PORT_ANNOUNCE);
     char target[96];
     char *body;
 
-    if (u->is_call_pending) {
-        return;
-    }
-    u->is_call_pending = true;
     (void)snprintf(target, sizeof(target), PATH_INSTANCES "%s%s", u->id,
-                   u->state == UPSTREAM_LEFT ? PATH_DEREGISTER
-                                             : PATH_HEARTBEAT);
+                   action);
     body = g_strdup_printf(
         "{\"address\":\"%s:%d\",\"born\":%" G_GUINT64_FORMAT
         ",\"info\":{\"service\":\"%s\",\"version\":\"v1\","
@@ -466,12 +541,63 @@
         "\"status\":{\"state\":\"%s\",\"seq\":%" G_GUINT64_FORMAT
         ",\"warmup_left_ms\":0}}",
         to.ip, SOAK_PORT_UPSTREAM, u->born_ms, upstream_service(u->host),
-        SLOTS, u->state == UPSTREAM_READY ? VALUE_READY : VALUE_DRAINING,
-        ++u->sequence);
-    call_start(u->soak, &to, "POST", target, "", body, on_announced, u);
+        SLOTS, state, sequence);
+    call_start(u->soak, &to, "POST", target, "", body, done, u);
     g_free(body);
 }
 
+/* Announces the state of an upstream, unless a call is in progress. */
+static void
+send_heartbeat(struct upstream *u)
+{
+    if (u->is_call_pending) {
+        return;
+    }
+    u->is_call_pending = true;
+    u->sequence++;
+    send_state(u, u->state == UPSTREAM_LEFT ? PATH_DEREGISTER : PATH_HEARTBEAT,
+               u->state == UPSTREAM_READY ? VALUE_READY : VALUE_DRAINING,
+               u->sequence, on_announced);
+}
+
+static void
+ignore_response(void *context, uint32_t status,
+                const struct bb_http_head *head, const GString *body)
+{
+    (void)context;
+    (void)status;
+    (void)head;
+    (void)body;
+}
+
+/* Sends the announcement that came before that of the drain. */
+static void
+on_late_timer(uv_timer_t *t)
+{
+    struct upstream *u = t->data;
+
+    u->soak->counts.late_announcements++;
+    send_state(u, PATH_HEARTBEAT, VALUE_READY, u->ready_sequence,
+               ignore_response);
+}
+
+static void
+on_limit_timer(uv_timer_t *t)
+{
+    struct upstream *u = t->data;
+
+    limit_begin(&u->limit, 0);
+}
+
+/* Makes an upstream state a limit for a time. */
+void
+upstream_limit(struct upstream *u, uint32_t per_s, uint32_t duration_ms)
+{
+    u->soak->counts.limits++;
+    limit_begin(&u->limit, per_s);
+    (void)uv_timer_start(&u->limit_timer, on_limit_timer, duration_ms, 0);
+}
+
 /* Returns whether the proxy knows the state of its upstream. */
 bool
 upstream_is_acknowledged(const struct upstream *u)
@@ -487,6 +613,7 @@
         return false;
     }
     u->state = UPSTREAM_DRAINING;
+    u->ready_sequence = u->sequence;
     u->is_acknowledged = false;
     u->soak->counts.drains++;
     send_heartbeat(u);
@@ -509,9 +636,13 @@
         (void)fprintf(stderr, "soak: %s\n", e.message);
         exit(EXIT_FAILURE);
     }
-    begin_incarnation(u);
     (void)uv_timer_init(&s->loop, &u->drain);
     (void)uv_timer_init(&s->loop, &u->heartbeat);
+    (void)uv_timer_init(&s->loop, &u->late);
+    (void)uv_timer_init(&s->loop, &u->limit_timer);
+    u->late.data = u;
+    u->limit_timer.data = u;
+    begin_incarnation(u);
     u->drain.data = u;
     u->heartbeat.data = u;
     (void)uv_timer_start(&u->heartbeat, on_heartbeat_timer, 1, HEARTBEAT_MS);
