agent: do not wait for the quorum of one host after the other

Cause: the time in which an election may end was granted to each host anew. A node that has waited in vain once now leaves further hosts as soon as they say that they have no quorum, while others are left to try.

--- a/fleet/agent.c
+++ b/fleet/agent.c
@@ -43,6 +43,8 @@
     uint64_t last_message_us;
     uint64_t no_quorum_since_us; /* since when the host reports no quorum; 0:
                                     it reports one */
+    bool is_seeking_quorum;      /* has left a host without one, and found none
+                                    that has one since */
     uint64_t connect_due_us;     /* while there is no connection */
     uint32_t retry_delay_ms;
     uint32_t consecutive_failures;
@@ -199,6 +201,14 @@
     schedule_timer(a);
 }
 
+/* Leaves a host that has no quorum. */
+static void
+leave_without_quorum(struct bb_agent *a)
+{
+    a->is_seeking_quorum = true;
+    disconnect(a, "the host has no quorum");
+}
+
 /* Opens a connection to the host that choose_host returns. If no host is known
  * or no socket can be created, the timer tries again after
  * BB_AGENT_RETRY_MAX_MS. */
@@ -244,7 +254,7 @@
                  (uint64_t)BB_AGENT_NO_QUORUM_TIMEOUT_MS * BB_US_PER_MS) {
         /* The only known host is kept. */
         if (a->hosts->len > 1) {
-            disconnect(a, "the host has no quorum");
+            leave_without_quorum(a);
             return;
         }
         a->no_quorum_since_us = now_us;
@@ -415,16 +425,41 @@
     }
 }
 
-/* Records since when the host has had no quorum. */
+/* Returns whether a host is known that has not failed recently. */
+static bool
+has_untried_host(const struct bb_agent *a, uint64_t now_us)
+{
+    for (guint i = 0; i < a->hosts->len; i++) {
+        const struct control_host *host =
+            &g_array_index(a->hosts, struct control_host, i);
+
+        if (!bb_address_equal(&host->address, &a->host_address) &&
+            !has_failed_recently(host, now_us)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Records since when the host has had no quorum. A node that has waited for
+ * the quorum of an earlier host in vain waits no longer at this one while
+ * others are left to try. */
 static void
 receive_status(struct bb_agent *a, const fleet_status *s)
 {
+    uint64_t now_us = bb_clock_now_us();
+
     if (s->has_recent_quorum) {
         a->no_quorum_since_us = 0;
         a->consecutive_failures = 0;
+        a->is_seeking_quorum = false;
+        return;
+    }
+    if (a->no_quorum_since_us == 0) {
+        a->no_quorum_since_us = now_us;
     }
-    else if (a->no_quorum_since_us == 0) {
-        a->no_quorum_since_us = bb_clock_now_us();
+    if (a->is_seeking_quorum && has_untried_host(a, now_us)) {
+        leave_without_quorum(a);
     }
 }
 
--- a/tests/fleet/test_fleet.c
+++ b/tests/fleet/test_fleet.c
@@ -679,6 +679,105 @@
     destroy_cluster(&c);
 }
 
+/* A fake control host that states whether it has a quorum. */
+struct status_host {
+    struct bb_fleet_connection *connection;
+    struct bb_listener *listener;
+    bool has_quorum;
+    uint64_t connected_us; /* the first time; 0: not yet */
+};
+
+static void
+send_hello_and_status(void *context, struct bb_fleet_connection *f,
+                      fleet_message *m)
+{
+    struct status_host *o = context;
+    fleet_message hello = {.kind = FLEET_HELLO};
+    fleet_message status = {.kind = FLEET_STATUS};
+
+    if (m->kind != FLEET_HELLO) {
+        return;
+    }
+    if (o->connected_us == 0) {
+        o->connected_us = bb_clock_now_us();
+    }
+    hello.fleet_message_u.hello.is_control = true;
+    hello.fleet_message_u.hello.host = (fleet_host){
+        .ip = (char *)"", .zone = (char *)"", .region = (char *)""};
+    status.fleet_message_u.status.has_recent_quorum = o->has_quorum;
+    CU_ASSERT_TRUE(bb_fleet_connection_send(f, &hello));
+    CU_ASSERT_TRUE(bb_fleet_connection_send(f, &status));
+}
+
+static void
+on_status_connection_ended(void *context, struct bb_fleet_connection *f)
+{
+    struct status_host *o = context;
+
+    bb_fleet_connection_close(f);
+    o->connection = NULL;
+}
+
+static const struct bb_fleet_connection_events status_host_events = {
+    .message = send_hello_and_status, .ended = on_status_connection_ended};
+
+static void
+on_accept_status(void *context, struct bb_stream *s)
+{
+    struct status_host *o = context;
+
+    bb_fleet_connection_close(o->connection);
+    o->connection = bb_fleet_connection_accept(s, &status_host_events, o);
+}
+
+/* Guards against: a node that has left a control host without a quorum and
+ * waits as long for the quorum of each further one, so that it uses an old
+ * configuration meanwhile. */
+static void
+test_several_hosts_without_quorum(void)
+{
+    struct cluster c;
+    struct status_host hosts[SEEDS] = {{0}};
+    struct node n = {0};
+    struct bb_error e = {0};
+    struct bb_agent_settings s = {.ip = "127.0.7.50",
+                                  .zone = "z0",
+                                  .region = "r",
+                                  .gate_address = "g:1"};
+    struct bb_agent *a;
+    uint64_t first_us = UINT64_MAX;
+
+    create_cluster(&c, 0);
+    s.control_port = c.port;
+    s.seeds = seed_addresses(&c);
+    for (uint32_t i = 0; i < SEEDS; i++) {
+        struct bb_address at = {.port = c.port};
+
+        g_strlcpy(at.ip, c.ips[i], sizeof(at.ip));
+        hosts[i].listener =
+            bb_listener_create(&c.loop, &at, on_accept_status, &hosts[i], &e);
+        CU_ASSERT_PTR_NOT_NULL_FATAL(hosts[i].listener);
+    }
+    a = bb_agent_create(&c.loop, &s, &agent_events, &n);
+    run_loop(&c, NULL, BB_AGENT_NO_QUORUM_TIMEOUT_MS + 700);
+    for (uint32_t i = 0; i < SEEDS; i++) {
+        CU_ASSERT_NOT_EQUAL(hosts[i].connected_us, 0);
+        first_us = MIN(first_us, hosts[i].connected_us);
+    }
+    for (uint32_t i = 0; i < SEEDS; i++) {
+        CU_ASSERT_TRUE(hosts[i].connected_us <
+                       first_us + (BB_AGENT_NO_QUORUM_TIMEOUT_MS + 600) *
+                                      (uint64_t)BB_US_PER_MS);
+    }
+    bb_agent_destroy(a);
+    run_loop(&c, NULL, 50);
+    for (uint32_t i = 0; i < SEEDS; i++) {
+        bb_fleet_connection_close(hosts[i].connection);
+        bb_listener_destroy(hosts[i].listener);
+    }
+    destroy_cluster(&c);
+}
+
 static void
 ignore_data(void *context, const char *data, size_t n)
 {
@@ -849,6 +948,7 @@
     {"minority leader", test_minority},
     {"agent", test_agent},
     {"restarted node", test_restarted_node},
+    {"several hosts without a quorum", test_several_hosts_without_quorum},
     {"malformed input", test_malformed_input},
     {"malformed message to a node", test_malformed_message_to_node},
     {"torn file", test_torn_file},
