tests/proxyd: take fields and paths of the platform from its list of names

The names of the wire stood in the tests as literals, so that a new name had to be found in many places. Fields and paths now come from platform/names.h; the keys of JSON bodies still stand in the fixture.

--- a/tests/proxyd/fixture.c
+++ b/tests/proxyd/fixture.c
@@ -388,7 +388,7 @@
 struct peer *
 upstream_wait_request(struct fixture *f, const char *id, uint32_t ms)
 {
-    char *field = g_strconcat("X-Baobabshed-Request-Id: ", id, "\r\n", NULL);
+    char *field = g_strconcat(FIELD_REQUEST_ID ": ", id, "\r\n", NULL);
     uint64_t end_us = bb_clock_now_us() + (uint64_t)ms * BB_US_PER_MS;
     struct peer *found = NULL;
 
@@ -400,8 +400,7 @@
 
             /* Only the gate names the instance that it expects. */
             if (at != NULL && strstr(at, "\r\n\r\n") != NULL &&
-                strstr(c->received->str, "X-Baobabshed-Expect-Instance") !=
-                    NULL) {
+                strstr(c->received->str, FIELD_EXPECT_INSTANCE) != NULL) {
                 found = c;
             }
         }
@@ -420,9 +419,8 @@
     if (c == NULL) {
         return;
     }
-    head = g_strdup_printf("HTTP/1.1 200 OK\r\n%s"
-                           "X-Baobabshed-Request-Id: %s\r\n"
-                           "X-Baobabshed-Response-Seal: s\r\n"
+    head = g_strdup_printf("HTTP/1.1 200 OK\r\n%s" FIELD_REQUEST_ID
+                           ": %s\r\n" FIELD_SEAL ": s\r\n"
                            "Content-Length: %zu\r\n\r\n",
                            f->upstream_field, id, strlen(body));
     peer_send(c, head);
@@ -471,11 +469,11 @@
     g_string_append_c(body, ',');
     g_string_append_printf(body, path, "unsafe", "unsafe", "unsafe");
     g_string_append(body, "]}]}");
-    g_string_append_printf(request,
-                           "POST /config/replace HTTP/1.1\r\nHost: o\r\n"
-                           "X-Baobabshed-Base-Version: %" G_GUINT64_FORMAT
-                           "\r\nContent-Length: %zu\r\n\r\n%s",
-                           f->version, body->len, body->str);
+    g_string_append_printf(
+        request,
+        "POST " PATH_REPLACE " HTTP/1.1\r\nHost: o\r\n" FIELD_BASE_VERSION
+        ": %" G_GUINT64_FORMAT "\r\nContent-Length: %zu\r\n\r\n%s",
+        f->version, body->len, body->str);
     g_string_free(body, TRUE);
     return request;
 }
@@ -688,9 +686,10 @@
                            "{\"state\":\"%s\",\"seq\":%" G_GUINT64_FORMAT
                            ",\"warmup_left_ms\":0}}",
                            a->state, a->sequence);
-    request = g_strdup_printf("POST /instances/%s HTTP/1.1\r\nHost: n\r\n"
-                              "Content-Length: %zu\r\n\r\n%s",
-                              target, body->len, body->str);
+    request =
+        g_strdup_printf("POST " PATH_INSTANCES "%s HTTP/1.1\r\nHost: n\r\n"
+                        "Content-Length: %zu\r\n\r\n%s",
+                        target, body->len, body->str);
     g_string_free(body, TRUE);
     return request;
 }
@@ -724,7 +723,7 @@
 fixture_announce(struct fixture *f, const char *id,
                  const struct announced_state *a)
 {
-    return call_proxy(f, id, "/heartbeat", a);
+    return call_proxy(f, id, PATH_HEARTBEAT, a);
 }
 
 /* Withdraws the upstream `id`; started_ms 0 leaves out its start. Returns the
@@ -735,7 +734,7 @@
     const struct announced_state a = {.state = "draining",
                                       .started_ms = started_ms};
 
-    return call_proxy(f, id, "/deregister", &a);
+    return call_proxy(f, id, PATH_DEREGISTER, &a);
 }
 
 /* Sends a request to the gate as an entry node does, and responds to it if it
@@ -820,7 +819,8 @@
         fixture_configure(f, FIXTURE_IDLE_TIMEOUT_MS, FIXTURE_BODY_MAX_BYTES));
     start_proxy(f, ip, seeds, control_port, grace_s);
     CU_ASSERT_TRUE(call_until_ok(f, &f->ready_address,
-                                 "GET /ready HTTP/1.1\r\nHost: n\r\n\r\n"));
+                                 "GET " PATH_READY
+                                 " HTTP/1.1\r\nHost: n\r\n\r\n"));
     CU_ASSERT_EQUAL(fixture_announce(f, "i-1", &first), 200);
     CU_ASSERT_TRUE(wait_gate_ready(f));
     g_free(seeds);
--- a/tests/proxyd/fixture.h
+++ b/tests/proxyd/fixture.h
@@ -9,6 +9,7 @@
 #include <sys/types.h>
 
 #include "common/address.h"
+#include "platform/names.h"
 
 enum {
     FIXTURE_CORES_MAX = 3,
@@ -19,11 +20,11 @@
 
 /* Request line and fields of a request, without the empty line at the end. */
 #define SAFE(id_)                                                             \
-    "GET /safe/x HTTP/1.1\r\nHost: h.example\r\n"                             \
-    "X-Baobabshed-Request-Id: " id_ "\r\n"
+    "GET /safe/x HTTP/1.1\r\nHost: h.example\r\n" FIELD_REQUEST_ID ": " id_   \
+    "\r\n"
 #define UNSAFE(id_)                                                           \
-    "POST /unsafe/x HTTP/1.1\r\nHost: h.example\r\n"                          \
-    "X-Baobabshed-Request-Id: " id_ "\r\n"
+    "POST /unsafe/x HTTP/1.1\r\nHost: h.example\r\n" FIELD_REQUEST_ID         \
+    ": " id_ "\r\n"
 
 /* What an upstream announces of itself. */
 struct announced_state {
--- a/tests/proxyd/test_drain.c
+++ b/tests/proxyd/test_drain.c
@@ -14,7 +14,7 @@
     HEARTBEATS_MAX = 10
 };
 
-#define LEAVING_FIELD "Server-Leaving: 1\r\n"
+#define LEAVING_FIELD FIELD_LEAVING ": " VALUE_LEAVING "\r\n"
 
 static const struct announced_state ready = {
     .state = "ready", .started_ms = STARTED_MS, .sequence = 5};
--- a/tests/proxyd/test_limit.c
+++ b/tests/proxyd/test_limit.c
@@ -13,7 +13,7 @@
     AFTER_RESTORE_MS = 2500
 };
 
-#define LIMIT_FIELD "Server-Limit: 3.0\r\n"
+#define LIMIT_FIELD FIELD_LIMIT ": 3.0\r\n"
 
 /* Calls the gate one call after the other, for WINDOW_MS. Returns how many
  * calls reached the upstream. */
--- a/tests/proxyd/test_responses.c
+++ b/tests/proxyd/test_responses.c
@@ -7,7 +7,7 @@
 
 enum { GRACE_S = 6, SOON_MS = 2000 };
 
-#define NOT_RUN_FIELD "X-Baobabshed-Not-Executed: 1\r\n"
+#define NOT_RUN_FIELD FIELD_NOT_EXECUTED ": 1\r\n"
 
 /* Sends a request that must not run twice, lets the upstream respond with a
  * text, and waits for the status line of the caller's response. */
@@ -41,18 +41,17 @@
     fixture_open(&f, 1, GRACE_S);
     caller = peer_connect(&f, &f.entry_address, 0);
     check_response(&f, caller, "a1",
-                   "HTTP/1.1 503 Refused\r\n" NOT_RUN_FIELD
-                   "X-Baobabshed-Request-Id: a1\r\n"
+                   "HTTP/1.1 503 Refused\r\n" NOT_RUN_FIELD FIELD_REQUEST_ID
+                   ": a1\r\n"
                    "Content-Length: 0\r\n\r\n",
                    false, "HTTP/1.1 503");
-    check_response(&f, caller, "a2",
-                   "HTTP/1.1 503 Refused\r\n" NOT_RUN_FIELD
-                   "X-Baobabshed-Request-Id: a1\r\n"
-                   "Content-Length: 0\r\n\r\n"
-                   "HTTP/1.1 200 OK\r\nX-Baobabshed-Request-Id: a2\r\n"
-                   "X-Baobabshed-Response-Seal: s\r\n"
-                   "Content-Length: 4\r\n\r\nbody",
-                   false, "HTTP/1.1 200");
+    check_response(
+        &f, caller, "a2",
+        "HTTP/1.1 503 Refused\r\n" NOT_RUN_FIELD FIELD_REQUEST_ID ": a1\r\n"
+        "Content-Length: 0\r\n\r\n"
+        "HTTP/1.1 200 OK\r\n" FIELD_REQUEST_ID ": a2\r\n" FIELD_SEAL ": s\r\n"
+        "Content-Length: 4\r\n\r\nbody",
+        false, "HTTP/1.1 200");
     check_response(&f, caller, "a3",
                    "HTTP/1.1 503 Refused\r\n" NOT_RUN_FIELD
                    "Content-Length: 0\r\n\r\n",
@@ -70,21 +69,17 @@
         "HTTP/1.1 200 O",
         "HTTP/1.1 200 OK\r\n",
         "HTTP/1.1 200 OK\r\nX-Baobabshed-Resp",
-        "HTTP/1.1 200 OK\r\nX-Baobabshed-Request-Id: a1",
-        "HTTP/1.1 200 OK\r\nX-Baobabshed-Request-Id: a1\r\n"
-        "X-Baobabshed-Response-Seal: s\r\n",
-        "HTTP/1.1 200 OK\r\nX-Baobabshed-Request-Id: a1\r\n"
-        "X-Baobabshed-Response-Seal: s\r\nContent-Length: 4\r\n\r",
-        "HTTP/1.1 200 OK\r\nX-Baobabshed-Request-Id: a1\r\n"
-        "X-Baobabshed-Response-Seal: s\r\nContent-Length: 4\r\n\r\nbo",
-        "HTTP/1.1 200 OK\r\nX-Baobabshed-Request-Id: a1\r\n"
-        "X-Baobabshed-Response-Seal: s\r\n"
+        "HTTP/1.1 200 OK\r\n" FIELD_REQUEST_ID ": a1",
+        "HTTP/1.1 200 OK\r\n" FIELD_REQUEST_ID ": a1\r\n" FIELD_SEAL ": s\r\n",
+        "HTTP/1.1 200 OK\r\n" FIELD_REQUEST_ID ": a1\r\n" FIELD_SEAL
+        ": s\r\nContent-Length: 4\r\n\r",
+        "HTTP/1.1 200 OK\r\n" FIELD_REQUEST_ID ": a1\r\n" FIELD_SEAL
+        ": s\r\nContent-Length: 4\r\n\r\nbo",
+        "HTTP/1.1 200 OK\r\n" FIELD_REQUEST_ID ": a1\r\n" FIELD_SEAL ": s\r\n"
         "Transfer-Encoding: chunked\r\n\r\n",
-        "HTTP/1.1 200 OK\r\nX-Baobabshed-Request-Id: a1\r\n"
-        "X-Baobabshed-Response-Seal: s\r\n"
+        "HTTP/1.1 200 OK\r\n" FIELD_REQUEST_ID ": a1\r\n" FIELD_SEAL ": s\r\n"
         "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n1",
-        "HTTP/1.1 200 OK\r\nX-Baobabshed-Request-Id: a1\r\n"
-        "X-Baobabshed-Response-Seal: s\r\n"
+        "HTTP/1.1 200 OK\r\n" FIELD_REQUEST_ID ": a1\r\n" FIELD_SEAL ": s\r\n"
         "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n"};
 
     for (size_t i = 0; i < sizeof(responses) / sizeof(responses[0]); i++) {
@@ -104,7 +99,8 @@
 announce_text(struct fixture *f, const char *body)
 {
     struct peer *c = peer_connect(f, &f->announce_address, 0);
-    char *head = g_strdup_printf("POST /instances/i-1/heartbeat HTTP/1.1\r\n"
+    char *head = g_strdup_printf("POST " PATH_INSTANCES "i-1" PATH_HEARTBEAT
+                                 " HTTP/1.1\r\n"
                                  "Host: n\r\nContent-Length: %zu\r\n\r\n",
                                  strlen(body));
 
--- a/tests/proxyd/test_stop.c
+++ b/tests/proxyd/test_stop.c
@@ -423,7 +423,7 @@
 static void
 test_deadline_during_stop(void)
 {
-    static const char field[] = "X-Baobabshed-Deadline-Ms: ";
+    static const char field[] = FIELD_DEADLINE_MS ": ";
     struct fixture f;
     struct peer *caller;
     const struct peer *upstream;
