gate: do not take a limited upstream that is slow to answer for unreachable

A limited upstream was announced as down, and got no request until its next announcement: a limit that no response has confirmed for 2 s is asked for by a health check, which waits for a slot at the upstream like any request, and a check without a response within 1 s counted as unreachable, also for an upstream in service. It counts now only for a run that is not confirmed yet, and no check is sent while requests run, whose responses will state the limit.

Evidence: test_path (slow health check) fails without the change.

--- a/path/gate.c
+++ b/path/gate.c
@@ -527,10 +527,8 @@
 refuse_late_request(struct gate_request *rq, uint64_t max_wait_us)
 {
     struct bb_gate *g = rq->gate;
-    bool is_limit =
-        g->queue.limit.is_limited && g->queue.running < g->queue.slots;
 
-    if (is_limit) {
+    if (g->queue.limit.is_limited && g->queue.running < g->queue.slots) {
         refuse_request(g, rq->exchange, rq->request_id, &refused_limit,
                        "limit");
     }
@@ -757,7 +755,7 @@
 {
     const struct bb_upstream_limit *l = &g->queue.limit;
 
-    return l->is_limited &&
+    return l->is_limited && g->queue.running == 0 &&
            bb_clock_now_us() - l->named_us >=
                (uint64_t)BB_GATE_LIMIT_CHECK_MS * BB_US_PER_MS;
 }
@@ -792,7 +790,10 @@
     bool was_ready = is_upstream_ready(g);
 
     if (result == BB_UPSTREAM_CHECK_UNREACHABLE) {
-        mark_unreachable(g);
+        /* Of an upstream in service, the requests themselves tell. */
+        if (!g->upstream.is_confirmed) {
+            mark_unreachable(g);
+        }
         return;
     }
     if (result == BB_UPSTREAM_CHECK_HEALTHY) {
--- a/tests/path/fixture.c
+++ b/tests/path/fixture.c
@@ -155,7 +155,8 @@
     if (strcmp(bb_http_head_target(h), HEALTH_PATH) == 0) {
         u->health_checks++;
         c->response = (struct scripted_response){
-            .text = u->is_leaving ? leaving : healthy};
+            .text = u->is_leaving ? leaving : healthy,
+            .delay_ms = u->health_delay_ms};
         return true;
     }
     u->requests++;
--- a/tests/path/fixture.h
+++ b/tests/path/fixture.h
@@ -56,6 +56,7 @@
     uint32_t requests;
     uint32_t health_checks;    /* not passed to the script */
     bool is_leaving;           /* says so in its responses to these */
+    uint32_t health_delay_ms;  /* of the responses to these */
     uint32_t aborted_requests; /* closed by the gate before the response */
     uint32_t open_connections; /* counted, but not checked by a test */
     /* A connection that was idle for longer is reset when more data arrives on
--- a/tests/path/test_path.c
+++ b/tests/path/test_path.c
@@ -5,6 +5,7 @@
 #include "common/clock.h"
 #include "common/counters.h"
 #include "fixture.h"
+#include "path/upstream_check.h"
 #include "unit.h"
 
 /* Longest time until a gate has the response to its check. */
@@ -721,6 +722,32 @@
     fixture_close(&b);
 }
 
+/* Guards against: a limited upstream that gets no request for long, is slow to
+ * answer the health check, and is then taken for unreachable. */
+static void
+test_slow_health_check(void)
+{
+    struct path_fixture b;
+    struct client *c;
+
+    fixture_open(&b);
+    fixture_set_rules(&b, 400, 2);
+    fixture_announce(&b, 1, true); /* leaves only the first gate */
+    b.upstreams[0].script = respond_limited;
+    b.upstreams[0].health_delay_ms = 2 * BB_UPSTREAM_CHECK_TIMEOUT_MS;
+    c = client_open(&b);
+    client_send(c, SAFE("a1") "\r\n");
+    fixture_run(&b, BB_GATE_LIMIT_CHECK_MS + 100);
+    fixture_announce(&b, 0, false);
+    fixture_run(&b, BB_UPSTREAM_CHECK_TIMEOUT_MS + 100);
+    CU_ASSERT_TRUE(b.upstreams[0].health_checks >= 2);
+    client_send(c, SAFE("a2") "\r\n");
+    fixture_run(&b, 100);
+    CU_ASSERT_EQUAL(client_count(c, "body"), 2);
+    client_free(c);
+    fixture_close(&b);
+}
+
 /* Guards against: an odd record of another node's gate that ends the process
  * or keeps requests from the other gates. */
 static void
@@ -1056,6 +1083,7 @@
      test_restarted_gate_of_leaving_upstream},
     {"leaving response", test_leaving_response},
     {"limited upstreams", test_limited_upstreams},
+    {"slow health check", test_slow_health_check},
     {"odd gate records", test_odd_gate_records},
     {"pipelined requests", test_pipeline},
     {"long pipelined response", test_long_pipelined_response},
