gate: read no report from a refusal that may be an earlier one's

A refusal without an id on a connection that carried other requests may be an earlier one sent once more. Its statements about limit and leaving may then be old, and were applied all the same. Found by reading the diff; no test of its own.

--- a/path/gate.c
+++ b/path/gate.c
@@ -356,7 +356,8 @@
     rq->is_error = h->status >= 500;
     bb_response_relay_set_head(&rq->relay, h,
                                rq->exchange->head.method == HTTP_HEAD);
-    if (rq->upstream_run == rq->gate->upstream_run && h->status != 421) {
+    if (rq->upstream_run == rq->gate->upstream_run && h->status != 421 &&
+        !rq->is_unproven) {
         rq->gate->settings.dialect->read_report(h, &report);
         apply_report(rq->gate, &report, rq->sent_us);
     }
