--- a/decide/upstream_limit.c
+++ b/decide/upstream_limit.c
@@ -32,15 +32,15 @@
 
 /* Applies what the response states to a request that was sent at sent_us. A
  * first or lower limit holds at once. A higher one, and the end of the limit,
- * is believed only if the request was sent after the limit was named last: the
- * responses of earlier requests may be older than the limit. Returns whether
- * the limit has changed. */
+ * is believed only if the request was sent after the limit was stated last:
+ * the responses of earlier requests may be older than the limit. Returns
+ * whether the limit has changed. */
 bool
 bb_upstream_limit_update(struct bb_upstream_limit *l,
                          const struct bb_limit_report *r, uint64_t sent_us,
                          uint64_t now_us)
 {
-    bool is_newer = sent_us >= l->named_us;
+    bool is_newer = sent_us >= l->stated_us;
     struct bb_upstream_limit before = *l;
 
     switch (r->statement) {
@@ -51,7 +51,7 @@
             *l = (struct bb_upstream_limit){0};
         }
         break;
-    case BB_LIMIT_NAMED:
+    case BB_LIMIT_STATED:
         if (!l->is_limited) {
             *l = (struct bb_upstream_limit){.is_limited = true,
                                             .rate_mrps = r->rate_mrps,
@@ -61,7 +61,7 @@
         else if (r->rate_mrps < l->rate_mrps || is_newer) {
             set_rate(l, r->rate_mrps, now_us);
         }
-        l->named_us = now_us;
+        l->stated_us = now_us;
         break;
     }
     return before.is_limited != l->is_limited ||
--- a/include/decide/upstream_limit.h
+++ b/include/decide/upstream_limit.h
@@ -22,21 +22,21 @@
 /* What a response states about the limit of its upstream. */
 enum bb_limit_statement {
     BB_LIMIT_NONE,   /* the upstream has no limit */
-    BB_LIMIT_NAMED,  /* it has this one */
+    BB_LIMIT_STATED, /* it has this one */
     BB_LIMIT_INVALID /* unreadable; says nothing */
 };
 
 struct bb_limit_report {
     enum bb_limit_statement statement;
-    uint32_t rate_mrps; /* if named; 0: no requests */
+    uint32_t rate_mrps; /* if stated; 0: no requests */
 };
 
 struct bb_upstream_limit {
     bool is_limited;
     uint32_t rate_mrps;
     uint64_t began_us;
-    uint64_t named_us; /* when a response named a limit last */
-    uint64_t next_us;  /* from when on the rate allows the next request */
+    uint64_t stated_us; /* when a response stated a limit last */
+    uint64_t next_us;   /* from when on the rate allows the next request */
 };
 
 /* Return times of callers that were refused because of a limit. */
--- a/path/gate.c
+++ b/path/gate.c
@@ -757,7 +757,7 @@
     const struct bb_upstream_limit *l = &g->queue.limit;
 
     return l->is_limited && g->queue.running == 0 &&
-           bb_clock_now_us() - l->named_us >=
+           bb_clock_now_us() - l->stated_us >=
                (uint64_t)BB_GATE_LIMIT_CHECK_MS * BB_US_PER_MS;
 }
 
--- a/tests/decide/test_upstream_limit.c
+++ b/tests/decide/test_upstream_limit.c
@@ -13,20 +13,20 @@
 static const struct bb_limit_report none = {.statement = BB_LIMIT_NONE};
 static const struct bb_limit_report invalid = {.statement = BB_LIMIT_INVALID};
 
-/* Returns a report that names a limit. */
+/* Returns a report that states a limit. */
 static struct bb_limit_report
-named(uint32_t rate_mrps)
+stated(uint32_t rate_mrps)
 {
-    return (struct bb_limit_report){.statement = BB_LIMIT_NAMED,
+    return (struct bb_limit_report){.statement = BB_LIMIT_STATED,
                                     .rate_mrps = rate_mrps};
 }
 
-/* Applies a report that names a limit. */
+/* Applies a report that states a limit. */
 static void
-name_limit(struct bb_upstream_limit *l, uint32_t rate_mrps, uint64_t sent_us,
-           uint64_t now_us)
+state_limit(struct bb_upstream_limit *l, uint32_t rate_mrps, uint64_t sent_us,
+            uint64_t now_us)
 {
-    const struct bb_limit_report r = named(rate_mrps);
+    const struct bb_limit_report r = stated(rate_mrps);
 
     (void)bb_upstream_limit_update(l, &r, sent_us, now_us);
 }
@@ -49,7 +49,7 @@
         uint32_t count = 0;
         uint32_t first = 0;
 
-        name_limit(&l, rates_mrps[i], 1, 1);
+        state_limit(&l, rates_mrps[i], 1, 1);
         for (uint64_t now_us = 1; now_us < 6 * WINDOW_US; now_us += 1000) {
             bool is_pause = now_us / WINDOW_US == 2;
 
@@ -76,7 +76,7 @@
     struct bb_upstream_limit l = {0};
 
     CU_ASSERT_EQUAL(bb_upstream_limit_wait_us(&l, 5, 10), 0);
-    name_limit(&l, 10000, 1, SECOND_US);
+    state_limit(&l, 10000, 1, SECOND_US);
     CU_ASSERT_EQUAL(bb_upstream_limit_wait_us(&l, 0, SECOND_US), 0);
     CU_ASSERT_EQUAL(bb_upstream_limit_wait_us(&l, 3, SECOND_US), 300 * 1000);
     bb_upstream_limit_count(&l, SECOND_US);
@@ -92,14 +92,14 @@
 {
     struct bb_upstream_limit l = {0};
 
-    name_limit(&l, 5000, 10, 100);
+    state_limit(&l, 5000, 10, 100);
     CU_ASSERT_TRUE(l.is_limited);
     CU_ASSERT_FALSE(bb_upstream_limit_update(&l, &none, 99, 200));
-    name_limit(&l, 9000, 99, 200);
+    state_limit(&l, 9000, 99, 200);
     CU_ASSERT_EQUAL(l.rate_mrps, 5000);
-    name_limit(&l, 3000, 99, 300);
+    state_limit(&l, 3000, 99, 300);
     CU_ASSERT_EQUAL(l.rate_mrps, 3000);
-    name_limit(&l, 9000, 300, 400);
+    state_limit(&l, 9000, 300, 400);
     CU_ASSERT_EQUAL(l.rate_mrps, 9000);
     CU_ASSERT_FALSE(bb_upstream_limit_update(&l, &invalid, 500, 600));
     CU_ASSERT_TRUE(l.is_limited);
@@ -116,12 +116,12 @@
 {
     struct bb_upstream_limit l = {0};
 
-    name_limit(&l, 0, 10, 100);
+    state_limit(&l, 0, 10, 100);
     CU_ASSERT_TRUE(bb_upstream_limit_wait_us(&l, 0, 100) > WINDOW_US);
     bb_upstream_limit_count(&l, 100); /* a health check */
-    name_limit(&l, 2000, 200, 300);
+    state_limit(&l, 2000, 200, 300);
     CU_ASSERT_TRUE(bb_upstream_limit_wait_us(&l, 0, 300) <= SECOND_US / 2);
-    name_limit(&l, 0, 400, 500);
+    state_limit(&l, 0, 400, 500);
     CU_ASSERT_TRUE(bb_upstream_limit_update(&l, &none, 600, 700));
     CU_ASSERT_EQUAL(bb_upstream_limit_wait_us(&l, 0, 700), 0);
 }
@@ -174,7 +174,7 @@
     uint64_t id = 0;
 
     bb_gate_queue_init(q, QUEUE_SLOTS);
-    name_limit(&q->limit, 10000, 1, 1);
+    state_limit(&q->limit, 10000, 1, 1);
     for (uint64_t now_us = 1000; now_us < 40 * SECOND_US; now_us += 1000) {
         enum bb_gate_queue_decision decision;
         uint64_t next = 0;
--- a/tests/path/fixture.c
+++ b/tests/path/fixture.c
@@ -42,7 +42,7 @@
         .is_leaving = bb_http_head_get(h, T_LEAVING) != NULL};
     if (limit != NULL) {
         out->limit = (struct bb_limit_report){
-            .statement = BB_LIMIT_NAMED,
+            .statement = BB_LIMIT_STATED,
             .rate_mrps = (uint32_t)atoi(limit) * 1000};
     }
 }
--- a/tests/platform/test_dialect.c
+++ b/tests/platform/test_dialect.c
@@ -371,12 +371,12 @@
         uint32_t rate_mrps;
     } cases[] = {
         {"", BB_LIMIT_NONE, 0},
-        {"Server-Limit: 8.6\r\n", BB_LIMIT_NAMED, 8600},
-        {"server-limit:  12 \r\n", BB_LIMIT_NAMED, 12000},
-        {"Server-Limit: 0.25\r\n", BB_LIMIT_NAMED, 250},
-        {"Server-Limit: 0.00001\r\n", BB_LIMIT_NAMED, 1},
-        {"Server-Limit: 0\r\n", BB_LIMIT_NAMED, 0},
-        {"Server-Limit: 99999999999999999999999\r\n", BB_LIMIT_NAMED,
+        {"Server-Limit: 8.6\r\n", BB_LIMIT_STATED, 8600},
+        {"server-limit:  12 \r\n", BB_LIMIT_STATED, 12000},
+        {"Server-Limit: 0.25\r\n", BB_LIMIT_STATED, 250},
+        {"Server-Limit: 0.00001\r\n", BB_LIMIT_STATED, 1},
+        {"Server-Limit: 0\r\n", BB_LIMIT_STATED, 0},
+        {"Server-Limit: 99999999999999999999999\r\n", BB_LIMIT_STATED,
          UINT32_MAX},
         {"Server-Limit:\r\n", BB_LIMIT_INVALID, 0},
         {"Server-Limit: -3\r\n", BB_LIMIT_INVALID, 0},
@@ -388,10 +388,10 @@
         {"Server-Limit: 3 a second\r\n", BB_LIMIT_INVALID, 0},
         {"Server-Limit: nan\r\n", BB_LIMIT_INVALID, 0},
         {"Server-Limit: inf\r\n", BB_LIMIT_INVALID, 0},
-        {"Server-Limit: 7\r\nServer-Limit: 5\r\n", BB_LIMIT_NAMED, 5000},
-        {"Server-Limit: 5\r\nServer-Limit: 7\r\n", BB_LIMIT_NAMED, 5000},
-        {"Server-Limit: none\r\nServer-Limit: 7\r\n", BB_LIMIT_NAMED, 7000},
-        {"Server-Limit: 7\r\nServer-Limit: none\r\n", BB_LIMIT_NAMED, 7000}};
+        {"Server-Limit: 7\r\nServer-Limit: 5\r\n", BB_LIMIT_STATED, 5000},
+        {"Server-Limit: 5\r\nServer-Limit: 7\r\n", BB_LIMIT_STATED, 5000},
+        {"Server-Limit: none\r\nServer-Limit: 7\r\n", BB_LIMIT_STATED, 7000},
+        {"Server-Limit: 7\r\nServer-Limit: none\r\n", BB_LIMIT_STATED, 7000}};
 
     for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
         struct bb_limit_report limit = read_report(cases[i].fields).limit;
