--- a/tests/proxyd/test_drain.c
+++ b/tests/proxyd/test_drain.c
@@ -52,8 +52,8 @@
     fixture_close(&f);
 }
 
-/* Guards against: the same while the control hosts do not know of the drain,
- * as the process ended before it could announce it. */
+/* Guards against: the same while the control hosts are frozen and have not
+ * heard of the drain. */
 static void
 test_late_announcement_with_old_record(void)
 {
