--- a/review/lib/mesh.py
+++ b/review/lib/mesh.py
@@ -129,7 +129,13 @@
                 while (await reader.readline()) not in (b"\r\n", b"\n", b""):
                     pass
                 return body
-            body += await reader.readexactly(size)
+            while size > 0:
+                piece = await reader.read(min(size, KEPT_BODY_BYTES))
+                if not piece:
+                    raise asyncio.IncompleteReadError(b"", size)
+                size -= len(piece)
+                if len(body) <= KEPT_BODY_BYTES:
+                    body += piece
             await reader.readexactly(2)
     left = int(fields.get("content-length", "0"))
     if left <= KEPT_BODY_BYTES:
@@ -339,7 +345,13 @@
                 head = await read_head(reader)
                 if head is None:
                     return
-                body = await read_body(reader, head[1])
+                ident = head[1].get((P + "Request-Id").lower())
+                try:
+                    body = await read_body(reader, head[1])
+                except (ConnectionError, asyncio.IncompleteReadError, ValueError):
+                    self.mesh.record.add(
+                        "backend %s: the connection of %s ends within its body" % (self.id, ident))
+                    raise
                 await self._answer(reader, writer, head, body)
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError, ValueError,
