--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,4 +1,5 @@
-"""The configuration raises the limits of requests; the gate keeps its own."""
+"""A backend starts again under its id after the time of day went back; later it
+drains."""
 
 import os
 import sys
@@ -7,106 +8,106 @@
 sys.path.insert(0, os.path.join(FOLDER, "..", "lib"))
 from mesh import *  # noqa: E402,F403
 
-HOST = "orders.example"
-MIB = 1 << 20
-BEFORE = {
-    "max_header_bytes": 16384, "max_body_bytes": 64 * MIB,
-    "header_timeout_ms": 3000, "idle_timeout_ms": 15000,
-}
-AFTER = dict(BEFORE, max_header_bytes=65536, max_body_bytes=128 * MIB)
-HEADS = 12  # requests with a long head
-UPLOADS = 6  # requests with a long body, in chunks
-SETTLED_S = 6.5  # `config_apply_ms` 2.5 s, `contact_ms` 3 s, and one more
-
-
-async def upload(mesh, machine, size):
-    """Sends a body in chunks; returns the status, and whether it was sealed."""
-    ident = mesh.new_id()
-    reader, writer = await asyncio.open_connection(*machine.at(mesh.ports["outbound"]))
-    writer.write(
-        (
-            "POST /place/p HTTP/1.1\r\nHost: %s\r\n%sRequest-Id: %s\r\n%sDeadline-Ms: 6000\r\n"
-            "Transfer-Encoding: chunked\r\n\r\n" % (HOST, P, ident, P)
-        ).encode()
-    )
-    answer = asyncio.ensure_future(asyncio.wait_for(read_response(reader), 7))
-    piece = b"%x\r\n" % MIB + b"x" * MIB + b"\r\n"
-    r = None
-    try:
-        for _ in range(size // MIB):
-            writer.write(piece)
-            await writer.drain()
-            if answer.done():
-                break
-        if not answer.done():
-            writer.write(b"0\r\n\r\n")
-        r = await answer
-    except (OSError, asyncio.TimeoutError):
-        pass
-    writer.close()
-    mesh.record.add(
-        "client at %s: %s, body of %d MiB -> %s"
-        % (machine.name, ident, size // MIB, r.status if r is not None else "no answer")
-    )
-    return ident, r
+HOST = "view.example"
+STEP_MS = 2000  # clock_step: x = 2000, how = ahead, for_s = 5
+STEP_S = 5.0
+DRAIN_S = 2.5  # `drain_ms`
+SERVES_ON_S = 8.0  # after the acknowledgement; "at times many seconds"
+
+
+class Clock:
+    """The time of day of one machine, as its backend sees it."""
+
+    def __init__(self):
+        self.offset_ms = 0
+
+    def now_ms(self):
+        return int(time.time() * 1000) + self.offset_ms
+
+
+async def start_backend(mesh, machine, ident, clock):
+    b = Backend(mesh, machine, ident)
+    b.born = clock.now_ms()
+    b.work_s = 0.03
+    machine.backend = b
+    await b.start()
+    mesh.record.add("backend %s: starts, born %d" % (ident, b.born))
+    return b
+
+
+async def client(mesh, machine, end):
+    while time.monotonic() < end:
+        await mesh.request(machine, HOST, "GET", "/view/p")
+        await asyncio.sleep(0.3)
 
 
 async def case(mesh):
-    mesh.timeout_ms = 4000
-    await mesh.start()
-    routes = [
-        mesh.route("look", HOST, "/look/", "safe", "orderbook", target_latency_ms=2500),
-        mesh.route("place", HOST, "/place/", "unsafe", "orderbook", target_latency_ms=2500),
-    ]
-    if await mesh.replace(mesh.config(3, routes, BEFORE), 0) != 200:
+    for m in mesh.cores:
+        await mesh.start_core(m)
+    for m in mesh.sides:
+        await mesh.start_side(m)
+    first = mesh.sides[0]
+    clock = Clock()
+    right = Clock()
+    old = await start_backend(mesh, first, "i-%08x" % random.getrandbits(32), right)
+    for m in mesh.sides[1:]:
+        await start_backend(mesh, m, "i-%08x" % random.getrandbits(32), right)
+    routes = [mesh.route("view", HOST, "/view/", "safe", "proofdesk")]
+    if await mesh.replace(mesh.config(3, routes), 0) != 200:
         raise CannotRun("the configuration was not accepted")
     await mesh.wait_ready()
     for m in mesh.sides:
-        await mesh.wait_served(m, HOST, "GET", "/look/p")
-    limits = BEFORE
+        await mesh.wait_served(m, HOST, "GET", "/view/p")
+    end = time.monotonic() + 26
+    clients = [asyncio.ensure_future(client(mesh, m, end)) for m in mesh.sides]
+    await asyncio.sleep(1)
+
+    begin = time.monotonic()
+
+    async def until(s):
+        await asyncio.sleep(max(0, begin + s - time.monotonic()))
+
     if TROUBLE:
-        if await mesh.replace(mesh.config(8, routes, AFTER), 3) != 200:
-            raise CannotRun("the change was not accepted")
-        mesh.record.add("disruption: a configuration with higher limits is acknowledged")
-        limits = AFTER
-    await asyncio.sleep(SETTLED_S)
-
-    # Requests inside the limits: five eighths of the head, nine sixteenths of
-    # the body.
-    head_bytes = limits["max_header_bytes"] * 5 // 8
-    body_bytes = limits["max_body_bytes"] * 9 // 16
-    answers = []
-    for i in range(HEADS):
-        answers.append(
-            await mesh.request(
-                mesh.sides[i % len(mesh.sides)], HOST, "GET", "/look/p",
-                fields={"X-Note": "y" * head_bytes},
-            )
-        )
-    for i in range(UPLOADS):
-        answers.append(await upload(mesh, mesh.sides[i % len(mesh.sides)], body_bytes))
-    for i in range(40):
-        answers.append(
-            await mesh.request(mesh.sides[i % len(mesh.sides)], HOST, "GET", "/look/p")
-        )
-
-    denied = [
-        (ident, r.status)
-        for ident, r in answers
-        if isinstance(r, Response)
-        and 300 <= r.status < 500
-        and r.status not in (408, 421, 429)
-        and r.get(P + "Response-Seal") is None
-    ]
-    allowed = 5 + len(answers) / 500
+        clock.offset_ms = STEP_MS
+        mesh.record.add("disruption: the time of day of %s jumps ahead by 2 s" % first.name)
+    await until(STEP_S - 0.4)
+    # A replaced backend: the old one goes, the new one has an id of its own.
+    await old.crash()
+    ident = "i-%08x" % random.getrandbits(32)
+    await start_backend(mesh, first, ident, clock)
+    await until(STEP_S)
+    if TROUBLE:
+        clock.offset_ms = 0
+        mesh.record.add("the time of day of %s jumps back" % first.name)
+    # It crashes 1.4 s after its start, and starts again under its id.
+    await until(STEP_S + 1.0)
+    await first.backend.crash()
+    b = await start_backend(mesh, first, ident, clock)
+
+    # Calm for `contact_ms` and more; then planned work.
+    await until(STEP_S + 6.0)
+    b.state = "draining"
+    acked = None
+    for _ in range(4):
+        if await b.beat():
+            acked = time.monotonic()
+            break
+        await asyncio.sleep(0.5)
+    b.leaving = True
+    if acked is None:
+        raise CannotRun("the drain was not acknowledged")
+    mesh.record.add("backend %s: draining is acknowledged" % ident)
+    await asyncio.sleep(SERVES_ON_S)
+    late = [r[1] for r in b.runs if r[0] > acked + DRAIN_S]
+    await b.crash()
+    for t in clients:
+        t.cancel()
     mesh.record.add(
-        "%d requests with heads of %d bytes, %d with bodies of %d MiB, 40 short ones; ended with "
-        "a 4xx of the system's own: %d (%d are allowed): %s"
-        % (HEADS, head_bytes, UPLOADS, body_bytes // MIB, len(denied), int(allowed),
-           sorted({s for _, s in denied}))
+        "requests that reached backend %s later than 2.5 s after the acknowledgement: %d; "
+        "before it: %d" % (ident, len(late), len([r for r in b.runs if r[0] < acked]))
     )
-    return len(denied) <= allowed
+    return not late
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(case, FOLDER, sides=(("orderbook", 2),)))
+    sys.exit(run_case(case, FOLDER, sides=(("proofdesk", 2),)))
--- a/review/lib/mesh.py
+++ b/review/lib/mesh.py
@@ -119,8 +119,9 @@
 KEPT_BODY_BYTES = 1 << 20
 
 
-async def read_body(reader, fields):
-    """Reads a body with a length or in chunks. A long one is not kept."""
+async def read_body(reader, fields, kept_bytes=KEPT_BODY_BYTES):
+    """Reads a body with a length or in chunks. One that is longer than
+    kept_bytes is not kept."""
     if fields.get("transfer-encoding", "").lower() == "chunked":
         body = b""
         while True:
@@ -134,11 +135,11 @@
                 if not piece:
                     raise asyncio.IncompleteReadError(b"", size)
                 size -= len(piece)
-                if len(body) <= KEPT_BODY_BYTES:
+                if len(body) <= kept_bytes:
                     body += piece
             await reader.readexactly(2)
     left = int(fields.get("content-length", "0"))
-    if left <= KEPT_BODY_BYTES:
+    if left <= kept_bytes:
         return await reader.readexactly(left)
     while left > 0:
         piece = await reader.read(min(left, KEPT_BODY_BYTES))
@@ -157,7 +158,7 @@
     fields = head[1]
     try:
         if "content-length" in fields or "transfer-encoding" in fields:
-            body = await read_body(reader, fields)
+            body = await read_body(reader, fields, 1 << 26)
         elif status in (204, 304):
             body = b""
         else:
@@ -534,8 +535,9 @@
 
     async def replace(self, config, base, limit_s=20.0):
         """Sends a configuration until it gets a clear answer. Returns the
-        status of that, or 0."""
+        status of that, or 0. A call waits a second, more for large bodies."""
         body = json.dumps(config).encode()
+        wait_s = 1.0 + len(body) / 4e6
         end = time.monotonic() + limit_s
         while time.monotonic() < end:
             for m in random.sample(self.cores, len(self.cores)):
@@ -543,7 +545,7 @@
                 for _ in range(3):
                     r = await call(at, "POST", "/config/replace",
                                    {P + "Base-Version": str(base),
-                                    "Content-Type": "application/json"}, body, 1.0)
+                                    "Content-Type": "application/json"}, body, wait_s)
                     if isinstance(r, Response) and r.status == 307:
                         host = r.get("Location").split("/")[2].rsplit(":", 1)
                         at = (host[0], int(host[1]))
@@ -557,19 +559,19 @@
             await asyncio.sleep(0.2)
         return 0
 
-    async def read(self, limit_s=10.0):
+    async def read(self, limit_s=10.0, wait_s=2.0):
         end = time.monotonic() + limit_s
         while time.monotonic() < end:
             for m in random.sample(self.cores, len(self.cores)):
                 at = m.at(self.ports["operators"])
                 for _ in range(3):
-                    r = await call(at, "GET", "/config/read", {}, b"", 1.0)
+                    r = await call(at, "GET", "/config/read", {}, b"", wait_s)
                     if isinstance(r, Response) and r.status == 307:
                         host = r.get("Location").split("/")[2].rsplit(":", 1)
                         at = (host[0], int(host[1]))
                         continue
                     break
-                if isinstance(r, Response) and r.status == 200:
+                if isinstance(r, Response) and r.status == 200 and r.complete:
                     c = json.loads(r.body)
                     self.record.add("operator: reads version %d from %s" % (c["version"], m.name))
                     return c
