--- a/review/lib/mesh.py
+++ b/review/lib/mesh.py
@@ -26,6 +26,9 @@
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 P = "X-Baobabshed-"
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+PORT_NAMES = (
+    "inbound", "app", "ready", "outbound", "announce", "operators", "internal0", "internal1",
+)
 
 # Bounds of the site adinkra-proofs.
 BOUNDS = {
@@ -410,10 +413,7 @@
         self.record = Record(record_path)
         self.folder = tempfile.mkdtemp(prefix="review-")
         self.extra_env = {}
-        self.ports = {
-            "inbound": 8300, "app": 8301, "ready": 8302, "outbound": 8304,
-            "announce": 8306, "operators": 8308, "internal0": 7620, "internal1": 7635,
-        }
+        self.ports = {}
         self.cores = []
         self.sides = []
         self.version = 0
@@ -434,17 +434,20 @@
                 n += 1
 
     def _free_net(self, machines):
-        """Chooses loopback addresses on which all ports are free."""
+        """Chooses loopback addresses and ports that are free."""
         for _ in range(50):
             net = "127.%d.%d" % (random.randint(20, 250), random.randint(1, 250))
+            first = random.randint(10000, 30000)
+            ports = {name: first + i for i, name in enumerate(PORT_NAMES)}
             try:
                 for n in range(1, machines + 1):
-                    for port in self.ports.values():
+                    for port in ports.values():
                         s = socket.socket()
                         try:
                             s.bind(("%s.%d" % (net, n), port))
                         finally:
                             s.close()
+                self.ports = ports
                 return net
             except OSError:
                 continue
