--- a/review/4/case.py
+++ b/review/4/case.py
@@ -70,9 +70,17 @@
     if TROUBLE:
         clock.offset_ms = STEP_MS
         mesh.record.add("disruption: the time of day of %s jumps ahead by 2 s" % first.name)
-    await until(STEP_S - 0.4)
-    # A replaced backend: the old one goes, the new one has an id of its own.
+    # Planned work: the backend is replaced. The old one drains and ends, the new
+    # one has an id of its own.
+    await until(STEP_S - 0.4 - DRAIN_S - 0.5)
+    old.state = "draining"
+    if not await old.beat():
+        raise CannotRun("the drain of the first backend was not acknowledged")
+    old.leaving = True
+    await until(STEP_S - 0.5)
+    await old.deregister()
     await old.crash()
+    await until(STEP_S - 0.4)
     ident = "i-%08x" % random.getrandbits(32)
     await start_backend(mesh, first, ident, clock)
     await until(STEP_S)
@@ -110,4 +118,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(case, FOLDER, sides=(("proofdesk", 2),)))
+    sys.exit(run_case(case, FOLDER, sides=(("proofdesk", 4),)))
