upstream: find out which run is in service instead of ordering starts

Cause: is_stale and bb_upstream_withdraw ordered the runs of an upstream by their start on the wall clock. The messages of a run with a lower start were ignored for as long as it lived, its drain and its withdrawal too, and baobab-proxy acknowledged them with 200. Ruled out: a late or overtaken announcement (those of the case arrive in order), the control hosts (it happens without one), a restart of the gate.

Change: a start that is lower, or that is the one of a run that was replaced before, no longer decides. Another run is kept beside the known one and replaces it when it has been heard for 3 s while the known one was silent. Until then its drain gets 503, and the upstream repeats it. A drain with a higher start no longer closes the gate to a known run that is heard.

Why it works: a run that goes on announces itself every interval, so late messages of an ended run never find it silent for 3 s, and a run that is silent has ended. Whichever way the order was guessed, the run that goes on wins in the end, and nothing is acknowledged before.

--- a/include/path/upstream.h
+++ b/include/path/upstream.h
@@ -1,6 +1,17 @@
 /* State of the upstream on this host, from its announcements and withdrawals.
  * Without I/O. Times in microseconds are on the monotonic clock
- * (bb_clock_now_us). */
+ * (bb_clock_now_us).
+ *
+ * A run of an upstream is identified by its id and its start. The known run is
+ * the one that gets requests. The starts do not order the runs, as the wall
+ * clock may go back, and messages of an ended run may arrive late. So another
+ * run replaces the known one only if
+ * - it announces that it is ready, its start is not lower, and it has not been
+ *   replaced itself, or
+ * - it has been heard for BB_UPSTREAM_TAKEOVER_MS while the known run was
+ *   silent.
+ * If the order turns out wrong, the run that goes on is found in the same way.
+ * Until then, a drain of another run is not acknowledged. */
 #ifndef BB_PATH_UPSTREAM_H
 #define BB_PATH_UPSTREAM_H
 
@@ -10,23 +21,40 @@
 #include "fleet/instances.h"
 #include "path/dialect.h"
 
-/* Longer than an announcement is late. */
-enum { BB_UPSTREAM_TRUST_MS = 5000 };
+enum {
+    /* Longer than an announcement is late. */
+    BB_UPSTREAM_TRUST_MS = 5000,
+    /* Longer than the interval between the announcements of a run. */
+    BB_UPSTREAM_TAKEOVER_MS = 3000,
+    /* Runs kept besides the known one; the one heard last of longest ago is
+     * dropped. */
+    BB_UPSTREAM_OTHERS_MAX = 4
+};
 
 enum bb_announce_result {
     BB_ANNOUNCE_ACCEPTED,     /* applied */
-    BB_ANNOUNCE_STALE,        /* older than the known state; ignored */
-    BB_ANNOUNCE_UNORDERED,    /* a drain of another upstream that cannot be
-                                 ordered before or after it; ignored */
+    BB_ANNOUNCE_STALE,        /* older than the known state, or of a run that
+                                 has not replaced the known one; ignored */
+    BB_ANNOUNCE_UNORDERED,    /* the same of a drain; not binding */
     BB_ANNOUNCE_WRONG_ADDRESS /* the address is not that of this host's
                                  upstream; ignored */
 };
 
 enum bb_withdraw_result {
-    BB_WITHDRAW_APPLIED,   /* also if the upstream was draining before */
-    BB_WITHDRAW_STALE,     /* of an earlier run, which gets no requests */
-    BB_WITHDRAW_UNORDERED, /* of another upstream that cannot be ordered before
-                              or after the known one; ignored */
+    BB_WITHDRAW_APPLIED,  /* also if the upstream was draining before */
+    BB_WITHDRAW_STALE,    /* of a replaced run that was draining before */
+    BB_WITHDRAW_UNORDERED /* of a run that has not replaced the known one; not
+                             binding */
+};
+
+/* A run that was heard of besides the known one. */
+struct bb_upstream_other {
+    char id[BB_DIALECT_ID_BYTES]; /* empty: unused */
+    struct bb_announcement latest;
+    uint64_t first_heard_us; /* since the known run was heard last; 0: not */
+    uint64_t last_heard_us;  /* or replaced */
+    bool has_drained;
+    bool was_replaced; /* it was the known run */
 };
 
 struct bb_upstream {
@@ -46,6 +74,7 @@
     /* The run takes requests: it said so in a response, or its announcements
      * went on for BB_UPSTREAM_TRUST_MS. A single one may be late. */
     bool is_confirmed;
+    struct bb_upstream_other others[BB_UPSTREAM_OTHERS_MAX];
 };
 
 enum bb_announce_result bb_upstream_announce(struct bb_upstream *u,
@@ -55,7 +84,8 @@
                                              uint64_t now_us);
 enum bb_withdraw_result bb_upstream_withdraw(struct bb_upstream *u,
                                              const char *id,
-                                             uint64_t started_ms);
+                                             uint64_t started_ms,
+                                             uint64_t now_us);
 void bb_upstream_confirm(struct bb_upstream *u);
 void bb_upstream_apply_report(struct bb_upstream *u,
                               const struct bb_upstream_report *r);
--- a/path/gate.c
+++ b/path/gate.c
@@ -825,6 +825,21 @@
     }
 }
 
+/* Applies a change of the known run. */
+static void
+apply_replacement(struct bb_gate *g, const struct bb_upstream *before)
+{
+    const struct bb_upstream *u = &g->upstream;
+
+    bb_log_info("upstream.replaced",
+                "%s started %" G_GUINT64_FORMAT " by %s started "
+                "%" G_GUINT64_FORMAT,
+                before->id[0] != '\0' ? before->id : "-", before->started_ms,
+                u->id, u->started_ms);
+    g->is_unreachable = false;
+    begin_upstream_run(g);
+}
+
 /* Creates the gate, which admits nothing until the upstream has announced
  * itself. Keeps a copy of the settings, but not of the texts and objects that
  * they point to. Returns NULL and sets the error if it cannot listen on the
@@ -882,10 +897,10 @@
     if (r != BB_ANNOUNCE_ACCEPTED) {
         return r;
     }
-    g->is_unreachable = false;
     if (is_new_run) {
-        begin_upstream_run(g);
+        apply_replacement(g, &before);
     }
+    g->is_unreachable = false;
     check_upstream(g);
     if (is_new_run || was_unreachable || before.state != u->state ||
         before.is_confirmed != u->is_confirmed || before.slots != u->slots ||
@@ -902,14 +917,14 @@
 {
     struct bb_upstream before = g->upstream;
     enum bb_withdraw_result r =
-        bb_upstream_withdraw(&g->upstream, id, started_ms);
+        bb_upstream_withdraw(&g->upstream, id, started_ms, bb_clock_now_us());
     const struct bb_upstream *u = &g->upstream;
 
     if (r != BB_WITHDRAW_APPLIED) {
         return r;
     }
     if (strcmp(before.id, u->id) != 0 || before.started_ms != u->started_ms) {
-        begin_upstream_run(g);
+        apply_replacement(g, &before);
     }
     check_upstream(g);
     apply_upstream_state(g);
--- a/proxyd/main.c
+++ b/proxyd/main.c
@@ -229,7 +229,8 @@
 }
 
 /* Decodes an announcement of an upstream and passes it to the gate. A stale
- * one is acknowledged too: an earlier run of the upstream gets no requests. */
+ * one is acknowledged too, as it promises nothing, but a drain only if it is
+ * applied. */
 static void
 apply_announcement(struct proxy *p, struct bb_http_exchange *x, const char *id)
 {
@@ -248,14 +249,12 @@
         acknowledge(p, x);
         break;
     case BB_ANNOUNCE_STALE:
-        if (a.is_draining) {
-            log_drain(id, a.started_ms, "stale");
-        }
         acknowledge(p, x);
         break;
     case BB_ANNOUNCE_UNORDERED:
         log_drain(id, a.started_ms, "not applied");
-        refuse_api_request(x, 503, "another upstream is known here");
+        refuse_api_request(x, 503,
+                           "another run of the upstream is known here");
         break;
     case BB_ANNOUNCE_WRONG_ADDRESS:
         refuse_api_request(x, 400, "the upstream is not on this host");
@@ -282,7 +281,8 @@
         break;
     case BB_WITHDRAW_UNORDERED:
         log_drain(id, started_ms, "not applied");
-        refuse_api_request(x, 503, "another upstream is known here");
+        refuse_api_request(x, 503,
+                           "another run of the upstream is known here");
         break;
     }
 }
--- a/tests/platform/test_dialect.c
+++ b/tests/platform/test_dialect.c
@@ -203,8 +203,10 @@
     a.sequence = 99;
     CU_ASSERT_EQUAL(bb_upstream_announce(&u, "old", &a, "x:1", 1),
                     BB_ANNOUNCE_STALE);
-    CU_ASSERT_EQUAL(bb_upstream_withdraw(&u, "old", 200), BB_WITHDRAW_STALE);
-    CU_ASSERT_EQUAL(bb_upstream_withdraw(&u, "new", 300), BB_WITHDRAW_APPLIED);
+    CU_ASSERT_EQUAL(bb_upstream_withdraw(&u, "old", 200, 1),
+                    BB_WITHDRAW_STALE);
+    CU_ASSERT_EQUAL(bb_upstream_withdraw(&u, "new", 300, 1),
+                    BB_WITHDRAW_APPLIED);
 }
 
 /* Guards against: a drain that is acknowledged but not applied, because later
@@ -216,8 +218,10 @@
     struct bb_announcement a = ready;
 
     (void)bb_upstream_announce(&u, "i", &a, "x:1", 1);
-    CU_ASSERT_EQUAL(bb_upstream_withdraw(&u, "j", 0), BB_WITHDRAW_UNORDERED);
-    CU_ASSERT_EQUAL(bb_upstream_withdraw(&u, "j", 100), BB_WITHDRAW_UNORDERED);
+    CU_ASSERT_EQUAL(bb_upstream_withdraw(&u, "j", 0, 1),
+                    BB_WITHDRAW_UNORDERED);
+    CU_ASSERT_EQUAL(bb_upstream_withdraw(&u, "j", 100, 1),
+                    BB_WITHDRAW_UNORDERED);
     a.is_draining = true;
     a.started_ms = 0;
     CU_ASSERT_EQUAL(bb_upstream_announce(&u, "j", &a, "x:1", 1),
@@ -229,6 +233,69 @@
     CU_ASSERT_EQUAL(u.state, BB_INSTANCE_DRAINING);
 }
 
+enum { SECOND_US = 1000 * 1000 };
+
+/* Announces the run `i` that started at `started_ms`, `now_s` seconds after
+ * the start of the test. */
+static enum bb_announce_result
+announce_run(struct bb_upstream *u, uint64_t started_ms, bool is_draining,
+             uint64_t now_s)
+{
+    struct bb_announcement a = ready;
+
+    a.started_ms = started_ms;
+    a.is_draining = is_draining;
+    a.sequence = now_s;
+    return bb_upstream_announce(u, "i", &a, "x:1", now_s * SECOND_US);
+}
+
+/* Guards against: a run that started after the clock went back and whose drain
+ * is ignored, and late messages of an ended run that stop the one in service.
+ */
+static void
+test_clock_that_goes_back(void)
+{
+    struct bb_upstream u = {0};
+
+    for (uint64_t s = 1; s <= 7; s++) {
+        (void)announce_run(&u, 1000, false, s);
+    }
+    CU_ASSERT_EQUAL(announce_run(&u, 400, true, 8), BB_ANNOUNCE_UNORDERED);
+    (void)announce_run(&u, 1000, false, 9);
+    CU_ASSERT_EQUAL(announce_run(&u, 400, true, 11), BB_ANNOUNCE_UNORDERED);
+    CU_ASSERT_EQUAL(u.state, BB_INSTANCE_READY);
+    CU_ASSERT_EQUAL(u.started_ms, 1000);
+    /* Another one, while the known run is silent. */
+    CU_ASSERT_EQUAL(announce_run(&u, 500, false, 12), BB_ANNOUNCE_STALE);
+    CU_ASSERT_EQUAL(announce_run(&u, 500, false, 14), BB_ANNOUNCE_STALE);
+    CU_ASSERT_EQUAL(announce_run(&u, 500, false, 15), BB_ANNOUNCE_ACCEPTED);
+    CU_ASSERT_EQUAL(u.started_ms, 500);
+    CU_ASSERT_TRUE(u.is_confirmed);
+    CU_ASSERT_EQUAL(announce_run(&u, 1000, false, 16), BB_ANNOUNCE_STALE);
+    CU_ASSERT_EQUAL(announce_run(&u, 1000, true, 17), BB_ANNOUNCE_UNORDERED);
+    CU_ASSERT_EQUAL(u.state, BB_INSTANCE_READY);
+    CU_ASSERT_EQUAL(announce_run(&u, 500, true, 18), BB_ANNOUNCE_ACCEPTED);
+    CU_ASSERT_EQUAL(u.state, BB_INSTANCE_DRAINING);
+    CU_ASSERT_EQUAL(announce_run(&u, 1000, false, 19), BB_ANNOUNCE_STALE);
+    CU_ASSERT_EQUAL(u.state, BB_INSTANCE_DRAINING);
+}
+
+/* Guards against: a late drain with a higher start that closes the gate to the
+ * run in service, and one that is never applied. */
+static void
+test_drain_of_later_start(void)
+{
+    struct bb_upstream u = {0};
+
+    (void)announce_run(&u, 1000, false, 1);
+    CU_ASSERT_EQUAL(announce_run(&u, 2000, true, 2), BB_ANNOUNCE_UNORDERED);
+    (void)announce_run(&u, 1000, false, 3);
+    CU_ASSERT_EQUAL(u.state, BB_INSTANCE_READY);
+    CU_ASSERT_EQUAL(announce_run(&u, 2000, true, 6), BB_ANNOUNCE_ACCEPTED);
+    CU_ASSERT_EQUAL(u.state, BB_INSTANCE_DRAINING);
+    CU_ASSERT_EQUAL(u.started_ms, 2000);
+}
+
 /* Guards against: an upstream that is taken for ready although it says in its
  * responses that it leaves, and one odd response that closes it for good. */
 static void
@@ -247,7 +314,7 @@
     CU_ASSERT_EQUAL(u.state, BB_INSTANCE_DRAINING);
     bb_upstream_apply_report(&u, &staying);
     CU_ASSERT_EQUAL(u.state, BB_INSTANCE_READY);
-    CU_ASSERT_EQUAL(bb_upstream_withdraw(&u, "i", 0), BB_WITHDRAW_APPLIED);
+    CU_ASSERT_EQUAL(bb_upstream_withdraw(&u, "i", 0, 1), BB_WITHDRAW_APPLIED);
     bb_upstream_apply_report(&u, &staying);
     CU_ASSERT_EQUAL(u.state, BB_INSTANCE_DRAINING);
 }
@@ -286,18 +353,20 @@
     struct bb_upstream u = {0};
     struct bb_announcement a = ready;
 
-    CU_ASSERT_EQUAL(bb_upstream_withdraw(&u, "i", 0), BB_WITHDRAW_APPLIED);
+    CU_ASSERT_EQUAL(bb_upstream_withdraw(&u, "i", 0, 1), BB_WITHDRAW_APPLIED);
     CU_ASSERT_EQUAL(u.state, BB_INSTANCE_DRAINING);
     (void)bb_upstream_announce(&u, "i", &a, "x:1", 1);
     CU_ASSERT_FALSE(u.is_confirmed);
     u = (struct bb_upstream){0};
-    CU_ASSERT_EQUAL(bb_upstream_withdraw(&u, "i", 100), BB_WITHDRAW_APPLIED);
+    CU_ASSERT_EQUAL(bb_upstream_withdraw(&u, "i", 100, 1),
+                    BB_WITHDRAW_APPLIED);
     CU_ASSERT_EQUAL(u.state, BB_INSTANCE_DRAINING);
     CU_ASSERT_EQUAL(bb_upstream_announce(&u, "i", &a, "x:1", 1),
                     BB_ANNOUNCE_ACCEPTED);
     CU_ASSERT_EQUAL(u.state, BB_INSTANCE_DRAINING);
     /* The same for a run that is newer than the known one. */
-    CU_ASSERT_EQUAL(bb_upstream_withdraw(&u, "j", 200), BB_WITHDRAW_APPLIED);
+    CU_ASSERT_EQUAL(bb_upstream_withdraw(&u, "j", 200, 1),
+                    BB_WITHDRAW_APPLIED);
     a.started_ms = 200;
     (void)bb_upstream_announce(&u, "j", &a, "x:1", 1);
     CU_ASSERT_EQUAL(u.state, BB_INSTANCE_DRAINING);
@@ -305,7 +374,7 @@
     a.started_ms = 300;
     (void)bb_upstream_announce(&u, "j", &a, "x:1", 1);
     CU_ASSERT_EQUAL(u.state, BB_INSTANCE_READY);
-    CU_ASSERT_EQUAL(bb_upstream_withdraw(&u, "j", 200), BB_WITHDRAW_STALE);
+    CU_ASSERT_EQUAL(bb_upstream_withdraw(&u, "j", 200, 1), BB_WITHDRAW_STALE);
     CU_ASSERT_EQUAL(u.state, BB_INSTANCE_READY);
 }
 
@@ -451,6 +520,8 @@
     {"heartbeats", test_heartbeats},
     {"incarnations", test_runs_of_an_upstream},
     {"unordered drains", test_unordered_drains},
+    {"clock that goes back", test_clock_that_goes_back},
+    {"drain of a later start", test_drain_of_later_start},
     {"trust in announcements", test_trust_in_announcements},
     {"reports of an upstream", test_reports_of_an_upstream},
     {"withdrawn while unknown", test_withdrawn_unknown},
