gate: ask the upstream which id it has when another one announces itself

Callers saw a sound upstream refuse each request (421) and its drain acknowledged and ignored: it had another id than the one before, and had started after the time of day went back. The other way round, a late message of an ended upstream with a higher start closed the gate to the one in service.

Cause: the gate sends the id of the known run with each request, and which run that is was decided by the starts. The health check knew better: it took the response of another id for no response.

Change: when another id announces itself or is withdrawn, the gate runs a health check, and the run whose id the upstream states becomes the known one.

Why it works: one process listens at the upstream's address, and a response to a request cannot be older than the request.

Evidence: test_runs, programs of: `other id` sends i-1 to i-2, and a request reaches it 2.5 s after its acknowledged drain; `other id, unchecked` the same; `late messages of another id`: 503 for the upstream in service.

--- a/include/path/upstream.h
+++ b/include/path/upstream.h
@@ -8,6 +8,7 @@
  * run replaces the known one only if
  * - it announces that it is ready, its start is not lower, and it has not been
  *   replaced itself, or
+ * - the upstream responds with its id, or
  * - it has been heard for BB_UPSTREAM_TAKEOVER_MS while the known run was
  *   silent.
  * If the order turns out wrong, the run that goes on is found in the same way.
@@ -42,7 +43,7 @@
 
 enum bb_withdraw_result {
     BB_WITHDRAW_APPLIED,  /* also if the upstream was draining before */
-    BB_WITHDRAW_STALE,    /* of a replaced run that was draining before */
+    BB_WITHDRAW_STALE,    /* of a run that drained before it was replaced */
     BB_WITHDRAW_UNORDERED /* of a run that has not replaced the known one; not
                              binding */
 };
@@ -54,7 +55,8 @@
     uint64_t first_heard_us; /* since the known run was heard last; 0: not */
     uint64_t last_heard_us;  /* or replaced */
     bool has_drained;
-    bool was_replaced; /* it was the known run */
+    bool was_replaced;     /* it was the known run */
+    bool is_drain_binding; /* it drained before it was replaced */
 };
 
 struct bb_upstream {
@@ -74,6 +76,9 @@
     /* The run takes requests: it said so in a response, or its announcements
      * went on for BB_UPSTREAM_TRUST_MS. A single one may be late. */
     bool is_confirmed;
+    /* Another id has announced itself since the upstream last responded with
+     * one. */
+    bool is_id_disputed;
     struct bb_upstream_other others[BB_UPSTREAM_OTHERS_MAX];
 };
 
@@ -86,6 +91,8 @@
                                              const char *id,
                                              uint64_t started_ms,
                                              uint64_t now_us);
+bool bb_upstream_identify(struct bb_upstream *u, const char *id,
+                          uint64_t now_us);
 void bb_upstream_confirm(struct bb_upstream *u);
 void bb_upstream_apply_report(struct bb_upstream *u,
                               const struct bb_upstream_report *r);
--- a/include/path/upstream_check.h
+++ b/include/path/upstream_check.h
@@ -33,14 +33,18 @@
     BB_UPSTREAM_CHECK_UNREACHABLE
 };
 
+struct bb_upstream_check_outcome {
+    enum bb_upstream_check_result result;
+    char upstream_id[BB_DIALECT_ID_BYTES]; /* that responded; empty: unknown */
+    struct bb_upstream_report report;      /* empty without a response */
+    uint64_t sent_us;                      /* time of the request */
+};
+
 struct bb_upstream_check_settings {
     struct bb_address upstream_address;
     const struct bb_dialect *dialect;
-    /* Called after each response or failure. The report is that of the
-     * response, and empty if there is none; sent_us is the time of the
-     * request. */
-    void (*done)(void *context, enum bb_upstream_check_result result,
-                 const struct bb_upstream_report *report, uint64_t sent_us);
+    /* Called after each response or failure. */
+    void (*done)(void *context, const struct bb_upstream_check_outcome *o);
     void *context;
 };
 
--- a/path/gate.c
+++ b/path/gate.c
@@ -763,7 +763,8 @@
 
 /* Starts a health check if the upstream itself has to say whether it takes
  * requests: it has announced that it is ready, but this is not confirmed, or
- * it said in its last response that it leaves, or its limit is old. */
+ * it said in its last response that it leaves, or its limit is old; or has to
+ * say which it is, as another one has announced itself. */
 static void
 check_upstream(struct bb_gate *g)
 {
@@ -771,9 +772,10 @@
     const char *path =
         g->settings.find_health_path(g->settings.context, u->service);
 
-    if (u->state != BB_INSTANCE_NONE && !u->has_drained &&
-        (!u->is_confirmed || u->is_leaving || is_limit_old(g)) &&
-        path != NULL) {
+    bool is_in_doubt = u->state != BB_INSTANCE_NONE && !u->has_drained &&
+                       (!u->is_confirmed || u->is_leaving || is_limit_old(g));
+
+    if ((is_in_doubt || u->is_id_disputed) && path != NULL) {
         bb_upstream_check_start(g->check, u->id, path);
     }
     else {
@@ -781,36 +783,6 @@
     }
 }
 
-/* Handles a result of the health check, which counts against the limit like
- * any request. */
-static void
-on_check_done(void *context, enum bb_upstream_check_result result,
-              const struct bb_upstream_report *report, uint64_t sent_us)
-{
-    struct bb_gate *g = context;
-    bool was_ready = is_upstream_ready(g);
-
-    if (result == BB_UPSTREAM_CHECK_UNREACHABLE) {
-        /* Of an upstream in service, the requests themselves tell. */
-        if (!g->upstream.is_confirmed) {
-            mark_unreachable(g);
-        }
-        return;
-    }
-    if (result == BB_UPSTREAM_CHECK_HEALTHY) {
-        bb_upstream_confirm(&g->upstream);
-        g->is_unreachable = false;
-        if (!was_ready && is_upstream_ready(g)) {
-            apply_upstream_state(g);
-        }
-    }
-    bb_upstream_limit_count(&g->queue.limit, bb_clock_now_us());
-    apply_report(g, report, sent_us);
-    if (result == BB_UPSTREAM_CHECK_REFUSED) {
-        check_upstream(g); /* it may have said enough */
-    }
-}
-
 /* Prepares for another run of the upstream. */
 static void
 begin_upstream_run(struct bb_gate *g)
@@ -840,6 +812,58 @@
     begin_upstream_run(g);
 }
 
+/* Applies the id that the upstream has stated in its response to a health
+ * check, empty if it has not. Returns whether another run has replaced the
+ * known one. */
+static bool
+apply_stated_id(struct bb_gate *g, const char *id)
+{
+    struct bb_upstream before = g->upstream;
+
+    if (!bb_upstream_identify(&g->upstream, id, bb_clock_now_us())) {
+        return false;
+    }
+    apply_replacement(g, &before);
+    check_upstream(g);
+    apply_upstream_state(g);
+    return true;
+}
+
+/* Handles a result of the health check, which counts against the limit like
+ * any request. */
+static void
+on_check_done(void *context, const struct bb_upstream_check_outcome *o)
+{
+    struct bb_gate *g = context;
+    bool was_ready = is_upstream_ready(g);
+
+    if (apply_stated_id(g, o->upstream_id)) {
+        return;
+    }
+    if (o->result == BB_UPSTREAM_CHECK_UNREACHABLE) {
+        /* Of an upstream in service, the requests themselves tell. */
+        if (!g->upstream.is_confirmed) {
+            mark_unreachable(g);
+        }
+        else {
+            check_upstream(g);
+        }
+        return;
+    }
+    if (o->result == BB_UPSTREAM_CHECK_HEALTHY) {
+        bb_upstream_confirm(&g->upstream);
+        g->is_unreachable = false;
+        if (!was_ready && is_upstream_ready(g)) {
+            apply_upstream_state(g);
+        }
+    }
+    bb_upstream_limit_count(&g->queue.limit, bb_clock_now_us());
+    apply_report(g, &o->report, o->sent_us);
+    if (o->result == BB_UPSTREAM_CHECK_REFUSED) {
+        check_upstream(g); /* it may have said enough */
+    }
+}
+
 /* Creates the gate, which admits nothing until the upstream has announced
  * itself. Keeps a copy of the settings, but not of the texts and objects that
  * they point to. Returns NULL and sets the error if it cannot listen on the
@@ -895,6 +919,9 @@
         strcmp(before.id, u->id) != 0 || before.started_ms != u->started_ms;
 
     if (r != BB_ANNOUNCE_ACCEPTED) {
+        if (u->is_id_disputed) {
+            check_upstream(g);
+        }
         return r;
     }
     if (is_new_run) {
@@ -921,6 +948,9 @@
     const struct bb_upstream *u = &g->upstream;
 
     if (r != BB_WITHDRAW_APPLIED) {
+        if (u->is_id_disputed) {
+            check_upstream(g);
+        }
         return r;
     }
     if (strcmp(before.id, u->id) != 0 || before.started_ms != u->started_ms) {
--- a/path/upstream.c
+++ b/path/upstream.c
@@ -79,6 +79,9 @@
         o->first_heard_us = now_us;
     }
     o->last_heard_us = now_us;
+    if (strcmp(u->id, id) != 0) {
+        u->is_id_disputed = true;
+    }
     return o;
 }
 
@@ -140,6 +143,7 @@
     o->last_heard_us = now_us;
     o->has_drained = u->has_drained;
     o->was_replaced = true;
+    o->is_drain_binding = u->has_drained;
 }
 
 /* Makes another run the known one. A run under the same id is as confirmed as
@@ -213,7 +217,7 @@
 {
     struct bb_upstream_other *o = find_other(u, id, started_ms);
 
-    if (o != NULL && o->was_replaced && o->has_drained) {
+    if (o != NULL && o->is_drain_binding) {
         return BB_WITHDRAW_STALE;
     }
     o = hear_other(u, id, started_ms, now_us);
@@ -243,6 +247,21 @@
     return BB_WITHDRAW_APPLIED;
 }
 
+/* Applies the id that the upstream has stated in a response. Returns whether
+ * another run has replaced the known one. */
+bool
+bb_upstream_identify(struct bb_upstream *u, const char *id, uint64_t now_us)
+{
+    struct bb_upstream_other *o = find_other(u, id, 0);
+
+    u->is_id_disputed = false;
+    if (o == NULL || strcmp(u->id, id) == 0) {
+        return false;
+    }
+    replace_known_run(u, o, now_us);
+    return true;
+}
+
 /* Records that the known run takes requests. */
 void
 bb_upstream_confirm(struct bb_upstream *u)
--- a/path/upstream_check.c
+++ b/path/upstream_check.c
@@ -19,9 +19,7 @@
     char *health_path;
     bool is_running;
     uint32_t retry_ms;
-    uint64_t sent_us; /* start of the attempt */
-    struct bb_upstream_report report;
-    enum bb_upstream_check_result result; /* of the attempt */
+    struct bb_upstream_check_outcome outcome; /* of the attempt */
 };
 
 static void start_attempt(struct bb_upstream_check *c);
@@ -38,8 +36,10 @@
 static void
 finish_attempt(struct bb_upstream_check *c)
 {
-    if (c->result == BB_UPSTREAM_CHECK_HEALTHY ||
-        c->result == BB_UPSTREAM_CHECK_LEAVING) {
+    const struct bb_upstream_check_outcome outcome = c->outcome;
+
+    if (outcome.result == BB_UPSTREAM_CHECK_HEALTHY ||
+        outcome.result == BB_UPSTREAM_CHECK_LEAVING) {
         bb_upstream_check_stop(c);
     }
     else {
@@ -47,7 +47,7 @@
         c->retry_ms =
             MIN(2 * c->retry_ms, (uint32_t)BB_UPSTREAM_CHECK_RETRY_MAX_MS);
     }
-    c->settings.done(c->settings.context, c->result, &c->report, c->sent_us);
+    c->settings.done(c->settings.context, &outcome);
 }
 
 /* Gives up an attempt without a response. */
@@ -65,13 +65,12 @@
 static enum bb_upstream_check_result
 classify_head(const struct bb_upstream_check *c, const struct bb_http_head *h)
 {
-    const char *id =
-        bb_http_head_get(h, c->settings.dialect->fields.upstream_id);
+    const char *id = c->outcome.upstream_id;
 
-    if (id != NULL && strcmp(id, c->upstream_id) != 0) {
+    if (id[0] != '\0' && strcmp(id, c->upstream_id) != 0) {
         return BB_UPSTREAM_CHECK_UNREACHABLE;
     }
-    if (c->report.is_leaving) {
+    if (c->outcome.report.is_leaving) {
         return BB_UPSTREAM_CHECK_LEAVING;
     }
     return h->status >= 200 && h->status < 300 ? BB_UPSTREAM_CHECK_HEALTHY
@@ -82,9 +81,14 @@
 on_head(void *context, const struct bb_http_head *h)
 {
     struct bb_upstream_check *c = context;
+    const struct bb_dialect *d = c->settings.dialect;
+    const char *id = bb_http_head_get(h, d->fields.upstream_id);
 
-    c->settings.dialect->read_report(h, &c->report);
-    c->result = classify_head(c, h);
+    d->read_report(h, &c->outcome.report);
+    if (id != NULL) {
+        g_strlcpy(c->outcome.upstream_id, id, sizeof(c->outcome.upstream_id));
+    }
+    c->outcome.result = classify_head(c, h);
     return true;
 }
 
@@ -121,9 +125,8 @@
                                        .head = head,
                                        .is_body_complete = true};
 
-    c->result = BB_UPSTREAM_CHECK_UNREACHABLE;
-    c->report = (struct bb_upstream_report){0};
-    c->sent_us = bb_clock_now_us();
+    c->outcome = (struct bb_upstream_check_outcome){
+        .result = BB_UPSTREAM_CHECK_UNREACHABLE, .sent_us = bb_clock_now_us()};
     bb_counter_add(&checks_total, 1);
     g_string_append_printf(
         head, "GET %s HTTP/1.1\r\nHost: %s\r\nConnection: close\r\n\r\n",
--- a/tests/platform/test_dialect.c
+++ b/tests/platform/test_dialect.c
@@ -296,6 +296,37 @@
     CU_ASSERT_EQUAL(u.started_ms, 2000);
 }
 
+/* Guards against: an upstream that is in service and has said so, but gets no
+ * requests as another one has the higher start. */
+static void
+test_stated_ids(void)
+{
+    struct bb_upstream u = {0};
+    struct bb_announcement a = ready;
+
+    (void)announce_run(&u, 1000, false, 1);
+    CU_ASSERT_EQUAL(bb_upstream_announce(&u, "j", &a, "x:1", SECOND_US),
+                    BB_ANNOUNCE_STALE);
+    CU_ASSERT_TRUE(u.is_id_disputed);
+    CU_ASSERT_FALSE(bb_upstream_identify(&u, "i", 2 * SECOND_US));
+    CU_ASSERT_FALSE(u.is_id_disputed);
+    CU_ASSERT_FALSE(bb_upstream_identify(&u, "k", 2 * SECOND_US));
+    CU_ASSERT_FALSE(bb_upstream_identify(&u, "", 2 * SECOND_US));
+    CU_ASSERT_STRING_EQUAL(u.id, "i");
+    CU_ASSERT_TRUE(bb_upstream_identify(&u, "j", 2 * SECOND_US));
+    CU_ASSERT_STRING_EQUAL(u.id, "j");
+    CU_ASSERT_EQUAL(u.slots, ready.slots);
+    CU_ASSERT_FALSE(u.is_confirmed);
+    a.is_draining = true;
+    CU_ASSERT_EQUAL(bb_upstream_announce(&u, "j", &a, "x:1", 3 * SECOND_US),
+                    BB_ANNOUNCE_ACCEPTED);
+    CU_ASSERT_TRUE(bb_upstream_identify(&u, "i", 4 * SECOND_US));
+    CU_ASSERT_EQUAL(u.state, BB_INSTANCE_READY);
+    /* The drain that was acknowledged holds if the run turns out to go on. */
+    CU_ASSERT_TRUE(bb_upstream_identify(&u, "j", 5 * SECOND_US));
+    CU_ASSERT_EQUAL(u.state, BB_INSTANCE_DRAINING);
+}
+
 /* Guards against: an upstream that is taken for ready although it says in its
  * responses that it leaves, and one odd response that closes it for good. */
 static void
@@ -522,6 +553,7 @@
     {"unordered drains", test_unordered_drains},
     {"clock that goes back", test_clock_that_goes_back},
     {"drain of a later start", test_drain_of_later_start},
+    {"stated ids", test_stated_ids},
     {"trust in announcements", test_trust_in_announcements},
     {"reports of an upstream", test_reports_of_an_upstream},
     {"withdrawn while unknown", test_withdrawn_unknown},
--- a/tests/proxyd/test_runs.c
+++ b/tests/proxyd/test_runs.c
@@ -16,6 +16,8 @@
     REPEATS_MAX = 8
 };
 
+#define ID_FIELD FIELD_INSTANCE_ID ": "
+
 /* The run that fixture_open announces as i-1. */
 static const struct announced_state known = {
     .state = "ready", .started_ms = FIXTURE_STARTED_MS, .sequence = 100};
@@ -178,6 +180,71 @@
     fixture_close(&f);
 }
 
+/* Guards against: an upstream under another id that started after the clock
+ * went back: it gets no requests, as they bear the known id, and its drain is
+ * ignored. */
+static void
+test_other_id(void)
+{
+    struct fixture f;
+    struct announced_state a = restarted;
+    const struct peer *u;
+
+    fixture_open(&f, 1, GRACE_S);
+    f.upstream_field = ID_FIELD "i-2\r\n";
+    CU_ASSERT_EQUAL(fixture_announce(&f, "i-2", &a), 200);
+    fixture_run(&f, REPEAT_MS);
+    CU_ASSERT_EQUAL(fixture_call_gate(&f, "a0"), 200);
+    u = f.peers->pdata[f.peers->len - 1];
+    CU_ASSERT_EQUAL(peer_count(u, FIELD_EXPECT_INSTANCE ": i-2\r\n"), 1);
+    CU_ASSERT_EQUAL(drain(&f, "i-2", &a), 200);
+    check_drained(&f);
+    fixture_close(&f);
+}
+
+/* Guards against: the same where the gate cannot ask the upstream for its id.
+ */
+static void
+test_other_id_unchecked(void)
+{
+    struct fixture f;
+    struct announced_state first = known;
+    struct announced_state a = restarted;
+
+    fixture_open(&f, 1, GRACE_S);
+    fixture_kill_cores(&f);
+    fixture_restart_proxy(&f);
+    announce_for(&f, "i-1", &first, 6 * HEARTBEAT_MS);
+    announce_for(&f, "i-2", &a, 6 * HEARTBEAT_MS);
+    CU_ASSERT_EQUAL(fixture_call_gate(&f, "a0"), 200);
+    CU_ASSERT_EQUAL(drain(&f, "i-2", &a), 200);
+    check_drained(&f);
+    fixture_close(&f);
+}
+
+/* Guards against: late messages of an ended upstream with a higher start that
+ * stop the one in service. */
+static void
+test_late_other_id(void)
+{
+    struct fixture f;
+    struct announced_state late = {.state = "ready",
+                                   .started_ms = FIXTURE_STARTED_MS + 600,
+                                   .sequence = 50};
+    struct announced_state a = known;
+
+    fixture_open(&f, 1, GRACE_S);
+    f.upstream_field = ID_FIELD "i-1\r\n";
+    announce_for(&f, "i-1", &a, HEARTBEAT_MS);
+    CU_ASSERT_EQUAL(fixture_announce(&f, "i-0", &late), 200);
+    fixture_run(&f, REPEAT_MS);
+    CU_ASSERT_EQUAL(fixture_call_gate(&f, "a0"), 200);
+    CU_ASSERT_EQUAL(drain(&f, "i-0", &late), 503);
+    CU_ASSERT_EQUAL(fixture_withdraw(&f, "i-0", late.started_ms), 503);
+    CU_ASSERT_EQUAL(fixture_call_gate(&f, "a1"), 200);
+    fixture_close(&f);
+}
+
 static const struct bb_unit_test tests[] = {
     {"drain", test_drain},
     {"withdrawal", test_withdrawal},
@@ -186,6 +253,9 @@
     {"late drain", test_late_drain},
     {"late ready announcement", test_late_ready},
     {"late announcement of a replaced run",
-     test_late_announcement_of_replaced_run}};
+     test_late_announcement_of_replaced_run},
+    {"other id", test_other_id},
+    {"other id, unchecked", test_other_id_unchecked},
+    {"late messages of another id", test_late_other_id}};
 
 BB_UNIT_MAIN("runs", tests)
