tests: the drain of an earlier run that a restarted gate recalls

The same cause on a related path: a restarted gate got the drain of an earlier run from the control hosts and ordered it by its start, so the run that had started after the time of day went back got no request for the rest of its life.

--- a/tests/path/test_path.c
+++ b/tests/path/test_path.c
@@ -603,6 +603,32 @@
     fixture_close(&b);
 }
 
+/* Guards against: a restarted gate that takes the earlier run of the upstream,
+ * which drained, for the later one as the wall clock went back in between. */
+static void
+test_restarted_gate_after_clock_step(void)
+{
+    struct path_fixture b;
+    struct client *c;
+    const fleet_instance earlier = {.id = (char *)"i-0",
+                                    .started_ms =
+                                        BENCH_UPSTREAM_STARTED_MS + 600,
+                                    .state = BB_INSTANCE_DRAINING};
+
+    fixture_open(&b);
+    fixture_set_rules(&b, 1000, 2);
+    fixture_announce(&b, 1, true); /* leaves only the first gate */
+    fixture_restart_gate(&b, 0);
+    fixture_announce(&b, 0, false);
+    bb_gate_restore(b.gates[0], &earlier);
+    fixture_run(&b, CHECK_MS);
+    c = client_open(&b);
+    client_send(c, UNSAFE("a1") "\r\nhi");
+    CU_ASSERT_TRUE(fixture_wait_text(&b, c, "body", 500));
+    client_free(c);
+    fixture_close(&b);
+}
+
 /* Guards against: a restarted gate that believes an announcement from before
  * an acknowledged drain, as the control hosts have not heard of the drain. */
 static void
@@ -1079,6 +1105,8 @@
     {"nested requests", test_nested_requests},
     {"short deadlines", test_short_deadlines},
     {"restarted gate", test_restarted_gate},
+    {"restarted gate after a clock step",
+     test_restarted_gate_after_clock_step},
     {"restarted gate of a leaving upstream",
      test_restarted_gate_of_leaving_upstream},
     {"leaving response", test_leaving_response},
--- a/tests/proxyd/test_runs.c
+++ b/tests/proxyd/test_runs.c
@@ -245,6 +245,26 @@
     fixture_close(&f);
 }
 
+/* Guards against: a proxy that remembers the drain of an earlier run, and
+ * admits nothing to the next one as its start is lower. */
+static void
+test_restarted_proxy(void)
+{
+    struct fixture f;
+    struct announced_state first = known;
+    struct announced_state a = restarted;
+
+    fixture_open(&f, 1, GRACE_S);
+    CU_ASSERT_EQUAL(drain(&f, "i-1", &first), 200);
+    fixture_run(&f, REPEAT_MS);
+    fixture_restart_proxy(&f);
+    announce_for(&f, "i-1", &a, 4 * HEARTBEAT_MS);
+    CU_ASSERT_EQUAL(fixture_call_gate(&f, "a0"), 200);
+    CU_ASSERT_EQUAL(drain(&f, "i-1", &a), 200);
+    check_drained(&f);
+    fixture_close(&f);
+}
+
 static const struct bb_unit_test tests[] = {
     {"drain", test_drain},
     {"withdrawal", test_withdrawal},
@@ -256,6 +276,7 @@
      test_late_announcement_of_replaced_run},
     {"other id", test_other_id},
     {"other id, unchecked", test_other_id_unchecked},
-    {"late messages of another id", test_late_other_id}};
+    {"late messages of another id", test_late_other_id},
+    {"restarted proxy", test_restarted_proxy}};
 
 BB_UNIT_MAIN("runs", tests)
