upstream: do not apply a late withdrawal to the next run of its id

Callers would have seen a sound upstream get no requests for the rest of its life: it had started again under its id, and the withdrawal of the run before, which states no start, arrived seconds late.

Cause: a withdrawal without a start was applied to the known run with its id, whichever run had sent it.

Change: while another run with the id was heard less than 5 s ago, the longest that a message is late, such a withdrawal gets 503 and the upstream repeats it; later it is applied as before. A run found in service by its id counts as confirmed only after it has been heard again for long enough.

Evidence: test_runs, late withdrawal without a start: on 200, and the gate refuses the run in service; 503 and the request is served now, and 200 once the ended run is out of the way.

--- a/include/path/upstream.h
+++ b/include/path/upstream.h
@@ -44,7 +44,8 @@
 enum bb_withdraw_result {
     BB_WITHDRAW_APPLIED,  /* also if the upstream was draining before */
     BB_WITHDRAW_STALE,    /* of a run that drained before it was replaced */
-    BB_WITHDRAW_UNORDERED /* of a run that has not replaced the known one; not
+    BB_WITHDRAW_UNORDERED /* of a run that has not replaced the known one, or
+                             of one of two that cannot be distinguished; not
                              binding */
 };
 
@@ -53,7 +54,7 @@
     char id[BB_DIALECT_ID_BYTES]; /* empty: unused */
     struct bb_announcement latest;
     uint64_t first_heard_us; /* since the known run was heard last; 0: not */
-    uint64_t last_heard_us;  /* or replaced */
+    uint64_t last_heard_us;  /* or when it had ended at the latest */
     bool has_drained;
     bool was_replaced;     /* it was the known run */
     bool is_drain_binding; /* it drained before it was replaced */
@@ -91,8 +92,7 @@
                                              const char *id,
                                              uint64_t started_ms,
                                              uint64_t now_us);
-bool bb_upstream_identify(struct bb_upstream *u, const char *id,
-                          uint64_t now_us);
+bool bb_upstream_identify(struct bb_upstream *u, const char *id);
 void bb_upstream_confirm(struct bb_upstream *u);
 void bb_upstream_apply_report(struct bb_upstream *u,
                               const struct bb_upstream_report *r);
--- a/path/gate.c
+++ b/path/gate.c
@@ -820,7 +820,7 @@
 {
     struct bb_upstream before = g->upstream;
 
-    if (!bb_upstream_identify(&g->upstream, id, bb_clock_now_us())) {
+    if (!bb_upstream_identify(&g->upstream, id)) {
         return false;
     }
     apply_replacement(g, &before);
--- a/path/upstream.c
+++ b/path/upstream.c
@@ -131,16 +131,16 @@
     u->first_heard_us = now_us;
 }
 
-/* Keeps the known run as one that was replaced. */
+/* Keeps the known run as one that was replaced and had ended by `ended_us`. */
 static void
-remember_known_run(struct bb_upstream *u, uint64_t now_us)
+remember_known_run(struct bb_upstream *u, uint64_t ended_us)
 {
     struct bb_upstream_other *o = add_other(u, u->id, u->started_ms);
 
     g_strlcpy(o->latest.service, u->service, sizeof(o->latest.service));
     o->latest.sequence = u->sequence;
     o->latest.slots = u->slots;
-    o->last_heard_us = now_us;
+    o->last_heard_us = ended_us;
     o->has_drained = u->has_drained;
     o->was_replaced = true;
     o->is_drain_binding = u->has_drained;
@@ -149,17 +149,18 @@
 /* Makes another run the known one. A run under the same id is as confirmed as
  * the known one: both respond with that id. */
 static void
-replace_known_run(struct bb_upstream *u, struct bb_upstream_other *other,
-                  uint64_t now_us)
+replace_known_run(struct bb_upstream *u, struct bb_upstream_other *other)
 {
     struct bb_upstream_other o = *other;
+    uint64_t first_heard_us =
+        o.first_heard_us != 0 ? o.first_heard_us : o.last_heard_us;
     bool is_confirmed = u->state == BB_INSTANCE_READY && u->is_confirmed &&
                         o.latest.started_ms < u->started_ms &&
                         strcmp(u->id, o.id) == 0;
 
     memset(other, 0, sizeof(*other));
-    remember_known_run(u, now_us);
-    begin_run(u, o.id, o.latest.started_ms, o.first_heard_us);
+    remember_known_run(u, first_heard_us);
+    begin_run(u, o.id, o.latest.started_ms, first_heard_us);
     u->has_drained = o.has_drained;
     u->is_confirmed = is_confirmed;
     apply_latest(u, &o.latest, o.last_heard_us);
@@ -179,7 +180,7 @@
     if (!replaces_known_run(u, o, now_us)) {
         return a->is_draining ? BB_ANNOUNCE_UNORDERED : BB_ANNOUNCE_STALE;
     }
-    replace_known_run(u, o, now_us);
+    replace_known_run(u, o);
     return BB_ANNOUNCE_ACCEPTED;
 }
 
@@ -225,10 +226,26 @@
     if (!replaces_known_run(u, o, now_us)) {
         return BB_WITHDRAW_UNORDERED;
     }
-    replace_known_run(u, o, now_us);
+    replace_known_run(u, o);
     return BB_WITHDRAW_APPLIED;
 }
 
+/* Returns whether a withdrawal without a start, of the id of the known run,
+ * may be that of another run which was heard or replaced lately. */
+static bool
+is_ambiguous(const struct bb_upstream *u, uint64_t now_us)
+{
+    for (uint32_t i = 0; i < BB_UPSTREAM_OTHERS_MAX; i++) {
+        const struct bb_upstream_other *o = &u->others[i];
+
+        if (strcmp(o->id, u->id) == 0 &&
+            !has_passed(o->last_heard_us, now_us, BB_UPSTREAM_TRUST_MS)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Applies the withdrawal of a run of the upstream; started_ms is its start, 0
  * if not stated. A run that was not known, as after a restart of this node, is
  * recorded as draining. */
@@ -242,6 +259,9 @@
     else if (!is_known_run(u, id, started_ms)) {
         return withdraw_other(u, id, started_ms, now_us);
     }
+    else if (started_ms == 0 && is_ambiguous(u, now_us)) {
+        return BB_WITHDRAW_UNORDERED;
+    }
     u->has_drained = true;
     update_state(u);
     return BB_WITHDRAW_APPLIED;
@@ -250,7 +270,7 @@
 /* Applies the id that the upstream has stated in a response. Returns whether
  * another run has replaced the known one. */
 bool
-bb_upstream_identify(struct bb_upstream *u, const char *id, uint64_t now_us)
+bb_upstream_identify(struct bb_upstream *u, const char *id)
 {
     struct bb_upstream_other *o = find_other(u, id, 0);
 
@@ -258,7 +278,7 @@
     if (o == NULL || strcmp(u->id, id) == 0) {
         return false;
     }
-    replace_known_run(u, o, now_us);
+    replace_known_run(u, o);
     return true;
 }
 
--- a/tests/platform/test_dialect.c
+++ b/tests/platform/test_dialect.c
@@ -296,6 +296,23 @@
     CU_ASSERT_EQUAL(u.started_ms, 2000);
 }
 
+/* Guards against: a late withdrawal without a start that is applied to the
+ * next run under the same id, and one that is never applied. */
+static void
+test_withdrawal_without_start(void)
+{
+    struct bb_upstream u = {0};
+
+    (void)announce_run(&u, 1000, false, 1);
+    (void)announce_run(&u, 2000, false, 2);
+    CU_ASSERT_EQUAL(bb_upstream_withdraw(&u, "i", 0, 6 * SECOND_US),
+                    BB_WITHDRAW_UNORDERED);
+    CU_ASSERT_EQUAL(u.state, BB_INSTANCE_READY);
+    CU_ASSERT_EQUAL(bb_upstream_withdraw(&u, "i", 0, 7 * SECOND_US),
+                    BB_WITHDRAW_APPLIED);
+    CU_ASSERT_EQUAL(u.state, BB_INSTANCE_DRAINING);
+}
+
 /* Guards against: an upstream that is in service and has said so, but gets no
  * requests as another one has the higher start. */
 static void
@@ -308,22 +325,23 @@
     CU_ASSERT_EQUAL(bb_upstream_announce(&u, "j", &a, "x:1", SECOND_US),
                     BB_ANNOUNCE_STALE);
     CU_ASSERT_TRUE(u.is_id_disputed);
-    CU_ASSERT_FALSE(bb_upstream_identify(&u, "i", 2 * SECOND_US));
+    CU_ASSERT_FALSE(bb_upstream_identify(&u, "i"));
     CU_ASSERT_FALSE(u.is_id_disputed);
-    CU_ASSERT_FALSE(bb_upstream_identify(&u, "k", 2 * SECOND_US));
-    CU_ASSERT_FALSE(bb_upstream_identify(&u, "", 2 * SECOND_US));
+    CU_ASSERT_FALSE(bb_upstream_identify(&u, "k"));
+    CU_ASSERT_FALSE(bb_upstream_identify(&u, ""));
     CU_ASSERT_STRING_EQUAL(u.id, "i");
-    CU_ASSERT_TRUE(bb_upstream_identify(&u, "j", 2 * SECOND_US));
+    CU_ASSERT_TRUE(bb_upstream_identify(&u, "j"));
     CU_ASSERT_STRING_EQUAL(u.id, "j");
     CU_ASSERT_EQUAL(u.slots, ready.slots);
     CU_ASSERT_FALSE(u.is_confirmed);
     a.is_draining = true;
     CU_ASSERT_EQUAL(bb_upstream_announce(&u, "j", &a, "x:1", 3 * SECOND_US),
                     BB_ANNOUNCE_ACCEPTED);
-    CU_ASSERT_TRUE(bb_upstream_identify(&u, "i", 4 * SECOND_US));
+    CU_ASSERT_TRUE(bb_upstream_identify(&u, "i"));
     CU_ASSERT_EQUAL(u.state, BB_INSTANCE_READY);
+    CU_ASSERT_FALSE(u.is_confirmed);
     /* The drain that was acknowledged holds if the run turns out to go on. */
-    CU_ASSERT_TRUE(bb_upstream_identify(&u, "j", 5 * SECOND_US));
+    CU_ASSERT_TRUE(bb_upstream_identify(&u, "j"));
     CU_ASSERT_EQUAL(u.state, BB_INSTANCE_DRAINING);
 }
 
@@ -553,6 +571,7 @@
     {"unordered drains", test_unordered_drains},
     {"clock that goes back", test_clock_that_goes_back},
     {"drain of a later start", test_drain_of_later_start},
+    {"withdrawal without a start", test_withdrawal_without_start},
     {"stated ids", test_stated_ids},
     {"trust in announcements", test_trust_in_announcements},
     {"reports of an upstream", test_reports_of_an_upstream},
--- a/tests/proxyd/test_runs.c
+++ b/tests/proxyd/test_runs.c
@@ -265,6 +265,26 @@
     fixture_close(&f);
 }
 
+/* Guards against: the late withdrawal of an ended run, without its start, that
+ * stops the run in service under the same id. */
+static void
+test_late_withdrawal_without_start(void)
+{
+    struct fixture f;
+    struct announced_state a = {.state = "ready",
+                                .started_ms = FIXTURE_STARTED_MS + 600,
+                                .sequence = 1};
+
+    fixture_open(&f, 1, GRACE_S);
+    announce_for(&f, "i-1", &a, HEARTBEAT_MS);
+    CU_ASSERT_EQUAL(fixture_withdraw(&f, "i-1", 0), 503);
+    CU_ASSERT_EQUAL(fixture_call_gate(&f, "a0"), 200);
+    announce_for(&f, "i-1", &a, 5 * HEARTBEAT_MS);
+    CU_ASSERT_EQUAL(fixture_withdraw(&f, "i-1", 0), 200);
+    check_drained(&f);
+    fixture_close(&f);
+}
+
 static const struct bb_unit_test tests[] = {
     {"drain", test_drain},
     {"withdrawal", test_withdrawal},
@@ -277,6 +297,7 @@
     {"other id", test_other_id},
     {"other id, unchecked", test_other_id_unchecked},
     {"late messages of another id", test_late_other_id},
-    {"restarted proxy", test_restarted_proxy}};
+    {"restarted proxy", test_restarted_proxy},
+    {"late withdrawal without a start", test_late_withdrawal_without_start}};
 
 BB_UNIT_MAIN("runs", tests)
