agent: tell the control hosts of an earlier run that they do not know

Callers' requests would not have been sent to a sound upstream: its node had been restarted after the wall clock went back, and so had all control hosts.

Cause: instance records are ordered by their node's incarnation, the wall clock at its start. A node raises it above that of its earlier run once a control host shows it the old record. If the control hosts have lost their tables, nobody shows it, while the other nodes still have the old record ("gone" after a planned stop) and discard the new one as older.

Change: a node that receives a record with a lower incarnation than it knows returns its own to the control host, which passes it on, so the restarted node learns of its earlier run and supersedes it.

Evidence: test_fleet, restarted node and hosts: without the change the other node has the state "gone" 4 s after the restart, with it "ready".

--- a/fleet/agent.c
+++ b/fleet/agent.c
@@ -400,6 +400,26 @@
     }
 }
 
+/* Returns a record of another node to the control host, which has one with a
+ * lower incarnation: either that is an older one, or its node was restarted
+ * after the wall clock went back, does not know of its earlier run and is told
+ * of it so. */
+static void
+return_newer_run(struct bb_agent *a, const fleet_instance *r)
+{
+    const fleet_instance *known =
+        bb_instance_table_find(a->instances, r->gate_address);
+    fleet_message m = {.kind = FLEET_INSTANCES};
+
+    if (a->connection == NULL || known == NULL ||
+        known->incarnation <= r->incarnation) {
+        return;
+    }
+    m.fleet_message_u.instances.instances_val = (fleet_instance *)known;
+    m.fleet_message_u.instances.instances_len = 1;
+    (void)bb_fleet_connection_send(a->connection, &m);
+}
+
 /* Merges received instance records and reports those that are newer. The first
  * message of a connection holds all records that the control host has. */
 static void
@@ -418,6 +438,9 @@
         else if (bb_instance_table_merge(a->instances, r)) {
             a->events->instance_updated(a->context, r);
         }
+        else {
+            return_newer_run(a, r);
+        }
     }
     if (!a->has_received_instances) {
         a->has_received_instances = true;
--- a/fleet/instances.c
+++ b/fleet/instances.c
@@ -89,6 +89,15 @@
     return true;
 }
 
+/* Returns the record of a gate, or NULL. It is valid until the table changes.
+ */
+const fleet_instance *
+bb_instance_table_find(const struct bb_instance_table *t,
+                       const char *gate_address)
+{
+    return g_hash_table_lookup(t->by_gate, gate_address);
+}
+
 /* Returns the number of records. */
 uint32_t
 bb_instance_table_count(const struct bb_instance_table *t)
--- a/tests/fleet/test_fleet.c
+++ b/tests/fleet/test_fleet.c
@@ -407,6 +407,7 @@
     bool has_gone_back; /* a version was not higher than the one before */
     char text[64];
     uint32_t instances;
+    uint32_t latest_instance_state;
     uint32_t own_instance_count;
     uint32_t own_instance_state;
     uint64_t own_instance_started_ms;
@@ -429,7 +430,7 @@
 {
     struct node *n = context;
 
-    (void)i;
+    n->latest_instance_state = i->state;
     n->instances++;
 }
 
@@ -581,6 +582,62 @@
     destroy_cluster(&c);
 }
 
+/* Guards against: a restarted node whose record other nodes discard as older,
+ * as the wall clock went back, and the control hosts, which were all restarted
+ * too, know of no earlier one. */
+static void
+test_restarted_node_and_hosts(void)
+{
+    struct cluster c;
+    struct node nodes[2] = {{0}, {0}};
+    struct bb_agent_settings s = {.ip = "127.0.7.50",
+                                  .zone = "z0",
+                                  .region = "r",
+                                  .gate_address = "g:1"};
+    struct bb_agent_settings s_other = {.ip = "127.0.7.50",
+                                        .zone = "z1",
+                                        .region = "r",
+                                        .gate_address = "g:2"};
+    fleet_instance own = {.gate_address = (char *)"g:1",
+                          .zone = (char *)"z0",
+                          .region = (char *)"r",
+                          .service = (char *)"s",
+                          .id = (char *)"i",
+                          .state = BB_INSTANCE_GONE,
+                          .slots = 3};
+    struct bb_agent *a;
+    struct bb_agent *a_other;
+
+    create_cluster(&c, HOSTS);
+    s.control_port = c.port;
+    s.start_wall_ms = 2000;
+    s_other.control_port = c.port;
+    s.seeds = seed_addresses(&c);
+    s_other.seeds = s.seeds;
+    a = bb_agent_create(&c.loop, &s, &agent_events, &nodes[0]);
+    a_other = bb_agent_create(&c.loop, &s_other, &agent_events, &nodes[1]);
+    run_loop(&c, NULL, 1000);
+    bb_agent_announce(a, &own);
+    run_loop(&c, NULL, 300);
+    CU_ASSERT_EQUAL(nodes[1].latest_instance_state, BB_INSTANCE_GONE);
+    bb_agent_destroy(a);
+    for (uint32_t i = 0; i < HOSTS; i++) {
+        stop_core(&c, i);
+    }
+    for (uint32_t i = 0; i < HOSTS; i++) {
+        start_core(&c, i, false);
+    }
+    s.start_wall_ms = 1000;
+    own.state = BB_INSTANCE_READY;
+    a = bb_agent_create(&c.loop, &s, &agent_events, &nodes[0]);
+    bb_agent_announce(a, &own);
+    run_loop(&c, NULL, 4000);
+    CU_ASSERT_EQUAL(nodes[1].latest_instance_state, BB_INSTANCE_READY);
+    bb_agent_destroy(a);
+    bb_agent_destroy(a_other);
+    destroy_cluster(&c);
+}
+
 /* A fake control host that sends two configurations, the older one last. */
 struct fake_host {
     struct bb_fleet_connection *connection;
@@ -948,6 +1005,7 @@
     {"minority leader", test_minority},
     {"agent", test_agent},
     {"restarted node", test_restarted_node},
+    {"restarted node and hosts", test_restarted_node_and_hosts},
     {"several hosts without a quorum", test_several_hosts_without_quorum},
     {"malformed input", test_malformed_input},
     {"malformed message to a node", test_malformed_message_to_node},
