soak: upstreams that crash, and runs whose starts the clock states wrongly

Upstreams now also crash and start again at once, half of all starts are under the id of the run before, the stated start is up to 4 s off either way, and a late message of the run before (ready, drain, withdrawal with or without its start) follows. New promise: a ready upstream gets requests, and a drain is acknowledged, at the latest 12 s after upstream and proxy have started. The acknowledgement of an announcement sent before the drain no longer counts as that of the drain.

A withdrawal without a start that is repeated by a draining upstream is acknowledged again even if another run with its id was heard lately.

--- a/path/gate.c
+++ b/path/gate.c
@@ -797,17 +797,18 @@
     }
 }
 
-/* Applies a change of the known run. */
+/* Prepares for a run that has replaced the known one, if there was one. */
 static void
 apply_replacement(struct bb_gate *g, const struct bb_upstream *before)
 {
     const struct bb_upstream *u = &g->upstream;
 
-    bb_log_info("upstream.replaced",
-                "%s started %" G_GUINT64_FORMAT " by %s started "
-                "%" G_GUINT64_FORMAT,
-                before->id[0] != '\0' ? before->id : "-", before->started_ms,
-                u->id, u->started_ms);
+    if (before->state != BB_INSTANCE_NONE) {
+        bb_log_info("upstream.replaced",
+                    "%s started %" G_GUINT64_FORMAT
+                    " by %s started %" G_GUINT64_FORMAT,
+                    before->id, before->started_ms, u->id, u->started_ms);
+    }
     g->is_unreachable = false;
     begin_upstream_run(g);
 }
--- a/path/upstream.c
+++ b/path/upstream.c
@@ -259,7 +259,7 @@
     else if (!is_known_run(u, id, started_ms)) {
         return withdraw_other(u, id, started_ms, now_us);
     }
-    else if (started_ms == 0 && is_ambiguous(u, now_us)) {
+    else if (started_ms == 0 && !u->has_drained && is_ambiguous(u, now_us)) {
         return BB_WITHDRAW_UNORDERED;
     }
     u->has_drained = true;
--- a/tests/soak/check.c
+++ b/tests/soak/check.c
@@ -378,15 +378,15 @@
             lines += print_log_lines(&s->processes[i], s->check->broken_ids);
         }
     }
-    (void)printf("soak: seed %" G_GUINT64_FORMAT
-                 ", %u requests: %u successes, %u refused, %u failed, "
-                 "%u other, %u lost, %u closed, %u excused; %u starts, "
-                 "%u SIGTERM, %u SIGKILL, %u SIGHUP, %u drains, %u limits, "
-                 "%u late announcements, %u stale refusals, %u changes; "
-                 "at most %u KB, own lag %u ms; %u broken\n",
-                 s->seed, c->requests, c->successes, c->refused, c->failures,
-                 c->others, c->lost, c->closed, c->excused, c->starts,
-                 c->terms, c->kills, c->reloads, c->drains, c->limits,
-                 c->late_announcements, c->stale_refusals, c->changes,
-                 rss_max_kb, c->lag_max_ms, c->broken);
+    (void)printf(
+        "soak: seed %" G_GUINT64_FORMAT
+        ", %u requests: %u successes, %u refused, %u failed, "
+        "%u other, %u lost, %u closed, %u excused; %u starts, "
+        "%u SIGTERM, %u SIGKILL, %u SIGHUP, %u drains, %u crashes, %u limits, "
+        "%u late announcements, %u stale refusals, %u changes; "
+        "at most %u KB, own lag %u ms; %u broken\n",
+        s->seed, c->requests, c->successes, c->refused, c->failures, c->others,
+        c->lost, c->closed, c->excused, c->starts, c->terms, c->kills,
+        c->reloads, c->drains, c->crashes, c->limits, c->late_announcements,
+        c->stale_refusals, c->changes, rss_max_kb, c->lag_max_ms, c->broken);
 }
--- a/tests/soak/disturber.c
+++ b/tests/soak/disturber.c
@@ -228,7 +228,7 @@
                          0);
 }
 
-/* Lets an upstream leave or state a limit. */
+/* Lets an upstream leave, crash or state a limit. */
 static void
 on_upstream_timer(uv_timer_t *t)
 {
@@ -236,12 +236,19 @@
     struct upstream *u =
         d->soak->upstreams[between(d, 0, d->soak->proxy_count - 1)];
 
-    if (between(d, 0, 1) == 0) {
+    switch (between(d, 0, 2)) {
+    case 0:
         (void)upstream_drain(u);
-    }
-    else {
+        break;
+    case 1:
+        if (!d->soak->is_planned_only) {
+            (void)upstream_crash(u);
+        }
+        break;
+    default:
         upstream_limit(u, between(d, 1, LIMIT_MAX_PER_S),
                        between(d, LIMIT_MIN_MS, LIMIT_MAX_MS));
+        break;
     }
     (void)uv_timer_start(t, on_upstream_timer,
                          between(d, PAUSE_MIN_MS, PAUSE_MAX_MS) *
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -49,7 +49,8 @@
     PROMISE_CONFIGURATION,
     PROMISE_MEMORY,
     PROMISE_DRAIN,
-    PROMISE_LIMIT
+    PROMISE_LIMIT,
+    PROMISE_SERVICE
 };
 
 /* How the upstream that gets a request first fails. */
@@ -148,6 +149,7 @@
     uint32_t changes;
     uint32_t drains;
     uint32_t limits;
+    uint32_t crashes; /* of upstreams */
     uint32_t late_announcements;
     uint32_t stale_refusals;
     uint32_t broken;
@@ -222,6 +224,7 @@
 void upstream_create(struct soak *s, uint32_t host);
 bool upstream_is_acknowledged(const struct upstream *u);
 bool upstream_drain(struct upstream *u);
+bool upstream_crash(struct upstream *u);
 void upstream_limit(struct upstream *u, uint32_t per_s, uint32_t duration_ms);
 const char *upstream_service(uint32_t host);
 
--- a/tests/soak/upstreams.c
+++ b/tests/soak/upstreams.c
@@ -1,5 +1,6 @@
 /* The upstreams, one on the host of each proxy: they announce themselves, run
- * requests as their callers planned, drain, and start again. */
+ * requests as their callers planned, drain or crash, and start again, at times
+ * under their id and at times while the wall clock has gone back. */
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -15,6 +16,14 @@
     /* After the acknowledgement of a drain; then it is deregistered. */
     DRAIN_MS = 3500,
     RESTART_MS = 700,
+    CRASH_MAX_MS = 1500,
+    /* The wall clock at a start is wrong by at most this, either way. */
+    CLOCK_ERROR_MAX_MS = 4000,
+    /* One start in so many is under the id of the run before. */
+    SAME_ID_ONE_IN = 2,
+    /* A ready upstream gets requests again within this time, and a drain is
+     * acknowledged, after upstream and proxy have started. */
+    SERVICE_MAX_MS = 12000,
     PIECE_PAUSE_MS = 120,
     /* One response in so many closes its connection. */
     CLOSING_ONE_IN = 40,
@@ -29,26 +38,45 @@
     DRAIN_MAX_MS = 2500
 };
 
-enum upstream_state { UPSTREAM_READY, UPSTREAM_DRAINING, UPSTREAM_LEFT };
+enum upstream_state {
+    UPSTREAM_READY,
+    UPSTREAM_DRAINING,
+    UPSTREAM_LEFT,
+    UPSTREAM_DOWN
+};
+
+/* A run of an upstream, as it names itself in its messages. */
+struct run {
+    char id[SOAK_ID_BYTES];
+    uint64_t born_ms;
+    uint64_t sequence;
+};
 
 struct upstream {
     struct soak *soak;
     uint32_t host;
-    char id[SOAK_ID_BYTES]; /* of this incarnation */
-    uint64_t born_ms;
-    uint64_t sequence;
+    struct run run;
+    struct run previous_run; /* its messages may still arrive */
     uint64_t ready_sequence; /* of the last announcement before the drain */
     uint32_t incarnation;
+    uint64_t started_us;    /* of the run */
+    uint64_t served_us;     /* time of the latest request */
+    GPtrArray *connections; /* struct upstream_connection */
     enum upstream_state state;
     bool is_acknowledged; /* in this state */
     bool is_call_pending;
+    /* Of the pending or latest call. */
+    enum upstream_state called_state;
+    uint32_t called_incarnation;
     struct bb_listener *listener;
     struct bb_random *random;
     uv_timer_t heartbeat;
     uv_timer_t drain;
     uv_timer_t late;          /* sends an announcement from before a drain */
+    uv_timer_t late_previous; /* sends a message of the run before */
     uv_timer_t limit_timer;   /* ends the limit */
     struct limit limit;       /* that it states */
+    uint64_t drain_us;        /* when it began */
     uint64_t acknowledged_us; /* of the drain; 0: not yet */
 };
 
@@ -90,6 +118,7 @@
 close_connection(struct upstream_connection *c,
                  void (*close_stream)(struct bb_stream *))
 {
+    (void)g_ptr_array_remove_fast(c->upstream->connections, c);
     close_stream(c->stream);
     uv_close((uv_handle_t *)&c->timer, free_connection);
 }
@@ -152,7 +181,7 @@
     g_string_printf(
         head,
         "HTTP/1.1 %s\r\n" FIELD_INSTANCE_ID ": %s\r\nContent-Length: 0\r\n",
-        u->state == UPSTREAM_READY ? "200 OK" : "503 Leaving", u->id);
+        u->state == UPSTREAM_READY ? "200 OK" : "503 Leaving", u->run.id);
     append_report(u, head);
     g_string_append(head, "\r\n");
     bb_stream_write(c->stream, head->str, head->len);
@@ -339,10 +368,11 @@
         respond_not_run(c, 503);
         return;
     }
-    if (expected != NULL && strcmp(expected, u->id) != 0) {
+    if (expected != NULL && strcmp(expected, u->run.id) != 0) {
         respond_not_run(c, 421);
         return;
     }
+    u->served_us = bb_clock_now_us();
     check_unchanged(c, rq);
     check_drain(u, rq);
     if (rq->failure == UPSTREAM_FAILURE_REFUSED && !rq->has_failed) {
@@ -431,8 +461,14 @@
 on_accept(void *context, struct bb_stream *stream)
 {
     struct upstream *u = context;
-    struct upstream_connection *c = g_new0(struct upstream_connection, 1);
+    struct upstream_connection *c;
 
+    if (u->state == UPSTREAM_DOWN) {
+        bb_stream_reset(stream);
+        return;
+    }
+    c = g_new0(struct upstream_connection, 1);
+    g_ptr_array_add(u->connections, c);
     c->upstream = u;
     c->stream = stream;
     bb_http_reader_init(&c->reader, HTTP_REQUEST, &reader_events, c);
@@ -441,28 +477,78 @@
     bb_stream_set_events(stream, &stream_events, c);
 }
 
-/* Begins a new incarnation, which has a new id. */
+static void send_heartbeat(struct upstream *u);
+static void on_late_timer(uv_timer_t *t);
+static void on_late_previous_timer(uv_timer_t *t);
+
+/* Begins a new incarnation, under the id of the one before or a new one, at a
+ * time that the wall clock may state wrongly. */
 static void
 begin_incarnation(struct upstream *u)
 {
+    bool is_same_id =
+        u->incarnation > 0 && bb_random_below(u->random, SAME_ID_ONE_IN) == 0;
+    uint64_t offset_ms = bb_random_below(u->random, 2 * CLOCK_ERROR_MAX_MS);
+
+    u->previous_run = u->run;
     u->incarnation++;
-    (void)snprintf(u->id, sizeof(u->id), "i-%u-%u", u->host, u->incarnation);
-    u->born_ms = bb_clock_wall_now_us() / BB_US_PER_MS;
-    u->sequence = 0;
+    if (!is_same_id) {
+        (void)snprintf(u->run.id, sizeof(u->run.id), "i-%u-%u", u->host,
+                       u->incarnation);
+    }
+    u->run.born_ms =
+        bb_clock_wall_now_us() / BB_US_PER_MS + offset_ms - CLOCK_ERROR_MAX_MS;
+    u->run.sequence = 0;
+    u->started_us = bb_clock_now_us();
     u->state = UPSTREAM_READY;
     u->is_acknowledged = false;
     u->acknowledged_us = 0;
     (void)uv_timer_stop(&u->late);
+    if (u->incarnation > 1) {
+        (void)uv_timer_start(&u->late_previous, on_late_previous_timer,
+                             bb_random_below(u->random, LATE_MAX_MS), 0);
+    }
     limit_begin(&u->limit, 0);
 }
 
-static void send_heartbeat(struct upstream *u);
-static void on_late_timer(uv_timer_t *t);
+/* Checks that an upstream that goes on is in service, and that one that leaves
+ * is heard, unless it or its proxy was started lately. */
+static void
+check_service(const struct upstream *u)
+{
+    const struct process *p = soak_proxy(u->soak, u->host);
+    uint64_t max_us = (uint64_t)SERVICE_MAX_MS * BB_US_PER_MS;
+    uint64_t now_us = bb_clock_now_us();
+    uint64_t since_us = MAX(u->started_us, p->started_us);
+
+    if (p->state != PROCESS_RUNNING || u->limit.per_s != 0 ||
+        u->soak->is_stopping) {
+        return;
+    }
+    if (u->state == UPSTREAM_READY &&
+        now_us > MAX(since_us, u->served_us) + max_us) {
+        check_break(u->soak, PROMISE_SERVICE, NULL,
+                    "upstream on proxy-%u is ready and gets no requests",
+                    u->host);
+    }
+    if (u->state == UPSTREAM_DRAINING && !u->is_acknowledged &&
+        now_us > MAX(since_us, u->drain_us) + max_us) {
+        check_break(u->soak, PROMISE_SERVICE, NULL,
+                    "the drain of the upstream on proxy-%u is not "
+                    "acknowledged",
+                    u->host);
+    }
+}
 
 static void
 on_heartbeat_timer(uv_timer_t *t)
 {
-    send_heartbeat(t->data);
+    struct upstream *u = t->data;
+
+    if (u->state != UPSTREAM_DOWN) {
+        send_heartbeat(u);
+        check_service(u);
+    }
 }
 
 /* Goes on to the next step of a drain: deregisters, then starts again. */
@@ -481,6 +567,7 @@
         (void)uv_timer_start(&u->drain, on_drain_timer, RESTART_MS, 0);
         break;
     case UPSTREAM_LEFT:
+    case UPSTREAM_DOWN:
         begin_incarnation(u);
         send_heartbeat(u);
         break;
@@ -509,7 +596,8 @@
     (void)head;
     (void)body;
     u->is_call_pending = false;
-    if (status < 200 || status >= 300) {
+    if (status < 200 || status >= 300 || u->called_state != u->state ||
+        u->called_incarnation != u->incarnation) {
         return;
     }
     if (u->state == UPSTREAM_DRAINING && !u->is_acknowledged) {
@@ -522,26 +610,31 @@
     u->is_acknowledged = true;
 }
 
-/* Sends an announcement or a withdrawal. */
+/* Sends an announcement or a withdrawal of a run; a start of 0 is left out. */
 static void
-send_state(struct upstream *u, const char *action, const char *state,
-           uint64_t sequence, call_done done)
+send_state(struct upstream *u, const struct run *run, const char *action,
+           const char *state, call_done done)
 {
     struct bb_address to =
         soak_address(soak_proxy(u->soak, u->host), SOAK_PORT_ANNOUNCE);
     char target[96];
+    char born[48] = "";
     char *body;
 
-    (void)snprintf(target, sizeof(target), PATH_INSTANCES "%s%s", u->id,
+    (void)snprintf(target, sizeof(target), PATH_INSTANCES "%s%s", run->id,
                    action);
+    if (run->born_ms != 0) {
+        (void)snprintf(born, sizeof(born), ",\"born\":%" G_GUINT64_FORMAT,
+                       run->born_ms);
+    }
     body = g_strdup_printf(
-        "{\"address\":\"%s:%d\",\"born\":%" G_GUINT64_FORMAT
+        "{\"address\":\"%s:%d\"%s"
         ",\"info\":{\"service\":\"%s\",\"version\":\"v1\","
         "\"zone\":\"zone-0\",\"max_concurrency\":%d},"
         "\"status\":{\"state\":\"%s\",\"seq\":%" G_GUINT64_FORMAT
         ",\"warmup_left_ms\":0}}",
-        to.ip, SOAK_PORT_UPSTREAM, u->born_ms, upstream_service(u->host),
-        SLOTS, state, sequence);
+        to.ip, SOAK_PORT_UPSTREAM, born, upstream_service(u->host), SLOTS,
+        state, run->sequence);
     call_start(u->soak, &to, "POST", target, "", body, done, u);
     g_free(body);
 }
@@ -554,10 +647,13 @@
         return;
     }
     u->is_call_pending = true;
-    u->sequence++;
-    send_state(u, u->state == UPSTREAM_LEFT ? PATH_DEREGISTER : PATH_HEARTBEAT,
+    u->called_state = u->state;
+    u->called_incarnation = u->incarnation;
+    u->run.sequence++;
+    send_state(u, &u->run,
+               u->state == UPSTREAM_LEFT ? PATH_DEREGISTER : PATH_HEARTBEAT,
                u->state == UPSTREAM_READY ? VALUE_READY : VALUE_DRAINING,
-               u->sequence, on_announced);
+               on_announced);
 }
 
 static void
@@ -575,10 +671,40 @@
 on_late_timer(uv_timer_t *t)
 {
     struct upstream *u = t->data;
+    struct run run = u->run;
 
+    run.sequence = u->ready_sequence;
     u->soak->counts.late_announcements++;
-    send_state(u, PATH_HEARTBEAT, VALUE_READY, u->ready_sequence,
-               ignore_response);
+    send_state(u, &run, PATH_HEARTBEAT, VALUE_READY, ignore_response);
+}
+
+/* Sends a message of the run before: that it is ready, drains or is withdrawn.
+ * A withdrawal states no start at times, unless the proxy was started since:
+ * it then can't know that there was a run before. */
+static void
+on_late_previous_timer(uv_timer_t *t)
+{
+    struct upstream *u = t->data;
+    struct run run = u->previous_run;
+    bool is_proxy_older =
+        soak_proxy(u->soak, u->host)->started_us < u->started_us;
+
+    u->soak->counts.late_announcements++;
+    run.sequence++;
+    switch (bb_random_below(u->random, 3)) {
+    case 0:
+        send_state(u, &run, PATH_HEARTBEAT, VALUE_READY, ignore_response);
+        break;
+    case 1:
+        send_state(u, &run, PATH_HEARTBEAT, VALUE_DRAINING, ignore_response);
+        break;
+    default:
+        if (is_proxy_older && bb_random_below(u->random, 2) == 0) {
+            run.born_ms = 0;
+        }
+        send_state(u, &run, PATH_DEREGISTER, VALUE_DRAINING, ignore_response);
+        break;
+    }
 }
 
 static void
@@ -613,13 +739,37 @@
         return false;
     }
     u->state = UPSTREAM_DRAINING;
-    u->ready_sequence = u->sequence;
+    u->drain_us = bb_clock_now_us();
+    u->ready_sequence = u->run.sequence;
     u->is_acknowledged = false;
     u->soak->counts.drains++;
     send_heartbeat(u);
     return true;
 }
 
+/* Ends an upstream that is ready, without a word, and starts it again later.
+ * Returns false if it is not ready. */
+bool
+upstream_crash(struct upstream *u)
+{
+    if (u->state != UPSTREAM_READY) {
+        return false;
+    }
+    u->state = UPSTREAM_DOWN;
+    u->soak->counts.crashes++;
+    while (u->connections->len > 0) {
+        struct upstream_connection *c = g_ptr_array_index(u->connections, 0);
+
+        if (c->request != NULL) {
+            c->request->has_failed = true;
+        }
+        close_connection(c, bb_stream_reset);
+    }
+    (void)uv_timer_start(&u->drain, on_drain_timer,
+                         bb_random_below(u->random, CRASH_MAX_MS), 0);
+    return true;
+}
+
 void
 upstream_create(struct soak *s, uint32_t host)
 {
@@ -631,6 +781,7 @@
     u->soak = s;
     u->host = host;
     u->random = bb_random_create(s->seed * 1000 + host);
+    u->connections = g_ptr_array_new();
     u->listener = bb_listener_create(&s->loop, &at, on_accept, u, &e);
     if (u->listener == NULL) {
         (void)fprintf(stderr, "soak: %s\n", e.message);
@@ -639,8 +790,10 @@
     (void)uv_timer_init(&s->loop, &u->drain);
     (void)uv_timer_init(&s->loop, &u->heartbeat);
     (void)uv_timer_init(&s->loop, &u->late);
+    (void)uv_timer_init(&s->loop, &u->late_previous);
     (void)uv_timer_init(&s->loop, &u->limit_timer);
     u->late.data = u;
+    u->late_previous.data = u;
     u->limit_timer.data = u;
     begin_incarnation(u);
     u->drain.data = u;
