net: bound what a process holds for its peers in all

Report of another operator: a faulty upstream sends bytes without end, the machine that had called it keeps them, and all its requests end with it. A single connection was bounded; all together were not. Callers that send 32 requests behind a slow one made the entry hold every response, sound or faulty.

Cause: what waits for earlier responses of a connection was bounded for each request only, at 64 to 320 KiB, and requests in flight not at all.

Change: an account of the bytes held for peers (net/buffers.c). When it is full (24 MiB), a response is read on only if it is the first of its connection and its caller takes it, further requests of a connection wait, and reads get short. When it is exhausted (36 MiB), the entry refuses new requests at once with 503 and Retry-After. Nothing accepted is dropped. The buffers of a streamed response are freed when they have been written.

--- a/include/net/http_server.h
+++ b/include/net/http_server.h
@@ -149,7 +149,7 @@
 void bb_http_exchange_respond(struct bb_http_exchange *x, uint32_t status,
                               const GString *fields, const char *body,
                               size_t size_bytes);
-size_t bb_http_exchange_queued_bytes(const struct bb_http_exchange *x);
+bool bb_http_exchange_has_room(const struct bb_http_exchange *x);
 void bb_http_exchange_pause(struct bb_http_exchange *x);
 void bb_http_exchange_resume(struct bb_http_exchange *x);
 
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -7,11 +7,16 @@
 #include "common/counters.h"
 #include "common/event_log.h"
 #include "common/log.h"
+#include "net/buffers.h"
 
 enum {
     DEFAULT_HEAD_BYTES = 32 * 1024,
     DEFAULT_HEAD_TIMEOUT_MS = 10000,
-    DEFAULT_IDLE_TIMEOUT_MS = 60000
+    DEFAULT_IDLE_TIMEOUT_MS = 60000,
+    /* Counted for a request and what its handler keeps of it. */
+    EXCHANGE_BYTES = 8 * 1024,
+    /* In place of BB_STREAM_HIGH_WATER_BYTES while the buffers are full. */
+    FULL_HIGH_WATER_BYTES = 16 * 1024
 };
 
 #define DEFAULT_BODY_BYTES (64ULL * 1024 * 1024)
@@ -77,10 +82,35 @@
 static void reject_request(struct bb_http_server_connection *c,
                            uint32_t status, const char *reason);
 
+/* Frees what is queued of the body of a response. */
+static void
+free_output(struct bb_http_exchange *x)
+{
+    if (x->pending_output != NULL) {
+        bb_buffers_remove(x->pending_output->len);
+        g_string_free(x->pending_output, TRUE);
+        x->pending_output = NULL;
+    }
+}
+
+/* Creates an exchange, the last one of its connection. */
+static struct bb_http_exchange *
+create_exchange(struct bb_http_server_connection *c)
+{
+    struct bb_http_exchange *x = g_new0(struct bb_http_exchange, 1);
+
+    bb_buffers_add(EXCHANGE_BYTES);
+    x->connection = c;
+    x->body = g_string_new(NULL);
+    g_queue_push_tail(&c->exchanges, x);
+    return x;
+}
+
 /* Frees an exchange. */
 static void
 free_exchange(struct bb_http_exchange *x)
 {
+    bb_buffers_remove(EXCHANGE_BYTES);
     if (x->head.text != NULL) {
         g_string_free(x->head.text, TRUE);
     }
@@ -88,9 +118,7 @@
     if (x->pending_head != NULL) {
         g_string_free(x->pending_head, TRUE);
     }
-    if (x->pending_output != NULL) {
-        g_string_free(x->pending_output, TRUE);
-    }
+    free_output(x);
     g_free(x);
 }
 
@@ -394,13 +422,12 @@
 write_output(struct bb_http_exchange *x)
 {
     struct bb_http_server_connection *c = x->connection;
-    GString *body = x->pending_output;
+    const GString *body = x->pending_output;
 
     if (x->pending_head != NULL) {
         complete_head(x);
         if (body != NULL) {
             g_string_append_len(x->pending_head, body->str, (gssize)body->len);
-            g_string_truncate(body, 0);
         }
         x->output_offset = c->output_bytes;
         write_bytes(c, x->pending_head->str, x->pending_head->len);
@@ -409,8 +436,8 @@
     }
     else if (body != NULL && body->len > 0) {
         write_bytes(c, body->str, body->len);
-        g_string_truncate(body, 0);
     }
+    free_output(x);
 }
 
 /* Drops what is queued of a response of which nothing was written. */
@@ -421,9 +448,7 @@
         g_string_free(x->pending_head, TRUE);
         x->pending_head = NULL;
     }
-    if (x->pending_output != NULL) {
-        g_string_truncate(x->pending_output, 0);
-    }
+    free_output(x);
 }
 
 /* Tells the handler that nothing is queued for the socket, if the first
@@ -536,10 +561,7 @@
     struct bb_http_exchange *x = c->receiving;
 
     if (x == NULL) {
-        x = g_new0(struct bb_http_exchange, 1);
-        x->connection = c;
-        x->body = g_string_new(NULL);
-        g_queue_push_tail(&c->exchanges, x);
+        x = create_exchange(c);
     }
     bb_log_info("server.refused", "status %u: %s", status, reason);
     x->closes_connection = true;
@@ -567,21 +589,18 @@
 {
     struct bb_http_server_connection *c = context;
     struct bb_http_head *h = &c->reader.head;
-    struct bb_http_exchange *x = g_new0(struct bb_http_exchange, 1);
+    struct bb_http_exchange *x = create_exchange(c);
 
     /* The next head has a time limit of its own. */
     (void)uv_timer_stop(&c->timer);
     c->timer_kind = TIMER_NONE;
-    x->connection = c;
     x->received_us = bb_clock_now_us();
-    x->body = g_string_new(NULL);
     x->body_max_bytes = c->server->limits.request_body_max_bytes;
     x->head = *h;
     x->closes_connection = !h->is_keep_alive;
     c->is_last_request_read = !h->is_keep_alive;
     h->text = g_string_sized_new(512);
     c->receiving = x;
-    g_queue_push_tail(&c->exchanges, x);
     if (x->head.has_content_length &&
         x->head.content_length > x->body_max_bytes) {
         return false;
@@ -701,7 +720,7 @@
         return;
     }
     if (g_queue_peek_head(&c->exchanges) != x &&
-        (s->handler->may_overlap == NULL ||
+        (s->handler->may_overlap == NULL || bb_buffers_are_full() ||
          !s->handler->may_overlap(s->context, &x->head))) {
         c->is_parsing_paused = true;
         return;
@@ -968,6 +987,7 @@
         x->pending_output = g_string_sized_new(size_bytes);
     }
     g_string_append_len(x->pending_output, data, (gssize)size_bytes);
+    bb_buffers_add(size_bytes);
 }
 
 /* Queues the head of a response. Each of the `fields` (NULL: none) ends with
@@ -1052,13 +1072,28 @@
 
 /* Returns how many response bytes are queued, in the exchange and for the
  * socket of its connection. */
-size_t
-bb_http_exchange_queued_bytes(const struct bb_http_exchange *x)
+static size_t
+count_queued_bytes(const struct bb_http_exchange *x)
 {
     return bb_stream_queued_bytes(x->connection->stream) +
            (x->pending_output != NULL ? x->pending_output->len : 0);
 }
 
+/* Returns whether more of a response that is being received should be read:
+ * not if much of it is queued, and while the buffers of the process are full
+ * only if the peer takes it. Else the handler pauses until output_drained. */
+bool
+bb_http_exchange_has_room(const struct bb_http_exchange *x)
+{
+    size_t queued_bytes = count_queued_bytes(x);
+    bool is_first = g_queue_peek_head(&x->connection->exchanges) == x;
+
+    if (bb_buffers_are_full()) {
+        return is_first && queued_bytes <= FULL_HIGH_WATER_BYTES;
+    }
+    return queued_bytes <= BB_STREAM_HIGH_WATER_BYTES;
+}
+
 /* Stops reading a long request body, so that the peer has to wait. */
 void
 bb_http_exchange_pause(struct bb_http_exchange *x)
--- a/net/stream.c
+++ b/net/stream.c
@@ -7,7 +7,13 @@
 #include <string.h>
 #include <sys/ioctl.h>
 
-enum { READ_BUFFER_BYTES = 64 * 1024 };
+#include "net/buffers.h"
+
+enum {
+    READ_BUFFER_BYTES = 64 * 1024,
+    /* While the buffers are full: what is read before a pause is held. */
+    READ_FULL_BYTES = 4 * 1024
+};
 
 struct bb_stream {
     uv_tcp_t tcp;
@@ -110,7 +116,9 @@
 {
     (void)h;
     (void)suggested;
-    *out = uv_buf_init(read_buffer, sizeof(read_buffer));
+    *out = uv_buf_init(read_buffer, bb_buffers_are_full()
+                                        ? (unsigned)READ_FULL_BYTES
+                                        : (unsigned)READ_BUFFER_BYTES);
 }
 
 /* Returns 0 or the libuv error of a connection that libuv reports as ended.
@@ -257,6 +265,7 @@
     struct write_request *w = (struct write_request *)request;
     struct bb_stream *s = w->stream;
 
+    bb_buffers_remove(w->size_bytes);
     if (status != UV_ECANCELED && !s->is_closed) {
         s->queued_bytes -= w->size_bytes;
         if (status != 0) {
@@ -294,10 +303,12 @@
     w->size_bytes = size_bytes - done;
     memcpy(w->data, (const char *)data + done, w->size_bytes);
     s->queued_bytes += w->size_bytes;
+    bb_buffers_add(w->size_bytes);
     buffer = uv_buf_init(w->data, (unsigned)w->size_bytes);
     if (uv_write(&w->request, (uv_stream_t *)&s->tcp, &buffer, 1,
                  on_write_done) != 0) {
         s->queued_bytes -= w->size_bytes;
+        bb_buffers_remove(w->size_bytes);
         g_free(w);
     }
 }
--- a/path/attempt.c
+++ b/path/attempt.c
@@ -329,8 +329,8 @@
     if (is_streaming) {
         attempt_cancel(other_attempt(a));
     }
-    if (is_streaming &&
-        bb_http_exchange_queued_bytes(x) > BB_STREAM_HIGH_WATER_BYTES) {
+    if (classify_head(a) == ATTEMPT_COMPLETED &&
+        !bb_http_exchange_has_room(x)) {
         bb_fetch_pause(a->fetch);
     }
     return true;
--- a/path/entry.c
+++ b/path/entry.c
@@ -12,6 +12,7 @@
 #include "common/histogram.h"
 #include "common/log.h"
 #include "entry_internal.h"
+#include "net/buffers.h"
 
 enum {
     PERCENT = 100,
@@ -56,12 +57,19 @@
     const char *reason;
     struct bb_counter counter;
 } local_responses[] = {
-    LOCAL_RESPONSE("limit"),        LOCAL_RESPONSE("deadline"),
-    LOCAL_RESPONSE("late"),         LOCAL_RESPONSE("long_body"),
-    LOCAL_RESPONSE("lost"),         LOCAL_RESPONSE("no_configuration"),
-    LOCAL_RESPONSE("no_gate_left"), LOCAL_RESPONSE("no_request_id"),
-    LOCAL_RESPONSE("no_route"),     LOCAL_RESPONSE("no_upstream"),
-    LOCAL_RESPONSE("stopping"),     LOCAL_RESPONSE("upstream_refused"),
+    LOCAL_RESPONSE("limit"),
+    LOCAL_RESPONSE("deadline"),
+    LOCAL_RESPONSE("late"),
+    LOCAL_RESPONSE("long_body"),
+    LOCAL_RESPONSE("buffers_full"),
+    LOCAL_RESPONSE("lost"),
+    LOCAL_RESPONSE("no_configuration"),
+    LOCAL_RESPONSE("no_gate_left"),
+    LOCAL_RESPONSE("no_request_id"),
+    LOCAL_RESPONSE("no_route"),
+    LOCAL_RESPONSE("no_upstream"),
+    LOCAL_RESPONSE("stopping"),
+    LOCAL_RESPONSE("upstream_refused"),
 };
 
 /* Registers the counters, which are in a table, before main runs. */
@@ -464,6 +472,11 @@
                                 BB_ENTRY_RETRY_AFTER_MIN_MS);
         return;
     }
+    if (bb_buffers_are_exhausted()) {
+        request_respond_locally(rq, 503, "buffers_full",
+                                BB_ENTRY_RETRY_AFTER_MIN_MS);
+        return;
+    }
     if (!find_route(n, rq)) {
         return;
     }
--- a/path/gate.c
+++ b/path/gate.c
@@ -376,10 +376,9 @@
     if (rq->is_unproven) {
         return false;
     }
-    if (bb_response_relay_append_body(&rq->relay, rq->exchange, data,
-                                      size_bytes) &&
-        bb_http_exchange_queued_bytes(rq->exchange) >
-            BB_STREAM_HIGH_WATER_BYTES) {
+    (void)bb_response_relay_append_body(&rq->relay, rq->exchange, data,
+                                        size_bytes);
+    if (!bb_http_exchange_has_room(rq->exchange)) {
         bb_fetch_pause(rq->fetch);
     }
     return true;
--- a/path/relay.c
+++ b/path/relay.c
@@ -4,6 +4,8 @@
 #include <string.h>
 #include <strings.h>
 
+#include "net/buffers.h"
+
 static const char baobab_prefix[] = "Baobab-";
 
 /* Initialises an empty relay; bb_response_relay_clear frees its buffers. */
@@ -15,11 +17,21 @@
     r->body = g_string_new(NULL);
 }
 
+/* Frees what is buffered of the body. */
+static void
+drop_body(struct bb_response_relay *r)
+{
+    bb_buffers_remove(r->body->len);
+    g_string_free(r->body, TRUE);
+    r->body = g_string_new(NULL);
+}
+
 /* Frees the buffers of a relay; allowed more than once. */
 void
 bb_response_relay_clear(struct bb_response_relay *r)
 {
     if (r->fields != NULL) {
+        bb_buffers_remove(r->body->len);
         g_string_free(r->fields, TRUE);
         g_string_free(r->body, TRUE);
         r->fields = NULL;
@@ -34,7 +46,7 @@
 {
     r->status = 0;
     g_string_truncate(r->fields, 0);
-    g_string_truncate(r->body, 0);
+    drop_body(r);
 }
 
 /* Returns whether a name is in a list that ends with NULL or is NULL itself.
@@ -188,6 +200,7 @@
 {
     if (!r->is_streaming) {
         g_string_append_len(r->body, data, (gssize)size_bytes);
+        bb_buffers_add(size_bytes);
         if (r->body->len <= BB_RESPONSE_RELAY_BUFFER_BYTES) {
             return false;
         }
@@ -195,7 +208,7 @@
         bb_http_exchange_start_response(x, r->status, r->fields,
                                         r->length_bytes);
         send_body_part(r, x, r->body->str, r->body->len);
-        g_string_truncate(r->body, 0);
+        drop_body(r);
         return true;
     }
     send_body_part(r, x, data, size_bytes);
