tests: disks that refuse writes one after the other

Report of another operator: full disks in turn, and changes refused or unanswered long after the last had room again.

--- a/tests/proxyd/fixture.c
+++ b/tests/proxyd/fixture.c
@@ -11,6 +11,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -36,6 +37,9 @@
 #define PROXY_PROGRAM "TEST_PROXY_PROGRAM"
 #define CORE_PROGRAM "TEST_CORE_PROGRAM"
 
+/* Setting of a control host whose data are new. */
+#define FIRST_START "first-start"
+
 /* Opens a socket that listens on a free port of the address's IP, and sets the
  * port. No port is used twice by one test program, as programs under test bind
  * theirs only later. */
@@ -81,12 +85,22 @@
     return path;
 }
 
+/* Returns the limit on the length of files; 0: none. */
+static struct rlimit
+file_limit(uint32_t max_bytes)
+{
+    return (struct rlimit){.rlim_cur =
+                               max_bytes != 0 ? max_bytes : RLIM_INFINITY,
+                           .rlim_max = RLIM_INFINITY};
+}
+
 /* Runs a program; the first argument is its path, the last one NULL. Its
  * output goes to a file. It is killed if the test ends before it. */
 static void
 run_process(const struct fixture *f, struct process *p,
-            const GPtrArray *arguments)
+            const GPtrArray *arguments, uint32_t file_max_bytes)
 {
+    struct rlimit limit = file_limit(file_max_bytes);
     const char *path = g_ptr_array_index(arguments, 0);
     pid_t parent = getpid();
     char *log = log_path(f, p);
@@ -97,6 +111,8 @@
     CU_ASSERT_TRUE_FATAL(p->pid >= 0);
     if (p->pid == 0) {
         (void)prctl(PR_SET_PDEATHSIG, SIGKILL);
+        (void)signal(SIGXFSZ, SIG_IGN); /* a write fails instead */
+        (void)setrlimit(RLIMIT_FSIZE, &limit);
         if (getppid() == parent && dup2(fd, STDOUT_FILENO) >= 0 &&
             dup2(fd, STDERR_FILENO) >= 0) {
             (void)execv(path, (char **)arguments->pdata);
@@ -116,7 +132,7 @@
     p->name = g_strdup(name);
     g_ptr_array_insert(arguments, 0, g_strdup(getenv(path_variable)));
     g_ptr_array_add(arguments, NULL);
-    run_process(f, p, arguments);
+    run_process(f, p, arguments, 0);
 }
 
 void
@@ -456,6 +472,7 @@
         "\"service\":\"s\",\"attempts\":1}";
     GString *body = g_string_new(NULL);
     GString *request = g_string_new(NULL);
+    char name[32];
 
     g_string_append_printf(
         body,
@@ -468,6 +485,11 @@
     g_string_append_printf(body, path, "safe", "safe", "safe");
     g_string_append_c(body, ',');
     g_string_append_printf(body, path, "unsafe", "unsafe", "unsafe");
+    for (uint32_t i = 0; i < f->more_routes; i++) {
+        (void)snprintf(name, sizeof(name), "more-%u", i);
+        g_string_append_c(body, ',');
+        g_string_append_printf(body, path, name, name, "safe");
+    }
     g_string_append(body, "]}]}");
     g_string_append_printf(
         request,
@@ -597,11 +619,11 @@
         CU_ASSERT_EQUAL_FATAL(g_mkdir(data, 0700), 0);
         add_setting(arguments, "data", data);
         add_setting(arguments, "listen-operators", bb_address_format(a, text));
-        add_setting(arguments, "first-start", "true");
+        add_setting(arguments, FIRST_START, "true");
         add_setting(arguments, "lost-hosts", f->core_count > 1 ? "1" : "0");
         add_setting(arguments, "lost-zones", "0");
         start_process(f, &f->cores[i], name, CORE_PROGRAM, arguments);
-        g_ptr_array_free(arguments, TRUE);
+        f->core_arguments[i] = arguments;
         g_free(data);
         g_free(name);
     }
@@ -635,7 +657,7 @@
 fixture_restart_proxy(struct fixture *f)
 {
     kill_process(&f->proxy);
-    run_process(f, &f->proxy, f->proxy_arguments);
+    run_process(f, &f->proxy, f->proxy_arguments, 0);
 }
 
 /* Kills all control hosts. */
@@ -647,6 +669,34 @@
     }
 }
 
+/* Kills a control host and starts it again on its data. */
+void
+fixture_restart_core(struct fixture *f, uint32_t core)
+{
+    GPtrArray *arguments = f->core_arguments[core];
+
+    kill_process(&f->cores[core]);
+    for (guint i = 0; i + 1 < arguments->len; i++) {
+        if (strcmp(arguments->pdata[i], "--" FIRST_START "=true") == 0) {
+            g_free(arguments->pdata[i]);
+            arguments->pdata[i] = g_strdup("--" FIRST_START "=false");
+        }
+    }
+    run_process(f, &f->cores[core], arguments, f->core_file_max_bytes[core]);
+}
+
+/* Limits the files that a control host writes, now and after a restart; 0: no
+ * limit. */
+void
+fixture_limit_core_files(struct fixture *f, uint32_t core, uint32_t max_bytes)
+{
+    struct rlimit limit = file_limit(max_bytes);
+
+    f->core_file_max_bytes[core] = max_bytes;
+    CU_ASSERT_EQUAL(prlimit(f->cores[core].pid, RLIMIT_FSIZE, &limit, NULL),
+                    0);
+}
+
 /* Calls until the status is 200. Returns whether it was in time. */
 static bool
 call_until_ok(struct fixture *f, const struct bb_address *to,
@@ -881,6 +931,7 @@
             print_log(f, &f->cores[i]);
         }
         g_free(f->cores[i].name);
+        g_ptr_array_free(f->core_arguments[i], TRUE);
     }
     if (has_failed) {
         print_log(f, &f->proxy);
--- a/tests/proxyd/fixture.h
+++ b/tests/proxyd/fixture.h
@@ -53,6 +53,11 @@
 struct fixture {
     char *folder; /* logs, and data of the control hosts */
     struct process cores[FIXTURE_CORES_MAX];
+    GPtrArray
+        *core_arguments[FIXTURE_CORES_MAX]; /* char *, of start_process */
+    /* Files that a control host writes are no longer than this, as on a full
+     * disk; 0: no limit. */
+    uint32_t core_file_max_bytes[FIXTURE_CORES_MAX];
     struct bb_address operator_addresses[FIXTURE_CORES_MAX];
     uint32_t core_count;
     uint32_t leader;
@@ -70,7 +75,8 @@
     bool is_upstream_leaving; /* fails its health checks */
     GPtrArray *peers;         /* struct peer, those of the upstream included */
     unsigned failure_count;
-    uint64_t version; /* of the newest configuration */
+    uint64_t version;     /* of the newest configuration */
+    uint32_t more_routes; /* in configurations, that no test uses */
 };
 
 void fixture_open(struct fixture *f, uint32_t core_count, uint32_t grace_s);
@@ -86,6 +92,9 @@
 
 void fixture_restart_proxy(struct fixture *f);
 void fixture_kill_cores(struct fixture *f);
+void fixture_restart_core(struct fixture *f, uint32_t core);
+void fixture_limit_core_files(struct fixture *f, uint32_t core,
+                              uint32_t max_bytes);
 int fixture_announce(struct fixture *f, const char *id,
                      const struct announced_state *a);
 int fixture_withdraw(struct fixture *f, const char *id, uint64_t started_ms);
