--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -232,6 +232,7 @@
 {
     static uint64_t seconds;
     static uint64_t proxies;
+    static uint64_t slots;
     static const char *planned_only;
     const struct bb_setting table[] = {
         {.name = "seed",
@@ -257,6 +258,14 @@
          .min = 2,
          .max = SOAK_PROXIES_MAX,
          .to.number = &proxies},
+        {.name = "slots",
+         .value_name = "COUNT",
+         .help = "requests that an upstream runs at a time; few: they queue",
+         .kind = BB_SETTING_NUMBER,
+         .default_value = "16",
+         .min = 1,
+         .max = 1000,
+         .to.number = &slots},
         {.name = "planned-only",
          .value_name = "true|false",
          .help = "no SIGKILL",
@@ -276,6 +285,7 @@
 
     soak.seconds = (uint32_t)seconds;
     soak.proxy_count = (uint32_t)proxies;
+    soak.slots = (uint32_t)slots;
     soak.process_count = soak.proxy_count + SOAK_CORES;
     soak.is_planned_only =
         planned_only != NULL && strcmp(planned_only, "true") == 0;
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -161,6 +161,7 @@
     uint64_t seed;
     uint32_t seconds;
     uint32_t proxy_count;
+    uint32_t slots;         /* of each upstream */
     uint32_t process_count; /* the control hosts come first */
     const char *programs;   /* build folder */
     char *folder;           /* logs and data */
--- a/tests/soak/upstreams.c
+++ b/tests/soak/upstreams.c
@@ -12,7 +12,6 @@
 
 enum {
     HEARTBEAT_MS = 1000,
-    SLOTS = 16,
     /* After the acknowledgement of a drain; then it is deregistered. */
     DRAIN_MS = 3500,
     RESTART_MS = 700,
@@ -630,11 +629,11 @@
     body = g_strdup_printf(
         "{\"address\":\"%s:%d\"%s"
         ",\"info\":{\"service\":\"%s\",\"version\":\"v1\","
-        "\"zone\":\"zone-0\",\"max_concurrency\":%d},"
+        "\"zone\":\"zone-0\",\"max_concurrency\":%u},"
         "\"status\":{\"state\":\"%s\",\"seq\":%" G_GUINT64_FORMAT
         ",\"warmup_left_ms\":0}}",
-        to.ip, SOAK_PORT_UPSTREAM, born, upstream_service(u->host), SLOTS,
-        state, run->sequence);
+        to.ip, SOAK_PORT_UPSTREAM, born, upstream_service(u->host),
+        u->soak->slots, state, run->sequence);
     call_start(u->soak, &to, "POST", target, "", body, done, u);
     g_free(body);
 }
