gate: leave the limits of requests to the entry

Cause: only the entry got the limits of the configuration; the gate kept the server's defaults of 32 KiB and 64 MiB. Its 4xx passed for the upstream's, as it bore no field of the gate.

Change: the gate reads heads of up to 80 KiB and bodies of any length. The entry, which has checked both, takes at most 72 KiB of a head, so that the fields it adds fit. A request that the gate rejects itself is answered with Baobab-Failed, which the entry takes for an unknown outcome.

Why it works: limits bound what callers may send, and callers reach the gate through an entry only, so hosts with different versions in force no longer disagree.

--- a/include/net/http_server.h
+++ b/include/net/http_server.h
@@ -129,6 +129,8 @@
                       void *context, struct bb_error *e);
 void bb_http_server_set_log_names(struct bb_http_server *s, const char *name,
                                   const char *request_id_field);
+void bb_http_server_set_rejection_fields(struct bb_http_server *s,
+                                         const char *fields);
 void bb_http_server_set_limits(struct bb_http_server *s,
                                const struct bb_http_server_limits *limits);
 void bb_http_server_disable_keep_alive(struct bb_http_server *s);
--- a/include/path/entry.h
+++ b/include/path/entry.h
@@ -27,6 +27,8 @@
      * size of its lists of excluded and full gates. Those that may reach an
      * upstream are limited by bb_rules_route.upstream_attempts_max. */
     BB_ENTRY_ATTEMPTS_MAX = 8,
+    /* Longest head of a request, also if the configuration allows more. */
+    BB_ENTRY_HEAD_MAX_BYTES = 72 * 1024,
     /* Deadline of a request that states none, and upper bound of others. */
     BB_ENTRY_DEADLINE_MAX_MS = 30000,
     /* Time reserved for the response to return from the gate, by distance. */
--- a/include/path/gate.h
+++ b/include/path/gate.h
@@ -39,7 +39,8 @@
  * - only if the upstream states a limit: the limit in thousandths of a request
  *   a second, and how long an arriving request would wait for its turn
  *
- * Refused: reason; the request did not run. Failed: reason; it may have run.
+ * Refused: reason; the request did not run. Failed: reason; it may have run,
+ * or the gate could not read it.
  */
 #define BB_GATE_HEADER_CALL                                                   \
     "Baobab-Call" /* service priority class target_ms wait_ms flags */
@@ -59,6 +60,11 @@
      * upstream's timeout: requests sent while it closes the connection are
      * lost. */
     BB_GATE_IDLE_MAX_MS = 4000,
+    /* Longest head of a request, which the entry has checked; longer than the
+     * entry's limit by more than the fields that it adds. */
+    BB_GATE_HEAD_MAX_BYTES = 80 * 1024,
+    BB_GATE_HEAD_TIMEOUT_MS = 10000,
+    BB_GATE_CONNECTION_IDLE_TIMEOUT_MS = 60000,
     /* How long a new gate waits for bb_gate_restore before it admits requests;
      * longer than a node takes to find a control host that responds. */
     BB_GATE_RESTORE_TIMEOUT_MS = 1500,
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -44,6 +44,7 @@
     void *context;
     const char *name;             /* in the log */
     const char *request_id_field; /* NULL: requests have no id in the log */
+    const char *rejection_fields; /* of responses without the handler */
     struct bb_http_server_limits limits;
     struct bb_http_server_connection *connections;
     bool is_keep_alive_disabled;
@@ -559,6 +560,7 @@
                const char *reason)
 {
     struct bb_http_exchange *x = c->receiving;
+    GString *fields;
 
     if (x == NULL) {
         x = create_exchange(c);
@@ -569,7 +571,9 @@
     x->is_dispatched = true;
     c->receiving = NULL;
     c->is_last_request_read = true;
-    bb_http_exchange_respond(x, status, NULL, reason, strlen(reason));
+    fields = g_string_new(c->server->rejection_fields);
+    bb_http_exchange_respond(x, status, fields, reason, strlen(reason));
+    g_string_free(fields, TRUE);
 }
 
 /* Passes a request to the handler. */
@@ -911,6 +915,15 @@
     s->request_id_field = request_id_field;
 }
 
+/* Sets fields, each ended by CRLF, of the responses to requests that are
+ * rejected without a call of the handler. The text must outlive the server. */
+void
+bb_http_server_set_rejection_fields(struct bb_http_server *s,
+                                    const char *fields)
+{
+    s->rejection_fields = fields;
+}
+
 /* Replaces the limits, also for open connections, but not for requests that
  * have begun to arrive. */
 void
--- a/path/entry.c
+++ b/path/entry.c
@@ -605,10 +605,14 @@
 void
 bb_entry_set_rules(struct bb_entry *n, struct bb_rules *r)
 {
+    struct bb_http_server_limits limits = r->limits;
+
     bb_rules_unref(n->rules);
     n->rules = bb_rules_ref(r);
     g_hash_table_remove_all(n->service_credits);
-    bb_http_server_set_limits(n->server, &r->limits);
+    limits.request_head_max_bytes =
+        MIN(limits.request_head_max_bytes, (uint32_t)BB_ENTRY_HEAD_MAX_BYTES);
+    bb_http_server_set_limits(n->server, &limits);
 }
 
 /* Closes connections of callers: sends `Connection: close` with each further
--- a/path/gate.c
+++ b/path/gate.c
@@ -875,6 +875,13 @@
     static const struct bb_connection_pool_settings pool = {
         .connect_timeout_ms = BB_GATE_CONNECT_TIMEOUT_MS,
         .idle_max_ms = BB_GATE_IDLE_MAX_MS};
+    /* The entry has applied the limits of its configuration, which may be
+     * another one than is in force here. */
+    static const struct bb_http_server_limits limits = {
+        .request_head_max_bytes = BB_GATE_HEAD_MAX_BYTES,
+        .head_timeout_ms = BB_GATE_HEAD_TIMEOUT_MS,
+        .idle_timeout_ms = BB_GATE_CONNECTION_IDLE_TIMEOUT_MS,
+        .request_body_max_bytes = UINT64_MAX};
     struct bb_gate *g = g_new0(struct bb_gate, 1);
     const struct bb_upstream_check_settings check = {.upstream_address =
                                                          s->upstream_address,
@@ -898,6 +905,9 @@
         bb_gate_destroy(g);
         return NULL;
     }
+    bb_http_server_set_limits(g->server, &limits);
+    bb_http_server_set_rejection_fields(g->server, BB_GATE_HEADER_FAILED
+                                        ": rejected\r\n");
     bb_http_server_set_log_names(g->server, "gate",
                                  s->dialect->fields.request_id);
     return g;
--- a/tests/path/test_path.c
+++ b/tests/path/test_path.c
@@ -603,6 +603,46 @@
     fixture_close(&b);
 }
 
+/* Guards against: a gate that applies limits of its own to requests that the
+ * configuration allows, and whose rejection passes for the upstream's. */
+static void
+test_raised_limits(void)
+{
+    struct path_fixture b;
+    struct client *c;
+    char *text = g_strnfill(BB_HTTP_SERVER_BODY_BUFFER_BYTES, 'x');
+
+    fixture_open(&b);
+    fixture_set_rules(&b, 1000, 2);
+    fixture_announce(&b, 1, true); /* leaves only the first gate */
+    b.rules->limits.request_head_max_bytes = 64 * 1024;
+    b.rules->limits.request_body_max_bytes = 128 * 1024 * 1024;
+    bb_entry_set_rules(b.entry, b.rules);
+    c = client_open(&b);
+    client_send(c, SAFE("a1") "X-Long: ");
+    text[60 * 1024] = '\0';
+    client_send(c, text);
+    client_send(c, "\r\n\r\n");
+    CU_ASSERT_TRUE(fixture_wait_text(&b, c, "body", 500));
+    text[60 * 1024] = 'x';
+    client_send(c, "POST /unsafe/x HTTP/1.1\r\nHost: h\r\nT-Id: a2\r\n"
+                   "Content-Length: 100000000\r\n\r\n");
+    client_send(c, text);
+    fixture_run(&b, 300);
+    CU_ASSERT_EQUAL(count_requests(&b), 2);
+    CU_ASSERT_EQUAL(client_count(c, "HTTP/1.1 "), 1);
+    client_free(c);
+    b.entry_address = b.upstreams[0].address;
+    b.entry_address.port++; /* that of the gate */
+    c = client_open(&b);
+    client_send(c, "no request\r\n\r\n");
+    CU_ASSERT_TRUE(fixture_wait_text(&b, c, "HTTP/1.1 400", 500));
+    CU_ASSERT_PTR_NOT_NULL(strstr(c->received->str, BB_GATE_HEADER_FAILED));
+    client_free(c);
+    fixture_close(&b);
+    g_free(text);
+}
+
 /* Guards against: a restarted gate that takes the earlier run of the upstream,
  * which drained, for the later one as the wall clock went back in between. */
 static void
@@ -1104,6 +1144,7 @@
     {"dropped connections", test_dropped_connections},
     {"nested requests", test_nested_requests},
     {"short deadlines", test_short_deadlines},
+    {"raised limits", test_raised_limits},
     {"restarted gate", test_restarted_gate},
     {"restarted gate after a clock step",
      test_restarted_gate_after_clock_step},
