core: refuse configurations that the replicated state cannot hold

Cause: nothing checked the size before a proposal, the result of the XDR encoding was ignored, and a committed content that could not be decoded had already replaced the last good one.

Change: a configuration of more than 15 MiB is refused with 413, which names its size and the limit, by any control host, before it is parsed.

--- a/cored/main.c
+++ b/cored/main.c
@@ -6,6 +6,7 @@
 #include "common/log.h"
 #include "common/registry.h"
 #include "decide/voters.h"
+#include "fleet/content.h"
 #include "fleet/core.h"
 #include "path/daemon.h"
 #include "path/dialect.h"
@@ -98,6 +99,9 @@
                        (unsigned long long)newest);
         respond_with_text(x, 412, text);
         break;
+    case BB_CORE_PROPOSAL_TOO_LARGE:
+        respond_with_text(x, 413, "the configuration is too large\n");
+        break;
     case BB_CORE_PROPOSAL_UNKNOWN:
     case BB_CORE_PROPOSAL_NOT_LEADER:
         respond_unavailable(x, "no majority confirmed the order in time\n");
@@ -113,6 +117,7 @@
     uint64_t base_version = 0;
     struct bb_rules *r;
     GBytes *config;
+    char text[96];
 
     if (!bb_http_head_get_u64(&x->head, d->dialect->fields.base_version,
                               &base_version)) {
@@ -121,6 +126,14 @@
                           "missing\n");
         return;
     }
+    if (x->body->len > BB_CONFIG_MAX_BYTES) {
+        (void)snprintf(text, sizeof(text),
+                       "the configuration has %zu bytes; at most %d are "
+                       "allowed\n",
+                       x->body->len, BB_CONFIG_MAX_BYTES);
+        respond_with_text(x, 413, text);
+        return;
+    }
     if (redirect_to_leader(d, x)) {
         return;
     }
--- a/fleet/content.c
+++ b/fleet/content.c
@@ -178,17 +178,23 @@
     return is_valid;
 }
 
-/* Encodes a replicated state. The caller unreferences the result. */
+/* Encodes a replicated state. The caller unreferences the result. Returns NULL
+ * if a part exceeds its limit. */
 GBytes *
 bb_replicated_state_encode(fleet_replicated_state *s)
 {
     u_long size = xdr_sizeof((xdrproc_t)xdr_fleet_replicated_state, s);
     char *data = g_malloc(size);
+    bool is_encoded;
     XDR x;
 
     xdrmem_create(&x, data, (u_int)size, XDR_ENCODE);
-    (void)xdr_fleet_replicated_state(&x, s);
+    is_encoded = xdr_fleet_replicated_state(&x, s);
     xdr_destroy(&x);
+    if (!is_encoded || size > BB_CONTENT_MAX_BYTES) {
+        g_free(data);
+        return NULL;
+    }
     return g_bytes_new_take(data, size);
 }
 
--- a/fleet/core.c
+++ b/fleet/core.c
@@ -116,23 +116,25 @@
 core_publish_committed(struct bb_core *c)
 {
     uint64_t content_id = c->quorum.durable.entry.content_id;
+    fleet_replicated_state next;
 
     c->commit_index = c->quorum.durable.entry.index;
     bb_counter_set(&commit_index_gauge, c->commit_index);
     if (content_id == c->published_content_id) {
         return;
     }
-    bb_replicated_state_clear(&c->committed_state);
     if (!bb_replicated_state_decode(
-            bb_content_store_get(c->content_store, content_id),
-            &c->committed_state)) {
+            bb_content_store_get(c->content_store, content_id), &next)) {
         bb_log_warning("core.unreadable",
                        "cannot decode the committed configuration, content "
                        "%016" G_GINT64_MODIFIER
                        "x; nodes keep the previous one",
                        content_id);
+        bb_replicated_state_clear(&next);
         return;
     }
+    bb_replicated_state_clear(&c->committed_state);
+    c->committed_state = next;
     c->published_content_id = content_id;
     bb_log_info("core.in_force",
                 "configuration version %" G_GUINT64_FORMAT
--- a/fleet/core_requests.c
+++ b/fleet/core_requests.c
@@ -14,6 +14,8 @@
            "Orders that had been accepted before");
 BB_COUNTER(stale_total, "baobab_core_orders_stale_total",
            "Orders refused because another version is in force");
+BB_COUNTER(too_large_total, "baobab_core_orders_too_large_total",
+           "Orders refused because the configuration is too large");
 BB_COUNTER(unknown_total, "baobab_core_orders_unknown_total",
            "Orders without a majority in time");
 BB_COUNTER(unconfirmed_reads_total, "baobab_core_reads_unsure_total",
@@ -97,6 +99,11 @@
     next.history.history_val = history;
     next.history.history_len = kept + 1;
     encoded_state = bb_replicated_state_encode(&next);
+    if (encoded_state == NULL) {
+        g_free(history);
+        finish_proposal(c, p, BB_CORE_PROPOSAL_TOO_LARGE);
+        return;
+    }
     c->active_content_id =
         bb_content_store_add(c->content_store, encoded_state);
     g_bytes_unref(encoded_state);
@@ -283,6 +290,12 @@
     const void *data = g_bytes_get_data(config, &size);
     uint64_t now_us = bb_clock_now_us();
 
+    if (size > BB_CONFIG_MAX_BYTES) {
+        bb_counter_add(&too_large_total, 1);
+        done(context, BB_CORE_PROPOSAL_TOO_LARGE,
+             c->committed_state.config_version);
+        return;
+    }
     if (c->quorum.role != BB_QUORUM_LEADER) {
         done(context, BB_CORE_PROPOSAL_NOT_LEADER,
              c->committed_state.config_version);
--- a/include/fleet/content.h
+++ b/include/fleet/content.h
@@ -17,6 +17,9 @@
     /* Largest encoded state, uncompressed, that is accepted;
      * FLEET_DATA_MAX_BYTES in fleet.x has the same value. */
     BB_CONTENT_MAX_BYTES = 16 * 1024 * 1024,
+    /* Longest configuration of the operators; leaves room for the rest of the
+     * replicated state. */
+    BB_CONFIG_MAX_BYTES = BB_CONTENT_MAX_BYTES - 1024 * 1024,
     /* Accepted configurations that are remembered, so that a retried proposal
      * of one is acknowledged again. fleet.x has the same number as the bound
      * of fleet_replicated_state.history. */
--- a/include/fleet/core.h
+++ b/include/fleet/core.h
@@ -63,7 +63,8 @@
      * than the newest. */
     BB_CORE_PROPOSAL_STALE,
     BB_CORE_PROPOSAL_UNKNOWN, /* no majority in time; may still be committed */
-    BB_CORE_PROPOSAL_NOT_LEADER /* this host is not the leader */
+    BB_CORE_PROPOSAL_NOT_LEADER, /* this host is not the leader */
+    BB_CORE_PROPOSAL_TOO_LARGE   /* exceeds BB_CONFIG_MAX_BYTES */
 };
 
 typedef void (*bb_core_proposal_callback)(
--- a/tests/fleet/test_fleet.c
+++ b/tests/fleet/test_fleet.c
@@ -215,8 +215,8 @@
             }
         }
         g_bytes_unref(raw);
-        if (result.is_done && (result.outcome == BB_CORE_PROPOSAL_ACCEPTED ||
-                               result.outcome == BB_CORE_PROPOSAL_STALE)) {
+        if (result.is_done && result.outcome != BB_CORE_PROPOSAL_UNKNOWN &&
+            result.outcome != BB_CORE_PROPOSAL_NOT_LEADER) {
             return result.outcome;
         }
         run_loop(c, NULL, 100);
@@ -521,6 +521,62 @@
     destroy_cluster(&c);
 }
 
+/* Returns a text that does not compress well; the caller frees it. */
+static char *
+create_text(size_t size_bytes)
+{
+    GRand *random = g_rand_new_with_seed(1);
+    char *text = g_malloc(size_bytes + 1);
+
+    for (size_t i = 0; i < size_bytes; i++) {
+        text[i] = (char)g_rand_int_range(random, ' ', '~');
+    }
+    text[size_bytes] = '\0';
+    g_rand_free(random);
+    return text;
+}
+
+/* Guards against: a configuration that is committed although no host can read
+ * it, and the loss of one that is as large as allowed. */
+static void
+test_large_configurations(void)
+{
+    struct cluster c;
+    struct node n = {0};
+    struct bb_agent *a;
+    char *text = create_text(BB_CONFIG_MAX_BYTES + 1);
+    struct bb_agent_settings s = {.ip = "127.0.7.50",
+                                  .zone = "z0",
+                                  .region = "r",
+                                  .gate_address = "g:1"};
+
+    create_cluster(&c, HOSTS);
+    s.control_port = c.port;
+    s.seeds = seed_addresses(&c);
+    CU_ASSERT_EQUAL(propose_until_decided(&c, 0, 1, "first"),
+                    BB_CORE_PROPOSAL_ACCEPTED);
+    CU_ASSERT_EQUAL(propose_until_decided(&c, 1, 2, text),
+                    BB_CORE_PROPOSAL_TOO_LARGE);
+    text[BB_CONFIG_MAX_BYTES] = '\0';
+    CU_ASSERT_EQUAL(propose_until_decided(&c, 1, 2, text),
+                    BB_CORE_PROPOSAL_ACCEPTED);
+    for (uint32_t i = 0; i < HOSTS; i++) {
+        stop_core(&c, i);
+    }
+    for (uint32_t i = 0; i < HOSTS; i++) {
+        start_core(&c, i, false);
+    }
+    a = bb_agent_create(&c.loop, &s, &agent_events, &n);
+    CU_ASSERT_TRUE(wait_for_version(&c, &n, 2, 10000));
+    CU_ASSERT_EQUAL(strncmp(n.text, text, sizeof(n.text) - 1), 0);
+    CU_ASSERT_EQUAL(propose_until_decided(&c, 2, 3, "third"),
+                    BB_CORE_PROPOSAL_ACCEPTED);
+    CU_ASSERT_TRUE(wait_for_version(&c, &n, 3, 10000));
+    bb_agent_destroy(a);
+    destroy_cluster(&c);
+    g_free(text);
+}
+
 /* Guards against: a restarted node that does not receive the record that its
  * earlier run announced, or whose new record is discarded as older because the
  * wall clock went back in between. */
@@ -1004,6 +1060,7 @@
     {"lost disks", test_lost_disks},
     {"minority leader", test_minority},
     {"agent", test_agent},
+    {"large configurations", test_large_configurations},
     {"restarted node", test_restarted_node},
     {"restarted node and hosts", test_restarted_node_and_hosts},
     {"several hosts without a quorum", test_several_hosts_without_quorum},
