gate: read no more of an upload until it leaves the queue

Cause: a request is passed to the gate after 256 KiB of its body; while it was queued, the rest was read and appended.

Change: the connection is paused while the request is queued and resumed when it is sent. Towards the caller the pause goes on by the queue of the entry's connection, which was bounded before.

--- a/path/gate.c
+++ b/path/gate.c
@@ -511,6 +511,10 @@
     else if (!x->is_body_complete) {
         g_string_truncate(x->body, 0);
     }
+    if (x->is_paused &&
+        bb_fetch_queued_bytes(rq->fetch) <= BB_STREAM_HIGH_WATER_BYTES) {
+        bb_http_exchange_resume(x);
+    }
 }
 
 /* Processes the queue when its next refusal is due. */
@@ -682,6 +686,9 @@
         send_to_upstream(rq);
         break;
     case BB_GATE_QUEUE_WAIT:
+        if (!x->is_body_complete) {
+            bb_http_exchange_pause(x); /* until the request is sent */
+        }
         g_hash_table_insert(g->queued, &rq->queue_item.id, rq);
         process_queue(g);
         break;
--- a/tests/proxyd/test_memory.c
+++ b/tests/proxyd/test_memory.c
@@ -17,6 +17,9 @@
     TURN_MS = 5,
     DRAIN_MAX_MS = 12000,
     PEAK_MAX_KB = 64 * 1024,
+    SLOTS = 16, /* of the upstream */
+    UPLOADS = 8,
+    UPLOAD_BLOCK_BYTES = 256 * 1024, /* far more of each is offered */
     /* What an upstream without end has sent by then is far more. */
     FLOOD_BYTES = 1024 * 1024
 };
@@ -192,8 +195,50 @@
     g_free(block);
 }
 
+/* Guards against: uploads that wait for a slot and are kept whole meanwhile,
+ * so that the process runs out of memory. */
+static void
+test_queued_uploads(void)
+{
+    struct fixture f;
+    struct peer *uploads[UPLOADS];
+    char *block = g_strnfill(UPLOAD_BLOCK_BYTES, 'u');
+    uint64_t end_us;
+
+    fixture_open(&f, 1, GRACE_S);
+    for (uint32_t i = 0; i < SLOTS; i++) {
+        char *request = g_strdup_printf(SAFE("slow-%u") "\r\n", i);
+
+        peer_send(peer_connect(&f, &f.entry_address, 0), request);
+        g_free(request);
+    }
+    fixture_run(&f, FILL_MS / 10);
+    for (uint32_t i = 0; i < UPLOADS; i++) {
+        char *request = g_strdup_printf(
+            UNSAFE("upload-%u") "Content-Length: 60000000\r\n\r\n", i);
+
+        uploads[i] = peer_connect(&f, &f.entry_address, 0);
+        peer_send(uploads[i], request);
+        g_free(request);
+    }
+    end_us = bb_clock_now_us() + (uint64_t)FILL_MS * BB_US_PER_MS;
+    while (bb_clock_now_us() < end_us) {
+        for (uint32_t i = 0; i < UPLOADS; i++) {
+            if (uploads[i]->unsent->len == 0) {
+                peer_send(uploads[i], block);
+            }
+        }
+        fixture_run(&f, TURN_MS);
+    }
+    CU_ASSERT_TRUE(peak_kb(&f.proxy) > 0);
+    CU_ASSERT_TRUE(peak_kb(&f.proxy) < PEAK_MAX_KB);
+    fixture_close(&f);
+    g_free(block);
+}
+
 static const struct bb_unit_test tests[] = {
     {"responses behind a slow one", test_responses_behind_a_slow_one},
-    {"bodies without end", test_bodies_without_end}};
+    {"bodies without end", test_bodies_without_end},
+    {"queued uploads", test_queued_uploads}};
 
 BB_UNIT_MAIN("memory", tests)
