--- a/include/path/upstream.h
+++ b/include/path/upstream.h
@@ -6,8 +6,8 @@
  * the one that gets requests. The starts do not order the runs, as the wall
  * clock may go back, and messages of an ended run may arrive late. So another
  * run replaces the known one only if
- * - it announces that it is ready, its start is not lower, and it has not been
- *   replaced itself, or
+ * - it announces that it is ready, its start is not lower, and it was not the
+ *   known one before; it may be an ended run all the same, or
  * - the upstream responds with its id, or
  * - it has been heard for BB_UPSTREAM_TAKEOVER_MS while the known run was
  *   silent.
--- a/path/gate.c
+++ b/path/gate.c
@@ -767,17 +767,17 @@
                (uint64_t)BB_GATE_LIMIT_CHECK_MS * BB_US_PER_MS;
 }
 
-/* Starts a health check if the upstream itself has to say whether it takes
- * requests: it has announced that it is ready, but this is not confirmed, or
- * it said in its last response that it leaves, or its limit is old; or has to
- * say which it is, as another one has announced itself. */
+/* Starts a health check if the upstream itself has to say
+ * - whether it takes requests: it has announced that it is ready, but this is
+ *   not confirmed, or it said in its last response that it leaves, or its
+ * limit is old;
+ * - which upstream it is: another one has announced itself. */
 static void
 check_upstream(struct bb_gate *g)
 {
     const struct bb_upstream *u = &g->upstream;
     const char *path =
         g->settings.find_health_path(g->settings.context, u->service);
-
     bool is_in_doubt = u->state != BB_INSTANCE_NONE && !u->has_drained &&
                        (!u->is_confirmed || u->is_leaving || is_limit_old(g));
 
