tests/proxyd: send the pieces of a response without delay

Traced: each call of the fixture took about 50 ms, as the upstream sends head and body separately and Nagle's algorithm held the body until the delayed acknowledgement of the head. Bounds and checks are as they were.

--- a/tests/proxyd/fixture.c
+++ b/tests/proxyd/fixture.c
@@ -5,6 +5,8 @@
 #include <errno.h>
 #include <fcntl.h>
 #include <glib/gstdio.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
 #include <stdio.h>
@@ -180,7 +182,10 @@
 add_peer(struct fixture *f, int fd)
 {
     struct peer *c = g_new0(struct peer, 1);
+    int is_on = 1;
 
+    /* A response is sent in pieces, which must not wait for each other. */
+    (void)setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &is_on, sizeof(is_on));
     c->fd = fd;
     c->received = g_string_new(NULL);
     c->unsent = g_string_new(NULL);
