stream: a peer that has closed its window is not lost

Cause: connections to upstreams and gates have a TCP_USER_TIMEOUT of 1 s, which finds a vanished peer. Linux applies it to bytes that wait for a closed window as well, however often the peer responds to the probes.

Change: once 16 KiB are written and not all acknowledged, the connection is looked at every 200 ms. If all that the window allowed is acknowledged, and the probes of the window too, the timeout is 30 s, so that the request's own deadlines decide; else it is 1 s again.

--- a/include/net/stream.h
+++ b/include/net/stream.h
@@ -12,10 +12,12 @@
 #include "common/error.h"
 
 enum {
-    /* A connection ends if sent data is not acknowledged, or the peer's window
-     * is closed, for this long (Linux TCP_USER_TIMEOUT). Well below the usual
-     * deadlines of requests. */
+    /* A connection ends if sent data is not acknowledged for this long (Linux
+     * TCP_USER_TIMEOUT). Well below the usual deadlines of requests. */
     BB_STREAM_UNACKED_TIMEOUT_MS = 1000,
+    /* The same while the peer responds to probes of its closed window: it is
+     * not gone, and the deadline of a request is reached before. */
+    BB_STREAM_WINDOW_TIMEOUT_MS = 30000,
     /* TCP keep-alive probes detect a peer that vanished while a response is
      * awaited. */
     BB_STREAM_KEEPALIVE_IDLE_S = 1,
--- a/net/stream.c
+++ b/net/stream.c
@@ -12,7 +12,13 @@
 enum {
     READ_BUFFER_BYTES = 64 * 1024,
     /* While the buffers are full: what is read before a pause is held. */
-    READ_FULL_BYTES = 4 * 1024
+    READ_FULL_BYTES = 4 * 1024,
+    /* Less does not close the window of a peer that does not read. */
+    WINDOW_MIN_BYTES = 16 * 1024,
+    WINDOW_CHECK_MS = 200,
+    /* Probes of a closed window without a response that a living peer may be
+     * behind. */
+    WINDOW_PROBES_MAX = 1
 };
 
 struct bb_stream {
@@ -20,6 +26,9 @@
     uv_connect_t connect;
     uv_shutdown_t shutdown;
     uv_timer_t *connect_timer;
+    uv_timer_t *window_timer; /* NULL: never needed */
+    size_t burst_bytes;       /* written since nothing was unacknowledged */
+    bool is_window_closed;    /* BB_STREAM_WINDOW_TIMEOUT_MS applies */
     const struct bb_stream_events *events;
     void *context;
     size_t queued_bytes;
@@ -71,6 +80,16 @@
     }
 }
 
+/* Stops and frees the timer of the window, if there is one. */
+static void
+stop_window_timer(struct bb_stream *s)
+{
+    if (s->window_timer != NULL) {
+        uv_close((uv_handle_t *)s->window_timer, free_timer);
+        s->window_timer = NULL;
+    }
+}
+
 /* Reports the end of the connection to its owner, or closes a connection that
  * has none. */
 static void
@@ -138,6 +157,65 @@
     return error == 0 ? 0 : uv_translate_sys_error(error);
 }
 
+/* Returns whether the peer responds, but takes no bytes: all that its window
+ * allowed is acknowledged, and so are the probes of the window. */
+static bool
+has_closed_window(const struct bb_stream *s)
+{
+    int fd = -1;
+    struct tcp_info info = {0};
+    socklen_t length = sizeof(info);
+
+    return uv_fileno((const uv_handle_t *)&s->tcp, &fd) == 0 &&
+           getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &length) == 0 &&
+           info.tcpi_unacked == 0 && info.tcpi_probes <= WINDOW_PROBES_MAX;
+}
+
+/* Adapts the timeout for unacknowledged bytes to the window of the peer. Linux
+ * applies TCP_USER_TIMEOUT also to bytes that wait for a closed window. */
+static void
+on_window_timer(uv_timer_t *t)
+{
+    struct bb_stream *s = t->data;
+    bool is_done = bb_stream_unacked_bytes(s) == 0;
+    bool is_closed = !is_done && has_closed_window(s);
+    unsigned ms = is_closed ? (unsigned)BB_STREAM_WINDOW_TIMEOUT_MS
+                            : s->unacked_timeout_ms;
+    int fd = -1;
+
+    if (is_closed != s->is_window_closed &&
+        uv_fileno((uv_handle_t *)&s->tcp, &fd) == 0) {
+        s->is_window_closed = is_closed;
+        (void)setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms));
+    }
+    if (is_done) {
+        s->burst_bytes = 0;
+        (void)uv_timer_stop(t);
+    }
+}
+
+/* Watches the window of the peer once so much was written that it may close.
+ * Not with another timeout than the default, which allows for peers that do
+ * not read. */
+static void
+watch_window(struct bb_stream *s, size_t size_bytes)
+{
+    s->burst_bytes += size_bytes;
+    if (s->burst_bytes < WINDOW_MIN_BYTES ||
+        s->unacked_timeout_ms != BB_STREAM_UNACKED_TIMEOUT_MS) {
+        return;
+    }
+    if (s->window_timer == NULL) {
+        s->window_timer = g_new0(uv_timer_t, 1);
+        (void)uv_timer_init(s->tcp.loop, s->window_timer);
+        s->window_timer->data = s;
+    }
+    if (!uv_is_active((uv_handle_t *)s->window_timer)) {
+        (void)uv_timer_start(s->window_timer, on_window_timer, WINDOW_CHECK_MS,
+                             WINDOW_CHECK_MS);
+    }
+}
+
 /* Passes received bytes or the end of the connection to the owner. */
 static void
 on_read(uv_stream_t *h, ssize_t n, const uv_buf_t *buffer)
@@ -289,6 +367,7 @@
     struct write_request *w;
     uv_buf_t buffer;
 
+    watch_window(s, size_bytes);
     if (s->is_connected && s->queued_bytes == 0) {
         uv_buf_t now = uv_buf_init((char *)data, (unsigned)size_bytes);
         int n = uv_try_write((uv_stream_t *)&s->tcp, &now, 1);
@@ -397,6 +476,7 @@
     }
     s->is_closed = true;
     stop_connect_timer(s);
+    stop_window_timer(s);
     uv_close((uv_handle_t *)&s->tcp, free_stream);
 }
 
@@ -410,6 +490,7 @@
     }
     if (s->is_connected && uv_tcp_close_reset(&s->tcp, free_stream) == 0) {
         s->is_closed = true;
+        stop_window_timer(s);
         stop_connect_timer(s);
         return;
     }
--- a/tests/proxyd/test_responses.c
+++ b/tests/proxyd/test_responses.c
@@ -5,7 +5,12 @@
 #include "fixture.h"
 #include "unit.h"
 
-enum { GRACE_S = 6, SOON_MS = 2000 };
+enum {
+    GRACE_S = 6,
+    SOON_MS = 2000,
+    LATE_BODY_BYTES = 1000000, /* closes the window of a late reader */
+    LATE_MS = 4000
+};
 
 #define NOT_RUN_FIELD FIELD_NOT_EXECUTED ": 1\r\n"
 
@@ -160,9 +165,37 @@
     fixture_close(&f);
 }
 
+/* Guards against: an upload that is broken off because its upstream reads the
+ * body late. */
+static void
+test_late_reader(void)
+{
+    struct fixture f;
+    struct peer *caller;
+    struct peer *upstream;
+    char *body = g_strnfill(LATE_BODY_BYTES, 'b');
+
+    fixture_open(&f, 1, GRACE_S);
+    caller = peer_connect(&f, &f.entry_address, 0);
+    peer_send(caller, UNSAFE("late") "Content-Length: 1000000\r\n\r\n");
+    peer_send(caller, body);
+    upstream = upstream_wait_request(&f, "late", LATE_MS);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(upstream);
+    upstream->is_paused = true;
+    fixture_run(&f, LATE_MS);
+    CU_ASSERT_EQUAL(peer_count(caller, "HTTP/1.1 "), 0);
+    upstream->is_paused = false;
+    CU_ASSERT_TRUE(peer_wait_bytes(&f, upstream, LATE_BODY_BYTES, LATE_MS));
+    upstream_respond(&f, upstream, "late", "body");
+    CU_ASSERT_TRUE(peer_wait_text(&f, caller, "HTTP/1.1 200", LATE_MS));
+    fixture_close(&f);
+    g_free(body);
+}
+
 static const struct bb_unit_test tests[] = {
     {"stale refusals", test_stale_refusals},
     {"truncated heads", test_truncated_heads},
-    {"odd announcements", test_odd_announcements}};
+    {"odd announcements", test_odd_announcements},
+    {"late reader", test_late_reader}};
 
 BB_UNIT_MAIN("responses", tests)
