--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -157,8 +157,8 @@
     else {
         g_string_append(out, "\r\n");
     }
-    check_limit_time(c->soak, rq);
     rq->started_us = bb_clock_now_us();
+    check_limit_time(c->soak, rq);
     rq->sent_us = rq->started_us;
     rq->is_sent = true;
     rq->due_us = rq->started_us;
--- a/tests/soak/check.c
+++ b/tests/soak/check.c
@@ -143,6 +143,8 @@
               uint64_t ended_us)
 {
     return (p->killed_us >= rq->started_us && p->killed_us <= ended_us) ||
+           (p->killed_before_us >= rq->started_us &&
+            p->killed_before_us <= ended_us) ||
            is_cut_by_stop(p->terminated_us, rq, ended_us) ||
            is_cut_by_stop(p->terminated_before_us, rq, ended_us);
 }
@@ -152,7 +154,8 @@
 void
 check_limit_time(struct soak *s, struct request *rq)
 {
-    rq->limit_ms = MIN(rq->limit_ms, operator_timeout_ms(s, rq->route));
+    rq->limit_ms =
+        MIN(rq->limit_ms, operator_timeout_ms(s, rq->route, rq->started_us));
 }
 
 /* Returns whether the time of a request is up. It is no excuse if the whole
--- a/tests/soak/operator.c
+++ b/tests/soak/operator.c
@@ -10,8 +10,10 @@
     READ_INTERVAL_MS = 300,
     RETRY_MS = 100,
     REDIRECTS_MAX = 2,
-    /* Superseded configurations that may still be in force at a proxy. */
-    PREVIOUS_MAX = 3,
+    /* Superseded configurations that are kept, and of these the latest, which
+     * may still be in force at a proxy. */
+    PREVIOUS_MAX = 64,
+    PREVIOUS_IN_FORCE_MAX = 3,
     TIMEOUT_MIN_MS = 3000,
     WEIGHT_MAX = 9
 };
@@ -19,6 +21,7 @@
 /* A configuration as it was sent. */
 struct configuration {
     uint64_t version;
+    uint64_t superseded_us;
     char *text;
     uint32_t timeouts_ms[ROUTE_COUNT];
 };
@@ -56,9 +59,10 @@
     return min + (uint32_t)bb_random_below(o->random, max - min + 1);
 }
 
-/* Returns the shortest timeout of a route that may be in force. */
+/* Returns the shortest timeout of a route that may be in force, or may have
+ * been since a time. */
 uint32_t
-operator_timeout_ms(const struct soak *s, enum route r)
+operator_timeout_ms(const struct soak *s, enum route r, uint64_t since_us)
 {
     const struct soak_operator *o = s->soak_operator;
     uint32_t ms = o->acknowledged.timeouts_ms[r];
@@ -67,8 +71,11 @@
         ms = MIN(ms, o->sent.timeouts_ms[r]);
     }
     for (size_t i = 0; i < PREVIOUS_MAX; i++) {
-        if (o->previous[i].version != 0) {
-            ms = MIN(ms, o->previous[i].timeouts_ms[r]);
+        const struct configuration *c = &o->previous[i];
+
+        if (c->version != 0 &&
+            (i < PREVIOUS_IN_FORCE_MAX || c->superseded_us >= since_us)) {
+            ms = MIN(ms, c->timeouts_ms[r]);
         }
     }
     return ms;
@@ -178,6 +185,7 @@
     memmove(&o->previous[1], &o->previous[0],
             (PREVIOUS_MAX - 1) * sizeof(o->previous[0]));
     o->previous[0] = o->acknowledged;
+    o->previous[0].superseded_us = bb_clock_now_us();
     o->acknowledged = o->sent;
     o->sent = (struct configuration){0};
     o->soak->counts.changes++;
--- a/tests/soak/processes.c
+++ b/tests/soak/processes.c
@@ -120,9 +120,10 @@
 void
 process_kill(struct process *p, uint32_t restart_delay_ms)
 {
-    if (p->state == PROCESS_DOWN) {
+    if (p->state == PROCESS_DOWN || p->is_killed) {
         return;
     }
+    p->killed_before_us = p->killed_us;
     p->killed_us = bb_clock_now_us();
     p->is_killed = true;
     p->restart_delay_ms = restart_delay_ms;
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -130,7 +130,8 @@
     uint64_t terminated_us;        /* time of the latest SIGTERM; 0: none */
     uint64_t terminated_before_us; /* of the one before */
     uint64_t killed_us;
-    uint64_t restart_at_us; /* 0: not planned */
+    uint64_t killed_before_us; /* time of the SIGKILL before that one */
+    uint64_t restart_at_us;    /* 0: not planned */
 };
 
 struct counts {
@@ -245,7 +246,8 @@
 bool operator_is_idle(const struct soak *s);
 void operator_read_back(struct soak *s);
 bool operator_is_reading(const struct soak *s);
-uint32_t operator_timeout_ms(const struct soak *s, enum route r);
+uint32_t operator_timeout_ms(const struct soak *s, enum route r,
+                             uint64_t since_us);
 
 /* disturber.c */
 void disturber_create(struct soak *s);
--- a/tests/soak/upstreams.c
+++ b/tests/soak/upstreams.c
@@ -86,6 +86,7 @@
     struct bb_http_reader reader;
     uv_timer_t timer;
     struct request *request; /* NULL: none runs */
+    struct request *latest;  /* whose response may be on its way; or NULL */
     GString *refusal;        /* the last one on this connection, or NULL */
     uint64_t received_bytes; /* of the request's body */
     uint32_t pieces_left;
@@ -382,6 +383,7 @@
     check_run(u->soak, rq, u->host);
     repeat_refusal(c);
     c->request = rq;
+    c->latest = rq;
     c->pieces_left = rq->pieces;
     c->sent_bytes = 0;
     (void)uv_timer_start(&c->timer, on_run_timer, rq->run_ms, 0);
@@ -759,8 +761,9 @@
     while (u->connections->len > 0) {
         struct upstream_connection *c = g_ptr_array_index(u->connections, 0);
 
-        if (c->request != NULL) {
-            c->request->has_failed = true;
+        if (c->latest != NULL &&
+            (c->request != NULL || bb_stream_unacked_bytes(c->stream) > 0)) {
+            c->latest->has_failed = true;
         }
         close_connection(c, bb_stream_reset);
     }
