quorum: vouch for a state that was read only once it is synced again

Cause: a control host that was killed between the write and the sync of its state reads that state after its restart and took it for synced: it told the leader that it holds the entry. With the power lost before the kernel wrote it back, an acknowledged configuration could be gone on a majority.

Change: bb_quorum_init asks for a write of the state that was read; the host answers appends with what is synced since its start, and again once the write is done. A disk ID read without an entry is not told before either.

The crash model of the random simulation has killed processes, which find what was written, beside losses of power, which drop what was not synced.

--- a/decide/quorum.c
+++ b/decide/quorum.c
@@ -121,15 +121,17 @@
     }
 }
 
-/* Initialises a host from its durable state; a new disk has only its id. */
+/* Initialises a host from the state that its disk holds; a new disk has only
+ * its id. The caller must write this state before the host vouches for it:
+ * what an earlier process wrote but did not sync can be read, and is still
+ * lost with the power. */
 void
 bb_quorum_init(struct bb_quorum *q, const struct bb_quorum_durable *d,
                uint64_t now_us, uint64_t random_bits)
 {
     memset(q, 0, sizeof(*q));
     q->durable = *d;
-    q->synced_term = d->entry.term;
-    q->synced_index = d->entry.index;
+    q->write_sequence = 1;
     /* An early election is safe: while there is a leader, other hosts refuse
      * the pre-vote. */
     q->election_due_us = now_us + BB_QUORUM_STARTUP_DELAY_US +
@@ -472,8 +474,11 @@
         compare_entries(&m->entry, &q->durable.entry) > 0) {
         q->durable.entry = m->entry;
         q->is_committed = false;
+        (void)request_write(q, out);
+    }
+    if (!is_entry_synced(q)) {
         q->has_pending_append_response = true;
-        q->pending_append_sequence = request_write(q, out);
+        q->pending_append_sequence = q->write_sequence;
     }
     if (!q->is_committed && q->durable.entry.term == m->term &&
         m->commit_index >= q->durable.entry.index) {
--- a/fleet/core.c
+++ b/fleet/core.c
@@ -386,16 +386,14 @@
             (void)core_add_peer(c, &at);
             core_record_disk_address(c, h->disk_id, &at);
         }
-        c->is_disk_id_stored = true;
+        /* An entry is stored only after the disk ID was synced. */
+        c->is_disk_id_stored = d.entry.index != 0;
     }
     c->self.disk_id = d.disk_id;
     c->self.is_empty = d.entry.index == 0;
     bb_quorum_init(&c->quorum, &d, now_us, bb_random_global_u64());
-    if (!has_state) {
-        /* The disk ID must be durable before other hosts learn it. */
-        c->quorum.write_sequence++;
-        c->is_write_pending = true;
-    }
+    /* Also what was read: an earlier process may not have synced it. */
+    c->is_write_pending = true;
     bb_log_info("core.start",
                 "disk %016" G_GINT64_MODIFIER "x, term %" G_GUINT64_FORMAT
                 ", index %" G_GUINT64_FORMAT "%s",
--- a/include/decide/quorum.h
+++ b/include/decide/quorum.h
@@ -164,6 +164,8 @@
     struct bb_quorum_faults faults;
 };
 
+/* The caller must start a write of the state, with sequence number
+ * write_sequence, also if it read the state from its disk. */
 void bb_quorum_init(struct bb_quorum *q, const struct bb_quorum_durable *d,
                     uint64_t now_us, uint64_t random_bits);
 void bb_quorum_set_peers(struct bb_quorum *q, const uint64_t *disks,
--- a/tests/decide/test_quorum.c
+++ b/tests/decide/test_quorum.c
@@ -42,6 +42,7 @@
 enum {
     HOST_DOWN_PERMILLE = 4,
     ALL_DOWN_PERMILLE = 1,
+    POWER_LOST_PERMILLE = 500, /* of these; else the processes are killed */
     LOST_DISK_PERMILLE = 5,
     PARTITION_PERMILLE = 3,
     PARTITIONED_HOST_PERMILLE = 300, /* of each host in a partition */
@@ -59,8 +60,10 @@
 
 struct host {
     struct bb_quorum q;
-    struct bb_quorum_durable synced;  /* what the disk holds */
-    struct bb_quorum_durable writing; /* being written */
+    struct bb_quorum_durable synced;  /* what a loss of power leaves */
+    struct bb_quorum_durable written; /* what a new process reads, synced or
+                                         not */
+    struct bb_quorum_durable writing; /* being synced */
     uint64_t writing_sequence;
     uint64_t sync_due_us; /* 0: no write under way */
     bool needs_write;
@@ -163,7 +166,7 @@
     }
 }
 
-/* Starts a host from what its disk holds; an empty disk gets a new id. */
+/* Starts a host from what was written; an empty disk gets a new id. */
 static void
 start_host(struct simulation *sim, uint32_t i)
 {
@@ -171,11 +174,12 @@
 
     h->is_down = false;
     h->sync_due_us = 0;
-    h->needs_write = h->synced.disk_id == 0;
-    if (h->synced.disk_id == 0) {
+    h->needs_write = true;
+    if (h->written.disk_id == 0) {
         h->synced.disk_id = ++sim->disks_used;
+        h->written = h->synced;
     }
-    bb_quorum_init(&h->q, &h->synced, sim->now_us, next_random(sim));
+    bb_quorum_init(&h->q, &h->written, sim->now_us, next_random(sim));
     h->q.faults = sim->faults;
     memset(h->absent_since_us, 0, sizeof(h->absent_since_us));
 }
@@ -197,6 +201,7 @@
     if (h->needs_write && h->sync_due_us == 0) {
         h->needs_write = false;
         h->writing = h->q.durable;
+        h->written = h->writing;
         h->writing_sequence = h->q.write_sequence;
         h->sync_due_us = sim->now_us + 1 + next_random(sim) % SYNC_MAX_US;
     }
@@ -301,10 +306,23 @@
     apply_output(sim, i, &out);
 }
 
-/* Injects random faults: a host that goes down, all hosts at once, a lost
- * disk, a partition or its end, a lost or duplicated message. At most one disk
- * is lost until the others have caught up, which is what the register
- * tolerates. */
+/* Stops a host for a random time. A loss of power also drops what was written
+ * but not synced. */
+static void
+stop_host(struct simulation *sim, struct host *h, bool is_power_lost,
+          uint64_t downtime_max_us)
+{
+    h->is_down = true;
+    h->up_us = sim->now_us + next_random(sim) % downtime_max_us;
+    if (is_power_lost) {
+        h->written = h->synced;
+    }
+}
+
+/* Injects random faults: a process that is killed, a host or all hosts that
+ * lose power, a lost disk, a partition or its end, a lost or duplicated
+ * message. At most one disk is lost until the others have caught up, which is
+ * what the register tolerates. */
 static void
 inject_faults(struct simulation *sim)
 {
@@ -312,21 +330,20 @@
     struct host *h = &sim->hosts[i];
 
     if (random_bool(sim, HOST_DOWN_PERMILLE) && !h->is_down) {
-        h->is_down = true;
-        h->up_us = sim->now_us + next_random(sim) % DOWNTIME_MAX_US;
+        stop_host(sim, h, random_bool(sim, POWER_LOST_PERMILLE),
+                  DOWNTIME_MAX_US);
     }
     if (random_bool(sim, ALL_DOWN_PERMILLE)) {
+        bool is_power_lost = random_bool(sim, POWER_LOST_PERMILLE);
+
         for (uint32_t j = 0; j < HOSTS; j++) {
-            sim->hosts[j].is_down = true;
-            sim->hosts[j].up_us =
-                sim->now_us + next_random(sim) % ALL_DOWNTIME_MAX_US;
+            stop_host(sim, &sim->hosts[j], is_power_lost, ALL_DOWNTIME_MAX_US);
         }
     }
     if (random_bool(sim, LOST_DISK_PERMILLE) && !h->is_down &&
         sim->now_us - sim->last_unhealthy_us > CATCH_UP_US) {
-        h->is_down = true;
-        h->up_us = sim->now_us + next_random(sim) % LOST_DISK_DOWNTIME_MAX_US;
         memset(&h->synced, 0, sizeof(h->synced));
+        stop_host(sim, h, true, LOST_DISK_DOWNTIME_MAX_US);
     }
     if (random_bool(sim, PARTITION_PERMILLE)) {
         for (uint32_t j = 0; j < HOSTS; j++) {
@@ -551,6 +568,41 @@
     CU_ASSERT_TRUE(newer.durable.term > 11);
 }
 
+/* Guards against a restarted host that vouches for an entry that an earlier
+ * process of it wrote and did not sync: the entry would count as committed and
+ * be gone after a loss of power. */
+static void
+test_unsynced_entry(void)
+{
+    struct bb_quorum_durable d = {.disk_id = 2,
+                                  .term = 7,
+                                  .entry = {.term = 7,
+                                            .index = 40,
+                                            .content_id = 9,
+                                            .voter_count = 3,
+                                            .voters = {1, 2, 3}}};
+    const struct bb_quorum_message append = {.kind = BB_QUORUM_APPEND,
+                                             .from = 1,
+                                             .to = 2,
+                                             .term = 7,
+                                             .round = 5,
+                                             .entry = d.entry};
+    struct bb_quorum q;
+    struct bb_quorum_output before = {0};
+    struct bb_quorum_output after = {0};
+
+    bb_quorum_init(&q, &d, START_US, 1);
+    bb_quorum_receive(&q, &append, START_US, 1, &before);
+    CU_ASSERT_EQUAL_FATAL(before.message_count, 1);
+    CU_ASSERT_EQUAL(before.messages[0].kind, BB_QUORUM_APPEND_RESPONSE);
+    CU_ASSERT_EQUAL(before.messages[0].round, 5);
+    CU_ASSERT_NOT_EQUAL(before.messages[0].entry.index, 40);
+    bb_quorum_on_write_synced(&q, q.write_sequence, START_US, &after);
+    CU_ASSERT_EQUAL_FATAL(after.message_count, 1);
+    CU_ASSERT_EQUAL(after.messages[0].kind, BB_QUORUM_APPEND_RESPONSE);
+    CU_ASSERT_EQUAL(after.messages[0].entry.index, 40);
+}
+
 /* Guards against two of three voters, the third being down, that become
  * candidates at the same time, split the vote, and do so again and again,
  * because both wait equally long and messages between them always take equally
@@ -655,6 +707,7 @@
     {"random faults", test_random_faults},
     {"injected faults are found", test_injected_faults},
     {"newer entry, lower term", test_newer_entry_lower_term},
+    {"unsynced entry", test_unsynced_entry},
     {"repeated split votes", test_repeated_split_votes},
     {"replacement order", test_replacement_order},
 };
