net: notice a peer that closes while its connection is not read

Cause: a server stops reading a connection while more requests wait on it than it holds, or while an upload waits in the queue of a gate. libuv reports the end of a connection only to a reader, so the requests of a caller that had left went on: over 0.5 s after the close requests still reached upstreams.

Change: bb_stream_watch_end. A paused connection of a server is asked with poll(2) every 100 ms whether the peer has closed or reset it (POLLRDHUP); what it sent before is dropped, as for a connection that is read. The timers of a stream share their start and end.

--- a/include/net/stream.h
+++ b/include/net/stream.h
@@ -23,6 +23,8 @@
     BB_STREAM_KEEPALIVE_IDLE_S = 1,
     BB_STREAM_KEEPALIVE_INTERVAL_S = 1,
     BB_STREAM_KEEPALIVE_PROBES = 2,
+    /* Between looks for the end of a paused connection, if it is watched. */
+    BB_STREAM_END_CHECK_MS = 100,
     /* Connections of a listener that may wait to be accepted. */
     BB_STREAM_BACKLOG = 512,
     /* A writer with more queued bytes waits for
@@ -64,6 +66,7 @@
                           const struct bb_stream_events *events,
                           void *context);
 void bb_stream_set_unacked_timeout(struct bb_stream *s, uint32_t ms);
+void bb_stream_watch_end(struct bb_stream *s);
 void bb_stream_write(struct bb_stream *s, const void *data, size_t size_bytes);
 size_t bb_stream_queued_bytes(const struct bb_stream *s);
 size_t bb_stream_unacked_bytes(const struct bb_stream *s);
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -875,6 +875,7 @@
     bb_stream_set_events(stream, &stream_events, c);
     /* A caller that does not read for a while is not gone. */
     bb_stream_set_unacked_timeout(stream, BB_HTTP_SERVER_WRITE_TIMEOUT_MS);
+    bb_stream_watch_end(stream);
     update_timer(c);
 }
 
--- a/net/stream.c
+++ b/net/stream.c
@@ -4,6 +4,7 @@
 #include <glib.h>
 #include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <string.h>
 #include <sys/ioctl.h>
 
@@ -27,6 +28,7 @@
     uv_shutdown_t shutdown;
     uv_timer_t *connect_timer;
     uv_timer_t *window_timer; /* NULL: never needed */
+    uv_timer_t *end_timer;    /* NULL: never needed */
     size_t burst_bytes;       /* written since nothing was unacknowledged */
     bool is_window_closed;    /* BB_STREAM_WINDOW_TIMEOUT_MS applies */
     const struct bb_stream_events *events;
@@ -36,6 +38,7 @@
     bool has_timed_out; /* ends after one more turn of the loop */
     bool is_connected;
     bool is_paused;
+    bool is_end_watched;  /* also while paused */
     bool is_output_ended; /* bb_stream_end_output was called */
     bool is_closed;
 };
@@ -70,23 +73,37 @@
     g_free(h);
 }
 
-/* Stops and frees the timer of the connection attempt, if there is one. */
+/* Stops and frees a timer of a stream, if there is one. */
 static void
-stop_connect_timer(struct bb_stream *s)
+destroy_timer(uv_timer_t **t)
 {
-    if (s->connect_timer != NULL) {
-        uv_close((uv_handle_t *)s->connect_timer, free_timer);
-        s->connect_timer = NULL;
+    if (*t != NULL) {
+        uv_close((uv_handle_t *)*t, free_timer);
+        *t = NULL;
     }
 }
 
-/* Stops and frees the timer of the window, if there is one. */
+/* Stops and frees all timers of a stream. */
 static void
-stop_window_timer(struct bb_stream *s)
+destroy_timers(struct bb_stream *s)
 {
-    if (s->window_timer != NULL) {
-        uv_close((uv_handle_t *)s->window_timer, free_timer);
-        s->window_timer = NULL;
+    destroy_timer(&s->connect_timer);
+    destroy_timer(&s->window_timer);
+    destroy_timer(&s->end_timer);
+}
+
+/* Starts a timer of a stream, created if there is none, unless it runs. */
+static void
+start_timer(struct bb_stream *s, uv_timer_t **t, uv_timer_cb on_timer,
+            uint32_t due_ms, uint32_t repeat_ms)
+{
+    if (*t == NULL) {
+        *t = g_new0(uv_timer_t, 1);
+        (void)uv_timer_init(s->tcp.loop, *t);
+        (*t)->data = s;
+    }
+    if (!uv_is_active((uv_handle_t *)*t)) {
+        (void)uv_timer_start(*t, on_timer, due_ms, repeat_ms);
     }
 }
 
@@ -205,15 +222,8 @@
         s->unacked_timeout_ms != BB_STREAM_UNACKED_TIMEOUT_MS) {
         return;
     }
-    if (s->window_timer == NULL) {
-        s->window_timer = g_new0(uv_timer_t, 1);
-        (void)uv_timer_init(s->tcp.loop, s->window_timer);
-        s->window_timer->data = s;
-    }
-    if (!uv_is_active((uv_handle_t *)s->window_timer)) {
-        (void)uv_timer_start(s->window_timer, on_window_timer, WINDOW_CHECK_MS,
-                             WINDOW_CHECK_MS);
-    }
+    start_timer(s, &s->window_timer, on_window_timer, WINDOW_CHECK_MS,
+                WINDOW_CHECK_MS);
 }
 
 /* Passes received bytes or the end of the connection to the owner. */
@@ -254,7 +264,7 @@
     if (s->is_closed) {
         return;
     }
-    stop_connect_timer(s);
+    destroy_timer(&s->connect_timer);
     if (status != 0) {
         report_ended(s, status);
         return;
@@ -277,7 +287,7 @@
         (void)uv_timer_start(t, on_connect_timeout, 1, 0);
         return;
     }
-    stop_connect_timer(s);
+    destroy_timer(&s->connect_timer);
     report_ended(s, UV_ETIMEDOUT);
 }
 
@@ -311,10 +321,7 @@
         bb_stream_close(s);
         return NULL;
     }
-    s->connect_timer = g_new0(uv_timer_t, 1);
-    (void)uv_timer_init(loop, s->connect_timer);
-    s->connect_timer->data = s;
-    (void)uv_timer_start(s->connect_timer, on_connect_timeout, timeout_ms, 0);
+    start_timer(s, &s->connect_timer, on_connect_timeout, timeout_ms, 0);
     return s;
 }
 
@@ -335,6 +342,15 @@
     s->unacked_timeout_ms = ms;
 }
 
+/* Makes the stream report the end of an accepted connection also while it is
+ * paused, within BB_STREAM_END_CHECK_MS and although received bytes are left
+ * unread. For an owner that drops them when the peer closes. */
+void
+bb_stream_watch_end(struct bb_stream *s)
+{
+    s->is_end_watched = true;
+}
+
 /* Ends a queued write: reports a failure or, once the queue is empty, tells
  * the owner. */
 static void
@@ -427,14 +443,35 @@
     }
 }
 
+/* Reports the end of a paused connection. libuv reports it only to a stream
+ * that reads. */
+static void
+on_end_timer(uv_timer_t *t)
+{
+    struct bb_stream *s = t->data;
+    struct pollfd p = {.events = POLLRDHUP};
+
+    if (uv_fileno((uv_handle_t *)&s->tcp, &p.fd) != 0 || poll(&p, 1, 0) <= 0 ||
+        (p.revents & (POLLRDHUP | POLLHUP | POLLERR)) == 0) {
+        return;
+    }
+    (void)uv_timer_stop(t);
+    report_ended(s, end_status((uv_stream_t *)&s->tcp));
+}
+
 /* Stops reading until bb_stream_resume, so that TCP flow control makes the
  * peer wait. */
 void
 bb_stream_pause(struct bb_stream *s)
 {
-    if (!s->is_paused && s->is_connected) {
-        s->is_paused = true;
-        (void)uv_read_stop((uv_stream_t *)&s->tcp);
+    if (s->is_paused || !s->is_connected) {
+        return;
+    }
+    s->is_paused = true;
+    (void)uv_read_stop((uv_stream_t *)&s->tcp);
+    if (s->is_end_watched) {
+        start_timer(s, &s->end_timer, on_end_timer, BB_STREAM_END_CHECK_MS,
+                    BB_STREAM_END_CHECK_MS);
     }
 }
 
@@ -444,6 +481,9 @@
 {
     if (s->is_paused && !s->is_closed) {
         s->is_paused = false;
+        if (s->end_timer != NULL) {
+            (void)uv_timer_stop(s->end_timer);
+        }
         (void)uv_read_start((uv_stream_t *)&s->tcp, provide_buffer, on_read);
     }
 }
@@ -475,8 +515,7 @@
         return;
     }
     s->is_closed = true;
-    stop_connect_timer(s);
-    stop_window_timer(s);
+    destroy_timers(s);
     uv_close((uv_handle_t *)&s->tcp, free_stream);
 }
 
@@ -490,8 +529,7 @@
     }
     if (s->is_connected && uv_tcp_close_reset(&s->tcp, free_stream) == 0) {
         s->is_closed = true;
-        stop_window_timer(s);
-        stop_connect_timer(s);
+        destroy_timers(s);
         return;
     }
     bb_stream_close(s);
--- a/tests/path/fixture.c
+++ b/tests/path/fixture.c
@@ -561,6 +561,14 @@
     c->stream = NULL;
 }
 
+/* Resets the connection, which also ends one whose bytes are not read. */
+void
+client_reset(struct client *c)
+{
+    bb_stream_reset(c->stream);
+    c->stream = NULL;
+}
+
 void
 client_free(struct client *c)
 {
--- a/tests/path/fixture.h
+++ b/tests/path/fixture.h
@@ -106,6 +106,7 @@
 struct client *client_open(struct path_fixture *b);
 void client_send(struct client *c, const char *text);
 void client_disconnect(struct client *c);
+void client_reset(struct client *c);
 void client_free(struct client *c);
 uint32_t client_count(const struct client *c, const char *text);
 
--- a/tests/path/test_path.c
+++ b/tests/path/test_path.c
@@ -11,6 +11,13 @@
 /* Longest time until a gate has the response to its check. */
 enum { CHECK_MS = 30 };
 
+/* Longest time until a close of the caller has ended its requests. */
+enum { GONE_MAX_MS = 400 };
+
+/* More than the server buffers, so that the upload is passed on before it is
+ * complete. */
+#define QUEUED_BODY_BYTES 900000
+
 #define SAFE(id) "GET /safe/x HTTP/1.1\r\nHost: h\r\nT-Id: " id "\r\n"
 #define UNSAFE(id)                                                            \
     "POST /unsafe/x HTTP/1.1\r\nHost: h\r\nT-Id: " id "\r\n"                  \
@@ -429,6 +436,78 @@
     fixture_close(&b);
 }
 
+/* Guards against: a close of the caller that is not seen while more requests
+ * wait on its connection than are read. */
+static void
+test_pipelining_caller_disconnects(void)
+{
+    struct path_fixture b;
+    struct client *c;
+    uint32_t requests;
+
+    fixture_open(&b);
+    fixture_set_rules(&b, 5000, 2);
+    set_scripts(&b, respond_after_3_s);
+    c = client_open(&b);
+    for (uint32_t i = 0; i < 2 * BB_HTTP_SERVER_PIPELINE_MAX; i++) {
+        client_send(c, SAFE("a1") "\r\n");
+    }
+    fixture_run(&b, 100);
+    requests = count_requests(&b);
+    CU_ASSERT_TRUE(requests > 0);
+    client_disconnect(c);
+    fixture_run(&b, GONE_MAX_MS);
+    CU_ASSERT_EQUAL(bb_entry_count_open(b.entry).connections, 0);
+    CU_ASSERT_EQUAL(b.upstreams[0].aborted_requests +
+                        b.upstreams[1].aborted_requests,
+                    requests);
+    fixture_run(&b, 500);
+    CU_ASSERT_EQUAL(count_requests(&b), requests);
+    client_free(c);
+    fixture_close(&b);
+}
+
+/* Guards against: a close of the caller that is not seen while its upload
+ * waits in the queue of a gate, and is not read. */
+static void
+test_uploading_caller_disconnects(void)
+{
+    struct path_fixture b;
+    struct client *busy[4]; /* all slots of both gates */
+    struct client *c;
+    char *body = g_strnfill(QUEUED_BODY_BYTES, 'b');
+    uint32_t queued;
+
+    fixture_open(&b);
+    fixture_set_rules(&b, 5000, 1);
+    set_scripts(&b, respond_after_3_s);
+    for (uint32_t i = 0; i < G_N_ELEMENTS(busy); i++) {
+        busy[i] = client_open(&b);
+        client_send(busy[i], SAFE("a1") "\r\n");
+    }
+    fixture_run(&b, 100);
+    c = client_open(&b);
+    client_send(c, "POST /unsafe/x HTTP/1.1\r\nHost: h\r\nT-Id: a2\r\n"
+                   "Content-Length: " G_STRINGIFY(QUEUED_BODY_BYTES) "\r\n"
+                                                                     "\r\n");
+    client_send(c, body);
+    fixture_run(&b, 200);
+    queued = bb_gate_count_open(b.gates[0]).running +
+             bb_gate_count_open(b.gates[1]).running;
+    CU_ASSERT_EQUAL(queued, G_N_ELEMENTS(busy) + 1);
+    client_reset(c);
+    fixture_run(&b, GONE_MAX_MS);
+    CU_ASSERT_EQUAL(bb_gate_count_open(b.gates[0]).running +
+                        bb_gate_count_open(b.gates[1]).running,
+                    queued - 1);
+    for (uint32_t i = 0; i < G_N_ELEMENTS(busy); i++) {
+        client_free(busy[i]);
+    }
+    client_free(c);
+    g_free(body);
+    fixture_close(&b);
+}
+
 /* Guards against: no response at the route's timeout, and an upstream that
  * gets a longer deadline than that. */
 static void
@@ -1138,6 +1217,10 @@
     {"not run", test_not_run},
     {"stale refusal", test_stale_refusal},
     {"caller disconnects", test_caller_disconnects},
+    {"caller disconnects behind many requests",
+     test_pipelining_caller_disconnects},
+    {"caller disconnects during a queued upload",
+     test_uploading_caller_disconnects},
     {"timeout of the route", test_timeout},
     {"draining", test_draining},
     {"draining gate", test_draining_gate},
