path: a response that breaks off takes no sound ones with it

Cause: the entry streams a response of more than 64 KiB. If it breaks off, the connection of the caller has to end, and the responses of sound upstreams to requests behind it are dropped.

Change: while requests wait behind a response on its connection, up to 1 MiB of it is buffered before it is streamed (64 KiB while the buffers of the process are full), and a broken one is replaced by 502. A request that arrives while an earlier response of its connection is being written is not passed on before that one is complete.

--- a/include/net/http_server.h
+++ b/include/net/http_server.h
@@ -106,7 +106,8 @@
  * ones of its connection are complete. */
 struct bb_http_server_handler {
     /* Returns whether the request may start before the responses to earlier
-     * ones of its connection are complete. */
+     * ones of its connection are complete. None starts while one of these is
+     * being written, as it would be dropped if that one breaks off. */
     bool (*may_overlap)(void *context, const struct bb_http_head *h);
     /* Starts a request once its body is complete or
      * BB_HTTP_SERVER_BODY_BUFFER_BYTES of it have arrived. */
@@ -151,6 +152,7 @@
 void bb_http_exchange_respond(struct bb_http_exchange *x, uint32_t status,
                               const GString *fields, const char *body,
                               size_t size_bytes);
+bool bb_http_exchange_is_followed(const struct bb_http_exchange *x);
 bool bb_http_exchange_has_room(const struct bb_http_exchange *x);
 void bb_http_exchange_pause(struct bb_http_exchange *x);
 void bb_http_exchange_resume(struct bb_http_exchange *x);
--- a/include/path/relay.h
+++ b/include/path/relay.h
@@ -1,14 +1,20 @@
 /* Passes a response from a fetch on to an exchange. A response up to
  * BB_RESPONSE_RELAY_BUFFER_BYTES is buffered until it is complete, so that an
- * incomplete one can still be replaced; a longer one is streamed. Functions
- * bb_forward_ copy parts of requests and responses. */
+ * incomplete one can still be replaced; a longer one is streamed. While other
+ * requests wait behind the exchange on its connection, which would end with a
+ * broken response, the bound is BB_RESPONSE_RELAY_FOLLOWED_BYTES, unless the
+ * buffers of the process are full. Functions bb_forward_ copy parts of
+ * requests and responses. */
 #ifndef BB_PATH_RELAY_H
 #define BB_PATH_RELAY_H
 
 #include "net/fetch.h"
 #include "net/http_server.h"
 
-enum { BB_RESPONSE_RELAY_BUFFER_BYTES = 64 * 1024 };
+enum {
+    BB_RESPONSE_RELAY_BUFFER_BYTES = 64 * 1024,
+    BB_RESPONSE_RELAY_FOLLOWED_BYTES = 1024 * 1024
+};
 
 struct bb_response_relay {
     uint32_t status;       /* 0: no head yet */
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -681,6 +681,23 @@
     }
 }
 
+/* Returns whether a request may be passed to the handler before the responses
+ * to earlier ones of its connection are complete. */
+static bool
+may_overlap(const struct bb_http_exchange *x)
+{
+    const struct bb_http_server *s = x->connection->server;
+    const struct bb_http_exchange *first =
+        g_queue_peek_head(&x->connection->exchanges);
+    bool is_response_open = first->is_response_started &&
+                            first->pending_head == NULL &&
+                            !first->is_response_ended;
+
+    return s->handler->may_overlap != NULL && !is_response_open &&
+           !bb_buffers_are_full() &&
+           s->handler->may_overlap(s->context, &x->head);
+}
+
 /* Passes the request being received to the handler once its body is complete
  * or BB_HTTP_SERVER_BODY_BUFFER_BYTES of it are buffered, or reports more of
  * its body. Pauses parsing if the request has to wait for earlier responses.
@@ -723,9 +740,7 @@
     if (!is_done && x->body->len < BB_HTTP_SERVER_BODY_BUFFER_BYTES) {
         return;
     }
-    if (g_queue_peek_head(&c->exchanges) != x &&
-        (s->handler->may_overlap == NULL || bb_buffers_are_full() ||
-         !s->handler->may_overlap(s->context, &x->head))) {
+    if (g_queue_peek_head(&c->exchanges) != x && !may_overlap(x)) {
         c->is_parsing_paused = true;
         return;
     }
@@ -1093,6 +1108,13 @@
            (x->pending_output != NULL ? x->pending_output->len : 0);
 }
 
+/* Returns whether later requests of the connection wait for the response. */
+bool
+bb_http_exchange_is_followed(const struct bb_http_exchange *x)
+{
+    return g_queue_peek_tail(&x->connection->exchanges) != x;
+}
+
 /* Returns whether more of a response that is being received should be read:
  * not if much of it is queued, and while the buffers of the process are full
  * only if the peer takes it. Else the handler pauses until output_drained. */
--- a/path/relay.c
+++ b/path/relay.c
@@ -191,6 +191,15 @@
     g_string_free(chunk, TRUE);
 }
 
+/* Returns how many bytes of a response are buffered before it is streamed. */
+static size_t
+buffer_max_bytes(const struct bb_http_exchange *x)
+{
+    return bb_http_exchange_is_followed(x) && !bb_buffers_are_full()
+               ? BB_RESPONSE_RELAY_FOLLOWED_BYTES
+               : BB_RESPONSE_RELAY_BUFFER_BYTES;
+}
+
 /* Buffers or sends a part of the body. Returns whether the response is being
  * streamed, after which it can no longer be replaced. */
 bool
@@ -201,7 +210,7 @@
     if (!r->is_streaming) {
         g_string_append_len(r->body, data, (gssize)size_bytes);
         bb_buffers_add(size_bytes);
-        if (r->body->len <= BB_RESPONSE_RELAY_BUFFER_BYTES) {
+        if (r->body->len <= buffer_max_bytes(x)) {
             return false;
         }
         r->is_streaming = true;
--- a/tests/path/test_path.c
+++ b/tests/path/test_path.c
@@ -1075,6 +1075,87 @@
     fixture_close(&b);
 }
 
+/* Longer than BB_RESPONSE_RELAY_BUFFER_BYTES. */
+#define BROKEN_RESPONSE_BYTES 100000
+
+/* Breaks off the response to "a1" after three quarters of its body, and
+ * responds to others after 100 ms. */
+static struct scripted_response
+break_first_response(struct upstream *u, uint32_t number,
+                     const struct bb_http_head *h)
+{
+    static char *text;
+
+    (void)u;
+    (void)number;
+    if (strcmp(bb_http_head_get(h, T_ID), "a1") != 0) {
+        return (struct scripted_response){.text = ok_response,
+                                          .delay_ms = 100};
+    }
+    if (text == NULL) {
+        char *body = g_strnfill(BROKEN_RESPONSE_BYTES * 3 / 4, 'b');
+
+        text = g_strdup_printf("HTTP/1.1 200 OK\r\nT-Id: {id}\r\n"
+                               "T-Seal: s\r\nContent-Length: %d\r\n\r\n%s",
+                               BROKEN_RESPONSE_BYTES, body);
+        g_free(body);
+    }
+    return (struct scripted_response){.text = text, .action = ACTION_CLOSE};
+}
+
+/* Guards against: responses of sound upstreams that are dropped because one
+ * before them on the connection breaks off. */
+static void
+test_broken_pipelined_response(void)
+{
+    struct path_fixture b;
+    struct client *c;
+
+    fixture_open(&b);
+    fixture_set_rules(&b, 1000, 1);
+    set_scripts(&b, break_first_response);
+    c = client_open(&b);
+    client_send(c, SAFE("a1") "\r\n" SAFE("a2") "\r\n" SAFE("a3") "\r\n");
+    fixture_run(&b, 400);
+    CU_ASSERT_EQUAL(client_count(c, "HTTP/1.1 502"), 1);
+    CU_ASSERT_EQUAL(client_count(c, "HTTP/1.1 200"), 2);
+    CU_ASSERT_FALSE(c->is_ended);
+    client_free(c);
+    fixture_close(&b);
+}
+
+static struct scripted_response
+stream_first_response(struct upstream *u, uint32_t number,
+                      const struct bb_http_head *h)
+{
+    struct scripted_response r = break_first_response(u, number, h);
+
+    r.action = ACTION_KEEP_OPEN;
+    return r;
+}
+
+/* Guards against: a request that is passed on while the response before it is
+ * being sent, and is dropped when that one breaks off. */
+static void
+test_request_behind_open_response(void)
+{
+    struct path_fixture b;
+    struct client *c;
+
+    fixture_open(&b);
+    fixture_set_rules(&b, 500, 1);
+    set_scripts(&b, stream_first_response);
+    c = client_open(&b);
+    client_send(c, SAFE("a1") "\r\n");
+    CU_ASSERT_TRUE(fixture_wait_text(&b, c, "bbb", 300));
+    client_send(c, SAFE("a2") "\r\n");
+    fixture_run(&b, 800);
+    CU_ASSERT_TRUE(c->is_ended);
+    CU_ASSERT_EQUAL(count_requests(&b), 1);
+    client_free(c);
+    fixture_close(&b);
+}
+
 /* Guards against: queued requests that get no response, a queue that refuses
  * requests which it could serve in time, and refused ones that run. */
 static void
@@ -1239,6 +1320,8 @@
     {"odd gate records", test_odd_gate_records},
     {"pipelined requests", test_pipeline},
     {"long pipelined response", test_long_pipelined_response},
+    {"broken pipelined response", test_broken_pipelined_response},
+    {"request behind an open response", test_request_behind_open_response},
     {"queue", test_queue},
     {"long body", test_long_body},
     {"late loop while connecting", test_late_loop_while_connecting},
