net: do not reset a connection on which responses were written before

Cause: a response that breaks off ended its connection by a reset unless bytes of earlier responses were unacknowledged.

Change: the connection ends by a reset only if the broken response is its first; else by a close after what was written, with the time limits of every last response. test_broken_last_response fails before and passes after.

--- a/net/http_server.c
+++ b/net/http_server.c
@@ -505,15 +505,15 @@
 }
 
 /* Ends a connection whose first response has broken off: by a reset, which
- * also reaches a peer that does not read, unless that would drop bytes of the
- * responses before it. */
+ * also reaches a peer that does not read, unless responses were written before
+ * it. These the peer may not have read yet, and a reset can drop them there,
+ * even acknowledged ones. */
 static void
 abort_connection(struct bb_http_exchange *x)
 {
     struct bb_http_server_connection *c = x->connection;
 
-    if (bb_stream_unacked_bytes(c->stream) >
-        c->output_bytes - x->output_offset) {
+    if (x->output_offset > 0) {
         (void)g_queue_pop_head(&c->exchanges);
         finish_connection(x, BB_HTTP_SERVER_ABORTED_RESPONSE);
         return;
--- a/tests/path/fixture.c
+++ b/tests/path/fixture.c
@@ -528,7 +528,7 @@
 {
     struct client *c = context;
 
-    (void)status;
+    c->end_status = status;
     c->is_ended = true;
 }
 
--- a/tests/path/fixture.h
+++ b/tests/path/fixture.h
@@ -72,6 +72,7 @@
     struct bb_stream *stream;
     GString *received;
     bool is_ended; /* the connection has ended; checked by bench/path_hop.c */
+    int end_status; /* 0: the peer closed it; else a libuv error */
 };
 
 /* Two gates, each with its own upstream, and one entry. */
--- a/tests/path/test_path.c
+++ b/tests/path/test_path.c
@@ -1124,6 +1124,36 @@
     fixture_close(&b);
 }
 
+static struct scripted_response
+break_later_response(struct upstream *u, uint32_t number,
+                     const struct bb_http_head *h)
+{
+    struct scripted_response r = break_first_response(u, number, h);
+
+    r.delay_ms = r.action == ACTION_CLOSE ? 200 : 0;
+    return r;
+}
+
+/* Guards against: complete responses that a caller has received and not read,
+ * and that a reset drops because the one behind them breaks off. */
+static void
+test_broken_last_response(void)
+{
+    struct path_fixture b;
+    struct client *c;
+
+    fixture_open(&b);
+    fixture_set_rules(&b, 1000, 1);
+    set_scripts(&b, break_later_response);
+    c = client_open(&b);
+    client_send(c, SAFE("a2") "\r\n" SAFE("a1") "\r\n");
+    CU_ASSERT_TRUE(fixture_wait_flag(&b, &c->is_ended, 500));
+    CU_ASSERT_EQUAL(client_count(c, "HTTP/1.1 200"), 2);
+    CU_ASSERT_EQUAL(c->end_status, 0);
+    client_free(c);
+    fixture_close(&b);
+}
+
 static struct scripted_response
 stream_first_response(struct upstream *u, uint32_t number,
                       const struct bb_http_head *h)
@@ -1321,6 +1351,7 @@
     {"pipelined requests", test_pipeline},
     {"long pipelined response", test_long_pipelined_response},
     {"broken pipelined response", test_broken_pipelined_response},
+    {"broken last response", test_broken_last_response},
     {"request behind an open response", test_request_behind_open_response},
     {"queue", test_queue},
     {"long body", test_long_body},
