net/http: ignore a request to upgrade the protocol

Cause: a request with Upgrade: h2c was refused with 400. A server may ignore the field (RFC 9110, 7.8), and clients that try HTTP/2 send it with their first request.

Change: the reader takes such a request as HTTP/1.1, also the bytes behind it; Upgrade and what Connection lists are not passed on, as before. CONNECT and a response of status 101 are refused as before. test_ignored_upgrade fails before and passes after.

--- a/net/http.c
+++ b/net/http.c
@@ -180,6 +180,9 @@
     h->is_keep_alive = http_should_keep_alive(p) != 0;
     r->is_eof_framed = p->type == HTTP_RESPONSE && !h->has_content_length &&
                        !h->is_chunked && !is_without_body(r);
+    if (p->type == HTTP_REQUEST && p->method != HTTP_CONNECT) {
+        p->upgrade = 0; /* Upgrade may be ignored (RFC 9110, 7.8) */
+    }
     if (is_ambiguous(h) || is_length_too_large(p, h) || p->upgrade != 0) {
         return -1;
     }
--- a/tests/path/test_path.c
+++ b/tests/path/test_path.c
@@ -38,6 +38,32 @@
     b->upstreams[1].script = script;
 }
 
+/* Guards against: a request to upgrade the protocol that is refused or passed
+ * on, although a server may ignore it, and a request behind it that is taken
+ * for the other protocol. */
+static void
+test_ignored_upgrade(void)
+{
+    struct path_fixture b;
+    struct client *c;
+
+    fixture_open(&b);
+    fixture_set_rules(&b, 1000, 1);
+    c = client_open(&b);
+    client_send(c, SAFE("a1") "Connection: Upgrade, HTTP2-Settings\r\n"
+                              "Upgrade: h2c\r\nHTTP2-Settings: AAMA\r\n\r\n");
+    CU_ASSERT_TRUE(fixture_wait_text(&b, c, "body", 500));
+    CU_ASSERT_PTR_NULL(strstr(b.upstreams[0].last_head->str, "pgrade"));
+    CU_ASSERT_PTR_NULL(strstr(b.upstreams[1].last_head->str, "HTTP2"));
+    client_send(c, UNSAFE("a2") "Connection: Upgrade\r\nUpgrade: h2c\r\n"
+                                "\r\nhi" SAFE("a3") "\r\n");
+    fixture_run(&b, 200);
+    CU_ASSERT_EQUAL(client_count(c, "HTTP/1.1 200"), 3);
+    CU_ASSERT_EQUAL(count_requests(&b), 3);
+    client_free(c);
+    fixture_close(&b);
+}
+
 /* Guards against: a request that arrives incomplete, internal fields that
  * reach the upstream, and a caller that names its own service. */
 static void
@@ -1318,6 +1344,7 @@
 
 static const struct bb_unit_test tests[] = {
     {"forwarding", test_forwarding},
+    {"ignored upgrade", test_ignored_upgrade},
     {"without rules", test_without_rules},
     {"smuggled and malformed requests", test_malformed_requests},
     {"response that is reset", test_reset_response},
