test_endless: the bounds as before

The bounds on times were widened by 600 ms for the kernel's probes of a closed window, which no capture confirmed. Nothing stalled, so there was nothing to capture; that (a peer that has closed its window is not lost) ended the pauses is likely, but not shown.

--- a/tests/path/test_endless.c
+++ b/tests/path/test_endless.c
@@ -16,14 +16,11 @@
     TIMEOUT_MS = 500, /* of the route */
     /* The same where the end must not wait for the timeout. */
     LONG_TIMEOUT_MS = 3000,
-    /* Linux probes a window that it takes for closed after 200 ms, then after
-     * 400 ms; until then nothing arrives. */
-    KERNEL_PAUSE_MS = 600,
     /* From the end of the timeout to the response: BB_ENTRY_REFUSAL_GRACE_MS
      * and the time to send it. */
-    RESPONSE_MARGIN_MS = 280 + KERNEL_PAUSE_MS,
+    RESPONSE_MARGIN_MS = 280,
     /* A connection whose bytes cannot become a response is closed sooner. */
-    CLOSE_MAX_MS = 250 + KERNEL_PAUSE_MS,
+    CLOSE_MAX_MS = 250,
     /* Processor time of the whole program until the response to another
      * request meanwhile. The time on the clock depends on the machine's load.
      */
