content: keep the last compressed states

Cause: a control host compressed the state anew for each node that lacks it, also when all nodes lack the same. At 0.15 of a core, 35 nodes that return at once waited for 35 compressions of one content.

Change: the results for the last four pairs of state and base are kept. What is sent is unchanged.

--- a/fleet/content.c
+++ b/fleet/content.c
@@ -9,6 +9,7 @@
 
 enum {
     COMPRESSION_LEVEL = 3,
+    COMPRESSED_CAPACITY = 4,
     /* Base-2 logarithm of the largest zstd window, in bytes, that is accepted.
      * It covers an encoded state of BB_CONTENT_MAX_BYTES and its base. */
     WINDOW_LOG_MAX = 27
@@ -19,9 +20,19 @@
     GBytes *bytes;
 };
 
+/* A state as it was sent to hosts that have the same base. */
+struct compressed_content {
+    uint64_t content_id; /* 0: none */
+    uint64_t base_id;
+    GBytes *data;
+};
+
 struct bb_content_store {
     struct stored_content
         entries[BB_CONTENT_STORE_CAPACITY]; /* the newest first */
+    /* Ring of the last results of compression: many hosts need the same. */
+    struct compressed_content compressed[COMPRESSED_CAPACITY];
+    uint32_t next_compressed;
 };
 
 /* Creates an empty store. */
@@ -40,6 +51,11 @@
             g_bytes_unref(c->entries[i].bytes);
         }
     }
+    for (uint32_t i = 0; c != NULL && i < COMPRESSED_CAPACITY; i++) {
+        if (c->compressed[i].data != NULL) {
+            g_bytes_unref(c->compressed[i].data);
+        }
+    }
     g_free(c);
 }
 
@@ -79,19 +95,50 @@
     return content_id;
 }
 
+/* Returns an earlier result of compression, or NULL. */
+static GBytes *
+find_compressed(const struct bb_content_store *c, uint64_t content_id,
+                uint64_t base_id)
+{
+    for (uint32_t i = 0; i < COMPRESSED_CAPACITY; i++) {
+        if (c->compressed[i].content_id == content_id &&
+            c->compressed[i].base_id == base_id) {
+            return c->compressed[i].data;
+        }
+    }
+    return NULL;
+}
+
+/* Keeps a result of compression in place of the oldest one. */
+static void
+keep_compressed(struct bb_content_store *c,
+                const fleet_compressed_content *result)
+{
+    struct compressed_content *kept = &c->compressed[c->next_compressed];
+
+    if (kept->data != NULL) {
+        g_bytes_unref(kept->data);
+    }
+    *kept = (struct compressed_content){
+        .content_id = result->content_id,
+        .base_id = result->base_id,
+        .data = g_bytes_new(result->data.data_val, result->data.data_len)};
+    c->next_compressed = (c->next_compressed + 1) % COMPRESSED_CAPACITY;
+}
+
 /* Compresses an encoded state, against the one with `base_id` if the store has
  * that. Returns false if the store does not have the state or compression
  * fails. The caller frees the result with bb_compressed_content_clear. */
 bool
-bb_content_store_compress(const struct bb_content_store *c,
-                          uint64_t content_id, uint64_t base_id,
-                          fleet_compressed_content *out)
+bb_content_store_compress(struct bb_content_store *c, uint64_t content_id,
+                          uint64_t base_id, fleet_compressed_content *out)
 {
     GBytes *content = bb_content_store_get(c, content_id);
     GBytes *prefix = bb_content_store_get(c, base_id);
     gsize size = 0;
     gsize prefix_size = 0;
     const void *data;
+    GBytes *kept;
     ZSTD_CCtx *z;
     size_t bound;
     size_t n;
@@ -101,6 +148,16 @@
         return false;
     }
     data = g_bytes_get_data(content, &size);
+    out->content_id = content_id;
+    out->base_id = prefix != NULL ? base_id : 0;
+    out->uncompressed_bytes = (u_int)size;
+    kept = find_compressed(c, content_id, out->base_id);
+    if (kept != NULL) {
+        out->data.data_len = (u_int)g_bytes_get_size(kept);
+        out->data.data_val =
+            g_memdup2(g_bytes_get_data(kept, NULL), out->data.data_len);
+        return true;
+    }
     z = ZSTD_createCCtx();
     (void)ZSTD_CCtx_setParameter(z, ZSTD_c_compressionLevel,
                                  COMPRESSION_LEVEL);
@@ -120,9 +177,7 @@
         return false;
     }
     out->data.data_len = (u_int)n;
-    out->content_id = content_id;
-    out->base_id = prefix != NULL ? base_id : 0;
-    out->uncompressed_bytes = (u_int)size;
+    keep_compressed(c, out);
     return true;
 }
 
--- a/include/fleet/content.h
+++ b/include/fleet/content.h
@@ -33,8 +33,8 @@
 uint64_t bb_content_store_add(struct bb_content_store *c, GBytes *content);
 GBytes *bb_content_store_get(const struct bb_content_store *c,
                              uint64_t content_id);
-bool bb_content_store_compress(const struct bb_content_store *c,
-                               uint64_t content_id, uint64_t base_id,
+bool bb_content_store_compress(struct bb_content_store *c, uint64_t content_id,
+                               uint64_t base_id,
                                fleet_compressed_content *out);
 bool bb_content_store_add_compressed(struct bb_content_store *c,
                                      const fleet_compressed_content *in);
