fleet: send records once, and the state only to nodes that stay

Cause: a herd that returned connected to the three seeds first. Each node announced itself at both, each control host passed each record on to all others, also those that it had from a control host: copies grew with the square of the number of control hosts.

Change: a node for which a nearer control host is connected gets hello and hosts only; if it stays for 300 ms, the rest. A node announces itself once it has the records of its host. Records are passed on to control hosts only by the host of their node, all of one 50 ms together. Control hosts compare digests of their records every 2 s once these have been quiet for 1 s, and send all if they differ. Lists of records are compressed. Sent bytes are counted by kind and distance (baobab_fleet_sent_bytes_total).

Four tests in test_fleet, by the new counters.

--- a/fleet/agent.c
+++ b/fleet/agent.c
@@ -192,6 +192,7 @@
         now_us + (uint64_t)g_random_int_range(0, (gint)a->retry_delay_ms) *
                      BB_US_PER_MS;
     a->has_received_hello = false;
+    a->has_received_instances = false;
     a->no_quorum_since_us = 0;
     bb_counter_set(&connected_gauge, 0);
     if (++a->consecutive_failures >= a->hosts->len) {
@@ -263,14 +264,14 @@
 }
 
 /* Sends the record of this node's upstream, once there is one and the host has
- * responded to the hello. */
+ * sent its own records: until then the node may leave for a nearer host. */
 static void
 send_own_instance(struct bb_agent *a)
 {
     fleet_message m = {.kind = FLEET_INSTANCES};
 
     if (a->own_instance == NULL || a->connection == NULL ||
-        !a->has_received_hello) {
+        !a->has_received_instances) {
         return;
     }
     m.fleet_message_u.instances.instances_val = a->own_instance;
@@ -334,6 +335,7 @@
         bb_fleet_connection_close(a->connection);
         a->connection = NULL;
         a->has_received_hello = false;
+        a->has_received_instances = false;
         connect_to_best_host(a, now_us);
     }
 }
@@ -445,6 +447,8 @@
     if (!a->has_received_instances) {
         a->has_received_instances = true;
         a->events->own_instance_received(a->context, own);
+        assign_next_sequence(a);
+        send_own_instance(a);
     }
 }
 
@@ -504,8 +508,6 @@
         a->retry_delay_ms = 0;
         bb_counter_set(&connected_gauge, 1);
         bb_log_info("agent.connected", "%s", a->host_address.ip);
-        assign_next_sequence(a);
-        send_own_instance(a);
         break;
     case FLEET_HOSTS:
         receive_hosts(a, m);
@@ -520,6 +522,7 @@
         receive_status(a, &m->fleet_message_u.status);
         break;
     case FLEET_QUORUM:
+    case FLEET_DIGEST:
         break;
     }
     if (a->connection != NULL) {
--- a/fleet/core.c
+++ b/fleet/core.c
@@ -310,6 +310,13 @@
     if (c->store_retry_due_us != 0) {
         due_us = MIN(due_us, c->store_retry_due_us);
     }
+    if (c->batch_due_us != 0) {
+        due_us = MIN(due_us, c->batch_due_us);
+    }
+    if (c->state_due_us != 0) {
+        due_us = MIN(due_us, c->state_due_us);
+    }
+    due_us = MIN(due_us, c->digest_due_us);
     (void)uv_timer_start(
         &c->timer, on_timer,
         due_us > now_us ? (due_us - now_us) / BB_US_PER_MS + 1 : 1, 0);
@@ -325,6 +332,17 @@
     bool has_quorum;
 
     core_connect_peers(c, now_us);
+    if (c->batch_due_us != 0 && now_us >= c->batch_due_us) {
+        core_send_changed_instances(c);
+    }
+    if (c->state_due_us != 0 && now_us >= c->state_due_us) {
+        core_send_due_states(c, now_us);
+    }
+    if (now_us >= c->digest_due_us) {
+        c->digest_due_us =
+            now_us + (uint64_t)BB_CORE_DIGEST_INTERVAL_MS * BB_US_PER_MS;
+        core_broadcast_digest(c, now_us);
+    }
     if (c->store_retry_due_us != 0 && now_us >= c->store_retry_due_us) {
         c->store_retry_due_us = 0;
     }
@@ -417,6 +435,10 @@
     c->settings = *s;
     c->content_store = bb_content_store_create();
     c->instances = bb_instance_table_create();
+    c->changed_for_nodes =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    c->changed_for_hosts =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     c->links = g_ptr_array_new();
     c->peers = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
                                      core_destroy_peer);
@@ -476,6 +498,8 @@
 
     g_hash_table_destroy(c->peers);
     g_hash_table_destroy(c->disk_addresses);
+    g_hash_table_destroy(c->changed_for_nodes);
+    g_hash_table_destroy(c->changed_for_hosts);
     g_ptr_array_free(c->links, TRUE);
     bb_content_store_destroy(c->content_store);
     bb_instance_table_destroy(c->instances);
--- a/fleet/core_internal.h
+++ b/fleet/core_internal.h
@@ -42,9 +42,12 @@
     enum core_link_kind kind;
     bool is_outgoing; /* opened by this host */
     bool has_received_hello;
-    struct core_peer *peer;   /* of a control host, else NULL */
-    uint64_t node_content_id; /* last one a node is known to have, 0: none */
-    char *name;               /* for logs */
+    struct core_peer *peer;     /* of a control host, else NULL */
+    uint64_t node_content_id;   /* last one a node is known to have, 0: none */
+    uint64_t node_commit_index; /* of its hello */
+    uint64_t state_due_us; /* when a node gets the state, if it has not left
+                              for a nearer host by then; 0: it was sent */
+    char *name;            /* for logs */
 };
 
 /* A configuration that an operator proposed. */
@@ -79,7 +82,15 @@
     struct bb_fleet_store *store;
     struct bb_content_store *content_store;
     struct bb_instance_table *instances;
-    GHashTable *peers; /* address text to struct core_peer */
+    /* Gate addresses of the records that nodes and other control hosts have
+     * yet to get. */
+    GHashTable *changed_for_nodes;
+    GHashTable *changed_for_hosts;
+    uint64_t batch_due_us;         /* of these; 0: there are none */
+    uint64_t instances_changed_us; /* last change of `instances` */
+    uint64_t digest_due_us;
+    uint64_t state_due_us; /* the first one of all links, 0: none */
+    GHashTable *peers;     /* address text to struct core_peer */
     /* Disk ID to address text, including disks that are gone. */
     GHashTable *disk_addresses;
     GPtrArray *links; /* struct core_link */
@@ -120,10 +131,19 @@
                               const struct bb_quorum_message *m);
 void core_update_connected_peers(struct bb_core *c);
 void core_broadcast_status(struct bb_core *c);
+void core_send_due_states(struct bb_core *c, uint64_t now_us);
 void core_send_update(struct bb_core *c, struct core_link *l);
 void core_close_links(struct bb_core *c);
+struct core_link *core_active_link(const struct core_peer *p);
 void core_destroy_peer(void *data);
 
+/* core_instances.c */
+void core_send_instances(struct core_link *l);
+void core_receive_instances(struct core_link *from, const fleet_message *m);
+void core_send_changed_instances(struct bb_core *c);
+void core_broadcast_digest(struct bb_core *c, uint64_t now_us);
+void core_receive_digest(struct core_link *l, uint64_t digest);
+
 /* core_requests.c */
 void core_process_requests(struct bb_core *c, uint64_t now_us);
 void core_fail_requests(struct bb_core *c);
--- a/fleet/core_peers.c
+++ b/fleet/core_peers.c
@@ -112,8 +112,8 @@
 
 /* Returns the connection on which to send to a peer, or NULL: the outgoing one
  * if the peer's hello has arrived on it, else the incoming one. */
-static struct core_link *
-active_link(const struct core_peer *p)
+struct core_link *
+core_active_link(const struct core_peer *p)
 {
     if (p->outgoing != NULL && p->outgoing->has_received_hello) {
         return p->outgoing;
@@ -136,7 +136,7 @@
            count < BB_QUORUM_PEERS_MAX) {
         const struct core_peer *p = value;
 
-        if (p->host != NULL && active_link(p) != NULL) {
+        if (p->host != NULL && core_active_link(p) != NULL) {
             disk_ids[count++] = p->host->disk_id;
         }
     }
@@ -175,7 +175,7 @@
     g_ptr_array_remove_fast(c->links, l);
     bb_fleet_connection_close(l->connection);
     if (p != NULL) {
-        bool was_connected = active_link(p) != NULL;
+        bool was_connected = core_active_link(p) != NULL;
 
         if (p->outgoing == l) {
             p->outgoing = NULL;
@@ -186,7 +186,7 @@
             p->incoming = NULL;
         }
         p->sent_content_id = 0;
-        if (was_connected && active_link(p) == NULL && p->host != NULL) {
+        if (was_connected && core_active_link(p) == NULL && p->host != NULL) {
             p->disconnected_since_us = now_us;
             p->connect_due_us = now_us;
             bb_log_info("core.host_lost", "%s", p->address.ip);
@@ -327,40 +327,6 @@
     (void)bb_fleet_connection_send(l->connection, &m);
 }
 
-/* Instance records whose texts belong to bb_core.instances. */
-struct instance_list {
-    fleet_instance *items;
-    u_int count;
-};
-
-/* Appends an instance record to a struct instance_list; drops those above
- * FLEET_INSTANCES_MAX. */
-static void
-append_instance(void *context, const fleet_instance *i)
-{
-    struct instance_list *list = context;
-
-    if (list->count < FLEET_INSTANCES_MAX) {
-        list->items[list->count++] = *i;
-    }
-}
-
-/* Sends the known instance records, at most FLEET_INSTANCES_MAX. Sent even if
- * there are none, as a node waits for the first such message. */
-static void
-send_instances(struct core_link *l)
-{
-    uint32_t n = bb_instance_table_count(l->core->instances);
-    struct instance_list list = {.items = g_new(fleet_instance, n + 1)};
-    fleet_message m = {.kind = FLEET_INSTANCES};
-
-    bb_instance_table_foreach(l->core->instances, append_instance, &list);
-    m.fleet_message_u.instances.instances_val = list.items;
-    m.fleet_message_u.instances.instances_len = list.count;
-    (void)bb_fleet_connection_send(l->connection, &m);
-    g_free(list.items);
-}
-
 /* Sends the committed content to a node that does not have it. */
 void
 core_send_update(struct bb_core *c, struct core_link *l)
@@ -368,7 +334,8 @@
     fleet_message m = {.kind = FLEET_UPDATE};
     fleet_update *u = &m.fleet_message_u.update;
 
-    if (l->kind != CORE_LINK_NODE || c->published_content_id == 0 ||
+    if (l->kind != CORE_LINK_NODE || l->state_due_us != 0 ||
+        c->published_content_id == 0 ||
         l->node_content_id == c->published_content_id) {
         return;
     }
@@ -403,7 +370,7 @@
     for (guint i = 0; i < c->links->len; i++) {
         struct core_link *l = g_ptr_array_index(c->links, i);
 
-        if (l->kind == CORE_LINK_NODE) {
+        if (l->kind == CORE_LINK_NODE && l->state_due_us == 0) {
             send_status(l);
         }
     }
@@ -435,7 +402,7 @@
 core_send_quorum_message(struct bb_core *c, const struct bb_quorum_message *m)
 {
     struct core_peer *p = core_find_peer_by_disk(c, m->to);
-    struct core_link *l = p != NULL ? active_link(p) : NULL;
+    struct core_link *l = p != NULL ? core_active_link(p) : NULL;
     fleet_message out = {.kind = FLEET_QUORUM};
     fleet_quorum_message *q = &out.fleet_message_u.quorum;
     fleet_compressed_content content = {0};
@@ -570,6 +537,17 @@
     }
 }
 
+/* Returns how far a host is from a zone and region. */
+static enum bb_fleet_distance
+distance_between(const fleet_host *h, const fleet_host *from)
+{
+    if (strcmp(h->zone, from->zone) == 0) {
+        return BB_FLEET_SAME_ZONE;
+    }
+    return strcmp(h->region, from->region) == 0 ? BB_FLEET_SAME_REGION
+                                                : BB_FLEET_OTHER_REGION;
+}
+
 /* Processes the hello of a control host on an outgoing or an incoming
  * connection. */
 static void
@@ -601,11 +579,13 @@
     p->connect_delay_ms = 0;
     p->connect_due_us = 0;
     is_new = update_peer_host(c, p, &h->host);
+    bb_fleet_connection_set_distance(l->connection,
+                                     distance_between(&c->self, &h->host));
     core_update_connected_peers(c);
     if (!l->is_outgoing) {
         send_hello(l);
         send_hosts(l);
-        send_instances(l);
+        core_send_instances(l);
     }
     if (is_new) {
         broadcast_hosts(c);
@@ -613,21 +593,88 @@
     core_schedule_timer(c);
 }
 
-/* Processes the hello of a node and sends it the current state. */
+/* Returns whether a connected control host is nearer to a node than this
+ * one. */
+static bool
+has_nearer_host(struct bb_core *c, const fleet_host *node)
+{
+    enum bb_fleet_distance own = distance_between(&c->self, node);
+    GHashTableIter it;
+    gpointer value;
+
+    g_hash_table_iter_init(&it, c->peers);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        const struct core_peer *p = value;
+
+        if (p->host != NULL && core_active_link(p) != NULL &&
+            distance_between(p->host, node) < own) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Sends a node all that it may lack. */
+static void
+send_node_state(struct core_link *l)
+{
+    l->state_due_us = 0;
+    core_send_instances(l);
+    if (l->node_commit_index < l->core->commit_index) {
+        core_send_update(l->core, l);
+    }
+    send_status(l);
+}
+
+/* Sends the state to the nodes that have stayed although a nearer control host
+ * was listed for them. */
+void
+core_send_due_states(struct bb_core *c, uint64_t now_us)
+{
+    c->state_due_us = 0;
+    for (guint i = 0; i < c->links->len; i++) {
+        struct core_link *l = g_ptr_array_index(c->links, i);
+
+        if (l->state_due_us == 0) {
+            continue;
+        }
+        if (now_us >= l->state_due_us) {
+            send_node_state(l);
+        }
+        else if (c->state_due_us == 0 || l->state_due_us < c->state_due_us) {
+            c->state_due_us = l->state_due_us;
+        }
+    }
+}
+
+/* Processes the hello of a node and sends it the current state, at first only
+ * the control hosts if one of them is nearer: the node then connects to that
+ * one. When all nodes return at once they connect to the seeds first. */
 static void
 receive_node_hello(struct core_link *l, const fleet_hello *h)
 {
+    struct bb_core *c = l->core;
+
     l->kind = CORE_LINK_NODE;
     l->has_received_hello = true;
     l->node_content_id = h->content_id;
+    l->node_commit_index = h->commit_index;
+    bb_fleet_connection_set_distance(l->connection,
+                                     distance_between(&c->self, &h->host));
     send_hello(l);
     send_hosts(l);
-    send_instances(l);
-    if (h->commit_index < l->core->commit_index) {
-        core_send_update(l->core, l);
+    if (has_nearer_host(c, &h->host)) {
+        l->state_due_us = bb_clock_now_us() +
+                          (uint64_t)BB_CORE_REDIRECT_WAIT_MS * BB_US_PER_MS;
+        if (c->state_due_us == 0) {
+            c->state_due_us = l->state_due_us;
+        }
+        core_schedule_timer(c);
     }
-    send_status(l);
-    core_update_connected_peers(l->core);
+    else {
+        send_node_state(l);
+    }
+    core_update_connected_peers(c);
 }
 
 /* Adds the control hosts that another one knows. */
@@ -644,38 +691,6 @@
     core_schedule_timer(l->core);
 }
 
-/* Merges received instance records and forwards those that are newer to all
- * nodes and other control hosts. */
-static void
-receive_instances(struct core_link *from, fleet_message *m)
-{
-    struct bb_core *c = from->core;
-    u_int count = m->fleet_message_u.instances.instances_len;
-    fleet_instance *items = m->fleet_message_u.instances.instances_val;
-    fleet_instance *changed = g_new(fleet_instance, count + 1);
-    fleet_message out = {.kind = FLEET_INSTANCES};
-    u_int n = 0;
-
-    for (u_int i = 0; i < count; i++) {
-        if (bb_instance_table_merge(c->instances, &items[i])) {
-            changed[n++] = items[i];
-        }
-    }
-    out.fleet_message_u.instances.instances_val = changed;
-    out.fleet_message_u.instances.instances_len = n;
-    for (guint i = 0; n > 0 && i < c->links->len; i++) {
-        struct core_link *l = g_ptr_array_index(c->links, i);
-        /* Two connections lead to each control host; one of them is used. */
-        bool is_to_peer = l->kind == CORE_LINK_CONTROL && l->peer != NULL &&
-                          l->peer != from->peer && l == active_link(l->peer);
-
-        if (l != from && (l->kind == CORE_LINK_NODE || is_to_peer)) {
-            (void)bb_fleet_connection_send(l->connection, &out);
-        }
-    }
-    g_free(changed);
-}
-
 /* Handles a message of a control host or a node. Ignores the kinds that only
  * control hosts send to nodes. */
 static void
@@ -697,11 +712,14 @@
         receive_hosts(l, m);
         break;
     case FLEET_INSTANCES:
-        receive_instances(l, m);
+        core_receive_instances(l, m);
         break;
     case FLEET_QUORUM:
         receive_quorum_message(l, &m->fleet_message_u.quorum);
         break;
+    case FLEET_DIGEST:
+        core_receive_digest(l, m->fleet_message_u.digest);
+        break;
     case FLEET_UPDATE:
     case FLEET_STATUS:
         break;
--- a/fleet/fleet.x
+++ b/fleet/fleet.x
@@ -1,5 +1,6 @@
 /* Messages between control hosts, and between nodes and control hosts. Each is
- * sent as a length of four bytes in network byte order and one fleet_message.
+ * sent as a length of four bytes in network byte order and one fleet_message;
+ * the highest bit of the length marks one that is compressed with zstd.
  *
  * The content of an entry is one encoded fleet_replicated_state; a content ID
  * is a 64-bit hash of its bytes, 0 for none. A disk ID is a random identity
@@ -17,7 +18,8 @@
     FLEET_INSTANCES = 3,
     FLEET_UPDATE = 4,
     FLEET_STATUS = 5,
-    FLEET_QUORUM = 6
+    FLEET_QUORUM = 6,
+    FLEET_DIGEST = 7
 };
 
 /* A control host, or a node in its hello (ip, zone and region only). */
@@ -117,6 +119,9 @@
     fleet_status status;
 case FLEET_QUORUM:
     fleet_quorum_message quorum;
+case FLEET_DIGEST:
+    /* Of all instance records of a control host, sent to the others. */
+    unsigned hyper digest;
 };
 
 /* A configuration that was accepted earlier. */
--- a/fleet/frame.c
+++ b/fleet/frame.c
@@ -1,18 +1,60 @@
 /* Framing of fleet_message: a length of four bytes in network byte order, then
- * the XDR form. */
+ * the XDR form. Lists of instance records, which repeat their texts, are
+ * compressed. */
 #include "fleet/frame.h"
 
 #include <arpa/inet.h>
 #include <glib.h>
 #include <string.h>
+#include <zstd.h>
 
 #include "common/counters.h"
 #include "common/log.h"
 
-enum { LENGTH_PREFIX_BYTES = 4 };
+enum {
+    LENGTH_PREFIX_BYTES = 4,
+    COMPRESS_MIN_BYTES = 512,
+    COMPRESSION_LEVEL = 1,
+    KIND_COUNT = FLEET_DIGEST + 1
+};
+
+#define COMPRESSED_FLAG 0x80000000U /* of the length */
+
+/* Counters of a kind of message, by distance. */
+#define SENT_COUNTER(kind_, distance_)                                        \
+    {                                                                         \
+        .name = "baobab_fleet_sent_bytes_total",                              \
+        .help = "Bytes of control messages sent, by kind and distance",       \
+        .label = "kind=\"" kind_ "\",distance=\"" distance_ "\""              \
+    }
+#define SENT_COUNTERS(kind_)                                                  \
+    {                                                                         \
+        [BB_FLEET_SAME_ZONE] = SENT_COUNTER(kind_, "zone"),                   \
+        [BB_FLEET_SAME_REGION] = SENT_COUNTER(kind_, "region"),               \
+        [BB_FLEET_OTHER_REGION] = SENT_COUNTER(kind_, "other_region"),        \
+        [BB_FLEET_DISTANCE_UNKNOWN] = SENT_COUNTER(kind_, "unknown")          \
+    }
+
+static struct bb_counter sent_bytes[KIND_COUNT][BB_FLEET_DISTANCE_COUNT] = {
+    [FLEET_HELLO] = SENT_COUNTERS("hello"),
+    [FLEET_HOSTS] = SENT_COUNTERS("hosts"),
+    [FLEET_INSTANCES] = SENT_COUNTERS("instances"),
+    [FLEET_UPDATE] = SENT_COUNTERS("update"),
+    [FLEET_STATUS] = SENT_COUNTERS("status"),
+    [FLEET_QUORUM] = SENT_COUNTERS("quorum"),
+    [FLEET_DIGEST] = SENT_COUNTERS("digest")};
+
+/* Registers the counters, which are in a table, before main runs. */
+__attribute__((constructor)) static void
+register_sent_bytes(void)
+{
+    for (size_t kind = FLEET_HELLO; kind < KIND_COUNT; kind++) {
+        for (size_t d = 0; d < BB_FLEET_DISTANCE_COUNT; d++) {
+            bb_counter_register(&sent_bytes[kind][d]);
+        }
+    }
+}
 
-BB_COUNTER(sent_bytes_total, "baobab_fleet_sent_bytes_total",
-           "Bytes of control messages sent to other hosts");
 BB_COUNTER(malformed_total, "baobab_fleet_malformed_total",
            "Control connections closed because of a message that cannot be "
            "decoded");
@@ -22,6 +64,7 @@
     const struct bb_fleet_connection_events *events;
     void *context;
     GByteArray *received; /* bytes not yet decoded */
+    enum bb_fleet_distance distance;
     /* Set during a callback; a close then leaves it to the code after the
      * callback to free this. */
     bool is_in_callback;
@@ -38,15 +81,15 @@
 /* Decodes one message and passes it to the receiver. Returns false if it is
  * malformed. */
 static bool
-deliver_message(struct bb_fleet_connection *f, uint8_t *data,
-                uint32_t size_bytes)
+deliver_message(struct bb_fleet_connection *f, const void *data,
+                size_t size_bytes)
 {
     fleet_message m;
     XDR x;
     bool is_valid;
 
     memset(&m, 0, sizeof(m));
-    xdrmem_create(&x, (char *)data, size_bytes, XDR_DECODE);
+    xdrmem_create(&x, (char *)data, (u_int)size_bytes, XDR_DECODE);
     is_valid = xdr_fleet_message(&x, &m);
     if (is_valid) {
         f->events->message(f->context, f, &m);
@@ -56,6 +99,27 @@
     return is_valid;
 }
 
+/* Decompresses a message and delivers it. Returns false if it is malformed or
+ * too long. */
+static bool
+deliver_compressed(struct bb_fleet_connection *f, const void *data,
+                   size_t size_bytes)
+{
+    unsigned long long full_bytes = ZSTD_getFrameContentSize(data, size_bytes);
+    char *message;
+    bool is_valid;
+
+    if (full_bytes > BB_FLEET_MESSAGE_MAX_BYTES) {
+        return false; /* also the codes for an error and an unknown size */
+    }
+    message = g_malloc(full_bytes + 1);
+    is_valid =
+        ZSTD_decompress(message, full_bytes, data, size_bytes) == full_bytes &&
+        deliver_message(f, message, full_bytes);
+    g_free(message);
+    return is_valid;
+}
+
 /* Delivers all complete messages that were received and removes their bytes.
  * Returns false if one is malformed or too long. */
 static bool
@@ -66,18 +130,22 @@
 
     while (is_valid && !f->is_closed &&
            f->received->len - used >= LENGTH_PREFIX_BYTES) {
+        const uint8_t *data = f->received->data + used + LENGTH_PREFIX_BYTES;
         uint32_t length;
+        bool is_compressed;
 
         memcpy(&length, f->received->data + used, sizeof(length));
         length = ntohl(length);
+        is_compressed = (length & COMPRESSED_FLAG) != 0;
+        length &= ~COMPRESSED_FLAG;
         if (length > BB_FLEET_MESSAGE_MAX_BYTES) {
             return false;
         }
         if (f->received->len - used - LENGTH_PREFIX_BYTES < length) {
             break;
         }
-        is_valid = deliver_message(
-            f, f->received->data + used + LENGTH_PREFIX_BYTES, length);
+        is_valid = is_compressed ? deliver_compressed(f, data, length)
+                                 : deliver_message(f, data, length);
         used += LENGTH_PREFIX_BYTES + length;
     }
     if (used > 0) {
@@ -146,6 +214,7 @@
     f->events = events;
     f->context = context;
     f->received = g_byte_array_new();
+    f->distance = BB_FLEET_DISTANCE_UNKNOWN;
     return f;
 }
 
@@ -181,13 +250,60 @@
     return f;
 }
 
+/* Sets how far the other end is. */
+void
+bb_fleet_connection_set_distance(struct bb_fleet_connection *f,
+                                 enum bb_fleet_distance distance)
+{
+    f->distance = distance;
+}
+
+/* Writes a frame and counts its bytes. */
+static void
+write_frame(struct bb_fleet_connection *f, fleet_message_kind kind,
+            uint32_t prefix, const void *data, size_t size_bytes)
+{
+    uint32_t network_prefix = htonl(prefix);
+    char *frame = g_malloc(LENGTH_PREFIX_BYTES + size_bytes);
+
+    memcpy(frame, &network_prefix, LENGTH_PREFIX_BYTES);
+    memcpy(frame + LENGTH_PREFIX_BYTES, data, size_bytes);
+    bb_stream_write(f->stream, frame, LENGTH_PREFIX_BYTES + size_bytes);
+    bb_counter_add(&sent_bytes[kind][f->distance],
+                   LENGTH_PREFIX_BYTES + size_bytes);
+    g_free(frame);
+}
+
+/* Compresses a message that repeats itself and writes it. Returns false if it
+ * should be sent as it is. */
+static bool
+write_compressed(struct bb_fleet_connection *f, fleet_message_kind kind,
+                 const void *data, size_t size_bytes)
+{
+    size_t bound = ZSTD_compressBound(size_bytes);
+    void *compressed;
+    size_t n;
+    bool is_smaller;
+
+    if (kind != FLEET_INSTANCES || size_bytes < COMPRESS_MIN_BYTES) {
+        return false;
+    }
+    compressed = g_malloc(bound);
+    n = ZSTD_compress(compressed, bound, data, size_bytes, COMPRESSION_LEVEL);
+    is_smaller = !ZSTD_isError(n) && n < size_bytes;
+    if (is_smaller) {
+        write_frame(f, kind, (uint32_t)n | COMPRESSED_FLAG, compressed, n);
+    }
+    g_free(compressed);
+    return is_smaller;
+}
+
 /* Encodes and sends a message. Returns false if it cannot be encoded, is
  * longer than BB_FLEET_MESSAGE_MAX_BYTES, or the connection is closed. */
 bool
 bb_fleet_connection_send(struct bb_fleet_connection *f, fleet_message *m)
 {
     u_long size = xdr_sizeof((xdrproc_t)xdr_fleet_message, m);
-    uint32_t length = htonl((uint32_t)size);
     char *data;
     XDR x;
     bool is_valid;
@@ -195,14 +311,12 @@
     if (f->is_closed || size == 0 || size > BB_FLEET_MESSAGE_MAX_BYTES) {
         return false;
     }
-    data = g_malloc(LENGTH_PREFIX_BYTES + size);
-    memcpy(data, &length, LENGTH_PREFIX_BYTES);
-    xdrmem_create(&x, data + LENGTH_PREFIX_BYTES, (u_int)size, XDR_ENCODE);
+    data = g_malloc(size);
+    xdrmem_create(&x, data, (u_int)size, XDR_ENCODE);
     is_valid = xdr_fleet_message(&x, m);
     xdr_destroy(&x);
-    if (is_valid) {
-        bb_stream_write(f->stream, data, LENGTH_PREFIX_BYTES + size);
-        bb_counter_add(&sent_bytes_total, LENGTH_PREFIX_BYTES + size);
+    if (is_valid && !write_compressed(f, m->kind, data, size)) {
+        write_frame(f, m->kind, (uint32_t)size, data, size);
     }
     g_free(data);
     return is_valid;
--- a/fleet/instances.c
+++ b/fleet/instances.c
@@ -1,8 +1,13 @@
 /* Table of instance records by the address of their gate. */
 #include "fleet/instances.h"
 
+#include <string.h>
+
+#include "common/digest.h"
+
 struct bb_instance_table {
     GHashTable *by_gate;
+    uint64_t digest;
 };
 
 /* Copies a record with its texts; freed by bb_instance_destroy. */
@@ -71,6 +76,16 @@
            (i->incarnation == incarnation && i->sequence > sequence);
 }
 
+/* Returns the hash of a record's gate and numbers. */
+static uint64_t
+hash_record(const fleet_instance *i)
+{
+    uint64_t hash = bb_hash64(i->gate_address, strlen(i->gate_address), 0);
+
+    hash = bb_hash64(&i->incarnation, sizeof(i->incarnation), hash);
+    return bb_hash64(&i->sequence, sizeof(i->sequence), hash);
+}
+
 /* Stores a copy of a record unless the table has the same or a newer one of
  * its gate. Returns whether the table changed. */
 bool
@@ -84,6 +99,7 @@
         !bb_instance_is_newer(i, old->incarnation, old->sequence)) {
         return false;
     }
+    t->digest ^= hash_record(i) ^ (old != NULL ? hash_record(old) : 0);
     copy = bb_instance_copy(i);
     g_hash_table_replace(t->by_gate, copy->gate_address, copy);
     return true;
@@ -98,6 +114,14 @@
     return g_hash_table_lookup(t->by_gate, gate_address);
 }
 
+/* Returns a digest that is the same for two tables if they hold the same
+ * records, in any order. */
+uint64_t
+bb_instance_table_digest(const struct bb_instance_table *t)
+{
+    return t->digest;
+}
+
 /* Returns the number of records. */
 uint32_t
 bb_instance_table_count(const struct bb_instance_table *t)
--- a/include/fleet/core.h
+++ b/include/fleet/core.h
@@ -31,6 +31,16 @@
     /* Interval at which the leader checks the set of voters, and at which a
      * host that may bootstrap the cluster checks whether it can. */
     BB_CORE_VOTER_PLAN_INTERVAL_MS = 250,
+    /* A node that may connect to a nearer control host is sent the state only
+     * if it stays for this long. */
+    BB_CORE_REDIRECT_WAIT_MS = 300,
+    /* Changed instance records are collected for this long and passed on
+     * together. */
+    BB_CORE_INSTANCE_BATCH_MS = 50,
+    /* Control hosts compare their instance records at this interval, once
+     * theirs have not changed for the second time. */
+    BB_CORE_DIGEST_INTERVAL_MS = 2000,
+    BB_CORE_DIGEST_QUIET_MS = 1000,
     /* A host that is disconnected for this long is left out of the lists sent
      * to other hosts and nodes. */
     BB_CORE_PEER_EXPIRY_MS = 30000
--- a/include/fleet/frame.h
+++ b/include/fleet/frame.h
@@ -12,6 +12,15 @@
  * the connection. */
 enum { BB_FLEET_MESSAGE_MAX_BYTES = 24 * 1024 * 1024 };
 
+/* How far the other end is, for the counters of sent bytes. */
+enum bb_fleet_distance {
+    BB_FLEET_SAME_ZONE,
+    BB_FLEET_SAME_REGION,
+    BB_FLEET_OTHER_REGION,
+    BB_FLEET_DISTANCE_UNKNOWN, /* before its hello */
+    BB_FLEET_DISTANCE_COUNT
+};
+
 struct bb_fleet_connection;
 
 struct bb_fleet_connection_events {
@@ -32,6 +41,8 @@
 bb_fleet_connection_accept(struct bb_stream *s,
                            const struct bb_fleet_connection_events *events,
                            void *context);
+void bb_fleet_connection_set_distance(struct bb_fleet_connection *f,
+                                      enum bb_fleet_distance distance);
 bool bb_fleet_connection_send(struct bb_fleet_connection *f, fleet_message *m);
 void bb_fleet_connection_close(struct bb_fleet_connection *f);
 
--- a/include/fleet/instances.h
+++ b/include/fleet/instances.h
@@ -33,6 +33,7 @@
                              const fleet_instance *i);
 const fleet_instance *bb_instance_table_find(const struct bb_instance_table *t,
                                              const char *gate_address);
+uint64_t bb_instance_table_digest(const struct bb_instance_table *t);
 uint32_t bb_instance_table_count(const struct bb_instance_table *t);
 void bb_instance_table_foreach(const struct bb_instance_table *t,
                                bb_instance_visitor visit, void *context);
--- a/tests/fleet/test_fleet.c
+++ b/tests/fleet/test_fleet.c
@@ -9,6 +9,7 @@
 #include <unistd.h>
 
 #include "common/clock.h"
+#include "common/counters.h"
 #include "fleet/agent.h"
 #include "fleet/content.h"
 #include "fleet/core.h"
@@ -256,6 +257,71 @@
     }
 }
 
+/* Another control host, of which there is only a connection. */
+struct fake_peer {
+    struct bb_fleet_connection *connection;
+    const char *ip;
+    const char *zone;
+    uint16_t port;
+    uint32_t instance_messages;
+    uint32_t digests;
+};
+
+static void
+on_fake_peer_connected(void *context, struct bb_fleet_connection *f)
+{
+    struct fake_peer *h = context;
+    fleet_message m = {.kind = FLEET_HELLO};
+
+    m.fleet_message_u.hello = (fleet_hello){.is_control = TRUE,
+                                            .host = {.ip = (char *)h->ip,
+                                                     .peer_port = h->port,
+                                                     .zone = (char *)h->zone,
+                                                     .region = (char *)"r",
+                                                     .disk_id = 99}};
+    (void)bb_fleet_connection_send(f, &m);
+}
+
+static void
+on_fake_peer_message(void *context, struct bb_fleet_connection *f,
+                     fleet_message *m)
+{
+    struct fake_peer *h = context;
+
+    (void)f;
+    h->instance_messages += m->kind == FLEET_INSTANCES;
+    h->digests += m->kind == FLEET_DIGEST;
+}
+
+static void
+on_fake_peer_ended(void *context, struct bb_fleet_connection *f)
+{
+    struct fake_peer *h = context;
+
+    bb_fleet_connection_close(f);
+    h->connection = NULL;
+}
+
+static const struct bb_fleet_connection_events fake_peer_events = {
+    .connected = on_fake_peer_connected,
+    .message = on_fake_peer_message,
+    .ended = on_fake_peer_ended};
+
+/* Connects to a control host as another one. */
+static void
+fake_peer_open(struct fake_peer *h, struct cluster *c, uint32_t to,
+               const char *ip, const char *zone)
+{
+    struct bb_address at = {.port = c->port};
+
+    h->ip = ip;
+    h->zone = zone;
+    h->port = c->port;
+    g_strlcpy(at.ip, c->ips[to], sizeof(at.ip));
+    h->connection =
+        bb_fleet_connection_open(&c->loop, &at, 500, &fake_peer_events, h);
+}
+
 /* Guards against: a retried proposal that is refused although it was accepted,
  * two proposals with one base version that are both accepted, a read that
  * returns another configuration than the accepted one. */
@@ -1053,6 +1119,155 @@
     destroy_cluster(&c);
 }
 
+/* Returns the sent bytes of a kind of message at a distance, of all hosts. */
+static uint64_t
+sent_bytes(const char *kind, const char *distance)
+{
+    char *label =
+        g_strdup_printf("kind=\"%s\",distance=\"%s\"", kind, distance);
+    const struct bb_counter *counter =
+        bb_counter_find("baobab_fleet_sent_bytes_total", label);
+
+    g_free(label);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(counter);
+    return bb_counter_get(counter);
+}
+
+/* Guards against: a node that gets its configuration and records from a far
+ * control host, and once more from a near one: when all nodes return at once,
+ * the few seeds would send them to all. */
+static void
+test_node_is_sent_to_nearer_host(void)
+{
+    struct cluster c;
+    struct node n = {0};
+    struct bb_agent_settings s = {.ip = "127.0.7.50",
+                                  .zone = "z2",
+                                  .region = "r",
+                                  .gate_address = "g:1"};
+    struct bb_agent *a;
+    uint64_t far_bytes;
+    uint64_t near_bytes;
+
+    create_cluster(&c, HOSTS);
+    s.control_port = c.port;
+    s.seeds = seed_addresses(&c);
+    s.seeds.count = 1; /* in zone z0 */
+    CU_ASSERT_EQUAL(propose_until_decided(&c, 0, 1, "first"),
+                    BB_CORE_PROPOSAL_ACCEPTED);
+    run_loop(&c, NULL, 300);
+    far_bytes = sent_bytes("update", "region");
+    near_bytes = sent_bytes("update", "zone");
+    a = bb_agent_create(&c.loop, &s, &agent_events, &n);
+    CU_ASSERT_TRUE(wait_for_version(&c, &n, 1, BB_CORE_REDIRECT_WAIT_MS));
+    run_loop(&c, NULL, 2 * BB_CORE_REDIRECT_WAIT_MS);
+    CU_ASSERT_EQUAL(sent_bytes("update", "region"), far_bytes);
+    CU_ASSERT_TRUE(sent_bytes("update", "zone") > near_bytes);
+    bb_agent_destroy(a);
+    destroy_cluster(&c);
+}
+
+/* Guards against: a node that gets nothing because a nearer control host is
+ * listed for it, which it cannot reach. */
+static void
+test_node_stays_at_far_host(void)
+{
+    struct cluster c;
+    struct node n = {0};
+    struct bb_agent_settings s = {.ip = "127.0.7.50",
+                                  .zone = "z2",
+                                  .region = "r",
+                                  .gate_address = "g:1"};
+    struct fake_peer near = {0};
+    struct bb_agent *a;
+
+    create_cluster(&c, SEEDS - 1); /* none in zone z2 */
+    start_core(&c, 3, true);
+    s.control_port = c.port;
+    s.seeds = seed_addresses(&c);
+    s.seeds.count = 1;
+    run_loop(&c, NULL, 300);
+    fake_peer_open(&near, &c, 0, "127.0.7.99", "z2");
+    run_loop(&c, NULL, 200);
+    CU_ASSERT_TRUE(near.instance_messages > 0);
+    a = bb_agent_create(&c.loop, &s, &agent_events, &n);
+    run_loop(&c, NULL, 2500);
+    CU_ASSERT_TRUE(n.own_instance_count > 0);
+    bb_agent_destroy(a);
+    bb_fleet_connection_close(near.connection);
+    destroy_cluster(&c);
+}
+
+/* Guards against: a record that each control host passes on to all others, so
+ * that its copies grow with the square of their number. */
+static void
+test_records_are_sent_once(void)
+{
+    enum { RECORD_MAX_BYTES = 160 };
+    struct cluster c;
+    struct node nodes[2] = {{0}, {0}};
+    struct bb_agent *agents[2];
+    fleet_instance own = {.gate_address = (char *)"g:1",
+                          .zone = (char *)"z0",
+                          .region = (char *)"r",
+                          .service = (char *)"s",
+                          .id = (char *)"i",
+                          .state = BB_INSTANCE_READY,
+                          .slots = 3};
+    uint64_t bytes;
+
+    create_cluster(&c, HOSTS);
+    for (uint32_t i = 0; i < 2; i++) {
+        struct bb_agent_settings s = {.ip = "127.0.7.50",
+                                      .zone = i == 0 ? "z0" : "z1",
+                                      .region = "r",
+                                      .gate_address = i == 0 ? "g:1" : "g:2",
+                                      .control_port = c.port,
+                                      .seeds = seed_addresses(&c)};
+
+        agents[i] = bb_agent_create(&c.loop, &s, &agent_events, &nodes[i]);
+    }
+    run_loop(&c, NULL, 1500);
+    bytes = sent_bytes("instances", "region");
+    bb_agent_announce(agents[0], &own);
+    run_loop(&c, NULL, 500);
+    CU_ASSERT_EQUAL(nodes[1].instances, 1);
+    bytes = sent_bytes("instances", "region") - bytes;
+    CU_ASSERT_TRUE(bytes > 0);
+    CU_ASSERT_TRUE(bytes <= (HOSTS - 1) * RECORD_MAX_BYTES);
+    bb_agent_destroy(agents[0]);
+    bb_agent_destroy(agents[1]);
+    destroy_cluster(&c);
+}
+
+/* Guards against: a record that a control host has missed and never gets, as
+ * the others do not pass it on. */
+static void
+test_missed_records(void)
+{
+    struct cluster c;
+    struct fake_peer other = {0};
+    fleet_message m = {.kind = FLEET_DIGEST};
+
+    create_cluster(&c, HOSTS);
+    run_loop(&c, NULL, 500);
+    fake_peer_open(&other, &c, 0, "127.0.7.99", "z9");
+    run_loop(&c, NULL, BB_CORE_DIGEST_QUIET_MS + 200);
+    CU_ASSERT_EQUAL(other.instance_messages, 1);
+    m.fleet_message_u.digest = 0;
+    (void)bb_fleet_connection_send(other.connection, &m);
+    run_loop(&c, NULL, 100);
+    CU_ASSERT_EQUAL(other.instance_messages, 1); /* it has none either */
+    m.fleet_message_u.digest = 1;
+    (void)bb_fleet_connection_send(other.connection, &m);
+    run_loop(&c, NULL, 100);
+    CU_ASSERT_EQUAL(other.instance_messages, 2);
+    run_loop(&c, NULL, BB_CORE_DIGEST_INTERVAL_MS);
+    CU_ASSERT_TRUE(other.digests > 0);
+    bb_fleet_connection_close(other.connection);
+    destroy_cluster(&c);
+}
+
 static const struct bb_unit_test tests[] = {
     {"proposals", test_proposals},
     {"concurrent proposals", test_concurrent_proposals},
@@ -1067,6 +1282,10 @@
     {"malformed input", test_malformed_input},
     {"malformed message to a node", test_malformed_message_to_node},
     {"torn file", test_torn_file},
+    {"node is sent to a nearer host", test_node_is_sent_to_nearer_host},
+    {"node stays at a far host", test_node_stays_at_far_host},
+    {"records are sent once", test_records_are_sent_once},
+    {"missed records", test_missed_records},
     {"older update", test_older_update},
 };
 
