content: keep a state that was received in full as it was compressed

Cause: a control host that starts compressed the state that it had just read from its disk, for its first write and for the first node that lacks it.

Change: a state that arrives without a base is kept in its compressed form too. test_fleet passes.

--- a/fleet/content.c
+++ b/fleet/content.c
@@ -230,6 +230,9 @@
     content = g_bytes_new_take(data, n);
     is_valid = bb_content_store_add(c, content) == in->content_id;
     g_bytes_unref(content);
+    if (is_valid && in->base_id == 0) {
+        keep_compressed(c, in); /* as it was stored, or sent in full */
+    }
     return is_valid;
 }
 
--- a/tests/path/fixture.h
+++ b/tests/path/fixture.h
@@ -71,7 +71,7 @@
 struct client {
     struct bb_stream *stream;
     GString *received;
-    bool is_ended; /* the connection has ended; checked by bench/path_hop.c */
+    bool is_ended;  /* the connection has ended; checked by bench/path_hop.c */
     int end_status; /* 0: the peer closed it; else a libuv error */
 };
 
