balance: refuse a request past its target after two full gates

Past its target a request is queued only where nothing else waits, so no gate that is busy takes it, and its caller, who could have come back, waited up to 0.8 s for the refusal.

Change: bb_balance_is_hopeless; such a request is refused with Retry-After after the second full gate. A nested one goes on, as its parent would fail.

--- a/decide/balance.c
+++ b/decide/balance.c
@@ -359,6 +359,20 @@
     return choice;
 }
 
+/* Returns whether a request that full_count gates refused as full should be
+ * refused at once rather than sent to another gate. Load: all gates of the
+ * service are busy. Past its target, a request is queued only where no other
+ * waits, so it would go from gate to gate until its deadline, while its caller
+ * could come back as a new request. Not for a nested request, as its parent
+ * would fail. */
+bool
+bb_balance_is_hopeless(uint32_t full_count, uint64_t target_left_us,
+                       bool is_nested)
+{
+    return !is_nested && target_left_us == 0 &&
+           full_count >= BB_BALANCE_LATE_FULL_MAX;
+}
+
 /* Updates a view with the load that a gate reported at now_us; slots 0 leaves
  * the slots as they are. */
 void
--- a/include/decide/balance.h
+++ b/include/decide/balance.h
@@ -52,6 +52,8 @@
      * first and at the second gate; from the third on there is no limit. */
     BB_BALANCE_FIRST_WAIT_PERCENT = 20,
     BB_BALANCE_SECOND_WAIT_PERCENT = 30,
+    /* Full gates after which a request past its target is given up. */
+    BB_BALANCE_LATE_FULL_MAX = 2,
     /* Another gate is worth a further attempt only if its expected wait is
      * shorter than this. */
     BB_BALANCE_ALTERNATIVE_WAIT_US = 10 * 1000,
@@ -111,6 +113,8 @@
                   const bool *was_full, uint32_t count,
                   const struct bb_balance_request *r, uint64_t random_bits,
                   uint64_t now_us);
+bool bb_balance_is_hopeless(uint32_t full_count, uint64_t target_left_us,
+                            bool is_nested);
 bool bb_balance_can_hedge(const struct bb_gate_view *v, uint64_t now_us);
 uint32_t bb_balance_decay_failures(uint32_t permille, uint64_t age_us);
 int32_t bb_balance_pick(const struct bb_gate_view *const *views,
--- a/path/attempt.c
+++ b/path/attempt.c
@@ -500,11 +500,18 @@
 
 /* Tries another gate after one that did not send the request on. Gives up if
  * the body is streamed, as its start is no longer buffered, if a gate refused
- * the request as late, or if too little time is left. */
+ * the request as late, if too little time is left, or if other gates would
+ * refuse it as well. */
 static void
 try_other_gate(struct entry_request *rq)
 {
-    if (rq->is_body_streamed || rq->is_refused_late || !has_time_left(rq)) {
+    uint64_t now_us = bb_clock_now_us();
+    uint64_t target_left_us =
+        rq->target_end_us > now_us ? rq->target_end_us - now_us : 0;
+
+    if (rq->is_body_streamed || rq->is_refused_late || !has_time_left(rq) ||
+        bb_balance_is_hopeless(rq->full_count, target_left_us,
+                               rq->is_nested)) {
         give_up(rq, rq->is_body_streamed ? "long_body" : "late");
         return;
     }
--- a/tests/decide/test_load_decisions.c
+++ b/tests/decide/test_load_decisions.c
@@ -335,6 +335,18 @@
                              0, now_us);
 }
 
+/* Returns how many gates have refused a request as full. */
+static uint32_t
+count_full(const struct routed_request *r)
+{
+    uint32_t n = 0;
+
+    for (uint32_t i = 0; i < GATES; i++) {
+        n += r->was_full[i];
+    }
+    return n;
+}
+
 /* Sends a request to the gate that its entry node chooses. */
 static void
 send_attempt(struct gate_simulation *s, struct routed_request *r,
@@ -353,7 +365,8 @@
     choice =
         bb_balance_choose(list, r->was_full, GATES, &b, next_random(), now_us);
     r->gate = choice.gate;
-    if (choice.gate < 0 || r->attempts == ATTEMPTS_MAX) {
+    if (choice.gate < 0 || r->attempts == ATTEMPTS_MAX ||
+        bb_balance_is_hopeless(count_full(r), b.target_left_us, false)) {
         r->state = REFUSED;
         return;
     }
@@ -467,6 +480,69 @@
     free(s);
 }
 
+/* Load: 160% of the capacity of 24 gates, from callers that come back with
+ * less time than a first request has. Guards against requests past their
+ * target that are tried at one busy gate after the other until their deadline,
+ * and against fewer responses on time because they are refused sooner. */
+static void
+test_late_requests_at_busy_gates(void)
+{
+    const double capacity = (double)GATES * SLOTS * BB_US_PER_S / DURATION_US;
+    struct gate_simulation *s = calloc(1, sizeof(*s));
+    uint64_t at_us = BB_US_PER_S;
+    uint64_t late_attempts = 0;
+    uint32_t late = 0;
+    uint32_t on_time = 0;
+
+    random_state = 11;
+    for (uint32_t i = 0; i < GATES; i++) {
+        bb_gate_queue_init(&s->queues[i], SLOTS);
+        s->queues[i].overall_mean_us = DURATION_US;
+        for (uint32_t k = 0; k < ENTRY_NODES; k++) {
+            s->views[k][i] = create_view(BB_GATE_SAME_ZONE);
+        }
+    }
+    for (uint32_t i = 0; i < ROUTED_REQUESTS; i++) {
+        bool is_late = i % 3 == 0;
+
+        at_us += exponential((uint64_t)(BB_US_PER_S / (1.6 * capacity)));
+        s->requests[i] = (struct routed_request){
+            .item = {.id = i,
+                     .priority = 1,
+                     .class_index = 1,
+                     .target_end_us = is_late ? at_us : at_us + TARGET_US,
+                     .deadline_us = at_us + DEADLINE_US},
+            .next_us = at_us,
+            .duration_us = DURATION_US / 2 + exponential(DURATION_US / 2),
+            .entry = (uint32_t)(next_random() % ENTRY_NODES)};
+    }
+    for (uint64_t now_us = BB_US_PER_S;
+         now_us < at_us + 3 * (uint64_t)BB_US_PER_S; now_us += BB_US_PER_MS) {
+        advance_gates(s, now_us);
+        for (uint32_t i = 0; i < ROUTED_REQUESTS; i++) {
+            struct routed_request *r = &s->requests[i];
+
+            if (r->state == NOT_SENT && now_us >= r->next_us) {
+                send_attempt(s, r, now_us);
+            }
+        }
+    }
+    for (uint32_t i = 0; i < ROUTED_REQUESTS; i++) {
+        const struct routed_request *r = &s->requests[i];
+        bool is_late = i % 3 == 0;
+
+        late += is_late && r->state == REFUSED;
+        late_attempts += is_late && r->state == REFUSED ? r->attempts : 0;
+        on_time += r->state == SERVED && r->next_us <= r->item.target_end_us;
+    }
+    printf("(%.2f attempts per late request that is refused, %.3f on time) ",
+           (double)late_attempts / late, (double)on_time / ROUTED_REQUESTS);
+    CU_ASSERT_TRUE(late > ROUTED_REQUESTS / 10);
+    CU_ASSERT_TRUE(late_attempts <= BB_BALANCE_LATE_FULL_MAX * late);
+    CU_ASSERT_TRUE(on_time * 2 >= ROUTED_REQUESTS);
+    free(s);
+}
+
 /* Load: light. Guards against calls that leave their zone although it has free
  * slots: calls between zones are slower, and their bytes are paid for. */
 static void
@@ -831,6 +907,7 @@
      test_retries_do_not_overtake_new_requests},
     {"priorities", test_priorities},
     {"many entry nodes", test_many_entry_nodes},
+    {"late requests at busy gates", test_late_requests_at_busy_gates},
     {"the nearest gate is preferred", test_nearest_gate_preferred},
     {"a far queue must be much shorter", test_far_queue_must_be_much_shorter},
     {"a new upstream is explored once", test_new_upstream_explored_once},
