fleet: send a node that has a configuration the newer one at once

A node that looks for a control host that is in touch has a configuration and may be sent to one that is not, without what the first one had for it.

Change: only nodes without a configuration, those that start, are sent on without the state.

--- a/fleet/core_peers.c
+++ b/fleet/core_peers.c
@@ -647,9 +647,11 @@
     }
 }
 
-/* Processes the hello of a node and sends it the current state, at first only
- * the control hosts if one of them is nearer: the node then connects to that
- * one. When all nodes return at once they connect to the seeds first. */
+/* Processes the hello of a node and sends it the current state. A node without
+ * a configuration gets only the control hosts at first if one of them is
+ * nearer: it then connects to that one. When all nodes return at once they
+ * connect to the seeds first. A node that has a configuration gets what is
+ * new at once, as the nearer host may be out of touch. */
 static void
 receive_node_hello(struct core_link *l, const fleet_hello *h)
 {
@@ -663,7 +665,7 @@
                                      distance_between(&c->self, &h->host));
     send_hello(l);
     send_hosts(l);
-    if (has_nearer_host(c, &h->host)) {
+    if (h->content_id == 0 && has_nearer_host(c, &h->host)) {
         l->state_due_us = bb_clock_now_us() +
                           (uint64_t)BB_CORE_REDIRECT_WAIT_MS * BB_US_PER_MS;
         if (c->state_due_us == 0) {
