--- a/tests/fleet/test_fleet.c
+++ b/tests/fleet/test_fleet.c
@@ -257,14 +257,17 @@
     }
 }
 
-/* Another control host, of which there is only a connection. */
+/* Another control host, or a node that has a configuration, of which there is
+ * only a connection. */
 struct fake_peer {
     struct bb_fleet_connection *connection;
+    bool is_node;
     const char *ip;
     const char *zone;
     uint16_t port;
     uint32_t instance_messages;
     uint32_t digests;
+    bool has_update;
 };
 
 static void
@@ -273,7 +276,8 @@
     struct fake_peer *h = context;
     fleet_message m = {.kind = FLEET_HELLO};
 
-    m.fleet_message_u.hello = (fleet_hello){.is_control = TRUE,
+    m.fleet_message_u.hello = (fleet_hello){.is_control = !h->is_node,
+                                            .content_id = h->is_node ? 1 : 0,
                                             .host = {.ip = (char *)h->ip,
                                                      .peer_port = h->port,
                                                      .zone = (char *)h->zone,
@@ -291,6 +295,7 @@
     (void)f;
     h->instance_messages += m->kind == FLEET_INSTANCES;
     h->digests += m->kind == FLEET_DIGEST;
+    h->has_update = h->has_update || m->kind == FLEET_UPDATE;
 }
 
 static void
@@ -1198,6 +1203,30 @@
     destroy_cluster(&c);
 }
 
+/* Guards against: a node that has an older configuration, left a control host
+ * that is out of touch, and is sent back there without the newer one. */
+static void
+test_node_with_configuration_is_not_sent_on(void)
+{
+    struct cluster c;
+    struct fake_peer near = {0};
+    struct fake_peer node = {.is_node = true};
+
+    create_cluster(&c, SEEDS);
+    CU_ASSERT_EQUAL(propose_until_decided(&c, 0, 1, "first"),
+                    BB_CORE_PROPOSAL_ACCEPTED);
+    run_loop(&c, NULL, 300);
+    fake_peer_open(&near, &c, 0, "127.0.7.99", "z9");
+    run_loop(&c, NULL, 100);
+    CU_ASSERT_TRUE(near.instance_messages > 0);
+    fake_peer_open(&node, &c, 0, "127.0.7.50", "z9");
+    CU_ASSERT_TRUE(
+        run_loop(&c, &node.has_update, BB_CORE_REDIRECT_WAIT_MS / 2));
+    bb_fleet_connection_close(near.connection);
+    bb_fleet_connection_close(node.connection);
+    destroy_cluster(&c);
+}
+
 /* Guards against: a record that each control host passes on to all others, so
  * that its copies grow with the square of their number. */
 static void
@@ -1284,6 +1313,8 @@
     {"torn file", test_torn_file},
     {"node is sent to a nearer host", test_node_is_sent_to_nearer_host},
     {"node stays at a far host", test_node_stays_at_far_host},
+    {"node with a configuration is not sent on",
+     test_node_with_configuration_is_not_sent_on},
     {"records are sent once", test_records_are_sent_once},
     {"missed records", test_missed_records},
     {"older update", test_older_update},
