net: drop a request whose peer left before it was read

Cause: on a loop that is late, a request and the close of its peer have both arrived when it reads; the request is passed on, and the next turn sees the close.

Change: the server asks the connection with poll(2) before it passes a request on; baobab_server_peer_left_total counts what it drops. Servers whose handlers are not told of a disconnect are left out: they respond at once, also to a peer that has only ended its output.

--- a/include/net/stream.h
+++ b/include/net/stream.h
@@ -67,6 +67,7 @@
                           void *context);
 void bb_stream_set_unacked_timeout(struct bb_stream *s, uint32_t ms);
 void bb_stream_watch_end(struct bb_stream *s);
+bool bb_stream_has_ended(const struct bb_stream *s);
 void bb_stream_write(struct bb_stream *s, const void *data, size_t size_bytes);
 size_t bb_stream_queued_bytes(const struct bb_stream *s);
 size_t bb_stream_unacked_bytes(const struct bb_stream *s);
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -28,6 +28,9 @@
 BB_COUNTER(slow_request_total, "baobab_server_slow_head_total",
            "Requests refused because they did not arrive in time");
 
+BB_COUNTER(peer_left_total, "baobab_server_peer_left_total",
+           "Requests dropped because their peer left before they were read");
+
 /* What the timer of a connection waits for. */
 enum timer_kind {
     TIMER_NONE,  /* stopped: a request is in progress */
@@ -585,12 +588,21 @@
     g_string_free(fields, TRUE);
 }
 
-/* Passes a request to the handler. */
+/* Passes a request to the handler, unless its peer has left: a loop that is
+ * late reads both at once. Handlers that are not told of a disconnect respond
+ * at once, also to a peer that has only ended its output. */
 static void
 dispatch_request(struct bb_http_exchange *x)
 {
     struct bb_http_server *s = x->connection->server;
 
+    if (s->handler->disconnected != NULL &&
+        bb_stream_has_ended(x->connection->stream)) {
+        bb_counter_add(&peer_left_total, 1);
+        close_connection(x->connection, bb_stream_close,
+                         BB_HTTP_SERVER_PEER_CLOSED);
+        return;
+    }
     x->is_dispatched = true;
     s->handler->request(s->context, x);
 }
--- a/net/stream.c
+++ b/net/stream.c
@@ -443,16 +443,26 @@
     }
 }
 
+/* Returns whether the peer has closed or reset the connection, although
+ * received bytes may be unread. */
+bool
+bb_stream_has_ended(const struct bb_stream *s)
+{
+    struct pollfd p = {.events = POLLRDHUP};
+
+    return uv_fileno((const uv_handle_t *)&s->tcp, &p.fd) == 0 &&
+           poll(&p, 1, 0) > 0 &&
+           (p.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 /* Reports the end of a paused connection. libuv reports it only to a stream
  * that reads. */
 static void
 on_end_timer(uv_timer_t *t)
 {
     struct bb_stream *s = t->data;
-    struct pollfd p = {.events = POLLRDHUP};
 
-    if (uv_fileno((uv_handle_t *)&s->tcp, &p.fd) != 0 || poll(&p, 1, 0) <= 0 ||
-        (p.revents & (POLLRDHUP | POLLHUP | POLLERR)) == 0) {
+    if (!bb_stream_has_ended(s)) {
         return;
     }
     (void)uv_timer_stop(t);
--- a/tests/path/test_path.c
+++ b/tests/path/test_path.c
@@ -1,6 +1,8 @@
 /* Tests requests through entry and gate to scripted upstreams. Each comment
  * names the failure that a test guards against. */
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "common/clock.h"
 #include "common/counters.h"
@@ -493,6 +495,37 @@
     fixture_close(&b);
 }
 
+/* Guards against: a request that is sent to a gate although its caller left
+ * before it was read, as the loop was late. */
+static void
+test_caller_gone_before_late_loop(void)
+{
+    const struct bb_counter *tries =
+        bb_counter_find("baobab_entry_tries_total", NULL);
+    struct path_fixture b;
+    struct sockaddr_storage entry;
+    socklen_t size;
+    uint64_t tries_before;
+    int fd;
+
+    CU_ASSERT_PTR_NOT_NULL_FATAL(tries);
+    fixture_open(&b);
+    fixture_set_rules(&b, 5000, 1);
+    size = bb_address_to_sockaddr(&b.entry_address, &entry);
+    fd = socket(AF_INET, SOCK_STREAM, 0);
+    CU_ASSERT_EQUAL_FATAL(connect(fd, (struct sockaddr *)&entry, size), 0);
+    fixture_run(&b, 50);
+    tries_before = bb_counter_get(tries);
+    CU_ASSERT_TRUE(
+        write(fd, SAFE("a1") "\r\n", sizeof(SAFE("a1") "\r\n") - 1) > 0);
+    (void)close(fd);
+    fixture_run(&b, 100);
+    CU_ASSERT_EQUAL(bb_counter_get(tries), tries_before);
+    CU_ASSERT_EQUAL(count_requests(&b), 0);
+    CU_ASSERT_EQUAL(bb_entry_count_open(b.entry).connections, 0);
+    fixture_close(&b);
+}
+
 /* Guards against: a close of the caller that is not seen while its upload
  * waits in the queue of a gate, and is not read. */
 static void
@@ -1357,6 +1390,7 @@
     {"caller disconnects", test_caller_disconnects},
     {"caller disconnects behind many requests",
      test_pipelining_caller_disconnects},
+    {"caller gone before a late loop", test_caller_gone_before_late_loop},
     {"caller disconnects during a queued upload",
      test_uploading_caller_disconnects},
     {"timeout of the route", test_timeout},
