--- a/path/entry.c
+++ b/path/entry.c
@@ -659,10 +659,15 @@
 bb_entry_end_requests(struct bb_entry *n)
 {
     struct entry_request *rq;
+    uint64_t now_us = bb_clock_now_us();
 
     /* From the first one again, as a response may end other requests. */
     while ((rq = find_unanswered(n)) != NULL) {
-        if (rq->has_held_response) {
+        /* On a late loop, the timer of the request may be due as well. */
+        if (now_us >= rq->deadline_us) {
+            finish_at_deadline(rq);
+        }
+        else if (rq->has_held_response) {
             request_forward_held_response(rq);
         }
         else if (has_active_attempt(rq) || rq->may_have_run) {
--- a/tests/proxyd/test_stop.c
+++ b/tests/proxyd/test_stop.c
@@ -22,6 +22,10 @@
     READ_PART_BYTES = 16 * 1024,
     READ_PAUSE_MS = 20,
     READS_MAX = 2000,
+    /* From SIGTERM until shortly before the deadline of requests that come
+     * during the stop, and from then until the entry has responded to all. */
+    BEFORE_DEADLINE_MS = 4900,
+    LATE_LOOP_MS = 500,
     /* Longest time in which something that is not delayed happens. */
     SOON_MS = 2000
 };
@@ -450,6 +454,31 @@
     fixture_close(&f);
 }
 
+/* Guards against: a request whose deadline has passed, and that gets the
+ * response for the end of the grace time as the loop is late for both. */
+static void
+test_late_loop_at_deadline(void)
+{
+    struct fixture f;
+    struct peer *caller;
+
+    fixture_open(&f, 1, GRACE_S);
+    caller = peer_connect(&f, &f.entry_address, 0);
+    exchange(&f, caller, "a1");
+    process_signal(&f.proxy, SIGTERM);
+    CU_ASSERT_TRUE(fixture_wait_log(&f, &f.proxy, "host.stopping", SOON_MS));
+    peer_send(caller, SAFE("a2") "\r\n");
+    CU_ASSERT_PTR_NOT_NULL(upstream_wait_request(&f, "a2", SOON_MS));
+    /* From before the deadline until after the entry ends all requests. */
+    fixture_run(&f, BEFORE_DEADLINE_MS);
+    process_signal(&f.proxy, SIGSTOP);
+    fixture_run(&f, LATE_LOOP_MS);
+    process_signal(&f.proxy, SIGCONT);
+    CU_ASSERT_TRUE(peer_wait_text(&f, caller, "HTTP/1.1 504", SOON_MS));
+    check_clean_exit(&f);
+    fixture_close(&f);
+}
+
 /* Guards against: a request on a new connection that is dropped because the
  * process, whose loop is late, ends before it reads it. */
 static void
@@ -580,6 +609,7 @@
     {"request beyond the grace time", test_request_beyond_grace_time},
     {"late loop", test_late_loop},
     {"deadline during the stop", test_deadline_during_stop},
+    {"deadline on a late loop", test_late_loop_at_deadline},
     {"request being received", test_request_being_received},
     {"request that is never complete", test_request_never_complete},
     {"proposal with a late majority", test_proposal_with_late_majority},
