balance: the usual load of a gate replaces reports that are old

Cause: with 276 entry nodes a node hears of a gate every few seconds.

Change: a report older than 0.4 s is replaced by the moving average of the reports, which halves in 3 s; a request may wait at the first two gates for 30 and 40 % of the time to its target, as each further hop fills the links of 1.4 Mbit/s.

--- a/decide/balance.c
+++ b/decide/balance.c
@@ -32,22 +32,33 @@
                : 0;
 }
 
-/* Estimates how many requests a gate runs and queues: the reported load plus
+/* Returns the usual load of a gate, halved for each full
+ * BB_BALANCE_LOAD_HALF_LIFE_US of the last report's age. */
+static uint32_t
+usual_load(const struct bb_gate_view *v, uint64_t age_us)
+{
+    uint64_t halvings = age_us / BB_BALANCE_LOAD_HALF_LIFE_US;
+
+    if (halvings >= 31) {
+        return 0;
+    }
+    return ((v->usual_load_parts >> halvings) + BB_BALANCE_LOAD_PARTS / 2) /
+           BB_BALANCE_LOAD_PARTS;
+}
+
+/* Estimates how many requests a gate runs and queues: the reported load, or
+ * the usual one if the report is older than BB_BALANCE_REPORT_STALE_US, plus
  * this node's attempts since the report, and at least this node's attempts in
- * flight. A report older than BB_BALANCE_REPORT_STALE_US counts half. One
- * older than twice that, or none, is not halved but counts as at most half the
- * slots, so it may count more than a newer one. */
+ * flight. Load: hundreds of entry nodes, each of which hears of a gate only
+ * every few seconds. Without the usual load, the gates with the shortest
+ * response time would look free to all of them. */
 static uint32_t
 estimate_load(const struct bb_gate_view *v, uint64_t now_us)
 {
     uint32_t reported = v->running + v->queued;
 
-    if (v->reported_us == 0 ||
-        now_us - v->reported_us > 2 * BB_BALANCE_REPORT_STALE_US) {
-        reported = reported > v->slots / 2 ? v->slots / 2 : reported;
-    }
-    else if (now_us - v->reported_us > BB_BALANCE_REPORT_STALE_US) {
-        reported /= 2;
+    if (now_us - v->reported_us > BB_BALANCE_REPORT_STALE_US) {
+        reported = usual_load(v, now_us - v->reported_us);
     }
     reported += sent_since_report(v);
     return reported > v->in_flight ? reported : v->in_flight;
@@ -374,13 +385,18 @@
 }
 
 /* Updates a view with the load that a gate reported at now_us; slots 0 leaves
- * the slots as they are. */
+ * the slots as they are. The usual load moves half the way. */
 void
 bb_gate_view_update_load(struct bb_gate_view *v, uint32_t running,
                          uint32_t queued, uint32_t slots,
                          uint32_t mean_duration_us, uint32_t failure_permille,
                          uint64_t now_us)
 {
+    uint32_t load_parts = (running + queued) * BB_BALANCE_LOAD_PARTS;
+
+    v->usual_load_parts = v->reported_us == 0
+                              ? load_parts
+                              : (v->usual_load_parts + load_parts) / 2;
     v->running = running;
     v->queued = queued;
     if (slots != 0) {
--- a/include/decide/balance.h
+++ b/include/decide/balance.h
@@ -23,9 +23,14 @@
      * the target, and its failures stay below the permille. */
     BB_BALANCE_HEADROOM_TIME_PERCENT = 90,
     BB_BALANCE_HEADROOM_FAILURE_PERMILLE = 200,
-    /* Age from which a load report counts half. From twice this age on, it
-     * counts in full again, but as at most half the slots. */
+    /* Age from which a load report is replaced by the usual load, the moving
+     * average of the reports. */
     BB_BALANCE_REPORT_STALE_US = 400 * 1000,
+    /* Half-life of the usual load without a new report: a gate that gets no
+     * requests cannot show that it is free again. */
+    BB_BALANCE_LOAD_HALF_LIFE_US = 3000 * 1000,
+    /* The usual load is counted in such parts of a request. */
+    BB_BALANCE_LOAD_PARTS = 16,
     /* From this number of ready gates in the zone on, no request is sent to a
      * gate of another zone just to get its first report: with many hosts, such
      * requests alone are much traffic. */
@@ -50,8 +55,8 @@
     BB_BALANCE_HEDGE_MAX_LOAD_PERCENT = 75,
     /* Share of the time left until the target that a request may wait at the
      * first and at the second gate; from the third on there is no limit. */
-    BB_BALANCE_FIRST_WAIT_PERCENT = 20,
-    BB_BALANCE_SECOND_WAIT_PERCENT = 30,
+    BB_BALANCE_FIRST_WAIT_PERCENT = 30,
+    BB_BALANCE_SECOND_WAIT_PERCENT = 40,
     /* Full gates after which a request past its target is given up. */
     BB_BALANCE_LATE_FULL_MAX = 2,
     /* Another gate is worth a further attempt only if its expected wait is
@@ -79,6 +84,8 @@
     uint32_t slots;               /* announced or reported */
     uint32_t running;             /* reported */
     uint32_t queued;              /* reported */
+    uint32_t usual_load_parts;    /* moving average of running + queued, in
+                                     1/BB_BALANCE_LOAD_PARTS */
     uint32_t mean_duration_us;    /* reported mean duration; 0: unknown */
     uint32_t failure_permille;    /* reported failure rate */
     uint64_t reported_us;         /* time of the last report; 0: none yet */
--- a/tests/decide/test_load_decisions.c
+++ b/tests/decide/test_load_decisions.c
@@ -311,6 +311,7 @@
 /* Many entry nodes, each with its own views of many gates. */
 struct gate_simulation {
     struct bb_gate_queue queues[GATES];
+    uint32_t slowness_percent[GATES]; /* of the upstreams; 0: all alike */
     struct bb_gate_view views[ENTRY_NODES][GATES];
     struct routed_request {
         struct bb_gate_queue_item item;
@@ -347,6 +348,20 @@
     return n;
 }
 
+/* Starts the run of a request at its gate, which may be slower or faster than
+ * the others. */
+static void
+start_run(struct gate_simulation *s, struct routed_request *r, uint64_t now_us)
+{
+    uint32_t percent = s->slowness_percent[r->gate];
+
+    r->state = RUNNING;
+    if (percent != 0) {
+        r->duration_us = r->duration_us * percent / 100;
+    }
+    r->next_us = now_us + r->duration_us;
+}
+
 /* Sends a request to the gate that its entry node chooses. */
 static void
 send_attempt(struct gate_simulation *s, struct routed_request *r,
@@ -374,8 +389,7 @@
     switch (bb_gate_queue_arrive(&s->queues[r->gate], &r->item,
                                  choice.max_wait_us, now_us)) {
     case BB_GATE_QUEUE_RUN:
-        r->state = RUNNING;
-        r->next_us = now_us + r->duration_us;
+        start_run(s, r, now_us);
         s->views[r->entry][r->gate].in_flight++;
         break;
     case BB_GATE_QUEUE_WAIT:
@@ -406,6 +420,10 @@
             s->views[r->entry][r->gate].in_flight--;
             bb_gate_queue_finish(&s->queues[r->gate], 1, r->duration_us, true);
             report_load(s, r, now_us);
+            if (s->slowness_percent[r->gate] != 0) {
+                bb_gate_view_add_latency(&s->views[r->entry][r->gate], 0,
+                                         r->duration_us);
+            }
         }
     }
     for (uint32_t i = 0; i < GATES; i++) {
@@ -413,9 +431,12 @@
             bb_gate_queue_take_next(&s->queues[i], now_us, &id, &decision)) {
             struct routed_request *r = &s->requests[id];
 
-            r->state = decision == BB_GATE_QUEUE_RUN ? RUNNING : REFUSED;
-            r->next_us = now_us + r->duration_us;
-            if (decision != BB_GATE_QUEUE_RUN) {
+            if (decision == BB_GATE_QUEUE_RUN) {
+                start_run(s, r, now_us);
+            }
+            else {
+                r->state = REFUSED;
+                r->next_us = now_us;
                 s->views[r->entry][i].in_flight--;
             }
         }
@@ -480,6 +501,96 @@
     free(s);
 }
 
+/* Load: 85% of the capacity of 24 gates, a third of which are slower than the
+ * others by more than half, from 87 entry nodes. Guards against fast gates
+ * that look free to all nodes, as each hears of them only every few seconds,
+ * and refuse what all send them. */
+static void
+test_many_entry_nodes_unequal_gates(void)
+{
+    static const uint32_t slowness_percent[] = {70, 70, 160};
+    struct gate_simulation *s = calloc(1, sizeof(*s));
+    double capacity = 0;
+    uint64_t at_us = BB_US_PER_S;
+    uint32_t attempts = 0;
+    uint32_t on_time = 0;
+
+    random_state = 13;
+    for (uint32_t i = 0; i < GATES; i++) {
+        s->slowness_percent[i] = slowness_percent[i % 3];
+        capacity += (double)SLOTS * BB_US_PER_S / DURATION_US * 100 /
+                    s->slowness_percent[i];
+        bb_gate_queue_init(&s->queues[i], SLOTS);
+        s->queues[i].overall_mean_us = DURATION_US;
+        for (uint32_t k = 0; k < ENTRY_NODES; k++) {
+            s->views[k][i] = create_view(BB_GATE_SAME_ZONE);
+        }
+    }
+    for (uint32_t i = 0; i < ROUTED_REQUESTS; i++) {
+        at_us += exponential((uint64_t)(BB_US_PER_S / (0.85 * capacity)));
+        s->requests[i] = (struct routed_request){
+            .item = {.id = i,
+                     .priority = 1,
+                     .class_index = 1,
+                     .target_end_us = at_us + TARGET_US,
+                     .deadline_us = at_us + DEADLINE_US},
+            .next_us = at_us,
+            .duration_us = DURATION_US / 2 + exponential(DURATION_US / 2),
+            .entry = (uint32_t)(next_random() % ENTRY_NODES)};
+    }
+    for (uint64_t now_us = BB_US_PER_S;
+         now_us < at_us + 3 * (uint64_t)BB_US_PER_S; now_us += BB_US_PER_MS) {
+        advance_gates(s, now_us);
+        for (uint32_t i = 0; i < ROUTED_REQUESTS; i++) {
+            struct routed_request *r = &s->requests[i];
+
+            if (r->state == NOT_SENT && now_us >= r->next_us) {
+                send_attempt(s, r, now_us);
+            }
+        }
+    }
+    for (uint32_t i = 0; i < ROUTED_REQUESTS; i++) {
+        const struct routed_request *r = &s->requests[i];
+
+        attempts += r->attempts;
+        on_time += r->state == SERVED && r->next_us <= r->item.target_end_us;
+    }
+    printf("(%.2f attempts per request, %.3f on time) ",
+           (double)attempts / ROUTED_REQUESTS,
+           (double)on_time / ROUTED_REQUESTS);
+    CU_ASSERT_TRUE(attempts * 2 <= ROUTED_REQUESTS * 3);
+    CU_ASSERT_TRUE(on_time * 20 >= ROUTED_REQUESTS * 19);
+    free(s);
+}
+
+/* Guards against: a report that counts although it is old, a gate that was
+ * busy and is left out for good, and one whose load is not known at all after
+ * its last report is old. */
+static void
+test_usual_load(void)
+{
+    struct bb_gate_view v[] = {create_view(BB_GATE_SAME_ZONE),
+                               create_view(BB_GATE_SAME_ZONE)};
+    uint64_t now_us = 10 * (uint64_t)BB_US_PER_S;
+
+    random_state = 15;
+    v[0].mean_duration_us = DURATION_US / 2; /* the faster one */
+    for (uint32_t i = 0; i < 3; i++) {
+        bb_gate_view_update_load(&v[0], SLOTS, 4 * SLOTS, SLOTS,
+                                 DURATION_US / 2, 0, now_us);
+        bb_gate_view_update_load(&v[1], 1, 0, SLOTS, DURATION_US, 0, now_us);
+        now_us += BB_US_PER_S;
+    }
+    CU_ASSERT_EQUAL(pick_gate(v, 2, now_us), 1);
+    /* A single report does not change what is usual. */
+    bb_gate_view_update_load(&v[0], 0, 0, SLOTS, DURATION_US / 2, 0, now_us);
+    CU_ASSERT_EQUAL(pick_gate(v, 2, now_us), 0);
+    now_us += 2 * BB_BALANCE_REPORT_STALE_US;
+    CU_ASSERT_EQUAL(pick_gate(v, 2, now_us), 1);
+    now_us += 4 * (uint64_t)BB_BALANCE_LOAD_HALF_LIFE_US;
+    CU_ASSERT_EQUAL(pick_gate(v, 2, now_us), 0);
+}
+
 /* Load: 160% of the capacity of 24 gates, from callers that come back with
  * less time than a first request has. Guards against requests past their
  * target that are tried at one busy gate after the other until their deadline,
@@ -907,6 +1018,8 @@
      test_retries_do_not_overtake_new_requests},
     {"priorities", test_priorities},
     {"many entry nodes", test_many_entry_nodes},
+    {"many entry nodes, unequal gates", test_many_entry_nodes_unequal_gates},
+    {"usual load", test_usual_load},
     {"late requests at busy gates", test_late_requests_at_busy_gates},
     {"the nearest gate is preferred", test_nearest_gate_preferred},
     {"a far queue must be much shorter", test_far_queue_must_be_much_shorter},
