--- a/include/path/directory.h
+++ b/include/path/directory.h
@@ -32,7 +32,8 @@
 /* A service with its gates. */
 struct bb_service_record {
     char *name;
-    GPtrArray *gates; /* struct bb_gate_record, owned by the directory */
+    GPtrArray *gates;    /* struct bb_gate_record, owned by the directory */
+    bool had_ready_gate; /* since the start of this process */
     struct bb_retry_window retry_window; /* retries against the retry budget */
     struct bb_return_schedule returns;   /* of callers refused by a limit */
 };
--- a/include/path/entry.h
+++ b/include/path/entry.h
@@ -44,7 +44,20 @@
     /* Bounds of the expected wait that a refused caller gets as Retry-After,
      * before up to half of it is added at random. */
     BB_ENTRY_RETRY_AFTER_MIN_MS = 50,
-    BB_ENTRY_RETRY_AFTER_MAX_MS = 1000
+    BB_ENTRY_RETRY_AFTER_MAX_MS = 1000,
+    /* A new entry expects its first rules within this time, and gates that are
+     * ready within the second time after these. Until then a request waits for
+     * them, but no longer than the third time; they are looked for at the
+     * interval. */
+    BB_ENTRY_START_MS = 2000,
+    BB_ENTRY_START_GATES_MS = 300,
+    BB_ENTRY_START_WAIT_MS = 350,
+    BB_ENTRY_START_POLL_MS = 20,
+    /* Requests that wait so at the same time. */
+    BB_ENTRY_START_WAITING_MAX = 256,
+    /* Retry-After while there are no rules, before up to as much is added at
+     * random. */
+    BB_ENTRY_RULES_RETRY_AFTER_MS = 300
 };
 
 struct bb_entry;
--- a/path/directory.c
+++ b/path/directory.c
@@ -170,6 +170,7 @@
     g->view.warm_at_us =
         i->warmup_ms != 0 ? now_us + (uint64_t)i->warmup_ms * BB_US_PER_MS : 0;
     if (g->view.is_ready) {
+        bb_directory_get_service(d, g->service)->had_ready_gate = true;
         bb_gate_view_resume(&g->view);
     }
 }
--- a/path/entry.c
+++ b/path/entry.c
@@ -11,6 +11,7 @@
 #include "common/event_log.h"
 #include "common/histogram.h"
 #include "common/log.h"
+#include "common/random.h"
 #include "entry_internal.h"
 #include "net/buffers.h"
 
@@ -95,6 +96,9 @@
            "Requests answered with an unknown outcome");
 BB_COUNTER(deadline_total, "baobab_entry_late_total",
            "Requests that reached their deadline");
+BB_COUNTER(start_waits_total, "baobab_entry_start_waits_total",
+           "Requests that waited for a configuration or an upstream after the "
+           "start");
 BB_COUNTER(no_route_total, "baobab_entry_no_route_total",
            "Requests without a route");
 
@@ -242,6 +246,7 @@
 request_destroy(struct entry_request *rq, enum bb_event_class event_class)
 {
     bb_event_log_write(event_class, rq->log_lines->str, rq->log_lines->len);
+    rq->entry->waiting_count -= rq->is_waiting;
     g_queue_unlink(&rq->entry->requests, &rq->link);
     attempt_cancel(&rq->attempts[0]);
     attempt_cancel(&rq->attempts[1]);
@@ -355,6 +360,17 @@
     return route->services[best].service;
 }
 
+/* Responds to a request that came before the first rules. Callers return at
+ * random times, as those of all nodes that start together are refused. */
+static void
+refuse_without_rules(struct entry_request *rq)
+{
+    request_respond_locally(rq, 503, "no_configuration",
+                            BB_ENTRY_RULES_RETRY_AFTER_MS +
+                                (uint32_t)(bb_random_global_u64() %
+                                           BB_ENTRY_RULES_RETRY_AFTER_MS));
+}
+
 /* Finds the route and the service of a request. If there is none, responds to
  * the request, destroys it and returns false. */
 static bool
@@ -362,11 +378,6 @@
 {
     const char *host = bb_http_head_get(&rq->exchange->head, "Host");
 
-    if (n->rules == NULL) {
-        request_respond_locally(rq, 503, "no_configuration",
-                                BB_ENTRY_RETRY_AFTER_MIN_MS);
-        return false;
-    }
     rq->rules = bb_rules_ref(n->rules);
     rq->route = bb_rules_match(rq->rules, host != NULL ? host : "",
                                bb_http_head_target(&rq->exchange->head));
@@ -439,14 +450,134 @@
     bb_counter_add(&nested_total, rq->is_nested);
 }
 
-/* Accepts a request of a caller and starts its first attempt. */
+/* Routes a request and starts its first attempt. */
+static void
+start_request(struct entry_request *rq)
+{
+    struct bb_entry *n = rq->entry;
+    uint64_t now_us = bb_clock_now_us();
+
+    if (!find_route(n, rq)) {
+        return;
+    }
+    detect_nested(rq);
+    set_deadlines(rq);
+    bb_event_log_format_line(
+        rq->log_lines, "entry.routed", rq->id,
+        "\"route\":\"%s\",\"service\":\"%s\",\"version\":%" G_GUINT64_FORMAT
+        ",\"is_call\":%s,\"left_ms\":%d",
+        rq->route->name, rq->service->name, rq->rules->version,
+        rq->is_nested ? "true" : "false",
+        (int)(((int64_t)rq->deadline_us - (int64_t)now_us) / BB_US_PER_MS));
+    if (rq->deadline_us <= now_us) {
+        request_respond_locally(rq, 503, "late", 0);
+        return;
+    }
+    start_timer(rq, now_us);
+    /* A request nested in a retry counts as a retry itself. */
+    bb_retry_window_count_first_attempt(
+        &rq->service->retry_window, &n->settings.retry_limits,
+        rq->is_parent_retry ? PERMILLE : 0, now_us);
+    request_try_next_gate(rq);
+}
+
+/* Returns whether a service of a route has had a ready gate. */
+static bool
+had_ready_gate(const struct bb_entry *n, const struct bb_rules_route *route)
+{
+    for (uint32_t i = 0; i < route->service_count; i++) {
+        if (bb_directory_get_service(n->settings.directory,
+                                     route->services[i].service)
+                ->had_ready_gate) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Returns whether a request can be sent to a gate, or be refused for another
+ * reason than that this entry has just started. */
+static bool
+can_start(const struct entry_request *rq)
+{
+    const struct bb_entry *n = rq->entry;
+    const char *host = bb_http_head_get(&rq->exchange->head, "Host");
+    const struct bb_rules_route *route;
+
+    if (n->rules == NULL) {
+        return false;
+    }
+    route = bb_rules_match(n->rules, host != NULL ? host : "",
+                           bb_http_head_target(&rq->exchange->head));
+    return route == NULL || had_ready_gate(n, route);
+}
+
+/* Ends the wait of a request. */
+static void
+leave_waiting(struct entry_request *rq)
+{
+    rq->is_waiting = false;
+    rq->entry->waiting_count--;
+    (void)uv_timer_stop(&rq->timer);
+    if (rq->entry->rules == NULL) {
+        refuse_without_rules(rq);
+    }
+    else {
+        start_request(rq);
+    }
+}
+
+/* Ends the wait of a request if it can start or has waited long enough. */
+static void
+on_wait_timer(uv_timer_t *t)
+{
+    struct entry_request *rq = t->data;
+
+    if (bb_clock_now_us() >= MIN(rq->respond_by_us, rq->entry->start_end_us) ||
+        can_start(rq)) {
+        leave_waiting(rq);
+    }
+}
+
+/* Lets a request wait until it can start. */
+static void
+begin_waiting(struct entry_request *rq)
+{
+    uint64_t left_ms = BB_ENTRY_START_WAIT_MS;
+
+    (void)bb_http_head_get_u64(&rq->exchange->head,
+                               rq->entry->settings.dialect->fields.deadline_ms,
+                               &left_ms);
+    bb_counter_add(&start_waits_total, 1);
+    rq->is_waiting = true;
+    rq->entry->waiting_count++;
+    rq->deadline_us = UINT64_MAX; /* not known without a route */
+    rq->respond_by_us =
+        rq->exchange->received_us +
+        MIN(left_ms, (uint64_t)BB_ENTRY_START_WAIT_MS) * BB_US_PER_MS;
+    (void)uv_timer_start(&rq->timer, on_wait_timer, BB_ENTRY_START_POLL_MS,
+                         BB_ENTRY_START_POLL_MS);
+}
+
+/* Returns whether a request is to wait, as rules and gates are expected soon.
+ * Load: all nodes of the fleet start at once, and callers come before the
+ * configuration and before the upstreams are confirmed. */
+static bool
+should_wait(const struct entry_request *rq)
+{
+    const struct bb_entry *n = rq->entry;
+
+    return bb_clock_now_us() < n->start_end_us &&
+           n->waiting_count < BB_ENTRY_START_WAITING_MAX && !can_start(rq);
+}
+
+/* Accepts a request of a caller, and starts it once it can be. */
 static void
 on_request(void *context, struct bb_http_exchange *x)
 {
     struct bb_entry *n = context;
     struct entry_request *rq = g_new0(struct entry_request, 1);
     const char *id;
-    uint64_t now_us = bb_clock_now_us();
 
     bb_counter_add(&requests_total, 1);
     rq->entry = n;
@@ -477,28 +608,15 @@
                                 BB_ENTRY_RETRY_AFTER_MIN_MS);
         return;
     }
-    if (!find_route(n, rq)) {
-        return;
+    if (should_wait(rq)) {
+        begin_waiting(rq);
     }
-    detect_nested(rq);
-    set_deadlines(rq);
-    bb_event_log_format_line(
-        rq->log_lines, "entry.routed", rq->id,
-        "\"route\":\"%s\",\"service\":\"%s\",\"version\":%" G_GUINT64_FORMAT
-        ",\"is_call\":%s,\"left_ms\":%d",
-        rq->route->name, rq->service->name, rq->rules->version,
-        rq->is_nested ? "true" : "false",
-        (int)(((int64_t)rq->deadline_us - (int64_t)now_us) / BB_US_PER_MS));
-    if (rq->deadline_us <= now_us) {
-        request_respond_locally(rq, 503, "late", 0);
-        return;
+    else if (n->rules == NULL) {
+        refuse_without_rules(rq);
+    }
+    else {
+        start_request(rq);
     }
-    start_timer(rq, now_us);
-    /* A request nested in a retry counts as a retry itself. */
-    bb_retry_window_count_first_attempt(
-        &rq->service->retry_window, &n->settings.retry_limits,
-        rq->is_parent_retry ? PERMILLE : 0, now_us);
-    request_try_next_gate(rq);
 }
 
 /* Sends on more of a request body that is being streamed. */
@@ -586,6 +704,8 @@
 
     n->loop = loop;
     n->settings = *s;
+    n->start_end_us =
+        bb_clock_now_us() + (uint64_t)BB_ENTRY_START_MS * BB_US_PER_MS;
     n->pool = bb_connection_pool_create(loop, &pool);
     n->service_credits = g_hash_table_new_full(NULL, NULL, NULL, g_free);
     g_queue_init(&n->requests);
@@ -600,19 +720,44 @@
     return n;
 }
 
+/* Returns a request that waits although it can start, or NULL. */
+static struct entry_request *
+find_startable(const struct bb_entry *n)
+{
+    for (const GList *l = n->requests.head; l != NULL; l = l->next) {
+        struct entry_request *rq = l->data;
+
+        if (rq->is_waiting && can_start(rq)) {
+            return rq;
+        }
+    }
+    return NULL;
+}
+
 /* Replaces the rules and takes a reference; requests in progress keep those
  * that they started with. */
 void
 bb_entry_set_rules(struct bb_entry *n, struct bb_rules *r)
 {
     struct bb_http_server_limits limits = r->limits;
+    struct entry_request *rq;
 
+    if (n->rules == NULL) {
+        n->start_end_us =
+            MIN(n->start_end_us,
+                bb_clock_now_us() +
+                    (uint64_t)BB_ENTRY_START_GATES_MS * BB_US_PER_MS);
+    }
     bb_rules_unref(n->rules);
     n->rules = bb_rules_ref(r);
     g_hash_table_remove_all(n->service_credits);
     limits.request_head_max_bytes =
         MIN(limits.request_head_max_bytes, (uint32_t)BB_ENTRY_HEAD_MAX_BYTES);
     bb_http_server_set_limits(n->server, &limits);
+    /* From the first one again, as a response may end other requests. */
+    while ((rq = find_startable(n)) != NULL) {
+        leave_waiting(rq);
+    }
 }
 
 /* Closes connections of callers: sends `Connection: close` with each further
--- a/path/entry_internal.h
+++ b/path/entry_internal.h
@@ -33,7 +33,9 @@
      * BB_ENTRY_DEADLINE_MAX_MS if one stated none; taken as the deadline of a
      * caller's first request. */
     uint64_t longest_deadline_us[BB_RULES_GROUP_COUNT];
-    uint64_t end_us; /* latest deadline; 0: no limit */
+    uint64_t start_end_us;  /* requests may wait until then */
+    uint32_t waiting_count; /* requests whose is_waiting is set */
+    uint64_t end_us;        /* latest deadline; 0: no limit */
     bool is_stopping;
 };
 
@@ -88,6 +90,7 @@
     uint32_t full_count;
     uint32_t upstream_attempts; /* attempts that reached an upstream */
     uint32_t attempt_count;     /* attempts sent to gates */
+    bool is_waiting;        /* for rules or a ready gate, after the start */
     bool is_parent_retry;   /* the request that it is nested in is a retry */
     bool is_nested;         /* sent by the upstream of this host while it runs
                            another request, which holds a slot there */
--- a/tests/path/test_path.c
+++ b/tests/path/test_path.c
@@ -116,6 +116,49 @@
     fixture_close(&b);
 }
 
+/* Guards against: a request that is refused because it came shortly before the
+ * first configuration, one that gets no response as its caller has left
+ * meanwhile or the configuration does not come, and one that waits long after
+ * the start. */
+static void
+test_request_before_rules(void)
+{
+    struct path_fixture b;
+    struct client *c;
+    struct client *left;
+    bool is_refused;
+
+    fixture_open(&b);
+    c = client_open(&b);
+    left = client_open(&b);
+    client_send(c, SAFE("a1") "\r\n");
+    client_send(left, SAFE("a2") "\r\n");
+    fixture_run(&b, 50);
+    client_disconnect(left);
+    fixture_run(&b, 50);
+    fixture_set_rules(&b, 1000, 2);
+    fixture_run(&b, 50);
+    fixture_announce(&b, 0, false);
+    CU_ASSERT_TRUE(fixture_wait_text(&b, c, "HTTP/1.1 200", 500));
+    CU_ASSERT_EQUAL(count_requests(&b), 1);
+    client_free(c);
+    client_free(left);
+    fixture_close(&b);
+
+    fixture_open(&b);
+    c = client_open(&b);
+    client_send(c, SAFE("a3") "\r\n");
+    CU_ASSERT_TRUE(fixture_wait_text(&b, c, "no_configuration", 500));
+    CU_ASSERT_TRUE(fixture_wait_text(&b, c, "Retry-After: 0.", 500));
+    fixture_run(&b, BB_ENTRY_START_MS);
+    client_send(c, SAFE("a4") "\r\n");
+    fixture_run(&b, BB_ENTRY_START_WAIT_MS / 3);
+    is_refused = client_count(c, "no_configuration") == 2;
+    CU_ASSERT_TRUE(is_refused);
+    client_free(c);
+    fixture_close(&b);
+}
+
 /* Guards against: request smuggling by ambiguous framing or hosts, and
  * malformed requests that are passed on. */
 static void
@@ -1379,6 +1422,7 @@
     {"forwarding", test_forwarding},
     {"ignored upgrade", test_ignored_upgrade},
     {"without rules", test_without_rules},
+    {"request before the rules", test_request_before_rules},
     {"smuggled and malformed requests", test_malformed_requests},
     {"response that is reset", test_reset_response},
     {"response without a length", test_unframed_response},
