fleet: encode records once for all nodes; the state before the list of hosts

A node that has a configuration closes its connection as soon as the list of hosts names a nearer one, so what sent it behind the list was never read.

Change: a message is encoded once and sent as a frame on many connections; the list of all records is kept until the next batch of changes. The list of hosts is sent last.

--- a/fleet/core.c
+++ b/fleet/core.c
@@ -503,6 +503,7 @@
     g_ptr_array_free(c->links, TRUE);
     bb_content_store_destroy(c->content_store);
     bb_instance_table_destroy(c->instances);
+    bb_fleet_frame_destroy(c->instances_frame);
     bb_replicated_state_clear(&c->committed_state);
     bb_compressed_content_clear(&c->compressed_content);
     g_free(c->self.ip);
--- a/fleet/core_instances.c
+++ b/fleet/core_instances.c
@@ -22,28 +22,46 @@
     }
 }
 
-/* Sends instance records, at most FLEET_INSTANCES_MAX. Sent even if
- * there are none, as a node waits for the first such message. */
-static void
-send_instance_list(struct core_link *l, const struct instance_list *list)
+/* Encodes instance records, at most FLEET_INSTANCES_MAX. */
+static struct bb_fleet_frame *
+encode_instances(const struct instance_list *list)
 {
     fleet_message m = {.kind = FLEET_INSTANCES};
 
     m.fleet_message_u.instances.instances_val = list->items;
     m.fleet_message_u.instances.instances_len = list->count;
-    (void)bb_fleet_connection_send(l->connection, &m);
+    return bb_fleet_frame_create(&m);
 }
 
-/* Sends all known instance records. */
-void
-core_send_instances(struct core_link *l)
+/* Encodes all known instance records. */
+static struct bb_fleet_frame *
+encode_all_instances(struct bb_core *c)
 {
-    uint32_t n = bb_instance_table_count(l->core->instances);
+    uint32_t n = bb_instance_table_count(c->instances);
     struct instance_list list = {.items = g_new(fleet_instance, n + 1)};
+    struct bb_fleet_frame *frame;
 
-    bb_instance_table_foreach(l->core->instances, append_instance, &list);
-    send_instance_list(l, &list);
+    bb_instance_table_foreach(c->instances, append_instance, &list);
+    frame = encode_instances(&list);
     g_free(list.items);
+    return frame;
+}
+
+/* Sends all known instance records, even if there are none, as a node waits
+ * for the first such message. They are encoded once for all nodes that connect
+ * before the next batch of changes, which those get as well: when the nodes of
+ * a zone return together, encoding them for each would keep the last ones
+ * waiting. */
+void
+core_send_instances(struct core_link *l)
+{
+    struct bb_core *c = l->core;
+
+    if (c->instances_frame == NULL || l->kind != CORE_LINK_NODE) {
+        bb_fleet_frame_destroy(c->instances_frame);
+        c->instances_frame = encode_all_instances(c);
+    }
+    (void)bb_fleet_connection_send_frame(l->connection, c->instances_frame);
 }
 
 /* Lists the records of changed gates, and empties the set. The caller frees
@@ -75,8 +93,12 @@
         take_changed_instances(c, c->changed_for_nodes);
     struct instance_list for_hosts =
         take_changed_instances(c, c->changed_for_hosts);
+    struct bb_fleet_frame *node_frame = encode_instances(&for_nodes);
+    struct bb_fleet_frame *host_frame = encode_instances(&for_hosts);
 
     c->batch_due_us = 0;
+    bb_fleet_frame_destroy(c->instances_frame);
+    c->instances_frame = NULL;
     for (guint i = 0; i < c->links->len; i++) {
         struct core_link *l = g_ptr_array_index(c->links, i);
         /* Two connections lead to each control host; one of them is used. */
@@ -85,12 +107,14 @@
 
         if (l->kind == CORE_LINK_NODE && l->state_due_us == 0 &&
             for_nodes.count > 0) {
-            send_instance_list(l, &for_nodes);
+            (void)bb_fleet_connection_send_frame(l->connection, node_frame);
         }
         else if (is_to_host && for_hosts.count > 0) {
-            send_instance_list(l, &for_hosts);
+            (void)bb_fleet_connection_send_frame(l->connection, host_frame);
         }
     }
+    bb_fleet_frame_destroy(node_frame);
+    bb_fleet_frame_destroy(host_frame);
     g_free(for_nodes.items);
     g_free(for_hosts.items);
 }
--- a/fleet/core_internal.h
+++ b/fleet/core_internal.h
@@ -86,6 +86,9 @@
      * yet to get. */
     GHashTable *changed_for_nodes;
     GHashTable *changed_for_hosts;
+    /* All records, as sent to nodes that connect; what has changed since is in
+     * the batch that is due. NULL: to be encoded. */
+    struct bb_fleet_frame *instances_frame;
     uint64_t batch_due_us;         /* of these; 0: there are none */
     uint64_t instances_changed_us; /* last change of `instances` */
     uint64_t digest_due_us;
--- a/fleet/core_peers.c
+++ b/fleet/core_peers.c
@@ -664,7 +664,6 @@
     bb_fleet_connection_set_distance(l->connection,
                                      distance_between(&c->self, &h->host));
     send_hello(l);
-    send_hosts(l);
     if (h->content_id == 0 && has_nearer_host(c, &h->host)) {
         l->state_due_us = bb_clock_now_us() +
                           (uint64_t)BB_CORE_REDIRECT_WAIT_MS * BB_US_PER_MS;
@@ -676,6 +675,8 @@
     else {
         send_node_state(l);
     }
+    /* Last, as the node may leave for a nearer host once it has the list. */
+    send_hosts(l);
     core_update_connected_peers(c);
 }
 
--- a/fleet/frame.c
+++ b/fleet/frame.c
@@ -258,68 +258,109 @@
     f->distance = distance;
 }
 
-/* Writes a frame and counts its bytes. */
-static void
-write_frame(struct bb_fleet_connection *f, fleet_message_kind kind,
-            uint32_t prefix, const void *data, size_t size_bytes)
+/* Creates a frame of encoded bytes behind their prefix. */
+static struct bb_fleet_frame *
+create_frame(fleet_message_kind kind, uint32_t prefix, const void *data,
+             size_t size_bytes)
 {
+    struct bb_fleet_frame *frame = g_new0(struct bb_fleet_frame, 1);
     uint32_t network_prefix = htonl(prefix);
-    char *frame = g_malloc(LENGTH_PREFIX_BYTES + size_bytes);
-
-    memcpy(frame, &network_prefix, LENGTH_PREFIX_BYTES);
-    memcpy(frame + LENGTH_PREFIX_BYTES, data, size_bytes);
-    bb_stream_write(f->stream, frame, LENGTH_PREFIX_BYTES + size_bytes);
-    bb_counter_add(&sent_bytes[kind][f->distance],
-                   LENGTH_PREFIX_BYTES + size_bytes);
-    g_free(frame);
+
+    frame->kind = kind;
+    frame->bytes =
+        g_byte_array_sized_new((guint)(LENGTH_PREFIX_BYTES + size_bytes));
+    g_byte_array_append(frame->bytes, (const guint8 *)&network_prefix,
+                        LENGTH_PREFIX_BYTES);
+    g_byte_array_append(frame->bytes, data, (guint)size_bytes);
+    return frame;
 }
 
-/* Compresses a message that repeats itself and writes it. Returns false if it
- * should be sent as it is. */
-static bool
-write_compressed(struct bb_fleet_connection *f, fleet_message_kind kind,
-                 const void *data, size_t size_bytes)
+/* Creates a frame of a message that repeats itself, compressed. Returns NULL
+ * if it should be sent as it is. */
+static struct bb_fleet_frame *
+create_compressed_frame(fleet_message_kind kind, const void *data,
+                        size_t size_bytes)
 {
     size_t bound = ZSTD_compressBound(size_bytes);
+    struct bb_fleet_frame *frame = NULL;
     void *compressed;
     size_t n;
-    bool is_smaller;
 
     if (kind != FLEET_INSTANCES || size_bytes < COMPRESS_MIN_BYTES) {
-        return false;
+        return NULL;
     }
     compressed = g_malloc(bound);
     n = ZSTD_compress(compressed, bound, data, size_bytes, COMPRESSION_LEVEL);
-    is_smaller = !ZSTD_isError(n) && n < size_bytes;
-    if (is_smaller) {
-        write_frame(f, kind, (uint32_t)n | COMPRESSED_FLAG, compressed, n);
+    if (!ZSTD_isError(n) && n < size_bytes) {
+        frame =
+            create_frame(kind, (uint32_t)n | COMPRESSED_FLAG, compressed, n);
     }
     g_free(compressed);
-    return is_smaller;
+    return frame;
 }
 
-/* Encodes and sends a message. Returns false if it cannot be encoded, is
- * longer than BB_FLEET_MESSAGE_MAX_BYTES, or the connection is closed. */
-bool
-bb_fleet_connection_send(struct bb_fleet_connection *f, fleet_message *m)
+/* Encodes a message. Returns NULL if it cannot be encoded or is longer than
+ * BB_FLEET_MESSAGE_MAX_BYTES. */
+struct bb_fleet_frame *
+bb_fleet_frame_create(fleet_message *m)
 {
     u_long size = xdr_sizeof((xdrproc_t)xdr_fleet_message, m);
+    struct bb_fleet_frame *frame = NULL;
     char *data;
     XDR x;
-    bool is_valid;
 
-    if (f->is_closed || size == 0 || size > BB_FLEET_MESSAGE_MAX_BYTES) {
-        return false;
+    if (size == 0 || size > BB_FLEET_MESSAGE_MAX_BYTES) {
+        return NULL;
     }
     data = g_malloc(size);
     xdrmem_create(&x, data, (u_int)size, XDR_ENCODE);
-    is_valid = xdr_fleet_message(&x, m);
-    xdr_destroy(&x);
-    if (is_valid && !write_compressed(f, m->kind, data, size)) {
-        write_frame(f, m->kind, (uint32_t)size, data, size);
+    if (xdr_fleet_message(&x, m)) {
+        frame = create_compressed_frame(m->kind, data, size);
+        if (frame == NULL) {
+            frame = create_frame(m->kind, (uint32_t)size, data, size);
+        }
     }
+    xdr_destroy(&x);
     g_free(data);
-    return is_valid;
+    return frame;
+}
+
+/* Frees a frame; NULL is allowed. */
+void
+bb_fleet_frame_destroy(struct bb_fleet_frame *frame)
+{
+    if (frame != NULL) {
+        g_byte_array_free(frame->bytes, TRUE);
+        g_free(frame);
+    }
+}
+
+/* Sends a frame, which the caller keeps, and counts its bytes. Returns false
+ * if the connection is closed or the frame is NULL. */
+bool
+bb_fleet_connection_send_frame(struct bb_fleet_connection *f,
+                               const struct bb_fleet_frame *frame)
+{
+    if (f->is_closed || frame == NULL) {
+        return false;
+    }
+    bb_stream_write(f->stream, (const char *)frame->bytes->data,
+                    frame->bytes->len);
+    bb_counter_add(&sent_bytes[frame->kind][f->distance], frame->bytes->len);
+    return true;
+}
+
+/* Encodes and sends a message. Returns false if it cannot be encoded, is
+ * longer than BB_FLEET_MESSAGE_MAX_BYTES, or the connection is closed. */
+bool
+bb_fleet_connection_send(struct bb_fleet_connection *f, fleet_message *m)
+{
+    struct bb_fleet_frame *frame =
+        f->is_closed ? NULL : bb_fleet_frame_create(m);
+    bool is_sent = bb_fleet_connection_send_frame(f, frame);
+
+    bb_fleet_frame_destroy(frame);
+    return is_sent;
 }
 
 /* Closes and frees the connection; no event follows. NULL is allowed. */
--- a/include/fleet/frame.h
+++ b/include/fleet/frame.h
@@ -2,6 +2,7 @@
 #ifndef BB_FLEET_FRAME_H
 #define BB_FLEET_FRAME_H
 
+#include <glib.h>
 #include <stdbool.h>
 
 #include "fleet.h"
@@ -21,6 +22,12 @@
     BB_FLEET_DISTANCE_COUNT
 };
 
+/* An encoded message, which may be sent on many connections. */
+struct bb_fleet_frame {
+    fleet_message_kind kind;
+    GByteArray *bytes; /* with the length in front */
+};
+
 struct bb_fleet_connection;
 
 struct bb_fleet_connection_events {
@@ -43,6 +50,10 @@
                            void *context);
 void bb_fleet_connection_set_distance(struct bb_fleet_connection *f,
                                       enum bb_fleet_distance distance);
+struct bb_fleet_frame *bb_fleet_frame_create(fleet_message *m);
+void bb_fleet_frame_destroy(struct bb_fleet_frame *frame);
+bool bb_fleet_connection_send_frame(struct bb_fleet_connection *f,
+                                    const struct bb_fleet_frame *frame);
 bool bb_fleet_connection_send(struct bb_fleet_connection *f, fleet_message *m);
 void bb_fleet_connection_close(struct bb_fleet_connection *f);
 
--- a/tests/fleet/test_fleet.c
+++ b/tests/fleet/test_fleet.c
@@ -268,6 +268,8 @@
     uint32_t instance_messages;
     uint32_t digests;
     bool has_update;
+    bool has_hosts;
+    bool had_update_before_hosts;
 };
 
 static void
@@ -296,6 +298,9 @@
     h->instance_messages += m->kind == FLEET_INSTANCES;
     h->digests += m->kind == FLEET_DIGEST;
     h->has_update = h->has_update || m->kind == FLEET_UPDATE;
+    h->had_update_before_hosts =
+        h->had_update_before_hosts || (h->has_update && !h->has_hosts);
+    h->has_hosts = h->has_hosts || m->kind == FLEET_HOSTS;
 }
 
 static void
@@ -1222,6 +1227,8 @@
     fake_peer_open(&node, &c, 0, "127.0.7.50", "z9");
     CU_ASSERT_TRUE(
         run_loop(&c, &node.has_update, BB_CORE_REDIRECT_WAIT_MS / 2));
+    /* A node reads nothing more once it knows of a nearer host. */
+    CU_ASSERT_TRUE(node.had_update_before_hosts);
     bb_fleet_connection_close(near.connection);
     bb_fleet_connection_close(node.connection);
     destroy_cluster(&c);
@@ -1269,6 +1276,47 @@
     destroy_cluster(&c);
 }
 
+/* Guards against: a record that a node misses as it changes between the list
+ * that the node gets when it connects and the next batch of changes. */
+static void
+test_records_while_nodes_connect(void)
+{
+    enum { NODES = 6 };
+    struct cluster c;
+    struct node nodes[NODES] = {{0}};
+    struct bb_agent *agents[NODES];
+    char gates[NODES][8];
+
+    create_cluster(&c, SEEDS);
+    run_loop(&c, NULL, 500);
+    for (uint32_t i = 0; i < NODES; i++) {
+        fleet_instance own = {.gate_address = gates[i],
+                              .zone = (char *)"z0",
+                              .region = (char *)"r",
+                              .service = (char *)"s",
+                              .id = gates[i],
+                              .state = BB_INSTANCE_READY,
+                              .slots = 3};
+        struct bb_agent_settings s = {.ip = "127.0.7.50",
+                                      .zone = "z0",
+                                      .region = "r",
+                                      .gate_address = gates[i],
+                                      .control_port = c.port,
+                                      .seeds = seed_addresses(&c)};
+
+        (void)snprintf(gates[i], sizeof(gates[i]), "g:%u", i);
+        agents[i] = bb_agent_create(&c.loop, &s, &agent_events, &nodes[i]);
+        bb_agent_announce(agents[i], &own);
+        run_loop(&c, NULL, BB_CORE_INSTANCE_BATCH_MS / 4);
+    }
+    run_loop(&c, NULL, BB_CORE_DIGEST_QUIET_MS / 2);
+    for (uint32_t i = 0; i < NODES; i++) {
+        CU_ASSERT_EQUAL(nodes[i].instances, NODES - 1);
+        bb_agent_destroy(agents[i]);
+    }
+    destroy_cluster(&c);
+}
+
 /* Guards against: a record that a control host has missed and never gets, as
  * the others do not pass it on. */
 static void
@@ -1316,6 +1364,7 @@
     {"node with a configuration is not sent on",
      test_node_with_configuration_is_not_sent_on},
     {"records are sent once", test_records_are_sent_once},
+    {"records while nodes connect", test_records_while_nodes_connect},
     {"missed records", test_missed_records},
     {"older update", test_older_update},
 };
