--- a/tests/decide/test_load_decisions.c
+++ b/tests/decide/test_load_decisions.c
@@ -443,6 +443,36 @@
     }
 }
 
+/* Prepares the gates, and all views of them as after a first report. */
+static void
+init_gates(struct gate_simulation *s)
+{
+    for (uint32_t i = 0; i < GATES; i++) {
+        bb_gate_queue_init(&s->queues[i], SLOTS);
+        s->queues[i].overall_mean_us = DURATION_US;
+        for (uint32_t k = 0; k < ENTRY_NODES; k++) {
+            s->views[k][i] = create_view(BB_GATE_SAME_ZONE);
+        }
+    }
+}
+
+/* Sends the requests and runs them, in steps of a millisecond. */
+static void
+run_gate_simulation(struct gate_simulation *s, uint64_t end_us)
+{
+    for (uint64_t now_us = BB_US_PER_S; now_us < end_us;
+         now_us += BB_US_PER_MS) {
+        advance_gates(s, now_us);
+        for (uint32_t i = 0; i < ROUTED_REQUESTS; i++) {
+            struct routed_request *r = &s->requests[i];
+
+            if (r->state == NOT_SENT && now_us >= r->next_us) {
+                send_attempt(s, r, now_us);
+            }
+        }
+    }
+}
+
 /* Load: 85% of the capacity of 24 gates, from 87 entry nodes, so that each
  * node gets a report of a gate only every few seconds. Guards against a search
  * for free slots by trial, which fills the links with refused requests, and
@@ -457,13 +487,7 @@
     uint32_t on_time = 0;
 
     random_state = 9;
-    for (uint32_t i = 0; i < GATES; i++) {
-        bb_gate_queue_init(&s->queues[i], SLOTS);
-        s->queues[i].overall_mean_us = DURATION_US;
-        for (uint32_t k = 0; k < ENTRY_NODES; k++) {
-            s->views[k][i] = create_view(BB_GATE_SAME_ZONE);
-        }
-    }
+    init_gates(s);
     for (uint32_t i = 0; i < ROUTED_REQUESTS; i++) {
         at_us += exponential((uint64_t)(BB_US_PER_S / (0.85 * capacity)));
         s->requests[i] = (struct routed_request){
@@ -476,17 +500,7 @@
             .duration_us = DURATION_US / 2 + exponential(DURATION_US / 2),
             .entry = (uint32_t)(next_random() % ENTRY_NODES)};
     }
-    for (uint64_t now_us = BB_US_PER_S;
-         now_us < at_us + 3 * (uint64_t)BB_US_PER_S; now_us += BB_US_PER_MS) {
-        advance_gates(s, now_us);
-        for (uint32_t i = 0; i < ROUTED_REQUESTS; i++) {
-            struct routed_request *r = &s->requests[i];
-
-            if (r->state == NOT_SENT && now_us >= r->next_us) {
-                send_attempt(s, r, now_us);
-            }
-        }
-    }
+    run_gate_simulation(s, at_us + 3 * (uint64_t)BB_US_PER_S);
     for (uint32_t i = 0; i < ROUTED_REQUESTS; i++) {
         const struct routed_request *r = &s->requests[i];
 
@@ -520,12 +534,8 @@
         s->slowness_percent[i] = slowness_percent[i % 3];
         capacity += (double)SLOTS * BB_US_PER_S / DURATION_US * 100 /
                     s->slowness_percent[i];
-        bb_gate_queue_init(&s->queues[i], SLOTS);
-        s->queues[i].overall_mean_us = DURATION_US;
-        for (uint32_t k = 0; k < ENTRY_NODES; k++) {
-            s->views[k][i] = create_view(BB_GATE_SAME_ZONE);
-        }
     }
+    init_gates(s);
     for (uint32_t i = 0; i < ROUTED_REQUESTS; i++) {
         at_us += exponential((uint64_t)(BB_US_PER_S / (0.85 * capacity)));
         s->requests[i] = (struct routed_request){
@@ -538,17 +548,7 @@
             .duration_us = DURATION_US / 2 + exponential(DURATION_US / 2),
             .entry = (uint32_t)(next_random() % ENTRY_NODES)};
     }
-    for (uint64_t now_us = BB_US_PER_S;
-         now_us < at_us + 3 * (uint64_t)BB_US_PER_S; now_us += BB_US_PER_MS) {
-        advance_gates(s, now_us);
-        for (uint32_t i = 0; i < ROUTED_REQUESTS; i++) {
-            struct routed_request *r = &s->requests[i];
-
-            if (r->state == NOT_SENT && now_us >= r->next_us) {
-                send_attempt(s, r, now_us);
-            }
-        }
-    }
+    run_gate_simulation(s, at_us + 3 * (uint64_t)BB_US_PER_S);
     for (uint32_t i = 0; i < ROUTED_REQUESTS; i++) {
         const struct routed_request *r = &s->requests[i];
 
@@ -606,13 +606,7 @@
     uint32_t on_time = 0;
 
     random_state = 11;
-    for (uint32_t i = 0; i < GATES; i++) {
-        bb_gate_queue_init(&s->queues[i], SLOTS);
-        s->queues[i].overall_mean_us = DURATION_US;
-        for (uint32_t k = 0; k < ENTRY_NODES; k++) {
-            s->views[k][i] = create_view(BB_GATE_SAME_ZONE);
-        }
-    }
+    init_gates(s);
     for (uint32_t i = 0; i < ROUTED_REQUESTS; i++) {
         bool is_late = i % 3 == 0;
 
@@ -627,17 +621,7 @@
             .duration_us = DURATION_US / 2 + exponential(DURATION_US / 2),
             .entry = (uint32_t)(next_random() % ENTRY_NODES)};
     }
-    for (uint64_t now_us = BB_US_PER_S;
-         now_us < at_us + 3 * (uint64_t)BB_US_PER_S; now_us += BB_US_PER_MS) {
-        advance_gates(s, now_us);
-        for (uint32_t i = 0; i < ROUTED_REQUESTS; i++) {
-            struct routed_request *r = &s->requests[i];
-
-            if (r->state == NOT_SENT && now_us >= r->next_us) {
-                send_attempt(s, r, now_us);
-            }
-        }
-    }
+    run_gate_simulation(s, at_us + 3 * (uint64_t)BB_US_PER_S);
     for (uint32_t i = 0; i < ROUTED_REQUESTS; i++) {
         const struct routed_request *r = &s->requests[i];
         bool is_late = i % 3 == 0;
