--- a/path/entry.c
+++ b/path/entry.c
@@ -519,6 +519,9 @@
     rq->is_waiting = false;
     rq->entry->waiting_count--;
     (void)uv_timer_stop(&rq->timer);
+    if (rq->exchange->is_paused) {
+        bb_http_exchange_resume(rq->exchange);
+    }
     if (rq->entry->rules == NULL) {
         refuse_without_rules(rq);
     }
@@ -549,6 +552,9 @@
                                rq->entry->settings.dialect->fields.deadline_ms,
                                &left_ms);
     bb_counter_add(&start_waits_total, 1);
+    if (!rq->exchange->is_body_complete) {
+        bb_http_exchange_pause(rq->exchange); /* until it starts */
+    }
     rq->is_waiting = true;
     rq->entry->waiting_count++;
     rq->deadline_us = UINT64_MAX; /* not known without a route */
--- a/tests/path/test_path.c
+++ b/tests/path/test_path.c
@@ -159,6 +159,36 @@
     fixture_close(&b);
 }
 
+/* Guards against: the bodies of uploads that wait for the first configuration,
+ * kept whole in memory. */
+static void
+test_upload_before_rules(void)
+{
+    enum { BODY_BYTES = 900000, HELD_MAX_BYTES = 600000 };
+    struct path_fixture b;
+    struct client *c;
+    char *body = g_malloc0(BODY_BYTES + 1);
+    const struct bb_counter *held;
+
+    memset(body, 'x', BODY_BYTES);
+    fixture_open(&b);
+    c = client_open(&b);
+    client_send(c, "POST /safe/ HTTP/1.1\r\nHost: h\r\nT-Id: a1\r\n"
+                   "Content-Length: 900000\r\n\r\n");
+    client_send(c, body);
+    fixture_run(&b, 100);
+    held = bb_counter_find("baobab_buffered_bytes", NULL);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(held);
+    CU_ASSERT_TRUE(bb_counter_get(held) < HELD_MAX_BYTES);
+    fixture_set_rules(&b, 1000, 2);
+    fixture_announce(&b, 0, false);
+    CU_ASSERT_TRUE(fixture_wait_text(&b, c, "HTTP/1.1 200", 1000));
+    CU_ASSERT_EQUAL(b.upstreams[0].last_body->len, BODY_BYTES);
+    client_free(c);
+    g_free(body);
+    fixture_close(&b);
+}
+
 /* Guards against: request smuggling by ambiguous framing or hosts, and
  * malformed requests that are passed on. */
 static void
@@ -1423,6 +1453,7 @@
     {"ignored upgrade", test_ignored_upgrade},
     {"without rules", test_without_rules},
     {"request before the rules", test_request_before_rules},
+    {"upload before the rules", test_upload_before_rules},
     {"smuggled and malformed requests", test_malformed_requests},
     {"response that is reset", test_reset_response},
     {"response without a length", test_unframed_response},
