--- a/review/stand-ins-2/mesh.py
+++ b/review/stand-ins-2/mesh.py
@@ -405,6 +405,12 @@
                                             seeds, zone))
         return self.cores[-1]
 
+    def silence(self, i):
+        """Makes connections to a core machine that has ended hang. Returns
+        what has to be closed."""
+        return [SilentAddress(self.core_ips[i], self.ports[name])
+                for name in ("p0", "p1", "control")]
+
     def routes(self):
         """One host; for each service a safe and an unsafe route."""
         return [{"host": "h.example", "paths": [
