decide/rollout: totals of each slot, one comparison for both verdicts

Cause: each decision added up the slots of all upstreams again, for each of four windows, each route, and once more for the failures and for the durations. A profile of test_rollout had half of its time there.

Change: the sums over all upstreams are kept beside those of each one, and a window is compared once for both verdicts. The sums are whole numbers below 2^24, so their order does not matter. No test, seed or limit is changed.

Result: test_rollout_open prints the same lines as before (100 lines, only the time differs). test_rollout, aarch64: 19.6 s -> 12.5 s; with the thread sanitizer 303 s -> 192 s, alone on the machine.

--- a/decide/rollout_verdict.c
+++ b/decide/rollout_verdict.c
@@ -86,6 +86,8 @@
 {
     for (uint32_t v = 0; v < 2; v++) {
         for (uint32_t route = 0; route < r->route_count; route++) {
+            memset(&r->totals[v][route].slots[index], 0,
+                   sizeof(struct bb_rollout_sums));
             for (uint32_t u = 0; u < r->upstream_count[v]; u++) {
                 memset(&r->cells[v][route][u].slots[index], 0,
                        sizeof(struct bb_rollout_sums));
@@ -204,6 +206,7 @@
     struct bb_rollout_upstream *u;
     uint32_t route;
     uint32_t upstream;
+    uint32_t slot;
 
     advance_slots(r, now_us);
     if (e->version == BB_ROLLOUT_BASELINE &&
@@ -223,20 +226,27 @@
     u->first_us = u->first_us == 0 ? now_us : u->first_us;
     add_durations(&s, e,
                   e->version == BB_ROLLOUT_TARGET && is_cold(r, u, now_us));
-    add_sums(&r->cells[e->version][route][upstream].slots[slot_index(r, 0)],
-             &s);
+    slot = slot_index(r, 0);
+    add_sums(&r->cells[e->version][route][upstream].slots[slot], &s);
+    add_sums(&r->totals[e->version][route].slots[slot], &s);
 }
 
-/* Returns the sums of a route and version in one slot, over the upstreams that
- * are selected. */
+/* Returns the sums of a route and version in one slot: of the upstream `only`,
+ * of all but `without`, or of all if both are ALL. */
 static struct bb_rollout_sums
 sum_slot(const struct bb_rollout *r, uint32_t version, uint32_t route,
          uint32_t slot, int only, int without)
 {
     struct bb_rollout_sums s = {0};
 
+    if (only != ALL) {
+        return r->cells[version][route][only].slots[slot];
+    }
+    if (without == ALL) {
+        return r->totals[version][route].slots[slot];
+    }
     for (uint32_t u = 0; u < r->upstream_count[version]; u++) {
-        if ((only == ALL || (int)u == only) && (int)u != without) {
+        if ((int)u != without) {
             add_sums(&s, &r->cells[version][route][u].slots[slot]);
         }
     }
@@ -421,7 +431,8 @@
            c->failures >= SINGLE_FAILURES_MIN;
 }
 
-/* Returns whether the target fails more often than the baseline. */
+/* Returns whether the target fails more often than the baseline, given their
+ * comparison. Sets its `upstreams` if so. */
 static bool
 is_failing(const struct bb_rollout *r, const struct selection *s,
            struct comparison *c)
@@ -429,7 +440,6 @@
     struct selection others = *s;
     struct comparison rest;
 
-    *c = compare(r, s);
     if (c->failures < FAILURES_MIN ||
         failure_evidence(c) < (c->baseline_responses > 0 ? FAILURES_EVIDENCE
                                                          : STRONG_EVIDENCE)) {
@@ -471,12 +481,12 @@
     return *count >= 2 && slow >= *count - *count / 4;
 }
 
-/* Returns whether the target is several times slower than the baseline. */
+/* Returns whether the target is several times slower than the baseline, given
+ * their comparison. Sets its `upstreams` if so. */
 static bool
 is_slow(const struct bb_rollout *r, const struct selection *s,
         struct comparison *c)
 {
-    *c = compare(r, s);
     if (c->timed < SLOW_MIN_RESPONSES ||
         c->difference <
             (s->route == ALL ? SLOW_CLASSES : SLOW_ROUTE_CLASSES) ||
@@ -523,7 +533,7 @@
                                         .route = route,
                                         .only = ALL,
                                         .without = ALL};
-            struct comparison c;
+            struct comparison c = compare(r, &s);
 
             if (is_failing(r, &s, &c)) {
                 describe(&c, "failures", &s, reason);
--- a/include/decide/rollout.h
+++ b/include/decide/rollout.h
@@ -99,6 +99,8 @@
     struct bb_rollout_upstream upstreams[2][BB_ROLLOUT_UPSTREAMS_MAX];
     struct bb_rollout_cell cells[2][BB_ROLLOUT_ROUTES_MAX]
                                 [BB_ROLLOUT_UPSTREAMS_MAX];
+    /* Of all upstreams together. */
+    struct bb_rollout_cell totals[2][BB_ROLLOUT_ROUTES_MAX];
     /* Of the baseline, by route, from the last seconds before all traffic
      * moved to the target. */
     struct bb_rollout_sums last_baseline[BB_ROLLOUT_ROUTES_MAX];
