fleet/core: hosts that are gone take no room among the candidates

Change: this host and all voters are listed first, then the connected peers.

Result: test_fleet 'many replaced hosts' fails before (no change accepted after the second loss) and passes now.

--- a/fleet/core.c
+++ b/fleet/core.c
@@ -231,64 +231,108 @@
     }
 }
 
-/* On the leader, adds or removes one voter if a voter is lost or the number of
- * voters is not the target. A voter that is not a known peer counts as absent
+/* Returns a peer that said hello as a candidate. */
+static struct bb_voter_candidate
+describe_peer(const struct bb_core *c, const struct core_peer *p,
+              uint64_t now_us)
+{
+    return (struct bb_voter_candidate){
+        .disk_id = p->host->disk_id,
+        .zone = bb_hash64(p->host->zone, strlen(p->host->zone), 0),
+        /* 0 means connected, hence the 1. */
+        .absent_us =
+            p->disconnected_since_us == 0
+                ? 0
+                : now_us - MAX(p->disconnected_since_us, c->leader_since_us) +
+                      1};
+}
+
+/* Returns a voter that is not a known peer as a candidate: it counts as absent
  * since this host became the leader. */
-static void
-update_voters(struct bb_core *c, uint64_t now_us)
+static struct bb_voter_candidate
+describe_unknown_voter(const struct bb_core *c, uint64_t disk_id,
+                       uint64_t now_us)
+{
+    /* The host may run with a new disk at the same address. */
+    const char *address_text =
+        g_hash_table_lookup(c->disk_addresses, &disk_id);
+    const struct core_peer *p =
+        address_text != NULL ? g_hash_table_lookup(c->peers, address_text)
+                             : NULL;
+
+    return (struct bb_voter_candidate){
+        .disk_id = disk_id,
+        .is_disk_replaced =
+            p != NULL && p->host != NULL && p->disconnected_since_us == 0,
+        .absent_us = now_us - c->leader_since_us + 1};
+}
+
+static bool
+is_voter(const struct bb_quorum_entry *e, uint64_t disk_id)
+{
+    for (uint64_t i = 0; i < e->voter_count; i++) {
+        if (e->voters[i] == disk_id) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Lists this host, all voters, and the connected peers, as far as there is
+ * room. Peers are kept after their hosts have gone for good: those take no
+ * room. Returns the count. */
+static uint32_t
+list_candidates(struct bb_core *c, uint64_t now_us,
+                struct bb_voter_candidate hosts[BB_VOTERS_CANDIDATES_MAX])
 {
     const struct bb_quorum_entry *e = &c->quorum.durable.entry;
-    struct bb_voter_candidate hosts[BB_VOTERS_CANDIDATES_MAX];
+    uint64_t self = c->quorum.durable.disk_id;
     uint32_t count = 0;
-    struct bb_voters current = {.count = (uint32_t)e->voter_count};
-    struct bb_voters next;
     GHashTableIter it;
     gpointer value;
-    struct bb_quorum_output out = {0};
 
-    if (!bb_quorum_can_propose(&c->quorum) || c->active_proposal != NULL) {
-        return;
-    }
     hosts[count++] = (struct bb_voter_candidate){
-        .disk_id = c->quorum.durable.disk_id,
+        .disk_id = self,
         .zone = bb_hash64(c->self.zone, strlen(c->self.zone), 0)};
+    for (uint64_t i = 0; i < e->voter_count; i++) {
+        const struct core_peer *p = core_find_peer_by_disk(c, e->voters[i]);
+
+        if (e->voters[i] != self) {
+            hosts[count++] =
+                p != NULL ? describe_peer(c, p, now_us)
+                          : describe_unknown_voter(c, e->voters[i], now_us);
+        }
+    }
     g_hash_table_iter_init(&it, c->peers);
     while (g_hash_table_iter_next(&it, NULL, &value) &&
-           count < BB_VOTERS_CANDIDATES_MAX - BB_QUORUM_VOTERS_MAX) {
+           count < BB_VOTERS_CANDIDATES_MAX) {
         const struct core_peer *p = value;
 
-        if (p->host != NULL) {
-            hosts[count++] = (struct bb_voter_candidate){
-                .disk_id = p->host->disk_id,
-                .zone = bb_hash64(p->host->zone, strlen(p->host->zone), 0),
-                /* 0 means connected, hence the 1. */
-                .absent_us = p->disconnected_since_us == 0
-                                 ? 0
-                                 : now_us -
-                                       MAX(p->disconnected_since_us,
-                                           c->leader_since_us) +
-                                       1};
+        if (p->host != NULL && p->disconnected_since_us == 0 &&
+            !is_voter(e, p->host->disk_id)) {
+            hosts[count++] = describe_peer(c, p, now_us);
         }
     }
-    memcpy(current.disk_ids, e->voters, sizeof(current.disk_ids));
-    for (uint32_t i = 0; i < current.count; i++) {
-        if (current.disk_ids[i] != c->quorum.durable.disk_id &&
-            core_find_peer_by_disk(c, current.disk_ids[i]) == NULL) {
-            /* The host may run with a new disk at the same address. */
-            const char *address_text =
-                g_hash_table_lookup(c->disk_addresses, &current.disk_ids[i]);
-            const struct core_peer *p =
-                address_text != NULL
-                    ? g_hash_table_lookup(c->peers, address_text)
-                    : NULL;
-
-            hosts[count++] = (struct bb_voter_candidate){
-                .disk_id = current.disk_ids[i],
-                .is_disk_replaced = p != NULL && p->host != NULL &&
-                                    p->disconnected_since_us == 0,
-                .absent_us = now_us - c->leader_since_us + 1};
-        }
+    return count;
+}
+
+/* On the leader, adds or removes one voter if a voter is lost or the number of
+ * voters is not the target. */
+static void
+update_voters(struct bb_core *c, uint64_t now_us)
+{
+    const struct bb_quorum_entry *e = &c->quorum.durable.entry;
+    struct bb_voter_candidate hosts[BB_VOTERS_CANDIDATES_MAX];
+    uint32_t count;
+    struct bb_voters current = {.count = (uint32_t)e->voter_count};
+    struct bb_voters next;
+    struct bb_quorum_output out = {0};
+
+    if (!bb_quorum_can_propose(&c->quorum) || c->active_proposal != NULL) {
+        return;
     }
+    count = list_candidates(c, now_us, hosts);
+    memcpy(current.disk_ids, e->voters, sizeof(current.disk_ids));
     if (bb_voters_plan_change(hosts, count, &current,
                               c->quorum.durable.disk_id,
                               c->settings.target_voter_count, &next) &&
--- a/tests/fleet/test_fleet.c
+++ b/tests/fleet/test_fleet.c
@@ -10,6 +10,7 @@
 #include "common/clock.h"
 #include "common/counters.h"
 #include "common/random.h"
+#include "decide/voters.h"
 #include "fixture.h"
 #include "fleet/content.h"
 #include "fleet/frame.h"
@@ -81,6 +82,7 @@
     bool is_node;
     const char *ip;
     const char *zone;
+    uint64_t disk_id; /* 0: 99 */
     uint16_t port;
     uint32_t instance_messages;
     uint32_t digests;
@@ -95,13 +97,14 @@
     struct fake_peer *h = context;
     fleet_message m = {.kind = FLEET_HELLO};
 
-    m.fleet_message_u.hello = (fleet_hello){.is_control = !h->is_node,
-                                            .content_id = h->is_node ? 1 : 0,
-                                            .host = {.ip = (char *)h->ip,
-                                                     .peer_port = h->port,
-                                                     .zone = (char *)h->zone,
-                                                     .region = (char *)"r",
-                                                     .disk_id = 99}};
+    m.fleet_message_u.hello =
+        (fleet_hello){.is_control = !h->is_node,
+                      .content_id = h->is_node ? 1 : 0,
+                      .host = {.ip = (char *)h->ip,
+                               .peer_port = h->port,
+                               .zone = (char *)h->zone,
+                               .region = (char *)"r",
+                               .disk_id = h->disk_id != 0 ? h->disk_id : 99}};
     (void)bb_fleet_connection_send(f, &m);
 }
 
@@ -149,6 +152,48 @@
         bb_fleet_connection_open(&c->loop, &at, 500, &fake_peer_events, h);
 }
 
+/* Lets control hosts that are gone for good say hello to those that run, and
+ * end their connections. */
+static void
+add_gone_hosts(struct cluster *c, uint32_t count, const char *zone)
+{
+    char ip[32];
+
+    for (uint32_t i = 0; i < count; i++) {
+        for (uint32_t to = 0; to < HOSTS; to++) {
+            struct fake_peer h = {.disk_id = 1000 + i};
+
+            (void)g_snprintf(ip, sizeof(ip), "127.0.8.%u", i + 1);
+            fake_peer_open(&h, c, to, ip, zone);
+            CU_ASSERT_TRUE(run_loop(c, &h.has_hosts, 1000));
+            bb_fleet_connection_close(h.connection);
+        }
+    }
+    run_loop(c, NULL, 50);
+}
+
+/* Guards against: control hosts that are gone for good and keep others out of
+ * the set of voters, so that the second loss of one takes the majority. */
+static void
+test_many_replaced_hosts(void)
+{
+    struct cluster c;
+
+    create_cluster(&c, HOSTS);
+    CU_ASSERT_EQUAL(propose_until_decided(&c, 0, 1, "first"),
+                    BB_CORE_PROPOSAL_ACCEPTED);
+    add_gone_hosts(&c, 60, "z0");
+    for (uint32_t lost = 0; lost < 2; lost++) {
+        uint32_t voter = (uint32_t)find_leader(&c, 5000) == lost ? 2 : lost;
+
+        stop_core(&c, voter);
+        run_loop(&c, NULL, BB_VOTERS_REPLACE_AFTER_US / BB_US_PER_MS + 1000);
+    }
+    CU_ASSERT_EQUAL(propose_until_decided(&c, 1, 2, "second"),
+                    BB_CORE_PROPOSAL_ACCEPTED);
+    destroy_cluster(&c);
+}
+
 /* Guards against: a retried proposal that is refused although it was accepted,
  * two proposals with one base version that are both accepted, a read that
  * returns another configuration than the accepted one. */
@@ -395,6 +440,31 @@
     destroy_cluster(&c);
 }
 
+/* Guards against: a node that tries only the control hosts of its own zone
+ * that are gone for good, while those of other zones run. */
+static void
+test_node_of_replaced_hosts(void)
+{
+    struct cluster c;
+    struct node n = {0};
+    struct bb_agent *a;
+    struct bb_agent_settings s;
+
+    create_cluster(&c, HOSTS);
+    s = agent_settings(&c, "z0", "127.0.7.50:1");
+    a = bb_agent_create(&c.loop, &s, &agent_events, &n);
+    CU_ASSERT_EQUAL(propose_until_decided(&c, 0, 1, "first"),
+                    BB_CORE_PROPOSAL_ACCEPTED);
+    CU_ASSERT_TRUE(wait_for_version(&c, &n, 1, 3000));
+    add_gone_hosts(&c, 20, "z0");
+    stop_core(&c, 0); /* in the zone of the node */
+    CU_ASSERT_EQUAL(propose_until_decided(&c, 1, 2, "second"),
+                    BB_CORE_PROPOSAL_ACCEPTED);
+    CU_ASSERT_TRUE(wait_for_version(&c, &n, 2, 2500));
+    bb_agent_destroy(a);
+    destroy_cluster(&c);
+}
+
 /* Returns a text that does not compress well; the caller frees it. */
 static char *
 create_text(size_t size_bytes)
@@ -1182,7 +1252,9 @@
     {"restarts", test_restarts},
     {"lost disks", test_lost_disks},
     {"minority leader", test_minority},
+    {"many replaced hosts", test_many_replaced_hosts},
     {"agent", test_agent},
+    {"node of replaced hosts", test_node_of_replaced_hosts},
     {"large configurations", test_large_configurations},
     {"restarted node", test_restarted_node},
     {"restarted node and hosts", test_restarted_node_and_hosts},
