fleet/agent: attempts go to farther control hosts in turn

Cause: a node that had lost its control host tried the nearest ones that had not failed for 6 s.

Change: after an attempt without a response the next one goes to a farther host. A host that has failed is forgotten once a control host with a quorum does not list it; seeds stay.

--- a/fleet/agent.c
+++ b/fleet/agent.c
@@ -21,7 +21,8 @@
 enum control_host_distance {
     DISTANCE_SAME_ZONE,
     DISTANCE_SAME_REGION,
-    DISTANCE_ELSEWHERE /* or unknown */
+    DISTANCE_ELSEWHERE, /* or unknown */
+    DISTANCE_COUNT
 };
 
 /* A control host to connect to. */
@@ -29,6 +30,8 @@
     struct bb_address address;
     uint32_t distance;  /* enum control_host_distance */
     uint64_t failed_us; /* last failure, 0: none */
+    bool is_seed;
+    bool is_listed; /* by the control host connected last */
 };
 
 struct bb_agent {
@@ -50,6 +53,9 @@
     uint64_t connect_due_us;     /* while there is no connection */
     uint32_t retry_delay_ms;
     uint32_t consecutive_failures;
+    /* Hosts below this distance are tried after the others, as one of them did
+     * not respond to the attempt before; 0: none. */
+    uint32_t least_distance;
     struct bb_instance_table *instances; /* of other nodes */
     struct bb_content_store *content_store;
     uint64_t content_id;   /* of the newest configuration, 0: none */
@@ -108,8 +114,9 @@
     return NULL;
 }
 
-/* Adds a control host, or updates its distance. */
-static void
+/* Adds a control host, or updates its distance. Returns it; valid until
+ * another one is added. */
+static struct control_host *
 add_host(struct bb_agent *a, const struct bb_address *at, uint32_t distance)
 {
     struct control_host *host = find_host(a, at);
@@ -117,9 +124,28 @@
 
     if (host == NULL) {
         g_array_append_val(a->hosts, new_host);
+        return &g_array_index(a->hosts, struct control_host,
+                              a->hosts->len - 1);
     }
-    else {
-        host->distance = distance;
+    host->distance = distance;
+    return host;
+}
+
+/* Forgets the hosts that have failed and that the current one, if it has a
+ * quorum, does not list: they are gone for good. Seeds and the current host
+ * stay. */
+static void
+forget_unlisted_hosts(struct bb_agent *a)
+{
+    for (guint i = a->hosts->len; i-- > 0;) {
+        const struct control_host *host =
+            &g_array_index(a->hosts, struct control_host, i);
+
+        if (host->failed_us != 0 && !host->is_listed && !host->is_seed &&
+            a->no_quorum_since_us == 0 &&
+            !bb_address_equal(&host->address, &a->host_address)) {
+            g_array_remove_index_fast(a->hosts, i);
+        }
     }
 }
 
@@ -133,8 +159,17 @@
                (uint64_t)BB_AGENT_AVOID_FAILED_MS * BB_US_PER_MS;
 }
 
-/* Returns the nearest host that has not failed recently (a random one if
- * several are equally near), or else the one that failed longest ago. Returns
+/* Returns the place of a host in the order of attempts. */
+static uint32_t
+attempt_rank(const struct bb_agent *a, const struct control_host *host)
+{
+    return host->distance >= a->least_distance
+               ? host->distance
+               : host->distance + DISTANCE_COUNT;
+}
+
+/* Returns the first host in the order of attempts that has not failed recently
+ * (a random one of several), or else the one that failed longest ago. Returns
  * NULL if none is known. */
 static struct control_host *
 choose_host(struct bb_agent *a, uint64_t now_us)
@@ -162,7 +197,7 @@
             is_better = host->failed_us < best->failed_us;
         }
         else {
-            is_better = host->distance < best->distance;
+            is_better = attempt_rank(a, host) < attempt_rank(a, best);
         }
         if (is_better) {
             best = host;
@@ -187,6 +222,11 @@
     a->connection = NULL;
     if (host != NULL) {
         host->failed_us = now_us;
+        /* Every second attempt at most goes to a host as near as the one that
+         * did not respond: all of those may be gone. */
+        a->least_distance = !a->has_received_hello && a->least_distance == 0
+                                ? host->distance + 1
+                                : 0;
     }
     a->retry_delay_ms =
         a->has_received_hello || a->retry_delay_ms == 0
@@ -321,6 +361,9 @@
     const struct control_host *current;
     const struct control_host *best;
 
+    for (guint i = 0; i < a->hosts->len; i++) {
+        g_array_index(a->hosts, struct control_host, i).is_listed = false;
+    }
     for (u_int i = 0; i < m->fleet_message_u.hosts.hosts_len; i++) {
         const fleet_host *h = &m->fleet_message_u.hosts.hosts_val[i];
         struct bb_address at = {.port = (uint16_t)h->peer_port};
@@ -330,8 +373,9 @@
                                                          : DISTANCE_ELSEWHERE;
 
         g_strlcpy(at.ip, h->ip, sizeof(at.ip));
-        add_host(a, &at, distance);
+        add_host(a, &at, distance)->is_listed = true;
     }
+    forget_unlisted_hosts(a);
     current = find_host(a, &a->host_address);
     best = choose_host(a, now_us);
     if (current != NULL && best != NULL &&
@@ -558,6 +602,7 @@
     a->has_received_hello = true;
     a->has_received_instances = false;
     a->retry_delay_ms = 0;
+    a->least_distance = 0;
     bb_counter_set(&connected_gauge, 1);
     bb_log_info("agent.connected", "%s", a->host_address.ip);
     if (a->events->host_connected != NULL) {
@@ -648,18 +693,21 @@
     return a;
 }
 
-/* Adds seed addresses to the known hosts; none is removed. Their ports are
- * replaced by the port of the settings. */
+/* Adds seed addresses to the known hosts; earlier seeds stay known. Their
+ * ports are replaced by the port of the settings. */
 void
 bb_agent_set_seeds(struct bb_agent *a, const struct bb_address_list *seeds)
 {
     for (uint32_t i = 0; i < seeds->count; i++) {
         struct bb_address at = seeds->items[i];
+        struct control_host *host;
 
         at.port = a->settings.control_port;
-        if (find_host(a, &at) == NULL) {
-            add_host(a, &at, DISTANCE_ELSEWHERE);
+        host = find_host(a, &at);
+        if (host == NULL) {
+            host = add_host(a, &at, DISTANCE_ELSEWHERE);
         }
+        host->is_seed = true;
     }
 }
 
