path/gate: callers who leave early say nothing of a silent upstream

Cause: each cancelled request that had run longer than usual counted as one that the upstream had left unanswered.

Change: only a request whose caller has waited until the deadline, less 100 ms, is evidence.

Result: test_stalls 'callers who leave' fails before (a limit of 1 of 2 slots is learned), passes now; the tests of upstreams that do drop requests pass as before (test_stalls 6 of 6, three times).

--- a/path/gate.c
+++ b/path/gate.c
@@ -26,6 +26,8 @@
     /* For requests without a deadline field; the same as
      * BB_ENTRY_DEADLINE_MAX_MS. */
     DEFAULT_DEADLINE_MS = 30000,
+    /* By how much a cancel at the deadline may come before it. */
+    DEADLINE_MARGIN_MS = 100,
     HEXADECIMAL = 16 /* base of a number */
 };
 
@@ -910,6 +912,23 @@
     }
 }
 
+/* Ends the observation of a request that is cancelled. Only one whose caller
+ * has waited until the deadline may be stalled: callers leave requests that
+ * run long. */
+static void
+stop_observing(const struct gate_request *rq)
+{
+    struct bb_stall_watch *w = rq->gate->stall_watch;
+
+    if (bb_clock_now_us() + (uint64_t)DEADLINE_MARGIN_MS * BB_US_PER_MS >=
+        rq->queue_item.deadline_us) {
+        bb_stall_watch_cancel(w, rq->queue_item.id);
+    }
+    else {
+        bb_stall_watch_drop(w, rq->queue_item.id);
+    }
+}
+
 /* Cancels a request whose connection to the entry node was closed. */
 static void
 on_entry_disconnected(void *context, struct bb_http_exchange *x,
@@ -924,7 +943,7 @@
     }
     bb_counter_add(&cancelled_total, 1);
     if (rq->fetch != NULL) {
-        bb_stall_watch_cancel(g->stall_watch, rq->queue_item.id);
+        stop_observing(rq);
         bb_fetch_cancel(rq->fetch);
         release_slot(rq, 0, false);
         bb_left_runs_add(&g->left_runs, rq->request_id,
--- a/tests/path/test_stalls.c
+++ b/tests/path/test_stalls.c
@@ -155,6 +155,67 @@
     fixture_close(&b);
 }
 
+static struct scripted_response
+respond_by_name(struct upstream *u, uint32_t number,
+                const struct bb_http_head *h)
+{
+    (void)u;
+    (void)number;
+    return (struct scripted_response){
+        .text = ok_response,
+        .delay_ms =
+            strstr(bb_http_head_get(h, T_ID), "slow") != NULL ? 1000 : 10};
+}
+
+/* Guards against: an upstream that counts as one that drops requests, as
+ * callers have left requests that run long: it gets fewer at once, and others
+ * that run long end with 502. */
+static void
+test_callers_who_leave(void)
+{
+    struct path_fixture b;
+    struct loop_client l = {.request = UNSAFE("a1", "")};
+    struct client *slow;
+    uint32_t slots;
+    uint64_t end_us;
+
+    fixture_open(&b);
+    fixture_set_rules(&b, 5000, 1);
+    fixture_announce(&b, 1, true);
+    b.upstreams[0].script = respond_by_name;
+    slots = gate_slots(&b);
+    l.client = client_open(&b);
+    while (b.upstreams[0].requests < WARM_UP_REQUESTS) {
+        step_client(&l);
+        fixture_run(&b, 2);
+    }
+    for (uint32_t i = 0; i < 4; i++) {
+        slow = client_open(&b);
+        client_send(slow, UNSAFE("slow", ""));
+        end_us = bb_clock_now_us() + (uint64_t)400 * BB_US_PER_MS;
+        while (bb_clock_now_us() < end_us) {
+            step_client(&l);
+            fixture_run(&b, 2);
+        }
+        client_free(slow);
+    }
+    fixture_run(&b, 20);
+    CU_ASSERT_EQUAL(gate_slots(&b), slots);
+    slow = client_open(&b);
+    client_send(slow, UNSAFE("slow", ""));
+    end_us = bb_clock_now_us() + (uint64_t)(1000 + MARGIN_MS) * BB_US_PER_MS;
+    while (strstr(slow->received->str, "\r\n\r\n") == NULL &&
+           bb_clock_now_us() < end_us) {
+        step_client(&l);
+        fixture_run(&b, 2);
+    }
+    CU_ASSERT_EQUAL(client_count(slow, "HTTP/1.1 200"), 1);
+    CU_ASSERT_EQUAL(l.failures, 0);
+    client_free(slow);
+    client_free(l.client);
+    fixture_close(&b);
+}
+
 /* Delays each turn of the loop, as on a machine that is busy. */
 static void
 on_busy_turn(uv_check_t *c)
@@ -350,6 +411,7 @@
 
 static const struct bb_unit_test tests[] = {
     {"dropping upstream", test_dropping_upstream},
+    {"callers who leave", test_callers_who_leave},
     {"queued until the deadline", test_queued_until_deadline},
     {"deadline while connecting to a gate",
      test_deadline_while_connecting_to_gate},
