path/entry: nothing runs behind a response that is too long to be replaced

Cause: requests of one connection run ahead of earlier responses.

Change: a route that has had such a response in the last ten minutes is expected to have one again: requests behind it on the connection are not sent on until it is complete. The first long response of a route is not foreseen.

--- a/include/net/http_server.h
+++ b/include/net/http_server.h
@@ -96,11 +96,14 @@
     bool awaits_continue;     /* the peer sends the body after status 100 */
     bool is_paused;           /* the handler wants no more of the body yet */
     bool is_aborted; /* the connection is reset without a complete response */
-    GString *pending_head;   /* queued until earlier responses are written;
-                                lacks the connection field and the end */
-    GString *pending_output; /* likewise, of the body */
-    uint64_t output_offset;  /* of the response in the connection's output */
-    void *user_data;         /* for the handler */
+    bool expects_long_response; /* set by the handler: no later request of the
+                                   connection starts before the response is
+                                   complete */
+    GString *pending_head;      /* queued until earlier responses are written;
+                                   lacks the connection field and the end */
+    GString *pending_output;    /* likewise, of the body */
+    uint64_t output_offset; /* of the response in the connection's output */
+    void *user_data;        /* for the handler */
 };
 
 /* Callbacks for requests. Only the one that starts a request is required.
--- a/include/path/relay.h
+++ b/include/path/relay.h
@@ -20,6 +20,7 @@
     uint32_t status;       /* 0: no head yet */
     GString *fields;       /* of the response, each ended by CRLF */
     GString *body;         /* buffered part */
+    uint64_t body_bytes;   /* received so far */
     int64_t length_bytes;  /* Content-Length of the response, or
                               BB_HTTP_LENGTH_CHUNKED */
     bool is_head_response; /* response to a HEAD request: has no body */
@@ -35,6 +36,7 @@
 bool bb_response_relay_append_body(struct bb_response_relay *r,
                                    struct bb_http_exchange *x,
                                    const char *data, size_t size_bytes);
+bool bb_response_relay_is_long(const struct bb_response_relay *r);
 void bb_response_relay_finish(struct bb_response_relay *r,
                               struct bb_http_exchange *x);
 
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -703,6 +703,22 @@
     }
 }
 
+/* Returns whether an earlier request of the connection expects a long response
+ * that is not complete. */
+static bool
+is_behind_long_response(const struct bb_http_exchange *x)
+{
+    for (const GList *l = x->connection->exchanges.head; l->data != x;
+         l = l->next) {
+        const struct bb_http_exchange *earlier = l->data;
+
+        if (earlier->expects_long_response && !earlier->is_response_ended) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Returns whether a request may be passed to the handler before the responses
  * to earlier ones of its connection are complete. */
 static bool
@@ -716,7 +732,7 @@
                             !first->is_response_ended;
 
     return s->handler->may_overlap != NULL && !is_response_open &&
-           !bb_buffers_are_full() &&
+           !bb_buffers_are_full() && !is_behind_long_response(x) &&
            s->handler->may_overlap(s->context, &x->head);
 }
 
--- a/path/attempt.c
+++ b/path/attempt.c
@@ -365,6 +365,10 @@
     }
     is_streaming =
         bb_response_relay_append_body(&a->relay, x, data, size_bytes);
+    if (bb_response_relay_is_long(&a->relay)) {
+        a->request->entry->long_response_us[a->request->route->route_group] =
+            bb_clock_now_us();
+    }
     if (is_streaming) {
         attempt_add_overdue_evidence(other_attempt(a));
         attempt_cancel(other_attempt(a));
--- a/path/entry.c
+++ b/path/entry.c
@@ -30,7 +30,9 @@
     TARGET_MIN_PERCENT = 25,
     /* No hedge before this part of the target latency: until then the first
      * response is expected in time. */
-    HEDGE_MIN_PERCENT = 35
+    HEDGE_MIN_PERCENT = 35,
+    /* For how long a route is expected to have long responses again. */
+    LONG_RESPONSE_MEMORY_MS = 600 * 1000
 };
 
 BB_HISTOGRAM(forwarded_time, "baobab_entry_seconds", "outcome=\"answered\"",
@@ -510,6 +512,18 @@
     }
 }
 
+/* Keeps the requests behind this one from being sent on if the route has had
+ * a long response lately: they would be lost if that one broke off. */
+static void
+set_expected_length(struct entry_request *rq, uint64_t now_us)
+{
+    uint64_t long_us = rq->entry->long_response_us[rq->route->route_group];
+
+    rq->exchange->expects_long_response =
+        long_us != 0 &&
+        now_us - long_us < (uint64_t)LONG_RESPONSE_MEMORY_MS * BB_US_PER_MS;
+}
+
 /* Routes a request and starts its first attempt. */
 static void
 start_request(struct entry_request *rq)
@@ -521,6 +535,7 @@
         return;
     }
     set_deadlines(rq);
+    set_expected_length(rq, now_us);
     bb_event_log_format_line(
         rq->log_lines, "entry.routed", rq->id,
         "\"route\":\"%s\",\"service\":\"%s\",\"version\":%" G_GUINT64_FORMAT
--- a/path/entry_internal.h
+++ b/path/entry_internal.h
@@ -34,6 +34,9 @@
      * BB_ENTRY_DEADLINE_MAX_MS if one stated none; taken as the deadline of a
      * caller's first request. */
     uint64_t longest_deadline_us[BB_RULES_GROUP_COUNT];
+    /* By route_group: when a response was last too long to be buffered until
+     * it is complete; 0: never. */
+    uint64_t long_response_us[BB_RULES_GROUP_COUNT];
     uint64_t start_end_us;  /* requests may wait until then */
     uint32_t waiting_count; /* requests whose is_waiting is set */
     uint64_t end_us;        /* latest deadline; 0: no limit */
--- a/path/relay.c
+++ b/path/relay.c
@@ -45,6 +45,7 @@
 bb_response_relay_reset(struct bb_response_relay *r)
 {
     r->status = 0;
+    r->body_bytes = 0;
     g_string_truncate(r->fields, 0);
     drop_body(r);
 }
@@ -207,6 +208,7 @@
                               struct bb_http_exchange *x, const char *data,
                               size_t size_bytes)
 {
+    r->body_bytes += size_bytes;
     if (!r->is_streaming) {
         g_string_append_len(r->body, data, (gssize)size_bytes);
         bb_buffers_add(size_bytes);
@@ -224,6 +226,14 @@
     return true;
 }
 
+/* Returns whether a response is too long to be buffered until it is complete,
+ * as far as it has arrived. */
+bool
+bb_response_relay_is_long(const struct bb_response_relay *r)
+{
+    return r->body_bytes > BB_RESPONSE_RELAY_FOLLOWED_BYTES;
+}
+
 /* Sends the rest of a complete response; the exchange must not be used
  * afterwards. */
 void
--- a/tests/path/test_path.c
+++ b/tests/path/test_path.c
@@ -1317,6 +1317,70 @@
     fixture_close(&b);
 }
 
+/* Longer than BB_RESPONSE_RELAY_FOLLOWED_BYTES, also without the last tenth.
+ */
+#define UNBUFFERED_RESPONSE_BYTES 1200000
+
+/* Returns a head and the first bytes of a body that is too long to be buffered
+ * until it is complete. The caller frees it. */
+static char *
+create_unbuffered_response(uint32_t sent_bytes)
+{
+    char *body = g_strnfill(sent_bytes, 'b');
+    char *text = g_strdup_printf("HTTP/1.1 200 OK\r\nT-Id: {id}\r\n"
+                                 "T-Seal: s\r\nContent-Length: %d\r\n\r\n%s",
+                                 UNBUFFERED_RESPONSE_BYTES, body);
+
+    g_free(body);
+    return text;
+}
+
+/* Breaks off the response to "a2". */
+static struct scripted_response
+break_second_response(struct upstream *u, uint32_t number,
+                      const struct bb_http_head *h)
+{
+    static char *complete;
+    static char *broken;
+
+    (void)u;
+    (void)number;
+    if (complete == NULL) {
+        complete = create_unbuffered_response(UNBUFFERED_RESPONSE_BYTES);
+        broken =
+            create_unbuffered_response(UNBUFFERED_RESPONSE_BYTES / 10 * 9);
+    }
+    if (strcmp(bb_http_head_get(h, T_ID), "a2") == 0) {
+        return (struct scripted_response){.text = broken,
+                                          .action = ACTION_CLOSE};
+    }
+    return (struct scripted_response){.text = complete};
+}
+
+/* Guards against: requests that run, but get no response, as they were sent on
+ * behind one whose response is too long to be replaced when it breaks off. */
+static void
+test_requests_behind_long_responses(void)
+{
+    struct path_fixture b;
+    struct client *c;
+
+    fixture_open(&b);
+    fixture_set_rules(&b, 5000, 1);
+    fixture_set_scripts(&b, break_second_response);
+    c = client_open(&b);
+    client_send(c, SAFE("a1") "\r\n");
+    fixture_run(&b, 500);
+    CU_ASSERT_TRUE(c->received->len > UNBUFFERED_RESPONSE_BYTES);
+    client_send(c, SAFE("a1") "\r\n" SAFE("a2") "\r\n" SAFE("a3") "\r\n" SAFE(
+                       "a4") "\r\n");
+    fixture_run(&b, 1000);
+    CU_ASSERT_EQUAL(client_count(c, "HTTP/1.1 200"), 3);
+    CU_ASSERT_EQUAL(count_requests(&b), 3);
+    client_free(c);
+    fixture_close(&b);
+}
+
 /* Longer than BB_RESPONSE_RELAY_BUFFER_BYTES. */
 #define BROKEN_RESPONSE_BYTES 100000
 
@@ -1599,6 +1663,7 @@
     {"odd gate records", test_odd_gate_records},
     {"pipelined requests", test_pipeline},
     {"long pipelined response", test_long_pipelined_response},
+    {"requests behind long responses", test_requests_behind_long_responses},
     {"broken pipelined response", test_broken_pipelined_response},
     {"broken last response", test_broken_last_response},
     {"request behind an open response", test_request_behind_open_response},
