fleet/core: the first start goes on without a seed that is gone

Cause: the first seed formed the cluster only once every seed of its settings was connected and empty.

Change: after 2.5 s more than half of the seeds suffice, the first one among them, all connected ones empty; the leader then completes the voters. Still only the first seed forms a cluster.

--- a/fleet/core.c
+++ b/fleet/core.c
@@ -193,15 +193,34 @@
     core_schedule_timer(c);
 }
 
+/* Returns the peer at a seed address if it is connected, else NULL. */
+static const struct core_peer *
+find_connected_seed(const struct bb_core *c, const struct bb_address *seed)
+{
+    char text[BB_ADDRESS_TEXT_BYTES];
+    struct bb_address at = *seed;
+    const struct core_peer *p;
+
+    at.port = c->settings.peer_address.port;
+    p = g_hash_table_lookup(c->peers, bb_address_format(&at, text));
+    return p != NULL && p->host != NULL && p->disconnected_since_us == 0
+               ? p
+               : NULL;
+}
+
 /* Bootstraps the cluster, with the seed hosts as voters, once all of them are
- * connected and have empty disks. Only the first seed host does this, so that
- * no second cluster is created. */
+ * connected and have empty disks. After BB_CORE_BOOTSTRAP_WAIT_MS more than
+ * half of them suffice, as one may be gone for good; the leader completes the
+ * voters. Only the first seed host does this, so that no second cluster is
+ * created. */
 static void
 try_bootstrap(struct bb_core *c, uint64_t now_us)
 {
     const struct bb_address_list *seeds = &c->settings.seeds;
     uint64_t disk_ids[BB_QUORUM_VOTERS_MAX];
     uint32_t count = 0;
+    bool has_waited = now_us - c->created_us >=
+                      (uint64_t)BB_CORE_BOOTSTRAP_WAIT_MS * BB_US_PER_MS;
     struct bb_quorum_output out = {0};
 
     if (!c->settings.may_bootstrap || c->quorum.durable.entry.index != 0 ||
@@ -212,17 +231,20 @@
     disk_ids[count++] = c->quorum.durable.disk_id;
     for (uint32_t i = 1; i < seeds->count && count < BB_QUORUM_VOTERS_MAX;
          i++) {
-        char text[BB_ADDRESS_TEXT_BYTES];
-        struct bb_address at = seeds->items[i];
-        const struct core_peer *p;
+        const struct core_peer *p = find_connected_seed(c, &seeds->items[i]);
 
-        at.port = c->settings.peer_address.port;
-        p = g_hash_table_lookup(c->peers, bb_address_format(&at, text));
-        if (p == NULL || p->host == NULL || p->disconnected_since_us != 0 ||
-            !p->host->is_empty) {
+        if (p != NULL && !p->host->is_empty) {
+            return;
+        }
+        if (p != NULL) {
+            disk_ids[count++] = p->host->disk_id;
+        }
+        else if (!has_waited) {
             return;
         }
-        disk_ids[count++] = p->host->disk_id;
+    }
+    if (2 * count <= seeds->count) {
+        return;
     }
     bb_log_info("core.forming", "bootstrapping the cluster with %u voters",
                 count);
@@ -492,6 +514,7 @@
 
     c->loop = loop;
     c->settings = *s;
+    c->created_us = bb_clock_now_us();
     c->content_store = bb_content_store_create();
     c->instances = bb_instance_table_create();
     c->changed_for_nodes =
--- a/fleet/core_internal.h
+++ b/fleet/core_internal.h
@@ -86,6 +86,7 @@
     struct bb_listener *listener;
     struct bb_core_settings settings;
     fleet_host self;
+    uint64_t created_us;
     struct bb_quorum quorum;
     struct bb_fleet_store *store;
     struct bb_content_store *content_store;
--- a/include/fleet/core.h
+++ b/include/fleet/core.h
@@ -33,6 +33,9 @@
     /* Interval at which the leader checks the set of voters, and at which a
      * host that may bootstrap the cluster checks whether it can. */
     BB_CORE_VOTER_PLAN_INTERVAL_MS = 250,
+    /* How long that host waits for all seeds; longer than hosts that start
+     * together take, and shorter than operators wait for a response. */
+    BB_CORE_BOOTSTRAP_WAIT_MS = 2500,
     /* A node that may connect to a nearer control host is sent the state only
      * if it stays for this long. */
     BB_CORE_REDIRECT_WAIT_MS = 300,
@@ -66,8 +69,8 @@
     /* Operator addresses of control hosts; see bb_core_set_seeds. */
     struct bb_address_list seeds;
     /* The cluster does not exist yet: the first seed host bootstraps it, with
-     * the seed hosts as voters, once all of them are connected and have empty
-     * disks. */
+     * the seed hosts as voters, once all of them (later: most of them) are
+     * connected and have empty disks. */
     bool may_bootstrap;
     /* Number of voters that the leader aims for, as bb_voters_target_count
      * returns it: from 3 to BB_QUORUM_VOTERS_MAX - 1. */
--- a/tests/fleet/test_fleet.c
+++ b/tests/fleet/test_fleet.c
@@ -172,6 +172,35 @@
     run_loop(c, NULL, 50);
 }
 
+/* Guards against: a first start that never ends, as a seed is gone for good;
+ * one by less than half of the seeds, or beside a host that has an entry. */
+static void
+test_seed_gone_at_first_start(void)
+{
+    struct cluster c;
+    uint32_t stopped;
+
+    create_cluster(&c, 0);
+    start_core(&c, 0, true);
+    CU_ASSERT_EQUAL(find_leader(&c, BB_CORE_BOOTSTRAP_WAIT_MS + 1000), -1);
+    start_core(&c, 2, true);
+    start_core(&c, 3, true);
+    CU_ASSERT_EQUAL(propose_until_decided(&c, 0, 1, "first"),
+                    BB_CORE_PROPOSAL_ACCEPTED);
+    run_loop(&c, NULL, 1000);
+    stopped = stop_leader(&c, 1000); /* three have it now */
+    CU_ASSERT_EQUAL(propose_until_decided(&c, 1, 2, "second"),
+                    BB_CORE_PROPOSAL_ACCEPTED);
+    start_core(&c, stopped, false);
+    run_loop(&c, NULL, 1000);
+    replace_disk(&c, 0);
+    start_core(&c, 0, true);
+    run_loop(&c, NULL, BB_CORE_BOOTSTRAP_WAIT_MS + 1000);
+    CU_ASSERT_EQUAL(propose_until_decided(&c, 2, 3, "third"),
+                    BB_CORE_PROPOSAL_ACCEPTED);
+    destroy_cluster(&c);
+}
+
 /* Guards against: control hosts that are gone for good and keep others out of
  * the set of voters, so that the second loss of one takes the majority. */
 static void
@@ -1252,6 +1281,7 @@
     {"restarts", test_restarts},
     {"lost disks", test_lost_disks},
     {"minority leader", test_minority},
+    {"seed gone at the first start", test_seed_gone_at_first_start},
     {"many replaced hosts", test_many_replaced_hosts},
     {"agent", test_agent},
     {"node of replaced hosts", test_node_of_replaced_hosts},
