--- a/decide/silence.c
+++ b/decide/silence.c
@@ -240,8 +240,7 @@
     }
 }
 
-/* Records that a request ended without a response, which its caller no longer
- * waits for. */
+/* Records that a request reached its deadline without a response. */
 void
 bb_silence_cancel(struct bb_silence *s, uint64_t id, uint64_t now_us)
 {
--- a/include/decide/silence.h
+++ b/include/decide/silence.h
@@ -12,7 +12,7 @@
  * - others that were at the upstream when it was sent have been answered
  *   since, so that it was not sent to an idle upstream.
  * A request is cut only at an upstream that has shown this behaviour: requests
- * that counted as stalled were cancelled by their callers, several within
+ * that counted as stalled reached their deadlines, several within
  * BB_SILENCE_MEMORY_US and more than a tail explains; and only if it was sent
  * when about as many were there as the upstream accepts. Many that look
  * stalled at the same time are no such evidence: test_memory of proxyd has
--- a/path/stall_watch.c
+++ b/path/stall_watch.c
@@ -102,7 +102,7 @@
     bb_silence_answer(&w->silence, id, bb_clock_now_us());
 }
 
-/* Records that the entry no longer waits for a request. */
+/* Records that the entry has waited for a request until its deadline. */
 void
 bb_stall_watch_cancel(struct bb_stall_watch *w, uint64_t id)
 {
@@ -110,8 +110,8 @@
     log_changes(w);
 }
 
-/* Ends the observation of a request that says nothing: it failed, or the
- * upstream did not run it. Does nothing if it is not observed. */
+/* Ends the observation of a request that says nothing: it failed, its caller
+ * left, or the upstream did not run it. Does nothing if it is not observed. */
 void
 bb_stall_watch_drop(struct bb_stall_watch *w, uint64_t id)
 {
