decide/silence: a request that reaches its deadline expires

The function was named for cancelled requests, which are no evidence any more. No change of behaviour; test_silence 154 asserts, test_stalls 22, passed.

--- a/decide/rollout_verdict.c
+++ b/decide/rollout_verdict.c
@@ -432,7 +432,7 @@
 }
 
 /* Returns whether the target fails more often than the baseline, given their
- * comparison. Sets its `upstreams` if so. */
+ * comparison. Sets its `upstreams` unless there are too few failures. */
 static bool
 is_failing(const struct bb_rollout *r, const struct selection *s,
            struct comparison *c)
@@ -482,7 +482,7 @@
 }
 
 /* Returns whether the target is several times slower than the baseline, given
- * their comparison. Sets its `upstreams` if so. */
+ * their comparison. Sets its `upstreams` unless it is as fast. */
 static bool
 is_slow(const struct bb_rollout *r, const struct selection *s,
         struct comparison *c)
--- a/decide/silence.c
+++ b/decide/silence.c
@@ -242,7 +242,7 @@
 
 /* Records that a request reached its deadline without a response. */
 void
-bb_silence_cancel(struct bb_silence *s, uint64_t id, uint64_t now_us)
+bb_silence_expire(struct bb_silence *s, uint64_t id, uint64_t now_us)
 {
     uint32_t position = find_request(s, id);
     struct bb_silence_request r;
--- a/include/decide/silence.h
+++ b/include/decide/silence.h
@@ -102,7 +102,7 @@
 void bb_silence_send(struct bb_silence *s, uint64_t id, uint32_t class_index,
                      uint64_t now_us);
 void bb_silence_answer(struct bb_silence *s, uint64_t id, uint64_t now_us);
-void bb_silence_cancel(struct bb_silence *s, uint64_t id, uint64_t now_us);
+void bb_silence_expire(struct bb_silence *s, uint64_t id, uint64_t now_us);
 void bb_silence_drop(struct bb_silence *s, uint64_t id);
 bool bb_silence_take_stalled(struct bb_silence *s, uint64_t now_us,
                              uint64_t *id);
--- a/include/path/stall_watch.h
+++ b/include/path/stall_watch.h
@@ -27,7 +27,7 @@
 void bb_stall_watch_send(struct bb_stall_watch *w, uint64_t id,
                          uint32_t class_index);
 void bb_stall_watch_answer(struct bb_stall_watch *w, uint64_t id);
-void bb_stall_watch_cancel(struct bb_stall_watch *w, uint64_t id);
+void bb_stall_watch_expire(struct bb_stall_watch *w, uint64_t id);
 void bb_stall_watch_drop(struct bb_stall_watch *w, uint64_t id);
 uint32_t bb_stall_watch_slots(struct bb_stall_watch *w, uint32_t slots);
 void bb_stall_watch_destroy(struct bb_stall_watch *w);
--- a/path/gate.c
+++ b/path/gate.c
@@ -922,7 +922,7 @@
 
     if (bb_clock_now_us() + (uint64_t)DEADLINE_MARGIN_MS * BB_US_PER_MS >=
         rq->queue_item.deadline_us) {
-        bb_stall_watch_cancel(w, rq->queue_item.id);
+        bb_stall_watch_expire(w, rq->queue_item.id);
     }
     else {
         bb_stall_watch_drop(w, rq->queue_item.id);
--- a/path/stall_watch.c
+++ b/path/stall_watch.c
@@ -104,9 +104,9 @@
 
 /* Records that the entry has waited for a request until its deadline. */
 void
-bb_stall_watch_cancel(struct bb_stall_watch *w, uint64_t id)
+bb_stall_watch_expire(struct bb_stall_watch *w, uint64_t id)
 {
-    bb_silence_cancel(&w->silence, id, bb_clock_now_us());
+    bb_silence_expire(&w->silence, id, bb_clock_now_us());
     log_changes(w);
 }
 
--- a/tests/decide/test_silence.c
+++ b/tests/decide/test_silence.c
@@ -124,7 +124,7 @@
         }
         else if (m->now_us - m->running[i].sent_us >=
                  (uint64_t)DEADLINE_MS * US_PER_MS) {
-            bb_silence_cancel(&m->silence, m->running[i].id, m->now_us);
+            bb_silence_expire(&m->silence, m->running[i].id, m->now_us);
             m->expired_stalled += m->running[i].end_us == UINT64_MAX;
             model_remove(m, i);
         }
